--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,163 @@
+"""Show the whole path on one machine: ``make demo``.
+
+Starts stand-ins and three entry hosts in two availability zones, streams a chat
+answer, books once and asks for the same booking at another entry host, kills one
+host of the serving group in mid-stream, and checks that all of it held.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import httpx
+from openai import OpenAI
+
+from tests.processes import EntryHost, Fleet, running_fleet, wait_until
+
+ZONES = ("brisbane", "ipswich")
+N_TOKENS = 80
+QUESTION = [{"role": "user", "content": "Which dogs are home?"}]
+
+
+def main() -> int:
+    """Run the demonstration and return 0 only if everything held."""
+    started = time.monotonic()
+    checks: dict[str, bool] = {}
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        running_fleet(Path(directory)) as fleet,
+    ):
+        entries = _start(fleet)
+        checks["a chat answer was streamed whole"] = _chat(fleet, entries[0])
+        checks["a booking, sent twice, ran once"] = _book(fleet, entries)
+        checks["a stream outlived the loss of a member"] = _lose_member(
+            fleet, entries[0]
+        )
+        codes = [entry.process.stop() for entry in entries]
+        checks["the entry hosts shut down gracefully"] = codes == [0, 0, 0]
+    for what, held in checks.items():
+        print(f"{'ok  ' if held else 'FAIL'} {what}")
+    print(f"{time.monotonic() - started:.1f} s; everything started was stopped")
+    return 0 if all(checks.values()) else 1
+
+
+def _start(fleet: Fleet) -> list[EntryHost]:
+    fleet.start_platform(list_lag=0.5)
+    for zone, domain in (("brisbane", "b1"), ("brisbane", "b2"), ("ipswich", "i1")):
+        hosts = [f"{zone}-{domain}-{rank}" for rank in range(4)]
+        fleet.start_engines(*hosts, zone=zone, domain=domain)
+        print(f"started engines {', '.join(hosts)}")
+    fleet.start_service("bookings-1", zone="brisbane", service="bookings")
+    fleet.publish(
+        {
+            "models": {"notes": {"version": "v1", "n_groups": 2}},
+            "client_accounts": {"pawroute": fleet.account("pawroute")},
+            "services": {"bookings": {"non_repeatable": ["/bookings"]}},
+        }
+    )
+    entries = [
+        fleet.start_entry(name, zone=zone, availability_zones=list(ZONES))
+        for name, zone in (
+            ("entry-1", "brisbane"),
+            ("entry-2", "brisbane"),
+            ("entry-3", "ipswich"),
+        )
+    ]
+    wait_until(
+        lambda: all(entry.n_whole_groups() == 3 for entry in entries),
+        what="three replica groups are whole",
+    )
+    for group in entries[0].dump()["groups"]:
+        print(f"group {group['group'][:14]} serves on {', '.join(group['members'])}")
+    return entries
+
+
+def _client(fleet: Fleet, entry: EntryHost) -> OpenAI:
+    return OpenAI(
+        base_url=f"{entry.url}/v1",
+        api_key=fleet.keys_by_account["pawroute"],
+        max_retries=0,
+    )
+
+
+def _stream(fleet: Fleet, entry: EntryHost, on_token: object = None) -> list[str]:
+    answer = _client(fleet, entry).chat.completions.create(
+        model="notes", messages=QUESTION, max_tokens=N_TOKENS, stream=True
+    )
+    tokens: list[str] = []
+    for chunk in answer:
+        if chunk.choices and chunk.choices[0].delta.content:
+            tokens += chunk.choices[0].delta.content.split()
+            if on_token is not None:
+                on_token(len(tokens))
+    return tokens
+
+
+def _is_whole(tokens: list[str]) -> bool:
+    positions = [int(token.rpartition("-")[2]) for token in tokens]
+    return positions == list(range(N_TOKENS))
+
+
+def _chat(fleet: Fleet, entry: EntryHost) -> bool:
+    tokens = _stream(fleet, entry)
+    print(f"streamed {len(tokens)} tokens through {entry.address}")
+    return _is_whole(tokens)
+
+
+def _book(fleet: Fleet, entries: list[EntryHost]) -> bool:
+    headers = {
+        "Authorization": f"Bearer {fleet.keys_by_account['pawroute']}",
+        "Idempotency-Key": f"{time.time_ns() // 1_000_000}-rex",
+    }
+    answers = [
+        httpx.post(
+            f"{entry.url}/services/bookings/bookings",
+            headers=headers,
+            json={"dog": "Rex"},
+            timeout=10,
+        )
+        for entry in (entries[0], entries[2])
+    ]
+    for answer in answers:
+        replayed = answer.headers.get("Ryelever-Replayed", "false")
+        print(f"booking answered {answer.status_code}, replayed: {replayed}")
+    address = fleet.addresses_by_name["bookings-1"]
+    runs = httpx.get(f"http://{address}/bookings").json()
+    print(f"the service ran: {runs}")
+    same = answers[0].content == answers[1].content
+    return same and list(runs.values()) == [1] and answers[0].status_code == 201
+
+
+def _lose_member(fleet: Fleet, entry: EntryHost) -> bool:
+    killed: list[str] = []
+    lock = threading.Lock()
+
+    def kill_member(n_tokens: int) -> None:
+        with lock:
+            if killed or n_tokens < N_TOKENS // 4:
+                return
+            member = _busy_member(fleet, entry)
+            killed.append(member)
+            fleet.processes_by_name[member].kill()
+            print(f"killed {member} after {n_tokens} tokens")
+
+    tokens = _stream(fleet, entry, kill_member)
+    print(f"the stream went on to {len(tokens)} tokens")
+    return bool(killed) and _is_whole(tokens)
+
+
+def _busy_member(fleet: Fleet, entry: EntryHost) -> str:
+    state = entry.dump()
+    target = state["requests"][0]["target"]
+    group = next(group for group in state["groups"] if group["group"] == target)
+    return group["members"][2]
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        sys.exit(main())
--- /dev/null
+++ b/ryelever/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under time and faults: events and a time in, actions out."""
--- /dev/null
+++ b/ryelever/dump.py
@@ -0,0 +1,176 @@
+"""Answer operators' paths: health, readiness, metrics and the state dump."""
+
+from __future__ import annotations
+
+import hmac
+import time
+from typing import TYPE_CHECKING, Any
+
+from .errors import Category, RyeleverError
+from .events import CallerAnswer
+from .protocol.json_codec import encode
+from .protocol.openai import error_body, http_status
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .application import Application
+    from .events import CallerRequest
+
+__all__ = ["Dump"]
+
+
+class Dump:
+    """Describe what the process believes and since when; secrets never appear."""
+
+    def __init__(self, *, application: Application) -> None:
+        self._application = application
+
+    def pages(self) -> dict[str, Callable[[CallerRequest], CallerAnswer]]:
+        """Return the pages by path."""
+        return {
+            "/healthz": self._health,
+            "/readyz": self._readiness,
+            "/metrics": self._metrics,
+            "/dump": self._dump,
+        }
+
+    def _health(self, request: CallerRequest) -> CallerAnswer:
+        return _json(request, 200, {"status": "alive"})
+
+    def _readiness(self, request: CallerRequest) -> CallerAnswer:
+        application = self._application
+        if application.serving.draining:
+            return _json(request, 503, {"status": "draining"})
+        if not application.control.ready:
+            return _json(request, 503, {"status": "no configuration yet"})
+        return _json(request, 200, {"status": "ready"})
+
+    def _metrics(self, request: CallerRequest) -> CallerAnswer:
+        return CallerAnswer(
+            request_id=request.request_id,
+            status=200,
+            body=self._application.metrics.render(),
+            content_type="text/plain; version=0.0.4; charset=utf-8",
+        )
+
+    def _dump(self, request: CallerRequest) -> CallerAnswer:
+        key = self._application.settings.operator_key
+        given = request.headers.get("authorization", "").removeprefix("Bearer ")
+        if not key or not hmac.compare_digest(key.encode(), given.encode()):
+            error = RyeleverError(
+                "send the operator key: Authorization: Bearer KEY",
+                category=Category.UNAUTHORIZED,
+                step="dump",
+            )
+            return CallerAnswer(
+                request_id=request.request_id,
+                status=http_status(error),
+                body=error_body(error),
+            )
+        return _json(request, 200, self.describe())
+
+    def describe(self) -> dict[str, Any]:
+        """Return the whole state."""
+        application = self._application
+        now = time.monotonic()
+        return {
+            "settings": application.settings.public(),
+            "boot": application.boot,
+            "draining": application.serving.draining,
+            "configuration": {
+                "version": application.configuration.version,
+                "author": application.configuration.author,
+            },
+            "streams": self._streams(now=now),
+            "groups": self._groups(now=now),
+            "leases": self._leases(),
+            "hosts": self._hosts(now=now),
+            "requests": self._requests(now=now),
+            "connections": {
+                "callers": application.callers.describe(),
+                "outgoing": application.http_client.describe(),
+            },
+        }
+
+    def _streams(self, *, now: float) -> dict[str, Any]:
+        return {
+            name: {
+                "next_offset": stream.fold.next_offset,
+                "caught_up_for": _age(stream.caught_up_at, now=now),
+                "pending_appends": len(stream.writer.pending_by_id),
+                "ignored": [
+                    {"offset": ignored.offset, "reason": ignored.reason}
+                    for ignored in stream.fold.ignored[-5:]
+                ],
+            }
+            for name, stream in self._application.control.streams_by_name.items()
+        }
+
+    def _groups(self, *, now: float) -> list[dict[str, Any]]:
+        control = self._application.control
+        return [
+            {
+                "group": group.name,
+                "availability_zone": zone,
+                "model": group.model,
+                "fencing": group.fencing,
+                "members": group.members,
+                "whole": control.confirmations.is_whole(group, now=now),
+                "dissolved": group.dissolved,
+                "reason": group.dissolved_reason or group.reason,
+            }
+            for zone, placement in control.placements_by_zone.items()
+            for group in placement.groups_by_name.values()
+        ]
+
+    def _leases(self) -> dict[str, Any]:
+        placements = self._application.control.placements_by_zone
+        return {
+            zone: {
+                "holder": placement.lease.holder,
+                "offset": placement.lease.offset,
+                "term": placement.lease.term,
+            }
+            for zone, placement in placements.items()
+            if placement.lease is not None
+        }
+
+    def _hosts(self, *, now: float) -> dict[str, Any]:
+        control = self._application.control
+        described = {}
+        for name, listed in control.hosts_by_name.items():
+            fresh = control.confirmations.reports_by_host.get(name)
+            described[name] = {
+                "address": listed.address,
+                "listed": listed.state,
+                "reported": fresh.report.state if fresh else None,
+                "group": fresh.report.group if fresh else None,
+                "report_age": _age(fresh.asked_at, now=now) if fresh else None,
+            }
+        return described
+
+    def _requests(self, *, now: float) -> list[dict[str, Any]]:
+        return [
+            {
+                "request": request.arrival.request_id,
+                "client_account": request.arrival.client_account,
+                "state": request.state.value,
+                "for": _age(request.since, now=now),
+                "attempt": request.attempt_id,
+                "target": request.target.name if request.target else None,
+                "tried": request.tried,
+                "n_delivered": len(request.delivered),
+            }
+            for request in self._application.table.requests_by_id.values()
+        ]
+
+
+def _age(at: float, *, now: float) -> float | None:
+    return None if at == float("-inf") else round(now - at, 3)
+
+
+def _json(request: CallerRequest, status: int, value: dict[str, Any]) -> CallerAnswer:
+    return CallerAnswer(
+        request_id=request.request_id, status=status, body=encode(value)
+    )
--- /dev/null
+++ b/ryelever/events.py
@@ -0,0 +1,243 @@
+"""Name the events by which the parts of a process meet.
+
+Each event carries one typed message.  Event names are lower case, as circuits has
+them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from circuits import Event
+
+from .errors import RyeleverError
+from .state.records import Claim
+
+__all__ = [
+    "AnswerHead",
+    "AttemptData",
+    "CallerRequest",
+    "OutboundAnswer",
+    "OutboundFailure",
+    "OutboundRequest",
+    "caller_gone",
+    "caller_request",
+    "caller_stalled",
+    "control_tick",
+    "drain",
+    "outbound_answer",
+    "outbound_cancel",
+    "outbound_data",
+    "outbound_end",
+    "outbound_failed",
+    "outbound_flow",
+    "outbound_head",
+    "outbound_send",
+    "serving_tick",
+    "sweep",
+]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerRequest:
+    """Hold one whole and well-formed HTTP request of a caller."""
+
+    request_id: str
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+    peer: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OutboundRequest:
+    """Hold one HTTP request towards an outside system.
+
+    Attributes
+    ----------
+    reply_channel : str
+        Channel on which the outcome is fired.
+    streamed : bool
+        Fire ``outbound_head`` and ``outbound_data`` as bytes arrive, rather than
+        one ``outbound_answer``.
+    fresh : bool
+        Use a new connection: one that idled may be gone without a word, and then
+        nobody knows whether the request was run.
+    progress_timeout : float
+        Seconds without a byte after which the connection is given up.
+    """
+
+    id: str
+    address: str
+    method: str
+    path: str
+    reply_channel: str
+    step: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    streamed: bool = False
+    fresh: bool = False
+    connect_timeout: float = 1.0
+    progress_timeout: float = 5.0
+    max_body: int = 8 << 20
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AnswerHead:
+    """Hold the status and headers of a streamed answer."""
+
+    id: str
+    status: int
+    headers: dict[str, str]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AttemptData:
+    """Hold bytes of a streamed answer's body."""
+
+    id: str
+    data: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OutboundAnswer:
+    """Hold a whole answer.
+
+    Attributes
+    ----------
+    sent_at : float
+        Monotonic time from before the request was sent.
+    """
+
+    id: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    address: str
+    sent_at: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OutboundFailure:
+    """Hold a failure.
+
+    Attributes
+    ----------
+    bytes_sent : bool
+        False only when no byte of the request has left.
+    """
+
+    id: str
+    address: str
+    error: RyeleverError
+    bytes_sent: bool
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerAnswer:
+    """Hold a whole answer for a caller."""
+
+    request_id: str
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ClaimReadBack:
+    """Hold an own claim that was read back from the log."""
+
+    claim_id: str
+    claim: Claim
+    is_first: bool
+
+
+class caller_request(Event):
+    """Announce a ``CallerRequest``."""
+
+
+class caller_gone(Event):
+    """Announce by request id that the caller has closed its connection."""
+
+
+class caller_stalled(Event):
+    """Announce by request id, and a flag, that a caller does not keep up."""
+
+
+class caller_answer(Event):
+    """Answer a caller with a ``CallerAnswer``."""
+
+
+class caller_stream_start(Event):
+    """Start a streamed answer by request id, with headers."""
+
+
+class caller_stream_data(Event):
+    """Pass bytes on to a caller by request id."""
+
+
+class caller_stream_end(Event):
+    """End a streamed answer by request id."""
+
+
+class outbound_send(Event):
+    """Ask for an ``OutboundRequest`` to be sent."""
+
+
+class outbound_cancel(Event):
+    """Give a request up by id; its connection is closed."""
+
+
+class outbound_flow(Event):
+    """Stop or go on reading an answer by id, with a flag."""
+
+
+class outbound_head(Event):
+    """Announce an ``AnswerHead``."""
+
+
+class outbound_data(Event):
+    """Announce an ``AttemptData``."""
+
+
+class outbound_end(Event):
+    """Announce by id that a streamed answer is complete as HTTP."""
+
+
+class outbound_answer(Event):
+    """Announce an ``OutboundAnswer``."""
+
+
+class outbound_failed(Event):
+    """Announce an ``OutboundFailure``."""
+
+
+class control_tick(Event):
+    """Let control look at its deadlines."""
+
+
+class serving_tick(Event):
+    """Let serving look at its deadlines."""
+
+
+class sweep(Event):
+    """Let a transport look at its connections."""
+
+
+class append_record(Event):
+    """Ask for the record of an ``AppendRecord`` to be appended."""
+
+
+class claim_read_back(Event):
+    """Announce a ``ClaimReadBack``."""
+
+
+class drain(Event):
+    """Begin the graceful shutdown."""
+
+
+class drained(Event):
+    """Announce that nothing is in flight any more."""
--- /dev/null
+++ b/ryelever/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Message shapes and codecs: no sockets."""
--- /dev/null
+++ b/ryelever/protocol/backend.py
@@ -0,0 +1,121 @@
+"""Shape the messages towards backend servers; docs/INTERFACES.md describes them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+from expression import Result
+
+from ..errors import RyeleverError
+from ..state.fleet import HostReport, ListedHost
+from .json_codec import decode
+
+__all__ = [
+    "GenerateRequest",
+    "HostsList",
+    "Order",
+    "StreamItem",
+    "read_hosts_list",
+    "read_report",
+    "read_stream_item",
+]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Order:
+    """Order an engine to join or leave a group.
+
+    Attributes
+    ----------
+    kind : str
+        ``"join"`` or ``"leave"``.
+    members : tuple of str
+        Addresses in rank order.
+    expires_ms : int
+        Milliseconds after receipt in which the engine may start to obey.
+    """
+
+    id: str
+    kind: str
+    group: str
+    fencing: int
+    rank: int = 0
+    members: tuple[str, ...] = ()
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    expires_ms: int = 5000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GenerateRequest:
+    """Ask rank 0 of a group to generate tokens.
+
+    Attributes
+    ----------
+    delivered : tuple of str
+        Tokens that the caller already has; generation goes on after them.
+    """
+
+    attempt: str
+    group: str
+    fencing: int
+    model: str
+    messages: list[dict]
+    max_tokens: int
+    adapter: str = ""
+    priority: int = 0
+    delivered: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StreamItem:
+    """Hold one server-sent event of a generation.
+
+    Attributes
+    ----------
+    index : int
+        Index of the first token in ``tokens``, counted from the answer's start.
+    finish_reason : str
+        Set on the terminal event only.
+    """
+
+    attempt: str
+    index: int = 0
+    tokens: tuple[str, ...] = ()
+    finish_reason: str = ""
+    n_prompt_tokens: int = 0
+    n_cached_tokens: int = 0
+    error: str = ""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HostsList:
+    """Hold the platform's lagging list of hosts."""
+
+    hosts: list[ListedHost] = field(default_factory=list)
+
+
+_STREAM_ITEM_DECODER = msgspec.json.Decoder(StreamItem)
+
+
+def read_report(data: bytes, *, peer: str) -> Result[HostReport, RyeleverError]:
+    """Read a host's report of itself."""
+    return decode(data, HostReport, step="read_report", peer=peer)
+
+
+def read_hosts_list(data: bytes, *, peer: str) -> Result[HostsList, RyeleverError]:
+    """Read the platform's list of hosts."""
+    return decode(data, HostsList, step="read_hosts_list", peer=peer)
+
+
+def read_stream_item(data: bytes) -> StreamItem:
+    """Read one streamed item.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the item is not the expected JSON.
+    """
+    return _STREAM_ITEM_DECODER.decode(data)
--- /dev/null
+++ b/ryelever/protocol/openai.py
@@ -0,0 +1,248 @@
+"""Shape the OpenAI HTTP interface towards callers."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..coordination.actions import ChatWork, Usage
+from ..errors import Category, RunState, RyeleverError
+from .json_codec import encode
+from .sse import DONE, sse_event
+
+__all__ = [
+    "ChatStreamShape",
+    "chat_completion",
+    "error_body",
+    "error_event",
+    "fingerprint",
+    "http_status",
+    "models_list",
+    "read_chat_request",
+]
+
+DEFAULT_MAX_TOKENS = 512
+MAX_TOKENS = 32_768
+
+_STATUS_BY_CATEGORY = {
+    Category.BAD_REQUEST: 400,
+    Category.UNAUTHORIZED: 401,
+    Category.NOT_FOUND: 404,
+    Category.CONFLICT: 409,
+    Category.TOO_LARGE: 413,
+    Category.LIMITED: 429,
+    Category.UNAVAILABLE: 503,
+    Category.TIMEOUT: 504,
+    Category.BROKEN: 502,
+    Category.INTERNAL: 500,
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class _Message:
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class _StreamOptions:
+    include_usage: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class _ChatRequest:
+    model: str
+    messages: list[_Message]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+    n: int | None = 1
+    metadata: dict[str, Any] | None = field(default_factory=dict)
+
+
+_CHAT_DECODER = msgspec.json.Decoder(_ChatRequest)
+
+
+def read_chat_request(body: bytes) -> Result[ChatWork, RyeleverError]:
+    """Read the body of ``POST /v1/chat/completions``.
+
+    The model may name an adapter as ``model:adapter``.
+    """
+    try:
+        request = _CHAT_DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(_bad_request(f"the body is not a chat request: {error}"))
+    if not request.messages:
+        return Error(_bad_request("messages is empty; give at least one"))
+    if request.n not in (None, 1):
+        return Error(_bad_request("n must be 1"))
+    max_tokens = request.max_completion_tokens or request.max_tokens
+    max_tokens = DEFAULT_MAX_TOKENS if max_tokens is None else max_tokens
+    if not 1 <= max_tokens <= MAX_TOKENS:
+        return Error(_bad_request(f"max_tokens must be between 1 and {MAX_TOKENS}"))
+    model, _, adapter = request.model.partition(":")
+    options = request.stream_options
+    return Ok(
+        ChatWork(
+            model=model,
+            adapter=adapter,
+            messages=[
+                {"role": message.role, "content": message.content}
+                for message in request.messages
+            ],
+            max_tokens=max_tokens,
+            streamed=request.stream,
+            include_usage=options is not None and options.include_usage,
+        )
+    )
+
+
+def fingerprint(*parts: bytes) -> str:
+    """Return a digest of a request, the same for a resend of it."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()[:32]
+
+
+def http_status(error: RyeleverError) -> int:
+    """Return the HTTP status of an error."""
+    return _STATUS_BY_CATEGORY[error.category]
+
+
+def error_body(error: RyeleverError) -> bytes:
+    """Return the JSON body that tells an error to a caller."""
+    return encode({"error": _error_fields(error)})
+
+
+def error_event(error: RyeleverError) -> bytes:
+    """Return the server-sent events that end a broken stream explicitly."""
+    return sse_event(error_body(error)) + DONE
+
+
+def error_headers(error: RyeleverError) -> dict[str, str]:
+    """Return the headers that belong to an error's answer."""
+    if error.retry_after is None:
+        return {}
+    return {"Retry-After": str(max(1, round(error.retry_after)))}
+
+
+def models_list(names: list[str], *, created: int) -> bytes:
+    """Return the answer of ``GET /v1/models``."""
+    data = [
+        {"id": name, "object": "model", "created": created, "owned_by": "ryelever"}
+        for name in names
+    ]
+    return encode({"object": "list", "data": data})
+
+
+def chat_completion(
+    *,
+    request_id: str,
+    model: str,
+    created: int,
+    tokens: tuple[str, ...],
+    finish_reason: str,
+    usage: Usage,
+) -> bytes:
+    """Return a whole answer."""
+    choice = {
+        "index": 0,
+        "message": {"role": "assistant", "content": "".join(tokens)},
+        "finish_reason": finish_reason,
+    }
+    return encode(
+        {
+            "id": f"chatcmpl-{request_id}",
+            "object": "chat.completion",
+            "created": created,
+            "model": model,
+            "choices": [choice],
+            "usage": _usage_fields(usage),
+        }
+    )
+
+
+class ChatStreamShape:
+    """Write the server-sent events of one streamed answer.
+
+    Everything around the text is the same in each event of an answer, so it is
+    composed once.
+    """
+
+    __slots__ = ("_created", "_head", "_include_usage", "_model", "_request_id")
+
+    def __init__(
+        self, *, request_id: str, model: str, created: int, include_usage: bool
+    ) -> None:
+        self._request_id = f"chatcmpl-{request_id}"
+        self._model = model
+        self._created = created
+        self._include_usage = include_usage
+        fields = encode(self._chunk([]))
+        self._head = b"data: " + fields[:-3]
+
+    def tokens(self, tokens: tuple[str, ...]) -> bytes:
+        """Return the event that carries some tokens."""
+        text = encode("".join(tokens))
+        return (
+            self._head
+            + b'[{"index":0,"delta":{"content":'
+            + text
+            + b'},"finish_reason":null}]}\n\n'
+        )
+
+    def finished(self, *, finish_reason: str, usage: Usage) -> bytes:
+        """Return the events that end the answer."""
+        choice = {"index": 0, "delta": {}, "finish_reason": finish_reason}
+        events = sse_event(encode(self._chunk([choice])))
+        if self._include_usage:
+            chunk = self._chunk([]) | {"usage": _usage_fields(usage)}
+            events += sse_event(encode(chunk))
+        return events + DONE
+
+    def _chunk(self, choices: list[dict[str, Any]]) -> dict[str, Any]:
+        return {
+            "id": self._request_id,
+            "object": "chat.completion.chunk",
+            "created": self._created,
+            "model": self._model,
+            "choices": choices,
+        }
+
+
+def _usage_fields(usage: Usage) -> dict[str, Any]:
+    return {
+        "prompt_tokens": usage.n_prompt_tokens,
+        "completion_tokens": usage.n_completion_tokens,
+        "total_tokens": usage.n_prompt_tokens + usage.n_completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": usage.n_cached_tokens},
+    }
+
+
+def _error_fields(error: RyeleverError) -> dict[str, Any]:
+    return {
+        "message": error.message,
+        "type": error.category.value,
+        "code": error.code,
+        "run_state": error.run_state.value,
+        "step": error.step,
+        "peer": error.peer,
+        "retry_after": error.retry_after,
+    }
+
+
+def _bad_request(message: str) -> RyeleverError:
+    return RyeleverError(
+        message,
+        category=Category.BAD_REQUEST,
+        step="read_request",
+        code="invalid_request",
+        run_state=RunState.NOT_RUN,
+    )
--- /dev/null
+++ b/ryelever/settings.py
@@ -0,0 +1,309 @@
+"""Declare, read and check the settings of one process.
+
+Settings are written in JSON with comments.  Every setting stands in one table
+with its name, default, type and meaning; a check names every fault in one run.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import json5
+from expression import Error, Ok, Result
+
+__all__ = ["SETTINGS", "Fault", "Setting", "Settings", "read_settings"]
+
+#: Marks a setting that has no default.
+REQUIRED = object()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Fault:
+    """Name one fault: its place, what was expected, and what to do."""
+
+    place: str
+    expected: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: expected {self.expected}; {self.remedy}"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Setting:
+    """Declare one setting.
+
+    Attributes
+    ----------
+    check : callable
+        Tell whether a value is acceptable.
+    expected : str
+        What ``check`` accepts, for messages and the reference page.
+    secret : bool
+        Keep the value out of dumps and logs.
+    """
+
+    name: str
+    default: Any
+    check: Callable[[Any], bool]
+    expected: str
+    meaning: str
+    secret: bool = False
+
+
+def _is_name(value: Any) -> bool:
+    return (
+        isinstance(value, str)
+        and bool(value)
+        and all(char.isalnum() or char in "-_." for char in value)
+    )
+
+
+def _is_address(value: Any) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isdigit() and int(port) < 65536
+
+
+def _is_addresses(value: Any) -> bool:
+    return isinstance(value, list) and all(_is_address(item) for item in value)
+
+
+def _is_names(value: Any) -> bool:
+    return isinstance(value, list) and all(_is_name(item) for item in value)
+
+
+def _is_positive(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and value > 0
+
+
+def _is_size(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value > 0
+
+
+def _is_secret(value: Any) -> bool:
+    return isinstance(value, str) and (not value or len(value) >= 16)
+
+
+_ADDRESS = "an IPv4 number and a port, such as 127.0.0.1:8080"
+_SECONDS = "a number of seconds above 0"
+_SIZE = "a whole number of bytes above 0"
+_SECRET = "at least 16 characters, or nothing to switch the use off"
+
+#: Every setting there is.
+SETTINGS: tuple[Setting, ...] = (
+    Setting(
+        name="host",
+        default=REQUIRED,
+        check=_is_name,
+        expected="a name of letters, digits, '-', '_' and '.'",
+        meaning="Name of this entry host, unique among all.",
+    ),
+    Setting(
+        name="region",
+        default="",
+        check=lambda value: value == "" or _is_name(value),
+        expected="a name, or nothing",
+        meaning="Region of this entry host.",
+    ),
+    Setting(
+        name="availability_zone",
+        default=REQUIRED,
+        check=_is_name,
+        expected="a name of letters, digits, '-', '_' and '.'",
+        meaning="Availability zone of this entry host.",
+    ),
+    Setting(
+        name="availability_zones",
+        default=REQUIRED,
+        check=_is_names,
+        expected="a list of names",
+        meaning="All availability zones whose placement this host follows.",
+    ),
+    Setting(
+        name="callers_address",
+        default=REQUIRED,
+        check=_is_address,
+        expected=_ADDRESS,
+        meaning="Where callers, operators and the balancer reach this host.",
+    ),
+    Setting(
+        name="log_address",
+        default=REQUIRED,
+        check=_is_address,
+        expected=_ADDRESS,
+        meaning="The platform's log service.",
+    ),
+    Setting(
+        name="hosts_list_address",
+        default=REQUIRED,
+        check=_is_address,
+        expected=_ADDRESS,
+        meaning="The platform's list of hosts.",
+    ),
+    Setting(
+        name="peers_address",
+        default="127.0.0.1:0",
+        check=_is_address,
+        expected=_ADDRESS,
+        meaning="Where other entry hosts reach this one over UDP.",
+    ),
+    Setting(
+        name="peers",
+        default=[],
+        check=_is_addresses,
+        expected="a list of addresses",
+        meaning="The other entry hosts' peers_address.",
+    ),
+    Setting(
+        name="peer_key",
+        default="",
+        check=_is_secret,
+        expected=_SECRET,
+        meaning="Key shared by all entry hosts; authenticates their messages.",
+        secret=True,
+    ),
+    Setting(
+        name="operator_key",
+        default="",
+        check=_is_secret,
+        expected=_SECRET,
+        meaning="Key with which an operator signs in and asks for dumps.",
+        secret=True,
+    ),
+    Setting(
+        name="request_timeout",
+        default=60.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Deadline of a request that names none.",
+    ),
+    Setting(
+        name="progress_timeout",
+        default=2.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Silence of a connection after which it is given up.",
+    ),
+    Setting(
+        name="report_interval",
+        default=0.5,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Time between two questions to each backend server.",
+    ),
+    Setting(
+        name="report_max_age",
+        default=2.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Age up to which a backend server's report counts.",
+    ),
+    Setting(
+        name="lease_term",
+        default=6.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Term of the planner's lease of an availability zone.",
+    ),
+    Setting(
+        name="drain_timeout",
+        default=30.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Longest graceful shutdown; what is left then ends with an error.",
+    ),
+    Setting(
+        name="max_body",
+        default=4 << 20,
+        check=_is_size,
+        expected=_SIZE,
+        meaning="Longest body of a caller's request.",
+    ),
+)
+
+_SETTINGS_BY_NAME = {setting.name: setting for setting in SETTINGS}
+
+
+class Settings:
+    """Hold checked settings; each is an attribute."""
+
+    __slots__ = tuple(_SETTINGS_BY_NAME)
+
+    def __init__(self, **values: Any) -> None:
+        for name, value in values.items():
+            setattr(self, name, value)
+
+    def public(self) -> dict[str, Any]:
+        """Return the settings without the secrets, for the dump."""
+        return {
+            setting.name: getattr(self, setting.name)
+            for setting in SETTINGS
+            if not setting.secret
+        }
+
+
+def read_settings(text: str) -> Result[Settings, list[Fault]]:
+    """Read settings and check all of them."""
+    try:
+        values = json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        return Error(
+            [
+                Fault(
+                    place="file",
+                    expected="JSON with comments",
+                    remedy=f"mend the text: {error}",
+                )
+            ]
+        )
+    if not isinstance(values, dict):
+        return Error(
+            [
+                Fault(
+                    place="file",
+                    expected="an object of settings",
+                    remedy="put the settings between braces",
+                )
+            ]
+        )
+    faults = [_unknown(name) for name in values if name not in _SETTINGS_BY_NAME]
+    checked: dict[str, Any] = {}
+    for setting in SETTINGS:
+        value = values.get(setting.name, setting.default)
+        fault = _check(setting, value)
+        if fault is not None:
+            faults.append(fault)
+        checked[setting.name] = value
+    return Error(faults) if faults else Ok(Settings(**checked))
+
+
+def _unknown(name: str) -> Fault:
+    return Fault(
+        place=name,
+        expected="a known setting",
+        remedy="remove it, or look its name up in docs/OPERATING.md",
+    )
+
+
+def _check(setting: Setting, value: Any) -> Fault | None:
+    if value is REQUIRED:
+        return Fault(
+            place=setting.name,
+            expected=setting.expected,
+            remedy=f"set it; it means: {setting.meaning}",
+        )
+    if setting.check(value):
+        return None
+    shown = "a secret" if setting.secret else repr(value)
+    return Fault(
+        place=setting.name, expected=setting.expected, remedy=f"replace {shown}"
+    )
--- /dev/null
+++ b/ryelever/state/__init__.py
@@ -0,0 +1,1 @@
+"""Pure data and folds: no clock, no input or output."""
--- /dev/null
+++ b/ryelever/timers.py
@@ -0,0 +1,89 @@
+"""Fire events at monotonic times from one heap.
+
+``circuits.Timer`` uses the wall clock and is polled one by one on every pass: a
+clock that is set back would stretch a lease, and a thousand deadlines would cost
+a thousand checks a pass.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+if TYPE_CHECKING:
+    from circuits import Event
+
+__all__ = ["Timer", "Timers"]
+
+#: Longest wait for input, in seconds, so that signals are noticed.
+MAX_WAIT = 0.5
+
+
+@dataclass(slots=True, kw_only=True)
+class Timer:
+    """Hold one event that is due at a monotonic time."""
+
+    due_at: float
+    event: Event
+    channel: str
+    interval: float = 0.0
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Keep the event from being fired."""
+        self.cancelled = True
+
+
+class Timers(BaseComponent):
+    """Own the process's deadlines."""
+
+    channel = "timers"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._sequence = itertools.count()
+
+    def after(self, delay: float, event: Event, channel: str) -> Timer:
+        """Fire ``event`` on ``channel`` after ``delay`` seconds."""
+        timer = Timer(due_at=time.monotonic() + delay, event=event, channel=channel)
+        self._push(timer)
+        return timer
+
+    def every(self, interval: float, make_event: type[Event], channel: str) -> Timer:
+        """Fire an event of one class every ``interval`` seconds."""
+        timer = Timer(
+            due_at=time.monotonic() + interval,
+            event=make_event,
+            channel=channel,
+            interval=interval,
+        )
+        self._push(timer)
+        return timer
+
+    @handler("generate_events")
+    def _on_generate_events(self, event: Event) -> None:
+        now = time.monotonic()
+        while self._heap and self._heap[0][0] <= now:
+            timer = heapq.heappop(self._heap)[2]
+            if not timer.cancelled:
+                self._fire_due(timer, now=now)
+        wait = self._heap[0][0] - now if self._heap else MAX_WAIT
+        event.reduce_time_left(max(0.0, min(wait, MAX_WAIT)))
+
+    def _fire_due(self, timer: Timer, *, now: float) -> None:
+        if not timer.interval:
+            self.fire(timer.event, timer.channel)
+            return
+        self.fire(timer.event(), timer.channel)
+        # After a pause the missed rounds are left out: ticks look at the present.
+        timer.due_at = max(timer.due_at + timer.interval, now)
+        self._push(timer)
+
+    def _push(self, timer: Timer) -> None:
+        heapq.heappush(self._heap, (timer.due_at, next(self._sequence), timer))
--- /dev/null
+++ b/ryelever/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Components that own sockets."""
--- /dev/null
+++ b/ryelever/transport/http_client.py
@@ -0,0 +1,423 @@
+"""Send HTTP requests to outside systems over pooled connections.
+
+``circuits.web.client`` yields an answer only when it is whole, and one circuits
+component a connection would empty the handler cache at each connect.  This
+component therefore owns all outgoing sockets itself and parses with h11.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import h11
+from absl import logging
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+
+from ..errors import Category, RyeleverError
+from ..events import (
+    AnswerHead,
+    AttemptData,
+    OutboundAnswer,
+    OutboundFailure,
+    OutboundRequest,
+    outbound_answer,
+    outbound_data,
+    outbound_end,
+    outbound_failed,
+    outbound_head,
+)
+
+if TYPE_CHECKING:
+    from circuits import Event
+
+__all__ = ["HttpClient"]
+
+#: Bytes read from a socket at once.
+READ_SIZE = 64 * 1024
+
+#: Idle connections kept for one address.
+MAX_IDLE = 32
+
+#: Seconds after which an idle connection is closed.
+IDLE_TIMEOUT = 30.0
+
+#: Milliseconds after which the kernel gives up on bytes nobody acknowledges.
+TCP_USER_TIMEOUT_MS = 5000
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Connection:
+    """Own one socket and at most one request at a time."""
+
+    address: str
+    sock: socket.socket
+    http: h11.Connection
+    request: OutboundRequest | None = None
+    connecting: bool = True
+    bytes_sent: bool = False
+    started_at: float = 0.0
+    progress_at: float = 0.0
+    paused: bool = False
+    reused: bool = False
+    out: bytearray = field(default_factory=bytearray)
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+
+
+class HttpClient(BaseComponent):
+    """Own every outgoing connection."""
+
+    channel = "http_client"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._poller: BasePoller | None = None
+        self._connections_by_sock: dict[socket.socket, _Connection] = {}
+        self._connections_by_request: dict[str, _Connection] = {}
+        self._idle_by_address: dict[str, list[_Connection]] = {}
+        self.n_opened = 0
+        self.n_silent = 0
+
+    # Requests
+
+    @handler("outbound_send")
+    def _on_outbound_send(self, request: OutboundRequest) -> None:
+        connection = None if request.fresh else self._take_idle(request.address)
+        if connection is None:
+            connection = self._open(request)
+        if connection is not None:
+            self._start(connection, request)
+
+    @handler("outbound_cancel")
+    def _on_outbound_cancel(self, request_id: str) -> None:
+        connection = self._connections_by_request.get(request_id)
+        if connection is not None:
+            self._close(connection)
+
+    @handler("outbound_flow")
+    def _on_outbound_flow(self, request_id: str, stop: bool) -> None:
+        connection = self._connections_by_request.get(request_id)
+        if connection is None or connection.paused == stop:
+            return
+        connection.paused = stop
+        connection.progress_at = time.monotonic()
+        if stop:
+            self._poller.removeReader(connection.sock)
+        else:
+            self._poller.addReader(self, connection.sock)
+
+    @handler("sweep")
+    def _on_sweep(self) -> None:
+        now = time.monotonic()
+        for connection in list(self._connections_by_sock.values()):
+            self._check_progress(connection, now=now)
+
+    # State for the dump
+
+    def describe(self) -> list[dict[str, object]]:
+        """Describe each connection for the state dump."""
+        now = time.monotonic()
+        return [
+            {
+                "address": connection.address,
+                "request": connection.request.id if connection.request else None,
+                "connecting": connection.connecting,
+                "paused": connection.paused,
+                "silent_for": round(now - connection.progress_at, 3),
+            }
+            for connection in self._connections_by_sock.values()
+        ]
+
+    # Connections
+
+    def _take_idle(self, address: str) -> _Connection | None:
+        idle = self._idle_by_address.get(address)
+        return idle.pop() if idle else None
+
+    def _open(self, request: OutboundRequest) -> _Connection | None:
+        host, _, port = request.address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+        code = sock.connect_ex((host, int(port)))
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            self._report_failure(
+                request,
+                f"cannot connect: {errno.errorcode.get(code, code)}",
+                category=Category.UNAVAILABLE,
+                bytes_sent=False,
+            )
+            return None
+        connection = _Connection(
+            address=request.address,
+            sock=sock,
+            http=h11.Connection(h11.CLIENT),
+        )
+        self.n_opened += 1
+        self._connections_by_sock[sock] = connection
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+        self._poller.addReader(self, sock)
+        self._poller.addWriter(self, sock)
+        return connection
+
+    def _start(self, connection: _Connection, request: OutboundRequest) -> None:
+        now = time.monotonic()
+        connection.request = request
+        connection.started_at = connection.progress_at = now
+        connection.bytes_sent = False
+        connection.body.clear()
+        self._connections_by_request[request.id] = connection
+        headers = [
+            ("Host", request.address),
+            *request.headers,
+            ("Content-Length", str(len(request.body))),
+        ]
+        head = h11.Request(method=request.method, target=request.path, headers=headers)
+        connection.out += connection.http.send(head)
+        if request.body:
+            connection.out += connection.http.send(h11.Data(data=request.body))
+        connection.out += connection.http.send(h11.EndOfMessage())
+        if not connection.connecting:
+            self._flush(connection)
+
+    @handler("_write")
+    def _on_write(self, sock: socket.socket) -> None:
+        connection = self._connections_by_sock.get(sock)
+        if connection is None:
+            return
+        if connection.connecting:
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._fail(
+                    connection, f"cannot connect: {errno.errorcode.get(code, code)}"
+                )
+                return
+            connection.connecting = False
+        self._flush(connection)
+
+    def _flush(self, connection: _Connection) -> None:
+        if connection.out:
+            try:
+                n_sent = connection.sock.send(connection.out)
+            except BlockingIOError:
+                n_sent = 0
+            except OSError as error:
+                self._fail(connection, f"cannot send: {error.strerror}")
+                return
+            if n_sent:
+                connection.bytes_sent = True
+                connection.progress_at = time.monotonic()
+                del connection.out[:n_sent]
+        writing = self._poller.isWriting(connection.sock)
+        if connection.out and not writing:
+            self._poller.addWriter(self, connection.sock)
+        elif not connection.out and writing:
+            self._poller.removeWriter(connection.sock)
+
+    @handler("_read")
+    def _on_read(self, sock: socket.socket) -> None:
+        connection = self._connections_by_sock.get(sock)
+        if connection is None or connection.paused:
+            return
+        try:
+            data = sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(connection, f"connection broke: {error.strerror}")
+            return
+        if connection.request is None:
+            # An idle connection speaks only to say that it is closed.
+            self._close(connection)
+            return
+        connection.progress_at = time.monotonic()
+        try:
+            connection.http.receive_data(data)
+            self._next_events(connection)
+        except h11.RemoteProtocolError as error:
+            self._fail(connection, f"answer is broken: {error}")
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        connection = self._connections_by_sock.get(sock)
+        if connection is not None:
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            verb = "cannot connect" if connection.connecting else "connection broke"
+            self._fail(connection, f"{verb}: {errno.errorcode.get(code, 'closed')}")
+
+    def _next_events(self, connection: _Connection) -> None:
+        while connection.request is not None:
+            event = connection.http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._take_head(connection, event)
+            elif isinstance(event, h11.Data):
+                if not self._take_data(connection, bytes(event.data)):
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._take_end(connection)
+            elif isinstance(event, h11.ConnectionClosed):
+                self._fail(connection, "connection was closed before an answer")
+
+    def _take_head(self, connection: _Connection, event: h11.Response) -> None:
+        connection.status = event.status_code
+        connection.headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in event.headers
+        }
+        request = connection.request
+        if request.streamed:
+            head = AnswerHead(
+                id=request.id, status=connection.status, headers=connection.headers
+            )
+            self.fire(outbound_head(head), request.reply_channel)
+
+    def _take_data(self, connection: _Connection, data: bytes) -> bool:
+        request = connection.request
+        if request.streamed:
+            message = AttemptData(id=request.id, data=data)
+            self.fire(outbound_data(message), request.reply_channel)
+            return True
+        connection.body += data
+        if len(connection.body) <= request.max_body:
+            return True
+        self._fail(connection, f"answer is longer than {request.max_body} bytes")
+        return False
+
+    def _take_end(self, connection: _Connection) -> None:
+        request = connection.request
+        if request.streamed:
+            self.fire(outbound_end(request.id), request.reply_channel)
+        else:
+            answer = OutboundAnswer(
+                id=request.id,
+                status=connection.status,
+                headers=connection.headers,
+                body=bytes(connection.body),
+                address=request.address,
+                sent_at=connection.started_at,
+            )
+            self.fire(outbound_answer(answer), request.reply_channel)
+        self._release(connection)
+
+    def _release(self, connection: _Connection) -> None:
+        del self._connections_by_request[connection.request.id]
+        connection.request = None
+        idle = self._idle_by_address.setdefault(connection.address, [])
+        reusable = (
+            connection.http.our_state is h11.DONE
+            and connection.http.their_state is h11.DONE
+            and len(idle) < MAX_IDLE
+        )
+        if not reusable:
+            self._close(connection)
+            return
+        connection.http.start_next_cycle()
+        connection.reused = True
+        connection.progress_at = time.monotonic()
+        idle.append(connection)
+
+    # Failures
+
+    def _check_progress(self, connection: _Connection, *, now: float) -> None:
+        silent_for = now - connection.progress_at
+        request = connection.request
+        if request is None:
+            if silent_for > IDLE_TIMEOUT:
+                self._close(connection)
+            return
+        if connection.paused:
+            return
+        limit = (
+            request.connect_timeout
+            if connection.connecting
+            else request.progress_timeout
+        )
+        if silent_for <= limit:
+            return
+        # Something between the two ends may have lost track of this connection
+        # while new ones work.  The idle ones to the same peer were opened through
+        # the same path, so they are not trusted any more either.
+        self.n_silent += 1
+        self._purge_idle(connection.address)
+        verb = "connect" if connection.connecting else "answer"
+        self._fail(
+            connection, f"did not {verb} for {limit:g} s", category=Category.TIMEOUT
+        )
+
+    def _purge_idle(self, address: str) -> None:
+        for connection in list(self._idle_by_address.get(address, ())):
+            self._close(connection)
+
+    def _fail(
+        self,
+        connection: _Connection,
+        message: str,
+        *,
+        category: Category = Category.BROKEN,
+    ) -> None:
+        request = connection.request
+        bytes_sent = connection.bytes_sent
+        self._close(connection)
+        if request is not None:
+            self._report_failure(
+                request, message, category=category, bytes_sent=bytes_sent
+            )
+
+    def _report_failure(
+        self,
+        request: OutboundRequest,
+        message: str,
+        *,
+        category: Category,
+        bytes_sent: bool,
+    ) -> None:
+        error = RyeleverError(
+            f"{request.address} {message}",
+            category=category,
+            step=request.step,
+            peer=request.address,
+        )
+        failure = OutboundFailure(
+            id=request.id, address=request.address, error=error, bytes_sent=bytes_sent
+        )
+        self.fire(outbound_failed(failure), request.reply_channel)
+
+    def _close(self, connection: _Connection) -> None:
+        # A connection that was given up on is never used again, so an answer that
+        # is still on its way can reach nobody.
+        if self._connections_by_sock.pop(connection.sock, None) is None:
+            return
+        if connection.request is not None:
+            self._connections_by_request.pop(connection.request.id, None)
+            connection.request = None
+        idle = self._idle_by_address.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+        self._poller.discard(connection.sock)
+        connection.sock.close()
+
+    @handler("exception", channel="http_client")
+    def _on_exception(
+        self,
+        error_type: type[Exception],
+        error: Exception,
+        traceback: list[str],
+        handler: object = None,  # noqa: A002
+        fevent: Event | None = None,
+    ) -> None:
+        logging.error("http client failed: %s: %s", error_type.__name__, error)
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,305 @@
+"""Run stand-ins and entry hosts as processes, for system tests and the demo."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from ryelever.accounts import hash_key
+
+__all__ = ["Fleet", "Process", "running_fleet", "wait_until"]
+
+#: Seconds that a condition may take on a busy machine.
+PATIENCE = 30.0
+
+PEER_KEY = "peer-key-of-the-tests"
+OPERATOR_KEY = "operator-key-of-the-tests"
+
+
+def wait_until(
+    condition: Callable[[], Any], *, what: str, timeout: float = PATIENCE
+) -> Any:
+    """Return the condition's first true value; fail with ``what`` otherwise."""
+    pause = threading.Event()
+    give_up_at = time.monotonic() + timeout
+    while time.monotonic() < give_up_at:
+        value = condition()
+        if value:
+            return value
+        pause.wait(0.02)
+    raise AssertionError(f"{what}: not within {timeout:g} s")
+
+
+class Process:
+    """Own one process that was started for a test."""
+
+    def __init__(self, *, name: str, arguments: list[str], log: Path) -> None:
+        self.name = name
+        self.log = log
+        self._stream = log.open("wb")
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=self._stream,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+        )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    def lines(self) -> list[str]:
+        """Return what the process has written so far."""
+        return self.log.read_text(errors="replace").splitlines()
+
+    def wait_for_line(self, start: str) -> str:
+        """Return the rest of the first line that starts with ``start``."""
+
+        def found() -> str | None:
+            if self._popen.poll() is not None:
+                raise AssertionError(f"{self.name} has ended: {self.lines()[-5:]}")
+            for line in self.lines():
+                if line.startswith(start):
+                    return line[len(start) :].strip()
+            return None
+
+        return wait_until(found, what=f"{self.name} says {start!r}")
+
+    def wait_for_event(self, event: str) -> dict[str, Any]:
+        """Return the first structured log line of an event."""
+
+        def found() -> dict[str, Any] | None:
+            if self._popen.poll() is not None:
+                raise AssertionError(f"{self.name} has ended: {self.lines()[-5:]}")
+            return next(iter(self.events(event)), None)
+
+        return wait_until(found, what=f"{self.name} logs {event!r}")
+
+    def events(self, event: str) -> list[dict[str, Any]]:
+        """Return the structured log lines of an event."""
+        found = []
+        for line in self.lines():
+            with contextlib.suppress(ValueError):
+                fields = json.loads(line)
+                if isinstance(fields, dict) and fields.get("event") == event:
+                    found.append(fields)
+        return found
+
+    def send(self, signal_number: int) -> None:
+        """Send a signal, unless the process has ended."""
+        if self._popen.poll() is None:
+            os.kill(self.pid, signal_number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self._popen.wait()
+        self._stream.close()
+
+    def stop(self) -> int:
+        """Ask the process to end and return its exit code."""
+        self.send(signal.SIGTERM)
+        code = self._popen.wait(PATIENCE)
+        self._stream.close()
+        return code
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, or None while it runs."""
+        return self._popen.poll()
+
+
+@dataclass(slots=True, kw_only=True)
+class EntryHost:
+    """Hold a running entry host."""
+
+    process: Process
+    address: str
+    availability_zone: str
+
+    @property
+    def url(self) -> str:
+        """Return where callers reach it."""
+        return f"http://{self.address}"
+
+    def dump(self) -> dict[str, Any]:
+        """Return its state dump."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        return httpx.get(f"{self.url}/dump", headers=headers, timeout=5).json()
+
+    def n_whole_groups(self) -> int:
+        """Return how many groups it holds for whole."""
+        return sum(group["whole"] for group in self.dump()["groups"])
+
+
+@dataclass(slots=True, kw_only=True)
+class Fleet:
+    """Start processes by need and stop whatever was started.
+
+    Attributes
+    ----------
+    directory : Path
+        Where logs and settings files go.
+    """
+
+    directory: Path
+    processes_by_name: dict[str, Process] = field(default_factory=dict)
+    entries_by_name: dict[str, EntryHost] = field(default_factory=dict)
+    addresses_by_name: dict[str, str] = field(default_factory=dict)
+    listed_by_name: dict[str, dict[str, Any]] = field(default_factory=dict)
+    keys_by_account: dict[str, str] = field(default_factory=dict)
+
+    # Stand-ins
+
+    def start_standin(self, name: str, module: str, *arguments: str) -> str:
+        """Start a stand-in and return its address."""
+        process = Process(
+            name=name,
+            arguments=[f"tests.standins.{module}", *arguments],
+            log=self.directory / f"{name}.log",
+        )
+        self.processes_by_name[name] = process
+        self.addresses_by_name[name] = process.wait_for_line("listening ")
+        return self.addresses_by_name[name]
+
+    def start_platform(self, *, list_lag: float = 0.0) -> None:
+        """Start the log service and the list of hosts."""
+        self.start_standin("log", "log_service")
+        self.start_standin("list", "hosts_list", "--lag", str(list_lag))
+
+    def start_engines(
+        self, *names: str, zone: str, domain: str, arguments: tuple[str, ...] = ()
+    ) -> None:
+        """Start one engine a name, in one fabric domain, and list them."""
+        for name in names:
+            address = self.start_standin(name, "engine", "--host", name, *arguments)
+            self.listed_by_name[name] = {
+                "host": name,
+                "address": address,
+                "availability_zone": zone,
+                "fabric_domain": domain,
+                "accelerators": 8,
+                "kind": "engine",
+                "state": "live",
+            }
+        self.publish_list()
+
+    def start_service(self, name: str, *, zone: str, service: str) -> None:
+        """Start a plain service and list it."""
+        address = self.start_standin(name, "plain_service")
+        self.listed_by_name[name] = {
+            "host": name,
+            "address": address,
+            "availability_zone": zone,
+            "kind": "service",
+            "service": service,
+            "state": "live",
+        }
+        self.publish_list()
+
+    def publish_list(self) -> None:
+        """Tell the list of hosts what there is."""
+        self.control("list", hosts=list(self.listed_by_name.values()))
+
+    def control(self, name: str, **switches: Any) -> None:
+        """Set switches of a stand-in."""
+        url = f"http://{self.addresses_by_name[name]}/control"
+        httpx.post(url, json=switches, timeout=5).raise_for_status()
+
+    def counts(self, name: str) -> dict[str, Any]:
+        """Return what a stand-in has counted."""
+        url = f"http://{self.addresses_by_name[name]}/control"
+        return httpx.get(url, timeout=5).json()
+
+    # Configuration
+
+    def account(self, name: str, **fields: Any) -> dict[str, Any]:
+        """Return the declaration of a client account with a key of its own."""
+        key = f"{name}.secret-of-the-tests-{name}"
+        self.keys_by_account[name] = key
+        return {"key_hash": hash_key(key)} | fields
+
+    def publish(
+        self, document: dict[str, Any], *, base_version: int = -1, author: str = "ana"
+    ) -> None:
+        """Append a publication to the log, as the console does."""
+        body = {"base_version": base_version, "author": author, "document": document}
+        record = {"id": uuid.uuid4().hex, "kind": "Publication", "body": body}
+        url = f"http://{self.addresses_by_name['log']}/v1/streams/configuration/records"
+        answer = httpx.post(url, json={"records": [record]}, timeout=5)
+        answer.raise_for_status()
+
+    # Entry hosts
+
+    def start_entry(self, name: str, *, zone: str, **settings: Any) -> EntryHost:
+        """Start an entry host on a free port."""
+        values = {
+            "host": name,
+            "availability_zone": zone,
+            "availability_zones": [zone],
+            "callers_address": "127.0.0.1:0",
+            "log_address": self.addresses_by_name["log"],
+            "hosts_list_address": self.addresses_by_name["list"],
+            "peer_key": PEER_KEY,
+            "operator_key": OPERATOR_KEY,
+        } | settings
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(values))
+        process = Process(
+            name=name,
+            arguments=["ryelever", "serve", "--settings", str(path)],
+            log=self.directory / f"{name}.log",
+        )
+        self.processes_by_name[name] = process
+        started = process.wait_for_event("started")
+        entry = EntryHost(
+            process=process,
+            address=f"127.0.0.1:{started['callers_port']}",
+            availability_zone=zone,
+        )
+        self.entries_by_name[name] = entry
+        return entry
+
+    def stop_all(self) -> None:
+        """End every process."""
+        for process in self.processes_by_name.values():
+            process.kill()
+
+
+@contextlib.contextmanager
+def running_fleet(directory: Path) -> Iterator[Fleet]:
+    """Yield a fleet and stop all that it started."""
+    fleet = Fleet(directory=directory)
+    try:
+        yield fleet
+    finally:
+        fleet.stop_all()
+
+
+def free_udp_addresses(n_addresses: int) -> list[str]:
+    """Return addresses that are free for UDP right now."""
+    socks = [
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(n_addresses)
+    ]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
+    for sock in socks:
+        sock.close()
+    return addresses
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,424 @@
+"""Stand in for the model engine of one host of a replica group."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import uuid
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import aiohttp
+import defopt
+from aiohttp import web
+
+from .runner import run
+
+#: A request that contains this crashes the engine that runs it.
+POISON = "crash-the-engine"
+
+#: Prefixes kept in the cache.
+MAX_CACHED = 64
+
+#: Words that are cached together.
+BLOCK = 4
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Job:
+    """Hold one generation."""
+
+    attempt: str
+    seed: str
+    priority: int
+    n_tokens: int
+    position: int
+    prefill_steps: int
+    n_prompt_tokens: int
+    n_cached_tokens: int
+    items: asyncio.Queue = field(default_factory=asyncio.Queue)
+
+
+class Engine:
+    """Batch continuously, cache prefixes, obey orders."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        checks_fencing: bool,
+        step_ms: float,
+        load_ms: float,
+        weight_store: str,
+        max_batch: int,
+    ) -> None:
+        self.host = host
+        self.checks_fencing = checks_fencing
+        self.step = step_ms / 1000
+        self.load = load_ms / 1000
+        self.weight_store = weight_store
+        self.max_batch = max_batch
+        self.boot = uuid.uuid4().hex[:12]
+        self.state = "idle"
+        self.group = ""
+        self.fencing = -1
+        self.rank = -1
+        self.members: tuple[str, ...] = ()
+        self.model = ""
+        self.version = ""
+        self.adapters: tuple[str, ...] = ()
+        self.running: list[_Job] = []
+        self.waiting: list[_Job] = []
+        self.cache: OrderedDict[str, int] = OrderedDict()
+        self.cache_events: list[dict] = []
+        self.n_generated = 0
+        self.n_cancelled = 0
+        self.token_bytes = 0
+        self.reported_load = (0, 0)
+        self._tasks: set[asyncio.Task] = set()
+        self._ring: asyncio.Task | None = None
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=16 << 20)
+        app.router.add_get("/v1/report", self.report)
+        app.router.add_post("/v1/orders", self.order)
+        app.router.add_post("/v1/generate", self.generate)
+        app.router.add_post("/v1/cancel", self.cancel)
+        app.router.add_get("/v1/cache-events", self.read_cache_events)
+        app.router.add_get("/v1/kv/{prefix}", self.export_kv)
+        app.router.add_put("/v1/kv/{prefix}", self.import_kv)
+        app.router.add_get("/v1/ring", self.ring)
+        app.router.add_post("/control", self.control)
+        app.router.add_get("/control", self.describe)
+        app.on_startup.append(self._start)
+        return app
+
+    async def _start(self, app: web.Application) -> None:
+        self._spawn(self._steps())
+        self._spawn(self._report_load())
+
+    def _spawn(self, coroutine: object) -> asyncio.Task:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Reports and orders
+
+    def _report(self) -> dict:
+        n_running, n_waiting = self.reported_load
+        return {
+            "host": self.host,
+            "boot": self.boot,
+            "state": self.state,
+            "group": self.group,
+            "fencing": self.fencing,
+            "rank": self.rank,
+            "model": self.model,
+            "version": self.version,
+            "adapters": self.adapters,
+            "running": n_running,
+            "waiting": n_waiting,
+            "kv_used": len(self.cache) / MAX_CACHED,
+        }
+
+    async def _report_load(self) -> None:
+        while True:
+            await asyncio.sleep(0.3)
+            self.reported_load = (len(self.running), len(self.waiting))
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Return the report of this host."""
+        return web.json_response(self._report())
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Obey an order, unless its fencing number is old and this engine checks."""
+        order = await request.json()
+        if self.checks_fencing and order["fencing"] < self.fencing:
+            body = {"error": "stale_fencing"} | self._report()
+            return web.json_response(body, status=409)
+        if order["kind"] == "join":
+            self._join(order)
+        elif order["group"] == self.group:
+            self._leave()
+        self.fencing = max(self.fencing, order["fencing"])
+        return web.json_response(self._report())
+
+    def _join(self, order: dict) -> None:
+        if order["group"] == self.group and order["fencing"] == self.fencing:
+            return
+        self._leave()
+        self.group = order["group"]
+        self.fencing = order["fencing"]
+        self.rank = order["rank"]
+        self.members = tuple(order["members"])
+        self.model = order["model"]
+        self.version = order["version"]
+        self.adapters = tuple(order["adapters"])
+        self.state = "loading"
+        self._ring = self._spawn(self._load_and_watch(self.group, self.fencing))
+
+    def _leave(self) -> None:
+        if self._ring is not None:
+            self._ring.cancel()
+            self._ring = None
+        self._abort_all("the host left its group")
+        self.state = "idle"
+        self.group = ""
+        self.rank = -1
+        self.members = ()
+
+    def _abort_all(self, reason: str) -> None:
+        for job in self.running + self.waiting:
+            job.items.put_nowait({"attempt": job.attempt, "error": reason})
+        self.running.clear()
+        self.waiting.clear()
+
+    async def _load_and_watch(self, group: str, fencing: int) -> None:
+        async with aiohttp.ClientSession() as session:
+            if self.weight_store:
+                path = f"/v1/weights/{self.model}/{self.version}"
+                async with session.get(f"http://{self.weight_store}{path}") as answer:
+                    await answer.read()
+            await asyncio.sleep(self.load)
+            self.state = "ready"
+            own = self.rank
+            others = [member for rank, member in enumerate(self.members) if rank != own]
+            watches = [self._watch(session, member) for member in others]
+            done, pending = await asyncio.wait(
+                [self._spawn(watch) for watch in watches] or [self._spawn(_never())],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in pending:
+                task.cancel()
+        self._abort_all("a member of the group is gone")
+        self.state = "broken"
+
+    async def _watch(self, session: aiohttp.ClientSession, member: str) -> None:
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            timeout = aiohttp.ClientTimeout(total=None)
+            url = f"http://{member}/v1/ring"
+            async with session.get(url, timeout=timeout) as answer:
+                async for _ in answer.content:
+                    pass
+
+    async def ring(self, request: web.Request) -> web.StreamResponse:
+        """Stay open for as long as this host lives."""
+        answer = web.StreamResponse()
+        await answer.prepare(request)
+        await asyncio.Event().wait()
+        return answer
+
+    # Generation
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        """Stream tokens as server-sent events."""
+        body = await request.json()
+        wrong = body["group"] != self.group or body["fencing"] != self.fencing
+        if wrong or self.rank != 0 or self.state != "ready":
+            return web.json_response({"error": "not this group"}, status=409)
+        job = self._admit(body)
+        answer = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await answer.prepare(request)
+        try:
+            await self._stream(job, answer)
+        except (ConnectionError, asyncio.CancelledError):
+            self.n_cancelled += 1
+            raise
+        finally:
+            self._drop(job)
+        return answer
+
+    async def _stream(self, job: _Job, answer: web.StreamResponse) -> None:
+        while True:
+            item = await job.items.get()
+            await answer.write(b"data: " + json.dumps(item).encode() + b"\n\n")
+            if "error" in item or "finish_reason" in item:
+                return
+
+    def _admit(self, body: dict) -> _Job:
+        text = json.dumps(body["messages"])
+        if POISON in text:
+            os._exit(86)
+        words = text.split()
+        n_cached = self._cached(words)
+        seed = hashlib.sha256(f"{body['model']}{text}".encode()).hexdigest()[:6]
+        job = _Job(
+            attempt=body["attempt"],
+            seed=seed,
+            priority=body["priority"],
+            n_tokens=body["max_tokens"],
+            position=len(body["delivered"]),
+            prefill_steps=(len(words) - n_cached) // 256,
+            n_prompt_tokens=len(words),
+            n_cached_tokens=n_cached,
+        )
+        self.waiting.append(job)
+        self.waiting.sort(key=lambda waiting: -waiting.priority)
+        return job
+
+    def _cached(self, words: list[str]) -> int:
+        n_cached = 0
+        for end in range(BLOCK, len(words) + 1, BLOCK):
+            prefix = hashlib.sha256(" ".join(words[:end]).encode()).hexdigest()[:16]
+            if prefix in self.cache:
+                n_cached = end
+                self.cache.move_to_end(prefix)
+            elif end <= 16 * BLOCK:
+                self._cache(prefix, end)
+        return n_cached
+
+    def _cache(self, prefix: str, n_words: int) -> None:
+        self.cache[prefix] = n_words
+        self._cache_event("stored", prefix)
+        while len(self.cache) > MAX_CACHED:
+            evicted, _ = self.cache.popitem(last=False)
+            self._cache_event("evicted", evicted)
+
+    def _cache_event(self, kind: str, prefix: str) -> None:
+        sequence = len(self.cache_events)
+        self.cache_events.append({"sequence": sequence, "kind": kind, "prefix": prefix})
+
+    def _drop(self, job: _Job) -> None:
+        for jobs in (self.running, self.waiting):
+            if job in jobs:
+                jobs.remove(job)
+
+    async def _steps(self) -> None:
+        while True:
+            await asyncio.sleep(self.step)
+            while self.waiting and len(self.running) < self.max_batch:
+                self.running.append(self.waiting.pop(0))
+            for job in list(self.running):
+                self._step(job)
+
+    def _step(self, job: _Job) -> None:
+        if job.prefill_steps:
+            job.prefill_steps -= 1
+            return
+        if job.position >= job.n_tokens:
+            self.running.remove(job)
+            job.items.put_nowait(
+                {
+                    "attempt": job.attempt,
+                    "finish_reason": "stop",
+                    "n_prompt_tokens": job.n_prompt_tokens,
+                    "n_cached_tokens": job.n_cached_tokens,
+                }
+            )
+            return
+        token = f"{job.seed}-{job.position} ".ljust(self.token_bytes, ".")
+        job.items.put_nowait(
+            {"attempt": job.attempt, "index": job.position, "tokens": [token]}
+        )
+        job.position += 1
+        self.n_generated += 1
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a generation by its attempt."""
+        attempt = (await request.json())["attempt"]
+        for job in self.running + self.waiting:
+            if job.attempt == attempt:
+                self.n_cancelled += 1
+                job.items.put_nowait({"attempt": attempt, "error": "cancelled"})
+                self._drop(job)
+        return web.json_response({})
+
+    # The cache
+
+    async def read_cache_events(self, request: web.Request) -> web.Response:
+        """Return cache events; every tenth is lost and the newest are late."""
+        start = int(request.query.get("from", "0"))
+        events = [
+            event
+            for event in self.cache_events[start:-2]
+            if event["sequence"] % 10 != 9
+        ]
+        return web.json_response({"events": events})
+
+    async def export_kv(self, request: web.Request) -> web.Response:
+        """Return the cache of a prefix."""
+        n_words = self.cache.get(request.match_info["prefix"])
+        if n_words is None:
+            raise web.HTTPNotFound(text="not cached")
+        return web.json_response({"n_words": n_words})
+
+    async def import_kv(self, request: web.Request) -> web.Response:
+        """Take the cache of a prefix."""
+        body = await request.json()
+        self._cache(request.match_info["prefix"], body["n_words"])
+        return web.json_response({})
+
+    # Switches
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Set switches."""
+        body = await request.json()
+        self.step = body.get("step_ms", self.step * 1000) / 1000
+        self.token_bytes = body.get("token_bytes", self.token_bytes)
+        if body.get("leaving"):
+            self.state = "leaving"
+        return web.json_response({})
+
+    async def describe(self, request: web.Request) -> web.Response:
+        """Return counts."""
+        return web.json_response(
+            {
+                "n_generated": self.n_generated,
+                "n_cancelled": self.n_cancelled,
+                "n_running": len(self.running),
+                "n_waiting": len(self.waiting),
+            }
+        )
+
+
+async def _never() -> None:
+    await asyncio.Event().wait()
+
+
+def main(
+    *,
+    host: str,
+    port: int = 0,
+    checks_fencing: bool = True,
+    step_ms: float = 20.0,
+    load_ms: float = 200.0,
+    weight_store: str = "",
+    max_batch: int = 256,
+) -> None:
+    """Run the engine of one host.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host.
+    port : int
+        Port; 0 picks a free one.
+    checks_fencing : bool
+        Refuse orders that carry an old fencing number.
+    step_ms : float
+        Milliseconds of one step of the batch.
+    load_ms : float
+        Milliseconds to load a model.
+    weight_store : str
+        Address of the weight store; nothing loads without one.
+    max_batch : int
+        Requests in one batch.
+    """
+    engine = Engine(
+        host=host,
+        checks_fencing=checks_fencing,
+        step_ms=step_ms,
+        load_ms=load_ms,
+        weight_store=weight_store,
+        max_batch=max_batch,
+    )
+    run(engine.app(), port=port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/standins/plain_service.py
@@ -0,0 +1,65 @@
+"""Stand in for a plain service with a call that must not be repeated."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import defopt
+from aiohttp import web
+
+from .runner import run
+
+
+class PlainService:
+    """Count how often each booking ran."""
+
+    def __init__(self) -> None:
+        self.n_runs_by_key: Counter[str] = Counter()
+        self.delay = 0.0
+        self.break_answers = False
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_post("/bookings", self.book)
+        app.router.add_get("/bookings", self.bookings)
+        app.router.add_post("/control", self.control)
+        return app
+
+    async def book(self, request: web.Request) -> web.Response:
+        """Book once more each time it is called: repetition is not noticed here."""
+        key = request.headers.get("Idempotency-Key", "")
+        body = await request.json()
+        self.n_runs_by_key[key] += 1
+        await asyncio.sleep(self.delay)
+        if self.break_answers:
+            request.transport.abort()
+        n_runs = self.n_runs_by_key[key]
+        return web.json_response({"booked": body, "run": n_runs}, status=201)
+
+    async def bookings(self, request: web.Request) -> web.Response:
+        """Return how often each booking ran."""
+        return web.json_response(dict(self.n_runs_by_key))
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Set switches."""
+        body = await request.json()
+        self.delay = body.get("delay", self.delay)
+        self.break_answers = body.get("break_answers", self.break_answers)
+        return web.json_response({})
+
+
+def main(*, port: int = 0) -> None:
+    """Run the plain service.
+
+    Parameters
+    ----------
+    port : int
+        Port; 0 picks a free one.
+    """
+    run(PlainService().app(), port=port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/test_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Test coordination."""
--- /dev/null
+++ b/tests/test_state/__init__.py
@@ -0,0 +1,1 @@
+"""Test state."""
--- /dev/null
+++ b/tests/test_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Test transport."""
