Split control by what it owns, and name what entry hosts tell each other

Cause: one component read the log, watched the hosts, planned and named targets, so that no part could grow or be tested without the others. Streams, fleet watch and planning are now separate components over one way of asking; targets and claims are plain decision classes.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -10,27 +10,34 @@
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 
-from .control import Claims, Control
 from .coordination.admission import ConcurrencyAdmission
+from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
 from .coordination.planner import Planner
 from .coordination.requests import RequestTable
 from .coordination.retry import RetryBudget
 from .coordination.routing import LeastInFlightRouter
+from .coordination.targets import Targets
 from .dump import Dump
 from .events import control_tick, drain, serving_tick, sweep
+from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
 from .metrics import Metrics
-from .protocol.log import placement_stream
+from .planning import Planning
+from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
 from .serving import Serving
 from .state.claims import ClaimsFold
-from .state.configuration_fold import ConfigurationFold
+from .state.configuration_fold import NO_VERSION, ConfigurationFold
+from .state.placement import PlacementFold
+from .streams import Streams
 from .timers import Timers
 from .transport.callers import Callers, Limits
 from .transport.http_client import HttpClient
 
 if TYPE_CHECKING:
     from .settings import Settings
+    from .state.configuration import ClientAccount
+    from .state.fold import BaseFold
 
 __all__ = ["Application"]
 
@@ -63,34 +70,31 @@
         self._signals_seen = 0
         self._drain_deadline = float("inf")
         owner = f"{settings.host}/{self.boot}"
-        configuration = ConfigurationFold()
+        self.metrics = Metrics()
+        self.configuration = ConfigurationFold()
+        self.placements_by_zone = {
+            zone: PlacementFold() for zone in settings.availability_zones
+        }
         claims = Claims(
-            owner=owner, fold=ClaimsFold(), max_lag=2.0 + settings.progress_timeout
+            owner=owner,
+            stream=CLAIMS_STREAM,
+            fold=ClaimsFold(),
+            max_lag=2.0 + settings.progress_timeout,
         )
-        self.metrics = Metrics()
-        self.control = Control(
-            settings=settings,
-            configuration=configuration,
-            claims=claims,
-            confirmations=Confirmations(max_age=settings.report_max_age),
-            planner=Planner(
-                holder=owner,
-                stream=placement_stream(settings.availability_zone),
-                new_id=_new_id,
-                term=settings.lease_term,
-                member_timeout=settings.report_max_age,
-            ),
+        self.streams = Streams(
+            settings=settings, folds_by_stream=self._folds(claims.fold), claims=claims
         )
-        self.table = RequestTable(
-            admission=ConcurrencyAdmission(),
-            router=LeastInFlightRouter(targets=self.control.targets),
-            retry_policy=RetryBudget(),
-            claims=claims,
-            account=lambda name: configuration.configuration.client_accounts.get(name),
-            new_id=_new_id,
-            retry_after=lambda: RETRY_AFTER,
+        self.confirmations = Confirmations(max_age=settings.report_max_age)
+        self.fleet = FleetWatch(settings=settings, confirmations=self.confirmations)
+        self.planning = Planning(
+            settings=settings,
+            planner=self._planner(owner),
+            configuration=self.configuration,
+            placement=self.placements_by_zone[settings.availability_zone],
+            hosts_by_name=self.fleet.hosts_by_name,
+            confirmations=self.confirmations,
         )
-        self.configuration = configuration
+        self.table = self._table(claims)
         self.http_client = HttpClient()
         host, _, port = settings.callers_address.rpartition(":")
         self.callers = Callers(
@@ -99,7 +103,7 @@
         self.serving = Serving(
             settings=settings,
             table=self.table,
-            configuration=configuration,
+            configuration=self.configuration,
             metrics=self.metrics,
             pages=Dump(application=self).pages(),
         )
@@ -107,13 +111,60 @@
         self._register_parts()
         self._register_gauges()
 
+    def _folds(self, claims: ClaimsFold) -> dict[str, BaseFold]:
+        folds: dict[str, BaseFold] = {
+            CONFIGURATION_STREAM: self.configuration,
+            CLAIMS_STREAM: claims,
+        }
+        for zone, placement in self.placements_by_zone.items():
+            folds[placement_stream(zone)] = placement
+        return folds
+
+    def _planner(self, owner: str) -> Planner:
+        return Planner(
+            holder=owner,
+            stream=placement_stream(self.settings.availability_zone),
+            new_id=_new_id,
+            term=self.settings.lease_term,
+            member_timeout=self.settings.report_max_age,
+        )
+
+    def _table(self, claims: Claims) -> RequestTable:
+        targets = Targets(
+            availability_zone=self.settings.availability_zone,
+            placements_by_zone=self.placements_by_zone,
+            hosts_by_name=self.fleet.hosts_by_name,
+            confirmations=self.confirmations,
+        )
+        return RequestTable(
+            admission=ConcurrencyAdmission(),
+            router=LeastInFlightRouter(targets=targets.for_arrival),
+            retry_policy=RetryBudget(),
+            claims=claims,
+            account=self._client_account,
+            new_id=_new_id,
+            retry_after=lambda: RETRY_AFTER,
+        )
+
+    def _client_account(self, name: str) -> ClientAccount | None:
+        return self.configuration.configuration.client_accounts.get(name)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a configuration is in force and the hosts are known."""
+        return self.configuration.version != NO_VERSION and bool(
+            self.fleet.hosts_by_name
+        )
+
     def _register_parts(self) -> None:
         EPoll().register(self)
         for part in (
             self.timers,
             self.http_client,
             self.callers,
-            self.control,
+            self.streams,
+            self.fleet,
+            self.planning,
             self.serving,
         ):
             part.register(self)
@@ -132,7 +183,8 @@
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        self.timers.every(TICK, control_tick, "control")
+        for channel in ("streams", "fleet", "planning"):
+            self.timers.every(TICK, control_tick, channel)
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
         self.timers.every(SWEEP, sweep, "callers")
--- /dev/null
+++ b/ryelever/asking.py
@@ -0,0 +1,86 @@
+"""Ask outside systems questions whose answers come back whole."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .events import OutboundRequest, outbound_send
+
+if TYPE_CHECKING:
+    from .events import OutboundAnswer, OutboundFailure
+
+__all__ = ["Asker", "Question"]
+
+
+class Question:
+    """Remember what an answer belongs to.
+
+    Attributes
+    ----------
+    kind : str
+        What was asked.
+    subject : str
+        What it was asked about, such as a stream or a host.
+    """
+
+    __slots__ = ("kind", "subject")
+
+    def __init__(self, *, kind: str, subject: str = "") -> None:
+        self.kind = kind
+        self.subject = subject
+
+
+class Asker(BaseComponent):
+    """Match answers with questions for a component that asks many.
+
+    A subclass implements ``answered`` and ``failed``.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._questions_by_id: dict[str, Question] = {}
+
+    def ask(
+        self,
+        question: Question,
+        *,
+        address: str,
+        path: str,
+        step: str,
+        progress_timeout: float,
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> None:
+        """Send one question."""
+        request = OutboundRequest(
+            id=uuid.uuid4().hex,
+            address=address,
+            method=method,
+            path=path,
+            body=body,
+            headers=(("Content-Type", "application/json"),) if body else (),
+            reply_channel=self.channel,
+            step=step,
+            progress_timeout=progress_timeout,
+        )
+        self._questions_by_id[request.id] = question
+        self.fire(outbound_send(request), "http_client")
+
+    def answered(self, question: Question, answer: OutboundAnswer) -> None:
+        """Take the answer to a question."""
+        raise NotImplementedError
+
+    def failed(self, question: Question, failure: OutboundFailure) -> None:
+        """Take note that a question got no answer."""
+        raise NotImplementedError
+
+    @handler("outbound_answer")
+    def _on_outbound_answer(self, answer: OutboundAnswer) -> None:
+        self.answered(self._questions_by_id.pop(answer.id), answer)
+
+    @handler("outbound_failed")
+    def _on_outbound_failed(self, failure: OutboundFailure) -> None:
+        self.failed(self._questions_by_id.pop(failure.id), failure)
--- /dev/null
+++ b/ryelever/coordination/soft_state.py
@@ -0,0 +1,35 @@
+"""Exchange observations among entry hosts: who tells what, who takes it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from ..state.observations import Observation
+
+__all__ = ["ObservationSink", "ObservationSource"]
+
+
+class ObservationSource(Protocol):
+    """Tell what this entry host has observed itself."""
+
+    def observations(self, *, now: float) -> list[Observation]:
+        """Return the current rows; the exchange sends only what has changed."""
+
+
+class ObservationSink(Protocol):
+    """Take what a peer has observed."""
+
+    def observed(
+        self, observation: Observation, *, peer: str, observed_at: float, now: float
+    ) -> None:
+        """Take one row.
+
+        Parameters
+        ----------
+        peer : str
+            The entry host that observed it.
+        observed_at : float
+            Monotonic time on this host's clock, at the latest: the peer's own age of
+            the row is subtracted from the time of arrival.
+        """
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -42,7 +42,7 @@
         application = self._application
         if application.serving.draining:
             return _json(request, 503, {"status": "draining"})
-        if not application.control.ready:
+        if not application.ready:
             return _json(request, 503, {"status": "no configuration yet"})
         return _json(request, 200, {"status": "ready"})
 
@@ -104,11 +104,11 @@
                     for ignored in stream.fold.ignored[-5:]
                 ],
             }
-            for name, stream in self._application.control.streams_by_name.items()
+            for name, stream in self._application.streams.streams_by_name.items()
         }
 
     def _groups(self, *, now: float) -> list[dict[str, Any]]:
-        control = self._application.control
+        application = self._application
         return [
             {
                 "group": group.name,
@@ -116,16 +116,16 @@
                 "model": group.model,
                 "fencing": group.fencing,
                 "members": group.members,
-                "whole": control.confirmations.is_whole(group, now=now),
+                "whole": application.confirmations.is_whole(group, now=now),
                 "dissolved": group.dissolved,
                 "reason": group.dissolved_reason or group.reason,
             }
-            for zone, placement in control.placements_by_zone.items()
+            for zone, placement in application.placements_by_zone.items()
             for group in placement.groups_by_name.values()
         ]
 
     def _leases(self) -> dict[str, Any]:
-        placements = self._application.control.placements_by_zone
+        placements = self._application.placements_by_zone
         return {
             zone: {
                 "holder": placement.lease.holder,
@@ -137,10 +137,10 @@
         }
 
     def _hosts(self, *, now: float) -> dict[str, Any]:
-        control = self._application.control
+        application = self._application
         described = {}
-        for name, listed in control.hosts_by_name.items():
-            fresh = control.confirmations.reports_by_host.get(name)
+        for name, listed in application.fleet.hosts_by_name.items():
+            fresh = application.confirmations.reports_by_host.get(name)
             described[name] = {
                 "address": listed.address,
                 "listed": listed.state,
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -11,6 +11,7 @@
 from circuits import Event
 
 from .errors import RyeleverError
+from .state.fleet import HostReport
 from .state.records import Claim
 
 __all__ = [
@@ -155,6 +156,14 @@
     is_first: bool
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HostReported:
+    """Hold a host's report and the monotonic time from before it was asked for."""
+
+    report: HostReport
+    asked_at: float
+
+
 class caller_request(Event):
     """Announce a ``CallerRequest``."""
 
@@ -235,6 +244,10 @@
     """Announce a ``ClaimReadBack``."""
 
 
+class host_reported(Event):
+    """Announce a ``HostReported``."""
+
+
 class drain(Event):
     """Begin the graceful shutdown."""
 
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -274,7 +274,7 @@
                 case StreamFailed():
                     self._stream_failed(action)
                 case AppendRecord():
-                    self.fire(append_record(action), "control")
+                    self.fire(append_record(action), "streams")
 
     def _send_attempt(self, action: SendAttempt) -> None:
         work = action.arrival.work
--- /dev/null
+++ b/ryelever/state/observations.py
@@ -0,0 +1,80 @@
+"""Describe what entry hosts observe and tell each other; soft, lossy and aged."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .configuration import Configuration
+from .fleet import HostReport
+
+__all__ = [
+    "ConfigurationRow",
+    "DemandRow",
+    "LeavingRow",
+    "LoadRow",
+    "Observation",
+    "ReportRow",
+    "SuspicionRow",
+]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class DemandRow:
+    """Tell how much an entry host sees of a client account's demand.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second that arrived lately, admitted or not.
+    n_in_flight, n_waiting : int
+        Requests of the account here.
+    """
+
+    client_account: str
+    rate: float
+    n_in_flight: int
+    n_waiting: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SuspicionRow:
+    """Tell in how many crashes a request's fingerprint was seen."""
+
+    fingerprint: str
+    n_crashes: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LeavingRow:
+    """Tell that a backend server is leaving, as this entry host learned."""
+
+    host: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LoadRow:
+    """Tell how many requests an entry host has in flight at a target."""
+
+    target: str
+    n_in_flight: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ReportRow:
+    """Pass on a host's report, whose age is that of the question."""
+
+    report: HostReport
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ConfigurationRow:
+    """Pass on the configuration in force with its version."""
+
+    version: int
+    author: str
+    document: Configuration
+
+
+Observation = (
+    DemandRow | SuspicionRow | LeavingRow | LoadRow | ReportRow | ConfigurationRow
+)
