--- /dev/null
+++ b/benchmarks/admission.py
@@ -0,0 +1,407 @@
+"""Measure admission against one first-in first-out queue of the same capacity.
+
+Both policies serve the same arrivals in the same run, in simulated time, as pure
+decision code.  Three large and seven small accounts share the slots; one of the
+large ones bursts.  Run: ``python -m benchmarks.admission``
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import time
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import defopt
+
+from ryelever.coordination.actions import Arrival, ChatWork
+from ryelever.coordination.admission import Admitted, Queued, Refused
+from ryelever.coordination.admission_capacity import FixedCapacity
+from ryelever.coordination.admission_fair import FairAdmission
+from ryelever.coordination.limits import AccountLimits
+from ryelever.state.configuration import ClientAccount
+from ryelever.state.observations import DemandRow
+
+if TYPE_CHECKING:
+    from ryelever.coordination.admission import Admission
+
+#: Seconds between two looks, as in the process.
+TICK = 0.05
+
+#: Accounts: share, priority, part of the capacity that they ask for, mean tokens.
+LARGE = {"large-1": (0.3, 0), "large-2": (0.2, 1), "large-3": (0.2, 0)}
+SMALL = {f"small-{index}": (0.04, 1 if index == 1 else 0) for index in range(1, 8)}
+
+
+class FifoAdmission:
+    """Keep one queue for all accounts: the plain policy."""
+
+    def __init__(self, *, n_slots: int) -> None:
+        self._n_slots = n_slots
+        self._held: set[str] = set()
+        self._waiting: deque[Arrival] = deque()
+
+    def admit(self, arrival: Arrival, account: ClientAccount, *, now: float):
+        """Admit while there is room and nobody waits."""
+        if not self._waiting and len(self._held) < self._n_slots:
+            self._held.add(arrival.request_id)
+            return Admitted()
+        self._waiting.append(arrival)
+        return Queued()
+
+    def release(self, request_id: str, *, now: float) -> None:
+        """Take the slot back."""
+        self._held.discard(request_id)
+
+    def ready(self, *, now: float) -> list[str]:
+        """Grant in order of arrival."""
+        granted = []
+        while self._waiting and len(self._held) < self._n_slots:
+            arrival = self._waiting.popleft()
+            self._held.add(arrival.request_id)
+            granted.append(arrival.request_id)
+        return granted
+
+    def expired(self, *, now: float) -> list[tuple[str, Refused]]:
+        """Refuse those whose deadline has passed."""
+        ended = [arrival for arrival in self._waiting if arrival.deadline < now]
+        for arrival in ended:
+            self._waiting.remove(arrival)
+        return [
+            (arrival.request_id, Refused(reason="late", retry_after=1.0))
+            for arrival in ended
+        ]
+
+
+@dataclass(slots=True, kw_only=True)
+class Course:
+    """Hold what happened under one policy."""
+
+    waits_by_account: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    refused_by_account: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    retry_afters: list[float] = field(default_factory=list)
+    idle: float = 0.0
+    slot_seconds: float = 0.0
+    back_after: float | None = None
+    held_by_lender: list[tuple[float, int]] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class Load:
+    """Describe the load of one run."""
+
+    n_slots: int = 64
+    seconds: float = 180.0
+    burst_from: float = 60.0
+    burst_until: float = 90.0
+    burst_factor: float = 10.0
+    lender_returns: float = 0.0
+    deadline: float = 30.0
+    mean_service: float = 2.0
+
+
+def arrivals(load: Load, seed: int) -> list[tuple[Arrival, float]]:
+    """Return arrivals with their service times, in order of time."""
+    chance = random.Random(seed)
+    made = []
+    per_second = load.n_slots / load.mean_service
+    for name, (share, priority) in (LARGE | SMALL).items():
+        usual = 0.8 * share if name in LARGE else 0.5 * share
+        now = 0.0
+        while now < load.seconds:
+            factor = 1.0
+            if name == "large-1" and load.burst_from <= now < load.burst_until:
+                factor = load.burst_factor
+            if name == "large-2" and load.lender_returns:
+                factor = 0.0 if now < load.lender_returns else 3.0
+            if not factor:
+                now += 0.25
+                continue
+            now += chance.expovariate(usual * per_second * factor)
+            # Answers are longer or shorter than announced, by up to a half.
+            tokens = max(8, int(chance.expovariate(1 / 200.0)))
+            service = tokens / 200.0 * load.mean_service * chance.uniform(0.5, 1.5)
+            work = ChatWork(model="m", messages=[], max_tokens=tokens, streamed=True)
+            arrival = Arrival(
+                request_id=f"{name}-{len(made)}",
+                client_account=name,
+                work=work,
+                arrived_at=now,
+                deadline=now + load.deadline,
+                priority=priority,
+            )
+            made.append((arrival, service))
+    made.sort(key=lambda pair: pair[0].arrived_at)
+    return made
+
+
+def accounts() -> dict[str, ClientAccount]:
+    """Return the declared accounts."""
+    return {
+        name: ClientAccount(
+            key_hash="", share=share, priority=priority, rate=1e6, concurrency=10**6
+        )
+        for name, (share, priority) in (LARGE | SMALL).items()
+    }
+
+
+def serve(
+    admission: Admission, load: Load, offered: list, *, at_release: bool = False
+) -> Course:
+    """Serve all arrivals under one policy.
+
+    Parameters
+    ----------
+    at_release : bool
+        Also look for waiting requests whenever one ends, not only at each tick.
+    """
+    course = Course()
+    declared = accounts()
+    by_id = {arrival.request_id: (arrival, service) for arrival, service in offered}
+    ends: list[tuple[float, str]] = []
+    waiting: set[str] = set()
+    running: set[str] = set()
+    upcoming = deque(offered)
+    now = 0.0
+
+    def start(request_id: str, now: float) -> None:
+        arrival, service = by_id[request_id]
+        waiting.discard(request_id)
+        running.add(request_id)
+        course.waits_by_account[arrival.client_account].append(now - arrival.arrived_at)
+        heapq.heappush(ends, (now + service, request_id))
+
+    def look(now: float) -> None:
+        for request_id, refused in admission.expired(now=now):
+            waiting.discard(request_id)
+            arrival = by_id[request_id][0]
+            waited = now - arrival.arrived_at
+            course.refused_by_account[arrival.client_account].append(waited)
+            course.retry_afters.append(refused.retry_after)
+        for request_id in admission.ready(now=now):
+            start(request_id, now)
+
+    while upcoming or running or waiting:
+        until = now + TICK
+        while True:
+            next_arrival = upcoming[0][0].arrived_at if upcoming else float("inf")
+            next_end = ends[0][0] if ends else float("inf")
+            at = min(next_arrival, next_end)
+            if at >= until:
+                break
+            spent = at - now
+            course.idle += _idle(load, running, waiting) * spent
+            course.slot_seconds += load.n_slots * spent
+            now = at
+            if next_end <= next_arrival:
+                _, request_id = heapq.heappop(ends)
+                running.discard(request_id)
+                admission.release(request_id, now=now)
+                if at_release:
+                    look(now)
+                continue
+            arrival, _ = upcoming.popleft()
+            account = declared[arrival.client_account]
+            decision = admission.admit(arrival, account, now=now)
+            if isinstance(decision, Admitted):
+                start(arrival.request_id, now)
+            elif isinstance(decision, Queued):
+                waiting.add(arrival.request_id)
+            else:
+                course.refused_by_account[arrival.client_account].append(0.0)
+                course.retry_afters.append(decision.retry_after)
+        course.idle += _idle(load, running, waiting) * (until - now)
+        course.slot_seconds += load.n_slots * (until - now)
+        now = until
+        look(now)
+        if load.lender_returns and now >= load.lender_returns:
+            held = sum(name.startswith("large-2-") for name in running)
+            course.held_by_lender.append((now, held))
+            share = LARGE["large-2"][0] * load.n_slots
+            if course.back_after is None and held >= 0.95 * share:
+                course.back_after = now - load.lender_returns
+    return course
+
+
+def _idle(load: Load, running: set[str], waiting: set[str]) -> int:
+    return min(load.n_slots - len(running), len(waiting)) if waiting else 0
+
+
+def percentile(values: list[float], percent: float) -> float:
+    """Return a percentile; 0 of nothing."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100.0))]
+
+
+def policies(load: Load) -> dict[str, tuple[Admission, bool]]:
+    """Return the policies by name, and whether they look at each release."""
+
+    def fair(corrects: bool) -> FairAdmission:
+        return FairAdmission(
+            capacity=FixedCapacity(n_slots=load.n_slots),
+            account=accounts().get,
+            corrects=corrects,
+        )
+
+    return {
+        "fifo": (FifoAdmission(n_slots=load.n_slots), False),
+        "fair": (fair(True), False),
+        "fair, uncorrected": (fair(False), False),
+        "fair, at release": (fair(True), True),
+    }
+
+
+def main(*, seed: int = 5, parts: tuple[str, ...] = ("waits", "return", "cost")):
+    """Print the measurements.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of arrivals and service times.
+    parts : tuple[str, ...]
+        Which to run: waits, return, cost.
+    """
+    print(f"seed {seed}")
+    if "waits" in parts:
+        _print_waits(seed)
+    if "return" in parts:
+        _print_return(seed)
+    if "cost" in parts:
+        _print_cost(seed)
+
+
+def _print_waits(seed: int) -> None:
+    load = Load()
+    offered = arrivals(load, seed)
+    print(
+        f"{len(offered)} requests, {load.n_slots} slots, {load.mean_service} s each; "
+        f"large-1 offers {load.burst_factor:g} times its usual load from "
+        f"{load.burst_from:g} to {load.burst_until:g} s; deadline {load.deadline:g} s"
+    )
+    print(
+        f"{'policy':18} {'account':8} {'prio':>4} {'served':>6} {'p50':>6} {'p95':>6} "
+        f"{'p99':>6} {'refused':>7} {'told after':>10}"
+    )
+    plain: dict[str, float] = {}
+    for policy, (admission, at_release) in policies(load).items():
+        course = serve(admission, load, offered, at_release=at_release)
+        for name, (_, priority) in (LARGE | SMALL).items():
+            waits = course.waits_by_account[name]
+            refused = course.refused_by_account[name]
+            p99 = percentile(waits, 99)
+            if policy == "fifo":
+                plain[name] = p99
+            print(
+                f"{policy:18} {name:8} {priority:4d} {len(waits):6d} "
+                f"{percentile(waits, 50):6.2f} {percentile(waits, 95):6.2f} "
+                f"{p99:6.2f} {len(refused):7d} {percentile(refused, 95):10.2f}"
+                f"  p99 is {p99 / plain[name]:.3f} of fifo's"
+            )
+        small = [wait for name in SMALL for wait in course.waits_by_account[name]]
+        print(
+            f"{policy:18} all small: p50 {percentile(small, 50):.3f} "
+            f"p95 {percentile(small, 95):.3f} p99 {percentile(small, 99):.3f} s; "
+            f"idle while callers wait {course.idle / course.slot_seconds:.2%}; "
+            f"{len(set(course.retry_afters))} values in "
+            f"{len(course.retry_afters)} retry-afters"
+        )
+
+
+def _print_return(seed: int) -> None:
+    load = Load(burst_from=0.0, burst_until=180.0, lender_returns=60.0)
+    offered = arrivals(load, seed)
+    print("large-1 overloads throughout; large-2 is idle until 60 s, then asks")
+    for policy, (admission, at_release) in policies(load).items():
+        course = serve(admission, load, offered, at_release=at_release)
+        later = [held for at, held in course.held_by_lender if 70.0 <= at < 180.0]
+        share = LARGE["large-2"][0] * load.n_slots
+        back = "never" if course.back_after is None else f"{course.back_after:.2f} s"
+        print(
+            f"{policy:18} large-2 holds its share of {share:.1f} slots after {back}; "
+            f"mean held afterwards {sum(later) / len(later):.1f}"
+        )
+
+
+def _print_cost(seed: int) -> None:
+    print("processor time of one request: admit, grant, release; limits of 8 hosts")
+    for n_accounts, n_waiting in itertools.product((10, 100), (10, 100, 1000)):
+        print(
+            f"{n_accounts:4d} accounts {n_waiting:5d} waiting: "
+            f"{_cost(n_accounts, n_waiting) * 1e6:7.1f} us a request; "
+            f"a look at nothing to do {_look_cost(n_accounts, n_waiting) * 1e6:7.1f} us"
+        )
+
+
+def _full(n_accounts: int, n_waiting: int) -> tuple[FairAdmission, dict, list[str]]:
+    declared = {
+        f"account-{index}": ClientAccount(
+            key_hash="", share=1 / n_accounts, rate=1e6, concurrency=10**6
+        )
+        for index in range(n_accounts)
+    }
+    limits = AccountLimits(n_hosts=lambda: 8)
+    for peer in range(7):
+        for name in declared:
+            row = DemandRow(client_account=name, rate=10.0, n_in_flight=5, n_waiting=0)
+            limits.observed(row, peer=f"host-{peer}", observed_at=0.0, now=0.0)
+    admission = FairAdmission(
+        capacity=FixedCapacity(n_slots=64),
+        account=declared.get,
+        limits=limits,
+        max_waiting=10_000,
+        max_waiting_per_account=10_000,
+    )
+    running = []
+    for index in range(64 + n_waiting):
+        request_id, decision = _arrive(admission, declared, index, now=0.0)
+        if isinstance(decision, Admitted):
+            running.append(request_id)
+    return admission, declared, running
+
+
+def _arrive(admission: FairAdmission, declared: dict, index: int, *, now: float):
+    name = f"account-{index % len(declared)}"
+    work = ChatWork(model="m", messages=[], max_tokens=100, streamed=True)
+    arrival = Arrival(
+        request_id=f"request-{index}",
+        client_account=name,
+        work=work,
+        arrived_at=now,
+        deadline=now + 1e6,
+    )
+    return arrival.request_id, admission.admit(arrival, declared[name], now=now)
+
+
+def _cost(n_accounts: int, n_waiting: int, n_rounds: int = 2000) -> float:
+    admission, declared, running = _full(n_accounts, n_waiting)
+    queue = deque(running)
+    started = time.process_time()
+    for index in range(n_rounds):
+        now = 1.0 + index * 1e-3
+        _arrive(admission, declared, 10**6 + index, now=now)
+        admission.release(queue.popleft(), now=now)
+        queue.extend(admission.ready(now=now))
+    return (time.process_time() - started) / n_rounds
+
+
+def _look_cost(n_accounts: int, n_waiting: int, n_rounds: int = 500) -> float:
+    admission, _, _ = _full(n_accounts, n_waiting)
+    started = time.process_time()
+    for index in range(n_rounds):
+        now = 1.0 + index * TICK
+        admission.expired(now=now)
+        admission.ready(now=now)
+    return (time.process_time() - started) / n_rounds
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/tests/test_coordination/test_admission.py
+++ b/tests/test_coordination/test_admission.py
@@ -143,14 +143,48 @@
     assert running == small
 
 
-def test_priority_goes_first_at_equal_share() -> None:
+def granted_in_turn(bench: Bench, running: str, n_turns: int, now: float) -> list[str]:
+    """End one request after another, and return what is granted in their place."""
+    granted = []
+    for _ in range(n_turns):
+        now += 1.0
+        bench.admission.release(running, now=now)
+        (running,) = bench.tick(now)[0]
+        granted.append(running)
+    return granted
+
+
+@pytest.mark.parametrize(("priority", "n_low_first"), [(0, 5), (4, 2)])
+def test_priority_is_a_head_start(priority: int, n_low_first: int) -> None:
+    """At equal shares, a step of priority brings an account 1 s forward, no more."""
     bench = Bench(1)
-    bench.accounts["small"] = replace(DEFAULTS, priority=1)
+    bench.accounts["small"] = replace(DEFAULTS, priority=priority)
+    (running,) = bench.fill("big", 1, 0.0)
+    bench.fill("big", 20, 0.0)
+    bench.fill("small", 20, 0.0, priority=priority)
+    granted = granted_in_turn(bench, running, 10, 0.0)
+    n_low = sum(name.startswith("big") for name in granted[:10])
+    assert n_low <= n_low_first + 2
+    assert n_low >= n_low_first - 1
+
+
+def test_unused_share_is_not_saved_up() -> None:
+    """An account that asked for little before has no claim on more than its share.
+
+    Symptom: after a quiet time of one account, another one gets nothing for long.
+    Sequence: one account runs a single long request while another is served 40
+    times; then both have requests waiting.
+    Cause: a tag that stayed behind while the account had nothing waiting.
+    """
+    bench = Bench(2)
+    bench.accounts["small"] = DEFAULTS
+    bench.fill("small", 1, 0.0)
     (running,) = bench.fill("big", 1, 0.0)
-    bench.fill("big", 3, 0.0)
-    high, _ = bench.arrive("small", 0.5, priority=1)
-    bench.admission.release(running, now=1.0)
-    assert bench.tick(1.0)[0] == [high]
+    bench.fill("big", 100, 0.0, timeout=1000.0)
+    running = granted_in_turn(bench, running, 40, 0.0)[-1]
+    bench.fill("small", 20, 40.0)
+    granted = granted_in_turn(bench, running, 10, 40.0)
+    assert 4 <= sum(name.startswith("big") for name in granted) <= 6
 
 
 def test_hopeless_request_is_refused_at_once_with_spread_times() -> None:
@@ -208,6 +242,15 @@
     assert [name for name, _ in expired] == [late]
 
 
+def test_passed_deadline_in_the_midst_of_the_queue_is_refused() -> None:
+    """A request in front of others with more time is refused when its time is over."""
+    bench = Bench(1)
+    bench.fill("big", 1, 0.0)
+    late, _ = bench.arrive("big", 0.0, timeout=4.0)
+    bench.fill("big", 3, 0.1, timeout=60.0)
+    assert [name for name, _ in bench.tick(4.5)[1]] == [late]
+
+
 @pytest.mark.parametrize(
     ("max_waiting", "per_account", "n_big", "small_decision"),
     [(10, 500, 10, Queued), (100, 5, 5, Queued), (10, 5, 5, Queued)],
