Charge accounts the expected cost, and none that hold less than their share

Cause: a small account whose share is a few slots was charged seconds for one long request, and its next ones waited that out in a burst of another account.

The cost of a unit of announced work is still learned from the time really used.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -245,18 +245,16 @@
 def policies(load: Load) -> dict[str, tuple[Admission, bool]]:
     """Return the policies by name, and whether they look at each release."""
 
-    def fair(corrects: bool) -> FairAdmission:
+    def fair() -> FairAdmission:
         return FairAdmission(
             capacity=FixedCapacity(n_slots=load.n_slots),
             account=accounts().get,
-            corrects=corrects,
         )
 
     return {
         "fifo": (FifoAdmission(n_slots=load.n_slots), False),
-        "fair": (fair(True), False),
-        "fair, uncorrected": (fair(False), False),
-        "fair, at release": (fair(True), True),
+        "fair": (fair(), False),
+        "fair, at release": (fair(), True),
     }
 
 
--- a/benchmarks/limits_exchange.py
+++ b/benchmarks/limits_exchange.py
@@ -32,8 +32,9 @@
     limits: AccountLimits
     told_at: float
     tokens: float = 1.0
+    even_tokens: float = 1.0
     n_admitted: int = 0
-    n_offered: int = 0
+    n_even: int = 0
     part: float = 0.0
     alive: bool = True
 
@@ -109,9 +110,9 @@
         """Return the requests admitted so far by hosts that still live."""
         return sum(host.n_admitted for host in self.hosts)
 
-    def n_offered(self) -> int:
-        """Return the requests that arrived so far at hosts that still live."""
-        return sum(host.n_offered for host in self.hosts)
+    def n_even(self) -> int:
+        """Return what an even split of the limit would have admitted."""
+        return sum(host.n_even for host in self.hosts)
 
     def _host(self, index: int) -> _Host:
         return _Host(
@@ -125,9 +126,13 @@
         host.part = host.limits.rate(ACCOUNT, self.limit, now=self.now)
         depth = max(1.0, host.part)
         host.tokens = min(depth, host.tokens + host.part * STEP)
+        even = self.limit / self.n_hosts
+        host.even_tokens = min(max(1.0, even), host.even_tokens + even * STEP)
         for _ in range(n_arrivals):
             host.limits.arrived(ACCOUNT, now=self.now)
-            host.n_offered += 1
+            if host.even_tokens >= 1.0:
+                host.even_tokens -= 1.0
+                host.n_even += 1
             if host.tokens >= 1.0:
                 host.tokens -= 1.0
                 host.n_admitted += 1
--- a/ryelever/coordination/admission_fair.py
+++ b/ryelever/coordination/admission_fair.py
@@ -100,8 +100,6 @@
         Requests that wait at a time in all.
     max_waiting_per_account : int
         Requests of one account that wait at a time.
-    corrects : bool
-        Charge accounts for the time really used, not only for the expected one.
     """
 
     def __init__(
@@ -112,14 +110,12 @@
         limits: LimitsView | None = None,
         max_waiting: int = 2000,
         max_waiting_per_account: int = 500,
-        corrects: bool = True,
     ) -> None:
         self._capacity = capacity
         self._declared = account
         self._limits = limits or WholeLimits()
         self._max_waiting = max_waiting
         self._max_waiting_per_account = max_waiting_per_account
-        self._corrects = corrects
         self._accounts_by_name: dict[str, _Account] = {}
         self._pools_by_name: dict[str, _Pool] = {}
         self._tickets_by_request: dict[str, Ticket] = {}
@@ -460,7 +456,7 @@
         name = pool_of(arrival)
         pool = self._pools_by_name.get(name)
         if pool is None:
-            queue = FairQueue(corrects=self._corrects)
+            queue = FairQueue()
             pool = self._pools_by_name[name] = _Pool(queue=queue, example=arrival)
         pool.example = arrival
         return pool
--- a/ryelever/coordination/fair_queue.py
+++ b/ryelever/coordination/fair_queue.py
@@ -46,9 +46,6 @@
         None while it waits.
     size : float
         Work that the request announces, in any one unit for all requests.
-    expected, charged : float
-        Slot-seconds that were expected at the grant, and the virtual seconds that
-        the account was charged for them.
     """
 
     request_id: str
@@ -60,8 +57,6 @@
     sequence: int = 0
     size: float = 1.0
     granted_at: float | None = None
-    expected: float = 0.0
-    charged: float = 0.0
 
     def order(self) -> tuple[float, int]:
         """Return the place among the account's own requests.
@@ -102,18 +97,12 @@
 
 
 class FairQueue:
-    """Keep the flows of one pool of capacity.
+    """Keep the flows of one pool of capacity."""
 
-    Parameters
-    ----------
-    corrects : bool
-        Charge an account at the end for the slot-seconds really used.
-    """
-
-    def __init__(self, *, corrects: bool = True) -> None:
-        self._corrects = corrects
+    def __init__(self) -> None:
         self.flows_by_account: dict[str, Flow] = {}
         self.virtual_time = 0.0
+        self.capacity = 1.0
         self.n_in_flight = 0
         self.n_waiting = 0
         self.mean_cost = FIRST_COST
@@ -138,7 +127,7 @@
     def push(self, flow: Flow, ticket: Ticket) -> None:
         """Let a request wait."""
         if not flow.waiting:
-            flow.tag = max(flow.tag, self.virtual_time)
+            self._rejoin(flow)
         insort(flow.waiting, ticket, key=Ticket.order)
         self.n_waiting += 1
 
@@ -165,14 +154,14 @@
         """Grant a slot to a request and charge its account the expected cost."""
         if not flow.waiting:
             flow.tag = max(flow.tag, self.virtual_time)
+        self.capacity = max(1.0, capacity)
         self.virtual_time = max(self.virtual_time, flow.tag)
         ticket.granted_at = now
         if flow.cost_per_size is None:
-            ticket.expected = self.mean_cost
+            expected = self.mean_cost
         else:
-            ticket.expected = flow.cost_per_size * ticket.size
-        ticket.charged = ticket.expected / (flow.share * max(1.0, capacity))
-        flow.tag += ticket.charged
+            expected = flow.cost_per_size * ticket.size
+        flow.tag += expected / (flow.share * self.capacity)
         flow.n_in_flight += 1
         self.n_in_flight += 1
 
@@ -189,8 +178,6 @@
         flow = self.flows_by_account[ticket.client_account]
         flow.n_in_flight -= 1
         self.n_in_flight -= 1
-        if self._corrects and ticket.expected > 0:
-            flow.tag += ticket.charged * (used / ticket.expected - 1.0)
         measured = used / ticket.size
         if flow.cost_per_size is None:
             flow.cost_per_size = measured
@@ -198,6 +185,18 @@
         self.mean_cost += NEWEST * (used - self.mean_cost)
         self._tidy(flow)
 
+    def _rejoin(self, flow: Flow) -> None:
+        """Set the tag of a flow that had nothing waiting.
+
+        An account that holds fewer slots than its share owes nothing for what it
+        has used.  Otherwise one long request of a small account, whose share is a
+        few slots, would hold back its next ones for seconds.
+        """
+        if flow.n_in_flight < flow.share * self.capacity:
+            flow.tag = self.virtual_time
+        else:
+            flow.tag = max(flow.tag, self.virtual_time)
+
     def _tidy(self, flow: Flow) -> None:
         # A flow that waits for nothing and owes nothing is the same as none, and
         # nobody owes anything once the pool is idle.  Without this, accounts that
