--- /dev/null
+++ b/tests/test_coordination/test_admission_table.py
@@ -0,0 +1,96 @@
+"""Test fair admission as the request table uses it."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from ryelever.coordination.actions import (
+    AnswerError,
+    Arrival,
+    CancelAttempt,
+    ChatWork,
+    SendAttempt,
+    Target,
+    Usage,
+)
+from ryelever.coordination.admission_capacity import FixedCapacity
+from ryelever.coordination.admission_fair import FairAdmission
+from ryelever.coordination.claims import Claims
+from ryelever.coordination.requests import RequestTable
+from ryelever.coordination.retry import RetryBudget
+from ryelever.coordination.routing import LeastInFlightRouter
+from ryelever.errors import Category
+from ryelever.state.claims import ClaimsFold
+from ryelever.state.configuration import ClientAccount
+
+ACCOUNT = ClientAccount(key_hash="", share=0.5)
+
+
+@pytest.fixture
+def table() -> RequestTable:
+    accounts = {"a": ACCOUNT}
+    ids = itertools.count()
+    return RequestTable(
+        admission=FairAdmission(
+            capacity=FixedCapacity(n_slots=1), account=accounts.get
+        ),
+        router=LeastInFlightRouter(
+            targets=lambda arrival, now: [Target(name="g", address="1.2.3.4:5")]
+        ),
+        retry_policy=RetryBudget(),
+        claims=Claims(owner="o", stream="claims", fold=ClaimsFold(), max_lag=9.0),
+        account=accounts.get,
+        new_id=lambda: f"id-{next(ids)}",
+        retry_after=lambda: 1.0,
+    )
+
+
+def arrive(table: RequestTable, name: str, *, deadline: float = 60.0) -> list:
+    work = ChatWork(model="m", messages=[], max_tokens=1, streamed=False)
+    return table.arrive(
+        Arrival(
+            request_id=name,
+            client_account="a",
+            work=work,
+            arrived_at=0.0,
+            deadline=deadline,
+        ),
+        now=0.0,
+    )
+
+
+def kinds(actions: list) -> list[type]:
+    return [type(action) for action in actions]
+
+
+def test_waiting_request_is_sent_when_the_slot_is_free(table: RequestTable) -> None:
+    (sent,) = arrive(table, "first")
+    assert arrive(table, "second") == []
+    table.finished(sent.attempt_id, finish_reason="stop", usage=Usage(), now=1.0)
+    (sent,) = table.tick(now=1.0)
+    assert isinstance(sent, SendAttempt)
+    assert sent.arrival.request_id == "second"
+
+
+def test_caller_gone_while_waiting_leaves_nothing_behind(table: RequestTable) -> None:
+    (sent,) = arrive(table, "first")
+    arrive(table, "second")
+    assert table.caller_gone("second", now=0.5) == []
+    assert kinds(table.caller_gone("first", now=0.5)) == [CancelAttempt]
+    assert table.tick(now=1.0) == []
+    assert table.requests_by_id == {}
+    assert kinds(arrive(table, "third")) == [SendAttempt]
+
+
+def test_late_request_gets_one_final_answer(table: RequestTable) -> None:
+    """A request whose time is over while it waits is answered once, as limited."""
+    arrive(table, "first")
+    arrive(table, "second", deadline=3.0)
+    (answer,) = table.tick(now=3.5)
+    assert isinstance(answer, AnswerError)
+    assert answer.error.category is Category.LIMITED
+    assert answer.error.retry_after > 0
+    assert "second" not in table.requests_by_id
+    assert table.tick(now=4.0) == []
