Give every request one truthful final answer, and split what decides it

What was ruled out: a table that also owns the caller's stalling: only the transport sees whether bytes leave, so the deadline for unread answers is there.

Conclusion: RequestSteps.end is the only way out of the tables; attempts, claims and answers are modules of their own. A request whose attempt failed waits for another backend server (recovery_timeout). Shutdown has phases, with a grace in which new requests are still taken. Silence has its own settings for the first token, between tokens, services and unread answers.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import signal
-import time
 import uuid
 from typing import TYPE_CHECKING
 
@@ -14,18 +12,19 @@
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
 from .coordination.planner import Planner
-from .coordination.requests import RequestTable
+from .coordination.requests import RequestTable, Timeouts
 from .coordination.retry import RetryBudget
 from .coordination.routing import LeastInFlightRouter
 from .coordination.targets import Targets
 from .dump import Dump
-from .events import control_tick, drain, serving_tick, sweep
+from .events import control_tick, serving_tick, sweep
 from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
 from .metrics import Metrics
 from .planning import Planning
 from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
 from .serving import Serving
+from .shutdown import InFlight, Shutdown
 from .state.claims import ClaimsFold
 from .state.configuration_fold import NO_VERSION, ConfigurationFold
 from .state.placement import PlacementFold
@@ -67,8 +66,6 @@
         self.settings = settings
         self.boot = uuid.uuid4().hex[:12]
         self.exit_code = 0
-        self._signals_seen = 0
-        self._drain_deadline = float("inf")
         owner = f"{settings.host}/{self.boot}"
         self.metrics = Metrics()
         self.configuration = ConfigurationFold()
@@ -98,7 +95,10 @@
         self.http_client = HttpClient()
         host, _, port = settings.callers_address.rpartition(":")
         self.callers = Callers(
-            bind=(host, int(port)), limits=Limits(max_body=settings.max_body)
+            bind=(host, int(port)),
+            limits=Limits(
+                max_body=settings.max_body, unread_timeout=settings.unread_timeout
+            ),
         )
         self.serving = Serving(
             settings=settings,
@@ -108,6 +108,12 @@
             pages=Dump(application=self).pages(),
         )
         self.timers = Timers()
+        self.shutdown = Shutdown(
+            settings=settings,
+            serving=self.serving,
+            in_flight=self._in_flight,
+            stop=self._stop,
+        )
         self._register_parts()
         self._register_gauges()
 
@@ -144,6 +150,11 @@
             account=self._client_account,
             new_id=_new_id,
             retry_after=lambda: RETRY_AFTER,
+            timeouts=Timeouts(
+                claim=self.settings.claim_timeout,
+                recovery=self.settings.recovery_timeout,
+                same_target=self.settings.report_max_age + 0.5,
+            ),
         )
 
     def _client_account(self, name: str) -> ClientAccount | None:
@@ -156,6 +167,18 @@
             self.fleet.hosts_by_name
         )
 
+    def _in_flight(self) -> InFlight:
+        claims = self.streams.streams_by_name[CLAIMS_STREAM]
+        return InFlight(
+            n_requests=self.table.n_left(),
+            n_appends=len(claims.writer.pending_by_id),
+            n_unsent=self.callers.n_unsent(),
+        )
+
+    def _stop(self, exit_code: int) -> None:
+        self.exit_code = exit_code
+        self.stop()
+
     def _register_parts(self) -> None:
         EPoll().register(self)
         for part in (
@@ -166,6 +189,7 @@
             self.fleet,
             self.planning,
             self.serving,
+            self.shutdown,
         ):
             part.register(self)
 
@@ -188,7 +212,7 @@
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
         self.timers.every(SWEEP, sweep, "callers")
-        self.timers.every(TICK, _check_drained, "application")
+        self.timers.every(TICK, control_tick, "shutdown")
         log_event(
             "started",
             host=self.settings.host,
@@ -196,37 +220,6 @@
             callers_port=self.callers.port,
         )
 
-    # Graceful shutdown
-
-    @handler("signal", channel="*")
-    def _on_signal(self, event: Event, signal_number: int, stack: object) -> None:
-        if signal_number not in (signal.SIGINT, signal.SIGTERM):
-            return
-        event.stop()
-        self._signals_seen += 1
-        if self._signals_seen > 1:
-            self._drain_deadline = time.monotonic()
-            return
-        self.fire(drain(), "application")
-
-    @handler("drain")
-    def _on_drain(self) -> None:
-        log_event("drain_started", in_flight=len(self.table.requests_by_id))
-        self.serving.draining = True
-        self._drain_deadline = time.monotonic() + self.settings.drain_timeout
-
-    @handler("_check_drained")
-    def _on_check_drained(self) -> None:
-        if not self.serving.draining:
-            return
-        n_in_flight = len(self.table.requests_by_id)
-        if n_in_flight and time.monotonic() < self._drain_deadline:
-            return
-        if n_in_flight:
-            self.exit_code = 3
-        log_event("stopped", in_flight=n_in_flight)
-        self.stop()
-
     @handler("exception", channel="*")
     def _on_exception(
         self,
@@ -248,7 +241,3 @@
 
 def _new_id() -> str:
     return uuid.uuid4().hex
-
-
-class _check_drained(Event):
-    """Look whether nothing is in flight any more."""
--- /dev/null
+++ b/ryelever/arrivals.py
@@ -0,0 +1,164 @@
+"""Read callers' requests into arrivals for the request table."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok
+
+from .accounts import account_of
+from .coordination.actions import Arrival, ChatWork, ServiceWork
+from .errors import Category, RyeleverError
+from .protocol.openai import fingerprint, read_chat_request
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from .events import CallerRequest
+    from .settings import Settings
+    from .state.configuration_fold import ConfigurationFold
+
+__all__ = ["ArrivalReader"]
+
+SERVICES_PREFIX = "/services/"
+
+#: Header with which a caller names its own deadline, in seconds from now.
+TIMEOUT_HEADER = "x-request-timeout"
+
+
+class ArrivalReader:
+    """Check a request against the configuration that is in force."""
+
+    def __init__(self, *, settings: Settings, configuration: ConfigurationFold) -> None:
+        self._settings = settings
+        self._configuration = configuration
+
+    def read(self, request: CallerRequest) -> Result[Arrival | None, RyeleverError]:
+        """Return the arrival, or None when the caller asks for the models."""
+        account = account_of(
+            request.headers.get("authorization", ""), self._configuration.configuration
+        )
+        if account is None:
+            return _error(
+                "no client account has this key; send Authorization: Bearer KEY",
+                category=Category.UNAUTHORIZED,
+                code="invalid_api_key",
+            )
+        if request.path == "/v1/models" and request.method == "GET":
+            return _ok(None)
+        if request.path == "/v1/chat/completions":
+            if request.method != "POST":
+                return _error("use POST", category=Category.BAD_REQUEST, code="method")
+            return self._chat_arrival(request, account)
+        if request.path.startswith(SERVICES_PREFIX):
+            return self._service_arrival(request, account)
+        return _error(
+            f"there is nothing at {request.path}",
+            category=Category.NOT_FOUND,
+            code="unknown_path",
+        )
+
+    def _chat_arrival(
+        self, request: CallerRequest, account: str
+    ) -> Result[Arrival | None, RyeleverError]:
+        work = read_chat_request(request.body)
+        if work.is_error():
+            return work
+        configuration = self._configuration.configuration
+        model = configuration.models.get(work.ok.model)
+        allowed = configuration.client_accounts[account].models
+        known = model is not None and (not allowed or work.ok.model in allowed)
+        if not known or (work.ok.adapter and work.ok.adapter not in model.adapters):
+            return _error(
+                f"model {work.ok.model!r} is not served to this client account; "
+                "GET /v1/models names those that are",
+                category=Category.NOT_FOUND,
+                code="model_not_found",
+            )
+        return self._new_arrival(request, account, work.ok)
+
+    def _service_arrival(
+        self, request: CallerRequest, account: str
+    ) -> Result[Arrival | None, RyeleverError]:
+        name, _, rest = request.path[len(SERVICES_PREFIX) :].partition("/")
+        service = self._configuration.configuration.services.get(name)
+        if service is None:
+            return _error(
+                f"service {name!r} is not declared",
+                category=Category.NOT_FOUND,
+                code="unknown_service",
+            )
+        path = "/" + rest + (f"?{request.query}" if request.query else "")
+        marked = any(path.startswith(prefix) for prefix in service.non_repeatable)
+        key = request.headers.get("idempotency-key", "")
+        if marked and request.method not in ("GET", "HEAD") and not key:
+            return _error(
+                "this call runs at most once; send an Idempotency-Key",
+                category=Category.BAD_REQUEST,
+                code="idempotency_key_missing",
+            )
+        work = ServiceWork(
+            service=name,
+            method=request.method,
+            path=path,
+            content_type=request.headers.get("content-type", ""),
+            body=request.body,
+        )
+        return self._new_arrival(request, account, work)
+
+    def _new_arrival(
+        self, request: CallerRequest, account: str, work: ChatWork | ServiceWork
+    ) -> Result[Arrival | None, RyeleverError]:
+        timeout = self._timeout(request)
+        if timeout.is_error():
+            return timeout
+        now = time.monotonic()
+        declared = self._configuration.configuration.client_accounts[account]
+        arrival = Arrival(
+            request_id=request.request_id,
+            client_account=account,
+            work=work,
+            arrived_at=now,
+            deadline=now + timeout.ok,
+            priority=declared.priority,
+            idempotency_key=request.headers.get("idempotency-key", ""),
+            fingerprint=fingerprint(
+                request.method.encode(),
+                request.path.encode(),
+                request.query.encode(),
+                request.body,
+            ),
+        )
+        return _ok(arrival)
+
+    def _timeout(self, request: CallerRequest) -> Result[float, RyeleverError]:
+        given = request.headers.get(TIMEOUT_HEADER)
+        if given is None:
+            return Ok(self._settings.request_timeout)
+        longest = self._settings.max_request_timeout
+        try:
+            seconds = float(given)
+        except ValueError:
+            seconds = math.nan
+        if 0 < seconds <= longest:
+            return Ok(seconds)
+        return _error(
+            f"X-Request-Timeout must be a number of seconds above 0 and up to "
+            f"{longest:g}",
+            category=Category.BAD_REQUEST,
+            code="invalid_timeout",
+        )
+
+
+def _ok(arrival: Arrival | None) -> Result[Arrival | None, RyeleverError]:
+    return Ok(arrival)
+
+
+def _error(
+    message: str, *, category: Category, code: str
+) -> Result[Arrival | None, RyeleverError]:
+    return Error(
+        RyeleverError(message, category=category, step="read_request", code=code)
+    )
--- /dev/null
+++ b/ryelever/caller_answers.py
@@ -0,0 +1,178 @@
+"""Write answers to callers, whole or as streams."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from .events import (
+    CallerAnswer,
+    caller_answer,
+    caller_stream_data,
+    caller_stream_end,
+    caller_stream_start,
+)
+from .logs import log_event
+from .protocol.openai import (
+    ChatStreamShape,
+    chat_completion,
+    error_body,
+    error_event,
+    error_headers,
+    http_status,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.actions import (
+        AnswerService,
+        AnswerWhole,
+        Arrival,
+        StreamFailed,
+        StreamFinished,
+        StreamTokens,
+    )
+    from .errors import RyeleverError
+    from .metrics import Metrics
+
+__all__ = ["CallerAnswers"]
+
+
+class CallerAnswers:
+    """Shape the answers of the requests that are in flight.
+
+    Parameters
+    ----------
+    fire : callable
+        Fire an event on a channel.
+    """
+
+    def __init__(self, *, fire: Callable[..., object], metrics: Metrics) -> None:
+        self._fire = fire
+        self._metrics = metrics
+        self.arrivals_by_id: dict[str, Arrival] = {}
+        self._shapes_by_request: dict[str, ChatStreamShape] = {}
+
+    def expect(self, arrival: Arrival) -> None:
+        """Remember what the answer must be shaped for."""
+        self.arrivals_by_id[arrival.request_id] = arrival
+
+    def forget(self, request_id: str) -> None:
+        """Let go of a request that was answered, or whose caller is gone."""
+        self.arrivals_by_id.pop(request_id, None)
+        self._shapes_by_request.pop(request_id, None)
+
+    # Streams
+
+    def stream_tokens(self, action: StreamTokens) -> None:
+        """Pass tokens on."""
+        request_id = action.request_id
+        data = self._shape(request_id).tokens(action.tokens)
+        self._fire(caller_stream_data(request_id, data), "callers")
+
+    def _shape(self, request_id: str) -> ChatStreamShape:
+        shape = self._shapes_by_request.get(request_id)
+        return shape or self._start_stream(request_id)
+
+    def _start_stream(self, request_id: str) -> ChatStreamShape:
+        arrival = self.arrivals_by_id[request_id]
+        self._metrics.observe("first_token", time.monotonic() - arrival.arrived_at)
+        shape = ChatStreamShape(
+            request_id=request_id,
+            model=arrival.work.model,
+            created=int(time.time()),
+            include_usage=arrival.work.include_usage,
+        )
+        headers = {
+            "Content-Type": "text/event-stream; charset=utf-8",
+            "Cache-Control": "no-cache",
+            "X-Request-Id": request_id,
+        }
+        self._shapes_by_request[request_id] = shape
+        self._fire(caller_stream_start(request_id, headers), "callers")
+        return shape
+
+    def stream_finished(self, action: StreamFinished) -> None:
+        """End a stream with its terminal events."""
+        data = self._shape(action.request_id).finished(
+            finish_reason=action.finish_reason, usage=action.usage
+        )
+        self._end_stream(action.request_id, data, outcome="answered")
+
+    def stream_failed(self, action: StreamFailed) -> None:
+        """End a stream with an explicit error event."""
+        log_event(
+            "stream_failed",
+            request=action.request_id,
+            step=action.error.step,
+            peer=action.error.peer,
+            message=action.error.message,
+        )
+        self._end_stream(
+            action.request_id, error_event(action.error), outcome=action.error.code
+        )
+
+    def _end_stream(self, request_id: str, data: bytes, *, outcome: str) -> None:
+        self._fire(caller_stream_data(request_id, data), "callers")
+        self._fire(caller_stream_end(request_id), "callers")
+        self._ended(request_id, outcome=outcome)
+
+    # Whole answers
+
+    def answer_whole(self, action: AnswerWhole) -> None:
+        """Answer a chat request whole."""
+        arrival = self.arrivals_by_id[action.request_id]
+        body = chat_completion(
+            request_id=action.request_id,
+            model=arrival.work.model,
+            created=int(time.time()),
+            tokens=action.tokens,
+            finish_reason=action.finish_reason,
+            usage=action.usage,
+        )
+        self.answer(CallerAnswer(request_id=action.request_id, status=200, body=body))
+
+    def answer_service(self, action: AnswerService) -> None:
+        """Pass a plain service's answer on."""
+        headers = {"Ryelever-Replayed": "true"} if action.replayed else {}
+        self.answer(
+            CallerAnswer(
+                request_id=action.request_id,
+                status=action.status,
+                body=action.body,
+                content_type=action.content_type,
+                headers=headers,
+            )
+        )
+
+    def answer_error(self, request_id: str, error: RyeleverError) -> None:
+        """Answer with an error."""
+        log_event(
+            "request_failed",
+            request=request_id,
+            step=error.step,
+            peer=error.peer,
+            code=error.code,
+            run_state=error.run_state.value,
+            message=error.message,
+        )
+        answer = CallerAnswer(
+            request_id=request_id,
+            status=http_status(error),
+            body=error_body(error),
+            headers=error_headers(error),
+        )
+        self.answer(answer, outcome=error.code)
+
+    def answer(self, answer: CallerAnswer, *, outcome: str = "answered") -> None:
+        """Answer a caller."""
+        self._fire(caller_answer(answer), "callers")
+        self._ended(answer.request_id, outcome=outcome)
+
+    def _ended(self, request_id: str, *, outcome: str) -> None:
+        self._metrics.count("requests", outcome)
+        arrival = self.arrivals_by_id.get(request_id)
+        if arrival is not None:
+            self._metrics.observe("request", time.monotonic() - arrival.arrived_at)
+        self.forget(request_id)
--- a/ryelever/coordination/actions.py
+++ b/ryelever/coordination/actions.py
@@ -181,11 +181,18 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class AppendRecord:
-    """Append a record to a stream of the log."""
+    """Append a record to a stream of the log.
+
+    Attributes
+    ----------
+    kept_for : float
+        Seconds for which the append is repeated; 0 leaves it to the writer.
+    """
 
     stream: str
     record: Record
     record_id: str
+    kept_for: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- /dev/null
+++ b/ryelever/coordination/requests_answers.py
@@ -0,0 +1,275 @@
+"""Compose the errors, outcomes and replayed answers of the request table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..errors import Category, RunState, RyeleverError
+from ..state.records import Outcome
+from .actions import (
+    AnswerError,
+    AnswerService,
+    AnswerWhole,
+    ChatWork,
+    StreamFinished,
+    StreamTokens,
+    Usage,
+)
+
+if TYPE_CHECKING:
+    from ..state.claims import ClaimState
+    from .actions import Action, Arrival
+    from .admission import Refused
+    from .requests_state import Request
+
+__all__ = [
+    "CHAT_ANSWER_TYPE",
+    "MAX_STORED_ANSWER",
+    "chat_outcome",
+    "claim_key",
+    "claim_lost",
+    "claim_not_confirmed",
+    "deadline_passed",
+    "in_progress",
+    "key_reused",
+    "limited",
+    "log_unavailable",
+    "no_target",
+    "service_outcome",
+    "shutting_down",
+    "stored_answer",
+    "unknown_account",
+]
+
+#: Longest answer that is stored with its outcome, in bytes.
+MAX_STORED_ANSWER = 4096
+
+#: Content type under which the answer of a model is stored.
+CHAT_ANSWER_TYPE = "application/vnd.ryelever.chat+json"
+
+
+class _StoredChat(msgspec.Struct, kw_only=True, frozen=True):
+    tokens: tuple[str, ...]
+    finish_reason: str
+    usage: Usage
+
+
+def claim_key(arrival: Arrival) -> str:
+    """Return the key under which a request is claimed."""
+    return f"{arrival.client_account}/{arrival.idempotency_key}"
+
+
+# Outcomes
+
+
+def service_outcome(request: Request, answer: AnswerService, *, owner: str) -> Outcome:
+    """Return the outcome of a plain service's answer.
+
+    An answer that is too long, or that is not text, is left out whole: a part of
+    it would be replayed as if it were the answer.
+    """
+    ran = answer.status < 500
+    run_state = RunState.RUN if ran else RunState.OUTCOME_UNKNOWN
+    body = _storable(answer.body)
+    kept = body is not None
+    return Outcome(
+        key=claim_key(request.arrival),
+        owner=owner,
+        run_state=run_state.value,
+        status=answer.status if kept else 0,
+        content_type=answer.content_type if kept else "",
+        body=body or "",
+    )
+
+
+def chat_outcome(
+    request: Request, *, finish_reason: str, usage: Usage, owner: str
+) -> Outcome:
+    """Return the outcome of a model's whole answer."""
+    stored = _StoredChat(
+        tokens=tuple(request.delivered), finish_reason=finish_reason, usage=usage
+    )
+    body = _storable(msgspec.json.encode(stored))
+    return Outcome(
+        key=claim_key(request.arrival),
+        owner=owner,
+        run_state=RunState.RUN.value,
+        status=0 if body is None else 200,
+        content_type="" if body is None else CHAT_ANSWER_TYPE,
+        body=body or "",
+    )
+
+
+def stored_answer(arrival: Arrival, outcome: Outcome) -> list[Action]:
+    """Answer a resend from the outcome of the first request with its key."""
+    if not outcome.status:
+        return [_no_stored_answer(arrival, outcome)]
+    if outcome.content_type == CHAT_ANSWER_TYPE:
+        return _stored_chat(arrival, outcome)
+    answer = AnswerService(
+        request_id=arrival.request_id,
+        status=outcome.status,
+        content_type=outcome.content_type,
+        body=outcome.body.encode(),
+        replayed=True,
+    )
+    return [answer]
+
+
+def _stored_chat(arrival: Arrival, outcome: Outcome) -> list[Action]:
+    stored = msgspec.json.decode(outcome.body, type=_StoredChat)
+    request_id = arrival.request_id
+    if not (isinstance(arrival.work, ChatWork) and arrival.work.streamed):
+        whole = AnswerWhole(
+            request_id=request_id,
+            tokens=stored.tokens,
+            finish_reason=stored.finish_reason,
+            usage=stored.usage,
+        )
+        return [whole]
+    return [
+        StreamTokens(request_id=request_id, tokens=stored.tokens),
+        StreamFinished(
+            request_id=request_id,
+            finish_reason=stored.finish_reason,
+            usage=stored.usage,
+        ),
+    ]
+
+
+def _no_stored_answer(arrival: Arrival, outcome: Outcome) -> AnswerError:
+    run_state = RunState(outcome.run_state)
+    ran = run_state is RunState.RUN
+    error = RyeleverError(
+        "the first request with this key was run, and its answer is not kept"
+        if ran
+        else "nobody knows whether the first request with this key was run",
+        category=Category.CONFLICT,
+        step="claim",
+        code="outcome_kept_without_answer" if ran else "outcome_unknown",
+        run_state=run_state,
+    )
+    return AnswerError(request_id=arrival.request_id, error=error)
+
+
+def _storable(body: bytes) -> str | None:
+    if len(body) > MAX_STORED_ANSWER:
+        return None
+    try:
+        return body.decode()
+    except UnicodeDecodeError:
+        return None
+
+
+# Errors
+
+
+def unknown_account() -> RyeleverError:
+    """Refuse an account that was withdrawn after its key was checked."""
+    return RyeleverError(
+        "client account is no longer declared",
+        category=Category.UNAUTHORIZED,
+        step="admit",
+    )
+
+
+def limited(refused: Refused) -> RyeleverError:
+    """Refuse a request that admission turns away."""
+    return RyeleverError(
+        refused.reason,
+        category=Category.LIMITED,
+        step="admit",
+        retry_after=refused.retry_after,
+    )
+
+
+def no_target(*, retry_after: float) -> RyeleverError:
+    """Refuse a request that nothing can serve right now."""
+    return RyeleverError(
+        "nothing that serves this request is whole right now",
+        category=Category.UNAVAILABLE,
+        step="route",
+        retry_after=retry_after,
+    )
+
+
+def log_unavailable(*, retry_after: float) -> RyeleverError:
+    """Refuse a request that cannot be claimed."""
+    return RyeleverError(
+        "the log cannot be reached, so a request that must run at most once cannot "
+        "be claimed; this sending was not run, ask again with the same key",
+        category=Category.UNAVAILABLE,
+        step="claim",
+        code="log_unavailable",
+        retry_after=retry_after,
+    )
+
+
+def claim_not_confirmed(*, retry_after: float) -> RyeleverError:
+    """End a request whose claim was not read back in time."""
+    return RyeleverError(
+        "the log did not confirm the claim of this request in time",
+        category=Category.UNAVAILABLE,
+        step="claim",
+        code="claim_not_confirmed",
+        retry_after=retry_after,
+    )
+
+
+def claim_lost(*, retry_after: float) -> RyeleverError:
+    """End a request whose claim came second to one that was then freed."""
+    return RyeleverError(
+        "another request with this key came first and was not run",
+        category=Category.UNAVAILABLE,
+        step="claim",
+        code="claim_lost",
+        retry_after=retry_after,
+    )
+
+
+def in_progress(claim: ClaimState, *, retry_after: float) -> RyeleverError:
+    """Answer a resend while the first request has no outcome."""
+    return RyeleverError(
+        "the first request with this key has no outcome yet",
+        category=Category.CONFLICT,
+        step="claim",
+        peer=claim.owner,
+        code="in_progress",
+        run_state=RunState.OUTCOME_UNKNOWN,
+        retry_after=retry_after,
+    )
+
+
+def key_reused() -> RyeleverError:
+    """Refuse a key that belongs to another request."""
+    return RyeleverError(
+        "the idempotency key was used for a different request",
+        category=Category.CONFLICT,
+        step="claim",
+        code="key_reused",
+    )
+
+
+def deadline_passed(request: Request, *, retry_after: float) -> RyeleverError:
+    """End a request whose deadline has passed."""
+    return RyeleverError(
+        f"the deadline passed while the request was {request.state.value}",
+        category=Category.TIMEOUT,
+        step=request.state.value,
+        peer=request.target.address if request.target else "",
+        retry_after=retry_after,
+    )
+
+
+def shutting_down(request: Request, *, retry_after: float) -> RyeleverError:
+    """End a request that outlasts the graceful shutdown."""
+    return RyeleverError(
+        "this entry host had to stop before the request was answered",
+        category=Category.UNAVAILABLE,
+        step=request.state.value,
+        peer=request.target.address if request.target else "",
+        code="shutting_down",
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/ryelever/coordination/requests_attempts.py
@@ -0,0 +1,91 @@
+"""Match attempts with the requests that they serve."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .actions import SendAttempt
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .actions import Action
+    from .requests_state import Request
+    from .retry import RetryPolicy
+    from .routing import Router
+
+__all__ = ["RequestAttempts"]
+
+
+class RequestAttempts:
+    """Start and end attempts; each request has one at most.
+
+    Parameters
+    ----------
+    router, retry_policy : Protocol types
+        Who takes an attempt, and whether there is another one.
+    """
+
+    def __init__(
+        self,
+        *,
+        router: Router,
+        retry_policy: RetryPolicy,
+        new_id: Callable[[], str],
+    ) -> None:
+        self._router = router
+        self._retry_policy = retry_policy
+        self._new_id = new_id
+        self.request_by_attempt: dict[str, str] = {}
+        self.n_late_answers = 0
+        self.n_retries = 0
+
+    def start(
+        self, request: Request, *, tried: tuple[str, ...], now: float
+    ) -> Action | None:
+        """Return the sending of the next attempt, or None without a target."""
+        target = self._router.choose(request.arrival, tried=tried, now=now)
+        if target is None:
+            return None
+        request.attempt_id = self._new_id()
+        request.target = target
+        request.tried += (target.name,)
+        self.request_by_attempt[request.attempt_id] = request.arrival.request_id
+        self._router.started(target, now=now)
+        return SendAttempt(
+            attempt_id=request.attempt_id,
+            arrival=request.arrival,
+            target=target,
+            delivered=tuple(request.delivered),
+        )
+
+    def request_id(self, attempt_id: str) -> str | None:
+        """Return the request of a current attempt; count what comes late."""
+        request_id = self.request_by_attempt.get(attempt_id)
+        if request_id is None:
+            self.n_late_answers += 1
+        return request_id
+
+    def answered(self, request: Request, *, now: float) -> None:
+        """End an attempt whose answer is whole."""
+        self.end(request, failed=False, now=now)
+        self._retry_policy.succeeded(now=now)
+
+    def end(self, request: Request, *, failed: bool, now: float) -> None:
+        """End an attempt; whatever it still sends comes late."""
+        del self.request_by_attempt[request.attempt_id]
+        request.attempt_id = ""
+        self._router.ended(request.target, failed=failed, now=now)
+
+    def may_retry(self, request: Request, *, now: float) -> bool:
+        """Tell whether another attempt may follow, and count it if so."""
+        # A non-repeatable request is never sent again after its first byte.
+        safe = request.arrival.repeatable or not request.may_have_run
+        allowed = (
+            safe
+            and not request.caller_gone
+            and now < request.arrival.deadline
+            and self._retry_policy.allow(n_attempts=len(request.tried), now=now)
+        )
+        self.n_retries += allowed
+        return allowed
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -68,6 +68,11 @@
         nobody knows whether the request was run.
     progress_timeout : float
         Seconds without a byte after which the connection is given up.
+    first_byte_timeout : float
+        The same until the first byte of the answer's body, which takes longer;
+        0 stands for ``progress_timeout``.
+    send_before : float
+        Monotonic time after which no first byte leaves any more.
     """
 
     id: str
@@ -82,6 +87,8 @@
     fresh: bool = False
     connect_timeout: float = 1.0
     progress_timeout: float = 5.0
+    first_byte_timeout: float = 0.0
+    send_before: float = float("inf")
     max_body: int = 8 << 20
 
 
@@ -248,6 +255,10 @@
     """Announce a ``HostReported``."""
 
 
+class end_requests(Event):
+    """End every request in flight: the graceful shutdown's deadline has come."""
+
+
 class drain(Event):
     """Begin the graceful shutdown."""
 
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -186,12 +186,56 @@
         expected=_SECONDS,
         meaning="Deadline of a request that names none.",
     ),
+    Setting(
+        name="max_request_timeout",
+        default=600.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Longest deadline that a caller may name in X-Request-Timeout.",
+    ),
     Setting(
         name="progress_timeout",
         default=2.0,
         check=_is_positive,
         expected=_SECONDS,
-        meaning="Silence of a connection after which it is given up.",
+        meaning="Silence of a connection, or between tokens, after which it is "
+        "given up.",
+    ),
+    Setting(
+        name="first_token_timeout",
+        default=10.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Silence of an engine until the first token of an attempt.",
+    ),
+    Setting(
+        name="service_timeout",
+        default=15.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Silence of a plain service until the first byte of its answer.",
+    ),
+    Setting(
+        name="unread_timeout",
+        default=20.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Time for which a caller may leave its answer unread.",
+    ),
+    Setting(
+        name="claim_timeout",
+        default=5.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Wait for the log to confirm the claim of a request that runs at "
+        "most once.",
+    ),
+    Setting(
+        name="recovery_timeout",
+        default=8.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Wait of a request whose attempt failed for another backend server.",
     ),
     Setting(
         name="report_interval",
@@ -214,6 +258,14 @@
         expected=_SECONDS,
         meaning="Term of the planner's lease of an availability zone.",
     ),
+    Setting(
+        name="drain_grace",
+        default=3.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Time at the start of a graceful shutdown in which new requests are "
+        "still taken, so that the balancer turns away first.",
+    ),
     Setting(
         name="drain_timeout",
         default=30.0,
--- a/ryelever/streams.py
+++ b/ryelever/streams.py
@@ -100,9 +100,8 @@
     def _on_append_record(self, action: AppendRecord) -> None:
         now = time.monotonic()
         stream = self.streams_by_name[action.stream]
-        stream.writer.add(
-            action.record, record_id=action.record_id, deadline=now + APPEND_DEADLINE
-        )
+        deadline = now + (action.kept_for or APPEND_DEADLINE)
+        stream.writer.add(action.record, record_id=action.record_id, deadline=deadline)
         self._append(stream, now=now)
 
     # Reading
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -51,6 +51,8 @@
         the caller has not taken yet.
     request_timeout, idle_timeout : float
         Seconds for a whole request to arrive, and between two requests.
+    unread_timeout : float
+        Seconds for which a caller may take no byte of its answer.
     """
 
     max_head: int = 16 * 1024
@@ -58,6 +60,7 @@
     max_unsent: int = 256 * 1024
     request_timeout: float = 10.0
     idle_timeout: float = 75.0
+    unread_timeout: float = 20.0
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -75,6 +78,7 @@
     target: str = ""
     unsent: int = 0
     stalled: bool = False
+    wrote_at: float = 0.0
     response: Response | None = None
 
 
@@ -95,6 +99,7 @@
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_request: dict[str, _Connection] = {}
         self.n_refused_by_code: dict[str, int] = {}
+        self.n_unread = 0
         HTTP(self, channel="web").register(self)
         _WebChannel(self).register(self)
 
@@ -140,6 +145,11 @@
     def _on_sweep(self) -> None:
         now = time.monotonic()
         for connection in list(self._connections_by_sock.values()):
+            if self._is_unread(connection, now=now):
+                # Its answer and the backend server's would be held for good.
+                self.n_unread += 1
+                self._close(connection.sock)
+                continue
             if connection.received:
                 continue
             waited = now - connection.since
@@ -370,6 +380,8 @@
             except OSError:
                 self._close(sock)
                 return
+        if n_sent or not self._buffers[sock]:
+            connection.wrote_at = time.monotonic()
         if n_sent < len(data):
             self.write(sock, data[n_sent:])
             self._check_stalled(connection)
@@ -397,9 +409,23 @@
     @handler("_write", priority=0, channel="callers")
     def _on_written(self, sock: socket.socket) -> None:
         connection = self._connections_by_sock.get(sock)
-        if connection is not None and connection.stalled:
+        if connection is None:
+            return
+        connection.wrote_at = time.monotonic()
+        if connection.stalled:
             self._check_stalled(connection)
 
+    def _is_unread(self, connection: _Connection, *, now: float) -> bool:
+        unsent = self._buffers[connection.sock]
+        return bool(unsent) and now - connection.wrote_at > self._limits.unread_timeout
+
+    def n_unsent(self) -> int:
+        """Return how many callers wait for an answer or a part of it."""
+        return sum(
+            bool(connection.request_id or self._buffers[connection.sock])
+            for connection in self._connections_by_sock.values()
+        )
+
     # State for the dump
 
     def describe(self) -> list[dict[str, object]]:
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -10,7 +10,6 @@
 import errno
 import socket
 import time
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import h11
@@ -32,6 +31,7 @@
     outbound_failed,
     outbound_head,
 )
+from .http_connection import Connection, open_socket, request_bytes
 
 if TYPE_CHECKING:
     from circuits import Event
@@ -47,29 +47,6 @@
 #: Seconds after which an idle connection is closed.
 IDLE_TIMEOUT = 30.0
 
-#: Milliseconds after which the kernel gives up on bytes nobody acknowledges.
-TCP_USER_TIMEOUT_MS = 5000
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Connection:
-    """Own one socket and at most one request at a time."""
-
-    address: str
-    sock: socket.socket
-    http: h11.Connection
-    request: OutboundRequest | None = None
-    connecting: bool = True
-    bytes_sent: bool = False
-    started_at: float = 0.0
-    progress_at: float = 0.0
-    paused: bool = False
-    reused: bool = False
-    out: bytearray = field(default_factory=bytearray)
-    status: int = 0
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytearray = field(default_factory=bytearray)
-
 
 class HttpClient(BaseComponent):
     """Own every outgoing connection."""
@@ -79,9 +56,9 @@
     def __init__(self) -> None:
         super().__init__()
         self._poller: BasePoller | None = None
-        self._connections_by_sock: dict[socket.socket, _Connection] = {}
-        self._connections_by_request: dict[str, _Connection] = {}
-        self._idle_by_address: dict[str, list[_Connection]] = {}
+        self._connections_by_sock: dict[socket.socket, Connection] = {}
+        self._connections_by_request: dict[str, Connection] = {}
+        self._idle_by_address: dict[str, list[Connection]] = {}
         self.n_opened = 0
         self.n_silent = 0
 
@@ -137,30 +114,33 @@
 
     # Connections
 
-    def _take_idle(self, address: str) -> _Connection | None:
-        idle = self._idle_by_address.get(address)
-        return idle.pop() if idle else None
-
-    def _open(self, request: OutboundRequest) -> _Connection | None:
-        host, _, port = request.address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
-        code = sock.connect_ex((host, int(port)))
+    def _take_idle(self, address: str) -> Connection | None:
+        oldest = time.monotonic() - IDLE_TIMEOUT
+        idle = self._idle_by_address.get(address, [])
+        while idle:
+            connection = idle.pop()
+            # A process that was paused finds connections that idled for longer
+            # than anything between the two ends remembers them.
+            if connection.progress_at >= oldest and connection.is_quiet():
+                return connection
+            self._close(connection)
+        return None
+
+    def _open(
+        self, request: OutboundRequest, *, bytes_sent: bool = False
+    ) -> Connection | None:
+        try:
+            sock, code = open_socket(request.address)
+        except (OSError, ValueError, OverflowError) as error:
+            message = f"cannot connect: {error}"
+            self._report_unsent(request, message, bytes_sent=bytes_sent)
+            return None
         if code not in (0, errno.EINPROGRESS):
             sock.close()
-            self._report_failure(
-                request,
-                f"cannot connect: {errno.errorcode.get(code, code)}",
-                category=Category.UNAVAILABLE,
-                bytes_sent=False,
-            )
+            message = f"cannot connect: {errno.errorcode.get(code, code)}"
+            self._report_unsent(request, message, bytes_sent=bytes_sent)
             return None
-        connection = _Connection(
+        connection = Connection(
             address=request.address,
             sock=sock,
             http=h11.Connection(h11.CLIENT),
@@ -173,23 +153,22 @@
         self._poller.addWriter(self, sock)
         return connection
 
-    def _start(self, connection: _Connection, request: OutboundRequest) -> None:
-        now = time.monotonic()
-        connection.request = request
-        connection.started_at = connection.progress_at = now
-        connection.bytes_sent = False
-        connection.body.clear()
+    def _start(
+        self,
+        connection: Connection,
+        request: OutboundRequest,
+        *,
+        bytes_sent: bool = False,
+    ) -> None:
+        try:
+            data = request_bytes(connection.http, request)
+        except h11.LocalProtocolError as error:
+            self._close(connection)
+            self._report_unsent(request, f"cannot be asked this: {error}")
+            return
+        connection.begin(request, data, now=time.monotonic())
+        connection.bytes_sent = bytes_sent
         self._connections_by_request[request.id] = connection
-        headers = [
-            ("Host", request.address),
-            *request.headers,
-            ("Content-Length", str(len(request.body))),
-        ]
-        head = h11.Request(method=request.method, target=request.path, headers=headers)
-        connection.out += connection.http.send(head)
-        if request.body:
-            connection.out += connection.http.send(h11.Data(data=request.body))
-        connection.out += connection.http.send(h11.EndOfMessage())
         if not connection.connecting:
             self._flush(connection)
 
@@ -208,7 +187,15 @@
             connection.connecting = False
         self._flush(connection)
 
-    def _flush(self, connection: _Connection) -> None:
+    def _flush(self, connection: Connection) -> None:
+        request = connection.request
+        now = time.monotonic()
+        unsent = request is not None and not connection.bytes_sent
+        if unsent and now >= request.send_before:
+            # Paused since it was to be sent: nobody waits for it any more.
+            message = "was reached only after the deadline"
+            self._fail(connection, message, category=Category.TIMEOUT)
+            return
         if connection.out:
             try:
                 n_sent = connection.sock.send(connection.out)
@@ -219,7 +206,7 @@
                 return
             if n_sent:
                 connection.bytes_sent = True
-                connection.progress_at = time.monotonic()
+                connection.progress_at = now
                 del connection.out[:n_sent]
         writing = self._poller.isWriting(connection.sock)
         if connection.out and not writing:
@@ -258,7 +245,7 @@
             verb = "cannot connect" if connection.connecting else "connection broke"
             self._fail(connection, f"{verb}: {errno.errorcode.get(code, 'closed')}")
 
-    def _next_events(self, connection: _Connection) -> None:
+    def _next_events(self, connection: Connection) -> None:
         while connection.request is not None:
             event = connection.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -273,7 +260,7 @@
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(connection, "connection was closed before an answer")
 
-    def _take_head(self, connection: _Connection, event: h11.Response) -> None:
+    def _take_head(self, connection: Connection, event: h11.Response) -> None:
         connection.status = event.status_code
         connection.headers = {
             name.decode("latin-1"): value.decode("latin-1")
@@ -286,8 +273,9 @@
             )
             self.fire(outbound_head(head), request.reply_channel)
 
-    def _take_data(self, connection: _Connection, data: bytes) -> bool:
+    def _take_data(self, connection: Connection, data: bytes) -> bool:
         request = connection.request
+        connection.body_begun = True
         if request.streamed:
             message = AttemptData(id=request.id, data=data)
             self.fire(outbound_data(message), request.reply_channel)
@@ -298,7 +286,7 @@
         self._fail(connection, f"answer is longer than {request.max_body} bytes")
         return False
 
-    def _take_end(self, connection: _Connection) -> None:
+    def _take_end(self, connection: Connection) -> None:
         request = connection.request
         if request.streamed:
             self.fire(outbound_end(request.id), request.reply_channel)
@@ -314,16 +302,11 @@
             self.fire(outbound_answer(answer), request.reply_channel)
         self._release(connection)
 
-    def _release(self, connection: _Connection) -> None:
+    def _release(self, connection: Connection) -> None:
         del self._connections_by_request[connection.request.id]
         connection.request = None
         idle = self._idle_by_address.setdefault(connection.address, [])
-        reusable = (
-            connection.http.our_state is h11.DONE
-            and connection.http.their_state is h11.DONE
-            and len(idle) < MAX_IDLE
-        )
-        if not reusable:
+        if not connection.is_clean() or len(idle) >= MAX_IDLE:
             self._close(connection)
             return
         connection.http.start_next_cycle()
@@ -333,20 +316,17 @@
 
     # Failures
 
-    def _check_progress(self, connection: _Connection, *, now: float) -> None:
+    def _check_progress(self, connection: Connection, *, now: float) -> None:
         silent_for = now - connection.progress_at
         request = connection.request
         if request is None:
             if silent_for > IDLE_TIMEOUT:
                 self._close(connection)
             return
-        if connection.paused:
+        if connection.paused and not connection.connecting:
+            # The caller does not read; its own connection has a deadline.
             return
-        limit = (
-            request.connect_timeout
-            if connection.connecting
-            else request.progress_timeout
-        )
+        limit = connection.silence_limit()
         if silent_for <= limit:
             return
         # Something between the two ends may have lost track of this connection
@@ -365,18 +345,33 @@
 
     def _fail(
         self,
-        connection: _Connection,
+        connection: Connection,
         message: str,
         *,
         category: Category = Category.BROKEN,
     ) -> None:
         request = connection.request
         bytes_sent = connection.bytes_sent
+        unanswered = not connection.status
         self._close(connection)
-        if request is not None:
-            self._report_failure(
-                request, message, category=category, bytes_sent=bytes_sent
-            )
+        if request is None:
+            return
+        stale = connection.reused and unanswered and category is Category.BROKEN
+        if stale and not request.fresh:
+            # The peer closed the connection while it idled, which is no failure
+            # of the peer: once more, over a new connection.
+            replacement = self._open(request, bytes_sent=bytes_sent)
+            if replacement is not None:
+                self._start(replacement, request, bytes_sent=bytes_sent)
+            return
+        self._report_failure(request, message, category=category, bytes_sent=bytes_sent)
+
+    def _report_unsent(
+        self, request: OutboundRequest, message: str, *, bytes_sent: bool = False
+    ) -> None:
+        self._report_failure(
+            request, message, category=Category.UNAVAILABLE, bytes_sent=bytes_sent
+        )
 
     def _report_failure(
         self,
@@ -397,7 +392,7 @@
         )
         self.fire(outbound_failed(failure), request.reply_channel)
 
-    def _close(self, connection: _Connection) -> None:
+    def _close(self, connection: Connection) -> None:
         # A connection that was given up on is never used again, so an answer that
         # is still on its way can reach nobody.
         if self._connections_by_sock.pop(connection.sock, None) is None:
--- /dev/null
+++ b/ryelever/transport/http_connection.py
@@ -0,0 +1,149 @@
+"""Hold one outgoing connection: its socket, its parser and its deadlines."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass, field
+
+import h11
+
+from ..events import OutboundRequest
+
+__all__ = ["Connection", "open_socket", "request_bytes"]
+
+#: Seconds of idleness before the kernel probes the other end, between two probes,
+#: and the probes that may stay unanswered.
+KEEPALIVE_IDLE = 5
+KEEPALIVE_INTERVAL = 2
+KEEPALIVE_COUNT = 3
+
+#: Milliseconds after which the kernel gives up on bytes nobody acknowledges.
+TCP_USER_TIMEOUT_MS = 5000
+
+_TCP_OPTIONS = (
+    (socket.TCP_NODELAY, 1),
+    (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+    (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+    (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+    (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+)
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Connection:
+    """Own one socket and at most one request at a time.
+
+    Attributes
+    ----------
+    bytes_sent : bool
+        True once a byte of the request may have left, over this connection or
+        over one that it replaces.
+    progress_at : float
+        Monotonic time of the newest byte in either direction.
+    reused : bool
+        True when the connection has carried a request before.
+    body_begun : bool
+        True once a byte of the answer's body has arrived.
+    """
+
+    address: str
+    sock: socket.socket
+    http: h11.Connection
+    request: OutboundRequest | None = None
+    connecting: bool = True
+    bytes_sent: bool = False
+    started_at: float = 0.0
+    progress_at: float = 0.0
+    paused: bool = False
+    reused: bool = False
+    body_begun: bool = False
+    out: bytearray = field(default_factory=bytearray)
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+
+    def begin(self, request: OutboundRequest, data: bytes, *, now: float) -> None:
+        """Take a request that is to be sent."""
+        self.request = request
+        self.started_at = self.progress_at = now
+        self.bytes_sent = False
+        self.body_begun = False
+        self.status = 0
+        self.headers = {}
+        self.body.clear()
+        self.out += data
+
+    def silence_limit(self) -> float:
+        """Return the seconds without a byte after which the peer is given up."""
+        request = self.request
+        if self.connecting:
+            return request.connect_timeout
+        if not self.body_begun and request.first_byte_timeout:
+            return request.first_byte_timeout
+        return request.progress_timeout
+
+    def is_clean(self) -> bool:
+        """Tell whether another request may follow the one that was answered.
+
+        Bytes beyond the answer would be taken for the next one's answer.
+        """
+        return (
+            self.http.our_state is h11.DONE
+            and self.http.their_state is h11.DONE
+            and not self.http.trailing_data[0]
+        )
+
+    def is_quiet(self) -> bool:
+        """Tell whether nothing has arrived while the connection was idle.
+
+        What arrives between two requests is the peer's goodbye, or bytes that
+        would be taken for the next request's answer.
+        """
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+def open_socket(address: str) -> tuple[socket.socket, int]:
+    """Begin to connect to an address; return the socket and the error number.
+
+    Raises
+    ------
+    OSError, ValueError
+        If there is no socket left, or the address is none.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in _TCP_OPTIONS:
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+        return sock, sock.connect_ex((host, int(port)))
+    except (OSError, ValueError, OverflowError):
+        sock.close()
+        raise
+
+
+def request_bytes(http: h11.Connection, request: OutboundRequest) -> bytes:
+    """Return a request as it goes over the wire.
+
+    Raises
+    ------
+    h11.LocalProtocolError
+        If the request cannot be written as HTTP.
+    """
+    headers = [
+        ("Host", request.address),
+        *request.headers,
+        ("Content-Length", str(len(request.body))),
+    ]
+    head = h11.Request(method=request.method, target=request.path, headers=headers)
+    data = http.send(head)
+    if request.body:
+        data += http.send(h11.Data(data=request.body))
+    return data + http.send(h11.EndOfMessage())
