--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -351,6 +351,8 @@
         category: Category = Category.BROKEN,
     ) -> None:
         request = connection.request
+        if connection.connecting and category is Category.BROKEN:
+            category = Category.UNAVAILABLE
         bytes_sent = connection.bytes_sent
         unanswered = not connection.status
         self._close(connection)
