Read callers' requests strictly before circuits.web sees them

Cause: circuits.web sees whatever a caller words. A Host with a port that is no number, or a broken Cookie, ended in a page with a traceback or in no answer; a refusal was lost when the caller was still sending, since the close reset the connection; a HEAD got no answer; a path in another spelling (/%62ookings) passed by the rule that a booking needs an Idempotency-Key; what was sent ahead of an answer had no bound.

A reader by h11 now gives circuits.web only what decides the framing; paths have one spelling; refusals linger until they are read; answers are written at once, so that a refusal of the next request cannot overtake them; a caller that takes nothing for 30 s is closed; no configuration yet is 503, not 401; and GET /v1/models names only what the account may use.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -98,7 +98,12 @@
         self.http_client = HttpClient()
         host, _, port = settings.callers_address.rpartition(":")
         self.callers = Callers(
-            bind=(host, int(port)), limits=Limits(max_body=settings.max_body)
+            bind=(host, int(port)),
+            limits=Limits(
+                max_body=settings.max_body,
+                request_timeout=settings.callers_request_timeout,
+                idle_timeout=settings.callers_idle_timeout,
+            ),
         )
         self.serving = Serving(
             settings=settings,
--- a/ryelever/protocol/openai.py
+++ b/ryelever/protocol/openai.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -28,6 +29,9 @@
 DEFAULT_MAX_TOKENS = 512
 MAX_TOKENS = 32_768
 
+#: Methods that a path takes by the code of the error that says so.
+_ALLOW_BY_CODE = {"use_post": "POST", "use_get": "GET, HEAD"}
+
 _STATUS_BY_CATEGORY = {
     Category.BAD_REQUEST: 400,
     Category.UNAUTHORIZED: 401,
@@ -113,6 +117,8 @@
 
 def http_status(error: RyeleverError) -> int:
     """Return the HTTP status of an error."""
+    if error.code in _ALLOW_BY_CODE:
+        return 405
     return _STATUS_BY_CATEGORY[error.category]
 
 
@@ -128,9 +134,12 @@
 
 def error_headers(error: RyeleverError) -> dict[str, str]:
     """Return the headers that belong to an error's answer."""
-    if error.retry_after is None:
-        return {}
-    return {"Retry-After": str(max(1, round(error.retry_after)))}
+    headers = {}
+    if error.retry_after is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
+    if error.code in _ALLOW_BY_CODE:
+        headers["Allow"] = _ALLOW_BY_CODE[error.code]
+    return headers
 
 
 def models_list(names: list[str], *, created: int) -> bytes:
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -53,6 +53,7 @@
     read_chat_request,
 )
 from .protocol.sse import SseSplitter, SseTooLongError
+from .state.configuration_fold import NO_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -162,6 +163,13 @@
     # Reading requests
 
     def _arrival(self, request: CallerRequest) -> Result[Arrival | None, RyeleverError]:
+        if self._configuration.version == NO_VERSION:
+            return _error(
+                "this entry host has read no configuration yet; ask again",
+                category=Category.UNAVAILABLE,
+                code="not_ready",
+                retry_after=1.0,
+            )
         account = account_of(
             request.headers.get("authorization", ""), self._configuration.configuration
         )
@@ -171,11 +179,15 @@
                 category=Category.UNAUTHORIZED,
                 code="invalid_api_key",
             )
-        if request.path == "/v1/models" and request.method == "GET":
+        if request.path == "/v1/models":
+            if request.method not in ("GET", "HEAD"):
+                return _error("use GET", category=Category.BAD_REQUEST, code="use_get")
             return _ok(None)
         if request.path == "/v1/chat/completions":
             if request.method != "POST":
-                return _error("use POST", category=Category.BAD_REQUEST, code="method")
+                return _error(
+                    "use POST", category=Category.BAD_REQUEST, code="use_post"
+                )
             return self._chat_arrival(request, account)
         if request.path.startswith(SERVICES_PREFIX):
             return self._service_arrival(request, account)
@@ -408,8 +420,12 @@
 
     def _answer_models(self, request: CallerRequest) -> None:
         configuration = self._configuration.configuration
+        account = account_of(request.headers["authorization"], configuration)
+        allowed = configuration.client_accounts[account].models
         names = []
         for name, model in sorted(configuration.models.items()):
+            if allowed and name not in allowed:
+                continue
             names.append(name)
             names += [f"{name}:{adapter}" for adapter in sorted(model.adapters)]
         body = models_list(names, created=0)
@@ -599,8 +615,18 @@
 
 
 def _error(
-    message: str, *, category: Category, code: str
+    message: str,
+    *,
+    category: Category,
+    code: str,
+    retry_after: float | None = None,
 ) -> Result[Arrival | None, RyeleverError]:
     return Error(
-        RyeleverError(message, category=category, step="read_request", code=code)
+        RyeleverError(
+            message,
+            category=category,
+            step="read_request",
+            code=code,
+            retry_after=retry_after,
+        )
     )
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -221,6 +221,20 @@
         expected=_SECONDS,
         meaning="Longest graceful shutdown; what is left then ends with an error.",
     ),
+    Setting(
+        name="callers_request_timeout",
+        default=10.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Longest time in which a caller's whole request must arrive.",
+    ),
+    Setting(
+        name="callers_idle_timeout",
+        default=75.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Time after which a caller's idle connection is closed.",
+    ),
     Setting(
         name="max_body",
         default=4 << 20,
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -8,21 +8,19 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 import uuid
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from urllib.parse import quote, unquote
 
 import h11
 from circuits import BaseComponent, Event, handler
-from circuits.net.events import close, disconnect, read, ready
+from circuits.net.events import disconnect, read, ready
 from circuits.net.sockets import TCPServer
-from circuits.web.events import response, stream
 from circuits.web.http import HTTP
 
-from ..errors import Category, RyeleverError
 from ..events import (
     CallerAnswer,
     CallerRequest,
@@ -31,50 +29,32 @@
     caller_stalled,
 )
 from ..protocol.openai import error_body
+from .request_reader import Limits, Refusal, RequestReader, WholeRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from circuits.web.wrappers import Request, Response
 
 __all__ = ["Callers", "Limits"]
 
-_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Limits:
-    """Bound what one caller's connection may cost.
-
-    Attributes
-    ----------
-    max_head, max_body, max_unsent : int
-        Bytes of the request line and headers, of the body, and of answer that
-        the caller has not taken yet.
-    request_timeout, idle_timeout : float
-        Seconds for a whole request to arrive, and between two requests.
-    """
-
-    max_head: int = 16 * 1024
-    max_body: int = 4 << 20
-    max_unsent: int = 256 * 1024
-    request_timeout: float = 10.0
-    idle_timeout: float = 75.0
+#: Ends a body in chunks.
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Connection:
-    """Hold the guard's state of one caller's connection."""
+    """Hold the state of one caller's connection."""
 
     sock: socket.socket
     peer: str
-    http: h11.Connection
+    reader: RequestReader
     since: float
-    head: h11.Request | None = None
-    body: bytearray = field(default_factory=bytearray)
+    progress_at: float
+    request: WholeRequest | None = None
     request_id: str = ""
-    received: bool = False
-    target: str = ""
-    unsent: int = 0
     stalled: bool = False
+    closes_at: float = float("inf")
     response: Response | None = None
 
 
@@ -95,7 +75,7 @@
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_request: dict[str, _Connection] = {}
         self.n_refused_by_code: dict[str, int] = {}
-        HTTP(self, channel="web").register(self)
+        self._web = HTTP(self, channel="web").register(self)
         _WebChannel(self).register(self)
 
     # Connections
@@ -106,11 +86,14 @@
 
     @handler("connect", channel="callers")
     def _on_connect(self, sock: socket.socket, host: str, port: int) -> None:
+        now = time.monotonic()
+        peer = f"{host}:{port}"
         self._connections_by_sock[sock] = _Connection(
             sock=sock,
-            peer=f"{host}:{port}",
-            http=self._new_http(),
-            since=time.monotonic(),
+            peer=peer,
+            reader=RequestReader(limits=self._limits, peer=peer, started_at=now),
+            since=now,
+            progress_at=now,
         )
 
     @handler("disconnect", channel="callers")
@@ -119,6 +102,9 @@
         if connection is None:
             return
         self.fire(disconnect(sock), "web")
+        # A connection that closes between being read and being parsed makes
+        # circuits.web fail and keep its parser: memory grows with each.
+        self._web._buffers.pop(sock, None)
         if connection.request_id:
             del self._connections_by_request[connection.request_id]
             self.fire(caller_gone(connection.request_id), "serving")
@@ -126,127 +112,71 @@
     @handler("read", channel="callers")
     def _on_read_callers(self, sock: socket.socket, data: bytes) -> None:
         connection = self._connections_by_sock.get(sock)
-        if connection is None:
-            return
-        try:
-            connection.http.receive_data(data)
-            self._next_events(connection)
-        except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-            code = "head_too_large" if status == 431 else "bad_request"
-            self._refuse(connection, str(error), status=status, code=code)
+        if connection is not None:
+            self._take(connection, connection.reader.feed(data, now=time.monotonic()))
 
     @handler("sweep", channel="callers")
     def _on_sweep(self) -> None:
         now = time.monotonic()
         for connection in list(self._connections_by_sock.values()):
-            if connection.received:
-                continue
-            waited = now - connection.since
-            if connection.head is None and not connection.http.trailing_data[0]:
-                if waited > self._limits.idle_timeout:
-                    self.close(connection.sock)
-            elif waited > self._limits.request_timeout:
-                self._refuse(
-                    connection,
-                    f"the request did not arrive within "
-                    f"{self._limits.request_timeout:g} s",
-                    status=408,
-                    code="request_timeout",
-                )
+            refusal = connection.reader.overdue(now=now)
+            if refusal is not None:
+                self._refuse(connection, refusal)
+            elif self._is_abandoned(connection, now=now):
+                self._close(connection.sock)
+
+    def _is_abandoned(self, connection: _Connection, *, now: float) -> bool:
+        if now > connection.closes_at or connection.reader.idled_out(now=now):
+            return True
+        # A caller that stops reading without closing would hold its answer in
+        # memory for as long as it likes.
+        silent_for = now - connection.progress_at
+        unsent = bool(self._buffers.get(connection.sock))
+        return unsent and silent_for > self._limits.write_timeout
 
     # The guard
 
-    def _new_http(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_head
-        )
-
-    def _next_events(self, connection: _Connection) -> None:
-        while not connection.received:
-            event = connection.http.next_event()
-            if event is h11.NEED_DATA:
-                if connection.http.they_are_waiting_for_100_continue:
-                    go_on = h11.InformationalResponse(status_code=100, headers=[])
-                    self._write_now(connection, connection.http.send(go_on))
-                return
-            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                return
-            if isinstance(event, h11.Request):
-                if not self._take_head(connection, event):
-                    return
-            elif isinstance(event, h11.Data):
-                connection.body += event.data
-                if len(connection.body) > self._limits.max_body:
-                    self._refuse_large(connection)
-                    return
-            elif isinstance(event, h11.EndOfMessage):
-                self._hand_on(connection)
-
-    def _take_head(self, connection: _Connection, head: h11.Request) -> bool:
-        connection.head = head
+    def _take(
+        self,
+        connection: _Connection,
+        outcomes: Iterable[WholeRequest | Refusal | bytes],
+    ) -> None:
+        for outcome in outcomes:
+            match outcome:
+                case WholeRequest():
+                    self._hand_on(connection, outcome)
+                case Refusal():
+                    self._refuse(connection, outcome)
+                case _:
+                    self._write_now(connection, outcome)
+
+    def _hand_on(self, connection: _Connection, request: WholeRequest) -> None:
+        """Give ``circuits.web`` the request without what a caller could word.
+
+        It would fail with a traceback on a Host, a Cookie or a path that it cannot
+        read.  It needs only what decides how the answer is framed.
+        """
+        connection.request = request
         connection.since = time.monotonic()
-        names = [name for name, _ in head.headers]
-        if b"content-length" in names and b"transfer-encoding" in names:
-            self._refuse(
-                connection,
-                "Content-Length and Transfer-Encoding exclude each other",
-                status=400,
-                code="ambiguous_length",
-            )
-            return False
-        method = head.method.decode("ascii")
-        if method not in _METHODS:
-            self._refuse(
-                connection, f"method {method} is not known", status=501, code="method"
-            )
-            return False
-        declared = dict(head.headers).get(b"content-length", b"0")
-        if int(declared) > self._limits.max_body:
-            self._refuse_large(connection)
-            return False
-        return True
-
-    def _refuse_large(self, connection: _Connection) -> None:
-        self._refuse(
-            connection,
-            f"the body is longer than {self._limits.max_body} bytes",
-            status=413,
-            code="body_too_large",
+        kept = "keep-alive" if request.keep_alive else "close"
+        head = (
+            f"{request.method} / HTTP/{request.http_version}\r\nHost: {self.host}\r\n"
+            f"Connection: {kept}\r\nContent-Length: 0\r\n\r\n"
         )
+        self.fire(read(connection.sock, head.encode("ascii")), "web")
 
-    def _hand_on(self, connection: _Connection) -> None:
-        """Give ``circuits.web`` one whole request of unambiguous length."""
-        head = connection.head
-        connection.received = True
-        connection.target = head.target.decode("ascii")
-        path = quote(unquote(connection.target.partition("?")[0])) or "/"
-        lines = [
-            b"%s %s HTTP/%s" % (head.method, path.encode("ascii"), head.http_version)
-        ]
-        lines += [
-            b"%s: %s" % (name, value)
-            for name, value in head.headers
-            if name not in (b"content-length", b"transfer-encoding", b"expect")
-        ]
-        if head.http_version == b"1.0" and b"host" not in dict(head.headers):
-            lines.append(b"host: %s" % self.host.encode("ascii"))
-        lines.append(b"content-length: %d" % len(connection.body))
-        data = b"\r\n".join(lines) + b"\r\n\r\n" + bytes(connection.body)
-        self.fire(read(connection.sock, data), "web")
-
-    def _refuse(
-        self, connection: _Connection, message: str, *, status: int, code: str
-    ) -> None:
+    def _refuse(self, connection: _Connection, refusal: Refusal) -> None:
         """Answer a request that never reaches ``circuits.web``, then close."""
+        code = refusal.error.code
         self.n_refused_by_code[code] = self.n_refused_by_code.get(code, 0) + 1
-        connection.received = True
-        error = RyeleverError(
-            message, category=Category.BAD_REQUEST, step="read_request", code=code
-        )
-        body = error_body(error)
+        if connection.request_id:
+            # An answer is under way, and an error in its midst would be taken for a
+            # part of it.
+            self._close(connection.sock)
+            return
+        body = error_body(refusal.error)
         head = h11.Response(
-            status_code=status,
+            status_code=refusal.status,
             headers=[
                 ("Content-Type", "application/json"),
                 ("Content-Length", str(len(body))),
@@ -255,7 +185,12 @@
         )
         http = h11.Connection(h11.SERVER)
         self._write_now(connection, http.send(head) + body)
-        self.close(connection.sock)
+        # Closing while the caller still sends would reset the connection, and the
+        # caller would never read why: what it sends is dropped for a while.
+        connection.closes_at = time.monotonic() + self._limits.linger
+        if not self._buffers[connection.sock]:
+            with contextlib.suppress(OSError):
+                connection.sock.shutdown(socket.SHUT_WR)
 
     # Requests and answers, on the side of circuits.web
 
@@ -267,14 +202,14 @@
         connection.request_id = uuid.uuid4().hex
         connection.response = res
         self._connections_by_request[connection.request_id] = connection
-        path, _, query = connection.target.partition("?")
+        request = connection.request
         message = CallerRequest(
             request_id=connection.request_id,
-            method=req.method,
-            path=path,
-            query=query,
-            headers={name.lower(): value for name, value in req.headers.items()},
-            body=req.body.getvalue(),
+            method=request.method,
+            path=request.path,
+            query=request.query,
+            headers=request.headers,
+            body=request.body,
             peer=connection.peer,
         )
         self.fire(caller_request(message), "serving")
@@ -290,14 +225,11 @@
         for name, value in answer.headers.items():
             res.headers[name] = value
         res.body = answer.body
-        if res.request.method == "HEAD":
-            # circuits.web keeps the answered request of a HEAD and would take the
-            # next one on this connection for it.
-            res.close = True
-            res.headers["Connection"] = "close"
-        self.fire(response(res), "web")
-        if res.request.method == "HEAD":
-            self.fire(close(connection.sock), "callers")
+        res.prepare()
+        data = bytes(res) + bytes(res.headers)
+        if res.request.method != "HEAD":
+            data += answer.body
+        self._write_now(connection, data)
         self._answered(connection)
 
     @handler("caller_stream_start", channel="callers")
@@ -328,29 +260,32 @@
         connection = self._connections_by_request.get(request_id)
         if connection is None:
             return
-        self.fire(stream(connection.response, None), "web")
+        if connection.response.chunked:
+            self._write_now(connection, LAST_CHUNK)
         self._answered(connection)
 
     def _answered(self, connection: _Connection) -> None:
-        del self._connections_by_request[connection.request_id]
+        # circuits.web would write the answer some events later, and forgets the
+        # request of a HEAD only when its connection ends: what comes next could
+        # overtake the one or be taken for the other.
+        closes = connection.response.close
+        self.fire(disconnect(connection.sock), "web")
+        self._connections_by_request.pop(connection.request_id, None)
         connection.request_id = ""
+        connection.request = None
         connection.response = None
-        self.fire(_next_request(connection.sock), "callers")
+        if closes:
+            self.close(connection.sock)
+        else:
+            self.fire(_next_request(connection.sock), "callers")
 
     @handler("_next_request", channel="callers")
     def _on_next_request(self, sock: socket.socket) -> None:
         """Read on: a pipelined request may be waiting already."""
         connection = self._connections_by_sock.get(sock)
-        if connection is None:
-            return
-        waiting = connection.http.trailing_data[0]
-        connection.http = self._new_http()
-        connection.head = None
-        connection.body = bytearray()
-        connection.received = False
-        connection.since = time.monotonic()
-        if waiting:
-            self._on_read_callers(sock, waiting)
+        if connection is not None:
+            connection.since = now = time.monotonic()
+            self._take(connection, connection.reader.answered(now=now))
 
     # Writing
 
@@ -371,6 +306,8 @@
                 self._close(sock)
                 return
         if n_sent < len(data):
+            if not self._buffers[sock]:
+                connection.progress_at = time.monotonic()
             self.write(sock, data[n_sent:])
             self._check_stalled(connection)
 
@@ -397,7 +334,10 @@
     @handler("_write", priority=0, channel="callers")
     def _on_written(self, sock: socket.socket) -> None:
         connection = self._connections_by_sock.get(sock)
-        if connection is not None and connection.stalled:
+        if connection is None:
+            return
+        connection.progress_at = time.monotonic()
+        if connection.stalled:
             self._check_stalled(connection)
 
     # State for the dump
--- /dev/null
+++ b/ryelever/transport/request_reader.py
@@ -0,0 +1,293 @@
+"""Read callers' requests strictly by h11, within limits, before ``circuits.web``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+from urllib.parse import quote, unquote, unquote_to_bytes
+
+import h11
+
+from ..errors import Category, RyeleverError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["Limits", "Refusal", "RequestReader", "WholeRequest"]
+
+_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+_PATH_SAFE = "/*:@!$&'()+,;=~"
+_VERSIONS = frozenset({b"1.0", b"1.1"})
+
+#: Tells the caller to go on and send its body.
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+_CATEGORY_BY_STATUS = {
+    408: Category.TIMEOUT,
+    413: Category.TOO_LARGE,
+    431: Category.TOO_LARGE,
+}
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Limits:
+    """Bound what one caller's connection may cost.
+
+    Attributes
+    ----------
+    max_head, max_body, max_unsent : int
+        Bytes of the request line and headers, of the body, and of answer that
+        the caller has not taken yet.
+    max_headers : int
+        Headers of one request.
+    request_timeout, idle_timeout, write_timeout : float
+        Seconds for a whole request to arrive, between two requests, and without
+        progress while an answer waits to be taken.
+    linger : float
+        Seconds for a refused caller to read why, before the connection closes.
+    """
+
+    max_head: int = 16 * 1024
+    max_body: int = 4 << 20
+    max_unsent: int = 256 * 1024
+    max_headers: int = 100
+    request_timeout: float = 10.0
+    idle_timeout: float = 75.0
+    write_timeout: float = 30.0
+    linger: float = 1.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WholeRequest:
+    """Hold one request that is complete and of unambiguous length."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+    keep_alive: bool
+    http_version: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Refusal:
+    """Hold the answer to bytes that are no acceptable request."""
+
+    status: int
+    error: RyeleverError
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class RequestReader:
+    """Read the requests of one connection, one at a time.
+
+    While a request is being answered the bytes of later ones are kept, up to the
+    limits of one request.
+    """
+
+    limits: Limits
+    peer: str
+    started_at: float
+    _http: h11.Connection = field(init=False)
+    _head: h11.Request | None = None
+    _body: bytearray = field(default_factory=bytearray)
+    _ahead: bytearray = field(default_factory=bytearray)
+    _answering: bool = False
+    _refused: bool = False
+
+    def __post_init__(self) -> None:
+        self._http = self._new_http()
+
+    def feed(
+        self, data: bytes, *, now: float
+    ) -> Iterator[WholeRequest | Refusal | bytes]:
+        """Take bytes; yield a whole request, a refusal or bytes to send at once."""
+        if self._refused:
+            return
+        if self._answering:
+            self._ahead += data
+            if len(self._ahead) > self.limits.max_head + self.limits.max_body:
+                yield self._refuse(
+                    "too much was sent ahead of the answer", status=413, code="ahead"
+                )
+            return
+        if self.is_idle:
+            self.started_at = now
+        try:
+            self._http.receive_data(data)
+            yield from self._next_events()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            code = "head_too_large" if status == 431 else "bad_request"
+            yield self._refuse(str(error), status=status, code=code)
+
+    def answered(self, *, now: float) -> Iterator[WholeRequest | Refusal | bytes]:
+        """Go on with what the caller has sent ahead."""
+        ahead = self._http.trailing_data[0] + bytes(self._ahead)
+        self._http = self._new_http()
+        self._head = None
+        self._body = bytearray()
+        self._ahead = bytearray()
+        self._answering = False
+        self.started_at = now
+        if ahead:
+            yield from self.feed(ahead, now=now)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no byte of a request has arrived."""
+        return self._head is None and not self._http.trailing_data[0]
+
+    def overdue(self, *, now: float) -> Refusal | None:
+        """Return the refusal of a request that takes too long to arrive."""
+        if self._answering or self._refused or self.is_idle:
+            return None
+        if now - self.started_at <= self.limits.request_timeout:
+            return None
+        return self._refuse(
+            f"the request did not arrive within {self.limits.request_timeout:g} s",
+            status=408,
+            code="request_timeout",
+        )
+
+    def idled_out(self, *, now: float) -> bool:
+        """Tell whether the connection has been without a request for too long."""
+        if self._answering or self._refused or not self.is_idle:
+            return False
+        return now - self.started_at > self.limits.idle_timeout
+
+    def _new_http(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.max_head
+        )
+
+    def _next_events(self) -> Iterator[WholeRequest | Refusal | bytes]:
+        while not (self._answering or self._refused):
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    self._http.send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                    yield CONTINUE
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            if isinstance(event, h11.Request):
+                self._head = event
+                refusal = self._head_fault(event)
+                if refusal is not None:
+                    yield refusal
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self.limits.max_body:
+                    yield self._refuse_large()
+            elif isinstance(event, h11.EndOfMessage):
+                path, query = _split(self._head.target.decode("ascii"))
+                if _is_ambiguous(path):
+                    yield self._refuse(
+                        "write the path without empty, '.' and '..' parts and "
+                        "without control characters",
+                        status=400,
+                        code="bad_path",
+                    )
+                    return
+                yield self._whole(path=path, query=query)
+
+    def _head_fault(self, head: h11.Request) -> Refusal | None:
+        names = {name for name, _ in head.headers}
+        # h11 applies its limit to heads that are not complete yet; one that comes
+        # in a single read is not measured.
+        size = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if len(head.headers) > self.limits.max_headers or (
+            size + len(head.target) > self.limits.max_head
+        ):
+            return self._refuse(
+                f"the request line and headers exceed {self.limits.max_headers} "
+                f"headers or {self.limits.max_head} bytes",
+                status=431,
+                code="head_too_large",
+            )
+        if head.http_version not in _VERSIONS:
+            return self._refuse("use HTTP/1.1", status=505, code="http_version")
+        if {b"content-length", b"transfer-encoding"} <= names:
+            return self._refuse(
+                "Content-Length and Transfer-Encoding exclude each other",
+                status=400,
+                code="ambiguous_length",
+            )
+        method = head.method.decode("ascii")
+        if method not in _METHODS:
+            return self._refuse(
+                f"method {method[:20]} is not known", status=501, code="method"
+            )
+        declared = dict(head.headers).get(b"content-length", b"0")
+        if int(declared) > self.limits.max_body:
+            return self._refuse_large()
+        return None
+
+    def _refuse_large(self) -> Refusal:
+        return self._refuse(
+            f"the body is longer than {self.limits.max_body} bytes",
+            status=413,
+            code="body_too_large",
+        )
+
+    def _refuse(self, message: str, *, status: int, code: str) -> Refusal:
+        self._refused = True
+        self._body = bytearray()
+        self._ahead = bytearray()
+        self._http = self._new_http()
+        error = RyeleverError(
+            message,
+            category=_CATEGORY_BY_STATUS.get(status, Category.BAD_REQUEST),
+            step="read_request",
+            peer=self.peer,
+            code=code,
+        )
+        return Refusal(status=status, error=error)
+
+    def _whole(self, *, path: str, query: str) -> WholeRequest:
+        self._answering = True
+        head = self._head
+        headers: dict[str, str] = {}
+        for raw_name, raw_value in head.headers:
+            name = raw_name.decode("latin-1")
+            value = raw_value.decode("latin-1")
+            headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        connection = headers.get("connection", "").lower()
+        asked = [token.strip() for token in connection.split(",")]
+        http_version = head.http_version.decode("ascii")
+        keep_alive = "keep-alive" in asked if http_version == "1.0" else True
+        body = bytes(self._body)
+        self._body = bytearray()
+        return WholeRequest(
+            method=head.method.decode("ascii"),
+            path=path,
+            query=query,
+            headers=headers,
+            body=body,
+            keep_alive=keep_alive and "close" not in asked,
+            http_version=http_version,
+        )
+
+
+def _split(target: str) -> tuple[str, str]:
+    """Return the path, in one spelling, and the query of a request target.
+
+    A rule for some paths must hold for all their spellings: ``/%62ook`` is
+    ``/book``.
+    """
+    if target.startswith(("http://", "https://")):
+        target = "/" + target.partition("://")[2].partition("/")[2]
+    path, _, query = target.partition("?")
+    return quote(unquote_to_bytes(path), safe=_PATH_SAFE), query
+
+
+def _is_ambiguous(path: str) -> bool:
+    decoded = unquote(path, errors="replace")
+    if any(char < " " or char in "\x7f\\" for char in decoded):
+        return True
+    parts = decoded.split("/")[1:]
+    return "" in parts[:-1] or "." in parts or ".." in parts
--- /dev/null
+++ b/tests/test_transport/test_callers.py
@@ -0,0 +1,505 @@
+"""Test the callers' interface against bad input, with raw sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from ..processes import EntryHost, Fleet, wait_until
+
+N_CUT_OFF = 300
+CUT_OFF_BODY = 100_000
+
+#: Growth that passes for noise of the allocator, in bytes.
+MEMORY_NOISE = 8 << 20
+
+QUESTION = {"model": "notes", "messages": [{"role": "user", "content": "Is Rex home?"}]}
+
+
+@contextlib.contextmanager
+def connected(entry: EntryHost) -> Iterator[socket.socket]:
+    """Yield a raw connection to the entry host."""
+    host, _, port = entry.address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=20) as sock:
+        yield sock
+
+
+def read_answer(
+    sock: socket.socket, method: str = "GET"
+) -> tuple[http.client.HTTPResponse, bytes]:
+    """Read one answer; the socket must carry no second one yet."""
+    answer = http.client.HTTPResponse(sock, method=method)
+    answer.begin()
+    return answer, answer.read()
+
+
+def chat(fleet: Fleet, *, body: bytes | None = None, head: str = "", **fields) -> bytes:
+    """Return the bytes of a chat request; ``head`` holds additional lines."""
+    if body is None:
+        body = json.dumps(QUESTION | {"max_tokens": 3} | fields).encode()
+    return (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\n"
+        f"Authorization: Bearer {fleet.keys_by_account['pawroute']}\r\n"
+        f"Content-Length: {len(body)}\r\n{head}\r\n"
+    ).encode() + body
+
+
+def head_of(*lines: str, start: str = "POST /v1/chat/completions HTTP/1.1") -> bytes:
+    """Return a request head."""
+    return "\r\n".join((start, "Host: e", *lines, "", "")).encode()
+
+
+def assert_serves(fleet: Fleet, entry: EntryHost) -> None:
+    """Check that a good request is still answered."""
+    with connected(entry) as sock:
+        sock.sendall(chat(fleet))
+        answer, body = read_answer(sock)
+    assert answer.status == 200, body
+
+
+#: Requests that never get past the guard: name, bytes, status and code.
+REFUSED = [
+    ("not HTTP", b"\x16\x03\x01\x02\x00\x01\r\n\r\n", 400, "bad_request"),
+    ("no version", b"GET /healthz\r\n\r\n", 400, "bad_request"),
+    ("version 2", head_of(start="GET /healthz HTTP/2.0"), 505, "http_version"),
+    ("version 0.9", head_of(start="GET /healthz HTTP/0.9"), 505, "http_version"),
+    ("no host", b"GET /healthz HTTP/1.1\r\n\r\n", 400, "bad_request"),
+    ("two hosts", head_of("Host: f"), 400, "bad_request"),
+    ("negative length", head_of("Content-Length: -5"), 400, "bad_request"),
+    ("length in words", head_of("Content-Length: five"), 400, "bad_request"),
+    (
+        "two lengths",
+        head_of("Content-Length: 2", "Content-Length: 3"),
+        400,
+        "bad_request",
+    ),
+    (
+        "length and chunks",
+        head_of("Content-Length: 5", "Transfer-Encoding: chunked") + b"0\r\n\r\n",
+        400,
+        "ambiguous_length",
+    ),
+    ("unknown coding", head_of("Transfer-Encoding: gzip"), 501, "bad_request"),
+    (
+        "bad chunk size",
+        head_of("Transfer-Encoding: chunked") + b"zz\r\n",
+        400,
+        "bad_request",
+    ),
+    ("folded name", head_of("Bad Name: x"), 400, "bad_request"),
+    ("control byte", head_of("X-A: a\x00b"), 400, "bad_request"),
+    ("long header", head_of("X-A: " + "a" * 40_000), 431, "head_too_large"),
+    ("endless header", b"GET / HTTP/1.1\r\nX-A: " + b"a" * 70_000, 431, None),
+    ("many headers", head_of(*["X-A: a"] * 200), 431, "head_too_large"),
+    (
+        "long path",
+        head_of(start=f"GET /{'a' * 40_000} HTTP/1.1"),
+        431,
+        "head_too_large",
+    ),
+    ("unknown method", head_of(start="BREW /v1/models HTTP/1.1"), 501, "method"),
+    ("declared too long", head_of("Content-Length: 2000000"), 413, "body_too_large"),
+    (
+        "chunked too long",
+        head_of("Transfer-Encoding: chunked") + b"200000\r\n" + b"a" * 0x200000,
+        413,
+        "body_too_large",
+    ),
+    ("whole line of junk", b"\r\n" * 10 + b"%%%%\r\n\r\n", 400, "bad_request"),
+    ("space in path", head_of(start="GET /a b HTTP/1.1"), 400, "bad_request"),
+]
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "code"),
+    [row[1:] for row in REFUSED],
+    ids=[row[0] for row in REFUSED],
+)
+def test_refuse_malformed_request(
+    served: Fleet, entry: EntryHost, data: bytes, status: int, code: str | None
+) -> None:
+    """Answer each malformed request with one clear error and close.
+
+    Symptom: two parties disagree on where a request ends, and one caller gets the
+    answer of another.  Sequence: a request with an ambiguous length is passed on;
+    its rest is read as the next request.  Cause: circuits.web accepts such heads.
+    """
+    with connected(entry) as sock:
+        sender = threading.Thread(target=_send_all, args=(sock, data))
+        sender.start()
+        answer, body = read_answer(sock)
+        sender.join()
+        assert sock.recv(1) == b""
+    assert answer.status == status, body
+    error = json.loads(body)["error"]
+    assert error["code"] == (code or error["code"])
+    assert (error["run_state"], error["step"]) == ("not_run", "read_request")
+    assert error["peer"].startswith("127.0.0.1:")
+    assert b"Traceback" not in body
+    assert_serves(served, entry)
+
+
+def _send_all(sock: socket.socket, data: bytes) -> None:
+    with contextlib.suppress(OSError):
+        sock.sendall(data)
+
+
+#: Well-formed HTTP with a request that makes no sense: body, status, code.
+BAD_BODIES = [
+    ("empty", b"", 400, "invalid_request"),
+    ("not JSON", b"{", 400, "invalid_request"),
+    ("not UTF-8", b'{"model": "\xff\xfe"}', 400, "invalid_request"),
+    ("lone surrogate", b'{"model": "\\ud800"}', 400, "invalid_request"),
+    ("a list", b"[]", 400, "invalid_request"),
+    ("deep nesting", b"[" * 100_000, 400, "invalid_request"),
+    ("no messages", b'{"model": "notes", "messages": []}', 400, "invalid_request"),
+    ("number as model", b'{"model": 3, "messages": []}', 400, "invalid_request"),
+    (
+        "unknown model",
+        json.dumps(QUESTION | {"model": "none"}).encode(),
+        404,
+        "model_not_found",
+    ),
+    (
+        "unknown adapter",
+        json.dumps(QUESTION | {"model": "notes:none"}).encode(),
+        404,
+        "model_not_found",
+    ),
+    (
+        "tokens below 1",
+        json.dumps(QUESTION | {"max_tokens": 0}).encode(),
+        400,
+        "invalid_request",
+    ),
+    (
+        "tokens beyond all",
+        json.dumps(QUESTION | {"max_tokens": 10**9}).encode(),
+        400,
+        "invalid_request",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "code"),
+    [row[1:] for row in BAD_BODIES],
+    ids=[row[0] for row in BAD_BODIES],
+)
+def test_refuse_bad_body(
+    served: Fleet, entry: EntryHost, body: bytes, status: int, code: str
+) -> None:
+    """Name the fault of a body and keep the connection."""
+    with connected(entry) as sock:
+        sock.sendall(chat(served, body=body))
+        answer, answered = read_answer(sock)
+        error = json.loads(answered)["error"]
+        assert (answer.status, error["code"]) == (status, code)
+        assert error["run_state"] == "not_run"
+        assert b"Traceback" not in answered
+        sock.sendall(chat(served))
+        assert read_answer(sock)[0].status == 200
+
+
+#: Start line, authorization, status and code.
+BAD_TARGETS = [
+    ("wrong key", "GET /v1/models", "Bearer nobody.x", 401, "invalid_api_key"),
+    ("no scheme", "GET /v1/models", "nobody", 401, "invalid_api_key"),
+    ("basic", "GET /v1/models", "Basic cGF3OnJvdXRl", 401, "invalid_api_key"),
+    ("bytes in key", "GET /v1/models", "Bearer p\xe4w.x", 401, "invalid_api_key"),
+    ("root", "GET /", "", 404, "unknown_path"),
+    ("climbing path", "GET /../../etc/passwd", "", 400, "bad_path"),
+    ("escaped climbing", "GET /%2e%2e/%2e%2e/etc/passwd", "", 400, "bad_path"),
+    ("zero byte", "GET /%00", "", 400, "bad_path"),
+    ("broken escape", "GET /%zz", "", 404, "unknown_path"),
+    ("two slashes", "GET //v1/models", "", 400, "bad_path"),
+    ("other host's path", "GET http://e/nothing", "", 404, "unknown_path"),
+    ("a star", "OPTIONS *", "", 404, "unknown_path"),
+    ("wrong method", "DELETE /v1/chat/completions", "", 405, "use_post"),
+    ("wrong method of models", "POST /v1/models", "", 405, "use_get"),
+    ("unknown service", "GET /services/none/x", "", 404, "unknown_service"),
+    (
+        "other spelling of a call that needs a key",
+        "POST /services/bookings/%62ookings",
+        "",
+        400,
+        "idempotency_key_missing",
+    ),
+    (
+        "detour to a call that needs a key",
+        "POST /services/bookings/x/..//bookings",
+        "",
+        400,
+        "bad_path",
+    ),
+    (
+        "no idempotency key",
+        "POST /services/bookings/bookings",
+        "",
+        400,
+        "idempotency_key_missing",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("start", "authorization", "status", "code"),
+    [row[1:] for row in BAD_TARGETS],
+    ids=[row[0] for row in BAD_TARGETS],
+)
+def test_refuse_bad_target(
+    served: Fleet,
+    entry: EntryHost,
+    start: str,
+    authorization: str,
+    status: int,
+    code: str,
+) -> None:
+    """Name what is wrong with a path, a method or a key."""
+    authorization = authorization or f"Bearer {served.keys_by_account['pawroute']}"
+    head = f"{start} HTTP/1.1\r\nHost: e\r\nAuthorization: {authorization}\r\n\r\n"
+    with connected(entry) as sock:
+        sock.sendall(head.encode("latin-1"))
+        answer, body = read_answer(sock)
+    error = json.loads(body)["error"]
+    assert (answer.status, error["code"]) == (status, code)
+    assert error["run_state"] == "not_run"
+    assert ("Allow" in answer.headers) == (status == 405)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "Host: e:port",
+        "Host: [::1",
+        "Cookie: a=b; \x80=;;;",
+        "Connection: upgrade\r\nUpgrade: h2c",
+        "Content-Type: \xff",
+        "Accept: " + "a," * 1000,
+    ],
+)
+def test_headers_that_nobody_reads_do_no_harm(
+    served: Fleet, entry: EntryHost, line: str
+) -> None:
+    """Answer a request whose odd headers only a library would look at.
+
+    Symptom: a caller gets a page with a traceback.  Sequence: its Host names a port
+    that is no number.  Cause: circuits.web reads each header, with no guard.
+    """
+    host = "" if line.startswith("Host") else "Host: e\r\n"
+    head = f"GET /healthz HTTP/1.1\r\n{host}{line}\r\n\r\n"
+    with connected(entry) as sock:
+        sock.sendall(head.encode("latin-1"))
+        answer, body = read_answer(sock)
+    assert (answer.status, json.loads(body)) == (200, {"status": "alive"})
+    assert "Set-Cookie" not in answer.headers
+
+
+def test_pipelined_requests_are_answered_in_order(
+    served: Fleet, entry: EntryHost
+) -> None:
+    """Answer each of several requests that were sent at once.
+
+    Symptom: a caller waits for ever.  Sequence: it sends a second request before
+    the first is answered.  Cause: circuits.web drops what follows the first.
+    """
+    with connected(entry) as sock:
+        sock.sendall(
+            b"GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n"
+            + chat(served)
+            + chat(served, stream=True)
+            + b"GET /nothing HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n"
+        )
+        received = _read_all(sock)
+    assert received.count(b"HTTP/1.1 200") == 3
+    order = [
+        received.index(part)
+        for part in (b'"alive"', b'"chat.completion"', b"[DONE]", b"invalid_api_key")
+    ]
+    assert order == sorted(order)
+
+
+def _read_all(sock: socket.socket) -> bytes:
+    parts = []
+    while data := sock.recv(65536):
+        parts.append(data)
+    return b"".join(parts)
+
+
+def test_endless_pipelining_is_cut_off(served: Fleet, entry: EntryHost) -> None:
+    """Bound what a caller may send ahead.
+
+    Symptom: memory grows.  Sequence: a caller sends on and on while its first
+    answer streams.  Cause: what it sent ahead was kept without a bound.
+    """
+    ahead = chat(served, body=b" " * 500_000)
+    with connected(entry) as sock:
+        sock.sendall(chat(served, stream=True, max_tokens=10_000))
+        sock.recv(1)
+        with pytest.raises(OSError):  # noqa: PT011
+            for _ in range(1000):
+                sock.sendall(ahead)
+    assert_serves(served, entry)
+
+
+def test_caller_that_expects_continue_gets_it(served: Fleet, entry: EntryHost) -> None:
+    """Say 100 Continue to a caller that waits for it before it sends its body.
+
+    Symptom: an upload starts a second late, or never.  Cause: circuits.web never
+    answers ``Expect: 100-continue``.
+    """
+    request = chat(served, head="Expect: 100-continue\r\n")
+    head, _, body = request.partition(b"\r\n\r\n")
+    with connected(entry) as sock:
+        sock.sendall(head + b"\r\n\r\n")
+        assert sock.recv(100).startswith(b"HTTP/1.1 100 ")
+        sock.sendall(body)
+        assert read_answer(sock)[0].status == 200
+
+
+def test_large_body_is_refused_before_it_is_sent(
+    served: Fleet, entry: EntryHost
+) -> None:
+    """Refuse by the declared length, in place of 100 Continue."""
+    with connected(entry) as sock:
+        sock.sendall(head_of("Content-Length: 9000000", "Expect: 100-continue"))
+        answer, _ = read_answer(sock)
+    assert answer.status == 413
+
+
+def test_body_in_chunks_is_read(served: Fleet, entry: EntryHost) -> None:
+    """Read a chunked body, however its chunks are cut."""
+    body = json.dumps(QUESTION | {"max_tokens": 2}).encode()
+    key = f"Authorization: Bearer {served.keys_by_account['pawroute']}"
+    chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+    with connected(entry) as sock:
+        sock.sendall(head_of(key, "Transfer-Encoding: chunked") + chunks)
+        sock.sendall(b"0\r\nX-Trailer: a\r\n\r\n")
+        answer, answered = read_answer(sock)
+    assert answer.status == 200, answered
+
+
+@pytest.mark.parametrize("start", [b"GET /healthz HTTP/1.1\r\nHost: e\r\nX: ", b""])
+def test_slow_request_is_given_up(entry: EntryHost, start: bytes) -> None:
+    """Give up on a request that arrives a byte at a time.
+
+    Symptom: connections pile up until none is left.  Sequence: callers send one
+    byte now and then and never finish.  Cause: only silence was given up on.
+    """
+    pause = threading.Event()
+    with connected(entry) as sock:
+        sock.sendall(start or b"G")
+        sock.setblocking(False)
+        while True:
+            with contextlib.suppress(BlockingIOError):
+                assert sock.recv(1) == b"H"
+                break
+            with contextlib.suppress(OSError):
+                sock.send(b"a")
+            pause.wait(0.02)
+        sock.settimeout(20)
+        rest = _read_all(sock)
+    assert b" 408 " in rest
+    assert b'"request_timeout"' in rest
+
+
+@pytest.mark.parametrize(
+    ("version", "head", "closes"),
+    [
+        ("1.1", "", False),
+        ("1.1", "Connection: close\r\n", True),
+        ("1.0", "", True),
+        ("1.0", "Connection: keep-alive\r\n", False),
+    ],
+)
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_connection_is_kept_as_the_caller_asks(
+    entry: EntryHost, version: str, head: str, closes: bool, method: str
+) -> None:
+    """Keep or close the connection; a HEAD carries no body."""
+    request = f"{method} /healthz HTTP/{version}\r\nHost: e\r\n{head}\r\n".encode()
+    with connected(entry) as sock:
+        for _ in range(1 if closes else 3):
+            sock.sendall(request)
+            answer, body = read_answer(sock, method)
+            assert answer.status == 200
+            assert (body == b"") == (method == "HEAD")
+            assert int(answer.headers["Content-Length"]) > 0
+        if closes:
+            assert sock.recv(1) == b""
+
+
+def test_stream_to_http_1_0_ends_with_the_connection(
+    served: Fleet, entry: EntryHost
+) -> None:
+    """Stream without chunks to a caller that does not know them."""
+    request = chat(served, stream=True).replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+    with connected(entry) as sock:
+        sock.sendall(request)
+        received = _read_all(sock)
+    assert b"chunked" not in received.lower()
+    assert received.endswith(b"data: [DONE]\n\n")
+
+
+def test_engine_stops_for_a_caller_that_vanished(
+    served: Fleet, entry: EntryHost
+) -> None:
+    """Cancel the engine's work when its caller is gone.
+
+    Symptom: accelerators work for nobody.  Sequence: a caller closes its connection
+    in mid-stream.  Cause: the attempt went on to its end.
+    """
+    n_before = served.counts("h0")["n_cancelled"]
+    with connected(entry) as sock:
+        sock.sendall(chat(served, stream=True, max_tokens=30_000))
+        wait_until(lambda: b"content" in sock.recv(4096), what="the stream runs")
+    wait_until(
+        lambda: served.counts("h0")["n_cancelled"] == n_before + 1,
+        what="the engine's work is cancelled",
+    )
+    wait_until(lambda: not entry.dump()["requests"], what="nothing is in flight")
+
+
+def test_cut_off_uploads_leave_no_memory_behind(
+    served: Fleet, entry: EntryHost
+) -> None:
+    """Return to the memory from before after many uploads that broke off.
+
+    Symptom: an entry host grows by 30 MB.  Sequence: 300 callers declare 200 KB,
+    send 100 KB and vanish.  Cause: circuits.web keeps the parser of a connection
+    that closed before its request was whole.
+    """
+
+    def cut_off() -> None:
+        for _ in range(N_CUT_OFF):
+            with connected(entry) as sock:
+                sock.sendall(
+                    head_of(f"Content-Length: {2 * CUT_OFF_BODY}") + b"a" * CUT_OFF_BODY
+                )
+        wait_until(
+            lambda: len(entry.dump()["connections"]["callers"]) == 1,
+            what="the connections are gone",
+        )
+
+    cut_off()
+    before = _resident(entry)
+    cut_off()
+    assert _resident(entry) - before < MEMORY_NOISE
+    assert_serves(served, entry)
+
+
+def _resident(entry: EntryHost) -> int:
+    with open(f"/proc/{entry.process.pid}/status") as status:
+        line = next(line for line in status if line.startswith("VmRSS"))
+    return int(line.split()[1]) * 1024
+
+
+def test_no_fault_was_logged(entry: EntryHost) -> None:
+    """Find no unexpected exception after all that this module has sent."""
+    assert entry.process.events("fault") == []
