Meet the official openai client: role, adapters, single models, parameters

Cause: the contract was only tried by one streamed request. The client found that a stream names no role, that an answer of model:adapter names the model alone, that GET /v1/models/NAME is not there, and that a misspelt or unsupported parameter (temprature, tools, stop, logprobs, response_format) was dropped in silence. Parameters that only tune the sampling are taken and not used; one that would change what the answer means is refused by name.

--- a/ryelever/protocol/openai.py
+++ b/ryelever/protocol/openai.py
@@ -4,8 +4,7 @@
 
 import hashlib
 import math
-from dataclasses import dataclass, field
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 from expression import Error, Ok, Result
@@ -22,6 +21,7 @@
     "error_event",
     "fingerprint",
     "http_status",
+    "model_body",
     "models_list",
     "read_chat_request",
 ]
@@ -29,6 +29,9 @@
 DEFAULT_MAX_TOKENS = 512
 MAX_TOKENS = 32_768
 
+_MaxTokens = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)]
+_NoItems = Annotated[list[Any], msgspec.Meta(max_length=0)]
+
 #: Methods that a path takes by the code of the error that says so.
 _ALLOW_BY_CODE = {"use_post": "POST", "use_get": "GET, HEAD"}
 
@@ -46,27 +49,64 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
-class _Message:
-    role: str
+_Role = Literal["system", "developer", "user", "assistant", "tool"]
+_Weight = Annotated[float, msgspec.Meta(ge=-2, le=2)]
+
+
+class _Message(msgspec.Struct, kw_only=True):
+    role: _Role
     content: str | list[dict[str, Any]] | None = None
+    name: str | None = None
 
 
-@dataclass(slots=True, kw_only=True)
-class _StreamOptions:
+class _StreamOptions(msgspec.Struct, kw_only=True):
     include_usage: bool = False
+    include_obfuscation: bool = False
+
 
+class _ResponseFormat(msgspec.Struct, kw_only=True):
+    type: Literal["text"]
+
+
+class _ChatRequest(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Hold what a caller may send.
+
+    The engines take the messages, the model and the length.  What only tunes the
+    sampling, or only informs, is accepted and not used; what would change the
+    meaning of the answer is refused unless it has the value that changes nothing.
+    """
 
-@dataclass(slots=True, kw_only=True)
-class _ChatRequest:
     model: str
-    messages: list[_Message]
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
-    stream: bool = False
+    messages: Annotated[list[_Message], msgspec.Meta(min_length=1)]
+    max_tokens: _MaxTokens | None = None
+    max_completion_tokens: _MaxTokens | None = None
+    stream: bool | None = False
     stream_options: _StreamOptions | None = None
-    n: int | None = 1
-    metadata: dict[str, Any] | None = field(default_factory=dict)
+    # Accepted, not used.
+    temperature: Annotated[float, msgspec.Meta(ge=0, le=2)] | None = None
+    top_p: Annotated[float, msgspec.Meta(gt=0, le=1)] | None = None
+    presence_penalty: _Weight | None = None
+    frequency_penalty: _Weight | None = None
+    seed: int | None = None
+    user: str | None = None
+    safety_identifier: str | None = None
+    prompt_cache_key: str | None = None
+    metadata: dict[str, Any] | None = None
+    store: bool | None = None
+    service_tier: str | None = None
+    reasoning_effort: str | None = None
+    verbosity: str | None = None
+    parallel_tool_calls: bool | None = None
+    # Accepted only with the value that changes nothing.
+    n: Literal[1] | None = 1
+    logprobs: bool | None = False
+    top_logprobs: Literal[0] | None = None
+    response_format: _ResponseFormat | None = None
+    tools: _NoItems | None = None
+    functions: _NoItems | None = None
+    stop: _NoItems | None = None
+    tool_choice: Literal["none", "auto"] | None = None
+    modalities: list[Literal["text"]] | None = None
 
 
 _CHAT_DECODER = msgspec.json.Decoder(_ChatRequest)
@@ -79,16 +119,11 @@
     """
     try:
         request = _CHAT_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         return Error(_bad_request(f"the body is not a chat request: {error}"))
-    if not request.messages:
-        return Error(_bad_request("messages is empty; give at least one"))
-    if request.n not in (None, 1):
-        return Error(_bad_request("n must be 1"))
+    if request.logprobs:
+        return Error(_bad_request("logprobs is not supported; leave it out"))
     max_tokens = request.max_completion_tokens or request.max_tokens
-    max_tokens = DEFAULT_MAX_TOKENS if max_tokens is None else max_tokens
-    if not 1 <= max_tokens <= MAX_TOKENS:
-        return Error(_bad_request(f"max_tokens must be between 1 and {MAX_TOKENS}"))
     model, _, adapter = request.model.partition(":")
     options = request.stream_options
     return Ok(
@@ -99,8 +134,8 @@
                 {"role": message.role, "content": message.content}
                 for message in request.messages
             ],
-            max_tokens=max_tokens,
-            streamed=request.stream,
+            max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
+            streamed=bool(request.stream),
             include_usage=options is not None and options.include_usage,
         )
     )
@@ -144,13 +179,19 @@
 
 def models_list(names: list[str], *, created: int) -> bytes:
     """Return the answer of ``GET /v1/models``."""
-    data = [
-        {"id": name, "object": "model", "created": created, "owned_by": "ryelever"}
-        for name in names
-    ]
+    data = [_model_fields(name, created=created) for name in names]
     return encode({"object": "list", "data": data})
 
 
+def model_body(name: str, *, created: int) -> bytes:
+    """Return the answer of ``GET /v1/models/NAME``."""
+    return encode(_model_fields(name, created=created))
+
+
+def _model_fields(name: str, *, created: int) -> dict[str, Any]:
+    return {"id": name, "object": "model", "created": created, "owned_by": "ryelever"}
+
+
 def chat_completion(
     *,
     request_id: str,
@@ -197,6 +238,12 @@
         fields = encode(self._chunk([]))
         self._head = b"data: " + fields[:-3]
 
+    def started(self) -> bytes:
+        """Return the event that opens the answer and names the role."""
+        delta = {"role": "assistant", "content": ""}
+        choice = {"index": 0, "delta": delta, "finish_reason": None}
+        return sse_event(encode(self._chunk([choice])))
+
     def tokens(self, tokens: tuple[str, ...]) -> bytes:
         """Return the event that carries some tokens."""
         text = encode("".join(tokens))
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -4,6 +4,7 @@
 
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 import msgspec
 from circuits import BaseComponent, handler
@@ -49,6 +50,7 @@
     error_headers,
     fingerprint,
     http_status,
+    model_body,
     models_list,
     read_chat_request,
 )
@@ -77,6 +79,7 @@
 __all__ = ["Serving"]
 
 SERVICES_PREFIX = "/services/"
+MODELS_PREFIX = "/v1/models/"
 
 #: Statuses with which an engine says that it did not run a request.
 REFUSED_STATUSES = frozenset({409, 429, 503})
@@ -179,7 +182,7 @@
                 category=Category.UNAUTHORIZED,
                 code="invalid_api_key",
             )
-        if request.path == "/v1/models":
+        if request.path == "/v1/models" or request.path.startswith(MODELS_PREFIX):
             if request.method not in ("GET", "HEAD"):
                 return _error("use GET", category=Category.BAD_REQUEST, code="use_get")
             return _ok(None)
@@ -208,12 +211,7 @@
         allowed = configuration.client_accounts[account].models
         known = model is not None and (not allowed or work.ok.model in allowed)
         if not known or (work.ok.adapter and work.ok.adapter not in model.adapters):
-            return _error(
-                f"model {work.ok.model!r} is not served to this client account; "
-                "GET /v1/models names those that are",
-                category=Category.NOT_FOUND,
-                code="model_not_found",
-            )
+            return Error(_model_not_found(_model_name(work.ok)))
         return _ok(self._new_arrival(request, account, work.ok))
 
     def _service_arrival(
@@ -358,7 +356,7 @@
         self._metrics.observe("first_token", time.monotonic() - arrival.arrived_at)
         self._shapes_by_request[request_id] = ChatStreamShape(
             request_id=request_id,
-            model=arrival.work.model,
+            model=_model_name(arrival.work),
             created=int(time.time()),
             include_usage=arrival.work.include_usage,
         )
@@ -368,6 +366,8 @@
             "X-Request-Id": request_id,
         }
         self.fire(caller_stream_start(request_id, headers), "callers")
+        opening = self._shapes_by_request[request_id].started()
+        self.fire(caller_stream_data(request_id, opening), "callers")
 
     def _stream_finished(self, action: StreamFinished) -> None:
         if action.request_id not in self._started_streams:
@@ -398,7 +398,7 @@
         arrival = self._arrivals_by_id[action.request_id]
         body = chat_completion(
             request_id=action.request_id,
-            model=arrival.work.model,
+            model=_model_name(arrival.work),
             created=int(time.time()),
             tokens=action.tokens,
             finish_reason=action.finish_reason,
@@ -429,6 +429,13 @@
             names.append(name)
             names += [f"{name}:{adapter}" for adapter in sorted(model.adapters)]
         body = models_list(names, created=0)
+        if request.path.startswith(MODELS_PREFIX):
+            name = unquote(request.path.removeprefix(MODELS_PREFIX))
+            if name not in names:
+                error = _model_not_found(name)
+                self._answer_error(request.request_id, error)
+                return
+            body = model_body(name, created=0)
         self._answer(CallerAnswer(request_id=request.request_id, status=200, body=body))
 
     def _answer_error(self, request_id: str, error: RyeleverError) -> None:
@@ -614,6 +621,20 @@
     return Ok(arrival)
 
 
+def _model_name(work: ChatWork) -> str:
+    return f"{work.model}:{work.adapter}" if work.adapter else work.model
+
+
+def _model_not_found(name: str) -> RyeleverError:
+    return RyeleverError(
+        f"model {name!r} is not served to this client account; "
+        "GET /v1/models names those that are",
+        category=Category.NOT_FOUND,
+        step="read_request",
+        code="model_not_found",
+    )
+
+
 def _error(
     message: str,
     *,
