--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -75,6 +75,7 @@
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_request: dict[str, _Connection] = {}
         self.n_refused_by_code: dict[str, int] = {}
+        self.n_unread = 0
         self._web = HTTP(self, channel="web").register(self)
         _WebChannel(self).register(self)
 
@@ -132,7 +133,9 @@
         # memory for as long as it likes.
         silent_for = now - connection.progress_at
         unsent = bool(self._buffers.get(connection.sock))
-        return unsent and silent_for > self._limits.write_timeout
+        unread = unsent and silent_for > self._limits.unread_timeout
+        self.n_unread += unread
+        return unread
 
     # The guard
 
@@ -340,6 +343,13 @@
         if connection.stalled:
             self._check_stalled(connection)
 
+    def n_unsent(self) -> int:
+        """Return how many callers wait for an answer or a part of it."""
+        return sum(
+            bool(connection.request_id or self._buffers.get(connection.sock))
+            for connection in self._connections_by_sock.values()
+        )
+
     # State for the dump
 
     def describe(self) -> list[dict[str, object]]:
--- a/ryelever/transport/request_reader.py
+++ b/ryelever/transport/request_reader.py
@@ -40,9 +40,9 @@
         the caller has not taken yet.
     max_headers : int
         Headers of one request.
-    request_timeout, idle_timeout, write_timeout : float
-        Seconds for a whole request to arrive, between two requests, and without
-        progress while an answer waits to be taken.
+    request_timeout, idle_timeout, unread_timeout : float
+        Seconds for a whole request to arrive, between two requests, and for which a
+        caller may take no byte of its answer.
     linger : float
         Seconds for a refused caller to read why, before the connection closes.
     """
@@ -53,7 +53,7 @@
     max_headers: int = 100
     request_timeout: float = 10.0
     idle_timeout: float = 75.0
-    write_timeout: float = 30.0
+    unread_timeout: float = 20.0
     linger: float = 1.0
 
 
