--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -103,12 +103,13 @@
                 unread_timeout=settings.unread_timeout,
             ),
         )
+        self.dump = Dump(application=self)
         self.serving = Serving(
             settings=settings,
             table=self.table,
             configuration=self.configuration,
             metrics=self.metrics,
-            pages=Dump(application=self).pages(),
+            pages=self.dump.pages(),
         )
         self.timers = Timers()
         self.shutdown = Shutdown(
@@ -193,11 +194,16 @@
             self.planning,
             self.serving,
             self.shutdown,
+            self.dump,
         ):
             part.register(self)
 
     def _register_gauges(self) -> None:
         metrics = self.metrics
+        metrics.counter(
+            "refused_requests", lambda: dict(self.callers.n_refused_by_code)
+        )
+        metrics.counter("unread_answers", lambda: {"": self.callers.n_unread})
         metrics.gauge(
             "requests_in_flight", lambda: float(len(self.table.requests_by_id))
         )
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import hmac
+import signal
 import time
 from typing import TYPE_CHECKING, Any
 
+from circuits import BaseComponent, handler
+
 from .errors import Category, RyeleverError
-from .events import CallerAnswer
+from .events import CallerAnswer, control_tick, dump_wanted
+from .logs import log_event
 from .protocol.json_codec import encode
 from .protocol.openai import error_body, http_status
 
@@ -20,11 +25,61 @@
 __all__ = ["Dump"]
 
 
-class Dump:
-    """Describe what the process believes and since when; secrets never appear."""
+#: Seconds between two looks at what has changed.
+LOOK_INTERVAL = 1.0
+
+
+class Dump(BaseComponent):
+    """Describe what the process believes and since when; secrets never appear.
+
+    The state is answered on ``/dump`` to an operator, and written to the log on
+    SIGUSR1, for a process whose callers' interface does not answer.
+    """
+
+    channel = "dump"
 
     def __init__(self, *, application: Application) -> None:
+        super().__init__()
         self._application = application
+        self._beliefs_by_subject: dict[tuple[str, ...], tuple[object, float]] = {}
+
+    @handler("started", channel="*")
+    def _on_started(self, *args: object) -> None:
+        self._application.timers.every(LOOK_INTERVAL, control_tick, self.channel)
+        with contextlib.suppress(ValueError):  # Only the main thread may do this.
+            signal.signal(signal.SIGUSR1, self._on_signal_number)
+
+    def _on_signal_number(self, signal_number: int, frame: object) -> None:
+        self.fire(dump_wanted(), self.channel)
+
+    @handler("dump_wanted")
+    def _on_dump_wanted(self) -> None:
+        log_event("dump", state=self.describe())
+
+    @handler("control_tick")
+    def _on_control_tick(self) -> None:
+        self._look(now=time.monotonic())
+
+    def _look(self, *, now: float) -> None:
+        """Note the time at which a belief about a group or a lease changes."""
+        application = self._application
+        seen: dict[tuple[str, ...], object] = {}
+        for zone, placement in application.placements_by_zone.items():
+            lease = placement.lease
+            seen["lease", zone] = None if lease is None else lease.holder
+            for group in placement.groups_by_name.values():
+                whole = application.confirmations.is_whole(group, now=now)
+                seen["group", group.name] = (whole, group.dissolved)
+        known = self._beliefs_by_subject
+        self._beliefs_by_subject = {
+            subject: known[subject]
+            if subject in known and known[subject][0] == belief
+            else (belief, now)
+            for subject, belief in seen.items()
+        }
+
+    def _held_for(self, *subject: str, now: float) -> float:
+        return round(now - self._beliefs_by_subject[subject][1], 3)
 
     def pages(self) -> dict[str, Callable[[CallerRequest], CallerAnswer]]:
         """Return the pages by path."""
@@ -74,6 +129,7 @@
         """Return the whole state."""
         application = self._application
         now = time.monotonic()
+        self._look(now=now)
         return {
             "settings": application.settings.public(),
             "boot": application.boot,
@@ -84,7 +140,7 @@
             },
             "streams": self._streams(now=now),
             "groups": self._groups(now=now),
-            "leases": self._leases(),
+            "leases": self._leases(now=now),
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
             "connections": {
@@ -118,19 +174,21 @@
                 "members": group.members,
                 "whole": application.confirmations.is_whole(group, now=now),
                 "dissolved": group.dissolved,
+                "for": self._held_for("group", group.name, now=now),
                 "reason": group.dissolved_reason or group.reason,
             }
             for zone, placement in application.placements_by_zone.items()
             for group in placement.groups_by_name.values()
         ]
 
-    def _leases(self) -> dict[str, Any]:
+    def _leases(self, *, now: float) -> dict[str, Any]:
         placements = self._application.placements_by_zone
         return {
             zone: {
                 "holder": placement.lease.holder,
                 "offset": placement.lease.offset,
                 "term": placement.lease.term,
+                "for": self._held_for("lease", zone, now=now),
             }
             for zone, placement in placements.items()
             if placement.lease is not None
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -255,6 +255,10 @@
     """Announce a ``HostReported``."""
 
 
+class dump_wanted(Event):
+    """Ask for the state to be written to the log."""
+
+
 class end_requests(Event):
     """End every request in flight: the graceful shutdown's deadline has come."""
 
--- a/ryelever/metrics.py
+++ b/ryelever/metrics.py
@@ -40,6 +40,7 @@
         self._histograms_by_name: dict[str, HdrHistogram] = {}
         self._sums_by_name: Counter[str] = Counter()
         self._gauges_by_name: dict[str, Callable[[], float]] = {}
+        self._counters_by_name: dict[str, Callable[[], dict[str, int]]] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -60,6 +61,10 @@
         """Register a gauge."""
         self._gauges_by_name[name] = read
 
+    def counter(self, name: str, read: Callable[[], dict[str, int]]) -> None:
+        """Register a counter that another part keeps, as counts by label."""
+        self._counters_by_name[name] = read
+
     def render(self) -> bytes:
         """Return everything in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -67,10 +72,9 @@
     def collect(self) -> Iterator[Metric]:
         """Yield each metric; called by the Prometheus library."""
         for name, n_by_label in self._n_by_label_by_name.items():
-            counter = CounterMetricFamily(f"ryelever_{name}", name, labels=["kind"])
-            for label, n_counted in n_by_label.items():
-                counter.add_metric([label], n_counted)
-            yield counter
+            yield _counter(name, n_by_label)
+        for name, read in self._counters_by_name.items():
+            yield _counter(name, read())
         for name, histogram in self._histograms_by_name.items():
             yield self._summary(name, histogram)
         for name, read in self._gauges_by_name.items():
@@ -87,3 +91,10 @@
                 f"ryelever_{name}_seconds", {"quantile": f"{percentile / 100:g}"}, value
             )
         return summary
+
+
+def _counter(name: str, n_by_label: dict[str, int]) -> Metric:
+    counter = CounterMetricFamily(f"ryelever_{name}", name, labels=["kind"])
+    for label, n_counted in n_by_label.items():
+        counter.add_metric([label], n_counted)
+    return counter
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -108,6 +108,7 @@
                 "connecting": connection.connecting,
                 "paused": connection.paused,
                 "silent_for": round(now - connection.progress_at, 3),
+                "for": round(now - connection.started_at, 3),
             }
             for connection in self._connections_by_sock.values()
         ]
