--- a/ryelever/arrivals.py
+++ b/ryelever/arrivals.py
@@ -5,13 +5,20 @@
 import math
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 from expression import Error, Ok
 
 from .accounts import account_of
 from .coordination.actions import Arrival, ChatWork, ServiceWork
 from .errors import Category, RyeleverError
-from .protocol.openai import fingerprint, read_chat_request
+from .protocol.openai import (
+    fingerprint,
+    model_body,
+    models_list,
+    read_chat_request,
+)
+from .state.configuration_fold import NO_VERSION
 
 if TYPE_CHECKING:
     from expression import Result
@@ -23,6 +30,7 @@
 __all__ = ["ArrivalReader"]
 
 SERVICES_PREFIX = "/services/"
+MODELS_PATH = "/v1/models"
 
 #: Header with which a caller names its own deadline, in seconds from now.
 TIMEOUT_HEADER = "x-request-timeout"
@@ -37,6 +45,13 @@
 
     def read(self, request: CallerRequest) -> Result[Arrival | None, RyeleverError]:
         """Return the arrival, or None when the caller asks for the models."""
+        if self._configuration.version == NO_VERSION:
+            return _error(
+                "this entry host has read no configuration yet; ask again",
+                category=Category.UNAVAILABLE,
+                code="not_ready",
+                retry_after=1.0,
+            )
         account = account_of(
             request.headers.get("authorization", ""), self._configuration.configuration
         )
@@ -46,11 +61,15 @@
                 category=Category.UNAUTHORIZED,
                 code="invalid_api_key",
             )
-        if request.path == "/v1/models" and request.method == "GET":
+        if request.path == MODELS_PATH or request.path.startswith(MODELS_PATH + "/"):
+            if request.method not in ("GET", "HEAD"):
+                return _error("use GET", category=Category.BAD_REQUEST, code="use_get")
             return _ok(None)
         if request.path == "/v1/chat/completions":
             if request.method != "POST":
-                return _error("use POST", category=Category.BAD_REQUEST, code="method")
+                return _error(
+                    "use POST", category=Category.BAD_REQUEST, code="use_post"
+                )
             return self._chat_arrival(request, account)
         if request.path.startswith(SERVICES_PREFIX):
             return self._service_arrival(request, account)
@@ -60,6 +79,24 @@
             code="unknown_path",
         )
 
+    def models_answer(self, request: CallerRequest) -> Result[bytes, RyeleverError]:
+        """Return the body that lists what the account may use, or names one model."""
+        configuration = self._configuration.configuration
+        account = account_of(request.headers["authorization"], configuration)
+        allowed = configuration.client_accounts[account].models
+        names = []
+        for name, model in sorted(configuration.models.items()):
+            if allowed and name not in allowed:
+                continue
+            names.append(name)
+            names += [f"{name}:{adapter}" for adapter in sorted(model.adapters)]
+        asked = unquote(request.path.removeprefix(MODELS_PATH).lstrip("/"))
+        if not asked:
+            return Ok(models_list(names, created=0))
+        if asked not in names:
+            return _model_not_found(asked)
+        return Ok(model_body(asked, created=0))
+
     def _chat_arrival(
         self, request: CallerRequest, account: str
     ) -> Result[Arrival | None, RyeleverError]:
@@ -71,12 +108,7 @@
         allowed = configuration.client_accounts[account].models
         known = model is not None and (not allowed or work.ok.model in allowed)
         if not known or (work.ok.adapter and work.ok.adapter not in model.adapters):
-            return _error(
-                f"model {work.ok.model!r} is not served to this client account; "
-                "GET /v1/models names those that are",
-                category=Category.NOT_FOUND,
-                code="model_not_found",
-            )
+            return _model_not_found(work.ok.name)
         return self._new_arrival(request, account, work.ok)
 
     def _service_arrival(
@@ -156,9 +188,28 @@
     return Ok(arrival)
 
 
+def _model_not_found(name: str) -> Result[Arrival | None, RyeleverError]:
+    return _error(
+        f"model {name!r} is not served to this client account; "
+        "GET /v1/models names those that are",
+        category=Category.NOT_FOUND,
+        code="model_not_found",
+    )
+
+
 def _error(
-    message: str, *, category: Category, code: str
+    message: str,
+    *,
+    category: Category,
+    code: str,
+    retry_after: float | None = None,
 ) -> Result[Arrival | None, RyeleverError]:
     return Error(
-        RyeleverError(message, category=category, step="read_request", code=code)
+        RyeleverError(
+            message,
+            category=category,
+            step="read_request",
+            code=code,
+            retry_after=retry_after,
+        )
     )
--- a/ryelever/caller_answers.py
+++ b/ryelever/caller_answers.py
@@ -80,7 +80,7 @@
         self._metrics.observe("first_token", time.monotonic() - arrival.arrived_at)
         shape = ChatStreamShape(
             request_id=request_id,
-            model=arrival.work.model,
+            model=arrival.work.name,
             created=int(time.time()),
             include_usage=arrival.work.include_usage,
         )
@@ -91,6 +91,7 @@
         }
         self._shapes_by_request[request_id] = shape
         self._fire(caller_stream_start(request_id, headers), "callers")
+        self._fire(caller_stream_data(request_id, shape.started()), "callers")
         return shape
 
     def stream_finished(self, action: StreamFinished) -> None:
@@ -125,7 +126,7 @@
         arrival = self.arrivals_by_id[action.request_id]
         body = chat_completion(
             request_id=action.request_id,
-            model=arrival.work.model,
+            model=arrival.work.name,
             created=int(time.time()),
             tokens=action.tokens,
             finish_reason=action.finish_reason,
--- a/ryelever/coordination/actions.py
+++ b/ryelever/coordination/actions.py
@@ -38,6 +38,11 @@
     adapter: str = ""
     include_usage: bool = False
 
+    @property
+    def name(self) -> str:
+        """Return the model as callers name it: ``model`` or ``model:adapter``."""
+        return f"{self.model}:{self.adapter}" if self.adapter else self.model
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ServiceWork:
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -23,7 +23,6 @@
 )
 from .errors import Category, RyeleverError
 from .events import CallerAnswer, append_record, caller_answer
-from .protocol.openai import models_list
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,7 +77,6 @@
     ) -> None:
         super().__init__()
         self._table = table
-        self._configuration = configuration
         self._metrics = metrics
         self._pages = pages
         self._reader = ArrivalReader(settings=settings, configuration=configuration)
@@ -124,14 +122,12 @@
         self._answers.answer_error(arrival.request_id, error)
 
     def _answer_models(self, request: CallerRequest) -> None:
-        configuration = self._configuration.configuration
-        names = []
-        for name, model in sorted(configuration.models.items()):
-            names.append(name)
-            names += [f"{name}:{adapter}" for adapter in sorted(model.adapters)]
-        body = models_list(names, created=0)
+        answer = self._reader.models_answer(request)
+        if answer.is_error():
+            self._answers.answer_error(request.request_id, answer.error)
+            return
         self._answers.answer(
-            CallerAnswer(request_id=request.request_id, status=200, body=body)
+            CallerAnswer(request_id=request.request_id, status=200, body=answer.ok)
         )
 
     @handler("caller_gone")
