--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -8,9 +8,11 @@
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 
-from .coordination.admission import ConcurrencyAdmission
+from .coordination.admission_capacity import GroupCapacity
+from .coordination.admission_fair import FairAdmission
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
+from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
 from .coordination.requests import RequestTable, Timeouts
 from .coordination.retry import RetryBudget
@@ -91,21 +93,26 @@
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
         )
+        self.account_limits = AccountLimits(n_hosts=self._n_entry_hosts)
         self.table = self._table(claims)
         self.http_client = HttpClient()
         host, _, port = settings.callers_address.rpartition(":")
         self.callers = Callers(
             bind=(host, int(port)),
             limits=Limits(
-                max_body=settings.max_body, unread_timeout=settings.unread_timeout
+                max_body=settings.max_body,
+                request_timeout=settings.callers_request_timeout,
+                idle_timeout=settings.callers_idle_timeout,
+                unread_timeout=settings.unread_timeout,
             ),
         )
+        self.dump = Dump(application=self)
         self.serving = Serving(
             settings=settings,
             table=self.table,
             configuration=self.configuration,
             metrics=self.metrics,
-            pages=Dump(application=self).pages(),
+            pages=self.dump.pages(),
         )
         self.timers = Timers()
         self.shutdown = Shutdown(
@@ -143,7 +150,7 @@
             confirmations=self.confirmations,
         )
         return RequestTable(
-            admission=ConcurrencyAdmission(),
+            admission=self._admission(targets),
             router=LeastInFlightRouter(targets=targets.for_arrival),
             retry_policy=RetryBudget(),
             claims=claims,
@@ -157,6 +164,23 @@
             ),
         )
 
+    def _admission(self, targets: Targets) -> FairAdmission:
+        limits = self.account_limits
+        return FairAdmission(
+            capacity=GroupCapacity(
+                targets=targets.for_arrival,
+                confirmations=self.confirmations,
+                batch=lambda: self.settings.group_batch,
+                n_hosts=self._n_entry_hosts,
+                n_hosts_waiting=lambda now: limits.n_hosts_waiting(now=now),
+            ),
+            account=self._client_account,
+            limits=limits,
+        )
+
+    def _n_entry_hosts(self) -> int:
+        return 1 + len(self.settings.peers)
+
     def _client_account(self, name: str) -> ClientAccount | None:
         return self.configuration.configuration.client_accounts.get(name)
 
@@ -190,11 +214,16 @@
             self.planning,
             self.serving,
             self.shutdown,
+            self.dump,
         ):
             part.register(self)
 
     def _register_gauges(self) -> None:
         metrics = self.metrics
+        metrics.counter(
+            "refused_requests", lambda: dict(self.callers.n_refused_by_code)
+        )
+        metrics.counter("unread_answers", lambda: {"": self.callers.n_unread})
         metrics.gauge(
             "requests_in_flight", lambda: float(len(self.table.requests_by_id))
         )
