Name every fault of a published document, and ignore invalid ones in the log

Cause: a publication was taken as it stood. A model of no hosts per group, a share of 40 or an account that names an unknown model was put in force, and a mistyped field was dropped without a word.

check_document reads the whole document and names each fault with its place (a JSON pointer), what was expected and what to do. Fault moves to ryelever/faults.py, below the layers that use it.

Ruled out: msgspec's own check of the whole document, which stops at the first fault. It checks each field instead.

--- /dev/null
+++ b/ryelever/console/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the operators' forms and the status page."""
--- /dev/null
+++ b/ryelever/faults.py
@@ -0,0 +1,19 @@
+"""Name one fault of a settings file or of a configuration document."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Fault"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Fault:
+    """Name one fault: its place, what was expected, and what to do."""
+
+    place: str
+    expected: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: expected {self.expected}; {self.remedy}"
--- /dev/null
+++ b/ryelever/protocol/configuration_document.py
@@ -0,0 +1,240 @@
+"""Read, check, write and compare the document that operators publish.
+
+The document is JSON; files may hold comments.  A check reads the whole document
+and names every fault in one run.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from dataclasses import dataclass
+from typing import Any, get_type_hints
+
+import json5
+import msgspec
+from expression import Error, Ok, Result
+
+from ..faults import Fault
+from ..state.configuration import (
+    ClientAccount,
+    Configuration,
+    Model,
+    Service,
+    Weights,
+)
+from ..state.configuration_check import faults_of, place_of
+
+__all__ = ["Change", "canonical", "check_document", "difference"]
+
+#: Longest document that is read, in bytes.
+MAX_DOCUMENT = 1 << 20
+
+#: Place of the document itself.
+ROOT = "/"
+
+_CLASSES_BY_SECTION = {
+    "models": Model,
+    "client_accounts": ClientAccount,
+    "services": Service,
+}
+
+#: Where a required field is missing, so that the rest can be checked all the same.
+_STAND_INS = {"version": "missing", "key_hash": "missing"}
+
+_EXPECTED_BY_TYPE = {
+    str: "a text",
+    int: "a whole number",
+    float: "a number",
+    dict[str, str]: "an object of texts",
+    tuple[str, ...]: "a list of texts",
+}
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Change:
+    """Hold one difference between two documents.
+
+    Attributes
+    ----------
+    place : str
+        JSON pointer of the field.
+    before, after : str
+        The values as JSON; empty where there is none.
+    """
+
+    place: str
+    before: str
+    after: str
+
+
+def check_document(data: bytes) -> Result[Configuration, list[Fault]]:
+    """Return the configuration that a document describes, or all its faults."""
+    if len(data) > MAX_DOCUMENT:
+        return Error([_document_fault(f"shorten it to {MAX_DOCUMENT} bytes")])
+    try:
+        values = _parse(data.decode("utf-8"))
+    except (ValueError, RecursionError) as error:
+        return Error([_document_fault(f"mend the text: {error}")])
+    if not isinstance(values, dict):
+        return Error([_object_fault(ROOT)])
+    reader = _Reader()
+    configuration = reader.configuration(values)
+    faulty = {fault.place for fault in reader.faults}
+    faults = reader.faults + [
+        fault for fault in faults_of(configuration) if fault.place not in faulty
+    ]
+    return Error(faults) if faults else Ok(configuration)
+
+
+def canonical(configuration: Configuration) -> bytes:
+    """Return the one encoding of a configuration: sorted keys, every field."""
+    return msgspec.json.encode(configuration, order="deterministic")
+
+
+def difference(before: Configuration, after: Configuration) -> list[Change]:
+    """Return what differs, by place."""
+    old = _values_by_place(before)
+    new = _values_by_place(after)
+    return [
+        Change(place=place, before=old.get(place, ""), after=new.get(place, ""))
+        for place in sorted(old.keys() | new.keys())
+        if old.get(place) != new.get(place)
+    ]
+
+
+class _Reader:
+    """Build a configuration from parsed JSON and gather faults on the way."""
+
+    def __init__(self) -> None:
+        self.faults: list[Fault] = []
+
+    def configuration(self, values: dict[str, Any]) -> Configuration:
+        known = {field.name for field in dataclasses.fields(Configuration)}
+        self._name_unknown(values, known=known, parts=())
+        sections = {
+            section: self._section(values.get(section, {}), cls, section)
+            for section, cls in _CLASSES_BY_SECTION.items()
+        }
+        weights = self._object(values.get("weights", {}), Weights, ("weights",))
+        return Configuration(**sections, weights=weights or Weights())
+
+    def _section(self, values: Any, cls: type, section: str) -> dict[str, Any]:
+        if not isinstance(values, dict):
+            self.faults.append(_object_fault(place_of(section)))
+            return {}
+        read = {
+            name: self._object(value, cls, (section, name))
+            for name, value in values.items()
+        }
+        return {name: value for name, value in read.items() if value is not None}
+
+    def _object(self, values: Any, cls: type, parts: tuple[str, ...]) -> Any:
+        if not isinstance(values, dict):
+            self.faults.append(_object_fault(place_of(*parts)))
+            return None
+        fields_by_name = {field.name: field for field in dataclasses.fields(cls)}
+        self._name_unknown(values, known=set(fields_by_name), parts=parts)
+        types_by_name = get_type_hints(cls)
+        read = {}
+        for name, field in fields_by_name.items():
+            place = place_of(*parts, name)
+            if name in values:
+                value = self._leaf(values[name], types_by_name[name], place)
+                if value is not None:
+                    read[name] = value
+                    continue
+            elif _is_required(field):
+                self._name_missing(place)
+            if _is_required(field):
+                read[name] = _STAND_INS[name]
+        return cls(**read)
+
+    def _leaf(self, value: Any, type_: Any, place: str) -> Any:
+        try:
+            return msgspec.convert(value, type_)
+        except msgspec.ValidationError:
+            self.faults.append(
+                Fault(
+                    place=place,
+                    expected=_EXPECTED_BY_TYPE[type_],
+                    remedy=f"replace {_shown(value)}",
+                )
+            )
+            return None
+
+    def _name_unknown(
+        self, values: dict[str, Any], *, known: set[str], parts: tuple[str, ...]
+    ) -> None:
+        self.faults += [
+            Fault(
+                place=place_of(*parts, name),
+                expected=f"one of the fields {', '.join(sorted(known))}",
+                remedy="remove it or mend its spelling",
+            )
+            for name in values
+            if name not in known
+        ]
+
+    def _name_missing(self, place: str) -> None:
+        self.faults.append(
+            Fault(place=place, expected="a text", remedy="add it: it has no default")
+        )
+
+
+def _parse(text: str) -> Any:
+    try:
+        return json.loads(text, object_pairs_hook=_without_duplicates)
+    except json.JSONDecodeError:
+        # Only files written by hand hold comments; that parser is far slower.
+        return json5.loads(text, allow_duplicate_keys=False)
+
+
+def _without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    values = dict(pairs)
+    if len(values) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = sorted({name for name in names if names.count(name) > 1})
+        raise ValueError(f"the name {twice[0]!r} stands twice in one object")
+    return values
+
+
+def _is_required(field: dataclasses.Field[Any]) -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def _shown(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= 60 else text[:60] + "…"
+
+
+def _document_fault(remedy: str) -> Fault:
+    return Fault(place=ROOT, expected="a document in JSON", remedy=remedy)
+
+
+def _object_fault(place: str) -> Fault:
+    return Fault(
+        place=place,
+        expected="an object of fields by name",
+        remedy="put the fields between braces",
+    )
+
+
+def _values_by_place(configuration: Configuration) -> dict[str, str]:
+    values: dict[str, str] = {}
+    _flatten(msgspec.to_builtins(configuration), (), values)
+    return values
+
+
+def _flatten(value: Any, parts: tuple[str, ...], values: dict[str, str]) -> None:
+    if isinstance(value, dict):
+        for name, item in value.items():
+            _flatten(item, (*parts, name), values)
+        if not value and len(parts) == 2:
+            # An entry without fields of its own still has to show up.
+            values[place_of(*parts)] = "{}"
+        return
+    values[place_of(*parts)] = json.dumps(value, ensure_ascii=False)
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -14,24 +14,14 @@
 import json5
 from expression import Error, Ok, Result
 
+from .faults import Fault
+
 __all__ = ["SETTINGS", "Fault", "Setting", "Settings", "read_settings"]
 
 #: Marks a setting that has no default.
 REQUIRED = object()
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Fault:
-    """Name one fault: its place, what was expected, and what to do."""
-
-    place: str
-    expected: str
-    remedy: str
-
-    def __str__(self) -> str:
-        return f"{self.place}: expected {self.expected}; {self.remedy}"
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Setting:
     """Declare one setting.
--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .configuration import Configuration
+from .configuration_check import faults_of
 from .fold import BaseFold
 from .records import Entry, Publication
 
@@ -30,6 +31,11 @@
         record = entry.record
         if not isinstance(record, Publication):
             return "not a publication"
+        # The console checks before it publishes, but anybody with access to the log
+        # can append.  A group of no hosts or a share of 40 would be carried out.
+        faults = faults_of(record.document)
+        if faults:
+            return f"invalid document: {faults[0]}"
         if record.original_version != NO_VERSION:
             return self._apply_repeated(record)
         if record.base_version != self.version:
--- /dev/null
+++ b/tests/test_protocol/test_configuration_document.py
@@ -0,0 +1,177 @@
+"""Test the check, the encoding and the comparison of configuration documents."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from ryelever.accounts import hash_key
+from ryelever.protocol.configuration_document import (
+    canonical,
+    check_document,
+    difference,
+)
+from ryelever.state.configuration import Configuration, Model
+
+KEY_HASH = hash_key("pawroute.key", salt="0123456789abcdef")
+
+
+def _document(path: str = "", value: object = None) -> dict:
+    """Return a valid document, with one value put at a dotted path."""
+    document = {
+        "models": {"notes": {"version": "v1", "adapters": {"walks": "v2"}}},
+        "client_accounts": {"pawroute": {"key_hash": KEY_HASH, "models": ["notes"]}},
+        "services": {"bookings": {"non_repeatable": ["/bookings"]}},
+        "weights": {"group_downtime": 0.7, "stranded_accelerators": 0.3},
+    }
+    *parents, last = path.split(".")
+    place = document
+    for name in parents:
+        place = place.setdefault(name, {})
+    if path:
+        place[last] = value
+    return document
+
+
+def _faults(document: object) -> dict[str, str]:
+    checked = check_document(json.dumps(document).encode())
+    assert checked.is_error()
+    return {fault.place: str(fault) for fault in checked.error}
+
+
+def test_valid_document_with_comments_is_read() -> None:
+    text = "// wanted\n" + json.dumps(_document())
+    checked = check_document(text.encode())
+    assert checked.ok.models["notes"].adapters == {"walks": "v2"}
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "place"),
+    [
+        ("models.notes.version", "", "/models/notes/version"),
+        ("models.notes.version", 3, "/models/notes/version"),
+        ("models.notes.hosts_per_group", 0, "/models/notes/hosts_per_group"),
+        ("models.notes.hosts_per_group", "4", "/models/notes/hosts_per_group"),
+        ("models.notes.hosts_per_group", True, "/models/notes/hosts_per_group"),
+        ("models.notes.n_groups", 0, "/models/notes/n_groups"),
+        ("models.notes.n_groups", 1.5, "/models/notes/n_groups"),
+        ("models.notes.n_group", 1, "/models/notes/n_group"),
+        ("models.notes.priority", 10**9, "/models/notes/priority"),
+        ("models.notes.adapters", {"a b": "v"}, "/models/notes/adapters/a b"),
+        ("models.notes", [], "/models/notes"),
+        ("models", None, "/models"),
+        ("models.<script>", {"version": "v"}, "/models/<script>"),
+        ("models.a/b", {"version": "v"}, "/models/a~1b"),
+        ("models.other", {}, "/models/other/version"),
+        ("client_accounts.p", {}, "/client_accounts/p/key_hash"),
+        (
+            "client_accounts.pawroute.key_hash",
+            "secret",
+            "/client_accounts/pawroute/key_hash",
+        ),
+        ("client_accounts.pawroute.rate", 0, "/client_accounts/pawroute/rate"),
+        (
+            "client_accounts.pawroute.rate",
+            float("inf"),
+            "/client_accounts/pawroute/rate",
+        ),
+        (
+            "client_accounts.pawroute.share",
+            float("nan"),
+            "/client_accounts/pawroute/share",
+        ),
+        ("client_accounts.pawroute.share", 1.1, "/client_accounts/pawroute/share"),
+        (
+            "client_accounts.pawroute.concurrency",
+            0,
+            "/client_accounts/pawroute/concurrency",
+        ),
+        (
+            "client_accounts.pawroute.models",
+            ["nots"],
+            "/client_accounts/pawroute/models",
+        ),
+        (
+            "services.bookings.non_repeatable",
+            ["bookings"],
+            "/services/bookings/non_repeatable",
+        ),
+        ("weights.group_downtime", -0.1, "/weights/group_downtime"),
+        ("weights", {"group_downtime": 0, "stranded_accelerators": 0}, "/weights"),
+        ("wieghts", {}, "/wieghts"),
+    ],
+)
+def test_fault_is_named_with_its_place(path: str, value: object, place: str) -> None:
+    assert place in _faults(_document(path, value))
+
+
+def test_shares_may_not_sum_above_one() -> None:
+    document = _document("client_accounts.other", {"key_hash": KEY_HASH, "share": 0.95})
+    assert "they sum to 1.05" in _faults(document)["/client_accounts"]
+
+
+def test_ten_shares_of_a_tenth_sum_to_one() -> None:
+    accounts = {f"a{n}": {"key_hash": KEY_HASH} for n in range(10)}
+    assert check_document(json.dumps({"client_accounts": accounts}).encode()).is_ok()
+
+
+def test_every_fault_is_named_in_one_run() -> None:
+    document = _document("models.notes.n_groups", "two")
+    document["models"]["notes"]["hosts_per_group"] = 0
+    document["client_accounts"]["pawroute"]["models"] = ["gone"]
+    document["extra"] = 1
+    assert set(_faults(document)) == {
+        "/extra",
+        "/models/notes/n_groups",
+        "/models/notes/hosts_per_group",
+        "/client_accounts/pawroute/models",
+    }
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"\xff",
+        b'{"models": {}, "models": {}}',
+        b"[" * 100_000,
+        b" " * (2 << 20),
+    ],
+)
+def test_what_is_no_document_is_one_fault(data: bytes) -> None:
+    checked = check_document(data)
+    assert [fault.place for fault in checked.error] == ["/"]
+
+
+def test_canonical_encoding_does_not_depend_on_order() -> None:
+    one = {"b": Model(version="1"), "a": Model(version="2")}
+    other = dict(reversed(one.items()))
+    first = canonical(Configuration(models=one))
+    assert first == canonical(Configuration(models=other))
+    assert check_document(first).ok == Configuration(models=one)
+
+
+def test_difference_names_place_before_and_after() -> None:
+    before = check_document(json.dumps(_document()).encode()).ok
+    after = check_document(
+        json.dumps(_document("models.notes.version", "v9")).encode()
+    ).ok
+    assert difference(before, before) == []
+    (change,) = difference(before, after)
+    assert (change.place, change.before, change.after) == (
+        "/models/notes/version",
+        '"v1"',
+        '"v9"',
+    )
+
+
+def test_difference_names_what_was_added_and_removed() -> None:
+    changes = difference(
+        Configuration(), Configuration(models={"m": Model(version="1")})
+    )
+    after_by_place = {change.place: change.after for change in changes}
+    assert after_by_place["/models/m/version"] == '"1"'
+    assert {change.before for change in changes} == {""}
--- a/tests/test_state/test_configuration_fold.py
+++ b/tests/test_state/test_configuration_fold.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ryelever.state.configuration import Configuration
+from ryelever.state.configuration import Configuration, Model
 from ryelever.state.configuration_fold import ConfigurationFold
 from ryelever.state.records import Entry, Publication
 
@@ -39,3 +39,17 @@
     reason = fold.apply(_publication(1, -1, author="ana", record_id="same"))
     assert reason == "repeated append of the record at offset 0"
     assert fold.version == 0
+
+
+def test_invalid_document_is_ignored_with_its_fault() -> None:
+    """Append a faulty document to the log by hand.
+
+    Symptom: groups of no hosts are formed.  Sequence: somebody appends a document
+    without the console.  Cause: nothing behind the console checked it again.
+    """
+    document = Configuration(models={"notes": Model(version="v", hosts_per_group=0)})
+    record = Publication(base_version=-1, author="ana", document=document)
+    fold = ConfigurationFold()
+    reason = fold.apply(Entry(offset=0, time=0.0, id="id", record=record))
+    assert reason is not None and "/models/notes/hosts_per_group" in reason
+    assert fold.configuration == Configuration()
