--- a/ryelever/cli.py
+++ b/ryelever/cli.py
@@ -4,22 +4,30 @@
 
 import json
 import sys
+import urllib.error
 import urllib.request
 from pathlib import Path
 
 import defopt
 
 from . import __version__
-from .settings import Settings, read_settings
+from .errors import RyeleverError
+from .faults import Fault
+from .protocol.configuration_document import check_document
+from .settings import Settings, read_settings, reference
 
 __all__ = ["main"]
 
 #: Exit codes; docs/OPERATING.md explains them.
 EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_FAULTY_INPUT = 2
 EXIT_CUT_OFF = 3
 EXIT_UNREACHABLE = 4
 
+#: Seconds for an entry host to answer a dump.
+DUMP_TIMEOUT = 10
+
 
 def serve(*, settings: Path) -> int:
     """Run an entry host until it is told to stop.
@@ -29,29 +37,53 @@
     settings : Path
         Settings in JSON with comments.
     """
+    # Only this command needs the whole program; the others start faster without.
     from .application import Application
-    from .logs import configure
+    from .logs import configure, log_error
 
-    checked = _checked_settings(settings)
+    text = _read(settings)
+    checked = None if text is None else _checked_settings(settings, text)
     if checked is None:
         return EXIT_FAULTY_INPUT
     configure()
-    application = Application(settings=checked)
+    try:
+        application = Application(settings=checked)
+    except OSError as error:
+        log_error(
+            "cannot_start",
+            step="bind",
+            peer=checked.callers_address,
+            message=f"{error.strerror}; free the address or mend callers_address",
+        )
+        return EXIT_FAILED
     application.run()
     return application.exit_code
 
 
-def check(*, settings: Path) -> int:
-    """Check a settings file and name every fault.
+def check(*, settings: Path | None = None, document: Path | None = None) -> int:
+    """Check a settings file, a configuration document or both; name every fault.
 
     Parameters
     ----------
-    settings : Path
+    settings
         Settings in JSON with comments.
+    document
+        Configuration document, as the console publishes it.
     """
-    if _checked_settings(settings) is None:
+    if settings is None and document is None:
+        print("nothing to check: give --settings or --document", file=sys.stderr)
+        return EXIT_FAULTY_INPUT
+    good = True
+    if settings is not None:
+        text = _read(settings)
+        good &= text is not None and _checked_settings(settings, text) is not None
+    if document is not None:
+        good &= _check_document(document)
+    if not good:
         return EXIT_FAULTY_INPUT
-    print(f"{settings}: no fault")
+    for path in (settings, document):
+        if path is not None:
+            print(f"{path}: no fault")
     return EXIT_OK
 
 
@@ -65,41 +97,74 @@
     key_file : Path
         File that holds the operator key.
     """
+    key = _read(key_file)
+    if key is None:
+        return EXIT_FAULTY_INPUT
     request = urllib.request.Request(
-        f"http://{address}/dump",
-        headers={"Authorization": f"Bearer {key_file.read_text().strip()}"},
+        f"http://{address}/dump", headers={"Authorization": f"Bearer {key.strip()}"}
     )
     try:
-        with urllib.request.urlopen(request, timeout=10) as answer:
+        with urllib.request.urlopen(request, timeout=DUMP_TIMEOUT) as answer:
             state = json.load(answer)
-    except OSError as error:
+    except urllib.error.HTTPError as error:
+        print(f"{address}: refused: {error}; is {key_file} right?", file=sys.stderr)
+        return EXIT_FAILED
+    except (OSError, ValueError) as error:
         print(f"{address}: cannot dump: {error}", file=sys.stderr)
         return EXIT_UNREACHABLE
     print(json.dumps(state, indent=2))
     return EXIT_OK
 
 
+def settings_reference() -> int:
+    """Print the table of all settings in Markdown."""
+    print(reference(), end="")
+    return EXIT_OK
+
+
 def version() -> int:
     """Print the version."""
     print(__version__)
     return EXIT_OK
 
 
-def main() -> int:
+def main(argv: list[str] | None = None) -> int:
     """Run the command that the command line names."""
-    commands = [serve, check, dump, version]
-    return defopt.run(commands, cli_options="has_default") or EXIT_OK
+    commands = [serve, check, dump, settings_reference, version]
+    try:
+        return defopt.run(commands, argv=argv, cli_options="all") or EXIT_OK
+    except RyeleverError as error:
+        print(f"{error.step}: {error.message}", file=sys.stderr)
+        return EXIT_FAILED
 
 
-def _checked_settings(path: Path) -> Settings | None:
+def _read(path: Path) -> str | None:
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         print(f"{path}: cannot read: {error}", file=sys.stderr)
         return None
+
+
+def _checked_settings(path: Path, text: str) -> Settings | None:
     checked = read_settings(text)
     if checked.is_ok():
         return checked.ok
-    for fault in checked.error:
-        print(f"{path}: {fault}", file=sys.stderr)
+    _print_faults(path, checked.error)
     return None
+
+
+def _check_document(path: Path) -> bool:
+    try:
+        checked = check_document(path.read_bytes())
+    except OSError as error:
+        print(f"{path}: cannot read: {error}", file=sys.stderr)
+        return False
+    if checked.is_error():
+        _print_faults(path, checked.error)
+    return checked.is_ok()
+
+
+def _print_faults(path: Path, faults: list[Fault]) -> None:
+    for fault in faults:
+        print(f"{path}: {fault}", file=sys.stderr)
--- a/ryelever/logs.py
+++ b/ryelever/logs.py
@@ -9,7 +9,7 @@
 
 from .protocol.json_codec import encode
 
-__all__ = ["configure", "log_event", "log_warning"]
+__all__ = ["configure", "log_error", "log_event", "log_warning"]
 
 
 class _JsonFormatter(standard_logging.Formatter):
@@ -44,3 +44,8 @@
 def log_warning(event: str, **fields: object) -> None:
     """Log one event that an operator may want to act on."""
     logging.get_absl_logger().warning(event, extra={"fields": fields})
+
+
+def log_error(event: str, **fields: object) -> None:
+    """Log one event after which the process cannot go on."""
+    logging.get_absl_logger().error(event, extra={"fields": fields})
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import ipaddress
+import math
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -16,7 +19,16 @@
 
 from .faults import Fault
 
-__all__ = ["SETTINGS", "Fault", "Setting", "Settings", "read_settings"]
+__all__ = [
+    "SETTINGS",
+    "Fault",
+    "Setting",
+    "Settings",
+    "read_settings",
+    "reference",
+]
+
+_JSON5_PLACE = re.compile(r"<string>:(?P<line>\d+) (?P<what>.*)", re.S)
 
 #: Marks a setting that has no default.
 REQUIRED = object()
@@ -48,7 +60,7 @@
     return (
         isinstance(value, str)
         and bool(value)
-        and all(char.isalnum() or char in "-_." for char in value)
+        and all(char.isascii() and (char.isalnum() or char in "-_.") for char in value)
     )
 
 
@@ -60,7 +72,7 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isdigit() and int(port) < 65536
+    return port.isascii() and port.isdigit() and int(port) < 65536
 
 
 def _is_addresses(value: Any) -> bool:
@@ -72,7 +84,8 @@
 
 
 def _is_positive(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and value > 0
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    return number and 0 < value < math.inf
 
 
 def _is_size(value: Any) -> bool:
@@ -308,19 +321,11 @@
 
 
 def read_settings(text: str) -> Result[Settings, list[Fault]]:
-    """Read settings and check all of them."""
+    """Read settings and check all of them; faults name their line in the text."""
     try:
         values = json5.loads(text, allow_duplicate_keys=False)
-    except ValueError as error:
-        return Error(
-            [
-                Fault(
-                    place="file",
-                    expected="JSON with comments",
-                    remedy=f"mend the text: {error}",
-                )
-            ]
-        )
+    except (ValueError, RecursionError) as error:
+        return Error([_unreadable(error)])
     if not isinstance(values, dict):
         return Error(
             [
@@ -339,7 +344,78 @@
         if fault is not None:
             faults.append(fault)
         checked[setting.name] = value
-    return Error(faults) if faults else Ok(Settings(**checked))
+    if not faults:
+        faults = _disagreements(checked)
+    if faults:
+        return Error([_with_line(fault, text) for fault in faults])
+    return Ok(Settings(**checked))
+
+
+def reference() -> str:
+    """Return the table of all settings in Markdown, for docs/OPERATING.md."""
+    lines = [
+        "| setting | default | accepts | meaning |",
+        "|---|---|---|---|",
+    ]
+    for setting in SETTINGS:
+        default = "required" if setting.default is REQUIRED else f"`{setting.default}`"
+        if setting.default in ("", []):
+            default = "none"
+        meaning = setting.meaning + (" Secret." if setting.secret else "")
+        lines.append(
+            f"| `{setting.name}` | {default} | {setting.expected} | {meaning} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _unreadable(error: Exception) -> Fault:
+    # json5 opens its message with "<string>:LINE", where it knows the line.
+    found = _JSON5_PLACE.match(str(error))
+    if found is None:
+        place, what = "file", str(error)
+    else:
+        place, what = f"line {found['line']}", found["what"]
+    return Fault(
+        place=place, expected="JSON with comments", remedy=f"mend the text: {what}"
+    )
+
+
+def _with_line(fault: Fault, text: str) -> Fault:
+    key = re.search(rf"""^[^\S\n]*["']?{re.escape(fault.place)}["']?\s*:""", text, re.M)
+    if key is None:
+        return fault
+    line = text.count("\n", 0, key.start()) + 1
+    return dataclasses.replace(fault, place=f"{fault.place} (line {line})")
+
+
+def _disagreements(values: dict[str, Any]) -> list[Fault]:
+    """Check what one setting demands of another."""
+    faults = []
+    if values["availability_zone"] not in values["availability_zones"]:
+        faults.append(
+            Fault(
+                place="availability_zones",
+                expected=f"{values['availability_zone']!r}, the own zone, among them",
+                remedy="add it, or mend availability_zone",
+            )
+        )
+    if values["report_max_age"] <= values["report_interval"]:
+        faults.append(
+            Fault(
+                place="report_max_age",
+                expected=f"more than report_interval, {values['report_interval']:g}",
+                remedy="raise it: a report would expire before the next is asked for",
+            )
+        )
+    if values["peers"] and not values["peer_key"]:
+        faults.append(
+            Fault(
+                place="peer_key",
+                expected="a key, since peers are given",
+                remedy="give all entry hosts the same one; others could speak as peers",
+            )
+        )
+    return faults
 
 
 def _unknown(name: str) -> Fault:
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,108 @@
+"""Test how settings are read and checked."""
+
+from __future__ import annotations
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from ryelever.settings import REQUIRED, SETTINGS, read_settings, reference
+
+OPERATING = Path(__file__).parents[1] / "docs" / "OPERATING.md"
+
+GOOD = {
+    "host": "entry-1",
+    "availability_zone": "brisbane",
+    "availability_zones": ["brisbane", "ipswich"],
+    "callers_address": "127.0.0.1:8080",
+    "log_address": "127.0.0.1:9000",
+    "hosts_list_address": "127.0.0.1:9001",
+}
+
+
+def faults_of(**changes: object) -> list[str]:
+    """Return the faults of good settings with some changes."""
+    checked = read_settings(json.dumps(GOOD | changes, indent=2))
+    return [] if checked.is_ok() else [str(fault) for fault in checked.error]
+
+
+def test_comments_are_allowed() -> None:
+    text = "// own\n" + json.dumps(GOOD).replace("{", "{ /* all */ ", 1)
+    assert read_settings(text).ok.host == "entry-1"
+
+
+def test_every_fault_is_named_in_one_run_with_its_line() -> None:
+    faults = faults_of(host="", callers_address="localhost:80", max_bdy=1)
+    assert [fault.partition(":")[0] for fault in faults] == [
+        "max_bdy (line 11)",
+        "host (line 2)",
+        "callers_address (line 8)",
+    ]
+    assert all("expected" in fault for fault in faults)
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        ("", "file"),
+        ("[]", "file"),
+        ('{\n"host": ]}', "line 2"),
+        ('{"host": "a", "host": "b"}', "file"),
+        ("[" * 100_000, "file"),
+    ],
+)
+def test_text_that_is_no_object_is_one_fault(text: str, place: str) -> None:
+    (fault,) = read_settings(text).error
+    assert fault.place == place
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("host", "a b"),
+        ("host", 3),
+        ("availability_zones", "brisbane"),
+        ("callers_address", "::1:80"),
+        ("callers_address", "127.0.0.1:99999"),
+        ("log_address", "127.0.0.1"),
+        ("peers", ["127.0.0.1"]),
+        ("request_timeout", 0),
+        ("request_timeout", True),
+        ("request_timeout", "60"),
+        ("request_timeout", float("inf")),
+        ("max_body", 1.5),
+        ("operator_key", "short"),
+        ("availability_zones", ["ipswich"]),
+        ("report_max_age", 0.1),
+        ("peers", ["127.0.0.1:1"]),
+    ],
+)
+def test_bad_value_is_refused(name: str, value: object) -> None:
+    (fault,) = faults_of(**{name: value})
+    assert fault.startswith(("peer_key" if name == "peers" else name, "peers"))
+
+
+def test_secret_is_not_shown_in_its_fault() -> None:
+    (fault,) = faults_of(operator_key="tooshort")
+    assert "tooshort" not in fault
+
+
+def test_defaults_are_good() -> None:
+    """Accept each default, so that a file with the required settings suffices."""
+    assert faults_of() == []
+    assert all(
+        setting.check(setting.default)
+        for setting in SETTINGS
+        if setting.default is not REQUIRED
+    )
+
+
+def test_reference_in_the_docs_is_current() -> None:
+    """Find the table of docs/OPERATING.md as `make reference` writes it."""
+    found = re.search(
+        r"<!-- settings -->\n(.*?)<!-- end of settings -->", OPERATING.read_text(), re.S
+    )
+    assert found is not None
+    assert found[1].strip() == reference().strip()
--- /dev/null
+++ b/tests/write_reference.py
@@ -0,0 +1,24 @@
+"""Write the generated table of docs/OPERATING.md: ``make reference``."""
+
+from __future__ import annotations
+
+import re
+
+from ryelever.settings import reference
+
+from .test_settings import OPERATING
+
+
+def main() -> None:
+    """Replace the table between its two marks."""
+    text = re.sub(
+        r"(<!-- settings -->\n).*?(<!-- end of settings -->)",
+        lambda found: f"{found[1]}{reference()}{found[2]}",
+        OPERATING.read_text(),
+        flags=re.S,
+    )
+    OPERATING.write_text(text)
+
+
+if __name__ == "__main__":
+    main()
