Ship one file, the same for the same sources, and try it in `make test`

`make dist` writes dist/ryelever.pyz from the lock file by shiv, with fixed times and without the paths of the machine that built it.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 test: lint
 	$(BIN)/python -m pytest
+	$(MAKE) smoke
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff check .
@@ -22,6 +23,23 @@
 demo: $(VENV)/.installed
 	$(BIN)/python -m examples.demo
 
+# One file, the same for the same sources and lock file: the times inside are fixed
+# and only what the lock file names goes in.
+dist: $(VENV)/.installed
+	rm -rf build dist
+	$(BIN)/pip install --quiet --no-deps --no-compile --target build/site \
+	    --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-compile --target build/site .
+	rm -rf build/site/bin build/site/ryelever-*.dist-info/direct_url.json
+	mkdir -p dist
+	SOURCE_DATE_EPOCH=315532800 $(BIN)/shiv --reproducible --no-modify \
+	    --site-packages build/site --python "/usr/bin/env python3.11" \
+	    --console-script ryelever --output-file dist/ryelever.pyz
+	sha256sum dist/ryelever.pyz
+
+smoke: dist
+	$(BIN)/python -m tests.smoke
+
 reference: $(VENV)/.installed
 	$(BIN)/python -m tests.write_reference
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -51,8 +51,9 @@
         self.name = name
         self.log = log
         self._stream = log.open("wb")
+        self.started_at = time.time()
         self._popen = subprocess.Popen(
-            [sys.executable, "-m", *arguments],
+            [sys.executable, *arguments],
             stdout=self._stream,
             stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
@@ -171,7 +172,7 @@
         """Start a stand-in and return its address."""
         process = Process(
             name=name,
-            arguments=[f"tests.standins.{module}", *arguments],
+            arguments=["-m", f"tests.standins.{module}", *arguments],
             log=self.directory / f"{name}.log",
         )
         self.processes_by_name[name] = process
@@ -247,7 +248,14 @@
 
     # Entry hosts
 
-    def start_entry(self, name: str, *, zone: str, **settings: Any) -> EntryHost:
+    def start_entry(
+        self,
+        name: str,
+        *,
+        zone: str,
+        program: tuple[str, ...] = ("-m", "ryelever"),
+        **settings: Any,
+    ) -> EntryHost:
         """Start an entry host on a free port."""
         values = {
             "host": name,
@@ -263,7 +271,7 @@
         path.write_text(json.dumps(values))
         process = Process(
             name=name,
-            arguments=["ryelever", "serve", "--settings", str(path)],
+            arguments=[*program, "serve", "--settings", str(path)],
             log=self.directory / f"{name}.log",
         )
         self.processes_by_name[name] = process
