--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import ipaddress
+import math
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,22 +17,21 @@
 import json5
 from expression import Error, Ok, Result
 
-__all__ = ["SETTINGS", "Fault", "Setting", "Settings", "read_settings"]
+from .faults import Fault
 
-#: Marks a setting that has no default.
-REQUIRED = object()
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Fault:
-    """Name one fault: its place, what was expected, and what to do."""
+__all__ = [
+    "SETTINGS",
+    "Fault",
+    "Setting",
+    "Settings",
+    "read_settings",
+    "reference",
+]
 
-    place: str
-    expected: str
-    remedy: str
+_JSON5_PLACE = re.compile(r"<string>:(?P<line>\d+) (?P<what>.*)", re.S)
 
-    def __str__(self) -> str:
-        return f"{self.place}: expected {self.expected}; {self.remedy}"
+#: Marks a setting that has no default.
+REQUIRED = object()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -58,7 +60,7 @@
     return (
         isinstance(value, str)
         and bool(value)
-        and all(char.isalnum() or char in "-_." for char in value)
+        and all(char.isascii() and (char.isalnum() or char in "-_.") for char in value)
     )
 
 
@@ -70,7 +72,7 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isdigit() and int(port) < 65536
+    return port.isascii() and port.isdigit() and int(port) < 65536
 
 
 def _is_addresses(value: Any) -> bool:
@@ -82,7 +84,8 @@
 
 
 def _is_positive(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and value > 0
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    return number and 0 < value < math.inf
 
 
 def _is_size(value: Any) -> bool:
@@ -187,12 +190,56 @@
         expected=_SECONDS,
         meaning="Deadline of a request that names none.",
     ),
+    Setting(
+        name="max_request_timeout",
+        default=600.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Longest deadline that a caller may name in X-Request-Timeout.",
+    ),
     Setting(
         name="progress_timeout",
         default=2.0,
         check=_is_positive,
         expected=_SECONDS,
-        meaning="Silence of a connection after which it is given up.",
+        meaning="Silence of a connection, or between tokens, after which it is "
+        "given up.",
+    ),
+    Setting(
+        name="first_token_timeout",
+        default=10.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Silence of an engine until the first token of an attempt.",
+    ),
+    Setting(
+        name="service_timeout",
+        default=15.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Silence of a plain service until the first byte of its answer.",
+    ),
+    Setting(
+        name="unread_timeout",
+        default=20.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Time for which a caller may leave its answer unread.",
+    ),
+    Setting(
+        name="claim_timeout",
+        default=5.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Wait for the log to confirm the claim of a request that runs at "
+        "most once.",
+    ),
+    Setting(
+        name="recovery_timeout",
+        default=8.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Wait of a request whose attempt failed for another backend server.",
     ),
     Setting(
         name="report_interval",
@@ -222,6 +269,14 @@
         expected=_SECONDS,
         meaning="Term of the planner's lease of an availability zone.",
     ),
+    Setting(
+        name="drain_grace",
+        default=3.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Time at the start of a graceful shutdown in which new requests are "
+        "still taken, so that the balancer turns away first.",
+    ),
     Setting(
         name="drain_timeout",
         default=30.0,
@@ -229,6 +284,20 @@
         expected=_SECONDS,
         meaning="Longest graceful shutdown; what is left then ends with an error.",
     ),
+    Setting(
+        name="callers_request_timeout",
+        default=10.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Longest time in which a caller's whole request must arrive.",
+    ),
+    Setting(
+        name="callers_idle_timeout",
+        default=75.0,
+        check=_is_positive,
+        expected=_SECONDS,
+        meaning="Time after which a caller's idle connection is closed.",
+    ),
     Setting(
         name="max_body",
         default=4 << 20,
@@ -260,19 +329,11 @@
 
 
 def read_settings(text: str) -> Result[Settings, list[Fault]]:
-    """Read settings and check all of them."""
+    """Read settings and check all of them; faults name their line in the text."""
     try:
         values = json5.loads(text, allow_duplicate_keys=False)
-    except ValueError as error:
-        return Error(
-            [
-                Fault(
-                    place="file",
-                    expected="JSON with comments",
-                    remedy=f"mend the text: {error}",
-                )
-            ]
-        )
+    except (ValueError, RecursionError) as error:
+        return Error([_unreadable(error)])
     if not isinstance(values, dict):
         return Error(
             [
@@ -291,7 +352,78 @@
         if fault is not None:
             faults.append(fault)
         checked[setting.name] = value
-    return Error(faults) if faults else Ok(Settings(**checked))
+    if not faults:
+        faults = _disagreements(checked)
+    if faults:
+        return Error([_with_line(fault, text) for fault in faults])
+    return Ok(Settings(**checked))
+
+
+def reference() -> str:
+    """Return the table of all settings in Markdown, for docs/OPERATING.md."""
+    lines = [
+        "| setting | default | accepts | meaning |",
+        "|---|---|---|---|",
+    ]
+    for setting in SETTINGS:
+        default = "required" if setting.default is REQUIRED else f"`{setting.default}`"
+        if setting.default in ("", []):
+            default = "none"
+        meaning = setting.meaning + (" Secret." if setting.secret else "")
+        lines.append(
+            f"| `{setting.name}` | {default} | {setting.expected} | {meaning} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+def _unreadable(error: Exception) -> Fault:
+    # json5 opens its message with "<string>:LINE", where it knows the line.
+    found = _JSON5_PLACE.match(str(error))
+    if found is None:
+        place, what = "file", str(error)
+    else:
+        place, what = f"line {found['line']}", found["what"]
+    return Fault(
+        place=place, expected="JSON with comments", remedy=f"mend the text: {what}"
+    )
+
+
+def _with_line(fault: Fault, text: str) -> Fault:
+    key = re.search(rf"""^[^\S\n]*["']?{re.escape(fault.place)}["']?\s*:""", text, re.M)
+    if key is None:
+        return fault
+    line = text.count("\n", 0, key.start()) + 1
+    return dataclasses.replace(fault, place=f"{fault.place} (line {line})")
+
+
+def _disagreements(values: dict[str, Any]) -> list[Fault]:
+    """Check what one setting demands of another."""
+    faults = []
+    if values["availability_zone"] not in values["availability_zones"]:
+        faults.append(
+            Fault(
+                place="availability_zones",
+                expected=f"{values['availability_zone']!r}, the own zone, among them",
+                remedy="add it, or mend availability_zone",
+            )
+        )
+    if values["report_max_age"] <= values["report_interval"]:
+        faults.append(
+            Fault(
+                place="report_max_age",
+                expected=f"more than report_interval, {values['report_interval']:g}",
+                remedy="raise it: a report would expire before the next is asked for",
+            )
+        )
+    if values["peers"] and not values["peer_key"]:
+        faults.append(
+            Fault(
+                place="peer_key",
+                expected="a key, since peers are given",
+                remedy="give all entry hosts the same one; others could speak as peers",
+            )
+        )
+    return faults
 
 
 def _unknown(name: str) -> Fault:
