--- a/tests/test_coordination/test_limits.py
+++ b/tests/test_coordination/test_limits.py
@@ -170,6 +170,18 @@
     assert limits.concurrency(ACCOUNT, 100, now=40.0) <= 10
 
 
+@pytest.mark.parametrize(("n_elsewhere", "places"), [(0, 1), (2, 1), (3, 0)])
+def test_part_below_one_is_rounded_up_while_there_is_room(
+    n_elsewhere: int, places: int
+) -> None:
+    limits = AccountLimits(n_hosts=lambda: 8)
+    row = DemandRow(
+        client_account=ACCOUNT, rate=0.0, n_in_flight=n_elsewhere, n_waiting=0
+    )
+    limits.observed(row, peer="b", observed_at=0.0, now=0.0)
+    assert limits.concurrency(ACCOUNT, 3, now=0.0) == places
+
+
 def test_single_host_has_the_whole_limit() -> None:
     limits = AccountLimits(n_hosts=lambda: 1)
     assert limits.rate(ACCOUNT, 50.0, now=0.0) == 50.0
