Hold reads of the log while a claim's owner is killed

Cause: the run killed an entry host between its claim and its read of it by a delay of 400 ms. The stand-in log now holds reads until told to go on, so the order of events no longer depends on time. Ruled out: a fault of the product; the booking ran once in the failed run too.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,6 +29,9 @@
 PEER_KEY = "peer-key-of-the-tests"
 OPERATOR_KEY = "operator-key-of-the-tests"
 
+#: What the interpreter is given to run ryelever from its source.
+SOURCE_PROGRAM = ("-m", "ryelever")
+
 
 def wait_until(
     condition: Callable[[], Any], *, what: str, timeout: float = PATIENCE
@@ -356,11 +359,12 @@
         name: str,
         *,
         zone: str,
-        program: tuple[str, ...] = ("-m", "ryelever"),
+        program: tuple[str, ...] = SOURCE_PROGRAM,
         **settings: Any,
     ) -> EntryHost:
-        """Start an entry host on a free port."""
-        return self.start_entries(name, zone=zone, **settings)[0]
+        """Start an entry host on a free port, also from another program file."""
+        self._launch_entry(name, zone=zone, settings=settings, program=program)
+        return self._await_entry(name, zone=zone)
 
     def start_entries(self, *names: str, zone: str, **settings: Any) -> list[EntryHost]:
         """Start several entry hosts at the same time."""
@@ -368,7 +372,14 @@
             self._launch_entry(name, zone=zone, settings=settings)
         return [self._await_entry(name, zone=zone) for name in names]
 
-    def _launch_entry(self, name: str, *, zone: str, settings: dict[str, Any]) -> None:
+    def _launch_entry(
+        self,
+        name: str,
+        *,
+        zone: str,
+        settings: dict[str, Any],
+        program: tuple[str, ...] = SOURCE_PROGRAM,
+    ) -> None:
         values = {
             "host": name,
             "availability_zone": zone,
--- a/tests/standins/log_service.py
+++ b/tests/standins/log_service.py
@@ -12,6 +12,9 @@
 
 from .runner import run
 
+#: Seconds between two looks at whether reads are still held.
+HOLD_CHECK = 0.02
+
 
 @dataclass(slots=True, kw_only=True)
 class _Stream:
@@ -36,6 +39,8 @@
         Wait before each answer.
     lose_append_answers : bool
         Take appends and break the connection in place of an answer.
+    hold_reads : bool
+        Answer no read until it is switched off again.
     retention : int
         Records kept in each stream; 0 keeps all.
     """
@@ -43,6 +48,7 @@
     outage: bool = False
     delay_ms: float = 0.0
     lose_append_answers: bool = False
+    hold_reads: bool = False
     retention: int = 0
 
 
@@ -110,6 +116,8 @@
         if offset >= stream.next and wait:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(stream.grown.wait(), wait)
+        while self.switches.hold_reads:
+            await asyncio.sleep(HOLD_CHECK)
         await self._fault()
         start = max(0, offset - stream.first)
         page = stream.entries[start : start + limit]
--- a/tests/test_system/test_claims.py
+++ b/tests/test_system/test_claims.py
@@ -49,11 +49,11 @@
     """
     fleet.start_world()
     caller, key = Caller(fleet), new_key()
-    fleet.control("log", delay_ms=400)
+    fleet.control("log", hold_reads=True)
     first = _Booking(caller, fleet, key)
     wait_until(lambda: _n_claims(fleet) == 1, what="the claim is in the log")
     fleet.processes_by_name["e1"].kill()
-    fleet.control("log", delay_ms=0)
+    fleet.control("log", hold_reads=False)
     assert first.wait() is None
     _wait_claim_known(fleet)
     answer = caller.book(fleet.entries_by_name["e2"], key)
