--- a/tests/test_system/test_drain.py
+++ b/tests/test_system/test_drain.py
@@ -5,8 +5,9 @@
 import asyncio
 import itertools
 import signal
+import threading
 
-from ..callers import Answer, Caller
+from ..callers import Answer, Caller, new_key
 from ..processes import EntryHost, Fleet, wait_until
 
 
@@ -140,3 +141,32 @@
     assert {answer.error["code"] for answer in answers} == {"shutting_down"}
     wait_until(lambda: entry.process.exit_code is not None, what="the host ends")
     assert entry.process.exit_code == 3
+
+
+def test_outcome_is_appended_before_the_host_ends(fleet: Fleet) -> None:
+    """Stop a host while the log cannot take the outcome of a booking.
+
+    Symptom: a booking ran and was answered, and a resend is told "in progress" for
+    ever.  Sequence: the booking runs, the log is down, SIGTERM comes, the log comes
+    back.  Cause: a host that ends as soon as its callers have their answers.
+    """
+    fleet.start_world()
+    caller, key = Caller(fleet), new_key()
+    entry = fleet.entries_by_name["e1"]
+    fleet.control("service", delay=0.5)
+    booking = threading.Thread(target=caller.book, args=(entry, key))
+    booking.start()
+    wait_until(lambda: fleet.n_runs() == [1], what="the booking runs")
+    fleet.control("log", outage=True)
+    booking.join()
+    entry.process.send(signal.SIGTERM)
+    closed = entry.process.wait_for_event("drain_closed")
+    assert closed["appends"] == 1
+    fleet.control("log", outage=False)
+    wait_until(lambda: entry.process.exit_code is not None, what="the host ends")
+    assert entry.process.exit_code == 0
+    other = fleet.entries_by_name["e2"]
+    wait_until(
+        lambda: caller.book(other, key).status_code == 201, what="the stored answer"
+    )
+    assert fleet.n_runs() == [1]
--- a/tests/test_system/test_path.py
+++ b/tests/test_system/test_path.py
@@ -3,35 +3,20 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
 
 import httpx
 import pytest
 
-from ..processes import Fleet, wait_until
+from ..processes import Fleet, running_fleet
 
 
-@pytest.fixture
-def small_fleet(fleet: Fleet) -> Fleet:
+@pytest.fixture(scope="module")
+def small_fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
     """Start one group, one plain service and two entry hosts in one zone."""
-    fleet.start_platform()
-    fleet.start_engines(*(f"h{rank}" for rank in range(4)), zone="z", domain="d")
-    fleet.start_service("service", zone="z", service="bookings")
-    fleet.publish(
-        {
-            "models": {"notes": {"version": "v1"}},
-            "client_accounts": {"pawroute": fleet.account("pawroute")},
-            "services": {"bookings": {"non_repeatable": ["/bookings"]}},
-        }
-    )
-    for name in ("e1", "e2"):
-        fleet.start_entry(name, zone="z")
-    wait_until(
-        lambda: all(
-            entry.n_whole_groups() == 1 for entry in fleet.entries_by_name.values()
-        ),
-        what="the group is whole",
-    )
-    return fleet
+    with running_fleet(tmp_path_factory.mktemp("path")) as fleet:
+        fleet.start_world()
+        yield fleet
 
 
 def test_booking_that_is_sent_twice_runs_once(small_fleet: Fleet) -> None:
@@ -59,7 +44,49 @@
     assert list(httpx.get(f"http://{address}/bookings").json().values()) == [1]
 
 
-def test_entry_host_stops_gracefully(small_fleet: Fleet) -> None:
+@pytest.mark.parametrize("given", ["0", "-1", "nan", "inf", "601", "soon", ""])
+def test_deadline_that_makes_no_sense(small_fleet: Fleet, given: str) -> None:
+    """Refuse a deadline that is none, and say what one looks like."""
+    answer = _chat(small_fleet, given, stream=False)
+    assert answer.status_code == 400
+    error = answer.json()["error"]
+    assert error["code"] == "invalid_timeout"
+    assert "X-Request-Timeout" in error["message"]
+
+
+def test_callers_own_deadline(small_fleet: Fleet) -> None:
+    """End a stream at the deadline that its caller named.
+
+    Symptom: a caller that gave up long ago still holds a place in the engine's
+    batch.  Sequence: the answer takes longer than its caller can use it.  Cause:
+    one deadline for all callers.
+    """
+    answer = _chat(small_fleet, "0.5", stream=True)
+    assert answer.status_code == 200
+    assert '"code":"timeout"' in answer.text
+    assert answer.text.endswith("data: [DONE]\n\n")
+
+
+def test_entry_host_stops_gracefully(fleet: Fleet) -> None:
     """End with exit code 0 when nothing is in flight."""
-    codes = [entry.process.stop() for entry in small_fleet.entries_by_name.values()]
+    fleet.start_world()
+    codes = [entry.process.stop() for entry in fleet.entries_by_name.values()]
     assert codes == [0, 0]
+
+
+def _chat(fleet: Fleet, timeout: str, *, stream: bool) -> httpx.Response:
+    body = {
+        "model": "notes",
+        "messages": [{"role": "user", "content": "much"}],
+        "max_tokens": 1000,
+        "stream": stream,
+    }
+    return httpx.post(
+        f"{fleet.entries_by_name['e1'].url}/v1/chat/completions",
+        headers={
+            "Authorization": f"Bearer {fleet.keys_by_account['pawroute']}",
+            "X-Request-Timeout": timeout,
+        },
+        json=body,
+        timeout=20,
+    )
