--- a/tests/test_transport/conftest.py
+++ b/tests/test_transport/conftest.py
@@ -21,7 +21,7 @@
             "hosts_per_group": 1,
             "adapters": {"queensland": "v3"},
         }
-        hidden = {"version": "v1", "n_groups": 0}
+        hidden = {"version": "v1", "hosts_per_group": 4}
         fleet.publish(
             {
                 "models": {"notes": notes, "hidden": hidden},
