--- a/ryelever/coordination/requests_claims.py
+++ b/ryelever/coordination/requests_claims.py
@@ -134,6 +134,4 @@
         )
 
     def _outcome(self, key: str, run_state: RunState) -> Outcome:
-        return Outcome(
-            key=key, owner=self.owner, run_state=run_state.value, status=0
-        )
+        return Outcome(key=key, owner=self.owner, run_state=run_state.value, status=0)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -77,6 +77,7 @@
         self.n_generated = 0
         self.n_cancelled = 0
         self.token_bytes = 0
+        self.tokens_per_event = 1
         self.reported_load = (0, 0)
         self._tasks: set[asyncio.Task] = set()
         self._ring: asyncio.Task | None = None
@@ -289,8 +290,13 @@
                 jobs.remove(job)
 
     async def _steps(self) -> None:
+        loop = asyncio.get_running_loop()
+        due_at = loop.time()
         while True:
-            await asyncio.sleep(self.step)
+            # A step begins a fixed time after the one before began, so that the rate
+            # holds however long a step takes.
+            due_at = max(due_at + self.step, loop.time())
+            await asyncio.sleep(due_at - loop.time())
             while self.waiting and len(self.running) < self.max_batch:
                 self.running.append(self.waiting.pop(0))
             for job in list(self.running):
@@ -311,12 +317,16 @@
                 }
             )
             return
-        token = f"{job.seed}-{job.position} ".ljust(self.token_bytes, ".")
+        end = min(job.n_tokens, job.position + self.tokens_per_event)
+        tokens = [
+            f"{job.seed}-{position} ".ljust(self.token_bytes, ".")
+            for position in range(job.position, end)
+        ]
         job.items.put_nowait(
-            {"attempt": job.attempt, "index": job.position, "tokens": [token]}
+            {"attempt": job.attempt, "index": job.position, "tokens": tokens}
         )
-        job.position += 1
-        self.n_generated += 1
+        job.position = end
+        self.n_generated += len(tokens)
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Stop a generation by its attempt."""
@@ -360,6 +370,7 @@
         body = await request.json()
         self.step = body.get("step_ms", self.step * 1000) / 1000
         self.token_bytes = body.get("token_bytes", self.token_bytes)
+        self.tokens_per_event = body.get("tokens_per_event", self.tokens_per_event)
         if body.get("leaving"):
             self.state = "leaving"
         return web.json_response({})
