--- a/benchmarks/speed.py
+++ b/benchmarks/speed.py
@@ -269,19 +269,17 @@
             many(load, n_streams=N_STREAMS, seconds=seconds + 4)
         )
         await asyncio.sleep(3)
-        before = await asyncio.to_thread(generated, load)
-        cpu = cpu_seconds(load.entry.process.pid)
-        at = time.monotonic()
+        tokens = await asyncio.to_thread(generated, load), time.monotonic()
+        cpu = cpu_seconds(load.entry.process.pid), time.monotonic()
         await asyncio.sleep(seconds)
-        cpu = cpu_seconds(load.entry.process.pid) - cpu
-        lasted = time.monotonic() - at
-        n_generated = await asyncio.to_thread(generated, load) - before
+        cpu_rate = _rate(cpu, cpu_seconds(load.entry.process.pid))
+        token_rate = _rate(tokens, await asyncio.to_thread(generated, load))
         streams = await task
         gaps = [gap for stream in streams for gap in stream.gaps()]
         gaps_straight = [gap for stream in straight for gap in stream.gaps()]
         print(
-            f"{n_tokens} tokens an event: {n_generated / lasted:.0f} tokens/s, "
-            f"{cpu / lasted:.2f} of a core, {cpu / n_generated * 1e6:.0f} us a token",
+            f"{n_tokens} tokens an event: {token_rate:.0f} tokens/s, "
+            f"{cpu_rate:.2f} of a core, {cpu_rate / token_rate * 1e6:.0f} us a token",
             flush=True,
         )
         report(
@@ -292,6 +290,11 @@
         )
 
 
+def _rate(earlier: tuple[float, float], now: float) -> float:
+    value, at = earlier
+    return (now - value) / (time.monotonic() - at)
+
+
 def generated(load: Load) -> int:
     """Return the tokens that the engines have generated."""
     return sum(
