Read server-sent comments and CR LF from engines

Cause: a comment, which engines send to keep a connection, was taken for an event without data, and lines that end in CR LF had no end of event at all; either made a good stream count as broken.

Before: pytest tests/test_protocol/test_sse.py tests/test_protocol/test_openai.py 3 failed, 34 passed (the comment, a lone retry line, CR LF) After: 37 passed

--- a/ryelever/protocol/sse.py
+++ b/ryelever/protocol/sse.py
@@ -31,10 +31,14 @@
         SseTooLongError
             If an event does not end within the limit.
         """
-        *events, self._buffer = (self._buffer + data).split(b"\n\n")
+        data = self._buffer + data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        *events, self._buffer = data.split(b"\n\n")
         if len(self._buffer) > MAX_EVENT:
             raise SseTooLongError(f"event is longer than {MAX_EVENT} bytes")
-        return [_data_of(event) for event in events if event]
+        # Comments, which keep a connection awake, are events without data.
+        return [data for event in events if (data := _data_of(event))]
 
 
 def sse_event(data: bytes) -> bytes:
--- /dev/null
+++ b/tests/test_protocol/test_sse.py
@@ -0,0 +1,49 @@
+"""Test how server-sent events are split and written."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.protocol.sse import MAX_EVENT, SseSplitter, SseTooLongError, sse_event
+
+STREAMS = [
+    (b"data: a\n\ndata: b\n\n", [b"a", b"b"]),
+    (b"data:a\n\n", [b"a"]),
+    (b"data: a\ndata: b\n\n", [b"a\nb"]),
+    (b"event: x\nid: 3\ndata: a\n\n", [b"a"]),
+    (b": ping\n\ndata: a\n\n: ping\n\n", [b"a"]),
+    (b"retry: 5\n\n", []),
+    (b"\n\n\n\ndata: a\n\n", [b"a"]),
+    (b"data: a\r\n\r\ndata: b\r\n\r\n", [b"a", b"b"]),
+    (b"data: a\n\ndata: b", [b"a"]),
+    ("data: ação\n\n".encode(), ["ação".encode()]),
+]
+
+
+@pytest.mark.parametrize(("stream", "events"), STREAMS)
+def test_events_are_the_same_however_the_stream_is_cut(
+    stream: bytes, events: list[bytes]
+) -> None:
+    """Return each event once, wherever a read ends.
+
+    Symptom: a stream is taken for broken, and starts again elsewhere.  Sequence: an
+    engine sends a comment to keep the connection, or ends its lines with CR LF.
+    Cause: the one was taken for an event without data, the other for no end.
+    """
+    for size in range(1, len(stream) + 1):
+        splitter = SseSplitter()
+        found = []
+        for start in range(0, len(stream), size):
+            found += splitter.feed(stream[start : start + size])
+        assert found == events, size
+
+
+def test_endless_event_is_an_error() -> None:
+    splitter = SseSplitter()
+    splitter.feed(b"data: ")
+    with pytest.raises(SseTooLongError):
+        splitter.feed(b"a" * (MAX_EVENT + 1))
+
+
+def test_written_event_is_read_back() -> None:
+    assert SseSplitter().feed(sse_event(b'{"a":1}')) == [b'{"a":1}']
