Route by prefix within a bound on load, and learn from attempts

Cause: the plain router knew own counts only, so prefixes were scattered, a lagging group kept its full part of the work, and a request that crashes whatever runs it was sent on to the next group. Routing now ranks by rendezvous hash, estimates load from own counts, peers' counts and reports, holds back departing hosts and stragglers, and quarantines what ran in two crashes.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -13,10 +13,15 @@
 from .coordination.admission import ConcurrencyAdmission
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
+from .coordination.departures import Departures
 from .coordination.planner import Planner
+from .coordination.quarantine import Quarantine
 from .coordination.requests import RequestTable
 from .coordination.retry import RetryBudget
-from .coordination.routing import LeastInFlightRouter
+from .coordination.routing import AffinityRouter
+from .coordination.routing_feedback import RoutingFeedback
+from .coordination.routing_load import LoadView
+from .coordination.stragglers import Stragglers
 from .coordination.targets import Targets
 from .dump import Dump
 from .events import control_tick, drain, serving_tick, sweep
@@ -130,16 +135,35 @@
         )
 
     def _table(self, claims: Claims) -> RequestTable:
+        self.departures = Departures(
+            confirmations=self.confirmations, hosts_by_name=self.fleet.hosts_by_name
+        )
+        self.quarantine = Quarantine()
         targets = Targets(
             availability_zone=self.settings.availability_zone,
             placements_by_zone=self.placements_by_zone,
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
+            departures=self.departures,
         )
+        self.loads = LoadView(targets=targets)
+        stragglers = Stragglers()
+        retry_budget = RetryBudget()
         return RequestTable(
             admission=ConcurrencyAdmission(),
-            router=LeastInFlightRouter(targets=targets.for_arrival),
-            retry_policy=RetryBudget(),
+            router=AffinityRouter(
+                targets=targets,
+                loads=self.loads,
+                stragglers=stragglers,
+                quarantine=self.quarantine,
+            ),
+            feedback=RoutingFeedback(
+                quarantine=self.quarantine,
+                departures=self.departures,
+                stragglers=stragglers,
+                retry_budget=retry_budget,
+            ),
+            retry_policy=retry_budget,
             claims=claims,
             account=self._client_account,
             new_id=_new_id,
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -33,6 +33,8 @@
     Usage,
 )
 from .admission import Queued, Refused
+from .quarantine import quarantine_error
+from .routing_feedback import NoFeedback
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +45,7 @@
     from .admission import Admission
     from .retry import RetryPolicy
     from .routing import Router
+    from .routing_feedback import AttemptFeedback
 
 __all__ = ["ClaimsView", "Request", "RequestState", "RequestTable"]
 
@@ -114,6 +117,8 @@
     retry_after : callable
         Return the seconds after which a caller should come back when nothing
         serves its request.
+    feedback : AttemptFeedback or None
+        Learns from attempts and names requests that must not run.
     """
 
     def __init__(
@@ -127,7 +132,9 @@
         new_id: Callable[[], str],
         retry_after: Callable[[], float],
         claim_timeout: float = 2.0,
+        feedback: AttemptFeedback | None = None,
     ) -> None:
+        self._feedback = feedback if feedback is not None else NoFeedback()
         self._admission = admission
         self._router = router
         self._retry_policy = retry_policy
@@ -153,6 +160,10 @@
             known = self._answer_known(arrival, now=now)
             if known is not None:
                 return [known]
+        quarantined = self._feedback.verdict(arrival.fingerprint, now=now)
+        if quarantined is not None:
+            error = quarantine_error(quarantined)
+            return [AnswerError(request_id=arrival.request_id, error=error)]
         decision = self._admission.admit(arrival, account, now=now)
         if isinstance(decision, Refused):
             return [
@@ -230,6 +241,9 @@
             return []
         request.delivered.extend(fresh)
         if request.state is not RequestState.STREAMING:
+            self._feedback.first_token(
+                request.target, seconds=now - request.since, now=now
+            )
             self._enter(request, RequestState.STREAMING, now=now)
         if not _streamed(request):
             return []
@@ -242,6 +256,7 @@
         request = self._of_attempt(attempt_id)
         if request is None:
             return []
+        self._completed(request, now=now)
         self._end_attempt(request, failed=False, now=now)
         self._retry_policy.succeeded(now=now)
         self._forget(request, now=now)
@@ -281,6 +296,7 @@
         request = self._of_attempt(attempt_id)
         if request is None:
             return []
+        self._completed(request, now=now)
         self._end_attempt(request, failed=False, now=now)
         self._retry_policy.succeeded(now=now)
         self._forget(request, now=now)
@@ -318,6 +334,13 @@
         request = self._of_attempt(attempt_id)
         if request is None:
             return []
+        self._feedback.failed(
+            request.target,
+            error,
+            refused=refused,
+            in_flight=self._fingerprints_at(request.target),
+            now=now,
+        )
         self._end_attempt(request, failed=True, now=now)
         may_repeat = request.arrival.repeatable or refused
         if (
@@ -375,6 +398,12 @@
         self, request: Request, *, now: float, error: RyeleverError | None = None
     ) -> list[Action]:
         request.claim_deadline = float("inf")
+        quarantined = self._feedback.verdict(request.arrival.fingerprint, now=now)
+        if quarantined is not None:
+            ran = bool(request.tried)
+            run_state = RunState.OUTCOME_UNKNOWN if ran else RunState.NOT_RUN
+            stop = quarantine_error(quarantined)
+            return self._fail(request, error=stop, run_state=run_state, now=now)
         target = self._router.choose(request.arrival, tried=request.tried, now=now)
         if target is None:
             return self._no_target(request, error=error, now=now)
@@ -565,6 +594,25 @@
         if request.target is not None:
             self._router.ended(request.target, failed=failed, now=now)
 
+    def _completed(self, request: Request, *, now: float) -> None:
+        n_tokens = len(request.delivered)
+        streaming = request.state is RequestState.STREAMING and n_tokens > 1
+        self._feedback.completed(
+            request.target,
+            request.arrival.fingerprint,
+            between_tokens=(now - request.since) / n_tokens if streaming else None,
+            now=now,
+        )
+
+    def _fingerprints_at(self, target: Target) -> set[str]:
+        return {
+            request.arrival.fingerprint
+            for request in self.requests_by_id.values()
+            if request.attempt_id
+            and request.target is not None
+            and request.target.name == target.name
+        }
+
     def _forget(self, request: Request, *, now: float) -> None:
         self.request_by_claim.pop(request.claim_id, None)
         del self.requests_by_id[request.arrival.request_id]
--- a/ryelever/coordination/retry.py
+++ b/ryelever/coordination/retry.py
@@ -6,6 +6,12 @@
 
 __all__ = ["RetryBudget", "RetryPolicy"]
 
+#: Seconds within which the attempts that a death breaks off fail.
+DEATH_WINDOW = 1.0
+
+#: Seconds between two deaths of one backend server that are believed.
+DEATH_INTERVAL = 30.0
+
 
 class RetryPolicy(Protocol):
     """Allow or deny retries over all requests of a process."""
@@ -22,30 +28,48 @@
 
     When every backend server fails, unbounded retries multiply the load that made
     them fail; the operator sees it as load that stays high after callers left.
-    The budget bounds the load offered to backend servers at ``1 + share`` times
-    the callers' own.
+    The budget bounds retries by ``share`` of the successes, plus ``reserve`` once.
+
+    A backend server that dies breaks off all its attempts in one moment, far more
+    than a share of successes.  Each of those earns its own retry (``died``), but
+    only in the first second and once in 30 s for each backend server: one that
+    "dies" all the time adds at most a thirtieth of its load.
 
     Parameters
     ----------
     share : float
-        Retries allowed for each success.
+        Retries allowed for each success.  With 1/30 for deaths it stays below a
+        tenth even when all that fails looks like a death and little succeeds.
     reserve : float
-        Retries allowed before any success, so that a quiet host can recover.
+        Retries allowed before any success, so that a quiet host can recover; also
+        the most that is saved up.
     max_attempts : int
         Attempts of one request.
     """
 
     def __init__(
-        self, *, share: float = 0.1, reserve: float = 20.0, max_attempts: int = 4
+        self, *, share: float = 0.08, reserve: float = 10.0, max_attempts: int = 4
     ) -> None:
         self._share = share
         self._reserve = reserve
         self._max_attempts = max_attempts
+        self._died_at_by_target: dict[str, float] = {}
         self.tokens = reserve
 
     def succeeded(self, *, now: float) -> None:
         """Earn a part of a retry."""
-        self.tokens = min(self._reserve, self.tokens + self._share)
+        if self.tokens < self._reserve:
+            self.tokens = min(self._reserve, self.tokens + self._share)
+
+    def died(self, target: str, *, now: float) -> None:
+        """Earn the retry of one attempt that a death broke off."""
+        died_at = self._died_at_by_target.get(target, float("-inf"))
+        if now - died_at >= DEATH_INTERVAL:
+            died_at = now
+            self._forget_old(now=now)
+            self._died_at_by_target[target] = now
+        if now - died_at < DEATH_WINDOW:
+            self.tokens += 1.0
 
     def allow(self, *, n_attempts: int, now: float) -> bool:
         """Spend one retry if there is one."""
@@ -53,3 +77,8 @@
             return False
         self.tokens -= 1.0
         return True
+
+    def _forget_old(self, *, now: float) -> None:
+        for target, died_at in list(self._died_at_by_target.items()):
+            if now - died_at >= DEATH_INTERVAL:
+                del self._died_at_by_target[target]
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -508,8 +508,12 @@
             return
         refused = attempt.status in REFUSED_STATUSES
         text = bytes(attempt.error_text).decode("utf-8", "replace")
+        # The code tells an answer from a death: what runs beside it lives on.
         self._break_attempt(
-            attempt_id, f"answered {attempt.status}: {text}", refused=refused
+            attempt_id,
+            f"answered {attempt.status}: {text}",
+            refused=refused,
+            code="backend_error",
         )
 
     @handler("outbound_answer")
@@ -534,7 +538,7 @@
         self._fail(failure.id, failure.error, refused=not failure.bytes_sent)
 
     def _break_attempt(
-        self, attempt_id: str, message: str, *, refused: bool = False
+        self, attempt_id: str, message: str, *, refused: bool = False, code: str = ""
     ) -> None:
         attempt = self._attempts_by_id.pop(attempt_id, None)
         if attempt is None:
@@ -545,6 +549,7 @@
             category=Category.UNAVAILABLE if refused else Category.BROKEN,
             step="generate",
             peer=attempt.address,
+            code=code,
         )
         self._fail(attempt_id, error, refused=refused)
 
