Balance by own counts first, and let affinity yield when requests queue

Cause: peers' counts and reports, followed at full weight, send all entry hosts to what was empty a moment ago; and a bound of 1.25 times the mean lies above what an engine batches when the fleet is full.

--- a/benchmarks/routing_fleet.py
+++ b/benchmarks/routing_fleet.py
@@ -126,7 +126,13 @@
         self.groups.append(name)
 
     def report(
-        self, host: str, *, asked_at: float, state: str = "ready", running: int = 0
+        self,
+        host: str,
+        *,
+        asked_at: float,
+        state: str = "ready",
+        running: int = 0,
+        waiting: int = 0,
     ) -> None:
         """Take a host's report of itself."""
         name, _, rank = host.rpartition("-")
@@ -140,6 +146,7 @@
             fencing=group.fencing,
             rank=int(rank),
             running=running,
+            waiting=waiting,
         )
         self.confirmations.reported(report, asked_at=asked_at)
 
--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing.py
@@ -24,12 +24,15 @@
 #: Places in the rendezvous order that are tried before balance goes first.
 N_RANKED = 4
 
-#: Candidates drawn at random until two usable ones are found.
-MAX_DRAWS = 8
+#: Candidates drawn at random, of which the least loaded usable one is taken.
+N_CHOICES = 8
 
 #: Candidates that the total load is estimated from.
 MAX_SAMPLE = 64
 
+#: Part of the targets with waiting requests from which on balance goes first.
+CROWDED_SHARE = 0.1
+
 #: Seconds for which an estimate of the total load is kept.
 TOTAL_INTERVAL = 0.25
 
@@ -112,25 +115,43 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Total:
-    """Hold the estimated load of one zone's usable candidates."""
+    """Hold the estimated load of one zone's usable candidates.
+
+    Attributes
+    ----------
+    load : float
+        All requests in flight there.
+    damped : float
+        The same with the weight that siblings are compared by.
+    queueing_share : float
+        Part of the candidates that report waiting requests.
+    """
 
     load: float
+    damped: float
+    queueing_share: float
     weight: float
     estimated_at: float
 
+    @property
+    def mean(self) -> float:
+        """Return the load of an average candidate; infinite when none is usable."""
+        return self.load / self.weight if self.weight else float("inf")
+
 
 class AffinityRouter:
     """Keep prompts with a common prefix together, within a bound on load.
 
     The order of looking: the first places of the prefix in rendezvous order whose
-    load is within the bound; else the better of two usable ones drawn at random,
-    which needs no exact load and starts no stampede towards the one that looked
-    empty a moment ago; another zone when it is clearly less loaded.
+    load is within the bound; else the least loaded of a few usable ones drawn at
+    random.  Another zone is looked at first when it is clearly less loaded.
 
     Parameters
     ----------
-    slack : float
-        Times the fair part of the load that affinity may put on one target.
+    slack, crowded_slack : float
+        Times the fair part of the load that affinity may put on one target; the
+        second while requests wait at more than a tenth of the targets, when a
+        cached prefix saves less than the place in the queue costs.
     free_load : float
         Requests that every target may hold whatever its fair part is: engines
         batch, so a second request in an idle fleet need not leave its prefix.
@@ -147,10 +168,11 @@
         stragglers: Stragglers,
         quarantine: Quarantine,
         seed: int | None = None,
-        slack: float = 1.25,
+        slack: float = 1.2,
+        crowded_slack: float = 1.0,
         free_load: float = 4.0,
-        overflow_factor: float = 1.5,
-        overflow_margin: float = 8.0,
+        overflow_factor: float = 1.1,
+        overflow_margin: float = 4.0,
     ) -> None:
         self._targets = targets
         self._loads = loads
@@ -158,6 +180,7 @@
         self._quarantine = quarantine
         self._random = random.Random(seed)
         self._slack = slack
+        self._crowded_slack = crowded_slack
         self._free_load = free_load
         self._overflow_factor = overflow_factor
         self._overflow_margin = overflow_margin
@@ -209,14 +232,29 @@
         excluded: Sequence[str],
         now: float,
     ) -> _Choice | None:
-        own = self._in_zone(found, key, is_own=True, excluded=excluded, now=now)
-        if own is not None and own.load <= self._overflow_margin:
-            return own
-        other = self._in_zone(found, key, is_own=False, excluded=excluded, now=now)
-        if own is None or other is None:
-            return own or other
-        limit = self._overflow_factor * other.load + self._overflow_margin
-        return other if own.load > limit else own
+        own_first = not self._overflows(found, now=now)
+        for is_own in (own_first, not own_first):
+            choice = self._in_zone(
+                found, key, is_own=is_own, excluded=excluded, now=now
+            )
+            if choice is not None:
+                return choice
+        return None
+
+    def _overflows(self, found: CandidateSet, *, now: float) -> bool:
+        """Tell whether this request leaves its zone.
+
+        Loads are known late.  Were all requests to leave at once, the other zone
+        would be the crowded one a moment later, and so to and fro; so only the part
+        leaves that would make the two equal.
+        """
+        if not found.own_zone or not found.other_zones:
+            return not found.own_zone
+        own = self._total(found, is_own=True, now=now).mean
+        other = self._total(found, is_own=False, now=now).mean
+        if own <= self._overflow_factor * other + self._overflow_margin:
+            return False
+        return self._random.random() < (own - other) / (2 * own)
 
     def _in_zone(
         self,
@@ -234,7 +272,7 @@
             choice = self._affine(found, key, is_own=is_own, excluded=excluded, now=now)
             if choice is not None:
                 return choice
-        return self._of_two(candidates, excluded=excluded, now=now)
+        return self._of_few(candidates, excluded=excluded, now=now)
 
     def _affine(
         self,
@@ -246,12 +284,16 @@
         now: float,
     ) -> _Choice | None:
         total = self._total(found, is_own=is_own, now=now)
+        crowded = total.queueing_share > CROWDED_SHARE
+        slack = self._crowded_slack if crowded else self._slack
         for candidate in self._order(found, key, is_own=is_own):
-            load = self._loads.estimate(candidate, now=now)
+            load = self._loads.damped(candidate, now=now)
             share = candidate.weight / max(candidate.weight, total.weight)
-            bound = load_bound(total.load + 1, share, slack=self._slack)
+            bound = load_bound(total.damped + 1, share, slack=slack)
             if load + 1 > max(bound, self._free_load):
                 continue
+            if self._loads.is_queueing(candidate, now=now):
+                continue
             if candidate.name in excluded or not self._preferred(candidate, now=now):
                 continue
             target = self._targets.target(candidate, now=now)
@@ -261,21 +303,22 @@
                 )
         return None
 
-    def _of_two(
+    def _of_few(
         self, candidates: Sequence[Candidate], *, excluded: Sequence[str], now: float
     ) -> _Choice | None:
-        drawn: list[_Choice] = []
-        for _ in range(MAX_DRAWS):
-            candidate = candidates[int(self._random.random() * len(candidates))]
+        drawn: list[tuple[float, int]] = []
+        for _ in range(N_CHOICES):
+            index = int(self._random.random() * len(candidates))
+            candidate = candidates[index]
             if candidate.name in excluded or not self._preferred(candidate, now=now):
                 continue
-            choice = self._usable(candidate, now=now)
+            load = self._loads.damped(candidate, now=now) / candidate.weight
+            drawn.append((load, index))
+        # To judge wholeness costs most, so it is asked from the least loaded on.
+        for _, index in sorted(drawn):
+            choice = self._usable(candidates[index], now=now)
             if choice is not None:
-                drawn.append(choice)
-                if len(drawn) == 2:
-                    break
-        if drawn:
-            return min(drawn, key=_load_of)
+                return choice
         return self._of_all(candidates, excluded=excluded, now=now)
 
     def _of_all(
@@ -295,7 +338,7 @@
         target = self._targets.target(candidate, now=now)
         if target is None:
             return None
-        load = self._loads.estimate(candidate, now=now) / candidate.weight
+        load = self._loads.damped(candidate, now=now) / candidate.weight
         return _Choice(candidate=candidate, target=target, load=load)
 
     def _preferred(self, candidate: Candidate, *, now: float) -> bool:
@@ -386,9 +429,11 @@
             for candidate in self._sample(candidates)
             if self._targets.target(candidate, now=now) is not None
         ]
-        load = sum(self._loads.estimate(candidate, now=now) for candidate in usable)
         total = _Total(
-            load=load,
+            load=sum(self._loads.estimate(one, now=now) for one in usable),
+            damped=sum(self._loads.damped(one, now=now) for one in usable),
+            queueing_share=sum(self._loads.is_queueing(one, now=now) for one in usable)
+            / max(1, len(usable)),
             weight=sum(candidate.weight for candidate in usable),
             estimated_at=now,
         )
--- a/ryelever/coordination/routing_load.py
+++ b/ryelever/coordination/routing_load.py
@@ -16,6 +16,9 @@
 #: Seconds for which a peer's row counts.
 PEER_MAX_AGE = 5.0
 
+#: Weight of requests that others have in flight, when siblings are compared.
+OTHERS_WEIGHT = 0.25
+
 #: Seconds for which a target that became empty is still told as 0.
 TOLD_EMPTY_FOR = 5.0
 
@@ -68,6 +71,22 @@
             return float(n_seen)
         return float(max(n_seen, report.n_running + report.n_waiting))
 
+    def damped(self, candidate: Candidate, *, now: float) -> float:
+        """Return own requests in flight and a quarter of all others.
+
+        For the choice among siblings.  Own counts are exact, the rest lags; who
+        follows it at full weight goes where it was empty a moment ago, as do all
+        others: the 95th percentile of waiting was four times as long.
+        """
+        n_own = self._n_own_by_target.get(candidate.name, 0)
+        n_all = self.estimate(candidate, now=now)
+        return n_own + OTHERS_WEIGHT * (n_all - n_own)
+
+    def is_queueing(self, candidate: Candidate, *, now: float) -> bool:
+        """Tell whether a candidate reports requests that wait for their turn."""
+        report = self._targets.reported_load(candidate, now=now)
+        return report is not None and report.n_waiting > 0
+
     def observations(self, *, now: float) -> list[Observation]:
         """Return own counts, those of emptied targets as 0 for a while."""
         for name, emptied_at in list(self._emptied_at_by_target.items()):
