Break ties among idle groups at random

Cause: draws were sorted by load and then by place, so an idle fleet's requests all went to the first group drawn by place.

--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing.py
@@ -314,8 +314,11 @@
                 continue
             load = self._loads.damped(candidate, now=now) / candidate.weight
             drawn.append((load, index))
+        # Ties stay in the order of the draw: sorted by place, they would send what
+        # all entry hosts get in a quiet moment to the same one.
+        drawn.sort(key=_first_item)
         # To judge wholeness costs most, so it is asked from the least loaded on.
-        for _, index in sorted(drawn):
+        for _, index in drawn:
             choice = self._usable(candidates[index], now=now)
             if choice is not None:
                 return choice
@@ -451,3 +454,7 @@
 
 def _load_of(choice: _Choice) -> float:
     return choice.load
+
+
+def _first_item(pair: tuple[float, int]) -> float:
+    return pair[0]
