--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -141,6 +141,7 @@
             "streams": self._streams(now=now),
             "groups": self._groups(now=now),
             "leases": self._leases(now=now),
+            "suspects": application.quarantine.describe(now=now),
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
             "connections": {
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -8,6 +8,7 @@
 
 from benchmarks.routing_fleet import FakeFleet, chat
 from ryelever.coordination.actions import AnswerError, SendAttempt, Usage
+from ryelever.coordination.admission import Queued
 from ryelever.coordination.quarantine import Quarantine, is_crash
 from ryelever.coordination.requests import RequestTable
 from ryelever.errors import Category, RunState, RyeleverError
@@ -189,10 +190,16 @@
     assert is_crash(error, refused=refused) is crash
 
 
-def _table(fleet: FakeFleet) -> RequestTable:
+class _FullAdmission(OpenAdmission):
+    def admit(self, arrival, account, *, now):
+        super().admit(arrival, account, now=now)
+        return Queued()
+
+
+def _table(fleet: FakeFleet, *, admission: OpenAdmission | None = None) -> RequestTable:
     ids = iter(range(10**6))
     return RequestTable(
-        admission=OpenAdmission(),
+        admission=admission or OpenAdmission(),
         router=fleet.router(),
         retry_policy=fleet.retry_budget,
         claims=FakeLog(),
@@ -260,5 +267,21 @@
     assert resent.error.retry_after > 800.0
 
 
+def test_resend_is_answered_at_once_while_others_wait() -> None:
+    """Resend a quarantined request to a full entry host.
+
+    Symptom: the resends of one caller fill its queue, and the answer that names the
+    quarantine comes after the wait.  Sequence: the host is busy, so arrivals queue.
+    Cause: the quarantine was asked only when a request was about to be sent.
+    """
+    fleet = FakeFleet(zones={"a": 1})
+    admission = _FullAdmission()
+    table = _table(fleet, admission=admission)
+    _play(fleet.quarantine, CASES["two crashes"][0])
+    (answer,) = table.arrive(_named(chat("p"), "again"), now=10.0)
+    assert answer.error.code == "request_quarantined"
+    assert admission.admitted == set()
+
+
 def _named(arrival, request_id: str):
     return replace(arrival, request_id=request_id)
