Give a draining group nothing new

Cause: a group that drains is still whole. With the guard taken out, test_targets.py::test_draining_group_gets_nothing_new[True-False] fails (1 failed, 13 passed).

--- a/ryelever/coordination/targets.py
+++ b/ryelever/coordination/targets.py
@@ -152,7 +152,7 @@
         if listed is None:
             return None
         group = candidate.group
-        if group is not None and not self._confirmations.is_whole(group, now=now):
+        if group is not None and not self._may_serve(group, now=now):
             return None
         if any(self._is_leaving(host, now=now) for host in candidate.hosts):
             return None
@@ -174,6 +174,11 @@
             age=now - known.asked_at,
         )
 
+    def _may_serve(self, group: Group, *, now: float) -> bool:
+        # A draining group ends what it runs and is then dissolved.
+        draining = getattr(group, "draining", False)
+        return not draining and self._confirmations.is_whole(group, now=now)
+
     def _is_leaving(self, host: str, *, now: float) -> bool:
         listed = self._hosts_by_name.get(host)
         if listed is not None and listed.state == "leaving":
--- a/tests/test_coordination/test_targets.py
+++ b/tests/test_coordination/test_targets.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from types import SimpleNamespace
+
 import pytest
 
 from benchmarks.routing_fleet import FakeFleet, chat, service_call
@@ -85,3 +88,20 @@
     fleet._form("b", 9, 1, (), 8)
     fresh = fleet.targets.candidates(chat().work, now=0.2)
     assert fresh is not found and "b-9" in fresh.names
+
+
+@pytest.mark.parametrize(("draining", "usable"), [(False, True), (True, False)])
+def test_draining_group_gets_nothing_new(draining: bool, usable: bool) -> None:
+    """Drain a group that is whole.
+
+    Symptom: a planned stop never ends, or cuts off requests.  Sequence: the group is
+    to end what it runs, its members confirm it, and requests keep coming.  Cause: a
+    whole group was taken for one that may be used.
+    """
+    fleet = _fleet()
+    candidate = fleet.targets.candidates(chat().work, now=0.0).own_zone[0]
+    names = ("name", "fencing", "members", "dissolved")
+    fields = {name: getattr(candidate.group, name) for name in names}
+    group = SimpleNamespace(draining=draining, **fields)
+    drained = replace(candidate, group=group)
+    assert (fleet.targets.target(drained, now=0.1) is not None) is usable
