--- a/ryelever/attempts.py
+++ b/ryelever/attempts.py
@@ -40,6 +40,9 @@
 #: Where answers go that nobody waits for.
 NOBODY = "nobody"
 
+#: Code of errors of a backend server that lives; others of a stream mean a death.
+BACKEND_ERROR = "backend_error"
+
 
 class Attempts:
     """Own the attempts in flight; return what the request table decides.
@@ -185,7 +188,8 @@
             for data in attempt.splitter.feed(message.data):
                 actions += self._take_item(message.id, self._engine.stream_item(data))
         except (SseTooLongError, msgspec.DecodeError) as error:
-            actions += self._break(message.id, f"sent a broken stream: {error}")
+            text = f"sent a broken stream: {error}"
+            actions += self._break(message.id, text, code=BACKEND_ERROR)
         return actions
 
     def end(self, attempt_id: str) -> list[Action]:
@@ -198,7 +202,8 @@
         refused = attempt.status in REFUSED_STATUSES
         text = bytes(attempt.error_text).decode("utf-8", "replace")
         message = f"answered {attempt.status}: {text}"
-        return self._break(attempt_id, message, refused=refused)
+        # The code tells an answer from a death: what runs beside it lives on.
+        return self._break(attempt_id, message, refused=refused, code=BACKEND_ERROR)
 
     def answer(self, answer: OutboundAnswer) -> list[Action]:
         """Take a plain service's whole answer."""
@@ -230,7 +235,8 @@
             return []
         if item.attempt != attempt_id:
             # The connection carries somebody else's answer: never pass it on.
-            return self._break(attempt_id, f"sent tokens of attempt {item.attempt!r}")
+            text = f"sent tokens of attempt {item.attempt!r}"
+            return self._break(attempt_id, text, code=BACKEND_ERROR)
         if item.error:
             return self._break(attempt_id, f"broke off: {item.error}")
         now = time.monotonic()
@@ -258,7 +264,7 @@
         )
 
     def _break(
-        self, attempt_id: str, message: str, *, refused: bool = False
+        self, attempt_id: str, message: str, *, refused: bool = False, code: str = ""
     ) -> list[Action]:
         attempt = self._attempts_by_id.pop(attempt_id)
         if refused:
@@ -270,6 +276,7 @@
             category=Category.UNAVAILABLE if refused else Category.BROKEN,
             step="generate",
             peer=attempt.address,
+            code=code,
         )
         return self._fail(attempt_id, error, refused=refused)
 
