Exchange soft state between entry hosts in tables with versions

Entry hosts had no way to tell each other anything. Each now owns a table whose changes it numbers; peers tell up to which version they have each table and get what is newer. Tokens drawn for each boot, sequence windows and ages anchored at the own clock keep out what is replayed, late or from a restart. Questions for reports are shared by two entry hosts of a zone; the others learn of them with an age that errs only towards older.

--- /dev/null
+++ b/benchmarks/soft_state.py
@@ -0,0 +1,258 @@
+"""Measure the exchange of soft state: convergence, bytes, processor time a node.
+
+The decision code and the codec run in one process over a fake network with 2 ms
+one way; time is simulated, processor time is real.
+
+    .venv/bin/python -m benchmarks.soft_state
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+
+import defopt
+
+from ryelever.coordination.soft_state_messages import Message
+from ryelever.protocol.soft_state import decode_message, encode_message
+from ryelever.state.fleet import HostReport
+from ryelever.state.observations import DemandRow, ReportRow, SuspicionRow
+from tests.test_coordination.soft_state_network import Network, Node, configuration
+
+KEY = b"key-of-the-benchmark"
+
+
+class Load:
+    """Give every node the rows that it would observe."""
+
+    def __init__(
+        self, network: Network, *, n_workers: int, n_accounts: int, seed: int
+    ) -> None:
+        self.network = network
+        self.rng = random.Random(seed)
+        self.n_accounts = n_accounts
+        self.askers_by_worker: dict[str, list[Node]] = {}
+        by_zone: dict[str, list[Node]] = {}
+        for node in network.nodes:
+            by_zone.setdefault(node.zone, []).append(node)
+        for zone, nodes in by_zone.items():
+            for worker in range(n_workers // len(by_zone)):
+                askers = self.rng.sample(nodes, min(2, len(nodes)))
+                self.askers_by_worker[f"{zone}-worker-{worker:02}"] = askers
+        self.offsets = {
+            (worker, asker.name): self.rng.random() * 0.5
+            for worker, askers in self.askers_by_worker.items()
+            for asker in askers
+        }
+
+    def refresh(self) -> None:
+        """Set each node's rows to what it would observe now."""
+        now = self.network.now
+        for node in self.network.nodes:
+            node.rows = [
+                (self._demand(account), None) for account in range(self.n_accounts)
+            ]
+        for worker, askers in self.askers_by_worker.items():
+            report = HostReport(
+                host=worker,
+                boot="b1",
+                state="ready",
+                group=f"{worker[:12]}-g1",
+                fencing=1234,
+                rank=1,
+                model="large",
+                version="7",
+                running=self.rng.randrange(40),
+            )
+            for asker in askers:
+                offset = self.offsets[worker, asker.name]
+                asked_at = (now - offset) // 0.5 * 0.5 + offset
+                asker.rows.append((ReportRow(report=report), asked_at))
+
+    def _demand(self, account: int) -> DemandRow:
+        # All accounts' demand moves all the time.
+        rate = float(self.rng.randrange(100))
+        return DemandRow(
+            client_account=f"account-{account}", rate=rate, n_in_flight=3, n_waiting=0
+        )
+
+
+class Meter:
+    """Encode every message as the product does and count its bytes."""
+
+    def __init__(self) -> None:
+        self.n_messages = 0
+        self.n_bytes = 0
+        self.largest = 0
+        self.codec_seconds = 0.0
+
+    def take(self, source: str, address: str, message: Message) -> None:
+        """Encode and decode one message."""
+        start = time.process_time()
+        data = encode_message(message, key=KEY)
+        decode_message(data, key=KEY, peer=source).ok  # noqa: B018
+        self.codec_seconds += time.process_time() - start
+        self.n_messages += 1
+        self.n_bytes += len(data)
+        self.largest = max(self.largest, len(data))
+
+
+def measure(
+    n_nodes: int,
+    *,
+    n_zones: int,
+    n_workers: int,
+    n_accounts: int,
+    seconds: float,
+    seed: int,
+    loss: float,
+) -> dict[str, float]:
+    """Run one size; return its figures."""
+    zones = [f"zone-{index % n_zones:02}" for index in range(n_nodes)]
+    rng = random.Random(seed)
+    network = Network(zones=zones, seed=seed)
+    network.route = lambda *_: () if rng.random() < loss else (0.002,)
+    load = Load(network, n_workers=n_workers, n_accounts=n_accounts, seed=seed)
+    _run(network, load, seconds=WARM_UP)
+    for node in network.nodes:
+        node.deliveries.clear()
+    meter = Meter()
+    network.on_send = meter.take
+    ages: list[float] = []
+    start = time.process_time()
+    load_seconds = _run(network, load, seconds=seconds, ages=ages)
+    spent = time.process_time() - start - load_seconds
+    network.on_send = None
+    n_node_seconds = n_nodes * seconds
+    n_sent = meter.n_messages / n_node_seconds
+    bytes_each_way = meter.n_bytes / n_node_seconds
+    spread = [_spread(network, load, index=index) for index in range(3)]
+    versions = [_spread_version(network, load, index=index) for index in range(3)]
+    ages.sort()
+    return {
+        "nodes": n_nodes,
+        "zone": -(-n_nodes // n_zones),
+        "sent/s": n_sent,
+        "B/s out": bytes_each_way,
+        "B/s in+out": 2 * bytes_each_way,
+        "B/datagram": meter.n_bytes / meter.n_messages,
+        "largest": meter.largest,
+        "cpu ms/s": 1000 * spent / n_node_seconds,
+        "codec ms/s": 1000 * meter.codec_seconds / n_node_seconds,
+        "age p50": ages[len(ages) // 2] if ages else 0,
+        "age p99": ages[len(ages) * 99 // 100] if ages else 0,
+        "age max": ages[-1] if ages else 0,
+        "age > 1.5 s, %": 100 * sum(age > 1.5 for age in ages) / max(1, len(ages)),
+        "row to all s": statistics.mean(spread),
+        "row worst": max(spread),
+        "version to all s": statistics.mean(versions),
+        "version worst": max(versions),
+    }
+
+
+WARM_UP = 30.0
+
+
+def _run(
+    network: Network, load: Load, *, seconds: float, ages: list[float] | None = None
+) -> float:
+    spent = 0.0
+    for _ in range(round(seconds / 0.25)):
+        start = time.process_time()
+        load.refresh()
+        spent += time.process_time() - start
+        network.run(0.25)
+        start = time.process_time()
+        if ages is not None:
+            _note_ages(network, ages)
+        for node in network.nodes:
+            node.deliveries.clear()
+        spent += time.process_time() - start
+    return spent
+
+
+def _note_ages(network: Network, ages: list[float]) -> None:
+    # The age of what each of some hosts has learned of each worker of its zone.
+    for node in network.nodes[:: max(1, len(network.nodes) // 35)]:
+        newest = {}
+        for table in node.exchange.tables.tables_by_origin.values():
+            for kept in table.rows_by_slot.values():
+                if isinstance(kept.row, ReportRow):
+                    host = kept.row.report.host
+                    newest[host] = max(newest.get(host, 0.0), kept.observed_at)
+        ages += [network.now - at for at in newest.values()]
+
+
+def _spread(network: Network, load: Load, *, index: int) -> float:
+    row = SuspicionRow(fingerprint=f"fingerprint-{index}", n_crashes=1)
+    origin = network.nodes[index * 7 % len(network.nodes)]
+    waiting = {node.name for node in network.nodes if node is not origin}
+    passed = 0.0
+    while waiting and passed < 60:
+        load.refresh()
+        origin.rows.append((row, None))
+        network.run(0.05)
+        passed += 0.05
+        for node in network.nodes:
+            if any(delivery.observation == row for delivery in node.deliveries):
+                waiting.discard(node.name)
+            node.deliveries.clear()
+    return passed
+
+
+def _spread_version(network: Network, load: Load, *, index: int) -> float:
+    version = index + 1
+    network.nodes[0].configuration = configuration(version)
+    passed = 0.0
+    while passed < 60:
+        load.refresh()
+        network.run(0.05)
+        passed += 0.05
+        for node in network.nodes:
+            node.deliveries.clear()
+        if all(
+            node.exchange.configuration.version == version for node in network.nodes
+        ):
+            break
+    return passed
+
+
+#: Nodes, zones, workers, client accounts.
+SIZES = ((8, 3, 50, 10), (35, 1, 71, 10), (140, 4, 284, 10), (390, 11, 780, 10))
+
+
+def main(*, seconds: float = 20.0, seed: int = 1, loss: float = 0.0, n_max: int = 390):
+    """Measure all sizes.
+
+    Parameters
+    ----------
+    seconds : float
+        Simulated seconds of steady state.
+    seed : int
+        Seed of all random choices.
+    loss : float
+        Part of the datagrams that is lost.
+    n_max : int
+        Largest size.
+    """
+    print(f"seed {seed}, loss {loss:g}")
+    rows = [
+        measure(
+            n_nodes,
+            n_zones=n_zones,
+            n_workers=n_workers,
+            n_accounts=n_accounts,
+            seconds=seconds,
+            seed=seed,
+            loss=loss,
+        )
+        for n_nodes, n_zones, n_workers, n_accounts in SIZES
+        if n_nodes <= n_max
+    ]
+    for name in rows[0]:
+        print(f"{name:18}", *(f"{row[name]:10.2f}" for row in rows))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -23,6 +23,7 @@
 from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
 from .metrics import Metrics
+from .peering import Peering
 from .planning import Planning
 from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
 from .serving import Serving
@@ -33,6 +34,7 @@
 from .timers import Timers
 from .transport.callers import Callers, Limits
 from .transport.http_client import HttpClient
+from .transport.peers import Peers
 
 if TYPE_CHECKING:
     from .settings import Settings
@@ -107,10 +109,27 @@
             metrics=self.metrics,
             pages=Dump(application=self).pages(),
         )
+        self._wire_peers()
         self.timers = Timers()
         self._register_parts()
         self._register_gauges()
 
+    def _wire_peers(self) -> None:
+        host, _, port = self.settings.peers_address.rpartition(":")
+        self.peers = Peers(bind=(host, int(port)), reply_channel="peering")
+        self.peering = Peering(
+            settings=self.settings,
+            address=self.peers.address,
+            configuration=self.configuration,
+            metrics=self.metrics,
+            sources=[],
+            aged_sources=[self.fleet],
+            sinks=[
+                self.fleet,
+            ],
+            set_members=self.fleet.shares.set_members,
+        )
+
     def _folds(self, claims: ClaimsFold) -> dict[str, BaseFold]:
         folds: dict[str, BaseFold] = {
             CONFIGURATION_STREAM: self.configuration,
@@ -166,6 +185,8 @@
             self.fleet,
             self.planning,
             self.serving,
+            self.peers,
+            self.peering,
         ):
             part.register(self)
 
@@ -179,11 +200,16 @@
         )
         metrics.gauge("late_answers", lambda: float(self.table.n_late_answers))
         metrics.gauge("retries", lambda: float(self.table.n_retries))
+        for name in ("received", "sent", "bytes_received", "bytes_sent"):
+            metrics.gauge(
+                f"peer_datagrams_{name}",
+                lambda name=name: float(getattr(self.peers, f"n_{name}")),
+            )
         metrics.gauge("silent_connections", lambda: float(self.http_client.n_silent))
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        for channel in ("streams", "fleet", "planning"):
+        for channel in ("streams", "fleet", "planning", "peering"):
             self.timers.every(TICK, control_tick, channel)
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
--- a/ryelever/coordination/soft_state.py
+++ b/ryelever/coordination/soft_state.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from ..state.observations import Observation
 
-__all__ = ["ObservationSink", "ObservationSource"]
+__all__ = ["AgedObservationSource", "ObservationSink", "ObservationSource"]
 
 
 class ObservationSource(Protocol):
@@ -17,6 +17,13 @@
         """Return the current rows; the exchange sends only what has changed."""
 
 
+class AgedObservationSource(Protocol):
+    """Tell what this entry host observed itself at some earlier moment."""
+
+    def aged_observations(self, *, now: float) -> list[tuple[Observation, float]]:
+        """Return rows, each with its own monotonic time of observation."""
+
+
 class ObservationSink(Protocol):
     """Take what a peer has observed."""
 
--- /dev/null
+++ b/ryelever/coordination/soft_state_digest.py
@@ -0,0 +1,63 @@
+"""Sum up what the entry hosts of one availability zone tell, for the other zones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..state.observations import DemandRow, LeavingRow, SuspicionRow
+from .soft_state_tables import ROW_EXPIRY, KeptRow, row_key
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .soft_state_messages import SoftRow
+    from .soft_state_tables import Table
+
+__all__ = ["summed_rows"]
+
+
+def summed_rows(tables: Iterable[Table], *, now: float) -> list[tuple[SoftRow, float]]:
+    """Return the rows that other zones need, each with its time of observation.
+
+    Demand and crashes are added up; a sum is as old as its oldest part.  Loads and
+    reports stay inside the zone.
+    """
+    rows_by_key: dict[tuple[str, ...], tuple[SoftRow, float]] = {}
+    for table in tables:
+        for kept in table.rows_by_slot.values():
+            if _crosses(kept, now=now):
+                _add(rows_by_key, kept)
+    return list(rows_by_key.values())
+
+
+def _crosses(kept: KeptRow, *, now: float) -> bool:
+    crossing = isinstance(kept.row, DemandRow | SuspicionRow | LeavingRow)
+    return crossing and now - kept.observed_at <= ROW_EXPIRY
+
+
+def _add(
+    rows_by_key: dict[tuple[str, ...], tuple[SoftRow, float]], kept: KeptRow
+) -> None:
+    key = row_key(kept.row)
+    known = rows_by_key.get(key)
+    if known is None:
+        rows_by_key[key] = (kept.row, kept.observed_at)
+        return
+    row, observed_at = known
+    rows_by_key[key] = (_sum(row, kept.row), min(observed_at, kept.observed_at))
+
+
+def _sum(first: SoftRow, second: SoftRow) -> SoftRow:
+    if isinstance(first, DemandRow):
+        return DemandRow(
+            client_account=first.client_account,
+            rate=first.rate + second.rate,
+            n_in_flight=first.n_in_flight + second.n_in_flight,
+            n_waiting=first.n_waiting + second.n_waiting,
+        )
+    if isinstance(first, SuspicionRow):
+        return SuspicionRow(
+            fingerprint=first.fingerprint,
+            n_crashes=first.n_crashes + second.n_crashes,
+        )
+    return first
--- /dev/null
+++ b/ryelever/coordination/soft_state_exchange.py
@@ -0,0 +1,422 @@
+"""Decide what this entry host tells to which peer, and when.
+
+Inside an availability zone every entry host goes through its peers in a shuffled
+order, a few each second, and tells what they lack of all tables of the zone: rows
+spread as in an epidemic, in a time that grows with the logarithm of the number of
+peers, while each entry host sends a constant number of datagrams.  Towards each other
+zone it talks to one peer, which gets no more than the zones' sums.  docs/PEERS.md gives
+the figures.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+
+from ..state.observations import ConfigurationRow, Observation
+from .soft_state_configuration import ConfigurationSpread
+from .soft_state_digest import summed_rows
+from .soft_state_links import Link, Peer
+from .soft_state_messages import (
+    AliveRow,
+    GoneRow,
+    Have,
+    Member,
+    Message,
+    Piece,
+    SoftRow,
+    Step,
+    TableUpdate,
+    Want,
+)
+from .soft_state_own import OwnTable
+from .soft_state_schedule import Schedule
+from .soft_state_tables import (
+    HAVE_SIZE,
+    MEMBER_SIZE,
+    ROW_EXPIRY,
+    TABLE_EXPIRY,
+    TABLE_SIZE,
+    KeptRow,
+    Table,
+    Tables,
+    origin_of,
+)
+
+__all__ = ["Delivery", "Received", "SoftStateExchange"]
+
+#: Bytes that a datagram should not exceed, by estimate.
+DATAGRAM_SIZE = 1300
+HEADER_SIZE = 80
+
+#: Shortest time between two answers to unproven datagrams of one address.
+ANSWER_INTERVAL = 0.2
+
+#: Seconds after which a peer of the own zone counts as gone for sharing work.
+LIVE_AGE = 4.0
+
+#: Seconds between two looks for what has expired.
+EXPIRE_INTERVAL = 0.5
+
+#: Seconds between two sums of the zone.
+DIGEST_INTERVAL = 1.0
+
+#: Peers of which state is kept.
+MAX_PEERS = 1024
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Delivery:
+    """Hold one row for the sinks; the peer is its observer, not who brought it."""
+
+    observation: Observation
+    peer: str
+    observed_at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Received:
+    """Hold what a datagram leads to."""
+
+    messages: list[tuple[str, Message]] = field(default_factory=list)
+    deliveries: list[Delivery] = field(default_factory=list)
+    configuration: ConfigurationRow | None = None
+
+
+class SoftStateExchange:
+    """Own what is known of peers and the tables they exchange.
+
+    Parameters
+    ----------
+    address : str
+        Where peers reach this entry host.
+    addresses : collection of str
+        Peers named in the settings.
+    boot : int
+        Random number of this process.
+    current_configuration : callable
+        Return the configuration in force here, or None.
+    rng : random.Random
+        Draws tokens and orders; seeded from the system in the product.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        availability_zone: str,
+        address: str,
+        addresses: Collection[str],
+        boot: int,
+        current_configuration: Callable[[], ConfigurationRow | None],
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._zone = availability_zone
+        self._boot = boot
+        self._rng = rng
+        self._configured = frozenset(addresses)
+        self.peers_by_address: dict[str, Peer] = {}
+        for known in addresses:
+            self._peer(known)
+        self.configuration = ConfigurationSpread(current=current_configuration)
+        self.tables = Tables(accepts=self._accepts)
+        self._own = self._own_table(address, digest=False)
+        self._digest = self._own_table(address, digest=True)
+        self._digest_due_at: float | None = None
+        self._expire_at = 0.0
+        self._schedule = Schedule(
+            host=host,
+            availability_zone=availability_zone,
+            peers_by_address=self.peers_by_address,
+            rng=rng,
+        )
+        self.n_by_fault: Counter[str] = Counter()
+
+    def _own_table(self, address: str, *, digest: bool) -> OwnTable:
+        member = Member(
+            host=self._host,
+            availability_zone=self._zone,
+            address=address,
+            digest=digest,
+        )
+        origin = origin_of(self._host, self._boot, digest=digest)
+        return OwnTable(origin=origin, member=member)
+
+    def _accepts(self, member: Member, zone: str) -> bool:
+        # A peer of another zone holds no more than a sum of what this zone tells;
+        # rows taken from it would hide those that are missing between.
+        if member.host == self._host:
+            return False
+        return member.digest or member.availability_zone == zone == self._zone
+
+    def _peer(self, address: str) -> Peer | None:
+        peer = self.peers_by_address.get(address)
+        if peer is not None:
+            return peer
+        if len(self.peers_by_address) >= MAX_PEERS and address not in self._configured:
+            return None
+        peer = Peer(address=address, draw=lambda: self._rng.getrandbits(64) | 1)
+        self.peers_by_address[address] = peer
+        return peer
+
+    # What is known
+
+    def live_members(self, *, now: float) -> list[str]:
+        """Return the names of the other entry hosts of this zone that live."""
+        return [
+            table.member.host
+            for table in self.tables.tables_by_origin.values()
+            if self._is_zone_member(table) and now - table.alive_at() <= LIVE_AGE
+        ]
+
+    def _is_zone_member(self, table: Table) -> bool:
+        return not table.member.digest and table.member.availability_zone == self._zone
+
+    def _zone_addresses(self, *, now: float) -> list[str]:
+        tables = self.tables.tables_by_origin.values()
+        return sorted(
+            {
+                table.member.address
+                for table in tables
+                if self._is_zone_member(table) and now - table.heard_at() <= LIVE_AGE
+            }
+        )
+
+    def observe(self, rows: Iterable[tuple[SoftRow, float]], *, now: float) -> None:
+        """Take what this entry host observes now, with the times of observation."""
+        self._own.set_rows(rows, now=now)
+        if self._digest_due_at is None:
+            # Until the zone's others are known, nobody can tell whose task it is.
+            self._digest_due_at = now + LIVE_AGE
+        if now >= self._digest_due_at:
+            self._digest_due_at = now + DIGEST_INTERVAL
+            self._sum_zone(now=now)
+
+    def _sum_zone(self, *, now: float) -> None:
+        # The first by name sums up; should two do so for a while, both are right.
+        if any(host < self._host for host in self.live_members(now=now)):
+            return
+        tables = filter(self._is_zone_member, self.tables.tables_by_origin.values())
+        rows = summed_rows([self._own.table, *tables], now=now)
+        self._digest.set_rows(rows, now=now)
+
+    # Sending
+
+    def tick(self, *, now: float) -> list[tuple[str, Message]]:
+        """Return the datagrams that are due, by address."""
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_INTERVAL
+            self.tables.expire(now=now)
+            self._schedule.zone_addresses = self._zone_addresses(now=now)
+        due = self._schedule.due(now=now)
+        peers = [self._peer(address) for address in due]
+        messages = [
+            (peer.address, self._tell(peer, now=now))
+            for peer in peers
+            if peer is not None
+        ]
+        wanted = self.configuration.wants(now=now)
+        if wanted is not None:
+            address, want = wanted
+            peer = self.peers_by_address[address]
+            if peer.current is not None:
+                message = self._message(
+                    peer, peer.current, now=now, step=Step.TRANSFER, wants=(want,)
+                )
+                messages.append((address, message))
+        return messages
+
+    def _tell(self, peer: Peer, *, now: float) -> Message:
+        link = peer.current or _newest_link(peer)
+        if link is None or not link.granted:
+            return self._message(peer, link, now=now)
+        haves = self._haves(self._tables_for(peer, now=now))
+        return self._message(peer, link, now=now, step=Step.ASK, haves=haves)
+
+    def _haves(self, tables: list[Table]) -> tuple[Have, ...]:
+        own = (self._own.table, self._digest.table)
+        return tuple(
+            Have(origin=table.origin, version=table.version)
+            for table in tables
+            if table not in own
+        )
+
+    def _bring(self, peer: Peer, step: Step, *, now: float) -> Message:
+        """Return what a peer lacks; an answer tells also what is here."""
+        tables = self._tables_for(peer, now=now)
+        haves = self._haves(tables) if step is Step.ANSWER else ()
+        lacking = [table for table in tables if table.member.host != peer.name]
+        updates = self._updates(lacking, peer.current, n_haves=len(haves), now=now)
+        return self._message(
+            peer, peer.current, now=now, step=step, haves=haves, tables=updates
+        )
+
+    def _tables_for(self, peer: Peer, *, now: float) -> list[Table]:
+        others = list(self.tables.tables_by_origin.values())
+        self._rng.shuffle(others)
+        known = [self._own.table, *others]
+        if now - self._digest.table.alive_at() <= TABLE_EXPIRY:
+            known.append(self._digest.table)
+        same = peer.availability_zone == self._zone
+        return [
+            table for table in known if table.version and (table.member.digest or same)
+        ]
+
+    def _updates(
+        self, tables: list[Table], link: Link, *, n_haves: int, now: float
+    ) -> tuple[TableUpdate, ...]:
+        budget = DATAGRAM_SIZE - HEADER_SIZE - n_haves * HAVE_SIZE
+        told = []
+        for table in tables:
+            version = link.haves.get(table.origin, 0)
+            member = table.member if not version else None
+            alone = table.version - version == 1
+            overhead = 0 if alone else TABLE_SIZE
+            overhead += MEMBER_SIZE if member else 0
+            if table.version <= version or budget <= overhead:
+                continue
+            updates, size = table.updates_after(
+                version, budget=budget - overhead, now=now
+            )
+            if updates:
+                budget -= overhead + size
+                told.append(
+                    TableUpdate(
+                        origin=table.origin, member=member, updates=tuple(updates)
+                    )
+                )
+        return tuple(told)
+
+    def _message(
+        self,
+        peer: Peer,
+        link: Link | None,
+        *,
+        now: float,
+        step: Step = Step.GREETING,
+        haves: tuple[Have, ...] = (),
+        tables: tuple[TableUpdate, ...] = (),
+        wants: tuple[Want, ...] = (),
+        pieces: tuple[Piece, ...] = (),
+    ) -> Message:
+        echo, hold = peer.echo(now=now)
+        return Message(
+            sender=self._host,
+            availability_zone=self._zone,
+            boot=self._boot,
+            token=link.granted if link is not None else 0,
+            grant=link.given if link is not None else 0,
+            sequence=peer.next_sequence(now=now),
+            step=step,
+            echo=echo,
+            hold=hold,
+            configuration_version=self.configuration.version,
+            haves=haves,
+            tables=tables,
+            wants=wants,
+            pieces=pieces,
+        )
+
+    # Receiving
+
+    def receive(self, message: Message, *, address: str, now: float) -> Received:
+        """Take a datagram whose key is right."""
+        received = Received()
+        peer = self._peer(address)
+        if peer is None or message.boot == self._boot:
+            self.n_by_fault["too_many_peers" if peer is None else "own"] += 1
+            return received
+        before = peer.current
+        receipt = peer.receive(message, now=now)
+        if receipt.fault:
+            self.n_by_fault[receipt.fault] += 1
+        if receipt.fault == "unproven":
+            if now - peer.answered_at >= ANSWER_INTERVAL:
+                peer.answered_at = now
+                answer = self._message(peer, receipt.link, now=now)
+                received.messages.append((address, answer))
+            return received
+        if receipt.fault == "replayed":
+            return received
+        if receipt.newest:
+            if message.step in (Step.ASK, Step.ANSWER):
+                receipt.link.take_haves(message.haves)
+            self._take_configuration(message, address=address, now=now, into=received)
+        if receipt.composed_at is not None:
+            self._take_tables(message, receipt.composed_at, now=now, into=received)
+        proven = peer.current is not before
+        answer = self._answer(peer, message, proven=proven, now=now)
+        if answer is not None:
+            received.messages.append((address, answer))
+        return received
+
+    def _answer(
+        self, peer: Peer, message: Message, *, proven: bool, now: float
+    ) -> Message | None:
+        if message.step is Step.ASK:
+            # A process that was paused wakes to many questions and answers one.
+            if now - peer.brought_at < ANSWER_INTERVAL:
+                return None
+            peer.brought_at = now
+            return self._bring(peer, Step.ANSWER, now=now)
+        if message.step is Step.ANSWER:
+            rest = self._bring(peer, Step.REST, now=now)
+            return rest if rest.tables else None
+        return self._tell(peer, now=now) if proven else None
+
+    def _take_tables(
+        self, message: Message, composed_at: float, *, now: float, into: Received
+    ) -> None:
+        # Never later than now, whatever a peer's clock makes of its hold.
+        composed_at = min(composed_at, now)
+        for update in message.tables:
+            taken = self.tables.take(
+                update,
+                zone=message.availability_zone,
+                composed_at=composed_at,
+                now=now,
+            )
+            if taken:
+                member = self.tables.tables_by_origin[update.origin].member
+                self._deliver(member, taken, now=now, into=into)
+
+    def _deliver(
+        self, member: Member, taken: list[KeptRow], *, now: float, into: Received
+    ) -> None:
+        if member.digest and member.availability_zone == self._zone:
+            return
+        observer = f"zone/{member.availability_zone}" if member.digest else member.host
+        for kept in taken:
+            if (
+                isinstance(kept.row, AliveRow | GoneRow)
+                or now - kept.observed_at > ROW_EXPIRY
+            ):
+                continue
+            into.deliveries.append(
+                Delivery(
+                    observation=kept.row, peer=observer, observed_at=kept.observed_at
+                )
+            )
+
+    def _take_configuration(
+        self, message: Message, *, address: str, now: float, into: Received
+    ) -> None:
+        spread = self.configuration
+        spread.heard(message.configuration_version, address=address, now=now)
+        for piece in message.pieces:
+            whole = spread.take(piece, address=address, now=now)
+            into.configuration = whole or into.configuration
+        peer = self.peers_by_address[address]
+        pieces = [piece for want in message.wants for piece in spread.pieces(want)]
+        for piece in pieces:
+            answer = self._message(
+                peer, peer.current, now=now, step=Step.TRANSFER, pieces=(piece,)
+            )
+            into.messages.append((address, answer))
+
+
+def _newest_link(peer: Peer) -> Link | None:
+    return next(reversed(peer.links_by_boot.values()), None)
--- /dev/null
+++ b/ryelever/coordination/soft_state_own.py
@@ -0,0 +1,154 @@
+"""Number the changes of what this entry host observes itself, at a bounded rate."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from ..state.observations import DemandRow, LoadRow, ReportRow
+from .soft_state_messages import AliveRow, GoneRow, Member, SoftRow
+from .soft_state_tables import ALIVE_SLOT, TABLE_EXPIRY, KeptRow, Table, row_key
+
+if TYPE_CHECKING:
+    from ..state.fleet import HostReport
+
+__all__ = ["OwnTable"]
+
+#: Seconds between two signs of life.
+ALIVE_INTERVAL = 0.45
+
+#: Age of an own report in seconds from which its owner no longer stands by it.
+MAX_REPORT_AGE = 0.8
+
+#: Changes of mere quantities that are told: a second, and at once after a quiet time.
+QUANTITY_RATE = 1.5
+QUANTITY_BURST = 6.0
+
+#: Part by which demand must change to be told.
+DEMAND_CHANGE = 0.1
+
+
+class OwnTable:
+    """Keep the table that this process owns.
+
+    Suspicion, departures and what reports confirm are told at once.  Quantities,
+    which move all the time, share ``QUANTITY_RATE``; those told longest ago go first.
+    """
+
+    def __init__(self, *, origin: int, member: Member) -> None:
+        self.table = Table(origin=origin, member=member)
+        self._slots_by_key: dict[tuple[str, ...], int] = {}
+        self._n_slots = ALIVE_SLOT
+        self._allowance = QUANTITY_BURST
+        self._allowance_at = float("-inf")
+        self._report_age = 0.0
+
+    def set_rows(self, rows: Iterable[tuple[SoftRow, float]], *, now: float) -> None:
+        """Replace all rows by these and the times at which they were observed."""
+        keys = set()
+        moved: list[tuple[KeptRow, SoftRow]] = []
+        self._report_age = 0.0
+        for row, observed_at in rows:
+            if isinstance(row, ReportRow) and now - observed_at > MAX_REPORT_AGE:
+                continue
+            key = row_key(row)
+            keys.add(key)
+            kept = self._kept(key, row, observed_at=observed_at, now=now)
+            kept.observed_at = observed_at
+            if isinstance(row, ReportRow):
+                self._report_age = max(self._report_age, now - observed_at)
+            if _is_urgent(kept.row, row):
+                self._change(kept, row, now=now)
+            elif _is_moved(kept.row, row):
+                moved.append((kept, row))
+        self._tell_moved(moved, now=now)
+        self._take_back(keys, now=now)
+        self._tell_alive(now=now)
+
+    def _kept(
+        self, key: tuple[str, ...], row: SoftRow, *, observed_at: float, now: float
+    ) -> KeptRow:
+        slot = self._slots_by_key.get(key)
+        if slot is None:
+            self._n_slots += 1
+            slot = self._slots_by_key[key] = self._n_slots
+            self._add(slot, row, observed_at=observed_at, now=now)
+        return self.table.rows_by_slot[slot]
+
+    def _add(self, slot: int, row: SoftRow, *, observed_at: float, now: float) -> None:
+        self.table.version += 1
+        self.table.rows_by_slot[slot] = KeptRow(
+            slot=slot,
+            row=row,
+            version=self.table.version,
+            observed_at=observed_at,
+            told_at=now,
+        )
+
+    def _change(self, kept: KeptRow, row: SoftRow, *, now: float) -> None:
+        self.table.version += 1
+        kept.row = row
+        kept.version = self.table.version
+        kept.told_at = now
+
+    def _tell_moved(self, moved: list[tuple[KeptRow, SoftRow]], *, now: float) -> None:
+        gained = (now - self._allowance_at) * QUANTITY_RATE
+        self._allowance = min(QUANTITY_BURST, self._allowance + gained)
+        self._allowance_at = now
+        # Loads in reports serve only as a hint, so they take what is left.
+        moved.sort(
+            key=lambda change: (isinstance(change[1], ReportRow), change[0].told_at)
+        )
+        for kept, row in moved[: int(self._allowance)]:
+            self._change(kept, row, now=now)
+            self._allowance -= 1
+
+    def _take_back(self, keys: set[tuple[str, ...]], *, now: float) -> None:
+        for key in self._slots_by_key.keys() - keys:
+            kept = self.table.rows_by_slot[self._slots_by_key.pop(key)]
+            kept.observed_at = now
+            self._change(kept, GoneRow(), now=now)
+        for slot, kept in list(self.table.rows_by_slot.items()):
+            gone = isinstance(kept.row, GoneRow)
+            if gone and now - kept.observed_at > 3 * TABLE_EXPIRY:
+                del self.table.rows_by_slot[slot]
+
+    def _tell_alive(self, *, now: float) -> None:
+        # Always last: it stands for all rows with lower versions.
+        kept = self.table.rows_by_slot.get(ALIVE_SLOT)
+        if kept is None or now - kept.observed_at >= ALIVE_INTERVAL:
+            row = AliveRow(report_age=self._report_age)
+            self._add(ALIVE_SLOT, row, observed_at=now, now=now)
+
+
+def _is_urgent(known: SoftRow, row: SoftRow) -> bool:
+    if isinstance(known, ReportRow) and isinstance(row, ReportRow):
+        return _confirmed_part(known.report) != _confirmed_part(row.report)
+    return known != row and not isinstance(row, DemandRow | LoadRow)
+
+
+def _is_moved(known: SoftRow, row: SoftRow) -> bool:
+    if isinstance(known, DemandRow) and isinstance(row, DemandRow):
+        return any(
+            abs(new - old) > max(0.5, DEMAND_CHANGE * max(old, new))
+            or bool(new) != bool(old)
+            for old, new in (
+                (known.rate, row.rate),
+                (known.n_in_flight, row.n_in_flight),
+                (known.n_waiting, row.n_waiting),
+            )
+        )
+    return known != row
+
+
+def _confirmed_part(report: HostReport) -> tuple[object, ...]:
+    return (
+        report.boot,
+        report.state,
+        report.group,
+        report.fencing,
+        report.rank,
+        report.model,
+        report.version,
+        report.adapters,
+    )
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -91,6 +91,7 @@
                 "callers": application.callers.describe(),
                 "outgoing": application.http_client.describe(),
             },
+            "peers": application.peering.describe(),
         }
 
     def _streams(self, *, now: float) -> dict[str, Any]:
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -18,6 +18,7 @@
     "AnswerHead",
     "AttemptData",
     "CallerRequest",
+    "Datagram",
     "OutboundAnswer",
     "OutboundFailure",
     "OutboundRequest",
@@ -34,6 +35,8 @@
     "outbound_flow",
     "outbound_head",
     "outbound_send",
+    "peers_received",
+    "peers_send",
     "serving_tick",
     "sweep",
 ]
@@ -164,6 +167,14 @@
     asked_at: float
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Datagram:
+    """Hold one datagram from or to a peer's address."""
+
+    address: str
+    data: bytes
+
+
 class caller_request(Event):
     """Announce a ``CallerRequest``."""
 
@@ -248,6 +259,14 @@
     """Announce a ``HostReported``."""
 
 
+class peers_send(Event):
+    """Ask for a list of ``Datagram`` to be sent to peers."""
+
+
+class peers_received(Event):
+    """Announce a list of ``Datagram`` received from peers."""
+
+
 class drain(Event):
     """Begin the graceful shutdown."""
 
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -8,20 +8,34 @@
 from circuits import handler
 
 from .asking import Asker, Question
+from .coordination.confirmation import FreshReport
+from .coordination.polling import PollingShares, ReportFollowing
 from .logs import log_warning
 from .protocol.backend import read_hosts_list, read_report
+from .state.fleet import HostReport
+from .state.observations import ReportRow
 
 if TYPE_CHECKING:
     from .coordination.confirmation import Confirmations
     from .events import HostReported, OutboundAnswer, OutboundFailure
     from .settings import Settings
     from .state.fleet import ListedHost
+    from .state.observations import Observation
 
 __all__ = ["FleetWatch"]
 
 #: Seconds between two looks at the platform's list.
 LIST_INTERVAL = 1.0
 
+#: Engines of other zones up to which their reports are followed too.
+MAX_FOREIGN = 100
+
+#: Age in seconds up to which an own report is told to peers.
+TOLD_AGE = 5.0
+
+#: State in which peers are told of a host that refuses connections.
+UNREACHABLE = "unreachable"
+
 
 class FleetWatch(Asker):
     """Own what the hosts say, and since when.
@@ -39,8 +53,16 @@
         self._settings = settings
         self.confirmations = confirmations
         self.hosts_by_name: dict[str, ListedHost] = {}
+        self._followed_by_name: dict[str, ListedHost] = {}
         self._list_due_at = 0.0
-        self._asked_at_by_host: dict[str, float] = {}
+        self.shares = PollingShares(host=settings.host)
+        self._following = ReportFollowing(
+            shares=self.shares,
+            availability_zone=settings.availability_zone,
+            interval=settings.report_interval,
+            max_age=settings.report_max_age,
+        )
+        self._own_reports_by_host: dict[str, FreshReport] = {}
 
     @handler("control_tick")
     def _on_control_tick(self) -> None:
@@ -50,7 +72,7 @@
 
     @handler("host_reported")
     def _on_host_reported(self, message: HostReported) -> None:
-        self.confirmations.reported(message.report, asked_at=message.asked_at)
+        self._take_own(message.report, asked_at=message.asked_at)
 
     def _ask_list(self, *, now: float) -> None:
         if now < self._list_due_at:
@@ -65,19 +87,23 @@
         )
 
     def _ask_reports(self, *, now: float) -> None:
-        for name, listed in self.hosts_by_name.items():
-            asked_at = self._asked_at_by_host.get(name, float("-inf"))
-            due = now - asked_at >= self._settings.report_interval
-            if listed.kind != "engine" or not due:
-                continue
-            self._asked_at_by_host[name] = now
-            self.ask(
-                Question(kind="report", subject=name),
-                address=listed.address,
-                path="/v1/report",
-                step="read_report",
-                progress_timeout=self._settings.progress_timeout,
-            )
+        for name, listed in self._followed_by_name.items():
+            known = self.confirmations.reports_by_host.get(name)
+            reported_at = known.asked_at if known is not None else None
+            zone = listed.availability_zone
+            if self._following.is_due(
+                name, zone=zone, reported_at=reported_at, now=now
+            ):
+                self._ask_report(name, listed)
+
+    def _ask_report(self, name: str, listed: ListedHost) -> None:
+        self.ask(
+            Question(kind="report", subject=name),
+            address=listed.address,
+            path="/v1/report",
+            step="read_report",
+            progress_timeout=self._settings.progress_timeout,
+        )
 
     def _take_list(self, answer: OutboundAnswer) -> None:
         hosts = read_hosts_list(answer.body, peer=answer.address)
@@ -86,6 +112,24 @@
             return
         self.hosts_by_name.clear()
         self.hosts_by_name.update((listed.host, listed) for listed in hosts.ok.hosts)
+        self._followed_by_name = self._followed()
+        self._following.forget(self.hosts_by_name)
+        for host in self._own_reports_by_host.keys() - self.hosts_by_name.keys():
+            del self._own_reports_by_host[host]
+
+    def _followed(self) -> dict[str, ListedHost]:
+        engines = {
+            name: listed
+            for name, listed in self.hosts_by_name.items()
+            if listed.kind == "engine"
+        }
+        own = {
+            name: listed
+            for name, listed in engines.items()
+            if listed.availability_zone == self._settings.availability_zone
+        }
+        # Beyond this size the other zones' reports would cost more than control may.
+        return engines if len(engines) - len(own) <= MAX_FOREIGN else own
 
     def answered(self, question: Question, answer: OutboundAnswer) -> None:
         """Take the list or a report."""
@@ -94,11 +138,61 @@
             return
         report = read_report(answer.body, peer=answer.address)
         if answer.status == 200 and report.is_ok():
-            self.confirmations.reported(report.ok, asked_at=answer.sent_at)
+            self._take_own(report.ok, asked_at=answer.sent_at)
 
     def failed(self, question: Question, failure: OutboundFailure) -> None:
         """Keep the last list; a host that refuses connections counts as gone."""
         if question.kind == "list":
             log_warning("hosts_list_failed", message=failure.error.message)
         elif not failure.bytes_sent:
-            self.confirmations.unreachable(question.subject)
+            host = question.subject
+            self.confirmations.unreachable(host)
+            self._own_reports_by_host[host] = FreshReport(
+                report=HostReport(host=host, boot="", state=UNREACHABLE),
+                asked_at=time.monotonic(),
+            )
+
+    def _take_own(self, report: HostReport, *, asked_at: float) -> None:
+        self.confirmations.reported(report, asked_at=asked_at)
+        known = self._own_reports_by_host.get(report.host)
+        if known is None or known.asked_at < asked_at:
+            self._own_reports_by_host[report.host] = FreshReport(
+                report=report, asked_at=asked_at
+            )
+
+    # What entry hosts tell each other
+
+    def aged_observations(self, *, now: float) -> list[tuple[Observation, float]]:
+        """Return the reports that this entry host asked for itself."""
+        return [
+            (ReportRow(report=fresh.report), fresh.asked_at)
+            for fresh in self._own_reports_by_host.values()
+            if now - fresh.asked_at <= TOLD_AGE
+        ]
+
+    def observed(
+        self, observation: Observation, *, peer: str, observed_at: float, now: float
+    ) -> None:
+        """Take a report that a peer asked for."""
+        if not isinstance(observation, ReportRow):
+            return
+        report = observation.report
+        if report.state != UNREACHABLE:
+            self._take_told(report, asked_at=observed_at)
+            return
+        # A peer that alone cannot reach a host must not make it vanish for all: a
+        # report from about the same time speaks against it.
+        known = self.confirmations.reports_by_host.get(report.host)
+        if (
+            known is None
+            or known.asked_at < observed_at - self._settings.report_interval
+        ):
+            self.confirmations.unreachable(report.host)
+
+    def _take_told(self, report: HostReport, *, asked_at: float) -> None:
+        # The own question was refused after this report was asked for.
+        own = self._own_reports_by_host.get(report.host)
+        refused = own is not None and own.report.state == UNREACHABLE
+        if refused and asked_at <= own.asked_at:
+            return
+        self.confirmations.reported(report, asked_at=asked_at)
--- /dev/null
+++ b/ryelever/peering.py
@@ -0,0 +1,187 @@
+"""Exchange soft state with the other entry hosts."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .coordination.soft_state_exchange import SoftStateExchange
+from .events import Datagram, peers_send
+from .logs import log_event
+from .protocol.soft_state import decode_message, encode_message
+from .state.observations import ConfigurationRow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from .coordination.soft_state import (
+        AgedObservationSource,
+        ObservationSink,
+        ObservationSource,
+    )
+    from .coordination.soft_state_exchange import Received
+    from .coordination.soft_state_messages import Message, SoftRow
+    from .metrics import Metrics
+    from .settings import Settings
+    from .state.configuration_fold import ConfigurationFold
+
+__all__ = ["Peering"]
+
+#: Seconds between two looks at what this host itself observes.
+OBSERVE_INTERVAL = 0.25
+
+
+class Peering(BaseComponent):
+    """Own the exchange; without a key or without peers it does nothing.
+
+    Parameters
+    ----------
+    sources, sinks : sequence of ObservationSource, ObservationSink
+        Parts that observe, and parts that take what peers observe.
+    aged_sources : sequence of AgedObservationSource
+        Parts whose rows have an age of their own.
+    set_members : callable
+        Take the names of the other living entry hosts of the zone.
+    """
+
+    channel = "peering"
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        address: str,
+        configuration: ConfigurationFold,
+        metrics: Metrics,
+        sources: Sequence[ObservationSource],
+        aged_sources: Sequence[AgedObservationSource],
+        sinks: Sequence[ObservationSink],
+        set_members: Callable[[list[str]], None],
+    ) -> None:
+        super().__init__()
+        self._key = settings.peer_key.encode()
+        self._configuration = configuration
+        self._metrics = metrics
+        self._sources = sources
+        self._aged_sources = aged_sources
+        self._sinks = sinks
+        self._set_members = set_members
+        self._observe_at = 0.0
+        rng = random.SystemRandom()
+        self.exchange = SoftStateExchange(
+            host=settings.host,
+            availability_zone=settings.availability_zone,
+            address=address,
+            addresses=[peer for peer in settings.peers if peer != address],
+            boot=rng.getrandbits(64) | 1,
+            current_configuration=self._current_configuration,
+            rng=rng,
+        )
+
+    @handler("control_tick")
+    def _on_control_tick(self) -> None:
+        if not self._key:
+            return
+        now = time.monotonic()
+        if now >= self._observe_at:
+            self._observe_at = now + OBSERVE_INTERVAL
+            self.exchange.observe(self._observed(now=now), now=now)
+            self._set_members(self.exchange.live_members(now=now))
+        self._send(self.exchange.tick(now=now))
+
+    @handler("peers_received")
+    def _on_peers_received(self, datagrams: list[Datagram]) -> None:
+        if not self._key:
+            self._metrics.count("peer_datagrams_dropped", "no_key")
+            return
+        now = time.monotonic()
+        for datagram in datagrams:
+            read = decode_message(datagram.data, key=self._key, peer=datagram.address)
+            if read.is_error():
+                self._metrics.count("peer_datagrams_dropped", read.error.code)
+                continue
+            before = self.exchange.n_by_fault.copy()
+            received = self.exchange.receive(read.ok, address=datagram.address, now=now)
+            for fault in self.exchange.n_by_fault - before:
+                self._metrics.count("peer_datagrams_dropped", fault)
+            self._take(received, address=datagram.address, now=now)
+
+    def _take(self, received: Received, *, address: str, now: float) -> None:
+        for delivery in received.deliveries:
+            for sink in self._sinks:
+                sink.observed(
+                    delivery.observation,
+                    peer=delivery.peer,
+                    observed_at=delivery.observed_at,
+                    now=now,
+                )
+        if received.configuration is not None:
+            self._adopt(received.configuration, address=address)
+        self._send(received.messages)
+
+    def _adopt(self, row: ConfigurationRow, *, address: str) -> None:
+        adopted = self._configuration.adopt(
+            version=row.version, document=row.document, author=row.author
+        )
+        if adopted:
+            log_event("configuration_adopted", version=row.version, peer=address)
+
+    def _observed(self, *, now: float) -> list[tuple[SoftRow, float]]:
+        rows = [
+            (row, now)
+            for source in self._sources
+            for row in source.observations(now=now)
+            if not isinstance(row, ConfigurationRow)
+        ]
+        for source in self._aged_sources:
+            rows += source.aged_observations(now=now)
+        return rows
+
+    def _current_configuration(self) -> ConfigurationRow | None:
+        fold = self._configuration
+        if fold.version < 0:
+            return None
+        return ConfigurationRow(
+            version=fold.version, author=fold.author, document=fold.configuration
+        )
+
+    def _send(self, messages: list[tuple[str, Message]]) -> None:
+        if not messages:
+            return
+        datagrams = [
+            Datagram(address=address, data=encode_message(message, key=self._key))
+            for address, message in messages
+        ]
+        self.fire(peers_send(datagrams), "peers")
+
+    def describe(self) -> dict[str, object]:
+        """Describe peers and tables for the state dump."""
+        now = time.monotonic()
+        return {
+            "live_members": self.exchange.live_members(now=now),
+            "peers": [
+                {
+                    "address": peer.address,
+                    "host": peer.name,
+                    "availability_zone": peer.availability_zone,
+                    "proven": peer.current is not None,
+                    "heard_for": round(now - peer.heard_at, 3)
+                    if peer.current is not None
+                    else None,
+                }
+                for peer in self.exchange.peers_by_address.values()
+            ],
+            "tables": [
+                {
+                    "host": table.member.host,
+                    "availability_zone": table.member.availability_zone,
+                    "digest": table.member.digest,
+                    "version": table.version,
+                    "n_rows": len(table.rows_by_slot),
+                }
+                for table in self.exchange.tables.tables_by_origin.values()
+            ],
+        }
--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -26,6 +26,15 @@
         self.configuration = Configuration()
         self.author = ""
 
+    def adopt(self, *, version: int, document: Configuration, author: str) -> bool:
+        """Take the configuration that a peer has in force, unless it is older."""
+        if version <= self.version:
+            return False
+        self.version = version
+        self.configuration = document
+        self.author = author
+        return True
+
     def _apply_record(self, entry: Entry) -> str | None:
         record = entry.record
         if not isinstance(record, Publication):
