Test the exchange under faults, and greet silent peers of the zone sooner

Found by the new tests: a process that was paused for longer than peers count it as living was greeted again only after 30 s, since both sides had given each other up. A silent peer of the zone is now tried every 4 s.

--- a/ryelever/coordination/soft_state_schedule.py
+++ b/ryelever/coordination/soft_state_schedule.py
@@ -20,8 +20,8 @@
 PROBE_INTERVAL = 0.25
 GREETING_INTERVAL = 2.0
 
-#: Seconds of silence after which a peer is greeted anew, in the zone and elsewhere.
-SILENT_ZONE = 30.0
+#: Seconds between two tries to reach a silent peer, in the zone and elsewhere.
+SILENT_ZONE = 4.0
 SILENT_FOREIGN = 60.0
 
 
@@ -108,8 +108,13 @@
     def _patience(self, peer: Peer) -> float:
         if peer.current is None:
             return GREETING_INTERVAL
-        same = peer.availability_zone == self._zone
-        return SILENT_ZONE if same else SILENT_FOREIGN
+        if peer.availability_zone != self._zone:
+            return SILENT_FOREIGN
+        # One that lives has its turn without this.  One that does not is tried for
+        # as long as the settings name it: a paused process comes back some day, and
+        # both sides may have given each other up.
+        lives = peer.address in self.zone_addresses
+        return float("inf") if lives else SILENT_ZONE
 
 
 def _is_silent(peer: Peer, *, now: float) -> bool:
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -145,12 +145,14 @@
         if question.kind == "list":
             log_warning("hosts_list_failed", message=failure.error.message)
         elif not failure.bytes_sent:
-            host = question.subject
-            self.confirmations.unreachable(host)
-            self._own_reports_by_host[host] = FreshReport(
-                report=HostReport(host=host, boot="", state=UNREACHABLE),
-                asked_at=time.monotonic(),
-            )
+            self.refused(question.subject, at=time.monotonic())
+
+    def refused(self, host: str, *, at: float) -> None:
+        """Take note that a host refuses connections, and tell peers."""
+        self.confirmations.unreachable(host)
+        self._own_reports_by_host[host] = FreshReport(
+            report=HostReport(host=host, boot="", state=UNREACHABLE), asked_at=at
+        )
 
     def _take_own(self, report: HostReport, *, asked_at: float) -> None:
         self.confirmations.reported(report, asked_at=asked_at)
--- /dev/null
+++ b/tests/test_coordination/test_soft_state_configuration.py
@@ -0,0 +1,137 @@
+"""Test that the newest configuration reaches hosts that are cut off from the log."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from ryelever.coordination.soft_state_configuration import (
+    GRACE,
+    MAX_PIECES,
+    ConfigurationSpread,
+)
+from ryelever.coordination.soft_state_messages import Piece, Want
+from ryelever.state.configuration import ClientAccount, Configuration
+from ryelever.state.observations import ConfigurationRow
+
+from .soft_state_network import Network, configuration
+
+SEED = 3
+
+
+def large(version: int, *, n_accounts: int = 400) -> ConfigurationRow:
+    rng = random.Random(version)
+    accounts = {
+        f"account-{index}": ClientAccount(key_hash=f"{rng.getrandbits(256):x}")
+        for index in range(n_accounts)
+    }
+    return ConfigurationRow(
+        version=version,
+        author="ana",
+        document=Configuration(client_accounts=accounts),
+    )
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+def test_a_configuration_of_many_pieces_arrives_whole(loss: float) -> None:
+    """Put a configuration together that no datagram could hold.
+
+    Symptom: a host cut off from the log stays at an old version.
+    Sequence: a large configuration is published; pieces of it are lost.
+    Cause: nobody would send a lost piece again.
+    """
+    network = Network(zones=["a", "a", "b", "b"], seed=SEED)
+    network.route = lambda *_: () if network.rng.random() < loss else (0.002,)
+    network.run(5.0)
+    network.nodes[0].configuration = large(8)
+    network.run(60.0)
+    assert all(node.configuration == large(8) for node in network.nodes)
+
+
+def test_no_host_steps_below_a_version() -> None:
+    """Keep the highest version on every host, whoever restarts with an old one."""
+    network = Network(zones=["a"] * 3, seed=SEED)
+    network.nodes[0].configuration = configuration(9)
+    network.run(8.0)
+    network.nodes[1].configuration = configuration(9)
+    reborn = network.reboot(network.nodes[2])
+    reborn.configuration = configuration(4)
+    seen = []
+    for _ in range(160):
+        network.run(0.05)
+        seen.append(tuple(n.exchange.configuration.version for n in network.nodes))
+    assert seen[-1] == (9, 9, 9)
+    assert all(old <= new for old, new in zip(seen, seen[1:], strict=False))
+
+
+def _spread(current: ConfigurationRow | None) -> ConfigurationSpread:
+    return ConfigurationSpread(current=lambda: current)
+
+
+def _fetching(version: int) -> ConfigurationSpread:
+    spread = _spread(None)
+    spread.heard(version, address="p", now=0.0)
+    assert spread.wants(now=GRACE / 2) is None
+    assert spread.wants(now=GRACE) == ("p", Want(version=version, first=0))
+    return spread
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        {"data": b"not compressed"},
+        {"index": 7},
+        {"n_pieces": MAX_PIECES + 1},
+        {"version": 99},
+        {"checksum": b""},
+    ],
+    ids=lambda broken: next(iter(broken)),
+)
+def test_a_broken_piece_is_not_taken(broken: dict[str, object]) -> None:
+    spread = _fetching(8)
+    (piece,) = _spread(configuration(8)).pieces(Want(version=8, first=0))
+    assert spread.take(replace(piece, **broken), address="p", now=1.0) is None
+
+
+def test_a_piece_of_somebody_else_is_not_taken() -> None:
+    spread = _fetching(8)
+    (piece,) = _spread(configuration(8)).pieces(Want(version=8, first=0))
+    assert spread.take(piece, address="q", now=1.0) is None
+    assert spread.take(piece, address="p", now=1.0) == configuration(8)
+
+
+def test_another_peer_is_asked_when_the_first_falls_silent() -> None:
+    """Ask the next peer that tells of the version, not the silent one for ever."""
+    spread = _fetching(8)
+    spread.heard(8, address="q", now=0.8)
+    assert spread.wants(now=0.9)[0] == "p"
+    spread.heard(8, address="q", now=3.0)
+    assert spread.wants(now=3.0)[0] == "q"
+
+
+def test_a_compressed_flood_is_not_unpacked() -> None:
+    """Bound the memory that a small text can unfold to."""
+    import hashlib
+    import zlib
+
+    spread = _fetching(8)
+    data = zlib.compress(b"[" * (64 << 20), 9)
+    pieces = [data[at : at + 1100] for at in range(0, len(data), 1100)]
+    taken = [
+        spread.take(
+            Piece(
+                version=8,
+                index=index,
+                n_pieces=len(pieces),
+                checksum=hashlib.sha256(data).digest(),
+                data=piece,
+            ),
+            address="p",
+            now=1.0,
+        )
+        for index, piece in enumerate(pieces)
+    ]
+    assert taken[-1] is None
+    assert spread.n_broken == 1
