--- a/ryelever/coordination/soft_state_exchange.py
+++ b/ryelever/coordination/soft_state_exchange.py
@@ -36,6 +36,7 @@
 from .soft_state_tables import (
     HAVE_SIZE,
     MEMBER_SIZE,
+    REDELIVERY_INTERVAL,
     ROW_EXPIRY,
     TABLE_EXPIRY,
     TABLE_SIZE,
@@ -60,8 +61,12 @@
 #: Seconds between two looks for what has expired.
 EXPIRE_INTERVAL = 0.5
 
-#: Seconds between two sums of the zone.
+#: Seconds between two sums of the zone, and of a host alone.
 DIGEST_INTERVAL = 1.0
+FLAT_DIGEST_INTERVAL = 0.25
+
+#: Entry hosts up to which each tells all zones of itself, rather than its zone's sum.
+MAX_FLAT = 16
 
 #: Peers of which state is kept.
 MAX_PEERS = 1024
@@ -94,6 +99,8 @@
         Where peers reach this entry host.
     addresses : collection of str
         Peers named in the settings.
+    max_flat : int
+        Entry hosts up to which other zones hear of each host by its own name.
     boot : int
         Random number of this process.
     current_configuration : callable
@@ -112,8 +119,10 @@
         boot: int,
         current_configuration: Callable[[], ConfigurationRow | None],
         rng: random.Random,
+        max_flat: int = MAX_FLAT,
     ) -> None:
         self._host = host
+        self._flat = len(addresses) < max_flat
         self._zone = availability_zone
         self._boot = boot
         self._rng = rng
@@ -122,7 +131,10 @@
         for known in addresses:
             self._peer(known)
         self.configuration = ConfigurationSpread(current=current_configuration)
-        self.tables = Tables(accepts=self._accepts)
+        self.tables = Tables(
+            accepts=self._accepts,
+            redelivery_interval=0.0 if self._flat else REDELIVERY_INTERVAL,
+        )
         self._own = self._own_table(address, digest=False)
         self._digest = self._own_table(address, digest=True)
         self._digest_due_at: float | None = None
@@ -141,9 +153,10 @@
             availability_zone=self._zone,
             address=address,
             digest=digest,
+            alone=digest and self._flat,
         )
         origin = origin_of(self._host, self._boot, digest=digest)
-        return OwnTable(origin=origin, member=member)
+        return OwnTable(origin=origin, member=member, flat=self._flat)
 
     def _accepts(self, member: Member, zone: str) -> bool:
         # A peer of another zone holds no more than a sum of what this zone tells;
@@ -190,16 +203,20 @@
         self._own.set_rows(rows, now=now)
         if self._digest_due_at is None:
             # Until the zone's others are known, nobody can tell whose task it is.
-            self._digest_due_at = now + LIVE_AGE
+            self._digest_due_at = now if self._flat else now + LIVE_AGE
         if now >= self._digest_due_at:
-            self._digest_due_at = now + DIGEST_INTERVAL
+            interval = FLAT_DIGEST_INTERVAL if self._flat else DIGEST_INTERVAL
+            self._digest_due_at = now + interval
             self._sum_zone(now=now)
 
     def _sum_zone(self, *, now: float) -> None:
-        # The first by name sums up; should two do so for a while, both are right.
-        if any(host < self._host for host in self.live_members(now=now)):
-            return
-        tables = filter(self._is_zone_member, self.tables.tables_by_origin.values())
+        tables: list[Table] = []
+        if not self._flat:
+            # The first by name sums up; should two do so for a while, both are right.
+            if any(host < self._host for host in self.live_members(now=now)):
+                return
+            known = self.tables.tables_by_origin.values()
+            tables = list(filter(self._is_zone_member, known))
         rows = summed_rows([self._own.table, *tables], now=now)
         self._digest.set_rows(rows, now=now)
 
@@ -388,7 +405,8 @@
     ) -> None:
         if member.digest and member.availability_zone == self._zone:
             return
-        observer = f"zone/{member.availability_zone}" if member.digest else member.host
+        single = member.alone or not member.digest
+        observer = member.host if single else f"zone/{member.availability_zone}"
         for kept in taken:
             if (
                 isinstance(kept.row, AliveRow | GoneRow)
--- a/ryelever/coordination/soft_state_messages.py
+++ b/ryelever/coordination/soft_state_messages.py
@@ -73,12 +73,15 @@
     ----------
     digest : bool
         The table sums up the owner's availability zone for the other zones.
+    alone : bool
+        It sums up the owner alone: entry hosts are so few that all hear of each.
     """
 
     host: str
     availability_zone: str
     address: str = ""
     digest: bool = False
+    alone: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/ryelever/coordination/soft_state_own.py
+++ b/ryelever/coordination/soft_state_own.py
@@ -24,6 +24,10 @@
 QUANTITY_RATE = 1.5
 QUANTITY_BURST = 6.0
 
+#: The same where entry hosts are few; everything that moved is then told.
+FLAT_QUANTITY_RATE = 20.0
+FLAT_QUANTITY_BURST = 40.0
+
 #: Part by which demand must change to be told.
 DEMAND_CHANGE = 0.1
 
@@ -33,13 +37,21 @@
 
     Suspicion, departures and what reports confirm are told at once.  Quantities,
     which move all the time, share ``QUANTITY_RATE``; those told longest ago go first.
+
+    Parameters
+    ----------
+    flat : bool
+        Entry hosts are so few that every movement may be told.
     """
 
-    def __init__(self, *, origin: int, member: Member) -> None:
+    def __init__(self, *, origin: int, member: Member, flat: bool = False) -> None:
+        self._rate = FLAT_QUANTITY_RATE if flat else QUANTITY_RATE
+        self._burst = FLAT_QUANTITY_BURST if flat else QUANTITY_BURST
+        self._least_change = 0.0 if flat else DEMAND_CHANGE
         self.table = Table(origin=origin, member=member)
         self._slots_by_key: dict[tuple[str, ...], int] = {}
         self._n_slots = ALIVE_SLOT
-        self._allowance = QUANTITY_BURST
+        self._allowance = self._burst
         self._allowance_at = float("-inf")
         self._report_age = 0.0
 
@@ -59,7 +71,7 @@
                 self._report_age = max(self._report_age, now - observed_at)
             if _is_urgent(kept.row, row):
                 self._change(kept, row, now=now)
-            elif _is_moved(kept.row, row):
+            elif _is_moved(kept.row, row, least=self._least_change):
                 moved.append((kept, row))
         self._tell_moved(moved, now=now)
         self._take_back(keys, now=now)
@@ -92,8 +104,8 @@
         kept.told_at = now
 
     def _tell_moved(self, moved: list[tuple[KeptRow, SoftRow]], *, now: float) -> None:
-        gained = (now - self._allowance_at) * QUANTITY_RATE
-        self._allowance = min(QUANTITY_BURST, self._allowance + gained)
+        gained = (now - self._allowance_at) * self._rate
+        self._allowance = min(self._burst, self._allowance + gained)
         self._allowance_at = now
         # Loads in reports serve only as a hint, so they take what is left.
         moved.sort(
@@ -127,11 +139,10 @@
     return known != row and not isinstance(row, DemandRow | LoadRow)
 
 
-def _is_moved(known: SoftRow, row: SoftRow) -> bool:
-    if isinstance(known, DemandRow) and isinstance(row, DemandRow):
+def _is_moved(known: SoftRow, row: SoftRow, *, least: float) -> bool:
+    if least and isinstance(known, DemandRow) and isinstance(row, DemandRow):
         return any(
-            abs(new - old) > max(0.5, DEMAND_CHANGE * max(old, new))
-            or bool(new) != bool(old)
+            abs(new - old) > max(0.5, least * max(old, new)) or bool(new) != bool(old)
             for old, new in (
                 (known.rate, row.rate),
                 (known.n_in_flight, row.n_in_flight),
--- a/ryelever/coordination/soft_state_schedule.py
+++ b/ryelever/coordination/soft_state_schedule.py
@@ -13,8 +13,9 @@
 MAX_ZONE_RATE = 2.5
 PEER_RATE = 1.0
 
-#: Seconds between two exchanges with other zones, each to the next zone.
-FOREIGN_INTERVAL = 1.0
+#: Exchanges a second with other zones: at most, and at most with one zone.
+MAX_FOREIGN_RATE = 2.0
+FOREIGN_ZONE_RATE = 1.0
 
 #: Seconds between two greetings, and between two of one address.
 PROBE_INTERVAL = 0.25
@@ -52,6 +53,7 @@
         self._probe_due_at = 0.0
         self._cycle: list[str] = []
         self._zones: list[str] = []
+        self._n_zones = 0
 
     def due(self, *, now: float) -> list[str]:
         """Return the addresses to which a datagram is due."""
@@ -75,11 +77,13 @@
     def _tell_foreign(self, *, now: float) -> list[str]:
         if now < self._foreign_due_at:
             return []
-        self._foreign_due_at = now + FOREIGN_INTERVAL
         if not self._zones:
             zones = {peer.availability_zone for peer in self._peers_by_address.values()}
             self._zones = sorted(zones - {"", self._zone})
+            self._n_zones = len(self._zones)
             self._rng.shuffle(self._zones)
+        rate = min(MAX_FOREIGN_RATE, FOREIGN_ZONE_RATE * max(1, self._n_zones))
+        self._foreign_due_at = now + 1 / rate
         if not self._zones:
             return []
         zone = self._zones.pop()
--- a/ryelever/coordination/soft_state_tables.py
+++ b/ryelever/coordination/soft_state_tables.py
@@ -47,7 +47,7 @@
 TABLE_EXPIRY = 10.0
 
 #: Seconds between two deliveries of a row that has not changed, but for reports.
-REDELIVERY_INTERVAL = 2.0
+REDELIVERY_INTERVAL = 1.0
 
 #: Estimated bytes of parts of a message, packed, on the large side.
 TABLE_SIZE = 12
@@ -129,10 +129,18 @@
     ----------
     accepts : callable
         Tell whether the table of a member may come from a peer of a zone.
+    redelivery_interval : float
+        Seconds between two deliveries of a row that has not changed.
     """
 
-    def __init__(self, *, accepts: Callable[[Member, str], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        accepts: Callable[[Member, str], bool],
+        redelivery_interval: float = REDELIVERY_INTERVAL,
+    ) -> None:
         self._accepts = accepts
+        self._redelivery_interval = redelivery_interval
         self.tables_by_origin: dict[int, Table] = {}
         self._origin_by_owner: dict[tuple[str, bool], int] = {}
 
@@ -151,7 +159,7 @@
             table.version = row.version
             observed_at = composed_at - row.age * (1 + MAX_DRIFT)
             if isinstance(row.row, AliveRow):
-                taken |= _vouch(table, row.row, observed_at=observed_at, now=now)
+                taken |= self._vouch(table, row.row, observed_at=observed_at, now=now)
             kept = KeptRow(
                 slot=row.slot,
                 row=row.row,
@@ -162,6 +170,23 @@
             table.rows_by_slot[row.slot] = taken[row.slot] = kept
         return list(taken.values()) if self._is_latest_boot(table) else []
 
+    def _vouch(
+        self, table: Table, alive: AliveRow, *, observed_at: float, now: float
+    ) -> dict[int, KeptRow]:
+        reports_at = observed_at - alive.report_age * (1 + MAX_DRIFT)
+        renewed = {}
+        for slot, kept in table.rows_by_slot.items():
+            if isinstance(kept.row, GoneRow | AliveRow):
+                continue
+            report = isinstance(kept.row, ReportRow)
+            kept.observed_at = max(
+                kept.observed_at, reports_at if report else observed_at
+            )
+            if report or now - kept.told_at >= self._redelivery_interval:
+                kept.told_at = now
+                renewed[slot] = kept
+        return renewed
+
     def _table(
         self, update: TableUpdate, *, zone: str, composed_at: float
     ) -> Table | None:
@@ -228,22 +253,6 @@
     return (kind, report.host) if report is not None else (kind,)
 
 
-def _vouch(
-    table: Table, alive: AliveRow, *, observed_at: float, now: float
-) -> dict[int, KeptRow]:
-    reports_at = observed_at - alive.report_age * (1 + MAX_DRIFT)
-    renewed = {}
-    for slot, kept in table.rows_by_slot.items():
-        if isinstance(kept.row, GoneRow | AliveRow):
-            continue
-        report = isinstance(kept.row, ReportRow)
-        kept.observed_at = max(kept.observed_at, reports_at if report else observed_at)
-        if report or now - kept.told_at >= REDELIVERY_INTERVAL:
-            kept.told_at = now
-            renewed[slot] = kept
-    return renewed
-
-
 def _size(row: SoftRow) -> int:
     if isinstance(row, ReportRow):
         return REPORT_SIZE
--- a/ryelever/protocol/soft_state.py
+++ b/ryelever/protocol/soft_state.py
@@ -191,6 +191,7 @@
         member.availabilityZone = table.member.availability_zone
         member.address = table.member.address
         member.digest = table.member.digest
+        member.alone = table.member.alone
     rows = entry.init("rows", len(table.updates))
     for row, update in zip(rows, table.updates, strict=True):
         row.slot = update.slot
@@ -302,6 +303,7 @@
             availability_zone=member.availabilityZone,
             address=member.address,
             digest=member.digest,
+            alone=member.alone,
         )
         if member.host
         else None,
--- a/ryelever/schema/soft_state.capnp
+++ b/ryelever/schema/soft_state.capnp
@@ -45,6 +45,7 @@
   availabilityZone @1 :Text;
   address @2 :Text;
   digest @3 :Bool;
+  alone @4 :Bool;
 }
 
 struct Row {
