--- a/benchmarks/soft_state.py
+++ b/benchmarks/soft_state.py
@@ -222,7 +222,14 @@
 SIZES = ((8, 3, 50, 10), (35, 1, 71, 10), (140, 4, 284, 10), (390, 11, 780, 10))
 
 
-def main(*, seconds: float = 20.0, seed: int = 1, loss: float = 0.0, n_max: int = 390):
+def main(
+    *,
+    seconds: float = 20.0,
+    seed: int = 1,
+    loss: float = 0.0,
+    n_min: int = 1,
+    n_max: int = 390,
+):
     """Measure all sizes.
 
     Parameters
@@ -233,6 +240,8 @@
         Seed of all random choices.
     loss : float
         Part of the datagrams that is lost.
+    n_min : int
+        Smallest size.
     n_max : int
         Largest size.
     """
@@ -248,7 +257,7 @@
             loss=loss,
         )
         for n_nodes, n_zones, n_workers, n_accounts in SIZES
-        if n_nodes <= n_max
+        if n_min <= n_nodes <= n_max
     ]
     for name in rows[0]:
         print(f"{name:18}", *(f"{row[name]:10.2f}" for row in rows))
--- a/ryelever/coordination/soft_state_exchange.py
+++ b/ryelever/coordination/soft_state_exchange.py
@@ -63,7 +63,7 @@
 
 #: Seconds between two sums of the zone, and of a host alone.
 DIGEST_INTERVAL = 1.0
-FLAT_DIGEST_INTERVAL = 0.25
+FLAT_DIGEST_INTERVAL = 0.5
 
 #: Entry hosts up to which each tells all zones of itself, rather than its zone's sum.
 MAX_FLAT = 16
--- a/ryelever/coordination/soft_state_own.py
+++ b/ryelever/coordination/soft_state_own.py
@@ -25,8 +25,8 @@
 QUANTITY_BURST = 6.0
 
 #: The same where entry hosts are few; everything that moved is then told.
-FLAT_QUANTITY_RATE = 20.0
-FLAT_QUANTITY_BURST = 40.0
+FLAT_QUANTITY_RATE = 8.0
+FLAT_QUANTITY_BURST = 20.0
 
 #: Part by which demand must change to be told.
 DEMAND_CHANGE = 0.1
