--- a/ryelever/coordination/polling.py
+++ b/ryelever/coordination/polling.py
@@ -11,7 +11,7 @@
 N_ASKERS = 2
 
 #: Part of a report's longest age after which a host that is no asker asks itself.
-LATE_SHARE = 0.75
+LATE_SHARE = 0.8
 
 #: Seconds between two questions of a host that is no asker to a server of which
 #: nothing is known, as after it has refused connections.
--- a/ryelever/coordination/soft_state_own.py
+++ b/ryelever/coordination/soft_state_own.py
@@ -16,6 +16,7 @@
 
 #: Seconds between two signs of life.
 ALIVE_INTERVAL = 0.45
+FLAT_ALIVE_INTERVAL = 0.2
 
 #: Age of an own report in seconds from which its owner no longer stands by it.
 MAX_REPORT_AGE = 0.8
@@ -46,6 +47,7 @@
 
     def __init__(self, *, origin: int, member: Member, flat: bool = False) -> None:
         self._rate = FLAT_QUANTITY_RATE if flat else QUANTITY_RATE
+        self._alive_interval = FLAT_ALIVE_INTERVAL if flat else ALIVE_INTERVAL
         self._burst = FLAT_QUANTITY_BURST if flat else QUANTITY_BURST
         self._least_change = 0.0 if flat else DEMAND_CHANGE
         self.table = Table(origin=origin, member=member)
@@ -128,7 +130,7 @@
     def _tell_alive(self, *, now: float) -> None:
         # Always last: it stands for all rows with lower versions.
         kept = self.table.rows_by_slot.get(ALIVE_SLOT)
-        if kept is None or now - kept.observed_at >= ALIVE_INTERVAL:
+        if kept is None or now - kept.observed_at >= self._alive_interval:
             row = AliveRow(report_age=self._report_age)
             self._add(ALIVE_SLOT, row, observed_at=now, now=now)
 
