--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -5,6 +5,7 @@
 import signal
 import time
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Event, handler
@@ -24,7 +25,13 @@
 from .logs import log_event, log_warning
 from .metrics import Metrics
 from .planning import Planning
-from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
+from .protocol.log import (
+    CLAIMS_STREAM,
+    CONFIGURATION_STREAM,
+    claims_stream,
+    claims_streams,
+    placement_stream,
+)
 from .serving import Serving
 from .state.claims import ClaimsFold
 from .state.configuration_fold import NO_VERSION, ConfigurationFold
@@ -78,11 +85,15 @@
         claims = Claims(
             owner=owner,
             stream=CLAIMS_STREAM,
-            fold=ClaimsFold(),
+            folds_by_stream={
+                name: ClaimsFold()
+                for name in claims_streams(settings.claims_partitions)
+            },
+            stream_of=partial(claims_stream, n_partitions=settings.claims_partitions),
             max_lag=2.0 + settings.progress_timeout,
         )
         self.streams = Streams(
-            settings=settings, folds_by_stream=self._folds(claims.fold), claims=claims
+            settings=settings, folds_by_stream=self._folds(), claims=claims
         )
         self.confirmations = Confirmations(max_age=settings.report_max_age)
         self.fleet = FleetWatch(settings=settings, confirmations=self.confirmations)
@@ -111,11 +122,8 @@
         self._register_parts()
         self._register_gauges()
 
-    def _folds(self, claims: ClaimsFold) -> dict[str, BaseFold]:
-        folds: dict[str, BaseFold] = {
-            CONFIGURATION_STREAM: self.configuration,
-            CLAIMS_STREAM: claims,
-        }
+    def _folds(self) -> dict[str, BaseFold]:
+        folds: dict[str, BaseFold] = {CONFIGURATION_STREAM: self.configuration}
         for zone, placement in self.placements_by_zone.items():
             folds[placement_stream(zone)] = placement
         return folds
--- a/ryelever/coordination/claims.py
+++ b/ryelever/coordination/claims.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from .idempotency import judge_owner
+
 if TYPE_CHECKING:
     from ..state.claims import ClaimsFold, ClaimState
 
@@ -13,34 +16,65 @@
 class Claims:
     """Answer the request table's questions about claims.
 
+    The claims are spread over several streams by a hash of their key.  Today each
+    entry host follows all of them.  With hundreds, a host would follow a few and
+    hand a non-repeatable request on to a peer that follows its key's stream.
+
     Parameters
     ----------
     owner : str
         Name of this entry host together with its boot id.
     stream : str
-        The stream that holds the claims.
+        Name under which the request table appends; the key picks the partition.
+    folds_by_stream : dict of str to ClaimsFold
+        The partitions that this host follows.
+    stream_of : callable
+        Return the partition of a claim's key.
     max_lag : float
-        Seconds without having reached the stream's end after which the log counts
+        Seconds without having reached a stream's end after which the log counts
         as down.
     """
 
     def __init__(
-        self, *, owner: str, stream: str, fold: ClaimsFold, max_lag: float
+        self,
+        *,
+        owner: str,
+        stream: str,
+        folds_by_stream: dict[str, ClaimsFold],
+        stream_of: Callable[[str], str],
+        max_lag: float,
     ) -> None:
         self.owner = owner
         self.stream = stream
-        self.fold = fold
+        self.folds_by_stream = folds_by_stream
+        self.stream_of = stream_of
+        self.wall = 0.0
         self._max_lag = max_lag
-        self._caught_up_at = float("-inf")
+        self._caught_up_at = dict.fromkeys(folds_by_stream, float("-inf"))
 
-    def caught_up(self, *, at: float) -> None:
-        """Take note that a read asked at a time reached the stream's end."""
-        self._caught_up_at = max(self._caught_up_at, at)
+    def caught_up(self, stream: str, *, at: float) -> None:
+        """Take note that a read asked at a time reached a stream's end."""
+        self._caught_up_at[stream] = max(self._caught_up_at[stream], at)
+
+    def observe_wall(self, wall: float) -> None:
+        """Take the wall-clock time, in seconds since the epoch."""
+        self.wall = wall
 
     def available(self, *, now: float) -> bool:
-        """Tell whether the claims stream was read to its end lately."""
-        return now - self._caught_up_at <= self._max_lag
+        """Tell whether all partitions are known whole and up to their end.
+
+        A partition with records missing counts as down: a key that looks free in
+        it may have been claimed, and would run a second time.
+        """
+        return all(
+            now - self._caught_up_at[stream] <= self._max_lag and fold.complete
+            for stream, fold in self.folds_by_stream.items()
+        )
 
     def lookup(self, key: str) -> ClaimState | None:
-        """Return the first claim of a key."""
-        return self.fold.claims_by_key.get(key)
+        """Return the first claim of a key as a resend is to see it."""
+        fold = self.folds_by_stream[self.stream_of(key)]
+        claim = fold.claims_by_key.get(key)
+        if claim is None:
+            return None
+        return judge_owner(claim, wall=max(self.wall, fold.log_time))
--- /dev/null
+++ b/ryelever/coordination/idempotency.py
@@ -0,0 +1,117 @@
+"""Judge an idempotency key by its time of issue, and a claim by its age.
+
+Whether a key is safe is decided by the fold alone (state/claims.py), on the log's
+own times: it refuses a claim of a key that is older than the window, so no entry
+host's clock can cause a second run.  What stands here answers a caller early and
+clearly.
+
+Clock assumption: an entry host's wall clock differs from the log's by less than
+``MAX_AHEAD`` (30 s).  One that runs ahead by more refuses keys that could still be
+claimed; one that runs behind lets claims be appended which the fold then refuses.
+Neither runs a request twice.  Streams reports the difference it sees.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from expression import Error, Ok, Result
+
+from ..errors import Category, RunState, RyeleverError
+from ..state.claims import CLAIM_WINDOW, MAX_AHEAD
+from ..state.idempotency_key import MAX_KEY_LENGTH, issued_at
+from ..state.records import Outcome
+
+if TYPE_CHECKING:
+    from ..state.claims import ClaimState
+
+__all__ = ["OWNER_TIMEOUT", "check_key", "judge_owner"]
+
+#: Seconds after a claim for which its owner is believed to be at work.
+OWNER_TIMEOUT = 120.0
+
+
+def check_key(
+    key: str,
+    *,
+    wall: float,
+    window: float = CLAIM_WINDOW,
+    max_ahead: float = MAX_AHEAD,
+) -> Result[float, RyeleverError]:
+    """Return the time of issue of a key that can still be claimed.
+
+    A key from the future was never claimed, since the fold refuses it, so the
+    answer is ``not_run``.  Of a key that is too old nobody knows any more whether
+    it was run: the refusal says ``outcome_unknown``.  To call it ``not_run`` would
+    have the caller send the request again under a new key, and a booking that ran
+    an hour ago would run twice.
+
+    Parameters
+    ----------
+    wall : float
+        Wall-clock time, in seconds since the epoch.
+    """
+    issued = issued_at(key)
+    if issued is None:
+        return _refused(
+            "the Idempotency-Key must carry its time of issue: send a UUID of "
+            f"version 7, or <unix milliseconds>-<any text>, of at most "
+            f"{MAX_KEY_LENGTH} characters",
+            category=Category.BAD_REQUEST,
+            code="idempotency_key_invalid",
+        )
+    if wall - issued > window:
+        return _refused(
+            f"the Idempotency-Key was issued more than {window:g} s ago; this "
+            "request was not run now, and whether an earlier one with this key "
+            "was run is no longer known: look at what it was to bring about "
+            "before you send it under a new key",
+            category=Category.CONFLICT,
+            code="idempotency_key_expired",
+            run_state=RunState.OUTCOME_UNKNOWN,
+        )
+    if issued - wall > max_ahead:
+        return _refused(
+            f"the Idempotency-Key was issued more than {max_ahead:g} s in the "
+            "future; set the clock that it was made from",
+            category=Category.BAD_REQUEST,
+            code="idempotency_key_in_future",
+        )
+    return Ok(issued)
+
+
+def judge_owner(
+    claim: ClaimState, *, wall: float, timeout: float = OWNER_TIMEOUT
+) -> ClaimState:
+    """Return the claim as a resend is to see it.
+
+    The owner of a claim may be gone for good, and the outcome then never comes.
+    A resend must not be told "in progress" for ever, nor may it be run: what the
+    owner had sent may have taken effect.  After a time it is told
+    ``outcome_unknown``; an outcome that comes later still counts.
+    """
+    if claim.outcome is not None or wall - claim.time <= timeout:
+        return claim
+    unknown = Outcome(
+        key=claim.key,
+        owner=claim.owner,
+        run_state=RunState.OUTCOME_UNKNOWN.value,
+        status=0,
+        request_id=claim.request_id,
+    )
+    return replace(claim, outcome=unknown)
+
+
+def _refused(
+    message: str,
+    *,
+    category: Category,
+    code: str,
+    run_state: RunState = RunState.NOT_RUN,
+) -> Result[float, RyeleverError]:
+    return Error(
+        RyeleverError(
+            message, category=category, step="claim", code=code, run_state=run_state
+        )
+    )
--- a/ryelever/coordination/log_writer.py
+++ b/ryelever/coordination/log_writer.py
@@ -2,13 +2,52 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from ..state.records import Record
 
-__all__ = ["LogWriter", "Pending"]
+__all__ = ["AppendBudget", "LogWriter", "Pending"]
+
+#: Shortest and longest pause after failed appends, in seconds.
+MIN_PAUSE = 0.2
+MAX_PAUSE = 3.0
+
+
+class AppendBudget:
+    """Bound the appends a second of one process, over all of its streams.
+
+    The log takes several hundred appends a second from all entry hosts together.
+    A bound in each host keeps to that without any agreement: when it is reached,
+    records wait a little and the batches grow, and with them what one append
+    carries.  Without it, a host that retries against a slow log would take the
+    appends that the others need.
+
+    Parameters
+    ----------
+    rate : float
+        Appends a second.
+    burst : float
+        Appends that may follow each other at once after a quiet time.
+    """
+
+    def __init__(self, *, rate: float, burst: float = 4.0) -> None:
+        self._rate = rate
+        self._burst = max(1.0, burst)
+        self._tokens = self._burst
+        self._filled_at = float("-inf")
+
+    def take(self, *, now: float) -> bool:
+        """Take one append, if there is one left."""
+        gained = max(0.0, now - self._filled_at) * self._rate
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
 
 
 @dataclass(slots=True, kw_only=True)
@@ -19,6 +58,8 @@
     ----------
     deadline : float
         Monotonic time after which the record is not appended again.
+    cost : int
+        Share of a batch that the record takes; 1 for a small one.
     sent_at : float
         Monotonic time of the newest append, or minus infinity.
     """
@@ -26,8 +67,14 @@
     record_id: str
     record: Record
     deadline: float
+    cost: int = 1
     sent_at: float = float("-inf")
 
+    @property
+    def sent(self) -> bool:
+        """Tell whether an append has left, so that the record may be in the log."""
+        return self.sent_at != float("-inf")
+
 
 class LogWriter:
     """Decide what to append to one stream, and when to append it again.
@@ -36,58 +83,115 @@
     taken effect.  A record is therefore appended again, with the same id, until
     it has been read back; the fold drops the second.
 
+    A record whose deadline has passed is not appended again, yet an append that
+    was sent may still take effect, late.  It then counts for every reader like any
+    other, and this writer only counts it (``n_late``): who appended it looks at
+    the fold, never at this writer, to learn what is so.
+
     Parameters
     ----------
+    budget : AppendBudget or None
+        Shared by the writers of one process.
     retry_after : float
         Seconds after which a record that was not read back is appended again.
     max_batch : int
-        Records in one append.
+        Cost of the records in one append.
+    jitter : callable
+        Return a number from 0 to 1 that spreads the pauses of many hosts.
     """
 
-    def __init__(self, *, retry_after: float = 1.0, max_batch: int = 200) -> None:
+    def __init__(
+        self,
+        *,
+        budget: AppendBudget | None = None,
+        retry_after: float = 1.0,
+        max_batch: int = 200,
+        jitter: Callable[[], float] = lambda: 0.5,
+    ) -> None:
+        self._budget = budget
         self._retry_after = retry_after
         self._max_batch = max_batch
+        self._jitter = jitter
+        self._pause_until = float("-inf")
+        self._n_failures = 0
+        self._given_up: dict[str, None] = {}
         self.pending_by_id: dict[str, Pending] = {}
         self.in_flight = False
+        self.n_appends = 0
+        self.n_records = 0
+        self.n_late = 0
 
-    def add(self, record: Record, *, record_id: str, deadline: float) -> None:
+    def add(
+        self, record: Record, *, record_id: str, deadline: float, cost: int = 1
+    ) -> None:
         """Take a record that is to be appended."""
         self.pending_by_id[record_id] = Pending(
-            record_id=record_id, record=record, deadline=deadline
+            record_id=record_id, record=record, deadline=deadline, cost=cost
         )
 
     def read_back(self, record_id: str) -> bool:
         """Settle a record that was read back; tell whether it was pending."""
+        if record_id in self._given_up:
+            del self._given_up[record_id]
+            self.n_late += 1
         return self.pending_by_id.pop(record_id, None) is not None
 
     def answered(self) -> None:
-        """Take note that the append in flight was answered or has failed."""
+        """Take note that the append in flight was answered."""
         self.in_flight = False
+        self._n_failures = 0
+
+    def failed(self, *, now: float) -> None:
+        """Pause after an append that failed or whose answer was lost.
 
-    def failed(self) -> None:
-        """Make every sent record due again at the next try."""
+        The pause grows, so that hundreds of hosts do not keep a service down that
+        is coming back.
+        """
         self.in_flight = False
+        pause = min(MAX_PAUSE, MIN_PAUSE * 2 ** min(self._n_failures, 8))
+        self._n_failures += 1
+        self._pause_until = now + pause * (0.5 + self._jitter())
 
     def due(self, *, now: float) -> list[Pending]:
         """Return the next batch, or nothing while one is in flight."""
-        if self.in_flight:
+        if self.in_flight or now < self._pause_until:
+            return []
+        batch = self._batch(now=now)
+        if not batch or (self._budget is not None and not self._budget.take(now=now)):
             return []
-        self._drop_late(now=now)
-        batch = [
-            pending
-            for pending in self.pending_by_id.values()
-            if now - pending.sent_at >= self._retry_after
-        ][: self._max_batch]
         for pending in batch:
             pending.sent_at = now
-        self.in_flight = bool(batch)
+        self.in_flight = True
+        self.n_appends += 1
+        self.n_records += len(batch)
         return batch
 
-    def _drop_late(self, *, now: float) -> None:
+    def give_up_late(self, *, now: float) -> list[Pending]:
+        """Drop and return the records whose deadline has passed."""
         late = [
-            record_id
-            for record_id, pending in self.pending_by_id.items()
+            pending
+            for pending in self.pending_by_id.values()
             if pending.deadline <= now
         ]
-        for record_id in late:
-            del self.pending_by_id[record_id]
+        for pending in late:
+            del self.pending_by_id[pending.record_id]
+            if pending.sent:
+                self._given_up[pending.record_id] = None
+        while len(self._given_up) > 1000:
+            del self._given_up[next(iter(self._given_up))]
+        return late
+
+    def _batch(self, *, now: float) -> list[Pending]:
+        batch: list[Pending] = []
+        room = self._max_batch
+        for pending in self.pending_by_id.values():
+            if now - pending.sent_at < self._retry_after or pending.deadline <= now:
+                continue
+            # One that is larger than a whole batch goes alone, but goes.
+            if pending.cost > room and batch:
+                break
+            batch.append(pending)
+            room -= pending.cost
+            if room <= 0:
+                break
+        return batch
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -192,7 +192,9 @@
         if request_id is None:
             # The request was given up before its claim came back.  Nobody will run
             # it, so the key is freed; a resend would wait for an outcome for ever.
-            freed = self._outcome(claim.key, run_state=RunState.NOT_RUN)
+            freed = self._outcome(
+                claim.key, run_state=RunState.NOT_RUN, request_id=claim.request_id
+            )
             return [freed] if is_first else []
         request = self.requests_by_id[request_id]
         if not is_first:
@@ -264,7 +266,11 @@
             )
         if not request.arrival.repeatable:
             actions.append(
-                self._outcome(_claim_key(request.arrival), run_state=RunState.RUN)
+                self._outcome(
+                    _claim_key(request.arrival),
+                    run_state=RunState.RUN,
+                    request_id=request.arrival.request_id,
+                )
             )
         return actions
 
@@ -297,6 +303,7 @@
                 self._outcome(
                     _claim_key(request.arrival),
                     run_state=RunState.RUN,
+                    request_id=request.arrival.request_id,
                     status=status,
                     content_type=content_type,
                     body=body,
@@ -458,7 +465,11 @@
             actions.append(AnswerError(request_id=request_id, error=error))
         if request.claim_id:
             actions.append(
-                self._outcome(_claim_key(request.arrival), run_state=run_state)
+                self._outcome(
+                    _claim_key(request.arrival),
+                    run_state=run_state,
+                    request_id=request.arrival.request_id,
+                )
             )
         return actions
 
@@ -516,10 +527,12 @@
         return AnswerError(
             request_id=request.arrival.request_id,
             error=RyeleverError(
-                "another request with this key came first and was not run",
+                "another request with this key came first, or the key was too old "
+                "by the log's clock; this one was not run",
                 category=Category.UNAVAILABLE,
                 step="claim",
                 code="claim_lost",
+                run_state=RunState.OUTCOME_UNKNOWN,
                 retry_after=self._retry_after(),
             ),
         )
@@ -535,6 +548,7 @@
         key: str,
         *,
         run_state: RunState,
+        request_id: str,
         status: int = 0,
         content_type: str = "",
         body: bytes = b"",
@@ -547,6 +561,7 @@
             status=status,
             content_type=content_type,
             body=stored,
+            request_id=request_id,
         )
         return AppendRecord(
             stream=self._claims.stream, record=record, record_id=self._new_id()
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -99,6 +99,14 @@
                 "next_offset": stream.fold.next_offset,
                 "caught_up_for": _age(stream.caught_up_at, now=now),
                 "pending_appends": len(stream.writer.pending_by_id),
+                "complete": stream.fold.complete,
+                "problem": stream.reader.problem,
+                "n_restored": stream.reader.n_restored,
+                "n_unreadable": stream.fold.n_unreadable,
+                "snapshot_offset": stream.fold.snapshot_offset,
+                "n_appends": stream.writer.n_appends,
+                "n_appended_records": stream.writer.n_records,
+                "n_late_records": stream.writer.n_late,
                 "ignored": [
                     {"offset": ignored.offset, "reason": ignored.reason}
                     for ignored in stream.fold.ignored[-5:]
--- a/ryelever/protocol/log.py
+++ b/ryelever/protocol/log.py
@@ -5,13 +5,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import zlib
+from dataclasses import dataclass, field
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
-from ..errors import Category, RyeleverError
+from ..errors import RyeleverError
 from ..state import records
+from ..state.claims import ClaimsSnapshot
+from ..state.configuration_fold import ConfigurationSnapshot
+from ..state.placement import PlacementSnapshot
 from .json_codec import decode, encode
 
 __all__ = [
@@ -19,8 +23,11 @@
     "LogPage",
     "RawEntry",
     "append_request",
+    "claims_stream",
+    "claims_streams",
     "decode_entry",
     "encode_record",
+    "placement_stream",
     "read_page",
     "read_path",
 ]
@@ -38,8 +45,9 @@
         records.HostReleased,
         records.Claim,
         records.Outcome,
-        records.PlacementSnapshot,
-        records.ClaimsSnapshot,
+        ConfigurationSnapshot,
+        PlacementSnapshot,
+        ClaimsSnapshot,
     )
 }
 
@@ -66,7 +74,7 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LogPage:
-    """Hold one page of a stream.
+    """Hold one page of a stream; an answer 410 has no records.
 
     Attributes
     ----------
@@ -78,7 +86,7 @@
 
     first: int
     next: int
-    records: list[RawEntry]
+    records: list[RawEntry] = field(default_factory=list)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -86,6 +94,19 @@
     records: list[AppendItem]
 
 
+def claims_streams(n_partitions: int) -> list[str]:
+    """Name the streams over which claims are spread."""
+    return [f"{CLAIMS_STREAM}-{index}" for index in range(n_partitions)]
+
+
+def claims_stream(key: str, *, n_partitions: int) -> str:
+    """Name the stream that holds the claims of a key.
+
+    The hash must be the same in every process, which Python's own is not.
+    """
+    return f"{CLAIMS_STREAM}-{zlib.crc32(key.encode()) % n_partitions}"
+
+
 def placement_stream(availability_zone: str) -> str:
     """Name the stream that holds a zone's placement."""
     return f"placement-{availability_zone}"
@@ -115,22 +136,32 @@
     return decode(data, LogPage, step="read_log", peer=peer)
 
 
-def decode_entry(raw: RawEntry, *, peer: str) -> Result[records.Entry, RyeleverError]:
-    """Decode one entry; an unknown kind is an error and is never guessed at."""
+def decode_entry(raw: RawEntry, *, peer: str) -> records.Entry:
+    """Decode one entry; what cannot be decoded becomes ``Unreadable``.
+
+    To stop at such a record would stop the stream for good, since the record stays
+    in the log; to guess at it could put in force what nobody meant.  It is handed
+    to the fold, which knows what an unread record makes uncertain.
+    """
+    return records.Entry(
+        offset=raw.offset,
+        time=raw.time,
+        id=raw.id,
+        record=_decode_record(raw, peer=peer),
+    )
+
+
+def _decode_record(raw: RawEntry, *, peer: str) -> records.Record:
     cls = _RECORD_CLASSES_BY_KIND.get(raw.kind)
     if cls is None:
-        return Error(
-            RyeleverError(
-                f"unknown kind of record {raw.kind!r} at offset {raw.offset}; "
-                "upgrade this host",
-                category=Category.BAD_REQUEST,
-                step="read_log",
-                peer=peer,
-            )
+        return records.Unreadable(
+            kind=raw.kind,
+            known_kind=False,
+            reason=f"unknown kind {raw.kind!r}; upgrade this host",
         )
     decoded = decode(bytes(raw.body), cls, step="read_log", peer=peer)
-    return decoded.bind(
-        lambda record: Ok(
-            records.Entry(offset=raw.offset, time=raw.time, id=raw.id, record=record)
+    if decoded.is_error():
+        return records.Unreadable(
+            kind=raw.kind, known_kind=True, reason=decoded.error.message
         )
-    )
+    return decoded.ok
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -25,6 +25,7 @@
     StreamTokens,
     Usage,
 )
+from .coordination.idempotency import check_key
 from .errors import Category, RunState, RyeleverError
 from .events import (
     CallerAnswer,
@@ -173,6 +174,10 @@
             )
         if request.path == "/v1/models" and request.method == "GET":
             return _ok(None)
+        key = request.headers.get("idempotency-key", "")
+        checked = check_key(key, wall=time.time()) if key else Ok(0.0)
+        if checked.is_error():
+            return checked
         if request.path == "/v1/chat/completions":
             if request.method != "POST":
                 return _error("use POST", category=Category.BAD_REQUEST, code="method")
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -19,6 +19,10 @@
 #: Marks a setting that has no default.
 REQUIRED = object()
 
+#: Shortest retention, in seconds: records must outlast twice the time for which
+#: claims are asked for (state/claims.py), and a snapshot's writing.
+MIN_LOG_RETENTION = 1800.0
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Fault:
@@ -142,6 +146,27 @@
         expected=_ADDRESS,
         meaning="The platform's log service.",
     ),
+    Setting(
+        name="log_retention",
+        default=86_400.0,
+        check=lambda value: _is_positive(value) and value >= MIN_LOG_RETENTION,
+        expected=f"a number of seconds, {MIN_LOG_RETENTION:g} or more",
+        meaning="Time for which the log keeps a record, at the least.",
+    ),
+    Setting(
+        name="log_appends_per_second",
+        default=20.0,
+        check=_is_positive,
+        expected="a number above 0",
+        meaning="Most appends of this host; all hosts share what the log takes.",
+    ),
+    Setting(
+        name="claims_partitions",
+        default=4,
+        check=lambda value: _is_size(value) and value <= 1024,
+        expected="a whole number from 1 to 1024, the same on every entry host",
+        meaning="Streams over which claims are spread; changed only when all stop.",
+    ),
     Setting(
         name="hosts_list_address",
         default=REQUIRED,
--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -2,54 +2,118 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
 from .configuration import Configuration
 from .fold import BaseFold
-from .records import Entry, Publication
+from .records import Entry, Publication, SnapshotPart
 
-__all__ = ["NO_VERSION", "ConfigurationFold"]
+__all__ = ["NO_VERSION", "ConfigurationFold", "ConfigurationSnapshot"]
 
 #: Version of the state before anything was published.
 NO_VERSION = -1
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ConfigurationSnapshot(SnapshotPart):
+    """Repeat the configuration in force under its original version.
+
+    Were a repeated configuration to count as new, it could outrank a later
+    publication that raced with it, and the configuration would revert.
+    """
+
+    version: int = NO_VERSION
+    author: str = ""
+    document: Configuration = field(default_factory=Configuration)
+
+
 class ConfigurationFold(BaseFold):
-    """Keep the accepted configuration and its version.
+    """Keep the accepted configuration and its version, which never falls.
 
     The version is the offset of the accepted publication.  Of two publications
     with the same base, the first in the log wins and the second is ignored with
     the winner named.
+
+    While records are missing (``gap``), the configuration held stays in force, but
+    no publication is judged: the version in force for others may be one that this
+    fold never read, and a publication based on the version held here would win
+    here alone.  A snapshot, or a peer's version, ends this.  The exception is a
+    fold that holds nothing: it takes a first publication, or a fleet whose log has
+    expired to the last record could never be configured again.
     """
 
+    snapshot_class = ConfigurationSnapshot
+
     def __init__(self) -> None:
         super().__init__()
         self.version = NO_VERSION
         self.configuration = Configuration()
         self.author = ""
 
+    def adopt(self, *, version: int, document: Configuration, author: str) -> bool:
+        """Put a version in force that a peer has passed on.
+
+        Returns
+        -------
+        bool
+            False when the version held is as new, and nothing has changed.
+        """
+        if version <= self.version:
+            return False
+        self._accept(version=version, document=document, author=author)
+        if self.gap is not None and version + 1 >= self.gap.before:
+            # What came after this version can still be read; what was read of it
+            # while records were missing was not judged, so it is read again.
+            self.gap = None
+            self.next_offset = min(self.next_offset, version + 1)
+        return True
+
     def _apply_record(self, entry: Entry) -> str | None:
         record = entry.record
         if not isinstance(record, Publication):
             return "not a publication"
-        if record.original_version != NO_VERSION:
-            return self._apply_repeated(record)
+        if entry.offset <= self.version:
+            # Judged already by the peer that passed the version on.
+            return None
+        if self.gap is not None and not self._is_first(record):
+            return (
+                "not judged: the version in force is not known here, since "
+                f"{self.gap.reason}"
+            )
         if record.base_version != self.version:
             return (
                 f"based on version {record.base_version}, but version "
                 f"{self.version} by {self.author or 'nobody'} is in force"
             )
-        self._accept(version=entry.offset, record=record)
+        self.gap = None
+        self._accept(
+            version=entry.offset, document=record.document, author=record.author
+        )
         return None
 
-    def _apply_repeated(self, record: Publication) -> str | None:
-        # A configuration appended again before retention ends carries its old
-        # version.  Were it to count as new, it could outrank a later publication
-        # that raced with it, and the configuration would revert.
-        if record.original_version <= self.version:
-            return f"repeats version {record.original_version}, already known"
-        self._accept(version=record.original_version, record=record)
-        return None
+    def _is_first(self, record: Publication) -> bool:
+        return self.version == NO_VERSION and record.base_version == NO_VERSION
 
-    def _accept(self, *, version: int, record: Publication) -> None:
+    def _accept(self, *, version: int, document: Configuration, author: str) -> None:
         self.version = version
-        self.configuration = record.document
-        self.author = record.author
+        self.configuration = document
+        self.author = author
+
+    def _contents(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "version": self.version,
+                "author": self.author,
+                "document": self.configuration,
+            }
+        ]
+
+    def _restore(self, parts: Sequence[SnapshotPart]) -> None:
+        head = parts[0]
+        assert isinstance(head, ConfigurationSnapshot)
+        if head.version > self.version:
+            self._accept(
+                version=head.version, document=head.document, author=head.author
+            )
--- a/ryelever/state/placement.py
+++ b/ryelever/state/placement.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import copy
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from .fold import BaseFold
 from .records import (
@@ -11,10 +14,13 @@
     GroupFormed,
     HostReleased,
     LeaseTaken,
-    PlacementSnapshot,
+    SnapshotPart,
 )
 
-__all__ = ["Group", "Lease", "PlacementFold"]
+__all__ = ["Group", "Lease", "PlacementFold", "PlacementSnapshot"]
+
+#: Groups in one part of a snapshot.
+GROUPS_PER_PART = 200
 
 
 @dataclass(slots=True, kw_only=True)
@@ -60,9 +66,19 @@
     term: float
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlacementSnapshot(SnapshotPart):
+    """Repeat a piece of one zone's placement."""
+
+    lease: Lease | None = None
+    groups: tuple[Group, ...] = ()
+
+
 class PlacementFold(BaseFold):
     """Keep which hosts belong to which group in one availability zone."""
 
+    snapshot_class = PlacementSnapshot
+
     def __init__(self) -> None:
         super().__init__()
         self.lease: Lease | None = None
@@ -79,11 +95,32 @@
                 return self._apply_dissolved(entry.record)
             case HostReleased():
                 return self._apply_released(entry.record)
-            case PlacementSnapshot():
-                return None
             case _:
                 return "not a record of placement"
 
+    def _contents(self) -> list[dict[str, Any]]:
+        # Copied: a part is encoded later, and must not follow what happens by then.
+        groups = copy.deepcopy(list(self.groups_by_name.values()))
+        starts = range(0, max(1, len(groups)), GROUPS_PER_PART)
+        return [
+            {
+                "lease": self.lease,
+                "groups": tuple(groups[start : start + GROUPS_PER_PART]),
+            }
+            for start in starts
+        ]
+
+    def _restore(self, parts: Sequence[SnapshotPart]) -> None:
+        self.lease = parts[0].lease
+        self.groups_by_name = {
+            group.name: group for part in parts for group in part.groups
+        }
+        self.group_by_host = {
+            host: group.name
+            for group in self.groups_by_name.values()
+            for host in group.unreleased
+        }
+
     def _apply_lease(self, entry: Entry, record: LeaseTaken) -> str | None:
         current = self.lease.offset if self.lease is not None else -1
         if record.previous != current:
--- a/ryelever/state/records.py
+++ b/ryelever/state/records.py
@@ -6,22 +6,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from .configuration import Configuration
 
 __all__ = [
     "Claim",
-    "ClaimsSnapshot",
     "Entry",
     "GroupDissolved",
     "GroupFormed",
     "HostReleased",
     "LeaseTaken",
     "Outcome",
-    "PlacementSnapshot",
     "Publication",
     "Record",
+    "RememberedId",
+    "SnapshotPart",
+    "Unreadable",
 ]
 
 
@@ -37,15 +38,11 @@
         The operator who published it.
     document : Configuration
         The whole desired state.
-    original_version : int
-        Set when an accepted configuration is appended again before retention
-        ends; -1 otherwise.
     """
 
     base_version: int
     author: str
     document: Configuration
-    original_version: int = -1
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -150,6 +147,8 @@
         ``"run"``, ``"not_run"`` or ``"outcome_unknown"``.
     body : str
         The answer where it is small; empty otherwise.
+    request_id : str
+        The request whose claim it ends; empty ends any claim of the owner.
     """
 
     key: str
@@ -158,22 +157,62 @@
     status: int
     content_type: str = ""
     body: str = ""
+    request_id: str = ""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class PlacementSnapshot:
-    """Repeat a zone's folded placement before retention ends."""
+class RememberedId:
+    """Remember where a record was first read, to drop repeated appends of it."""
 
-    as_of: int
-    content: dict = field(default_factory=dict)
+    id: str
+    offset: int
+    time: float
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class ClaimsSnapshot:
-    """Repeat the folded claims before retention ends."""
+class SnapshotPart:
+    """Repeat a part of a fold's state before retention ends.
+
+    Each stream's fold defines its own subclass.  A snapshot is whole only when
+    all of its parts were read; it describes the state just before ``as_of``, not
+    at its own offset, so it can never outrank what was appended in between.
+
+    Attributes
+    ----------
+    snapshot : str
+        Unique id shared by the parts.
+    as_of : int
+        Offset of the first record that is not contained.
+    log_time : float
+        Newest time of append contained, seconds since the epoch.
+    incomplete_since : float or None
+        The log's time before which records may be missing; None when none are.
+    remembered : tuple of RememberedId
+        Ids whose repeated append must still be dropped.
+    """
 
+    snapshot: str
     as_of: int
-    content: dict = field(default_factory=dict)
+    log_time: float
+    part: int = 0
+    n_parts: int = 1
+    incomplete_since: float | None = None
+    remembered: tuple[RememberedId, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Unreadable:
+    """Stand for a record that this program cannot decode.
+
+    Attributes
+    ----------
+    known_kind : bool
+        False when a newer program may understand the record.
+    """
+
+    kind: str
+    known_kind: bool
+    reason: str
 
 
 Record = (
@@ -184,8 +223,8 @@
     | HostReleased
     | Claim
     | Outcome
-    | PlacementSnapshot
-    | ClaimsSnapshot
+    | SnapshotPart
+    | Unreadable
 )
 
 
