Give each writer its turn of a host's appends

Cause: the writers of one host share a bound on appends, and whoever asked first after a refill got the append. The writer looked at first took nearly all of them, and the records of the other partitions waited.

Ruled out: a bound for each stream, which would have to be a quarter as high and be reached while the others lie idle.

--- a/ryelever/coordination/log_writer.py
+++ b/ryelever/coordination/log_writer.py
@@ -15,6 +15,9 @@
 MIN_PAUSE = 0.2
 MAX_PAUSE = 3.0
 
+#: Seconds within which a writer that waits for its turn asks again.
+ASKS_AGAIN_WITHIN = 0.25
+
 
 class AppendBudget:
     """Bound the appends a second of one process, over all of its streams.
@@ -25,6 +28,10 @@
     carries.  Without it, a host that retries against a slow log would take the
     appends that the others need.
 
+    Writers that find none left get the next ones in the order in which they asked.
+    Were the first to ask after each refill served, the writers that are looked at
+    first would take all, and the others' records would wait for ever.
+
     Parameters
     ----------
     rate : float
@@ -38,17 +45,29 @@
         self._burst = max(1.0, burst)
         self._tokens = self._burst
         self._filled_at = float("-inf")
+        self._asked_at: dict[LogWriter, float] = {}
 
-    def take(self, *, now: float) -> bool:
-        """Take one append, if there is one left."""
+    def take(self, writer: LogWriter, *, now: float) -> bool:
+        """Take one append, if there is one left and no other writer's turn."""
         gained = max(0.0, now - self._filled_at) * self._rate
         self._tokens = min(self._burst, self._tokens + gained)
         self._filled_at = now
-        if self._tokens < 1.0:
+        self._asked_at[writer] = now
+        if self._tokens < 1.0 or self._next_writer(now=now) is not writer:
             return False
         self._tokens -= 1.0
+        del self._asked_at[writer]
         return True
 
+    def _next_writer(self, *, now: float) -> LogWriter:
+        # One that asks no more, since its records were read back or it pauses, must
+        # not keep the others waiting.
+        for writer, asked_at in list(self._asked_at.items()):
+            if now - asked_at <= ASKS_AGAIN_WITHIN:
+                return writer
+            del self._asked_at[writer]
+        raise AssertionError("the writer that asks is always among those waiting")
+
 
 @dataclass(slots=True, kw_only=True)
 class Pending:
@@ -157,7 +176,9 @@
         if self.in_flight or now < self._pause_until:
             return []
         batch = self._batch(now=now)
-        if not batch or (self._budget is not None and not self._budget.take(now=now)):
+        if not batch or (
+            self._budget is not None and not self._budget.take(self, now=now)
+        ):
             return []
         for pending in batch:
             pending.sent_at = now
--- a/tests/test_coordination/test_log_writer.py
+++ b/tests/test_coordination/test_log_writer.py
@@ -136,4 +136,23 @@
                 n_appends += 1
                 writer.answered()
     assert 40 <= n_appends <= 42
-    assert sum(writer.n_appends for writer in writers) == n_appends
+    by_writer = [writer.n_appends for writer in writers]
+    assert sum(by_writer) == n_appends
+    assert max(by_writer) - min(by_writer) <= 1
+
+
+def test_writer_that_stops_asking_does_not_hold_the_others_up() -> None:
+    """Lose the turn that one waits for.
+
+    Symptom: nothing is appended any more.  Sequence: a writer waits for its turn, and
+    its record is read back in the meantime.  Cause: the turn stays with it.
+    """
+    budget = AppendBudget(rate=1.0, burst=1.0)
+    first, second, third = (_writer(budget=budget) for _ in range(3))
+    for writer in (first, second, third):
+        writer.add(RECORD, record_id="a", deadline=1e9)
+    assert _ids(first, 0.0) == ["a"]
+    assert _ids(second, 0.5) == []
+    assert _ids(third, 0.6) == []
+    second.read_back("a")
+    assert _ids(third, 1.1) == ["a"]
