Let the reader say whether a claim read back is the first for certain

Cause: whether an own claim counts while records are missing was decided in the component that owns the sockets, where no table reached it.

After: pytest tests/test_state tests/test_coordination passes. With the guard taken out (certain=reason is None), test_own_claim_is_not_the_first_for_certain_... fails: E assert True is not True

--- a/ryelever/coordination/log_reader.py
+++ b/ryelever/coordination/log_reader.py
@@ -98,12 +98,15 @@
     seen_before : bool
         The entry is read a second time, after a return to an earlier offset.
         Whoever acts on records must not act again.
+    certain : bool
+        It took effect, and no record is missing that could have kept it from that.
     """
 
     entry: Entry
     reason: str | None
     repeated: bool
     seen_before: bool
+    certain: bool
 
 
 @dataclass(slots=True, kw_only=True)
@@ -238,6 +241,7 @@
             reason=reason,
             repeated=first is not None and first != entry.offset,
             seen_before=seen_before,
+            certain=reason is None and self.fold.complete,
         )
 
     def _restored_by(self, entry: Entry) -> bool:
--- a/ryelever/streams.py
+++ b/ryelever/streams.py
@@ -237,8 +237,7 @@
     def _report_claim(
         self, stream: Stream, applied: Applied, record: Claim, *, now: float
     ) -> None:
-        is_first = applied.reason is None and stream.fold.complete
-        if applied.reason is None and not is_first:
+        if applied.reason is None and not applied.certain:
             # With records missing, an earlier claim may be among them.  The
             # request is not run; if this claim is the first after all, the key is
             # free again.
@@ -251,7 +250,7 @@
             )
             self._add(stream, freed, record_id=uuid.uuid4().hex, now=now)
         message = ClaimReadBack(
-            claim_id=applied.entry.id, claim=record, is_first=is_first
+            claim_id=applied.entry.id, claim=record, is_first=applied.certain
         )
         self.fire(claim_read_back(message), "serving")
 
--- a/tests/test_coordination/test_log_reader.py
+++ b/tests/test_coordination/test_log_reader.py
@@ -143,6 +143,24 @@
     assert "have expired and no snapshot" in reader.problem
 
 
+@pytest.mark.parametrize("missing", [False, True])
+def test_own_claim_is_not_the_first_for_certain_while_records_are_missing(
+    missing: bool,
+) -> None:
+    """Read back an own claim after a pause beyond the retention.
+
+    Symptom: a booking runs twice.  Sequence: a host appends a claim and pauses, the
+    same key was claimed earlier at another one, both records' forerunners expire, and
+    the host wakes.  Cause: its own claim is the first that it finds.
+    """
+    log = _log([_claim(_key("a")), _claim(_key("b"), owner="e2/b")])
+    log.expire(before=1 if missing else 0)
+    reader = new_reader(ClaimsFold())
+    applied = read_to_end(reader, log)[-1]
+    assert applied.reason is None
+    assert applied.certain is not missing
+
+
 def test_configuration_is_kept_when_its_record_and_all_snapshots_expired() -> None:
     """Wake up after the retention.
 
