--- a/tests/test_state/test_folds_machine.py
+++ b/tests/test_state/test_folds_machine.py
@@ -170,6 +170,13 @@
         )
         self._add(host, "claims", record, fate)
 
+    @rule(index=hosts, seconds=st.sampled_from([0.0, 0.0, 0.0, 60.0, 120.0]))
+    def resend(self, index: int, seconds: float) -> None:
+        self.read_to_end(index=index, stream="claims")
+        self.pass_time(stream="claims", seconds=seconds)
+        self.claim(index=index, fresh=False, age=0, fate="taken")
+        self.read_to_end(index=index, stream="claims")
+
     @rule(index=hosts, run_state=st.sampled_from(["run", "not_run"]), fate=fates)
     def end_request(self, index: int, run_state: str, fate: str) -> None:
         host = self.hosts[index]
