--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from .configuration import Configuration
+from .configuration_check import faults_of
 from .fold import BaseFold
 from .records import Entry, Publication, SnapshotPart
 
@@ -77,6 +78,11 @@
         if entry.offset <= self.version:
             # Judged already by the peer that passed the version on.
             return None
+        # The console checks before it publishes, but anybody with access to the log
+        # can append.  A group of no hosts or a share of 40 would be carried out.
+        faults = faults_of(record.document)
+        if faults:
+            return f"invalid document: {faults[0]}"
         reason = self._reason_against(entry, record)
         if reason is not None:
             return reason
--- a/ryelever/streams.py
+++ b/ryelever/streams.py
@@ -15,17 +15,13 @@
 from .coordination.log_reader import LogReader, ReadPage
 from .coordination.log_snapshots import SnapshotSchedule
 from .coordination.log_writer import AppendBudget, LogWriter
+from .coordination.requests_claims import OUTCOME_KEPT
 from .errors import RunState
 from .events import ClaimReadBack, claim_read_back
 from .logs import log_event, log_warning
-from .protocol.log import (
-    append_request,
-    decode_entry,
-    encode_record,
-    read_page,
-    read_path,
-)
-from .state.claims import CLAIM_WINDOW, MAX_AHEAD
+from .protocol.log import decode_entry, encode_record
+from .protocol.outside import HTTP_LOG
+from .state.claims import MAX_AHEAD
 from .state.records import Claim, Outcome, SnapshotPart
 
 if TYPE_CHECKING:
@@ -33,6 +29,7 @@
     from .coordination.claims import Claims
     from .coordination.log_reader import Applied
     from .events import OutboundAnswer, OutboundFailure
+    from .protocol.outside import LogInterface
     from .settings import Settings
     from .state.fold import BaseFold
     from .state.records import Record
@@ -42,10 +39,6 @@
 #: Seconds for which the append of a decision may be repeated.
 APPEND_DEADLINE = 10.0
 
-#: Seconds for which the append of an outcome may be repeated: as long as anybody
-#: can ask for it, so that an outage of the log costs no outcome.
-OUTCOME_DEADLINE = CLAIM_WINDOW
-
 #: Share of a batch that one part of a snapshot takes; it may be a megabyte.
 SNAPSHOT_COST = 200
 
@@ -89,8 +82,10 @@
         settings: Settings,
         folds_by_stream: dict[str, BaseFold],
         claims: Claims,
+        log: LogInterface = HTTP_LOG,
     ) -> None:
         super().__init__()
+        self._log = log
         self._settings = settings
         self._claims = claims
         self._clock_reported = False
@@ -133,7 +128,12 @@
     def _on_append_record(self, action: AppendRecord) -> None:
         now = time.monotonic()
         stream = self.streams_by_name[self._stream_of(action)]
-        self._add(stream, action.record, record_id=action.record_id, now=now)
+        self._add(
+            stream,
+            action.record,
+            record_id=action.record_id,
+            deadline=now + (action.kept_for or APPEND_DEADLINE),
+        )
         self._append(stream, now=now)
 
     def _stream_of(self, action: AppendRecord) -> str:
@@ -143,13 +143,12 @@
         return action.stream
 
     def _add(
-        self, stream: Stream, record: Record, *, record_id: str, now: float
+        self, stream: Stream, record: Record, *, record_id: str, deadline: float
     ) -> None:
-        kept_for = OUTCOME_DEADLINE if isinstance(record, Outcome) else APPEND_DEADLINE
         stream.writer.add(
             record,
             record_id=record_id,
-            deadline=now + kept_for,
+            deadline=deadline,
             cost=SNAPSHOT_COST if isinstance(record, SnapshotPart) else 1,
         )
 
@@ -159,7 +158,7 @@
         read = stream.reader.next_read(now=now)
         if read is None:
             return
-        path = read_path(
+        call = self._log.read(
             stream.name,
             offset=read.offset,
             wait_ms=int(read.wait * 1000),
@@ -168,14 +167,14 @@
         self.ask(
             Question(kind="read", subject=stream.name),
             address=self._settings.log_address,
-            path=path,
+            path=call.path,
             step="read_log",
             progress_timeout=read.wait + self._settings.progress_timeout,
         )
 
     def _take_answer(self, stream: Stream, answer: OutboundAnswer) -> None:
         now = time.monotonic()
-        raw = read_page(answer.body, peer=answer.address)
+        raw = self._log.page(answer.body, peer=answer.address)
         if answer.status not in (200, GONE) or raw.is_error():
             self._read_failed(stream, f"answered {answer.status}", now=now)
             return
@@ -248,7 +247,12 @@
                 status=0,
                 request_id=record.request_id,
             )
-            self._add(stream, freed, record_id=uuid.uuid4().hex, now=now)
+            self._add(
+                stream,
+                freed,
+                record_id=uuid.uuid4().hex,
+                deadline=now + OUTCOME_KEPT,
+            )
         message = ClaimReadBack(
             claim_id=applied.entry.id, claim=record, is_first=applied.certain
         )
@@ -277,7 +281,12 @@
             n_parts=len(parts),
         )
         for part in parts:
-            self._add(stream, part, record_id=uuid.uuid4().hex, now=now)
+            self._add(
+                stream,
+                part,
+                record_id=uuid.uuid4().hex,
+                deadline=now + APPEND_DEADLINE,
+            )
 
     def _give_up_late(self, stream: Stream, *, now: float) -> None:
         for pending in stream.writer.give_up_late(now=now):
@@ -297,12 +306,13 @@
             encode_record(pending.record, record_id=pending.record_id)
             for pending in batch
         ]
+        call = self._log.append(stream.name, items)
         self.ask(
             Question(kind="append", subject=stream.name),
-            method="POST",
+            method=call.method,
             address=self._settings.log_address,
-            path=f"/v1/streams/{stream.name}/records",
-            body=append_request(items),
+            path=call.path,
+            body=call.body,
             step="append_log",
             progress_timeout=self._settings.progress_timeout,
         )
--- a/tests/test_state/test_configuration_fold.py
+++ b/tests/test_state/test_configuration_fold.py
@@ -43,6 +43,20 @@
     assert fold.version == 0
 
 
+def test_invalid_document_is_ignored_with_its_fault() -> None:
+    """Append a faulty document to the log by hand.
+
+    Symptom: groups of no hosts are formed.  Sequence: somebody appends a document
+    without the console.  Cause: nothing behind the console checked it again.
+    """
+    document = Configuration(models={"notes": Model(version="v", hosts_per_group=0)})
+    record = Publication(base_version=-1, author="ana", document=document)
+    fold = ConfigurationFold()
+    reason = fold.apply(Entry(offset=0, time=0.0, id="id", record=record))
+    assert reason is not None and "/models/notes/hosts_per_group" in reason
+    assert fold.configuration == Configuration()
+
+
 def _document(name: str) -> Configuration:
     return Configuration(models={name: Model(version="v")})
 
