--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -183,7 +183,7 @@
         if request_id is None:
             # The request was given up before its claim came back.  Nobody will run
             # it, so the key is freed; a resend would wait for an outcome for ever.
-            return [self._claims.free(claim.key)] if is_first else []
+            return [self._claims.free(claim)] if is_first else []
         request = self.requests_by_id[request_id]
         if not is_first:
             known = self.answer_known(request.arrival)
--- a/tests/test_coordination/test_admission_table.py
+++ b/tests/test_coordination/test_admission_table.py
@@ -40,7 +40,13 @@
             targets=lambda arrival, now: [Target(name="g", address="1.2.3.4:5")]
         ),
         retry_policy=RetryBudget(),
-        claims=Claims(owner="o", stream="claims", fold=ClaimsFold(), max_lag=9.0),
+        claims=Claims(
+            owner="o",
+            stream="claims",
+            folds_by_stream={"claims": ClaimsFold()},
+            stream_of=lambda key: "claims",
+            max_lag=9.0,
+        ),
         account=accounts.get,
         new_id=lambda: f"id-{next(ids)}",
         retry_after=lambda: 1.0,
--- a/tests/test_system/test_claims.py
+++ b/tests/test_system/test_claims.py
@@ -33,7 +33,10 @@
 
 
 def _n_claims(fleet: Fleet) -> int:
-    return fleet.counts("log")["streams"].get("claims", {"next": 0})["next"]
+    streams = fleet.counts("log")["streams"]
+    return sum(
+        stream["next"] for name, stream in streams.items() if name.startswith("claims-")
+    )
 
 
 def _error(answer: httpx.Response) -> dict:
@@ -64,8 +67,17 @@
 
 def _wait_claim_known(fleet: Fleet) -> None:
     entry = fleet.entries_by_name["e2"]
+
+    def n_read() -> int:
+        streams = entry.dump()["streams"]
+        return sum(
+            stream["next_offset"]
+            for name, stream in streams.items()
+            if name.startswith("claims-")
+        )
+
     wait_until(
-        lambda: entry.dump()["streams"]["claims"]["next_offset"] >= 1,
+        lambda: n_read() >= 1,
         what="the other host has read the claim",
     )
 
