--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Event, handler
@@ -12,11 +13,16 @@
 from .coordination.admission_fair import FairAdmission
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
+from .coordination.departures import Departures
 from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
+from .coordination.quarantine import Quarantine
 from .coordination.requests import RequestTable, Timeouts
 from .coordination.retry import RetryBudget
-from .coordination.routing import LeastInFlightRouter
+from .coordination.routing import AffinityRouter
+from .coordination.routing_feedback import RoutingFeedback
+from .coordination.routing_load import LoadView
+from .coordination.stragglers import Stragglers
 from .coordination.targets import Targets
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
@@ -25,7 +31,13 @@
 from .metrics import Metrics
 from .peering import Peering
 from .planning import Planning
-from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
+from .protocol.log import (
+    CLAIMS_STREAM,
+    CONFIGURATION_STREAM,
+    claims_stream,
+    claims_streams,
+    placement_stream,
+)
 from .serving import Serving
 from .shutdown import InFlight, Shutdown
 from .state.claims import ClaimsFold
@@ -79,11 +91,15 @@
         claims = Claims(
             owner=owner,
             stream=CLAIMS_STREAM,
-            fold=ClaimsFold(),
+            folds_by_stream={
+                name: ClaimsFold()
+                for name in claims_streams(settings.claims_partitions)
+            },
+            stream_of=partial(claims_stream, n_partitions=settings.claims_partitions),
             max_lag=2.0 + settings.progress_timeout,
         )
         self.streams = Streams(
-            settings=settings, folds_by_stream=self._folds(claims.fold), claims=claims
+            settings=settings, folds_by_stream=self._folds(), claims=claims
         )
         self.confirmations = Confirmations(max_age=settings.report_max_age)
         self.fleet = FleetWatch(settings=settings, confirmations=self.confirmations)
@@ -137,20 +153,23 @@
             metrics=self.metrics,
             sources=[
                 self.account_limits,
+                self.departures,
+                self.quarantine,
+                self.loads,
             ],
             aged_sources=[self.fleet],
             sinks=[
                 self.fleet,
                 self.account_limits,
+                self.departures,
+                self.quarantine,
+                self.loads,
             ],
             set_members=self.fleet.shares.set_members,
         )
 
-    def _folds(self, claims: ClaimsFold) -> dict[str, BaseFold]:
-        folds: dict[str, BaseFold] = {
-            CONFIGURATION_STREAM: self.configuration,
-            CLAIMS_STREAM: claims,
-        }
+    def _folds(self) -> dict[str, BaseFold]:
+        folds: dict[str, BaseFold] = {CONFIGURATION_STREAM: self.configuration}
         for zone, placement in self.placements_by_zone.items():
             folds[placement_stream(zone)] = placement
         return folds
@@ -165,16 +184,35 @@
         )
 
     def _table(self, claims: Claims) -> RequestTable:
+        self.departures = Departures(
+            confirmations=self.confirmations, hosts_by_name=self.fleet.hosts_by_name
+        )
+        self.quarantine = Quarantine()
         targets = Targets(
             availability_zone=self.settings.availability_zone,
             placements_by_zone=self.placements_by_zone,
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
+            departures=self.departures,
         )
+        self.loads = LoadView(targets=targets)
+        stragglers = Stragglers()
+        retry_budget = RetryBudget()
         return RequestTable(
             admission=self._admission(targets),
-            router=LeastInFlightRouter(targets=targets.for_arrival),
-            retry_policy=RetryBudget(),
+            router=AffinityRouter(
+                targets=targets,
+                loads=self.loads,
+                stragglers=stragglers,
+                quarantine=self.quarantine,
+            ),
+            feedback=RoutingFeedback(
+                quarantine=self.quarantine,
+                departures=self.departures,
+                stragglers=stragglers,
+                retry_budget=retry_budget,
+            ),
+            retry_policy=retry_budget,
             claims=claims,
             account=self._client_account,
             new_id=_new_id,
@@ -214,10 +252,13 @@
         )
 
     def _in_flight(self) -> InFlight:
-        claims = self.streams.streams_by_name[CLAIMS_STREAM]
+        streams = self.streams.streams_by_name
+        claims = [
+            streams[name] for name in claims_streams(self.settings.claims_partitions)
+        ]
         return InFlight(
             n_requests=len(self.table.requests_by_id),
-            n_appends=len(claims.writer.pending_by_id),
+            n_appends=sum(len(stream.writer.pending_by_id) for stream in claims),
             n_unsent=self.callers.n_unsent(),
         )
 
--- a/tests/test_coordination/request_fakes.py
+++ b/tests/test_coordination/request_fakes.py
@@ -24,6 +24,10 @@
 TIMEOUTS = Timeouts(claim=5, recovery=8, same_target=2.5, same_target_silent=0.25)
 DEADLINE = 60.0
 
+#: An idempotency key, and its time of issue in seconds since the epoch.
+ISSUED = 1_800_000_000.0
+KEY = f"{int(ISSUED * 1000)}-k"
+
 
 class OpenAdmission:
     """Admit everything, and remember who was not released."""
@@ -85,7 +89,7 @@
 
     def apply(self, record, *, record_id="other") -> bool:
         offset = self.fold.next_offset
-        entry = Entry(offset=offset, time=float(offset), id=record_id, record=record)
+        entry = Entry(offset=offset, time=ISSUED + offset, id=record_id, record=record)
         return self.fold.apply(entry) is None
 
 
@@ -158,7 +162,7 @@
 
     def do_rival(self) -> None:
         """Let another entry host claim the same key first."""
-        claim = Claim(key="acc/k", fingerprint="f", owner="e2", request_id="other")
+        claim = Claim(key=f"acc/{KEY}", fingerprint="f", owner="e2", request_id="other")
         self.log.apply(claim)
 
     def do_log_down(self) -> None:
