--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Event, handler
@@ -12,19 +13,31 @@
 from .coordination.admission_fair import FairAdmission
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
+from .coordination.departures import Departures
 from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
+from .coordination.quarantine import Quarantine
 from .coordination.requests import RequestTable, Timeouts
 from .coordination.retry import RetryBudget
-from .coordination.routing import LeastInFlightRouter
+from .coordination.routing import AffinityRouter
+from .coordination.routing_feedback import RoutingFeedback
+from .coordination.routing_load import LoadView
+from .coordination.stragglers import Stragglers
 from .coordination.targets import Targets
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
 from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
 from .metrics import Metrics
+from .peering import Peering
 from .planning import Planning
-from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
+from .protocol.log import (
+    CLAIMS_STREAM,
+    CONFIGURATION_STREAM,
+    claims_stream,
+    claims_streams,
+    placement_stream,
+)
 from .serving import Serving
 from .shutdown import InFlight, Shutdown
 from .state.claims import ClaimsFold
@@ -34,6 +47,7 @@
 from .timers import Timers
 from .transport.callers import Callers, Limits
 from .transport.http_client import HttpClient
+from .transport.peers import Peers
 
 if TYPE_CHECKING:
     from .settings import Settings
@@ -77,11 +91,15 @@
         claims = Claims(
             owner=owner,
             stream=CLAIMS_STREAM,
-            fold=ClaimsFold(),
+            folds_by_stream={
+                name: ClaimsFold()
+                for name in claims_streams(settings.claims_partitions)
+            },
+            stream_of=partial(claims_stream, n_partitions=settings.claims_partitions),
             max_lag=2.0 + settings.progress_timeout,
         )
         self.streams = Streams(
-            settings=settings, folds_by_stream=self._folds(claims.fold), claims=claims
+            settings=settings, folds_by_stream=self._folds(), claims=claims
         )
         self.confirmations = Confirmations(max_age=settings.report_max_age)
         self.fleet = FleetWatch(settings=settings, confirmations=self.confirmations)
@@ -114,6 +132,7 @@
             metrics=self.metrics,
             pages=self.dump.pages(),
         )
+        self._wire_peers()
         self.timers = Timers()
         self.shutdown = Shutdown(
             settings=settings,
@@ -124,11 +143,33 @@
         self._register_parts()
         self._register_gauges()
 
-    def _folds(self, claims: ClaimsFold) -> dict[str, BaseFold]:
-        folds: dict[str, BaseFold] = {
-            CONFIGURATION_STREAM: self.configuration,
-            CLAIMS_STREAM: claims,
-        }
+    def _wire_peers(self) -> None:
+        host, _, port = self.settings.peers_address.rpartition(":")
+        self.peers = Peers(bind=(host, int(port)), reply_channel="peering")
+        self.peering = Peering(
+            settings=self.settings,
+            address=self.peers.address,
+            configuration=self.configuration,
+            metrics=self.metrics,
+            sources=[
+                self.account_limits,
+                self.departures,
+                self.quarantine,
+                self.loads,
+            ],
+            aged_sources=[self.fleet],
+            sinks=[
+                self.fleet,
+                self.account_limits,
+                self.departures,
+                self.quarantine,
+                self.loads,
+            ],
+            set_members=self.fleet.shares.set_members,
+        )
+
+    def _folds(self) -> dict[str, BaseFold]:
+        folds: dict[str, BaseFold] = {CONFIGURATION_STREAM: self.configuration}
         for zone, placement in self.placements_by_zone.items():
             folds[placement_stream(zone)] = placement
         return folds
@@ -143,16 +184,35 @@
         )
 
     def _table(self, claims: Claims) -> RequestTable:
+        self.departures = Departures(
+            confirmations=self.confirmations, hosts_by_name=self.fleet.hosts_by_name
+        )
+        self.quarantine = Quarantine()
         targets = Targets(
             availability_zone=self.settings.availability_zone,
             placements_by_zone=self.placements_by_zone,
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
+            departures=self.departures,
         )
+        self.loads = LoadView(targets=targets)
+        stragglers = Stragglers()
+        retry_budget = RetryBudget()
         return RequestTable(
             admission=self._admission(targets),
-            router=LeastInFlightRouter(targets=targets.for_arrival),
-            retry_policy=RetryBudget(),
+            router=AffinityRouter(
+                targets=targets,
+                loads=self.loads,
+                stragglers=stragglers,
+                quarantine=self.quarantine,
+            ),
+            feedback=RoutingFeedback(
+                quarantine=self.quarantine,
+                departures=self.departures,
+                stragglers=stragglers,
+                retry_budget=retry_budget,
+            ),
+            retry_policy=retry_budget,
             claims=claims,
             account=self._client_account,
             new_id=_new_id,
@@ -192,10 +252,13 @@
         )
 
     def _in_flight(self) -> InFlight:
-        claims = self.streams.streams_by_name[CLAIMS_STREAM]
+        streams = self.streams.streams_by_name
+        claims = [
+            streams[name] for name in claims_streams(self.settings.claims_partitions)
+        ]
         return InFlight(
             n_requests=len(self.table.requests_by_id),
-            n_appends=len(claims.writer.pending_by_id),
+            n_appends=sum(len(stream.writer.pending_by_id) for stream in claims),
             n_unsent=self.callers.n_unsent(),
         )
 
@@ -213,6 +276,8 @@
             self.fleet,
             self.planning,
             self.serving,
+            self.peers,
+            self.peering,
             self.shutdown,
             self.dump,
         ):
@@ -232,11 +297,16 @@
         )
         metrics.gauge("late_answers", lambda: float(self.table.n_late_answers))
         metrics.gauge("retries", lambda: float(self.table.n_retries))
+        for name in ("received", "sent", "bytes_received", "bytes_sent"):
+            metrics.gauge(
+                f"peer_datagrams_{name}",
+                lambda name=name: float(getattr(self.peers, f"n_{name}")),
+            )
         metrics.gauge("silent_connections", lambda: float(self.http_client.n_silent))
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        for channel in ("streams", "fleet", "planning"):
+        for channel in ("streams", "fleet", "planning", "peering"):
             self.timers.every(TICK, control_tick, channel)
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
--- a/ryelever/arrivals.py
+++ b/ryelever/arrivals.py
@@ -11,6 +11,7 @@
 
 from .accounts import account_of
 from .coordination.actions import Arrival, ChatWork, ServiceWork
+from .coordination.idempotency import check_key
 from .errors import Category, RyeleverError
 from .protocol.openai import (
     fingerprint,
@@ -146,6 +147,10 @@
         timeout = self._timeout(request)
         if timeout.is_error():
             return timeout
+        key = request.headers.get("idempotency-key", "")
+        checked = check_key(key, wall=time.time()) if key else Ok(0.0)
+        if checked.is_error():
+            return checked
         now = time.monotonic()
         declared = self._configuration.configuration.client_accounts[account]
         arrival = Arrival(
@@ -155,7 +160,7 @@
             arrived_at=now,
             deadline=now + timeout.ok,
             priority=declared.priority,
-            idempotency_key=request.headers.get("idempotency-key", ""),
+            idempotency_key=key,
             fingerprint=fingerprint(
                 request.method.encode(),
                 request.path.encode(),
--- a/ryelever/coordination/requests_answers.py
+++ b/ryelever/coordination/requests_answers.py
@@ -77,6 +77,7 @@
     return Outcome(
         key=claim_key(request.arrival),
         owner=owner,
+        request_id=request.arrival.request_id,
         run_state=run_state.value,
         status=answer.status if kept else 0,
         content_type=answer.content_type if kept else "",
@@ -95,6 +96,7 @@
     return Outcome(
         key=claim_key(request.arrival),
         owner=owner,
+        request_id=request.arrival.request_id,
         run_state=RunState.RUN.value,
         status=0 if body is None else 200,
         content_type="" if body is None else CHAT_ANSWER_TYPE,
@@ -219,12 +221,18 @@
 
 
 def claim_lost(*, retry_after: float) -> RyeleverError:
-    """End a request whose claim came second to one that was then freed."""
+    """End a request whose claim was ignored, with no other claim to answer from.
+
+    The first claim was freed since, or the key was too old by the log's clock and an
+    earlier request with it may have been run.
+    """
     return RyeleverError(
-        "another request with this key came first and was not run",
+        "this request was not run: another with its key came first, or the key was "
+        "too old by the log's clock",
         category=Category.UNAVAILABLE,
         step="claim",
         code="claim_lost",
+        run_state=RunState.OUTCOME_UNKNOWN,
         retry_after=retry_after,
     )
 
