Show that a poison request among streams outlives its second crash

Cause: the quarantine names a request only if it alone was in two crashes. What an engine's death breaks off is retried at once, all on the same group, so poison and bystanders are in every crash together. Seen: one request killed four groups within 0.03 s, and ten of ten bystanders ended with an explicit error.

Ruled out here: retrying suspects one at a time, which is the router's choice.

--- a/tests/test_system/test_faults.py
+++ b/tests/test_system/test_faults.py
@@ -111,3 +111,32 @@
         assert all(answer.whole or answer.honest for answer in answers)
 
     asyncio.run(run())
+
+
+def test_poison_request_is_quarantined(fleet: Fleet) -> None:
+    """Send a poison request again and again while bystanders are served.
+
+    Symptom: group after group dies, and every answer with them.  Sequence: as
+    above, on four groups.  Cause: nobody remembers what ran when an engine died.
+    """
+    fleet.start_world(entries=("e1",), n_groups=4)
+    entry = fleet.entries_by_name["e1"]
+    caller = Caller(fleet)
+
+    async def run() -> None:
+        bystanders = [
+            asyncio.ensure_future(
+                caller.stream(entry, f"bystander {index}", n_tokens=100)
+            )
+            for index in range(10)
+        ]
+        for _ in range(4):
+            answer = await caller.stream(entry, "please crash-the-engine")
+            assert answer.honest
+        answers = await asyncio.gather(*bystanders)
+        assert [answer.error for answer in answers if not answer.whole] == []
+
+    asyncio.run(run())
+    leaders = [f"d{index}-0" for index in range(4)]
+    crashed = [fleet.processes_by_name[leader].exit_code for leader in leaders]
+    assert crashed.count(86) <= 2
