--- /dev/null
+++ b/benchmarks/routing.py
@@ -0,0 +1,283 @@
+"""Measure routing against round robin in the same run; prints a table.
+
+Run ``python -m benchmarks.routing``; every seed is fixed and printed.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+from dataclasses import dataclass, field
+
+from benchmarks.routing_driver import (
+    DURATION,
+    REPORT_LAG,
+    WARM_UP,
+    Driver,
+    Job,
+    Workload,
+    entry_fleets,
+    prompt,
+)
+from benchmarks.routing_fleet import FakeFleet, chat
+from benchmarks.routing_trials import HintedRouter, RoundRobinRouter, ScoredRouter
+from ryelever.coordination.actions import Arrival
+from ryelever.coordination.routing import LeastInFlightRouter
+
+SEEDS = (11, 12)
+ZONES = {"a": 12, "b": 12}
+N_ENTRY_HOSTS = 4
+RATE = 200.0
+HEDGE_AFTER = 0.6
+
+
+@dataclass(slots=True, kw_only=True)
+class Scenario:
+    """Hold what goes wrong, and which trial is switched on."""
+
+    straggler: bool = False
+    skewed: bool = False
+    hedge: bool = False
+    share: bool = False
+    rate: float = RATE
+
+
+@dataclass(slots=True, kw_only=True)
+class Figures:
+    """Hold what one run showed."""
+
+    first: list[float] = field(default_factory=list)
+    n_blocks: int = 0
+    n_cached: int = 0
+    n_requests: int = 0
+    n_attempts: int = 0
+    n_shared: int = 0
+
+
+ROUTERS = {
+    "round robin": lambda fleet, seed, driver: RoundRobinRouter(fleet=fleet),
+    "least own in flight": lambda fleet, seed, driver: LeastInFlightRouter(
+        targets=fleet.targets.for_arrival
+    ),
+    "affinity": lambda fleet, seed, driver: fleet.router(seed=seed),
+    "scored ordering": lambda fleet, seed, driver: ScoredRouter(fleet=fleet),
+    "affinity and cache events": lambda fleet, seed, driver: HintedRouter(
+        fleet=fleet, driver=driver, seed=seed
+    ),
+}
+
+
+class Run:
+    """Send one workload through entry hosts that route alike."""
+
+    def __init__(self, *, router: str, scenario: Scenario, seed: int) -> None:
+        self.scenario = scenario
+        self.fleets = entry_fleets(ZONES, n_hosts=N_ENTRY_HOSTS)
+        names = self.fleets[0][1].groups
+        self.driver = Driver(names=names, seed=seed)
+        self.routers = [
+            ROUTERS[router](fleet, seed + number, self.driver)
+            for number, (_, fleet) in enumerate(self.fleets)
+        ]
+        self.workload = Workload(seed=seed)
+        self.figures = Figures()
+        self.leaders: dict[str, list[float]] = {}
+
+    def figures_of_run(self) -> Figures:
+        """Run and return the figures after the warm-up."""
+        self.driver.at(0.0, self._report)
+        self.driver.at(0.01, self._arrive)
+        if self.scenario.straggler:
+            self.driver.at(WARM_UP, self._slow_down)
+        self.driver.run(DURATION)
+        return self.figures
+
+    def _slow_down(self) -> None:
+        self.driver.engines_by_name["a-3"].slowness = 6.0
+
+    def _report(self) -> None:
+        now = self.driver.now
+        for name, engine in self.driver.engines_by_name.items():
+            running, waiting = len(engine.running), len(engine.waiting)
+            for _, fleet in self.fleets:
+                self.driver.at(
+                    now + REPORT_LAG,
+                    lambda fleet=fleet, name=name, n=running, w=waiting: fleet.report(
+                        f"{name}-0", asked_at=now, running=n, waiting=w
+                    ),
+                )
+                if not now:
+                    fleet.report(f"{name}-0", asked_at=now, running=running)
+        for peer, teller in self.fleets:
+            rows = teller.loads.observations(now=now)
+            for host, fleet in self.fleets:
+                for row in rows if host != peer else ():
+                    fleet.loads.observed(row, peer=peer, observed_at=now, now=now)
+        self.driver.at(now + 0.5, self._report)
+
+    def _arrive(self) -> None:
+        now = self.driver.now
+        self.driver.at(
+            now + self.driver.random.expovariate(self.scenario.rate), self._arrive
+        )
+        blocks, n_tokens, repeats = self.workload.draw()
+        number = self.figures.n_requests
+        arrival = prompt(blocks, number=number, now=now)
+        # Skewed: three of four requests come in through one zone's entry hosts.
+        at = self.driver.random.randrange(N_ENTRY_HOSTS)
+        if self.scenario.skewed and self.driver.random.random() < 0.5:
+            at = 2 * (at // 2)
+        if now >= WARM_UP:
+            self.figures.n_requests += 1
+        if self.scenario.share and arrival.fingerprint in self.leaders:
+            self.figures.n_shared += now >= WARM_UP
+            self.leaders[arrival.fingerprint].append(now)
+            return
+        self.leaders[arrival.fingerprint] = []
+        self._request(at, arrival, blocks, n_tokens)
+
+    def _request(
+        self, at: int, arrival: Arrival, blocks: tuple[int, ...], n_tokens: int
+    ) -> None:
+        open_jobs: list[tuple[Job, object]] = []
+
+        def first(job: Job) -> None:
+            for other, target in [one for one in open_jobs if one[0] is not job]:
+                self.driver.cancel(other, target.name)
+                self.routers[at].ended(target, failed=False, now=self.driver.now)
+                open_jobs.remove((other, target))
+            self._first(at, job, open_jobs[0][1])
+
+        def end(job: Job) -> None:
+            self._end(at, job, open_jobs[0][1])
+
+        def send(tried: tuple[str, ...]) -> None:
+            now = self.driver.now
+            target = self.routers[at].choose(arrival, tried=tried, now=now)
+            if target is None:
+                return
+            self.routers[at].started(target, now=now)
+            job = Job(
+                arrival=arrival,
+                blocks=blocks,
+                n_tokens=n_tokens,
+                on_first=first,
+                on_end=end,
+                sent_at=now,
+            )
+            open_jobs.append((job, target))
+            self.figures.n_attempts += now >= WARM_UP
+            self.driver.send(job, target.name)
+
+        send(())
+        if self.scenario.hedge:
+            self.driver.at(
+                self.driver.now + HEDGE_AFTER,
+                lambda: (
+                    send((open_jobs[0][1].name,))
+                    if len(open_jobs) == 1 and not open_jobs[0][0].first_at
+                    else None
+                ),
+            )
+
+    def _first(self, at: int, job: Job, target) -> None:
+        now = self.driver.now
+        self.fleets[at][1].feedback.first_token(
+            target, seconds=now - job.sent_at, now=now
+        )
+        if job.arrival.arrived_at >= WARM_UP:
+            self.figures.first.append(now - job.arrival.arrived_at)
+            self.figures.n_blocks += len(job.blocks)
+            self.figures.n_cached += job.n_cached
+
+    def _end(self, at: int, job: Job, target) -> None:
+        now = self.driver.now
+        self.fleets[at][1].feedback.completed(
+            target,
+            job.arrival.fingerprint,
+            between_tokens=(now - job.first_at) / job.n_tokens,
+            now=now,
+        )
+        self.routers[at].ended(target, failed=False, now=now)
+        for joined_at in self.leaders.pop(job.arrival.fingerprint, ()):
+            # Who joins late has the tokens so far at once.
+            self.figures.first.append(max(0.0, job.first_at - joined_at))
+
+
+def _line(label: str, router: str, scenario: Scenario) -> str:
+    runs = [
+        Run(router=router, scenario=scenario, seed=seed).figures_of_run()
+        for seed in SEEDS
+    ]
+    columns = []
+    for share in (50, 95, 99):
+        values = [statistics.quantiles(run.first, n=100)[share - 1] for run in runs]
+        columns.append(f"{statistics.median(values):7.3f}")
+    hits = statistics.median(run.n_cached / run.n_blocks for run in runs)
+    extra = statistics.median(run.n_attempts / run.n_requests for run in runs)
+    n_shared = sum(run.n_shared for run in runs)
+    return f"{label:<46}{' '.join(columns)} {hits:8.3f} {extra:8.3f}{n_shared:>7}"
+
+
+def _print_waiting() -> None:
+    print(f"seeds {SEEDS}; mean over them; first token in s")
+    print(
+        f"{'':<46}{'p50':>7} {'p95':>7} {'p99':>7} {'hits':>8} {'att/req':>8}"
+        f"{'shared':>7}"
+    )
+    scenarios = {
+        "even, 200/s": Scenario(),
+        "crowded, 260/s": Scenario(rate=260.0),
+        "straggler, 230/s": Scenario(rate=230.0, straggler=True),
+        "skewed entry, 230/s": Scenario(rate=230.0, skewed=True),
+    }
+    for name, scenario in scenarios.items():
+        for router in ROUTERS:
+            print(_line(f"{name}: {router}", router, scenario), flush=True)
+    trials = {
+        "even, 200/s: affinity, hedging": Scenario(hedge=True),
+        "crowded, 260/s: affinity, hedging": Scenario(rate=260.0, hedge=True),
+        "straggler, 230/s: affinity, hedging": Scenario(
+            rate=230.0, straggler=True, hedge=True
+        ),
+        "even, 200/s: affinity, sharing in flight": Scenario(share=True),
+        "crowded, 260/s: affinity, sharing in flight": Scenario(rate=260.0, share=True),
+    }
+    for name, scenario in trials.items():
+        print(_line(name, "affinity", scenario), flush=True)
+
+
+def _seconds_per_choice(router, n_choices: int) -> float:
+    prompts = [
+        chat(f"{number % 500:>300}", now=0.1, fingerprint=str(number))
+        for number in range(n_choices)
+    ]
+    started = []
+    begin = time.process_time()
+    for number, arrival in enumerate(prompts):
+        now = 0.1 + number * 1e-4
+        target = router.choose(arrival, tried=(), now=now)
+        router.started(target, now=now)
+        started.append(target)
+        if len(started) > 200:
+            router.ended(started.pop(0), failed=False, now=now)
+    return (time.process_time() - begin) / n_choices
+
+
+def _print_cost() -> None:
+    print("processor time of choose, started and ended, groups of 4 in one zone")
+    for n_groups in (10, 100, 800):
+        fleet = FakeFleet(zones={"a": n_groups}, members=4)
+        fleet.report_all(asked_at=0.0)
+        plain = LeastInFlightRouter(targets=fleet.targets.for_arrival)
+        for name, router, n_choices in (
+            ("least own in flight", plain, 200),
+            ("affinity", fleet.router(), 5000),
+        ):
+            seconds = _seconds_per_choice(router, n_choices)
+            print(f"{n_groups:>4} groups, {name:<20} {seconds * 1e6:8.1f} us")
+
+
+if __name__ == "__main__":
+    _print_cost()
+    _print_waiting()
--- a/ryelever/coordination/requests_claims.py
+++ b/ryelever/coordination/requests_claims.py
@@ -115,14 +115,20 @@
         """Let nobody wait for the claim of a request any more."""
         self.request_by_claim.pop(request.claim_id, None)
 
-    def free(self, key: str) -> Action:
+    def free(self, claim: Claim) -> Action:
         """Free a claimed key of which nothing was run."""
-        return self.append(self._outcome(key, RunState.NOT_RUN))
+        outcome = self._outcome(
+            claim.key, RunState.NOT_RUN, request_id=claim.request_id
+        )
+        return self.append(outcome)
 
     def end_unanswered(self, request: Request) -> Action:
         """Append how a request ended that got no answer."""
         key = answers.claim_key(request.arrival)
-        return self.append(self._outcome(key, request.run_state))
+        outcome = self._outcome(
+            key, request.run_state, request_id=request.arrival.request_id
+        )
+        return self.append(outcome)
 
     def append(self, outcome: Outcome) -> Action:
         """Append an outcome."""
@@ -133,5 +139,11 @@
             kept_for=OUTCOME_KEPT,
         )
 
-    def _outcome(self, key: str, run_state: RunState) -> Outcome:
-        return Outcome(key=key, owner=self.owner, run_state=run_state.value, status=0)
+    def _outcome(self, key: str, run_state: RunState, *, request_id: str) -> Outcome:
+        return Outcome(
+            key=key,
+            owner=self.owner,
+            run_state=run_state.value,
+            status=0,
+            request_id=request_id,
+        )
--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing.py
@@ -2,16 +2,45 @@
 
 from __future__ import annotations
 
+import random
+from collections import OrderedDict
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from .actions import ChatWork, Target
+from .affinity import load_bound, prefix_key, ranked
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Sequence
 
     from .actions import Arrival
+    from .quarantine import Quarantine
+    from .routing_load import LoadView
+    from .stragglers import Stragglers
+    from .targets import Candidate, CandidateSet, Targets
 
-__all__ = ["LeastInFlightRouter", "Router"]
+__all__ = ["AffinityRouter", "LeastInFlightRouter", "Router"]
+
+#: Places in the rendezvous order that are tried before balance goes first.
+N_RANKED = 4
+
+#: Candidates drawn at random, of which the least loaded usable one is taken.
+N_CHOICES = 8
+
+#: Candidates that the total load is estimated from.
+MAX_SAMPLE = 64
+
+#: Part of the targets with waiting requests from which on balance goes first.
+CROWDED_SHARE = 0.1
+
+#: Seconds for which an estimate of the total load is kept.
+TOTAL_INTERVAL = 0.25
+
+#: Prefixes whose rendezvous order is kept.
+MAX_ORDERS = 8192
+
+#: Seconds for which a full look that found nothing usable is believed.
+NOTHING_INTERVAL = 0.05
 
 
 class Router(Protocol):
@@ -32,6 +61,8 @@
 class LeastInFlightRouter:
     """Send each attempt to the target with the fewest own attempts in flight.
 
+    The baseline that ``AffinityRouter`` is measured against.
+
     Parameters
     ----------
     targets : callable
@@ -71,3 +102,359 @@
         self._n_in_flight_by_name[target.name] -= 1
         if not self._n_in_flight_by_name[target.name]:
             del self._n_in_flight_by_name[target.name]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Choice:
+    """Hold a usable candidate; ``load`` is what an average one would hold."""
+
+    candidate: Candidate
+    target: Target
+    load: float
+
+
+@dataclass(slots=True, kw_only=True)
+class _Total:
+    """Hold the estimated load of one zone's usable candidates.
+
+    Attributes
+    ----------
+    load : float
+        All requests in flight there.
+    damped : float
+        The same with the weight that siblings are compared by.
+    queueing_share : float
+        Part of the candidates that report waiting requests.
+    """
+
+    load: float
+    damped: float
+    queueing_share: float
+    weight: float
+    estimated_at: float
+
+    @property
+    def mean(self) -> float:
+        """Return the load of an average candidate; infinite when none is usable."""
+        return self.load / self.weight if self.weight else float("inf")
+
+
+class AffinityRouter:
+    """Keep prompts with a common prefix together, within a bound on load.
+
+    The order of looking: the first places of the prefix in rendezvous order whose
+    load is within the bound; else the least loaded of a few usable ones drawn at
+    random.  Another zone is looked at first when it is clearly less loaded.
+
+    Parameters
+    ----------
+    slack, crowded_slack : float
+        Times the fair part of the load that affinity may put on one target; the
+        second while requests wait at more than a tenth of the targets, when a
+        cached prefix saves less than the place in the queue costs.
+    free_load : float
+        Requests that every target may hold whatever its fair part is: engines
+        batch, so a second request in an idle fleet need not leave its prefix.
+    overflow_factor, overflow_margin : float
+        Another zone is chosen when ``own > factor * other + margin``, in requests
+        in flight at a target.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: Targets,
+        loads: LoadView,
+        stragglers: Stragglers,
+        quarantine: Quarantine,
+        seed: int | None = None,
+        slack: float = 1.2,
+        crowded_slack: float = 1.0,
+        free_load: float = 4.0,
+        overflow_factor: float = 1.1,
+        overflow_margin: float = 4.0,
+    ) -> None:
+        self._targets = targets
+        self._loads = loads
+        self._stragglers = stragglers
+        self._quarantine = quarantine
+        self._random = random.Random(seed)
+        self._slack = slack
+        self._crowded_slack = crowded_slack
+        self._free_load = free_load
+        self._overflow_factor = overflow_factor
+        self._overflow_margin = overflow_margin
+        self._orders: OrderedDict[tuple[int, int, bool], list[Candidate]] = (
+            OrderedDict()
+        )
+        self._sets_by_id: dict[int, CandidateSet] = {}
+        self._totals_by_set: dict[tuple[int, bool], _Total] = {}
+        self._nothing_until_by_set: dict[int, float] = {}
+        self._suspects_by_target: dict[str, dict[str, float]] = {}
+
+    def choose(
+        self, arrival: Arrival, *, tried: tuple[str, ...], now: float
+    ) -> Target | None:
+        """Return the best target that was not tried, or at least not just now."""
+        found = self._targets.candidates(arrival.work, now=now)
+        self._remember(found)
+        if now < self._nothing_until_by_set.get(id(found), float("-inf")):
+            return None
+        self._compare_siblings(found, now=now)
+        if self._quarantine.is_suspect(arrival.fingerprint, now=now):
+            return self._apart(arrival, found, tried=tried, now=now)
+        key = prefix_key(arrival.work) if isinstance(arrival.work, ChatWork) else None
+        choice = self._best(found, key, excluded=tried, now=now)
+        if choice is None and tried:
+            choice = self._best(found, key, excluded=tried[-1:], now=now)
+        if choice is None:
+            if not tried:
+                self._nothing_until_by_set[id(found)] = now + NOTHING_INTERVAL
+            return None
+        return choice.target
+
+    def started(self, target: Target, *, now: float) -> None:
+        """Count the attempt."""
+        self._loads.started(target.name, now=now)
+        self._stragglers.started(target.name, now=now)
+
+    def ended(self, target: Target, *, failed: bool, now: float) -> None:
+        """Count the attempt no more."""
+        self._loads.ended(target.name, now=now)
+
+    # Choosing
+
+    def _best(
+        self,
+        found: CandidateSet,
+        key: int | None,
+        *,
+        excluded: Sequence[str],
+        now: float,
+    ) -> _Choice | None:
+        own_first = not self._overflows(found, now=now)
+        for is_own in (own_first, not own_first):
+            choice = self._in_zone(
+                found, key, is_own=is_own, excluded=excluded, now=now
+            )
+            if choice is not None:
+                return choice
+        return None
+
+    def _overflows(self, found: CandidateSet, *, now: float) -> bool:
+        """Tell whether this request leaves its zone.
+
+        Loads are known late.  Were all requests to leave at once, the other zone
+        would be the crowded one a moment later, and so to and fro; so only the part
+        leaves that would make the two equal.
+        """
+        if not found.own_zone or not found.other_zones:
+            return not found.own_zone
+        own = self._total(found, is_own=True, now=now).mean
+        other = self._total(found, is_own=False, now=now).mean
+        if own <= self._overflow_factor * other + self._overflow_margin:
+            return False
+        return self._random.random() < (own - other) / (2 * own)
+
+    def _in_zone(
+        self,
+        found: CandidateSet,
+        key: int | None,
+        *,
+        is_own: bool,
+        excluded: Sequence[str],
+        now: float,
+    ) -> _Choice | None:
+        candidates = found.own_zone if is_own else found.other_zones
+        if not candidates:
+            return None
+        if key is not None:
+            choice = self._affine(found, key, is_own=is_own, excluded=excluded, now=now)
+            if choice is not None:
+                return choice
+        return self._of_few(candidates, excluded=excluded, now=now)
+
+    def _affine(
+        self,
+        found: CandidateSet,
+        key: int,
+        *,
+        is_own: bool,
+        excluded: Sequence[str],
+        now: float,
+    ) -> _Choice | None:
+        total = self._total(found, is_own=is_own, now=now)
+        crowded = total.queueing_share > CROWDED_SHARE
+        slack = self._crowded_slack if crowded else self._slack
+        for candidate in self._order(found, key, is_own=is_own):
+            load = self._loads.damped(candidate, now=now)
+            share = candidate.weight / max(candidate.weight, total.weight)
+            bound = load_bound(total.damped + 1, share, slack=slack)
+            if load + 1 > max(bound, self._free_load):
+                continue
+            if self._loads.is_queueing(candidate, now=now):
+                continue
+            if candidate.name in excluded or not self._preferred(candidate, now=now):
+                continue
+            target = self._targets.target(candidate, now=now)
+            if target is not None:
+                return _Choice(
+                    candidate=candidate, target=target, load=load / candidate.weight
+                )
+        return None
+
+    def _of_few(
+        self, candidates: Sequence[Candidate], *, excluded: Sequence[str], now: float
+    ) -> _Choice | None:
+        drawn: list[tuple[float, int]] = []
+        for _ in range(N_CHOICES):
+            index = int(self._random.random() * len(candidates))
+            candidate = candidates[index]
+            if candidate.name in excluded or not self._preferred(candidate, now=now):
+                continue
+            load = self._loads.damped(candidate, now=now) / candidate.weight
+            drawn.append((load, index))
+        # Ties stay in the order of the draw: sorted by place, they would send what
+        # all entry hosts get in a quiet moment to the same one.
+        drawn.sort(key=_first_item)
+        # To judge wholeness costs most, so it is asked from the least loaded on.
+        for _, index in drawn:
+            choice = self._usable(candidates[index], now=now)
+            if choice is not None:
+                return choice
+        return self._of_all(candidates, excluded=excluded, now=now)
+
+    def _of_all(
+        self, candidates: Sequence[Candidate], *, excluded: Sequence[str], now: float
+    ) -> _Choice | None:
+        """Return the least loaded of all, and a straggler rather than nothing."""
+        untried = [one for one in candidates if one.name not in excluded]
+        preferred = [one for one in untried if self._preferred(one, now=now)]
+        for some in (preferred, untried):
+            choices = [self._usable(candidate, now=now) for candidate in some]
+            usable = [choice for choice in choices if choice is not None]
+            if usable:
+                return min(usable, key=_load_of)
+        return None
+
+    def _usable(self, candidate: Candidate, *, now: float) -> _Choice | None:
+        target = self._targets.target(candidate, now=now)
+        if target is None:
+            return None
+        load = self._loads.damped(candidate, now=now) / candidate.weight
+        return _Choice(candidate=candidate, target=target, load=load)
+
+    def _preferred(self, candidate: Candidate, *, now: float) -> bool:
+        name = candidate.name
+        return self._stragglers.may_take(name, now=now) and not self._n_suspects(
+            name, now=now
+        )
+
+    # Suspects
+
+    def _apart(
+        self,
+        arrival: Arrival,
+        found: CandidateSet,
+        *,
+        tried: tuple[str, ...],
+        now: float,
+    ) -> Target | None:
+        """Place a suspect where the fewest others would die with it.
+
+        Away from other suspects first: of two suspects in one crash nobody could
+        tell which of them caused it.
+        """
+        for excluded in (tried, tried[-1:]):
+            usable = [
+                choice
+                for candidate in self._sample(found.own_zone + found.other_zones)
+                if candidate.name not in excluded
+                and (choice := self._usable(candidate, now=now)) is not None
+            ]
+            if usable:
+                best = min(
+                    usable,
+                    key=lambda choice: (
+                        self._n_suspects(choice.candidate.name, now=now),
+                        choice.load * choice.candidate.weight,
+                        self._random.random(),
+                    ),
+                )
+                here = self._suspects_by_target.setdefault(best.candidate.name, {})
+                here[arrival.fingerprint] = arrival.deadline
+                return best.target
+        return None
+
+    def _n_suspects(self, name: str, *, now: float) -> int:
+        here = self._suspects_by_target.get(name)
+        if here is None:
+            return 0
+        for fingerprint, deadline in list(here.items()):
+            cleared = not self._quarantine.is_suspect(fingerprint, now=now)
+            if cleared or now >= deadline:
+                del here[fingerprint]
+        if not here:
+            del self._suspects_by_target[name]
+        return len(here)
+
+    # What is kept for each list of candidates
+
+    def _remember(self, found: CandidateSet) -> None:
+        """Hold on to a list, so that its id stays its own, and drop old ones."""
+        if id(found) in self._sets_by_id:
+            return
+        if len(self._sets_by_id) >= MAX_SAMPLE:
+            self._sets_by_id.clear()
+            self._orders.clear()
+            self._totals_by_set.clear()
+            self._nothing_until_by_set.clear()
+        self._sets_by_id[id(found)] = found
+
+    def _order(self, found: CandidateSet, key: int, *, is_own: bool) -> list[Candidate]:
+        known = self._orders.get((id(found), key, is_own))
+        if known is not None:
+            return known
+        candidates = found.own_zone if is_own else found.other_zones
+        if len(self._orders) >= MAX_ORDERS:
+            self._orders.popitem(last=False)
+        order = ranked(key, candidates, n=N_RANKED)
+        self._orders[id(found), key, is_own] = order
+        return order
+
+    def _total(self, found: CandidateSet, *, is_own: bool, now: float) -> _Total:
+        known = self._totals_by_set.get((id(found), is_own))
+        if known is not None and now - known.estimated_at < TOTAL_INTERVAL:
+            return known
+        candidates = found.own_zone if is_own else found.other_zones
+        usable = [
+            candidate
+            for candidate in self._sample(candidates)
+            if self._targets.target(candidate, now=now) is not None
+        ]
+        total = _Total(
+            load=sum(self._loads.estimate(one, now=now) for one in usable),
+            damped=sum(self._loads.damped(one, now=now) for one in usable),
+            queueing_share=sum(self._loads.is_queueing(one, now=now) for one in usable)
+            / max(1, len(usable)),
+            weight=sum(candidate.weight for candidate in usable),
+            estimated_at=now,
+        )
+        self._totals_by_set[id(found), is_own] = total
+        return total
+
+    def _sample(self, candidates: Sequence[Candidate]) -> Iterable[Candidate]:
+        if len(candidates) <= MAX_SAMPLE:
+            return candidates
+        return self._random.sample(candidates, MAX_SAMPLE)
+
+    def _compare_siblings(self, found: CandidateSet, *, now: float) -> None:
+        self._stragglers.compare(str(id(found)), found.names, now=now)
+
+
+def _load_of(choice: _Choice) -> float:
+    return choice.load
+
+
+def _first_item(pair: tuple[float, int]) -> float:
+    return pair[0]
