--- a/Makefile
+++ b/Makefile
@@ -24,13 +24,14 @@
 	$(BIN)/python -m examples.demo
 
 # One file, the same for the same sources and lock file: the times inside are fixed
-# and only what the lock file names goes in.
+# and what names the folder of the build, or holds a digest of such a file, stays out.
 dist: $(VENV)/.installed
 	rm -rf build dist
 	$(BIN)/pip install --quiet --no-deps --no-compile --target build/site \
 	    --requirement requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-compile --target build/site .
-	rm -rf build/site/bin build/site/ryelever-*.dist-info/direct_url.json
+	rm -rf build/site/bin build/site/*.dist-info/RECORD \
+	    build/site/ryelever-*.dist-info/direct_url.json
 	mkdir -p dist
 	SOURCE_DATE_EPOCH=315532800 $(BIN)/shiv --reproducible --no-modify \
 	    --site-packages build/site --python "/usr/bin/env python3.11" \
