Measure group downtime and stranded accelerators, and tell each repair's outcome

Cause: the two figures that matter were measured nowhere, and a repair left two records in the log with no word on whether it worked.

Measures sums, for each availability zone and model, the seconds that declared groups could not serve, and the accelerators of hosts that answer and serve in no group. It keeps the highest values of each 10 s for the last hour. Time during which this process itself was paused is shown as not observed, not as downtime. RepairHistory follows the folded placement of every zone, so that each entry host can tell every repair as cause, decision, outcome; it is bounded to 200.

--- /dev/null
+++ b/ryelever/fleet_history.py
@@ -0,0 +1,60 @@
+"""Feed time to what measures the fleet and explains its repairs."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .coordination.measures import Measures, MeasuresView
+from .coordination.repairs import RepairHistory
+
+if TYPE_CHECKING:
+    from .coordination.confirmation import Confirmations
+    from .state.configuration_fold import ConfigurationFold
+    from .state.fleet import ListedHost
+    from .state.placement import PlacementFold
+
+__all__ = ["FleetHistory"]
+
+#: Seconds between two looks at the fleet.
+LOOK_INTERVAL = 1.0
+
+
+class FleetHistory(BaseComponent):
+    """Own both measures and the history of repairs.
+
+    They are kept in memory alone and start anew with the process; what must last is
+    in the log.
+    """
+
+    channel = "fleet_history"
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationFold,
+        placements_by_zone: dict[str, PlacementFold],
+        hosts_by_name: dict[str, ListedHost],
+        confirmations: Confirmations,
+    ) -> None:
+        super().__init__()
+        self.measures = Measures()
+        self.repairs = RepairHistory()
+        self._configuration = configuration
+        self._placements_by_zone = placements_by_zone
+        self._hosts_by_name = hosts_by_name
+        self._confirmations = confirmations
+
+    @handler("control_tick")
+    def _on_control_tick(self) -> None:
+        now = time.monotonic()
+        view = MeasuresView(
+            configuration=self._configuration.configuration,
+            placements_by_zone=self._placements_by_zone,
+            hosts_by_name=self._hosts_by_name,
+            confirmations=self._confirmations,
+        )
+        self.measures.tick(view, now=now)
+        self.repairs.tick(self._placements_by_zone, self._confirmations, now=now)
