Drive the fleet through a console of forms

Cause: a configuration could only be appended to the log by hand, nobody was told what became of it, and what the fleet did was readable only in the dump.

Every entry host serves /console. An operator signs in with the operator key, edits the document in one form, reviews the difference, publishes, and is told what was read back from the log: accepted and on how many entry hosts in force, rejected and by which version, or not read back yet, with nothing claimed. The answer to the append plays no part. The draft travels in the form, also through an expired session, a lost race and an outage, because the next request may reach another host. A publication keeps its id when it is sent again, so that it cannot count twice. Session and form tokens are signed with keys derived from the operator key, which every host knows. New keys of client accounts are made once the draft has no fault, shown once, and only their salted hash goes into the document. A status page shows groups, repairs and both measures.

Ruled out: sessions or drafts kept in a host's memory, since hosts are equal and are replaced at any time; an answer to the publication at once, which could only ever say "sent": it waits for the log, 3 s at most. A shutdown waits for it, too.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -10,6 +10,8 @@
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 
+from .console.pages import Console
+from .console.status import Status
 from .coordination.admission import ConcurrencyAdmission
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
@@ -20,6 +22,7 @@
 from .coordination.targets import Targets
 from .dump import Dump
 from .events import control_tick, drain, serving_tick, sweep
+from .fleet_history import LOOK_INTERVAL, FleetHistory
 from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
 from .metrics import Metrics
@@ -100,12 +103,19 @@
         self.callers = Callers(
             bind=(host, int(port)), limits=Limits(max_body=settings.max_body)
         )
+        self.fleet_history = FleetHistory(
+            configuration=self.configuration,
+            placements_by_zone=self.placements_by_zone,
+            hosts_by_name=self.fleet.hosts_by_name,
+            confirmations=self.confirmations,
+        )
+        self.console = self._console()
         self.serving = Serving(
             settings=settings,
             table=self.table,
             configuration=self.configuration,
             metrics=self.metrics,
-            pages=Dump(application=self).pages(),
+            pages=Dump(application=self).pages() | self.console.pages(),
         )
         self.timers = Timers()
         self._register_parts()
@@ -146,6 +156,28 @@
             retry_after=lambda: RETRY_AFTER,
         )
 
+    def _console(self) -> Console:
+        return Console(
+            operator_key=self.settings.operator_key,
+            configuration=self.configuration,
+            status=Status(
+                placements_by_zone=self.placements_by_zone,
+                confirmations=self.confirmations,
+                measures=self.fleet_history.measures,
+                repairs=self.fleet_history.repairs,
+            ),
+            versions_by_host=self._versions_by_host,
+            log_age=self._log_age,
+        )
+
+    def _versions_by_host(self) -> dict[str, int]:
+        return {self.settings.host: self.configuration.version}
+
+    def _log_age(self) -> float | None:
+        stream = self.streams.streams_by_name[CONFIGURATION_STREAM]
+        age = time.monotonic() - stream.caught_up_at
+        return age if age != float("inf") else None
+
     def _client_account(self, name: str) -> ClientAccount | None:
         return self.configuration.configuration.client_accounts.get(name)
 
@@ -165,6 +197,8 @@
             self.streams,
             self.fleet,
             self.planning,
+            self.fleet_history,
+            self.console,
             self.serving,
         ):
             part.register(self)
@@ -179,12 +213,18 @@
         )
         metrics.gauge("late_answers", lambda: float(self.table.n_late_answers))
         metrics.gauge("retries", lambda: float(self.table.n_retries))
+        measures = self.fleet_history.measures
+        metrics.gauge("groups_down", lambda: float(measures.n_groups_down))
+        metrics.gauge("group_downtime_seconds", lambda: measures.downtime_seconds)
+        metrics.gauge("stranded_accelerators", lambda: float(measures.n_stranded))
+        metrics.gauge("stranded_accelerator_seconds", lambda: measures.stranded_seconds)
         metrics.gauge("silent_connections", lambda: float(self.http_client.n_silent))
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        for channel in ("streams", "fleet", "planning"):
+        for channel in ("streams", "fleet", "planning", "console"):
             self.timers.every(TICK, control_tick, channel)
+        self.timers.every(LOOK_INTERVAL, control_tick, "fleet_history")
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
         self.timers.every(SWEEP, sweep, "callers")
@@ -219,7 +259,7 @@
     def _on_check_drained(self) -> None:
         if not self.serving.draining:
             return
-        n_in_flight = len(self.table.requests_by_id)
+        n_in_flight = len(self.table.requests_by_id) + self.console.n_waiting
         if n_in_flight and time.monotonic() < self._drain_deadline:
             return
         if n_in_flight:
--- /dev/null
+++ b/ryelever/console/forms.py
@@ -0,0 +1,224 @@
+"""Turn the fields of the edit form into a document, and a document into fields.
+
+A draft travels in the form itself: entry hosts keep nothing, and the next request
+may reach another one.  Field names are ``<section>.<row>.<field>``.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl
+
+import msgspec
+from expression import Error, Ok
+
+from ..accounts import hash_key, new_key
+from ..errors import Category, RyeleverError
+from ..faults import Fault
+from ..state.configuration_check import place_of
+from .sections import SECTIONS, WEIGHTS, Section, read_number
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from ..state.configuration import Configuration
+
+__all__ = [
+    "Draft",
+    "Row",
+    "draft_of_document",
+    "draft_of_form",
+    "make_keys",
+    "read_form",
+]
+
+#: Longest form, in bytes, and the most fields in one.
+MAX_FORM = 512 * 1024
+MAX_FIELDS = 20_000
+
+#: Stands for the hash of a key that is made once the draft has no fault.
+_KEY_TO_COME = hash_key("", salt="0" * 16)
+
+_ROW_FIELD = re.compile(r"([a-z_]+)\.(\d{1,5})\.[a-z_]+")
+
+
+@dataclass(slots=True, kw_only=True)
+class Row:
+    """Hold one entry of a section as it stands in the form."""
+
+    index: int
+    name: str = ""
+    values: dict[str, str] = field(default_factory=dict)
+    key_hash: str = ""
+    remove: bool = False
+    make_key: bool = False
+
+    @property
+    def wants_key(self) -> bool:
+        """Tell whether a new key is to be made for this client account."""
+        return self.make_key or not self.key_hash
+
+    @property
+    def is_blank(self) -> bool:
+        """Tell whether nothing was typed into it."""
+        return not self.name.strip() and not any(
+            value.strip() for value in self.values.values()
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class Draft:
+    """Hold the document that is being edited.
+
+    Attributes
+    ----------
+    rows_by_section : dict of str to list of Row
+        What the form shows.
+    document : dict
+        The same as a document, not checked yet.
+    faults : list of Fault
+        What a document cannot show any more, such as two entries of one name.
+    """
+
+    rows_by_section: dict[str, list[Row]]
+    weights: dict[str, str]
+    document: dict[str, Any] = field(default_factory=dict)
+    faults: list[Fault] = field(default_factory=list)
+
+    def encoded(self) -> bytes:
+        """Return the document as JSON."""
+        return json.dumps(self.document).encode()
+
+
+def read_form(body: bytes) -> Result[dict[str, str], RyeleverError]:
+    """Return the fields of a posted form."""
+    if len(body) > MAX_FORM:
+        return Error(
+            RyeleverError(
+                f"the form is longer than {MAX_FORM} bytes; publish in smaller steps",
+                category=Category.TOO_LARGE,
+                step="read_form",
+            )
+        )
+    try:
+        pairs = parse_qsl(
+            body.decode("ascii"),
+            keep_blank_values=True,
+            strict_parsing=bool(body),
+            errors="strict",
+            max_num_fields=MAX_FIELDS,
+        )
+    except ValueError as error:
+        return Error(
+            RyeleverError(
+                f"this is not a form of the console: {error}",
+                category=Category.BAD_REQUEST,
+                step="read_form",
+            )
+        )
+    return Ok(dict(pairs))
+
+
+def draft_of_form(fields: dict[str, str]) -> Draft:
+    """Return the draft that a posted edit form describes."""
+    draft = Draft(
+        rows_by_section={section.name: _rows(section, fields) for section in SECTIONS},
+        weights={name: fields.get(f"weights.{name}", "") for name in WEIGHTS},
+    )
+    for section in SECTIONS:
+        draft.document[section.name] = _entries(draft, section)
+    draft.document["weights"] = {
+        name: read_number(text) for name, text in draft.weights.items() if text.strip()
+    }
+    return draft
+
+
+def make_keys(draft: Draft) -> dict[str, str]:
+    """Make the keys that a draft asks for and return them by client account.
+
+    Only their salted hashes go into the draft, so this is the one time that they
+    can be shown.
+    """
+    keys_by_account = {}
+    for row in draft.rows_by_section["client_accounts"]:
+        if row.wants_key:
+            key = new_key(row.name)
+            draft.document["client_accounts"][row.name]["key_hash"] = hash_key(key)
+            keys_by_account[row.name] = key
+    return keys_by_account
+
+
+def draft_of_document(configuration: Configuration) -> Draft:
+    """Return the draft that shows a checked document."""
+    document = msgspec.to_builtins(configuration)
+    return Draft(
+        rows_by_section={
+            section.name: _rows_of(section, document[section.name])
+            for section in SECTIONS
+        },
+        weights={name: f"{document['weights'][name]:g}" for name in WEIGHTS},
+        document=document,
+    )
+
+
+def _rows_of(section: Section, entries: dict[str, Any]) -> list[Row]:
+    return [
+        Row(
+            index=index,
+            name=name,
+            values={each.name: each.show(entry[each.name]) for each in section.fields},
+            key_hash=entry.get("key_hash", ""),
+        )
+        for index, (name, entry) in enumerate(sorted(entries.items()))
+    ]
+
+
+def _rows(section: Section, fields: dict[str, str]) -> list[Row]:
+    matches = (_ROW_FIELD.fullmatch(name) for name in fields)
+    indices = {int(match[2]) for match in matches if match and match[1] == section.name}
+    rows = [_row(section, index, fields) for index in sorted(indices)]
+    return [row for row in rows if not row.remove and not row.is_blank]
+
+
+def _row(section: Section, index: int, fields: dict[str, str]) -> Row:
+    prefix = f"{section.name}.{index}."
+    return Row(
+        index=index,
+        name=fields.get(f"{prefix}name", "").strip(),
+        values={
+            each.name: fields.get(f"{prefix}{each.name}", "") for each in section.fields
+        },
+        key_hash=fields.get(f"{prefix}key_hash", ""),
+        remove=f"{prefix}remove" in fields,
+        make_key=f"{prefix}make_key" in fields,
+    )
+
+
+def _entries(draft: Draft, section: Section) -> dict[str, Any]:
+    entries: dict[str, Any] = {}
+    for row in draft.rows_by_section[section.name]:
+        if row.name in entries:
+            draft.faults.append(
+                Fault(
+                    place=place_of(section.name, row.name),
+                    expected=f"one {section.one} of this name",
+                    remedy="rename one of them, or remove it",
+                )
+            )
+        entries[row.name] = _entry(section, row)
+    return entries
+
+
+def _entry(section: Section, row: Row) -> dict[str, Any]:
+    # An empty field leaves its default to the document's own declaration.
+    entry = {
+        each.name: each.read(text.strip())
+        for each in section.fields
+        if (text := row.values[each.name]).strip()
+    }
+    if section.name == "client_accounts":
+        entry["key_hash"] = _KEY_TO_COME if row.wants_key else row.key_hash
+    return entry
--- a/ryelever/protocol/configuration_document.py
+++ b/ryelever/protocol/configuration_document.py
@@ -153,7 +153,7 @@
     def _leaf(self, value: Any, type_: Any, place: str) -> Any:
         try:
             return msgspec.convert(value, type_)
-        except msgspec.ValidationError:
+        except (msgspec.ValidationError, OverflowError):
             self.faults.append(
                 Fault(
                     place=place,
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -91,7 +91,8 @@
     configuration : ConfigurationFold
         What is in force.
     pages : dict of str to callable
-        Answers of operators' paths by path; each takes the request.
+        Answers of operators' paths by path; each takes the request, and returns
+        None where its answer comes later.
     """
 
     channel = "serving"
@@ -103,7 +104,7 @@
         table: RequestTable,
         configuration: ConfigurationFold,
         metrics: Metrics,
-        pages: dict[str, Callable[[CallerRequest], CallerAnswer]],
+        pages: dict[str, Callable[[CallerRequest], CallerAnswer | None]],
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -123,7 +124,9 @@
     def _on_caller_request(self, request: CallerRequest) -> None:
         page = self._pages.get(request.path)
         if page is not None:
-            self.fire(caller_answer(page(request)), "callers")
+            answer = page(request)
+            if answer is not None:
+                self.fire(caller_answer(answer), "callers")
             return
         arrival = self._arrival(request)
         if arrival.is_error():
--- a/ryelever/state/configuration_check.py
+++ b/ryelever/state/configuration_check.py
@@ -92,7 +92,7 @@
         yield Fault(
             place=place_of("client_accounts", name, "rate"),
             expected="a number of requests a second above 0",
-            remedy=f"replace {account.rate:g}",
+            remedy=f"replace {account.rate}",
         )
     if account.concurrency < 1:
         yield Fault(
@@ -180,5 +180,5 @@
         yield Fault(
             place=place,
             expected=f"a number from {lowest:g} to {highest:g}",
-            remedy=f"replace {value:g}",
+            remedy=f"replace {value}",
         )
--- /dev/null
+++ b/tests/test_console/__init__.py
@@ -0,0 +1,1 @@
+"""Test the operators' console."""
--- /dev/null
+++ b/tests/test_console/browser.py
@@ -0,0 +1,106 @@
+"""Read the console's pages and fill in its forms, as a browser without scripts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from html.parser import HTMLParser
+
+__all__ = ["Browser", "Form", "Page"]
+
+
+@dataclass(slots=True, kw_only=True)
+class Form:
+    """Hold one form with the values that would be sent."""
+
+    action: str
+    fields: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class Page:
+    """Hold one answer."""
+
+    status: int
+    headers: dict[str, str]
+    text: str
+    forms: list[Form] = field(default_factory=list)
+    tags: list[str] = field(default_factory=list)
+
+    def form(self, action: str) -> Form:
+        """Return the form that is sent to a path."""
+        return next(form for form in self.forms if form.action == action)
+
+
+class _Reader(HTMLParser):
+    def __init__(self, page: Page) -> None:
+        super().__init__()
+        self._page = page
+        self._textarea = ""
+
+    def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
+        values = {name: value or "" for name, value in attrs}
+        self._page.tags.append(tag)
+        if tag == "form":
+            self._page.forms.append(Form(action=values["action"]))
+        elif tag == "textarea":
+            self._textarea = values["name"]
+            self._page.forms[-1].fields[self._textarea] = ""
+        elif tag == "input":
+            checkbox = values.get("type") == "checkbox"
+            if not checkbox or "checked" in values:
+                self._page.forms[-1].fields[values["name"]] = values.get("value", "on")
+
+    def handle_endtag(self, tag: str) -> None:
+        if tag == "textarea":
+            self._textarea = ""
+
+    def handle_data(self, data: str) -> None:
+        if self._textarea:
+            self._page.forms[-1].fields[self._textarea] += data
+
+
+#: Send method, path, form fields and cookie; return status, headers and text.
+Exchange = Callable[
+    [str, str, "dict[str, str] | None", str], tuple[int, dict[str, str], str]
+]
+
+
+@dataclass(slots=True, kw_only=True)
+class Browser:
+    """Keep the cookie and follow redirects.
+
+    Attributes
+    ----------
+    exchange : callable
+        Reaches one entry host; replace it to go on at another one.
+    """
+
+    exchange: Exchange
+    cookie: str = ""
+
+    def get(self, path: str) -> Page:
+        return self._send("GET", path, None)
+
+    def post(self, path: str, fields: dict[str, str]) -> Page:
+        return self._send("POST", path, fields)
+
+    def submit(self, form: Form, **changes: str) -> Page:
+        """Send a form after typing into some fields; dots are ``__`` here."""
+        typed = {name.replace("__", "."): value for name, value in changes.items()}
+        return self.post(form.action, form.fields | typed)
+
+    def sign_in(self, *, key: str, operator: str = "ana") -> Page:
+        return self.post("/console/sign-in", {"operator": operator, "key": key})
+
+    def _send(self, method: str, path: str, fields: dict[str, str] | None) -> Page:
+        status, headers, text = self.exchange(method, path, fields, self.cookie)
+        headers = {name.lower(): value for name, value in headers.items()}
+        if "set-cookie" in headers:
+            self.cookie = headers["set-cookie"].partition(";")[0]
+        if status == 303:
+            return self.get(headers["location"])
+        page = Page(status=status, headers=headers, text=text)
+        if "html" in headers["content-type"]:
+            _Reader(page).feed(text)
+        return page
--- /dev/null
+++ b/tests/test_console/test_through_processes.py
@@ -0,0 +1,110 @@
+"""Test the console through real entry hosts and the log stand-in."""
+
+from __future__ import annotations
+
+import httpx
+import pytest
+
+from ..processes import OPERATOR_KEY, EntryHost, Fleet, wait_until
+from .browser import Browser
+
+
+def _exchange(entry: EntryHost) -> object:
+    def exchange(
+        method: str, path: str, fields: dict[str, str] | None, cookie: str
+    ) -> tuple[int, dict[str, str], str]:
+        headers = {"Cookie": cookie} if cookie else {}
+        answer = httpx.request(
+            method, f"{entry.url}{path}", data=fields, headers=headers, timeout=30
+        )
+        return answer.status_code, dict(answer.headers), answer.text
+
+    return exchange
+
+
+@pytest.fixture
+def browsers(fleet: Fleet) -> list[Browser]:
+    """Return a signed-in browser at each of two entry hosts."""
+    fleet.start_platform()
+    fleet.publish({"models": {"notes": {"version": "v1"}}})
+    browsers = []
+    for name in ("e1", "e2"):
+        entry = fleet.start_entry(name, zone="z")
+        wait_until(
+            lambda entry=entry: entry.dump()["configuration"]["version"] == 0,
+            what=f"{name} has the configuration",
+        )
+        browser = Browser(exchange=_exchange(entry))
+        assert browser.sign_in(key=OPERATOR_KEY, operator=name).status == 200
+        browsers.append(browser)
+    return browsers
+
+
+def _versions(fleet: Fleet) -> list[int]:
+    return [
+        entry.dump()["configuration"]["version"]
+        for entry in fleet.entries_by_name.values()
+    ]
+
+
+def test_two_operators_race_and_one_wins(fleet: Fleet, browsers: list[Browser]) -> None:
+    """Publish at two entry hosts on one base.
+
+    Symptom: an operator's accepted change vanishes.  Sequence: two operators review
+    on version 0 at two entry hosts; both publish.  Cause: neither host knew of the
+    other's publication when it took its own.
+    """
+    reviews = [
+        browser.submit(
+            browser.get("/console/edit").form("/console/review"),
+            models__0__version=version,
+        )
+        for browser, version in zip(browsers, ("v2", "v3"), strict=True)
+    ]
+    first = browsers[0].submit(reviews[0].form("/console/publish"))
+    assert "Accepted as version 1" in first.text
+    second = browsers[1].submit(reviews[1].form("/console/publish"))
+    assert second.status == 409 and "version 1 by e1 is in force" in second.text
+    wait_until(lambda: _versions(fleet) == [1, 1], what="version 1 is everywhere")
+
+
+def test_session_holds_at_every_entry_host(browsers: list[Browser]) -> None:
+    edit = browsers[0].get("/console/edit").form("/console/review")
+    browsers[0].exchange = browsers[1].exchange
+    review = browsers[0].submit(edit, models__0__n_groups="2")
+    outcome = browsers[0].submit(review.form("/console/publish"))
+    assert "Accepted as version 1" in outcome.text
+
+
+def test_outage_and_lost_answers_claim_nothing(
+    fleet: Fleet, browsers: list[Browser]
+) -> None:
+    """Publish while the log is down, and while its answers are lost.
+
+    Symptom: a change is reported as published, and is nowhere.  Sequence: the log
+    refuses every call; later it takes appends and loses the answers.  Cause: the
+    answer to the append decided what the operator was told.
+    """
+    browser = browsers[0]
+    review = browser.submit(
+        browser.get("/console/edit").form("/console/review"), models__0__version="v2"
+    )
+    fleet.control("log", outage=True)
+    outcome = browser.submit(review.form("/console/publish"))
+    assert outcome.status == 200 and "Not read back yet" in outcome.text
+    fleet.control("log", outage=False, lose_append_answers=True)
+    again = browser.submit(outcome.form("/console/publish"))
+    assert "Accepted as version 1" in again.text
+    wait_until(lambda: _versions(fleet) == [1, 1], what="version 1 is everywhere")
+
+
+def test_oversized_and_unsigned_posts_are_refused(
+    fleet: Fleet, browsers: list[Browser]
+) -> None:
+    url = fleet.entries_by_name["e1"].url
+    stranger = httpx.post(f"{url}/console/publish", data={"document": "{}"})
+    assert stranger.status_code == 401
+    assert httpx.get(f"{url}/console/status").status_code == 303
+    too_long = httpx.post(f"{url}/console/review", content=b"a=" + b"x" * (5 << 20))
+    assert too_long.status_code == 413
+    assert _versions(fleet) == [0, 0]
