--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -2,26 +2,25 @@
 
 from __future__ import annotations
 
-import signal
-import time
 import uuid
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 
-from .console.pages import Console
-from .console.status import Status
-from .coordination.admission import ConcurrencyAdmission
+from .console.assembly import console_of
+from .coordination.admission_capacity import GroupCapacity
+from .coordination.admission_fair import FairAdmission
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
+from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
-from .coordination.requests import RequestTable
+from .coordination.requests import RequestTable, Timeouts
 from .coordination.retry import RetryBudget
 from .coordination.routing import LeastInFlightRouter
 from .coordination.targets import Targets
 from .dump import Dump
-from .events import control_tick, drain, serving_tick, sweep
+from .events import control_tick, serving_tick, sweep
 from .fleet_history import LOOK_INTERVAL, FleetHistory
 from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
@@ -29,6 +28,7 @@
 from .planning import Planning
 from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
 from .serving import Serving
+from .shutdown import InFlight, Shutdown
 from .state.claims import ClaimsFold
 from .state.configuration_fold import NO_VERSION, ConfigurationFold
 from .state.placement import PlacementFold
@@ -70,8 +70,6 @@
         self.settings = settings
         self.boot = uuid.uuid4().hex[:12]
         self.exit_code = 0
-        self._signals_seen = 0
-        self._drain_deadline = float("inf")
         owner = f"{settings.host}/{self.boot}"
         self.metrics = Metrics()
         self.configuration = ConfigurationFold()
@@ -97,11 +95,18 @@
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
         )
+        self.account_limits = AccountLimits(n_hosts=self._n_entry_hosts)
         self.table = self._table(claims)
         self.http_client = HttpClient()
         host, _, port = settings.callers_address.rpartition(":")
         self.callers = Callers(
-            bind=(host, int(port)), limits=Limits(max_body=settings.max_body)
+            bind=(host, int(port)),
+            limits=Limits(
+                max_body=settings.max_body,
+                request_timeout=settings.callers_request_timeout,
+                idle_timeout=settings.callers_idle_timeout,
+                unread_timeout=settings.unread_timeout,
+            ),
         )
         self.fleet_history = FleetHistory(
             configuration=self.configuration,
@@ -109,15 +114,22 @@
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
         )
-        self.console = self._console()
+        self.console = console_of(self)
+        self.dump = Dump(application=self)
         self.serving = Serving(
             settings=settings,
             table=self.table,
             configuration=self.configuration,
             metrics=self.metrics,
-            pages=Dump(application=self).pages() | self.console.pages(),
+            pages=self.dump.pages() | self.console.pages(),
         )
         self.timers = Timers()
+        self.shutdown = Shutdown(
+            settings=settings,
+            serving=self.serving,
+            in_flight=self._in_flight,
+            stop=self._stop,
+        )
         self._register_parts()
         self._register_gauges()
 
@@ -147,36 +159,36 @@
             confirmations=self.confirmations,
         )
         return RequestTable(
-            admission=ConcurrencyAdmission(),
+            admission=self._admission(targets),
             router=LeastInFlightRouter(targets=targets.for_arrival),
             retry_policy=RetryBudget(),
             claims=claims,
             account=self._client_account,
             new_id=_new_id,
             retry_after=lambda: RETRY_AFTER,
+            timeouts=Timeouts(
+                claim=self.settings.claim_timeout,
+                recovery=self.settings.recovery_timeout,
+                same_target=self.settings.report_max_age + 0.5,
+            ),
         )
 
-    def _console(self) -> Console:
-        return Console(
-            operator_key=self.settings.operator_key,
-            configuration=self.configuration,
-            status=Status(
-                placements_by_zone=self.placements_by_zone,
+    def _admission(self, targets: Targets) -> FairAdmission:
+        limits = self.account_limits
+        return FairAdmission(
+            capacity=GroupCapacity(
+                targets=targets.for_arrival,
                 confirmations=self.confirmations,
-                measures=self.fleet_history.measures,
-                repairs=self.fleet_history.repairs,
+                batch=lambda: self.settings.group_batch,
+                n_hosts=self._n_entry_hosts,
+                n_hosts_waiting=lambda now: limits.n_hosts_waiting(now=now),
             ),
-            versions_by_host=self._versions_by_host,
-            log_age=self._log_age,
+            account=self._client_account,
+            limits=limits,
         )
 
-    def _versions_by_host(self) -> dict[str, int]:
-        return {self.settings.host: self.configuration.version}
-
-    def _log_age(self) -> float | None:
-        stream = self.streams.streams_by_name[CONFIGURATION_STREAM]
-        age = time.monotonic() - stream.caught_up_at
-        return age if age != float("inf") else None
+    def _n_entry_hosts(self) -> int:
+        return 1 + len(self.settings.peers)
 
     def _client_account(self, name: str) -> ClientAccount | None:
         return self.configuration.configuration.client_accounts.get(name)
@@ -188,6 +200,18 @@
             self.fleet.hosts_by_name
         )
 
+    def _in_flight(self) -> InFlight:
+        claims = self.streams.streams_by_name[CLAIMS_STREAM]
+        return InFlight(
+            n_requests=self.table.n_left() + self.console.n_waiting,
+            n_appends=len(claims.writer.pending_by_id),
+            n_unsent=self.callers.n_unsent(),
+        )
+
+    def _stop(self, exit_code: int) -> None:
+        self.exit_code = exit_code
+        self.stop()
+
     def _register_parts(self) -> None:
         EPoll().register(self)
         for part in (
@@ -200,11 +224,17 @@
             self.fleet_history,
             self.console,
             self.serving,
+            self.shutdown,
+            self.dump,
         ):
             part.register(self)
 
     def _register_gauges(self) -> None:
         metrics = self.metrics
+        metrics.counter(
+            "refused_requests", lambda: dict(self.callers.n_refused_by_code)
+        )
+        metrics.counter("unread_answers", lambda: {"": self.callers.n_unread})
         metrics.gauge(
             "requests_in_flight", lambda: float(len(self.table.requests_by_id))
         )
@@ -213,11 +243,7 @@
         )
         metrics.gauge("late_answers", lambda: float(self.table.n_late_answers))
         metrics.gauge("retries", lambda: float(self.table.n_retries))
-        measures = self.fleet_history.measures
-        metrics.gauge("groups_down", lambda: float(measures.n_groups_down))
-        metrics.gauge("group_downtime_seconds", lambda: measures.downtime_seconds)
-        metrics.gauge("stranded_accelerators", lambda: float(measures.n_stranded))
-        metrics.gauge("stranded_accelerator_seconds", lambda: measures.stranded_seconds)
+        self.fleet_history.register_gauges(metrics)
         metrics.gauge("silent_connections", lambda: float(self.http_client.n_silent))
 
     @handler("started", channel="*")
@@ -228,7 +254,7 @@
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
         self.timers.every(SWEEP, sweep, "callers")
-        self.timers.every(TICK, _check_drained, "application")
+        self.timers.every(TICK, control_tick, "shutdown")
         log_event(
             "started",
             host=self.settings.host,
@@ -236,37 +262,6 @@
             callers_port=self.callers.port,
         )
 
-    # Graceful shutdown
-
-    @handler("signal", channel="*")
-    def _on_signal(self, event: Event, signal_number: int, stack: object) -> None:
-        if signal_number not in (signal.SIGINT, signal.SIGTERM):
-            return
-        event.stop()
-        self._signals_seen += 1
-        if self._signals_seen > 1:
-            self._drain_deadline = time.monotonic()
-            return
-        self.fire(drain(), "application")
-
-    @handler("drain")
-    def _on_drain(self) -> None:
-        log_event("drain_started", in_flight=len(self.table.requests_by_id))
-        self.serving.draining = True
-        self._drain_deadline = time.monotonic() + self.settings.drain_timeout
-
-    @handler("_check_drained")
-    def _on_check_drained(self) -> None:
-        if not self.serving.draining:
-            return
-        n_in_flight = len(self.table.requests_by_id) + self.console.n_waiting
-        if n_in_flight and time.monotonic() < self._drain_deadline:
-            return
-        if n_in_flight:
-            self.exit_code = 3
-        log_event("stopped", in_flight=n_in_flight)
-        self.stop()
-
     @handler("exception", channel="*")
     def _on_exception(
         self,
@@ -288,7 +283,3 @@
 
 def _new_id() -> str:
     return uuid.uuid4().hex
-
-
-class _check_drained(Event):
-    """Look whether nothing is in flight any more."""
--- a/ryelever/fleet_history.py
+++ b/ryelever/fleet_history.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from .coordination.confirmation import Confirmations
+    from .metrics import Metrics
     from .state.configuration_fold import ConfigurationFold
     from .state.fleet import ListedHost
     from .state.placement import PlacementFold
@@ -47,6 +48,14 @@
         self._hosts_by_name = hosts_by_name
         self._confirmations = confirmations
 
+    def register_gauges(self, metrics: Metrics) -> None:
+        """Show both measures among the metrics."""
+        measures = self.measures
+        metrics.gauge("groups_down", lambda: float(measures.n_groups_down))
+        metrics.gauge("group_downtime_seconds", lambda: measures.downtime_seconds)
+        metrics.gauge("stranded_accelerators", lambda: float(measures.n_stranded))
+        metrics.gauge("stranded_accelerator_seconds", lambda: measures.stranded_seconds)
+
     @handler("control_tick")
     def _on_control_tick(self) -> None:
         now = time.monotonic()
