Tell an operator "accepted" only of what this host has accepted

Cause: a publication that stood among no rejections was called accepted and replaced since. A host that takes a newer version from a peer reads the records below it without judging them, and the list of rejections is bounded.

The fold now remembers the versions that it put in force, the newest 1000; anything else that was read back is called not known here.

Shown failing first, without the look at accepted versions: E AssertionError: assert <OutcomeKind.REPLACED> is <OutcomeKind.UNKNOWN>; 1 failed

--- a/ryelever/console/publications.py
+++ b/ryelever/console/publications.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..state.fold import N_KEPT_IGNORED
-
 if TYPE_CHECKING:
     from ..state.configuration_fold import ConfigurationFold
 
@@ -21,7 +19,7 @@
     REPLACED = "accepted, and replaced since"
     REJECTED = "rejected"
     NOT_READ_BACK = "not read back"
-    FORGOTTEN = "decided too long ago to be known here"
+    UNKNOWN = "judged elsewhere, or too long ago to be known here"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -45,7 +43,9 @@
     """Return what the fold knows of the record with this id.
 
     The answer to the append plays no part: it can be lost after the record was
-    taken, and it says nothing of a race.
+    taken, and it says nothing of a race.  Nor is acceptance concluded from the lack
+    of a rejection: a host that took a newer version from a peer has not judged the
+    records below it.
     """
     offset = fold.offset_of(record_id)
     if offset is None:
@@ -58,7 +58,6 @@
             )
     if fold.version == offset:
         return Outcome(kind=OutcomeKind.IN_FORCE, version=offset)
-    forgotten = bool(fold.ignored) and offset < fold.ignored[0].offset
-    if forgotten and len(fold.ignored) >= N_KEPT_IGNORED:
-        return Outcome(kind=OutcomeKind.FORGOTTEN, version=offset)
+    if offset not in fold.accepted_versions:
+        return Outcome(kind=OutcomeKind.UNKNOWN, version=offset)
     return Outcome(kind=OutcomeKind.REPLACED, version=offset)
--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from .configuration import Configuration
 from .configuration_check import faults_of
 from .fold import BaseFold
@@ -12,6 +14,9 @@
 #: Version of the state before anything was published.
 NO_VERSION = -1
 
+#: How many accepted versions are remembered, so that an operator can be told.
+N_KEPT_ACCEPTED = 1000
+
 
 class ConfigurationFold(BaseFold):
     """Keep the accepted configuration and its version.
@@ -26,6 +31,7 @@
         self.version = NO_VERSION
         self.configuration = Configuration()
         self.author = ""
+        self.accepted_versions: deque[int] = deque(maxlen=N_KEPT_ACCEPTED)
 
     def _apply_record(self, entry: Entry) -> str | None:
         record = entry.record
@@ -59,3 +65,4 @@
         self.version = version
         self.configuration = record.document
         self.author = record.author
+        self.accepted_versions.append(version)
--- /dev/null
+++ b/tests/test_console/test_publications.py
@@ -0,0 +1,60 @@
+"""Test what is told of a publication."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.console.publications import OutcomeKind, outcome_of
+from ryelever.state.configuration import Configuration, Model
+from ryelever.state.configuration_fold import ConfigurationFold
+from ryelever.state.records import Entry, Publication
+
+INVALID = Configuration(models={"notes": Model(version="")})
+
+#: Rows of (record id, base version, document) in the log, and what is told of "mine".
+CASES = [
+    ([], OutcomeKind.NOT_READ_BACK, -1),
+    ([("other", -1, None)], OutcomeKind.NOT_READ_BACK, -1),
+    ([("mine", -1, None)], OutcomeKind.IN_FORCE, 0),
+    ([("mine", -1, None), ("other", 0, None)], OutcomeKind.REPLACED, 0),
+    ([("mine", -1, None), ("mine", -1, None)], OutcomeKind.IN_FORCE, 0),
+    ([("other", -1, None), ("mine", -1, None)], OutcomeKind.REJECTED, 1),
+    ([("mine", -1, INVALID)], OutcomeKind.REJECTED, 0),
+    (
+        [("other", -1, None), ("mine", -1, None), ("mine", -1, None)],
+        OutcomeKind.REJECTED,
+        1,
+    ),
+]
+
+
+@pytest.mark.parametrize(("rows", "kind", "version"), CASES)
+def test_outcome_is_read_from_the_fold(
+    rows: list[tuple[str, int, Configuration | None]], kind: OutcomeKind, version: int
+) -> None:
+    fold = _fold(rows)
+    outcome = outcome_of("mine", fold)
+    assert (outcome.kind, outcome.version) == (kind, version)
+
+
+def test_lack_of_a_rejection_is_no_acceptance() -> None:
+    """Ask for a publication that this host has read without judging it.
+
+    Symptom: an operator is told "accepted" of a publication that lost its race.
+    Sequence: the host takes a newer version from a peer, then reads the records below
+    it.  Cause: whatever was not among the rejections counted as accepted.
+    """
+    fold = _fold([("other", -1, None), ("mine", 0, None)])
+    fold.accepted_versions.remove(1)
+    fold.version = 5
+    assert outcome_of("mine", fold).kind is OutcomeKind.UNKNOWN
+
+
+def _fold(rows: list[tuple[str, int, Configuration | None]]) -> ConfigurationFold:
+    fold = ConfigurationFold()
+    for offset, (record_id, base, document) in enumerate(rows):
+        record = Publication(
+            base_version=base, author="ana", document=document or Configuration()
+        )
+        fold.apply(Entry(offset=offset, time=0.0, id=record_id, record=record))
+    return fold
