Look at waiting publications four times a second, and check documents by property

300 generated documents (seed fixed by hypothesis' derandomize) are either refused with at least one placed fault, or come back from the canonical encoding unchanged.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -248,8 +248,9 @@
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        for channel in ("streams", "fleet", "planning", "console"):
+        for channel in ("streams", "fleet", "planning"):
             self.timers.every(TICK, control_tick, channel)
+        self.timers.every(SWEEP, control_tick, "console")
         self.timers.every(LOOK_INTERVAL, control_tick, "fleet_history")
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
--- a/ryelever/console/pages.py
+++ b/ryelever/console/pages.py
@@ -99,6 +99,7 @@
         reading, posting, drafting = self._reading, self._posting, self._drafting
         return {
             "/console": reading(self._home),
+            "/console/": reading(self._home),
             "/console/console.css": style_sheet,
             "/console/sign-in": self._sign_in,
             "/console/sign-out": posting(self._sign_out),
--- a/tests/test_protocol/test_configuration_document.py
+++ b/tests/test_protocol/test_configuration_document.py
@@ -5,6 +5,8 @@
 import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from ryelever.accounts import hash_key
 from ryelever.protocol.configuration_document import (
@@ -154,6 +156,30 @@
     assert check_document(first).ok == Configuration(models=one)
 
 
+_NAMES = st.sampled_from(
+    ["models", "client_accounts", "services", "weights", "version", "key_hash", "share"]
+    + ["adapters", "n_groups", "non_repeatable", "group_downtime", "a/b~", "\x00"]
+)
+_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(_NAMES, inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.dictionaries(_NAMES, _VALUES, max_size=4))
+def test_whatever_is_read_is_checked_and_comes_back(document: dict) -> None:
+    checked = check_document(json.dumps(document).encode())
+    if checked.is_ok():
+        assert check_document(canonical(checked.ok)).ok == checked.ok
+    else:
+        assert checked.error
+        assert all(fault.place.startswith("/") for fault in checked.error)
+
+
 def test_difference_names_place_before_and_after() -> None:
     before = check_document(json.dumps(_document()).encode()).ok
     after = check_document(
