--- a/benchmarks/request_table.py
+++ b/benchmarks/request_table.py
@@ -76,7 +76,7 @@
     def read(self, append: AppendRecord) -> None:
         offset = self.fold.next_offset
         entry = Entry(
-            offset=offset, time=0.0, id=append.record_id, record=append.record
+            offset=offset, time=1.8e9, id=append.record_id, record=append.record
         )
         self.fold.apply(entry)
 
@@ -184,7 +184,7 @@
     def bookings() -> None:
         driver = _Driver()
         for index in range(n_requests):
-            driver.call(key=str(index))
+            driver.call(key=f"1800000000000-{index}")
 
     rows = (
         ("stream without tokens", empty_streams, n_requests),
--- a/ryelever/console/assembly.py
+++ b/ryelever/console/assembly.py
@@ -14,6 +14,9 @@
 
 __all__ = ["console_of"]
 
+#: Seconds after which a silent peer no longer counts among the entry hosts.
+PEER_MAX_AGE = 10.0
+
 
 def console_of(application: Application) -> Console:
     """Return the console of one entry host."""
@@ -33,7 +36,15 @@
 
 
 def _versions_by_host(application: Application) -> dict[str, int]:
-    return {application.settings.host: application.configuration.version}
+    versions_by_host = {application.settings.host: application.configuration.version}
+    exchange = application.peering.exchange
+    now = time.monotonic()
+    for address, peer in exchange.peers_by_address.items():
+        version = exchange.configuration.versions_by_address.get(address)
+        alive = peer.current is not None and now - peer.heard_at <= PEER_MAX_AGE
+        if alive and version is not None:
+            versions_by_host[peer.name or address] = version
+    return versions_by_host
 
 
 def _log_age(application: Application) -> float | None:
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -27,6 +27,7 @@
     Usage,
 )
 from .admission import Queued, Refused
+from .quarantine import quarantine_error
 from .requests_attempts import RequestAttempts
 from .requests_claims import ClaimsView, RequestClaims
 from .requests_state import Request, RequestState, Timeouts
@@ -41,6 +42,7 @@
     from .admission import Admission
     from .retry import RetryPolicy
     from .routing import Router
+    from .routing_feedback import AttemptFeedback
 
 __all__ = ["ClaimsView", "Request", "RequestState", "RequestTable", "Timeouts"]
 
@@ -64,6 +66,8 @@
         serves its request.
     timeouts : Timeouts
         Bounds of the steps.
+    feedback : AttemptFeedback or None
+        Learns from attempts and names requests that must not run.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         new_id: Callable[[], str],
         retry_after: Callable[[], float],
         timeouts: Timeouts | None = None,
+        feedback: AttemptFeedback | None = None,
     ) -> None:
         self._admission = admission
         self._account = account
@@ -89,7 +94,10 @@
             timeout=self._timeouts.claim,
         )
         self._attempts = RequestAttempts(
-            router=router, retry_policy=retry_policy, new_id=new_id
+            router=router,
+            retry_policy=retry_policy,
+            new_id=new_id,
+            feedback=feedback,
         )
         self._steps = RequestSteps(
             admission=admission,
@@ -139,6 +147,9 @@
             refusal = known or self._claims.refusal(arrival, now=now)
             if refusal:
                 return refusal
+        quarantined = self._attempts.verdict(arrival.fingerprint, now=now)
+        if quarantined is not None:
+            return [_error(arrival, quarantine_error(quarantined))]
         decision = self._admission.admit(arrival, account, now=now)
         if isinstance(decision, Refused):
             return [_error(arrival, answers.limited(decision))]
@@ -172,7 +183,7 @@
         if request_id is None:
             # The request was given up before its claim came back.  Nobody will run
             # it, so the key is freed; a resend would wait for an outcome for ever.
-            return [self._claims.free(claim.key)] if is_first else []
+            return [self._claims.free(claim)] if is_first else []
         request = self.requests_by_id[request_id]
         if not is_first:
             known = self.answer_known(request.arrival)
@@ -200,6 +211,7 @@
         request.delivered.extend(fresh)
         request.may_have_run = True
         if request.state is not RequestState.STREAMING:
+            self._attempts.first_token(request, now=now)
             self._steps.enter(request, RequestState.STREAMING, now=now)
         if not request.streamed or request.caller_gone:
             return []
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -141,12 +141,14 @@
             "streams": self._streams(now=now),
             "groups": self._groups(now=now),
             "leases": self._leases(now=now),
+            "suspects": application.quarantine.describe(now=now),
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
             "connections": {
                 "callers": application.callers.describe(),
                 "outgoing": application.http_client.describe(),
             },
+            "peers": application.peering.describe(),
         }
 
     def _streams(self, *, now: float) -> dict[str, Any]:
@@ -155,6 +157,14 @@
                 "next_offset": stream.fold.next_offset,
                 "caught_up_for": _age(stream.caught_up_at, now=now),
                 "pending_appends": len(stream.writer.pending_by_id),
+                "complete": stream.fold.complete,
+                "problem": stream.reader.problem,
+                "n_restored": stream.reader.n_restored,
+                "n_unreadable": stream.fold.n_unreadable,
+                "snapshot_offset": stream.fold.snapshot_offset,
+                "n_appends": stream.writer.n_appends,
+                "n_appended_records": stream.writer.n_records,
+                "n_late_records": stream.writer.n_late,
                 "ignored": [
                     {"offset": ignored.offset, "reason": ignored.reason}
                     for ignored in stream.fold.ignored[-5:]
--- a/tests/test_coordination/test_requests.py
+++ b/tests/test_coordination/test_requests.py
@@ -19,15 +19,15 @@
 )
 from ryelever.state.records import Claim
 
-from .request_fakes import Bench, call, chat
+from .request_fakes import KEY, Bench, call, chat
 
 KINDS = {
     "chat": chat,
     "whole": partial(chat, streamed=False),
     "call": call,
-    "booking": partial(call, key="k"),
-    "chat_once": partial(chat, key="k"),
-    "whole_once": partial(chat, streamed=False, key="k"),
+    "booking": partial(call, key=KEY),
+    "chat_once": partial(chat, key=KEY),
+    "whole_once": partial(chat, streamed=False, key=KEY),
 }
 
 
