--- a/ryelever/console/publications.py
+++ b/ryelever/console/publications.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..state.configuration_fold import NOT_JUDGED
+
 if TYPE_CHECKING:
     from ..state.configuration_fold import ConfigurationFold
 
@@ -53,9 +55,9 @@
     for ignored in fold.ignored:
         # A repeated append is ignored under the same id at a later offset.
         if ignored.id == record_id and ignored.offset == offset:
-            return Outcome(
-                kind=OutcomeKind.REJECTED, version=offset, reason=ignored.reason
-            )
+            judged = not ignored.reason.startswith(NOT_JUDGED)
+            kind = OutcomeKind.REJECTED if judged else OutcomeKind.UNKNOWN
+            return Outcome(kind=kind, version=offset, reason=ignored.reason)
     if fold.version == offset:
         return Outcome(kind=OutcomeKind.IN_FORCE, version=offset)
     if offset not in fold.accepted_versions:
--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -17,6 +17,9 @@
 #: Version of the state before anything was published.
 NO_VERSION = -1
 
+#: Begins the reason of a publication that was ignored here without a verdict.
+NOT_JUDGED = "not judged"
+
 #: How many accepted versions are remembered, so that an operator can be told.
 N_KEPT_ACCEPTED = 1000
 
@@ -101,7 +104,7 @@
         if self.gap is not None and not self._replaces_all(record):
             self._unjudged = entry.offset
             return (
-                "not judged: the version in force is not known here, since "
+                f"{NOT_JUDGED}: the version in force is not known here, since "
                 f"{self.gap.reason}"
             )
         if record.base_version == self.version:
--- a/tests/test_console/test_publications.py
+++ b/tests/test_console/test_publications.py
@@ -50,6 +50,20 @@
     assert outcome_of("mine", fold).kind is OutcomeKind.UNKNOWN
 
 
+def test_publication_read_while_records_are_missing_is_no_rejection() -> None:
+    """Ask for a publication that this host could not judge.
+
+    Symptom: an operator is told "rejected" of a version that is in force elsewhere.
+    Sequence: the log loses records before this host has read them, then the operator
+    publishes.  Cause: whatever was ignored here counted as rejected everywhere.
+    """
+    fold = ConfigurationFold()
+    fold.lost(before=3, reason="offsets 0 to 2 have expired")
+    record = Publication(base_version=2, author="ana", document=Configuration())
+    fold.apply(Entry(offset=3, time=0.0, id="mine", record=record))
+    assert outcome_of("mine", fold).kind is OutcomeKind.UNKNOWN
+
+
 def _fold(rows: list[tuple[str, int, Configuration | None]]) -> ConfigurationFold:
     fold = ConfigurationFold()
     for offset, (record_id, base, document) in enumerate(rows):
--- a/tests/test_console/test_through_processes.py
+++ b/tests/test_console/test_through_processes.py
@@ -5,7 +5,13 @@
 import httpx
 import pytest
 
-from ..processes import OPERATOR_KEY, EntryHost, Fleet, wait_until
+from ..processes import (
+    OPERATOR_KEY,
+    EntryHost,
+    Fleet,
+    free_udp_addresses,
+    wait_until,
+)
 from .browser import Browser
 
 
@@ -28,8 +34,9 @@
     fleet.start_platform()
     fleet.publish({"models": {"notes": {"version": "v1"}}})
     browsers = []
-    for name in ("e1", "e2"):
-        entry = fleet.start_entry(name, zone="z")
+    peers = free_udp_addresses(2)
+    for name, address in zip(("e1", "e2"), peers, strict=True):
+        entry = fleet.start_entry(name, zone="z", peers_address=address, peers=peers)
         wait_until(
             lambda entry=entry: entry.dump()["configuration"]["version"] == 0,
             what=f"{name} has the configuration",
@@ -74,6 +81,10 @@
     review = browsers[0].submit(edit, models__0__n_groups="2")
     outcome = browsers[0].submit(review.form("/console/publish"))
     assert "Accepted as version 1" in outcome.text
+    wait_until(
+        lambda: "In force on 2 of 2" in browsers[0].get("/console/document").text,
+        what="both entry hosts are heard of",
+    )
 
 
 def test_outage_and_lost_answers_claim_nothing(
