--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -9,6 +9,7 @@
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 
+from .console.assembly import console_of
 from .coordination.admission_capacity import GroupCapacity
 from .coordination.admission_fair import FairAdmission
 from .coordination.claims import Claims
@@ -26,6 +27,7 @@
 from .coordination.targets import Targets
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
+from .fleet_history import LOOK_INTERVAL, FleetHistory
 from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
 from .metrics import Metrics
@@ -124,13 +126,20 @@
                 unread_timeout=settings.unread_timeout,
             ),
         )
+        self.fleet_history = FleetHistory(
+            configuration=self.configuration,
+            placements_by_zone=self.placements_by_zone,
+            hosts_by_name=self.fleet.hosts_by_name,
+            confirmations=self.confirmations,
+        )
+        self.console = console_of(self)
         self.dump = Dump(application=self)
         self.serving = Serving(
             settings=settings,
             table=self.table,
             configuration=self.configuration,
             metrics=self.metrics,
-            pages=self.dump.pages(),
+            pages=self.dump.pages() | self.console.pages(),
         )
         self._wire_peers()
         self.timers = Timers()
@@ -257,7 +266,7 @@
             streams[name] for name in claims_streams(self.settings.claims_partitions)
         ]
         return InFlight(
-            n_requests=len(self.table.requests_by_id),
+            n_requests=len(self.table.requests_by_id) + self.console.n_waiting,
             n_appends=sum(len(stream.writer.pending_by_id) for stream in claims),
             n_unsent=self.callers.n_unsent(),
         )
@@ -275,6 +284,8 @@
             self.streams,
             self.fleet,
             self.planning,
+            self.fleet_history,
+            self.console,
             self.serving,
             self.peers,
             self.peering,
@@ -297,6 +308,7 @@
         )
         metrics.gauge("late_answers", lambda: float(self.table.n_late_answers))
         metrics.gauge("retries", lambda: float(self.table.n_retries))
+        self.fleet_history.register_gauges(metrics)
         for name in ("received", "sent", "bytes_received", "bytes_sent"):
             metrics.gauge(
                 f"peer_datagrams_{name}",
@@ -308,6 +320,8 @@
     def _on_started(self, *args: object) -> None:
         for channel in ("streams", "fleet", "planning", "peering"):
             self.timers.every(TICK, control_tick, channel)
+        self.timers.every(SWEEP, control_tick, "console")
+        self.timers.every(LOOK_INTERVAL, control_tick, "fleet_history")
         self.timers.every(TICK, serving_tick, "serving")
         self.timers.every(SWEEP, sweep, "http_client")
         self.timers.every(SWEEP, sweep, "callers")
--- /dev/null
+++ b/ryelever/console/assembly.py
@@ -0,0 +1,53 @@
+"""Join the console with the parts of one process."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ..protocol.log import CONFIGURATION_STREAM
+from .pages import Console
+from .status import Status
+
+if TYPE_CHECKING:
+    from ..application import Application
+
+__all__ = ["console_of"]
+
+#: Seconds after which a silent peer no longer counts among the entry hosts.
+PEER_MAX_AGE = 10.0
+
+
+def console_of(application: Application) -> Console:
+    """Return the console of one entry host."""
+    history = application.fleet_history
+    return Console(
+        operator_key=application.settings.operator_key,
+        configuration=application.configuration,
+        status=Status(
+            placements_by_zone=application.placements_by_zone,
+            confirmations=application.confirmations,
+            measures=history.measures,
+            repairs=history.repairs,
+        ),
+        versions_by_host=lambda: _versions_by_host(application),
+        log_age=lambda: _log_age(application),
+    )
+
+
+def _versions_by_host(application: Application) -> dict[str, int]:
+    versions_by_host = {application.settings.host: application.configuration.version}
+    exchange = application.peering.exchange
+    now = time.monotonic()
+    for address, peer in exchange.peers_by_address.items():
+        version = exchange.configuration.versions_by_address.get(address)
+        alive = peer.current is not None and now - peer.heard_at <= PEER_MAX_AGE
+        if alive and version is not None:
+            versions_by_host[peer.name or address] = version
+    return versions_by_host
+
+
+def _log_age(application: Application) -> float | None:
+    stream = application.streams.streams_by_name[CONFIGURATION_STREAM]
+    age = time.monotonic() - stream.caught_up_at
+    return age if age != float("inf") else None
--- a/ryelever/coordination/soft_state_configuration.py
+++ b/ryelever/coordination/soft_state_configuration.py
@@ -69,6 +69,7 @@
         self._text = b""
         self._bad: set[tuple[int, str]] = set()
         self.n_broken = 0
+        self.versions_by_address: dict[str, int] = {}
 
     @property
     def version(self) -> int:
@@ -78,6 +79,7 @@
 
     def heard(self, version: int, *, address: str, now: float) -> None:
         """Note that a peer tells of a version."""
+        self.versions_by_address[address] = version
         if version <= self.version or (version, address) in self._bad:
             return
         fetch = self._fetch
--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,6 +17,12 @@
 #: Version of the state before anything was published.
 NO_VERSION = -1
 
+#: Begins the reason of a publication that was ignored here without a verdict.
+NOT_JUDGED = "not judged"
+
+#: How many accepted versions are remembered, so that an operator can be told.
+N_KEPT_ACCEPTED = 1000
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ConfigurationSnapshot(SnapshotPart):
@@ -51,6 +58,7 @@
         self.version = NO_VERSION
         self.configuration = Configuration()
         self.author = ""
+        self.accepted_versions: deque[int] = deque(maxlen=N_KEPT_ACCEPTED)
         self._unjudged = NO_VERSION
 
     def adopt(self, *, version: int, document: Configuration, author: str) -> bool:
@@ -96,7 +104,7 @@
         if self.gap is not None and not self._replaces_all(record):
             self._unjudged = entry.offset
             return (
-                "not judged: the version in force is not known here, since "
+                f"{NOT_JUDGED}: the version in force is not known here, since "
                 f"{self.gap.reason}"
             )
         if record.base_version == self.version:
@@ -120,6 +128,7 @@
         self.version = version
         self.configuration = document
         self.author = author
+        self.accepted_versions.append(version)
 
     def _contents(self) -> list[dict[str, Any]]:
         return [
