Split the planner by its decisions: lease, health, hosts, capacity, release, change

Cause: one class formed, repaired and released, and knew no lease return, no draining, no straggler, no deadline of an order and no weights.

A group that lost a member is now replaced by one record that moves the claims of its survivors and takes a spare host of their domain: one append and one read back instead of three (dissolve, release, form). Ruled out: dissolving first, which also leaves the hosts free for a third group in between. An order's deadline is a reading of the engine's own clock from the report it is based on; a deadline after receipt, as declared so far, does not bound an order that lingers in front of a paused engine.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -14,7 +14,7 @@
 from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
 from .coordination.planner import Planner
-from .coordination.requests import RequestTable
+from .coordination.requests import RequestState, RequestTable
 from .coordination.retry import RetryBudget
 from .coordination.routing import LeastInFlightRouter
 from .coordination.targets import Targets
@@ -23,7 +23,7 @@
 from .fleet_watch import FleetWatch
 from .logs import log_event, log_warning
 from .metrics import Metrics
-from .planning import Planning
+from .planning import Planning, demand_of
 from .protocol.log import CLAIMS_STREAM, CONFIGURATION_STREAM, placement_stream
 from .serving import Serving
 from .state.claims import ClaimsFold
@@ -35,6 +35,7 @@
 from .transport.http_client import HttpClient
 
 if TYPE_CHECKING:
+    from .coordination.planner_view import ModelDemand
     from .settings import Settings
     from .state.configuration import ClientAccount
     from .state.fold import BaseFold
@@ -93,6 +94,8 @@
             placement=self.placements_by_zone[settings.availability_zone],
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
+            placements_by_zone=self.placements_by_zone,
+            demand=self._demand,
         )
         self.table = self._table(claims)
         self.http_client = HttpClient()
@@ -126,7 +129,13 @@
             stream=placement_stream(self.settings.availability_zone),
             new_id=_new_id,
             term=self.settings.lease_term,
-            member_timeout=self.settings.report_max_age,
+        )
+
+    def _demand(self) -> tuple[ModelDemand, ...]:
+        return demand_of(
+            request.arrival
+            for request in self.table.requests_by_id.values()
+            if request.state is RequestState.QUEUED
         )
 
     def _table(self, claims: Claims) -> RequestTable:
@@ -222,6 +231,8 @@
         n_in_flight = len(self.table.requests_by_id)
         if n_in_flight and time.monotonic() < self._drain_deadline:
             return
+        if self._signals_seen < 2 and self.planning.gives_back_lease:
+            return
         if n_in_flight:
             self.exit_code = 3
         log_event("stopped", in_flight=n_in_flight)
--- a/ryelever/coordination/actions.py
+++ b/ryelever/coordination/actions.py
@@ -190,7 +190,14 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class SendOrder:
-    """Order one host to join or to leave a group."""
+    """Order one host to join or to leave a group.
+
+    Attributes
+    ----------
+    expires_ms : int
+        Reading of the engine's own clock, as its reports give it, after which it
+        must not begin to obey; 0 when the engine gave none.
+    """
 
     host: str
     address: str
@@ -202,6 +209,7 @@
     model: str = ""
     version: str = ""
     adapters: tuple[str, ...] = ()
+    expires_ms: int = 0
 
 
 Action = (
--- a/ryelever/coordination/confirmation.py
+++ b/ryelever/coordination/confirmation.py
@@ -40,6 +40,7 @@
     def __init__(self, *, max_age: float) -> None:
         self.max_age = max_age
         self.reports_by_host: dict[str, FreshReport] = {}
+        self.n_refused_by_host: dict[str, int] = {}
 
     def reported(self, report: HostReport, *, asked_at: float) -> None:
         """Take a report, unless one that was asked for later is known."""
@@ -49,10 +50,16 @@
         self.reports_by_host[report.host] = FreshReport(
             report=report, asked_at=asked_at
         )
+        self.n_refused_by_host.pop(report.host, None)
 
     def unreachable(self, host: str) -> None:
         """Forget the report of a host that refused or broke a connection."""
         self.reports_by_host.pop(host, None)
+        self.n_refused_by_host[host] = self.n_refused_by_host.get(host, 0) + 1
+
+    def n_refused(self, host: str) -> int:
+        """Return how often in a row the host refused a connection."""
+        return self.n_refused_by_host.get(host, 0)
 
     def fresh(self, host: str, *, now: float) -> HostReport | None:
         """Return the host's report if it still counts."""
--- a/ryelever/coordination/planner.py
+++ b/ryelever/coordination/planner.py
@@ -1,44 +1,37 @@
-"""Plan one availability zone: form replica groups, order hosts, repair."""
+"""Plan one availability zone: form replica groups, order hosts, repair, change."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..state.records import GroupDissolved, GroupFormed, HostReleased, LeaseTaken
-from .actions import Action, AppendRecord, SendOrder
+from ..state.records import GroupDissolved, GroupDraining, GroupFormed
+from .lease import PlannerLease
+from .planner_capacity import Capacity
+from .planner_decisions import Decisions
+from .planner_health import Fault, HostHealth
+from .planner_hosts import HostChoice
+from .planner_orders import Orders
+from .planner_outgoing import Outgoing
+from .planner_release import Release
+from .planner_view import PlannerLimits, PlannerView
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.configuration import Configuration, Model
-    from ..state.fleet import HostReport, ListedHost
-    from ..state.placement import Group, PlacementFold
-    from .confirmation import Confirmations
+    from ..state.configuration import Model
+    from ..state.placement import Group
+    from .actions import Action
+    from .planner_health import MemberFault
 
-__all__ = ["Planner", "PlannerView"]
-
-
-@dataclass(slots=True, kw_only=True)
-class PlannerView:
-    """Hold everything that a planner looks at.
-
-    Attributes
-    ----------
-    hosts_by_name : dict of str to ListedHost
-        The engines of the zone that the platform's list names.
-    """
-
-    configuration: Configuration
-    configuration_version: int
-    placement: PlacementFold
-    hosts_by_name: dict[str, ListedHost]
-    confirmations: Confirmations
+__all__ = ["Planner", "PlannerLimits", "PlannerView"]
 
 
 class Planner:
     """Decide what one zone's hosts do, under a lease kept in the log.
 
+    Every entry host of the zone has one, and each looks on at every tick; only the
+    holder of the lease decides.
+
     Parameters
     ----------
     holder : str
@@ -47,8 +40,8 @@
         Seconds of one lease.
     stream : str
         The zone's placement stream.
-    member_timeout : float
-        Seconds without a fresh confirmation after which a group is dissolved.
+    limits : PlannerLimits, optional
+        Times and bounds.
     """
 
     def __init__(
@@ -58,307 +51,379 @@
         stream: str,
         new_id: Callable[[], str],
         term: float = 6.0,
-        member_timeout: float = 2.0,
-        order_interval: float = 0.5,
-        decision_timeout: float = 3.0,
+        limits: PlannerLimits | None = None,
     ) -> None:
-        self._holder = holder
-        self._stream = stream
         self._new_id = new_id
-        self._term = term
-        self._member_timeout = member_timeout
-        self._order_interval = order_interval
-        self._decision_timeout = decision_timeout
-        self._lease_seen: tuple[int, float] = (-1, float("-inf"))
-        self._asked_at = float("-inf")
-        self._renewal: tuple[str, float] | None = None
-        self._valid_until = float("-inf")
-        self._whole_at_by_group: dict[str, float] = {}
-        self._ordered_at_by_host: dict[str, float] = {}
-        self._decided_at_by_key: dict[str, float] = {}
-        self._forming_by_id: dict[str, _Forming] = {}
-
-    # The lease
+        self._limits = limits or PlannerLimits()
+        self.lease = PlannerLease(
+            holder=holder, stream=stream, new_id=new_id, term=term
+        )
+        self._decisions = Decisions(
+            stream=stream, new_id=new_id, timeout=self._limits.decision_timeout
+        )
+        self._orders = Orders(limits=self._limits)
+        self._health = HostHealth(limits=self._limits)
+        self._capacity = Capacity(limits=self._limits)
+        self._outgoing = Outgoing(limits=self._limits, health=self._health)
+        self._release = Release(
+            limits=self._limits,
+            health=self._health,
+            orders=self._orders,
+            decisions=self._decisions,
+        )
+        self._first_seen_at_by_group: dict[str, float] = {}
+        self._was_whole: set[str] = set()
 
     def holds_lease(self, view: PlannerView, *, now: float) -> bool:
         """Tell whether decisions made now are under a valid own lease."""
-        lease = view.placement.lease
-        return (
-            lease is not None
-            and lease.holder == self._holder
-            and now < self._valid_until
-        )
-
-    def _lease_actions(self, view: PlannerView, *, now: float) -> list[Action]:
-        lease = view.placement.lease
-        offset = lease.offset if lease is not None else -1
-        if offset != self._lease_seen[0]:
-            self._lease_seen = (offset, now)
-            self._settle_renewal(view)
-        wait = self._wait_before_taking(view)
-        if now < self._lease_seen[1] + wait or now < self._asked_at + self._term / 3:
-            return []
-        self._asked_at = now
-        record_id = self._new_id()
-        self._renewal = (record_id, now)
-        record = LeaseTaken(holder=self._holder, term=self._term, previous=offset)
-        return [AppendRecord(stream=self._stream, record=record, record_id=record_id)]
-
-    def _wait_before_taking(self, view: PlannerView) -> float:
-        lease = view.placement.lease
-        if lease is None:
-            return 0.0
-        if lease.holder == self._holder:
-            return self._term / 3
-        return lease.term * 1.25
-
-    def _settle_renewal(self, view: PlannerView) -> None:
-        # The holder counts its term from before it asked, every other host from
-        # when it read the record: the holder always stops first.
-        lease = view.placement.lease
-        if lease is None or lease.holder != self._holder or self._renewal is None:
-            return
-        record_id, asked_at = self._renewal
-        if view.placement.offset_of(record_id) == lease.offset:
-            self._valid_until = asked_at + lease.term
+        return self.lease.holds(view.placement, now=now)
 
-    # Decisions
+    def give_back_lease(self, view: PlannerView, *, now: float) -> list[Action]:
+        """Return the append that lets another entry host plan at once."""
+        return self.lease.give_back(view.placement, now=now)
 
     def tick(self, view: PlannerView, *, now: float) -> list[Action]:
         """Return what is to be done now; nothing but lease work without a lease."""
-        actions = self._lease_actions(view, now=now)
-        if not self.holds_lease(view, now=now):
+        self._observe(view, now=now)
+        fit = _sees_hosts(view, now=now)
+        actions = self.lease.tick(view.placement, wanted=fit, now=now)
+        if not fit or not self.holds_lease(view, now=now):
             return actions
-        for group in list(view.placement.groups_by_name.values()):
-            if group.dissolved:
-                actions += self._release(group, view, now=now)
-            else:
-                actions += self._keep(group, view, now=now)
-        actions += self._form(view, now=now)
+        self._decisions.settle(view.placement, now=now)
+        actions += self._release.tick(
+            view,
+            taken=self._decisions.taken,
+            held_since=self.lease.held_since,
+            now=now,
+        )
+        choice = self._choice(view, now=now)
+        current = self._current(view, now=now)
+        for group in _by_priority(view):
+            if not self._decisions.is_replaced(group.name):
+                actions += self._keep(group, current, choice, view, now=now)
+        actions += self._form_declared(current, choice, view, now=now)
+        actions += self._drain(current, choice, view, now=now)
+        actions += self._form_more(current, choice, view, now=now)
         return actions
 
-    def _keep(self, group: Group, view: PlannerView, *, now: float) -> list[Action]:
-        if view.confirmations.is_whole(group, now=now):
-            self._whole_at_by_group[group.name] = now
-            return []
-        since = self._whole_at_by_group.setdefault(group.name, now)
-        lost = [
-            host
-            for host in group.members
-            if _is_lost(view.confirmations.fresh(host, now=now), group)
+    # What is remembered between two looks
+
+    def _observe(self, view: PlannerView, *, now: float) -> None:
+        self._health.observe(view, now=now)
+        self._capacity.observe(view, now=now)
+        names = set(view.placement.groups_by_name)
+        self._orders.forget_groups(names)
+        self._outgoing.observe(view, now=now)
+        self._first_seen_at_by_group = {
+            name: self._first_seen_at_by_group.get(name, now) for name in names
+        }
+        self._was_whole &= names
+        self._was_whole |= {
+            group.name
+            for group in view.live_groups
+            if view.confirmations.is_whole(group, now=now)
+        }
+
+    def _choice(self, view: PlannerView, *, now: float) -> HostChoice:
+        return HostChoice(
+            view=view,
+            health=self._health,
+            orders=self._orders,
+            taken=self._decisions.taken,
+            held_since=self.lease.held_since,
+            now=now,
+        )
+
+    def _current(self, view: PlannerView, *, now: float) -> list[Group]:
+        """Return the groups that count towards the declared number."""
+        return [
+            group
+            for group in view.live_groups
+            if not group.draining and not self._outgoing.reason(group, view, now=now)
         ]
+
+    def _n_missing(self, model: str, current: list[Group], view: PlannerView) -> int:
+        n_current = sum(group.model == model for group in current)
+        n_wanted = view.configuration.models[model].n_groups
+        return n_wanted - n_current - self._decisions.n_forming(model)
+
+    # Repair
+
+    def _keep(
+        self,
+        group: Group,
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
+    ) -> list[Action]:
+        faults = self._health.faults(group, view, now=now)
+        lost = [fault for fault in faults if self._is_lost(fault, now=now)]
+        if lost:
+            return self._repair(group, lost, current, choice, view, now=now)
+        if group.draining:
+            return self._finish_drained(group, current, choice, view, now=now)
+        if group.name not in self._was_whole and self._is_late(group, now=now):
+            reason = f"was not whole within {self._limits.load_timeout:g} s"
+            return self._dissolve(group, view, reason, now=now)
+        return self._orders.join(group, view, now=now)
+
+    def _is_lost(self, fault: MemberFault, *, now: float) -> bool:
+        if fault.fault is not Fault.SILENT:
+            return True
+        silent_for = self._health.silent_for(fault.host, now=now)
+        return silent_for >= self._limits.member_timeout
+
+    def _is_late(self, group: Group, *, now: float) -> bool:
+        since = self._first_seen_at_by_group[group.name]
+        return now - since >= self._limits.load_timeout
+
+    def _repair(
+        self,
+        group: Group,
+        lost: list[MemberFault],
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
+    ) -> list[Action]:
+        reason = "; ".join(fault.reason for fault in lost)
+        replaced = self._replace(group, reason, current, choice, view, now=now)
+        if replaced:
+            return replaced
+        if choice.must_wait_for_orders(group) and not self._is_certain(lost, now=now):
+            return []
+        elsewhere = choice.can_take(len(group.members))
+        if elsewhere or self._is_certain(lost, now=now):
+            return self._dissolve(group, view, reason, now=now)
+        return []
+
+    def _is_certain(self, lost: list[MemberFault], *, now: float) -> bool:
+        # A paused member that returns makes its group whole again at once, while a
+        # dissolved group must load anew: without a spare, waiting is cheaper.
+        return any(
+            fault.fault is not Fault.SILENT
+            or self._health.silent_for(fault.host, now=now) >= self._limits.lost_timeout
+            for fault in lost
+        )
+
+    def _replace(
+        self,
+        group: Group,
+        reason: str,
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
+    ) -> list[Action]:
+        """Form a group in place of one from its survivors and spare hosts."""
         model = view.configuration.models.get(group.model)
-        if model is None or model.version != group.version:
-            return self._dissolve(group, view, "no longer declared", now=now)
-        if lost and now - since > self._member_timeout:
-            return self._dissolve(group, view, f"lost {', '.join(lost)}", now=now)
-        return self._order_joins(group, view, now=now)
+        if model is None:
+            return []
+        if group not in current and self._n_missing(group.model, current, view) <= 0:
+            return []
+        members = choice.take_over(group, model.hosts_per_group)
+        if not members:
+            return []
+        return self._form(
+            group.model, model, members, view, reason, replaces=group.name, now=now
+        )
 
     def _dissolve(
         self, group: Group, view: PlannerView, reason: str, *, now: float
     ) -> list[Action]:
-        return self._decide(
-            GroupDissolved(group=group.name, lease=self._lease(view), reason=reason),
-            key=f"dissolve {group.name}",
-            now=now,
-        )
+        record = GroupDissolved(group=group.name, lease=_tenure(view), reason=reason)
+        return self._decisions.once(record, key=f"dissolve {group.name}", now=now)
 
-    def _order_joins(
-        self, group: Group, view: PlannerView, *, now: float
+    # Planned change
+
+    def _drain(
+        self,
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
     ) -> list[Action]:
-        members = tuple(
-            view.hosts_by_name[host].address
-            for host in group.members
-            if host in view.hosts_by_name
-        )
-        if len(members) != len(group.members):
-            return []
-        return [
-            SendOrder(
-                host=host,
-                address=view.hosts_by_name[host].address,
-                kind="join",
-                group=group.name,
-                fencing=group.fencing,
-                rank=rank,
-                members=members,
-                model=group.model,
-                version=group.version,
-                adapters=group.adapters,
-            )
-            for rank, host in enumerate(group.members)
-            if self._needs_join(host, group, view, now=now)
-        ]
+        """Drain groups that are to end, one of a model at a time."""
+        actions: list[Action] = []
+        models_draining = {group.model for group in view.live_groups if group.draining}
+        for group in view.live_groups:
+            reason = self._outgoing.reason(group, view, now=now)
+            if group.draining or not reason or group.model in models_draining:
+                continue
+            if self._waits_for_successor(group, current, choice, view, now=now):
+                continue
+            models_draining.add(group.model)
+            record = GroupDraining(group=group.name, lease=_tenure(view), reason=reason)
+            actions += self._decisions.once(record, key=f"drain {group.name}", now=now)
+        return actions
 
-    def _needs_join(
-        self, host: str, group: Group, view: PlannerView, *, now: float
+    def _waits_for_successor(
+        self,
+        group: Group,
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
     ) -> bool:
-        report = view.confirmations.fresh(host, now=now)
-        if report is None or report.fencing >= group.fencing:
+        """Tell whether a group should serve on until another one is whole."""
+        model = view.configuration.models.get(group.model)
+        if model is None or not view.confirmations.is_whole(group, now=now):
             return False
-        return self._order_due(host, now=now)
+        own = [other for other in current if other.model == group.model]
+        if self._decisions.n_forming(group.model):
+            return True
+        if any(not view.confirmations.is_whole(other, now=now) for other in own):
+            return True
+        short = len(own) < model.n_groups
+        return short and choice.can_take(model.hosts_per_group)
+
+    def _finish_drained(
+        self,
+        group: Group,
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
+    ) -> list[Action]:
+        ended = self._outgoing.drained(group, view, now=now)
+        if not ended:
+            return []
+        reason = f"{group.draining_reason}; {ended}"
+        return self._replace(
+            group, reason, current, choice, view, now=now
+        ) or self._dissolve(group, view, reason, now=now)
 
-    def _order_due(self, host: str, *, now: float) -> bool:
-        if (
-            now - self._ordered_at_by_host.get(host, float("-inf"))
-            < self._order_interval
-        ):
-            return False
-        self._ordered_at_by_host[host] = now
-        return True
+    # Forming
 
-    def _release(self, group: Group, view: PlannerView, *, now: float) -> list[Action]:
+    def _form_declared(
+        self,
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
+    ) -> list[Action]:
         actions: list[Action] = []
-        for host in sorted(group.unreleased):
-            listed = view.hosts_by_name.get(host)
-            report = view.confirmations.fresh(host, now=now)
-            if listed is None and report is None:
-                actions += self._free(group, host, view, evidence="gone", now=now)
-            elif report is not None and report.group != group.name:
-                actions += self._free(group, host, view, evidence="left", now=now)
-            elif listed is not None and report is not None:
-                actions += self._order_leave(group, listed, now=now)
+        for name, model in _models_by_priority(view):
+            for _ in range(self._n_missing(name, current, view)):
+                members = choice.take(model.hosts_per_group)
+                if not members:
+                    self._make_room(name, current, view, now=now)
+                    break
+                actions += self._form(name, model, members, view, "declared", now=now)
         return actions
 
-    def _free(
-        self, group: Group, host: str, view: PlannerView, *, evidence: str, now: float
+    def _form_more(
+        self,
+        current: list[Group],
+        choice: HostChoice,
+        view: PlannerView,
+        *,
+        now: float,
     ) -> list[Action]:
-        record = HostReleased(
-            group=group.name, host=host, lease=self._lease(view), evidence=evidence
+        """Form one group beyond the declared ones, of hosts that are left over."""
+        name = self._capacity.next_to_grow(view, now=now)
+        if name is None or self._is_settling(view, now=now):
+            return []
+        wanted = self._capacity.is_wanted(name, now=now)
+        short = any(
+            self._n_missing(other, current, view) > 0
+            for other in view.configuration.models
         )
-        return self._decide(record, key=f"release {group.name} {host}", now=now)
-
-    def _order_leave(
-        self, group: Group, listed: ListedHost, *, now: float
-    ) -> list[Action]:
-        if not self._order_due(listed.host, now=now):
+        if short and not wanted:
             return []
-        return [
-            SendOrder(
-                host=listed.host,
-                address=listed.address,
-                kind="leave",
-                group=group.name,
-                fencing=group.fencing,
-            )
-        ]
+        model = view.configuration.models[name]
+        n_spare = self._n_spare(model, view)
+        members = choice.take(model.hosts_per_group, n_spare=n_spare)
+        if members:
+            reason = "callers wait" if wanted else "hosts were idle"
+            return self._form(name, model, members, view, reason, now=now)
+        if wanted:
+            self._make_room(name, current, view, now=now)
+        return []
+
+    def _is_settling(self, view: PlannerView, *, now: float) -> bool:
+        # Whatever is under repair or loading may need the hosts more, and changes
+        # how long callers wait.
+        return bool(self._decisions.forming_by_id) or any(
+            not view.confirmations.is_whole(group, now=now)
+            for group in view.live_groups
+        )
 
-    def _form(self, view: PlannerView, *, now: float) -> list[Action]:
-        self._settle_forming(view, now=now)
-        models = sorted(
-            view.configuration.models.items(),
-            key=lambda item: (-item[1].priority, item[0]),
+    def _n_spare(self, model: Model, view: PlannerView) -> int:
+        domains = [listed.fabric_domain for listed in view.hosts_by_name.values()]
+        largest = max(map(domains.count, set(domains)), default=0)
+        return self._capacity.n_spare_hosts(
+            view, n_hosts=largest, n_members=model.hosts_per_group
         )
-        taken = {
-            host for forming in self._forming_by_id.values() for host in forming.members
-        }
-        actions: list[Action] = []
-        for name, model in models:
-            n_missing = model.n_groups - _n_groups(view, name, model)
-            n_missing -= sum(
-                forming.model == name for forming in self._forming_by_id.values()
-            )
-            for _ in range(n_missing):
-                members = _free_hosts(view, model.hosts_per_group, taken, now=now)
-                if members is None:
-                    break
-                taken.update(members)
-                actions.append(self._form_one(name, model, members, view, now=now))
-        return actions
 
-    def _settle_forming(self, view: PlannerView, *, now: float) -> None:
-        # A group that was appended but not read back yet counts as formed, or the
-        # next tick would form a second one in its place.
-        for record_id, forming in list(self._forming_by_id.items()):
-            settled = view.placement.offset_of(record_id) is not None
-            if settled or now - forming.since > self._decision_timeout:
-                del self._forming_by_id[record_id]
+    def _make_room(
+        self, model: str, current: list[Group], view: PlannerView, *, now: float
+    ) -> None:
+        if not self._capacity.may_move(now=now):
+            return
+        donor = self._capacity.donor(view, current, model, now=now)
+        if donor is not None:
+            self._capacity.moved(now=now)
+            self._outgoing.give(donor, f"makes room for {model}")
 
-    def _form_one(
+    def _form(
         self,
         name: str,
         model: Model,
         members: tuple[str, ...],
         view: PlannerView,
+        reason: str,
         *,
         now: float,
-    ) -> Action:
+        replaces: str = "",
+    ) -> list[Action]:
         record = GroupFormed(
             group=f"{name}-{self._new_id()}",
             model=name,
             version=model.version,
-            adapters=tuple(sorted(model.adapters)),
+            adapters=model.adapter_versions,
             members=members,
-            lease=self._lease(view),
+            lease=_tenure(view),
             configuration_version=view.configuration_version,
-            reason="declared",
+            reason=reason,
+            replaces=replaces,
         )
-        record_id = self._new_id()
-        self._forming_by_id[record_id] = _Forming(
-            model=name, members=members, since=now
-        )
-        return AppendRecord(stream=self._stream, record=record, record_id=record_id)
+        return self._decisions.form(record, now=now)
 
-    def _lease(self, view: PlannerView) -> int:
-        return view.placement.lease.tenure if view.placement.lease is not None else -1
 
-    def _decide(
-        self, record: GroupDissolved | HostReleased, *, key: str, now: float
-    ) -> list[Action]:
-        """Append a decision once, and again only if it has not taken effect."""
-        decided_at = self._decided_at_by_key.get(key, float("-inf"))
-        if now - decided_at < self._decision_timeout:
-            return []
-        self._decided_at_by_key = {
-            known: at
-            for known, at in self._decided_at_by_key.items()
-            if now - at < self._decision_timeout
-        }
-        self._decided_at_by_key[key] = now
-        return [
-            AppendRecord(stream=self._stream, record=record, record_id=self._new_id())
-        ]
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class _Forming:
-    """Hold a group that was decided and not read back yet."""
+def _by_priority(view: PlannerView) -> list[Group]:
+    ranks = {name: rank for rank, (name, _) in enumerate(_models_by_priority(view))}
+    return sorted(
+        view.live_groups, key=lambda group: ranks.get(group.model, len(ranks))
+    )
 
-    model: str
-    members: tuple[str, ...]
-    since: float
 
+def _models_by_priority(view: PlannerView) -> list[tuple[str, Model]]:
+    return sorted(
+        view.configuration.models.items(),
+        key=lambda item: (-item[1].priority, item[0]),
+    )
 
-def _is_lost(report: HostReport | None, group: Group) -> bool:
-    """Tell whether a member is gone, or its engine has lost its group."""
-    if report is None:
-        return True
-    return report.group == group.name and report.state == "broken"
 
+def _sees_hosts(view: PlannerView, *, now: float) -> bool:
+    """Tell whether this process sees any engine at all.
 
-def _n_groups(view: PlannerView, name: str, model: Model) -> int:
-    return sum(
-        group.model == name and group.version == model.version and not group.dissolved
-        for group in view.placement.groups_by_name.values()
+    One that sees none is cut off itself.  Were it to decide, it would dissolve
+    every group of the zone; it lets the lease run out for a peer that sees them.
+    """
+    return any(
+        view.confirmations.fresh(host, now=now) is not None
+        for host in view.hosts_by_name
     )
 
 
-def _free_hosts(
-    view: PlannerView, n_hosts: int, taken: set[str], *, now: float
-) -> tuple[str, ...] | None:
-    """Return free hosts of one fabric domain, the fullest fit first."""
-    free_by_domain: dict[str, list[str]] = {}
-    for name, listed in sorted(view.hosts_by_name.items()):
-        report = view.confirmations.fresh(name, now=now)
-        if (
-            listed.state == "live"
-            and name not in view.placement.group_by_host
-            and name not in taken
-            and report is not None
-            and report.state == "idle"
-        ):
-            free_by_domain.setdefault(listed.fabric_domain, []).append(name)
-    fits = [hosts for hosts in free_by_domain.values() if len(hosts) >= n_hosts]
-    if not fits:
-        return None
-    return tuple(min(fits, key=len)[:n_hosts])
+def _tenure(view: PlannerView) -> int:
+    return view.placement.lease.tenure
--- /dev/null
+++ b/ryelever/coordination/planner_release.py
@@ -0,0 +1,119 @@
+"""Free the hosts of dissolved groups, each only with evidence.
+
+A host that never returns would keep its claim for ever.  It is shown dead when no
+report of it has counted for ``lost_timeout`` under the own lease, and for longer
+than any order can still be obeyed.  It is fenced by what a claim needs: a host is
+chosen only after it has reported, later, that it is in no group, and a group serves
+only while each member reports its very number.  Was the host merely cut off, it
+still reports its old group when it returns, is ordered to leave, and counts for
+nothing until then.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..state.records import HostReleased
+
+if TYPE_CHECKING:
+    from ..state.placement import Group
+    from .actions import Action
+    from .planner_decisions import Decisions
+    from .planner_health import HostHealth
+    from .planner_orders import Orders
+    from .planner_view import PlannerLimits, PlannerView
+
+__all__ = ["Release"]
+
+
+class Release:
+    """Order the hosts of dissolved groups to leave, and record who left."""
+
+    def __init__(
+        self,
+        *,
+        limits: PlannerLimits,
+        health: HostHealth,
+        orders: Orders,
+        decisions: Decisions,
+    ) -> None:
+        self._limits = limits
+        self._health = health
+        self._orders = orders
+        self._decisions = decisions
+
+    def tick(
+        self, view: PlannerView, *, taken: set[str], held_since: float, now: float
+    ) -> list[Action]:
+        """Return the orders and releases that are due.
+
+        Parameters
+        ----------
+        taken : set of str
+            Hosts of groups that were decided and not read back yet.
+        """
+        actions: list[Action] = []
+        for group in list(view.placement.groups_by_name.values()):
+            if group.dissolved:
+                for host in sorted(group.unreleased - taken):
+                    actions += self._release(
+                        group, host, view, held_since=held_since, now=now
+                    )
+        for host in sorted(view.hosts_by_name):
+            if host not in taken and host not in view.placement.group_by_host:
+                actions += self._order_stray(host, view, now=now)
+        return actions
+
+    def _release(
+        self,
+        group: Group,
+        host: str,
+        view: PlannerView,
+        *,
+        held_since: float,
+        now: float,
+    ) -> list[Action]:
+        report = view.confirmations.fresh(host, now=now)
+        if report is None:
+            return self._release_dead(group, host, view, held_since=held_since, now=now)
+        if report.group == group.name:
+            # The number of the dissolution is above that of the group, so an
+            # engine that checks refuses any order for the group that is still
+            # under way.
+            return self._orders.leave(report, view, fencing=group.dissolved_at, now=now)
+        if not self._orders.expired(host, view, held_since=held_since, now=now):
+            return []
+        return self._free(group, host, view, evidence="left", now=now)
+
+    def _release_dead(
+        self,
+        group: Group,
+        host: str,
+        view: PlannerView,
+        *,
+        held_since: float,
+        now: float,
+    ) -> list[Action]:
+        silent_for = min(self._health.silent_for(host, now=now), now - held_since)
+        if silent_for < self._limits.dead_after:
+            return []
+        evidence = "dead" if host in view.hosts_by_name else "gone"
+        return self._free(group, host, view, evidence=evidence, now=now)
+
+    def _free(
+        self, group: Group, host: str, view: PlannerView, *, evidence: str, now: float
+    ) -> list[Action]:
+        record = HostReleased(
+            group=group.name,
+            host=host,
+            lease=view.placement.lease.tenure,
+            evidence=evidence,
+        )
+        return self._decisions.once(record, key=f"release {group.name} {host}", now=now)
+
+    def _order_stray(self, host: str, view: PlannerView, *, now: float) -> list[Action]:
+        report = view.confirmations.fresh(host, now=now)
+        if report is None or not report.group:
+            return []
+        fencing = view.placement.lease.offset
+        return self._orders.leave(report, view, fencing=fencing, now=now)
--- a/ryelever/coordination/targets.py
+++ b/ryelever/coordination/targets.py
@@ -60,6 +60,7 @@
     def _serves(self, group: Group, work: ChatWork, *, now: float) -> bool:
         return (
             group.model == work.model
+            and not group.draining
             and group.members[0] in self._hosts_by_name
             and self._confirmations.is_whole(group, now=now)
         )
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -4,6 +4,7 @@
 
 import hmac
 import time
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from .errors import Category, RyeleverError
@@ -85,6 +86,7 @@
             "streams": self._streams(now=now),
             "groups": self._groups(now=now),
             "leases": self._leases(),
+            "repairs": [asdict(line) for line in application.planning.repairs.lines],
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
             "connections": {
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -4,19 +4,24 @@
 
 import time
 import uuid
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from circuits import handler
 
 from .asking import Asker, Question
-from .coordination.actions import SendOrder
-from .coordination.planner import PlannerView
+from .coordination.actions import ChatWork, SendOrder
+from .coordination.planner_repairs import Repairs
+from .coordination.planner_view import ModelDemand, PlannerView
 from .events import HostReported, append_record, host_reported
 from .logs import log_event, log_warning
 from .protocol.backend import Order, read_report
 from .protocol.json_codec import encode
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from .coordination.actions import Action, Arrival
     from .coordination.confirmation import Confirmations
     from .coordination.planner import Planner
     from .events import OutboundAnswer, OutboundFailure
@@ -25,7 +30,10 @@
     from .state.fleet import ListedHost
     from .state.placement import PlacementFold
 
-__all__ = ["Planning"]
+__all__ = ["Planning", "demand_of"]
+
+#: Seconds that a graceful shutdown waits for the lease's return to be read back.
+RETURN_TIMEOUT = 2.0
 
 
 class Planning(Asker):
@@ -42,6 +50,8 @@
         placement: PlacementFold,
         hosts_by_name: dict[str, ListedHost],
         confirmations: Confirmations,
+        placements_by_zone: dict[str, PlacementFold],
+        demand: Callable[[], tuple[ModelDemand, ...]],
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -50,11 +60,39 @@
         self._placement = placement
         self._hosts_by_name = hosts_by_name
         self._confirmations = confirmations
+        self._demand = demand
+        self._returns_until = 0.0
+        self.repairs = Repairs(
+            placements_by_zone=placements_by_zone, confirmations=confirmations
+        )
+
+    @property
+    def gives_back_lease(self) -> bool:
+        """Tell whether the lease's return is still under way."""
+        lease = self._placement.lease
+        return (
+            time.monotonic() < self._returns_until
+            and lease is not None
+            and lease.term > 0
+        )
 
     @handler("control_tick")
     def _on_control_tick(self) -> None:
         now = time.monotonic()
-        for action in self._planner.tick(self._view(), now=now):
+        self.repairs.observe(now=now)
+        self._do(self._planner.tick(self._view(), now=now))
+
+    @handler("drain", channel="application")
+    def _on_drain(self) -> None:
+        now = time.monotonic()
+        actions = self._planner.give_back_lease(self._view(), now=now)
+        if actions:
+            log_event("lease_given_back")
+            self._returns_until = now + RETURN_TIMEOUT
+        self._do(actions)
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
             if isinstance(action, SendOrder):
                 self._send_order(action)
             else:
@@ -72,6 +110,7 @@
                 if listed.kind == "engine" and listed.availability_zone == zone
             },
             confirmations=self._confirmations,
+            demand=self._demand(),
         )
 
     def _send_order(self, action: SendOrder) -> None:
@@ -85,6 +124,7 @@
             model=action.model,
             version=action.version,
             adapters=action.adapters,
+            expires_ms=action.expires_ms,
         )
         log_event(
             "order_sent",
@@ -118,3 +158,16 @@
         log_warning(
             "order_failed", host=question.subject, message=failure.error.message
         )
+
+
+def demand_of(arrivals: Iterable[Arrival]) -> tuple[ModelDemand, ...]:
+    """Count the requests that wait for each model, by client account."""
+    counts = Counter(
+        (arrival.work.model, arrival.client_account)
+        for arrival in arrivals
+        if isinstance(arrival.work, ChatWork)
+    )
+    return tuple(
+        ModelDemand(model=model, client_account=account, n_waiting=n_waiting)
+        for (model, account), n_waiting in sorted(counts.items())
+    )
--- a/ryelever/protocol/backend.py
+++ b/ryelever/protocol/backend.py
@@ -33,7 +33,8 @@
     members : tuple of str
         Addresses in rank order.
     expires_ms : int
-        Milliseconds after receipt in which the engine may start to obey.
+        Reading of the engine's own ``clock_ms`` after which it must not begin to
+        obey; 0 sets no deadline.
     """
 
     id: str
@@ -45,7 +46,7 @@
     model: str = ""
     version: str = ""
     adapters: tuple[str, ...] = ()
-    expires_ms: int = 5000
+    expires_ms: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/ryelever/protocol/log.py
+++ b/ryelever/protocol/log.py
@@ -34,6 +34,7 @@
         records.Publication,
         records.LeaseTaken,
         records.GroupFormed,
+        records.GroupDraining,
         records.GroupDissolved,
         records.HostReleased,
         records.Claim,
--- a/ryelever/state/configuration.py
+++ b/ryelever/state/configuration.py
@@ -37,6 +37,13 @@
     n_groups: int = 1
     priority: int = 0
 
+    @property
+    def adapter_versions(self) -> tuple[str, ...]:
+        """Return ``"<name>@<version>"`` of each adapter, in order of name."""
+        return tuple(
+            f"{name}@{version}" for name, version in sorted(self.adapters.items())
+        )
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ClientAccount:
--- a/ryelever/state/fleet.py
+++ b/ryelever/state/fleet.py
@@ -45,7 +45,10 @@
     fencing : int
         Fencing number of the newest order that it obeyed.
     state : str
-        ``"idle"``, ``"loading"``, ``"ready"`` or ``"leaving"``.
+        ``"idle"``, ``"loading"``, ``"ready"``, ``"broken"`` or ``"leaving"``.
+    clock_ms : int
+        The engine's own monotonic clock; 0 when it gives none.  The deadline of an
+        order is a reading of this clock, so no clocks need to agree.
     """
 
     host: str
@@ -60,3 +63,4 @@
     running: int = 0
     waiting: int = 0
     kv_used: float = 0.0
+    clock_ms: int = 0
--- a/ryelever/state/placement.py
+++ b/ryelever/state/placement.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from .fold import BaseFold
 from .records import (
     Entry,
     GroupDissolved,
+    GroupDraining,
     GroupFormed,
     HostReleased,
     LeaseTaken,
     PlacementSnapshot,
 )
 
-__all__ = ["Group", "Lease", "PlacementFold"]
+__all__ = ["Group", "Lease", "PlacementChange", "PlacementFold"]
+
+#: How many changes are kept for the operator.
+N_KEPT_CHANGES = 200
 
 
 @dataclass(slots=True, kw_only=True)
@@ -27,6 +32,10 @@
         Offset of the record that formed it.
     unreleased : set of str
         Hosts still claimed; all members until the group is dissolved.
+    draining_since : int
+        Offset of the record that ended new work; -1 while the group takes it.
+    dissolved_at : int
+        Offset of the record that dissolved it; -1 before.
     """
 
     name: str
@@ -40,6 +49,37 @@
     unreleased: set[str]
     dissolved: bool = False
     dissolved_reason: str = ""
+    draining_since: int = -1
+    draining_reason: str = ""
+    dissolved_at: int = -1
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the group finishes its requests and takes no new ones."""
+        return self.draining_since >= 0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlacementChange:
+    """Tell the operator of one decision that took effect.
+
+    Attributes
+    ----------
+    time : float
+        The log service's own time, seconds since the epoch.
+    kind : str
+        ``"formed"``, ``"draining"``, ``"dissolved"`` or ``"released"``.
+    replaces : str
+        Group whose place a formed one takes, where the record names one.
+    """
+
+    offset: int
+    time: float
+    kind: str
+    group: str
+    reason: str
+    hosts: tuple[str, ...] = ()
+    replaces: str = ""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -68,6 +108,7 @@
         self.lease: Lease | None = None
         self.groups_by_name: dict[str, Group] = {}
         self.group_by_host: dict[str, str] = {}
+        self.changes: deque[PlacementChange] = deque(maxlen=N_KEPT_CHANGES)
 
     def _apply_record(self, entry: Entry) -> str | None:
         match entry.record:
@@ -75,10 +116,12 @@
                 return self._apply_lease(entry, entry.record)
             case GroupFormed():
                 return self._apply_formed(entry, entry.record)
+            case GroupDraining():
+                return self._apply_draining(entry, entry.record)
             case GroupDissolved():
-                return self._apply_dissolved(entry.record)
+                return self._apply_dissolved(entry, entry.record)
             case HostReleased():
-                return self._apply_released(entry.record)
+                return self._apply_released(entry, entry.record)
             case PlacementSnapshot():
                 return None
             case _:
@@ -107,16 +150,13 @@
         return None
 
     def _apply_formed(self, entry: Entry, record: GroupFormed) -> str | None:
-        reason = self._reason_without_lease(record.lease)
+        reason = self._reason_without_lease(record.lease) or self._reason_unformable(
+            record
+        )
         if reason is not None:
             return reason
-        if record.group in self.groups_by_name:
-            return f"group {record.group} exists already"
-        if not record.members or len(set(record.members)) != len(record.members):
-            return "members are missing or named twice"
-        for host in record.members:
-            if host in self.group_by_host:
-                return f"host {host} belongs to group {self.group_by_host[host]}"
+        if record.replaces:
+            self._take_over(entry, record)
         self.groups_by_name[record.group] = Group(
             name=record.group,
             fencing=entry.offset,
@@ -130,9 +170,57 @@
         )
         for host in record.members:
             self.group_by_host[host] = record.group
+        self._keep_change(
+            entry,
+            kind="formed",
+            group=record.group,
+            reason=record.reason,
+            hosts=record.members,
+            replaces=record.replaces,
+        )
+        return None
+
+    def _reason_unformable(self, record: GroupFormed) -> str | None:
+        if record.group in self.groups_by_name:
+            return f"group {record.group} exists already"
+        if not record.members or len(set(record.members)) != len(record.members):
+            return "members are missing or named twice"
+        if record.replaces:
+            replaced = self.groups_by_name.get(record.replaces)
+            if replaced is None or replaced.dissolved:
+                return f"group {record.replaces} is not there to replace"
+        for host in record.members:
+            claimed_by = self.group_by_host.get(host, record.replaces)
+            if claimed_by != record.replaces:
+                return f"host {host} belongs to group {claimed_by}"
+        return None
+
+    def _take_over(self, entry: Entry, record: GroupFormed) -> None:
+        # One record ends the old group and moves the claims: at no offset is a
+        # host claimed twice, and at none is it free for a third group.
+        replaced = self.groups_by_name[record.replaces]
+        replaced.dissolved = True
+        replaced.dissolved_reason = record.reason
+        replaced.dissolved_at = entry.offset
+        replaced.unreleased -= set(record.members)
+        if not replaced.unreleased:
+            del self.groups_by_name[replaced.name]
+
+    def _apply_draining(self, entry: Entry, record: GroupDraining) -> str | None:
+        reason = self._reason_without_lease(record.lease)
+        if reason is not None:
+            return reason
+        group = self.groups_by_name.get(record.group)
+        if group is None or group.dissolved or group.draining:
+            return f"group {record.group} is not there to drain"
+        group.draining_since = entry.offset
+        group.draining_reason = record.reason
+        self._keep_change(
+            entry, kind="draining", group=record.group, reason=record.reason
+        )
         return None
 
-    def _apply_dissolved(self, record: GroupDissolved) -> str | None:
+    def _apply_dissolved(self, entry: Entry, record: GroupDissolved) -> str | None:
         reason = self._reason_without_lease(record.lease)
         if reason is not None:
             return reason
@@ -141,9 +229,13 @@
             return f"group {record.group} is not there to dissolve"
         group.dissolved = True
         group.dissolved_reason = record.reason
+        group.dissolved_at = entry.offset
+        self._keep_change(
+            entry, kind="dissolved", group=record.group, reason=record.reason
+        )
         return None
 
-    def _apply_released(self, record: HostReleased) -> str | None:
+    def _apply_released(self, entry: Entry, record: HostReleased) -> str | None:
         reason = self._reason_without_lease(record.lease)
         if reason is not None:
             return reason
@@ -156,4 +248,33 @@
         del self.group_by_host[record.host]
         if not group.unreleased:
             del self.groups_by_name[record.group]
+        self._keep_change(
+            entry,
+            kind="released",
+            group=record.group,
+            reason=record.evidence,
+            hosts=(record.host,),
+        )
         return None
+
+    def _keep_change(
+        self,
+        entry: Entry,
+        *,
+        kind: str,
+        group: str,
+        reason: str,
+        hosts: tuple[str, ...] = (),
+        replaces: str = "",
+    ) -> None:
+        self.changes.append(
+            PlacementChange(
+                offset=entry.offset,
+                time=entry.time,
+                kind=kind,
+                group=group,
+                reason=reason,
+                hosts=hosts,
+                replaces=replaces,
+            )
+        )
--- a/ryelever/state/records.py
+++ b/ryelever/state/records.py
@@ -15,6 +15,7 @@
     "ClaimsSnapshot",
     "Entry",
     "GroupDissolved",
+    "GroupDraining",
     "GroupFormed",
     "HostReleased",
     "LeaseTaken",
@@ -58,7 +59,7 @@
         Name of the entry host together with its boot id.
     term : float
         Seconds, counted by each judge on its own monotonic clock from the moment
-        it read the record.
+        it read the record.  0 gives the lease back.
     previous : int
         Offset of the lease that it renews or replaces; -1 for the first one.
     """
@@ -80,8 +81,13 @@
         Host names in rank order; rank 0 takes the requests.
     lease : int
         Offset of the planner's lease under which it was decided.
+    adapters : tuple of str
+        ``"<name>@<version>"`` of each adapter.
     reason : str
         Why, for the operator.
+    replaces : str
+        Group that this record dissolves, and whose claims it takes over for those
+        of its hosts that are members here; empty when all members are free.
     """
 
     group: str
@@ -92,6 +98,16 @@
     lease: int
     configuration_version: int
     reason: str = ""
+    replaces: str = ""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GroupDraining:
+    """Give a group no new work; requests in flight finish, then it is dissolved."""
+
+    group: str
+    lease: int
+    reason: str = ""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -110,8 +126,9 @@
     Attributes
     ----------
     evidence : str
-        ``"left"`` (the host confirmed), ``"rebooted"`` (a new boot id reports no
-        group) or ``"gone"`` (the platform's list no longer names it).
+        ``"left"`` (the host reports that it is in no group or in another one),
+        ``"gone"`` (the platform's list no longer names it, and it is silent) or
+        ``"dead"`` (still named, but silent for longer than any order is obeyed).
     """
 
     group: str
@@ -180,6 +197,7 @@
     Publication
     | LeaseTaken
     | GroupFormed
+    | GroupDraining
     | GroupDissolved
     | HostReleased
     | Claim
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 import os
+import time
 import uuid
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -77,6 +78,9 @@
         self.n_generated = 0
         self.n_cancelled = 0
         self.token_bytes = 0
+        self.order_delay = 0.0
+        self.n_expired_orders = 0
+        self.n_stale_orders = 0
         self.reported_load = (0, 0)
         self._tasks: set[asyncio.Task] = set()
         self._ring: asyncio.Task | None = None
@@ -124,6 +128,7 @@
             "running": n_running,
             "waiting": n_waiting,
             "kv_used": len(self.cache) / MAX_CACHED,
+            "clock_ms": _clock_ms(),
         }
 
     async def _report_load(self) -> None:
@@ -136,9 +141,30 @@
         return web.json_response(self._report())
 
     async def order(self, request: web.Request) -> web.Response:
-        """Obey an order, unless its fencing number is old and this engine checks."""
+        """Obey an order, unless its fencing number is old and this engine checks.
+
+        No engine begins to obey an order after ``expires_ms`` on its own clock.
+        """
         order = await request.json()
+        if self.order_delay:
+            # Lingers unseen, as in the queue of a slow connection, and goes on
+            # although the sender has given up: the answer is of no use then.
+            delay, self.order_delay = self.order_delay, 0.0
+            self._spawn(self._obey_later(order, delay))
+            return web.json_response({"error": "timeout"}, status=504)
+        return self._obey(order)
+
+    async def _obey_later(self, order: dict, delay: float) -> None:
+        await asyncio.sleep(delay)
+        self._obey(order)
+
+    def _obey(self, order: dict) -> web.Response:
+        if 0 < order.get("expires_ms", 0) < _clock_ms():
+            self.n_expired_orders += 1
+            body = {"error": "expired"} | self._report()
+            return web.json_response(body, status=409)
         if self.checks_fencing and order["fencing"] < self.fencing:
+            self.n_stale_orders += 1
             body = {"error": "stale_fencing"} | self._report()
             return web.json_response(body, status=409)
         if order["kind"] == "join":
@@ -360,6 +386,7 @@
         body = await request.json()
         self.step = body.get("step_ms", self.step * 1000) / 1000
         self.token_bytes = body.get("token_bytes", self.token_bytes)
+        self.order_delay = body.get("order_delay", self.order_delay)
         if body.get("leaving"):
             self.state = "leaving"
         return web.json_response({})
@@ -372,10 +399,16 @@
                 "n_cancelled": self.n_cancelled,
                 "n_running": len(self.running),
                 "n_waiting": len(self.waiting),
+                "n_expired_orders": self.n_expired_orders,
+                "n_stale_orders": self.n_stale_orders,
             }
         )
 
 
+def _clock_ms() -> int:
+    return int(time.monotonic() * 1000)
+
+
 async def _never() -> None:
     await asyncio.Event().wait()
 
