--- /dev/null
+++ b/ryelever/coordination/planner_forming.py
@@ -0,0 +1,110 @@
+"""Form declared groups, more where capacity is left, and make room for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..state.configuration import Model
+    from ..state.placement import Group
+    from .actions import Action
+    from .planner_capacity import Capacity
+    from .planner_look import Look
+    from .planner_outgoing import Outgoing
+
+__all__ = ["Forming"]
+
+
+class Forming:
+    """Decide which groups are formed anew and which are drained for others."""
+
+    def __init__(self, *, capacity: Capacity, outgoing: Outgoing) -> None:
+        self._capacity = capacity
+        self._outgoing = outgoing
+
+    def form_declared(self, look: Look) -> list[Action]:
+        """Form what is declared and missing, important models first."""
+        actions: list[Action] = []
+        for name, model in look.models_by_priority:
+            for _ in range(look.n_missing(name)):
+                members = look.choice.take(model.hosts_per_group)
+                if not members:
+                    self._make_room(name, look)
+                    break
+                actions += look.form(name, members, "declared")
+        return actions
+
+    def form_more(self, look: Look) -> list[Action]:
+        """Form one group beyond the declared ones, of hosts that are left over."""
+        name = self._capacity.next_to_grow(look.view, now=look.now)
+        if name is None or _is_settling(look):
+            return []
+        wanted = self._capacity.is_wanted(name, now=look.now)
+        if _is_short(look) and not wanted:
+            return []
+        model = look.view.configuration.models[name]
+        members = look.choice.take(
+            model.hosts_per_group, n_spare=self._n_spare(model, look)
+        )
+        if members:
+            reason = "callers wait" if wanted else "hosts were idle"
+            return look.form(name, members, reason)
+        if wanted:
+            self._make_room(name, look)
+        return []
+
+    def drain(self, look: Look) -> list[Action]:
+        """Drain groups that are to end, one of a model at a time."""
+        actions: list[Action] = []
+        draining = {group.model for group in look.view.live_groups if group.draining}
+        for group in look.view.live_groups:
+            reason = look.outgoing_by_name.get(group.name, "")
+            if group.draining or not reason or group.model in draining:
+                continue
+            if _waits_for_successor(group, look):
+                continue
+            draining.add(group.model)
+            actions += look.drain(group, reason)
+        return actions
+
+    def _n_spare(self, model: Model, look: Look) -> int:
+        hosts = look.view.hosts_by_name.values()
+        domains = [listed.fabric_domain for listed in hosts]
+        largest = max(map(domains.count, set(domains)), default=0)
+        return self._capacity.n_spare_hosts(
+            look.view, n_hosts=largest, n_members=model.hosts_per_group
+        )
+
+    def _make_room(self, model: str, look: Look) -> None:
+        if not self._capacity.may_move(now=look.now):
+            return
+        donor = self._capacity.donor(look.view, look.current, model, now=look.now)
+        if donor is not None:
+            self._capacity.moved(now=look.now)
+            self._outgoing.give(donor, f"makes room for {model}")
+
+
+def _is_settling(look: Look) -> bool:
+    # Whatever is under repair or loading may need the hosts more, and changes how
+    # long callers wait.
+    return bool(look.decisions.forming_by_id) or any(
+        not look.is_whole(group) for group in look.view.live_groups
+    )
+
+
+def _is_short(look: Look) -> bool:
+    return any(look.n_missing(name) > 0 for name in look.view.configuration.models)
+
+
+def _waits_for_successor(group: Group, look: Look) -> bool:
+    """Tell whether a group should serve on until another one is whole."""
+    model = look.view.configuration.models.get(group.model)
+    if model is None or not look.is_whole(group):
+        return False
+    own = [other for other in look.current if other.model == group.model]
+    if look.decisions.n_forming(group.model):
+        return True
+    if not all(look.is_whole(other) for other in own):
+        return True
+    short = len(own) < model.n_groups
+    return short and look.choice.can_take(model.hosts_per_group)
--- a/ryelever/coordination/planner_health.py
+++ b/ryelever/coordination/planner_health.py
@@ -11,7 +11,7 @@
     from ..state.placement import Group
     from .planner_view import PlannerLimits, PlannerView
 
-__all__ = ["Fault", "HostHealth", "MemberFault"]
+__all__ = ["Fault", "HostHealth", "MemberFault", "cause_of"]
 
 #: Refused connections in a row that show a host's engine to be gone.  One alone may
 #: be a full backlog.
@@ -31,7 +31,9 @@
 class Fault(enum.Enum):
     """Say what is wrong with a member."""
 
-    #: The engine says that its group is broken, or that it is not in it any more.
+    #: The engine says that another member is gone.
+    BROKEN = "broken"
+    #: The engine says that it is not in its group any more.
     LEFT = "left"
     #: Nothing answers where the host was.
     GONE = "gone"
@@ -116,7 +118,11 @@
         if report is None:
             return self._silence(host, view, now=now)
         if report.group == group.name and report.state == "broken":
-            return _left(host, f"{host} reports that the group is broken")
+            return MemberFault(
+                host=host,
+                fault=Fault.BROKEN,
+                reason=f"{host} reports that the group is broken",
+            )
         boot = self._boot_by_member.get((group.name, host))
         if boot is None or report.group == group.name and report.boot == boot:
             return None
@@ -131,14 +137,11 @@
             return MemberFault(
                 host=host, fault=Fault.GONE, reason=f"{host} is no longer listed"
             )
-        if view.confirmations.n_refused(host) >= N_REFUSED:
-            return MemberFault(
-                host=host, fault=Fault.GONE, reason=f"{host} refuses connections"
-            )
+        n_refused = view.confirmations.n_refused(host)
         return MemberFault(
             host=host,
-            fault=Fault.SILENT,
-            reason=f"{host} is silent",
+            fault=Fault.GONE if n_refused >= N_REFUSED else Fault.SILENT,
+            reason=f"{host} {'refuses connections' if n_refused else 'is silent'}",
         )
 
     def _observe_lateness(self, view: PlannerView, *, now: float) -> None:
@@ -165,3 +168,9 @@
 
 def _left(host: str, reason: str) -> MemberFault:
     return MemberFault(host=host, fault=Fault.LEFT, reason=reason)
+
+
+def cause_of(faults: list[MemberFault]) -> str:
+    """Return the faults in words, without those that only follow from others."""
+    causes = [fault for fault in faults if fault.fault is not Fault.BROKEN]
+    return "; ".join(fault.reason for fault in causes or faults)
--- /dev/null
+++ b/tests/test_coordination/test_planner_repair.py
@@ -0,0 +1,356 @@
+"""Test repair: a table of faults, and what the zone looks like afterwards."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import pytest
+
+from ryelever.coordination.planner_repairs import Repairs
+from ryelever.state.configuration import Configuration, Model, Weights
+
+from ..zone import Zone
+
+WHOLE = ("a-0", "a-1", "a-2", "a-3")
+WITH_SPARE = ("a-0", "a-1", "a-2", "a-4")
+
+
+def _zone(*, n_groups: int = 1, checks_fencing: bool = True, **domains: int) -> Zone:
+    # Downtime alone counts, so that spare hosts stay idle and rows stay small.
+    configuration = Configuration(
+        models={"m": Model(version="v1", n_groups=n_groups)},
+        weights=Weights(group_downtime=1.0, stranded_accelerators=0.0),
+    )
+    zone = Zone(
+        domains=domains or {"a": 6, "b": 4},
+        configuration=configuration,
+        checks_fencing=checks_fencing,
+    )
+    zone.run_until(lambda: len(zone.groups()) == n_groups, at_most=30)
+    return zone
+
+
+def _in_domain_a(zone: Zone) -> Zone:
+    assert zone.groups() == [WHOLE], zone.groups()
+    return zone
+
+
+def _refuse(zone: Zone, *hosts: str) -> None:
+    for host in hosts:
+        zone.engines_by_host[host].refuses = True
+
+
+def _silence(zone: Zone, *hosts: str) -> None:
+    for host in hosts:
+        zone.engines_by_host[host].answers = False
+
+
+def _wake(zone: Zone, *hosts: str) -> None:
+    for host in hosts:
+        zone.engines_by_host[host].answers = True
+
+
+def _unlist(zone: Zone, host: str) -> None:
+    _silence(zone, host)
+    del zone.listed_by_host[host]
+
+
+def _list_as_leaving(zone: Zone, host: str) -> None:
+    zone.listed_by_host[host] = replace(zone.listed_by_host[host], state="leaving")
+
+
+def _pause_and_return(zone: Zone, seconds: float) -> None:
+    _silence(zone, "a-3")
+    zone.run(seconds)
+    _wake(zone, "a-3")
+
+
+def _pause_often(zone: Zone) -> None:
+    for _ in range(4):
+        _silence(zone, "a-3")
+        zone.run(1.8)
+        _wake(zone, "a-3")
+        zone.run(4.0)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Case:
+    """Cause a fault and say which groups serve in the end.
+
+    Attributes
+    ----------
+    within : float
+        Seconds in which the zone must get there, loading included.
+    n_formed : int
+        Groups formed over all.
+    """
+
+    name: str
+    cause: Callable[[Zone], object]
+    groups: list[tuple[str, ...]]
+    within: float
+    n_formed: int = 2
+    domains: dict[str, int] | None = None
+
+
+CASES = [
+    Case(
+        name="killed member, spare in its domain",
+        cause=lambda zone: _refuse(zone, "a-3"),
+        groups=[WITH_SPARE],
+        within=3.0,
+    ),
+    Case(
+        name="silent member, spare in its domain",
+        cause=lambda zone: _silence(zone, "a-3"),
+        groups=[WITH_SPARE],
+        within=5.0,
+    ),
+    Case(
+        name="member unlisted and gone",
+        cause=lambda zone: _unlist(zone, "a-3"),
+        groups=[WITH_SPARE],
+        within=5.0,
+    ),
+    Case(
+        name="member restarted within the detection time",
+        cause=lambda zone: zone.engines_by_host["a-3"].restart(),
+        groups=[WHOLE],
+        within=3.0,
+    ),
+    Case(
+        name="member restarted, then paused: two faults",
+        cause=lambda zone: (
+            zone.engines_by_host["a-3"].restart(),
+            _silence(zone, "a-2"),
+        ),
+        groups=[("a-0", "a-1", "a-3", "a-4")],
+        within=8.0,
+        n_formed=3,
+    ),
+    Case(
+        name="two members at once, two spares",
+        cause=lambda zone: _refuse(zone, "a-2", "a-3"),
+        groups=[("a-0", "a-1", "a-4", "a-5")],
+        within=3.0,
+    ),
+    Case(
+        name="engine reports its group broken",
+        cause=lambda zone: setattr(zone.engines_by_host["a-1"], "state", "broken"),
+        groups=[WHOLE],
+        within=3.0,
+    ),
+    Case(
+        name="member lost, then its replacement: two faults",
+        cause=lambda zone: (_refuse(zone, "a-3"), zone.run(1.6), _refuse(zone, "a-4")),
+        groups=[("a-0", "a-1", "a-2", "a-5")],
+        within=5.0,
+        n_formed=3,
+    ),
+    Case(
+        name="member lost without a spare, free domain elsewhere",
+        cause=lambda zone: _refuse(zone, "a-3"),
+        groups=[("b-0", "b-1", "b-2", "b-3")],
+        within=4.0,
+        domains={"a": 4, "b": 5},
+    ),
+    Case(
+        name="whole fabric domain dark",
+        cause=lambda zone: _silence(zone, *(f"a-{number}" for number in range(6))),
+        groups=[("b-0", "b-1", "b-2", "b-3")],
+        within=6.0,
+        domains={"a": 6, "b": 7},
+    ),
+    Case(
+        name="domain dark and the other one loses a host: two faults",
+        cause=lambda zone: (
+            _silence(zone, *(f"a-{number}" for number in range(6))),
+            _refuse(zone, "b-0"),
+        ),
+        groups=[("b-1", "b-2", "b-3", "b-4")],
+        within=6.0,
+        domains={"a": 6, "b": 7},
+    ),
+    Case(
+        name="member leaves by its own report, a whole group is free elsewhere",
+        cause=lambda zone: setattr(zone.engines_by_host["a-3"], "leaving", True),
+        groups=[("b-0", "b-1", "b-2", "b-3")],
+        within=8.0,
+    ),
+    Case(
+        name="member leaves by the list, spare in its domain only",
+        cause=lambda zone: _list_as_leaving(zone, "a-3"),
+        groups=[WITH_SPARE],
+        within=8.0,
+        domains={"a": 6, "b": 3},
+    ),
+    Case(
+        name="member paused again and again",
+        cause=_pause_often,
+        groups=[WITH_SPARE],
+        within=8.0,
+        domains={"a": 5},
+    ),
+    Case(
+        name="short pause without a spare",
+        cause=lambda zone: _pause_and_return(zone, 6.0),
+        groups=[WHOLE],
+        within=2.0,
+        n_formed=1,
+        domains={"a": 4},
+    ),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_zone_repairs_itself(case: Case) -> None:
+    """Cause each fault of the table.
+
+    Symptom: a group stays down, or is dissolved for nothing.  Sequence: the row's
+    fault.  Cause: the planner misjudges what the reports show.
+    """
+    zone = _in_domain_a(_zone(**(case.domains or {"a": 6, "b": 7})))
+    case.cause(zone)
+    zone.run_until(lambda: zone.groups() == case.groups, at_most=case.within)
+    zone.run(20)
+    assert zone.groups() == case.groups
+    assert zone.kinds().count("formed") == case.n_formed
+
+
+def _seconds_down(zone: Zone, seconds: float) -> float:
+    n_down = 0
+    for _ in range(round(seconds / zone.step)):
+        zone.advance()
+        n_down += not zone.groups()
+    return n_down * zone.step
+
+
+@pytest.mark.parametrize(
+    ("leave", "domains"),
+    [
+        (lambda zone: _list_as_leaving(zone, "a-3"), {"a": 6, "b": 7}),
+        (_pause_often, {"a": 6, "b": 7}),
+    ],
+)
+def test_planned_replacement_costs_no_downtime(
+    leave: Callable[[Zone], object], domains: dict[str, int]
+) -> None:
+    """Replace a member that still serves, where hosts for a second group are free.
+
+    Symptom: a planned replacement stops the model.  Sequence: a member is about to
+    leave.  Cause: the old group ends before the new one is confirmed.
+    """
+    zone = _in_domain_a(_zone(**domains))
+    leave(zone)
+    assert _seconds_down(zone, 20) == 0.0
+    assert zone.groups() == [("b-0", "b-1", "b-2", "b-3")]
+
+
+def test_returning_member_is_not_counted_and_leaves() -> None:
+    """Let a replaced member return as if nothing had happened.
+
+    Symptom: one host in two groups.  Sequence: a member is paused, replaced, and
+    returns with its old boot, group and number.  Cause: it never heard of it.
+    """
+    zone = _in_domain_a(_zone(a=5))
+    _silence(zone, "a-3")
+    zone.run_until(lambda: zone.groups() == [WITH_SPARE], at_most=8)
+    zone.run(15)
+    assert zone.group_of("a-3") == ""
+    _wake(zone, "a-3")
+    assert zone.engines_by_host["a-3"].group == "m-e0.1"
+    zone.run(3)
+    assert zone.engines_by_host["a-3"].state == "idle"
+    assert zone.groups() == [WITH_SPARE]
+
+
+def test_dead_host_does_not_keep_its_claim() -> None:
+    """Lose a host for good.
+
+    Symptom: a replaced host under the same name is never used again.  Sequence: a
+    member dies, its group is replaced, the host stays on the list for hours.  Cause:
+    the claim waits for a word of the dead.
+    """
+    zone = _in_domain_a(_zone(a=5))
+    _silence(zone, "a-3")
+    zone.run(8)
+    assert zone.group_of("a-3") == "m-e0.1"
+    zone.run(8)
+    assert zone.group_of("a-3") == ""
+    released = [change for change in zone.truth.changes if change.kind == "released"]
+    assert [(change.hosts, change.reason) for change in released] == [
+        (("a-3",), "dead")
+    ]
+
+
+def test_released_host_is_used_only_after_its_own_word() -> None:
+    """Reach a host that was shown dead only after its claim is free.
+
+    Symptom: a host serves in two groups.  Sequence: the host is cut off, released as
+    dead and back, still in its old group, while a group lacks a member.  Cause: the
+    log alone calls it free.
+    """
+    zone = _in_domain_a(_zone(a=5))
+    _silence(zone, "a-3")
+    zone.run(20)
+    _refuse(zone, "a-4")
+    _wake(zone, "a-3")
+    zone.run_until(lambda: "a-3" in (zone.groups() or [()])[0], at_most=8)
+    orders = [order for order in zone.planners[0].sent if order.host == "a-3"]
+    assert [order.kind for order in orders][-2:] == ["leave", "join"]
+
+
+def test_more_groups_than_declared_are_ended() -> None:
+    """Lower the declared number.
+
+    Symptom: hosts stay bound to groups nobody declared.  Sequence: an operator
+    lowers the number, or an append whose answer was lost formed one twice.  Cause:
+    only missing groups were looked for.
+    """
+    zone = _zone(n_groups=2, a=4, b=5)
+    models = {"m": Model(version="v1", n_groups=1)}
+    zone.configuration = replace(zone.configuration, models=models)
+    zone.run(60)
+    assert len(zone.groups()) == 1 and len(zone.truth.groups_by_name) == 1
+
+
+def test_repeated_and_lost_appends_form_one_group() -> None:
+    """Take each append twice and late, or lose the first.
+
+    Symptom: two groups where one is declared.  Sequence: the answer to an append is
+    lost after it took effect.  Cause: a decision not read back counts as not made.
+    """
+    configuration = Configuration(models={"m": Model(version="v1")})
+    zone = Zone(domains={"a": 4, "b": 4}, configuration=configuration)
+    seen: set[str] = set()
+
+    def fate(action: object) -> tuple[float, ...]:
+        first = action.record_id not in seen
+        seen.add(action.record_id)
+        return () if first else (1.5, 2.5)
+
+    zone.append_fate = fate
+    zone.run(30)
+    assert zone.kinds().count("formed") == 1 and len(zone.groups()) == 1
+
+
+def test_every_repair_leaves_a_line_for_operators() -> None:
+    """Tell cause, decision and outcome."""
+    zone = _in_domain_a(_zone(a=5))
+    process = zone.planners[0]
+    repairs = Repairs(
+        placements_by_zone={"z": process.fold}, confirmations=process.confirmations
+    )
+    repairs.observe(now=zone.now)
+    _refuse(zone, "a-3")
+    for _ in range(200):
+        zone.advance()
+        repairs.observe(now=zone.now)
+    replaced, freed = repairs.lines[1:]
+    assert replaced.cause == "a-3 refuses connections"
+    assert replaced.decision.startswith("replaced m-e0.1 by m-e0.")
+    assert replaced.decision.endswith("on a-0, a-1, a-2, a-4")
+    assert replaced.outcome.startswith("serves since ")
+    assert freed.cause == "dead" and freed.decision == "freed a-3 without its word"
+    assert freed.outcome.startswith("all its hosts were free after")
--- /dev/null
+++ b/tests/zone.py
@@ -0,0 +1,373 @@
+"""Fake one availability zone in memory: engines, log and hosts list, in steps.
+
+For tables of fault cases and for the measurement over a day.  Time is a number
+that the caller advances; nothing sleeps and nothing is random here.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from ryelever.coordination.actions import Action, AppendRecord, SendOrder
+from ryelever.coordination.confirmation import Confirmations
+from ryelever.coordination.log_writer import LogWriter
+from ryelever.coordination.planner import Planner, PlannerLimits, PlannerView
+from ryelever.coordination.planner_view import ModelDemand
+from ryelever.state.configuration import Configuration
+from ryelever.state.fleet import HostReport, ListedHost
+from ryelever.state.placement import PlacementFold
+from ryelever.state.records import Entry
+
+__all__ = ["Engine", "PlannerProcess", "Zone"]
+
+#: Seconds between two questions to one host.
+REPORT_INTERVAL = 0.5
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Engine:
+    """Obey orders as tests/standins/engine.py does.
+
+    Attributes
+    ----------
+    answers : bool
+        Whether the host is reachable and its process runs; it is silent otherwise.
+    refuses : bool
+        Whether the host is there without its process.
+    """
+
+    host: str
+    checks_fencing: bool = True
+    load_time: float = 0.5
+    clock_offset: float = 1000.0
+    answers: bool = True
+    refuses: bool = False
+    n_boots: int = 1
+    state: str = "idle"
+    group: str = ""
+    fencing: int = -1
+    members: tuple[str, ...] = ()
+    ready_at: float = 0.0
+    running: int = 0
+    leaving: bool = False
+    member_boots: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether the process is there, though it may be cut off."""
+        return not self.refuses
+
+    def obey(self, order: SendOrder, *, now: float) -> bool:
+        """Obey an order, unless it is late or its number is old."""
+        if 0 < order.expires_ms < self._clock_ms(now):
+            return False
+        if self.checks_fencing and order.fencing < self.fencing:
+            return False
+        if order.kind == "join":
+            self._join(order, now=now)
+        elif order.group == self.group:
+            self._leave()
+        self.fencing = max(self.fencing, order.fencing)
+        return True
+
+    def restart(self) -> None:
+        """Come back as a new process that knows nothing."""
+        self.n_boots += 1
+        self._leave()
+        self.fencing = -1
+        self.answers, self.refuses, self.leaving = True, False, False
+
+    def report(self, *, now: float) -> HostReport:
+        """Return the report of this moment."""
+        state = "leaving" if self.leaving else self.state
+        return HostReport(
+            host=self.host,
+            boot=f"{self.host}-{self.n_boots}",
+            state=state,
+            group=self.group,
+            fencing=self.fencing,
+            running=self.running,
+            clock_ms=self._clock_ms(now),
+        )
+
+    def _clock_ms(self, now: float) -> int:
+        return int((now + self.clock_offset) * 1000)
+
+    def _join(self, order: SendOrder, *, now: float) -> None:
+        if order.group == self.group and order.fencing == self.fencing:
+            return
+        self._leave()
+        self.group, self.fencing = order.group, order.fencing
+        self.members = order.members
+        self.state, self.ready_at = "loading", now + self.load_time
+
+    def _leave(self) -> None:
+        self.state, self.group, self.members = "idle", "", ()
+        self.running = 0
+        self.member_boots = {}
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class PlannerProcess:
+    """Hold one entry host's planner with what it has read and heard.
+
+    Attributes
+    ----------
+    paused, cut_from_log : bool
+        Whether the process stands still, or cannot reach the log.
+    """
+
+    name: str
+    planner: Planner
+    fold: PlacementFold
+    confirmations: Confirmations
+    writer: LogWriter
+    paused: bool = False
+    cut_from_log: bool = False
+    cut_from_hosts: bool = False
+    ask_at: float = 0.0
+    sent: list[SendOrder] = field(default_factory=list)
+
+    def fold_entries(self, entries: Sequence[Entry]) -> None:
+        """Read what is new in the log."""
+        for entry in entries[self.fold.next_offset :]:
+            self.fold.apply(entry)
+            self.writer.read_back(entry.id)
+
+
+class Zone:
+    """Drive engines and planners against one log in steps of time.
+
+    Parameters
+    ----------
+    domains : dict of str to int
+        Number of hosts by fabric domain.
+
+    Attributes
+    ----------
+    order_fate, append_fate : callable
+        Return the delays at which an order or append arrives; none loses it, and
+        several repeat it.
+    """
+
+    def __init__(
+        self,
+        *,
+        domains: dict[str, int],
+        configuration: Configuration,
+        limits: PlannerLimits | None = None,
+        checks_fencing: bool = True,
+        n_planners: int = 1,
+        load_time: float = 0.5,
+        step: float = 0.1,
+    ) -> None:
+        self.now = 100.0
+        self.step = step
+        self.configuration = configuration
+        self.demand: tuple[ModelDemand, ...] = ()
+        self.entries: list[Entry] = []
+        self.truth = PlacementFold()
+        self.log_is_up = True
+        self.n_appends = 0
+        self.order_fate: Callable[[SendOrder], Sequence[float]] = lambda _: (0.0,)
+        self.append_fate: Callable[[AppendRecord], Sequence[float]] = lambda _: (0.0,)
+        self.on_obey: Callable[[Engine, SendOrder, str], None] = lambda *_: None
+        self.engines_by_host: dict[str, Engine] = {}
+        self.listed_by_host: dict[str, ListedHost] = {}
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        for domain, n_hosts in domains.items():
+            for number in range(n_hosts):
+                self.add_host(
+                    f"{domain}-{number}", domain, checks_fencing, load_time=load_time
+                )
+        self.planners = [
+            self._planner(f"e{number}", limits) for number in range(n_planners)
+        ]
+
+    def add_host(
+        self, host: str, domain: str, checks_fencing: bool = True, **fields: float
+    ) -> None:
+        """Put a host into the zone and on the list."""
+        self.engines_by_host[host] = Engine(
+            host=host, checks_fencing=checks_fencing, **fields
+        )
+        self.listed_by_host[host] = ListedHost(
+            host=host,
+            address=host,
+            availability_zone="z",
+            fabric_domain=domain,
+            accelerators=8,
+            checks_fencing=checks_fencing,
+        )
+
+    def _planner(self, name: str, limits: PlannerLimits | None) -> PlannerProcess:
+        ids = itertools.count()
+        planner = Planner(
+            holder=name,
+            stream="placement-z",
+            new_id=lambda: f"{name}.{next(ids)}",
+            limits=limits,
+        )
+        return PlannerProcess(
+            name=name,
+            planner=planner,
+            fold=PlacementFold(),
+            confirmations=Confirmations(max_age=2.0),
+            writer=LogWriter(),
+        )
+
+    # Time
+
+    def run(self, seconds: float) -> None:
+        """Advance time."""
+        for _ in range(round(seconds / self.step)):
+            self.advance()
+
+    def run_until(self, condition: Callable[[], object], *, at_most: float) -> float:
+        """Advance until a condition holds; return the seconds that took."""
+        start = self.now
+        while not condition():
+            assert self.now - start < at_most, f"not within {at_most:g} s"
+            self.advance()
+        return self.now - start
+
+    def advance(self) -> None:
+        """Do one step."""
+        self.now += self.step
+        while self._due and self._due[0][0] <= self.now:
+            heapq.heappop(self._due)[2]()
+        for engine in self.engines_by_host.values():
+            self._advance_engine(engine)
+        for process in self.planners:
+            if not process.paused:
+                self.tick(process)
+
+    def _advance_engine(self, engine: Engine) -> None:
+        if engine.refuses or not engine.group:
+            return
+        boots = {
+            member: self.engines_by_host[member].n_boots
+            for member in engine.members
+            if self.engines_by_host[member].alive
+        }
+        if engine.state == "loading" and self.now >= engine.ready_at:
+            engine.state, engine.member_boots = "ready", boots
+        elif engine.state == "ready" and boots != engine.member_boots:
+            engine.state = "broken"
+
+    # What a planner sees and does
+
+    def view(self, process: PlannerProcess) -> PlannerView:
+        """Return what a planner looks at."""
+        return PlannerView(
+            configuration=self.configuration,
+            configuration_version=0,
+            placement=process.fold,
+            hosts_by_name=dict(self.listed_by_host),
+            confirmations=process.confirmations,
+            demand=self.demand,
+        )
+
+    def tick(self, process: PlannerProcess) -> None:
+        """Let one planner read, look and act."""
+        if self.now >= process.ask_at:
+            process.ask_at = self.now + REPORT_INTERVAL
+            self._ask_hosts(process)
+        if self.log_is_up and not process.cut_from_log:
+            process.fold_entries(self.entries)
+        self.do(process, process.planner.tick(self.view(process), now=self.now))
+        self._append(process)
+
+    def _ask_hosts(self, process: PlannerProcess) -> None:
+        for host in self.listed_by_host:
+            engine = self.engines_by_host[host]
+            if process.cut_from_hosts:
+                continue
+            if engine.refuses:
+                process.confirmations.unreachable(host)
+            elif engine.answers:
+                report = engine.report(now=self.now)
+                process.confirmations.reported(report, asked_at=self.now)
+
+    def do(self, process: PlannerProcess, actions: list[Action]) -> None:
+        """Carry out what a planner decided."""
+        for action in actions:
+            if isinstance(action, SendOrder):
+                process.sent.append(action)
+                for delay in self.order_fate(action):
+                    self.later(delay, lambda order=action: self._deliver(order))
+            else:
+                process.writer.add(
+                    action.record, record_id=action.record_id, deadline=self.now + 10
+                )
+
+    def later(self, delay: float, call: Callable[[], None]) -> None:
+        """Do something after a delay."""
+        heapq.heappush(self._due, (self.now + delay, next(self._sequence), call))
+
+    def _deliver(self, order: SendOrder) -> None:
+        engine = self.engines_by_host[order.host]
+        before = engine.group
+        if engine.answers and not engine.refuses and engine.obey(order, now=self.now):
+            self.on_obey(engine, order, before)
+
+    def _append(self, process: PlannerProcess) -> None:
+        for pending in process.writer.due(now=self.now):
+            action = AppendRecord(
+                stream="placement-z",
+                record=pending.record,
+                record_id=pending.record_id,
+            )
+            if process.cut_from_log or not self.log_is_up:
+                continue
+            for delay in self.append_fate(action):
+                self.later(delay, lambda append=action: self._take(append))
+        process.writer.answered()
+
+    def _take(self, action: AppendRecord) -> None:
+        if not self.log_is_up:
+            return
+        self.n_appends += 1
+        entry = Entry(
+            offset=len(self.entries),
+            time=self.now,
+            id=action.record_id,
+            record=action.record,
+        )
+        self.entries.append(entry)
+        self.truth.apply(entry)
+
+    # What tests look at
+
+    def groups(self, model: str = "m") -> list[tuple[str, ...]]:
+        """Return the members of a model's groups that all engines serve."""
+        return [
+            group.members
+            for group in self.truth.groups_by_name.values()
+            if group.model == model and self.serves(group.name)
+        ]
+
+    def serves(self, name: str) -> bool:
+        """Tell whether a group is there and takes work from every planner's host."""
+        group = self.truth.groups_by_name.get(name)
+        return (
+            group is not None
+            and not group.draining
+            and all(
+                process.confirmations.is_whole(group, now=self.now)
+                for process in self.planners
+                if not process.paused and not process.cut_from_hosts
+            )
+        )
+
+    def group_of(self, host: str) -> str:
+        """Return the group that claims a host."""
+        return self.truth.group_by_host.get(host, "")
+
+    def kinds(self) -> list[str]:
+        """Return the kinds of the decisions that took effect."""
+        return [change.kind for change in self.truth.changes]
