--- a/ryelever/coordination/planner_look.py
+++ b/ryelever/coordination/planner_look.py
@@ -76,6 +76,12 @@
         n_wanted = self.view.configuration.models[model].n_groups
         return n_wanted - n_current - self.decisions.n_forming(model)
 
+    def is_short_above(self, model: str) -> bool:
+        """Tell whether a more important model lacks declared groups."""
+        names = [name for name, _ in self.models_by_priority]
+        above = names[: names.index(model)] if model in names else names
+        return any(self.n_missing(name) > 0 for name in above)
+
     def form(
         self, name: str, members: tuple[str, ...], reason: str, *, replaces: str = ""
     ) -> list[Action]:
--- a/ryelever/coordination/planner_repair.py
+++ b/ryelever/coordination/planner_repair.py
@@ -83,9 +83,9 @@
         replaced = look.replace(group, reason)
         if replaced:
             return replaced
-        certain = self._is_certain(lost, now=look.now)
-        if look.choice.must_wait_for_orders(group) and not certain:
+        if look.choice.must_wait_for_orders(group):
             return []
+        certain = self._is_certain(lost, now=look.now)
         if certain or look.choice.can_take(len(group.members)):
             return look.dissolve(group, reason)
         return []
@@ -104,4 +104,6 @@
         if not ended:
             return []
         reason = f"{group.draining_reason}; {ended}"
+        if look.is_short_above(group.model):
+            return look.dissolve(group, reason)
         return look.replace(group, reason) or look.dissolve(group, reason)
--- /dev/null
+++ b/tests/test_coordination/test_fencing.py
@@ -0,0 +1,185 @@
+"""Test late, repeated and lost orders at engines of both kinds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+import pytest
+
+from ryelever.coordination.actions import SendOrder
+from ryelever.state.configuration import Configuration, Model, Weights
+
+from ..zone import Engine, Zone
+
+JOIN = SendOrder(
+    host="h",
+    address="h",
+    kind="join",
+    group="old",
+    fencing=10,
+    members=("h",),
+    expires_ms=1_003_000,
+)
+LEAVE = replace(JOIN, kind="leave", fencing=12, expires_ms=1_004_000)
+NEXT = replace(JOIN, group="new", fencing=20, expires_ms=1_009_000)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Case:
+    """Deliver orders, each at its time, and name the group that is obeyed.
+
+    The engine's clock reads 1,000 s at time 0.
+    """
+
+    name: str
+    orders: list[tuple[float, SendOrder]]
+    checking: str
+    ignoring: str
+
+
+CASES = [
+    Case(name="in order", orders=[(0, JOIN)], checking="old", ignoring="old"),
+    Case(
+        name="left and joined anew",
+        orders=[(0, JOIN), (1, LEAVE), (6, NEXT)],
+        checking="new",
+        ignoring="new",
+    ),
+    Case(
+        name="old order after its deadline",
+        orders=[(0, JOIN), (1, LEAVE), (6, NEXT), (7, JOIN)],
+        checking="new",
+        ignoring="new",
+    ),
+    Case(
+        # What the wait of the planner is for: see the test of the zone below.
+        name="old order before its deadline, new group formed too early",
+        orders=[(0, JOIN), (1, LEAVE), (2, NEXT), (2.5, JOIN)],
+        checking="new",
+        ignoring="old",
+    ),
+    Case(
+        name="old order after the host left",
+        orders=[(0, JOIN), (1, LEAVE), (2, JOIN)],
+        checking="",
+        ignoring="old",
+    ),
+    Case(
+        name="old leave after the new join",
+        orders=[(0, JOIN), (3, NEXT), (3.5, LEAVE)],
+        checking="new",
+        ignoring="new",
+    ),
+    Case(
+        name="order repeated",
+        orders=[(0, JOIN), (1, JOIN)],
+        checking="old",
+        ignoring="old",
+    ),
+    Case(name="late from the start", orders=[(4, JOIN)], checking="", ignoring=""),
+    Case(
+        name="leave overtakes its join",
+        orders=[(0, LEAVE), (1, JOIN)],
+        checking="",
+        ignoring="old",
+    ),
+]
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_engine_obeys(case: Case, checks_fencing: bool) -> None:
+    """State what engines of both kinds do, on which the planner builds."""
+    engine = Engine(host="h", checks_fencing=checks_fencing)
+    for at, order in case.orders:
+        engine.obey(order, now=float(at))
+    assert engine.group == (case.checking if checks_fencing else case.ignoring)
+
+
+def _zone(checks_fencing: bool, *, n_planners: int = 1) -> Zone:
+    configuration = Configuration(
+        models={"m": Model(version="v1")},
+        weights=Weights(group_downtime=1.0, stranded_accelerators=0.0),
+    )
+    return Zone(
+        domains={"a": 5},
+        configuration=configuration,
+        checks_fencing=checks_fencing,
+        n_planners=n_planners,
+    )
+
+
+class _Watch:
+    """Count the times that an engine left its present group for an older one."""
+
+    def __init__(self, zone: Zone) -> None:
+        self.zone = zone
+        self.broken: list[str] = []
+        zone.on_obey = self.obeyed
+
+    def obeyed(self, engine: Engine, order: SendOrder, before: str) -> None:
+        claimed_by = self.zone.group_of(engine.host)
+        if order.kind == "join" and before == claimed_by != order.group:
+            self.broken.append(f"{engine.host} left {before} for {order.group}")
+
+
+@pytest.mark.parametrize("delay", [0.5, 1.0, 2.0, 2.8, 3.2, 5.0, 12.0])
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_late_order_never_breaks_a_new_group(
+    checks_fencing: bool, delay: float
+) -> None:
+    """Repeat every order late, while a group is repaired twice in a row.
+
+    Symptom: a whole group loses a member that is healthy.  Sequence: an order to
+    join lingers on its way, its group ends, its host joins another, the order
+    arrives.  Cause: the engine obeys whatever comes last.
+    """
+    zone = _zone(checks_fencing)
+    watch = _Watch(zone)
+    zone.order_fate = lambda order: (0.0, delay)
+    zone.run_until(zone.groups, at_most=8)
+    for host in zone.groups()[0]:
+        zone.engines_by_host[host].state = "broken"
+    zone.run(5.0)
+    zone.engines_by_host["a-1"].refuses = True
+    zone.run(25)
+    assert len(zone.groups()) == 1 and "a-1" not in zone.groups()[0]
+    assert watch.broken == []
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_next_holder_waits_out_the_orders_of_the_last(checks_fencing: bool) -> None:
+    """Let an order of the former holder arrive after the next one has repaired.
+
+    Symptom: as above, by two planners.  Sequence: the holder orders a group to
+    join, gives the lease back, its orders linger; the next holder dissolves the
+    group and forms another.  Cause: the next holder knows nothing of the orders.
+    """
+    zone = _zone(checks_fencing, n_planners=2)
+    watch = _Watch(zone)
+    first, _ = zone.planners
+    zone.order_fate = lambda order: (0.0, 2.0) if order in first.sent else (0.0,)
+    zone.run_until(lambda: first.sent, at_most=5)
+    zone.run(0.2)
+    zone.do(first, first.planner.give_back_lease(zone.view(first), now=zone.now))
+    zone.run(0.3)
+    zone.engines_by_host["a-0"].refuses = True
+    first.paused = True
+    zone.run(20)
+    assert watch.broken == [] and len(zone.groups()) == 1
+
+
+def test_order_deadline_is_on_the_engines_own_clock() -> None:
+    """Order engines whose clocks differ by hours.
+
+    Symptom: orders are refused, or obeyed hours late.  Sequence: hosts were booted
+    at other times.  Cause: two clocks are compared.
+    """
+    zone = _zone(False)
+    for number, engine in enumerate(zone.engines_by_host.values()):
+        engine.clock_offset = 10_000.0 * number + 1
+    zone.run_until(zone.groups, at_most=10)
+    for order in zone.planners[0].sent:
+        offset = zone.engines_by_host[order.host].clock_offset
+        deadline = order.expires_ms / 1000 - offset
+        assert 100 < deadline <= zone.now + 3.0
--- /dev/null
+++ b/tests/test_coordination/test_planner_change.py
@@ -0,0 +1,190 @@
+"""Test planned changes: the old group drains, the new one is confirmed first."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import pytest
+
+from ryelever.coordination.actions import Arrival, ChatWork
+from ryelever.coordination.planner import PlannerLimits
+from ryelever.coordination.targets import Targets
+from ryelever.state.configuration import Configuration, Model, Weights
+
+from ..zone import Zone
+
+_Change = Callable[[Model], Model]
+
+
+def _zone(*, n_groups: int = 1, **domains: int) -> Zone:
+    configuration = Configuration(
+        models={"m": Model(version="v1", n_groups=n_groups)},
+        weights=Weights(group_downtime=1.0, stranded_accelerators=0.0),
+    )
+    limits = PlannerLimits(drain_timeout=15.0)
+    zone = Zone(domains=domains, configuration=configuration, limits=limits)
+    zone.run_until(lambda: len(zone.groups()) == n_groups, at_most=30)
+    return zone
+
+
+def _declare(zone: Zone, change: _Change) -> None:
+    models = {name: change(model) for name, model in zone.configuration.models.items()}
+    zone.configuration = replace(zone.configuration, models=models)
+
+
+def _new_version(model: Model) -> Model:
+    return replace(model, version="v2")
+
+
+def _versions(zone: Zone) -> list[str]:
+    return [
+        group.version
+        for group in zone.truth.groups_by_name.values()
+        if zone.serves(group.name)
+    ]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Case:
+    """Change a declaration and bound the time without a serving group."""
+
+    name: str
+    change: _Change
+    domains: dict[str, int]
+    n_groups: int = 1
+    seconds_down: float = 0.0
+
+
+CASES = [
+    Case(
+        name="version, hosts for a second group",
+        change=_new_version,
+        domains={"a": 4, "b": 4},
+    ),
+    Case(
+        name="version, two groups and no free host",
+        change=_new_version,
+        domains={"a": 4, "b": 4},
+        n_groups=2,
+    ),
+    Case(
+        name="version, one group and no free host",
+        change=_new_version,
+        domains={"a": 4},
+        seconds_down=4.0,
+    ),
+    Case(
+        name="adapter added",
+        change=lambda model: replace(model, adapters={"tone": "1"}),
+        domains={"a": 4, "b": 4},
+    ),
+    Case(
+        name="hosts in a group",
+        change=lambda model: replace(model, hosts_per_group=2),
+        domains={"a": 4, "b": 4},
+    ),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_change_is_confirmed_before_the_old_group_ends(case: Case) -> None:
+    """Change what a group serves.
+
+    Symptom: the model is gone while the new version loads.  Sequence: an operator
+    publishes a change.  Cause: the old group was dissolved at once.
+    """
+    zone = _zone(n_groups=case.n_groups, **case.domains)
+    _declare(zone, case.change)
+    model = zone.configuration.models["m"]
+    n_down = 0
+    for _ in range(600):
+        zone.advance()
+        n_down += not zone.groups()
+    groups = list(zone.truth.groups_by_name.values())
+    assert n_down * zone.step <= case.seconds_down
+    assert [group.version for group in groups] == [model.version] * case.n_groups
+    assert all(group.adapters == model.adapter_versions for group in groups)
+    assert all(len(group.members) == model.hosts_per_group for group in groups)
+
+
+def _busy(zone: Zone, n_running: int) -> None:
+    for group in zone.truth.groups_by_name.values():
+        zone.engines_by_host[group.members[0]].running = n_running
+
+
+@pytest.mark.parametrize(("busy_for", "cut"), [(8.0, False), (60.0, True)])
+def test_requests_in_flight_finish_within_a_deadline(
+    busy_for: float, cut: bool
+) -> None:
+    """Drain a group that has requests in flight.
+
+    Symptom: a caller's answer breaks off at a planned change.  Sequence: a new
+    version is declared while the old group generates.  Cause: the group ends before
+    its requests do; or it never ends, for one that never does.
+    """
+    zone = _zone(a=4, b=4)
+    old = next(iter(zone.truth.groups_by_name))
+    _busy(zone, 3)
+    _declare(zone, _new_version)
+    zone.run_until(lambda: _versions(zone) == ["v2"], at_most=10)
+    started = zone.now
+    zone.later(busy_for, lambda: _busy(zone, 0))
+    zone.run_until(lambda: old not in zone.truth.groups_by_name, at_most=30)
+    ended_after = zone.now - started
+    assert (ended_after < busy_for) is cut
+    dissolved = [row for row in zone.truth.changes if row.kind == "dissolved"]
+    expected = "its time to finish" if cut else "its requests have finished"
+    assert expected in dissolved[0].reason
+
+
+def test_draining_group_gets_no_new_work_and_still_counts_as_whole() -> None:
+    """Choose targets while a group drains."""
+    zone = _zone(a=4)
+    _busy(zone, 1)
+    _declare(zone, _new_version)
+    zone.run_until(lambda: "draining" in zone.kinds(), at_most=5)
+    process = zone.planners[0]
+    zone.advance()
+    group = next(iter(process.fold.groups_by_name.values()))
+    targets = Targets(
+        availability_zone="z",
+        placements_by_zone={"z": process.fold},
+        hosts_by_name=zone.listed_by_host,
+        confirmations=process.confirmations,
+    )
+    work = ChatWork(model="m", messages=[], max_tokens=1, streamed=False)
+    arrival = Arrival(
+        request_id="r", client_account="c", work=work, arrived_at=0, deadline=9
+    )
+    assert process.confirmations.is_whole(group, now=zone.now)
+    assert targets.for_arrival(arrival, zone.now) == []
+
+
+def test_member_that_dies_while_its_group_drains_ends_it() -> None:
+    """Lose a member of a draining group: two faults.
+
+    Symptom: the hosts of a draining group stay bound until the deadline.  Sequence:
+    a group drains, a member dies.  Cause: only the count of requests is looked at.
+    """
+    zone = _zone(a=4)
+    _busy(zone, 1)
+    _declare(zone, _new_version)
+    zone.run_until(lambda: "draining" in zone.kinds(), at_most=5)
+    zone.engines_by_host["a-3"].refuses = True
+    zone.run(3)
+    group = next(iter(zone.truth.groups_by_name.values()), None)
+    assert group is None or group.dissolved
+    zone.engines_by_host["a-3"].restart()
+    zone.run_until(lambda: _versions(zone) == ["v2"], at_most=10)
+
+
+def test_model_that_is_no_longer_declared_ends_after_its_requests() -> None:
+    """Withdraw a model."""
+    zone = _zone(a=4)
+    _busy(zone, 1)
+    zone.configuration = Configuration()
+    zone.run(5)
+    assert len(zone.truth.groups_by_name) == 1
+    _busy(zone, 0)
+    zone.run_until(lambda: not zone.truth.groups_by_name, at_most=5)
