Put idle hosts to work until they are needed; rejoin groups while the log is away

Cause: a spare host kept in each fabric domain was the first answer to weights that favour little downtime. A group that serves already beats 30 s of loading. Reverted; a spare host is now kept only against groups smaller than those it would repair.

A restarted member now rejoins its very group meanwhile, at engines that check fencing numbers.

Ruled out by a trial: to let small groups grow while a declared group waits for hosts.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure ryelever; figures go to the pages in docs/."""
--- /dev/null
+++ b/benchmarks/day_of_faults.py
@@ -0,0 +1,393 @@
+"""Measure group downtime and stranded accelerators over a day of faults.
+
+Runs the planner's own code against zones faked in memory, through the table of
+day_of_faults_table.py.  While nothing happens the state does not change, so the
+driver jumps to the next fault and only the ledger goes on::
+
+    .venv/bin/python -m benchmarks.day_of_faults
+"""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import itertools
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from ryelever.coordination.planner import Planner
+from ryelever.protocol.log import append_request, encode_record
+from ryelever.state.configuration import (
+    ClientAccount,
+    Configuration,
+    Model,
+    Weights,
+)
+from ryelever.state.records import LeaseTaken
+from tests.zone import Zone
+
+from .day_of_faults_baseline import Baseline
+from .day_of_faults_table import (
+    DAY,
+    DOMAINS_BY_ZONE,
+    LOG_OUTAGE,
+    NOTICE,
+    Fault,
+    faults_of,
+)
+
+#: What is declared for each zone; a host has 8 accelerators.
+MODELS = {
+    "notes": Model(version="v1", n_groups=1, priority=2),
+    "chat": Model(version="v1", n_groups=1, priority=1),
+    "small": Model(version="v1", n_groups=1, hosts_per_group=1),
+}
+N_ACCELERATORS = 8
+
+#: Seconds until the last request of a draining group is done.
+REQUEST_TIME = 20.0
+
+#: Seconds to load weights, and for an append to be readable.
+LOAD_TIME = 30.0
+LOG_LATENCY = 0.02
+
+#: Seconds without a decision after which nothing more happens until the next fault.
+QUIET = 100.0
+
+PAWROUTE = Weights(group_downtime=0.8, stranded_accelerators=0.2)
+CONSORTIUM = Weights(group_downtime=0.2, stranded_accelerators=0.8)
+
+
+@dataclass(slots=True, kw_only=True)
+class Ledger:
+    """Add up the measures of one zone over the day.
+
+    Attributes
+    ----------
+    downtime : float
+        Seconds by which declared groups did not serve, over all groups.
+    downtime_in_outage : float
+        The part of it while the log was away.
+    stranded : float
+        Accelerator-seconds in live hosts outside of a group at work.
+    spanning : float
+        Seconds of groups that served across fabric domains, which is slow.
+    """
+
+    downtime: float = 0.0
+    downtime_in_outage: float = 0.0
+    stranded: float = 0.0
+    spanning: float = 0.0
+    n_decisions: int = 0
+    n_bytes: int = 0
+
+    def add(self, other: Ledger) -> None:
+        """Add another zone's measures."""
+        for name in self.__slots__:
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+
+
+class ZoneDay:
+    """Lead one zone through its day."""
+
+    def __init__(
+        self, *, name: str, weights: Weights, planner: Callable, outage: bool
+    ) -> None:
+        accounts = {
+            f"account-{number}": ClientAccount(key_hash="", share=0.1)
+            for number in range(10)
+        }
+        configuration = Configuration(
+            models=MODELS,
+            client_accounts=accounts,
+            weights=weights,
+        )
+        self.zone = Zone(
+            domains=DOMAINS_BY_ZONE[name],
+            configuration=configuration,
+            load_time=LOAD_TIME,
+            step=0.2,
+            planner_class=planner,
+        )
+        self.zone.append_fate = lambda _: (LOG_LATENCY,)
+        self.ledger = Ledger()
+        self.wall = 0.0
+        self.active_at = 0.0
+        self.n_seen = 0
+        self.down_until: dict[str, float] = {}
+        self.events = self._events(faults_of(name), outage=outage)
+
+    def _events(
+        self, faults: list[Fault], *, outage: bool
+    ) -> list[tuple[float, Callable[[], None]]]:
+        events: list[tuple[float, Callable[[], None]]] = []
+        for fault in faults:
+            goes_at = fault.at + (NOTICE if fault.kind == "leaves" else 0.0)
+            events.append((fault.at, lambda fault=fault: self._announce(fault)))
+            events.append((goes_at, lambda fault=fault: self._begin(fault)))
+            events.append((fault.until, lambda fault=fault: self._end(fault)))
+        if outage:
+            start, end = LOG_OUTAGE
+            events.append((start, lambda: setattr(self.zone, "log_is_up", False)))
+            events.append((end, lambda: setattr(self.zone, "log_is_up", True)))
+        return sorted(events, key=lambda event: event[0])
+
+    def _announce(self, fault: Fault) -> None:
+        if fault.kind == "leaves":
+            self._list(fault.hosts, "leaving")
+
+    def _list(self, hosts: tuple[str, ...], state: str) -> None:
+        for host in hosts:
+            row = self.zone.listed_by_host[host]
+            self.zone.listed_by_host[host] = replace(row, state=state)
+
+    def _begin(self, fault: Fault) -> None:
+        for host in fault.hosts:
+            engine = self.zone.engines_by_host[host]
+            engine.answers = engine.answers and fault.kind == "restarts"
+            engine.refuses = engine.refuses or fault.kind == "restarts"
+            known = self.down_until.get(host, 0.0)
+            self.down_until[host] = max(known, fault.until)
+
+    def _end(self, fault: Fault) -> None:
+        for host in fault.hosts:
+            if self.down_until.get(host, 0.0) <= fault.until:
+                self.down_until.pop(host, None)
+                self.zone.engines_by_host[host].restart()
+                self._list((host,), "live")
+
+    def run(self) -> Ledger:
+        """Go through the day and return its measures."""
+        self.zone.run(QUIET * 2)
+        for at, call in [*self.events, (DAY, lambda: None)]:
+            if at > DAY:
+                continue
+            while self.wall < at:
+                self._go_on(at)
+            call()
+            self.active_at = self.zone.now
+        return self.ledger
+
+    def _go_on(self, until: float) -> None:
+        if self.zone.now - self.active_at >= QUIET:
+            self._account(until - self.wall)
+            self.wall = until
+            return
+        self.zone.advance()
+        self._run_requests()
+        self._account(self.zone.step)
+        self.wall += self.zone.step
+        new = self.zone.entries[self.n_seen :]
+        self.n_seen = len(self.zone.entries)
+        for entry in new:
+            item = encode_record(entry.record, record_id="0" * 32)
+            self.ledger.n_bytes += len(append_request([item]))
+            if not isinstance(entry.record, LeaseTaken):
+                self.ledger.n_decisions += 1
+                self.active_at = self.zone.now
+
+    def _run_requests(self) -> None:
+        """Keep every serving group busy, and a draining one for a while."""
+        zone = self.zone
+        for group in zone.truth.groups_by_name.values():
+            drained_for = 0.0
+            if group.draining:
+                drained_for = zone.now - zone.entries[group.draining_since].time
+            engine = zone.engines_by_host[group.members[0]]
+            if engine.group == group.name:
+                engine.running = int(drained_for < REQUEST_TIME)
+
+    def _account(self, seconds: float) -> None:
+        ledger, zone = self.ledger, self.zone
+        serving_by_model = {name: zone.groups(name) for name in MODELS}
+        serving = list(itertools.chain.from_iterable(serving_by_model.values()))
+        down = seconds * sum(
+            max(0, model.n_groups - len(serving_by_model[name]))
+            for name, model in MODELS.items()
+        )
+        ledger.downtime += down
+        if LOG_OUTAGE[0] <= self.wall < LOG_OUTAGE[1]:
+            ledger.downtime_in_outage += down
+        n_alive = sum(
+            engine.answers and not engine.refuses
+            for engine in zone.engines_by_host.values()
+        )
+        n_at_work = sum(len(members) for members in serving) + sum(
+            len(group.members)
+            for group in zone.truth.groups_by_name.values()
+            if group.draining and not group.dissolved
+        )
+        ledger.stranded += max(0, n_alive - n_at_work) * N_ACCELERATORS * seconds
+        ledger.spanning += seconds * sum(
+            len({host.partition("-")[0] for host in members}) > 1 for members in serving
+        )
+
+
+def _run_zone(name: str, weights: Weights, planner: Callable, outage: bool) -> Ledger:
+    day = ZoneDay(name=name, weights=weights, planner=planner, outage=outage)
+    return day.run()
+
+
+def _measure_days(n_processes: int) -> None:
+    days = {
+        "baseline": (PAWROUTE, Baseline, True),
+        "Pawroute": (PAWROUTE, Planner, True),
+        "consortium": (CONSORTIUM, Planner, True),
+        "baseline, log never away": (PAWROUTE, Baseline, False),
+        "Pawroute, log never away": (PAWROUTE, Planner, False),
+        "consortium, log never away": (CONSORTIUM, Planner, False),
+    }
+    print(
+        f"{'day':28}{'downtime':>10}{'of it, log':>12}{'stranded':>12}"
+        f"{'spanning':>10}{'decisions':>11}{'bytes':>9}"
+    )
+    print(
+        f"{'':28}{'group-s':>10}{'away 1 h':>12}{'accel.-h':>12}"
+        f"{'group-h':>10}{'':>11}{'':>9}"
+    )
+    with concurrent.futures.ProcessPoolExecutor(n_processes) as pool:
+        futures = {
+            (day, zone): pool.submit(_run_zone, zone, *arguments)
+            for day, arguments in days.items()
+            for zone in DOMAINS_BY_ZONE
+        }
+        for day in days:
+            total = Ledger()
+            for zone in DOMAINS_BY_ZONE:
+                total.add(futures[day, zone].result())
+            print(
+                f"{day:28}{total.downtime:10.0f}{total.downtime_in_outage:12.0f}"
+                f"{total.stranded / 3600:12.0f}{total.spanning / 3600:10.1f}"
+                f"{total.n_decisions:11d}{total.n_bytes:9d}"
+            )
+
+
+# The parts of one repair
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Split:
+    detection: float
+    agreement: float
+    loading: float
+    confirmation: float
+
+
+def _split(fault: str, planner: Callable, phase: float) -> _Split:
+    configuration = Configuration(
+        models={"m": Model(version="v1", n_groups=1)}, weights=Weights(group_downtime=1)
+    )
+    zone = Zone(
+        domains={"a": 6},
+        configuration=configuration,
+        load_time=LOAD_TIME,
+        step=0.02,
+        planner_class=planner,
+    )
+    zone.append_fate = lambda _: (LOG_LATENCY,)
+    zone.run_until(zone.groups, at_most=100)
+    zone.run(20 + phase)
+    engine = zone.engines_by_host[zone.groups()[0][3]]
+    before = set(zone.truth.groups_by_name)
+    n_known = len(zone.truth.changes)
+    start = zone.now
+    if fault == "killed":
+        engine.refuses = True
+    else:
+        engine.answers = False
+    pending = zone.planners[0].writer.pending_by_id
+    zone.run_until(
+        lambda: (
+            len(zone.truth.changes) > n_known
+            or any(not isinstance(row.record, LeaseTaken) for row in pending.values())
+        ),
+        at_most=60,
+    )
+    decided = zone.now
+    if isinstance(zone.planners[0].planner, Baseline):
+        # Its dead host is freed only when the list forgets it; the others suffice.
+        pass
+    zone.run_until(
+        lambda: any(
+            not group.dissolved and name not in before
+            for name, group in zone.planners[0].fold.groups_by_name.items()
+        ),
+        at_most=60,
+    )
+    agreed = zone.now
+    group = next(
+        group
+        for name, group in zone.truth.groups_by_name.items()
+        if name not in before and not group.dissolved
+    )
+    zone.run_until(
+        lambda: all(
+            zone.engines_by_host[host].state == "ready"
+            and zone.engines_by_host[host].group == group.name
+            for host in group.members
+        ),
+        at_most=100,
+    )
+    loaded = zone.now
+    zone.run_until(zone.groups, at_most=20)
+    return _Split(
+        detection=decided - start,
+        agreement=agreed - decided,
+        loading=loaded - agreed,
+        confirmation=zone.now - loaded,
+    )
+
+
+def _measure_split() -> None:
+    print(
+        f"\n{'a member is ...':28}{'detection':>12}{'agreement':>12}"
+        f"{'loading':>12}{'confirmation':>14}   seconds, median (largest) of 20"
+    )
+    for planner, fault in itertools.product((Planner, Baseline), ("killed", "silent")):
+        splits = [_split(fault, planner, 0.1 * phase) for phase in range(20)]
+        cells = []
+        for part in _Split.__slots__:
+            values = [getattr(split, part) for split in splits]
+            cells.append(f"{statistics.median(values):.2f} ({max(values):.2f})")
+        name = f"{fault}, {planner.__name__.lower()}"
+        print(f"{name:28}" + "".join(f"{cell:>13}" for cell in cells))
+
+
+# Processor time
+
+
+def _measure_cost() -> None:
+    print(f"\n{'hosts in a zone':18}{'ms a tick, median':>20}{'largest':>10}")
+    for n_hosts in (16, 71, 260):
+        configuration = Configuration(
+            models={"m": Model(version="v1", n_groups=n_hosts // 4 - n_hosts // 40)}
+        )
+        domains = {f"d{number}": 8 for number in range(n_hosts // 8)}
+        domains["rest"] = n_hosts % 8
+        zone = Zone(domains=domains, configuration=configuration)
+        zone.run(40)
+        process = zone.planners[0]
+        times = []
+        for _ in range(300):
+            zone.advance()
+            view = zone.view(process)
+            start = time.process_time()
+            process.planner.tick(view, now=zone.now)
+            times.append((time.process_time() - start) * 1000)
+        print(f"{n_hosts:<18}{statistics.median(times):20.3f}{max(times):10.3f}")
+
+
+def main() -> None:
+    """Print the figures of docs/PLANNING.md."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--processes", type=int, default=4)
+    arguments = parser.parse_args()
+    _measure_days(arguments.processes)
+    _measure_split()
+    _measure_cost()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/day_of_faults_baseline.py
@@ -0,0 +1,123 @@
+"""Plan as simply as one can: at each read of the log, take any free hosts.
+
+The baseline of the measurement.  It ends a group as soon as a member does not
+report, lets each host leave, and forms groups of whichever hosts are free, whatever
+their fabric domain; it neither drains, nor keeps or takes spare hosts, nor frees a
+dead host before the platform's list has forgotten it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ryelever.coordination.lease import PlannerLease
+from ryelever.coordination.planner_decisions import Decisions
+from ryelever.coordination.planner_orders import Orders
+from ryelever.coordination.planner_view import PlannerLimits
+from ryelever.state.records import GroupDissolved, GroupFormed, HostReleased
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ryelever.coordination.actions import Action
+    from ryelever.coordination.planner_view import PlannerView
+    from ryelever.state.placement import Group
+
+__all__ = ["Baseline"]
+
+#: Seconds of one read that waits for records.
+READ_INTERVAL = 1.0
+
+
+class Baseline:
+    """Stand in for ``Planner`` with the plainest decisions that are still safe."""
+
+    def __init__(
+        self, *, holder: str, stream: str, new_id: Callable[[], str], **_: object
+    ) -> None:
+        limits = PlannerLimits(max_loading=1000)
+        self._new_id = new_id
+        self.lease = PlannerLease(holder=holder, stream=stream, new_id=new_id, term=6.0)
+        self._decisions = Decisions(stream=stream, new_id=new_id, timeout=3.0)
+        self._orders = Orders(limits=limits)
+        self._read_at = 0.0
+        self._was_whole: set[str] = set()
+
+    def tick(self, view: PlannerView, *, now: float) -> list[Action]:
+        """Decide, if a read has just come back."""
+        actions = self.lease.tick(view.placement, wanted=True, now=now)
+        for group in view.live_groups:
+            if view.confirmations.is_whole(group, now=now):
+                self._was_whole.add(group.name)
+        if now < self._read_at + READ_INTERVAL:
+            return actions
+        self._read_at = now
+        if not self.lease.holds(view.placement, now=now):
+            return actions
+        self._decisions.settle(view.placement, now=now)
+        for group in list(view.placement.groups_by_name.values()):
+            if group.dissolved:
+                actions += self._release(group, view, now=now)
+            else:
+                actions += self._keep(group, view, now=now)
+        return actions + self._form(view, now=now)
+
+    def _keep(self, group: Group, view: PlannerView, *, now: float) -> list[Action]:
+        silent = any(
+            view.confirmations.fresh(host, now=now) is None for host in group.members
+        )
+        whole = view.confirmations.is_whole(group, now=now)
+        if silent or (group.name in self._was_whole and not whole):
+            record = GroupDissolved(
+                group=group.name, lease=view.placement.lease.tenure, reason="lost"
+            )
+            return self._decisions.once(record, key=group.name, now=now)
+        return self._orders.join(group, view, now=now)
+
+    def _release(self, group: Group, view: PlannerView, *, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for host in sorted(group.unreleased):
+            report = view.confirmations.fresh(host, now=now)
+            if report is not None and report.group == group.name:
+                actions += self._orders.leave(
+                    report, view, fencing=group.dissolved_at, now=now
+                )
+            elif report is not None or host not in view.hosts_by_name:
+                record = HostReleased(
+                    group=group.name,
+                    host=host,
+                    lease=view.placement.lease.tenure,
+                    evidence="left",
+                )
+                actions += self._decisions.once(record, key=host, now=now)
+        return actions
+
+    def _form(self, view: PlannerView, *, now: float) -> list[Action]:
+        actions: list[Action] = []
+        taken = self._decisions.taken
+        free = [
+            host
+            for host in sorted(view.hosts_by_name)
+            if host not in view.placement.group_by_host
+            and host not in taken
+            and (report := view.confirmations.fresh(host, now=now)) is not None
+            and report.state == "idle"
+        ]
+        for name, model in view.configuration.models.items():
+            n_missing = model.n_groups - len(view.groups_of(name))
+            for _ in range(n_missing - self._decisions.n_forming(name)):
+                members = tuple(free[: model.hosts_per_group])
+                if len(members) < model.hosts_per_group:
+                    break
+                del free[: model.hosts_per_group]
+                record = GroupFormed(
+                    group=f"{name}-{self._new_id()}",
+                    model=name,
+                    version=model.version,
+                    adapters=(),
+                    members=members,
+                    lease=view.placement.lease.tenure,
+                    configuration_version=0,
+                )
+                actions += self._decisions.form(record, now=now)
+        return actions
--- a/ryelever/coordination/lease.py
+++ b/ryelever/coordination/lease.py
@@ -22,6 +22,9 @@
 #: so that clocks may differ in rate by a tenth and the holder still stops first.
 TERMS_BEFORE_TAKING = 1.25
 
+#: Terms without any news of the lease after which the log counts as away.
+TERMS_BEFORE_GIVING_UP = 2.0
+
 #: Renewals in one term.
 RENEWALS_A_TERM = 3
 
@@ -60,6 +63,8 @@
         self._seen_offset = -1
         self._seen_at = _NEVER
         self._asked_at = _NEVER
+        self._looked_at = _NEVER
+        self._looking_since = _NEVER
         self._asked_at_by_id: dict[str, float] = {}
         self._valid_until = _NEVER
         self._tenure = -1
@@ -86,6 +91,10 @@
             Whether this process is fit to plan; one that is not lets its lease
             run out, and another takes it.
         """
+        # After a pause the newest known lease is old because nobody read here.
+        if now - self._looked_at > self._term:
+            self._looking_since = now
+        self._looked_at = now
         lease = placement.lease
         offset = lease.offset if lease is not None else -1
         if offset != self._seen_offset:
@@ -95,6 +104,17 @@
             return []
         return [self._ask(offset, term=self._term, now=now)]
 
+    def log_is_away(self, *, now: float) -> bool:
+        """Tell whether nothing can be agreed: the lease lapsed and none was taken.
+
+        While the log answers, the holder renews within its term, or another takes
+        the lease soon after, and either would have been read by now.
+        """
+        if self._seen_offset < 0:
+            return False
+        since = max(self._seen_at, self._looking_since)
+        return now >= since + self._term * TERMS_BEFORE_GIVING_UP
+
     def give_back(self, placement: PlacementFold, *, now: float) -> list[Action]:
         """Return the append that gives the lease back; nothing is decided after."""
         held = self.holds(placement, now=now)
--- a/ryelever/coordination/planner.py
+++ b/ryelever/coordination/planner.py
@@ -12,6 +12,7 @@
 from .planner_hosts import HostChoice
 from .planner_look import Look
 from .planner_orders import Orders
+from .planner_outage import OutageRepair
 from .planner_outgoing import Outgoing
 from .planner_release import Release
 from .planner_repair import Repair
@@ -71,6 +72,7 @@
             outgoing=self._outgoing,
         )
         self._forming = Forming(capacity=self._capacity, outgoing=self._outgoing)
+        self._outage = OutageRepair(health=self._health, orders=self._orders)
         self._release = Release(
             limits=limits,
             health=self._health,
@@ -91,7 +93,11 @@
         self._observe(view, now=now)
         fit = _sees_hosts(view, now=now)
         actions = self.lease.tick(view.placement, wanted=fit, now=now)
-        if not fit or not self.holds_lease(view, now=now):
+        if not fit:
+            return actions
+        if not self.holds_lease(view, now=now):
+            if self.lease.log_is_away(now=now):
+                actions += self._outage.tick(view, now=now)
             return actions
         self._decisions.settle(view.placement, now=now)
         look = self._look(view, now=now)
--- a/ryelever/coordination/planner_capacity.py
+++ b/ryelever/coordination/planner_capacity.py
@@ -10,9 +10,7 @@
     from ..state.placement import Group
     from .planner_view import PlannerLimits, PlannerView
 
-__all__ = ["Capacity"]
-
-SECONDS_A_DAY = 86_400.0
+__all__ = ["Capacity", "n_allowed"]
 
 _NEVER = float("-inf")
 
@@ -20,8 +18,9 @@
 class Capacity:
     """Decide which model gets a group beyond the declared ones, and which gives.
 
-    The declared number of groups is a floor.  What is left is kept as spare hosts,
-    which shorten repairs, or put to work, as the declared weights say.
+    The declared number of groups is a floor, and the accounts' shares are the
+    ceiling.  Hosts that are left over work in further groups until they are needed,
+    but for the spare hosts that the declared weights ask for.
     """
 
     def __init__(self, *, limits: PlannerLimits) -> None:
@@ -42,46 +41,51 @@
             name: self._idle_since_by_model.get(name, now) for name in models - waiting
         }
 
-    def n_spare_hosts(self, view: PlannerView, *, n_hosts: int, n_members: int) -> int:
-        """Return how many hosts of a fabric domain to keep idle for repairs.
-
-        Compares, over any stretch of time, the accelerators that stand in groups
-        which wait for the platform to replace a host with those that stand idle as
-        a spare.
+    def n_spare_hosts(self, domain: str, model: Model, view: PlannerView) -> int:
+        """Return how many hosts of a domain one more group must leave idle.
 
-        Parameters
-        ----------
-        n_hosts : int
-            Hosts of the domain.
-        n_members : int
-            Hosts of one group.
+        A group of full size is the better spare: while another one is repaired it
+        serves already, and its hosts can still be taken.  A smaller one only holds
+        a host that a larger group would be repaired with at once; whether that host
+        waits idle or works until it is needed is what the weights decide.
         """
-        weights = view.configuration.weights
-        part_without_host = (
-            n_hosts
-            * self._limits.failures_a_day
-            * self._limits.host_return_time
-            / SECONDS_A_DAY
+        if self.prefers_use(view):
+            return 0
+        return int(
+            any(
+                len(group.members) > model.hosts_per_group
+                and view.domain_of(group.members[0]) == domain
+                for group in view.live_groups
+            )
         )
-        downtime = weights.group_downtime * part_without_host * n_members
-        return int(downtime > weights.stranded_accelerators)
 
     def prefers_use(self, view: PlannerView) -> bool:
-        """Tell whether idle hosts cost more than slower repairs."""
+        """Tell whether idle hosts weigh more than slower repairs."""
         weights = view.configuration.weights
         return weights.stranded_accelerators >= weights.group_downtime
 
-    def next_to_grow(self, view: PlannerView, *, now: float) -> str | None:
-        """Return the model that should get one more group, if any should."""
+    def growing(self, view: PlannerView, *, now: float) -> list[str]:
+        """Return the models that may get one more group, most needed first.
+
+        Where nobody waits, larger groups go first: smaller ones fill the gaps.
+        """
+        models = view.configuration.models
         names = [
             name
-            for name, model in view.configuration.models.items()
-            if self._below_share(name, model, view)
-            and (self.prefers_use(view) or self.is_wanted(name, now=now))
+            for name, model in models.items()
+            if len(view.groups_of(name))
+            < _n_allowed(name, model, view, now_waiting=True)
         ]
-        if not names:
-            return None
-        return min(names, key=lambda name: self._order(name, view, now=now))
+        return sorted(
+            names,
+            key=lambda name: (
+                not self.is_wanted(name, now=now),
+                -models[name].priority,
+                -models[name].hosts_per_group,
+                len(view.groups_of(name)),
+                name,
+            ),
+        )
 
     def is_wanted(self, model: str, *, now: float) -> bool:
         """Tell whether callers have waited for a model long enough to act."""
@@ -105,25 +109,60 @@
         """Take note that capacity moves from one model to another."""
         self._moved_at = now
 
-    def donor(
-        self, view: PlannerView, groups: list[Group], taker: str, *, now: float
-    ) -> Group | None:
-        """Return the group that makes room for a model, lowest priority first.
-
-        Groups beyond the declared number are given, newest first; those below it
-        only when a model of higher priority lacks declared groups.
+    def donors(
+        self,
+        view: PlannerView,
+        groups: list[Group],
+        taker: str,
+        *,
+        n_available_by_domain: dict[str, int],
+        now: float,
+    ) -> list[Group]:
+        """Return the groups that make room for a model, as few as will do.
+
+        Groups beyond the declared number are given, of the least important model
+        and newest first; those below it only when a model of higher priority lacks
+        declared groups.  Nothing is given unless the taker then has all its hosts
+        in one fabric domain.
 
         Parameters
         ----------
         groups : list of Group
             Groups that count at present.
+        n_available_by_domain : dict of str to int
+            Hosts outside of these groups, free or about to be.
         """
+        n_needed = view.configuration.models[taker].hosts_per_group
+        if max(n_available_by_domain.values(), default=0) >= n_needed:
+            return []
+        given_by_domain: dict[str, list[Group]] = {}
+        for group in self._givable(view, groups, taker, now=now):
+            domain = view.domain_of(group.members[0])
+            given = given_by_domain.setdefault(domain, [])
+            n_hosts = n_available_by_domain.get(domain, 0) + sum(
+                len(other.members) for other in given
+            )
+            if n_hosts < n_needed:
+                given.append(group)
+        enough = [
+            given
+            for domain, given in given_by_domain.items()
+            if n_available_by_domain.get(domain, 0)
+            + sum(len(group.members) for group in given)
+            >= n_needed
+        ]
+        return min(enough, key=len, default=[])
+
+    def _givable(
+        self, view: PlannerView, groups: list[Group], taker: str, *, now: float
+    ) -> list[Group]:
         models = view.configuration.models
+        givable: list[Group] = []
         for name in sorted(models, key=lambda name: (models[name].priority, name)):
             own = [group for group in groups if group.model == name]
-            if name != taker and self._gives(name, len(own), taker, view, now=now):
-                return own[-1]
-        return None
+            while name != taker and self._gives(name, len(own), taker, view, now=now):
+                givable.append(own.pop())
+        return givable
 
     def _gives(
         self, name: str, n_own: int, taker: str, view: PlannerView, *, now: float
@@ -138,33 +177,28 @@
         # The last group of one model is not given for one more of another.
         return n_own > 1 or (n_own == 1 and not n_taken)
 
-    def _order(
-        self, name: str, view: PlannerView, *, now: float
-    ) -> tuple[bool, int, int, str]:
-        return (
-            not self.is_wanted(name, now=now),
-            -view.configuration.models[name].priority,
-            len(view.groups_of(name)),
-            name,
-        )
 
-    def _below_share(self, name: str, model: Model, view: PlannerView) -> bool:
-        """Tell whether the accounts that use a model may hold one more group.
+def n_allowed(name: str, model: Model, view: PlannerView) -> int:
+    """Return how many groups of a model its accounts' shares allow."""
+    return _n_allowed(name, model, view, now_waiting=False)
 
-        Where callers wait, only the shares of those who wait count: an account
-        cannot grow its capacity on another one's share.
-        """
-        waiting = {
-            row.client_account
-            for row in view.demand
-            if row.model == name and row.n_waiting > 0
-        }
-        shares = [
-            account.share
-            for account_name, account in view.configuration.client_accounts.items()
-            if (not account.models or name in account.models)
-            and (not waiting or account_name in waiting)
-        ]
-        n_slots = len(view.hosts_by_name) // max(model.hosts_per_group, 1)
-        allowed = math.floor(min(sum(shares), 1.0) * n_slots + 1e-9)
-        return len(view.groups_of(name)) < max(allowed, model.n_groups)
+
+def _n_allowed(name: str, model: Model, view: PlannerView, *, now_waiting: bool) -> int:
+    """Return the groups allowed by all accounts, or by those who wait if any do.
+
+    An account cannot grow its capacity on the share of another one.
+    """
+    waiting = {
+        row.client_account
+        for row in view.demand
+        if now_waiting and row.model == name and row.n_waiting > 0
+    }
+    shares = [
+        account.share
+        for account_name, account in view.configuration.client_accounts.items()
+        if (not account.models or name in account.models)
+        and (not waiting or account_name in waiting)
+    ]
+    n_slots = len(view.hosts_by_name) // max(model.hosts_per_group, 1)
+    allowed = math.floor(min(sum(shares), 1.0) * n_slots + 1e-9)
+    return max(allowed, model.n_groups)
--- a/ryelever/coordination/planner_forming.py
+++ b/ryelever/coordination/planner_forming.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.configuration import Model
     from ..state.placement import Group
     from .actions import Action
     from .planner_capacity import Capacity
@@ -36,23 +35,31 @@
 
     def form_more(self, look: Look) -> list[Action]:
         """Form one group beyond the declared ones, of hosts that are left over."""
-        name = self._capacity.next_to_grow(look.view, now=look.now)
-        if name is None or _is_settling(look):
+        if _is_settling(look):
             return []
-        wanted = self._capacity.is_wanted(name, now=look.now)
-        if _is_short(look) and not wanted:
-            return []
-        model = look.view.configuration.models[name]
-        members = look.choice.take(
-            model.hosts_per_group, n_spare=self._n_spare(model, look)
-        )
-        if members:
-            reason = "callers wait" if wanted else "hosts were idle"
-            return look.form(name, members, reason)
-        if wanted:
-            self._make_room(name, look)
+        reserved = _reserved_domains(look)
+        for name in self._capacity.growing(look.view, now=look.now):
+            wanted = self._capacity.is_wanted(name, now=look.now)
+            members = self._take_for_growth(name, reserved, look)
+            if members:
+                reason = "callers wait" if wanted else "hosts were idle"
+                return look.form(name, members, reason)
+            if wanted:
+                self._make_room(name, look)
         return []
 
+    def _take_for_growth(
+        self, name: str, reserved: set[str], look: Look
+    ) -> tuple[str, ...]:
+        model = look.view.configuration.models[name]
+
+        def n_spare(domain: str) -> int:
+            if domain in reserved:
+                return len(look.view.hosts_by_name)
+            return self._capacity.n_spare_hosts(domain, model, look.view)
+
+        return look.choice.take(model.hosts_per_group, n_spare=n_spare)
+
     def drain(self, look: Look) -> list[Action]:
         """Drain groups that are to end, one of a model at a time."""
         actions: list[Action] = []
@@ -67,21 +74,21 @@
             actions += look.drain(group, reason)
         return actions
 
-    def _n_spare(self, model: Model, look: Look) -> int:
-        hosts = look.view.hosts_by_name.values()
-        domains = [listed.fabric_domain for listed in hosts]
-        largest = max(map(domains.count, set(domains)), default=0)
-        return self._capacity.n_spare_hosts(
-            look.view, n_hosts=largest, n_members=model.hosts_per_group
-        )
-
     def _make_room(self, model: str, look: Look) -> None:
-        if not self._capacity.may_move(now=look.now):
+        is_move = look.n_missing(model) <= 0
+        if is_move and not self._capacity.may_move(now=look.now):
             return
-        donor = self._capacity.donor(look.view, look.current, model, now=look.now)
-        if donor is not None:
+        donors = self._capacity.donors(
+            look.view,
+            look.current,
+            model,
+            n_available_by_domain=look.choice.n_available_by_domain(look.current),
+            now=look.now,
+        )
+        for group in donors:
+            self._outgoing.give(group, f"makes room for {model}")
+        if donors:
             self._capacity.moved(now=look.now)
-            self._outgoing.give(donor, f"makes room for {model}")
 
 
 def _is_settling(look: Look) -> bool:
@@ -92,8 +99,23 @@
     )
 
 
-def _is_short(look: Look) -> bool:
-    return any(look.n_missing(name) > 0 for name in look.view.configuration.models)
+def _reserved_domains(look: Look) -> set[str]:
+    """Return the domains whose free hosts a missing declared group will need.
+
+    While a group makes room there, the hosts that are free already must not go to
+    another one: that one would have to make room in turn, and so on.
+    """
+    missing = [
+        model.hosts_per_group
+        for name, model in look.view.configuration.models.items()
+        if look.n_missing(name) > 0
+    ]
+    available = look.choice.n_available_by_domain(look.declared)
+    return {
+        domain
+        for domain, n_hosts in available.items()
+        if missing and n_hosts >= min(missing)
+    }
 
 
 def _waits_for_successor(group: Group, look: Look) -> bool:
--- a/ryelever/coordination/planner_hosts.py
+++ b/ryelever/coordination/planner_hosts.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..state.placement import Group
     from .planner_health import HostHealth
     from .planner_orders import Orders
@@ -50,13 +52,21 @@
         for hosts in self.free_by_domain.values():
             hosts.sort(key=self._is_straggler)
 
-    def can_take(self, n_hosts: int, *, n_spare: int = 0) -> bool:
-        """Tell whether a domain has that many free hosts and spares besides."""
-        return self._best_domain(n_hosts, n_spare) is not None
+    def can_take(self, n_hosts: int) -> bool:
+        """Tell whether a domain has that many free hosts."""
+        return self._best_domain(n_hosts, _no_spare) is not None
+
+    def take(
+        self, n_hosts: int, *, n_spare: Callable[[str], int] | None = None
+    ) -> tuple[str, ...]:
+        """Take free hosts of the domain that they fill best, or none at all.
 
-    def take(self, n_hosts: int, *, n_spare: int = 0) -> tuple[str, ...]:
-        """Take free hosts of the domain that they fill best, or none at all."""
-        domain = self._best_domain(n_hosts, n_spare)
+        Parameters
+        ----------
+        n_spare : callable, optional
+            Return how many hosts of a domain to leave.
+        """
+        domain = self._best_domain(n_hosts, n_spare or _no_spare)
         if domain is None:
             return ()
         return self._take_from(domain, n_hosts)
@@ -78,6 +88,16 @@
             return ()
         return members + self._take_from(domain, n_missing)
 
+    def n_available_by_domain(self, groups: list[Group]) -> dict[str, int]:
+        """Count usable hosts outside of some groups, free already or soon."""
+        bound = {host for group in groups for host in group.members}
+        counts: dict[str, int] = {}
+        for host, listed in self._view.hosts_by_name.items():
+            if host not in bound and self._is_usable(host):
+                domain = listed.fabric_domain
+                counts[domain] = counts.get(domain, 0) + 1
+        return counts
+
     def must_wait_for_orders(self, group: Group) -> bool:
         """Tell whether a survivor may still obey an old order; it soon may not."""
         return not all(map(self._orders_expired, self.survivors(group)))
@@ -90,11 +110,11 @@
             if self._is_usable(host) and not self._is_straggler(host)
         )
 
-    def _best_domain(self, n_hosts: int, n_spare: int) -> str | None:
+    def _best_domain(self, n_hosts: int, n_spare: Callable[[str], int]) -> str | None:
         fits = [
             domain
             for domain, hosts in sorted(self.free_by_domain.items())
-            if len(hosts) >= n_hosts + n_spare
+            if len(hosts) >= n_hosts + n_spare(domain)
         ]
         if not fits:
             return None
@@ -130,3 +150,7 @@
         return self._orders.expired(
             host, self._view, held_since=self._held_since, now=self._now
         )
+
+
+def _no_spare(domain: str) -> int:
+    return 0
--- a/ryelever/coordination/planner_look.py
+++ b/ryelever/coordination/planner_look.py
@@ -76,6 +76,15 @@
         n_wanted = self.view.configuration.models[model].n_groups
         return n_wanted - n_current - self.decisions.n_forming(model)
 
+    @property
+    def declared(self) -> list[Group]:
+        """Return the current groups within the declared numbers."""
+        groups: list[Group] = []
+        for name, model in self.view.configuration.models.items():
+            own = [group for group in self.current if group.model == name]
+            groups += own[: model.n_groups]
+        return groups
+
     def is_short_above(self, model: str) -> bool:
         """Tell whether a more important model lacks declared groups."""
         names = [name for name, _ in self.models_by_priority]
--- a/ryelever/coordination/planner_orders.py
+++ b/ryelever/coordination/planner_orders.py
@@ -49,8 +49,16 @@
         newest = max(held_since, self._join_sent_at_by_host.get(host, _NEVER))
         return now > newest + self._limits.order_window * CLOCK_RATE_MARGIN
 
-    def join(self, group: Group, view: PlannerView, *, now: float) -> list[Action]:
-        """Order the members of a group that are not in it yet to join."""
+    def join(
+        self, group: Group, view: PlannerView, *, now: float, again: bool = False
+    ) -> list[Action]:
+        """Order the members of a group that are not in it yet to join.
+
+        Parameters
+        ----------
+        again : bool
+            Also order members whose engine reports this group broken.
+        """
         members = tuple(
             view.hosts_by_name[host].address
             for host in group.members
@@ -63,7 +71,9 @@
         actions: list[Action] = []
         for rank, host in enumerate(group.members):
             report = view.confirmations.fresh(host, now=now)
-            if report is None or report.fencing >= group.fencing:
+            broken = report is not None and report.state == "broken"
+            rejoins = again and broken and report.fencing == group.fencing
+            if report is None or not (rejoins or report.fencing < group.fencing):
                 continue
             if not self._due(host, now=now):
                 continue
--- a/ryelever/coordination/planner_outgoing.py
+++ b/ryelever/coordination/planner_outgoing.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from .planner_capacity import n_allowed
+
 if TYPE_CHECKING:
     from ..state.placement import Group
     from .planner_health import HostHealth
@@ -41,12 +43,10 @@
             for name, group in live.items()
             if group.draining
         }
-        waiting = {row.model for row in view.demand if row.n_waiting > 0}
         self._surplus_since_by_model = {
             name: self._surplus_since_by_model.get(name, now)
             for name, model in view.configuration.models.items()
-            if name not in waiting
-            and len(self._matching(name, view, now=now)) > model.n_groups
+            if len(self._matching(name, view, now=now)) > n_allowed(name, model, view)
         }
 
     def give(self, group: Group, reason: str) -> None:
@@ -97,12 +97,11 @@
     def _reason_surplus(self, group: Group, view: PlannerView, *, now: float) -> str:
         model = view.configuration.models[group.model]
         since = self._surplus_since_by_model.get(group.model)
-        weights = view.configuration.weights
-        keeps = weights.stranded_accelerators >= weights.group_downtime
-        if keeps or since is None or now - since < self._limits.idle_hold:
+        if since is None or now - since < self._limits.idle_hold:
             return ""
-        older = self._matching(group.model, view, now=now)[: model.n_groups]
-        return "" if group in older else "more groups than declared"
+        older = self._matching(group.model, view, now=now)
+        kept = older[: n_allowed(group.model, model, view)]
+        return "" if group in kept else "more groups than declared"
 
     def _matching(self, model: str, view: PlannerView, *, now: float) -> list[Group]:
         """Return a model's groups that are to stay, were there not too many.
--- a/ryelever/coordination/planner_view.py
+++ b/ryelever/coordination/planner_view.py
@@ -53,10 +53,6 @@
         Shortest time between two moves of capacity.
     max_loading : int
         Hosts that load weights at once, unless one group alone has more.
-    failures_a_day : float
-        Failures of one host that are expected in a day.
-    host_return_time : float
-        Time until the platform replaces a host.
     """
 
     member_timeout: float = 1.0
@@ -70,8 +66,6 @@
     idle_hold: float = 30.0
     move_interval: float = 60.0
     max_loading: int = 8
-    failures_a_day: float = 0.32
-    host_return_time: float = 3600.0
 
     @property
     def dead_after(self) -> float:
