--- /dev/null
+++ b/tests/test_system/test_repair.py
@@ -0,0 +1,134 @@
+"""Test repair with real processes: what only signals can show."""
+
+from __future__ import annotations
+
+import signal
+from typing import Any
+
+import pytest
+
+from ..processes import EntryHost, Fleet, wait_until
+
+HOSTS = tuple(f"h{number}" for number in range(5))
+
+
+@pytest.fixture(params=["checks", "ignores"])
+def zone(fleet: Fleet, request: pytest.FixtureRequest) -> Fleet:
+    """Start one group, a spare host and two entry hosts, for both kinds of engine."""
+    fleet.start_platform()
+    flag = "--checks-fencing" if request.param == "checks" else "--no-checks-fencing"
+    fleet.start_engines(*HOSTS, zone="z", domain="d", arguments=(flag,))
+    for row in fleet.listed_by_name.values():
+        row["checks_fencing"] = request.param == "checks"
+    fleet.publish_list()
+    fleet.publish(
+        {
+            "models": {"notes": {"version": "v1"}},
+            "client_accounts": {"pawroute": fleet.account("pawroute")},
+        }
+    )
+    for name in ("e1", "e2"):
+        fleet.start_entry(name, zone="z", lease_term=3.0)
+    wait_until(lambda: _members(fleet), what="the group is whole everywhere")
+    return fleet
+
+
+def _members(fleet: Fleet, *entries: EntryHost) -> tuple[str, ...]:
+    """Return the members of the one group that all entry hosts call whole."""
+    seen = set()
+    for entry in entries or fleet.entries_by_name.values():
+        whole = [group for group in entry.dump()["groups"] if group["whole"]]
+        if len(whole) != 1:
+            return ()
+        seen.add(tuple(whole[0]["members"]))
+    return seen.pop() if len(seen) == 1 else ()
+
+
+def _holder(fleet: Fleet) -> str:
+    lease = next(iter(fleet.entries_by_name.values())).dump()["leases"]["z"]
+    return lease["holder"].partition("/")[0]
+
+
+def _hosts(entry: EntryHost) -> dict[str, Any]:
+    return entry.dump()["hosts"]
+
+
+def test_killed_member_is_replaced_and_told_to_operators(zone: Fleet) -> None:
+    """Kill a member.
+
+    Symptom: the group stays down.  Sequence: SIGKILL of one engine.  Cause: nobody
+    replaces it.
+    """
+    before = _members(zone)
+    lost = before[2]
+    zone.processes_by_name[lost].kill()
+    members = wait_until(
+        lambda: (now := _members(zone)) and lost not in now and now,
+        what="a spare host has taken the place",
+    )
+    assert set(members) == set(HOSTS) - {lost}
+    for entry in zone.entries_by_name.values():
+        wait_until(
+            lambda entry=entry: any(
+                lost in line["cause"] and line["outcome"].startswith("serves since")
+                for line in entry.dump()["repairs"]
+            ),
+            what="the repair is told with its outcome",
+        )
+
+
+def test_paused_member_returns_and_is_not_counted(zone: Fleet) -> None:
+    """Pause a member until it is replaced, then let it go on.
+
+    Symptom: one host in two groups.  Sequence: SIGSTOP, replacement, SIGCONT; orders
+    and questions of the whole pause wait in its sockets.  Cause: the member goes on
+    as if nothing had happened.
+    """
+    lost = _members(zone)[1]
+    zone.processes_by_name[lost].send(signal.SIGSTOP)
+    members = wait_until(
+        lambda: (now := _members(zone)) and lost not in now and now,
+        what="a spare host has taken the place",
+    )
+    zone.processes_by_name[lost].send(signal.SIGCONT)
+    entry = next(iter(zone.entries_by_name.values()))
+    wait_until(
+        lambda: _hosts(entry)[lost]["reported"] == "idle", what="the member has left"
+    )
+    assert _members(zone) == members
+
+
+def test_paused_holder_does_nothing_on_waking(zone: Fleet) -> None:
+    """Pause the holder of the lease while a member dies.
+
+    Symptom: two planners order the same hosts.  Sequence: SIGSTOP of the holder,
+    SIGKILL of a member, the other one takes over and repairs, SIGCONT.  Cause: the
+    holder goes on with what it knew.
+    """
+    name = _holder(zone)
+    other = next(
+        entry for known, entry in zone.entries_by_name.items() if known != name
+    )
+    lost = _members(zone)[3]
+    paused = zone.processes_by_name[name]
+    paused.send(signal.SIGSTOP)
+    zone.processes_by_name[lost].kill()
+    members = wait_until(
+        lambda: (now := _members(zone, other)) and lost not in now and now,
+        what="the other planner has repaired the group",
+    )
+    n_orders = len(paused.events("order_sent"))
+    paused.send(signal.SIGCONT)
+    wait_until(lambda: _members(zone) == members, what="both agree again")
+    assert len(paused.events("order_sent")) == n_orders
+    streams = other.dump()["streams"]["placement-z"]
+    assert all("lease" in row["reason"] for row in streams["ignored"])
+
+
+def test_lease_is_returned_on_graceful_shutdown(zone: Fleet) -> None:
+    """Stop the holder in good order; the other one takes over at once."""
+    name = _holder(zone)
+    holder = zone.entries_by_name.pop(name)
+    assert holder.process.stop() == 0
+    assert holder.process.events("lease_given_back")
+    wait_until(lambda: _holder(zone) != name, what="the other planner holds the lease")
