--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measure ryelever; figures go to the pages in docs/."""
+"""Measure ryelever; each module says what it measures and how to run it."""
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -15,8 +15,8 @@
 from .coordination.planner_view import ModelDemand, PlannerView
 from .events import HostReported, append_record, host_reported
 from .logs import log_event, log_warning
-from .protocol.backend import Order, read_report
-from .protocol.json_codec import encode
+from .protocol.backend import Order
+from .protocol.outside import HTTP_ENGINE
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -25,6 +25,7 @@
     from .coordination.confirmation import Confirmations
     from .coordination.planner import Planner
     from .events import OutboundAnswer, OutboundFailure
+    from .protocol.outside import EngineInterface
     from .settings import Settings
     from .state.configuration_fold import ConfigurationFold
     from .state.fleet import ListedHost
@@ -32,6 +33,10 @@
 
 __all__ = ["Planning", "demand_of"]
 
+#: Seconds between two looks.  Reports come every 0.5 s, so more looks would see little
+#: that is new; docs/PLANNING.md gives the cost of one.
+PLAN_INTERVAL = 0.2
+
 #: Seconds that a graceful shutdown waits for the lease's return to be read back.
 RETURN_TIMEOUT = 2.0
 
@@ -52,8 +57,10 @@
         confirmations: Confirmations,
         placements_by_zone: dict[str, PlacementFold],
         demand: Callable[[], tuple[ModelDemand, ...]],
+        engine: EngineInterface = HTTP_ENGINE,
     ) -> None:
         super().__init__()
+        self._engine = engine
         self._settings = settings
         self._planner = planner
         self._configuration = configuration
@@ -62,6 +69,7 @@
         self._confirmations = confirmations
         self._demand = demand
         self._returns_until = 0.0
+        self._plan_at = 0.0
         self.repairs = Repairs(
             placements_by_zone=placements_by_zone, confirmations=confirmations
         )
@@ -79,10 +87,13 @@
     @handler("control_tick")
     def _on_control_tick(self) -> None:
         now = time.monotonic()
+        if now < self._plan_at:
+            return
+        self._plan_at = now + PLAN_INTERVAL
         self.repairs.observe(now=now)
         self._do(self._planner.tick(self._view(), now=now))
 
-    @handler("drain", channel="application")
+    @handler("drain")
     def _on_drain(self) -> None:
         now = time.monotonic()
         actions = self._planner.give_back_lease(self._view(), now=now)
@@ -134,19 +145,20 @@
             group=action.group,
             fencing=action.fencing,
         )
+        call = self._engine.order(order)
         self.ask(
             Question(kind="order", subject=action.host),
-            method="POST",
+            method=call.method,
             address=action.address,
-            path="/v1/orders",
-            body=encode(order),
+            path=call.path,
+            body=call.body,
             step="order",
             progress_timeout=self._settings.progress_timeout,
         )
 
     def answered(self, question: Question, answer: OutboundAnswer) -> None:
         """Take the host's report of how it obeyed."""
-        report = read_report(answer.body, peer=answer.address)
+        report = self._engine.host_report(answer.body, peer=answer.address)
         if answer.status != 200 or report.is_error():
             log_warning("order_refused", host=question.subject, status=answer.status)
             return
