--- a/ryelever/coordination/planner_orders.py
+++ b/ryelever/coordination/planner_orders.py
@@ -34,6 +34,7 @@
         self._ordered_at_by_host: dict[str, float] = {}
         self._join_sent_at_by_host: dict[str, float] = {}
         self._started_at_by_group: dict[str, float] = {}
+        self._loading: tuple[float, int] = (_NEVER, 0)
 
     def expired(
         self, host: str, view: PlannerView, *, held_since: float, now: float
@@ -140,13 +141,21 @@
         # fabric domain is back, each would be late; in turn, most are early.
         if group.name in self._started_at_by_group:
             return True
-        n_loading = sum(
-            not view.confirmations.confirms(host, other, now=now)
-            for other in view.live_groups
-            if other.name in self._started_at_by_group
-            for host in other.members
-        )
+        n_loading = self._n_loading(view, now=now)
         if n_loading and n_loading + len(group.members) > self._limits.max_loading:
             return False
         self._started_at_by_group[group.name] = now
+        self._loading = (now, n_loading + len(group.members))
         return True
+
+    def _n_loading(self, view: PlannerView, *, now: float) -> int:
+        # Counted once a look: groups that wait their turn ask one by one.
+        if self._loading[0] != now:
+            n_loading = sum(
+                not view.confirmations.confirms(host, group, now=now)
+                for group in view.live_groups
+                if group.name in self._started_at_by_group
+                for host in group.members
+            )
+            self._loading = (now, n_loading)
+        return self._loading[1]
