--- /dev/null
+++ b/tests/test_coordination/test_planner_claims.py
@@ -0,0 +1,93 @@
+"""Test which records of placement take effect."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.state.placement import PlacementFold
+from ryelever.state.records import (
+    Entry,
+    GroupDissolved,
+    GroupDraining,
+    GroupFormed,
+    HostReleased,
+    LeaseTaken,
+    Record,
+)
+
+LEASE = LeaseTaken(holder="a", term=6.0)
+DISSOLVED = GroupDissolved(group="g", lease=0)
+DRAINING = GroupDraining(group="g", lease=0, reason="version v2 is declared")
+
+
+def _formed(group: str, *members: str, lease: int = 0, replaces: str = "") -> Record:
+    return GroupFormed(
+        group=group,
+        model="m",
+        version="v1",
+        adapters=(),
+        members=members,
+        lease=lease,
+        configuration_version=0,
+        replaces=replaces,
+    )
+
+
+def _released(host: str) -> Record:
+    return HostReleased(group="g", host=host, lease=0, evidence="left")
+
+
+G = _formed("g", "h1", "h2")
+TAKEN_OVER = _formed("n", "h1", "h3", replaces="g")
+
+ROWS = [
+    ("one host in two groups", [G, _formed("n", "h2", "h3")], "belongs to group g"),
+    ("a host twice in one group", [_formed("g", "h1", "h1")], "named twice"),
+    ("name used again", [G, _formed("g", "h3")], "exists already"),
+    (
+        "old lease",
+        [G, LeaseTaken(holder="b", term=6.0, previous=0), DISSOLVED],
+        "lease",
+    ),
+    ("racing lease", [LeaseTaken(holder="b", term=6.0, previous=-1)], "lease 0"),
+    ("released while it serves", [G, _released("h1")], "not dissolved"),
+    ("used before its release", [G, DISSOLVED, _formed("n", "h1")], "belongs to"),
+    ("used after its release", [G, DISSOLVED, _released("h1"), _formed("n", "h1")], ""),
+    ("released twice", [G, DISSOLVED, _released("h1"), _released("h1")], "not claimed"),
+    ("taken over", [G, TAKEN_OVER], ""),
+    (
+        "taken over twice",
+        [G, TAKEN_OVER, _formed("o", "h2", replaces="g")],
+        "not there",
+    ),
+    ("survivor released", [G, TAKEN_OVER, _released("h1")], "not claimed"),
+    ("third group's host", [G, _formed("o", "h3"), TAKEN_OVER], "belongs to group o"),
+    ("dead member released", [G, TAKEN_OVER, _released("h2"), _formed("o", "h2")], ""),
+    ("drained", [G, DRAINING], ""),
+    ("drained twice", [G, DRAINING, DRAINING], "not there"),
+    ("drained after its end", [G, DISSOLVED, DRAINING], "not there"),
+]
+
+
+@pytest.mark.parametrize(
+    ("records", "reason"), [row[1:] for row in ROWS], ids=[row[0] for row in ROWS]
+)
+def test_last_record_takes_effect_or_is_ignored(
+    records: list[Record], reason: str
+) -> None:
+    """Fold the row's records after a lease at offset 0.
+
+    Symptom: one host in two groups, by the log itself.  Sequence: two planners
+    decide on what each has read.  Cause: a record takes effect unchecked.
+    """
+    fold = PlacementFold()
+    reasons = [
+        fold.apply(Entry(offset=offset, time=0.0, id=f"{offset}", record=record))
+        for offset, record in enumerate([LEASE, *records])
+    ]
+    assert reasons[:-1] == [None] * len(records)
+    assert (reasons[-1] is None) if not reason else reason in reasons[-1]
+    claims = [
+        host for group in fold.groups_by_name.values() for host in group.unreleased
+    ]
+    assert sorted(claims) == sorted(fold.group_by_host)
--- a/tests/test_system/test_repair.py
+++ b/tests/test_system/test_repair.py
@@ -5,6 +5,7 @@
 import signal
 from typing import Any
 
+import httpx
 import pytest
 
 from ..processes import EntryHost, Fleet, wait_until
@@ -137,3 +138,58 @@
     assert holder.process.stop() == 0
     assert holder.process.events("lease_given_back")
     wait_until(lambda: _holder(zone) != name, what="the other planner holds the lease")
+
+
+@pytest.mark.parametrize(
+    ("checks_fencing", "window_ms", "obeyed", "refused_as"),
+    [
+        (True, 60_000, "new", "n_stale_orders"),
+        (True, 100, "new", "n_expired_orders"),
+        (False, 100, "new", "n_expired_orders"),
+        # Why the planner forms no new group before old orders have expired.
+        (False, 60_000, "old", None),
+    ],
+)
+def test_order_that_lingers_before_an_engine(
+    fleet: Fleet,
+    checks_fencing: bool,
+    window_ms: int,
+    obeyed: str,
+    refused_as: str | None,
+) -> None:
+    """Let an order to join arrive after the host has joined another group.
+
+    Symptom: a healthy host leaves its whole group.  Sequence: an order lingers on
+    its way, its group ends, the host joins another, the order arrives.  Cause: the
+    engine obeys what comes last, unless number or deadline tells.
+    """
+    flag = "--checks-fencing" if checks_fencing else "--no-checks-fencing"
+    address = fleet.start_standin("h", "engine", "--host", "h", flag)
+    report = httpx.get(f"http://{address}/v1/report").json()
+    old = _join(address, group="old", fencing=1)
+    old["expires_ms"] = report["clock_ms"] + window_ms
+    fleet.control("h", order_delay=1.0)
+    assert httpx.post(f"http://{address}/v1/orders", json=old).status_code == 504
+    new = _join(address, group="new", fencing=2)
+    assert httpx.post(f"http://{address}/v1/orders", json=new).status_code == 200
+    if refused_as:
+        wait_until(lambda: fleet.counts("h")[refused_as] == 1, what="it was refused")
+    wait_until(
+        lambda: httpx.get(f"http://{address}/v1/report").json()["group"] == obeyed,
+        what=f"the host is in {obeyed}",
+    )
+
+
+def _join(address: str, *, group: str, fencing: int) -> dict[str, Any]:
+    return {
+        "id": group,
+        "kind": "join",
+        "group": group,
+        "fencing": fencing,
+        "rank": 0,
+        "members": [address],
+        "model": "m",
+        "version": "v1",
+        "adapters": [],
+        "expires_ms": 0,
+    }
