--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,6 +29,9 @@
 PEER_KEY = "peer-key-of-the-tests"
 OPERATOR_KEY = "operator-key-of-the-tests"
 
+#: What the interpreter is given to run ryelever from its source.
+SOURCE_PROGRAM = ("-m", "ryelever")
+
 
 def wait_until(
     condition: Callable[[], Any], *, what: str, timeout: float = PATIENCE
@@ -356,11 +359,17 @@
         name: str,
         *,
         zone: str,
-        program: tuple[str, ...] = ("-m", "ryelever"),
+        program: tuple[str, ...] = SOURCE_PROGRAM,
         **settings: Any,
     ) -> EntryHost:
+<<<<<<< HEAD
         """Start an entry host on a free port."""
         return self.start_entries(name, zone=zone, program=program, **settings)[0]
+=======
+        """Start an entry host on a free port, also from another program file."""
+        self._launch_entry(name, zone=zone, settings=settings, program=program)
+        return self._await_entry(name, zone=zone)
+>>>>>>> main
 
     def start_entries(
         self,
@@ -379,8 +388,13 @@
         name: str,
         *,
         zone: str,
+<<<<<<< HEAD
         program: tuple[str, ...],
         settings: dict[str, Any],
+=======
+        settings: dict[str, Any],
+        program: tuple[str, ...] = SOURCE_PROGRAM,
+>>>>>>> main
     ) -> None:
         values = {
             "host": name,
