--- a/tests/processes.py
+++ b/tests/processes.py
@@ -362,25 +362,14 @@
         program: tuple[str, ...] = SOURCE_PROGRAM,
         **settings: Any,
     ) -> EntryHost:
-<<<<<<< HEAD
-        """Start an entry host on a free port."""
-        return self.start_entries(name, zone=zone, program=program, **settings)[0]
-=======
         """Start an entry host on a free port, also from another program file."""
         self._launch_entry(name, zone=zone, settings=settings, program=program)
         return self._await_entry(name, zone=zone)
->>>>>>> main
 
-    def start_entries(
-        self,
-        *names: str,
-        zone: str,
-        program: tuple[str, ...] = ("-m", "ryelever"),
-        **settings: Any,
-    ) -> list[EntryHost]:
+    def start_entries(self, *names: str, zone: str, **settings: Any) -> list[EntryHost]:
         """Start several entry hosts at the same time."""
         for name in names:
-            self._launch_entry(name, zone=zone, program=program, settings=settings)
+            self._launch_entry(name, zone=zone, settings=settings)
         return [self._await_entry(name, zone=zone) for name in names]
 
     def _launch_entry(
@@ -388,13 +377,8 @@
         name: str,
         *,
         zone: str,
-<<<<<<< HEAD
-        program: tuple[str, ...],
-        settings: dict[str, Any],
-=======
         settings: dict[str, Any],
         program: tuple[str, ...] = SOURCE_PROGRAM,
->>>>>>> main
     ) -> None:
         values = {
             "host": name,
