--- a/tests/test_coordination/test_fencing.py
+++ b/tests/test_coordination/test_fencing.py
@@ -147,8 +147,11 @@
     assert watch.broken == []
 
 
+@pytest.mark.parametrize("delay", [1.6, 1.8, 2.0, 2.2, 2.4])
 @pytest.mark.parametrize("checks_fencing", [True, False])
-def test_next_holder_waits_out_the_orders_of_the_last(checks_fencing: bool) -> None:
+def test_next_holder_waits_out_the_orders_of_the_last(
+    checks_fencing: bool, delay: float
+) -> None:
     """Let an order of the former holder arrive after the next one has repaired.
 
     Symptom: as above, by two planners.  Sequence: the holder orders a group to
@@ -158,11 +161,11 @@
     zone = _zone(checks_fencing, n_planners=2)
     watch = _Watch(zone)
     first, _ = zone.planners
-    zone.order_fate = lambda order: (0.0, 2.0) if order in first.sent else (0.0,)
+    zone.order_fate = lambda order: (0.0, delay) if order in first.sent else (0.0,)
     zone.run_until(lambda: first.sent, at_most=5)
     zone.run(0.2)
     zone.do(first, first.planner.give_back_lease(zone.view(first), now=zone.now))
-    zone.run(0.3)
+    zone.run_until(zone.groups, at_most=2)
     zone.engines_by_host["a-0"].refuses = True
     first.paused = True
     zone.run(20)
--- a/tests/test_coordination/test_planner_change.py
+++ b/tests/test_coordination/test_planner_change.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -188,3 +189,25 @@
     assert len(zone.truth.groups_by_name) == 1
     _busy(zone, 0)
     zone.run_until(lambda: not zone.truth.groups_by_name, at_most=5)
+
+
+def test_slow_log_gets_each_decision_once() -> None:
+    """Take a second for each append.
+
+    Symptom: the log is flooded by one decision, all but the first ignored.
+    Sequence: the log is slow, the planner looks on.  Cause: a decision that was not
+    read back counts as not made.
+    """
+    zone = _zone(a=4, b=4)
+    zone.append_fate = lambda _: (0.9,)
+    n_known = len(zone.entries)
+    _declare(zone, _new_version)
+    zone.run(30)
+    kinds = Counter(type(entry.record).__name__ for entry in zone.entries[n_known:])
+    del kinds["LeaseTaken"]
+    assert kinds == {
+        "GroupFormed": 1,
+        "GroupDraining": 1,
+        "GroupDissolved": 1,
+        "HostReleased": 4,
+    }
--- a/tests/test_coordination/test_planner_repair.py
+++ b/tests/test_coordination/test_planner_repair.py
@@ -16,10 +16,18 @@
 WITH_SPARE = ("a-0", "a-1", "a-2", "a-4")
 
 
-def _zone(*, n_groups: int = 1, checks_fencing: bool = True, **domains: int) -> Zone:
+def _zone(
+    *,
+    n_groups: int = 1,
+    checks_fencing: bool = True,
+    hosts_per_group: int = 4,
+    **domains: int,
+) -> Zone:
     # Downtime alone counts, so that spare hosts stay idle and rows stay small.
     configuration = Configuration(
-        models={"m": Model(version="v1", n_groups=n_groups)},
+        models={
+            "m": Model(version="v1", n_groups=n_groups, hosts_per_group=hosts_per_group)
+        },
         weights=Weights(group_downtime=1.0, stranded_accelerators=0.0),
     )
     zone = Zone(
@@ -354,3 +362,55 @@
     assert replaced.outcome.startswith("serves since ")
     assert freed.cause == "dead" and freed.decision == "freed a-3 without its word"
     assert freed.outcome.startswith("all its hosts were free after")
+
+
+def _lose_orders_to_leave(zone: Zone) -> None:
+    zone.order_fate = lambda order: () if order.kind == "leave" else (0.0,)
+
+
+def test_host_that_has_not_left_stays_claimed() -> None:
+    """Lose every order to leave.
+
+    Symptom: a host is free by the log while it serves its old group.  Sequence: a
+    model is withdrawn, the orders to leave are lost.  Cause: a host counts as gone
+    because it was told to go.
+    """
+    zone = _in_domain_a(_zone(a=4))
+    _lose_orders_to_leave(zone)
+    zone.configuration = Configuration()
+    zone.run(30)
+    assert sorted(zone.truth.group_by_host) == list(WHOLE)
+    zone.order_fate = lambda _: (0.0,)
+    zone.run(3)
+    assert zone.truth.group_by_host == {}
+
+
+def test_host_that_still_reports_a_group_is_not_chosen() -> None:
+    """Lose the order to leave to a host that was shown dead and is back.
+
+    Symptom: a host serves in two groups.  Sequence: a member is cut off, freed as
+    dead, and back in its old group; a group lacks a member.  Cause: free by the log
+    is taken for free.
+    """
+    zone = _in_domain_a(_zone(a=5))
+    _silence(zone, "a-3")
+    zone.run(20)
+    _lose_orders_to_leave(zone)
+    _refuse(zone, "a-4")
+    _wake(zone, "a-3")
+    zone.run(20)
+    assert zone.group_of("a-3") == "" and zone.groups() == []
+    zone.order_fate = lambda _: (0.0,)
+    zone.run_until(lambda: zone.groups() == [("a-0", "a-1", "a-2", "a-3")], at_most=9)
+
+
+def test_restart_is_told_by_the_boot_id_alone() -> None:
+    """Restart a host whose group has no other member to miss it.
+
+    Symptom: operators see a group reload for no cause.  Sequence: an engine restarts
+    between two reports.  Cause: it was never missing, only new.
+    """
+    zone = _zone(a=1, hosts_per_group=1)
+    zone.engines_by_host["a-0"].restart()
+    zone.run_until(lambda: zone.kinds() == ["formed", "formed"], at_most=2)
+    assert zone.truth.changes[-1].reason == "a-0 was restarted"
