--- a/ryelever/state/placement.py
+++ b/ryelever/state/placement.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import copy
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from .fold import BaseFold
 from .records import (
@@ -13,14 +16,17 @@
     GroupFormed,
     HostReleased,
     LeaseTaken,
-    PlacementSnapshot,
+    SnapshotPart,
 )
 
-__all__ = ["Group", "Lease", "PlacementChange", "PlacementFold"]
+__all__ = ["Group", "Lease", "PlacementChange", "PlacementFold", "PlacementSnapshot"]
 
 #: How many changes are kept for the operator.
 N_KEPT_CHANGES = 200
 
+#: Groups in one part of a snapshot.
+GROUPS_PER_PART = 200
+
 
 @dataclass(slots=True, kw_only=True)
 class Group:
@@ -53,6 +59,11 @@
     draining_reason: str = ""
     dissolved_at: int = -1
 
+    @property
+    def adapter_names(self) -> tuple[str, ...]:
+        """Return the adapters without their versions."""
+        return tuple(adapter.partition("@")[0] for adapter in self.adapters)
+
     @property
     def draining(self) -> bool:
         """Tell whether the group finishes its requests and takes no new ones."""
@@ -100,9 +111,19 @@
     term: float
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlacementSnapshot(SnapshotPart):
+    """Repeat a piece of one zone's placement."""
+
+    lease: Lease | None = None
+    groups: tuple[Group, ...] = ()
+
+
 class PlacementFold(BaseFold):
     """Keep which hosts belong to which group in one availability zone."""
 
+    snapshot_class = PlacementSnapshot
+
     def __init__(self) -> None:
         super().__init__()
         self.lease: Lease | None = None
@@ -122,11 +143,32 @@
                 return self._apply_dissolved(entry, entry.record)
             case HostReleased():
                 return self._apply_released(entry, entry.record)
-            case PlacementSnapshot():
-                return None
             case _:
                 return "not a record of placement"
 
+    def _contents(self) -> list[dict[str, Any]]:
+        # Copied: a part is encoded later, and must not follow what happens by then.
+        groups = copy.deepcopy(list(self.groups_by_name.values()))
+        starts = range(0, max(1, len(groups)), GROUPS_PER_PART)
+        return [
+            {
+                "lease": self.lease,
+                "groups": tuple(groups[start : start + GROUPS_PER_PART]),
+            }
+            for start in starts
+        ]
+
+    def _restore(self, parts: Sequence[SnapshotPart]) -> None:
+        self.lease = parts[0].lease
+        self.groups_by_name = {
+            group.name: group for part in parts for group in part.groups
+        }
+        self.group_by_host = {
+            host: group.name
+            for group in self.groups_by_name.values()
+            for host in group.unreleased
+        }
+
     def _apply_lease(self, entry: Entry, record: LeaseTaken) -> str | None:
         current = self.lease.offset if self.lease is not None else -1
         if record.previous != current:
