--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -19,6 +19,7 @@
 from .coordination.planner import Planner
 from .coordination.quarantine import Quarantine
 from .coordination.requests import RequestTable, Timeouts
+from .coordination.requests_state import RequestState
 from .coordination.retry import RetryBudget
 from .coordination.routing import AffinityRouter
 from .coordination.routing_feedback import RoutingFeedback
@@ -32,7 +33,7 @@
 from .logs import log_event, log_warning
 from .metrics import Metrics
 from .peering import Peering
-from .planning import Planning
+from .planning import Planning, demand_of
 from .protocol.log import (
     CLAIMS_STREAM,
     CONFIGURATION_STREAM,
@@ -52,6 +53,7 @@
 from .transport.peers import Peers
 
 if TYPE_CHECKING:
+    from .coordination.planner_view import ModelDemand
     from .settings import Settings
     from .state.configuration import ClientAccount
     from .state.fold import BaseFold
@@ -112,6 +114,8 @@
             placement=self.placements_by_zone[settings.availability_zone],
             hosts_by_name=self.fleet.hosts_by_name,
             confirmations=self.confirmations,
+            placements_by_zone=self.placements_by_zone,
+            demand=self._demand,
         )
         self.account_limits = AccountLimits(n_hosts=self._n_entry_hosts)
         self.table = self._table(claims)
@@ -189,7 +193,13 @@
             stream=placement_stream(self.settings.availability_zone),
             new_id=_new_id,
             term=self.settings.lease_term,
-            member_timeout=self.settings.report_max_age,
+        )
+
+    def _demand(self) -> tuple[ModelDemand, ...]:
+        return demand_of(
+            request.arrival
+            for request in self.table.requests_by_id.values()
+            if request.state is RequestState.QUEUED
         )
 
     def _table(self, claims: Claims) -> RequestTable:
@@ -267,7 +277,8 @@
         ]
         return InFlight(
             n_requests=len(self.table.requests_by_id) + self.console.n_waiting,
-            n_appends=sum(len(stream.writer.pending_by_id) for stream in claims),
+            n_appends=sum(len(stream.writer.pending_by_id) for stream in claims)
+            + self.planning.gives_back_lease,
             n_unsent=self.callers.n_unsent(),
         )
 
--- a/ryelever/coordination/targets.py
+++ b/ryelever/coordination/targets.py
@@ -176,8 +176,7 @@
 
     def _may_serve(self, group: Group, *, now: float) -> bool:
         # A draining group ends what it runs and is then dissolved.
-        draining = getattr(group, "draining", False)
-        return not draining and self._confirmations.is_whole(group, now=now)
+        return not group.draining and self._confirmations.is_whole(group, now=now)
 
     def _is_leaving(self, host: str, *, now: float) -> bool:
         listed = self._hosts_by_name.get(host)
@@ -226,7 +225,7 @@
             for group in fold.groups_by_name.values():
                 if group.model != work.model or group.dissolved:
                     continue
-                if work.adapter and work.adapter not in group.adapters:
+                if work.adapter and work.adapter not in group.adapter_names:
                     continue
                 yield self._candidate(group.name, zone, group.members, group=group)
 
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -6,6 +6,7 @@
 import hmac
 import signal
 import time
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from circuits import BaseComponent, handler
@@ -141,6 +142,7 @@
             "streams": self._streams(now=now),
             "groups": self._groups(now=now),
             "leases": self._leases(now=now),
+            "repairs": [asdict(line) for line in application.planning.repairs.lines],
             "suspects": application.quarantine.describe(now=now),
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
