Order a cancel over a new connection

Cause: an attempt is given up because the path to its engine went silent, and the order to cancel it went over an idle connection of the same silent path.

Ruled out: the stand-in between the two, which silences only what is open.

Before: the new table test fails (index 1: ('cancel', False)).

--- a/ryelever/attempts.py
+++ b/ryelever/attempts.py
@@ -162,6 +162,9 @@
             body=call.body,
             reply_channel=NOBODY,
             step="cancel",
+            # An idle connection to this engine went the way that has just gone
+            # silent; the order would vanish in it, and nobody asks for its answer.
+            fresh=True,
             progress_timeout=self._settings.progress_timeout,
         )
         self._fire(outbound_send(request), "http_client")
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,37 @@
+"""Test how attempts are sent and given up."""
+
+from __future__ import annotations
+
+from unittest.mock import Mock
+
+from ryelever.attempts import Attempts
+from ryelever.coordination.actions import Arrival, ChatWork, SendAttempt, Target
+from ryelever.events import OutboundRequest
+
+
+def test_cancel_goes_over_a_new_connection() -> None:
+    """Give an attempt up whose path to the engine has gone silent.
+
+    Symptom: an engine that generates to the end for nobody.  Sequence: every open
+    connection to the engine goes silent, an attempt is given up, the order to cancel
+    it is sent over an idle one.  Cause: the idle connection is as dead as the other.
+    """
+    sent: list[OutboundRequest] = []
+    attempts = Attempts(
+        settings=Mock(progress_timeout=1.0, first_token_timeout=1.0),
+        table=Mock(),
+        fire=lambda event, channel: sent.extend(
+            message for message in event.args if isinstance(message, OutboundRequest)
+        ),
+    )
+    work = ChatWork(model="notes", messages=[], max_tokens=1, streamed=True)
+    arrival = Arrival(
+        request_id="r", client_account="a", work=work, arrived_at=0.0, deadline=1.0
+    )
+    target = Target(name="g", address="127.0.0.1:1")
+    attempts.send(SendAttempt(attempt_id="t", arrival=arrival, target=target))
+    attempts.cancel("t")
+    assert [(request.step, request.fresh) for request in sent] == [
+        ("generate", False),
+        ("cancel", True),
+    ]
