Keep sums over peers up to date instead of adding them up at each question

Cause: AccountLimits added up the rows of all peers whenever an account's part was older than 0.25 s, and GroupCapacity's count of waiting hosts did so for each request. At 390 hosts a part took 176 us and the count 26 us.

PeerDemands now changes the sums as rows come. Sums are integers (millionths of a request a second), since floats that are added and taken away leave a remainder.

The old figure of the benchmark was too good: it asked a second apart, so that after ten questions all peers were forgotten. It is replaced by one that keeps them heard.

Tests without their guards: rate kept as a float: test_changing_rows_leave_no_remainder fails; no check of the number: test_row_that_is_no_number_spoils_no_sum fails (OverflowError, ValueError); no move between sides, or no taking away of a forgotten peer: test_sums_equal_a_recount fails.

Conclusion: the cost of a request no longer grows with hosts; one pass over the peers four times a second is left.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -11,13 +11,18 @@
 
 import defopt
 
-from ryelever.coordination.limits_demand import FALL, SETTLE
+from ryelever.coordination.limits import AccountLimits
+from ryelever.coordination.limits_demand import FALL, SAMPLE, SETTLE
+from ryelever.state.observations import DemandRow
 
-from .limits_exchange import ACCOUNT, Exchange
+from .limits_exchange import Exchange
 
 #: Requests a second of one host in each case, relative to the limit.
 LIMIT = 400.0
 
+#: Client accounts in use at once when the cost is measured.
+N_ACCOUNTS = 100
+
 
 def main(
     *,
@@ -46,12 +51,13 @@
     print(f"{math.exp(SETTLE / FALL):.3f}")
     print(
         f"{'hosts':>5} {'case':>10} {'loss':>5} {'parts max':>9} {'mean':>6} "
-        f"{'admitted/limit':>14} {'even split':>10} {'us a part':>9}"
+        f"{'admitted/limit':>14} {'even split':>10}"
     )
     for n in n_hosts:
         for case in cases:
             for loss in losses:
                 _run(n, case, loss=loss, seed=seed, seconds=seconds)
+        _print_cost(n)
 
 
 def _run(n: int, case: str, *, loss: float, seed: int, seconds: float) -> None:
@@ -86,18 +92,43 @@
     print(
         f"{n:5d} {case:>10} {loss:5.0%} {max(parts):9.3f} "
         f"{sum(parts) / len(parts):6.3f} "
-        f"{(exchange.n_admitted() - n_before) / whole:14.3f} {even / whole:10.3f} "
-        f"{_cost(exchange) * 1e6:9.1f}"
+        f"{(exchange.n_admitted() - n_before) / whole:14.3f} {even / whole:10.3f}"
     )
 
 
-def _cost(exchange: Exchange, n_rounds: int = 50) -> float:
-    """Return the processor time of computing one part anew."""
-    limits = exchange.hosts[0].limits
-    started = time.process_time()
+def _print_cost(n: int, n_rounds: int = 20) -> None:
+    """Print the processor time at one host when all others tell all accounts."""
+    names = [f"account-{index}" for index in range(N_ACCOUNTS)]
+    limits = AccountLimits(n_hosts=lambda: n)
+    row_time = part_time = waiting_time = 0.0
     for index in range(n_rounds):
-        limits.rate(ACCOUNT, LIMIT, now=exchange.now + 1e-9 + index)
-    return (time.process_time() - started) / n_rounds
+        now = index * SAMPLE
+        rows = [
+            DemandRow(
+                client_account=name, rate=1.0 + index, n_in_flight=1, n_waiting=index
+            )
+            for name in names
+        ]
+        started = time.process_time()
+        for peer in range(n - 1):
+            for row in rows:
+                limits.observed(row, peer=f"host-{peer}", observed_at=now, now=now)
+        told = time.process_time()
+        for name in names:
+            limits.rate(name, LIMIT, now=now)
+        asked = time.process_time()
+        for _ in names:
+            limits.n_hosts_waiting(now=now)
+        row_time += told - started
+        part_time += asked - told
+        waiting_time += time.process_time() - asked
+    n_asked = n_rounds * N_ACCOUNTS
+    print(
+        f"{n:5d} hosts, {N_ACCOUNTS} accounts: {part_time / n_asked * 1e6:.1f} us a "
+        f"part, {part_time / n_asked * N_ACCOUNTS / SAMPLE:.2%} of a core for all "
+        f"parts each {SAMPLE:g} s; {waiting_time / n_asked * 1e6:.1f} us for the "
+        f"hosts waiting; {row_time / n_asked / (n - 1) * 1e6:.1f} us to take a row"
+    )
 
 
 if __name__ == "__main__":
--- a/ryelever/coordination/limits.py
+++ b/ryelever/coordination/limits.py
@@ -16,11 +16,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..state.observations import DemandRow
 from .limits_demand import SAMPLE, Demand, OwnDemand
+from .limits_peers import HEARTBEAT, PeerDemands
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,31 +33,16 @@
 #: Part of each limit that is spread evenly, so that new demand finds something.
 EVEN = 0.05
 
-#: Seconds without a row after which a peer counts as not heard.
-SILENT_AFTER = 3.0
-
 #: Seconds without a row after which a majority takes over a peer's part.
 FORGET_AFTER = 10.0
 
-#: Client account of the row that is sent when there is no demand at all.
-HEARTBEAT = ""
-
 #: Demand below this is told no more.
 NEGLIGIBLE = 0.01
 
 
-@dataclass(slots=True, kw_only=True)
-class _Peer:
-    """Hold what one peer told."""
-
-    heard_at: float
-    n_waiting: int = 0
-    demands_by_account: dict[str, Demand] = field(default_factory=dict)
-
-
 @dataclass(slots=True, kw_only=True)
 class _View:
-    """Hold the sums over peers of one account's demand, for a short time."""
+    """Hold one account's demand here and at peers, for a short time."""
 
     at: float
     own: Demand
@@ -91,7 +77,7 @@
         self._n_hosts = n_hosts
         self._refresh = refresh
         self._own_by_account: dict[str, OwnDemand] = {}
-        self._peers_by_name: dict[str, _Peer] = {}
+        self._peers = PeerDemands()
         self._views_by_account: dict[str, _View] = {}
         self._cut: _Cut | None = None
         self._judged_at = float("-inf")
@@ -150,26 +136,15 @@
         self, observation: Observation, *, peer: str, observed_at: float, now: float
     ) -> None:
         """Take one row of a peer."""
-        if not isinstance(observation, DemandRow):
-            return
-        known = self._peers_by_name.get(peer)
-        if known is None:
-            known = self._peers_by_name[peer] = _Peer(heard_at=observed_at)
-        known.heard_at = max(known.heard_at, observed_at)
-        if observation.client_account == HEARTBEAT:
-            known.n_waiting = observation.n_waiting
-            return
-        known.demands_by_account[observation.client_account] = Demand(
-            rate=observation.rate,
-            n_requests=float(observation.n_in_flight + observation.n_waiting),
-        )
+        if isinstance(observation, DemandRow):
+            self._peers.observe(
+                observation, peer=peer, observed_at=observed_at, now=now
+            )
 
     def n_hosts_waiting(self, *, now: float) -> int:
         """Return how many hosts, this one included, have requests that wait."""
-        return 1 + sum(
-            peer.n_waiting > 0 and now - peer.heard_at <= SILENT_AFTER
-            for peer in self._peers_by_name.values()
-        )
+        self._judge(now)
+        return 1 + self._peers.n_live_waiting
 
     # Parts
 
@@ -226,17 +201,15 @@
         return held / limit * min(1.0, self.n_live / cut.n_live)
 
     def _n_known(self) -> int:
-        return max(self._n_hosts(), 1 + len(self._peers_by_name))
+        return max(self._n_hosts(), 1 + len(self._peers))
 
     def _judge(self, now: float) -> None:
         """Judge which peers are heard, and whether this side is the smaller one."""
         if now - self._judged_at < self._refresh:
             return
         self._judged_at = now
-        peers = self._peers_by_name
-        self.n_live = 1 + sum(
-            now - peer.heard_at <= SILENT_AFTER for peer in peers.values()
-        )
+        self._peers.judge(now=now)
+        self.n_live = 1 + self._peers.n_live
         was_cut_off = self.cut_off
         self.cut_off = self._n_known() > 1 and 2 * self.n_live <= self._n_known()
         if self.cut_off:
@@ -244,15 +217,10 @@
                 self._cut = self._remember(now)
             return
         self._cut = None
-        for name in [
-            name for name, peer in peers.items() if now - peer.heard_at > FORGET_AFTER
-        ]:
-            del peers[name]
+        self._peers.forget(heard_before=now - FORGET_AFTER)
 
     def _remember(self, now: float) -> _Cut:
-        names = set(self._own_by_account)
-        for peer in self._peers_by_name.values():
-            names.update(peer.demands_by_account)
+        names = self._peers.accounts() | set(self._own_by_account)
         views = {name: self._sums(name, now) for name in names}
         return _Cut(n_live=self.n_live, views_by_account=views)
 
@@ -266,18 +234,11 @@
     def _sums(self, client_account: str, now: float) -> _View:
         own = self._own(client_account, now)
         own.sample(now)
-        sums = {True: [0.0, 0.0], False: [0.0, 0.0]}
-        for peer in self._peers_by_name.values():
-            demand = peer.demands_by_account.get(client_account)
-            if demand is not None:
-                side = sums[now - peer.heard_at <= SILENT_AFTER]
-                side[0] += demand.rate
-                side[1] += demand.n_requests
         return _View(
             at=now,
             own=own.settled(now),
-            live=Demand(rate=sums[True][0], n_requests=sums[True][1]),
-            silent=Demand(rate=sums[False][0], n_requests=sums[False][1]),
+            live=self._peers.live(client_account),
+            silent=self._peers.silent(client_account),
         )
 
     def _own(self, client_account: str, now: float) -> OwnDemand:
--- /dev/null
+++ b/tests/test_coordination/test_limits_peers.py
@@ -0,0 +1,108 @@
+"""Test that the running sums over peers equal a recount."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ryelever.coordination.limits_peers import HEARTBEAT, SILENT_AFTER, PeerDemands
+from ryelever.state.observations import DemandRow
+
+ACCOUNTS = ["a", "b"]
+
+
+def row(client_account: str, rate: float, n_waiting: int = 0) -> DemandRow:
+    """Return a row of demand."""
+    return DemandRow(
+        client_account=client_account, rate=rate, n_in_flight=0, n_waiting=n_waiting
+    )
+
+
+def told(peers: PeerDemands) -> dict[str, tuple[float, float, float, float]]:
+    """Return the rates and requests of both sides by account."""
+    sides = {name: (peers.live(name), peers.silent(name)) for name in ACCOUNTS}
+    return {
+        name: (live.rate, live.n_requests, silent.rate, silent.n_requests)
+        for name, (live, silent) in sides.items()
+    }
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["x", "y", "z"]),
+        st.sampled_from([*ACCOUNTS, HEARTBEAT]),
+        st.sampled_from([0.0, 0.5, 2.25]),
+        st.sampled_from([0, 3]),
+        st.sampled_from([0.0, 1.0, 4.0]),
+    ),
+    max_size=30,
+)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(steps=STEPS)
+def test_sums_equal_a_recount(steps: list) -> None:
+    peers = PeerDemands()
+    rows: dict[tuple[str, str], tuple[float, int]] = {}
+    heard_at: dict[str, float] = {}
+    now = 0.0
+    for peer, name, rate, n_waiting, passed in steps:
+        now += passed
+        peers.observe(row(name, rate, n_waiting), peer=peer, observed_at=now, now=now)
+        rows[peer, name] = (rate, n_waiting)
+        heard_at[peer] = now
+        peers.judge(now=now)
+        peers.forget(heard_before=now - 10.0)
+        heard_at = {key: at for key, at in heard_at.items() if at >= now - 10.0}
+        rows = {key: kept for key, kept in rows.items() if key[0] in heard_at}
+        live = {key for key, at in heard_at.items() if now - at <= SILENT_AFTER}
+        expected = {}
+        for account in ACCOUNTS:
+            sides = [[0.0, 0.0], [0.0, 0.0]]
+            for (owner, of), (counted, n_requests) in rows.items():
+                if of == account:
+                    side = sides[owner not in live]
+                    side[0] += counted
+                    side[1] += n_requests
+            expected[account] = (*sides[0], *sides[1])
+        assert told(peers) == expected
+        assert peers.n_live == len(live)
+        waiting = [rows.get((key, HEARTBEAT), (0.0, 0))[1] for key in live]
+        assert peers.n_live_waiting == sum(n > 0 for n in waiting)
+        assert len(peers) == len(heard_at)
+
+
+def test_changing_rows_leave_no_remainder() -> None:
+    """Demand that has ended at a peer counts for nothing.
+
+    Symptom: after days an account's parts no longer sum to its limit.
+    Sequence: two peers tell many rates, one after the other, and then none; a third
+    tells the same all the time.
+    Cause: floats that are added and taken away leave a remainder.
+    """
+    peers = PeerDemands()
+    peers.observe(row("a", 1.0), peer="z", observed_at=0.0, now=0.0)
+    for index in range(1000):
+        for name, rate in (("x", 1e6 / (index + 1)), ("y", 0.1 * index)):
+            peers.observe(row("a", rate), peer=name, observed_at=0.0, now=0.0)
+    for name in ("x", "y"):
+        peers.observe(row("a", 0.0), peer=name, observed_at=0.0, now=0.0)
+    assert peers.live("a").rate == 1.0
+    peers.observe(row("a", 0.0), peer="z", observed_at=0.0, now=0.0)
+    assert not peers.accounts()
+
+
+@pytest.mark.parametrize("rate", [float("nan"), float("inf")])
+def test_row_that_is_no_number_spoils_no_sum(rate: float) -> None:
+    """A row without a number is passed over.
+
+    Symptom: an account is refused everywhere, for good.
+    Sequence: a peer tells a rate that is no number.
+    Cause: a sum that took it in never becomes a number again.
+    """
+    peers = PeerDemands()
+    peers.observe(row("a", 2.0), peer="x", observed_at=0.0, now=0.0)
+    peers.observe(row("a", rate), peer="y", observed_at=0.0, now=0.0)
+    assert peers.live("a").rate == 2.0
+    assert len(peers) == 1
