--- a/ryelever/coordination/requests_attempts.py
+++ b/ryelever/coordination/requests_attempts.py
@@ -5,14 +5,19 @@
 from typing import TYPE_CHECKING
 
 from .actions import SendAttempt
+from .requests_state import RequestState
+from .routing_feedback import NoFeedback
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..errors import RyeleverError
     from .actions import Action
+    from .quarantine import Quarantined
     from .requests_state import Request
     from .retry import RetryPolicy
     from .routing import Router
+    from .routing_feedback import AttemptFeedback
 
 __all__ = ["RequestAttempts"]
 
@@ -27,6 +32,8 @@
     ----------
     router, retry_policy : Protocol types
         Who takes an attempt, and whether there is another one.
+    feedback : AttemptFeedback or None
+        Learns from attempts and names requests that must not run.
     """
 
     def __init__(
@@ -35,7 +42,10 @@
         router: Router,
         retry_policy: RetryPolicy,
         new_id: Callable[[], str],
+        feedback: AttemptFeedback | None = None,
     ) -> None:
+        self._feedback = feedback if feedback is not None else NoFeedback()
+        self._fingerprints_by_target: dict[str, dict[str, str]] = {}
         self._router = router
         self._retry_policy = retry_policy
         self._new_id = new_id
@@ -55,6 +65,8 @@
         request.tried += (target.name,)
         self.request_by_attempt[request.attempt_id] = request.arrival.request_id
         self._router.started(target, now=now)
+        running = self._fingerprints_by_target.setdefault(target.name, {})
+        running[request.attempt_id] = request.arrival.fingerprint
         return SendAttempt(
             attempt_id=request.attempt_id,
             arrival=request.arrival,
@@ -71,12 +83,47 @@
 
     def answered(self, request: Request, *, now: float) -> None:
         """End an attempt whose answer is whole."""
+        n_tokens = len(request.delivered)
+        streaming = request.state is RequestState.STREAMING and n_tokens > 1
+        self._feedback.completed(
+            request.target,
+            request.arrival.fingerprint,
+            between_tokens=(now - request.since) / n_tokens if streaming else None,
+            now=now,
+        )
         self.end(request, failed=False, now=now)
         self._retry_policy.succeeded(now=now)
 
+    def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
+        """Return why a request must not run, or None if it may."""
+        return self._feedback.verdict(fingerprint, now=now)
+
+    def first_token(self, request: Request, *, now: float) -> None:
+        """Take note of an attempt's first token."""
+        seconds = now - request.since
+        self._feedback.first_token(request.target, seconds=seconds, now=now)
+
+    def failed(
+        self, request: Request, *, error: RyeleverError, refused: bool, now: float
+    ) -> None:
+        """End an attempt that failed."""
+        running = self._fingerprints_by_target[request.target.name]
+        self._feedback.failed(
+            request.target,
+            error,
+            refused=refused,
+            in_flight=set(running.values()),
+            now=now,
+        )
+        self.end(request, failed=True, now=now)
+
     def end(self, request: Request, *, failed: bool, now: float) -> None:
         """End an attempt; whatever it still sends comes late."""
         del self.request_by_attempt[request.attempt_id]
+        running = self._fingerprints_by_target[request.target.name]
+        del running[request.attempt_id]
+        if not running:
+            del self._fingerprints_by_target[request.target.name]
         request.attempt_id = ""
         self._router.ended(request.target, failed=failed, now=now)
 
--- a/ryelever/coordination/requests_steps.py
+++ b/ryelever/coordination/requests_steps.py
@@ -13,6 +13,7 @@
     ChatWork,
     StreamFailed,
 )
+from .quarantine import quarantine_error
 from .requests_state import RequestState
 
 if TYPE_CHECKING:
@@ -70,6 +71,9 @@
             # A process that was paused reads its claim back long after the caller
             # gave up: what is past its deadline is never sent.
             return self.time_over(request, now=now)
+        quarantined = self._attempts.verdict(request.arrival.fingerprint, now=now)
+        if quarantined is not None:
+            return self.fail(request, error=quarantine_error(quarantined), now=now)
         if tried is None:
             tried = request.tried
         send = self._attempts.start(request, tried=tried, now=now)
@@ -106,7 +110,7 @@
         self, request: Request, *, error: RyeleverError, refused: bool, now: float
     ) -> list[Action]:
         """Retry after a failed attempt where that is safe; else end the request."""
-        self._attempts.end(request, failed=True, now=now)
+        self._attempts.failed(request, error=error, refused=refused, now=now)
         request.error = error
         if not refused:
             request.may_have_run = True
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -4,19 +4,24 @@
 
 import time
 import uuid
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from circuits import handler
 
 from .asking import Asker, Question
-from .coordination.actions import SendOrder
-from .coordination.planner import PlannerView
+from .coordination.actions import ChatWork, SendOrder
+from .coordination.planner_repairs import Repairs
+from .coordination.planner_view import ModelDemand, PlannerView
 from .events import HostReported, append_record, host_reported
 from .logs import log_event, log_warning
 from .protocol.backend import Order
 from .protocol.outside import HTTP_ENGINE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from .coordination.actions import Action, Arrival
     from .coordination.confirmation import Confirmations
     from .coordination.planner import Planner
     from .events import OutboundAnswer, OutboundFailure
@@ -26,7 +31,11 @@
     from .state.fleet import ListedHost
     from .state.placement import PlacementFold
 
-__all__ = ["Planning"]
+__all__ = ["Planning", "demand_of"]
+
+#: Seconds between two looks.  Reports come every 0.5 s, so more looks would see little
+#: that is new; docs/PLANNING.md gives the cost of one.
+PLAN_INTERVAL = 0.2
 
 
 class Planning(Asker):
@@ -43,6 +52,8 @@
         placement: PlacementFold,
         hosts_by_name: dict[str, ListedHost],
         confirmations: Confirmations,
+        placements_by_zone: dict[str, PlacementFold],
+        demand: Callable[[], tuple[ModelDemand, ...]],
         engine: EngineInterface = HTTP_ENGINE,
     ) -> None:
         super().__init__()
@@ -53,11 +64,33 @@
         self._placement = placement
         self._hosts_by_name = hosts_by_name
         self._confirmations = confirmations
+        self._demand = demand
+        self._plan_at = 0.0
+        self.repairs = Repairs(
+            placements_by_zone=placements_by_zone, confirmations=confirmations
+        )
 
     @handler("control_tick")
     def _on_control_tick(self) -> None:
         now = time.monotonic()
-        for action in self._planner.tick(self._view(), now=now):
+        if now < self._plan_at:
+            return
+        self._plan_at = now + PLAN_INTERVAL
+        self.repairs.observe(now=now)
+        self._do(self._planner.tick(self._view(), now=now))
+
+    @handler("drain")
+    def _on_drain(self) -> None:
+        # The append leaves, and is mostly read back, while the balancer turns away.
+        # Is it lost, the lease runs out as that of a host that died.
+        now = time.monotonic()
+        actions = self._planner.give_back_lease(self._view(), now=now)
+        if actions:
+            log_event("lease_given_back")
+        self._do(actions)
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
             if isinstance(action, SendOrder):
                 self._send_order(action)
             else:
@@ -75,6 +108,7 @@
                 if listed.kind == "engine" and listed.availability_zone == zone
             },
             confirmations=self._confirmations,
+            demand=self._demand(),
         )
 
     def _send_order(self, action: SendOrder) -> None:
@@ -88,6 +122,7 @@
             model=action.model,
             version=action.version,
             adapters=action.adapters,
+            expires_ms=action.expires_ms,
         )
         log_event(
             "order_sent",
@@ -122,3 +157,16 @@
         log_warning(
             "order_failed", host=question.subject, message=failure.error.message
         )
+
+
+def demand_of(arrivals: Iterable[Arrival]) -> tuple[ModelDemand, ...]:
+    """Count the requests that wait for each model, by client account."""
+    counts = Counter(
+        (arrival.work.model, arrival.client_account)
+        for arrival in arrivals
+        if isinstance(arrival.work, ChatWork)
+    )
+    return tuple(
+        ModelDemand(model=model, client_account=account, n_waiting=n_waiting)
+        for (model, account), n_waiting in sorted(counts.items())
+    )
--- a/tests/test_system/test_claims.py
+++ b/tests/test_system/test_claims.py
@@ -33,7 +33,10 @@
 
 
 def _n_claims(fleet: Fleet) -> int:
-    return fleet.counts("log")["streams"].get("claims", {"next": 0})["next"]
+    streams = fleet.counts("log")["streams"]
+    return sum(
+        stream["next"] for name, stream in streams.items() if name.startswith("claims-")
+    )
 
 
 def _error(answer: httpx.Response) -> dict:
@@ -64,8 +67,17 @@
 
 def _wait_claim_known(fleet: Fleet) -> None:
     entry = fleet.entries_by_name["e2"]
+
+    def n_read() -> int:
+        streams = entry.dump()["streams"]
+        return sum(
+            stream["next_offset"]
+            for name, stream in streams.items()
+            if name.startswith("claims-")
+        )
+
     wait_until(
-        lambda: entry.dump()["streams"]["claims"]["next_offset"] >= 1,
+        lambda: n_read() >= 1,
         what="the other host has read the claim",
     )
 
@@ -99,12 +111,12 @@
     """
     fleet.start_world(claim_timeout=0.8)
     caller, key = Caller(fleet), new_key()
-    fleet.control("log", delay_ms=300)
+    fleet.control("log", hold_reads=True)
     first = _Booking(caller, fleet, key)
     wait_until(lambda: _n_claims(fleet) == 1, what="the claim is in the log")
     paused = fleet.processes_by_name["e1"]
     paused.send(signal.SIGSTOP)
-    fleet.control("log", delay_ms=0)
+    fleet.control("log", hold_reads=False)
     _wait_claim_known(fleet)
     meanwhile = caller.book(fleet.entries_by_name["e2"], key)
     assert _error(meanwhile)["run_state"] == "outcome_unknown"
