Count a report only for the host that was asked

Cause: a report was filed under the name that it bears, at whatever address it was asked for. With a host's address taken over by another, or a name given twice, the word of one host counted for another, and a group served with a member missing.

Ruled out: refusing it only where groups are judged; the planner, the departures and the peers would still have taken it. It is refused where it is read, for reports and for answers to orders, and logged once (`report_not_counted`).

--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -73,6 +73,7 @@
             max_age=settings.report_max_age,
         )
         self._own_reports_by_host: dict[str, FreshReport] = {}
+        self._unread: set[str] = set()
 
     @handler("control_tick")
     def _on_control_tick(self) -> None:
@@ -124,6 +125,7 @@
         self.hosts_by_name.update((listed.host, listed) for listed in hosts.ok.hosts)
         self._followed_by_name = self._followed()
         self._following.forget(self.hosts_by_name)
+        self._unread &= self.hosts_by_name.keys()
         for host in self._own_reports_by_host.keys() - self.hosts_by_name.keys():
             del self._own_reports_by_host[host]
 
@@ -146,9 +148,22 @@
         if question.kind == "list":
             self._take_list(answer)
             return
-        report = self._engine.host_report(answer.body, peer=answer.address)
-        if answer.status == 200 and report.is_ok():
+        report = self._engine.host_report(
+            answer.body, host=question.subject, peer=answer.address
+        )
+        if answer.status != 200:
+            return
+        if report.is_ok():
+            self._unread.discard(question.subject)
             self._take_own(report.ok, asked_at=answer.sent_at)
+        elif question.subject not in self._unread:
+            self._unread.add(question.subject)
+            log_warning(
+                "report_not_counted",
+                host=question.subject,
+                peer=answer.address,
+                message=report.error.message,
+            )
 
     def failed(self, question: Question, failure: OutboundFailure) -> None:
         """Keep the last list; a host that refuses connections counts as gone."""
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -145,7 +145,9 @@
 
     def answered(self, question: Question, answer: OutboundAnswer) -> None:
         """Take the host's report of how it obeyed."""
-        report = self._engine.host_report(answer.body, peer=answer.address)
+        report = self._engine.host_report(
+            answer.body, host=question.subject, peer=answer.address
+        )
         if answer.status != 200 or report.is_error():
             log_warning("order_refused", host=question.subject, status=answer.status)
             return
--- a/ryelever/protocol/backend.py
+++ b/ryelever/protocol/backend.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from expression import Result
+from expression import Error, Result
 
-from ..errors import RyeleverError
+from ..errors import Category, RyeleverError
 from ..state.fleet import HostReport, ListedHost
 from .json_codec import decode
 
@@ -101,9 +101,29 @@
 _STREAM_ITEM_DECODER = msgspec.json.Decoder(StreamItem)
 
 
-def read_report(data: bytes, *, peer: str) -> Result[HostReport, RyeleverError]:
-    """Read a host's report of itself."""
-    return decode(data, HostReport, step="read_report", peer=peer)
+def read_report(
+    data: bytes, *, host: str, peer: str
+) -> Result[HostReport, RyeleverError]:
+    """Read a host's report of itself.
+
+    The list of hosts lags, and an address that it names may belong to another host
+    by now, or to one that was set up with a name twice given.  Its word, taken for
+    the word of the host that was asked, would let a group serve whose member is
+    missing: callers get refusals from a group that all call whole.
+    """
+    report = decode(data, HostReport, step="read_report", peer=peer)
+    if report.is_error() or report.ok.host == host:
+        return report
+    return Error(
+        RyeleverError(
+            f"{report.ok.host!r} answers at the address that the list gives for "
+            f"{host!r}; correct the list, or the name that this host was given",
+            category=Category.UNAVAILABLE,
+            step="read_report",
+            peer=peer,
+            code="other_host",
+        )
+    )
 
 
 def read_hosts_list(data: bytes, *, peer: str) -> Result[HostsList, RyeleverError]:
--- a/ryelever/protocol/outside.py
+++ b/ryelever/protocol/outside.py
@@ -89,9 +89,12 @@
         """Stop the generation of an attempt."""
 
     def host_report(
-        self, body: bytes, *, peer: str
+        self, body: bytes, *, host: str, peer: str
     ) -> Result[HostReport, RyeleverError]:
-        """Read the answer to ``report`` and to ``order``."""
+        """Read the answer to ``report`` and to ``order``, of the host that was asked.
+
+        A report that another host gives at this address is an error.
+        """
 
     def stream_item(self, data: bytes) -> StreamItem:
         """Read one event of a generation.
@@ -148,9 +151,9 @@
         return _post("/v1/cancel", {"attempt": attempt_id})
 
     def host_report(
-        self, body: bytes, *, peer: str
+        self, body: bytes, *, host: str, peer: str
     ) -> Result[HostReport, RyeleverError]:
-        return read_report(body, peer=peer)
+        return read_report(body, host=host, peer=peer)
 
     def stream_item(self, data: bytes) -> StreamItem:
         return read_stream_item(data)
--- a/tests/test_coordination/test_polling.py
+++ b/tests/test_coordination/test_polling.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ryelever.asking import Question
 from ryelever.coordination.confirmation import Confirmations
 from ryelever.coordination.polling import (
     UNKNOWN_INTERVAL,
@@ -11,7 +12,9 @@
     ReportFollowing,
     rendezvous,
 )
+from ryelever.events import OutboundAnswer
 from ryelever.fleet_watch import UNREACHABLE, FleetWatch
+from ryelever.protocol.json_codec import encode
 from ryelever.settings import Settings
 from ryelever.state.fleet import HostReport
 from ryelever.state.observations import ReportRow
@@ -144,6 +147,29 @@
     assert (report.state if report else None) == known
 
 
+@pytest.mark.parametrize(
+    ("who", "status", "known"),
+    [("w1", 200, "w1"), ("w1", 503, None), ("w2", 200, None)],
+)
+def test_only_the_host_that_was_asked_counts(
+    who: str, status: int, known: str | None
+) -> None:
+    """Ask at the address of w1, and let it or another host answer.
+
+    Symptom: a group serves, to all entry hosts, with a member missing.
+    Sequence: w1 dies or moves, another host takes its address or bears its name,
+    the list lags; the word of the one counts for the other.
+    Cause: the report was filed under the name that it bears, whoever was asked.
+    """
+    fleet = watch()
+    body = encode(HostReport(host=who, boot="b", state="ready", group="g", fencing=7))
+    answer = OutboundAnswer(
+        id="q", status=status, headers={}, body=body, address="a:1", sent_at=9.0
+    )
+    fleet.answered(Question(kind="report", subject="w1"), answer)
+    assert list(fleet.confirmations.reports_by_host) == ([known] if known else [])
+
+
 def test_an_own_refusal_outweighs_earlier_reports_of_peers() -> None:
     """Believe one's own refused connection over a report from before it.
 
