Miss no records below an adopted configuration version

Cause: a host that had adopted a version from a peer and then found the log's older records expired took them for a gap, and judged no publication until a newer version came from somebody who had read the log.

Ruled out: adopting the same version again to end the gap, which needs a peer that tells it after the gap was found.

Before (the guard out): 'FAILED ...test_records_below_an_adopted_version_are_not_missed [9-10-True]' and [12-10-True].

--- a/ryelever/state/configuration_fold.py
+++ b/ryelever/state/configuration_fold.py
@@ -61,6 +61,18 @@
         self.accepted_versions: deque[int] = deque(maxlen=N_KEPT_ACCEPTED)
         self._unjudged = NO_VERSION
 
+    def lost(self, *, before: int, reason: str) -> None:
+        """Take note that records below ``before`` cannot be read any more.
+
+        Nothing that counts is missing when a peer's version is as new as the last of
+        them: whoever judged that version had read them.  Were that a gap, and no host
+        left that had read the log, no publication would ever be accepted again.
+        """
+        if self.version + 1 >= before:
+            self.next_offset = max(self.next_offset, before)
+            return
+        super().lost(before=before, reason=reason)
+
     def adopt(self, *, version: int, document: Configuration, author: str) -> bool:
         """Put a version in force that a peer has passed on.
 
--- a/tests/test_state/test_configuration_fold.py
+++ b/tests/test_state/test_configuration_fold.py
@@ -183,6 +183,36 @@
     assert fold.next_offset == next_offset
 
 
+ADOPTED_FIRST = [
+    # version of the peer, offset before which records are lost, next one accepted
+    (8, 10, False),
+    (9, 10, True),
+    (12, 10, True),
+]
+
+
+@pytest.mark.parametrize(("version", "before", "accepted"), ADOPTED_FIRST)
+def test_records_below_an_adopted_version_are_not_missed(
+    version: int, before: int, accepted: bool
+) -> None:
+    """Adopt a version, then find that the records before it have expired.
+
+    Symptom: publications are refused for good, on every entry host.  Sequence: all
+    entry hosts are replaced during an outage of the log and get the version from the
+    last that is left; the log comes back without the old records.  Cause: each takes
+    the expired records for ones that it lacks.
+    """
+    fold = ConfigurationFold()
+    fold.adopt(version=version, document=_document("m"), author="ana")
+    fold.lost(before=before, reason="records have expired")
+    for offset in range(before, version + 1):
+        fold.apply(_publication(offset, offset - 1, author="ana"))
+    offset = max(version + 1, before)
+    reason = fold.apply(_publication(offset, version, author="bia"))
+    assert (reason is None) is accepted is fold.complete
+    assert fold.version == (offset if accepted else version)
+
+
 def test_snapshot_older_than_an_adopted_version_changes_nothing() -> None:
     """Restore from the log when a peer's version is newer than the snapshot.
 
