Let no planner act on a placement of which records are missing

Cause: a fold that had lost records went on from the lease that it held. It ignored each renewal by the holder, since the one before was missing, and accepted its own host's taking of the lease, which all others ignored. Its planner then formed groups that nobody else knew and ordered hosts of whole groups into them, with numbers above theirs; or, before that, took the log for away and let members rejoin dissolved groups.

Ruled out: a planner that does nothing while records are missing. Where no host has them all, nobody would ever plan again.

Now the first taking of the lease after a loss is believed, so that all follow the holder; a process that lacks records takes the lease only after 5 terms without news of one, when nobody who lacks none is there; and it lets nobody rejoin.

--- a/ryelever/coordination/lease.py
+++ b/ryelever/coordination/lease.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.placement import Lease, PlacementFold
+    from ..state.placement import PlacementFold
 
 __all__ = ["PlannerLease"]
 
@@ -25,6 +25,10 @@
 #: Terms without any news of the lease after which the log counts as away.
 TERMS_BEFORE_GIVING_UP = 2.0
 
+#: Terms without any news of the lease before a process takes it that lacks records.
+#: Whoever lacks none takes it much sooner, and knows the groups.
+TERMS_WITH_RECORDS_MISSING = 5.0
+
 #: Renewals in one term.
 RENEWALS_A_TERM = 3
 
@@ -65,6 +69,7 @@
         self._asked_at = _NEVER
         self._looked_at = _NEVER
         self._looking_since = _NEVER
+        self._complete_at = _NEVER
         self._asked_at_by_id: dict[str, float] = {}
         self._valid_until = _NEVER
         self._tenure = -1
@@ -95,12 +100,14 @@
         if now - self._looked_at > self._term:
             self._looking_since = now
         self._looked_at = now
+        if placement.complete:
+            self._complete_at = now
         lease = placement.lease
         offset = lease.offset if lease is not None else -1
         if offset != self._seen_offset:
             self._seen_offset, self._seen_at = offset, now
             self._settle(placement, now=now)
-        if self._returned or not wanted or not self._due(lease, now=now):
+        if self._returned or not wanted or not self._due(placement, now=now):
             return []
         return [self._ask(offset, term=self._term, now=now)]
 
@@ -123,9 +130,14 @@
             return []
         return [self._ask(placement.lease.offset, term=0.0, now=now)]
 
-    def _due(self, lease: Lease | None, *, now: float) -> bool:
+    def _due(self, placement: PlacementFold, *, now: float) -> bool:
         if now < self._asked_at + self._term / RENEWALS_A_TERM:
             return False
+        lease = placement.lease
+        if not placement.complete and not self.holds(placement, now=now):
+            # The current lease may be among the records that are missing.
+            since = max(self._seen_at, self._looking_since, self._complete_at)
+            return now >= since + self._term * TERMS_WITH_RECORDS_MISSING
         if lease is None:
             return True
         if lease.holder == self._holder:
--- a/ryelever/coordination/planner.py
+++ b/ryelever/coordination/planner.py
@@ -96,7 +96,10 @@
         if not fit:
             return actions
         if not self.holds_lease(view, now=now):
-            if self.lease.log_is_away(now=now):
+            # A fold that lacks records sees no lease move, as if the log were away.
+            # Its groups may have ended long ago, and a restarted engine, whose
+            # number is lost, would join one of them again and again.
+            if view.placement.complete and self.lease.log_is_away(now=now):
                 actions += self._outage.tick(view, now=now)
             return actions
         self._decisions.settle(view.placement, now=now)
--- a/ryelever/state/placement.py
+++ b/ryelever/state/placement.py
@@ -120,7 +120,13 @@
 
 
 class PlacementFold(BaseFold):
-    """Keep which hosts belong to which group in one availability zone."""
+    """Keep which hosts belong to which group in one availability zone.
+
+    After records were lost (``gap``) nobody knows which lease is current.  The next
+    taking of the lease is then believed, whichever one it follows, and those after
+    it follow it.  A fold that went on from the lease that it held would ignore each
+    renewal by the holder and count its own: its host would plan next to the holder.
+    """
 
     snapshot_class = PlacementSnapshot
 
@@ -130,6 +136,12 @@
         self.groups_by_name: dict[str, Group] = {}
         self.group_by_host: dict[str, str] = {}
         self.changes: deque[PlacementChange] = deque(maxlen=N_KEPT_CHANGES)
+        self._lease_lost = False
+
+    def lost(self, *, before: int, reason: str) -> None:
+        """Take note that records below ``before`` cannot be read any more."""
+        super().lost(before=before, reason=reason)
+        self._lease_lost = True
 
     def _apply_record(self, entry: Entry) -> str | None:
         match entry.record:
@@ -160,6 +172,7 @@
 
     def _restore(self, parts: Sequence[SnapshotPart]) -> None:
         self.lease = parts[0].lease
+        self._lease_lost = False
         self.groups_by_name = {
             group.name: group for part in parts for group in part.groups
         }
@@ -171,8 +184,9 @@
 
     def _apply_lease(self, entry: Entry, record: LeaseTaken) -> str | None:
         current = self.lease.offset if self.lease is not None else -1
-        if record.previous != current:
+        if record.previous != current and not self._lease_lost:
             return f"follows lease {record.previous}, but lease {current} is current"
+        self._lease_lost = False
         renewed = self.lease is not None and self.lease.holder == record.holder
         self.lease = Lease(
             offset=entry.offset,
--- a/tests/test_coordination/test_planner_outage.py
+++ b/tests/test_coordination/test_planner_outage.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ryelever.state.configuration import Configuration, Model, Weights
+from ryelever.state.placement import PlacementFold
 
 from ..zone import Zone
 
@@ -89,6 +90,64 @@
     assert zone.engines_by_host["a-3"].group == "" and len(zone.groups()) == 1
 
 
+@pytest.mark.parametrize("fresh", [True, False])
+def test_process_that_lacks_records_orders_nothing(fresh: bool) -> None:
+    """Let records expire before one planner has read them; then pause the holder.
+
+    Symptom: a second planner pulls hosts out of whole groups.  Sequence: an entry host
+    pauses beyond the retention of the log, or starts after it; the lease that it
+    knows, or none, is never renewed to its knowledge, since a record in between is
+    missing.  Cause: it ignores the renewals, counts its own taking of the lease, or
+    takes the log for away and what it knows for the last word.
+    """
+    zone = _zone()
+    stale, other = zone.planners
+    if stale.planner.holds_lease(zone.view(stale), now=zone.now):
+        stale, other = other, stale
+    stale.paused = True
+    zone.run(5)
+    if fresh:
+        stale.fold = PlacementFold()
+    stale.fold.lost(before=len(zone.entries), reason="records have expired")
+    stale.paused = False
+    zone.run(40)
+    assert stale.fold.lease.offset == zone.truth.lease.offset
+    other.paused = True
+    zone.engines_by_host["a-3"].restart()
+    zone.run(20)
+    assert stale.sent == [] and zone.engines_by_host["a-3"].group == ""
+
+
+@pytest.mark.parametrize("n_paused", [0, 1])
+def test_zone_without_any_whole_record_is_planned_by_one(n_paused: int) -> None:
+    """Let records expire before either planner has read them; a member dies.
+
+    Symptom: nobody repairs any more, or two planners order the same hosts for good.
+    Sequence: both entry hosts pause, at two offsets, beyond the retention of the log.
+    Cause: each goes on from the lease that it knew, and ignores the other's.
+    """
+    zone = _zone()
+    for planner in zone.planners:
+        planner.paused = True
+        zone.run(6)
+        planner.fold.lost(before=len(zone.entries), reason="records have expired")
+    zone.run(6)
+    for planner in zone.planners[n_paused:]:
+        planner.paused = False
+    zone.engines_by_host["a-3"].refuses = True
+    zone.run_until(lambda: zone.group_of("a-4"), at_most=80)
+    zone.planners[0].paused = False
+    for _ in range(100):
+        zone.advance()
+        holding = [
+            planner.name
+            for planner in zone.planners
+            if planner.planner.holds_lease(zone.view(planner), now=zone.now)
+        ]
+        assert len(holding) == 1
+    assert {planner.fold.lease for planner in zone.planners} == {zone.truth.lease}
+
+
 def test_process_that_wakes_from_a_pause_orders_nothing() -> None:
     """Wake a planner whose newest lease is old only because it did not read."""
     zone = _zone()
