Let no late answer to an own question undo a refused connection

Cause: a refused connection removes a host's report. A late answer to an earlier question, or to an earlier order, then looked new, and the host counted as confirmed for the rest of `report_max_age` although it was known to be gone. For reports of peers this was guarded already; the own ones now take the same way.

--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -180,7 +180,7 @@
         )
 
     def _take_own(self, report: HostReport, *, asked_at: float) -> None:
-        self.confirmations.reported(report, asked_at=asked_at)
+        self._take_unless_refused(report, asked_at=asked_at)
         known = self._own_reports_by_host.get(report.host)
         if known is None or known.asked_at < asked_at:
             self._own_reports_by_host[report.host] = FreshReport(
@@ -205,7 +205,7 @@
             return
         report = observation.report
         if report.state != UNREACHABLE:
-            self._take_told(report, asked_at=observed_at)
+            self._take_unless_refused(report, asked_at=observed_at)
             return
         # A peer that alone cannot reach a host must not make it vanish for all: a
         # report from about the same time speaks against it.
@@ -216,7 +216,7 @@
         ):
             self.confirmations.unreachable(report.host)
 
-    def _take_told(self, report: HostReport, *, asked_at: float) -> None:
+    def _take_unless_refused(self, report: HostReport, *, asked_at: float) -> None:
         # The own question was refused after this report was asked for.
         own = self._own_reports_by_host.get(report.host)
         refused = own is not None and own.report.state == UNREACHABLE
--- a/tests/test_coordination/test_polling.py
+++ b/tests/test_coordination/test_polling.py
@@ -12,7 +12,7 @@
     ReportFollowing,
     rendezvous,
 )
-from ryelever.events import OutboundAnswer
+from ryelever.events import HostReported, OutboundAnswer, host_reported
 from ryelever.fleet_watch import UNREACHABLE, FleetWatch
 from ryelever.protocol.json_codec import encode
 from ryelever.settings import Settings
@@ -174,12 +174,19 @@
     """Believe one's own refused connection over a report from before it.
 
     Symptom: a dead host counts as confirmed again after its refusal was seen.
-    Sequence: a connection is refused; a peer's report from before arrives late.
+    Sequence: a connection is refused; a report from before arrives late, by a peer or
+    as the answer to an own question or order that lingered.
     Cause: the refusal removes the report, so an older one would look new.
     """
     fleet = watch()
     fleet.refused("w1", at=9.5)
     tell(fleet, "ready", at=9.4, now=10.0)
     assert fleet.confirmations.fresh("w1", now=10.0) is None
+    late = HostReported(
+        report=HostReport(host="w1", boot="b", state="ready"), asked_at=9.3
+    )
+    fleet.fire(host_reported(late), "fleet")
+    fleet.flush()
+    assert fleet.confirmations.fresh("w1", now=10.0) is None
     tell(fleet, "ready", at=9.7, now=10.0)
     assert fleet.confirmations.fresh("w1", now=10.0) is not None
