Call no key future whose claim was read from the log

Cause: a key was judged by the entry host's clock before its claim was looked up. On a host more than 30 s behind, a booking that had run through another host was answered `idempotency_key_in_future` and `not_run`, and its caller would send it under a new key. Now the key is judged by the later of the clock and the newest time read of the claims.

Ruled out: looking the claim up first; where the claim is not known, the answer would still speak for the log.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -144,6 +144,7 @@
             configuration=self.configuration,
             metrics=self.metrics,
             pages=self.dump.pages() | self.console.pages(),
+            log_time=claims.log_time,
         )
         self._wire_peers()
         self.timers = Timers()
--- a/ryelever/arrivals.py
+++ b/ryelever/arrivals.py
@@ -22,6 +22,8 @@
 from .state.configuration_fold import NO_VERSION
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from expression import Result
 
     from .events import CallerRequest
@@ -38,10 +40,23 @@
 
 
 class ArrivalReader:
-    """Check a request against the configuration that is in force."""
-
-    def __init__(self, *, settings: Settings, configuration: ConfigurationFold) -> None:
+    """Check a request against the configuration that is in force.
+
+    Parameters
+    ----------
+    log_time : callable
+        Return the newest time of append read, in seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        configuration: ConfigurationFold,
+        log_time: Callable[[], float],
+    ) -> None:
         self._settings = settings
+        self._log_time = log_time
         self._configuration = configuration
 
     def read(self, request: CallerRequest) -> Result[Arrival | None, RyeleverError]:
@@ -148,7 +163,10 @@
         if timeout.is_error():
             return timeout
         key = request.headers.get("idempotency-key", "")
-        checked = check_key(key, wall=time.time()) if key else Ok(0.0)
+        # A host whose clock is behind would call a key "in the future", so "not run",
+        # that another host has claimed and run; the claim's own time says otherwise.
+        wall = max(time.time(), self._log_time())
+        checked = check_key(key, wall=wall) if key else Ok(0.0)
         if checked.is_error():
             return checked
         now = time.monotonic()
--- a/ryelever/coordination/claims.py
+++ b/ryelever/coordination/claims.py
@@ -60,6 +60,10 @@
         """Take the wall-clock time, in seconds since the epoch."""
         self.wall = wall
 
+    def log_time(self) -> float:
+        """Return the newest time of append read in any partition."""
+        return max(fold.log_time for fold in self.folds_by_stream.values())
+
     def available(self, *, now: float) -> bool:
         """Tell whether all partitions are known whole and up to their end.
 
--- a/ryelever/coordination/idempotency.py
+++ b/ryelever/coordination/idempotency.py
@@ -6,7 +6,8 @@
 clearly.
 
 Clock assumption: an entry host's wall clock differs from the log's by less than
-``MAX_AHEAD`` (30 s).  One that runs ahead by more refuses keys that could still be
+``MAX_AHEAD`` (30 s), or it has read the log lately: arrivals.py goes by the later of
+the two.  One that runs ahead by more refuses keys that could still be
 claimed; one that runs behind lets claims be appended which the fold then refuses.
 Neither runs a request twice.  Streams reports the difference it sees.
 """
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -56,6 +56,8 @@
     pages : dict of str to callable
         Answers of operators' paths by path; each takes the request, and returns
         None where its answer comes later.
+    log_time : callable
+        Return the newest time of append read of the claims.
 
     Attributes
     ----------
@@ -75,12 +77,15 @@
         configuration: ConfigurationFold,
         metrics: Metrics,
         pages: dict[str, Callable[[CallerRequest], CallerAnswer | None]],
+        log_time: Callable[[], float],
     ) -> None:
         super().__init__()
         self._table = table
         self._metrics = metrics
         self._pages = pages
-        self._reader = ArrivalReader(settings=settings, configuration=configuration)
+        self._reader = ArrivalReader(
+            settings=settings, configuration=configuration, log_time=log_time
+        )
         self._answers = CallerAnswers(fire=self.fire, metrics=metrics)
         self._attempts = Attempts(settings=settings, table=table, fire=self.fire)
         self._stalled: set[str] = set()
--- a/tests/test_coordination/test_idempotency.py
+++ b/tests/test_coordination/test_idempotency.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
+from ryelever.accounts import hash_key
+from ryelever.arrivals import ArrivalReader
 from ryelever.coordination.idempotency import OWNER_TIMEOUT, check_key, judge_owner
 from ryelever.errors import Category, RunState
+from ryelever.events import CallerRequest
+from ryelever.settings import Settings
 from ryelever.state.claims import CLAIM_WINDOW, MAX_AHEAD, ClaimState
+from ryelever.state.configuration import ClientAccount, Configuration, Service
+from ryelever.state.configuration_fold import ConfigurationFold
 from ryelever.state.records import Outcome
 
 from ..memory_log import EPOCH
@@ -53,6 +61,53 @@
     assert (result.error.category is Category.BAD_REQUEST) is invalid
 
 
+CLOCKS = [
+    # seconds by which the host's clock, and what it read of the log, are behind
+    (0.0, 0.0, None),
+    (MAX_AHEAD + 30, 0.0, None),
+    (0.0, 3600.0, None),
+    (MAX_AHEAD + 30, 3600.0, "idempotency_key_in_future"),
+    (-CLAIM_WINDOW - 30, 0.0, "idempotency_key_expired"),
+    (0.0, -CLAIM_WINDOW - 30, "idempotency_key_expired"),
+]
+
+
+@pytest.mark.parametrize(("host_behind", "log_behind", "code"), CLOCKS)
+def test_key_is_not_called_future_against_the_log(
+    host_behind: float, log_behind: float, code: str | None, monkeypatch
+) -> None:
+    """Resend a booking to an entry host whose clock is behind.
+
+    Symptom: "not run" for a booking that ran.  Sequence: it runs through one entry
+    host, its answer is lost, it is sent again to a host whose clock is a minute
+    behind.  Cause: the key is from that host's future, though its claim was read.
+    """
+    monkeypatch.setattr(time, "time", lambda: EPOCH - host_behind)
+    fold = ConfigurationFold()
+    account = ClientAccount(key_hash=hash_key("acme.secret"))
+    document = Configuration(
+        client_accounts={"acme": account},
+        services={"bookings": Service(non_repeatable=("/b",))},
+    )
+    fold.adopt(version=0, document=document, author="ana")
+    reader = ArrivalReader(
+        settings=Settings(request_timeout=30.0, max_request_timeout=60.0),
+        configuration=fold,
+        log_time=lambda: EPOCH - log_behind,
+    )
+    request = CallerRequest(
+        request_id="r",
+        method="POST",
+        path="/services/bookings/b",
+        query="",
+        headers={"authorization": "Bearer acme.secret", "idempotency-key": UUID7},
+        body=b"{}",
+        peer="c",
+    )
+    arrival = reader.read(request)
+    assert (arrival.error.code if arrival.is_error() else None) == code
+
+
 STORED = Outcome(key="k", owner="e1/a", run_state="run", status=201)
 
 OWNERS = [
