Let an own refusal not end the hold of a peer's word

Cause: of two pieces of evidence that a host leaves, the newer replaced the older with its hold. A peer's word stands for 3 s, so that the own copy of the list can show it; a refusal seen just after, or just before it was heard, stands until the next report only. The host was then given work again, by less evidence for having more.

Before (the guard out): test_only_newer_evidence_brings_it_back 2 failed, 18 passed. After: 57 passed (test_departures, test_targets, test_routing, test_docs).

--- a/ryelever/coordination/departures.py
+++ b/ryelever/coordination/departures.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ..state.observations import LeavingRow
@@ -83,7 +83,7 @@
             It refused the connection.  A refusal by answer may be due to this one
             request or to a moment's load, and is not passed on to peers.
         """
-        self._departures_by_host[host] = _Departure(at=now, hold=0.0, told=connection)
+        self._take(host, _Departure(at=now, hold=0.0, told=connection))
 
     def is_leaving(self, host: str, *, now: float) -> bool:
         """Tell whether the host must get nothing new."""
@@ -118,12 +118,18 @@
         """Take a peer's word."""
         if not isinstance(observation, LeavingRow):
             return
-        known = self._departures_by_host.get(observation.host)
-        if known is not None and known.at >= observed_at:
-            return
         departure = _Departure(at=observed_at, hold=PEER_HOLD, told=False)
         if not self._is_refuted(observation.host, departure, now=now):
-            self._departures_by_host[observation.host] = departure
+            self._take(observation.host, departure)
+
+    def _take(self, host: str, departure: _Departure) -> None:
+        # The newest evidence counts, for as long as any of it stands.  Were a refusal
+        # to end a peer's hold, the host's next report would bring back a host that
+        # the peer has seen on the list as leaving, and the own copy has not yet.
+        known = self._departures_by_host.get(host, departure)
+        newest = max(departure, known, key=lambda evidence: evidence.at)
+        until = max(known.at + known.hold, departure.at + departure.hold)
+        self._departures_by_host[host] = replace(newest, hold=until - newest.at)
 
     def _is_refuted(self, host: str, departure: _Departure, *, now: float) -> bool:
         age = now - departure.at
--- a/tests/test_coordination/test_departures.py
+++ b/tests/test_coordination/test_departures.py
@@ -77,6 +77,10 @@
         (_told, 10.1, 10.2, False),
         (_told, 12.7, 12.9, True),
         (EVIDENCE["listed"], 12.7, 12.9, False),
+        # two faults: the word of a peer and an own refusal, in either order
+        (lambda fleet: (_told(fleet), _refused(fleet)), 10.1, 10.2, False),
+        (lambda fleet: (_refused(fleet), _told(fleet)), 10.1, 10.2, False),
+        (lambda fleet: (_refused(fleet), _told(fleet)), 12.7, 12.9, True),
     ],
 )
 def test_only_newer_evidence_brings_it_back(
