--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -320,6 +320,8 @@
         metrics.gauge("late_answers", lambda: float(self.table.n_late_answers))
         metrics.gauge("retries", lambda: float(self.table.n_retries))
         self.fleet_history.register_gauges(metrics)
+        metrics.counter("bytes_received", self._n_bytes_received)
+        metrics.counter("bytes_sent", self._n_bytes_sent)
         for name in ("received", "sent", "bytes_received", "bytes_sent"):
             metrics.gauge(
                 f"peer_datagrams_{name}",
@@ -327,6 +329,14 @@
             )
         metrics.gauge("silent_connections", lambda: float(self.http_client.n_silent))
 
+    def _n_bytes_received(self) -> dict[str, int]:
+        by_step = dict(self.http_client.n_bytes_received_by_step)
+        return by_step | {"peers": self.peers.n_bytes_received}
+
+    def _n_bytes_sent(self) -> dict[str, int]:
+        by_step = dict(self.http_client.n_bytes_sent_by_step)
+        return by_step | {"peers": self.peers.n_bytes_sent}
+
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
         for channel in ("streams", "fleet", "planning", "peering"):
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -10,6 +10,7 @@
 import errno
 import socket
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import h11
@@ -49,7 +50,13 @@
 
 
 class HttpClient(BaseComponent):
-    """Own every outgoing connection."""
+    """Own every outgoing connection.
+
+    Attributes
+    ----------
+    n_bytes_received_by_step, n_bytes_sent_by_step : Counter of str
+        Bytes on the connections, heads included, by the step that asked.
+    """
 
     channel = "http_client"
 
@@ -61,6 +68,8 @@
         self._idle_by_address: dict[str, list[Connection]] = {}
         self.n_opened = 0
         self.n_silent = 0
+        self.n_bytes_received_by_step: Counter[str] = Counter()
+        self.n_bytes_sent_by_step: Counter[str] = Counter()
 
     # Requests
 
@@ -207,6 +216,7 @@
                 return
             if n_sent:
                 connection.bytes_sent = True
+                self.n_bytes_sent_by_step[request.step] += n_sent
                 connection.progress_at = now
                 del connection.out[:n_sent]
         writing = self._poller.isWriting(connection.sock)
@@ -231,6 +241,7 @@
             # An idle connection speaks only to say that it is closed.
             self._close(connection)
             return
+        self.n_bytes_received_by_step[connection.request.step] += len(data)
         connection.progress_at = time.monotonic()
         try:
             connection.http.receive_data(data)
