Let control look at its deadlines in one event every 0.1 s

Each costs a dispatch, and each tick wakes the process.

Bounds: every deadline that control watches (reports, lease, leaving, pauses of the log) is noticed up to 0.05 s later than before; what arrives is still taken when it arrives. A first request that has to wait is looked at up to 0.1 s after it came.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -60,8 +60,16 @@
 
 __all__ = ["Application"]
 
-#: Seconds between two looks at deadlines.
-TICK = 0.05
+#: Seconds between two looks of control at its deadlines, the shortest of which are
+#: 0.2 s; what arrives is taken when it arrives.
+CONTROL_TICK = 0.1
+
+#: Seconds between two looks at requests' deadlines, and while there are no requests.
+SERVING_TICK = 0.05
+IDLE_SERVING_TICK = 0.1
+
+#: Parts that look at their deadlines together.
+CONTROL_CHANNELS = ("streams", "fleet", "planning", "peering", "shutdown")
 
 #: Seconds between two looks at connections.
 SWEEP = 0.25
@@ -328,6 +336,9 @@
             )
         metrics.gauge("silent_connections", lambda: float(self.http_client.n_silent))
 
+    def _serving_tick(self) -> float:
+        return SERVING_TICK if self.table.requests_by_id else IDLE_SERVING_TICK
+
     def _n_bytes_received(self) -> dict[str, int]:
         by_step = dict(self.http_client.n_bytes_received_by_step)
         return by_step | {"peers": self.peers.n_bytes_received}
@@ -338,14 +349,12 @@
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        for channel in ("streams", "fleet", "planning", "peering"):
-            self.timers.every(TICK, control_tick, channel)
-        self.timers.every(SWEEP, control_tick, "console")
-        self.timers.every(LOOK_INTERVAL, control_tick, "fleet_history")
-        self.timers.every(TICK, serving_tick, "serving")
-        self.timers.every(SWEEP, sweep, "http_client")
-        self.timers.every(SWEEP, sweep, "callers")
-        self.timers.every(TICK, control_tick, "shutdown")
+        timers = self.timers
+        timers.every(CONTROL_TICK, control_tick, *CONTROL_CHANNELS)
+        timers.every(SWEEP, control_tick, "console")
+        timers.every(LOOK_INTERVAL, control_tick, "fleet_history")
+        timers.every(self._serving_tick, serving_tick, "serving")
+        timers.every(SWEEP, sweep, "http_client", "callers")
         log_event(
             "started",
             host=self.settings.host,
--- a/ryelever/shutdown.py
+++ b/ryelever/shutdown.py
@@ -120,6 +120,8 @@
 
     @handler("control_tick")
     def _on_control_tick(self) -> None:
+        if self.phase is Phase.SERVING:
+            return
         now = time.monotonic()
         in_flight = self._in_flight()
         if self.phase is Phase.GRACE and now >= self._grace_ends_at:
--- a/ryelever/timers.py
+++ b/ryelever/timers.py
@@ -16,6 +16,8 @@
 from circuits import BaseComponent, handler
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from circuits import Event
 
 __all__ = ["Timer", "Timers"]
@@ -26,12 +28,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class Timer:
-    """Hold one event that is due at a monotonic time."""
+    """Hold one event that is due at a monotonic time.
+
+    Attributes
+    ----------
+    interval : callable or None
+        Return the seconds to the next round; None for an event that is due once.
+    """
 
     due_at: float
     event: Event
-    channel: str
-    interval: float = 0.0
+    channels: tuple[str, ...]
+    interval: Callable[[], float] | None = None
     cancelled: bool = False
 
     def cancel(self) -> None:
@@ -51,17 +59,31 @@
 
     def after(self, delay: float, event: Event, channel: str) -> Timer:
         """Fire ``event`` on ``channel`` after ``delay`` seconds."""
-        timer = Timer(due_at=time.monotonic() + delay, event=event, channel=channel)
+        timer = Timer(due_at=time.monotonic() + delay, event=event, channels=(channel,))
         self._push(timer)
         return timer
 
-    def every(self, interval: float, make_event: type[Event], channel: str) -> Timer:
-        """Fire an event of one class every ``interval`` seconds."""
+    def every(
+        self,
+        interval: float | Callable[[], float],
+        make_event: type[Event],
+        *channels: str,
+    ) -> Timer:
+        """Fire an event of one class every ``interval`` seconds.
+
+        One event for all channels costs a fraction of one for each.
+
+        Parameters
+        ----------
+        interval : float or callable
+            Seconds, or what returns them anew for each round.
+        """
+        read = interval if callable(interval) else lambda: interval
         timer = Timer(
-            due_at=time.monotonic() + interval,
+            due_at=time.monotonic() + read(),
             event=make_event,
-            channel=channel,
-            interval=interval,
+            channels=channels,
+            interval=read,
         )
         self._push(timer)
         return timer
@@ -77,12 +99,12 @@
         event.reduce_time_left(max(0.0, min(wait, MAX_WAIT)))
 
     def _fire_due(self, timer: Timer, *, now: float) -> None:
-        if not timer.interval:
-            self.fire(timer.event, timer.channel)
+        if timer.interval is None:
+            self.fire(timer.event, *timer.channels)
             return
-        self.fire(timer.event(), timer.channel)
+        self.fire(timer.event(), *timer.channels)
         # After a pause the missed rounds are left out: ticks look at the present.
-        timer.due_at = max(timer.due_at + timer.interval, now)
+        timer.due_at = max(timer.due_at + timer.interval(), now)
         self._push(timer)
 
     def _push(self, timer: Timer) -> None:
