Let one entry host ask a backend server, and a second stand by

Cause: questions for reports are most of what control spends, and each server was asked by two entry hosts every 0.5 s, though one report in 0.5 s is all that is needed. Now the first by rendezvous hash asks every report_interval; the second asks once what it knows is older than 0.75 of report_max_age, the others at 0.8 as before. A second asker that knows nothing, as after a refusal told by the first, asks at once.

Bounds: a server that falls silent stops counting after report_max_age everywhere, as before. A refused connection is noticed by the first asker within report_interval. When the first asker dies, reports get 1.5 s old at the second instead of 0.5 s.

Ruled out: the second at 0.6 of report_max_age.

The row of the table of tests that named any asker now names the first, and rows for the second were added.

--- a/ryelever/coordination/polling.py
+++ b/ryelever/coordination/polling.py
@@ -7,10 +7,12 @@
 
 __all__ = ["N_ASKERS", "PollingShares", "ReportFollowing", "rendezvous"]
 
-#: Entry hosts that ask one backend server.
+#: Entry hosts that answer for asking one backend server; the first of them asks.
 N_ASKERS = 2
 
-#: Part of a report's longest age after which a host that is no asker asks itself.
+#: Parts of a report's longest age after which the second of them asks too, and
+#: after which every other host does.
+STANDBY_SHARE = 0.75
 LATE_SHARE = 0.8
 
 #: Seconds between two questions of a host that is no asker to a server of which
@@ -35,9 +37,9 @@
     """Decide which backend servers this entry host asks itself.
 
     Two entry hosts may disagree for seconds on who lives.  A server is then asked by
-    more or, while a dead entry host still counts as living, by one; two askers
-    therefore have to die at once before reports get old, and reports that got old
-    are never taken for fresh.
+    more or, while a dead entry host still counts as living, by none in its turn: the
+    second asker, and after it every other host, asks when reports get old, and
+    reports that got old are never taken for fresh.
 
     Parameters
     ----------
@@ -49,42 +51,49 @@
         self._host = host
         self._n_askers = n_askers
         self._members: frozenset[str] = frozenset()
-        self._asks_by_server: dict[str, bool] = {}
+        self._rank_by_server: dict[str, int] = {}
 
     def set_members(self, members: Collection[str]) -> None:
         """Take the names of the other entry hosts of the zone that live."""
         members = frozenset(members) - {self._host}
         if members != self._members:
             self._members = members
-            self._asks_by_server.clear()
+            self._rank_by_server.clear()
 
     def asks(self, server: str) -> bool:
-        """Tell whether this entry host asks a backend server.
+        """Tell whether this entry host is one of a backend server's askers."""
+        return self.rank(server) < self._n_askers
 
-        With ``n_askers`` entry hosts or fewer, and while the exchange is silent,
-        each asks all of them.
+    def rank(self, server: str) -> int:
+        """Return this entry host's place among the askers of a backend server.
+
+        The first is 0; ``n_askers`` stands for all that are none.  With ``n_askers``
+        entry hosts or fewer, and while the exchange is silent, each is the first.
         """
         if len(self._members) < self._n_askers:
-            return True
-        asks = self._asks_by_server.get(server)
-        if asks is None:
+            return 0
+        rank = self._rank_by_server.get(server)
+        if rank is None:
             names = [*self._members, self._host]
             chosen = rendezvous(server, names, n_chosen=self._n_askers)
-            asks = self._asks_by_server[server] = self._host in chosen
-        return asks
+            here = self._host in chosen
+            rank = chosen.index(self._host) if here else self._n_askers
+            self._rank_by_server[server] = rank
+        return rank
 
     def forget(self, servers: Collection[str]) -> None:
         """Drop what is kept of servers other than these."""
-        for server in self._asks_by_server.keys() - set(servers):
-            del self._asks_by_server[server]
+        for server in self._rank_by_server.keys() - set(servers):
+            del self._rank_by_server[server]
 
 
 class ReportFollowing:
     """Decide when this entry host asks a backend server for its report.
 
-    The askers of a server ask at ``interval``.  The others learn from them, and ask
-    only when what they learn is ``late``: then the askers are gone, or cut off from
-    here, and the own question still comes before the known report stops counting.
+    The first asker of a server asks at ``interval``.  The others learn from it, and
+    ask only when what they learn is late, the second asker before the rest: then the
+    first is gone, or cut off from here, and the own question still comes before the
+    known report stops counting.
 
     Parameters
     ----------
@@ -103,6 +112,7 @@
         self._shares = shares
         self._zone = availability_zone
         self._interval = interval
+        self._standby_age = STANDBY_SHARE * max_age
         self._late_age = LATE_SHARE * max_age
         self._asked_at_by_host: dict[str, float] = {}
 
@@ -119,11 +129,14 @@
             When the newest report known here was asked for.
         """
         interval = self._interval if zone == self._zone else 2 * self._interval
-        if not self._shares.asks(server):
-            if reported_at is not None and now - reported_at < self._late_age:
+        rank = self._shares.rank(server)
+        if rank > 0 and reported_at is not None:
+            asks = self._shares.asks(server)
+            late_age = self._standby_age if asks else self._late_age
+            if now - reported_at < late_age:
                 return False
-            if reported_at is None:
-                interval = max(interval, UNKNOWN_INTERVAL)
+        elif not self._shares.asks(server):
+            interval = max(interval, UNKNOWN_INTERVAL)
         if now - self._asked_at_by_host.get(server, float("-inf")) < interval:
             return False
         self._asked_at_by_host[server] = now
--- a/tests/test_coordination/test_polling.py
+++ b/tests/test_coordination/test_polling.py
@@ -44,6 +44,12 @@
         assert len(server_askers) == n_askers
 
 
+def test_each_server_has_one_first_asker() -> None:
+    for server in SERVERS:
+        ranks = sorted(shares(host, *HOSTS).rank(server) for host in HOSTS)
+        assert ranks == [0, 1] + [2] * 6
+
+
 def test_a_host_that_goes_moves_only_its_own_share() -> None:
     before, after = askers(HOSTS), askers(HOSTS[1:])
     for server in SERVERS:
@@ -65,7 +71,8 @@
 SILENT = shares("e0")
 OTHERS = shares("x", "a", "b", "c", "d", "e", "f")
 OTHERS_SERVER = next(server for server in SERVERS if not OTHERS.asks(server))
-OWN_SERVER = next(server for server in SERVERS if OTHERS.asks(server))
+FIRST_SERVER = next(server for server in SERVERS if OTHERS.rank(server) == 0)
+SECOND_SERVER = next(server for server in SERVERS if OTHERS.rank(server) == 1)
 
 
 @pytest.mark.parametrize(
@@ -73,8 +80,12 @@
     [
         pytest.param(SILENT, "w1", 0.1, 0.5, True, id="alone_asks"),
         pytest.param(SILENT, "w1", 0.1, 0.4, False, id="alone_at_interval"),
-        pytest.param(OTHERS, OWN_SERVER, 0.1, 0.5, True, id="asker_asks"),
-        pytest.param(OTHERS, OTHERS_SERVER, 0.1, 9.0, False, id="others_told"),
+        pytest.param(OTHERS, FIRST_SERVER, 0.1, 0.5, True, id="first_asks"),
+        pytest.param(OTHERS, FIRST_SERVER, 0.1, 0.4, False, id="first_at_interval"),
+        pytest.param(OTHERS, SECOND_SERVER, 1.4, 9.0, False, id="second_told"),
+        pytest.param(OTHERS, SECOND_SERVER, 1.55, 0.5, True, id="second_late"),
+        pytest.param(OTHERS, SECOND_SERVER, None, 0.5, True, id="second_unknown"),
+        pytest.param(OTHERS, OTHERS_SERVER, 1.5, 9.0, False, id="others_told"),
         pytest.param(OTHERS, OTHERS_SERVER, 1.7, 0.5, True, id="others_late"),
         pytest.param(OTHERS, OTHERS_SERVER, None, 0.5, False, id="unknown_waits"),
         pytest.param(
