Read the list of hosts whole only when it has changed

Cause: each entry host reads the whole list every second: 5.6 KB/s at 36 backend servers, 11 KB/s at 72, and by the slope about 119 KB/s at 780, six times the whole budget. A list answered with an ETag is now asked for with If-None-Match, and 304 leaves it as it is. A platform that sends no tags is read as before.

Ruled out: reading the list less often the longer it is; at 780 servers that would be every 30 s, and a host that only the list calls leaving would get work for as long.

Bounds: the list is still looked at every second.

--- a/ryelever/asking.py
+++ b/ryelever/asking.py
@@ -15,6 +15,9 @@
 __all__ = ["Asker", "Question"]
 
 
+_JSON = (("Content-Type", "application/json"),)
+
+
 class Question:
     """Remember what an answer belongs to.
 
@@ -53,6 +56,7 @@
         progress_timeout: float,
         method: str = "GET",
         body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
     ) -> None:
         """Send one question."""
         request = OutboundRequest(
@@ -61,7 +65,7 @@
             method=method,
             path=path,
             body=body,
-            headers=(("Content-Type", "application/json"),) if body else (),
+            headers=headers + (_JSON if body else ()),
             reply_channel=self.channel,
             step=step,
             progress_timeout=progress_timeout,
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -28,6 +28,9 @@
 #: Seconds between two looks at the platform's list.
 LIST_INTERVAL = 1.0
 
+#: Status of a list that is still the one whose tag was sent (RFC 9110, 15.4.5).
+NOT_MODIFIED = 304
+
 #: Engines of other zones up to which their reports are followed too.
 MAX_FOREIGN = 100
 
@@ -65,6 +68,7 @@
         self.hosts_by_name: dict[str, ListedHost] = {}
         self._followed_by_name: dict[str, ListedHost] = {}
         self._list_due_at = 0.0
+        self._list_tag = ""
         self.shares = PollingShares(host=settings.host)
         self._following = ReportFollowing(
             shares=self.shares,
@@ -88,10 +92,14 @@
         if now < self._list_due_at:
             return
         self._list_due_at = now + LIST_INTERVAL
+        # The list of hundreds of hosts, read whole each second, would take many times
+        # the bytes that control may, to say that nothing has changed.
+        call = self._hosts_list.list(known_tag=self._list_tag)
         self.ask(
             Question(kind="list"),
             address=self._settings.hosts_list_address,
-            path=self._hosts_list.list().path,
+            path=call.path,
+            headers=call.headers,
             step="read_hosts_list",
             progress_timeout=self._settings.progress_timeout,
         )
@@ -116,10 +124,13 @@
         )
 
     def _take_list(self, answer: OutboundAnswer) -> None:
+        if answer.status == NOT_MODIFIED and self._list_tag:
+            return
         hosts = self._hosts_list.hosts(answer.body, peer=answer.address)
         if answer.status != 200 or hosts.is_error():
             log_warning("hosts_list_failed", status=answer.status)
             return
+        self._list_tag = answer.headers.get("etag", "")
         self.hosts_by_name.clear()
         self.hosts_by_name.update((listed.host, listed) for listed in hosts.ok.hosts)
         self._followed_by_name = self._followed()
--- a/ryelever/protocol/outside.py
+++ b/ryelever/protocol/outside.py
@@ -66,8 +66,8 @@
 class HostsListInterface(Protocol):
     """Ask the platform's lagging list of hosts."""
 
-    def list(self) -> Call:
-        """Ask for the list."""
+    def list(self, *, known_tag: str) -> Call:
+        """Ask for the list, or for word that it is still the one with this tag."""
 
     def hosts(self, body: bytes, *, peer: str) -> Result[HostsList, RyeleverError]:
         """Read the answer to ``list``."""
@@ -127,8 +127,9 @@
 
 
 class _HttpHostsList:
-    def list(self) -> Call:
-        return Call(path="/v1/hosts")
+    def list(self, *, known_tag: str) -> Call:
+        headers = (("If-None-Match", known_tag),) if known_tag else ()
+        return Call(path="/v1/hosts", headers=headers)
 
     def hosts(self, body: bytes, *, peer: str) -> Result[HostsList, RyeleverError]:
         return read_hosts_list(body, peer=peer)
--- a/tests/standins/hosts_list.py
+++ b/tests/standins/hosts_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import uuid
 
 import defopt
 from aiohttp import web
@@ -16,6 +17,10 @@
     def __init__(self, *, lag: float) -> None:
         self.lag = lag
         self.outage = False
+        self.tagged = True
+        self.boot = uuid.uuid4().hex
+        self.n_read = 0
+        self.n_not_modified = 0
         self._versions: list[tuple[float, list[dict]]] = [(float("-inf"), [])]
 
     def app(self) -> web.Application:
@@ -23,6 +28,7 @@
         app = web.Application()
         app.router.add_get("/v1/hosts", self.hosts)
         app.router.add_post("/control", self.control)
+        app.router.add_get("/control", self.describe)
         return app
 
     async def hosts(self, request: web.Request) -> web.Response:
@@ -31,15 +37,29 @@
             raise web.HTTPServiceUnavailable(text="outage")
         seen_at = time.monotonic() - self.lag
         visible = [hosts for at, hosts in self._versions if at <= seen_at]
-        return web.json_response({"hosts": visible[-1]})
+        tag = f'"{len(visible)}-{self.boot}"'
+        self.n_read += 1
+        if self.tagged and request.headers.get("If-None-Match") == tag:
+            self.n_not_modified += 1
+            return web.Response(status=304, headers={"ETag": tag})
+        headers = {"ETag": tag} if self.tagged else {}
+        return web.json_response({"hosts": visible[-1]}, headers=headers)
+
+    async def describe(self, request: web.Request) -> web.Response:
+        """Return counts."""
+        return web.json_response(
+            {"n_read": self.n_read, "n_not_modified": self.n_not_modified}
+        )
 
     async def control(self, request: web.Request) -> web.Response:
-        """Set the hosts, the lag or an outage."""
+        """Set the hosts, the lag, an outage, or whether answers have tags."""
         body = await request.json()
         if "lag" in body:
             self.lag = body["lag"]
         if "outage" in body:
             self.outage = body["outage"]
+        if "tagged" in body:
+            self.tagged = body["tagged"]
         if "hosts" in body:
             self._versions.append((time.monotonic(), body["hosts"]))
         return web.json_response({})
--- /dev/null
+++ b/tests/test_fleet_watch.py
@@ -0,0 +1,100 @@
+"""Test what the watch of the hosts makes of the platform's list."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from ryelever.asking import Question
+from ryelever.coordination.confirmation import Confirmations
+from ryelever.events import OutboundAnswer, OutboundRequest
+from ryelever.fleet_watch import FleetWatch
+from ryelever.settings import Settings
+
+TAG = '"7"'
+HOST = {
+    "host": "w1",
+    "address": "127.0.0.1:1",
+    "availability_zone": "a",
+    "kind": "engine",
+    "state": "live",
+}
+
+
+class Watch(FleetWatch):
+    """Keep what is asked instead of sending it."""
+
+    def __init__(self) -> None:
+        settings = Settings(
+            host="e1",
+            availability_zone="a",
+            report_interval=0.5,
+            report_max_age=2.0,
+            hosts_list_address="127.0.0.1:1",
+            progress_timeout=1.0,
+        )
+        super().__init__(settings=settings, confirmations=Confirmations(max_age=2.0))
+        self.sent: list[OutboundRequest] = []
+
+    def fire(self, event: object, *channels: str) -> None:
+        """Note a question."""
+        self.sent.append(event.args[0])
+
+    def conditions(self) -> list[str | None]:
+        """Return the tag that each question for the list named."""
+        asked = [sent for sent in self.sent if sent.step == "read_hosts_list"]
+        return [dict(sent.headers).get("If-None-Match") for sent in asked]
+
+
+def answer(
+    status: int, *, names: tuple[str, ...] = (), tag: str = ""
+) -> OutboundAnswer:
+    body = json.dumps({"hosts": [HOST | {"host": name} for name in names]})
+    return OutboundAnswer(
+        id="1",
+        status=status,
+        headers={"etag": tag} if tag else {},
+        body=body.encode() if status == 200 else b"",
+        address="127.0.0.1:1",
+        sent_at=0.0,
+    )
+
+
+# (answers, tag of the next question, hosts that are known)
+@pytest.mark.parametrize(
+    ("answers", "condition", "known"),
+    [
+        pytest.param([], None, set(), id="first"),
+        pytest.param([answer(200, names=("w1",))], None, {"w1"}, id="no_tags"),
+        pytest.param([answer(200, names=("w1",), tag=TAG)], TAG, {"w1"}, id="tagged"),
+        pytest.param(
+            [answer(200, names=("w1",), tag=TAG), answer(304, tag=TAG)],
+            TAG,
+            {"w1"},
+            id="unchanged",
+        ),
+        pytest.param(
+            [answer(200, names=("w1",), tag=TAG), answer(200, names=("w2",))],
+            None,
+            {"w2"},
+            id="tags_ended",
+        ),
+        pytest.param(
+            [answer(200, names=("w1",), tag=TAG), answer(503)],
+            TAG,
+            {"w1"},
+            id="outage",
+        ),
+        pytest.param([answer(304, tag=TAG)], None, set(), id="unasked_304"),
+    ],
+)
+def test_the_list_is_read_whole_only_when_it_changed(
+    answers: list[OutboundAnswer], condition: str | None, known: set[str]
+) -> None:
+    watch = Watch()
+    for each in answers:
+        watch.answered(Question(kind="list"), each)
+    watch._ask_list(now=100.0)
+    assert watch.conditions() == [condition]
+    assert watch.hosts_by_name.keys() == known
--- a/tests/test_protocol/test_outside.py
+++ b/tests/test_protocol/test_outside.py
@@ -47,7 +47,8 @@
         "GET /v1/streams/s/records?from=5&wait_ms=10&limit=2",
         set(),
     ),
-    (HTTP_HOSTS_LIST.list(), "GET /v1/hosts", set()),
+    (HTTP_HOSTS_LIST.list(known_tag=""), "GET /v1/hosts", set()),
+    (HTTP_HOSTS_LIST.list(known_tag="t"), "GET /v1/hosts", set()),
     (HTTP_ENGINE.report(), "GET /v1/report", set()),
     (
         HTTP_ENGINE.order(ORDER),
@@ -83,3 +84,8 @@
         "Content-Type": "x/y",
         "Idempotency-Key": "k",
     }
+
+
+def test_list_is_asked_for_on_the_condition_that_it_changed() -> None:
+    assert HTTP_HOSTS_LIST.list(known_tag="").headers == ()
+    assert HTTP_HOSTS_LIST.list(known_tag='"7"').headers == (("If-None-Match", '"7"'),)
