--- a/ryelever/coordination/soft_state_exchange.py
+++ b/ryelever/coordination/soft_state_exchange.py
@@ -16,28 +16,21 @@
 from dataclasses import dataclass, field
 
 from ..state.observations import ConfigurationRow
+from .soft_state_compose import Composer
 from .soft_state_configuration import ConfigurationSpread
 from .soft_state_deliveries import Delivery, deliveries
 from .soft_state_digest import summed_rows
-from .soft_state_links import Link, Peer
+from .soft_state_links import Peer
 from .soft_state_messages import (
-    Have,
     Member,
     Message,
-    Piece,
     SoftRow,
     Step,
-    TableUpdate,
-    Want,
 )
 from .soft_state_own import OwnTable
 from .soft_state_schedule import Schedule
 from .soft_state_tables import (
-    HAVE_SIZE,
-    MEMBER_SIZE,
     REDELIVERY_INTERVAL,
-    TABLE_EXPIRY,
-    TABLE_SIZE,
     Table,
     Tables,
     origin_of,
@@ -45,10 +38,6 @@
 
 __all__ = ["Delivery", "Received", "SoftStateExchange"]
 
-#: Bytes that a datagram should not exceed, by estimate.
-DATAGRAM_SIZE = 1300
-HEADER_SIZE = 80
-
 #: Shortest time between two answers to unproven datagrams of one address.
 ANSWER_INTERVAL = 0.2
 
@@ -125,6 +114,16 @@
         )
         self._own = self._own_table(address, digest=False)
         self._digest = self._own_table(address, digest=True)
+        self._composer = Composer(
+            host=host,
+            availability_zone=availability_zone,
+            boot=boot,
+            own=self._own,
+            digest=self._digest,
+            tables=self.tables,
+            configuration=self.configuration,
+            rng=rng,
+        )
         self._digest_due_at: float | None = None
         self._expire_at = 0.0
         self._schedule = Schedule(
@@ -219,7 +218,7 @@
         due = self._schedule.due(now=now)
         peers = [self._peer(address) for address in due]
         messages = [
-            (peer.address, self._tell(peer, now=now))
+            (peer.address, self._composer.tell(peer, now=now))
             for peer in peers
             if peer is not None
         ]
@@ -228,103 +227,12 @@
             address, want = wanted
             peer = self.peers_by_address[address]
             if peer.current is not None:
-                message = self._message(
+                message = self._composer.message(
                     peer, peer.current, now=now, step=Step.TRANSFER, wants=(want,)
                 )
                 messages.append((address, message))
         return messages
 
-    def _tell(self, peer: Peer, *, now: float) -> Message:
-        link = peer.current or _newest_link(peer)
-        if link is None or not link.granted:
-            return self._message(peer, link, now=now)
-        haves = self._haves(self._tables_for(peer, now=now))
-        return self._message(peer, link, now=now, step=Step.ASK, haves=haves)
-
-    def _haves(self, tables: list[Table]) -> tuple[Have, ...]:
-        own = (self._own.table, self._digest.table)
-        return tuple(
-            Have(origin=table.origin, version=table.version)
-            for table in tables
-            if table not in own
-        )
-
-    def _bring(self, peer: Peer, step: Step, *, now: float) -> Message:
-        """Return what a peer lacks; an answer tells also what is here."""
-        tables = self._tables_for(peer, now=now)
-        haves = self._haves(tables) if step is Step.ANSWER else ()
-        lacking = [table for table in tables if table.member.host != peer.name]
-        updates = self._updates(lacking, peer.current, n_haves=len(haves), now=now)
-        return self._message(
-            peer, peer.current, now=now, step=step, haves=haves, tables=updates
-        )
-
-    def _tables_for(self, peer: Peer, *, now: float) -> list[Table]:
-        others = list(self.tables.tables_by_origin.values())
-        self._rng.shuffle(others)
-        known = [self._own.table, *others]
-        if now - self._digest.table.alive_at() <= TABLE_EXPIRY:
-            known.append(self._digest.table)
-        same = peer.availability_zone == self._zone
-        return [
-            table for table in known if table.version and (table.member.digest or same)
-        ]
-
-    def _updates(
-        self, tables: list[Table], link: Link, *, n_haves: int, now: float
-    ) -> tuple[TableUpdate, ...]:
-        budget = DATAGRAM_SIZE - HEADER_SIZE - n_haves * HAVE_SIZE
-        told = []
-        for table in tables:
-            version = link.haves.get(table.origin, 0)
-            member = table.member if not version else None
-            alone = table.version - version == 1
-            overhead = 0 if alone else TABLE_SIZE
-            overhead += MEMBER_SIZE if member else 0
-            if table.version <= version or budget <= overhead:
-                continue
-            updates, size = table.updates_after(
-                version, budget=budget - overhead, now=now
-            )
-            if updates:
-                budget -= overhead + size
-                told.append(
-                    TableUpdate(
-                        origin=table.origin, member=member, updates=tuple(updates)
-                    )
-                )
-        return tuple(told)
-
-    def _message(
-        self,
-        peer: Peer,
-        link: Link | None,
-        *,
-        now: float,
-        step: Step = Step.GREETING,
-        haves: tuple[Have, ...] = (),
-        tables: tuple[TableUpdate, ...] = (),
-        wants: tuple[Want, ...] = (),
-        pieces: tuple[Piece, ...] = (),
-    ) -> Message:
-        echo, hold = peer.echo(now=now)
-        return Message(
-            sender=self._host,
-            availability_zone=self._zone,
-            boot=self._boot,
-            token=link.granted if link is not None else 0,
-            grant=link.given if link is not None else 0,
-            sequence=peer.next_sequence(now=now),
-            step=step,
-            echo=echo,
-            hold=hold,
-            configuration_version=self.configuration.version,
-            haves=haves,
-            tables=tables,
-            wants=wants,
-            pieces=pieces,
-        )
-
     # Receiving
 
     def receive(self, message: Message, *, address: str, now: float) -> Received:
@@ -341,7 +249,7 @@
         if receipt.fault == "unproven":
             if now - peer.answered_at >= ANSWER_INTERVAL:
                 peer.answered_at = now
-                answer = self._message(peer, receipt.link, now=now)
+                answer = self._composer.message(peer, receipt.link, now=now)
                 received.messages.append((address, answer))
             return received
         if receipt.fault == "replayed":
@@ -366,11 +274,11 @@
             if now - peer.brought_at < ANSWER_INTERVAL:
                 return None
             peer.brought_at = now
-            return self._bring(peer, Step.ANSWER, now=now)
+            return self._composer.bring(peer, Step.ANSWER, now=now)
         if message.step is Step.ANSWER:
-            rest = self._bring(peer, Step.REST, now=now)
+            rest = self._composer.bring(peer, Step.REST, now=now)
             return rest if rest.tables else None
-        return self._tell(peer, now=now) if proven else None
+        return self._composer.tell(peer, now=now) if proven else None
 
     def _take_tables(
         self, message: Message, composed_at: float, *, now: float, into: Received
@@ -400,11 +308,7 @@
         peer = self.peers_by_address[address]
         pieces = [piece for want in message.wants for piece in spread.pieces(want)]
         for piece in pieces:
-            answer = self._message(
+            answer = self._composer.message(
                 peer, peer.current, now=now, step=Step.TRANSFER, pieces=(piece,)
             )
             into.messages.append((address, answer))
-
-
-def _newest_link(peer: Peer) -> Link | None:
-    return next(reversed(peer.links_by_boot.values()), None)
