--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -21,7 +21,9 @@
     from collections.abc import Callable
 
     from .application import Application
+    from .coordination.confirmation import FreshReport
     from .events import CallerRequest
+    from .state.fleet import ListedHost
 
 __all__ = ["Dump"]
 
@@ -216,6 +218,8 @@
                 "listed": listed.state,
                 "reported": fresh.report.state if fresh else None,
                 "group": fresh.report.group if fresh else None,
+                "leaving": _leaving(listed, fresh)
+                or application.departures.is_leaving(name, now=now),
                 "report_age": _age(fresh.asked_at, now=now) if fresh else None,
             }
         return described
@@ -236,6 +240,11 @@
         ]
 
 
+def _leaving(listed: ListedHost, fresh: FreshReport | None) -> bool:
+    reported = fresh.report.state if fresh is not None else ""
+    return "leaving" in (listed.state, reported)
+
+
 def _age(at: float, *, now: float) -> float | None:
     return None if at == float("-inf") else round(now - at, 3)
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -76,6 +76,7 @@
         self.cache: OrderedDict[str, int] = OrderedDict()
         self.cache_events: list[dict] = []
         self.n_generated = 0
+        self.n_asked = 0
         self.n_cancelled = 0
         self.token_bytes = 0
         self.order_delay = 0.0
@@ -245,6 +246,7 @@
 
     async def generate(self, request: web.Request) -> web.StreamResponse:
         """Stream tokens as server-sent events."""
+        self.n_asked += 1
         body = await request.json()
         wrong = body["group"] != self.group or body["fencing"] != self.fencing
         if wrong or self.rank != 0 or self.state != "ready":
@@ -408,6 +410,7 @@
         return web.json_response(
             {
                 "n_generated": self.n_generated,
+                "n_asked": self.n_asked,
                 "n_cancelled": self.n_cancelled,
                 "n_running": len(self.running),
                 "n_waiting": len(self.waiting),
