Split the settings by job: the table, the checks, the reader

The table stays in settings.py, the checks with their wording go to settings_checks.py, reading and naming faults to settings_reader.py. The lengths and the port bound that stood as bare numbers have names. SettingsError, which nothing raised, is gone.

No check changes; tests/test_settings.py and tests/test_cli.py: 38 passed, with one import followed.

--- a/ryelever/cli.py
+++ b/ryelever/cli.py
@@ -14,7 +14,8 @@
 from .errors import RyeleverError
 from .faults import Fault
 from .protocol.configuration_document import check_document
-from .settings import Settings, read_settings, reference
+from .settings import Settings, reference
+from .settings_reader import read_settings
 
 __all__ = ["main"]
 
--- a/ryelever/errors.py
+++ b/ryelever/errors.py
@@ -4,7 +4,7 @@
 
 import enum
 
-__all__ = ["Category", "RunState", "RyeleverError", "SettingsError"]
+__all__ = ["Category", "RunState", "RyeleverError"]
 
 
 class Category(enum.Enum):
@@ -82,12 +82,3 @@
             f"peer={self.peer!r}, run_state={self.run_state.value!r}, "
             f"message={self.message!r})"
         )
-
-
-class SettingsError(RyeleverError):
-    """Report every fault found in a settings file in one run."""
-
-    def __init__(self, message: str, *, peer: str = "") -> None:
-        super().__init__(
-            message, category=Category.BAD_REQUEST, step="read_settings", peer=peer
-        )
--- /dev/null
+++ b/ryelever/settings_checks.py
@@ -0,0 +1,83 @@
+"""Check single values of settings, and word what each check accepts."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+from typing import Any
+
+__all__ = [
+    "ADDRESS",
+    "COUNT",
+    "NAME",
+    "SECONDS",
+    "SECRET",
+    "SIZE",
+    "is_address",
+    "is_addresses",
+    "is_name",
+    "is_names",
+    "is_positive",
+    "is_secret",
+    "is_size",
+]
+
+ADDRESS = "an IPv4 number and a port, such as 127.0.0.1:8080"
+COUNT = "a whole number above 0"
+NAME = "a name of letters, digits, '-', '_' and '.'"
+SECONDS = "a number of seconds above 0"
+SECRET = "at least 16 characters, or nothing to switch the use off"
+SIZE = "a whole number of bytes above 0"
+
+#: Shortest secret, in characters; a shorter one could be found by trying all.
+MIN_SECRET_LENGTH = 16
+
+#: Ports lie below this.
+N_PORTS = 1 << 16
+
+
+def is_name(value: Any) -> bool:
+    """Tell whether a value is a name that may stand in a path or a log line."""
+    return (
+        isinstance(value, str)
+        and bool(value)
+        and all(char.isascii() and (char.isalnum() or char in "-_.") for char in value)
+    )
+
+
+def is_address(value: Any) -> bool:
+    """Tell whether a value is an address by IP number, ``"<IPv4>:<port>"``."""
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and int(port) < N_PORTS
+
+
+def is_addresses(value: Any) -> bool:
+    """Tell whether a value is a list of addresses."""
+    return isinstance(value, list) and all(is_address(item) for item in value)
+
+
+def is_names(value: Any) -> bool:
+    """Tell whether a value is a list of names."""
+    return isinstance(value, list) and all(is_name(item) for item in value)
+
+
+def is_positive(value: Any) -> bool:
+    """Tell whether a value is a finite number above 0; true and false are none."""
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    return number and 0 < value < math.inf
+
+
+def is_size(value: Any) -> bool:
+    """Tell whether a value is a whole number above 0."""
+    return isinstance(value, int) and not isinstance(value, bool) and value > 0
+
+
+def is_secret(value: Any) -> bool:
+    """Tell whether a value is a secret that is long enough, or empty."""
+    return isinstance(value, str) and (not value or len(value) >= MIN_SECRET_LENGTH)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from ryelever.settings import REQUIRED, SETTINGS, read_settings, reference
+from ryelever.settings import REQUIRED, SETTINGS, reference
+from ryelever.settings_reader import read_settings
 
 OPERATING = Path(__file__).parents[1] / "docs" / "OPERATING.md"
 
