--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -16,10 +16,9 @@
 from typing import TYPE_CHECKING
 
 import h11
-from circuits import BaseComponent, Event, handler
-from circuits.net.events import disconnect, read, ready
+from circuits import Event, handler
+from circuits.net.events import disconnect, ready
 from circuits.net.sockets import TCPServer
-from circuits.web.http import HTTP
 
 from ..events import (
     CallerAnswer,
@@ -29,6 +28,13 @@
     caller_stalled,
 )
 from ..protocol.openai import error_body
+from .callers_web import (
+    LAST_CHUNK,
+    CallersWeb,
+    stream_head,
+    stream_part,
+    whole_answer,
+)
 from .request_reader import Limits, Refusal, RequestReader, WholeRequest
 
 if TYPE_CHECKING:
@@ -38,9 +44,6 @@
 
 __all__ = ["Callers", "Limits"]
 
-#: Ends a body in chunks.
-LAST_CHUNK = b"0\r\n\r\n"
-
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Connection:
@@ -65,6 +68,15 @@
     ----------
     bind : tuple of (str, int)
         Address by IP number; port 0 picks a free one.
+    limits : Limits
+        What one connection may take up.
+
+    Attributes
+    ----------
+    n_refused_by_code : dict of str to int
+        Requests that never reached ``circuits.web``, by the code of the error.
+    n_unread : int
+        Answers given up because the caller did not read them.
     """
 
     channel = "callers"
@@ -76,8 +88,7 @@
         self._connections_by_request: dict[str, _Connection] = {}
         self.n_refused_by_code: dict[str, int] = {}
         self.n_unread = 0
-        self._web = HTTP(self, channel="web").register(self)
-        _WebChannel(self).register(self)
+        self._web = CallersWeb(callers=self).register(self)
 
     # Connections
 
@@ -102,10 +113,7 @@
         connection = self._connections_by_sock.pop(sock, None)
         if connection is None:
             return
-        self.fire(disconnect(sock), "web")
-        # A connection that closes between being read and being parsed makes
-        # circuits.web fail and keep its parser: memory grows with each.
-        self._web._buffers.pop(sock, None)
+        self._web.forget(sock)
         if connection.request_id:
             del self._connections_by_request[connection.request_id]
             self.fire(caller_gone(connection.request_id), "serving")
@@ -154,19 +162,9 @@
                     self._write_now(connection, outcome)
 
     def _hand_on(self, connection: _Connection, request: WholeRequest) -> None:
-        """Give ``circuits.web`` the request without what a caller could word.
-
-        It would fail with a traceback on a Host, a Cookie or a path that it cannot
-        read.  It needs only what decides how the answer is framed.
-        """
         connection.request = request
         connection.since = time.monotonic()
-        kept = "keep-alive" if request.keep_alive else "close"
-        head = (
-            f"{request.method} / HTTP/{request.http_version}\r\nHost: {self.host}\r\n"
-            f"Connection: {kept}\r\nContent-Length: 0\r\n\r\n"
-        )
-        self.fire(read(connection.sock, head.encode("ascii")), "web")
+        self._web.parse(connection.sock, request)
 
     def _refuse(self, connection: _Connection, refusal: Refusal) -> None:
         """Answer a request that never reaches ``circuits.web``, then close."""
@@ -195,7 +193,7 @@
             with contextlib.suppress(OSError):
                 connection.sock.shutdown(socket.SHUT_WR)
 
-    # Requests and answers, on the side of circuits.web
+    # Requests and answers
 
     def handed_on(self, req: Request, res: Response) -> None:
         """Announce a request that ``circuits.web`` has parsed."""
@@ -222,17 +220,7 @@
         connection = self._connections_by_request.get(answer.request_id)
         if connection is None:
             return
-        res = connection.response
-        res.status = answer.status
-        res.headers["Content-Type"] = answer.content_type
-        for name, value in answer.headers.items():
-            res.headers[name] = value
-        res.body = answer.body
-        res.prepare()
-        data = bytes(res) + bytes(res.headers)
-        if res.request.method != "HEAD":
-            data += answer.body
-        self._write_now(connection, data)
+        self._write_now(connection, whole_answer(connection.response, answer))
         self._answered(connection)
 
     @handler("caller_stream_start", channel="callers")
@@ -240,23 +228,14 @@
         connection = self._connections_by_request.get(request_id)
         if connection is None:
             return
-        res = connection.response
-        res.stream = True
-        res.body = _Pushed()
-        for name, value in headers.items():
-            res.headers[name] = value
-        res.prepare()
-        res.body = None
-        self._write_now(connection, bytes(res) + bytes(res.headers))
+        self._write_now(connection, stream_head(connection.response, headers))
 
     @handler("caller_stream_data", channel="callers")
     def _on_caller_stream_data(self, request_id: str, data: bytes) -> None:
         connection = self._connections_by_request.get(request_id)
         if connection is None:
             return
-        if connection.response.chunked:
-            data = b"%x\r\n%s\r\n" % (len(data), data)
-        self._write_now(connection, data)
+        self._write_now(connection, stream_part(connection.response, data))
 
     @handler("caller_stream_end", channel="callers")
     def _on_caller_stream_end(self, request_id: str) -> None:
@@ -366,36 +345,5 @@
         ]
 
 
-class _WebChannel(BaseComponent):
-    """Join the channel of ``circuits.web`` with the callers' sockets."""
-
-    channel = "web"
-
-    def __init__(self, callers: Callers) -> None:
-        super().__init__()
-        self._callers = callers
-
-    @handler("request")
-    def _on_request(self, req: Request, res: Response, *args: object) -> bool:
-        self._callers.handed_on(req, res)
-        return True
-
-    @handler("write")
-    def _on_write(self, sock: socket.socket, data: bytes) -> None:
-        self._callers.write_of_web(sock, data)
-
-    @handler("close")
-    def _on_close(self, sock: socket.socket | None = None) -> None:
-        if sock is not None:
-            self._callers.close(sock)
-
-
-class _Pushed:
-    """Stand for a body whose parts are pushed later, so of unknown length."""
-
-    def __bool__(self) -> bool:
-        return True
-
-
 class _next_request(Event):
     """Go on with the next request of a connection."""
