Build the decisions about requests in a module of their own

Cause: application.py read as a list of everything: 45 imports, and how the nine decisions of a request fit together stood between sockets and timers. request_path.py builds them; application.py wires components only. Two pauses that stood as bare 2.0 and 0.5 have names and say what they are for. An address is taken apart in one function.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -3,29 +3,17 @@
 from __future__ import annotations
 
 import uuid
-from functools import partial
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 
+from .addresses import split_address
 from .console.assembly import console_of
-from .coordination.admission_capacity import GroupCapacity
-from .coordination.admission_fair import FairAdmission
-from .coordination.claims import Claims
 from .coordination.confirmation import Confirmations
-from .coordination.departures import Departures
 from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
-from .coordination.quarantine import Quarantine
-from .coordination.requests import RequestTable, Timeouts
 from .coordination.requests_state import RequestState
-from .coordination.retry import RetryBudget
-from .coordination.routing import AffinityRouter
-from .coordination.routing_feedback import RoutingFeedback
-from .coordination.routing_load import LoadView
-from .coordination.stragglers import Stragglers
-from .coordination.targets import Targets
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
 from .fleet_history import LOOK_INTERVAL, FleetHistory
@@ -34,16 +22,10 @@
 from .metrics import Metrics
 from .peering import Peering
 from .planning import Planning, demand_of
-from .protocol.log import (
-    CLAIMS_STREAM,
-    CONFIGURATION_STREAM,
-    claims_stream,
-    claims_streams,
-    placement_stream,
-)
+from .protocol.log import CONFIGURATION_STREAM, claims_streams, placement_stream
+from .request_path import RequestPath, build_claims
 from .serving import Serving
 from .shutdown import InFlight, Shutdown
-from .state.claims import ClaimsFold
 from .state.configuration_fold import NO_VERSION, ConfigurationFold
 from .state.placement import PlacementFold
 from .streams import Streams
@@ -66,9 +48,6 @@
 #: Seconds between two looks at connections.
 SWEEP = 0.25
 
-#: Seconds after which a caller should come back when nothing serves its request.
-RETRY_AFTER = 2.0
-
 
 class Application(BaseComponent):
     """Own the parts of one entry host and its graceful shutdown.
@@ -92,16 +71,7 @@
         self.placements_by_zone = {
             zone: PlacementFold() for zone in settings.availability_zones
         }
-        claims = Claims(
-            owner=owner,
-            stream=CLAIMS_STREAM,
-            folds_by_stream={
-                name: ClaimsFold()
-                for name in claims_streams(settings.claims_partitions)
-            },
-            stream_of=partial(claims_stream, n_partitions=settings.claims_partitions),
-            max_lag=2.0 + settings.progress_timeout,
-        )
+        claims = build_claims(settings=settings, owner=owner)
         self.streams = Streams(
             settings=settings, folds_by_stream=self._folds(), claims=claims
         )
@@ -118,11 +88,20 @@
             demand=self._demand,
         )
         self.account_limits = AccountLimits(n_hosts=self._n_entry_hosts)
-        self.table = self._table(claims)
+        self.request_path = RequestPath(
+            settings=settings,
+            claims=claims,
+            placements_by_zone=self.placements_by_zone,
+            hosts_by_name=self.fleet.hosts_by_name,
+            confirmations=self.confirmations,
+            limits=self.account_limits,
+            account=self._client_account,
+            n_hosts=self._n_entry_hosts,
+        )
+        self.table = self.request_path.table
         self.http_client = HttpClient()
-        host, _, port = settings.callers_address.rpartition(":")
         self.callers = Callers(
-            bind=(host, int(port)),
+            bind=split_address(settings.callers_address),
             limits=Limits(
                 max_body=settings.max_body,
                 request_timeout=settings.callers_request_timeout,
@@ -157,27 +136,18 @@
         self._register_gauges()
 
     def _wire_peers(self) -> None:
-        host, _, port = self.settings.peers_address.rpartition(":")
-        self.peers = Peers(bind=(host, int(port)), reply_channel="peering")
+        observers = [self.account_limits, *self.request_path.observers]
+        self.peers = Peers(
+            bind=split_address(self.settings.peers_address), reply_channel="peering"
+        )
         self.peering = Peering(
             settings=self.settings,
             address=self.peers.address,
             configuration=self.configuration,
             metrics=self.metrics,
-            sources=[
-                self.account_limits,
-                self.departures,
-                self.quarantine,
-                self.loads,
-            ],
+            sources=observers,
             aged_sources=[self.fleet],
-            sinks=[
-                self.fleet,
-                self.account_limits,
-                self.departures,
-                self.quarantine,
-                self.loads,
-            ],
+            sinks=[self.fleet, *observers],
             set_members=self.fleet.shares.set_members,
         )
 
@@ -202,61 +172,6 @@
             if request.state is RequestState.QUEUED
         )
 
-    def _table(self, claims: Claims) -> RequestTable:
-        self.departures = Departures(
-            confirmations=self.confirmations, hosts_by_name=self.fleet.hosts_by_name
-        )
-        self.quarantine = Quarantine()
-        targets = Targets(
-            availability_zone=self.settings.availability_zone,
-            placements_by_zone=self.placements_by_zone,
-            hosts_by_name=self.fleet.hosts_by_name,
-            confirmations=self.confirmations,
-            departures=self.departures,
-        )
-        self.loads = LoadView(targets=targets)
-        stragglers = Stragglers()
-        retry_budget = RetryBudget()
-        return RequestTable(
-            admission=self._admission(targets),
-            router=AffinityRouter(
-                targets=targets,
-                loads=self.loads,
-                stragglers=stragglers,
-                quarantine=self.quarantine,
-            ),
-            feedback=RoutingFeedback(
-                quarantine=self.quarantine,
-                departures=self.departures,
-                stragglers=stragglers,
-                retry_budget=retry_budget,
-            ),
-            retry_policy=retry_budget,
-            claims=claims,
-            account=self._client_account,
-            new_id=_new_id,
-            retry_after=lambda: RETRY_AFTER,
-            timeouts=Timeouts(
-                claim=self.settings.claim_timeout,
-                recovery=self.settings.recovery_timeout,
-                same_target=self.settings.report_max_age + 0.5,
-            ),
-        )
-
-    def _admission(self, targets: Targets) -> FairAdmission:
-        limits = self.account_limits
-        return FairAdmission(
-            capacity=GroupCapacity(
-                targets=targets.for_arrival,
-                confirmations=self.confirmations,
-                batch=lambda: self.settings.group_batch,
-                n_hosts=self._n_entry_hosts,
-                n_hosts_waiting=lambda now: limits.n_hosts_waiting(now=now),
-            ),
-            account=self._client_account,
-            limits=limits,
-        )
-
     def _n_entry_hosts(self) -> int:
         return 1 + len(self.settings.peers)
 
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -143,7 +143,7 @@
             "groups": self._groups(now=now),
             "leases": self._leases(now=now),
             "repairs": [asdict(line) for line in application.planning.repairs.lines],
-            "suspects": application.quarantine.describe(now=now),
+            "suspects": application.request_path.quarantine.describe(now=now),
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
             "connections": {
--- /dev/null
+++ b/ryelever/request_path.py
@@ -0,0 +1,151 @@
+"""Build the decisions that one request meets: admission, claim, route, retry."""
+
+from __future__ import annotations
+
+import uuid
+from functools import partial
+from typing import TYPE_CHECKING
+
+from .coordination.admission_capacity import GroupCapacity
+from .coordination.admission_fair import FairAdmission
+from .coordination.claims import Claims
+from .coordination.departures import Departures
+from .coordination.quarantine import Quarantine
+from .coordination.requests import RequestTable, Timeouts
+from .coordination.retry import RetryBudget
+from .coordination.routing import AffinityRouter
+from .coordination.routing_feedback import RoutingFeedback
+from .coordination.routing_load import LoadView
+from .coordination.stragglers import Stragglers
+from .coordination.targets import Targets
+from .protocol.log import CLAIMS_STREAM, claims_stream, claims_streams
+from .state.claims import ClaimsFold
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.confirmation import Confirmations
+    from .coordination.limits import AccountLimits
+    from .settings import Settings
+    from .state.configuration import ClientAccount
+    from .state.fleet import ListedHost
+    from .state.placement import PlacementFold
+
+__all__ = ["RequestPath", "build_claims"]
+
+#: Seconds after which a caller should come back when nothing serves its request.
+RETRY_AFTER = 2.0
+
+#: Seconds without having reached the end of a claims stream, beside one silence of
+#: the log's connection, after which the log counts as down.
+CLAIMS_LAG = 2.0
+
+#: Seconds by which the pause before an attempt at the same backend server is longer
+#: than a report counts, so that the backend server has confirmed itself since.
+REPORT_SLACK = 0.5
+
+
+class RequestPath:
+    """Own the decisions about requests, from arrival to answer.
+
+    Parameters
+    ----------
+    limits : AccountLimits
+        Shares of the client accounts' limits, as exchanged among entry hosts.
+    account : callable
+        Return the declaration of a client account, or None.
+    n_hosts : callable
+        Return the number of entry hosts.
+
+    Attributes
+    ----------
+    table : RequestTable
+        Every request in flight; it asks all the others.
+    departures, quarantine, loads
+        What this entry host observes and tells the others.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        claims: Claims,
+        placements_by_zone: dict[str, PlacementFold],
+        hosts_by_name: dict[str, ListedHost],
+        confirmations: Confirmations,
+        limits: AccountLimits,
+        account: Callable[[str], ClientAccount | None],
+        n_hosts: Callable[[], int],
+    ) -> None:
+        self.departures = Departures(
+            confirmations=confirmations, hosts_by_name=hosts_by_name
+        )
+        self.quarantine = Quarantine()
+        targets = Targets(
+            availability_zone=settings.availability_zone,
+            placements_by_zone=placements_by_zone,
+            hosts_by_name=hosts_by_name,
+            confirmations=confirmations,
+            departures=self.departures,
+        )
+        self.loads = LoadView(targets=targets)
+        stragglers = Stragglers()
+        retry_budget = RetryBudget()
+        self.table = RequestTable(
+            admission=FairAdmission(
+                capacity=GroupCapacity(
+                    targets=targets.for_arrival,
+                    confirmations=confirmations,
+                    batch=lambda: settings.group_batch,
+                    n_hosts=n_hosts,
+                    n_hosts_waiting=lambda now: limits.n_hosts_waiting(now=now),
+                ),
+                account=account,
+                limits=limits,
+            ),
+            router=AffinityRouter(
+                targets=targets,
+                loads=self.loads,
+                stragglers=stragglers,
+                quarantine=self.quarantine,
+            ),
+            feedback=RoutingFeedback(
+                quarantine=self.quarantine,
+                departures=self.departures,
+                stragglers=stragglers,
+                retry_budget=retry_budget,
+            ),
+            retry_policy=retry_budget,
+            claims=claims,
+            account=account,
+            new_id=lambda: uuid.uuid4().hex,
+            retry_after=lambda: RETRY_AFTER,
+            timeouts=Timeouts(
+                claim=settings.claim_timeout,
+                recovery=settings.recovery_timeout,
+                same_target=settings.report_max_age + REPORT_SLACK,
+            ),
+        )
+
+    @property
+    def observers(self) -> list[Departures | Quarantine | LoadView]:
+        """Return what is told to the other entry hosts and takes in what they tell."""
+        return [self.departures, self.quarantine, self.loads]
+
+
+def build_claims(*, settings: Settings, owner: str) -> Claims:
+    """Return the claims of requests that run at most once, with their folds.
+
+    Parameters
+    ----------
+    owner : str
+        Name of this entry host together with its boot id.
+    """
+    n_partitions = settings.claims_partitions
+    return Claims(
+        owner=owner,
+        stream=CLAIMS_STREAM,
+        folds_by_stream={name: ClaimsFold() for name in claims_streams(n_partitions)},
+        stream_of=partial(claims_stream, n_partitions=n_partitions),
+        max_lag=CLAIMS_LAG + settings.progress_timeout,
+    )
