Test the list of known failures both ways, and refuse a stale line

Cause: nothing showed that KNOWN-RED.txt excuses what it names and nothing else; and a line whose test had been renamed excused nothing without a word. The list is now read into typed lines; a line without a cause and an issue, or that names no test of a file that was collected whole, is an error. The header prints it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import settings
 
-from .known_red import mark_known_red
+from .known_red import KNOWN_RED, mark_known_red, read_known_red
 from .processes import Fleet, running_fleet
 
 # Every run draws the same cases, so that CI reaches the same verdict each time.
@@ -16,9 +16,18 @@
 settings.load_profile("ci")
 
 
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+def pytest_report_header() -> list[str]:
+    """Print the failures that are known."""
+    known_red = read_known_red(KNOWN_RED)
+    return [f"known red: {known.test}: {known.reason}" for known in known_red]
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config, items: list[pytest.Item]
+) -> None:
     """Expect the failures that are known, and no others."""
-    mark_known_red(items)
+    whole_files = not any("::" in argument for argument in config.args)
+    mark_known_red(items, whole_files=whole_files)
 
 
 @pytest.fixture
