Take the pause after failures of the log from one class, and name bare numbers

Cause: log_reader.py and log_writer.py held the same four lines of a growing, spread pause with the same two constants; affinity.py held one digest twice. Backoff and _digest replace them. Lengths and counts that stood as bare numbers in the dump, the console, the fault log, the planner's shares and the document's messages have names, with the reason where there is one.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -48,6 +48,9 @@
 #: Seconds between two looks at connections.
 SWEEP = 0.25
 
+#: Last characters of a fault's traceback that go into the log line.
+MAX_TRACEBACK = 2000
+
 
 class Application(BaseComponent):
     """Own the parts of one entry host and its graceful shutdown.
@@ -273,7 +276,7 @@
             error=error_type.__name__,
             message=str(error),
             fired=fevent.name if fevent is not None else "",
-            traceback="".join(traceback)[-2000:],
+            traceback="".join(traceback)[-MAX_TRACEBACK:],
         )
 
 
--- a/ryelever/console/pages.py
+++ b/ryelever/console/pages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -39,6 +40,12 @@
 #: Seconds for which the answer to a publication waits for the log.
 PUBLISH_WAIT = 3.0
 
+#: Publications that were ignored lately and are shown beside the document.
+N_SHOWN_IGNORED = 10
+
+#: A record id as ``uuid.uuid4().hex`` makes it.
+_RECORD_ID = re.compile(r"[0-9a-f]{32}")
+
 Fields = dict[str, str]
 
 
@@ -202,7 +209,7 @@
             "document.html",
             session,
             configuration=self._configuration.configuration,
-            ignored=list(reversed(self._configuration.ignored[-10:])),
+            ignored=list(reversed(self._configuration.ignored[-N_SHOWN_IGNORED:])),
             versions_by_host=self._versions_by_host(),
             log_age=self._log_age(),
         )
@@ -292,4 +299,4 @@
 
 
 def _is_record_id(text: str) -> bool:
-    return len(text) == 32 and all(char in "0123456789abcdef" for char in text)
+    return _RECORD_ID.fullmatch(text) is not None
--- a/ryelever/coordination/affinity.py
+++ b/ryelever/coordination/affinity.py
@@ -26,13 +26,15 @@
 #: Candidates that are ranked for a key at most.
 WINDOW = 64
 
+#: Bytes of a prompt's key and of the number that stands for a backend server.
+DIGEST_BYTES = 7
+
 _MASK = (1 << 64) - 1
 
 
 def node_seed(name: str) -> int:
     """Return the number that stands for a backend server, equal on all hosts."""
-    digest = hashlib.blake2b(name.encode(), digest_size=7).digest()
-    return int.from_bytes(digest, "big")
+    return _digest(name)
 
 
 def prefix_key(work: ChatWork, *, n_blocks: int = N_BLOCKS) -> int | None:
@@ -54,8 +56,7 @@
     if not n_whole:
         return None
     head = f"{work.model}\x1e{work.adapter}{text[: n_whole * BLOCK_CHARS]}"
-    digest = hashlib.blake2b(head.encode("utf-8", "replace"), digest_size=7).digest()
-    return int.from_bytes(digest, "big")
+    return _digest(head)
 
 
 def ranked(key: int, candidates: Sequence[Candidate], *, n: int) -> list[Candidate]:
@@ -79,6 +80,12 @@
     return heapq.nlargest(n, candidates, key=lambda one: _mixed(key, one.seed))
 
 
+def _digest(text: str) -> int:
+    data = text.encode("utf-8", "replace")
+    digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
 def _mixed(key: int, seed: int) -> int:
     """Return 56 well mixed bits of two numbers (the finalizer of MurmurHash3).
 
--- a/ryelever/coordination/log_reader.py
+++ b/ryelever/coordination/log_reader.py
@@ -25,6 +25,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .backoff import Backoff
 from .log_snapshots import SnapshotCollector
 
 if TYPE_CHECKING:
@@ -42,10 +43,6 @@
 #: Reads at a gap within a page after which the record counts as lost.
 N_GAP_READS = 5
 
-#: Shortest and longest pause after failed reads, in seconds.
-MIN_PAUSE = 0.2
-MAX_PAUSE = 3.0
-
 #: Longest wait of one read at the stream's end, in seconds.
 READ_WAIT = 1.0
 
@@ -139,10 +136,8 @@
         self.caught_up_at = float("-inf")
         self.problem = ""
         self.n_restored = 0
-        self._jitter = jitter
+        self._backoff = Backoff(jitter=jitter)
         self._in_flight = False
-        self._pause_until = float("-inf")
-        self._n_failures = 0
         self._n_gap_reads = 0
         self._reported_up_to = 0
         self._search: _Search | None = None
@@ -156,7 +151,7 @@
 
     def next_read(self, *, now: float) -> Read | None:
         """Return the read that is due, if any; at most one is in flight."""
-        if self._in_flight or now < self._pause_until:
+        if self._in_flight or not self._backoff.is_due(now=now):
             return None
         self._in_flight = True
         search = self._search
@@ -177,9 +172,7 @@
         """Take note that a read has brought nothing that can be used."""
         self._in_flight = False
         self.problem = reason
-        pause = min(MAX_PAUSE, MIN_PAUSE * 2 ** min(self._n_failures, 8))
-        self._n_failures += 1
-        self._pause_until = now + pause * (0.5 + self._jitter())
+        self._backoff.failed(now=now)
 
     def read(self, page: ReadPage, *, asked_at: float, now: float) -> list[Applied]:
         """Take an answer.
@@ -265,7 +258,7 @@
         )
 
     def _worked(self) -> None:
-        self._n_failures = 0
+        self._backoff.succeeded()
         self.problem = "" if self.fold.gap is None else self.fold.gap.reason
 
     def _restore(self, parts: list[SnapshotPart]) -> None:
--- a/ryelever/coordination/log_writer.py
+++ b/ryelever/coordination/log_writer.py
@@ -6,15 +6,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .backoff import Backoff
+
 if TYPE_CHECKING:
     from ..state.records import Record
 
 __all__ = ["AppendBudget", "LogWriter", "Pending"]
 
-#: Shortest and longest pause after failed appends, in seconds.
-MIN_PAUSE = 0.2
-MAX_PAUSE = 3.0
-
 #: Seconds within which a writer that waits for its turn asks again.
 ASKS_AGAIN_WITHIN = 0.25
 
@@ -130,9 +128,7 @@
         self._budget = budget
         self._retry_after = retry_after
         self._max_batch = max_batch
-        self._jitter = jitter
-        self._pause_until = float("-inf")
-        self._n_failures = 0
+        self._backoff = Backoff(jitter=jitter)
         self._given_up: dict[str, None] = {}
         self.pending_by_id: dict[str, Pending] = {}
         self.in_flight = False
@@ -158,22 +154,16 @@
     def answered(self) -> None:
         """Take note that the append in flight was answered."""
         self.in_flight = False
-        self._n_failures = 0
+        self._backoff.succeeded()
 
     def failed(self, *, now: float) -> None:
-        """Pause after an append that failed or whose answer was lost.
-
-        The pause grows, so that hundreds of hosts do not keep a service down that
-        is coming back.
-        """
+        """Pause after an append that failed or whose answer was lost."""
         self.in_flight = False
-        pause = min(MAX_PAUSE, MIN_PAUSE * 2 ** min(self._n_failures, 8))
-        self._n_failures += 1
-        self._pause_until = now + pause * (0.5 + self._jitter())
+        self._backoff.failed(now=now)
 
     def due(self, *, now: float) -> list[Pending]:
         """Return the next batch, or nothing while one is in flight."""
-        if self.in_flight or now < self._pause_until:
+        if self.in_flight or not self._backoff.is_due(now=now):
             return []
         batch = self._batch(now=now)
         if not batch or (
--- a/ryelever/coordination/planner_capacity.py
+++ b/ryelever/coordination/planner_capacity.py
@@ -14,6 +14,10 @@
 
 _NEVER = float("-inf")
 
+#: Shares that add up to a whole number of groups in decimals fall just short of it in
+#: binary, and a group would be missing.
+ROUNDING = 1e-9
+
 
 class Capacity:
     """Decide which model gets a group beyond the declared ones, and which gives.
@@ -200,5 +204,5 @@
         and (not waiting or account_name in waiting)
     ]
     n_slots = len(view.hosts_by_name) // max(model.hosts_per_group, 1)
-    allowed = math.floor(min(sum(shares), 1.0) * n_slots + 1e-9)
+    allowed = math.floor(min(sum(shares), 1.0) * n_slots + ROUNDING)
     return max(allowed, model.n_groups)
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -25,10 +25,12 @@
 
 __all__ = ["Dump"]
 
-
 #: Seconds between two looks at what has changed.
 LOOK_INTERVAL = 1.0
 
+#: Ignored records shown of each stream, newest last.
+N_SHOWN_IGNORED = 5
+
 
 class Dump(BaseComponent):
     """Describe what the process believes and since when; secrets never appear.
@@ -169,7 +171,7 @@
                 "n_late_records": stream.writer.n_late,
                 "ignored": [
                     {"offset": ignored.offset, "reason": ignored.reason}
-                    for ignored in stream.fold.ignored[-5:]
+                    for ignored in stream.fold.ignored[-N_SHOWN_IGNORED:]
                 ],
             }
             for name, stream in self._application.streams.streams_by_name.items()
--- a/ryelever/protocol/configuration_document.py
+++ b/ryelever/protocol/configuration_document.py
@@ -30,6 +30,9 @@
 #: Longest document that is read, in bytes.
 MAX_DOCUMENT = 1 << 20
 
+#: Characters of a faulty value that a message shows.
+MAX_SHOWN = 60
+
 #: Place of the document itself.
 ROOT = "/"
 
@@ -208,7 +211,7 @@
 
 def _shown(value: Any) -> str:
     text = repr(value)
-    return text if len(text) <= 60 else text[:60] + "…"
+    return text if len(text) <= MAX_SHOWN else text[:MAX_SHOWN] + "…"
 
 
 def _document_fault(remedy: str) -> Fault:
