--- a/ryelever/state/fold.py
+++ b/ryelever/state/fold.py
@@ -11,11 +11,11 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any, ClassVar, Protocol
+from typing import Any, ClassVar
 
 from .records import Entry, RememberedId, SnapshotPart, Unreadable
 
-__all__ = ["BaseFold", "Fold", "Gap", "Ignored"]
+__all__ = ["BaseFold", "Gap", "Ignored"]
 
 #: Seconds of the log's time for which a record id is remembered, in order to drop
 #: a second append of it.  A writer repeats a decision for ten seconds.
@@ -46,25 +46,6 @@
     reason: str
 
 
-class Fold(Protocol):
-    """Fold entries of one stream in the order of their offsets."""
-
-    next_offset: int
-    gap: Gap | None
-
-    def apply(self, entry: Entry) -> str | None:
-        """Apply one entry; return the reason when it is ignored."""
-
-    def lost(self, *, before: int, reason: str) -> None:
-        """Take note that records below an offset cannot be read any more."""
-
-    def to_snapshot(self, *, snapshot: str) -> list[SnapshotPart]:
-        """Return the state as records."""
-
-    def from_snapshot(self, parts: Sequence[SnapshotPart]) -> None:
-        """Replace the state by that of a whole snapshot."""
-
-
 class BaseFold:
     """Drop repeated appends, keep the reasons of ignored entries.
 
