Spare the stand-ins of the tests the reading of certificates

Cause: aiohttp makes two TLS contexts while it is imported and reads all of the machine's certificates for each. No stand-in speaks TLS, and a test of the whole path starts 7 to 19 of them. They are now given an empty list of certificates.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,6 +29,10 @@
 PEER_KEY = "peer-key-of-the-tests"
 OPERATOR_KEY = "operator-key-of-the-tests"
 
+#: A stand-in speaks no TLS, and aiohttp reads all of the machine's certificates while
+#: it is imported: a sixth of what starting a stand-in costs.
+STANDIN_ENVIRONMENT = {"SSL_CERT_FILE": os.devnull, "SSL_CERT_DIR": os.devnull}
+
 #: What the interpreter is given to run ryelever from its source.
 SOURCE_PROGRAM = ("-m", "ryelever")
 
@@ -50,7 +54,14 @@
 class Process:
     """Own one process that was started for a test."""
 
-    def __init__(self, *, name: str, arguments: list[str], log: Path) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        arguments: list[str],
+        log: Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.log = log
         self._stream = log.open("wb")
@@ -60,6 +71,7 @@
             stdout=self._stream,
             stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
+            env=os.environ | (environment or {}),
         )
 
     @property
@@ -177,6 +189,7 @@
             name=name,
             arguments=["-m", f"tests.standins.{module}", *arguments],
             log=self.directory / f"{name}.log",
+            environment=STANDIN_ENVIRONMENT,
         )
         self.processes_by_name[name] = process
         return process
