Run one suspect of a crash at a target at a time

Symptom: test_poison_request_is_quarantined: one poisonous request killed four groups and all ten bystanders ended with errors.

Causes, found by a table case with the real Quarantine and AffinityRouter: - all that a death broke off was sent again at once, several suspects to one target when there were more of them than targets, and suspects left their mark on a target until their deadline; the second crash named nobody; - a request on a kept connection that breaks is sent once more over a new one; the dead engine refuses it, and that failure was not taken for a crash.

Changes: a target holds one suspect at a time, the others wait in `recovering` up to their deadline, counted by attempts in flight; a second sending of a suspect goes where the first runs; four tokens past the place of the crash let others run beside it (else a hundred streams before two groups wait for one another: test_members_death_under_a_hundred_streams failed with ReadTimeout before that was added); a condemned request explains its crashes, and what else ran in them is a suspect no more.

--- a/benchmarks/request_table.py
+++ b/benchmarks/request_table.py
@@ -53,10 +53,13 @@
     def choose(self, arrival, *, tried, now):
         return next(target for target in self._targets if target.name not in tried)
 
-    def started(self, target, *, now):
+    def waits_its_turn(self, arrival, *, now):
+        return False
+
+    def started(self, target, *, fingerprint="", now):
         pass
 
-    def ended(self, target, *, failed, now):
+    def ended(self, target, *, failed, fingerprint="", now):
         pass
 
 
--- a/benchmarks/retry.py
+++ b/benchmarks/retry.py
@@ -127,7 +127,9 @@
             _exchange(fleets, now=now)
         for key in [key for key, one in running.items() if one[3] <= now]:
             number, arrival, target, _, _ = running.pop(key)
-            routers[number].ended(target, failed=False, now=now)
+            routers[number].ended(
+                target, failed=False, fingerprint=arrival.fingerprint, now=now
+            )
             fleets[number].quarantine.completed(arrival.fingerprint, now=now)
         due = [one for one in retries if one[0] <= now]
         retries = [one for one in retries if one[0] > now]
@@ -150,11 +152,14 @@
                 seen.n_refused += not is_poison
                 continue
             target = router.choose(arrival, tried=tried, now=now)
+            if target is None and router.waits_its_turn(arrival, now=now):
+                retries.append((now + 0.1, number, arrival, tried))
+                continue
             if target is None:
                 seen.n_failed += not is_poison
                 continue
             serial += 1
-            router.started(target, now=now)
+            router.started(target, fingerprint=arrival.fingerprint, now=now)
             ends_at = now + generator.uniform(1.0, 4.0)
             tried += (target.name,)
             running[str(serial)] = (number, arrival, target, ends_at, len(tried))
@@ -173,7 +178,12 @@
                     fleet_of.feedback.failed(
                         one[2], error, refused=False, in_flight=here, now=now
                     )
-                    routers[number_of].ended(one[2], failed=True, now=now)
+                    routers[number_of].ended(
+                        one[2],
+                        failed=True,
+                        fingerprint=one[1].fingerprint,
+                        now=now,
+                    )
                     if one[4] < 4:
                         retry = (now + 0.1, number_of, one[1], (target.name,))
                         retries.append(retry)
--- a/benchmarks/routing_trials.py
+++ b/benchmarks/routing_trials.py
@@ -32,10 +32,16 @@
         self._number += 1
         return left[self._number % len(left)]
 
-    def started(self, target: Target, *, now: float) -> None:
+    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
+        """Keep nobody apart."""
+        return False
+
+    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Do nothing."""
 
-    def ended(self, target: Target, *, failed: bool, now: float) -> None:
+    def ended(
+        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
+    ) -> None:
         """Do nothing."""
 
 
@@ -72,10 +78,16 @@
                 return by_name[name]
         return None
 
-    def started(self, target: Target, *, now: float) -> None:
+    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
+        """Keep nobody apart."""
+        return False
+
+    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Do nothing."""
 
-    def ended(self, target: Target, *, failed: bool, now: float) -> None:
+    def ended(
+        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
+    ) -> None:
         """Do nothing."""
 
 
@@ -132,10 +144,16 @@
         if len(self._places_by_key) > 4096:
             self._places_by_key.popitem(last=False)
 
-    def started(self, target: Target, *, now: float) -> None:
+    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
+        """Ask the router behind."""
+        return self._router.waits_its_turn(arrival, now=now)
+
+    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Count the attempt."""
-        self._router.started(target, now=now)
+        self._router.started(target, fingerprint=fingerprint, now=now)
 
-    def ended(self, target: Target, *, failed: bool, now: float) -> None:
+    def ended(
+        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
+    ) -> None:
         """Count the attempt no more."""
-        self._router.ended(target, failed=failed, now=now)
+        self._router.ended(target, failed=failed, fingerprint=fingerprint, now=now)
--- a/ryelever/coordination/quarantine.py
+++ b/ryelever/coordination/quarantine.py
@@ -58,15 +58,50 @@
     observed_at: float = float("-inf")
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Crash:
+    """Hold one crash, whom it was counted against, and who was a suspect already.
+
+    Attributes
+    ----------
+    proved : set of str
+        Those of ``repeated`` that had got past the place of their first crash.
+    culprit : str
+        The condemned fingerprint that explains the crash; empty if none does.
+    """
+
+    at: float
+    counted: set[str] = field(default_factory=set)
+    repeated: set[str] = field(default_factory=set)
+    proved: set[str] = field(default_factory=set)
+    culprit: str = ""
+
+    @property
+    def only_repeated(self) -> str:
+        """Return the only one that was a suspect already, or nothing.
+
+        Those that proved themselves count only where there is nobody else.
+        """
+        left = self.repeated - self.proved or self.repeated
+        return next(iter(left)) if len(left) == 1 else ""
+
+
 @dataclass(slots=True, kw_only=True)
 class _Suspect:
     """Hold the evidence against one fingerprint."""
 
-    n_crashes: int = 0
+    fingerprint: str
+    crashes: list[_Crash] = field(default_factory=list)
     crashed_at: float = float("-inf")
     cleared_at: float = float("-inf")
+    proved: bool = False
     counts_by_peer: dict[str, _PeerCount] = field(default_factory=dict)
 
+    @property
+    def n_crashes(self) -> int:
+        """Return the own crashes that nobody else explains."""
+        return sum(crash.culprit in ("", self.fingerprint) for crash in self.crashes)
+
     @property
     def n_all(self) -> int:
         """Return the crashes over all entry hosts that still count."""
@@ -83,20 +118,11 @@
 
     def clear(self) -> None:
         """Drop the evidence so far; peers that go on telling it add nothing."""
-        self.n_crashes = 0
+        self.crashes.clear()
         for count in self.counts_by_peer.values():
             count.n_refuted = count.n_crashes
 
 
-@dataclass(slots=True, kw_only=True)
-class _Crash:
-    """Hold one crash and whom it was counted against."""
-
-    at: float
-    counted: set[str] = field(default_factory=set)
-    repeated: set[str] = field(default_factory=set)
-
-
 class Quarantine:
     """Suspect what ran in crashes, and quarantine what ran in two.
 
@@ -106,11 +132,15 @@
     What completes is cleared, for a poisonous request never completes.
 
     A bystander could be near two crashes by chance.  Three things prevent this:
-    suspects run apart from one another (``suspects``, used in routing); a repeated
+    suspects run apart from one another (``is_suspect``, used in routing); a repeated
     suspect is condemned only if it is the only repeated one of the crash, else it
     stays a suspect for another run apart; and what completed lately is let off
     once, which covers short prompts that many callers send alike.
 
+    What got past the place where its first crash broke it off does not count beside
+    one that did not.  Once a request is condemned, the crashes that it was in are
+    explained, and what else ran in them is no suspect any more.
+
     Parameters
     ----------
     max_age : float
@@ -137,9 +167,15 @@
             retry_after=left * self._random.uniform(1.0, 1.0 + SPREAD),
         )
 
+    @property
+    def has_suspects(self) -> bool:
+        """Tell whether there is anybody to keep apart; cheap, for each choice."""
+        return bool(self._suspects_by_fingerprint)
+
     def is_suspect(self, fingerprint: str, *, now: float) -> bool:
-        """Tell whether a request was running in a crash and never completed."""
-        return self._live(fingerprint, now=now) is not None
+        """Tell whether a request may be the cause of a crash that it was in."""
+        suspect = self._live(fingerprint, now=now)
+        return suspect is not None and not suspect.proved
 
     def crashed(self, target: str, fingerprints: Iterable[str], *, now: float) -> None:
         """Take note of a crash and of all that was running in it.
@@ -154,15 +190,26 @@
         for fingerprint in fresh:
             if self._let_off(fingerprint, now=now):
                 crash.counted.add(fingerprint)
-            elif self._live(fingerprint, now=now) is not None:
+            elif (suspect := self._live(fingerprint, now=now)) is not None:
                 crash.repeated.add(fingerprint)
+                if suspect.proved:
+                    crash.proved.add(fingerprint)
+                suspect.proved = False
             else:
                 crash.counted.add(fingerprint)
-                self._add(fingerprint, now=now)
-        if len(crash.repeated) == 1:
-            (fingerprint,) = crash.repeated & fresh or {""}
-            if fingerprint:
-                self._add(fingerprint, now=now)
+                self._add(fingerprint, crash, now=now)
+        if crash.only_repeated in fresh:
+            self._condemn(crash.only_repeated, crash, now=now)
+
+    def proved(self, fingerprint: str, *, now: float) -> None:
+        """Let others run beside a suspect that got past the place of its crash.
+
+        Were suspects kept apart until they complete, a dead group's long streams
+        would wait for one another for minutes.
+        """
+        suspect = self._live(fingerprint, now=now)
+        if suspect is not None:
+            suspect.proved = True
 
     def completed(self, fingerprint: str, *, now: float) -> None:
         """Clear a request that ran to its end."""
@@ -226,10 +273,18 @@
         completed_at = self._completed_at.pop(fingerprint, float("-inf"))
         return now - completed_at <= self._max_age
 
-    def _add(self, fingerprint: str, *, now: float) -> None:
+    def _condemn(self, fingerprint: str, crash: _Crash, *, now: float) -> None:
+        """Count a second crash; what else ran in either is no suspect any more."""
+        suspect = self._add(fingerprint, crash, now=now)
+        if suspect.n_all >= MAX_CRASHES:
+            for explained in suspect.crashes:
+                explained.culprit = fingerprint
+
+    def _add(self, fingerprint: str, crash: _Crash, *, now: float) -> _Suspect:
         suspect = self._suspect(fingerprint, now=now)
-        suspect.n_crashes += 1
+        suspect.crashes.append(crash)
         suspect.crashed_at = now
+        return suspect
 
     def _live(self, fingerprint: str, *, now: float) -> _Suspect | None:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
@@ -247,7 +302,7 @@
             if len(suspects) >= MAX_SUSPECTS:
                 oldest = min(suspects, key=lambda key: suspects[key].newest_at)
                 del suspects[oldest]
-            suspect = suspects[fingerprint] = _Suspect()
+            suspect = suspects[fingerprint] = _Suspect(fingerprint=fingerprint)
         return suspect
 
     def _forget_crashes(self, *, now: float) -> None:
@@ -262,12 +317,14 @@
     Silence is not counted: a network partition silences many backend servers at
     once and would make suspects of all that runs.
     """
-    return (
-        not refused
-        and error.category is Category.BROKEN
-        and error.code == Category.BROKEN.value
-        and error.step in _ATTEMPT_STEPS
-    )
+    if refused or error.code != error.category.value:
+        return False
+    if error.category is Category.UNAVAILABLE:
+        # A kept connection broke under the request, which had left, and the new one
+        # that was opened in its place was refused: nobody listens any more.  Only a
+        # service that lives and answers 502 or 503 is told in the same words.
+        return error.step == "generate"
+    return error.category is Category.BROKEN and error.step in _ATTEMPT_STEPS
 
 
 def quarantine_error(
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -213,6 +213,7 @@
         if request.state is not RequestState.STREAMING:
             self._attempts.first_token(request, now=now)
             self._steps.enter(request, RequestState.STREAMING, now=now)
+        self._attempts.progressed(request, now=now)
         if not request.streamed or request.caller_gone:
             return []
         return [StreamTokens(request_id=request.arrival.request_id, tokens=fresh)]
--- a/ryelever/coordination/requests_attempts.py
+++ b/ryelever/coordination/requests_attempts.py
@@ -24,6 +24,10 @@
 #: Attempts of one stream that has begun.
 MAX_STREAM_ATTEMPTS = 5
 
+#: Tokens of an attempt that prove it past the place of a crash.  An engine may have
+#: been a few tokens further when it died than what had arrived of it.
+PROVED_TOKENS = 4
+
 
 class RequestAttempts:
     """Start and end attempts; each request has one at most.
@@ -63,10 +67,12 @@
         request.attempt_id = self._new_id()
         request.target = target
         request.tried += (target.name,)
+        request.proved_from = len(request.delivered) + PROVED_TOKENS
         self.request_by_attempt[request.attempt_id] = request.arrival.request_id
-        self._router.started(target, now=now)
+        fingerprint = request.arrival.fingerprint
+        self._router.started(target, fingerprint=fingerprint, now=now)
         running = self._fingerprints_by_target.setdefault(target.name, {})
-        running[request.attempt_id] = request.arrival.fingerprint
+        running[request.attempt_id] = fingerprint
         return SendAttempt(
             attempt_id=request.attempt_id,
             arrival=request.arrival,
@@ -74,6 +80,10 @@
             delivered=tuple(request.delivered),
         )
 
+    def waits_its_turn(self, request: Request, *, now: float) -> bool:
+        """Tell whether only other suspects keep a request from running."""
+        return self._router.waits_its_turn(request.arrival, now=now)
+
     def request_id(self, attempt_id: str) -> str | None:
         """Return the request of a current attempt; count what comes late."""
         request_id = self.request_by_attempt.get(attempt_id)
@@ -103,6 +113,12 @@
         seconds = now - request.since
         self._feedback.first_token(request.target, seconds=seconds, now=now)
 
+    def progressed(self, request: Request, *, now: float) -> None:
+        """Take note of tokens; once in each attempt that is of interest."""
+        if request.proved_from and len(request.delivered) >= request.proved_from:
+            request.proved_from = 0
+            self._feedback.proved(request.arrival.fingerprint, now=now)
+
     def failed(
         self, request: Request, *, error: RyeleverError, refused: bool, now: float
     ) -> None:
@@ -125,7 +141,10 @@
         if not running:
             del self._fingerprints_by_target[request.target.name]
         request.attempt_id = ""
-        self._router.ended(request.target, failed=failed, now=now)
+        fingerprint = request.arrival.fingerprint
+        self._router.ended(
+            request.target, failed=failed, fingerprint=fingerprint, now=now
+        )
 
     def may_retry(self, request: Request, *, now: float) -> bool:
         """Tell whether another attempt may follow, and count it if so."""
--- a/ryelever/coordination/requests_state.py
+++ b/ryelever/coordination/requests_state.py
@@ -71,6 +71,9 @@
         Names of the targets tried, oldest first.
     delivered : list of str
         Tokens received so far, over all attempts.
+    proved_from : int
+        Tokens from which the attempt is past the place where a crash broke off
+        the one before.
     error, service_answer : RyeleverError or AnswerService or None
         What the newest failed attempt ended with.
     """
@@ -85,6 +88,7 @@
     target: Target | None = None
     tried: tuple[str, ...] = ()
     delivered: list[str] = field(default_factory=list)
+    proved_from: int = 0
     may_have_run: bool = False
     caller_gone: bool = False
     error: RyeleverError | None = None
--- a/ryelever/coordination/requests_steps.py
+++ b/ryelever/coordination/requests_steps.py
@@ -84,7 +84,9 @@
     def _no_target(self, request: Request, *, now: float) -> list[Action]:
         if request.error is None:
             error = answers.no_target(retry_after=self._retry_after())
-            return self.fail(request, error=error, now=now)
+            if not self._attempts.waits_its_turn(request, now=now):
+                return self.fail(request, error=error, now=now)
+            request.error = error
         if request.state is not RequestState.RECOVERING:
             self.enter(request, RequestState.RECOVERING, now=now)
         return []
@@ -92,7 +94,8 @@
     def recover(self, request: Request, *, now: float) -> list[Action]:
         """Try again to find a target after an attempt has failed."""
         waited = now - request.since
-        if waited >= self._timeouts.recovery:
+        over = waited >= self._timeouts.recovery
+        if over and not self._attempts.waits_its_turn(request, now=now):
             return self.fail(request, error=request.error, now=now)
         harmless = not isinstance(request.arrival.work, ChatWork) or (
             request.error.category in (Category.TIMEOUT, Category.UNAVAILABLE)
--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing.py
@@ -9,6 +9,7 @@
 
 from .actions import ChatWork, Target
 from .affinity import load_bound, prefix_key, ranked
+from .routing_suspects import SuspectsInFlight
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -51,10 +52,15 @@
     ) -> Target | None:
         """Return the target of the next attempt, or None if there is none."""
 
-    def started(self, target: Target, *, now: float) -> None:
+    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
+        """Tell whether only other suspects of a crash keep a request from running."""
+
+    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Take note of an attempt that was sent."""
 
-    def ended(self, target: Target, *, failed: bool, now: float) -> None:
+    def ended(
+        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
+    ) -> None:
         """Take note of an attempt that ended."""
 
 
@@ -92,12 +98,18 @@
             untried, key=lambda target: self._n_in_flight_by_name.get(target.name, 0)
         )
 
-    def started(self, target: Target, *, now: float) -> None:
+    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
+        """Keep nobody apart."""
+        return False
+
+    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Count the attempt."""
         n_in_flight = self._n_in_flight_by_name.get(target.name, 0)
         self._n_in_flight_by_name[target.name] = n_in_flight + 1
 
-    def ended(self, target: Target, *, failed: bool, now: float) -> None:
+    def ended(
+        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
+    ) -> None:
         """Count the attempt no more."""
         self._n_in_flight_by_name[target.name] -= 1
         if not self._n_in_flight_by_name[target.name]:
@@ -190,7 +202,7 @@
         self._sets_by_id: dict[int, CandidateSet] = {}
         self._totals_by_set: dict[tuple[int, bool], _Total] = {}
         self._nothing_until_by_set: dict[int, float] = {}
-        self._suspects_by_target: dict[str, dict[str, float]] = {}
+        self._suspects = SuspectsInFlight(quarantine=quarantine)
 
     def choose(
         self, arrival: Arrival, *, tried: tuple[str, ...], now: float
@@ -213,13 +225,27 @@
             return None
         return choice.target
 
-    def started(self, target: Target, *, now: float) -> None:
+    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
+        """Tell whether something could serve a suspect, were there no others."""
+        if not self._quarantine.is_suspect(arrival.fingerprint, now=now):
+            return False
+        found = self._targets.candidates(arrival.work, now=now)
+        return any(
+            self._targets.target(candidate, now=now) is not None
+            for candidate in self._sample(found.own_zone + found.other_zones)
+        )
+
+    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Count the attempt."""
+        self._suspects.started(target.name, fingerprint)
         self._loads.started(target.name, now=now)
         self._stragglers.started(target.name, now=now)
 
-    def ended(self, target: Target, *, failed: bool, now: float) -> None:
+    def ended(
+        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
+    ) -> None:
         """Count the attempt no more."""
+        self._suspects.ended(target.name, fingerprint)
         self._loads.ended(target.name, now=now)
 
     # Choosing
@@ -346,7 +372,7 @@
 
     def _preferred(self, candidate: Candidate, *, now: float) -> bool:
         name = candidate.name
-        return self._stragglers.may_take(name, now=now) and not self._n_suspects(
+        return self._stragglers.may_take(name, now=now) and not self._suspects.at(
             name, now=now
         )
 
@@ -360,44 +386,33 @@
         tried: tuple[str, ...],
         now: float,
     ) -> Target | None:
-        """Place a suspect where the fewest others would die with it.
+        """Place a suspect at the emptiest target that runs no other suspect.
 
-        Away from other suspects first: of two suspects in one crash nobody could
-        tell which of them caused it.
+        A second sending of a suspect goes where the first one runs, so that one
+        crash takes both.  Without a free target it waits for its turn.
         """
+        running_at = self._suspects.targets_of(arrival.fingerprint)
         for excluded in (tried, tried[-1:]):
             usable = [
                 choice
                 for candidate in self._sample(found.own_zone + found.other_zones)
                 if candidate.name not in excluded
+                and not self._suspects.at(candidate.name, now=now)
+                - {arrival.fingerprint}
                 and (choice := self._usable(candidate, now=now)) is not None
             ]
             if usable:
                 best = min(
                     usable,
                     key=lambda choice: (
-                        self._n_suspects(choice.candidate.name, now=now),
+                        choice.candidate.name not in running_at,
                         choice.load * choice.candidate.weight,
                         self._random.random(),
                     ),
                 )
-                here = self._suspects_by_target.setdefault(best.candidate.name, {})
-                here[arrival.fingerprint] = arrival.deadline
                 return best.target
         return None
 
-    def _n_suspects(self, name: str, *, now: float) -> int:
-        here = self._suspects_by_target.get(name)
-        if here is None:
-            return 0
-        for fingerprint, deadline in list(here.items()):
-            cleared = not self._quarantine.is_suspect(fingerprint, now=now)
-            if cleared or now >= deadline:
-                del here[fingerprint]
-        if not here:
-            del self._suspects_by_target[name]
-        return len(here)
-
     # What is kept for each list of candidates
 
     def _remember(self, found: CandidateSet) -> None:
--- a/ryelever/coordination/routing_feedback.py
+++ b/ryelever/coordination/routing_feedback.py
@@ -29,6 +29,9 @@
     def first_token(self, target: Target, *, seconds: float, now: float) -> None:
         """Take the time from sending to the first token."""
 
+    def proved(self, fingerprint: str, *, now: float) -> None:
+        """Take an attempt that got past the place of an earlier crash."""
+
     def completed(
         self,
         target: Target,
@@ -67,6 +70,9 @@
     def first_token(self, target: Target, *, seconds: float, now: float) -> None:
         """Do nothing."""
 
+    def proved(self, fingerprint: str, *, now: float) -> None:
+        """Do nothing."""
+
     def completed(
         self,
         target: Target,
@@ -113,6 +119,10 @@
         """Compare the time with siblings'."""
         self._stragglers.first_token(target.name, seconds=seconds, now=now)
 
+    def proved(self, fingerprint: str, *, now: float) -> None:
+        """Tell the quarantine."""
+        self._quarantine.proved(fingerprint, now=now)
+
     def completed(
         self,
         target: Target,
--- a/tests/test_coordination/request_fakes.py
+++ b/tests/test_coordination/request_fakes.py
@@ -60,10 +60,13 @@
         free = [name for name in self.names if name not in tried]
         return Target(name=free[0], address=f"{free[0]}:1") if free else None
 
-    def started(self, target, *, now):
+    def waits_its_turn(self, arrival, *, now):
+        return False
+
+    def started(self, target, *, fingerprint="", now):
         self.in_flight.append(target.name)
 
-    def ended(self, target, *, failed, now):
+    def ended(self, target, *, failed, fingerprint="", now):
         self.in_flight.remove(target.name)
 
 
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -7,7 +7,13 @@
 import pytest
 
 from benchmarks.routing_fleet import FakeFleet, chat
-from ryelever.coordination.actions import AnswerError, SendAttempt, Usage
+from ryelever.coordination.actions import (
+    AnswerError,
+    SendAttempt,
+    StreamFailed,
+    StreamFinished,
+    Usage,
+)
 from ryelever.coordination.admission import Queued
 from ryelever.coordination.quarantine import Quarantine, is_crash
 from ryelever.coordination.requests import RequestTable
@@ -18,7 +24,7 @@
 from .request_fakes import FakeLog, OpenAdmission
 
 # Steps: ("crash", target, what ran, time), ("done", what, time),
-# ("peer", what, its count, time).
+# ("proved", what, time), ("peer", what, its count, time).
 CASES = {
     "one crash": ([("crash", "g1", "pab", 0.0)], 1.0, ""),
     "two crashes": (
@@ -45,6 +51,29 @@
         10.0,
         "",
     ),
+    "bystander in two by chance, past the first one's place": (
+        [
+            ("crash", "g1", "pab", 0.0),
+            ("proved", "a", 1.0),
+            ("crash", "g2", "pac", 9.0),
+        ],
+        10.0,
+        "p",
+    ),
+    "crashes at a later place each time": (
+        [("crash", "g1", "p", 0.0), ("proved", "p", 1.0), ("crash", "g2", "pc", 9.0)],
+        10.0,
+        "p",
+    ),
+    "second crash explains the first": (
+        [
+            ("crash", "g1", "pa", 0.0),
+            ("crash", "g2", "pb", 9.0),
+            ("crash", "g3", "a", 15.0),
+        ],
+        16.0,
+        "p",
+    ),
     "third crash tells them apart": (
         [
             ("crash", "g1", "pab", 0.0),
@@ -133,6 +162,8 @@
                 quarantine.crashed(target, running, now=now)
             case ("done", fingerprint, now):
                 quarantine.completed(fingerprint, now=now)
+            case ("proved", fingerprint, now):
+                quarantine.proved(fingerprint, now=now)
             case ("peer", fingerprint, n_crashes, now):
                 row = SuspicionRow(fingerprint=fingerprint, n_crashes=n_crashes)
                 quarantine.observed(row, peer="peer", observed_at=now, now=now)
@@ -180,8 +211,21 @@
         (Category.BROKEN, "generate", "backend_error", False, False),
         (Category.BROKEN, "stream", "", False, False),
         (Category.TIMEOUT, "generate", "", False, False),
+        (Category.UNAVAILABLE, "generate", "", False, True),
+        (Category.UNAVAILABLE, "generate", "", True, False),
+        (Category.UNAVAILABLE, "call_service", "", False, False),
+    ],
+    ids=[
+        "died",
+        "service died",
+        "refused",
+        "answered 500",
+        "gap",
+        "silence",
+        "died under a kept connection",
+        "cannot connect",
+        "service answered 503",
     ],
-    ids=["died", "service died", "refused", "answered 500", "gap", "silence"],
 )
 def test_only_a_death_is_a_crash(
     category: Category, step: str, code: str, refused: bool, crash: bool
@@ -267,6 +311,126 @@
     assert resent.error.retry_after > 800.0
 
 
+class _PoisonedZone:
+    """Run entry hosts before groups that die of one request, in steps of 0.1 s.
+
+    A poisonous attempt kills its group in the step after it was sent; any other
+    yields a token in each step.  Dead groups stay dead.
+    """
+
+    def __init__(self, *, n_hosts: int, n_groups: int) -> None:
+        self.fleets = [FakeFleet(zones={"a": n_groups}) for _ in range(n_hosts)]
+        self.tables = [_table(fleet) for fleet in self.fleets]
+        self.dead: set[str] = set()
+        self.now = 0.0
+        self.answers_by_request: dict[str, object] = {}
+        self.poison_answers: list[AnswerError] = []
+        self._running: list[tuple[int, SendAttempt, int]] = []
+        self._n_requests = 0
+
+    def send(self, at: int, text: str) -> None:
+        """Let a caller send a request to one entry host."""
+        self._n_requests += 1
+        arrival = replace(
+            chat(text, now=self.now), request_id=f"{text}/{self._n_requests}"
+        )
+        self._take(at, self.tables[at].arrive(arrival, now=self.now))
+
+    def step(self) -> None:
+        """Let reports come, timers run and engines work."""
+        self.now = round(self.now + 0.1, 3)
+        for at, fleet in enumerate(self.fleets):
+            for name in set(fleet.groups) - self.dead:
+                fleet.report(f"{name}-0", asked_at=self.now)
+            self._take(at, self.tables[at].tick(now=self.now))
+        self._tell_peers()
+        running, self._running = self._running, []
+        killed = {
+            attempt.target.name
+            for _, attempt, _ in running
+            if attempt.arrival.fingerprint == "poison"
+        }
+        self.dead |= killed
+        for at, attempt, n_tokens in running:
+            if attempt.target.name in killed:
+                self._break(at, attempt)
+            else:
+                self._generate(at, attempt, n_tokens)
+
+    def _tell_peers(self) -> None:
+        for at, fleet in enumerate(self.fleets):
+            for row in fleet.quarantine.observations(now=self.now):
+                for other in self.fleets[:at] + self.fleets[at + 1 :]:
+                    other.quarantine.observed(
+                        row, peer=f"e{at}", observed_at=self.now, now=self.now
+                    )
+
+    def _break(self, at: int, attempt: SendAttempt) -> None:
+        actions = self.tables[at].failed(
+            attempt.attempt_id, error=_died(attempt), refused=False, now=self.now
+        )
+        self._take(at, actions)
+
+    def _generate(self, at: int, attempt: SendAttempt, n_tokens: int) -> None:
+        table = self.tables[at]
+        index = len(attempt.delivered) + n_tokens
+        if index < 20:
+            actions = table.tokens(
+                attempt.attempt_id, index=index, tokens=(f"t{index}",), now=self.now
+            )
+            self._running.append((at, attempt, n_tokens + 1))
+        else:
+            actions = table.finished(
+                attempt.attempt_id, finish_reason="stop", usage=Usage(), now=self.now
+            )
+        self._take(at, actions)
+
+    def _take(self, at: int, actions: list) -> None:
+        for action in actions:
+            if isinstance(action, SendAttempt):
+                self._running.append((at, action, 0))
+            elif isinstance(action, AnswerError | StreamFinished | StreamFailed):
+                self.answers_by_request[action.request_id] = action
+                if action.request_id.startswith("poison"):
+                    self.poison_answers.append(action)
+
+
+@pytest.mark.parametrize(
+    ("n_hosts", "n_groups"), [(1, 4), (1, 3)], ids=["four groups", "three groups"]
+)
+def test_second_crash_singles_out_the_poison(n_hosts: int, n_groups: int) -> None:
+    """Send a poison request among open streams, and again after each answer.
+
+    Symptom: group after group dies, and the bystanders' streams end with errors.
+    Sequence: a group dies, and all that it ran is sent again at once, several to one
+    target; the next death finds more than one repeated suspect and names nobody.
+    Cause: suspects were kept apart only while there were as many targets.
+    """
+    zone = _PoisonedZone(n_hosts=n_hosts, n_groups=n_groups)
+    zone.step()
+    for number in range(10 * n_hosts):
+        zone.send(number % n_hosts, f"bystander-{number}")
+    zone.step()
+    zone.send(0, "poison")
+    n_sent = 1
+    for _ in range(250):
+        zone.step()
+        if len(zone.poison_answers) == n_sent < 4:
+            zone.send(n_sent % n_hosts, "poison")
+            n_sent += 1
+    assert len(zone.dead) <= 2
+    assert len(zone.poison_answers) == 4
+    assert {one.error.code for one in zone.poison_answers} == {"request_quarantined"}
+    assert all(one.error.retry_after > 800.0 for one in zone.poison_answers)
+    whole = [
+        request_id
+        for request_id, answer in zone.answers_by_request.items()
+        if isinstance(answer, StreamFinished)
+    ]
+    assert len(whole) == 10 * n_hosts
+    assert [table.n_left() for table in zone.tables] == [0] * n_hosts
+
+
 def test_resend_is_answered_at_once_while_others_wait() -> None:
     """Resend a quarantined request to a full entry host.
 
--- a/tests/test_coordination/test_routing.py
+++ b/tests/test_coordination/test_routing.py
@@ -211,7 +211,7 @@
     names = []
     for suspect in suspects:
         target = router.choose(chat(fingerprint=suspect), tried=(), now=0.2)
-        router.started(target, now=0.2)
+        router.started(target, fingerprint=suspect, now=0.2)
         names.append(target.name)
     assert sorted(names) == ["a-1", "a-2", "a-3"]
     # What is no suspect keeps away from them, though a-0 is the most loaded.
--- a/tests/test_system/test_faults.py
+++ b/tests/test_system/test_faults.py
@@ -132,7 +132,7 @@
         ]
         for _ in range(4):
             answer = await caller.stream(entry, "please crash-the-engine")
-            assert answer.honest
+            assert answer.honest and answer.error["code"] == "request_quarantined"
         answers = await asyncio.gather(*bystanders)
         assert [answer.error for answer in answers if not answer.whole] == []
 
