--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -39,6 +39,7 @@
         configuration=None,
         metrics=Metrics(),
         pages={},
+        log_time=lambda: 0.0,
     )
     fired = []
     serving.fire = lambda event, *channels: fired.append(event.args[0])
