Answer a caller whose request meets a fault of the program

Cause: a handler that raises answers nothing; circuits turns the exception into an event, and the caller waits until its own timeout. Seen when the state dump asked for a part that had moved: three dumps of three ran into the caller's timeout.

Before: test_fault_of_a_handler_is_answered fails ('assert [] == [(r, 500)]').

--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -21,12 +21,14 @@
     StreamFinished,
     StreamTokens,
 )
-from .errors import Category, RyeleverError
+from .errors import Category, RunState, RyeleverError
 from .events import CallerAnswer, append_record, caller_answer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from circuits import Event
+
     from .coordination.actions import Action, Arrival
     from .coordination.requests import RequestTable
     from .events import (
@@ -145,6 +147,32 @@
         if request_id in self._stalled:
             self._set_flow(request_id, stop=False)
 
+    @handler("exception", channel="*")
+    def _on_exception(
+        self,
+        error_type: type[Exception],
+        error: Exception,
+        traceback: list[str],
+        handler: object = None,
+        fevent: Event | None = None,
+    ) -> None:
+        """Answer the caller whose request met a fault of the program.
+
+        A handler that raises answers nothing, and the caller would wait until its
+        own timeout.  What was sent by then is unknown.
+        """
+        if fevent is None or fevent.name != "caller_request":
+            return
+        request_id = fevent.args[0].request_id
+        fault = RyeleverError(
+            "a fault of the entry host ended this request; its log has the details",
+            category=Category.INTERNAL,
+            step="serve",
+            run_state=RunState.OUTCOME_UNKNOWN,
+        )
+        self._answers.answer_error(request_id, fault)
+        self._carry_out(self._table.caller_gone(request_id, now=time.monotonic()))
+
     @handler("caller_stalled")
     def _on_caller_stalled(self, request_id: str, stalled: bool) -> None:
         if request_id in self._table.requests_by_id:
