Measure how the cost of each role grows, with a line through three sizes or more

Change: one command measures each role, in process with the product's own code or with real processes where sockets are what costs, fits a line by least squares, shows how far the worst figure lies from it, and says the figure at the size to design for. Ruled out: one large run at full size for every role; it needs more processes than the machine should hold. Conclusion: docs/CAPACITY.md is to quote it.

--- a/benchmarks/day_of_faults.py
+++ b/benchmarks/day_of_faults.py
@@ -355,25 +355,31 @@
 # Processor time
 
 
+def tick_times(n_hosts: int, n_ticks: int) -> list[float]:
+    """Return the processor time of each look at a zone, in ms."""
+    configuration = Configuration(
+        models={"m": Model(version="v1", n_groups=n_hosts // 4 - n_hosts // 40)}
+    )
+    domains = {f"d{number}": 8 for number in range(n_hosts // 8)}
+    domains["rest"] = n_hosts % 8
+    zone = Zone(domains=domains, configuration=configuration)
+    zone.run(60)
+    assert len(zone.groups()) == configuration.models["m"].n_groups
+    process = zone.planners[0]
+    times = []
+    for _ in range(n_ticks):
+        zone.advance()
+        view = zone.view(process)
+        start = time.process_time()
+        process.planner.tick(view, now=zone.now)
+        times.append((time.process_time() - start) * 1000)
+    return times
+
+
 def _measure_cost() -> None:
     print(f"\n{'hosts in a zone':18}{'ms a tick, median':>20}{'largest':>10}")
     for n_hosts in (16, 71, 260):
-        configuration = Configuration(
-            models={"m": Model(version="v1", n_groups=n_hosts // 4 - n_hosts // 40)}
-        )
-        domains = {f"d{number}": 8 for number in range(n_hosts // 8)}
-        domains["rest"] = n_hosts % 8
-        zone = Zone(domains=domains, configuration=configuration)
-        zone.run(60)
-        assert len(zone.groups()) == configuration.models["m"].n_groups
-        process = zone.planners[0]
-        times = []
-        for _ in range(300):
-            zone.advance()
-            view = zone.view(process)
-            start = time.process_time()
-            process.planner.tick(view, now=zone.now)
-            times.append((time.process_time() - start) * 1000)
+        times = tick_times(n_hosts, 300)
         print(f"{n_hosts:<18}{statistics.median(times):20.3f}{max(times):10.3f}")
 
 
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,334 @@
+"""Measure how the cost of each role grows, and work it out at the size to design for.
+
+Each role is measured at three sizes or more, in this process with the product's own
+code, or with real processes where sockets are what costs.  A line is fitted by least
+squares; the table gives the figures, the line, how far the worst figure lies from it,
+and the figure at the size to design for.  docs/CAPACITY.md quotes it:
+
+    .venv/bin/python -m benchmarks.slopes
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+import defopt
+
+from ryelever.coordination.limits import AccountLimits
+from ryelever.state.observations import DemandRow
+
+from . import (
+    admission,
+    day_of_faults,
+    fold,
+    log_writer,
+    request_table,
+    soft_state,
+)
+from .routing_fleet import FakeFleet, chat
+from .slopes_fit import (
+    CLAIM_APPENDS,
+    CLAIMS,
+    N_ACCOUNTS,
+    N_CLAIM_HOSTS,
+    N_GROUPS,
+    N_PARTITIONS,
+    N_STREAMS,
+    N_ZONES,
+    REQUESTS,
+    TOKENS,
+    ZONE_NODES,
+    ZONE_WORKERS,
+    Points,
+    Slope,
+    kb,
+    ms,
+)
+from .slopes_operators import hosts_list, metrics, operators
+from .slopes_processes import control, front, listing, streams
+
+
+def requests(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Take streams through the request table; x: tokens a stream."""
+
+    def one(n_tokens: int) -> float:
+        driver = request_table._Driver()
+        return ms(lambda: driver.stream(n_tokens), n_times=200)
+
+    def waiting(n_requests: int) -> float:
+        def build() -> object:
+            driver = request_table._Driver()
+            for _ in range(n_requests):
+                driver.arrive(request_table._chat())
+            return driver
+
+        return kb(build)
+
+    points = [(n, one(n)) for n in sizes]
+    per_second = TOKENS / REQUESTS
+    yield Slope(
+        role="caller front: request table",
+        what="ms a stream, by tokens",
+        unit="ms a stream",
+        n_at=per_second,
+        points=points,
+    )
+    yield Slope(
+        role="caller front: request table",
+        what="KB, by requests in flight",
+        unit="KB",
+        n_at=N_STREAMS,
+        points=[(n, waiting(n)) for n in sizes],
+    )
+
+
+def router(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Choose a target; x: groups of 4 hosts."""
+
+    def choose(n_groups: int) -> float:
+        fleet = FakeFleet(zones={"a": n_groups}, members=4)
+        fleet.report_all(asked_at=0.0)
+        chosen = fleet.router(seed=seed)
+        arrivals = [chat(f"{n:>300}", now=0.1, fingerprint=str(n)) for n in range(500)]
+        arrival = iter(arrivals * 4)
+
+        def one() -> None:
+            target = chosen.choose(next(arrival), tried=(), now=0.1)
+            chosen.started(target, now=0.1)
+            chosen.ended(target, failed=False, now=0.1)
+
+        return ms(one, n_times=500) * 1e3
+
+    def build(n_groups: int) -> object:
+        fleet = FakeFleet(zones={"a": n_groups}, members=4)
+        fleet.report_all(asked_at=0.0)
+        return fleet, fleet.targets.for_arrival(chat(), now=0.1)
+
+    yield Slope(
+        role="router",
+        what="us a choice, by groups followed",
+        unit="us",
+        n_at=N_GROUPS,
+        points=[(n, choose(n)) for n in sizes],
+    )
+    yield Slope(
+        role="router",
+        what="KB of placement, list, reports and targets, by groups",
+        unit="KB",
+        n_at=N_GROUPS,
+        points=[(n, kb(lambda n=n: build(n))) for n in sizes],
+    )
+
+
+def admit(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Admit, grant and release; compute the parts of limits."""
+    yield Slope(
+        role="admission",
+        what="us a request, by requests waiting",
+        unit="us",
+        n_at=500,
+        points=[(n, admission._cost(10, n, 500) * 1e6) for n in sizes],
+    )
+
+    def limits(n_peers: int) -> AccountLimits:
+        made = AccountLimits(n_hosts=lambda: n_peers + 1)
+        for peer in range(n_peers):
+            for account in range(N_ACCOUNTS):
+                name = f"account-{account}"
+                row = DemandRow(client_account=name, rate=1, n_in_flight=1, n_waiting=0)
+                made.observed(row, peer=f"e{peer}", observed_at=0.0, now=0.0)
+        return made
+
+    def parts(n_peers: int) -> float:
+        made = limits(n_peers)
+        now = [0.0]
+
+        def look() -> None:
+            now[0] += 0.25
+            for account in range(N_ACCOUNTS):
+                made.rate(f"account-{account}", 400.0, now=min(now[0], 2.9))
+
+        return ms(look, n_times=3)
+
+    yield Slope(
+        role="admission: limits",
+        what=f"ms for the parts of {N_ACCOUNTS} accounts, by hosts heard",
+        unit="ms, at most 4 times a second",
+        n_at=ZONE_NODES + N_ZONES - 2,
+        points=[(n, parts(n)) for n in sizes],
+    )
+    yield Slope(
+        role="admission: limits",
+        what=f"KB for {N_ACCOUNTS} accounts, by hosts heard",
+        unit="KB",
+        n_at=ZONE_NODES + N_ZONES - 2,
+        points=[(n, kb(lambda n=n: limits(n))) for n in sizes],
+    )
+
+
+def planner(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Let a planner look at its zone; x: hosts in the zone."""
+    yield Slope(
+        role="planner",
+        what="ms a look (median), by hosts in the zone",
+        unit="ms, 5 times a second",
+        n_at=ZONE_WORKERS,
+        points=[(n, statistics.median(day_of_faults.tick_times(n, 60))) for n in sizes],
+    )
+
+
+def log_reader(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Decode and fold pages; x: records."""
+    yield from _folding("claims", CLAIMS / N_PARTITIONS * 2 * 600, sizes)
+    yield from _folding("placement", 1800, sizes)
+
+
+def _folding(name: str, n_at: float, sizes: Sequence[int]) -> Iterator[Slope]:
+    fold_class, records = fold.KINDS[name]
+    pages = {n: fold._page(records(n), n) for n in sizes}
+
+    def time_of(n_records: int) -> float:
+        return ms(lambda: fold._fold(fold_class, pages[n_records]), n_times=1)
+
+    def memory_of(n_records: int) -> float:
+        return fold._memory(fold_class, pages[n_records]) / 1e3
+
+    for what, unit, measure in (
+        ("ms to decode and fold", "ms", time_of),
+        ("KB kept", "KB", memory_of),
+    ):
+        yield Slope(
+            role=f"log reader: {name}",
+            what=f"{what}, by records",
+            unit=unit,
+            n_at=n_at,
+            points=[(n, measure(n)) for n in sizes],
+        )
+
+
+def claims(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Append all claims and outcomes from some hosts; x: hosts that append."""
+    seconds, append_time = 20.0, 0.02
+    figures: dict[str, Points] = {}
+    for n_hosts in sizes:
+        rate, budget = CLAIMS / n_hosts, CLAIM_APPENDS / n_hosts
+        run = log_writer._new_run(1, rate, append_time, 1, "batch", budget)
+        log_writer._drive(run, seconds)
+        delays = sorted(run.delays)
+        for unit, value in (
+            ("appends/s in all", run.n_appends / seconds * n_hosts),
+            ("KB/s appended a host", run.n_bytes / seconds / 1e3),
+            ("ms p50", delays[len(delays) // 2] * 1e3),
+            ("ms p95", delays[int(len(delays) * 0.95)] * 1e3),
+        ):
+            figures.setdefault(unit, []).append((n_hosts, value))
+    for unit, points in figures.items():
+        yield Slope(
+            role="log writer, claims",
+            what=f"{unit}, by hosts that append",
+            unit=unit,
+            n_at=N_CLAIM_HOSTS,
+            points=points,
+        )
+
+
+def zone_peers(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Exchange soft state inside one zone; x: entry hosts in it."""
+    yield from _peers([(n, 1, n) for n in sizes], "hosts in a zone", ZONE_NODES, seed)
+
+
+def foreign_peers(sizes: Sequence[int], seed: int) -> Iterator[Slope]:
+    """Exchange soft state between zones of 12 entry hosts; x: zones."""
+    yield from _peers([(12 * n, n, n) for n in sizes], "zones of 12", N_ZONES, seed)
+
+
+def _peers(
+    sizes: list[tuple[int, int, int]], by: str, n_at: float, seed: int
+) -> Iterator[Slope]:
+    figures: dict[str, Points] = {}
+    for n_nodes, n_zones, x in sizes:
+        measured = soft_state.measure(
+            n_nodes,
+            n_zones=n_zones,
+            n_workers=2 * n_nodes,
+            n_accounts=10,
+            seconds=5.0,
+            seed=seed,
+            loss=0.0,
+        )
+        for name in ("cpu ms/s", "B/s in+out", "sent/s", "version worst"):
+            figures.setdefault(name, []).append((x, measured[name]))
+    for name, points in figures.items():
+        yield Slope(
+            role="soft state",
+            what=f"{name}, by {by}",
+            unit=name,
+            n_at=n_at,
+            points=points,
+        )
+
+
+#: Sizes of each role, in full and for a quick run.
+ROLES = {
+    requests: ((50, 100, 200, 400), (10, 20, 40)),
+    router: ((10, 50, 100, 195), (4, 8, 12)),
+    admit: ((10, 44, 100, 390), (4, 8, 12)),
+    planner: ((16, 36, 71, 142), (8, 16, 24)),
+    log_reader: ((1000, 2000, 5000, 10000), (300, 400, 600)),
+    claims: ((8, 22, 66, 132, 390), (8, 22, 66)),
+    zone_peers: ((8, 16, 35), (2, 3, 4)),
+    foreign_peers: ((1, 2, 4, 11), (1, 2)),
+    operators: ((55, 110, 195), (11, 22, 33)),
+    hosts_list: ((52, 200, 780), (8, 16, 32)),
+    metrics: ((5, 10, 20), (1, 2, 3)),
+}
+PROCESS_ROLES = {
+    front: ((30, 60, 90, 125), (2, 4)),
+    control: ((8, 36, 72), (4, 8)),
+    streams: ((3, 8, 13), (3, 5)),
+    listing: ((52, 200, 780), (4, 8)),
+}
+
+
+def main(
+    *, seed: int = 1, seconds: float = 8.0, quick: bool = False, only: str = ""
+) -> None:
+    """Print the table.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random choices.
+    seconds : float
+        Length of each measurement with real processes.
+    quick : bool
+        Take the smallest sizes, to see that everything runs.
+    only : str
+        Measure one role.
+    """
+    print(f"seed {seed}; load average {os.getloadavg()[0]:.1f}; 3 rounds, least taken")
+    print("| role | what | figures | slope | at 0 | worst miss | at the size |")
+    print("|---|---|---|---|---|---|---|")
+    length = 0.5 if quick else seconds
+    for role, sizes in ROLES.items():
+        if not only or role.__name__ == only:
+            for slope in role(sizes[quick], seed):
+                print(slope.row(), flush=True)
+
+    def run(role: object) -> list[Slope]:
+        return list(role(PROCESS_ROLES[role][quick], seed, seconds=length))
+
+    chosen = [role for role in PROCESS_ROLES if not only or role.__name__ == only]
+    # Side by side only where the figures don't matter.
+    with ThreadPoolExecutor(len(PROCESS_ROLES) if quick else 1) as executor:
+        for slopes in executor.map(run, chosen):
+            for slope in slopes:
+                print(slope.row(), flush=True)
+    print(f"load average {os.getloadavg()[0]:.1f}")
+
+
+if __name__ == "__main__":
+    defopt.run(main)
