Let reads wait longer on streams whose silence stops nothing here

Cause: each entry host asks the log for each stream that it follows once a second, also when nothing was appended: 13 questions a second with 11 zones, 5,070 from 390 hosts. Change: reads of the configuration and of other zones' placement wait 4 s; a record still returns at once. Claims and the own zone's placement keep 1 s. 4 s and progress_timeout leave 2 s of the 8 s for a change of configuration when a connection went silent. Ruled out: 10 s for all; claims would count as down by their age, and a silent connection would cost the 8 s. Failing first: with one wait for all, test_only_urgent_streams_are_asked_often[placement-b-4.0] fails. Conclusion: it spares the log, not the entry host. A zone's lease is renewed each 2 s, so a followed zone with hosts costs half a question a second at the least.

--- a/ryelever/coordination/log_reader.py
+++ b/ryelever/coordination/log_reader.py
@@ -31,7 +31,7 @@
     from ..state.fold import BaseFold
     from ..state.records import Entry, SnapshotPart
 
-__all__ = ["Applied", "LogReader", "Read", "ReadPage"]
+__all__ = ["LONG_READ_WAIT", "READ_WAIT", "Applied", "LogReader", "Read", "ReadPage"]
 
 #: Records asked for in one read.
 READ_LIMIT = 1000
@@ -49,6 +49,13 @@
 #: Longest wait of one read at the stream's end, in seconds.
 READ_WAIT = 1.0
 
+#: The same for streams whose silence stops nothing here.  A read returns with the
+#: first record anyway; a longer wait only spares empty answers, of which hundreds of
+#: hosts would ask thousands a second.  A connection that went silent is given up after
+#: the wait and ``progress_timeout``, which must leave time within the 8 s for a change
+#: of configuration.
+LONG_READ_WAIT = 4.0
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Read:
@@ -132,10 +139,19 @@
         What the entries are applied to.
     jitter : callable
         Return a number from 0 to 1 that spreads the pauses of many hosts.
+    wait : float
+        Longest wait of one read at the stream's end, in seconds.
     """
 
-    def __init__(self, *, fold: BaseFold, jitter: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        fold: BaseFold,
+        jitter: Callable[[], float],
+        wait: float = READ_WAIT,
+    ) -> None:
         self.fold = fold
+        self._wait = wait
         self.caught_up_at = float("-inf")
         self.problem = ""
         self.n_restored = 0
@@ -166,11 +182,11 @@
             )
         # Only a reader that knows it has reached the end may wait there: a read of
         # an empty tail would delay that knowledge by the whole wait.
-        lagging = now - self.caught_up_at > 2 * READ_WAIT
+        lagging = now - self.caught_up_at > 2 * self._wait
         return Read(
             offset=self.fold.next_offset,
             limit=READ_LIMIT,
-            wait=0.0 if lagging else READ_WAIT,
+            wait=0.0 if lagging else self._wait,
         )
 
     def failed(self, reason: str, *, now: float) -> None:
--- a/ryelever/streams.py
+++ b/ryelever/streams.py
@@ -12,14 +12,19 @@
 from circuits import handler
 
 from .asking import Asker, Question
-from .coordination.log_reader import LogReader, ReadPage
+from .coordination.log_reader import (
+    LONG_READ_WAIT,
+    READ_WAIT,
+    LogReader,
+    ReadPage,
+)
 from .coordination.log_snapshots import SnapshotSchedule
 from .coordination.log_writer import AppendBudget, LogWriter
 from .coordination.requests_claims import OUTCOME_KEPT
 from .errors import RunState
 from .events import ClaimReadBack, claim_read_back
 from .logs import log_event, log_warning
-from .protocol.log import decode_entry, encode_record
+from .protocol.log import decode_entry, encode_record, placement_stream
 from .protocol.outside import HTTP_LOG
 from .state.claims import MAX_AHEAD
 from .state.records import Claim, Outcome, SnapshotPart
@@ -102,7 +107,7 @@
         return Stream(
             name=name,
             fold=fold,
-            reader=LogReader(fold=fold, jitter=jitter),
+            reader=LogReader(fold=fold, jitter=jitter, wait=self._wait(name)),
             writer=LogWriter(budget=self._budget, jitter=jitter),
             schedule=SnapshotSchedule(
                 retention=self._settings.log_retention,
@@ -112,6 +117,13 @@
             ),
         )
 
+    def _wait(self, name: str) -> float:
+        # Claims must be known up to their end at any moment, and the own zone's
+        # planner acts on its stream; the others' news may come some seconds later.
+        own = placement_stream(self._settings.availability_zone)
+        is_urgent = name == own or name in self._claims.folds_by_stream
+        return READ_WAIT if is_urgent else LONG_READ_WAIT
+
     @handler("control_tick")
     def _on_control_tick(self) -> None:
         now = time.monotonic()
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,50 @@
+"""Test how long the reads of each stream wait at its end."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.coordination.log_reader import (
+    LONG_READ_WAIT,
+    READ_WAIT,
+    LogReader,
+    ReadPage,
+)
+from ryelever.protocol.log import claims_streams, placement_stream
+from ryelever.settings import read_settings
+from ryelever.state.claims import ClaimsFold
+from ryelever.state.placement import PlacementFold
+from ryelever.streams import Streams
+
+
+class _Claims:
+    owner = "e1/boot"
+    folds_by_stream = {name: ClaimsFold() for name in claims_streams(1)}
+
+
+@pytest.mark.parametrize(
+    ("stream", "wait"),
+    [
+        (claims_streams(1)[0], READ_WAIT),
+        (placement_stream("a"), READ_WAIT),
+        (placement_stream("b"), LONG_READ_WAIT),
+    ],
+)
+def test_only_urgent_streams_are_asked_often(stream: str, wait: float) -> None:
+    """Spare the log the empty answers that nobody waits for.
+
+    Symptom: hundreds of entry hosts ask the log thousands of questions a second.
+    Sequence: nothing is appended; each stream is read again each second.
+    Cause: all streams were read with the shortest wait that any of them needs.
+    """
+    settings = read_settings(
+        '{"host": "e1", "availability_zone": "a", "availability_zones": ["a", "b"],'
+        '"callers_address": "127.0.0.1:0", "log_address": "127.0.0.1:1",'
+        '"hosts_list_address": "127.0.0.1:1"}'
+    ).ok
+    folds = {placement_stream(zone): PlacementFold() for zone in "ab"}
+    streams = Streams(settings=settings, folds_by_stream=folds, claims=_Claims())
+    reader: LogReader = streams.streams_by_name[stream].reader
+    assert reader.next_read(now=0.0).wait == 0.0
+    reader.read(ReadPage(first=0, next=0), asked_at=0.0, now=0.0)
+    assert reader.next_read(now=0.0).wait == wait
