--- a/ryelever/coordination/polling.py
+++ b/ryelever/coordination/polling.py
@@ -5,22 +5,7 @@
 import hashlib
 from collections.abc import Collection
 
-__all__ = [
-    "N_ASKERS",
-    "ListSchedule",
-    "PollingShares",
-    "ReportFollowing",
-    "rendezvous",
-]
-
-#: Shortest time between two looks at the platform's list, in seconds.
-LIST_INTERVAL = 1.0
-
-#: Seconds for which looks come fast after a peer's word that a host leaves.
-LIST_HURRY = 3.0
-
-#: Bytes a second that the list may cost one entry host, on average.
-LIST_RATE = 4_000.0
+__all__ = ["N_ASKERS", "PollingShares", "ReportFollowing", "rendezvous"]
 
 #: Entry hosts that ask one backend server.
 N_ASKERS = 2
@@ -94,49 +79,6 @@
             del self._asks_by_server[server]
 
 
-class ListSchedule:
-    """Decide when to look at the platform's list.
-
-    The list names the hosts of all zones, and each entry host reads the whole of it.
-    With hundreds of hosts a look a second would cost more bytes than all else that
-    control does.  So the time between two looks grows with the list's length.  The
-    entry hosts of a zone look at different times and tell each other which hosts
-    leave.  After such a word the looks come fast for a while: the word holds for some
-    seconds only, and until the own copy shows it, a host that was told to go would be
-    taken for live again.
-
-    Attributes
-    ----------
-    asked_at : float
-        Monotonic time of the newest look.
-    """
-
-    def __init__(self) -> None:
-        self.asked_at = float("-inf")
-        self._interval = LIST_INTERVAL
-        self._hurry_until = float("-inf")
-
-    def is_due(self, *, now: float) -> bool:
-        """Tell whether to look now; the look then counts as taken."""
-        interval = LIST_INTERVAL if now < self._hurry_until else self._interval
-        if now - self.asked_at < interval:
-            return False
-        self.asked_at = now
-        return True
-
-    def answered(self, n_bytes: int) -> None:
-        """Take the length of a list that was read."""
-        self._interval = max(LIST_INTERVAL, n_bytes / LIST_RATE)
-
-    def failed(self) -> None:
-        """Look again soon: what is known of the hosts is getting old."""
-        self._interval = LIST_INTERVAL
-
-    def contradicted(self, *, now: float) -> None:
-        """Take note that a peer knows something that the own copy does not show."""
-        self._hurry_until = now + LIST_HURRY
-
-
 class ReportFollowing:
     """Decide when this entry host asks a backend server for its report.
 
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -9,11 +9,11 @@
 
 from .asking import Asker, Question
 from .coordination.confirmation import FreshReport
-from .coordination.polling import ListSchedule, PollingShares, ReportFollowing
+from .coordination.polling import PollingShares, ReportFollowing
 from .logs import log_warning
 from .protocol.outside import HTTP_ENGINE, HTTP_HOSTS_LIST
 from .state.fleet import HostReport
-from .state.observations import LeavingRow, ReportRow
+from .state.observations import ReportRow
 
 if TYPE_CHECKING:
     from .coordination.confirmation import Confirmations
@@ -25,6 +25,9 @@
 
 __all__ = ["FleetWatch"]
 
+#: Seconds between two looks at the platform's list.
+LIST_INTERVAL = 1.0
+
 #: Engines of other zones up to which their reports are followed too.
 MAX_FOREIGN = 100
 
@@ -61,7 +64,7 @@
         self.confirmations = confirmations
         self.hosts_by_name: dict[str, ListedHost] = {}
         self._followed_by_name: dict[str, ListedHost] = {}
-        self._list_schedule = ListSchedule()
+        self._list_due_at = 0.0
         self.shares = PollingShares(host=settings.host)
         self._following = ReportFollowing(
             shares=self.shares,
@@ -82,8 +85,9 @@
         self._take_own(message.report, asked_at=message.asked_at)
 
     def _ask_list(self, *, now: float) -> None:
-        if not self._list_schedule.is_due(now=now):
+        if now < self._list_due_at:
             return
+        self._list_due_at = now + LIST_INTERVAL
         self.ask(
             Question(kind="list"),
             address=self._settings.hosts_list_address,
@@ -115,9 +119,7 @@
         hosts = self._hosts_list.hosts(answer.body, peer=answer.address)
         if answer.status != 200 or hosts.is_error():
             log_warning("hosts_list_failed", status=answer.status)
-            self._list_schedule.failed()
             return
-        self._list_schedule.answered(len(answer.body))
         self.hosts_by_name.clear()
         self.hosts_by_name.update((listed.host, listed) for listed in hosts.ok.hosts)
         self._followed_by_name = self._followed()
@@ -152,7 +154,6 @@
         """Keep the last list; a host that refuses connections counts as gone."""
         if question.kind == "list":
             log_warning("hosts_list_failed", message=failure.error.message)
-            self._list_schedule.failed()
         elif not failure.bytes_sent:
             self.refused(question.subject, at=time.monotonic())
 
@@ -184,12 +185,7 @@
     def observed(
         self, observation: Observation, *, peer: str, observed_at: float, now: float
     ) -> None:
-        """Take a report that a peer asked for, or its word that a host leaves."""
-        if isinstance(observation, LeavingRow):
-            listed = self.hosts_by_name.get(observation.host)
-            if listed is not None and listed.state == "live":
-                self._list_schedule.contradicted(now=now)
-            return
+        """Take a report that a peer asked for."""
         if not isinstance(observation, ReportRow):
             return
         report = observation.report
--- a/tests/test_coordination/test_polling.py
+++ b/tests/test_coordination/test_polling.py
@@ -7,15 +7,14 @@
 from ryelever.coordination.confirmation import Confirmations
 from ryelever.coordination.polling import (
     UNKNOWN_INTERVAL,
-    ListSchedule,
     PollingShares,
     ReportFollowing,
     rendezvous,
 )
 from ryelever.fleet_watch import UNREACHABLE, FleetWatch
 from ryelever.settings import Settings
-from ryelever.state.fleet import HostReport, ListedHost
-from ryelever.state.observations import LeavingRow, ReportRow
+from ryelever.state.fleet import HostReport
+from ryelever.state.observations import ReportRow
 
 HOSTS = [f"e{index}" for index in range(8)]
 SERVERS = [f"w{index}" for index in range(60)]
@@ -158,44 +157,3 @@
     assert fleet.confirmations.fresh("w1", now=10.0) is None
     tell(fleet, "ready", at=9.7, now=10.0)
     assert fleet.confirmations.fresh("w1", now=10.0) is not None
-
-
-# (bytes of the list, or None for a failed look; a peer's word at; time of next look)
-@pytest.mark.parametrize(
-    ("n_bytes", "word_at", "next_at"),
-    [
-        pytest.param(1_000, None, 101.0, id="short"),
-        pytest.param(156_000, None, 139.0, id="long"),
-        pytest.param(None, None, 101.0, id="failed"),
-        pytest.param(156_000, 100.2, 101.0, id="word_at_once"),
-        pytest.param(156_000, 110.0, 110.0, id="word_later"),
-    ],
-)
-def test_a_long_list_is_looked_at_less_often(
-    n_bytes: int | None, word_at: float | None, next_at: float
-) -> None:
-    """Spend no more bytes on the list than control may, and miss no departure.
-
-    Symptom: at 780 hosts the list alone costs 156 KB a second on each entry host.
-    Sequence: each entry host reads the whole list each second.
-    Cause: the time between two looks did not depend on the list's length.
-    """
-    schedule = ListSchedule()
-    assert schedule.is_due(now=100.0)
-    schedule.failed() if n_bytes is None else schedule.answered(n_bytes)
-    assert not schedule.is_due(now=next_at - 0.05)
-    if word_at is not None:
-        schedule.contradicted(now=word_at)
-    assert schedule.is_due(now=next_at)
-
-
-@pytest.mark.parametrize(("listed", "hurries"), [("live", True), ("leaving", False)])
-def test_a_peers_word_brings_the_next_look_forward(listed: str, hurries: bool) -> None:
-    fleet = watch()
-    fleet.hosts_by_name["w1"] = ListedHost(
-        host="w1", address="127.0.0.1:2", availability_zone="a", state=listed
-    )
-    fleet._list_schedule.is_due(now=100.0)
-    fleet._list_schedule.answered(156_000)
-    fleet.observed(LeavingRow(host="w1"), peer="e2", observed_at=109.0, now=110.0)
-    assert fleet._list_schedule.is_due(now=110.0) is hurries
