--- a/benchmarks/slopes_operators.py
+++ b/benchmarks/slopes_operators.py
@@ -12,7 +12,7 @@
 from ryelever.metrics import Metrics
 from ryelever.protocol.backend import read_hosts_list
 from ryelever.protocol.json_codec import encode
-from ryelever.settings import read_settings
+from ryelever.settings_reader import read_settings
 from ryelever.state.configuration import Configuration
 
 from .routing_fleet import FakeFleet
--- a/benchmarks/slopes_processes.py
+++ b/benchmarks/slopes_processes.py
@@ -73,7 +73,7 @@
     """Watch idle engines from 3 entry hosts; x: backend servers in the zone."""
 
     def start(fleet: Fleet, n_hosts: int) -> None:
-        control_cost._start(fleet, n_hosts=n_hosts, n_entries=3)
+        control_cost._start(fleet, n_hosts=n_hosts, n_entries=3, stats=None)
 
     yield from _idle(
         "control in all", "backend servers", ZONE_WORKERS, sizes, start, seconds
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -11,7 +11,7 @@
     ReadPage,
 )
 from ryelever.protocol.log import claims_streams, placement_stream
-from ryelever.settings import read_settings
+from ryelever.settings_reader import read_settings
 from ryelever.state.claims import ClaimsFold
 from ryelever.state.placement import PlacementFold
 from ryelever.streams import Streams
