Say not_run of a keyed request only with its key's whole history

Cause: a refusal spoke of the one sending that it refused. An entry host that was draining, had lost the log, or whose queue was full called a resend not_run although another host may have run an earlier sending with the same key. A caller that believes it sends under a new key, and the booking runs twice. The same held for refusals before the claim is looked up (a service or account withdrawn since, 408), and for keys 30 to 60 s in the future, which an entry host with a better clock may have taken.

Rule: not_run for a keyed request needs a read of the key's partition that was asked after the sending arrived, reached the end without records missing and shows no claim, within the key's window by the log's clock; or the own claim read back as the first. All else is outcome_unknown, says that a resend with the same key is safe, and names when. A queued request whose rival was read meanwhile is answered from the rival's claim.

Ruled out: reading up to the key's time of issue and the allowed lead only, as an earlier sending may be claimed after that and before this one arrives; holding a refusal back for a read, as a full queue must answer at once. Not closed: a sending that is still open elsewhere may run after not_run was said (docs/REQUESTS.md).

The request machine used keys without a time of issue, so the fold refused every claim and the machine never sent a keyed request. It now uses real keys and another host that claims and runs.

Seven expectations changed from not_run to outcome_unknown where the host did not read the log since: log down, claim unread, shutdown, a pause.

--- a/benchmarks/request_table.py
+++ b/benchmarks/request_table.py
@@ -70,6 +70,9 @@
     def available(self, *, now):
         return True
 
+    def knows(self, key, *, since):
+        return True
+
     def lookup(self, key):
         return self.fold.claims_by_key.get(key)
 
--- a/ryelever/arrivals.py
+++ b/ryelever/arrivals.py
@@ -11,7 +11,7 @@
 
 from .accounts import account_of
 from .coordination.actions import Arrival, ChatWork, ServiceWork
-from .coordination.idempotency import check_key
+from .coordination.idempotency import KEY_IN_FUTURE, check_key, doubt
 from .errors import Category, RyeleverError
 from .protocol.openai import (
     fingerprint,
@@ -20,6 +20,7 @@
     read_chat_request,
 )
 from .state.configuration_fold import NO_VERSION
+from .state.idempotency_key import issued_at
 
 if TYPE_CHECKING:
     from expression import Result
@@ -36,6 +37,9 @@
 #: Header with which a caller names its own deadline, in seconds from now.
 TIMEOUT_HEADER = "x-request-timeout"
 
+#: Header that marks a request which must run at most once.
+KEY_HEADER = "idempotency-key"
+
 
 class ArrivalReader:
     """Check a request against the configuration that is in force."""
@@ -45,7 +49,19 @@
         self._configuration = configuration
 
     def read(self, request: CallerRequest) -> Result[Arrival | None, RyeleverError]:
-        """Return the arrival, or None when the caller asks for the models."""
+        """Return the arrival, or None when the caller asks for the models.
+
+        A refused resend may have run before: the configuration may have changed
+        since, or another entry host may have read more of it.
+        """
+        arrival = self._read(request)
+        key = request.headers.get(KEY_HEADER, "")
+        if arrival.is_error() and key and issued_at(key) is not None:
+            certain = arrival.error.code == KEY_IN_FUTURE
+            return arrival if certain else Error(doubt(arrival.error))
+        return arrival
+
+    def _read(self, request: CallerRequest) -> Result[Arrival | None, RyeleverError]:
         if self._configuration.version == NO_VERSION:
             return _error(
                 "this entry host has read no configuration yet; ask again",
@@ -125,7 +141,7 @@
             )
         path = "/" + rest + (f"?{request.query}" if request.query else "")
         marked = any(path.startswith(prefix) for prefix in service.non_repeatable)
-        key = request.headers.get("idempotency-key", "")
+        key = request.headers.get(KEY_HEADER, "")
         if marked and request.method not in ("GET", "HEAD") and not key:
             return _error(
                 "this call runs at most once; send an Idempotency-Key",
@@ -147,7 +163,7 @@
         timeout = self._timeout(request)
         if timeout.is_error():
             return timeout
-        key = request.headers.get("idempotency-key", "")
+        key = request.headers.get(KEY_HEADER, "")
         checked = check_key(key, wall=time.time()) if key else Ok(0.0)
         if checked.is_error():
             return checked
--- a/ryelever/coordination/claims.py
+++ b/ryelever/coordination/claims.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from ..state.idempotency_key import issued_at
 from .idempotency import judge_owner
 
 if TYPE_CHECKING:
@@ -71,6 +72,23 @@
             for stream, fold in self.folds_by_stream.items()
         )
 
+    def knows(self, key: str, *, since: float) -> bool:
+        """Tell whether every claim of a key made before a time was read.
+
+        The read must have been asked after that time: what another entry host has
+        claimed in between is in the log and not here.  A claim that was forgotten
+        with its window must not pass for none.
+        """
+        stream = self.stream_of(key)
+        fold = self.folds_by_stream[stream]
+        issued = issued_at(key.partition("/")[2])
+        return (
+            fold.complete
+            and self._caught_up_at[stream] > since
+            and issued is not None
+            and fold.log_time - issued <= fold.window
+        )
+
     def lookup(self, key: str) -> ClaimState | None:
         """Return the first claim of a key as a resend is to see it."""
         fold = self.folds_by_stream[self.stream_of(key)]
--- a/ryelever/coordination/idempotency.py
+++ b/ryelever/coordination/idempotency.py
@@ -6,7 +6,7 @@
 clearly.
 
 Clock assumption: an entry host's wall clock differs from the log's by less than
-``MAX_AHEAD`` (30 s).  One that runs ahead by more refuses keys that could still be
+``MAX_CLOCK_ERROR``.  One that runs ahead by more refuses keys that could still be
 claimed; one that runs behind lets claims be appended which the fold then refuses.
 Neither runs a request twice.  Streams reports the difference it sees.
 """
@@ -26,11 +26,24 @@
 if TYPE_CHECKING:
     from ..state.claims import ClaimState
 
-__all__ = ["OWNER_TIMEOUT", "check_key", "judge_owner"]
+__all__ = [
+    "KEY_IN_FUTURE",
+    "MAX_CLOCK_ERROR",
+    "OWNER_TIMEOUT",
+    "check_key",
+    "doubt",
+    "judge_owner",
+]
+
+#: Code of the refusal of a key that is issued in the future.
+KEY_IN_FUTURE = "idempotency_key_in_future"
 
 #: Seconds after a claim for which its owner is believed to be at work.
 OWNER_TIMEOUT = 120.0
 
+#: Seconds by which an entry host's wall clock may differ from the log's.
+MAX_CLOCK_ERROR = 30.0
+
 
 def check_key(
     key: str,
@@ -41,11 +54,11 @@
 ) -> Result[float, RyeleverError]:
     """Return the time of issue of a key that can still be claimed.
 
-    A key from the future was never claimed, since the fold refuses it, so the
-    answer is ``not_run``.  Of a key that is too old nobody knows any more whether
-    it was run: the refusal says ``outcome_unknown``.  To call it ``not_run`` would
-    have the caller send the request again under a new key, and a booking that ran
-    an hour ago would run twice.
+    Of a key that is too old nobody knows any more whether it was run: the refusal
+    says ``outcome_unknown``.  To call it ``not_run`` would have the caller send the
+    request again under a new key, and a booking that ran an hour ago would run
+    twice.  A key from the future was never claimed if the log's clock, too, is sure
+    to have it in the future; otherwise another entry host may have taken it.
 
     Parameters
     ----------
@@ -71,12 +84,15 @@
             code="idempotency_key_expired",
             run_state=RunState.OUTCOME_UNKNOWN,
         )
-    if issued - wall > max_ahead:
+    ahead = issued - wall
+    if ahead > max_ahead:
+        never_claimed = ahead > max_ahead + MAX_CLOCK_ERROR
         return _refused(
             f"the Idempotency-Key was issued more than {max_ahead:g} s in the "
             "future; set the clock that it was made from",
             category=Category.BAD_REQUEST,
-            code="idempotency_key_in_future",
+            code=KEY_IN_FUTURE,
+            run_state=RunState.NOT_RUN if never_claimed else RunState.OUTCOME_UNKNOWN,
         )
     return Ok(issued)
 
@@ -103,6 +119,30 @@
     return replace(claim, outcome=unknown)
 
 
+def doubt(error: RyeleverError, *, retry_after: float | None = None) -> RyeleverError:
+    """Let a refusal speak of all sendings with its key, and not of this one alone.
+
+    A caller that is told ``not_run`` may send its request again under a new key.  If
+    an earlier sending with the old one has run meanwhile, by an entry host whose
+    claim is not read here, the booking is doubled.
+
+    Parameters
+    ----------
+    retry_after : float or None
+        Seconds after which to come back, where the error names none.
+    """
+    if error.run_state is RunState.NOT_RUN:
+        error.run_state = RunState.OUTCOME_UNKNOWN
+        error.message += (
+            "; this sending was not run, but whether an earlier one with its "
+            "Idempotency-Key was run is not known here: send it again with the same "
+            "key, which is always safe"
+        )
+        if error.retry_after is None:
+            error.retry_after = retry_after
+    return error
+
+
 def _refused(
     message: str,
     *,
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -3,7 +3,8 @@
 The table takes events and a time and returns actions.  Three rules hold here:
 
 * an answer ``not_run`` is given only while no byte of the request has left for a
-  backend server, or when the backend server itself refused it;
+  backend server, or when the backend server itself refused it; with an idempotency
+  key, only if the log shows that this holds for every sending with the key;
 * a non-repeatable request is sent only after its own claim was read back as the
   first, and never again after its first byte;
 * answers are matched by attempt: what arrives for an attempt that was given up
@@ -141,18 +142,20 @@
         """Take a new request."""
         account = self._account(arrival.client_account)
         if account is None:
-            return [_error(arrival, answers.unknown_account())]
+            return self.refuse(arrival, answers.unknown_account())
         if not arrival.repeatable:
             known = self.answer_known(arrival)
-            refusal = known or self._claims.refusal(arrival, now=now)
-            if refusal:
-                return refusal
+            if known:
+                return known
+            if not self._claims.available(now=now):
+                error = answers.log_unavailable(retry_after=self._retry_after())
+                return self.refuse(arrival, error)
         quarantined = self._attempts.verdict(arrival.fingerprint, now=now)
         if quarantined is not None:
-            return [_error(arrival, quarantine_error(quarantined))]
+            return self.refuse(arrival, quarantine_error(quarantined))
         decision = self._admission.admit(arrival, account, now=now)
         if isinstance(decision, Refused):
-            return [_error(arrival, answers.limited(decision))]
+            return self.refuse(arrival, answers.limited(decision))
         request = Request(arrival=arrival, state=RequestState.QUEUED, since=now)
         self.requests_by_id[arrival.request_id] = request
         if isinstance(decision, Queued):
@@ -318,6 +321,10 @@
             actions += self._steps.fail(request, error=error, now=now)
         return actions
 
+    def refuse(self, arrival: Arrival, error: RyeleverError) -> list[Action]:
+        """Refuse a request that was never taken in."""
+        return self._claims.refuse(arrival, error)
+
     def answer_known(self, arrival: Arrival) -> list[Action]:
         """Answer a resend from its claim; nothing when the key is not claimed."""
         return self._claims.answer_known(arrival)
--- a/ryelever/coordination/requests_answers.py
+++ b/ryelever/coordination/requests_answers.py
@@ -201,7 +201,7 @@
     """Refuse a request that cannot be claimed."""
     return RyeleverError(
         "the log cannot be reached, so a request that must run at most once cannot "
-        "be claimed; this sending was not run, ask again with the same key",
+        "be claimed",
         category=Category.UNAVAILABLE,
         step="claim",
         code="log_unavailable",
--- a/ryelever/coordination/requests_claims.py
+++ b/ryelever/coordination/requests_claims.py
@@ -8,10 +8,12 @@
 from ..state.records import Claim, Outcome
 from . import requests_answers as answers
 from .actions import AnswerError, AppendRecord
+from .idempotency import doubt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..errors import RyeleverError
     from ..state.claims import ClaimState
     from .actions import Action, Arrival
     from .requests_state import Request
@@ -33,6 +35,9 @@
     def available(self, *, now: float) -> bool:
         """Tell whether the claims stream is read up to its end."""
 
+    def knows(self, key: str, *, since: float) -> bool:
+        """Tell whether every claim of a key made before a time was read."""
+
     def lookup(self, key: str) -> ClaimState | None:
         """Return the first claim of a key."""
 
@@ -63,11 +68,25 @@
         self.owner = claims.owner
         self.request_by_claim: dict[str, str] = {}
 
-    def refusal(self, arrival: Arrival, *, now: float) -> list[Action]:
-        """Refuse a request that cannot be claimed; nothing when it can be."""
-        if self._claims.available(now=now):
-            return []
-        error = answers.log_unavailable(retry_after=self._retry_after())
+    def available(self, *, now: float) -> bool:
+        """Tell whether a request can be claimed."""
+        return self._claims.available(now=now)
+
+    def refuse(self, arrival: Arrival, error: RyeleverError) -> list[Action]:
+        """Refuse a sending that was not run, saying what is known of its key.
+
+        An earlier sending with the key may have been claimed, and run, by another
+        entry host.  Only a read of the log that was asked after this one arrived
+        can tell; without it the refusal must not say ``not_run``.
+        """
+        known = self.answer_known(arrival)
+        if known:
+            return known
+        key = answers.claim_key(arrival)
+        if not arrival.repeatable and not self._claims.knows(
+            key, since=arrival.arrived_at
+        ):
+            doubt(error, retry_after=self._retry_after())
         return [AnswerError(request_id=arrival.request_id, error=error)]
 
     def answer_known(self, arrival: Arrival) -> list[Action]:
--- a/ryelever/coordination/requests_steps.py
+++ b/ryelever/coordination/requests_steps.py
@@ -140,6 +140,12 @@
         error.run_state = request.run_state
         if error.category is Category.UNAVAILABLE and error.retry_after is None:
             error.retry_after = self._retry_after()
+        if not request.arrival.repeatable and not request.claimed:
+            # Nothing was sent; but only an own claim, read back as the first,
+            # shows that no other entry host has sent it either.
+            refusal = self._claims.refuse(request.arrival, error)
+            ended = self.end(request, answer=None, now=now)
+            return ended if request.caller_gone else ended + refusal
         request_id = request.arrival.request_id
         answer: Action = AnswerError(request_id=request_id, error=error)
         if request.streamed and request.delivered:
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -111,10 +111,6 @@
         if not self.closed:
             self._carry_out(self._table.arrive(arrival, now=time.monotonic()))
             return
-        known = self._table.answer_known(arrival)
-        if known:
-            self._carry_out(known)
-            return
         error = RyeleverError(
             "this entry host is shutting down; ask again",
             category=Category.UNAVAILABLE,
@@ -122,7 +118,7 @@
             code="draining",
             retry_after=1.0,
         )
-        self._answers.answer_error(arrival.request_id, error)
+        self._carry_out(self._table.refuse(arrival, error))
 
     def _answer_models(self, request: CallerRequest) -> None:
         answer = self._reader.models_answer(request)
--- a/ryelever/transport/request_reader.py
+++ b/ryelever/transport/request_reader.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from ..errors import Category, RyeleverError
+from ..errors import Category, RunState, RyeleverError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -19,11 +19,17 @@
 _PATH_SAFE = "/*:@!$&'()+,;=~"
 _VERSIONS = frozenset({b"1.0", b"1.1"})
 
+#: Header that marks a request which must run at most once.
+KEY_HEADER = b"idempotency-key"
+
 #: Tells the caller to go on and send its body.
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+#: Status of a request that did not arrive in time.
+REQUEST_TIMEOUT = 408
+
 _CATEGORY_BY_STATUS = {
-    408: Category.TIMEOUT,
+    REQUEST_TIMEOUT: Category.TIMEOUT,
     413: Category.TOO_LARGE,
     431: Category.TOO_LARGE,
 }
@@ -147,7 +153,7 @@
             return None
         return self._refuse(
             f"the request did not arrive within {self.limits.request_timeout:g} s",
-            status=408,
+            status=REQUEST_TIMEOUT,
             code="request_timeout",
         )
 
@@ -236,6 +242,7 @@
 
     def _refuse(self, message: str, *, status: int, code: str) -> Refusal:
         self._refused = True
+        run_state = self._run_state(status)
         self._body = bytearray()
         self._ahead = bytearray()
         self._http = self._new_http()
@@ -245,9 +252,18 @@
             step="read_request",
             peer=self.peer,
             code=code,
+            run_state=run_state,
         )
         return Refusal(status=status, error=error)
 
+    def _run_state(self, status: int) -> RunState:
+        # What is malformed or too long was never run.  What did not arrive whole
+        # may be a resend of a request that was, unless its head shows no key.
+        head = self._head
+        keyed = head is None or KEY_HEADER in {name for name, _ in head.headers}
+        in_doubt = status == REQUEST_TIMEOUT and keyed
+        return RunState.OUTCOME_UNKNOWN if in_doubt else RunState.NOT_RUN
+
     def _whole(self, *, path: str, query: str) -> WholeRequest:
         self._answering = True
         head = self._head
--- a/tests/test_coordination/request_fakes.py
+++ b/tests/test_coordination/request_fakes.py
@@ -14,7 +14,7 @@
     Target,
     Usage,
 )
-from ryelever.coordination.admission import Admitted
+from ryelever.coordination.admission import Admitted, Queued, Refused
 from ryelever.coordination.requests import RequestTable, Timeouts
 from ryelever.coordination.retry import RetryBudget
 from ryelever.errors import Category, RyeleverError
@@ -30,14 +30,17 @@
 
 
 class OpenAdmission:
-    """Admit everything, and remember who was not released."""
+    """Admit everything by default, and remember who was not released."""
 
     def __init__(self) -> None:
         self.admitted: set[str] = set()
+        self.late: list[str] = []
+        self.decision = Admitted()
 
     def admit(self, arrival, account, *, now):
-        self.admitted.add(arrival.request_id)
-        return Admitted()
+        if not isinstance(self.decision, Refused):
+            self.admitted.add(arrival.request_id)
+        return self.decision
 
     def release(self, request_id, *, now):
         self.admitted.discard(request_id)
@@ -46,7 +49,11 @@
         return []
 
     def expired(self, *, now):
-        return []
+        late, self.late = self.late, []
+        return [(request_id, FULL) for request_id in late]
+
+
+FULL = Refused(reason="the queue is full", retry_after=2.0)
 
 
 class ListRouter:
@@ -76,10 +83,14 @@
     up: bool = True
     fold: ClaimsFold = field(default_factory=ClaimsFold)
     unread: list[AppendRecord] = field(default_factory=list)
+    caught_up_at: float = 0.0
 
     def available(self, *, now):
         return self.up
 
+    def knows(self, key, *, since):
+        return self.caught_up_at > since
+
     def lookup(self, key):
         return self.fold.claims_by_key.get(key)
 
@@ -150,7 +161,8 @@
     def _read(self, append: AppendRecord) -> None:
         repeated = self.log.fold.offset_of(append.record_id) is not None
         is_first = self.log.read(append)
-        if isinstance(append.record, Claim) and not repeated:
+        own = append.record.owner == self.log.owner
+        if isinstance(append.record, Claim) and own and not repeated:
             self.take(
                 self.table.claim_read_back(
                     append.record_id,
@@ -160,6 +172,24 @@
                 )
             )
 
+    def rival_claims(self, key: str) -> bool:
+        """Let another host claim a key, unread here; tell whether it came first."""
+        key = f"acc/{key}"
+        unread = [append.record for append in self.log.unread]
+        if key in self.log.fold.claims_by_key or any(
+            isinstance(record, Claim) and record.key == key for record in unread
+        ):
+            return False
+        claim = Claim(key=key, fingerprint="f", owner="e2", request_id="other")
+        append = AppendRecord(
+            stream=self.log.stream,
+            record=claim,
+            record_id=f"rival-{key}",
+            kept_for=0.0,
+        )
+        self.log.unread.append(append)
+        return True
+
     def do_rival(self) -> None:
         """Let another entry host claim the same key first."""
         claim = Claim(key=f"acc/{KEY}", fingerprint="f", owner="e2", request_id="other")
@@ -168,6 +198,26 @@
     def do_log_down(self) -> None:
         self.log.up = False
 
+    def do_full(self) -> None:
+        """Let admission refuse what comes."""
+        self.admission.decision = FULL
+
+    def do_queue(self) -> None:
+        """Let admission keep what comes waiting."""
+        self.admission.decision = Queued()
+
+    def do_queued_too_long(self) -> None:
+        """Let the time of the waiting request be over."""
+        self.admission.late = ["r"]
+        self.take(self.table.tick(now=self.now))
+
+    def do_draining(self) -> None:
+        """Refuse a request as a host does that takes no new ones."""
+        error = RyeleverError(
+            "shutting down", category=Category.UNAVAILABLE, step="admit"
+        )
+        self.take(self.table.refuse(self.arrival_of("r"), error))
+
     def do_tokens(self, first: str, last: str = "") -> None:
         start, _, end = first.partition("-")
         tokens = tuple(f"t{i}" for i in range(int(start), int(end or start) + 1))
@@ -230,6 +280,8 @@
 
     def do_wait(self, seconds: str) -> None:
         self.now += float(seconds)
+        if self.log.up and float(seconds):
+            self.log.caught_up_at = self.now
         self.take(self.table.tick(now=self.now))
 
     def do_pause(self, seconds: str) -> None:
--- a/tests/test_coordination/test_claims.py
+++ b/tests/test_coordination/test_claims.py
@@ -8,7 +8,7 @@
 
 from ryelever.coordination.claims import Claims
 from ryelever.protocol.log import claims_stream, claims_streams
-from ryelever.state.claims import ClaimsFold
+from ryelever.state.claims import CLAIM_WINDOW, ClaimsFold
 from ryelever.state.records import Claim, Entry
 
 from ..memory_log import EPOCH
@@ -56,6 +56,49 @@
     assert claims.available(now=now) is available
 
 
+#: The key's own partition, and another one.
+KEY = f"acme/{int(EPOCH * 1000)}-k"
+OWN = claims_stream(KEY, n_partitions=4)
+OTHER = next(name for name in STREAMS if name != OWN)
+
+KNOWN = [
+    # partition read to its end, partition with records missing, newest record's
+    # seconds after the key's issue, whether the key's history is known at time 5
+    ("read since", OWN, "", 0, True),
+    ("read before", "", "", 0, False),
+    ("another partition read", OTHER, "", 0, False),
+    ("records missing", OWN, OWN, 0, False),
+    ("records of another partition missing", OWN, OTHER, 0, True),
+    ("idle stream", OWN, "", -3600, True),
+    ("claims forgotten by the log's clock", OWN, "", CLAIM_WINDOW + 1, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("caught_up", "missing", "age", "known"),
+    [row[1:] for row in KNOWN],
+    ids=[row[0] for row in KNOWN],
+)
+def test_history_of_a_key_is_known(
+    caught_up: str, missing: str, age: float, known: bool
+) -> None:
+    """Ask whether a key that has no claim here was never claimed.
+
+    Symptom: a caller is told "not run" of a booking that ran, and books again under
+    a new key.  Sequence: another entry host claims and runs it; this one has not
+    read that far, or has forgotten it.  Cause: not known was taken for not run.
+    """
+    claims = _claims()
+    record = Claim(key=KEY[:-1] + "x", fingerprint="f", owner="e2", request_id="r")
+    entry = Entry(offset=0, time=EPOCH + age, id="x", record=record)
+    claims.folds_by_stream[OWN].apply(entry)
+    if caught_up:
+        claims.caught_up(caught_up, at=6.0)
+    if missing:
+        claims.folds_by_stream[missing].lost(before=5, reason="expired")
+    assert claims.knows(KEY, since=5.0) is known
+
+
 def test_key_is_looked_up_in_its_partition() -> None:
     """Spread keys over all partitions and find each again."""
     claims = _claims()
--- a/tests/test_coordination/test_idempotency.py
+++ b/tests/test_coordination/test_idempotency.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from ryelever.coordination.idempotency import OWNER_TIMEOUT, check_key, judge_owner
+from ryelever.coordination.idempotency import (
+    MAX_CLOCK_ERROR,
+    OWNER_TIMEOUT,
+    check_key,
+    judge_owner,
+)
 from ryelever.errors import Category, RunState
 from ryelever.state.claims import CLAIM_WINDOW, MAX_AHEAD, ClaimState
 from ryelever.state.records import Outcome
@@ -24,7 +29,14 @@
     (UUID7, CLAIM_WINDOW - 1, None, None),
     (UUID7, 1 - MAX_AHEAD, None, None),
     (UUID7, CLAIM_WINDOW + 1, "idempotency_key_expired", RunState.OUTCOME_UNKNOWN),
-    (UUID7, -1 - MAX_AHEAD, "idempotency_key_in_future", RunState.NOT_RUN),
+    # An entry host whose clock is right may have taken what this one refuses.
+    (UUID7, -1 - MAX_AHEAD, "idempotency_key_in_future", RunState.OUTCOME_UNKNOWN),
+    (
+        UUID7,
+        -1 - MAX_AHEAD - MAX_CLOCK_ERROR,
+        "idempotency_key_in_future",
+        RunState.NOT_RUN,
+    ),
     (UUID7.replace("-7", "-4", 1), 0.0, "idempotency_key_invalid", RunState.NOT_RUN),
     ("rex", 0.0, "idempotency_key_invalid", RunState.NOT_RUN),
     ("12345-rex", 0.0, "idempotency_key_invalid", RunState.NOT_RUN),
--- a/tests/test_coordination/test_requests.py
+++ b/tests/test_coordination/test_requests.py
@@ -227,7 +227,42 @@
         "claim claim_not_confirmed/not_run log:not_run claim send-a+0 log:run-201 "
         "answer-201",
     ),
-    "log down": ("booking", "log_down arrive", "log_unavailable/not_run"),
+    # Refused without the key's whole history: an earlier sending may have run
+    "log down": ("booking", "log_down arrive", "log_unavailable/outcome_unknown"),
+    "log goes down while claiming": (
+        "booking",
+        "arrive log_down wait:5 read",
+        "claim claim_not_confirmed/outcome_unknown log:not_run",
+    ),
+    "draining": ("booking", "draining", "unavailable/outcome_unknown"),
+    "draining, claim of another host read": (
+        "booking",
+        "rival draining",
+        "in_progress/outcome_unknown",
+    ),
+    "draining, no key": ("call", "draining", "unavailable/not_run"),
+    "queue full": ("booking", "full arrive", "limited/outcome_unknown"),
+    "queue full, no key": ("call", "full arrive", "limited/not_run"),
+    "queued too long, log read since": (
+        "booking",
+        "queue arrive wait:1 queued_too_long",
+        "limited/not_run",
+    ),
+    "queued too long, log down since": (
+        "booking",
+        "queue arrive log_down wait:1 queued_too_long",
+        "limited/outcome_unknown",
+    ),
+    "queued too long, rival read since": (
+        "booking",
+        "queue arrive rival wait:1 queued_too_long",
+        "in_progress/outcome_unknown",
+    ),
+    "queued beyond its deadline, log down since": (
+        "booking",
+        "queue arrive log_down wait:60",
+        "timeout/outcome_unknown",
+    ),
     "log down, outcome known": (
         "booking",
         "arrive read answer:201 read log_down arrive:r2",
@@ -301,7 +336,7 @@
     "paused beyond the claim's deadline": (
         "booking",
         "arrive pause:6 wait:0 read",
-        "claim claim_not_confirmed/not_run log:not_run",
+        "claim claim_not_confirmed/outcome_unknown log:not_run",
     ),
     "paused beyond every deadline, claim first": (
         "booking",
@@ -345,7 +380,7 @@
     "shutdown ends a claim": (
         "booking",
         "arrive end_all read",
-        "claim shutting_down/not_run log:not_run",
+        "claim shutting_down/outcome_unknown log:not_run",
     ),
 }
 
@@ -367,3 +402,23 @@
     assert bench.table.n_left() == 0
     assert not bench.admission.admitted
     assert not bench.router.in_flight
+
+
+REFUSALS = ["log_down arrive", "full arrive", "draining", "arrive end_all read"]
+
+
+@pytest.mark.parametrize("words", REFUSALS)
+def test_refusal_in_doubt_says_what_to_do(words: str) -> None:
+    """Tell a caller with a key that a resend is safe, and when.
+
+    Symptom: a booking runs twice.  Sequence: it runs at one entry host, its answer is
+    lost, another host refuses the resend as "not run", and the caller books again
+    under a new key.  Cause: the refusal spoke of one sending, the caller of its key.
+    """
+    bench = Bench()
+    bench.kind = KINDS["booking"]
+    for word in words.split():
+        bench.step(word)
+    (error,) = (a.error for a in bench.actions if isinstance(a, AnswerError))
+    assert "with the same key, which is always safe" in error.message
+    assert error.retry_after > 0
--- a/tests/test_coordination/test_requests_machine.py
+++ b/tests/test_coordination/test_requests_machine.py
@@ -20,10 +20,10 @@
 )
 from ryelever.errors import Category, RunState, RyeleverError
 
-from .request_fakes import Bench, call, chat
+from .request_fakes import KEY, Bench, call, chat
 
 FINAL = (AnswerError, AnswerService, AnswerWhole, StreamFailed, StreamFinished)
-KEYS = ("", "k1", "k2")
+KEYS = ("", KEY, f"{KEY}2")
 
 
 class RequestMachine(RuleBasedStateMachine):
@@ -42,6 +42,7 @@
         self.gone: set[str] = set()
         self.left: set[str] = set()
         self.refused: set[str] = set()
+        self.keys_run_elsewhere: set[str] = set()
         self.n_seen = 0
 
     # Events
@@ -73,6 +74,11 @@
     def read_back(self) -> None:
         self.bench.do_read()
 
+    @rule()
+    def read_to_the_end(self) -> None:
+        self.bench.do_read()
+        self.bench.log.caught_up_at = self.bench.now
+
     @rule()
     def read_back_twice(self) -> None:
         if self.bench.log.unread:
@@ -80,8 +86,15 @@
 
     @rule()
     def lose_append(self) -> None:
-        if self.bench.log.unread:
-            self.bench.log.unread.pop()
+        unread = self.bench.log.unread
+        if unread and unread[-1].record.owner == self.bench.log.owner:
+            unread.pop()
+
+    @rule(key=st.sampled_from(KEYS[1:]))
+    def run_elsewhere(self, key: str) -> None:
+        """Let another entry host claim a key first and run its request at once."""
+        if self.bench.rival_claims(key):
+            self.keys_run_elsewhere.add(key)
 
     @rule(up=st.booleans())
     def log(self, up: bool) -> None:
@@ -189,11 +202,19 @@
                 and attempt != action.attempt_id
             ]
             assert set(others) <= self.refused, "sent again after its first byte"
+            assert arrival.idempotency_key not in self.keys_run_elsewhere
 
     def _check_not_run(self, request_id: str) -> None:
-        sent = {a for a, r in self.request_by_attempt.items() if r == request_id}
+        key = self.arrivals[request_id].idempotency_key
+        assert key not in self.keys_run_elsewhere, "not_run although it ran elsewhere"
+        same = {request_id} | {
+            name
+            for name, arrival in self.arrivals.items()
+            if key and arrival.idempotency_key == key
+        }
+        sent = {a for a, r in self.request_by_attempt.items() if r in same}
         assert sent <= self.refused, "not_run although an attempt may have run"
-        assert request_id not in self.left
+        assert not same & self.left
 
     @invariant()
     def tables_agree(self) -> None:
--- a/tests/test_system/test_claims.py
+++ b/tests/test_system/test_claims.py
@@ -128,7 +128,7 @@
     if answer.status_code == 201:
         assert fleet.n_runs() == [1]
     else:
-        assert _error(answer)["run_state"] == "not_run"
+        assert _error(answer)["run_state"] == "outcome_unknown"
         assert fleet.n_runs() == []
 
     def booked() -> bool:
@@ -152,7 +152,8 @@
     fleet.control("log", outage=True)
     answers = [caller.book(entry, key) for _ in range(2)]
     assert {answer.status_code for answer in answers} == {503}
-    assert {_error(answer)["run_state"] for answer in answers} == {"not_run"}
+    # Whether another host ran the booking before is not known without the log.
+    assert {_error(answer)["run_state"] for answer in answers} == {"outcome_unknown"}
     assert all(int(answer.headers["Retry-After"]) > 0 for answer in answers)
     assert fleet.n_runs() == []
     fleet.control("log", outage=False)
--- a/tests/test_system/test_log_outage.py
+++ b/tests/test_system/test_log_outage.py
@@ -96,7 +96,7 @@
     )
     refused = [_book(bookings, entry, key) for entry in ("e1", "e2")]
     assert {answer.status_code for answer in refused} == {503}
-    assert {_error(answer)["run_state"] for answer in refused} == {"not_run"}
+    assert {_error(answer)["run_state"] for answer in refused} == {"outcome_unknown"}
     bookings.control("log", outage=False)
     booked, again = (_book_until_taken(bookings, entry, key) for entry in ("e1", "e2"))
     assert again.content == booked.content
