Let the unknown outcome of a claim whose owner is gone be final

Cause: 120 s after a claim a resend was told that the outcome is unknown, which docs call final. But an owner that came back later could still free the key, and a resend would then run, beside the booking that the caller had made anew in the meantime. It was also told by a host that had not read so far, behind which the record that frees the key could be waiting.

A key can now be freed for 90 s after its claim by the log's time, in the fold, so alike for every reader; 120 s are these and the 30 s by which clocks may differ. A host says "unknown" only for what it has read up to that time, and "in progress" until then, at most until the key's window ends. An outcome that says how the request was run counts at any time.

Ruled out: a record of its own that closes the key, as it costs an append for each dead claim and a host that must write it.

--- a/ryelever/coordination/claims.py
+++ b/ryelever/coordination/claims.py
@@ -49,17 +49,17 @@
         self.stream = stream
         self.folds_by_stream = folds_by_stream
         self.stream_of = stream_of
-        self.wall = 0.0
         self._max_lag = max_lag
+        self._wall_offset = 0.0
         self._caught_up_at = dict.fromkeys(folds_by_stream, float("-inf"))
 
     def caught_up(self, stream: str, *, at: float) -> None:
         """Take note that a read asked at a time reached a stream's end."""
         self._caught_up_at[stream] = max(self._caught_up_at[stream], at)
 
-    def observe_wall(self, wall: float) -> None:
+    def observe_wall(self, wall: float, *, now: float) -> None:
         """Take the wall-clock time, in seconds since the epoch."""
-        self.wall = wall
+        self._wall_offset = wall - now
 
     def available(self, *, now: float) -> bool:
         """Tell whether all partitions are known whole and up to their end.
@@ -91,8 +91,10 @@
 
     def lookup(self, key: str) -> ClaimState | None:
         """Return the first claim of a key as a resend is to see it."""
-        fold = self.folds_by_stream[self.stream_of(key)]
+        stream = self.stream_of(key)
+        fold = self.folds_by_stream[stream]
         claim = fold.claims_by_key.get(key)
         if claim is None:
             return None
-        return judge_owner(claim, wall=max(self.wall, fold.log_time))
+        caught_up_at = self._caught_up_at[stream] + self._wall_offset
+        return judge_owner(claim, read_until=max(fold.log_time, caught_up_at))
--- a/ryelever/coordination/idempotency.py
+++ b/ryelever/coordination/idempotency.py
@@ -19,7 +19,7 @@
 from expression import Error, Ok, Result
 
 from ..errors import Category, RunState, RyeleverError
-from ..state.claims import CLAIM_WINDOW, MAX_AHEAD
+from ..state.claims import CLAIM_WINDOW, FREED_WITHIN, MAX_AHEAD
 from ..state.idempotency_key import MAX_KEY_LENGTH, issued_at
 from ..state.records import Outcome
 
@@ -38,12 +38,13 @@
 #: Code of the refusal of a key that is issued in the future.
 KEY_IN_FUTURE = "idempotency_key_in_future"
 
-#: Seconds after a claim for which its owner is believed to be at work.
-OWNER_TIMEOUT = 120.0
-
 #: Seconds by which an entry host's wall clock may differ from the log's.
 MAX_CLOCK_ERROR = 30.0
 
+#: Seconds after a claim for which its owner is believed to be at work.  By any entry
+#: host's clock it is over only when no outcome can free the key any more.
+OWNER_TIMEOUT = FREED_WITHIN + MAX_CLOCK_ERROR
+
 
 def check_key(
     key: str,
@@ -98,16 +99,23 @@
 
 
 def judge_owner(
-    claim: ClaimState, *, wall: float, timeout: float = OWNER_TIMEOUT
+    claim: ClaimState, *, read_until: float, timeout: float = OWNER_TIMEOUT
 ) -> ClaimState:
     """Return the claim as a resend is to see it.
 
     The owner of a claim may be gone for good, and the outcome then never comes.
     A resend must not be told "in progress" for ever, nor may it be run: what the
     owner had sent may have taken effect.  After a time it is told
-    ``outcome_unknown``; an outcome that comes later still counts.
+    ``outcome_unknown``, for good: the fold lets no later outcome free the key.  One
+    that says how the request was run still counts.
+
+    Parameters
+    ----------
+    read_until : float
+        Wall-clock time up to which the log was read.  Behind it the record that
+        frees the key may wait to be read.
     """
-    if claim.outcome is not None or wall - claim.time <= timeout:
+    if claim.outcome is not None or read_until - claim.time <= timeout:
         return claim
     unknown = Outcome(
         key=claim.key,
--- a/ryelever/state/claims.py
+++ b/ryelever/state/claims.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "CLAIM_WINDOW",
+    "FREED_WITHIN",
     "MAX_AHEAD",
     "ClaimState",
     "ClaimsFold",
@@ -32,6 +33,11 @@
 #: Seconds by which a key's time of issue may lie ahead of the log's clock.
 MAX_AHEAD = 30.0
 
+#: Seconds after a claim within which its owner can free the key, by the log's time.
+#: Later a caller may have been told that the outcome stays unknown, and may have
+#: acted on that: a resend that ran after all would be the second booking.
+FREED_WITHIN = 90.0
+
 #: The log's time from which a fold knows everything that has read nothing yet; a
 #: number, since JSON has no infinity and would turn it into "nothing is missing".
 NOTHING_KNOWN = 1e18
@@ -219,6 +225,8 @@
         if claim.outcome is not None:
             return "outcome is known already"
         if record.run_state == NOT_RUN:
+            if self.log_time - claim.time > FREED_WITHIN:
+                return f"key was claimed more than {FREED_WITHIN:g} s ago"
             # Nothing was run, so the key is free: the caller was told to come
             # back, and a resend must be able to claim it.
             del self.claims_by_key[record.key]
--- a/ryelever/streams.py
+++ b/ryelever/streams.py
@@ -116,7 +116,7 @@
     def _on_control_tick(self) -> None:
         now = time.monotonic()
         wall = time.time()
-        self._claims.observe_wall(wall)
+        self._claims.observe_wall(wall, now=now)
         for stream in self.streams_by_name.values():
             self._read(stream, now=now)
             self._give_up_late(stream, now=now)
--- a/tests/test_coordination/test_claims.py
+++ b/tests/test_coordination/test_claims.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -9,7 +10,7 @@
 from ryelever.coordination.claims import Claims
 from ryelever.protocol.log import claims_stream, claims_streams
 from ryelever.state.claims import CLAIM_WINDOW, ClaimsFold
-from ryelever.state.records import Claim, Entry
+from ryelever.state.records import Claim, Entry, Outcome
 
 from ..memory_log import EPOCH
 
@@ -99,6 +100,52 @@
     assert claims.knows(KEY, since=5.0) is known
 
 
+OWNER_GONE = [
+    # seconds after the claim, read to the end then, newest record's seconds after
+    # the claim, run state of the outcome appended then, what a resend is told
+    ("owner at work", 119, True, 0, None, "in progress"),
+    ("owner gone", 121, True, 0, None, "outcome_unknown"),
+    ("owner gone, other claims read", 121, False, 121, None, "outcome_unknown"),
+    ("log down since", 400, False, 0, None, "in progress"),
+    ("owner back in time, run", 121, True, 90, "run", "run"),
+    ("owner back in time, not run", 121, True, 90, "not_run", "free"),
+    ("owner back late, run", 400, True, 300, "run", "run"),
+    ("owner back late, not run", 400, True, 300, "not_run", "outcome_unknown"),
+]
+
+
+@pytest.mark.parametrize(
+    ("age", "caught_up", "record_age", "outcome", "told"),
+    [row[1:] for row in OWNER_GONE],
+    ids=[row[0] for row in OWNER_GONE],
+)
+def test_resend_of_a_claim_whose_owner_is_gone(
+    age: float, caught_up: bool, record_age: float, outcome: str | None, told: str
+) -> None:
+    """Ask for a claimed request again, before and after its owner's time is over.
+
+    Symptom: "in progress" for ever; or a final "unknown" that is taken back, so that
+    a caller who has booked anew meanwhile is charged for the resend as well.
+    Sequence: an entry host claims a key, dies or pauses, and may come back.  Cause:
+    only the owner appends the outcome, at any later time.
+    """
+    claims = _claims()
+    fold = claims.folds_by_stream[OWN]
+    claim = Claim(key=KEY, fingerprint="f", owner="e2", request_id="r")
+    fold.apply(Entry(offset=0, time=EPOCH, id="c", record=claim))
+    end = Outcome(key=KEY, owner="e2", run_state=outcome or "run", status=0)
+    other = replace(end, key="acme/other")
+    record = end if outcome else other
+    fold.apply(Entry(offset=1, time=EPOCH + record_age, id="o", record=record))
+    claims.observe_wall(EPOCH + age, now=1000.0)
+    claims.caught_up(OWN, at=1000.0 if caught_up else 1000.0 - age)
+    seen = claims.lookup(KEY)
+    found = "free" if seen is None else "in progress"
+    if seen is not None and seen.outcome is not None:
+        found = seen.outcome.run_state
+    assert found == told
+
+
 def test_key_is_looked_up_in_its_partition() -> None:
     """Spread keys over all partitions and find each again."""
     claims = _claims()
--- a/tests/test_coordination/test_idempotency.py
+++ b/tests/test_coordination/test_idempotency.py
@@ -94,6 +94,6 @@
         time=EPOCH,
         outcome=outcome,
     )
-    seen = judge_owner(claim, wall=EPOCH + age)
+    seen = judge_owner(claim, read_until=EPOCH + age)
     assert (seen.outcome.run_state if seen.outcome else None) == told
     assert claim.outcome is outcome
--- a/tests/test_state/test_claims.py
+++ b/tests/test_state/test_claims.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ryelever.state.claims import ClaimsFold
+from ryelever.state.claims import FREED_WITHIN, ClaimsFold
 from ryelever.state.records import Claim, Entry, Outcome, Record, Unreadable
 
 from ..memory_log import EPOCH
@@ -51,6 +51,21 @@
         "e1",
         "claim is of request r2",
     ),
+    "key freed too late, after a caller heard that the outcome is unknown": (
+        [(0, _claim("e1")), (FREED_WITHIN + 1, _outcome("e1", "not_run"))],
+        "e1",
+        "key was claimed more than 90 s ago",
+    ),
+    "key freed in time": (
+        [(0, _claim("e1")), (FREED_WITHIN, _outcome("e1", "not_run"))],
+        None,
+        None,
+    ),
+    "late outcome of what was run": (
+        [(0, _claim("e1")), (FREED_WITHIN + 9, _outcome("e1", "run"))],
+        "e1",
+        None,
+    ),
     "second outcome": (
         [(0, _claim("e1")), (0, _outcome("e1", "run")), (0, _outcome("e1", "run"))],
         "e1",
