Let no request meet a reset when an entry host ends

Cause: the drain waited for requests that had arrived whole. The host ended, and the kernel reset the connection, while a request was arriving, while one waited to be accepted, and between two requests of a kept connection, which no answer had told to close. A caller or balancer then sees a read error and cannot know whether its request was run.

From the first signal every answer says "Connection: close". A request that is arriving keeps the drain waiting, within the time that it may take to arrive. With nothing left in flight the host accepts what waits, listens no more, answers for another second what comes on open connections, half-closes them and reads on for a second at most. All closing goes one way, after the answer has left: it was done so for refused requests only.

What remains is a balancer that needs longer than the grace for one look: it gets 503 "draining".

--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -287,4 +287,4 @@
 
 
 class drained(Event):
-    """Announce that nothing is in flight any more."""
+    """Announce that nothing is in flight any more, and that nothing new is taken."""
--- a/ryelever/shutdown.py
+++ b/ryelever/shutdown.py
@@ -10,7 +10,7 @@
 
 from circuits import BaseComponent, Event, handler
 
-from .events import drain, end_requests
+from .events import drain, drained, end_requests
 from .logs import log_event
 
 if TYPE_CHECKING:
@@ -34,10 +34,15 @@
     SERVING = "serving"
     GRACE = "grace"
     DRAINING = "draining"
+    CLOSING = "closing"
     ENDING = "ending"
     STOPPED = "stopped"
 
 
+#: Steps that a second signal, or the deadline, ends.
+ENDED_BY_DEADLINE = frozenset({Phase.GRACE, Phase.DRAINING, Phase.CLOSING})
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class InFlight:
     """Count what is not finished.
@@ -66,8 +71,9 @@
     """Take the process from the first signal to its end.
 
     First the host stops being ready, and still takes requests until the balancer
-    has turned away.  Then it takes no new ones, and stops when nothing is in
-    flight.  A second signal, or the deadline, ends what is left with errors.
+    has turned away.  Then it takes no new ones.  When nothing is in flight it
+    listens no more, and stops when the last connection is closed.  A second signal,
+    or the deadline, ends what is left with errors.
 
     Parameters
     ----------
@@ -104,7 +110,7 @@
         event.stop()
         if self.phase is Phase.SERVING:
             self._begin()
-        elif self.phase in (Phase.GRACE, Phase.DRAINING):
+        elif self.phase in ENDED_BY_DEADLINE:
             self._deadline = time.monotonic()
 
     def _begin(self) -> None:
@@ -127,8 +133,11 @@
             self._serving.closed = True
             self._log("drain_closed")
         elif self.phase is Phase.DRAINING and in_flight.nothing:
+            self.phase = Phase.CLOSING
+            self.fire(drained(), "callers")
+        elif self.phase is Phase.CLOSING and in_flight.nothing:
             self._end()
-        elif self.phase in (Phase.GRACE, Phase.DRAINING) and now >= self._deadline:
+        elif self.phase in ENDED_BY_DEADLINE and now >= self._deadline:
             self._end_requests(in_flight, now=now)
         elif self.phase is Phase.ENDING and (
             in_flight.nothing or now >= self._deadline
@@ -136,8 +145,9 @@
             self._end()
 
     def _end_requests(self, in_flight: InFlight, *, now: float) -> None:
+        # A connection that merely idles is no request that is cut off.
+        self._cut_off = self.phase is not Phase.CLOSING and not in_flight.nothing
         self.phase = Phase.ENDING
-        self._cut_off = not in_flight.nothing
         self._deadline = now + LAST_WORDS
         self._log("drain_cut_off")
         self.fire(end_requests(), "serving")
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -54,6 +54,7 @@
     request: WholeRequest | None = None
     request_id: str = ""
     stalled: bool = False
+    closing: bool = False
     closes_at: float = float("inf")
     response: Response | None = None
 
@@ -76,6 +77,8 @@
         self._connections_by_request: dict[str, _Connection] = {}
         self.n_refused_by_code: dict[str, int] = {}
         self.n_unread = 0
+        self._draining = False
+        self._idle_until = float("inf")
         self._web = HTTP(self, channel="web").register(self)
         _WebChannel(self).register(self)
 
@@ -113,7 +116,7 @@
     @handler("read", channel="callers")
     def _on_read_callers(self, sock: socket.socket, data: bytes) -> None:
         connection = self._connections_by_sock.get(sock)
-        if connection is not None:
+        if connection is not None and not connection.closing:
             self._take(connection, connection.reader.feed(data, now=time.monotonic()))
 
     @handler("sweep", channel="callers")
@@ -125,6 +128,50 @@
                 self._refuse(connection, refusal)
             elif self._is_abandoned(connection, now=now):
                 self._close(connection.sock)
+            elif now > self._idle_until and self._is_unused(connection):
+                self._close_gently(connection)
+
+    def _is_unused(self, connection: _Connection) -> bool:
+        return connection.reader.is_idle and not connection.closing
+
+    # Closing
+
+    @handler("drain", channel="*")
+    def _on_drain(self) -> None:
+        """Say ``Connection: close`` from now on, so that callers turn away."""
+        self._draining = True
+
+    @handler("drained", channel="callers")
+    def _on_drained(self) -> None:
+        """Listen no more, and read on for a while on what is open.
+
+        A request may be on its way on a connection that idles, or on one that is
+        not accepted yet.  Were the process to end now, its caller would be reset
+        and never hear whether it was run.
+        """
+        n_before = -1
+        while len(self._clients) > n_before:
+            n_before = len(self._clients)
+            for _ in self._accept():
+                pass
+        self._close(self._sock)
+        self._idle_until = time.monotonic() + self._limits.linger
+
+    def _close_gently(self, connection: _Connection) -> None:
+        """Close once the caller has read what was sent.
+
+        Closing with input unread resets the connection, and the caller may lose the
+        answer: what it still sends is dropped for a while.
+        """
+        connection.closing = True
+        self._half_close(connection)
+
+    def _half_close(self, connection: _Connection) -> None:
+        if self._buffers.get(connection.sock):
+            return
+        connection.closes_at = time.monotonic() + self._limits.linger
+        with contextlib.suppress(OSError):
+            connection.sock.shutdown(socket.SHUT_WR)
 
     def _is_abandoned(self, connection: _Connection, *, now: float) -> bool:
         if now > connection.closes_at or connection.reader.idled_out(now=now):
@@ -188,12 +235,7 @@
         )
         http = h11.Connection(h11.SERVER)
         self._write_now(connection, http.send(head) + body)
-        # Closing while the caller still sends would reset the connection, and the
-        # caller would never read why: what it sends is dropped for a while.
-        connection.closes_at = time.monotonic() + self._limits.linger
-        if not self._buffers[connection.sock]:
-            with contextlib.suppress(OSError):
-                connection.sock.shutdown(socket.SHUT_WR)
+        self._close_gently(connection)
 
     # Requests and answers, on the side of circuits.web
 
@@ -228,6 +270,7 @@
         for name, value in answer.headers.items():
             res.headers[name] = value
         res.body = answer.body
+        res.close = res.close or self._draining
         res.prepare()
         data = bytes(res) + bytes(res.headers)
         if res.request.method != "HEAD":
@@ -245,6 +288,7 @@
         res.body = _Pushed()
         for name, value in headers.items():
             res.headers[name] = value
+        res.close = res.close or self._draining
         res.prepare()
         res.body = None
         self._write_now(connection, bytes(res) + bytes(res.headers))
@@ -278,7 +322,7 @@
         connection.request = None
         connection.response = None
         if closes:
-            self.close(connection.sock)
+            self._close_gently(connection)
         else:
             self.fire(_next_request(connection.sock), "callers")
 
@@ -342,11 +386,21 @@
         connection.progress_at = time.monotonic()
         if connection.stalled:
             self._check_stalled(connection)
+        if connection.closing and connection.closes_at == float("inf"):
+            self._half_close(connection)
 
     def n_unsent(self) -> int:
-        """Return how many callers wait for an answer or a part of it."""
+        """Return how many callers wait for an answer or a part of it.
+
+        That includes those whose request is still arriving or whose connection is
+        being closed; and all, once nobody can connect any more.
+        """
+        if self._sock is None:
+            return len(self._clients)
         return sum(
-            bool(connection.request_id or self._buffers.get(connection.sock))
+            connection.closing
+            or bool(connection.request_id or self._buffers.get(connection.sock))
+            or not connection.reader.is_idle
             for connection in self._connections_by_sock.values()
         )
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -119,6 +119,10 @@
     def stop(self) -> int:
         """Ask the process to end and return its exit code."""
         self.send(signal.SIGTERM)
+        return self.wait()
+
+    def wait(self) -> int:
+        """Wait for the process to end and return its exit code."""
         code = self._popen.wait(PATIENCE)
         self._stream.close()
         return code
