--- a/tests/callers.py
+++ b/tests/callers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import json
+import socket
 import ssl
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -162,6 +164,22 @@
             timeout=timeout,
         )
 
+    @contextlib.contextmanager
+    def booking(self, entry: EntryHost, key: str) -> Iterator[None]:
+        """Keep a booking open, and leave without its answer."""
+        body = b'{"dog":"Rex"}'
+        headers = self.headers | {
+            "Host": entry.address,
+            "Idempotency-Key": key,
+            "Content-Length": str(len(body)),
+        }
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(["POST /services/bookings/bookings HTTP/1.1", *lines])
+        host, _, port = entry.address.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=PATIENCE) as sock:
+            sock.sendall(head.encode() + b"\r\n\r\n" + body)
+            yield
+
 
 def new_key() -> str:
     """Return an idempotency key with its time of issue."""
