--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -15,15 +15,13 @@
 
 from typing import TYPE_CHECKING
 
-from ..errors import Category, RyeleverError
+from ..errors import RyeleverError
 from . import requests_answers as answers
 from .actions import (
     Action,
     AnswerError,
     AnswerService,
-    AnswerWhole,
     CancelAttempt,
-    StreamFinished,
     StreamTokens,
     Usage,
 )
@@ -236,7 +234,7 @@
                 usage=usage,
                 owner=self._claims.owner,
             )
-        answer = _whole_answer(request, finish_reason=finish_reason, usage=usage)
+        answer = answers.whole_answer(request, finish_reason=finish_reason, usage=usage)
         return self._steps.end(request, answer=answer, outcome=outcome, now=now)
 
     def service_answered(
@@ -337,14 +335,8 @@
         # When no other attempt does better, the caller gets the service's own
         # answer, unless it must hear that nothing was run.
         request.service_answer = None if not_run else answer
-        address = request.target.address
-        verb = "did not run the call" if not_run else "failed"
-        error = RyeleverError(
-            f"{address} {verb}: it answered {answer.status}",
-            category=Category.UNAVAILABLE,
-            step="call_service",
-            peer=address,
-            retry_after=self._retry_after(),
+        error = answers.service_failed(
+            request, answer, not_run=not_run, retry_after=self._retry_after()
         )
         return self._steps.attempt_failed(
             request, error=error, refused=not_run, now=now
@@ -353,12 +345,7 @@
     def _gap(self, request: Request, *, index: int, now: float) -> list[Action]:
         # A gap would hand the caller an answer with a hole that nobody notices.
         # The attempt is broken; another one resumes.
-        error = RyeleverError(
-            f"token {index} arrived where {len(request.delivered)} was due",
-            category=Category.BROKEN,
-            step="stream",
-            peer=request.target.address,
-        )
+        error = answers.tokens_missing(request, index=index)
         cancel = CancelAttempt(attempt_id=request.attempt_id)
         return [
             cancel,
@@ -373,17 +360,3 @@
 
 def _error(arrival: Arrival, error: RyeleverError) -> AnswerError:
     return AnswerError(request_id=arrival.request_id, error=error)
-
-
-def _whole_answer(request: Request, *, finish_reason: str, usage: Usage) -> Action:
-    request_id = request.arrival.request_id
-    if request.streamed:
-        return StreamFinished(
-            request_id=request_id, finish_reason=finish_reason, usage=usage
-        )
-    return AnswerWhole(
-        request_id=request_id,
-        tokens=tuple(request.delivered),
-        finish_reason=finish_reason,
-        usage=usage,
-    )
--- a/ryelever/coordination/requests_answers.py
+++ b/ryelever/coordination/requests_answers.py
@@ -37,10 +37,13 @@
     "limited",
     "log_unavailable",
     "no_target",
+    "service_failed",
     "service_outcome",
     "shutting_down",
     "stored_answer",
+    "tokens_missing",
     "unknown_account",
+    "whole_answer",
 ]
 
 #: Longest answer that is stored with its outcome, in bytes.
@@ -165,6 +168,21 @@
         return None
 
 
+def whole_answer(request: Request, *, finish_reason: str, usage: Usage) -> Action:
+    """Return the end of a stream, or the answer of a caller that waits for all."""
+    request_id = request.arrival.request_id
+    if request.streamed:
+        return StreamFinished(
+            request_id=request_id, finish_reason=finish_reason, usage=usage
+        )
+    return AnswerWhole(
+        request_id=request_id,
+        tokens=tuple(request.delivered),
+        finish_reason=finish_reason,
+        usage=usage,
+    )
+
+
 # Errors
 
 
@@ -197,6 +215,31 @@
     )
 
 
+def service_failed(
+    request: Request, answer: AnswerService, *, not_run: bool, retry_after: float
+) -> RyeleverError:
+    """Take a plain service's answer for a failure of the attempt."""
+    address = request.target.address
+    verb = "did not run the call" if not_run else "failed"
+    return RyeleverError(
+        f"{address} {verb}: it answered {answer.status}",
+        category=Category.UNAVAILABLE,
+        step="call_service",
+        peer=address,
+        retry_after=retry_after,
+    )
+
+
+def tokens_missing(request: Request, *, index: int) -> RyeleverError:
+    """Break an attempt whose tokens leave a gap."""
+    return RyeleverError(
+        f"token {index} arrived where {len(request.delivered)} was due",
+        category=Category.BROKEN,
+        step="stream",
+        peer=request.target.address,
+    )
+
+
 def log_unavailable(*, retry_after: float) -> RyeleverError:
     """Refuse a request that cannot be claimed."""
     return RyeleverError(
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -32,6 +32,7 @@
     outbound_head,
 )
 from .http_connection import Connection, open_socket, request_bytes
+from .http_pool import IDLE_TIMEOUT, IdleConnections
 
 if TYPE_CHECKING:
     from circuits import Event
@@ -41,12 +42,6 @@
 #: Bytes read from a socket at once.
 READ_SIZE = 64 * 1024
 
-#: Idle connections kept for one address.
-MAX_IDLE = 32
-
-#: Seconds after which an idle connection is closed.
-IDLE_TIMEOUT = 30.0
-
 
 class HttpClient(BaseComponent):
     """Own every outgoing connection."""
@@ -58,7 +53,7 @@
         self._poller: BasePoller | None = None
         self._connections_by_sock: dict[socket.socket, Connection] = {}
         self._connections_by_request: dict[str, Connection] = {}
-        self._idle_by_address: dict[str, list[Connection]] = {}
+        self._idle = IdleConnections(close=self._close)
         self.n_opened = 0
         self.n_silent = 0
 
@@ -66,7 +61,7 @@
 
     @handler("outbound_send")
     def _on_outbound_send(self, request: OutboundRequest) -> None:
-        connection = None if request.fresh else self._take_idle(request.address)
+        connection = None if request.fresh else self._idle.take(request.address)
         if connection is None:
             connection = self._open(request)
         if connection is not None:
@@ -115,18 +110,6 @@
 
     # Connections
 
-    def _take_idle(self, address: str) -> Connection | None:
-        oldest = time.monotonic() - IDLE_TIMEOUT
-        idle = self._idle_by_address.get(address, [])
-        while idle:
-            connection = idle.pop()
-            # A process that was paused finds connections that idled for longer
-            # than anything between the two ends remembers them.
-            if connection.progress_at >= oldest and connection.is_quiet():
-                return connection
-            self._close(connection)
-        return None
-
     def _open(
         self, request: OutboundRequest, *, bytes_sent: bool = False
     ) -> Connection | None:
@@ -306,14 +289,7 @@
     def _release(self, connection: Connection) -> None:
         del self._connections_by_request[connection.request.id]
         connection.request = None
-        idle = self._idle_by_address.setdefault(connection.address, [])
-        if not connection.is_clean() or len(idle) >= MAX_IDLE:
-            self._close(connection)
-            return
-        connection.http.start_next_cycle()
-        connection.reused = True
-        connection.progress_at = time.monotonic()
-        idle.append(connection)
+        self._idle.keep(connection)
 
     # Failures
 
@@ -334,16 +310,12 @@
         # while new ones work.  The idle ones to the same peer were opened through
         # the same path, so they are not trusted any more either.
         self.n_silent += 1
-        self._purge_idle(connection.address)
+        self._idle.purge(connection.address)
         verb = "connect" if connection.connecting else "answer"
         self._fail(
             connection, f"did not {verb} for {limit:g} s", category=Category.TIMEOUT
         )
 
-    def _purge_idle(self, address: str) -> None:
-        for connection in list(self._idle_by_address.get(address, ())):
-            self._close(connection)
-
     def _fail(
         self,
         connection: Connection,
@@ -403,9 +375,7 @@
         if connection.request is not None:
             self._connections_by_request.pop(connection.request.id, None)
             connection.request = None
-        idle = self._idle_by_address.get(connection.address)
-        if idle is not None and connection in idle:
-            idle.remove(connection)
+        self._idle.remove(connection)
         self._poller.discard(connection.sock)
         connection.sock.close()
 
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -15,7 +15,8 @@
 from ryelever.errors import Category
 from ryelever.events import OutboundRequest, outbound_send, sweep
 from ryelever.transport import http_client
-from ryelever.transport.http_client import IDLE_TIMEOUT, HttpClient
+from ryelever.transport.http_client import HttpClient
+from ryelever.transport.http_pool import IDLE_TIMEOUT
 
 SILENT = "silent"
 CLOSE = "close"
