Let the system tests share how a caller books and resends

test_log_outage and test_path had their own copies of booking, resending until taken, and reading the error.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -15,9 +15,9 @@
 
 import httpx
 
-from .processes import EntryHost, Fleet
+from .processes import EntryHost, Fleet, wait_until
 
-__all__ = ["Answer", "Caller", "expected_tokens"]
+__all__ = ["Answer", "Caller", "error_of", "expected_tokens", "new_key"]
 
 #: Longest that a test waits for one answer.
 PATIENCE = 30.0
@@ -164,6 +164,15 @@
             timeout=timeout,
         )
 
+    def book_until_taken(self, entry: EntryHost, key: str) -> httpx.Response:
+        """Send a booking again and again until it has its answer."""
+
+        def taken() -> httpx.Response | None:
+            answer = self.book(entry, key)
+            return answer if answer.status_code == 201 else None
+
+        return wait_until(taken, what=f"{entry.address} answers the booking")
+
     @contextlib.contextmanager
     def booking(self, entry: EntryHost, key: str) -> Iterator[None]:
         """Keep a booking open, and leave without its answer."""
@@ -181,6 +190,11 @@
             yield
 
 
+def error_of(answer: httpx.Response) -> dict[str, Any]:
+    """Return the error that an answer holds."""
+    return answer.json()["error"]
+
+
 def new_key() -> str:
     """Return an idempotency key with its time of issue."""
     return f"{time.time_ns() // 1_000_000}-{time.monotonic_ns()}"
--- a/tests/test_system/test_claims.py
+++ b/tests/test_system/test_claims.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import signal
 import threading
 import time
 
 import httpx
 
-from ..callers import Caller, new_key
+from ..callers import Caller, error_of, new_key
 from ..processes import PATIENCE, Fleet, wait_until
 
 
@@ -39,10 +38,6 @@
     )
 
 
-def _error(answer: httpx.Response) -> dict:
-    return json.loads(answer.content)["error"]
-
-
 def test_entry_host_dies_between_claim_and_run(fleet: Fleet) -> None:
     """Kill an entry host after its claim is in the log and before it has read it.
 
@@ -61,7 +56,7 @@
     _wait_claim_known(fleet)
     answer = caller.book(fleet.entries_by_name["e2"], key)
     assert answer.status_code == 409
-    assert _error(answer)["run_state"] == "outcome_unknown"
+    assert error_of(answer)["run_state"] == "outcome_unknown"
     assert fleet.n_runs() == []
 
 
@@ -97,7 +92,7 @@
     fleet.processes_by_name["e1"].kill()
     assert first.wait() is None
     answer = caller.book(fleet.entries_by_name["e2"], key)
-    assert _error(answer)["run_state"] == "outcome_unknown"
+    assert error_of(answer)["run_state"] == "outcome_unknown"
     assert fleet.n_runs() == [1]
 
 
@@ -119,7 +114,7 @@
     fleet.control("log", hold_reads=False)
     _wait_claim_known(fleet)
     meanwhile = caller.book(fleet.entries_by_name["e2"], key)
-    assert _error(meanwhile)["run_state"] == "outcome_unknown"
+    assert error_of(meanwhile)["run_state"] == "outcome_unknown"
     # The pause itself is the fault: it has to outlast the claim's time.
     wakes_at = time.monotonic() + 1.0
     wait_until(lambda: time.monotonic() >= wakes_at, what="the pause is over")
@@ -128,14 +123,9 @@
     if answer.status_code == 201:
         assert fleet.n_runs() == [1]
     else:
-        assert _error(answer)["run_state"] == "outcome_unknown"
+        assert error_of(answer)["run_state"] == "outcome_unknown"
         assert fleet.n_runs() == []
-
-    def booked() -> bool:
-        entry = fleet.entries_by_name["e2"]
-        return caller.book(entry, key).status_code == 201
-
-    wait_until(booked, what="a resend gets through")
+    caller.book_until_taken(fleet.entries_by_name["e2"], key)
     assert fleet.n_runs() == [1]
 
 
@@ -153,13 +143,11 @@
     answers = [caller.book(entry, key) for _ in range(2)]
     assert {answer.status_code for answer in answers} == {503}
     # Whether another host ran the booking before is not known without the log.
-    assert {_error(answer)["run_state"] for answer in answers} == {"outcome_unknown"}
+    assert {error_of(answer)["run_state"] for answer in answers} == {"outcome_unknown"}
     assert all(int(answer.headers["Retry-After"]) > 0 for answer in answers)
     assert fleet.n_runs() == []
     fleet.control("log", outage=False)
-    wait_until(
-        lambda: caller.book(entry, key).status_code == 201, what="the booking runs"
-    )
+    caller.book_until_taken(entry, key)
     assert fleet.n_runs() == [1]
 
 
@@ -180,9 +168,7 @@
     assert first.wait().status_code == 201
     fleet.control("log", outage=False)
     entry = fleet.entries_by_name["e2"]
-    wait_until(
-        lambda: caller.book(entry, key).status_code == 201, what="the stored answer"
-    )
+    caller.book_until_taken(entry, key)
     assert fleet.n_runs() == [1]
 
 
@@ -199,9 +185,7 @@
     answer = caller.book(fleet.entries_by_name["e1"], key)
     assert answer.status_code == 201, answer.text
     entry = fleet.entries_by_name["e2"]
-    wait_until(
-        lambda: caller.book(entry, key).status_code == 201, what="the stored answer"
-    )
+    caller.book_until_taken(entry, key)
     assert fleet.n_runs() == [1]
 
 
@@ -225,12 +209,6 @@
     )
     fleet.control("service", hold_answers=False)
     entry = fleet.entries_by_name["e2"]
-    answer = wait_until(
-        lambda: _booked(caller.book(entry, key)), what="the stored answer"
-    )
+    answer = caller.book_until_taken(entry, key)
     assert answer.headers["Ryelever-Replayed"] == "true"
     assert fleet.n_runs() == [1]
-
-
-def _booked(answer: httpx.Response) -> httpx.Response | None:
-    return answer if answer.status_code == 201 else None
--- a/tests/test_system/test_drain.py
+++ b/tests/test_system/test_drain.py
@@ -171,7 +171,5 @@
     wait_until(lambda: entry.process.exit_code is not None, what="the host ends")
     assert entry.process.exit_code == 0
     other = fleet.entries_by_name["e2"]
-    wait_until(
-        lambda: caller.book(other, key).status_code == 201, what="the stored answer"
-    )
+    caller.book_until_taken(other, key)
     assert fleet.n_runs() == [1]
--- a/tests/test_system/test_log_outage.py
+++ b/tests/test_system/test_log_outage.py
@@ -4,7 +4,6 @@
 
 import signal
 import time
-from typing import Any
 
 import httpx
 import pytest
@@ -19,6 +18,7 @@
 from ryelever.state.claims import ClaimsFold
 from ryelever.state.records import Outcome, Record
 
+from ..callers import Caller, error_of, new_key
 from ..processes import EntryHost, Fleet, wait_until
 
 #: Seconds for a claim to be confirmed, also on a busy machine.
@@ -51,39 +51,6 @@
     return caught_up and httpx.get(f"{entry.url}/readyz").status_code == 200
 
 
-def _key(name: str) -> str:
-    return f"{time.time_ns() // 1_000_000}-{name}"
-
-
-def _book(fleet: Fleet, entry: str, key: str) -> httpx.Response:
-    return httpx.post(
-        f"{fleet.entries_by_name[entry].url}/services/bookings/bookings",
-        headers={
-            "Authorization": f"Bearer {fleet.keys_by_account['pawroute']}",
-            "Idempotency-Key": key,
-        },
-        json={"dog": "Rex"},
-        timeout=20,
-    )
-
-
-def _book_until_taken(fleet: Fleet, entry: str, key: str) -> httpx.Response:
-    def taken() -> httpx.Response | None:
-        answer = _book(fleet, entry, key)
-        return answer if answer.status_code == 201 else None
-
-    return wait_until(taken, what=f"{entry} answers the booking")
-
-
-def _runs(fleet: Fleet) -> list[int]:
-    address = fleet.addresses_by_name["service"]
-    return list(httpx.get(f"http://{address}/bookings").json().values())
-
-
-def _error(answer: httpx.Response) -> dict[str, Any]:
-    return answer.json()["error"]
-
-
 def test_no_booking_without_the_log_and_again_with_it(bookings: Fleet) -> None:
     """Cut the log off and bring it back.
 
@@ -91,19 +58,21 @@
     caller sends it again at another entry host.  Cause: without the log neither host
     can know of the other.
     """
-    key = _key("rex")
+    caller = Caller(bookings)
+    e1, e2 = bookings.entries_by_name.values()
+    key = new_key()
     bookings.control("log", outage=True)
     wait_until(
-        lambda: _book(bookings, "e1", _key("other")).status_code == 503,
+        lambda: caller.book(e1, new_key()).status_code == 503,
         what="bookings are refused",
     )
-    refused = [_book(bookings, entry, key) for entry in ("e1", "e2")]
+    refused = [caller.book(entry, key) for entry in (e1, e2)]
     assert {answer.status_code for answer in refused} == {503}
-    assert {_error(answer)["run_state"] for answer in refused} == {"outcome_unknown"}
+    assert {error_of(answer)["run_state"] for answer in refused} == {"outcome_unknown"}
     bookings.control("log", outage=False)
-    booked, again = (_book_until_taken(bookings, entry, key) for entry in ("e1", "e2"))
+    booked, again = (caller.book_until_taken(entry, key) for entry in (e1, e2))
     assert again.content == booked.content
-    assert set(_runs(bookings)) == {1}
+    assert set(bookings.n_runs()) == {1}
 
 
 def test_booking_runs_once_though_answers_to_appends_are_lost(bookings: Fleet) -> None:
@@ -113,13 +82,15 @@
     effect, its answer is lost, and it is appended again.  Cause: the answer is taken
     for the fact.
     """
+    caller = Caller(bookings)
+    e1, e2 = bookings.entries_by_name.values()
     bookings.control("log", lose_append_answers=True)
-    keys = [_key(str(index)) for index in range(5)]
-    answers = [_book(bookings, "e1", key) for key in keys]
+    keys = [new_key() for _ in range(5)]
+    answers = [caller.book(e1, key) for key in keys]
     assert [answer.status_code for answer in answers] == [201] * 5
     for key, answer in zip(keys, answers, strict=True):
-        assert _book_until_taken(bookings, "e2", key).content == answer.content
-    assert _runs(bookings) == [1] * 5
+        assert caller.book_until_taken(e2, key).content == answer.content
+    assert bookings.n_runs() == [1] * 5
 
 
 def _append(fleet: Fleet, stream: str, records: list[Record]) -> None:
@@ -146,10 +117,11 @@
     is claimed and run at another one, the log expires the claim, the host wakes and
     the booking is sent to it.  Cause: it goes on from the oldest record that is left.
     """
-    paused = bookings.entries_by_name["e2"]
-    paused.process.send(signal.SIGSTOP)
-    key = _key("rex")
-    booked = _book(bookings, "e1", key)
+    caller = Caller(bookings)
+    e1, e2 = bookings.entries_by_name.values()
+    e2.process.send(signal.SIGSTOP)
+    key = new_key()
+    booked = caller.book(e1, key)
     assert booked.status_code == 201
     stream = claims_stream(f"pawroute/{key}", n_partitions=4)
     whole = ClaimsFold()
@@ -161,19 +133,19 @@
     nobody = Outcome(key="pawroute/none", owner="none", run_state="run", status=200)
     _append(bookings, stream, [nobody])
     _read_whole(bookings, stream, whole)
-    paused.process.send(signal.SIGCONT)
+    e2.process.send(signal.SIGCONT)
     wait_until(
-        lambda: not paused.dump()["streams"][stream]["complete"],
+        lambda: not e2.dump()["streams"][stream]["complete"],
         what="the host knows that records are missing",
     )
-    assert paused.dump()["configuration"]["version"] == 0
-    # It may have had the claim, but not the outcome, on its socket while it paused.
-    assert _book(bookings, "e2", key).status_code in (409, 503)
-    refused = _book(bookings, "e2", _key("new"))
-    assert (refused.status_code, _error(refused)["code"]) == (503, "log_unavailable")
+    assert e2.dump()["configuration"]["version"] == 0
+    # It may have had the claim, but not the outcome, on its socket while it e2.
+    assert caller.book(e2, key).status_code in (409, 503)
+    refused = caller.book(e2, new_key())
+    assert (refused.status_code, error_of(refused)["code"]) == (503, "log_unavailable")
     _append(bookings, stream, whole.to_snapshot(snapshot="test"))
-    again = _book_until_taken(bookings, "e2", key)
+    again = caller.book_until_taken(e2, key)
     assert again.content == booked.content
-    assert paused.process.events("records_lost")
-    assert paused.process.events("snapshot_restored")
-    assert _runs(bookings) == [1]
+    assert e2.process.events("records_lost")
+    assert e2.process.events("snapshot_restored")
+    assert bookings.n_runs() == [1]
--- a/tests/test_system/test_path.py
+++ b/tests/test_system/test_path.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 
 import httpx
 import pytest
 
+from ..callers import Caller, new_key
 from ..processes import Fleet, running_fleet
 
 
@@ -26,22 +26,12 @@
     lost on the way, the caller sends it again and the balancer picks another entry
     host.  Cause: that host did not know of the first run.
     """
-    headers = {
-        "Authorization": f"Bearer {small_fleet.keys_by_account['pawroute']}",
-        "Idempotency-Key": f"{time.time_ns() // 1_000_000}-rex",
-    }
-    answers = [
-        httpx.post(
-            f"{entry.url}/services/bookings/bookings",
-            headers=headers,
-            json={"dog": "Rex"},
-        )
-        for entry in small_fleet.entries_by_name.values()
-    ]
+    caller, key = Caller(small_fleet), new_key()
+    entries = small_fleet.entries_by_name.values()
+    answers = [caller.book(entry, key) for entry in entries]
     assert [answer.status_code for answer in answers] == [201, 201]
     assert answers[0].content == answers[1].content
-    address = small_fleet.addresses_by_name["service"]
-    assert list(httpx.get(f"http://{address}/bookings").json().values()) == [1]
+    assert small_fleet.n_runs() == [1]
 
 
 @pytest.mark.parametrize("given", ["0", "-1", "nan", "inf", "601", "soon", ""])
