--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -21,14 +21,18 @@
     from collections.abc import Callable
 
     from .application import Application
+    from .coordination.confirmation import FreshReport
     from .events import CallerRequest
+    from .state.fleet import ListedHost
 
 __all__ = ["Dump"]
 
-
 #: Seconds between two looks at what has changed.
 LOOK_INTERVAL = 1.0
 
+#: Ignored records shown of each stream, newest last.
+N_SHOWN_IGNORED = 5
+
 
 class Dump(BaseComponent):
     """Describe what the process believes and since when; secrets never appear.
@@ -143,7 +147,7 @@
             "groups": self._groups(now=now),
             "leases": self._leases(now=now),
             "repairs": [asdict(line) for line in application.planning.repairs.lines],
-            "suspects": application.quarantine.describe(now=now),
+            "suspects": application.request_path.quarantine.describe(now=now),
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
             "connections": {
@@ -169,7 +173,7 @@
                 "n_late_records": stream.writer.n_late,
                 "ignored": [
                     {"offset": ignored.offset, "reason": ignored.reason}
-                    for ignored in stream.fold.ignored[-5:]
+                    for ignored in stream.fold.ignored[-N_SHOWN_IGNORED:]
                 ],
             }
             for name, stream in self._application.streams.streams_by_name.items()
@@ -216,6 +220,8 @@
                 "listed": listed.state,
                 "reported": fresh.report.state if fresh else None,
                 "group": fresh.report.group if fresh else None,
+                "leaving": _leaving(listed, fresh)
+                or application.departures.is_leaving(name, now=now),
                 "report_age": _age(fresh.asked_at, now=now) if fresh else None,
             }
         return described
@@ -236,6 +242,11 @@
         ]
 
 
+def _leaving(listed: ListedHost, fresh: FreshReport | None) -> bool:
+    reported = fresh.report.state if fresh is not None else ""
+    return "leaving" in (listed.state, reported)
+
+
 def _age(at: float, *, now: float) -> float | None:
     return None if at == float("-inf") else round(now - at, 3)
 
