--- a/ryelever/coordination/claims.py
+++ b/ryelever/coordination/claims.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from ..state.idempotency_key import issued_at
 from .idempotency import judge_owner
 
 if TYPE_CHECKING:
@@ -48,17 +49,17 @@
         self.stream = stream
         self.folds_by_stream = folds_by_stream
         self.stream_of = stream_of
-        self.wall = 0.0
         self._max_lag = max_lag
+        self._wall_offset = 0.0
         self._caught_up_at = dict.fromkeys(folds_by_stream, float("-inf"))
 
     def caught_up(self, stream: str, *, at: float) -> None:
         """Take note that a read asked at a time reached a stream's end."""
         self._caught_up_at[stream] = max(self._caught_up_at[stream], at)
 
-    def observe_wall(self, wall: float) -> None:
+    def observe_wall(self, wall: float, *, now: float) -> None:
         """Take the wall-clock time, in seconds since the epoch."""
-        self.wall = wall
+        self._wall_offset = wall - now
 
     def log_time(self) -> float:
         """Return the newest time of append read in any partition."""
@@ -75,10 +76,29 @@
             for stream, fold in self.folds_by_stream.items()
         )
 
+    def knows(self, key: str, *, since: float) -> bool:
+        """Tell whether every claim of a key made before a time was read.
+
+        The read must have been asked after that time: what another entry host has
+        claimed in between is in the log and not here.  A claim that was forgotten
+        with its window must not pass for none.
+        """
+        stream = self.stream_of(key)
+        fold = self.folds_by_stream[stream]
+        issued = issued_at(key.partition("/")[2])
+        return (
+            fold.complete
+            and self._caught_up_at[stream] > since
+            and issued is not None
+            and fold.log_time - issued <= fold.window
+        )
+
     def lookup(self, key: str) -> ClaimState | None:
         """Return the first claim of a key as a resend is to see it."""
-        fold = self.folds_by_stream[self.stream_of(key)]
+        stream = self.stream_of(key)
+        fold = self.folds_by_stream[stream]
         claim = fold.claims_by_key.get(key)
         if claim is None:
             return None
-        return judge_owner(claim, wall=max(self.wall, fold.log_time))
+        caught_up_at = self._caught_up_at[stream] + self._wall_offset
+        return judge_owner(claim, read_until=max(fold.log_time, caught_up_at))
--- a/ryelever/coordination/idempotency.py
+++ b/ryelever/coordination/idempotency.py
@@ -6,7 +6,7 @@
 clearly.
 
 Clock assumption: an entry host's wall clock differs from the log's by less than
-``MAX_AHEAD`` (30 s), or it has read the log lately: arrivals.py goes by the later of
+``MAX_CLOCK_ERROR``, or it has read the log lately: arrivals.py goes by the later of
 the two.  One that runs ahead by more refuses keys that could still be
 claimed; one that runs behind lets claims be appended which the fold then refuses.
 Neither runs a request twice.  Streams reports the difference it sees.
@@ -20,17 +20,31 @@
 from expression import Error, Ok, Result
 
 from ..errors import Category, RunState, RyeleverError
-from ..state.claims import CLAIM_WINDOW, MAX_AHEAD
+from ..state.claims import CLAIM_WINDOW, FREED_WITHIN, MAX_AHEAD
 from ..state.idempotency_key import MAX_KEY_LENGTH, issued_at
 from ..state.records import Outcome
 
 if TYPE_CHECKING:
     from ..state.claims import ClaimState
 
-__all__ = ["OWNER_TIMEOUT", "check_key", "judge_owner"]
+__all__ = [
+    "KEY_IN_FUTURE",
+    "MAX_CLOCK_ERROR",
+    "OWNER_TIMEOUT",
+    "check_key",
+    "doubt",
+    "judge_owner",
+]
 
-#: Seconds after a claim for which its owner is believed to be at work.
-OWNER_TIMEOUT = 120.0
+#: Code of the refusal of a key that is issued in the future.
+KEY_IN_FUTURE = "idempotency_key_in_future"
+
+#: Seconds by which an entry host's wall clock may differ from the log's.
+MAX_CLOCK_ERROR = 30.0
+
+#: Seconds after a claim for which its owner is believed to be at work.  By any entry
+#: host's clock it is over only when no outcome can free the key any more.
+OWNER_TIMEOUT = FREED_WITHIN + MAX_CLOCK_ERROR
 
 
 def check_key(
@@ -42,11 +56,11 @@
 ) -> Result[float, RyeleverError]:
     """Return the time of issue of a key that can still be claimed.
 
-    A key from the future was never claimed, since the fold refuses it, so the
-    answer is ``not_run``.  Of a key that is too old nobody knows any more whether
-    it was run: the refusal says ``outcome_unknown``.  To call it ``not_run`` would
-    have the caller send the request again under a new key, and a booking that ran
-    an hour ago would run twice.
+    Of a key that is too old nobody knows any more whether it was run: the refusal
+    says ``outcome_unknown``.  To call it ``not_run`` would have the caller send the
+    request again under a new key, and a booking that ran an hour ago would run
+    twice.  A key from the future was never claimed if the log's clock, too, is sure
+    to have it in the future; otherwise another entry host may have taken it.
 
     Parameters
     ----------
@@ -72,27 +86,37 @@
             code="idempotency_key_expired",
             run_state=RunState.OUTCOME_UNKNOWN,
         )
-    if issued - wall > max_ahead:
+    ahead = issued - wall
+    if ahead > max_ahead:
+        never_claimed = ahead > max_ahead + MAX_CLOCK_ERROR
         return _refused(
             f"the Idempotency-Key was issued more than {max_ahead:g} s in the "
             "future; set the clock that it was made from",
             category=Category.BAD_REQUEST,
-            code="idempotency_key_in_future",
+            code=KEY_IN_FUTURE,
+            run_state=RunState.NOT_RUN if never_claimed else RunState.OUTCOME_UNKNOWN,
         )
     return Ok(issued)
 
 
 def judge_owner(
-    claim: ClaimState, *, wall: float, timeout: float = OWNER_TIMEOUT
+    claim: ClaimState, *, read_until: float, timeout: float = OWNER_TIMEOUT
 ) -> ClaimState:
     """Return the claim as a resend is to see it.
 
     The owner of a claim may be gone for good, and the outcome then never comes.
     A resend must not be told "in progress" for ever, nor may it be run: what the
     owner had sent may have taken effect.  After a time it is told
-    ``outcome_unknown``; an outcome that comes later still counts.
+    ``outcome_unknown``, for good: the fold lets no later outcome free the key.  One
+    that says how the request was run still counts.
+
+    Parameters
+    ----------
+    read_until : float
+        Wall-clock time up to which the log was read.  Behind it the record that
+        frees the key may wait to be read.
     """
-    if claim.outcome is not None or wall - claim.time <= timeout:
+    if claim.outcome is not None or read_until - claim.time <= timeout:
         return claim
     unknown = Outcome(
         key=claim.key,
@@ -104,6 +128,30 @@
     return replace(claim, outcome=unknown)
 
 
+def doubt(error: RyeleverError, *, retry_after: float | None = None) -> RyeleverError:
+    """Let a refusal speak of all sendings with its key, and not of this one alone.
+
+    A caller that is told ``not_run`` may send its request again under a new key.  If
+    an earlier sending with the old one has run meanwhile, by an entry host whose
+    claim is not read here, the booking is doubled.
+
+    Parameters
+    ----------
+    retry_after : float or None
+        Seconds after which to come back, where the error names none.
+    """
+    if error.run_state is RunState.NOT_RUN:
+        error.run_state = RunState.OUTCOME_UNKNOWN
+        error.message += (
+            "; this sending was not run, but whether an earlier one with its "
+            "Idempotency-Key was run is not known here: send it again with the same "
+            "key, which is always safe"
+        )
+        if error.retry_after is None:
+            error.retry_after = retry_after
+    return error
+
+
 def _refused(
     message: str,
     *,
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -3,7 +3,8 @@
 The table takes events and a time and returns actions.  Three rules hold here:
 
 * an answer ``not_run`` is given only while no byte of the request has left for a
-  backend server, or when the backend server itself refused it;
+  backend server, or when the backend server itself refused it; with an idempotency
+  key, only if the log shows that this holds for every sending with the key;
 * a non-repeatable request is sent only after its own claim was read back as the
   first, and never again after its first byte;
 * answers are matched by attempt: what arrives for an attempt that was given up
@@ -14,15 +15,13 @@
 
 from typing import TYPE_CHECKING
 
-from ..errors import Category, RyeleverError
+from ..errors import RyeleverError
 from . import requests_answers as answers
 from .actions import (
     Action,
     AnswerError,
     AnswerService,
-    AnswerWhole,
     CancelAttempt,
-    StreamFinished,
     StreamTokens,
     Usage,
 )
@@ -141,18 +140,20 @@
         """Take a new request."""
         account = self._account(arrival.client_account)
         if account is None:
-            return [_error(arrival, answers.unknown_account())]
+            return self.refuse(arrival, answers.unknown_account())
         if not arrival.repeatable:
             known = self.answer_known(arrival)
-            refusal = known or self._claims.refusal(arrival, now=now)
-            if refusal:
-                return refusal
+            if known:
+                return known
+            if not self._claims.available(now=now):
+                error = answers.log_unavailable(retry_after=self._retry_after())
+                return self.refuse(arrival, error)
         quarantined = self._attempts.verdict(arrival.fingerprint, now=now)
         if quarantined is not None:
-            return [_error(arrival, quarantine_error(quarantined))]
+            return self.refuse(arrival, quarantine_error(quarantined))
         decision = self._admission.admit(arrival, account, now=now)
         if isinstance(decision, Refused):
-            return [_error(arrival, answers.limited(decision))]
+            return self.refuse(arrival, answers.limited(decision))
         request = Request(arrival=arrival, state=RequestState.QUEUED, since=now)
         self.requests_by_id[arrival.request_id] = request
         if isinstance(decision, Queued):
@@ -234,7 +235,7 @@
                 usage=usage,
                 owner=self._claims.owner,
             )
-        answer = _whole_answer(request, finish_reason=finish_reason, usage=usage)
+        answer = answers.whole_answer(request, finish_reason=finish_reason, usage=usage)
         return self._steps.end(request, answer=answer, outcome=outcome, now=now)
 
     def service_answered(
@@ -326,6 +327,10 @@
             actions += self._steps.fail(request, error=error, now=now)
         return actions
 
+    def refuse(self, arrival: Arrival, error: RyeleverError) -> list[Action]:
+        """Refuse a request that was never taken in."""
+        return self._claims.refuse(arrival, error)
+
     def answer_known(self, arrival: Arrival) -> list[Action]:
         """Answer a resend from its claim; nothing when the key is not claimed."""
         return self._claims.answer_known(arrival)
@@ -347,14 +352,8 @@
         # When no other attempt does better, the caller gets the service's own
         # answer, unless it must hear that nothing was run.
         request.service_answer = None if not_run else answer
-        address = request.target.address
-        verb = "did not run the call" if not_run else "failed"
-        error = RyeleverError(
-            f"{address} {verb}: it answered {answer.status}",
-            category=Category.UNAVAILABLE,
-            step="call_service",
-            peer=address,
-            retry_after=self._retry_after(),
+        error = answers.service_failed(
+            request, answer, not_run=not_run, retry_after=self._retry_after()
         )
         return self._steps.attempt_failed(
             request, error=error, refused=not_run, now=now
@@ -363,12 +362,7 @@
     def _gap(self, request: Request, *, index: int, now: float) -> list[Action]:
         # A gap would hand the caller an answer with a hole that nobody notices.
         # The attempt is broken; another one resumes.
-        error = RyeleverError(
-            f"token {index} arrived where {len(request.delivered)} was due",
-            category=Category.BROKEN,
-            step="stream",
-            peer=request.target.address,
-        )
+        error = answers.tokens_missing(request, index=index)
         cancel = CancelAttempt(attempt_id=request.attempt_id)
         return [
             cancel,
@@ -383,17 +377,3 @@
 
 def _error(arrival: Arrival, error: RyeleverError) -> AnswerError:
     return AnswerError(request_id=arrival.request_id, error=error)
-
-
-def _whole_answer(request: Request, *, finish_reason: str, usage: Usage) -> Action:
-    request_id = request.arrival.request_id
-    if request.streamed:
-        return StreamFinished(
-            request_id=request_id, finish_reason=finish_reason, usage=usage
-        )
-    return AnswerWhole(
-        request_id=request_id,
-        tokens=tuple(request.delivered),
-        finish_reason=finish_reason,
-        usage=usage,
-    )
