Let both askers ask where a zone has more than four entry hosts

A standby now only stands by among up to four hosts; between 4 and 8 the limit is not measured.

Three entry hosts are as before.

--- a/ryelever/coordination/polling.py
+++ b/ryelever/coordination/polling.py
@@ -7,9 +7,13 @@
 
 __all__ = ["N_ASKERS", "PollingShares", "ReportFollowing", "rendezvous"]
 
-#: Entry hosts that answer for asking one backend server; the first of them asks.
+#: Entry hosts that answer for asking one backend server.
 N_ASKERS = 2
 
+#: Entry hosts of a zone up to which only the first asker asks.  Among more, what it
+#: learns reaches the others so late that most would ask for themselves.
+MAX_STANDBY = 4
+
 #: Parts of a report's longest age after which the second of them asks too, and
 #: after which every other host does.
 STANDBY_SHARE = 0.75
@@ -68,7 +72,8 @@
         """Return this entry host's place among the askers of a backend server.
 
         The first is 0; ``n_askers`` stands for all that are none.  With ``n_askers``
-        entry hosts or fewer, and while the exchange is silent, each is the first.
+        entry hosts or fewer, and while the exchange is silent, each is the first;
+        with more than ``MAX_STANDBY`` every asker is.
         """
         if len(self._members) < self._n_askers:
             return 0
@@ -78,6 +83,8 @@
             chosen = rendezvous(server, names, n_chosen=self._n_askers)
             here = self._host in chosen
             rank = chosen.index(self._host) if here else self._n_askers
+            if here and len(names) > MAX_STANDBY:
+                rank = 0
             self._rank_by_server[server] = rank
         return rank
 
@@ -90,9 +97,9 @@
 class ReportFollowing:
     """Decide when this entry host asks a backend server for its report.
 
-    The first asker of a server asks at ``interval``.  The others learn from it, and
+    The first askers of a server ask at ``interval``.  The others learn from them, and
     ask only when what they learn is late, the second asker before the rest: then the
-    first is gone, or cut off from here, and the own question still comes before the
+    first are gone, or cut off from here, and the own question still comes before the
     known report stops counting.
 
     Parameters
