--- a/ryelever/coordination/requests_steps.py
+++ b/ryelever/coordination/requests_steps.py
@@ -51,6 +51,7 @@
         self._retry_after = retry_after
         self._timeouts = timeouts
         self.requests_by_id: dict[str, Request] = {}
+        self.released = False
 
     # Towards an attempt
 
@@ -84,7 +85,9 @@
     def _no_target(self, request: Request, *, now: float) -> list[Action]:
         if request.error is None:
             error = answers.no_target(retry_after=self._retry_after())
-            return self.fail(request, error=error, now=now)
+            if not self._attempts.waits_its_turn(request, now=now):
+                return self.fail(request, error=error, now=now)
+            request.error = error
         if request.state is not RequestState.RECOVERING:
             self.enter(request, RequestState.RECOVERING, now=now)
         return []
@@ -92,7 +95,8 @@
     def recover(self, request: Request, *, now: float) -> list[Action]:
         """Try again to find a target after an attempt has failed."""
         waited = now - request.since
-        if waited >= self._timeouts.recovery:
+        over = waited >= self._timeouts.recovery
+        if over and not self._attempts.waits_its_turn(request, now=now):
             return self.fail(request, error=request.error, now=now)
         harmless = not isinstance(request.arrival.work, ChatWork) or (
             request.error.category in (Category.TIMEOUT, Category.UNAVAILABLE)
@@ -178,6 +182,7 @@
         self._claims.forget(request)
         del self.requests_by_id[request.arrival.request_id]
         self._admission.release(request.arrival.request_id, now=now)
+        self.released = True
 
     def enter(self, request: Request, state: RequestState, *, now: float) -> None:
         """Take note of the step that a request enters."""
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -27,10 +27,12 @@
 
 __all__ = ["Dump"]
 
-
 #: Seconds between two looks at what has changed.
 LOOK_INTERVAL = 1.0
 
+#: Ignored records shown of each stream, newest last.
+N_SHOWN_IGNORED = 5
+
 
 class Dump(BaseComponent):
     """Describe what the process believes and since when; secrets never appear.
@@ -145,7 +147,7 @@
             "groups": self._groups(now=now),
             "leases": self._leases(now=now),
             "repairs": [asdict(line) for line in application.planning.repairs.lines],
-            "suspects": application.quarantine.describe(now=now),
+            "suspects": application.request_path.quarantine.describe(now=now),
             "hosts": self._hosts(now=now),
             "requests": self._requests(now=now),
             "connections": {
@@ -171,7 +173,7 @@
                 "n_late_records": stream.writer.n_late,
                 "ignored": [
                     {"offset": ignored.offset, "reason": ignored.reason}
-                    for ignored in stream.fold.ignored[-5:]
+                    for ignored in stream.fold.ignored[-N_SHOWN_IGNORED:]
                 ],
             }
             for name, stream in self._application.streams.streams_by_name.items()
