End a command without a word when the reader of its output has gone

Cause: `ryelever dump ... | head` ended with a traceback and code 1, since nothing took the error of the closed pipe. Results are now printed by one function that lets the rest go nowhere. Ruled out: taking the error around every command, since `serve` would then end with code 0 on a closed connection.

test_reader_of_the_output_has_gone, before: 1 failed, `(1, 'Traceback ...') == (0, '')`. After: tests/test_cli.py and tests/test_settings.py, 39 passed.

--- a/ryelever/cli.py
+++ b/ryelever/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
 import urllib.error
 import urllib.request
@@ -84,7 +85,7 @@
         return EXIT_FAULTY_INPUT
     for path in (settings, document):
         if path is not None:
-            print(f"{path}: no fault")
+            _print_result(f"{path}: no fault")
     return EXIT_OK
 
 
@@ -113,19 +114,19 @@
     except (OSError, ValueError) as error:
         print(f"{address}: cannot dump: {error}", file=sys.stderr)
         return EXIT_UNREACHABLE
-    print(json.dumps(state, indent=2))
+    _print_result(json.dumps(state, indent=2))
     return EXIT_OK
 
 
 def settings_reference() -> int:
     """Print the table of all settings in Markdown."""
-    print(reference(), end="")
+    _print_result(reference().rstrip("\n"))
     return EXIT_OK
 
 
 def version() -> int:
     """Print the version."""
-    print(__version__)
+    _print_result(__version__)
     return EXIT_OK
 
 
@@ -139,6 +140,19 @@
         return EXIT_FAILED
 
 
+def _print_result(text: str) -> None:
+    """Print what a command was asked for, as far as its reader wants it.
+
+    A reader such as ``head`` closes the pipe when it has enough.  The command would
+    end with a traceback, and the interpreter report the same error once more when it
+    writes the rest at its end; so the rest goes nowhere.
+    """
+    try:
+        print(text, flush=True)
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
 def _read(path: Path) -> str | None:
     try:
         return path.read_text(encoding="utf-8")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -48,6 +49,27 @@
     assert (done.returncode, done.stdout.strip()) == (0, __version__)
 
 
+def test_reader_of_the_output_has_gone() -> None:
+    """End without a word when the reader of the output wants no more.
+
+    Symptom: ``ryelever dump ... | head`` ends with a traceback.  Sequence: ``head``
+    closes the pipe after its lines, the command goes on writing.  Cause: the error of
+    a closed pipe was left to the interpreter.
+    """
+    reading, writing = os.pipe()
+    os.close(reading)
+    done = subprocess.run(
+        [sys.executable, "-m", "ryelever", "settings-reference"],
+        stdout=writing,
+        stderr=subprocess.PIPE,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+    os.close(writing)
+    assert (done.returncode, done.stderr) == (0, "")
+
+
 def test_check_good_files(settings: Path, document: Path) -> None:
     done = ryelever("check", "--settings", settings, "--document", document)
     assert done.returncode == 0, done.stderr
