--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -221,7 +221,7 @@
                 "reported": fresh.report.state if fresh else None,
                 "group": fresh.report.group if fresh else None,
                 "leaving": _leaving(listed, fresh)
-                or application.departures.is_leaving(name, now=now),
+                or application.request_path.departures.is_leaving(name, now=now),
                 "report_age": _age(fresh.asked_at, now=now) if fresh else None,
             }
         return described
