Register the gauges of a process in a module of their own

Cause: application.py wired components and also listed what each counts. gauges.py does that by subject.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -18,6 +18,7 @@
 from .events import control_tick, serving_tick, sweep
 from .fleet_history import LOOK_INTERVAL, FleetHistory
 from .fleet_watch import FleetWatch
+from .gauges import register_gauges
 from .logs import log_event, log_warning
 from .metrics import Metrics
 from .peering import Peering
@@ -145,7 +146,7 @@
             stop=self._stop,
         )
         self._register_parts()
-        self._register_gauges()
+        register_gauges(self)
 
     def _wire_peers(self) -> None:
         observers = [self.account_limits, *self.request_path.observers]
@@ -231,41 +232,9 @@
         ):
             part.register(self)
 
-    def _register_gauges(self) -> None:
-        metrics = self.metrics
-        metrics.counter(
-            "refused_requests", lambda: dict(self.callers.n_refused_by_code)
-        )
-        metrics.counter("unread_answers", lambda: {"": self.callers.n_unread})
-        metrics.gauge(
-            "requests_in_flight", lambda: float(len(self.table.requests_by_id))
-        )
-        metrics.gauge(
-            "configuration_version", lambda: float(self.configuration.version)
-        )
-        metrics.gauge("late_answers", lambda: float(self.table.n_late_answers))
-        metrics.gauge("retries", lambda: float(self.table.n_retries))
-        self.fleet_history.register_gauges(metrics)
-        metrics.counter("bytes_received", self._n_bytes_received)
-        metrics.counter("bytes_sent", self._n_bytes_sent)
-        for name in ("received", "sent", "bytes_received", "bytes_sent"):
-            metrics.gauge(
-                f"peer_datagrams_{name}",
-                lambda name=name: float(getattr(self.peers, f"n_{name}")),
-            )
-        metrics.gauge("silent_connections", lambda: float(self.http_client.n_silent))
-
     def _serving_tick(self) -> float:
         return SERVING_TICK if self.table.requests_by_id else IDLE_SERVING_TICK
 
-    def _n_bytes_received(self) -> dict[str, int]:
-        by_step = dict(self.http_client.n_bytes_received_by_step)
-        return by_step | {"peers": self.peers.n_bytes_received}
-
-    def _n_bytes_sent(self) -> dict[str, int]:
-        by_step = dict(self.http_client.n_bytes_sent_by_step)
-        return by_step | {"peers": self.peers.n_bytes_sent}
-
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
         timers = self.timers
