Judge a crash by what all entry hosts saw in it

Symptom: two entry hosts that each see a single suspect in the same crash condemn both, so a bystander is refused; and a caller that resends at another entry host reaches it before the suspicion does, which costs a third group.

Cause: each entry host counted crashes for itself, and its verdict was told in the same moment.

Changes: the row of a suspect names its newest crash (target and fencing number) and whether it was a suspect before; views of one crash are joined, a crash that two saw counts once, and one with two suspects condemns nobody. A verdict waits 1 s where there are peers, so that they know before the caller hears it. Suspects of each entry host run in its own part of the targets, while any of that is usable.

--- a/benchmarks/routing_fleet.py
+++ b/benchmarks/routing_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from ryelever.coordination.actions import Arrival, ChatWork, ServiceWork, Target
 from ryelever.coordination.confirmation import Confirmations
 from ryelever.coordination.departures import Departures
@@ -36,6 +38,7 @@
         adapters: tuple[str, ...] = (),
         accelerators: int = 8,
         services: tuple[tuple[str, str], ...] = (),
+        settle: float = 0.0,
     ) -> None:
         self.placements_by_zone = {zone: PlacementFold() for zone in zones}
         self.hosts_by_name: dict[str, ListedHost] = {}
@@ -66,7 +69,7 @@
         )
         self.loads = LoadView(targets=self.targets)
         self.stragglers = Stragglers()
-        self.quarantine = Quarantine(seed=1)
+        self.quarantine = Quarantine(seed=1, settle=settle)
         self.retry_budget = RetryBudget()
         self.feedback = RoutingFeedback(
             quarantine=self.quarantine,
@@ -75,7 +78,7 @@
             retry_budget=self.retry_budget,
         )
 
-    def router(self, *, seed: int = 1, **options: float) -> AffinityRouter:
+    def router(self, *, seed: int = 1, **options: Any) -> AffinityRouter:
         """Return a router over this fleet."""
         return AffinityRouter(
             targets=self.targets,
--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -69,6 +69,10 @@
 #: Seconds after which a caller should come back when nothing serves its request.
 RETRY_AFTER = 2.0
 
+#: Seconds for which the verdict on a crashing request waits: longer than suspicion
+#: takes to reach the other entry hosts of the zone.
+SUSPICION_SETTLE = 1.0
+
 
 class Application(BaseComponent):
     """Own the parts of one entry host and its graceful shutdown.
@@ -206,7 +210,8 @@
         self.departures = Departures(
             confirmations=self.confirmations, hosts_by_name=self.fleet.hosts_by_name
         )
-        self.quarantine = Quarantine()
+        settle = SUSPICION_SETTLE if self.settings.peers else 0.0
+        self.quarantine = Quarantine(settle=settle)
         targets = Targets(
             availability_zone=self.settings.availability_zone,
             placements_by_zone=self.placements_by_zone,
@@ -224,6 +229,7 @@
                 loads=self.loads,
                 stragglers=stragglers,
                 quarantine=self.quarantine,
+                part=self._place_among_entry_hosts,
             ),
             feedback=RoutingFeedback(
                 quarantine=self.quarantine,
@@ -257,6 +263,11 @@
             limits=limits,
         )
 
+    def _place_among_entry_hosts(self) -> tuple[int, int]:
+        own = self.peers.address
+        addresses = sorted({own, *self.settings.peers})
+        return addresses.index(own), len(addresses)
+
     def _n_entry_hosts(self) -> int:
         return 1 + len(self.settings.peers)
 
--- a/ryelever/coordination/quarantine.py
+++ b/ryelever/coordination/quarantine.py
@@ -56,6 +56,7 @@
     n_crashes: int = 0
     n_refuted: int = 0
     observed_at: float = float("-inf")
+    crash: _Crash | None = None
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -66,11 +67,14 @@
     ----------
     proved : set of str
         Those of ``repeated`` that had got past the place of their first crash.
+    key : str
+        Names the crash alike on all entry hosts.
     culprit : str
         The condemned fingerprint that explains the crash; empty if none does.
     """
 
     at: float
+    key: str = ""
     counted: set[str] = field(default_factory=set)
     repeated: set[str] = field(default_factory=set)
     proved: set[str] = field(default_factory=set)
@@ -85,6 +89,12 @@
         left = self.repeated - self.proved or self.repeated
         return next(iter(left)) if len(left) == 1 else ""
 
+    def counts_against(self, fingerprint: str) -> bool:
+        """Tell whether the crash speaks against one of those that ran in it."""
+        if self.culprit not in ("", fingerprint):
+            return False
+        return fingerprint not in self.repeated or self.only_repeated == fingerprint
+
 
 @dataclass(slots=True, kw_only=True)
 class _Suspect:
@@ -95,20 +105,37 @@
     crashed_at: float = float("-inf")
     cleared_at: float = float("-inf")
     proved: bool = False
+    repeated_in: _Crash | None = None
     counts_by_peer: dict[str, _PeerCount] = field(default_factory=dict)
 
     @property
     def n_crashes(self) -> int:
         """Return the own crashes that nobody else explains."""
-        return sum(crash.culprit in ("", self.fingerprint) for crash in self.crashes)
+        return sum(crash.counts_against(self.fingerprint) for crash in self.crashes)
 
     @property
     def n_all(self) -> int:
         """Return the crashes over all entry hosts that still count."""
-        return self.n_crashes + sum(
-            max(0, count.n_crashes - count.n_refuted)
-            for count in self.counts_by_peer.values()
-        )
+        return self.n_besides(None)
+
+    def n_besides(self, besides: _Crash | None) -> int:
+        """Return the crashes that still count, without one of them.
+
+        A crash that several entry hosts saw counts once.
+        """
+        seen = [crash for crash in self.crashes if crash is not besides]
+        n_crashes = sum(crash.counts_against(self.fingerprint) for crash in seen)
+        for count in self.counts_by_peer.values():
+            n_told = count.n_crashes - count.n_refuted
+            crash = count.crash
+            if crash is not None and n_told > 0:
+                if not crash.counts_against(self.fingerprint):
+                    n_told = min(n_told, 1)
+                if crash in seen or crash is besides:
+                    n_told -= 1
+                seen.append(crash)
+            n_crashes += max(0, n_told)
+        return n_crashes
 
     @property
     def newest_at(self) -> float:
@@ -119,6 +146,7 @@
     def clear(self) -> None:
         """Drop the evidence so far; peers that go on telling it add nothing."""
         self.crashes.clear()
+        self.repeated_in = None
         for count in self.counts_by_peer.values():
             count.n_refuted = count.n_crashes
 
@@ -145,12 +173,18 @@
     ----------
     max_age : float
         Seconds after which evidence no longer counts.
+    settle : float
+        Seconds after a second crash until its verdict.  Meanwhile peers learn of the
+        suspect before its caller can ask them, and tell of others in the same crash.
     seed : int or None
         Seed of the spread of the time to come back.
     """
 
-    def __init__(self, *, max_age: float = 900.0, seed: int | None = None) -> None:
+    def __init__(
+        self, *, max_age: float = 900.0, settle: float = 0.0, seed: int | None = None
+    ) -> None:
         self._max_age = max_age
+        self._settle = settle
         self._random = random.Random(seed)
         self._suspects_by_fingerprint: dict[str, _Suspect] = {}
         self._crashes_by_target: dict[str, _Crash] = {}
@@ -161,12 +195,19 @@
         suspect = self._live(fingerprint, now=now)
         if suspect is None or suspect.n_all < MAX_CRASHES:
             return None
+        if now - suspect.newest_at < self._settle:
+            return None
         left = suspect.newest_at + self._max_age - now
         return Quarantined(
             n_crashes=suspect.n_all,
             retry_after=left * self._random.uniform(1.0, 1.0 + SPREAD),
         )
 
+    def is_held(self, fingerprint: str, *, now: float) -> bool:
+        """Tell whether a request waits for its verdict, and must not run."""
+        suspect = self._live(fingerprint, now=now)
+        return suspect is not None and suspect.n_all >= MAX_CRASHES
+
     @property
     def has_suspects(self) -> bool:
         """Tell whether there is anybody to keep apart; cheap, for each choice."""
@@ -182,15 +223,13 @@
 
         Each attempt that the same crash breaks off may tell of it again.
         """
-        crash = self._crashes_by_target.get(target)
-        if crash is None or now - crash.at > CRASH_WINDOW:
-            self._forget_crashes(now=now)
-            crash = self._crashes_by_target[target] = _Crash(at=now)
+        crash = self._crash(target, now=now)
         fresh = set(fingerprints) - crash.counted - crash.repeated - {""}
         for fingerprint in fresh:
             if self._let_off(fingerprint, now=now):
                 crash.counted.add(fingerprint)
-            elif (suspect := self._live(fingerprint, now=now)) is not None:
+            elif (suspect := self._earlier(fingerprint, crash, now=now)) is not None:
+                suspect.repeated_in = crash
                 crash.repeated.add(fingerprint)
                 if suspect.proved:
                     crash.proved.add(fingerprint)
@@ -200,6 +239,8 @@
                 self._add(fingerprint, crash, now=now)
         if crash.only_repeated in fresh:
             self._condemn(crash.only_repeated, crash, now=now)
+        else:
+            self._withdraw(crash)
 
     def proved(self, fingerprint: str, *, now: float) -> None:
         """Let others run beside a suspect that got past the place of its crash.
@@ -225,8 +266,8 @@
     def observations(self, *, now: float) -> list[Observation]:
         """Return what this entry host itself saw: crashes, and 0 for a completion."""
         return [
-            SuspicionRow(fingerprint=fingerprint, n_crashes=suspect.n_crashes)
-            for fingerprint, suspect in self._suspects_by_fingerprint.items()
+            _row(suspect)
+            for suspect in self._suspects_by_fingerprint.values()
             if (suspect.n_crashes and now - suspect.crashed_at <= self._max_age)
             or now - suspect.cleared_at <= CLEARED_TOLD_FOR
         ]
@@ -247,9 +288,13 @@
         if observation.n_crashes < count.n_crashes:
             # The peer cleared it, and counts anew.
             count.n_refuted = 0
-        if observation.n_crashes != count.n_crashes:
+        changed = observation.n_crashes != count.n_crashes
+        if changed:
             count.observed_at = observed_at
         count.n_crashes = observation.n_crashes
+        known = count.crash.key if count.crash is not None else ""
+        if observation.crash and (changed or observation.crash != known):
+            self._join(observation, count, now=now)
 
     def describe(self, *, now: float) -> list[dict[str, object]]:
         """Return the suspects, for the dump."""
@@ -264,6 +309,33 @@
             if suspect.n_all
         ]
 
+    def _join(
+        self, observation: SuspicionRow, count: _PeerCount, *, now: float
+    ) -> None:
+        """Put a peer's view of a crash beside the own one.
+
+        Two entry hosts that each see one suspect in a crash would else condemn both.
+        """
+        crash = count.crash
+        if crash is None or crash.key != observation.crash:
+            crash = count.crash = self._crash(observation.crash, now=now)
+        if observation.repeated:
+            crash.repeated.add(observation.fingerprint)
+            self._withdraw(crash)
+
+    def _withdraw(self, crash: _Crash) -> None:
+        """Take back that a request explains its crashes, if others may as well."""
+        culprit = crash.culprit
+        if not culprit or crash.only_repeated == culprit:
+            return
+        if (
+            culprit not in crash.repeated
+            or culprit not in self._suspects_by_fingerprint
+        ):
+            return
+        for explained in self._suspects_by_fingerprint[culprit].crashes:
+            explained.culprit = ""
+
     def _cleared_elsewhere(self, fingerprint: str, *, observed_at: float) -> None:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         if suspect is not None and observed_at >= suspect.newest_at:
@@ -286,6 +358,13 @@
         suspect.crashed_at = now
         return suspect
 
+    def _earlier(
+        self, fingerprint: str, crash: _Crash, *, now: float
+    ) -> _Suspect | None:
+        """Return a request that was a suspect before a crash."""
+        suspect = self._live(fingerprint, now=now)
+        return suspect if suspect is not None and suspect.n_besides(crash) else None
+
     def _live(self, fingerprint: str, *, now: float) -> _Suspect | None:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         if suspect is None:
@@ -305,12 +384,30 @@
             suspect = suspects[fingerprint] = _Suspect(fingerprint=fingerprint)
         return suspect
 
+    def _crash(self, key: str, *, now: float) -> _Crash:
+        crash = self._crashes_by_target.get(key)
+        if crash is None or now - crash.at > CRASH_WINDOW:
+            self._forget_crashes(now=now)
+            crash = self._crashes_by_target[key] = _Crash(at=now, key=key)
+        return crash
+
     def _forget_crashes(self, *, now: float) -> None:
         for target, crash in list(self._crashes_by_target.items()):
             if now - crash.at > CRASH_WINDOW:
                 del self._crashes_by_target[target]
 
 
+def _row(suspect: _Suspect) -> SuspicionRow:
+    newest = suspect.crashes[-1] if suspect.crashes else None
+    crash = suspect.repeated_in if suspect.repeated_in is not None else newest
+    return SuspicionRow(
+        fingerprint=suspect.fingerprint,
+        n_crashes=suspect.n_crashes,
+        crash=crash.key if crash is not None else "",
+        repeated=suspect.repeated_in is not None,
+    )
+
+
 def is_crash(error: RyeleverError, *, refused: bool) -> bool:
     """Tell whether an attempt failed because its backend server died.
 
--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing.py
@@ -160,6 +160,10 @@
 
     Parameters
     ----------
+    part : callable
+        Return this entry host's place among all of them, and their number.  Its
+        suspects run in its part of the targets while any of it is usable, so that
+        those of two entry hosts do not meet in one crash.
     slack, crowded_slack : float
         Times the fair part of the load that affinity may put on one target; the
         second while requests wait at more than a tenth of the targets, when a
@@ -179,6 +183,7 @@
         loads: LoadView,
         stragglers: Stragglers,
         quarantine: Quarantine,
+        part: Callable[[], tuple[int, int]] = lambda: (0, 1),
         seed: int | None = None,
         slack: float = 1.2,
         crowded_slack: float = 1.0,
@@ -190,6 +195,7 @@
         self._loads = loads
         self._stragglers = stragglers
         self._quarantine = quarantine
+        self._part = part
         self._random = random.Random(seed)
         self._slack = slack
         self._crowded_slack = crowded_slack
@@ -213,6 +219,8 @@
         if now < self._nothing_until_by_set.get(id(found), float("-inf")):
             return None
         self._compare_siblings(found, now=now)
+        if self._quarantine.is_held(arrival.fingerprint, now=now):
+            return None
         if self._quarantine.is_suspect(arrival.fingerprint, now=now):
             return self._apart(arrival, found, tried=tried, now=now)
         key = prefix_key(arrival.work) if isinstance(arrival.work, ChatWork) else None
@@ -227,6 +235,8 @@
 
     def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
         """Tell whether something could serve a suspect, were there no others."""
+        if self._quarantine.is_held(arrival.fingerprint, now=now):
+            return True
         if not self._quarantine.is_suspect(arrival.fingerprint, now=now):
             return False
         found = self._targets.candidates(arrival.work, now=now)
@@ -392,18 +402,18 @@
         crash takes both.  Without a free target it waits for its turn.
         """
         running_at = self._suspects.targets_of(arrival.fingerprint)
+        all_usable = self._usable_for_suspects(found, now=now)
         for excluded in (tried, tried[-1:]):
-            usable = [
+            free = [
                 choice
-                for candidate in self._sample(found.own_zone + found.other_zones)
-                if candidate.name not in excluded
-                and not self._suspects.at(candidate.name, now=now)
+                for choice in all_usable
+                if choice.candidate.name not in excluded
+                and not self._suspects.at(choice.candidate.name, now=now)
                 - {arrival.fingerprint}
-                and (choice := self._usable(candidate, now=now)) is not None
             ]
-            if usable:
+            if free:
                 best = min(
-                    usable,
+                    free,
                     key=lambda choice: (
                         choice.candidate.name not in running_at,
                         choice.load * choice.candidate.weight,
@@ -413,6 +423,19 @@
                 return best.target
         return None
 
+    def _usable_for_suspects(self, found: CandidateSet, *, now: float) -> list[_Choice]:
+        """Return the usable ones of the own part, or of all if there is none."""
+        rank, n_hosts = self._part()
+        candidates = sorted(found.own_zone + found.other_zones, key=_seed_of)
+        for part in (candidates[rank::n_hosts], candidates):
+            choices = [
+                self._usable(candidate, now=now) for candidate in self._sample(part)
+            ]
+            usable = [choice for choice in choices if choice is not None]
+            if usable:
+                return usable
+        return []
+
     # What is kept for each list of candidates
 
     def _remember(self, found: CandidateSet) -> None:
@@ -467,6 +490,10 @@
         self._stragglers.compare(str(id(found)), found.names, now=now)
 
 
+def _seed_of(candidate: Candidate) -> int:
+    return candidate.seed
+
+
 def _load_of(choice: _Choice) -> float:
     return choice.load
 
--- a/ryelever/coordination/routing_feedback.py
+++ b/ryelever/coordination/routing_feedback.py
@@ -158,5 +158,6 @@
                 # Its last report still calls it ready; nothing new until it is
                 # asked again.  A service may have closed one connection only.
                 self._departures.refused(target.hosts[0], connection=False, now=now)
-            self._quarantine.crashed(target.name, in_flight, now=now)
+            crash = f"{target.name}#{target.fencing}"
+            self._quarantine.crashed(crash, in_flight, now=now)
             self._retry_budget.died(target.name, now=now)
--- a/ryelever/coordination/soft_state_digest.py
+++ b/ryelever/coordination/soft_state_digest.py
@@ -59,5 +59,7 @@
         return SuspicionRow(
             fingerprint=first.fingerprint,
             n_crashes=first.n_crashes + second.n_crashes,
+            crash=first.crash or second.crash,
+            repeated=first.repeated or second.repeated,
         )
     return first
--- a/ryelever/protocol/soft_state.py
+++ b/ryelever/protocol/soft_state.py
@@ -60,7 +60,12 @@
         ("nInFlight", "n_in_flight"),
         ("nWaiting", "n_waiting"),
     ),
-    "suspicion": (("fingerprint", "fingerprint"), ("nCrashes", "n_crashes")),
+    "suspicion": (
+        ("fingerprint", "fingerprint"),
+        ("nCrashes", "n_crashes"),
+        ("crash", "crash"),
+        ("repeated", "repeated"),
+    ),
     "leaving": (("host", "host"),),
     "load": (("target", "target"), ("nInFlight", "n_in_flight")),
     "report": (
--- a/ryelever/schema/soft_state.capnp
+++ b/ryelever/schema/soft_state.capnp
@@ -75,6 +75,8 @@
 struct Suspicion {
   fingerprint @0 :Text;
   nCrashes @1 :UInt32;
+  crash @2 :Text;
+  repeated @3 :Bool;
 }
 
 struct Leaving {
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -38,10 +38,21 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class SuspicionRow:
-    """Tell in how many crashes a request's fingerprint was seen."""
+    """Tell in how many crashes a request's fingerprint was seen.
+
+    Attributes
+    ----------
+    crash : str
+        Names the newest one, alike on all entry hosts: the target and its fencing
+        number.
+    repeated : bool
+        True when it was a suspect already in that one.
+    """
 
     fingerprint: str
     n_crashes: int
+    crash: str = ""
+    repeated: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -240,11 +241,13 @@
         return Queued()
 
 
-def _table(fleet: FakeFleet, *, admission: OpenAdmission | None = None) -> RequestTable:
+def _table(
+    fleet: FakeFleet, *, admission: OpenAdmission | None = None, **options: Any
+) -> RequestTable:
     ids = iter(range(10**6))
     return RequestTable(
         admission=admission or OpenAdmission(),
-        router=fleet.router(),
+        router=fleet.router(**options),
         retry_policy=fleet.retry_budget,
         claims=FakeLog(),
         account=lambda name: ClientAccount(key_hash="", concurrency=1000),
@@ -311,6 +314,65 @@
     assert resent.error.retry_after > 800.0
 
 
+def _told(rows_of: Quarantine, to: Quarantine, *, peer: str, now: float) -> None:
+    for row in rows_of.observations(now=now):
+        to.observed(row, peer=peer, observed_at=now, now=now)
+
+
+@pytest.mark.parametrize("first_crashes", [("g1", "g1"), ("g1", "g0")])
+@pytest.mark.parametrize("exchanged_between", [False, True])
+def test_suspects_of_two_hosts_in_one_crash_are_not_condemned(
+    first_crashes: tuple[str, str], exchanged_between: bool
+) -> None:
+    """Let two entry hosts each have one suspect in the same second crash.
+
+    Symptom: a bystander is refused for a quarter of an hour.  Sequence: what the
+    first crash broke off runs again, from two entry hosts on one target; it dies.
+    Cause: each saw a single repeated suspect, its own, and condemned it.
+    """
+    hosts = [Quarantine(settle=1.0, seed=1) for _ in range(2)]
+
+    def exchange(now: float) -> None:
+        _told(hosts[0], hosts[1], peer="e0", now=now)
+        _told(hosts[1], hosts[0], peer="e1", now=now)
+
+    hosts[0].crashed(first_crashes[0], "p", now=0.0)
+    hosts[1].crashed(first_crashes[1], "b", now=0.1)
+    if exchanged_between:
+        exchange(1.0)
+    hosts[0].crashed("g2", "p", now=9.0)
+    hosts[1].crashed("g2", "b", now=9.1)
+    for now in (9.4, 10.4, 11.4):
+        exchange(now)
+        for host in hosts:
+            assert [host.verdict(name, now=now) for name in "pb"] == [None, None]
+    assert hosts[0].is_suspect("p", now=12.0) and hosts[1].is_suspect("b", now=12.0)
+    # Another run apart tells them apart.
+    hosts[1].completed("b", now=13.0)
+    hosts[0].crashed("g3", "p", now=14.0)
+    for now in (14.4, 16.0):
+        exchange(now)
+    assert all(host.verdict("p", now=16.0) is not None for host in hosts)
+    assert all(host.verdict("b", now=16.0) is None for host in hosts)
+
+
+def test_one_crash_that_two_hosts_saw_counts_once() -> None:
+    """Run one prompt through two entry hosts on a target that dies.
+
+    Symptom: a request that was in one crash is refused.  Sequence: both entry hosts
+    tell of the crash; the word of one comes before the other's own notice, or after.
+    Cause: crashes were counted for each entry host.
+    """
+    told_before, told_after, teller = (Quarantine(seed=1) for _ in range(3))
+    teller.crashed("g1", "a", now=0.0)
+    _told(teller, told_before, peer="e0", now=0.2)
+    told_before.crashed("g1", "a", now=0.3)
+    told_after.crashed("g1", "a", now=0.1)
+    _told(teller, told_after, peer="e0", now=0.2)
+    assert told_before.verdict("a", now=1.0) is None
+    assert told_after.verdict("a", now=1.0) is None
+
+
 class _PoisonedZone:
     """Run entry hosts before groups that die of one request, in steps of 0.1 s.
 
@@ -319,8 +381,14 @@
     """
 
     def __init__(self, *, n_hosts: int, n_groups: int) -> None:
-        self.fleets = [FakeFleet(zones={"a": n_groups}) for _ in range(n_hosts)]
-        self.tables = [_table(fleet) for fleet in self.fleets]
+        settle = 1.0 if n_hosts > 1 else 0.0
+        self.fleets = [
+            FakeFleet(zones={"a": n_groups}, settle=settle) for _ in range(n_hosts)
+        ]
+        self.tables = [
+            _table(fleet, part=lambda rank=rank: (rank, n_hosts))
+            for rank, fleet in enumerate(self.fleets)
+        ]
         self.dead: set[str] = set()
         self.now = 0.0
         self.answers_by_request: dict[str, object] = {}
@@ -343,7 +411,8 @@
             for name in set(fleet.groups) - self.dead:
                 fleet.report(f"{name}-0", asked_at=self.now)
             self._take(at, self.tables[at].tick(now=self.now))
-        self._tell_peers()
+        if round(self.now * 10) % 5 == 0:
+            self._tell_peers()
         running, self._running = self._running, []
         killed = {
             attempt.target.name
@@ -396,7 +465,7 @@
 
 
 @pytest.mark.parametrize(
-    ("n_hosts", "n_groups"), [(1, 4), (1, 3)], ids=["four groups", "three groups"]
+    ("n_hosts", "n_groups"), [(1, 4), (1, 3), (2, 4), (2, 6), (3, 6)]
 )
 def test_second_crash_singles_out_the_poison(n_hosts: int, n_groups: int) -> None:
     """Send a poison request among open streams, and again after each answer.
@@ -404,7 +473,9 @@
     Symptom: group after group dies, and the bystanders' streams end with errors.
     Sequence: a group dies, and all that it ran is sent again at once, several to one
     target; the next death finds more than one repeated suspect and names nobody.
-    Cause: suspects were kept apart only while there were as many targets.
+    Or the caller asks another entry host before that has heard of the suspicion.
+    Cause: suspects were kept apart only while there were as many targets, and by
+    each entry host alone; the verdict was told before it had got about.
     """
     zone = _PoisonedZone(n_hosts=n_hosts, n_groups=n_groups)
     zone.step()
--- a/tests/test_system/test_faults.py
+++ b/tests/test_system/test_faults.py
@@ -7,8 +7,25 @@
 
 import pytest
 
-from ..callers import Caller
-from ..processes import Fleet, wait_until
+from ..callers import PATIENCE, Answer, Caller
+from ..processes import EntryHost, Fleet, free_udp_addresses, wait_until
+
+
+def _start_peers(fleet: Fleet, names: tuple[str, ...]) -> list[EntryHost]:
+    """Start entry hosts that know each other."""
+    addresses = free_udp_addresses(len(names))
+    hosts = [
+        fleet.start_entry(name, zone="z", peers_address=address, peers=addresses)
+        for name, address in zip(names, addresses, strict=True)
+    ]
+    wait_until(
+        lambda: all(
+            len(host.dump()["peers"]["live_members"]) == len(names) - 1
+            for host in hosts
+        ),
+        what="peers known",
+    )
+    return hosts
 
 
 def _busy_group(fleet: Fleet) -> list[str]:
@@ -113,30 +130,50 @@
     asyncio.run(run())
 
 
-def test_poison_request_is_quarantined(fleet: Fleet) -> None:
+@pytest.mark.parametrize("entries", [("e1",), ("e1", "e2"), ("e1", "e2", "e3")])
+def test_poison_request_is_quarantined(fleet: Fleet, entries: tuple[str, ...]) -> None:
     """Send a poison request again and again while bystanders are served.
 
     Symptom: group after group dies, and every answer with them.  Sequence: as
-    above, on four groups.  Cause: nobody remembers what ran when an engine died.
+    above, on four groups or more, and the caller asks another entry host each time.
+    Cause: nobody remembers what ran when an engine died, or what ran there is sent
+    to one place again, or the other entry host has not heard of it.
     """
-    fleet.start_world(entries=("e1",), n_groups=4)
-    entry = fleet.entries_by_name["e1"]
+    n_groups = 3 + len(entries)
+    fleet.start_world(entries=(), n_groups=n_groups)
+    hosts = _start_peers(fleet, entries)
+    fleet.wait_whole(n_groups)
     caller = Caller(fleet)
+    begun: set[int] = set()
 
     async def run() -> None:
+        all_begun = asyncio.Event()
+
+        def note(index: int) -> None:
+            begun.add(index)
+            if len(begun) == 10:
+                all_begun.set()
+
         bystanders = [
             asyncio.ensure_future(
-                caller.stream(entry, f"bystander {index}", n_tokens=100)
+                caller.stream(
+                    hosts[index % len(hosts)],
+                    f"bystander {index}",
+                    n_tokens=100,
+                    on_token=lambda index=index: note(index),
+                )
             )
             for index in range(10)
         ]
-        for _ in range(4):
+        await asyncio.wait_for(all_begun.wait(), PATIENCE)
+        for index in range(4):
+            entry = hosts[index % len(hosts)]
             answer = await caller.stream(entry, "please crash-the-engine")
             assert answer.honest and answer.error["code"] == "request_quarantined"
         answers = await asyncio.gather(*bystanders)
         assert [answer.error for answer in answers if not answer.whole] == []
 
     asyncio.run(run())
-    leaders = [f"d{index}-0" for index in range(4)]
+    leaders = [f"d{index}-0" for index in range(n_groups)]
     crashed = [fleet.processes_by_name[leader].exit_code for leader in leaders]
     assert crashed.count(86) <= 2
