Judge the groups of a large fleet in turns for admission

Cause: each look at the capacity judged every group, ten times a second. Change: the look takes the cached candidates and judges 32 of them in turn; up to 32 groups of a zone are judged whole as before, and all after a pause of 3 s.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -22,6 +22,7 @@
 from benchmarks.routing_fleet import FakeFleet, chat
 from benchmarks.routing_trials import HintedRouter, RoundRobinRouter, ScoredRouter
 from ryelever.coordination.actions import Arrival
+from ryelever.coordination.admission_capacity import GroupCapacity
 from ryelever.coordination.routing import LeastInFlightRouter
 
 SEEDS = (11, 12)
@@ -278,6 +279,29 @@
             print(f"{n_groups:>4} groups, {name:<20} {seconds * 1e6:8.1f} us")
 
 
+def _print_capacity_cost() -> None:
+    print("processor time of a look at the capacity, groups of 4 in one zone")
+    for n_groups in (10, 100, 800):
+        fleet = FakeFleet(zones={"a": n_groups}, members=4)
+        fleet.report_all(asked_at=0.0)
+        capacity = GroupCapacity(
+            targets=fleet.targets,
+            confirmations=fleet.confirmations,
+            batch=lambda: 16,
+            n_hosts=lambda: 8,
+            n_hosts_waiting=lambda now: 1,
+        )
+        arrival = chat(now=0.1)
+        capacity.slots(arrival, n_in_flight=0, now=0.0)
+        begin = time.process_time()
+        for number in range(1, 17):
+            # Further apart than a look is kept: each one is taken anew.
+            capacity.slots(arrival, n_in_flight=0, now=number * 0.11)
+        seconds = (time.process_time() - begin) / 16
+        print(f"{n_groups:>4} groups {seconds * 1e6:8.1f} us")
+
+
 if __name__ == "__main__":
     _print_cost()
+    _print_capacity_cost()
     _print_waiting()
--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -253,7 +253,7 @@
         limits = self.account_limits
         return FairAdmission(
             capacity=GroupCapacity(
-                targets=targets.for_arrival,
+                targets=targets,
                 confirmations=self.confirmations,
                 batch=lambda: self.settings.group_batch,
                 n_hosts=self._n_entry_hosts,
--- a/tests/test_coordination/test_admission_capacity.py
+++ b/tests/test_coordination/test_admission_capacity.py
@@ -7,6 +7,7 @@
 from ryelever.coordination.actions import Arrival, ChatWork, ServiceWork, Target
 from ryelever.coordination.admission_capacity import GroupCapacity
 from ryelever.coordination.confirmation import Confirmations
+from ryelever.coordination.targets import Candidate, CandidateSet
 from ryelever.state.fleet import HostReport
 
 CHAT = ChatWork(model="m", messages=[], max_tokens=1, streamed=False)
@@ -19,6 +20,39 @@
     )
 
 
+class FewTargets:
+    """Offer usable targets, and count how often one is judged."""
+
+    def __init__(self, targets: list[Target]) -> None:
+        self.usable_by_name = {target.name: target for target in targets}
+        self.n_judged = 0
+        candidates = tuple(
+            Candidate(
+                name=target.name,
+                availability_zone="z",
+                hosts=target.hosts,
+                seed=0,
+                n_accelerators=1,
+            )
+            for target in targets
+        )
+        self._found = CandidateSet(
+            own_zone=candidates,
+            other_zones=(),
+            names=(),
+            keys=(),
+            built_at=0.0,
+            offsets=(),
+        )
+
+    def candidates(self, work, *, now):
+        return self._found
+
+    def target(self, candidate, *, now):
+        self.n_judged += 1
+        return self.usable_by_name.get(candidate.name)
+
+
 def capacity(
     reported: list[int], *, n_hosts: int = 4, n_hosts_waiting: int = 1
 ) -> GroupCapacity:
@@ -30,7 +64,7 @@
         report = HostReport(host=host, boot="b", state="ready", running=running)
         confirmations.reported(report, asked_at=0.0)
     return GroupCapacity(
-        targets=lambda arrival, now: targets,
+        targets=FewTargets(targets),
         confirmations=confirmations,
         batch=lambda: 16,
         n_hosts=lambda: n_hosts,
@@ -73,3 +107,33 @@
 def test_plain_services_have_no_batch(reported: list[int], slots: float) -> None:
     room = capacity(reported)
     assert room.slots(arrival(CALL), n_in_flight=5, now=0.5) == slots
+
+
+def test_large_fleet_is_judged_in_turns() -> None:
+    """Look at 800 groups again and again while 600 of them are lost.
+
+    Symptom: milliseconds of each request go into admission.  Sequence: requests come
+    at a large fleet, further apart than a look is kept.  Cause: each look judged all
+    groups.
+    """
+    view = FewTargets(
+        [Target(name=f"g{n}", address="", hosts=(f"h{n}",)) for n in range(800)]
+    )
+    room = GroupCapacity(
+        targets=view,
+        confirmations=Confirmations(max_age=2.0),
+        batch=lambda: 16,
+        n_hosts=lambda: 4,
+        n_hosts_waiting=lambda now: 1,
+    )
+    assert room.slots(arrival(CHAT), n_in_flight=0, now=0.0) == 800 * 16
+    for number in range(600):
+        del view.usable_by_name[f"g{number}"]
+    view.n_judged = 0
+    slots = [
+        room.slots(arrival(CHAT), n_in_flight=0, now=look / 8) for look in range(1, 26)
+    ]
+    assert view.n_judged == 25 * 32
+    assert slots[-1] == 200 * 16
+    room.slots(arrival(CHAT), n_in_flight=0, now=99.0)
+    assert view.n_judged == 25 * 32 + 800
