Recover a request whose group is lost before its first token

Symptom: a request at a frozen leader waits for the first token timeout, 10 s, although its group stopped counting as whole after 2 s. Cause: only that timeout looked at attempts without a token. Change: an idempotent request without a token is looked at every 0.5 s; when its group is not whole any more, another target serves and a retry may be spent, it is given up and sent elsewhere. Silent streams keep their own timeout, which is as short.

--- a/benchmarks/request_table.py
+++ b/benchmarks/request_table.py
@@ -56,6 +56,9 @@
     def waits_its_turn(self, arrival, *, now):
         return False
 
+    def is_lost(self, target, arrival, *, now):
+        return False
+
     def started(self, target, *, fingerprint="", now):
         pass
 
--- a/benchmarks/routing_trials.py
+++ b/benchmarks/routing_trials.py
@@ -36,6 +36,10 @@
         """Keep nobody apart."""
         return False
 
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Wait for the attempt to fail."""
+        return False
+
     def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Do nothing."""
 
@@ -82,6 +86,10 @@
         """Keep nobody apart."""
         return False
 
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Wait for the attempt to fail."""
+        return False
+
     def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Do nothing."""
 
@@ -148,6 +156,10 @@
         """Ask the router behind."""
         return self._router.waits_its_turn(arrival, now=now)
 
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Wait for the attempt to fail."""
+        return False
+
     def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Count the attempt."""
         self._router.started(target, fingerprint=fingerprint, now=now)
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -309,6 +309,8 @@
                 actions += self._steps.time_over(request, now=now)
             elif request.state is RequestState.RECOVERING:
                 actions += self._steps.recover(request, now=now)
+            elif request.state is RequestState.SENT:
+                actions += self._steps.leave_lost(request, now=now)
         return actions
 
     def end_all(self, *, now: float) -> list[Action]:
--- a/ryelever/coordination/requests_answers.py
+++ b/ryelever/coordination/requests_answers.py
@@ -32,6 +32,7 @@
     "claim_lost",
     "claim_not_confirmed",
     "deadline_passed",
+    "group_lost",
     "in_progress",
     "key_reused",
     "limited",
@@ -197,6 +198,16 @@
     )
 
 
+def group_lost(request: Request) -> RyeleverError:
+    """Say why an attempt without a token was given up."""
+    return RyeleverError(
+        "its group stopped counting as whole before the first token",
+        category=Category.TIMEOUT,
+        step="generate",
+        peer=request.target.address,
+    )
+
+
 def log_unavailable(*, retry_after: float) -> RyeleverError:
     """Refuse a request that cannot be claimed."""
     return RyeleverError(
--- a/ryelever/coordination/requests_attempts.py
+++ b/ryelever/coordination/requests_attempts.py
@@ -24,6 +24,9 @@
 #: Attempts of one stream that has begun.
 MAX_STREAM_ATTEMPTS = 5
 
+#: Seconds between two looks at the group of an attempt without a first token.
+LOST_INTERVAL = 0.5
+
 #: Tokens of an attempt that prove it past the place of a crash.  An engine may have
 #: been a few tokens further when it died than what had arrived of it.
 PROVED_TOKENS = 4
@@ -67,6 +70,7 @@
         request.attempt_id = self._new_id()
         request.target = target
         request.tried += (target.name,)
+        request.looked_at = now
         request.proved_from = len(request.delivered) + PROVED_TOKENS
         self.request_by_attempt[request.attempt_id] = request.arrival.request_id
         fingerprint = request.arrival.fingerprint
@@ -84,6 +88,13 @@
         """Tell whether only other suspects keep a request from running."""
         return self._router.waits_its_turn(request.arrival, now=now)
 
+    def is_lost(self, request: Request, *, now: float) -> bool:
+        """Tell whether an attempt waits for a group that is no longer whole."""
+        if now < request.looked_at + LOST_INTERVAL:
+            return False
+        request.looked_at = now
+        return self._router.is_lost(request.target, request.arrival, now=now)
+
     def request_id(self, attempt_id: str) -> str | None:
         """Return the request of a current attempt; count what comes late."""
         request_id = self.request_by_attempt.get(attempt_id)
--- a/ryelever/coordination/requests_state.py
+++ b/ryelever/coordination/requests_state.py
@@ -74,6 +74,8 @@
     proved_from : int
         Tokens from which the attempt is past the place where a crash broke off
         the one before.
+    looked_at : float
+        Time of the last look at the attempt's group while no token came.
     error, service_answer : RyeleverError or AnswerService or None
         What the newest failed attempt ended with.
     """
@@ -89,6 +91,7 @@
     tried: tuple[str, ...] = ()
     delivered: list[str] = field(default_factory=list)
     proved_from: int = 0
+    looked_at: float = float("-inf")
     may_have_run: bool = False
     caller_gone: bool = False
     error: RyeleverError | None = None
--- a/ryelever/coordination/requests_steps.py
+++ b/ryelever/coordination/requests_steps.py
@@ -120,6 +120,26 @@
             return self.fail(request, error=error, now=now)
         return self.dispatch(request, now=now)
 
+    def leave_lost(self, request: Request, *, now: float) -> list[Action]:
+        """Give an attempt without a token up when its group is no longer whole.
+
+        A frozen leader says nothing, so the attempt would wait until the timeout for
+        first tokens, far longer than its group takes to stop counting as whole.
+        Without a retry to spend the attempt is better left where it is.
+        """
+        if not request.arrival.repeatable or not self._attempts.is_lost(
+            request, now=now
+        ):
+            return []
+        if not self._attempts.may_retry(request, now=now):
+            return []
+        cancel = CancelAttempt(attempt_id=request.attempt_id)
+        error = answers.group_lost(request)
+        self._attempts.failed(request, error=error, refused=False, now=now)
+        request.error = error
+        request.may_have_run = True
+        return [cancel, *self.dispatch(request, now=now)]
+
     # Towards the answer
 
     def time_over(self, request: Request, *, now: float) -> list[Action]:
--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing.py
@@ -55,6 +55,9 @@
     def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
         """Tell whether only other suspects of a crash keep a request from running."""
 
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Tell whether a target can answer no more and another one can."""
+
     def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Take note of an attempt that was sent."""
 
@@ -102,6 +105,10 @@
         """Keep nobody apart."""
         return False
 
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Wait for the attempt to fail."""
+        return False
+
     def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Count the attempt."""
         n_in_flight = self._n_in_flight_by_name.get(target.name, 0)
@@ -245,6 +252,10 @@
             for candidate in self._sample(found.own_zone + found.other_zones)
         )
 
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Tell whether its group is no longer whole and another one is."""
+        return self._targets.is_lost(target, arrival, now=now)
+
     def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
         """Count the attempt."""
         self._suspects.started(target.name, fingerprint)
--- a/ryelever/coordination/targets.py
+++ b/ryelever/coordination/targets.py
@@ -163,6 +163,23 @@
             hosts=candidate.hosts,
         )
 
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Tell whether a group stopped counting as whole and another one serves.
+
+        A draining group ends what it runs, and a plain service has no members.
+        """
+        if target.fencing < 0:
+            return False
+        found = self.candidates(arrival.work, now=now)
+        others: list[Candidate] = []
+        for candidate in found.own_zone + found.other_zones:
+            group = candidate.group
+            if candidate.name != target.name:
+                others.append(candidate)
+            elif group is not None and self._still_whole(group, target, now=now):
+                return False
+        return any(self.target(other, now=now) is not None for other in others)
+
     def reported_load(self, candidate: Candidate, *, now: float) -> ReportedLoad | None:
         """Return what rank 0 reports, if its report still counts."""
         known = self._confirmations.reports_by_host.get(candidate.hosts[0])
@@ -174,6 +191,10 @@
             age=now - known.asked_at,
         )
 
+    def _still_whole(self, group: Group, target: Target, *, now: float) -> bool:
+        same = group.fencing == target.fencing
+        return same and self._confirmations.is_whole(group, now=now)
+
     def _may_serve(self, group: Group, *, now: float) -> bool:
         # A draining group ends what it runs and is then dissolved.
         return not group.draining and self._confirmations.is_whole(group, now=now)
--- a/tests/test_coordination/request_fakes.py
+++ b/tests/test_coordination/request_fakes.py
@@ -63,6 +63,9 @@
     def waits_its_turn(self, arrival, *, now):
         return False
 
+    def is_lost(self, target, arrival, *, now):
+        return target.name not in self.names and bool(self.names)
+
     def started(self, target, *, fingerprint="", now):
         self.in_flight.append(target.name)
 
--- a/tests/test_coordination/test_requests.py
+++ b/tests/test_coordination/test_requests.py
@@ -115,6 +115,21 @@
         "targets:a,b,c,d,e arrive broken broken broken broken",
         "send-a+0 send-b+0 send-c+0 send-d+0 broken/outcome_unknown",
     ),
+    "group is lost before the first token": (
+        "chat",
+        "targets:a,b arrive wait:0.6 targets:b wait:0.6 late_tokens tokens:0 finish",
+        "send-a+0 cancel send-b+0 t0 finished",
+    ),
+    "group is lost, and no other one serves": (
+        "chat",
+        "targets:a arrive targets wait:9 tokens:0 finish",
+        "send-a+0 t0 finished",
+    ),
+    "group of a booking is lost": (
+        "booking",
+        "targets:a,b arrive read targets:b wait:9 answer:200",
+        "claim send-a+0 log:run-200 answer-200",
+    ),
     "nothing serves it": ("chat", "targets arrive", "unavailable/not_run"),
     # No group is left
     "waits for a group": (
--- a/tests/test_coordination/test_targets.py
+++ b/tests/test_coordination/test_targets.py
@@ -49,6 +49,23 @@
     assert [target.name for target in targets] == left
 
 
+@pytest.mark.parametrize(
+    ("break_it", "now", "lost"),
+    [
+        (lambda fleet: None, 1.0, False),
+        (lambda fleet: fleet.confirmations.unreachable("a-0-1"), 1.0, True),
+        (lambda fleet: fleet.relist("a-0-1", state="leaving"), 1.0, False),
+        (lambda fleet: None, 2.1, False),
+    ],
+    ids=["whole", "member gone", "leaving, but whole", "nothing else serves"],
+)
+def test_group_is_lost_when_another_can_do_better(break_it, now, lost: bool) -> None:
+    fleet = _fleet()
+    break_it(fleet)
+    target = fleet.target("a-0")
+    assert fleet.targets.is_lost(target, chat(), now=now) is lost
+
+
 def test_other_zone_serves_when_own_has_nothing() -> None:
     fleet = _fleet()
     for group in ("a-0", "a-1"):
--- a/tests/test_system/test_faults.py
+++ b/tests/test_system/test_faults.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 
+import httpx
 import pytest
 
 from ..callers import PATIENCE, Answer, Caller
@@ -101,6 +103,32 @@
     assert late.whole
 
 
+def test_first_token_of_a_frozen_leader(fleet: Fleet) -> None:
+    """Freeze the leader of a group before requests reach it.
+
+    Symptom: a caller waits for its first token until the timeout, 10 s by default.
+    Sequence: a leader freezes while its last report still counts, requests are sent
+    to it, then its group stops counting as whole.  Cause: what waited for a first
+    token was looked at only by that timeout.
+    """
+    fleet.start_world(entries=("e1",), n_groups=2, first_token_timeout=60.0)
+    fleet.processes_by_name["d0-0"].send(signal.SIGSTOP)
+    entry = fleet.entries_by_name["e1"]
+    caller = Caller(fleet)
+
+    async def run() -> list[Answer]:
+        streams = [
+            caller.stream(entry, f"early {index}", n_tokens=5) for index in range(8)
+        ]
+        return list(await asyncio.gather(*streams))
+
+    answers = asyncio.run(run())
+    assert [answer.error for answer in answers if not answer.whole] == []
+    metrics = httpx.get(f"{entry.url}/metrics", timeout=5).text
+    (n_retries,) = re.findall(r"retries\{?[^ ]* (\d+)", metrics)
+    assert int(n_retries) > 0, "no request was on the frozen leader"
+
+
 def test_poison_request_ends_in_explicit_errors(fleet: Fleet) -> None:
     """Send a request that crashes whatever runs it, and send it again.
 
