--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -87,6 +87,7 @@
         default_factory=lambda: defaultdict(list)
     )
     retry_afters: list[float] = field(default_factory=list)
+    processor_time: float = 0.0
     idle: float = 0.0
     slot_seconds: float = 0.0
     back_after: float | None = None
@@ -160,7 +161,8 @@
     Parameters
     ----------
     at_release : bool
-        Also look for waiting requests whenever one ends, not only at each tick.
+        Also look for waiting requests whenever one ends, as the process does, not
+        only at each tick.
     """
     course = Course()
     declared = accounts()
@@ -170,6 +172,7 @@
     running: set[str] = set()
     upcoming = deque(offered)
     now = 0.0
+    started = time.process_time()
 
     def start(request_id: str, now: float) -> None:
         arrival, service = by_id[request_id]
@@ -204,8 +207,8 @@
                 _, request_id = heapq.heappop(ends)
                 running.discard(request_id)
                 admission.release(request_id, now=now)
-                if at_release:
-                    look(now)
+                for ready_id in admission.ready(now=now) if at_release else ():
+                    start(ready_id, now)
                 continue
             arrival, _ = upcoming.popleft()
             account = declared[arrival.client_account]
@@ -227,6 +230,7 @@
             share = LARGE["large-2"][0] * load.n_slots
             if course.back_after is None and held >= 0.95 * share:
                 course.back_after = now - load.lender_returns
+    course.processor_time = time.process_time() - started
     return course
 
 
@@ -258,7 +262,9 @@
     }
 
 
-def main(*, seed: int = 5, parts: tuple[str, ...] = ("waits", "return", "cost")):
+def main(
+    *, seed: int = 5, parts: tuple[str, ...] = ("waits", "burst", "return", "cost")
+):
     """Print the measurements.
 
     Parameters
@@ -266,11 +272,13 @@
     seed : int
         Seed of arrivals and service times.
     parts : tuple[str, ...]
-        Which to run: waits, return, cost.
+        Which to run: waits, burst (twelve seeds), return, cost.
     """
     print(f"seed {seed}")
     if "waits" in parts:
         _print_waits(seed)
+    if "burst" in parts:
+        _print_burst(seed)
     if "return" in parts:
         _print_return(seed)
     if "cost" in parts:
@@ -310,8 +318,29 @@
             f"p95 {percentile(small, 95):.3f} p99 {percentile(small, 99):.3f} s; "
             f"idle while callers wait {course.idle / course.slot_seconds:.2%}; "
             f"{len(set(course.retry_afters))} values in "
-            f"{len(course.retry_afters)} retry-afters"
+            f"{len(course.retry_afters)} retry-afters; "
+            f"{course.processor_time / len(offered) * 1e6:.0f} us a request"
+        )
+
+
+def _print_burst(seed: int, n_seeds: int = 12) -> None:
+    print(f"all small accounts' waits, fair at release, seeds {seed} to ", end="")
+    print(f"{seed + n_seeds - 1}: mean (largest)")
+    for factor in (1.0, 10.0):
+        load = Load(burst_factor=factor)
+        by_percent: dict[int, list[float]] = {95: [], 99: [], 100: []}
+        for offset in range(n_seeds):
+            admission, at_release = policies(load)["fair, at release"]
+            offered = arrivals(load, seed + offset)
+            course = serve(admission, load, offered, at_release=at_release)
+            small = [wait for name in SMALL for wait in course.waits_by_account[name]]
+            for percent, values in by_percent.items():
+                values.append(percentile(small, percent))
+        figures = ", ".join(
+            f"p{percent} {sum(values) / n_seeds:.3f} ({max(values):.3f}) s"
+            for percent, values in by_percent.items()
         )
+        print(f"burst of {factor:g} times the usual load: {figures}")
 
 
 def _print_return(seed: int) -> None:
--- a/ryelever/coordination/admission_capacity.py
+++ b/ryelever/coordination/admission_capacity.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -32,6 +33,10 @@
 #: Seconds without a look after which all are judged anew.
 MAX_PAUSE = 3.0
 
+#: Numbers of own requests that are remembered, ``REFRESH`` apart: for longer than
+#: reports count.
+N_REMEMBERED = 50
+
 
 class Capacity(Protocol):
     """Give the requests that may be in flight in a pool, from this host."""
@@ -67,12 +72,52 @@
         return self.n_slots
 
 
+@dataclass(slots=True, kw_only=True)
+class _Pool:
+    """Hold what was last seen of one pool.
+
+    Attributes
+    ----------
+    n_others : int
+        Requests of other hosts, by the reports.
+    own : deque of (float, int)
+        Times, and the own requests in flight up to the next one.
+    """
+
+    looked_at: float = float("-inf")
+    n_batch: int = 0
+    n_others: int = 0
+    own: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=N_REMEMBERED)
+    )
+
+    def note(self, n_in_flight: int, now: float) -> None:
+        """Remember the own requests in flight."""
+        if self.own and now - self.own[-1][0] < REFRESH:
+            self.own[-1] = (self.own[-1][0], n_in_flight)
+        else:
+            self.own.append((now, n_in_flight))
+
+    def own_at(self, at: float) -> int:
+        """Return the own requests in flight at a time, rather too few.
+
+        Between two times that are known it may have been any number between; too
+        many would make the others' seem fewer, and the engines' queues fill up.
+        """
+        before = self.own[0][1]
+        for known_at, n_in_flight in self.own:
+            if known_at > at:
+                return min(before, n_in_flight)
+            before = n_in_flight
+        return before
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
-class _Known:
-    at: float
-    n_batch: int
-    n_reported: int
-    n_in_flight: int
+class _Reported:
+    """Hold the requests at a usable group, and when its report was asked for."""
+
+    n_requests: int = 0
+    asked_at: float | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -81,11 +126,11 @@
 
     Attributes
     ----------
-    n_reported_by_name : dict of str to int
-        Requests in the newest report, of the usable ones only.
+    reports_by_name : dict of str to _Reported
+        Of the usable ones only.
     """
 
-    n_reported_by_name: dict[str, int] = field(default_factory=dict)
+    reports_by_name: dict[str, _Reported] = field(default_factory=dict)
     candidates: tuple[Candidate, ...] = ()
     next_index: int = 0
     at: float = float("-inf")
@@ -124,7 +169,7 @@
         self._batch = batch
         self._n_hosts = n_hosts
         self._n_hosts_waiting = n_hosts_waiting
-        self._known_by_pool: dict[str, _Known] = {}
+        self._pools_by_name: dict[str, _Pool] = {}
         self._judged_by_zone: dict[tuple[str, bool], _Judged] = {}
 
     def slots(self, arrival: Arrival, *, n_in_flight: int, now: float) -> float:
@@ -134,35 +179,38 @@
         """
         if not isinstance(arrival.work, ChatWork):
             return float("inf") if self._any_usable(arrival, now=now) else 0.0
-        pool = pool_of(arrival)
-        known = self._known_by_pool.get(pool)
-        if known is None or not 0 <= now - known.at < REFRESH:
-            known = self._look(arrival, n_in_flight=n_in_flight, now=now)
-            self._known_by_pool[pool] = known
-        if not known.n_batch:
+        pool = self._pools_by_name.setdefault(pool_of(arrival), _Pool())
+        pool.note(n_in_flight, now)
+        if not 0 <= now - pool.looked_at < REFRESH:
+            self._look(pool, arrival, now=now)
+        if not pool.n_batch:
             return 0.0
-        even = max(1.0, known.n_batch / self._n_hosts())
-        # The reports lag; what this host granted since then is in them only later.
-        n_fresh = max(0, n_in_flight - known.n_in_flight)
-        n_reported = max(known.n_reported + n_fresh, n_in_flight)
-        n_free = max(0, known.n_batch - n_reported)
+        even = max(1.0, pool.n_batch / self._n_hosts())
+        n_free = max(0, pool.n_batch - pool.n_others - n_in_flight)
         return max(even, n_in_flight + n_free / self._n_hosts_waiting(now))
 
-    def _look(self, arrival: Arrival, *, n_in_flight: int, now: float) -> _Known:
+    def _look(self, pool: _Pool, arrival: Arrival, *, now: float) -> None:
+        """Take the reports, less the own requests that they count.
+
+        The reports lag.  With the own requests of now taken off instead, each one
+        that has ended since would seem to be another host's: its slot would be idle
+        until the next report, though callers wait.
+        """
         found = self._targets.candidates(arrival.work, now=now)
-        reported: dict[str, int] = {}
+        reports: list[_Reported] = []
         for is_own, candidates in ((True, found.own_zone), (False, found.other_zones)):
-            reported = self._judge(
-                (pool_of(arrival), is_own), candidates, now=now
-            ).n_reported_by_name
-            if reported:
+            zone = (pool_of(arrival), is_own)
+            reports = self._judge(zone, candidates, now=now)
+            if reports:
                 break
-        return _Known(
-            at=now,
-            n_batch=len(reported) * self._batch(),
-            n_reported=sum(reported.values()),
-            n_in_flight=n_in_flight,
-        )
+        pool.looked_at = now
+        pool.n_batch = len(reports) * self._batch()
+        asked_at = [
+            report.asked_at for report in reports if report.asked_at is not None
+        ]
+        mean = sum(asked_at) / len(asked_at) if asked_at else now
+        n_reported = sum(report.n_requests for report in reports)
+        pool.n_others = max(0, n_reported - pool.own_at(mean))
 
     def _any_usable(self, arrival: Arrival, *, now: float) -> bool:
         found = self._targets.candidates(arrival.work, now=now)
@@ -178,33 +226,39 @@
         candidates: tuple[Candidate, ...],
         *,
         now: float,
-    ) -> _Judged:
-        """Judge the next few candidates, or all after a pause."""
+    ) -> list[_Reported]:
+        """Judge the next few candidates, or all after a pause; return the usable."""
         judged = self._judged_by_zone.setdefault(zone, _Judged())
         if judged.candidates is not candidates:
             judged.candidates = candidates
             names = {candidate.name for candidate in candidates}
-            for name in judged.n_reported_by_name.keys() - names:
-                del judged.n_reported_by_name[name]
+            for name in judged.reports_by_name.keys() - names:
+                del judged.reports_by_name[name]
         n_judged = N_JUDGED if 0 <= now - judged.at <= MAX_PAUSE else len(candidates)
         judged.at = now
         for _ in range(min(n_judged, len(candidates))):
             judged.next_index = (judged.next_index + 1) % len(candidates)
             candidate = candidates[judged.next_index]
-            n_reported = self._n_reported(candidate, now=now)
-            if n_reported is None:
-                judged.n_reported_by_name.pop(candidate.name, None)
+            report = self._report(candidate, now=now)
+            if report is None:
+                judged.reports_by_name.pop(candidate.name, None)
             else:
-                judged.n_reported_by_name[candidate.name] = n_reported
-        return judged
+                judged.reports_by_name[candidate.name] = report
+        return list(judged.reports_by_name.values())
 
-    def _n_reported(self, candidate: Candidate, *, now: float) -> int | None:
-        """Return the requests at a usable candidate; None if it is not usable."""
+    def _report(self, candidate: Candidate, *, now: float) -> _Reported | None:
+        """Return what a candidate reports; None if it is not usable."""
         target = self._targets.target(candidate, now=now)
         if target is None:
             return None
-        report = self._confirmations.fresh(target.hosts[0], now=now)
-        return report.running + report.waiting if report is not None else 0
+        host = target.hosts[0]
+        report = self._confirmations.fresh(host, now=now)
+        if report is None:
+            return _Reported()
+        return _Reported(
+            n_requests=report.running + report.waiting,
+            asked_at=self._confirmations.reports_by_host[host].asked_at,
+        )
 
 
 def pool_of(arrival: Arrival) -> str:
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -28,6 +28,9 @@
 #: Seconds between two looks at the platform's list.
 LIST_INTERVAL = 1.0
 
+#: Status of a list that is still the one whose tag was sent (RFC 9110, 15.4.5).
+NOT_MODIFIED = 304
+
 #: Engines of other zones up to which their reports are followed too.
 MAX_FOREIGN = 100
 
@@ -65,6 +68,7 @@
         self.hosts_by_name: dict[str, ListedHost] = {}
         self._followed_by_name: dict[str, ListedHost] = {}
         self._list_due_at = 0.0
+        self._list_tag = ""
         self.shares = PollingShares(host=settings.host)
         self._following = ReportFollowing(
             shares=self.shares,
@@ -73,6 +77,7 @@
             max_age=settings.report_max_age,
         )
         self._own_reports_by_host: dict[str, FreshReport] = {}
+        self._unread: set[str] = set()
 
     @handler("control_tick")
     def _on_control_tick(self) -> None:
@@ -88,10 +93,14 @@
         if now < self._list_due_at:
             return
         self._list_due_at = now + LIST_INTERVAL
+        # The list of hundreds of hosts, read whole each second, would take many times
+        # the bytes that control may, to say that nothing has changed.
+        call = self._hosts_list.list(known_tag=self._list_tag)
         self.ask(
             Question(kind="list"),
             address=self._settings.hosts_list_address,
-            path=self._hosts_list.list().path,
+            path=call.path,
+            headers=call.headers,
             step="read_hosts_list",
             progress_timeout=self._settings.progress_timeout,
         )
@@ -116,14 +125,18 @@
         )
 
     def _take_list(self, answer: OutboundAnswer) -> None:
+        if answer.status == NOT_MODIFIED and self._list_tag:
+            return
         hosts = self._hosts_list.hosts(answer.body, peer=answer.address)
         if answer.status != 200 or hosts.is_error():
             log_warning("hosts_list_failed", status=answer.status)
             return
+        self._list_tag = answer.headers.get("etag", "")
         self.hosts_by_name.clear()
         self.hosts_by_name.update((listed.host, listed) for listed in hosts.ok.hosts)
         self._followed_by_name = self._followed()
         self._following.forget(self.hosts_by_name)
+        self._unread &= self.hosts_by_name.keys()
         for host in self._own_reports_by_host.keys() - self.hosts_by_name.keys():
             del self._own_reports_by_host[host]
 
@@ -146,9 +159,22 @@
         if question.kind == "list":
             self._take_list(answer)
             return
-        report = self._engine.host_report(answer.body, peer=answer.address)
-        if answer.status == 200 and report.is_ok():
+        report = self._engine.host_report(
+            answer.body, host=question.subject, peer=answer.address
+        )
+        if answer.status != 200:
+            return
+        if report.is_ok():
+            self._unread.discard(question.subject)
             self._take_own(report.ok, asked_at=answer.sent_at)
+        elif question.subject not in self._unread:
+            self._unread.add(question.subject)
+            log_warning(
+                "report_not_counted",
+                host=question.subject,
+                peer=answer.address,
+                message=report.error.message,
+            )
 
     def failed(self, question: Question, failure: OutboundFailure) -> None:
         """Keep the last list; a host that refuses connections counts as gone."""
@@ -165,7 +191,7 @@
         )
 
     def _take_own(self, report: HostReport, *, asked_at: float) -> None:
-        self.confirmations.reported(report, asked_at=asked_at)
+        self._take_unless_refused(report, asked_at=asked_at)
         known = self._own_reports_by_host.get(report.host)
         if known is None or known.asked_at < asked_at:
             self._own_reports_by_host[report.host] = FreshReport(
@@ -190,7 +216,7 @@
             return
         report = observation.report
         if report.state != UNREACHABLE:
-            self._take_told(report, asked_at=observed_at)
+            self._take_unless_refused(report, asked_at=observed_at)
             return
         # A peer that alone cannot reach a host must not make it vanish for all: a
         # report from about the same time speaks against it.
@@ -201,7 +227,7 @@
         ):
             self.confirmations.unreachable(report.host)
 
-    def _take_told(self, report: HostReport, *, asked_at: float) -> None:
+    def _take_unless_refused(self, report: HostReport, *, asked_at: float) -> None:
         # The own question was refused after this report was asked for.
         own = self._own_reports_by_host.get(report.host)
         refused = own is not None and own.report.state == UNREACHABLE
--- a/tests/test_coordination/test_polling.py
+++ b/tests/test_coordination/test_polling.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ryelever.asking import Question
 from ryelever.coordination.confirmation import Confirmations
 from ryelever.coordination.polling import (
     UNKNOWN_INTERVAL,
@@ -11,7 +12,9 @@
     ReportFollowing,
     rendezvous,
 )
+from ryelever.events import HostReported, OutboundAnswer, host_reported
 from ryelever.fleet_watch import UNREACHABLE, FleetWatch
+from ryelever.protocol.json_codec import encode
 from ryelever.settings import Settings
 from ryelever.state.fleet import HostReport
 from ryelever.state.observations import ReportRow
@@ -44,6 +47,12 @@
         assert len(server_askers) == n_askers
 
 
+def test_each_server_has_one_first_asker() -> None:
+    for server in SERVERS:
+        ranks = sorted(shares(host, *HOSTS).rank(server) for host in HOSTS)
+        assert ranks == [0, 1] + [2] * 6
+
+
 def test_a_host_that_goes_moves_only_its_own_share() -> None:
     before, after = askers(HOSTS), askers(HOSTS[1:])
     for server in SERVERS:
@@ -65,7 +74,8 @@
 SILENT = shares("e0")
 OTHERS = shares("x", "a", "b", "c", "d", "e", "f")
 OTHERS_SERVER = next(server for server in SERVERS if not OTHERS.asks(server))
-OWN_SERVER = next(server for server in SERVERS if OTHERS.asks(server))
+FIRST_SERVER = next(server for server in SERVERS if OTHERS.rank(server) == 0)
+SECOND_SERVER = next(server for server in SERVERS if OTHERS.rank(server) == 1)
 
 
 @pytest.mark.parametrize(
@@ -73,8 +83,12 @@
     [
         pytest.param(SILENT, "w1", 0.1, 0.5, True, id="alone_asks"),
         pytest.param(SILENT, "w1", 0.1, 0.4, False, id="alone_at_interval"),
-        pytest.param(OTHERS, OWN_SERVER, 0.1, 0.5, True, id="asker_asks"),
-        pytest.param(OTHERS, OTHERS_SERVER, 0.1, 9.0, False, id="others_told"),
+        pytest.param(OTHERS, FIRST_SERVER, 0.1, 0.5, True, id="first_asks"),
+        pytest.param(OTHERS, FIRST_SERVER, 0.1, 0.4, False, id="first_at_interval"),
+        pytest.param(OTHERS, SECOND_SERVER, 1.4, 9.0, False, id="second_told"),
+        pytest.param(OTHERS, SECOND_SERVER, 1.55, 0.5, True, id="second_late"),
+        pytest.param(OTHERS, SECOND_SERVER, None, 0.5, True, id="second_unknown"),
+        pytest.param(OTHERS, OTHERS_SERVER, 1.5, 9.0, False, id="others_told"),
         pytest.param(OTHERS, OTHERS_SERVER, 1.7, 0.5, True, id="others_late"),
         pytest.param(OTHERS, OTHERS_SERVER, None, 0.5, False, id="unknown_waits"),
         pytest.param(
@@ -144,16 +158,46 @@
     assert (report.state if report else None) == known
 
 
+@pytest.mark.parametrize(
+    ("who", "status", "known"),
+    [("w1", 200, "w1"), ("w1", 503, None), ("w2", 200, None)],
+)
+def test_only_the_host_that_was_asked_counts(
+    who: str, status: int, known: str | None
+) -> None:
+    """Ask at the address of w1, and let it or another host answer.
+
+    Symptom: a group serves, to all entry hosts, with a member missing.
+    Sequence: w1 dies or moves, another host takes its address or bears its name,
+    the list lags; the word of the one counts for the other.
+    Cause: the report was filed under the name that it bears, whoever was asked.
+    """
+    fleet = watch()
+    body = encode(HostReport(host=who, boot="b", state="ready", group="g", fencing=7))
+    answer = OutboundAnswer(
+        id="q", status=status, headers={}, body=body, address="a:1", sent_at=9.0
+    )
+    fleet.answered(Question(kind="report", subject="w1"), answer)
+    assert list(fleet.confirmations.reports_by_host) == ([known] if known else [])
+
+
 def test_an_own_refusal_outweighs_earlier_reports_of_peers() -> None:
     """Believe one's own refused connection over a report from before it.
 
     Symptom: a dead host counts as confirmed again after its refusal was seen.
-    Sequence: a connection is refused; a peer's report from before arrives late.
+    Sequence: a connection is refused; a report from before arrives late, by a peer or
+    as the answer to an own question or order that lingered.
     Cause: the refusal removes the report, so an older one would look new.
     """
     fleet = watch()
     fleet.refused("w1", at=9.5)
     tell(fleet, "ready", at=9.4, now=10.0)
     assert fleet.confirmations.fresh("w1", now=10.0) is None
+    late = HostReported(
+        report=HostReport(host="w1", boot="b", state="ready"), asked_at=9.3
+    )
+    fleet.fire(host_reported(late), "fleet")
+    fleet.flush()
+    assert fleet.confirmations.fresh("w1", now=10.0) is None
     tell(fleet, "ready", at=9.7, now=10.0)
     assert fleet.confirmations.fresh("w1", now=10.0) is not None
