Split the router by job

Change: the baseline router is routing_plain, what is kept for each list of candidates is routing_zones, the suspects in flight are routing_suspects. No decision changes; tests of routing, quarantine and admission pass.

--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 from dataclasses import dataclass
+from operator import attrgetter, itemgetter
 from typing import TYPE_CHECKING, Protocol
 
 from .actions import ChatWork, Target
-from .affinity import load_bound, prefix_key, ranked
+from .affinity import load_bound, prefix_key
 from .routing_suspects import SuspectsInFlight
+from .routing_zones import ZoneTotals
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Sequence
 
     from .actions import Arrival
     from .quarantine import Quarantine
@@ -20,26 +21,14 @@
     from .stragglers import Stragglers
     from .targets import Candidate, CandidateSet, Targets
 
-__all__ = ["AffinityRouter", "LeastInFlightRouter", "Router"]
-
-#: Places in the rendezvous order that are tried before balance goes first.
-N_RANKED = 4
+__all__ = ["AffinityRouter", "Router"]
 
 #: Candidates drawn at random, of which the least loaded usable one is taken.
 N_CHOICES = 8
 
-#: Candidates that the total load is estimated from.
-MAX_SAMPLE = 64
-
 #: Part of the targets with waiting requests from which on balance goes first.
 CROWDED_SHARE = 0.1
 
-#: Seconds for which an estimate of the total load is kept.
-TOTAL_INTERVAL = 0.25
-
-#: Prefixes whose rendezvous order is kept.
-MAX_ORDERS = 8192
-
 #: Seconds for which a full look that found nothing usable is believed.
 NOTHING_INTERVAL = 0.05
 
@@ -67,62 +56,6 @@
         """Take note of an attempt that ended."""
 
 
-class LeastInFlightRouter:
-    """Send each attempt to the target with the fewest own attempts in flight.
-
-    The baseline that ``AffinityRouter`` is measured against.
-
-    Parameters
-    ----------
-    targets : callable
-        Return the targets that may serve a work at a time: only groups that are
-        confirmed whole, and live hosts of a service.
-    """
-
-    def __init__(
-        self,
-        *,
-        targets: Callable[[Arrival, float], list[Target]],
-    ) -> None:
-        self._targets = targets
-        self._n_in_flight_by_name: dict[str, int] = {}
-
-    def choose(
-        self, arrival: Arrival, *, tried: tuple[str, ...], now: float
-    ) -> Target | None:
-        """Prefer targets that were not tried, then the least loaded one."""
-        targets = self._targets(arrival, now)
-        untried = [target for target in targets if target.name not in tried]
-        if not untried and isinstance(arrival.work, ChatWork) and tried:
-            untried = [target for target in targets if target.name != tried[-1]]
-        if not untried:
-            return None
-        return min(
-            untried, key=lambda target: self._n_in_flight_by_name.get(target.name, 0)
-        )
-
-    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
-        """Keep nobody apart."""
-        return False
-
-    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
-        """Wait for the attempt to fail."""
-        return False
-
-    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
-        """Count the attempt."""
-        n_in_flight = self._n_in_flight_by_name.get(target.name, 0)
-        self._n_in_flight_by_name[target.name] = n_in_flight + 1
-
-    def ended(
-        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
-    ) -> None:
-        """Count the attempt no more."""
-        self._n_in_flight_by_name[target.name] -= 1
-        if not self._n_in_flight_by_name[target.name]:
-            del self._n_in_flight_by_name[target.name]
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class _Choice:
     """Hold a usable candidate; ``load`` is what an average one would hold."""
@@ -132,32 +65,6 @@
     load: float
 
 
-@dataclass(slots=True, kw_only=True)
-class _Total:
-    """Hold the estimated load of one zone's usable candidates.
-
-    Attributes
-    ----------
-    load : float
-        All requests in flight there.
-    damped : float
-        The same with the weight that siblings are compared by.
-    queueing_share : float
-        Part of the candidates that report waiting requests.
-    """
-
-    load: float
-    damped: float
-    queueing_share: float
-    weight: float
-    estimated_at: float
-
-    @property
-    def mean(self) -> float:
-        """Return the load of an average candidate; infinite when none is usable."""
-        return self.load / self.weight if self.weight else float("inf")
-
-
 class AffinityRouter:
     """Keep prompts with a common prefix together, within a bound on load.
 
@@ -209,12 +116,7 @@
         self._free_load = free_load
         self._overflow_factor = overflow_factor
         self._overflow_margin = overflow_margin
-        self._orders: OrderedDict[tuple[int, int, bool], list[Candidate]] = (
-            OrderedDict()
-        )
-        self._sets_by_id: dict[int, CandidateSet] = {}
-        self._totals_by_set: dict[tuple[int, bool], _Total] = {}
-        self._nothing_until_by_set: dict[int, float] = {}
+        self._zones = ZoneTotals(targets=targets, loads=loads, generator=self._random)
         self._suspects = SuspectsInFlight(quarantine=quarantine)
 
     def choose(
@@ -222,10 +124,10 @@
     ) -> Target | None:
         """Return the best target that was not tried, or at least not just now."""
         found = self._targets.candidates(arrival.work, now=now)
-        self._remember(found)
-        if now < self._nothing_until_by_set.get(id(found), float("-inf")):
+        self._zones.remember(found)
+        if now < self._zones.nothing_until(found):
             return None
-        self._compare_siblings(found, now=now)
+        self._stragglers.compare(str(id(found)), found.names, now=now)
         if self._quarantine.is_held(arrival.fingerprint, now=now):
             return None
         if self._quarantine.is_suspect(arrival.fingerprint, now=now):
@@ -236,7 +138,7 @@
             choice = self._best(found, key, excluded=tried[-1:], now=now)
         if choice is None:
             if not tried:
-                self._nothing_until_by_set[id(found)] = now + NOTHING_INTERVAL
+                self._zones.found_nothing(found, until=now + NOTHING_INTERVAL)
             return None
         return choice.target
 
@@ -249,7 +151,7 @@
         found = self._targets.candidates(arrival.work, now=now)
         return any(
             self._targets.target(candidate, now=now) is not None
-            for candidate in self._sample(found.own_zone + found.other_zones)
+            for candidate in self._zones.sample(found.own_zone + found.other_zones)
         )
 
     def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
@@ -297,8 +199,8 @@
         """
         if not found.own_zone or not found.other_zones:
             return not found.own_zone
-        own = self._total(found, is_own=True, now=now).mean
-        other = self._total(found, is_own=False, now=now).mean
+        own = self._zones.total(found, is_own=True, now=now).mean
+        other = self._zones.total(found, is_own=False, now=now).mean
         if own <= self._overflow_factor * other + self._overflow_margin:
             return False
         return self._random.random() < (own - other) / (2 * own)
@@ -330,10 +232,10 @@
         excluded: Sequence[str],
         now: float,
     ) -> _Choice | None:
-        total = self._total(found, is_own=is_own, now=now)
+        total = self._zones.total(found, is_own=is_own, now=now)
         crowded = total.queueing_share > CROWDED_SHARE
         slack = self._crowded_slack if crowded else self._slack
-        for candidate in self._order(found, key, is_own=is_own):
+        for candidate in self._zones.order(found, key, is_own=is_own):
             load = self._loads.damped(candidate, now=now)
             share = candidate.weight / max(candidate.weight, total.weight)
             bound = load_bound(total.damped + 1, share, slack=slack)
@@ -363,7 +265,7 @@
             drawn.append((load, index))
         # Ties stay in the order of the draw: sorted by place, they would send what
         # all entry hosts get in a quiet moment to the same one.
-        drawn.sort(key=_first_item)
+        drawn.sort(key=itemgetter(0))
         # To judge wholeness costs most, so it is asked from the least loaded on.
         for _, index in drawn:
             choice = self._usable(candidates[index], now=now)
@@ -381,7 +283,7 @@
             choices = [self._usable(candidate, now=now) for candidate in some]
             usable = [choice for choice in choices if choice is not None]
             if usable:
-                return min(usable, key=_load_of)
+                return min(usable, key=attrgetter("load"))
         return None
 
     def _usable(self, candidate: Candidate, *, now: float) -> _Choice | None:
@@ -437,77 +339,13 @@
     def _usable_for_suspects(self, found: CandidateSet, *, now: float) -> list[_Choice]:
         """Return the usable ones of the own part, or of all if there is none."""
         rank, n_hosts = self._part()
-        candidates = sorted(found.own_zone + found.other_zones, key=_seed_of)
+        candidates = sorted(found.own_zone + found.other_zones, key=attrgetter("seed"))
         for part in (candidates[rank::n_hosts], candidates):
             choices = [
-                self._usable(candidate, now=now) for candidate in self._sample(part)
+                self._usable(candidate, now=now)
+                for candidate in self._zones.sample(part)
             ]
             usable = [choice for choice in choices if choice is not None]
             if usable:
                 return usable
         return []
-
-    # What is kept for each list of candidates
-
-    def _remember(self, found: CandidateSet) -> None:
-        """Hold on to a list, so that its id stays its own, and drop old ones."""
-        if id(found) in self._sets_by_id:
-            return
-        if len(self._sets_by_id) >= MAX_SAMPLE:
-            self._sets_by_id.clear()
-            self._orders.clear()
-            self._totals_by_set.clear()
-            self._nothing_until_by_set.clear()
-        self._sets_by_id[id(found)] = found
-
-    def _order(self, found: CandidateSet, key: int, *, is_own: bool) -> list[Candidate]:
-        known = self._orders.get((id(found), key, is_own))
-        if known is not None:
-            return known
-        candidates = found.own_zone if is_own else found.other_zones
-        if len(self._orders) >= MAX_ORDERS:
-            self._orders.popitem(last=False)
-        order = ranked(key, candidates, n=N_RANKED)
-        self._orders[id(found), key, is_own] = order
-        return order
-
-    def _total(self, found: CandidateSet, *, is_own: bool, now: float) -> _Total:
-        known = self._totals_by_set.get((id(found), is_own))
-        if known is not None and now - known.estimated_at < TOTAL_INTERVAL:
-            return known
-        candidates = found.own_zone if is_own else found.other_zones
-        usable = [
-            candidate
-            for candidate in self._sample(candidates)
-            if self._targets.target(candidate, now=now) is not None
-        ]
-        total = _Total(
-            load=sum(self._loads.estimate(one, now=now) for one in usable),
-            damped=sum(self._loads.damped(one, now=now) for one in usable),
-            queueing_share=sum(self._loads.is_queueing(one, now=now) for one in usable)
-            / max(1, len(usable)),
-            weight=sum(candidate.weight for candidate in usable),
-            estimated_at=now,
-        )
-        self._totals_by_set[id(found), is_own] = total
-        return total
-
-    def _sample(self, candidates: Sequence[Candidate]) -> Iterable[Candidate]:
-        if len(candidates) <= MAX_SAMPLE:
-            return candidates
-        return self._random.sample(candidates, MAX_SAMPLE)
-
-    def _compare_siblings(self, found: CandidateSet, *, now: float) -> None:
-        self._stragglers.compare(str(id(found)), found.names, now=now)
-
-
-def _seed_of(candidate: Candidate) -> int:
-    return candidate.seed
-
-
-def _load_of(choice: _Choice) -> float:
-    return choice.load
-
-
-def _first_item(pair: tuple[float, int]) -> float:
-    return pair[0]
--- /dev/null
+++ b/ryelever/coordination/routing_plain.py
@@ -0,0 +1,70 @@
+"""Choose the target with the fewest own attempts, to measure others against."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .actions import ChatWork, Target
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .actions import Arrival
+
+__all__ = ["LeastInFlightRouter"]
+
+
+class LeastInFlightRouter:
+    """Send each attempt to the target with the fewest own attempts in flight.
+
+    The baseline that ``AffinityRouter`` is measured against.
+
+    Parameters
+    ----------
+    targets : callable
+        Return the targets that may serve a work at a time: only groups that are
+        confirmed whole, and live hosts of a service.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: Callable[[Arrival, float], list[Target]],
+    ) -> None:
+        self._targets = targets
+        self._n_in_flight_by_name: dict[str, int] = {}
+
+    def choose(
+        self, arrival: Arrival, *, tried: tuple[str, ...], now: float
+    ) -> Target | None:
+        """Prefer targets that were not tried, then the least loaded one."""
+        targets = self._targets(arrival, now)
+        untried = [target for target in targets if target.name not in tried]
+        if not untried and isinstance(arrival.work, ChatWork) and tried:
+            untried = [target for target in targets if target.name != tried[-1]]
+        if not untried:
+            return None
+        return min(
+            untried, key=lambda target: self._n_in_flight_by_name.get(target.name, 0)
+        )
+
+    def waits_its_turn(self, arrival: Arrival, *, now: float) -> bool:
+        """Keep nobody apart."""
+        return False
+
+    def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
+        """Wait for the attempt to fail."""
+        return False
+
+    def started(self, target: Target, *, fingerprint: str = "", now: float) -> None:
+        """Count the attempt."""
+        n_in_flight = self._n_in_flight_by_name.get(target.name, 0)
+        self._n_in_flight_by_name[target.name] = n_in_flight + 1
+
+    def ended(
+        self, target: Target, *, failed: bool, fingerprint: str = "", now: float
+    ) -> None:
+        """Count the attempt no more."""
+        self._n_in_flight_by_name[target.name] -= 1
+        if not self._n_in_flight_by_name[target.name]:
+            del self._n_in_flight_by_name[target.name]
--- a/tests/test_coordination/test_admission_table.py
+++ b/tests/test_coordination/test_admission_table.py
@@ -20,7 +20,7 @@
 from ryelever.coordination.claims import Claims
 from ryelever.coordination.requests import RequestTable
 from ryelever.coordination.retry import RetryBudget
-from ryelever.coordination.routing import LeastInFlightRouter
+from ryelever.coordination.routing_plain import LeastInFlightRouter
 from ryelever.errors import Category
 from ryelever.state.claims import ClaimsFold
 from ryelever.state.configuration import ClientAccount
