--- a/ryelever/coordination/quarantine.py
+++ b/ryelever/coordination/quarantine.py
@@ -5,11 +5,12 @@
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..errors import Category, RunState, RyeleverError
 from ..state.observations import SuspicionRow
+from .quarantine_evidence import Crash, PeerCount, Suspect
 
 if TYPE_CHECKING:
     from ..state.observations import Observation
@@ -49,108 +50,6 @@
     retry_after: float
 
 
-@dataclass(slots=True, kw_only=True)
-class _PeerCount:
-    """Hold a peer's count, and how much of it a completion here refuted."""
-
-    n_crashes: int = 0
-    n_refuted: int = 0
-    observed_at: float = float("-inf")
-    crash: _Crash | None = None
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Crash:
-    """Hold one crash, whom it was counted against, and who was a suspect already.
-
-    Attributes
-    ----------
-    proved : set of str
-        Those of ``repeated`` that had got past the place of their first crash.
-    key : str
-        Names the crash alike on all entry hosts.
-    culprit : str
-        The condemned fingerprint that explains the crash; empty if none does.
-    """
-
-    at: float
-    key: str = ""
-    counted: set[str] = field(default_factory=set)
-    repeated: set[str] = field(default_factory=set)
-    proved: set[str] = field(default_factory=set)
-    culprit: str = ""
-
-    @property
-    def only_repeated(self) -> str:
-        """Return the only one that was a suspect already, or nothing.
-
-        Those that proved themselves count only where there is nobody else.
-        """
-        left = self.repeated - self.proved or self.repeated
-        return next(iter(left)) if len(left) == 1 else ""
-
-    def counts_against(self, fingerprint: str) -> bool:
-        """Tell whether the crash speaks against one of those that ran in it."""
-        if self.culprit not in ("", fingerprint):
-            return False
-        return fingerprint not in self.repeated or self.only_repeated == fingerprint
-
-
-@dataclass(slots=True, kw_only=True)
-class _Suspect:
-    """Hold the evidence against one fingerprint."""
-
-    fingerprint: str
-    crashes: list[_Crash] = field(default_factory=list)
-    crashed_at: float = float("-inf")
-    cleared_at: float = float("-inf")
-    proved: bool = False
-    repeated_in: _Crash | None = None
-    counts_by_peer: dict[str, _PeerCount] = field(default_factory=dict)
-
-    @property
-    def n_crashes(self) -> int:
-        """Return the own crashes that nobody else explains."""
-        return sum(crash.counts_against(self.fingerprint) for crash in self.crashes)
-
-    @property
-    def n_all(self) -> int:
-        """Return the crashes over all entry hosts that still count."""
-        return self.n_besides(None)
-
-    def n_besides(self, besides: _Crash | None) -> int:
-        """Return the crashes that still count, without one of them.
-
-        A crash that several entry hosts saw counts once.
-        """
-        seen = [crash for crash in self.crashes if crash is not besides]
-        n_crashes = sum(crash.counts_against(self.fingerprint) for crash in seen)
-        for count in self.counts_by_peer.values():
-            n_told = count.n_crashes - count.n_refuted
-            crash = count.crash
-            if crash is not None and n_told > 0:
-                if not crash.counts_against(self.fingerprint):
-                    n_told = min(n_told, 1)
-                if crash in seen or crash is besides:
-                    n_told -= 1
-                seen.append(crash)
-            n_crashes += max(0, n_told)
-        return n_crashes
-
-    @property
-    def newest_at(self) -> float:
-        """Return the time of the newest evidence."""
-        observed = (count.observed_at for count in self.counts_by_peer.values())
-        return max(self.crashed_at, *observed, float("-inf"))
-
-    def clear(self) -> None:
-        """Drop the evidence so far; peers that go on telling it add nothing."""
-        self.crashes.clear()
-        self.repeated_in = None
-        for count in self.counts_by_peer.values():
-            count.n_refuted = count.n_crashes
-
-
 class Quarantine:
     """Suspect what ran in crashes, and quarantine what ran in two.
 
@@ -186,8 +85,8 @@
         self._max_age = max_age
         self._settle = settle
         self._random = random.Random(seed)
-        self._suspects_by_fingerprint: dict[str, _Suspect] = {}
-        self._crashes_by_target: dict[str, _Crash] = {}
+        self._suspects_by_fingerprint: dict[str, Suspect] = {}
+        self._crashes_by_target: dict[str, Crash] = {}
         self._completed_at: OrderedDict[str, float] = OrderedDict()
 
     def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
@@ -266,7 +165,7 @@
     def observations(self, *, now: float) -> list[Observation]:
         """Return what this entry host itself saw: crashes, and 0 for a completion."""
         return [
-            _row(suspect)
+            suspect.row()
             for suspect in self._suspects_by_fingerprint.values()
             if (suspect.n_crashes and now - suspect.crashed_at <= self._max_age)
             or now - suspect.cleared_at <= CLEARED_TOLD_FOR
@@ -282,7 +181,7 @@
             self._cleared_elsewhere(observation.fingerprint, observed_at=observed_at)
             return
         suspect = self._suspect(observation.fingerprint, now=now)
-        count = suspect.counts_by_peer.setdefault(peer, _PeerCount())
+        count = suspect.counts_by_peer.setdefault(peer, PeerCount())
         if observed_at < count.observed_at:
             return
         if observation.n_crashes < count.n_crashes:
@@ -309,9 +208,7 @@
             if suspect.n_all
         ]
 
-    def _join(
-        self, observation: SuspicionRow, count: _PeerCount, *, now: float
-    ) -> None:
+    def _join(self, observation: SuspicionRow, count: PeerCount, *, now: float) -> None:
         """Put a peer's view of a crash beside the own one.
 
         Two entry hosts that each see one suspect in a crash would else condemn both.
@@ -323,7 +220,7 @@
             crash.repeated.add(observation.fingerprint)
             self._withdraw(crash)
 
-    def _withdraw(self, crash: _Crash) -> None:
+    def _withdraw(self, crash: Crash) -> None:
         """Take back that a request explains its crashes, if others may as well."""
         culprit = crash.culprit
         if not culprit or crash.only_repeated == culprit:
@@ -345,27 +242,25 @@
         completed_at = self._completed_at.pop(fingerprint, float("-inf"))
         return now - completed_at <= self._max_age
 
-    def _condemn(self, fingerprint: str, crash: _Crash, *, now: float) -> None:
+    def _condemn(self, fingerprint: str, crash: Crash, *, now: float) -> None:
         """Count a second crash; what else ran in either is no suspect any more."""
         suspect = self._add(fingerprint, crash, now=now)
         if suspect.n_all >= MAX_CRASHES:
             for explained in suspect.crashes:
                 explained.culprit = fingerprint
 
-    def _add(self, fingerprint: str, crash: _Crash, *, now: float) -> _Suspect:
+    def _add(self, fingerprint: str, crash: Crash, *, now: float) -> Suspect:
         suspect = self._suspect(fingerprint, now=now)
         suspect.crashes.append(crash)
         suspect.crashed_at = now
         return suspect
 
-    def _earlier(
-        self, fingerprint: str, crash: _Crash, *, now: float
-    ) -> _Suspect | None:
+    def _earlier(self, fingerprint: str, crash: Crash, *, now: float) -> Suspect | None:
         """Return a request that was a suspect before a crash."""
         suspect = self._live(fingerprint, now=now)
         return suspect if suspect is not None and suspect.n_besides(crash) else None
 
-    def _live(self, fingerprint: str, *, now: float) -> _Suspect | None:
+    def _live(self, fingerprint: str, *, now: float) -> Suspect | None:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         if suspect is None:
             return None
@@ -374,21 +269,21 @@
             return None
         return suspect if suspect.n_all else None
 
-    def _suspect(self, fingerprint: str, *, now: float) -> _Suspect:
+    def _suspect(self, fingerprint: str, *, now: float) -> Suspect:
         suspects = self._suspects_by_fingerprint
         suspect = suspects.get(fingerprint)
         if suspect is None:
             if len(suspects) >= MAX_SUSPECTS:
                 oldest = min(suspects, key=lambda key: suspects[key].newest_at)
                 del suspects[oldest]
-            suspect = suspects[fingerprint] = _Suspect(fingerprint=fingerprint)
+            suspect = suspects[fingerprint] = Suspect(fingerprint=fingerprint)
         return suspect
 
-    def _crash(self, key: str, *, now: float) -> _Crash:
+    def _crash(self, key: str, *, now: float) -> Crash:
         crash = self._crashes_by_target.get(key)
         if crash is None or now - crash.at > CRASH_WINDOW:
             self._forget_crashes(now=now)
-            crash = self._crashes_by_target[key] = _Crash(at=now, key=key)
+            crash = self._crashes_by_target[key] = Crash(at=now, key=key)
         return crash
 
     def _forget_crashes(self, *, now: float) -> None:
@@ -397,17 +292,6 @@
                 del self._crashes_by_target[target]
 
 
-def _row(suspect: _Suspect) -> SuspicionRow:
-    newest = suspect.crashes[-1] if suspect.crashes else None
-    crash = suspect.repeated_in if suspect.repeated_in is not None else newest
-    return SuspicionRow(
-        fingerprint=suspect.fingerprint,
-        n_crashes=suspect.n_crashes,
-        crash=crash.key if crash is not None else "",
-        repeated=suspect.repeated_in is not None,
-    )
-
-
 def is_crash(error: RyeleverError, *, refused: bool) -> bool:
     """Tell whether an attempt failed because its backend server died.
 
