--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -109,6 +109,7 @@
             limits=self.account_limits,
             account=self._client_account,
             n_hosts=self._n_entry_hosts,
+            place=self._place_among_entry_hosts,
         )
         self.table = self.request_path.table
         self.http_client = HttpClient()
@@ -185,6 +186,11 @@
             if request.state is RequestState.QUEUED
         )
 
+    def _place_among_entry_hosts(self) -> tuple[int, int]:
+        own = self.peers.address
+        addresses = sorted({own, *self.settings.peers})
+        return addresses.index(own), len(addresses)
+
     def _n_entry_hosts(self) -> int:
         return 1 + len(self.settings.peers)
 
--- a/ryelever/coordination/quarantine.py
+++ b/ryelever/coordination/quarantine.py
@@ -5,11 +5,12 @@
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..errors import Category, RunState, RyeleverError
 from ..state.observations import SuspicionRow
+from .quarantine_evidence import Crash, PeerCount, Suspect
 
 if TYPE_CHECKING:
     from ..state.observations import Observation
@@ -49,80 +50,6 @@
     retry_after: float
 
 
-@dataclass(slots=True, kw_only=True)
-class _PeerCount:
-    """Hold a peer's count, and how much of it a completion here refuted."""
-
-    n_crashes: int = 0
-    n_refuted: int = 0
-    observed_at: float = float("-inf")
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Crash:
-    """Hold one crash, whom it was counted against, and who was a suspect already.
-
-    Attributes
-    ----------
-    proved : set of str
-        Those of ``repeated`` that had got past the place of their first crash.
-    culprit : str
-        The condemned fingerprint that explains the crash; empty if none does.
-    """
-
-    at: float
-    counted: set[str] = field(default_factory=set)
-    repeated: set[str] = field(default_factory=set)
-    proved: set[str] = field(default_factory=set)
-    culprit: str = ""
-
-    @property
-    def only_repeated(self) -> str:
-        """Return the only one that was a suspect already, or nothing.
-
-        Those that proved themselves count only where there is nobody else.
-        """
-        left = self.repeated - self.proved or self.repeated
-        return next(iter(left)) if len(left) == 1 else ""
-
-
-@dataclass(slots=True, kw_only=True)
-class _Suspect:
-    """Hold the evidence against one fingerprint."""
-
-    fingerprint: str
-    crashes: list[_Crash] = field(default_factory=list)
-    crashed_at: float = float("-inf")
-    cleared_at: float = float("-inf")
-    proved: bool = False
-    counts_by_peer: dict[str, _PeerCount] = field(default_factory=dict)
-
-    @property
-    def n_crashes(self) -> int:
-        """Return the own crashes that nobody else explains."""
-        return sum(crash.culprit in ("", self.fingerprint) for crash in self.crashes)
-
-    @property
-    def n_all(self) -> int:
-        """Return the crashes over all entry hosts that still count."""
-        return self.n_crashes + sum(
-            max(0, count.n_crashes - count.n_refuted)
-            for count in self.counts_by_peer.values()
-        )
-
-    @property
-    def newest_at(self) -> float:
-        """Return the time of the newest evidence."""
-        observed = (count.observed_at for count in self.counts_by_peer.values())
-        return max(self.crashed_at, *observed, float("-inf"))
-
-    def clear(self) -> None:
-        """Drop the evidence so far; peers that go on telling it add nothing."""
-        self.crashes.clear()
-        for count in self.counts_by_peer.values():
-            count.n_refuted = count.n_crashes
-
-
 class Quarantine:
     """Suspect what ran in crashes, and quarantine what ran in two.
 
@@ -145,15 +72,21 @@
     ----------
     max_age : float
         Seconds after which evidence no longer counts.
+    settle : float
+        Seconds after a second crash until its verdict.  Meanwhile peers learn of the
+        suspect before its caller can ask them, and tell of others in the same crash.
     seed : int or None
         Seed of the spread of the time to come back.
     """
 
-    def __init__(self, *, max_age: float = 900.0, seed: int | None = None) -> None:
+    def __init__(
+        self, *, max_age: float = 900.0, settle: float = 0.0, seed: int | None = None
+    ) -> None:
         self._max_age = max_age
+        self._settle = settle
         self._random = random.Random(seed)
-        self._suspects_by_fingerprint: dict[str, _Suspect] = {}
-        self._crashes_by_target: dict[str, _Crash] = {}
+        self._suspects_by_fingerprint: dict[str, Suspect] = {}
+        self._crashes_by_target: dict[str, Crash] = {}
         self._completed_at: OrderedDict[str, float] = OrderedDict()
 
     def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
@@ -161,12 +94,19 @@
         suspect = self._live(fingerprint, now=now)
         if suspect is None or suspect.n_all < MAX_CRASHES:
             return None
+        if now - suspect.newest_at < self._settle:
+            return None
         left = suspect.newest_at + self._max_age - now
         return Quarantined(
             n_crashes=suspect.n_all,
             retry_after=left * self._random.uniform(1.0, 1.0 + SPREAD),
         )
 
+    def is_held(self, fingerprint: str, *, now: float) -> bool:
+        """Tell whether a request waits for its verdict, and must not run."""
+        suspect = self._live(fingerprint, now=now)
+        return suspect is not None and suspect.n_all >= MAX_CRASHES
+
     @property
     def has_suspects(self) -> bool:
         """Tell whether there is anybody to keep apart; cheap, for each choice."""
@@ -182,15 +122,13 @@
 
         Each attempt that the same crash breaks off may tell of it again.
         """
-        crash = self._crashes_by_target.get(target)
-        if crash is None or now - crash.at > CRASH_WINDOW:
-            self._forget_crashes(now=now)
-            crash = self._crashes_by_target[target] = _Crash(at=now)
+        crash = self._crash(target, now=now)
         fresh = set(fingerprints) - crash.counted - crash.repeated - {""}
         for fingerprint in fresh:
             if self._let_off(fingerprint, now=now):
                 crash.counted.add(fingerprint)
-            elif (suspect := self._live(fingerprint, now=now)) is not None:
+            elif (suspect := self._earlier(fingerprint, crash, now=now)) is not None:
+                suspect.repeated_in = crash
                 crash.repeated.add(fingerprint)
                 if suspect.proved:
                     crash.proved.add(fingerprint)
@@ -200,6 +138,8 @@
                 self._add(fingerprint, crash, now=now)
         if crash.only_repeated in fresh:
             self._condemn(crash.only_repeated, crash, now=now)
+        else:
+            self._withdraw(crash)
 
     def proved(self, fingerprint: str, *, now: float) -> None:
         """Let others run beside a suspect that got past the place of its crash.
@@ -225,8 +165,8 @@
     def observations(self, *, now: float) -> list[Observation]:
         """Return what this entry host itself saw: crashes, and 0 for a completion."""
         return [
-            SuspicionRow(fingerprint=fingerprint, n_crashes=suspect.n_crashes)
-            for fingerprint, suspect in self._suspects_by_fingerprint.items()
+            suspect.row()
+            for suspect in self._suspects_by_fingerprint.values()
             if (suspect.n_crashes and now - suspect.crashed_at <= self._max_age)
             or now - suspect.cleared_at <= CLEARED_TOLD_FOR
         ]
@@ -241,15 +181,19 @@
             self._cleared_elsewhere(observation.fingerprint, observed_at=observed_at)
             return
         suspect = self._suspect(observation.fingerprint, now=now)
-        count = suspect.counts_by_peer.setdefault(peer, _PeerCount())
+        count = suspect.counts_by_peer.setdefault(peer, PeerCount())
         if observed_at < count.observed_at:
             return
         if observation.n_crashes < count.n_crashes:
             # The peer cleared it, and counts anew.
             count.n_refuted = 0
-        if observation.n_crashes != count.n_crashes:
+        changed = observation.n_crashes != count.n_crashes
+        if changed:
             count.observed_at = observed_at
         count.n_crashes = observation.n_crashes
+        known = count.crash.key if count.crash is not None else ""
+        if observation.crash and (changed or observation.crash != known):
+            self._join(observation, count, now=now)
 
     def describe(self, *, now: float) -> list[dict[str, object]]:
         """Return the suspects, for the dump."""
@@ -264,6 +208,31 @@
             if suspect.n_all
         ]
 
+    def _join(self, observation: SuspicionRow, count: PeerCount, *, now: float) -> None:
+        """Put a peer's view of a crash beside the own one.
+
+        Two entry hosts that each see one suspect in a crash would else condemn both.
+        """
+        crash = count.crash
+        if crash is None or crash.key != observation.crash:
+            crash = count.crash = self._crash(observation.crash, now=now)
+        if observation.repeated:
+            crash.repeated.add(observation.fingerprint)
+            self._withdraw(crash)
+
+    def _withdraw(self, crash: Crash) -> None:
+        """Take back that a request explains its crashes, if others may as well."""
+        culprit = crash.culprit
+        if not culprit or crash.only_repeated == culprit:
+            return
+        if (
+            culprit not in crash.repeated
+            or culprit not in self._suspects_by_fingerprint
+        ):
+            return
+        for explained in self._suspects_by_fingerprint[culprit].crashes:
+            explained.culprit = ""
+
     def _cleared_elsewhere(self, fingerprint: str, *, observed_at: float) -> None:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         if suspect is not None and observed_at >= suspect.newest_at:
@@ -273,20 +242,25 @@
         completed_at = self._completed_at.pop(fingerprint, float("-inf"))
         return now - completed_at <= self._max_age
 
-    def _condemn(self, fingerprint: str, crash: _Crash, *, now: float) -> None:
+    def _condemn(self, fingerprint: str, crash: Crash, *, now: float) -> None:
         """Count a second crash; what else ran in either is no suspect any more."""
         suspect = self._add(fingerprint, crash, now=now)
         if suspect.n_all >= MAX_CRASHES:
             for explained in suspect.crashes:
                 explained.culprit = fingerprint
 
-    def _add(self, fingerprint: str, crash: _Crash, *, now: float) -> _Suspect:
+    def _add(self, fingerprint: str, crash: Crash, *, now: float) -> Suspect:
         suspect = self._suspect(fingerprint, now=now)
         suspect.crashes.append(crash)
         suspect.crashed_at = now
         return suspect
 
-    def _live(self, fingerprint: str, *, now: float) -> _Suspect | None:
+    def _earlier(self, fingerprint: str, crash: Crash, *, now: float) -> Suspect | None:
+        """Return a request that was a suspect before a crash."""
+        suspect = self._live(fingerprint, now=now)
+        return suspect if suspect is not None and suspect.n_besides(crash) else None
+
+    def _live(self, fingerprint: str, *, now: float) -> Suspect | None:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         if suspect is None:
             return None
@@ -295,16 +269,23 @@
             return None
         return suspect if suspect.n_all else None
 
-    def _suspect(self, fingerprint: str, *, now: float) -> _Suspect:
+    def _suspect(self, fingerprint: str, *, now: float) -> Suspect:
         suspects = self._suspects_by_fingerprint
         suspect = suspects.get(fingerprint)
         if suspect is None:
             if len(suspects) >= MAX_SUSPECTS:
                 oldest = min(suspects, key=lambda key: suspects[key].newest_at)
                 del suspects[oldest]
-            suspect = suspects[fingerprint] = _Suspect(fingerprint=fingerprint)
+            suspect = suspects[fingerprint] = Suspect(fingerprint=fingerprint)
         return suspect
 
+    def _crash(self, key: str, *, now: float) -> Crash:
+        crash = self._crashes_by_target.get(key)
+        if crash is None or now - crash.at > CRASH_WINDOW:
+            self._forget_crashes(now=now)
+            crash = self._crashes_by_target[key] = Crash(at=now, key=key)
+        return crash
+
     def _forget_crashes(self, *, now: float) -> None:
         for target, crash in list(self._crashes_by_target.items()):
             if now - crash.at > CRASH_WINDOW:
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests.py
@@ -307,6 +307,8 @@
                 actions += self._steps.time_over(request, now=now)
             elif request.state is RequestState.RECOVERING:
                 actions += self._steps.recover(request, now=now)
+            elif request.state is RequestState.SENT:
+                actions += self._steps.leave_lost(request, now=now)
         return actions
 
     def after_release(self, *, now: float) -> list[Action]:
--- a/ryelever/request_path.py
+++ b/ryelever/request_path.py
@@ -36,6 +36,10 @@
 #: Seconds after which a caller should come back when nothing serves its request.
 RETRY_AFTER = 2.0
 
+#: Seconds for which the verdict on a crashing request waits: longer than suspicion
+#: takes to reach the other entry hosts of the zone.
+SUSPICION_SETTLE = 1.0
+
 #: Seconds without having reached the end of a claims stream, beside one silence of
 #: the log's connection, after which the log counts as down.
 CLAIMS_LAG = 2.0
@@ -56,6 +60,8 @@
         Return the declaration of a client account, or None.
     n_hosts : callable
         Return the number of entry hosts.
+    place : callable
+        Return this entry host's place among all of them, and their number.
 
     Attributes
     ----------
@@ -76,11 +82,13 @@
         limits: AccountLimits,
         account: Callable[[str], ClientAccount | None],
         n_hosts: Callable[[], int],
+        place: Callable[[], tuple[int, int]],
     ) -> None:
         self.departures = Departures(
             confirmations=confirmations, hosts_by_name=hosts_by_name
         )
-        self.quarantine = Quarantine()
+        settle = SUSPICION_SETTLE if settings.peers else 0.0
+        self.quarantine = Quarantine(settle=settle)
         targets = Targets(
             availability_zone=settings.availability_zone,
             placements_by_zone=placements_by_zone,
@@ -94,7 +102,7 @@
         self.table = RequestTable(
             admission=FairAdmission(
                 capacity=GroupCapacity(
-                    targets=targets.for_arrival,
+                    targets=targets,
                     confirmations=confirmations,
                     batch=lambda: settings.group_batch,
                     n_hosts=n_hosts,
@@ -108,6 +116,7 @@
                 loads=self.loads,
                 stragglers=stragglers,
                 quarantine=self.quarantine,
+                part=place,
             ),
             feedback=RoutingFeedback(
                 quarantine=self.quarantine,
