Build the planner's test zones in one place

Cause: five test files each built the configuration of one model and its zone, and three counted the time without a serving group by hand. new_zone and Zone.seconds_down do both; test_planner_capacity.py uses them first.

--- a/tests/test_coordination/test_planner_capacity.py
+++ b/tests/test_coordination/test_planner_capacity.py
@@ -8,40 +8,28 @@
 
 from ryelever.coordination.planner import PlannerLimits
 from ryelever.coordination.planner_view import ModelDemand
-from ryelever.state.configuration import (
-    ClientAccount,
-    Configuration,
-    Model,
-    Weights,
-)
+from ryelever.state.configuration import ClientAccount, Configuration, Model, Weights
 
-from ..zone import Zone
+from ..zone import Zone, new_zone
 
 PAWROUTE = Weights(group_downtime=0.8, stranded_accelerators=0.2)
 CONSORTIUM = Weights(group_downtime=0.2, stranded_accelerators=0.8)
-ACCOUNTS = {
-    "large": ClientAccount(key_hash="", share=1.0),
-}
+ACCOUNTS = {"large": ClientAccount(key_hash="", share=1.0)}
 LIMITS = PlannerLimits(demand_hold=5.0, idle_hold=10.0, move_interval=20.0)
 
 
 def _zone(
     *models: tuple[str, Model],
-    weights: Weights = PAWROUTE,
     accounts: dict[str, ClientAccount] = ACCOUNTS,
+    weights: Weights = PAWROUTE,
     limits: PlannerLimits = LIMITS,
-    load_time: float = 0.5,
-    **domains: int,
+    **fields: object,
 ) -> Zone:
-    configuration = Configuration(
+    zone = new_zone(limits=limits, **fields)
+    zone.configuration = Configuration(
         models=dict(models), client_accounts=accounts, weights=weights
     )
-    return Zone(
-        domains=domains,
-        configuration=configuration,
-        limits=limits,
-        load_time=load_time,
-    )
+    return zone
 
 
 def _n_groups(zone: Zone, *models: str) -> list[int]:
@@ -79,12 +67,9 @@
         zone.engines_by_host[members[0]].running = 1
     zone.later(5.0, lambda: _end_requests(zone))
     zone.engines_by_host["a-3"].refuses = True
-    n_down = 0
-    for _ in range(300):
-        zone.advance()
-        n_down += not zone.groups()
+    seconds_down = zone.seconds_down(30)
     assert _n_groups(zone, "m", "s") == [1, 1]
-    assert down_at_most / 3 < n_down * zone.step <= down_at_most
+    assert down_at_most / 3 < seconds_down <= down_at_most
 
 
 def _end_requests(zone: Zone) -> None:
@@ -142,14 +127,7 @@
         "small": ClientAccount(key_hash="", share=share),
         "rival": ClientAccount(key_hash="", share=1.0),
     }
-    zone = _zone(
-        ("m", _m()),
-        accounts=accounts,
-        a=4,
-        b=4,
-        c=4,
-        d=4,
-    )
+    zone = _zone(("m", _m()), accounts=accounts, a=4, b=4, c=4, d=4)
     _wait(zone, "m", 50, account="small")
     zone.run(60)
     assert _n_groups(zone, "m") == [n_groups]
--- a/tests/zone.py
+++ b/tests/zone.py
@@ -16,16 +16,19 @@
 from ryelever.coordination.log_writer import LogWriter
 from ryelever.coordination.planner import Planner, PlannerLimits, PlannerView
 from ryelever.coordination.planner_view import ModelDemand
-from ryelever.state.configuration import Configuration
+from ryelever.state.configuration import Configuration, Model, Weights
 from ryelever.state.fleet import HostReport, ListedHost
 from ryelever.state.placement import PlacementFold
 from ryelever.state.records import Entry
 
-__all__ = ["Engine", "PlannerProcess", "Zone"]
+__all__ = ["Engine", "PlannerProcess", "Zone", "new_zone"]
 
 #: Seconds between two questions to one host.
 REPORT_INTERVAL = 0.5
 
+#: Downtime alone counts, so that spare hosts stay idle and rows stay small.
+DOWNTIME_ONLY = Weights(group_downtime=1.0, stranded_accelerators=0.0)
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Engine:
@@ -240,6 +243,14 @@
             self.advance()
         return self.now - start
 
+    def seconds_down(self, seconds: float) -> float:
+        """Advance time; return the seconds in which no group served."""
+        n_down = 0
+        for _ in range(round(seconds / self.step)):
+            self.advance()
+            n_down += not self.groups()
+        return n_down * self.step
+
     def advance(self) -> None:
         """Do one step."""
         self.now += self.step
@@ -377,3 +388,29 @@
     def kinds(self) -> list[str]:
         """Return the kinds of the decisions that took effect."""
         return [change.kind for change in self.truth.changes]
+
+
+def new_zone(
+    *,
+    n_groups: int = 1,
+    hosts_per_group: int = 4,
+    weights: Weights = DOWNTIME_ONLY,
+    serves_within: float = 0.0,
+    **fields: object,
+) -> Zone:
+    """Return a zone with the model "m" declared.
+
+    Parameters
+    ----------
+    serves_within : float
+        Seconds in which every group must serve; 0 does not wait for them.
+    **fields
+        Parameters of the zone, and the number of hosts of the fabric domains.
+    """
+    domains = {name: fields.pop(name) for name in "abcd" if name in fields}
+    model = Model(version="v1", n_groups=n_groups, hosts_per_group=hosts_per_group)
+    configuration = Configuration(models={"m": model}, weights=weights)
+    zone = Zone(domains=domains, configuration=configuration, **fields)
+    if serves_within:
+        zone.run_until(lambda: len(zone.groups()) == n_groups, at_most=serves_within)
+    return zone
