Tabulate the faults of a zone by short rows

Cause: each row of test_planner_repair.py took six lines or more, and its zone was built by hand. Rows now name fault, members and bounds in one builder call.

--- a/tests/test_coordination/test_planner_repair.py
+++ b/tests/test_coordination/test_planner_repair.py
@@ -3,40 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import pytest
 
 from ryelever.coordination.planner_repairs import Repairs
-from ryelever.state.configuration import Configuration, Model, Weights
+from ryelever.state.configuration import Configuration, Model
 
-from ..zone import Zone
+from ..zone import Zone, new_zone
 
 WHOLE = ("a-0", "a-1", "a-2", "a-3")
 WITH_SPARE = ("a-0", "a-1", "a-2", "a-4")
+ELSEWHERE = ("b-0", "b-1", "b-2", "b-3")
+DOMAIN_A = (*WHOLE, "a-4", "a-5")
 
 
-def _zone(
-    *,
-    n_groups: int = 1,
-    checks_fencing: bool = True,
-    hosts_per_group: int = 4,
-    **domains: int,
-) -> Zone:
-    # Downtime alone counts, so that spare hosts stay idle and rows stay small.
-    configuration = Configuration(
-        models={
-            "m": Model(version="v1", n_groups=n_groups, hosts_per_group=hosts_per_group)
-        },
-        weights=Weights(group_downtime=1.0, stranded_accelerators=0.0),
-    )
-    zone = Zone(
-        domains=domains or {"a": 6, "b": 4},
-        configuration=configuration,
-        checks_fencing=checks_fencing,
-    )
-    zone.run_until(lambda: len(zone.groups()) == n_groups, at_most=30)
-    return zone
+def _zone(**fields: object) -> Zone:
+    return new_zone(serves_within=30, **fields)
 
 
 def _in_domain_a(zone: Zone) -> Zone:
@@ -59,6 +42,10 @@
         zone.engines_by_host[host].answers = True
 
 
+def _restart(zone: Zone, host: str) -> None:
+    zone.engines_by_host[host].restart()
+
+
 def _unlist(zone: Zone, host: str) -> None:
     _silence(zone, host)
     del zone.listed_by_host[host]
@@ -82,177 +69,138 @@
         zone.run(4.0)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Case:
-    """Cause a fault and say which groups serve in the end.
-
-    Attributes
+def _case(
+    cause: Callable[[Zone], object],
+    groups: tuple[str, ...],
+    *,
+    within: float,
+    n_formed: int = 2,
+    a: int = 6,
+    b: int = 7,
+) -> tuple[Callable[[Zone], object], tuple[str, ...], float, int, dict[str, int]]:
+    """Return a fault, the members of the one group in the end, and bounds.
+
+    Parameters
     ----------
     within : float
         Seconds in which the zone must get there, loading included.
     n_formed : int
         Groups formed over all.
+    a, b : int
+        Hosts of the fabric domains; a domain without hosts is left out.
     """
-
-    name: str
-    cause: Callable[[Zone], object]
-    groups: list[tuple[str, ...]]
-    within: float
-    n_formed: int = 2
-    domains: dict[str, int] | None = None
+    domains = {"a": a} | ({"b": b} if b else {})
+    return cause, groups, within, n_formed, domains
 
 
-CASES = [
-    Case(
-        name="killed member, spare in its domain",
-        cause=lambda zone: _refuse(zone, "a-3"),
-        groups=[WITH_SPARE],
-        within=3.0,
+CASES = {
+    "killed member, spare in its domain": _case(
+        lambda zone: _refuse(zone, "a-3"), WITH_SPARE, within=3.0
     ),
-    Case(
-        name="silent member, spare in its domain",
-        cause=lambda zone: _silence(zone, "a-3"),
-        groups=[WITH_SPARE],
-        within=5.0,
+    "silent member, spare in its domain": _case(
+        lambda zone: _silence(zone, "a-3"), WITH_SPARE, within=5.0
     ),
-    Case(
-        name="member unlisted and gone",
-        cause=lambda zone: _unlist(zone, "a-3"),
-        groups=[WITH_SPARE],
-        within=5.0,
+    "member unlisted and gone": _case(
+        lambda zone: _unlist(zone, "a-3"), WITH_SPARE, within=5.0
     ),
-    Case(
-        name="member restarted within the detection time",
-        cause=lambda zone: zone.engines_by_host["a-3"].restart(),
-        groups=[WHOLE],
-        within=3.0,
+    "member restarted within the detection time": _case(
+        lambda zone: _restart(zone, "a-3"), WHOLE, within=3.0
     ),
-    Case(
-        name="member restarted, then paused: two faults",
-        cause=lambda zone: (
-            zone.engines_by_host["a-3"].restart(),
-            _silence(zone, "a-2"),
-        ),
-        groups=[("a-0", "a-1", "a-3", "a-4")],
+    "member restarted, then paused: two faults": _case(
+        lambda zone: (_restart(zone, "a-3"), _silence(zone, "a-2")),
+        ("a-0", "a-1", "a-3", "a-4"),
         within=8.0,
         n_formed=3,
     ),
-    Case(
-        name="two members at once, two spares",
-        cause=lambda zone: _refuse(zone, "a-2", "a-3"),
-        groups=[("a-0", "a-1", "a-4", "a-5")],
+    "two members at once, two spares": _case(
+        lambda zone: _refuse(zone, "a-2", "a-3"),
+        ("a-0", "a-1", "a-4", "a-5"),
         within=3.0,
     ),
-    Case(
-        name="engine reports its group broken",
-        cause=lambda zone: setattr(zone.engines_by_host["a-1"], "state", "broken"),
-        groups=[WHOLE],
+    "engine reports its group broken": _case(
+        lambda zone: setattr(zone.engines_by_host["a-1"], "state", "broken"),
+        WHOLE,
         within=3.0,
     ),
-    Case(
-        name="member lost, then its replacement: two faults",
-        cause=lambda zone: (_refuse(zone, "a-3"), zone.run(1.6), _refuse(zone, "a-4")),
-        groups=[("a-0", "a-1", "a-2", "a-5")],
+    "member lost, then its replacement: two faults": _case(
+        lambda zone: (_refuse(zone, "a-3"), zone.run(1.6), _refuse(zone, "a-4")),
+        ("a-0", "a-1", "a-2", "a-5"),
         within=5.0,
         n_formed=3,
     ),
-    Case(
-        name="member lost without a spare, free domain elsewhere",
-        cause=lambda zone: _refuse(zone, "a-3"),
-        groups=[("b-0", "b-1", "b-2", "b-3")],
-        within=4.0,
-        domains={"a": 4, "b": 5},
+    "member lost without a spare, free domain elsewhere": _case(
+        lambda zone: _refuse(zone, "a-3"), ELSEWHERE, within=4.0, a=4, b=5
     ),
-    Case(
-        name="whole fabric domain dark",
-        cause=lambda zone: _silence(zone, *(f"a-{number}" for number in range(6))),
-        groups=[("b-0", "b-1", "b-2", "b-3")],
-        within=6.0,
-        domains={"a": 6, "b": 7},
+    "whole fabric domain dark": _case(
+        lambda zone: _silence(zone, *DOMAIN_A), ELSEWHERE, within=6.0
     ),
-    Case(
-        name="domain dark and the other one loses a host: two faults",
-        cause=lambda zone: (
-            _silence(zone, *(f"a-{number}" for number in range(6))),
-            _refuse(zone, "b-0"),
-        ),
-        groups=[("b-1", "b-2", "b-3", "b-4")],
+    "domain dark and the other one loses a host: two faults": _case(
+        lambda zone: (_silence(zone, *DOMAIN_A), _refuse(zone, "b-0")),
+        ("b-1", "b-2", "b-3", "b-4"),
         within=6.0,
-        domains={"a": 6, "b": 7},
     ),
-    Case(
-        name="member leaves by its own report, a whole group is free elsewhere",
-        cause=lambda zone: setattr(zone.engines_by_host["a-3"], "leaving", True),
-        groups=[("b-0", "b-1", "b-2", "b-3")],
+    "member leaves by its own report, a whole group is free elsewhere": _case(
+        lambda zone: setattr(zone.engines_by_host["a-3"], "leaving", True),
+        ELSEWHERE,
         within=8.0,
     ),
-    Case(
-        name="member leaves by the list, spare in its domain only",
-        cause=lambda zone: _list_as_leaving(zone, "a-3"),
-        groups=[WITH_SPARE],
-        within=8.0,
-        domains={"a": 6, "b": 3},
+    "member leaves by the list, spare in its domain only": _case(
+        lambda zone: _list_as_leaving(zone, "a-3"), WITH_SPARE, within=8.0, b=3
     ),
-    Case(
-        name="member paused again and again",
-        cause=_pause_often,
-        groups=[WITH_SPARE],
-        within=8.0,
-        domains={"a": 5},
+    "member paused again and again": _case(
+        _pause_often, WITH_SPARE, within=8.0, a=5, b=0
     ),
-    Case(
-        name="short pause without a spare",
-        cause=lambda zone: _pause_and_return(zone, 6.0),
-        groups=[WHOLE],
+    "short pause without a spare": _case(
+        lambda zone: _pause_and_return(zone, 6.0),
+        WHOLE,
         within=2.0,
         n_formed=1,
-        domains={"a": 4},
+        a=4,
+        b=0,
     ),
-]
+}
 
 
-@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
-def test_zone_repairs_itself(case: Case) -> None:
+@pytest.mark.parametrize(
+    ("cause", "group", "within", "n_formed", "domains"), CASES.values(), ids=CASES
+)
+def test_zone_repairs_itself(
+    cause: Callable[[Zone], object],
+    group: tuple[str, ...],
+    within: float,
+    n_formed: int,
+    domains: dict[str, int],
+) -> None:
     """Cause each fault of the table.
 
     Symptom: a group stays down, or is dissolved for nothing.  Sequence: the row's
     fault.  Cause: the planner misjudges what the reports show.
     """
-    zone = _in_domain_a(_zone(**(case.domains or {"a": 6, "b": 7})))
-    case.cause(zone)
-    zone.run_until(lambda: zone.groups() == case.groups, at_most=case.within)
+    zone = _in_domain_a(_zone(**domains))
+    cause(zone)
+    zone.run_until(lambda: zone.groups() == [group], at_most=within)
     zone.run(20)
-    assert zone.groups() == case.groups
-    assert zone.kinds().count("formed") == case.n_formed
-
-
-def _seconds_down(zone: Zone, seconds: float) -> float:
-    n_down = 0
-    for _ in range(round(seconds / zone.step)):
-        zone.advance()
-        n_down += not zone.groups()
-    return n_down * zone.step
+    assert zone.groups() == [group]
+    assert zone.kinds().count("formed") == n_formed
 
 
 @pytest.mark.parametrize(
-    ("leave", "domains"),
-    [
-        (lambda zone: _list_as_leaving(zone, "a-3"), {"a": 6, "b": 7}),
-        (_pause_often, {"a": 6, "b": 7}),
-    ],
+    "leave",
+    [lambda zone: _list_as_leaving(zone, "a-3"), _pause_often],
+    ids=["listed as leaving", "paused often"],
 )
 def test_planned_replacement_costs_no_downtime(
-    leave: Callable[[Zone], object], domains: dict[str, int]
+    leave: Callable[[Zone], object],
 ) -> None:
     """Replace a member that still serves, where hosts for a second group are free.
 
     Symptom: a planned replacement stops the model.  Sequence: a member is about to
     leave.  Cause: the old group ends before the new one is confirmed.
     """
-    zone = _in_domain_a(_zone(**domains))
+    zone = _in_domain_a(_zone(a=6, b=7))
     leave(zone)
-    assert _seconds_down(zone, 20) == 0.0
-    assert zone.groups() == [("b-0", "b-1", "b-2", "b-3")]
+    assert zone.seconds_down(20) == 0.0
+    assert zone.groups() == [ELSEWHERE]
 
 
 def test_returning_member_is_not_counted_and_leaves() -> None:
