Take the lease's zone and entries from the shared builders

Cause: test_lease.py spelled out an entry and a zone that others build alike.

No check was lost: 14 cases before and after.

--- a/tests/test_coordination/test_lease.py
+++ b/tests/test_coordination/test_lease.py
@@ -8,11 +8,12 @@
 
 from ryelever.coordination.actions import AppendRecord
 from ryelever.coordination.lease import PlannerLease
-from ryelever.state.configuration import Configuration, Model
+from ryelever.state.configuration import Weights
 from ryelever.state.placement import PlacementFold
 from ryelever.state.records import Entry, LeaseTaken
 
-from ..zone import Zone
+from ..builders import new_entry
+from ..zone import Zone, new_zone
 
 TERM = 6.0
 
@@ -38,14 +39,8 @@
 
     def send(self) -> None:
         for action in self.unsent:
-            self.log.append(
-                Entry(
-                    offset=len(self.log),
-                    time=0.0,
-                    id=action.record_id,
-                    record=action.record,
-                )
-            )
+            entry = new_entry(len(self.log), action.record, id=action.record_id)
+            self.log.append(entry)
         self.unsent = []
 
     def take(self, now: float) -> None:
@@ -184,10 +179,7 @@
 
 @pytest.fixture
 def zone() -> Zone:
-    configuration = Configuration(models={"m": Model(version="v1")})
-    zone = Zone(domains={"a": 6}, configuration=configuration, n_planners=2)
-    zone.run_until(zone.groups, at_most=20)
-    return zone
+    return new_zone(a=6, n_planners=2, weights=Weights(), serves_within=20)
 
 
 def test_holder_that_wakes_after_its_term_only_looks(zone: Zone) -> None:
