--- a/tests/test_state/test_claims.py
+++ b/tests/test_state/test_claims.py
@@ -5,8 +5,9 @@
 import pytest
 
 from ryelever.state.claims import ClaimsFold
-from ryelever.state.records import Claim, Entry, Outcome, Record, Unreadable
+from ryelever.state.records import Claim, Outcome, Record, Unreadable
 
+from ..builders import new_claim, new_entry
 from ..memory_log import EPOCH
 
 WINDOW, MAX_AHEAD = 100.0, 10.0
@@ -14,7 +15,7 @@
 
 
 def _claim(owner: str, request_id: str = "r1", key: str = KEY) -> Claim:
-    return Claim(key=key, fingerprint="f", owner=owner, request_id=request_id)
+    return new_claim(key, owner, request_id)
 
 
 def _outcome(owner: str, run_state: str, request_id: str = "r1") -> Outcome:
@@ -25,71 +26,40 @@
 
 UNKNOWN = Unreadable(kind="New", known_kind=False, reason="unknown kind")
 
+#: Records with their seconds after the key's time of issue.
+FIRST, SECOND = (0, _claim("e1")), (0, _claim("e2", "r2"))
+ANEW = (0, _claim("e1", "r2"))
+RAN, FREED = (0, _outcome("e1", "run")), (0, _outcome("e1", "not_run"))
+STRANGE = (0, _outcome("e2", "not_run"))
+LATE_SECOND = (WINDOW + 1, _claim("e2", "r2"))
+LATE_STRANGE = (WINDOW + 1, _outcome("e2", "run"))
+EARLY = (-MAX_AHEAD - 1, _claim("e1"))
+UNTIMED = (0, _claim("e1", key="acme/rex"))
+
+TOO_OLD = "key was issued more than 100 s ago"
+TOO_EARLY = "key was issued more than 10 s in the future"
+
+#: Records, the owner of the key in the end, and why the last record was ignored.
 CASES = {
-    "first claim only": (
-        [(0, _claim("e1")), (0, _claim("e2", "r2"))],
-        "e1",
-        "key is claimed already at offset 0",
-    ),
-    "freed key is claimed again": (
-        [(0, _claim("e1")), (0, _outcome("e1", "not_run")), (0, _claim("e2", "r2"))],
-        "e2",
-        None,
-    ),
-    "outcome of somebody else": (
-        [(0, _claim("e1")), (0, _outcome("e2", "not_run"))],
-        "e1",
-        "claim is owned by e1",
-    ),
+    "first claim only": ([FIRST, SECOND], "e1", "key is claimed already at offset 0"),
+    "freed key is claimed again": ([FIRST, FREED, SECOND], "e2", None),
+    "outcome of somebody else": ([FIRST, STRANGE], "e1", "claim is owned by e1"),
     "outcome of an earlier claim, late": (
-        [
-            (0, _claim("e1")),
-            (0, _outcome("e1", "not_run")),
-            (0, _claim("e1", "r2")),
-            (0, _outcome("e1", "not_run")),
-        ],
+        [FIRST, FREED, ANEW, FREED],
         "e1",
         "claim is of request r2",
     ),
-    "second outcome": (
-        [(0, _claim("e1")), (0, _outcome("e1", "run")), (0, _outcome("e1", "run"))],
-        "e1",
-        "outcome is known already",
-    ),
+    "second outcome": ([FIRST, RAN, RAN], "e1", "outcome is known already"),
     "key at the end of its window": ([(WINDOW, _claim("e1"))], "e1", None),
-    "key too old": (
-        [(WINDOW + 1, _claim("e1"))],
-        None,
-        "key was issued more than 100 s ago",
-    ),
-    "key forgotten, then claimed again": (
-        [
-            (0, _claim("e1")),
-            (0, _outcome("e1", "run")),
-            (WINDOW + 1, _claim("e2", "r2")),
-        ],
-        None,
-        "key was issued more than 100 s ago",
-    ),
+    "key too old": ([(WINDOW + 1, _claim("e1"))], None, TOO_OLD),
+    "key forgotten, then claimed again": ([FIRST, RAN, LATE_SECOND], None, TOO_OLD),
     "key forgotten, then the log's clock is set back": (
-        [
-            (0, _claim("e1")),
-            (WINDOW + 1, _outcome("e2", "run")),
-            (0, _claim("e2", "r2")),
-        ],
-        None,
-        "key was issued more than 100 s ago",
-    ),
-    "key from the future": (
-        [(-MAX_AHEAD - 1, _claim("e1"))],
-        None,
-        "key was issued more than 10 s in the future",
-    ),
-    "key without a time": (
-        [(0, _claim("e1", key="acme/rex"))],
+        [FIRST, LATE_STRANGE, SECOND],
         None,
-        "key carries no time of issue",
+        TOO_OLD,
     ),
+    "key from the future": ([EARLY], None, TOO_EARLY),
+    "key without a time": ([UNTIMED], None, "key carries no time of issue"),
 }
 
 
@@ -108,10 +78,7 @@
     fold = ClaimsFold(window=WINDOW, max_ahead=MAX_AHEAD)
     last = None
     for offset, (seconds, record) in enumerate(records):
-        entry = Entry(
-            offset=offset, time=EPOCH + seconds, id=f"id{offset}", record=record
-        )
-        last = fold.apply(entry)
+        last = fold.apply(new_entry(offset, record, time=EPOCH + seconds))
     assert last == reason
     claim = fold.claims_by_key.get(KEY)
     assert (claim.owner if claim else None) == owner
@@ -143,12 +110,10 @@
     if kind == "expired":
         fold.lost(before=1, reason="expired")
     else:
-        fold.apply(Entry(offset=0, time=EPOCH, id="new", record=UNKNOWN))
+        fold.apply(new_entry(0, UNKNOWN, time=EPOCH))
     for offset, second in enumerate(seconds, start=1):
         record = _outcome("nobody", "run")
-        fold.apply(
-            Entry(offset=offset, time=EPOCH + second, id=str(offset), record=record)
-        )
+        fold.apply(new_entry(offset, record, time=EPOCH + second))
     assert fold.complete is complete
 
 
@@ -158,9 +123,7 @@
     for second in range(int(10 * WINDOW)):
         time = EPOCH + second
         key = f"acme/{int(time * 1000)}-{second}"
-        entry = Entry(
-            offset=second, time=time, id=str(second), record=_claim("e1", key=key)
-        )
+        entry = new_entry(second, _claim("e1", key=key), time=time)
         assert fold.apply(entry) is None
     assert len(fold.claims_by_key) == WINDOW + 1
     assert len(fold.to_snapshot(snapshot="s")[0].remembered) == 61
