--- a/tests/test_coordination/test_planner_outage.py
+++ b/tests/test_coordination/test_planner_outage.py
@@ -4,26 +4,13 @@
 
 import pytest
 
-from ryelever.state.configuration import Configuration, Model, Weights
-
-from ..zone import Zone
+from ..zone import Zone, new_zone
 
 WHOLE = ("a-0", "a-1", "a-2", "a-3")
 
 
-def _zone(checks_fencing: bool = True, n_planners: int = 2) -> Zone:
-    configuration = Configuration(
-        models={"m": Model(version="v1")},
-        weights=Weights(group_downtime=1.0, stranded_accelerators=0.0),
-    )
-    zone = Zone(
-        domains={"a": 5},
-        configuration=configuration,
-        checks_fencing=checks_fencing,
-        n_planners=n_planners,
-    )
-    zone.run_until(zone.groups, at_most=20)
-    return zone
+def _zone(checks_fencing: bool = True) -> Zone:
+    return new_zone(a=5, checks_fencing=checks_fencing, n_planners=2, serves_within=20)
 
 
 @pytest.mark.parametrize("checks_fencing", [True, False])
