Share the set-up of stragglers' and departures' tests

Cause: each test of departures built and reported the same two groups, and the table of stragglers kept its names in a second list.

--- a/tests/test_coordination/test_departures.py
+++ b/tests/test_coordination/test_departures.py
@@ -9,28 +9,28 @@
 from ryelever.state.observations import LeavingRow, LoadRow
 
 
-def _error(category: Category, *, step: str = "generate") -> RyeleverError:
-    return RyeleverError("gone", category=category, step=step)
+def _fleet(asked_at: float = 9.0) -> FakeFleet:
+    fleet = FakeFleet(zones={"a": 2})
+    fleet.report_all(asked_at=asked_at)
+    return fleet
 
 
-def _refused(fleet: FakeFleet) -> None:
+def _failed(
+    fleet: FakeFleet, *, refused: bool, category: Category = Category.BROKEN
+) -> None:
+    error = RyeleverError("gone", category=category, step="generate")
+    in_flight = () if refused else ("x",)
     fleet.feedback.failed(
-        fleet.target("a-0"),
-        _error(Category.BROKEN),
-        refused=True,
-        in_flight=(),
-        now=10.0,
+        fleet.target("a-0"), error, refused=refused, in_flight=in_flight, now=10.0
     )
 
 
+def _refused(fleet: FakeFleet) -> None:
+    _failed(fleet, refused=True)
+
+
 def _died(fleet: FakeFleet) -> None:
-    fleet.feedback.failed(
-        fleet.target("a-0"),
-        _error(Category.BROKEN),
-        refused=False,
-        in_flight=("x",),
-        now=10.0,
-    )
+    _failed(fleet, refused=False)
 
 
 def _told(fleet: FakeFleet) -> None:
@@ -60,8 +60,7 @@
     seconds behind the host, or the host behind the list.  Cause: one source alone was
     believed, and it was the late one.
     """
-    fleet = FakeFleet(zones={"a": 2})
-    fleet.report_all(asked_at=9.5)
+    fleet = _fleet(asked_at=9.5)
     assert _names(fleet, 9.6) == ["a-0", "a-1"]
     evidence(fleet)
     assert _names(fleet, 10.0) == ["a-1"]
@@ -88,8 +87,7 @@
     last report, asked for before it began to leave, still counts as fresh.  Cause:
     reports were not compared with the word's time.
     """
-    fleet = FakeFleet(zones={"a": 2})
-    fleet.report_all(asked_at=9.0)
+    fleet = _fleet()
     evidence(fleet)
     for host in ("a-0-0", "a-1-0"):
         fleet.report(host, asked_at=asked_at)
@@ -103,8 +101,7 @@
     entry host tells the other that it leaves, each time as news.  Cause: a peer's word
     was passed on as an own one, so it never grew old.
     """
-    fleet = FakeFleet(zones={"a": 2})
-    fleet.report_all(asked_at=9.0)
+    fleet = _fleet()
     _told(fleet)
     fleet.departures.observed(
         LoadRow(target="a-1", n_in_flight=1), peer="p", observed_at=9.9, now=10.0
@@ -123,12 +120,8 @@
     Sequence: its connects time out, and it tells its peers.  Cause: silence, which
     may be due to the link, was told like a refusal.
     """
-    fleet = FakeFleet(zones={"a": 2})
-    fleet.report_all(asked_at=9.0)
-    target = fleet.target("a-0")
-    fleet.feedback.failed(
-        target, _error(category), refused=True, in_flight=(), now=10.0
-    )
+    fleet = _fleet()
+    _failed(fleet, refused=True, category=category)
     rows = fleet.departures.observations(now=10.0)
     assert rows == ([LeavingRow(host="a-0-0")] if told else [])
     assert fleet.departures.observations(now=14.0) == []
--- a/tests/test_coordination/test_stragglers.py
+++ b/tests/test_coordination/test_stragglers.py
@@ -10,54 +10,43 @@
 
 
 def _run(
-    stragglers: Stragglers,
     *,
     slow: dict[str, float],
     failing: tuple[str, ...] = (),
     first_token: float = 0.1,
-    now: float = 0.0,
-) -> None:
+) -> Stragglers:
+    """Return what ten siblings have shown by ten requests each."""
+    stragglers = Stragglers()
     for name in NAMES:
         for _ in range(10):
             seconds = first_token * slow.get(name, 1.0)
-            stragglers.first_token(name, seconds=seconds, now=now)
-            stragglers.ended(
-                name,
-                failed=name in failing,
-                between_tokens=seconds / 10,
-                now=now,
-            )
-    stragglers.compare("siblings", NAMES, now=now)
+            stragglers.first_token(name, seconds=seconds, now=0.0)
+            failed, pause = name in failing, seconds / 10
+            stragglers.ended(name, failed=failed, between_tokens=pause, now=0.0)
+    stragglers.compare("siblings", NAMES, now=0.0)
+    return stragglers
 
 
 def _out(stragglers: Stragglers) -> list[str]:
     return [name for name in NAMES if stragglers.is_ejected(name)]
 
 
+#: Factors of the slow ones, those that fail, seconds to a first token, the ejected.
+CASES = {
+    "alike": ({}, (), 0.1, []),
+    "a little slow": ({"g-3": 2.0}, (), 0.1, []),
+    "slow": ({"g-3": 5.0}, (), 0.1, ["g-3"]),
+    "failing": ({}, ("g-4",), 0.1, ["g-4"]),
+    "all slow": ({}, (), 50.0, []),
+    "all fail": ({}, NAMES, 0.1, []),
+    "most slow": (dict.fromkeys(NAMES[:6], 9.0), (), 0.1, []),
+    "three slow": ({"g-1": 9.0, "g-2": 8.0, "g-3": 7.0}, (), 0.1, ["g-1", "g-2"]),
+    "mixed": ({"g-1": 8.0}, ("g-2", "g-3", "g-4"), 0.1, ["g-3", "g-4"]),
+}
+
+
 @pytest.mark.parametrize(
-    ("slow", "failing", "first_token", "out"),
-    [
-        ({}, (), 0.1, []),
-        ({"g-3": 2.0}, (), 0.1, []),
-        ({"g-3": 5.0}, (), 0.1, ["g-3"]),
-        ({}, ("g-4",), 0.1, ["g-4"]),
-        ({}, (), 50.0, []),
-        ({}, NAMES, 0.1, []),
-        (dict.fromkeys(NAMES[:6], 9.0), (), 0.1, []),
-        ({"g-1": 9.0, "g-2": 8.0, "g-3": 7.0}, (), 0.1, ["g-1", "g-2"]),
-        ({"g-1": 8.0}, ("g-2", "g-3", "g-4"), 0.1, ["g-3", "g-4"]),
-    ],
-    ids=[
-        "alike",
-        "a little slow",
-        "slow",
-        "failing",
-        "all slow",
-        "all fail",
-        "most slow",
-        "three slow",
-        "mixed",
-    ],
+    ("slow", "failing", "first_token", "out"), CASES.values(), ids=CASES
 )
 def test_only_a_share_of_the_worst_is_ejected(
     slow: dict[str, float], failing: tuple[str, ...], first_token: float, out: list[str]
@@ -68,8 +57,7 @@
     exceeds a limit, is ejected, and its load slows the next.  Cause: an absolute
     limit, or no bound on how many may be out.
     """
-    stragglers = Stragglers()
-    _run(stragglers, slow=slow, failing=failing, first_token=first_token)
+    stragglers = _run(slow=slow, failing=failing, first_token=first_token)
     assert _out(stragglers) == out
 
 
@@ -106,8 +94,7 @@
     Sequence: its hold ends, and all entry hosts send their full part at once.  Cause:
     it came back without a probe, or with as many as asked.
     """
-    stragglers = Stragglers()
-    _run(stragglers, slow={"g-3": 5.0})
+    stragglers = _run(slow={"g-3": 5.0})
     assert not stragglers.may_take("g-3", now=9.9)
     assert stragglers.may_take("g-3", now=10.0)
     stragglers.started("g-3", now=10.0)
@@ -120,8 +107,7 @@
 
 
 def test_lost_probe_is_given_up() -> None:
-    stragglers = Stragglers()
-    _run(stragglers, slow={"g-3": 5.0})
+    stragglers = _run(slow={"g-3": 5.0})
     stragglers.started("g-3", now=10.0)
     assert not stragglers.may_take("g-3", now=39.9)
     assert stragglers.may_take("g-3", now=40.0)
