--- a/tests/test_coordination/test_fencing.py
+++ b/tests/test_coordination/test_fencing.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import pytest
 
 from ryelever.coordination.actions import SendOrder
-from ryelever.state.configuration import Configuration, Model, Weights
 
-from ..zone import Engine, Zone
+from ..zone import Engine, Zone, new_zone
 
 JOIN = SendOrder(
     host="h",
@@ -24,89 +23,51 @@
 NEXT = replace(JOIN, group="new", fencing=20, expires_ms=1_009_000)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Case:
-    """Deliver orders, each at its time, and name the group that is obeyed.
-
-    The engine's clock reads 1,000 s at time 0.
-    """
-
-    name: str
-    orders: list[tuple[float, SendOrder]]
-    checking: str
-    ignoring: str
-
-
-CASES = [
-    Case(name="in order", orders=[(0, JOIN)], checking="old", ignoring="old"),
-    Case(
-        name="left and joined anew",
-        orders=[(0, JOIN), (1, LEAVE), (6, NEXT)],
-        checking="new",
-        ignoring="new",
+#: Orders, each with the time of its delivery, and the groups that a checking and an
+#: ignoring engine obey.  The engine's clock reads 1,000 s at time 0.
+CASES = {
+    "in order": ([(0, JOIN)], "old", "old"),
+    "left and joined anew": ([(0, JOIN), (1, LEAVE), (6, NEXT)], "new", "new"),
+    "old order after its deadline": (
+        [(0, JOIN), (1, LEAVE), (6, NEXT), (7, JOIN)],
+        "new",
+        "new",
     ),
-    Case(
-        name="old order after its deadline",
-        orders=[(0, JOIN), (1, LEAVE), (6, NEXT), (7, JOIN)],
-        checking="new",
-        ignoring="new",
+    # What the wait of the planner is for: see the test of the zone below.
+    "old order before its deadline, new group formed too early": (
+        [(0, JOIN), (1, LEAVE), (2, NEXT), (2.5, JOIN)],
+        "new",
+        "old",
     ),
-    Case(
-        # What the wait of the planner is for: see the test of the zone below.
-        name="old order before its deadline, new group formed too early",
-        orders=[(0, JOIN), (1, LEAVE), (2, NEXT), (2.5, JOIN)],
-        checking="new",
-        ignoring="old",
+    "old order after the host left": ([(0, JOIN), (1, LEAVE), (2, JOIN)], "", "old"),
+    "old leave after the new join": (
+        [(0, JOIN), (3, NEXT), (3.5, LEAVE)],
+        "new",
+        "new",
     ),
-    Case(
-        name="old order after the host left",
-        orders=[(0, JOIN), (1, LEAVE), (2, JOIN)],
-        checking="",
-        ignoring="old",
-    ),
-    Case(
-        name="old leave after the new join",
-        orders=[(0, JOIN), (3, NEXT), (3.5, LEAVE)],
-        checking="new",
-        ignoring="new",
-    ),
-    Case(
-        name="order repeated",
-        orders=[(0, JOIN), (1, JOIN)],
-        checking="old",
-        ignoring="old",
-    ),
-    Case(name="late from the start", orders=[(4, JOIN)], checking="", ignoring=""),
-    Case(
-        name="leave overtakes its join",
-        orders=[(0, LEAVE), (1, JOIN)],
-        checking="",
-        ignoring="old",
-    ),
-]
+    "order repeated": ([(0, JOIN), (1, JOIN)], "old", "old"),
+    "late from the start": ([(4, JOIN)], "", ""),
+    "leave overtakes its join": ([(0, LEAVE), (1, JOIN)], "", "old"),
+}
 
 
 @pytest.mark.parametrize("checks_fencing", [True, False])
-@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
-def test_engine_obeys(case: Case, checks_fencing: bool) -> None:
+@pytest.mark.parametrize(("orders", "checking", "ignoring"), CASES.values(), ids=CASES)
+def test_engine_obeys(
+    orders: list[tuple[float, SendOrder]],
+    checking: str,
+    ignoring: str,
+    checks_fencing: bool,
+) -> None:
     """State what engines of both kinds do, on which the planner builds."""
     engine = Engine(host="h", checks_fencing=checks_fencing)
-    for at, order in case.orders:
+    for at, order in orders:
         engine.obey(order, now=float(at))
-    assert engine.group == (case.checking if checks_fencing else case.ignoring)
+    assert engine.group == (checking if checks_fencing else ignoring)
 
 
 def _zone(checks_fencing: bool, *, n_planners: int = 1) -> Zone:
-    configuration = Configuration(
-        models={"m": Model(version="v1")},
-        weights=Weights(group_downtime=1.0, stranded_accelerators=0.0),
-    )
-    return Zone(
-        domains={"a": 5},
-        configuration=configuration,
-        checks_fencing=checks_fencing,
-        n_planners=n_planners,
-    )
+    return new_zone(a=5, checks_fencing=checks_fencing, n_planners=n_planners)
 
 
 class _Watch:
