--- a/tests/test_protocol/test_soft_state.py
+++ b/tests/test_protocol/test_soft_state.py
@@ -121,21 +121,18 @@
     pieces=some(pieces),
 )
 
-MESSAGE = Message(
-    sender="e1",
-    availability_zone="a",
-    boot=1,
-    token=2,
-    grant=3,
-    sequence=4,
-    haves=(Have(origin=5, version=6),),
-    tables=(
-        TableUpdate(
-            origin=7,
-            updates=(Update(slot=1, version=1, age=0.5, row=LeavingRow(host="w1")),),
-        ),
-    ),
-)
+
+def _message(**fields: object) -> Message:
+    numbers = {"boot": 1, "token": 2, "grant": 3, "sequence": 4}
+    return Message(sender="e1", availability_zone="a", **numbers, **fields)
+
+
+def _table(age: float) -> TableUpdate:
+    update = Update(slot=1, version=1, age=age, row=LeavingRow(host="w1"))
+    return TableUpdate(origin=7, updates=(update,))
+
+
+MESSAGE = _message(haves=(Have(origin=5, version=6),), tables=(_table(0.5),))
 
 
 def _by_origin(message: Message) -> tuple[object, list[TableUpdate]]:
@@ -157,17 +154,7 @@
 @settings(derandomize=True, deadline=None)
 @given(st.floats(0, 600))
 def test_an_age_is_never_rounded_down_nor_a_hold_up(seconds: float) -> None:
-    update = Update(slot=1, version=1, age=seconds, row=LeavingRow(host="w1"))
-    message = Message(
-        sender="e1",
-        availability_zone="a",
-        boot=1,
-        token=1,
-        grant=1,
-        sequence=1,
-        hold=seconds,
-        tables=(TableUpdate(origin=1, updates=(update,)),),
-    )
+    message = _message(hold=seconds, tables=(_table(seconds),))
     read = decode_message(encode_message(message, key=KEY), key=KEY, peer="p").ok
     assert read.tables[0].updates[0].age >= seconds
     assert read.hold <= seconds
@@ -210,21 +197,13 @@
 def _unfolding() -> bytes:
     # Packed, 256 words of zeros take two bytes: kilobytes unfold to megabytes.
     haves = tuple(Have(origin=0, version=0) for _ in range(500_000))
-    message = Message(
-        sender="e1",
-        availability_zone="a",
-        boot=1,
-        token=1,
-        grant=1,
-        sequence=1,
-        haves=haves,
-    )
-    data = encode_message(message, key=KEY)
+    data = encode_message(_message(haves=haves), key=KEY)
     assert len(data) <= MAX_DATAGRAM
     return data
 
 
 WHOLE = encode_message(MESSAGE, key=KEY)
+FOREIGN = encode_message(MESSAGE, key=b"another-key-16-b")
 
 
 @pytest.mark.parametrize(
@@ -234,11 +213,7 @@
         pytest.param(WHOLE[:MAC_SIZE], "truncated", id="no_body"),
         pytest.param(WHOLE[:-1], "foreign_key", id="cut"),
         pytest.param(WHOLE + b"\0", "foreign_key", id="appended"),
-        pytest.param(
-            encode_message(MESSAGE, key=b"another-key-16-b"),
-            "foreign_key",
-            id="foreign_key",
-        ),
+        pytest.param(FOREIGN, "foreign_key", id="foreign_key"),
         pytest.param(b"\0" * (MAX_DATAGRAM + 1), "oversized", id="oversized"),
         pytest.param(_sealed(b"\xff" * 40), "malformed", id="malformed"),
         pytest.param(_unfolding(), "malformed", id="unfolding"),
