--- a/tests/test_coordination/test_log_reader.py
+++ b/tests/test_coordination/test_log_reader.py
@@ -12,7 +12,6 @@
     ReadPage,
 )
 from ryelever.state.claims import ClaimsFold
-from ryelever.state.configuration import Configuration, Model
 from ryelever.state.configuration_fold import ConfigurationFold
 from ryelever.state.fold import BaseFold
 from ryelever.state.placement import PlacementFold
@@ -23,20 +22,15 @@
     HostReleased,
     LeaseTaken,
     Outcome,
-    Publication,
     Record,
 )
 
+from ..builders import formed, new_claim, new_publication
 from ..memory_log import EPOCH, MemoryLog, new_reader, read_to_end, state_of
 
 
-def _publication(version: str, base: int) -> Publication:
-    document = Configuration(models={"m": Model(version=version)})
-    return Publication(base_version=base, author="ana", document=document)
-
-
 def _claim(key: str, owner: str = "e1/a") -> Claim:
-    return Claim(key=key, fingerprint="f", owner=owner, request_id=f"r-{owner}")
+    return new_claim(key, owner, f"r-{owner}")
 
 
 def _key(name: str) -> str:
@@ -44,15 +38,7 @@
 
 
 def _formed(group: str, *members: str) -> GroupFormed:
-    return GroupFormed(
-        group=group,
-        model="m",
-        version="v",
-        adapters=("a",),
-        members=members,
-        lease=0,
-        configuration_version=0,
-    )
+    return formed(group, *members, adapters=("a",))
 
 
 def _log(records: list[Record]) -> MemoryLog:
@@ -62,12 +48,29 @@
     return log
 
 
+def _read_whole(fold: BaseFold, log: MemoryLog) -> LogReader:
+    """Return a reader that has reached the end of a log."""
+    reader = new_reader(fold)
+    read_to_end(reader, log)
+    return reader
+
+
 def _append_snapshot(log: MemoryLog, fold: BaseFold, name: str = "s") -> None:
     for part in fold.to_snapshot(snapshot=name):
         log.append(part, record_id=f"{name}-{part.part}")
 
 
-CONFIGURATION = [_publication("1", -1), _publication("2", 0), _publication("x", 0)]
+def _renew(log: MemoryLog, n_times: int) -> None:
+    for index in range(n_times):
+        record = LeaseTaken(holder="e1/a", term=5.0, previous=index)
+        log.append(record, record_id=f"renew-{index}")
+
+
+CONFIGURATION = [
+    new_publication(-1, "1"),
+    new_publication(0, "2"),
+    new_publication(0, "x"),
+]
 PLACEMENT = [
     LeaseTaken(holder="e1/a", term=5.0),
     _formed("g1", "h1", "h2"),
@@ -84,7 +87,7 @@
 ]
 #: What comes between the state of a snapshot and its own place in the log.
 LATE = {
-    ConfigurationFold: _publication("3", 1),
+    ConfigurationFold: new_publication(1, "3"),
     PlacementFold: HostReleased(group="g1", host="h2", lease=0, evidence="left"),
     ClaimsFold: _claim(_key("b"), owner="e2/b"),
 }
@@ -108,8 +111,7 @@
     starts.  Cause: the snapshot counts at its own offset, or leaves the ids out.
     """
     log = _log(records)
-    full = new_reader(fold_class())
-    read_to_end(full, log)
+    full = _read_whole(fold_class(), log)
     parts = full.fold.to_snapshot(snapshot="s")
     if late:
         log.append(LATE[fold_class], record_id="late")
@@ -117,8 +119,7 @@
         log.append(part, record_id=f"s-{part.part}")
     log.append(records[0], record_id="id0")
     log.expire(before=parts[0].as_of)
-    restored = new_reader(fold_class())
-    read_to_end(restored, log)
+    restored = _read_whole(fold_class(), log)
     read_to_end(full, log)
     assert restored.n_restored == 1 and restored.fold.complete
     assert state_of(restored.fold) == state_of(full.fold)
@@ -137,8 +138,7 @@
     """
     log = _log(dict(KINDS)[fold_class])
     log.expire(before=2)
-    reader = new_reader(fold_class())
-    read_to_end(reader, log)
+    reader = _read_whole(fold_class(), log)
     assert not reader.fold.complete
     assert "have expired and no snapshot" in reader.problem
 
@@ -170,11 +170,10 @@
     accepted in between.
     """
     log = _log(CONFIGURATION[:1])
-    reader = new_reader(ConfigurationFold())
-    read_to_end(reader, log)
-    log.append(_publication("2", 0), record_id="lost")
+    reader = _read_whole(ConfigurationFold(), log)
+    log.append(new_publication(0, "2"), record_id="lost")
     log.expire(before=2)
-    log.append(_publication("rival", 0), record_id="rival")
+    log.append(new_publication(0, "rival"), record_id="rival")
     read_to_end(reader, log)
     assert reader.fold.version == 0 and not reader.fold.complete
     assert "not judged" in (reader.fold.reason_of("rival") or "")
@@ -183,11 +182,9 @@
 def test_gap_is_closed_by_a_snapshot_that_comes_later() -> None:
     """Meet a snapshot while records are missing, and read again from its state."""
     log = _log(PLACEMENT)
-    full = new_reader(PlacementFold())
-    read_to_end(full, log)
+    full = _read_whole(PlacementFold(), log)
     log.expire(before=5)
-    late = new_reader(PlacementFold())
-    read_to_end(late, log)
+    late = _read_whole(PlacementFold(), log)
     log.append(LATE[PlacementFold], record_id="late")
     read_to_end(late, log)
     assert not late.fold.complete
@@ -224,8 +221,7 @@
 def test_parts_of_two_snapshots_are_not_mixed() -> None:
     """Read the first half of a snapshot whose writer died, then a whole one."""
     log = _log(CLAIMS)
-    full = new_reader(ClaimsFold())
-    read_to_end(full, log)
+    full = _read_whole(ClaimsFold(), log)
     for index in range(600):
         log.append(_claim(_key(f"many-{index}")), record_id=f"many-{index}")
     read_to_end(full, log)
@@ -235,8 +231,7 @@
     _append_snapshot(log, full.fold, "whole")
     log.append(dead[2], record_id="dead-2")
     log.expire(before=dead[0].as_of)
-    restored = new_reader(ClaimsFold())
-    read_to_end(restored, log)
+    restored = _read_whole(ClaimsFold(), log)
     read_to_end(full, log)
     assert state_of(restored.fold) == state_of(full.fold)
 
@@ -244,11 +239,8 @@
 def test_new_reader_of_a_long_stream_starts_from_its_snapshot() -> None:
     """Search backwards rather than read hundreds of thousands of renewals."""
     log = _log(PLACEMENT[:1])
-    for index in range(2 * LONG_TAIL):
-        record = LeaseTaken(holder="e1/a", term=5.0, previous=index)
-        log.append(record, record_id=f"renew-{index}")
-    full = new_reader(PlacementFold())
-    read_to_end(full, log)
+    _renew(log, 2 * LONG_TAIL)
+    full = _read_whole(PlacementFold(), log)
     _append_snapshot(log, full.fold)
     restored = new_reader(PlacementFold())
     n_applied = len(read_to_end(restored, log, max_reads=5))
@@ -260,9 +252,7 @@
 def test_long_stream_without_a_snapshot_is_read_whole() -> None:
     """Search in vain, then read from the beginning, and know everything."""
     log = _log(PLACEMENT[:1])
-    for index in range(LONG_TAIL):
-        record = LeaseTaken(holder="e1/a", term=5.0, previous=index)
-        log.append(record, record_id=f"renew-{index}")
+    _renew(log, LONG_TAIL)
     reader = new_reader(PlacementFold())
     assert len(read_to_end(reader, log)) == LONG_TAIL + 1
     assert reader.fold.complete
