--- a/tests/test_state/test_configuration_fold.py
+++ b/tests/test_state/test_configuration_fold.py
@@ -4,14 +4,26 @@
 
 import pytest
 
-from ryelever.state.configuration import Configuration, Model
+from ryelever.state.configuration import Configuration
 from ryelever.state.configuration_fold import ConfigurationFold
 from ryelever.state.records import Entry, Publication
 
+from ..builders import declared, new_entry, new_publication
 
-def _publication(offset: int, base: int, *, author: str, record_id: str = "") -> Entry:
-    record = Publication(base_version=base, author=author, document=Configuration())
-    return Entry(offset=offset, time=0.0, id=record_id or f"id-{offset}", record=record)
+
+def _publication(
+    offset: int, base: int, *, author: str = "ana", id: str = "", **fields: int
+) -> Entry:
+    record = new_publication(base, author=author, **fields)
+    return new_entry(offset, record, id=id)
+
+
+def _fold(*entries: Entry) -> ConfigurationFold:
+    """Return a fold that has taken version 0 by ana, then some entries."""
+    fold = ConfigurationFold()
+    for entry in (_publication(0, -1, id="first"), *entries):
+        fold.apply(entry)
+    return fold
 
 
 def test_first_of_two_racing_publications_wins() -> None:
@@ -21,9 +33,8 @@
     documents from version 0 and both publish.  Cause: the second did not know of the
     first, so to accept it would undo the first.
     """
-    fold = ConfigurationFold()
-    fold.apply(_publication(0, -1, author="ana"))
-    assert fold.apply(_publication(1, 0, author="ana")) is None
+    fold = _fold()
+    assert fold.apply(_publication(1, 0)) is None
     reason = fold.apply(_publication(2, 0, author="bia"))
     assert reason is not None and "version 1 by ana" in reason
     assert (fold.version, fold.author) == (1, "ana")
@@ -36,9 +47,8 @@
     append is lost after it took effect, and it is appended again.  Cause: one record
     stands in the log twice.
     """
-    fold = ConfigurationFold()
-    fold.apply(_publication(0, -1, author="ana", record_id="same"))
-    reason = fold.apply(_publication(1, -1, author="ana", record_id="same"))
+    fold = _fold()
+    reason = fold.apply(_publication(1, -1, id="first"))
     assert reason == "repeated append of the record at offset 0"
     assert fold.version == 0
 
@@ -49,18 +59,14 @@
     Symptom: groups of no hosts are formed.  Sequence: somebody appends a document
     without the console.  Cause: nothing behind the console checked it again.
     """
-    document = Configuration(models={"notes": Model(version="v", hosts_per_group=0)})
+    document = declared(model="notes", hosts_per_group=0)
     record = Publication(base_version=-1, author="ana", document=document)
     fold = ConfigurationFold()
-    reason = fold.apply(Entry(offset=0, time=0.0, id="id", record=record))
+    reason = fold.apply(new_entry(0, record))
     assert reason is not None and "/models/notes/hosts_per_group" in reason
     assert fold.configuration == Configuration()
 
 
-def _document(name: str) -> Configuration:
-    return Configuration(models={name: Model(version="v")})
-
-
 ADOPTED = [
     # version in force, version passed on, taken, version afterwards
     (1, 5, True, 5),
@@ -80,10 +86,8 @@
     cut off for an hour passes its version on.  Cause: the word is taken as newer
     because it comes later.
     """
-    fold = ConfigurationFold()
-    fold.apply(_publication(0, -1, author="ana"))
-    fold.apply(_publication(held, 0, author="ana"))
-    document = _document("m")
+    fold = _fold(_publication(held, 0))
+    document = declared("v")
     assert fold.adopt(version=passed_on, document=document, author="bia") is taken
     assert fold.version == after
     assert (fold.configuration == document) is taken
@@ -97,11 +101,11 @@
     Cause: the records on the way to version 2 are judged against version 2.
     """
     fold = ConfigurationFold()
-    fold.adopt(version=2, document=_document("m"), author="ana")
+    fold.adopt(version=2, document=declared("v"), author="ana")
     entries = [
-        _publication(0, -1, author="ana"),
+        _publication(0, -1),
         _publication(1, -1, author="bia"),
-        _publication(2, 0, author="ana"),
+        _publication(2, 0),
     ]
     assert [fold.apply(entry) for entry in entries] == [None, None, None]
     assert fold.version == 2 and not fold.ignored
@@ -111,8 +115,7 @@
 
 
 def _gap_before(offset: int) -> ConfigurationFold:
-    fold = ConfigurationFold()
-    fold.apply(_publication(0, -1, author="ana"))
+    fold = _fold()
     fold.lost(before=offset, reason="records have expired")
     return fold
 
@@ -143,14 +146,10 @@
     """
     fold = _gap_before(10)
     if before:
-        fold.apply(_publication(11, 9, author="ana"))
-    record = Publication(
-        base_version=base,
-        author="bia",
-        document=_document("m"),
-        replaces_below=replaces_below,
+        fold.apply(_publication(11, 9))
+    reason = fold.apply(
+        _publication(12, base, author="bia", replaces_below=replaces_below)
     )
-    reason = fold.apply(Entry(offset=12, time=0.0, id="p", record=record))
     assert (reason is None) is accepted
     assert fold.complete is accepted
     assert fold.version == (12 if accepted else 0)
@@ -177,8 +176,8 @@
     """
     fold = _gap_before(10)
     for offset in range(10, 15):
-        fold.apply(_publication(offset, offset - 1, author="ana"))
-    assert fold.adopt(version=version, document=_document("m"), author="ana")
+        fold.apply(_publication(offset, offset - 1))
+    assert fold.adopt(version=version, document=declared("v"), author="ana")
     assert fold.complete is complete
     assert fold.next_offset == next_offset
 
@@ -191,23 +190,19 @@
     expired, and the newest snapshot is from before version 4.  Cause: the snapshot
     replaces all that the host holds.
     """
-    writer = ConfigurationFold()
-    writer.apply(_publication(0, -1, author="ana"))
-    parts = writer.to_snapshot(snapshot="s")
+    parts = _fold().to_snapshot(snapshot="s")
     fold = ConfigurationFold()
-    fold.adopt(version=4, document=_document("m"), author="bia")
+    fold.adopt(version=4, document=declared("v"), author="bia")
     fold.from_snapshot(parts)
     assert (fold.version, fold.author, fold.next_offset) == (4, "bia", 1)
-    assert fold.apply(_publication(5, 0, author="ana")) is not None
+    assert fold.apply(_publication(5, 0)) is not None
     assert fold.version == 4
 
 
 def test_loser_learns_the_winner() -> None:
     """Look up why a publication was refused, by its id."""
-    fold = ConfigurationFold()
-    fold.apply(_publication(0, -1, author="ana", record_id="won"))
-    fold.apply(_publication(1, -1, author="bia", record_id="lost"))
-    assert fold.reason_of("won") is None
+    fold = _fold(_publication(1, -1, author="bia", id="lost"))
+    assert fold.reason_of("first") is None
     assert fold.reason_of("lost") == (
         "based on version -1, but version 0 by ana is in force"
     )
