--- a/tests/test_console/browser.py
+++ b/tests/test_console/browser.py
@@ -90,6 +90,15 @@
         typed = {name.replace("__", "."): value for name, value in changes.items()}
         return self.post(form.action, form.fields | typed)
 
+    def review(self, **changes: str) -> Page:
+        """Open the document in force, type into some fields and review it."""
+        page = self.get("/console/edit")
+        return self.submit(page.form("/console/review"), **changes)
+
+    def publish(self, page: Page) -> Page:
+        """Publish what a page shows."""
+        return self.submit(page.form("/console/publish"))
+
     def sign_in(self, *, key: str, operator: str = "ana") -> Page:
         return self.post("/console/sign-in", {"operator": operator, "key": key})
 
--- a/tests/test_console/conftest.py
+++ b/tests/test_console/conftest.py
@@ -14,10 +14,11 @@
 from ryelever.coordination.measures import Measures
 from ryelever.coordination.repairs import RepairHistory
 from ryelever.events import CallerAnswer, CallerRequest
-from ryelever.state.configuration import Configuration, Model
+from ryelever.state.configuration import Configuration
 from ryelever.state.configuration_fold import ConfigurationFold
-from ryelever.state.records import Entry, Publication
+from ryelever.state.records import Publication
 
+from ..builders import declared, new_entry
 from .browser import Browser
 
 OPERATOR_KEY = "operator-key-of-the-tests"
@@ -55,9 +56,7 @@
         self.appended.clear()
 
     def append(self, record: Publication, *, record_id: str) -> str | None:
-        offset = self.fold.next_offset
-        entry = Entry(offset=offset, time=0.0, id=record_id, record=record)
-        return self.fold.apply(entry)
+        return self.fold.apply(new_entry(self.fold.next_offset, record, id=record_id))
 
     def publish(self, configuration: Configuration, *, author: str) -> None:
         record = Publication(
@@ -127,7 +126,7 @@
 def host(new_host: Callable[[], Host]) -> Host:
     """Return an entry host with one model in force as version 0."""
     host = new_host()
-    host.publish(Configuration(models={"notes": Model(version="v1")}), author="bia")
+    host.publish(declared(model="notes"), author="bia")
     return host
 
 
--- a/tests/test_console/test_pages.py
+++ b/tests/test_console/test_pages.py
@@ -9,35 +9,29 @@
 
 from ryelever.accounts import account_of
 from ryelever.console.sessions import SESSION_LIFE
-from ryelever.state.configuration import Configuration, Model
+from ryelever.state.configuration import Configuration
 
+from ..builders import declared
 from .browser import Browser, Page
 from .conftest import OPERATOR_KEY, Host
 
 
-def _review(browser: Browser, **changes: str) -> Page:
-    page = browser.get("/console/edit")
-    return browser.submit(page.form("/console/review"), **changes)
-
-
 def _publish(browser: Browser, **changes: str) -> Page:
-    return browser.submit(_review(browser, **changes).form("/console/publish"))
+    return browser.publish(browser.review(**changes))
 
 
 def test_change_is_reviewed_published_and_read_back(
     host: Host, browser: Browser
 ) -> None:
-    review = _review(browser, models__0__version="v2")
+    review = browser.review(models__0__version="v2")
     assert "/models/notes/version" in review.text
     assert "v1" in review.text and "v2" in review.text
     assert host.fold.version == 0
-    outcome = browser.submit(review.form("/console/publish"))
+    outcome = browser.publish(review)
     assert "Accepted as version 1" in outcome.text
     assert "In force on 1 of 1" in outcome.text
-    assert (host.fold.author, host.fold.configuration.models["notes"].version) == (
-        "ana",
-        "v2",
-    )
+    assert host.fold.author == "ana"
+    assert host.fold.configuration.models["notes"].version == "v2"
 
 
 def test_every_section_can_be_added_through_the_form(
@@ -71,25 +65,24 @@
 def test_key_is_shown_once_and_only_its_hash_is_published(
     host: Host, browser: Browser
 ) -> None:
-    review = _review(browser, client_accounts__0__name="pawroute")
+    review = browser.review(client_accounts__0__name="pawroute")
     key = re.search(r"pawroute\.[\w-]{20,}", review.text)[0]
     again = browser.submit(review.form("/console/edit"))
     assert key not in again.text
-    outcome = browser.submit(review.form("/console/publish"))
+    outcome = browser.publish(review)
     assert key not in outcome.text + browser.get("/console/document").text
     assert account_of(f"Bearer {key}", host.fold.configuration) == "pawroute"
-    unchanged = _review(browser)
+    unchanged = browser.review()
     assert "nothing\nto publish" in unchanged.text.replace("there is ", "")
-    new = _review(browser, client_accounts__0__make_key="on")
-    browser.submit(new.form("/console/publish"))
+    new = browser.review(client_accounts__0__make_key="on")
+    browser.publish(new)
     assert account_of(f"Bearer {key}", host.fold.configuration) is None
 
 
 def test_every_fault_stands_beside_its_field_and_nothing_is_lost(
     host: Host, browser: Browser
 ) -> None:
-    page = _review(
-        browser,
+    page = browser.review(
         models__0__n_groups="many",
         models__0__hosts_per_group="0",
         models__1__name="notes",
@@ -114,12 +107,12 @@
         client_accounts__0__share="0.5",
         weights__group_downtime="1",
     )
-    assert browser.submit(mended.form("/console/publish")).status == 200
+    assert browser.publish(mended).status == 200
     assert host.fold.configuration.models["notes"].n_groups == 2
 
 
 def test_rows_can_be_added_before_the_review(browser: Browser) -> None:
-    page = _review(browser, models__1__name="more", add="1")
+    page = browser.review(models__1__name="more", add="1")
     assert page.status == 200
     fields = page.form("/console/review").fields
     assert fields["models.1.name"] == "more" and fields["models.2.name"] == ""
@@ -134,9 +127,9 @@
     both review on version 0, the other one publishes first.  Cause: both drafts have
     one base, and only the first in the log can follow it.
     """
-    review = _review(browser, models__0__version="v2")
-    host.publish(Configuration(models={"notes": Model(version="w")}), author="caio")
-    outcome = browser.submit(review.form("/console/publish"))
+    review = browser.review(models__0__version="v2")
+    host.publish(declared("w", model="notes"), author="caio")
+    outcome = browser.publish(review)
     assert outcome.status == 409
     assert "version 1 by caio is in force" in outcome.text
     assert host.fold.configuration.models["notes"].version == "w"
@@ -144,7 +137,7 @@
     assert edit.form("/console/review").fields["models.0.version"] == "v2"
     second = browser.submit(edit.form("/console/review"))
     assert "would\nundo" in second.text and "by caio" not in second.text
-    accepted = browser.submit(second.form("/console/publish"))
+    accepted = browser.publish(second)
     assert "Accepted as version 3" in accepted.text
 
 
@@ -162,7 +155,7 @@
     assert "Accepted" not in outcome.text
     host.log_is_up = True
     host.read_back()
-    again = browser.submit(outcome.form("/console/publish"))
+    again = browser.publish(outcome)
     assert "Accepted as version 1" in again.text
     assert host.fold.version == 1
     assert "repeated append" in host.fold.ignored[-1].reason
@@ -203,9 +196,9 @@
     behind = browser.submit(edit, models__0__version="v2")
     assert "has not read yet" in behind.text
     assert all(form.action != "/console/publish" for form in behind.forms)
-    other.publish(Configuration(models={"notes": Model(version="v1")}), author="bia")
+    other.publish(declared(model="notes"), author="bia")
     review = browser.submit(edit, models__0__version="v2")
-    assert "Accepted" in browser.submit(review.form("/console/publish")).text
+    assert "Accepted" in browser.publish(review).text
 
 
 @pytest.mark.parametrize("token", ["", "0" * 64, "é"])
@@ -216,7 +209,7 @@
     signed-in operator opens a page that posts a form to the console.  Cause: the
     browser sends the cookie along.
     """
-    form = _review(browser, models__0__version="v2").form("/console/publish")
+    form = browser.review(models__0__version="v2").form("/console/publish")
     page = browser.submit(form, token=token)
     assert page.status == 403 and "nothing was done" in page.text
     assert host.fold.version == 0 and not host.appended
@@ -226,7 +219,7 @@
 def test_form_of_another_session_is_refused(
     host: Host, browser: Browser, new_host: Callable[[], Host]
 ) -> None:
-    form = _review(browser, models__0__version="v2").form("/console/publish")
+    form = browser.review(models__0__version="v2").form("/console/publish")
     browser.sign_in(key=OPERATOR_KEY)
     assert browser.submit(form).status == 403
     assert host.fold.version == 0
@@ -247,7 +240,7 @@
     )
     assert again.form("/console/review").fields["models.0.version"] == "v2"
     review = browser.submit(again.form("/console/review"))
-    assert "Accepted" in browser.submit(review.form("/console/publish")).text
+    assert "Accepted" in browser.publish(review).text
 
 
 def test_values_are_escaped(host: Host, browser: Browser) -> None:
@@ -259,8 +252,7 @@
     """
     evil = '"><script>alert(1)</script>'
     pages = [
-        _review(
-            browser,
+        browser.review(
             models__0__name=evil,
             models__0__version=evil,
             models__0__adapters=evil,
@@ -283,7 +275,7 @@
 def test_document_in_force_that_holds_markup_is_escaped(
     host: Host, browser: Browser
 ) -> None:
-    host.fold.configuration = Configuration(models={"<script>": Model(version="<b>")})
+    host.fold.configuration = declared("<b>", model="<script>")
     for name in ("document", "edit"):
         page = browser.get(f"/console/{name}")
         assert "script" not in page.tags and "&lt;script&gt;" in page.text
@@ -340,7 +332,7 @@
 
 
 def test_oversized_form_is_refused(host: Host, browser: Browser) -> None:
-    page = _review(browser, models__0__adapters="a = b\n" * 100_000)
+    page = browser.review(models__0__adapters="a = b\n" * 100_000)
     assert page.status == 413 and "smaller steps" in page.text
     assert host.fold.version == 0
 
@@ -352,6 +344,6 @@
 def test_damaged_form_publishes_nothing(
     host: Host, browser: Browser, changes: dict[str, str]
 ) -> None:
-    form = _review(browser, models__0__version="v2").form("/console/publish")
+    form = browser.review(models__0__version="v2").form("/console/publish")
     assert browser.submit(form, **changes).status == 400
     assert not host.appended and host.fold.version == 0
--- a/tests/test_console/test_through_processes.py
+++ b/tests/test_console/test_through_processes.py
@@ -62,15 +62,12 @@
     other's publication when it took its own.
     """
     reviews = [
-        browser.submit(
-            browser.get("/console/edit").form("/console/review"),
-            models__0__version=version,
-        )
+        browser.review(models__0__version=version)
         for browser, version in zip(browsers, ("v2", "v3"), strict=True)
     ]
-    first = browsers[0].submit(reviews[0].form("/console/publish"))
+    first = browsers[0].publish(reviews[0])
     assert "Accepted as version 1" in first.text
-    second = browsers[1].submit(reviews[1].form("/console/publish"))
+    second = browsers[1].publish(reviews[1])
     assert second.status == 409 and "version 1 by e1 is in force" in second.text
     wait_until(lambda: _versions(fleet) == [1, 1], what="version 1 is everywhere")
 
@@ -79,7 +76,7 @@
     edit = browsers[0].get("/console/edit").form("/console/review")
     browsers[0].exchange = browsers[1].exchange
     review = browsers[0].submit(edit, models__0__n_groups="2")
-    outcome = browsers[0].submit(review.form("/console/publish"))
+    outcome = browsers[0].publish(review)
     assert "Accepted as version 1" in outcome.text
     wait_until(
         lambda: "In force on 2 of 2" in browsers[0].get("/console/document").text,
@@ -97,14 +94,12 @@
     answer to the append decided what the operator was told.
     """
     browser = browsers[0]
-    review = browser.submit(
-        browser.get("/console/edit").form("/console/review"), models__0__version="v2"
-    )
+    review = browser.review(models__0__version="v2")
     fleet.control("log", outage=True)
-    outcome = browser.submit(review.form("/console/publish"))
+    outcome = browser.publish(review)
     assert outcome.status == 200 and "Not read back yet" in outcome.text
     fleet.control("log", outage=False, lose_append_answers=True)
-    again = browser.submit(outcome.form("/console/publish"))
+    again = browser.publish(outcome)
     assert "Accepted as version 1" in again.text
     wait_until(lambda: _versions(fleet) == [1, 1], what="version 1 is everywhere")
 
