--- a/tests/test_transport/test_openai_client.py
+++ b/tests/test_transport/test_openai_client.py
@@ -25,15 +25,19 @@
     return OpenAI(base_url=f"{entry.url}/v1", api_key=key, max_retries=0)
 
 
+def complete(client: OpenAI, **parameters: object) -> object:
+    """Ask the model "notes" the question, unless the parameters say otherwise."""
+    asked = {"model": "notes", "messages": QUESTION} | parameters
+    return client.chat.completions.create(**asked)
+
+
 def positions(text: str) -> list[int]:
     """Return the positions that the stand-in engine writes into its tokens."""
     return [int(token.rpartition("-")[2]) for token in text.split()]
 
 
 def test_whole_answer(client: OpenAI) -> None:
-    answer = client.chat.completions.create(
-        model="notes", messages=QUESTION, max_tokens=N_TOKENS
-    )
+    answer = complete(client, max_tokens=N_TOKENS)
     assert positions(answer.choices[0].message.content) == list(range(N_TOKENS))
     assert answer.choices[0].finish_reason == "stop"
     assert (answer.model, answer.object) == ("notes", "chat.completion")
@@ -46,22 +50,14 @@
 def test_streamed_answer(client: OpenAI, include_usage: bool) -> None:
     """Stream in order, one role first, and the usage only when asked for."""
     options = {"stream_options": {"include_usage": True}} if include_usage else {}
-    chunks = list(
-        client.chat.completions.create(
-            model="notes",
-            messages=QUESTION,
-            max_completion_tokens=N_TOKENS,
-            stream=True,
-            **options,
-        )
-    )
+    asked = {"max_completion_tokens": N_TOKENS, "stream": True} | options
+    chunks = list(complete(client, **asked))
     choices = [chunk.choices[0] for chunk in chunks if chunk.choices]
     text = "".join(choice.delta.content or "" for choice in choices)
     assert positions(text) == list(range(N_TOKENS))
     assert choices[0].delta.role == "assistant"
-    assert [choice.finish_reason for choice in choices if choice.finish_reason] == [
-        "stop"
-    ]
+    reasons = [choice.finish_reason for choice in choices if choice.finish_reason]
+    assert reasons == ["stop"]
     assert len({chunk.id for chunk in chunks}) == 1
     usages = [chunk.usage for chunk in chunks if chunk.usage]
     assert [usage.completion_tokens for usage in usages] == [N_TOKENS] * include_usage
@@ -89,13 +85,11 @@
         with pytest.raises(openai.NotFoundError):
             walker.models.retrieve(name)
     with pytest.raises(openai.NotFoundError):
-        walker.chat.completions.create(model="hidden", messages=QUESTION)
+        complete(walker, model="hidden")
 
 
 def test_adapter_is_named_after_its_model(client: OpenAI) -> None:
-    answer = client.chat.completions.create(
-        model="notes:queensland", messages=QUESTION, max_tokens=2
-    )
+    answer = complete(client, model="notes:queensland", max_tokens=2)
     assert answer.model == "notes:queensland"
 
 
@@ -108,15 +102,8 @@
     client = client.with_options(max_retries=20)
     key = f"{time.time_ns() // 1_000_000}-summary"
     n_before = served.counts("h0")["n_generated"]
-    answers = [
-        client.chat.completions.create(
-            model="notes",
-            messages=QUESTION,
-            max_tokens=N_TOKENS,
-            extra_headers={"Idempotency-Key": key},
-        )
-        for _ in range(2)
-    ]
+    asked = {"max_tokens": N_TOKENS, "extra_headers": {"Idempotency-Key": key}}
+    answers = [complete(client, **asked) for _ in range(2)]
     contents = [answer.choices[0].message.content for answer in answers]
     assert contents[0] == contents[1]
     assert served.counts("h0")["n_generated"] - n_before == N_TOKENS
@@ -148,9 +135,8 @@
     client: OpenAI, parameters: dict, exception: type[Exception], named: str
 ) -> None:
     """Raise the exception of the client, with a message that names the fault."""
-    asked = {"model": "notes", "messages": QUESTION} | parameters
     with pytest.raises(exception) as raised:
-        client.chat.completions.create(**asked)
+        complete(client, **parameters)
     assert named in raised.value.body["message"]
     assert raised.value.body["run_state"] == "not_run"
 
@@ -167,8 +153,8 @@
     ],
 )
 def test_known_parameters_are_taken(client: OpenAI, parameters: dict) -> None:
-    asked = {"model": "notes", "messages": QUESTION, "max_tokens": 2} | parameters
-    assert client.chat.completions.create(**asked).usage.completion_tokens == 2
+    answer = complete(client, **{"max_tokens": 2} | parameters)
+    assert answer.usage.completion_tokens == 2
 
 
 def test_wrong_key_is_an_authentication_error(entry: EntryHost) -> None:
@@ -180,7 +166,7 @@
 def test_model_without_a_group_is_unavailable(client: OpenAI) -> None:
     """Say at once when to come back, as no group serves the model."""
     with pytest.raises(openai.InternalServerError) as raised:
-        client.chat.completions.create(model="hidden", messages=QUESTION, timeout=10)
+        complete(client, model="hidden", timeout=10)
     assert raised.value.status_code == 503
     assert raised.value.body["run_state"] == "not_run"
     assert int(raised.value.response.headers["Retry-After"]) >= 1
