Check refusals of the callers' interface in one place

Cause: four tests each sent bytes, read an answer and checked the same fields of the error; long rows repeated heads and codes. Every refusal is now also looked through for a traceback.

--- a/tests/test_transport/test_callers.py
+++ b/tests/test_transport/test_callers.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from ..builders import named
 from ..processes import EntryHost, Fleet, wait_until
 
 N_CUT_OFF = 300
@@ -42,7 +43,7 @@
 def chat(fleet: Fleet, *, body: bytes | None = None, head: str = "", **fields) -> bytes:
     """Return the bytes of a chat request; ``head`` holds additional lines."""
     if body is None:
-        body = json.dumps(QUESTION | {"max_tokens": 3} | fields).encode()
+        body = question(**{"max_tokens": 3} | fields)
     return (
         "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\n"
         f"Authorization: Bearer {fleet.keys_by_account['pawroute']}\r\n"
@@ -55,14 +56,36 @@
     return "\r\n".join((start, "Host: e", *lines, "", "")).encode()
 
 
+def exchange(entry: EntryHost, data: bytes) -> tuple[http.client.HTTPResponse, bytes]:
+    """Send bytes on a connection of their own and read one answer."""
+    with connected(entry) as sock:
+        sock.sendall(data)
+        return read_answer(sock)
+
+
 def assert_serves(fleet: Fleet, entry: EntryHost) -> None:
     """Check that a good request is still answered."""
-    with connected(entry) as sock:
-        sock.sendall(chat(fleet))
-        answer, body = read_answer(sock)
+    answer, body = exchange(entry, chat(fleet))
     assert answer.status == 200, body
 
 
+def assert_refused(answer: tuple, status: int, code: str | None) -> dict[str, str]:
+    """Check an error that says what is wrong and that nothing was run."""
+    response, body = answer
+    assert response.status == status, body
+    error = json.loads(body)["error"]
+    assert error["code"] == (code or error["code"])
+    assert error["run_state"] == "not_run"
+    assert b"Traceback" not in body
+    return error
+
+
+CHUNKED = head_of("Transfer-Encoding: chunked")
+AMBIGUOUS = head_of("Content-Length: 5", "Transfer-Encoding: chunked") + b"0\r\n\r\n"
+TWO_LENGTHS = head_of("Content-Length: 2", "Content-Length: 3")
+LONG_PATH = head_of(start=f"GET /{'a' * 40_000} HTTP/1.1")
+LONG_CHUNK = CHUNKED + b"200000\r\n" + b"a" * 0x200000
+
 #: Requests that never get past the guard: name, bytes, status and code.
 REFUSED = [
     ("not HTTP", b"\x16\x03\x01\x02\x00\x01\r\n\r\n", 400, "bad_request"),
@@ -73,54 +96,25 @@
     ("two hosts", head_of("Host: f"), 400, "bad_request"),
     ("negative length", head_of("Content-Length: -5"), 400, "bad_request"),
     ("length in words", head_of("Content-Length: five"), 400, "bad_request"),
-    (
-        "two lengths",
-        head_of("Content-Length: 2", "Content-Length: 3"),
-        400,
-        "bad_request",
-    ),
-    (
-        "length and chunks",
-        head_of("Content-Length: 5", "Transfer-Encoding: chunked") + b"0\r\n\r\n",
-        400,
-        "ambiguous_length",
-    ),
+    ("two lengths", TWO_LENGTHS, 400, "bad_request"),
+    ("length and chunks", AMBIGUOUS, 400, "ambiguous_length"),
     ("unknown coding", head_of("Transfer-Encoding: gzip"), 501, "bad_request"),
-    (
-        "bad chunk size",
-        head_of("Transfer-Encoding: chunked") + b"zz\r\n",
-        400,
-        "bad_request",
-    ),
+    ("bad chunk size", CHUNKED + b"zz\r\n", 400, "bad_request"),
     ("folded name", head_of("Bad Name: x"), 400, "bad_request"),
     ("control byte", head_of("X-A: a\x00b"), 400, "bad_request"),
     ("long header", head_of("X-A: " + "a" * 40_000), 431, "head_too_large"),
     ("endless header", b"GET / HTTP/1.1\r\nX-A: " + b"a" * 70_000, 431, None),
     ("many headers", head_of(*["X-A: a"] * 200), 431, "head_too_large"),
-    (
-        "long path",
-        head_of(start=f"GET /{'a' * 40_000} HTTP/1.1"),
-        431,
-        "head_too_large",
-    ),
+    ("long path", LONG_PATH, 431, "head_too_large"),
     ("unknown method", head_of(start="BREW /v1/models HTTP/1.1"), 501, "method"),
     ("declared too long", head_of("Content-Length: 2000000"), 413, "body_too_large"),
-    (
-        "chunked too long",
-        head_of("Transfer-Encoding: chunked") + b"200000\r\n" + b"a" * 0x200000,
-        413,
-        "body_too_large",
-    ),
+    ("chunked too long", LONG_CHUNK, 413, "body_too_large"),
     ("whole line of junk", b"\r\n" * 10 + b"%%%%\r\n\r\n", 400, "bad_request"),
     ("space in path", head_of(start="GET /a b HTTP/1.1"), 400, "bad_request"),
 ]
 
 
-@pytest.mark.parametrize(
-    ("data", "status", "code"),
-    [row[1:] for row in REFUSED],
-    ids=[row[0] for row in REFUSED],
-)
+@pytest.mark.parametrize(("data", "status", "code"), named(REFUSED))
 def test_refuse_malformed_request(
     served: Fleet, entry: EntryHost, data: bytes, status: int, code: str | None
 ) -> None:
@@ -133,15 +127,12 @@
     with connected(entry) as sock:
         sender = threading.Thread(target=_send_all, args=(sock, data))
         sender.start()
-        answer, body = read_answer(sock)
+        answer = read_answer(sock)
         sender.join()
         assert sock.recv(1) == b""
-    assert answer.status == status, body
-    error = json.loads(body)["error"]
-    assert error["code"] == (code or error["code"])
-    assert (error["run_state"], error["step"]) == ("not_run", "read_request")
+    error = assert_refused(answer, status, code)
+    assert error["step"] == "read_request"
     assert error["peer"].startswith("127.0.0.1:")
-    assert b"Traceback" not in body
     assert_serves(served, entry)
 
 
@@ -150,6 +141,11 @@
         sock.sendall(data)
 
 
+def question(**fields: object) -> bytes:
+    """Return the body of a question with other fields."""
+    return json.dumps(QUESTION | fields).encode()
+
+
 #: Well-formed HTTP with a request that makes no sense: body, status, code.
 BAD_BODIES = [
     ("empty", b"", 400, "invalid_request"),
@@ -160,53 +156,29 @@
     ("deep nesting", b"[" * 100_000, 400, "invalid_request"),
     ("no messages", b'{"model": "notes", "messages": []}', 400, "invalid_request"),
     ("number as model", b'{"model": 3, "messages": []}', 400, "invalid_request"),
-    (
-        "unknown model",
-        json.dumps(QUESTION | {"model": "none"}).encode(),
-        404,
-        "model_not_found",
-    ),
-    (
-        "unknown adapter",
-        json.dumps(QUESTION | {"model": "notes:none"}).encode(),
-        404,
-        "model_not_found",
-    ),
-    (
-        "tokens below 1",
-        json.dumps(QUESTION | {"max_tokens": 0}).encode(),
-        400,
-        "invalid_request",
-    ),
-    (
-        "tokens beyond all",
-        json.dumps(QUESTION | {"max_tokens": 10**9}).encode(),
-        400,
-        "invalid_request",
-    ),
+    ("unknown model", question(model="none"), 404, "model_not_found"),
+    ("unknown adapter", question(model="notes:none"), 404, "model_not_found"),
+    ("tokens below 1", question(max_tokens=0), 400, "invalid_request"),
+    ("tokens beyond all", question(max_tokens=10**9), 400, "invalid_request"),
 ]
 
 
-@pytest.mark.parametrize(
-    ("body", "status", "code"),
-    [row[1:] for row in BAD_BODIES],
-    ids=[row[0] for row in BAD_BODIES],
-)
+@pytest.mark.parametrize(("body", "status", "code"), named(BAD_BODIES))
 def test_refuse_bad_body(
     served: Fleet, entry: EntryHost, body: bytes, status: int, code: str
 ) -> None:
     """Name the fault of a body and keep the connection."""
     with connected(entry) as sock:
         sock.sendall(chat(served, body=body))
-        answer, answered = read_answer(sock)
-        error = json.loads(answered)["error"]
-        assert (answer.status, error["code"]) == (status, code)
-        assert error["run_state"] == "not_run"
-        assert b"Traceback" not in answered
+        assert_refused(read_answer(sock), status, code)
         sock.sendall(chat(served))
         assert read_answer(sock)[0].status == 200
 
 
+KEY_MISSING = "idempotency_key_missing"
+SPELLED = "POST /services/bookings/%62ookings"
+DETOUR = "POST /services/bookings/x/..//bookings"
+
 #: Start line, authorization, status and code.
 BAD_TARGETS = [
     ("wrong key", "GET /v1/models", "Bearer nobody.x", 401, "invalid_api_key"),
@@ -224,34 +196,14 @@
     ("wrong method", "DELETE /v1/chat/completions", "", 405, "use_post"),
     ("wrong method of models", "POST /v1/models", "", 405, "use_get"),
     ("unknown service", "GET /services/none/x", "", 404, "unknown_service"),
-    (
-        "other spelling of a call that needs a key",
-        "POST /services/bookings/%62ookings",
-        "",
-        400,
-        "idempotency_key_missing",
-    ),
-    (
-        "detour to a call that needs a key",
-        "POST /services/bookings/x/..//bookings",
-        "",
-        400,
-        "bad_path",
-    ),
-    (
-        "no idempotency key",
-        "POST /services/bookings/bookings",
-        "",
-        400,
-        "idempotency_key_missing",
-    ),
+    ("other spelling of a call that needs a key", SPELLED, "", 400, KEY_MISSING),
+    ("detour to a call that needs a key", DETOUR, "", 400, "bad_path"),
+    ("no idempotency key", "POST /services/bookings/bookings", "", 400, KEY_MISSING),
 ]
 
 
 @pytest.mark.parametrize(
-    ("start", "authorization", "status", "code"),
-    [row[1:] for row in BAD_TARGETS],
-    ids=[row[0] for row in BAD_TARGETS],
+    ("start", "authorization", "status", "code"), named(BAD_TARGETS)
 )
 def test_refuse_bad_target(
     served: Fleet,
@@ -264,13 +216,9 @@
     """Name what is wrong with a path, a method or a key."""
     authorization = authorization or f"Bearer {served.keys_by_account['pawroute']}"
     head = f"{start} HTTP/1.1\r\nHost: e\r\nAuthorization: {authorization}\r\n\r\n"
-    with connected(entry) as sock:
-        sock.sendall(head.encode("latin-1"))
-        answer, body = read_answer(sock)
-    error = json.loads(body)["error"]
-    assert (answer.status, error["code"]) == (status, code)
-    assert error["run_state"] == "not_run"
-    assert ("Allow" in answer.headers) == (status == 405)
+    answer = exchange(entry, head.encode("latin-1"))
+    assert_refused(answer, status, code)
+    assert ("Allow" in answer[0].headers) == (status == 405)
 
 
 @pytest.mark.parametrize(
@@ -294,9 +242,7 @@
     """
     host = "" if line.startswith("Host") else "Host: e\r\n"
     head = f"GET /healthz HTTP/1.1\r\n{host}{line}\r\n\r\n"
-    with connected(entry) as sock:
-        sock.sendall(head.encode("latin-1"))
-        answer, body = read_answer(sock)
+    answer, body = exchange(entry, head.encode("latin-1"))
     assert (answer.status, json.loads(body)) == (200, {"status": "alive"})
     assert "Set-Cookie" not in answer.headers
 
@@ -367,15 +313,14 @@
     served: Fleet, entry: EntryHost
 ) -> None:
     """Refuse by the declared length, in place of 100 Continue."""
-    with connected(entry) as sock:
-        sock.sendall(head_of("Content-Length: 9000000", "Expect: 100-continue"))
-        answer, _ = read_answer(sock)
+    head = head_of("Content-Length: 9000000", "Expect: 100-continue")
+    answer, _ = exchange(entry, head)
     assert answer.status == 413
 
 
 def test_body_in_chunks_is_read(served: Fleet, entry: EntryHost) -> None:
     """Read a chunked body, however its chunks are cut."""
-    body = json.dumps(QUESTION | {"max_tokens": 2}).encode()
+    body = question(max_tokens=2)
     key = f"Authorization: Bearer {served.keys_by_account['pawroute']}"
     chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
     with connected(entry) as sock:
