--- a/ryelever/protocol/outside.py
+++ b/ryelever/protocol/outside.py
@@ -66,8 +66,8 @@
 class HostsListInterface(Protocol):
     """Ask the platform's lagging list of hosts."""
 
-    def list(self) -> Call:
-        """Ask for the list."""
+    def list(self, *, known_tag: str) -> Call:
+        """Ask for the list, or for word that it is still the one with this tag."""
 
     def hosts(self, body: bytes, *, peer: str) -> Result[HostsList, RyeleverError]:
         """Read the answer to ``list``."""
@@ -89,9 +89,12 @@
         """Stop the generation of an attempt."""
 
     def host_report(
-        self, body: bytes, *, peer: str
+        self, body: bytes, *, host: str, peer: str
     ) -> Result[HostReport, RyeleverError]:
-        """Read the answer to ``report`` and to ``order``."""
+        """Read the answer to ``report`` and to ``order``, of the host that was asked.
+
+        A report that another host gives at this address is an error.
+        """
 
     def stream_item(self, data: bytes) -> StreamItem:
         """Read one event of a generation.
@@ -127,8 +130,9 @@
 
 
 class _HttpHostsList:
-    def list(self) -> Call:
-        return Call(path="/v1/hosts")
+    def list(self, *, known_tag: str) -> Call:
+        headers = (("If-None-Match", known_tag),) if known_tag else ()
+        return Call(path="/v1/hosts", headers=headers)
 
     def hosts(self, body: bytes, *, peer: str) -> Result[HostsList, RyeleverError]:
         return read_hosts_list(body, peer=peer)
@@ -148,9 +152,9 @@
         return _post("/v1/cancel", {"attempt": attempt_id})
 
     def host_report(
-        self, body: bytes, *, peer: str
+        self, body: bytes, *, host: str, peer: str
     ) -> Result[HostReport, RyeleverError]:
-        return read_report(body, peer=peer)
+        return read_report(body, host=host, peer=peer)
 
     def stream_item(self, data: bytes) -> StreamItem:
         return read_stream_item(data)
