Call an entry host ready only when it knows the fleet

Cause: /readyz answered 200 as soon as a configuration and the list of hosts were read. Ready now waits for the zone's placement and a first word of each engine, for 10 s at most, so that a host that starts during an outage of the log still serves what it can.

Ruled out as the only cause: reports ageing out when the asker of an engine ends; the second asker takes over within 1.5 s of the 2 s for which a report counts.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import uuid
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from .coordination.confirmation import Confirmations
 from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
+from .coordination.readiness import Knowledge, Readiness
 from .coordination.requests_state import RequestState
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
@@ -77,6 +79,7 @@
         self.settings = settings
         self.boot = uuid.uuid4().hex[:12]
         self.exit_code = 0
+        self._readiness = Readiness()
         owner = f"{settings.host}/{self.boot}"
         self.metrics = Metrics()
         self.configuration = ConfigurationFold()
@@ -199,10 +202,16 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether a configuration is in force and the hosts are known."""
-        return self.configuration.version != NO_VERSION and bool(
-            self.fleet.hosts_by_name
+        """Tell whether enough is known of the fleet to serve."""
+        stream = placement_stream(self.settings.availability_zone)
+        placement = self.streams.streams_by_name[stream]
+        knowledge = Knowledge(
+            has_configuration=self.configuration.version != NO_VERSION,
+            has_hosts=bool(self.fleet.hosts_by_name),
+            has_placement=placement.caught_up_at != float("-inf"),
+            n_unheard=self.fleet.n_unheard(),
         )
+        return self._readiness.look(knowledge, now=time.monotonic())
 
     def _in_flight(self) -> InFlight:
         streams = self.streams.streams_by_name
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -16,6 +16,7 @@
 from .logs import log_event
 from .protocol.json_codec import encode
 from .protocol.openai import error_body, http_status
+from .state.configuration_fold import NO_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -102,8 +103,10 @@
         application = self._application
         if application.serving.draining:
             return _json(request, 503, {"status": "draining"})
-        if not application.ready:
+        if application.configuration.version == NO_VERSION:
             return _json(request, 503, {"status": "no configuration yet"})
+        if not application.ready:
+            return _json(request, 503, {"status": "fleet not known yet"})
         return _json(request, 200, {"status": "ready"})
 
     def _metrics(self, request: CallerRequest) -> CallerAnswer:
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -78,6 +78,7 @@
         )
         self._own_reports_by_host: dict[str, FreshReport] = {}
         self._unread: set[str] = set()
+        self._heard: set[str] = set()
 
     @handler("control_tick")
     def _on_control_tick(self) -> None:
@@ -115,6 +116,21 @@
             ):
                 self._ask_report(name, listed)
 
+    def n_unheard(self) -> int:
+        """Count the zone's live engines of which nothing was heard yet.
+
+        An engine that failed to answer counts as heard of: waiting for it longer
+        would not tell more.
+        """
+        zone = self._settings.availability_zone
+        return sum(
+            listed.availability_zone == zone
+            and listed.state == "live"
+            and name not in self._heard
+            and name not in self.confirmations.reports_by_host
+            for name, listed in self._followed_by_name.items()
+        )
+
     def _ask_report(self, name: str, listed: ListedHost) -> None:
         self.ask(
             Question(kind="report", subject=name),
@@ -137,6 +153,7 @@
         self._followed_by_name = self._followed()
         self._following.forget(self.hosts_by_name)
         self._unread &= self.hosts_by_name.keys()
+        self._heard &= self.hosts_by_name.keys()
         for host in self._own_reports_by_host.keys() - self.hosts_by_name.keys():
             del self._own_reports_by_host[host]
 
@@ -159,6 +176,7 @@
         if question.kind == "list":
             self._take_list(answer)
             return
+        self._heard.add(question.subject)
         report = self._engine.host_report(
             answer.body, host=question.subject, peer=answer.address
         )
@@ -180,7 +198,9 @@
         """Keep the last list; a host that refuses connections counts as gone."""
         if question.kind == "list":
             log_warning("hosts_list_failed", message=failure.error.message)
-        elif not failure.bytes_sent:
+            return
+        self._heard.add(question.subject)
+        if not failure.bytes_sent:
             self.refused(question.subject, at=time.monotonic())
 
     def refused(self, host: str, *, at: float) -> None:
--- /dev/null
+++ b/tests/test_coordination/test_readiness.py
@@ -0,0 +1,58 @@
+"""Test when an entry host calls itself ready."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.coordination.readiness import KNOWLEDGE_TIMEOUT, Knowledge, Readiness
+
+
+def _knows(text: str, n_unheard: int = 0) -> Knowledge:
+    return Knowledge(
+        has_configuration="c" in text,
+        has_hosts="h" in text,
+        has_placement="p" in text,
+        n_unheard=n_unheard,
+    )
+
+
+CASES = {
+    "nothing is known, however long": ([(0, _knows("")), (99, _knows(""))], False),
+    "no configuration": ([(0, _knows("hp")), (99, _knows("hp"))], False),
+    "no list of hosts": ([(0, _knows("cp")), (99, _knows("cp"))], False),
+    "placement not read": ([(0, _knows("ch"))], False),
+    "an engine not heard of": ([(0, _knows("chp", 1))], False),
+    "all is known": ([(0, _knows("chp"))], True),
+    "known step by step": ([(0, _knows("ch", 4)), (1, _knows("chp"))], True),
+    "just before the end of the wait": (
+        [(5, _knows("ch")), (4.9 + KNOWLEDGE_TIMEOUT, _knows("ch"))],
+        False,
+    ),
+    "log away, waited long enough": (
+        [(5, _knows("ch", 2)), (5 + KNOWLEDGE_TIMEOUT, _knows("ch", 2))],
+        True,
+    ),
+    "the wait begins with the list": (
+        [(0, _knows("c")), (KNOWLEDGE_TIMEOUT, _knows("ch"))],
+        False,
+    ),
+    "ready once, then the fleet goes dark": (
+        [(0, _knows("chp")), (1, _knows("c", 9))],
+        True,
+    ),
+}
+
+
+@pytest.mark.parametrize(("looks", "ready"), CASES.values(), ids=CASES)
+def test_ready_when_enough_is_known_to_serve(
+    looks: list[tuple[float, Knowledge]], ready: bool
+) -> None:
+    """Start an entry host and look at what it tells the balancer.
+
+    Symptom: requests are refused right after each replacement of an entry host while
+    others could serve them.  Sequence: a host starts, reads configuration and list,
+    is sent requests, and has confirmed no group yet.  Cause: it said ready too early.
+    """
+    readiness = Readiness()
+    seen = [readiness.look(knowledge, now=at) for at, knowledge in looks]
+    assert seen[-1] is ready
