Remove what stands twice or is called by nothing

Cause: faults of the outgoing connections and of the peers' socket were logged twice, by the component in a bare line and by the application as a structured one; the search for the oldest unproven link stood beside a method that does it; ConcurrencyAdmission is used by nothing since fair admission. The application's line, which hears every channel, the method, and fair admission remain. Behaviour is otherwise unchanged.

Ruled out: merging NoFeedback with the protocol beside it, whose signatures must match.

--- a/ryelever/coordination/admission.py
+++ b/ryelever/coordination/admission.py
@@ -9,7 +9,7 @@
     from ..state.configuration import ClientAccount
     from .actions import Arrival
 
-__all__ = ["Admission", "Admitted", "ConcurrencyAdmission", "Queued", "Refused"]
+__all__ = ["Admission", "Admitted", "Queued", "Refused"]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -46,43 +46,3 @@
 
     def expired(self, *, now: float) -> list[tuple[str, Refused]]:
         """Return the waiting requests that can no longer be met in time."""
-
-
-class ConcurrencyAdmission:
-    """Bound the requests in flight of each client account; keep no queue."""
-
-    def __init__(self, *, retry_after: float = 1.0) -> None:
-        self._retry_after = retry_after
-        self._account_by_request: dict[str, str] = {}
-        self._n_by_account: dict[str, int] = {}
-
-    def admit(
-        self, arrival: Arrival, account: ClientAccount, *, now: float
-    ) -> Admitted | Queued | Refused:
-        """Admit the request if its account has room."""
-        n_in_flight = self._n_by_account.get(arrival.client_account, 0)
-        if n_in_flight >= account.concurrency:
-            return Refused(
-                reason=(
-                    f"client account {arrival.client_account} has "
-                    f"{n_in_flight} requests in flight, its limit"
-                ),
-                retry_after=self._retry_after,
-            )
-        self._account_by_request[arrival.request_id] = arrival.client_account
-        self._n_by_account[arrival.client_account] = n_in_flight + 1
-        return Admitted()
-
-    def release(self, request_id: str, *, now: float) -> None:
-        """Give the account its room back."""
-        account = self._account_by_request.pop(request_id, None)
-        if account is not None:
-            self._n_by_account[account] -= 1
-
-    def ready(self, *, now: float) -> list[str]:
-        """Return nothing: there is no queue."""
-        return []
-
-    def expired(self, *, now: float) -> list[tuple[str, Refused]]:
-        """Return nothing: there is no queue."""
-        return []
--- a/ryelever/coordination/soft_state_links.py
+++ b/ryelever/coordination/soft_state_links.py
@@ -172,12 +172,7 @@
             link = Link(boot=boot, given=self.draw())
             self.links_by_boot[boot] = link
         while len(self.links_by_boot) > MAX_LINKS:
-            unproven = next(
-                b
-                for b, known in self.links_by_boot.items()
-                if known is not self.current
-            )
-            del self.links_by_boot[unproven]
+            del self.links_by_boot[self._oldest_unproven()]
         return link
 
     def _oldest_unproven(self) -> int:
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -14,7 +14,6 @@
 from typing import TYPE_CHECKING
 
 import h11
-from absl import logging
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
@@ -36,7 +35,7 @@
 from .http_pool import IDLE_TIMEOUT, IdleConnections
 
 if TYPE_CHECKING:
-    from circuits import Event
+    pass
 
 __all__ = ["HttpClient"]
 
@@ -389,14 +388,3 @@
         self._idle.remove(connection)
         self._poller.discard(connection.sock)
         connection.sock.close()
-
-    @handler("exception", channel="http_client")
-    def _on_exception(
-        self,
-        error_type: type[Exception],
-        error: Exception,
-        traceback: list[str],
-        handler: object = None,  # noqa: A002
-        fevent: Event | None = None,
-    ) -> None:
-        logging.error("http client failed: %s: %s", error_type.__name__, error)
--- a/ryelever/transport/peers.py
+++ b/ryelever/transport/peers.py
@@ -5,7 +5,6 @@
 import socket
 from typing import TYPE_CHECKING
 
-from absl import logging
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
@@ -13,7 +12,7 @@
 from ..events import Datagram, peers_received
 
 if TYPE_CHECKING:
-    from circuits import Event
+    pass
 
 __all__ = ["Peers"]
 
@@ -92,14 +91,3 @@
             datagrams.append(Datagram(address=f"{host}:{port}", data=data))
         if datagrams:
             self.fire(peers_received(datagrams), self._reply_channel)
-
-    @handler("exception", channel="peers")
-    def _on_exception(
-        self,
-        error_type: type[Exception],
-        error: Exception,
-        traceback: list[str],
-        handler: object = None,  # noqa: A002
-        fevent: Event | None = None,
-    ) -> None:
-        logging.error("peers socket failed: %s: %s", error_type.__name__, error)
