--- a/ryelever/cli.py
+++ b/ryelever/cli.py
@@ -62,6 +62,19 @@
     return application.exit_code
 
 
+def relay(*, settings: Path | None = None) -> int:
+    """Run an entry host on the platform, which passes requests on unchanged.
+
+    Parameters
+    ----------
+    settings
+        The platform's settings file; by default the one that the environment names.
+    """
+    from .platform.entry import run
+
+    return run(settings)
+
+
 def check(*, settings: Path | None = None, document: Path | None = None) -> int:
     """Check a settings file, a configuration document or both; name every fault.
 
@@ -132,7 +145,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the command that the command line names."""
-    commands = [serve, check, dump, settings_reference, version]
+    commands = [serve, relay, check, dump, settings_reference, version]
     try:
         return defopt.run(commands, argv=argv, cli_options="all") or EXIT_OK
     except RyeleverError as error:
--- /dev/null
+++ b/ryelever/coordination/balance.py
@@ -0,0 +1,161 @@
+"""Choose the backend server of each relayed request."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..state.directory import GroupState
+
+if TYPE_CHECKING:
+    from ..state.directory import BackendServer, Directory
+
+__all__ = ["Balancer", "ServerRecord"]
+
+#: Requests that wait at a backend server beside those that it works on.  They wait
+#: for less than one of them takes, and no place idles while word of it is under way.
+WAITING_AT_SERVER = 2
+
+#: Requests in flight by which a backend server of another availability zone counts
+#: as more loaded: the way there and back costs a few milliseconds and bytes that are
+#: paid for.
+OTHER_ZONE = 1.5
+
+#: Seconds for which a backend server that failed to answer is left alone, the
+#: first time and at most; doubled at each failure without a success between.
+FIRST_AVOIDANCE = 0.5
+MAX_AVOIDANCE = 4.0
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerRecord:
+    """Hold what this host has seen of one backend server.
+
+    Attributes
+    ----------
+    n_failures : int
+        Failures in a row.
+    avoided_until : float
+        Monotonic time until which it gets nothing.
+    """
+
+    in_flight: int = 0
+    n_failures: int = 0
+    avoided_until: float = 0.0
+
+
+class Balancer:
+    """Choose the least loaded backend server that can run a request.
+
+    Load is what this host has in flight there, and what its peers told.
+
+    Parameters
+    ----------
+    zone : str
+        This host's availability zone.
+    """
+
+    def __init__(self, *, directory: Directory, zone: str) -> None:
+        self._directory = directory
+        self._zone = zone
+        self.records_by_id: dict[str, ServerRecord] = {}
+        self.peers_in_flight_by_id: Counter[str] = Counter()
+        self._seen_changes = -1
+        self._candidates_by_work: dict[tuple[str, str], list[BackendServer]] = {}
+
+    def record(self, server_id: str) -> ServerRecord:
+        """Return the record of a backend server, a new one if there is none."""
+        record = self.records_by_id.get(server_id)
+        if record is None:
+            record = self.records_by_id[server_id] = ServerRecord()
+        return record
+
+    def candidates(self, service: str, model: str) -> list[BackendServer]:
+        """Return the backend servers that can run such work."""
+        if self._seen_changes != self._directory.n_changes:
+            self._seen_changes = self._directory.n_changes
+            self._candidates_by_work.clear()
+            self._forget_lost()
+        found = self._candidates_by_work.get((service, model))
+        if found is None:
+            found = [
+                server
+                for server in self._directory.of_service(service)
+                if not server.draining and _runs(server, model)
+            ]
+            self._candidates_by_work[service, model] = found
+        return found
+
+    def choose(
+        self, service: str, model: str, *, excluded: set[str], now: float
+    ) -> BackendServer | None:
+        """Return the least loaded backend server with a place, if there is one."""
+        best = None
+        best_load = float("inf")
+        for server in self.candidates(service, model):
+            if server.id in excluded:
+                continue
+            load = self._load(server, now=now)
+            if load < best_load:
+                best, best_load = server, load
+        return best
+
+    def has_any(self, service: str, model: str) -> bool:
+        """Tell whether any backend server can run such work, busy or not."""
+        return bool(self.candidates(service, model))
+
+    def sent(self, server_id: str) -> None:
+        """Count a request that is under way to a backend server."""
+        self.record(server_id).in_flight += 1
+
+    def ended(self, server_id: str) -> None:
+        """Count a request out."""
+        record = self.records_by_id.get(server_id)
+        if record is not None and record.in_flight > 0:
+            record.in_flight -= 1
+
+    def succeeded(self, server_id: str) -> None:
+        """Forget the failures of a backend server."""
+        record = self.record(server_id)
+        record.n_failures = 0
+        record.avoided_until = 0.0
+
+    def failed(self, server_id: str, *, now: float) -> None:
+        """Leave a backend server alone for a while, longer each time."""
+        record = self.record(server_id)
+        if now < record.avoided_until:
+            # What was sent before the failure showed fails with it.
+            return
+        record.n_failures += 1
+        pause = FIRST_AVOIDANCE * 2 ** (record.n_failures - 1)
+        record.avoided_until = now + min(MAX_AVOIDANCE, pause)
+
+    def _load(self, server: BackendServer, *, now: float) -> float:
+        record = self.records_by_id.get(server.id)
+        in_flight = self.peers_in_flight_by_id[server.id]
+        if record is not None:
+            if now < record.avoided_until:
+                return float("inf")
+            in_flight += record.in_flight
+        if in_flight >= server.slots + WAITING_AT_SERVER:
+            return float("inf")
+        far = OTHER_ZONE if server.availability_zone != self._zone else 0.0
+        return (in_flight + far) / server.slots
+
+    def _forget_lost(self) -> None:
+        for server_id in list(self.records_by_id):
+            if server_id not in self._directory.by_id:
+                record = self.records_by_id[server_id]
+                if record.in_flight == 0:
+                    del self.records_by_id[server_id]
+
+
+def _runs(server: BackendServer, model: str) -> bool:
+    """Tell whether a backend server takes requests for a model, or plain ones."""
+    if not model:
+        return True
+    group = server.group
+    if group is None or group.rank != 0 or group.state is not GroupState.OPEN:
+        return False
+    return model in server.models
--- /dev/null
+++ b/ryelever/coordination/group_keeper.py
@@ -0,0 +1,330 @@
+"""Take each group from its record to its end, without ever breaking two promises.
+
+A head is told to open only after every member was seen ready under the group's name
+and epoch.  Members are free for another group only after the head can't serve any
+more: it has left, is broken, or is gone for longer than a group stands still.  Orders
+may be carried out seconds late, twice or never, and another planner may give some at
+the same time, so nothing rests on an order that was merely sent.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..state.directory import GroupState
+from .group_orders import GroupOrder, OrderKind, OrderOutcome
+
+if TYPE_CHECKING:
+    from ..state.directory import BackendServer, Directory
+    from .group_records import GroupRecord
+
+__all__ = ["GroupKeeper", "GroupPhase"]
+
+#: Seconds after which an order whose effect doesn't show is given again.  The list
+#: of backend servers shows an effect within half a second.
+ORDER_RETRY = 1.0
+
+#: Seconds after which an open order that came too early is given again.
+OPEN_RETRY = 0.3
+
+#: Seconds that forming may take beyond the members' own time to join.
+FORMING_SLACK = 6.0
+
+#: Seconds for what runs in a group to end when a member announces its leaving; the
+#: announcement comes two seconds before the end, and a stream takes about 1.5 s.
+LAST_STREAMS = 1.6
+
+#: Seconds beyond the time for which a group stands still.
+STALL_SLACK = 1.0
+
+
+class GroupPhase(enum.Enum):
+    """Name what is being done with a group.
+
+    ``RETIRED``: its head can't serve any more, and its members are free.
+    """
+
+    FORMING = "forming"
+    SERVING = "serving"
+    ENDING = "ending"
+    RETIRED = "retired"
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Kept:
+    """Hold the state of one group.
+
+    Attributes
+    ----------
+    joined : set of str
+        Members that were seen ready under the group's name and epoch.
+    """
+
+    record: GroupRecord
+    since: float
+    phase: GroupPhase = GroupPhase.FORMING
+    reason: str = ""
+    joined: set[str] = field(default_factory=set)
+    ending_since: float = 0.0
+    head_lost_at: float | None = None
+    ordered_at: dict[tuple[str, OrderKind], float] = field(default_factory=dict)
+
+
+class GroupKeeper:
+    """Keep the groups of one availability zone.
+
+    Parameters
+    ----------
+    stall_time : float
+        Seconds for which a group stands still when a member is lost.
+    join_limit : float
+        Longest time in seconds that a member takes to join.
+    log : callable
+        Take one line about a decision: its name and its fields.
+    """
+
+    def __init__(
+        self, *, directory: Directory, stall_time: float, join_limit: float, log: object
+    ) -> None:
+        self._directory = directory
+        self._stall_time = stall_time
+        self.join_limit = join_limit
+        self._log = log
+        self._kept_by_name: dict[str, _Kept] = {}
+
+    # What is there
+
+    def put(self, record: GroupRecord, *, now: float) -> None:
+        """Take a group that the store holds."""
+        kept = self._kept_by_name.get(record.name)
+        if kept is None or kept.record.epoch != record.epoch:
+            self._kept_by_name[record.name] = _Kept(record=record, since=now)
+
+    def drop(self, name: str) -> None:
+        """Forget a group whose record the store has dropped."""
+        self._kept_by_name.pop(name, None)
+
+    def names(self) -> set[str]:
+        """Return the names of all groups that have a record."""
+        return set(self._kept_by_name)
+
+    def retired(self) -> list[str]:
+        """Return the groups whose records can be dropped."""
+        return [
+            name
+            for name, kept in self._kept_by_name.items()
+            if kept.phase is GroupPhase.RETIRED
+        ]
+
+    def records(self, *phases: GroupPhase) -> list[GroupRecord]:
+        """Return the records of the groups in some phases."""
+        return [
+            kept.record for kept in self._kept_by_name.values() if kept.phase in phases
+        ]
+
+    def phase_of(self, name: str) -> GroupPhase | None:
+        """Return what is being done with a group."""
+        kept = self._kept_by_name.get(name)
+        return None if kept is None else kept.phase
+
+    def taken(self) -> set[str]:
+        """Return the ids of the members that are free for nothing else."""
+        return {
+            member_id
+            for kept in self._kept_by_name.values()
+            if kept.phase is not GroupPhase.RETIRED
+            for member_id in kept.record.member_ids
+        }
+
+    # Orders
+
+    def look(self, *, now: float) -> list[GroupOrder]:
+        """Return the orders that are due."""
+        self._end_superseded(now=now)
+        orders: list[GroupOrder] = []
+        for kept in self._kept_by_name.values():
+            if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
+                self._judge(kept, now=now)
+            if kept.phase is GroupPhase.FORMING:
+                orders += self._forming(kept, now=now)
+            elif kept.phase is GroupPhase.ENDING:
+                orders += self._ending(kept, now=now)
+        return orders
+
+    def answered(self, order: GroupOrder, outcome: OrderOutcome, *, now: float) -> None:
+        """Take the answer to an order."""
+        kept = self._kept_by_name.get(order.group)
+        if kept is None or kept.record.epoch != order.epoch:
+            return
+        if order.kind is OrderKind.OPEN and outcome is OrderOutcome.REFUSED:
+            retry_at = now - ORDER_RETRY + OPEN_RETRY
+            kept.ordered_at[order.server_id, OrderKind.OPEN] = retry_at
+        elif order.kind is OrderKind.JOIN:
+            if outcome in (OrderOutcome.OVERTAKEN, OrderOutcome.GONE):
+                self._end(kept, f"join_{outcome.value}", now=now)
+        elif order.kind is OrderKind.LEAVE:
+            has_left = outcome in (
+                OrderOutcome.HOLDS,
+                OrderOutcome.BEGUN,
+                OrderOutcome.REFUSED,
+                OrderOutcome.OVERTAKEN,
+                OrderOutcome.GONE,
+            )
+            if has_left and order.server_id == kept.record.head.server_id:
+                self._retire(kept, f"leave_{outcome.value}")
+
+    def end(self, name: str, reason: str, *, now: float) -> None:
+        """End a group for a reason that lies outside it."""
+        kept = self._kept_by_name.get(name)
+        if kept is not None:
+            self._end(kept, reason, now=now)
+
+    # One group
+
+    def _judge(self, kept: _Kept, *, now: float) -> None:
+        """End a group that can't be whole any more."""
+        for member in kept.record.members:
+            server = self._directory.by_id.get(member.server_id)
+            if server is None:
+                if now - kept.since > ORDER_RETRY or member.server_id in kept.joined:
+                    self._end(kept, "member_gone", now=now)
+                    return
+                continue
+            if server.draining:
+                self._end(kept, "member_leaving", now=now)
+                return
+            state = self._state(kept, server)
+            if state is None:
+                if member.server_id in kept.joined:
+                    self._end(kept, "member_left", now=now)
+                    return
+            elif state is GroupState.BROKEN:
+                self._end(kept, "broken", now=now)
+                return
+            elif state is not GroupState.JOINING:
+                kept.joined.add(member.server_id)
+        if kept.phase is GroupPhase.FORMING:
+            if now - kept.since > self.join_limit + FORMING_SLACK:
+                self._end(kept, "not_formed_in_time", now=now)
+        head = self._directory.by_id.get(kept.record.head.server_id)
+        if kept.phase is GroupPhase.FORMING and head is not None:
+            if self._state(kept, head) is GroupState.OPEN:
+                kept.phase = GroupPhase.SERVING
+                self._log_phase(kept, took=round(now - kept.since, 2))
+
+    def _forming(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
+        record = kept.record
+        servers = [self._directory.by_id.get(item) for item in record.member_ids]
+        if any(server is None for server in servers):
+            return []
+        states = [self._state(kept, server) for server in servers]
+        if all(state is GroupState.READY for state in states):
+            return self._order(kept, OrderKind.OPEN, record.head.server_id, now=now)
+        orders = []
+        for server, state in zip(servers, states, strict=True):
+            if state is None:
+                orders += self._order(kept, OrderKind.JOIN, server.id, now=now)
+        return orders
+
+    def _ending(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
+        head_id = kept.record.head.server_id
+        head = self._directory.by_id.get(head_id)
+        if head is None:
+            # It may be cut off from the store only, and go on serving.
+            kept.head_lost_at = kept.head_lost_at or now
+            if now - kept.head_lost_at > self._stall_time + STALL_SLACK:
+                self._retire(kept, "head_gone")
+                return []
+            return self._order(kept, OrderKind.LEAVE, head_id, now=now)
+        kept.head_lost_at = None
+        state = self._state(kept, head)
+        if state is None or state is GroupState.BROKEN:
+            self._retire(kept, "head_left" if state is None else "head_broken")
+            return []
+        gently = kept.reason == "member_leaving" and state in (
+            GroupState.OPEN,
+            GroupState.CLOSING,
+        )
+        if gently and now - kept.ending_since < LAST_STREAMS:
+            if state is GroupState.CLOSING:
+                return []
+            return self._order(kept, OrderKind.CLOSE, head_id, now=now, gently=True)
+        return self._order(kept, OrderKind.LEAVE, head_id, now=now)
+
+    def _order(
+        self,
+        kept: _Kept,
+        kind: OrderKind,
+        server_id: str,
+        *,
+        now: float,
+        gently: bool = False,
+    ) -> list[GroupOrder]:
+        """Return an order, unless the same was given a moment ago."""
+        ordered_at = kept.ordered_at.get((server_id, kind), float("-inf"))
+        if now - ordered_at < ORDER_RETRY:
+            return []
+        kept.ordered_at[server_id, kind] = now
+        record = kept.record
+        addresses = {member.server_id: member.address for member in record.members}
+        return [
+            GroupOrder(
+                kind=kind,
+                server_id=server_id,
+                address=addresses[server_id],
+                group=record.name,
+                epoch=record.epoch,
+                model=record.model,
+                members=record.member_ids,
+                gently=gently,
+            )
+        ]
+
+    def _end_superseded(self, *, now: float) -> None:
+        """End groups one of whose members was given to a later one."""
+        latest_by_member: dict[str, int] = {}
+        for kept in self._kept_by_name.values():
+            for member_id in kept.record.member_ids:
+                epoch = kept.record.epoch
+                latest_by_member[member_id] = max(
+                    epoch, latest_by_member.get(member_id, epoch)
+                )
+        for kept in self._kept_by_name.values():
+            if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
+                members = kept.record.member_ids
+                if any(latest_by_member[item] > kept.record.epoch for item in members):
+                    self._end(kept, "superseded", now=now)
+
+    def _end(self, kept: _Kept, reason: str, *, now: float) -> None:
+        if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
+            kept.phase = GroupPhase.ENDING
+            kept.reason = reason
+            kept.ending_since = now
+            self._log_phase(kept)
+
+    def _retire(self, kept: _Kept, reason: str) -> None:
+        if kept.phase is not GroupPhase.RETIRED:
+            kept.phase = GroupPhase.RETIRED
+            kept.reason = reason
+            self._log_phase(kept)
+
+    def _state(self, kept: _Kept, server: BackendServer) -> GroupState | None:
+        """Return the state in which a member reports to be of this very group."""
+        report = server.group
+        record = kept.record
+        if report is None or report.name != record.name:
+            return None
+        return report.state if report.epoch == record.epoch else None
+
+    def _log_phase(self, kept: _Kept, **fields: object) -> None:
+        self._log(
+            "group_phase",
+            group=kept.record.name,
+            epoch=kept.record.epoch,
+            model=kept.record.model,
+            phase=kept.phase.value,
+            reason=kept.reason,
+            **fields,
+        )
--- /dev/null
+++ b/ryelever/coordination/group_orders.py
@@ -0,0 +1,57 @@
+"""Name the orders that make up groups, and what becomes of them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["GroupOrder", "OrderKind", "OrderOutcome"]
+
+
+class OrderKind(enum.Enum):
+    """Name what a backend server is told to do."""
+
+    JOIN = "join"
+    OPEN = "open"
+    CLOSE = "close"
+    LEAVE = "leave"
+    STAGE = "stage"
+
+
+class OrderOutcome(enum.Enum):
+    """Say what an answer to an order means.
+
+    ``HOLDS``: the state is already as ordered.  ``BEGUN``: it will be.
+    ``REFUSED``: it does not fit the state.  ``OVERTAKEN``: a newer epoch was seen.
+    ``GONE``: the backend server is another incarnation.  ``UNKNOWN``: no answer;
+    the order may be carried out later.
+    """
+
+    HOLDS = "holds"
+    BEGUN = "begun"
+    REFUSED = "refused"
+    OVERTAKEN = "overtaken"
+    GONE = "gone"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GroupOrder:
+    """Hold one order to one backend server.
+
+    Attributes
+    ----------
+    members : tuple of str
+        Ids of all members, the head first; only where a group is joined.
+    gently : bool
+        Close only after what runs has ended.
+    """
+
+    kind: OrderKind
+    server_id: str
+    address: str
+    group: str = ""
+    epoch: int = -1
+    model: str = ""
+    members: tuple[str, ...] = ()
+    gently: bool = False
--- /dev/null
+++ b/ryelever/coordination/group_records.py
@@ -0,0 +1,46 @@
+"""Hold the groups that were ever decided on, as the store has them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["GroupRecord", "Member"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Member:
+    """Name one member of a group and where it is reached."""
+
+    server_id: str
+    address: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GroupRecord:
+    """Hold one group as it was decided.
+
+    Attributes
+    ----------
+    epoch : int
+        One more than the record's offset in the store: no two groups share one, and
+        a group that was decided on later has a higher one.
+    members : tuple of Member
+        The head first.
+    """
+
+    name: str
+    epoch: int
+    service: str
+    model: str
+    availability_zone: str
+    members: tuple[Member, ...]
+
+    @property
+    def head(self) -> Member:
+        """Return the member that takes the requests."""
+        return self.members[0]
+
+    @property
+    def member_ids(self) -> tuple[str, ...]:
+        """Return the ids of all members in their order."""
+        return tuple(member.server_id for member in self.members)
--- /dev/null
+++ b/ryelever/coordination/host_words.py
@@ -0,0 +1,145 @@
+"""Keep what the other entry hosts said last, and decide who plans for a zone."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+__all__ = ["HostAddress", "HostWord", "HostWords"]
+
+#: Seconds of silence after which an entry host counts as gone.  Words come every
+#: 0.2 s, and four in a row are not lost by chance.
+HOST_SILENCE = 0.9
+
+#: Seconds without a host of its own after which others plan for a zone: hosts that
+#: are restarted are back sooner.
+ORPHANED = 5.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HostAddress:
+    """Say where an entry host is reached, as it has written into the store."""
+
+    host: str
+    address: str
+    availability_zone: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HostWord:
+    """Hold what one entry host says of itself.
+
+    Attributes
+    ----------
+    boot : int
+        Distinguishes the incarnations of a host.
+    reads_store : bool
+        True while its reads of the store are answered.
+    in_flight_by_server : dict of str to int
+        Its requests at each backend server.
+    demand_by_model : dict of str to float
+        Work that arrives there, in replica groups kept busy.
+    still : tuple of str
+        Heads whose groups stand still as it sees them.
+    leaving : tuple of str
+        Backend servers that it knows to be leaving or gone.
+    """
+
+    host: str
+    availability_zone: str
+    boot: int
+    sequence: int
+    reads_store: bool
+    stopping: bool
+    configuration_version: int
+    in_flight_by_server: dict[str, int] = field(default_factory=dict)
+    demand_by_model: dict[str, float] = field(default_factory=dict)
+    still: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True)
+class _Heard:
+    """Hold the newest word of one host and when it came."""
+
+    word: HostWord
+    heard_at: float
+
+
+class HostWords:
+    """Hold the words of all other entry hosts.
+
+    Parameters
+    ----------
+    host, zone : str
+        This host and its availability zone.
+    """
+
+    def __init__(self, *, host: str, zone: str) -> None:
+        self._host = host
+        self._zone = zone
+        self.addresses_by_host: dict[str, HostAddress] = {}
+        self._heard_by_host: dict[str, _Heard] = {}
+        self._zone_heard_at: dict[str, float] = {}
+
+    def take(self, word: HostWord, *, now: float) -> bool:
+        """Take a word; tell whether it is newer than the one that is known."""
+        if word.host == self._host:
+            return False
+        heard = self._heard_by_host.get(word.host)
+        if heard is not None and heard.word.boot == word.boot:
+            if word.sequence <= heard.word.sequence:
+                return False
+        self._heard_by_host[word.host] = _Heard(word=word, heard_at=now)
+        self._zone_heard_at[word.availability_zone] = now
+        return True
+
+    def living(self, *, now: float) -> list[HostWord]:
+        """Return the newest words of the hosts that are heard."""
+        for host, heard in list(self._heard_by_host.items()):
+            if now - heard.heard_at > HOST_SILENCE:
+                del self._heard_by_host[host]
+        return [heard.word for heard in self._heard_by_host.values()]
+
+    def n_hosts(self, *, now: float) -> int:
+        """Return how many entry hosts there may be, this one included.
+
+        Those that are only cut off go on serving, so the ones that the store lists
+        count though they are not heard.
+        """
+        return max(1, len(self.addresses_by_host), 1 + len(self.living(now=now)))
+
+    def in_flight(self, *, now: float) -> Counter[str]:
+        """Return the other hosts' requests at each backend server."""
+        total: Counter[str] = Counter()
+        for word in self.living(now=now):
+            total.update(word.in_flight_by_server)
+        return total
+
+    def demand(self, *, now: float) -> Counter[str]:
+        """Return the work that arrives at the other hosts, by model."""
+        total: Counter[str] = Counter()
+        for word in self.living(now=now):
+            total.update(word.demand_by_model)
+        return total
+
+    def plans_for(self, zone: str, *, reads_store: bool, now: float) -> bool:
+        """Tell whether this host is the one to plan for a zone.
+
+        It is the first by name of the zone's hosts that reach the store, and where
+        the zone has had none for a while, the first of all.  Two may believe so at
+        once; the store takes the decisions of one only.
+        """
+        if not reads_store:
+            return False
+        able = [
+            word
+            for word in self.living(now=now)
+            if word.reads_store and not word.stopping
+        ]
+        if zone != self._zone:
+            if now - self._zone_heard_at.setdefault(zone, now) < ORPHANED:
+                return False
+        else:
+            able = [word for word in able if word.availability_zone == zone]
+        return all(self._host < word.host for word in able)
--- /dev/null
+++ b/ryelever/coordination/relay_actions.py
@@ -0,0 +1,87 @@
+"""Define what the decisions about relayed requests ask the process to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from ..protocol.relaying import Headers
+
+__all__ = ["RelayAttempt", "RelayOutbox", "RelayRefusal"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RelayAttempt:
+    """Describe one sending of a request to a backend server.
+
+    Attributes
+    ----------
+    id : str
+        Unique among the attempts of a process.
+    request_number : int
+        The request's number in this process.
+    deadline : float
+        Monotonic time at which the backend server may stop.
+    last_event_id : str
+        Event after which a stream goes on; empty for a whole one.
+    fresh : bool
+        True where a connection that idled will not do.
+    """
+
+    id: str
+    request_number: int
+    server_id: str
+    address: str
+    deadline: float
+    account: str
+    priority: int | None
+    last_event_id: str
+    fresh: bool
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RelayRefusal:
+    """Say why a request ends without a backend server's answer.
+
+    Attributes
+    ----------
+    status : int
+        429 and 503 promise that the request was not run and never will be.
+    retry_after : float or None
+        Seconds after which coming back makes sense.
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+class RelayOutbox(Protocol):
+    """Carry out what is decided about relayed requests."""
+
+    def send(self, attempt: RelayAttempt) -> None:
+        """Send a request to a backend server."""
+
+    def cancel(self, attempt_id: str) -> None:
+        """Close the connection of an attempt whose answer nobody waits for."""
+
+    def answer(
+        self, request_number: int, *, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Give the caller a backend server's whole answer."""
+
+    def refuse(self, request_number: int, refusal: RelayRefusal) -> None:
+        """Give the caller an answer of the entry host's own."""
+
+    def start(self, request_number: int, *, status: int, headers: Headers) -> None:
+        """Begin a streamed answer."""
+
+    def data(self, request_number: int, data: bytes) -> None:
+        """Pass on whole events of a stream."""
+
+    def finish(self, request_number: int) -> None:
+        """End a streamed answer as complete."""
+
+    def abort(self, request_number: int) -> None:
+        """Break a streamed answer off, so that it doesn't look complete."""
--- /dev/null
+++ b/ryelever/coordination/relay_requests.py
@@ -0,0 +1,585 @@
+"""Take relayed requests from their arrival to their final answer.
+
+A request's answer is either a backend server's, whole and unchanged, or the entry
+host's own.  Only this module says that a request was not run, and only while no
+sending of it can have been.
+"""
+
+from __future__ import annotations
+
+import enum
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..state.routes import RouteKind
+from .relay_actions import RelayAttempt, RelayRefusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..protocol.relaying import AnswerHead, RelayArrival
+    from ..state.routes import Route, RouteAccount, RouteTable
+    from .balance import Balancer
+    from .relay_actions import RelayOutbox
+    from .repeat_budget import RepeatBudget
+    from .stillness import StillnessWatch
+
+__all__ = ["RelayRequest", "RelayRequests", "RequestPhase"]
+
+#: Seconds before a caller leaves, at which it gets its final answer: the way there
+#: takes a few milliseconds, and a tick may come a tenth of a second late.
+LAST_ANSWER = 0.06
+
+#: Seconds for which a request waits for a place at a backend server.  A place frees
+#: every tenth of a second at a full group, and callers that hear early come back.
+LONGEST_WAIT = 1.0
+
+#: Part of the latency objective that the first event or the answer itself takes.
+#: A request that waits longer than the rest of it is served after those that can
+#: still be in time.
+OBJECTIVE_LEFT = 0.6
+
+#: Seconds after which a refused caller may come back.
+COME_BACK = 0.3
+
+#: Statuses by which callers learn that a request was not run and never will be.
+PROMISES = frozenset({408, 421, 429, 503})
+
+#: Longest whole answer, in bytes.
+MAX_ANSWER = 8 << 20
+
+#: Seconds within which a sending again still makes sense.
+LEAST_TIME_TO_REPEAT = 0.15
+
+
+class RequestPhase(enum.Enum):
+    """Name where a request is on its way."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class RelayRequest:
+    """Hold the state of one request.
+
+    Attributes
+    ----------
+    gives_up_at : float
+        Monotonic time of its final answer at the latest.
+    may_have_run : bool
+        True once a sending of it may have reached a backend server that did not
+        promise not to have run it.
+    tried : set of str
+        Ids of the backend servers that it was sent to.
+    waits_until : float
+        Monotonic time until which it waits for a place at a backend server.
+    last_event_id : str
+        The last event passed on, or the one after which the caller resumes.
+    """
+
+    number: int
+    arrival: RelayArrival
+    route: Route
+    service: str
+    account: str
+    priority: int
+    deadline: float
+    gives_up_at: float
+    on_time_until: float
+    phase: RequestPhase = RequestPhase.WAITING
+    attempt: RelayAttempt | None = None
+    head: AnswerHead | None = None
+    may_have_run: bool = False
+    n_sent: int = 0
+    waits_until: float = 0.0
+    tried: set[str] = field(default_factory=set)
+    last_event_id: str = ""
+    body: bytearray = field(default_factory=bytearray)
+    n_events: int = 0
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the answer is a series of events."""
+        return self.route.kind is RouteKind.STREAM
+
+
+class RelayRequests:
+    """Decide about all relayed requests of one process.
+
+    Parameters
+    ----------
+    table : callable
+        Return the configuration in force, or None before there is one.
+    log : callable
+        Take one line about a decision: its name and its fields.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: Callable[[], RouteTable | None],
+        balancer: Balancer,
+        budget: RepeatBudget,
+        stillness: StillnessWatch,
+        outbox: RelayOutbox,
+        log: Callable[..., None],
+    ) -> None:
+        self._table = table
+        self._balancer = balancer
+        self._budget = budget
+        self._stillness = stillness
+        self._outbox = outbox
+        self._log = log
+        self._attempt_ids = itertools.count(1)
+        self.requests_by_number: dict[int, RelayRequest] = {}
+        self._requests_by_attempt: dict[str, RelayRequest] = {}
+        self._waiting: dict[int, RelayRequest] = {}
+
+    @property
+    def n_waiting(self) -> int:
+        """Return how many requests wait for a place."""
+        return len(self._waiting)
+
+    # Callers
+
+    def arrive(self, number: int, arrival: RelayArrival) -> None:
+        """Take a caller's request."""
+        now = arrival.arrived_at
+        table = self._table()
+        if table is None:
+            self._refuse_unread(number, arrival, 503, "no_configuration")
+            return
+        route = table.match(host=arrival.host, path=arrival.path)
+        if route is None:
+            self._refuse_unread(number, arrival, 404, "no_route")
+            return
+        account: RouteAccount | None = None
+        if table.asks_for_keys and not route.public:
+            account = table.account_by_key.get(arrival.key or "")
+            if account is None:
+                self._refuse_unread(number, arrival, 401, "unknown_key")
+                return
+        request = _request_of(
+            number, arrival=arrival, route=route, account=account, now=now
+        )
+        self.requests_by_number[number] = request
+        self._budget.requested(request.service, now=now)
+        if not self._dispatch(request, now=now):
+            self._wait(request, now=now)
+
+    def caller_gone(self, number: int) -> None:
+        """Drop a request whose caller has closed its connection."""
+        request = self.requests_by_number.get(number)
+        if request is None:
+            return
+        self._log(
+            "caller_left",
+            request=request.arrival.request_id,
+            phase=request.phase.value,
+            server=request.attempt.server_id if request.attempt else "",
+        )
+        self._drop_attempt(request)
+        self._end(request)
+
+    # Backend servers
+
+    def answer_head(self, attempt_id: str, head: AnswerHead, *, now: float) -> None:
+        """Take the head of an answer."""
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is None:
+            return
+        wanted = request.arrival.request_id
+        if head.request_id and wanted and head.request_id != wanted:
+            # A surplus answer to an earlier request on this connection; ours may
+            # follow, but what follows such a slip can't be trusted.
+            self._attempt_failed(request, "answer_of_another", now=now)
+            return
+        if head.not_run:
+            self._rejected(request, head, now=now)
+            return
+        if head.encoded or (200 <= head.status < 300 and not head.signed):
+            self._attempt_failed(request, "answer_not_signed", now=now)
+            return
+        request.head = head
+
+    def is_streaming(self, attempt_id: str) -> bool:
+        """Tell whether the body of an attempt's answer is a series of events."""
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is None or request.head is None:
+            return False
+        return request.is_stream and request.head.status == 200
+
+    def answer_body(self, attempt_id: str, data: bytes, *, now: float) -> None:
+        """Take bytes of an answer that is passed on whole."""
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is None or request.head is None:
+            return
+        request.body += data
+        if len(request.body) > MAX_ANSWER:
+            self.answer_broken(attempt_id, "answer_too_long", now=now)
+
+    def answer_events(
+        self, attempt_id: str, events: list[tuple[str, bytes]], *, now: float
+    ) -> None:
+        """Take whole events of a stream, each with its id."""
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is not None:
+            self._stillness.progressed(request.attempt.server_id, now=now)
+            self._pass_events(request, events, now=now)
+
+    def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
+        """Take word that an answer is not one that may be passed on."""
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is not None:
+            self._attempt_failed(request, reason, now=now)
+
+    def answer_end(self, attempt_id: str, *, cut: bool, now: float) -> None:
+        """Take the end of an answer.
+
+        Parameters
+        ----------
+        cut : bool
+            True where it ended in the middle of an event.
+        """
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is None:
+            return
+        if request.head is None:
+            self._attempt_failed(request, "answer_without_head", now=now)
+            return
+        if not request.is_stream or request.head.status != 200:
+            self._whole_answer(request, now=now)
+            return
+        if cut or not request.n_events:
+            self._attempt_failed(request, "stream_cut_off", now=now)
+            return
+        self._balancer.succeeded(request.attempt.server_id)
+        self._forget_attempt(request)
+        self._outbox.finish(request.number)
+        self._log_answer(request, status=200, now=now)
+        self._end(request)
+
+    def attempt_failed(
+        self, attempt_id: str, reason: str, *, sent: bool, now: float
+    ) -> None:
+        """Take the failure of a connection to a backend server.
+
+        Parameters
+        ----------
+        sent : bool
+            False where no byte of the request can have left.
+        """
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is None:
+            return
+        if sent:
+            self._attempt_failed(request, reason, now=now)
+            return
+        server_id = request.attempt.server_id
+        self._balancer.failed(server_id, now=now)
+        request.n_sent -= 1
+        self._forget_attempt(request)
+        self._log_attempt(request, server_id, reason, may_have_run=False)
+        self._again(request, reason, now=now)
+
+    # Time and news
+
+    def tick(self, *, now: float) -> None:
+        """Give up what is due, move what stands still, dispatch what waits."""
+        for request in list(self.requests_by_number.values()):
+            waited = request.number in self._waiting and now >= request.waits_until
+            if waited or now >= request.gives_up_at:
+                self._give_up(request, now=now)
+        for server_id in self._stillness.newly_still(now=now):
+            self._leave_still(server_id, now=now)
+        self.dispatch_waiting(now=now)
+
+    def dispatch_waiting(self, *, now: float) -> None:
+        """Send waiting requests to places that have become free."""
+        if not self._waiting:
+            return
+        full: set[tuple[str, str]] = set()
+        for request in sorted(
+            self._waiting.values(),
+            key=lambda item: (now > item.on_time_until, item.priority, item.number),
+        ):
+            work = (request.service, request.arrival.model)
+            if work in full and not request.tried:
+                continue
+            if self._dispatch(request, now=now):
+                self._waiting.pop(request.number, None)
+            else:
+                full.add(work)
+
+    # Attempts
+
+    def _dispatch(self, request: RelayRequest, *, now: float) -> bool:
+        server = self._balancer.choose(
+            request.service, request.arrival.model, excluded=request.tried, now=now
+        )
+        if server is None:
+            return False
+        attempt = RelayAttempt(
+            id=f"r{next(self._attempt_ids)}",
+            request_number=request.number,
+            server_id=server.id,
+            address=server.address,
+            deadline=request.deadline,
+            account=request.account,
+            priority=min(9, request.priority),
+            last_event_id=request.last_event_id,
+            fresh=not request.route.repeatable,
+        )
+        request.attempt = attempt
+        request.head = None
+        request.body.clear()
+        request.n_events = 0
+        request.n_sent += 1
+        request.tried.add(server.id)
+        if request.phase is RequestPhase.WAITING:
+            request.phase = RequestPhase.SENT
+        self._requests_by_attempt[attempt.id] = request
+        self._balancer.sent(server.id)
+        if request.is_stream:
+            self._stillness.began(server.id, attempt.id, now=now)
+        self._outbox.send(attempt)
+        return True
+
+    def _rejected(self, request: RelayRequest, head: AnswerHead, *, now: float) -> None:
+        """Go on after a backend server's promise not to have run the request."""
+        server_id = request.attempt.server_id
+        reason = "wrong_server" if head.wrong_server else "rejected"
+        self._balancer.failed(server_id, now=now)
+        self._drop_attempt(request)
+        self._log_attempt(request, server_id, reason, may_have_run=False)
+        self._again(request, reason, now=now)
+
+    def _attempt_failed(
+        self, request: RelayRequest, reason: str, *, now: float
+    ) -> None:
+        """Go on after a failure that leaves open whether the request was run."""
+        server_id = request.attempt.server_id
+        request.may_have_run = True
+        self._balancer.failed(server_id, now=now)
+        self._drop_attempt(request)
+        self._log_attempt(request, server_id, reason, may_have_run=True)
+        self._again(request, reason, now=now)
+
+    def _again(self, request: RelayRequest, reason: str, *, now: float) -> None:
+        """Send a request once more, let it wait for a place, or end it."""
+        if not self._may_repeat(request, now=now):
+            self._end_unserved(request, reason, now=now)
+            return
+        if not self._dispatch(request, now=now):
+            if request.phase is RequestPhase.SENT:
+                request.phase = RequestPhase.WAITING
+            self._wait(request, now=now)
+
+    def _wait(self, request: RelayRequest, *, now: float) -> None:
+        request.waits_until = now + LONGEST_WAIT
+        self._waiting[request.number] = request
+
+    def _may_repeat(self, request: RelayRequest, *, now: float) -> bool:
+        if request.may_have_run and not request.route.repeatable:
+            return False
+        if request.n_sent >= request.route.max_attempts:
+            return False
+        if request.gives_up_at - now < LEAST_TIME_TO_REPEAT:
+            return False
+        return request.n_sent == 0 or self._budget.allow(request.service, now=now)
+
+    def _leave_still(self, server_id: str, *, now: float) -> None:
+        """Move what runs at a group that stands still to other groups."""
+        self._log("group_still", server=server_id)
+        self._balancer.failed(server_id, now=now)
+        for request in list(self._requests_by_attempt.values()):
+            if request.is_stream and request.attempt.server_id == server_id:
+                self._move(request, "still", now=now)
+
+    def _move(self, request: RelayRequest, reason: str, *, now: float) -> bool:
+        """Send a request to another backend server, if one has a place for it."""
+        if not request.route.repeatable:
+            return False
+        elsewhere = self._balancer.choose(
+            request.service, request.arrival.model, excluded=request.tried, now=now
+        )
+        if elsewhere is None or not self._may_repeat(request, now=now):
+            return False
+        server_id = request.attempt.server_id
+        self._drop_attempt(request)
+        request.may_have_run = True
+        self._log_attempt(request, server_id, reason, may_have_run=True)
+        return self._dispatch(request, now=now)
+
+    # Answers
+
+    def _pass_events(
+        self, request: RelayRequest, events: list[tuple[str, bytes]], *, now: float
+    ) -> None:
+        if request.phase is not RequestPhase.STREAMING:
+            request.phase = RequestPhase.STREAMING
+            self._outbox.start(
+                request.number,
+                status=request.head.status,
+                headers=request.head.headers,
+            )
+        request.n_events += len(events)
+        fresh = []
+        for event_id, event in events:
+            if event_id:
+                if not _follows(event_id, request.last_event_id):
+                    continue
+                request.last_event_id = event_id
+            fresh.append(event)
+        if fresh:
+            self._outbox.data(request.number, b"".join(fresh))
+
+    def _whole_answer(self, request: RelayRequest, *, now: float) -> None:
+        head = request.head
+        server_id = request.attempt.server_id
+        failed = head.status >= 500 or head.status in PROMISES
+        reason = f"answered_{head.status}"
+        if request.phase is RequestPhase.STREAMING:
+            # A stream was to go on here, and what came is no stream.
+            self._attempt_failed(request, reason, now=now)
+            return
+        if failed and self._move(request, reason, now=now):
+            return
+        if head.status in PROMISES:
+            # Without the promise in its headers the request may have been run, and
+            # the caller would take the status alone for one.
+            request.may_have_run = True
+            self._drop_attempt(request)
+            self._end_unserved(request, reason, now=now)
+            return
+        if not failed:
+            self._balancer.succeeded(server_id)
+        self._forget_attempt(request)
+        self._outbox.answer(
+            request.number,
+            status=head.status,
+            headers=head.headers,
+            body=bytes(request.body),
+        )
+        self._log_answer(request, status=head.status, now=now)
+        self._end(request)
+
+    def _give_up(self, request: RelayRequest, *, now: float) -> None:
+        if request.phase is RequestPhase.ENDED:
+            return
+        sent = request.attempt is not None
+        if sent:
+            request.may_have_run = True
+            self._drop_attempt(request)
+        self._end_unserved(request, "too_late" if sent else "no_place", now=now)
+
+    def _end_unserved(self, request: RelayRequest, reason: str, *, now: float) -> None:
+        if request.phase is RequestPhase.STREAMING:
+            self._outbox.abort(request.number)
+            self._log_answer(request, status=0, now=now, reason=reason)
+            self._end(request)
+            return
+        if not request.may_have_run:
+            refusal = RelayRefusal(status=503, reason=reason, retry_after=COME_BACK)
+        elif reason == "too_late":
+            refusal = RelayRefusal(status=504, reason=reason)
+        else:
+            refusal = RelayRefusal(status=502, reason=reason)
+        self._outbox.refuse(request.number, refusal)
+        self._log_answer(request, status=refusal.status, now=now, reason=reason)
+        self._end(request)
+
+    def _refuse_unread(
+        self, number: int, arrival: RelayArrival, status: int, reason: str
+    ) -> None:
+        retry_after = COME_BACK if status == 503 else None
+        refusal = RelayRefusal(status=status, reason=reason, retry_after=retry_after)
+        self._outbox.refuse(number, refusal)
+        self._log("refused", request=arrival.request_id, status=status, reason=reason)
+
+    # Bookkeeping
+
+    def _drop_attempt(self, request: RelayRequest) -> None:
+        attempt = request.attempt
+        if attempt is not None:
+            self._forget_attempt(request)
+            self._outbox.cancel(attempt.id)
+
+    def _forget_attempt(self, request: RelayRequest) -> None:
+        attempt = request.attempt
+        self._balancer.ended(attempt.server_id)
+        self._stillness.ended(attempt.server_id, attempt.id)
+        self._requests_by_attempt.pop(attempt.id, None)
+        request.attempt = None
+
+    def _end(self, request: RelayRequest) -> None:
+        request.phase = RequestPhase.ENDED
+        self.requests_by_number.pop(request.number, None)
+        self._waiting.pop(request.number, None)
+
+    def _log_attempt(
+        self, request: RelayRequest, server_id: str, reason: str, *, may_have_run: bool
+    ) -> None:
+        self._log(
+            "attempt_failed",
+            request=request.arrival.request_id,
+            server=server_id,
+            reason=reason,
+            may_have_run=may_have_run,
+            n_sent=request.n_sent,
+            last_event=request.last_event_id,
+        )
+
+    def _log_answer(
+        self, request: RelayRequest, *, status: int, now: float, reason: str = ""
+    ) -> None:
+        self._log(
+            "answered",
+            request=request.arrival.request_id,
+            route=request.route.name,
+            status=status,
+            reason=reason,
+            n_sent=request.n_sent,
+            ms=round((now - request.arrival.arrived_at) * 1000),
+        )
+
+
+def _request_of(
+    number: int,
+    *,
+    arrival: RelayArrival,
+    route: Route,
+    account: RouteAccount | None,
+    now: float,
+) -> RelayRequest:
+    patience = route.timeout if route.timeout else float("inf")
+    timed_out_at = now + patience
+    deadline = timed_out_at if arrival.deadline is None else arrival.deadline
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return RelayRequest(
+        number=number,
+        arrival=arrival,
+        route=route,
+        service=route.service_of(arrival.request_id),
+        account=account.name if account else "",
+        priority=priority,
+        deadline=min(deadline, timed_out_at + LAST_ANSWER),
+        gives_up_at=min(deadline - LAST_ANSWER, timed_out_at),
+        on_time_until=now + OBJECTIVE_LEFT * route.latency_objective,
+        last_event_id=arrival.last_event_id,
+    )
+
+
+def _follows(event_id: str, last_event_id: str) -> bool:
+    """Tell whether an event comes after the last one passed on."""
+    if not last_event_id:
+        return True
+    if event_id.isdecimal() and last_event_id.isdecimal():
+        return int(event_id) > int(last_event_id)
+    return event_id != last_event_id
--- /dev/null
+++ b/ryelever/coordination/stillness.py
@@ -0,0 +1,81 @@
+"""Tell groups that stand still from the silence of all their streams.
+
+A group whose member is lost goes on accepting requests for seconds, and nothing
+moves in it.  Its streams show that at once: while it works, each of them gets an
+event in every pass, some tens of milliseconds apart.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+__all__ = ["StillnessWatch"]
+
+#: Seconds of silence on all begun streams of a group.  A full batch takes 62 ms
+#: between two events, and the longest prompts hold it up by about 100 ms each.
+SILENCE = 0.45
+
+#: Seconds without a first event, at a group none of whose streams has begun here.
+FIRST_SILENCE = 1.2
+
+#: Seconds between two ticks beyond which this process itself was held up, so that
+#: what looks silent may lie unread.
+OWN_DELAY = 0.2
+
+
+@dataclass(slots=True, kw_only=True)
+class _Activity:
+    """Hold the streams that one group serves for this host."""
+
+    progressed_at: float
+    begun: bool = False
+    told: bool = False
+    attempts: set[str] = field(default_factory=set)
+
+
+class StillnessWatch:
+    """Watch the streams of all groups."""
+
+    def __init__(self) -> None:
+        self._activity_by_id: dict[str, _Activity] = {}
+        self._looked_at = float("-inf")
+
+    def began(self, server_id: str, attempt_id: str, *, now: float) -> None:
+        """Take note of a stream that a group is asked for."""
+        activity = self._activity_by_id.get(server_id)
+        if activity is None or not activity.attempts:
+            activity = self._activity_by_id[server_id] = _Activity(progressed_at=now)
+        activity.attempts.add(attempt_id)
+
+    def progressed(self, server_id: str, *, now: float) -> None:
+        """Take note of an event."""
+        activity = self._activity_by_id.get(server_id)
+        if activity is not None:
+            activity.progressed_at = now
+            activity.begun = True
+            activity.told = False
+
+    def ended(self, server_id: str, attempt_id: str) -> None:
+        """Take note of a stream's end."""
+        activity = self._activity_by_id.get(server_id)
+        if activity is None:
+            return
+        activity.attempts.discard(attempt_id)
+        if not activity.attempts:
+            del self._activity_by_id[server_id]
+
+    def newly_still(self, *, now: float) -> list[str]:
+        """Return the heads whose groups have come to stand still."""
+        held_up = now - self._looked_at > OWN_DELAY
+        self._looked_at = now
+        if held_up:
+            for activity in self._activity_by_id.values():
+                activity.progressed_at = now
+            return []
+        still = []
+        for server_id, activity in self._activity_by_id.items():
+            limit = SILENCE if activity.begun else FIRST_SILENCE
+            if not activity.told and now - activity.progressed_at > limit:
+                activity.told = True
+                still.append(server_id)
+        return still
--- /dev/null
+++ b/ryelever/coordination/topic.py
@@ -0,0 +1,159 @@
+"""Follow one partition of a keyed topic of the platform's store."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+if TYPE_CHECKING:
+    from ..errors import RyeleverError
+    from ..protocol.keyed_log import (
+        KeyedLogInterface,
+        KeyedRecord,
+        LogCall,
+        NewestPage,
+        ReadPage,
+    )
+
+__all__ = ["TopicFollower", "TopicNews"]
+
+#: Milliseconds for which a read waits for a record.  Longer ones cost less, and a
+#: connection that has gone silent shows only after them.
+WAIT_MS = 4000
+
+#: Seconds beyond the wait for an answer to come.
+ANSWER_TIMEOUT = 1.5
+
+#: Seconds to the next call after a failure, the first time and at most.
+FIRST_PAUSE = 0.15
+MAX_PAUSE = 0.8
+
+
+class _Phase(enum.Enum):
+    LISTING = "listing"
+    READING = "reading"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TopicNews:
+    """Hold what an answer brought.
+
+    Attributes
+    ----------
+    complete : bool
+        True where the records are all that there are: any other key is gone.
+    """
+
+    records: list[KeyedRecord]
+    complete: bool = False
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class TopicFollower:
+    """Decide what to ask next, and what an answer means.
+
+    It lists the newest record of each key, then reads on from there.  Where the
+    store has dropped what would come next, it lists again.
+
+    Attributes
+    ----------
+    interval : float
+        Least seconds between two calls, as each of them is paid for.
+    listed_at, answered_at : float
+        Monotonic times of the last complete listing, and of the last good answer.
+    """
+
+    log: KeyedLogInterface
+    topic: str
+    partition: int = 0
+    interval: float = 0.0
+    offset: int = 0
+    listed_at: float = float("-inf")
+    answered_at: float = float("-inf")
+    failed_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    is_waiting: bool = False
+    _phase: _Phase = _Phase.LISTING
+    _due_at: float = 0.0
+    _n_failures: int = 0
+    _after: str = ""
+    _listed: list[KeyedRecord] = field(default_factory=list)
+
+    @property
+    def is_current(self) -> bool:
+        """Tell whether all records were seen up to some moment."""
+        return self.listed_at != float("-inf")
+
+    def next_call(self, *, now: float) -> LogCall | None:
+        """Return the call that is due, if there is one."""
+        if self.is_waiting or now < self._due_at:
+            return None
+        self.is_waiting = True
+        self.asked_at = now
+        if self._phase is _Phase.LISTING:
+            return self.log.newest(
+                self.topic, partition=self.partition, after=self._after
+            )
+        return self.log.read(
+            self.topic,
+            partition=self.partition,
+            offset=self.offset,
+            wait_ms=WAIT_MS,
+        )
+
+    def poke(self) -> None:
+        """Ask at once, since another host knows of something newer."""
+        self._due_at = 0.0
+
+    def answered(
+        self, status: int, body: bytes, *, now: float
+    ) -> Result[TopicNews, RyeleverError]:
+        """Take an answer."""
+        listing = self._phase is _Phase.LISTING
+        if listing:
+            outcome = self.log.newest_page(status, body).map(self._take_listing)
+        else:
+            outcome = self.log.read_page(status, body, offset=self.offset).map(
+                self._take_read
+            )
+        if outcome.is_error():
+            self.failed(now=now)
+            return outcome
+        self.is_waiting = False
+        self._n_failures = 0
+        self.answered_at = now
+        # A read that brought nothing has waited long enough by itself.
+        self._due_at = max(now, self.asked_at + self.interval)
+        if listing and self._phase is _Phase.READING:
+            self.listed_at = now
+        return outcome
+
+    def failed(self, *, now: float) -> None:
+        """Take a failure; the next call waits a little longer each time."""
+        self.is_waiting = False
+        self.failed_at = now
+        self._due_at = now + min(MAX_PAUSE, FIRST_PAUSE * 2**self._n_failures)
+        self._n_failures += 1
+
+    def _take_listing(self, page: NewestPage) -> TopicNews:
+        if not self._after:
+            self._listed = []
+            self.offset = page.end
+        self._listed += page.records
+        if page.more and page.records:
+            self._after = page.records[-1].key
+            return TopicNews(records=[])
+        self._after = ""
+        self._phase = _Phase.READING
+        return TopicNews(records=self._listed, complete=True)
+
+    def _take_read(self, page: ReadPage) -> TopicNews:
+        if page.expired:
+            self._phase = _Phase.LISTING
+            return TopicNews(records=[])
+        if page.records:
+            self.offset = page.records[-1].offset + 1
+        return TopicNews(records=page.records)
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -22,10 +22,12 @@
     "OutboundAnswer",
     "OutboundFailure",
     "OutboundRequest",
+    "RelayedRequest",
     "caller_gone",
     "caller_request",
     "caller_stalled",
     "control_tick",
+    "directory_changed",
     "drain",
     "outbound_answer",
     "outbound_cancel",
@@ -37,8 +39,11 @@
     "outbound_send",
     "peers_received",
     "peers_send",
+    "relayed_gone",
+    "relayed_request",
     "serving_tick",
     "sweep",
+    "word_tick",
 ]
 
 
@@ -76,6 +81,11 @@
         0 stands for ``progress_timeout``.
     send_before : float
         Monotonic time after which no first byte leaves any more.
+    resend_stale : bool
+        Send once more over a new connection when one that idled turns out closed.
+    verbatim : bool
+        Send the headers as they are; they name the host, and the body's length is
+        added only where there is a body or the method asks for one.
     """
 
     id: str
@@ -92,16 +102,27 @@
     progress_timeout: float = 5.0
     first_byte_timeout: float = 0.0
     send_before: float = float("inf")
+    resend_stale: bool = True
+    verbatim: bool = False
     max_body: int = 8 << 20
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class AnswerHead:
-    """Hold the status and headers of a streamed answer."""
+    """Hold the status and headers of a streamed answer.
+
+    Attributes
+    ----------
+    headers : dict of str to str
+        The last value of each name.
+    raw_headers : tuple of (bytes, bytes)
+        All of them in their order.
+    """
 
     id: str
     status: int
     headers: dict[str, str]
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -182,6 +203,37 @@
     data: bytes
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RelayedRequest:
+    """Hold one whole HTTP request that is to be passed on unchanged.
+
+    Attributes
+    ----------
+    number : int
+        The request's number at its listener.
+    headers : list of (bytes, bytes)
+        In their order, names in lower case.
+    """
+
+    number: int
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class relayed_request(Event):
+    """Announce a ``RelayedRequest``."""
+
+
+class relayed_gone(Event):
+    """Announce, by its number, a relayed request whose caller is gone."""
+
+
+class directory_changed(Event):
+    """Announce that backend servers or their groups have changed."""
+
+
 class caller_request(Event):
     """Announce a ``CallerRequest``."""
 
@@ -266,6 +318,10 @@
     """Announce a ``HostReported``."""
 
 
+class word_tick(Event):
+    """Let this host tell the others what it sees."""
+
+
 class peers_send(Event):
     """Ask for a list of ``Datagram`` to be sent to peers."""
 
--- /dev/null
+++ b/ryelever/fleet_directory.py
@@ -0,0 +1,191 @@
+"""Read configuration, backend servers and entry hosts from the store."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .coordination.removals import Removals
+from .coordination.topic import TopicFollower
+from .events import directory_changed
+from .logs import log_event, log_warning
+
+if TYPE_CHECKING:
+    from .coordination.host_words import HostWords
+    from .coordination.topic import TopicNews
+    from .protocol.keyed_log import KeyedLogInterface
+    from .protocol.store_documents import StoreDocuments
+    from .relay_settings import RelaySettings
+    from .state.directory import BackendServer, Directory
+    from .state.routes import RouteTable
+    from .store_client import StoreClient
+
+__all__ = ["FleetDirectory"]
+
+#: Least seconds between two reads of the backend servers' records.  Fifty servers
+#: write forty a second, and a read for each would cost ten times as much; a server's
+#: leaving must be known within two seconds.
+SERVERS_INTERVAL = 0.3
+
+#: Seconds after which this host writes its address again if it got no answer.
+ANNOUNCE_RETRY = 1.0
+
+
+class FleetDirectory(BaseComponent):
+    """Own what is read from the store.
+
+    Attributes
+    ----------
+    table : RouteTable or None
+        The newest configuration that this process has seen.
+    """
+
+    channel = "directory"
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        log: KeyedLogInterface,
+        documents: StoreDocuments,
+        store: StoreClient,
+        directory: Directory,
+        words: HostWords,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._log = log
+        self._documents = documents
+        self._store = store
+        self._directory = directory
+        self._words = words
+        self._removals = Removals()
+        self.table: RouteTable | None = None
+        self.configuration = TopicFollower(log=log, topic=documents.operator_topic)
+        self.servers = TopicFollower(
+            log=log, topic=documents.servers_topic, interval=SERVERS_INTERVAL
+        )
+        self.hosts = TopicFollower(log=log, topic=documents.hosts_topic)
+        self._announced_at = float("-inf")
+        self._announced = False
+
+    @handler("started", channel="*")
+    def _on_started(self, *args: object) -> None:
+        self._store.follow(self.configuration, self._take_configuration)
+        self._store.follow(self.servers, self._take_servers)
+        self._store.follow(self.hosts, self._take_hosts)
+
+    @handler("control_tick")
+    def _on_tick(self) -> None:
+        now = time.monotonic()
+        self._removals.note_reads(
+            answered_at=self.servers.answered_at, failed_at=self.servers.failed_at
+        )
+        for server_id in self._removals.due(now=now):
+            self._remove(server_id, now=now)
+        if not self._announced and now - self._announced_at > ANNOUNCE_RETRY:
+            self._announced_at = now
+            self._announce()
+
+    # Configuration
+
+    def _take_configuration(self, news: TopicNews) -> None:
+        for record in news.records:
+            if record.key == self._documents.configuration_key and record.value:
+                self.take_configuration(record.value, peer=self._settings.store_address)
+
+    def take_configuration(self, data: bytes, *, peer: str) -> None:
+        """Take a configuration, unless a newer one is in force."""
+        read = self._documents.configuration(data, peer=peer)
+        if read.is_error():
+            log_warning(
+                "configuration_unreadable", peer=peer, message=read.error.message
+            )
+            return
+        table = read.ok
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        log_event("configuration_in_force", version=table.version, peer=peer)
+        self.fire(directory_changed(), "relay")
+
+    # Backend servers
+
+    def _take_servers(self, news: TopicNews) -> None:
+        now = time.monotonic()
+        changed = False
+        for record in news.records:
+            if record.value:
+                changed |= self._take_server(record.key, record.value)
+            else:
+                self._removals.add(record.key, now=now)
+        if news.complete:
+            listed = {record.key for record in news.records}
+            for server_id in set(self._directory.by_id) - listed:
+                self._removals.add(server_id, now=now)
+        for server_id in self._removals.due(now=now):
+            self._remove(server_id, now=now)
+        if changed:
+            self.fire(directory_changed(), "relay")
+
+    def _take_server(self, server_id: str, data: bytes) -> bool:
+        self._removals.discard(server_id)
+        read = self._documents.server(
+            server_id, data, peer=self._settings.store_address
+        )
+        if read.is_error():
+            log_warning(
+                "server_unreadable", server=server_id, message=read.error.message
+            )
+            return False
+        server = read.ok
+        old = self._directory.by_id.get(server_id)
+        if not self._directory.put(server):
+            return False
+        _log_change(old, server)
+        return True
+
+    def _remove(self, server_id: str, *, now: float) -> None:
+        if self._directory.remove(server_id, now=now):
+            log_event("server_gone", server=server_id)
+            self.fire(directory_changed(), "relay")
+
+    # Entry hosts
+
+    def _take_hosts(self, news: TopicNews) -> None:
+        for record in news.records:
+            address = self._documents.host(record.key, record.value)
+            if address is None:
+                self._words.addresses_by_host.pop(record.key, None)
+            else:
+                self._words.addresses_by_host[record.key] = address
+
+    def _announce(self) -> None:
+        record = self._documents.host_record(
+            address=self._settings.peers_address,
+            zone=self._settings.availability_zone,
+        )
+        call = self._log.append(
+            self._documents.hosts_topic, [(self._settings.host, record)], partition=0
+        )
+        self._store.call(call, self._take_announced)
+
+    def _take_announced(self, status: int, body: bytes) -> None:
+        self._announced = status == 200
+
+
+def _log_change(old: BackendServer | None, server: BackendServer) -> None:
+    group = server.group
+    known = old is not None
+    if known and old.draining == server.draining and old.group == group:
+        return
+    log_event(
+        "server_changed" if known else "server_found",
+        server=server.id,
+        draining=server.draining,
+        group=group.name if group else "",
+        epoch=group.epoch if group else -1,
+        state=group.state.value if group else "",
+    )
--- /dev/null
+++ b/ryelever/group_planning.py
@@ -0,0 +1,212 @@
+"""Carry out what is planned for the groups of the availability zones."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .coordination.group_orders import OrderOutcome
+from .coordination.topic import TopicFollower
+from .coordination.zone_planner import AppendGroups, ZonePlanner
+from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
+from .logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.group_orders import GroupOrder
+    from .coordination.topic import TopicNews
+    from .protocol.keyed_log import KeyedLogInterface
+    from .protocol.store_documents import GroupInterface, StoreDocuments
+    from .relay_settings import RelaySettings
+    from .store_client import StoreClient
+
+__all__ = ["GroupPlanning"]
+
+#: Seconds for a backend server to take an order; it answers within milliseconds.
+ORDER_TIMEOUT = 0.8
+ORDER_CONNECT_TIMEOUT = 0.4
+
+
+class GroupPlanning(BaseComponent):
+    """Own the planners of the zones that this host plans for.
+
+    Parameters
+    ----------
+    plans_for : callable
+        Tell whether this host is the one to plan for a zone.
+    new_planner : callable
+        Make the planner of a zone.
+    """
+
+    channel = "groups"
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        log: KeyedLogInterface,
+        documents: StoreDocuments,
+        groups: GroupInterface,
+        store: StoreClient,
+        plans_for: Callable[[str], bool],
+        new_planner: Callable[[str], ZonePlanner],
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._log = log
+        self._documents = documents
+        self._groups = groups
+        self._store = store
+        self._plans_for = plans_for
+        self._new_planner = new_planner
+        self._ids = itertools.count(1)
+        self._asked_by_id: dict[str, tuple[str, GroupOrder]] = {}
+        self._followers_by_zone: dict[str, TopicFollower] = {}
+        self.planners_by_zone: dict[str, ZonePlanner] = {}
+
+    @handler("control_tick")
+    def _on_tick(self) -> None:
+        now = time.monotonic()
+        for zone in self._settings.zones:
+            self._settle_lead(zone)
+        for zone, planner in self.planners_by_zone.items():
+            orders, append = planner.look(now=now)
+            for order in orders:
+                self._give(zone, order)
+            if append is not None:
+                self._append(zone, append)
+
+    def _settle_lead(self, zone: str) -> None:
+        leads = self._plans_for(zone)
+        if leads == (zone in self.planners_by_zone):
+            return
+        log_event("planner_began" if leads else "planner_ended", zone=zone)
+        if not leads:
+            del self.planners_by_zone[zone]
+            self._store.unfollow(self._followers_by_zone.pop(zone))
+            return
+        self.planners_by_zone[zone] = self._new_planner(zone)
+        follower = TopicFollower(
+            log=self._log,
+            topic=self._documents.groups_topic,
+            partition=self._partition(zone),
+        )
+        self._followers_by_zone[zone] = follower
+        self._store.follow(follower, lambda news: self._take(zone, follower, news))
+
+    def _partition(self, zone: str) -> int:
+        return self._settings.zones.index(zone) % self._settings.store_partitions
+
+    # Records
+
+    def _take(self, zone: str, follower: TopicFollower, news: TopicNews) -> None:
+        planner = self.planners_by_zone.get(zone)
+        if planner is None:
+            return
+        now = time.monotonic()
+        read = [
+            (
+                record,
+                self._documents.group(record.key, record.value, offset=record.offset),
+            )
+            for record in news.records
+        ]
+        if news.complete:
+            groups = [group for _, group in read if group is not None]
+            planner.listed(groups, end=follower.offset, now=now)
+            return
+        for record, group in read:
+            if group is None:
+                planner.dropped(record.key, end=record.offset + 1)
+            else:
+                planner.recorded(group, now=now)
+
+    def _append(self, zone: str, asked: AppendGroups) -> None:
+        records = [
+            (group.name, self._documents.group_record(group)) for group in asked.formed
+        ]
+        records += [(name, b"") for name in asked.dropped]
+        call = self._log.append(
+            self._documents.groups_topic,
+            records,
+            partition=self._partition(zone),
+            at=asked.at,
+        )
+        for group in asked.formed:
+            log_event(
+                "group_decided",
+                group=group.name,
+                epoch=group.epoch,
+                model=group.model,
+                members=group.member_ids,
+            )
+        self._store.call(
+            call, lambda status, body: self._appended(zone, asked, status, body)
+        )
+
+    def _appended(
+        self, zone: str, asked: AppendGroups, status: int, body: bytes
+    ) -> None:
+        planner = self.planners_by_zone.get(zone)
+        if planner is None:
+            return
+        outcome = self._log.appended(status, body)
+        if outcome.is_error():
+            planner.append_failed(end=None)
+            log_event("append_unanswered", zone=zone, at=asked.at, status=status)
+            return
+        answer = outcome.ok
+        if hasattr(answer, "offset"):
+            planner.appended(asked, end=answer.end, now=time.monotonic())
+        else:
+            planner.append_failed(end=answer.end)
+            log_event("append_refused", zone=zone, at=asked.at, end=answer.end)
+
+    # Orders
+
+    def _give(self, zone: str, order: GroupOrder) -> None:
+        order_id = f"order-{next(self._ids)}"
+        self._asked_by_id[order_id] = (zone, order)
+        call = self._groups.order(order)
+        request = OutboundRequest(
+            id=order_id,
+            address=order.address,
+            method=call.method,
+            path=call.path,
+            headers=self._groups.order_headers(order),
+            body=call.body,
+            reply_channel=self.channel,
+            step="order",
+            connect_timeout=ORDER_CONNECT_TIMEOUT,
+            progress_timeout=ORDER_TIMEOUT,
+        )
+        self.fire(outbound_send(request), "http_client")
+
+    @handler("outbound_answer")
+    def _on_answer(self, answer: OutboundAnswer) -> None:
+        self._take_outcome(answer.id, self._groups.outcome(answer.status))
+
+    @handler("outbound_failed")
+    def _on_failed(self, failure: OutboundFailure) -> None:
+        refused = failure.error.code == "connection_refused"
+        outcome = OrderOutcome.GONE if refused else OrderOutcome.UNKNOWN
+        self._take_outcome(failure.id, outcome)
+
+    def _take_outcome(self, order_id: str, outcome: OrderOutcome) -> None:
+        zone, order = self._asked_by_id.pop(order_id)
+        log_event(
+            "order_answered",
+            order=order.kind.value,
+            server=order.server_id,
+            group=order.group,
+            epoch=order.epoch,
+            model=order.model,
+            outcome=outcome.value,
+        )
+        planner = self.planners_by_zone.get(zone)
+        if planner is not None and order.group:
+            planner.keeper.answered(order, outcome, now=time.monotonic())
--- /dev/null
+++ b/ryelever/host_exchange.py
@@ -0,0 +1,115 @@
+"""Exchange words with the other entry hosts."""
+
+from __future__ import annotations
+
+import os
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .coordination.host_words import HostWord
+from .events import Datagram, peers_send
+from .logs import log_event
+from .protocol.host_words import decode_word, encode_word
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.balance import Balancer
+    from .coordination.host_words import HostWords
+    from .relay_settings import RelaySettings
+
+__all__ = ["HostExchange", "WORD_INTERVAL"]
+
+#: Seconds between two words to the hosts of the same availability zone.  What
+#: another host sends to a group is known within this time, a seventh of a stream.
+WORD_INTERVAL = 0.2
+
+#: Words to the hosts of other zones, one in so many: bytes between zones are paid
+#: for, and load there matters less.
+FAR_WORDS = 3
+
+
+class HostExchange(BaseComponent):
+    """Own what this host tells others, and take what they tell.
+
+    Parameters
+    ----------
+    describe : callable
+        Return the parts of this host's word that other components know.
+    take_version : callable
+        Take note that another host has a configuration version in force.
+    """
+
+    channel = "exchange"
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        words: HostWords,
+        balancer: Balancer,
+        describe: Callable[[], dict[str, object]],
+        take_version: Callable[[int, str], None],
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._words = words
+        self._balancer = balancer
+        self._describe = describe
+        self._take_version = take_version
+        self._boot = int.from_bytes(os.urandom(7), "big")
+        self._sequence = 0
+        self._heard: set[str] = set()
+
+    @handler("word_tick")
+    def _on_tick(self) -> None:
+        now = time.monotonic()
+        self._sequence += 1
+        word = HostWord(
+            host=self._settings.host,
+            availability_zone=self._settings.availability_zone,
+            boot=self._boot,
+            sequence=self._sequence,
+            in_flight_by_server={
+                server_id: record.in_flight
+                for server_id, record in self._balancer.records_by_id.items()
+                if record.in_flight
+            },
+            **self._describe(),
+        )
+        data = encode_word(word)
+        own = self._settings.availability_zone
+        far = self._sequence % FAR_WORDS == 0
+        datagrams = [
+            Datagram(address=address.address, data=data)
+            for address in self._words.addresses_by_host.values()
+            if address.host != self._settings.host
+            and (far or address.availability_zone == own)
+        ]
+        if datagrams:
+            self.fire(peers_send(datagrams), "peers")
+        self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
+        self._log_hearing(now=now)
+
+    @handler("peers_received")
+    def _on_received(self, datagrams: list[Datagram]) -> None:
+        now = time.monotonic()
+        for datagram in datagrams:
+            read = decode_word(datagram.data, peer=datagram.address)
+            if read.is_error():
+                log_event("word_unreadable", peer=datagram.address, why=str(read.error))
+                continue
+            word = read.ok
+            if self._words.take(word, now=now):
+                self._take_version(word.configuration_version, word.host)
+        self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
+
+    def _log_hearing(self, *, now: float) -> None:
+        heard = {word.host for word in self._words.living(now=now)}
+        for host in heard - self._heard:
+            log_event("peer_heard", peer=host)
+        for host in self._heard - heard:
+            log_event("peer_lost", peer=host)
+        self._heard = heard
--- a/ryelever/logs.py
+++ b/ryelever/logs.py
@@ -4,6 +4,7 @@
 
 import logging as standard_logging
 import sys
+from typing import TextIO
 
 from absl import logging
 
@@ -26,9 +27,9 @@
         return encode(fields).decode()
 
 
-def configure() -> None:
-    """Send structured lines to standard error."""
-    handler = standard_logging.StreamHandler(sys.stderr)
+def configure(*, stream: TextIO | None = None) -> None:
+    """Send structured lines to a stream, standard error by default."""
+    handler = standard_logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_JsonFormatter())
     absl_logger = logging.get_absl_logger()
     absl_logger.handlers[:] = [handler]
--- /dev/null
+++ b/ryelever/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product; it decides nothing."""
--- /dev/null
+++ b/ryelever/platform/entry.py
@@ -0,0 +1,76 @@
+"""Start an entry host on the platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from ..logs import configure, log_error, log_event
+from ..relay_application import RelayApplication
+from .messages import PlatformMessages
+from .orders import PlatformOrders
+from .records import PlatformRecords
+from .settings import SETTINGS_VARIABLE, read_node_settings
+from .store import StoreCalls
+
+if TYPE_CHECKING:
+    from ..relay_settings import RelaySettings
+
+__all__ = ["run"]
+
+#: Exit codes; docs/OPERATING.md explains them.
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_FAULTY_INPUT = 2
+
+
+def run(settings: Path | None) -> int:
+    """Run an entry host until it is told to stop; return its exit code."""
+    path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    checked = _checked(path)
+    if checked is None:
+        return EXIT_FAULTY_INPUT
+    configure(stream=sys.stdout)
+    try:
+        application = RelayApplication(
+            settings=checked,
+            log=StoreCalls(address=checked.store_address),
+            documents=PlatformRecords(),
+            groups=PlatformOrders(),
+            messages=PlatformMessages(),
+            reload=lambda: _reload(path, checked),
+        )
+    except OSError as error:
+        log_error(
+            "cannot_start",
+            step="bind",
+            peer=checked.callers_address,
+            message=f"{error.strerror}; free the address or mend the settings",
+        )
+        return EXIT_FAILED
+    application.run()
+    return EXIT_OK
+
+
+def _checked(path: Path) -> RelaySettings | None:
+    read = read_node_settings(path)
+    if read.is_error():
+        for fault in read.error:
+            print(f"{path}: {fault}", file=sys.stderr)
+        return None
+    return read.ok
+
+
+def _reload(path: Path, running: RelaySettings) -> None:
+    """Look at the settings again.
+
+    Addresses and bounds hold for a process's life: what has changed is logged, and
+    takes effect at the next start.
+    """
+    read = read_node_settings(path)
+    if read.is_error():
+        log_event("reload_refused", faults=[str(fault) for fault in read.error])
+        return
+    log_event("reloaded", changed=read.ok != running)
--- /dev/null
+++ b/ryelever/platform/messages.py
@@ -0,0 +1,132 @@
+"""Read callers' requests and backend servers' answers as the platform has them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..protocol.relaying import AnswerHead, Headers, RelayArrival
+from . import words
+
+if TYPE_CHECKING:
+    from ..coordination.relay_actions import RelayAttempt
+
+__all__ = ["PlatformMessages"]
+
+#: Headers that concern one connection only, and are never passed on.
+PER_CONNECTION = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+
+#: Statuses by which the platform promises that a request was not run.
+WRONG_SERVER = 421
+
+#: Milliseconds kept of a caller's deadline for the way of the answer back.
+WAY_BACK = 20
+
+
+class PlatformMessages:
+    """Decode requests and answers once; ``RelayInterface`` of the platform."""
+
+    def arrival(self, *, head: Headers, target: bytes, now: float) -> RelayArrival:
+        """Read what decides about a request from its head.
+
+        Headers that cannot be read count as absent: they are the caller's, and the
+        request is passed on as it is.
+        """
+        found = dict(head)
+        tokens = found.get(words.TOKENS, b"").split(b",")
+        n_prompt, n_answer = 0, 0
+        if len(tokens) == 2:
+            n_prompt, n_answer = _number(tokens[0]), _number(tokens[1])
+        deadline = _number(found.get(words.DEADLINE, b""))
+        host = found.get(b"host", b"").decode("latin-1").lower()
+        path = target.partition(b"?")[0].decode("latin-1")
+        key = found.get(words.KEY)
+        return RelayArrival(
+            request_id=found.get(words.REQUEST_ID, b"").decode("latin-1"),
+            host=host.partition(":")[0],
+            path=path,
+            key=None if key is None else key.decode("latin-1"),
+            model=found.get(words.MODEL, b"").decode("latin-1"),
+            n_prompt=n_prompt,
+            n_answer=n_answer,
+            last_event_id=found.get(words.LAST_EVENT_ID, b"").decode("latin-1"),
+            deadline=now + deadline / 1000 if deadline else None,
+            arrived_at=now,
+        )
+
+    def forwarded(
+        self, head: Headers, attempt: RelayAttempt, *, now: float
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of one attempt at a backend server."""
+        dropped = PER_CONNECTION | words.SET_BY_ENTRY_HOST | _nominated(head)
+        if attempt.last_event_id:
+            dropped = dropped | {words.LAST_EVENT_ID}
+        headers = [pair for pair in head if pair[0] not in dropped]
+        left = max(1, int((attempt.deadline - now) * 1000) - WAY_BACK)
+        headers.append((words.DEADLINE, str(left).encode()))
+        headers.append((words.EXPECTED_SERVER, attempt.server_id.encode()))
+        if attempt.account:
+            headers.append((words.ACCOUNT, attempt.account.encode()))
+        if attempt.priority is not None:
+            headers.append((words.PRIORITY, str(attempt.priority).encode()))
+        if attempt.last_event_id:
+            headers.append((words.LAST_EVENT_ID, attempt.last_event_id.encode()))
+        return headers
+
+    def answer_head(self, status: int, headers: Headers) -> AnswerHead:
+        """Read the head of a backend server's answer."""
+        found = dict(headers)
+        not_run = words.NOT_RUN in found or status == WRONG_SERVER
+        return AnswerHead(
+            status=status,
+            request_id=found.get(words.REQUEST_ID, b"").decode("latin-1"),
+            signed=words.SIGNATURE in found,
+            not_run=not_run,
+            wrong_server=status == WRONG_SERVER,
+            encoded=b"content-encoding" in found,
+            length=_length(found),
+            headers=self._passed_back(headers),
+        )
+
+    def refusal(
+        self, request_id: str, *, retry_after: float | None
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer that the entry host gives itself."""
+        headers = [(words.REQUEST_ID, request_id.encode("latin-1"))]
+        if retry_after is not None:
+            headers.append((words.RETRY_AFTER, f"{retry_after:.2f}".encode()))
+        return headers
+
+    def _passed_back(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        dropped = PER_CONNECTION | _nominated(headers)
+        return [pair for pair in headers if pair[0] not in dropped]
+
+
+def _nominated(head: Headers) -> frozenset[bytes]:
+    """Return the headers that ``Connection`` names as its own."""
+    for name, value in head:
+        if name == b"connection":
+            return frozenset(token.strip().lower() for token in value.split(b","))
+    return frozenset()
+
+
+def _number(text: bytes) -> int:
+    try:
+        return max(0, int(text))
+    except ValueError:
+        return 0
+
+
+def _length(found: dict[bytes, bytes]) -> int | None:
+    return _number(found[b"content-length"]) if b"content-length" in found else None
--- /dev/null
+++ b/ryelever/platform/records.py
@@ -0,0 +1,109 @@
+"""Read and write the records of the store's topics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..coordination.group_records import GroupRecord, Member
+from ..coordination.host_words import HostAddress
+from ..logs import log_warning
+from ..protocol.json_codec import decode, encode
+from . import words
+from .documents import read_configuration, read_server
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from ..errors import RyeleverError
+    from ..state.directory import BackendServer
+    from ..state.routes import RouteTable
+
+__all__ = ["PlatformRecords"]
+
+
+class _Host(msgspec.Struct):
+    address: str
+    zone: str
+
+
+class _Group(msgspec.Struct):
+    service: str
+    model: str
+    zone: str
+    # Id and address of each member, the head first.
+    members: list[tuple[str, str]]
+
+
+class PlatformRecords:
+    """Read and write records, as ``StoreDocuments`` has them."""
+
+    operator_topic = words.OPERATOR_TOPIC
+    configuration_key = words.CONFIGURATION_KEY
+    servers_topic = words.SERVERS_TOPIC
+    hosts_topic = words.HOSTS_TOPIC
+    groups_topic = words.GROUPS_TOPIC
+
+    def configuration(
+        self, data: bytes, *, peer: str
+    ) -> Result[RouteTable, RyeleverError]:
+        """Read the operator's configuration."""
+        return read_configuration(data, peer=peer)
+
+    def server(
+        self, server_id: str, data: bytes, *, peer: str
+    ) -> Result[BackendServer, RyeleverError]:
+        """Read what a backend server has written of itself."""
+        return read_server(server_id, data, peer=peer)
+
+    def host(self, name: str, data: bytes) -> HostAddress | None:
+        """Read an entry host's address; None where the record is dropped."""
+        found = self._decoded(data, _Host, step="read_host", peer=name)
+        if found is None:
+            return None
+        return HostAddress(
+            host=name, address=found.address, availability_zone=found.zone
+        )
+
+    def host_record(self, *, address: str, zone: str) -> bytes:
+        """Write this host's address."""
+        return encode(_Host(address=address, zone=zone))
+
+    def group(self, name: str, data: bytes, *, offset: int) -> GroupRecord | None:
+        """Read a group; None where the record is dropped or can't be read."""
+        found = self._decoded(data, _Group, step="read_group", peer=name)
+        if found is None or not found.members:
+            return None
+        return GroupRecord(
+            name=name,
+            epoch=offset + 1,
+            service=found.service,
+            model=found.model,
+            availability_zone=found.zone,
+            members=tuple(
+                Member(server_id=server_id, address=address)
+                for server_id, address in found.members
+            ),
+        )
+
+    def group_record(self, record: GroupRecord) -> bytes:
+        """Write a group; its epoch is the place that the record gets."""
+        members = [(member.server_id, member.address) for member in record.members]
+        return encode(
+            _Group(
+                service=record.service,
+                model=record.model,
+                zone=record.availability_zone,
+                members=members,
+            )
+        )
+
+    def _decoded(self, data: bytes, type_: type, *, step: str, peer: str) -> object:
+        if not data:
+            return None
+        read = decode(data, type_, step=step, peer=peer)
+        if read.is_error():
+            log_warning("record_unreadable", step=step, peer=peer, why=str(read.error))
+            return None
+        return read.ok
--- /dev/null
+++ b/ryelever/platform/settings.py
@@ -0,0 +1,154 @@
+"""Read the platform's settings file: lines of the form ``a.b=value``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from ..faults import Fault
+from ..relay_settings import RelaySettings
+from ..settings_checks import is_address
+
+__all__ = ["SETTINGS_VARIABLE", "read_node_settings"]
+
+#: Environment variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "RYELEVER_NODE_FILE"
+
+#: Seconds of a graceful shutdown that stay for the last bytes to leave.
+LAST_BYTES = 0.7
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Field:
+    """Declare one field of the file: its key, how it is read and what is expected."""
+
+    key: str
+    read: Callable[[str], Any]
+    expected: str
+    default: str | None = None
+
+
+def _address(text: str) -> str:
+    if not is_address(text):
+        raise ValueError(text)
+    return text
+
+
+def _name(text: str) -> str:
+    if not text or text != text.strip():
+        raise ValueError(text)
+    return text
+
+
+def _seconds(text: str) -> float:
+    value = float(text) / 1000
+    if not 0 <= value < float("inf"):
+        raise ValueError(text)
+    return value
+
+
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise ValueError(text)
+    return value
+
+
+def _ports(text: str) -> tuple[int, int]:
+    first, last = (int(port) for port in text.split(","))
+    if not 0 < first <= last < 65536:
+        raise ValueError(text)
+    return first, last
+
+
+_MILLISECONDS = "a number of milliseconds, 0 or more"
+_NUMBER = "a number, 0 or more"
+_ADDRESS = "an IPv4 address and a port, such as 10.1.0.40:8227"
+
+_FIELDS_BY_NAME: dict[str, _Field] = {
+    "host": _Field(key="node", read=_name, expected="a name"),
+    "ip": _Field(key="ip", read=_name, expected="an IPv4 address"),
+    "availability_zone": _Field(key="zone", read=_name, expected="a name"),
+    "callers_address": _Field(key="listen.front", read=_address, expected=_ADDRESS),
+    "ready_address": _Field(key="listen.ready", read=_address, expected=_ADDRESS),
+    "ports": _Field(key="port_range", read=_ports, expected="two ports, FIRST,LAST"),
+    "store_address": _Field(key="platform.address", read=_address, expected=_ADDRESS),
+    "store_partitions": _Field(
+        key="platform.parts", read=int, expected="a whole number", default="1"
+    ),
+    "heartbeat_interval": _Field(
+        key="heartbeat_ms", read=_seconds, expected=_MILLISECONDS, default="1200"
+    ),
+    "leaving_bound": _Field(
+        key="bounds.drain_ms", read=_seconds, expected=_MILLISECONDS, default="2000"
+    ),
+    "grace": _Field(
+        key="bounds.grace_s", read=_positive, expected=_NUMBER, default="8"
+    ),
+    "stall_time": _Field(
+        key="bounds.stall_ms", read=_seconds, expected=_MILLISECONDS, default="6000"
+    ),
+    "repeat_ratio": _Field(
+        key="bounds.retry_budget_ratio", read=_positive, expected=_NUMBER, default="0.2"
+    ),
+    "repeat_window": _Field(
+        key="bounds.budget_window_s", read=_positive, expected=_NUMBER, default="10"
+    ),
+    "repeat_slack": _Field(
+        key="bounds.budget_slack", read=_positive, expected=_NUMBER, default="100"
+    ),
+}
+
+
+def read_node_settings(path: Path) -> Result[RelaySettings, list[Fault]]:
+    """Read and check the settings; every fault names its key.
+
+    Keys that are not known are ignored: the platform adds new ones.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = Fault(
+            place=str(path), expected="a readable text file", remedy=f"mend it: {error}"
+        )
+        return Error([fault])
+    found = _lines(text)
+    faults: list[Fault] = []
+    values: dict[str, Any] = {}
+    for name, declared in _FIELDS_BY_NAME.items():
+        raw = found.get(declared.key, declared.default)
+        try:
+            if raw is None:
+                raise ValueError("nothing")
+            values[name] = declared.read(raw)
+        except ValueError:
+            faults.append(
+                Fault(
+                    place=declared.key,
+                    expected=declared.expected,
+                    remedy=f"found {raw!r}",
+                )
+            )
+    zones = sorted(key[6:] for key in found if key.startswith("zones."))
+    if faults:
+        return Error(faults)
+    return Ok(
+        RelaySettings(
+            zones=tuple(zones) or (values["availability_zone"],),
+            last_bytes=LAST_BYTES,
+            **values,
+        )
+    )
+
+
+def _lines(text: str) -> dict[str, str]:
+    found = {}
+    for line in text.splitlines():
+        key, separator, value = line.partition("=")
+        if separator and not key.startswith("#"):
+            found[key.strip()] = value.strip()
+    return found
--- /dev/null
+++ b/ryelever/protocol/keyed_log.py
@@ -0,0 +1,117 @@
+"""Describe a log whose topics keep the newest record of each key."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from expression import Result
+
+    from ..errors import RyeleverError
+
+__all__ = [
+    "AppendRefused",
+    "Appended",
+    "KeyedLogInterface",
+    "KeyedRecord",
+    "LogCall",
+    "NewestPage",
+    "ReadPage",
+]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LogCall:
+    """Hold one call as it goes over HTTP."""
+
+    method: str
+    path: str
+    body: bytes = b""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class KeyedRecord:
+    """Hold one record; an empty value takes the key out."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class NewestPage:
+    """Hold one page of the newest records, and the offset to read on from."""
+
+    records: list[KeyedRecord]
+    more: bool
+    end: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ReadPage:
+    """Hold records in their order.
+
+    Attributes
+    ----------
+    end : int
+        Offset after the partition's last record.
+    expired : bool
+        True where records that were asked for are deleted.
+    """
+
+    records: list[KeyedRecord]
+    end: int
+    expired: bool = False
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Appended:
+    """Say where records were appended: the first one's offset, and the new end."""
+
+    offset: int
+    end: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AppendRefused:
+    """Say that another writer came first; -1 where the end is not known."""
+
+    end: int
+
+
+class KeyedLogInterface(Protocol):
+    """Ask a log whose topics keep the newest record of each key."""
+
+    address: str
+
+    def newest(self, topic: str, *, partition: int, after: str = "") -> LogCall:
+        """Ask for the newest record of each key, from after a key."""
+
+    def read(self, topic: str, *, partition: int, offset: int, wait_ms: int) -> LogCall:
+        """Ask for records from an offset, waiting for one if there is none."""
+
+    def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes]],
+        *,
+        partition: int,
+        at: int | None = None,
+    ) -> LogCall:
+        """Append records of keys; with ``at``, only if the partition ends there."""
+
+    def newest_page(
+        self, status: int, body: bytes
+    ) -> Result[NewestPage, RyeleverError]:
+        """Read the answer to ``newest``."""
+
+    def read_page(
+        self, status: int, body: bytes, *, offset: int
+    ) -> Result[ReadPage, RyeleverError]:
+        """Read the answer to ``read``."""
+
+    def appended(
+        self, status: int, body: bytes
+    ) -> Result[Appended | AppendRefused, RyeleverError]:
+        """Read the answer to ``append``."""
--- a/ryelever/protocol/sse.py
+++ b/ryelever/protocol/sse.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["DONE", "SseTooLongError", "SseSplitter", "sse_event"]
+__all__ = ["DONE", "EventCutter", "SseTooLongError", "SseSplitter", "sse_event"]
 
 #: The event that ends an OpenAI stream.
 DONE = b"data: [DONE]\n\n"
@@ -41,6 +41,53 @@
         return [data for event in events if (data := _data_of(event))]
 
 
+class EventCutter:
+    """Collect bytes and return each complete event unchanged, with its id.
+
+    What passes events on without reading them must never pass a part of one: the
+    stream may go on at another backend server, after the last whole event.
+    """
+
+    __slots__ = ("_buffer",)
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no part of an event waits for its rest."""
+        return not self._buffer
+
+    def feed(self, data: bytes) -> list[tuple[str, bytes]]:
+        """Return id and bytes of the events that ``data`` completes.
+
+        The id is empty where an event has none.
+
+        Raises
+        ------
+        SseTooLongError
+            If an event does not end within the limit.
+        """
+        data = self._buffer + data
+        events = []
+        start = 0
+        while (end := data.find(b"\n\n", start)) >= 0:
+            event = data[start : end + 2]
+            events.append((_id_of(event), event))
+            start = end + 2
+        self._buffer = data[start:]
+        if len(self._buffer) > MAX_EVENT:
+            raise SseTooLongError(f"event is longer than {MAX_EVENT} bytes")
+        return events
+
+
+def _id_of(event: bytes) -> str:
+    for line in event.split(b"\n"):
+        if line[:3] == b"id:":
+            return line[3:].strip().decode("latin-1")
+    return ""
+
+
 def sse_event(data: bytes) -> bytes:
     """Return one event with ``data``."""
     return b"data: " + data + b"\n\n"
--- /dev/null
+++ b/ryelever/relay.py
@@ -0,0 +1,240 @@
+"""Pass requests on between callers and backend servers, as is decided."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .coordination.demand import DemandMeter, time_in_batch
+from .coordination.relay_requests import RelayRequests
+from .errors import Category
+from .events import (
+    AnswerHead,
+    AttemptData,
+    OutboundFailure,
+    OutboundRequest,
+    RelayedRequest,
+    outbound_cancel,
+    outbound_send,
+)
+from .logs import log_event
+from .protocol.sse import EventCutter, SseTooLongError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.balance import Balancer
+    from .coordination.relay_actions import RelayAttempt, RelayRefusal
+    from .coordination.repeat_budget import RepeatBudget
+    from .coordination.stillness import StillnessWatch
+    from .metrics import Metrics
+    from .protocol.relaying import Headers, RelayInterface
+    from .state.routes import RouteTable
+    from .transport.relay_callers import RelayCallers
+
+__all__ = ["Relay"]
+
+#: Seconds for a backend server's connection to be established; one takes a few
+#: milliseconds, and a server that is gone silently answers never.
+CONNECT_TIMEOUT = 0.3
+
+#: Seconds beyond the request's own deadline after which its connection is closed.
+LATE = 0.5
+
+
+class Relay(BaseComponent):
+    """Own the requests that are passed on.
+
+    Parameters
+    ----------
+    messages : RelayInterface
+        Reads and writes heads as callers and backend servers have them.
+    callers : RelayCallers
+        The callers' connections.
+    """
+
+    channel = "relay"
+
+    def __init__(
+        self,
+        *,
+        messages: RelayInterface,
+        callers: RelayCallers,
+        table: Callable[[], RouteTable | None],
+        balancer: Balancer,
+        budget: RepeatBudget,
+        stillness: StillnessWatch,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._messages = messages
+        self._callers = callers
+        self._table = table
+        self._metrics = metrics
+        self._received_by_number: dict[int, RelayedRequest] = {}
+        self._cutters_by_attempt: dict[str, EventCutter] = {}
+        self.demand = DemandMeter()
+        self.stillness = stillness
+        self.balancer = balancer
+        self.requests = RelayRequests(
+            table=table,
+            balancer=balancer,
+            budget=budget,
+            stillness=stillness,
+            outbox=self,
+            log=self._log,
+        )
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._metrics.count(
+            event, str(fields.get("reason") or fields.get("status", ""))
+        )
+        log_event(event, **fields)
+
+    # Callers
+
+    @handler("relayed_request")
+    def _on_request(self, received: RelayedRequest) -> None:
+        now = time.monotonic()
+        arrival = self._messages.arrival(
+            head=received.headers, target=received.target, now=now
+        )
+        self._received_by_number[received.number] = received
+        if arrival.model:
+            self._measure(arrival.model, arrival.n_prompt, now=now)
+        self.requests.arrive(received.number, arrival)
+
+    @handler("relayed_gone")
+    def _on_gone(self, number: int) -> None:
+        self.requests.caller_gone(number)
+        self._received_by_number.pop(number, None)
+
+    def _measure(self, model: str, n_prompt: int, *, now: float) -> None:
+        table = self._table()
+        for service in table.services_by_name.values() if table else ():
+            engine = service.engine
+            if engine is not None and model in engine.models_by_name:
+                seconds = time_in_batch(
+                    engine, model, n_prompt=n_prompt, n_answer=engine.usual_answer
+                )
+                self.demand.arrived(model, seconds, now=now)
+
+    # Backend servers
+
+    @handler("outbound_head")
+    def _on_head(self, head: AnswerHead) -> None:
+        now = time.monotonic()
+        read = self._messages.answer_head(head.status, list(head.raw_headers))
+        self.requests.answer_head(head.id, read, now=now)
+
+    @handler("outbound_data")
+    def _on_data(self, message: AttemptData) -> None:
+        now = time.monotonic()
+        if not self.requests.is_streaming(message.id):
+            self.requests.answer_body(message.id, message.data, now=now)
+            return
+        cutter = self._cutters_by_attempt.setdefault(message.id, EventCutter())
+        try:
+            events = cutter.feed(message.data)
+        except SseTooLongError:
+            self.requests.answer_broken(message.id, "event_too_long", now=now)
+            return
+        if events:
+            self.requests.answer_events(message.id, events, now=now)
+
+    @handler("outbound_end")
+    def _on_end(self, attempt_id: str) -> None:
+        cutter = self._cutters_by_attempt.pop(attempt_id, None)
+        cut = cutter is not None and not cutter.is_empty
+        self.requests.answer_end(attempt_id, cut=cut, now=time.monotonic())
+
+    @handler("outbound_failed")
+    def _on_failed(self, failure: OutboundFailure) -> None:
+        self._cutters_by_attempt.pop(failure.id, None)
+        timed_out = failure.error.category is Category.TIMEOUT
+        self.requests.attempt_failed(
+            failure.id,
+            "silent" if timed_out else "connection_failed",
+            sent=failure.bytes_sent,
+            now=time.monotonic(),
+        )
+
+    @handler("serving_tick")
+    def _on_tick(self) -> None:
+        self.requests.tick(now=time.monotonic())
+
+    @handler("directory_changed")
+    def _on_directory_changed(self) -> None:
+        self.requests.dispatch_waiting(now=time.monotonic())
+
+    # What is decided
+
+    def send(self, attempt: RelayAttempt) -> None:
+        """Send a request to a backend server."""
+        now = time.monotonic()
+        received = self._received_by_number[attempt.request_number]
+        request = OutboundRequest(
+            id=attempt.id,
+            address=attempt.address,
+            method=received.method.decode("ascii"),
+            path=received.target.decode("latin-1"),
+            headers=tuple(self._messages.forwarded(received.headers, attempt, now=now)),
+            body=received.body,
+            reply_channel=self.channel,
+            step="relay",
+            streamed=True,
+            fresh=attempt.fresh,
+            connect_timeout=CONNECT_TIMEOUT,
+            progress_timeout=max(LATE, attempt.deadline - now + LATE),
+            send_before=attempt.deadline,
+            resend_stale=False,
+            verbatim=True,
+        )
+        self.fire(outbound_send(request), "http_client")
+
+    def cancel(self, attempt_id: str) -> None:
+        """Close the connection of an attempt whose answer nobody waits for."""
+        self._cutters_by_attempt.pop(attempt_id, None)
+        self.fire(outbound_cancel(attempt_id), "http_client")
+
+    def answer(
+        self, request_number: int, *, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Give the caller a backend server's whole answer."""
+        self._received_by_number.pop(request_number, None)
+        self._callers.answer(request_number, status=status, headers=headers, body=body)
+
+    def refuse(self, request_number: int, refusal: RelayRefusal) -> None:
+        """Give the caller an answer of the entry host's own."""
+        received = self._received_by_number.pop(request_number, None)
+        if received is None:
+            return
+        arrival = self._messages.arrival(
+            head=received.headers, target=received.target, now=0.0
+        )
+        headers = self._messages.refusal(
+            arrival.request_id, retry_after=refusal.retry_after
+        )
+        self._callers.answer(
+            request_number, status=refusal.status, headers=headers, body=b""
+        )
+
+    def start(self, request_number: int, *, status: int, headers: Headers) -> None:
+        """Begin a streamed answer."""
+        self._callers.start(request_number, status=status, headers=headers)
+
+    def data(self, request_number: int, data: bytes) -> None:
+        """Pass on whole events of a stream."""
+        self._callers.data(request_number, data)
+
+    def finish(self, request_number: int) -> None:
+        """End a streamed answer as complete."""
+        self._received_by_number.pop(request_number, None)
+        self._callers.finish(request_number)
+
+    def abort(self, request_number: int) -> None:
+        """Break a streamed answer off, so that it doesn't look complete."""
+        self._received_by_number.pop(request_number, None)
+        self._callers.abort(request_number)
--- /dev/null
+++ b/ryelever/relay_application.py
@@ -0,0 +1,287 @@
+"""Wire the parts of an entry host that passes requests on unchanged."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import EPoll
+
+from .addresses import split_address
+from .coordination.balance import Balancer
+from .coordination.host_words import HostWords
+from .coordination.repeat_budget import RepeatBudget
+from .coordination.stillness import StillnessWatch
+from .coordination.zone_planner import ZonePlanner
+from .events import (
+    RelayedRequest,
+    control_tick,
+    serving_tick,
+    sweep,
+    word_tick,
+)
+from .fleet_directory import FleetDirectory
+from .group_planning import GroupPlanning
+from .host_exchange import WORD_INTERVAL, HostExchange
+from .logs import log_event, log_warning
+from .metrics import Metrics
+from .relay import Relay
+from .relay_shutdown import RelayShutdown
+from .state.directory import Directory
+from .state.routes import ConnectionLimits
+from .store_client import StoreClient
+from .timers import Timers
+from .transport.http_client import HttpClient
+from .transport.peers import Peers
+from .transport.relay_callers import RelayCallers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .protocol.keyed_log import KeyedLogInterface
+    from .protocol.relaying import RelayInterface
+    from .protocol.store_documents import GroupInterface, StoreDocuments
+    from .relay_settings import RelaySettings
+
+__all__ = ["RelayApplication"]
+
+#: Seconds between two looks of control at its deadlines, the shortest of which are
+#: 0.15 s.
+CONTROL_TICK = 0.1
+
+#: Seconds between two looks at the requests' deadlines.
+SERVING_TICK = 0.05
+
+#: Seconds between two looks at connections.
+SWEEP = 0.25
+
+#: Last characters of a fault's traceback that go into the log line.
+MAX_TRACEBACK = 2000
+
+CONTROL_CHANNELS = ("store", "directory", "groups", "shutdown")
+
+
+class RelayApplication(BaseComponent):
+    """Own the parts of one entry host.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Checked settings.
+    log, documents, groups, messages
+        The platform's side of each interface.
+    reload : callable
+        Look at the settings file again; tell what has changed.
+    """
+
+    channel = "application"
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        log: KeyedLogInterface,
+        documents: StoreDocuments,
+        groups: GroupInterface,
+        messages: RelayInterface,
+        reload: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.metrics = Metrics()
+        self.directory = Directory()
+        self.words = HostWords(host=settings.host, zone=settings.availability_zone)
+        self.store = StoreClient(address=settings.store_address)
+        self.fleet = FleetDirectory(
+            settings=settings,
+            log=log,
+            documents=documents,
+            store=self.store,
+            directory=self.directory,
+            words=self.words,
+        )
+        self.http_client = HttpClient()
+        self.callers = RelayCallers(
+            bind=split_address(settings.callers_address),
+            channel="relay_callers",
+            reply_channel="relay",
+            limits=self._limits,
+        )
+        self.watchers = RelayCallers(
+            bind=split_address(settings.ready_address),
+            channel="watchers",
+            reply_channel="application",
+            limits=ConnectionLimits,
+        )
+        self.balancer = Balancer(
+            directory=self.directory, zone=settings.availability_zone
+        )
+        self.relay = Relay(
+            messages=messages,
+            callers=self.callers,
+            table=self._table,
+            balancer=self.balancer,
+            budget=RepeatBudget(
+                ratio=settings.repeat_ratio,
+                slack=settings.repeat_slack,
+                window=settings.repeat_window,
+                n_hosts=lambda: self.words.n_hosts(now=time.monotonic()),
+            ),
+            stillness=StillnessWatch(),
+            metrics=self.metrics,
+        )
+        self.planning = GroupPlanning(
+            settings=settings,
+            log=log,
+            documents=documents,
+            groups=groups,
+            store=self.store,
+            plans_for=self._plans_for,
+            new_planner=self._new_planner,
+        )
+        self.peers = Peers(
+            bind=split_address(settings.peers_address), reply_channel="exchange"
+        )
+        self.exchange = HostExchange(
+            settings=settings,
+            words=self.words,
+            balancer=self.balancer,
+            describe=self._describe_host,
+            take_version=self._take_version,
+        )
+        self.shutdown = RelayShutdown(
+            settings=settings,
+            callers=self.callers,
+            n_in_flight=lambda: len(self.relay.requests.requests_by_number),
+            stop=self.stop,
+            reload=reload,
+        )
+        self.timers = Timers()
+        self._started_at = time.monotonic()
+        self._register_parts()
+
+    # What parts ask of each other
+
+    def _table(self) -> object:
+        return self.fleet.table
+
+    def _limits(self) -> ConnectionLimits:
+        table = self.fleet.table
+        return table.limits if table is not None else ConnectionLimits()
+
+    def _plans_for(self, zone: str) -> bool:
+        return not self.shutdown.stopping and self.words.plans_for(
+            zone, reads_store=self._reads_store(), now=time.monotonic()
+        )
+
+    def _reads_store(self) -> bool:
+        return self.fleet.servers.is_current and self.store.is_reachable
+
+    def _new_planner(self, zone: str) -> ZonePlanner:
+        return ZonePlanner(
+            zone=zone,
+            n_zones=len(self.settings.zones),
+            directory=self.directory,
+            table=self._table,
+            demand=self._demand,
+            is_calm=lambda: not self._demand(),
+            stall_time=self.settings.stall_time,
+            since=time.monotonic(),
+            log=log_event,
+        )
+
+    def _demand(self) -> dict[str, float]:
+        now = time.monotonic()
+        total = self.words.demand(now=now)
+        total.update(self.relay.demand.by_model(now=now))
+        return total
+
+    def _describe_host(self) -> dict[str, object]:
+        table = self.fleet.table
+        return {
+            "reads_store": self._reads_store(),
+            "stopping": self.shutdown.stopping,
+            "configuration_version": table.version if table is not None else -1,
+            "demand_by_model": self.relay.demand.by_model(now=time.monotonic()),
+        }
+
+    def _take_version(self, version: int, host: str) -> None:
+        table = self.fleet.table
+        if table is None or version > table.version:
+            self.fleet.configuration.poke()
+
+    # Readiness and metrics
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether this host can serve."""
+        return (
+            not self.shutdown.stopping
+            and self.fleet.table is not None
+            and self.fleet.servers.is_current
+        )
+
+    @handler("relayed_request")
+    def _on_watcher(self, request: RelayedRequest) -> None:
+        if request.target == b"/metrics":
+            self.watchers.answer(
+                request.number,
+                status=200,
+                headers=[(b"Content-Type", b"text/plain; version=0.0.4")],
+                body=self.metrics.render(),
+            )
+            return
+        status = 200 if self.ready else 503
+        self.watchers.answer(request.number, status=status, headers=[], body=b"")
+
+    # The process
+
+    def _register_parts(self) -> None:
+        EPoll().register(self)
+        for part in (
+            self.timers,
+            self.http_client,
+            self.callers,
+            self.watchers,
+            self.store,
+            self.fleet,
+            self.relay,
+            self.planning,
+            self.peers,
+            self.exchange,
+            self.shutdown,
+        ):
+            part.register(self)
+
+    @handler("started", channel="*")
+    def _on_started(self, *args: object) -> None:
+        timers = self.timers
+        timers.every(CONTROL_TICK, control_tick, *CONTROL_CHANNELS)
+        timers.every(SERVING_TICK, serving_tick, "relay")
+        timers.every(WORD_INTERVAL, word_tick, "exchange")
+        timers.every(SWEEP, sweep, "http_client", "relay_callers", "watchers")
+        log_event(
+            "started",
+            host=self.settings.host,
+            zone=self.settings.availability_zone,
+            callers=self.settings.callers_address,
+        )
+
+    @handler("exception", channel="*")
+    def _on_exception(
+        self,
+        error_type: type[Exception],
+        error: Exception,
+        traceback: list[str],
+        handler: object = None,  # noqa: A002
+        fevent: Event | None = None,
+    ) -> None:
+        self.metrics.count("faults", error_type.__name__)
+        log_warning(
+            "fault",
+            error=error_type.__name__,
+            message=str(error),
+            fired=fevent.name if fevent is not None else "",
+            traceback="".join(traceback)[-MAX_TRACEBACK:],
+        )
--- /dev/null
+++ b/ryelever/relay_shutdown.py
@@ -0,0 +1,76 @@
+"""Stop a relaying entry host without cutting off a request in flight."""
+
+from __future__ import annotations
+
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, Event, handler
+
+from .logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .relay_settings import RelaySettings
+    from .transport.relay_callers import RelayCallers
+
+__all__ = ["RelayShutdown"]
+
+#: Seconds for the balancer to see that this host isn't ready: it asks each second
+#: and turns away after two misses, and callers take half a second to come.
+TURNING_AWAY = 2.8
+
+
+class RelayShutdown(BaseComponent):
+    """Take the process from the signal to its end.
+
+    First the host stops being ready and still takes what comes; answers say that the
+    connection closes.  Once nothing is in flight, or the grace is over, it ends.
+    """
+
+    channel = "shutdown"
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        callers: RelayCallers,
+        n_in_flight: Callable[[], int],
+        stop: Callable[[], None],
+        reload: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._callers = callers
+        self._n_in_flight = n_in_flight
+        self._stop = stop
+        self._reload = reload
+        self._since: float | None = None
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the process is on its way to its end."""
+        return self._since is not None
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event: Event, signal_number: int, stack: object) -> None:
+        event.stop()
+        if signal_number == signal.SIGHUP:
+            self._reload()
+        elif signal_number in (signal.SIGINT, signal.SIGTERM) and not self.stopping:
+            self._since = time.monotonic()
+            self._callers.draining = True
+            log_event("stopping", in_flight=self._n_in_flight())
+
+    @handler("control_tick")
+    def _on_tick(self) -> None:
+        if self._since is None:
+            return
+        passed = time.monotonic() - self._since
+        quiet = not self._n_in_flight() and not self._callers.n_busy
+        out_of_time = passed > self._settings.grace - self._settings.last_bytes
+        if out_of_time or (passed > TURNING_AWAY and quiet):
+            log_event("stopped", in_flight=self._n_in_flight(), after=round(passed, 2))
+            self._stop()
--- /dev/null
+++ b/ryelever/schema/host_words.capnp
@@ -0,0 +1,33 @@
+@0xc3f6b0d27a914e58;
+# What entry hosts that relay requests tell each other over UDP, several times a second.
+
+struct HostWord {
+  host @0 :Text;
+  availabilityZone @1 :Text;
+  # Distinguishes the incarnations of a host.
+  boot @2 :UInt64;
+  sequence @3 :UInt32;
+  # True while the sender's reads of the store are answered.
+  readsStore @4 :Bool;
+  # True while the sender is stopping.
+  stopping @5 :Bool;
+  configurationVersion @6 :Int64;
+  # Requests in flight from the sender, by backend server.
+  loads @7 :List(Load);
+  # Work that arrives at the sender, in replica groups kept busy, by model.
+  demands @8 :List(Demand);
+  # Heads whose groups stand still for the sender.
+  still @9 :List(Text);
+  # Backend servers that the sender knows to be leaving or gone.
+  leaving @10 :List(Text);
+}
+
+struct Load {
+  server @0 :Text;
+  inFlight @1 :UInt16;
+}
+
+struct Demand {
+  model @0 :Text;
+  groups @1 :Float32;
+}
--- /dev/null
+++ b/ryelever/state/directory.py
@@ -0,0 +1,115 @@
+"""Hold what the platform's list says of the backend servers."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["BackendServer", "Directory", "GroupReport", "GroupState"]
+
+
+class GroupState(enum.Enum):
+    """Name the states in which a backend server can be as a member of a group."""
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GroupReport:
+    """Hold what a backend server says of its own group.
+
+    Attributes
+    ----------
+    epoch : int
+        Distinguishes all groups that ever were; a higher one was formed later.
+    rank : int
+        Place among the members; the head is 0.
+    """
+
+    name: str
+    epoch: int
+    rank: int
+    state: GroupState
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BackendServer:
+    """Describe one incarnation of a backend server.
+
+    Attributes
+    ----------
+    draining : bool
+        True once it has announced its leaving.
+    models : frozenset of str
+        Models whose weights are in use.
+    staged : frozenset of str
+        Models whose weights are on its host.
+    domain : str
+        Fabric domain; groups within one are fast.
+    """
+
+    id: str
+    service: str
+    address: str
+    availability_zone: str
+    slots: int
+    draining: bool
+    domain: str = ""
+    models: frozenset[str] = frozenset()
+    staged: frozenset[str] = frozenset()
+    group: GroupReport | None = None
+
+
+class Directory:
+    """Index the backend servers that are there now.
+
+    Attributes
+    ----------
+    by_id : dict of str to BackendServer
+        All of them, leaving ones included.
+    gone_at_by_id : dict of str to float
+        Monotonic time at which each lost one was taken out.
+    n_changes : int
+        Grows with each change, for those who cache what they derive.
+    """
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, BackendServer] = {}
+        self.gone_at_by_id: dict[str, float] = {}
+        self.n_changes = 0
+        self._by_service: dict[str, dict[str, BackendServer]] = {}
+
+    def put(self, server: BackendServer) -> bool:
+        """Take what is known now; tell whether anything is new."""
+        old = self.by_id.get(server.id)
+        if old == server:
+            return False
+        if old is not None and old.service != server.service:
+            self._by_service[old.service].pop(old.id, None)
+        self.by_id[server.id] = server
+        self.gone_at_by_id.pop(server.id, None)
+        self._by_service.setdefault(server.service, {})[server.id] = server
+        self.n_changes += 1
+        return True
+
+    def remove(self, server_id: str, *, now: float) -> bool:
+        """Take a backend server out; tell whether it was there."""
+        server = self.by_id.pop(server_id, None)
+        if server is None:
+            return False
+        del self._by_service[server.service][server_id]
+        self.gone_at_by_id[server_id] = now
+        self.n_changes += 1
+        return True
+
+    def of_service(self, service: str) -> Iterator[BackendServer]:
+        """Yield the backend servers of one service."""
+        yield from self._by_service.get(service, {}).values()
--- /dev/null
+++ b/ryelever/store_client.py
@@ -0,0 +1,162 @@
+"""Call the platform's store and follow its topics."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .coordination.topic import ANSWER_TIMEOUT, WAIT_MS
+from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
+from .logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.topic import TopicFollower, TopicNews
+    from .protocol.keyed_log import LogCall
+
+__all__ = ["StoreClient"]
+
+#: Seconds for the answer to an append: one takes some milliseconds, and one that is
+#: lost may not hold up the next decision.
+CALL_TIMEOUT = 1.0
+
+#: Seconds for a connection to the store to be established.
+CONNECT_TIMEOUT = 0.6
+
+
+@dataclass(slots=True, kw_only=True)
+class _Followed:
+    """Hold one topic that is followed, and who takes its news."""
+
+    follower: TopicFollower
+    take: Callable[[TopicNews], None]
+
+
+class StoreClient(BaseComponent):
+    """Own the calls to the store.
+
+    Attributes
+    ----------
+    n_calls : int
+        Calls sent; each of them is paid for.
+    answered_at, failed_at : float
+        Monotonic time of the last answer and of the last failure.
+    """
+
+    channel = "store"
+
+    def __init__(self, *, address: str) -> None:
+        super().__init__()
+        self._address = address
+        self._ids = itertools.count(1)
+        self._followed_by_call: dict[str, _Followed] = {}
+        self._takers_by_call: dict[str, Callable[[int, bytes], None]] = {}
+        self._followed: list[_Followed] = []
+        self.n_calls = 0
+        self.answered_at = float("-inf")
+        self.failed_at = float("-inf")
+        self._reachable: bool | None = None
+
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether the last call was answered."""
+        return bool(self._reachable)
+
+    def follow(
+        self, follower: TopicFollower, take: Callable[[TopicNews], None]
+    ) -> None:
+        """Read a topic from now on, and hand on what it brings."""
+        self._followed.append(_Followed(follower=follower, take=take))
+
+    def unfollow(self, follower: TopicFollower) -> None:
+        """Read a topic no more."""
+        self._followed = [
+            item for item in self._followed if item.follower is not follower
+        ]
+
+    def call(self, call: LogCall, take: Callable[[int, bytes], None]) -> None:
+        """Make one call; ``take`` gets status and body, or 0 without an answer."""
+        call_id = self._send(call, step="call_store", progress_timeout=CALL_TIMEOUT)
+        self._takers_by_call[call_id] = take
+
+    @handler("control_tick")
+    def _on_tick(self) -> None:
+        now = time.monotonic()
+        for followed in self._followed:
+            call = followed.follower.next_call(now=now)
+            if call is not None:
+                timeout = WAIT_MS / 1000 + ANSWER_TIMEOUT
+                call_id = self._send(call, step="read_store", progress_timeout=timeout)
+                self._followed_by_call[call_id] = followed
+
+    def _send(self, call: LogCall, *, step: str, progress_timeout: float) -> str:
+        call_id = f"store-{next(self._ids)}"
+        self.n_calls += 1
+        request = OutboundRequest(
+            id=call_id,
+            address=self._address,
+            method=call.method,
+            path=call.path,
+            body=call.body,
+            reply_channel=self.channel,
+            step=step,
+            connect_timeout=CONNECT_TIMEOUT,
+            progress_timeout=progress_timeout,
+            # An append that may have been carried out is looked for in the log
+            # before it is made again.
+            resend_stale=not call.body,
+        )
+        self.fire(outbound_send(request), "http_client")
+        return call_id
+
+    @handler("outbound_answer")
+    def _on_answer(self, answer: OutboundAnswer) -> None:
+        now = time.monotonic()
+        refused = answer.status in (429, 503)
+        self._note(not refused, why=f"answered {answer.status}", now=now)
+        taker = self._takers_by_call.pop(answer.id, None)
+        if taker is not None:
+            taker(answer.status, answer.body)
+        followed = self._followed_by_call.pop(answer.id, None)
+        if followed is None or followed not in self._followed:
+            return
+        outcome = followed.follower.answered(answer.status, answer.body, now=now)
+        if outcome.is_error():
+            error = outcome.error
+            log_event(
+                "store_read_failed",
+                topic=followed.follower.topic,
+                step=error.step,
+                peer=error.peer,
+                message=error.message,
+            )
+            return
+        news = outcome.ok
+        if news.records or news.complete:
+            followed.take(news)
+
+    @handler("outbound_failed")
+    def _on_failed(self, failure: OutboundFailure) -> None:
+        now = time.monotonic()
+        self._note(False, why=failure.error.message, now=now)
+        taker = self._takers_by_call.pop(failure.id, None)
+        if taker is not None:
+            taker(0, b"")
+        followed = self._followed_by_call.pop(failure.id, None)
+        if followed is not None:
+            followed.follower.failed(now=now)
+
+    def _note(self, reachable: bool, *, why: str, now: float) -> None:
+        if reachable:
+            self.answered_at = now
+        else:
+            self.failed_at = now
+        if reachable is not self._reachable:
+            self._reachable = reachable
+            name = "store_regained" if reachable else "store_lost"
+            log_event(name, peer=self._address, why=why)
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -32,7 +32,7 @@
     outbound_head,
 )
 from .http_connection import Connection, open_socket, request_bytes
-from .http_pool import IDLE_TIMEOUT, IdleConnections
+from .http_pool import IdleConnections
 
 if TYPE_CHECKING:
     pass
@@ -42,6 +42,9 @@
 #: Bytes read from a socket at once.
 READ_SIZE = 64 * 1024
 
+#: Code of the error where nobody listens at an address: that process is gone.
+REFUSED = "connection_refused"
+
 
 class HttpClient(BaseComponent):
     """Own every outgoing connection.
@@ -255,15 +258,18 @@
                 self._fail(connection, "connection was closed before an answer")
 
     def _take_head(self, connection: Connection, event: h11.Response) -> None:
-        connection.status = event.status_code
-        connection.headers = {
+        headers = {
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in event.headers
         }
+        connection.take_head(event.status_code, headers)
         request = connection.request
         if request.streamed:
             head = AnswerHead(
-                id=request.id, status=connection.status, headers=connection.headers
+                id=request.id,
+                status=connection.status,
+                headers=connection.headers,
+                raw_headers=tuple(event.headers),
             )
             self.fire(outbound_head(head), request.reply_channel)
 
@@ -307,7 +313,7 @@
         silent_for = now - connection.progress_at
         request = connection.request
         if request is None:
-            if silent_for > IDLE_TIMEOUT:
+            if silent_for > connection.idle_timeout:
                 self._close(connection)
             return
         if connection.paused and not connection.connecting:
@@ -336,20 +342,23 @@
         request = connection.request
         if connection.connecting and category is Category.BROKEN:
             category = Category.UNAVAILABLE
+        code = REFUSED if "ECONNREFUSED" in message else ""
         bytes_sent = connection.bytes_sent
         unanswered = not connection.status
         self._close(connection)
         if request is None:
             return
         stale = connection.reused and unanswered and category is Category.BROKEN
-        if stale and not request.fresh:
+        if stale and request.resend_stale and not request.fresh:
             # The peer closed the connection while it idled, which is no failure
             # of the peer: once more, over a new connection.
             replacement = self._open(request, bytes_sent=bytes_sent)
             if replacement is not None:
                 self._start(replacement, request, bytes_sent=bytes_sent)
             return
-        self._report_failure(request, message, category=category, bytes_sent=bytes_sent)
+        self._report_failure(
+            request, message, category=category, bytes_sent=bytes_sent, code=code
+        )
 
     def _report_unsent(
         self, request: OutboundRequest, message: str, *, bytes_sent: bool = False
@@ -365,12 +374,14 @@
         *,
         category: Category,
         bytes_sent: bool,
+        code: str = "",
     ) -> None:
         error = RyeleverError(
             f"{request.address} {message}",
             category=category,
             step=request.step,
             peer=request.address,
+            code=code,
         )
         failure = OutboundFailure(
             id=request.id, address=request.address, error=error, bytes_sent=bytes_sent
--- a/ryelever/transport/http_connection.py
+++ b/ryelever/transport/http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from dataclasses import dataclass, field
 
@@ -9,7 +10,7 @@
 
 from ..events import OutboundRequest
 
-__all__ = ["Connection", "open_socket", "request_bytes"]
+__all__ = ["IDLE_TIMEOUT", "Connection", "open_socket", "request_bytes"]
 
 #: Seconds of idleness before the kernel probes the other end, between two probes,
 #: and the probes that may stay unanswered.
@@ -20,6 +21,18 @@
 #: Milliseconds after which the kernel gives up on bytes nobody acknowledges.
 TCP_USER_TIMEOUT_MS = 5000
 
+#: Methods whose requests say nothing of a body when they have none.
+BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+
+#: Seconds for which a connection may idle where the peer doesn't say.
+IDLE_TIMEOUT = 30.0
+
+#: Seconds before the peer closes an idle connection at which it is closed here: a
+#: request sent into the peer's close is lost.
+IDLE_MARGIN = 0.5
+
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+
 _TCP_OPTIONS = (
     (socket.TCP_NODELAY, 1),
     (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
@@ -44,6 +57,8 @@
         True when the connection has carried a request before.
     body_begun : bool
         True once a byte of the answer's body has arrived.
+    idle_timeout : float
+        Seconds for which the connection may idle and still be used.
     """
 
     address: str
@@ -57,6 +72,7 @@
     paused: bool = False
     reused: bool = False
     body_begun: bool = False
+    idle_timeout: float = IDLE_TIMEOUT
     out: bytearray = field(default_factory=bytearray)
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
@@ -73,6 +89,14 @@
         self.body.clear()
         self.out += data
 
+    def take_head(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head of an answer, and what it says of the connection."""
+        self.status = status
+        self.headers = headers
+        said = _KEEP_ALIVE_TIMEOUT.search(headers.get("keep-alive", ""))
+        if said is not None:
+            self.idle_timeout = max(0.0, int(said[1]) - IDLE_MARGIN)
+
     def silence_limit(self) -> float:
         """Return the seconds without a byte after which the peer is given up."""
         request = self.request
@@ -85,10 +109,13 @@
     def is_clean(self) -> bool:
         """Tell whether another request may follow the one that was answered.
 
-        Bytes beyond the answer would be taken for the next one's answer.
+        Bytes beyond the answer would be taken for the next one's answer.  A peer
+        that answers early still takes the rest of the body, and would take the
+        next request for it.
         """
         return (
-            self.http.our_state is h11.DONE
+            not self.out
+            and self.http.our_state is h11.DONE
             and self.http.their_state is h11.DONE
             and not self.http.trailing_data[0]
         )
@@ -137,11 +164,11 @@
     h11.LocalProtocolError
         If the request cannot be written as HTTP.
     """
-    headers = [
-        ("Host", request.address),
-        *request.headers,
-        ("Content-Length", str(len(request.body))),
-    ]
+    headers = list(request.headers)
+    if not request.verbatim:
+        headers.insert(0, ("Host", request.address))
+    if request.body or not (request.verbatim and request.method in BODILESS):
+        headers.append(("Content-Length", str(len(request.body))))
     head = h11.Request(method=request.method, target=request.path, headers=headers)
     data = http.send(head)
     if request.body:
--- a/ryelever/transport/http_pool.py
+++ b/ryelever/transport/http_pool.py
@@ -10,14 +10,11 @@
 
     from .http_connection import Connection
 
-__all__ = ["IDLE_TIMEOUT", "IdleConnections"]
+__all__ = ["IdleConnections"]
 
 #: Idle connections kept for one address.
 MAX_IDLE = 32
 
-#: Seconds after which an idle connection is closed.
-IDLE_TIMEOUT = 30.0
-
 
 class IdleConnections:
     """Hold the connections that carry no request.
@@ -34,13 +31,14 @@
 
     def take(self, address: str) -> Connection | None:
         """Return a connection that can carry a request, or None."""
-        oldest = time.monotonic() - IDLE_TIMEOUT
+        now = time.monotonic()
         idle = self._connections_by_address.get(address, [])
         while idle:
             connection = idle.pop()
             # A process that was paused finds connections that idled for longer
             # than anything between the two ends remembers them.
-            if connection.progress_at >= oldest and connection.is_quiet():
+            idle_for = now - connection.progress_at
+            if idle_for <= connection.idle_timeout and connection.is_quiet():
                 return connection
             self._close(connection)
         return None
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -16,7 +16,7 @@
 from ryelever.events import OutboundRequest, outbound_send, sweep
 from ryelever.transport import http_client
 from ryelever.transport.http_client import HttpClient
-from ryelever.transport.http_pool import IDLE_TIMEOUT
+from ryelever.transport.http_connection import IDLE_TIMEOUT
 
 SILENT = "silent"
 CLOSE = "close"
