Take the signal of changed settings instead of ending by it

Ruled out: memory (36 MB of 300) and faults in handlers (no line of one).

The signal is ignored from the start and read once the process runs. A test with stand-ins of the store and of backend servers fails before (exit) and passes after.

--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -206,13 +206,16 @@
             elif state is not GroupState.JOINING:
                 kept.joined.add(member.server_id)
         if kept.phase is GroupPhase.FORMING:
-            if now - kept.since > self.join_limit + FORMING_SLACK:
-                self._end(kept, "not_formed_in_time", now=now)
+            self._judge_forming(kept, now=now)
+
+    def _judge_forming(self, kept: _Kept, *, now: float) -> None:
+        if now - kept.since > self.join_limit + FORMING_SLACK:
+            self._end(kept, "not_formed_in_time", now=now)
+            return
         head = self._directory.by_id.get(kept.record.head.server_id)
-        if kept.phase is GroupPhase.FORMING and head is not None:
-            if self._state(kept, head) is GroupState.OPEN:
-                kept.phase = GroupPhase.SERVING
-                self._log_phase(kept, took=round(now - kept.since, 2))
+        if head is not None and self._state(kept, head) is GroupState.OPEN:
+            kept.phase = GroupPhase.SERVING
+            self._log_phase(kept, took=round(now - kept.since, 2))
 
     def _forming(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
         record = kept.record
--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -87,9 +87,9 @@
         if word.host == self._host:
             return False
         heard = self._heard_by_host.get(word.host)
-        if heard is not None and heard.word.boot == word.boot:
-            if word.sequence <= heard.word.sequence:
-                return False
+        same = heard is not None and heard.word.boot == word.boot
+        if same and word.sequence <= heard.word.sequence:
+            return False
         self._heard_by_host[word.host] = _Heard(word=word, heard_at=now)
         self._zone_heard_at[word.availability_zone] = now
         return True
--- a/ryelever/coordination/removals.py
+++ b/ryelever/coordination/removals.py
@@ -27,10 +27,9 @@
         """Take note of when reads were answered last, and when one failed last."""
         if answered_at <= self._answered_at:
             return
-        known = self._answered_at != float("-inf")
-        if known and failed_at > self._answered_at:
-            if answered_at - self._answered_at > OUTAGE:
-                self._outage_until = answered_at + ENTRIES_BACK
+        failed_since = failed_at > self._answered_at > float("-inf")
+        if failed_since and answered_at - self._answered_at > OUTAGE:
+            self._outage_until = answered_at + ENTRIES_BACK
         self._answered_at = answered_at
 
     def add(self, server_id: str, *, now: float) -> None:
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -223,7 +223,11 @@
                 formation.model.name not in server.staged
                 for server in formation.members
             )
-            if self._is_calm() or not n_loads or self._loads.allow(n_loads, rate=rate, now=now):
+            if (
+                self._is_calm()
+                or not n_loads
+                or self._loads.allow(n_loads, rate=rate, now=now)
+            ):
                 chosen.append(formation)
         return chosen
 
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -36,6 +36,11 @@
 class FleetDirectory(BaseComponent):
     """Own what is read from the store.
 
+    Parameters
+    ----------
+    own_address : str
+        Where other entry hosts reach this one.
+
     Attributes
     ----------
     table : RouteTable or None
@@ -53,6 +58,7 @@
         store: StoreClient,
         directory: Directory,
         words: HostWords,
+        own_address: str,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -61,6 +67,7 @@
         self._store = store
         self._directory = directory
         self._words = words
+        self._own_address = own_address
         self._removals = Removals()
         self.table: RouteTable | None = None
         self.configuration = TopicFollower(log=log, topic=documents.operator_topic)
@@ -164,7 +171,7 @@
 
     def _announce(self) -> None:
         record = self._documents.host_record(
-            address=self._settings.peers_address,
+            address=self._own_address,
             zone=self._settings.availability_zone,
         )
         call = self._log.append(
--- a/ryelever/platform/entry.py
+++ b/ryelever/platform/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -28,6 +29,9 @@
 
 def run(settings: Path | None) -> int:
     """Run an entry host until it is told to stop; return its exit code."""
+    # Without this, word that the settings have changed would end a process that is
+    # still starting.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     checked = _checked(path)
     if checked is None:
--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -60,7 +60,7 @@
 
 def _ports(text: str) -> tuple[int, int]:
     first, last = (int(port) for port in text.split(","))
-    if not 0 < first <= last < 65536:
+    if not 0 <= first <= last < 65536:
         raise ValueError(text)
     return first, last
 
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -93,6 +93,9 @@
         self.directory = Directory()
         self.words = HostWords(host=settings.host, zone=settings.availability_zone)
         self.store = StoreClient(address=settings.store_address)
+        self.peers = Peers(
+            bind=split_address(settings.peers_address), reply_channel="exchange"
+        )
         self.fleet = FleetDirectory(
             settings=settings,
             log=log,
@@ -100,6 +103,7 @@
             store=self.store,
             directory=self.directory,
             words=self.words,
+            own_address=self.peers.address,
         )
         self.http_client = HttpClient()
         self.callers = RelayCallers(
@@ -140,9 +144,6 @@
             plans_for=self._plans_for,
             new_planner=self._new_planner,
         )
-        self.peers = Peers(
-            bind=split_address(settings.peers_address), reply_channel="exchange"
-        )
         self.exchange = HostExchange(
             settings=settings,
             words=self.words,
@@ -265,7 +266,8 @@
             "started",
             host=self.settings.host,
             zone=self.settings.availability_zone,
-            callers=self.settings.callers_address,
+            callers_port=self.callers.port,
+            ready_port=self.watchers.port,
         )
 
     @handler("exception", channel="*")
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -52,5 +52,5 @@
 
     @property
     def peers_address(self) -> str:
-        """Return where peers reach this host; the same port on all."""
+        """Return where peers are listened to; port 0 picks a free one."""
         return f"{self.ip}:{self.ports[0]}"
--- a/ryelever/relay_shutdown.py
+++ b/ryelever/relay_shutdown.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Event, handler
+from circuits.core.events import signal as signal_caught
 
 from .logs import log_event
 
@@ -54,6 +55,14 @@
         """Tell whether the process is on its way to its end."""
         return self._since is not None
 
+    @handler("started", channel="*")
+    def _on_started(self, *args: object) -> None:
+        # circuits itself takes the signals to stop, and no others.
+        signal.signal(signal.SIGHUP, self._take_signal)
+
+    def _take_signal(self, signal_number: int, stack: object) -> None:
+        self.fire(signal_caught(signal_number, stack), "*")
+
     @handler("signal", channel="*")
     def _on_signal(self, event: Event, signal_number: int, stack: object) -> None:
         event.stop()
--- /dev/null
+++ b/tests/relay_zone.py
@@ -0,0 +1,182 @@
+"""Run entry hosts that relay requests, before stand-ins of the platform."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from .processes import STANDIN_ENVIRONMENT, Process, wait_until
+
+__all__ = ["RelayHost", "RelayZone", "running_relay_zone"]
+
+HEADERS = {
+    "Host": "calls.example",
+    "Credential": "key-of-pawroute",
+    "Deadline-Ms": "4000",
+}
+
+SETTINGS = """\
+node={name}
+ip=127.0.0.1
+zone=z
+zones.z=r
+listen.front=127.0.0.1:0
+listen.ready=127.0.0.1:0
+port_range=0,0
+platform.address={store}
+platform.parts=12
+heartbeat_ms=1200
+bounds.drain_ms=2000
+bounds.grace_s={grace}
+bounds.stall_ms=1000
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_slack=100
+some.new.field=ignored
+"""
+
+
+@dataclass(slots=True, kw_only=True)
+class RelayHost:
+    """Hold one running entry host."""
+
+    process: Process
+    callers_address: str
+    ready_address: str
+
+    def is_ready(self) -> bool:
+        """Ask as the platform does."""
+        url = f"http://{self.ready_address}/ready"
+        return httpx.get(url, timeout=5).status_code == 200
+
+    def call(
+        self, path: str, *, request_id: str, method: str = "GET", **headers: str
+    ) -> httpx.Response:
+        """Send one request of a caller and return the whole answer."""
+        url = f"http://{self.callers_address}{path}"
+        body = b"a body" if method == "POST" else None
+        sent = HEADERS | {"Request-Id": request_id}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        return httpx.request(method, url, headers=sent, content=body, timeout=10)
+
+    def chat(self, *, request_id: str, model: str = "large") -> httpx.Response:
+        """Ask a model for a stream."""
+        usage = {"Model": model, "Token_Usage": "100,50"}
+        return self.call("/chat/1", request_id=request_id, method="POST", **usage)
+
+
+@dataclass(slots=True, kw_only=True)
+class RelayZone:
+    """Start the platform's stand-ins and entry hosts."""
+
+    directory: Path
+    processes: list[Process] = field(default_factory=list)
+    hosts_by_name: dict[str, RelayHost] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+
+    def start_platform(self, *, n_engines: int = 4, n_plain: int = 2) -> None:
+        """Start the store and the backend servers."""
+        process = Process(
+            name="platform",
+            arguments=[
+                "-m",
+                "tests.standins.platform",
+                "--n-engines",
+                str(n_engines),
+                "--n-plain",
+                str(n_plain),
+            ],
+            log=self.directory / "platform.log",
+            environment=STANDIN_ENVIRONMENT,
+        )
+        self.processes.append(process)
+        self.addresses = json.loads(process.wait_for_line("listening "))
+
+    def start_host(
+        self, name: str, *, grace: float = 8, wait: bool = True
+    ) -> RelayHost:
+        """Start an entry host and wait until it is ready."""
+        path = self.directory / f"{name}.conf"
+        path.write_text(
+            SETTINGS.format(name=name, store=self.addresses["store"], grace=grace)
+        )
+        process = Process(
+            name=name,
+            arguments=["-m", "ryelever", "relay", "--settings", str(path)],
+            log=self.directory / f"{name}.log",
+        )
+        self.processes.append(process)
+        started = process.wait_for_event("started")
+        host = RelayHost(
+            process=process,
+            callers_address=f"127.0.0.1:{started['callers_port']}",
+            ready_address=f"127.0.0.1:{started['ready_port']}",
+        )
+        self.hosts_by_name[name] = host
+        if wait:
+            wait_until(host.is_ready, what=f"{name} is ready")
+        return host
+
+    def control(self, **switches: Any) -> None:
+        """Set switches, by server id or ``store``; ``_`` stands for a hyphen."""
+        url = f"http://{self.addresses['control']}/control"
+        body = {name.replace("_", "-"): value for name, value in switches.items()}
+        httpx.post(url, json=body, timeout=5).raise_for_status()
+
+    def seen(self) -> dict[str, Any]:
+        """Return what the stand-ins have seen."""
+        return httpx.get(f"http://{self.addresses['control']}/control").json()
+
+    def servers(self) -> dict[str, Any]:
+        """Return what each backend server has seen, by id."""
+        return self.seen()["servers"]
+
+    def open_heads(self) -> list[str]:
+        """Return the heads of the groups that serve."""
+        return [
+            name
+            for name, server in self.servers().items()
+            if server["group"]
+            and server["group"]["rank"] == 0
+            and server["group"]["state"] == "open"
+        ]
+
+    def head_of(self, size: int) -> str:
+        """Return a serving head of a group of a size, once there is one."""
+        servers = self.servers
+        return wait_until(
+            lambda: next(
+                (
+                    name
+                    for name in self.open_heads()
+                    if len(servers()[name]["members"]) == size
+                ),
+                None,
+            ),
+            what=f"a group of {size} serves",
+        )
+
+    def n_runs(self) -> dict[str, int]:
+        """Return how often each request was run, over all backend servers."""
+        total: dict[str, int] = {}
+        for server in self.servers().values():
+            for request_id, count in server["n_runs"].items():
+                total[request_id] = total.get(request_id, 0) + count
+        return total
+
+
+@contextmanager
+def running_relay_zone(directory: Path) -> Iterator[RelayZone]:
+    """Yield a zone whose processes are ended afterwards."""
+    zone = RelayZone(directory=directory)
+    try:
+        yield zone
+    finally:
+        for process in reversed(zone.processes):
+            process.kill()
--- /dev/null
+++ b/tests/standins/group_server.py
@@ -0,0 +1,252 @@
+"""Stand in for backend servers: members of groups, and plain ones."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+__all__ = ["GroupServer", "ServerSwitches"]
+
+#: Signature that every answer bears.
+SIGNATURE = "signature-of-the-tests"
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerSwitches:
+    """Hold the faults that are switched on.
+
+    Attributes
+    ----------
+    still : bool
+        Begin requests and write no event, as when a member is lost.
+    reject : bool
+        Refuse every request as not run.
+    fail : bool
+        Answer every request with 500.
+    lose_answers : bool
+        Run requests and break the connection in place of an answer.
+    wrong_id : bool
+        Answer under another request's id.
+    cut_after : int
+        Break a stream off in the middle of the event after so many; 0 never does.
+    orders : str
+        ``"taken"``, ``"unanswered"`` (carried out, no answer) or ``"lost"``.
+    n_events : int
+        Events of a stream.
+    event_ms : float
+        Milliseconds between two events.
+    """
+
+    still: bool = False
+    reject: bool = False
+    fail: bool = False
+    lose_answers: bool = False
+    wrong_id: bool = False
+    cut_after: int = 0
+    orders: str = "taken"
+    n_events: int = 5
+    event_ms: float = 10.0
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class GroupServer:
+    """Hold one incarnation of a backend server.
+
+    Attributes
+    ----------
+    register : callable
+        Write the server's entry into the store.
+    """
+
+    id: str
+    service: str
+    zone: str
+    domain: str
+    is_engine: bool
+    register: Callable[[str, dict[str, Any] | None], None]
+    address: str = ""
+    state: str = "ready"
+    group: dict[str, Any] | None = None
+    members: tuple[str, ...] = ()
+    model: str = ""
+    staged: list[str] = field(default_factory=list)
+    highest_epoch: int = -1
+    switches: ServerSwitches = field(default_factory=ServerSwitches)
+    n_runs_by_request: Counter[str] = field(default_factory=Counter)
+    heads: list[dict[str, str]] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    sequence: Any = field(default_factory=itertools.count)
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_post("/order", self.order)
+        app.router.add_route("*", "/{rest:.*}", self.run)
+        return app
+
+    def entry(self) -> dict[str, Any]:
+        """Return what the store shows of it."""
+        entry: dict[str, Any] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 13,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "sequence": next(self.sequence),
+        }
+        if self.is_engine:
+            models = [{"name": self.model, "version": 1, "adapters": []}]
+            entry |= {
+                "models": models if self.model else [],
+                "domain": self.domain,
+                "staged": self.staged,
+                "group": self.group,
+            }
+        return entry
+
+    def write(self) -> None:
+        """Write the entry anew."""
+        self.register(self.id, self.entry())
+
+    def leave_list(self) -> None:
+        """Take the entry out, as when the server is lost."""
+        self.register(self.id, None)
+
+    # Orders
+
+    async def order(self, request: web.Request) -> web.StreamResponse:
+        """Take an order."""
+        body = await request.json()
+        self.orders.append(body)
+        if request.headers.get("Target-Instance", self.id) != self.id:
+            return web.Response(status=421, headers={"Instance-Id": self.id})
+        if self.switches.orders == "lost":
+            request.transport.abort()
+            return web.Response(status=500)
+        status = self._carry_out(body)
+        self.write()
+        if self.switches.orders == "unanswered":
+            request.transport.abort()
+        return web.Response(status=status)
+
+    def _carry_out(self, body: dict[str, Any]) -> int:
+        if body["op"] == "stage":
+            self.staged = [body["model"]]
+            return 202
+        if body["op"] == "join":
+            return self._join(body)
+        named = self.group is not None and (
+            (self.group["name"], self.group["epoch"]) == (body["group"], body["epoch"])
+        )
+        if not named:
+            return 409
+        if body["op"] == "leave":
+            self.group = None
+        elif body["op"] == "open":
+            if self.group["state"] not in ("ready", "open"):
+                return 409
+            self.group["state"] = "open"
+        elif body["op"] == "close":
+            self.group["state"] = "ready"
+        return 202
+
+    def _join(self, body: dict[str, Any]) -> int:
+        if body["epoch"] < self.highest_epoch:
+            return 412
+        if body["epoch"] == self.highest_epoch:
+            return 200 if tuple(body["members"]) == self.members else 412
+        self.highest_epoch = body["epoch"]
+        self.members = tuple(body["members"])
+        self.model = body["model"]
+        self.staged = [self.model]
+        rank = self.members.index(self.id)
+        self.group = {
+            "name": body["group"],
+            "epoch": body["epoch"],
+            "rank": rank,
+            "state": "ready",
+        }
+        return 202
+
+    # Requests
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Run a request, or fail it as the switches say."""
+        request_id = request.headers.get("Request-Id", "")
+        self.heads.append({name.lower(): text for name, text in request.headers.items()})
+        if request.headers.get("Target-Instance", self.id) != self.id:
+            return web.Response(status=421, headers={"Instance-Id": self.id})
+        serving = not self.is_engine or (self.group and self.group["state"] == "open")
+        if self.switches.reject or not serving:
+            headers = {"Not-Executed": "1", "Request-Id": request_id}
+            return web.Response(status=503, headers=headers)
+        self.n_runs_by_request[request_id] += 1
+        headers = {
+            "Request-Id": "another" if self.switches.wrong_id else request_id,
+            "Response-Seal": f"{SIGNATURE}-{self.id}",
+        }
+        if self.switches.lose_answers:
+            request.transport.abort()
+        if self.switches.fail:
+            return web.Response(status=500, headers=headers, text=self.id)
+        if not self.is_engine:
+            body = await request.read()
+            text = f"{request.method} {request.raw_path} {body.decode()}"
+            return web.Response(headers=headers, text=text)
+        return await self._stream(request, headers)
+
+    async def _stream(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, self.switches.n_events + 1):
+            while self.switches.still:
+                await asyncio.sleep(0.01)
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number == self.switches.cut_after:
+                await response.write(event[:8])
+                request.transport.abort()
+                return response
+            await response.write(event)
+            await asyncio.sleep(self.switches.event_ms / 1000)
+        return response
+
+    # Control
+
+    def set(self, switches: dict[str, Any]) -> None:
+        """Set switches; ``state`` and ``listed`` change the entry in the store."""
+        listed = switches.pop("listed", None)
+        self.state = switches.pop("state", self.state)
+        for name, value in switches.items():
+            setattr(self.switches, name, value)
+        if listed is False:
+            self.leave_list()
+        else:
+            self.write()
+
+    def describe(self) -> dict[str, Any]:
+        """Return what it has seen."""
+        return {
+            "group": self.group,
+            "members": self.members,
+            "n_runs": dict(self.n_runs_by_request),
+            "heads": self.heads[-20:],
+            "orders": self.orders,
+        }
+
+
+def entry_bytes(entry: dict[str, Any] | None) -> bytes:
+    """Return an entry as it lies in the store; nothing takes it out."""
+    return b"" if entry is None else json.dumps(entry).encode()
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,176 @@
+"""Stand in for the whole platform of one availability zone, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import defopt
+from aiohttp import web
+
+from .group_server import GroupServer, entry_bytes
+from .platform_store import PlatformStore
+
+#: Two models of the engine service: groups of two members and of one.
+MODELS = [
+    {"name": "large", "size": 2, "share": 0.67, "load_s": 1.0, "warm_s": 0.5},
+    {"name": "small", "size": 1, "share": 0.33, "load_s": 1.0, "warm_s": 0.5},
+]
+
+ROUTES = [
+    {
+        "name": "chat",
+        "path_prefix": "/chat/",
+        "kind": "streaming",
+        "service": "engines",
+        "resumable": True,
+    },
+    {
+        "name": "once",
+        "path_prefix": "/once/",
+        "kind": "unsafe",
+        "service": "plain",
+    },
+    {
+        "name": "look",
+        "path_prefix": "/look/",
+        "kind": "safe",
+        "service": "plain",
+    },
+]
+
+
+def configuration(version: int, **changes: Any) -> dict[str, Any]:
+    """Return the operator's configuration."""
+    routes = [
+        {
+            "host": "calls.example",
+            "timeout_ms": 5000,
+            "target_latency_ms": 500,
+            "target_gap_ms": 300,
+            "priority": 1,
+            "max_attempts": 3,
+            "public": False,
+        }
+        | route
+        for route in ROUTES
+    ]
+    engine = {
+        "slots": 13,
+        "models": MODELS,
+        "step_ms": 6.0,
+        "per_seq_ms": 0.5,
+        "read_per_s": 46000.0,
+        "stride": 5,
+        "loads_per_s": 100.0,
+        "usual": {"prompt": 1000, "answer": 100},
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "engines", "engine": engine}, {"name": "plain"}],
+        "tenants": [{"name": "pawroute", "api_keys": ["key-of-pawroute"]}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000},
+    } | changes
+
+
+class Platform:
+    """Run the store and the backend servers of one zone."""
+
+    def __init__(self) -> None:
+        self.store = PlatformStore()
+        self.servers_by_id: dict[str, GroupServer] = {}
+
+    def register(self, server_id: str, entry: dict[str, Any] | None) -> None:
+        """Write a server's entry into the store."""
+        self.store.put("keyed.servers", server_id, entry_bytes(entry))
+
+    async def start(self, n_engines: int, n_plain: int) -> dict[str, str]:
+        """Start everything and return the addresses by name."""
+        addresses = {"store": await _listen(self.store.app())}
+        addresses["control"] = await _listen(self._control_app())
+        self.put_configuration(configuration(1))
+        for index in range(n_engines):
+            await self._start_server(f"engine-{index}", is_engine=True)
+        for index in range(n_plain):
+            await self._start_server(f"plain-{index}", is_engine=False)
+        return addresses
+
+    def put_configuration(self, document: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put("keyed.op", "config", json.dumps(document).encode())
+
+    async def _start_server(self, server_id: str, *, is_engine: bool) -> None:
+        server = GroupServer(
+            id=server_id,
+            service="engines" if is_engine else "plain",
+            zone="z",
+            domain="d0",
+            is_engine=is_engine,
+            register=self.register,
+        )
+        server.address = await _listen(server.app())
+        self.servers_by_id[server_id] = server
+        server.write()
+
+    def _control_app(self) -> web.Application:
+        app = web.Application()
+        app.router.add_post("/control", self.control)
+        app.router.add_get("/control", self.describe)
+        return app
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Set switches of the store or of a server, or publish a configuration."""
+        body = await request.json()
+        for name, switches in body.items():
+            if name == "store":
+                if switches.pop("forget", False):
+                    self.store.forget("keyed.servers")
+                for switch, value in switches.items():
+                    setattr(self.store.switches, switch, value)
+            elif name == "configuration":
+                self.put_configuration(configuration(**switches))
+            else:
+                self.servers_by_id[name].set(switches)
+        return web.json_response({})
+
+    async def describe(self, request: web.Request) -> web.Response:
+        """Return what each server has seen, and how often the store was called."""
+        servers = {
+            name: server.describe() for name, server in self.servers_by_id.items()
+        }
+        store = {"n_calls": self.store.n_calls, "n_appends": self.store.n_appends}
+        return web.json_response({"servers": servers, "store": store})
+
+
+async def _listen(app: web.Application) -> str:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0, backlog=1024)
+    await site.start()
+    host, port = runner.addresses[0]
+    return f"{host}:{port}"
+
+
+async def _run(n_engines: int, n_plain: int) -> None:
+    addresses = await Platform().start(n_engines, n_plain)
+    print(f"listening {json.dumps(addresses)}", flush=True)
+    await asyncio.Event().wait()
+
+
+def main(*, n_engines: int = 4, n_plain: int = 2) -> None:
+    """Run the platform.
+
+    Parameters
+    ----------
+    n_engines : int
+        Members of groups.
+    n_plain : int
+        Plain backend servers.
+    """
+    asyncio.run(_run(n_engines, n_plain))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,157 @@
+"""Stand in for the platform's store: a log of topics, some with the newest by key."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import struct
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+__all__ = ["PlatformStore", "StoreSwitches"]
+
+_ENDS = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreSwitches:
+    """Hold the faults that are switched on.
+
+    Attributes
+    ----------
+    refuse : bool
+        Answer every call with 503.
+    silent : bool
+        Answer no call at all.
+    lose_answers : bool
+        Carry appends out and break the connection in place of an answer.
+    """
+
+    refuse: bool = False
+    silent: bool = False
+    lose_answers: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class _Partition:
+    first: int = 0
+    records: list[bytes] = field(default_factory=list)
+    newest_by_key: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    grown: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class PlatformStore:
+    """Hold topics in memory."""
+
+    def __init__(self) -> None:
+        self.partitions: dict[tuple[str, int], _Partition] = {}
+        self.switches = StoreSwitches()
+        self.n_calls = 0
+        self.n_appends = 0
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=4 << 20)
+        app.router.add_post("/log-append", self.append)
+        app.router.add_get("/log-read", self.read)
+        app.router.add_get("/log-newest", self.newest)
+        return app
+
+    def _partition(self, request: web.Request) -> _Partition:
+        key = (request.query["topic"], int(request.query["part"]))
+        return self.partitions.setdefault(key, _Partition())
+
+    async def _fault(self) -> None:
+        self.n_calls += 1
+        if self.switches.silent:
+            await asyncio.Event().wait()
+        if self.switches.refuse:
+            raise web.HTTPServiceUnavailable
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append one record, as the operator or a backend server does."""
+        partition = self.partitions.setdefault((topic, 0), _Partition())
+        name = key.encode()
+        self._append_one(partition, bytes([len(name)]) + name + value)
+        self._wake(partition)
+
+    def forget(self, topic: str) -> None:
+        """Drop the history of a topic; the newest record of each key stays."""
+        partition = self.partitions[topic, 0]
+        partition.first = partition.end
+        partition.records.clear()
+
+    async def append(self, request: web.Request) -> web.StreamResponse:
+        """Append records, all or none."""
+        await self._fault()
+        self.n_appends += 1
+        partition = self._partition(request)
+        body = await request.read()
+        at = request.query.get("at")
+        if at is not None and int(at) != partition.end:
+            return web.json_response({"end": partition.end}, status=412)
+        offset = partition.end
+        place = 0
+        while place < len(body):
+            (length,) = _LENGTH.unpack_from(body, place)
+            place += _LENGTH.size
+            self._append_one(partition, body[place : place + length])
+            place += length
+        self._wake(partition)
+        if self.switches.lose_answers:
+            request.transport.abort()
+        return web.json_response({"offset": offset, "end": partition.end})
+
+    def _append_one(self, partition: _Partition, record: bytes) -> None:
+        offset = partition.end
+        partition.records.append(record)
+        key = record[1 : 1 + record[0]].decode()
+        value = record[1 + record[0] :]
+        if value:
+            partition.newest_by_key[key] = (offset, value)
+        else:
+            partition.newest_by_key.pop(key, None)
+
+    def _wake(self, partition: _Partition) -> None:
+        partition.grown.set()
+        partition.grown = asyncio.Event()
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Return records from an offset, waiting for one if there is none."""
+        await self._fault()
+        partition = self._partition(request)
+        offset = int(request.query["from"])
+        wait = int(request.query.get("wait_ms", "0")) / 1000
+        if offset < partition.first:
+            return web.json_response({"first": partition.first}, status=410)
+        if offset >= partition.end and wait:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(partition.grown.wait(), wait)
+        await self._fault()
+        records = partition.records[max(0, offset - partition.first) :]
+        framed = b"".join(_LENGTH.pack(len(record)) + record for record in records)
+        return web.Response(body=_ENDS.pack(partition.end, partition.first) + framed)
+
+    async def newest(self, request: web.Request) -> web.Response:
+        """Return the newest record of each key, five hundred at once."""
+        await self._fault()
+        partition = self._partition(request)
+        after = request.query.get("after", "")
+        keys = sorted(key for key in partition.newest_by_key if key > after)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(partition.newest_by_key[key][1]).decode(),
+                "offset": partition.newest_by_key[key][0],
+            }
+            for key in keys[:500]
+        ]
+        more = len(keys) > 500
+        return web.json_response({"items": items, "more": more, "end": partition.end})
--- /dev/null
+++ b/tests/test_system/test_relay.py
@@ -0,0 +1,84 @@
+"""Test entry hosts that relay requests, as processes before a stand-in platform."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ..processes import wait_until
+from ..relay_zone import RelayZone, running_relay_zone
+
+
+@pytest.fixture
+def zone(tmp_path: Path) -> Iterator[RelayZone]:
+    with running_relay_zone(tmp_path) as running:
+        running.start_platform()
+        yield running
+
+
+def test_requests_of_each_kind_pass_unchanged(zone: RelayZone) -> None:
+    host = zone.start_host("e1")
+    zone.head_of(2)
+    stream = host.chat(request_id="s1")
+    assert stream.status_code == 200
+    assert stream.text == "".join(
+        f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 6)
+    )
+    posted = host.call("/once/a%20b/?q=%2F", request_id="u1", method="POST")
+    assert posted.text == "POST /once/a%20b/?q=%2F a body"
+    assert posted.headers["request-id"] == "u1"
+    assert posted.headers["response-seal"].startswith("signature-of-the-tests")
+    read = host.call("/look/1", request_id="i1", Tenant="forged", Target_Instance="x")
+    assert read.status_code == 200
+    assert zone.n_runs() == {"s1": 1, "u1": 1, "i1": 1}
+    heads = [
+        head
+        for server in zone.servers().values()
+        for head in server["heads"]
+        if head["request-id"] == "i1"
+    ]
+    assert [head["tenant"] for head in heads] == ["pawroute"]
+    assert "credential" not in heads[0]
+    assert 0 < int(heads[0]["deadline-ms"]) <= 4000
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        pytest.param("/nowhere/1", {}, 404, id="no-route"),
+        pytest.param("/look/1", {"Credential": "wrong"}, 401, id="wrong-key"),
+    ],
+)
+def test_what_the_configuration_does_not_allow_is_refused(
+    zone: RelayZone, path: str, headers: dict[str, str], status: int
+) -> None:
+    host = zone.start_host("e1")
+    answer = host.call(path, request_id="r1", **headers)
+    assert answer.status_code == status
+    assert zone.n_runs() == {}
+
+
+def test_a_changed_settings_file_ends_no_process(zone: RelayZone) -> None:
+    """Show that the signal of a changed file ends no entry host.
+
+    Symptom: six processes ended with code 129, each with the requests in flight.
+    Sequence: the settings file changes, the platform sends SIGHUP.
+    Cause: nothing handled the signal, and its default ends a process.
+    """
+    host = zone.start_host("e1")
+    host.process.send(signal.SIGHUP)
+    assert host.process.wait_for_event("reloaded")["changed"] is False
+    assert host.call("/look/1", request_id="i1").status_code == 200
+
+
+def test_a_stopping_host_finishes_what_runs(zone: RelayZone) -> None:
+    host = zone.start_host("e1")
+    assert host.call("/look/1", request_id="i1").status_code == 200
+    host.process.send(signal.SIGTERM)
+    wait_until(lambda: not host.is_ready(), what="the host is not ready")
+    last = host.call("/look/2", request_id="i2")
+    assert (last.status_code, last.headers["connection"]) == (200, "close")
+    assert host.process.wait() == 0
