Test each call of the platform's interfaces in tables

Found by the tables: an answer of 5xx to an order to leave counted as having left, and members of a group that may still serve would have been given away; it now counts as no answer. A group state that is not known made the whole read fail rather than the one entry.

--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from expression import Error, Ok, Result
 
 from ..protocol.json_codec import decode
 from ..state.directory import BackendServer, GroupReport, GroupState
@@ -21,6 +20,8 @@
 )
 
 if TYPE_CHECKING:
+    from expression import Result
+
     from ..errors import RyeleverError
 
 __all__ = ["read_configuration", "read_server"]
@@ -114,8 +115,9 @@
 class _Group(msgspec.Struct):
     name: str
     epoch: int
-    rank: int
-    state: str
+    rank: int = -1
+    # Absent where there is no group.
+    state: GroupState | None = None
 
 
 class _Server(msgspec.Struct):
@@ -150,11 +152,7 @@
 ) -> Result[BackendServer, RyeleverError]:
     """Read what a backend server has written of itself."""
     read = decode(data, _Server, step="read_server", peer=peer)
-    match read:
-        case Result(tag="ok", ok=found):
-            return Ok(_server_of(server_id, found))
-        case _:
-            return Error(read.error)
+    return read.map(lambda found: _server_of(server_id, found))
 
 
 def _table_of(found: _Configuration) -> RouteTable:
@@ -236,12 +234,12 @@
 def _server_of(server_id: str, found: _Server) -> BackendServer:
     group = found.group
     report = None
-    if group is not None and group.name:
+    if group is not None and group.name and group.state is not None:
         report = GroupReport(
             name=group.name,
             epoch=group.epoch,
             rank=group.rank,
-            state=GroupState(group.state),
+            state=group.state,
         )
     return BackendServer(
         id=server_id,
--- a/ryelever/platform/orders.py
+++ b/ryelever/platform/orders.py
@@ -22,6 +22,8 @@
 _OUTCOMES = {
     200: OrderOutcome.HOLDS,
     202: OrderOutcome.BEGUN,
+    # There is no such order.
+    400: OrderOutcome.REFUSED,
     # The order does not fit the state that the backend server is in.
     409: OrderOutcome.REFUSED,
     # It has seen a higher epoch, or other members under this one.
@@ -66,4 +68,4 @@
 
     def outcome(self, status: int) -> OrderOutcome:
         """Read the status of an answer to an order."""
-        return _OUTCOMES.get(status, OrderOutcome.REFUSED)
+        return _OUTCOMES.get(status, OrderOutcome.UNKNOWN)
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -182,7 +182,9 @@
     async def run(self, request: web.Request) -> web.StreamResponse:
         """Run a request, or fail it as the switches say."""
         request_id = request.headers.get("Request-Id", "")
-        self.heads.append({name.lower(): text for name, text in request.headers.items()})
+        self.heads.append(
+            {name.lower(): text for name, text in request.headers.items()}
+        )
         if request.headers.get("Target-Instance", self.id) != self.id:
             return web.Response(status=421, headers={"Instance-Id": self.id})
         serving = not self.is_engine or (self.group and self.group["state"] == "open")
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the platform's side of each interface."""
--- /dev/null
+++ b/tests/test_platform/test_documents.py
@@ -0,0 +1,134 @@
+"""Test how configurations and the backend servers' entries are read."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from ryelever.platform.documents import read_configuration, read_server
+from ryelever.state.directory import GroupState
+from ryelever.state.routes import RouteKind, RouteTable
+
+ROUTE = {
+    "name": "r1",
+    "host": "Calls.Example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 8000,
+    "target_latency_ms": 500,
+    "target_gap_ms": 300,
+    "service": "s1",
+    "max_attempts": 2,
+    "resumable": True,
+}
+
+SERVER = {
+    "service": "s1",
+    "address": "10.0.0.9:80",
+    "zone": "z1",
+    "slots": 13,
+    "state": "ready",
+    "sequence": 4,
+}
+
+
+def _table(**changes: Any) -> RouteTable:
+    document = {"version": 7, "routes": [ROUTE], "services": [{"name": "s1"}]}
+    return read_configuration(json.dumps(document | changes).encode(), peer="store").ok
+
+
+def test_times_are_seconds_and_hosts_lower_case() -> None:
+    route = _table().match(host="calls.example", path="/a/b")
+    assert (route.timeout, route.latency_objective, route.pause_objective) == (
+        8.0,
+        0.5,
+        0.3,
+    )
+
+
+def test_the_longest_prefix_decides() -> None:
+    longer = ROUTE | {"name": "r2", "path_prefix": "/a/b/"}
+    table = _table(routes=[ROUTE, longer])
+    assert table.match(host="calls.example", path="/a/b/c").name == "r2"
+    assert table.match(host="calls.example", path="/a/bc").name == "r1"
+    assert table.match(host="calls.example", path="/b") is None
+    assert table.match(host="other.example", path="/a/b") is None
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "expected", "repeatable"),
+    [
+        pytest.param("safe", False, RouteKind.IDEMPOTENT, True, id="safe"),
+        pytest.param("unsafe", False, RouteKind.AT_MOST_ONCE, False, id="unsafe"),
+        pytest.param("streaming", True, RouteKind.STREAM, True, id="resumable"),
+        pytest.param("streaming", False, RouteKind.STREAM, False, id="one-stream"),
+        pytest.param("new", True, RouteKind.AT_MOST_ONCE, False, id="unknown"),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(
+    kind: str, resumable: bool, expected: RouteKind, repeatable: bool
+) -> None:
+    table = _table(routes=[ROUTE | {"kind": kind, "resumable": resumable}])
+    route = table.match(host="calls.example", path="/a/")
+    assert (route.kind, route.repeatable) == (expected, repeatable)
+
+
+def test_a_split_gives_each_service_its_share() -> None:
+    split = [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]
+    route = dict(ROUTE) | {"traffic_split": split}
+    del route["service"]
+    found = _table(routes=[route]).match(host="calls.example", path="/a/")
+    chosen = [found.service_of(f"request-{number}") for number in range(2000)]
+    assert 0.07 < chosen.count("s2") / len(chosen) < 0.13
+    assert found.service_of("request-1") == found.service_of("request-1")
+
+
+def test_keys_name_their_accounts() -> None:
+    accounts = [{"name": "a", "api_keys": ["k1", "k2"], "priority": 3}]
+    table = _table(tenants=accounts)
+    assert table.asks_for_keys
+    assert table.account_by_key["k2"].name == "a"
+    assert table.account_by_key["k2"].priority == 3
+    assert not _table().asks_for_keys
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b'{"version": "x"}'])
+def test_a_broken_configuration_is_an_error(data: bytes) -> None:
+    error = read_configuration(data, peer="store").error
+    assert (error.step, error.peer) == ("read_configuration", "store")
+
+
+def test_a_member_reports_its_group() -> None:
+    group = {"name": "g7", "epoch": 12, "rank": 1, "state": "open"}
+    entry = SERVER | {
+        "models": [{"name": "m"}],
+        "staged": ["m"],
+        "domain": 3,
+        "group": group,
+    }
+    server = read_server("i1", json.dumps(entry).encode(), peer="store").ok
+    assert (server.group.epoch, server.group.state) == (12, GroupState.OPEN)
+    assert (server.models, server.staged, server.domain) == ({"m"}, {"m"}, "3")
+
+
+@pytest.mark.parametrize("group", [None, {"name": "", "epoch": 0, "rank": 0}])
+def test_a_server_without_a_group(group: dict | None) -> None:
+    entry = SERVER | {"state": "draining"}
+    if group is None:
+        entry["group"] = None
+    server = read_server("i1", json.dumps(entry).encode(), peer="store").ok
+    assert (server.group, server.draining) == (None, True)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": 3},
+        {"group": {"name": "g", "epoch": 1, "rank": 0, "state": "odd"}},
+    ],
+)
+def test_a_broken_entry_is_an_error(changes: dict) -> None:
+    data = json.dumps(SERVER | changes).encode()
+    assert read_server("i1", data, peer="store").error.step == "read_server"
--- /dev/null
+++ b/tests/test_platform/test_messages.py
@@ -0,0 +1,104 @@
+"""Test what is passed on of requests and answers, and what is not."""
+
+from __future__ import annotations
+
+from ryelever.coordination.relay_actions import RelayAttempt
+from ryelever.platform.messages import PlatformMessages
+from ryelever.protocol.relaying import Headers
+
+MESSAGES = PlatformMessages()
+
+HEAD: Headers = [
+    (b"host", b"Calls.Example:80"),
+    (b"request-id", b"r1"),
+    (b"deadline-ms", b"8000"),
+    (b"credential", b"key"),
+    (b"model", b"m"),
+    (b"token-usage", b"1460,80"),
+    (b"x-own", b"1"),
+    (b"x-own", b"2"),
+]
+
+
+def _attempt(**changes: object) -> RelayAttempt:
+    values = {
+        "id": "a1",
+        "request_number": 1,
+        "server_id": "i1",
+        "address": "10.0.0.9:80",
+        "deadline": 108.0,
+        "account": "pawroute",
+        "priority": 2,
+        "last_event_id": "",
+        "fresh": False,
+    }
+    return RelayAttempt(**(values | changes))
+
+
+def test_a_head_is_decoded_once() -> None:
+    arrival = MESSAGES.arrival(head=HEAD, target=b"/a/b?q=/c", now=100.0)
+    assert (arrival.host, arrival.path, arrival.key) == ("calls.example", "/a/b", "key")
+    assert (arrival.model, arrival.n_prompt, arrival.n_answer) == ("m", 1460, 80)
+    assert arrival.deadline == 108.0
+
+
+def test_headers_that_are_no_numbers_count_as_absent() -> None:
+    head = [(b"deadline-ms", b"soon"), (b"token-usage", b"many")]
+    arrival = MESSAGES.arrival(head=head, target=b"/", now=100.0)
+    assert (arrival.deadline, arrival.n_prompt, arrival.key) == (None, 0, None)
+
+
+def test_what_the_entry_host_sets_is_never_the_callers() -> None:
+    forged = [
+        (b"tenant", b"other"),
+        (b"target-instance", b"i9"),
+        (b"request-priority", b"0"),
+    ]
+    sent = MESSAGES.forwarded([*HEAD, *forged], _attempt(), now=102.0)
+    found = dict(sent)
+    assert found[b"tenant"] == b"pawroute"
+    assert found[b"target-instance"] == b"i1"
+    assert found[b"request-priority"] == b"2"
+    assert 5900 <= int(found[b"deadline-ms"]) <= 6000
+    assert b"credential" not in found
+    names = [name for name, _ in sent]
+    assert names.count(b"tenant") == names.count(b"deadline-ms") == 1
+    assert [text for name, text in sent if name == b"x-own"] == [b"1", b"2"]
+
+
+def test_headers_of_one_connection_stay_there() -> None:
+    own = [(b"connection", b"close, X-Hop"), (b"x-hop", b"1"), (b"te", b"trailers")]
+    names = {name for name, _ in MESSAGES.forwarded([*HEAD, *own], _attempt(), now=1.0)}
+    assert not names & {b"connection", b"x-hop", b"te"}
+
+
+def test_a_stream_goes_on_after_the_last_event_passed_on() -> None:
+    head = [*HEAD, (b"last-event-id", b"3")]
+    sent = MESSAGES.forwarded(head, _attempt(last_event_id="12"), now=1.0)
+    assert [text for name, text in sent if name == b"last-event-id"] == [b"12"]
+
+
+def test_a_public_route_names_no_account() -> None:
+    sent = MESSAGES.forwarded([*HEAD, (b"tenant", b"x")], _attempt(account=""), now=1.0)
+    assert b"tenant" not in dict(sent)
+
+
+def test_heads_of_answers() -> None:
+    passed = [(b"request-id", b"r1"), (b"response-seal", b"s"), (b"x", b"1")]
+    own = [(b"connection", b"keep-alive"), (b"content-length", b"12")]
+    head = MESSAGES.answer_head(200, [*passed, *own])
+    assert (head.signed, head.not_run, head.length) == (True, False, 12)
+    assert head.headers == passed
+    assert MESSAGES.answer_head(503, [(b"not-executed", b"1")]).not_run
+    assert not MESSAGES.answer_head(503, []).not_run
+    wrong = MESSAGES.answer_head(421, [])
+    assert (wrong.not_run, wrong.wrong_server) == (True, True)
+    assert MESSAGES.answer_head(200, [(b"content-encoding", b"gzip")]).encoded
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    assert MESSAGES.refusal("r1", retry_after=0.3) == [
+        (b"request-id", b"r1"),
+        (b"retry-after", b"0.30"),
+    ]
+    assert MESSAGES.refusal("r1", retry_after=None) == [(b"request-id", b"r1")]
--- /dev/null
+++ b/tests/test_platform/test_orders.py
@@ -0,0 +1,67 @@
+"""Test orders to backend servers and how their answers are read."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from ryelever.coordination.group_orders import GroupOrder, OrderKind, OrderOutcome
+from ryelever.platform.orders import PlatformOrders
+
+ORDERS = PlatformOrders()
+NAMED = {"group": "g7", "epoch": 12}
+
+
+def _order(kind: OrderKind, *, gently: bool = False) -> GroupOrder:
+    return GroupOrder(
+        kind=kind,
+        server_id="i1",
+        address="10.0.0.9:80",
+        group="g7",
+        epoch=12,
+        model="m",
+        members=("i1", "i2"),
+        gently=gently,
+    )
+
+
+@pytest.mark.parametrize(
+    ("order", "body"),
+    [
+        (
+            _order(OrderKind.JOIN),
+            NAMED | {"op": "join", "model": "m", "members": ["i1", "i2"]},
+        ),
+        (_order(OrderKind.OPEN), NAMED | {"op": "open"}),
+        (_order(OrderKind.CLOSE), NAMED | {"op": "close", "close_mode": "preempt"}),
+        (
+            _order(OrderKind.CLOSE, gently=True),
+            NAMED | {"op": "close", "close_mode": "wait"},
+        ),
+        (_order(OrderKind.LEAVE), NAMED | {"op": "leave"}),
+        (_order(OrderKind.STAGE), {"op": "stage", "model": "m"}),
+    ],
+)
+def test_each_order_says_what_it_needs(order: GroupOrder, body: dict) -> None:
+    call = ORDERS.order(order)
+    assert (call.method, call.path) == ("POST", "/order")
+    assert json.loads(call.body) == body
+    assert ("target-instance", "i1") in ORDERS.order_headers(order)
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"),
+    [
+        (200, OrderOutcome.HOLDS),
+        (202, OrderOutcome.BEGUN),
+        (409, OrderOutcome.REFUSED),
+        (412, OrderOutcome.OVERTAKEN),
+        (421, OrderOutcome.GONE),
+        (400, OrderOutcome.REFUSED),
+        (500, OrderOutcome.UNKNOWN),
+        (503, OrderOutcome.UNKNOWN),
+    ],
+)
+def test_what_each_answer_means(status: int, outcome: OrderOutcome) -> None:
+    assert ORDERS.outcome(status) is outcome
--- /dev/null
+++ b/tests/test_platform/test_settings.py
@@ -0,0 +1,75 @@
+"""Test how the platform's settings file is read."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ryelever.platform.settings import read_node_settings
+
+GOOD = {
+    "node": "front-1",
+    "ip": "10.1.0.40",
+    "zone": "z1",
+    "zones.z1": "r",
+    "zones.z2": "r",
+    "listen.front": "10.1.0.40:8227",
+    "listen.ready": "10.1.0.40:8220",
+    "port_range": "7340,7355",
+    "platform.address": "10.200.1.7:8223",
+    "platform.parts": "12",
+    "bounds.drain_ms": "2000",
+    "bounds.grace_s": "8",
+}
+
+
+def _file(path: Path, **changes: str | None) -> Path:
+    lines = GOOD | {name.replace("__", "."): text for name, text in changes.items()}
+    file = path / "node.conf"
+    file.write_text(
+        "".join(f"{key}={text}\n" for key, text in lines.items() if text is not None)
+    )
+    return file
+
+
+def test_fields_are_read_in_their_units(tmp_path: Path) -> None:
+    read = read_node_settings(_file(tmp_path, something__new="7")).ok
+    assert (read.host, read.availability_zone) == ("front-1", "z1")
+    assert read.zones == ("z1", "z2")
+    assert read.peers_address == "10.1.0.40:7340"
+    assert (read.leaving_bound, read.grace) == (2.0, 8.0)
+
+
+@pytest.mark.parametrize(
+    ("key", "text"),
+    [
+        pytest.param("node", None, id="absent"),
+        pytest.param("node", "", id="empty"),
+        pytest.param("listen__front", "here", id="no-address"),
+        pytest.param("listen__ready", "10.1.0.40:99999", id="no-port"),
+        pytest.param("port_range", "7355", id="one-port"),
+        pytest.param("port_range", "7355,7340", id="ports-backwards"),
+        pytest.param("platform__address", None, id="no-store"),
+        pytest.param("platform__parts", "many", id="no-number"),
+        pytest.param("bounds__drain_ms", "-1", id="negative"),
+        pytest.param("bounds__drain_ms", "inf", id="infinite"),
+        pytest.param("bounds__grace_s", "nan", id="not-a-number"),
+    ],
+)
+def test_a_bad_field_is_named_with_what_was_found(
+    tmp_path: Path, key: str, text: str | None
+) -> None:
+    faults = read_node_settings(_file(tmp_path, **{key: text})).error
+    assert [fault.place for fault in faults] == [key.replace("__", ".")]
+    assert repr(text) in str(faults[0])
+
+
+def test_all_faults_are_named_in_one_run(tmp_path: Path) -> None:
+    faults = read_node_settings(_file(tmp_path, node=None, port_range="x")).error
+    assert {fault.place for fault in faults} == {"node", "port_range"}
+
+
+def test_a_file_that_cannot_be_read_is_named(tmp_path: Path) -> None:
+    faults = read_node_settings(tmp_path / "nowhere").error
+    assert "nowhere" in faults[0].place
