Pass configurations on to hosts that can't read them

Its read of the configuration waits up to 4 s for a record and then 1.5 s more for an answer; when its connection goes silent, nothing shortens that.

Hosts tell each other the version in force five times a second. One that is behind asks the store anew, and after 0.3 s the host that told. Tests: a read that hangs, and a host that the store turns away, as processes.

--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -32,6 +32,10 @@
 MAX_PAUSE = 0.8
 
 
+#: Seconds for which a read that has just begun may still bring what is newer.
+PATIENCE = 0.35
+
+
 class _Phase(enum.Enum):
     LISTING = "listing"
     READING = "reading"
@@ -62,8 +66,10 @@
     ----------
     interval : float
         Least seconds between two calls, as each of them is paid for.
-    listed_at, answered_at : float
-        Monotonic times of the last complete listing, and of the last good answer.
+    listed_at, answered_at, failed_at, asked_at : float
+        Monotonic times of the last complete listing, good answer, failure and call.
+    n_asked : int
+        Calls so far; the answer to any but the last one is out of date.
     """
 
     log: KeyedLogInterface
@@ -76,6 +82,7 @@
     failed_at: float = float("-inf")
     asked_at: float = float("-inf")
     is_waiting: bool = False
+    n_asked: int = 0
     _phase: _Phase = _Phase.LISTING
     _due_at: float = 0.0
     _n_failures: int = 0
@@ -92,6 +99,7 @@
         if self.is_waiting or now < self._due_at:
             return None
         self.is_waiting = True
+        self.n_asked += 1
         self.asked_at = now
         if self._phase is _Phase.LISTING:
             return self.log.newest(
@@ -104,8 +112,16 @@
             wait_ms=WAIT_MS,
         )
 
-    def poke(self) -> None:
-        """Ask at once, since another host knows of something newer."""
+    def poke(self, *, now: float) -> None:
+        """Ask at once, since another host knows of something newer.
+
+        A read that waits may hang on a connection that has gone silent, and would
+        be given up only seconds later; so it is asked anew, unless it has only just
+        begun.
+        """
+        if now - self.asked_at < PATIENCE:
+            return
+        self.is_waiting = False
         self._due_at = 0.0
 
     def answered(
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -9,7 +9,13 @@
 
 from .coordination.removals import Removals
 from .coordination.topic import TopicFollower
-from .events import directory_changed
+from .events import (
+    OutboundAnswer,
+    OutboundFailure,
+    OutboundRequest,
+    directory_changed,
+    outbound_send,
+)
 from .logs import log_event, log_warning
 
 if TYPE_CHECKING:
@@ -29,6 +35,13 @@
 #: leaving must be known within two seconds.
 SERVERS_INTERVAL = 0.3
 
+#: Seconds for which the store is asked for a newer configuration before another
+#: entry host is: its answer takes some milliseconds.
+STORE_FIRST = 0.3
+
+#: Seconds after which another entry host is asked again.
+FETCH_RETRY = 0.5
+
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -75,6 +88,9 @@
             log=log, topic=documents.servers_topic, interval=SERVERS_INTERVAL
         )
         self.hosts = TopicFollower(log=log, topic=documents.hosts_topic)
+        self._document = b""
+        self._behind_since: float | None = None
+        self._fetched_at = float("-inf")
         self._announced_at = float("-inf")
         self._announced = False
 
@@ -115,9 +131,62 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
+        self._document = data
+        self._behind_since = None
         log_event("configuration_in_force", version=table.version, peer=peer)
         self.fire(directory_changed(), "relay")
 
+    @property
+    def version(self) -> int:
+        """Return the version in force, or -1 before there is one."""
+        return -1 if self.table is None else self.table.version
+
+    def document(self) -> bytes:
+        """Return the configuration in force as it lies in the store."""
+        return self._document
+
+    def note_version(self, version: int, host: str, *, now: float) -> None:
+        """Take word that another entry host has a version in force.
+
+        The store may turn this host away, or a read hang on a silent connection,
+        while a version that is newer binds all hosts: it is asked for again, and
+        where that doesn't help soon, the other host gives it.
+        """
+        if version <= self.version:
+            return
+        self.configuration.poke(now=now)
+        if self._behind_since is None:
+            self._behind_since = now
+        address = self._words.addresses_by_host.get(host)
+        overdue = now - self._behind_since > STORE_FIRST
+        if address is None or not overdue or now - self._fetched_at < FETCH_RETRY:
+            return
+        self._fetched_at = now
+        request = OutboundRequest(
+            id=f"configuration-{version}",
+            address=address.address,
+            method="GET",
+            path="/configuration",
+            reply_channel=self.channel,
+            step="fetch_configuration",
+            connect_timeout=FETCH_RETRY,
+            progress_timeout=FETCH_RETRY,
+        )
+        self.fire(outbound_send(request), "http_client")
+
+    @handler("outbound_answer")
+    def _on_fetched(self, answer: OutboundAnswer) -> None:
+        if answer.status == 200:
+            self.take_configuration(answer.body, peer=answer.address)
+
+    @handler("outbound_failed")
+    def _on_not_fetched(self, failure: OutboundFailure) -> None:
+        log_event(
+            "configuration_not_fetched",
+            peer=failure.address,
+            message=failure.error.message,
+        )
+
     # Backend servers
 
     def _take_servers(self, news: TopicNews) -> None:
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -9,6 +9,7 @@
 from circuits.core.pollers import EPoll
 
 from .addresses import split_address
+from .configuration_offers import ConfigurationOffers
 from .coordination.balance import Balancer
 from .coordination.host_words import HostWords
 from .coordination.repeat_budget import RepeatBudget
@@ -59,6 +60,8 @@
 #: Last characters of a fault's traceback that go into the log line.
 MAX_TRACEBACK = 2000
 
+SWEPT_CHANNELS = ("http_client", "relay_callers", "watchers", "peer_callers")
+
 CONTROL_CHANNELS = ("store", "directory", "groups", "shutdown")
 
 
@@ -93,8 +96,15 @@
         self.directory = Directory()
         self.words = HostWords(host=settings.host, zone=settings.availability_zone)
         self.store = StoreClient(address=settings.store_address)
+        # Where a host is told something over UDP, it is asked over TCP.
+        self.peer_callers = RelayCallers(
+            bind=split_address(settings.peers_address),
+            channel="peer_callers",
+            reply_channel="offers",
+            limits=ConnectionLimits,
+        )
         self.peers = Peers(
-            bind=split_address(settings.peers_address), reply_channel="exchange"
+            bind=(settings.ip, self.peer_callers.port), reply_channel="exchange"
         )
         self.fleet = FleetDirectory(
             settings=settings,
@@ -159,7 +169,9 @@
             reload=reload,
         )
         self.timers = Timers()
-        self._started_at = time.monotonic()
+        self.offers = ConfigurationOffers(
+            callers=self.peer_callers, document=self.fleet.document
+        )
         self._register_parts()
 
     # What parts ask of each other
@@ -199,18 +211,15 @@
         return total
 
     def _describe_host(self) -> dict[str, object]:
-        table = self.fleet.table
         return {
             "reads_store": self._reads_store(),
             "stopping": self.shutdown.stopping,
-            "configuration_version": table.version if table is not None else -1,
+            "configuration_version": self.fleet.version,
             "demand_by_model": self.relay.demand.by_model(now=time.monotonic()),
         }
 
     def _take_version(self, version: int, host: str) -> None:
-        table = self.fleet.table
-        if table is None or version > table.version:
-            self.fleet.configuration.poke()
+        self.fleet.note_version(version, host, now=time.monotonic())
 
     # Readiness and metrics
 
@@ -250,6 +259,8 @@
             self.relay,
             self.planning,
             self.peers,
+            self.peer_callers,
+            self.offers,
             self.exchange,
             self.shutdown,
         ):
@@ -261,7 +272,7 @@
         timers.every(CONTROL_TICK, control_tick, *CONTROL_CHANNELS)
         timers.every(SERVING_TICK, serving_tick, "relay")
         timers.every(WORD_INTERVAL, word_tick, "exchange")
-        timers.every(SWEEP, sweep, "http_client", "relay_callers", "watchers")
+        timers.every(SWEEP, sweep, *SWEPT_CHANNELS)
         log_event(
             "started",
             host=self.settings.host,
--- a/ryelever/store_client.py
+++ b/ryelever/store_client.py
@@ -10,7 +10,13 @@
 from circuits import BaseComponent, handler
 
 from .coordination.topic import ANSWER_TIMEOUT, WAIT_MS
-from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
+from .events import (
+    OutboundAnswer,
+    OutboundFailure,
+    OutboundRequest,
+    outbound_cancel,
+    outbound_send,
+)
 from .logs import log_event
 
 if TYPE_CHECKING:
@@ -35,6 +41,7 @@
 
     follower: TopicFollower
     take: Callable[[TopicNews], None]
+    call_id: str = ""
 
 
 class StoreClient(BaseComponent):
@@ -91,7 +98,10 @@
             call = followed.follower.next_call(now=now)
             if call is not None:
                 timeout = WAIT_MS / 1000 + ANSWER_TIMEOUT
+                if self._followed_by_call.pop(followed.call_id, None) is not None:
+                    self.fire(outbound_cancel(followed.call_id), "http_client")
                 call_id = self._send(call, step="read_store", progress_timeout=timeout)
+                followed.call_id = call_id
                 self._followed_by_call[call_id] = followed
 
     def _send(self, call: LogCall, *, step: str, progress_timeout: float) -> str:
--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -99,12 +99,18 @@
         self.addresses = json.loads(process.wait_for_line("listening "))
 
     def start_host(
-        self, name: str, *, grace: float = 8, wait: bool = True
+        self, name: str, *, grace: float = 8, wait: bool = True, door: str = "store"
     ) -> RelayHost:
-        """Start an entry host and wait until it is ready."""
+        """Start an entry host and wait until it is ready.
+
+        Parameters
+        ----------
+        door : str
+            Where it reaches the store: ``"store"`` or ``"side-door"``.
+        """
         path = self.directory / f"{name}.conf"
         path.write_text(
-            SETTINGS.format(name=name, store=self.addresses["store"], grace=grace)
+            SETTINGS.format(name=name, store=self.addresses[door], grace=grace)
         )
         process = Process(
             name=name,
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -88,7 +88,10 @@
 
     async def start(self, n_engines: int, n_plain: int) -> dict[str, str]:
         """Start everything and return the addresses by name."""
-        addresses = {"store": await _listen(self.store.app())}
+        addresses = {
+            door: await _listen(self.store.app(door=door))
+            for door in ("store", "side-door")
+        }
         addresses["control"] = await _listen(self._control_app())
         self.put_configuration(configuration(1))
         for index in range(n_engines):
@@ -124,11 +127,11 @@
         """Set switches of the store or of a server, or publish a configuration."""
         body = await request.json()
         for name, switches in body.items():
-            if name == "store":
+            if name in self.store.switches_by_door:
                 if switches.pop("forget", False):
                     self.store.forget("keyed.servers")
                 for switch, value in switches.items():
-                    setattr(self.store.switches, switch, value)
+                    setattr(self.store.switches_by_door[name], switch, value)
             elif name == "configuration":
                 self.put_configuration(configuration(**switches))
             else:
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -52,13 +52,15 @@
 
     def __init__(self) -> None:
         self.partitions: dict[tuple[str, int], _Partition] = {}
-        self.switches = StoreSwitches()
+        self.switches_by_door: dict[str, StoreSwitches] = {}
         self.n_calls = 0
         self.n_appends = 0
 
-    def app(self) -> web.Application:
-        """Return the HTTP application."""
+    def app(self, *, door: str = "store") -> web.Application:
+        """Return the HTTP application of one door, with switches of its own."""
         app = web.Application(client_max_size=4 << 20)
+        app["door"] = door
+        self.switches_by_door[door] = StoreSwitches()
         app.router.add_post("/log-append", self.append)
         app.router.add_get("/log-read", self.read)
         app.router.add_get("/log-newest", self.newest)
@@ -68,11 +70,14 @@
         key = (request.query["topic"], int(request.query["part"]))
         return self.partitions.setdefault(key, _Partition())
 
-    async def _fault(self) -> None:
+    def _switches(self, request: web.Request) -> StoreSwitches:
+        return self.switches_by_door[request.app["door"]]
+
+    async def _fault(self, request: web.Request) -> None:
         self.n_calls += 1
-        if self.switches.silent:
+        if self._switches(request).silent:
             await asyncio.Event().wait()
-        if self.switches.refuse:
+        if self._switches(request).refuse:
             raise web.HTTPServiceUnavailable
 
     def put(self, topic: str, key: str, value: bytes) -> None:
@@ -90,7 +95,7 @@
 
     async def append(self, request: web.Request) -> web.StreamResponse:
         """Append records, all or none."""
-        await self._fault()
+        await self._fault(request)
         self.n_appends += 1
         partition = self._partition(request)
         body = await request.read()
@@ -105,7 +110,7 @@
             self._append_one(partition, body[place : place + length])
             place += length
         self._wake(partition)
-        if self.switches.lose_answers:
+        if self._switches(request).lose_answers:
             request.transport.abort()
         return web.json_response({"offset": offset, "end": partition.end})
 
@@ -125,7 +130,7 @@
 
     async def read(self, request: web.Request) -> web.Response:
         """Return records from an offset, waiting for one if there is none."""
-        await self._fault()
+        await self._fault(request)
         partition = self._partition(request)
         offset = int(request.query["from"])
         wait = int(request.query.get("wait_ms", "0")) / 1000
@@ -134,14 +139,14 @@
         if offset >= partition.end and wait:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(partition.grown.wait(), wait)
-        await self._fault()
+        await self._fault(request)
         records = partition.records[max(0, offset - partition.first) :]
         framed = b"".join(_LENGTH.pack(len(record)) + record for record in records)
         return web.Response(body=_ENDS.pack(partition.end, partition.first) + framed)
 
     async def newest(self, request: web.Request) -> web.Response:
         """Return the newest record of each key, five hundred at once."""
-        await self._fault()
+        await self._fault(request)
         partition = self._partition(request)
         after = request.query.get("after", "")
         keys = sorted(key for key in partition.newest_by_key if key > after)
--- /dev/null
+++ b/tests/test_coordination/test_topic.py
@@ -0,0 +1,128 @@
+"""Test how a topic of the store is followed."""
+
+from __future__ import annotations
+
+import json
+import struct
+
+import pytest
+
+from ryelever.coordination.topic import MAX_PAUSE, TopicFollower
+from ryelever.platform.store import StoreCalls
+
+STORE = StoreCalls(address="store")
+
+
+def _follower(**changes: object) -> TopicFollower:
+    return TopicFollower(log=STORE, topic="keyed.op", **changes)
+
+
+def _listing(*keys: str, end: int, more: bool = False) -> bytes:
+    items = [{"key": key, "value": "djE=", "offset": 0} for key in keys]
+    return json.dumps({"items": items, "more": more, "end": end}).encode()
+
+
+def _page(end: int, first: int, *records: bytes) -> bytes:
+    framed = b"".join(struct.pack(">I", len(record)) + record for record in records)
+    return struct.pack(">QQ", end, first) + framed
+
+
+def _listed(**changes: object) -> TopicFollower:
+    follower = _follower(**changes)
+    follower.next_call(now=0.0)
+    follower.answered(200, _listing("a", end=7), now=0.0)
+    return follower
+
+
+def test_it_lists_then_reads_on() -> None:
+    follower = _follower()
+    assert follower.next_call(now=0.0).path.startswith("/log-newest?")
+    assert not follower.is_current
+    news = follower.answered(200, _listing("a", end=7), now=0.01).ok
+    assert (news.complete, [record.key for record in news.records]) == (True, ["a"])
+    assert follower.is_current
+    assert "from=7" in follower.next_call(now=0.02).path
+    follower.answered(200, _page(9, 0, b"\x01bv2", b"\x01a"), now=0.1)
+    assert "from=9" in follower.next_call(now=0.2).path
+
+
+def test_a_long_listing_is_complete_at_its_last_page() -> None:
+    follower = _follower()
+    follower.next_call(now=0.0)
+    assert not follower.answered(
+        200, _listing("a", end=7, more=True), now=0.0
+    ).ok.complete
+    assert "after=a" in follower.next_call(now=0.1).path
+    # What was appended meanwhile is read again from the first page's end.
+    news = follower.answered(200, _listing("b", end=9), now=0.1).ok
+    assert [record.key for record in news.records] == ["a", "b"]
+    assert "from=7" in follower.next_call(now=0.2).path
+
+
+def test_one_call_at_a_time_and_not_too_often() -> None:
+    follower = _listed(interval=0.3)
+    assert follower.next_call(now=0.1) is None
+    assert follower.next_call(now=0.3) is not None
+    assert follower.next_call(now=0.4) is None
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        pytest.param(410, b"{}", id="said"),
+        pytest.param(200, _page(20, 12, b"\x01av"), id="shown"),
+    ],
+)
+def test_history_that_is_dropped_is_listed_anew(status: int, body: bytes) -> None:
+    """Show that nothing is missed when the store drops what would be read next.
+
+    Symptom: a configuration that was accepted is not in force on one entry host.
+    Sequence: it is written, and the history is dropped before the host reads it.
+    Cause: reading on from what is left would skip it.
+    """
+    follower = _listed()
+    follower.next_call(now=1.0)
+    assert follower.answered(status, body, now=1.0).ok.records == []
+    assert follower.next_call(now=1.1).path.startswith("/log-newest?")
+
+
+def test_failures_are_asked_again_a_little_later_each_time() -> None:
+    follower = _listed()
+    pauses = []
+    now = 1.0
+    for _ in range(6):
+        assert follower.next_call(now=now) is not None
+        follower.answered(503, b"", now=now)
+        due_at = now
+        while follower.next_call(now=due_at) is None:
+            due_at += 0.01
+        follower.failed(now=due_at)
+        pauses.append(due_at - now)
+        now = due_at + MAX_PAUSE
+    assert pauses == sorted(pauses)
+    assert pauses[-1] <= MAX_PAUSE + 0.02
+
+
+def test_word_of_something_newer_ends_a_read_that_hangs() -> None:
+    """Show that a read which will never be answered holds nothing up.
+
+    Symptom: an accepted configuration is not in force on one entry host for 5 s.
+    Sequence: the host's read waits for a record, its connection goes silent, the
+    configuration is written, other hosts have it.
+    Cause: the read is given up only after its whole wait, and word from the other
+    hosts started no new one meanwhile.
+    """
+    follower = _listed()
+    hanging = follower.next_call(now=1.0)
+    assert hanging is not None
+    first = follower.n_asked
+    follower.poke(now=1.5)
+    assert follower.next_call(now=1.5) is not None
+    assert follower.n_asked == first + 1
+
+
+def test_word_of_something_newer_does_not_end_a_read_that_just_began() -> None:
+    follower = _listed()
+    assert follower.next_call(now=1.0) is not None
+    follower.poke(now=1.1)
+    assert follower.next_call(now=1.1) is None
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -82,3 +82,28 @@
     last = host.call("/look/2", request_id="i2")
     assert (last.status_code, last.headers["connection"]) == (200, "close")
     assert host.process.wait() == 0
+
+
+def test_a_host_that_the_store_turns_away_gets_configurations_from_others(
+    zone: RelayZone,
+) -> None:
+    """Show that a new configuration reaches a host that can't read it.
+
+    Symptom: a key that was taken away is still accepted at one entry host.
+    Sequence: the store turns that host away and serves the others, and the operator
+    publishes a configuration.
+    Cause: each host knew only what it had read itself.
+    """
+    zone.start_host("e1")
+    away = zone.start_host("e2", door="side-door")
+    away.process.wait_for_event("peer_heard")
+    assert away.call("/look/1", request_id="i1").status_code == 200
+    zone.control(side_door={"refuse": True})
+    away.process.wait_for_event("store_lost")
+    zone.control(configuration={"version": 3, "tenants": []})
+    wait_until(
+        lambda: away.call("/look/1", request_id="i2").status_code == 401,
+        what="the key is refused",
+    )
+    in_force = away.process.events("configuration_in_force")[-1]
+    assert in_force["version"] == 3
