Mend groups with staged spares, and know a lost member by probes

The groups' history shows four reasons: zones that planned at once formed 14 groups of the small model where seven were meant, so that no spare was left; groups were formed with members that had to load for 15 s, and held their survivors; a lost member was known only when its entry lapsed, 3.6 s later; a restarted host took the planning over again at once, another second without mending.

Each zone meets its own part of the demand at the start, once the list has settled; spares stay, staged; groups form of quick members only; members of a group whose streams stand still are probed; a planner stays while it reaches the store.

--- a/ryelever/coordination/group_forming.py
+++ b/ryelever/coordination/group_forming.py
@@ -1,4 +1,10 @@
-"""Decide which groups are formed of the backend servers that are free."""
+"""Decide which groups are formed of the backend servers that are free.
+
+A group whose member is lost is mended by forming it anew: of its survivors, which
+join again in an instant, and of a spare whose host has the weights staged.  A spare
+without them takes ten times as long, and would tie the survivors up meanwhile; so
+weights are staged first, and the group is formed when all its members are quick.
+"""
 
 from __future__ import annotations
 
@@ -9,15 +15,20 @@
     from ..state.directory import BackendServer
     from ..state.routes import EngineProfile, ModelProfile
 
-__all__ = ["FormingRules", "Formation", "choose_formations", "first_demand"]
+__all__ = ["Formation", "FormingRules", "choose_formations", "choose_staging"]
 
 #: Part of its time for which a model's groups may be busy before another group is
-#: formed of servers that would otherwise be spare.
+#: formed.  Above it a burst of half as much again, or the loss of one group in four,
+#: makes requests wait.
 BUSY_ENOUGH = 0.5
 
-#: Part of all backend servers that groups take at the start; the rest are spares,
-#: one or two in a fabric domain of eight.
-PACKED_AT_START = 0.8
+#: The same from which spares are used up for it: those that mend are worth less than
+#: requests refused now.
+OVERLOADED = 0.8
+
+#: Part of a zone's backend servers that stay spare: one for each fabric domain of
+#: eight.
+SPARE_SHARE = 0.12
 
 #: Seconds that a member takes to join a group of the model that it served last.
 REJOIN_TIME = 0.2
@@ -40,12 +51,18 @@
     demand_by_model : dict of str to float
         Work that arrives, in replica groups kept busy.
     groups_by_model : dict of str to int
-        Groups that serve or are being formed, in all availability zones.
+        Groups that serve or are being formed to meet it.
+    n_servers : int
+        All backend servers of the zone, in groups or free.
+    loads_are_quick : bool
+        True before the first request, while weights load in a tenth of the time.
     """
 
     engine: EngineProfile
     demand_by_model: dict[str, float]
     groups_by_model: dict[str, int]
+    n_servers: int
+    loads_are_quick: bool = False
 
     def busy(self, model: str, groups_by_model: dict[str, int]) -> float:
         """Return the part of its time for which each group of a model is busy."""
@@ -53,28 +70,20 @@
         demand = self.demand_by_model.get(model, 0.0)
         return demand / groups if groups else float("inf")
 
-
-def first_demand(engine: EngineProfile, *, n_servers: int) -> dict[str, float]:
-    """Return the demand to assume before any was seen, from the models' shares."""
-    return {
-        model.name: BUSY_ENOUGH * PACKED_AT_START * n_servers * model.share / model.size
-        for model in engine.models_by_name.values()
-    }
+    def by_need(self, groups_by_model: dict[str, int]) -> list[ModelProfile]:
+        """Return the models, the one with the busiest groups first."""
+        return sorted(
+            self.engine.models_by_name.values(),
+            key=lambda model: (-self.busy(model.name, groups_by_model), -model.size),
+        )
 
 
 def choose_formations(
     free: list[BackendServer], rules: FormingRules
 ) -> list[Formation]:
-    """Return the groups to form now, each within one fabric domain.
-
-    The model whose groups are busiest comes first.  Where it fits into no domain,
-    the next one is formed only if its groups are busy enough themselves: the free
-    servers are worth more as spares for the scarce model.
-    """
+    """Return the groups to form now, each within one fabric domain."""
     groups_by_model = dict(rules.groups_by_model)
-    free_by_domain: dict[str, list[BackendServer]] = {}
-    for server in free:
-        free_by_domain.setdefault(server.domain, []).append(server)
+    free_by_domain = _by_domain(free)
     chosen: list[Formation] = []
     while (formation := _next(free_by_domain, rules, groups_by_model)) is not None:
         chosen.append(formation)
@@ -86,37 +95,84 @@
     return chosen
 
 
+def choose_staging(
+    free: list[BackendServer], rules: FormingRules
+) -> list[tuple[BackendServer, ModelProfile]]:
+    """Return the free servers that are to stage weights, and which.
+
+    In each domain, what keeps the neediest model from being formed comes first: the
+    free servers of which a group could be made but for their weights.  A server that
+    holds no weights at all is of use to nobody.
+    """
+    chosen: list[tuple[BackendServer, ModelProfile]] = []
+    for servers in _by_domain(free).values():
+        chosen += _staging_in_domain(servers, rules)
+    return chosen
+
+
+def _staging_in_domain(
+    servers: list[BackendServer], rules: FormingRules
+) -> list[tuple[BackendServer, ModelProfile]]:
+    for model in rules.by_need(rules.groups_by_model):
+        busy = rules.busy(model.name, rules.groups_by_model)
+        members = _members(servers, model)
+        if members is None or busy < BUSY_ENOUGH:
+            continue
+        slow = [item for item in members if not _is_quick(item, model)]
+        mends = len(slow) <= model.size // 2
+        blank = all(not item.staged for item in slow)
+        if mends and (blank or busy >= OVERLOADED):
+            return [(server, model) for server in slow]
+    largest = max(rules.engine.models_by_name.values(), key=lambda model: model.size)
+    return [
+        (server, largest)
+        for server in servers
+        if not server.staged and not server.models
+    ]
+
+
 def _next(
     free_by_domain: dict[str, list[BackendServer]],
     rules: FormingRules,
     groups_by_model: dict[str, int],
 ) -> Formation | None:
-    models = sorted(
-        rules.engine.models_by_name.values(),
-        key=lambda model: (-rules.busy(model.name, groups_by_model), -model.size),
-    )
-    for model in models:
-        if rules.busy(model.name, groups_by_model) < BUSY_ENOUGH:
-            return None
+    n_free = sum(len(servers) for servers in free_by_domain.values())
+    n_kept = round(SPARE_SHARE * rules.n_servers)
+    for model in rules.by_need(groups_by_model):
+        busy = rules.busy(model.name, groups_by_model)
         options = [
             members
             for servers in free_by_domain.values()
             if (members := _members(servers, model)) is not None
+            and (rules.loads_are_quick or _is_quick(members[-1], model))
         ]
-        if options:
-            # The domain with the most free servers keeps the others able to mend
-            # what they lose.
-            best = min(
-                options,
-                key=lambda members: (
-                    _join_time(members[-1], model),
-                    -len(free_by_domain[members[0].domain]),
-                ),
-            )
+        if not options:
+            continue
+        # Mending comes before growing, and growing takes from the domain with the
+        # most free servers, so that each keeps some to mend with.
+        best = min(
+            options,
+            key=lambda members: (
+                _n_spares_used(members, model),
+                -len(free_by_domain[members[0].domain]),
+            ),
+        )
+        mends = _n_spares_used(best, model) <= model.size // 2
+        leaves_spares = n_free - model.size >= n_kept
+        grows = busy >= OVERLOADED or (busy >= BUSY_ENOUGH and leaves_spares)
+        # Survivors of a group are of use to no other model without a long load.
+        if (mends and busy > 0) or grows:
             return Formation(model=model, members=best)
     return None
 
 
+def _by_domain(free: list[BackendServer]) -> dict[str, list[BackendServer]]:
+    free_by_domain: dict[str, list[BackendServer]] = {}
+    for server in free:
+        free_by_domain.setdefault(server.domain, []).append(server)
+    return free_by_domain
+
+
 def _members(
     servers: list[BackendServer], model: ModelProfile
 ) -> tuple[BackendServer, ...] | None:
@@ -126,6 +182,15 @@
     return tuple(by_time[: model.size])
 
 
+def _n_spares_used(members: tuple[BackendServer, ...], model: ModelProfile) -> int:
+    """Return how many members are no survivors of a group of the model."""
+    return sum(model.name not in server.models for server in members)
+
+
+def _is_quick(server: BackendServer, model: ModelProfile) -> bool:
+    return _join_time(server, model) <= model.warm_time
+
+
 def _join_time(server: BackendServer, model: ModelProfile) -> float:
     if model.name in server.models:
         return REJOIN_TIME
--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -37,7 +38,16 @@
 LAST_STREAMS = 1.6
 
 #: Seconds beyond the time for which a group stands still.
-STALL_SLACK = 1.0
+STALL_SLACK = 0.8
+
+#: Seconds between two probes of the members of a group that stands still, and the
+#: probes in a row without an answer after which a member counts as lost.
+PROBE_INTERVAL = 0.4
+LOST_PROBES = 2
+
+#: Seconds for which such a member is given to no group.  If it is lost, its entry
+#: lapses before then; if it was only cut off for a while, it is of use again.
+LOST_FOR = 5.0
 
 
 class GroupPhase(enum.Enum):
@@ -60,6 +70,10 @@
     ----------
     joined : set of str
         Members that were seen ready under the group's name and epoch.
+    suspected : bool
+        True while some entry host sees all the group's streams stand still.
+    n_unanswered : Counter of str
+        Probes of each member in a row that got no answer.
     """
 
     record: GroupRecord
@@ -68,7 +82,9 @@
     reason: str = ""
     joined: set[str] = field(default_factory=set)
     ending_since: float = 0.0
-    head_lost_at: float | None = None
+    suspected: bool = False
+    probed_at: float = float("-inf")
+    n_unanswered: Counter[str] = field(default_factory=Counter)
     ordered_at: dict[tuple[str, OrderKind], float] = field(default_factory=dict)
 
 
@@ -93,6 +109,7 @@
         self.join_limit = join_limit
         self._log = log
         self._kept_by_name: dict[str, _Kept] = {}
+        self._lost_by_id: dict[str, float] = {}
 
     # What is there
 
@@ -138,6 +155,11 @@
             for member_id in kept.record.member_ids
         }
 
+    def seems_lost(self, server_id: str, *, now: float) -> bool:
+        """Tell whether a server answered no probe a short while ago."""
+        lost_at = self._lost_by_id.get(server_id)
+        return lost_at is not None and now - lost_at < LOST_FOR
+
     # Orders
 
     def look(self, *, now: float) -> list[GroupOrder]:
@@ -147,17 +169,30 @@
         for kept in self._kept_by_name.values():
             if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
                 self._judge(kept, now=now)
+            if kept.phase is GroupPhase.SERVING and kept.suspected:
+                orders += self._probes(kept, now=now)
             if kept.phase is GroupPhase.FORMING:
                 orders += self._forming(kept, now=now)
             elif kept.phase is GroupPhase.ENDING:
                 orders += self._ending(kept, now=now)
         return orders
 
+    def suspect(self, heads: set[str]) -> None:
+        """Take the heads whose groups stand still, as any host sees them."""
+        for kept in self._kept_by_name.values():
+            kept.suspected = kept.record.head.server_id in heads
+
     def answered(self, order: GroupOrder, outcome: OrderOutcome, *, now: float) -> None:
         """Take the answer to an order."""
+        if outcome not in (OrderOutcome.UNKNOWN, OrderOutcome.GONE):
+            self._directory.heard_at_by_id[order.server_id] = now
+            self._lost_by_id.pop(order.server_id, None)
         kept = self._kept_by_name.get(order.group)
         if kept is None or kept.record.epoch != order.epoch:
             return
+        if order.kind is OrderKind.PROBE:
+            self._probed(kept, order.server_id, outcome, now=now)
+            return
         if order.kind is OrderKind.OPEN and outcome is OrderOutcome.REFUSED:
             retry_at = now - ORDER_RETRY + OPEN_RETRY
             kept.ordered_at[order.server_id, OrderKind.OPEN] = retry_at
@@ -235,13 +270,13 @@
         head_id = kept.record.head.server_id
         head = self._directory.by_id.get(head_id)
         if head is None:
-            # It may be cut off from the store only, and go on serving.
-            kept.head_lost_at = kept.head_lost_at or now
-            if now - kept.head_lost_at > self._stall_time + STALL_SLACK:
-                self._retire(kept, "head_gone")
+            # It may be cut off from the store only, and go on serving: only its
+            # silence towards all shows that it can't.  If it lives behind a cut, its
+            # group has stood still since then, and has broken off by now.
+            if self._silent_for(head_id, now=now) > self._stall_time + STALL_SLACK:
+                self._retire(kept, "head_silent")
                 return []
             return self._order(kept, OrderKind.LEAVE, head_id, now=now)
-        kept.head_lost_at = None
         state = self._state(kept, head)
         if state is None or state is GroupState.BROKEN:
             self._retire(kept, "head_left" if state is None else "head_broken")
@@ -256,6 +291,38 @@
             return self._order(kept, OrderKind.CLOSE, head_id, now=now, gently=True)
         return self._order(kept, OrderKind.LEAVE, head_id, now=now)
 
+    def _silent_for(self, server_id: str, *, now: float) -> float:
+        """Return the seconds since a server's last sign of life.
+
+        Where none was ever noticed, they count from now on.
+        """
+        return now - self._directory.heard_at_by_id.setdefault(server_id, now)
+
+    def _probes(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
+        """Ask the members of a group that stands still for a sign of life."""
+        if now - kept.probed_at < PROBE_INTERVAL:
+            return []
+        kept.probed_at = now
+        return [
+            self._new_order(kept, OrderKind.PROBE, server_id)
+            for server_id in kept.record.member_ids
+        ]
+
+    def _probed(
+        self, kept: _Kept, server_id: str, outcome: OrderOutcome, *, now: float
+    ) -> None:
+        if kept.phase is not GroupPhase.SERVING:
+            return
+        if outcome is OrderOutcome.GONE:
+            self._end(kept, "member_gone", now=now)
+        elif outcome is not OrderOutcome.UNKNOWN:
+            kept.n_unanswered[server_id] = 0
+        else:
+            kept.n_unanswered[server_id] += 1
+            if kept.n_unanswered[server_id] >= LOST_PROBES:
+                self._lost_by_id[server_id] = now
+                self._end(kept, "member_silent", now=now)
+
     def _order(
         self,
         kept: _Kept,
@@ -270,20 +337,23 @@
         if now - ordered_at < ORDER_RETRY:
             return []
         kept.ordered_at[server_id, kind] = now
+        return [self._new_order(kept, kind, server_id, gently=gently)]
+
+    def _new_order(
+        self, kept: _Kept, kind: OrderKind, server_id: str, *, gently: bool = False
+    ) -> GroupOrder:
         record = kept.record
         addresses = {member.server_id: member.address for member in record.members}
-        return [
-            GroupOrder(
-                kind=kind,
-                server_id=server_id,
-                address=addresses[server_id],
-                group=record.name,
-                epoch=record.epoch,
-                model=record.model,
-                members=record.member_ids,
-                gently=gently,
-            )
-        ]
+        return GroupOrder(
+            kind=kind,
+            server_id=server_id,
+            address=addresses[server_id],
+            group=record.name,
+            epoch=record.epoch,
+            model=record.model,
+            members=record.member_ids,
+            gently=gently,
+        )
 
     def _end_superseded(self, *, now: float) -> None:
         """End groups one of whose members was given to a later one."""
--- a/ryelever/coordination/group_orders.py
+++ b/ryelever/coordination/group_orders.py
@@ -16,6 +16,8 @@
     CLOSE = "close"
     LEAVE = "leave"
     STAGE = "stage"
+    #: Asks for a sign of life and changes nothing.
+    PROBE = "probe"
 
 
 class OrderOutcome(enum.Enum):
--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -43,6 +43,8 @@
         Heads whose groups stand still as it sees them.
     leaving : tuple of str
         Backend servers that it knows to be leaving or gone.
+    plans : tuple of str
+        Availability zones that it plans for.
     """
 
     host: str
@@ -56,6 +58,7 @@
     demand_by_model: dict[str, float] = field(default_factory=dict)
     still: tuple[str, ...] = ()
     leaving: tuple[str, ...] = ()
+    plans: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -123,12 +126,25 @@
             total.update(word.demand_by_model)
         return total
 
-    def plans_for(self, zone: str, *, reads_store: bool, now: float) -> bool:
+    def still(self, *, now: float) -> set[str]:
+        """Return the heads whose groups stand still as other hosts see them."""
+        return {head for word in self.living(now=now) for head in word.still}
+
+    def plans_for(
+        self, zone: str, *, planning: bool, reads_store: bool, now: float
+    ) -> bool:
         """Tell whether this host is the one to plan for a zone.
 
-        It is the first by name of the zone's hosts that reach the store, and where
-        the zone has had none for a while, the first of all.  Two may believe so at
-        once; the store takes the decisions of one only.
+        Who plans goes on while it reaches the store: a change of planner costs a
+        second in which nothing is mended.  Else it is the first by name of the
+        zone's hosts that reach the store, and where the zone has had none for a
+        while, the first of all.  Two may believe so at once; the store takes the
+        decisions of one only.
+
+        Parameters
+        ----------
+        planning : bool
+            Whether this host plans for the zone already.
         """
         if not reads_store:
             return False
@@ -142,4 +158,7 @@
                 return False
         else:
             able = [word for word in able if word.availability_zone == zone]
+        rivals = [word for word in able if zone in word.plans]
+        if rivals or planning:
+            return planning and all(self._host < word.host for word in rivals)
         return all(self._host < word.host for word in able)
--- a/ryelever/coordination/stillness.py
+++ b/ryelever/coordination/stillness.py
@@ -64,6 +64,14 @@
         if not activity.attempts:
             del self._activity_by_id[server_id]
 
+    def still(self) -> list[str]:
+        """Return the heads whose groups stand still now."""
+        return [
+            server_id
+            for server_id, activity in self._activity_by_id.items()
+            if activity.told
+        ]
+
     def newly_still(self, *, now: float) -> list[str]:
         """Return the heads whose groups have come to stand still."""
         held_up = now - self._looked_at > OWN_DELAY
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from .group_forming import (
+    BUSY_ENOUGH,
     FormingRules,
     choose_formations,
-    first_demand,
+    choose_staging,
 )
 from .group_keeper import GroupKeeper, GroupPhase
 from .group_orders import GroupOrder, OrderKind
@@ -30,7 +31,7 @@
 
 #: Seconds of being the planner before the first decision: by then the other hosts'
 #: words show whether there is another, and what it ordered last shows in the list.
-SETTLING = 1.2
+SETTLING = 0.7
 
 #: Seconds after which an append that got no answer is looked for in the log.
 APPEND_TIMEOUT = 2.0
@@ -41,6 +42,14 @@
 #: Part of the loads that the weight store starts for all zones which a zone uses.
 LOAD_SHARE = 0.8
 
+#: Seconds over which loads are counted.
+LOAD_WINDOW = 5.0
+
+#: Seconds without a new server in the list after which all have shown that are there
+#: at the start, and the longest time to wait for that.
+FLEET_SETTLING = 1.0
+LONGEST_SETTLING = 5.0
+
 #: Part of the first demand that stands for a model which nobody asks for just now.
 IDLE_DEMAND = 0.15
 
@@ -60,22 +69,38 @@
     dropped: tuple[str, ...] = ()
 
 
+def first_demand(engine: EngineProfile, *, n_servers: int) -> dict[str, float]:
+    """Return the demand to assume before any was seen, from the models' shares."""
+    return {
+        model.name: BUSY_ENOUGH * n_servers * model.share / model.size
+        for model in engine.models_by_name.values()
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class _Loads:
     """Pace the loads from the weight store."""
 
     times: list[float] = field(default_factory=list)
 
-    def allow(self, n: int, *, rate: float, now: float) -> bool:
-        """Tell whether ``n`` loads may begin now, and count them if so."""
-        self.times = [at for at in self.times if now - at < 5.0]
-        # A zone may always begin with one group: the rule leaves room for three.
-        if self.times and len(self.times) + n > rate * 5.0:
+    def allow(self, *, rate: float, now: float) -> bool:
+        """Tell whether a load may begin now, and count it if so."""
+        self.times = [at for at in self.times if now - at < LOAD_WINDOW]
+        # One may always begin: the bound leaves room for three beyond the rate.
+        if self.times and len(self.times) + 1 > rate * LOAD_WINDOW:
             return False
-        self.times += [now] * n
+        self.times.append(now)
         return True
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Staging:
+    """Hold which weights a server was told to stage, and when."""
+
+    model: str
+    since: float
+
+
 class ZonePlanner:
     """Decide about the groups of one availability zone.
 
@@ -116,7 +141,9 @@
         self._appending_since: float | None = None
         self._appending: AppendGroups | None = None
         self._loads = _Loads()
-        self._staged_at: dict[str, float] = {}
+        self._staging_by_id: dict[str, _Staging] = {}
+        self._n_free_seen = -1
+        self._n_free_since = since
         self.keeper = GroupKeeper(
             directory=directory, stall_time=stall_time, join_limit=20.0, log=log
         )
@@ -208,30 +235,44 @@
     def _formations(
         self, service: str, engine: EngineProfile, *, now: float
     ) -> list[Formation]:
-        free = self._free(service)
-        if not free:
+        free = self._free(service, now=now)
+        if not free or not self._has_settled(free, now=now):
             return []
-        rules = FormingRules(
+        return choose_formations(free, self._rules(service, engine))
+
+    def _rules(self, service: str, engine: EngineProfile) -> FormingRules:
+        servers = list(self._directory.of_service(service))
+        own = [item for item in servers if item.availability_zone == self._zone]
+        if self._is_calm():
+            # All zones plan at the same moment, and none sees yet what the others
+            # form: each meets its own part of the demand.
+            demand = first_demand(engine, n_servers=len(own))
+            groups = self._own_groups(service, engine)
+        else:
+            demand = self._demand_of(engine, n_servers=len(servers))
+            groups = self._all_groups(service, engine)
+        return FormingRules(
             engine=engine,
-            demand_by_model=self._demand_of(service, engine),
-            groups_by_model=self._groups_by_model(service, engine),
+            demand_by_model=demand,
+            groups_by_model=groups,
+            n_servers=len(own),
+            loads_are_quick=self._is_calm(),
         )
-        chosen = []
-        rate = LOAD_SHARE * engine.loads_per_second / self._n_zones
-        for formation in choose_formations(free, rules):
-            n_loads = sum(
-                formation.model.name not in server.staged
-                for server in formation.members
-            )
-            if (
-                self._is_calm()
-                or not n_loads
-                or self._loads.allow(n_loads, rate=rate, now=now)
-            ):
-                chosen.append(formation)
-        return chosen
-
-    def _free(self, service: str) -> list[BackendServer]:
+
+    def _has_settled(self, free: list[BackendServer], *, now: float) -> bool:
+        """Tell whether the list has shown all servers that there are at the start.
+
+        They appear over some seconds, and a group that is formed of the first ones
+        takes the place of a better one.
+        """
+        if len(free) != self._n_free_seen:
+            self._n_free_seen = len(free)
+            self._n_free_since = now
+        if not self._is_calm() or now - self._since > LONGEST_SETTLING:
+            return True
+        return now - self._n_free_since > FLEET_SETTLING
+
+    def _free(self, service: str, *, now: float) -> list[BackendServer]:
         taken = self.keeper.taken()
         return [
             server
@@ -239,25 +280,28 @@
             if server.availability_zone == self._zone
             and not server.draining
             and server.id not in taken
+            and not self.keeper.seems_lost(server.id, now=now)
         ]
 
-    def _demand_of(self, service: str, engine: EngineProfile) -> dict[str, float]:
-        n_servers = sum(1 for _ in self._directory.of_service(service))
+    def _demand_of(self, engine: EngineProfile, *, n_servers: int) -> dict[str, float]:
         first = first_demand(engine, n_servers=n_servers)
         seen = self._demand()
-        if not any(seen.get(name, 0.0) for name in first):
-            return first
         return {
             name: max(seen.get(name, 0.0), IDLE_DEMAND * demand)
             for name, demand in first.items()
         }
 
-    def _groups_by_model(self, service: str, engine: EngineProfile) -> dict[str, int]:
-        """Count the groups that serve or form: own ones by record, others as told."""
+    def _own_groups(self, service: str, engine: EngineProfile) -> dict[str, int]:
+        """Count the zone's groups that serve or are being formed."""
         counts = dict.fromkeys(engine.models_by_name, 0)
         for record in self.keeper.records(GroupPhase.FORMING, GroupPhase.SERVING):
             if record.service == service and record.model in counts:
                 counts[record.model] += 1
+        return counts
+
+    def _all_groups(self, service: str, engine: EngineProfile) -> dict[str, int]:
+        """Count all groups: own ones by record, those of other zones as listed."""
+        counts = self._own_groups(service, engine)
         for server in self._directory.of_service(service):
             report = server.group
             if server.availability_zone == self._zone or report is None:
@@ -285,26 +329,30 @@
     def _staging(
         self, service: str, engine: EngineProfile, *, now: float
     ) -> list[GroupOrder]:
-        """Stage weights on spares: a staged one mends a group ten times sooner."""
-        if self._appending is not None:
+        """Stage weights on free servers, no more at once than the store allows."""
+        free = self._free(service, now=now)
+        if self._appending is not None or not self._has_settled(free, now=now):
             return []
+        foreseen = [self._foreseen(server, now=now) for server in free]
         orders = []
         rate = LOAD_SHARE * engine.loads_per_second / self._n_zones
-        largest = max(engine.models_by_name.values(), key=lambda model: model.size)
-        for server in self._free(service):
-            if server.staged or server.models:
-                continue
-            if now - self._staged_at.get(server.id, float("-inf")) < STAGE_RETRY:
-                continue
-            if not self._is_calm() and not self._loads.allow(1, rate=rate, now=now):
-                continue
-            self._staged_at[server.id] = now
+        for server, model in choose_staging(foreseen, self._rules(service, engine)):
+            if not self._is_calm() and not self._loads.allow(rate=rate, now=now):
+                break
+            self._staging_by_id[server.id] = _Staging(model=model.name, since=now)
             orders.append(
                 GroupOrder(
                     kind=OrderKind.STAGE,
                     server_id=server.id,
                     address=server.address,
-                    model=largest.name,
+                    model=model.name,
                 )
             )
         return orders
+
+    def _foreseen(self, server: BackendServer, *, now: float) -> BackendServer:
+        """Return a server as it will be once it has staged what it was told to."""
+        staging = self._staging_by_id.get(server.id)
+        if staging is None or now - staging.since > STAGE_RETRY:
+            return server
+        return replace(server, staged=server.staged | {staging.model})
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -42,6 +42,10 @@
 #: Seconds after which another entry host is asked again.
 FETCH_RETRY = 0.5
 
+#: Heartbeats that a server has missed, at the least, when its entry lapses.  The
+#: store waits for three; the half less is for its clock and for the last one's way.
+LAPSED_HEARTBEATS = 2.5
+
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -224,7 +228,8 @@
         return True
 
     def _remove(self, server_id: str, *, now: float) -> None:
-        if self._directory.remove(server_id, now=now):
+        heard_at = now - LAPSED_HEARTBEATS * self._settings.heartbeat_interval
+        if self._directory.remove(server_id, heard_at=heard_at):
             log_event("server_gone", server=server_id)
             self.fire(directory_changed(), "relay")
 
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -8,7 +8,7 @@
 
 from circuits import BaseComponent, handler
 
-from .coordination.group_orders import OrderOutcome
+from .coordination.group_orders import OrderKind, OrderOutcome
 from .coordination.topic import TopicFollower
 from .coordination.zone_planner import AppendGroups, ZonePlanner
 from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
@@ -30,6 +30,9 @@
 ORDER_TIMEOUT = 0.8
 ORDER_CONNECT_TIMEOUT = 0.4
 
+#: Seconds for a probe's answer, which needs no place at the backend server.
+PROBE_TIMEOUT = 0.4
+
 
 class GroupPlanning(BaseComponent):
     """Own the planners of the zones that this host plans for.
@@ -37,7 +40,9 @@
     Parameters
     ----------
     plans_for : callable
-        Tell whether this host is the one to plan for a zone.
+        Tell whether this host is the one to plan for a zone, given whether it does.
+    still : callable
+        Return the heads whose groups stand still, as any host sees them.
     new_planner : callable
         Make the planner of a zone.
     """
@@ -52,7 +57,8 @@
         documents: StoreDocuments,
         groups: GroupInterface,
         store: StoreClient,
-        plans_for: Callable[[str], bool],
+        plans_for: Callable[[str, bool], bool],
+        still: Callable[[], set[str]],
         new_planner: Callable[[str], ZonePlanner],
     ) -> None:
         super().__init__()
@@ -63,6 +69,7 @@
         self._store = store
         self._plans_for = plans_for
         self._new_planner = new_planner
+        self._still = still
         self._ids = itertools.count(1)
         self._asked_by_id: dict[str, tuple[str, GroupOrder]] = {}
         self._followers_by_zone: dict[str, TopicFollower] = {}
@@ -73,7 +80,9 @@
         now = time.monotonic()
         for zone in self._settings.zones:
             self._settle_lead(zone)
+        still = self._still() if self.planners_by_zone else set()
         for zone, planner in self.planners_by_zone.items():
+            planner.keeper.suspect(still)
             orders, append = planner.look(now=now)
             for order in orders:
                 self._give(zone, order)
@@ -81,8 +90,9 @@
                 self._append(zone, append)
 
     def _settle_lead(self, zone: str) -> None:
-        leads = self._plans_for(zone)
-        if leads == (zone in self.planners_by_zone):
+        planning = zone in self.planners_by_zone
+        leads = self._plans_for(zone, planning)
+        if leads == planning:
             return
         log_event("planner_began" if leads else "planner_ended", zone=zone)
         if not leads:
@@ -172,6 +182,7 @@
         order_id = f"order-{next(self._ids)}"
         self._asked_by_id[order_id] = (zone, order)
         call = self._groups.order(order)
+        is_probe = order.kind is OrderKind.PROBE
         request = OutboundRequest(
             id=order_id,
             address=order.address,
@@ -182,7 +193,7 @@
             reply_channel=self.channel,
             step="order",
             connect_timeout=ORDER_CONNECT_TIMEOUT,
-            progress_timeout=ORDER_TIMEOUT,
+            progress_timeout=PROBE_TIMEOUT if is_probe else ORDER_TIMEOUT,
         )
         self.fire(outbound_send(request), "http_client")
 
--- a/ryelever/platform/orders.py
+++ b/ryelever/platform/orders.py
@@ -47,6 +47,8 @@
 
     def order(self, order: GroupOrder) -> LogCall:
         """Return an order as it goes to the backend server."""
+        if order.kind is OrderKind.PROBE:
+            return LogCall(method="GET", path="/report")
         body = _Body(op=_OPERATIONS[order.kind])
         if order.kind is not OrderKind.STAGE:
             body.group = order.group
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -38,6 +38,7 @@
         configurationVersion=word.configuration_version,
         still=list(word.still[:MAX_SERVERS]),
         leaving=list(word.leaving[:MAX_SERVERS]),
+        plans=list(word.plans),
     )
     message.loads = [
         {"server": server, "inFlight": count}
@@ -71,6 +72,7 @@
                 demand_by_model={item.model: item.groups for item in message.demands},
                 still=tuple(message.still),
                 leaving=tuple(message.leaving),
+                plans=tuple(message.plans),
             )
         )
     except capnp.KjException as error:
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -152,6 +152,7 @@
             groups=groups,
             store=self.store,
             plans_for=self._plans_for,
+            still=self._still_heads,
             new_planner=self._new_planner,
         )
         self.exchange = HostExchange(
@@ -183,11 +184,18 @@
         table = self.fleet.table
         return table.limits if table is not None else ConnectionLimits()
 
-    def _plans_for(self, zone: str) -> bool:
+    def _plans_for(self, zone: str, planning: bool) -> bool:
         return not self.shutdown.stopping and self.words.plans_for(
-            zone, reads_store=self._reads_store(), now=time.monotonic()
+            zone,
+            planning=planning,
+            reads_store=self._reads_store(),
+            now=time.monotonic(),
         )
 
+    def _still_heads(self) -> set[str]:
+        own = self.relay.stillness.still()
+        return self.words.still(now=time.monotonic()).union(own)
+
     def _reads_store(self) -> bool:
         return self.fleet.servers.is_current and self.store.is_reachable
 
@@ -215,6 +223,8 @@
             "reads_store": self._reads_store(),
             "stopping": self.shutdown.stopping,
             "configuration_version": self.fleet.version,
+            "still": tuple(self.relay.stillness.still()),
+            "plans": tuple(self.planning.planners_by_zone),
             "demand_by_model": self.relay.demand.by_model(now=time.monotonic()),
         }
 
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -20,6 +20,8 @@
   still @9 :List(Text);
   # Backend servers that the sender knows to be leaving or gone.
   leaving @10 :List(Text);
+  # Availability zones that the sender plans for.
+  plans @11 :List(Text);
 }
 
 struct Load {
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -75,15 +75,16 @@
     ----------
     by_id : dict of str to BackendServer
         All of them, leaving ones included.
-    gone_at_by_id : dict of str to float
-        Monotonic time at which each lost one was taken out.
+    heard_at_by_id : dict of str to float
+        Monotonic time of the last sign of life of each that is lost: its entry lapses
+        only some time after it.
     n_changes : int
         Grows with each change, for those who cache what they derive.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, BackendServer] = {}
-        self.gone_at_by_id: dict[str, float] = {}
+        self.heard_at_by_id: dict[str, float] = {}
         self.n_changes = 0
         self._by_service: dict[str, dict[str, BackendServer]] = {}
 
@@ -95,18 +96,25 @@
         if old is not None and old.service != server.service:
             self._by_service[old.service].pop(old.id, None)
         self.by_id[server.id] = server
-        self.gone_at_by_id.pop(server.id, None)
+        self.heard_at_by_id.pop(server.id, None)
         self._by_service.setdefault(server.service, {})[server.id] = server
         self.n_changes += 1
         return True
 
-    def remove(self, server_id: str, *, now: float) -> bool:
-        """Take a backend server out; tell whether it was there."""
+    def remove(self, server_id: str, *, heard_at: float) -> bool:
+        """Take a backend server out; tell whether it was there.
+
+        Parameters
+        ----------
+        heard_at : float
+            Monotonic time before which it renewed its entry last.
+        """
         server = self.by_id.pop(server_id, None)
         if server is None:
             return False
         del self._by_service[server.service][server_id]
-        self.gone_at_by_id[server_id] = now
+        known = self.heard_at_by_id.get(server_id, heard_at)
+        self.heard_at_by_id[server_id] = max(known, heard_at)
         self.n_changes += 1
         return True
 
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import itertools
 import socket
 import time
@@ -308,9 +307,8 @@
                 n_sent = sock.send(data)
             except BlockingIOError:
                 n_sent = 0
-            except OSError as error:
-                if error.errno not in (errno.EPIPE, errno.ECONNRESET):
-                    raise
+            except OSError:
+                # The caller has gone; word of it may still be under way to us.
                 self._close(sock)
                 return
         if n_sent < len(data):
