Stage second weights, and free no member behind a cut

Members stage the other model's weights before the first request, and a group of a less needy model is taken apart where that completes one of the neediest. Groups that stand still are remembered for 2.5 s, by all hosts.

A silent head counts as broken only if some member stayed on this side, and another zone's groups are left alone for 10 s. The keeper's tests hold these sequences.

--- a/ryelever/coordination/balance.py
+++ b/ryelever/coordination/balance.py
@@ -27,6 +27,10 @@
 FIRST_AVOIDANCE = 0.5
 MAX_AVOIDANCE = 4.0
 
+#: Seconds for which a group that stands still is left alone.  If a member is lost, it
+#: is ended within that time; if it was only held up, an event ends the avoidance.
+STILL_AVOIDANCE = 2.5
+
 
 @dataclass(slots=True, kw_only=True)
 class ServerRecord:
@@ -131,6 +135,17 @@
         pause = FIRST_AVOIDANCE * 2 ** (record.n_failures - 1)
         record.avoided_until = now + min(MAX_AVOIDANCE, pause)
 
+    def stands_still(self, server_id: str, *, now: float) -> None:
+        """Leave a group alone in which nothing moves."""
+        record = self.record(server_id)
+        record.avoided_until = max(record.avoided_until, now + STILL_AVOIDANCE)
+
+    def moves(self, server_id: str) -> None:
+        """Take word that something moves in a group."""
+        record = self.records_by_id.get(server_id)
+        if record is not None and record.avoided_until:
+            record.avoided_until = 0.0
+
     def _load(self, server: BackendServer, *, now: float) -> float:
         record = self.records_by_id.get(server.id)
         in_flight = self.peers_in_flight_by_id[server.id]
--- a/ryelever/coordination/demand.py
+++ b/ryelever/coordination/demand.py
@@ -19,6 +19,10 @@
 USUAL_FILLING = 0.6
 
 
+#: Share of each new answer in the average length: fifty answers make it.
+NEW_SHARE = 0.02
+
+
 def time_in_batch(
     engine: EngineProfile, model: str, *, n_prompt: float, n_answer: float
 ) -> float:
@@ -38,14 +42,25 @@
     def __init__(self) -> None:
         self._rate_by_model: dict[str, float] = {}
         self._at_by_model: dict[str, float] = {}
-        self.has_seen_any = False
+        self._events_by_model: dict[str, float] = {}
 
     def arrived(self, model: str, seconds: float, *, now: float) -> None:
         """Take note of a request that keeps a group busy for some seconds."""
-        self.has_seen_any = True
         self._decay(model, now=now)
         self._rate_by_model[model] += seconds / AVERAGED_OVER
 
+    def served(self, model: str, n_events: int) -> None:
+        """Take note of a whole stream and of its length."""
+        known = self._events_by_model.get(model, float(n_events))
+        self._events_by_model[model] = known + NEW_SHARE * (n_events - known)
+
+    def answer_length(self, model: str, engine: EngineProfile) -> float:
+        """Return the tokens that an answer of a model has on average."""
+        n_events = self._events_by_model.get(model)
+        if n_events is None:
+            return engine.usual_answer
+        return n_events * engine.tokens_per_event
+
     def by_model(self, *, now: float) -> dict[str, float]:
         """Return the work of each model as of now."""
         for model in self._rate_by_model:
--- a/ryelever/coordination/group_forming.py
+++ b/ryelever/coordination/group_forming.py
@@ -15,7 +15,15 @@
     from ..state.directory import BackendServer
     from ..state.routes import EngineProfile, ModelProfile
 
-__all__ = ["Formation", "FormingRules", "choose_formations", "choose_staging"]
+__all__ = [
+    "Formation",
+    "FormingRules",
+    "StandingGroup",
+    "choose_formations",
+    "choose_second_weights",
+    "choose_staging",
+    "choose_taking_apart",
+]
 
 #: Part of its time for which a model's groups may be busy before another group is
 #: formed.  Above it a burst of half as much again, or the loss of one group in four,
@@ -30,6 +38,11 @@
 #: eight.
 SPARE_SHARE = 0.12
 
+#: How much busier the groups of one model must be than those of another would be
+#: after the loss of one, for that one to be taken apart.  A change costs two seconds
+#: of a group, and one that is soon reversed costs them twice.
+TAKE_APART = 1.25
+
 #: Seconds that a member takes to join a group of the model that it served last.
 REJOIN_TIME = 0.2
 
@@ -42,6 +55,15 @@
     members: tuple[BackendServer, ...]
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StandingGroup:
+    """Hold one group that serves."""
+
+    name: str
+    model: str
+    members: tuple[BackendServer, ...]
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class FormingRules:
     """Hold what decides which model is formed next.
@@ -110,6 +132,66 @@
     return chosen
 
 
+def choose_second_weights(
+    standing: list[StandingGroup], rules: FormingRules
+) -> list[tuple[BackendServer, ModelProfile]]:
+    """Return the members of groups that are to stage another model's weights.
+
+    A member joins its own model's groups in an instant in any case, so what its host
+    has staged can be another model: whatever is lost, the rest of a domain can then
+    become any groups within two seconds.
+    """
+    chosen = []
+    for group in standing:
+        others = [
+            model
+            for model in rules.by_need(rules.groups_by_model)
+            if model.name != group.model
+        ]
+        if not others:
+            continue
+        chosen += [
+            (member, others[0])
+            for member in group.members
+            if not member.staged - {group.model}
+        ]
+    return chosen
+
+
+def choose_taking_apart(
+    free: list[BackendServer], standing: list[StandingGroup], rules: FormingRules
+) -> StandingGroup | None:
+    """Return a group whose members are worth more as members of another.
+
+    That is so where the neediest model fits nowhere, and some domain has survivors
+    enough that one group of a less needy model completes them.
+    """
+    needy = rules.by_need(rules.groups_by_model)[0]
+    busy = rules.busy(needy.name, rules.groups_by_model)
+    free_by_domain = _by_domain(free)
+    best: tuple[int, StandingGroup] | None = None
+    if any(
+        sum(_is_quick(server, needy) for server in servers) >= needy.size
+        for servers in free_by_domain.values()
+    ):
+        return None
+    for group in standing:
+        if group.model == needy.name or not group.members:
+            continue
+        fewer = dict(rules.groups_by_model)
+        fewer[group.model] -= 1
+        if busy < BUSY_ENOUGH or busy < TAKE_APART * rules.busy(group.model, fewer):
+            continue
+        servers = free_by_domain.get(group.members[0].domain, [])
+        quick = [item for item in servers if _is_quick(item, needy)]
+        added = [item for item in group.members if _is_quick(item, needy)]
+        if len(quick) + len(added) < needy.size:
+            continue
+        if best is None or len(quick) > best[0]:
+            best = (len(quick), group)
+    return None if best is None else best[1]
+
+
 def _staging_in_domain(
     servers: list[BackendServer], rules: FormingRules
 ) -> list[tuple[BackendServer, ModelProfile]]:
--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -18,10 +18,17 @@
 from .group_orders import GroupOrder, OrderKind, OrderOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..state.directory import BackendServer, Directory
     from .group_records import GroupRecord
 
-__all__ = ["GroupKeeper", "GroupPhase"]
+__all__ = ["TAKEN_APART", "GroupKeeper", "GroupPhase"]
+
+#: Reasons to end a group which leave what runs in it time to end.
+TAKEN_APART = "taken_apart"
+MEMBER_LEAVING = "member_leaving"
+GENTLE_REASONS = frozenset({TAKEN_APART, MEMBER_LEAVING})
 
 #: Seconds after which an order whose effect doesn't show is given again.  The list
 #: of backend servers shows an effect within half a second.
@@ -33,8 +40,8 @@
 #: Seconds that forming may take beyond the members' own time to join.
 FORMING_SLACK = 6.0
 
-#: Seconds for what runs in a group to end when a member announces its leaving; the
-#: announcement comes two seconds before the end, and a stream takes about 1.5 s.
+#: Seconds for what runs in a group to end before its head leaves it.  A member that
+#: leaves announces it two seconds before its end, and a stream takes about 1.5 s.
 LAST_STREAMS = 1.6
 
 #: Seconds beyond the time for which a group stands still.
@@ -70,6 +77,9 @@
     ----------
     joined : set of str
         Members that were seen ready under the group's name and epoch.
+    missing_since, missing_at : dict of str to float
+        Monotonic times since when members are missing from the list, and at which
+        they were last found to be.
     suspected : bool
         True while some entry host sees all the group's streams stand still.
     n_unanswered : Counter of str
@@ -82,6 +92,8 @@
     reason: str = ""
     joined: set[str] = field(default_factory=set)
     ending_since: float = 0.0
+    missing_since: dict[str, float] = field(default_factory=dict)
+    missing_at: dict[str, float] = field(default_factory=dict)
     suspected: bool = False
     probed_at: float = float("-inf")
     n_unanswered: Counter[str] = field(default_factory=Counter)
@@ -97,15 +109,24 @@
         Seconds for which a group stands still when a member is lost.
     join_limit : float
         Longest time in seconds that a member takes to join.
+    patience : float
+        Seconds for which a member may be missing from the list.
     log : callable
         Take one line about a decision: its name and its fields.
     """
 
     def __init__(
-        self, *, directory: Directory, stall_time: float, join_limit: float, log: object
+        self,
+        *,
+        directory: Directory,
+        stall_time: float,
+        join_limit: float,
+        patience: float,
+        log: Callable[..., None],
     ) -> None:
         self._directory = directory
         self._stall_time = stall_time
+        self._patience = patience
         self.join_limit = join_limit
         self._log = log
         self._kept_by_name: dict[str, _Kept] = {}
@@ -141,6 +162,14 @@
             kept.record for kept in self._kept_by_name.values() if kept.phase in phases
         ]
 
+    def taken_apart(self) -> list[GroupRecord]:
+        """Return the groups that are being ended for the sake of another."""
+        return [
+            kept.record
+            for kept in self._kept_by_name.values()
+            if kept.phase is GroupPhase.ENDING and kept.reason == TAKEN_APART
+        ]
+
     def phase_of(self, name: str) -> GroupPhase | None:
         """Return what is being done with a group."""
         kept = self._kept_by_name.get(name)
@@ -167,6 +196,9 @@
         self._end_superseded(now=now)
         orders: list[GroupOrder] = []
         for kept in self._kept_by_name.values():
+            for member_id in kept.record.member_ids:
+                if member_id not in self._directory.by_id:
+                    kept.missing_at[member_id] = now
             if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
                 self._judge(kept, now=now)
             if kept.phase is GroupPhase.SERVING and kept.suspected:
@@ -223,12 +255,15 @@
         for member in kept.record.members:
             server = self._directory.by_id.get(member.server_id)
             if server is None:
-                if now - kept.since > ORDER_RETRY or member.server_id in kept.joined:
+                missing_since = kept.missing_since.setdefault(member.server_id, now)
+                known = member.server_id in kept.joined
+                if now - missing_since >= (self._patience if known else ORDER_RETRY):
                     self._end(kept, "member_gone", now=now)
                     return
                 continue
+            kept.missing_since.pop(member.server_id, None)
             if server.draining:
-                self._end(kept, "member_leaving", now=now)
+                self._end(kept, MEMBER_LEAVING, now=now)
                 return
             state = self._state(kept, server)
             if state is None:
@@ -272,8 +307,12 @@
         if head is None:
             # It may be cut off from the store only, and go on serving: only its
             # silence towards all shows that it can't.  If it lives behind a cut, its
-            # group has stood still since then, and has broken off by now.
-            if self._silent_for(head_id, now=now) > self._stall_time + STALL_SLACK:
+            # group has stood still since then, and has broken off by now.  That holds
+            # only if the cut is between it and its members: where all are behind it,
+            # as when their zone is cut off, the group serves on there.
+            silent_for = now - self._heard_at(head_id, now=now)
+            is_broken = silent_for > self._stall_time + STALL_SLACK
+            if is_broken and self._any_member_stayed(kept, now=now):
                 self._retire(kept, "head_silent")
                 return []
             return self._order(kept, OrderKind.LEAVE, head_id, now=now)
@@ -281,7 +320,7 @@
         if state is None or state is GroupState.BROKEN:
             self._retire(kept, "head_left" if state is None else "head_broken")
             return []
-        gently = kept.reason == "member_leaving" and state in (
+        gently = kept.reason in GENTLE_REASONS and state in (
             GroupState.OPEN,
             GroupState.CLOSING,
         )
@@ -291,12 +330,21 @@
             return self._order(kept, OrderKind.CLOSE, head_id, now=now, gently=True)
         return self._order(kept, OrderKind.LEAVE, head_id, now=now)
 
-    def _silent_for(self, server_id: str, *, now: float) -> float:
-        """Return the seconds since a server's last sign of life.
+    def _heard_at(self, server_id: str, *, now: float) -> float:
+        """Return when a lost server gave its last sign of life.
 
-        Where none was ever noticed, they count from now on.
+        Where none was ever noticed, it counts as heard now.
         """
-        return now - self._directory.heard_at_by_id.setdefault(server_id, now)
+        return self._directory.heard_at_by_id.setdefault(server_id, now)
+
+    def _any_member_stayed(self, kept: _Kept, *, now: float) -> bool:
+        """Tell whether some other member has been there all that time."""
+        since = now - self._stall_time - STALL_SLACK
+        return any(
+            item in self._directory.by_id
+            and kept.missing_at.get(item, kept.since) <= since
+            for item in kept.record.member_ids[1:]
+        )
 
     def _probes(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
         """Ask the members of a group that stands still for a sign of life."""
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -114,6 +114,8 @@
     ----------
     table : callable
         Return the configuration in force, or None before there is one.
+    served : callable
+        Take the model of a whole stream and the number of its events.
     log : callable
         Take one line about a decision: its name and its fields.
     """
@@ -126,6 +128,7 @@
         budget: RepeatBudget,
         stillness: StillnessWatch,
         outbox: RelayOutbox,
+        served: Callable[[str, int], None],
         log: Callable[..., None],
     ) -> None:
         self._table = table
@@ -133,6 +136,7 @@
         self._budget = budget
         self._stillness = stillness
         self._outbox = outbox
+        self._served = served
         self._log = log
         self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
@@ -229,6 +233,7 @@
         request = self._requests_by_attempt.get(attempt_id)
         if request is not None:
             self._stillness.progressed(request.attempt.server_id, now=now)
+            self._balancer.moves(request.attempt.server_id)
             self._pass_events(request, events, now=now)
 
     def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
@@ -260,6 +265,7 @@
         self._balancer.succeeded(request.attempt.server_id)
         self._forget_attempt(request)
         self._outbox.finish(request.number)
+        self._served(request.arrival.model, request.n_events)
         self._log_answer(request, status=200, now=now)
         self._end(request)
 
@@ -395,7 +401,7 @@
     def _leave_still(self, server_id: str, *, now: float) -> None:
         """Move what runs at a group that stands still to other groups."""
         self._log("group_still", server=server_id)
-        self._balancer.failed(server_id, now=now)
+        self._balancer.stands_still(server_id, now=now)
         for request in list(self._requests_by_attempt.values()):
             if request.is_stream and request.attempt.server_id == server_id:
                 self._move(request, "still", now=now)
--- a/ryelever/coordination/stillness.py
+++ b/ryelever/coordination/stillness.py
@@ -18,6 +18,10 @@
 #: Seconds without a first event, at a group none of whose streams has begun here.
 FIRST_SILENCE = 1.2
 
+#: Seconds for which a group counts as standing still once its streams are gone: its
+#: members are probed meanwhile, and one that is lost is known within a second.
+STILL_FOR = 2.5
+
 #: Seconds between two ticks beyond which this process itself was held up, so that
 #: what looks silent may lie unread.
 OWN_DELAY = 0.2
@@ -38,6 +42,7 @@
 
     def __init__(self) -> None:
         self._activity_by_id: dict[str, _Activity] = {}
+        self._still_since_by_id: dict[str, float] = {}
         self._looked_at = float("-inf")
 
     def began(self, server_id: str, attempt_id: str, *, now: float) -> None:
@@ -54,6 +59,7 @@
             activity.progressed_at = now
             activity.begun = True
             activity.told = False
+            self._still_since_by_id.pop(server_id, None)
 
     def ended(self, server_id: str, attempt_id: str) -> None:
         """Take note of a stream's end."""
@@ -64,13 +70,23 @@
         if not activity.attempts:
             del self._activity_by_id[server_id]
 
-    def still(self) -> list[str]:
-        """Return the heads whose groups stand still now."""
-        return [
-            server_id
-            for server_id, activity in self._activity_by_id.items()
-            if activity.told
-        ]
+    def still(self, *, now: float) -> list[str]:
+        """Return the heads whose groups came to stand still a short while ago.
+
+        Their streams are moved away at once, so that nothing shows any more whether
+        they go on to stand still.
+        """
+        for server_id, since in list(self._still_since_by_id.items()):
+            if now - since > STILL_FOR:
+                del self._still_since_by_id[server_id]
+        return list(self._still_since_by_id)
+
+    def moves(self, server_id: str, *, now: float) -> bool:
+        """Tell whether a group has written an event here just now."""
+        activity = self._activity_by_id.get(server_id)
+        if activity is None or not activity.begun:
+            return False
+        return now - activity.progressed_at <= SILENCE
 
     def newly_still(self, *, now: float) -> list[str]:
         """Return the heads whose groups have come to stand still."""
@@ -85,5 +101,6 @@
             limit = SILENCE if activity.begun else FIRST_SILENCE
             if not activity.told and now - activity.progressed_at > limit:
                 activity.told = True
+                self._still_since_by_id[server_id] = now
                 still.append(server_id)
         return still
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -13,10 +13,13 @@
 from .group_forming import (
     BUSY_ENOUGH,
     FormingRules,
+    StandingGroup,
     choose_formations,
+    choose_second_weights,
     choose_staging,
+    choose_taking_apart,
 )
-from .group_keeper import GroupKeeper, GroupPhase
+from .group_keeper import TAKEN_APART, GroupKeeper, GroupPhase
 from .group_orders import GroupOrder, OrderKind
 from .group_records import GroupRecord, Member
 
@@ -33,6 +36,14 @@
 #: words show whether there is another, and what it ordered last shows in the list.
 SETTLING = 0.7
 
+#: Seconds for which a member of another zone's group may be missing from the list.  A
+#: zone that is cut off looks like one whose servers are lost one after the other, and
+#: its groups serve on there.
+FOREIGN_PATIENCE = 10.0
+
+#: Longest time in seconds that a member takes to join: it loads weights first.
+LONGEST_JOIN = 20.0
+
 #: Seconds after which an append that got no answer is looked for in the log.
 APPEND_TIMEOUT = 2.0
 
@@ -110,6 +121,8 @@
         The availability zone.
     n_zones : int
         Zones that share the weight store.
+    is_own : bool
+        True where the planner's host is in that zone itself.
     demand : callable
         Return the work that arrives at all hosts, in groups kept busy, by model.
     is_calm : callable
@@ -121,6 +134,7 @@
         *,
         zone: str,
         n_zones: int,
+        is_own: bool,
         directory: Directory,
         table: Callable[[], RouteTable | None],
         demand: Callable[[], Mapping[str, float]],
@@ -145,7 +159,11 @@
         self._n_free_seen = -1
         self._n_free_since = since
         self.keeper = GroupKeeper(
-            directory=directory, stall_time=stall_time, join_limit=20.0, log=log
+            directory=directory,
+            stall_time=stall_time,
+            join_limit=LONGEST_JOIN,
+            patience=0.0 if is_own else FOREIGN_PATIENCE,
+            log=log,
         )
 
     # The log
@@ -201,6 +219,7 @@
         if table is None or self._end < 0 or now - self._since < SETTLING:
             return [], None
         orders = self.keeper.look(now=now)
+        self._take_apart(table, now=now)
         append = self._append_due(table, now=now)
         for service in table.services_by_name.values():
             if service.engine is not None:
@@ -238,8 +257,47 @@
         free = self._free(service, now=now)
         if not free or not self._has_settled(free, now=now):
             return []
+        # What a group is taken apart for waits for its members.
+        held = {
+            self._directory.by_id[item].domain
+            for record in self.keeper.taken_apart()
+            for item in record.member_ids
+            if item in self._directory.by_id
+        }
+        free = [server for server in free if server.domain not in held]
         return choose_formations(free, self._rules(service, engine))
 
+    def _take_apart(self, table: RouteTable, *, now: float) -> None:
+        """End a group whose members are worth more in another one."""
+        if self._appending is not None or self._is_calm():
+            return
+        if self.keeper.taken_apart() or self.keeper.records(GroupPhase.FORMING):
+            return
+        for service in table.services_by_name.values():
+            if service.engine is None:
+                continue
+            free = self._free(service.name, now=now)
+            rules = self._rules(service.name, service.engine)
+            group = choose_taking_apart(free, self._standing(service.name), rules)
+            if group is not None:
+                self.keeper.end(group.name, TAKEN_APART, now=now)
+
+    def _standing(self, service: str) -> list[StandingGroup]:
+        """Return the zone's groups that serve, with their members."""
+        return [
+            StandingGroup(
+                name=record.name,
+                model=record.model,
+                members=tuple(
+                    self._directory.by_id[item]
+                    for item in record.member_ids
+                    if item in self._directory.by_id
+                ),
+            )
+            for record in self.keeper.records(GroupPhase.SERVING)
+            if record.service == service
+        ]
+
     def _rules(self, service: str, engine: EngineProfile) -> FormingRules:
         servers = list(self._directory.of_service(service))
         own = [item for item in servers if item.availability_zone == self._zone]
@@ -336,7 +394,14 @@
         foreseen = [self._foreseen(server, now=now) for server in free]
         orders = []
         rate = LOAD_SHARE * engine.loads_per_second / self._n_zones
-        for server, model in choose_staging(foreseen, self._rules(service, engine)):
+        rules = self._rules(service, engine)
+        wanted = choose_staging(foreseen, rules)
+        if self._is_calm():
+            # Loads are quick and free only before the first request.
+            wanted += choose_second_weights(
+                self._foreseen_groups(service, now=now), rules
+            )
+        for server, model in wanted:
             if not self._is_calm() and not self._loads.allow(rate=rate, now=now):
                 break
             self._staging_by_id[server.id] = _Staging(model=model.name, since=now)
@@ -350,6 +415,15 @@
             )
         return orders
 
+    def _foreseen_groups(self, service: str, *, now: float) -> list[StandingGroup]:
+        return [
+            replace(
+                group,
+                members=tuple(self._foreseen(item, now=now) for item in group.members),
+            )
+            for group in self._standing(service)
+        ]
+
     def _foreseen(self, server: BackendServer, *, now: float) -> BackendServer:
         """Return a server as it will be once it has staged what it was told to."""
         staging = self._staging_by_id.get(server.id)
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -18,6 +18,7 @@
 
     from .coordination.balance import Balancer
     from .coordination.host_words import HostWords
+    from .coordination.stillness import StillnessWatch
     from .relay_settings import RelaySettings
 
 __all__ = ["HostExchange", "WORD_INTERVAL"]
@@ -50,6 +51,7 @@
         settings: RelaySettings,
         words: HostWords,
         balancer: Balancer,
+        stillness: StillnessWatch,
         describe: Callable[[], dict[str, object]],
         take_version: Callable[[int, str], None],
     ) -> None:
@@ -57,6 +59,7 @@
         self._settings = settings
         self._words = words
         self._balancer = balancer
+        self._stillness = stillness
         self._describe = describe
         self._take_version = take_version
         self._boot = int.from_bytes(os.urandom(7), "big")
@@ -103,9 +106,16 @@
                 continue
             word = read.ok
             if self._words.take(word, now=now):
+                self._take_still(word, now=now)
                 self._take_version(word.configuration_version, word.host)
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
 
+    def _take_still(self, word: HostWord, *, now: float) -> None:
+        """Leave groups alone that stand still for another host, and not here."""
+        for server_id in word.still:
+            if not self._stillness.moves(server_id, now=now):
+                self._balancer.stands_still(server_id, now=now)
+
     def _log_hearing(self, *, now: float) -> None:
         heard = {word.host for word in self._words.living(now=now)}
         for host in heard - self._heard:
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -75,15 +75,16 @@
         self._metrics = metrics
         self._received_by_number: dict[int, RelayedRequest] = {}
         self._cutters_by_attempt: dict[str, EventCutter] = {}
-        self.demand = DemandMeter()
         self.stillness = stillness
         self.balancer = balancer
+        self.demand = DemandMeter()
         self.requests = RelayRequests(
             table=table,
             balancer=balancer,
             budget=budget,
             stillness=stillness,
             outbox=self,
+            served=self.demand.served,
             log=self._log,
         )
 
@@ -116,8 +117,9 @@
         for service in table.services_by_name.values() if table else ():
             engine = service.engine
             if engine is not None and model in engine.models_by_name:
+                n_answer = self.demand.answer_length(model, engine)
                 seconds = time_in_batch(
-                    engine, model, n_prompt=n_prompt, n_answer=engine.usual_answer
+                    engine, model, n_prompt=n_prompt, n_answer=n_answer
                 )
                 self.demand.arrived(model, seconds, now=now)
 
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -159,6 +159,7 @@
             settings=settings,
             words=self.words,
             balancer=self.balancer,
+            stillness=self.relay.stillness,
             describe=self._describe_host,
             take_version=self._take_version,
         )
@@ -193,8 +194,8 @@
         )
 
     def _still_heads(self) -> set[str]:
-        own = self.relay.stillness.still()
-        return self.words.still(now=time.monotonic()).union(own)
+        now = time.monotonic()
+        return self.words.still(now=now).union(self.relay.stillness.still(now=now))
 
     def _reads_store(self) -> bool:
         return self.fleet.servers.is_current and self.store.is_reachable
@@ -203,6 +204,7 @@
         return ZonePlanner(
             zone=zone,
             n_zones=len(self.settings.zones),
+            is_own=zone == self.settings.availability_zone,
             directory=self.directory,
             table=self._table,
             demand=self._demand,
@@ -219,13 +221,14 @@
         return total
 
     def _describe_host(self) -> dict[str, object]:
+        now = time.monotonic()
         return {
             "reads_store": self._reads_store(),
             "stopping": self.shutdown.stopping,
             "configuration_version": self.fleet.version,
-            "still": tuple(self.relay.stillness.still()),
+            "still": tuple(self.relay.stillness.still(now=now)),
             "plans": tuple(self.planning.planners_by_zone),
-            "demand_by_model": self.relay.demand.by_model(now=time.monotonic()),
+            "demand_by_model": self.relay.demand.by_model(now=now),
         }
 
     def _take_version(self, version: int, host: str) -> None:
--- /dev/null
+++ b/tests/test_coordination/group_fakes.py
@@ -0,0 +1,126 @@
+"""Play backend servers that are members of groups, as the list shows them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from ryelever.coordination.group_keeper import GroupKeeper
+from ryelever.coordination.group_orders import GroupOrder, OrderKind, OrderOutcome
+from ryelever.coordination.group_records import GroupRecord, Member
+from ryelever.state.directory import (
+    BackendServer,
+    Directory,
+    GroupReport,
+    GroupState,
+)
+
+__all__ = ["STALL_TIME", "Members", "record", "server"]
+
+#: Seconds for which a group stands still, as the platform's settings say.
+STALL_TIME = 6.0
+
+
+def server(
+    server_id: str,
+    *,
+    domain: str = "d0",
+    models: frozenset[str] = frozenset(),
+    staged: frozenset[str] = frozenset(),
+    group: GroupReport | None = None,
+    zone: str = "z",
+) -> BackendServer:
+    """Return a backend server that is free."""
+    return BackendServer(
+        id=server_id,
+        service="engines",
+        address=f"{server_id}:80",
+        availability_zone=zone,
+        slots=13,
+        draining=False,
+        domain=domain,
+        models=models,
+        staged=staged,
+        group=group,
+    )
+
+
+def record(
+    epoch: int, *server_ids: str, model: str = "large", zone: str = "z"
+) -> GroupRecord:
+    """Return the record of a group."""
+    return GroupRecord(
+        name=f"{zone}-{epoch}",
+        epoch=epoch,
+        service="engines",
+        model=model,
+        availability_zone=zone,
+        members=tuple(
+            Member(server_id=server_id, address=f"{server_id}:80")
+            for server_id in server_ids
+        ),
+    )
+
+
+class Members:
+    """Hold a keeper, and the servers that its orders go to."""
+
+    def __init__(self, *server_ids: str, patience: float = 0.0) -> None:
+        self.directory = Directory()
+        self.lines: list[str] = []
+        self.keeper = GroupKeeper(
+            directory=self.directory,
+            stall_time=STALL_TIME,
+            join_limit=20.0,
+            patience=patience,
+            log=lambda event, **fields: self.lines.append(event),
+        )
+        for server_id in server_ids:
+            self.directory.put(server(server_id))
+
+    def look(self, now: float) -> list[tuple[OrderKind, str]]:
+        """Return kind and server of the orders that are due."""
+        return [(order.kind, order.server_id) for order in self.orders(now)]
+
+    def orders(self, now: float) -> list[GroupOrder]:
+        """Return the orders that are due."""
+        return self.keeper.look(now=now)
+
+    def report(self, group: GroupRecord, state: GroupState, *server_ids: str) -> None:
+        """Show servers as members of a group in a state."""
+        for server_id in server_ids:
+            rank = group.member_ids.index(server_id)
+            report = GroupReport(
+                name=group.name, epoch=group.epoch, rank=rank, state=state
+            )
+            found = self.directory.by_id.get(server_id) or server(server_id)
+            self.directory.put(replace(found, group=report))
+
+    def leave(self, *server_ids: str) -> None:
+        """Show servers as members of no group."""
+        for server_id in server_ids:
+            found = self.directory.by_id[server_id]
+            self.directory.put(replace(found, group=None))
+
+    def drain(self, server_id: str) -> None:
+        """Show that a server has announced its leaving."""
+        self.directory.put(replace(self.directory.by_id[server_id], draining=True))
+
+    def lose(self, *server_ids: str, heard_at: float) -> None:
+        """Take servers out of the list."""
+        for server_id in server_ids:
+            self.directory.remove(server_id, heard_at=heard_at)
+
+    def serve(self, group: GroupRecord, *, now: float = 0.0) -> None:
+        """Take a group to where it serves."""
+        self.keeper.put(group, now=now)
+        self.report(group, GroupState.READY, *group.member_ids)
+        self.keeper.look(now=now)
+        self.report(group, GroupState.OPEN, group.head.server_id)
+        self.keeper.look(now=now)
+
+    def answer(
+        self, orders: list[GroupOrder], outcome: OrderOutcome, *, now: float
+    ) -> None:
+        """Answer orders alike."""
+        for order in orders:
+            self.keeper.answered(order, outcome, now=now)
--- /dev/null
+++ b/tests/test_coordination/test_group_keeper.py
@@ -0,0 +1,275 @@
+"""Test how groups are formed, opened and ended, under orders that go astray."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.coordination.group_keeper import (
+    LAST_STREAMS,
+    ORDER_RETRY,
+    STALL_SLACK,
+    TAKEN_APART,
+    GroupPhase,
+)
+from ryelever.coordination.group_orders import OrderKind, OrderOutcome
+from ryelever.state.directory import GroupState
+
+from .group_fakes import STALL_TIME, Members, record
+
+JOIN, OPEN, LEAVE, CLOSE, PROBE = (
+    OrderKind.JOIN,
+    OrderKind.OPEN,
+    OrderKind.LEAVE,
+    OrderKind.CLOSE,
+    OrderKind.PROBE,
+)
+
+GROUP = record(5, "a", "b", "c")
+
+
+@pytest.fixture
+def members() -> Members:
+    return Members("a", "b", "c", "d")
+
+
+def test_a_group_opens_once_all_were_seen_ready(members: Members) -> None:
+    members.keeper.put(GROUP, now=0.0)
+    assert members.look(0.0) == [(JOIN, "a"), (JOIN, "b"), (JOIN, "c")]
+    members.report(GROUP, GroupState.READY, "a", "b")
+    members.report(GROUP, GroupState.JOINING, "c")
+    assert members.look(0.5) == []
+    members.report(GROUP, GroupState.READY, "c")
+    assert members.look(0.6) == [(OPEN, "a")]
+    assert members.look(0.7) == []
+    members.report(GROUP, GroupState.OPEN, "a")
+    members.look(0.9)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.SERVING
+
+
+def test_joins_without_effect_are_given_again(members: Members) -> None:
+    members.keeper.put(GROUP, now=0.0)
+    orders = members.orders(0.0)
+    members.answer(orders, OrderOutcome.UNKNOWN, now=0.5)
+    members.report(GROUP, GroupState.READY, "a", "b")
+    assert members.look(0.9) == []
+    assert members.look(ORDER_RETRY) == [(JOIN, "c")]
+
+
+def test_ready_under_another_epoch_is_not_ready(members: Members) -> None:
+    """Show that a member that joined an earlier group of the name doesn't count.
+
+    Symptom: a request runs in a group one of whose members never was ready.
+    Sequence: a group is formed, a member's join is late, the group is formed anew
+    under a higher epoch, and the late join is carried out.
+    Cause: a member's state alone doesn't tell which of the two it joined.
+    """
+    earlier = record(4, "a", "b", "c")
+    members.keeper.put(GROUP, now=0.0)
+    members.report(GROUP, GroupState.READY, "a", "b")
+    members.report(earlier, GroupState.READY, "c")
+    assert members.look(0.0) == [(JOIN, "c")]
+
+
+def test_an_open_order_that_came_too_early_is_given_again_soon(
+    members: Members,
+) -> None:
+    members.keeper.put(GROUP, now=0.0)
+    members.report(GROUP, GroupState.READY, "a", "b", "c")
+    orders = members.orders(0.0)
+    members.answer(orders, OrderOutcome.REFUSED, now=0.0)
+    assert members.look(0.2) == []
+    assert members.look(0.31) == [(OPEN, "a")]
+
+
+@pytest.mark.parametrize("outcome", [OrderOutcome.OVERTAKEN, OrderOutcome.GONE])
+def test_a_join_that_can_never_be_ends_the_group(
+    members: Members, outcome: OrderOutcome
+) -> None:
+    members.keeper.put(GROUP, now=0.0)
+    orders = members.orders(0.0)
+    members.answer(orders[:1], outcome, now=0.1)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.ENDING
+
+
+def test_members_are_free_only_after_the_head_has_left(members: Members) -> None:
+    """Show that no member is given away while the head may still serve.
+
+    Symptom: a server is joined to a group while the head of its own is open.
+    Sequence: a member is lost, the head is told to leave, and the order gets no
+    answer, or the head answers that it can't take it now.
+    Cause: an order that was sent says nothing about the head's state.
+    """
+    members.serve(GROUP)
+    members.lose("c", heard_at=0.0)
+    orders = members.orders(3.0)
+    assert [(order.kind, order.server_id) for order in orders] == [(LEAVE, "a")]
+    assert members.keeper.taken() == {"a", "b", "c"}
+    members.answer(orders, OrderOutcome.UNKNOWN, now=3.5)
+    assert members.keeper.taken() == {"a", "b", "c"}
+    orders = members.orders(3.0 + ORDER_RETRY)
+    members.answer(orders, OrderOutcome.BEGUN, now=4.1)
+    assert members.keeper.taken() == set()
+
+
+def test_a_head_that_shows_as_having_left_frees_its_members(members: Members) -> None:
+    members.serve(GROUP)
+    members.lose("c", heard_at=0.0)
+    members.look(3.0)
+    members.leave("a")
+    members.look(3.2)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.RETIRED
+
+
+def test_a_broken_group_is_retired_without_an_order(members: Members) -> None:
+    members.serve(GROUP)
+    members.report(GROUP, GroupState.BROKEN, "a")
+    assert members.look(1.0) == []
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.RETIRED
+
+
+def test_a_silent_head_is_waited_for_until_its_group_has_broken_off(
+    members: Members,
+) -> None:
+    members.serve(GROUP)
+    members.lose("a", heard_at=10.0)
+    assert members.look(13.0) == [(LEAVE, "a")]
+    members.look(10.0 + STALL_TIME)
+    assert members.keeper.taken() == {"a", "b", "c"}
+    members.look(10.1 + STALL_TIME + STALL_SLACK)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.RETIRED
+
+
+def test_a_head_that_answers_is_not_silent(members: Members) -> None:
+    members.serve(GROUP)
+    members.lose("a", heard_at=10.0)
+    orders = members.orders(13.0)
+    # It is cut off from the store only, and refuses for a reason of its own.
+    members.keeper.answered(orders[0], OrderOutcome.UNKNOWN, now=13.1)
+    probe = members.keeper._new_order(
+        members.keeper._kept_by_name[GROUP.name], PROBE, "a"
+    )
+    members.keeper.answered(probe, OrderOutcome.HOLDS, now=16.0)
+    members.look(18.0)
+    assert members.keeper.taken() == {"a", "b", "c"}
+
+
+def test_a_group_that_is_cut_off_whole_keeps_its_members(members: Members) -> None:
+    """Show that a group behind a cut of its zone is not taken for broken.
+
+    Symptom: six servers are joined to groups while the heads of theirs are open.
+    Sequence: a zone is cut off with its servers, whose entries lapse; its groups
+    serve on there.  After seven seconds the planner takes the heads for broken, the
+    cut heals, the members appear again and are given to other groups.
+    Cause: a head that is silent stands still only if its members are on this side.
+    """
+    members.serve(GROUP)
+    members.lose("a", "b", "c", heard_at=10.0)
+    for now in (13.0, 18.0, 25.0):
+        members.look(now)
+    assert members.keeper.taken() == {"a", "b", "c"}
+    members.report(GROUP, GroupState.READY, "b", "c")
+    members.look(25.1)
+    assert members.keeper.taken() == {"a", "b", "c"}
+    # Once they have stayed as long as a group stands still, it has broken off.
+    members.look(25.2 + STALL_TIME + STALL_SLACK)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.RETIRED
+
+
+def test_another_zones_group_may_miss_members_for_a_while() -> None:
+    members = Members("a", "b", "c", patience=5.0)
+    members.serve(GROUP)
+    members.lose("b", heard_at=0.0)
+    assert members.look(3.0) == []
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.SERVING
+    assert members.look(8.1) == [(LEAVE, "a")]
+
+
+def test_a_leaving_member_lets_streams_end_first(members: Members) -> None:
+    members.serve(GROUP)
+    members.drain("c")
+    orders = members.orders(1.0)
+    assert [(order.kind, order.gently) for order in orders] == [(CLOSE, True)]
+    members.report(GROUP, GroupState.CLOSING, "a")
+    assert members.look(1.5) == []
+    assert members.look(1.1 + LAST_STREAMS) == [(LEAVE, "a")]
+
+
+def test_a_group_taken_apart_lets_streams_end_first(members: Members) -> None:
+    members.serve(GROUP)
+    members.keeper.end(GROUP.name, TAKEN_APART, now=1.0)
+    assert members.look(1.0) == [(CLOSE, "a")]
+    members.report(GROUP, GroupState.READY, "a")
+    # Ready again is not enough: another planner may tell the head to open.
+    assert members.look(1.3) == [(LEAVE, "a")]
+    assert [group.name for group in members.keeper.taken_apart()] == [GROUP.name]
+
+
+def test_members_of_a_group_that_stands_still_are_probed(members: Members) -> None:
+    """Show that a lost member is known long before its entry lapses.
+
+    Symptom: a group stands still for four seconds before it is mended.
+    Sequence: a member goes silent, the streams stop, its entry lapses 3.6 s later.
+    Cause: nobody asked the members.
+    """
+    members.serve(GROUP)
+    members.keeper.suspect({"a"})
+    for now in (1.0, 1.5):
+        probes = members.orders(now)
+        assert {(order.kind, order.server_id) for order in probes} == {
+            (PROBE, "a"),
+            (PROBE, "b"),
+            (PROBE, "c"),
+        }
+        for probe in probes:
+            lost = probe.server_id == "c"
+            outcome = OrderOutcome.UNKNOWN if lost else OrderOutcome.HOLDS
+            members.keeper.answered(probe, outcome, now=now + 0.4)
+    assert members.look(2.0) == [(LEAVE, "a")]
+    assert members.keeper.seems_lost("c", now=2.0)
+    assert not members.keeper.seems_lost("b", now=2.0)
+
+
+def test_members_that_all_answer_end_nothing(members: Members) -> None:
+    members.serve(GROUP)
+    members.keeper.suspect({"a"})
+    for now in (1.0, 1.5, 2.0):
+        members.answer(members.orders(now), OrderOutcome.HOLDS, now=now)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.SERVING
+    members.keeper.suspect(set())
+    assert members.look(3.0) == []
+
+
+def test_a_later_group_supersedes_the_one_that_shares_a_member(
+    members: Members,
+) -> None:
+    """Show what a new planner does with two records that share a member.
+
+    Symptom: a server is in two groups.
+    Sequence: a planner retires a group, forms another of its members and is killed
+    before the first record is dropped; its successor reads both.
+    Cause: the first record alone looks like a group that lost its members.
+    """
+    later = record(9, "b", "d")
+    members.report(later, GroupState.READY, "b", "d")
+    members.keeper.put(GROUP, now=0.0)
+    members.keeper.put(later, now=0.0)
+    members.look(0.0)
+    assert members.keeper.phase_of(GROUP.name) is not GroupPhase.FORMING
+    assert members.keeper.phase_of(later.name) is GroupPhase.FORMING
+
+
+def test_a_new_planner_takes_over_a_group_that_serves(members: Members) -> None:
+    members.report(GROUP, GroupState.READY, "b", "c")
+    members.report(GROUP, GroupState.OPEN, "a")
+    members.keeper.put(GROUP, now=50.0)
+    assert members.look(50.0) == []
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.SERVING
+
+
+def test_forming_that_takes_too_long_is_given_up(members: Members) -> None:
+    members.keeper.put(GROUP, now=0.0)
+    members.report(GROUP, GroupState.JOINING, "a", "b", "c")
+    members.look(20.0)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.FORMING
+    members.look(26.1)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.ENDING
