--- /dev/null
+++ b/tests/test_coordination/relay_fakes.py
@@ -0,0 +1,199 @@
+"""Play backend servers and callers to the decisions about relayed requests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ryelever.coordination.balance import Balancer
+from ryelever.coordination.relay_actions import RelayAttempt, RelayRefusal
+from ryelever.coordination.relay_requests import RelayRequests
+from ryelever.coordination.repeat_budget import RepeatBudget
+from ryelever.coordination.stillness import StillnessWatch
+from ryelever.protocol.relaying import AnswerHead, Headers, RelayArrival
+from ryelever.state.directory import (
+    BackendServer,
+    Directory,
+    GroupReport,
+    GroupState,
+)
+from ryelever.state.routes import Route, RouteAccount, RouteKind, RouteTable
+
+__all__ = ["Relaying", "head"]
+
+HOST = "calls.example"
+
+
+def _route(kind: RouteKind, *, resumable: bool = False) -> Route:
+    return Route(
+        name=kind.value,
+        host=HOST,
+        path_prefix=f"/{kind.value}/",
+        kind=kind,
+        timeout=8.0,
+        latency_objective=0.5,
+        pause_objective=0.3,
+        priority=1,
+        weight_by_service={"engines" if kind is RouteKind.STREAM else "plain": 1.0},
+        max_attempts=2,
+        public=False,
+        resumable=resumable,
+    )
+
+
+def table(*, resumable: bool = True) -> RouteTable:
+    """Return a configuration with a route of each kind."""
+    routes = [
+        _route(RouteKind.IDEMPOTENT),
+        _route(RouteKind.AT_MOST_ONCE),
+        _route(RouteKind.STREAM, resumable=resumable),
+    ]
+    return RouteTable(
+        version=1,
+        routes_by_host={HOST: routes},
+        services_by_name={},
+        account_by_key={"key": RouteAccount(name="pawroute")},
+        asks_for_keys=True,
+    )
+
+
+def head(request_id: str = "r1", status: int = 200, **changes: Any) -> AnswerHead:
+    """Return the head of a backend server's answer."""
+    values = {
+        "status": status,
+        "request_id": request_id,
+        "signed": True,
+        "not_run": False,
+        "wrong_server": False,
+        "encoded": False,
+        "length": None,
+        "headers": [(b"response-seal", b"s")],
+    }
+    return AnswerHead(**(values | changes))
+
+
+class Relaying:
+    """Hold the decisions, and what they asked for.
+
+    Attributes
+    ----------
+    sent : list of RelayAttempt
+        Attempts in their order.
+    out : list of tuple
+        What callers got: kind, and status or bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        n_servers: int = 3,
+        slots: int = 2,
+        slack: float = 100.0,
+        resumable: bool = True,
+        configured: bool = True,
+    ) -> None:
+        self.table = table(resumable=resumable) if configured else None
+        self.directory = Directory()
+        self.slots = slots
+        for index in range(n_servers):
+            self.directory.put(self.plain(f"p{index}"))
+            self.directory.put(self.engine_head(f"h{index}"))
+        self.balancer = Balancer(directory=self.directory, zone="z")
+        self.stillness = StillnessWatch()
+        self.sent: list[RelayAttempt] = []
+        self.cancelled: list[str] = []
+        self.out: list[tuple[Any, ...]] = []
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+        self.requests = RelayRequests(
+            table=lambda: self.table,
+            balancer=self.balancer,
+            budget=RepeatBudget(ratio=0.2, slack=slack, window=10.0, n_hosts=lambda: 1),
+            stillness=self.stillness,
+            outbox=self,
+            served=lambda model, n_events: None,
+            log=lambda event, **fields: self.lines.append((event, fields)),
+        )
+
+    def plain(self, server_id: str) -> BackendServer:
+        return BackendServer(
+            id=server_id,
+            service="plain",
+            address=f"{server_id}:80",
+            availability_zone="z",
+            slots=self.slots,
+            draining=False,
+        )
+
+    def engine_head(self, server_id: str) -> BackendServer:
+        return BackendServer(
+            id=server_id,
+            service="engines",
+            address=f"{server_id}:80",
+            availability_zone="z",
+            slots=self.slots,
+            draining=False,
+            models=frozenset({"large"}),
+            group=GroupReport(name=server_id, epoch=1, rank=0, state=GroupState.OPEN),
+        )
+
+    def arrive(
+        self,
+        kind: RouteKind,
+        *,
+        number: int = 1,
+        now: float = 0.0,
+        key: str | None = "key",
+        path: str = "1",
+        last_event_id: str = "",
+        patience: float = 6.0,
+    ) -> None:
+        """Let a request come."""
+        arrival = RelayArrival(
+            request_id=f"r{number}",
+            host=HOST,
+            path=f"/{kind.value}/{path}",
+            key=key,
+            model="large" if kind is RouteKind.STREAM else "",
+            n_prompt=100,
+            n_answer=50,
+            last_event_id=last_event_id,
+            deadline=now + patience,
+            arrived_at=now,
+        )
+        self.requests.arrive(number, arrival)
+
+    def events(self, attempt: RelayAttempt, *ids: int, now: float) -> None:
+        """Let a backend server write events."""
+        events = [(str(item), f"id: {item}\n\n".encode()) for item in ids]
+        self.requests.answer_events(attempt.id, events, now=now)
+
+    def delivered(self) -> bytes:
+        """Return the bytes that callers got of streams."""
+        return b"".join(item[2] for item in self.out if item[0] == "data")
+
+    # What is decided
+
+    def send(self, attempt: RelayAttempt) -> None:
+        self.sent.append(attempt)
+
+    def cancel(self, attempt_id: str) -> None:
+        self.cancelled.append(attempt_id)
+
+    def answer(
+        self, request_number: int, *, status: int, headers: Headers, body: bytes
+    ) -> None:
+        self.out.append(("answer", request_number, status, body))
+
+    def refuse(self, request_number: int, refusal: RelayRefusal) -> None:
+        self.out.append(("refuse", request_number, refusal.status, refusal.retry_after))
+
+    def start(self, request_number: int, *, status: int, headers: Headers) -> None:
+        self.out.append(("start", request_number, status))
+
+    def data(self, request_number: int, data: bytes) -> None:
+        self.out.append(("data", request_number, data))
+
+    def finish(self, request_number: int) -> None:
+        self.out.append(("finish", request_number))
+
+    def abort(self, request_number: int) -> None:
+        self.out.append(("abort", request_number))
--- /dev/null
+++ b/tests/test_coordination/test_balance.py
@@ -0,0 +1,245 @@
+"""Test which backend server gets a relayed request."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from ryelever.coordination.balance import (
+    FIRST_AVOIDANCE,
+    MAX_AVOIDANCE,
+    STILL_AVOIDANCE,
+    WAITING_AT_SERVER,
+    Balancer,
+)
+from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE, Removals
+from ryelever.coordination.repeat_budget import RepeatBudget
+from ryelever.coordination.stillness import (
+    FIRST_SILENCE,
+    SILENCE,
+    STILL_FOR,
+    StillnessWatch,
+)
+from ryelever.state.directory import BackendServer, Directory, GroupReport, GroupState
+
+from .group_fakes import server
+
+
+def _head(server_id: str, *, zone: str = "z", **changes: object) -> BackendServer:
+    group = GroupReport(name=server_id, epoch=1, rank=0, state=GroupState.OPEN)
+    found = server(server_id, zone=zone, models=frozenset({"large"}), group=group)
+    return replace(found, **changes)
+
+
+@pytest.fixture
+def directory() -> Directory:
+    return Directory()
+
+
+@pytest.fixture
+def balancer(directory: Directory) -> Balancer:
+    return Balancer(directory=directory, zone="z")
+
+
+def _choose(balancer: Balancer, *, now: float = 0.0, **changes: object) -> str | None:
+    excluded = changes.get("excluded", set())
+    chosen = balancer.choose("engines", "large", excluded=excluded, now=now)
+    return chosen.id if chosen else None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({"draining": True}, id="leaving"),
+        pytest.param({"group": None}, id="no-group"),
+        pytest.param({"models": frozenset({"small"})}, id="other-model"),
+        pytest.param(
+            {"group": GroupReport(name="g", epoch=1, rank=1, state=GroupState.OPEN)},
+            id="no-head",
+        ),
+        pytest.param(
+            {"group": GroupReport(name="g", epoch=1, rank=0, state=GroupState.CLOSING)},
+            id="closing",
+        ),
+        pytest.param(
+            {"group": GroupReport(name="g", epoch=1, rank=0, state=GroupState.BROKEN)},
+            id="broken",
+        ),
+    ],
+)
+def test_who_gets_nothing(
+    directory: Directory, balancer: Balancer, changes: dict[str, object]
+) -> None:
+    directory.put(_head("a", **changes))
+    assert _choose(balancer) is None
+
+
+def test_the_least_loaded_over_all_hosts(
+    directory: Directory, balancer: Balancer
+) -> None:
+    directory.put(_head("a"))
+    directory.put(_head("b"))
+    balancer.sent("a")
+    assert _choose(balancer) == "b"
+    balancer.peers_in_flight_by_id["b"] = 2
+    assert _choose(balancer) == "a"
+    balancer.ended("a")
+    assert _choose(balancer, excluded={"a"}) == "b"
+
+
+def test_the_own_zone_unless_it_is_busier(
+    directory: Directory, balancer: Balancer
+) -> None:
+    directory.put(_head("far", zone="y"))
+    directory.put(_head("near"))
+    balancer.sent("near")
+    assert _choose(balancer) == "near"
+    balancer.sent("near")
+    assert _choose(balancer) == "far"
+
+
+def test_a_full_server_gets_nothing(directory: Directory, balancer: Balancer) -> None:
+    directory.put(_head("a"))
+    for _ in range(13 + WAITING_AT_SERVER):
+        assert _choose(balancer) == "a"
+        balancer.sent("a")
+    assert _choose(balancer) is None
+
+
+def test_a_server_that_fails_is_left_alone_longer_each_time(
+    directory: Directory, balancer: Balancer
+) -> None:
+    directory.put(_head("a"))
+    now = 0.0
+    pauses = []
+    for _ in range(6):
+        balancer.failed("a", now=now)
+        # What fails with it at once counts once.
+        balancer.failed("a", now=now)
+        pauses.append(balancer.record("a").avoided_until - now)
+        now = balancer.record("a").avoided_until
+        assert _choose(balancer, now=now) == "a"
+    assert pauses[0] == FIRST_AVOIDANCE
+    assert pauses[-1] == pauses[-2] == MAX_AVOIDANCE
+    balancer.succeeded("a")
+    balancer.failed("a", now=now)
+    assert balancer.record("a").avoided_until == now + FIRST_AVOIDANCE
+
+
+def test_a_group_that_stands_still_is_left_alone_until_it_moves(
+    directory: Directory, balancer: Balancer
+) -> None:
+    directory.put(_head("a"))
+    balancer.stands_still("a", now=1.0)
+    assert _choose(balancer, now=1.0 + STILL_AVOIDANCE - 0.1) is None
+    balancer.moves("a")
+    assert _choose(balancer, now=1.1) == "a"
+
+
+def test_new_groups_show_at_once(directory: Directory, balancer: Balancer) -> None:
+    assert _choose(balancer) is None
+    directory.put(_head("a"))
+    assert _choose(balancer) == "a"
+    directory.remove("a", heard_at=0.0)
+    assert _choose(balancer) is None
+
+
+# Groups that stand still
+
+
+@pytest.fixture
+def watch() -> StillnessWatch:
+    return StillnessWatch()
+
+
+def _still_at(watch: StillnessWatch, start: float, end: float) -> float | None:
+    for index in range(int((end - start) / 0.05) + 1):
+        now = start + index * 0.05
+        if watch.newly_still(now=now):
+            return now
+    return None
+
+
+def test_silence_of_all_streams_shows(watch: StillnessWatch) -> None:
+    watch.newly_still(now=0.0)
+    watch.began("a", "s1", now=0.0)
+    watch.began("a", "s2", now=0.0)
+    watch.progressed("a", now=0.05)
+    still_at = _still_at(watch, 0.05, 2.0)
+    assert SILENCE < still_at - 0.05 <= SILENCE + 0.1
+    assert watch.still(now=still_at) == ["a"]
+    assert watch.still(now=still_at + STILL_FOR + 0.1) == []
+
+
+def test_one_stream_that_moves_is_enough(watch: StillnessWatch) -> None:
+    watch.newly_still(now=0.0)
+    watch.began("a", "s1", now=0.0)
+    watch.began("a", "s2", now=0.0)
+    for index in range(40):
+        now = index * 0.05
+        watch.progressed("a", now=now)
+        assert watch.newly_still(now=now) == []
+        assert watch.moves("a", now=now)
+
+
+def test_a_first_event_may_take_longer(watch: StillnessWatch) -> None:
+    watch.newly_still(now=0.0)
+    watch.began("a", "s1", now=0.0)
+    still_at = _still_at(watch, 0.0, 3.0)
+    assert FIRST_SILENCE < still_at <= FIRST_SILENCE + 0.1
+
+
+def test_a_group_without_streams_is_not_still(watch: StillnessWatch) -> None:
+    watch.newly_still(now=0.0)
+    watch.began("a", "s1", now=0.0)
+    watch.ended("a", "s1")
+    assert _still_at(watch, 0.0, 3.0) is None
+
+
+# Entries that lapse while the store is away
+
+
+def test_entries_that_lapsed_in_an_outage_are_waited_for() -> None:
+    """Show that the fleet isn't emptied when the store comes back.
+
+    Symptom: no backend server is known for two seconds after an outage.
+    Sequence: the store is down for five seconds, entries lapse meanwhile, and all are
+    back within two seconds of its return.
+    Cause: the removals are read first.
+    """
+    removals = Removals()
+    removals.note_reads(answered_at=1.0, failed_at=float("-inf"))
+    removals.note_reads(answered_at=1.0 + OUTAGE + 4.0, failed_at=3.0)
+    back = 1.0 + OUTAGE + 4.0
+    removals.add("a", now=back)
+    removals.add("b", now=back)
+    assert removals.due(now=back + 1.0) == []
+    removals.discard("a")
+    assert removals.due(now=back + ENTRIES_BACK) == ["b"]
+
+
+def test_removals_hold_at_once_while_reads_are_answered() -> None:
+    removals = Removals()
+    removals.note_reads(answered_at=1.0, failed_at=float("-inf"))
+    removals.note_reads(answered_at=1.4, failed_at=1.2)
+    removals.add("a", now=1.4)
+    assert removals.due(now=1.4) == ["a"]
+
+
+# Repeats
+
+
+def test_repeats_are_a_share_of_requests_and_of_the_slack() -> None:
+    n_hosts = 1
+    budget = RepeatBudget(ratio=0.2, slack=20.0, window=10.0, n_hosts=lambda: n_hosts)
+    for _ in range(100):
+        budget.requested("s", now=0.0)
+    allowed = sum(budget.allow("s", now=1.0) for _ in range(100))
+    assert 0 < allowed <= 0.2 * 100 + 20
+    assert budget.allow("other", now=1.0)
+    assert not budget.allow("s", now=9.9)
+    assert budget.allow("s", now=11.1)
+    n_hosts = 20
+    many = RepeatBudget(ratio=0.2, slack=20.0, window=10.0, n_hosts=lambda: n_hosts)
+    assert sum(many.allow("s", now=1.0) for _ in range(100)) <= 1
--- /dev/null
+++ b/tests/test_coordination/test_group_forming.py
@@ -0,0 +1,192 @@
+"""Test which groups are formed, and of whom."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.coordination.group_forming import (
+    FormingRules,
+    StandingGroup,
+    choose_formations,
+    choose_second_weights,
+    choose_staging,
+    choose_taking_apart,
+)
+from ryelever.state.directory import BackendServer
+from ryelever.state.routes import EngineProfile, ModelProfile
+
+from .group_fakes import server
+
+LARGE = ModelProfile(
+    name="large", size=4, share=0.67, pace=1.0, load_time=16.0, warm_time=1.6
+)
+SMALL = ModelProfile(
+    name="small", size=2, share=0.33, pace=0.6, load_time=12.0, warm_time=1.1
+)
+
+ENGINE = EngineProfile(
+    slots=13,
+    step_time=0.006,
+    step_time_per_request=0.0005,
+    prefill_rate=46000.0,
+    tokens_per_event=5,
+    form_time=0.3,
+    loads_per_second=4.0,
+    usual_prompt=1000.0,
+    usual_answer=100.0,
+    models_by_name={"large": LARGE, "small": SMALL},
+)
+
+L = frozenset({"large"})
+S = frozenset({"small"})
+
+
+def _rules(
+    *,
+    demand: tuple[float, float] = (1.0, 1.0),
+    groups: tuple[int, int] = (1, 1),
+    n_servers: int = 16,
+    quick: bool = False,
+) -> FormingRules:
+    return FormingRules(
+        engine=ENGINE,
+        demand_by_model={"large": demand[0], "small": demand[1]},
+        groups_by_model={"large": groups[0], "small": groups[1]},
+        n_servers=n_servers,
+        loads_are_quick=quick,
+    )
+
+
+def _servers(
+    n: int,
+    domain: str = "d0",
+    *,
+    staged: frozenset[str] = frozenset(),
+    models: frozenset[str] = frozenset(),
+    start: int = 0,
+) -> list[BackendServer]:
+    return [
+        server(f"{domain}-{index}", domain=domain, staged=staged, models=models)
+        for index in range(start, start + n)
+    ]
+
+
+def _made(free: list[BackendServer], rules: FormingRules) -> list[tuple[str, set[str]]]:
+    return [
+        (formation.model.name, {item.domain for item in formation.members})
+        for formation in choose_formations(free, rules)
+    ]
+
+
+def test_a_fresh_zone_gets_both_models_and_keeps_spares() -> None:
+    free = _servers(8, "d0") + _servers(8, "d1")
+    made = choose_formations(
+        free, _rules(demand=(1.34, 1.32), groups=(0, 0), quick=True)
+    )
+    names = [formation.model.name for formation in made]
+    assert (names.count("large"), names.count("small")) == (2, 3)
+    assert all(len({item.domain for item in one.members}) == 1 for one in made)
+    taken = [item.id for formation in made for item in formation.members]
+    assert len(taken) == len(set(taken)) == 14
+
+
+def test_groups_are_not_formed_across_domains() -> None:
+    free = _servers(3, "d0", staged=L) + _servers(3, "d1", staged=L)
+    assert _made(free, _rules(demand=(9.0, 0.0))) == []
+
+
+def test_survivors_and_a_staged_spare_mend_at_once() -> None:
+    free = _servers(3, models=L) + _servers(1, staged=L, start=3)
+    assert _made(free, _rules(demand=(0.1, 0.1))) == [("large", {"d0"})]
+
+
+def test_survivors_are_not_tied_up_for_a_long_load() -> None:
+    """Show that survivors wait for the weights outside of a group.
+
+    Symptom: a group takes fifteen seconds to serve again.
+    Sequence: a member is lost, and the only spare has no weights staged.
+    Cause: the survivors joined with it, and couldn't be used with a better one.
+    """
+    free = _servers(3, models=L) + _servers(1, start=3)
+    rules = _rules(demand=(2.0, 0.1))
+    assert _made(free, rules) == []
+    staging = choose_staging(free, rules)
+    assert [(item.id, model.name) for item, model in staging] == [("d0-3", "large")]
+
+
+def test_spares_are_not_used_up_unless_groups_are_overloaded() -> None:
+    free = _servers(2, staged=S)
+    calm = _rules(demand=(0.1, 0.6), groups=(1, 1))
+    assert _made(free, calm) == []
+    busy = _rules(demand=(0.1, 0.9), groups=(1, 1))
+    assert _made(free, busy) == [("small", {"d0"})]
+
+
+def test_the_busiest_model_comes_first() -> None:
+    free = _servers(4, staged=L | S)
+    assert _made(free, _rules(demand=(2.0, 1.0)))[0][0] == "large"
+    assert _made(free, _rules(demand=(1.0, 2.0)))[0][0] == "small"
+
+
+def test_empty_servers_stage_the_largest_model() -> None:
+    staging = choose_staging(_servers(1), _rules(demand=(0.1, 0.1)))
+    assert [model.name for _, model in staging] == ["large"]
+
+
+def test_a_staged_spare_is_not_turned_over_for_a_little_need() -> None:
+    free = _servers(1, models=S) + _servers(1, staged=L, start=1)
+    assert choose_staging(free, _rules(demand=(0.1, 0.6))) == []
+    assert [
+        (item.id, model.name)
+        for item, model in choose_staging(free, _rules(demand=(0.1, 0.9)))
+    ] == [("d0-1", "small")]
+
+
+def _standing(*groups: tuple[str, int, str, frozenset[str]]) -> list[StandingGroup]:
+    return [
+        StandingGroup(
+            name=f"g{index}",
+            model=model,
+            members=tuple(
+                server(
+                    f"{domain}-g{index}-{rank}",
+                    domain=domain,
+                    models=frozenset({model}),
+                    staged=staged,
+                )
+                for rank in range(size)
+            ),
+        )
+        for index, (model, size, domain, staged) in enumerate(groups)
+    ]
+
+
+def test_members_stage_the_other_models_weights() -> None:
+    standing = _standing(("large", 4, "d0", L), ("small", 2, "d0", S | L))
+    chosen = choose_second_weights(standing, _rules())
+    assert {model.name for _, model in chosen} == {"small"}
+    assert len(chosen) == 4
+
+
+@pytest.mark.parametrize(
+    ("demand", "groups", "staged", "n_survivors", "expected"),
+    [
+        pytest.param((4.0, 2.0), (3, 6), L, 3, "g0", id="completes-the-neediest"),
+        pytest.param((2.0, 4.0), (3, 6), L, 3, None, id="as-needy-itself"),
+        pytest.param((0.6, 0.2), (3, 6), L, 3, None, id="nobody-needs-it"),
+        pytest.param((4.0, 2.0), (3, 6), S, 3, None, id="weights-not-staged"),
+        pytest.param((4.0, 2.0), (3, 6), L, 1, None, id="too-few-survivors"),
+        pytest.param((4.0, 2.0), (3, 6), L, 4, None, id="fits-without"),
+    ],
+)
+def test_when_a_group_is_taken_apart(
+    demand: tuple[float, float],
+    groups: tuple[int, int],
+    staged: frozenset[str],
+    n_survivors: int,
+    expected: str | None,
+) -> None:
+    standing = _standing(("small", 2, "d0", staged))
+    free = _servers(n_survivors, models=L)
+    chosen = choose_taking_apart(free, standing, _rules(demand=demand, groups=groups))
+    assert (chosen.name if chosen else None) == expected
--- /dev/null
+++ b/tests/test_coordination/test_host_words.py
@@ -0,0 +1,123 @@
+"""Test what entry hosts that relay requests make of each other's words."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.coordination.host_words import (
+    HOST_SILENCE,
+    ORPHANED,
+    HostWord,
+    HostWords,
+)
+from ryelever.protocol.host_words import MAX_DATAGRAM, decode_word, encode_word
+
+
+def _word(
+    host: str, *, sequence: int = 1, boot: int = 1, **changes: object
+) -> HostWord:
+    values = {
+        "host": host,
+        "availability_zone": "z",
+        "boot": boot,
+        "sequence": sequence,
+        "reads_store": True,
+        "stopping": False,
+        "configuration_version": 7,
+    }
+    return HostWord(**(values | changes))
+
+
+@pytest.fixture
+def words() -> HostWords:
+    return HostWords(host="b", zone="z")
+
+
+def test_a_word_survives_its_way() -> None:
+    word = _word(
+        "a",
+        in_flight_by_server={"i1": 3},
+        demand_by_model={"m": 0.5},
+        still=("i1",),
+        leaving=("i2",),
+        plans=("z",),
+    )
+    assert decode_word(encode_word(word), peer="a").ok == word
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00", b"no word at all", b"\xff" * 64])
+def test_other_datagrams_are_errors(data: bytes) -> None:
+    assert decode_word(data, peer="a").error.step == "read_host_word"
+
+
+def test_a_word_fits_into_a_datagram() -> None:
+    names = {f"i-{index:08x}": 13 for index in range(400)}
+    word = _word("a", in_flight_by_server=names, still=tuple(names))
+    assert len(encode_word(word)) <= MAX_DATAGRAM
+
+
+def test_old_words_are_dropped(words: HostWords) -> None:
+    assert words.take(_word("a", sequence=2), now=0.0)
+    assert not words.take(_word("a", sequence=1), now=0.1)
+    # A host that was started anew counts from the start.
+    assert words.take(_word("a", sequence=1, boot=2), now=0.2)
+    assert not words.take(_word("b"), now=0.3)
+
+
+def test_loads_of_living_hosts_add_up(words: HostWords) -> None:
+    words.take(_word("a", in_flight_by_server={"i1": 3}), now=0.0)
+    words.take(_word("c", in_flight_by_server={"i1": 2, "i2": 1}), now=0.5)
+    assert words.in_flight(now=0.6) == {"i1": 5, "i2": 1}
+    assert words.in_flight(now=0.1 + HOST_SILENCE) == {"i1": 2, "i2": 1}
+
+
+def _plans(words: HostWords, *, planning: bool = False, now: float = 0.0) -> bool:
+    return words.plans_for("z", planning=planning, reads_store=True, now=now)
+
+
+def test_the_first_host_that_reaches_the_store_plans(words: HostWords) -> None:
+    assert _plans(words)
+    words.take(_word("c"), now=0.0)
+    assert _plans(words)
+    words.take(_word("a", reads_store=False), now=0.0)
+    assert _plans(words)
+    words.take(_word("a", sequence=2), now=0.0)
+    assert not _plans(words)
+    assert _plans(words, now=0.1 + HOST_SILENCE)
+
+
+def test_who_plans_goes_on_planning(words: HostWords) -> None:
+    """Show that a host that comes back takes nothing over.
+
+    Symptom: nothing is mended for a second after a host is back.
+    Sequence: the first host by name is killed, another plans, the first is back.
+    Cause: each change of planner costs the time to read and to settle.
+    """
+    words.take(_word("a"), now=0.0)
+    assert _plans(words, planning=True)
+    words.take(_word("c", plans=("z",)), now=0.0)
+    assert not _plans(words, planning=False)
+    # Of two that plan, the first by name goes on.
+    assert _plans(words, planning=True)
+    words.take(_word("a", sequence=2, plans=("z",)), now=0.0)
+    assert not _plans(words, planning=True)
+
+
+def test_a_stopping_host_plans_no_more(words: HostWords) -> None:
+    words.take(_word("a", stopping=True, plans=("z",)), now=0.0)
+    assert _plans(words)
+
+
+def test_a_host_without_the_store_plans_nothing(words: HostWords) -> None:
+    assert not words.plans_for("z", planning=True, reads_store=False, now=0.0)
+
+
+def test_a_zone_without_hosts_is_planned_for_by_others(words: HostWords) -> None:
+    def plans(now: float) -> bool:
+        return words.plans_for("y", planning=False, reads_store=True, now=now)
+
+    assert not plans(0.0)
+    assert not plans(ORPHANED - 0.1)
+    assert plans(ORPHANED)
+    words.take(_word("a", availability_zone="y"), now=ORPHANED)
+    assert not plans(ORPHANED + 0.1)
--- /dev/null
+++ b/tests/test_coordination/test_relay_requests.py
@@ -0,0 +1,366 @@
+"""Test what becomes of relayed requests when backend servers fail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from ryelever.coordination.relay_requests import LONGEST_WAIT
+from ryelever.coordination.stillness import SILENCE
+from ryelever.state.routes import RouteKind
+
+from .relay_fakes import Relaying, head
+
+SAFE, ONCE, STREAM = RouteKind.IDEMPOTENT, RouteKind.AT_MOST_ONCE, RouteKind.STREAM
+
+#: Times of ticks a fiftieth of a second apart.
+TICK = 0.05
+
+
+@pytest.fixture
+def relaying() -> Relaying:
+    return Relaying()
+
+
+def _tick_until(relaying: Relaying, start: float, end: float) -> None:
+    for index in range(int((end - start) / TICK) + 1):
+        relaying.requests.tick(now=start + index * TICK)
+
+
+def test_an_answer_is_passed_on_whole(relaying: Relaying) -> None:
+    relaying.arrive(ONCE)
+    attempt = relaying.sent[0]
+    assert (attempt.account, attempt.fresh) == ("pawroute", True)
+    relaying.requests.answer_head(attempt.id, head(status=201), now=0.1)
+    relaying.requests.answer_body(attempt.id, b"who", now=0.1)
+    assert relaying.out == []
+    relaying.requests.answer_body(attempt.id, b"le", now=0.1)
+    relaying.requests.answer_end(attempt.id, cut=False, now=0.2)
+    assert relaying.out == [("answer", 1, 201, b"whole")]
+    assert relaying.requests.requests_by_number == {}
+
+
+@pytest.mark.parametrize(
+    ("key", "path", "status"),
+    [
+        pytest.param("wrong", "1", 401, id="unknown-key"),
+        pytest.param(None, "1", 401, id="no-key"),
+        pytest.param("key", "../nowhere", 200, id="prefix-decides"),
+    ],
+)
+def test_who_may_call(
+    relaying: Relaying, key: str | None, path: str, status: int
+) -> None:
+    relaying.arrive(SAFE, key=key, path=path)
+    if status == 200:
+        assert len(relaying.sent) == 1
+    else:
+        assert relaying.out == [("refuse", 1, status, None)]
+        assert relaying.sent == []
+
+
+def test_without_a_configuration_callers_come_back_later() -> None:
+    relaying = Relaying(configured=False)
+    relaying.arrive(SAFE)
+    [(_, _, status, retry_after)] = relaying.out
+    assert status == 503
+    assert retry_after > 0
+
+
+def _reset(relaying: Relaying, attempt_id: str) -> None:
+    relaying.requests.attempt_failed(attempt_id, "reset", sent=True, now=0.2)
+
+
+def _unsigned(relaying: Relaying, attempt_id: str) -> None:
+    relaying.requests.answer_head(attempt_id, head(signed=False), now=0.2)
+
+
+def _encoded(relaying: Relaying, attempt_id: str) -> None:
+    relaying.requests.answer_head(attempt_id, head(encoded=True), now=0.2)
+
+
+def _of_another(relaying: Relaying, attempt_id: str) -> None:
+    relaying.requests.answer_head(attempt_id, head("r9"), now=0.2)
+
+
+def _without_promise(relaying: Relaying, attempt_id: str) -> None:
+    relaying.requests.answer_head(attempt_id, head(status=503), now=0.2)
+    relaying.requests.answer_end(attempt_id, cut=False, now=0.2)
+
+
+AMBIGUOUS = [
+    pytest.param(_reset, id="reset"),
+    pytest.param(_unsigned, id="not-signed"),
+    pytest.param(_encoded, id="encoded-on-the-way"),
+    pytest.param(_of_another, id="answer-to-another"),
+    pytest.param(_without_promise, id="503-without-promise"),
+]
+
+
+@pytest.mark.parametrize("fail", AMBIGUOUS)
+def test_what_may_have_run_is_not_sent_again(
+    relaying: Relaying, fail: Callable[[Relaying, str], None]
+) -> None:
+    """Show that a booking runs once, and that nobody hears it has not run.
+
+    Symptom: a booking is charged twice.
+    Sequence: the backend server runs it, and its answer is lost or spoiled.
+    Cause: a failure after the request has left says nothing about whether it ran.
+    """
+    relaying.arrive(ONCE)
+    fail(relaying, relaying.sent[0].id)
+    assert len(relaying.sent) == 1
+    assert relaying.out == [("refuse", 1, 502, None)]
+
+
+@pytest.mark.parametrize("fail", AMBIGUOUS)
+def test_what_may_be_repeated_goes_to_another_server(
+    relaying: Relaying, fail: Callable[[Relaying, str], None]
+) -> None:
+    relaying.arrive(SAFE)
+    fail(relaying, relaying.sent[0].id)
+    assert len(relaying.sent) == 2
+    assert relaying.sent[0].server_id != relaying.sent[1].server_id
+    assert relaying.out == []
+
+
+def test_what_was_promised_not_to_have_run_is_sent_again(relaying: Relaying) -> None:
+    relaying.arrive(ONCE)
+    for attempt in (0, 1):
+        sent = relaying.sent[attempt]
+        refused = head(status=503, not_run=True)
+        relaying.requests.answer_head(sent.id, refused, now=0.1)
+    assert len(relaying.sent) == 2
+    [(_, _, status, retry_after)] = relaying.out
+    assert status == 503
+    assert retry_after > 0
+
+
+def test_what_never_left_is_sent_elsewhere_and_counts_as_no_attempt(
+    relaying: Relaying,
+) -> None:
+    relaying.arrive(ONCE)
+    for attempt in (0, 1):
+        relaying.requests.attempt_failed(
+            relaying.sent[attempt].id, "refused", sent=False, now=0.1
+        )
+    assert len({attempt.server_id for attempt in relaying.sent}) == 3
+
+
+def test_a_servers_own_failure_is_passed_on_when_nothing_else_is_left(
+    relaying: Relaying,
+) -> None:
+    relaying.arrive(SAFE)
+    for attempt in (0, 1):
+        sent = relaying.sent[attempt]
+        relaying.requests.answer_head(sent.id, head(status=500), now=0.1)
+        relaying.requests.answer_body(sent.id, b"own", now=0.1)
+        relaying.requests.answer_end(sent.id, cut=False, now=0.1)
+    assert relaying.out == [("answer", 1, 500, b"own")]
+
+
+def test_repeats_stop_at_their_budget() -> None:
+    """Show that failing servers don't multiply the load that made them fail.
+
+    Symptom: arrivals beyond the first exceed a share of the requests.
+    Sequence: every backend server fails for a while.
+    Cause: each request is sent again without regard for the others.
+    """
+    relaying = Relaying(n_servers=40, slots=50, slack=10.0)
+    for number in range(1, 101):
+        relaying.arrive(SAFE, number=number)
+    for attempt in list(relaying.sent):
+        relaying.requests.attempt_failed(attempt.id, "reset", sent=True, now=0.1)
+    repeats = len(relaying.sent) - 100
+    assert 0 < repeats <= 0.2 * 100 + 10
+
+
+# Streams
+
+
+def test_a_stream_goes_on_elsewhere_after_the_last_event(relaying: Relaying) -> None:
+    """Show that no event is lost or comes twice when a stream changes servers.
+
+    Symptom: a piece of an answer is missing, or comes twice.
+    Sequence: a group's member dies in the middle of a stream, also of an event.
+    Cause: the second server must go on after the last event that was passed on.
+    """
+    relaying.arrive(STREAM)
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.events(first, 1, 2, now=0.2)
+    relaying.requests.answer_end(first.id, cut=True, now=0.3)
+    second = relaying.sent[1]
+    assert second.last_event_id == "2"
+    assert second.server_id != first.server_id
+    relaying.requests.answer_head(second.id, head(), now=0.4)
+    relaying.events(second, 2, 3, now=0.5)
+    relaying.requests.answer_end(second.id, cut=False, now=0.6)
+    assert relaying.delivered() == b"id: 1\n\nid: 2\n\nid: 3\n\n"
+    assert [item[0] for item in relaying.out].count("start") == 1
+    assert relaying.out[-1] == ("finish", 1)
+
+
+def test_a_stream_that_cannot_be_resumed_is_broken_off() -> None:
+    relaying = Relaying(resumable=False)
+    relaying.arrive(STREAM)
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.events(first, 1, now=0.2)
+    relaying.requests.attempt_failed(first.id, "reset", sent=True, now=0.3)
+    assert len(relaying.sent) == 1
+    assert relaying.out[-1] == ("abort", 1)
+
+
+def test_a_stream_without_events_is_not_complete(relaying: Relaying) -> None:
+    relaying.arrive(STREAM)
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.requests.answer_end(first.id, cut=False, now=0.2)
+    assert len(relaying.sent) == 2
+
+
+def test_a_failure_in_the_place_of_a_streams_rest_is_not_passed_on(
+    relaying: Relaying,
+) -> None:
+    relaying.arrive(STREAM)
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.events(first, 1, now=0.2)
+    relaying.requests.attempt_failed(first.id, "reset", sent=True, now=0.3)
+    second = relaying.sent[1]
+    relaying.requests.answer_head(second.id, head(status=500), now=0.4)
+    relaying.requests.answer_body(second.id, b"no", now=0.4)
+    relaying.requests.answer_end(second.id, cut=False, now=0.4)
+    assert relaying.out[-1] == ("abort", 1)
+    assert relaying.delivered() == b"id: 1\n\n"
+
+
+def test_a_caller_resumes_where_it_says(relaying: Relaying) -> None:
+    relaying.arrive(STREAM, last_event_id="7")
+    assert relaying.sent[0].last_event_id == "7"
+
+
+def test_streams_leave_a_group_that_stands_still(relaying: Relaying) -> None:
+    """Show that streams go on elsewhere while their group stands still.
+
+    Symptom: callers leave after two seconds without an event.
+    Sequence: a member is lost; the head goes on accepting, and nothing moves.
+    Cause: the connection to the head is sound, and fails only seconds later.
+    """
+    relaying.arrive(STREAM)
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.events(first, 1, now=0.2)
+    _tick_until(relaying, 0.2, 0.2 + SILENCE)
+    assert len(relaying.sent) == 1
+    _tick_until(relaying, 0.2 + SILENCE, 0.4 + SILENCE)
+    assert relaying.cancelled == [first.id]
+    assert relaying.sent[1].last_event_id == "1"
+    # What comes next goes elsewhere too.
+    relaying.arrive(STREAM, number=2, now=0.7)
+    assert relaying.sent[2].server_id != first.server_id
+
+
+def test_a_host_that_was_frozen_takes_no_group_for_still(relaying: Relaying) -> None:
+    """Show that the events that wait unread are read first.
+
+    Symptom: all streams of a host move at once, and use the repeats of all up.
+    Sequence: the host freezes for two seconds and wakes.
+    Cause: the silence was its own.
+    """
+    relaying.arrive(STREAM)
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.events(first, 1, now=0.2)
+    relaying.requests.tick(now=0.25)
+    relaying.requests.tick(now=2.4)
+    assert len(relaying.sent) == 1
+
+
+# Waiting, giving up, leaving
+
+
+def test_requests_wait_for_a_place_and_then_for_none(relaying: Relaying) -> None:
+    n_places = 3 * (relaying.slots + 2)
+    for number in range(1, n_places + 2):
+        relaying.arrive(STREAM, number=number)
+    assert len(relaying.sent) == n_places
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.events(first, 1, now=0.1)
+    relaying.requests.answer_end(first.id, cut=False, now=0.1)
+    relaying.requests.tick(now=0.15)
+    assert len(relaying.sent) == n_places + 1
+
+
+def test_who_waits_too_long_hears_that_it_was_not_run(relaying: Relaying) -> None:
+    n_places = 3 * (relaying.slots + 2)
+    for number in range(1, n_places + 2):
+        relaying.arrive(STREAM, number=number, patience=60.0)
+    relaying.requests.tick(now=LONGEST_WAIT - 0.01)
+    assert relaying.out == []
+    relaying.requests.tick(now=LONGEST_WAIT)
+    [(kind, number, status, retry_after)] = relaying.out
+    assert (kind, number, status) == ("refuse", n_places + 1, 503)
+    assert retry_after > 0
+
+
+def test_requests_that_can_still_be_in_time_come_first(relaying: Relaying) -> None:
+    n_places = 3 * (relaying.slots + 2)
+    for number in range(1, n_places + 1):
+        relaying.arrive(STREAM, number=number)
+    relaying.arrive(STREAM, number=100, now=0.0)
+    relaying.arrive(STREAM, number=101, now=0.4)
+    relaying.requests.caller_gone(1)
+    relaying.requests.tick(now=0.45)
+    assert 101 in [attempt.request_number for attempt in relaying.sent]
+
+
+@pytest.mark.parametrize(
+    ("kind", "status"),
+    [
+        pytest.param(SAFE, 504, id="idempotent"),
+        pytest.param(ONCE, 504, id="at-most-once"),
+        pytest.param(STREAM, 504, id="stream"),
+    ],
+)
+def test_what_was_sent_and_not_answered_in_time_ends_without_a_promise(
+    relaying: Relaying, kind: RouteKind, status: int
+) -> None:
+    relaying.arrive(kind, patience=1.0)
+    relaying.requests.tick(now=0.95)
+    assert relaying.out == [("refuse", 1, status, None)]
+    assert relaying.cancelled == [relaying.sent[0].id]
+
+
+def test_the_routes_timeout_ends_a_stream(relaying: Relaying) -> None:
+    relaying.arrive(STREAM, patience=60.0)
+    first = relaying.sent[0]
+    relaying.requests.answer_head(first.id, head(), now=0.1)
+    relaying.events(first, 1, now=0.2)
+    relaying.requests.tick(now=8.0)
+    assert relaying.out[-1] == ("abort", 1)
+
+
+def test_a_caller_that_leaves_ends_its_request_at_once(relaying: Relaying) -> None:
+    relaying.arrive(STREAM)
+    relaying.requests.caller_gone(1)
+    assert relaying.cancelled == [relaying.sent[0].id]
+    assert relaying.requests.requests_by_number == {}
+    assert relaying.balancer.record(relaying.sent[0].server_id).in_flight == 0
+    # What the server still sends reaches nobody.
+    relaying.requests.answer_head(relaying.sent[0].id, head(), now=0.1)
+    relaying.events(relaying.sent[0], 1, now=0.1)
+    assert relaying.out == []
+
+
+def test_a_caller_that_leaves_while_it_waits_is_never_sent(relaying: Relaying) -> None:
+    n_places = 3 * (relaying.slots + 2)
+    for number in range(1, n_places + 2):
+        relaying.arrive(STREAM, number=number)
+    relaying.requests.caller_gone(n_places + 1)
+    relaying.requests.caller_gone(1)
+    relaying.requests.tick(now=0.1)
+    assert len(relaying.sent) == n_places
--- /dev/null
+++ b/tests/test_coordination/test_zone_planner.py
@@ -0,0 +1,166 @@
+"""Test how the groups of a zone are decided on by way of the store."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from ryelever.coordination.group_keeper import GroupPhase
+from ryelever.coordination.group_orders import OrderKind
+from ryelever.coordination.zone_planner import (
+    APPEND_TIMEOUT,
+    FLEET_SETTLING,
+    SETTLING,
+    AppendGroups,
+    ZonePlanner,
+)
+from ryelever.state.directory import Directory
+from ryelever.state.routes import RoutedService, RouteTable
+
+from .group_fakes import STALL_TIME, server
+from .test_group_forming import ENGINE
+
+
+class Zone:
+    """Hold a planner and what it sees."""
+
+    def __init__(self, *, n_servers: int = 8) -> None:
+        self.directory = Directory()
+        for index in range(n_servers):
+            self.directory.put(server(f"i{index}", domain=f"d{index // 8}"))
+        self.calm = True
+        self.demand: dict[str, float] = {}
+        service = RoutedService(name="engines", max_connections=100, engine=ENGINE)
+        table = RouteTable(
+            version=1,
+            routes_by_host={},
+            services_by_name={"engines": service},
+            account_by_key={},
+            asks_for_keys=False,
+        )
+        self.planner = ZonePlanner(
+            zone="z",
+            n_zones=1,
+            is_own=True,
+            directory=self.directory,
+            table=lambda: table,
+            demand=lambda: self.demand,
+            is_calm=lambda: self.calm,
+            stall_time=STALL_TIME,
+            since=0.0,
+            log=lambda event, **fields: None,
+        )
+
+    def appends(self, now: float) -> AppendGroups | None:
+        """Return the append that is due."""
+        return self.planner.look(now=now)[1]
+
+    def settled(self) -> AppendGroups:
+        """Let the list settle and return the first append."""
+        self.planner.listed([], end=7, now=0.0)
+        self.planner.look(now=SETTLING)
+        asked = self.appends(SETTLING + FLEET_SETTLING + 0.1)
+        assert asked is not None
+        return asked
+
+
+@pytest.fixture
+def zone() -> Zone:
+    return Zone()
+
+
+def test_nothing_is_decided_before_the_log_was_read(zone: Zone) -> None:
+    """Show that a new planner doesn't form groups beside those that run.
+
+    Symptom: servers are joined to groups while the heads of theirs are open.
+    Sequence: a planner is killed, and its successor decides at once.
+    Cause: it hasn't read the records of the groups that run.
+    """
+    assert zone.appends(5.0) is None
+    zone.planner.listed([], end=0, now=5.0)
+    zone.planner.look(now=5.0)
+    assert zone.appends(5.0 + FLEET_SETTLING + 0.1) is not None
+
+
+def test_servers_that_are_still_appearing_are_waited_for(zone: Zone) -> None:
+    zone.planner.listed([], end=0, now=0.0)
+    zone.planner.look(now=SETTLING)
+    zone.directory.put(server("late"))
+    assert zone.appends(SETTLING + 0.5) is None
+    assert zone.appends(SETTLING + 0.9 + FLEET_SETTLING) is not None
+
+
+def test_epochs_follow_from_the_place_in_the_log(zone: Zone) -> None:
+    asked = zone.settled()
+    assert asked.at == 7
+    assert [group.epoch for group in asked.formed] == [
+        8 + index for index in range(len(asked.formed))
+    ]
+    assert len({group.name for group in asked.formed}) == len(asked.formed)
+
+
+def test_orders_are_given_only_once_the_records_are_in(zone: Zone) -> None:
+    asked = zone.settled()
+    orders, _ = zone.planner.look(now=4.0)
+    assert orders == []
+    zone.planner.appended(asked, end=7 + len(asked.formed), now=4.0)
+    orders, _ = zone.planner.look(now=4.1)
+    assert {order.kind for order in orders} <= {OrderKind.JOIN, OrderKind.STAGE}
+    joined = [order for order in orders if order.kind is OrderKind.JOIN]
+    assert len(joined) == sum(len(group.members) for group in asked.formed)
+
+
+def test_an_append_without_an_answer_is_made_again_at_the_same_place(
+    zone: Zone,
+) -> None:
+    """Show that an append that was carried out late forms no second group.
+
+    Symptom: a server is in two groups.
+    Sequence: an append gets no answer, the planner decides anew, and the first one
+    is carried out seconds later.
+    Cause: both would be at places of their own.
+    """
+    asked = zone.settled()
+    zone.planner.append_failed(end=None)
+    assert zone.appends(3.0) is None
+    assert zone.appends(2.5 + APPEND_TIMEOUT) == asked
+
+
+def test_another_planners_records_come_first(zone: Zone) -> None:
+    asked = zone.settled()
+    zone.planner.append_failed(end=9)
+    theirs = replace(asked.formed[0], epoch=8)
+    zone.planner.recorded(theirs, now=3.0)
+    assert zone.appends(3.1) is None
+    again = zone.appends(3.2 + FLEET_SETTLING)
+    assert again is not None
+    assert again.at == 8
+    theirs_ids = set(theirs.member_ids)
+    assert all(not theirs_ids & set(group.member_ids) for group in again.formed)
+
+
+def test_records_of_ended_groups_are_dropped_with_the_next(zone: Zone) -> None:
+    asked = zone.settled()
+    zone.planner.appended(asked, end=7 + len(asked.formed), now=4.0)
+    gone = asked.formed[0]
+    zone.planner.keeper.end(gone.name, "test", now=4.0)
+    # No member shows this group, so nothing of it can serve.
+    zone.planner.look(now=4.1)
+    assert zone.planner.keeper.phase_of(gone.name) is GroupPhase.RETIRED
+    zone.planner.look(now=4.2)
+    again = zone.appends(4.3 + FLEET_SETTLING)
+    assert again is not None
+    assert again.dropped == (gone.name,)
+
+
+def test_loads_are_paced_once_callers_have_come() -> None:
+    zone = Zone(n_servers=40)
+    zone.calm = False
+    zone.demand = {"large": 0.1, "small": 0.1}
+    zone.planner.listed([], end=0, now=0.0)
+    staged = 0
+    for tick in range(50):
+        orders, _ = zone.planner.look(now=SETTLING + tick * 0.1)
+        staged += sum(order.kind is OrderKind.STAGE for order in orders)
+    assert 0 < staged <= ENGINE.loads_per_second * 5.0
