Join nobody while its former group may serve

A planner ended a group, its append of the next got no answer, and the planning passed on; the successor formed the first group anew from its record, and four seconds later the append was carried out. Its members were told to join while the head of the first was open.

Of two records that share a member the later holds, unless the earlier group serves and nobody has joined the later one; and a member is told to join only when no other group that holds it is left.

--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -193,7 +193,7 @@
 
     def look(self, *, now: float) -> list[GroupOrder]:
         """Return the orders that are due."""
-        self._end_superseded(now=now)
+        self._settle_conflicts(now=now)
         orders: list[GroupOrder] = []
         for kept in self._kept_by_name.values():
             for member_id in kept.record.member_ids:
@@ -296,8 +296,9 @@
         if all(state is GroupState.READY for state in states):
             return self._order(kept, OrderKind.OPEN, record.head.server_id, now=now)
         orders = []
+        held = self._held_elsewhere(kept)
         for server, state in zip(servers, states, strict=True):
-            if state is None:
+            if state is None and server.id not in held:
                 orders += self._order(kept, OrderKind.JOIN, server.id, now=now)
         return orders
 
@@ -403,20 +404,48 @@
             gently=gently,
         )
 
-    def _end_superseded(self, *, now: float) -> None:
-        """End groups one of whose members was given to a later one."""
-        latest_by_member: dict[str, int] = {}
-        for kept in self._kept_by_name.values():
+    def _settle_conflicts(self, *, now: float) -> None:
+        """End one of two groups that share a member.
+
+        The later record holds, unless the earlier group serves and nobody has joined
+        the later one: then its append was carried out late, and the planner that
+        asked for it is not the one that formed what serves now.
+        """
+        living = [
+            kept
+            for kept in self._kept_by_name.values()
+            if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING)
+        ]
+        living.sort(key=lambda kept: kept.record.epoch)
+        holder_by_member: dict[str, _Kept] = {}
+        for kept in living:
             for member_id in kept.record.member_ids:
-                epoch = kept.record.epoch
-                latest_by_member[member_id] = max(
-                    epoch, latest_by_member.get(member_id, epoch)
-                )
-        for kept in self._kept_by_name.values():
-            if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
-                members = kept.record.member_ids
-                if any(latest_by_member[item] > kept.record.epoch for item in members):
-                    self._end(kept, "superseded", now=now)
+                earlier = holder_by_member.get(member_id)
+                if earlier is None or earlier.phase is GroupPhase.ENDING:
+                    holder_by_member[member_id] = kept
+                elif earlier.phase is GroupPhase.SERVING and not self._has_any(kept):
+                    self._end(kept, "late_record", now=now)
+                    break
+                else:
+                    self._end(earlier, "superseded", now=now)
+                    holder_by_member[member_id] = kept
+
+    def _has_any(self, kept: _Kept) -> bool:
+        """Tell whether any member reports to be of a group."""
+        servers = (self._directory.by_id.get(item) for item in kept.record.member_ids)
+        return any(
+            server is not None and self._state(kept, server) is not None
+            for server in servers
+        )
+
+    def _held_elsewhere(self, kept: _Kept) -> set[str]:
+        """Return the members of all other groups that haven't ended."""
+        return {
+            member_id
+            for other in self._kept_by_name.values()
+            if other is not kept and other.phase is not GroupPhase.RETIRED
+            for member_id in other.record.member_ids
+        }
 
     def _end(self, kept: _Kept, reason: str, *, now: float) -> None:
         if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
--- a/tests/test_coordination/test_group_keeper.py
+++ b/tests/test_coordination/test_group_keeper.py
@@ -258,6 +258,46 @@
     assert members.keeper.phase_of(later.name) is GroupPhase.FORMING
 
 
+def test_a_record_that_comes_late_disturbs_no_group_that_serves(
+    members: Members,
+) -> None:
+    """Show that a group whose record was appended seconds late takes no members.
+
+    Symptom: a server is joined to a group while the head of its own is open.
+    Sequence: a planner ends a group, and its append of another one gets no answer.
+    Its successor knows only the first record and forms that group anew.  Then the
+    append is carried out after all.
+    Cause: the later record looks as if it superseded the group that serves.
+    """
+    members.serve(GROUP)
+    late = record(9, "b", "d")
+    members.keeper.put(late, now=5.0)
+    assert members.look(5.0) == []
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.SERVING
+    members.look(5.1)
+    assert members.keeper.phase_of(late.name) is GroupPhase.RETIRED
+
+
+def test_nobody_joins_while_the_head_of_its_former_group_may_serve(
+    members: Members,
+) -> None:
+    """Show that a member is joined to a later group only once its own has ended.
+
+    Symptom: a server is joined to a group while the head of its own is open.
+    Sequence: two planners decide on groups that share a member; the later record
+    holds, and some member of it has joined already.
+    Cause: the rest were told to join while the first group was being ended.
+    """
+    members.serve(GROUP)
+    later = record(9, "c", "b")
+    members.report(later, GroupState.READY, "c")
+    members.keeper.put(later, now=5.0)
+    assert members.look(5.0) == [(LEAVE, "a")]
+    assert members.look(5.5) == []
+    members.leave("a")
+    assert members.look(6.0) == [(JOIN, "b")]
+
+
 def test_a_new_planner_takes_over_a_group_that_serves(members: Members) -> None:
     members.report(GROUP, GroupState.READY, "b", "c")
     members.report(GROUP, GroupState.OPEN, "a")
