Take nothing in a shutdown that can't be finished

Ruled out: the balancer (no new connection came).

Idle connections are closed once the balancer has turned away, and what comes in the last three seconds of the grace is refused as not run, with a time to come back. The test fails before and passes after.

--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -118,6 +118,11 @@
         Take the model of a whole stream and the number of its events.
     log : callable
         Take one line about a decision: its name and its fields.
+
+    Attributes
+    ----------
+    refuses_new : bool
+        True once the process is too near its end to finish what comes.
     """
 
     def __init__(
@@ -142,6 +147,7 @@
         self.requests_by_number: dict[int, RelayRequest] = {}
         self._requests_by_attempt: dict[str, RelayRequest] = {}
         self._waiting: dict[int, RelayRequest] = {}
+        self.refuses_new = False
 
     @property
     def n_waiting(self) -> int:
@@ -153,6 +159,9 @@
     def arrive(self, number: int, arrival: RelayArrival) -> None:
         """Take a caller's request."""
         now = arrival.arrived_at
+        if self.refuses_new:
+            self._refuse_unread(number, arrival, 503, "stopping")
+            return
         table = self._table()
         if table is None:
             self._refuse_unread(number, arrival, 503, "no_configuration")
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -166,7 +166,7 @@
         self.shutdown = RelayShutdown(
             settings=settings,
             callers=self.callers,
-            n_in_flight=lambda: len(self.relay.requests.requests_by_number),
+            requests=self.relay.requests,
             stop=self.stop,
             reload=reload,
         )
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -164,6 +164,17 @@
             elif not connection.number and idle_for > limits.head_timeout:
                 self._refuse(connection, 408)
 
+    def close_idle(self) -> int:
+        """Close the connections that carry no request; return how many."""
+        idle = [
+            connection
+            for connection in self._connections_by_sock.values()
+            if connection.is_idle and connection.closes_at == float("inf")
+        ]
+        for connection in idle:
+            self._close_gently(connection)
+        return len(idle)
+
     # Requests
 
     def _next_events(self, connection: _Connection) -> None:
--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -65,10 +65,12 @@
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
         return httpx.request(method, url, headers=sent, content=body, timeout=10)
 
-    def chat(self, *, request_id: str, model: str = "large") -> httpx.Response:
+    def chat(
+        self, *, request_id: str, model: str = "large", **headers: str
+    ) -> httpx.Response:
         """Ask a model for a stream."""
-        usage = {"Model": model, "Token_Usage": "100,50"}
-        return self.call("/chat/1", request_id=request_id, method="POST", **usage)
+        headers = {"Model": model, "Token_Usage": "100,50"} | headers
+        return self.call("/chat/1", request_id=request_id, method="POST", **headers)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -4,12 +4,14 @@
 
 import signal
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import httpx
 import pytest
 
 from ..processes import wait_until
-from ..relay_zone import RelayZone, running_relay_zone
+from ..relay_zone import HEADERS, RelayZone, running_relay_zone
 
 
 @pytest.fixture
@@ -107,3 +109,34 @@
     )
     in_force = away.process.events("configuration_in_force")[-1]
     assert in_force["version"] == 3
+
+
+def test_a_stopping_host_takes_nothing_that_it_cannot_finish(zone: RelayZone) -> None:
+    """Show that requests that come late in a shutdown aren't taken and cut off.
+
+    Symptom: a stream that began six seconds after the signal is cut off.
+    Sequence: a caller keeps a connection idle through the shutdown, and uses it
+    shortly before the process ends.
+    Cause: the host took whatever came until its last moment.
+    """
+    host = zone.start_host("e1", grace=6)
+    head = zone.head_of(2)
+    zone.control(**{head.replace("-", "_"): {"event_ms": 300.0, "n_events": 15}})
+    with (
+        httpx.Client(base_url=f"http://{host.callers_address}") as caller,
+        ThreadPoolExecutor() as threads,
+    ):
+        headers = HEADERS | {"Request-Id": "i1"}
+        assert caller.get("/look/1", headers=headers).status_code == 200
+        # What runs keeps the process until it has ended.
+        running = threads.submit(host.chat, request_id="s1", Deadline_Ms="9000")
+        wait_until(lambda: "s1" in zone.n_runs(), what="the stream runs")
+        host.process.send(signal.SIGTERM)
+        host.process.wait_for_event("idle_connections_closed")
+        headers = HEADERS | {"Request-Id": "s2", "Model": "large"}
+        late = caller.post("/chat/1", headers=headers, content=b"x")
+        assert late.status_code == 503
+        assert float(late.headers["retry-after"]) < 1
+        assert running.result().text.count("id: ") == 15
+    assert host.process.wait() == 0
+    assert "s2" not in zone.n_runs()
