Never wait for the reader of the log, and bound its lines

Log lines go to standard output through a descriptor that doesn't block; what finds no room, or exceeds the rate of its kind, is counted and told. Lines of failures count by themselves, so that they are kept when a busy host's others are left out. Tests with a pipe that nobody reads, one whose reader is gone, and a flood.

--- a/ryelever/logs.py
+++ b/ryelever/logs.py
@@ -4,16 +4,23 @@
 
 import logging as standard_logging
 import sys
-from typing import TextIO
 
 from absl import logging
 
+from .log_stream import StreamWriter
 from .protocol.json_codec import encode
 
-__all__ = ["configure", "log_error", "log_event", "log_warning"]
+__all__ = [
+    "JsonFormatter",
+    "configure",
+    "configure_stdout",
+    "log_error",
+    "log_event",
+    "log_warning",
+]
 
 
-class _JsonFormatter(standard_logging.Formatter):
+class JsonFormatter(standard_logging.Formatter):
     """Format a record as one line of JSON."""
 
     def format(self, record: standard_logging.LogRecord) -> str:
@@ -27,10 +34,20 @@
         return encode(fields).decode()
 
 
-def configure(*, stream: TextIO | None = None) -> None:
-    """Send structured lines to a stream, standard error by default."""
-    handler = standard_logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(_JsonFormatter())
+def configure() -> None:
+    """Send structured lines to standard error."""
+    _send_to(standard_logging.StreamHandler(sys.stderr))
+
+
+def configure_stdout() -> StreamWriter:
+    """Send structured lines to standard output, without waiting for its reader."""
+    writer = StreamWriter(fd=sys.stdout.fileno())
+    _send_to(writer)
+    return writer
+
+
+def _send_to(handler: standard_logging.Handler) -> None:
+    handler.setFormatter(JsonFormatter())
     absl_logger = logging.get_absl_logger()
     absl_logger.handlers[:] = [handler]
     absl_logger.propagate = False
--- a/ryelever/platform/entry.py
+++ b/ryelever/platform/entry.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from ..logs import configure, log_error, log_event
+from ..logs import configure_stdout, log_error, log_event
 from ..relay_application import RelayApplication
 from .messages import PlatformMessages
 from .orders import PlatformOrders
@@ -36,7 +36,7 @@
     checked = _checked(path)
     if checked is None:
         return EXIT_FAULTY_INPUT
-    configure(stream=sys.stdout)
+    log_writer = configure_stdout()
     try:
         application = RelayApplication(
             settings=checked,
@@ -44,6 +44,7 @@
             documents=PlatformRecords(),
             groups=PlatformOrders(),
             messages=PlatformMessages(),
+            log_writer=log_writer,
             reload=lambda: _reload(path, checked),
         )
     except OSError as error:
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -40,6 +40,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .log_stream import StreamWriter
     from .protocol.keyed_log import KeyedLogInterface
     from .protocol.relaying import RelayInterface
     from .protocol.store_documents import GroupInterface, StoreDocuments
@@ -74,6 +75,8 @@
         Checked settings.
     log, documents, groups, messages
         The platform's side of each interface.
+    log_writer : StreamWriter
+        Where log lines go.
     reload : callable
         Look at the settings file again; tell what has changed.
     """
@@ -88,11 +91,13 @@
         documents: StoreDocuments,
         groups: GroupInterface,
         messages: RelayInterface,
+        log_writer: StreamWriter,
         reload: Callable[[], None],
     ) -> None:
         super().__init__()
         self.settings = settings
         self.metrics = Metrics()
+        self._log_writer = log_writer
         self.directory = Directory()
         self.words = HostWords(host=settings.host, zone=settings.availability_zone)
         self.store = StoreClient(address=settings.store_address)
@@ -260,6 +265,10 @@
 
     # The process
 
+    @handler("sweep")
+    def _on_sweep(self) -> None:
+        self._log_writer.flush()
+
     def _register_parts(self) -> None:
         EPoll().register(self)
         for part in (
@@ -285,7 +294,7 @@
         timers.every(CONTROL_TICK, control_tick, *CONTROL_CHANNELS)
         timers.every(SERVING_TICK, serving_tick, "relay")
         timers.every(WORD_INTERVAL, word_tick, "exchange")
-        timers.every(SWEEP, sweep, *SWEPT_CHANNELS)
+        timers.every(SWEEP, sweep, *SWEPT_CHANNELS, self.channel)
         log_event(
             "started",
             host=self.settings.host,
--- /dev/null
+++ b/tests/test_log_stream.py
@@ -0,0 +1,108 @@
+"""Test that log lines hold nothing up, and that what is left out is told."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+from collections.abc import Iterator
+
+import pytest
+
+from ryelever.log_stream import MAX_LINES, MAX_LINES_OF_KIND, MAX_WAITING, StreamWriter
+from ryelever.logs import JsonFormatter
+
+
+class Pipe:
+    """Hold a writer and the end of its pipe that a test reads."""
+
+    def __init__(self) -> None:
+        self.read_fd, self.write_fd = os.pipe()
+        os.set_blocking(self.read_fd, False)
+        self.writer = StreamWriter(fd=self.write_fd)
+        self.writer.setFormatter(JsonFormatter())
+        self._rest = b""
+
+    def log(self, event: str, *, at: float, **fields: object) -> None:
+        record = logging.LogRecord("l", logging.INFO, "", 0, event, None, None)
+        record.created = at
+        record.fields = fields
+        self.writer.handle(record)
+
+    def lines(self) -> list[dict[str, object]]:
+        data = self._rest
+        while True:
+            try:
+                more = os.read(self.read_fd, 1 << 16)
+            except BlockingIOError:
+                break
+            if not more:
+                break
+            data += more
+        whole, _, self._rest = data.rpartition(b"\n")
+        return [json.loads(line) for line in whole.splitlines()]
+
+
+@pytest.fixture
+def pipe() -> Iterator[Pipe]:
+    opened = Pipe()
+    yield opened
+    os.close(opened.read_fd)
+    os.close(opened.write_fd)
+
+
+def test_a_line_holds_its_fields(pipe: Pipe) -> None:
+    pipe.log("answered", at=1.0, request="r1", status=200)
+    assert pipe.lines() == [
+        {"time": 1.0, "level": "info", "event": "answered", "request": "r1"}
+        | {"status": 200}
+    ]
+
+
+def test_a_pipe_that_nobody_reads_holds_nothing_up(pipe: Pipe) -> None:
+    """Show that a process goes on when its log isn't read.
+
+    Symptom: a host answers nothing any more, and nothing says why.
+    Sequence: the reader of its log stalls, the pipe fills, a line is written.
+    Cause: the write waits for the reader.
+    """
+    n = 0
+    while pipe.writer.n_lost == 0:
+        pipe.log("answered", at=float(n // 100), padding="x" * 2000)
+        n += 1
+    assert n * 2000 > MAX_WAITING
+    # The reader comes back: what waited is there, and how much was lost.
+    lines = pipe.lines()
+    for _ in range(20):
+        pipe.log("later", at=1000.0)
+        lines += pipe.lines()
+    left_out = [line for line in lines if line["event"] == "log_lines_left_out"]
+    assert left_out[0]["n"] >= 1
+    assert left_out[-1]["n_in_all"] == pipe.writer.n_left_out
+    assert lines[-1]["event"] == "later"
+
+
+def test_a_reader_that_is_gone_ends_nothing(pipe: Pipe) -> None:
+    os.close(pipe.read_fd)
+    pipe.log("answered", at=1.0)
+    pipe.log("answered", at=1.0)
+    pipe.read_fd = os.open(os.devnull, os.O_RDONLY)
+
+
+def test_lines_are_bounded_and_failures_kept(pipe: Pipe) -> None:
+    for number in range(1000):
+        pipe.log("answered", at=5.5, request=f"r{number}", status=200)
+    for number in range(100):
+        pipe.log("answered", at=5.6, request=f"f{number}", status=503)
+    lines = pipe.lines()
+    statuses = [line.get("status") for line in lines]
+    assert statuses.count(200) == MAX_LINES_OF_KIND
+    assert statuses.count(503) == 100
+    [told] = [line for line in lines if line["event"] == "log_lines_left_out"]
+    assert told["n_in_all"] == 1000 - MAX_LINES_OF_KIND
+
+
+def test_lines_of_all_kinds_are_bounded(pipe: Pipe) -> None:
+    for number in range(1000):
+        pipe.log(f"kind-{number}", at=5.5)
+    assert len(pipe.lines()) <= MAX_LINES + 1
