Let one host read the backend servers' records for all

A host that has read a part of the topic passes on what is new, with its offsets, to its zone and to the planners of the others, who tell theirs; who hears that reads a second later only. What doesn't follow on what a host has seen is not taken. Reads of that topic wait 0.2 s, so that a silent connection shows within 1.2 s, and the others then ask anew. A store counts as lost only after 1.2 s without an answer, so that failures of old connections after an outage end no planner.

--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -20,12 +20,20 @@
 
 __all__ = ["TopicFollower", "TopicNews"]
 
-#: Milliseconds for which a read waits for a record.  Longer ones cost less, and a
-#: connection that has gone silent shows only after them.
-WAIT_MS = 4000
+#: Seconds for which a read waits for a record where they are rare.  Longer ones cost
+#: less, and a connection that has gone silent shows only after them; until then other
+#: hosts tell of what is new.
+RARE_WAIT = 6.0
 
-#: Seconds beyond the wait for an answer to come.
-ANSWER_TIMEOUT = 1.5
+#: The same where records come several times a second anyway.
+BUSY_WAIT = 0.2
+
+#: Seconds beyond the wait for an answer to come; a slow store takes a quarter.
+ANSWER_TIMEOUT = 1.0
+
+#: Seconds for which a host doesn't read what another has passed on.  When that one is
+#: lost, the next reads after this time.
+PASSED_ON = 1.0
 
 #: Seconds to the next call after a failure, the first time and at most.
 FIRST_PAUSE = 0.15
@@ -49,10 +57,13 @@
     ----------
     complete : bool
         True where the records are all that there are: any other key is gone.
+    start : int
+        Offset of the first record; -1 for a listing.
     """
 
     records: list[KeyedRecord]
     complete: bool = False
+    start: int = -1
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -66,6 +77,8 @@
     ----------
     interval : float
         Least seconds between two calls, as each of them is paid for.
+    wait : float
+        Seconds for which a read waits for a record.
     listed_at, answered_at, failed_at, asked_at : float
         Monotonic times of the last complete listing, good answer, failure and call.
     n_asked : int
@@ -76,6 +89,7 @@
     topic: str
     partition: int = 0
     interval: float = 0.0
+    wait: float = RARE_WAIT
     offset: int = 0
     listed_at: float = float("-inf")
     answered_at: float = float("-inf")
@@ -84,6 +98,7 @@
     is_waiting: bool = False
     n_asked: int = 0
     _phase: _Phase = _Phase.LISTING
+    _asked_from: int = 0
     _due_at: float = 0.0
     _n_failures: int = 0
     _after: str = ""
@@ -101,6 +116,7 @@
         self.is_waiting = True
         self.n_asked += 1
         self.asked_at = now
+        self._asked_from = self.offset
         if self._phase is _Phase.LISTING:
             return self.log.newest(
                 self.topic, partition=self.partition, after=self._after
@@ -109,7 +125,7 @@
             self.topic,
             partition=self.partition,
             offset=self.offset,
-            wait_ms=WAIT_MS,
+            wait_ms=round(self.wait * 1000),
         )
 
     def poke(self, *, now: float) -> None:
@@ -124,6 +140,26 @@
         self.is_waiting = False
         self._due_at = 0.0
 
+    @property
+    def answer_timeout(self) -> float:
+        """Return the seconds after which a call counts as unanswered."""
+        return self.wait + ANSWER_TIMEOUT
+
+    def advance(self, *, start: int, end: int, now: float) -> bool:
+        """Take word that another host has read a part of the topic.
+
+        Returns
+        -------
+        bool
+            True where that part follows what was seen here, so that its records can
+            be taken as if they had been read.
+        """
+        follows = self._phase is _Phase.READING and start <= self.offset <= end
+        if follows:
+            self.offset = end
+            self._due_at = max(self._due_at, now + PASSED_ON)
+        return follows
+
     def answered(
         self, status: int, body: bytes, *, now: float
     ) -> Result[TopicNews, RyeleverError]:
@@ -132,7 +168,7 @@
         if listing:
             outcome = self.log.newest_page(status, body).map(self._take_listing)
         else:
-            outcome = self.log.read_page(status, body, offset=self.offset).map(
+            outcome = self.log.read_page(status, body, offset=self._asked_from).map(
                 self._take_read
             )
         if outcome.is_error():
@@ -142,7 +178,8 @@
         self._n_failures = 0
         self.answered_at = now
         # A read that brought nothing has waited long enough by itself.
-        self._due_at = max(now, self.asked_at + self.interval)
+        # Where another host has passed something on meanwhile, it goes on reading.
+        self._due_at = max(self._due_at, now, self.asked_at + self.interval)
         if listing and self._phase is _Phase.READING:
             self.listed_at = now
         return outcome
@@ -170,6 +207,9 @@
         if page.expired:
             self._phase = _Phase.LISTING
             return TopicNews(records=[])
-        if page.records:
-            self.offset = page.records[-1].offset + 1
-        return TopicNews(records=page.records)
+        start = self.offset
+        # What another host has passed on meanwhile is not taken twice.
+        records = [record for record in page.records if record.offset >= start]
+        if records:
+            self.offset = records[-1].offset + 1
+        return TopicNews(records=records, start=start)
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -41,6 +41,7 @@
     "peers_send",
     "relayed_gone",
     "relayed_request",
+    "server_news",
     "serving_tick",
     "sweep",
     "word_tick",
@@ -222,6 +223,10 @@
     body: bytes
 
 
+class server_news(Event):
+    """Announce a ``ServerNews`` that was read, or passed on by another host."""
+
+
 class relayed_request(Event):
     """Announce a ``RelayedRequest``."""
 
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -8,20 +8,22 @@
 from circuits import BaseComponent, handler
 
 from .coordination.removals import Removals
-from .coordination.topic import TopicFollower
+from .coordination.topic import BUSY_WAIT, TopicFollower
 from .events import (
     OutboundAnswer,
     OutboundFailure,
     OutboundRequest,
     directory_changed,
     outbound_send,
+    server_news,
 )
 from .logs import log_event, log_warning
+from .state.keyed_record import ServerNews
 
 if TYPE_CHECKING:
     from .coordination.host_words import HostWords
     from .coordination.topic import TopicNews
-    from .protocol.keyed_log import KeyedLogInterface
+    from .protocol.keyed_log import KeyedLogInterface, KeyedRecord
     from .protocol.store_documents import StoreDocuments
     from .relay_settings import RelaySettings
     from .state.directory import BackendServer, Directory
@@ -89,7 +91,10 @@
         self.table: RouteTable | None = None
         self.configuration = TopicFollower(log=log, topic=documents.operator_topic)
         self.servers = TopicFollower(
-            log=log, topic=documents.servers_topic, interval=SERVERS_INTERVAL
+            log=log,
+            topic=documents.servers_topic,
+            interval=SERVERS_INTERVAL,
+            wait=BUSY_WAIT,
         )
         self.hosts = TopicFollower(log=log, topic=documents.hosts_topic)
         self._document = b""
@@ -107,15 +112,19 @@
     @handler("control_tick")
     def _on_tick(self) -> None:
         now = time.monotonic()
-        self._removals.note_reads(
-            answered_at=self.servers.answered_at, failed_at=self.servers.failed_at
-        )
+        self._note_reads()
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
         if not self._announced and now - self._announced_at > ANNOUNCE_RETRY:
             self._announced_at = now
             self._announce()
 
+    def _note_reads(self) -> None:
+        self._removals.note_reads(
+            answered_at=max(self.servers.answered_at, self._store.passed_on_at),
+            failed_at=self.servers.failed_at,
+        )
+
     # Configuration
 
     def _take_configuration(self, news: TopicNews) -> None:
@@ -195,20 +204,42 @@
 
     def _take_servers(self, news: TopicNews) -> None:
         now = time.monotonic()
-        changed = False
-        for record in news.records:
-            if record.value:
-                changed |= self._take_server(record.key, record.value)
-            else:
-                self._removals.add(record.key, now=now)
+        self._note_reads()
+        changes = self._take_records(news.records, now=now)
+        if news.start >= 0:
+            passed_on = ServerNews(
+                start=news.start, end=self.servers.offset, records=changes
+            )
+            self.fire(server_news(passed_on), "exchange")
         if news.complete:
             listed = {record.key for record in news.records}
             for server_id in set(self._directory.by_id) - listed:
                 self._removals.add(server_id, now=now)
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
-        if changed:
+
+    @handler("server_news")
+    def _on_passed_on(self, news: ServerNews) -> None:
+        """Take what another host has read, if it follows what was seen here."""
+        now = time.monotonic()
+        if self.servers.advance(start=news.start, end=news.end, now=now):
+            self._store.heard(now=now)
+            self._take_records(news.records, now=now)
+
+    def _take_records(
+        self, records: list[KeyedRecord], *, now: float
+    ) -> list[KeyedRecord]:
+        """Take records of backend servers; return those that say anything new."""
+        changes = []
+        for record in records:
+            if not record.value:
+                self._removals.add(record.key, now=now)
+                changes.append(record)
+            elif self._take_server(record.key, record.value):
+                changes.append(record)
+        if changes:
             self.fire(directory_changed(), "relay")
+        return changes
 
     def _take_server(self, server_id: str, data: bytes) -> bool:
         self._removals.discard(server_id)
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -9,9 +9,10 @@
 from circuits import BaseComponent, handler
 
 from .coordination.host_words import HostWord
-from .events import Datagram, peers_send
+from .events import Datagram, peers_send, server_news
 from .logs import log_event
-from .protocol.host_words import decode_word, encode_word
+from .protocol.host_words import decode_datagram, encode_news, encode_word
+from .state.keyed_record import ServerNews
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +40,8 @@
     ----------
     describe : callable
         Return the parts of this host's word that other components know.
+    plans : callable
+        Tell whether this host plans for a zone.
     take_version : callable
         Take note that another host has a configuration version in force.
     """
@@ -53,6 +56,7 @@
         balancer: Balancer,
         stillness: StillnessWatch,
         describe: Callable[[], dict[str, object]],
+        plans: Callable[[], bool],
         take_version: Callable[[int, str], None],
     ) -> None:
         super().__init__()
@@ -61,6 +65,7 @@
         self._balancer = balancer
         self._stillness = stillness
         self._describe = describe
+        self._plans = plans
         self._take_version = take_version
         self._boot = int.from_bytes(os.urandom(7), "big")
         self._sequence = 0
@@ -100,16 +105,45 @@
     def _on_received(self, datagrams: list[Datagram]) -> None:
         now = time.monotonic()
         for datagram in datagrams:
-            read = decode_word(datagram.data, peer=datagram.address)
+            read = decode_datagram(datagram.data, peer=datagram.address)
             if read.is_error():
                 log_event("word_unreadable", peer=datagram.address, why=str(read.error))
                 continue
             word = read.ok
-            if self._words.take(word, now=now):
+            if isinstance(word, ServerNews):
+                self._take_news(word)
+            elif self._words.take(word, now=now):
                 self._take_still(word, now=now)
                 self._take_version(word.configuration_version, word.host)
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
 
+    @handler("server_news")
+    def _on_server_news(self, news: ServerNews) -> None:
+        """Pass on what this host has read, so that others need not read it."""
+        self._pass_on(news, far=True)
+
+    def _take_news(self, news: ServerNews) -> None:
+        self.fire(server_news(news), "directory")
+        if self._plans():
+            # News cross between zones once, to the planner, who tells its zone.
+            self._pass_on(news, far=False)
+
+    def _pass_on(self, news: ServerNews, *, far: bool) -> None:
+        data = encode_news(news)
+        if data is None:
+            return
+        now = time.monotonic()
+        own = self._settings.availability_zone
+        planners = {word.host for word in self._words.living(now=now) if word.plans}
+        datagrams = [
+            Datagram(address=address.address, data=data)
+            for address in self._words.addresses_by_host.values()
+            if address.host != self._settings.host
+            and (address.availability_zone == own or (far and address.host in planners))
+        ]
+        if datagrams:
+            self.fire(peers_send(datagrams), "peers")
+
     def _take_still(self, word: HostWord, *, now: float) -> None:
         """Leave groups alone that stand still for another host, and not here."""
         for server_id in word.still:
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -9,8 +9,13 @@
 
 from ..coordination.host_words import HostWord
 from ..errors import Category, RyeleverError
+from ..state.keyed_record import KeyedRecord, ServerNews
 
-__all__ = ["decode_word", "encode_word"]
+__all__ = ["decode_datagram", "encode_news", "encode_word"]
+
+#: First byte of a datagram: what follows.
+WORD = b"w"
+NEWS = b"n"
 
 #: Longest datagram, in bytes.
 MAX_DATAGRAM = 8192
@@ -21,6 +26,9 @@
 #: Most backend servers told of in one word, so that it fits into a datagram.
 MAX_SERVERS = 160
 
+#: Most bytes of records in one datagram.
+MAX_NEWS = 7000
+
 _FILE = resources.files(__package__.rpartition(".")[0]) / "schema/host_words.capnp"
 with resources.as_file(_FILE) as _path:
     _schema = capnp.load(str(_path))
@@ -48,39 +56,73 @@
         {"model": model, "groups": groups}
         for model, groups in word.demand_by_model.items()
     ]
-    return message.to_bytes_packed()
+    return WORD + message.to_bytes_packed()
+
+
+def encode_news(news: ServerNews) -> bytes | None:
+    """Return news as one datagram; None where they are too long for one."""
+    size = sum(len(record.key) + len(record.value) + 32 for record in news.records)
+    if size > MAX_NEWS:
+        return None
+    message = _schema.ServerNews.new_message(start=news.start, end=news.end)
+    message.records = [
+        {"key": record.key, "value": record.value, "offset": record.offset}
+        for record in news.records
+    ]
+    return NEWS + message.to_bytes_packed()
 
 
-def decode_word(data: bytes, *, peer: str) -> Result[HostWord, RyeleverError]:
+def decode_datagram(
+    data: bytes, *, peer: str
+) -> Result[HostWord | ServerNews, RyeleverError]:
     """Read a datagram."""
     try:
-        message = _schema.HostWord.from_bytes_packed(
-            data, traversal_limit_in_words=MAX_WORDS
-        )
-        return Ok(
-            HostWord(
-                host=message.host,
-                availability_zone=message.availabilityZone,
-                boot=message.boot,
-                sequence=message.sequence,
-                reads_store=message.readsStore,
-                stopping=message.stopping,
-                configuration_version=message.configurationVersion,
-                in_flight_by_server={
-                    load.server: load.inFlight for load in message.loads
-                },
-                demand_by_model={item.model: item.groups for item in message.demands},
-                still=tuple(message.still),
-                leaving=tuple(message.leaving),
-                plans=tuple(message.plans),
-            )
-        )
+        if data[:1] == NEWS:
+            return Ok(_decode_news(data[1:]))
+        if data[:1] == WORD:
+            return Ok(_decode_word(data[1:]))
+        why = "unknown first byte"
     except capnp.KjException as error:
-        return Error(
-            RyeleverError(
-                f"not a word of an entry host: {error}",
-                category=Category.BAD_REQUEST,
-                step="read_host_word",
-                peer=peer,
-            )
+        why = str(error)
+    return Error(
+        RyeleverError(
+            f"not a word of an entry host: {why}",
+            category=Category.BAD_REQUEST,
+            step="read_host_word",
+            peer=peer,
         )
+    )
+
+
+def _decode_news(data: bytes) -> ServerNews:
+    message = _schema.ServerNews.from_bytes_packed(
+        data, traversal_limit_in_words=MAX_WORDS
+    )
+    return ServerNews(
+        start=message.start,
+        end=message.end,
+        records=[
+            KeyedRecord(key=item.key, value=bytes(item.value), offset=item.offset)
+            for item in message.records
+        ],
+    )
+
+
+def _decode_word(data: bytes) -> HostWord:
+    message = _schema.HostWord.from_bytes_packed(
+        data, traversal_limit_in_words=MAX_WORDS
+    )
+    return HostWord(
+        host=message.host,
+        availability_zone=message.availabilityZone,
+        boot=message.boot,
+        sequence=message.sequence,
+        reads_store=message.readsStore,
+        stopping=message.stopping,
+        configuration_version=message.configurationVersion,
+        in_flight_by_server={load.server: load.inFlight for load in message.loads},
+        demand_by_model={item.model: item.groups for item in message.demands},
+        still=tuple(message.still),
+        leaving=tuple(message.leaving),
+        plans=tuple(message.plans),
+    )
--- a/ryelever/protocol/keyed_log.py
+++ b/ryelever/protocol/keyed_log.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from ..state.keyed_record import KeyedRecord
+
 if TYPE_CHECKING:
     from expression import Result
 
@@ -30,15 +32,6 @@
     body: bytes = b""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class KeyedRecord:
-    """Hold one record; an empty value takes the key out."""
-
-    key: str
-    value: bytes
-    offset: int
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NewestPage:
     """Hold one page of the newest records, and the offset to read on from."""
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -166,6 +166,7 @@
             balancer=self.balancer,
             stillness=self.relay.stillness,
             describe=self._describe_host,
+            plans=lambda: bool(self.planning.planners_by_zone),
             take_version=self._take_version,
         )
         self.shutdown = RelayShutdown(
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -24,6 +24,19 @@
   plans @11 :List(Text);
 }
 
+# What one host has read of the backend servers' topic, for the others.
+struct ServerNews {
+  start @0 :UInt64;
+  end @1 :UInt64;
+  records @2 :List(Record);
+}
+
+struct Record {
+  key @0 :Text;
+  value @1 :Data;
+  offset @2 :UInt64;
+}
+
 struct Load {
   server @0 :Text;
   inFlight @1 :UInt16;
--- /dev/null
+++ b/ryelever/state/keyed_record.py
@@ -0,0 +1,33 @@
+"""Hold records of a keyed topic of the platform's store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["KeyedRecord", "ServerNews"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class KeyedRecord:
+    """Hold one record; an empty value takes the key out."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ServerNews:
+    """Hold a part of the backend servers' topic that one host has read.
+
+    Attributes
+    ----------
+    start, end : int
+        Offsets of its first record, and after its last one.
+    records : list of KeyedRecord
+        Those that say anything new.
+    """
+
+    start: int
+    end: int
+    records: list[KeyedRecord]
--- a/ryelever/store_client.py
+++ b/ryelever/store_client.py
@@ -9,7 +9,7 @@
 
 from circuits import BaseComponent, handler
 
-from .coordination.topic import ANSWER_TIMEOUT, WAIT_MS
+from .errors import Category
 from .events import (
     OutboundAnswer,
     OutboundFailure,
@@ -31,6 +31,10 @@
 #: lost may not hold up the next decision.
 CALL_TIMEOUT = 1.0
 
+#: Seconds without an answer, once a call has failed, after which the store counts as
+#: lost: the time of three reads of the backend servers' records.
+LOST_AFTER = 1.2
+
 #: Seconds for a connection to the store to be established.
 CONNECT_TIMEOUT = 0.6
 
@@ -52,7 +56,9 @@
     n_calls : int
         Calls sent; each of them is paid for.
     answered_at, failed_at : float
-        Monotonic time of the last answer and of the last failure.
+        Monotonic times of the last answer and of the last failure.
+    passed_on_at : float
+        Monotonic time at which another host passed on what it had read.
     """
 
     channel = "store"
@@ -67,12 +73,21 @@
         self.n_calls = 0
         self.answered_at = float("-inf")
         self.failed_at = float("-inf")
+        self.passed_on_at = float("-inf")
+        self._why = ""
         self._reachable: bool | None = None
 
     @property
     def is_reachable(self) -> bool:
-        """Tell whether the last call was answered."""
-        return bool(self._reachable)
+        """Tell whether this host's own calls are answered.
+
+        A single failure says little: a connection from before an outage may fail
+        long after it.  And a host to which others pass on what they read makes few
+        calls of its own.
+        """
+        if self.failed_at < self.answered_at:
+            return True
+        return time.monotonic() - self.answered_at < LOST_AFTER
 
     def follow(
         self, follower: TopicFollower, take: Callable[[TopicNews], None]
@@ -91,13 +106,18 @@
         call_id = self._send(call, step="call_store", progress_timeout=CALL_TIMEOUT)
         self._takers_by_call[call_id] = take
 
+    def heard(self, *, now: float) -> None:
+        """Take word of the store by way of another host, which reaches it."""
+        self.passed_on_at = now
+
     @handler("control_tick")
     def _on_tick(self) -> None:
         now = time.monotonic()
+        self._log_reachability()
         for followed in self._followed:
             call = followed.follower.next_call(now=now)
             if call is not None:
-                timeout = WAIT_MS / 1000 + ANSWER_TIMEOUT
+                timeout = followed.follower.answer_timeout
                 if self._followed_by_call.pop(followed.call_id, None) is not None:
                     self.fire(outbound_cancel(followed.call_id), "http_client")
                 call_id = self._send(call, step="read_store", progress_timeout=timeout)
@@ -127,8 +147,11 @@
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
         now = time.monotonic()
-        refused = answer.status in (429, 503)
-        self._note(not refused, why=f"answered {answer.status}", now=now)
+        if answer.status in (429, 503):
+            self._why = f"answered {answer.status}"
+            self.failed_at = now
+        else:
+            self.answered_at = now
         taker = self._takers_by_call.pop(answer.id, None)
         if taker is not None:
             taker(answer.status, answer.body)
@@ -146,27 +169,37 @@
                 message=error.message,
             )
             return
-        news = outcome.ok
-        if news.records or news.complete:
-            followed.take(news)
+        followed.take(outcome.ok)
 
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
         now = time.monotonic()
-        self._note(False, why=failure.error.message, now=now)
+        self._why = failure.error.message
+        self.failed_at = now
         taker = self._takers_by_call.pop(failure.id, None)
         if taker is not None:
             taker(0, b"")
         followed = self._followed_by_call.pop(failure.id, None)
-        if followed is not None:
-            followed.follower.failed(now=now)
+        if followed is None:
+            return
+        followed.follower.failed(now=now)
+        if failure.error.category is Category.TIMEOUT:
+            self._poke_others(followed, now=now)
 
-    def _note(self, reachable: bool, *, why: str, now: float) -> None:
-        if reachable:
-            self.answered_at = now
-        else:
-            self.failed_at = now
+    def _poke_others(self, silent: _Followed, *, now: float) -> None:
+        """Ask anew on all topics when one connection has gone silent.
+
+        What took that one may have taken others, and a long read would show it only
+        seconds later.
+        """
+        for followed in self._followed:
+            if followed is not silent:
+                followed.follower.poke(now=now)
+
+    def _log_reachability(self) -> None:
+        reachable = self.is_reachable
         if reachable is not self._reachable:
             self._reachable = reachable
             name = "store_regained" if reachable else "store_lost"
-            log_event(name, peer=self._address, why=why)
+            log_event(name, peer=self._address, why=self._why)
+            self._why = ""
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -144,6 +144,7 @@
             name: server.describe() for name, server in self.servers_by_id.items()
         }
         store = {"n_calls": self.store.n_calls, "n_appends": self.store.n_appends}
+        store["n_calls_by_topic"] = dict(self.store.n_calls_by_topic)
         return web.json_response({"servers": servers, "store": store})
 
 
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -6,6 +6,7 @@
 import base64
 import contextlib
 import struct
+from collections import Counter
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -54,6 +55,7 @@
         self.partitions: dict[tuple[str, int], _Partition] = {}
         self.switches_by_door: dict[str, StoreSwitches] = {}
         self.n_calls = 0
+        self.n_calls_by_topic: Counter[str] = Counter()
         self.n_appends = 0
 
     def app(self, *, door: str = "store") -> web.Application:
@@ -75,6 +77,7 @@
 
     async def _fault(self, request: web.Request) -> None:
         self.n_calls += 1
+        self.n_calls_by_topic[request.query["topic"]] += 1
         if self._switches(request).silent:
             await asyncio.Event().wait()
         if self._switches(request).refuse:
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -10,7 +10,13 @@
     HostWord,
     HostWords,
 )
-from ryelever.protocol.host_words import MAX_DATAGRAM, decode_word, encode_word
+from ryelever.protocol.host_words import (
+    MAX_DATAGRAM,
+    decode_datagram,
+    encode_news,
+    encode_word,
+)
+from ryelever.state.keyed_record import KeyedRecord, ServerNews
 
 
 def _word(
@@ -42,12 +48,25 @@
         leaving=("i2",),
         plans=("z",),
     )
-    assert decode_word(encode_word(word), peer="a").ok == word
+    assert decode_datagram(encode_word(word), peer="a").ok == word
 
 
-@pytest.mark.parametrize("data", [b"", b"\x00", b"no word at all", b"\xff" * 64])
+@pytest.mark.parametrize(
+    "data", [b"", b"\x00", b"no word at all", b"w", b"n", b"w" + b"\xff" * 64]
+)
 def test_other_datagrams_are_errors(data: bytes) -> None:
-    assert decode_word(data, peer="a").error.step == "read_host_word"
+    assert decode_datagram(data, peer="a").error.step == "read_host_word"
+
+
+def test_news_survive_their_way_unless_they_are_too_long() -> None:
+    records = [
+        KeyedRecord(key="i1", value=b"{}", offset=5),
+        KeyedRecord(key="i2", value=b"", offset=6),
+    ]
+    news = ServerNews(start=4, end=9, records=records)
+    assert decode_datagram(encode_news(news), peer="a").ok == news
+    many = [KeyedRecord(key="i", value=b"x" * 100, offset=5)] * 100
+    assert encode_news(ServerNews(start=4, end=9, records=many)) is None
 
 
 def test_a_word_fits_into_a_datagram() -> None:
