Keep a group whose record is dropped late, and adopt one without a record

A dropped record ends nothing: a group that is not retired is kept and its record is written anew. Groups that members report without a record are adopted, and their members are free for nothing until then. A refusal of an order to leave no longer counts as having left.

--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -23,7 +23,7 @@
     from ..state.directory import BackendServer, Directory
     from .group_records import GroupRecord
 
-__all__ = ["TAKEN_APART", "GroupKeeper", "GroupPhase"]
+__all__ = ["STALL_SLACK", "TAKEN_APART", "GroupKeeper", "GroupPhase"]
 
 #: Reasons to end a group which leave what runs in it time to end.
 TAKEN_APART = "taken_apart"
@@ -75,6 +75,8 @@
 
     Attributes
     ----------
+    recorded : bool
+        False where the store holds no record of the group.
     joined : set of str
         Members that were seen ready under the group's name and epoch.
     missing_since, missing_at : dict of str to float
@@ -90,6 +92,7 @@
     since: float
     phase: GroupPhase = GroupPhase.FORMING
     reason: str = ""
+    recorded: bool = True
     joined: set[str] = field(default_factory=set)
     ending_since: float = 0.0
     missing_since: dict[str, float] = field(default_factory=dict)
@@ -131,29 +134,72 @@
         self._log = log
         self._kept_by_name: dict[str, _Kept] = {}
         self._lost_by_id: dict[str, float] = {}
+        self._ended_epochs: set[int] = set()
 
     # What is there
 
-    def put(self, record: GroupRecord, *, now: float) -> None:
-        """Take a group that the store holds."""
+    def put(self, record: GroupRecord, *, now: float, recorded: bool = True) -> None:
+        """Take a group that the store holds, or that members report to be in.
+
+        Parameters
+        ----------
+        recorded : bool
+            False where the store holds no record of it.
+        """
         kept = self._kept_by_name.get(record.name)
         if kept is None or kept.record.epoch != record.epoch:
-            self._kept_by_name[record.name] = _Kept(record=record, since=now)
+            kept = _Kept(record=record, since=now)
+            self._kept_by_name[record.name] = kept
+        kept.recorded = recorded
 
     def drop(self, name: str) -> None:
-        """Forget a group whose record the store has dropped."""
+        """Take word that the store has dropped a group's record.
+
+        A drop may be carried out seconds after it was asked for, and the group may
+        serve again by then: it is forgotten only once it has ended, and else its
+        record is to be written anew.
+        """
+        kept = self._kept_by_name.get(name)
+        if kept is None:
+            return
+        if kept.phase is GroupPhase.RETIRED:
+            del self._kept_by_name[name]
+        else:
+            kept.recorded = False
+
+    def forget(self, name: str) -> None:
+        """Forget a group that has ended."""
         self._kept_by_name.pop(name, None)
 
+    def knows(self, name: str, epoch: int) -> bool:
+        """Tell whether a group is kept, or was and has ended."""
+        kept = self._kept_by_name.get(name)
+        if kept is not None and kept.record.epoch == epoch:
+            return True
+        return epoch in self._ended_epochs
+
+    def unrecorded(self) -> list[GroupRecord]:
+        """Return the groups that serve or form without a record in the store."""
+        return [
+            kept.record
+            for kept in self._kept_by_name.values()
+            if not kept.recorded and kept.phase is not GroupPhase.RETIRED
+        ]
+
     def names(self) -> set[str]:
         """Return the names of all groups that have a record."""
         return set(self._kept_by_name)
 
     def retired(self) -> list[str]:
-        """Return the groups whose records can be dropped."""
+        """Return the groups whose records can be dropped.
+
+        As long as members still report a group that has ended, its record tells the
+        next planner what to make of them.
+        """
         return [
             name
             for name, kept in self._kept_by_name.items()
-            if kept.phase is GroupPhase.RETIRED
+            if kept.phase is GroupPhase.RETIRED and not self._has_any(kept)
         ]
 
     def records(self, *phases: GroupPhase) -> list[GroupRecord]:
@@ -232,11 +278,11 @@
             if outcome in (OrderOutcome.OVERTAKEN, OrderOutcome.GONE):
                 self._end(kept, f"join_{outcome.value}", now=now)
         elif order.kind is OrderKind.LEAVE:
+            # A refusal may have any reason; if the head is not in the group, its
+            # entry shows so.
             has_left = outcome in (
                 OrderOutcome.HOLDS,
                 OrderOutcome.BEGUN,
-                OrderOutcome.REFUSED,
-                OrderOutcome.OVERTAKEN,
                 OrderOutcome.GONE,
             )
             if has_left and order.server_id == kept.record.head.server_id:
@@ -458,6 +504,7 @@
         if kept.phase is not GroupPhase.RETIRED:
             kept.phase = GroupPhase.RETIRED
             kept.reason = reason
+            self._ended_epochs.add(kept.record.epoch)
             self._log_phase(kept)
 
     def _state(self, kept: _Kept, server: BackendServer) -> GroupState | None:
--- a/ryelever/coordination/group_records.py
+++ b/ryelever/coordination/group_records.py
@@ -22,8 +22,8 @@
     Attributes
     ----------
     epoch : int
-        One more than the record's offset in the store: no two groups share one, and
-        a group that was decided on later has a higher one.
+        One more than the offset of its first record in the store: no two groups share
+        one, and a group that was decided on later has a higher one.
     members : tuple of Member
         The head first.
     """
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -19,7 +19,7 @@
     choose_staging,
     choose_taking_apart,
 )
-from .group_keeper import TAKEN_APART, GroupKeeper, GroupPhase
+from .group_keeper import STALL_SLACK, TAKEN_APART, GroupKeeper, GroupPhase
 from .group_orders import GroupOrder, OrderKind
 from .group_records import GroupRecord, Member
 
@@ -44,6 +44,10 @@
 #: Longest time in seconds that a member takes to join: it loads weights first.
 LONGEST_JOIN = 20.0
 
+#: Seconds for which a group that has no record is left alone: the record of one that
+#: another planner has just decided on may still be on its way here.
+ADOPT_AFTER = 1.5
+
 #: Seconds after which an append that got no answer is looked for in the log.
 APPEND_TIMEOUT = 2.0
 
@@ -71,12 +75,15 @@
 
     Attributes
     ----------
+    restored : tuple of GroupRecord
+        Groups that exist and have no record.
     dropped : tuple of str
         Names of groups that have ended.
     """
 
     at: int
     formed: tuple[GroupRecord, ...]
+    restored: tuple[GroupRecord, ...] = ()
     dropped: tuple[str, ...] = ()
 
 
@@ -150,6 +157,8 @@
         self._demand = demand
         self._is_calm = is_calm
         self._since = since
+        self._stall_time = stall_time
+        self._unknown_since: dict[tuple[str, int], float] = {}
         self._log = log
         self._end = -1
         self._appending_since: float | None = None
@@ -174,14 +183,20 @@
         for name in self.keeper.names() - names:
             self.keeper.drop(name)
         for record in records:
-            self.recorded(record, now=now)
-        self._end = max(self._end, end)
+            self.recorded(record, end=end, now=now)
+        self._read_to(end)
 
-    def recorded(self, record: GroupRecord, *, now: float) -> None:
-        """Take a record that the log has got."""
+    def recorded(self, record: GroupRecord, *, end: int, now: float) -> None:
+        """Take a record that the log has got.
+
+        Parameters
+        ----------
+        end : int
+            Offset after the record, or after later ones.
+        """
         if record.availability_zone == self._zone:
             self.keeper.put(record, now=now)
-        self._read_to(record.epoch)
+        self._read_to(end)
 
     def dropped(self, name: str, *, end: int) -> None:
         """Take word that a record was dropped from the log."""
@@ -190,10 +205,10 @@
 
     def appended(self, asked: AppendGroups, *, end: int, now: float) -> None:
         """Take the answer to an append that succeeded."""
-        for record in asked.formed:
-            self.recorded(record, now=now)
+        for record in (*asked.formed, *asked.restored):
+            self.recorded(record, end=end, now=now)
         for name in asked.dropped:
-            self.keeper.drop(name)
+            self.keeper.forget(name)
         self._read_to(end)
         self._appending = None
 
@@ -219,6 +234,7 @@
         if table is None or self._end < 0 or now - self._since < SETTLING:
             return [], None
         orders = self.keeper.look(now=now)
+        self._adopt(table, now=now)
         self._take_apart(table, now=now)
         append = self._append_due(table, now=now)
         for service in table.services_by_name.values():
@@ -241,11 +257,15 @@
                     formation, service=service.name, offset=self._end + len(formed)
                 )
                 formed.append(record)
-        if not formed:
+        restored = tuple(self.keeper.unrecorded())
+        if not formed and not restored:
             return None
         # Dropping what has ended costs no call of its own this way.
         asked = AppendGroups(
-            at=self._end, formed=tuple(formed), dropped=tuple(self.keeper.retired())
+            at=self._end,
+            formed=tuple(formed),
+            restored=restored,
+            dropped=tuple(self.keeper.retired()),
         )
         self._appending = asked
         self._appending_since = now
@@ -267,6 +287,64 @@
         free = [server for server in free if server.domain not in held]
         return choose_formations(free, self._rules(service, engine))
 
+    def _adopt(self, table: RouteTable, *, now: float) -> None:
+        """Take over groups that members report, and that have no record.
+
+        The record of a group may have been dropped by an append that was carried out
+        late.  Without it the members would look free while their head serves.
+        """
+        reported: dict[tuple[str, int], list[BackendServer]] = {}
+        for service in table.services_by_name.values():
+            for server in self._directory.of_service(service.name):
+                report = server.group
+                own = server.availability_zone == self._zone
+                if own and report is not None and not self._is_known(server):
+                    key = (report.name, report.epoch)
+                    reported.setdefault(key, []).append(server)
+        for key in self._unknown_since.keys() - reported.keys():
+            del self._unknown_since[key]
+        for key, members in reported.items():
+            since = self._unknown_since.setdefault(key, now)
+            members.sort(key=lambda server: server.group.rank)
+            if now - since > ADOPT_AFTER and members[0].group.rank == 0:
+                self._take_over(members, now=now)
+
+    def _take_over(self, members: list[BackendServer], *, now: float) -> None:
+        head = members[0]
+        record = GroupRecord(
+            name=head.group.name,
+            epoch=head.group.epoch,
+            service=head.service,
+            model=next(iter(head.models), ""),
+            availability_zone=self._zone,
+            members=tuple(
+                Member(server_id=server.id, address=server.address)
+                for server in members
+            ),
+        )
+        self._log("group_adopted", group=record.name, members=record.member_ids)
+        self.keeper.put(record, now=now, recorded=False)
+        ranks = [server.group.rank for server in members]
+        profile = self._table().services_by_name[head.service].engine
+        model = profile.models_by_name.get(record.model) if profile else None
+        if model is None or ranks != list(range(model.size)):
+            self.keeper.end(record.name, "member_unknown", now=now)
+
+    def _is_known(self, server: BackendServer) -> bool:
+        """Tell whether a server's group is kept, or has ended for all we know."""
+        return self.keeper.knows(server.group.name, server.group.epoch)
+
+    def _is_unsettled(self, server: BackendServer, *, now: float) -> bool:
+        """Tell whether a server may be in a group that serves and has no record.
+
+        Where the head doesn't show, the group has broken off some time after that.
+        """
+        report = server.group
+        if report is None or self._is_known(server):
+            return False
+        since = self._unknown_since.get((report.name, report.epoch), now)
+        return now - since <= self._stall_time + STALL_SLACK
+
     def _take_apart(self, table: RouteTable, *, now: float) -> None:
         """End a group whose members are worth more in another one."""
         if self._appending is not None or self._is_calm():
@@ -338,6 +416,7 @@
             if server.availability_zone == self._zone
             and not server.draining
             and server.id not in taken
+            and not self._is_unsettled(server, now=now)
             and not self.keeper.seems_lost(server.id, now=now)
         ]
 
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -119,10 +119,7 @@
             return
         now = time.monotonic()
         read = [
-            (
-                record,
-                self._documents.group(record.key, record.value, offset=record.offset),
-            )
+            (record, self._documents.group(record.key, record.value))
             for record in news.records
         ]
         if news.complete:
@@ -133,11 +130,12 @@
             if group is None:
                 planner.dropped(record.key, end=record.offset + 1)
             else:
-                planner.recorded(group, now=now)
+                planner.recorded(group, end=record.offset + 1, now=now)
 
     def _append(self, zone: str, asked: AppendGroups) -> None:
         records = [
-            (group.name, self._documents.group_record(group)) for group in asked.formed
+            (group.name, self._documents.group_record(group))
+            for group in (*asked.formed, *asked.restored)
         ]
         records += [(name, b"") for name in asked.dropped]
         call = self._log.append(
--- a/ryelever/platform/records.py
+++ b/ryelever/platform/records.py
@@ -34,6 +34,7 @@
     zone: str
     # Id and address of each member, the head first.
     members: list[tuple[str, str]]
+    epoch: int
 
 
 class PlatformRecords:
@@ -70,14 +71,14 @@
         """Write this host's address."""
         return encode(_Host(address=address, zone=zone))
 
-    def group(self, name: str, data: bytes, *, offset: int) -> GroupRecord | None:
+    def group(self, name: str, data: bytes) -> GroupRecord | None:
         """Read a group; None where the record is dropped or can't be read."""
         found = self._decoded(data, _Group, step="read_group", peer=name)
         if found is None or not found.members:
             return None
         return GroupRecord(
             name=name,
-            epoch=offset + 1,
+            epoch=found.epoch,
             service=found.service,
             model=found.model,
             availability_zone=found.zone,
@@ -88,7 +89,7 @@
         )
 
     def group_record(self, record: GroupRecord) -> bytes:
-        """Write a group; its epoch is the place that the record gets."""
+        """Write a group."""
         members = [(member.server_id, member.address) for member in record.members]
         return encode(
             _Group(
@@ -96,6 +97,7 @@
                 model=record.model,
                 zone=record.availability_zone,
                 members=members,
+                epoch=record.epoch,
             )
         )
 
--- a/ryelever/protocol/store_documents.py
+++ b/ryelever/protocol/store_documents.py
@@ -43,7 +43,7 @@
     def host_record(self, *, address: str, zone: str) -> bytes:
         """Write this host's address."""
 
-    def group(self, name: str, data: bytes, *, offset: int) -> GroupRecord | None:
+    def group(self, name: str, data: bytes) -> GroupRecord | None:
         """Read a group; None where the record is dropped or can't be read."""
 
     def group_record(self, record: GroupRecord) -> bytes:
--- a/tests/test_coordination/test_zone_planner.py
+++ b/tests/test_coordination/test_zone_planner.py
@@ -6,16 +6,18 @@
 
 import pytest
 
-from ryelever.coordination.group_keeper import GroupPhase
+from ryelever.coordination.group_keeper import STALL_SLACK, GroupPhase
 from ryelever.coordination.group_orders import OrderKind
+from ryelever.coordination.group_records import GroupRecord
 from ryelever.coordination.zone_planner import (
+    ADOPT_AFTER,
     APPEND_TIMEOUT,
     FLEET_SETTLING,
     SETTLING,
     AppendGroups,
     ZonePlanner,
 )
-from ryelever.state.directory import Directory
+from ryelever.state.directory import Directory, GroupReport, GroupState
 from ryelever.state.routes import RoutedService, RouteTable
 
 from .group_fakes import STALL_TIME, server
@@ -131,7 +133,7 @@
     asked = zone.settled()
     zone.planner.append_failed(end=9)
     theirs = replace(asked.formed[0], epoch=8)
-    zone.planner.recorded(theirs, now=3.0)
+    zone.planner.recorded(theirs, end=8, now=3.0)
     assert zone.appends(3.1) is None
     again = zone.appends(3.2 + FLEET_SETTLING)
     assert again is not None
@@ -154,6 +156,89 @@
     assert again.dropped == (gone.name,)
 
 
+def _served(zone: Zone) -> GroupRecord:
+    """Let the first append come true, and a group of it serve."""
+    asked = zone.settled()
+    zone.planner.appended(asked, end=7 + len(asked.formed), now=4.0)
+    group = asked.formed[0]
+    _report(zone, group, *group.member_ids)
+    zone.planner.look(now=4.1)
+    return group
+
+
+def _report(zone: Zone, group: GroupRecord, *server_ids: str) -> None:
+    for server_id in server_ids:
+        rank = group.member_ids.index(server_id)
+        state = GroupState.READY if rank else GroupState.OPEN
+        report = GroupReport(name=group.name, epoch=group.epoch, rank=rank, state=state)
+        found = zone.directory.by_id[server_id]
+        models = frozenset({group.model})
+        zone.directory.put(replace(found, group=report, models=models))
+
+
+def test_a_record_that_is_dropped_late_is_written_anew(zone: Zone) -> None:
+    """Show that a group that serves is not forgotten with its record.
+
+    Symptom: a server is joined to a group while the head of its own is open.
+    Sequence: a planner ends a group, its append that drops the record gets no
+    answer, and its successor forms the group anew.  Then the append is carried out.
+    Cause: without its record the members of the group looked free.
+    """
+    group = _served(zone)
+    zone.planner.dropped(group.name, end=20)
+    assert set(group.member_ids) <= zone.planner.keeper.taken()
+    again = zone.appends(4.3)
+    assert again is not None
+    assert again.restored == (group,)
+    assert again.at == 20
+
+
+def test_a_group_without_a_record_is_taken_over(zone: Zone) -> None:
+    group = _served(zone)
+    successor = Zone()
+    for server_id in group.member_ids:
+        successor.directory.put(zone.directory.by_id[server_id])
+    successor.planner.listed([], end=7, now=0.0)
+    for now in (SETTLING, SETTLING + 0.5, SETTLING + 1.4):
+        asked = successor.appends(now)
+        # Meanwhile its members are free for nothing.
+        formed = asked.formed if asked else ()
+        taken = {item for other in formed for item in other.member_ids}
+        assert not taken & set(group.member_ids)
+    successor.planner.look(now=SETTLING + ADOPT_AFTER + 0.1)
+    keeper = successor.planner.keeper
+    assert set(group.member_ids) <= keeper.taken()
+    assert keeper.phase_of(group.name) is not GroupPhase.ENDING
+
+
+def test_a_part_of_a_group_without_a_record_is_ended(zone: Zone) -> None:
+    group = _served(zone)
+    successor = Zone()
+    for server_id in group.member_ids[:-1]:
+        successor.directory.put(zone.directory.by_id[server_id])
+    successor.planner.listed([], end=7, now=0.0)
+    successor.planner.look(now=SETTLING)
+    successor.planner.look(now=SETTLING + ADOPT_AFTER + 0.1)
+    orders, _ = successor.planner.look(now=SETTLING + ADOPT_AFTER + 0.2)
+    head_id = group.head.server_id
+    left = [order.server_id for order in orders if order.kind is OrderKind.LEAVE]
+    assert successor.planner.keeper.phase_of(group.name) is GroupPhase.ENDING
+    assert left in ([], [head_id])
+
+
+def test_members_whose_head_does_not_show_are_waited_for(zone: Zone) -> None:
+    group = _served(zone)
+    successor = Zone(n_servers=0)
+    for server_id in group.member_ids[1:]:
+        successor.directory.put(zone.directory.by_id[server_id])
+    planner = successor.planner
+    planner.listed([], end=7, now=0.0)
+    planner.look(now=SETTLING)
+    assert planner._free("engines", now=SETTLING + 1.0) == []
+    later = SETTLING + STALL_TIME + STALL_SLACK + 0.1
+    assert len(planner._free("engines", now=later)) == len(group.members) - 1
+
+
 def test_loads_are_paced_once_callers_have_come() -> None:
     zone = Zone(n_servers=40)
     zone.calm = False
