--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -145,9 +145,14 @@
         """Return the seconds after which a call counts as unanswered."""
         return self.wait + ANSWER_TIMEOUT
 
-    def advance(self, *, start: int, end: int, now: float) -> bool:
+    def advance(self, *, start: int, end: int, yields: bool, now: float) -> bool:
         """Take word that another host has read a part of the topic.
 
+        Parameters
+        ----------
+        yields : bool
+            Whether that host goes on reading for this one.
+
         Returns
         -------
         bool
@@ -157,7 +162,8 @@
         follows = self._phase is _Phase.READING and start <= self.offset <= end
         if follows:
             self.offset = end
-            self._due_at = max(self._due_at, now + PASSED_ON)
+            if yields:
+                self._due_at = max(self._due_at, now + PASSED_ON)
         return follows
 
     def answered(
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -208,7 +208,10 @@
         changes = self._take_records(news.records, now=now)
         if news.start >= 0:
             passed_on = ServerNews(
-                start=news.start, end=self.servers.offset, records=changes
+                reader=self._settings.host,
+                start=news.start,
+                end=self.servers.offset,
+                records=changes,
             )
             self.fire(server_news(passed_on), "exchange")
         if news.complete:
@@ -222,7 +225,13 @@
     def _on_passed_on(self, news: ServerNews) -> None:
         """Take what another host has read, if it follows what was seen here."""
         now = time.monotonic()
-        if self.servers.advance(start=news.start, end=news.end, now=now):
+        follows = self.servers.advance(
+            start=news.start,
+            end=news.end,
+            yields=news.reader < self._settings.host,
+            now=now,
+        )
+        if follows:
             self._store.heard(now=now)
             self._take_records(news.records, now=now)
 
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -64,7 +64,9 @@
     size = sum(len(record.key) + len(record.value) + 32 for record in news.records)
     if size > MAX_NEWS:
         return None
-    message = _schema.ServerNews.new_message(start=news.start, end=news.end)
+    message = _schema.ServerNews.new_message(
+        reader=news.reader, start=news.start, end=news.end
+    )
     message.records = [
         {"key": record.key, "value": record.value, "offset": record.offset}
         for record in news.records
@@ -99,6 +101,7 @@
         data, traversal_limit_in_words=MAX_WORDS
     )
     return ServerNews(
+        reader=message.reader,
         start=message.start,
         end=message.end,
         records=[
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -29,6 +29,8 @@
   start @0 :UInt64;
   end @1 :UInt64;
   records @2 :List(Record);
+  # The host that has read it.
+  reader @3 :Text;
 }
 
 struct Record {
--- a/ryelever/state/keyed_record.py
+++ b/ryelever/state/keyed_record.py
@@ -26,8 +26,11 @@
         Offsets of its first record, and after its last one.
     records : list of KeyedRecord
         Those that say anything new.
+    reader : str
+        The host that has read it; the first by name goes on reading for all.
     """
 
+    reader: str
     start: int
     end: int
     records: list[KeyedRecord]
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -63,10 +63,10 @@
         KeyedRecord(key="i1", value=b"{}", offset=5),
         KeyedRecord(key="i2", value=b"", offset=6),
     ]
-    news = ServerNews(start=4, end=9, records=records)
+    news = ServerNews(reader="a", start=4, end=9, records=records)
     assert decode_datagram(encode_news(news), peer="a").ok == news
     many = [KeyedRecord(key="i", value=b"x" * 100, offset=5)] * 100
-    assert encode_news(ServerNews(start=4, end=9, records=many)) is None
+    assert encode_news(ServerNews(reader="a", start=4, end=9, records=many)) is None
 
 
 def test_a_word_fits_into_a_datagram() -> None:
--- a/tests/test_coordination/test_topic.py
+++ b/tests/test_coordination/test_topic.py
@@ -130,7 +130,7 @@
 
 def test_what_another_host_has_read_is_not_read_again() -> None:
     follower = _listed(interval=0.3)
-    assert follower.advance(start=7, end=12, now=0.2)
+    assert follower.advance(start=7, end=12, yields=True, now=0.2)
     assert follower.next_call(now=0.9) is None
     # When that host is lost, this one reads on where it was.
     assert "from=12" in follower.next_call(now=1.3).path
@@ -144,14 +144,20 @@
     Cause: taking them would skip what the lost one held.
     """
     follower = _listed(interval=0.3)
-    assert not follower.advance(start=9, end=12, now=0.2)
+    assert not follower.advance(start=9, end=12, yields=True, now=0.2)
     assert "from=7" in follower.next_call(now=0.35).path
     # An answer that crosses with what was passed on is not taken twice.
-    assert follower.advance(start=7, end=8, now=0.36)
+    assert follower.advance(start=7, end=8, yields=True, now=0.36)
     body = _page(9, 0, b"\x01av1", b"\x01bv2")
     news = follower.answered(200, body, now=0.4).ok
     assert [record.key for record in news.records] == ["b"]
 
 
+def test_the_host_that_reads_for_all_goes_on_reading() -> None:
+    follower = _listed(interval=0.3)
+    assert follower.advance(start=7, end=12, yields=False, now=0.2)
+    assert "from=12" in follower.next_call(now=0.35).path
+
+
 def test_before_its_first_listing_nothing_is_taken() -> None:
-    assert not _follower().advance(start=0, end=5, now=0.0)
+    assert not _follower().advance(start=0, end=5, yields=True, now=0.0)
