Explain a request's fate from the log lines of several hosts

ryelever explain puts a request's lines, those about its backend servers and groups and those about what its host depended on in their order; broken lines are named and the rest is read.

--- a/ryelever/cli.py
+++ b/ryelever/cli.py
@@ -131,6 +131,28 @@
     return EXIT_OK
 
 
+def explain(*, request_id: str, files: list[Path]) -> int:
+    """Print what happened to one request, from the log lines of several hosts.
+
+    Parameters
+    ----------
+    request_id
+        Id that the caller gave its sending.
+    files
+        Log files, one a host.
+    """
+    from .explain import explain as find
+
+    found = find(request_id, files)
+    for fault in found.faults:
+        print(fault, file=sys.stderr)
+    if not found.lines:
+        print(f"no line names request {request_id}", file=sys.stderr)
+        return EXIT_FAILED
+    _print_result("\n".join(found.lines))
+    return EXIT_OK
+
+
 def settings_reference() -> int:
     """Print the table of all settings in Markdown."""
     _print_result(reference().rstrip("\n"))
@@ -145,7 +167,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the command that the command line names."""
-    commands = [serve, relay, check, dump, settings_reference, version]
+    commands = [serve, relay, check, dump, explain, settings_reference, version]
     try:
         return defopt.run(commands, argv=argv, cli_options="all") or EXIT_OK
     except RyeleverError as error:
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -272,10 +272,11 @@
             self._attempt_failed(request, "stream_cut_off", now=now)
             return
         self._balancer.succeeded(request.attempt.server_id)
+        server_id = request.attempt.server_id
         self._forget_attempt(request)
         self._outbox.finish(request.number)
         self._served(request.arrival.model, request.n_events)
-        self._log_answer(request, status=200, now=now)
+        self._log_answer(request, status=200, server=server_id, now=now)
         self._end(request)
 
     def attempt_failed(
@@ -480,7 +481,7 @@
             headers=head.headers,
             body=bytes(request.body),
         )
-        self._log_answer(request, status=head.status, now=now)
+        self._log_answer(request, status=head.status, server=server_id, now=now)
         self._end(request)
 
     def _give_up(self, request: RelayRequest, *, now: float) -> None:
@@ -514,7 +515,14 @@
         retry_after = COME_BACK if status == 503 else None
         refusal = RelayRefusal(status=status, reason=reason, retry_after=retry_after)
         self._outbox.refuse(number, refusal)
-        self._log("refused", request=arrival.request_id, status=status, reason=reason)
+        table = self._table()
+        self._log(
+            "refused",
+            request=arrival.request_id,
+            status=status,
+            reason=reason,
+            version=-1 if table is None else table.version,
+        )
 
     # Bookkeeping
 
@@ -550,15 +558,32 @@
         )
 
     def _log_answer(
-        self, request: RelayRequest, *, status: int, now: float, reason: str = ""
+        self,
+        request: RelayRequest,
+        *,
+        status: int,
+        now: float,
+        reason: str = "",
+        server: str = "",
     ) -> None:
+        places = {}
+        if reason == "no_place":
+            # What was known of places: servers that may take it, and who waits.
+            work = (request.service, request.arrival.model)
+            places = {
+                "model": request.arrival.model,
+                "n_servers": len(self._balancer.candidates(*work)),
+                "n_waiting": len(self._waiting),
+            }
         self._log(
             "answered",
             request=request.arrival.request_id,
             route=request.route.name,
             status=status,
             reason=reason,
+            server=server,
             n_sent=request.n_sent,
+            **places,
             ms=round((now - request.arrival.arrived_at) * 1000),
         )
 
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,69 @@
+"""Test how a request's fate is put together from log lines."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from ryelever.cli import main
+from ryelever.explain import explain
+
+
+def _log(path: Path, *lines: dict[str, object]) -> Path:
+    path.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    return path
+
+
+def _line(time: float, event: str, **fields: object) -> dict[str, object]:
+    return {"time": time, "level": "info", "event": event} | fields
+
+
+def _hosts(tmp_path: Path) -> list[Path]:
+    e1 = _log(
+        tmp_path / "e1.log",
+        _line(80.0, "store_lost", peer="store"),
+        _line(99.0, "group_phase", group="g1", phase="ending", reason="member_silent"),
+        _line(100.0, "attempt_failed", request="r1", server="i1", reason="still"),
+        _line(100.5, "answered", request="r2", status=200, server="i1"),
+        _line(101.0, "answered", request="r1", status=200, server="i2", n_sent=2),
+    )
+    e2 = _log(
+        tmp_path / "e2.log",
+        _line(98.0, "group_decided", group="g1", members=["i1", "i3"]),
+        _line(99.5, "store_lost", peer="store"),
+        _line(100.2, "server_gone", server="i9"),
+    )
+    return [e1, e2]
+
+
+def test_lines_of_all_hosts_stand_in_their_order(tmp_path: Path) -> None:
+    found = explain("r1", _hosts(tmp_path))
+    told = [line.split(" ", 2)[2].strip().split()[:2] for line in found.lines]
+    assert told == [
+        ["e2:", "group_decided"],
+        ["e1:", "group_phase"],
+        ["e1:", "attempt_failed"],
+        ["e1:", "answered"],
+    ]
+    assert [line.split()[1] for line in found.lines][-2:] == ["*", "*"]
+    assert found.faults == []
+
+
+def test_broken_lines_are_named_and_the_rest_is_read(tmp_path: Path) -> None:
+    paths = _hosts(tmp_path)
+    with paths[0].open("a") as file:
+        file.write('{"time": 102.0, "event": "cut')
+    found = explain("r1", [*paths, tmp_path / "nowhere.log"])
+    assert len(found.lines) == 4
+    assert "e1.log, line 6" in found.faults[0]
+    assert "nowhere.log" in found.faults[1]
+
+
+def test_the_command_prints_or_says_that_there_is_nothing(
+    tmp_path: Path, capsys: object
+) -> None:
+    paths = [str(path) for path in _hosts(tmp_path)]
+    assert main(["explain", "--request-id", "r1", "--files", *paths]) == 0
+    assert "member_silent" in capsys.readouterr().out
+    assert main(["explain", "--request-id", "r9", "--files", *paths]) == 1
+    assert "r9" in capsys.readouterr().err
