Bound what a relayed caller may hold up

Symptom: a caller that sends a byte of a head now and then keeps its connection for ever, and one that sends ahead of its answer fills memory. The time for a request now counts from its first byte, and what is sent ahead is bounded by one request. Found by the table of bad input of the product's own interface, put to the relay's listener; both tests fail before (trickling head, bytes sent ahead) and pass after.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -53,20 +53,30 @@
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Connection:
-    """Hold the state of one caller's connection."""
+    """Hold the state of one caller's connection.
+
+    Attributes
+    ----------
+    began_at : float or None
+        Monotonic time of the first byte of a request that is still arriving.
+    n_ahead : int
+        Bytes that were sent while an answer is under way.
+    """
 
     sock: socket.socket
     http: h11.Connection
     progress_at: float
     head: h11.Request | None = None
     body: bytearray = field(default_factory=bytearray)
+    began_at: float | None = None
+    n_ahead: int = 0
     number: int = 0
     closes_at: float = float("inf")
 
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is being read or answered."""
-        return not self.number and self.head is None
+        return not self.number and self.began_at is None
 
 
 class RelayCallers(TCPServer):
@@ -143,7 +153,16 @@
         connection = self._connections_by_sock.get(sock)
         if connection is None or connection.closes_at != float("inf"):
             return
-        connection.progress_at = time.monotonic()
+        connection.progress_at = now = time.monotonic()
+        if connection.number:
+            connection.n_ahead += len(data)
+            limits = self._limits()
+            if connection.n_ahead > limits.max_head + limits.max_body:
+                # What is sent ahead of an answer waits in memory.
+                self._close(sock)
+                return
+        elif connection.began_at is None:
+            connection.began_at = now
         try:
             connection.http.receive_data(data)
             self._next_events(connection)
@@ -161,7 +180,9 @@
             elif connection.is_idle:
                 if idle_for > limits.idle_timeout:
                     self._close(connection.sock)
-            elif not connection.number and idle_for > limits.head_timeout:
+            elif not connection.number and now > (
+                connection.began_at + limits.head_timeout
+            ):
                 self._refuse(connection, 408)
 
     def close_idle(self) -> int:
@@ -202,6 +223,8 @@
 
     def _announce(self, connection: _Connection) -> None:
         connection.number = next(self._numbers)
+        connection.began_at = None
+        connection.n_ahead = 0
         self._connections_by_number[connection.number] = connection
         head = connection.head
         request = RelayedRequest(
--- /dev/null
+++ b/tests/test_transport/test_relay_callers.py
@@ -0,0 +1,182 @@
+"""Test what callers of the relay may send, over real sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from ryelever.events import RelayedRequest, sweep
+from ryelever.state.routes import ConnectionLimits
+from ryelever.timers import Timers
+from ryelever.transport.relay_callers import RelayCallers
+
+LIMITS = ConnectionLimits(
+    max_head=2048, max_body=4096, head_timeout=0.3, idle_timeout=30.0
+)
+
+
+class Listener(BaseComponent):
+    """Answer every request with its target, and ``/wait`` never."""
+
+    channel = "listener"
+
+    def __init__(self) -> None:
+        super().__init__()
+        EPoll().register(self)
+        self.timers = Timers().register(self)
+        self.callers = RelayCallers(
+            bind=("127.0.0.1", 0),
+            channel="callers_of_test",
+            reply_channel="listener",
+            limits=lambda: LIMITS,
+        ).register(self)
+        self.gone: list[int] = []
+        self.seen: list[RelayedRequest] = []
+        self.is_gone = threading.Event()
+
+    @handler("started", channel="*")
+    def _on_started(self, *args: object) -> None:
+        self.timers.every(0.05, sweep, "callers_of_test")
+
+    @handler("relayed_request")
+    def _on_request(self, request: RelayedRequest) -> None:
+        self.seen.append(request)
+        if request.target == b"/wait":
+            return
+        if request.target == b"/cut":
+            self.callers.start(request.number, status=200, headers=[(b"x", b"1")])
+            self.callers.data(request.number, b"part")
+            self.callers.abort(request.number)
+            return
+        body = request.target + b" " + request.body
+        self.callers.answer(
+            request.number, status=200, headers=[(b"x", b"1")], body=body
+        )
+
+    @handler("relayed_gone")
+    def _on_gone(self, number: int) -> None:
+        self.gone.append(number)
+        self.is_gone.set()
+
+
+@pytest.fixture
+def listener() -> Iterator[Listener]:
+    running = Listener()
+    running.start()
+    yield running
+    running.stop()
+    running.join()
+
+
+def _connect(listener: Listener) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", listener.callers.port), timeout=10)
+
+
+def _read_all(sock: socket.socket) -> bytes:
+    data = b""
+    while chunk := sock.recv(65536):
+        data += chunk
+    return data
+
+
+def _ask(listener: Listener, data: bytes) -> bytes:
+    with _connect(listener) as sock:
+        sock.sendall(data)
+        return _read_all(sock)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(b"nonsense\r\n\r\n", 400, id="no-request"),
+        pytest.param(b"GET / HTTP/1.1\r\n\r\n", 400, id="no-host"),
+        pytest.param(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+            id="two-lengths",
+        ),
+        pytest.param(
+            b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 4096, 431, id="long-head"
+        ),
+        pytest.param(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000,
+            413,
+            id="long-body",
+        ),
+        pytest.param(b"GET / HTTP/1.1\r\nHo", 408, id="never-ends"),
+    ],
+)
+def test_bad_input_is_refused_and_closed(
+    listener: Listener, data: bytes, status: int
+) -> None:
+    answer = _ask(listener, data)
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    assert b"connection: close" in answer.lower()
+    assert listener.seen == []
+
+
+def test_a_head_that_trickles_in_is_given_up(listener: Listener) -> None:
+    """Show that a caller can't hold a connection by a byte now and then.
+
+    Symptom: descriptors run out while hardly anything arrives.
+    Sequence: callers send a byte of a head each tenth of a second.
+    Cause: the time counted from the last byte, not from the first.
+    """
+    with _connect(listener) as sock:
+        answer = b""
+        sock.settimeout(0.1)
+        for _ in range(100):
+            try:
+                sock.sendall(b"G")
+                answer = sock.recv(4096)
+                break
+            except TimeoutError:
+                continue
+        assert answer.startswith(b"HTTP/1.1 408 ")
+
+
+def test_chunked_bodies_and_pipelined_requests(listener: Listener) -> None:
+    first = (
+        b"POST /a%20b?q=%2F HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n0\r\n\r\n"
+    )
+    second = b"GET /two HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    answer = _ask(listener, first + second)
+    assert answer.index(b"/a%20b?q=%2F abc") < answer.index(b"/two")
+    assert answer.count(b"HTTP/1.1 200") == 2
+
+
+def test_an_answer_that_is_broken_off_does_not_look_complete(
+    listener: Listener,
+) -> None:
+    answer = _ask(listener, b"GET /cut HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert b"part" in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+def test_a_caller_that_closes_while_it_waits_is_noticed(listener: Listener) -> None:
+    with _connect(listener) as sock:
+        sock.sendall(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert listener.is_gone.wait(10)
+    assert listener.gone == [1]
+
+
+def test_what_is_sent_ahead_of_an_answer_is_bounded(listener: Listener) -> None:
+    with _connect(listener) as sock:
+        sock.sendall(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        with pytest.raises(OSError):  # noqa: PT011
+            while True:
+                sock.sendall(b"x" * 4096)
+    assert listener.is_gone.wait(10)
+
+
+def test_a_draining_listener_says_close(listener: Listener) -> None:
+    listener.callers.draining = True
+    answer = _ask(listener, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert b"connection: close" in answer.lower()
