--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -6,7 +6,7 @@
 import uuid
 from typing import TYPE_CHECKING
 
-from circuits import BaseComponent, Event, handler
+from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
 from .addresses import split_address
@@ -18,10 +18,11 @@
 from .coordination.requests_state import RequestState
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
+from .fault_log import FaultLog
 from .fleet_history import LOOK_INTERVAL, FleetHistory
 from .fleet_watch import FleetWatch
 from .gauges import register_gauges
-from .logs import log_event, log_warning
+from .logs import log_event
 from .metrics import Metrics
 from .peering import Peering
 from .planning import Planning, demand_of
@@ -59,9 +60,6 @@
 #: Seconds between two looks at connections.
 SWEEP = 0.25
 
-#: Last characters of a fault's traceback that go into the log line.
-MAX_TRACEBACK = 2000
-
 
 class Application(BaseComponent):
     """Own the parts of one entry host and its graceful shutdown.
@@ -244,6 +242,7 @@
             self.peering,
             self.shutdown,
             self.dump,
+            FaultLog(metrics=self.metrics),
         ):
             part.register(self)
 
@@ -265,24 +264,6 @@
             callers_port=self.callers.port,
         )
 
-    @handler("exception", channel="*")
-    def _on_exception(
-        self,
-        error_type: type[Exception],
-        error: Exception,
-        traceback: list[str],
-        handler: object = None,  # noqa: A002
-        fevent: Event | None = None,
-    ) -> None:
-        self.metrics.count("faults", error_type.__name__)
-        log_warning(
-            "fault",
-            error=error_type.__name__,
-            message=str(error),
-            fired=fevent.name if fevent is not None else "",
-            traceback="".join(traceback)[-MAX_TRACEBACK:],
-        )
-
 
 def _new_id() -> str:
     return uuid.uuid4().hex
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from circuits import BaseComponent, Event, handler
+from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
 from .addresses import split_address
@@ -22,10 +22,11 @@
     sweep,
     word_tick,
 )
+from .fault_log import FaultLog
 from .fleet_directory import FleetDirectory
 from .group_planning import GroupPlanning
 from .host_exchange import WORD_INTERVAL, HostExchange
-from .logs import log_event, log_warning
+from .logs import log_event
 from .metrics import Metrics
 from .relay import Relay
 from .relay_shutdown import RelayShutdown
@@ -58,9 +59,6 @@
 #: Seconds between two looks at connections.
 SWEEP = 0.25
 
-#: Last characters of a fault's traceback that go into the log line.
-MAX_TRACEBACK = 2000
-
 SWEPT_CHANNELS = ("http_client", "relay_callers", "watchers", "peer_callers")
 
 CONTROL_CHANNELS = ("store", "directory", "groups", "shutdown")
@@ -286,6 +284,7 @@
             self.offers,
             self.exchange,
             self.shutdown,
+            FaultLog(metrics=self.metrics),
         ):
             part.register(self)
 
@@ -304,21 +303,3 @@
             ready_port=self.watchers.port,
             peers_address=self.peers.address,
         )
-
-    @handler("exception", channel="*")
-    def _on_exception(
-        self,
-        error_type: type[Exception],
-        error: Exception,
-        traceback: list[str],
-        handler: object = None,  # noqa: A002
-        fevent: Event | None = None,
-    ) -> None:
-        self.metrics.count("faults", error_type.__name__)
-        log_warning(
-            "fault",
-            error=error_type.__name__,
-            message=str(error),
-            fired=fevent.name if fevent is not None else "",
-            traceback="".join(traceback)[-MAX_TRACEBACK:],
-        )
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -18,7 +18,6 @@
 import h11
 from circuits import Event, handler
 from circuits.net.events import disconnect, ready
-from circuits.net.sockets import TCPServer
 
 from ..events import (
     CallerAnswer,
@@ -28,6 +27,7 @@
     caller_stalled,
 )
 from ..protocol.openai import error_body
+from .caller_server import CallerServer
 from .callers_web import (
     LAST_CHUNK,
     CallersWeb,
@@ -62,7 +62,7 @@
     response: Response | None = None
 
 
-class Callers(TCPServer):
+class Callers(CallerServer):
     """Own the callers' connections.
 
     Parameters
@@ -318,25 +318,11 @@
     # Writing
 
     def _write_now(self, connection: _Connection, data: bytes) -> None:
-        """Send what the kernel takes at once and queue the rest.
-
-        Going through the poller costs two more events a chunk, and a stream has
-        thousands of chunks.
-        """
-        sock = connection.sock
-        n_sent = 0
-        if not self._buffers[sock]:
-            try:
-                n_sent = sock.send(data)
-            except BlockingIOError:
-                n_sent = 0
-            except OSError:
-                self._close(sock)
-                return
-        if n_sent < len(data):
-            if not self._buffers[sock]:
+        was_waiting = bool(self._buffers[connection.sock])
+        n_waiting = self.send_now(connection.sock, data)
+        if n_waiting:
+            if not was_waiting:
                 connection.progress_at = time.monotonic()
-            self.write(sock, data[n_sent:])
             self._check_stalled(connection)
 
     def write_of_web(self, sock: socket.socket, data: bytes) -> None:
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -16,13 +16,13 @@
 
 import h11
 from circuits import handler
-from circuits.net.sockets import TCPServer
 
 from ..events import (
     RelayedRequest,
     relayed_gone,
     relayed_request,
 )
+from .caller_server import CallerServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,7 +79,7 @@
         return not self.number and self.began_at is None
 
 
-class RelayCallers(TCPServer):
+class RelayCallers(CallerServer):
     """Own the callers' connections of one address.
 
     Parameters
@@ -329,26 +329,8 @@
     # Writing
 
     def _send(self, connection: _Connection, data: bytes) -> None:
-        """Send what the kernel takes at once and queue the rest.
-
-        Going through the poller costs two more events a chunk, and a stream has
-        dozens of chunks.
-        """
-        sock = connection.sock
-        n_sent = 0
-        if not self._buffers[sock]:
-            try:
-                n_sent = sock.send(data)
-            except BlockingIOError:
-                n_sent = 0
-            except OSError:
-                # The caller has gone; word of it may still be under way to us.
-                self._close(sock)
-                return
-        if n_sent < len(data):
-            self.write(sock, data[n_sent:])
-            if sum(map(len, self._buffers[sock])) > MAX_UNREAD:
-                self._close(sock)
+        if self.send_now(connection.sock, data) > MAX_UNREAD:
+            self._close(connection.sock)
 
     @handler("_write", priority=0)
     def _on_written(self, sock: socket.socket) -> None:
