--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,107 @@
+"""Measure what relaying costs an entry host, without sockets.
+
+Prints microseconds a relayed stream, a passed event and a word between hosts, and what
+words cost a host by the number of hosts.
+
+    .venv/bin/python -m benchmarks.relay
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
+from ryelever.host_exchange import FAR_WORDS, WORD_INTERVAL
+from ryelever.protocol.host_words import decode_datagram, encode_word
+from ryelever.protocol.sse import EventCutter
+from ryelever.state.routes import RouteKind
+from tests.test_coordination.relay_fakes import Relaying, head
+
+#: Streams of one round, events of a stream, and rounds, of which the best counts.
+N_STREAMS = 300
+N_EVENTS = 27
+N_ROUNDS = 5
+
+#: Heads that a word tells the load of: the groups of a zone.
+N_HEADS = 18
+
+#: Hosts, and how many of them are in a host's own zone.
+FLEETS = ((8, 3), (87, 29), (390, 35))
+
+
+def _best(measured: Callable[[], float]) -> float:
+    return min(measured() for _ in range(N_ROUNDS))
+
+
+def stream_time(n_events: int) -> float:
+    """Return the seconds of processor time for one stream from arrival to end."""
+    relaying = Relaying(n_servers=40, slots=50)
+    event = b"id: 7\ndata: " + b"x" * 50 + b"\n\n"
+    start = time.process_time()
+    for number in range(1, N_STREAMS + 1):
+        relaying.arrive(RouteKind.STREAM, number=number)
+        attempt = relaying.sent[-1]
+        relaying.requests.answer_head(attempt.id, head(f"r{number}"), now=0.1)
+        cutter = EventCutter()
+        for index in range(n_events):
+            for _, data in cutter.feed(event):
+                events = [(str(index + 1), data)]
+                relaying.requests.answer_events(attempt.id, events, now=0.1)
+        relaying.requests.answer_end(attempt.id, cut=False, now=0.2)
+        relaying.out.clear()
+    return (time.process_time() - start) / N_STREAMS
+
+
+def _word(sequence: int) -> HostWord:
+    return HostWord(
+        host="front-1",
+        availability_zone="z",
+        boot=1,
+        sequence=sequence,
+        reads_store=True,
+        stopping=False,
+        configuration_version=7,
+        in_flight_by_server={f"i-{index:08x}": 3 for index in range(N_HEADS)},
+        demand_by_model={"large": 0.5, "small": 0.7},
+    )
+
+
+def word_times() -> tuple[float, float, int]:
+    """Return the seconds to write and to take one word, and its bytes."""
+    words = HostWords(host="front-0", zone="z")
+    words.addresses_by_host["front-1"] = HostAddress(
+        host="front-1", address="127.0.0.1:1", availability_zone="z"
+    )
+    start = time.process_time()
+    data = [encode_word(_word(sequence)) for sequence in range(1, 501)]
+    written = time.process_time()
+    for datagram in data:
+        words.take(decode_datagram(datagram, peer="front-1").ok, now=0.0)
+    taken = time.process_time()
+    return (written - start) / 500, (taken - written) / 500, len(data[0])
+
+
+def main() -> None:
+    """Print all figures."""
+    one = _best(lambda: stream_time(1))
+    many = _best(lambda: stream_time(N_EVENTS))
+    event = (many - one) / (N_EVENTS - 1)
+    print(f"a stream of one event: {one * 1e6:.0f} us")
+    print(f"each further event:    {event * 1e6:.1f} us")
+    write = _best(lambda: word_times()[0])
+    take = _best(lambda: word_times()[1])
+    n_bytes = word_times()[2]
+    print(f"a word: {write * 1e6:.0f} us to write, {take * 1e6:.0f} us to take")
+    for n_hosts, n_own in FLEETS:
+        far = (n_hosts - n_own) / FAR_WORDS
+        rate = (n_own - 1 + far) / WORD_INTERVAL
+        share = (rate * take + write / WORD_INTERVAL) * 100
+        print(
+            f"{n_hosts} hosts: {rate:.0f} words a second, {share:.1f}% of a core,"
+            f" {rate * n_bytes / 1000:.0f} KB a second each way"
+        )
+
+
+if __name__ == "__main__":
+    main()
