Pass on that an entry is back, though it says nothing new

Found in reading the change: the host that reads the backend servers' records passed on only what was new to itself. An entry that lapsed in an outage and came back the same was not, and a host that hears only what is passed on would have carried its removal out: after an outage no backend servers. The test fails before and passes after.

--- a/ryelever/coordination/removals.py
+++ b/ryelever/coordination/removals.py
@@ -36,9 +36,9 @@
         """Take word that a backend server's entry is gone."""
         self._removed_at_by_id.setdefault(server_id, now)
 
-    def discard(self, server_id: str) -> None:
-        """Take word that it is there."""
-        self._removed_at_by_id.pop(server_id, None)
+    def discard(self, server_id: str) -> bool:
+        """Take word that it is there; tell whether its removal was held back."""
+        return self._removed_at_by_id.pop(server_id, None) is not None
 
     def due(self, *, now: float) -> list[str]:
         """Return the backend servers that are to be taken for gone now."""
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -251,7 +251,12 @@
         return changes
 
     def _take_server(self, server_id: str, data: bytes) -> bool:
-        self._removals.discard(server_id)
+        """Take one record; tell whether it says anything new.
+
+        That it ends a removal which is held back is new as well: hosts that read
+        nothing hold the removal too, and would carry it out.
+        """
+        is_back = self._removals.discard(server_id)
         read = self._documents.server(
             server_id, data, peer=self._settings.store_address
         )
@@ -263,7 +268,7 @@
         server = read.ok
         old = self._directory.by_id.get(server_id)
         if not self._directory.put(server):
-            return False
+            return is_back
         _log_change(old, server)
         return True
 
--- /dev/null
+++ b/tests/test_fleet_directory.py
@@ -0,0 +1,134 @@
+"""Test how one host reads the backend servers' records for others."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import pytest
+
+from ryelever.coordination.host_words import HostWords
+from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
+from ryelever.coordination.topic import TopicNews
+from ryelever.fleet_directory import FleetDirectory
+from ryelever.platform.records import PlatformRecords
+from ryelever.platform.store import StoreCalls
+from ryelever.relay_settings import RelaySettings
+from ryelever.state.directory import Directory
+from ryelever.state.keyed_record import KeyedRecord, ServerNews
+from ryelever.store_client import StoreClient
+
+
+class Clock:
+    """Stand in for the monotonic clock."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(time, "monotonic", clock)
+    return clock
+
+
+class Host:
+    """Hold one host's directory, and the news that it passes on."""
+
+    def __init__(self, name: str) -> None:
+        settings = RelaySettings(
+            host=name,
+            ip="127.0.0.1",
+            availability_zone="z",
+            callers_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            ports=(0, 0),
+            store_address="127.0.0.1:1",
+            store_partitions=1,
+            heartbeat_interval=1.2,
+            leaving_bound=2.0,
+            grace=8.0,
+            stall_time=6.0,
+            repeat_ratio=0.2,
+            repeat_window=10.0,
+            repeat_slack=100.0,
+            zones=("z",),
+            last_bytes=0.5,
+        )
+        self.directory = Directory()
+        self.fleet = FleetDirectory(
+            settings=settings,
+            log=StoreCalls(address="127.0.0.1:1"),
+            documents=PlatformRecords(),
+            store=StoreClient(address="127.0.0.1:1"),
+            directory=self.directory,
+            words=HostWords(host=name, zone="z"),
+            own_address="127.0.0.1:2",
+        )
+        self.passed_on: list[ServerNews] = []
+        self.fleet.fire = self._keep
+
+    def _keep(self, event: object, *channels: str) -> None:
+        self.passed_on += [item for item in event.args if isinstance(item, ServerNews)]
+
+    def listed(self, *records: KeyedRecord, end: int) -> None:
+        follower = self.fleet.servers
+        follower.next_call(now=time.monotonic())
+        follower.answered(200, b'{"items": [], "more": false, "end": %d}' % end, now=0)
+        self.fleet._take_servers(TopicNews(records=list(records), complete=True))
+
+    def read(self, *records: KeyedRecord, end: int) -> ServerNews:
+        """Take what a read has brought; return what is passed on."""
+        start = self.fleet.servers.offset
+        self.fleet.servers.offset = end
+        self.fleet.servers.answered_at = time.monotonic()
+        self.fleet._take_servers(TopicNews(records=list(records), start=start))
+        return self.passed_on[-1]
+
+
+def _put(server_id: str, offset: int, **changes: object) -> KeyedRecord:
+    entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z"} | changes
+    return KeyedRecord(key=server_id, value=json.dumps(entry).encode(), offset=offset)
+
+
+def _gone(server_id: str, offset: int) -> KeyedRecord:
+    return KeyedRecord(key=server_id, value=b"", offset=offset)
+
+
+def test_changes_reach_a_host_that_reads_nothing(clock: Clock) -> None:
+    reader, other = Host("a"), Host("b")
+    for host in (reader, other):
+        host.listed(_put("i1", 0), end=1)
+    news = reader.read(_put("i1", 1, state="draining"), _put("i2", 2), end=3)
+    other.fleet._on_passed_on(news)
+    assert other.directory.by_id.keys() == {"i1", "i2"}
+    assert other.directory.by_id["i1"].draining
+
+
+def test_entries_that_come_back_unchanged_are_told(clock: Clock) -> None:
+    """Show that a host that reads nothing doesn't lose servers after an outage.
+
+    Symptom: after an outage one host has no backend servers left.
+    Sequence: entries lapse while the store is away; it returns, the removals are read
+    and passed on, and then the entries are back, the same as before.
+    Cause: what says nothing new to the reader was not passed on, and for the other
+    host the removals, which wait for two seconds, were never taken back.
+    """
+    reader, other = Host("a"), Host("b")
+    for host in (reader, other):
+        host.listed(_put("i1", 0), end=1)
+        host.fleet.servers.answered_at = clock.now
+        host.fleet._on_tick()
+        host.fleet.servers.failed_at = clock.now + 1.0
+    clock.now += OUTAGE + 4.0
+    other.fleet._on_passed_on(reader.read(_gone("i1", 1), end=2))
+    clock.now += 0.5
+    other.fleet._on_passed_on(reader.read(_put("i1", 2), end=3))
+    clock.now += ENTRIES_BACK + 1.0
+    for host in (reader, other):
+        host.fleet._on_tick()
+        assert host.directory.by_id.keys() == {"i1"}
