Split what had grown large, and take out what nothing reads

The request's state, the staging of weights and the adoption of groups get modules of their own; the words no longer carry what nobody filled, and the adapter decodes no field that nothing uses.

--- a/ryelever/coordination/balance.py
+++ b/ryelever/coordination/balance.py
@@ -105,10 +105,6 @@
                 best, best_load = server, load
         return best
 
-    def has_any(self, service: str, model: str) -> bool:
-        """Tell whether any backend server can run such work, busy or not."""
-        return bool(self.candidates(service, model))
-
     def sent(self, server_id: str) -> None:
         """Count a request that is under way to a backend server."""
         self.record(server_id).in_flight += 1
--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -41,8 +41,6 @@
         Work that arrives there, in replica groups kept busy.
     still : tuple of str
         Heads whose groups stand still as it sees them.
-    leaving : tuple of str
-        Backend servers that it knows to be leaving or gone.
     plans : tuple of str
         Availability zones that it plans for.
     """
@@ -57,7 +55,6 @@
     in_flight_by_server: dict[str, int] = field(default_factory=dict)
     demand_by_model: dict[str, float] = field(default_factory=dict)
     still: tuple[str, ...] = ()
-    leaving: tuple[str, ...] = ()
     plans: tuple[str, ...] = ()
 
 
--- /dev/null
+++ b/ryelever/coordination/relay_request.py
@@ -0,0 +1,117 @@
+"""Hold the state of one relayed request."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..state.routes import RouteKind
+
+if TYPE_CHECKING:
+    from ..protocol.relaying import AnswerHead, RelayArrival
+    from ..state.routes import Route, RouteAccount
+    from .relay_actions import RelayAttempt
+
+__all__ = ["RelayRequest", "RequestPhase", "follows", "request_of"]
+
+#: Seconds before a caller leaves, at which it gets its final answer: the way there
+#: takes a few milliseconds, and a tick may come a tenth of a second late.
+LAST_ANSWER = 0.06
+
+#: Part of the latency objective that the first event or the answer itself takes.
+#: A request that waits longer than the rest of it is served after those that can
+#: still be in time.
+OBJECTIVE_LEFT = 0.6
+
+
+class RequestPhase(enum.Enum):
+    """Name where a request is on its way."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class RelayRequest:
+    """Hold the state of one request.
+
+    Attributes
+    ----------
+    gives_up_at : float
+        Monotonic time of its final answer at the latest.
+    may_have_run : bool
+        True once a sending of it may have reached a backend server that did not
+        promise not to have run it.
+    tried : set of str
+        Ids of the backend servers that it was sent to.
+    waits_until : float
+        Monotonic time until which it waits for a place at a backend server.
+    last_event_id : str
+        The last event passed on, or the one after which the caller resumes.
+    """
+
+    number: int
+    arrival: RelayArrival
+    route: Route
+    service: str
+    account: str
+    priority: int
+    deadline: float
+    gives_up_at: float
+    on_time_until: float
+    phase: RequestPhase = RequestPhase.WAITING
+    attempt: RelayAttempt | None = None
+    head: AnswerHead | None = None
+    may_have_run: bool = False
+    n_sent: int = 0
+    waits_until: float = 0.0
+    tried: set[str] = field(default_factory=set)
+    last_event_id: str = ""
+    body: bytearray = field(default_factory=bytearray)
+    n_events: int = 0
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the answer is a series of events."""
+        return self.route.kind is RouteKind.STREAM
+
+
+def request_of(
+    number: int,
+    *,
+    arrival: RelayArrival,
+    route: Route,
+    account: RouteAccount | None,
+    now: float,
+) -> RelayRequest:
+    """Return a request that has arrived, with what its route makes of it."""
+    patience = route.timeout if route.timeout else float("inf")
+    timed_out_at = now + patience
+    deadline = timed_out_at if arrival.deadline is None else arrival.deadline
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    return RelayRequest(
+        number=number,
+        arrival=arrival,
+        route=route,
+        service=route.service_of(arrival.request_id),
+        account=account.name if account else "",
+        priority=priority,
+        deadline=min(deadline, timed_out_at + LAST_ANSWER),
+        gives_up_at=min(deadline - LAST_ANSWER, timed_out_at),
+        on_time_until=now + OBJECTIVE_LEFT * route.latency_objective,
+        last_event_id=arrival.last_event_id,
+    )
+
+
+def follows(event_id: str, last_event_id: str) -> bool:
+    """Tell whether an event comes after the last one passed on."""
+    if not last_event_id:
+        return True
+    if event_id.isdecimal() and last_event_id.isdecimal():
+        return int(event_id) > int(last_event_id)
+    return event_id != last_event_id
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -7,39 +7,29 @@
 
 from __future__ import annotations
 
-import enum
 import itertools
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..state.routes import RouteKind
 from .relay_actions import RelayAttempt, RelayRefusal
+from .relay_request import RequestPhase, follows, request_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..protocol.relaying import AnswerHead, RelayArrival
-    from ..state.routes import Route, RouteAccount, RouteTable
+    from ..state.routes import RouteAccount, RouteTable
     from .balance import Balancer
     from .relay_actions import RelayOutbox
+    from .relay_request import RelayRequest
     from .repeat_budget import RepeatBudget
     from .stillness import StillnessWatch
 
-__all__ = ["RelayRequest", "RelayRequests", "RequestPhase"]
-
-#: Seconds before a caller leaves, at which it gets its final answer: the way there
-#: takes a few milliseconds, and a tick may come a tenth of a second late.
-LAST_ANSWER = 0.06
+__all__ = ["RelayRequests"]
 
 #: Seconds for which a request waits for a place at a backend server.  A place frees
 #: every tenth of a second at a full group, and callers that hear early come back.
 LONGEST_WAIT = 1.0
 
-#: Part of the latency objective that the first event or the answer itself takes.
-#: A request that waits longer than the rest of it is served after those that can
-#: still be in time.
-OBJECTIVE_LEFT = 0.6
-
 #: Seconds after which a refused caller may come back.
 COME_BACK = 0.3
 
@@ -53,60 +43,6 @@
 LEAST_TIME_TO_REPEAT = 0.15
 
 
-class RequestPhase(enum.Enum):
-    """Name where a request is on its way."""
-
-    WAITING = "waiting"
-    SENT = "sent"
-    STREAMING = "streaming"
-    ENDED = "ended"
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class RelayRequest:
-    """Hold the state of one request.
-
-    Attributes
-    ----------
-    gives_up_at : float
-        Monotonic time of its final answer at the latest.
-    may_have_run : bool
-        True once a sending of it may have reached a backend server that did not
-        promise not to have run it.
-    tried : set of str
-        Ids of the backend servers that it was sent to.
-    waits_until : float
-        Monotonic time until which it waits for a place at a backend server.
-    last_event_id : str
-        The last event passed on, or the one after which the caller resumes.
-    """
-
-    number: int
-    arrival: RelayArrival
-    route: Route
-    service: str
-    account: str
-    priority: int
-    deadline: float
-    gives_up_at: float
-    on_time_until: float
-    phase: RequestPhase = RequestPhase.WAITING
-    attempt: RelayAttempt | None = None
-    head: AnswerHead | None = None
-    may_have_run: bool = False
-    n_sent: int = 0
-    waits_until: float = 0.0
-    tried: set[str] = field(default_factory=set)
-    last_event_id: str = ""
-    body: bytearray = field(default_factory=bytearray)
-    n_events: int = 0
-
-    @property
-    def is_stream(self) -> bool:
-        """Tell whether the answer is a series of events."""
-        return self.route.kind is RouteKind.STREAM
-
-
 class RelayRequests:
     """Decide about all relayed requests of one process.
 
@@ -176,7 +112,7 @@
             if account is None:
                 self._refuse_unread(number, arrival, 401, "unknown_key")
                 return
-        request = _request_of(
+        request = request_of(
             number, arrival=arrival, route=route, account=account, now=now
         )
         self.requests_by_number[number] = request
@@ -447,7 +383,7 @@
         fresh = []
         for event_id, event in events:
             if event_id:
-                if not _follows(event_id, request.last_event_id):
+                if not follows(event_id, request.last_event_id):
                     continue
                 request.last_event_id = event_id
             fresh.append(event)
@@ -586,40 +522,3 @@
             **places,
             ms=round((now - request.arrival.arrived_at) * 1000),
         )
-
-
-def _request_of(
-    number: int,
-    *,
-    arrival: RelayArrival,
-    route: Route,
-    account: RouteAccount | None,
-    now: float,
-) -> RelayRequest:
-    patience = route.timeout if route.timeout else float("inf")
-    timed_out_at = now + patience
-    deadline = timed_out_at if arrival.deadline is None else arrival.deadline
-    priority = route.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
-    return RelayRequest(
-        number=number,
-        arrival=arrival,
-        route=route,
-        service=route.service_of(arrival.request_id),
-        account=account.name if account else "",
-        priority=priority,
-        deadline=min(deadline, timed_out_at + LAST_ANSWER),
-        gives_up_at=min(deadline - LAST_ANSWER, timed_out_at),
-        on_time_until=now + OBJECTIVE_LEFT * route.latency_objective,
-        last_event_id=arrival.last_event_id,
-    )
-
-
-def _follows(event_id: str, last_event_id: str) -> bool:
-    """Tell whether an event comes after the last one passed on."""
-    if not last_event_id:
-        return True
-    if event_id.isdecimal() and last_event_id.isdecimal():
-        return int(event_id) > int(last_event_id)
-    return event_id != last_event_id
--- /dev/null
+++ b/ryelever/coordination/weight_staging.py
@@ -0,0 +1,105 @@
+"""Stage weights on servers before they are needed, no faster than is allowed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from .group_forming import choose_second_weights, choose_staging
+from .group_orders import GroupOrder, OrderKind
+
+if TYPE_CHECKING:
+    from ..state.directory import BackendServer
+    from .group_forming import FormingRules, StandingGroup
+
+__all__ = ["WeightStaging"]
+
+#: Seconds after which an order to stage weights is given again.
+STAGE_RETRY = 20.0
+
+#: Part of the loads that the weight store starts which a zone uses of its share.
+LOAD_SHARE = 0.8
+
+#: Seconds over which loads are counted.
+LOAD_WINDOW = 5.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Loads:
+    """Pace the loads from the weight store."""
+
+    times: list[float] = field(default_factory=list)
+
+    def allow(self, *, rate: float, now: float) -> bool:
+        """Tell whether a load may begin now, and count it if so."""
+        self.times = [at for at in self.times if now - at < LOAD_WINDOW]
+        # One may always begin: the bound leaves room for three beyond the rate.
+        if self.times and len(self.times) + 1 > rate * LOAD_WINDOW:
+            return False
+        self.times.append(now)
+        return True
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Staging:
+    """Hold which weights a server was told to stage, and when."""
+
+    model: str
+    since: float
+
+
+class WeightStaging:
+    """Give the orders to stage weights in one availability zone."""
+
+    def __init__(self) -> None:
+        self._loads = _Loads()
+        self._staging_by_id: dict[str, _Staging] = {}
+
+    def orders(
+        self,
+        free: list[BackendServer],
+        standing: list[StandingGroup],
+        rules: FormingRules,
+        *,
+        rate: float,
+        now: float,
+    ) -> list[GroupOrder]:
+        """Return the orders that are due.
+
+        Parameters
+        ----------
+        rate : float
+            Loads a second that the weight store starts for the zone.
+        """
+        foreseen = [self._foreseen(server, now=now) for server in free]
+        wanted = choose_staging(foreseen, rules)
+        if rules.loads_are_quick:
+            # Second weights are loaded only while loads are quick and free.
+            groups = [self._foreseen_group(group, now=now) for group in standing]
+            wanted += choose_second_weights(groups, rules)
+        orders = []
+        for server, model in wanted:
+            paced = not rules.loads_are_quick
+            if paced and not self._loads.allow(rate=LOAD_SHARE * rate, now=now):
+                break
+            self._staging_by_id[server.id] = _Staging(model=model.name, since=now)
+            orders.append(
+                GroupOrder(
+                    kind=OrderKind.STAGE,
+                    server_id=server.id,
+                    address=server.address,
+                    model=model.name,
+                )
+            )
+        return orders
+
+    def _foreseen_group(self, group: StandingGroup, *, now: float) -> StandingGroup:
+        members = tuple(self._foreseen(item, now=now) for item in group.members)
+        return replace(group, members=members)
+
+    def _foreseen(self, server: BackendServer, *, now: float) -> BackendServer:
+        """Return a server as it will be once it has staged what it was told to."""
+        staging = self._staging_by_id.get(server.id)
+        if staging is None or now - staging.since > STAGE_RETRY:
+            return server
+        return replace(server, staged=server.staged | {staging.model})
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -7,21 +7,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .group_adoption import GroupAdoption
 from .group_forming import (
     BUSY_ENOUGH,
     FormingRules,
     StandingGroup,
     choose_formations,
-    choose_second_weights,
-    choose_staging,
     choose_taking_apart,
 )
-from .group_keeper import STALL_SLACK, TAKEN_APART, GroupKeeper, GroupPhase
-from .group_orders import GroupOrder, OrderKind
+from .group_keeper import TAKEN_APART, GroupKeeper, GroupPhase
 from .group_records import GroupRecord, Member
+from .weight_staging import WeightStaging
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -29,6 +28,7 @@
     from ..state.directory import BackendServer, Directory
     from ..state.routes import EngineProfile, RouteTable
     from .group_forming import Formation
+    from .group_orders import GroupOrder
 
 __all__ = ["AppendGroups", "ZonePlanner"]
 
@@ -44,22 +44,9 @@
 #: Longest time in seconds that a member takes to join: it loads weights first.
 LONGEST_JOIN = 20.0
 
-#: Seconds for which a group that has no record is left alone: the record of one that
-#: another planner has just decided on may still be on its way here.
-ADOPT_AFTER = 1.5
-
 #: Seconds after which an append that got no answer is looked for in the log.
 APPEND_TIMEOUT = 1.0
 
-#: Seconds after which an order to stage weights is given again.
-STAGE_RETRY = 20.0
-
-#: Part of the loads that the weight store starts for all zones which a zone uses.
-LOAD_SHARE = 0.8
-
-#: Seconds over which loads are counted.
-LOAD_WINDOW = 5.0
-
 #: Seconds without a new server in the list after which all have shown that are there
 #: at the start, and the longest time to wait for that.
 FLEET_SETTLING = 1.0
@@ -95,30 +82,6 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
-class _Loads:
-    """Pace the loads from the weight store."""
-
-    times: list[float] = field(default_factory=list)
-
-    def allow(self, *, rate: float, now: float) -> bool:
-        """Tell whether a load may begin now, and count it if so."""
-        self.times = [at for at in self.times if now - at < LOAD_WINDOW]
-        # One may always begin: the bound leaves room for three beyond the rate.
-        if self.times and len(self.times) + 1 > rate * LOAD_WINDOW:
-            return False
-        self.times.append(now)
-        return True
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class _Staging:
-    """Hold which weights a server was told to stage, and when."""
-
-    model: str
-    since: float
-
-
 class ZonePlanner:
     """Decide about the groups of one availability zone.
 
@@ -157,14 +120,10 @@
         self._demand = demand
         self._is_calm = is_calm
         self._since = since
-        self._stall_time = stall_time
-        self._unknown_since: dict[tuple[str, int], float] = {}
-        self._log = log
         self._end = -1
         self._appending_since: float | None = None
         self._appending: AppendGroups | None = None
-        self._loads = _Loads()
-        self._staging_by_id: dict[str, _Staging] = {}
+        self._weights = WeightStaging()
         self._n_free_seen = -1
         self._n_free_since = since
         self.keeper = GroupKeeper(
@@ -174,6 +133,13 @@
             patience=0.0 if is_own else FOREIGN_PATIENCE,
             log=log,
         )
+        self._adoption = GroupAdoption(
+            zone=zone,
+            directory=directory,
+            keeper=self.keeper,
+            stall_time=stall_time,
+            log=log,
+        )
 
     # The log
 
@@ -234,7 +200,7 @@
         if table is None or self._end < 0 or now - self._since < SETTLING:
             return [], None
         orders = self.keeper.look(now=now)
-        self._adopt(table, now=now)
+        self._adoption.look(table, now=now)
         self._take_apart(table, now=now)
         append = self._append_due(table, now=now)
         for service in table.services_by_name.values():
@@ -287,64 +253,6 @@
         free = [server for server in free if server.domain not in held]
         return choose_formations(free, self._rules(service, engine))
 
-    def _adopt(self, table: RouteTable, *, now: float) -> None:
-        """Take over groups that members report, and that have no record.
-
-        The record of a group may have been dropped by an append that was carried out
-        late.  Without it the members would look free while their head serves.
-        """
-        reported: dict[tuple[str, int], list[BackendServer]] = {}
-        for service in table.services_by_name.values():
-            for server in self._directory.of_service(service.name):
-                report = server.group
-                own = server.availability_zone == self._zone
-                if own and report is not None and not self._is_known(server):
-                    key = (report.name, report.epoch)
-                    reported.setdefault(key, []).append(server)
-        for key in self._unknown_since.keys() - reported.keys():
-            del self._unknown_since[key]
-        for key, members in reported.items():
-            since = self._unknown_since.setdefault(key, now)
-            members.sort(key=lambda server: server.group.rank)
-            if now - since > ADOPT_AFTER and members[0].group.rank == 0:
-                self._take_over(members, now=now)
-
-    def _take_over(self, members: list[BackendServer], *, now: float) -> None:
-        head = members[0]
-        record = GroupRecord(
-            name=head.group.name,
-            epoch=head.group.epoch,
-            service=head.service,
-            model=next(iter(head.models), ""),
-            availability_zone=self._zone,
-            members=tuple(
-                Member(server_id=server.id, address=server.address)
-                for server in members
-            ),
-        )
-        self._log("group_adopted", group=record.name, members=record.member_ids)
-        self.keeper.put(record, now=now, recorded=False)
-        ranks = [server.group.rank for server in members]
-        profile = self._table().services_by_name[head.service].engine
-        model = profile.models_by_name.get(record.model) if profile else None
-        if model is None or ranks != list(range(model.size)):
-            self.keeper.end(record.name, "member_unknown", now=now)
-
-    def _is_known(self, server: BackendServer) -> bool:
-        """Tell whether a server's group is kept, or has ended for all we know."""
-        return self.keeper.knows(server.group.name, server.group.epoch)
-
-    def _is_unsettled(self, server: BackendServer, *, now: float) -> bool:
-        """Tell whether a server may be in a group that serves and has no record.
-
-        Where the head doesn't show, the group has broken off some time after that.
-        """
-        report = server.group
-        if report is None or self._is_known(server):
-            return False
-        since = self._unknown_since.get((report.name, report.epoch), now)
-        return now - since <= self._stall_time + STALL_SLACK
-
     def _take_apart(self, table: RouteTable, *, now: float) -> None:
         """End a group whose members are worth more in another one."""
         if self._appending is not None or self._is_calm():
@@ -416,7 +324,7 @@
             if server.availability_zone == self._zone
             and not server.draining
             and server.id not in taken
-            and not self._is_unsettled(server, now=now)
+            and not self._adoption.is_unsettled(server, now=now)
             and not self.keeper.seems_lost(server.id, now=now)
         ]
 
@@ -466,46 +374,14 @@
     def _staging(
         self, service: str, engine: EngineProfile, *, now: float
     ) -> list[GroupOrder]:
-        """Stage weights on free servers, no more at once than the store allows."""
+        """Return the orders to stage weights that are due."""
         free = self._free(service, now=now)
         if self._appending is not None or not self._has_settled(free, now=now):
             return []
-        foreseen = [self._foreseen(server, now=now) for server in free]
-        orders = []
-        rate = LOAD_SHARE * engine.loads_per_second / self._n_zones
-        rules = self._rules(service, engine)
-        wanted = choose_staging(foreseen, rules)
-        if self._is_calm():
-            # Loads are quick and free only before the first request.
-            wanted += choose_second_weights(
-                self._foreseen_groups(service, now=now), rules
-            )
-        for server, model in wanted:
-            if not self._is_calm() and not self._loads.allow(rate=rate, now=now):
-                break
-            self._staging_by_id[server.id] = _Staging(model=model.name, since=now)
-            orders.append(
-                GroupOrder(
-                    kind=OrderKind.STAGE,
-                    server_id=server.id,
-                    address=server.address,
-                    model=model.name,
-                )
-            )
-        return orders
-
-    def _foreseen_groups(self, service: str, *, now: float) -> list[StandingGroup]:
-        return [
-            replace(
-                group,
-                members=tuple(self._foreseen(item, now=now) for item in group.members),
-            )
-            for group in self._standing(service)
-        ]
-
-    def _foreseen(self, server: BackendServer, *, now: float) -> BackendServer:
-        """Return a server as it will be once it has staged what it was told to."""
-        staging = self._staging_by_id.get(server.id)
-        if staging is None or now - staging.since > STAGE_RETRY:
-            return server
-        return replace(server, staged=server.staged | {staging.model})
+        return self._weights.orders(
+            free,
+            self._standing(service),
+            self._rules(service, engine),
+            rate=engine.loads_per_second / self._n_zones,
+            now=now,
+        )
--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -44,10 +44,8 @@
         request is passed on as it is.
         """
         found = dict(head)
-        tokens = found.get(words.TOKENS, b"").split(b",")
-        n_prompt, n_answer = 0, 0
-        if len(tokens) == 2:
-            n_prompt, n_answer = _number(tokens[0]), _number(tokens[1])
+        # The second number, the most tokens to write, says little of how many come.
+        n_prompt = _number(found.get(words.TOKENS, b"").partition(b",")[0])
         deadline = _number(found.get(words.DEADLINE, b""))
         host = found.get(b"host", b"").decode("latin-1").lower()
         path = target.partition(b"?")[0].decode("latin-1")
@@ -59,7 +57,6 @@
             key=None if key is None else key.decode("latin-1"),
             model=found.get(words.MODEL, b"").decode("latin-1"),
             n_prompt=n_prompt,
-            n_answer=n_answer,
             last_event_id=found.get(words.LAST_EVENT_ID, b"").decode("latin-1"),
             deadline=now + deadline / 1000 if deadline else None,
             arrived_at=now,
@@ -95,7 +92,6 @@
             not_run=not_run,
             wrong_server=status == WRONG_SERVER,
             encoded=b"content-encoding" in found,
-            length=_length(found),
             headers=self._passed_back(headers),
         )
 
@@ -126,7 +122,3 @@
         return max(0, int(text))
     except ValueError:
         return 0
-
-
-def _length(found: dict[bytes, bytes]) -> int | None:
-    return _number(found[b"content-length"]) if b"content-length" in found else None
--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -83,9 +83,6 @@
     "heartbeat_interval": _Field(
         key="heartbeat_ms", read=_seconds, expected=_MILLISECONDS, default="1200"
     ),
-    "leaving_bound": _Field(
-        key="bounds.drain_ms", read=_seconds, expected=_MILLISECONDS, default="2000"
-    ),
     "grace": _Field(
         key="bounds.grace_s", read=_positive, expected=_NUMBER, default="8"
     ),
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -45,7 +45,6 @@
         stopping=word.stopping,
         configurationVersion=word.configuration_version,
         still=list(word.still[:MAX_SERVERS]),
-        leaving=list(word.leaving[:MAX_SERVERS]),
         plans=list(word.plans),
     )
     message.loads = [
@@ -126,6 +125,5 @@
         in_flight_by_server={load.server: load.inFlight for load in message.loads},
         demand_by_model={item.model: item.groups for item in message.demands},
         still=tuple(message.still),
-        leaving=tuple(message.leaving),
         plans=tuple(message.plans),
     )
--- a/ryelever/protocol/relaying.py
+++ b/ryelever/protocol/relaying.py
@@ -26,8 +26,8 @@
         Key of the client account; None where none was sent.
     model : str
         Model that is asked for; empty at plain services.
-    n_prompt, n_answer : int
-        Tokens of the prompt, and the most that may be written.
+    n_prompt : int
+        Tokens of the prompt.
     last_event_id : str
         Event after which the caller resumes a stream.
     deadline : float or None
@@ -40,7 +40,6 @@
     key: str | None
     model: str
     n_prompt: int
-    n_answer: int
     last_event_id: str
     deadline: float | None
     arrived_at: float
@@ -60,8 +59,6 @@
         True where another one has the address now.
     encoded : bool
         True where something on the way has changed the body's encoding.
-    length : int or None
-        Bytes of the body, where they are declared.
     headers : list of (bytes, bytes)
         What the caller gets.
     """
@@ -72,7 +69,6 @@
     not_run: bool
     wrong_server: bool
     encoded: bool
-    length: int | None
     headers: Headers
 
 
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -19,8 +19,6 @@
         All availability zones, sorted.
     store_partitions : int
         Partitions of each topic of the store.
-    leaving_bound : float
-        From a backend server's announcement to leave to its last new request.
     grace : float
         From the signal to stop to the kill.
     stall_time : float
@@ -41,7 +39,6 @@
     store_address: str
     store_partitions: int
     heartbeat_interval: float
-    leaving_bound: float
     grace: float
     stall_time: float
     repeat_ratio: float
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -18,10 +18,8 @@
   demands @8 :List(Demand);
   # Heads whose groups stand still for the sender.
   still @9 :List(Text);
-  # Backend servers that the sender knows to be leaving or gone.
-  leaving @10 :List(Text);
   # Availability zones that the sender plans for.
-  plans @11 :List(Text);
+  plans @10 :List(Text);
 }
 
 # What one host has read of the backend servers' topic, for the others.
--- a/tests/test_coordination/relay_fakes.py
+++ b/tests/test_coordination/relay_fakes.py
@@ -65,7 +65,6 @@
         "not_run": False,
         "wrong_server": False,
         "encoded": False,
-        "length": None,
         "headers": [(b"response-seal", b"s")],
     }
     return AnswerHead(**(values | changes))
@@ -154,7 +153,6 @@
             key=key,
             model="large" if kind is RouteKind.STREAM else "",
             n_prompt=100,
-            n_answer=50,
             last_event_id=last_event_id,
             deadline=now + patience,
             arrived_at=now,
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -45,7 +45,6 @@
         in_flight_by_server={"i1": 3},
         demand_by_model={"m": 0.5},
         still=("i1",),
-        leaving=("i2",),
         plans=("z",),
     )
     assert decode_datagram(encode_word(word), peer="a").ok == word
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -50,7 +50,6 @@
             store_address="127.0.0.1:1",
             store_partitions=1,
             heartbeat_interval=1.2,
-            leaving_bound=2.0,
             grace=8.0,
             stall_time=6.0,
             repeat_ratio=0.2,
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -38,7 +38,7 @@
 def test_a_head_is_decoded_once() -> None:
     arrival = MESSAGES.arrival(head=HEAD, target=b"/a/b?q=/c", now=100.0)
     assert (arrival.host, arrival.path, arrival.key) == ("calls.example", "/a/b", "key")
-    assert (arrival.model, arrival.n_prompt, arrival.n_answer) == ("m", 1460, 80)
+    assert (arrival.model, arrival.n_prompt) == ("m", 1460)
     assert arrival.deadline == 108.0
 
 
@@ -87,7 +87,7 @@
     passed = [(b"request-id", b"r1"), (b"response-seal", b"s"), (b"x", b"1")]
     own = [(b"connection", b"keep-alive"), (b"content-length", b"12")]
     head = MESSAGES.answer_head(200, [*passed, *own])
-    assert (head.signed, head.not_run, head.length) == (True, False, 12)
+    assert (head.signed, head.not_run) == (True, False)
     assert head.headers == passed
     assert MESSAGES.answer_head(503, [(b"not-executed", b"1")]).not_run
     assert not MESSAGES.answer_head(503, []).not_run
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -19,7 +19,7 @@
     "port_range": "7340,7355",
     "platform.address": "10.200.1.7:8223",
     "platform.parts": "12",
-    "bounds.drain_ms": "2000",
+    "bounds.stall_ms": "6000",
     "bounds.grace_s": "8",
 }
 
@@ -38,7 +38,7 @@
     assert (read.host, read.availability_zone) == ("front-1", "z1")
     assert read.zones == ("z1", "z2")
     assert read.peers_address == "10.1.0.40:7340"
-    assert (read.leaving_bound, read.grace) == (2.0, 8.0)
+    assert (read.stall_time, read.grace) == (6.0, 8.0)
 
 
 @pytest.mark.parametrize(
@@ -52,8 +52,8 @@
         pytest.param("port_range", "7355,7340", id="ports-backwards"),
         pytest.param("platform__address", None, id="no-store"),
         pytest.param("platform__parts", "many", id="no-number"),
-        pytest.param("bounds__drain_ms", "-1", id="negative"),
-        pytest.param("bounds__drain_ms", "inf", id="infinite"),
+        pytest.param("bounds__stall_ms", "-1", id="negative"),
+        pytest.param("bounds__stall_ms", "inf", id="infinite"),
         pytest.param("bounds__grace_s", "nan", id="not-a-number"),
     ],
 )
