--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -131,3 +131,23 @@
     for host in (reader, other):
         host.fleet._on_tick()
         assert host.directory.by_id.keys() == {"i1"}
+
+
+def _configuration(version: int) -> bytes:
+    return json.dumps({"version": version, "routes": [], "services": []}).encode()
+
+
+def test_a_configuration_never_reverts(clock: Clock) -> None:
+    """Show that an older version that comes late changes nothing.
+
+    Symptom: a key that was taken away is accepted again.
+    Sequence: a host has a version in force, and another host gives it an older one.
+    Cause: whatever came last was taken.
+    """
+    host = Host("a")
+    for version in (4, 7, 5, 7):
+        host.fleet.take_configuration(_configuration(version), peer="b")
+    assert host.fleet.version == 7
+    assert json.loads(host.fleet.document())["version"] == 7
+    host.fleet.take_configuration(b"no configuration", peer="b")
+    assert host.fleet.version == 7
