--- a/tests/test_system/test_silent.py
+++ b/tests/test_system/test_silent.py
@@ -68,15 +68,35 @@
     fleet.start_world(
         entries=("e1",), cut=("d0-0",), report_max_age=1.0, report_interval=0.25
     )
-    fleet.control("d0-0-cut", cut_after=1500, n_cuts=3)
     entry = fleet.entries_by_name["e1"]
     caller = Caller(fleet)
+    prompts = [f"cut {index}" for index in range(6)]
+    begun: set[str] = set()
 
     async def run() -> list[Answer]:
-        prompts = [f"cut {index}" for index in range(6)]
-        return await asyncio.gather(
-            *(caller.stream(entry, prompt) for prompt in prompts)
-        )
+        # A caller that comes after the first break, while nothing confirms the
+        # group, is rightly refused: all are under way before.
+        all_begun = asyncio.Event()
+
+        def note(prompt: str) -> None:
+            begun.add(prompt)
+            if len(begun) == len(prompts):
+                all_begun.set()
+
+        streams = [
+            asyncio.ensure_future(
+                caller.stream(
+                    entry,
+                    prompt,
+                    n_tokens=200,
+                    on_token=lambda prompt=prompt: note(prompt),
+                )
+            )
+            for prompt in prompts
+        ]
+        await asyncio.wait_for(all_begun.wait(), PATIENCE)
+        await asyncio.to_thread(fleet.control, "d0-0-cut", cut_after=1500, n_cuts=3)
+        return await asyncio.gather(*streams)
 
     answers = asyncio.run(run())
     assert [answer.error for answer in answers if not answer.whole] == []
