--- a/examples/demo.py
+++ b/examples/demo.py
@@ -2,7 +2,9 @@
 
 Starts stand-ins and three entry hosts in two availability zones, streams a chat
 answer, books once and asks for the same booking at another entry host, kills one
-host of the serving group in mid-stream, and checks that all of it held.
+host of the serving group in mid-stream.  Then starts an entry host that relays before
+stand-ins of the platform, and lets the group of a stream stand still.  It checks that
+all of it held.
 """
 
 from __future__ import annotations
@@ -12,12 +14,14 @@
 import tempfile
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import httpx
 from openai import OpenAI
 
 from tests.processes import EntryHost, Fleet, running_fleet, wait_until
+from tests.relay_zone import RelayZone, events_of_stream, running_relay_zone
 
 ZONES = ("brisbane", "ipswich")
 N_TOKENS = 80
@@ -40,12 +44,35 @@
         )
         codes = [entry.process.stop() for entry in entries]
         checks["the entry hosts shut down gracefully"] = codes == [0, 0, 0]
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        running_relay_zone(Path(directory)) as zone,
+    ):
+        checks["a relayed stream outlived a group that stood still"] = _relay(zone)
     for what, held in checks.items():
         print(f"{'ok  ' if held else 'FAIL'} {what}")
     print(f"{time.monotonic() - started:.1f} s; everything started was stopped")
     return 0 if all(checks.values()) else 1
 
 
+def _relay(zone: RelayZone) -> bool:
+    """Pass a stream on unchanged, while the group that begins it stands still."""
+    zone.start_platform()
+    host = zone.start_host("relay-1")
+    zone.head_of(1)
+    zone.slow_engines(n_events=15)
+    with ThreadPoolExecutor() as threads:
+        asked = threads.submit(host.chat, request_id="s1", model="small")
+        first = wait_until(
+            lambda: zone.server_that_runs("s1"), what="the stream has begun"
+        )
+        zone.control(**{first.replace("-", "_"): {"still": True}})
+        answer = asked.result()
+    second = zone.server_that_runs("s1", other_than=first)
+    print(f"relayed a stream of {first}, which stood still, on by {second}")
+    return answer.text == events_of_stream(15)
+
+
 def _start(fleet: Fleet) -> list[EntryHost]:
     fleet.start_platform(list_lag=0.5)
     for zone, domain in (("brisbane", "b1"), ("brisbane", "b2"), ("ipswich", "i1")):
--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -13,7 +13,7 @@
 
 from .processes import STANDIN_ENVIRONMENT, Process, wait_until
 
-__all__ = ["RelayHost", "RelayZone", "running_relay_zone"]
+__all__ = ["RelayHost", "RelayZone", "events_of_stream", "running_relay_zone"]
 
 HEADERS = {
     "Host": "calls.example",
@@ -170,6 +170,19 @@
             what=f"a group of {size} serves",
         )
 
+    def slow_engines(self, *, n_events: int, event_ms: float = 100.0) -> None:
+        """Let streams last, so that something can happen in their midst."""
+        switches = {"event_ms": event_ms, "n_events": n_events}
+        engines = [name for name in self.servers() if name.startswith("engine")]
+        self.control(**{name.replace("-", "_"): dict(switches) for name in engines})
+
+    def server_that_runs(self, request_id: str, *, other_than: str = "") -> str | None:
+        """Return a backend server that has begun a request, if any has."""
+        for name, server in self.servers().items():
+            if request_id in server["n_runs"] and name != other_than:
+                return name
+        return None
+
     def n_runs(self) -> dict[str, int]:
         """Return how often each request was run, over all backend servers."""
         total: dict[str, int] = {}
@@ -179,6 +192,13 @@
         return total
 
 
+def events_of_stream(n_events: int) -> str:
+    """Return a whole stream as the stand-ins write it."""
+    return "".join(
+        f"id: {number}\ndata: piece {number}\n\n" for number in range(1, n_events + 1)
+    )
+
+
 @contextmanager
 def running_relay_zone(directory: Path) -> Iterator[RelayZone]:
     """Yield a zone whose processes are ended afterwards."""
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -11,7 +11,7 @@
 import pytest
 
 from ..processes import wait_until
-from ..relay_zone import HEADERS, RelayZone, running_relay_zone
+from ..relay_zone import HEADERS, RelayZone, events_of_stream, running_relay_zone
 
 
 @pytest.fixture
@@ -26,9 +26,7 @@
     zone.head_of(2)
     stream = host.chat(request_id="s1")
     assert stream.status_code == 200
-    assert stream.text == "".join(
-        f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 6)
-    )
+    assert stream.text == events_of_stream(5)
     posted = host.call("/once/a%20b/?q=%2F", request_id="u1", method="POST")
     assert posted.text == "POST /once/a%20b/?q=%2F a body"
     assert posted.headers["request-id"] == "u1"
@@ -140,3 +138,33 @@
         assert running.result().text.count("id: ") == 15
     assert host.process.wait() == 0
     assert "s2" not in zone.n_runs()
+
+
+@pytest.mark.parametrize(
+    "switches",
+    [
+        pytest.param({"still": True}, id="group-stands-still"),
+        pytest.param({"cut_after": 6}, id="cut-in-mid-event"),
+    ],
+)
+def test_a_stream_goes_on_at_another_group(
+    zone: RelayZone, switches: dict[str, object]
+) -> None:
+    """Show that a caller gets every event once when its group is lost.
+
+    Symptom: an answer that ends in the middle, or repeats itself.
+    Sequence: a group begins a stream, then a member is lost: nothing moves any more,
+    or the connection breaks in the middle of an event.
+    Cause: the second group must go on after the last whole event.
+    """
+    host = zone.start_host("e1")
+    zone.head_of(1)
+    zone.slow_engines(n_events=15)
+    with ThreadPoolExecutor() as threads:
+        asked = threads.submit(host.chat, request_id="s1", model="small")
+        first = wait_until(lambda: zone.server_that_runs("s1"), what="it runs")
+        zone.control(**{first.replace("-", "_"): switches})
+        answer = asked.result()
+    assert answer.text == events_of_stream(15)
+    assert answer.headers["response-seal"].endswith(first)
+    assert zone.server_that_runs("s1", other_than=first)
