Read the request's id once, and write kept sets, sending and engines once

A refusal carries the id instead of the whole head being decoded again for it; taken members, the sending of datagrams and the loop over services with engines stood twice to four times; an answer to an append is told by its type and a refused connection by its named code; counters that nobody read are gone.

--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -224,12 +224,18 @@
         kept = self._kept_by_name.get(name)
         return None if kept is None else kept.phase
 
-    def taken(self) -> set[str]:
-        """Return the ids of the members that are free for nothing else."""
+    def taken(self, *, besides: str = "") -> set[str]:
+        """Return the ids of the members that are free for nothing else.
+
+        Parameters
+        ----------
+        besides : str
+            Name of a group whose own members don't count.
+        """
         return {
             member_id
-            for kept in self._kept_by_name.values()
-            if kept.phase is not GroupPhase.RETIRED
+            for name, kept in self._kept_by_name.items()
+            if kept.phase is not GroupPhase.RETIRED and name != besides
             for member_id in kept.record.member_ids
         }
 
@@ -353,7 +359,7 @@
         if all(state is GroupState.READY for state in states):
             return self._order(kept, OrderKind.OPEN, record.head.server_id, now=now)
         orders = []
-        held = self._held_elsewhere(kept)
+        held = self.taken(besides=record.name)
         for server, state in zip(servers, states, strict=True):
             if state is None and server.id not in held:
                 orders += self._order(kept, OrderKind.JOIN, server.id, now=now)
@@ -498,15 +504,6 @@
             for server in servers
         )
 
-    def _held_elsewhere(self, kept: _Kept) -> set[str]:
-        """Return the members of all other groups that haven't ended."""
-        return {
-            member_id
-            for other in self._kept_by_name.values()
-            if other is not kept and other.phase is not GroupPhase.RETIRED
-            for member_id in other.record.member_ids
-        }
-
     def _end(self, kept: _Kept, reason: str, *, now: float) -> None:
         if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
             kept.phase = GroupPhase.ENDING
--- a/ryelever/coordination/relay_actions.py
+++ b/ryelever/coordination/relay_actions.py
@@ -46,12 +46,15 @@
 
     Attributes
     ----------
+    request_id : str
+        Id that the caller gave its sending.
     status : int
         429 and 503 promise that the request was not run and never will be.
     retry_after : float or None
         Seconds after which coming back makes sense.
     """
 
+    request_id: str
     status: int
     reason: str
     retry_after: float | None = None
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -85,11 +85,6 @@
         self._waiting: dict[int, RelayRequest] = {}
         self.refuses_new = False
 
-    @property
-    def n_waiting(self) -> int:
-        """Return how many requests wait for a place."""
-        return len(self._waiting)
-
     # Callers
 
     def arrive(self, number: int, arrival: RelayArrival) -> None:
@@ -435,21 +430,33 @@
             self._log_answer(request, status=0, now=now, reason=reason)
             self._end(request)
             return
+        retry_after = None
         if not request.may_have_run:
-            refusal = RelayRefusal(status=503, reason=reason, retry_after=COME_BACK)
+            status, retry_after = 503, COME_BACK
         elif reason == "too_late":
-            refusal = RelayRefusal(status=504, reason=reason)
+            status = 504
         else:
-            refusal = RelayRefusal(status=502, reason=reason)
+            status = 502
+        refusal = RelayRefusal(
+            request_id=request.arrival.request_id,
+            status=status,
+            reason=reason,
+            retry_after=retry_after,
+        )
         self._outbox.refuse(request.number, refusal)
-        self._log_answer(request, status=refusal.status, now=now, reason=reason)
+        self._log_answer(request, status=status, now=now, reason=reason)
         self._end(request)
 
     def _refuse_unread(
         self, number: int, arrival: RelayArrival, status: int, reason: str
     ) -> None:
         retry_after = COME_BACK if status == 503 else None
-        refusal = RelayRefusal(status=status, reason=reason, retry_after=retry_after)
+        refusal = RelayRefusal(
+            request_id=arrival.request_id,
+            status=status,
+            reason=reason,
+            retry_after=retry_after,
+        )
         self._outbox.refuse(number, refusal)
         table = self._table()
         self._log(
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -203,9 +203,8 @@
         self._adoption.look(table, now=now)
         self._take_apart(table, now=now)
         append = self._append_due(table, now=now)
-        for service in table.services_by_name.values():
-            if service.engine is not None:
-                orders += self._staging(service.name, service.engine, now=now)
+        for service, engine in table.engines():
+            orders += self._staging(service, engine, now=now)
         return orders, append
 
     def _append_due(self, table: RouteTable, *, now: float) -> AppendGroups | None:
@@ -215,12 +214,10 @@
             self._appending_since = now
             return self._appending
         formed: list[GroupRecord] = []
-        for service in table.services_by_name.values():
-            if service.engine is None:
-                continue
-            for formation in self._formations(service.name, service.engine, now=now):
+        for service, engine in table.engines():
+            for formation in self._formations(service, engine, now=now):
                 record = self._record(
-                    formation, service=service.name, offset=self._end + len(formed)
+                    formation, service=service, offset=self._end + len(formed)
                 )
                 formed.append(record)
         restored = tuple(self.keeper.unrecorded())
@@ -259,12 +256,10 @@
             return
         if self.keeper.taken_apart() or self.keeper.records(GroupPhase.FORMING):
             return
-        for service in table.services_by_name.values():
-            if service.engine is None:
-                continue
-            free = self._free(service.name, now=now)
-            rules = self._rules(service.name, service.engine)
-            group = choose_taking_apart(free, self._standing(service.name), rules)
+        for service, engine in table.engines():
+            free = self._free(service, now=now)
+            rules = self._rules(service, engine)
+            group = choose_taking_apart(free, self._standing(service), rules)
             if group is not None:
                 self.keeper.end(group.name, TAKEN_APART, now=now)
 
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -13,6 +13,8 @@
 from .coordination.zone_planner import AppendGroups, ZonePlanner
 from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
 from .logs import log_event
+from .protocol.keyed_log import Appended
+from .transport.http_client import REFUSED
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -168,7 +170,7 @@
             log_event("append_unanswered", zone=zone, at=asked.at, status=status)
             return
         answer = outcome.ok
-        if hasattr(answer, "offset"):
+        if isinstance(answer, Appended):
             planner.appended(asked, end=answer.end, now=time.monotonic())
         else:
             planner.append_failed(end=answer.end)
@@ -201,7 +203,7 @@
 
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
-        refused = failure.error.code == "connection_refused"
+        refused = failure.error.code == REFUSED
         outcome = OrderOutcome.GONE if refused else OrderOutcome.UNKNOWN
         self._take_outcome(failure.id, outcome)
 
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from .coordination.balance import Balancer
-    from .coordination.host_words import HostWords
+    from .coordination.host_words import HostAddress, HostWords
     from .coordination.stillness import StillnessWatch
     from .relay_settings import RelaySettings
 
@@ -88,16 +88,8 @@
             **self._describe(),
         )
         data = encode_word(word)
-        own = self._settings.availability_zone
         far = self._sequence % FAR_WORDS == 0
-        datagrams = [
-            Datagram(address=address.address, data=data)
-            for address in self._words.addresses_by_host.values()
-            if address.host != self._settings.host
-            and (far or address.availability_zone == own)
-        ]
-        if datagrams:
-            self.fire(peers_send(datagrams), "peers")
+        self._send(data, lambda address: far or self._is_near(address))
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
         self._log_hearing(now=now)
 
@@ -133,13 +125,23 @@
         if data is None:
             return
         now = time.monotonic()
-        own = self._settings.availability_zone
         planners = {word.host for word in self._words.living(now=now) if word.plans}
+        self._send(
+            data,
+            lambda address: (
+                self._is_near(address) or (far and address.host in planners)
+            ),
+        )
+
+    def _is_near(self, address: HostAddress) -> bool:
+        return address.availability_zone == self._settings.availability_zone
+
+    def _send(self, data: bytes, wanted: Callable[[HostAddress], bool]) -> None:
+        """Send one datagram to each of the other hosts that is wanted."""
         datagrams = [
             Datagram(address=address.address, data=data)
             for address in self._words.addresses_by_host.values()
-            if address.host != self._settings.host
-            and (address.availability_zone == own or (far and address.host in planners))
+            if address.host != self._settings.host and wanted(address)
         ]
         if datagrams:
             self.fire(peers_send(datagrams), "peers")
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -114,9 +114,8 @@
 
     def _measure(self, model: str, n_prompt: int, *, now: float) -> None:
         table = self._table()
-        for service in table.services_by_name.values() if table else ():
-            engine = service.engine
-            if engine is not None and model in engine.models_by_name:
+        for _, engine in table.engines() if table else ():
+            if model in engine.models_by_name:
                 n_answer = self.demand.answer_length(model, engine)
                 seconds = time_in_batch(
                     engine, model, n_prompt=n_prompt, n_answer=n_answer
@@ -210,14 +209,9 @@
 
     def refuse(self, request_number: int, refusal: RelayRefusal) -> None:
         """Give the caller an answer of the entry host's own."""
-        received = self._received_by_number.pop(request_number, None)
-        if received is None:
-            return
-        arrival = self._messages.arrival(
-            head=received.headers, target=received.target, now=0.0
-        )
+        self._received_by_number.pop(request_number, None)
         headers = self._messages.refusal(
-            arrival.request_id, retry_after=refusal.retry_after
+            refusal.request_id, retry_after=refusal.retry_after
         )
         self._callers.answer(
             request_number, status=refusal.status, headers=headers, body=b""
--- a/ryelever/state/routes.py
+++ b/ryelever/state/routes.py
@@ -5,6 +5,10 @@
 import enum
 import zlib
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 __all__ = [
     "ConnectionLimits",
@@ -186,6 +190,12 @@
     asks_for_keys: bool
     limits: ConnectionLimits = field(default_factory=ConnectionLimits)
 
+    def engines(self) -> Iterator[tuple[str, EngineProfile]]:
+        """Yield the services that serve models, each with its engines' profile."""
+        for service in self.services_by_name.values():
+            if service.engine is not None:
+                yield service.name, service.engine
+
     def match(self, *, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, if there is one."""
         for route in self.routes_by_host.get(host, ()):
--- a/ryelever/store_client.py
+++ b/ryelever/store_client.py
@@ -53,10 +53,6 @@
 
     Attributes
     ----------
-    n_calls : int
-        Calls sent; each of them is paid for.
-    answered_at : float
-        Monotonic time of the last answer.
     passed_on_at : float
         Monotonic time at which another host passed on what it had read.
     """
@@ -70,8 +66,6 @@
         self._followed_by_call: dict[str, _Followed] = {}
         self._takers_by_call: dict[str, Callable[[int, bytes], None]] = {}
         self._followed: list[_Followed] = []
-        self.n_calls = 0
-        self.answered_at = float("-inf")
         self._failing_since: float | None = 0.0
         self.passed_on_at = float("-inf")
         self._why = ""
@@ -126,7 +120,6 @@
 
     def _send(self, call: LogCall, *, step: str, progress_timeout: float) -> str:
         call_id = f"store-{next(self._ids)}"
-        self.n_calls += 1
         request = OutboundRequest(
             id=call_id,
             address=self._address,
@@ -150,7 +143,6 @@
         if answer.status in (429, 503):
             self._note_failure(f"answered {answer.status}", now=now)
         else:
-            self.answered_at = now
             self._failing_since = None
         taker = self._takers_by_call.pop(answer.id, None)
         if taker is not None:
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -37,7 +37,7 @@
 if TYPE_CHECKING:
     pass
 
-__all__ = ["HttpClient"]
+__all__ = ["REFUSED", "HttpClient"]
 
 #: Bytes read from a socket at once.
 READ_SIZE = 64 * 1024
