Set what cuts a stream before it begins

A first request shows which of the idle groups is chosen, and the switch is set before the second; standing still gets a switch by events for the same reason. The assertions are as they were.

--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -26,6 +26,8 @@
     ----------
     still : bool
         Begin requests and write no event, as when a member is lost.
+    still_after : int
+        Write no event after so many; 0 writes them all.
     reject : bool
         Refuse every request as not run.
     fail : bool
@@ -45,6 +47,7 @@
     """
 
     still: bool = False
+    still_after: int = 0
     reject: bool = False
     fail: bool = False
     lose_answers: bool = False
@@ -214,7 +217,7 @@
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.switches.n_events + 1):
-            while self.switches.still:
+            while self.switches.still or 0 < self.switches.still_after < number:
                 await asyncio.sleep(0.01)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if number == self.switches.cut_after:
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -143,7 +143,7 @@
 @pytest.mark.parametrize(
     "switches",
     [
-        pytest.param({"still": True}, id="group-stands-still"),
+        pytest.param({"still_after": 5}, id="group-stands-still"),
         pytest.param({"cut_after": 6}, id="cut-in-mid-event"),
     ],
 )
@@ -159,12 +159,12 @@
     """
     host = zone.start_host("e1")
     zone.head_of(1)
-    zone.slow_engines(n_events=15)
-    with ThreadPoolExecutor() as threads:
-        asked = threads.submit(host.chat, request_id="s1", model="small")
-        first = wait_until(lambda: zone.server_that_runs("s1"), what="it runs")
-        zone.control(**{first.replace("-", "_"): switches})
-        answer = asked.result()
+    zone.slow_engines(n_events=15, event_ms=20.0)
+    # Of idle groups the same one is chosen each time.
+    assert host.chat(request_id="s0", model="small").status_code == 200
+    first = zone.server_that_runs("s0")
+    zone.control(**{first.replace("-", "_"): switches})
+    answer = host.chat(request_id="s1", model="small")
     assert answer.text == events_of_stream(15)
     assert answer.headers["response-seal"].endswith(first)
     assert zone.server_that_runs("s1", other_than=first)
