Let callers wait for the first configuration of a host that has just started

Cause: a host that is started anew is called at once, and its first read of the store is answered 0.12 s later; until then each request was refused with 503. Ruled out: the start itself (the hosts listen as soon as they run), the store (its answers took 4 ms). Change: what comes within a second of the start waits for the configuration; after that nothing shows when there will be one, and callers are refused at once as before. The test that callers come back later keeps its assertions, now after that second.

--- a/ryelever/coordination/relay_request.py
+++ b/ryelever/coordination/relay_request.py
@@ -85,9 +85,9 @@
     arrival: RelayArrival,
     route: Route,
     account: RouteAccount | None,
-    now: float,
 ) -> RelayRequest:
     """Return a request that has arrived, with what its route makes of it."""
+    now = arrival.arrived_at
     patience = route.timeout if route.timeout else float("inf")
     timed_out_at = now + patience
     deadline = timed_out_at if arrival.deadline is None else arrival.deadline
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -30,6 +30,10 @@
 #: every tenth of a second at a full group, and callers that hear early come back.
 LONGEST_WAIT = 1.0
 
+#: Seconds after its start for which a host lets requests wait for its first
+#: configuration.  The store gives it within 0.15 s, or peers do within a second.
+FIRST_CONFIGURATION = 1.0
+
 #: Seconds after which a refused caller may come back.
 COME_BACK = 0.3
 
@@ -52,6 +56,8 @@
         Return the configuration in force, or None before there is one.
     served : callable
         Take the model of a whole stream and the number of its events.
+    since : float
+        Monotonic time of the process's start.
     log : callable
         Take one line about a decision: its name and its fields.
 
@@ -70,9 +76,12 @@
         stillness: StillnessWatch,
         outbox: RelayOutbox,
         served: Callable[[str, int], None],
+        since: float,
         log: Callable[..., None],
     ) -> None:
         self._table = table
+        self._configured_by = since + FIRST_CONFIGURATION
+        self._unrouted_by_number: dict[int, RelayArrival] = {}
         self._balancer = balancer
         self._budget = budget
         self._stillness = stillness
@@ -95,8 +104,33 @@
             return
         table = self._table()
         if table is None:
-            self._refuse_unread(number, arrival, 503, "no_configuration")
+            self._unrouted_by_number[number] = arrival
+            self._route_unrouted(now=now)
+            return
+        self._route(number, arrival, table, now=now)
+
+    def _route_unrouted(self, *, now: float) -> None:
+        """Take up what came before there was a configuration, or refuse it in time.
+
+        A host that was restarted is called at once, and refusing everybody until the
+        store has answered once would fail all callers of that tenth of a second.
+        """
+        if not self._unrouted_by_number:
             return
+        table = self._table()
+        if table is None and now <= self._configured_by:
+            return
+        unrouted, self._unrouted_by_number = self._unrouted_by_number, {}
+        for number, arrival in unrouted.items():
+            if table is None:
+                self._refuse_unread(number, arrival, 503, "no_configuration")
+            else:
+                self._route(number, arrival, table, now=now)
+
+    def _route(
+        self, number: int, arrival: RelayArrival, table: RouteTable, *, now: float
+    ) -> None:
+        """Take a request to its route, and send it if there is a place for it."""
         route = table.match(host=arrival.host, path=arrival.path)
         if route is None:
             self._refuse_unread(number, arrival, 404, "no_route")
@@ -108,7 +142,7 @@
                 self._refuse_unread(number, arrival, 401, "unknown_key")
                 return
         request = request_of(
-            number, arrival=arrival, route=route, account=account, now=now
+            number, arrival=arrival, route=route, account=account
         )
         self.requests_by_number[number] = request
         self._budget.requested(request.service, now=now)
@@ -117,6 +151,7 @@
 
     def caller_gone(self, number: int) -> None:
         """Drop a request whose caller has closed its connection."""
+        self._unrouted_by_number.pop(number, None)
         request = self.requests_by_number.get(number)
         if request is None:
             return
@@ -237,6 +272,7 @@
 
     def tick(self, *, now: float) -> None:
         """Give up what is due, move what stands still, dispatch what waits."""
+        self._route_unrouted(now=now)
         for request in list(self.requests_by_number.values()):
             waited = request.number in self._waiting and now >= request.waits_until
             if waited or now >= request.gives_up_at:
@@ -247,6 +283,7 @@
 
     def dispatch_waiting(self, *, now: float) -> None:
         """Send waiting requests to places that have become free."""
+        self._route_unrouted(now=now)
         if not self._waiting:
             return
         full: set[tuple[str, str]] = set()
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -85,6 +85,7 @@
             stillness=stillness,
             outbox=self,
             served=self.demand.served,
+            since=time.monotonic(),
             log=self._log,
         )
 
--- a/tests/test_coordination/relay_fakes.py
+++ b/tests/test_coordination/relay_fakes.py
@@ -18,7 +18,7 @@
 )
 from ryelever.state.routes import Route, RouteAccount, RouteKind, RouteTable
 
-__all__ = ["Relaying", "head"]
+__all__ = ["Relaying", "head", "table"]
 
 HOST = "calls.example"
 
@@ -109,6 +109,7 @@
             stillness=self.stillness,
             outbox=self,
             served=lambda model, n_events: None,
+            since=0.0,
             log=lambda event, **fields: self.lines.append((event, fields)),
         )
 
--- a/tests/test_coordination/test_relay_requests.py
+++ b/tests/test_coordination/test_relay_requests.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from ryelever.coordination.relay_requests import LONGEST_WAIT
+from ryelever.coordination.relay_requests import FIRST_CONFIGURATION, LONGEST_WAIT
 from ryelever.coordination.stillness import SILENCE
 from ryelever.state.routes import RouteKind
 
-from .relay_fakes import Relaying, head
+from .relay_fakes import Relaying, head, table
 
 SAFE, ONCE, STREAM = RouteKind.IDEMPOTENT, RouteKind.AT_MOST_ONCE, RouteKind.STREAM
 
@@ -63,9 +63,36 @@
 def test_without_a_configuration_callers_come_back_later() -> None:
     relaying = Relaying(configured=False)
     relaying.arrive(SAFE)
+    relaying.requests.tick(now=0.9 * FIRST_CONFIGURATION)
+    assert relaying.out == []
+    relaying.requests.tick(now=FIRST_CONFIGURATION + TICK)
     [(_, _, status, retry_after)] = relaying.out
     assert status == 503
     assert retry_after > 0
+    # Nothing shows when there will be one, so nobody waits any more.
+    relaying.arrive(SAFE, number=2, now=FIRST_CONFIGURATION + 2 * TICK)
+    assert relaying.out[1][:3] == ("refuse", 2, 503)
+
+
+def test_requests_wait_for_the_first_configuration() -> None:
+    """Show that a host which has just started refuses nobody that it can serve.
+
+    Symptom: forty requests are refused in the second after all hosts were restarted.
+    Sequence: a host listens, callers come at once, and its first read of the store is
+    answered a tenth of a second later.
+    Cause: without a configuration each request was refused as it came.
+    """
+    relaying = Relaying(configured=False)
+    relaying.arrive(SAFE, number=1)
+    relaying.arrive(SAFE, number=2, key="wrong")
+    relaying.arrive(SAFE, number=3)
+    relaying.requests.caller_gone(3)
+    relaying.table = table()
+    relaying.requests.dispatch_waiting(now=0.1)
+    assert [attempt.request_number for attempt in relaying.sent] == [1]
+    assert relaying.out == [("refuse", 2, 401, None)]
+    relaying.requests.tick(now=FIRST_CONFIGURATION + TICK)
+    assert len(relaying.out) == 1
 
 
 def _reset(relaying: Relaying, attempt_id: str) -> None:
