Keep planning for a zone until another host has taken over

Cause: a planner that lost the store ended as soon as a host beside it said that it still read there. Ruled out: the planner's own stop, and a rival that planned (none said so). Change: it hands over only to a host that plans and reads the store.

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -147,12 +147,13 @@
     ) -> bool:
         """Tell whether this host is the one to plan for a zone.
 
-        Who plans goes on unless another reaches the store and it doesn't: a change
-        of planner costs a second in which nothing is mended, and while the store is
-        away groups that lost a member are still to be ended.  Else it is the first by
-        name of the zone's hosts that reach the store, and where the zone has had none
-        for a while, the first of all.  Two may believe so at once; the store takes
-        the decisions of one only.
+        Who plans goes on unless it doesn't reach the store and another does that
+        plans already: a change of planner costs a second in which nothing is mended,
+        and while the store is away groups that lost a member are still to be ended.
+        That another could plan isn't enough: it may lose the store before it begins,
+        and nobody would plan.  Else it is the first by name of the zone's hosts that
+        reach the store, and where the zone has had none for a while, the first of
+        all.  Two may believe so at once; the store takes the decisions of one only.
 
         Parameters
         ----------
@@ -171,9 +172,8 @@
                 return False
         else:
             able = [word for word in able if word.availability_zone == zone]
-        if not reads_store and able:
-            return False
         rivals = [word for word in able if zone in word.plans]
-        if rivals or planning:
-            return planning and all(self._host < word.host for word in rivals)
-        return all(self._host < word.host for word in able)
+        if not planning:
+            return not rivals and all(self._host < word.host for word in able)
+        comes_first = all(self._host < word.host for word in rivals)
+        return not rivals or (reads_store and comes_first)
