Ask members that the list doesn't show before their group is ended

Cause: backend servers that are cut off from the store lose their entries after 3.6 s though they still answer; each group with such a member was ended, and its members could not be used until the cut healed. The other way round, a probe of a server that had been started anew was taken for a sign of life of the group's member, and the group stood still for its six seconds. Ruled out: the wait of removals (it covers outages of the store, not cuts), stillness (the groups' streams went on). Change: a member other than the head that has no entry is probed each second, and its group ends when two probes in a row get no answer; the answer's own word on the group is read. A head that answers that it is none, or another incarnation, is left alone while its entry stays the same, instead of for half a second. The tests fail without the change.

--- a/ryelever/coordination/balance.py
+++ b/ryelever/coordination/balance.py
@@ -27,6 +27,12 @@
 FIRST_AVOIDANCE = 0.5
 MAX_AVOIDANCE = 4.0
 
+#: Seconds for which a backend server that disowned a request is left alone while its
+#: entry stays the same.  During an outage of the store entries go stale, and each
+#: request that is sent there nevertheless uses up one of its attempts and of the
+#: repeats that all hosts share.
+DISOWNED_FOR = 10.0
+
 #: Seconds for which a group that stands still is left alone.  If a member is lost, it
 #: is ended within that time; if it was only held up, an event ends the avoidance.
 STILL_AVOIDANCE = 2.5
@@ -42,11 +48,16 @@
         Failures in a row.
     avoided_until : float
         Monotonic time until which it gets nothing.
+    disowned, disowned_until
+        The entry under which it said that it is another incarnation or no head, and
+        the monotonic time until which that is believed.
     """
 
     in_flight: int = 0
     n_failures: int = 0
     avoided_until: float = 0.0
+    disowned: BackendServer | None = None
+    disowned_until: float = 0.0
 
 
 class Balancer:
@@ -131,6 +142,12 @@
         pause = FIRST_AVOIDANCE * 2 ** (record.n_failures - 1)
         record.avoided_until = now + min(MAX_AVOIDANCE, pause)
 
+    def disowned(self, server_id: str, *, now: float) -> None:
+        """Send nothing to a server that its entry describes wrongly."""
+        record = self.record(server_id)
+        record.disowned = self._directory.by_id.get(server_id)
+        record.disowned_until = now + DISOWNED_FOR
+
     def stands_still(self, server_id: str, *, now: float) -> None:
         """Leave a group alone in which nothing moves."""
         record = self.record(server_id)
@@ -146,7 +163,8 @@
         record = self.records_by_id.get(server.id)
         in_flight = self.peers_in_flight_by_id[server.id]
         if record is not None:
-            if now < record.avoided_until:
+            disowned = server is record.disowned and now < record.disowned_until
+            if disowned or now < record.avoided_until:
                 return float("inf")
             in_flight += record.in_flight
         if in_flight >= server.slots + WAITING_AT_SERVER:
--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -10,12 +10,12 @@
 from __future__ import annotations
 
 import enum
-from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..state.directory import GroupState
 from .group_orders import GroupOrder, OrderKind, OrderOutcome
+from .member_probes import MemberProbes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,13 +47,8 @@
 #: Seconds beyond the time for which a group stands still.
 STALL_SLACK = 0.8
 
-#: Seconds between two probes of the members of a group that stands still, and the
-#: probes in a row without an answer after which a member counts as lost.
-PROBE_INTERVAL = 0.4
-LOST_PROBES = 2
-
-#: Seconds for which such a member is given to no group.  If it is lost, its entry
-#: lapses before then; if it was only cut off for a while, it is of use again.
+#: Seconds for which a member that answered no probe is given to no group.  If it is
+#: lost, its entry lapses before then; if it was only cut off, it is of use again.
 LOST_FOR = 5.0
 
 
@@ -86,8 +81,6 @@
         True while some entry host sees all the group's streams stand still.
     silent_members : set of str
         Members that gave no answer to the order to join.
-    n_unanswered : Counter of str
-        Probes of each member in a row that got no answer.
     """
 
     record: GroupRecord
@@ -100,9 +93,8 @@
     missing_since: dict[str, float] = field(default_factory=dict)
     missing_at: dict[str, float] = field(default_factory=dict)
     suspected: bool = False
-    probed_at: float = float("-inf")
+    probes: MemberProbes = field(default_factory=MemberProbes)
     silent_members: set[str] = field(default_factory=set)
-    n_unanswered: Counter[str] = field(default_factory=Counter)
     ordered_at: dict[tuple[str, OrderKind], float] = field(default_factory=dict)
 
 
@@ -256,14 +248,15 @@
                     kept.missing_at[member_id] = now
             if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
                 self._judge(kept, now=now)
-            if kept.phase is GroupPhase.SERVING and kept.suspected:
-                orders += self._probes(kept, kept.record.member_ids, now=now)
+            if kept.phase is GroupPhase.SERVING:
+                orders += self._serving(kept, now=now)
             if kept.phase is GroupPhase.FORMING:
                 orders += self._forming(kept, now=now)
                 # The list may still show servers that were lost while the store was
                 # away, and an order may go unanswered and be carried out late: only
                 # a probe tells the two apart.
-                orders += self._probes(kept, tuple(kept.silent_members), now=now)
+                silent = tuple(kept.silent_members)
+                orders += self._probes(kept, silent, urgent=True, now=now)
             elif kept.phase is GroupPhase.ENDING:
                 orders += self._ending(kept, now=now)
         return orders
@@ -318,9 +311,8 @@
         for member in kept.record.members:
             server = self._directory.by_id.get(member.server_id)
             if server is None:
-                missing_since = kept.missing_since.setdefault(member.server_id, now)
-                known = member.server_id in kept.joined
-                if now - missing_since >= (self._patience if known else ORDER_RETRY):
+                kept.missing_since.setdefault(member.server_id, now)
+                if self._is_gone(kept, member.server_id, now=now):
                     self._end(kept, "member_gone", now=now)
                     return
                 continue
@@ -341,6 +333,30 @@
         if kept.phase is GroupPhase.FORMING:
             self._judge_forming(kept, now=now)
 
+    def _is_gone(self, kept: _Kept, server_id: str, *, now: float) -> bool:
+        """Tell whether a member that the list doesn't show is no use to its group.
+
+        It may be cut off from the store only, and the group goes on with it; then it
+        answers when asked.  Not so the head: nothing may be sent to it any more.
+        """
+        known = server_id in kept.joined
+        missing_for = now - kept.missing_since[server_id]
+        if missing_for < (self._patience if known else ORDER_RETRY):
+            return False
+        is_head = server_id == kept.record.head.server_id
+        return is_head or kept.phase is not GroupPhase.SERVING
+
+    def _serving(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
+        """Return the probes of a group that serves."""
+        if kept.suspected:
+            return self._probes(kept, kept.record.member_ids, urgent=True, now=now)
+        unseen = tuple(
+            server_id
+            for server_id, since in kept.missing_since.items()
+            if now - since >= self._patience
+        )
+        return self._probes(kept, unseen, urgent=False, now=now)
+
     def _judge_forming(self, kept: _Kept, *, now: float) -> None:
         if now - kept.since > self.join_limit + FORMING_SLACK:
             self._end(kept, "not_formed_in_time", now=now)
@@ -411,15 +427,12 @@
         )
 
     def _probes(
-        self, kept: _Kept, member_ids: tuple[str, ...], *, now: float
+        self, kept: _Kept, member_ids: tuple[str, ...], *, urgent: bool, now: float
     ) -> list[GroupOrder]:
         """Ask members that may be lost for a sign of life."""
-        if not member_ids or now - kept.probed_at < PROBE_INTERVAL:
-            return []
-        kept.probed_at = now
         return [
             self._new_order(kept, OrderKind.PROBE, server_id)
-            for server_id in member_ids
+            for server_id in kept.probes.due(member_ids, urgent=urgent, now=now)
         ]
 
     def _probed(
@@ -429,14 +442,15 @@
             return
         if outcome is OrderOutcome.GONE:
             self._end(kept, "member_gone", now=now)
+        elif outcome is OrderOutcome.APART and kept.phase is GroupPhase.SERVING:
+            # It was started anew, or has left, and the list doesn't show so yet.
+            self._end(kept, "member_left", now=now)
         elif outcome is not OrderOutcome.UNKNOWN:
-            kept.n_unanswered[server_id] = 0
+            kept.probes.answered(server_id)
             kept.silent_members.discard(server_id)
-        else:
-            kept.n_unanswered[server_id] += 1
-            if kept.n_unanswered[server_id] >= LOST_PROBES:
-                self._lost_by_id[server_id] = now
-                self._end(kept, "member_silent", now=now)
+        elif kept.probes.unanswered(server_id):
+            self._lost_by_id[server_id] = now
+            self._end(kept, "member_silent", now=now)
 
     def _order(
         self,
--- a/ryelever/coordination/group_orders.py
+++ b/ryelever/coordination/group_orders.py
@@ -25,8 +25,9 @@
 
     ``HOLDS``: the state is already as ordered.  ``BEGUN``: it will be.
     ``REFUSED``: it does not fit the state.  ``OVERTAKEN``: a newer epoch was seen.
-    ``GONE``: the backend server is another incarnation.  ``UNKNOWN``: no answer;
-    the order may be carried out later.
+    ``GONE``: the backend server is another incarnation.  ``APART``: it answers a
+    probe, and is not in the group.  ``UNKNOWN``: no answer; the order may be carried
+    out later.
     """
 
     HOLDS = "holds"
@@ -34,6 +35,7 @@
     REFUSED = "refused"
     OVERTAKEN = "overtaken"
     GONE = "gone"
+    APART = "apart"
     UNKNOWN = "unknown"
 
 
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -141,9 +141,7 @@
             if account is None:
                 self._refuse_unread(number, arrival, 401, "unknown_key")
                 return
-        request = request_of(
-            number, arrival=arrival, route=route, account=account
-        )
+        request = request_of(number, arrival=arrival, route=route, account=account)
         self.requests_by_number[number] = request
         self._budget.requested(request.service, now=now)
         if not self._dispatch(request, now=now):
@@ -337,7 +335,10 @@
         """Go on after a backend server's promise not to have run the request."""
         server_id = request.attempt.server_id
         reason = "wrong_server" if head.wrong_server else "rejected"
-        self._balancer.failed(server_id, now=now)
+        if head.wrong_server:
+            self._balancer.disowned(server_id, now=now)
+        else:
+            self._balancer.failed(server_id, now=now)
         self._drop_attempt(request)
         self._log_attempt(request, server_id, reason, may_have_run=False)
         self._again(request, reason, now=now)
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -199,7 +199,9 @@
 
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
-        self._take_outcome(answer.id, self._groups.outcome(answer.status))
+        _, order = self._asked_by_id[answer.id]
+        outcome = self._groups.outcome(order, answer.status, answer.body)
+        self._take_outcome(answer.id, outcome)
 
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -112,7 +112,9 @@
     name: str
 
 
-class _Group(msgspec.Struct):
+class ReportedGroup(msgspec.Struct):
+    """Say which group a backend server is in, as it writes it itself."""
+
     name: str
     epoch: int
     rank: int = -1
@@ -129,7 +131,7 @@
     models: list[_Loaded] = []
     domain: str | int = ""
     staged: list[str | _Loaded] = []
-    group: _Group | None = None
+    group: ReportedGroup | None = None
 
 
 def read_configuration(data: bytes, *, peer: str) -> Result[RouteTable, RyeleverError]:
--- a/ryelever/platform/orders.py
+++ b/ryelever/platform/orders.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from ..coordination.group_orders import GroupOrder, OrderKind, OrderOutcome
-from ..protocol.json_codec import encode
+from ..logs import log_warning
+from ..protocol.json_codec import decode, encode
 from ..protocol.keyed_log import LogCall
+from .documents import ReportedGroup
 from .words import EXPECTED_SERVER
 
 __all__ = ["PlatformOrders"]
@@ -42,6 +44,11 @@
     close_mode: str = ""
 
 
+class _Report(msgspec.Struct):
+    #: None where the backend server is in no group; unset where it doesn't say.
+    group: ReportedGroup | None | msgspec.UnsetType = msgspec.UNSET
+
+
 class PlatformOrders:
     """Write orders and read their answers, as ``GroupInterface`` has them."""
 
@@ -68,6 +75,26 @@
             (EXPECTED_SERVER.decode(), order.server_id),
         )
 
-    def outcome(self, status: int) -> OrderOutcome:
-        """Read the status of an answer to an order."""
+    def outcome(self, order: GroupOrder, status: int, body: bytes) -> OrderOutcome:
+        """Read the answer to an order."""
+        if order.kind is OrderKind.PROBE and status == 200:
+            return _probed(order, body)
         return _OUTCOMES.get(status, OrderOutcome.UNKNOWN)
+
+
+def _probed(order: GroupOrder, body: bytes) -> OrderOutcome:
+    """Tell whether a backend server that answers is in the group it is asked about.
+
+    An answer that can't be read is still a sign of life.
+    """
+    read = decode(body, _Report, step="read_report", peer=order.address)
+    if read.is_error():
+        log_warning(
+            "report_unreadable", server=order.server_id, message=read.error.message
+        )
+        return OrderOutcome.HOLDS
+    group = read.ok.group
+    if group is msgspec.UNSET:
+        return OrderOutcome.HOLDS
+    same = group is not None and (group.name, group.epoch) == (order.group, order.epoch)
+    return OrderOutcome.HOLDS if same else OrderOutcome.APART
--- a/ryelever/protocol/store_documents.py
+++ b/ryelever/protocol/store_documents.py
@@ -59,5 +59,5 @@
     def order_headers(self, order: GroupOrder) -> tuple[tuple[str, str], ...]:
         """Return the headers of an order."""
 
-    def outcome(self, status: int) -> OrderOutcome:
+    def outcome(self, order: GroupOrder, status: int, body: bytes) -> OrderOutcome:
         """Read the answer to an order."""
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -91,6 +91,7 @@
         """Return the HTTP application."""
         app = web.Application()
         app.router.add_post("/order", self.order)
+        app.router.add_get("/report", self.report)
         app.router.add_route("*", "/{rest:.*}", self.run)
         return app
 
@@ -126,6 +127,10 @@
 
     # Orders
 
+    async def report(self, request: web.Request) -> web.StreamResponse:
+        """Say in which group the server is; that it is alive shows too."""
+        return web.json_response({"busy": False, "group": self.group})
+
     async def order(self, request: web.Request) -> web.StreamResponse:
         """Take an order."""
         body = await request.json()
--- a/tests/test_coordination/test_balance.py
+++ b/tests/test_coordination/test_balance.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ryelever.coordination.balance import (
+    DISOWNED_FOR,
     FIRST_AVOIDANCE,
     MAX_AVOIDANCE,
     STILL_AVOIDANCE,
@@ -243,3 +244,23 @@
     n_hosts = 20
     many = RepeatBudget(ratio=0.2, slack=20.0, window=10.0, n_hosts=lambda: n_hosts)
     assert sum(many.allow("s", now=1.0) for _ in range(100)) <= 1
+
+
+def test_a_server_that_its_entry_describes_wrongly_gets_nothing(
+    directory: Directory, balancer: Balancer
+) -> None:
+    """Show that a stale entry costs one attempt, not one of each request.
+
+    Symptom: a tenth of the requests are refused through an outage of the store.
+    Sequence: a head is started anew while the store is away; its old entry stays in
+    the list, and it answers that it is another incarnation.
+    Cause: after half a second it was chosen again, as the least loaded of all.
+    """
+    directory.put(_head("a"))
+    balancer.disowned("a", now=1.0)
+    assert _choose(balancer, now=1.0) is None
+    assert _choose(balancer, now=0.9 + DISOWNED_FOR) is None
+    assert _choose(balancer, now=1.1 + DISOWNED_FOR) == "a"
+    balancer.disowned("a", now=20.0)
+    directory.put(_head("a", address="10.0.0.9:81"))
+    assert _choose(balancer, now=20.1) == "a"
