Refuse the same malformed requests on both callers' interfaces

Cause: the relay's interface left seven of the 23 entries of the other interface's table through, or answered them late: versions other than 1.0 and 1.1, unknown methods, more than a hundred headers, heads beyond the limit that come in a single read, and bodies that are declared too long (refused only when the time for them was over). Ruled out: h11's own limit, which measures only heads that come in parts. Change: one check of heads for both, and one table of requests, of which each entry is refused with the same status on both, closed, and followed by a request that is served.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -23,6 +23,7 @@
     relayed_request,
 )
 from .caller_server import CallerServer
+from .request_heads import head_fault
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -210,8 +211,12 @@
                 return
             if isinstance(event, h11.Request):
                 connection.head = event
-                if _is_ambiguous(event):
-                    self._refuse(connection, 400)
+                limits = self._limits()
+                fault = head_fault(
+                    event, max_head=limits.max_head, max_body=limits.max_body
+                )
+                if fault is not None:
+                    self._refuse(connection, fault.status)
                     return
             elif isinstance(event, h11.Data):
                 connection.body += event.data
@@ -348,12 +353,6 @@
         return {"open": self.n_open, "busy": self.n_busy}
 
 
-def _is_ambiguous(head: h11.Request) -> bool:
-    """Tell whether two readers could see different ends of a request."""
-    names = [name for name, _ in head.headers]
-    return b"content-length" in names and b"transfer-encoding" in names
-
-
 def _has_no_body(connection: _Connection, status: int) -> bool:
     head = connection.head
     return (head is not None and head.method == b"HEAD") or status in (204, 304)
--- a/ryelever/transport/request_reader.py
+++ b/ryelever/transport/request_reader.py
@@ -9,15 +9,14 @@
 import h11
 
 from ..errors import Category, RunState, RyeleverError
+from .request_heads import HeadFault, head_fault, large_body
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 __all__ = ["Limits", "Refusal", "RequestReader", "WholeRequest"]
 
-_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 _PATH_SAFE = "/*:@!$&'()+,;=~"
-_VERSIONS = frozenset({b"1.0", b"1.1"})
 
 #: Header that marks a request which must run at most once.
 KEY_HEADER = b"idempotency-key"
@@ -44,8 +43,6 @@
     max_head, max_body, max_unsent : int
         Bytes of the request line and headers, of the body, and of answer that
         the caller has not taken yet.
-    max_headers : int
-        Headers of one request.
     request_timeout, idle_timeout, unread_timeout : float
         Seconds for a whole request to arrive, between two requests, and for which a
         caller may take no byte of its answer.
@@ -56,7 +53,6 @@
     max_head: int = 16 * 1024
     max_body: int = 4 << 20
     max_unsent: int = 256 * 1024
-    max_headers: int = 100
     request_timeout: float = 10.0
     idle_timeout: float = 75.0
     unread_timeout: float = 20.0
@@ -188,7 +184,7 @@
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if len(self._body) > self.limits.max_body:
-                    yield self._refuse_large()
+                    yield self._refuse_for(large_body(self.limits.max_body))
             elif isinstance(event, h11.EndOfMessage):
                 path, query = _split(self._head.target.decode("ascii"))
                 if _is_ambiguous(path):
@@ -202,43 +198,12 @@
                 yield self._whole(path=path, query=query)
 
     def _head_fault(self, head: h11.Request) -> Refusal | None:
-        names = {name for name, _ in head.headers}
-        # h11 applies its limit to heads that are not complete yet; one that comes
-        # in a single read is not measured.
-        size = sum(len(name) + len(value) + 4 for name, value in head.headers)
-        if len(head.headers) > self.limits.max_headers or (
-            size + len(head.target) > self.limits.max_head
-        ):
-            return self._refuse(
-                f"the request line and headers exceed {self.limits.max_headers} "
-                f"headers or {self.limits.max_head} bytes",
-                status=431,
-                code="head_too_large",
-            )
-        if head.http_version not in _VERSIONS:
-            return self._refuse("use HTTP/1.1", status=505, code="http_version")
-        if {b"content-length", b"transfer-encoding"} <= names:
-            return self._refuse(
-                "Content-Length and Transfer-Encoding exclude each other",
-                status=400,
-                code="ambiguous_length",
-            )
-        method = head.method.decode("ascii")
-        if method not in _METHODS:
-            return self._refuse(
-                f"method {method[:20]} is not known", status=501, code="method"
-            )
-        declared = dict(head.headers).get(b"content-length", b"0")
-        if int(declared) > self.limits.max_body:
-            return self._refuse_large()
-        return None
-
-    def _refuse_large(self) -> Refusal:
-        return self._refuse(
-            f"the body is longer than {self.limits.max_body} bytes",
-            status=413,
-            code="body_too_large",
-        )
+        limits = self.limits
+        fault = head_fault(head, max_head=limits.max_head, max_body=limits.max_body)
+        return None if fault is None else self._refuse_for(fault)
+
+    def _refuse_for(self, fault: HeadFault) -> Refusal:
+        return self._refuse(fault.message, status=fault.status, code=fault.code)
 
     def _refuse(self, message: str, *, status: int, code: str) -> Refusal:
         self._refused = True
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Iterator
@@ -15,6 +16,9 @@
 from ryelever.timers import Timers
 from ryelever.transport.relay_callers import RelayCallers
 
+from ..bad_requests import REFUSED
+from ..builders import named
+
 LIMITS = ConnectionLimits(
     max_head=2048, max_body=4096, head_timeout=0.3, idle_timeout=30.0
 )
@@ -121,6 +125,33 @@
     assert listener.seen == []
 
 
+@pytest.mark.parametrize(("data", "status", "code"), named(REFUSED))
+def test_what_the_other_interface_refuses_is_refused(
+    listener: Listener, data: bytes, status: int, code: str | None
+) -> None:
+    """Refuse with the same status, and close, so that nothing is read twice.
+
+    Symptom: a backend server gets a request whose end it sees elsewhere, or a head
+    beyond the operator's limit.  Sequence: the head comes in a single read.  Cause:
+    h11 measures only heads that come in parts, and knows no versions or methods.
+    """
+    with _connect(listener) as sock:
+        sender = threading.Thread(target=_send_all, args=(sock, data))
+        sender.start()
+        answer = _read_all(sock)
+        sender.join()
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    assert b"connection: close" in answer.lower()
+    assert listener.seen == []
+    good = b"GET /again HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    assert b" 200 " in _ask(listener, good)
+
+
+def _send_all(sock: socket.socket, data: bytes) -> None:
+    with contextlib.suppress(OSError):
+        sock.sendall(data)
+
+
 def test_a_head_that_trickles_in_is_given_up(listener: Listener) -> None:
     """Show that a caller can't hold a connection by a byte now and then.
 
