Take groups apart in one zone at a time, and wait for no silent head twice

Cause: all planners see the same demand and the same groups. Ruled out: the threshold for taking apart. Change: a planner announces in its words that it wants to take a group apart, and does so 0.8 s later if no zone before it by name wants the same; hosts keep since when each server is listed; heads whose streams move at any host are not suspected. The tests fail without it.

--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -74,9 +74,8 @@
         False where the store holds no record of the group.
     joined : set of str
         Members that were seen ready under the group's name and epoch.
-    missing_since, missing_at : dict of str to float
-        Monotonic times since when members are missing from the list, and at which
-        they were last found to be.
+    missing_since : dict of str to float
+        Monotonic times since when members are missing from the list.
     suspected : bool
         True while some entry host sees all the group's streams stand still.
     silent_members : set of str
@@ -91,7 +90,6 @@
     joined: set[str] = field(default_factory=set)
     ending_since: float = 0.0
     missing_since: dict[str, float] = field(default_factory=dict)
-    missing_at: dict[str, float] = field(default_factory=dict)
     suspected: bool = False
     probes: MemberProbes = field(default_factory=MemberProbes)
     silent_members: set[str] = field(default_factory=set)
@@ -243,9 +241,6 @@
         self._settle_conflicts(now=now)
         orders: list[GroupOrder] = []
         for kept in self._kept_by_name.values():
-            for member_id in kept.record.member_ids:
-                if member_id not in self._directory.by_id:
-                    kept.missing_at[member_id] = now
             if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
                 self._judge(kept, now=now)
             if kept.phase is GroupPhase.SERVING:
@@ -418,12 +413,15 @@
         return self._directory.heard_at_by_id.setdefault(server_id, now)
 
     def _any_member_stayed(self, kept: _Kept, *, now: float) -> bool:
-        """Tell whether some other member has been there all that time."""
+        """Tell whether some other member has been there all that time.
+
+        What counts is how long this host has seen it, not how long it has planned:
+        after a change of planner the group's members would wait once more.
+        """
         since = now - self._stall_time - STALL_SLACK
+        listed_since = self._directory.listed_since_by_id
         return any(
-            item in self._directory.by_id
-            and kept.missing_at.get(item, kept.since) <= since
-            for item in kept.record.member_ids[1:]
+            listed_since.get(item, now) <= since for item in kept.record.member_ids[1:]
         )
 
     def _probes(
--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -43,6 +43,10 @@
         Heads whose groups stand still as it sees them.
     plans : tuple of str
         Availability zones that it plans for.
+    reshapes : tuple of str
+        Those in which it takes a group apart for another model, or wants to.
+    moving : tuple of str
+        Heads that others saw stand still, and whose streams go on there.
     """
 
     host: str
@@ -56,6 +60,8 @@
     demand_by_model: dict[str, float] = field(default_factory=dict)
     still: tuple[str, ...] = ()
     plans: tuple[str, ...] = ()
+    reshapes: tuple[str, ...] = ()
+    moving: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -142,6 +148,14 @@
         """Return the heads whose groups stand still as other hosts see them."""
         return {head for word in self.living(now=now) for head in word.still}
 
+    def moving(self, *, now: float) -> set[str]:
+        """Return the heads whose streams go on at other hosts, of those in doubt."""
+        return {head for word in self.living(now=now) for head in word.moving}
+
+    def reshaping(self, *, now: float) -> set[str]:
+        """Return the zones in which other planners take groups apart."""
+        return {zone for word in self.living(now=now) for zone in word.reshapes}
+
     def plans_for(
         self, zone: str, *, planning: bool, reads_store: bool, now: float
     ) -> bool:
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -20,6 +20,7 @@
 )
 from .group_keeper import TAKEN_APART, GroupKeeper, GroupPhase
 from .group_records import GroupRecord, Member
+from .reshaping import ReshapingTurn
 from .weight_staging import WeightStaging
 
 if TYPE_CHECKING:
@@ -97,6 +98,8 @@
         Return the work that arrives at all hosts, in groups kept busy, by model.
     is_calm : callable
         Tell whether no request has come yet, so that loads are quick and free.
+    reshaping : callable
+        Return the other zones in which groups are taken apart, or are to be.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         table: Callable[[], RouteTable | None],
         demand: Callable[[], Mapping[str, float]],
         is_calm: Callable[[], bool],
+        reshaping: Callable[[], set[str]],
         stall_time: float,
         since: float,
         log: Callable[..., None],
@@ -119,6 +123,8 @@
         self._table = table
         self._demand = demand
         self._is_calm = is_calm
+        self._reshaping = reshaping
+        self._turn = ReshapingTurn(zone=zone)
         self._since = since
         self._end = -1
         self._appending_since: float | None = None
@@ -141,6 +147,11 @@
             log=log,
         )
 
+    @property
+    def reshapes(self) -> bool:
+        """Tell whether a group of the zone is taken apart, or is to be."""
+        return self._turn.is_announced
+
     # The log
 
     def listed(self, records: list[GroupRecord], *, end: int, now: float) -> None:
@@ -255,13 +266,24 @@
         if self._appending is not None or self._is_calm():
             return
         if self.keeper.taken_apart() or self.keeper.records(GroupPhase.FORMING):
+            # Until what comes of it serves, other zones see less than there will be.
             return
+        group = self._group_to_take_apart(table, now=now)
+        if group is None:
+            self._turn.end()
+        elif self._turn.ask(self._reshaping(), now=now):
+            self.keeper.end(group.name, TAKEN_APART, now=now)
+
+    def _group_to_take_apart(
+        self, table: RouteTable, *, now: float
+    ) -> StandingGroup | None:
         for service, engine in table.engines():
             free = self._free(service, now=now)
             rules = self._rules(service, engine)
             group = choose_taking_apart(free, self._standing(service), rules)
             if group is not None:
-                self.keeper.end(group.name, TAKEN_APART, now=now)
+                return group
+        return None
 
     def _standing(self, service: str) -> list[StandingGroup]:
         """Return the zone's groups that serve, with their members."""
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -244,13 +244,13 @@
             if not record.value:
                 self._removals.add(record.key, now=now)
                 changes.append(record)
-            elif self._take_server(record.key, record.value):
+            elif self._take_server(record.key, record.value, now=now):
                 changes.append(record)
         if changes:
             self.fire(directory_changed(), "relay")
         return changes
 
-    def _take_server(self, server_id: str, data: bytes) -> bool:
+    def _take_server(self, server_id: str, data: bytes, *, now: float) -> bool:
         """Take one record; tell whether it says anything new.
 
         That it ends a removal which is held back is new as well: hosts that read
@@ -267,7 +267,7 @@
             return False
         server = read.ok
         old = self._directory.by_id.get(server_id)
-        if not self._directory.put(server):
+        if not self._directory.put(server, now=now):
             return is_back
         _log_change(old, server)
         return True
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -77,6 +77,12 @@
         self._followers_by_zone: dict[str, TopicFollower] = {}
         self.planners_by_zone: dict[str, ZonePlanner] = {}
 
+    def reshaped_zones(self) -> tuple[str, ...]:
+        """Return the zones in which this host takes groups apart."""
+        return tuple(
+            zone for zone, planner in self.planners_by_zone.items() if planner.reshapes
+        )
+
     @handler("control_tick")
     def _on_tick(self) -> None:
         now = time.monotonic()
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -46,6 +46,8 @@
         configurationVersion=word.configuration_version,
         still=list(word.still[:MAX_SERVERS]),
         plans=list(word.plans),
+        reshapes=list(word.reshapes),
+        moving=list(word.moving[:MAX_SERVERS]),
     )
     message.loads = [
         {"server": server, "inFlight": count}
@@ -126,4 +128,6 @@
         demand_by_model={item.model: item.groups for item in message.demands},
         still=tuple(message.still),
         plans=tuple(message.plans),
+        reshapes=tuple(message.reshapes),
+        moving=tuple(message.moving),
     )
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -199,7 +199,17 @@
 
     def _still_heads(self) -> set[str]:
         now = time.monotonic()
-        return self.words.still(now=now).union(self.relay.stillness.still(now=now))
+        still = self.words.still(now=now).union(self.relay.stillness.still(now=now))
+        # A host that has lost its way to a head sees a group stand still that serves
+        # all others.
+        return still - self.words.moving(now=now) - set(self._moving_heads(now=now))
+
+    def _moving_heads(self, *, now: float) -> tuple[str, ...]:
+        """Return the heads that others saw stand still, and that move here."""
+        in_doubt = self.words.still(now=now)
+        return tuple(
+            head for head in in_doubt if self.relay.stillness.moves(head, now=now)
+        )
 
     def _reads_store(self) -> bool:
         return self.fleet.servers.is_current and self.store.is_reachable
@@ -213,11 +223,17 @@
             table=self._table,
             demand=self._demand,
             is_calm=lambda: not self._demand(),
+            reshaping=lambda: self._reshaping(zone),
             stall_time=self.settings.stall_time,
             since=time.monotonic(),
             log=log_event,
         )
 
+    def _reshaping(self, zone: str) -> set[str]:
+        """Return the zones besides this one in which groups are taken apart."""
+        own = set(self.planning.reshaped_zones())
+        return (own | self.words.reshaping(now=time.monotonic())) - {zone}
+
     def _demand(self) -> dict[str, float]:
         now = time.monotonic()
         total = self.words.demand(now=now)
@@ -231,7 +247,9 @@
             "stopping": self.shutdown.stopping,
             "configuration_version": self.fleet.version,
             "still": tuple(self.relay.stillness.still(now=now)),
+            "moving": self._moving_heads(now=now),
             "plans": tuple(self.planning.planners_by_zone),
+            "reshapes": self.planning.reshaped_zones(),
             "demand_by_model": self.relay.demand.by_model(now=now),
         }
 
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -20,6 +20,10 @@
   still @9 :List(Text);
   # Availability zones that the sender plans for.
   plans @10 :List(Text);
+  # Zones in which the sender takes a group apart, or wants to.
+  reshapes @11 :List(Text);
+  # Heads that others saw stand still, and whose streams go on at the sender.
+  moving @12 :List(Text);
 }
 
 # What one host has read of the backend servers' topic, for the others.
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -78,6 +78,9 @@
     heard_at_by_id : dict of str to float
         Monotonic time of the last sign of life of each that is lost: its entry lapses
         only some time after it.
+    listed_since_by_id : dict of str to float
+        Monotonic time since when each has been in the list without a gap, as this
+        process saw it.
     n_changes : int
         Grows with each change, for those who cache what they derive.
     """
@@ -85,10 +88,11 @@
     def __init__(self) -> None:
         self.by_id: dict[str, BackendServer] = {}
         self.heard_at_by_id: dict[str, float] = {}
+        self.listed_since_by_id: dict[str, float] = {}
         self.n_changes = 0
         self._by_service: dict[str, dict[str, BackendServer]] = {}
 
-    def put(self, server: BackendServer) -> bool:
+    def put(self, server: BackendServer, *, now: float) -> bool:
         """Take what is known now; tell whether anything is new."""
         old = self.by_id.get(server.id)
         if old == server:
@@ -96,6 +100,7 @@
         if old is not None and old.service != server.service:
             self._by_service[old.service].pop(old.id, None)
         self.by_id[server.id] = server
+        self.listed_since_by_id.setdefault(server.id, now)
         self.heard_at_by_id.pop(server.id, None)
         self._by_service.setdefault(server.service, {})[server.id] = server
         self.n_changes += 1
@@ -113,6 +118,7 @@
         if server is None:
             return False
         del self._by_service[server.service][server_id]
+        del self.listed_since_by_id[server_id]
         known = self.heard_at_by_id.get(server_id, heard_at)
         self.heard_at_by_id[server_id] = max(known, heard_at)
         self.n_changes += 1
--- a/tests/test_coordination/group_fakes.py
+++ b/tests/test_coordination/group_fakes.py
@@ -62,9 +62,16 @@
 
 
 class Members:
-    """Hold a keeper, and the servers that its orders go to."""
+    """Hold a keeper, and the servers that its orders go to.
+
+    Attributes
+    ----------
+    now : float
+        The time of the last look, at which the list is taken to change.
+    """
 
     def __init__(self, *server_ids: str, patience: float = 0.0) -> None:
+        self.now = 0.0
         self.directory = Directory()
         self.lines: list[str] = []
         self.keeper = GroupKeeper(
@@ -75,7 +82,7 @@
             log=lambda event, **fields: self.lines.append(event),
         )
         for server_id in server_ids:
-            self.directory.put(server(server_id))
+            self.directory.put(server(server_id), now=self.now)
 
     def look(self, now: float) -> list[tuple[OrderKind, str]]:
         """Return kind and server of the orders that are due."""
@@ -83,6 +90,7 @@
 
     def orders(self, now: float) -> list[GroupOrder]:
         """Return the orders that are due."""
+        self.now = now
         return self.keeper.look(now=now)
 
     def report(self, group: GroupRecord, state: GroupState, *server_ids: str) -> None:
@@ -93,17 +101,19 @@
                 name=group.name, epoch=group.epoch, rank=rank, state=state
             )
             found = self.directory.by_id.get(server_id) or server(server_id)
-            self.directory.put(replace(found, group=report))
+            self.directory.put(replace(found, group=report), now=self.now)
 
     def leave(self, *server_ids: str) -> None:
         """Show servers as members of no group."""
         for server_id in server_ids:
             found = self.directory.by_id[server_id]
-            self.directory.put(replace(found, group=None))
+            self.directory.put(replace(found, group=None), now=self.now)
 
     def drain(self, server_id: str) -> None:
         """Show that a server has announced its leaving."""
-        self.directory.put(replace(self.directory.by_id[server_id], draining=True))
+        self.directory.put(
+            replace(self.directory.by_id[server_id], draining=True), now=self.now
+        )
 
     def lose(self, *server_ids: str, heard_at: float) -> None:
         """Take servers out of the list."""
--- a/tests/test_coordination/relay_fakes.py
+++ b/tests/test_coordination/relay_fakes.py
@@ -94,8 +94,8 @@
         self.directory = Directory()
         self.slots = slots
         for index in range(n_servers):
-            self.directory.put(self.plain(f"p{index}"))
-            self.directory.put(self.engine_head(f"h{index}"))
+            self.directory.put(self.plain(f"p{index}"), now=0.0)
+            self.directory.put(self.engine_head(f"h{index}"), now=0.0)
         self.balancer = Balancer(directory=self.directory, zone="z")
         self.stillness = StillnessWatch()
         self.sent: list[RelayAttempt] = []
--- a/tests/test_coordination/test_balance.py
+++ b/tests/test_coordination/test_balance.py
@@ -72,15 +72,15 @@
 def test_who_gets_nothing(
     directory: Directory, balancer: Balancer, changes: dict[str, object]
 ) -> None:
-    directory.put(_head("a", **changes))
+    directory.put(_head("a", **changes), now=0.0)
     assert _choose(balancer) is None
 
 
 def test_the_least_loaded_over_all_hosts(
     directory: Directory, balancer: Balancer
 ) -> None:
-    directory.put(_head("a"))
-    directory.put(_head("b"))
+    directory.put(_head("a"), now=0.0)
+    directory.put(_head("b"), now=0.0)
     balancer.sent("a")
     assert _choose(balancer) == "b"
     balancer.peers_in_flight_by_id["b"] = 2
@@ -92,8 +92,8 @@
 def test_the_own_zone_unless_it_is_busier(
     directory: Directory, balancer: Balancer
 ) -> None:
-    directory.put(_head("far", zone="y"))
-    directory.put(_head("near"))
+    directory.put(_head("far", zone="y"), now=0.0)
+    directory.put(_head("near"), now=0.0)
     balancer.sent("near")
     assert _choose(balancer) == "near"
     balancer.sent("near")
@@ -101,7 +101,7 @@
 
 
 def test_a_full_server_gets_nothing(directory: Directory, balancer: Balancer) -> None:
-    directory.put(_head("a"))
+    directory.put(_head("a"), now=0.0)
     for _ in range(13 + WAITING_AT_SERVER):
         assert _choose(balancer) == "a"
         balancer.sent("a")
@@ -111,7 +111,7 @@
 def test_a_server_that_fails_is_left_alone_longer_each_time(
     directory: Directory, balancer: Balancer
 ) -> None:
-    directory.put(_head("a"))
+    directory.put(_head("a"), now=0.0)
     now = 0.0
     pauses = []
     for _ in range(6):
@@ -131,7 +131,7 @@
 def test_a_group_that_stands_still_is_left_alone_until_it_moves(
     directory: Directory, balancer: Balancer
 ) -> None:
-    directory.put(_head("a"))
+    directory.put(_head("a"), now=0.0)
     balancer.stands_still("a", now=1.0)
     assert _choose(balancer, now=1.0 + STILL_AVOIDANCE - 0.1) is None
     balancer.moves("a")
@@ -140,7 +140,7 @@
 
 def test_new_groups_show_at_once(directory: Directory, balancer: Balancer) -> None:
     assert _choose(balancer) is None
-    directory.put(_head("a"))
+    directory.put(_head("a"), now=0.0)
     assert _choose(balancer) == "a"
     directory.remove("a", heard_at=0.0)
     assert _choose(balancer) is None
@@ -256,11 +256,11 @@
     the list, and it answers that it is another incarnation.
     Cause: after half a second it was chosen again, as the least loaded of all.
     """
-    directory.put(_head("a"))
+    directory.put(_head("a"), now=0.0)
     balancer.disowned("a", now=1.0)
     assert _choose(balancer, now=1.0) is None
     assert _choose(balancer, now=0.9 + DISOWNED_FOR) is None
     assert _choose(balancer, now=1.1 + DISOWNED_FOR) == "a"
     balancer.disowned("a", now=20.0)
-    directory.put(_head("a", address="10.0.0.9:81"))
+    directory.put(_head("a", address="10.0.0.9:81"), now=0.0)
     assert _choose(balancer, now=20.1) == "a"
--- a/tests/test_coordination/test_group_keeper.py
+++ b/tests/test_coordination/test_group_keeper.py
@@ -179,6 +179,24 @@
     assert members.keeper.phase_of(GROUP.name) is GroupPhase.RETIRED
 
 
+def test_a_new_planner_waits_for_no_silent_head_again(members: Members) -> None:
+    """Show that what the host saw before it planned counts.
+
+    Symptom: a group that was decided on serves nine seconds later.
+    Sequence: a head is lost, its group breaks off and is retired, its members are
+    given to another group; the planner is killed, and the next one reads both
+    records.
+    Cause: it waited once more for as long as a group stands still, and gave nobody
+    the order to join meanwhile.
+    """
+    members.lose("a", heard_at=2.0)
+    members.now = 10.0
+    members.keeper.put(GROUP, now=10.0)
+    members.look(10.0)
+    members.look(10.0 + ORDER_RETRY)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.RETIRED
+
+
 def test_another_zones_group_may_miss_members_for_a_while() -> None:
     members = Members("a", "b", "c", patience=5.0)
     members.serve(GROUP)
--- a/tests/test_coordination/test_zone_planner.py
+++ b/tests/test_coordination/test_zone_planner.py
@@ -30,8 +30,9 @@
     def __init__(self, *, n_servers: int = 8) -> None:
         self.directory = Directory()
         for index in range(n_servers):
-            self.directory.put(server(f"i{index}", domain=f"d{index // 8}"))
+            self.directory.put(server(f"i{index}", domain=f"d{index // 8}"), now=0.0)
         self.calm = True
+        self.others_reshape: set[str] = set()
         self.demand: dict[str, float] = {}
         service = RoutedService(name="engines", max_connections=100, engine=ENGINE)
         table = RouteTable(
@@ -49,6 +50,7 @@
             table=lambda: table,
             demand=lambda: self.demand,
             is_calm=lambda: self.calm,
+            reshaping=lambda: self.others_reshape,
             stall_time=STALL_TIME,
             since=0.0,
             log=lambda event, **fields: None,
@@ -88,7 +90,7 @@
 def test_servers_that_are_still_appearing_are_waited_for(zone: Zone) -> None:
     zone.planner.listed([], end=0, now=0.0)
     zone.planner.look(now=SETTLING)
-    zone.directory.put(server("late"))
+    zone.directory.put(server("late"), now=0.0)
     assert zone.appends(SETTLING + 0.5) is None
     assert zone.appends(SETTLING + 0.9 + FLEET_SETTLING) is not None
 
@@ -174,7 +176,7 @@
         report = GroupReport(name=group.name, epoch=group.epoch, rank=rank, state=state)
         found = zone.directory.by_id[server_id]
         models = frozenset({group.model})
-        zone.directory.put(replace(found, group=report, models=models))
+        zone.directory.put(replace(found, group=report, models=models), now=0.0)
 
 
 def test_a_record_that_is_dropped_late_is_written_anew(zone: Zone) -> None:
@@ -198,7 +200,7 @@
     group = _served(zone)
     successor = Zone()
     for server_id in group.member_ids:
-        successor.directory.put(zone.directory.by_id[server_id])
+        successor.directory.put(zone.directory.by_id[server_id], now=0.0)
     successor.planner.listed([], end=7, now=0.0)
     for now in (SETTLING, SETTLING + 0.5, SETTLING + 1.4):
         asked = successor.appends(now)
@@ -216,7 +218,7 @@
     group = _served(zone)
     successor = Zone()
     for server_id in group.member_ids[:-1]:
-        successor.directory.put(zone.directory.by_id[server_id])
+        successor.directory.put(zone.directory.by_id[server_id], now=0.0)
     successor.planner.listed([], end=7, now=0.0)
     successor.planner.look(now=SETTLING)
     successor.planner.look(now=SETTLING + ADOPT_AFTER + 0.1)
@@ -231,7 +233,7 @@
     group = _served(zone)
     successor = Zone(n_servers=0)
     for server_id in group.member_ids[1:]:
-        successor.directory.put(zone.directory.by_id[server_id])
+        successor.directory.put(zone.directory.by_id[server_id], now=0.0)
     planner = successor.planner
     planner.listed([], end=7, now=0.0)
     planner.look(now=SETTLING)
