Let a host that is started anew without the store learn all from others

Cause: configuration, backend servers and the other hosts' addresses could come from the store only. Ruled out: the platform's list of seeds (empty for a role that serves callers only). Change: a host knows others by where their words come from, asks one in turn for the records of all backend servers if the store has not listed them within 0.3 s, and reads on from there when the store is back. A listing that was asked for before and answers late changes nothing. The component that answers other hosts is renamed after what it does now. A start logs no store_lost any more, as nothing was lost. The tests fail without the change: the process test waited in vain for the host to be ready.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -82,7 +82,7 @@
     """Return the seconds to take one word, where so many hosts are heard."""
     words = HostWords(host="front-0", zone="z")
     for host in range(1, n_hosts):
-        words.take(_word(host, 1), now=0.0)
+        words.take(_word(host, 1), address="10.0.0.1:7000", now=0.0)
     data = [
         encode_word(_word(1 + index % (n_hosts - 1), 2 + index))
         for index in range(N_WORDS)
--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -91,8 +91,15 @@
         # hosts at each would cost more than all else; so the sum is kept.
         self._in_flight: Counter[str] = Counter()
 
-    def take(self, word: HostWord, *, now: float) -> bool:
-        """Take a word; tell whether it is newer than the one that is known."""
+    def take(self, word: HostWord, *, address: str, now: float) -> bool:
+        """Take a word; tell whether it is newer than the one that is known.
+
+        Parameters
+        ----------
+        address : str
+            Where it came from, and where its host is asked.  A host that was started
+            anew while the store is away learns of the others only this way.
+        """
         if word.host == self._host:
             return False
         heard = self._heard_by_host.get(word.host)
@@ -103,6 +110,11 @@
         self._heard_by_host[word.host] = _Heard(word=word, heard_at=now)
         self._in_flight.update(word.in_flight_by_server)
         self._zone_heard_at[word.availability_zone] = now
+        self.addresses_by_host[word.host] = HostAddress(
+            host=word.host,
+            address=address,
+            availability_zone=word.availability_zone,
+        )
         return True
 
     def living(self, *, now: float) -> list[HostWord]:
--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from expression import Result
+from expression import Ok, Result
 
 if TYPE_CHECKING:
     from ..errors import RyeleverError
@@ -98,6 +98,7 @@
     is_waiting: bool = False
     n_asked: int = 0
     _phase: _Phase = _Phase.LISTING
+    _asked_phase: _Phase = _Phase.LISTING
     _asked_from: int = 0
     _due_at: float = 0.0
     _n_failures: int = 0
@@ -117,6 +118,7 @@
         self.n_asked += 1
         self.asked_at = now
         self._asked_from = self.offset
+        self._asked_phase = self._phase
         if self._phase is _Phase.LISTING:
             return self.log.newest(
                 self.topic, partition=self.partition, after=self._after
@@ -166,11 +168,28 @@
                 self._due_at = max(self._due_at, now + PASSED_ON)
         return follows
 
+    def take_over(self, *, end: int, now: float) -> None:
+        """Go on from where another host has read, as all its records were given.
+
+        Parameters
+        ----------
+        end : int
+            Offset up to which that host has read.
+        """
+        self._phase = _Phase.READING
+        self._after = ""
+        self.offset = end
+        self.listed_at = now
+
     def answered(
         self, status: int, body: bytes, *, now: float
     ) -> Result[TopicNews, RyeleverError]:
         """Take an answer."""
-        listing = self._phase is _Phase.LISTING
+        listing = self._asked_phase is _Phase.LISTING
+        if listing and self._phase is _Phase.READING:
+            # What another host gave meanwhile is as new as this answer.
+            self.is_waiting = False
+            return Ok(TopicNews(records=[]))
         if listing:
             outcome = self.log.newest_page(status, body).map(self._take_listing)
         else:
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -18,12 +18,13 @@
     server_news,
 )
 from .logs import log_event, log_warning
-from .state.keyed_record import ServerNews
+from .protocol.host_words import CONFIGURATION_PATH, SERVERS_PATH, decode_servers
+from .state.keyed_record import KeyedRecord, ServerNews
 
 if TYPE_CHECKING:
     from .coordination.host_words import HostWords
     from .coordination.topic import TopicNews
-    from .protocol.keyed_log import KeyedLogInterface, KeyedRecord
+    from .protocol.keyed_log import KeyedLogInterface
     from .protocol.store_documents import StoreDocuments
     from .relay_settings import RelaySettings
     from .state.directory import BackendServer, Directory
@@ -37,8 +38,8 @@
 #: leaving must be known within two seconds.
 SERVERS_INTERVAL = 0.3
 
-#: Seconds for which the store is asked for a newer configuration before another
-#: entry host is: its answer takes some milliseconds.
+#: Seconds for which the store is asked before another entry host is, for a newer
+#: configuration or for the backend servers: its answer takes some milliseconds.
 STORE_FIRST = 0.3
 
 #: Seconds after which another entry host is asked again.
@@ -98,6 +99,10 @@
         )
         self.hosts = TopicFollower(log=log, topic=documents.hosts_topic)
         self._document = b""
+        self._data_by_server: dict[str, bytes] = {}
+        self._started_at = time.monotonic()
+        self._servers_fetched_at = float("-inf")
+        self._n_fetches = 0
         self._behind_since: float | None = None
         self._fetched_at = float("-inf")
         self._announced_at = float("-inf")
@@ -115,6 +120,8 @@
         self._note_reads()
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
+        if not self.servers.is_current:
+            self._fetch_servers(now=now)
         if not self._announced and now - self._announced_at > ANNOUNCE_RETRY:
             self._announced_at = now
             self._announce()
@@ -175,31 +182,93 @@
         if address is None or not overdue or now - self._fetched_at < FETCH_RETRY:
             return
         self._fetched_at = now
+        self._fetch(CONFIGURATION_PATH, address.address)
+
+    # What other entry hosts give
+
+    def _fetch(self, path: str, address: str) -> None:
+        self._n_fetches += 1
         request = OutboundRequest(
-            id=f"configuration-{version}",
-            address=address.address,
+            id=f"{path} {self._n_fetches}",
+            address=address,
             method="GET",
-            path="/configuration",
+            path=path,
             reply_channel=self.channel,
-            step="fetch_configuration",
+            step="fetch_from_host",
             connect_timeout=FETCH_RETRY,
             progress_timeout=FETCH_RETRY,
         )
         self.fire(outbound_send(request), "http_client")
 
+    def _fetch_servers(self, *, now: float) -> None:
+        """Ask another entry host for the backend servers that it knows.
+
+        A host that is started anew while the store is away would serve nobody until
+        it returns, though the hosts around it know all that it needs.
+        """
+        if now - max(self._started_at, self._servers_fetched_at) < STORE_FIRST:
+            return
+        givers = [
+            address.address
+            for word in self._words.living(now=now)
+            if word.configuration_version >= 0
+            and (address := self._words.addresses_by_host.get(word.host)) is not None
+        ]
+        if givers:
+            self._servers_fetched_at = now
+            # The next one in turn, if this one doesn't answer.
+            self._fetch(SERVERS_PATH, givers[self._n_fetches % len(givers)])
+
     @handler("outbound_answer")
     def _on_fetched(self, answer: OutboundAnswer) -> None:
-        if answer.status == 200:
+        if answer.status != 200:
+            return
+        if answer.id.startswith(CONFIGURATION_PATH):
             self.take_configuration(answer.body, peer=answer.address)
+        else:
+            self._take_given_servers(answer)
 
     @handler("outbound_failed")
     def _on_not_fetched(self, failure: OutboundFailure) -> None:
         log_event(
-            "configuration_not_fetched",
+            "not_fetched",
+            what=failure.id,
             peer=failure.address,
             message=failure.error.message,
         )
 
+    def _take_given_servers(self, answer: OutboundAnswer) -> None:
+        read = decode_servers(answer.body, peer=answer.address)
+        if read.is_error():
+            error = read.error
+            log_warning(
+                "servers_unreadable",
+                step=error.step,
+                peer=error.peer,
+                message=error.message,
+            )
+            return
+        if self.servers.is_current:
+            return
+        now = time.monotonic()
+        self.servers.take_over(end=read.ok.end, now=now)
+        log_event("servers_given", peer=answer.address, n=len(read.ok.records))
+        self._take_records(read.ok.records, now=now)
+
+    def all_servers(self) -> ServerNews | None:
+        """Return the records of all backend servers, or None before they are known."""
+        if not self.servers.is_current:
+            return None
+        return ServerNews(
+            reader=self._settings.host,
+            start=0,
+            end=self.servers.offset,
+            records=[
+                KeyedRecord(key=server_id, value=data, offset=0)
+                for server_id, data in self._data_by_server.items()
+            ],
+        )
+
     # Backend servers
 
     def _take_servers(self, news: TopicNews) -> None:
@@ -265,6 +334,7 @@
                 "server_unreadable", server=server_id, message=read.error.message
             )
             return False
+        self._data_by_server[server_id] = data
         server = read.ok
         old = self._directory.by_id.get(server_id)
         if not self._directory.put(server, now=now):
@@ -273,6 +343,7 @@
         return True
 
     def _remove(self, server_id: str, *, now: float) -> None:
+        self._data_by_server.pop(server_id, None)
         heard_at = now - LAPSED_HEARTBEATS * self._settings.heartbeat_interval
         if self._directory.remove(server_id, heard_at=heard_at):
             log_event("server_gone", server=server_id)
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -104,7 +104,7 @@
             word = read.ok
             if isinstance(word, ServerNews):
                 self._take_news(word)
-            elif self._words.take(word, now=now):
+            elif self._words.take(word, address=datagram.address, now=now):
                 self._take_still(word, now=now)
                 self._take_version(word.configuration_version, word.host)
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -11,7 +11,20 @@
 from ..errors import Category, RyeleverError
 from ..state.keyed_record import KeyedRecord, ServerNews
 
-__all__ = ["decode_datagram", "encode_news", "encode_word"]
+__all__ = [
+    "CONFIGURATION_PATH",
+    "SERVERS_PATH",
+    "decode_datagram",
+    "decode_servers",
+    "encode_news",
+    "encode_servers",
+    "encode_word",
+]
+
+#: Where an entry host asks another one for the configuration in force and for the
+#: records of all backend servers.
+CONFIGURATION_PATH = "/configuration"
+SERVERS_PATH = "/servers"
 
 #: First byte of a datagram: what follows.
 WORD = b"w"
@@ -23,6 +36,9 @@
 #: Longest unpacked message, in words: packing shrinks runs of zeros without bound.
 MAX_WORDS = 64 * 1024
 
+#: The same for the records of all backend servers, which take half a kilobyte each.
+MAX_SERVER_WORDS = 1024 * 1024
+
 #: Most backend servers told of in one word, so that it fits into a datagram.
 MAX_SERVERS = 160
 
@@ -63,8 +79,11 @@
 def encode_news(news: ServerNews) -> bytes | None:
     """Return news as one datagram; None where they are too long for one."""
     size = sum(len(record.key) + len(record.value) + 32 for record in news.records)
-    if size > MAX_NEWS:
-        return None
+    return None if size > MAX_NEWS else NEWS + encode_servers(news)
+
+
+def encode_servers(news: ServerNews) -> bytes:
+    """Return records of backend servers, as many as there are."""
     message = _schema.ServerNews.new_message(
         reader=news.reader, start=news.start, end=news.end
     )
@@ -72,7 +91,7 @@
         {"key": record.key, "value": record.value, "offset": record.offset}
         for record in news.records
     ]
-    return NEWS + message.to_bytes_packed()
+    return message.to_bytes_packed()
 
 
 def decode_datagram(
@@ -81,25 +100,35 @@
     """Read a datagram."""
     try:
         if data[:1] == NEWS:
-            return Ok(_decode_news(data[1:]))
+            return Ok(_decode_news(data[1:], max_words=MAX_WORDS))
         if data[:1] == WORD:
             return Ok(_decode_word(data[1:]))
         why = "unknown first byte"
     except capnp.KjException as error:
         why = str(error)
-    return Error(
-        RyeleverError(
-            f"not a word of an entry host: {why}",
-            category=Category.BAD_REQUEST,
-            step="read_host_word",
-            peer=peer,
-        )
+    return Error(_unreadable(why, step="read_host_word", peer=peer))
+
+
+def decode_servers(data: bytes, *, peer: str) -> Result[ServerNews, RyeleverError]:
+    """Read the records of all backend servers that another host knows."""
+    try:
+        return Ok(_decode_news(data, max_words=MAX_SERVER_WORDS))
+    except capnp.KjException as error:
+        return Error(_unreadable(str(error), step="read_servers", peer=peer))
+
+
+def _unreadable(why: str, *, step: str, peer: str) -> RyeleverError:
+    return RyeleverError(
+        f"not what an entry host sends: {why}",
+        category=Category.BAD_REQUEST,
+        step=step,
+        peer=peer,
     )
 
 
-def _decode_news(data: bytes) -> ServerNews:
+def _decode_news(data: bytes, *, max_words: int) -> ServerNews:
     message = _schema.ServerNews.from_bytes_packed(
-        data, traversal_limit_in_words=MAX_WORDS
+        data, traversal_limit_in_words=max_words
     )
     return ServerNews(
         reader=message.reader,
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -9,7 +9,6 @@
 from circuits.core.pollers import EPoll
 
 from .addresses import split_address
-from .configuration_offers import ConfigurationOffers
 from .coordination.balance import Balancer
 from .coordination.host_words import HostWords
 from .coordination.repeat_budget import RepeatBudget
@@ -26,6 +25,7 @@
 from .fleet_directory import FleetDirectory
 from .group_planning import GroupPlanning
 from .host_exchange import WORD_INTERVAL, HostExchange
+from .host_offers import HostOffers
 from .logs import log_event
 from .metrics import Metrics
 from .relay import Relay
@@ -175,8 +175,10 @@
             reload=reload,
         )
         self.timers = Timers()
-        self.offers = ConfigurationOffers(
-            callers=self.peer_callers, document=self.fleet.document
+        self.offers = HostOffers(
+            callers=self.peer_callers,
+            document=self.fleet.document,
+            servers=self.fleet.all_servers,
         )
         self._register_parts()
 
--- a/ryelever/store_client.py
+++ b/ryelever/store_client.py
@@ -69,7 +69,7 @@
         self._failing_since: float | None = 0.0
         self.passed_on_at = float("-inf")
         self._why = ""
-        self._reachable: bool | None = None
+        self._reachable = False
 
     @property
     def is_reachable(self) -> bool:
--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -28,7 +28,7 @@
 zones.z=r
 listen.front=127.0.0.1:0
 listen.ready=127.0.0.1:0
-port_range=0,0
+port_range={peers_port},{peers_port}
 platform.address={store}
 platform.parts=12
 heartbeat_ms=1200
@@ -101,7 +101,13 @@
         self.addresses = json.loads(process.wait_for_line("listening "))
 
     def start_host(
-        self, name: str, *, grace: float = 8, wait: bool = True, door: str = "store"
+        self,
+        name: str,
+        *,
+        grace: float = 8,
+        wait: bool = True,
+        door: str = "store",
+        peers_port: int = 0,
     ) -> RelayHost:
         """Start an entry host and wait until it is ready.
 
@@ -109,10 +115,17 @@
         ----------
         door : str
             Where it reaches the store: ``"store"`` or ``"side-door"``.
+        peers_port : int
+            Where other entry hosts reach it; 0 picks a free port.
         """
         path = self.directory / f"{name}.conf"
         path.write_text(
-            SETTINGS.format(name=name, store=self.addresses[door], grace=grace)
+            SETTINGS.format(
+                name=name,
+                store=self.addresses[door],
+                grace=grace,
+                peers_port=peers_port,
+            )
         )
         process = Process(
             name=name,
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -34,6 +34,10 @@
     return HostWord(**(values | changes))
 
 
+def _take(words: HostWords, word: HostWord, *, now: float) -> bool:
+    return words.take(word, address="10.0.0.1:7000", now=now)
+
+
 @pytest.fixture
 def words() -> HostWords:
     return HostWords(host="b", zone="z")
@@ -75,16 +79,20 @@
 
 
 def test_old_words_are_dropped(words: HostWords) -> None:
-    assert words.take(_word("a", sequence=2), now=0.0)
-    assert not words.take(_word("a", sequence=1), now=0.1)
+    assert _take(words, _word("a", sequence=2), now=0.0)
+    assert not _take(words, _word("a", sequence=1), now=0.1)
     # A host that was started anew counts from the start.
-    assert words.take(_word("a", sequence=1, boot=2), now=0.2)
-    assert not words.take(_word("b"), now=0.3)
+    assert _take(words, _word("a", sequence=1, boot=2), now=0.2)
+    assert not _take(words, _word("b"), now=0.3)
 
 
 def test_loads_of_living_hosts_add_up(words: HostWords) -> None:
-    words.take(_word("a", in_flight_by_server={"i1": 3}), now=0.0)
-    words.take(_word("c", in_flight_by_server={"i1": 2, "i2": 1}), now=0.5)
+    _take(words, _word("a", in_flight_by_server={"i1": 3}), now=0.0)
+    _take(
+        words,
+        _word("c", in_flight_by_server={"i1": 2, "i2": 1}),
+        now=0.5,
+    )
     assert words.in_flight(now=0.6) == {"i1": 5, "i2": 1}
     assert words.in_flight(now=0.1 + HOST_SILENCE) == {"i1": 2, "i2": 1}
 
@@ -96,7 +104,11 @@
         now = step * 0.1
         host = "acdef"[step * 7 % 5] if step % 40 < 25 else "c"
         loads = {f"i{step % 3}": step % 4, f"i{3 + step % 2}": 1 + step % 5}
-        words.take(_word(host, sequence=step, in_flight_by_server=loads), now=now)
+        _take(
+            words,
+            _word(host, sequence=step, in_flight_by_server=loads),
+            now=now,
+        )
         newest[host] = (now, loads)
         expected: dict[str, int] = {}
         for heard_at, told in newest.values():
@@ -114,11 +126,11 @@
 
 def test_the_first_host_that_reaches_the_store_plans(words: HostWords) -> None:
     assert _plans(words)
-    words.take(_word("c"), now=0.0)
+    _take(words, _word("c"), now=0.0)
     assert _plans(words)
-    words.take(_word("a", reads_store=False), now=0.0)
+    _take(words, _word("a", reads_store=False), now=0.0)
     assert _plans(words)
-    words.take(_word("a", sequence=2), now=0.0)
+    _take(words, _word("a", sequence=2), now=0.0)
     assert not _plans(words)
     assert _plans(words, now=0.1 + HOST_SILENCE)
 
@@ -130,18 +142,18 @@
     Sequence: the first host by name is killed, another plans, the first is back.
     Cause: each change of planner costs the time to read and to settle.
     """
-    words.take(_word("a"), now=0.0)
+    _take(words, _word("a"), now=0.0)
     assert _plans(words, planning=True)
-    words.take(_word("c", plans=("z",)), now=0.0)
+    _take(words, _word("c", plans=("z",)), now=0.0)
     assert not _plans(words, planning=False)
     # Of two that plan, the first by name goes on.
     assert _plans(words, planning=True)
-    words.take(_word("a", sequence=2, plans=("z",)), now=0.0)
+    _take(words, _word("a", sequence=2, plans=("z",)), now=0.0)
     assert not _plans(words, planning=True)
 
 
 def test_a_stopping_host_plans_no_more(words: HostWords) -> None:
-    words.take(_word("a", stopping=True, plans=("z",)), now=0.0)
+    _take(words, _word("a", stopping=True, plans=("z",)), now=0.0)
     assert _plans(words)
 
 
@@ -160,9 +172,9 @@
     def plans(now: float) -> bool:
         return words.plans_for("z", planning=True, reads_store=False, now=now)
 
-    words.take(_word("a", reads_store=False), now=0.0)
+    _take(words, _word("a", reads_store=False), now=0.0)
     assert plans(0.0)
-    words.take(_word("c", sequence=2, plans=("z",)), now=0.1)
+    _take(words, _word("c", sequence=2, plans=("z",)), now=0.1)
     assert not plans(0.1)
 
 
@@ -178,9 +190,9 @@
     def plans(now: float) -> bool:
         return words.plans_for("z", planning=True, reads_store=False, now=now)
 
-    words.take(_word("a"), now=0.0)
+    _take(words, _word("a"), now=0.0)
     assert plans(0.0)
-    words.take(_word("a", sequence=2, reads_store=False), now=0.2)
+    _take(words, _word("a", sequence=2, reads_store=False), now=0.2)
     assert plans(0.2)
 
 
@@ -191,5 +203,13 @@
     assert not plans(0.0)
     assert not plans(ORPHANED - 0.1)
     assert plans(ORPHANED)
-    words.take(_word("a", availability_zone="y"), now=ORPHANED)
+    _take(words, _word("a", availability_zone="y"), now=ORPHANED)
     assert not plans(ORPHANED + 0.1)
+
+
+def test_hosts_are_known_by_their_words(words: HostWords) -> None:
+    """Show that a host that was started anew needs no store to find the others."""
+    words.take(_word("a"), address="10.0.0.7:7000", now=0.0)
+    assert words.addresses_by_host["a"].address == "10.0.0.7:7000"
+    words.take(_word("a", boot=2), address="10.0.0.8:7000", now=0.1)
+    assert words.addresses_by_host["a"].address == "10.0.0.8:7000"
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -7,12 +7,14 @@
 
 import pytest
 
-from ryelever.coordination.host_words import HostWords
+from ryelever.coordination.host_words import HostWord, HostWords
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
 from ryelever.coordination.topic import TopicNews
+from ryelever.events import OutboundAnswer, OutboundRequest
 from ryelever.fleet_directory import FleetDirectory
 from ryelever.platform.records import PlatformRecords
 from ryelever.platform.store import StoreCalls
+from ryelever.protocol.host_words import SERVERS_PATH, encode_servers
 from ryelever.relay_settings import RelaySettings
 from ryelever.state.directory import Directory
 from ryelever.state.keyed_record import KeyedRecord, ServerNews
@@ -69,10 +71,12 @@
             own_address="127.0.0.1:2",
         )
         self.passed_on: list[ServerNews] = []
+        self.asked: list[OutboundRequest] = []
         self.fleet.fire = self._keep
 
     def _keep(self, event: object, *channels: str) -> None:
         self.passed_on += [item for item in event.args if isinstance(item, ServerNews)]
+        self.asked += [item for item in event.args if isinstance(item, OutboundRequest)]
 
     def listed(self, *records: KeyedRecord, end: int) -> None:
         follower = self.fleet.servers
@@ -151,3 +155,52 @@
     assert json.loads(host.fleet.document())["version"] == 7
     host.fleet.take_configuration(b"no configuration", peer="b")
     assert host.fleet.version == 7
+
+
+def _answer_of(giver: Host, request: OutboundRequest) -> OutboundAnswer:
+    return OutboundAnswer(
+        id=request.id,
+        address=request.address,
+        status=200,
+        headers={},
+        body=encode_servers(giver.fleet.all_servers()),
+        sent_at=0.0,
+    )
+
+
+def test_a_host_without_the_store_gets_all_servers_from_another(clock: Clock) -> None:
+    """Show that a host that was started anew during an outage serves.
+
+    Symptom: a host refuses all its callers from its start until the store is back.
+    Sequence: hosts are restarted in turn while the store is away for eight seconds.
+    Cause: what all others know could come from the store only.
+    """
+    giver, other = Host("a"), Host("b")
+    giver.listed(_put("i1", 0), _put("i2", 1), end=2)
+    word = HostWord(
+        host="a",
+        availability_zone="z",
+        boot=1,
+        sequence=1,
+        reads_store=False,
+        stopping=False,
+        configuration_version=7,
+    )
+    other.fleet._words.take(word, address="10.0.0.7:7000", now=clock.now)
+    other.fleet._on_tick()
+    assert [ask for ask in other.asked if ask.path == SERVERS_PATH] == []
+    clock.now += 0.5
+    other.fleet.servers.next_call(now=clock.now)
+    other.fleet._on_tick()
+    [asked] = [ask for ask in other.asked if ask.path == SERVERS_PATH]
+    assert asked.address == "10.0.0.7:7000"
+    other.fleet._on_fetched(_answer_of(giver, asked))
+    assert other.directory.by_id.keys() == {"i1", "i2"}
+    assert other.fleet.servers.is_current
+    # The listing that was asked for before answers late, and says nothing of i1.
+    late = b'{"items": [], "more": false, "end": 1}'
+    news = other.fleet.servers.answered(200, late, now=clock.now).ok
+    other.fleet._take_servers(news)
+    assert other.directory.by_id.keys() == {"i1", "i2"}
+    assert other.fleet.servers.offset == 2
+    assert "&from=2" in other.fleet.servers.next_call(now=clock.now + 1).path
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -10,7 +10,7 @@
 import httpx
 import pytest
 
-from ..processes import wait_until
+from ..processes import free_udp_addresses, wait_until
 from ..relay_zone import HEADERS, RelayZone, events_of_stream, running_relay_zone
 
 
@@ -109,6 +109,31 @@
     assert in_force["version"] == 3
 
 
+def test_a_host_that_is_started_anew_without_the_store_serves(zone: RelayZone) -> None:
+    """Show that hosts which are restarted while the store is away serve.
+
+    Symptom: a restarted host refuses its callers for as long as the store is away.
+    Sequence: the store goes away, a host is killed and started again; the hosts
+    around it still tell it where they are, and serve.
+    Cause: configuration and backend servers could come from the store only.
+    """
+    first = zone.start_host("e1")
+    _, _, port = free_udp_addresses(1)[0].rpartition(":")
+    killed = zone.start_host("e2", peers_port=int(port))
+    first.process.wait_for_event("peer_heard")
+    zone.head_of(2)
+    wait_until(
+        lambda: first.chat(request_id="s0").status_code == 200,
+        what="the first host knows the group",
+    )
+    killed.process.kill()
+    zone.control(store={"refuse": True})
+    first.process.wait_for_event("store_lost")
+    again = zone.start_host("e2", peers_port=int(port))
+    assert again.call("/look/1", request_id="i1").status_code == 200
+    assert again.chat(request_id="s1").text == events_of_stream(5)
+
+
 def test_a_stopping_host_takes_nothing_that_it_cannot_finish(zone: RelayZone) -> None:
     """Show that requests that come late in a shutdown aren't taken and cut off.
 
