Measure relayed requests, groups and dependencies for the metrics address

Cause: the metrics of a relaying host were counters of log lines; how long requests take, wait for a place and pause between events, what its dependencies' state is, and how long groups serve nobody could not be read from it. Change: histograms of requests by route and outcome, of waiting, first events and pauses, of a group's time in each phase; counters of sendings and repeats, of requests by account, of calls to the store, of log lines written and left out, of group-seconds in which groups serve nobody and server-seconds of servers in no group that serves; gauges of the store, the configuration's version and age, and the hosts heard.

--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -209,6 +209,10 @@
             if kept.phase is GroupPhase.ENDING and kept.reason == TAKEN_APART
         ]
 
+    def phases(self) -> dict[str, GroupPhase]:
+        """Return what is being done with each group, by its name."""
+        return {name: kept.phase for name, kept in self._kept_by_name.items()}
+
     def phase_of(self, name: str) -> GroupPhase | None:
         """Return what is being done with a group."""
         kept = self._kept_by_name.get(name)
--- a/ryelever/coordination/relay_actions.py
+++ b/ryelever/coordination/relay_actions.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from ..protocol.relaying import Headers
 
-__all__ = ["RelayAttempt", "RelayOutbox", "RelayRefusal"]
+__all__ = ["RelayAttempt", "RelayMeasures", "RelayOutbox", "RelayRefusal"]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -88,3 +88,22 @@
 
     def abort(self, request_number: int) -> None:
         """Break a streamed answer off, so that it doesn't look complete."""
+
+
+class RelayMeasures(Protocol):
+    """Take what becomes of relayed requests, for counters and histograms.
+
+    All times are in seconds.
+    """
+
+    def sent(self, *, is_repeat: bool, waited: float) -> None:
+        """Take a sending, and the time since its request arrived."""
+
+    def first_event(self, seconds: float) -> None:
+        """Take the time from a request's arrival to its first event."""
+
+    def gap(self, seconds: float) -> None:
+        """Take the time between two events of a stream."""
+
+    def ended(self, *, route: str, account: str, status: int, seconds: float) -> None:
+        """Take a request's end; status 0 is a stream that was cut off."""
--- a/ryelever/coordination/relay_request.py
+++ b/ryelever/coordination/relay_request.py
@@ -49,6 +49,8 @@
         Ids of the backend servers that it was sent to.
     waits_until : float
         Monotonic time until which it waits for a place at a backend server.
+    last_event_at : float
+        Monotonic time of the last event passed on; 0 before the first.
     last_event_id : str
         The last event passed on, or the one after which the caller resumes.
     """
@@ -72,6 +74,7 @@
     last_event_id: str = ""
     body: bytearray = field(default_factory=bytearray)
     n_events: int = 0
+    last_event_at: float = 0.0
 
     @property
     def is_stream(self) -> bool:
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -19,7 +19,7 @@
     from ..protocol.relaying import AnswerHead, RelayArrival
     from ..state.routes import RouteAccount, RouteTable
     from .balance import Balancer
-    from .relay_actions import RelayOutbox
+    from .relay_actions import RelayMeasures, RelayOutbox
     from .relay_request import RelayRequest
     from .repeat_budget import RepeatBudget
     from .stillness import StillnessWatch
@@ -56,6 +56,8 @@
         Return the configuration in force, or None before there is one.
     served : callable
         Take the model of a whole stream and the number of its events.
+    measures : RelayMeasures
+        Takes what becomes of requests.
     since : float
         Monotonic time of the process's start.
     log : callable
@@ -76,6 +78,7 @@
         stillness: StillnessWatch,
         outbox: RelayOutbox,
         served: Callable[[str, int], None],
+        measures: RelayMeasures,
         since: float,
         log: Callable[..., None],
     ) -> None:
@@ -87,6 +90,7 @@
         self._stillness = stillness
         self._outbox = outbox
         self._served = served
+        self._measures = measures
         self._log = log
         self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
@@ -322,6 +326,9 @@
         request.n_events = 0
         request.n_sent += 1
         request.tried.add(server.id)
+        self._measures.sent(
+            is_repeat=request.n_sent > 1, waited=now - request.arrival.arrived_at
+        )
         if request.phase is RequestPhase.WAITING:
             request.phase = RequestPhase.SENT
         self._requests_by_attempt[attempt.id] = request
@@ -412,6 +419,7 @@
                 status=request.head.status,
                 headers=request.head.headers,
             )
+        self._measure_event(request, now=now)
         request.n_events += len(events)
         fresh = []
         for event_id, event in events:
@@ -423,6 +431,13 @@
         if fresh:
             self._outbox.data(request.number, b"".join(fresh))
 
+    def _measure_event(self, request: RelayRequest, *, now: float) -> None:
+        if request.last_event_at:
+            self._measures.gap(now - request.last_event_at)
+        else:
+            self._measures.first_event(now - request.arrival.arrived_at)
+        request.last_event_at = now
+
     def _whole_answer(self, request: RelayRequest, *, now: float) -> None:
         head = request.head
         server_id = request.attempt.server_id
@@ -547,6 +562,12 @@
         reason: str = "",
         server: str = "",
     ) -> None:
+        self._measures.ended(
+            route=request.route.name,
+            account=request.account,
+            status=status,
+            seconds=now - request.arrival.arrived_at,
+        )
         places = {}
         if reason == "no_place":
             # What was known of places: servers that may take it, and who waits.
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -20,6 +20,7 @@
 )
 from .group_keeper import TAKEN_APART, GroupKeeper, GroupPhase
 from .group_records import GroupRecord, Member
+from .group_times import GroupTimes
 from .reshaping import ReshapingTurn
 from .weight_staging import WeightStaging
 
@@ -98,6 +99,8 @@
         Return the work that arrives at all hosts, in groups kept busy, by model.
     is_calm : callable
         Tell whether no request has come yet, so that loads are quick and free.
+    observe : callable
+        Take the name of a phase and the seconds that a group has spent in it.
     reshaping : callable
         Return the other zones in which groups are taken apart, or are to be.
     """
@@ -113,6 +116,7 @@
         demand: Callable[[], Mapping[str, float]],
         is_calm: Callable[[], bool],
         reshaping: Callable[[], set[str]],
+        observe: Callable[[str, float], None],
         stall_time: float,
         since: float,
         log: Callable[..., None],
@@ -125,6 +129,7 @@
         self._is_calm = is_calm
         self._reshaping = reshaping
         self._turn = ReshapingTurn(zone=zone)
+        self.times = GroupTimes(observe=observe)
         self._since = since
         self._end = -1
         self._appending_since: float | None = None
@@ -211,6 +216,9 @@
         if table is None or self._end < 0 or now - self._since < SETTLING:
             return [], None
         orders = self.keeper.look(now=now)
+        self.times.look(
+            self.keeper.phases(), n_stranded=self._n_stranded(table), now=now
+        )
         self._adoption.look(table, now=now)
         self._take_apart(table, now=now)
         append = self._append_due(table, now=now)
@@ -218,6 +226,21 @@
             orders += self._staging(service, engine, now=now)
         return orders, append
 
+    def _n_stranded(self, table: RouteTable) -> int:
+        """Count the zone's servers that could serve and are in no group that does."""
+        serving = {
+            member_id
+            for record in self.keeper.records(GroupPhase.SERVING)
+            for member_id in record.member_ids
+        }
+        return sum(
+            server.availability_zone == self._zone
+            and not server.draining
+            and server.id not in serving
+            for service, _ in table.engines()
+            for server in self._directory.of_service(service)
+        )
+
     def _append_due(self, table: RouteTable, *, now: float) -> AppendGroups | None:
         if self._appending is not None:
             if now - self._appending_since < APPEND_TIMEOUT:
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -99,6 +99,7 @@
         )
         self.hosts = TopicFollower(log=log, topic=documents.hosts_topic)
         self._document = b""
+        self._in_force_since: float | None = None
         self._data_by_server: dict[str, bytes] = {}
         self._started_at = time.monotonic()
         self._servers_fetched_at = float("-inf")
@@ -152,6 +153,7 @@
             return
         self.table = table
         self._document = data
+        self._in_force_since = time.monotonic()
         self._behind_since = None
         log_event("configuration_in_force", version=table.version, peer=peer)
         self.fire(directory_changed(), "relay")
@@ -161,6 +163,12 @@
         """Return the version in force, or -1 before there is one."""
         return -1 if self.table is None else self.table.version
 
+    def configuration_age(self) -> float:
+        """Return the seconds since the configuration in force came, or -1."""
+        if self._in_force_since is None:
+            return -1.0
+        return time.monotonic() - self._in_force_since
+
     def document(self) -> bytes:
         """Return the configuration in force as it lies in the store."""
         return self._document
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -4,6 +4,7 @@
 
 import itertools
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
@@ -77,6 +78,28 @@
         self._followers_by_zone: dict[str, TopicFollower] = {}
         self.planners_by_zone: dict[str, ZonePlanner] = {}
 
+    def n_groups_by_phase(self) -> Counter[str]:
+        """Count the groups of the zones that this host plans for, by phase."""
+        return Counter(
+            phase.value
+            for planner in self.planners_by_zone.values()
+            for phase in planner.keeper.phases().values()
+        )
+
+    def stranded_seconds(self) -> dict[str, float]:
+        """Return the server-seconds that served nobody, by zone."""
+        return {
+            zone: planner.times.stranded
+            for zone, planner in self.planners_by_zone.items()
+        }
+
+    def down_seconds(self) -> Counter[str]:
+        """Return the group-seconds in which groups served nobody, by phase."""
+        total: Counter[str] = Counter()
+        for planner in self.planners_by_zone.values():
+            total.update(planner.times.down)
+        return total
+
     def reshaped_zones(self) -> tuple[str, ...]:
         """Return the zones in which this host takes groups apart."""
         return tuple(
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -71,6 +71,11 @@
         self._sequence = 0
         self._heard: set[str] = set()
 
+    @property
+    def n_heard(self) -> int:
+        """Return how many other entry hosts are heard."""
+        return len(self._heard)
+
     @handler("word_tick")
     def _on_tick(self) -> None:
         now = time.monotonic()
--- a/ryelever/metrics.py
+++ b/ryelever/metrics.py
@@ -28,6 +28,25 @@
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
+#: Names and values that tell one series of a metric from another.
+Labels = tuple[tuple[str, str], ...]
+
+
+class _Durations:
+    """Hold the durations of one series."""
+
+    __slots__ = ("histogram", "total")
+
+    def __init__(self) -> None:
+        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, N_DIGITS)
+        self.total = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Record one duration."""
+        self.histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
+        self.total += seconds
+
+
 class Metrics:
     """Hold counters, histograms and gauges by name.
 
@@ -37,8 +56,7 @@
 
     def __init__(self) -> None:
         self._n_by_label_by_name: dict[str, Counter[str]] = {}
-        self._histograms_by_name: dict[str, HdrHistogram] = {}
-        self._sums_by_name: Counter[str] = Counter()
+        self._durations_by_name: dict[str, dict[Labels, _Durations]] = {}
         self._gauges_by_name: dict[str, Callable[[], float]] = {}
         self._counters_by_name: dict[str, Callable[[], dict[str, int]]] = {}
         self._registry = CollectorRegistry()
@@ -48,14 +66,20 @@
         """Add one to a counter."""
         self._n_by_label_by_name.setdefault(name, Counter())[label] += 1
 
-    def observe(self, name: str, seconds: float) -> None:
-        """Record a duration."""
-        histogram = self._histograms_by_name.get(name)
-        if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, N_DIGITS)
-            self._histograms_by_name[name] = histogram
-        histogram.record_value(max(LOWEST_US, int(seconds * 1e6)))
-        self._sums_by_name[name] += seconds
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a duration.
+
+        Parameters
+        ----------
+        **labels : str
+            What tells it from others of that name; the same labels each time.
+        """
+        by_labels = self._durations_by_name.setdefault(name, {})
+        key = tuple(labels.items())
+        durations = by_labels.get(key)
+        if durations is None:
+            durations = by_labels[key] = _Durations()
+        durations.add(seconds)
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Register a gauge."""
@@ -75,22 +99,27 @@
             yield _counter(name, n_by_label)
         for name, read in self._counters_by_name.items():
             yield _counter(name, read())
-        for name, histogram in self._histograms_by_name.items():
-            yield self._summary(name, histogram)
+        for name, by_labels in self._durations_by_name.items():
+            yield _summary(name, by_labels)
         for name, read in self._gauges_by_name.items():
             yield GaugeMetricFamily(f"ryelever_{name}", name, value=read())
 
-    def _summary(self, name: str, histogram: HdrHistogram) -> Metric:
-        summary = SummaryMetricFamily(f"ryelever_{name}_seconds", name)
+
+def _summary(name: str, by_labels: dict[Labels, _Durations]) -> Metric:
+    label_names = [label for label, _ in next(iter(by_labels))]
+    full_name = f"ryelever_{name}_seconds"
+    summary = SummaryMetricFamily(full_name, name, labels=label_names)
+    for key, durations in by_labels.items():
+        histogram = durations.histogram
+        values = [value for _, value in key]
         summary.add_metric(
-            [], count_value=histogram.total_count, sum_value=self._sums_by_name[name]
+            values, count_value=histogram.total_count, sum_value=durations.total
         )
         for percentile in PERCENTILES:
             value = histogram.get_value_at_percentile(percentile) / 1e6
-            summary.add_sample(
-                f"ryelever_{name}_seconds", {"quantile": f"{percentile / 100:g}"}, value
-            )
-        return summary
+            quantile = {"quantile": f"{percentile / 100:g}"}
+            summary.add_sample(full_name, dict(key) | quantile, value)
+    return summary
 
 
 def _counter(name: str, n_by_label: dict[str, int]) -> Metric:
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -26,7 +26,11 @@
     from collections.abc import Callable
 
     from .coordination.balance import Balancer
-    from .coordination.relay_actions import RelayAttempt, RelayRefusal
+    from .coordination.relay_actions import (
+        RelayAttempt,
+        RelayMeasures,
+        RelayRefusal,
+    )
     from .coordination.repeat_budget import RepeatBudget
     from .coordination.stillness import StillnessWatch
     from .metrics import Metrics
@@ -67,6 +71,7 @@
         budget: RepeatBudget,
         stillness: StillnessWatch,
         metrics: Metrics,
+        measures: RelayMeasures,
     ) -> None:
         super().__init__()
         self._messages = messages
@@ -85,6 +90,7 @@
             stillness=stillness,
             outbox=self,
             served=self.demand.served,
+            measures=measures,
             since=time.monotonic(),
             log=self._log,
         )
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -29,6 +29,7 @@
 from .logs import log_event
 from .metrics import Metrics
 from .relay import Relay
+from .relay_metrics import RelayMetrics, register_gauges
 from .relay_shutdown import RelayShutdown
 from .state.directory import Directory
 from .state.routes import ConnectionLimits
@@ -147,6 +148,7 @@
             ),
             stillness=StillnessWatch(),
             metrics=self.metrics,
+            measures=RelayMetrics(metrics=self.metrics),
         )
         self.planning = GroupPlanning(
             settings=settings,
@@ -180,6 +182,14 @@
             document=self.fleet.document,
             servers=self.fleet.all_servers,
         )
+        register_gauges(
+            self.metrics,
+            store=self.store,
+            fleet=self.fleet,
+            planning=self.planning,
+            exchange=self.exchange,
+            log_writer=log_writer,
+        )
         self._register_parts()
 
     # What parts ask of each other
@@ -226,6 +236,9 @@
             demand=self._demand,
             is_calm=lambda: not self._demand(),
             reshaping=lambda: self._reshaping(zone),
+            observe=lambda phase, seconds: self.metrics.observe(
+                "group_phase", seconds, phase=phase
+            ),
             stall_time=self.settings.stall_time,
             since=time.monotonic(),
             log=log_event,
--- /dev/null
+++ b/ryelever/relay_metrics.py
@@ -0,0 +1,68 @@
+"""Measure what becomes of relayed requests and of replica groups."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .fleet_directory import FleetDirectory
+    from .group_planning import GroupPlanning
+    from .host_exchange import HostExchange
+    from .log_stream import StreamWriter
+    from .metrics import Metrics
+    from .store_client import StoreClient
+
+__all__ = ["RelayMetrics", "register_gauges"]
+
+
+class RelayMetrics:
+    """Take what the decisions about requests tell, as ``RelayMeasures`` has it."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def sent(self, *, is_repeat: bool, waited: float) -> None:
+        """Take a sending, and the seconds since its request arrived."""
+        self._metrics.count("relay_sendings", "repeat" if is_repeat else "first")
+        if not is_repeat:
+            self._metrics.observe("relay_waiting", waited)
+
+    def first_event(self, seconds: float) -> None:
+        """Take the time from a request's arrival to its first event."""
+        self._metrics.observe("relay_first_event", seconds)
+
+    def gap(self, seconds: float) -> None:
+        """Take the time between two events of a stream."""
+        self._metrics.observe("relay_gap", seconds)
+
+    def ended(self, *, route: str, account: str, status: int, seconds: float) -> None:
+        """Take a request's end; status 0 is a stream that was cut off."""
+        outcome = "cut_off" if status == 0 else str(status)
+        self._metrics.observe("relay_request", seconds, route=route, outcome=outcome)
+        self._metrics.count("relay_account_requests", f"{account} {outcome}")
+
+
+def register_gauges(
+    metrics: Metrics,
+    *,
+    store: StoreClient,
+    fleet: FleetDirectory,
+    planning: GroupPlanning,
+    exchange: HostExchange,
+    log_writer: StreamWriter,
+) -> None:
+    """Let the parts of an entry host show their state."""
+    metrics.gauge("store_reachable", lambda: float(store.is_reachable))
+    metrics.gauge("store_silent_seconds", lambda: time.monotonic() - store.answered_at)
+    metrics.counter("store_calls", lambda: dict(store.n_calls_by_step))
+    metrics.gauge("configuration_version", lambda: float(fleet.version))
+    metrics.gauge("configuration_age_seconds", fleet.configuration_age)
+    metrics.gauge("peers_heard", lambda: float(exchange.n_heard))
+    metrics.counter("groups", planning.n_groups_by_phase)
+    metrics.counter("stranded_server_seconds", planning.stranded_seconds)
+    metrics.counter("group_down_seconds", planning.down_seconds)
+    metrics.counter(
+        "log_lines",
+        lambda: {"written": log_writer.n_written, "left_out": log_writer.n_left_out},
+    )
--- a/ryelever/store_client.py
+++ b/ryelever/store_client.py
@@ -4,6 +4,7 @@
 
 import itertools
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -55,6 +56,10 @@
     ----------
     passed_on_at : float
         Monotonic time at which another host passed on what it had read.
+    answered_at : float
+        Monotonic time of the last good answer, or of the start.
+    n_calls_by_step : Counter of str
+        Calls so far: reads, and appends.
     """
 
     channel = "store"
@@ -68,6 +73,8 @@
         self._followed: list[_Followed] = []
         self._failing_since: float | None = 0.0
         self.passed_on_at = float("-inf")
+        self.answered_at = time.monotonic()
+        self.n_calls_by_step: Counter[str] = Counter()
         self._why = ""
         self._reachable = False
 
@@ -120,6 +127,7 @@
 
     def _send(self, call: LogCall, *, step: str, progress_timeout: float) -> str:
         call_id = f"store-{next(self._ids)}"
+        self.n_calls_by_step[step] += 1
         request = OutboundRequest(
             id=call_id,
             address=self._address,
@@ -144,6 +152,7 @@
             self._note_failure(f"answered {answer.status}", now=now)
         else:
             self._failing_since = None
+            self.answered_at = now
         taker = self._takers_by_call.pop(answer.id, None)
         if taker is not None:
             taker(answer.status, answer.body)
--- a/tests/test_coordination/relay_fakes.py
+++ b/tests/test_coordination/relay_fakes.py
@@ -9,7 +9,9 @@
 from ryelever.coordination.relay_requests import RelayRequests
 from ryelever.coordination.repeat_budget import RepeatBudget
 from ryelever.coordination.stillness import StillnessWatch
+from ryelever.metrics import Metrics
 from ryelever.protocol.relaying import AnswerHead, Headers, RelayArrival
+from ryelever.relay_metrics import RelayMetrics
 from ryelever.state.directory import (
     BackendServer,
     Directory,
@@ -101,6 +103,7 @@
         self.sent: list[RelayAttempt] = []
         self.cancelled: list[str] = []
         self.out: list[tuple[Any, ...]] = []
+        self.measures = RelayMetrics(metrics=Metrics())
         self.lines: list[tuple[str, dict[str, Any]]] = []
         self.requests = RelayRequests(
             table=lambda: self.table,
@@ -109,6 +112,7 @@
             stillness=self.stillness,
             outbox=self,
             served=lambda model, n_events: None,
+            measures=self.measures,
             since=0.0,
             log=lambda event, **fields: self.lines.append((event, fields)),
         )
--- a/tests/test_coordination/test_zone_planner.py
+++ b/tests/test_coordination/test_zone_planner.py
@@ -51,6 +51,7 @@
             demand=lambda: self.demand,
             is_calm=lambda: self.calm,
             reshaping=lambda: self.others_reshape,
+            observe=lambda phase, seconds: None,
             stall_time=STALL_TIME,
             since=0.0,
             log=lambda event, **fields: None,
