Learn from group members themselves what they are while the store is away

Cause: whether members are ready and heads open was read from their entries only, and entries from the store only. Ruled out: late orders (the head answered that it holds), the planner's change. Change: while nothing has been read of the list for a second, the members of groups that are formed are asked twice a second; what they say of themselves goes into their records, and other hosts are told, which take it only if their own list is silent too. The tests fail without the change.

--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/group_keeper.py
@@ -107,6 +107,8 @@
         Longest time in seconds that a member takes to join.
     patience : float
         Seconds for which a member may be missing from the list.
+    list_is_silent : callable
+        Tell whether the list has shown nothing for a while, as in an outage.
     log : callable
         Take one line about a decision: its name and its fields.
     """
@@ -118,11 +120,13 @@
         stall_time: float,
         join_limit: float,
         patience: float,
+        list_is_silent: Callable[[], bool],
         log: Callable[..., None],
     ) -> None:
         self._directory = directory
         self._stall_time = stall_time
         self._patience = patience
+        self._list_is_silent = list_is_silent
         self.join_limit = join_limit
         self._log = log
         self._kept_by_name: dict[str, _Kept] = {}
@@ -254,8 +258,12 @@
                 # The list may still show servers that were lost while the store was
                 # away, and an order may go unanswered and be carried out late: only
                 # a probe tells the two apart.
-                silent = tuple(kept.silent_members)
-                orders += self._probes(kept, silent, urgent=True, now=now)
+                # While the list is silent, only members that are asked show that they
+                # are ready, or open.
+                asked = tuple(kept.silent_members)
+                if self._list_is_silent():
+                    asked = kept.record.member_ids
+                orders += self._probes(kept, asked, urgent=True, now=now)
             elif kept.phase is GroupPhase.ENDING:
                 orders += self._ending(kept, now=now)
         return orders
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/zone_planner.py
@@ -99,6 +99,8 @@
         Return the work that arrives at all hosts, in groups kept busy, by model.
     is_calm : callable
         Tell whether no request has come yet, so that loads are quick and free.
+    list_is_silent : callable
+        Tell whether the list of backend servers has shown nothing for a while.
     observe : callable
         Take the name of a phase and the seconds that a group has spent in it.
     reshaping : callable
@@ -117,6 +119,7 @@
         is_calm: Callable[[], bool],
         reshaping: Callable[[], set[str]],
         observe: Callable[[str, float], None],
+        list_is_silent: Callable[[], bool],
         stall_time: float,
         since: float,
         log: Callable[..., None],
@@ -142,6 +145,7 @@
             stall_time=stall_time,
             join_limit=LONGEST_JOIN,
             patience=0.0 if is_own else FOREIGN_PATIENCE,
+            list_is_silent=list_is_silent,
             log=log,
         )
         self._adoption = GroupAdoption(
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -227,6 +227,10 @@
     """Announce a ``ServerNews`` that was read, or passed on by another host."""
 
 
+class server_reported(Event):
+    """Hand over what a backend server said when it was asked: its id and the bytes."""
+
+
 class relayed_request(Event):
     """Announce a ``RelayedRequest``."""
 
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -49,6 +49,12 @@
 #: store waits for three; the half less is for its clock and for the last one's way.
 LAPSED_HEARTBEATS = 2.5
 
+#: Seconds without an answer to a read of the backend servers' records, here or at a
+#: host that passes them on, after which what servers say themselves goes before the
+#: list.  Reads are answered within 0.2 s, and the list is newer than a report, which
+#: is as of some tenths of a second ago.
+LIST_SILENCE = 1.0
+
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -302,6 +308,10 @@
     def _on_passed_on(self, news: ServerNews) -> None:
         """Take what another host has read, if it follows what was seen here."""
         now = time.monotonic()
+        if news.reported:
+            if self.list_is_silent():
+                self._take_records(news.records, now=now)
+            return
         follows = self.servers.advance(
             start=news.start,
             end=news.end,
@@ -312,6 +322,34 @@
             self._store.heard(now=now)
             self._take_records(news.records, now=now)
 
+    def list_is_silent(self) -> bool:
+        """Tell whether nothing was read of the backend servers for a while."""
+        read_at = max(self.servers.answered_at, self._store.passed_on_at)
+        return time.monotonic() - read_at > LIST_SILENCE
+
+    @handler("server_reported")
+    def _on_reported(self, server_id: str, report: bytes) -> None:
+        """Take what a server says itself where the list can't show it."""
+        known = self._data_by_server.get(server_id)
+        if known is None or not self.list_is_silent():
+            return
+        merged = self._documents.reported(known, report, peer=server_id)
+        if merged.is_error():
+            log_warning(
+                "report_unreadable", server=server_id, message=merged.error.message
+            )
+            return
+        record = KeyedRecord(key=server_id, value=merged.ok, offset=0)
+        if self._take_records([record], now=time.monotonic()):
+            news = ServerNews(
+                reader=self._settings.host,
+                start=0,
+                end=0,
+                records=[record],
+                reported=True,
+            )
+            self.fire(server_news(news), "exchange")
+
     def _take_records(
         self, records: list[KeyedRecord], *, now: float
     ) -> list[KeyedRecord]:
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -12,7 +12,13 @@
 from .coordination.group_orders import OrderKind, OrderOutcome
 from .coordination.topic import TopicFollower
 from .coordination.zone_planner import AppendGroups, ZonePlanner
-from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
+from .events import (
+    OutboundAnswer,
+    OutboundFailure,
+    OutboundRequest,
+    outbound_send,
+    server_reported,
+)
 from .logs import log_event
 from .protocol.keyed_log import Appended
 from .transport.http_client import REFUSED
@@ -229,6 +235,8 @@
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
         _, order = self._asked_by_id[answer.id]
+        if order.kind is OrderKind.PROBE and answer.status == 200:
+            self.fire(server_reported(order.server_id, answer.body), "directory")
         outcome = self._groups.outcome(order, answer.status, answer.body)
         self._take_outcome(answer.id, outcome)
 
--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..protocol.json_codec import decode
+from ..protocol.json_codec import decode, encode
 from ..state.directory import BackendServer, GroupReport, GroupState
 from ..state.routes import (
     ConnectionLimits,
@@ -24,7 +24,11 @@
 
     from ..errors import RyeleverError
 
-__all__ = ["read_configuration", "read_server"]
+__all__ = ["ReportedGroup", "read_configuration", "read_reported", "read_server"]
+
+#: Fields that a backend server's report and its record have in common, besides those
+#: by which records differ from one heartbeat to the next.
+_REPORTED = ("models", "domain", "staged", "group")
 
 _KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -157,6 +161,24 @@
     return read.map(lambda found: _server_of(server_id, found))
 
 
+def read_reported(
+    data: bytes, report: bytes, *, peer: str
+) -> Result[bytes, RyeleverError]:
+    """Put what a backend server says of itself now in the place of what it wrote."""
+    known = decode(data, dict[str, msgspec.Raw], step="read_server", peer=peer)
+    said = decode(report, dict[str, msgspec.Raw], step="read_report", peer=peer)
+    merged = known.map2(said, _merged)
+    return merged.bind(lambda record: _checked(record, peer=peer))
+
+
+def _merged(known: dict[str, msgspec.Raw], said: dict[str, msgspec.Raw]) -> bytes:
+    return encode(known | {name: said[name] for name in _REPORTED if name in said})
+
+
+def _checked(record: bytes, *, peer: str) -> Result[bytes, RyeleverError]:
+    return read_server(peer, record, peer=peer).map(lambda _: record)
+
+
 def _table_of(found: _Configuration) -> RouteTable:
     routes_by_host: dict[str, list[Route]] = {}
     for route in found.routes:
--- a/ryelever/platform/records.py
+++ b/ryelever/platform/records.py
@@ -11,7 +11,7 @@
 from ..logs import log_warning
 from ..protocol.json_codec import decode, encode
 from . import words
-from .documents import read_configuration, read_server
+from .documents import read_configuration, read_reported, read_server
 
 if TYPE_CHECKING:
     from expression import Result
@@ -58,6 +58,12 @@
         """Read what a backend server has written of itself."""
         return read_server(server_id, data, peer=peer)
 
+    def reported(
+        self, data: bytes, report: bytes, *, peer: str
+    ) -> Result[bytes, RyeleverError]:
+        """Return a backend server's record with what it says when it is asked."""
+        return read_reported(data, report, peer=peer)
+
     def host(self, name: str, data: bytes) -> HostAddress | None:
         """Read an entry host's address; None where the record is dropped."""
         found = self._decoded(data, _Host, step="read_host", peer=name)
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -85,7 +85,10 @@
 def encode_servers(news: ServerNews) -> bytes:
     """Return records of backend servers, as many as there are."""
     message = _schema.ServerNews.new_message(
-        reader=news.reader, start=news.start, end=news.end
+        reader=news.reader,
+        start=news.start,
+        end=news.end,
+        reported=news.reported,
     )
     message.records = [
         {"key": record.key, "value": record.value, "offset": record.offset}
@@ -134,6 +137,7 @@
         reader=message.reader,
         start=message.start,
         end=message.end,
+        reported=message.reported,
         records=[
             KeyedRecord(key=item.key, value=bytes(item.value), offset=item.offset)
             for item in message.records
--- a/ryelever/protocol/store_documents.py
+++ b/ryelever/protocol/store_documents.py
@@ -37,6 +37,11 @@
     ) -> Result[BackendServer, RyeleverError]:
         """Read what a backend server has written of itself."""
 
+    def reported(
+        self, data: bytes, report: bytes, *, peer: str
+    ) -> Result[bytes, RyeleverError]:
+        """Return a backend server's record with what it says when it is asked."""
+
     def host(self, name: str, data: bytes) -> HostAddress | None:
         """Read an entry host's address; None where the record is dropped."""
 
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -236,6 +236,7 @@
             demand=self._demand,
             is_calm=lambda: not self._demand(),
             reshaping=lambda: self._reshaping(zone),
+            list_is_silent=self.fleet.list_is_silent,
             observe=lambda phase, seconds: self.metrics.observe(
                 "group_phase", seconds, phase=phase
             ),
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -33,6 +33,8 @@
   records @2 :List(Record);
   # The host that has read it.
   reader @3 :Text;
+  # True where the servers said so themselves, while the store was away.
+  reported @4 :Bool;
 }
 
 struct Record {
--- a/ryelever/state/keyed_record.py
+++ b/ryelever/state/keyed_record.py
@@ -28,9 +28,13 @@
         Those that say anything new.
     reader : str
         The host that has read it; the first by name goes on reading for all.
+    reported : bool
+        True where the records were put together of what the servers said themselves
+        when they were asked, while the store was away; then there are no offsets.
     """
 
     reader: str
     start: int
     end: int
     records: list[KeyedRecord]
+    reported: bool = False
--- a/tests/test_coordination/test_group_keeper.py
+++ b/tests/test_coordination/test_group_keeper.py
@@ -250,6 +250,24 @@
     assert not members.keeper.seems_lost("c", now=1.1)
 
 
+def test_members_are_asked_while_the_list_is_silent(members: Members) -> None:
+    """Show that a group is not held up by an outage once it is decided on.
+
+    Symptom: a group serves and gets no request for five seconds.
+    Sequence: its members join, the store goes away, and no entry shows that they are
+    ready, or that the head has opened.
+    Cause: states were read from the list only, and the list from the store only.
+    """
+    members.keeper.put(GROUP, now=0.0)
+    members.answer(members.orders(0.0), OrderOutcome.BEGUN, now=0.0)
+    assert members.orders(0.5) == []
+    members.list_is_silent = True
+    assert {order.server_id for order in members.orders(0.6)} == {"a", "b", "c"}
+    assert members.orders(0.7) == []
+    probes = members.orders(1.01)
+    assert {order.kind for order in probes if order.kind is not JOIN} == {PROBE}
+
+
 def test_a_member_that_has_not_joined_yet_ends_nothing(members: Members) -> None:
     members.keeper.put(GROUP, now=0.0)
     joins = members.orders(0.0)
--- a/tests/test_coordination/test_zone_planner.py
+++ b/tests/test_coordination/test_zone_planner.py
@@ -52,6 +52,7 @@
             is_calm=lambda: self.calm,
             reshaping=lambda: self.others_reshape,
             observe=lambda phase, seconds: None,
+            list_is_silent=lambda: False,
             stall_time=STALL_TIME,
             since=0.0,
             log=lambda event, **fields: None,
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -11,12 +11,12 @@
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
 from ryelever.coordination.topic import TopicNews
 from ryelever.events import OutboundAnswer, OutboundRequest
-from ryelever.fleet_directory import FleetDirectory
+from ryelever.fleet_directory import LIST_SILENCE, FleetDirectory
 from ryelever.platform.records import PlatformRecords
 from ryelever.platform.store import StoreCalls
 from ryelever.protocol.host_words import SERVERS_PATH, encode_servers
 from ryelever.relay_settings import RelaySettings
-from ryelever.state.directory import Directory
+from ryelever.state.directory import Directory, GroupState
 from ryelever.state.keyed_record import KeyedRecord, ServerNews
 from ryelever.store_client import StoreClient
 
@@ -204,3 +204,61 @@
     assert other.directory.by_id.keys() == {"i1", "i2"}
     assert other.fleet.servers.offset == 2
     assert "&from=2" in other.fleet.servers.next_call(now=clock.now + 1).path
+
+
+REPORT = b"""{"stage": "whole", "models": [{"name": "m"}], "domain": "d",
+    "staged": ["n"],
+    "group": {"name": "g", "epoch": 3, "rank": 0, "state": "open"}, "busy": false}"""
+
+
+def test_reports_stand_in_for_the_list_during_an_outage(clock: Clock) -> None:
+    """Show that a head that opens while the store is away gets requests.
+
+    Symptom: a group that serves gets no request for five seconds.
+    Sequence: its head is told to open, the store goes away, and the entry that says so
+    can't be written.
+    Cause: only entries told of states; the planner that asks the head keeps to itself
+    what it hears.
+    """
+    planner, other = Host("a"), Host("b")
+    for host in (planner, other):
+        host.listed(_put("i1", 0, slots=7), end=1)
+        host.fleet.servers.answered_at = clock.now
+    planner.fleet._on_reported("i1", REPORT)
+    assert planner.directory.by_id["i1"].group is None
+    clock.now += LIST_SILENCE + 0.1
+    planner.fleet._on_reported("i1", REPORT)
+    news = planner.passed_on[-1]
+    assert news.reported
+    other.fleet._on_passed_on(news)
+    for host in (planner, other):
+        found = host.directory.by_id["i1"]
+        assert (found.group.state, found.slots) == (GroupState.OPEN, 7)
+        assert found.models == {"m"}
+        assert found.staged == {"n"}
+    n_passed_on = len(planner.passed_on)
+    planner.fleet._on_reported("i1", REPORT)
+    assert len(planner.passed_on) == n_passed_on
+
+
+def test_what_another_was_told_changes_no_list_that_is_read(clock: Clock) -> None:
+    reader, other = Host("a"), Host("b")
+    for host in (reader, other):
+        host.listed(_put("i1", 0), end=1)
+    reader.fleet.servers.answered_at = clock.now
+    clock.now += LIST_SILENCE + 0.1
+    reader.fleet._on_reported("i1", REPORT)
+    other.fleet.servers.answered_at = clock.now
+    other.fleet._on_passed_on(reader.passed_on[-1])
+    assert other.directory.by_id["i1"].group is None
+
+
+@pytest.mark.parametrize("report", [b"", b"<html>", b"[]", b'{"group": 3}'])
+def test_reports_that_make_no_sense_change_nothing(clock: Clock, report: bytes) -> None:
+    host = Host("a")
+    host.listed(_put("i1", 0), end=1)
+    clock.now += LIST_SILENCE + 0.1
+    host.fleet._on_reported("i1", report)
+    host.fleet._on_reported("unknown", REPORT)
+    assert host.directory.by_id["i1"].group is None
+    assert host.directory.by_id.keys() == {"i1"}
