--- a/ryelever/cli.py
+++ b/ryelever/cli.py
@@ -20,7 +20,7 @@
 
 __all__ = ["main"]
 
-#: Exit codes; docs/OPERATING.md explains them.
+#: Exit codes; docs/OPERATIONS.md explains them.
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_FAULTY_INPUT = 2
@@ -62,17 +62,26 @@
     return application.exit_code
 
 
-def relay(*, settings: Path | None = None) -> int:
+def relay(*, settings: Path | None = None, metrics_port: int = 0) -> int:
     """Run an entry host on the platform, which passes requests on unchanged.
 
     Parameters
     ----------
     settings
         The platform's settings file; by default the one that the environment names.
+    metrics_port
+        Port on the host's own address for the metrics; 0 serves them only beside
+        readiness.
     """
     from .platform.entry import run
 
-    return run(settings)
+    if not 0 <= metrics_port < 65536:
+        print(
+            f"--metrics-port: expected 0 to 65535, found {metrics_port}",
+            file=sys.stderr,
+        )
+        return EXIT_FAULTY_INPUT
+    return run(settings, metrics_port=metrics_port)
 
 
 def check(*, settings: Path | None = None, document: Path | None = None) -> int:
--- a/ryelever/platform/entry.py
+++ b/ryelever/platform/entry.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -21,13 +22,13 @@
 
 __all__ = ["run"]
 
-#: Exit codes; docs/OPERATING.md explains them.
+#: Exit codes; docs/OPERATIONS.md explains them.
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_FAULTY_INPUT = 2
 
 
-def run(settings: Path | None) -> int:
+def run(settings: Path | None, *, metrics_port: int) -> int:
     """Run an entry host until it is told to stop; return its exit code."""
     # Without this, word that the settings have changed would end a process that is
     # still starting.
@@ -36,6 +37,7 @@
     checked = _checked(path)
     if checked is None:
         return EXIT_FAULTY_INPUT
+    checked = replace(checked, metrics_port=metrics_port)
     log_writer = configure_stdout()
     try:
         application = RelayApplication(
@@ -78,4 +80,5 @@
     if read.is_error():
         log_event("reload_refused", faults=[str(fault) for fault in read.error])
         return
-    log_event("reloaded", changed=read.ok != running)
+    changed = replace(read.ok, metrics_port=running.metrics_port) != running
+    log_event("reloaded", changed=changed)
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -15,7 +15,6 @@
 from .coordination.stillness import StillnessWatch
 from .coordination.zone_planner import ZonePlanner
 from .events import (
-    RelayedRequest,
     control_tick,
     serving_tick,
     sweep,
@@ -38,6 +37,7 @@
 from .transport.http_client import HttpClient
 from .transport.peers import Peers
 from .transport.relay_callers import RelayCallers
+from .watch_page import WatchPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -60,7 +60,13 @@
 #: Seconds between two looks at connections.
 SWEEP = 0.25
 
-SWEPT_CHANNELS = ("http_client", "relay_callers", "watchers", "peer_callers")
+SWEPT_CHANNELS = (
+    "http_client",
+    "relay_callers",
+    "watchers",
+    "metrics_watchers",
+    "peer_callers",
+)
 
 CONTROL_CHANNELS = ("store", "directory", "groups", "shutdown")
 
@@ -129,7 +135,7 @@
         self.watchers = RelayCallers(
             bind=split_address(settings.ready_address),
             channel="watchers",
-            reply_channel="application",
+            reply_channel="watch_page",
             limits=ConnectionLimits,
         )
         self.balancer = Balancer(
@@ -272,7 +278,7 @@
     def _take_version(self, version: int, host: str) -> None:
         self.fleet.note_version(version, host, now=time.monotonic())
 
-    # Readiness and metrics
+    # Readiness
 
     @property
     def ready(self) -> bool:
@@ -283,19 +289,6 @@
             and self.fleet.servers.is_current
         )
 
-    @handler("relayed_request")
-    def _on_watcher(self, request: RelayedRequest) -> None:
-        if request.target == b"/metrics":
-            self.watchers.answer(
-                request.number,
-                status=200,
-                headers=[(b"Content-Type", b"text/plain; version=0.0.4")],
-                body=self.metrics.render(),
-            )
-            return
-        status = 200 if self.ready else 503
-        self.watchers.answer(request.number, status=status, headers=[], body=b"")
-
     # The process
 
     @handler("sweep")
@@ -309,6 +302,8 @@
             self.http_client,
             self.callers,
             self.watchers,
+            *self._metrics_parts(),
+            self._watch_page("watch_page", self.watchers),
             self.store,
             self.fleet,
             self.relay,
@@ -322,6 +317,26 @@
         ):
             part.register(self)
 
+    def _watch_page(self, channel: str, callers: RelayCallers) -> WatchPage:
+        return WatchPage(
+            channel=channel,
+            callers=callers,
+            ready=lambda: self.ready,
+            metrics=self.metrics,
+        )
+
+    def _metrics_parts(self) -> list[BaseComponent]:
+        """Return what serves the metrics on an address of their own, if anything."""
+        if not self.settings.metrics_port:
+            return []
+        callers = RelayCallers(
+            bind=(self.settings.ip, self.settings.metrics_port),
+            channel="metrics_watchers",
+            reply_channel="metrics_page",
+            limits=ConnectionLimits,
+        )
+        return [callers, self._watch_page("metrics_page", callers)]
+
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
         timers = self.timers
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -28,6 +28,8 @@
         share of the requests in it, plus the slack.
     last_bytes : float
         Kept of the grace for the last answers to leave.
+    metrics_port : int
+        Where the metrics are served on an address of their own; 0 for nowhere.
     """
 
     host: str
@@ -46,6 +48,7 @@
     repeat_slack: float
     zones: tuple[str, ...]
     last_bytes: float
+    metrics_port: int = 0
 
     @property
     def peers_address(self) -> str:
--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -108,6 +108,7 @@
         wait: bool = True,
         door: str = "store",
         peers_port: int = 0,
+        metrics_port: int = 0,
     ) -> RelayHost:
         """Start an entry host and wait until it is ready.
 
@@ -117,6 +118,8 @@
             Where it reaches the store: ``"store"`` or ``"side-door"``.
         peers_port : int
             Where other entry hosts reach it; 0 picks a free port.
+        metrics_port : int
+            Where its metrics are served, besides beside readiness.
         """
         path = self.directory / f"{name}.conf"
         path.write_text(
@@ -129,7 +132,15 @@
         )
         process = Process(
             name=name,
-            arguments=["-m", "ryelever", "relay", "--settings", str(path)],
+            arguments=[
+                "-m",
+                "ryelever",
+                "relay",
+                "--settings",
+                str(path),
+                "--metrics-port",
+                str(metrics_port),
+            ],
             log=self.directory / f"{name}.log",
         )
         self.processes.append(process)
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -193,3 +193,28 @@
     assert answer.text == events_of_stream(15)
     assert answer.headers["response-seal"].endswith(first)
     assert zone.server_that_runs("s1", other_than=first)
+
+
+def test_metrics_have_an_address_of_their_own(zone: RelayZone) -> None:
+    _, _, port = free_udp_addresses(1)[0].rpartition(":")
+    host = zone.start_host("e1", metrics_port=int(port))
+    zone.head_of(2)
+    wait_until(
+        lambda: host.chat(request_id="s1").status_code == 200,
+        what="the host knows the group",
+    )
+    text = httpx.get(f"http://127.0.0.1:{port}/metrics", timeout=5).text
+    beside = httpx.get(f"http://{host.ready_address}/metrics", timeout=5).text
+    for name in (
+        'ryelever_relay_request_seconds{outcome="200",quantile="0.5",route="chat"}',
+        'ryelever_relay_sendings_total{kind="first"}',
+        "ryelever_relay_first_event_seconds_count",
+        'ryelever_group_phase_seconds_count{phase="forming"}',
+        'ryelever_store_calls_total{kind="read_store"}',
+        'ryelever_groups_total{kind="serving"}',
+        "ryelever_store_reachable 1.0",
+        "ryelever_configuration_version 1.0",
+        'ryelever_log_lines_total{kind="left_out"} 0.0',
+    ):
+        assert name in text, text
+        assert name in beside
