--- a/ryelever/coordination/relay_request.py
+++ b/ryelever/coordination/relay_request.py
@@ -40,6 +40,8 @@
 
     Attributes
     ----------
+    version : int
+        Version of the configuration that gave it its route and account.
     gives_up_at : float
         Monotonic time of its final answer at the latest.
     may_have_run : bool
@@ -56,6 +58,7 @@
     """
 
     number: int
+    version: int
     arrival: RelayArrival
     route: Route
     service: str
@@ -85,6 +88,7 @@
 def request_of(
     number: int,
     *,
+    version: int,
     arrival: RelayArrival,
     route: Route,
     account: RouteAccount | None,
@@ -99,6 +103,7 @@
         priority = account.priority
     return RelayRequest(
         number=number,
+        version=version,
         arrival=arrival,
         route=route,
         service=route.service_of(arrival.request_id),
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relay_requests.py
@@ -145,7 +145,13 @@
             if account is None:
                 self._refuse_unread(number, arrival, 401, "unknown_key")
                 return
-        request = request_of(number, arrival=arrival, route=route, account=account)
+        request = request_of(
+            number,
+            version=table.version,
+            arrival=arrival,
+            route=route,
+            account=account,
+        )
         self.requests_by_number[number] = request
         self._budget.requested(request.service, now=now)
         if not self._dispatch(request, now=now):
@@ -585,6 +591,7 @@
             reason=reason,
             server=server,
             n_sent=request.n_sent,
+            version=request.version,
             **places,
             ms=round((now - request.arrival.arrived_at) * 1000),
         )
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -1,7 +1,7 @@
 """Declare the settings of one process in one table.
 
 Each has its name, default, check and meaning; ``settings_reader`` reads a file of
-them and ``make reference`` writes the table into docs/OPERATING.md.
+them and ``make reference`` writes the table into docs/OPERATIONS.md.
 """
 
 from __future__ import annotations
@@ -310,7 +310,7 @@
 
 
 def reference() -> str:
-    """Return the table of all settings in Markdown, for docs/OPERATING.md."""
+    """Return the table of all settings in Markdown, for docs/OPERATIONS.md."""
     lines = [
         "| setting | default | accepts | meaning |",
         "|---|---|---|---|",
--- a/ryelever/settings_reader.py
+++ b/ryelever/settings_reader.py
@@ -104,7 +104,7 @@
     return Fault(
         place=name,
         expected="a known setting",
-        remedy="remove it, or look its name up in docs/OPERATING.md",
+        remedy="remove it, or look its name up in docs/OPERATIONS.md",
     )
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -11,7 +11,7 @@
 from ryelever.settings import REQUIRED, SETTINGS, reference
 from ryelever.settings_reader import read_settings
 
-OPERATING = Path(__file__).parents[1] / "docs" / "OPERATING.md"
+OPERATIONS = Path(__file__).parents[1] / "docs" / "OPERATIONS.md"
 
 GOOD = {
     "host": "entry-1",
@@ -101,9 +101,11 @@
 
 
 def test_reference_in_the_docs_is_current() -> None:
-    """Find the table of docs/OPERATING.md as `make reference` writes it."""
+    """Find the table of docs/OPERATIONS.md as `make reference` writes it."""
     found = re.search(
-        r"<!-- settings -->\n(.*?)<!-- end of settings -->", OPERATING.read_text(), re.S
+        r"<!-- settings -->\n(.*?)<!-- end of settings -->",
+        OPERATIONS.read_text(),
+        re.S,
     )
     assert found is not None
     assert found[1].strip() == reference().strip()
--- a/tests/write_reference.py
+++ b/tests/write_reference.py
@@ -1,4 +1,4 @@
-"""Write the generated table of docs/OPERATING.md: ``make reference``."""
+"""Write the generated table of docs/OPERATIONS.md: ``make reference``."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from ryelever.settings import reference
 
-from .test_settings import OPERATING
+from .test_settings import OPERATIONS
 
 
 def main() -> None:
@@ -14,10 +14,10 @@
     text = re.sub(
         r"(<!-- settings -->\n).*?(<!-- end of settings -->)",
         lambda found: f"{found[1]}{reference()}{found[2]}",
-        OPERATING.read_text(),
+        OPERATIONS.read_text(),
         flags=re.S,
     )
-    OPERATING.write_text(text)
+    OPERATIONS.write_text(text)
 
 
 if __name__ == "__main__":
