--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -18,15 +18,15 @@
 import defopt
 
 from ryelever.coordination.actions import Arrival, ChatWork
-from ryelever.coordination.admission import Admitted, Queued, Refused
-from ryelever.coordination.admission_capacity import FixedCapacity
-from ryelever.coordination.admission_fair import FairAdmission
-from ryelever.coordination.limits import AccountLimits
+from ryelever.coordination.admission.admission import Admitted, Queued, Refused
+from ryelever.coordination.admission.capacity import FixedCapacity
+from ryelever.coordination.admission.fair import FairAdmission
+from ryelever.coordination.limits.limits import AccountLimits
 from ryelever.state.configuration import ClientAccount
 from ryelever.state.observations import DemandRow
 
 if TYPE_CHECKING:
-    from ryelever.coordination.admission import Admission
+    from ryelever.coordination.admission.admission import Admission
 
 #: Seconds between two looks, as in the process.
 TICK = 0.05
--- a/benchmarks/admission_lending.py
+++ b/benchmarks/admission_lending.py
@@ -16,11 +16,11 @@
 import defopt
 
 from ryelever.coordination.actions import Arrival, ChatWork, Target
-from ryelever.coordination.admission import Admitted, Refused
-from ryelever.coordination.admission_capacity import GroupCapacity
-from ryelever.coordination.admission_fair import FairAdmission
+from ryelever.coordination.admission.admission import Admitted, Refused
+from ryelever.coordination.admission.capacity import GroupCapacity
+from ryelever.coordination.admission.fair import FairAdmission
 from ryelever.coordination.confirmation import Confirmations
-from ryelever.coordination.limits import AccountLimits
+from ryelever.coordination.limits.limits import AccountLimits
 from ryelever.state.configuration import ClientAccount
 from ryelever.state.fleet import HostReport
 
--- a/benchmarks/day_of_faults.py
+++ b/benchmarks/day_of_faults.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from ryelever.coordination.planner import Planner
+from ryelever.coordination.planner.planner import Planner
 from ryelever.protocol.log import append_request, encode_record
 from ryelever.state.configuration import (
     ClientAccount,
--- a/benchmarks/day_of_faults_baseline.py
+++ b/benchmarks/day_of_faults_baseline.py
@@ -11,16 +11,16 @@
 from typing import TYPE_CHECKING
 
 from ryelever.coordination.lease import PlannerLease
-from ryelever.coordination.planner_decisions import Decisions
-from ryelever.coordination.planner_orders import Orders
-from ryelever.coordination.planner_view import PlannerLimits
+from ryelever.coordination.planner.decisions import Decisions
+from ryelever.coordination.planner.orders import Orders
+from ryelever.coordination.planner.view import PlannerLimits
 from ryelever.state.records import GroupDissolved, GroupFormed, HostReleased
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ryelever.coordination.actions import Action
-    from ryelever.coordination.planner_view import PlannerView
+    from ryelever.coordination.planner.view import PlannerView
     from ryelever.state.placement import Group
 
 __all__ = ["Baseline"]
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -11,8 +11,8 @@
 
 import defopt
 
-from ryelever.coordination.limits import AccountLimits
-from ryelever.coordination.limits_demand import FALL, SAMPLE, SETTLE
+from ryelever.coordination.limits.demand import FALL, SAMPLE, SETTLE
+from ryelever.coordination.limits.limits import AccountLimits
 from ryelever.state.observations import DemandRow
 
 from .limits_exchange import Exchange
--- a/benchmarks/limits_exchange.py
+++ b/benchmarks/limits_exchange.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ryelever.coordination.limits import AccountLimits
+from ryelever.coordination.limits.limits import AccountLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -16,7 +16,7 @@
 from ryelever.protocol.host_words import decode_datagram, encode_word
 from ryelever.protocol.sse import EventCutter
 from ryelever.state.routes import RouteKind
-from tests.test_coordination.relay_fakes import Relaying, head
+from tests.test_coordination.test_relaying.relay_fakes import Relaying, head
 
 #: Streams of one round, events of a stream, and rounds, of which the best counts.
 N_STREAMS = 300
--- a/benchmarks/request_table.py
+++ b/benchmarks/request_table.py
@@ -22,9 +22,9 @@
     Target,
     Usage,
 )
-from ryelever.coordination.admission import Admitted
-from ryelever.coordination.requests import RequestTable
-from ryelever.coordination.retry import RetryBudget
+from ryelever.coordination.admission.admission import Admitted
+from ryelever.coordination.requests.requests import RequestTable
+from ryelever.coordination.requests.retry import RetryBudget
 from ryelever.errors import Category, RyeleverError
 from ryelever.state.claims import ClaimsFold
 from ryelever.state.records import Claim, Entry
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -22,8 +22,8 @@
 from benchmarks.routing_fleet import FakeFleet, chat
 from benchmarks.routing_trials import HintedRouter, RoundRobinRouter, ScoredRouter
 from ryelever.coordination.actions import Arrival
-from ryelever.coordination.admission_capacity import GroupCapacity
-from ryelever.coordination.routing_plain import LeastInFlightRouter
+from ryelever.coordination.admission.capacity import GroupCapacity
+from ryelever.coordination.routing.plain import LeastInFlightRouter
 
 SEEDS = (11, 12)
 ZONES = {"a": 12, "b": 12}
--- a/benchmarks/routing_fleet.py
+++ b/benchmarks/routing_fleet.py
@@ -6,14 +6,14 @@
 
 from ryelever.coordination.actions import Arrival, ChatWork, ServiceWork, Target
 from ryelever.coordination.confirmation import Confirmations
-from ryelever.coordination.departures import Departures
-from ryelever.coordination.quarantine import Quarantine
-from ryelever.coordination.retry import RetryBudget
-from ryelever.coordination.routing import AffinityRouter
-from ryelever.coordination.routing_feedback import RoutingFeedback
-from ryelever.coordination.routing_load import LoadView
-from ryelever.coordination.stragglers import Stragglers
-from ryelever.coordination.targets import Targets
+from ryelever.coordination.requests.retry import RetryBudget
+from ryelever.coordination.routing.departures import Departures
+from ryelever.coordination.routing.feedback import RoutingFeedback
+from ryelever.coordination.routing.load import LoadView
+from ryelever.coordination.routing.quarantine import Quarantine
+from ryelever.coordination.routing.routing import AffinityRouter
+from ryelever.coordination.routing.stragglers import Stragglers
+from ryelever.coordination.routing.targets import Targets
 from ryelever.state.fleet import HostReport, ListedHost
 from ryelever.state.placement import PlacementFold
 from ryelever.state.records import Entry, GroupFormed, LeaseTaken
--- a/benchmarks/routing_trials.py
+++ b/benchmarks/routing_trials.py
@@ -8,7 +8,7 @@
 from benchmarks.routing_driver import Driver
 from benchmarks.routing_fleet import FakeFleet
 from ryelever.coordination.actions import Arrival, Target
-from ryelever.coordination.affinity import prefix_key
+from ryelever.coordination.routing.affinity import prefix_key
 
 EVENT_LAG = 2.0
 EVENT_LOSS = 0.2
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -17,7 +17,7 @@
 
 import defopt
 
-from ryelever.coordination.limits import AccountLimits
+from ryelever.coordination.limits.limits import AccountLimits
 from ryelever.state.observations import DemandRow
 
 from . import (
--- a/benchmarks/soft_state.py
+++ b/benchmarks/soft_state.py
@@ -15,12 +15,16 @@
 
 import defopt
 
-from ryelever.coordination import soft_state_schedule
-from ryelever.coordination.soft_state_messages import Message
+from ryelever.coordination.soft_state import schedule as soft_state_schedule
+from ryelever.coordination.soft_state.messages import Message
 from ryelever.protocol.soft_state import decode_message, encode_message
 from ryelever.state.fleet import HostReport
 from ryelever.state.observations import DemandRow, ReportRow, SuspicionRow
-from tests.test_coordination.soft_state_network import Network, Node, configuration
+from tests.test_coordination.test_soft_state.soft_state_network import (
+    Network,
+    Node,
+    configuration,
+)
 
 #: Seconds between two greetings of a host in the first half of the warm-up.
 WARM_UP_PROBE_INTERVAL = 0.02
--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -15,7 +15,7 @@
 from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
 from .coordination.readiness import Knowledge, Readiness
-from .coordination.requests_state import RequestState
+from .coordination.requests import RequestState
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
 from .fault_log import FaultLog
@@ -39,7 +39,7 @@
 from .transport.peers import Peers
 
 if TYPE_CHECKING:
-    from .coordination.planner_view import ModelDemand
+    from .coordination.planner import ModelDemand
     from .settings import Settings
     from .state.configuration import ClientAccount
     from .state.fold import BaseFold
--- a/ryelever/arrivals.py
+++ b/ryelever/arrivals.py
@@ -11,7 +11,7 @@
 
 from .accounts import account_of
 from .coordination.actions import Arrival, ChatWork, ServiceWork
-from .coordination.idempotency import KEY_IN_FUTURE, check_key, doubt
+from .coordination.requests import KEY_IN_FUTURE, check_key, doubt
 from .errors import Category, RyeleverError
 from .protocol.openai import (
     fingerprint,
--- a/ryelever/console/assembly.py
+++ b/ryelever/console/assembly.py
@@ -10,7 +10,7 @@
 from .status import Status
 
 if TYPE_CHECKING:
-    from ..application import Application
+    from ..entry_host import EntryHost
 
 __all__ = ["console_of"]
 
@@ -18,7 +18,7 @@
 PEER_MAX_AGE = 10.0
 
 
-def console_of(application: Application) -> Console:
+def console_of(application: EntryHost) -> Console:
     """Return the console of one entry host."""
     history = application.fleet_history
     return Console(
@@ -35,7 +35,7 @@
     )
 
 
-def _versions_by_host(application: Application) -> dict[str, int]:
+def _versions_by_host(application: EntryHost) -> dict[str, int]:
     versions_by_host = {application.settings.host: application.configuration.version}
     exchange = application.peering.exchange
     now = time.monotonic()
@@ -47,7 +47,7 @@
     return versions_by_host
 
 
-def _log_age(application: Application) -> float | None:
+def _log_age(application: EntryHost) -> float | None:
     stream = application.streams.streams_by_name[CONFIGURATION_STREAM]
     age = time.monotonic() - stream.caught_up_at
     return age if age != float("inf") else None
--- a/ryelever/coordination/admission_accounts.py
+++ b/ryelever/coordination/admission/accounts.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.configuration import ClientAccount
-    from .limits_view import LimitsView
+    from ...state.configuration import ClientAccount
+    from ..limits import LimitsView
 
 __all__ = ["AccountState", "Accounts"]
 
--- a/ryelever/coordination/admission.py
+++ b/ryelever/coordination/admission/admission.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from ..state.configuration import ClientAccount
-    from .actions import Arrival
+    from ...state.configuration import ClientAccount
+    from ..actions import Arrival
 
 __all__ = ["Admission", "Admitted", "Queued", "Refused"]
 
--- a/ryelever/coordination/admission_capacity.py
+++ b/ryelever/coordination/admission/capacity.py
@@ -11,14 +11,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
-from .actions import ChatWork
+from ..actions import ChatWork
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .actions import Arrival, ServiceWork, Target
-    from .confirmation import Confirmations
-    from .targets import Candidate, CandidateSet
+    from ..actions import Arrival, ServiceWork, Target
+    from ..confirmation import Confirmations
+    from ..routing import Candidate, CandidateSet
 
 __all__ = ["Capacity", "FixedCapacity", "GroupCapacity", "pool_of"]
 
--- a/ryelever/coordination/admission_estimates.py
+++ b/ryelever/coordination/admission/estimates.py
@@ -5,12 +5,12 @@
 import zlib
 from typing import TYPE_CHECKING
 
-from .actions import ChatWork
+from ..actions import ChatWork
 from .admission import Refused
 
 if TYPE_CHECKING:
-    from .actions import Arrival
-    from .admission_accounts import Accounts
+    from ..actions import Arrival
+    from .accounts import Accounts
     from .fair_queue import FairQueue, Flow
 
 __all__ = ["announced_size", "likely_wait", "refusal", "shortest_wait"]
--- a/ryelever/coordination/admission_fair.py
+++ b/ryelever/coordination/admission/fair.py
@@ -6,25 +6,25 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from ..limits import WholeLimits
+from .accounts import Accounts
 from .admission import Admitted, Queued
-from .admission_accounts import Accounts
-from .admission_capacity import pool_of
-from .admission_estimates import announced_size, likely_wait, refusal, shortest_wait
-from .admission_pools import Pools
+from .capacity import pool_of
+from .estimates import announced_size, likely_wait, refusal, shortest_wait
 from .fair_queue import Ticket
-from .limits_view import WholeLimits
+from .pools import Pools
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.configuration import ClientAccount
-    from .actions import Arrival
+    from ...state.configuration import ClientAccount
+    from ..actions import Arrival
+    from ..limits import LimitsView
+    from .accounts import AccountState
     from .admission import Refused
-    from .admission_accounts import AccountState
-    from .admission_capacity import Capacity
-    from .admission_pools import Pool
+    from .capacity import Capacity
     from .fair_queue import FairQueue, Flow
-    from .limits_view import LimitsView
+    from .pools import Pool
 
 __all__ = ["FairAdmission"]
 
--- a/ryelever/coordination/admission_pools.py
+++ b/ryelever/coordination/admission/pools.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .admission_capacity import pool_of
+from .capacity import pool_of
 from .fair_queue import FairQueue
 
 if TYPE_CHECKING:
-    from .actions import Arrival
-    from .admission_capacity import Capacity
+    from ..actions import Arrival
+    from .capacity import Capacity
 
 __all__ = ["Pool", "Pools"]
 
--- a/ryelever/coordination/group_adoption.py
+++ b/ryelever/coordination/groups/adoption.py
@@ -8,15 +8,15 @@
 
 from typing import TYPE_CHECKING
 
-from .group_keeper import STALL_SLACK
-from .group_records import GroupRecord, Member
+from .keeper import STALL_SLACK
+from .records import GroupRecord, Member
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.directory import BackendServer, Directory
-    from ..state.routes import RouteTable
-    from .group_keeper import GroupKeeper
+    from ...state.directory import BackendServer, Directory
+    from ...state.routes import RouteTable
+    from .keeper import GroupKeeper
 
 __all__ = ["ADOPT_AFTER", "GroupAdoption"]
 
--- a/ryelever/coordination/group_forming.py
+++ b/ryelever/coordination/groups/forming.py
@@ -12,8 +12,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.directory import BackendServer
-    from ..state.routes import EngineProfile, ModelProfile
+    from ...state.directory import BackendServer
+    from ...state.routes import EngineProfile, ModelProfile
 
 __all__ = [
     "Formation",
--- a/ryelever/coordination/group_keeper.py
+++ b/ryelever/coordination/groups/keeper.py
@@ -13,15 +13,15 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..state.directory import GroupState
-from .group_orders import GroupOrder, OrderKind, OrderOutcome
+from ...state.directory import GroupState
 from .member_probes import MemberProbes
+from .orders import GroupOrder, OrderKind, OrderOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.directory import BackendServer, Directory
-    from .group_records import GroupRecord
+    from ...state.directory import BackendServer, Directory
+    from .records import GroupRecord
 
 __all__ = ["STALL_SLACK", "TAKEN_APART", "GroupKeeper", "GroupPhase"]
 
--- a/ryelever/coordination/weight_staging.py
+++ b/ryelever/coordination/groups/weight_staging.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from .group_forming import choose_second_weights, choose_staging
-from .group_orders import GroupOrder, OrderKind
+from .forming import choose_second_weights, choose_staging
+from .orders import GroupOrder, OrderKind
 
 if TYPE_CHECKING:
-    from ..state.directory import BackendServer
-    from .group_forming import FormingRules, StandingGroup
+    from ...state.directory import BackendServer
+    from .forming import FormingRules, StandingGroup
 
 __all__ = ["WeightStaging"]
 
--- a/ryelever/coordination/zone_planner.py
+++ b/ryelever/coordination/groups/zone_planner.py
@@ -10,27 +10,27 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .group_adoption import GroupAdoption
-from .group_forming import (
+from .adoption import GroupAdoption
+from .forming import (
     BUSY_ENOUGH,
     FormingRules,
     StandingGroup,
     choose_formations,
     choose_taking_apart,
 )
-from .group_keeper import TAKEN_APART, GroupKeeper, GroupPhase
-from .group_records import GroupRecord, Member
-from .group_times import GroupTimes
+from .keeper import TAKEN_APART, GroupKeeper, GroupPhase
+from .records import GroupRecord, Member
 from .reshaping import ReshapingTurn
+from .times import GroupTimes
 from .weight_staging import WeightStaging
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from ..state.directory import BackendServer, Directory
-    from ..state.routes import EngineProfile, RouteTable
-    from .group_forming import Formation
-    from .group_orders import GroupOrder
+    from ...state.directory import BackendServer, Directory
+    from ...state.routes import EngineProfile, RouteTable
+    from .forming import Formation
+    from .orders import GroupOrder
 
 __all__ = ["AppendGroups", "ZonePlanner"]
 
--- /dev/null
+++ b/ryelever/coordination/limits/__init__.py
@@ -0,0 +1,15 @@
+"""Bound what each client account asks for, over all entry hosts.
+
+Each host grants its own part and borrows from what others don't use.
+"""
+
+from .limits import AccountLimits
+from .peers import HEARTBEAT
+from .view import LimitsView, WholeLimits
+
+__all__ = [
+    "AccountLimits",
+    "HEARTBEAT",
+    "LimitsView",
+    "WholeLimits",
+]
--- a/ryelever/coordination/limits.py
+++ b/ryelever/coordination/limits/limits.py
@@ -19,14 +19,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..state.observations import DemandRow
-from .limits_demand import SAMPLE, Demand, OwnDemand
-from .limits_peers import HEARTBEAT, PeerDemands
+from ...state.observations import DemandRow
+from .demand import SAMPLE, Demand, OwnDemand
+from .peers import HEARTBEAT, PeerDemands
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.observations import Observation
+    from ...state.observations import Observation
 
 __all__ = ["AccountLimits"]
 
--- a/ryelever/coordination/limits_peers.py
+++ b/ryelever/coordination/limits/peers.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from .limits_demand import Demand
+from .demand import Demand
 
 if TYPE_CHECKING:
-    from ..state.observations import DemandRow
+    from ...state.observations import DemandRow
 
 __all__ = ["HEARTBEAT", "SILENT_AFTER", "PeerDemands"]
 
--- a/ryelever/coordination/planner_capacity.py
+++ b/ryelever/coordination/planner/capacity.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.configuration import Model
-    from ..state.placement import Group
-    from .planner_view import PlannerLimits, PlannerView
+    from ...state.configuration import Model
+    from ...state.placement import Group
+    from .view import PlannerLimits, PlannerView
 
 __all__ = ["Capacity", "n_allowed"]
 
--- a/ryelever/coordination/planner_decisions.py
+++ b/ryelever/coordination/planner/decisions.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..state.records import GroupFormed
-from .actions import Action, AppendRecord
+from ...state.records import GroupFormed
+from ..actions import Action, AppendRecord
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.placement import PlacementFold
-    from ..state.records import GroupDissolved, GroupDraining, HostReleased
+    from ...state.placement import PlacementFold
+    from ...state.records import GroupDissolved, GroupDraining, HostReleased
 
 __all__ = ["Decisions", "Forming"]
 
--- a/ryelever/coordination/planner_forming.py
+++ b/ryelever/coordination/planner/forming.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.placement import Group
-    from .actions import Action
-    from .planner_capacity import Capacity
-    from .planner_look import Look
-    from .planner_outgoing import Outgoing
+    from ...state.placement import Group
+    from ..actions import Action
+    from .capacity import Capacity
+    from .look import Look
+    from .outgoing import Outgoing
 
 __all__ = ["Forming"]
 
--- a/ryelever/coordination/planner_health.py
+++ b/ryelever/coordination/planner/health.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.placement import Group
-    from .planner_view import PlannerLimits, PlannerView
+    from ...state.placement import Group
+    from .view import PlannerLimits, PlannerView
 
 __all__ = ["Fault", "HostHealth", "MemberFault", "cause_of"]
 
--- a/ryelever/coordination/planner_hosts.py
+++ b/ryelever/coordination/planner/hosts.py
@@ -7,10 +7,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.placement import Group
-    from .planner_health import HostHealth
-    from .planner_orders import Orders
-    from .planner_view import PlannerView
+    from ...state.placement import Group
+    from .health import HostHealth
+    from .orders import Orders
+    from .view import PlannerView
 
 __all__ = ["HostChoice"]
 
--- a/ryelever/coordination/planner_look.py
+++ b/ryelever/coordination/planner/look.py
@@ -5,17 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..state.records import GroupDissolved, GroupDraining, GroupFormed
+from ...state.records import GroupDissolved, GroupDraining, GroupFormed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.configuration import Model
-    from ..state.placement import Group
-    from .actions import Action
-    from .planner_decisions import Decisions
-    from .planner_hosts import HostChoice
-    from .planner_view import PlannerView
+    from ...state.configuration import Model
+    from ...state.placement import Group
+    from ..actions import Action
+    from .decisions import Decisions
+    from .hosts import HostChoice
+    from .view import PlannerView
 
 __all__ = ["Look"]
 
--- a/ryelever/coordination/planner_orders.py
+++ b/ryelever/coordination/planner/orders.py
@@ -11,12 +11,12 @@
 
 from typing import TYPE_CHECKING
 
-from .actions import Action, SendOrder
+from ..actions import Action, SendOrder
 
 if TYPE_CHECKING:
-    from ..state.fleet import HostReport
-    from ..state.placement import Group
-    from .planner_view import PlannerLimits, PlannerView
+    from ...state.fleet import HostReport
+    from ...state.placement import Group
+    from .view import PlannerLimits, PlannerView
 
 __all__ = ["Orders"]
 
--- a/ryelever/coordination/planner_outage.py
+++ b/ryelever/coordination/planner/outage.py
@@ -16,14 +16,14 @@
 
 from typing import TYPE_CHECKING
 
-from .planner_health import Fault
+from .health import Fault
 
 if TYPE_CHECKING:
-    from ..state.placement import Group
-    from .actions import Action
-    from .planner_health import HostHealth
-    from .planner_orders import Orders
-    from .planner_view import PlannerView
+    from ...state.placement import Group
+    from ..actions import Action
+    from .health import HostHealth
+    from .orders import Orders
+    from .view import PlannerView
 
 __all__ = ["OutageRepair"]
 
--- a/ryelever/coordination/planner_outgoing.py
+++ b/ryelever/coordination/planner/outgoing.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from .planner_capacity import n_allowed
+from .capacity import n_allowed
 
 if TYPE_CHECKING:
-    from ..state.placement import Group
-    from .planner_health import HostHealth
-    from .planner_view import PlannerLimits, PlannerView
+    from ...state.placement import Group
+    from .health import HostHealth
+    from .view import PlannerLimits, PlannerView
 
 __all__ = ["Outgoing"]
 
--- a/ryelever/coordination/planner.py
+++ b/ryelever/coordination/planner/planner.py
@@ -4,24 +4,24 @@
 
 from typing import TYPE_CHECKING
 
-from .lease import PlannerLease
-from .planner_capacity import Capacity
-from .planner_decisions import Decisions
-from .planner_forming import Forming
-from .planner_health import HostHealth
-from .planner_hosts import HostChoice
-from .planner_look import Look
-from .planner_orders import Orders
-from .planner_outage import OutageRepair
-from .planner_outgoing import Outgoing
-from .planner_release import Release
-from .planner_repair import Repair
-from .planner_view import PlannerLimits, PlannerView
+from ..lease import PlannerLease
+from .capacity import Capacity
+from .decisions import Decisions
+from .forming import Forming
+from .health import HostHealth
+from .hosts import HostChoice
+from .look import Look
+from .orders import Orders
+from .outage import OutageRepair
+from .outgoing import Outgoing
+from .release import Release
+from .repair import Repair
+from .view import PlannerLimits, PlannerView
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .actions import Action
+    from ..actions import Action
 
 __all__ = ["Planner", "PlannerLimits", "PlannerView"]
 
--- a/ryelever/coordination/planner_release.py
+++ b/ryelever/coordination/planner/release.py
@@ -13,15 +13,15 @@
 
 from typing import TYPE_CHECKING
 
-from ..state.records import HostReleased
+from ...state.records import HostReleased
 
 if TYPE_CHECKING:
-    from ..state.placement import Group
-    from .actions import Action
-    from .planner_decisions import Decisions
-    from .planner_health import HostHealth
-    from .planner_orders import Orders
-    from .planner_view import PlannerLimits, PlannerView
+    from ...state.placement import Group
+    from ..actions import Action
+    from .decisions import Decisions
+    from .health import HostHealth
+    from .orders import Orders
+    from .view import PlannerLimits, PlannerView
 
 __all__ = ["Release"]
 
--- a/ryelever/coordination/planner_repair.py
+++ b/ryelever/coordination/planner/repair.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from .planner_health import Fault, cause_of
+from .health import Fault, cause_of
 
 if TYPE_CHECKING:
-    from ..state.placement import Group
-    from .actions import Action
-    from .planner_health import HostHealth, MemberFault
-    from .planner_look import Look
-    from .planner_orders import Orders
-    from .planner_outgoing import Outgoing
-    from .planner_view import PlannerLimits
+    from ...state.placement import Group
+    from ..actions import Action
+    from .health import HostHealth, MemberFault
+    from .look import Look
+    from .orders import Orders
+    from .outgoing import Outgoing
+    from .view import PlannerLimits
 
 __all__ = ["Repair"]
 
--- a/ryelever/coordination/planner_repairs.py
+++ b/ryelever/coordination/planner/repairs.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.placement import PlacementChange, PlacementFold
-    from .confirmation import Confirmations
+    from ...state.placement import PlacementChange, PlacementFold
+    from ..confirmation import Confirmations
 
 __all__ = ["RepairLine", "Repairs"]
 
--- a/ryelever/coordination/planner_view.py
+++ b/ryelever/coordination/planner/view.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.configuration import Configuration
-    from ..state.fleet import ListedHost
-    from ..state.placement import Group, PlacementFold
-    from .confirmation import Confirmations
+    from ...state.configuration import Configuration
+    from ...state.fleet import ListedHost
+    from ...state.placement import Group, PlacementFold
+    from ..confirmation import Confirmations
 
 __all__ = ["ModelDemand", "PlannerLimits", "PlannerView"]
 
--- /dev/null
+++ b/ryelever/coordination/relaying/__init__.py
@@ -0,0 +1,27 @@
+"""Take relayed requests to their final answer.
+
+Which backend server gets them, when they are repeated, moved or given up.
+"""
+
+from .actions import RelayAttempt, RelayMeasures, RelayRefusal
+from .balance import Balancer
+from .demand import DemandMeter, time_in_batch
+from .messages import AnswerHead, Headers, RelayArrival
+from .repeat_budget import RepeatBudget
+from .requests import RelayRequests
+from .stillness import StillnessWatch
+
+__all__ = [
+    "AnswerHead",
+    "Balancer",
+    "DemandMeter",
+    "Headers",
+    "RelayArrival",
+    "RelayAttempt",
+    "RelayMeasures",
+    "RelayRefusal",
+    "RelayRequests",
+    "RepeatBudget",
+    "StillnessWatch",
+    "time_in_batch",
+]
--- a/ryelever/coordination/relay_actions.py
+++ b/ryelever/coordination/relaying/actions.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from ..protocol.relaying import Headers
+    from .messages import Headers
 
 __all__ = ["RelayAttempt", "RelayMeasures", "RelayOutbox", "RelayRefusal"]
 
--- a/ryelever/coordination/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..state.directory import GroupState
+from ...state.directory import GroupState
 
 if TYPE_CHECKING:
-    from ..state.directory import BackendServer, Directory
+    from ...state.directory import BackendServer, Directory
 
 __all__ = ["Balancer", "ServerRecord"]
 
--- a/ryelever/coordination/demand.py
+++ b/ryelever/coordination/relaying/demand.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..state.routes import EngineProfile
+    from ...state.routes import EngineProfile
 
 __all__ = ["DemandMeter", "time_in_batch"]
 
--- a/ryelever/coordination/relay_request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..state.routes import RouteKind
+from ...state.routes import RouteKind
 
 if TYPE_CHECKING:
-    from ..protocol.relaying import AnswerHead, RelayArrival
-    from ..state.routes import Route, RouteAccount
-    from .relay_actions import RelayAttempt
+    from ...state.routes import Route, RouteAccount
+    from .actions import RelayAttempt
+    from .messages import AnswerHead, RelayArrival
 
 __all__ = ["RelayRequest", "RequestPhase", "follows", "request_of"]
 
--- a/ryelever/coordination/relay_requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -10,18 +10,18 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from .relay_actions import RelayAttempt, RelayRefusal
-from .relay_request import RequestPhase, follows, request_of
+from .actions import RelayAttempt, RelayRefusal
+from .request import RequestPhase, follows, request_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..protocol.relaying import AnswerHead, RelayArrival
-    from ..state.routes import RouteAccount, RouteTable
+    from ...state.routes import RouteAccount, RouteTable
+    from .actions import RelayMeasures, RelayOutbox
     from .balance import Balancer
-    from .relay_actions import RelayMeasures, RelayOutbox
-    from .relay_request import RelayRequest
+    from .messages import AnswerHead, RelayArrival
     from .repeat_budget import RepeatBudget
+    from .request import RelayRequest
     from .stillness import StillnessWatch
 
 __all__ = ["RelayRequests"]
--- a/ryelever/coordination/requests_answers.py
+++ b/ryelever/coordination/requests/answers.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from ..errors import Category, RunState, RyeleverError
-from ..state.records import Outcome
-from .actions import (
+from ...errors import Category, RunState, RyeleverError
+from ...state.records import Outcome
+from ..actions import (
     AnswerError,
     AnswerService,
     AnswerWhole,
@@ -19,10 +19,10 @@
 )
 
 if TYPE_CHECKING:
-    from ..state.claims import ClaimState
-    from .actions import Action, Arrival
-    from .admission import Refused
-    from .requests_state import Request
+    from ...state.claims import ClaimState
+    from ..actions import Action, Arrival
+    from ..admission import Refused
+    from .state import Request
 
 __all__ = [
     "CHAT_ANSWER_TYPE",
--- a/ryelever/coordination/requests_attempts.py
+++ b/ryelever/coordination/requests/attempts.py
@@ -4,20 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-from .actions import SendAttempt
-from .requests_state import RequestState
-from .routing_feedback import NoFeedback
+from ..actions import SendAttempt
+from ..routing import NoFeedback
+from .state import RequestState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..errors import RyeleverError
-    from .actions import Action
-    from .quarantine import Quarantined
-    from .requests_state import Request
+    from ...errors import RyeleverError
+    from ..actions import Action
+    from ..routing import AttemptFeedback, Quarantined, Router
     from .retry import RetryPolicy
-    from .routing import Router
-    from .routing_feedback import AttemptFeedback
+    from .state import Request
 
 __all__ = ["RequestAttempts"]
 
--- a/ryelever/coordination/requests_claims.py
+++ b/ryelever/coordination/requests/claims.py
@@ -4,19 +4,19 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from ..errors import RunState
-from ..state.records import Claim, Outcome
-from . import requests_answers as answers
-from .actions import AnswerError, AppendRecord
+from ...errors import RunState
+from ...state.records import Claim, Outcome
+from ..actions import AnswerError, AppendRecord
+from . import answers
 from .idempotency import doubt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..errors import RyeleverError
-    from ..state.claims import ClaimState
-    from .actions import Action, Arrival
-    from .requests_state import Request
+    from ...errors import RyeleverError
+    from ...state.claims import ClaimState
+    from ..actions import Action, Arrival
+    from .state import Request
 
 __all__ = ["ClaimsView", "RequestClaims"]
 
--- a/ryelever/coordination/idempotency.py
+++ b/ryelever/coordination/requests/idempotency.py
@@ -19,13 +19,13 @@
 
 from expression import Error, Ok, Result
 
-from ..errors import Category, RunState, RyeleverError
-from ..state.claims import CLAIM_WINDOW, FREED_WITHIN, MAX_AHEAD
-from ..state.idempotency_key import MAX_KEY_LENGTH, issued_at
-from ..state.records import Outcome
+from ...errors import Category, RunState, RyeleverError
+from ...state.claims import CLAIM_WINDOW, FREED_WITHIN, MAX_AHEAD
+from ...state.idempotency_key import MAX_KEY_LENGTH, issued_at
+from ...state.records import Outcome
 
 if TYPE_CHECKING:
-    from ..state.claims import ClaimState
+    from ...state.claims import ClaimState
 
 __all__ = [
     "KEY_IN_FUTURE",
--- a/ryelever/coordination/claims.py
+++ b/ryelever/coordination/requests/keyed_claims.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ..state.idempotency_key import issued_at
+from ...state.idempotency_key import issued_at
 from .idempotency import judge_owner
 
 if TYPE_CHECKING:
-    from ..state.claims import ClaimsFold, ClaimState
+    from ...state.claims import ClaimsFold, ClaimState
 
 __all__ = ["Claims"]
 
--- a/ryelever/coordination/requests.py
+++ b/ryelever/coordination/requests/requests.py
@@ -15,9 +15,8 @@
 
 from typing import TYPE_CHECKING
 
-from ..errors import RyeleverError
-from . import requests_answers as answers
-from .actions import (
+from ...errors import RyeleverError
+from ..actions import (
     Action,
     AnswerError,
     AnswerService,
@@ -25,23 +24,23 @@
     StreamTokens,
     Usage,
 )
-from .admission import Queued, Refused
-from .quarantine import quarantine_error
-from .requests_attempts import RequestAttempts
-from .requests_claims import ClaimsView, RequestClaims
-from .requests_state import Request, RequestState, Timeouts
-from .requests_steps import RequestSteps
+from ..admission import Queued, Refused
+from ..routing import quarantine_error
+from . import answers
+from .attempts import RequestAttempts
+from .claims import ClaimsView, RequestClaims
+from .state import Request, RequestState, Timeouts
+from .steps import RequestSteps
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..state.configuration import ClientAccount
-    from ..state.records import Claim
-    from .actions import Arrival
-    from .admission import Admission
+    from ...state.configuration import ClientAccount
+    from ...state.records import Claim
+    from ..actions import Arrival
+    from ..admission import Admission
+    from ..routing import AttemptFeedback, Router
     from .retry import RetryPolicy
-    from .routing import Router
-    from .routing_feedback import AttemptFeedback
 
 __all__ = ["ClaimsView", "Request", "RequestState", "RequestTable", "Timeouts"]
 
--- a/ryelever/coordination/requests_state.py
+++ b/ryelever/coordination/requests/state.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..errors import RunState
-from .actions import ChatWork
+from ...errors import RunState
+from ..actions import ChatWork
 
 if TYPE_CHECKING:
-    from ..errors import RyeleverError
-    from .actions import AnswerService, Arrival, Target
+    from ...errors import RyeleverError
+    from ..actions import AnswerService, Arrival, Target
 
 __all__ = ["Request", "RequestState", "Timeouts"]
 
--- a/ryelever/coordination/requests_steps.py
+++ b/ryelever/coordination/requests/steps.py
@@ -4,27 +4,27 @@
 
 from typing import TYPE_CHECKING
 
-from ..errors import Category
-from . import requests_answers as answers
-from .actions import (
+from ...errors import Category
+from ..actions import (
     Action,
     AnswerError,
     CancelAttempt,
     ChatWork,
     StreamFailed,
 )
-from .quarantine import quarantine_error
-from .requests_state import RequestState
+from ..routing import quarantine_error
+from . import answers
+from .state import RequestState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..errors import RyeleverError
-    from ..state.records import Outcome
-    from .admission import Admission
-    from .requests_attempts import RequestAttempts
-    from .requests_claims import RequestClaims
-    from .requests_state import Request, Timeouts
+    from ...errors import RyeleverError
+    from ...state.records import Outcome
+    from ..admission import Admission
+    from .attempts import RequestAttempts
+    from .claims import RequestClaims
+    from .state import Request, Timeouts
 
 __all__ = ["RequestSteps"]
 
--- /dev/null
+++ b/ryelever/coordination/routing/__init__.py
@@ -0,0 +1,31 @@
+"""Choose where an attempt goes.
+
+Which hosts may run it, which are suspected, left, slow or full, and where a prompt's
+prefix lies.
+"""
+
+from .candidates import Candidate, CandidateSet
+from .departures import Departures
+from .feedback import AttemptFeedback, NoFeedback, RoutingFeedback
+from .load import LoadView
+from .quarantine import Quarantine, Quarantined, quarantine_error
+from .routing import AffinityRouter, Router
+from .stragglers import Stragglers
+from .targets import Targets
+
+__all__ = [
+    "AffinityRouter",
+    "AttemptFeedback",
+    "Candidate",
+    "CandidateSet",
+    "Departures",
+    "LoadView",
+    "NoFeedback",
+    "Quarantine",
+    "Quarantined",
+    "Router",
+    "RoutingFeedback",
+    "Stragglers",
+    "Targets",
+    "quarantine_error",
+]
--- a/ryelever/coordination/affinity.py
+++ b/ryelever/coordination/routing/affinity.py
@@ -8,12 +8,12 @@
 import math
 from typing import TYPE_CHECKING
 
-from .actions import ChatWork
+from ..actions import ChatWork
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from .targets import Candidate
+    from .candidates import Candidate
 
 __all__ = ["bounded_choice", "load_bound", "node_seed", "prefix_key", "ranked"]
 
--- a/ryelever/coordination/departures.py
+++ b/ryelever/coordination/routing/departures.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from ..state.observations import LeavingRow
+from ...state.observations import LeavingRow
 
 if TYPE_CHECKING:
-    from ..state.fleet import ListedHost
-    from ..state.observations import Observation
-    from .confirmation import Confirmations
+    from ...state.fleet import ListedHost
+    from ...state.observations import Observation
+    from ..confirmation import Confirmations
 
 __all__ = ["Departures"]
 
--- a/ryelever/coordination/routing_feedback.py
+++ b/ryelever/coordination/routing/feedback.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from ..errors import Category
+from ...errors import Category
 from .quarantine import is_crash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..errors import RyeleverError
-    from .actions import Target
+    from ...errors import RyeleverError
+    from ..actions import Target
+    from ..requests import RetryBudget
     from .departures import Departures
     from .quarantine import Quarantine, Quarantined
-    from .retry import RetryBudget
     from .stragglers import Stragglers
 
 __all__ = ["AttemptFeedback", "NoFeedback", "RoutingFeedback"]
--- a/ryelever/coordination/routing_load.py
+++ b/ryelever/coordination/routing/load.py
@@ -5,10 +5,10 @@
 import heapq
 from typing import TYPE_CHECKING
 
-from ..state.observations import LoadRow
+from ...state.observations import LoadRow
 
 if TYPE_CHECKING:
-    from ..state.observations import Observation
+    from ...state.observations import Observation
     from .targets import Candidate, Targets
 
 __all__ = ["LoadView"]
--- a/ryelever/coordination/routing_plain.py
+++ b/ryelever/coordination/routing/plain.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from .actions import ChatWork, Target
+from ..actions import ChatWork, Target
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .actions import Arrival
+    from ..actions import Arrival
 
 __all__ = ["LeastInFlightRouter"]
 
--- a/ryelever/coordination/quarantine.py
+++ b/ryelever/coordination/routing/quarantine.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ..errors import Category, RunState, RyeleverError
-from ..state.observations import SuspicionRow
+from ...errors import Category, RunState, RyeleverError
+from ...state.observations import SuspicionRow
 from .quarantine_evidence import Crash, PeerCount, Suspect
 
 if TYPE_CHECKING:
-    from ..state.observations import Observation
+    from ...state.observations import Observation
 
 __all__ = ["Quarantine", "Quarantined", "is_crash", "quarantine_error"]
 
--- a/ryelever/coordination/quarantine_evidence.py
+++ b/ryelever/coordination/routing/quarantine_evidence.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ..state.observations import SuspicionRow
+from ...state.observations import SuspicionRow
 
 __all__ = ["Crash", "PeerCount", "Suspect"]
 
--- a/ryelever/coordination/routing.py
+++ b/ryelever/coordination/routing/routing.py
@@ -7,17 +7,17 @@
 from operator import attrgetter, itemgetter
 from typing import TYPE_CHECKING, Protocol
 
-from .actions import ChatWork, Target
+from ..actions import ChatWork, Target
 from .affinity import load_bound, prefix_key
-from .routing_suspects import SuspectsInFlight
-from .routing_zones import ZoneTotals
+from .suspects import SuspectsInFlight
+from .zones import ZoneTotals
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from .actions import Arrival
+    from ..actions import Arrival
+    from .load import LoadView
     from .quarantine import Quarantine
-    from .routing_load import LoadView
     from .stragglers import Stragglers
     from .targets import Candidate, CandidateSet, Targets
 
--- a/ryelever/coordination/targets.py
+++ b/ryelever/coordination/routing/targets.py
@@ -5,18 +5,19 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from .actions import Arrival, ChatWork, ServiceWork, Target
+from ..actions import Arrival, ChatWork, ServiceWork, Target
 from .affinity import node_seed
+from .candidates import Candidate, CandidateSet
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..state.fleet import ListedHost
-    from ..state.placement import Group, PlacementFold
-    from .confirmation import Confirmations
+    from ...state.fleet import ListedHost
+    from ...state.placement import Group, PlacementFold
+    from ..confirmation import Confirmations
     from .departures import Departures
 
-__all__ = ["Candidate", "CandidateSet", "ReportedLoad", "Targets"]
+__all__ = ["ReportedLoad", "Targets"]
 
 #: Seconds after which a candidate list is compared with the hosts list again.
 REBUILD_INTERVAL = 1.0
@@ -25,55 +26,6 @@
 MAX_SETS = 512
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Candidate:
-    """Name a backend server that is placed for a work, whole or not.
-
-    Attributes
-    ----------
-    group : Group or None
-        None for a plain service.
-    seed : int
-        Number by which rendezvous hashing ranks it.
-    n_accelerators : int
-        Accelerators of all its hosts; at least 1.
-    weight : float
-        Its accelerators over the average of all candidates.
-    """
-
-    name: str
-    availability_zone: str
-    hosts: tuple[str, ...]
-    seed: int
-    n_accelerators: int
-    weight: float = 1.0
-    group: Group | None = None
-
-    @property
-    def key(self) -> tuple[str, int, int]:
-        """Return what makes a changed candidate a different one."""
-        fencing = self.group.fencing if self.group is not None else -1
-        return self.name, fencing, self.n_accelerators
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class CandidateSet:
-    """Hold the candidates of one work; the same object until they change.
-
-    Attributes
-    ----------
-    own_zone, other_zones : tuple of Candidate
-        Ordered by seed.
-    """
-
-    own_zone: tuple[Candidate, ...]
-    other_zones: tuple[Candidate, ...]
-    names: tuple[str, ...]
-    keys: tuple[tuple[str, int, int], ...]
-    built_at: float
-    offsets: tuple[int, ...]
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ReportedLoad:
     """Hold the load that a backend server reports of itself.
--- a/ryelever/coordination/routing_zones.py
+++ b/ryelever/coordination/routing/zones.py
@@ -12,7 +12,7 @@
     import random
     from collections.abc import Iterable, Sequence
 
-    from .routing_load import LoadView
+    from .load import LoadView
     from .targets import Candidate, CandidateSet, Targets
 
 __all__ = ["ZoneTotal", "ZoneTotals"]
--- a/ryelever/coordination/soft_state_compose.py
+++ b/ryelever/coordination/soft_state/compose.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from .soft_state_messages import (
+from .messages import (
     Have,
     Message,
     Piece,
@@ -14,13 +14,13 @@
     TableUpdate,
     Want,
 )
-from .soft_state_tables import HAVE_SIZE, MEMBER_SIZE, TABLE_EXPIRY, TABLE_SIZE
+from .tables import HAVE_SIZE, MEMBER_SIZE, TABLE_EXPIRY, TABLE_SIZE
 
 if TYPE_CHECKING:
-    from .soft_state_configuration import ConfigurationSpread
-    from .soft_state_links import Link, Peer
-    from .soft_state_own import OwnTable
-    from .soft_state_tables import Table, Tables
+    from .configuration import ConfigurationSpread
+    from .links import Link, Peer
+    from .own import OwnTable
+    from .tables import Table, Tables
 
 __all__ = ["Composer"]
 
--- a/ryelever/coordination/soft_state_configuration.py
+++ b/ryelever/coordination/soft_state/configuration.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from ..state.configuration import Configuration
-from ..state.observations import ConfigurationRow
-from .soft_state_messages import Piece, Want
+from ...state.configuration import Configuration
+from ...state.observations import ConfigurationRow
+from .messages import Piece, Want
 
 __all__ = ["ConfigurationSpread"]
 
--- a/ryelever/coordination/soft_state_deliveries.py
+++ b/ryelever/coordination/soft_state/deliveries.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from ..state.observations import DemandRow, Observation
-from .limits import HEARTBEAT
-from .soft_state_messages import AliveRow, GoneRow, Member
-from .soft_state_tables import ROW_EXPIRY
+from ...state.observations import DemandRow, Observation
+from ..limits import HEARTBEAT
+from .messages import AliveRow, GoneRow, Member
+from .tables import ROW_EXPIRY
 
 if TYPE_CHECKING:
-    from .soft_state_tables import KeptRow
+    from .tables import KeptRow
 
 __all__ = ["Delivery", "deliveries"]
 
--- a/ryelever/coordination/soft_state_digest.py
+++ b/ryelever/coordination/soft_state/digest.py
@@ -5,15 +5,15 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ..state.observations import DemandRow, LeavingRow, SuspicionRow
-from .limits import HEARTBEAT
-from .soft_state_tables import ROW_EXPIRY, KeptRow, row_key
+from ...state.observations import DemandRow, LeavingRow, SuspicionRow
+from ..limits import HEARTBEAT
+from .tables import ROW_EXPIRY, KeptRow, row_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from .soft_state_messages import SoftRow
-    from .soft_state_tables import Table
+    from .messages import SoftRow
+    from .tables import Table
 
 __all__ = ["summed_rows"]
 
--- a/ryelever/coordination/soft_state_exchange.py
+++ b/ryelever/coordination/soft_state/exchange.py
@@ -15,21 +15,21 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
-from ..state.observations import ConfigurationRow
-from .soft_state_compose import Composer
-from .soft_state_configuration import ConfigurationSpread
-from .soft_state_deliveries import Delivery, deliveries
-from .soft_state_digest import summed_rows
-from .soft_state_links import Peer
-from .soft_state_messages import (
+from ...state.observations import ConfigurationRow
+from .compose import Composer
+from .configuration import ConfigurationSpread
+from .deliveries import Delivery, deliveries
+from .digest import summed_rows
+from .links import Peer
+from .messages import (
     Member,
     Message,
     SoftRow,
     Step,
 )
-from .soft_state_own import OwnTable
-from .soft_state_schedule import Schedule
-from .soft_state_tables import (
+from .own import OwnTable
+from .schedule import Schedule
+from .tables import (
     REDELIVERY_INTERVAL,
     Table,
     Tables,
--- a/ryelever/coordination/soft_state_links.py
+++ b/ryelever/coordination/soft_state/links.py
@@ -21,7 +21,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .soft_state_messages import Have, Message
+from .messages import Have, Message
 
 __all__ = ["MAX_DRIFT", "Link", "Peer", "Receipt"]
 
--- a/ryelever/coordination/soft_state_messages.py
+++ b/ryelever/coordination/soft_state/messages.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass
 
-from ..state.observations import (
+from ...state.observations import (
     DemandRow,
     LeavingRow,
     LoadRow,
--- a/ryelever/coordination/soft_state_own.py
+++ b/ryelever/coordination/soft_state/own.py
@@ -5,12 +5,12 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from ..state.observations import DemandRow, LoadRow, ReportRow
-from .soft_state_messages import AliveRow, GoneRow, Member, SoftRow
-from .soft_state_tables import ALIVE_SLOT, TABLE_EXPIRY, KeptRow, Table, row_key
+from ...state.observations import DemandRow, LoadRow, ReportRow
+from .messages import AliveRow, GoneRow, Member, SoftRow
+from .tables import ALIVE_SLOT, TABLE_EXPIRY, KeptRow, Table, row_key
 
 if TYPE_CHECKING:
-    from ..state.fleet import HostReport
+    from ...state.fleet import HostReport
 
 __all__ = ["OwnTable"]
 
--- a/ryelever/coordination/soft_state_schedule.py
+++ b/ryelever/coordination/soft_state/schedule.py
@@ -4,8 +4,8 @@
 
 import random
 
-from .polling import rendezvous
-from .soft_state_links import Peer
+from ..polling import rendezvous
+from .links import Peer
 
 __all__ = ["Schedule"]
 
--- a/ryelever/coordination/soft_state.py
+++ b/ryelever/coordination/soft_state/soft_state.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from ..state.observations import Observation
+    from ...state.observations import Observation
 
 __all__ = ["AgedObservationSource", "ObservationSink", "ObservationSource"]
 
--- a/ryelever/coordination/soft_state_tables.py
+++ b/ryelever/coordination/soft_state/tables.py
@@ -15,9 +15,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..state.observations import LoadRow, ReportRow
-from .soft_state_links import MAX_DRIFT
-from .soft_state_messages import (
+from ...state.observations import LoadRow, ReportRow
+from .links import MAX_DRIFT
+from .messages import (
     AliveRow,
     GoneRow,
     Member,
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .application import Application
     from .coordination.confirmation import FreshReport
+    from .entry_host import EntryHost
     from .events import CallerRequest
     from .state.fleet import ListedHost
 
@@ -44,7 +44,7 @@
 
     channel = "dump"
 
-    def __init__(self, *, application: Application) -> None:
+    def __init__(self, *, application: EntryHost) -> None:
         super().__init__()
         self._application = application
         self._beliefs_by_subject: dict[tuple[str, ...], tuple[object, float]] = {}
--- /dev/null
+++ b/ryelever/entry_host.py
@@ -0,0 +1,61 @@
+"""Describe the parts of an entry host to those that show its state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from .coordination.confirmation import Confirmations
+    from .coordination.requests import RequestTable
+    from .fleet_history import FleetHistory
+    from .fleet_watch import FleetWatch
+    from .metrics import Metrics
+    from .peering import Peering
+    from .planning import Planning
+    from .request_path import RequestPath
+    from .serving import Serving
+    from .settings import Settings
+    from .state.configuration import ConfigurationFold
+    from .state.placement import PlacementFold
+    from .streams import Streams
+    from .timers import Timers
+    from .transport.callers import Callers
+    from .transport.http_client import HttpClient
+    from .transport.peers import Peers
+
+__all__ = ["EntryHost"]
+
+
+class EntryHost(Protocol):
+    """Own the parts that a dump, the metrics and the console read.
+
+    Attributes
+    ----------
+    boot : str
+        Distinguishes the incarnations of a host.
+    ready : bool
+        Whether it can serve.
+    """
+
+    settings: Settings
+    boot: str
+    metrics: Metrics
+    configuration: ConfigurationFold
+    placements_by_zone: dict[str, PlacementFold]
+    streams: Streams
+    confirmations: Confirmations
+    fleet: FleetWatch
+    fleet_history: FleetHistory
+    planning: Planning
+    request_path: RequestPath
+    table: RequestTable
+    http_client: HttpClient
+    callers: Callers
+    serving: Serving
+    peers: Peers
+    peering: Peering
+    timers: Timers
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether it can serve."""
--- a/ryelever/gauges.py
+++ b/ryelever/gauges.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .application import Application
+    from .entry_host import EntryHost
 
 __all__ = ["register_gauges"]
 
 
-def register_gauges(application: Application) -> None:
+def register_gauges(application: EntryHost) -> None:
     """Register what is read from the parts when ``/metrics`` is asked for."""
     _register_requests(application)
     _register_traffic(application)
@@ -20,7 +20,7 @@
     application.fleet_history.register_gauges(application.metrics)
 
 
-def _register_requests(application: Application) -> None:
+def _register_requests(application: EntryHost) -> None:
     metrics = application.metrics
     table = application.table
     callers = application.callers
@@ -31,7 +31,7 @@
     metrics.gauge("retries", lambda: float(table.n_retries))
 
 
-def _register_traffic(application: Application) -> None:
+def _register_traffic(application: EntryHost) -> None:
     metrics = application.metrics
     client = application.http_client
     peers = application.peers
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -9,9 +9,8 @@
 
 from circuits import BaseComponent, handler
 
-from .coordination.group_orders import OrderKind, OrderOutcome
+from .coordination.groups import AppendGroups, OrderKind, OrderOutcome, ZonePlanner
 from .coordination.topic import TopicFollower
-from .coordination.zone_planner import AppendGroups, ZonePlanner
 from .events import (
     OutboundAnswer,
     OutboundFailure,
@@ -26,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .coordination.group_orders import GroupOrder
+    from .coordination.groups import GroupOrder
     from .coordination.topic import TopicNews
     from .protocol.keyed_log import KeyedLogInterface
     from .protocol.store_documents import GroupInterface, StoreDocuments
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -17,9 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .coordination.balance import Balancer
     from .coordination.host_words import HostAddress, HostWords
-    from .coordination.stillness import StillnessWatch
+    from .coordination.relaying import Balancer, StillnessWatch
     from .relay_settings import RelaySettings
 
 __all__ = ["HostExchange", "WORD_INTERVAL"]
--- a/ryelever/peering.py
+++ b/ryelever/peering.py
@@ -8,7 +8,7 @@
 
 from circuits import BaseComponent, handler
 
-from .coordination.soft_state_exchange import SoftStateExchange
+from .coordination.soft_state import SoftStateExchange
 from .events import Datagram, peers_send
 from .logs import log_event
 from .protocol.soft_state import decode_message, encode_message
@@ -19,11 +19,12 @@
 
     from .coordination.soft_state import (
         AgedObservationSource,
+        Message,
         ObservationSink,
         ObservationSource,
+        Received,
+        SoftRow,
     )
-    from .coordination.soft_state_exchange import Received
-    from .coordination.soft_state_messages import Message, SoftRow
     from .metrics import Metrics
     from .settings import Settings
     from .state.configuration_fold import ConfigurationFold
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -11,8 +11,7 @@
 
 from .asking import Asker, Question
 from .coordination.actions import ChatWork, SendOrder
-from .coordination.planner_repairs import Repairs
-from .coordination.planner_view import ModelDemand, PlannerView
+from .coordination.planner import ModelDemand, PlannerView, Repairs
 from .events import HostReported, append_record, host_reported
 from .logs import log_event, log_warning
 from .protocol.backend import Order
--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from ..protocol.relaying import AnswerHead, Headers, RelayArrival
+from ..coordination.relaying import AnswerHead, Headers, RelayArrival
 from . import words
 
 if TYPE_CHECKING:
-    from ..coordination.relay_actions import RelayAttempt
+    from ..coordination.relaying import RelayAttempt
 
 __all__ = ["PlatformMessages"]
 
--- a/ryelever/platform/orders.py
+++ b/ryelever/platform/orders.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..coordination.group_orders import GroupOrder, OrderKind, OrderOutcome
+from ..coordination.groups import GroupOrder, OrderKind, OrderOutcome
 from ..logs import log_warning
 from ..protocol.json_codec import decode, encode
 from ..protocol.keyed_log import LogCall
--- a/ryelever/platform/records.py
+++ b/ryelever/platform/records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..coordination.group_records import GroupRecord, Member
+from ..coordination.groups import GroupRecord, Member
 from ..coordination.host_words import HostAddress
 from ..logs import log_warning
 from ..protocol.json_codec import decode, encode
--- a/ryelever/protocol/soft_state.py
+++ b/ryelever/protocol/soft_state.py
@@ -11,7 +11,8 @@
 import capnp
 from expression import Error, Ok, Result
 
-from ..coordination.soft_state_messages import (
+from ..coordination.soft_state import (
+    ALIVE_SLOT,
     AliveRow,
     GoneRow,
     Have,
@@ -24,7 +25,6 @@
     Update,
     Want,
 )
-from ..coordination.soft_state_tables import ALIVE_SLOT
 from ..errors import Category, RyeleverError
 from ..state.fleet import HostReport
 from ..state.observations import (
--- a/ryelever/protocol/store_documents.py
+++ b/ryelever/protocol/store_documents.py
@@ -7,8 +7,7 @@
 if TYPE_CHECKING:
     from expression import Result
 
-    from ..coordination.group_orders import GroupOrder, OrderOutcome
-    from ..coordination.group_records import GroupRecord
+    from ..coordination.groups import GroupOrder, GroupRecord, OrderOutcome
     from ..coordination.host_words import HostAddress
     from ..errors import RyeleverError
     from ..state.directory import BackendServer
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -7,8 +7,7 @@
 
 from circuits import BaseComponent, handler
 
-from .coordination.demand import DemandMeter, time_in_batch
-from .coordination.relay_requests import RelayRequests
+from .coordination.relaying import DemandMeter, RelayRequests, time_in_batch
 from .errors import Category
 from .events import (
     AnswerHead,
@@ -25,16 +24,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .coordination.balance import Balancer
-    from .coordination.relay_actions import (
+    from .coordination.relaying import (
+        Balancer,
+        Headers,
         RelayAttempt,
         RelayMeasures,
         RelayRefusal,
+        RepeatBudget,
+        StillnessWatch,
     )
-    from .coordination.repeat_budget import RepeatBudget
-    from .coordination.stillness import StillnessWatch
     from .metrics import Metrics
-    from .protocol.relaying import Headers, RelayInterface
+    from .protocol.relaying import RelayInterface
     from .state.routes import RouteTable
     from .transport.relay_callers import RelayCallers
 
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -9,11 +9,9 @@
 from circuits.core.pollers import EPoll
 
 from .addresses import split_address
-from .coordination.balance import Balancer
+from .coordination.groups import ZonePlanner
 from .coordination.host_words import HostWords
-from .coordination.repeat_budget import RepeatBudget
-from .coordination.stillness import StillnessWatch
-from .coordination.zone_planner import ZonePlanner
+from .coordination.relaying import Balancer, RepeatBudget, StillnessWatch
 from .events import (
     control_tick,
     serving_tick,
--- a/ryelever/relay_shutdown.py
+++ b/ryelever/relay_shutdown.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .coordination.relay_requests import RelayRequests
+    from .coordination.relaying import RelayRequests
     from .relay_settings import RelaySettings
     from .transport.relay_callers import RelayCallers
 
--- a/ryelever/request_path.py
+++ b/ryelever/request_path.py
@@ -6,18 +6,17 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from .coordination.admission_capacity import GroupCapacity
-from .coordination.admission_fair import FairAdmission
-from .coordination.claims import Claims
-from .coordination.departures import Departures
-from .coordination.quarantine import Quarantine
-from .coordination.requests import RequestTable, Timeouts
-from .coordination.retry import RetryBudget
-from .coordination.routing import AffinityRouter
-from .coordination.routing_feedback import RoutingFeedback
-from .coordination.routing_load import LoadView
-from .coordination.stragglers import Stragglers
-from .coordination.targets import Targets
+from .coordination.admission import FairAdmission, GroupCapacity
+from .coordination.requests import Claims, RequestTable, RetryBudget, Timeouts
+from .coordination.routing import (
+    AffinityRouter,
+    Departures,
+    LoadView,
+    Quarantine,
+    RoutingFeedback,
+    Stragglers,
+    Targets,
+)
 from .protocol.log import CLAIMS_STREAM, claims_stream, claims_streams
 from .state.claims import ClaimsFold
 
--- a/ryelever/streams.py
+++ b/ryelever/streams.py
@@ -20,7 +20,7 @@
 )
 from .coordination.log_snapshots import SnapshotSchedule
 from .coordination.log_writer import AppendBudget, LogWriter
-from .coordination.requests_claims import OUTCOME_KEPT
+from .coordination.requests import OUTCOME_KEPT
 from .errors import RunState
 from .events import ClaimReadBack, claim_read_back
 from .logs import log_event, log_warning
@@ -31,8 +31,8 @@
 
 if TYPE_CHECKING:
     from .coordination.actions import AppendRecord
-    from .coordination.claims import Claims
     from .coordination.log_reader import Applied
+    from .coordination.requests import Claims
     from .events import OutboundAnswer, OutboundFailure
     from .protocol.outside import LogInterface
     from .settings import Settings
--- a/ryelever/transport/callers_web.py
+++ b/ryelever/transport/callers_web.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from circuits import BaseComponent, handler
 from circuits.net.events import disconnect, read
@@ -17,7 +17,6 @@
     from circuits.web.wrappers import Request, Response
 
     from ..events import CallerAnswer
-    from .callers import Callers
     from .request_reader import WholeRequest
 
 __all__ = ["LAST_CHUNK", "CallersWeb", "stream_head", "stream_part", "whole_answer"]
@@ -26,18 +25,39 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
+class CallerSockets(Protocol):
+    """Own the callers' sockets, as ``circuits.web`` needs them.
+
+    Attributes
+    ----------
+    host : str
+        Address by which the parser names the server.
+    """
+
+    host: str
+
+    def handed_on(self, request: Request, response: Response) -> None:
+        """Take a request that was parsed, and the answer that is to be filled."""
+
+    def write_of_web(self, sock: socket.socket, data: bytes) -> None:
+        """Send what the parser itself answers."""
+
+    def close(self, sock: socket.socket | None = None) -> None:
+        """Close one connection."""
+
+
 class CallersWeb(BaseComponent):
     """Join the channel of ``circuits.web`` with the callers' sockets.
 
     Parameters
     ----------
-    callers : Callers
+    callers : CallerSockets
         Owner of the sockets; it is told of each parsed request.
     """
 
     channel = "web"
 
-    def __init__(self, *, callers: Callers) -> None:
+    def __init__(self, *, callers: CallerSockets) -> None:
         super().__init__()
         self._callers = callers
         self._parser = HTTP(callers, channel=self.channel).register(self)
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..protocol.relaying import Headers
+    from ..coordination.relaying import Headers
     from ..state.routes import ConnectionLimits
 
 __all__ = ["RelayCallers"]
--- /dev/null
+++ b/tests/test_coordination/test_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Test the family of admission decisions."""
--- a/tests/test_coordination/test_admission.py
+++ b/tests/test_coordination/test_admission/test_admission.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from ryelever.coordination.actions import Arrival, ChatWork, ServiceWork
-from ryelever.coordination.admission import Admitted, Queued, Refused
-from ryelever.coordination.admission_capacity import FixedCapacity
-from ryelever.coordination.admission_fair import FairAdmission
-from ryelever.coordination.admission_pools import GRACE
+from ryelever.coordination.admission.admission import Admitted, Queued, Refused
+from ryelever.coordination.admission.capacity import FixedCapacity
+from ryelever.coordination.admission.fair import FairAdmission
+from ryelever.coordination.admission.pools import GRACE
 from ryelever.state.configuration import ClientAccount
 
 DEFAULTS = ClientAccount(key_hash="", rate=1000.0, concurrency=1000, share=0.3)
--- a/tests/test_coordination/test_admission_capacity.py
+++ b/tests/test_coordination/test_admission/test_admission_capacity.py
@@ -5,9 +5,9 @@
 import pytest
 
 from ryelever.coordination.actions import Arrival, ChatWork, ServiceWork, Target
-from ryelever.coordination.admission_capacity import GroupCapacity
+from ryelever.coordination.admission.capacity import GroupCapacity
 from ryelever.coordination.confirmation import Confirmations
-from ryelever.coordination.targets import Candidate, CandidateSet
+from ryelever.coordination.routing.targets import Candidate, CandidateSet
 from ryelever.state.fleet import HostReport
 
 CHAT = ChatWork(model="m", messages=[], max_tokens=1, streamed=False)
--- a/tests/test_coordination/test_admission_table.py
+++ b/tests/test_coordination/test_admission/test_admission_table.py
@@ -15,12 +15,12 @@
     Target,
     Usage,
 )
-from ryelever.coordination.admission_capacity import FixedCapacity
-from ryelever.coordination.admission_fair import FairAdmission
-from ryelever.coordination.claims import Claims
-from ryelever.coordination.requests import RequestTable
-from ryelever.coordination.retry import RetryBudget
-from ryelever.coordination.routing_plain import LeastInFlightRouter
+from ryelever.coordination.admission.capacity import FixedCapacity
+from ryelever.coordination.admission.fair import FairAdmission
+from ryelever.coordination.requests.keyed_claims import Claims
+from ryelever.coordination.requests.requests import RequestTable
+from ryelever.coordination.requests.retry import RetryBudget
+from ryelever.coordination.routing.plain import LeastInFlightRouter
 from ryelever.errors import Category
 from ryelever.state.claims import ClaimsFold
 from ryelever.state.configuration import ClientAccount
--- a/tests/test_coordination/group_fakes.py
+++ b/tests/test_coordination/test_groups/group_fakes.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from ryelever.coordination.group_keeper import GroupKeeper
-from ryelever.coordination.group_orders import GroupOrder, OrderKind, OrderOutcome
-from ryelever.coordination.group_records import GroupRecord, Member
+from ryelever.coordination.groups.keeper import GroupKeeper
+from ryelever.coordination.groups.orders import GroupOrder, OrderKind, OrderOutcome
+from ryelever.coordination.groups.records import GroupRecord, Member
 from ryelever.state.directory import (
     BackendServer,
     Directory,
--- a/tests/test_coordination/test_group_forming.py
+++ b/tests/test_coordination/test_groups/test_group_forming.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ryelever.coordination.group_forming import (
+from ryelever.coordination.groups.forming import (
     FormingRules,
     StandingGroup,
     choose_formations,
--- a/tests/test_coordination/test_group_keeper.py
+++ b/tests/test_coordination/test_groups/test_group_keeper.py
@@ -4,15 +4,15 @@
 
 import pytest
 
-from ryelever.coordination.group_keeper import (
+from ryelever.coordination.groups.keeper import (
     LAST_STREAMS,
     ORDER_RETRY,
     STALL_SLACK,
     TAKEN_APART,
     GroupPhase,
 )
-from ryelever.coordination.group_orders import OrderKind, OrderOutcome
-from ryelever.coordination.member_probes import ASK_INTERVAL
+from ryelever.coordination.groups.member_probes import ASK_INTERVAL
+from ryelever.coordination.groups.orders import OrderKind, OrderOutcome
 from ryelever.state.directory import GroupState
 
 from .group_fakes import STALL_TIME, Members, record
--- a/tests/test_coordination/test_group_times.py
+++ b/tests/test_coordination/test_groups/test_group_times.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from ryelever.coordination.group_keeper import GroupPhase
-from ryelever.coordination.group_times import MAX_GAP, GroupTimes
+from ryelever.coordination.groups.keeper import GroupPhase
+from ryelever.coordination.groups.times import MAX_GAP, GroupTimes
 
 FORMING, SERVING, ENDING = GroupPhase.FORMING, GroupPhase.SERVING, GroupPhase.ENDING
 
--- a/tests/test_coordination/test_reshaping.py
+++ b/tests/test_coordination/test_groups/test_reshaping.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ryelever.coordination.reshaping import ANNOUNCED_FOR, ReshapingTurn
+from ryelever.coordination.groups.reshaping import ANNOUNCED_FOR, ReshapingTurn
 
 
 def test_one_zone_of_several_goes_on() -> None:
--- a/tests/test_coordination/test_zone_planner.py
+++ b/tests/test_coordination/test_groups/test_zone_planner.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from ryelever.coordination.group_adoption import ADOPT_AFTER
-from ryelever.coordination.group_keeper import STALL_SLACK, GroupPhase
-from ryelever.coordination.group_orders import OrderKind
-from ryelever.coordination.group_records import GroupRecord
-from ryelever.coordination.zone_planner import (
+from ryelever.coordination.groups.adoption import ADOPT_AFTER
+from ryelever.coordination.groups.keeper import STALL_SLACK, GroupPhase
+from ryelever.coordination.groups.orders import OrderKind
+from ryelever.coordination.groups.records import GroupRecord
+from ryelever.coordination.groups.zone_planner import (
     APPEND_TIMEOUT,
     FLEET_SETTLING,
     SETTLING,
--- a/tests/test_coordination/test_limits.py
+++ b/tests/test_coordination/test_limits/test_limits.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from benchmarks.limits_exchange import ACCOUNT, Exchange
-from ryelever.coordination.limits import AccountLimits
-from ryelever.coordination.limits_demand import FALL, SETTLE
+from ryelever.coordination.limits.demand import FALL, SETTLE
+from ryelever.coordination.limits.limits import AccountLimits
 from ryelever.state.observations import DemandRow, LeavingRow
 
 #: What all parts sum to at most, over the limit, while rows arrive in time.
--- a/tests/test_coordination/test_limits_peers.py
+++ b/tests/test_coordination/test_limits/test_limits_peers.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ryelever.coordination.limits_peers import HEARTBEAT, SILENT_AFTER, PeerDemands
+from ryelever.coordination.limits.peers import HEARTBEAT, SILENT_AFTER, PeerDemands
 from ryelever.state.observations import DemandRow
 
 ACCOUNTS = ["a", "b"]
--- a/tests/test_coordination/test_fencing.py
+++ b/tests/test_coordination/test_planner/test_fencing.py
@@ -8,7 +8,7 @@
 
 from ryelever.coordination.actions import SendOrder
 
-from ..zone import Engine, Zone, new_zone
+from ...zone import Engine, Zone, new_zone
 
 JOIN = SendOrder(
     host="h",
--- a/tests/test_coordination/test_planner_capacity.py
+++ b/tests/test_coordination/test_planner/test_planner_capacity.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from ryelever.coordination.planner import PlannerLimits
-from ryelever.coordination.planner_view import ModelDemand
+from ryelever.coordination.planner.planner import PlannerLimits
+from ryelever.coordination.planner.view import ModelDemand
 from ryelever.state.configuration import ClientAccount, Configuration, Model, Weights
 
-from ..zone import Zone, new_zone
+from ...zone import Zone, new_zone
 
 PAWROUTE = Weights(group_downtime=0.8, stranded_accelerators=0.2)
 CONSORTIUM = Weights(group_downtime=0.2, stranded_accelerators=0.8)
--- a/tests/test_coordination/test_planner_change.py
+++ b/tests/test_coordination/test_planner/test_planner_change.py
@@ -9,11 +9,11 @@
 import pytest
 
 from ryelever.coordination.actions import Arrival, ChatWork
-from ryelever.coordination.planner import PlannerLimits
-from ryelever.coordination.targets import Targets
+from ryelever.coordination.planner.planner import PlannerLimits
+from ryelever.coordination.routing.targets import Targets
 from ryelever.state.configuration import Configuration, Model
 
-from ..zone import Zone, new_zone
+from ...zone import Zone, new_zone
 
 _Change = Callable[[Model], Model]
 
--- a/tests/test_coordination/test_planner_claims.py
+++ b/tests/test_coordination/test_planner/test_planner_claims.py
@@ -13,7 +13,7 @@
     Record,
 )
 
-from ..builders import formed, named, new_entry
+from ...builders import formed, named, new_entry
 
 LEASE = LeaseTaken(holder="a", term=6.0)
 DISSOLVED = GroupDissolved(group="g", lease=0)
--- a/tests/test_coordination/test_planner_machine.py
+++ b/tests/test_coordination/test_planner/test_planner_machine.py
@@ -23,7 +23,7 @@
     LeaseTaken,
 )
 
-from ..zone import Engine, PlannerProcess, Zone
+from ...zone import Engine, PlannerProcess, Zone
 
 STEP = 0.25
 MAX_AGE = 2.0
--- a/tests/test_coordination/test_planner_outage.py
+++ b/tests/test_coordination/test_planner/test_planner_outage.py
@@ -6,7 +6,7 @@
 
 from ryelever.state.placement import PlacementFold
 
-from ..zone import Zone, new_zone
+from ...zone import Zone, new_zone
 
 WHOLE = ("a-0", "a-1", "a-2", "a-3")
 
--- a/tests/test_coordination/test_planner_repair.py
+++ b/tests/test_coordination/test_planner/test_planner_repair.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from ryelever.coordination.planner_repairs import Repairs
+from ryelever.coordination.planner.repairs import Repairs
 from ryelever.state.configuration import Configuration, Model
 
-from ..zone import Zone, new_zone
+from ...zone import Zone, new_zone
 
 WHOLE = ("a-0", "a-1", "a-2", "a-3")
 WITH_SPARE = ("a-0", "a-1", "a-2", "a-4")
--- a/tests/test_coordination/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -4,13 +4,13 @@
 
 from typing import Any
 
-from ryelever.coordination.balance import Balancer
-from ryelever.coordination.relay_actions import RelayAttempt, RelayRefusal
-from ryelever.coordination.relay_requests import RelayRequests
-from ryelever.coordination.repeat_budget import RepeatBudget
-from ryelever.coordination.stillness import StillnessWatch
+from ryelever.coordination.relaying import AnswerHead, Headers, RelayArrival
+from ryelever.coordination.relaying.actions import RelayAttempt, RelayRefusal
+from ryelever.coordination.relaying.balance import Balancer
+from ryelever.coordination.relaying.repeat_budget import RepeatBudget
+from ryelever.coordination.relaying.requests import RelayRequests
+from ryelever.coordination.relaying.stillness import StillnessWatch
 from ryelever.metrics import Metrics
-from ryelever.protocol.relaying import AnswerHead, Headers, RelayArrival
 from ryelever.relay_metrics import RelayMetrics
 from ryelever.state.directory import (
     BackendServer,
--- a/tests/test_coordination/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ryelever.coordination.balance import (
+from ryelever.coordination.relaying.balance import (
     DISOWNED_FOR,
     FIRST_AVOIDANCE,
     MAX_AVOIDANCE,
@@ -14,17 +14,17 @@
     WAITING_AT_SERVER,
     Balancer,
 )
-from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE, Removals
-from ryelever.coordination.repeat_budget import RepeatBudget
-from ryelever.coordination.stillness import (
+from ryelever.coordination.relaying.repeat_budget import RepeatBudget
+from ryelever.coordination.relaying.stillness import (
     FIRST_SILENCE,
     SILENCE,
     STILL_FOR,
     StillnessWatch,
 )
+from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE, Removals
 from ryelever.state.directory import BackendServer, Directory, GroupReport, GroupState
 
-from .group_fakes import server
+from ..test_groups.group_fakes import server
 
 
 def _head(server_id: str, *, zone: str = "z", **changes: object) -> BackendServer:
--- a/tests/test_coordination/test_claims.py
+++ b/tests/test_coordination/test_requests/test_claims.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from ryelever.coordination.claims import Claims
+from ryelever.coordination.requests.keyed_claims import Claims
 from ryelever.protocol.log import claims_stream, claims_streams
 from ryelever.state.claims import CLAIM_WINDOW, ClaimsFold
 from ryelever.state.records import Claim, Entry, Outcome
 
-from ..memory_log import EPOCH
+from ...memory_log import EPOCH
 
 STREAMS = claims_streams(4)
 MAX_LAG = 4.0
--- a/tests/test_coordination/test_idempotency.py
+++ b/tests/test_coordination/test_requests/test_idempotency.py
@@ -8,7 +8,7 @@
 
 from ryelever.accounts import hash_key
 from ryelever.arrivals import ArrivalReader
-from ryelever.coordination.idempotency import (
+from ryelever.coordination.requests.idempotency import (
     MAX_CLOCK_ERROR,
     OWNER_TIMEOUT,
     check_key,
@@ -22,7 +22,7 @@
 from ryelever.state.configuration_fold import ConfigurationFold
 from ryelever.state.records import Outcome
 
-from ..memory_log import EPOCH
+from ...memory_log import EPOCH
 
 MILLISECONDS = int(EPOCH * 1000)
 UUID7 = f"{MILLISECONDS:012x}"
--- a/tests/test_coordination/test_affinity.py
+++ b/tests/test_coordination/test_routing/test_affinity.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from benchmarks.routing_fleet import FakeFleet, chat
-from ryelever.coordination.affinity import bounded_choice, prefix_key, ranked
+from ryelever.coordination.routing.affinity import bounded_choice, prefix_key, ranked
 
 SLACK = 1.25
 
@@ -88,7 +88,8 @@
     each sends the same prefix elsewhere.  Cause: the order hung on a salted hash.
     """
     code = (
-        "from tests.test_coordination.test_affinity import _candidates, ranked;"
+        "from tests.test_coordination.test_routing.test_affinity import "
+        "_candidates, ranked;"
         "print([c.name for c in ranked(12345, _candidates(20), n=4)])"
     )
     outputs = {
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_routing/test_quarantine.py
@@ -15,14 +15,14 @@
     StreamFinished,
     Usage,
 )
-from ryelever.coordination.admission import Queued
-from ryelever.coordination.quarantine import Quarantine, is_crash
-from ryelever.coordination.requests import RequestTable
+from ryelever.coordination.admission.admission import Queued
+from ryelever.coordination.requests.requests import RequestTable
+from ryelever.coordination.routing.quarantine import Quarantine, is_crash
 from ryelever.errors import Category, RunState, RyeleverError
 from ryelever.state.configuration import ClientAccount
 from ryelever.state.observations import SuspicionRow
 
-from .request_fakes import FakeLog, OpenAdmission
+from ..test_requests.request_fakes import FakeLog, OpenAdmission
 
 # Steps: ("crash", target, what ran, time), ("done", what, time),
 # ("proved", what, time), ("peer", what, its count, time).
--- a/tests/test_coordination/test_stragglers.py
+++ b/tests/test_coordination/test_routing/test_stragglers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ryelever.coordination.stragglers import Stragglers
+from ryelever.coordination.routing.stragglers import Stragglers
 
 NAMES = tuple(f"g-{number}" for number in range(10))
 
--- a/tests/test_coordination/soft_state_network.py
+++ b/tests/test_coordination/test_soft_state/soft_state_network.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ryelever.coordination.soft_state_exchange import (
+from ryelever.coordination.soft_state.exchange import (
     MAX_FLAT,
     Delivery,
     SoftStateExchange,
 )
-from ryelever.coordination.soft_state_messages import Message, SoftRow
+from ryelever.coordination.soft_state.messages import Message, SoftRow
 from ryelever.state.configuration import Configuration
 from ryelever.state.observations import ConfigurationRow
 
--- a/tests/test_coordination/test_soft_state.py
+++ b/tests/test_coordination/test_soft_state/test_soft_state.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from ryelever.coordination.soft_state_links import Peer
-from ryelever.coordination.soft_state_messages import (
+from ryelever.coordination.soft_state.links import Peer
+from ryelever.coordination.soft_state.messages import (
     Member,
     Message,
     TableUpdate,
     Update,
 )
-from ryelever.coordination.soft_state_tables import Tables
+from ryelever.coordination.soft_state.tables import Tables
 from ryelever.protocol.soft_state import encode_message
 from ryelever.state.fleet import HostReport
 from ryelever.state.observations import (
--- a/tests/test_coordination/test_soft_state_configuration.py
+++ b/tests/test_coordination/test_soft_state/test_soft_state_configuration.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from ryelever.coordination.soft_state_configuration import (
+from ryelever.coordination.soft_state.configuration import (
     GRACE,
     MAX_PIECES,
     ConfigurationSpread,
 )
-from ryelever.coordination.soft_state_messages import Piece, Want
+from ryelever.coordination.soft_state.messages import Piece, Want
 from ryelever.state.configuration import ClientAccount, Configuration
 from ryelever.state.observations import ConfigurationRow
 
--- a/tests/test_coordination/test_soft_state_limits.py
+++ b/tests/test_coordination/test_soft_state/test_soft_state_limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ryelever.coordination.limits import AccountLimits
+from ryelever.coordination.limits.limits import AccountLimits
 
 from .soft_state_network import Network, Node
 
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from ryelever.coordination.relay_actions import RelayAttempt
+from ryelever.coordination.relaying import Headers
+from ryelever.coordination.relaying.actions import RelayAttempt
 from ryelever.platform.messages import PlatformMessages
-from ryelever.protocol.relaying import Headers
 
 MESSAGES = PlatformMessages()
 
--- a/tests/test_platform/test_orders.py
+++ b/tests/test_platform/test_orders.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ryelever.coordination.group_orders import GroupOrder, OrderKind, OrderOutcome
+from ryelever.coordination.groups.orders import GroupOrder, OrderKind, OrderOutcome
 from ryelever.platform.orders import PlatformOrders
 
 ORDERS = PlatformOrders()
--- a/tests/test_protocol/test_soft_state.py
+++ b/tests/test_protocol/test_soft_state.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ryelever.coordination.soft_state_messages import (
+from ryelever.coordination.soft_state.messages import (
     AliveRow,
     GoneRow,
     Have,
--- a/tests/zone.py
+++ b/tests/zone.py
@@ -14,8 +14,8 @@
 from ryelever.coordination.actions import Action, AppendRecord, SendOrder
 from ryelever.coordination.confirmation import Confirmations
 from ryelever.coordination.log_writer import LogWriter
-from ryelever.coordination.planner import Planner, PlannerLimits, PlannerView
-from ryelever.coordination.planner_view import ModelDemand
+from ryelever.coordination.planner.planner import Planner, PlannerLimits, PlannerView
+from ryelever.coordination.planner.view import ModelDemand
 from ryelever.state.configuration import Configuration, Model, Weights
 from ryelever.state.fleet import HostReport, ListedHost
 from ryelever.state.placement import PlacementFold
