--- /dev/null
+++ b/ryelever/coordination/relaying/reports.py
@@ -0,0 +1,125 @@
+"""Tell what becomes of relayed requests: one log line a decision, and measures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .actions import RelayMeasures, RelayRefusal
+    from .request import RelayRequest
+
+__all__ = ["RequestReports"]
+
+
+class RequestReports:
+    """Write the lines about requests and take their times.
+
+    Parameters
+    ----------
+    log : callable
+        Take one line about a decision: its name and its fields.
+    """
+
+    __slots__ = ("_log", "_measures")
+
+    def __init__(self, *, measures: RelayMeasures, log: Callable[..., None]) -> None:
+        self._measures = measures
+        self._log = log
+
+    def sent(self, request: RelayRequest, *, now: float) -> None:
+        """Measure a sending, which the request counts already."""
+        self._measures.sent(
+            is_repeat=request.n_sent > 1, waited=now - request.arrival.arrived_at
+        )
+
+    def event(self, request: RelayRequest, *, now: float) -> None:
+        """Measure an event that is passed on."""
+        if request.last_event_at:
+            self._measures.gap(now - request.last_event_at)
+        else:
+            self._measures.first_event(now - request.arrival.arrived_at)
+        request.last_event_at = now
+
+    def group_still(self, server_id: str) -> None:
+        """Tell that nothing moves in a group any more."""
+        self._log("group_still", server=server_id)
+
+    def caller_left(self, request: RelayRequest) -> None:
+        """Tell that a caller has closed its connection."""
+        self._log(
+            "caller_left",
+            request=request.arrival.request_id,
+            phase=request.phase.value,
+            server=request.attempt.server_id if request.attempt else "",
+        )
+
+    def attempt_failed(
+        self, request: RelayRequest, server_id: str, reason: str, *, may_have_run: bool
+    ) -> None:
+        """Tell of a sending that came to nothing."""
+        self._log(
+            "attempt_failed",
+            request=request.arrival.request_id,
+            server=server_id,
+            reason=reason,
+            may_have_run=may_have_run,
+            n_sent=request.n_sent,
+            last_event=request.last_event_id,
+        )
+
+    def refused(self, refusal: RelayRefusal, *, version: int) -> None:
+        """Tell of a request that was not taken.
+
+        Parameters
+        ----------
+        version : int
+            Version of the configuration that decided; -1 for none.
+        """
+        self._log(
+            "refused",
+            request=refusal.request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            version=version,
+        )
+
+    def answered(
+        self,
+        request: RelayRequest,
+        *,
+        status: int,
+        now: float,
+        reason: str = "",
+        server: str = "",
+        **places: object,
+    ) -> None:
+        """Tell of a request's end.
+
+        Parameters
+        ----------
+        status : int
+            What the caller got; 0 for a stream that was cut off.
+        **places : object
+            What was known of places, where there was none.
+        """
+        passed = now - request.arrival.arrived_at
+        self._measures.ended(
+            route=request.route.name,
+            account=request.account,
+            status=status,
+            seconds=passed,
+        )
+        self._log(
+            "answered",
+            request=request.arrival.request_id,
+            route=request.route.name,
+            status=status,
+            reason=reason,
+            server=server,
+            n_sent=request.n_sent,
+            version=request.version,
+            **places,
+            ms=round(passed * 1000),
+        )
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -6,14 +6,16 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from expression import Error, Ok, Result
+
 from ...state.routes import RouteKind
 
 if TYPE_CHECKING:
-    from ...state.routes import Route, RouteAccount
+    from ...state.routes import Route, RouteAccount, RouteTable
     from .actions import RelayAttempt
     from .messages import AnswerHead, RelayArrival
 
-__all__ = ["RelayRequest", "RequestPhase", "follows", "request_of"]
+__all__ = ["RelayRequest", "RequestPhase", "follows", "routed_request"]
 
 #: Seconds before a caller leaves, at which it gets its final answer: the way there
 #: takes a few milliseconds, and a tick may come a tenth of a second late.
@@ -85,7 +87,43 @@
         return self.route.kind is RouteKind.STREAM
 
 
-def request_of(
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Rejection:
+    """Say why a request is not taken, and with which status."""
+
+    status: int
+    reason: str
+
+
+def routed_request(
+    number: int, arrival: RelayArrival, table: RouteTable
+) -> Result[RelayRequest, Rejection]:
+    """Find a request's route and client account.
+
+    Parameters
+    ----------
+    number : int
+        The request's number in this process.
+    """
+    route = table.match(host=arrival.host, path=arrival.path)
+    if route is None:
+        return Error(Rejection(status=404, reason="no_route"))
+    account: RouteAccount | None = None
+    if table.asks_for_keys and not route.public:
+        account = table.account_by_key.get(arrival.key or "")
+        if account is None:
+            return Error(Rejection(status=401, reason="unknown_key"))
+    request = _request_of(
+        number,
+        version=table.version,
+        arrival=arrival,
+        route=route,
+        account=account,
+    )
+    return Ok(request)
+
+
+def _request_of(
     number: int,
     *,
     version: int,
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -11,12 +11,14 @@
 from typing import TYPE_CHECKING
 
 from .actions import RelayAttempt, RelayRefusal
-from .request import RequestPhase, follows, request_of
+from .reports import RequestReports
+from .request import RequestPhase, follows, routed_request
+from .waiting import WaitingRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ...state.routes import RouteAccount, RouteTable
+    from ...state.routes import RouteTable
     from .actions import RelayMeasures, RelayOutbox
     from .balance import Balancer
     from .messages import AnswerHead, RelayArrival
@@ -26,10 +28,6 @@
 
 __all__ = ["RelayRequests"]
 
-#: Seconds for which a request waits for a place at a backend server.  A place frees
-#: every tenth of a second at a full group, and callers that hear early come back.
-LONGEST_WAIT = 1.0
-
 #: Seconds after its start for which a host lets requests wait for its first
 #: configuration.  The store gives it within 0.15 s, or peers do within a second.
 FIRST_CONFIGURATION = 1.0
@@ -90,12 +88,11 @@
         self._stillness = stillness
         self._outbox = outbox
         self._served = served
-        self._measures = measures
-        self._log = log
+        self._reports = RequestReports(measures=measures, log=log)
         self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
         self._requests_by_attempt: dict[str, RelayRequest] = {}
-        self._waiting: dict[int, RelayRequest] = {}
+        self._waiting = WaitingRequests()
         self.refuses_new = False
 
     # Callers
@@ -135,27 +132,16 @@
         self, number: int, arrival: RelayArrival, table: RouteTable, *, now: float
     ) -> None:
         """Take a request to its route, and send it if there is a place for it."""
-        route = table.match(host=arrival.host, path=arrival.path)
-        if route is None:
-            self._refuse_unread(number, arrival, 404, "no_route")
+        routed = routed_request(number, arrival, table)
+        if routed.is_error():
+            rejection = routed.error
+            self._refuse_unread(number, arrival, rejection.status, rejection.reason)
             return
-        account: RouteAccount | None = None
-        if table.asks_for_keys and not route.public:
-            account = table.account_by_key.get(arrival.key or "")
-            if account is None:
-                self._refuse_unread(number, arrival, 401, "unknown_key")
-                return
-        request = request_of(
-            number,
-            version=table.version,
-            arrival=arrival,
-            route=route,
-            account=account,
-        )
+        request = routed.ok
         self.requests_by_number[number] = request
         self._budget.requested(request.service, now=now)
         if not self._dispatch(request, now=now):
-            self._wait(request, now=now)
+            self._waiting.add(request, now=now)
 
     def caller_gone(self, number: int) -> None:
         """Drop a request whose caller has closed its connection."""
@@ -163,12 +149,7 @@
         request = self.requests_by_number.get(number)
         if request is None:
             return
-        self._log(
-            "caller_left",
-            request=request.arrival.request_id,
-            phase=request.phase.value,
-            server=request.attempt.server_id if request.attempt else "",
-        )
+        self._reports.caller_left(request)
         self._drop_attempt(request)
         self._end(request)
 
@@ -250,7 +231,7 @@
         self._forget_attempt(request)
         self._outbox.finish(request.number)
         self._served(request.arrival.model, request.n_events)
-        self._log_answer(request, status=200, server=server_id, now=now)
+        self._reports.answered(request, status=200, server=server_id, now=now)
         self._end(request)
 
     def attempt_failed(
@@ -273,7 +254,7 @@
         self._balancer.failed(server_id, now=now)
         request.n_sent -= 1
         self._forget_attempt(request)
-        self._log_attempt(request, server_id, reason, may_have_run=False)
+        self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
         self._again(request, reason, now=now)
 
     # Time and news
@@ -282,7 +263,7 @@
         """Give up what is due, move what stands still, dispatch what waits."""
         self._route_unrouted(now=now)
         for request in list(self.requests_by_number.values()):
-            waited = request.number in self._waiting and now >= request.waits_until
+            waited = self._waiting.has_waited_enough(request, now=now)
             if waited or now >= request.gives_up_at:
                 self._give_up(request, now=now)
         for server_id in self._stillness.newly_still(now=now):
@@ -295,15 +276,12 @@
         if not self._waiting:
             return
         full: set[tuple[str, str]] = set()
-        for request in sorted(
-            self._waiting.values(),
-            key=lambda item: (now > item.on_time_until, item.priority, item.number),
-        ):
+        for request in self._waiting.in_order(now=now):
             work = (request.service, request.arrival.model)
             if work in full and not request.tried:
                 continue
             if self._dispatch(request, now=now):
-                self._waiting.pop(request.number, None)
+                self._waiting.discard(request)
             else:
                 full.add(work)
 
@@ -332,9 +310,7 @@
         request.n_events = 0
         request.n_sent += 1
         request.tried.add(server.id)
-        self._measures.sent(
-            is_repeat=request.n_sent > 1, waited=now - request.arrival.arrived_at
-        )
+        self._reports.sent(request, now=now)
         if request.phase is RequestPhase.WAITING:
             request.phase = RequestPhase.SENT
         self._requests_by_attempt[attempt.id] = request
@@ -353,7 +329,7 @@
         else:
             self._balancer.failed(server_id, now=now)
         self._drop_attempt(request)
-        self._log_attempt(request, server_id, reason, may_have_run=False)
+        self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
         self._again(request, reason, now=now)
 
     def _attempt_failed(
@@ -364,7 +340,7 @@
         request.may_have_run = True
         self._balancer.failed(server_id, now=now)
         self._drop_attempt(request)
-        self._log_attempt(request, server_id, reason, may_have_run=True)
+        self._reports.attempt_failed(request, server_id, reason, may_have_run=True)
         self._again(request, reason, now=now)
 
     def _again(self, request: RelayRequest, reason: str, *, now: float) -> None:
@@ -375,11 +351,7 @@
         if not self._dispatch(request, now=now):
             if request.phase is RequestPhase.SENT:
                 request.phase = RequestPhase.WAITING
-            self._wait(request, now=now)
-
-    def _wait(self, request: RelayRequest, *, now: float) -> None:
-        request.waits_until = now + LONGEST_WAIT
-        self._waiting[request.number] = request
+            self._waiting.add(request, now=now)
 
     def _may_repeat(self, request: RelayRequest, *, now: float) -> bool:
         if request.may_have_run and not request.route.repeatable:
@@ -392,7 +364,7 @@
 
     def _leave_still(self, server_id: str, *, now: float) -> None:
         """Move what runs at a group that stands still to other groups."""
-        self._log("group_still", server=server_id)
+        self._reports.group_still(server_id)
         self._balancer.stands_still(server_id, now=now)
         for request in list(self._requests_by_attempt.values()):
             if request.is_stream and request.attempt.server_id == server_id:
@@ -410,7 +382,7 @@
         server_id = request.attempt.server_id
         self._drop_attempt(request)
         request.may_have_run = True
-        self._log_attempt(request, server_id, reason, may_have_run=True)
+        self._reports.attempt_failed(request, server_id, reason, may_have_run=True)
         return self._dispatch(request, now=now)
 
     # Answers
@@ -425,7 +397,7 @@
                 status=request.head.status,
                 headers=request.head.headers,
             )
-        self._measure_event(request, now=now)
+        self._reports.event(request, now=now)
         request.n_events += len(events)
         fresh = []
         for event_id, event in events:
@@ -437,13 +409,6 @@
         if fresh:
             self._outbox.data(request.number, b"".join(fresh))
 
-    def _measure_event(self, request: RelayRequest, *, now: float) -> None:
-        if request.last_event_at:
-            self._measures.gap(now - request.last_event_at)
-        else:
-            self._measures.first_event(now - request.arrival.arrived_at)
-        request.last_event_at = now
-
     def _whole_answer(self, request: RelayRequest, *, now: float) -> None:
         head = request.head
         server_id = request.attempt.server_id
@@ -471,7 +436,7 @@
             headers=head.headers,
             body=bytes(request.body),
         )
-        self._log_answer(request, status=head.status, server=server_id, now=now)
+        self._reports.answered(request, status=head.status, server=server_id, now=now)
         self._end(request)
 
     def _give_up(self, request: RelayRequest, *, now: float) -> None:
@@ -486,7 +451,7 @@
     def _end_unserved(self, request: RelayRequest, reason: str, *, now: float) -> None:
         if request.phase is RequestPhase.STREAMING:
             self._outbox.abort(request.number)
-            self._log_answer(request, status=0, now=now, reason=reason)
+            self._reports.answered(request, status=0, now=now, reason=reason)
             self._end(request)
             return
         retry_after = None
@@ -503,7 +468,13 @@
             retry_after=retry_after,
         )
         self._outbox.refuse(request.number, refusal)
-        self._log_answer(request, status=status, now=now, reason=reason)
+        self._reports.answered(
+            request,
+            status=status,
+            now=now,
+            reason=reason,
+            **self._places(request, reason),
+        )
         self._end(request)
 
     def _refuse_unread(
@@ -518,13 +489,8 @@
         )
         self._outbox.refuse(number, refusal)
         table = self._table()
-        self._log(
-            "refused",
-            request=arrival.request_id,
-            status=status,
-            reason=reason,
-            version=-1 if table is None else table.version,
-        )
+        version = -1 if table is None else table.version
+        self._reports.refused(refusal, version=version)
 
     # Bookkeeping
 
@@ -544,54 +510,15 @@
     def _end(self, request: RelayRequest) -> None:
         request.phase = RequestPhase.ENDED
         self.requests_by_number.pop(request.number, None)
-        self._waiting.pop(request.number, None)
-
-    def _log_attempt(
-        self, request: RelayRequest, server_id: str, reason: str, *, may_have_run: bool
-    ) -> None:
-        self._log(
-            "attempt_failed",
-            request=request.arrival.request_id,
-            server=server_id,
-            reason=reason,
-            may_have_run=may_have_run,
-            n_sent=request.n_sent,
-            last_event=request.last_event_id,
-        )
-
-    def _log_answer(
-        self,
-        request: RelayRequest,
-        *,
-        status: int,
-        now: float,
-        reason: str = "",
-        server: str = "",
-    ) -> None:
-        self._measures.ended(
-            route=request.route.name,
-            account=request.account,
-            status=status,
-            seconds=now - request.arrival.arrived_at,
-        )
-        places = {}
-        if reason == "no_place":
-            # What was known of places: servers that may take it, and who waits.
-            work = (request.service, request.arrival.model)
-            places = {
-                "model": request.arrival.model,
-                "n_servers": len(self._balancer.candidates(*work)),
-                "n_waiting": len(self._waiting),
-            }
-        self._log(
-            "answered",
-            request=request.arrival.request_id,
-            route=request.route.name,
-            status=status,
-            reason=reason,
-            server=server,
-            n_sent=request.n_sent,
-            version=request.version,
-            **places,
-            ms=round((now - request.arrival.arrived_at) * 1000),
-        )
+        self._waiting.discard(request)
+
+    def _places(self, request: RelayRequest, reason: str) -> dict[str, object]:
+        """Return what was known of places, for the line of who found none."""
+        if reason != "no_place":
+            return {}
+        model = request.arrival.model
+        return {
+            "model": model,
+            "n_servers": len(self._balancer.candidates(request.service, model)),
+            "n_waiting": len(self._waiting),
+        }
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from ryelever.coordination.relaying.requests import FIRST_CONFIGURATION, LONGEST_WAIT
+from ryelever.coordination.relaying.requests import FIRST_CONFIGURATION
 from ryelever.coordination.relaying.stillness import SILENCE
+from ryelever.coordination.relaying.waiting import LONGEST_WAIT
 from ryelever.state.routes import RouteKind
 
 from .relay_fakes import Relaying, head, table
