Choose servers of zones that are not heard last

Ruled out: the pause after a failure, which is a server's own and short for a reason. Change: servers of a zone none of whose hosts has been heard for 1.5 s come after all others that have a place. The test fails without the change.

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -11,6 +11,11 @@
 #: 0.2 s, and four in a row are not lost by chance.
 HOST_SILENCE = 0.9
 
+#: Seconds without a word from any host of another zone after which it counts as cut
+#: off: their words come every 0.6 s, and two in a row from all of them are not lost by
+#: chance.
+ZONE_SILENCE = 1.5
+
 #: Seconds without a host of its own after which others plan for a zone: hosts that
 #: are restarted are back sooner.
 ORPHANED = 5.0
@@ -87,6 +92,7 @@
         self.addresses_by_host: dict[str, HostAddress] = {}
         self._heard_by_host: dict[str, _Heard] = {}
         self._zone_heard_at: dict[str, float] = {}
+        self._zone_asked_at: dict[str, float] = {}
         # Words come hundreds of times a second in a large fleet, and summing over all
         # hosts at each would cost more than all else; so the sum is kept.
         self._in_flight: Counter[str] = Counter()
@@ -164,6 +170,14 @@
         """Return the heads whose streams go on at other hosts, of those in doubt."""
         return {head for word in self.living(now=now) for head in word.moving}
 
+    def unheard_zones(self, *, now: float) -> set[str]:
+        """Return the other zones whose hosts were heard once and are no more."""
+        return {
+            zone
+            for zone, heard_at in self._zone_heard_at.items()
+            if zone != self._zone and now - heard_at > ZONE_SILENCE
+        }
+
     def reshaping(self, *, now: float) -> set[str]:
         """Return the zones in which other planners take groups apart."""
         return {zone for word in self.living(now=now) for zone in word.reshapes}
@@ -194,7 +208,9 @@
             if word.reads_store and not word.stopping
         ]
         if zone != self._zone:
-            if now - self._zone_heard_at.setdefault(zone, now) < ORPHANED:
+            first_asked_at = self._zone_asked_at.setdefault(zone, now)
+            heard_at = self._zone_heard_at.get(zone, first_asked_at)
+            if now - heard_at < ORPHANED:
                 return False
         else:
             able = [word for word in able if word.availability_zone == zone]
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -22,6 +22,10 @@
 #: paid for.
 OTHER_ZONE = 1.5
 
+#: The same, in places of a server, for one of a zone none of whose hosts is heard: it
+#: comes after all others that have a place.
+UNHEARD_ZONE = 2.0
+
 #: Seconds for which a backend server that failed to answer is left alone, the
 #: first time and at most; doubled at each failure without a success between.
 FIRST_AVOIDANCE = 0.5
@@ -69,6 +73,12 @@
     ----------
     zone : str
         This host's availability zone.
+
+    Attributes
+    ----------
+    unheard_zones : set of str
+        Zones none of whose hosts is heard, as when a zone is cut off.  Each of their
+        servers would cost a request one of its attempts before it was avoided.
     """
 
     def __init__(self, *, directory: Directory, zone: str) -> None:
@@ -76,6 +86,7 @@
         self._zone = zone
         self.records_by_id: dict[str, ServerRecord] = {}
         self.peers_in_flight_by_id: Counter[str] = Counter()
+        self.unheard_zones: set[str] = set()
         self._seen_changes = -1
         self._candidates_by_work: dict[tuple[str, str], list[BackendServer]] = {}
 
@@ -170,6 +181,8 @@
         if in_flight >= server.slots + WAITING_AT_SERVER:
             return float("inf")
         far = OTHER_ZONE if server.availability_zone != self._zone else 0.0
+        if server.availability_zone in self.unheard_zones:
+            far = UNHEARD_ZONE * (server.slots + WAITING_AT_SERVER)
         return (in_flight + far) / server.slots
 
     def _forget_lost(self) -> None:
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -95,6 +95,7 @@
         far = self._sequence % FAR_WORDS == 0
         self._send(data, lambda address: far or self._is_near(address))
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
+        self._balancer.unheard_zones = self._words.unheard_zones(now=now)
         self._log_hearing(now=now)
 
     @handler("peers_received")
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -7,6 +7,7 @@
 from ryelever.coordination.host_words import (
     HOST_SILENCE,
     ORPHANED,
+    ZONE_SILENCE,
     HostWord,
     HostWords,
 )
@@ -213,3 +214,12 @@
     assert words.addresses_by_host["a"].address == "10.0.0.7:7000"
     words.take(_word("a", boot=2), address="10.0.0.8:7000", now=0.1)
     assert words.addresses_by_host["a"].address == "10.0.0.8:7000"
+
+
+def test_a_zone_none_of_whose_hosts_is_heard(words: HostWords) -> None:
+    _take(words, _word("a", availability_zone="y"), now=0.0)
+    _take(words, _word("c", availability_zone="y"), now=1.0)
+    assert words.unheard_zones(now=1.0 + ZONE_SILENCE) == set()
+    assert words.unheard_zones(now=1.1 + ZONE_SILENCE) == {"y"}
+    _take(words, _word("a", sequence=2, availability_zone="y"), now=4.0)
+    assert words.unheard_zones(now=4.0) == set()
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -264,3 +264,27 @@
     balancer.disowned("a", now=20.0)
     directory.put(_head("a", address="10.0.0.9:81"), now=0.0)
     assert _choose(balancer, now=20.1) == "a"
+
+
+def test_a_zone_that_is_not_heard_comes_last(
+    directory: Directory, balancer: Balancer
+) -> None:
+    """Show that a cut between zones doesn't cost each request one of its attempts.
+
+    Symptom: while a zone is cut off, a third of the requests elsewhere fail once, and
+    some use up their attempts.
+    Sequence: the zone's servers look idle, as nobody outside reaches them; each is
+    tried again every few seconds, and they are many.
+    Cause: each server was avoided by itself, though their zone was not heard.
+    """
+    directory.put(_head("near"), now=0.0)
+    directory.put(_head("far", zone="y"), now=0.0)
+    for _ in range(10):
+        balancer.sent("near")
+    assert _choose(balancer) == "far"
+    balancer.unheard_zones = {"y"}
+    assert _choose(balancer) == "near"
+    while _choose(balancer) == "near":
+        balancer.sent("near")
+    # Its hosts may be away and its servers there: better than refusing.
+    assert _choose(balancer) == "far"
