--- a/ryelever/coordination/groups/keeper.py
+++ b/ryelever/coordination/groups/keeper.py
@@ -9,31 +9,24 @@
 
 from __future__ import annotations
 
-import enum
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ...state.directory import GroupState
-from .member_probes import MemberProbes
+from .kept_group import ORDER_RETRY, GroupPhase, KeptGroup
+from .kept_groups import TAKEN_APART, KeptGroups
 from .orders import GroupOrder, OrderKind, OrderOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ...state.directory import BackendServer, Directory
-    from .records import GroupRecord
+    from ...state.directory import Directory
 
-__all__ = ["STALL_SLACK", "TAKEN_APART", "GroupKeeper", "GroupPhase"]
+__all__ = ["STALL_SLACK", "GroupKeeper"]
 
 #: Reasons to end a group which leave what runs in it time to end.
-TAKEN_APART = "taken_apart"
 MEMBER_LEAVING = "member_leaving"
 GENTLE_REASONS = frozenset({TAKEN_APART, MEMBER_LEAVING})
 
-#: Seconds after which an order whose effect doesn't show is given again.  The list
-#: of backend servers shows an effect within half a second.
-ORDER_RETRY = 1.0
-
 #: Seconds after which an open order that came too early is given again.
 OPEN_RETRY = 0.3
 
@@ -52,51 +45,7 @@
 LOST_FOR = 5.0
 
 
-class GroupPhase(enum.Enum):
-    """Name what is being done with a group.
-
-    ``RETIRED``: its head can't serve any more, and its members are free.
-    """
-
-    FORMING = "forming"
-    SERVING = "serving"
-    ENDING = "ending"
-    RETIRED = "retired"
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Kept:
-    """Hold the state of one group.
-
-    Attributes
-    ----------
-    recorded : bool
-        False where the store holds no record of the group.
-    joined : set of str
-        Members that were seen ready under the group's name and epoch.
-    missing_since : dict of str to float
-        Monotonic times since when members are missing from the list.
-    suspected : bool
-        True while some entry host sees all the group's streams stand still.
-    silent_members : set of str
-        Members that gave no answer to the order to join.
-    """
-
-    record: GroupRecord
-    since: float
-    phase: GroupPhase = GroupPhase.FORMING
-    reason: str = ""
-    recorded: bool = True
-    joined: set[str] = field(default_factory=set)
-    ending_since: float = 0.0
-    missing_since: dict[str, float] = field(default_factory=dict)
-    suspected: bool = False
-    probes: MemberProbes = field(default_factory=MemberProbes)
-    silent_members: set[str] = field(default_factory=set)
-    ordered_at: dict[tuple[str, OrderKind], float] = field(default_factory=dict)
-
-
-class GroupKeeper:
+class GroupKeeper(KeptGroups):
     """Keep the groups of one availability zone.
 
     Parameters
@@ -123,120 +72,16 @@
         list_is_silent: Callable[[], bool],
         log: Callable[..., None],
     ) -> None:
-        self._directory = directory
+        super().__init__(directory=directory)
         self._stall_time = stall_time
         self._patience = patience
         self._list_is_silent = list_is_silent
         self.join_limit = join_limit
         self._log = log
-        self._kept_by_name: dict[str, _Kept] = {}
         self._lost_by_id: dict[str, float] = {}
-        self._ended_epochs: set[int] = set()
 
     # What is there
 
-    def put(self, record: GroupRecord, *, now: float, recorded: bool = True) -> None:
-        """Take a group that the store holds, or that members report to be in.
-
-        Parameters
-        ----------
-        recorded : bool
-            False where the store holds no record of it.
-        """
-        kept = self._kept_by_name.get(record.name)
-        if kept is None or kept.record.epoch != record.epoch:
-            kept = _Kept(record=record, since=now)
-            self._kept_by_name[record.name] = kept
-        kept.recorded = recorded
-
-    def drop(self, name: str) -> None:
-        """Take word that the store has dropped a group's record.
-
-        A drop may be carried out seconds after it was asked for, and the group may
-        serve again by then: it is forgotten only once it has ended, and else its
-        record is to be written anew.
-        """
-        kept = self._kept_by_name.get(name)
-        if kept is None:
-            return
-        if kept.phase is GroupPhase.RETIRED:
-            del self._kept_by_name[name]
-        else:
-            kept.recorded = False
-
-    def forget(self, name: str) -> None:
-        """Forget a group that has ended."""
-        self._kept_by_name.pop(name, None)
-
-    def knows(self, name: str, epoch: int) -> bool:
-        """Tell whether a group is kept, or was and has ended."""
-        kept = self._kept_by_name.get(name)
-        if kept is not None and kept.record.epoch == epoch:
-            return True
-        return epoch in self._ended_epochs
-
-    def unrecorded(self) -> list[GroupRecord]:
-        """Return the groups that serve or form without a record in the store."""
-        return [
-            kept.record
-            for kept in self._kept_by_name.values()
-            if not kept.recorded and kept.phase is not GroupPhase.RETIRED
-        ]
-
-    def names(self) -> set[str]:
-        """Return the names of all groups that have a record."""
-        return set(self._kept_by_name)
-
-    def retired(self) -> list[str]:
-        """Return the groups whose records can be dropped.
-
-        As long as members still report a group that has ended, its record tells the
-        next planner what to make of them.
-        """
-        return [
-            name
-            for name, kept in self._kept_by_name.items()
-            if kept.phase is GroupPhase.RETIRED and not self._has_any(kept)
-        ]
-
-    def records(self, *phases: GroupPhase) -> list[GroupRecord]:
-        """Return the records of the groups in some phases."""
-        return [
-            kept.record for kept in self._kept_by_name.values() if kept.phase in phases
-        ]
-
-    def taken_apart(self) -> list[GroupRecord]:
-        """Return the groups that are being ended for the sake of another."""
-        return [
-            kept.record
-            for kept in self._kept_by_name.values()
-            if kept.phase is GroupPhase.ENDING and kept.reason == TAKEN_APART
-        ]
-
-    def phases(self) -> dict[str, GroupPhase]:
-        """Return what is being done with each group, by its name."""
-        return {name: kept.phase for name, kept in self._kept_by_name.items()}
-
-    def phase_of(self, name: str) -> GroupPhase | None:
-        """Return what is being done with a group."""
-        kept = self._kept_by_name.get(name)
-        return None if kept is None else kept.phase
-
-    def taken(self, *, besides: str = "") -> set[str]:
-        """Return the ids of the members that are free for nothing else.
-
-        Parameters
-        ----------
-        besides : str
-            Name of a group whose own members don't count.
-        """
-        return {
-            member_id
-            for name, kept in self._kept_by_name.items()
-            if kept.phase is not GroupPhase.RETIRED and name != besides
-            for member_id in kept.record.member_ids
-        }
-
     def seems_lost(self, server_id: str, *, now: float) -> bool:
         """Tell whether a server answered no probe a short while ago."""
         lost_at = self._lost_by_id.get(server_id)
@@ -248,7 +93,7 @@
         """Return the orders that are due."""
         self._settle_conflicts(now=now)
         orders: list[GroupOrder] = []
-        for kept in self._kept_by_name.values():
+        for kept in self.kept_by_name.values():
             if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
                 self._judge(kept, now=now)
             if kept.phase is GroupPhase.SERVING:
@@ -263,14 +108,14 @@
                 asked = tuple(kept.silent_members)
                 if self._list_is_silent():
                     asked = kept.record.member_ids
-                orders += self._probes(kept, asked, urgent=True, now=now)
+                orders += kept.due_probes(asked, urgent=True, now=now)
             elif kept.phase is GroupPhase.ENDING:
                 orders += self._ending(kept, now=now)
         return orders
 
     def suspect(self, heads: set[str]) -> None:
         """Take the heads whose groups stand still, as any host sees them."""
-        for kept in self._kept_by_name.values():
+        for kept in self.kept_by_name.values():
             kept.suspected = kept.record.head.server_id in heads
 
     def answered(self, order: GroupOrder, outcome: OrderOutcome, *, now: float) -> None:
@@ -278,7 +123,7 @@
         if outcome not in (OrderOutcome.UNKNOWN, OrderOutcome.GONE):
             self._directory.heard_at_by_id[order.server_id] = now
             self._lost_by_id.pop(order.server_id, None)
-        kept = self._kept_by_name.get(order.group)
+        kept = self.kept_by_name.get(order.group)
         if kept is None or kept.record.epoch != order.epoch:
             return
         if order.kind is OrderKind.PROBE:
@@ -307,13 +152,13 @@
 
     def end(self, name: str, reason: str, *, now: float) -> None:
         """End a group for a reason that lies outside it."""
-        kept = self._kept_by_name.get(name)
+        kept = self.kept_by_name.get(name)
         if kept is not None:
             self._end(kept, reason, now=now)
 
     # One group
 
-    def _judge(self, kept: _Kept, *, now: float) -> None:
+    def _judge(self, kept: KeptGroup, *, now: float) -> None:
         """End a group that can't be whole any more."""
         for member in kept.record.members:
             server = self._directory.by_id.get(member.server_id)
@@ -327,7 +172,7 @@
             if server.draining:
                 self._end(kept, MEMBER_LEAVING, now=now)
                 return
-            state = self._state(kept, server)
+            state = kept.state_of(server)
             if state is None:
                 if member.server_id in kept.joined:
                     self._end(kept, "member_left", now=now)
@@ -340,7 +185,7 @@
         if kept.phase is GroupPhase.FORMING:
             self._judge_forming(kept, now=now)
 
-    def _is_gone(self, kept: _Kept, server_id: str, *, now: float) -> bool:
+    def _is_gone(self, kept: KeptGroup, server_id: str, *, now: float) -> bool:
         """Tell whether a member that the list doesn't show is no use to its group.
 
         It may be cut off from the store only, and the group goes on with it; then it
@@ -353,42 +198,42 @@
         is_head = server_id == kept.record.head.server_id
         return is_head or kept.phase is not GroupPhase.SERVING
 
-    def _serving(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
+    def _serving(self, kept: KeptGroup, *, now: float) -> list[GroupOrder]:
         """Return the probes of a group that serves."""
         if kept.suspected:
-            return self._probes(kept, kept.record.member_ids, urgent=True, now=now)
+            return kept.due_probes(kept.record.member_ids, urgent=True, now=now)
         unseen = tuple(
             server_id
             for server_id, since in kept.missing_since.items()
             if now - since >= self._patience
         )
-        return self._probes(kept, unseen, urgent=False, now=now)
+        return kept.due_probes(unseen, urgent=False, now=now)
 
-    def _judge_forming(self, kept: _Kept, *, now: float) -> None:
+    def _judge_forming(self, kept: KeptGroup, *, now: float) -> None:
         if now - kept.since > self.join_limit + FORMING_SLACK:
             self._end(kept, "not_formed_in_time", now=now)
             return
         head = self._directory.by_id.get(kept.record.head.server_id)
-        if head is not None and self._state(kept, head) is GroupState.OPEN:
+        if head is not None and kept.state_of(head) is GroupState.OPEN:
             kept.phase = GroupPhase.SERVING
             self._log_phase(kept, took=round(now - kept.since, 2))
 
-    def _forming(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
+    def _forming(self, kept: KeptGroup, *, now: float) -> list[GroupOrder]:
         record = kept.record
         servers = [self._directory.by_id.get(item) for item in record.member_ids]
         if any(server is None for server in servers):
             return []
-        states = [self._state(kept, server) for server in servers]
+        states = [kept.state_of(server) for server in servers]
         if all(state is GroupState.READY for state in states):
-            return self._order(kept, OrderKind.OPEN, record.head.server_id, now=now)
+            return kept.due_order(OrderKind.OPEN, record.head.server_id, now=now)
         orders = []
         held = self.taken(besides=record.name)
         for server, state in zip(servers, states, strict=True):
             if state is None and server.id not in held:
-                orders += self._order(kept, OrderKind.JOIN, server.id, now=now)
+                orders += kept.due_order(OrderKind.JOIN, server.id, now=now)
         return orders
 
-    def _ending(self, kept: _Kept, *, now: float) -> list[GroupOrder]:
+    def _ending(self, kept: KeptGroup, *, now: float) -> list[GroupOrder]:
         head_id = kept.record.head.server_id
         head = self._directory.by_id.get(head_id)
         if head is None:
@@ -402,8 +247,8 @@
             if is_broken and self._any_member_stayed(kept, now=now):
                 self._retire(kept, "head_silent")
                 return []
-            return self._order(kept, OrderKind.LEAVE, head_id, now=now)
-        state = self._state(kept, head)
+            return kept.due_order(OrderKind.LEAVE, head_id, now=now)
+        state = kept.state_of(head)
         if state is None or state is GroupState.BROKEN:
             self._retire(kept, "head_left" if state is None else "head_broken")
             return []
@@ -414,8 +259,8 @@
         if gently and now - kept.ending_since < LAST_STREAMS:
             if state is GroupState.CLOSING:
                 return []
-            return self._order(kept, OrderKind.CLOSE, head_id, now=now, gently=True)
-        return self._order(kept, OrderKind.LEAVE, head_id, now=now)
+            return kept.due_order(OrderKind.CLOSE, head_id, now=now, gently=True)
+        return kept.due_order(OrderKind.LEAVE, head_id, now=now)
 
     def _heard_at(self, server_id: str, *, now: float) -> float:
         """Return when a lost server gave its last sign of life.
@@ -424,7 +269,7 @@
         """
         return self._directory.heard_at_by_id.setdefault(server_id, now)
 
-    def _any_member_stayed(self, kept: _Kept, *, now: float) -> bool:
+    def _any_member_stayed(self, kept: KeptGroup, *, now: float) -> bool:
         """Tell whether some other member has been there all that time.
 
         What counts is how long this host has seen it, not how long it has planned:
@@ -436,17 +281,8 @@
             listed_since.get(item, now) <= since for item in kept.record.member_ids[1:]
         )
 
-    def _probes(
-        self, kept: _Kept, member_ids: tuple[str, ...], *, urgent: bool, now: float
-    ) -> list[GroupOrder]:
-        """Ask members that may be lost for a sign of life."""
-        return [
-            self._new_order(kept, OrderKind.PROBE, server_id)
-            for server_id in kept.probes.due(member_ids, urgent=urgent, now=now)
-        ]
-
     def _probed(
-        self, kept: _Kept, server_id: str, outcome: OrderOutcome, *, now: float
+        self, kept: KeptGroup, server_id: str, outcome: OrderOutcome, *, now: float
     ) -> None:
         if kept.phase not in (GroupPhase.FORMING, GroupPhase.SERVING):
             return
@@ -462,38 +298,6 @@
             self._lost_by_id[server_id] = now
             self._end(kept, "member_silent", now=now)
 
-    def _order(
-        self,
-        kept: _Kept,
-        kind: OrderKind,
-        server_id: str,
-        *,
-        now: float,
-        gently: bool = False,
-    ) -> list[GroupOrder]:
-        """Return an order, unless the same was given a moment ago."""
-        ordered_at = kept.ordered_at.get((server_id, kind), float("-inf"))
-        if now - ordered_at < ORDER_RETRY:
-            return []
-        kept.ordered_at[server_id, kind] = now
-        return [self._new_order(kept, kind, server_id, gently=gently)]
-
-    def _new_order(
-        self, kept: _Kept, kind: OrderKind, server_id: str, *, gently: bool = False
-    ) -> GroupOrder:
-        record = kept.record
-        addresses = {member.server_id: member.address for member in record.members}
-        return GroupOrder(
-            kind=kind,
-            server_id=server_id,
-            address=addresses[server_id],
-            group=record.name,
-            epoch=record.epoch,
-            model=record.model,
-            members=record.member_ids,
-            gently=gently,
-        )
-
     def _settle_conflicts(self, *, now: float) -> None:
         """End one of two groups that share a member.
 
@@ -503,54 +307,38 @@
         """
         living = [
             kept
-            for kept in self._kept_by_name.values()
+            for kept in self.kept_by_name.values()
             if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING)
         ]
         living.sort(key=lambda kept: kept.record.epoch)
-        holder_by_member: dict[str, _Kept] = {}
+        holder_by_member: dict[str, KeptGroup] = {}
         for kept in living:
             for member_id in kept.record.member_ids:
                 earlier = holder_by_member.get(member_id)
                 if earlier is None or earlier.phase is GroupPhase.ENDING:
                     holder_by_member[member_id] = kept
-                elif earlier.phase is GroupPhase.SERVING and not self._has_any(kept):
+                elif earlier.phase is GroupPhase.SERVING and not self.has_any(kept):
                     self._end(kept, "late_record", now=now)
                     break
                 else:
                     self._end(earlier, "superseded", now=now)
                     holder_by_member[member_id] = kept
 
-    def _has_any(self, kept: _Kept) -> bool:
-        """Tell whether any member reports to be of a group."""
-        servers = (self._directory.by_id.get(item) for item in kept.record.member_ids)
-        return any(
-            server is not None and self._state(kept, server) is not None
-            for server in servers
-        )
-
-    def _end(self, kept: _Kept, reason: str, *, now: float) -> None:
+    def _end(self, kept: KeptGroup, reason: str, *, now: float) -> None:
         if kept.phase in (GroupPhase.FORMING, GroupPhase.SERVING):
             kept.phase = GroupPhase.ENDING
             kept.reason = reason
             kept.ending_since = now
             self._log_phase(kept)
 
-    def _retire(self, kept: _Kept, reason: str) -> None:
+    def _retire(self, kept: KeptGroup, reason: str) -> None:
         if kept.phase is not GroupPhase.RETIRED:
             kept.phase = GroupPhase.RETIRED
             kept.reason = reason
-            self._ended_epochs.add(kept.record.epoch)
+            self.ended_epochs.add(kept.record.epoch)
             self._log_phase(kept)
 
-    def _state(self, kept: _Kept, server: BackendServer) -> GroupState | None:
-        """Return the state in which a member reports to be of this very group."""
-        report = server.group
-        record = kept.record
-        if report is None or report.name != record.name:
-            return None
-        return report.state if report.epoch == record.epoch else None
-
-    def _log_phase(self, kept: _Kept, **fields: object) -> None:
+    def _log_phase(self, kept: KeptGroup, **fields: object) -> None:
         self._log(
             "group_phase",
             group=kept.record.name,
--- /dev/null
+++ b/ryelever/coordination/groups/kept_group.py
@@ -0,0 +1,107 @@
+"""Hold the state of one replica group, and the orders that were given for it."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .member_probes import MemberProbes
+from .orders import GroupOrder, OrderKind
+
+if TYPE_CHECKING:
+    from ...state.directory import BackendServer, GroupState
+    from .records import GroupRecord
+
+__all__ = ["ORDER_RETRY", "GroupPhase", "KeptGroup"]
+
+#: Seconds after which an order whose effect doesn't show is given again.  The list
+#: of backend servers shows an effect within half a second.
+ORDER_RETRY = 1.0
+
+
+class GroupPhase(enum.Enum):
+    """Name what is being done with a group.
+
+    ``RETIRED``: its head can't serve any more, and its members are free.
+    """
+
+    FORMING = "forming"
+    SERVING = "serving"
+    ENDING = "ending"
+    RETIRED = "retired"
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class KeptGroup:
+    """Hold the state of one group.
+
+    Attributes
+    ----------
+    recorded : bool
+        False where the store holds no record of the group.
+    joined : set of str
+        Members that were seen ready under the group's name and epoch.
+    missing_since : dict of str to float
+        Monotonic times since when members are missing from the list.
+    suspected : bool
+        True while some entry host sees all the group's streams stand still.
+    silent_members : set of str
+        Members that gave no answer to the order to join.
+    """
+
+    record: GroupRecord
+    since: float
+    phase: GroupPhase = GroupPhase.FORMING
+    reason: str = ""
+    recorded: bool = True
+    joined: set[str] = field(default_factory=set)
+    ending_since: float = 0.0
+    missing_since: dict[str, float] = field(default_factory=dict)
+    suspected: bool = False
+    probes: MemberProbes = field(default_factory=MemberProbes)
+    silent_members: set[str] = field(default_factory=set)
+    ordered_at: dict[tuple[str, OrderKind], float] = field(default_factory=dict)
+
+    def state_of(self, server: BackendServer) -> GroupState | None:
+        """Return the state in which a member reports to be of this very group."""
+        report = server.group
+        if report is None or report.name != self.record.name:
+            return None
+        return report.state if report.epoch == self.record.epoch else None
+
+    def due_order(
+        self, kind: OrderKind, server_id: str, *, now: float, gently: bool = False
+    ) -> list[GroupOrder]:
+        """Return an order, unless the same was given a moment ago."""
+        ordered_at = self.ordered_at.get((server_id, kind), float("-inf"))
+        if now - ordered_at < ORDER_RETRY:
+            return []
+        self.ordered_at[server_id, kind] = now
+        return [self.order(kind, server_id, gently=gently)]
+
+    def due_probes(
+        self, member_ids: tuple[str, ...], *, urgent: bool, now: float
+    ) -> list[GroupOrder]:
+        """Ask members that may be lost for a sign of life."""
+        return [
+            self.order(OrderKind.PROBE, server_id)
+            for server_id in self.probes.due(member_ids, urgent=urgent, now=now)
+        ]
+
+    def order(
+        self, kind: OrderKind, server_id: str, *, gently: bool = False
+    ) -> GroupOrder:
+        """Return an order to one member."""
+        record = self.record
+        addresses = {member.server_id: member.address for member in record.members}
+        return GroupOrder(
+            kind=kind,
+            server_id=server_id,
+            address=addresses[server_id],
+            group=record.name,
+            epoch=record.epoch,
+            model=record.model,
+            members=record.member_ids,
+            gently=gently,
+        )
--- /dev/null
+++ b/ryelever/coordination/groups/kept_groups.py
@@ -0,0 +1,143 @@
+"""Hold the groups of one availability zone, those that have ended included."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .kept_group import GroupPhase, KeptGroup
+
+if TYPE_CHECKING:
+    from ...state.directory import Directory
+    from .records import GroupRecord
+
+__all__ = ["TAKEN_APART", "KeptGroups"]
+
+#: Reason to end a group for the sake of another.
+TAKEN_APART = "taken_apart"
+
+
+class KeptGroups:
+    """Hold what is known of each group.
+
+    Attributes
+    ----------
+    kept_by_name : dict of str to KeptGroup
+        Groups that have a record, or are to have one.
+    ended_epochs : set of int
+        Epochs of groups that can't serve any more.
+    """
+
+    def __init__(self, *, directory: Directory) -> None:
+        self._directory = directory
+        self.kept_by_name: dict[str, KeptGroup] = {}
+        self.ended_epochs: set[int] = set()
+
+    def put(self, record: GroupRecord, *, now: float, recorded: bool = True) -> None:
+        """Take a group that the store holds, or that members report to be in.
+
+        Parameters
+        ----------
+        recorded : bool
+            False where the store holds no record of it.
+        """
+        kept = self.kept_by_name.get(record.name)
+        if kept is None or kept.record.epoch != record.epoch:
+            kept = KeptGroup(record=record, since=now)
+            self.kept_by_name[record.name] = kept
+        kept.recorded = recorded
+
+    def drop(self, name: str) -> None:
+        """Take word that the store has dropped a group's record.
+
+        A drop may be carried out seconds after it was asked for, and the group may
+        serve again by then: it is forgotten only once it has ended, and else its
+        record is to be written anew.
+        """
+        kept = self.kept_by_name.get(name)
+        if kept is None:
+            return
+        if kept.phase is GroupPhase.RETIRED:
+            del self.kept_by_name[name]
+        else:
+            kept.recorded = False
+
+    def forget(self, name: str) -> None:
+        """Forget a group that has ended."""
+        self.kept_by_name.pop(name, None)
+
+    def knows(self, name: str, epoch: int) -> bool:
+        """Tell whether a group is kept, or was and has ended."""
+        kept = self.kept_by_name.get(name)
+        if kept is not None and kept.record.epoch == epoch:
+            return True
+        return epoch in self.ended_epochs
+
+    def unrecorded(self) -> list[GroupRecord]:
+        """Return the groups that serve or form without a record in the store."""
+        return [
+            kept.record
+            for kept in self.kept_by_name.values()
+            if not kept.recorded and kept.phase is not GroupPhase.RETIRED
+        ]
+
+    def names(self) -> set[str]:
+        """Return the names of all groups that have a record."""
+        return set(self.kept_by_name)
+
+    def retired(self) -> list[str]:
+        """Return the groups whose records can be dropped.
+
+        As long as members still report a group that has ended, its record tells the
+        next planner what to make of them.
+        """
+        return [
+            name
+            for name, kept in self.kept_by_name.items()
+            if kept.phase is GroupPhase.RETIRED and not self.has_any(kept)
+        ]
+
+    def records(self, *phases: GroupPhase) -> list[GroupRecord]:
+        """Return the records of the groups in some phases."""
+        return [
+            kept.record for kept in self.kept_by_name.values() if kept.phase in phases
+        ]
+
+    def taken_apart(self) -> list[GroupRecord]:
+        """Return the groups that are being ended for the sake of another."""
+        return [
+            kept.record
+            for kept in self.kept_by_name.values()
+            if kept.phase is GroupPhase.ENDING and kept.reason == TAKEN_APART
+        ]
+
+    def phases(self) -> dict[str, GroupPhase]:
+        """Return what is being done with each group, by its name."""
+        return {name: kept.phase for name, kept in self.kept_by_name.items()}
+
+    def phase_of(self, name: str) -> GroupPhase | None:
+        """Return what is being done with a group."""
+        kept = self.kept_by_name.get(name)
+        return None if kept is None else kept.phase
+
+    def taken(self, *, besides: str = "") -> set[str]:
+        """Return the ids of the members that are free for nothing else.
+
+        Parameters
+        ----------
+        besides : str
+            Name of a group whose own members don't count.
+        """
+        return {
+            member_id
+            for name, kept in self.kept_by_name.items()
+            if kept.phase is not GroupPhase.RETIRED and name != besides
+            for member_id in kept.record.member_ids
+        }
+
+    def has_any(self, kept: KeptGroup) -> bool:
+        """Tell whether any member reports to be of a group."""
+        servers = (self._directory.by_id.get(item) for item in kept.record.member_ids)
+        return any(
+            server is not None and kept.state_of(server) is not None
+            for server in servers
+        )
--- a/ryelever/coordination/groups/zone_planner.py
+++ b/ryelever/coordination/groups/zone_planner.py
@@ -12,7 +12,9 @@
 
 from .adoption import GroupAdoption
 from .forming import choose_formations, choose_taking_apart
-from .keeper import TAKEN_APART, GroupKeeper, GroupPhase
+from .keeper import GroupKeeper
+from .kept_group import GroupPhase
+from .kept_groups import TAKEN_APART
 from .records import GroupRecord, Member
 from .reshaping import ReshapingTurn
 from .times import GroupTimes
--- a/ryelever/coordination/groups/zone_view.py
+++ b/ryelever/coordination/groups/zone_view.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .forming import BUSY_ENOUGH, FormingRules, StandingGroup
-from .keeper import GroupPhase
+from .kept_group import GroupPhase
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/tests/test_coordination/test_groups/test_group_keeper.py
+++ b/tests/test_coordination/test_groups/test_group_keeper.py
@@ -4,13 +4,9 @@
 
 import pytest
 
-from ryelever.coordination.groups.keeper import (
-    LAST_STREAMS,
-    ORDER_RETRY,
-    STALL_SLACK,
-    TAKEN_APART,
-    GroupPhase,
-)
+from ryelever.coordination.groups.keeper import LAST_STREAMS, STALL_SLACK
+from ryelever.coordination.groups.kept_group import ORDER_RETRY, GroupPhase
+from ryelever.coordination.groups.kept_groups import TAKEN_APART
 from ryelever.coordination.groups.member_probes import ASK_INTERVAL
 from ryelever.coordination.groups.orders import OrderKind, OrderOutcome
 from ryelever.state.directory import GroupState
@@ -149,9 +145,7 @@
     orders = members.orders(13.0)
     # It is cut off from the store only, and refuses for a reason of its own.
     members.keeper.answered(orders[0], OrderOutcome.UNKNOWN, now=13.1)
-    probe = members.keeper._new_order(
-        members.keeper._kept_by_name[GROUP.name], PROBE, "a"
-    )
+    probe = members.keeper.kept_by_name[GROUP.name].order(PROBE, "a")
     members.keeper.answered(probe, OrderOutcome.HOLDS, now=16.0)
     members.look(18.0)
     assert members.keeper.taken() == {"a", "b", "c"}
--- a/tests/test_coordination/test_groups/test_zone_planner.py
+++ b/tests/test_coordination/test_groups/test_zone_planner.py
@@ -7,7 +7,8 @@
 import pytest
 
 from ryelever.coordination.groups.adoption import ADOPT_AFTER
-from ryelever.coordination.groups.keeper import STALL_SLACK, GroupPhase
+from ryelever.coordination.groups.keeper import STALL_SLACK
+from ryelever.coordination.groups.kept_group import GroupPhase
 from ryelever.coordination.groups.orders import OrderKind
 from ryelever.coordination.groups.records import GroupRecord
 from ryelever.coordination.groups.zone_planner import (
