--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -10,15 +10,11 @@
 from .coordination.removals import Removals
 from .coordination.topic import BUSY_WAIT, TopicFollower
 from .events import (
-    OutboundAnswer,
-    OutboundFailure,
-    OutboundRequest,
     directory_changed,
-    outbound_send,
     server_news,
 )
+from .host_fetch import HostFetch
 from .logs import log_event, log_warning
-from .protocol.host_words import CONFIGURATION_PATH, SERVERS_PATH, decode_servers
 from .state.keyed_record import KeyedRecord, ServerNews
 
 if TYPE_CHECKING:
@@ -38,13 +34,6 @@
 #: leaving must be known within two seconds.
 SERVERS_INTERVAL = 0.3
 
-#: Seconds for which the store is asked before another entry host is, for a newer
-#: configuration or for the backend servers: its answer takes some milliseconds.
-STORE_FIRST = 0.3
-
-#: Seconds after which another entry host is asked again.
-FETCH_RETRY = 0.5
-
 #: Heartbeats that a server has missed, at the least, when its entry lapses.  The
 #: store waits for three; the half less is for its clock and for the last one's way.
 LAPSED_HEARTBEATS = 2.5
@@ -107,11 +96,11 @@
         self._document = b""
         self._in_force_since: float | None = None
         self._data_by_server: dict[str, bytes] = {}
-        self._started_at = time.monotonic()
-        self._servers_fetched_at = float("-inf")
-        self._n_fetches = 0
-        self._behind_since: float | None = None
-        self._fetched_at = float("-inf")
+        self.fetch = HostFetch(
+            words=words,
+            take_configuration=self.take_configuration,
+            take_servers=self._take_given_servers,
+        ).register(self)
         self._announced_at = float("-inf")
         self._announced = False
 
@@ -128,7 +117,7 @@
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
         if not self.servers.is_current:
-            self._fetch_servers(now=now)
+            self.fetch.ask_for_servers(now=now)
         if not self._announced and now - self._announced_at > ANNOUNCE_RETRY:
             self._announced_at = now
             self._announce()
@@ -144,9 +133,9 @@
     def _take_configuration(self, news: TopicNews) -> None:
         for record in news.records:
             if record.key == self._documents.configuration_key and record.value:
-                self.take_configuration(record.value, peer=self._settings.store_address)
+                self.take_configuration(record.value, self._settings.store_address)
 
-    def take_configuration(self, data: bytes, *, peer: str) -> None:
+    def take_configuration(self, data: bytes, peer: str) -> None:
         """Take a configuration, unless a newer one is in force."""
         read = self._documents.configuration(data, peer=peer)
         if read.is_error():
@@ -160,7 +149,7 @@
         self.table = table
         self._document = data
         self._in_force_since = time.monotonic()
-        self._behind_since = None
+        self.fetch.caught_up()
         log_event("configuration_in_force", version=table.version, peer=peer)
         self.fire(directory_changed(), "relay")
 
@@ -189,85 +178,16 @@
         if version <= self.version:
             return
         self.configuration.poke(now=now)
-        if self._behind_since is None:
-            self._behind_since = now
-        address = self._words.addresses_by_host.get(host)
-        overdue = now - self._behind_since > STORE_FIRST
-        if address is None or not overdue or now - self._fetched_at < FETCH_RETRY:
-            return
-        self._fetched_at = now
-        self._fetch(CONFIGURATION_PATH, address.address)
-
-    # What other entry hosts give
-
-    def _fetch(self, path: str, address: str) -> None:
-        self._n_fetches += 1
-        request = OutboundRequest(
-            id=f"{path} {self._n_fetches}",
-            address=address,
-            method="GET",
-            path=path,
-            reply_channel=self.channel,
-            step="fetch_from_host",
-            connect_timeout=FETCH_RETRY,
-            progress_timeout=FETCH_RETRY,
-        )
-        self.fire(outbound_send(request), "http_client")
-
-    def _fetch_servers(self, *, now: float) -> None:
-        """Ask another entry host for the backend servers that it knows.
-
-        A host that is started anew while the store is away would serve nobody until
-        it returns, though the hosts around it know all that it needs.
-        """
-        if now - max(self._started_at, self._servers_fetched_at) < STORE_FIRST:
-            return
-        givers = [
-            address.address
-            for word in self._words.living(now=now)
-            if word.configuration_version >= 0
-            and (address := self._words.addresses_by_host.get(word.host)) is not None
-        ]
-        if givers:
-            self._servers_fetched_at = now
-            # The next one in turn, if this one doesn't answer.
-            self._fetch(SERVERS_PATH, givers[self._n_fetches % len(givers)])
-
-    @handler("outbound_answer")
-    def _on_fetched(self, answer: OutboundAnswer) -> None:
-        if answer.status != 200:
-            return
-        if answer.id.startswith(CONFIGURATION_PATH):
-            self.take_configuration(answer.body, peer=answer.address)
-        else:
-            self._take_given_servers(answer)
-
-    @handler("outbound_failed")
-    def _on_not_fetched(self, failure: OutboundFailure) -> None:
-        log_event(
-            "not_fetched",
-            what=failure.id,
-            peer=failure.address,
-            message=failure.error.message,
-        )
+        self.fetch.ask_for_configuration(host, now=now)
 
-    def _take_given_servers(self, answer: OutboundAnswer) -> None:
-        read = decode_servers(answer.body, peer=answer.address)
-        if read.is_error():
-            error = read.error
-            log_warning(
-                "servers_unreadable",
-                step=error.step,
-                peer=error.peer,
-                message=error.message,
-            )
-            return
+    def _take_given_servers(self, given: ServerNews, peer: str) -> None:
+        """Take what another host knows, unless the store has answered meanwhile."""
         if self.servers.is_current:
             return
         now = time.monotonic()
-        self.servers.take_over(end=read.ok.end, now=now)
-        log_event("servers_given", peer=answer.address, n=len(read.ok.records))
-        self._take_records(read.ok.records, now=now)
+        self.servers.take_over(end=given.end, now=now)
+        log_event("servers_given", peer=peer, n=len(given.records))
+        self._take_records(given.records, now=now)
 
     def all_servers(self) -> ServerNews | None:
         """Return the records of all backend servers, or None before they are known."""
--- /dev/null
+++ b/ryelever/host_fetch.py
@@ -0,0 +1,145 @@
+"""Ask other entry hosts for what this one can't read from the store."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .events import (
+    OutboundAnswer,
+    OutboundFailure,
+    OutboundRequest,
+    outbound_send,
+)
+from .logs import log_event, log_warning
+from .protocol.host_words import CONFIGURATION_PATH, SERVERS_PATH, decode_servers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.host_words import HostWords
+    from .state.keyed_record import ServerNews
+
+__all__ = ["HostFetch"]
+
+#: Seconds for which the store is asked before another entry host is, for a newer
+#: configuration or for the backend servers: its answer takes some milliseconds.
+STORE_FIRST = 0.3
+
+#: Seconds after which another entry host is asked again.
+FETCH_RETRY = 0.5
+
+
+class HostFetch(BaseComponent):
+    """Own the requests to other entry hosts.
+
+    Parameters
+    ----------
+    take_configuration : callable
+        Take a configuration as it lies in the store, and who gave it.
+    take_servers : callable
+        Take the records of all backend servers, and who gave them.
+    """
+
+    channel = "host_fetch"
+
+    def __init__(
+        self,
+        *,
+        words: HostWords,
+        take_configuration: Callable[[bytes, str], None],
+        take_servers: Callable[[ServerNews, str], None],
+    ) -> None:
+        super().__init__()
+        self._words = words
+        self._take_configuration = take_configuration
+        self._take_servers = take_servers
+        self._started_at = time.monotonic()
+        self._behind_since: float | None = None
+        self._configuration_asked_at = float("-inf")
+        self._servers_asked_at = float("-inf")
+        self._n_asked = 0
+
+    def caught_up(self) -> None:
+        """Take note that the newest configuration known of is in force here."""
+        self._behind_since = None
+
+    def ask_for_configuration(self, host: str, *, now: float) -> None:
+        """Ask a host that has a newer configuration, if the store doesn't give it."""
+        if self._behind_since is None:
+            self._behind_since = now
+        address = self._words.addresses_by_host.get(host)
+        overdue = now - self._behind_since > STORE_FIRST
+        asked_lately = now - self._configuration_asked_at < FETCH_RETRY
+        if address is not None and overdue and not asked_lately:
+            self._configuration_asked_at = now
+            self._ask(CONFIGURATION_PATH, address.address)
+
+    def ask_for_servers(self, *, now: float) -> None:
+        """Ask another entry host for the backend servers that it knows.
+
+        A host that is started anew while the store is away would serve nobody until
+        it returns, though the hosts around it know all that it needs.
+        """
+        if now - max(self._started_at, self._servers_asked_at) < STORE_FIRST:
+            return
+        givers = [
+            address.address
+            for word in self._words.living(now=now)
+            if word.configuration_version >= 0
+            and (address := self._words.addresses_by_host.get(word.host)) is not None
+        ]
+        if givers:
+            self._servers_asked_at = now
+            # The next one in turn, if this one doesn't answer.
+            self._ask(SERVERS_PATH, givers[self._n_asked % len(givers)])
+
+    def _ask(self, path: str, address: str) -> None:
+        self._n_asked += 1
+        request = OutboundRequest(
+            id=f"{path} {self._n_asked}",
+            address=address,
+            method="GET",
+            path=path,
+            reply_channel=self.channel,
+            step="fetch_from_host",
+            connect_timeout=FETCH_RETRY,
+            progress_timeout=FETCH_RETRY,
+        )
+        self.fire(outbound_send(request), "http_client")
+
+    @handler("outbound_answer")
+    def _on_answer(self, answer: OutboundAnswer) -> None:
+        if answer.status != 200:
+            log_event(
+                "not_fetched",
+                what=answer.id,
+                peer=answer.address,
+                message=f"answered {answer.status}",
+            )
+            return
+        if answer.id.startswith(CONFIGURATION_PATH):
+            self._take_configuration(answer.body, answer.address)
+            return
+        read = decode_servers(answer.body, peer=answer.address)
+        if read.is_error():
+            error = read.error
+            log_warning(
+                "servers_unreadable",
+                step=error.step,
+                peer=error.peer,
+                message=error.message,
+            )
+            return
+        self._take_servers(read.ok, answer.address)
+
+    @handler("outbound_failed")
+    def _on_failed(self, failure: OutboundFailure) -> None:
+        log_event(
+            "not_fetched",
+            what=failure.id,
+            peer=failure.address,
+            message=failure.error.message,
+        )
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -73,6 +73,7 @@
         self.passed_on: list[ServerNews] = []
         self.asked: list[OutboundRequest] = []
         self.fleet.fire = self._keep
+        self.fleet.fetch.fire = self._keep
 
     def _keep(self, event: object, *channels: str) -> None:
         self.passed_on += [item for item in event.args if isinstance(item, ServerNews)]
@@ -194,7 +195,7 @@
     other.fleet._on_tick()
     [asked] = [ask for ask in other.asked if ask.path == SERVERS_PATH]
     assert asked.address == "10.0.0.7:7000"
-    other.fleet._on_fetched(_answer_of(giver, asked))
+    other.fleet.fetch._on_answer(_answer_of(giver, asked))
     assert other.directory.by_id.keys() == {"i1", "i2"}
     assert other.fleet.servers.is_current
     # The listing that was asked for before answers late, and says nothing of i1.
