--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,18 +1,23 @@
 """Measure what relaying costs an entry host, without sockets.
 
-Prints microseconds a relayed stream, a passed event and a word between hosts, and what
-words cost a host by the number of hosts.
+Prints microseconds a log line, a relayed stream, a passed event and a word between
+hosts, and what words cost a host by the number of hosts.
 
     .venv/bin/python -m benchmarks.relay
 """
 
 from __future__ import annotations
 
+import logging
+import os
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 from ryelever.coordination.host_words import HostWord, HostWords
 from ryelever.host_exchange import FAR_WORDS, WORD_INTERVAL
+from ryelever.log_stream import StreamWriter
+from ryelever.logs import JsonFormatter
 from ryelever.protocol.host_words import decode_datagram, encode_word
 from ryelever.protocol.sse import EventCutter
 from ryelever.state.routes import RouteKind
@@ -23,8 +28,9 @@
 N_EVENTS = 27
 N_ROUNDS = 5
 
-#: Words of one round.
+#: Words and log lines of one round.
 N_WORDS = 500
+N_LINES = 5000
 
 #: Heads that a word tells the load of: the groups of a zone.
 N_HEADS = 18
@@ -89,13 +95,41 @@
     ]
     start = time.process_time()
     for datagram in data:
-        words.take(decode_datagram(datagram, peer="front").ok, now=0.1)
+        words.take(decode_datagram(datagram, peer="front").ok, address="front", now=0.1)
         words.in_flight(now=0.1)
     return (time.process_time() - start) / N_WORDS
 
 
+def line_time() -> float:
+    """Return the seconds to log the end of one request, with the bounds on lines."""
+    with Path(os.devnull).open("wb") as sink:
+        writer = StreamWriter(fd=sink.fileno())
+        writer.setFormatter(JsonFormatter())
+        fields = {
+            "request": "21387051760d4c4c",
+            "route": "r-x3rzpiv",
+            "status": 200,
+            "reason": "",
+            "server": "i-6b38aa0086",
+            "n_sent": 1,
+            "version": 27,
+            "ms": 1034,
+        }
+        start = time.process_time()
+        for number in range(N_LINES):
+            record = logging.makeLogRecord(
+                {"msg": "answered", "levelno": logging.INFO, "levelname": "INFO"}
+            )
+            record.fields = fields
+            # A hundred lines a second, as a busy host writes them.
+            record.created = number / 100
+            writer.emit(record)
+        return (time.process_time() - start) / N_LINES
+
+
 def main() -> None:
     """Print all figures."""
+    print(f"a log line:            {_best(line_time) * 1e6:.0f} us")
     one = _best(lambda: stream_time(1))
     many = _best(lambda: stream_time(N_EVENTS))
     event = (many - one) / (N_EVENTS - 1)
