--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -14,7 +14,9 @@
 from ryelever.protocol.host_words import (
     MAX_DATAGRAM,
     decode_datagram,
+    decode_servers,
     encode_news,
+    encode_servers,
     encode_word,
 )
 from ryelever.state.keyed_record import KeyedRecord, ServerNews
@@ -51,6 +53,8 @@
         demand_by_model={"m": 0.5},
         still=("i1",),
         plans=("z",),
+        reshapes=("z",),
+        moving=("i2",),
     )
     assert decode_datagram(encode_word(word), peer="a").ok == word
 
@@ -70,7 +74,15 @@
     news = ServerNews(reader="a", start=4, end=9, records=records)
     assert decode_datagram(encode_news(news), peer="a").ok == news
     many = [KeyedRecord(key="i", value=b"x" * 100, offset=5)] * 100
-    assert encode_news(ServerNews(reader="a", start=4, end=9, records=many)) is None
+    too_long = ServerNews(reader="a", start=4, end=9, records=many, reported=True)
+    assert encode_news(too_long) is None
+    # Over HTTP they have no such bound.
+    assert decode_servers(encode_servers(too_long), peer="a").ok == too_long
+
+
+@pytest.mark.parametrize("data", [b"no records", b"\xff" * 64])
+def test_other_answers_are_errors(data: bytes) -> None:
+    assert decode_servers(data, peer="a").error.step == "read_servers"
 
 
 def test_a_word_fits_into_a_datagram() -> None:
@@ -223,3 +235,12 @@
     assert words.unheard_zones(now=1.1 + ZONE_SILENCE) == {"y"}
     _take(words, _word("a", sequence=2, availability_zone="y"), now=4.0)
     assert words.unheard_zones(now=4.0) == set()
+
+
+def test_what_other_hosts_say_of_groups_and_zones(words: HostWords) -> None:
+    _take(words, _word("a", still=("h1", "h2"), reshapes=("x",)), now=0.0)
+    _take(words, _word("c", moving=("h1",), reshapes=("y",)), now=0.5)
+    assert words.still(now=0.6) == {"h1", "h2"}
+    assert words.moving(now=0.6) == {"h1"}
+    assert words.reshaping(now=0.6) == {"x", "y"}
+    assert words.reshaping(now=0.1 + HOST_SILENCE) == {"y"}
