Serve both kinds of settings with one command, and wire the two in one place

Cause: a second command stood for a host on the platform, beside the one that the project promises; exit codes stood in three modules. Change: ryelever serve looks at its settings file: JSON has the OpenAI interface, the platform's lines pass requests on; without a file it reads the one that the platform names. A file of neither kind gets the faults of the JSON settings. One module has the exit codes. The relaying process tests start it so; tests of the command line are added.

--- a/ryelever/cli.py
+++ b/ryelever/cli.py
@@ -13,74 +13,41 @@
 
 from . import __version__
 from .errors import RyeleverError
-from .faults import Fault
+from .exit_codes import ExitCode
 from .protocol.configuration_document import check_document
-from .settings import Settings, reference
-from .settings_reader import read_settings
+from .settings import reference
+from .settings_files import checked_settings, print_faults, read_text
 
 __all__ = ["main"]
 
-#: Exit codes; docs/OPERATIONS.md explains them.
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_FAULTY_INPUT = 2
-EXIT_CUT_OFF = 3
-EXIT_UNREACHABLE = 4
-
 #: Seconds for an entry host to answer a dump.
 DUMP_TIMEOUT = 10
 
 
-def serve(*, settings: Path) -> int:
+def serve(*, settings: Path | None = None, metrics_port: int = 0) -> int:
     """Run an entry host until it is told to stop.
 
-    Parameters
-    ----------
-    settings : Path
-        Settings in JSON with comments.
-    """
-    # Only this command needs the whole program; the others start faster without.
-    from .application import Application
-    from .logs import configure, log_error
-
-    text = _read(settings)
-    checked = None if text is None else _checked_settings(settings, text)
-    if checked is None:
-        return EXIT_FAULTY_INPUT
-    configure()
-    try:
-        application = Application(settings=checked)
-    except OSError as error:
-        log_error(
-            "cannot_start",
-            step="bind",
-            peer=checked.callers_address,
-            message=f"{error.strerror}; free the address or mend callers_address",
-        )
-        return EXIT_FAILED
-    application.run()
-    return application.exit_code
-
-
-def relay(*, settings: Path | None = None, metrics_port: int = 0) -> int:
-    """Run an entry host on the platform, which passes requests on unchanged.
+    With settings in JSON it has the OpenAI interface.  With the platform's settings
+    file it passes requests on unchanged.
 
     Parameters
     ----------
     settings
-        The platform's settings file; by default the one that the environment names.
+        Settings in JSON with comments, or the platform's settings file; by default
+        the file that the platform names in the environment.
     metrics_port
-        Port on the host's own address for the metrics; 0 serves them only beside
-        readiness.
+        On the platform, a port on the host's own address for the metrics; 0 serves
+        them only beside readiness.
     """
-    from .platform.entry import run
+    # Only this command needs the whole program; the others start faster without.
+    from .wiring import run
 
     if not 0 <= metrics_port < 65536:
         print(
             f"--metrics-port: expected 0 to 65535, found {metrics_port}",
             file=sys.stderr,
         )
-        return EXIT_FAULTY_INPUT
+        return ExitCode.FAULTY_INPUT
     return run(settings, metrics_port=metrics_port)
 
 
@@ -96,19 +63,19 @@
     """
     if settings is None and document is None:
         print("nothing to check: give --settings or --document", file=sys.stderr)
-        return EXIT_FAULTY_INPUT
+        return ExitCode.FAULTY_INPUT
     good = True
     if settings is not None:
-        text = _read(settings)
-        good &= text is not None and _checked_settings(settings, text) is not None
+        text = read_text(settings)
+        good &= text is not None and checked_settings(settings, text) is not None
     if document is not None:
         good &= _check_document(document)
     if not good:
-        return EXIT_FAULTY_INPUT
+        return ExitCode.FAULTY_INPUT
     for path in (settings, document):
         if path is not None:
             _print_result(f"{path}: no fault")
-    return EXIT_OK
+    return ExitCode.OK
 
 
 def dump(*, address: str, key_file: Path) -> int:
@@ -121,9 +88,9 @@
     key_file : Path
         File that holds the operator key.
     """
-    key = _read(key_file)
+    key = read_text(key_file)
     if key is None:
-        return EXIT_FAULTY_INPUT
+        return ExitCode.FAULTY_INPUT
     request = urllib.request.Request(
         f"http://{address}/dump", headers={"Authorization": f"Bearer {key.strip()}"}
     )
@@ -132,12 +99,12 @@
             state = json.load(answer)
     except urllib.error.HTTPError as error:
         print(f"{address}: refused: {error}; is {key_file} right?", file=sys.stderr)
-        return EXIT_FAILED
+        return ExitCode.FAILED
     except (OSError, ValueError) as error:
         print(f"{address}: cannot dump: {error}", file=sys.stderr)
-        return EXIT_UNREACHABLE
+        return ExitCode.UNREACHABLE
     _print_result(json.dumps(state, indent=2))
-    return EXIT_OK
+    return ExitCode.OK
 
 
 def explain(*, request_id: str, files: list[Path]) -> int:
@@ -157,31 +124,31 @@
         print(fault, file=sys.stderr)
     if not found.lines:
         print(f"no line names request {request_id}", file=sys.stderr)
-        return EXIT_FAILED
+        return ExitCode.FAILED
     _print_result("\n".join(found.lines))
-    return EXIT_OK
+    return ExitCode.OK
 
 
 def settings_reference() -> int:
     """Print the table of all settings in Markdown."""
     _print_result(reference().rstrip("\n"))
-    return EXIT_OK
+    return ExitCode.OK
 
 
 def version() -> int:
     """Print the version."""
     _print_result(__version__)
-    return EXIT_OK
+    return ExitCode.OK
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the command that the command line names."""
-    commands = [serve, relay, check, dump, explain, settings_reference, version]
+    commands = [serve, check, dump, explain, settings_reference, version]
     try:
-        return defopt.run(commands, argv=argv, cli_options="all") or EXIT_OK
+        return defopt.run(commands, argv=argv, cli_options="all") or ExitCode.OK
     except RyeleverError as error:
         print(f"{error.step}: {error.message}", file=sys.stderr)
-        return EXIT_FAILED
+        return ExitCode.FAILED
 
 
 def _print_result(text: str) -> None:
@@ -197,22 +164,6 @@
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
 
 
-def _read(path: Path) -> str | None:
-    try:
-        return path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"{path}: cannot read: {error}", file=sys.stderr)
-        return None
-
-
-def _checked_settings(path: Path, text: str) -> Settings | None:
-    checked = read_settings(text)
-    if checked.is_ok():
-        return checked.ok
-    _print_faults(path, checked.error)
-    return None
-
-
 def _check_document(path: Path) -> bool:
     try:
         checked = check_document(path.read_bytes())
@@ -220,10 +171,5 @@
         print(f"{path}: cannot read: {error}", file=sys.stderr)
         return False
     if checked.is_error():
-        _print_faults(path, checked.error)
+        print_faults(path, checked.error)
     return checked.is_ok()
-
-
-def _print_faults(path: Path, faults: list[Fault]) -> None:
-    for fault in faults:
-        print(f"{path}: {fault}", file=sys.stderr)
--- a/ryelever/platform/entry.py
+++ b/ryelever/platform/entry.py
@@ -4,13 +4,14 @@
 
 import os
 import signal
-import sys
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from ..exit_codes import ExitCode
 from ..logs import configure_stdout, log_error, log_event
 from ..relay_application import RelayApplication
+from ..settings_files import print_faults
 from .messages import PlatformMessages
 from .orders import PlatformOrders
 from .records import PlatformRecords
@@ -22,11 +23,6 @@
 
 __all__ = ["run"]
 
-#: Exit codes; docs/OPERATIONS.md explains them.
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_FAULTY_INPUT = 2
-
 
 def run(settings: Path | None, *, metrics_port: int) -> int:
     """Run an entry host until it is told to stop; return its exit code."""
@@ -36,7 +32,7 @@
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     checked = _checked(path)
     if checked is None:
-        return EXIT_FAULTY_INPUT
+        return ExitCode.FAULTY_INPUT
     checked = replace(checked, metrics_port=metrics_port)
     log_writer = configure_stdout()
     try:
@@ -56,16 +52,15 @@
             peer=checked.callers_address,
             message=f"{error.strerror}; free the address or mend the settings",
         )
-        return EXIT_FAILED
+        return ExitCode.FAILED
     application.run()
-    return EXIT_OK
+    return ExitCode.OK
 
 
 def _checked(path: Path) -> RelaySettings | None:
     read = read_node_settings(path)
     if read.is_error():
-        for fault in read.error:
-            print(f"{path}: {fault}", file=sys.stderr)
+        print_faults(path, read.error)
         return None
     return read.ok
 
--- a/ryelever/shutdown.py
+++ b/ryelever/shutdown.py
@@ -11,6 +11,7 @@
 from circuits import BaseComponent, Event, handler
 
 from .events import drain, drained, end_requests
+from .exit_codes import ExitCode
 from .logs import log_event
 
 if TYPE_CHECKING:
@@ -19,10 +20,7 @@
     from .serving import Serving
     from .settings import Settings
 
-__all__ = ["EXIT_CUT_OFF", "InFlight", "Phase", "Shutdown"]
-
-#: Exit code when requests had to be ended with an error.
-EXIT_CUT_OFF = 3
+__all__ = ["InFlight", "Phase", "Shutdown"]
 
 #: Seconds for error events and outcomes to leave after the deadline.
 LAST_WORDS = 2.0
@@ -157,7 +155,7 @@
     def _end(self) -> None:
         self.phase = Phase.STOPPED
         self._log("stopped")
-        self._stop(EXIT_CUT_OFF if self._cut_off else 0)
+        self._stop(ExitCode.CUT_OFF if self._cut_off else ExitCode.OK)
 
     def _log(self, event: str) -> None:
         in_flight = self._in_flight()
--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -135,7 +135,7 @@
             arguments=[
                 "-m",
                 "ryelever",
-                "relay",
+                "serve",
                 "--settings",
                 str(path),
                 "--metrics-port",
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -98,6 +98,7 @@
         (("check", "--document", "/nothing.json"), "cannot read"),
         (("serve", "--settings", "/nothing.json"), "cannot read"),
         (("serve",), "required"),
+        (("serve", "--metrics-port", "70000"), "expected 0 to 65535"),
         (("sevre",), "invalid choice"),
         (("dump", "--address", "127.0.0.1:1", "--key-file", "/nothing"), "cannot read"),
     ],
@@ -109,6 +110,26 @@
     assert "Traceback" not in done.stderr
 
 
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        pytest.param("node=e1\nzone=z\n", "listen.front", id="the-platforms"),
+        pytest.param("# ours\n\nnode=e1\n", "listen.front", id="after-a-comment"),
+        pytest.param('{"host": "e1"}', "callers_address", id="json"),
+        pytest.param("// ours\n{}", "callers_address", id="json-after-a-comment"),
+        pytest.param("", "JSON", id="empty"),
+    ],
+)
+def test_the_settings_say_what_is_served(tmp_path: Path, text: str, said: str) -> None:
+    """Check each kind of settings by its own rules, and name the first fault."""
+    settings = tmp_path / "settings"
+    settings.write_text(text)
+    done = ryelever("serve", "--settings", settings)
+    assert done.returncode == 2
+    assert said in done.stderr
+    assert "Traceback" not in done.stderr
+
+
 def test_dump(fleet: Fleet, tmp_path: Path) -> None:
     """Print the state, and tell a wrong key from a host that is not there."""
     fleet.start_platform()
