Pass news of backend servers on once

Cause, found in reading: whoever planned for a zone passed on all news that came, also what another planner of the same zone had passed on. Where two or three planned at once, as all hosts of a zone do in the first moment, the same news went back and forth without end and multiplied: in the test more than a thousand datagrams came of one read among four hosts. A planner also told its zone what a reader of that zone had told it itself. Ruled out: loss of news by the change (each host of the other zones still gets them from every planner of its zone). Change: what was passed on goes no further, and the reader's own zone isn't told twice: 9 and 3 datagrams in the test. The test fails without the change.

--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -4,6 +4,7 @@
 
 import os
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
@@ -121,9 +122,13 @@
 
     def _take_news(self, news: ServerNews) -> None:
         self.fire(server_news(news), "directory")
-        if self._plans():
-            # News cross between zones once, to the planner, who tells its zone.
-            self._pass_on(news, far=False)
+        reader = self._words.addresses_by_host.get(news.reader)
+        knows_already = reader is not None and self._is_near(reader)
+        if self._plans() and not news.passed_on and not knows_already:
+            # News cross between zones once, to the planner, who tells its zone; the
+            # reader has told its own.  Where two plan for a moment, each would pass on
+            # what the other has, for ever.
+            self._pass_on(replace(news, passed_on=True), far=False)
 
     def _pass_on(self, news: ServerNews, *, far: bool) -> None:
         data = encode_news(news)
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -89,6 +89,7 @@
         start=news.start,
         end=news.end,
         reported=news.reported,
+        passedOn=news.passed_on,
     )
     message.records = [
         {"key": record.key, "value": record.value, "offset": record.offset}
@@ -138,6 +139,7 @@
         start=message.start,
         end=message.end,
         reported=message.reported,
+        passed_on=message.passedOn,
         records=[
             KeyedRecord(key=item.key, value=bytes(item.value), offset=item.offset)
             for item in message.records
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -35,6 +35,8 @@
   reader @3 :Text;
   # True where the servers said so themselves, while the store was away.
   reported @4 :Bool;
+  # True where another host passes it on; such news go no further.
+  passedOn @5 :Bool;
 }
 
 struct Record {
--- a/ryelever/state/keyed_record.py
+++ b/ryelever/state/keyed_record.py
@@ -31,6 +31,8 @@
     reported : bool
         True where the records were put together of what the servers said themselves
         when they were asked, while the store was away; then there are no offsets.
+    passed_on : bool
+        True where another host than the one that has read it sends it.
     """
 
     reader: str
@@ -38,3 +40,4 @@
     end: int
     records: list[KeyedRecord]
     reported: bool = False
+    passed_on: bool = False
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -38,28 +38,33 @@
     return clock
 
 
+def settings_of(name: str, *, zone: str = "z") -> RelaySettings:
+    """Return the settings of a host that reaches nothing."""
+    return RelaySettings(
+        host=name,
+        ip="127.0.0.1",
+        availability_zone=zone,
+        callers_address="127.0.0.1:0",
+        ready_address="127.0.0.1:0",
+        ports=(0, 0),
+        store_address="127.0.0.1:1",
+        store_partitions=1,
+        heartbeat_interval=1.2,
+        grace=8.0,
+        stall_time=6.0,
+        repeat_ratio=0.2,
+        repeat_window=10.0,
+        repeat_slack=100.0,
+        zones=(zone,),
+        last_bytes=0.5,
+    )
+
+
 class Host:
     """Hold one host's directory, and the news that it passes on."""
 
     def __init__(self, name: str) -> None:
-        settings = RelaySettings(
-            host=name,
-            ip="127.0.0.1",
-            availability_zone="z",
-            callers_address="127.0.0.1:0",
-            ready_address="127.0.0.1:0",
-            ports=(0, 0),
-            store_address="127.0.0.1:1",
-            store_partitions=1,
-            heartbeat_interval=1.2,
-            grace=8.0,
-            stall_time=6.0,
-            repeat_ratio=0.2,
-            repeat_window=10.0,
-            repeat_slack=100.0,
-            zones=("z",),
-            last_bytes=0.5,
-        )
+        settings = settings_of(name)
         self.directory = Directory()
         self.fleet = FleetDirectory(
             settings=settings,
