Let a server's own word go before older entries for three seconds after an outage

Cause: while the store is away, members say themselves what they are. When it is back, what is read first was written before the outage: an entry that shows a head as being in no group yet took the place of its newer word, the group seemed to have ended, and its members were given to another while its head was open. Ruled out: late orders (none to those servers was unanswered), a change of planner. Change: for three seconds after the list is read again, a server's models, weights and group are what it said last, and its entry's own count after that; that it is leaving or gone counts at once. The same holds for what another host gave at a start. The test fails without the change.

--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -44,6 +44,11 @@
 #: is as of some tenths of a second ago.
 LIST_SILENCE = 1.0
 
+#: Seconds after the list is read again for which what servers said themselves goes on
+#: before it.  What is read first was written before the outage, and is older; servers
+#: write their entries anew within about two seconds of the store's return.
+REPORTED_FOR = 3.0
+
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -96,6 +101,11 @@
         self._document = b""
         self._in_force_since: float | None = None
         self._data_by_server: dict[str, bytes] = {}
+        # What servers said themselves while the list was silent, and what the list has
+        # shown of them since it is read again.
+        self._said_by_server: dict[str, bytes] = {}
+        self._held_back: dict[str, bytes] = {}
+        self._read_again_at: float | None = None
         self.fetch = HostFetch(
             words=words,
             take_configuration=self.take_configuration,
@@ -116,6 +126,7 @@
         self._note_reads()
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
+        self._let_list_go_first(now=now)
         if not self.servers.is_current:
             self.fetch.ask_for_servers(now=now)
         if not self._announced and now - self._announced_at > ANNOUNCE_RETRY:
@@ -187,7 +198,8 @@
         now = time.monotonic()
         self.servers.take_over(end=given.end, now=now)
         log_event("servers_given", peer=peer, n=len(given.records))
-        self._take_records(given.records, now=now)
+        # Some of it may be what servers said while the list was silent there.
+        self._take_said(given.records, now=now)
 
     def all_servers(self) -> ServerNews | None:
         """Return the records of all backend servers, or None before they are known."""
@@ -208,13 +220,13 @@
     def _take_servers(self, news: TopicNews) -> None:
         now = time.monotonic()
         self._note_reads()
-        changes = self._take_records(news.records, now=now)
+        changed = self._take_listed(news.records, now=now)
         if news.start >= 0:
             passed_on = ServerNews(
                 reader=self._settings.host,
                 start=news.start,
                 end=self.servers.offset,
-                records=changes,
+                records=changed,
             )
             self.fire(server_news(passed_on), "exchange")
         if news.complete:
@@ -230,7 +242,7 @@
         now = time.monotonic()
         if news.reported:
             if self.list_is_silent():
-                self._take_records(news.records, now=now)
+                self._take_said(news.records, now=now)
             return
         follows = self.servers.advance(
             start=news.start,
@@ -240,7 +252,7 @@
         )
         if follows:
             self._store.heard(now=now)
-            self._take_records(news.records, now=now)
+            self._take_listed(news.records, now=now)
 
     def list_is_silent(self) -> bool:
         """Tell whether nothing was read of the backend servers for a while."""
@@ -260,7 +272,7 @@
             )
             return
         record = KeyedRecord(key=server_id, value=merged.ok, offset=0)
-        if self._take_records([record], now=time.monotonic()):
+        if self._take_said([record], now=time.monotonic()):
             news = ServerNews(
                 reader=self._settings.host,
                 start=0,
@@ -270,6 +282,69 @@
             )
             self.fire(server_news(news), "exchange")
 
+    def _take_said(
+        self, records: list[KeyedRecord], *, now: float
+    ) -> list[KeyedRecord]:
+        """Take what goes before the list until that has been read again for a while."""
+        self._read_again_at = None
+        for record in records:
+            self._said_by_server[record.key] = record.value
+        return self._take_records(records, now=now)
+
+    def _take_listed(
+        self, records: list[KeyedRecord], *, now: float
+    ) -> list[KeyedRecord]:
+        """Take what the list shows; return what others have to hear of it.
+
+        What goes after a server's own word says nothing new here yet, and others are
+        to hold it back as well.
+        """
+        newer = [self._newer(record, now=now) for record in records]
+        changed = {record.key for record in self._take_records(newer, now=now)}
+        return [
+            record
+            for record in records
+            if record.key in changed or record.key in self._said_by_server
+        ]
+
+    def _newer(self, record: KeyedRecord, *, now: float) -> KeyedRecord:
+        """Return a record of the list with what its server has said since.
+
+        A record that was written before an outage and is read after it would show a
+        head that serves as being in no group, and its members would be given to
+        another.  That a server is leaving counts in any case.
+        """
+        said = self._said_by_server.get(record.key)
+        if said is None or not record.value:
+            return record
+        if self._read_again_at is None:
+            self._read_again_at = now
+        self._held_back[record.key] = record.value
+        merged = self._documents.reported(record.value, said, peer=record.key)
+        if merged.is_error():
+            log_warning(
+                "server_unreadable", server=record.key, message=merged.error.message
+            )
+            return record
+        return KeyedRecord(key=record.key, value=merged.ok, offset=record.offset)
+
+    def _let_list_go_first(self, *, now: float) -> None:
+        """Take what the list has shown, once all servers have written anew."""
+        since = self._read_again_at
+        if since is None or now - since < REPORTED_FOR:
+            return
+        held_back, self._held_back = self._held_back, {}
+        self._said_by_server.clear()
+        self._read_again_at = None
+        self._take_records(
+            [
+                KeyedRecord(key=server_id, value=data, offset=0)
+                for server_id, data in held_back.items()
+                if server_id in self._data_by_server
+            ],
+            now=now,
+        )
+
     def _take_records(
         self, records: list[KeyedRecord], *, now: float
     ) -> list[KeyedRecord]:
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -11,7 +11,7 @@
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
 from ryelever.coordination.topic import TopicNews
 from ryelever.events import OutboundAnswer, OutboundRequest
-from ryelever.fleet_directory import LIST_SILENCE, FleetDirectory
+from ryelever.fleet_directory import LIST_SILENCE, REPORTED_FOR, FleetDirectory
 from ryelever.platform.records import PlatformRecords
 from ryelever.platform.store import StoreCalls
 from ryelever.protocol.host_words import SERVERS_PATH, encode_servers
@@ -268,3 +268,53 @@
     host.fleet._on_reported("unknown", REPORT)
     assert host.directory.by_id["i1"].group is None
     assert host.directory.by_id.keys() == {"i1"}
+
+
+def test_what_was_written_before_an_outage_goes_after_what_was_said_in_it(
+    clock: Clock,
+) -> None:
+    """Show that a group that opened during an outage isn't taken for gone after it.
+
+    Symptom: two servers are joined to a group while the head of theirs is open.
+    Sequence: a group is decided on, the store goes away, its members are asked and its
+    head opens; the store is back, and what is read first was written before its
+    members had joined.
+    Cause: the older record took the place of the newer word; the head seemed to have
+    left, so its members seemed free.
+    """
+    planner, other = Host("a"), Host("b")
+    for host in (planner, other):
+        host.listed(_put("i1", 0), end=1)
+    clock.now += LIST_SILENCE + 0.1
+    planner.fleet._on_reported("i1", REPORT)
+    other.fleet._on_passed_on(planner.passed_on[-1])
+    clock.now += 5.0
+    stale = planner.read(_put("i1", 1, state="draining"), end=2)
+    other.fleet._on_passed_on(stale)
+    for host in (planner, other):
+        found = host.directory.by_id["i1"]
+        assert found.group.state is GroupState.OPEN
+        # That it is leaving counts at once.
+        assert found.draining
+    clock.now += REPORTED_FOR - 0.1
+    planner.fleet._on_tick()
+    assert planner.directory.by_id["i1"].group is not None
+    clock.now += 0.2
+    # By now it has written anew, or is in no group any more.
+    for host in (planner, other):
+        host.fleet._on_tick()
+        assert host.directory.by_id["i1"].group is None
+
+
+def test_a_server_that_is_gone_after_an_outage_is_gone(clock: Clock) -> None:
+    host = Host("a")
+    host.listed(_put("i1", 0), end=1)
+    clock.now += LIST_SILENCE + 0.1
+    host.fleet._on_reported("i1", REPORT)
+    clock.now += OUTAGE + ENTRIES_BACK
+    host.read(_put("i1", 1), _gone("i1", 2), end=3)
+    clock.now += ENTRIES_BACK + REPORTED_FOR + 0.1
+    host.fleet._on_tick()
+    clock.now += 0.1
+    host.fleet._on_tick()
+    assert host.directory.by_id == {}
