Put both kinds of hosts together in the one module that chooses between them

The platform's folder held a start of its own: what it built, what it did when an address was taken and when settings change, beside the same lines for the other kind. Such wiring translates nothing. It stands in wiring.py now, with one place for a taken address; the folder keeps how its settings file is told from others. Behaviour is as before; no test changed.

--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,11 +14,14 @@
 from ..relay_settings import RelaySettings
 from ..settings_checks import is_address
 
-__all__ = ["SETTINGS_VARIABLE", "read_node_settings"]
+__all__ = ["SETTINGS_VARIABLE", "is_node_file", "read_node_settings"]
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "RYELEVER_NODE_FILE"
 
+#: A line of the file.
+_LINE = re.compile(r"^[A-Za-z_][\w.-]*=")
+
 #: Seconds of a graceful shutdown that stay for the last bytes to leave.
 LAST_BYTES = 0.7
 
@@ -101,6 +105,18 @@
 }
 
 
+def is_node_file(path: Path) -> bool:
+    """Tell whether a file is the platform's by its first line that says anything."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError):
+        # Whoever reads it next says what is wrong with it.
+        return False
+    lines = (line.strip() for line in text.splitlines())
+    first = next((line for line in lines if line and not line.startswith("#")), "")
+    return _LINE.match(first) is not None
+
+
 def read_node_settings(path: Path) -> Result[RelaySettings, list[Fault]]:
     """Read and check the settings; every fault names its key.
 
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -18,6 +18,7 @@
     sweep,
     word_tick,
 )
+from .exit_codes import ExitCode
 from .fault_log import FaultLog
 from .fleet_directory import FleetDirectory
 from .group_planning import GroupPlanning
@@ -99,6 +100,7 @@
     ) -> None:
         super().__init__()
         self.settings = settings
+        self.exit_code = ExitCode.OK
         self.metrics = Metrics()
         self._log_writer = log_writer
         self.directory = Directory()
--- a/ryelever/wiring.py
+++ b/ryelever/wiring.py
@@ -1,24 +1,31 @@
 """Wire an entry host to the outside that its settings file belongs to.
 
 Settings in JSON with comments are those of the OpenAI interface, with a log, a hosts
-list and engines of its own.  Lines of the form ``a.b=value`` are the platform's file:
-the host then passes requests on, between the platform's store and its backend servers.
+list and engines of its own.  With the platform's file the host passes requests on,
+between the platform's store and its backend servers.
 """
 
 from __future__ import annotations
 
 import os
-import re
+import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from .exit_codes import ExitCode
-from .settings_files import checked_settings, read_text
+from .logs import configure, configure_stdout, log_error, log_event
+from .settings_files import checked_settings, print_faults, read_text
 
-__all__ = ["run"]
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .application import Application
+    from .relay_application import RelayApplication
+    from .relay_settings import RelaySettings
 
-#: A line of the platform's settings file.
-_PLATFORM_LINE = re.compile(r"^[A-Za-z_][\w.-]*=")
+__all__ = ["run"]
 
 
 def run(settings: Path | None, *, metrics_port: int) -> int:
@@ -32,8 +39,7 @@
     metrics_port : int
         Port of its own for the metrics of a host on the platform; 0 for none.
     """
-    # Each side is imported where it is used: it takes a third of a second.
-    from .platform.settings import SETTINGS_VARIABLE
+    from .platform.settings import SETTINGS_VARIABLE, is_node_file
 
     if settings is None and not os.environ.get(SETTINGS_VARIABLE):
         print(
@@ -42,43 +48,91 @@
             file=sys.stderr,
         )
         return ExitCode.FAULTY_INPUT
-    if settings is not None and not _is_of_the_platform(settings):
+    if settings is not None and not is_node_file(settings):
         return _run_openai(settings)
-    from .platform.entry import run as run_relay
-
-    return run_relay(settings, metrics_port=metrics_port)
+    path = settings or Path(os.environ[SETTINGS_VARIABLE])
+    return _run_relay(path, metrics_port=metrics_port)
 
 
-def _is_of_the_platform(settings: Path) -> bool:
-    """Tell whether a file is the platform's by its first line that says anything."""
-    try:
-        text = settings.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError):
-        # Whoever reads it next says what is wrong with it.
-        return False
-    lines = (line.strip() for line in text.splitlines())
-    first = next((line for line in lines if line and not line.startswith("#")), "")
-    return _PLATFORM_LINE.match(first) is not None
+# Each side is imported where it is used: it takes a third of a second.
 
 
-def _run_openai(settings: Path) -> int:
+def _run_openai(path: Path) -> int:
     from .application import Application
-    from .logs import configure, log_error
 
-    text = read_text(settings)
-    checked = None if text is None else checked_settings(settings, text)
-    if checked is None:
+    text = read_text(path)
+    settings = None if text is None else checked_settings(path, text)
+    if settings is None:
         return ExitCode.FAULTY_INPUT
     configure()
+    return _run(
+        lambda: Application(settings=settings),
+        address=settings.callers_address,
+        remedy="mend callers_address",
+    )
+
+
+def _run_relay(path: Path, *, metrics_port: int) -> int:
+    from .platform.messages import PlatformMessages
+    from .platform.orders import PlatformOrders
+    from .platform.records import PlatformRecords
+    from .platform.settings import read_node_settings
+    from .platform.store import StoreCalls
+    from .relay_application import RelayApplication
+
+    # Without this, word that the settings have changed would end a process that is
+    # still starting.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    read = read_node_settings(path)
+    if read.is_error():
+        print_faults(path, read.error)
+        return ExitCode.FAULTY_INPUT
+    settings = replace(read.ok, metrics_port=metrics_port)
+    log_writer = configure_stdout()
+    return _run(
+        lambda: RelayApplication(
+            settings=settings,
+            log=StoreCalls(address=settings.store_address),
+            documents=PlatformRecords(),
+            groups=PlatformOrders(),
+            messages=PlatformMessages(),
+            log_writer=log_writer,
+            reload=lambda: _reload(path, settings),
+        ),
+        address=settings.callers_address,
+        remedy="mend the settings",
+    )
+
+
+def _run(
+    build: Callable[[], Application | RelayApplication], *, address: str, remedy: str
+) -> int:
+    """Run what is built, or say which address it could not listen on."""
     try:
-        application = Application(settings=checked)
+        application = build()
     except OSError as error:
         log_error(
             "cannot_start",
             step="bind",
-            peer=checked.callers_address,
-            message=f"{error.strerror}; free the address or mend callers_address",
+            peer=address,
+            message=f"{error.strerror}; free the address or {remedy}",
         )
         return ExitCode.FAILED
     application.run()
     return application.exit_code
+
+
+def _reload(path: Path, running: RelaySettings) -> None:
+    """Look at the platform's settings again.
+
+    Addresses and bounds hold for a process's life: what has changed is logged, and
+    takes effect at the next start.
+    """
+    from .platform.settings import read_node_settings
+
+    read = read_node_settings(path)
+    if read.is_error():
+        log_event("reload_refused", faults=[str(fault) for fault in read.error])
+        return
+    changed = replace(read.ok, metrics_port=running.metrics_port) != running
+    log_event("reloaded", changed=changed)
