See circles through faces, and take retries to the family that uses them first

The check for circles left faces out, so a module that imports from a face had no edge to what the face shows: routing imported a type from requests, which imports routing, and the check passed. It follows names through faces now, and families may not import each other for types either; that failed with admission, requests and routing. Nothing behaves differently.

--- a/benchmarks/retry.py
+++ b/benchmarks/retry.py
@@ -11,7 +11,7 @@
 
 from benchmarks.routing_fleet import FakeFleet, chat
 from benchmarks.routing_trials import RoundRobinRouter
-from ryelever.coordination.requests.retry import RetryBudget
+from ryelever.coordination.routing.retry import RetryBudget
 from ryelever.errors import Category, RyeleverError
 
 SEEDS = (21, 22, 23)
--- a/ryelever/coordination/requests/__init__.py
+++ b/ryelever/coordination/requests/__init__.py
@@ -7,7 +7,6 @@
 from .idempotency import KEY_IN_FUTURE, check_key, doubt
 from .keyed_claims import Claims
 from .requests import RequestTable
-from .retry import RetryBudget
 from .state import RequestState, Timeouts
 
 __all__ = [
@@ -16,7 +15,6 @@
     "OUTCOME_KEPT",
     "RequestState",
     "RequestTable",
-    "RetryBudget",
     "Timeouts",
     "check_key",
     "doubt",
--- a/ryelever/coordination/requests/attempts.py
+++ b/ryelever/coordination/requests/attempts.py
@@ -13,8 +13,7 @@
 
     from ...errors import RyeleverError
     from ..actions import Action
-    from ..routing import AttemptFeedback, Quarantined, Router
-    from .retry import RetryPolicy
+    from ..routing import AttemptFeedback, Quarantined, RetryPolicy, Router
     from .state import Request
 
 __all__ = ["RequestAttempts"]
--- a/ryelever/coordination/requests/requests.py
+++ b/ryelever/coordination/requests/requests.py
@@ -39,8 +39,7 @@
     from ...state.records import Claim
     from ..actions import Arrival
     from ..admission import Admission
-    from ..routing import AttemptFeedback, Router
-    from .retry import RetryPolicy
+    from ..routing import AttemptFeedback, RetryPolicy, Router
 
 __all__ = ["ClaimsView", "Request", "RequestState", "RequestTable", "Timeouts"]
 
--- a/ryelever/coordination/routing/__init__.py
+++ b/ryelever/coordination/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Choose where an attempt goes.
+"""Choose where an attempt goes, and whether there is another one.
 
 Which hosts may run it, which are suspected, left, slow or full, and where a prompt's
 prefix lies.
@@ -9,6 +9,7 @@
 from .feedback import AttemptFeedback, NoFeedback, RoutingFeedback
 from .load import LoadView
 from .quarantine import Quarantine, Quarantined, quarantine_error
+from .retry import RetryBudget, RetryPolicy
 from .routing import AffinityRouter, Router
 from .stragglers import Stragglers
 from .targets import Targets
@@ -23,6 +24,8 @@
     "NoFeedback",
     "Quarantine",
     "Quarantined",
+    "RetryBudget",
+    "RetryPolicy",
     "Router",
     "RoutingFeedback",
     "Stragglers",
--- a/ryelever/coordination/routing/feedback.py
+++ b/ryelever/coordination/routing/feedback.py
@@ -12,9 +12,9 @@
 
     from ...errors import RyeleverError
     from ..actions import Target
-    from ..requests import RetryBudget
     from .departures import Departures
     from .quarantine import Quarantine, Quarantined
+    from .retry import RetryBudget
     from .stragglers import Stragglers
 
 __all__ = ["AttemptFeedback", "NoFeedback", "RoutingFeedback"]
--- a/ryelever/request_path.py
+++ b/ryelever/request_path.py
@@ -7,12 +7,13 @@
 from typing import TYPE_CHECKING
 
 from .coordination.admission import FairAdmission, GroupCapacity
-from .coordination.requests import Claims, RequestTable, RetryBudget, Timeouts
+from .coordination.requests import Claims, RequestTable, Timeouts
 from .coordination.routing import (
     AffinityRouter,
     Departures,
     LoadView,
     Quarantine,
+    RetryBudget,
     RoutingFeedback,
     Stragglers,
     Targets,
--- a/tests/test_coordination/test_admission/test_admission_table.py
+++ b/tests/test_coordination/test_admission/test_admission_table.py
@@ -19,8 +19,8 @@
 from ryelever.coordination.admission.fair import FairAdmission
 from ryelever.coordination.requests.keyed_claims import Claims
 from ryelever.coordination.requests.requests import RequestTable
-from ryelever.coordination.requests.retry import RetryBudget
 from ryelever.coordination.routing.plain import LeastInFlightRouter
+from ryelever.coordination.routing.retry import RetryBudget
 from ryelever.errors import Category
 from ryelever.state.claims import ClaimsFold
 from ryelever.state.configuration import ClientAccount
--- a/tests/test_coordination/test_requests/request_fakes.py
+++ b/tests/test_coordination/test_requests/request_fakes.py
@@ -16,7 +16,7 @@
 )
 from ryelever.coordination.admission.admission import Admitted, Queued, Refused
 from ryelever.coordination.requests.requests import RequestTable, Timeouts
-from ryelever.coordination.requests.retry import RetryBudget
+from ryelever.coordination.routing.retry import RetryBudget
 from ryelever.errors import Category, RyeleverError
 from ryelever.state.claims import ClaimsFold
 from ryelever.state.records import Claim, Entry
--- a/tests/test_coordination/test_requests/test_retry.py
+++ b/tests/test_coordination/test_routing/test_retry.py
@@ -6,7 +6,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from ryelever.coordination.requests.retry import RetryBudget
+from ryelever.coordination.routing.retry import RetryBudget
 
 RESERVE = 10.0
 SHARE = 0.08
--- a/tests/test_families.py
+++ b/tests/test_families.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ast
-from collections.abc import Iterator
+import functools
 from pathlib import Path
 
 import pytest
@@ -15,15 +15,18 @@
 FAMILIES = sorted(path.parent.name for path in COORDINATION.glob("*/__init__.py"))
 
 
-def _imports(path: Path) -> Iterator[tuple[str, tuple[str, ...]]]:
-    """Yield each module of the package that a file imports from, and the names."""
+@functools.cache
+def _imports(path: Path) -> tuple[tuple[str, tuple[str, ...]], ...]:
+    """Return each module of the package that a file imports from, and the names."""
     package = ["ryelever", *path.relative_to(ROOT).parts[:-1]]
+    found = []
     for node in ast.walk(ast.parse(path.read_text())):
         if not isinstance(node, ast.ImportFrom):
             continue
         base = package[: len(package) - node.level + 1] if node.level else []
         module = ".".join([*base, *([node.module] if node.module else [])])
-        yield module, tuple(alias.name for alias in node.names)
+        found.append((module, tuple(alias.name for alias in node.names)))
+    return tuple(found)
 
 
 @pytest.mark.parametrize("family", FAMILIES)
@@ -57,39 +60,66 @@
     assert declared == used
 
 
-def _circles() -> list[list[str]]:
-    """Return the groups of modules that import each other, for types too."""
-    modules = {
+def _source_of(module: str, name: str) -> str:
+    """Return the module that a name comes from, where a face only shows it."""
+    path = ROOT.joinpath(*module.split(".")[1:], "__init__.py")
+    if not path.exists():
+        return module
+    for source, names in _imports(path):
+        if name in names:
+            return source
+    return f"{module}.{name}"
+
+
+def _imports_by_module() -> dict[str, set[str]]:
+    """Return which modules each module imports from, for types too."""
+    paths = {
         ".".join(("ryelever", *path.relative_to(ROOT).with_suffix("").parts)): path
         for path in ROOT.rglob("*.py")
         if path.name != "__init__.py"
     }
-    imported: dict[str, set[str]] = {}
-    for name, path in modules.items():
-        found = set()
-        for module, names in _imports(path):
-            found |= {module, *(f"{module}.{item}" for item in names)}
-        imported[name] = found & modules.keys()
-    circles = []
-    while True:
-        ends = {name for name, found in imported.items() if not found}
-        if not ends:
-            break
-        imported = {
-            name: found - ends for name, found in imported.items() if name not in ends
+    return {
+        importer: paths.keys()
+        & {
+            _source_of(module, name)
+            for module, names in _imports(path)
+            for name in names
         }
+        for importer, path in paths.items()
+    }
+
+
+def _circles(imported: dict[str, set[str]]) -> set[str]:
+    """Return the names that import each other, directly or by way of others."""
+    left = {name: set(found) - {name} for name, found in imported.items()}
     while True:
-        used = set().union(*imported.values()) if imported else set()
-        starts = imported.keys() - used
-        if not starts:
-            break
-        for name in starts:
-            del imported[name]
-    if imported:
-        circles.append(sorted(imported))
-    return circles
+        used = set().union(*left.values()) if left else set()
+        outside = {name for name, found in left.items() if not found} | (
+            left.keys() - used
+        )
+        if not outside:
+            return set(left)
+        left = {
+            name: found - outside for name, found in left.items() if name not in outside
+        }
+
+
+def _family_of(module: str) -> str:
+    parts = module.split(".")
+    return parts[2] if parts[1] == "coordination" and len(parts) > 3 else ""
 
 
 def test_no_modules_import_each_other() -> None:
-    """Find circles, imports for types included."""
-    assert _circles() == []
+    """Find circles, imports for types and by way of faces included."""
+    assert _circles(_imports_by_module()) == set()
+
+
+def test_no_families_import_each_other() -> None:
+    """Find circles of families, imports for types included."""
+    imported: dict[str, set[str]] = {}
+    for importer, modules in _imports_by_module().items():
+        families = {_family_of(module) for module in modules} - {""}
+        if family := _family_of(importer):
+            imported.setdefault(family, set()).update(families)
+    assert imported.keys() == set(FAMILIES)
+    assert _circles(imported) == set()
