Take what goes before the list out of the component that reads it

They decide by records and time alone, and are a plain class beside the other decisions now; when the records were last read is worked out in one place. Behaviour is as before; tests changed an import.

--- /dev/null
+++ b/ryelever/coordination/said_records.py
@@ -0,0 +1,63 @@
+"""Let what backend servers say themselves go before the list for a while."""
+
+from __future__ import annotations
+
+from ..state.keyed_record import KeyedRecord
+
+__all__ = ["REPORTED_FOR", "SaidRecords"]
+
+#: Seconds after the list is read again for which what servers said themselves goes on
+#: before it.  What is read first was written before the outage, and is older; servers
+#: write their entries anew within about two seconds of the store's return.
+REPORTED_FOR = 3.0
+
+
+class SaidRecords:
+    """Hold what servers said while the list was silent, and what it has shown since.
+
+    A record that was written before an outage and is read after it would show a head
+    that serves as being in no group, and its members would be given to another.
+    """
+
+    __slots__ = ("_listed_by_server", "_read_again_at", "_said_by_server")
+
+    def __init__(self) -> None:
+        self._said_by_server: dict[str, bytes] = {}
+        self._listed_by_server: dict[str, bytes] = {}
+        self._read_again_at: float | None = None
+
+    def say(self, records: list[KeyedRecord]) -> None:
+        """Take records that go before the list until it was read again for a while."""
+        self._read_again_at = None
+        for record in records:
+            self._said_by_server[record.key] = record.value
+
+    def holds(self, server_id: str) -> bool:
+        """Tell whether a server's own word goes before its entry now."""
+        return server_id in self._said_by_server
+
+    def before(self, record: KeyedRecord, *, now: float) -> bytes | None:
+        """Return what goes before a record of the list, which is held back then.
+
+        That an entry is gone counts at once.
+        """
+        said = self._said_by_server.get(record.key)
+        if said is None or not record.value:
+            return None
+        if self._read_again_at is None:
+            self._read_again_at = now
+        self._listed_by_server[record.key] = record.value
+        return said
+
+    def due(self, *, now: float) -> list[KeyedRecord]:
+        """Return what was held back, once all servers have written anew."""
+        since = self._read_again_at
+        if since is None or now - since < REPORTED_FOR:
+            return []
+        held_back, self._listed_by_server = self._listed_by_server, {}
+        self._said_by_server.clear()
+        self._read_again_at = None
+        return [
+            KeyedRecord(key=server_id, value=data, offset=0)
+            for server_id, data in held_back.items()
+        ]
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -8,6 +8,7 @@
 from circuits import BaseComponent, handler
 
 from .coordination.removals import Removals
+from .coordination.said_records import SaidRecords
 from .coordination.topic import BUSY_WAIT, TopicFollower
 from .events import (
     directory_changed,
@@ -44,11 +45,6 @@
 #: is as of some tenths of a second ago.
 LIST_SILENCE = 1.0
 
-#: Seconds after the list is read again for which what servers said themselves goes on
-#: before it.  What is read first was written before the outage, and is older; servers
-#: write their entries anew within about two seconds of the store's return.
-REPORTED_FOR = 3.0
-
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -101,11 +97,7 @@
         self._document = b""
         self._in_force_since: float | None = None
         self._data_by_server: dict[str, bytes] = {}
-        # What servers said themselves while the list was silent, and what the list has
-        # shown of them since it is read again.
-        self._said_by_server: dict[str, bytes] = {}
-        self._held_back: dict[str, bytes] = {}
-        self._read_again_at: float | None = None
+        self._said = SaidRecords()
         self.fetch = HostFetch(
             words=words,
             take_configuration=self.take_configuration,
@@ -126,7 +118,12 @@
         self._note_reads()
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
-        self._let_list_go_first(now=now)
+        held_back = [
+            record
+            for record in self._said.due(now=now)
+            if record.key in self._data_by_server
+        ]
+        self._take_records(held_back, now=now)
         if not self.servers.is_current:
             self.fetch.ask_for_servers(now=now)
         if not self._announced and now - self._announced_at > ANNOUNCE_RETRY:
@@ -135,10 +132,14 @@
 
     def _note_reads(self) -> None:
         self._removals.note_reads(
-            answered_at=max(self.servers.answered_at, self._store.passed_on_at),
-            failed_at=self.servers.failed_at,
+            answered_at=self._read_at, failed_at=self.servers.failed_at
         )
 
+    @property
+    def _read_at(self) -> float:
+        """Return when the backend servers' records were last read, here or for here."""
+        return max(self.servers.answered_at, self._store.passed_on_at)
+
     # Configuration
 
     def _take_configuration(self, news: TopicNews) -> None:
@@ -256,8 +257,7 @@
 
     def list_is_silent(self) -> bool:
         """Tell whether nothing was read of the backend servers for a while."""
-        read_at = max(self.servers.answered_at, self._store.passed_on_at)
-        return time.monotonic() - read_at > LIST_SILENCE
+        return time.monotonic() - self._read_at > LIST_SILENCE
 
     @handler("server_reported")
     def _on_reported(self, server_id: str, report: bytes) -> None:
@@ -286,9 +286,7 @@
         self, records: list[KeyedRecord], *, now: float
     ) -> list[KeyedRecord]:
         """Take what goes before the list until that has been read again for a while."""
-        self._read_again_at = None
-        for record in records:
-            self._said_by_server[record.key] = record.value
+        self._said.say(records)
         return self._take_records(records, now=now)
 
     def _take_listed(
@@ -304,22 +302,17 @@
         return [
             record
             for record in records
-            if record.key in changed or record.key in self._said_by_server
+            if record.key in changed or self._said.holds(record.key)
         ]
 
     def _newer(self, record: KeyedRecord, *, now: float) -> KeyedRecord:
         """Return a record of the list with what its server has said since.
 
-        A record that was written before an outage and is read after it would show a
-        head that serves as being in no group, and its members would be given to
-        another.  That a server is leaving counts in any case.
+        That a server is leaving counts in any case.
         """
-        said = self._said_by_server.get(record.key)
-        if said is None or not record.value:
+        said = self._said.before(record, now=now)
+        if said is None:
             return record
-        if self._read_again_at is None:
-            self._read_again_at = now
-        self._held_back[record.key] = record.value
         merged = self._documents.reported(record.value, said, peer=record.key)
         if merged.is_error():
             log_warning(
@@ -328,23 +321,6 @@
             return record
         return KeyedRecord(key=record.key, value=merged.ok, offset=record.offset)
 
-    def _let_list_go_first(self, *, now: float) -> None:
-        """Take what the list has shown, once all servers have written anew."""
-        since = self._read_again_at
-        if since is None or now - since < REPORTED_FOR:
-            return
-        held_back, self._held_back = self._held_back, {}
-        self._said_by_server.clear()
-        self._read_again_at = None
-        self._take_records(
-            [
-                KeyedRecord(key=server_id, value=data, offset=0)
-                for server_id, data in held_back.items()
-                if server_id in self._data_by_server
-            ],
-            now=now,
-        )
-
     def _take_records(
         self, records: list[KeyedRecord], *, now: float
     ) -> list[KeyedRecord]:
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -9,9 +9,10 @@
 
 from ryelever.coordination.host_words import HostWord, HostWords
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
+from ryelever.coordination.said_records import REPORTED_FOR
 from ryelever.coordination.topic import TopicNews
 from ryelever.events import OutboundAnswer, OutboundRequest
-from ryelever.fleet_directory import LIST_SILENCE, REPORTED_FOR, FleetDirectory
+from ryelever.fleet_directory import LIST_SILENCE, FleetDirectory
 from ryelever.platform.records import PlatformRecords
 from ryelever.platform.store import StoreCalls
 from ryelever.protocol.host_words import SERVERS_PATH, encode_servers
