Work out once what was worked out two or three times a look

A planner went through all servers of a service four times a look for those of its zone, the heads in doubt were gathered twice, and requests from before the configuration were looked at twice a tick. Three places filtered a group's members by the list in their own loops; the list does so now. Behaviour is as before; no test changed.

--- a/ryelever/coordination/groups/kept_groups.py
+++ b/ryelever/coordination/groups/kept_groups.py
@@ -136,8 +136,7 @@
 
     def has_any(self, kept: KeptGroup) -> bool:
         """Tell whether any member reports to be of a group."""
-        servers = (self._directory.by_id.get(item) for item in kept.record.member_ids)
         return any(
-            server is not None and kept.state_of(server) is not None
-            for server in servers
+            kept.state_of(server) is not None
+            for server in self._directory.listed(kept.record.member_ids)
         )
--- a/ryelever/coordination/groups/zone_planner.py
+++ b/ryelever/coordination/groups/zone_planner.py
@@ -248,10 +248,9 @@
             return []
         # What a group is taken apart for waits for its members.
         held = {
-            self._directory.by_id[item].domain
+            server.domain
             for record in self.keeper.taken_apart()
-            for item in record.member_ids
-            if item in self._directory.by_id
+            for server in self._directory.listed(record.member_ids)
         }
         free = [server for server in view.free if server.domain not in held]
         return choose_formations(free, view.rules)
--- a/ryelever/coordination/groups/zone_view.py
+++ b/ryelever/coordination/groups/zone_view.py
@@ -122,22 +122,24 @@
         *,
         now: float,
     ) -> ServiceView:
-        free = self._free(service, now=now)
-        is_calm = not demand
+        own = self._own(service)
+        free = self._free(own, now=now)
         return ServiceView(
             service=service,
             engine=engine,
             free=free,
             standing=self._standing(service),
-            rules=self._rules(service, engine, demand),
-            has_settled=self._has_settled(service, free, is_calm=is_calm, now=now),
+            rules=self._rules(service, engine, demand, n_own=len(own)),
+            has_settled=self._has_settled(
+                service, n_free=len(free), is_calm=not demand, now=now
+            ),
         )
 
-    def _free(self, service: str, *, now: float) -> list[BackendServer]:
+    def _free(self, own: list[BackendServer], *, now: float) -> list[BackendServer]:
         taken = self._keeper.taken()
         return [
             server
-            for server in self._own(service)
+            for server in own
             if not server.draining
             and server.id not in taken
             and not self._adoption.is_unsettled(server, now=now)
@@ -150,28 +152,28 @@
             StandingGroup(
                 name=record.name,
                 model=record.model,
-                members=tuple(
-                    self._directory.by_id[item]
-                    for item in record.member_ids
-                    if item in self._directory.by_id
-                ),
+                members=tuple(self._directory.listed(record.member_ids)),
             )
             for record in self._keeper.records(GroupPhase.SERVING)
             if record.service == service
         ]
 
     def _rules(
-        self, service: str, engine: EngineProfile, seen: Mapping[str, float]
+        self,
+        service: str,
+        engine: EngineProfile,
+        seen: Mapping[str, float],
+        *,
+        n_own: int,
     ) -> FormingRules:
-        n_own = len(self._own(service))
         if not seen:
             # All zones plan at the same moment, and none sees yet what the others
             # form: each meets its own part of the demand.
-            demand = first_demand(engine, n_servers=n_own)
+            demand = _first_demand(engine, n_servers=n_own)
             groups = self._own_groups(service, engine)
         else:
             n_all = sum(1 for _ in self._directory.of_service(service))
-            first = first_demand(engine, n_servers=n_all)
+            first = _first_demand(engine, n_servers=n_all)
             demand = {
                 name: max(seen.get(name, 0.0), IDLE_DEMAND * value)
                 for name, value in first.items()
@@ -206,7 +208,7 @@
         return counts
 
     def _has_settled(
-        self, service: str, free: list[BackendServer], *, is_calm: bool, now: float
+        self, service: str, *, n_free: int, is_calm: bool, now: float
     ) -> bool:
         """Tell whether the list has shown all servers that there are at the start.
 
@@ -215,15 +217,15 @@
         numbers would differ at each look, and the wait would take its longest.
         """
         seen = self._appearing_by_service.get(service)
-        if seen is None or seen.n_free != len(free):
-            seen = _Appearing(n_free=len(free), since=now)
+        if seen is None or seen.n_free != n_free:
+            seen = _Appearing(n_free=n_free, since=now)
             self._appearing_by_service[service] = seen
         if not is_calm or now - self._since > LONGEST_SETTLING:
             return True
         return now - seen.since > FLEET_SETTLING
 
 
-def first_demand(engine: EngineProfile, *, n_servers: int) -> dict[str, float]:
+def _first_demand(engine: EngineProfile, *, n_servers: int) -> dict[str, float]:
     """Return the demand to assume before any was seen, from the models' shares."""
     return {
         model.name: BUSY_ENOUGH * n_servers * model.share / model.size
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -261,7 +261,6 @@
 
     def tick(self, *, now: float) -> None:
         """Give up what is due, move what stands still, dispatch what waits."""
-        self._route_unrouted(now=now)
         for request in list(self.requests_by_number.values()):
             waited = self._waiting.has_waited_enough(request, now=now)
             if waited or now >= request.gives_up_at:
@@ -271,7 +270,7 @@
         self.dispatch_waiting(now=now)
 
     def dispatch_waiting(self, *, now: float) -> None:
-        """Send waiting requests to places that have become free."""
+        """Send what waits, for a place or for the first configuration."""
         self._route_unrouted(now=now)
         if not self._waiting:
             return
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -217,10 +217,12 @@
 
     def _still_heads(self) -> set[str]:
         now = time.monotonic()
-        still = self.words.still(now=now).union(self.relay.stillness.still(now=now))
+        stillness = self.relay.stillness
+        still = self.words.still(now=now).union(stillness.still(now=now))
         # A host that has lost its way to a head sees a group stand still that serves
         # all others.
-        return still - self.words.moving(now=now) - set(self._moving_heads(now=now))
+        moving = self.words.moving(now=now)
+        return {head for head in still - moving if not stillness.moves(head, now=now)}
 
     def _moving_heads(self, *, now: float) -> tuple[str, ...]:
         """Return the heads that others saw stand still, and that move here."""
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
 __all__ = ["BackendServer", "Directory", "GroupReport", "GroupState"]
 
@@ -124,6 +124,13 @@
         self.n_changes += 1
         return True
 
+    def listed(self, server_ids: Iterable[str]) -> Iterator[BackendServer]:
+        """Yield those of some backend servers that are there now."""
+        for server_id in server_ids:
+            server = self.by_id.get(server_id)
+            if server is not None:
+                yield server
+
     def of_service(self, service: str) -> Iterator[BackendServer]:
         """Yield the backend servers of one service."""
         yield from self._by_service.get(service, {}).values()
