Give hosts with ports that are named an address of their own in tests

Cause: the test took a port that was free for UDP at that moment and bound it for TCP as well; other processes take ports of the common loopback address at any moment, and the test of the metrics' port did the same. Ruled out: the product (the port was taken before its first start). The assertions stay.

--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -13,7 +14,13 @@
 
 from .processes import STANDIN_ENVIRONMENT, Process, wait_until
 
-__all__ = ["RelayHost", "RelayZone", "events_of_stream", "running_relay_zone"]
+__all__ = [
+    "RelayHost",
+    "RelayZone",
+    "events_of_stream",
+    "own_address",
+    "running_relay_zone",
+]
 
 HEADERS = {
     "Host": "calls.example",
@@ -23,7 +30,7 @@
 
 SETTINGS = """\
 node={name}
-ip=127.0.0.1
+ip={ip}
 zone=z
 zones.z=r
 listen.front=127.0.0.1:0
@@ -107,6 +114,7 @@
         grace: float = 8,
         wait: bool = True,
         door: str = "store",
+        ip: str = "127.0.0.1",
         peers_port: int = 0,
         metrics_port: int = 0,
     ) -> RelayHost:
@@ -116,6 +124,9 @@
         ----------
         door : str
             Where it reaches the store: ``"store"`` or ``"side-door"``.
+        ip : str
+            Address of its ports for peers and metrics; one of its own where a port is
+            named, as others take ports of the common one at any moment.
         peers_port : int
             Where other entry hosts reach it; 0 picks a free port.
         metrics_port : int
@@ -127,6 +138,7 @@
                 name=name,
                 store=self.addresses[door],
                 grace=grace,
+                ip=ip,
                 peers_port=peers_port,
             )
         )
@@ -216,6 +228,12 @@
         return total
 
 
+def own_address() -> str:
+    """Return an IP number of the loopback network that no other process uses."""
+    high, low = divmod(os.getpid(), 250)
+    return f"127.{1 + high // 250}.{high % 250}.{1 + low}"
+
+
 def events_of_stream(n_events: int) -> str:
     """Return a whole stream as the stand-ins write it."""
     return "".join(
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -10,8 +10,14 @@
 import httpx
 import pytest
 
-from ..processes import free_udp_addresses, wait_until
-from ..relay_zone import HEADERS, RelayZone, events_of_stream, running_relay_zone
+from ..processes import wait_until
+from ..relay_zone import (
+    HEADERS,
+    RelayZone,
+    events_of_stream,
+    own_address,
+    running_relay_zone,
+)
 
 
 @pytest.fixture
@@ -118,8 +124,8 @@
     Cause: configuration and backend servers could come from the store only.
     """
     first = zone.start_host("e1")
-    _, _, port = free_udp_addresses(1)[0].rpartition(":")
-    killed = zone.start_host("e2", peers_port=int(port))
+    place = {"ip": own_address(), "peers_port": 7000}
+    killed = zone.start_host("e2", **place)
     first.process.wait_for_event("peer_heard")
     zone.head_of(2)
     wait_until(
@@ -129,7 +135,7 @@
     killed.process.kill()
     zone.control(store={"refuse": True})
     first.process.wait_for_event("store_lost")
-    again = zone.start_host("e2", peers_port=int(port))
+    again = zone.start_host("e2", **place)
     assert again.call("/look/1", request_id="i1").status_code == 200
     assert again.chat(request_id="s1").text == events_of_stream(5)
 
@@ -196,14 +202,14 @@
 
 
 def test_metrics_have_an_address_of_their_own(zone: RelayZone) -> None:
-    _, _, port = free_udp_addresses(1)[0].rpartition(":")
-    host = zone.start_host("e1", metrics_port=int(port))
+    ip = own_address()
+    host = zone.start_host("e1", ip=ip, metrics_port=9100)
     zone.head_of(2)
     wait_until(
         lambda: host.chat(request_id="s1").status_code == 200,
         what="the host knows the group",
     )
-    text = httpx.get(f"http://127.0.0.1:{port}/metrics", timeout=5).text
+    text = httpx.get(f"http://{ip}:9100/metrics", timeout=5).text
     beside = httpx.get(f"http://{host.ready_address}/metrics", timeout=5).text
     for name in (
         'ryelever_relay_request_seconds{outcome="200",quantile="0.5",route="chat"}',
