Tell other hosts that a suspect had proved itself before a crash

Cause: two entry hosts see one crash, one of them a poisonous request and the other a bystander that was in an earlier crash and ran on past its place elsewhere. Each told the other that its suspect was in a second crash, but not that the bystander had proved itself. The host with the poison then saw two possible causes, took its verdict back and let the poison run a third time; the other condemned its bystander until word of the poison came.

It left no logs.

Before: the new test failed (the poison was not held). Conclusion: a proof counts wherever the crash is judged.

--- a/ryelever/coordination/routing/quarantine.py
+++ b/ryelever/coordination/routing/quarantine.py
@@ -218,6 +218,10 @@
             crash = count.crash = self._crash(observation.crash, now=now)
         if observation.repeated:
             crash.repeated.add(observation.fingerprint)
+            if observation.proved:
+                # Else a bystander that a peer saw run on would stand beside the
+                # poison as a second possible cause, and neither be condemned.
+                crash.proved.add(observation.fingerprint)
             self._withdraw(crash)
 
     def _withdraw(self, crash: Crash) -> None:
--- a/ryelever/coordination/routing/quarantine_evidence.py
+++ b/ryelever/coordination/routing/quarantine_evidence.py
@@ -106,12 +106,14 @@
     def row(self) -> SuspicionRow:
         """Return what peers are told."""
         newest = self.crashes[-1] if self.crashes else None
-        crash = self.repeated_in if self.repeated_in is not None else newest
+        repeated_in = self.repeated_in
+        crash = repeated_in if repeated_in is not None else newest
         return SuspicionRow(
             fingerprint=self.fingerprint,
             n_crashes=self.n_crashes,
             crash=crash.key if crash is not None else "",
-            repeated=self.repeated_in is not None,
+            repeated=repeated_in is not None,
+            proved=repeated_in is not None and self.fingerprint in repeated_in.proved,
         )
 
     def clear(self) -> None:
--- a/ryelever/coordination/soft_state/digest.py
+++ b/ryelever/coordination/soft_state/digest.py
@@ -67,5 +67,6 @@
             n_crashes=first.n_crashes + second.n_crashes,
             crash=first.crash or second.crash,
             repeated=first.repeated or second.repeated,
+            proved=first.proved and second.proved,
         )
     return first
--- a/ryelever/protocol/soft_state.py
+++ b/ryelever/protocol/soft_state.py
@@ -65,6 +65,7 @@
         ("nCrashes", "n_crashes"),
         ("crash", "crash"),
         ("repeated", "repeated"),
+        ("proved", "proved"),
     ),
     "leaving": (("host", "host"),),
     "load": (("target", "target"), ("nInFlight", "n_in_flight")),
--- a/ryelever/schema/soft_state.capnp
+++ b/ryelever/schema/soft_state.capnp
@@ -77,6 +77,7 @@
   nCrashes @1 :UInt32;
   crash @2 :Text;
   repeated @3 :Bool;
+  proved @4 :Bool;
 }
 
 struct Leaving {
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -47,12 +47,15 @@
         number.
     repeated : bool
         True when it was a suspect already in that one.
+    proved : bool
+        True when it had got past the place of an earlier crash before that one.
     """
 
     fingerprint: str
     n_crashes: int
     crash: str = ""
     repeated: bool = False
+    proved: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/test_coordination/test_routing/test_quarantine.py
+++ b/tests/test_coordination/test_routing/test_quarantine.py
@@ -203,6 +203,42 @@
     assert rows == {"a": 0, "b": 1}
 
 
+def _exchange(hosts: dict[str, Quarantine], *, now: float) -> None:
+    """Let each entry host tell the others what it saw."""
+    for name, quarantine in hosts.items():
+        for row in quarantine.observations(now=now):
+            for other, hearer in hosts.items():
+                if other != name:
+                    hearer.observed(row, peer=name, observed_at=now, now=now)
+
+
+def test_a_suspect_that_proved_itself_elsewhere_explains_no_crash() -> None:
+    """Let a poison meet another entry host's bystander that has proved itself.
+
+    Symptom: a third group dies of one request, or a bystander is told that it is
+    quarantined.  Sequence: a group dies under a poison of one entry host and a
+    bystander of another; the bystander runs well past the place of that crash
+    elsewhere; the poison, which had to wait for its turn, is sent to the same
+    group, since the parts of the two hosts shifted when the dead group was
+    dissolved.  Cause: hosts told each other that a suspect was in a second crash,
+    but not that it had proved itself, so the one that saw the poison took the
+    bystander for as likely a cause and let the poison run once more.
+    """
+    first = Quarantine(settle=1.0, seed=1)
+    second = Quarantine(settle=1.0, seed=1)
+    first.crashed("g0", {"poison"}, now=0.0)
+    second.crashed("g0", {"bystander"}, now=0.0)
+    _exchange({"e1": first, "e2": second}, now=0.2)
+    second.proved("bystander", now=1.5)
+    first.crashed("g1", {"poison"}, now=2.0)
+    second.crashed("g1", {"bystander"}, now=2.0)
+    _exchange({"e1": first, "e2": second}, now=2.2)
+    assert first.is_held("poison", now=2.3)
+    for quarantine in (first, second):
+        assert quarantine.verdict("poison", now=3.5) is not None
+        assert quarantine.verdict("bystander", now=3.5) is None
+
+
 @pytest.mark.parametrize(
     ("category", "step", "code", "refused", "crash"),
     [
