Let two hosts of a zone read what is rarely written, for all others

Change: the first two by name of a zone's hosts that reach the store read for it. The others rest once they know all hosts, and are told by words: a newer version is asked of the host of the zone that told of it, of the store where it is long, and of both after 0.3 s.

Ruled out: longer waits (30 s) on all hosts, which cost a fifth of the calls and still one for each host and change; asking the two readers for long configurations, as thirty hosts would ask for a third of a megabyte on one link at once.

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -16,6 +16,10 @@
 #: chance.
 ZONE_SILENCE = 1.5
 
+#: Hosts of a zone that read what is rarely written.  While one of two is silent and
+#: not yet missed, the other goes on; more would only cost more calls.
+READERS = 2
+
 #: Seconds without a host of its own after which others plan for a zone: hosts that
 #: are restarted are back sooner.
 ORPHANED = 5.0
@@ -40,6 +44,8 @@
         Distinguishes the incarnations of a host.
     reads_store : bool
         True while its reads of the store are answered.
+    configuration_size : int
+        Bytes of the configuration in force there.
     in_flight_by_server : dict of str to int
         Its requests at each backend server.
     demand_by_model : dict of str to float
@@ -61,6 +67,7 @@
     reads_store: bool
     stopping: bool
     configuration_version: int
+    configuration_size: int = 0
     in_flight_by_server: dict[str, int] = field(default_factory=dict)
     demand_by_model: dict[str, float] = field(default_factory=dict)
     still: tuple[str, ...] = ()
@@ -182,6 +189,27 @@
         """Return the zones in which other planners take groups apart."""
         return {zone for word in self.living(now=now) for zone in word.reshapes}
 
+    def reads_for_zone(self, *, reads_store: bool, now: float) -> bool:
+        """Tell whether this host is one of those that read the store for their zone.
+
+        Each call to the store is paid for, and with each host waiting on each topic
+        calls grow with the number of hosts.  The first by name of the zone's hosts
+        that reach the store read for it; the next one takes over when a word of one
+        of them is missing.  A host that doesn't reach the store goes on trying, or
+        nobody would notice that it is back.
+        """
+        if not reads_store:
+            return True
+        before = [
+            word
+            for word in self.living(now=now)
+            if word.availability_zone == self._zone
+            and word.reads_store
+            and not word.stopping
+            and word.host < self._host
+        ]
+        return len(before) < READERS
+
     def plans_for(
         self, zone: str, *, planning: bool, reads_store: bool, now: float
     ) -> bool:
--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -79,6 +79,9 @@
         Least seconds between two calls, as each of them is paid for.
     wait : float
         Seconds for which a read waits for a record.
+    rests : bool
+        True while other hosts tell of what is new, so that only a poke is a reason
+        to read on.
     listed_at, answered_at, failed_at, asked_at : float
         Monotonic times of the last complete listing, good answer, failure and call.
     n_asked : int
@@ -90,6 +93,7 @@
     partition: int = 0
     interval: float = 0.0
     wait: float = RARE_WAIT
+    rests: bool = False
     offset: int = 0
     listed_at: float = float("-inf")
     answered_at: float = float("-inf")
@@ -102,6 +106,7 @@
     _asked_from: int = 0
     _due_at: float = 0.0
     _n_failures: int = 0
+    _is_poked: bool = False
     _after: str = ""
     _listed: list[KeyedRecord] = field(default_factory=list)
 
@@ -114,6 +119,9 @@
         """Return the call that is due, if there is one."""
         if self.is_waiting or now < self._due_at:
             return None
+        if self.rests and self._phase is _Phase.READING and not self._is_poked:
+            return None
+        self._is_poked = False
         self.is_waiting = True
         self.n_asked += 1
         self.asked_at = now
@@ -140,6 +148,7 @@
         if now - self.asked_at < PATIENCE:
             return
         self.is_waiting = False
+        self._is_poked = True
         self._due_at = 0.0
 
     @property
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -19,7 +19,7 @@
 from .state.keyed_record import KeyedRecord, ServerNews
 
 if TYPE_CHECKING:
-    from .coordination.host_words import HostWords
+    from .coordination.host_words import HostWord, HostWords
     from .coordination.topic import TopicNews
     from .protocol.keyed_log import KeyedLogInterface
     from .protocol.store_documents import StoreDocuments
@@ -45,6 +45,15 @@
 #: is as of some tenths of a second ago.
 LIST_SILENCE = 1.0
 
+#: Least seconds between two reads of the hosts' records.  All hosts write theirs
+#: within half a second of the start, and a read for each would be one a host and host.
+HOSTS_INTERVAL = 0.3
+
+#: Longest configuration in bytes that hosts of a zone ask each other for rather than
+#: the store.  Thirty of them ask at once, and half a megabyte takes a tenth of a
+#: second of the slowest host's link at 40 Mbit/s.
+MAX_GIVEN = 16 << 10
+
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -93,7 +102,9 @@
             interval=SERVERS_INTERVAL,
             wait=BUSY_WAIT,
         )
-        self.hosts = TopicFollower(log=log, topic=documents.hosts_topic)
+        self.hosts = TopicFollower(
+            log=log, topic=documents.hosts_topic, interval=HOSTS_INTERVAL
+        )
         self._document = b""
         self._in_force_since: float | None = None
         self._data_by_server: dict[str, bytes] = {}
@@ -104,7 +115,7 @@
             take_servers=self._take_given_servers,
         ).register(self)
         self._announced_at = float("-inf")
-        self._announced = False
+        self._acknowledged_at: float | None = None
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
@@ -116,6 +127,7 @@
     def _on_tick(self) -> None:
         now = time.monotonic()
         self._note_reads()
+        self._rest_or_read(now=now)
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
         held_back = [
@@ -126,10 +138,28 @@
         self._take_records(held_back, now=now)
         if not self.servers.is_current:
             self.fetch.ask_for_servers(now=now)
-        if not self._announced and now - self._announced_at > ANNOUNCE_RETRY:
+        unannounced = self._acknowledged_at is None
+        if unannounced and now - self._announced_at > ANNOUNCE_RETRY:
             self._announced_at = now
             self._announce()
 
+    def _rest_or_read(self, *, now: float) -> None:
+        """Leave it to others of the zone to read what is rarely written, or do it.
+
+        A host that starts is found by its words.  Of two that start at once each
+        must know the other, so both read on until what they read is younger than
+        their own record.
+        """
+        reads = self._words.reads_for_zone(
+            reads_store=self._store.is_reachable, now=now
+        )
+        self.configuration.rests = not reads and self.table is not None
+        acknowledged_at = self._acknowledged_at
+        knows_all = (
+            acknowledged_at is not None and self.hosts.asked_at > acknowledged_at
+        )
+        self.hosts.rests = not reads and knows_all
+
     def _note_reads(self) -> None:
         self._removals.note_reads(
             answered_at=self._read_at, failed_at=self.servers.failed_at
@@ -180,17 +210,23 @@
         """Return the configuration in force as it lies in the store."""
         return self._document
 
-    def note_version(self, version: int, host: str, *, now: float) -> None:
+    def note_version(self, word: HostWord, *, now: float) -> None:
         """Take word that another entry host has a version in force.
 
         The store may turn this host away, or a read hang on a silent connection,
         while a version that is newer binds all hosts: it is asked for again, and
-        where that doesn't help soon, the other host gives it.
+        where that doesn't help soon, the other host gives it.  A host that leaves the
+        reading to others asks a host of its zone first.
         """
-        if version <= self.version:
+        if word.configuration_version <= self.version:
             return
-        self.configuration.poke(now=now)
-        self.fetch.ask_for_configuration(host, now=now)
+        overdue = self.fetch.is_overdue(now=now)
+        is_near = word.availability_zone == self._settings.availability_zone
+        is_given = word.configuration_size <= MAX_GIVEN
+        if overdue or not (self.configuration.rests and is_given):
+            self.configuration.poke(now=now)
+        if overdue or (self.configuration.rests and is_given and is_near):
+            self.fetch.ask_for_configuration(word.host, now=now)
 
     def _take_given_servers(self, given: ServerNews, peer: str) -> None:
         """Take what another host knows, unless the store has answered meanwhile."""
@@ -387,7 +423,8 @@
         self._store.call(call, self._take_announced)
 
     def _take_announced(self, status: int, body: bytes) -> None:
-        self._announced = status == 200
+        if status == 200:
+            self._acknowledged_at = time.monotonic()
 
 
 def _log_change(old: BackendServer | None, server: BackendServer) -> None:
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -57,7 +57,7 @@
         stillness: StillnessWatch,
         describe: Callable[[], dict[str, object]],
         plans: Callable[[], bool],
-        take_version: Callable[[int, str], None],
+        take_version: Callable[[HostWord], None],
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -112,7 +112,7 @@
                 self._take_news(word)
             elif self._words.take(word, address=datagram.address, now=now):
                 self._take_still(word, now=now)
-                self._take_version(word.configuration_version, word.host)
+                self._take_version(word)
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
 
     @handler("server_news")
--- a/ryelever/host_fetch.py
+++ b/ryelever/host_fetch.py
@@ -24,9 +24,10 @@
 
 __all__ = ["HostFetch"]
 
-#: Seconds for which the store is asked before another entry host is, for a newer
-#: configuration or for the backend servers: its answer takes some milliseconds.
-STORE_FIRST = 0.3
+#: Seconds for which only the one that is asked first is asked for a newer
+#: configuration or for the backend servers: the store's answer takes some
+#: milliseconds, another host's some tens.
+ASKED_FIRST = 0.3
 
 #: Seconds after which another entry host is asked again.
 FETCH_RETRY = 0.5
@@ -66,14 +67,23 @@
         """Take note that the newest configuration known of is in force here."""
         self._behind_since = None
 
-    def ask_for_configuration(self, host: str, *, now: float) -> None:
-        """Ask a host that has a newer configuration, if the store doesn't give it."""
+    def is_overdue(self, *, now: float) -> bool:
+        """Take note that a newer configuration is in force elsewhere.
+
+        Returns
+        -------
+        bool
+            True once whoever was asked first has had the time to give it.
+        """
         if self._behind_since is None:
             self._behind_since = now
+        return now - self._behind_since > ASKED_FIRST
+
+    def ask_for_configuration(self, host: str, *, now: float) -> None:
+        """Ask a host that has a newer configuration, unless one was asked just now."""
         address = self._words.addresses_by_host.get(host)
-        overdue = now - self._behind_since > STORE_FIRST
         asked_lately = now - self._configuration_asked_at < FETCH_RETRY
-        if address is not None and overdue and not asked_lately:
+        if address is not None and not asked_lately:
             self._configuration_asked_at = now
             self._ask(CONFIGURATION_PATH, address.address)
 
@@ -83,7 +93,7 @@
         A host that is started anew while the store is away would serve nobody until
         it returns, though the hosts around it know all that it needs.
         """
-        if now - max(self._started_at, self._servers_asked_at) < STORE_FIRST:
+        if now - max(self._started_at, self._servers_asked_at) < ASKED_FIRST:
             return
         givers = [
             address.address
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -41,6 +41,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .coordination.host_words import HostWord
     from .log_stream import StreamWriter
     from .protocol.keyed_log import KeyedLogInterface
     from .protocol.relaying import RelayInterface
@@ -269,6 +270,7 @@
             "reads_store": self._reads_store(),
             "stopping": self.shutdown.stopping,
             "configuration_version": self.fleet.version,
+            "configuration_size": len(self.fleet.document()),
             "still": tuple(self.relay.stillness.still(now=now)),
             "moving": self._moving_heads(now=now),
             "plans": tuple(self.planning.planners_by_zone),
@@ -276,8 +278,8 @@
             "demand_by_model": self.relay.demand.by_model(now=now),
         }
 
-    def _take_version(self, version: int, host: str) -> None:
-        self.fleet.note_version(version, host, now=time.monotonic())
+    def _take_version(self, word: HostWord) -> None:
+        self.fleet.note_version(word, now=time.monotonic())
 
     # Readiness
 
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -24,6 +24,8 @@
   reshapes @11 :List(Text);
   # Heads that others saw stand still, and whose streams go on at the sender.
   moving @12 :List(Text);
+  # Bytes of the configuration in force at the sender.
+  configurationSize @13 :UInt32;
 }
 
 # What one host has read of the backend servers' topic, for the others.
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -7,6 +7,7 @@
 from ryelever.coordination.host_words import (
     HOST_SILENCE,
     ORPHANED,
+    READERS,
     ZONE_SILENCE,
     HostWord,
     HostWords,
@@ -55,6 +56,7 @@
         plans=("z",),
         reshapes=("z",),
         moving=("i2",),
+        configuration_size=4711,
     )
     assert decode_datagram(encode_word(word), peer="a").ok == word
 
@@ -244,3 +246,48 @@
     assert words.moving(now=0.6) == {"h1"}
     assert words.reshaping(now=0.6) == {"x", "y"}
     assert words.reshaping(now=0.1 + HOST_SILENCE) == {"y"}
+
+
+@pytest.mark.parametrize(
+    ("others", "reads_store", "reads"),
+    [
+        ([], True, True),
+        ([("a", {})], True, True),
+        ([("a", {}), ("a2", {})], True, False),
+        ([("a", {}), ("a2", {"availability_zone": "y"})], True, True),
+        ([("a", {}), ("a2", {"reads_store": False})], True, True),
+        ([("a", {}), ("a2", {"stopping": True})], True, True),
+        ([("c", {}), ("d", {})], True, True),
+        ([("a", {}), ("a2", {})], False, True),
+    ],
+    ids=[
+        "alone",
+        "second",
+        "third",
+        "one of another zone",
+        "one that the store turns away",
+        "one that stops",
+        "first of all",
+        "itself turned away",
+    ],
+)
+def test_the_first_of_a_zone_read_for_it(
+    words: HostWords, others: list[tuple[str, dict]], reads_store: bool, reads: bool
+) -> None:
+    assert READERS == 2
+    for host, changes in others:
+        _take(words, _word(host, **changes), now=0.0)
+    assert words.reads_for_zone(reads_store=reads_store, now=0.1) is reads
+
+
+def test_the_next_host_reads_when_one_that_read_falls_silent(words: HostWords) -> None:
+    """Lose one of the hosts that read the store for a zone.
+
+    Symptom: a change of configuration is in force late.  Sequence: a host that reads
+    for its zone is killed or cut off.  Cause: the others rest and wait for its word.
+    """
+    for host in ("a", "a2"):
+        _take(words, _word(host), now=0.0)
+    _take(words, _word("a", sequence=2), now=HOST_SILENCE)
+    assert not words.reads_for_zone(reads_store=True, now=HOST_SILENCE)
+    assert words.reads_for_zone(reads_store=True, now=HOST_SILENCE + 0.01)
--- a/tests/test_coordination/test_topic.py
+++ b/tests/test_coordination/test_topic.py
@@ -161,3 +161,20 @@
 
 def test_before_its_first_listing_nothing_is_taken() -> None:
     assert not _follower().advance(start=0, end=5, yields=True, now=0.0)
+
+
+def test_a_follower_that_rests_asks_only_when_it_is_poked() -> None:
+    follower = _listed()
+    follower.rests = True
+    assert follower.next_call(now=1.0) is None
+    follower.poke(now=1.0)
+    assert "from=7" in follower.next_call(now=1.0).path
+    follower.answered(200, _page(7, 0), now=1.1)
+    assert follower.next_call(now=9.0) is None
+    follower.rests = False
+    assert "from=7" in follower.next_call(now=9.0).path
+
+
+def test_a_follower_that_rests_lists_first() -> None:
+    follower = _follower(rests=True)
+    assert follower.next_call(now=0.0).path.startswith("/log-newest?")
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -4,18 +4,24 @@
 
 import json
 import time
+from dataclasses import replace
 
 import pytest
 
-from ryelever.coordination.host_words import HostWord, HostWords
+from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
 from ryelever.coordination.said_records import REPORTED_FOR
 from ryelever.coordination.topic import TopicNews
 from ryelever.events import OutboundAnswer, OutboundRequest
-from ryelever.fleet_directory import LIST_SILENCE, FleetDirectory
+from ryelever.fleet_directory import LIST_SILENCE, MAX_GIVEN, FleetDirectory
+from ryelever.host_fetch import ASKED_FIRST
 from ryelever.platform.records import PlatformRecords
 from ryelever.platform.store import StoreCalls
-from ryelever.protocol.host_words import SERVERS_PATH, encode_servers
+from ryelever.protocol.host_words import (
+    CONFIGURATION_PATH,
+    SERVERS_PATH,
+    encode_servers,
+)
 from ryelever.relay_settings import RelaySettings
 from ryelever.state.directory import Directory, GroupState
 from ryelever.state.keyed_record import KeyedRecord, ServerNews
@@ -319,3 +325,91 @@
     clock.now += 0.1
     host.fleet._on_tick()
     assert host.directory.by_id == {}
+
+
+def _resting(name: str) -> Host:
+    """Return a host that leaves the reading of configurations to others."""
+    host = Host(name)
+    follower = host.fleet.configuration
+    follower.next_call(now=0.0)
+    follower.answered(200, b'{"items": [], "more": false, "end": 0}', now=0.0)
+    follower.rests = True
+    return host
+
+
+def _newer(host: Host, *, zone: str = "z", size: int = 100) -> HostWord:
+    """Return the word of a host that has a newer configuration."""
+    host.fleet._words.addresses_by_host["a"] = HostAddress(
+        host="a", address="10.0.0.9:7000", availability_zone=zone
+    )
+    return HostWord(
+        host="a",
+        availability_zone=zone,
+        boot=1,
+        sequence=1,
+        reads_store=True,
+        stopping=False,
+        configuration_version=4,
+        configuration_size=size,
+    )
+
+
+@pytest.mark.parametrize(
+    ("zone", "size", "asks_host", "asks_store"),
+    [
+        ("z", 100, True, False),
+        ("z", MAX_GIVEN + 1, False, True),
+        ("y", 100, False, False),
+    ],
+    ids=["of its zone", "too long for one link", "of another zone"],
+)
+def test_a_host_that_rests_gets_a_newer_configuration(
+    clock: Clock, zone: str, size: int, asks_host: bool, asks_store: bool
+) -> None:
+    host = _resting("b")
+    host.fleet.note_version(_newer(host, zone=zone, size=size), now=clock.now)
+    assert [request.path for request in host.asked] == [CONFIGURATION_PATH] * asks_host
+    call = host.fleet.configuration.next_call(now=clock.now)
+    assert (call is not None) is asks_store
+
+
+def test_a_configuration_that_does_not_come_is_asked_for_everywhere(
+    clock: Clock,
+) -> None:
+    """Let the host that has a newer configuration give none.
+
+    Symptom: a configuration is in force late on one host.  Sequence: it rests, hears
+    of a newer version, and the way to the host that has it goes silent.  Cause: only
+    that one was asked.
+    """
+    host = _resting("b")
+    word = _newer(host)
+    host.fleet.note_version(word, now=clock.now)
+    host.fleet.note_version(word, now=clock.now + ASKED_FIRST + 0.01)
+    assert host.fleet.configuration.next_call(now=clock.now + 0.4) is not None
+
+
+def test_a_host_reads_the_others_until_they_can_know_it(clock: Clock) -> None:
+    """Start two hosts at once.
+
+    Symptom: two hosts never hear each other.  Sequence: both list the hosts, then
+    both write their own record.  Cause: each rested before it read what came after
+    its own record.
+    """
+    host = _resting("c")
+    for name in ("a", "b"):
+        word = _newer(host)
+        host.fleet._words.take(replace(word, host=name), address=name, now=clock.now)
+    host.fleet._store.answered_at = clock.now
+    host.fleet._store._failing_since = None
+    follower = host.fleet.hosts
+    follower.next_call(now=clock.now)
+    follower.answered(200, b'{"items": [], "more": false, "end": 0}', now=clock.now)
+    clock.now += 0.5
+    host.fleet._take_announced(200, b"")
+    host.fleet._rest_or_read(now=clock.now)
+    assert not follower.rests
+    clock.now += 0.1
+    assert follower.next_call(now=clock.now) is not None
+    host.fleet._rest_or_read(now=clock.now)
+    assert follower.rests
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -56,7 +56,7 @@
                 "plans": (zone,),
             },
             plans=lambda: True,
-            take_version=lambda version, host: None,
+            take_version=lambda word: None,
         )
         exchange.fire = lambda event, channel: self._fired(host, event, channel)
         return exchange
