Bound how many backend servers one relayed request crashes, over all hosts

Cause: a request that crashes what runs it comes again, to any entry host, and each sending was decided on as if there had been none before: two servers a sending.

Change: relayed requests go through the quarantine that the OpenAI interface has. After the second crash a request is refused as not run.

Ruled out: counting on each host alone (as many crashes as hosts, twice); telling all suspects for as long as they count (3.6 kB in each word after four lost groups).

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -4,6 +4,10 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..state.observations import SuspicionRow
 
 __all__ = ["HostAddress", "HostWord", "HostWords"]
 
@@ -58,6 +62,8 @@
         Those in which it takes a group apart for another model, or wants to.
     moving : tuple of str
         Heads that others saw stand still, and whose streams go on there.
+    suspicions : tuple of SuspicionRow
+        Requests that were in crashes of backend servers there, or completed since.
     """
 
     host: str
@@ -74,6 +80,7 @@
     plans: tuple[str, ...] = ()
     reshapes: tuple[str, ...] = ()
     moving: tuple[str, ...] = ()
+    suspicions: tuple[SuspicionRow, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
--- a/ryelever/coordination/relaying/__init__.py
+++ b/ryelever/coordination/relaying/__init__.py
@@ -5,6 +5,7 @@
 
 from .actions import RelayAttempt, RelayMeasures, RelayRefusal
 from .balance import Balancer
+from .crashes import CrashWatch
 from .demand import DemandMeter, time_in_batch
 from .messages import AnswerHead, Headers, RelayArrival
 from .repeat_budget import RepeatBudget
@@ -14,6 +15,7 @@
 __all__ = [
     "AnswerHead",
     "Balancer",
+    "CrashWatch",
     "DemandMeter",
     "Headers",
     "RelayArrival",
--- a/ryelever/coordination/relaying/messages.py
+++ b/ryelever/coordination/relaying/messages.py
@@ -18,6 +18,8 @@
     ----------
     request_id : str
         Id that the caller gave this sending.
+    content : str
+        Hash of what is sent on; repeats of a request have the same.
     key : str or None
         Key of the client account; None where none was sent.
     model : str
@@ -33,6 +35,7 @@
     request_id: str
     host: str
     path: str
+    content: str
     key: str | None
     model: str
     n_prompt: int
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -21,6 +21,7 @@
     from ...state.routes import RouteTable
     from .actions import RelayMeasures, RelayOutbox
     from .balance import Balancer
+    from .crashes import CrashWatch
     from .messages import AnswerHead, RelayArrival
     from .repeat_budget import RepeatBudget
     from .request import RelayRequest
@@ -74,6 +75,7 @@
         balancer: Balancer,
         budget: RepeatBudget,
         stillness: StillnessWatch,
+        crashes: CrashWatch,
         outbox: RelayOutbox,
         served: Callable[[str, int], None],
         measures: RelayMeasures,
@@ -86,6 +88,7 @@
         self._balancer = balancer
         self._budget = budget
         self._stillness = stillness
+        self._crashes = crashes
         self._outbox = outbox
         self._served = served
         self._reports = RequestReports(measures=measures, log=log)
@@ -138,6 +141,16 @@
             self._refuse_unread(number, arrival, rejection.status, rejection.reason)
             return
         request = routed.ok
+        quarantined = self._crashes.verdict(request, now=now)
+        if quarantined is not None:
+            self._refuse_unread(
+                number,
+                arrival,
+                503,
+                "quarantined",
+                retry_after=quarantined.retry_after,
+            )
+            return
         self.requests_by_number[number] = request
         self._budget.requested(request.service, now=now)
         if not self._dispatch(request, now=now):
@@ -231,6 +244,7 @@
         self._forget_attempt(request)
         self._outbox.finish(request.number)
         self._served(request.arrival.model, request.n_events)
+        self._crashes.completed(request, now=now)
         self._reports.answered(request, status=200, server=server_id, now=now)
         self._end(request)
 
@@ -338,6 +352,7 @@
         server_id = request.attempt.server_id
         request.may_have_run = True
         self._balancer.failed(server_id, now=now)
+        self._crashes.failed(request, server_id=server_id, reason=reason, now=now)
         self._drop_attempt(request)
         self._reports.attempt_failed(request, server_id, reason, may_have_run=True)
         self._again(request, reason, now=now)
@@ -359,6 +374,8 @@
             return False
         if request.gives_up_at - now < LEAST_TIME_TO_REPEAT:
             return False
+        if self._crashes.verdict(request, now=now) is not None:
+            return False
         return request.n_sent == 0 or self._budget.allow(request.service, now=now)
 
     def _leave_still(self, server_id: str, *, now: float) -> None:
@@ -428,6 +445,7 @@
             return
         if not failed:
             self._balancer.succeeded(server_id)
+            self._crashes.completed(request, now=now)
         self._forget_attempt(request)
         self._outbox.answer(
             request.number,
@@ -477,14 +495,19 @@
         self._end(request)
 
     def _refuse_unread(
-        self, number: int, arrival: RelayArrival, status: int, reason: str
+        self,
+        number: int,
+        arrival: RelayArrival,
+        status: int,
+        reason: str,
+        *,
+        retry_after: float = COME_BACK,
     ) -> None:
-        retry_after = COME_BACK if status == 503 else None
         refusal = RelayRefusal(
             request_id=arrival.request_id,
             status=status,
             reason=reason,
-            retry_after=retry_after,
+            retry_after=retry_after if status == 503 else None,
         )
         self._outbox.refuse(number, refusal)
         table = self._table()
--- a/ryelever/coordination/routing/quarantine.py
+++ b/ryelever/coordination/routing/quarantine.py
@@ -171,6 +171,16 @@
             or now - suspect.cleared_at <= CLEARED_TOLD_FOR
         ]
 
+    def changes(self, *, since: float) -> list[SuspicionRow]:
+        """Return what this entry host saw of late, the newest first."""
+        suspects = [
+            suspect
+            for suspect in self._suspects_by_fingerprint.values()
+            if suspect.changed_at >= since
+        ]
+        suspects.sort(key=lambda suspect: -suspect.changed_at)
+        return [suspect.row() for suspect in suspects]
+
     def observed(
         self, observation: Observation, *, peer: str, observed_at: float, now: float
     ) -> None:
--- a/ryelever/coordination/routing/quarantine_evidence.py
+++ b/ryelever/coordination/routing/quarantine_evidence.py
@@ -97,6 +97,11 @@
             n_crashes += max(0, n_told)
         return n_crashes
 
+    @property
+    def changed_at(self) -> float:
+        """Return when this entry host itself last saw it crash or complete."""
+        return max(self.crashed_at, self.cleared_at)
+
     @property
     def newest_at(self) -> float:
         """Return the time of the newest evidence."""
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
 
     from .coordination.host_words import HostAddress, HostWords
-    from .coordination.relaying import Balancer, StillnessWatch
+    from .coordination.relaying import Balancer, CrashWatch, StillnessWatch
     from .relay_settings import RelaySettings
 
 __all__ = ["HostExchange", "WORD_INTERVAL"]
@@ -55,6 +55,7 @@
         words: HostWords,
         balancer: Balancer,
         stillness: StillnessWatch,
+        crashes: CrashWatch,
         describe: Callable[[], dict[str, object]],
         plans: Callable[[], bool],
         take_version: Callable[[HostWord], None],
@@ -64,6 +65,7 @@
         self._words = words
         self._balancer = balancer
         self._stillness = stillness
+        self._crashes = crashes
         self._describe = describe
         self._plans = plans
         self._take_version = take_version
@@ -113,6 +115,8 @@
             elif self._words.take(word, address=datagram.address, now=now):
                 self._take_still(word, now=now)
                 self._take_version(word)
+                if word.suspicions:
+                    self._crashes.heard(word.suspicions, host=word.host, now=now)
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
 
     @handler("server_news")
--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -37,7 +37,9 @@
 class PlatformMessages:
     """Decode requests and answers once; ``RelayInterface`` of the platform."""
 
-    def arrival(self, *, head: Headers, target: bytes, now: float) -> RelayArrival:
+    def arrival(
+        self, *, head: Headers, target: bytes, content: str, now: float
+    ) -> RelayArrival:
         """Read what decides about a request from its head.
 
         Headers that cannot be read count as absent: they are the caller's, and the
@@ -54,6 +56,7 @@
             request_id=found.get(words.REQUEST_ID, b"").decode("latin-1"),
             host=host.partition(":")[0],
             path=path,
+            content=content,
             key=None if key is None else key.decode("latin-1"),
             model=found.get(words.MODEL, b"").decode("latin-1"),
             n_prompt=n_prompt,
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -10,6 +10,7 @@
 from ..coordination.host_words import HostWord
 from ..errors import Category, RyeleverError
 from ..state.keyed_record import KeyedRecord, ServerNews
+from ..state.observations import SuspicionRow
 
 __all__ = [
     "CONFIGURATION_PATH",
@@ -74,6 +75,17 @@
         {"model": model, "groups": groups}
         for model, groups in word.demand_by_model.items()
     ]
+    if word.suspicions:
+        message.suspicions = [
+            {
+                "fingerprint": row.fingerprint,
+                "nCrashes": row.n_crashes,
+                "crash": row.crash,
+                "repeated": row.repeated,
+                "proved": row.proved,
+            }
+            for row in word.suspicions
+        ]
     return WORD + message.to_bytes_packed()
 
 
@@ -167,4 +179,14 @@
         plans=tuple(message.plans),
         reshapes=tuple(message.reshapes),
         moving=tuple(message.moving),
+        suspicions=tuple(
+            SuspicionRow(
+                fingerprint=row.fingerprint,
+                n_crashes=row.nCrashes,
+                crash=row.crash,
+                repeated=row.repeated,
+                proved=row.proved,
+            )
+            for row in message.suspicions
+        ),
     )
--- a/ryelever/protocol/relaying.py
+++ b/ryelever/protocol/relaying.py
@@ -18,8 +18,16 @@
 class RelayInterface(Protocol):
     """Read and write the heads of relayed requests and answers."""
 
-    def arrival(self, *, head: Headers, target: bytes, now: float) -> RelayArrival:
-        """Read what decides about a request."""
+    def arrival(
+        self, *, head: Headers, target: bytes, content: str, now: float
+    ) -> RelayArrival:
+        """Read what decides about a request.
+
+        Parameters
+        ----------
+        content : str
+            Hash of what is sent on.
+        """
 
     def forwarded(self, head: Headers, attempt: RelayAttempt, *, now: float) -> Headers:
         """Return the headers of one attempt at a backend server."""
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import time
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,7 @@
 
     from .coordination.relaying import (
         Balancer,
+        CrashWatch,
         Headers,
         RelayAttempt,
         RelayMeasures,
@@ -47,6 +49,9 @@
 #: Seconds beyond the request's own deadline after which its connection is closed.
 LATE = 0.5
 
+#: Bytes of the hash by which repeats of a request are known.
+CONTENT_HASH = 12
+
 
 class Relay(BaseComponent):
     """Own the requests that are passed on.
@@ -70,6 +75,7 @@
         balancer: Balancer,
         budget: RepeatBudget,
         stillness: StillnessWatch,
+        crashes: CrashWatch,
         metrics: Metrics,
         measures: RelayMeasures,
     ) -> None:
@@ -88,6 +94,7 @@
             balancer=balancer,
             budget=budget,
             stillness=stillness,
+            crashes=crashes,
             outbox=self,
             served=self.demand.served,
             measures=measures,
@@ -107,7 +114,10 @@
     def _on_request(self, received: RelayedRequest) -> None:
         now = time.monotonic()
         arrival = self._messages.arrival(
-            head=received.headers, target=received.target, now=now
+            head=received.headers,
+            target=received.target,
+            content=_content_hash(received),
+            now=now,
         )
         self._received_by_number[received.number] = received
         if arrival.model:
@@ -241,3 +251,10 @@
         """Break a streamed answer off, so that it doesn't look complete."""
         self._received_by_number.pop(request_number, None)
         self._callers.abort(request_number)
+
+
+def _content_hash(received: RelayedRequest) -> str:
+    found = hashlib.blake2b(digest_size=CONTENT_HASH)
+    for part in (received.method, b" ", received.target, b"\n", received.body):
+        found.update(part)
+    return found.hexdigest()
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -11,7 +11,13 @@
 from .addresses import split_address
 from .coordination.groups import ZonePlanner
 from .coordination.host_words import HostWords
-from .coordination.relaying import Balancer, RepeatBudget, StillnessWatch
+from .coordination.relaying import (
+    Balancer,
+    CrashWatch,
+    RepeatBudget,
+    StillnessWatch,
+)
+from .coordination.routing import Quarantine
 from .events import (
     control_tick,
     serving_tick,
@@ -142,6 +148,7 @@
         self.balancer = Balancer(
             directory=self.directory, zone=settings.availability_zone
         )
+        crashes = self.crashes = CrashWatch(quarantine=Quarantine())
         self.relay = Relay(
             messages=messages,
             callers=self.callers,
@@ -154,6 +161,7 @@
                 n_hosts=lambda: self.words.n_hosts(now=time.monotonic()),
             ),
             stillness=StillnessWatch(),
+            crashes=crashes,
             metrics=self.metrics,
             measures=RelayMetrics(metrics=self.metrics),
         )
@@ -172,6 +180,7 @@
             words=self.words,
             balancer=self.balancer,
             stillness=self.relay.stillness,
+            crashes=crashes,
             describe=self._describe_host,
             plans=lambda: bool(self.planning.planners_by_zone),
             take_version=self._take_version,
@@ -273,6 +282,7 @@
             "configuration_size": len(self.fleet.document()),
             "still": tuple(self.relay.stillness.still(now=now)),
             "moving": self._moving_heads(now=now),
+            "suspicions": self.crashes.told(now=now),
             "plans": tuple(self.planning.planners_by_zone),
             "reshapes": self.planning.reshaped_zones(),
             "demand_by_model": self.relay.demand.by_model(now=now),
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -26,6 +26,8 @@
   moving @12 :List(Text);
   # Bytes of the configuration in force at the sender.
   configurationSize @13 :UInt32;
+  # Requests that were in crashes at the sender a short while ago.
+  suspicions @14 :List(Suspicion);
 }
 
 # What one host has read of the backend servers' topic, for the others.
@@ -52,6 +54,14 @@
   inFlight @1 :UInt16;
 }
 
+struct Suspicion {
+  fingerprint @0 :Text;
+  nCrashes @1 :UInt32;
+  crash @2 :Text;
+  repeated @3 :Bool;
+  proved @4 :Bool;
+}
+
 struct Demand {
   model @0 :Text;
   groups @1 :Float32;
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -21,6 +21,7 @@
     encode_word,
 )
 from ryelever.state.keyed_record import KeyedRecord, ServerNews
+from ryelever.state.observations import SuspicionRow
 
 
 def _word(
@@ -57,6 +58,11 @@
         reshapes=("z",),
         moving=("i2",),
         configuration_size=4711,
+        suspicions=(
+            SuspicionRow(
+                fingerprint="a/f", n_crashes=2, crash="i1", repeated=True, proved=True
+            ),
+        ),
     )
     assert decode_datagram(encode_word(word), peer="a").ok == word
 
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -7,9 +7,11 @@
 from ryelever.coordination.relaying import AnswerHead, Headers, RelayArrival
 from ryelever.coordination.relaying.actions import RelayAttempt, RelayRefusal
 from ryelever.coordination.relaying.balance import Balancer
+from ryelever.coordination.relaying.crashes import CrashWatch
 from ryelever.coordination.relaying.repeat_budget import RepeatBudget
 from ryelever.coordination.relaying.requests import RelayRequests
 from ryelever.coordination.relaying.stillness import StillnessWatch
+from ryelever.coordination.routing import Quarantine
 from ryelever.metrics import Metrics
 from ryelever.relay_metrics import RelayMetrics
 from ryelever.state.directory import (
@@ -100,6 +102,7 @@
             self.directory.put(self.engine_head(f"h{index}"), now=0.0)
         self.balancer = Balancer(directory=self.directory, zone="z")
         self.stillness = StillnessWatch()
+        self.crashes = CrashWatch(quarantine=Quarantine(seed=1))
         self.sent: list[RelayAttempt] = []
         self.cancelled: list[str] = []
         self.out: list[tuple[Any, ...]] = []
@@ -110,6 +113,7 @@
             balancer=self.balancer,
             budget=RepeatBudget(ratio=0.2, slack=slack, window=10.0, n_hosts=lambda: 1),
             stillness=self.stillness,
+            crashes=self.crashes,
             outbox=self,
             served=lambda model, n_events: None,
             measures=self.measures,
@@ -149,12 +153,14 @@
         path: str = "1",
         last_event_id: str = "",
         patience: float = 6.0,
+        content: str = "",
     ) -> None:
         """Let a request come."""
         arrival = RelayArrival(
             request_id=f"r{number}",
             host=HOST,
             path=f"/{kind.value}/{path}",
+            content=content or f"content-{number}",
             key=key,
             model="large" if kind is RouteKind.STREAM else "",
             n_prompt=100,
--- /dev/null
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -0,0 +1,123 @@
+"""Test how many backend servers one relayed request can crash."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.coordination.relaying.crashes import TOLD_FOR
+from ryelever.state.routes import RouteKind
+
+from .relay_fakes import Relaying, head
+
+SAFE, ONCE, STREAM = RouteKind.IDEMPOTENT, RouteKind.AT_MOST_ONCE, RouteKind.STREAM
+
+
+def _crash_all(relaying: Relaying, content: str, *, now: float) -> int:
+    """Crash what runs a request as often as it is sent; return how often."""
+    n_before = len(relaying.sent)
+    number = 1000 + n_before
+    relaying.arrive(SAFE, number=number, content=content, now=now)
+    n_crashes = 0
+    while len(relaying.sent) > n_before + n_crashes:
+        attempt = relaying.sent[n_before + n_crashes]
+        relaying.requests.attempt_failed(
+            attempt.id, "connection_failed", sent=True, now=now
+        )
+        n_crashes += 1
+    return n_crashes
+
+
+def _tell(teller: Relaying, hearer: Relaying, *, now: float) -> None:
+    hearer.crashes.heard(teller.crashes.told(now=now), host="teller", now=now)
+
+
+def test_a_poisonous_request_is_not_sent_after_its_second_crash() -> None:
+    """Let a request crash whatever runs it, and come again and again.
+
+    Symptom: one backend server after the other dies.  Sequence: a request crashes a
+    server, is sent again and crashes the next, and its caller repeats it.  Cause:
+    each sending was decided on as if there had been none before.
+    """
+    relaying = Relaying(n_servers=5)
+    assert _crash_all(relaying, "poison", now=0.0) == 2
+    for now in (1.0, 9.0, 60.0):
+        assert _crash_all(relaying, "poison", now=now) == 0
+        kind, _, status, retry_after = relaying.out[-1]
+        assert (kind, status) == ("refuse", 503)
+        assert retry_after > 100.0
+    relaying.arrive(SAFE, number=7, content="other", now=61.0)
+    assert relaying.sent[-1].request_number == 7
+
+
+def test_other_hosts_hear_of_a_poisonous_request() -> None:
+    """Send a poisonous request to one entry host after the other.
+
+    Symptom: as many servers die as there are entry hosts.  Sequence: its caller comes
+    to another host each time.  Cause: each host knew its own crashes only.
+    """
+    first, second = Relaying(n_servers=5), Relaying(n_servers=5)
+    assert _crash_all(first, "poison", now=0.0) == 2
+    _tell(first, second, now=0.2)
+    assert _crash_all(second, "poison", now=0.3) == 0
+
+
+def test_crashes_at_different_hosts_add_up() -> None:
+    first, second = Relaying(), Relaying()
+    # The same incarnation would be the same crash.
+    second.balancer.sent("p0")
+    for host in (first, second):
+        host.arrive(ONCE, content="poison", now=0.0)
+        host.requests.attempt_failed(
+            host.sent[0].id, "connection_failed", sent=True, now=0.1
+        )
+        assert host.out[-1][:3] == ("refuse", 1, 502)
+    _tell(first, second, now=0.2)
+    second.arrive(ONCE, number=2, content="poison", now=0.3)
+    assert second.out[-1][:3] == ("refuse", 2, 503)
+
+
+@pytest.mark.parametrize("reason", ["silent", "answer_not_signed"])
+def test_what_is_no_crash_does_not_count(reason: str) -> None:
+    relaying = Relaying(n_servers=5)
+    for number in range(3):
+        relaying.arrive(SAFE, number=number, content="slow", now=0.0)
+        attempt = relaying.sent[-1]
+        relaying.requests.attempt_failed(attempt.id, reason, sent=True, now=0.1)
+    assert relaying.crashes.told(now=0.2) == ()
+
+
+def test_an_unsent_request_crashes_nothing() -> None:
+    relaying = Relaying(n_servers=5)
+    relaying.arrive(SAFE, content="unsent", now=0.0)
+    relaying.requests.attempt_failed(
+        relaying.sent[0].id, "connection_failed", sent=False, now=0.1
+    )
+    assert relaying.crashes.told(now=0.2) == ()
+
+
+def test_who_was_near_two_crashes_and_completes_is_cleared() -> None:
+    """Let a bystander of a crash complete, and another crash follow.
+
+    Symptom: a sound request is refused for a quarter of an hour.  Sequence: many
+    callers send the same request; two servers that run it die minutes apart, and it
+    completes between.  Cause: crashes counted, and completions didn't.
+    """
+    relaying = Relaying(n_servers=5)
+    relaying.arrive(SAFE, content="popular", now=0.0)
+    relaying.requests.attempt_failed(
+        relaying.sent[0].id, "connection_failed", sent=True, now=0.1
+    )
+    attempt = relaying.sent[1]
+    relaying.requests.answer_head(attempt.id, head(), now=0.2)
+    relaying.requests.answer_end(attempt.id, cut=False, now=0.2)
+    assert relaying.out[-1][:3] == ("answer", 1, 200)
+    assert _crash_all(relaying, "popular", now=60.0) == 2
+    assert _crash_all(relaying, "popular", now=70.0) == 1
+    assert _crash_all(relaying, "popular", now=80.0) == 0
+
+
+def test_suspicions_are_told_for_a_while_only() -> None:
+    relaying = Relaying()
+    _crash_all(relaying, "poison", now=0.0)
+    assert len(relaying.crashes.told(now=TOLD_FOR)) == 1
+    assert relaying.crashes.told(now=TOLD_FOR + 0.1) == ()
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -5,7 +5,8 @@
 import pytest
 
 from ryelever.coordination.host_words import HostAddress, HostWords
-from ryelever.coordination.relaying import Balancer, StillnessWatch
+from ryelever.coordination.relaying import Balancer, CrashWatch, StillnessWatch
+from ryelever.coordination.routing import Quarantine
 from ryelever.events import Datagram
 from ryelever.host_exchange import FAR_WORDS, HostExchange
 from ryelever.state.directory import Directory
@@ -49,6 +50,7 @@
             words=words,
             balancer=Balancer(directory=Directory(), zone=zone),
             stillness=StillnessWatch(),
+            crashes=CrashWatch(quarantine=Quarantine()),
             describe=lambda: {
                 "reads_store": True,
                 "stopping": False,
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -36,7 +36,7 @@
 
 
 def test_a_head_is_decoded_once() -> None:
-    arrival = MESSAGES.arrival(head=HEAD, target=b"/a/b?q=/c", now=100.0)
+    arrival = MESSAGES.arrival(head=HEAD, target=b"/a/b?q=/c", content="c", now=100.0)
     assert (arrival.host, arrival.path, arrival.key) == ("calls.example", "/a/b", "key")
     assert (arrival.model, arrival.n_prompt) == ("m", 1460)
     assert arrival.deadline == 108.0
@@ -44,7 +44,7 @@
 
 def test_headers_that_are_no_numbers_count_as_absent() -> None:
     head = [(b"deadline-ms", b"soon"), (b"token-usage", b"many")]
-    arrival = MESSAGES.arrival(head=head, target=b"/", now=100.0)
+    arrival = MESSAGES.arrival(head=head, target=b"/", content="c", now=100.0)
     assert (arrival.deadline, arrival.n_prompt, arrival.key) == (None, 0, None)
 
 
