Let one host speak for its zone, and words be less frequent in large zones

Cause: each entry host told each other one of itself, five times a second in its zone and 1.7 times to other zones.

Change: a zone's planner, or else its first host by name, says for the zone what its hosts say for themselves, to whoever spoke last for each other zone and to one more host there by turns, who pass it on once. News of backend servers go the same way. In zones of more than eight hosts, those that neither speak nor read tell of themselves less often, so that a host hears no more words than of eight, and each chooses the least loaded of a draw of servers: else all would send to the same one until they hear of each other.

Ruled out: telling a rotating part of the hosts (what is summed would be seconds old); two hosts that speak at once (their sums would count twice).

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -11,14 +12,22 @@
 
 __all__ = ["HostAddress", "HostWord", "HostWords"]
 
-#: Seconds of silence after which an entry host counts as gone.  Words come every
-#: 0.2 s, and four in a row are not lost by chance.
+#: Least seconds of silence after which an entry host counts as gone.  The words of
+#: those that others rely on come every 0.2 s, and four in a row are not lost by
+#: chance.
 HOST_SILENCE = 0.9
 
-#: Seconds without a word from any host of another zone after which it counts as cut
-#: off: their words come every 0.6 s, and two in a row from all of them are not lost by
-#: chance.
-ZONE_SILENCE = 1.5
+#: The same in intervals of a host's own words, where these are longer.  Words of it
+#: are missed by nobody for two of them; its requests count on meanwhile.
+SILENT_INTERVALS = 2.5
+
+#: Hosts of a zone up to which each tells each other in every tick.  Of more of them,
+#: each does so less often, so that a host hears no more words than of eight.
+FREQUENT_HOSTS = 8
+
+#: Seconds without a word for another zone after which it counts as cut off.  They come
+#: every 0.6 s, and 0.9 s later where the host that speaks for it is lost.
+ZONE_SILENCE = 2.0
 
 #: Hosts of a zone that read what is rarely written.  While one of two is silent and
 #: not yet missed, the other goes on; more would only cost more calls.
@@ -64,6 +73,16 @@
         Heads that others saw stand still, and whose streams go on there.
     suspicions : tuple of SuspicionRow
         Requests that were in crashes of backend servers there, or completed since.
+    address : str
+        Where the host is reached; a word that is passed on comes from elsewhere.
+    interval : float
+        Seconds until its next word.
+    for_zone : bool
+        True where it speaks for its zone, so that sums and sets are the zone's.
+    n_hosts : int
+        Hosts that it speaks for.
+    passed_on : bool
+        True where another host passes it on within its own zone; it goes no further.
     """
 
     host: str
@@ -81,6 +100,11 @@
     reshapes: tuple[str, ...] = ()
     moving: tuple[str, ...] = ()
     suspicions: tuple[SuspicionRow, ...] = ()
+    address: str = ""
+    interval: float = 0.0
+    for_zone: bool = False
+    n_hosts: int = 1
+    passed_on: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -90,6 +114,11 @@
     word: HostWord
     heard_at: float
 
+    @property
+    def patience(self) -> float:
+        """Return the seconds of silence after which the host counts as gone."""
+        return max(HOST_SILENCE, SILENT_INTERVALS * self.word.interval)
+
 
 class HostWords:
     """Hold the words of all other entry hosts.
@@ -107,6 +136,8 @@
         self._heard_by_host: dict[str, _Heard] = {}
         self._zone_heard_at: dict[str, float] = {}
         self._zone_asked_at: dict[str, float] = {}
+        self._speaker_by_zone: dict[str, str] = {}
+        self._n_hosts_by_zone: dict[str, int] = {}
         # Words come hundreds of times a second in a large fleet, and summing over all
         # hosts at each would cost more than all else; so the sum is kept.
         self._in_flight: Counter[str] = Counter()
@@ -127,20 +158,64 @@
         if same and word.sequence <= heard.word.sequence:
             return False
         self._forget(word.host)
+        if word.for_zone:
+            self._take_speaker(word)
         self._heard_by_host[word.host] = _Heard(word=word, heard_at=now)
         self._in_flight.update(word.in_flight_by_server)
         self._zone_heard_at[word.availability_zone] = now
         self.addresses_by_host[word.host] = HostAddress(
             host=word.host,
-            address=address,
+            address=word.address or address,
             availability_zone=word.availability_zone,
         )
         return True
 
+    def _take_speaker(self, word: HostWord) -> None:
+        """Let a word for a zone take the place of the former speaker's."""
+        zone = word.availability_zone
+        former = self._speaker_by_zone.get(zone)
+        if former is not None and former != word.host:
+            self._forget(former)
+        self._speaker_by_zone[zone] = word.host
+        self._n_hosts_by_zone[zone] = word.n_hosts
+
+    def speaker(self, zone: str) -> str | None:
+        """Return the host that spoke last for another zone, if one ever did."""
+        return self._speaker_by_zone.get(zone)
+
+    def near(self, *, now: float) -> list[HostWord]:
+        """Return the newest words of the other hosts of this zone."""
+        return [
+            word
+            for word in self.living(now=now)
+            if word.availability_zone == self._zone
+        ]
+
+    def ticks_between_words(self, *, now: float) -> int:
+        """Return how many ticks lie between two words to the hosts of this zone."""
+        return math.ceil((1 + len(self.near(now=now))) / FREQUENT_HOSTS)
+
+    def speaks(self, *, planning: bool, now: float) -> bool:
+        """Tell whether this host speaks for its zone to the others.
+
+        The zone's planner does, as what it announces is what others wait for; else
+        the first by name.
+
+        Parameters
+        ----------
+        planning : bool
+            Whether this host plans for the zone.
+        """
+        near = self.near(now=now)
+        planners = [word for word in near if self._zone in word.plans]
+        if planning or planners:
+            return planning and all(self._host < word.host for word in planners)
+        return all(self._host < word.host for word in near)
+
     def living(self, *, now: float) -> list[HostWord]:
         """Return the newest words of the hosts that are heard."""
         for host, heard in list(self._heard_by_host.items()):
-            if now - heard.heard_at > HOST_SILENCE:
+            if now - heard.heard_at > heard.patience:
                 self._forget(host)
         return [heard.word for heard in self._heard_by_host.values()]
 
@@ -159,7 +234,9 @@
         Those that are only cut off go on serving, so the ones that the store lists
         count though they are not heard.
         """
-        return max(1, len(self.addresses_by_host), 1 + len(self.living(now=now)))
+        n_near = 1 + len(self.near(now=now))
+        n_told = n_near + sum(self._n_hosts_by_zone.values())
+        return max(len(self.addresses_by_host), n_told)
 
     def in_flight(self, *, now: float) -> Counter[str]:
         """Return the other hosts' requests at each backend server.
@@ -209,11 +286,8 @@
             return True
         before = [
             word
-            for word in self.living(now=now)
-            if word.availability_zone == self._zone
-            and word.reads_store
-            and not word.stopping
-            and word.host < self._host
+            for word in self.near(now=now)
+            if word.reads_store and not word.stopping and word.host < self._host
         ]
         return len(before) < READERS
 
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -26,6 +27,10 @@
 #: comes after all others that have a place.
 UNHEARD_ZONE = 2.0
 
+#: Seconds within which word of other hosts' requests comes soon enough for all hosts
+#: to choose the least loaded of all servers.
+FRESH_WORDS = 0.2
+
 #: Seconds for which a backend server that failed to answer is left alone, the
 #: first time and at most; doubled at each failure without a success between.
 FIRST_AVOIDANCE = 0.5
@@ -73,6 +78,8 @@
     ----------
     zone : str
         This host's availability zone.
+    seed : int or None
+        Seed of the draws.
 
     Attributes
     ----------
@@ -81,12 +88,16 @@
         servers would cost a request one of its attempts before it was avoided.
     """
 
-    def __init__(self, *, directory: Directory, zone: str) -> None:
+    def __init__(
+        self, *, directory: Directory, zone: str, seed: int | None = None
+    ) -> None:
         self._directory = directory
         self._zone = zone
         self.records_by_id: dict[str, ServerRecord] = {}
         self.peers_in_flight_by_id: Counter[str] = Counter()
         self.unheard_zones: set[str] = set()
+        self._share_looked_at = 1.0
+        self._random = random.Random(seed)
         self._seen_changes = -1
         self._candidates_by_work: dict[tuple[str, str], list[BackendServer]] = {}
 
@@ -117,9 +128,41 @@
         self, service: str, model: str, *, excluded: set[str], now: float
     ) -> BackendServer | None:
         """Return the least loaded backend server with a place, if there is one."""
+        candidates = self.candidates(service, model)
+        if self._share_looked_at < 1.0:
+            drawn = self._least_loaded(
+                self._draw(candidates), excluded=excluded, now=now
+            )
+            if drawn is not None:
+                return drawn
+        return self._least_loaded(candidates, excluded=excluded, now=now)
+
+    def set_word_interval(self, seconds: float) -> None:
+        """Take the time after which a host hears of what another has sent."""
+        self._share_looked_at = min(1.0, FRESH_WORDS / seconds)
+
+    def _draw(self, candidates: list[BackendServer]) -> list[BackendServer]:
+        """Return some of the candidates, of this zone and of others.
+
+        All hosts see the same server as the least loaded one until they hear of each
+        other's requests.  Where that takes long, they would all send to it; so each
+        looks at a few only, two at the least.
+        """
+        parts: tuple[list[BackendServer], list[BackendServer]] = ([], [])
+        for server in candidates:
+            parts[server.availability_zone != self._zone].append(server)
+        drawn: list[BackendServer] = []
+        for part in parts:
+            n_drawn = max(2, round(self._share_looked_at * len(part)))
+            drawn += self._random.sample(part, min(n_drawn, len(part)))
+        return drawn
+
+    def _least_loaded(
+        self, servers: list[BackendServer], *, excluded: set[str], now: float
+    ) -> BackendServer | None:
         best = None
         best_load = float("inf")
-        for server in self.candidates(service, model):
+        for server in servers:
             if server.id in excluded:
                 continue
             load = self._load(server, now=now)
--- /dev/null
+++ b/ryelever/coordination/zone_summary.py
@@ -0,0 +1,71 @@
+"""Say for an availability zone what its entry hosts say for themselves.
+
+Were each host to tell each host of other zones, words would grow with the square of
+the number of hosts: at 390 hosts they took a twelfth of a core on each of them.  So
+one host of a zone speaks for it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..state.observations import SuspicionRow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .host_words import HostWord
+
+__all__ = ["zone_summary"]
+
+
+def zone_summary(own: HostWord, others: Iterable[HostWord]) -> HostWord:
+    """Return what a host says for its zone.
+
+    Parameters
+    ----------
+    own : HostWord
+        What it says for itself.
+    others : iterable of HostWord
+        The newest words of the zone's other hosts.
+    """
+    words = [own, *others]
+    in_flight: Counter[str] = Counter()
+    demand: Counter[str] = Counter()
+    for word in words:
+        in_flight.update(word.in_flight_by_server)
+        demand.update(word.demand_by_model)
+    return replace(
+        own,
+        n_hosts=len(words),
+        in_flight_by_server=dict(in_flight),
+        demand_by_model=dict(demand),
+        still=_union(word.still for word in words),
+        moving=_union(word.moving for word in words),
+        plans=_union(word.plans for word in words),
+        reshapes=_union(word.reshapes for word in words),
+        suspicions=_summed(row for word in words for row in word.suspicions),
+    )
+
+
+def _union(parts: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
+    return tuple(sorted({item for part in parts for item in part}))
+
+
+def _summed(rows: Iterable[SuspicionRow]) -> tuple[SuspicionRow, ...]:
+    """Add up what several hosts saw of the same request; each saw its own crashes."""
+    summed: dict[str, SuspicionRow] = {}
+    for row in rows:
+        known = summed.get(row.fingerprint)
+        if known is not None:
+            row = SuspicionRow(
+                fingerprint=row.fingerprint,
+                n_crashes=known.n_crashes + row.n_crashes,
+                crash=row.crash or known.crash,
+                repeated=known.repeated or row.repeated,
+                proved=known.proved and row.proved,
+            )
+        summed[row.fingerprint] = row
+    return tuple(summed.values())
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -10,6 +10,7 @@
 from circuits import BaseComponent, handler
 
 from .coordination.host_words import HostWord
+from .coordination.zone_summary import zone_summary
 from .events import Datagram, peers_send, server_news
 from .logs import log_event
 from .protocol.host_words import decode_datagram, encode_news, encode_word
@@ -24,12 +25,13 @@
 
 __all__ = ["HostExchange", "WORD_INTERVAL"]
 
-#: Seconds between two words to the hosts of the same availability zone.  What
-#: another host sends to a group is known within this time, a seventh of a stream.
+#: Seconds between two words to the hosts of the same availability zone, where there
+#: are few.  What another host sends to a group is known within this time, a seventh
+#: of a stream.
 WORD_INTERVAL = 0.2
 
-#: Words to the hosts of other zones, one in so many: bytes between zones are paid
-#: for, and load there matters less.
+#: Ticks between two words to another zone: bytes between zones are paid for, and load
+#: there matters less.
 FAR_WORDS = 3
 
 
@@ -40,8 +42,6 @@
     ----------
     describe : callable
         Return the parts of this host's word that other components know.
-    plans : callable
-        Tell whether this host plans for a zone.
     take_version : callable
         Take note that another host has a configuration version in force.
     """
@@ -57,7 +57,6 @@
         stillness: StillnessWatch,
         crashes: CrashWatch,
         describe: Callable[[], dict[str, object]],
-        plans: Callable[[], bool],
         take_version: Callable[[HostWord], None],
     ) -> None:
         super().__init__()
@@ -67,39 +66,67 @@
         self._stillness = stillness
         self._crashes = crashes
         self._describe = describe
-        self._plans = plans
         self._take_version = take_version
         self._boot = int.from_bytes(os.urandom(7), "big")
         self._sequence = 0
         self._heard: set[str] = set()
+        self._unheard_zones: set[str] = set()
 
     @property
     def n_heard(self) -> int:
-        """Return how many other entry hosts are heard."""
+        """Return how many other entry hosts of the zone are heard."""
         return len(self._heard)
 
     @handler("word_tick")
     def _on_tick(self) -> None:
         now = time.monotonic()
         self._sequence += 1
-        word = HostWord(
+        described = self._describe()
+        planning = self._settings.availability_zone in described["plans"]
+        speaks = self._words.speaks(planning=planning, now=now)
+        # Others rely on who speaks or reads for them, and notice soon if it is lost.
+        relied_on = speaks or self._words.reads_for_zone(
+            reads_store=described["reads_store"], now=now
+        )
+        n_ticks = 1 if relied_on else self._words.ticks_between_words(now=now)
+        if self._sequence % n_ticks == 0:
+            word = self._own_word(described, interval=n_ticks * WORD_INTERVAL)
+            self._send_near(encode_word(word))
+        if speaks and self._sequence % FAR_WORDS == 0:
+            word = self._own_word(described, interval=FAR_WORDS * WORD_INTERVAL)
+            self._speak(word, now=now)
+        self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
+        self._balancer.unheard_zones = self._words.unheard_zones(now=now)
+        self._balancer.set_word_interval(
+            WORD_INTERVAL * self._words.ticks_between_words(now=now)
+        )
+        self._log_hearing(now=now)
+
+    def _own_word(self, described: dict[str, object], *, interval: float) -> HostWord:
+        return HostWord(
             host=self._settings.host,
             availability_zone=self._settings.availability_zone,
             boot=self._boot,
             sequence=self._sequence,
+            interval=interval,
             in_flight_by_server={
                 server_id: record.in_flight
                 for server_id, record in self._balancer.records_by_id.items()
                 if record.in_flight
             },
-            **self._describe(),
+            **described,
         )
-        data = encode_word(word)
-        far = self._sequence % FAR_WORDS == 0
-        self._send(data, lambda address: far or self._is_near(address))
-        self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
-        self._balancer.unheard_zones = self._words.unheard_zones(now=now)
-        self._log_hearing(now=now)
+
+    def _speak(self, own: HostWord, *, now: float) -> None:
+        """Tell the other zones what there is to say for this one."""
+        summary = zone_summary(own, self._words.near(now=now))
+        data = encode_word(replace(summary, for_zone=True))
+        for zone in self._far_zones():
+            # Who spoke last may be lost, so that another one is told as well.
+            others = self._hosts_of(zone)
+            told = {others[self._sequence // FAR_WORDS % len(others)].host}
+            told.add(self._words.speaker(zone) or "")
+            self._send(data, lambda address, told=told: address.host in told)
 
     @handler("peers_received")
     def _on_received(self, datagrams: list[Datagram]) -> None:
@@ -113,6 +140,9 @@
             if isinstance(word, ServerNews):
                 self._take_news(word)
             elif self._words.take(word, address=datagram.address, now=now):
+                if word.for_zone and not word.passed_on:
+                    # The zone's other hosts hear of this one only here.
+                    self._send_near(encode_word(replace(word, passed_on=True)))
                 self._take_still(word, now=now)
                 self._take_version(word)
                 if word.suspicions:
@@ -122,30 +152,45 @@
     @handler("server_news")
     def _on_server_news(self, news: ServerNews) -> None:
         """Pass on what this host has read, so that others need not read it."""
-        self._pass_on(news, far=True)
+        self._pass_on(news)
 
     def _take_news(self, news: ServerNews) -> None:
         self.fire(server_news(news), "directory")
         reader = self._words.addresses_by_host.get(news.reader)
         knows_already = reader is not None and self._is_near(reader)
-        if self._plans() and not news.passed_on and not knows_already:
-            # News cross between zones once, to the planner, who tells its zone; the
-            # reader has told its own.  Where two plan for a moment, each would pass on
-            # what the other has, for ever.
-            self._pass_on(replace(news, passed_on=True), far=False)
-
-    def _pass_on(self, news: ServerNews, *, far: bool) -> None:
+        if not news.passed_on and not knows_already:
+            # News cross between zones once, to who speaks for one, who tells it; the
+            # reader has told its own.  What was passed on goes no further, or two
+            # hosts would send it to and fro for ever.
+            data = encode_news(replace(news, passed_on=True))
+            if data is not None:
+                self._send_near(data)
+
+    def _pass_on(self, news: ServerNews) -> None:
+        """Tell this zone, and one host of each other one."""
         data = encode_news(news)
         if data is None:
             return
-        now = time.monotonic()
-        planners = {word.host for word in self._words.living(now=now) if word.plans}
-        self._send(
-            data,
-            lambda address: (
-                self._is_near(address) or (far and address.host in planners)
-            ),
-        )
+        self._send_near(data)
+        for zone in self._far_zones():
+            told = self._words.speaker(zone) or self._hosts_of(zone)[0].host
+            self._send(data, lambda address, told=told: address.host == told)
+
+    def _far_zones(self) -> list[str]:
+        """Return the other zones that have entry hosts."""
+        zones = {
+            address.availability_zone
+            for address in self._words.addresses_by_host.values()
+        }
+        return sorted(zones - {self._settings.availability_zone})
+
+    def _hosts_of(self, zone: str) -> list[HostAddress]:
+        hosts = self._words.addresses_by_host.values()
+        found = [item for item in hosts if item.availability_zone == zone]
+        return sorted(found, key=lambda item: item.host)
+
+    def _send_near(self, data: bytes) -> None:
+        self._send(data, self._is_near)
 
     def _is_near(self, address: HostAddress) -> bool:
         return address.availability_zone == self._settings.availability_zone
@@ -167,9 +212,15 @@
                 self._balancer.stands_still(server_id, now=now)
 
     def _log_hearing(self, *, now: float) -> None:
-        heard = {word.host for word in self._words.living(now=now)}
+        heard = {word.host for word in self._words.near(now=now)}
         for host in heard - self._heard:
             log_event("peer_heard", peer=host)
         for host in self._heard - heard:
             log_event("peer_lost", peer=host)
         self._heard = heard
+        unheard = self._words.unheard_zones(now=now)
+        for zone in unheard - self._unheard_zones:
+            log_event("zone_lost", zone=zone)
+        for zone in self._unheard_zones - unheard:
+            log_event("zone_regained", zone=zone)
+        self._unheard_zones = unheard
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -240,6 +240,8 @@
     ),
     "peer_heard": _info("an entry host is heard", "peer"),
     "peer_lost": _info("an entry host is heard no more", "peer"),
+    "zone_lost": _info("no word comes for another availability zone", "zone"),
+    "zone_regained": _info("words come for it again", "zone"),
     "publishing": _info("an operator publishes", "operator", "record"),
     "read_failed": _warning("a read of the log failed", "stream", "message"),
     "record_ignored": _info(
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -182,7 +182,6 @@
             stillness=self.relay.stillness,
             crashes=crashes,
             describe=self._describe_host,
-            plans=lambda: bool(self.planning.planners_by_zone),
             take_version=self._take_version,
         )
         self.shutdown = RelayShutdown(
@@ -276,6 +275,7 @@
     def _describe_host(self) -> dict[str, object]:
         now = time.monotonic()
         return {
+            "address": self.peers.address,
             "reads_store": self._reads_store(),
             "stopping": self.shutdown.stopping,
             "configuration_version": self.fleet.version,
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -28,6 +28,15 @@
   configurationSize @13 :UInt32;
   # Requests that were in crashes at the sender a short while ago.
   suspicions @14 :List(Suspicion);
+  # Where the sender is reached; a word that is passed on comes from elsewhere.
+  address @15 :Text;
+  # Seconds until the sender's next word.
+  interval @16 :Float32;
+  # True where the sender speaks for its zone, and for how many hosts.
+  forZone @17 :Bool;
+  nHosts @18 :UInt16;
+  # True where another host passes the word on.
+  passedOn @19 :Bool;
 }
 
 # What one host has read of the backend servers' topic, for the others.
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from ryelever.coordination.host_words import (
+    FREQUENT_HOSTS,
     HOST_SILENCE,
     ORPHANED,
     READERS,
+    SILENT_INTERVALS,
     ZONE_SILENCE,
     HostWord,
     HostWords,
 )
+from ryelever.coordination.zone_summary import zone_summary
 from ryelever.protocol.host_words import (
     MAX_DATAGRAM,
     decode_datagram,
@@ -57,6 +62,11 @@
         plans=("z",),
         reshapes=("z",),
         moving=("i2",),
+        address="10.0.0.1:7000",
+        interval=0.5,
+        for_zone=True,
+        n_hosts=3,
+        passed_on=True,
         configuration_size=4711,
         suspicions=(
             SuspicionRow(
@@ -297,3 +307,89 @@
     _take(words, _word("a", sequence=2), now=HOST_SILENCE)
     assert not words.reads_for_zone(reads_store=True, now=HOST_SILENCE)
     assert words.reads_for_zone(reads_store=True, now=HOST_SILENCE + 0.01)
+
+
+def test_a_host_that_speaks_seldom_is_missed_later(words: HostWords) -> None:
+    _take(words, _word("a", interval=2.0, in_flight_by_server={"i1": 1}), now=0.0)
+    limit = 2.0 * SILENT_INTERVALS
+    assert words.in_flight(now=limit) == {"i1": 1}
+    assert words.in_flight(now=limit + 0.01) == {}
+
+
+def test_words_in_large_zones_are_less_frequent(words: HostWords) -> None:
+    intervals = []
+    for n_others in range(3 * FREQUENT_HOSTS):
+        intervals.append(words.ticks_between_words(now=0.0))
+        _take(words, _word(f"h{n_others}"), now=0.0)
+    assert (
+        intervals == [1] * FREQUENT_HOSTS + [2] * FREQUENT_HOSTS + [3] * FREQUENT_HOSTS
+    )
+
+
+@pytest.mark.parametrize(
+    ("others", "planning", "speaks"),
+    [
+        ([], False, True),
+        ([("a", ())], False, False),
+        ([("c", ())], False, True),
+        ([("a", ())], True, True),
+        ([("a", ("z",))], True, False),
+        ([("c", ("z",))], True, True),
+        ([("c", ("z",))], False, False),
+        ([("c", ("y",))], False, True),
+    ],
+    ids=[
+        "alone",
+        "second by name",
+        "first by name",
+        "plans",
+        "second of two that plan",
+        "first of two that plan",
+        "another plans",
+        "another plans for a zone without hosts",
+    ],
+)
+def test_one_host_speaks_for_a_zone(
+    words: HostWords,
+    others: list[tuple[str, tuple[str, ...]]],
+    planning: bool,
+    speaks: bool,
+) -> None:
+    for host, plans in others:
+        _take(words, _word(host, plans=plans), now=0.0)
+    assert words.speaks(planning=planning, now=0.1) is speaks
+
+
+def test_the_newest_word_for_a_zone_counts_alone(words: HostWords) -> None:
+    """Change the host that speaks for a zone.
+
+    Symptom: servers of a zone look twice as loaded.  Sequence: another host speaks
+    for the zone while the former one's word still counts.  Cause: both were added.
+    """
+    far = {"availability_zone": "y", "for_zone": True, "n_hosts": 5}
+    _take(words, _word("y1", in_flight_by_server={"i1": 3}, **far), now=0.0)
+    _take(words, _word("y2", in_flight_by_server={"i1": 4}, **far), now=0.1)
+    assert words.in_flight(now=0.2) == {"i1": 4}
+    assert words.speaker("y") == "y2"
+    # Hosts that are not heard any more may still serve.
+    assert words.n_hosts(now=60.0) == 6
+
+
+def test_what_is_said_for_a_zone() -> None:
+    row = SuspicionRow(fingerprint="f", n_crashes=1, crash="i1")
+    own = _word("a", in_flight_by_server={"i1": 1}, still=("h1",), suspicions=(row,))
+    other = _word(
+        "b",
+        in_flight_by_server={"i1": 2, "i2": 1},
+        demand_by_model={"m": 0.5},
+        still=("h1", "h2"),
+        plans=("z",),
+        suspicions=(replace(row, crash="i2"),),
+    )
+    summary = zone_summary(own, [other])
+    assert (summary.host, summary.n_hosts) == ("a", 2)
+    assert summary.in_flight_by_server == {"i1": 3, "i2": 1}
+    assert summary.demand_by_model == {"m": 0.5}
+    assert summary.still == ("h1", "h2")
+    assert summary.plans == ("z",)
+    assert [(item.n_crashes, item.crash) for item in summary.suspicions] == [(2, "i2")]
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -288,3 +289,37 @@
         balancer.sent("near")
     # Its hosts may be away and its servers there: better than refusing.
     assert _choose(balancer) == "far"
+
+
+def _spread(n_hosts: int, *, interval: float) -> int:
+    """Let hosts that don't hear each other choose; return the most at one server."""
+    chosen: Counter[str] = Counter()
+    for seed in range(n_hosts):
+        directory = Directory()
+        for index in range(12):
+            directory.put(_head(f"h{index}"), now=0.0)
+        balancer = Balancer(directory=directory, zone="z", seed=seed)
+        balancer.set_word_interval(interval)
+        chosen[_choose(balancer)] += 1
+    return max(chosen.values())
+
+
+def test_hosts_that_hear_late_of_each_other_spread_their_requests() -> None:
+    """Let thirty hosts choose before they hear of each other's requests.
+
+    Symptom: one group is full and refuses while others idle, by turns.  Sequence:
+    in a large zone words come every 0.8 s, and meanwhile all hosts see the same group
+    as the least loaded.  Cause: each sent to that one.
+    """
+    assert _spread(30, interval=0.2) == 30
+    assert _spread(30, interval=0.8) <= 10
+
+
+def test_a_draw_that_finds_no_place_looks_at_all(directory: Directory) -> None:
+    for index in range(12):
+        directory.put(_head(f"h{index}"), now=0.0)
+    balancer = Balancer(directory=directory, zone="z", seed=1)
+    balancer.set_word_interval(2.0)
+    for index in range(11):
+        balancer.peers_in_flight_by_id[f"h{index}"] = 1000
+    assert {_choose(balancer) for _ in range(20)} == {"h11"}
