Pass on news of backend servers in parts where they are long

Cause: what one host reads of the servers' records was passed on only if it fitted into one datagram, some 14 records. When more changed at once, as when a domain of 19 goes dark, nobody was told, and each of 87 hosts read the store by itself.

Change: parts that follow each other, so that each can be taken as if it was read. Shown failing first: the test of long news, where encode_news returned None. It takes the place of the assertion that news too long for a datagram aren't passed on.

--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -172,19 +172,19 @@
             # News cross between zones once, to who speaks for one, who tells it; the
             # reader has told its own.  What was passed on goes no further, or two
             # hosts would send it to and fro for ever.
-            data = encode_news(replace(news, passed_on=True))
-            if data is not None:
+            for data in encode_news(replace(news, passed_on=True)):
                 self._send_near(data)
 
     def _pass_on(self, news: ServerNews) -> None:
         """Tell this zone, and one host of each other one."""
-        data = encode_news(news)
-        if data is None:
-            return
-        self._send_near(data)
-        for zone in self._far_zones():
-            told = self._words.speaker(zone) or self._hosts_of(zone)[0].host
-            self._send(data, lambda address, told=told: address.host == told)
+        told = {
+            self._words.speaker(zone) or self._hosts_of(zone)[0].host
+            for zone in self._far_zones()
+        }
+        for data in encode_news(news):
+            self._send(
+                data, lambda address: self._is_near(address) or address.host in told
+            )
 
     def _far_zones(self) -> list[str]:
         """Return the other zones that have entry hosts."""
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from importlib import resources
 
 import capnp
@@ -43,8 +44,9 @@
 #: Most backend servers told of in one word, so that it fits into a datagram.
 MAX_SERVERS = 160
 
-#: Most bytes of records in one datagram.
+#: Most bytes of records in one datagram, and what a record takes beside key and value.
 MAX_NEWS = 7000
+RECORD_OVERHEAD = 32
 
 _FILE = resources.files(__package__.rpartition(".")[0]) / "schema/host_words.capnp"
 with resources.as_file(_FILE) as _path:
@@ -93,10 +95,34 @@
     return WORD + message.to_bytes_packed()
 
 
-def encode_news(news: ServerNews) -> bytes | None:
-    """Return news as one datagram; None where they are too long for one."""
-    size = sum(len(record.key) + len(record.value) + 32 for record in news.records)
-    return None if size > MAX_NEWS else NEWS + encode_servers(news)
+def encode_news(news: ServerNews) -> list[bytes]:
+    """Return news as datagrams, each of which follows the one before.
+
+    A domain that goes dark changes dozens of records at once.  Were they not passed on
+    for their length, all hosts would read the store at that moment.
+    """
+    parts: list[list[KeyedRecord]] = [[]]
+    size = 0
+    for record in news.records:
+        size += _size(record)
+        if size > MAX_NEWS and parts[-1]:
+            parts.append([])
+            size = _size(record)
+        parts[-1].append(record)
+    datagrams = []
+    start = news.start
+    for index, records in enumerate(parts):
+        is_last = index == len(parts) - 1
+        # What a server said itself has no place in the log.
+        end = news.end if is_last or news.reported else records[-1].offset + 1
+        part = replace(news, start=start, end=end, records=records)
+        datagrams.append(NEWS + encode_servers(part))
+        start = end
+    return datagrams
+
+
+def _size(record: KeyedRecord) -> int:
+    return len(record.key) + len(record.value) + RECORD_OVERHEAD
 
 
 def encode_servers(news: ServerNews) -> bytes:
