--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -50,8 +50,8 @@
 HOSTS_INTERVAL = 0.3
 
 #: Longest configuration in bytes that hosts of a zone ask each other for rather than
-#: the store.  Thirty of them ask at once, and half a megabyte takes a tenth of a
-#: second of the slowest host's link at 40 Mbit/s.
+#: the store.  Thirty of them ask at once, and half a megabyte takes 0.2 s of a link of
+#: 20 Mbit/s.
 MAX_GIVEN = 16 << 10
 
 #: Seconds after which this host writes its address again if it got no answer.
@@ -220,7 +220,7 @@
         """
         if word.configuration_version <= self.version:
             return
-        overdue = self.fetch.is_overdue(now=now)
+        overdue = self.fetch.note_behind(now=now)
         is_near = word.availability_zone == self._settings.availability_zone
         is_given = word.configuration_size <= MAX_GIVEN
         if overdue or not (self.configuration.rests and is_given):
--- a/ryelever/host_fetch.py
+++ b/ryelever/host_fetch.py
@@ -67,7 +67,7 @@
         """Take note that the newest configuration known of is in force here."""
         self._behind_since = None
 
-    def is_overdue(self, *, now: float) -> bool:
+    def note_behind(self, *, now: float) -> bool:
         """Take note that a newer configuration is in force elsewhere.
 
         Returns
