--- a/ryelever/coordination/soft_state/digest.py
+++ b/ryelever/coordination/soft_state/digest.py
@@ -5,7 +5,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ...state.observations import DemandRow, LeavingRow, SuspicionRow
+from ...state.observations import (
+    DemandRow,
+    LeavingRow,
+    SuspicionRow,
+    sum_suspicions,
+)
 from ..limits import HEARTBEAT
 from .tables import ROW_EXPIRY, KeptRow, row_key
 
@@ -62,11 +67,5 @@
             n_waiting=first.n_waiting + second.n_waiting,
         )
     if isinstance(first, SuspicionRow):
-        return SuspicionRow(
-            fingerprint=first.fingerprint,
-            n_crashes=first.n_crashes + second.n_crashes,
-            crash=first.crash or second.crash,
-            repeated=first.repeated or second.repeated,
-            proved=first.proved and second.proved,
-        )
+        return sum_suspicions(first, second)
     return first
--- a/ryelever/coordination/zone_summary.py
+++ b/ryelever/coordination/zone_summary.py
@@ -11,11 +11,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ..state.observations import SuspicionRow
+from ..state.observations import sum_suspicions
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..state.observations import SuspicionRow
     from .host_words import HostWord
 
 __all__ = ["zone_summary"]
@@ -55,17 +56,8 @@
 
 
 def _summed(rows: Iterable[SuspicionRow]) -> tuple[SuspicionRow, ...]:
-    """Add up what several hosts saw of the same request; each saw its own crashes."""
     summed: dict[str, SuspicionRow] = {}
     for row in rows:
         known = summed.get(row.fingerprint)
-        if known is not None:
-            row = SuspicionRow(
-                fingerprint=row.fingerprint,
-                n_crashes=known.n_crashes + row.n_crashes,
-                crash=row.crash or known.crash,
-                repeated=known.repeated or row.repeated,
-                proved=known.proved and row.proved,
-            )
-        summed[row.fingerprint] = row
+        summed[row.fingerprint] = row if known is None else sum_suspicions(row, known)
     return tuple(summed.values())
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -15,6 +15,7 @@
     "Observation",
     "ReportRow",
     "SuspicionRow",
+    "sum_suspicions",
 ]
 
 
@@ -58,6 +59,17 @@
     proved: bool = False
 
 
+def sum_suspicions(first: SuspicionRow, second: SuspicionRow) -> SuspicionRow:
+    """Add up what two entry hosts saw of the same request; each saw its own crashes."""
+    return SuspicionRow(
+        fingerprint=first.fingerprint,
+        n_crashes=first.n_crashes + second.n_crashes,
+        crash=first.crash or second.crash,
+        repeated=first.repeated or second.repeated,
+        proved=first.proved and second.proved,
+    )
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LeavingRow:
     """Tell that a backend server is leaving, as this entry host learned."""
