Log why a request is quarantined, and by what groups are formed

Cause: a refusal for crashes didn't say how many there were, and group_decided said neither the demand nor the groups that decided it, which an engineer needs to see why a model is short.

--- a/ryelever/coordination/groups/zone_planner.py
+++ b/ryelever/coordination/groups/zone_planner.py
@@ -109,6 +109,7 @@
         self._table = table
         self._reshaping = reshaping
         self._turn = ReshapingTurn(zone=zone)
+        self._log = log
         self.times = GroupTimes(observe=observe)
         self._since = since
         self._end = -1
@@ -224,7 +225,10 @@
             return self._appending
         formed: list[GroupRecord] = []
         for view in views:
-            for formation in self._formations(view):
+            formations = self._formations(view)
+            if formations:
+                self._log_weighed(view)
+            for formation in formations:
                 record = self._record(
                     formation, service=view.service, offset=self._end + len(formed)
                 )
@@ -266,8 +270,20 @@
         if group is None:
             self._turn.end()
         elif self._turn.ask(self._reshaping(), now=now):
+            for view in views:
+                self._log_weighed(view)
             self.keeper.end(group.name, TAKEN_APART, now=now)
 
+    def _log_weighed(self, view: ServiceView) -> None:
+        """Tell by what groups of a service are formed, or one is taken apart."""
+        demand = view.rules.demand_by_model
+        self._log(
+            "models_weighed",
+            zone=self._zone,
+            demand={model: round(work, 2) for model, work in demand.items()},
+            n_groups=view.rules.groups_by_model,
+        )
+
     def _record(
         self, formation: Formation, *, service: str, offset: int
     ) -> GroupRecord:
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -69,6 +69,12 @@
             last_event=request.last_event_id,
         )
 
+    def quarantined(self, request: RelayRequest, *, n_crashes: int) -> None:
+        """Tell why a request is not sent to a backend server."""
+        self._log(
+            "quarantined", request=request.arrival.request_id, n_crashes=n_crashes
+        )
+
     def refused(self, refusal: RelayRefusal, *, version: int) -> None:
         """Tell of a request that was not taken.
 
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -143,6 +143,7 @@
         request = routed.ok
         quarantined = self._crashes.verdict(request, now=now)
         if quarantined is not None:
+            self._reports.quarantined(request, n_crashes=quarantined.n_crashes)
             self._refuse_unread(
                 number,
                 arrival,
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -51,6 +51,7 @@
     "callers_port": "port for callers",
     "changed": "whether the settings differ from those the process runs with",
     "code": "code of the error that the caller got",
+    "demand": "work that arrives, in groups kept busy, by model",
     "draining": "whether a backend server has announced its leaving",
     "end": "offset at which the log ends",
     "epoch": "epoch of a group; -1 for none",
@@ -70,6 +71,8 @@
     "model": "name of a model",
     "ms": "milliseconds since the request arrived",
     "n": "how many",
+    "n_crashes": "crashes of backend servers that the request was in, over all hosts",
+    "n_groups": "groups that serve or are being formed, by model",
     "n_in_all": "how many since the start",
     "n_parts": "parts of a snapshot",
     "n_sent": "sendings of the request so far",
@@ -186,6 +189,9 @@
         "a caller closed its connection", "request", "phase", "server"
     ),
     "group_still": _info("nothing moves in a group any more", "server"),
+    "quarantined": _info(
+        "a request is not sent for the crashes that it was in", "request", "n_crashes"
+    ),
     "refused": _info(
         "a request that was not taken", "request", "status", "reason", "version"
     ),
@@ -204,6 +210,9 @@
         "a group without a record was taken over", "group", "members"
     ),
     "group_decided": _info("a group is to be formed", *_GROUP, "members"),
+    "models_weighed": _info(
+        "what groups are formed or taken apart by", "zone", "demand", "n_groups"
+    ),
     "group_phase": _info(
         "what is done with a group has changed", *_GROUP, "phase", "reason", "took"
     ),
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -44,6 +44,9 @@
         assert _crash_all(relaying, "poison", now=now) == 0
         kind, _, status, retry_after = relaying.out[-1]
         assert (kind, status) == ("refuse", 503)
+        [line] = [fields for event, fields in relaying.lines if event == "quarantined"]
+        assert line["n_crashes"] == 2
+        relaying.lines.clear()
         assert retry_after > 100.0
     relaying.arrive(SAFE, number=7, content="other", now=61.0)
     assert relaying.sent[-1].request_number == 7
