--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -88,11 +88,11 @@
 
     host: str
     availability_zone: str
-    boot: int
-    sequence: int
     reads_store: bool
     stopping: bool
     configuration_version: int
+    boot: int = 0
+    sequence: int = 0
     configuration_size: int = 0
     in_flight_by_server: dict[str, int] = field(default_factory=dict)
     demand_by_model: dict[str, float] = field(default_factory=dict)
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -9,7 +9,7 @@
 
 from circuits import BaseComponent, handler
 
-from .coordination.host_words import HostWord, news_of
+from .coordination.host_words import news_of
 from .coordination.zone_summary import zone_summary
 from .events import Datagram, peers_send, server_news
 from .logs import log_event
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .coordination.host_words import HostAddress, HostWords
+    from .coordination.host_words import HostAddress, HostWord, HostWords
     from .coordination.relaying import Balancer, CrashWatch, StillnessWatch
     from .relay_settings import RelaySettings
 
@@ -41,7 +41,7 @@
     Parameters
     ----------
     describe : callable
-        Return the parts of this host's word that other components know.
+        Return this host's word as far as other components know it.
     take_version : callable
         Take note that another host has a configuration version in force.
     """
@@ -56,7 +56,7 @@
         balancer: Balancer,
         stillness: StillnessWatch,
         crashes: CrashWatch,
-        describe: Callable[[], dict[str, object]],
+        describe: Callable[[], HostWord],
         take_version: Callable[[HostWord], None],
     ) -> None:
         super().__init__()
@@ -84,11 +84,11 @@
         now = time.monotonic()
         self._sequence += 1
         described = self._describe()
-        planning = self._settings.availability_zone in described["plans"]
+        planning = self._settings.availability_zone in described.plans
         speaks = self._words.speaks(planning=planning, now=now)
         # Others rely on who speaks or reads for them, and notice soon if it is lost.
         relied_on = speaks or self._words.reads_for_zone(
-            reads_store=described["reads_store"], now=now
+            reads_store=described.reads_store, now=now
         )
         n_ticks = 1 if relied_on else self._words.ticks_between_words(now=now)
         word = self._own_word(described, interval=n_ticks * WORD_INTERVAL)
@@ -104,10 +104,9 @@
         )
         self._log_hearing(now=now)
 
-    def _own_word(self, described: dict[str, object], *, interval: float) -> HostWord:
-        return HostWord(
-            host=self._settings.host,
-            availability_zone=self._settings.availability_zone,
+    def _own_word(self, described: HostWord, *, interval: float) -> HostWord:
+        return replace(
+            described,
             boot=self._boot,
             sequence=self._sequence,
             interval=interval,
@@ -116,7 +115,6 @@
                 for server_id, record in self._balancer.records_by_id.items()
                 if record.in_flight
             },
-            **described,
         )
 
     def _speak(self, own: HostWord, *, now: float) -> None:
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -10,7 +10,7 @@
 
 from .addresses import split_address
 from .coordination.groups import ZonePlanner
-from .coordination.host_words import HostWords
+from .coordination.host_words import HostWord, HostWords
 from .coordination.relaying import (
     Balancer,
     CrashWatch,
@@ -47,7 +47,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .coordination.host_words import HostWord
     from .log_stream import StreamWriter
     from .protocol.keyed_log import KeyedLogInterface
     from .protocol.relaying import RelayInterface
@@ -272,21 +271,23 @@
         total.update(self.relay.demand.by_model(now=now))
         return total
 
-    def _describe_host(self) -> dict[str, object]:
+    def _describe_host(self) -> HostWord:
         now = time.monotonic()
-        return {
-            "address": self.peers.address,
-            "reads_store": self._reads_store(),
-            "stopping": self.shutdown.stopping,
-            "configuration_version": self.fleet.version,
-            "configuration_size": len(self.fleet.document()),
-            "still": tuple(self.relay.stillness.still(now=now)),
-            "moving": self._moving_heads(now=now),
-            "suspicions": self.crashes.told(now=now),
-            "plans": tuple(self.planning.planners_by_zone),
-            "reshapes": self.planning.reshaped_zones(),
-            "demand_by_model": self.relay.demand.by_model(now=now),
-        }
+        return HostWord(
+            host=self.settings.host,
+            availability_zone=self.settings.availability_zone,
+            address=self.peers.address,
+            reads_store=self._reads_store(),
+            stopping=self.shutdown.stopping,
+            configuration_version=self.fleet.version,
+            configuration_size=len(self.fleet.document()),
+            still=tuple(self.relay.stillness.still(now=now)),
+            moving=self._moving_heads(now=now),
+            suspicions=self.crashes.told(now=now),
+            plans=tuple(self.planning.planners_by_zone),
+            reshapes=self.planning.reshaped_zones(),
+            demand_by_model=self.relay.demand.by_model(now=now),
+        )
 
     def _take_version(self, word: HostWord) -> None:
         self.fleet.note_version(word, now=time.monotonic())
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ryelever.coordination.host_words import HostAddress, HostWords
+from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
 from ryelever.coordination.relaying import Balancer, CrashWatch, StillnessWatch
 from ryelever.coordination.routing import Quarantine
 from ryelever.events import Datagram
@@ -59,14 +59,16 @@
             balancer=Balancer(directory=Directory(), zone=zone),
             stillness=StillnessWatch(),
             crashes=CrashWatch(quarantine=Quarantine()),
-            describe=lambda: {
-                "still": self.still_by_host.get(host, ()),
-                "address": host,
-                "reads_store": True,
-                "stopping": False,
-                "configuration_version": 1,
-                "plans": (zone,),
-            },
+            describe=lambda: HostWord(
+                host=host,
+                availability_zone=zone,
+                address=host,
+                reads_store=True,
+                stopping=False,
+                configuration_version=1,
+                still=self.still_by_host.get(host, ()),
+                plans=(zone,),
+            ),
             take_version=lambda word: None,
         )
         exchange.fire = lambda event, channel: self._fired(host, event, channel)
