--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -90,7 +90,8 @@
         relied_on = speaks or self._words.reads_for_zone(
             reads_store=described.reads_store, now=now
         )
-        n_ticks = 1 if relied_on else self._words.ticks_between_words(now=now)
+        usual_ticks = self._words.ticks_between_words(now=now)
+        n_ticks = 1 if relied_on else usual_ticks
         word = self._own_word(described, interval=n_ticks * WORD_INTERVAL)
         if self._sequence % n_ticks == 0 or news_of(word) != self._near_news:
             self._near_news = news_of(word)
@@ -99,9 +100,7 @@
             self._speak(word, now=now)
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
         self._balancer.unheard_zones = self._words.unheard_zones(now=now)
-        self._balancer.set_word_interval(
-            WORD_INTERVAL * self._words.ticks_between_words(now=now)
-        )
+        self._balancer.set_word_interval(WORD_INTERVAL * usual_ticks)
         self._log_hearing(now=now)
 
     def _own_word(self, described: HostWord, *, interval: float) -> HostWord:
@@ -226,7 +225,7 @@
         for host in self._heard - heard:
             log_event("peer_lost", peer=host)
         self._heard = heard
-        unheard = self._words.unheard_zones(now=now)
+        unheard = self._balancer.unheard_zones
         for zone in unheard - self._unheard_zones:
             log_event("zone_lost", zone=zone)
         for zone in self._unheard_zones - unheard:
