Tell incarnations of a backend server apart by their start, not by its id

A server may start again under the id that it had. What compared ids alone took it for the one before: a group stayed whole on the list when its member was back and a late order had joined it again; failures of the former process kept requests from a head that served; what a server said during an outage went before the entry of its next start; weights that were told to a process which is gone counted as on their way.

The start is decoded into BackendServer.started_at, which tells incarnations apart and is never compared for order, as clocks step. Members are kept as they were when they were seen ready; a probe names the start that joined; a planner that begins after the loss ends a group in which a listed member doesn't show itself.

Entries of other writers: fields missing or of another type, unknown states, addresses that can't be connected to, and deep or unreadable bytes name no server. Each is passed over alone and logged once; its server, if there was one, is taken out unless it writes again within two heartbeats. An entry with no slots would have divided by zero at each choice.

Ruled out: ordering starts by their time.

--- a/ryelever/coordination/groups/keeper.py
+++ b/ryelever/coordination/groups/keeper.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ...state.directory import Directory
+    from ...state.directory import BackendServer, Directory
 
 __all__ = ["STALL_SLACK", "GroupKeeper"]
 
@@ -44,6 +44,11 @@
 #: lost, its entry lapses before then; if it was only cut off, it is of use again.
 LOST_FOR = 5.0
 
+#: Seconds after a head was seen to serve within which the list shows each member as
+#: it was when the head opened: entries are written at once and read within half a
+#: second, and within about two seconds of the store's return after an outage.
+MEMBERS_SHOWN = 3.0
+
 
 class GroupKeeper(KeptGroups):
     """Keep the groups of one availability zone.
@@ -83,9 +88,14 @@
     # What is there
 
     def seems_lost(self, server_id: str, *, now: float) -> bool:
-        """Tell whether a server answered no probe a short while ago."""
+        """Tell whether a server answered no probe a short while ago.
+
+        One that has come into the list since then, or was started anew, is there.
+        """
         lost_at = self._lost_by_id.get(server_id)
-        return lost_at is not None and now - lost_at < LOST_FOR
+        if lost_at is None or now - lost_at >= LOST_FOR:
+            return False
+        return self._directory.listed_since_by_id.get(server_id, lost_at) <= lost_at
 
     # Orders
 
@@ -172,26 +182,48 @@
             if server.draining:
                 self._end(kept, MEMBER_LEAVING, now=now)
                 return
-            state = kept.state_of(server)
-            if state is None:
-                if member.server_id in kept.joined:
-                    self._end(kept, "member_left", now=now)
-                    return
-            elif state is GroupState.BROKEN:
-                self._end(kept, "broken", now=now)
+            reason = self._lost_membership(kept, server, now=now)
+            if reason:
+                self._end(kept, reason, now=now)
                 return
-            elif state is not GroupState.JOINING:
-                kept.joined.add(member.server_id)
         if kept.phase is GroupPhase.FORMING:
             self._judge_forming(kept, now=now)
 
+    def _lost_membership(
+        self, kept: KeptGroup, server: BackendServer, *, now: float
+    ) -> str:
+        """Return why a server that is there is no member any more; empty if it is.
+
+        A server that starts again under its id has left all groups, and its group
+        stands still though each id is there and answers.  Its entry may show it in no
+        group, or, where a late order to join was carried out since, in this very one.
+        """
+        state = kept.state_of(server)
+        joined = kept.joined_by_id.get(server.id)
+        if state is GroupState.BROKEN:
+            return "broken"
+        if joined is not None and not server.is_same_incarnation(joined):
+            return "member_restarted"
+        if state is None or state is GroupState.JOINING:
+            if joined is not None and state is None:
+                return "member_left"
+            # A planner that begins after the loss never saw it ready; but when the
+            # head opened all were.
+            has_shown = now - kept.serving_since > MEMBERS_SHOWN
+            serves = kept.phase is GroupPhase.SERVING
+            if serves and has_shown and not self._list_is_silent():
+                return "member_left"
+            return ""
+        kept.joined_by_id[server.id] = server
+        return ""
+
     def _is_gone(self, kept: KeptGroup, server_id: str, *, now: float) -> bool:
         """Tell whether a member that the list doesn't show is no use to its group.
 
         It may be cut off from the store only, and the group goes on with it; then it
         answers when asked.  Not so the head: nothing may be sent to it any more.
         """
-        known = server_id in kept.joined
+        known = server_id in kept.joined_by_id
         missing_for = now - kept.missing_since[server_id]
         if missing_for < (self._patience if known else ORDER_RETRY):
             return False
@@ -216,6 +248,7 @@
         head = self._directory.by_id.get(kept.record.head.server_id)
         if head is not None and kept.state_of(head) is GroupState.OPEN:
             kept.phase = GroupPhase.SERVING
+            kept.serving_since = now
             self._log_phase(kept, took=round(now - kept.since, 2))
 
     def _forming(self, kept: KeptGroup, *, now: float) -> list[GroupOrder]:
--- a/ryelever/coordination/groups/kept_group.py
+++ b/ryelever/coordination/groups/kept_group.py
@@ -40,8 +40,11 @@
     ----------
     recorded : bool
         False where the store holds no record of the group.
-    joined : set of str
-        Members that were seen ready under the group's name and epoch.
+    joined_by_id : dict of str to BackendServer
+        Members that were seen ready under the group's name and epoch, as they were
+        then: one that was started anew since is not a member any more.
+    serving_since : float
+        Monotonic time since when the head is known to serve.
     missing_since : dict of str to float
         Monotonic times since when members are missing from the list.
     suspected : bool
@@ -55,7 +58,8 @@
     phase: GroupPhase = GroupPhase.FORMING
     reason: str = ""
     recorded: bool = True
-    joined: set[str] = field(default_factory=set)
+    joined_by_id: dict[str, BackendServer] = field(default_factory=dict)
+    serving_since: float = 0.0
     ending_since: float = 0.0
     missing_since: dict[str, float] = field(default_factory=dict)
     suspected: bool = False
@@ -95,10 +99,12 @@
         """Return an order to one member."""
         record = self.record
         addresses = {member.server_id: member.address for member in record.members}
+        joined = self.joined_by_id.get(server_id)
         return GroupOrder(
             kind=kind,
             server_id=server_id,
             address=addresses[server_id],
+            started_at=None if joined is None else joined.started_at,
             group=record.name,
             epoch=record.epoch,
             model=record.model,
--- a/ryelever/coordination/groups/orders.py
+++ b/ryelever/coordination/groups/orders.py
@@ -49,6 +49,9 @@
         Ids of all members, the head first; only where a group is joined.
     gently : bool
         Close only after what runs has ended.
+    started_at : int or None
+        Start of the incarnation that joined the group, where that is known; a probe
+        that another one answers finds it apart from the group.
     """
 
     kind: OrderKind
@@ -59,3 +62,4 @@
     model: str = ""
     members: tuple[str, ...] = ()
     gently: bool = False
+    started_at: int | None = None
--- a/ryelever/coordination/groups/weight_staging.py
+++ b/ryelever/coordination/groups/weight_staging.py
@@ -44,6 +44,7 @@
 class _Staging:
     """Hold which weights a server was told to stage, and when."""
 
+    server: BackendServer
     model: str
     since: float
 
@@ -82,7 +83,9 @@
             paced = not rules.loads_are_quick
             if paced and not self._loads.allow(rate=LOAD_SHARE * rate, now=now):
                 break
-            self._staging_by_id[server.id] = _Staging(model=model.name, since=now)
+            self._staging_by_id[server.id] = _Staging(
+                server=server, model=model.name, since=now
+            )
             orders.append(
                 GroupOrder(
                     kind=OrderKind.STAGE,
@@ -98,8 +101,13 @@
         return replace(group, members=members)
 
     def _foreseen(self, server: BackendServer, *, now: float) -> BackendServer:
-        """Return a server as it will be once it has staged what it was told to."""
+        """Return a server as it will be once it has staged what it was told to.
+
+        What an earlier incarnation was told ended with it.
+        """
         staging = self._staging_by_id.get(server.id)
         if staging is None or now - staging.since > STAGE_RETRY:
             return server
+        if not server.is_same_incarnation(staging.server):
+            return server
         return replace(server, staged=server.staged | {staging.model})
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -57,6 +57,8 @@
         Failures in a row.
     avoided_until : float
         Monotonic time until which it gets nothing.
+    server : BackendServer or None
+        The incarnation that the failures belong to.
     disowned, disowned_until
         The entry under which it said that it is another incarnation or no head, and
         the monotonic time until which that is believed.
@@ -65,6 +67,7 @@
     in_flight: int = 0
     n_failures: int = 0
     avoided_until: float = 0.0
+    server: BackendServer | None = None
     disowned: BackendServer | None = None
     disowned_until: float = 0.0
 
@@ -105,7 +108,8 @@
         """Return the record of a backend server, a new one if there is none."""
         record = self.records_by_id.get(server_id)
         if record is None:
-            record = self.records_by_id[server_id] = ServerRecord()
+            server = self._directory.by_id.get(server_id)
+            record = self.records_by_id[server_id] = ServerRecord(server=server)
         return record
 
     def candidates(self, service: str, model: str) -> list[BackendServer]:
@@ -113,7 +117,7 @@
         if self._seen_changes != self._directory.n_changes:
             self._seen_changes = self._directory.n_changes
             self._candidates_by_work.clear()
-            self._forget_lost()
+            self._forget_former()
         found = self._candidates_by_work.get((service, model))
         if found is None:
             found = [
@@ -228,12 +232,19 @@
             far = UNHEARD_ZONE * (server.slots + WAITING_AT_SERVER)
         return (in_flight + far) / server.slots
 
-    def _forget_lost(self) -> None:
-        for server_id in list(self.records_by_id):
-            if server_id not in self._directory.by_id:
-                record = self.records_by_id[server_id]
+    def _forget_former(self) -> None:
+        """Forget what was seen of servers that are gone, or were started anew."""
+        for server_id, record in list(self.records_by_id.items()):
+            server = self._directory.by_id.get(server_id)
+            if server is None:
                 if record.in_flight == 0:
                     del self.records_by_id[server_id]
+            elif record.server is None:
+                record.server = server
+            elif not server.is_same_incarnation(record.server):
+                record.server = server
+                record.n_failures = 0
+                record.avoided_until = 0.0
 
 
 def _runs(server: BackendServer, model: str) -> bool:
--- a/ryelever/coordination/removals.py
+++ b/ryelever/coordination/removals.py
@@ -14,12 +14,23 @@
 #: Seconds without an answered read that count as an outage rather than a slip.
 OUTAGE = 1.0
 
+#: Heartbeats for which a server is left in the list after an entry that can't be read
+#: came under its id.  A living server writes its own again within one.
+UNREADABLE_HEARTBEATS = 2.0
+
 
 class Removals:
-    """Decide when a removal is believed."""
+    """Decide when a removal is believed.
+
+    Parameters
+    ----------
+    heartbeat_interval : float
+        Seconds between two entries that a living server writes.
+    """
 
-    def __init__(self) -> None:
-        self._removed_at_by_id: dict[str, float] = {}
+    def __init__(self, *, heartbeat_interval: float) -> None:
+        self._unreadable_for = UNREADABLE_HEARTBEATS * heartbeat_interval
+        self._due_at_by_id: dict[str, float] = {}
         self._answered_at = float("-inf")
         self._outage_until = float("-inf")
 
@@ -34,16 +45,21 @@
 
     def add(self, server_id: str, *, now: float) -> None:
         """Take word that a backend server's entry is gone."""
-        self._removed_at_by_id.setdefault(server_id, now)
+        self._due_at_by_id[server_id] = now
+
+    def add_unreadable(self, server_id: str, *, now: float) -> None:
+        """Take an entry that can't be read, and so names no server to use."""
+        self._due_at_by_id.setdefault(server_id, now + self._unreadable_for)
 
     def discard(self, server_id: str) -> bool:
         """Take word that it is there; tell whether its removal was held back."""
-        return self._removed_at_by_id.pop(server_id, None) is not None
+        return self._due_at_by_id.pop(server_id, None) is not None
 
     def due(self, *, now: float) -> list[str]:
         """Return the backend servers that are to be taken for gone now."""
-        if now < self._outage_until or not self._removed_at_by_id:
+        if now < self._outage_until:
             return []
-        due = list(self._removed_at_by_id)
-        self._removed_at_by_id.clear()
+        due = [item for item, due_at in self._due_at_by_id.items() if due_at <= now]
+        for server_id in due:
+            del self._due_at_by_id[server_id]
         return due
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -54,6 +54,10 @@
 #: 20 Mbit/s.
 MAX_GIVEN = 16 << 10
 
+#: Entries that can't be read of which is remembered that it was logged.  A writer that
+#: makes up keys would fill the memory otherwise.
+MAX_UNREADABLE = 1000
+
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -93,7 +97,7 @@
         self._directory = directory
         self._words = words
         self._own_address = own_address
-        self._removals = Removals()
+        self._removals = Removals(heartbeat_interval=settings.heartbeat_interval)
         self.table: RouteTable | None = None
         self.configuration = TopicFollower(log=log, topic=documents.operator_topic)
         self.servers = TopicFollower(
@@ -109,6 +113,7 @@
         self._in_force_since: float | None = None
         self._data_by_server: dict[str, bytes] = {}
         self._said = SaidRecords()
+        self._unreadable: set[str] = set()
         self.fetch = HostFetch(
             words=words,
             take_configuration=self.take_configuration,
@@ -322,7 +327,7 @@
         self, records: list[KeyedRecord], *, now: float
     ) -> list[KeyedRecord]:
         """Take what goes before the list until that has been read again for a while."""
-        self._said.say(records)
+        self._said.say(records, seen_by_id=self._directory.by_id)
         return self._take_records(records, now=now)
 
     def _take_listed(
@@ -349,6 +354,9 @@
         said = self._said.before(record, now=now)
         if said is None:
             return record
+        if self._is_later_start(record):
+            self._said.forget(record.key)
+            return record
         merged = self._documents.reported(record.value, said, peer=record.key)
         if merged.is_error():
             log_warning(
@@ -357,6 +365,14 @@
             return record
         return KeyedRecord(key=record.key, value=merged.ok, offset=record.offset)
 
+    def _is_later_start(self, record: KeyedRecord) -> bool:
+        """Tell whether a server was started anew since it said what holds now."""
+        known = self._directory.by_id.get(record.key)
+        listed = self._documents.server(record.key, record.value, peer=record.key)
+        if known is None or listed.is_error():
+            return False
+        return self._said.is_overtaken(listed.ok, known)
+
     def _take_records(
         self, records: list[KeyedRecord], *, now: float
     ) -> list[KeyedRecord]:
@@ -376,17 +392,17 @@
         """Take one record; tell whether it says anything new.
 
         That it ends a removal which is held back is new as well: hosts that read
-        nothing hold the removal too, and would carry it out.
+        nothing hold the removal too, and would carry it out.  So is one that can't be
+        read: it may come from another writer, and names no server to use.
         """
-        is_back = self._removals.discard(server_id)
         read = self._documents.server(
             server_id, data, peer=self._settings.store_address
         )
         if read.is_error():
-            log_warning(
-                "server_unreadable", server=server_id, message=read.error.message
-            )
-            return False
+            self._removals.add_unreadable(server_id, now=now)
+            return self._note_unreadable(server_id, read.error.message)
+        self._unreadable.discard(server_id)
+        is_back = self._removals.discard(server_id)
         self._data_by_server[server_id] = data
         server = read.ok
         old = self._directory.by_id.get(server_id)
@@ -395,6 +411,15 @@
         _log_change(old, server)
         return True
 
+    def _note_unreadable(self, server_id: str, message: str) -> bool:
+        """Log what is wrong with an entry; tell whether the one before was readable."""
+        if server_id in self._unreadable:
+            return False
+        if len(self._unreadable) < MAX_UNREADABLE:
+            self._unreadable.add(server_id)
+        log_warning("server_unreadable", server=server_id, message=message)
+        return True
+
     def _remove(self, server_id: str, *, now: float) -> None:
         self._data_by_server.pop(server_id, None)
         heard_at = now - LAPSED_HEARTBEATS * self._settings.heartbeat_interval
--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import ipaddress
+from typing import TYPE_CHECKING, Annotated, Literal
 
 import msgspec
 
@@ -28,7 +29,7 @@
 
 #: Fields that a backend server's report and its record have in common, besides those
 #: by which records differ from one heartbeat to the next.
-_REPORTED = ("models", "domain", "staged", "group")
+_REPORTED = ("models", "domain", "staged", "group", "born")
 
 _KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -127,16 +128,31 @@
 
 
 class _Server(msgspec.Struct):
+    """What a backend server writes of itself.
+
+    An entry that lacks one of the first fields, or holds something else in one, comes
+    from another writer and names no server to use.
+    """
+
     service: str
     address: str
     zone: str
-    slots: int = 1
-    state: str = "ready"
+    state: Literal["ready", "draining"]
+    # Requests that it works on at once.
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    # Unix milliseconds of its start; some don't say.
+    born: int | msgspec.UnsetType = msgspec.UNSET
     models: list[_Loaded] = []
     domain: str | int = ""
     staged: list[str | _Loaded] = []
     group: ReportedGroup | None = None
 
+    def __post_init__(self) -> None:
+        ip, _, port = self.address.rpartition(":")
+        ipaddress.IPv4Address(ip)
+        if not (port.isdecimal() and 0 < int(port) < 65536):
+            raise ValueError(f"expected an address with a port, found {self.address}")
+
 
 def read_configuration(data: bytes, *, peer: str) -> Result[RouteTable, RyeleverError]:
     """Read the operator's newest configuration.
@@ -271,7 +287,8 @@
         address=found.address,
         availability_zone=found.zone,
         slots=found.slots,
-        draining=found.state != "ready",
+        draining=found.state == "draining",
+        started_at=None if found.born is msgspec.UNSET else found.born,
         domain=str(found.domain),
         models=frozenset(model.name for model in found.models),
         staged=frozenset(
--- a/ryelever/platform/orders.py
+++ b/ryelever/platform/orders.py
@@ -47,6 +47,8 @@
 class _Report(msgspec.Struct):
     #: None where the backend server is in no group; unset where it doesn't say.
     group: ReportedGroup | None | msgspec.UnsetType = msgspec.UNSET
+    #: Unix milliseconds of the backend server's start; some don't say.
+    born: int | None = None
 
 
 class PlatformOrders:
@@ -97,4 +99,6 @@
     if group is msgspec.UNSET:
         return OrderOutcome.HOLDS
     same = group is not None and (group.name, group.epoch) == (order.group, order.epoch)
+    if None not in (order.started_at, read.ok.born):
+        same = same and order.started_at == read.ok.born
     return OrderOutcome.HOLDS if same else OrderOutcome.APART
--- a/ryelever/protocol/json_codec.py
+++ b/ryelever/protocol/json_codec.py
@@ -25,7 +25,7 @@
     """Read JSON into ``type_``; the error names the step, the peer and the place."""
     try:
         return Ok(msgspec.json.decode(data, type=type_))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Error(
             RyeleverError(
                 f"not the expected JSON: {error}",
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -48,6 +48,11 @@
     ----------
     draining : bool
         True once it has announced its leaving.
+    started_at : int or None
+        Unix time in milliseconds of its start by its own clock; None where it doesn't
+        say.  A server may start again under the same id, and holds nothing of before
+        then.  Clocks step, so a later start may have the lower time: it tells
+        incarnations apart, and never which of two is the newer.
     models : frozenset of str
         Models whose weights are in use.
     staged : frozenset of str
@@ -66,6 +71,13 @@
     models: frozenset[str] = frozenset()
     staged: frozenset[str] = frozenset()
     group: GroupReport | None = None
+    started_at: int | None = None
+
+    def is_same_incarnation(self, other: BackendServer) -> bool:
+        """Tell whether two descriptions under one id are of the same start."""
+        return None in (self.started_at, other.started_at) or (
+            self.started_at == other.started_at
+        )
 
 
 class Directory:
@@ -99,6 +111,9 @@
             return False
         if old is not None and old.service != server.service:
             self._by_service[old.service].pop(old.id, None)
+        if old is not None and not server.is_same_incarnation(old):
+            # How long the former incarnation was there says nothing of this one.
+            self.listed_since_by_id.pop(server.id)
         self.by_id[server.id] = server
         self.listed_since_by_id.setdefault(server.id, now)
         self.heard_at_by_id.pop(server.id, None)
--- a/tests/test_coordination/test_groups/group_fakes.py
+++ b/tests/test_coordination/test_groups/group_fakes.py
@@ -41,6 +41,7 @@
         models=models,
         staged=staged,
         group=group,
+        started_at=1,
     )
 
 
@@ -111,6 +112,11 @@
             found = self.directory.by_id[server_id]
             self.directory.put(replace(found, group=None), now=self.now)
 
+    def restart(self, server_id: str, *, started_at: int) -> None:
+        """Show that a server was started anew under its id, and holds nothing."""
+        found = replace(server(server_id), started_at=started_at)
+        self.directory.put(found, now=self.now)
+
     def drain(self, server_id: str) -> None:
         """Show that a server has announced its leaving."""
         self.directory.put(
--- a/tests/test_coordination/test_groups/test_group_keeper.py
+++ b/tests/test_coordination/test_groups/test_group_keeper.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from ryelever.coordination.groups.keeper import LAST_STREAMS, STALL_SLACK
+from ryelever.coordination.groups.keeper import (
+    LAST_STREAMS,
+    MEMBERS_SHOWN,
+    STALL_SLACK,
+)
 from ryelever.coordination.groups.kept_group import ORDER_RETRY, GroupPhase
 from ryelever.coordination.groups.kept_groups import TAKEN_APART
 from ryelever.coordination.groups.member_probes import ASK_INTERVAL
@@ -447,3 +451,119 @@
     assert members.keeper.phase_of(GROUP.name) is GroupPhase.FORMING
     members.look(26.1)
     assert members.keeper.phase_of(GROUP.name) is GroupPhase.ENDING
+
+
+# Servers that start again under their id
+
+
+def test_a_member_that_starts_again_within_a_heartbeat_ends_its_group(
+    members: Members,
+) -> None:
+    """Show that a group whose member was started anew is not taken for whole.
+
+    Symptom: a group stands still for five seconds though all its members are listed
+    and answer.
+    Sequence: a member crashes and starts again before its entry lapses; an order to
+    join that went unanswered is carried out late, so that it shows as ready under the
+    group's very name and epoch.
+    Cause: members were told apart by their ids alone.
+    """
+    members.serve(GROUP)
+    members.restart("b", started_at=2)
+    members.report(GROUP, GroupState.READY, "b")
+    members.look(1.0)
+    kept = members.keeper.kept_by_name[GROUP.name]
+    assert (kept.phase, kept.reason) == (GroupPhase.ENDING, "member_restarted")
+
+
+def test_a_clock_that_steps_back_hides_no_start(members: Members) -> None:
+    members.restart("b", started_at=5000)
+    members.serve(GROUP)
+    members.restart("b", started_at=4000)
+    members.report(GROUP, GroupState.READY, "b")
+    members.look(1.0)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.ENDING
+
+
+def test_a_member_that_starts_again_while_it_joins_is_told_again(
+    members: Members,
+) -> None:
+    members.keeper.put(GROUP, now=0.0)
+    members.look(0.0)
+    members.report(GROUP, GroupState.READY, "a", "b")
+    members.report(GROUP, GroupState.JOINING, "c")
+    members.look(0.5)
+    members.restart("c", started_at=2)
+    assert members.look(ORDER_RETRY) == [(JOIN, "c")]
+    members.report(GROUP, GroupState.READY, "c")
+    assert members.look(ORDER_RETRY + 0.1) == [(OPEN, "a")]
+
+
+def test_a_head_that_starts_again_frees_its_members(members: Members) -> None:
+    """Show that a head which is back is not waited for.
+
+    Symptom: survivors serve nobody for six seconds.
+    Sequence: the head of a group that is recorded as serving crashes and is back at
+    once, in no group.
+    Cause: none in the rules; a head that shows in no group has left its own.
+    """
+    members.serve(GROUP)
+    members.restart("a", started_at=2)
+    members.look(1.0)
+    members.look(1.1)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.RETIRED
+
+
+def test_a_head_that_a_late_order_opens_again_is_waited_for(members: Members) -> None:
+    """Show that members stay taken while a late order lets their head serve anew.
+
+    Symptom: servers are joined to another group while the head of theirs is open.
+    Sequence: a head starts again under its id, and orders to join and to open that
+    went unanswered before are carried out by it.
+    Cause: that it was started anew tells that the group is not whole, and not that
+    its head doesn't accept requests.
+    """
+    members.serve(GROUP)
+    members.restart("a", started_at=2)
+    members.report(GROUP, GroupState.OPEN, "a")
+    assert members.look(1.0) == [(LEAVE, "a")]
+    assert members.keeper.taken() == {"a", "b", "c"}
+
+
+def test_a_new_planner_sees_that_a_member_was_started_anew(members: Members) -> None:
+    """Show that a group which lost a member before its planner began is ended.
+
+    Symptom: a group that stands still is kept until its head breaks off.
+    Sequence: a member starts again under its id, and the planner of the zone changes
+    before it has read the new entry.
+    Cause: the new planner never saw the member ready, and took it for one that is
+    still to join.
+    """
+    members.report(GROUP, GroupState.OPEN, "a")
+    members.report(GROUP, GroupState.READY, "c")
+    members.keeper.put(GROUP, now=0.0)
+    members.look(0.0)
+    members.look(MEMBERS_SHOWN)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.SERVING
+    members.look(MEMBERS_SHOWN + 0.1)
+    assert members.keeper.kept_by_name[GROUP.name].reason == "member_left"
+
+
+def test_a_server_that_came_back_does_not_seem_lost(members: Members) -> None:
+    members.serve(GROUP)
+    members.keeper.suspect({"a"})
+    for now in (1.0, 1.5):
+        asked = [order for order in members.orders(now) if order.server_id == "c"]
+        members.answer(asked, OrderOutcome.UNKNOWN, now=now)
+    assert members.keeper.seems_lost("c", now=1.6)
+    members.now = 1.7
+    members.restart("c", started_at=2)
+    assert not members.keeper.seems_lost("c", now=1.8)
+
+
+def test_a_probe_asks_for_the_start_that_joined(members: Members) -> None:
+    members.restart("b", started_at=7)
+    members.serve(GROUP)
+    members.keeper.suspect({"a"})
+    starts = {order.server_id: order.started_at for order in members.orders(1.0)}
+    assert starts == {"a": 1, "b": 7, "c": 1}
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -199,6 +199,23 @@
     assert _still_at(watch, 0.0, 3.0) is None
 
 
+def test_a_server_that_was_started_anew_is_not_avoided(
+    directory: Directory, balancer: Balancer
+) -> None:
+    """Show that what its former incarnation did isn't held against a server.
+
+    Symptom: a head that is back and serves gets no request for four seconds.
+    Sequence: a server crashes, its requests fail, and it starts again under its id.
+    Cause: failures were counted by the id alone.
+    """
+    directory.put(_head("a", started_at=1), now=0.0)
+    assert _choose(balancer) == "a"
+    balancer.failed("a", now=0.0)
+    assert _choose(balancer, now=0.1) is None
+    directory.put(_head("a", started_at=2), now=0.2)
+    assert _choose(balancer, now=0.2) == "a"
+
+
 # Entries that lapse while the store is away
 
 
@@ -210,7 +227,7 @@
     back within two seconds of its return.
     Cause: the removals are read first.
     """
-    removals = Removals()
+    removals = Removals(heartbeat_interval=1.2)
     removals.note_reads(answered_at=1.0, failed_at=float("-inf"))
     removals.note_reads(answered_at=1.0 + OUTAGE + 4.0, failed_at=3.0)
     back = 1.0 + OUTAGE + 4.0
@@ -221,8 +238,20 @@
     assert removals.due(now=back + ENTRIES_BACK) == ["b"]
 
 
+def test_an_entry_that_cannot_be_read_removes_its_server_unless_it_writes_again() -> (
+    None
+):
+    removals = Removals(heartbeat_interval=1.0)
+    removals.add_unreadable("a", now=0.0)
+    removals.add_unreadable("b", now=0.0)
+    assert removals.due(now=1.9) == []
+    assert removals.discard("a")
+    removals.add_unreadable("b", now=1.9)
+    assert removals.due(now=2.0) == ["b"]
+
+
 def test_removals_hold_at_once_while_reads_are_answered() -> None:
-    removals = Removals()
+    removals = Removals(heartbeat_interval=1.2)
     removals.note_reads(answered_at=1.0, failed_at=float("-inf"))
     removals.note_reads(answered_at=1.4, failed_at=1.2)
     removals.add("a", now=1.4)
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -107,7 +107,14 @@
 
 
 def _put(server_id: str, offset: int, **changes: object) -> KeyedRecord:
-    entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z"} | changes
+    entry = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "slots": 13,
+        "state": "ready",
+    }
+    entry |= changes
     return KeyedRecord(key=server_id, value=json.dumps(entry).encode(), offset=offset)
 
 
@@ -313,6 +320,62 @@
         assert host.directory.by_id["i1"].group is None
 
 
+def test_a_server_that_was_started_anew_since_it_was_asked_is_shown_so(
+    clock: Clock,
+) -> None:
+    """Show that the list goes first where it tells of a later start.
+
+    Symptom: for three seconds after an outage requests are sent to a head that has
+    forgotten its group.
+    Sequence: a head opens while the store is away and says so when it is asked; it
+    crashes, starts again under its id, by a clock that has stepped back, and the store
+    is back.
+    Cause: its own word went before the list, whatever incarnation each was of.
+    """
+    planner, other = Host("a"), Host("b")
+    for host in (planner, other):
+        host.listed(_put("i1", 0, born=1000), end=1)
+    clock.now += LIST_SILENCE + 0.1
+    said = REPORT.replace(b'"busy"', b'"born": 2000, "busy"')
+    planner.fleet._on_reported("i1", said)
+    other.fleet._on_passed_on(planner.passed_on[-1])
+    # What was written before the outage is of the start before: it goes after.
+    clock.now += 5.0
+    other.fleet._on_passed_on(planner.read(_put("i1", 1, born=1000), end=2))
+    for host in (planner, other):
+        assert host.directory.by_id["i1"].started_at == 2000
+    later = planner.read(_put("i1", 2, born=1500, group=None), end=3)
+    other.fleet._on_passed_on(later)
+    for host in (planner, other):
+        found = host.directory.by_id["i1"]
+        assert (found.started_at, found.group) == (1500, None)
+
+
+def test_an_entry_of_another_writer_names_no_server(
+    clock: Clock, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Show that one entry that can't be read stays without effect on the others.
+
+    Symptom: requests go on being sent to a server whose entry was written over, or
+    one that is wrong is logged at each of its heartbeats.
+    Sequence: another writer writes under ids of its own and under that of a server
+    which lives, and of one which doesn't write any more.
+    Cause: what can't be read was passed over, and the entry before held on.
+    """
+    reader, other = Host("a"), Host("b")
+    for host in (reader, other):
+        host.listed(_put("i1", 0), _put("i2", 1), end=2)
+    wrong = [_put(key, 2 + n, slots="x") for n, key in enumerate(("i1", "i2", "i9"))]
+    other.fleet._on_passed_on(reader.read(*wrong, end=5))
+    other.fleet._on_passed_on(reader.read(_put("i9", 5, state="odd"), end=6))
+    assert caplog.messages.count("server_unreadable") == 2 * len(wrong)
+    other.fleet._on_passed_on(reader.read(_put("i1", 6), _put("i3", 7), end=8))
+    clock.now += 2.5
+    for host in (reader, other):
+        host.fleet._on_tick()
+        assert host.directory.by_id.keys() == {"i1", "i3"}
+
+
 def test_a_server_that_is_gone_after_an_outage_is_gone(clock: Clock) -> None:
     host = Host("a")
     host.listed(_put("i1", 0), end=1)
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ryelever.platform.documents import read_configuration, read_server
 from ryelever.state.directory import GroupState
@@ -126,9 +128,88 @@
     "changes",
     [
         {"address": 3},
+        {"address": "10.0.0.9"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:70000"},
+        {"address": "some.name:80"},
+        {"state": "resting"},
+        {"state": None},
+        {"slots": 0},
+        {"slots": "13"},
+        {"born": "1767000000000"},
+        {"born": 1.5},
+        {"born": None},
+        {"models": [3]},
+        {"staged": 1},
+        {"group": []},
         {"group": {"name": "g", "epoch": 1, "rank": 0, "state": "odd"}},
     ],
 )
 def test_a_broken_entry_is_an_error(changes: dict) -> None:
     data = json.dumps(SERVER | changes).encode()
     assert read_server("i1", data, peer="store").error.step == "read_server"
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+def test_an_entry_that_lacks_a_field_is_an_error(field: str) -> None:
+    data = json.dumps({name: SERVER[name] for name in SERVER if name != field}).encode()
+    assert read_server("i1", data, peer="store").error.step == "read_server"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe\x00",
+        b'{"service":"\xff"}',
+        b"[" * 100_000,
+        b'{"x":' * 100_000,
+        b"null",
+        b"NaN",
+    ],
+    ids=["empty", "bytes", "not-utf-8", "deep", "deep-unknown", "null", "nan"],
+)
+def test_bytes_that_make_no_sense_are_an_error(data: bytes) -> None:
+    assert read_server("i1", data, peer="store").error.step == "read_server"
+
+
+@given(data=st.binary(max_size=200))
+def test_any_bytes_are_read_or_are_an_error(data: bytes) -> None:
+    read = read_server("i1", data, peer="store")
+    assert read.is_ok() or read.error.peer == "store"
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from([*SERVER, "group", "born"]), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+@given(
+    changes=st.dictionaries(
+        st.sampled_from([*SERVER, "group", "models", "staged", "domain", "born"]),
+        _JSON,
+    )
+)
+def test_an_entry_with_any_values_can_be_used_or_is_an_error(
+    changes: dict[str, Any],
+) -> None:
+    read = read_server("i1", json.dumps(SERVER | changes).encode(), peer="store")
+    if read.is_ok():
+        server = read.ok
+        assert server.slots >= 1
+        assert 0 < int(server.address.rpartition(":")[2]) < 65536
+        assert server.started_at is None or isinstance(server.started_at, int)
+
+
+def test_an_entry_tells_its_start() -> None:
+    data = json.dumps(SERVER | {"born": 1767000000000}).encode()
+    assert read_server("i1", data, peer="store").ok.started_at == 1767000000000
+    unsaid = read_server("i1", json.dumps(SERVER).encode(), peer="store").ok
+    assert unsaid.started_at is None
--- a/tests/test_platform/test_orders.py
+++ b/tests/test_platform/test_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -88,3 +89,19 @@
 )
 def test_what_a_probe_says_about_the_group(body: bytes, outcome: OrderOutcome) -> None:
     assert ORDERS.outcome(_order(OrderKind.PROBE), 200, body) is outcome
+
+
+@pytest.mark.parametrize(
+    ("started_at", "born", "outcome"),
+    [
+        (7, b"7", OrderOutcome.HOLDS),
+        (7, b"8", OrderOutcome.APART),
+        (None, b"8", OrderOutcome.HOLDS),
+    ],
+)
+def test_a_probe_tells_a_member_from_its_next_incarnation(
+    started_at: int | None, born: bytes, outcome: OrderOutcome
+) -> None:
+    order = replace(_order(OrderKind.PROBE), started_at=started_at)
+    body = b'{"born":%s,"group":{"name":"g7","epoch":12,"rank":1,"state":"ready"}}'
+    assert ORDERS.outcome(order, 200, body % born) is outcome
