Start an entry host on the platform with the modules that it serves with

Ruled out: python -OO, 38.9 MB and more processor time, as compiled files of that kind aren't kept; asyncio and xml.dom stay, since the libraries that the project builds on import them. One quarter of an imported host is still what dataclasses generate.

--- a/benchmarks/routing_fleet.py
+++ b/benchmarks/routing_fleet.py
@@ -6,10 +6,10 @@
 
 from ryelever.coordination.actions import Arrival, ChatWork, ServiceWork, Target
 from ryelever.coordination.confirmation import Confirmations
+from ryelever.coordination.quarantine import Quarantine
 from ryelever.coordination.routing.departures import Departures
 from ryelever.coordination.routing.feedback import RoutingFeedback
 from ryelever.coordination.routing.load import LoadView
-from ryelever.coordination.routing.quarantine import Quarantine
 from ryelever.coordination.routing.retry import RetryBudget
 from ryelever.coordination.routing.routing import AffinityRouter
 from ryelever.coordination.routing.stragglers import Stragglers
--- a/ryelever/coordination/routing/quarantine.py
+++ b/ryelever/coordination/quarantine/quarantine.py
@@ -10,7 +10,7 @@
 
 from ...errors import Category, RunState, RyeleverError
 from ...state.observations import SuspicionRow
-from .quarantine_evidence import Crash, PeerCount, Suspect
+from .evidence import Crash, PeerCount, Suspect
 
 if TYPE_CHECKING:
     from ...state.observations import Observation
--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from ..routing import Quarantine
+from ..quarantine import Quarantine
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ...state.observations import SuspicionRow
-    from ..routing import Quarantined
+    from ..quarantine import Quarantined
     from .request import RelayRequest
 
 __all__ = ["CrashWatch"]
--- a/ryelever/coordination/requests/attempts.py
+++ b/ryelever/coordination/requests/attempts.py
@@ -13,7 +13,8 @@
 
     from ...errors import RyeleverError
     from ..actions import Action
-    from ..routing import AttemptFeedback, Quarantined, RetryPolicy, Router
+    from ..quarantine import Quarantined
+    from ..routing import AttemptFeedback, RetryPolicy, Router
     from .state import Request
 
 __all__ = ["RequestAttempts"]
--- a/ryelever/coordination/requests/requests.py
+++ b/ryelever/coordination/requests/requests.py
@@ -25,7 +25,7 @@
     Usage,
 )
 from ..admission import Queued, Refused
-from ..routing import quarantine_error
+from ..quarantine import quarantine_error
 from . import answers
 from .attempts import RequestAttempts
 from .claims import ClaimsView, RequestClaims
--- a/ryelever/coordination/requests/steps.py
+++ b/ryelever/coordination/requests/steps.py
@@ -12,7 +12,7 @@
     ChatWork,
     StreamFailed,
 )
-from ..routing import quarantine_error
+from ..quarantine import quarantine_error
 from . import answers
 from .state import RequestState
 
--- a/ryelever/coordination/routing/__init__.py
+++ b/ryelever/coordination/routing/__init__.py
@@ -8,7 +8,6 @@
 from .departures import Departures
 from .feedback import AttemptFeedback, NoFeedback, RoutingFeedback
 from .load import LoadView
-from .quarantine import Quarantine, Quarantined, quarantine_error
 from .retry import RetryBudget, RetryPolicy
 from .routing import AffinityRouter, Router
 from .stragglers import Stragglers
@@ -22,13 +21,10 @@
     "Departures",
     "LoadView",
     "NoFeedback",
-    "Quarantine",
-    "Quarantined",
     "RetryBudget",
     "RetryPolicy",
     "Router",
     "RoutingFeedback",
     "Stragglers",
     "Targets",
-    "quarantine_error",
 ]
--- a/ryelever/coordination/routing/feedback.py
+++ b/ryelever/coordination/routing/feedback.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING, Protocol
 
 from ...errors import Category
-from .quarantine import is_crash
+from ..quarantine import is_crash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ...errors import RyeleverError
     from ..actions import Target
+    from ..quarantine import Quarantine, Quarantined
     from .departures import Departures
-    from .quarantine import Quarantine, Quarantined
     from .retry import RetryBudget
     from .stragglers import Stragglers
 
--- a/ryelever/coordination/routing/routing.py
+++ b/ryelever/coordination/routing/routing.py
@@ -16,8 +16,8 @@
     from collections.abc import Callable, Sequence
 
     from ..actions import Arrival
+    from ..quarantine import Quarantine
     from .load import LoadView
-    from .quarantine import Quarantine
     from .stragglers import Stragglers
     from .targets import Candidate, CandidateSet, Targets
 
--- a/ryelever/coordination/routing/suspects.py
+++ b/ryelever/coordination/routing/suspects.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .quarantine import Quarantine
+    from ..quarantine import Quarantine
 
 __all__ = ["SuspectsInFlight"]
 
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from circuits import Event
 
-from .errors import RyeleverError
-from .state.fleet import HostReport
-from .state.records import Claim
+if TYPE_CHECKING:
+    from .errors import RyeleverError
+    from .state.fleet import HostReport
+    from .state.records import Claim
 
 __all__ = [
     "AnswerHead",
--- a/ryelever/metrics.py
+++ b/ryelever/metrics.py
@@ -6,12 +6,6 @@
 from typing import TYPE_CHECKING
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    SummaryMetricFamily,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -59,8 +53,6 @@
         self._durations_by_name: dict[str, dict[Labels, _Durations]] = {}
         self._gauges_by_name: dict[str, Callable[[], float]] = {}
         self._counters_by_name: dict[str, Callable[[], dict[str, int]]] = {}
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
 
     def count(self, name: str, label: str = "") -> None:
         """Add one to a counter."""
@@ -91,10 +83,18 @@
 
     def render(self) -> bytes:
         """Return everything in the Prometheus text format."""
-        return generate_latest(self._registry)
+        # The library brings a web server, an eighth of a host's modules; a host that
+        # was just started is to serve callers first.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
 
     def collect(self) -> Iterator[Metric]:
         """Yield each metric; called by the Prometheus library."""
+        from prometheus_client.core import GaugeMetricFamily
+
         for name, n_by_label in self._n_by_label_by_name.items():
             yield _counter(name, n_by_label)
         for name, read in self._counters_by_name.items():
@@ -106,6 +106,8 @@
 
 
 def _summary(name: str, by_labels: dict[Labels, _Durations]) -> Metric:
+    from prometheus_client.core import SummaryMetricFamily
+
     label_names = [label for label, _ in next(iter(by_labels))]
     full_name = f"ryelever_{name}_seconds"
     summary = SummaryMetricFamily(full_name, name, labels=label_names)
@@ -123,6 +125,8 @@
 
 
 def _counter(name: str, n_by_label: dict[str, int]) -> Metric:
+    from prometheus_client.core import CounterMetricFamily
+
     counter = CounterMetricFamily(f"ryelever_{name}", name, labels=["kind"])
     for label, n_counted in n_by_label.items():
         counter.add_metric([label], n_counted)
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -11,13 +11,13 @@
 from .addresses import split_address
 from .coordination.groups import ZonePlanner
 from .coordination.host_words import HostWord, HostWords
+from .coordination.quarantine import Quarantine
 from .coordination.relaying import (
     Balancer,
     CrashWatch,
     RepeatBudget,
     StillnessWatch,
 )
-from .coordination.routing import Quarantine
 from .events import (
     control_tick,
     serving_tick,
--- a/ryelever/request_path.py
+++ b/ryelever/request_path.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from .coordination.admission import FairAdmission, GroupCapacity
+from .coordination.quarantine import Quarantine
 from .coordination.requests import Claims, RequestTable, Timeouts
 from .coordination.routing import (
     AffinityRouter,
     Departures,
     LoadView,
-    Quarantine,
     RetryBudget,
     RoutingFeedback,
     Stragglers,
--- a/ryelever/settings_files.py
+++ b/ryelever/settings_files.py
@@ -5,8 +5,6 @@
 import sys
 from typing import TYPE_CHECKING
 
-from .settings_reader import read_settings
-
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -27,6 +25,10 @@
 
 def checked_settings(path: Path, text: str) -> Settings | None:
     """Return settings in JSON, or None after naming every fault."""
+    # A host with the platform's settings reads no JSON with comments, and the parser
+    # takes a hundredth of its start.
+    from .settings_reader import read_settings
+
     checked = read_settings(text)
     if checked.is_ok():
         return checked.ok
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from .configuration import Configuration
-from .fleet import HostReport
+if TYPE_CHECKING:
+    from .configuration import Configuration
+    from .fleet import HostReport
 
 __all__ = [
     "ConfigurationRow",
--- /dev/null
+++ b/tests/test_coordination/test_quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Test how requests that crash backend servers are found."""
--- a/tests/test_coordination/test_routing/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine/test_quarantine.py
@@ -16,8 +16,8 @@
     Usage,
 )
 from ryelever.coordination.admission.admission import Queued
+from ryelever.coordination.quarantine.quarantine import Quarantine, is_crash
 from ryelever.coordination.requests.requests import RequestTable
-from ryelever.coordination.routing.quarantine import Quarantine, is_crash
 from ryelever.errors import Category, RunState, RyeleverError
 from ryelever.state.configuration import ClientAccount
 from ryelever.state.observations import SuspicionRow
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ryelever.coordination.quarantine import Quarantine
 from ryelever.coordination.relaying import AnswerHead, Headers, RelayArrival
 from ryelever.coordination.relaying.actions import RelayAttempt, RelayRefusal
 from ryelever.coordination.relaying.balance import Balancer
@@ -11,7 +12,6 @@
 from ryelever.coordination.relaying.repeat_budget import RepeatBudget
 from ryelever.coordination.relaying.requests import RelayRequests
 from ryelever.coordination.relaying.stillness import StillnessWatch
-from ryelever.coordination.routing import Quarantine
 from ryelever.metrics import Metrics
 from ryelever.relay_metrics import RelayMetrics
 from ryelever.state.directory import (
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -7,8 +7,8 @@
 import pytest
 
 from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
+from ryelever.coordination.quarantine import Quarantine
 from ryelever.coordination.relaying import Balancer, CrashWatch, StillnessWatch
-from ryelever.coordination.routing import Quarantine
 from ryelever.events import Datagram
 from ryelever.host_exchange import FAR_WORDS, HostExchange
 from ryelever.state.directory import Directory
