Let spares hold both models before any group needs them

Cause: a host keeps the weights of one model staged, and all spares and newcomers staged the largest model's.

An empty server joins a group of its own, which never opens, so that it joins groups of that model in 0.2 s from then on, and stages another model's weights. Groups that show one member don't count as groups of other zones.

Ruled out for now: what decides when a group is formed; it is as before, but that spares are kept before the first request.

--- a/benchmarks/group_days.py
+++ b/benchmarks/group_days.py
@@ -136,6 +136,7 @@
         tokens_per_event=5,
         form_time=0.3,
         loads_per_second=deployment.n_servers / 12,
+        loads_at_once=8.0,
         usual_prompt=1000.0,
         usual_answer=100.0,
         models_by_name=models,
--- a/ryelever/coordination/groups/forming.py
+++ b/ryelever/coordination/groups/forming.py
@@ -19,6 +19,7 @@
     "Formation",
     "FormingRules",
     "StandingGroup",
+    "by_domain",
     "choose_formations",
     "choose_second_weights",
     "choose_staging",
@@ -126,7 +127,7 @@
 ) -> list[Formation]:
     """Return the groups to form now, each within one fabric domain."""
     groups_by_model = dict(rules.groups_by_model)
-    free_by_domain = _by_domain(free)
+    free_by_domain = by_domain(free)
     chosen: list[Formation] = []
     while (formation := _next(free_by_domain, rules, groups_by_model)) is not None:
         chosen.append(formation)
@@ -143,39 +144,35 @@
 ) -> list[tuple[BackendServer, ModelProfile]]:
     """Return the free servers that are to stage weights, and which.
 
-    In each domain, what keeps the neediest model from being formed comes first: the
-    free servers of which a group could be made but for their weights.  A server that
-    holds no weights at all is of use to nobody.
+    In each domain, those of which a group of the neediest model could be made but for
+    their weights.
     """
     chosen: list[tuple[BackendServer, ModelProfile]] = []
-    for servers in _by_domain(free).values():
+    for servers in by_domain(free).values():
         chosen += _staging_in_domain(servers, rules)
     return chosen
 
 
 def choose_second_weights(
-    standing: list[StandingGroup], rules: FormingRules
+    servers: list[BackendServer], rules: FormingRules
 ) -> list[tuple[BackendServer, ModelProfile]]:
-    """Return the members of groups that are to stage another model's weights.
+    """Return the servers that are to stage another model's weights.
+
+    A server joins groups of the model that it served last in an instant in any case,
+    so what its host has staged can be another model: whatever is lost, the rest of a
+    domain can then become any groups within two seconds.
 
-    A member joins its own model's groups in an instant in any case, so what its host
-    has staged can be another model: whatever is lost, the rest of a domain can then
-    become any groups within two seconds.
+    Parameters
+    ----------
+    servers : list of BackendServer
+        Members of groups that serve, and spares.
     """
+    by_need = rules.by_need(rules.groups_by_model)
     chosen = []
-    for group in standing:
-        others = [
-            model
-            for model in rules.by_need(rules.groups_by_model)
-            if model.name != group.model
-        ]
-        if not others:
-            continue
-        chosen += [
-            (member, others[0])
-            for member in group.members
-            if not member.staged - {group.model}
-        ]
+    for server in servers:
+        others = [model for model in by_need if model.name not in server.models]
+        if others and server.models and not server.staged - server.models:
+            chosen.append((server, others[0]))
     return chosen
 
 
@@ -189,7 +186,7 @@
     """
     needy = rules.by_need(rules.groups_by_model)[0]
     busy = rules.busy(needy.name, rules.groups_by_model)
-    free_by_domain = _by_domain(free)
+    free_by_domain = by_domain(free)
     best: tuple[int, StandingGroup] | None = None
     if any(
         sum(_is_quick(server, needy) for server in servers) >= needy.size
@@ -219,19 +216,12 @@
     for model in rules.by_need(rules.groups_by_model):
         busy = rules.busy(model.name, rules.groups_by_model)
         members = _members(servers, model)
-        if members is None or busy < BUSY_ENOUGH:
+        if members is None or busy < OVERLOADED:
             continue
         slow = [item for item in members if not _is_quick(item, model)]
-        mends = len(slow) <= model.size // 2
-        blank = all(not item.staged for item in slow)
-        if mends and (blank or busy >= OVERLOADED):
+        if len(slow) <= model.size // 2:
             return [(server, model) for server in slow]
-    largest = max(rules.engine.models_by_name.values(), key=lambda model: model.size)
-    return [
-        (server, largest)
-        for server in servers
-        if not server.staged and not server.models
-    ]
+    return []
 
 
 def _next(
@@ -260,7 +250,10 @@
                 -len(free_by_domain[members[0].domain]),
             ),
         )
-        mends = _n_spares_used(best, model) <= model.size // 2
+        # Before the first request nothing was lost, and spares that hold a model from
+        # a group of their own are kept.
+        survived = _n_spares_used(best, model) <= model.size // 2
+        mends = survived and not rules.loads_are_quick
         leaves_spares = n_free - model.size >= n_kept
         grows = busy >= OVERLOADED or (busy >= BUSY_ENOUGH and leaves_spares)
         # Survivors of a group are of use to no other model without a long load.
@@ -269,7 +262,8 @@
     return None
 
 
-def _by_domain(free: list[BackendServer]) -> dict[str, list[BackendServer]]:
+def by_domain(free: list[BackendServer]) -> dict[str, list[BackendServer]]:
+    """Return free servers by their fabric domain."""
     free_by_domain: dict[str, list[BackendServer]] = {}
     for server in free:
         free_by_domain.setdefault(server.domain, []).append(server)
--- a/ryelever/coordination/groups/keeper.py
+++ b/ryelever/coordination/groups/keeper.py
@@ -27,6 +27,9 @@
 MEMBER_LEAVING = "member_leaving"
 GENTLE_REASONS = frozenset({TAKEN_APART, MEMBER_LEAVING})
 
+#: Reason to end a group that was formed only so that its member holds the model.
+WARMED_UP = "warmed_up"
+
 #: Seconds after which an open order that came too early is given again.
 OPEN_RETRY = 0.3
 
@@ -258,6 +261,10 @@
             return []
         states = [kept.state_of(server) for server in servers]
         if all(state is GroupState.READY for state in states):
+            if record.warms_up:
+                # It was never open, so its member is free at once.
+                self._retire(kept, WARMED_UP)
+                return []
             return kept.due_order(OrderKind.OPEN, record.head.server_id, now=now)
         orders = []
         held = self.taken(besides=record.name)
--- a/ryelever/coordination/groups/kept_groups.py
+++ b/ryelever/coordination/groups/kept_groups.py
@@ -97,11 +97,20 @@
         ]
 
     def records(self, *phases: GroupPhase) -> list[GroupRecord]:
-        """Return the records of the groups in some phases."""
+        """Return the records of the groups in some phases that serve or are to."""
         return [
-            kept.record for kept in self.kept_by_name.values() if kept.phase in phases
+            kept.record
+            for kept in self.kept_by_name.values()
+            if kept.phase in phases and not kept.record.warms_up
         ]
 
+    def n_warming_up(self) -> int:
+        """Count the servers that join a group of their own."""
+        return sum(
+            kept.phase is GroupPhase.FORMING and kept.record.warms_up
+            for kept in self.kept_by_name.values()
+        )
+
     def taken_apart(self) -> list[GroupRecord]:
         """Return the groups that are being ended for the sake of another."""
         return [
@@ -111,8 +120,12 @@
         ]
 
     def phases(self) -> dict[str, GroupPhase]:
-        """Return what is being done with each group, by its name."""
-        return {name: kept.phase for name, kept in self.kept_by_name.items()}
+        """Return what is being done with each group that is to serve, by its name."""
+        return {
+            name: kept.phase
+            for name, kept in self.kept_by_name.items()
+            if not kept.record.warms_up
+        }
 
     def phase_of(self, name: str) -> GroupPhase | None:
         """Return what is being done with a group."""
--- a/ryelever/coordination/groups/records.py
+++ b/ryelever/coordination/groups/records.py
@@ -26,6 +26,8 @@
         one, and a group that was decided on later has a higher one.
     members : tuple of Member
         The head first.
+    warms_up : bool
+        True where the group never opens: its one member is to hold the model.
     """
 
     name: str
@@ -34,6 +36,7 @@
     model: str
     availability_zone: str
     members: tuple[Member, ...]
+    warms_up: bool = False
 
     @property
     def head(self) -> Member:
--- a/ryelever/coordination/groups/weight_staging.py
+++ b/ryelever/coordination/groups/weight_staging.py
@@ -63,6 +63,8 @@
         rules: FormingRules,
         *,
         rate: float,
+        n_at_once: float,
+        n_warming_up: int,
         now: float,
     ) -> list[GroupOrder]:
         """Return the orders that are due.
@@ -71,17 +73,24 @@
         ----------
         rate : float
             Loads a second that the weight store starts for the zone.
+        n_at_once : float
+            Loads that it makes for the zone at once without any becoming slower.
+        n_warming_up : int
+            Servers that load weights by joining a group.
         """
         foreseen = [self._foreseen(server, now=now) for server in free]
         wanted = choose_staging(foreseen, rules)
-        if rules.loads_are_quick:
-            # Second weights are loaded only while loads are quick and free.
-            groups = [self._foreseen_group(group, now=now) for group in standing]
-            wanted += choose_second_weights(groups, rules)
+        members = [server for group in standing for server in group.members]
+        known = [*foreseen, *(self._foreseen(server, now=now) for server in members)]
+        second = choose_second_weights(known, rules)
+        if not rules.loads_are_quick:
+            # What only shortens the mending of a later loss slows no load that a
+            # group waits for.
+            n_loading = n_warming_up + self._n_staging([*free, *members], now=now)
+            second = second[: max(0, int(n_at_once) - n_loading - len(wanted))]
         orders = []
-        for server, model in wanted:
-            paced = not rules.loads_are_quick
-            if paced and not self._loads.allow(rate=LOAD_SHARE * rate, now=now):
+        for server, model in wanted + second:
+            if not self.may_load(rules, rate=rate, now=now):
                 break
             self._staging_by_id[server.id] = _Staging(
                 server=server, model=model.name, since=now
@@ -96,9 +105,18 @@
             )
         return orders
 
-    def _foreseen_group(self, group: StandingGroup, *, now: float) -> StandingGroup:
-        members = tuple(self._foreseen(item, now=now) for item in group.members)
-        return replace(group, members=members)
+    def may_load(self, rules: FormingRules, *, rate: float, now: float) -> bool:
+        """Tell whether a load may begin now, and count it if so.
+
+        Before the first request loads are quick, and aren't counted.
+        """
+        if rules.loads_are_quick:
+            return True
+        return self._loads.allow(rate=LOAD_SHARE * rate, now=now)
+
+    def _n_staging(self, servers: list[BackendServer], *, now: float) -> int:
+        """Count the servers that stage what they were told to."""
+        return sum(self._foreseen(server, now=now) != server for server in servers)
 
     def _foreseen(self, server: BackendServer, *, now: float) -> BackendServer:
         """Return a server as it will be once it has staged what it was told to.
--- a/ryelever/coordination/groups/zone_planner.py
+++ b/ryelever/coordination/groups/zone_planner.py
@@ -12,12 +12,14 @@
 
 from .adoption import GroupAdoption
 from .forming import choose_formations, choose_taking_apart
+from .idle_servers import IdleServers
 from .keeper import GroupKeeper
 from .kept_group import GroupPhase
 from .kept_groups import TAKEN_APART
 from .records import GroupRecord, Member
 from .reshaping import ReshapingTurn
 from .times import GroupTimes
+from .warm_up import choose_warm_ups
 from .weight_staging import WeightStaging
 from .zone_view import ZoneViews
 
@@ -125,6 +127,7 @@
             list_is_silent=list_is_silent,
             log=log,
         )
+        self._idle = IdleServers(zone=zone, keeper=self.keeper, log=log)
         self._adoption = GroupAdoption(
             zone=zone,
             directory=directory,
@@ -209,6 +212,8 @@
         self.times.look(self.keeper.phases(), n_stranded=n_stranded, now=now)
         self._adoption.look(table, now=now)
         views = self._views.of(table, now=now)
+        for view in views:
+            self._idle.look(view, now=now)
         self._take_apart(views, now=now)
         append = self._append_due(views, now=now)
         if self._appending is None:
@@ -229,9 +234,13 @@
             formations = self._formations(view)
             if formations:
                 self._log_weighed(view)
-            for formation in formations:
+            warm_ups = self._warm_ups(view, formations, now=now)
+            for formation in (*formations, *warm_ups):
                 record = self._record(
-                    formation, service=view.service, offset=self._end + len(formed)
+                    formation,
+                    service=view.service,
+                    offset=self._end + len(formed),
+                    warms_up=formation in warm_ups,
                 )
                 formed.append(record)
         restored = tuple(self.keeper.unrecorded())
@@ -260,6 +269,24 @@
         free = [server for server in view.free if server.domain not in held]
         return choose_formations(free, view.rules)
 
+    def _warm_ups(
+        self, view: ServiceView, formations: list[Formation], *, now: float
+    ) -> list[Formation]:
+        """Return the empty servers that are to join a group of their own."""
+        if not view.has_settled:
+            return []
+        taken = {server.id for one in formations for server in one.members}
+        spares = [server for server in view.free if server.id not in taken]
+        return [
+            warm_up
+            for warm_up in choose_warm_ups(spares, view.rules)
+            if self._weights.may_load(view.rules, rate=self._load_rate(view), now=now)
+        ]
+
+    def _load_rate(self, view: ServiceView) -> float:
+        """Return the loads a second that the weight store starts for the zone."""
+        return view.engine.loads_per_second / self._n_zones
+
     def _take_apart(self, views: list[ServiceView], *, now: float) -> None:
         """End a group whose members are worth more in another one."""
         if self._appending is not None or self._list_is_silent():
@@ -288,7 +315,7 @@
         )
 
     def _record(
-        self, formation: Formation, *, service: str, offset: int
+        self, formation: Formation, *, service: str, offset: int, warms_up: bool
     ) -> GroupRecord:
         return GroupRecord(
             name=f"{self._zone}-{offset + 1}",
@@ -300,6 +327,7 @@
                 Member(server_id=server.id, address=server.address)
                 for server in formation.members
             ),
+            warms_up=warms_up,
         )
 
     def _staging(self, view: ServiceView, *, now: float) -> list[GroupOrder]:
@@ -310,7 +338,9 @@
             view.free,
             view.standing,
             view.rules,
-            rate=view.engine.loads_per_second / self._n_zones,
+            rate=self._load_rate(view),
+            n_at_once=view.engine.loads_at_once / self._n_zones,
+            n_warming_up=self.keeper.n_warming_up(),
             now=now,
         )
 
--- a/ryelever/coordination/groups/zone_view.py
+++ b/ryelever/coordination/groups/zone_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -196,15 +197,23 @@
         return counts
 
     def _all_groups(self, service: str, engine: EngineProfile) -> dict[str, int]:
-        """Count all groups: own ones by record, those of other zones as listed."""
+        """Count all groups: own ones by record, those of other zones as listed.
+
+        A group that shows one member is one that never opens, or has lost the others.
+        """
         counts = self._own_groups(service, engine)
-        for server in self._directory.of_service(service):
+        others = [
+            server
+            for server in self._directory.of_service(service)
+            if server.availability_zone != self._zone and server.group is not None
+        ]
+        n_members = Counter((item.group.name, item.group.epoch) for item in others)
+        for server in others:
             report = server.group
-            if server.availability_zone == self._zone or report is None:
-                continue
-            if report.rank == 0:
-                for model in server.models & counts.keys():
-                    counts[model] += 1
+            is_alone = n_members[report.name, report.epoch] == 1
+            for model in server.models & counts.keys():
+                is_whole = not is_alone or engine.models_by_name[model].size == 1
+                counts[model] += report.rank == 0 and is_whole
         return counts
 
     def _has_settled(
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -73,9 +73,11 @@
     "n": "how many",
     "n_crashes": "crashes of backend servers that the request was in, over all hosts",
     "n_groups": "groups that serve or are being formed, by model",
+    "n_by_reason": "how many, by phase of their group or models that they can join",
     "n_in_all": "how many since the start",
     "n_parts": "parts of a snapshot",
     "n_sent": "sendings of the request so far",
+    "n_serving": "members of groups that serve",
     "n_servers": "backend servers that may take such a request",
     "n_waiting": "requests that wait for a place at this host",
     "next_offset": "offset at which reading goes on",
@@ -94,6 +96,7 @@
     "route": "name of the route",
     "run_state": "whether the request was run",
     "seconds": "seconds by which a clock differs",
+    "service": "name of a service",
     "server": "id of a backend server; empty for none",
     "state": "state of a group's member, or of the process",
     "status": "HTTP status; 0 for a stream cut off midway, or for no answer",
@@ -213,6 +216,13 @@
     "models_weighed": _info(
         "what groups are formed or taken apart by", "zone", "demand", "n_groups"
     ),
+    "servers_idle": _info(
+        "how many servers of a zone serve nobody, by what they wait for",
+        "zone",
+        "service",
+        "n_by_reason",
+        "n_serving",
+    ),
     "group_phase": _info(
         "what is done with a group has changed", *_GROUP, "phase", "reason", "took"
     ),
--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -83,6 +83,7 @@
     stride: int = 1
     form_ms: float = 0.0
     loads_per_s: float = 1.0
+    loads_at_once: float = 1.0
     usual: _Usual = _Usual()
 
 
@@ -252,6 +253,7 @@
             tokens_per_event=engine.stride,
             form_time=engine.form_ms / 1000,
             loads_per_second=engine.loads_per_s,
+            loads_at_once=engine.loads_at_once,
             usual_prompt=engine.usual.prompt,
             usual_answer=engine.usual.answer,
             models_by_name={
--- a/ryelever/platform/records.py
+++ b/ryelever/platform/records.py
@@ -35,6 +35,8 @@
     # Id and address of each member, the head first.
     members: list[tuple[str, str]]
     epoch: int
+    # Whether the group never opens.
+    warms_up: bool = False
 
 
 class PlatformRecords:
@@ -92,6 +94,7 @@
                 Member(server_id=server_id, address=address)
                 for server_id, address in found.members
             ),
+            warms_up=found.warms_up,
         )
 
     def group_record(self, record: GroupRecord) -> bytes:
@@ -104,6 +107,7 @@
                 zone=record.availability_zone,
                 members=members,
                 epoch=record.epoch,
+                warms_up=record.warms_up,
             )
         )
 
--- a/ryelever/state/routes.py
+++ b/ryelever/state/routes.py
@@ -130,6 +130,8 @@
         From an accepted open order to the first request.
     loads_per_second : float
         Loads from the weight store that may begin, over all hosts.
+    loads_at_once : float
+        Loads that it makes at once; of more of them each takes longer.
     """
 
     slots: int
@@ -139,6 +141,7 @@
     tokens_per_event: int
     form_time: float
     loads_per_second: float
+    loads_at_once: float
     usual_prompt: float
     usual_answer: float
     models_by_name: dict[str, ModelProfile]
