Measure work truly within seconds of its coming

Cause: planners saw half of the work for the first twenty seconds. The average began at nothing, and the length of answers at that of the first one to end, which is short; one host of six sees three streams a second, and fifty make its average.

What arrived stands for the time since the first request; the operator's usual length counts for ten answers.

--- a/ryelever/coordination/relaying/demand.py
+++ b/ryelever/coordination/relaying/demand.py
@@ -19,9 +19,18 @@
 USUAL_FILLING = 0.6
 
 
-#: Share of each new answer in the average length: fifty answers make it.
+#: Share of each new answer in the average length, at least: fifty answers make it.
 NEW_SHARE = 0.02
 
+#: Answers that the length which the operator calls usual counts for.  The shortest
+#: answers end first, and an average that begins with them shows half of the truth for
+#: the first twenty seconds of a host that gets three requests a second.
+USUAL_ANSWERS = 10
+
+#: Least seconds for which arrivals count as having been averaged.  Below it one
+#: request would count for a rush.
+LEAST_AVERAGED = 1.0
+
 
 def time_in_batch(
     engine: EngineProfile, model: str, *, n_prompt: float, n_answer: float
@@ -36,36 +45,67 @@
     return profile.pace * (n_prompt / engine.prefill_rate + writing)
 
 
+class _AnswerLengths:
+    """Average the events of whole answers of one model."""
+
+    __slots__ = ("_mean", "_n")
+
+    def __init__(self) -> None:
+        self._n = 0
+        self._mean = 0.0
+
+    def add(self, n_events: int) -> None:
+        """Take one answer."""
+        self._n += 1
+        self._mean += (n_events - self._mean) * max(NEW_SHARE, 1.0 / self._n)
+
+    def mean(self, *, usual: float) -> float:
+        """Return the average, towards the usual one while answers are few."""
+        n_counted = min(self._n, 1.0 / NEW_SHARE)
+        total = n_counted * self._mean + USUAL_ANSWERS * usual
+        return total / (n_counted + USUAL_ANSWERS)
+
+
 class DemandMeter:
     """Average the work that arrives at this host, in groups kept busy, by model."""
 
     def __init__(self) -> None:
         self._rate_by_model: dict[str, float] = {}
         self._at_by_model: dict[str, float] = {}
-        self._events_by_model: dict[str, float] = {}
+        self._since_by_model: dict[str, float] = {}
+        self._lengths_by_model: dict[str, _AnswerLengths] = {}
 
     def arrived(self, model: str, seconds: float, *, now: float) -> None:
         """Take note of a request that keeps a group busy for some seconds."""
+        self._since_by_model.setdefault(model, now)
         self._decay(model, now=now)
         self._rate_by_model[model] += seconds / AVERAGED_OVER
 
     def served(self, model: str, n_events: int) -> None:
         """Take note of a whole stream and of its length."""
-        known = self._events_by_model.get(model, float(n_events))
-        self._events_by_model[model] = known + NEW_SHARE * (n_events - known)
+        self._lengths_by_model.setdefault(model, _AnswerLengths()).add(n_events)
 
     def answer_length(self, model: str, engine: EngineProfile) -> float:
         """Return the tokens that an answer of a model has on average."""
-        n_events = self._events_by_model.get(model)
-        if n_events is None:
+        lengths = self._lengths_by_model.get(model)
+        if lengths is None:
             return engine.usual_answer
-        return n_events * engine.tokens_per_event
+        usual = engine.usual_answer / engine.tokens_per_event
+        return lengths.mean(usual=usual) * engine.tokens_per_event
 
     def by_model(self, *, now: float) -> dict[str, float]:
-        """Return the work of each model as of now."""
+        """Return the work of each model as of now.
+
+        What arrived since the first request stands for all of the time over which it
+        is averaged, or a host would seem idle for its first seconds.
+        """
+        work = {}
         for model in self._rate_by_model:
             self._decay(model, now=now)
-        return dict(self._rate_by_model)
+            averaged = max(LEAST_AVERAGED, now - self._since_by_model[model])
+            share = 1.0 - math.exp(-averaged / AVERAGED_OVER)
+            work[model] = self._rate_by_model[model] / share
+        return work
 
     def _decay(self, model: str, *, now: float) -> None:
         passed = now - self._at_by_model.get(model, now)
