--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from .lateness import cause_of_lateness
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -30,6 +32,8 @@
 
     def sent(self, request: RelayRequest, *, now: float) -> None:
         """Measure a sending, which the request counts already."""
+        if request.n_sent == 1:
+            request.first_sent_at = now
         self._measures.sent(
             is_repeat=request.n_sent > 1, waited=now - request.arrival.arrived_at
         )
@@ -37,8 +41,11 @@
     def event(self, request: RelayRequest, *, now: float) -> None:
         """Measure an event that is passed on."""
         if request.last_event_at:
-            self._measures.gap(now - request.last_event_at)
+            pause = now - request.last_event_at
+            request.longest_pause = max(request.longest_pause, pause)
+            self._measures.gap(pause)
         else:
+            request.first_event_at = now
             self._measures.first_event(now - request.arrival.arrived_at)
         request.last_event_at = now
 
@@ -126,6 +133,7 @@
             server=server,
             n_sent=request.n_sent,
             version=request.version,
+            late=cause_of_lateness(request, passed=passed),
             **places,
             ms=round(passed * 1000),
         )
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -53,8 +53,11 @@
         Ids of the backend servers that it was sent to.
     waits_until : float
         Monotonic time until which it waits for a place at a backend server.
-    last_event_at : float
-        Monotonic time of the last event passed on; 0 before the first.
+    first_sent_at, first_event_at, last_event_at : float
+        Monotonic times of the first sending, and of the first and the last event
+        passed on; 0 before it.
+    longest_pause : float
+        Seconds of the longest pause between two events so far.
     last_event_id : str
         The last event passed on, or the one after which the caller resumes.
     """
@@ -79,7 +82,10 @@
     last_event_id: str = ""
     body: bytearray = field(default_factory=bytearray)
     n_events: int = 0
+    first_sent_at: float = 0.0
+    first_event_at: float = 0.0
     last_event_at: float = 0.0
+    longest_pause: float = 0.0
 
     @property
     def is_stream(self) -> bool:
--- /dev/null
+++ b/ryelever/emulator/fleet.py
@@ -0,0 +1,281 @@
+"""Play the servers of a deployment, the list that shows them, and their planners."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..coordination.groups import GroupOrder, OrderKind, OrderOutcome, ZonePlanner
+from ..state.directory import BackendServer, Directory, GroupState
+from ..state.routes import RoutedService, RouteTable
+from .deployment import SERVICE, Deployment, engine_of
+from .server import EmulatedServer
+
+if TYPE_CHECKING:
+    from ..coordination.groups import AppendGroups
+
+__all__ = ["LEAD", "STEP", "Fleet"]
+
+#: Seconds of a step: planners look ten times a second.
+STEP = 0.1
+
+#: Seconds before the first request, when loads take a tenth of their time.
+LEAD = 12.0
+QUICK = 10.0
+
+#: Steps until the list shows a change; it is read three times a second.
+LIST_LAG = 3
+
+#: Seconds until a lost server's entry lapses: three heartbeats of 1.2 s.
+LAPSE = 3.6
+
+#: Seconds until the streams of a group that lost a member are seen to stand still,
+#: and steps until a probe without an answer counts as such.
+NOTICED = 0.6
+UNANSWERED = 4
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Answer:
+    """Hold an answer on its way to a planner, and the step at which it is there."""
+
+    step: int
+    zone: str
+    order: GroupOrder
+    outcome: OrderOutcome
+
+
+class Fleet:
+    """Play the backend servers of a deployment and one planner a zone.
+
+    Attributes
+    ----------
+    now : float
+        Simulated time in seconds from the first request on.
+    n_loads : int
+        Loads from the weight store since the first request.
+    """
+
+    def __init__(self, *, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.random = random.Random(seed)
+        self.now = -LEAD
+        self.n_loads = 0
+        self.directory = Directory()
+        self.servers_by_id: dict[str, EmulatedServer] = {}
+        self._engine = engine_of(deployment)
+        self._ids = itertools.count()
+        self._step = 0
+        self._shown: dict[str, BackendServer] = {}
+        self._listed: list[tuple[int, BackendServer]] = []
+        self._answers: list[_Answer] = []
+        self._ends = dict.fromkeys(deployment.zones, 0)
+        for zone in deployment.zones:
+            for domain in range(deployment.n_domains):
+                for _ in range(deployment.domain_size):
+                    self.add(zone, f"{zone}-{domain}")
+        self.planners_by_zone = {
+            zone: self._new_planner(zone) for zone in deployment.zones
+        }
+        for planner in self.planners_by_zone.values():
+            planner.listed([], end=0, now=self.now)
+
+    # What befalls it
+
+    def add(self, zone: str, domain: str) -> None:
+        """Let an empty server come."""
+        server_id = f"i{next(self._ids)}"
+        entry = BackendServer(
+            id=server_id,
+            service=SERVICE,
+            address=f"{server_id}:80",
+            availability_zone=zone,
+            slots=13,
+            draining=False,
+            domain=domain,
+            started_at=self._step,
+        )
+        self.servers_by_id[server_id] = EmulatedServer(entry=entry)
+
+    def lose(self, server: EmulatedServer, *, back_after: float | None) -> None:
+        """Lose a server for good, or until it starts again under its id."""
+        if server.lost_at is None:
+            server.lost_at = self.now
+            if back_after is not None:
+                server.back_at = self.now + back_after
+
+    @property
+    def living(self) -> list[EmulatedServer]:
+        """Return the servers that are not lost."""
+        return [item for item in self.servers_by_id.values() if item.lost_at is None]
+
+    # Time
+
+    def advance(self) -> None:
+        """Let one step pass, then let the planners look."""
+        self._step += 1
+        self.now = round(self.now + STEP, 3)
+        n_loading = sum(len(server.loads) for server in self.living)
+        pace = min(1.0, self.deployment.loads_at_once / max(1, n_loading))
+        pace = QUICK if self.now < 0 else pace
+        for server in list(self.servers_by_id.values()):
+            if server.lost_at is None:
+                server.advance(seconds=STEP, load_pace=pace, now=self.now)
+            else:
+                self._advance_lost(server)
+        for server in self.living:
+            if server.is_open_head:
+                self._stall(server)
+        self._show()
+        self._plan()
+
+    def n_open(self) -> Counter[str]:
+        """Count the groups that serve, by model."""
+        return Counter(
+            server.last_model
+            for server in self.living
+            if server.is_open_head and self.is_whole(server)
+        )
+
+    def is_whole(self, head: EmulatedServer) -> bool:
+        """Tell whether all members of a head's group are there and in it."""
+        report = head.entry.group
+        n_members = sum(
+            other.entry.group is not None
+            and (other.entry.group.name, other.entry.group.epoch)
+            == (report.name, report.epoch)
+            for other in self.living
+        )
+        return n_members == self.deployment.models_by_name[head.last_model].size
+
+    def _advance_lost(self, server: EmulatedServer) -> None:
+        if self.now - server.lost_at >= LAPSE:
+            self.directory.remove(server.id, heard_at=server.lost_at)
+            self._shown.pop(server.id, None)
+            if server.back_at == float("inf"):
+                del self.servers_by_id[server.id]
+        if self.now >= server.back_at:
+            entry = server.entry
+            self.servers_by_id[server.id] = EmulatedServer(
+                entry=BackendServer(
+                    id=entry.id,
+                    service=entry.service,
+                    address=entry.address,
+                    availability_zone=entry.availability_zone,
+                    slots=entry.slots,
+                    draining=False,
+                    domain=entry.domain,
+                    staged=entry.staged,
+                    started_at=self._step,
+                )
+            )
+
+    def _stall(self, head: EmulatedServer) -> None:
+        if self.is_whole(head):
+            head.whole_until = float("inf")
+            return
+        head.whole_until = min(head.whole_until, self.now)
+        if self.now - head.whole_until >= self.deployment.stall_time:
+            head.break_off()
+
+    def _show(self) -> None:
+        """Let the list show what has changed, some steps later."""
+        for server in self.living:
+            if self._shown.get(server.id) != server.entry:
+                self._shown[server.id] = server.entry
+                self._listed.append((self._step + LIST_LAG, server.entry))
+        due = [item for item in self._listed if item[0] <= self._step]
+        self._listed = [item for item in self._listed if item[0] > self._step]
+        for _, entry in due:
+            server = self.servers_by_id.get(entry.id)
+            if server is not None and server.lost_at is None:
+                self.directory.put(entry, now=self.now)
+
+    # Planners
+
+    def _new_planner(self, zone: str) -> ZonePlanner:
+        service = RoutedService(name=SERVICE, max_connections=400, engine=self._engine)
+        table = RouteTable(
+            version=1,
+            routes_by_host={},
+            services_by_name={SERVICE: service},
+            account_by_key={},
+            asks_for_keys=False,
+        )
+        return ZonePlanner(
+            zone=zone,
+            n_zones=self.deployment.n_zones,
+            is_own=True,
+            directory=self.directory,
+            table=lambda: table,
+            demand=lambda: self.deployment.demand if self.now >= 0 else {},
+            reshaping=lambda: self._reshaping(zone),
+            observe=lambda phase, seconds: None,
+            list_is_silent=lambda: False,
+            stall_time=self.deployment.stall_time,
+            since=self.now,
+            log=lambda event, **fields: None,
+        )
+
+    def _reshaping(self, besides: str) -> set[str]:
+        return {
+            zone
+            for zone, planner in self.planners_by_zone.items()
+            if zone != besides and planner.reshapes
+        }
+
+    def _plan(self) -> None:
+        suspects = self._suspects()
+        for zone, planner in self.planners_by_zone.items():
+            planner.keeper.suspect(suspects)
+            orders, append = planner.look(now=self.now)
+            for order in orders:
+                self._carry_out(zone, order)
+            if append is not None:
+                self._append(zone, append)
+        due = [answer for answer in self._answers if answer.step <= self._step]
+        self._answers = [item for item in self._answers if item.step > self._step]
+        for answer in due:
+            if answer.order.group:
+                keeper = self.planners_by_zone[answer.zone].keeper
+                keeper.answered(answer.order, answer.outcome, now=self.now)
+
+    def _append(self, zone: str, append: AppendGroups) -> None:
+        planner = self.planners_by_zone[zone]
+        if append.at != self._ends[zone]:
+            planner.append_failed(end=self._ends[zone])
+            return
+        n_records = len(append.formed) + len(append.restored) + len(append.dropped)
+        self._ends[zone] += n_records
+        planner.appended(append, end=self._ends[zone], now=self.now)
+
+    def _carry_out(self, zone: str, order: GroupOrder) -> None:
+        server = self.servers_by_id.get(order.server_id)
+        step = self._step + 1
+        if server is None or server.lost_at is not None:
+            outcome = OrderOutcome.UNKNOWN
+            step = self._step + UNANSWERED
+        else:
+            n_before = len(server.loads)
+            outcome = server.obey(order, engine=self._engine, now=self.now)
+            is_load = order.kind in (OrderKind.STAGE, OrderKind.JOIN)
+            if is_load and self.now >= 0:
+                self.n_loads += max(0, len(server.loads) - n_before)
+        answer = _Answer(step=step, zone=zone, order=order, outcome=outcome)
+        self._answers.append(answer)
+
+    def _suspects(self) -> set[str]:
+        """Return the heads whose groups are seen to stand still."""
+        seen_before = self.now - NOTICED
+        suspects = set()
+        for server in self.servers_by_id.values():
+            report = server.entry.group
+            if report is None or report.rank or report.state is not GroupState.OPEN:
+                continue
+            lost_long = server.lost_at is not None and server.lost_at <= seen_before
+            if server.whole_until <= seen_before or lost_long:
+                suspects.add(server.id)
+        return suspects
--- /dev/null
+++ b/tests/test_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Test the emulated servers, and the planners over days of losses."""
