Leave a member that is gone out of groups until its entry lapses

Cause: servers behind a cut from the store crash and start anew, and their entries stay listed. Only a member that answered no probe was left out for a while.

--- a/ryelever/coordination/groups/keeper.py
+++ b/ryelever/coordination/groups/keeper.py
@@ -43,8 +43,9 @@
 #: Seconds beyond the time for which a group stands still.
 STALL_SLACK = 0.8
 
-#: Seconds for which a member that answered no probe is given to no group.  If it is
-#: lost, its entry lapses before then; if it was only cut off, it is of use again.
+#: Seconds for which a member that answered no probe, or is gone, is given to no group.
+#: If it is lost, its entry lapses before then; if it was only cut off, it is of use
+#: again.
 LOST_FOR = 5.0
 
 #: Seconds after a head was seen to serve within which the list shows each member as
@@ -91,7 +92,7 @@
     # What is there
 
     def seems_lost(self, server_id: str, *, now: float) -> bool:
-        """Tell whether a server answered no probe a short while ago.
+        """Tell whether a server answered no probe a short while ago, or was gone.
 
         One that has come into the list since then, or was started anew, is there.
         """
@@ -136,6 +137,10 @@
         if outcome not in (OrderOutcome.UNKNOWN, OrderOutcome.GONE):
             self._directory.heard_at_by_id[order.server_id] = now
             self._lost_by_id.pop(order.server_id, None)
+        elif outcome is OrderOutcome.GONE:
+            # Its entry stays until it lapses.  Chosen again before then, it would end
+            # each group that it is to join, and tie its members up.
+            self._lost_by_id[order.server_id] = now
         kept = self.kept_by_name.get(order.group)
         if kept is None or kept.record.epoch != order.epoch:
             return
--- a/tests/test_coordination/test_groups/test_group_keeper.py
+++ b/tests/test_coordination/test_groups/test_group_keeper.py
@@ -567,3 +567,25 @@
     members.keeper.suspect({"a"})
     starts = {order.server_id: order.started_at for order in members.orders(1.0)}
     assert starts == {"a": 1, "b": 7, "c": 1}
+
+
+def test_a_member_that_is_gone_is_given_to_no_group_meanwhile(members: Members) -> None:
+    """Show that a group isn't formed again and again with a member that is gone.
+
+    Symptom: for four seconds three zones form 150 groups, none of which serves.
+    Sequence: servers behind a cut from the store crash and start anew; their entries
+    stay in the list until they lapse.  One of them refuses the order to join, the
+    group is ended, its members are free, and the same ones are chosen again.
+    Cause: only a member that answered no probe was left out for a while, and not one
+    that answered to be another, or whose process is gone.
+    """
+    members.keeper.put(GROUP, now=1.0)
+    [*_, to_c] = members.orders(1.0)
+    members.answer([to_c], OrderOutcome.GONE, now=1.1)
+    assert members.keeper.phase_of(GROUP.name) is GroupPhase.ENDING
+    assert members.keeper.seems_lost("c", now=1.2)
+    assert not members.keeper.seems_lost("b", now=1.2)
+    # Once the list shows that it has come anew, it is of use again.
+    members.now = 1.3
+    members.restart("c", started_at=2)
+    assert not members.keeper.seems_lost("c", now=1.4)
