Pace loads from the weight store after all hosts were started anew

Cause: a planner that had seen no request took it for the first start, when loads are quick and aren't counted.

A planner whose zone has records of groups when it begins has run before: it paces loads, and forms no group that waits for weights. Ruled out: the setting that tells a first start, which a host that is added later may not have.

--- a/ryelever/coordination/groups/zone_planner.py
+++ b/ryelever/coordination/groups/zone_planner.py
@@ -154,6 +154,8 @@
 
     def listed(self, records: list[GroupRecord], *, end: int, now: float) -> None:
         """Take all records that the log holds."""
+        if self._end < 0:
+            self._views.has_run_before = bool(records)
         names = {record.name for record in records}
         for name in self.keeper.names() - names:
             self.keeper.drop(name)
--- a/ryelever/coordination/groups/zone_view.py
+++ b/ryelever/coordination/groups/zone_view.py
@@ -67,6 +67,13 @@
         Return the work that arrives at all hosts, in groups kept busy, by model.
     since : float
         Monotonic time from which on the zone is planned.
+
+    Attributes
+    ----------
+    has_run_before : bool
+        True where the log held records of the zone's groups when planning began.
+        Callers may have come long ago then, though this process has seen none, and
+        weights load no quicker.
     """
 
     def __init__(
@@ -85,6 +92,7 @@
         self._adoption = adoption
         self._demand = demand
         self._since = since
+        self.has_run_before = False
         self._appearing_by_service: dict[str, _Appearing] = {}
 
     def of(self, table: RouteTable, *, now: float) -> list[ServiceView]:
@@ -191,7 +199,7 @@
             groups_by_model=groups,
             n_servers=n_own,
             spare_ids=frozenset(server.id for server in free if self._is_spare(server)),
-            loads_are_quick=not seen,
+            loads_are_quick=not seen and not self.has_run_before,
         )
 
     def _is_spare(self, server: BackendServer) -> bool:
--- a/tests/test_coordination/test_groups/test_zone_planner.py
+++ b/tests/test_coordination/test_groups/test_zone_planner.py
@@ -443,3 +443,36 @@
     [mended] = [record for record in again.formed if record.model == "large"]
     assert head in mended.member_ids
     assert len(set(mended.member_ids) & {"i6", "i7"}) == 1
+
+
+def test_loads_are_paced_after_all_hosts_were_started_anew() -> None:
+    """Show that a planner that has seen no request yet doesn't take it for the start.
+
+    Symptom: more loads from the weight store begin within five seconds than may.
+    Sequence: all hosts lose their power and start anew beside servers that run on; no
+    host has seen a request yet, and planners let all servers load what they lack.
+    Cause: that loads are quick and free was told from there being no requests, which is
+    so too in the first moments after a loss of all hosts.
+    """
+    zone = Zone(n_servers=40)
+    earlier = GroupRecord(
+        name="z-12",
+        epoch=12,
+        service="engines",
+        model="small",
+        availability_zone="z",
+        members=(Member(server_id="gone", address="gone:80"),),
+    )
+    zone.planner.listed([earlier], end=12, now=0.0)
+    n_loads = 0
+    end = 12
+    for tick in range(50):
+        now = SETTLING + tick * 0.1
+        orders, asked = zone.planner.look(now=now)
+        n_loads += sum(order.kind is OrderKind.STAGE for order in orders)
+        if asked is not None:
+            assert all(record.warms_up for record in asked.formed)
+            n_loads += len(asked.formed)
+            end += len(asked.formed)
+            zone.planner.appended(asked, end=end, now=now)
+    assert 0 < n_loads <= ENGINE.loads_per_second * 5.0
