Foresee what servers stage once a look, and find a kept group in one place

Reading the change again: members and spares were foreseen twice at each of ten looks a second, once to choose their second weights and once to count loads; and that a group is kept under a name with a given epoch was spelled in four places. Behaviour as it was.

--- a/ryelever/coordination/groups/keeper.py
+++ b/ryelever/coordination/groups/keeper.py
@@ -141,8 +141,8 @@
             # Its entry stays until it lapses.  Chosen again before then, it would end
             # each group that it is to join, and tie its members up.
             self._lost_by_id[order.server_id] = now
-        kept = self.kept_by_name.get(order.group)
-        if kept is None or kept.record.epoch != order.epoch:
+        kept = self.kept(order.group, order.epoch)
+        if kept is None:
             return
         if order.kind is OrderKind.PROBE:
             self._probed(kept, order.server_id, outcome, now=now)
--- a/ryelever/coordination/groups/kept_groups.py
+++ b/ryelever/coordination/groups/kept_groups.py
@@ -40,8 +40,8 @@
         recorded : bool
             False where the store holds no record of it.
         """
-        kept = self.kept_by_name.get(record.name)
-        if kept is None or kept.record.epoch != record.epoch:
+        kept = self.kept(record.name, record.epoch)
+        if kept is None:
             kept = KeptGroup(record=record, since=now)
             self.kept_by_name[record.name] = kept
         kept.recorded = recorded
@@ -67,16 +67,17 @@
 
     def knows(self, name: str, epoch: int) -> bool:
         """Tell whether a group is kept, or was and has ended."""
+        return self.kept(name, epoch) is not None or epoch in self.ended_epochs
+
+    def kept(self, name: str, epoch: int) -> KeptGroup | None:
+        """Return the group that is kept under a name, if it has that epoch."""
         kept = self.kept_by_name.get(name)
-        if kept is not None and kept.record.epoch == epoch:
-            return True
-        return epoch in self.ended_epochs
+        return kept if kept is not None and kept.record.epoch == epoch else None
 
     def warmed_up(self, name: str, epoch: int) -> bool:
         """Tell whether a group was formed only for its member to hold a model."""
-        kept = self.kept_by_name.get(name)
-        is_kept = kept is not None and kept.record.epoch == epoch
-        return is_kept and kept.record.warms_up
+        kept = self.kept(name, epoch)
+        return kept is not None and kept.record.warms_up
 
     def unrecorded(self) -> list[GroupRecord]:
         """Return the groups that serve or form without a record in the store."""
--- a/ryelever/coordination/groups/weight_staging.py
+++ b/ryelever/coordination/groups/weight_staging.py
@@ -78,16 +78,18 @@
         n_warming_up : int
             Servers that load weights by joining a group.
         """
-        foreseen = [self._foreseen(server, now=now) for server in free]
-        wanted = choose_staging(foreseen, rules)
         members = [server for group in standing for server in group.members]
-        known = [*foreseen, *(self._foreseen(server, now=now) for server in members)]
-        second = choose_second_weights(known, rules)
+        servers = [*free, *members]
+        foreseen = [self._foreseen(server, now=now) for server in servers]
+        wanted = choose_staging(foreseen[: len(free)], rules)
+        second = choose_second_weights(foreseen, rules)
         if not rules.loads_are_quick:
             # What only shortens the mending of a later loss slows no load that a
             # group waits for.
-            n_loading = n_warming_up + self._n_staging([*free, *members], now=now)
-            second = second[: max(0, int(n_at_once) - n_loading - len(wanted))]
+            pairs = zip(servers, foreseen, strict=True)
+            n_staging = sum(after != before for before, after in pairs)
+            n_loading = n_warming_up + n_staging + len(wanted)
+            second = second[: max(0, int(n_at_once) - n_loading)]
         orders = []
         for server, model in wanted + second:
             if not self.may_load(rules, rate=rate, now=now):
@@ -114,10 +116,6 @@
             return True
         return self._loads.allow(rate=LOAD_SHARE * rate, now=now)
 
-    def _n_staging(self, servers: list[BackendServer], *, now: float) -> int:
-        """Count the servers that stage what they were told to."""
-        return sum(self._foreseen(server, now=now) != server for server in servers)
-
     def _foreseen(self, server: BackendServer, *, now: float) -> BackendServer:
         """Return a server as it will be once it has staged what it was told to.
 
