Log what requests are quarantined by

Two runs of test_poison_request_is_quarantined failed without a trace of why: the logs of a host say that a request was quarantined, not by which crashes, in whose view, and what other hosts had told by then. Each piece of evidence and each first verdict is a line now: crash_noted, suspicion_received, request_condemned with the age of the newest evidence. The hypotheses to be told apart: word of another host comes after the fixed second for which a verdict waits; suspects of two hosts, which don't know where each other's run, meet in one group.

--- a/ryelever/coordination/quarantine/evidence.py
+++ b/ryelever/coordination/quarantine/evidence.py
@@ -16,6 +16,7 @@
     n_refuted: int = 0
     observed_at: float = float("-inf")
     crash: Crash | None = None
+    row: SuspicionRow | None = None
 
 
 class Crash(msgspec.Struct, kw_only=True, eq=False):
@@ -62,6 +63,7 @@
     crashed_at: float = float("-inf")
     cleared_at: float = float("-inf")
     proved: bool = False
+    is_reported: bool = False
     repeated_in: Crash | None = None
     counts_by_peer: dict[str, PeerCount] = msgspec.field(default_factory=dict)
 
@@ -121,6 +123,7 @@
     def clear(self) -> None:
         """Drop the evidence so far; peers that go on telling it add nothing."""
         self.crashes.clear()
+        self.is_reported = False
         self.repeated_in = None
         for count in self.counts_by_peer.values():
             count.n_refuted = count.n_crashes
--- a/ryelever/coordination/quarantine/quarantine.py
+++ b/ryelever/coordination/quarantine/quarantine.py
@@ -12,9 +12,11 @@
 from ...errors import Category, RunState, RyeleverError
 from ...state.observations import SuspicionRow
 from .evidence import Crash, PeerCount, Suspect
+from .reports import NoReports
 
 if TYPE_CHECKING:
     from ...state.observations import Observation
+    from .reports import QuarantineReports
 
 __all__ = ["Quarantine", "Quarantined", "is_crash", "quarantine_error"]
 
@@ -77,13 +79,21 @@
         suspect before its caller can ask them, and tell of others in the same crash.
     seed : int or None
         Seed of the spread of the time to come back.
+    reports : QuarantineReports or None
+        Takes evidence and verdicts; None drops them.
     """
 
     def __init__(
-        self, *, max_age: float = 900.0, settle: float = 0.0, seed: int | None = None
+        self,
+        *,
+        max_age: float = 900.0,
+        settle: float = 0.0,
+        seed: int | None = None,
+        reports: QuarantineReports | None = None,
     ) -> None:
         self._max_age = max_age
         self._settle = settle
+        self._reports = reports if reports is not None else NoReports()
         self._random = random.Random(seed)
         self._suspects_by_fingerprint: dict[str, Suspect] = {}
         self._crashes_by_target: dict[str, Crash] = {}
@@ -97,6 +107,11 @@
         if now - suspect.newest_at < self._settle:
             return None
         left = suspect.newest_at + self._max_age - now
+        if not suspect.is_reported:
+            suspect.is_reported = True
+            self._reports.condemned(
+                fingerprint, n_crashes=suspect.n_all, after=now - suspect.newest_at
+            )
         return Quarantined(
             n_crashes=suspect.n_all,
             retry_after=left * self._random.uniform(1.0, 1.0 + SPREAD),
@@ -140,6 +155,8 @@
             self._condemn(crash.only_repeated, crash, now=now)
         else:
             self._withdraw(crash)
+        if fresh:
+            self._reports.crash_noted(crash)
 
     def proved(self, fingerprint: str, *, now: float) -> None:
         """Let others run beside a suspect that got past the place of its crash.
@@ -200,6 +217,9 @@
         changed = observation.n_crashes != count.n_crashes
         if changed:
             count.observed_at = observed_at
+        if observation != count.row:
+            count.row = observation
+            self._reports.suspicion_received(observation, peer=peer)
         count.n_crashes = observation.n_crashes
         known = count.crash.key if count.crash is not None else ""
         if observation.crash and (changed or observation.crash != known):
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -42,7 +42,7 @@
 
 #: What each field holds, with its unit.
 FIELDS_BY_NAME: dict[str, str] = {
-    "after": "seconds since the signal to stop",
+    "after": "seconds since what the line is about: the signal, the newest evidence",
     "appends": "records that were being appended",
     "as_of": "offset up to which a snapshot holds everything",
     "at": "offset at which the log was expected to end",
@@ -51,6 +51,8 @@
     "callers_port": "port for callers",
     "changed": "whether the settings differ from those the process runs with",
     "code": "code of the error that the caller got",
+    "counted": "fingerprints of requests that a crash counts against",
+    "crash": "what crashed: a backend server, with its fencing number if it has one",
     "demand": "work that arrives, in groups kept busy, by model",
     "draining": "whether a backend server has announced its leaving",
     "end": "offset at which the log ends",
@@ -60,6 +62,7 @@
     "faults": "what is wrong with the settings, one entry a fault",
     "fencing": "fencing number of an order",
     "former": "era of the store before; 0 for none",
+    "fingerprint": "what a request has in common with its repeats",
     "fired": "event whose handler failed",
     "group": "name of a replica group; empty for none",
     "host": "name of a host",
@@ -92,10 +95,12 @@
     "peers_address": "where other entry hosts reach this one",
     "phase": "where a request or a group is on its way",
     "ready_port": "port for readiness and metrics",
+    "proved": "which of those had got past the place of their first crash",
     "rate": "requests a second that a backend server takes from all hosts; -1: any",
     "reason": "why, as a word that can be counted",
     "record": "a record, as far as it matters",
     "refused": "whether the backend server promised not to have run it",
+    "repeated": "whether, or which, requests were suspects before a crash",
     "request": "id that the caller gave its sending of a request",
     "route": "name of the route",
     "run_state": "whether the request was run",
@@ -203,6 +208,25 @@
         "message",
     ),
     "group_still": _info("nothing moves in a group any more", "server"),
+    "crash_noted": _info(
+        "a backend server crashed under requests",
+        "crash",
+        "counted",
+        "repeated",
+        "proved",
+    ),
+    "suspicion_received": _info(
+        "another host has seen a request in a crash, or complete",
+        "peer",
+        "fingerprint",
+        "n_crashes",
+        "crash",
+        "repeated",
+        "proved",
+    ),
+    "request_condemned": _info(
+        "a request is quarantined", "fingerprint", "n_crashes", "after"
+    ),
     "quarantined": _info(
         "a request is not sent for the crashes that it was in", "request", "n_crashes"
     ),
--- /dev/null
+++ b/ryelever/quarantine_log.py
@@ -0,0 +1,50 @@
+"""Log what requests are quarantined by."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .logs import log_event
+
+if TYPE_CHECKING:
+    from .coordination.quarantine import Crash
+    from .state.observations import SuspicionRow
+
+__all__ = ["QuarantineLog"]
+
+
+class QuarantineLog:
+    """Write a line for each piece of evidence and each verdict."""
+
+    __slots__ = ()
+
+    def crash_noted(self, crash: Crash) -> None:
+        """Log who ran in a crash, as far as this host sees."""
+        log_event(
+            "crash_noted",
+            crash=crash.key,
+            counted=sorted(crash.counted),
+            repeated=sorted(crash.repeated),
+            proved=sorted(crash.proved),
+        )
+
+    def suspicion_received(self, row: SuspicionRow, *, peer: str) -> None:
+        """Log what another host told of a request."""
+        log_event(
+            "suspicion_received",
+            peer=peer,
+            fingerprint=row.fingerprint,
+            n_crashes=row.n_crashes,
+            crash=row.crash,
+            repeated=row.repeated,
+            proved=row.proved,
+        )
+
+    def condemned(self, fingerprint: str, *, n_crashes: int, after: float) -> None:
+        """Log the first verdict against a request."""
+        log_event(
+            "request_condemned",
+            fingerprint=fingerprint,
+            n_crashes=n_crashes,
+            after=round(after, 3),
+        )
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -33,6 +33,7 @@
 from .host_offers import HostOffers
 from .logs import log_event
 from .metrics import Metrics
+from .quarantine_log import QuarantineLog
 from .relay import Relay
 from .relay_metrics import RelayMetrics, register_gauges
 from .relay_shutdown import RelayShutdown
@@ -164,7 +165,9 @@
             cold_rate=self._cold_rate,
             is_evacuated=self._is_evacuated,
         )
-        crashes = self.crashes = CrashWatch(quarantine=Quarantine())
+        crashes = self.crashes = CrashWatch(
+            quarantine=Quarantine(reports=QuarantineLog())
+        )
         self.relay = Relay(
             messages=messages,
             callers=self.callers,
--- a/ryelever/request_path.py
+++ b/ryelever/request_path.py
@@ -19,6 +19,7 @@
     Targets,
 )
 from .protocol.log import CLAIMS_STREAM, claims_stream, claims_streams
+from .quarantine_log import QuarantineLog
 from .state.claims import ClaimsFold
 
 if TYPE_CHECKING:
@@ -88,7 +89,7 @@
             confirmations=confirmations, hosts_by_name=hosts_by_name
         )
         settle = SUSPICION_SETTLE if settings.peers else 0.0
-        self.quarantine = Quarantine(settle=settle)
+        self.quarantine = Quarantine(settle=settle, reports=QuarantineLog())
         targets = Targets(
             availability_zone=settings.availability_zone,
             placements_by_zone=placements_by_zone,
