Give no verdict on a request before the zone's living hosts have been heard

Cause, as far as a run shows it: a verdict waited a fixed second, in the host's own time, for what others saw of the crash. A host that is paused or starved for longer tells of the poison too late, and the one beside it, which saw only its own bystander in the second crash, condemns that.

A verdict now asks that each living host of the zone has given two signs of life since the newest evidence: one may be given before the host has read what lay in its sockets. A host that waits for a verdict asks those that it hasn't heard; one that stays silent for four seconds is not waited for.

--- a/ryelever/coordination/quarantine/quarantine.py
+++ b/ryelever/coordination/quarantine/quarantine.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -75,8 +75,12 @@
     max_age : float
         Seconds after which evidence no longer counts.
     settle : float
-        Seconds after a second crash until its verdict.  Meanwhile peers learn of the
-        suspect before its caller can ask them, and tell of others in the same crash.
+        Least seconds after a second crash until its verdict.  Meanwhile peers learn of
+        the suspect before its caller can ask them, and tell of others in the same
+        crash.
+    peers_heard_since : callable or None
+        Tell whether each living peer has told all that it had seen at some monotonic
+        time; None where there are no peers.
     seed : int or None
         Seed of the spread of the time to come back.
     reports : QuarantineReports or None
@@ -88,15 +92,19 @@
         *,
         max_age: float = 900.0,
         settle: float = 0.0,
+        peers_heard_since: Callable[[float], bool] | None = None,
         seed: int | None = None,
         reports: QuarantineReports | None = None,
     ) -> None:
         self._max_age = max_age
         self._settle = settle
+        self._peers_heard_since = peers_heard_since
         self._reports = reports if reports is not None else NoReports()
         self._random = random.Random(seed)
         self._suspects_by_fingerprint: dict[str, Suspect] = {}
         self._crashes_by_target: dict[str, Crash] = {}
+        # Fingerprints whose verdict was asked for and can't be given yet.
+        self._awaited: set[str] = set()
         self._completed_at: OrderedDict[str, float] = OrderedDict()
 
     def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
@@ -104,8 +112,10 @@
         suspect = self._live(fingerprint, now=now)
         if suspect is None or suspect.n_all < MAX_CRASHES:
             return None
-        if now - suspect.newest_at < self._settle:
+        if not self._has_settled(suspect, now=now):
+            self._awaited.add(fingerprint)
             return None
+        self._awaited.discard(fingerprint)
         left = suspect.newest_at + self._max_age - now
         if not suspect.is_reported:
             suspect.is_reported = True
@@ -117,6 +127,27 @@
             retry_after=left * self._random.uniform(1.0, 1.0 + SPREAD),
         )
 
+    def _has_settled(self, suspect: Suspect, *, now: float) -> bool:
+        """Tell whether the evidence is all that the living hosts of the zone have.
+
+        A host that is slow to tell may have seen another suspect in the same crash.
+        """
+        if now - suspect.newest_at < self._settle:
+            return False
+        heard_since = self._peers_heard_since
+        return heard_since is None or heard_since(suspect.newest_at)
+
+    def unsettled_since(self, *, now: float) -> float | None:
+        """Return the time of the newest evidence that a verdict waits for, or None."""
+        suspects = [self._live(item, now=now) for item in self._awaited]
+        waiting = {
+            suspect.fingerprint: suspect.newest_at
+            for suspect in suspects
+            if suspect is not None and suspect.n_all >= MAX_CRASHES
+        }
+        self._awaited &= waiting.keys()
+        return max(waiting.values(), default=None)
+
     def is_held(self, fingerprint: str, *, now: float) -> bool:
         """Tell whether a request waits for its verdict, and must not run."""
         suspect = self._live(fingerprint, now=now)
--- a/ryelever/coordination/soft_state/exchange.py
+++ b/ryelever/coordination/soft_state/exchange.py
@@ -185,6 +185,30 @@
             }
         )
 
+    def zone_heard_since(self, moment: float, *, now: float) -> bool:
+        """Tell whether the zone's living hosts have told all that they had seen.
+
+        Parameters
+        ----------
+        moment : float
+            Monotonic time up to which they have.  A host that was not there then has
+            seen nothing, and one that stays silent for ``LIVE_AGE`` after it is not
+            waited for.
+        """
+        return not self._unheard_since(moment, now=now)
+
+    def _unheard_since(self, moment: float, *, now: float) -> list[str]:
+        """Return the addresses of those that have not."""
+        return [
+            table.member.address
+            for table in self.tables.tables_by_origin.values()
+            if self._is_zone_member(table)
+            and moment - table.alive_at() <= LIVE_AGE
+            and now - max(table.alive_at(), moment) <= LIVE_AGE
+            and table.created_at <= moment
+            and table.told_until < moment
+        ]
+
     def observe(self, rows: Iterable[tuple[SoftRow, float]], *, now: float) -> None:
         """Take what this entry host observes now, with the times of observation."""
         self._own.set_rows(rows, now=now)
@@ -248,6 +272,17 @@
                 messages.append((address, message))
         return messages
 
+    def ask_unheard(self, moment: float, *, now: float) -> list[tuple[str, Message]]:
+        """Return datagrams that ask the zone's hosts for what they had seen."""
+        peers = [
+            self._peer(address) for address in self._unheard_since(moment, now=now)
+        ]
+        return [
+            (peer.address, self._composer.tell(peer, now=now))
+            for peer in peers
+            if peer is not None and now - peer.sent_at >= ANSWER_INTERVAL
+        ]
+
     # Receiving
 
     def receive(self, message: Message, *, address: str, now: float) -> Received:
--- a/ryelever/coordination/soft_state/soft_state.py
+++ b/ryelever/coordination/soft_state/soft_state.py
@@ -30,6 +30,9 @@
     def changes(self, *, since: float) -> Sequence[Observation]:
         """Return the rows that have changed since some monotonic time."""
 
+    def unsettled_since(self, *, now: float) -> float | None:
+        """Return up to when the zone's hosts must be heard for a decision, or None."""
+
 
 class AgedObservationSource(Protocol):
     """Tell what this entry host observed itself at some earlier moment."""
--- a/ryelever/coordination/soft_state/tables.py
+++ b/ryelever/coordination/soft_state/tables.py
@@ -79,11 +79,20 @@
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Table:
-    """Hold a table as far as it is known here."""
+    """Hold a table as far as it is known here.
+
+    Attributes
+    ----------
+    told_until : float
+        Own monotonic time up to which the owner has told all that it had seen: that
+        of its last sign of life but one, as it may give one before it has read what
+        lay in its sockets.
+    """
 
     origin: int
     member: Member
     created_at: float = float("-inf")
+    told_until: float = float("-inf")
     version: int = 0
     rows_by_slot: dict[int, KeptRow] = field(default_factory=dict)
 
@@ -159,6 +168,7 @@
             table.version = row.version
             observed_at = composed_at - row.age * (1 + MAX_DRIFT)
             if isinstance(row.row, AliveRow):
+                table.told_until = table.alive_at()
                 taken |= self._vouch(table, row.row, observed_at=observed_at, now=now)
             kept = KeptRow(
                 slot=row.slot,
--- a/ryelever/peering.py
+++ b/ryelever/peering.py
@@ -50,7 +50,8 @@
     aged_sources : sequence of AgedObservationSource
         Parts whose rows have an age of their own.
     urgent : UrgentSource or None
-        Part whose changes the zone's peers must hear at once.
+        Part whose changes the zone's peers must hear at once, and which decides by
+        what they have seen.
     set_members : callable
         Take the names of the other living entry hosts of the zone.
     """
@@ -91,6 +92,10 @@
             rng=rng,
         )
 
+    def heard_since(self, moment: float) -> bool:
+        """Tell whether the zone's living hosts have told all that they had seen."""
+        return self.exchange.zone_heard_since(moment, now=time.monotonic())
+
     @handler("control_tick")
     def _on_control_tick(self) -> None:
         if not self._key:
@@ -104,6 +109,12 @@
         self._send(self.exchange.tick(now=now))
         if is_urgent:
             self._send(self.exchange.push_to_zone(now=now))
+        unsettled_since = self._unsettled_since(now=now)
+        if unsettled_since is not None:
+            self._send(self.exchange.ask_unheard(unsettled_since, now=now))
+
+    def _unsettled_since(self, *, now: float) -> float | None:
+        return None if self._urgent is None else self._urgent.unsettled_since(now=now)
 
     def _is_urgent(self, *, now: float) -> bool:
         """Tell whether something has changed that peers must hear at once."""
--- a/ryelever/request_path.py
+++ b/ryelever/request_path.py
@@ -37,8 +37,8 @@
 #: Seconds after which a caller should come back when nothing serves its request.
 RETRY_AFTER = 2.0
 
-#: Seconds for which the verdict on a crashing request waits: longer than suspicion
-#: takes to reach the other entry hosts of the zone.
+#: Least seconds for which the verdict on a crashing request waits: longer than
+#: suspicion takes to reach the other entry hosts of the zone.
 SUSPICION_SETTLE = 1.0
 
 #: Seconds without having reached the end of a claims stream, beside one silence of
@@ -63,6 +63,9 @@
         Return the number of entry hosts.
     place : callable
         Return this entry host's place among all of them, and their number.
+    peers_heard_since : callable
+        Tell whether the zone's living entry hosts have told all that they had seen at
+        some monotonic time.
 
     Attributes
     ----------
@@ -84,12 +87,17 @@
         account: Callable[[str], ClientAccount | None],
         n_hosts: Callable[[], int],
         place: Callable[[], tuple[int, int]],
+        peers_heard_since: Callable[[float], bool],
     ) -> None:
         self.departures = Departures(
             confirmations=confirmations, hosts_by_name=hosts_by_name
         )
         settle = SUSPICION_SETTLE if settings.peers else 0.0
-        self.quarantine = Quarantine(settle=settle, reports=QuarantineLog())
+        self.quarantine = Quarantine(
+            settle=settle,
+            peers_heard_since=peers_heard_since,
+            reports=QuarantineLog(),
+        )
         targets = Targets(
             availability_zone=settings.availability_zone,
             placements_by_zone=placements_by_zone,
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -39,13 +39,6 @@
     def at(self, when: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._due, (when, next(self._order), action))
 
-    def every(self, interval: float, action: Callable[[], None], *, at: float) -> None:
-        def again() -> None:
-            action()
-            self.at(self.now + interval, again)
-
-        self.at(at, again)
-
     def run(self, until: float) -> None:
         while self._due[0][0] <= until:
             self.now, _, action = heapq.heappop(self._due)
@@ -56,14 +49,48 @@
 class Pair:
     """Hold two entry hosts of one zone that tell each other of crashes."""
 
-    def __init__(self, clock: Clock, *, seed: int) -> None:
+    def __init__(self, clock: Clock, *, seed: int, settle: float = 0.0) -> None:
         self._clock = clock
-        self.quarantines = {address: Quarantine(seed=1) for address in HOSTS}
+        self._paused_until: dict[str, float] = {}
+        self.quarantines = {
+            address: self._quarantine(address, settle=settle) for address in HOSTS
+        }
         self._peerings = {address: self._peering(address) for address in HOSTS}
         draws = random.Random(seed)
-        for peering in self._peerings.values():
-            at = clock.now + draws.uniform(0.0, TICK)
-            clock.every(TICK, peering._on_control_tick, at=at)
+        for address in HOSTS:
+            self.do(address, self._tick(address), at=draws.uniform(0.0, TICK))
+
+    def pause(self, address: str, *, seconds: float) -> None:
+        """Let a host do nothing for a while; what it missed comes in order then."""
+        self._paused_until[address] = self._clock.now + seconds
+
+    def do(self, address: str, action: Callable[[], None], *, at: float = 0.0) -> None:
+        """Let a host do something, once it goes on if it is paused."""
+
+        def act() -> None:
+            paused_until = self._paused_until.get(address, 0.0)
+            if self._clock.now < paused_until:
+                self._clock.at(paused_until, act)
+            else:
+                action()
+
+        self._clock.at(self._clock.now + at, act)
+
+    def _tick(self, address: str) -> Callable[[], None]:
+        def tick() -> None:
+            self._peerings[address]._on_control_tick()
+            self.do(address, tick, at=TICK)
+
+        return tick
+
+    def _quarantine(self, address: str, *, settle: float) -> Quarantine:
+        return Quarantine(
+            seed=1,
+            settle=settle,
+            peers_heard_since=lambda moment: self._peerings[
+                address
+            ].exchange.zone_heard_since(moment, now=self._clock.now),
+        )
 
     def _peering(self, address: str) -> Peering:
         quarantine = self.quarantines[address]
@@ -90,8 +117,8 @@
         for item in datagrams:
             taken = Datagram(address=sender, data=item.data)
             take = self._peerings[item.address]._on_peers_received
-            self._clock.at(
-                self._clock.now + ONE_WAY, lambda take=take, taken=taken: take([taken])
+            self.do(
+                item.address, lambda take=take, taken=taken: take([taken]), at=ONE_WAY
             )
 
 
@@ -111,3 +138,34 @@
     while not second.is_held("poison", now=clock.now):
         clock.run(clock.now + TICK / 10)
         assert clock.now < crashed_at + SUSPICION_SETTLE
+
+
+@pytest.mark.parametrize("pause", [0.5, 1.5, 2.5])
+@pytest.mark.parametrize("seed", range(10))
+def test_no_bystander_is_condemned_before_a_paused_host_is_heard(
+    monkeypatch: pytest.MonkeyPatch, seed: int, pause: float
+) -> None:
+    """Guard against a bystander that is refused for the crashes of a poison request."""
+    clock = Clock()
+    monkeypatch.setattr("ryelever.peering.time", clock)
+    pair = Pair(clock, seed=seed, settle=SUSPICION_SETTLE)
+    draws = random.Random(seed)
+    clock.run(clock.now + 10.0 + draws.uniform(0.0, 2.0))
+    (first, first_view), (_, second_view) = pair.quarantines.items()
+    pair.pause(first, seconds=pause)
+    # The first host notices when it goes on, before or after its next sign of life.
+    delay = TICK * (draws.random() < 0.5)
+    for target in ("group-1", "group-2"):
+        pair.do(
+            first,
+            lambda target=target: first_view.crashed(target, ["poison"], now=clock.now),
+            at=delay,
+        )
+        second_view.crashed(target, ["bystander"], now=clock.now)
+        second_view.proved("bystander", now=clock.now)
+    crashed_at = clock.now
+    while clock.now < crashed_at + 8.0:
+        clock.run(clock.now + TICK / 10)
+        assert second_view.verdict("bystander", now=clock.now) is None
+    for view in pair.quarantines.values():
+        assert view.verdict("poison", now=clock.now) is not None
