Spread what one host tells a zone by way of others

Cause, one of several: the host that reads the backend servers' records, and the one that speaks for a zone, sent each datagram to each host of the zone. While the groups of 3,000 servers form, each of 100 hosts gets some 0.7 MB of it within seconds, and the reader's link of 20 Mbit/s would carry that a hundred times. What is lost there is a gap, for which each host read the store's 2,500 records a second itself; words were lost with the rest, hosts took each other for gone, and read more.

In the test a reader in a zone of 90 sends 90 datagrams for one of news, and the host that takes it in a zone of 130 sends 129; with this change 13 at most, and each host still hears it once.

Up to twelve hosts are told as before; more by way of twelve that are heard, others each time.

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -98,6 +98,8 @@
         Highest era of the store that it has seen or heard of; 0 before any.
     passed_on : bool
         True where another host passes it on within its own zone; it goes no further.
+    knows_servers : bool
+        True once it knows all backend servers.
     """
 
     host: str
@@ -125,6 +127,7 @@
     operator_place: OperatorPlace = OperatorPlace()
     store_era: int = 0
     passed_on: bool = False
+    knows_servers: bool = False
 
 
 def news_of(word: HostWord) -> tuple[object, ...]:
@@ -135,6 +138,7 @@
     """
     return (
         word.reads_store,
+        word.knows_servers,
         word.store_era,
         word.operator_place,
         word.stopping,
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -9,16 +9,23 @@
 from circuits import BaseComponent, handler
 from msgspec.structs import replace
 
+from .coordination.fan_out import fan_out
 from .coordination.host_words import news_of
 from .coordination.zone_summary import zone_summary
 from .errors import RyeleverError
 from .events import Datagram, peers_send, server_news
 from .logs import log_event
-from .protocol.host_words import decode_datagram, encode_news, encode_word
+from .protocol.host_words import (
+    RelayedDatagram,
+    decode_datagram,
+    encode_news,
+    encode_relayed,
+    encode_word,
+)
 from .state.keyed_record import ServerNews
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from .coordination.host_words import HostAddress, HostWord, HostWords
     from .coordination.relaying import Balancer, CrashWatch, StillnessWatch
@@ -75,6 +82,7 @@
         self._take_version = take_version
         self._boot = int.from_bytes(os.urandom(7), "big")
         self._sequence = 0
+        self._n_spread = 0
         self._near_news: tuple[object, ...] = ()
         self._far_news: tuple[object, ...] = ()
         self._heard: set[str] = set()
@@ -102,7 +110,11 @@
         word = self._own_word(described, interval=n_ticks * WORD_INTERVAL, now=now)
         if self._sequence % n_ticks == 0 or news_of(word) != self._near_news:
             self._near_news = news_of(word)
-            self._send_near(encode_word(word))
+            data = encode_word(word)
+            if relied_on:
+                self._spread_near(data)
+            else:
+                self._send(data, self._near_hosts())
         if speaks:
             self._speak(word, now=now)
         self._balancer.peers_in_flight_by_id = self._words.in_flight(now=now)
@@ -160,21 +172,26 @@
             others = self._hosts_of(zone)
             told = {others[self._sequence // FAR_WORDS % len(others)].host}
             told.add(self._words.speaker(zone) or "")
-            self._send(data, lambda address, told=told: address.host in told)
+            self._send(data, told)
 
     @handler("peers_received")
     def _on_received(self, datagrams: list[Datagram]) -> None:
         now = time.monotonic()
         for datagram in datagrams:
             word = decode_datagram(datagram.data, peer=datagram.address)
+            if isinstance(word, RelayedDatagram):
+                self._send_on(word)
+                word = decode_datagram(word.data, peer=datagram.address)
             if isinstance(word, RyeleverError):
                 log_event("word_unreadable", peer=datagram.address, why=str(word))
             elif isinstance(word, ServerNews):
                 self._take_news(word)
+            elif isinstance(word, RelayedDatagram):
+                log_event("word_unreadable", peer=datagram.address, why="relayed twice")
             elif self._words.take(word, address=datagram.address, now=now):
                 if word.for_zone and not word.passed_on:
                     # The zone's other hosts hear of this one only here.
-                    self._send_near(encode_word(replace(word, passed_on=True)))
+                    self._spread_near(encode_word(replace(word, passed_on=True)))
                 self._take_still(word, now=now)
                 self._take_version(word)
                 self._balancer.limits.heard(word.rate_limits, now=now)
@@ -197,7 +214,7 @@
             # reader has told its own.  What was passed on goes no further, or two
             # hosts would send it to and fro for ever.
             for data in encode_news(replace(news, passed_on=True)):
-                self._send_near(data)
+                self._spread_near(data)
 
     def _pass_on(self, news: ServerNews) -> None:
         """Tell this zone, and one host of each other one."""
@@ -206,9 +223,8 @@
             for zone in self._far_zones()
         }
         for data in encode_news(news):
-            self._send(
-                data, lambda address: self._is_near(address) or address.host in told
-            )
+            self._spread_near(data)
+            self._send(data, told)
 
     def _far_zones(self) -> list[str]:
         """Return the other zones that have entry hosts."""
@@ -223,18 +239,38 @@
         found = [item for item in hosts if item.availability_zone == zone]
         return sorted(found, key=lambda item: item.host)
 
-    def _send_near(self, data: bytes) -> None:
-        self._send(data, self._is_near)
+    def _near_hosts(self) -> list[str]:
+        """Return the other hosts of this zone, sorted."""
+        addresses = self._words.addresses_by_host.values()
+        near = {address.host for address in addresses if self._is_near(address)}
+        return sorted(near - {self._settings.host})
 
     def _is_near(self, address: HostAddress) -> bool:
         return address.availability_zone == self._settings.availability_zone
 
-    def _send(self, data: bytes, wanted: Callable[[HostAddress], bool]) -> None:
-        """Send one datagram to each of the other hosts that is wanted."""
+    def _spread_near(self, data: bytes) -> None:
+        """Tell the other hosts of this zone, some of them by way of others.
+
+        For what comes often or is long, and comes from one host or few: the link of
+        that one would carry it as many times as the zone has hosts.
+        """
+        living = {word.host for word in self._words.near(now=time.monotonic())}
+        self._n_spread += 1
+        for relayer in fan_out(self._near_hosts(), living=living, turn=self._n_spread):
+            relayed = encode_relayed(data, relayer.hosts) if relayer.hosts else data
+            self._send(relayed, [relayer.host])
+
+    def _send_on(self, relayed: RelayedDatagram) -> None:
+        """Send on what others of this zone are to hear by way of this host."""
+        self._send(relayed.data, set(relayed.hosts).intersection(self._near_hosts()))
+
+    def _send(self, data: bytes, hosts: Iterable[str]) -> None:
+        """Send one datagram to each of some hosts that are known."""
+        by_host = self._words.addresses_by_host
         datagrams = [
-            Datagram(address=address.address, data=data)
-            for address in self._words.addresses_by_host.values()
-            if address.host != self._settings.host and wanted(address)
+            Datagram(address=by_host[host].address, data=data)
+            for host in hosts
+            if host in by_host
         ]
         if datagrams:
             self.fire(peers_send(datagrams), "peers")
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -5,8 +5,10 @@
 import zlib
 from functools import lru_cache
 from importlib import resources
+from typing import TYPE_CHECKING
 
 import capnp
+import msgspec
 from expression import Error, Ok, Result
 from msgspec.structs import replace
 
@@ -16,12 +18,17 @@
 from ..state.keyed_record import KeyedRecord, ServerNews
 from ..state.observations import RateLimitRow, SuspicionRow
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 __all__ = [
     "CONFIGURATION_PATH",
     "SERVERS_PATH",
+    "RelayedDatagram",
     "decode_datagram",
     "decode_servers",
     "encode_news",
+    "encode_relayed",
     "encode_servers",
     "encode_word",
 ]
@@ -36,6 +43,7 @@
 WORD = b"s"
 NEWS = b"n"
 COMPRESSED_NEWS = b"z"
+RELAYED = b"r"
 
 #: Longest datagram, in bytes.
 MAX_DATAGRAM = 8192
@@ -78,6 +86,27 @@
     _schema = capnp.load(str(_path))
 
 
+class RelayedDatagram(msgspec.Struct, kw_only=True, frozen=True):
+    """Hold a datagram that its receiver takes, and sends on.
+
+    Attributes
+    ----------
+    hosts : tuple of str
+        Hosts of the receiver's zone that get it from there.
+    data : bytes
+        The datagram.
+    """
+
+    hosts: tuple[str, ...]
+    data: bytes
+
+
+def encode_relayed(data: bytes, hosts: Iterable[str]) -> bytes:
+    """Return a datagram that its receiver sends on to others."""
+    message = _schema.Relayed.new_message(hosts=list(hosts), datagram=data)
+    return RELAYED + message.to_bytes_packed()
+
+
 def encode_word(word: HostWord) -> bytes:
     """Return a word as one datagram."""
     message = _schema.HostWord.new_message(
@@ -121,6 +150,7 @@
         forZone=word.for_zone,
         nHosts=word.n_hosts,
         passedOn=word.passed_on,
+        knowsServers=word.knows_servers,
         storeEra=word.store_era,
         evacuatedZones=list(word.evacuated_zones),
         operatorEra=word.operator_place.era,
@@ -206,7 +236,9 @@
     return message.to_bytes_packed()
 
 
-def decode_datagram(data: bytes, *, peer: str) -> HostWord | ServerNews | RyeleverError:
+def decode_datagram(
+    data: bytes, *, peer: str
+) -> HostWord | ServerNews | RelayedDatagram | RyeleverError:
     """Read a datagram, or say why it is none of ours.
 
     No ``Result`` is made of it: that takes as long as reading the rest of a word, and
@@ -220,6 +252,8 @@
             return _decode_news(packed, max_words=MAX_WORDS)
         if data[:1] == WORD:
             return _decode_word(data[1:])
+        if data[:1] == RELAYED:
+            return _decode_relayed(data[1:])
         why = "unknown first byte"
     except (capnp.KjException, ValueError, zlib.error) as error:
         why = str(error)
@@ -273,6 +307,13 @@
     )
 
 
+def _decode_relayed(data: bytes) -> RelayedDatagram:
+    message = _schema.Relayed.from_bytes_packed(
+        data, traversal_limit_in_words=MAX_WORDS
+    )
+    return RelayedDatagram(hosts=tuple(message.hosts), data=bytes(message.datagram))
+
+
 def _decode_word(data: bytes) -> HostWord:
     message = _schema.HostWord.from_bytes_packed(
         data, traversal_limit_in_words=MAX_WORDS
@@ -317,6 +358,7 @@
         for_zone=message.forZone,
         n_hosts=message.nHosts,
         passed_on=message.passedOn,
+        knows_servers=message.knowsServers,
         store_era=message.storeEra,
         evacuated_zones=tuple(message.evacuatedZones),
         operator_place=OperatorPlace(message.operatorEra, message.operatorOffset),
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -57,6 +57,8 @@
   evacuatedZones @18 :List(Text);
   operatorEra @19 :UInt32;
   operatorOffset @20 :UInt64;
+  # True where the sender knows all backend servers.
+  knowsServers @21 :Bool;
 }
 
 # What one host has read of the backend servers' topic, for the others.
@@ -74,6 +76,13 @@
   era @6 :UInt32;
 }
 
+# A datagram that a host takes, and sends on to some hosts of its zone.
+struct Relayed {
+  # Names of these hosts.
+  hosts @0 :List(Text);
+  datagram @1 :Data;
+}
+
 struct Record {
   key @0 :Text;
   value @1 :Data;
--- /dev/null
+++ b/tests/test_coordination/test_fan_out.py
@@ -0,0 +1,31 @@
+"""Test how what one host tells reaches many."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryelever.coordination.fan_out import MAX_RECEIVERS, fan_out
+
+HOSTS = [f"h{index:03}" for index in range(200)]
+
+
+@given(
+    n_hosts=st.integers(0, 200),
+    living=st.sets(st.sampled_from(HOSTS)),
+    turn=st.integers(0, 10_000),
+)
+def test_each_host_is_sent_it_once(n_hosts: int, living: set[str], turn: int) -> None:
+    """Guard against hosts that hear nothing, or the same thing many times."""
+    hosts = HOSTS[:n_hosts]
+    relayers = fan_out(hosts, living=living, turn=turn)
+    reached = [host for item in relayers for host in (item.host, *item.hosts)]
+    assert sorted(reached) == hosts
+    assert len(relayers) <= MAX_RECEIVERS
+
+
+@given(living=st.sets(st.sampled_from(HOSTS), min_size=1), turn=st.integers(0, 10_000))
+def test_only_hosts_that_are_heard_send_on(living: set[str], turn: int) -> None:
+    """Guard against a lost host that takes the news of others with it."""
+    for relayer in fan_out(HOSTS, living=living, turn=turn):
+        assert not relayer.hosts or relayer.host in living
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 
 import pytest
 
+from ryelever.coordination.fan_out import MAX_RECEIVERS
 from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
 from ryelever.coordination.quarantine import Quarantine
 from ryelever.coordination.relaying import Balancer, CrashWatch, StillnessWatch
@@ -35,21 +37,23 @@
         Heads whose groups stand still for a host.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, zone_by_host: dict[str, str] = ZONE_BY_HOST) -> None:
+        self._zone_by_host = zone_by_host
         self.n_sent = 0
+        self.n_sent_by_host: Counter[str] = Counter()
         self.lost = ""
         self.still_by_host: dict[str, tuple[str, ...]] = {}
         self.taken_by_host: dict[str, list[ServerNews]] = {}
         self.exchanges_by_host: dict[str, HostExchange] = {}
         self._waiting: list[tuple[str, Datagram]] = []
-        for host in ZONE_BY_HOST:
+        for host in zone_by_host:
             self.taken_by_host[host] = []
             self.exchanges_by_host[host] = self._exchange(host)
 
     def _exchange(self, host: str) -> HostExchange:
-        zone = ZONE_BY_HOST[host]
+        zone = self._zone_by_host[host]
         words = HostWords(host=host, zone=zone)
-        for other, other_zone in ZONE_BY_HOST.items():
+        for other, other_zone in self._zone_by_host.items():
             words.addresses_by_host[other] = HostAddress(
                 host=other, address=other, availability_zone=other_zone
             )
@@ -78,6 +82,7 @@
         if channel == "directory":
             self.taken_by_host[host] += event.args
         elif channel == "peers":
+            self.n_sent_by_host[host] += len(event.args[0])
             for datagram in event.args[0]:
                 self._waiting.append(
                     (datagram.address, Datagram(address=host, data=datagram.data))
@@ -132,6 +137,23 @@
     assert _read(network, "b") == 3
 
 
+def test_no_host_sends_what_one_has_read_to_a_whole_zone() -> None:
+    """Guard against a reader whose link fills while the groups of a fleet form."""
+    zone_by_host = {f"x{index:03}": "x" for index in range(90)}
+    zone_by_host |= {f"y{index:03}": "y" for index in range(130)}
+    network = Network(zone_by_host)
+    for _ in range(2):
+        network.exchanges_by_host["x000"]._on_tick()
+        network.exchanges_by_host["y000"]._on_tick()
+        network.deliver(at_most=100_000)
+    network.n_sent_by_host.clear()
+    network.taken_by_host = {host: [] for host in zone_by_host}
+    _read(network, "x000")
+    assert max(network.n_sent_by_host.values()) <= MAX_RECEIVERS + 1
+    taken = {host: len(news) for host, news in network.taken_by_host.items()}
+    assert taken == dict.fromkeys(zone_by_host, 1) | {"x000": 0}
+
+
 def _words_to(network: Network, host: str) -> HostWords:
     return network.exchanges_by_host[host]._words
 
