Get missed news of servers from a host nearby, and leave reading to the readers

Cause, another one: a host that missed one datagram of what another had read went on from the store, which gives all records of all servers: 3,000 write 2,500 a second, some 1.2 MB, half of a link of 20 Mbit/s. With many hosts at it the 80 MB/s that all reads share are gone, links fill, words of hosts are lost with the rest, and hosts that hear nobody read as well: once it has begun it keeps itself going.

A host that isn't among the first of its zone reads what servers write after two seconds without news only, and not before the store has answered it, so that after an outage the readers begin and the others get changes.

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -367,6 +367,12 @@
         ]
         return len(before) < READERS
 
+    def is_among_first(self, *, now: float) -> bool:
+        """Tell whether this host would read for its zone if none reached the store."""
+        near = self.near(now=now)
+        before = [item for item in near if not item.stopping and item.host < self._host]
+        return len(before) < READERS
+
     def plans_for(
         self, zone: str, *, planning: bool, reads_store: bool, now: float
     ) -> bool:
--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -160,6 +160,12 @@
         self._is_poked = True
         self._due_at = 0.0
 
+    def read_on(self) -> None:
+        """Read at once, unless a read is under way."""
+        self._is_poked = True
+        if not self.is_waiting:
+            self._due_at = 0.0
+
     @property
     def answer_timeout(self) -> float:
         """Return the seconds after which a call counts as unanswered."""
@@ -194,9 +200,18 @@
         if follows:
             self.offset = end
             if yields:
-                self._due_at = max(self._due_at, now + PASSED_ON)
+                self.leave_to_others(now=now)
         return follows
 
+    def is_behind(self, *, start: int, era: int) -> bool:
+        """Tell whether a part that another host has read begins later than is known."""
+        is_comparable = self._phase is _Phase.READING and era == self.era
+        return is_comparable and start > self.offset
+
+    def leave_to_others(self, *, now: float) -> None:
+        """Read nothing for a while, as what is missed comes from another host."""
+        self._due_at = max(self._due_at, now + PASSED_ON)
+
     def take_over(self, *, end: int, era: int, now: float) -> None:
         """Go on from where another host has read, as all its records were given.
 
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -7,6 +7,7 @@
 
 from circuits import BaseComponent, handler
 
+from .coordination.change_history import ChangeHistory
 from .coordination.evacuations import OperatorPlace
 from .coordination.overtaken_records import OvertakenRecords
 from .coordination.removals import Removals
@@ -48,6 +49,18 @@
 #: is as of some tenths of a second ago.
 LIST_SILENCE = 1.0
 
+#: Seconds for which a host that missed a part of what another one has read waits for
+#: others to give it, before it reads the store itself.
+GAP_PATIENCE = 1.0
+
+#: Seconds without news for which a host leaves the reading to the readers of its zone.
+#: Where the one that reads is lost, another one of them begins within half of it.
+RESTS_WITHOUT_NEWS = 2.0
+
+#: The same after which it takes the store for lost, as far as entries that lapse are
+#: concerned: before it reads the store itself, it can't know.
+SILENT_OUTAGE = 1.8
+
 #: Seconds after the store's return from an older copy within which all servers that
 #: reach it have written their entries again.
 ENTRIES_WRITTEN_AGAIN = 3.0
@@ -124,10 +137,15 @@
         self._overtaken = OvertakenRecords()
         self._said = SaidRecords()
         self._unreadable: set[str] = set()
+        self._history = ChangeHistory()
+        self._behind_since: float | None = None
+        self._silent_at = float("-inf")
+        self._reached_since: float | None = None
         self.fetch = HostFetch(
             words=words,
             take_configuration=self.take_configuration,
             take_servers=self._take_given_servers,
+            take_changes=self._take_changes,
         ).register(self)
         self._announced_at = float("-inf")
         self._acknowledged_at: float | None = None
@@ -185,19 +203,43 @@
         must know the other, so both read on until what they read is younger than
         their own record.
         """
-        reads = self._words.reads_for_zone(
-            reads_store=self._store.is_reachable, now=now
-        )
+        is_reachable = self._store.is_reachable
+        reads = self._words.reads_for_zone(reads_store=is_reachable, now=now)
         self.configuration.rests = not reads and self.table is not None
         acknowledged_at = self._acknowledged_at
         knows_all = (
             acknowledged_at is not None and self.hosts.asked_at > acknowledged_at
         )
         self.hosts.rests = not reads and knows_all
+        self._rest_from_servers(
+            reads=reads if is_reachable else self._words.is_among_first(now=now),
+            is_reachable=is_reachable,
+            now=now,
+        )
+
+    def _rest_from_servers(
+        self, *, reads: bool, is_reachable: bool, now: float
+    ) -> None:
+        """Leave reading what all servers write to the readers, as long as they tell.
+
+        It takes half of a link of 20 Mbit/s in a fleet of 3,000.  After an outage each
+        host would read all that was written meanwhile; so the readers begin.
+        """
+        if not is_reachable:
+            self._reached_since = None
+        elif self._reached_since is None:
+            self._reached_since = now
+        told_at = max(self._store.passed_on_at, self._reached_since or now)
+        self.servers.rests = (
+            not reads and self.servers.is_current and now - told_at < RESTS_WITHOUT_NEWS
+        )
+        if self.servers.rests and now - self._read_at > SILENT_OUTAGE:
+            self._silent_at = now
 
     def _note_reads(self) -> None:
         self._removals.note_reads(
-            answered_at=self._read_at, failed_at=self.servers.failed_at
+            answered_at=self._read_at,
+            failed_at=max(self.servers.failed_at, self._silent_at),
         )
         self._removals.note_return(self._store.returned_at)
 
@@ -326,6 +368,13 @@
                 # A host that was started since then may have listed an older copy.
                 records=news.records if self._has_returned(now=now) else changed,
             )
+            self._history.add(
+                passed_on.records,
+                start=news.start,
+                end=passed_on.end,
+                era=passed_on.era,
+            )
+            self._behind_since = None
             self.fire(server_news(passed_on), "exchange")
         if news.complete:
             self._overtaken.take_listing(news.records, end=self.servers.offset)
@@ -358,16 +407,73 @@
                 self._take_said(news.records, now=now)
             return
         self._store.note_era(news.era, peer=news.reader, now=now)
+        if self.servers.is_behind(start=news.start, era=news.era):
+            self._ask_for_missed(news, now=now)
+            return
+        yields = news.reader < self._settings.host
+        if self._take_part(news, yields=yields, now=now):
+            self._behind_since = None
+            self._store.heard(now=now)
+
+    def _take_part(self, news: ServerNews, *, yields: bool, now: float) -> bool:
+        """Take what another host has read or kept, if it follows what was seen here.
+
+        Parameters
+        ----------
+        yields : bool
+            Whether that host goes on reading for this one.
+        """
+        known_to = self.servers.offset
         follows = self.servers.advance(
             start=news.start,
             end=news.end,
             era=news.era,
-            yields=news.reader < self._settings.host,
+            yields=yields,
             now=now,
         )
-        if follows:
-            self._store.heard(now=now)
-            self._take_listed(news.records, now=now)
+        if not follows:
+            return False
+        records = [record for record in news.records if record.offset >= known_to]
+        self._history.add(records, start=known_to, end=news.end, era=news.era)
+        self._take_listed(records, now=now)
+        return True
+
+    def _ask_for_missed(self, news: ServerNews, *, now: float) -> None:
+        """Ask others of the zone for what lies between what is known and some news.
+
+        The store has it too, with all that says nothing new: one host that misses a
+        datagram would read a thousand times as much, and all that missed it would fill
+        the store's link and their own.
+        """
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since > GAP_PATIENCE:
+            self.servers.read_on()
+            return
+        if news.reader < self._settings.host:
+            self.servers.leave_to_others(now=now)
+        self._store.heard(now=now)
+        self.fetch.ask_for_changes(self.servers.offset, era=self.servers.era, now=now)
+
+    def _take_changes(self, news: ServerNews) -> None:
+        """Take what another host has kept of what this one missed."""
+        now = time.monotonic()
+        self._store.note_era(news.era, peer=news.reader, now=now)
+        if self._take_part(news, yields=False, now=now):
+            self._behind_since = None
+
+    def changes_since(self, offset: int, era: int) -> ServerNews | None:
+        """Return what changed of the backend servers, or None where it isn't known."""
+        records = self._history.since(offset, era=era)
+        if records is None:
+            return None
+        return ServerNews(
+            reader=self._settings.host,
+            start=offset,
+            end=self._history.end,
+            era=era,
+            records=records,
+        )
 
     def list_is_silent(self) -> bool:
         """Tell whether nothing was read of the backend servers for a while."""
--- a/ryelever/host_fetch.py
+++ b/ryelever/host_fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -14,12 +15,17 @@
     outbound_send,
 )
 from .logs import log_event, log_warning
-from .protocol.host_words import CONFIGURATION_PATH, SERVERS_PATH, decode_servers
+from .protocol.host_words import (
+    CONFIGURATION_PATH,
+    SERVERS_PATH,
+    changes_path,
+    decode_servers,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
-    from .coordination.host_words import HostWords
+    from .coordination.host_words import HostWord, HostWords
     from .state.keyed_record import ServerNews
 
 __all__ = ["HostFetch"]
@@ -32,6 +38,9 @@
 #: Seconds after which another entry host is asked again.
 FETCH_RETRY = 0.5
 
+#: The same for what changed, which is short.
+CHANGES_RETRY = 0.2
+
 
 class HostFetch(BaseComponent):
     """Own the requests to other entry hosts.
@@ -42,6 +51,8 @@
         Take a configuration as it lies in the store, and who gave it.
     take_servers : callable
         Take the records of all backend servers, and who gave them.
+    take_changes : callable
+        Take what changed of them since an offset.
     """
 
     channel = "host_fetch"
@@ -52,16 +63,20 @@
         words: HostWords,
         take_configuration: Callable[[bytes, str], None],
         take_servers: Callable[[ServerNews, str], None],
+        take_changes: Callable[[ServerNews], None],
     ) -> None:
         super().__init__()
         self._words = words
         self._take_configuration = take_configuration
         self._take_servers = take_servers
+        self._take_changes = take_changes
         self._started_at = time.monotonic()
         self._behind_since: float | None = None
         self._configuration_asked_at = float("-inf")
         self._servers_asked_at = float("-inf")
-        self._n_asked = 0
+        self._changes_asked_at = float("-inf")
+        # Hosts that miss the same thing ask different ones.
+        self._n_asked = random.randrange(1 << 16)
 
     def caught_up(self) -> None:
         """Take note that the newest configuration known of is in force here."""
@@ -103,8 +118,31 @@
         ]
         if givers:
             self._servers_asked_at = now
-            # The next one in turn, if this one doesn't answer.
-            self._ask(SERVERS_PATH, givers[self._n_asked % len(givers)])
+            self._ask(SERVERS_PATH, self._next_of(givers))
+
+    def ask_for_changes(self, offset: int, *, era: int, now: float) -> None:
+        """Ask a host of the zone for what this one missed, or else another host."""
+        if now - self._changes_asked_at < CHANGES_RETRY:
+            return
+        givers = self._knowing(self._words.near(now=now)) or self._knowing(
+            self._words.living(now=now)
+        )
+        if givers:
+            self._changes_asked_at = now
+            self._ask(changes_path(offset, era=era), self._next_of(givers))
+
+    def _knowing(self, words: Iterable[HostWord]) -> list[str]:
+        """Return where hosts are asked that know all backend servers."""
+        by_host = self._words.addresses_by_host
+        return [
+            by_host[word.host].address
+            for word in words
+            if word.knows_servers and word.host in by_host
+        ]
+
+    def _next_of(self, givers: list[str]) -> str:
+        """Return the next one in turn, in case that the one before doesn't answer."""
+        return givers[self._n_asked % len(givers)]
 
     def _ask(self, path: str, address: str) -> None:
         self._n_asked += 1
@@ -143,7 +181,10 @@
                 message=error.message,
             )
             return
-        self._take_servers(read.ok, answer.address)
+        if answer.id.startswith(f"{SERVERS_PATH}/"):
+            self._take_changes(read.ok)
+        else:
+            self._take_servers(read.ok, answer.address)
 
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import zlib
 from functools import lru_cache
 from importlib import resources
@@ -25,12 +26,14 @@
     "CONFIGURATION_PATH",
     "SERVERS_PATH",
     "RelayedDatagram",
+    "changes_path",
     "decode_datagram",
     "decode_servers",
     "encode_news",
     "encode_relayed",
     "encode_servers",
     "encode_word",
+    "read_changes_path",
 ]
 
 #: Where an entry host asks another one for the configuration in force and for the
@@ -38,6 +41,9 @@
 CONFIGURATION_PATH = "/configuration"
 SERVERS_PATH = "/servers"
 
+#: The same for what changed from an offset of an era on.
+_CHANGES = re.compile(rf"{SERVERS_PATH}/(\d{{1,10}})/(\d{{1,18}})")
+
 #: First byte of a datagram: what follows.  A form that changes gets another letter, so
 #: that hosts of two versions, as while one replaces the other, misread nothing.
 WORD = b"s"
@@ -86,6 +92,17 @@
     _schema = capnp.load(str(_path))
 
 
+def changes_path(offset: int, *, era: int) -> str:
+    """Return where a host asks for what changed from an offset on."""
+    return f"{SERVERS_PATH}/{era}/{offset}"
+
+
+def read_changes_path(path: str) -> tuple[int, int] | None:
+    """Return the offset and the era that a path names, or None for another path."""
+    match = _CHANGES.fullmatch(path)
+    return None if match is None else (int(match[2]), int(match[1]))
+
+
 class RelayedDatagram(msgspec.Struct, kw_only=True, frozen=True):
     """Hold a datagram that its receiver takes, and sends on.
 
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -215,6 +215,7 @@
             callers=self.peer_callers,
             document=self.fleet.document,
             servers=self.fleet.all_servers,
+            changes=self.fleet.changes_since,
         )
         register_gauges(
             self.metrics,
@@ -314,6 +315,7 @@
             stopping=self.shutdown.stopping,
             configuration_version=self.fleet.version,
             configuration_size=len(self.fleet.document()),
+            knows_servers=self.fleet.servers.is_current,
             still=tuple(self.relay.stillness.still(now=now)),
             moving=self._moving_heads(now=now),
             suspicions=self.crashes.told(now=now),
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -16,8 +16,11 @@
 from ryelever.events import OutboundAnswer, OutboundRequest
 from ryelever.fleet_directory import (
     ENTRIES_WRITTEN_AGAIN,
+    GAP_PATIENCE,
     LIST_SILENCE,
     MAX_GIVEN,
+    RESTS_WITHOUT_NEWS,
+    SERVERS_INTERVAL,
     FleetDirectory,
 )
 from ryelever.host_fetch import ASKED_FIRST
@@ -27,6 +30,7 @@
     CONFIGURATION_PATH,
     SERVERS_PATH,
     encode_servers,
+    read_changes_path,
 )
 from ryelever.protocol.keyed_log import LogCall
 from ryelever.relay_settings import RelaySettings
@@ -186,16 +190,111 @@
 
 
 def _answer_of(giver: Host, request: OutboundRequest) -> OutboundAnswer:
+    place = read_changes_path(request.path)
+    fleet = giver.fleet
+    news = fleet.changes_since(*place) if place else fleet.all_servers()
     return OutboundAnswer(
         id=request.id,
         address=request.address,
-        status=200,
+        status=200 if news else 404,
         headers={},
-        body=encode_servers(giver.fleet.all_servers()),
+        body=encode_servers(news) if news else b"",
         sent_at=0.0,
     )
 
 
+def _word_of(host: str, **changes: object) -> HostWord:
+    """Return the word of a host that knows all and reaches the store."""
+    word = HostWord(
+        host=host,
+        availability_zone="z",
+        boot=1,
+        sequence=1,
+        reads_store=True,
+        stopping=False,
+        configuration_version=7,
+        knows_servers=True,
+    )
+    return replace(word, **changes)
+
+
+def _hear(host: Host, *words: HostWord) -> None:
+    for word in words:
+        host.fleet._words.take(word, address="10.0.0.7:7000", now=time.monotonic())
+
+
+def test_a_host_that_missed_news_gets_them_from_another(clock: Clock) -> None:
+    """Guard against hosts that read all that the store has for one lost datagram."""
+    reader, other = Host("a"), Host("c")
+    for host in (reader, other):
+        host.listed(_put("i1", 0), end=1)
+    _hear(other, _word_of("a"), _word_of("b"))
+    reader.read(_put("i1", 1, state="draining"), _put("i2", 2), end=3)
+    missed_one = reader.read(_put("i3", 3), end=4)
+    other.fleet._on_passed_on(missed_one)
+    assert other.directory.by_id.keys() == {"i1"}
+    [asked] = other.asked
+    other.fleet.fetch._on_answer(_answer_of(reader, asked))
+    assert other.directory.by_id.keys() == {"i1", "i2", "i3"}
+    assert other.directory.by_id["i1"].draining
+    assert other.fleet.servers.offset == 4
+    # It keeps them in turn for others.
+    assert other.fleet.changes_since(1, 0).records
+    clock.now += SERVERS_INTERVAL
+    assert other.fleet.servers.next_call(now=clock.now) is None
+
+
+def test_a_host_that_nobody_gives_what_it_missed_reads_the_store(clock: Clock) -> None:
+    """Guard against servers that are unknown until the next listing."""
+    reader, other = Host("a"), Host("c")
+    for host in (reader, other):
+        host.listed(_put("i1", 0), end=1)
+    _hear(other, _word_of("a"), _word_of("b"))
+    reader.read(_put("i2", 1), end=2)
+    call = None
+    for offset in range(2, 8):
+        other.fleet._on_passed_on(reader.read(_put("i3", offset), end=offset + 1))
+        call = call or other.fleet.servers.next_call(now=clock.now)
+        clock.now += SERVERS_INTERVAL
+    assert clock.now - 1000.0 < GAP_PATIENCE + 3 * SERVERS_INTERVAL
+    assert call is not None and "&from=1" in call.path
+
+
+def test_what_one_host_has_forgotten_is_not_given(clock: Clock) -> None:
+    """Guard against a host that takes a part for all that it missed."""
+    giver = Host("a")
+    giver.listed(_put("i1", 0), end=5)
+    giver.read(_put("i2", 5), end=6)
+    assert giver.fleet.changes_since(4, 0) is None
+    assert giver.fleet.changes_since(5, 1) is None
+    assert giver.fleet.changes_since(7, 0) is None
+    giver.listed(_put("i1", 0), end=9)
+    given = giver.fleet.changes_since(5, 0)
+    assert given is None or given.end == 6
+
+
+@pytest.mark.parametrize("is_reachable", [True, False])
+def test_only_the_first_hosts_of_a_zone_read_what_servers_write(
+    clock: Clock, is_reachable: bool
+) -> None:
+    """Guard against all hosts reading the store at once when its reader is lost."""
+    host = Host("c")
+    host.listed(_put("i1", 0), end=1)
+    host.fleet._store._failing_since = None if is_reachable else 0.0
+    host.fleet._store.passed_on_at = clock.now
+    began = clock.now
+    call = None
+    while call is None and clock.now < began + 2 * RESTS_WITHOUT_NEWS:
+        clock.now += 0.1
+        sequence = round(10 * clock.now)
+        _hear(host, *(_word_of(name, sequence=sequence) for name in ("a", "b")))
+        host.fleet._rest_or_read(now=clock.now)
+        call = host.fleet.servers.next_call(now=clock.now)
+    waited = clock.now - began
+    assert (call is not None) is is_reachable
+    assert not is_reachable or waited == pytest.approx(RESTS_WITHOUT_NEWS, abs=0.21)
+
+
 def test_a_host_without_the_store_gets_all_servers_from_another(clock: Clock) -> None:
     """Show that a host that was started anew during an outage serves.
 
