Let hosts that start be given the list of servers by a few that read it

Cause, a third one: each host that starts lists all servers from the store. 3,000 take some 2.2 MB, all reads share 80 MB/s, so 300 hosts take more than eight seconds; a page whose first byte hasn't come after 1.2 s is asked for again, and what was on its way is thrown away.

Change: a host enters itself in the store, lists the hosts, and lists the servers at once only as one of the first four of its zone by name. The others are given the list by any host that knows it, compressed (some 60 bytes a server), and ask the store in turns of 0.25 s while nobody gives it. A host gives lists at two fifths of its link's rate and refuses beyond, at once, so that callers have the rest; who was given it gives it in turn. Where the store is away a host waits a second to be entered, then does as before. What is given while the list is read counts as the list, not as what servers said themselves, which would hold their changes back for three seconds.

With it: hosts that missed the same news gave each other nothing, without end, since an empty answer counted as one.

Tests that failed before: of 200 hosts of a zone all listed at once; now four, and one more each quarter of a second. A host that starts among others listed at once.

--- a/ryelever/coordination/said_records.py
+++ b/ryelever/coordination/said_records.py
@@ -57,6 +57,11 @@
                 self._seen_by_server.setdefault(record.key, seen)
             self._said_by_server[record.key] = record.value
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether nothing goes before the list."""
+        return not self._said_by_server
+
     def holds(self, server_id: str) -> bool:
         """Tell whether a server's own word goes before its entry now."""
         return server_id in self._said_by_server
--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -85,6 +85,8 @@
         to read on.
     listed_at, answered_at, failed_at, asked_at : float
         Monotonic times of the last complete listing, good answer, failure and call.
+    defers_listing : bool
+        True while another host is expected to give what a listing would bring.
     n_asked : int
         Calls so far; the answer to any but the last one is out of date.
     """
@@ -95,6 +97,7 @@
     interval: float = 0.0
     wait: float = RARE_WAIT
     rests: bool = False
+    defers_listing: bool = False
     offset: int = 0
     era: int = 0
     listed_at: float = float("-inf")
@@ -129,6 +132,8 @@
             return None
         if self.rests and self._phase is _Phase.READING and not self._is_poked:
             return None
+        if self.defers_listing and self._phase is _Phase.LISTING and not self._after:
+            return None
         self._is_poked = False
         self.is_waiting = True
         self.n_asked += 1
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -9,6 +9,7 @@
 
 from .coordination.change_history import ChangeHistory
 from .coordination.evacuations import OperatorPlace
+from .coordination.listing_turn import UNANNOUNCED, is_turn_to_list
 from .coordination.overtaken_records import OvertakenRecords
 from .coordination.removals import Removals
 from .coordination.said_records import SaidRecords
@@ -147,16 +148,22 @@
             take_servers=self._take_given_servers,
             take_changes=self._take_changes,
         ).register(self)
+        self._started_at = time.monotonic()
         self._announced_at = float("-inf")
         self._acknowledged_at: float | None = None
+        # When the other hosts of the zone were known, this one among them.
+        self._hosts_known_at: float | None = None
         # Servers whose entries in a copy of the store are older than what is known.
         self._known_better: set[str] = set()
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
+        self.hosts.defers_listing = self.servers.defers_listing = True
         self._store.follow(self.configuration, self._take_configuration)
         self._store.follow(self.servers, self._take_servers)
         self._store.follow(self.hosts, self._take_hosts)
+        self._announced_at = time.monotonic()
+        self._announce()
 
     @handler("control_tick")
     def _on_tick(self) -> None:
@@ -171,13 +178,39 @@
             if record.key in self._data_by_server
         ]
         self._take_records(held_back, now=now)
-        if not self.servers.is_current and self.list_is_silent():
-            self.fetch.ask_for_servers(now=now)
+        self._settle_listing(now=now)
+        if not self.servers.is_current:
+            if self.servers.defers_listing:
+                self.fetch.ask_who_knows_servers(now=now)
+            if self.list_is_silent():
+                self.fetch.ask_for_servers(now=now)
         unannounced = self._acknowledged_at is None
         if unannounced and now - self._announced_at > ANNOUNCE_RETRY:
             self._announced_at = now
             self._announce()
 
+    def _settle_listing(self, *, now: float) -> None:
+        """Let this host list the backend servers itself once it is its turn."""
+        if self._hosts_known_at is None:
+            unannounced = now - self._started_at < UNANNOUNCED
+            self.hosts.defers_listing = self._acknowledged_at is None and unannounced
+            acknowledged_at = self._acknowledged_at
+            if acknowledged_at is not None and self.hosts.listed_at > acknowledged_at:
+                self._hosts_known_at = now
+        if self.servers.defers_listing:
+            zone = self._settings.availability_zone
+            self.servers.defers_listing = not is_turn_to_list(
+                self._settings.host,
+                [
+                    address.host
+                    for address in self._words.addresses_by_host.values()
+                    if address.availability_zone == zone
+                ],
+                known_at=self._hosts_known_at,
+                started_at=self._started_at,
+                now=now,
+            )
+
     @handler("store_returned")
     def _on_store_returned(self) -> None:
         """Begin anew with a store that has lost what it held, but not with servers.
@@ -332,8 +365,10 @@
         now = time.monotonic()
         self.servers.take_over(end=given.end, era=given.era, now=now)
         log_event("servers_given", peer=peer, n=len(given.records))
-        # Some of it may be what servers said while the list was silent there.
-        self._take_said(given.records, now=now)
+        if given.reported:
+            self._take_said(given.records, now=now)
+        else:
+            self._take_records(given.records, now=now)
 
     def all_servers(self) -> ServerNews | None:
         """Return the records of all backend servers, or None before they are known."""
@@ -344,6 +379,8 @@
             start=0,
             end=self.servers.offset,
             era=self.servers.era,
+            # Some of it may be what servers said while the list was silent.
+            reported=self.list_is_silent() or not self._said.is_empty,
             records=[
                 KeyedRecord(key=server_id, value=data, offset=0)
                 for server_id, data in self._data_by_server.items()
@@ -459,13 +496,15 @@
         """Take what another host has kept of what this one missed."""
         now = time.monotonic()
         self._store.note_era(news.era, peer=news.reader, now=now)
-        if self._take_part(news, yields=False, now=now):
+        known_to = self.servers.offset
+        self._take_part(news, yields=False, now=now)
+        if self.servers.offset > known_to:
             self._behind_since = None
 
     def changes_since(self, offset: int, era: int) -> ServerNews | None:
         """Return what changed of the backend servers, or None where it isn't known."""
         records = self._history.since(offset, era=era)
-        if records is None:
+        if records is None or offset == self._history.end:
             return None
         return ServerNews(
             reader=self._settings.host,
@@ -636,6 +675,9 @@
                 self._words.addresses_by_host.pop(record.key, None)
             else:
                 self._words.addresses_by_host[record.key] = address
+        if news.complete:
+            self._settle_listing(now=time.monotonic())
+            self._store.ask_now(self.servers)
 
     def _announce(self) -> None:
         record = self._documents.host_record(
@@ -649,7 +691,9 @@
 
     def _take_announced(self, answer: StoreAnswer) -> None:
         if answer.status == 200:
-            self._acknowledged_at = time.monotonic()
+            now = self._acknowledged_at = time.monotonic()
+            self._settle_listing(now=now)
+            self._store.ask_now(self.hosts)
 
 
 def _log_change(old: BackendServer | None, server: BackendServer) -> None:
--- a/ryelever/host_fetch.py
+++ b/ryelever/host_fetch.py
@@ -35,6 +35,9 @@
 #: milliseconds, another host's some tens.
 ASKED_FIRST = 0.3
 
+#: Status of a host that gives the backend servers to others.
+BUSY = 503
+
 #: Seconds after which another entry host is asked again.
 FETCH_RETRY = 0.5
 
@@ -75,6 +78,7 @@
         self._configuration_asked_at = float("-inf")
         self._servers_asked_at = float("-inf")
         self._changes_asked_at = float("-inf")
+        self._waits_for_servers = False
         # Hosts that miss the same thing ask different ones.
         self._n_asked = random.randrange(1 << 16)
 
@@ -102,6 +106,18 @@
             self._configuration_asked_at = now
             self._ask(CONFIGURATION_PATH, address.address)
 
+    def ask_who_knows_servers(self, *, now: float) -> None:
+        """Ask a host of the zone for the backend servers, or else another host.
+
+        One that is giving them to others refuses at once, and the next one is asked.
+        """
+        givers = self._knowing(self._words.near(now=now)) or self._knowing(
+            self._words.living(now=now)
+        )
+        if givers and not self._waits_for_servers:
+            self._waits_for_servers = True
+            self._ask(SERVERS_PATH, self._next_of(givers))
+
     def ask_for_servers(self, *, now: float) -> None:
         """Ask another entry host for the backend servers that it knows.
 
@@ -158,8 +174,16 @@
         )
         self.fire(outbound_send(request), "http_client")
 
+    def _note_end(self, call_id: str) -> None:
+        """Take note that a call has ended."""
+        if call_id.startswith(f"{SERVERS_PATH} "):
+            self._waits_for_servers = False
+
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
+        self._note_end(answer.id)
+        if answer.status == BUSY:
+            return
         if answer.status != 200:
             log_event(
                 "not_fetched",
@@ -188,6 +212,7 @@
 
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
+        self._note_end(failure.id)
         log_event(
             "not_fetched",
             what=failure.id,
--- a/ryelever/host_offers.py
+++ b/ryelever/host_offers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
 
+from .coordination.paced_giving import PacedGiving
 from .protocol.host_words import (
     CONFIGURATION_PATH,
     SERVERS_PATH,
@@ -22,6 +24,10 @@
 
 __all__ = ["HostOffers"]
 
+#: Seconds for which the backend servers are given as they were encoded once.  What has
+#: changed since then is asked for as changes.
+ENCODED_FOR = 1.0
+
 
 class HostOffers(BaseComponent):
     """Answer the other entry hosts.
@@ -35,6 +41,8 @@
     changes : callable
         Return what changed of them from an offset of an era on, or None where that
         isn't known.
+    link_rate : float
+        Bytes a second that this host's link carries.
     """
 
     channel = "offers"
@@ -46,30 +54,49 @@
         document: Callable[[], bytes],
         servers: Callable[[], ServerNews | None],
         changes: Callable[[int, int], ServerNews | None],
+        link_rate: float,
     ) -> None:
         super().__init__()
         self._callers = callers
         self._document = document
         self._servers = servers
         self._changes = changes
+        self._giving = PacedGiving(link_rate=link_rate)
+        self._encoded = b""
+        self._encoded_at = float("-inf")
 
     @handler("relayed_request")
     def _on_request(self, request: RelayedRequest) -> None:
-        body = self._body(request.target.decode("latin-1"))
+        path = request.target.decode("latin-1")
+        if path == SERVERS_PATH:
+            status, body = self._give_servers(now=time.monotonic())
+        else:
+            body = self._body(path)
+            status = 200 if body else 404
         self._callers.answer(
             request.number,
-            status=200 if body else 404,
+            status=status,
             headers=[(b"Content-Type", b"application/octet-stream")],
             body=body,
         )
 
+    def _give_servers(self, *, now: float) -> tuple[int, bytes]:
+        """Return status and body for a host that asks for all backend servers."""
+        if not self._giving.is_free(now=now):
+            return 503, b""
+        if now - self._encoded_at > ENCODED_FOR:
+            servers = self._servers()
+            if servers is None:
+                return 404, b""
+            self._encoded = encode_servers(servers)
+            self._encoded_at = now
+        self._giving.gave(len(self._encoded), now=now)
+        return 200, self._encoded
+
     def _body(self, path: str) -> bytes:
         """Return what is asked for; empty where it isn't known."""
         if path == CONFIGURATION_PATH:
             return self._document()
         place = read_changes_path(path)
-        if place is not None:
-            news = self._changes(*place)
-        else:
-            news = self._servers() if path == SERVERS_PATH else None
-        return encode_servers(news) if news is not None else b""
+        changes = self._changes(*place) if place is not None else None
+        return encode_servers(changes) if changes is not None else b""
--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -54,6 +54,11 @@
     return value
 
 
+def _megabits(text: str) -> float:
+    """Return bytes a second."""
+    return _positive(text) * 125_000
+
+
 def _positive(text: str) -> float:
     value = float(text)
     if not 0 <= value < float("inf"):
@@ -98,6 +103,12 @@
     "repeat_window": _Field(
         key="bounds.budget_window_s", read=_positive, expected=_NUMBER, default="10"
     ),
+    "link_rate": _Field(
+        key="limits.link_mbps",
+        read=_megabits,
+        expected="megabits a second",
+        default="10",
+    ),
     "repeat_slack": _Field(
         key="bounds.budget_slack", read=_positive, expected=_NUMBER, default="100"
     ),
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -216,6 +216,7 @@
             document=self.fleet.document,
             servers=self.fleet.all_servers,
             changes=self.fleet.changes_since,
+            link_rate=settings.link_rate,
         )
         register_gauges(
             self.metrics,
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -27,6 +27,8 @@
         share of the requests in it, plus the slack.
     last_bytes : float
         Kept of the grace for the last answers to leave.
+    link_rate : float
+        Bytes a second that the host's link carries.
     metrics_port : int
         Where the metrics are served on an address of their own; 0 for nowhere.
     """
@@ -47,6 +49,7 @@
     repeat_slack: float
     zones: tuple[str, ...]
     last_bytes: float
+    link_rate: float = 1_250_000.0
     metrics_port: int = 0
 
     @property
--- a/ryelever/store_client.py
+++ b/ryelever/store_client.py
@@ -133,6 +133,12 @@
             item for item in self._followed if item.follower is not follower
         ]
 
+    def ask_now(self, follower: TopicFollower) -> None:
+        """Make the call that is due for a topic, before the next tick."""
+        for followed in self._followed:
+            if followed.follower is follower:
+                self._ask(followed, now=time.monotonic())
+
     def call(self, call: LogCall, take: Callable[[StoreAnswer], None]) -> None:
         """Make one call; ``take`` gets the answer, of status 0 if there is none."""
         call_id = self._send(call, step="call_store", progress_timeout=CALL_TIMEOUT)
--- /dev/null
+++ b/tests/test_coordination/test_listing_turn.py
@@ -0,0 +1,35 @@
+"""Test which hosts list all backend servers when many start."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryelever.coordination.listing_turn import (
+    LISTERS,
+    TURN,
+    UNANNOUNCED,
+    is_turn_to_list,
+)
+
+
+@given(n_hosts=st.integers(1, 200), waited=st.floats(0.0, 10.0))
+def test_few_hosts_of_a_zone_list_at_once(n_hosts: int, waited: float) -> None:
+    """Guard against a store whose reads are filled by hosts that start together."""
+    hosts = [f"h{index:03}" for index in range(n_hosts)]
+    due = [
+        host
+        for host in hosts
+        if is_turn_to_list(host, hosts, known_at=5.0, started_at=4.0, now=5.0 + waited)
+    ]
+    assert due[:LISTERS] == hosts[:LISTERS]
+    assert len(due) <= LISTERS + waited / TURN + 1
+
+
+def test_a_host_lists_that_the_store_does_not_know() -> None:
+    """Guard against a host that waits for the others where the store is away."""
+    turns = [
+        is_turn_to_list("h", ["a"] * 9, known_at=None, started_at=4.0, now=4.0 + waited)
+        for waited in (0.0, 0.9 * UNANNOUNCED, 1.1 * UNANNOUNCED)
+    ]
+    assert turns == [False, False, True]
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -10,6 +10,7 @@
 
 from ryelever.coordination.evacuations import Evacuations
 from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
+from ryelever.coordination.listing_turn import LISTERS
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
 from ryelever.coordination.said_records import REPORTED_FOR
 from ryelever.coordination.topic import TopicNews
@@ -260,6 +261,26 @@
     assert call is not None and "&from=1" in call.path
 
 
+def test_hosts_that_missed_the_same_read_the_store(clock: Clock) -> None:
+    """Guard against hosts that wait for each other while servers change unseen."""
+    reader, giver, other = Host("a"), Host("b"), Host("c")
+    for host in (reader, giver, other):
+        host.listed(_put("i1", 0), end=1)
+    _hear(other, _word_of("b"))
+    for host in (giver, other):
+        host.fleet._on_passed_on(reader.read(_put("i1", 1), end=2))
+    reader.read(_put("i2", 2), end=3)
+    call = None
+    for offset in range(3, 9):
+        other.fleet._on_passed_on(reader.read(_put("i3", offset), end=offset + 1))
+        for asked in other.asked:
+            other.fleet.fetch._on_answer(_answer_of(giver, asked))
+        other.asked.clear()
+        call = call or other.fleet.servers.next_call(now=clock.now)
+        clock.now += SERVERS_INTERVAL
+    assert call is not None and "&from=2" in call.path
+
+
 def test_what_one_host_has_forgotten_is_not_given(clock: Clock) -> None:
     """Guard against a host that takes a part for all that it missed."""
     giver = Host("a")
@@ -267,6 +288,7 @@
     giver.read(_put("i2", 5), end=6)
     assert giver.fleet.changes_since(4, 0) is None
     assert giver.fleet.changes_since(5, 1) is None
+    assert giver.fleet.changes_since(6, 0) is None
     assert giver.fleet.changes_since(7, 0) is None
     giver.listed(_put("i1", 0), end=9)
     given = giver.fleet.changes_since(5, 0)
@@ -295,6 +317,68 @@
     assert not is_reachable or waited == pytest.approx(RESTS_WITHOUT_NEWS, abs=0.21)
 
 
+def _start_among(host: Host, others: list[str]) -> None:
+    """Start a host that finds others in the store."""
+    fleet = host.fleet
+    fleet._on_started()
+    for name in others:
+        fleet._words.addresses_by_host[name] = HostAddress(
+            host=name, address="10.0.0.7:7000", availability_zone="z"
+        )
+    fleet._take_announced(StoreAnswer(status=200))
+    fleet.hosts.next_call(now=time.monotonic())
+    fleet.hosts.answered(200, b'{"items": [], "more": false, "end": 9}', now=1001.0)
+    fleet._take_hosts(TopicNews(records=[], complete=True))
+
+
+def test_a_host_that_starts_among_many_lists_nothing(clock: Clock) -> None:
+    """Guard against a start of all hosts that fills the store's reads for seconds."""
+    giver, other = Host("a"), Host("x")
+    giver.listed(_put("i1", 0), _put("i2", 1), end=2)
+    giver.fleet.servers.answered_at = clock.now
+    _start_among(other, [f"h{index}" for index in range(20)])
+    assert other.fleet.servers.next_call(now=clock.now) is None
+    _hear(other, _word_of("h3"))
+    other.fleet._on_tick()
+    [asked] = [ask for ask in other.asked if ask.path == SERVERS_PATH]
+    # One that gives the list to others refuses; the next one is asked.
+    busy = replace(_answer_of(giver, asked), status=503, body=b"")
+    other.fleet.fetch._on_answer(busy)
+    clock.now += 0.1
+    other.fleet._on_tick()
+    asked = [ask for ask in other.asked if ask.path == SERVERS_PATH][-1]
+    other.fleet.fetch._on_answer(_answer_of(giver, asked))
+    assert other.directory.by_id.keys() == {"i1", "i2"}
+    # What the servers write next counts at once.
+    group = {"name": "g", "epoch": 3, "rank": 0, "state": "open"}
+    other.fleet._on_passed_on(giver.read(_put("i2", 2, group=group), end=3))
+    assert other.directory.by_id["i2"].group is not None
+
+
+def test_a_host_that_nobody_gives_the_list_gets_it_from_the_store(clock: Clock) -> None:
+    """Guard against a host that waits for others that are lost."""
+    host = Host("x")
+    _start_among(host, [f"h{index}" for index in range(LISTERS + 2)])
+    calls = []
+    for _ in range(12):
+        host.fleet._on_tick()
+        calls.append(host.fleet.servers.next_call(now=clock.now))
+        clock.now += 0.1
+    assert calls[0] is None and any(calls)
+
+
+def test_a_host_that_starts_without_the_store_tries_to_list(clock: Clock) -> None:
+    """Guard against a host that waits to be entered in a store that is away."""
+    host = Host("x")
+    host.fleet._on_started()
+    calls = []
+    for _ in range(12):
+        host.fleet._on_tick()
+        calls.append(host.fleet.servers.next_call(now=clock.now))
+        clock.now += 0.1
+    assert calls[0] is None and any(calls)
+
+
 def test_a_host_without_the_store_gets_all_servers_from_another(clock: Clock) -> None:
     """Show that a host that was started anew during an outage serves.
 
