Give a listing that is late more time, each time twice as much

Cause: a page of a listing counted as unanswered after 1.2 s, like a read that waits for news. A store whose reads are filled answers later than that, and each time the page is read anew: the more hosts list, the less each of them gets.

The test failed before: a listing that failed five times still had 1.2 s. A listing that waits on a silent connection is asked again after 1.2 s, as before, and that of a topic with rare records sooner than before (7 s).

--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -31,6 +31,11 @@
 #: Seconds beyond the wait for an answer to come; a slow store takes a quarter.
 ANSWER_TIMEOUT = 1.0
 
+#: Seconds for the first byte of a page of a listing, the first time and at most.  A
+#: busy store answers late, and what it has read for a call that was given up is lost.
+LISTING_TIMEOUT = 1.2
+MAX_LISTING_TIMEOUT = 10.0
+
 #: Seconds for which a host doesn't read what another has passed on.  When that one is
 #: lost, the next reads after this time.
 PASSED_ON = 1.0
@@ -173,7 +178,9 @@
 
     @property
     def answer_timeout(self) -> float:
-        """Return the seconds after which a call counts as unanswered."""
+        """Return the seconds after which the last call counts as unanswered."""
+        if self._asked_phase is _Phase.LISTING:
+            return min(MAX_LISTING_TIMEOUT, LISTING_TIMEOUT * 2**self._n_failures)
         return self.wait + ANSWER_TIMEOUT
 
     def list_again(self) -> None:
--- a/tests/test_coordination/test_topic.py
+++ b/tests/test_coordination/test_topic.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from ryelever.coordination.topic import MAX_PAUSE, TopicFollower
+from ryelever.coordination.topic import (
+    MAX_LISTING_TIMEOUT,
+    MAX_PAUSE,
+    TopicFollower,
+)
 from ryelever.platform.store import StoreCalls
 
 STORE = StoreCalls(address="store")
@@ -125,6 +129,25 @@
     assert pauses[-1] <= MAX_PAUSE + 0.02
 
 
+def test_a_listing_that_is_late_gets_more_time_each_time() -> None:
+    """Guard against hosts that throw away what a busy store was about to give."""
+    follower = _follower()
+    timeouts = []
+    now = 0.0
+    for _ in range(6):
+        now += MAX_PAUSE
+        follower.next_call(now=now)
+        timeouts.append(follower.answer_timeout)
+        now += timeouts[-1]
+        follower.failed(now=now)
+    assert timeouts[:4] == [1.2, 2.4, 4.8, 9.6]
+    assert timeouts[-1] == MAX_LISTING_TIMEOUT
+    follower.next_call(now=now + MAX_PAUSE)
+    follower.answered(200, _listing("a", end=7, more=True), now=now + 1.0)
+    follower.next_call(now=now + 1.0)
+    assert follower.answer_timeout == timeouts[0]
+
+
 def test_word_of_something_newer_ends_a_read_that_hangs() -> None:
     """Show that a read which will never be answered holds nothing up.
 
