Say at once that words will come less often

Cause: the more hosts of its zone a host hears, the less often it tells them of itself, up to 1.4 s in a zone of 100. Its last word before that still said 0.2 s, so others took it for gone after 0.9 s, and hosts that miss those before them read and plan themselves.

The test failed before: a host whose interval grows from 0.2 to 0.8 s is believed to keep 0.2 s.

--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -137,6 +137,7 @@
     has a stream there only now and then: it would send requests there for seconds.
     """
     return (
+        word.interval,
         word.reads_store,
         word.knows_servers,
         word.store_era,
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -12,7 +12,7 @@
 from ryelever.coordination.quarantine import Quarantine
 from ryelever.coordination.relaying import Balancer, CrashWatch, StillnessWatch
 from ryelever.events import Datagram
-from ryelever.host_exchange import FAR_WORDS, HostExchange
+from ryelever.host_exchange import FAR_WORDS, WORD_INTERVAL, HostExchange
 from ryelever.state.directory import Directory
 from ryelever.state.keyed_record import KeyedRecord, ServerNews
 
@@ -241,3 +241,19 @@
     network.exchanges_by_host["d"]._on_tick()
     network.deliver(at_most=before + 100)
     assert network.n_sent == before
+
+
+def test_a_host_that_will_tell_less_often_says_so(network: Network) -> None:
+    """Guard against living hosts that count as gone while a large zone starts."""
+    for exchange in network.exchanges_by_host.values():
+        exchange._words.reads_for_zone = lambda reads_store, now: False
+        exchange._words.speaks = lambda planning, now: False
+    teller = network.exchanges_by_host["d"]
+    # None of the next words is due at these intervals, but for the first.
+    teller._sequence = 4 * 7
+    for n_ticks in (1, 4, 7):
+        teller._words.ticks_between_words = lambda now, n_ticks=n_ticks: n_ticks
+        teller._on_tick()
+        network.deliver(at_most=network.n_sent + 100)
+        heard = _words_to(network, "b")._heard_by_host["d"].word
+        assert heard.interval == pytest.approx(n_ticks * WORD_INTERVAL)
