Let many changes at once be fetched from who tells of them

Cause: news of servers went in datagrams however many they were. While 3,000 servers join their groups, by arithmetic 150 datagrams are due at once to each of fourteen hosts, 2.7 MB at a link of 2.5 MB/s that drops what it can't carry. All hosts of a zone then missed the same, gave each other nothing, and read the store after a second, all of them.

Change: beyond four datagrams one says that there is something, and whoever got it asks its sender over a connection; the sender may still be fetching itself and is asked again after 0.2 s, or another host. What is given has the newest record of each key only, and is encoded once for all that miss the same. The first two hosts of a zone wait a second before they read the store for what they miss, the others four.

--- a/ryelever/coordination/topic.py
+++ b/ryelever/coordination/topic.py
@@ -17,6 +17,7 @@
         NewestPage,
         ReadPage,
     )
+    from ..state.keyed_record import ServerNews
 
 __all__ = ["TopicFollower", "TopicNews"]
 
@@ -215,10 +216,11 @@
                 self.leave_to_others(now=now)
         return follows
 
-    def is_behind(self, *, start: int, era: int) -> bool:
-        """Tell whether a part that another host has read begins later than is known."""
-        is_comparable = self._phase is _Phase.READING and era == self.era
-        return is_comparable and start > self.offset
+    def is_behind(self, news: ServerNews) -> bool:
+        """Tell whether another host has read what this one must be given."""
+        if self._phase is not _Phase.READING or news.era != self.era:
+            return False
+        return news.start > self.offset or (news.to_fetch and news.end > self.offset)
 
     def leave_to_others(self, *, now: float) -> None:
         """Read nothing for a while, as what is missed comes from another host."""
--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
 from circuits import BaseComponent, handler
 
 from .coordination.change_history import ChangeHistory
@@ -51,8 +52,10 @@
 LIST_SILENCE = 1.0
 
 #: Seconds for which a host that missed a part of what another one has read waits for
-#: others to give it, before it reads the store itself.
+#: others to give it, before it reads the store itself: the first of a zone, and the
+#: others, which are given it by these.
 GAP_PATIENCE = 1.0
+OTHERS_GAP_PATIENCE = 4.0
 
 #: Seconds without news for which a host leaves the reading to the readers of its zone.
 #: Where the one that reads is lost, another one of them begins within half of it.
@@ -83,6 +86,13 @@
 ANNOUNCE_RETRY = 1.0
 
 
+class _Behind(msgspec.Struct, kw_only=True, frozen=True):
+    """Say since when this host misses news, and which host has told of them."""
+
+    since: float
+    giver: str
+
+
 class FleetDirectory(BaseComponent):
     """Own what is read from the store.
 
@@ -139,7 +149,7 @@
         self._said = SaidRecords()
         self._unreadable: set[str] = set()
         self._history = ChangeHistory()
-        self._behind_since: float | None = None
+        self._behind: _Behind | None = None
         self._silent_at = float("-inf")
         self._reached_since: float | None = None
         self.fetch = HostFetch(
@@ -178,6 +188,7 @@
             if record.key in self._data_by_server
         ]
         self._take_records(held_back, now=now)
+        self._ask_for_missed(now=now)
         self._settle_listing(now=now)
         if not self.servers.is_current:
             if self.servers.defers_listing:
@@ -411,7 +422,7 @@
                 end=passed_on.end,
                 era=passed_on.era,
             )
-            self._behind_since = None
+            self._behind = None
             self.fire(server_news(passed_on), "exchange")
         if news.complete:
             self._overtaken.take_listing(news.records, end=self.servers.offset)
@@ -444,12 +455,12 @@
                 self._take_said(news.records, now=now)
             return
         self._store.note_era(news.era, peer=news.reader, now=now)
-        if self.servers.is_behind(start=news.start, era=news.era):
-            self._ask_for_missed(news, now=now)
+        if self.servers.is_behind(news):
+            self._note_missed(news, now=now)
             return
         yields = news.reader < self._settings.host
         if self._take_part(news, yields=yields, now=now):
-            self._behind_since = None
+            self._behind = None
             self._store.heard(now=now)
 
     def _take_part(self, news: ServerNews, *, yields: bool, now: float) -> bool:
@@ -475,22 +486,33 @@
         self._take_listed(records, now=now)
         return True
 
-    def _ask_for_missed(self, news: ServerNews, *, now: float) -> None:
-        """Ask others of the zone for what lies between what is known and some news.
+    def _note_missed(self, news: ServerNews, *, now: float) -> None:
+        """Take note of news of which this host misses something.
 
         The store has it too, with all that says nothing new: one host that misses a
         datagram would read a thousand times as much, and all that missed it would fill
         the store's link and their own.
         """
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since > GAP_PATIENCE:
-            self.servers.read_on()
-            return
+        since = now if self._behind is None else self._behind.since
+        self._behind = _Behind(since=since, giver=news.giver)
         if news.reader < self._settings.host:
             self.servers.leave_to_others(now=now)
         self._store.heard(now=now)
-        self.fetch.ask_for_changes(self.servers.offset, era=self.servers.era, now=now)
+        self._ask_for_missed(now=now)
+
+    def _ask_for_missed(self, *, now: float) -> None:
+        """Ask others of the zone for what is missed, or the store in the end."""
+        behind = self._behind
+        if behind is None:
+            return
+        is_first = self._words.is_among_first(now=now)
+        patience = GAP_PATIENCE if is_first else OTHERS_GAP_PATIENCE
+        if now - behind.since > patience:
+            self.servers.read_on()
+            return
+        self.fetch.ask_for_changes(
+            self.servers.offset, era=self.servers.era, giver=behind.giver, now=now
+        )
 
     def _take_changes(self, news: ServerNews) -> None:
         """Take what another host has kept of what this one missed."""
@@ -499,7 +521,7 @@
         known_to = self.servers.offset
         self._take_part(news, yields=False, now=now)
         if self.servers.offset > known_to:
-            self._behind_since = None
+            self._behind = None
 
     def changes_since(self, offset: int, era: int) -> ServerNews | None:
         """Return what changed of the backend servers, or None where it isn't known."""
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -185,7 +185,7 @@
             if isinstance(word, RyeleverError):
                 log_event("word_unreadable", peer=datagram.address, why=str(word))
             elif isinstance(word, ServerNews):
-                self._take_news(word)
+                self._take_news(replace(word, giver=datagram.address))
             elif isinstance(word, RelayedDatagram):
                 log_event("word_unreadable", peer=datagram.address, why="relayed twice")
             elif self._words.take(word, address=datagram.address, now=now):
--- a/ryelever/host_fetch.py
+++ b/ryelever/host_fetch.py
@@ -79,6 +79,8 @@
         self._servers_asked_at = float("-inf")
         self._changes_asked_at = float("-inf")
         self._waits_for_servers = False
+        self._waits_for_changes = False
+        self._n_changes_asked = 0
         # Hosts that miss the same thing ask different ones.
         self._n_asked = random.randrange(1 << 16)
 
@@ -136,16 +138,26 @@
             self._servers_asked_at = now
             self._ask(SERVERS_PATH, self._next_of(givers))
 
-    def ask_for_changes(self, offset: int, *, era: int, now: float) -> None:
-        """Ask a host of the zone for what this one missed, or else another host."""
-        if now - self._changes_asked_at < CHANGES_RETRY:
+    def ask_for_changes(self, offset: int, *, era: int, giver: str, now: float) -> None:
+        """Ask for what this host missed of the backend servers.
+
+        Parameters
+        ----------
+        giver : str
+            Address of the host that told of it, which is asked first; the next time
+            another one of the zone is.
+        """
+        pause = now - self._changes_asked_at
+        if self._waits_for_changes or pause < CHANGES_RETRY:
             return
-        givers = self._knowing(self._words.near(now=now)) or self._knowing(
-            self._words.living(now=now)
-        )
-        if givers:
+        others = self._knowing(self._words.near(now=now))
+        self._n_changes_asked += 1
+        if others and (not giver or self._n_changes_asked % 2 == 0):
+            giver = self._next_of(others)
+        if giver:
             self._changes_asked_at = now
-            self._ask(changes_path(offset, era=era), self._next_of(givers))
+            self._waits_for_changes = True
+            self._ask(changes_path(offset, era=era), giver)
 
     def _knowing(self, words: Iterable[HostWord]) -> list[str]:
         """Return where hosts are asked that know all backend servers."""
@@ -178,12 +190,17 @@
         """Take note that a call has ended."""
         if call_id.startswith(f"{SERVERS_PATH} "):
             self._waits_for_servers = False
+        elif call_id.startswith(f"{SERVERS_PATH}/"):
+            self._waits_for_changes = False
 
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
         self._note_end(answer.id)
         if answer.status == BUSY:
             return
+        if answer.status == 404 and answer.id.startswith(f"{SERVERS_PATH}/"):
+            # It misses the same, and the next one is asked.
+            return
         if answer.status != 200:
             log_event(
                 "not_fetched",
--- a/ryelever/host_offers.py
+++ b/ryelever/host_offers.py
@@ -64,6 +64,9 @@
         self._giving = PacedGiving(link_rate=link_rate)
         self._encoded = b""
         self._encoded_at = float("-inf")
+        # Hosts that are told of the same news ask for the same changes.
+        self._changes_key: tuple[int, int, int] = (-1, -1, -1)
+        self._encoded_changes = b""
 
     @handler("relayed_request")
     def _on_request(self, request: RelayedRequest) -> None:
@@ -99,4 +102,10 @@
             return self._document()
         place = read_changes_path(path)
         changes = self._changes(*place) if place is not None else None
-        return encode_servers(changes) if changes is not None else b""
+        if changes is None:
+            return b""
+        key = (changes.era, changes.start, changes.end)
+        if key != self._changes_key:
+            self._changes_key = key
+            self._encoded_changes = encode_servers(changes)
+        return self._encoded_changes
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -83,6 +83,10 @@
 #: Stands for a number that is not there, where all others are positive.
 ABSENT = -1
 
+#: Most datagrams of news.  While the groups of a large fleet form, some hundred come
+#: at once, of which a link drops what it can't carry; over a connection none is lost.
+MAX_NEWS_DATAGRAMS = 4
+
 #: Most bytes of records in one datagram, and what a record takes beside key and value.
 MAX_NEWS = 7000
 RECORD_OVERHEAD = 32
@@ -195,7 +199,8 @@
     """Return news as datagrams, each of which follows the one before.
 
     A domain that goes dark changes dozens of records at once.  Were they not passed on
-    for their length, all hosts would read the store at that moment.
+    for their length, all hosts would read the store at that moment.  Where they are
+    too many, one datagram says so.
     """
     parts: list[list[KeyedRecord]] = [[]]
     size = 0
@@ -205,6 +210,8 @@
             parts.append([])
             size = _size(record)
         parts[-1].append(record)
+    if len(parts) > MAX_NEWS_DATAGRAMS and not news.reported:
+        return [_news_datagram(replace(news, records=[], to_fetch=True))]
     datagrams = []
     start = news.start
     for index, records in enumerate(parts):
@@ -245,6 +252,7 @@
         reported=news.reported,
         passedOn=news.passed_on,
         era=news.era,
+        toFetch=news.to_fetch,
     )
     message.records = [
         {"key": record.key, "value": record.value, "offset": record.offset}
@@ -317,6 +325,7 @@
         reported=message.reported,
         passed_on=message.passedOn,
         era=message.era,
+        to_fetch=message.toFetch,
         records=[
             KeyedRecord(key=item.key, value=bytes(item.value), offset=item.offset)
             for item in message.records
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -74,6 +74,8 @@
   passedOn @5 :Bool;
   # Era of the store that the offsets belong to.
   era @6 :UInt32;
+  # True where the sender is to be asked for the records, as they are many.
+  toFetch @7 :Bool;
 }
 
 # A datagram that a host takes, and sends on to some hosts of its zone.
--- a/ryelever/state/keyed_record.py
+++ b/ryelever/state/keyed_record.py
@@ -33,6 +33,11 @@
         Era of the store that the offsets belong to.
     passed_on : bool
         True where another host than the one that has read it sends it.
+    to_fetch : bool
+        True where the records are too many for datagrams, and whoever sends it is
+        asked for them.
+    giver : str
+        Address of the host that sent it; empty where that isn't known.
     """
 
     reader: str
@@ -42,3 +47,5 @@
     reported: bool = False
     passed_on: bool = False
     era: int = 0
+    to_fetch: bool = False
+    giver: str = ""
