Bound the orders to backend servers that are under way at once

Cause: a planner sent all orders that were due at once, each on a connection of its own: 1,000 to join where a zone has 1,000 servers, and while the list is silent a probe of each member of each group that forms, every 0.4 s. By arithmetic that is 2,500 probes a second, some 2 MB, of a link of 2.5 MB/s: the planner's own calls to the store failed to connect, the list stayed silent, and members whose answers were late counted as lost, so that it ended all groups and began anew.

What has waited is sent only if it still makes sense. Small fleets never have so many.

--- a/ryelever/coordination/groups/__init__.py
+++ b/ryelever/coordination/groups/__init__.py
@@ -3,6 +3,7 @@
 Records in the store say which groups there are; orders carry them out.
 """
 
+from .order_queue import OrderQueue
 from .orders import GroupOrder, OrderKind, OrderOutcome
 from .records import GroupRecord, Member
 from .zone_planner import AppendGroups, ZonePlanner
@@ -14,5 +15,6 @@
     "Member",
     "OrderKind",
     "OrderOutcome",
+    "OrderQueue",
     "ZonePlanner",
 ]
--- a/ryelever/coordination/groups/keeper.py
+++ b/ryelever/coordination/groups/keeper.py
@@ -127,6 +127,15 @@
                 orders += self._ending(kept, now=now)
         return orders
 
+    def wants(self, order: GroupOrder) -> bool:
+        """Tell whether an order that has not been sent yet is still to be sent."""
+        if not order.group:
+            return True
+        kept = self.kept(order.group, order.epoch)
+        if order.kind in (OrderKind.JOIN, OrderKind.OPEN):
+            return kept is not None and kept.phase is GroupPhase.FORMING
+        return kept is not None or order.kind is not OrderKind.PROBE
+
     def suspect(self, heads: set[str]) -> None:
         """Take the heads whose groups stand still, as any host sees them."""
         for kept in self.kept_by_name.values():
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -9,7 +9,13 @@
 
 from circuits import BaseComponent, handler
 
-from .coordination.groups import AppendGroups, OrderKind, OrderOutcome, ZonePlanner
+from .coordination.groups import (
+    AppendGroups,
+    OrderKind,
+    OrderOutcome,
+    OrderQueue,
+    ZonePlanner,
+)
 from .coordination.topic import TopicFollower
 from .events import (
     OutboundAnswer,
@@ -80,6 +86,7 @@
         self._still = still
         self._ids = itertools.count(1)
         self._asked_by_id: dict[str, tuple[str, GroupOrder]] = {}
+        self._orders = OrderQueue()
         self._followers_by_zone: dict[str, TopicFollower] = {}
         self.planners_by_zone: dict[str, ZonePlanner] = {}
 
@@ -126,9 +133,10 @@
             planner.keeper.suspect(still)
             orders, append = planner.look(now=now)
             for order in orders:
-                self._give(zone, order)
+                self._orders.add(zone, order)
             if append is not None:
                 self._append(zone, append)
+        self._give_due()
 
     def _settle_lead(self, zone: str) -> None:
         planning = zone in self.planners_by_zone
@@ -215,6 +223,18 @@
 
     # Orders
 
+    def _give_due(self) -> None:
+        for zone, order in self._orders.due(is_wanted=self._is_wanted):
+            self._give(zone, order)
+
+    def _is_wanted(self, zone: str, order: GroupOrder) -> bool:
+        """Tell whether an order that has waited still makes sense.
+
+        One to join a group that has ended meanwhile would tie up its member.
+        """
+        planner = self.planners_by_zone.get(zone)
+        return planner is not None and planner.keeper.wants(order)
+
     def _give(self, zone: str, order: GroupOrder) -> None:
         order_id = f"order-{next(self._ids)}"
         self._asked_by_id[order_id] = (zone, order)
@@ -250,6 +270,7 @@
 
     def _take_outcome(self, order_id: str, outcome: OrderOutcome) -> None:
         zone, order = self._asked_by_id.pop(order_id)
+        self._orders.ended()
         log_event(
             "order_answered",
             order=order.kind.value,
@@ -262,3 +283,4 @@
         planner = self.planners_by_zone.get(zone)
         if planner is not None and order.group:
             planner.keeper.answered(order, outcome, now=time.monotonic())
+        self._give_due()
--- a/tests/test_coordination/test_groups/test_group_keeper.py
+++ b/tests/test_coordination/test_groups/test_group_keeper.py
@@ -660,3 +660,17 @@
     members.now = 1.3
     members.restart("c", started_at=2)
     assert not members.keeper.seems_lost("c", now=1.4)
+
+
+def test_an_order_that_waited_is_not_sent_to_a_group_that_ends(
+    members: Members,
+) -> None:
+    """Guard against a member that joins a group which serves nobody any more."""
+    members.keeper.put(GROUP, now=0.0)
+    joins = members.orders(0.0)
+    assert all(members.keeper.wants(order) for order in joins)
+    members.report(GROUP, GroupState.JOINING, "a")
+    members.keeper.end(GROUP.name, "wrong_size", now=0.1)
+    assert not any(members.keeper.wants(order) for order in joins)
+    [leave] = members.orders(0.2)
+    assert (leave.kind, members.keeper.wants(leave)) == (LEAVE, True)
--- /dev/null
+++ b/tests/test_coordination/test_groups/test_order_queue.py
@@ -0,0 +1,75 @@
+"""Test how many orders to backend servers are under way at once."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryelever.coordination.groups import GroupOrder, OrderKind, OrderQueue
+from ryelever.coordination.groups.order_queue import MAX_IN_FLIGHT
+
+
+def _order(kind: OrderKind, number: int) -> GroupOrder:
+    return GroupOrder(
+        kind=kind, server_id=f"i{number}", address="10.0.0.1:80", group="g", epoch=1
+    )
+
+
+@given(
+    rounds=st.lists(
+        st.tuples(
+            st.lists(
+                st.tuples(st.sampled_from(OrderKind), st.integers(0, 400)), max_size=200
+            ),
+            st.integers(0, 100),
+        ),
+        max_size=8,
+    )
+)
+def test_orders_wait_and_none_is_lost(
+    rounds: list[tuple[list[tuple[OrderKind, int]], int]],
+) -> None:
+    """Guard against a thousand orders at once, whose answers come too late."""
+    queue = OrderQueue()
+    given_to: set[tuple[OrderKind, int]] = set()
+    sent: set[tuple[OrderKind, int]] = set()
+    n_in_flight = 0
+
+    def send() -> int:
+        due = queue.due(is_wanted=lambda zone, order: True)
+        sent.update((order.kind, int(order.server_id[1:])) for _, order in due)
+        return len(due)
+
+    for orders, n_ended in rounds:
+        for kind, number in orders:
+            queue.add("z", _order(kind, number))
+        given_to.update(orders)
+        n_in_flight += send()
+        assert n_in_flight <= MAX_IN_FLIGHT
+        for _ in range(min(n_ended, n_in_flight)):
+            queue.ended()
+            n_in_flight -= 1
+    while queue.n_waiting:
+        for _ in range(n_in_flight):
+            queue.ended()
+        n_in_flight = send()
+    assert sent == given_to
+
+
+def test_what_frees_servers_goes_before_probes() -> None:
+    """Guard against groups that end late since others are probed."""
+    queue = OrderQueue()
+    for number in range(MAX_IN_FLIGHT):
+        queue.add("z", _order(OrderKind.PROBE, number))
+    queue.add("z", _order(OrderKind.JOIN, 1))
+    queue.add("z", _order(OrderKind.LEAVE, 2))
+    kinds = [order.kind for _, order in queue.due(is_wanted=lambda zone, order: True)]
+    assert kinds[:3] == [OrderKind.LEAVE, OrderKind.JOIN, OrderKind.PROBE]
+
+
+def test_an_order_that_makes_no_sense_any_more_is_dropped() -> None:
+    """Guard against a server that joins a group which ended while the order waited."""
+    queue = OrderQueue()
+    queue.add("z", _order(OrderKind.JOIN, 1))
+    assert queue.due(is_wanted=lambda zone, order: False) == []
+    assert queue.n_waiting == 0
--- a/tests/test_coordination/test_host_words.py
+++ b/tests/test_coordination/test_host_words.py
@@ -23,6 +23,7 @@
 from ryelever.protocol.host_words import (
     COMPRESSED_NEWS,
     MAX_DATAGRAM,
+    MAX_NEWS_DATAGRAMS,
     decode_datagram,
     decode_servers,
     encode_news,
@@ -149,11 +150,25 @@
         for offset in range(100)
     ]
     news = ServerNews(reader="a", start=0, end=100, records=records)
-    datagrams = encode_news(news)
+    [datagram] = encode_news(news)
+    assert decode_datagram(datagram, peer="a").to_fetch
+    fetched = encode_servers(news)
+    assert decode_servers(fetched, peer="a").ok.records == records
+    link_bytes = 10e6 / 8
+    assert 38 * (len(datagram) + len(fetched)) < 0.3 * link_bytes
+
+
+def test_news_of_a_few_servers_follow_each_other() -> None:
+    """Guard against records that fall between two datagrams."""
+    records = [
+        KeyedRecord(key=f"i{offset}", value=b"e" * 450, offset=offset)
+        for offset in range(3, 50)
+    ]
+    datagrams = encode_news(ServerNews(reader="a", start=3, end=50, records=records))
     parts = [decode_datagram(item, peer="a") for item in datagrams]
     assert [record for part in parts for record in part.records] == records
-    link_bytes = 10e6 / 8
-    assert 38 * sum(map(len, datagrams)) < 0.3 * link_bytes
+    assert [part.start for part in parts] == [3, *(part.end for part in parts[:-1])]
+    assert 1 < len(parts) <= MAX_NEWS_DATAGRAMS
 
 
 def test_a_short_datagram_unpacks_to_no_more_than_its_bound() -> None:
