--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -5,15 +5,14 @@
 import time
 from typing import TYPE_CHECKING
 
-import msgspec
 from circuits import BaseComponent, handler
 
 from .coordination.change_history import ChangeHistory
 from .coordination.evacuations import OperatorPlace
-from .coordination.listing_turn import UNANNOUNCED, is_turn_to_list
 from .coordination.overtaken_records import OvertakenRecords
 from .coordination.removals import Removals
 from .coordination.said_records import SaidRecords
+from .coordination.server_reading import ServerReading
 from .coordination.topic import BUSY_WAIT, TopicFollower
 from .events import (
     directory_changed,
@@ -51,20 +50,6 @@
 #: is as of some tenths of a second ago.
 LIST_SILENCE = 1.0
 
-#: Seconds for which a host that missed a part of what another one has read waits for
-#: others to give it, before it reads the store itself: the first of a zone, and the
-#: others, which are given it by these.
-GAP_PATIENCE = 1.0
-OTHERS_GAP_PATIENCE = 4.0
-
-#: Seconds without news for which a host leaves the reading to the readers of its zone.
-#: Where the one that reads is lost, another one of them begins within half of it.
-RESTS_WITHOUT_NEWS = 2.0
-
-#: The same after which it takes the store for lost, as far as entries that lapse are
-#: concerned: before it reads the store itself, it can't know.
-SILENT_OUTAGE = 1.8
-
 #: Seconds after the store's return from an older copy within which all servers that
 #: reach it have written their entries again.
 ENTRIES_WRITTEN_AGAIN = 3.0
@@ -86,13 +71,6 @@
 ANNOUNCE_RETRY = 1.0
 
 
-class _Behind(msgspec.Struct, kw_only=True, frozen=True):
-    """Say since when this host misses news, and which host has told of them."""
-
-    since: float
-    giver: str
-
-
 class FleetDirectory(BaseComponent):
     """Own what is read from the store.
 
@@ -149,26 +127,28 @@
         self._said = SaidRecords()
         self._unreadable: set[str] = set()
         self._history = ChangeHistory()
-        self._behind: _Behind | None = None
-        self._silent_at = float("-inf")
-        self._reached_since: float | None = None
+        self._reading = ServerReading(
+            host=settings.host,
+            zone=settings.availability_zone,
+            words=words,
+            servers=self.servers,
+            hosts=self.hosts,
+            started_at=time.monotonic(),
+        )
         self.fetch = HostFetch(
             words=words,
             take_configuration=self.take_configuration,
             take_servers=self._take_given_servers,
             take_changes=self._take_changes,
         ).register(self)
-        self._started_at = time.monotonic()
         self._announced_at = float("-inf")
         self._acknowledged_at: float | None = None
-        # When the other hosts of the zone were known, this one among them.
-        self._hosts_known_at: float | None = None
         # Servers whose entries in a copy of the store are older than what is known.
         self._known_better: set[str] = set()
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
-        self.hosts.defers_listing = self.servers.defers_listing = True
+        self._reading.begin()
         self._store.follow(self.configuration, self._take_configuration)
         self._store.follow(self.servers, self._take_servers)
         self._store.follow(self.hosts, self._take_hosts)
@@ -202,25 +182,7 @@
 
     def _settle_listing(self, *, now: float) -> None:
         """Let this host list the backend servers itself once it is its turn."""
-        if self._hosts_known_at is None:
-            unannounced = now - self._started_at < UNANNOUNCED
-            self.hosts.defers_listing = self._acknowledged_at is None and unannounced
-            acknowledged_at = self._acknowledged_at
-            if acknowledged_at is not None and self.hosts.listed_at > acknowledged_at:
-                self._hosts_known_at = now
-        if self.servers.defers_listing:
-            zone = self._settings.availability_zone
-            self.servers.defers_listing = not is_turn_to_list(
-                self._settings.host,
-                [
-                    address.host
-                    for address in self._words.addresses_by_host.values()
-                    if address.availability_zone == zone
-                ],
-                known_at=self._hosts_known_at,
-                started_at=self._started_at,
-                now=now,
-            )
+        self._reading.settle_listing(acknowledged_at=self._acknowledged_at, now=now)
 
     @handler("store_returned")
     def _on_store_returned(self) -> None:
@@ -255,35 +217,18 @@
             acknowledged_at is not None and self.hosts.asked_at > acknowledged_at
         )
         self.hosts.rests = not reads and knows_all
-        self._rest_from_servers(
-            reads=reads if is_reachable else self._words.is_among_first(now=now),
+        self._reading.rest_or_read(
+            reads=reads,
             is_reachable=is_reachable,
+            told_at=self._store.passed_on_at,
+            read_at=self._read_at,
             now=now,
         )
 
-    def _rest_from_servers(
-        self, *, reads: bool, is_reachable: bool, now: float
-    ) -> None:
-        """Leave reading what all servers write to the readers, as long as they tell.
-
-        It takes half of a link of 20 Mbit/s in a fleet of 3,000.  After an outage each
-        host would read all that was written meanwhile; so the readers begin.
-        """
-        if not is_reachable:
-            self._reached_since = None
-        elif self._reached_since is None:
-            self._reached_since = now
-        told_at = max(self._store.passed_on_at, self._reached_since or now)
-        self.servers.rests = (
-            not reads and self.servers.is_current and now - told_at < RESTS_WITHOUT_NEWS
-        )
-        if self.servers.rests and now - self._read_at > SILENT_OUTAGE:
-            self._silent_at = now
-
     def _note_reads(self) -> None:
         self._removals.note_reads(
             answered_at=self._read_at,
-            failed_at=max(self.servers.failed_at, self._silent_at),
+            failed_at=max(self.servers.failed_at, self._reading.silent_at),
         )
         self._removals.note_return(self._store.returned_at)
 
@@ -422,7 +367,7 @@
                 end=passed_on.end,
                 era=passed_on.era,
             )
-            self._behind = None
+            self._reading.caught_up()
             self.fire(server_news(passed_on), "exchange")
         if news.complete:
             self._overtaken.take_listing(news.records, end=self.servers.offset)
@@ -456,11 +401,13 @@
             return
         self._store.note_era(news.era, peer=news.reader, now=now)
         if self.servers.is_behind(news):
-            self._note_missed(news, now=now)
+            self._reading.note_missed(news, now=now)
+            self._store.heard(now=now)
+            self._ask_for_missed(now=now)
             return
         yields = news.reader < self._settings.host
         if self._take_part(news, yields=yields, now=now):
-            self._behind = None
+            self._reading.caught_up()
             self._store.heard(now=now)
 
     def _take_part(self, news: ServerNews, *, yields: bool, now: float) -> bool:
@@ -486,33 +433,12 @@
         self._take_listed(records, now=now)
         return True
 
-    def _note_missed(self, news: ServerNews, *, now: float) -> None:
-        """Take note of news of which this host misses something.
-
-        The store has it too, with all that says nothing new: one host that misses a
-        datagram would read a thousand times as much, and all that missed it would fill
-        the store's link and their own.
-        """
-        since = now if self._behind is None else self._behind.since
-        self._behind = _Behind(since=since, giver=news.giver)
-        if news.reader < self._settings.host:
-            self.servers.leave_to_others(now=now)
-        self._store.heard(now=now)
-        self._ask_for_missed(now=now)
-
     def _ask_for_missed(self, *, now: float) -> None:
-        """Ask others of the zone for what is missed, or the store in the end."""
-        behind = self._behind
-        if behind is None:
-            return
-        is_first = self._words.is_among_first(now=now)
-        patience = GAP_PATIENCE if is_first else OTHERS_GAP_PATIENCE
-        if now - behind.since > patience:
-            self.servers.read_on()
-            return
-        self.fetch.ask_for_changes(
-            self.servers.offset, era=self.servers.era, giver=behind.giver, now=now
-        )
+        giver = self._reading.giver(now=now)
+        if giver is not None:
+            self.fetch.ask_for_changes(
+                self.servers.offset, era=self.servers.era, giver=giver, now=now
+            )
 
     def _take_changes(self, news: ServerNews) -> None:
         """Take what another host has kept of what this one missed."""
@@ -521,7 +447,7 @@
         known_to = self.servers.offset
         self._take_part(news, yields=False, now=now)
         if self.servers.offset > known_to:
-            self._behind = None
+            self._reading.caught_up()
 
     def changes_since(self, offset: int, era: int) -> ServerNews | None:
         """Return what changed of the backend servers, or None where it isn't known."""
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -13,13 +13,13 @@
 from ryelever.coordination.listing_turn import LISTERS
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
 from ryelever.coordination.said_records import REPORTED_FOR
+from ryelever.coordination.server_reading import RESTS_WITHOUT_NEWS
 from ryelever.coordination.topic import TopicNews
 from ryelever.events import OutboundAnswer, OutboundRequest
 from ryelever.fleet_directory import (
     ENTRIES_WRITTEN_AGAIN,
     LIST_SILENCE,
     MAX_GIVEN,
-    RESTS_WITHOUT_NEWS,
     SERVERS_INTERVAL,
     FleetDirectory,
 )
