--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -10,7 +10,7 @@
 
 from ryelever.coordination.evacuations import Evacuations
 from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
-from ryelever.coordination.listing_turn import LISTERS
+from ryelever.coordination.listing_turn import LISTERS, TURN, UNANNOUNCED
 from ryelever.coordination.removals import ENTRIES_BACK, OUTAGE
 from ryelever.coordination.said_records import REPORTED_FOR
 from ryelever.coordination.server_reading import RESTS_WITHOUT_NEWS
@@ -376,15 +376,21 @@
     assert other.directory.by_id["i2"].group is not None
 
 
-def test_a_host_that_nobody_gives_the_list_gets_it_from_the_store(clock: Clock) -> None:
-    """Guard against a host that waits for others that are lost."""
-    host = Host("x")
-    _start_among(host, [f"h{index}" for index in range(LISTERS + 2)])
+def _listing_calls(host: Host, clock: Clock, *, seconds: float) -> list[LogCall | None]:
+    """Return the calls that a host makes to list the servers, tick after tick."""
     calls = []
-    for _ in range(12):
+    for _ in range(round(10 * seconds)):
         host.fleet._on_tick()
         calls.append(host.fleet.servers.next_call(now=clock.now))
         clock.now += 0.1
+    return calls
+
+
+def test_a_host_that_nobody_gives_the_list_gets_it_from_the_store(clock: Clock) -> None:
+    """Guard against a host that waits for others that are lost."""
+    host = Host("x")
+    _start_among(host, [f"h{index}" for index in range(LISTERS + 2)])
+    calls = _listing_calls(host, clock, seconds=4 * TURN)
     assert calls[0] is None and any(calls)
 
 
@@ -392,11 +398,7 @@
     """Guard against a host that waits to be entered in a store that is away."""
     host = Host("x")
     host.fleet._on_started()
-    calls = []
-    for _ in range(12):
-        host.fleet._on_tick()
-        calls.append(host.fleet.servers.next_call(now=clock.now))
-        clock.now += 0.1
+    calls = _listing_calls(host, clock, seconds=UNANNOUNCED + 0.2)
     assert calls[0] is None and any(calls)
 
 
@@ -409,15 +411,7 @@
     """
     giver, other = Host("a"), Host("b")
     giver.listed(_put("i1", 0), _put("i2", 1), end=2)
-    word = HostWord(
-        host="a",
-        availability_zone="z",
-        boot=1,
-        sequence=1,
-        reads_store=False,
-        stopping=False,
-        configuration_version=7,
-    )
+    word = _word_of("a", reads_store=False, knows_servers=False)
     other.fleet._words.take(word, address="10.0.0.7:7000", now=clock.now)
     other.fleet._on_tick()
     assert [ask for ask in other.asked if ask.path == SERVERS_PATH] == []
@@ -477,15 +471,7 @@
     them, though the store was giving them.
     """
     host = Host("b")
-    word = HostWord(
-        host="a",
-        availability_zone="z",
-        boot=1,
-        sequence=1,
-        reads_store=True,
-        stopping=False,
-        configuration_version=7,
-    )
+    word = _word_of("a", knows_servers=False)
     follower = host.fleet.servers
     for number in range(20):
         clock.now += 0.4
