--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ryelever.coordination.quarantine import Quarantine
+from ryelever.coordination.soft_state.exchange import LIVE_AGE
 from ryelever.events import Datagram
 from ryelever.metrics import Metrics
 from ryelever.peering import Peering
@@ -51,6 +52,8 @@
 
     def __init__(self, clock: Clock, *, seed: int, settle: float = 0.0) -> None:
         self._clock = clock
+        self.loss = 0.0
+        self._losses = random.Random(seed)
         self._paused_until: dict[str, float] = {}
         self.quarantines = {
             address: self._quarantine(address, settle=settle) for address in HOSTS
@@ -115,6 +118,8 @@
 
     def _send(self, sender: str, datagrams: list[Datagram]) -> None:
         for item in datagrams:
+            if self._losses.random() < self.loss:
+                continue
             taken = Datagram(address=sender, data=item.data)
             take = self._peerings[item.address]._on_peers_received
             self.do(
@@ -169,3 +174,28 @@
         assert second_view.verdict("bystander", now=clock.now) is None
     for view in pair.quarantines.values():
         assert view.verdict("poison", now=clock.now) is not None
+
+
+@pytest.mark.parametrize(
+    ("pause", "loss"), [(0.0, 0.8), (1.5, 0.0), (1.5, 0.8), (2.5, 0.8)]
+)
+@pytest.mark.parametrize("seed", range(10))
+def test_a_caller_is_refused_only_once_the_other_host_knows(
+    monkeypatch: pytest.MonkeyPatch, seed: int, pause: float, loss: float
+) -> None:
+    """Guard against a poison request that a host runs after another refused it."""
+    clock = Clock()
+    monkeypatch.setattr("ryelever.peering.time", clock)
+    pair = Pair(clock, seed=seed, settle=SUSPICION_SETTLE)
+    clock.run(clock.now + 10.0 + random.Random(seed).uniform(0.0, 2.0))
+    (_, first_view), (second, second_view) = pair.quarantines.items()
+    pair.pause(second, seconds=pause)
+    pair.loss = loss
+    for target in ("group-1", "group-2"):
+        first_view.crashed(target, ["poison"], now=clock.now)
+    crashed_at = clock.now
+    while first_view.verdict("poison", now=clock.now) is None:
+        clock.run(clock.now + TICK / 10)
+        assert clock.now < crashed_at + (2 * LIVE_AGE) + 1.0
+    waited = clock.now - crashed_at
+    assert second_view.is_held("poison", now=clock.now) or waited >= LIVE_AGE
