--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
@@ -67,6 +68,10 @@
 #: makes up keys would fill the memory otherwise.
 MAX_UNREADABLE = 1000
 
+#: Servers that change at once of which each gets a line.  While the groups of a large
+#: fleet form, lines for all of them on all hosts cost as much as taking the changes.
+MAX_LOGGED = 50
+
 #: Seconds after which this host writes its address again if it got no answer.
 ANNOUNCE_RETRY = 1.0
 
@@ -509,7 +514,8 @@
         }
         fresh = [record for record in records if record.offset not in overtaken]
         told = {record.offset for record in self._take_shown(fresh, now=now)}
-        return [record for record in records if record.offset in told | overtaken]
+        told |= overtaken
+        return [record for record in records if record.offset in told]
 
     def _take_shown(
         self, records: list[KeyedRecord], *, now: float
@@ -558,6 +564,9 @@
         self, records: list[KeyedRecord], *, now: float
     ) -> list[KeyedRecord]:
         """Take records of backend servers; return those that say anything new."""
+        known = {
+            record.key: self._directory.by_id.get(record.key) for record in records
+        }
         changes = []
         for record in records:
             if not record.value:
@@ -565,6 +574,7 @@
                 changes.append(record)
             elif self._take_server(record.key, record.value, now=now):
                 changes.append(record)
+        self._log_changes(known)
         if changes:
             self.fire(directory_changed(), "relay")
         return changes
@@ -590,12 +600,24 @@
         self._unreadable.discard(server_id)
         is_back = self._removals.discard(server_id)
         self._data_by_server[server_id] = data
-        server = read.ok
-        old = self._directory.by_id.get(server_id)
-        if not self._directory.put(server, now=now):
-            return is_back
-        _log_change(old, server)
-        return True
+        return self._directory.put(read.ok, now=now) or is_back
+
+    def _log_changes(self, known_by_id: dict[str, BackendServer | None]) -> None:
+        """Log what is new of some servers, as they were known before."""
+        changes = [
+            (old, server)
+            for server_id, old in known_by_id.items()
+            if (server := self._directory.by_id.get(server_id)) is not old
+            and _is_worth_a_line(old, server)
+        ]
+        if len(changes) <= MAX_LOGGED:
+            for old, server in changes:
+                _log_change(old, server)
+            return
+        n_by_state = Counter(
+            server.group.state.value if server.group else "" for _, server in changes
+        )
+        log_event("servers_changed", n=len(changes), n_by_state=dict(n_by_state))
 
     def _note_unreadable(self, server_id: str, message: str) -> bool:
         """Log what is wrong with an entry; tell whether the one before was readable."""
@@ -644,13 +666,14 @@
             self._store.ask_now(self.hosts)
 
 
+def _is_worth_a_line(old: BackendServer | None, server: BackendServer) -> bool:
+    return old is None or old.draining != server.draining or old.group != server.group
+
+
 def _log_change(old: BackendServer | None, server: BackendServer) -> None:
     group = server.group
-    known = old is not None
-    if known and old.draining == server.draining and old.group == group:
-        return
     log_event(
-        "server_changed" if known else "server_found",
+        "server_found" if old is None else "server_changed",
         server=server.id,
         draining=server.draining,
         group=group.name if group else "",
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -77,6 +77,7 @@
     "model": "name of a model",
     "ms": "milliseconds since the request arrived",
     "n": "how many",
+    "n_by_state": "how many, by state in their group; empty for none",
     "n_crashes": "crashes of backend servers that the request was in, over all hosts",
     "n_groups": "groups that serve or are being formed, by model",
     "n_by_reason": "how many, by phase of their group or models that they can join",
@@ -315,6 +316,9 @@
     ),
     "server_changed": _info("a backend server's entry has changed", *_SERVER),
     "server_found": _info("a backend server is new in the list", *_SERVER),
+    "servers_changed": _info(
+        "many backend servers have changed at once", "n", "n_by_state"
+    ),
     "server_gone": _info("a backend server's entry is gone", "server"),
     "server_limited": _info(
         "the rate limit that a backend server's answer names has changed",
--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+from functools import lru_cache
 from typing import TYPE_CHECKING, Annotated, Literal
 
 import msgspec
@@ -31,6 +32,9 @@
 #: by which records differ from one heartbeat to the next.
 _REPORTED = ("models", "domain", "staged", "group", "born")
 
+#: Addresses of servers that are known to be well formed.
+MAX_ADDRESSES = 4096
+
 _KINDS = {
     "safe": RouteKind.IDEMPOTENT,
     "unsafe": RouteKind.AT_MOST_ONCE,
@@ -153,10 +157,22 @@
     group: ReportedGroup | None = None
 
     def __post_init__(self) -> None:
-        ip, _, port = self.address.rpartition(":")
-        ipaddress.IPv4Address(ip)
-        if not (port.isdecimal() and 0 < int(port) < 65536):
-            raise ValueError(f"expected an address with a port, found {self.address}")
+        _check_address(self.address)
+
+
+@lru_cache(maxsize=MAX_ADDRESSES)
+def _check_address(address: str) -> None:
+    """Check an address, which stays the same in all entries of a server.
+
+    Raises
+    ------
+    ValueError
+        If it isn't one of IPv4 with a port.
+    """
+    ip, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(ip)
+    if not (port.isdecimal() and 0 < int(port) < 65536):
+        raise ValueError(f"expected an address with a port, found {address}")
 
 
 def read_configuration(data: bytes, *, peer: str) -> Result[RouteTable, RyeleverError]:
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -8,6 +8,7 @@
 import pytest
 from msgspec.structs import replace
 
+from ryelever import fleet_directory
 from ryelever.coordination.evacuations import Evacuations
 from ryelever.coordination.host_words import HostAddress, HostWord, HostWords
 from ryelever.coordination.listing_turn import LISTERS, TURN, UNANNOUNCED
@@ -20,6 +21,7 @@
     ENTRIES_WRITTEN_AGAIN,
     LIST_SILENCE,
     MAX_GIVEN,
+    MAX_LOGGED,
     SERVERS_INTERVAL,
     FleetDirectory,
 )
@@ -282,6 +284,25 @@
     assert len(answer.body) < 900 * 100
 
 
+def test_many_changes_at_once_are_one_line(
+    clock: Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against hosts that are busy writing lines while a large fleet starts."""
+    lines: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(
+        fleet_directory,
+        "log_event",
+        lambda event, **fields: lines.append((event, fields)),
+    )
+    host = Host("a")
+    host.listed(*(_put(f"i{n}", n) for n in range(MAX_LOGGED)), end=900)
+    assert [event for event, _ in lines] == ["server_found"] * MAX_LOGGED
+    lines.clear()
+    group = {"name": "g", "epoch": 3, "rank": 0, "state": "ready"}
+    host.read(*(_put(f"i{n}", 900 + n, group=group) for n in range(800)), end=1700)
+    assert lines == [("servers_changed", {"n": 800, "n_by_state": {"ready": 800}})]
+
+
 def test_hosts_that_missed_the_same_read_the_store(clock: Clock) -> None:
     """Guard against hosts that wait for each other while servers change unseen."""
     reader, giver, other = Host("a"), Host("b"), Host("c")
