Make one piece of what the change wrote twice, and send a spread in one event

What one host tells a zone by way of others was one event for each receiver, in small zones as well, where all datagrams travelled in one event before; they do again. The hosts of a zone were picked in three places, and counted before this host in two; HostWords does it once. The status of a host that is busy giving stood in who gives and in who asks; it belongs to the protocol. What a call asked for was read from its id in three places. Behaviour stays as it is.

--- a/ryelever/coordination/fan_out.py
+++ b/ryelever/coordination/fan_out.py
@@ -7,9 +7,8 @@
 __all__ = ["MAX_RECEIVERS", "Relayer", "fan_out"]
 
 #: Hosts that one host sends a datagram to itself.  With more of them, some send it on:
-#: a hundred copies of what all servers of a large fleet say while groups form are
-#: more than a link of 20 Mbit/s carries, and with ten times ten no link carries more
-#: than ten.
+#: a link of 20 Mbit/s doesn't carry a copy for each of a hundred hosts while the groups
+#: of a large fleet form.
 MAX_RECEIVERS = 12
 
 
--- a/ryelever/coordination/host_words.py
+++ b/ryelever/coordination/host_words.py
@@ -11,6 +11,8 @@
 from .evacuations import OperatorPlace
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..state.observations import RateLimitRow, SuspicionRow
 
 __all__ = ["HostAddress", "HostWord", "HostWords", "news_of"]
@@ -243,6 +245,17 @@
         """Return the host that spoke last for another zone, if one ever did."""
         return self._speaker_by_zone.get(zone)
 
+    def hosts_of(self, zone: str) -> list[str]:
+        """Return the known hosts of a zone by name, this one included if it is known.
+
+        A host that is cut off or lost is known, as the store lists it.
+        """
+        return sorted(
+            address.host
+            for address in self.addresses_by_host.values()
+            if address.availability_zone == zone
+        )
+
     def near(self, *, now: float) -> list[HostWord]:
         """Return the newest words of the other hosts of this zone.
 
@@ -361,17 +374,19 @@
         """
         if not reads_store:
             return True
-        before = [
-            word
-            for word in self.near(now=now)
-            if word.reads_store and not word.stopping and word.host < self._host
-        ]
-        return len(before) < READERS
+        return self._is_among_first(
+            word for word in self.near(now=now) if word.reads_store
+        )
 
     def is_among_first(self, *, now: float) -> bool:
         """Tell whether this host would read for its zone if none reached the store."""
-        near = self.near(now=now)
-        before = [item for item in near if not item.stopping and item.host < self._host]
+        return self._is_among_first(self.near(now=now))
+
+    def _is_among_first(self, words: Iterable[HostWord]) -> bool:
+        """Tell whether fewer than two of some hosts that stay come before this one."""
+        before = [
+            word for word in words if not word.stopping and word.host < self._host
+        ]
         return len(before) < READERS
 
     def plans_for(
--- a/ryelever/coordination/server_reading.py
+++ b/ryelever/coordination/server_reading.py
@@ -121,11 +121,7 @@
         if self._servers.defers_listing:
             self._servers.defers_listing = not is_turn_to_list(
                 self._host,
-                [
-                    address.host
-                    for address in self._words.addresses_by_host.values()
-                    if address.availability_zone == self._zone
-                ],
+                self._words.hosts_of(self._zone),
                 known_at=self._hosts_known_at,
                 started_at=self._started_at,
                 now=now,
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -169,8 +169,8 @@
         data = encode_word(summary)
         for zone in self._far_zones():
             # Who spoke last may be lost, so that another one is told as well.
-            others = self._hosts_of(zone)
-            told = {others[self._sequence // FAR_WORDS % len(others)].host}
+            others = self._words.hosts_of(zone)
+            told = {others[self._sequence // FAR_WORDS % len(others)]}
             told.add(self._words.speaker(zone) or "")
             self._send(data, told)
 
@@ -219,7 +219,7 @@
     def _pass_on(self, news: ServerNews) -> None:
         """Tell this zone, and one host of each other one."""
         told = {
-            self._words.speaker(zone) or self._hosts_of(zone)[0].host
+            self._words.speaker(zone) or self._words.hosts_of(zone)[0]
             for zone in self._far_zones()
         }
         for data in encode_news(news):
@@ -234,16 +234,10 @@
         }
         return sorted(zones - {self._settings.availability_zone})
 
-    def _hosts_of(self, zone: str) -> list[HostAddress]:
-        hosts = self._words.addresses_by_host.values()
-        found = [item for item in hosts if item.availability_zone == zone]
-        return sorted(found, key=lambda item: item.host)
-
     def _near_hosts(self) -> list[str]:
         """Return the other hosts of this zone, sorted."""
-        addresses = self._words.addresses_by_host.values()
-        near = {address.host for address in addresses if self._is_near(address)}
-        return sorted(near - {self._settings.host})
+        hosts = self._words.hosts_of(self._settings.availability_zone)
+        return [host for host in hosts if host != self._settings.host]
 
     def _is_near(self, address: HostAddress) -> bool:
         return address.availability_zone == self._settings.availability_zone
@@ -256,9 +250,14 @@
         """
         living = {word.host for word in self._words.near(now=time.monotonic())}
         self._n_spread += 1
-        for relayer in fan_out(self._near_hosts(), living=living, turn=self._n_spread):
-            relayed = encode_relayed(data, relayer.hosts) if relayer.hosts else data
-            self._send(relayed, [relayer.host])
+        relayers = fan_out(self._near_hosts(), living=living, turn=self._n_spread)
+        self._send_each(
+            (
+                item.host,
+                encode_relayed(data, item.hosts) if item.hosts else data,
+            )
+            for item in relayers
+        )
 
     def _send_on(self, relayed: RelayedDatagram) -> None:
         """Send on what others of this zone are to hear by way of this host."""
@@ -266,10 +265,14 @@
 
     def _send(self, data: bytes, hosts: Iterable[str]) -> None:
         """Send one datagram to each of some hosts that are known."""
+        self._send_each((host, data) for host in hosts)
+
+    def _send_each(self, data_by_host: Iterable[tuple[str, bytes]]) -> None:
+        """Send each of some hosts that are known a datagram, all in one event."""
         by_host = self._words.addresses_by_host
         datagrams = [
             Datagram(address=by_host[host].address, data=data)
-            for host in hosts
+            for host, data in data_by_host
             if host in by_host
         ]
         if datagrams:
--- a/ryelever/host_fetch.py
+++ b/ryelever/host_fetch.py
@@ -16,6 +16,7 @@
 )
 from .logs import log_event, log_warning
 from .protocol.host_words import (
+    BUSY_STATUS,
     CONFIGURATION_PATH,
     SERVERS_PATH,
     changes_path,
@@ -35,9 +36,6 @@
 #: milliseconds, another host's some tens.
 ASKED_FIRST = 0.3
 
-#: Status of a host that gives the backend servers to others.
-BUSY = 503
-
 #: Seconds after which another entry host is asked again.
 FETCH_RETRY = 0.5
 
@@ -188,17 +186,17 @@
 
     def _note_end(self, call_id: str) -> None:
         """Take note that a call has ended."""
-        if call_id.startswith(f"{SERVERS_PATH} "):
-            self._waits_for_servers = False
-        elif call_id.startswith(f"{SERVERS_PATH}/"):
+        if _asks_for_changes(call_id):
             self._waits_for_changes = False
+        elif call_id.startswith(SERVERS_PATH):
+            self._waits_for_servers = False
 
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
         self._note_end(answer.id)
-        if answer.status == BUSY:
+        if answer.status == BUSY_STATUS:
             return
-        if answer.status == 404 and answer.id.startswith(f"{SERVERS_PATH}/"):
+        if answer.status == 404 and _asks_for_changes(answer.id):
             # It misses the same, and the next one is asked.
             return
         if answer.status != 200:
@@ -222,7 +220,7 @@
                 message=error.message,
             )
             return
-        if answer.id.startswith(f"{SERVERS_PATH}/"):
+        if _asks_for_changes(answer.id):
             self._take_changes(read.ok)
         else:
             self._take_servers(read.ok, answer.address)
@@ -236,3 +234,8 @@
             peer=failure.address,
             message=failure.error.message,
         )
+
+
+def _asks_for_changes(call_id: str) -> bool:
+    """Tell whether a call asks for what changed, and not for all servers."""
+    return call_id.startswith(f"{SERVERS_PATH}/")
--- a/ryelever/host_offers.py
+++ b/ryelever/host_offers.py
@@ -9,6 +9,7 @@
 
 from .coordination.paced_giving import PacedGiving
 from .protocol.host_words import (
+    BUSY_STATUS,
     CONFIGURATION_PATH,
     SERVERS_PATH,
     encode_servers,
@@ -86,7 +87,7 @@
     def _give_servers(self, *, now: float) -> tuple[int, bytes]:
         """Return status and body for a host that asks for all backend servers."""
         if not self._giving.is_free(now=now):
-            return 503, b""
+            return BUSY_STATUS, b""
         if now - self._encoded_at > ENCODED_FOR:
             servers = self._servers()
             if servers is None:
--- a/ryelever/protocol/host_words.py
+++ b/ryelever/protocol/host_words.py
@@ -23,6 +23,7 @@
     from collections.abc import Iterable
 
 __all__ = [
+    "BUSY_STATUS",
     "CONFIGURATION_PATH",
     "SERVERS_PATH",
     "RelayedDatagram",
@@ -44,6 +45,9 @@
 #: The same for what changed from an offset of an era on.
 _CHANGES = re.compile(rf"{SERVERS_PATH}/(\d{{1,10}})/(\d{{1,18}})")
 
+#: Status of a host that gives the backend servers to others and is to be asked again.
+BUSY_STATUS = 503
+
 #: First byte of a datagram: what follows.  A form that changes gets another letter, so
 #: that hosts of two versions, as while one replaces the other, misread nothing.
 WORD = b"s"
