Show which pauses backend servers ask for, and what is sent in spite of them

Answers' pauses and statements of leaving are decoded in the platform's folder. What is sent, and where, is as before.

--- a/ryelever/coordination/relaying/__init__.py
+++ b/ryelever/coordination/relaying/__init__.py
@@ -8,7 +8,13 @@
 from .balance import Balancer
 from .crashes import CrashWatch
 from .demand import DemandMeter, time_in_batch
-from .messages import AnswerHead, Headers, NamedLimit, RelayArrival
+from .messages import (
+    AnswerHead,
+    Headers,
+    NamedLimit,
+    RelayArrival,
+    RequestedPause,
+)
 from .requests import RelayRequests
 from .retry_budget import RelayRetryBudget
 from .stall_watch import StallWatch
@@ -26,6 +32,7 @@
     "RelayRefusal",
     "RelayRequests",
     "RelayRetryBudget",
+    "RequestedPause",
     "StallWatch",
     "time_in_batch",
 ]
--- a/ryelever/coordination/relaying/actions.py
+++ b/ryelever/coordination/relaying/actions.py
@@ -95,13 +95,17 @@
     All times are in seconds.
     """
 
-    def sent(self, *, is_retry: bool, limited: bool, waited: float) -> None:
+    def sent(
+        self, *, is_retry: bool, limited: bool, paused: bool, waited: float
+    ) -> None:
         """Record an attempt and the time since its request arrived.
 
         Parameters
         ----------
         limited : bool
             True if a rate limit applies to the backend server.
+        paused : bool
+            True if the backend server has asked for a pause that has not ended.
         """
 
     def first_event(self, seconds: float) -> None:
--- /dev/null
+++ b/ryelever/coordination/relaying/answer_notices.py
@@ -0,0 +1,60 @@
+"""Record what the heads of answers state about their backend servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .balance import Balancer
+    from .messages import AnswerHead
+    from .reports import RequestReports
+    from .request import RelayRequest
+
+__all__ = ["AnswerNotices"]
+
+
+class AnswerNotices:
+    """Record the rate limits and pauses that answers state, and log their changes."""
+
+    __slots__ = ("_balancer", "_reports")
+
+    def __init__(self, *, balancer: Balancer, reports: RequestReports) -> None:
+        self._balancer = balancer
+        self._reports = reports
+
+    def record(self, request: RelayRequest, head: AnswerHead, *, now: float) -> None:
+        """Record the statements of an answer from the server that was addressed."""
+        self._record_limit(request, head, now=now)
+        self._record_pause(request, head, now=now)
+        if head.leaving:
+            self._reports.server_leaving(request)
+
+    def _record_limit(
+        self, request: RelayRequest, head: AnswerHead, *, now: float
+    ) -> None:
+        """Record the rate limit in an answer, or that a former limit has ended."""
+        named = head.rate_limit
+        if named is None and not head.signed:
+            return
+        if named is not None and named.rate is None:
+            self._reports.limit_unreadable(request, named.text)
+            return
+        rate = None if named is None else named.rate
+        has_changed = self._balancer.limits.record_answer(
+            request.attempt.server_id, rate, sent_at=request.sent_at, now=now
+        )
+        if has_changed:
+            self._reports.rate_limit(request, rate=rate)
+
+    def _record_pause(
+        self, request: RelayRequest, head: AnswerHead, *, now: float
+    ) -> None:
+        """Record the pause that the answer asks for."""
+        pause = head.pause
+        if pause is None:
+            return
+        if pause.seconds is None:
+            self._reports.pause_unreadable(request, pause.text)
+            return
+        self._balancer.pauses.record(request.attempt.server_id, pause.seconds, now=now)
+        self._reports.server_paused(request, seconds=pause.seconds)
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -11,6 +11,7 @@
 from ...state.directory import GroupState
 from .levelling import ServerLoad, UnreportedRequests, spread_weights
 from .rate_limits import Allowance, ServerRateLimits
+from .server_pauses import ServerPauses
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -113,6 +114,8 @@
         the server was avoided.
     limits : ServerRateLimits
         The rate limits that apply to servers.
+    pauses : ServerPauses
+        The pauses that servers have asked this host for.
     """
 
     def __init__(
@@ -131,6 +134,7 @@
         self.peers_in_flight_by_id: Counter[str] = Counter()
         self.unreachable_zones: set[str] = set()
         self.limits = ServerRateLimits(directory=directory, cold_rate=cold_rate)
+        self.pauses = ServerPauses(directory=directory)
         self._unreported = UnreportedRequests()
         self._random = random.Random(seed)
         self._seen_changes = -1
@@ -254,11 +258,13 @@
         """Return the mean seconds that requests are in flight, by service and model."""
         return self._unreported.mean_durations()
 
-    def succeeded(self, server_id: str) -> None:
-        """Reset the failures of a backend server."""
+    def succeeded(self, server_id: str, *, now: float) -> bool:
+        """Reset the failures of a backend server; return whether it was avoided."""
         record = self.record(server_id)
+        was_avoided = now < record.avoided_until
         record.n_failures = 0
         record.avoided_until = 0.0
+        return was_avoided
 
     def failed(self, server_id: str, *, now: float) -> None:
         """Avoid a backend server for a while, longer after each failure in a row."""
@@ -282,11 +288,14 @@
         record = self.record(server_id)
         record.avoided_until = max(record.avoided_until, now + STALL_AVOIDANCE)
 
-    def clear_stall(self, server_id: str) -> None:
-        """Stop avoiding a group that makes progress."""
+    def clear_stall(self, server_id: str, *, now: float) -> bool:
+        """Stop avoiding a group that makes progress; return whether it was avoided."""
         record = self.records_by_id.get(server_id)
-        if record is not None and record.avoided_until:
-            record.avoided_until = 0.0
+        if record is None or not record.avoided_until:
+            return False
+        was_avoided = now < record.avoided_until
+        record.avoided_until = 0.0
+        return was_avoided
 
     def _sampled(self, candidates: list[BackendServer]) -> list[BackendServer]:
         """Return all candidates, or this zone's and a random sample of the others."""
--- a/ryelever/coordination/relaying/messages.py
+++ b/ryelever/coordination/relaying/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-__all__ = ["AnswerHead", "Headers", "NamedLimit", "RelayArrival"]
+__all__ = ["AnswerHead", "Headers", "NamedLimit", "RelayArrival", "RequestedPause"]
 
 #: Headers in their order, names in lower case.
 Headers = list[tuple[bytes, bytes]]
@@ -60,6 +60,22 @@
     rate: float | None
 
 
+class RequestedPause(msgspec.Struct, kw_only=True, frozen=True):
+    """A pause that a backend server asks for when it refuses a request.
+
+    Attributes
+    ----------
+    text : str
+        The pause as the server wrote it.
+    seconds : float or None
+        Seconds for which this host should send the server nothing; None if the text
+        is not a valid number.
+    """
+
+    text: str
+    seconds: float | None
+
+
 class AnswerHead(msgspec.Struct, kw_only=True, frozen=True):
     """The head of a backend server's answer.
 
@@ -78,6 +94,10 @@
         Headers that the caller gets.
     rate_limit : NamedLimit or None
         None if the answer names no rate limit.
+    pause : RequestedPause or None
+        None if the answer asks for no pause.
+    leaving : bool
+        True if the server states that it is leaving.
     """
 
     status: int
@@ -88,3 +108,5 @@
     encoded: bool
     headers: Headers
     rate_limit: NamedLimit | None = None
+    pause: RequestedPause | None = None
+    leaving: bool = False
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -30,19 +30,24 @@
         self._measures = measures
         self._log = log
 
-    def sent(self, request: RelayRequest, *, limited: bool, now: float) -> None:
+    def sent(
+        self, request: RelayRequest, *, limited: bool, paused: bool, now: float
+    ) -> None:
         """Record an attempt that ``n_sent`` of the request already counts.
 
         Parameters
         ----------
         limited : bool
             True if a rate limit applies to the backend server.
+        paused : bool
+            True if the backend server has asked for a pause that has not ended.
         """
         if request.n_sent == 1:
             request.first_sent_at = now
         self._measures.sent(
             is_retry=request.n_sent > 1,
             limited=limited,
+            paused=paused,
             waited=now - request.arrival.arrived_at,
         )
 
@@ -85,6 +90,36 @@
             message=f"expected requests a second, found {text}",
         )
 
+    def server_paused(self, request: RelayRequest, *, seconds: float) -> None:
+        """Log that a backend server asked this host for a pause."""
+        self._log(
+            "server_paused",
+            server=request.attempt.server_id,
+            pause=seconds,
+            request=request.arrival.request_id,
+        )
+
+    def pause_unreadable(self, request: RelayRequest, text: str) -> None:
+        """Log a pause that is not a valid number."""
+        self._log(
+            "pause_unreadable",
+            server=request.attempt.server_id,
+            request=request.arrival.request_id,
+            message=f"expected seconds, found {text}",
+        )
+
+    def server_leaving(self, request: RelayRequest) -> None:
+        """Log that a backend server states in an answer that it is leaving."""
+        self._log(
+            "server_leaving",
+            server=request.attempt.server_id,
+            request=request.arrival.request_id,
+        )
+
+    def avoidance_ended(self, server_id: str, reason: str) -> None:
+        """Log that progress at a backend server ended its avoidance early."""
+        self._log("avoidance_ended", server=server_id, reason=reason)
+
     def caller_left(self, request: RelayRequest) -> None:
         """Log that a caller has closed its connection."""
         self._log(
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from .actions import RelayAttempt
+from .answer_notices import AnswerNotices
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
@@ -89,6 +90,7 @@
         self._outbox = outbox
         self._served = served
         self._reports = RequestReports(measures=measures, log=log)
+        self._notices = AnswerNotices(balancer=balancer, reports=self._reports)
         self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
         self._requests_by_attempt: dict[str, RelayRequest] = {}
@@ -184,7 +186,7 @@
             self._handle_ambiguous_failure(request, "answer_of_another", now=now)
             return
         if not head.wrong_server:
-            self._record_limit(request, head, now=now)
+            self._notices.record(request, head, now=now)
         if head.not_run:
             self._handle_rejection(request, head, now=now)
             return
@@ -193,23 +195,6 @@
             return
         request.head = head
 
-    def _record_limit(
-        self, request: RelayRequest, head: AnswerHead, *, now: float
-    ) -> None:
-        """Record the rate limit in an answer, or that a former limit has ended."""
-        named = head.rate_limit
-        if named is None and not head.signed:
-            return
-        if named is not None and named.rate is None:
-            self._reports.limit_unreadable(request, named.text)
-            return
-        rate = None if named is None else named.rate
-        has_changed = self._balancer.limits.record_answer(
-            request.attempt.server_id, rate, sent_at=request.sent_at, now=now
-        )
-        if has_changed:
-            self._reports.rate_limit(request, rate=rate)
-
     def is_streaming(self, attempt_id: str) -> bool:
         """Return whether the body of an attempt's answer is a stream of events."""
         request = self._requests_by_attempt.get(attempt_id)
@@ -233,7 +218,7 @@
         request = self._requests_by_attempt.get(attempt_id)
         if request is not None:
             self._stall_watch.progressed(request.attempt.server_id, now=now)
-            self._balancer.clear_stall(request.attempt.server_id)
+            self._clear_stall(request.attempt.server_id, now=now)
             self._forward_events(request, events, now=now)
 
     def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
@@ -348,7 +333,8 @@
         request.sent_at = now
         request.tried.add(server.id)
         limited = self._balancer.limits.rate(server.id, now=now) is not None
-        self._reports.sent(request, limited=limited, now=now)
+        paused = self._balancer.pauses.is_paused(server.id, now=now)
+        self._reports.sent(request, limited=limited, paused=paused, now=now)
         if request.phase is RequestPhase.WAITING:
             request.phase = RequestPhase.SENT
         self._requests_by_attempt[attempt.id] = request
@@ -437,6 +423,11 @@
             if request.is_stream and request.attempt.server_id == server_id:
                 self._move_elsewhere(request, "still", now=now)
 
+    def _clear_stall(self, server_id: str, *, now: float) -> None:
+        """End the avoidance of a server that makes progress."""
+        if self._balancer.clear_stall(server_id, now=now):
+            self._reports.avoidance_ended(server_id, "progress")
+
     def _move_elsewhere(
         self, request: RelayRequest, reason: str, *, now: float
     ) -> bool:
@@ -511,7 +502,9 @@
 
     def _record_success(self, request: RelayRequest, *, now: float) -> None:
         """Record that a backend server has answered completely."""
-        self._balancer.succeeded(request.attempt.server_id)
+        server_id = request.attempt.server_id
+        if self._balancer.succeeded(server_id, now=now):
+            self._reports.avoidance_ended(server_id, "answered")
         if request.n_sent == 1:
             duration = now - request.first_sent_at
             self._balancer.record_duration(
--- /dev/null
+++ b/ryelever/coordination/relaying/server_pauses.py
@@ -0,0 +1,80 @@
+"""Track the pauses that backend servers have asked this host for.
+
+A server that refuses a request can ask the host to send it nothing for some seconds. An
+avoidance is the host's own estimate and ends as soon as the server makes progress. A
+pause ends only when its time has passed, or with the incarnation that asked for it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from ...state.directory import BackendServer, Directory
+
+__all__ = ["ServerPauses"]
+
+
+class _Pause(msgspec.Struct, kw_only=True, frozen=True):
+    """A pause that has not ended yet.
+
+    Attributes
+    ----------
+    ends_at : float
+        Monotonic time.
+    server : BackendServer or None
+        The incarnation that asked for the pause; None if it had no entry.
+    """
+
+    ends_at: float
+    server: BackendServer | None
+
+
+class ServerPauses:
+    """Record the pauses that servers ask for, and tell which servers are paused."""
+
+    __slots__ = ("_directory", "_pauses_by_server")
+
+    def __init__(self, *, directory: Directory) -> None:
+        self._directory = directory
+        self._pauses_by_server: dict[str, _Pause] = {}
+
+    def record(self, server_id: str, seconds: float, *, now: float) -> None:
+        """Record that a server asked for a pause; a longer one in progress holds.
+
+        Parameters
+        ----------
+        seconds : float
+            Length of the pause, counted from the receipt of the answer.
+        """
+        self._drop_ended(now=now)
+        ends_at = max(now + seconds, self.ends_at(server_id))
+        self._pauses_by_server[server_id] = _Pause(
+            ends_at=ends_at, server=self._directory.by_id.get(server_id)
+        )
+
+    def is_paused(self, server_id: str, *, now: float) -> bool:
+        """Return whether a server gets no requests now; a cheap check if none is."""
+        return bool(self._pauses_by_server) and now < self.ends_at(server_id)
+
+    def ends_at(self, server_id: str) -> float:
+        """Return the monotonic time at which a server's pause ends or has ended."""
+        pause = self._pauses_by_server.get(server_id)
+        if pause is None:
+            return float("-inf")
+        server = self._directory.by_id.get(server_id)
+        if None in (server, pause.server) or server.is_same_incarnation(pause.server):
+            return pause.ends_at
+        del self._pauses_by_server[server_id]
+        return float("-inf")
+
+    def _drop_ended(self, *, now: float) -> None:
+        ended = [
+            server_id
+            for server_id, pause in self._pauses_by_server.items()
+            if pause.ends_at <= now
+        ]
+        for server_id in ended:
+            del self._pauses_by_server[server_id]
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -97,6 +97,7 @@
     "operator": "name of an operator",
     "order": "kind of the order or query that was sent to a backend server",
     "outcome": "outcome of an order",
+    "pause": "seconds for which a backend server asked to get no requests",
     "peer": "the other side: an address or the name of an entry host",
     "peers_address": "address at which other entry hosts reach this one",
     "phase": "phase of a request or a group",
@@ -220,6 +221,23 @@
         "request",
         "message",
     ),
+    "pause_unreadable": _info(
+        "the pause that a backend server's refusal asks for is invalid",
+        "server",
+        "request",
+        "message",
+    ),
+    "server_paused": _info(
+        "a backend server refused a request and asked this host for a pause",
+        "server",
+        "pause",
+        "request",
+    ),
+    "avoidance_ended": _info(
+        "progress at a backend server ended the time for which it was avoided",
+        "server",
+        "reason",
+    ),
     "group_still": _info("no request of a group makes progress any more", "server"),
     "crash_noted": _info(
         "a backend server crashed under requests",
@@ -349,6 +367,9 @@
         "many backend servers have changed at once", "n", "n_by_state"
     ),
     "server_gone": _info("a backend server's record was removed", "server"),
+    "server_leaving": _info(
+        "a backend server states in an answer that it is leaving", "server", "request"
+    ),
     "server_limited": _info(
         "the rate limit in a backend server's answers has changed",
         "server",
--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -5,7 +5,13 @@
 import math
 from typing import TYPE_CHECKING
 
-from ..coordination.relaying import AnswerHead, Headers, NamedLimit, RelayArrival
+from ..coordination.relaying import (
+    AnswerHead,
+    Headers,
+    NamedLimit,
+    RelayArrival,
+    RequestedPause,
+)
 from . import wire_names
 
 if TYPE_CHECKING:
@@ -32,6 +38,12 @@
 #: Status by which the platform promises that a request was not run.
 WRONG_SERVER = 421
 
+#: Status of a refusal with which a backend server may ask for a pause.
+UNAVAILABLE = 503
+
+#: Value of a header that states that something is the case.
+TRUE = b"1"
+
 #: Milliseconds of a caller's deadline that are reserved for returning the answer.
 RETURN_TIME_MS = 20
 
@@ -91,6 +103,7 @@
         """Read the head of a backend server's answer."""
         found = dict(headers)
         not_run = wire_names.NOT_RUN in found or status == WRONG_SERVER
+        pause = found.get(wire_names.RETRY_AFTER) if status == UNAVAILABLE else None
         return AnswerHead(
             status=status,
             request_id=found.get(wire_names.REQUEST_ID, b"").decode("latin-1"),
@@ -99,6 +112,8 @@
             wrong_server=status == WRONG_SERVER,
             encoded=b"content-encoding" in found,
             rate_limit=_parse_rate_limit(found.get(wire_names.RATE_LIMIT)),
+            pause=_parse_pause(pause),
+            leaving=found.get(wire_names.LEAVING, b"").strip() == TRUE,
             headers=self._response_headers(headers),
         )
 
@@ -134,10 +149,19 @@
 def _parse_rate_limit(text: bytes | None) -> NamedLimit | None:
     if text is None:
         return None
+    return NamedLimit(text=text.decode("latin-1"), rate=_parse_decimal(text))
+
+
+def _parse_pause(text: bytes | None) -> RequestedPause | None:
+    if text is None:
+        return None
+    return RequestedPause(text=text.decode("latin-1"), seconds=_parse_decimal(text))
+
+
+def _parse_decimal(text: bytes) -> float | None:
+    """Return a finite number that is not negative, or None for any other text."""
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
-        rate = math.nan
-    if not (math.isfinite(rate) and rate >= 0):
-        rate = None
-    return NamedLimit(text=text.decode("latin-1"), rate=rate)
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
--- a/ryelever/platform/wire_names.py
+++ b/ryelever/platform/wire_names.py
@@ -43,8 +43,14 @@
 
 MODEL = b"model"
 PRIORITY = b"request-priority"
+
+#: Seconds after which a refused request should be sent again.  On a backend server's
+#: 503: seconds for which the server wants no requests from this entry host.
 RETRY_AFTER = b"retry-after"
 
+#: On an answer: ``1`` if the backend server is leaving.
+LEAVING = b"server-leaving"
+
 #: Headers that an entry host sets itself; a caller's values for them are dropped.
 SET_BY_ENTRY_HOST = frozenset({ACCOUNT, KEY, EXPECTED_SERVER, PRIORITY, DEADLINE})
 
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -124,7 +124,7 @@
         assert _choose(balancer, now=now) == "a"
     assert pauses[0] == FIRST_AVOIDANCE
     assert pauses[-1] == pauses[-2] == MAX_AVOIDANCE
-    balancer.succeeded("a")
+    balancer.succeeded("a", now=0.0)
     balancer.failed("a", now=now)
     assert balancer.record("a").avoided_until == now + FIRST_AVOIDANCE
 
@@ -135,7 +135,7 @@
     directory.put(_head("a"), now=0.0)
     balancer.mark_stalled("a", now=1.0)
     assert _choose(balancer, now=1.0 + STALL_AVOIDANCE - 0.1) is None
-    balancer.clear_stall("a")
+    balancer.clear_stall("a", now=0.0)
     assert _choose(balancer, now=1.1) == "a"
 
 
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ryelever.coordination.relaying import NamedLimit
+from ryelever.coordination.relaying import NamedLimit, RequestedPause
 from ryelever.coordination.relaying.stall_watch import STREAM_SILENCE
 from ryelever.coordination.relaying.unrouted import FIRST_CONFIGURATION_WAIT
 from ryelever.coordination.relaying.waiting import MAX_WAIT
@@ -420,3 +420,41 @@
         ("limit_unreadable", None, "r4"),
         ("server_limited", -1, "r5"),
     ]
+
+
+def test_notices_of_servers_are_logged() -> None:
+    relaying = Relaying(n_servers=1)
+    notices = [
+        {"pause": RequestedPause(text="2", seconds=2.0)},
+        {"pause": RequestedPause(text="?", seconds=None)},
+        {"leaving": True},
+    ]
+    for number, notice in enumerate(notices, start=1):
+        now = 10.0 * number
+        relaying.arrive(SAFE, number=number, now=now)
+        refusal = head(f"r{number}", status=503, not_run=True, **notice)
+        relaying.requests.answer_head(relaying.sent[-1].id, refusal, now=now)
+    logged = [
+        (event, fields.get("pause"), fields["request"])
+        for event, fields in relaying.lines
+        if event in ("server_paused", "pause_unreadable", "server_leaving")
+    ]
+    assert logged == [
+        ("server_paused", 2.0, "r1"),
+        ("pause_unreadable", None, "r2"),
+        ("server_leaving", None, "r3"),
+    ]
+
+
+def test_early_end_of_an_avoidance_is_logged() -> None:
+    relaying = Relaying(n_servers=1)
+    relaying.arrive(STREAM, number=1)
+    relaying.arrive(STREAM, number=2)
+    stream, refused = relaying.sent
+    relaying.requests.answer_head(stream.id, head("r1"), now=0.1)
+    refusal = head("r2", status=503, not_run=True)
+    relaying.requests.answer_head(refused.id, refusal, now=0.2)
+    relaying.events(stream, 1, 2, now=0.3)
+    relaying.events(stream, 3, now=0.4)
+    ended = [fields for event, fields in relaying.lines if event == "avoidance_ended"]
+    assert ended == [{"server": "h0", "reason": "progress"}]
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ryelever.coordination.relaying import Headers, NamedLimit
+from ryelever.coordination.relaying import Headers, NamedLimit, RequestedPause
 from ryelever.coordination.relaying.actions import RelayAttempt
 from ryelever.platform.messages import PlatformMessages
 
@@ -140,3 +140,43 @@
 
 def test_answer_without_a_rate_limit() -> None:
     assert MESSAGES.decode_answer_head(200, []).rate_limit is None
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        pytest.param(b"3", 3.0, id="whole"),
+        pytest.param(b"0.25", 0.25, id="decimal"),
+        pytest.param(b"0", 0.0, id="none"),
+        pytest.param(b"", None, id="empty"),
+        pytest.param(b"soon", None, id="no-number"),
+        pytest.param(b"Thu, 01 Jan 2026 00:00:00 GMT", None, id="date"),
+        pytest.param(b"inf", None, id="without-end"),
+        pytest.param(b"-1", None, id="negative"),
+    ],
+)
+def test_pause_of_a_refusal_is_parsed(text: bytes, seconds: float | None) -> None:
+    head = MESSAGES.decode_answer_head(503, [(b"retry-after", text)])
+    assert head.pause == RequestedPause(text=text.decode(), seconds=seconds)
+
+
+def test_only_refusals_ask_for_pauses() -> None:
+    assert MESSAGES.decode_answer_head(503, []).pause is None
+    for status in (200, 429, 500):
+        head = MESSAGES.decode_answer_head(status, [(b"retry-after", b"3")])
+        assert head.pause is None
+
+
+@pytest.mark.parametrize(
+    ("headers", "leaving"),
+    [
+        pytest.param([(b"server-leaving", b"1")], True, id="leaving"),
+        pytest.param([(b"server-leaving", b"0")], False, id="denied"),
+        pytest.param([], False, id="absent"),
+    ],
+)
+def test_answer_states_that_its_server_is_leaving(
+    headers: list[tuple[bytes, bytes]], leaving: bool
+) -> None:
+    for status in (200, 503):
+        assert MESSAGES.decode_answer_head(status, headers).leaving is leaving
