--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -1,4 +1,4 @@
-"""Simulate entry hosts and backend servers with rate limits, without a network."""
+"""Simulate entry hosts and backend servers that limit requests, without a network."""
 
 from __future__ import annotations
 
@@ -73,6 +73,12 @@
         Arrival times of requests, and the hosts that sent them.
     limit_known_at_by_host : dict of str to float
         Time at which each host first received an answer that contains a limit.
+    pause : str or None
+        Pause that the server asks for when it refuses a request; None if the server
+        accepts requests.
+    pauses : list of (float, str, float)
+        Times of the refusals, the hosts whose requests were refused, and the seconds
+        for which the server asked them for a pause.
     """
 
     server: BackendServer
@@ -80,6 +86,8 @@
     limit: str | None = None
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     limit_known_at_by_host: dict[str, float] = field(default_factory=dict)
+    pause: str | None = None
+    pauses: list[tuple[float, str, float]] = field(default_factory=list)
 
     def arrivals_from_informed_hosts(self, *, after: float) -> list[float]:
         """Return arrival times of requests from hosts that had known a limit for 0.5 s.
@@ -96,6 +104,23 @@
             if at >= after and at >= self.limit_known_at_by_host.get(host, never) + 0.5
         ]
 
+    def max_during_pause(self, *, after: float) -> int:
+        """Return the most requests that a host sent within one pause.
+
+        Parameters
+        ----------
+        after : float
+            Seconds from the start of a pause; earlier requests are left out.
+        """
+        return max(
+            sum(
+                start + after <= at <= start + seconds
+                for at, sender in self.arrivals
+                if sender == host
+            )
+            for start, host, seconds in self.pauses
+        )
+
     def n_between(self, start: float, end: float) -> int:
         """Return the number of requests that arrived between two times."""
         return sum(start <= at < end for at, _ in self.arrivals)
@@ -302,8 +327,24 @@
     def _arrive(self, host: _Host, attempt: RelayAttempt) -> None:
         server = self.servers[attempt.server_id]
         server.arrivals.append((self.now, host.name))
+        if server.pause is not None:
+            server.pauses.append((self.now, host.name, float(server.pause)))
+            self._refuse(host, attempt, pause=server.pause)
+            return
         self.at(self.now + server.seconds, lambda: self._answer(host, attempt))
 
+    def _refuse(self, host: _Host, attempt: RelayAttempt, *, pause: str) -> None:
+        headers = [
+            (b"request-id", f"r{attempt.request_number}".encode()),
+            (b"not-executed", b"1"),
+            (b"retry-after", pause.encode()),
+        ]
+        answer = MESSAGES.decode_answer_head(503, headers)
+        self.at(
+            self.now + LATENCY,
+            lambda: host.requests.answer_head(attempt.id, answer, now=self.now),
+        )
+
     def _answer(self, host: _Host, attempt: RelayAttempt) -> None:
         server = self.servers[attempt.server_id]
         headers = [
