Send nothing to a server during the pause that it asked for

Cause: no host read the pause. A host avoids a server that refused for a time of its own, 0.5 to 4 s with each failure in a row; the refusals of a host without a stream at the server follow these times whatever the server asks for. By itself this gives two requests in 3 s. The third came because any event or end of a stream at the server ends the avoidance and resets the failures: on the two hosts with such a stream intervals began again (7.285 s answered, 7.383 s next request). The class of fault: what another party asks for with a term is not kept as a fact of its own, but left to an estimate that any evidence may revise.

Ruled out: requests that bypass the choice of a server. In the test all requests are chosen by the balancer while it considers the server usable.

First sendings, retries and streams that move all ask the balancer, which passes over paused servers. A caller for whom only paused servers are left is refused at once with the rest of the first pause, also when the pause begins while it waits; rate limits count for the servers that are not paused.

--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -14,7 +14,7 @@
 from .server_pauses import ServerPauses
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from ...state.directory import BackendServer, Directory
 
@@ -207,7 +207,7 @@
         """Return the requests that rate limits allow for a service and model, or None.
 
         The result is None if a server without a limit can run such requests, or if no
-        server can.
+        server can. Servers that are paused for all of the time span are left out.
 
         Parameters
         ----------
@@ -215,8 +215,10 @@
             Time span that counts for ``Allowance.n_available``.
         """
         total = None
-        for server in self.candidates(service, model):
-            if server.id in excluded or self._is_evacuated(server.availability_zone):
+        for server in self._usable(service, model):
+            if server.id in excluded:
+                continue
+            if self.pauses.is_paused(server.id, now=now + seconds):
                 continue
             allowance = self.limits.allowance(server.id, seconds=seconds, now=now)
             if allowance is None:
@@ -224,6 +226,25 @@
             total = allowance if total is None else total + allowance
         return total
 
+    def paused_until(
+        self, service: str, model: str, *, excluded: set[str], now: float
+    ) -> float | None:
+        """Return the monotonic time at which the first pause of a server ends.
+
+        The result is None if no server is paused, or if one that is neither paused nor
+        excluded can run requests for the service and model.
+        """
+        if self.pauses.is_empty:
+            return None
+        first_end = None
+        for server in self._usable(service, model):
+            end = self.pauses.ends_at(server.id)
+            if end > now:
+                first_end = end if first_end is None else min(first_end, end)
+            elif server.id not in excluded:
+                return None
+        return first_end
+
     def set_heartbeat_interval(
         self, *, interval: float, n_zone_peers: int, n_hosts: int
     ) -> None:
@@ -297,6 +318,12 @@
         record.avoided_until = 0.0
         return was_avoided
 
+    def _usable(self, service: str, model: str) -> Iterator[BackendServer]:
+        """Yield the candidates in zones that are not evacuated."""
+        for server in self.candidates(service, model):
+            if not self._is_evacuated(server.availability_zone):
+                yield server
+
     def _sampled(self, candidates: list[BackendServer]) -> list[BackendServer]:
         """Return all candidates, or this zone's and a random sample of the others."""
         if len(candidates) <= SAMPLING_THRESHOLD:
@@ -325,6 +352,8 @@
         """Return the load of a server, or None if it must not get a request now."""
         if self._is_evacuated(server.availability_zone):
             return None
+        if self.pauses.is_paused(server.id, now=now):
+            return None
         record = self.records_by_id.get(server.id)
         in_flight = self.peers_in_flight_by_id[server.id]
         if record is not None:
--- a/ryelever/coordination/relaying/refusals.py
+++ b/ryelever/coordination/relaying/refusals.py
@@ -21,7 +21,7 @@
 DEFAULT_RETRY_AFTER = 0.3
 
 #: Reasons of refusals whose log line gives the numbers of servers and waiting requests.
-NO_SLOT_REASONS = frozenset({"no_place", "limited"})
+NO_SLOT_REASONS = frozenset({"no_place", "limited", "paused"})
 
 
 class Refusals:
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -18,7 +18,7 @@
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
 from .unrouted import UnroutedArrivals
-from .waiting import MAX_LIMITED_WAIT, WaitingRequests, seconds_to_slot
+from .waiting import MAX_LIMITED_WAIT, MAX_WAIT, WaitingRequests, seconds_to_slot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -298,6 +298,10 @@
             return
         full: set[tuple[str, str]] = set()
         for request in self._waiting.sorted_for_dispatch(now=now):
+            if self._refuse_if_paused(
+                request, waits_until=request.waits_until, now=now
+            ):
+                continue
             work = (request.service, request.arrival.model)
             if work in full and not request.tried:
                 continue
@@ -382,7 +386,9 @@
             self._wait_or_refuse(request, now=now)
 
     def _wait_or_refuse(self, request: RelayRequest, *, now: float) -> None:
-        """Queue a request for a free slot, unless rate limits allow none in time."""
+        """Queue a request for a free slot, unless none can become free in time."""
+        if self._refuse_if_paused(request, waits_until=now + MAX_WAIT, now=now):
+            return
         service, model = request.service, request.arrival.model
         allowance = self._balancer.limited_allowance(
             service, model, excluded=request.tried, seconds=MAX_LIMITED_WAIT, now=now
@@ -404,6 +410,27 @@
         )
         self._end_without_answer(request, "limited", retry_after=retry_after, now=now)
 
+    def _refuse_if_paused(
+        self, request: RelayRequest, *, waits_until: float, now: float
+    ) -> bool:
+        """Refuse a request if the servers left for it are paused while it may wait.
+
+        Like rate limits, pauses don't end a stream that has already started.
+        """
+        if request.phase is RequestPhase.STREAMING:
+            return False
+        paused_until = self._balancer.paused_until(
+            request.service, request.arrival.model, excluded=request.tried, now=now
+        )
+        if paused_until is None:
+            return False
+        if paused_until <= min(waits_until, request.times_out_at):
+            return False
+        self._end_without_answer(
+            request, "paused", retry_after=paused_until - now, now=now
+        )
+        return True
+
     def _may_retry(self, request: RelayRequest, *, now: float) -> bool:
         if request.may_have_run and not request.route.repeatable:
             return False
--- a/ryelever/coordination/relaying/server_pauses.py
+++ b/ryelever/coordination/relaying/server_pauses.py
@@ -33,7 +33,13 @@
 
 
 class ServerPauses:
-    """Record the pauses that servers ask for, and tell which servers are paused."""
+    """Record the pauses that servers ask for.
+
+    Parameters
+    ----------
+    directory : Directory
+        Source of the servers' current incarnations.
+    """
 
     __slots__ = ("_directory", "_pauses_by_server")
 
@@ -55,9 +61,14 @@
             ends_at=ends_at, server=self._directory.by_id.get(server_id)
         )
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no server has asked for a pause; a cheap check."""
+        return not self._pauses_by_server
+
     def is_paused(self, server_id: str, *, now: float) -> bool:
-        """Return whether a server gets no requests now; a cheap check if none is."""
-        return bool(self._pauses_by_server) and now < self.ends_at(server_id)
+        """Return whether a server gets no requests now."""
+        return not self.is_empty and now < self.ends_at(server_id)
 
     def ends_at(self, server_id: str) -> float:
         """Return the monotonic time at which a server's pause ends or has ended."""
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -458,3 +458,92 @@
     relaying.events(stream, 3, now=0.4)
     ended = [fields for event, fields in relaying.lines if event == "avoidance_ended"]
     assert ended == [{"server": "h0", "reason": "progress"}]
+
+
+def _refuse_next(relaying: Relaying, *, now: float, pause: float) -> str:
+    """Refuse the newest attempt and ask for a pause; return the server's id."""
+    attempt = relaying.sent[-1]
+    refusal = head(
+        f"r{attempt.request_number}",
+        status=503,
+        not_run=True,
+        pause=RequestedPause(text=str(pause), seconds=pause),
+    )
+    relaying.requests.answer_head(attempt.id, refusal, now=now)
+    return attempt.server_id
+
+
+def test_progress_of_earlier_requests_does_not_end_a_pause() -> None:
+    relaying = Relaying(n_servers=2, slots=8)
+    relaying.arrive(STREAM, number=1)
+    relaying.arrive(STREAM, number=2)
+    for number, attempt in enumerate(relaying.sent, start=1):
+        relaying.requests.answer_head(attempt.id, head(f"r{number}"), now=0.1)
+    relaying.arrive(STREAM, number=3, now=0.2)
+    paused = _refuse_next(relaying, now=0.3, pause=3.0)
+    [stream] = [item for item in relaying.sent[:2] if item.server_id == paused]
+    relaying.events(stream, 1, now=0.4)
+    relaying.requests.answer_end(stream.id, cut=False, now=0.5)
+    n_sent = len(relaying.sent)
+    for number in range(4, 8):
+        relaying.arrive(STREAM, number=number, now=0.6 + 0.1 * number)
+    assert paused not in {item.server_id for item in relaying.sent[n_sent:]}
+    n_sent = len(relaying.sent)
+    relaying.arrive(STREAM, number=9, now=3.31)
+    assert [item.server_id for item in relaying.sent[n_sent:]] == [paused]
+
+
+@pytest.mark.parametrize("kind", [SAFE, ONCE, STREAM])
+def test_callers_are_refused_at_once_while_all_servers_are_paused(
+    kind: RouteKind,
+) -> None:
+    relaying = Relaying(n_servers=2)
+    relaying.arrive(kind, number=1)
+    _refuse_next(relaying, now=0.1, pause=4.0)
+    _refuse_next(relaying, now=0.2, pause=2.5)
+    relaying.arrive(kind, number=2, now=0.7)
+    assert relaying.out[-1] == ("refuse", 2, 503, pytest.approx(2.0))
+    # Waiting is worthwhile again shortly before the first pause ends.
+    relaying.arrive(kind, number=3, now=2.0)
+    relaying.requests.tick(now=2.75)
+    assert relaying.sent[-1].request_number == 3
+
+
+def test_waiting_callers_are_refused_when_the_last_server_asks_for_a_pause() -> None:
+    relaying = Relaying(n_servers=1, slots=1)
+    for number in range(1, 6):
+        relaying.arrive(SAFE, number=number, now=0.0)
+    n_sent = len(relaying.sent)
+    assert n_sent < 5
+    _refuse_next(relaying, now=0.1, pause=3.0)
+    relaying.requests.dispatch_waiting(now=0.1)
+    refused = {item[1] for item in relaying.out if item[0] == "refuse"}
+    assert refused == set(range(n_sent, 6))
+
+
+def test_started_stream_waits_while_all_servers_are_paused() -> None:
+    relaying = Relaying(n_servers=1)
+    relaying.arrive(STREAM, number=1)
+    stream = relaying.sent[0]
+    relaying.requests.answer_head(stream.id, head("r1"), now=0.1)
+    relaying.events(stream, 1, now=0.1)
+    relaying.arrive(STREAM, number=2, now=0.2)
+    _refuse_next(relaying, now=0.3, pause=3.0)
+    relaying.requests.attempt_failed(stream.id, "cut", sent=True, now=0.4)
+    assert ("abort", 1) not in relaying.out
+    relaying.directory.put(relaying.engine_head("h9"), now=0.5)
+    relaying.requests.tick(now=0.5)
+    assert relaying.sent[-1].request_number == 1
+
+
+def test_limits_count_for_servers_that_are_not_paused() -> None:
+    relaying = Relaying(n_servers=2)
+    relaying.arrive(SAFE, number=1)
+    paused = _refuse_next(relaying, now=0.1, pause=5.0)
+    other = relaying.sent[-1].server_id
+    assert other != paused
+    relaying.balancer.limits.record_answer(other, 0.5, sent_at=0.1, now=0.2)
+    relaying.balancer.limits.update_shares(host="a", zone="z", heartbeats=[], now=0.2)
+    relaying.arrive(SAFE, number=2, now=0.3)
+    assert relaying.out[-1][:3] == ("refuse", 2, 503)
+    assert relaying.lines[-1][1]["reason"] == "limited"
