Send nothing to a server whose answer says that it is leaving

What users see: a server that leaves says so in its answers. A host that has passed such an answer on went on sending to it until the store's list showed the server as draining or gone: for as long as the store is away, lags or comes back from an older copy.

Cause: no host read the statement; the list was the only source. The class is that of the pauses: what a server states is left to an estimate from elsewhere, here to a list that may be older than the statement.

A statement is now kept in the directory for the incarnation that made it. Records that don't show it, and entries that expire and return, don't end it; another incarnation is of use again. The balancer and the planner of this host treat the server as draining at once. An answer of another server at the same address (421) says nothing.

--- a/ryelever/coordination/relaying/answer_notices.py
+++ b/ryelever/coordination/relaying/answer_notices.py
@@ -14,7 +14,7 @@
 
 
 class AnswerNotices:
-    """Record the rate limits and pauses that answers state, and log their changes."""
+    """Record rate limits, pauses and departures that answers state, and log them."""
 
     __slots__ = ("_balancer", "_reports")
 
@@ -27,7 +27,7 @@
         self._record_limit(request, head, now=now)
         self._record_pause(request, head, now=now)
         if head.leaving:
-            self._reports.server_leaving(request)
+            self._record_leaving(request, now=now)
 
     def _record_limit(
         self, request: RelayRequest, head: AnswerHead, *, now: float
@@ -58,3 +58,8 @@
             return
         self._balancer.pauses.record(request.attempt.server_id, pause.seconds, now=now)
         self._reports.server_paused(request, seconds=pause.seconds)
+
+    def _record_leaving(self, request: RelayRequest, *, now: float) -> None:
+        """Record that the server of a request is leaving."""
+        if self._balancer.mark_leaving(request.attempt.server_id, now=now):
+            self._reports.server_leaving(request)
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -304,6 +304,10 @@
         record.stale_entry = self._directory.by_id.get(server_id)
         record.stale_until = now + STALE_ENTRY_AVOIDANCE
 
+    def mark_leaving(self, server_id: str, *, now: float) -> bool:
+        """Record that a server states that it leaves; return whether that is new."""
+        return self._directory.mark_leaving(server_id, now=now)
+
     def mark_stalled(self, server_id: str, *, now: float) -> None:
         """Avoid a group that has stalled."""
         record = self.record(server_id)
--- a/ryelever/coordination/relaying/server_pauses.py
+++ b/ryelever/coordination/relaying/server_pauses.py
@@ -11,8 +11,10 @@
 
 import msgspec
 
+from ...state.incarnations import may_be_same_start
+
 if TYPE_CHECKING:
-    from ...state.directory import BackendServer, Directory
+    from ...state.directory import Directory
 
 __all__ = ["ServerPauses"]
 
@@ -24,12 +26,12 @@
     ----------
     ends_at : float
         Monotonic time.
-    server : BackendServer or None
-        The incarnation that asked for the pause; None if it had no entry.
+    started_at : int or None
+        Start time of the incarnation that asked for the pause; None if unknown.
     """
 
     ends_at: float
-    server: BackendServer | None
+    started_at: int | None
 
 
 class ServerPauses:
@@ -58,7 +60,7 @@
         self._drop_ended(now=now)
         ends_at = max(now + seconds, self.ends_at(server_id))
         self._pauses_by_server[server_id] = _Pause(
-            ends_at=ends_at, server=self._directory.by_id.get(server_id)
+            ends_at=ends_at, started_at=self._started_at(server_id)
         )
 
     @property
@@ -75,11 +77,14 @@
         pause = self._pauses_by_server.get(server_id)
         if pause is None:
             return float("-inf")
+        if not may_be_same_start(pause.started_at, self._started_at(server_id)):
+            del self._pauses_by_server[server_id]
+            return float("-inf")
+        return pause.ends_at
+
+    def _started_at(self, server_id: str) -> int | None:
         server = self._directory.by_id.get(server_id)
-        if None in (server, pause.server) or server.is_same_incarnation(pause.server):
-            return pause.ends_at
-        del self._pauses_by_server[server_id]
-        return float("-inf")
+        return None if server is None else server.started_at
 
     def _drop_ended(self, *, now: float) -> None:
         ended = [
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -6,6 +6,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from msgspec.structs import replace
+
+from .incarnations import may_be_same_start
+from .leaving import LeavingServers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -47,7 +51,8 @@
     Attributes
     ----------
     draining : bool
-        True once the server has announced that it will leave.
+        True once the server has announced that it will leave, in its record or in an
+        answer.
     cold_for : float
         Remaining seconds for which the server stays cold, counted from the moment at
         which this record is applied.
@@ -82,9 +87,7 @@
 
         True also if either of them lacks a start time.
         """
-        return None in (self.started_at, other.started_at) or (
-            self.started_at == other.started_at
-        )
+        return may_be_same_start(self.started_at, other.started_at)
 
 
 class Directory:
@@ -117,10 +120,13 @@
         self.listed_since_by_id: dict[str, float] = {}
         self.served_by_id: dict[str, frozenset[str]] = {}
         self.n_changes = 0
+        self._leaving = LeavingServers()
         self._by_service: dict[str, dict[str, BackendServer]] = {}
 
     def put(self, server: BackendServer, *, now: float) -> bool:
         """Add or update a backend server; return whether anything has changed."""
+        if not server.draining and self._leaving.includes(server.id, server.started_at):
+            server = replace(server, draining=True)
         old = self.by_id.get(server.id)
         if old == server:
             return False
@@ -137,11 +143,25 @@
             self.cold_until_by_id.pop(server.id, None)
         if server.models:
             self.served_by_id[server.id] = server.models
-        self.by_id[server.id] = server
         self.listed_since_by_id.setdefault(server.id, now)
         self.last_seen_at_by_id.pop(server.id, None)
-        self._by_service.setdefault(server.service, {})[server.id] = server
-        self.n_changes += 1
+        self._index(server)
+        return True
+
+    def mark_leaving(self, server_id: str, *, now: float) -> bool:
+        """Record that a server stated that it leaves; return whether that is new.
+
+        Records of the same incarnation that don't show it yet no longer count: the
+        store may be unavailable, or return from an older copy.
+        """
+        self._leaving.drop_old(listed=self.by_id, now=now)
+        server = self.by_id.get(server_id)
+        started_at = None if server is None else server.started_at
+        if self._leaving.includes(server_id, started_at):
+            return False
+        self._leaving.add(server_id, started_at, now=now)
+        if server is not None:
+            self._index(replace(server, draining=True))
         return True
 
     def remove(self, server_id: str, *, last_renewed_at: float) -> bool:
@@ -164,6 +184,11 @@
         self.n_changes += 1
         return True
 
+    def _index(self, server: BackendServer) -> None:
+        self.by_id[server.id] = server
+        self._by_service.setdefault(server.service, {})[server.id] = server
+        self.n_changes += 1
+
     def listed(self, server_ids: Iterable[str]) -> Iterator[BackendServer]:
         """Yield the backend servers among ``server_ids`` that are listed."""
         for server_id in server_ids:
--- /dev/null
+++ b/ryelever/state/leaving.py
@@ -0,0 +1,70 @@
+"""Remember which backend servers have stated themselves that they are leaving."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .incarnations import may_be_same_start
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+__all__ = ["LEAVING_RETENTION", "LeavingServers"]
+
+#: Seconds for which the statement of a server without an entry is remembered.  A server
+#: serves for some seconds after it has announced that it leaves, and its entry may
+#: expire and return meanwhile.
+LEAVING_RETENTION = 300.0
+
+
+class _Statement(msgspec.Struct, kw_only=True, frozen=True):
+    """A server's statement that it is leaving.
+
+    Attributes
+    ----------
+    started_at : int or None
+        Start time of the incarnation that is leaving; None if unknown.
+    received_at : float
+        Monotonic time.
+    """
+
+    started_at: int | None
+    received_at: float
+
+
+class LeavingServers:
+    """The servers that have stated that they are leaving, by incarnation.
+
+    A server does not take its leaving back: only another incarnation is of use again.
+    """
+
+    __slots__ = ("_statements_by_id",)
+
+    def __init__(self) -> None:
+        self._statements_by_id: dict[str, _Statement] = {}
+
+    def add(self, server_id: str, started_at: int | None, *, now: float) -> None:
+        """Record the statement of an incarnation."""
+        self._statements_by_id[server_id] = _Statement(
+            started_at=started_at, received_at=now
+        )
+
+    def includes(self, server_id: str, started_at: int | None) -> bool:
+        """Return whether an incarnation may be the one that is leaving."""
+        statement = self._statements_by_id.get(server_id)
+        return statement is not None and may_be_same_start(
+            statement.started_at, started_at
+        )
+
+    def drop_old(self, *, listed: Container[str], now: float) -> None:
+        """Drop old statements of servers that are not listed."""
+        old = [
+            server_id
+            for server_id, statement in self._statements_by_id.items()
+            if server_id not in listed
+            and now - statement.received_at > LEAVING_RETENTION
+        ]
+        for server_id in old:
+            del self._statements_by_id[server_id]
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from .incarnations import may_be_same_start
+
 if TYPE_CHECKING:
     from .configuration import Configuration
     from .directory import BackendServer
@@ -69,9 +71,7 @@
 
         True also if the row or the server lacks a start time.
         """
-        return None in (self.started_at, server.started_at) or (
-            self.started_at == server.started_at
-        )
+        return may_be_same_start(self.started_at, server.started_at)
 
 
 class SuspicionRow(msgspec.Struct, kw_only=True, frozen=True):
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -73,6 +73,10 @@
         Arrival times of requests, and the hosts that sent them.
     limit_known_at_by_host : dict of str to float
         Time at which each host first received an answer that contains a limit.
+    leaving : bool
+        True if the server's answers state that it is leaving.
+    leaving_known_at_by_host : dict of str to float
+        Time at which each host first received such an answer.
     pause : str or None
         Pause that the server asks for when it refuses a request; None if the server
         accepts requests.
@@ -86,6 +90,8 @@
     limit: str | None = None
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     limit_known_at_by_host: dict[str, float] = field(default_factory=dict)
+    leaving: bool = False
+    leaving_known_at_by_host: dict[str, float] = field(default_factory=dict)
     pause: str | None = None
     pauses: list[tuple[float, str, float]] = field(default_factory=list)
 
@@ -104,6 +110,20 @@
             if at >= after and at >= self.limit_known_at_by_host.get(host, never) + 0.5
         ]
 
+    def n_after_leaving(self, *, after: float) -> int:
+        """Return how many requests came from hosts that knew that the server leaves.
+
+        Parameters
+        ----------
+        after : float
+            Seconds from the first such answer; earlier requests are left out.
+        """
+        never = float("inf")
+        return sum(
+            at > self.leaving_known_at_by_host.get(host, never) + after
+            for at, host in self.arrivals
+        )
+
     def max_during_pause(self, *, after: float) -> int:
         """Return the most requests that a host sent within one pause.
 
@@ -267,6 +287,13 @@
     def _read(self, host: _Host, server: BackendServer) -> None:
         host.directory.put(server, now=self.now)
 
+    def renew(self, name: str) -> None:
+        """Apply a renewed record of a server, not draining, on all hosts."""
+        item = self.servers[name]
+        item.server = replace(item.server, slots=item.server.slots + 1)
+        for host in self.hosts.values():
+            self._read(host, item.server)
+
     def lose(self, name: str) -> None:
         """Remove a server from the directories of all hosts."""
         for host in self.hosts.values():
@@ -353,6 +380,8 @@
         ]
         if server.limit is not None:
             headers.append((b"server-limit", server.limit.encode()))
+        if server.leaving:
+            headers.append((b"server-leaving", b"1"))
         self.at(
             self.now + LATENCY, lambda: self._deliver_answer(host, attempt, headers)
         )
@@ -363,6 +392,8 @@
         server = self.servers[attempt.server_id]
         if server.limit is not None:
             server.limit_known_at_by_host.setdefault(host.name, self.now)
+        if (b"server-leaving", b"1") in headers:
+            server.leaving_known_at_by_host.setdefault(host.name, self.now)
         answer = MESSAGES.decode_answer_head(200, headers)
         host.requests.answer_head(attempt.id, answer, now=self.now)
         host.requests.answer_end(attempt.id, cut=False, now=self.now)
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -547,3 +547,38 @@
     relaying.arrive(SAFE, number=2, now=0.3)
     assert relaying.out[-1][:3] == ("refuse", 2, 503)
     assert relaying.lines[-1][1]["reason"] == "limited"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({}, id="answer"),
+        pytest.param({"status": 503, "not_run": True}, id="refusal"),
+        pytest.param({"status": 500}, id="failure"),
+    ],
+)
+def test_server_that_states_that_it_leaves_gets_no_more_requests(
+    changes: dict[str, object],
+) -> None:
+    relaying = Relaying(n_servers=2)
+    relaying.arrive(SAFE, number=1)
+    attempt = relaying.sent[0]
+    leaving = attempt.server_id
+    answer = head("r1", leaving=True, **changes)
+    relaying.requests.answer_head(attempt.id, answer, now=0.1)
+    relaying.requests.answer_end(attempt.id, cut=False, now=0.1)
+    relaying.directory.put(relaying.plain(leaving), now=0.2)
+    for number in range(2, 6):
+        relaying.arrive(SAFE, number=number, now=5.0 * number)
+        relaying.requests.answer_end(relaying.sent[-1].id, cut=False, now=5.0 * number)
+    assert leaving not in {item.server_id for item in relaying.sent[1:]}
+    assert [name for name, _ in relaying.lines].count("server_leaving") == 1
+
+
+def test_leaving_of_another_server_is_ignored() -> None:
+    """Believe nothing of a server that has taken over the address."""
+    relaying = Relaying(n_servers=2)
+    relaying.arrive(SAFE, number=1)
+    answer = head("r1", status=421, not_run=True, wrong_server=True, leaving=True)
+    relaying.requests.answer_head(relaying.sent[0].id, answer, now=0.1)
+    assert not any(server.draining for server in relaying.directory.by_id.values())
