Soak pauses that servers ask for and servers that leave unlisted

The stand-ins of backend servers can ask for a pause when they refuse, and state in their answers that they leave while their entry shows them as ready; most state when they started, as the platform's do, so that one that returns is a new incarnation. The soak draws both faults and checks both promises with the users' bounds: two requests from half a second to the end of a pause, none later than 2 s after an answer that states the leaving; only faults of the host itself excuse.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections import Counter
 from collections.abc import Iterable
@@ -22,6 +23,11 @@
 DRAINED_WITHIN = 2.0
 IN_FORCE_WITHIN = 2.0
 
+#: Requests that a host may send to a server during a pause that the server asked it
+#: for, and seconds from the start of the pause after which requests count.
+MAX_DURING_PAUSE = 2
+PAUSE_GRACE = 0.5
+
 #: Seconds within which a running host has read a request that was sent to it.
 READ_WITHIN = 0.2
 
@@ -73,6 +79,15 @@
             for disturbance in self.disturbances
         )
 
+    def is_disturbed_between(self, host: str, start: float, end: float) -> bool:
+        """Return whether a host was disturbed at any time within a span."""
+        return any(
+            disturbance.target == host
+            and disturbance.start <= end
+            and disturbance.end >= start
+            for disturbance in self.disturbances
+        )
+
     def n_runs(self) -> Counter[str]:
         """Return the number of runs of each request over all servers."""
         total: Counter[str] = Counter()
@@ -115,6 +130,8 @@
     for name, server in evidence.servers.items():
         _check_leaving(name, server, evidence, verdict)
         _check_limit(name, server, evidence, verdict)
+        _check_stated_leaving(name, server, evidence, verdict)
+        _check_pauses(name, server, evidence, verdict)
     n_groups = len({run for run in n_runs if n_runs[run]})
     verdict.n_tested_by_promise["groups are whole, members in one"] += n_groups
     for fault in evidence.group_faults:
@@ -192,7 +209,7 @@
 ) -> None:
     for start, end in _spans(server["states"], "draining"):
         for at, request_id in server["arrivals"]:
-            host = request_id.partition(".")[0]
+            host = _host_of(request_id)
             if start + DRAINED_WITHIN < at < end and evidence.is_undisturbed(host, at):
                 seen = f"{name} got {request_id} {at - start:.2f} s after"
                 verdict.record(
@@ -201,6 +218,56 @@
         verdict.record("leaving servers get nothing new", holds=True)
 
 
+def _check_stated_leaving(
+    name: str, server: dict[str, Any], evidence: Evidence, verdict: Verdict
+) -> None:
+    """Check that hosts send nothing to a server whose answers say that it leaves.
+
+    Only a disturbance of the host itself excuses a request, and a later start of the
+    server ends the statement.
+    """
+    for stated_at, answered_id in server["farewells"]:
+        host = _host_of(answered_id)
+        end = min((at for at in server["starts"] if at > stated_at), default=math.inf)
+        late = [
+            f"{request_id} {at - stated_at:.2f} s after"
+            for at, request_id in server["arrivals"]
+            if _host_of(request_id) == host
+            and stated_at + DRAINED_WITHIN < at < end
+            and not evidence.is_disturbed_between(host, stated_at, at)
+        ]
+        verdict.record(
+            "servers that say that they leave get nothing new",
+            holds=not late,
+            observed=f"{name} got {', '.join(late)}",
+        )
+
+
+def _check_pauses(
+    name: str, server: dict[str, Any], evidence: Evidence, verdict: Verdict
+) -> None:
+    """Check that hosts keep to the pauses that a server asked them for."""
+    for refused_at, refused_id, seconds in server["pauses"]:
+        host = _host_of(refused_id)
+        end = refused_at + seconds
+        if evidence.is_disturbed_between(host, refused_at, end):
+            continue
+        n_sent = sum(
+            refused_at + PAUSE_GRACE <= at <= end and _host_of(request_id) == host
+            for at, request_id in server["arrivals"]
+        )
+        verdict.record(
+            "pauses that servers ask for hold",
+            holds=n_sent <= MAX_DURING_PAUSE,
+            observed=f"{name} got {n_sent} from {host} within {seconds} s",
+        )
+
+
+def _host_of(request_id: str) -> str:
+    """Return the host to which a caller of the soak sent a request."""
+    return request_id.partition(".")[0]
+
+
 def _check_limit(
     name: str, server: dict[str, Any], evidence: Evidence, verdict: Verdict
 ) -> None:
@@ -211,7 +278,7 @@
                 at
                 for at, request_id in server["arrivals"]
                 if start + UNDISTURBED_FOR < at < end
-                and evidence.is_undisturbed(request_id.partition(".")[0], at)
+                and evidence.is_undisturbed(_host_of(request_id), at)
             ]
             for index, at in enumerate(times):
                 n_within = sum(at <= other < at + LIMIT_WINDOW for other in times)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -48,6 +48,14 @@
 LIMITS = ("1", "2.5", "0")
 LIMITED_FOR = 9.0
 
+#: Seconds of pause that a refusing server asks for, and the minimum number of seconds
+#: for which it refuses requests.
+PAUSES_ASKED_FOR = ("1.5", "3")
+REFUSING_FOR = 4.0
+
+#: Minimum number of seconds for which a server is leaving.
+LEAVING_FOR = 4.0
+
 
 @dataclass(slots=True, kw_only=True)
 class Disturbance:
@@ -117,6 +125,8 @@
             self._restore_store_from_copy,
             self._disturb_server,
             self._limit_server,
+            self._refuse_with_pause,
+            self._leave_unlisted,
             self._restart_server,
             self._drain_server,
             self._revoke_key,
@@ -255,11 +265,39 @@
         key = server.replace("-", "_")
         self.zone.control(**{key: {"state": "draining"}})
         self._end_after(
-            duration + 4.0,
+            LEAVING_FOR + duration,
             lambda: self.zone.control(**{key: {"state": "ready"}}),
             disturbance,
         )
 
+    def _leave_unlisted(self, generator: random.Random, duration: float) -> None:
+        """Let a server's answers state that it leaves, while its entry doesn't."""
+        server = self._free_server(generator)
+        if server is None or not self.zone.servers()[server]["started_at"]:
+            return
+        disturbance = self._record_begin(server, "leave-unlisted")
+        key = server.replace("-", "_")
+        self.zone.control(**{key: {"leaving": True}})
+        self._end_after(
+            LEAVING_FOR + duration,
+            lambda: self.zone.control(**{key: {"leaving": False, "restart": True}}),
+            disturbance,
+        )
+
+    def _refuse_with_pause(self, generator: random.Random, duration: float) -> None:
+        server = self._free_server(generator)
+        if server is None:
+            return
+        pause = generator.choice(PAUSES_ASKED_FOR)
+        disturbance = self._record_begin(server, f"refuse-with-pause {pause}")
+        key = server.replace("-", "_")
+        self.zone.control(**{key: {"reject": True, "pause": pause}})
+        self._end_after(
+            REFUSING_FOR + duration,
+            lambda: self.zone.control(**{key: {"reject": False, "pause": ""}}),
+            disturbance,
+        )
+
     def _revoke_key(self, generator: random.Random, duration: float) -> None:
         if "key" in self._disturbed:
             return
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -45,6 +45,10 @@
         an answer) or ``"lost"`` (neither applied nor answered).
     limit : str
         Rate limit that answers declare; empty for none.
+    pause : str
+        Seconds of pause that refusals ask for; empty for none.
+    leaving : bool
+        State in answers that the server is leaving.
     n_events : int
         Number of events in a stream.
     event_ms : float
@@ -60,6 +64,8 @@
     cut_after: int = 0
     orders: str = "taken"
     limit: str = ""
+    pause: str = ""
+    leaving: bool = False
     n_events: int = 5
     event_ms: float = 10.0
 
@@ -81,6 +87,16 @@
         Monotonic times at which the state of the entry was set, and the states.
     limits : list of (float, str)
         Monotonic times at which the declared rate limit was set, and the limits.
+    pauses : list of (float, str, float)
+        Monotonic times of refusals, the ids of the refused requests, and the seconds
+        of pause that the refusals asked for.
+    farewells : list of (float, str)
+        Monotonic times of answers that state that the server is leaving, and the ids
+        of the answered requests.
+    starts : list of float
+        Monotonic times of the restarts under the same id.
+    started_at : int
+        Start time that the server states; 0 for none.
     """
 
     id: str
@@ -105,6 +121,10 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     states: list[tuple[float, str]] = field(default_factory=list)
     limits: list[tuple[float, str]] = field(default_factory=list)
+    pauses: list[tuple[float, str, float]] = field(default_factory=list)
+    farewells: list[tuple[float, str]] = field(default_factory=list)
+    starts: list[float] = field(default_factory=list)
+    started_at: int = 0
     sequence: Any = field(default_factory=itertools.count)
 
     def app(self) -> web.Application:
@@ -127,6 +147,8 @@
             "cold_remaining_ms": 0,
             "sequence": next(self.sequence),
         }
+        if self.started_at:
+            entry["born"] = self.started_at
         if self.is_engine:
             models = [{"name": self.model, "version": 1, "adapters": []}]
             entry |= {
@@ -151,7 +173,10 @@
 
     async def report(self, request: web.Request) -> web.StreamResponse:
         """Return the server's group; any answer shows that the server is alive."""
-        return web.json_response({"busy": False, "group": self.group})
+        answer: dict[str, Any] = {"busy": False, "group": self.group}
+        if self.started_at:
+            answer["born"] = self.started_at
+        return web.json_response(answer)
 
     async def order(self, request: web.Request) -> web.StreamResponse:
         """Apply an order, unless it is for another instance or the switches lose it."""
@@ -223,7 +248,11 @@
         serving = not self.is_engine or (self.group and self.group["state"] == "open")
         if self.switches.reject or not serving:
             headers = {"Not-Executed": "1", "Request-Id": request_id}
-            headers |= self._limit_header()
+            headers |= self._notices(request_id)
+            if self.switches.pause:
+                seconds = float(self.switches.pause)
+                self.pauses.append((time.monotonic(), request_id, seconds))
+                headers["Retry-After"] = self.switches.pause
             return web.Response(status=503, headers=headers)
         self.n_runs_by_request[request_id] += 1
         self.observer("runs", self)
@@ -231,7 +260,7 @@
             "Request-Id": "another" if self.switches.wrong_id else request_id,
             "Response-Seal": f"{SIGNATURE}-{self.id}",
         }
-        headers |= self._limit_header()
+        headers |= self._notices(request_id)
         if self.switches.lose_answers:
             request.transport.abort()
         if self.switches.fail:
@@ -242,8 +271,15 @@
             return web.Response(headers=headers, text=text)
         return await self._stream(request, headers)
 
-    def _limit_header(self) -> dict[str, str]:
-        return {"Server-Limit": self.switches.limit} if self.switches.limit else {}
+    def _notices(self, request_id: str) -> dict[str, str]:
+        """Return the headers by which answers state a limit or the server's leaving."""
+        headers = {}
+        if self.switches.limit:
+            headers["Server-Limit"] = self.switches.limit
+        if self.switches.leaving:
+            self.farewells.append((time.monotonic(), request_id))
+            headers["Server-Leaving"] = "1"
+        return headers
 
     async def _stream(
         self, request: web.Request, headers: dict[str, str]
@@ -278,6 +314,9 @@
             self.model = ""
             self.staged = []
             self.highest_epoch = -1
+            self.starts.append(time.monotonic())
+            if self.started_at:
+                self.started_at += 1
         listed = switches.pop("listed", None)
         self.state = switches.pop("state", self.state)
         for name, value in switches.items():
@@ -302,6 +341,10 @@
             "arrivals": self.arrivals,
             "states": self.states,
             "limits": self.limits,
+            "pauses": self.pauses,
+            "farewells": self.farewells,
+            "starts": self.starts,
+            "started_at": self.started_at,
         }
 
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -104,9 +104,13 @@
         addresses["control"] = await _listen(self._control_app())
         self.put_configuration(configuration(1))
         for index in range(n_engines):
-            await self._start_server(f"engine-{index}", is_engine=True)
+            # Some servers don't state when they started.
+            started_at = index % 2
+            await self._start_server(
+                f"engine-{index}", is_engine=True, started_at=started_at
+            )
         for index in range(n_plain):
-            await self._start_server(f"plain-{index}", is_engine=False)
+            await self._start_server(f"plain-{index}", is_engine=False, started_at=1)
         return addresses
 
     def put_configuration(self, document: dict[str, Any]) -> None:
@@ -114,13 +118,16 @@
         self.configuration = document
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
-    async def _start_server(self, server_id: str, *, is_engine: bool) -> None:
+    async def _start_server(
+        self, server_id: str, *, is_engine: bool, started_at: int
+    ) -> None:
         server = GroupServer(
             id=server_id,
             service="engines" if is_engine else "plain",
             zone="z",
             domain="d0",
             is_engine=is_engine,
+            started_at=started_at,
             register=self.register,
             observer=self.monitor.record,
         )
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -31,7 +31,8 @@
 
 
 def _server(**seen: object) -> dict[str, object]:
-    return {"n_runs": {}, "arrivals": [], "states": [], "limits": []} | seen
+    names = ("arrivals", "states", "limits", "pauses", "farewells", "starts")
+    return {"n_runs": {}} | {name: [] for name in names} | seen
 
 
 def _evidence(*calls: Call, **changes: object) -> Evidence:
@@ -75,6 +76,21 @@
     return evidence
 
 
+def _requests_within_a_pause() -> Evidence:
+    evidence = _evidence()
+    arrivals = [(10.0 + 0.6 * index, f"e1.{index}") for index in range(1, 4)]
+    evidence.servers["s"] = _server(pauses=[(10.0, "e1.0", 3.0)], arrivals=arrivals)
+    return evidence
+
+
+def _request_after_the_server_said_that_it_leaves() -> Evidence:
+    evidence = _evidence()
+    evidence.servers["s"] = _server(
+        farewells=[(5.0, "e1.1")], arrivals=[(7.5, "e1.2")], starts=[4.0, 9.0]
+    )
+    return evidence
+
+
 VIOLATIONS: dict[str, Callable[[], Evidence]] = {
     "events-missing": lambda: _evidence(replace(STREAM, body=EVENTS[24:])),
     "event-twice": lambda: _evidence(replace(STREAM, body=EVENTS + EVENTS[-24:])),
@@ -87,6 +103,8 @@
     "stop-cuts-off": _stop_cuts_off_a_stream,
     "leaving-server": _leaving_server_gets_a_request,
     "limit": _limit_is_exceeded,
+    "pause": _requests_within_a_pause,
+    "stated-leaving": _request_after_the_server_said_that_it_leaves,
     "group": lambda: _evidence(group_faults=["g runs without b"]),
     "unserved": lambda: _evidence(unserved_kinds=["look"]),
 }
@@ -117,3 +135,19 @@
         assert check(evidence).violations == []
     evidence.disturbances = [Disturbance(target="e2", kind="pause", start=6.0, end=7.2)]
     assert check(evidence).violations != []
+
+
+@pytest.mark.parametrize(
+    "evidence",
+    [_requests_within_a_pause(), _request_after_the_server_said_that_it_leaves()],
+    ids=["pause", "stated-leaving"],
+)
+def test_other_hosts_and_disturbances_excuse_requests(evidence: Evidence) -> None:
+    """Guard against violations by a host that was not asked, or that restarted."""
+    server = evidence.servers["s"]
+    arrivals = server["arrivals"]
+    server["arrivals"] = [(at, id_.replace("e1", "e2")) for at, id_ in arrivals]
+    assert check(evidence).violations == []
+    server["arrivals"] = arrivals
+    evidence.disturbances = [Disturbance(target="e1", kind="kill", start=6.0, end=10.5)]
+    assert check(evidence).violations == []
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -225,3 +225,40 @@
     ):
         assert name in text, text
         assert name in readiness_text
+
+
+def test_server_that_says_that_it_leaves_gets_nothing_more(zone: RelayZone) -> None:
+    """Check that a host heeds what a server says in an answer.
+
+    Guards against requests at a leaving server whose entry shows it as ready.
+    """
+    host = zone.start_host("e1")
+    # The host selects the same server each time while all servers are idle.
+    assert host.call("/look/1", request_id="r0").status_code == 200
+    first = zone.server_that_runs("r0")
+    zone.control(**{first.replace("-", "_"): {"leaving": True}})
+    for index in range(1, 12):
+        assert host.call("/look/1", request_id=f"r{index}").status_code == 200
+    arrived = [request_id for _, request_id in zone.servers()[first]["arrivals"]]
+    assert arrived == ["r0", "r1"]
+
+
+def test_caller_is_refused_for_the_pause_that_all_servers_asked_for(
+    zone: RelayZone,
+) -> None:
+    """Check that a host keeps to pauses, and tells callers how long they last.
+
+    Guards against requests at servers that have asked the host for a pause, and against
+    callers that wait for them or come back too early.
+    """
+    host = zone.start_host("e1")
+    refusing = {"reject": True, "pause": "600"}
+    zone.control(plain_0=refusing, plain_1=refusing)
+    assert host.call("/look/1", request_id="r1").status_code == 503
+    refusal = host.call("/look/1", request_id="r2")
+    assert refusal.status_code == 503
+    assert float(refusal.headers["retry-after"]) > 500
+    servers = zone.servers()
+    for name in ("plain-0", "plain-1"):
+        arrived = [request_id for _, request_id in servers[name]["arrivals"]]
+        assert arrived == ["r1"]
