Tell other hosts which servers say that they are leaving

A statement of leaving reached only the host that got the answer. The planner of the server's zone, mostly another host, went on counting on the server until the list showed it, and other hosts went on sending to it: short in normal times, but as long as an outage of the store lasts, after which the server is gone with the requests that it was given meanwhile.

Heartbeats carry the statements that a host received itself within the last five seconds, in the part that is sent at once when it changes; what was received from others is not announced again. Receivers treat the server as draining, like its own record would make them do; rows of another incarnation than the one listed are ignored.

Evidence: test_all_hosts_hear_of_a_leaving_server failed before (hosts without requests never heard of it) and passes.

--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..state.leaving import LeavingServerRow
     from ..state.observations import RateLimitRow, SuspicionRow
 
 __all__ = ["HostAddress", "HostHeartbeat", "HostHeartbeats", "urgent_state"]
@@ -91,6 +92,8 @@
         Rate limits of backend servers, from the answers that the host received.
     wanted_servers : tuple of str
         Backend servers with a rate limit for which the host has requests.
+    leaving_servers : tuple of LeavingServerRow
+        Backend servers that recently told the host that they are leaving.
     address : str
         Address of the host; a forwarded heartbeat is sent from another address.
     interval : float
@@ -130,6 +133,7 @@
     suspicions: tuple[SuspicionRow, ...] = ()
     rate_limits: tuple[RateLimitRow, ...] = ()
     wanted_servers: tuple[str, ...] = ()
+    leaving_servers: tuple[LeavingServerRow, ...] = ()
     address: str = ""
     interval: float = 0.0
     for_zone: bool = False
@@ -163,6 +167,7 @@
         heartbeat.suspicions,
         tuple((row.server_id, row.rate) for row in heartbeat.rate_limits),
         heartbeat.wanted_servers,
+        heartbeat.leaving_servers,
     )
 
 
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -14,9 +14,10 @@
 from .server_pauses import ServerPauses
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from ...state.directory import BackendServer, Directory
+    from ...state.leaving import LeavingServerRow
 
 __all__ = ["Balancer", "ServerRecord"]
 
@@ -308,6 +309,20 @@
         """Record that a server states that it leaves; return whether that is new."""
         return self._directory.mark_leaving(server_id, now=now)
 
+    def record_peer_leaving(
+        self, rows: Iterable[LeavingServerRow], *, now: float
+    ) -> list[str]:
+        """Record servers that told another host that they leave; return new ones."""
+        return [
+            row.server_id
+            for row in rows
+            if self._directory.mark_leaving_by_peer(row, now=now)
+        ]
+
+    def announced_leaving(self, *, now: float) -> tuple[LeavingServerRow, ...]:
+        """Return the servers that recently told this host that they are leaving."""
+        return self._directory.leaving.announced(now=now)
+
     def mark_stalled(self, server_id: str, *, now: float) -> None:
         """Avoid a group that has stalled."""
         record = self.record(server_id)
--- a/ryelever/coordination/zone_summary.py
+++ b/ryelever/coordination/zone_summary.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..state.leaving import LeavingServerRow
     from ..state.observations import RateLimitRow, SuspicionRow
     from .host_heartbeats import HostHeartbeat
 
@@ -55,6 +56,9 @@
             row for heartbeat in heartbeats for row in heartbeat.rate_limits
         ),
         wanted_servers=_union(heartbeat.wanted_servers for heartbeat in heartbeats),
+        leaving_servers=_distinct(
+            row for heartbeat in heartbeats for row in heartbeat.leaving_servers
+        ),
     )
 
 
@@ -70,6 +74,10 @@
     return tuple(summed.values())
 
 
+def _distinct(rows: Iterable[LeavingServerRow]) -> tuple[LeavingServerRow, ...]:
+    return tuple(sorted(set(rows), key=lambda row: row.server_id))
+
+
 def _newest(rows: Iterable[RateLimitRow]) -> tuple[RateLimitRow, ...]:
     newest: dict[str, RateLimitRow] = {}
     for row in rows:
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -155,6 +155,7 @@
             interval=interval,
             rate_limits=self._balancer.limits.announced_limits(now=now),
             wanted_servers=self._balancer.limits.requested_servers(now=now),
+            leaving_servers=self._balancer.announced_leaving(now=now),
             in_flight_by_server={
                 server_id: record.in_flight
                 for server_id, record in self._balancer.records_by_id.items()
@@ -212,6 +213,7 @@
                 self._mark_stalled(message, now=now)
                 self._on_peer_heartbeat(message)
                 self._balancer.limits.record_peer_limits(message.rate_limits, now=now)
+                self._record_leaving_servers(message, now=now)
                 if message.suspicions:
                     self._crashes.record_suspicions(
                         message.suspicions, host=message.host, now=now
@@ -219,6 +221,11 @@
         self._balancer.peers_in_flight_by_id = self._heartbeats.in_flight(now=now)
         self._update_limit_shares(now=now)
 
+    def _record_leaving_servers(self, heartbeat: HostHeartbeat, *, now: float) -> None:
+        rows = heartbeat.leaving_servers
+        for server_id in self._balancer.record_peer_leaving(rows, now=now):
+            log_event("server_leaving", server=server_id, peer=heartbeat.host)
+
     @handler("server_updates")
     def _on_server_updates(self, updates: ServerUpdates) -> None:
         """Send records that this host has read, so that other hosts needn't read them.
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -368,7 +368,10 @@
     ),
     "server_gone": _info("a backend server's record was removed", "server"),
     "server_leaving": _info(
-        "a backend server states in an answer that it is leaving", "server", "request"
+        "a backend server states in an answer that it is leaving",
+        "server",
+        "request",
+        "peer",
     ),
     "server_limited": _info(
         "the rate limit in a backend server's answers has changed",
--- a/ryelever/protocol/host_messages.py
+++ b/ryelever/protocol/host_messages.py
@@ -17,6 +17,7 @@
 from ..coordination.host_heartbeats import HostHeartbeat
 from ..errors import Category, RyeleverError
 from ..state.keyed_record import KeyedRecord, ServerUpdates
+from ..state.leaving import LeavingServerRow
 from ..state.observations import RateLimitRow, SuspicionRow
 
 if TYPE_CHECKING:
@@ -91,6 +92,10 @@
 #: concern rate limits.  They are sent in addition to the servers of the other lists.
 MAX_LIMITED_SERVERS = 32
 
+#: Maximum number of leaving backend servers in a heartbeat, also in addition to the
+#: others.  The servers' records announce all of them some tenths of a second later.
+MAX_LEAVING_SERVERS = 16
+
 #: Encodes a missing number in fields whose values are otherwise positive.
 ABSENT = -1
 
@@ -173,6 +178,13 @@
     }
 
 
+def _encode_leaving(row: LeavingServerRow) -> dict[str, object]:
+    return {
+        "server": row.server_id,
+        "startedAt": ABSENT if row.started_at is None else row.started_at,
+    }
+
+
 def _encode_state(heartbeat: HostHeartbeat) -> bytes:
     message = _schema.HostState.new_message(
         host=heartbeat.host,
@@ -197,6 +209,9 @@
         reshapes=list(heartbeat.reshapes),
         moving=list(heartbeat.moving[:MAX_LISTED_SERVERS]),
     )
+    if heartbeat.leaving_servers:
+        leaving = heartbeat.leaving_servers[:MAX_LEAVING_SERVERS]
+        message.leavingServers = [_encode_leaving(row) for row in leaving]
     if heartbeat.suspicions:
         message.suspicions = [
             {
@@ -412,6 +427,13 @@
         plans=tuple(message.plans),
         reshapes=tuple(message.reshapes),
         moving=tuple(message.moving),
+        leaving_servers=tuple(
+            LeavingServerRow(
+                server_id=row.server,
+                started_at=None if row.startedAt < 0 else row.startedAt,
+            )
+            for row in message.leavingServers
+        ),
         suspicions=tuple(
             SuspicionRow(
                 fingerprint=row.fingerprint,
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -65,6 +65,8 @@
   operatorOffset @20 :UInt64;
   # True once the sender knows all backend servers.
   knowsServers @21 :Bool;
+  # Backend servers that recently stated in answers to the sender that they are leaving.
+  leavingServers @22 :List(LeavingServer);
 }
 
 # Part of the backend servers' topic that one host has read, sent to the other hosts.
@@ -113,6 +115,12 @@
   groups @1 :Float32;
 }
 
+struct LeavingServer {
+  server @0 :Text;
+  # Distinguishes the server's incarnations; negative if the server doesn't report it.
+  startedAt @1 :Int64;
+}
+
 struct RateLimit {
   server @0 :Text;
   # Requests a second; negative if the server no longer reports a limit.
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from .leaving import LeavingServerRow
+
 __all__ = ["BackendServer", "Directory", "GroupReport", "GroupState"]
 
 
@@ -109,6 +111,8 @@
         Models of each server's last group since the server's start.  A server that has
         left its group lists no models, but can still join another group of the same
         model without delay.
+    leaving : LeavingServers
+        Servers that have stated in answers that they are leaving.
     n_changes : int
         Counter that grows with each change; callers use it to invalidate caches.
     """
@@ -120,12 +124,12 @@
         self.listed_since_by_id: dict[str, float] = {}
         self.served_by_id: dict[str, frozenset[str]] = {}
         self.n_changes = 0
-        self._leaving = LeavingServers()
+        self.leaving = LeavingServers()
         self._by_service: dict[str, dict[str, BackendServer]] = {}
 
     def put(self, server: BackendServer, *, now: float) -> bool:
         """Add or update a backend server; return whether anything has changed."""
-        if not server.draining and self._leaving.includes(server.id, server.started_at):
+        if not server.draining and self.leaving.includes(server.id, server.started_at):
             server = replace(server, draining=True)
         old = self.by_id.get(server.id)
         if old == server:
@@ -154,12 +158,29 @@
         Records of the same incarnation that don't show it yet no longer count: the
         store may be unavailable, or return from an older copy.
         """
-        self._leaving.drop_old(listed=self.by_id, now=now)
         server = self.by_id.get(server_id)
         started_at = None if server is None else server.started_at
-        if self._leaving.includes(server_id, started_at):
+        return self._mark_leaving(server_id, started_at, is_local=True, now=now)
+
+    def mark_leaving_by_peer(self, row: LeavingServerRow, *, now: float) -> bool:
+        """Record a statement that another host received; return whether it is new."""
+        server = self.by_id.get(row.server_id)
+        if server is not None and not may_be_same_start(
+            row.started_at, server.started_at
+        ):
+            return False
+        return self._mark_leaving(
+            row.server_id, row.started_at, is_local=False, now=now
+        )
+
+    def _mark_leaving(
+        self, server_id: str, started_at: int | None, *, is_local: bool, now: float
+    ) -> bool:
+        if self.leaving.includes(server_id, started_at):
             return False
-        self._leaving.add(server_id, started_at, now=now)
+        self.leaving.drop_old(listed=self.by_id, now=now)
+        self.leaving.add(server_id, started_at, is_local=is_local, now=now)
+        server = self.by_id.get(server_id)
         if server is not None:
             self._index(replace(server, draining=True))
         return True
--- a/ryelever/state/leaving.py
+++ b/ryelever/state/leaving.py
@@ -1,4 +1,4 @@
-"""Remember which backend servers have stated themselves that they are leaving."""
+"""Remember which backend servers have stated in answers that they are leaving."""
 
 from __future__ import annotations
 
@@ -11,13 +11,30 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-__all__ = ["LEAVING_RETENTION", "LeavingServers"]
+__all__ = ["LEAVING_RETENTION", "LeavingServerRow", "LeavingServers"]
 
 #: Seconds for which the statement of a server without an entry is remembered.  A server
 #: serves for some seconds after it has announced that it leaves, and its entry may
 #: expire and return meanwhile.
 LEAVING_RETENTION = 300.0
 
+#: Seconds for which a statement is announced to other hosts: several heartbeats to each
+#: zone.
+ANNOUNCED_FOR = 5.0
+
+
+class LeavingServerRow(msgspec.Struct, kw_only=True, frozen=True):
+    """Statement of a backend server that it is leaving, as hosts exchange it.
+
+    Attributes
+    ----------
+    started_at : int or None
+        Start time of the incarnation that is leaving; None if unknown.
+    """
+
+    server_id: str
+    started_at: int | None = None
+
 
 class _Statement(msgspec.Struct, kw_only=True, frozen=True):
     """A server's statement that it is leaving.
@@ -28,10 +45,13 @@
         Start time of the incarnation that is leaving; None if unknown.
     received_at : float
         Monotonic time.
+    is_local : bool
+        True if this host received the statement in an answer.
     """
 
     started_at: int | None
     received_at: float
+    is_local: bool
 
 
 class LeavingServers:
@@ -45,10 +65,18 @@
     def __init__(self) -> None:
         self._statements_by_id: dict[str, _Statement] = {}
 
-    def add(self, server_id: str, started_at: int | None, *, now: float) -> None:
-        """Record the statement of an incarnation."""
+    def add(
+        self, server_id: str, started_at: int | None, *, is_local: bool, now: float
+    ) -> None:
+        """Record the statement of an incarnation.
+
+        Parameters
+        ----------
+        is_local : bool
+            False if another host received the statement.
+        """
         self._statements_by_id[server_id] = _Statement(
-            started_at=started_at, received_at=now
+            started_at=started_at, received_at=now, is_local=is_local
         )
 
     def includes(self, server_id: str, started_at: int | None) -> bool:
@@ -58,6 +86,14 @@
             statement.started_at, started_at
         )
 
+    def announced(self, *, now: float) -> tuple[LeavingServerRow, ...]:
+        """Return the recent statements that this host received in answers."""
+        return tuple(
+            LeavingServerRow(server_id=server_id, started_at=statement.started_at)
+            for server_id, statement in sorted(self._statements_by_id.items())
+            if statement.is_local and now - statement.received_at < ANNOUNCED_FOR
+        )
+
     def drop_old(self, *, listed: Container[str], now: float) -> None:
         """Drop old statements of servers that are not listed."""
         old = [
--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -31,6 +31,7 @@
     encode_updates,
 )
 from ryelever.state.keyed_record import KeyedRecord, ServerUpdates
+from ryelever.state.leaving import LeavingServerRow
 from ryelever.state.observations import RateLimitRow, SuspicionRow
 
 
@@ -195,6 +196,10 @@
         still=tuple(names),
         rate_limits=tuple(limits),
         wanted_servers=tuple(names),
+        leaving_servers=tuple(
+            LeavingServerRow(server_id=name, started_at=1_790_000_000_000)
+            for name in names
+        ),
     )
     assert len(encode_heartbeat(heartbeat)) <= MAX_DATAGRAM
 
@@ -543,7 +548,7 @@
     assert [(item.n_crashes, item.crash) for item in summary.suspicions] == [(2, "i2")]
 
 
-def test_rate_limits_and_evacuations_are_encoded() -> None:
+def test_limits_leaving_servers_and_evacuations_are_encoded() -> None:
     rows = (
         RateLimitRow(server_id="i1", rate=1.5, age=0.25, started_at=7),
         RateLimitRow(server_id="i2", rate=None, age=1.0),
@@ -552,6 +557,10 @@
         _heartbeat("a"),
         rate_limits=rows,
         wanted_servers=("i1",),
+        leaving_servers=(
+            LeavingServerRow(server_id="i3", started_at=7),
+            LeavingServerRow(server_id="i4"),
+        ),
         store_era=3,
         evacuated_zones=("x",),
         operator_position=OperatorPosition(3, 17),
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -43,3 +43,16 @@
     fleet.run(LEAVING_FROM + 12.0)
     assert leaving.leaving_known_at_by_host
     assert leaving.n_after_leaving(after=DRAIN_TIME) == 0
+
+
+def test_all_hosts_hear_of_a_leaving_server(fleet: LimitedFleet) -> None:
+    """Tell the other hosts, whose planner replaces the server, before it is gone."""
+    leaving = fleet.servers["y-server-0"]
+    fleet.rate_by_host |= dict.fromkeys(["z-host-0", "z-host-1"], 0.0)
+    fleet.run(LEAVING_FROM)
+    leaving.leaving = True
+    fleet.run(LEAVING_FROM + DRAIN_TIME)
+    assert "z-host-0" not in leaving.leaving_known_at_by_host
+    assert all(
+        host.directory.by_id["y-server-0"].draining for host in fleet.hosts.values()
+    )
--- a/tests/test_state/test_directory.py
+++ b/tests/test_state/test_directory.py
@@ -6,7 +6,11 @@
 from msgspec.structs import replace
 
 from ryelever.state.directory import Directory
-from ryelever.state.leaving import LEAVING_RETENTION
+from ryelever.state.leaving import (
+    ANNOUNCED_FOR,
+    LEAVING_RETENTION,
+    LeavingServerRow,
+)
 
 from ..test_coordination.test_groups.group_fakes import server
 
@@ -75,3 +79,24 @@
     directory.put(replace(SERVER, cold_for=2.0), now=0.0)
     directory.mark_leaving("a", now=1.0)
     assert directory.cold_until_by_id == {"a": 2.0}
+
+
+def test_statements_are_announced_by_the_host_that_received_them() -> None:
+    """Announce no other host's statements, or hosts would repeat them forever."""
+    directory = Directory()
+    directory.put(SERVER, now=0.0)
+    row = LeavingServerRow(server_id="a", started_at=SERVER.started_at)
+    assert directory.mark_leaving_by_peer(row, now=1.0)
+    assert directory.by_id["a"].draining
+    assert not directory.mark_leaving_by_peer(row, now=1.0)
+    directory.mark_leaving("b", now=1.0)
+    announced = LeavingServerRow(server_id="b")
+    assert directory.leaving.announced(now=1.0) == (announced,)
+    assert directory.leaving.announced(now=1.0 + ANNOUNCED_FOR) == ()
+
+
+def test_statement_of_another_incarnation_is_ignored(directory: Directory) -> None:
+    directory.put(replace(SERVER, started_at=2), now=2.0)
+    row = LeavingServerRow(server_id="a", started_at=SERVER.started_at)
+    assert not directory.mark_leaving_by_peer(row, now=3.0)
+    assert not _is_draining(directory)
