Let only later requests show that a failing server is of use again

What callers saw: requests went again and again to servers that refused them, with pauses much shorter than those by which a failing server is to be avoided, and used up their attempts there.

Cause: one time stood for failures and for stalls of a group, and any event or complete answer ended it and forgot the failures, also of requests that were sent before the failure. A server that refuses new requests goes on with those that it runs.

Avoidances for failures and for stalls are now two times. Progress ends the second; only a complete answer to a request that was sent after the last failure ends the first. With that no avoidance ends early any more, and the line avoidance_ended, which told of it, goes; its test is replaced by one that asks that the server gets nothing.

Evidence: three tests, two of which failed before (a host sends to h0 that had refused 0.2 s earlier).

--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -70,8 +70,12 @@
         Requests that this host has in flight at the server.
     n_failures : int
         Consecutive failures.
+    failed_at : float
+        Monotonic time of the last failure.
     avoided_until : float
-        Monotonic time until which the server gets no requests.
+        Monotonic time until which the server gets no requests because it failed.
+    stalled_until : float
+        Monotonic time until which it gets none because its group stalled.
     server : BackendServer or None
         The incarnation to which the failures belong.
     stale_entry : BackendServer or None
@@ -83,7 +87,9 @@
 
     in_flight: int = 0
     n_failures: int = 0
+    failed_at: float = float("-inf")
     avoided_until: float = 0.0
+    stalled_until: float = 0.0
     server: BackendServer | None = None
     stale_entry: BackendServer | None = None
     stale_until: float = 0.0
@@ -280,13 +286,22 @@
         """Return the mean seconds that requests are in flight, by service and model."""
         return self._unreported.mean_durations()
 
-    def succeeded(self, server_id: str, *, now: float) -> bool:
-        """Reset the failures of a backend server; return whether it was avoided."""
+    def succeeded(self, server_id: str, *, sent_at: float) -> None:
+        """Reset the failures of a backend server that has answered a request.
+
+        A request that was sent before the last failure says nothing about it: a server
+        that refuses new requests goes on with those that it runs.
+
+        Parameters
+        ----------
+        sent_at : float
+            Monotonic time at which the request was sent.
+        """
         record = self.record(server_id)
-        was_avoided = now < record.avoided_until
-        record.n_failures = 0
-        record.avoided_until = 0.0
-        return was_avoided
+        record.stalled_until = 0.0
+        if sent_at > record.failed_at:
+            record.n_failures = 0
+            record.avoided_until = 0.0
 
     def failed(self, server_id: str, *, now: float) -> None:
         """Avoid a backend server for a while, longer after each failure in a row."""
@@ -296,6 +311,7 @@
             # once.
             return
         record.n_failures += 1
+        record.failed_at = now
         pause = FIRST_AVOIDANCE * 2 ** (record.n_failures - 1)
         record.avoided_until = now + min(MAX_AVOIDANCE, pause)
 
@@ -326,16 +342,13 @@
     def mark_stalled(self, server_id: str, *, now: float) -> None:
         """Avoid a group that has stalled."""
         record = self.record(server_id)
-        record.avoided_until = max(record.avoided_until, now + STALL_AVOIDANCE)
+        record.stalled_until = now + STALL_AVOIDANCE
 
-    def clear_stall(self, server_id: str, *, now: float) -> bool:
-        """Stop avoiding a group that makes progress; return whether it was avoided."""
+    def clear_stall(self, server_id: str) -> None:
+        """Stop avoiding a group for its stall, since it makes progress."""
         record = self.records_by_id.get(server_id)
-        if record is None or not record.avoided_until:
-            return False
-        was_avoided = now < record.avoided_until
-        record.avoided_until = 0.0
-        return was_avoided
+        if record is not None:
+            record.stalled_until = 0.0
 
     def _usable(self, service: str, model: str) -> Iterator[BackendServer]:
         """Yield the candidates in zones that are not evacuated."""
@@ -377,7 +390,7 @@
         in_flight = self.peers_in_flight_by_id[server.id]
         if record is not None:
             has_stale_entry = server is record.stale_entry and now < record.stale_until
-            if has_stale_entry or now < record.avoided_until:
+            if has_stale_entry or now < max(record.avoided_until, record.stalled_until):
                 return None
             in_flight += record.in_flight
         capacity = server.slots + QUEUED_PER_SERVER
@@ -405,7 +418,7 @@
             elif not server.is_same_incarnation(record.server):
                 record.server = server
                 record.n_failures = 0
-                record.avoided_until = 0.0
+                record.avoided_until = record.stalled_until = 0.0
 
 
 def _serves_model(server: BackendServer, model: str) -> bool:
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -116,10 +116,6 @@
             request=request.arrival.request_id,
         )
 
-    def avoidance_ended(self, server_id: str, reason: str) -> None:
-        """Log that progress at a backend server ended its avoidance early."""
-        self._log("avoidance_ended", server=server_id, reason=reason)
-
     def caller_left(self, request: RelayRequest) -> None:
         """Log that a caller has closed its connection."""
         self._log(
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -218,7 +218,7 @@
         request = self._requests_by_attempt.get(attempt_id)
         if request is not None:
             self._stall_watch.progressed(request.attempt.server_id, now=now)
-            self._clear_stall(request.attempt.server_id, now=now)
+            self._balancer.clear_stall(request.attempt.server_id)
             self._forward_events(request, events, now=now)
 
     def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
@@ -450,11 +450,6 @@
             if request.is_stream and request.attempt.server_id == server_id:
                 self._move_elsewhere(request, "still", now=now)
 
-    def _clear_stall(self, server_id: str, *, now: float) -> None:
-        """End the avoidance of a server that makes progress."""
-        if self._balancer.clear_stall(server_id, now=now):
-            self._reports.avoidance_ended(server_id, "progress")
-
     def _move_elsewhere(
         self, request: RelayRequest, reason: str, *, now: float
     ) -> bool:
@@ -529,9 +524,7 @@
 
     def _record_success(self, request: RelayRequest, *, now: float) -> None:
         """Record that a backend server has answered completely."""
-        server_id = request.attempt.server_id
-        if self._balancer.succeeded(server_id, now=now):
-            self._reports.avoidance_ended(server_id, "answered")
+        self._balancer.succeeded(request.attempt.server_id, sent_at=request.sent_at)
         if request.n_sent == 1:
             duration = now - request.first_sent_at
             self._balancer.record_duration(
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -233,11 +233,6 @@
         "pause",
         "request",
     ),
-    "avoidance_ended": _info(
-        "progress at a backend server ended the time for which it was avoided",
-        "server",
-        "reason",
-    ),
     "group_still": _info("no request of a group makes progress any more", "server"),
     "crash_noted": _info(
         "a backend server crashed under requests",
