Let a stopping host wait for the first request of a new connection

What callers saw: a caller that connected to a stopping host got its connection closed without an answer (test_stopping_host_refuses_requests_that_it_cannot_ finish, once beside busy processes).

Cause: after the balancer has stopped sending callers, a stopping host closes idle connections at each tick, and a connection that was accepted since the last tick and whose request is not read yet counts as idle.

A connection on which nothing has arrived counts as busy for a second from its acceptance: it is not closed, and the process doesn't end before.

Evidence: the new test of the callers' connections failed before (1 connection closed where 0 may be).

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -48,6 +48,10 @@
 #: can read the refusal.
 LINGER = 1.0
 
+#: Seconds within which a caller sends the first request on a new connection.  Callers
+#: connect when they have a request to send.
+FIRST_REQUEST_TIME = 1.0
+
 #: TCP keepalive: seconds without traffic before the kernel probes the caller, seconds
 #: between two probes, and probes without an answer after which it drops the connection.
 KEEPALIVE = ((socket.TCP_KEEPIDLE, 3), (socket.TCP_KEEPINTVL, 1))
@@ -59,6 +63,10 @@
 
     Attributes
     ----------
+    progress_at : float
+        Monotonic time at which the connection was accepted, or of its last activity.
+    has_received : bool
+        True once the caller has sent anything.
     request_started_at : float or None
         Monotonic time of the first byte of a request that is still arriving.
     n_pipelined_bytes : int
@@ -72,6 +80,7 @@
     sock: socket.socket
     http: h11.Connection
     progress_at: float
+    has_received: bool = False
     head: h11.Request | None = None
     body: bytearray = msgspec.field(default_factory=bytearray)
     request_started_at: float | None = None
@@ -84,6 +93,10 @@
         """Return whether no request is being received or answered."""
         return not self.number and self.request_started_at is None
 
+    def awaits_first_request(self, *, now: float) -> bool:
+        """Return whether the caller has just connected and sent nothing yet."""
+        return not self.has_received and now - self.progress_at < FIRST_REQUEST_TIME
+
 
 class RelayCallers(CallerServer):
     """Listen on one address and own the connections of its callers.
@@ -124,9 +137,15 @@
 
     @property
     def n_busy(self) -> int:
-        """Return the number of connections with a request or with unsent bytes."""
+        """Return the number of connections with a request or with unsent bytes.
+
+        New connections count as well until their first request is overdue.
+        """
+        now = time.monotonic()
         return sum(
-            not connection.is_idle or bool(self._buffers.get(connection.sock))
+            not connection.is_idle
+            or connection.awaits_first_request(now=now)
+            or bool(self._buffers.get(connection.sock))
             for connection in self._connections_by_sock.values()
         )
 
@@ -163,6 +182,7 @@
         if connection is None or connection.closes_at != float("inf"):
             return
         connection.progress_at = now = time.monotonic()
+        connection.has_received = True
         if connection.number:
             connection.n_pipelined_bytes += len(data)
             limits = self._limits()
@@ -195,11 +215,18 @@
                 self._refuse(connection, 408)
 
     def close_idle(self) -> int:
-        """Close the connections that carry no request and return their number."""
+        """Close the connections that carry no request and return their number.
+
+        A caller that has just connected may have sent a request that is not read yet,
+        and would get no answer.
+        """
+        now = time.monotonic()
         idle = [
             connection
             for connection in self._connections_by_sock.values()
-            if connection.is_idle and connection.closes_at == float("inf")
+            if connection.is_idle
+            and not connection.awaits_first_request(now=now)
+            and connection.closes_at == float("inf")
         ]
         for connection in idle:
             self._close_gracefully(connection)
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -14,12 +14,13 @@
 from ryelever.events import RelayedRequest, sweep
 from ryelever.state.routes import ConnectionLimits
 from ryelever.timers import Timers
-from ryelever.transport import caller_server
+from ryelever.transport import caller_server, relay_callers
 from ryelever.transport.poller import Poller
 from ryelever.transport.relay_callers import RelayCallers
 
 from ..bad_requests import REFUSED
 from ..builders import named
+from ..processes import wait_until
 
 LIMITS = ConnectionLimits(
     max_head=2048, max_body=4096, head_timeout=0.3, idle_timeout=30.0
@@ -225,6 +226,26 @@
         return ("10.1.0.40", 8227)
 
 
+def test_stopping_host_waits_for_the_first_request_of_a_new_connection(
+    listener: Listener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against closing a connection whose caller is about to send its request."""
+    with _connect(listener) as sock:
+        wait_until(lambda: listener.callers.n_open == 1, what="a caller connects")
+        assert listener.callers.close_idle() == 0
+        assert listener.callers.n_busy == 1
+        sock.sendall(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert sock.recv(4096).startswith(b"HTTP/1.1 200")
+        wait_until(lambda: not listener.callers.n_busy, what="the answer is sent")
+        assert listener.callers.close_idle() == 1
+        assert sock.recv(4096) == b""
+    monkeypatch.setattr(relay_callers, "FIRST_REQUEST_TIME", 0.0)
+    with _connect(listener) as sock:
+        wait_until(lambda: listener.callers.n_open == 1, what="a caller connects")
+        assert listener.callers.close_idle() == 1
+        assert sock.recv(4096) == b""
+
+
 def test_connections_that_cannot_be_accepted_are_logged(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
