Let tests of the HTTP client wait for answers that are due

Cause: each request of the file fails after 0.2 s without progress, also those of which a test expects an answer, and the answer comes from a thread of the test that may have to wait for a processor.

Requests wait for 30 s now, and the main loop of a test gives up after 10 s as before; the tests that expect a timeout ask for 0.2 s. What is asserted is the same: with a connection that is too old in use the answer never comes.

--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -19,6 +19,11 @@
 from ryelever.transport.http_connection import IDLE_TIMEOUT
 from ryelever.transport.poller import Poller
 
+#: Seconds without progress after which a request fails: for tests that wait for the
+#: failure, and for all others, in which a peer on a busy machine may take its time.
+SHORT_TIMEOUT = 0.2
+LONG_TIMEOUT = 30.0
+
 NO_ANSWER = "silent"
 CLOSE = "close"
 
@@ -122,7 +127,7 @@
             path="/",
             reply_channel="harness",
             step="fetch",
-            **({"method": "GET", "progress_timeout": 0.2} | fields),
+            **({"method": "GET", "progress_timeout": LONG_TIMEOUT} | fields),
         )
         self.fire(outbound_send(request), "http_client")
 
@@ -165,9 +170,13 @@
 
 # Scripts of the first connections, extra request fields, expected result.
 FAILURES = {
-    "truncated": ([[OK[:-1], CLOSE]], {}, "timeout sent"),
+    "truncated": (
+        [[OK[:-1], CLOSE]],
+        {"progress_timeout": SHORT_TIMEOUT},
+        "timeout sent",
+    ),
     "truncated and closed": ([[CLOSE]], {}, "broken sent"),
-    "silent": ([[NO_ANSWER]], {}, "timeout sent"),
+    "silent": ([[NO_ANSWER]], {"progress_timeout": SHORT_TIMEOUT}, "timeout sent"),
     "not HTTP": ([[b"220 mail ready\r\n\r\n"]], {}, "broken sent"),
     "too long": ([[answer("x" * 100)]], {"max_body": 10}, "broken sent"),
     "late": ([[OK]], {"latest_start": 0.0}, "timeout unsent"),
@@ -309,7 +318,8 @@
     harness.send(server.address)
     harness.send(server.address)
     harness.run_until(lambda: len(harness.answers) == 2)
-    assert harness.fetch(server.address) == "timeout sent"
+    timed_out = harness.fetch(server.address, progress_timeout=SHORT_TIMEOUT)
+    assert timed_out == "timeout sent"
     assert not harness.client.describe()
     harness.failures.clear()
     assert harness.fetch(server.address) == "new"
