Attribute what an answer states to the incarnation that was addressed

A server whose entry is removed may still answer that it leaves, or ask for a pause, and then start again under its id. The statement was kept without a start time, as the list no longer had one, and so held for the next incarnation as well: a pause for its time, a leaving for as long as the server was listed. Found in reading the change.

An attempt now carries the start time of the incarnation that it addresses, and statements are kept with it. A late answer of a former incarnation changes nothing for the listed one.

Evidence: test_answer_of_an_unlisted_server_says_nothing_of_its_next_incarnation failed before in both cases (the second request was never sent).

--- a/ryelever/coordination/relaying/actions.py
+++ b/ryelever/coordination/relaying/actions.py
@@ -21,6 +21,8 @@
         Unique among the attempts of a process.
     request_number : int
         The request's number in this process.
+    started_at : int or None
+        Start time of the addressed incarnation of the server; None if unknown.
     deadline : float
         Monotonic time at which the backend server may stop.
     last_event_id : str
@@ -32,6 +34,7 @@
     id: str
     request_number: int
     server_id: str
+    started_at: int | None
     address: str
     deadline: float
     account: str
@@ -95,17 +98,13 @@
     All times are in seconds.
     """
 
-    def sent(
-        self, *, is_retry: bool, limited: bool, paused: bool, waited: float
-    ) -> None:
+    def sent(self, *, is_retry: bool, limited: bool, waited: float) -> None:
         """Record an attempt and the time since its request arrived.
 
         Parameters
         ----------
         limited : bool
             True if a rate limit applies to the backend server.
-        paused : bool
-            True if the backend server has asked for a pause that has not ended.
         """
 
     def first_event(self, seconds: float) -> None:
--- a/ryelever/coordination/relaying/answer_notices.py
+++ b/ryelever/coordination/relaying/answer_notices.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from ...state.leaving import LeavingServerRow
+
 if TYPE_CHECKING:
     from .balance import Balancer
     from .messages import AnswerHead
@@ -56,10 +58,16 @@
         if pause.seconds is None:
             self._reports.pause_unreadable(request, pause.text)
             return
-        self._balancer.pauses.record(request.attempt.server_id, pause.seconds, now=now)
+        attempt = request.attempt
+        self._balancer.pauses.record(
+            attempt.server_id, attempt.started_at, seconds=pause.seconds, now=now
+        )
         self._reports.server_paused(request, seconds=pause.seconds)
 
     def _record_leaving(self, request: RelayRequest, *, now: float) -> None:
         """Record that the server of a request is leaving."""
-        if self._balancer.mark_leaving(request.attempt.server_id, now=now):
+        row = LeavingServerRow(
+            server_id=request.attempt.server_id, started_at=request.attempt.started_at
+        )
+        if self._balancer.mark_leaving(row, now=now):
             self._reports.server_leaving(request)
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -321,9 +321,9 @@
         record.stale_entry = self._directory.by_id.get(server_id)
         record.stale_until = now + STALE_ENTRY_AVOIDANCE
 
-    def mark_leaving(self, server_id: str, *, now: float) -> bool:
+    def mark_leaving(self, row: LeavingServerRow, *, now: float) -> bool:
         """Record that a server states that it leaves; return whether that is new."""
-        return self._directory.mark_leaving(server_id, now=now)
+        return self._directory.mark_leaving(row, is_local=True, now=now)
 
     def record_peer_leaving(
         self, rows: Iterable[LeavingServerRow], *, now: float
@@ -332,7 +332,7 @@
         return [
             row.server_id
             for row in rows
-            if self._directory.mark_leaving_by_peer(row, now=now)
+            if self._directory.mark_leaving(row, is_local=False, now=now)
         ]
 
     def announced_leaving(self, *, now: float) -> tuple[LeavingServerRow, ...]:
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -30,24 +30,19 @@
         self._measures = measures
         self._log = log
 
-    def sent(
-        self, request: RelayRequest, *, limited: bool, paused: bool, now: float
-    ) -> None:
+    def sent(self, request: RelayRequest, *, limited: bool, now: float) -> None:
         """Record an attempt that ``n_sent`` of the request already counts.
 
         Parameters
         ----------
         limited : bool
             True if a rate limit applies to the backend server.
-        paused : bool
-            True if the backend server has asked for a pause that has not ended.
         """
         if request.n_sent == 1:
             request.first_sent_at = now
         self._measures.sent(
             is_retry=request.n_sent > 1,
             limited=limited,
-            paused=paused,
             waited=now - request.arrival.arrived_at,
         )
 
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -322,6 +322,7 @@
             id=f"r{next(self._attempt_ids)}",
             request_number=request.number,
             server_id=server.id,
+            started_at=server.started_at,
             address=server.address,
             deadline=request.deadline,
             account=request.account,
@@ -337,8 +338,7 @@
         request.sent_at = now
         request.tried.add(server.id)
         limited = self._balancer.limits.rate(server.id, now=now) is not None
-        paused = self._balancer.pauses.is_paused(server.id, now=now)
-        self._reports.sent(request, limited=limited, paused=paused, now=now)
+        self._reports.sent(request, limited=limited, now=now)
         if request.phase is RequestPhase.WAITING:
             request.phase = RequestPhase.SENT
         self._requests_by_attempt[attempt.id] = request
@@ -422,9 +422,8 @@
         paused_until = self._balancer.paused_until(
             request.service, request.arrival.model, excluded=request.tried, now=now
         )
-        if paused_until is None:
-            return False
-        if paused_until <= min(waits_until, request.times_out_at):
+        latest_start = min(waits_until, request.times_out_at)
+        if paused_until is None or paused_until <= latest_start:
             return False
         self._end_without_answer(
             request, "paused", retry_after=paused_until - now, now=now
--- a/ryelever/coordination/relaying/server_pauses.py
+++ b/ryelever/coordination/relaying/server_pauses.py
@@ -1,8 +1,8 @@
 """Track the pauses that backend servers have asked this host for.
 
-A server that refuses a request can ask the host to send it nothing for some seconds. An
-avoidance is the host's own estimate and ends as soon as the server makes progress. A
-pause ends only when its time has passed, or with the incarnation that asked for it.
+A server that refuses a request can ask the host to send it nothing for some seconds.
+Unlike an avoidance, which is the host's own estimate and may end early, a pause ends
+only when its time has passed, or with the incarnation that asked for it.
 """
 
 from __future__ import annotations
@@ -49,18 +49,26 @@
         self._directory = directory
         self._pauses_by_server: dict[str, _Pause] = {}
 
-    def record(self, server_id: str, seconds: float, *, now: float) -> None:
+    def record(
+        self, server_id: str, started_at: int | None, *, seconds: float, now: float
+    ) -> None:
         """Record that a server asked for a pause; a longer one in progress holds.
 
+        A late answer of a former incarnation changes nothing.
+
         Parameters
         ----------
+        started_at : int or None
+            Start time of the incarnation that asked; None if unknown.
         seconds : float
             Length of the pause, counted from the receipt of the answer.
         """
+        if not self._may_be_current(server_id, started_at):
+            return
         self._drop_ended(now=now)
         ends_at = max(now + seconds, self.ends_at(server_id))
         self._pauses_by_server[server_id] = _Pause(
-            ends_at=ends_at, started_at=self._started_at(server_id)
+            ends_at=ends_at, started_at=started_at
         )
 
     @property
@@ -77,14 +85,15 @@
         pause = self._pauses_by_server.get(server_id)
         if pause is None:
             return float("-inf")
-        if not may_be_same_start(pause.started_at, self._started_at(server_id)):
+        if not self._may_be_current(server_id, pause.started_at):
             del self._pauses_by_server[server_id]
             return float("-inf")
         return pause.ends_at
 
-    def _started_at(self, server_id: str) -> int | None:
+    def _may_be_current(self, server_id: str, started_at: int | None) -> bool:
+        """Return whether a start time may be that of the listed incarnation."""
         server = self._directory.by_id.get(server_id)
-        return None if server is None else server.started_at
+        return server is None or may_be_same_start(started_at, server.started_at)
 
     def _drop_ended(self, *, now: float) -> None:
         ended = [
--- a/ryelever/relay_metrics.py
+++ b/ryelever/relay_metrics.py
@@ -23,9 +23,7 @@
     def __init__(self, *, metrics: Metrics) -> None:
         self._metrics = metrics
 
-    def sent(
-        self, *, is_retry: bool, limited: bool, paused: bool, waited: float
-    ) -> None:
+    def sent(self, *, is_retry: bool, limited: bool, waited: float) -> None:
         """Count an attempt, and record the seconds since its request arrived.
 
         Parameters
@@ -34,15 +32,11 @@
             Whether the request was sent before; its waiting time isn't recorded then.
         limited : bool
             Whether the backend server has announced a rate limit.
-        paused : bool
-            Whether the backend server has asked for a pause that has not ended.
         """
         kind = "repeat" if is_retry else "first"
         self._metrics.count("relay_sendings", kind)
         if limited:
             self._metrics.count("relay_limited_sendings", kind)
-        if paused:
-            self._metrics.count("relay_paused_sendings", kind)
         if not is_retry:
             self._metrics.observe("relay_waiting", waited)
 
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -152,35 +152,29 @@
         self._index(server)
         return True
 
-    def mark_leaving(self, server_id: str, *, now: float) -> bool:
+    def mark_leaving(
+        self, row: LeavingServerRow, *, is_local: bool, now: float
+    ) -> bool:
         """Record that a server stated that it leaves; return whether that is new.
 
         Records of the same incarnation that don't show it yet no longer count: the
-        store may be unavailable, or return from an older copy.
-        """
-        server = self.by_id.get(server_id)
-        started_at = None if server is None else server.started_at
-        return self._mark_leaving(server_id, started_at, is_local=True, now=now)
+        store may be unavailable, or return from an older copy. A statement of another
+        incarnation than the listed one is ignored.
 
-    def mark_leaving_by_peer(self, row: LeavingServerRow, *, now: float) -> bool:
-        """Record a statement that another host received; return whether it is new."""
+        Parameters
+        ----------
+        is_local : bool
+            False if another host received the statement.
+        """
         server = self.by_id.get(row.server_id)
         if server is not None and not may_be_same_start(
             row.started_at, server.started_at
         ):
             return False
-        return self._mark_leaving(
-            row.server_id, row.started_at, is_local=False, now=now
-        )
-
-    def _mark_leaving(
-        self, server_id: str, started_at: int | None, *, is_local: bool, now: float
-    ) -> bool:
-        if self.leaving.includes(server_id, started_at):
+        if self.leaving.includes(row.server_id, row.started_at):
             return False
         self.leaving.drop_old(listed=self.by_id, now=now)
-        self.leaving.add(server_id, started_at, is_local=is_local, now=now)
-        server = self.by_id.get(server_id)
+        self.leaving.add(row, is_local=is_local, now=now)
         if server is not None:
             self._index(replace(server, draining=True))
         return True
--- a/ryelever/state/leaving.py
+++ b/ryelever/state/leaving.py
@@ -41,15 +41,13 @@
 
     Attributes
     ----------
-    started_at : int or None
-        Start time of the incarnation that is leaving; None if unknown.
     received_at : float
         Monotonic time.
     is_local : bool
         True if this host received the statement in an answer.
     """
 
-    started_at: int | None
+    row: LeavingServerRow
     received_at: float
     is_local: bool
 
@@ -65,32 +63,30 @@
     def __init__(self) -> None:
         self._statements_by_id: dict[str, _Statement] = {}
 
-    def add(
-        self, server_id: str, started_at: int | None, *, is_local: bool, now: float
-    ) -> None:
-        """Record the statement of an incarnation.
+    def add(self, row: LeavingServerRow, *, is_local: bool, now: float) -> None:
+        """Record a statement.
 
         Parameters
         ----------
         is_local : bool
             False if another host received the statement.
         """
-        self._statements_by_id[server_id] = _Statement(
-            started_at=started_at, received_at=now, is_local=is_local
+        self._statements_by_id[row.server_id] = _Statement(
+            row=row, received_at=now, is_local=is_local
         )
 
     def includes(self, server_id: str, started_at: int | None) -> bool:
         """Return whether an incarnation may be the one that is leaving."""
         statement = self._statements_by_id.get(server_id)
         return statement is not None and may_be_same_start(
-            statement.started_at, started_at
+            statement.row.started_at, started_at
         )
 
     def announced(self, *, now: float) -> tuple[LeavingServerRow, ...]:
         """Return the recent statements that this host received in answers."""
         return tuple(
-            LeavingServerRow(server_id=server_id, started_at=statement.started_at)
-            for server_id, statement in sorted(self._statements_by_id.items())
+            statement.row
+            for _, statement in sorted(self._statements_by_id.items())
             if statement.is_local and now - statement.received_at < ANNOUNCED_FOR
         )
 
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import pytest
+from msgspec.structs import replace
 
 from ryelever.coordination.relaying import NamedLimit, RequestedPause
 from ryelever.coordination.relaying.stall_watch import STREAM_SILENCE
@@ -587,3 +588,26 @@
     answer = head("r1", status=421, not_run=True, wrong_server=True, leaving=True)
     relaying.requests.answer_head(relaying.sent[0].id, answer, now=0.1)
     assert not any(server.draining for server in relaying.directory.by_id.values())
+
+
+@pytest.mark.parametrize(
+    "notice",
+    [
+        pytest.param({"leaving": True}, id="leaving"),
+        pytest.param({"pause": RequestedPause(text="60", seconds=60.0)}, id="pause"),
+    ],
+)
+def test_answer_of_an_unlisted_server_says_nothing_of_its_next_incarnation(
+    notice: dict[str, object],
+) -> None:
+    """Use a server that starts again under its id after its entry was removed."""
+    relaying = Relaying(n_servers=1)
+    first = replace(relaying.plain("p0"), started_at=1)
+    relaying.directory.put(first, now=0.0)
+    relaying.arrive(SAFE, number=1)
+    relaying.directory.remove("p0", last_renewed_at=0.1)
+    answer = head("r1", status=503, not_run=True, **notice)
+    relaying.requests.answer_head(relaying.sent[0].id, answer, now=0.2)
+    relaying.directory.put(replace(first, started_at=2), now=1.0)
+    relaying.arrive(SAFE, number=2, now=2.0)
+    assert [item.request_number for item in relaying.sent] == [1, 2]
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -27,6 +27,7 @@
         "id": "a1",
         "request_number": 1,
         "server_id": "i1",
+        "started_at": None,
         "address": "10.0.0.9:80",
         "deadline": 108.0,
         "account": "pawroute",
