--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import pytest
 from msgspec.structs import replace
 
 from ryelever.coordination.host_heartbeats import (
@@ -30,6 +31,7 @@
     "LimitedFleet",
     "LimitedServer",
     "SimulatedClock",
+    "fleet_of_three_zones",
     "max_within",
 ]
 
@@ -399,6 +401,26 @@
         host.requests.answer_end(attempt.id, cut=False, now=self.now)
 
 
+def fleet_of_three_zones(
+    monkeypatch: pytest.MonkeyPatch, *, rate: float
+) -> LimitedFleet:
+    """Return seven hosts in three zones, with two servers in each zone.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second of all hosts together.
+    """
+    clock = SimulatedClock()
+    monkeypatch.setattr("ryelever.host_exchange.time", clock)
+    return LimitedFleet(
+        clock=clock,
+        n_hosts_by_zone={"x": 3, "y": 2, "z": 2},
+        n_servers_by_zone={"x": 2, "y": 2, "z": 2},
+        rate=rate,
+    )
+
+
 def _introduce(host: _Host, other: _Host) -> None:
     """Record another host's address at a host."""
     address = HostAddress(
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -447,12 +447,18 @@
     ]
 
 
-def test_progress_of_earlier_requests_does_not_end_an_avoidance() -> None:
+def _two_heads_with_streams() -> Relaying:
+    """Return relaying with one stream in progress at each of two heads."""
     relaying = Relaying(n_servers=2, slots=8)
     relaying.arrive(STREAM, number=1)
     relaying.arrive(STREAM, number=2)
     for number, attempt in enumerate(relaying.sent, start=1):
         relaying.requests.answer_head(attempt.id, head(f"r{number}"), now=0.1)
+    return relaying
+
+
+def test_progress_of_earlier_requests_does_not_end_an_avoidance() -> None:
+    relaying = _two_heads_with_streams()
     relaying.arrive(STREAM, number=3, now=0.2)
     refusing = relaying.sent[-1].server_id
     refusal = head("r3", status=503, not_run=True)
@@ -480,11 +486,7 @@
 
 
 def test_progress_of_earlier_requests_does_not_end_a_pause() -> None:
-    relaying = Relaying(n_servers=2, slots=8)
-    relaying.arrive(STREAM, number=1)
-    relaying.arrive(STREAM, number=2)
-    for number, attempt in enumerate(relaying.sent, start=1):
-        relaying.requests.answer_head(attempt.id, head(f"r{number}"), now=0.1)
+    relaying = _two_heads_with_streams()
     relaying.arrive(STREAM, number=3, now=0.2)
     paused = _refuse_next(relaying, now=0.3, pause=3.0)
     [stream] = [item for item in relaying.sent[:2] if item.server_id == paused]
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .limited_fleet import LimitedFleet, SimulatedClock
+from .limited_fleet import LimitedFleet, fleet_of_three_zones
 
 #: Seconds after a host's first answer from a leaving server within which the host may
 #: still send requests there.
@@ -16,15 +16,7 @@
 
 @pytest.fixture
 def fleet(monkeypatch: pytest.MonkeyPatch) -> LimitedFleet:
-    """Return seven hosts in three zones, with two servers in each zone."""
-    clock = SimulatedClock()
-    monkeypatch.setattr("ryelever.host_exchange.time", clock)
-    return LimitedFleet(
-        clock=clock,
-        n_hosts_by_zone={"x": 3, "y": 2, "z": 2},
-        n_servers_by_zone={"x": 2, "y": 2, "z": 2},
-        rate=24.0,
-    )
+    return fleet_of_three_zones(monkeypatch, rate=24.0)
 
 
 def test_leaving_server_gets_no_requests_from_hosts_that_it_answered(
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from .limited_fleet import COLD_RATE, LimitedFleet, SimulatedClock, max_within
+from .limited_fleet import (
+    COLD_RATE,
+    LimitedFleet,
+    SimulatedClock,
+    fleet_of_three_zones,
+    max_within,
+)
 
 #: Seconds after a server's first announcement of a limit from which the limit must be
 #: kept, and length in seconds of the windows in which requests are counted.
@@ -28,15 +34,7 @@
 
 @pytest.fixture
 def fleet(monkeypatch: pytest.MonkeyPatch) -> LimitedFleet:
-    """Return seven hosts in three zones, with two servers in each zone."""
-    clock = SimulatedClock()
-    monkeypatch.setattr("ryelever.host_exchange.time", clock)
-    return LimitedFleet(
-        clock=clock,
-        n_hosts_by_zone={"x": 3, "y": 2, "z": 2},
-        n_servers_by_zone={"x": 2, "y": 2, "z": 2},
-        rate=24.0,
-    )
+    return fleet_of_three_zones(monkeypatch, rate=24.0)
 
 
 def test_all_hosts_together_keep_to_the_rate_limit_of_a_server(
--- a/tests/test_server_pauses.py
+++ b/tests/test_server_pauses.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .limited_fleet import LimitedFleet, SimulatedClock
+from .limited_fleet import LimitedFleet, fleet_of_three_zones
 
 #: Requests that may reach a server during a pause, and seconds from the start of the
 #: pause after which requests count.
@@ -17,15 +17,8 @@
 
 @pytest.fixture
 def fleet(monkeypatch: pytest.MonkeyPatch) -> LimitedFleet:
-    """Return seven hosts in three zones, with two slow servers in each zone."""
-    clock = SimulatedClock()
-    monkeypatch.setattr("ryelever.host_exchange.time", clock)
-    fleet = LimitedFleet(
-        clock=clock,
-        n_hosts_by_zone={"x": 3, "y": 2, "z": 2},
-        n_servers_by_zone={"x": 2, "y": 2, "z": 2},
-        rate=16.0,
-    )
+    """Return a fleet whose servers take two seconds for each request."""
+    fleet = fleet_of_three_zones(monkeypatch, rate=16.0)
     for server in fleet.servers.values():
         server.seconds = 2.0
     return fleet
