Close the listening socket in the last step of a drain

What operators saw: a fault line (TypeError: 'NoneType' object is not iterable) at each graceful shutdown of a host with the OpenAI interface, and a listening socket that stayed open to the end of the process: callers that connected then were reset.

Cause: the step accepts what waits by iterating over _accept, which is a generator in circuits and a plain method here.

Evidence: test_drained_host_closes_its_listening_socket failed before with the fault line and passes. Hosts that relay don't load this module.

--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -174,8 +174,7 @@
         n_before = -1
         while len(self._clients) > n_before:
             n_before = len(self._clients)
-            for _ in self._accept():
-                pass
+            self._accept()
         self._close(self._sock)
         self._keep_idle_until = time.monotonic() + self._limits.linger
 
--- a/tests/test_transport/test_closing.py
+++ b/tests/test_transport/test_closing.py
@@ -54,6 +54,14 @@
         assert read_to_end(stream).endswith(b"0\r\n\r\n")
 
 
+def test_drained_host_closes_its_listening_socket(draining: EntryHost) -> None:
+    """Guard against a fault in the last step of a drain, which was only logged."""
+    draining.process.send(signal.SIGTERM)
+    assert draining.process.wait() == 0
+    assert draining.process.events("drain_closed")
+    assert draining.process.events("fault") == []
+
+
 def test_request_that_is_arriving_is_answered(
     fleet: Fleet, draining: EntryHost
 ) -> None:
