--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -239,6 +239,7 @@
         wait_until(lambda: not listener.callers.n_busy, what="the answer is sent")
         assert listener.callers.close_idle() == 1
         assert sock.recv(4096) == b""
+    wait_until(lambda: not listener.callers.n_open, what="the connection is closed")
     monkeypatch.setattr(relay_callers, "FIRST_REQUEST_TIME", 0.0)
     with _connect(listener) as sock:
         wait_until(lambda: listener.callers.n_open == 1, what="a caller connects")
