Switch a server of the soak on and off in one place

Five faults of the soak repeated the same steps: record the fault, set switches of a server, set others after some seconds. One method does so now; faults, draws, durations and checks are the same. The stand-in's list of answers that state the leaving has a plain name.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -226,7 +226,7 @@
     Only a disturbance of the host itself excuses a request, and a later start of the
     server ends the statement.
     """
-    for stated_at, answered_id in server["farewells"]:
+    for stated_at, answered_id in server["leaving_answers"]:
         host = _host_of(answered_id)
         end = min((at for at in server["starts"] if at > stated_at), default=math.inf)
         late = [
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -229,11 +229,8 @@
         switches = generator.choice(SERVER_SWITCHES)
         [(name, value)] = switches.items()
         usual = {"orders": "taken", "cut_after": 0}.get(name, False)
-        disturbance = self._record_begin(server, f"{name} {value}")
-        key = server.replace("-", "_")
-        self.zone.control(**{key: dict(switches)})
-        self._end_after(
-            duration, lambda: self.zone.control(**{key: {name: usual}}), disturbance
+        self._switch_server(
+            server, f"{name} {value}", on=switches, off={name: usual}, seconds=duration
         )
 
     def _limit_server(self, generator: random.Random, duration: float) -> None:
@@ -241,12 +238,12 @@
         if server is None:
             return
         limit = generator.choice(LIMITS)
-        disturbance = self._record_begin(server, f"limit {limit}")
-        key = server.replace("-", "_")
-        self.zone.control(**{key: {"limit": limit}})
-        end = LIMITED_FOR + duration
-        self._end_after(
-            end, lambda: self.zone.control(**{key: {"limit": ""}}), disturbance
+        self._switch_server(
+            server,
+            f"limit {limit}",
+            on={"limit": limit},
+            off={"limit": ""},
+            seconds=LIMITED_FOR + duration,
         )
 
     def _restart_server(self, generator: random.Random, duration: float) -> None:
@@ -261,13 +258,12 @@
         server = self._free_server(generator)
         if server is None:
             return
-        disturbance = self._record_begin(server, "leave")
-        key = server.replace("-", "_")
-        self.zone.control(**{key: {"state": "draining"}})
-        self._end_after(
-            LEAVING_FOR + duration,
-            lambda: self.zone.control(**{key: {"state": "ready"}}),
-            disturbance,
+        self._switch_server(
+            server,
+            "leave",
+            on={"state": "draining"},
+            off={"state": "ready"},
+            seconds=LEAVING_FOR + duration,
         )
 
     def _leave_unlisted(self, generator: random.Random, duration: float) -> None:
@@ -275,13 +271,12 @@
         server = self._free_server(generator)
         if server is None or not self.zone.servers()[server]["started_at"]:
             return
-        disturbance = self._record_begin(server, "leave-unlisted")
-        key = server.replace("-", "_")
-        self.zone.control(**{key: {"leaving": True}})
-        self._end_after(
-            LEAVING_FOR + duration,
-            lambda: self.zone.control(**{key: {"leaving": False, "restart": True}}),
-            disturbance,
+        self._switch_server(
+            server,
+            "leave-unlisted",
+            on={"leaving": True},
+            off={"leaving": False, "restart": True},
+            seconds=LEAVING_FOR + duration,
         )
 
     def _refuse_with_pause(self, generator: random.Random, duration: float) -> None:
@@ -289,13 +284,12 @@
         if server is None:
             return
         pause = generator.choice(PAUSES_ASKED_FOR)
-        disturbance = self._record_begin(server, f"refuse-with-pause {pause}")
-        key = server.replace("-", "_")
-        self.zone.control(**{key: {"reject": True, "pause": pause}})
-        self._end_after(
-            REFUSING_FOR + duration,
-            lambda: self.zone.control(**{key: {"reject": False, "pause": ""}}),
-            disturbance,
+        self._switch_server(
+            server,
+            f"refuse-with-pause {pause}",
+            on={"reject": True, "pause": pause},
+            off={"reject": False, "pause": ""},
+            seconds=REFUSING_FOR + duration,
         )
 
     def _revoke_key(self, generator: random.Random, duration: float) -> None:
@@ -312,6 +306,21 @@
 
         self._end_after(duration + 2.0, restore_key, disturbance)
 
+    def _switch_server(
+        self,
+        server: str,
+        kind: str,
+        *,
+        on: dict[str, object],
+        off: dict[str, object],
+        seconds: float,
+    ) -> None:
+        """Set switches of a backend server, and set others after some seconds."""
+        disturbance = self._record_begin(server, kind)
+        key = server.replace("-", "_")
+        self.zone.control(**{key: on})
+        self._end_after(seconds, lambda: self.zone.control(**{key: off}), disturbance)
+
     def _publish(self, **changes: object) -> None:
         self._version += 1
         self.zone.control(configuration={"version": self._version, **changes})
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -90,7 +90,7 @@
     pauses : list of (float, str, float)
         Monotonic times of refusals, the ids of the refused requests, and the seconds
         of pause that the refusals asked for.
-    farewells : list of (float, str)
+    leaving_answers : list of (float, str)
         Monotonic times of answers that state that the server is leaving, and the ids
         of the answered requests.
     starts : list of float
@@ -122,7 +122,7 @@
     states: list[tuple[float, str]] = field(default_factory=list)
     limits: list[tuple[float, str]] = field(default_factory=list)
     pauses: list[tuple[float, str, float]] = field(default_factory=list)
-    farewells: list[tuple[float, str]] = field(default_factory=list)
+    leaving_answers: list[tuple[float, str]] = field(default_factory=list)
     starts: list[float] = field(default_factory=list)
     started_at: int = 0
     sequence: Any = field(default_factory=itertools.count)
@@ -277,7 +277,7 @@
         if self.switches.limit:
             headers["Server-Limit"] = self.switches.limit
         if self.switches.leaving:
-            self.farewells.append((time.monotonic(), request_id))
+            self.leaving_answers.append((time.monotonic(), request_id))
             headers["Server-Leaving"] = "1"
         return headers
 
@@ -342,7 +342,7 @@
             "states": self.states,
             "limits": self.limits,
             "pauses": self.pauses,
-            "farewells": self.farewells,
+            "leaving_answers": self.leaving_answers,
             "starts": self.starts,
             "started_at": self.started_at,
         }
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -31,7 +31,7 @@
 
 
 def _server(**seen: object) -> dict[str, object]:
-    names = ("arrivals", "states", "limits", "pauses", "farewells", "starts")
+    names = ("arrivals", "states", "limits", "pauses", "leaving_answers", "starts")
     return {"n_runs": {}} | {name: [] for name in names} | seen
 
 
@@ -86,7 +86,7 @@
 def _request_after_the_server_said_that_it_leaves() -> Evidence:
     evidence = _evidence()
     evidence.servers["s"] = _server(
-        farewells=[(5.0, "e1.1")], arrivals=[(7.5, "e1.2")], starts=[4.0, 9.0]
+        leaving_answers=[(5.0, "e1.1")], arrivals=[(7.5, "e1.2")], starts=[4.0, 9.0]
     )
     return evidence
 
