--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -83,6 +83,7 @@
         self.n_expired_orders = 0
         self.n_stale_orders = 0
         self.tokens_per_event = 1
+        self.is_held = False
         self.reported_load = (0, 0)
         self._tasks: set[asyncio.Task] = set()
         self._group_task: asyncio.Task | None = None
@@ -333,6 +334,8 @@
             # that the rate of steps does not depend on how long a step takes.
             due_at = max(due_at + self.step, loop.time())
             await asyncio.sleep(due_at - loop.time())
+            if self.is_held:
+                continue
             while self.waiting and len(self.running) < self.max_batch:
                 self.running.append(self.waiting.pop(0))
             for job in list(self.running):
@@ -405,11 +408,16 @@
     # Switches
 
     async def control(self, request: web.Request) -> web.Response:
-        """Set switches; ``leaving`` makes the host report that it leaves."""
+        """Set switches.
+
+        ``leaving`` makes the host report that it leaves; ``held`` stops the generation
+        of tokens until it is set to false.
+        """
         body = await request.json()
         self.step = body.get("step_ms", self.step * 1000) / 1000
         self.token_bytes = body.get("token_bytes", self.token_bytes)
         self.order_delay = body.get("order_delay", self.order_delay)
+        self.is_held = body.get("held", self.is_held)
         self.tokens_per_event = body.get("tokens_per_event", self.tokens_per_event)
         if body.get("leaving"):
             self.state = "leaving"
--- a/tests/test_system/test_faults.py
+++ b/tests/test_system/test_faults.py
@@ -33,6 +33,12 @@
     return hosts
 
 
+def _hold_generation(fleet: Fleet, *, held: bool) -> None:
+    """Stop the leaders of all groups from generating tokens, or let them continue."""
+    for group in fleet.entries_by_name["e1"].dump()["groups"]:
+        fleet.control(group["members"][0], held=held)
+
+
 def _busy_group(fleet: Fleet) -> list[str]:
     """Return the members of the group whose leader runs the most requests."""
     groups = fleet.entries_by_name["e1"].dump()["groups"]
