--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterable
 
     from ..state.leaving import LeavingServerRow
-    from ..state.observations import RateLimitRow, SuspicionRow
+    from ..state.observations import RateLimitRow, SuspicionRow, WaitingRow
 
 __all__ = ["HostAddress", "HostHeartbeat", "HostHeartbeats", "urgent_state"]
 
@@ -76,6 +76,11 @@
         The host's requests in flight at each backend server.
     demand_by_model : dict of str to float
         Work that arrives at the host, in the number of replica groups it keeps busy.
+    urgent_demand_by_model : dict of str to float
+        Part of ``demand_by_model`` whose routes have the service's most urgent
+        priority.
+    waiting : tuple of WaitingRow
+        Requests of contended services that wait for a slot at the host.
     still : tuple of str
         Heads of groups that are stalled according to the host.
     plans : tuple of str
@@ -126,6 +131,8 @@
     configuration_size: int = 0
     in_flight_by_server: dict[str, int] = msgspec.field(default_factory=dict)
     demand_by_model: dict[str, float] = msgspec.field(default_factory=dict)
+    urgent_demand_by_model: dict[str, float] = msgspec.field(default_factory=dict)
+    waiting: tuple[WaitingRow, ...] = ()
     still: tuple[str, ...] = ()
     plans: tuple[str, ...] = ()
     reshapes: tuple[str, ...] = ()
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -46,6 +46,27 @@
             waited=now - request.arrival.arrived_at,
         )
 
+    def held(
+        self, request: RelayRequest, *, n_ahead: int, expected_wait: float
+    ) -> None:
+        """Log that a request of a contended service begins to wait for a slot.
+
+        Parameters
+        ----------
+        n_ahead : int
+            Waiting requests of all hosts that go before this one.
+        expected_wait : float
+            Seconds until the request is expected to be sent.
+        """
+        self._log(
+            "held",
+            request=request.arrival.request_id,
+            model=request.arrival.model,
+            rank=list(request.rank),
+            n_ahead=n_ahead,
+            expected_wait=round(expected_wait, 3),
+        )
+
     def event(self, request: RelayRequest, *, now: float) -> None:
         """Record an event that is forwarded."""
         if request.last_event_at:
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -50,6 +50,12 @@
     on_time_until : float
         Monotonic time after which a waiting request is served after those for which
         this time has not passed.
+    contended : bool
+        True if entry hosts share the capacity of the request's service.
+    rank : tuple of (int, int)
+        Priorities of the account and of the route; 0 is served first.
+    age_at_arrival : float
+        Seconds for which the caller had tried before, at any host.
     may_have_run : bool
         True once an attempt may have reached a backend server that did not promise not
         to have run the request.
@@ -79,6 +85,9 @@
     deadline: float
     times_out_at: float
     on_time_until: float
+    contended: bool = False
+    rank: tuple[int, int] = (0, 0)
+    age_at_arrival: float = 0.0
     phase: RequestPhase = RequestPhase.WAITING
     attempt: RelayAttempt | None = None
     head: AnswerHead | None = None
--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -11,7 +11,7 @@
 from expression import Error, Ok, Result
 
 from ..faults import Fault
-from ..relay_settings import RelaySettings
+from ..relay_settings import ContentionMode, RelaySettings
 from ..settings_checks import is_address
 
 __all__ = ["SETTINGS_VARIABLE", "is_node_file", "read_node_settings"]
@@ -118,6 +118,12 @@
         expected="megabits a second",
         default="10",
     ),
+    "contention": _Field(
+        key="contention.mode",
+        read=ContentionMode,
+        expected="auto, on or off",
+        default=ContentionMode.AUTO.value,
+    ),
     "repeat_slack": _Field(
         key="bounds.budget_slack", read=_non_negative, expected=_NUMBER, default="100"
     ),
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -2,9 +2,22 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
-__all__ = ["RelaySettings"]
+__all__ = ["ContentionMode", "RelaySettings"]
+
+
+class ContentionMode(enum.Enum):
+    """Whether entry hosts share the capacity of engine services among callers.
+
+    ``AUTO`` leaves the choice to the configuration; see ``RouteTable.is_contended``.
+    """
+
+    AUTO = "auto"
+    ON = "on"
+    OFF = "off"
 
 
 class RelaySettings(msgspec.Struct, kw_only=True, frozen=True):
@@ -31,6 +44,8 @@
         Part of the grace period reserved for sending the last answers.
     link_rate : float
         Capacity of the host's network link in bytes a second.
+    contention : ContentionMode
+        Whether the capacity of engine services is shared among callers.
     metrics_port : int
         Separate port on which metrics are served; 0 for none.
     """
@@ -52,6 +67,7 @@
     zones: tuple[str, ...]
     last_bytes: float
     link_rate: float = 1_250_000.0
+    contention: ContentionMode = ContentionMode.AUTO
     metrics_port: int = 0
 
     @property
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -25,6 +25,7 @@
     "RateLimitRow",
     "ReportRow",
     "SuspicionRow",
+    "WaitingRow",
     "sum_suspicions",
 ]
 
@@ -46,6 +47,24 @@
     n_waiting: int
 
 
+class WaitingRow(msgspec.Struct, kw_only=True, frozen=True):
+    """Requests of one kind that wait for a slot at one or more entry hosts.
+
+    Attributes
+    ----------
+    rank : tuple of (int, int)
+        Priorities of the account and of the route; 0 is served first.
+    late : bool
+        True if the requests can no longer meet their latency objective.
+    """
+
+    service: str
+    model: str
+    rank: tuple[int, int]
+    late: bool
+    count: int
+
+
 class RateLimitRow(msgspec.Struct, kw_only=True, frozen=True):
     """Rate limit that a backend server stated in an answer.
 
--- a/ryelever/state/routes.py
+++ b/ryelever/state/routes.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ..relay_settings import ContentionMode
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -22,6 +24,10 @@
     "RoutedService",
 ]
 
+#: Ratio of the largest to the smallest group size from which groups count as uneven: a
+#: group of the largest model then takes the servers of three or more of the smallest.
+UNEVEN_SIZE_RATIO = 3.0
+
 
 class RouteKind(enum.Enum):
     """Kind of a route, which determines whether its requests may be repeated.
@@ -153,6 +159,12 @@
     usual_answer: float
     models_by_name: dict[str, ModelProfile]
 
+    @property
+    def has_uneven_groups(self) -> bool:
+        """Return whether the group sizes of the models differ by a large factor."""
+        sizes = [model.size for model in self.models_by_name.values()]
+        return bool(sizes) and max(sizes) >= UNEVEN_SIZE_RATIO * min(sizes)
+
 
 class RoutedService(msgspec.Struct, kw_only=True, frozen=True):
     """One service that is the target of routes.
@@ -201,6 +213,8 @@
         Routes of each host, those with the longest path prefix first.
     requires_keys : bool
         True if the configuration declares client accounts; callers then need a key.
+    contended_services : frozenset of str
+        Engine services whose configuration asks for sharing; see ``is_contended``.
     """
 
     version: int
@@ -209,6 +223,25 @@
     account_by_key: dict[str, RouteAccount]
     requires_keys: bool
     limits: ConnectionLimits = msgspec.field(default_factory=ConnectionLimits)
+    contended_services: frozenset[str] = frozenset()
+
+    def __post_init__(self) -> None:
+        """Find the contended services once for each configuration."""
+        found = frozenset(
+            name
+            for name, engine in self.engines()
+            if engine.has_uneven_groups or len(self._priorities_of(name)) > 1
+        )
+        msgspec.structs.force_setattr(self, "contended_services", found)
+
+    def _priorities_of(self, service: str) -> set[int]:
+        """Return the priorities of the stream routes to a service."""
+        return {
+            route.priority
+            for routes in self.routes_by_host.values()
+            for route in routes
+            if route.kind is RouteKind.STREAM and service in route.weight_by_service
+        }
 
     def engines(self) -> Iterator[tuple[str, EngineProfile]]:
         """Yield the name and the engine profile of each service that serves models."""
@@ -216,6 +249,19 @@
             if service.engine is not None:
                 yield service.name, service.engine
 
+    def is_contended(
+        self, service: str, mode: ContentionMode = ContentionMode.AUTO
+    ) -> bool:
+        """Return whether entry hosts share a service's capacity among its callers.
+
+        With ``ContentionMode.AUTO`` this is the case if the stream routes to an engine
+        service have more than one priority, or if its models' group sizes are uneven.
+        """
+        found = self.services_by_name.get(service)
+        if found is None or found.engine is None or mode is ContentionMode.OFF:
+            return False
+        return mode is ContentionMode.ON or service in self.contended_services
+
     def match(self, *, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest match of a path, or None."""
         for route in self.routes_by_host.get(host, ()):
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -55,6 +55,7 @@
         pytest.param("bounds__stall_ms", "-1", id="negative"),
         pytest.param("bounds__stall_ms", "inf", id="infinite"),
         pytest.param("bounds__grace_s", "nan", id="not-a-number"),
+        pytest.param("contention__mode", "sometimes", id="no-mode"),
     ],
 )
 def test_fault_of_a_field_names_its_key_and_value(
