--- a/ryelever/coordination/admission/estimates.py
+++ b/ryelever/coordination/admission/estimates.py
@@ -10,8 +10,8 @@
 
 if TYPE_CHECKING:
     from ..actions import Arrival
+    from ..fair_queue import FairQueue, Flow
     from .accounts import Accounts
-    from .fair_queue import FairQueue, Flow
 
 __all__ = ["announced_size", "expected_wait", "min_wait", "refusal"]
 
--- a/ryelever/coordination/admission/fair_admission.py
+++ b/ryelever/coordination/admission/fair_admission.py
@@ -6,12 +6,12 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from ..fair_queue import Ticket
 from ..limits import FullLimits
 from .accounts import Accounts
 from .admission import Admitted, Queued
 from .capacity import pool_of
 from .estimates import announced_size, expected_wait, min_wait, refusal
-from .fair_queue import Ticket
 from .pools import Pools
 
 if TYPE_CHECKING:
@@ -19,11 +19,11 @@
 
     from ...state.configuration import ClientAccount
     from ..actions import Arrival
+    from ..fair_queue import FairQueue, Flow
     from ..limits import LimitsView
     from .accounts import AccountState
     from .admission import Refused
     from .capacity import Capacity
-    from .fair_queue import FairQueue, Flow
     from .pools import Pool
 
 __all__ = ["FairAdmission"]
--- a/ryelever/coordination/admission/pools.py
+++ b/ryelever/coordination/admission/pools.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..fair_queue import FairQueue
 from .capacity import pool_of
-from .fair_queue import FairQueue
 
 if TYPE_CHECKING:
     from ..actions import Arrival
--- a/ryelever/coordination/admission/fair_queue.py
+++ b/ryelever/coordination/fair_queue.py
@@ -15,9 +15,10 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -44,8 +45,7 @@
 SMOOTHING_FACTOR = 0.1
 
 
-@dataclass(slots=True, kw_only=True)
-class Ticket:
+class Ticket(msgspec.Struct, kw_only=True):
     """Request that waits for a slot or has one.
 
     Attributes
@@ -79,8 +79,7 @@
         return (self.arrived_at - AGEING * clamp_priority(self.priority), self.sequence)
 
 
-@dataclass(slots=True, kw_only=True)
-class Flow:
+class Flow(msgspec.Struct, kw_only=True):
     """Waiting requests of one account, in the order in which they are served.
 
     Attributes
@@ -98,7 +97,7 @@
     tag: float = 0.0
     n_in_flight: int = 0
     cost_per_size: float | None = None
-    waiting: list[Ticket] = field(default_factory=list)
+    waiting: list[Ticket] = msgspec.field(default_factory=list)
 
     def key(self) -> float:
         """Return the tag, reduced by the account's priority.
--- a/tests/test_coordination/test_admission/test_fair_queue.py
+++ b/tests/test_coordination/test_fair_queue.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ryelever.coordination.admission.fair_queue import CREDIT, FairQueue, Ticket
+from ryelever.coordination.fair_queue import CREDIT, FairQueue, Ticket
 
 
 def ticket(account: str, sequence: int, **options) -> Ticket:
