--- a/ryelever/coordination/fair_queue.py
+++ b/ryelever/coordination/fair_queue.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
+from heapq import heapify, heappop, heapreplace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -111,6 +112,13 @@
 class FairQueue:
     """Fair queue of one pool, with a flow for each account.
 
+    Parameters
+    ----------
+    keeps_debts : bool
+        True if an account that rejoins always counts as one that uses its share or
+        more. Accounts whose shares exceed the pool's capacity together would
+        otherwise start again with full credit each time and starve the others.
+
     Attributes
     ----------
     virtual_time : float
@@ -122,7 +130,8 @@
         Moving average of the slot-seconds of requests that have ended.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, keeps_debts: bool = False) -> None:
+        self._keeps_debts = keeps_debts
         self.flows_by_account: dict[str, Flow] = {}
         self.virtual_time = 0.0
         self.capacity = 1.0
@@ -166,6 +175,32 @@
                     best_key = key
         return best
 
+    def service_order(self) -> list[Ticket]:
+        """Return the waiting requests in the order in which slots would be granted.
+
+        The order assumes that no request arrives or ends meanwhile and that all
+        accounts are eligible. Accounts with equal keys are ordered by their next
+        requests.
+        """
+        heap = [
+            (flow.key(), flow.waiting[0].order(), 0, index, flow)
+            for index, flow in enumerate(self.backlogged())
+        ]
+        heapify(heap)
+        ordered = []
+        while heap:
+            key, _, place, index, flow = heap[0]
+            ticket = flow.waiting[place]
+            ordered.append(ticket)
+            place += 1
+            if place == len(flow.waiting):
+                heappop(heap)
+                continue
+            key += self._charge(flow, ticket)
+            order = flow.waiting[place].order()
+            heapreplace(heap, (key, order, place, index, flow))
+        return ordered
+
     def pop(self, flow: Flow, *, capacity: float, now: float) -> Ticket:
         """Grant a slot to the first request of a flow."""
         ticket = flow.waiting.pop(0)
@@ -173,6 +208,11 @@
         self.grant(flow, ticket, capacity=capacity, now=now)
         return ticket
 
+    def pop_ticket(self, ticket: Ticket, *, capacity: float, now: float) -> None:
+        """Grant a slot to a waiting request, whatever its place in its flow."""
+        flow = self._take_out(ticket)
+        self.grant(flow, ticket, capacity=capacity, now=now)
+
     def grant(self, flow: Flow, ticket: Ticket, *, capacity: float, now: float) -> None:
         """Grant a slot to a request and charge its account the expected cost."""
         if not flow.waiting:
@@ -180,21 +220,29 @@
         self.capacity = max(1.0, capacity)
         self.virtual_time = max(self.virtual_time, flow.tag)
         ticket.granted_at = now
+        flow.tag += self._charge(flow, ticket)
+        flow.n_in_flight += 1
+        self.n_in_flight += 1
+
+    def _charge(self, flow: Flow, ticket: Ticket) -> float:
+        """Return by how much a granted request increases its account's tag."""
         if flow.cost_per_size is None:
             expected = self.mean_cost
         else:
             expected = flow.cost_per_size * ticket.size
-        flow.tag += expected / (flow.share * self.capacity)
-        flow.n_in_flight += 1
-        self.n_in_flight += 1
+        return expected / (flow.share * self.capacity)
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a waiting request."""
+        self._remove_idle_flows(self._take_out(ticket))
+
+    def _take_out(self, ticket: Ticket) -> Flow:
+        """Take a waiting request out of its flow, and return the flow."""
         flow = self.flows_by_account[ticket.client_account]
         place = bisect_left(flow.waiting, ticket.order(), key=Ticket.order)
         del flow.waiting[place]
         self.n_waiting -= 1
-        self._remove_idle_flows(flow)
+        return flow
 
     def end(self, ticket: Ticket, *, used: float) -> None:
         """Free a slot that was used for ``used`` seconds, and update the mean costs."""
@@ -217,7 +265,8 @@
         admits several requests that arrive at once, although together they exceed its
         share.
         """
-        if flow.n_in_flight < flow.share * self.capacity:
+        below_share = flow.n_in_flight < flow.share * self.capacity
+        if below_share and not self._keeps_debts:
             flow.tag = self._min_tag()
         else:
             flow.tag = max(flow.tag, self.virtual_time)
--- a/ryelever/coordination/relaying/waiting.py
+++ b/ryelever/coordination/relaying/waiting.py
@@ -5,11 +5,23 @@
 import math
 from typing import TYPE_CHECKING
 
+from .fair_order import FairOrder
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...state.observations import WaitingRow
     from .rate_limits import Allowance
     from .request import RelayRequest
 
-__all__ = ["MAX_LIMITED_WAIT", "MAX_WAIT", "WaitingRequests", "seconds_to_slot"]
+__all__ = [
+    "MAX_LIMITED_WAIT",
+    "MAX_WAIT",
+    "MAX_WAITING",
+    "MAX_WAITING_PER_ACCOUNT",
+    "WaitingRequests",
+    "seconds_to_slot",
+]
 
 #: Seconds for which a request waits for a free slot at a backend server. At a full
 #: group a slot becomes free every tenth of a second, and callers that are refused early
@@ -21,25 +33,70 @@
 MAX_LIMITED_WAIT = MAX_WAIT - 0.1
 
 
+#: Maximum numbers of requests of contended services that wait at a host, in total and
+#: of one account. Callers may ignore the time after which they should retry.
+MAX_WAITING = 2000
+MAX_WAITING_PER_ACCOUNT = 500
+
+#: Tokens in an answer of a service whose usual answer is not known.
+DEFAULT_ANSWER = 150.0
+
+
 class WaitingRequests:
-    """Queue of the requests that wait for a free slot."""
+    """Queue of the requests that wait for a free slot.
+
+    Parameters
+    ----------
+    usual_answer : callable or None
+        Return the usual number of tokens in an answer of a contended service; None if
+        it is not known.
+    """
 
-    __slots__ = ("_requests_by_number",)
+    __slots__ = ("_fair_order", "_requests_by_number")
 
-    def __init__(self) -> None:
+    def __init__(self, *, usual_answer: Callable[[str], float] | None = None) -> None:
         self._requests_by_number: dict[int, RelayRequest] = {}
+        self._fair_order = FairOrder(
+            usual_answer=usual_answer or (lambda service: DEFAULT_ANSWER)
+        )
 
     def __len__(self) -> int:
         return len(self._requests_by_number)
 
-    def add(self, request: RelayRequest, *, now: float) -> None:
-        """Add a request that waits from now on."""
-        request.waits_until = now + MAX_WAIT
+    def may_add(self, request: RelayRequest) -> bool:
+        """Return whether a request may be queued; only contended services limit it."""
+        if not request.contended:
+            return True
+        order = self._fair_order
+        return (
+            order.n_waiting < MAX_WAITING
+            and order.n_waiting_of(request.account) < MAX_WAITING_PER_ACCOUNT
+        )
+
+    def add(
+        self, request: RelayRequest, *, now: float, waits_until: float | None = None
+    ) -> None:
+        """Add a request that waits from now on.
+
+        Parameters
+        ----------
+        waits_until : float or None
+            Monotonic time until which the request waits; ``MAX_WAIT`` from now if None.
+        """
+        request.waits_until = now + MAX_WAIT if waits_until is None else waits_until
         self._requests_by_number[request.number] = request
+        if request.contended:
+            self._fair_order.add(request, now=now)
+
+    def sent(self, request: RelayRequest) -> None:
+        """Remove a request that was dispatched, and charge its account."""
+        self._requests_by_number.pop(request.number, None)
+        self._fair_order.sent(request)
 
     def discard(self, request: RelayRequest) -> None:
-        """Remove a request, if it waits."""
+        """Remove a request that has ended or need not wait any more."""
         self._requests_by_number.pop(request.number, None)
+        self._fair_order.discard(request)
 
     def n_waiting_for(self, service: str, model: str) -> int:
         """Return how many requests wait for a service and model."""
@@ -48,6 +105,10 @@
             for item in self._requests_by_number.values()
         )
 
+    def rows(self) -> tuple[WaitingRow, ...]:
+        """Return the counts of waiting requests of contended services."""
+        return self._fair_order.rows()
+
     def has_timed_out(self, request: RelayRequest, *, now: float) -> bool:
         """Return whether a request has waited for a free slot as long as it may."""
         return request.number in self._requests_by_number and now >= request.waits_until
@@ -58,12 +119,14 @@
         Requests that arrived no longer ago than ``ON_TIME_WAIT_SHARE`` of their latency
         objective come first, so that requests which are probably late already don't
         make others late. Within both groups, requests are ordered by priority, then by
-        arrival.
+        arrival. Requests of contended services follow, in the order of ``FairOrder``;
+        they compete for other slots.
         """
-        return sorted(
-            self._requests_by_number.values(),
+        uncontended = sorted(
+            (item for item in self._requests_by_number.values() if not item.contended),
             key=lambda item: (now > item.on_time_until, item.priority, item.number),
         )
+        return uncontended + self._fair_order.sorted_for_dispatch(now=now)
 
 
 def seconds_to_slot(allowance: Allowance, *, n_ahead: int) -> float:
--- a/tests/test_relay_host.py
+++ b/tests/test_relay_host.py
@@ -33,6 +33,7 @@
     "ryelever.application",
     "ryelever.state.records",
     "ryelever.coordination.actions",
+    "ryelever.coordination.admission",
     "ryelever.coordination.routing",
     "ryelever.protocol.openai",
     "ryelever.console",
