--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -28,9 +28,13 @@
 
 __all__ = [
     "COLD_RATE",
+    "LATENCY",
     "LimitedFleet",
     "LimitedServer",
+    "MESSAGES",
+    "RECORD_READ_WITHIN",
     "SimulatedClock",
+    "SimulatedHost",
     "fleet_of_three_zones",
     "max_within",
 ]
@@ -159,7 +163,7 @@
         return self.now
 
 
-class _Host(Relaying):
+class SimulatedHost(Relaying):
     """Simulate one entry host: its relaying decisions and its host exchange."""
 
     def __init__(self, *, fleet: LimitedFleet, name: str, zone: str, seed: int) -> None:
@@ -201,7 +205,11 @@
 
     def refuse(self, request_number: int, refusal: RelayRefusal) -> None:
         super().refuse(request_number, refusal)
-        self._fleet.refusals.append((self._fleet.now, self.name, refusal))
+        self._fleet.refused(self, request_number, refusal)
+
+    def cancel(self, attempt_id: str) -> None:
+        super().cancel(attempt_id)
+        self._fleet.cancelled(self, attempt_id)
 
 
 class LimitedFleet:
@@ -238,10 +246,12 @@
         seed: int = 1,
     ) -> None:
         self._clock = clock
-        self.lost: Callable[[_Host, _Host], bool] = lambda sender, receiver: False
+        self.lost: Callable[[SimulatedHost, SimulatedHost], bool] = (
+            lambda sender, receiver: False
+        )
         self.refusals: list[tuple[float, str, RelayRefusal]] = []
         self.servers: dict[str, LimitedServer] = {}
-        self.hosts: dict[str, _Host] = {}
+        self.hosts: dict[str, SimulatedHost] = {}
         self._random = random.Random(seed)
         self._order = itertools.count()
         self._numbers = itertools.count(1)
@@ -286,7 +296,7 @@
             delay += seconds
             self.at(self.now + delay, lambda host=host: self._read(host, warm))
 
-    def _read(self, host: _Host, server: BackendServer) -> None:
+    def _read(self, host: SimulatedHost, server: BackendServer) -> None:
         host.directory.put(server, now=self.now)
 
     def renew(self, name: str) -> None:
@@ -301,7 +311,7 @@
         for host in self.hosts.values():
             host.directory.remove(name, last_renewed_at=self.now)
 
-    def deliver(self, sender: _Host, datagram: Datagram) -> None:
+    def deliver(self, sender: SimulatedHost, datagram: Datagram) -> None:
         """Deliver a datagram to another host, unless it is lost."""
         receiver = self.hosts[datagram.address]
         if self.lost(sender, receiver):
@@ -310,12 +320,23 @@
         receive = receiver.exchange._on_received
         self.at(self.now + LATENCY, lambda: receive([message]))
 
-    def sent(self, host: _Host, attempt: RelayAttempt) -> None:
+    def refused(self, host: SimulatedHost, number: int, refusal: RelayRefusal) -> None:
+        """Record a refusal that a host sends to a caller."""
+        self.refusals.append((self.now, host.name, refusal))
+
+    def cancelled(self, host: SimulatedHost, attempt_id: str) -> None:
+        """Handle the end of an attempt whose answer a host no longer needs."""
+
+    def sent(self, host: SimulatedHost, attempt: RelayAttempt) -> None:
         """Deliver a request to its backend server, which will answer the host."""
         self.at(self.now + LATENCY, lambda: self._arrive(host, attempt))
 
     def _add_server(self, name: str, *, zone: str) -> None:
-        server = BackendServer(
+        self.servers[name] = LimitedServer(server=self._described(name, zone=zone))
+
+    def _described(self, name: str, *, zone: str) -> BackendServer:
+        """Return the record of a server at the start."""
+        return BackendServer(
             id=name,
             service="plain",
             address=f"{name}:80",
@@ -323,11 +344,12 @@
             slots=6,
             draining=False,
         )
-        self.servers[name] = LimitedServer(server=server)
 
     def _add_host(self, name: str, *, zone: str) -> None:
         seed = len(self.hosts) + 1
-        host = self.hosts[name] = _Host(fleet=self, name=name, zone=zone, seed=seed)
+        host = self.hosts[name] = SimulatedHost(
+            fleet=self, name=name, zone=zone, seed=seed
+        )
         for item in self.servers.values():
             host.directory.put(item.server, now=0.0)
         for other in self.hosts.values():
@@ -344,16 +366,19 @@
 
         self.at(self._random.uniform(0.0, interval), again)
 
-    def _call(self, host: _Host) -> None:
+    def _call(self, host: SimulatedHost) -> None:
         """Send a caller's request to a host, and schedule the next request."""
         rate = self.rate_by_host[host.name]
         if rate:
-            number = next(self._numbers)
-            host.arrive(RouteKind.IDEMPOTENT, number=number, now=self.now)
+            self._send_new(host)
         pause = self._random.expovariate(rate) if rate else 0.1
         self.at(self.now + pause, lambda: self._call(host))
 
-    def _arrive(self, host: _Host, attempt: RelayAttempt) -> None:
+    def _send_new(self, host: SimulatedHost) -> None:
+        number = next(self._numbers)
+        host.arrive(RouteKind.IDEMPOTENT, number=number, now=self.now)
+
+    def _arrive(self, host: SimulatedHost, attempt: RelayAttempt) -> None:
         server = self.servers[attempt.server_id]
         server.arrivals.append((self.now, host.name))
         if server.pause is not None:
@@ -362,19 +387,22 @@
             return
         self.at(self.now + server.seconds, lambda: self._answer(host, attempt))
 
-    def _refuse(self, host: _Host, attempt: RelayAttempt, *, pause: str) -> None:
+    def _refuse(
+        self, host: SimulatedHost, attempt: RelayAttempt, *, pause: str | None = None
+    ) -> None:
         headers = [
             (b"request-id", f"r{attempt.request_number}".encode()),
             (b"not-executed", b"1"),
-            (b"retry-after", pause.encode()),
         ]
+        if pause is not None:
+            headers.append((b"retry-after", pause.encode()))
         answer = MESSAGES.decode_answer_head(503, headers)
         self.at(
             self.now + LATENCY,
             lambda: host.requests.answer_head(attempt.id, answer, now=self.now),
         )
 
-    def _answer(self, host: _Host, attempt: RelayAttempt) -> None:
+    def _answer(self, host: SimulatedHost, attempt: RelayAttempt) -> None:
         server = self.servers[attempt.server_id]
         headers = [
             (b"request-id", f"r{attempt.request_number}".encode()),
@@ -389,7 +417,10 @@
         )
 
     def _deliver_answer(
-        self, host: _Host, attempt: RelayAttempt, headers: list[tuple[bytes, bytes]]
+        self,
+        host: SimulatedHost,
+        attempt: RelayAttempt,
+        headers: list[tuple[bytes, bytes]],
     ) -> None:
         server = self.servers[attempt.server_id]
         if server.limit is not None:
@@ -421,7 +452,7 @@
     )
 
 
-def _introduce(host: _Host, other: _Host) -> None:
+def _introduce(host: SimulatedHost, other: SimulatedHost) -> None:
     """Record another host's address at a host."""
     address = HostAddress(
         host=other.name, address=other.name, availability_zone=other.zone
