--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -8,13 +8,19 @@
 
 import msgspec
 
+from ..state.observations import waiting_rows
 from .evacuations import OperatorPosition
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..state.leaving import LeavingServerRow
-    from ..state.observations import RateLimitRow, SuspicionRow, WaitingRow
+    from ..state.observations import (
+        RateLimitRow,
+        SuspicionRow,
+        WaitingKind,
+        WaitingRow,
+    )
 
 __all__ = ["HostAddress", "HostHeartbeat", "HostHeartbeats", "urgent_state"]
 
@@ -223,6 +229,10 @@
         # hundreds of heartbeats are received a second, and summing over all hosts for
         # each of them would cost more than everything else.
         self._in_flight: Counter[str] = Counter()
+        # Likewise for waiting requests; the rows are None if the counts have changed
+        # since they were made.
+        self._waiting: Counter[WaitingKind] = Counter()
+        self._waiting_rows: tuple[WaitingRow, ...] | None = None
 
     def record(self, heartbeat: HostHeartbeat, *, address: str, now: float) -> bool:
         """Record a heartbeat and return whether it is newer than the recorded one.
@@ -252,6 +262,9 @@
             self._no_timeout_before, received.no_timeout_before
         )
         self._in_flight.update(heartbeat.in_flight_by_server)
+        for row in heartbeat.waiting:
+            self._waiting[row.kind] += row.count
+            self._waiting_rows = None
         self._zone_received_at[heartbeat.availability_zone] = now
         self.addresses_by_host[heartbeat.host] = HostAddress(
             host=heartbeat.host,
@@ -348,6 +361,11 @@
             self._in_flight[server_id] -= count
             if not self._in_flight[server_id]:
                 del self._in_flight[server_id]
+        for row in received.heartbeat.waiting:
+            self._waiting_rows = None
+            self._waiting[row.kind] -= row.count
+            if not self._waiting[row.kind]:
+                del self._waiting[row.kind]
 
     def n_hosts(self, *, now: float) -> int:
         """Return an upper estimate of the number of entry hosts, including this one.
@@ -367,6 +385,19 @@
         self._remove_silent(now=now)
         return self._in_flight
 
+    def waiting(self, *, now: float) -> tuple[WaitingRow, ...]:
+        """Return the requests that wait at the other hosts, one row for each kind."""
+        self._remove_silent(now=now)
+        if self._waiting_rows is None:
+            self._waiting_rows = waiting_rows(self._waiting)
+        return self._waiting_rows
+
+    def oldest_received_at(self, *, now: float) -> float:
+        """Return when the oldest heartbeat in use was received, or now without any."""
+        self._remove_silent(now=now)
+        received = self._received_by_host.values()
+        return min((item.received_at for item in received), default=now)
+
     def demand(self, *, now: float) -> Counter[str]:
         """Return the work that arrives at the other hosts by model, in busy groups."""
         total: Counter[str] = Counter()
@@ -374,6 +405,13 @@
             total.update(heartbeat.demand_by_model)
         return total
 
+    def urgent_demand(self, *, now: float) -> Counter[str]:
+        """Return the part of ``demand`` that is urgent, by model."""
+        total: Counter[str] = Counter()
+        for heartbeat in self.live_heartbeats(now=now):
+            total.update(heartbeat.urgent_demand_by_model)
+        return total
+
     def still(self, *, now: float) -> set[str]:
         """Return the heads of groups that other hosts report as stalled."""
         return {
--- a/ryelever/coordination/zone_summary.py
+++ b/ryelever/coordination/zone_summary.py
@@ -12,7 +12,7 @@
 
 from msgspec.structs import replace
 
-from ..state.observations import sum_suspicions
+from ..state.observations import sum_suspicions, sum_waiting
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,14 +37,20 @@
     heartbeats = [own, *others]
     in_flight: Counter[str] = Counter()
     demand: Counter[str] = Counter()
+    urgent_demand: Counter[str] = Counter()
     for heartbeat in heartbeats:
         in_flight.update(heartbeat.in_flight_by_server)
         demand.update(heartbeat.demand_by_model)
+        urgent_demand.update(heartbeat.urgent_demand_by_model)
     return replace(
         own,
         n_hosts=len(heartbeats),
         in_flight_by_server=dict(in_flight),
         demand_by_model=dict(demand),
+        urgent_demand_by_model=dict(urgent_demand),
+        waiting=sum_waiting(
+            row for heartbeat in heartbeats for row in heartbeat.waiting
+        ),
         still=_union(heartbeat.still for heartbeat in heartbeats),
         moving=_union(heartbeat.moving for heartbeat in heartbeats),
         plans=_union(heartbeat.plans for heartbeat in heartbeats),
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -4,6 +4,7 @@
 
 import os
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
@@ -30,6 +31,7 @@
     from .coordination.host_heartbeats import HostAddress, HostHeartbeat, HostHeartbeats
     from .coordination.relaying import Balancer, CrashWatch, StallWatch
     from .relay_settings import RelaySettings
+    from .state.observations import WaitingRow
 
 __all__ = ["HostExchange", "HEARTBEAT_INTERVAL"]
 
@@ -57,6 +59,10 @@
         Return this host's heartbeat without the fields that this component sets.
     on_heartbeat : callable
         Called with each new heartbeat of another host.
+    waiting_rows : callable
+        Return the requests of contended services that wait at this host.
+    urgent_demand : callable
+        Return the urgent part of this host's demand by model, at a monotonic time.
     """
 
     channel = "exchange"
@@ -71,6 +77,8 @@
         crashes: CrashWatch,
         describe: Callable[[], HostHeartbeat],
         on_heartbeat: Callable[[HostHeartbeat], None],
+        waiting_rows: Callable[[], tuple[WaitingRow, ...]] = tuple,
+        urgent_demand: Callable[..., dict[str, float]] = lambda *, now: {},
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -80,6 +88,8 @@
         self._crashes = crashes
         self._describe = describe
         self._on_peer_heartbeat = on_heartbeat
+        self._waiting_rows = waiting_rows
+        self._urgent_demand = urgent_demand
         self._boot = int.from_bytes(os.urandom(7), "big")
         self._sequence = 0
         self._n_broadcasts = 0
@@ -94,6 +104,13 @@
         """Return the number of other hosts of the zone that send heartbeats."""
         return len(self._reachable_peers)
 
+    def n_waiting_by_model(self) -> dict[str, int]:
+        """Return how many requests of contended services wait at this host."""
+        counts: Counter[str] = Counter()
+        for row in self._waiting_rows():
+            counts[row.model] += row.count
+        return dict(counts)
+
     @handler("heartbeat_tick")
     def _on_tick(self) -> None:
         now = time.monotonic()
@@ -123,7 +140,7 @@
                 self._send(data, self._zone_peers())
         if represents_zone:
             self._send_zone_heartbeat(heartbeat, now=now)
-        self._balancer.peers_in_flight_by_id = self._heartbeats.in_flight(now=now)
+        self._update_peer_view(now=now)
         self._balancer.unreachable_zones = self._heartbeats.unreachable_zones(now=now)
         self._balancer.set_heartbeat_interval(
             interval=HEARTBEAT_INTERVAL * usual_ticks,
@@ -133,6 +150,12 @@
         self._update_limit_shares(now=now)
         self._log_reachability_changes(now=now)
 
+    def _update_peer_view(self, *, now: float) -> None:
+        """Give the balancer the other hosts' requests, and the age of this view."""
+        self._balancer.peers_in_flight_by_id = self._heartbeats.in_flight(now=now)
+        self._balancer.peers_waiting = self._heartbeats.waiting(now=now)
+        self._balancer.peers_view_at = self._heartbeats.oldest_received_at(now=now)
+
     def _update_limit_shares(self, *, now: float) -> None:
         if self._balancer.limits.is_empty or now - self._started_at < DISCOVERY_TIME:
             # A host that has not received any heartbeats yet would claim all of
@@ -161,6 +184,8 @@
                 for server_id, record in self._balancer.records_by_id.items()
                 if record.in_flight
             },
+            waiting=self._waiting_rows(),
+            urgent_demand_by_model=self._urgent_demand(now=now),
         )
 
     def _send_zone_heartbeat(self, local: HostHeartbeat, *, now: float) -> None:
@@ -218,7 +243,7 @@
                     self._crashes.record_suspicions(
                         message.suspicions, host=message.host, now=now
                     )
-        self._balancer.peers_in_flight_by_id = self._heartbeats.in_flight(now=now)
+        self._update_peer_view(now=now)
         self._update_limit_shares(now=now)
 
     def _record_leaving_servers(self, heartbeat: HostHeartbeat, *, now: float) -> None:
--- a/ryelever/protocol/host_messages.py
+++ b/ryelever/protocol/host_messages.py
@@ -6,6 +6,8 @@
 import zlib
 from functools import lru_cache
 from importlib import resources
+from itertools import islice
+from math import inf
 from typing import TYPE_CHECKING
 
 import capnp
@@ -18,7 +20,12 @@
 from ..errors import Category, RyeleverError
 from ..state.keyed_record import KeyedRecord, ServerUpdates
 from ..state.leaving import LeavingServerRow
-from ..state.observations import RateLimitRow, SuspicionRow
+from ..state.observations import (
+    RateLimitRow,
+    SuspicionRow,
+    WaitingRow,
+    sum_waiting,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,8 +59,9 @@
 BUSY_STATUS = 503
 
 #: First byte of a datagram, which gives the kind of message.  A message whose format
-#: changes gets a new letter, so that hosts of two releases, which run side by side
-#: during an upgrade, do not misread each other's messages.
+#: changes incompatibly gets a new letter, so that hosts of two releases, which run side
+#: by side during an upgrade, do not misread each other's messages.  A host ignores
+#: fields that were added after its release, and reads missing ones as empty.
 HEARTBEAT = b"s"
 UPDATES = b"n"
 COMPRESSED_UPDATES = b"z"
@@ -96,6 +104,19 @@
 #: others.  The servers' records announce all of them some tenths of a second later.
 MAX_LEAVING_SERVERS = 16
 
+#: Maximum number of rows of waiting requests in a heartbeat.  Two models with four
+#: priorities, on time and late, have 16 kinds of requests; where there are more, the
+#: rows with the smallest counts are left out.
+MAX_WAITING_ROWS = 16
+
+#: Maximum length in bytes of the service and model in a row of waiting requests.  With
+#: longer ones, the rows would not fit into a datagram beside the other lists.
+MAX_WORK_LENGTH = 64
+
+#: Maximum values of the fields of a row.
+MAX_PRIORITY = 3
+MAX_WAITING_COUNT = 2**16 - 1
+
 #: Encodes a missing number in fields whose values are otherwise positive.
 ABSENT = -1
 
@@ -157,10 +178,13 @@
     loads = list(heartbeat.in_flight_by_server.items())[:MAX_LISTED_SERVERS]
     message.loadedServers = [server for server, _ in loads]
     message.inFlight = [count for _, count in loads]
+    urgent = heartbeat.urgent_demand_by_model
     message.demands = [
-        {"model": model, "groups": groups}
+        {"model": model, "groups": groups, "urgentGroups": urgent.get(model, 0.0)}
         for model, groups in heartbeat.demand_by_model.items()
     ]
+    if heartbeat.waiting:
+        message.waiting = _encode_waiting(heartbeat.waiting)
     if heartbeat.rate_limits:
         limits = heartbeat.rate_limits[:MAX_LIMITED_SERVERS]
         message.rateLimits = [_encode_limit(row) for row in limits]
@@ -169,6 +193,26 @@
     return HEARTBEAT + message.to_bytes_packed()
 
 
+def _encode_waiting(rows: Iterable[WaitingRow]) -> list[dict[str, object]]:
+    """Return the rows with the largest counts; priorities are brought into range."""
+    encoded = (
+        {
+            "work": f"{row.service} {row.model}",
+            "accountPriority": _bounded_priority(row.rank[0]),
+            "routePriority": _bounded_priority(row.rank[1]),
+            "late": row.late,
+            "count": min(row.count, MAX_WAITING_COUNT),
+        }
+        for row in sum_waiting(rows)
+        if len(f"{row.service} {row.model}".encode()) <= MAX_WORK_LENGTH
+    )
+    return list(islice(encoded, MAX_WAITING_ROWS))
+
+
+def _bounded_priority(priority: int) -> int:
+    return max(0, min(MAX_PRIORITY, priority))
+
+
 def _encode_limit(row: RateLimitRow) -> dict[str, object]:
     return {
         "server": row.server_id,
@@ -386,11 +430,50 @@
             zip(message.loadedServers, message.inFlight, strict=True)
         ),
         demand_by_model={item.model: item.groups for item in message.demands},
+        urgent_demand_by_model=_decode_urgent(message.demands),
+        waiting=_decode_waiting(message.waiting),
         rate_limits=tuple(_decode_limit(row) for row in message.rateLimits),
         wanted_servers=tuple(message.wantedServers),
     )
 
 
+def _decode_urgent(
+    demands: capnp.lib.capnp._DynamicListReader,
+) -> dict[str, float]:
+    """Return the urgent part of each model's demand, which is at most all of it."""
+    urgent = {
+        item.model: min(item.urgentGroups, item.groups)
+        for item in demands
+        if item.urgentGroups > 0.0
+    }
+    # The comparison is false for numbers that are not finite.
+    return {model: groups for model, groups in urgent.items() if 0.0 < groups < inf}
+
+
+def _decode_waiting(
+    rows: capnp.lib.capnp._DynamicListReader,
+) -> tuple[WaitingRow, ...]:
+    """Return the valid rows; a malformed row doesn't invalidate the heartbeat."""
+    decoded = []
+    for row in islice(rows, MAX_WAITING_ROWS):
+        try:
+            service, _, model = row.work.partition(" ")
+        except UnicodeDecodeError:
+            continue
+        if not service or not model or not row.count:
+            continue
+        rank = (
+            _bounded_priority(row.accountPriority),
+            _bounded_priority(row.routePriority),
+        )
+        decoded.append(
+            WaitingRow(
+                service=service, model=model, rank=rank, late=row.late, count=row.count
+            )
+        )
+    return tuple(decoded)
+
+
 def _decode_limit(row: capnp.lib.capnp._DynamicStructReader) -> RateLimitRow:
     return RateLimitRow(
         server_id=row.server,
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -20,6 +20,9 @@
   rateLimits @5 :List(RateLimit);
   # Backend servers with a rate limit for which the sender has requests.
   wantedServers @6 :List(Text);
+  # Requests of contended services that wait for a slot at the sender, the largest counts
+  # first.
+  waiting @7 :List(WaitingWork);
 }
 
 # Part of a heartbeat that rarely changes.
@@ -113,6 +116,19 @@
 struct Demand {
   model @0 :Text;
   groups @1 :Float32;
+  # Part of the groups whose routes have the service's most urgent priority.
+  urgentGroups @2 :Float32;
+}
+
+# Requests of one kind that wait for a slot.
+struct WaitingWork {
+  # Service and model, separated by a space.
+  work @0 :Text;
+  accountPriority @1 :UInt8;
+  routePriority @2 :UInt8;
+  # True if the requests can no longer meet their latency objective.
+  late @3 :Bool;
+  count @4 :UInt16;
 }
 
 struct LeavingServer {
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -12,6 +13,8 @@
 from .incarnations import may_be_same_start
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .configuration import Configuration
     from .directory import BackendServer
     from .fleet import HostReport
@@ -25,8 +28,11 @@
     "RateLimitRow",
     "ReportRow",
     "SuspicionRow",
+    "WaitingKind",
     "WaitingRow",
     "sum_suspicions",
+    "sum_waiting",
+    "waiting_rows",
 ]
 
 
@@ -47,6 +53,10 @@
     n_waiting: int
 
 
+#: Service, model, rank and lateness of waiting requests.
+WaitingKind = tuple[str, str, tuple[int, int], bool]
+
+
 class WaitingRow(msgspec.Struct, kw_only=True, frozen=True):
     """Requests of one kind that wait for a slot at one or more entry hosts.
 
@@ -64,6 +74,32 @@
     late: bool
     count: int
 
+    @property
+    def kind(self) -> WaitingKind:
+        """Return what distinguishes the row: all of its fields but the count."""
+        return (self.service, self.model, self.rank, self.late)
+
+
+def sum_waiting(rows: Iterable[WaitingRow]) -> tuple[WaitingRow, ...]:
+    """Return one row for each kind of requests, the largest counts first.
+
+    Rows without requests are left out.
+    """
+    counts: Counter[WaitingKind] = Counter()
+    for row in rows:
+        counts[row.kind] += row.count
+    return waiting_rows(counts)
+
+
+def waiting_rows(counts: Counter[WaitingKind]) -> tuple[WaitingRow, ...]:
+    """Return one row for each kind that has requests, the largest counts first."""
+    ordered = sorted(counts.items(), key=lambda item: (-item[1], item[0]))
+    return tuple(
+        WaitingRow(service=service, model=model, rank=rank, late=late, count=count)
+        for (service, model, rank, late), count in ordered
+        if count > 0
+    )
+
 
 class RateLimitRow(msgspec.Struct, kw_only=True, frozen=True):
     """Rate limit that a backend server stated in an answer.
