--- a/ryelever/coordination/relaying/actions.py
+++ b/ryelever/coordination/relaying/actions.py
@@ -107,6 +107,15 @@
             True if a rate limit applies to the backend server.
         """
 
+    def held(self, *, model: str, rank: tuple[int, int]) -> None:
+        """Count a request of a contended service that begins to wait."""
+
+    def waited(self, seconds: float, *, rank: tuple[int, int]) -> None:
+        """Record the time from a contended request's arrival to its first attempt."""
+
+    def refused_for_room(self, *, model: str, rank: tuple[int, int]) -> None:
+        """Count a request of a contended service that is refused without a slot."""
+
     def first_event(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first event."""
 
--- a/ryelever/coordination/relaying/refusals.py
+++ b/ryelever/coordination/relaying/refusals.py
@@ -21,7 +21,12 @@
 DEFAULT_RETRY_AFTER = 0.3
 
 #: Reasons of refusals whose log line gives the numbers of servers and waiting requests.
-NO_SLOT_REASONS = frozenset({"no_place", "limited", "paused"})
+NO_SLOT_REASONS = frozenset(
+    {"no_chance", "no_place", "queue_full", "limited", "paused"}
+)
+
+#: Reasons of refusals of contended requests for which no slot is expected in time.
+ROOM_REASONS = frozenset({"no_chance", "no_place", "queue_full"})
 
 
 class Refusals:
@@ -55,6 +60,10 @@
         *,
         version: int,
         retry_after: float = DEFAULT_RETRY_AFTER,
+        rank: tuple[int, int] | None = None,
+        n_ahead: int | None = None,
+        expected_wait: float | None = None,
+        views_age: float | None = None,
     ) -> None:
         """Refuse a request that was not accepted.
 
@@ -64,6 +73,14 @@
             Version of the configuration in use; -1 for none.
         retry_after : float
             Seconds after which the caller should retry; sent with status 503 only.
+        rank : tuple of (int, int) or None
+            Rank of a request of a contended service.
+        n_ahead : int or None
+            Waiting requests of all hosts that go before this one; None if unknown.
+        expected_wait : float or None
+            Seconds until the request was expected to be sent; None if unknown.
+        views_age : float or None
+            Age in seconds of the oldest heartbeat used; None if there was none.
         """
         refusal = RelayRefusal(
             request_id=arrival.request_id,
@@ -72,7 +89,18 @@
             retry_after=retry_after if status == 503 else None,
         )
         self._outbox.refuse(number, refusal)
-        self._reports.refused(refusal, version=version)
+        fields: dict[str, object] = {}
+        if rank is not None and reason in ROOM_REASONS:
+            self._reports.refused_for_room(model=arrival.model, rank=rank)
+            fields = _room_fields(
+                refusal,
+                rank=rank,
+                n_ahead=n_ahead,
+                expected_wait=expected_wait,
+                views_age=views_age,
+            )
+            fields["model"] = arrival.model
+        self._reports.refused(refusal, version=version, **fields)
 
     def end_without_answer(
         self,
@@ -81,6 +109,9 @@
         *,
         now: float,
         retry_after: float = DEFAULT_RETRY_AFTER,
+        n_ahead: int | None = None,
+        expected_wait: float | None = None,
+        views_age: float | None = None,
     ) -> None:
         """Send the final answer of an accepted request that no server answered.
 
@@ -89,6 +120,8 @@
         retry_after : float
             Seconds after which the caller should retry; sent only if the request was
             not run.
+        n_ahead, expected_wait, views_age
+            As for ``refuse_on_arrival``.
         """
         if request.phase is RequestPhase.STREAMING:
             self._outbox.abort(request.number)
@@ -101,12 +134,25 @@
             retry_after=None if request.may_have_run else retry_after,
         )
         self._outbox.refuse(request.number, refusal)
+        fields = self._slot_fields(request, reason)
+        if request.contended and reason in ROOM_REASONS:
+            if refusal.status == 503:
+                self._reports.refused_for_room(
+                    model=request.arrival.model, rank=request.rank
+                )
+            fields |= _room_fields(
+                refusal,
+                rank=request.rank,
+                n_ahead=n_ahead,
+                expected_wait=expected_wait,
+                views_age=views_age,
+            )
         self._reports.answered(
             request,
             status=refusal.status,
             now=now,
             reason=reason,
-            **self._slot_fields(request, reason),
+            **fields,
         )
 
     def _slot_fields(self, request: RelayRequest, reason: str) -> dict[str, object]:
@@ -121,6 +167,29 @@
         }
 
 
+def _room_fields(
+    refusal: RelayRefusal,
+    *,
+    rank: tuple[int, int],
+    n_ahead: int | None,
+    expected_wait: float | None,
+    views_age: float | None,
+) -> dict[str, object]:
+    """Return the log fields that tell why no slot was expected; skip unknown ones."""
+    seconds = {
+        "retry_after": refusal.retry_after,
+        "expected_wait": expected_wait,
+        "views_age": views_age,
+    }
+    fields: dict[str, object] = {"rank": list(rank)}
+    if n_ahead is not None:
+        fields["n_ahead"] = n_ahead
+    for name, value in seconds.items():
+        if value is not None:
+            fields[name] = round(value, 3)
+    return fields
+
+
 def _status(request: RelayRequest, reason: str) -> int:
     """Return the status for a request without an answer; 503 promises "not run"."""
     if not request.may_have_run:
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -38,18 +38,21 @@
         limited : bool
             True if a rate limit applies to the backend server.
         """
+        waited = now - request.arrival.arrived_at
         if request.n_sent == 1:
             request.first_sent_at = now
+            if request.contended:
+                self._measures.waited(waited, rank=request.rank)
         self._measures.sent(
             is_retry=request.n_sent > 1,
             limited=limited,
-            waited=now - request.arrival.arrived_at,
+            waited=waited,
         )
 
     def held(
         self, request: RelayRequest, *, n_ahead: int, expected_wait: float
     ) -> None:
-        """Log that a request of a contended service begins to wait for a slot.
+        """Record that a request of a contended service begins to wait for a slot.
 
         Parameters
         ----------
@@ -66,6 +69,11 @@
             n_ahead=n_ahead,
             expected_wait=round(expected_wait, 3),
         )
+        self._measures.held(model=request.arrival.model, rank=request.rank)
+
+    def refused_for_room(self, *, model: str, rank: tuple[int, int]) -> None:
+        """Count a request of a contended service that is refused without a slot."""
+        self._measures.refused_for_room(model=model, rank=rank)
 
     def event(self, request: RelayRequest, *, now: float) -> None:
         """Record an event that is forwarded."""
@@ -161,13 +169,17 @@
             "quarantined", request=request.arrival.request_id, n_crashes=n_crashes
         )
 
-    def refused(self, refusal: RelayRefusal, *, version: int) -> None:
+    def refused(
+        self, refusal: RelayRefusal, *, version: int, **room_fields: object
+    ) -> None:
         """Log a request that was not accepted.
 
         Parameters
         ----------
         version : int
             Version of the configuration in use; -1 for none.
+        **room_fields : object
+            Log fields of a refusal for lack of a slot.
         """
         self._log(
             "refused",
@@ -175,6 +187,7 @@
             status=refusal.status,
             reason=refusal.reason,
             version=version,
+            **room_fields,
         )
 
     def answered(
@@ -194,7 +207,8 @@
         status : int
             Status that the caller got; 0 for a stream that was cut off.
         **slot_fields : object
-            Log fields about servers and waiting requests if no slot was free.
+            Log fields about servers, waiting requests and the expected wait if no slot
+            was free.
         """
         elapsed = now - request.arrival.arrived_at
         self._measures.ended(
--- a/ryelever/explain.py
+++ b/ryelever/explain.py
@@ -31,6 +31,25 @@
     }
 )
 
+#: Events about the groups of a model, which concern a request that waited for a slot.
+MODEL_EVENTS = frozenset({"group_phase", "servers_shifted"})
+
+#: Causes of refusals for lack of a slot, by the reason in the request's last line.
+CAUSE_BY_REASON = {
+    "no_chance": "no slot was expected in time for the caller",
+    "no_place": "no slot became free while the request waited",
+    "queue_full": "too many requests waited already, in total or of this account",
+}
+
+#: Fields that are shown with the cause of a refusal or a delay, with their texts.
+CAUSE_DETAILS = {
+    "n_ahead": "{} requests ahead",
+    "expected_wait": "expected wait {} s",
+    "n_servers": "{} servers for the model",
+    "views_age": "oldest heartbeat {} s old",
+    "retry_after": "told to retry after {} s",
+}
+
 #: Log fields that hold ids of backend servers.
 SERVER_FIELDS = ("server", "members")
 
@@ -56,7 +75,8 @@
     Attributes
     ----------
     lines : list of str
-        Formatted log lines in order of time; empty if no line names the request.
+        Formatted log lines in order of time; empty if no line names the request.  A
+        refusal for lack of a slot, or a delay by waiting, is followed by its cause.
     faults : list of str
         Files and lines that could not be read; the other ones were processed.
     """
@@ -85,6 +105,11 @@
     }
     start = min(line.time for line in matches) - SECONDS_BEFORE
     end = max(line.time for line in matches) + SECONDS_AFTER
+    models = {
+        str(line.fields.get("model", ""))
+        for line in matches
+        if line.event == "held" or str(line.fields.get("reason")) in CAUSE_BY_REASON
+    }
     sources = {line.source for line in matches}
     groups = {
         line.fields["group"]
@@ -98,13 +123,18 @@
         and (
             line.fields.get("request") == request_id
             or _concerns(line, servers=servers, groups=groups)
+            or _concerns_models(line, models=models)
             or (line.event in SHARED_EVENTS and line.source in sources)
         )
     ]
     shown.sort(key=lambda line: line.time)
-    return Explanation(
-        lines=[_format(line, request_id) for line in shown], faults=faults
-    )
+    held = next((line for line in matches if line.event == "held"), None)
+    formatted = []
+    for line in shown:
+        formatted.append(_format(line, request_id))
+        if line.fields.get("request") == request_id:
+            formatted += _causes(line, held=held)
+    return Explanation(lines=formatted, faults=faults)
 
 
 def _read(path: Path, faults: list[str]) -> list[_Line]:
@@ -143,6 +173,38 @@
     return bool(servers & _servers(line)) or line.fields.get("group") in groups
 
 
+def _concerns_models(line: _Line, *, models: set[str]) -> bool:
+    """Return whether a line is about the groups of a model with too few slots."""
+    if line.event not in MODEL_EVENTS:
+        return False
+    named = {str(line.fields.get(name, "")) for name in ("model", "donor")}
+    return bool(models & named - {""})
+
+
+def _causes(line: _Line, *, held: _Line | None) -> list[str]:
+    """Return the line that gives the cause of a refusal or of a wait, if any.
+
+    Parameters
+    ----------
+    held : _Line or None
+        Line about the beginning of the request's wait; its figures stand for those
+        that the given line lacks.
+    """
+    cause = CAUSE_BY_REASON.get(str(line.fields.get("reason", "")))
+    if cause is None and line.fields.get("late") == "waited" and held is not None:
+        cause = "the request waited for a slot"
+    if cause is None:
+        return []
+    fields = (held.fields if held is not None else {}) | line.fields
+    details = [
+        text.format(fields[name])
+        for name, text in CAUSE_DETAILS.items()
+        if fields.get(name) is not None
+    ]
+    text = ", ".join([cause, *details])
+    return [f"{line.time:.3f} * {line.source}: cause: {text}"]
+
+
 def _format(line: _Line, request_id: str) -> str:
     marker = "*" if line.fields.get("request") == request_id else " "
     details = " ".join(
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -57,10 +57,12 @@
     "crash": "backend server that crashed, with its fencing token if it has one",
     "demand": "arriving work, as the number of groups that it keeps busy, by model",
     "draining": "whether a backend server has announced that it is leaving",
+    "donor": "model that gave up servers; empty for spares",
     "end": "offset at which the log ends",
     "epoch": "epoch of a group; -1 for none",
     "era": "era of the store; rises when the store is restored from an older copy",
     "error": "class of the exception that a programming fault raised",
+    "expected_wait": "seconds until the request is expected to be sent",
     "faults": "faults of the settings, one entry per fault",
     "fencing": "fencing token of an order",
     "former": "previous era of the store; 0 for none",
@@ -79,6 +81,7 @@
     "model": "name of a model",
     "ms": "milliseconds since the request arrived",
     "n": "number of items that the line is about",
+    "n_ahead": "waiting requests of all hosts that go before the request",
     "n_by_state": "number of servers by state in their group; empty for none",
     "n_crashes": "crashes of backend servers that the request was in, over all hosts",
     "n_groups": "groups that serve or are being formed, by model",
@@ -103,12 +106,14 @@
     "phase": "phase of a request or a group",
     "ready_port": "port for readiness and metrics",
     "proved": "whether, or which, suspects had run past their first crash's position",
+    "rank": "priorities of the account and of the route; 0 goes first",
     "rate": "requests a second that a backend server takes from all hosts; -1: any",
     "reason": "reason, one of a fixed set of values that can be counted",
     "record": "id of a record",
     "refused": "whether the backend server guaranteed that the request was not run",
     "repeated": "whether, or which, requests were suspects before a crash",
     "request": "id that the caller set when it sent the request",
+    "retry_after": "seconds after which the caller was told to retry",
     "route": "name of the route",
     "run_state": "whether the request was run",
     "seconds": "seconds by which a clock differs",
@@ -122,7 +127,9 @@
     "topic": "topic of the store",
     "traceback": "end of the traceback",
     "unsent": "callers to whom the answer has not been sent completely",
+    "utilization": "demand divided by groups, by model",
     "version": "version of a configuration; -1 for none",
+    "views_age": "seconds since the oldest heartbeat used was received",
     "what": "item that was requested",
     "why": "last failure of the dependency; empty if there was none",
     "zone": "name of an availability zone",
@@ -130,6 +137,7 @@
 
 _FAILURE = ("message", "peer", "step")
 _GROUP = ("group", "epoch", "model")
+_ROOM = ("rank", "n_ahead", "expected_wait", "retry_after", "views_age")
 _SERVER = ("server", "draining", "group", "epoch", "state")
 
 
@@ -197,6 +205,7 @@
         "model",
         "n_servers",
         "n_waiting",
+        *_ROOM,
     ),
     "attempt_failed": _info(
         "an attempt to send a request failed",
@@ -258,8 +267,22 @@
         "request",
         "n_crashes",
     ),
+    "held": _info(
+        "a request begins to wait for a slot at a backend server",
+        "request",
+        "model",
+        "rank",
+        "n_ahead",
+        "expected_wait",
+    ),
     "refused": _info(
-        "a request was not accepted", "request", "status", "reason", "version"
+        "a request was not accepted",
+        "request",
+        "status",
+        "reason",
+        "version",
+        "model",
+        *_ROOM,
     ),
     "request_failed": _info(
         "a request ended with an error", "request", "code", "run_state", *_FAILURE
@@ -284,6 +307,14 @@
         "demand",
         "n_groups",
     ),
+    "servers_shifted": _info(
+        "servers of one model, or spares, were assigned to another model",
+        "zone",
+        "model",
+        "donor",
+        "members",
+        "utilization",
+    ),
     "servers_idle": _info(
         "number of a zone's servers that serve no requests, by what they wait for",
         "zone",
--- a/ryelever/relay_metrics.py
+++ b/ryelever/relay_metrics.py
@@ -40,6 +40,21 @@
         if not is_retry:
             self._metrics.observe("relay_waiting", waited)
 
+    def held(self, *, model: str, rank: tuple[int, int]) -> None:
+        """Count a request of a contended service that begins to wait."""
+        self._metrics.count("relay_held", f"{model} {_rank_label(rank)}")
+
+    def waited(self, seconds: float, *, rank: tuple[int, int]) -> None:
+        """Record the seconds from a request's arrival to its first attempt.
+
+        Only requests of contended services are recorded.
+        """
+        self._metrics.observe("relay_wait", seconds, rank=_rank_label(rank))
+
+    def refused_for_room(self, *, model: str, rank: tuple[int, int]) -> None:
+        """Count a request of a contended service that is refused without a slot."""
+        self._metrics.count("relay_refused_for_room", f"{model} {_rank_label(rank)}")
+
     def first_event(self, seconds: float) -> None:
         """Record the seconds from a request's arrival to its first event."""
         self._metrics.observe("relay_first_event", seconds)
@@ -55,6 +70,11 @@
         self._metrics.count("relay_account_requests", f"{account} {outcome}")
 
 
+def _rank_label(rank: tuple[int, int]) -> str:
+    """Return the priorities of the account and of the route as one label."""
+    return f"{rank[0]}/{rank[1]}"
+
+
 def register_gauges(
     metrics: Metrics,
     *,
@@ -73,6 +93,7 @@
     metrics.gauge("configuration_version", lambda: float(fleet.version))
     metrics.gauge("configuration_age_seconds", fleet.configuration_age)
     metrics.gauge("peers_heard", lambda: float(exchange.n_reachable_peers))
+    metrics.labelled_gauge("relay_waiting", exchange.n_waiting_by_model)
     metrics.labelled_gauge("time_under_way_seconds", balancer.mean_durations)
     metrics.counter("groups", planning.n_groups_by_phase)
     metrics.counter("stranded_server_seconds", planning.stranded_seconds)
--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -32,7 +32,7 @@
 )
 from ryelever.state.keyed_record import KeyedRecord, ServerUpdates
 from ryelever.state.leaving import LeavingServerRow
-from ryelever.state.observations import RateLimitRow, SuspicionRow
+from ryelever.state.observations import RateLimitRow, SuspicionRow, WaitingRow
 
 
 def _heartbeat(
@@ -200,6 +200,12 @@
             LeavingServerRow(server_id=name, started_at=1_790_000_000_000)
             for name in names
         ),
+        waiting=tuple(
+            WaitingRow(
+                service="s" * 30, model="m" * 33, rank=(0, 0), late=True, count=65_535
+            )
+            for _ in names
+        ),
     )
     assert len(encode_heartbeat(heartbeat)) <= MAX_DATAGRAM
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -69,3 +69,30 @@
     assert "member_silent" in capsys.readouterr().out
     assert main(["explain", "--request-id", "r9", "--files", *paths]) == 1
     assert "r9" in capsys.readouterr().err
+
+
+def test_refusal_after_a_wait_is_followed_by_its_cause(tmp_path: Path) -> None:
+    """Guard against a refusal whose cause only the lines of other parts tell."""
+    log = _log(
+        tmp_path / "e1.log",
+        _line(9.0, "servers_shifted", zone="z", model="small", donor="large"),
+        _line(9.5, "group_phase", group="g", model="small", phase="forming"),
+        _line(10.0, "held", request="r1", model="large", n_ahead=9, expected_wait=0.4),
+        _line(10.1, "held", request="r2", model=["odd"], expected_wait=None),
+        _line(
+            12.0, "answered", request="r1", reason="no_place", n_ahead=22, n_servers=4
+        ),
+        _line(12.1, "answered", request="r2", status=200, late="waited"),
+    )
+    lines = explain("r1", [log]).lines
+    assert [line.split(": ")[1].split()[0] for line in lines] == [
+        "servers_shifted",
+        "held",
+        "answered",
+        "cause",
+    ]
+    assert lines[-1] == (
+        "12.000 * e1: cause: no slot became free while the request waited, "
+        "22 requests ahead, expected wait 0.4 s, 4 servers for the model"
+    )
+    assert explain("r2", [log]).lines[-1].endswith("the request waited for a slot")
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -23,6 +23,7 @@
 )
 from ryelever.state.directory import Directory
 from ryelever.state.keyed_record import KeyedRecord, ServerUpdates
+from ryelever.state.observations import WaitingRow
 
 from .test_fleet_directory import settings_of
 
@@ -43,6 +44,8 @@
         Name of a host that no longer receives datagrams.
     stalled_by_host : dict of str to tuple of str
         Heads of the groups that each host sees stalled.
+    waiting_by_host : dict of str to tuple of WaitingRow
+        Requests that wait at each host.
     """
 
     def __init__(self, zone_by_host: dict[str, str] = ZONE_BY_HOST) -> None:
@@ -51,6 +54,7 @@
         self.n_sent_by_host: Counter[str] = Counter()
         self.lost = ""
         self.stalled_by_host: dict[str, tuple[str, ...]] = {}
+        self.waiting_by_host: dict[str, tuple[WaitingRow, ...]] = {}
         self.applied_by_host: dict[str, list[ServerUpdates]] = {}
         self.exchanges_by_host: dict[str, HostExchange] = {}
         self._waiting: list[tuple[str, Datagram]] = []
@@ -80,8 +84,11 @@
                 configuration_version=1,
                 still=self.stalled_by_host.get(host, ()),
                 plans=(zone,),
+                demand_by_model={"m": 0.5},
             ),
             on_heartbeat=lambda heartbeat: None,
+            waiting_rows=lambda: self.waiting_by_host.get(host, ()),
+            urgent_demand=lambda *, now: {"m": 0.25},
         )
         exchange.fire = lambda event, channel: self._fired(host, event, channel)
         return exchange
@@ -266,3 +273,21 @@
         network.deliver(at_most=network.n_sent + 100)
         received = _heartbeats_at(network, "b")._received_by_host["d"].heartbeat
         assert received.interval == pytest.approx(n_ticks * HEARTBEAT_INTERVAL)
+
+
+def test_waiting_requests_of_all_zones_reach_each_balancer(network: Network) -> None:
+    """Guard against hosts that send into slots for which others' requests wait."""
+    row = WaitingRow(service="s", model="m", rank=(0, 1), late=False, count=2)
+    network.waiting_by_host = dict.fromkeys("abcd", (row,))
+    for _ in range(2 * TICKS_PER_ZONE_HEARTBEAT):
+        for exchange in network.exchanges_by_host.values():
+            exchange._on_tick()
+        network.deliver(at_most=network.n_sent + 100)
+    for exchange in network.exchanges_by_host.values():
+        assert exchange.n_waiting_by_model() == {"m": 2}
+        # A host's own requests are not among those of its peers.
+        [found] = exchange._balancer.peers_waiting
+        assert found.count == 6
+        assert exchange._balancer.peers_view_at >= exchange._started_at
+    urgent = _heartbeats_at(network, "a").urgent_demand(now=time.monotonic())
+    assert urgent == {"m": 0.75}
