--- a/ryelever/protocol/host_messages.py
+++ b/ryelever/protocol/host_messages.py
@@ -109,8 +109,8 @@
 #: rows with the smallest counts are left out.
 MAX_WAITING_ROWS = 16
 
-#: Maximum length in bytes of the service and model in a row of waiting requests.  With
-#: longer ones, the rows would not fit into a datagram beside the other lists.
+#: Maximum length in bytes of the service and model in a row of waiting requests.  Rows
+#: with longer names are left out; a few of them would fill a datagram.
 MAX_WORK_LENGTH = 64
 
 #: Maximum values of the fields of a row.
@@ -171,7 +171,12 @@
 
 
 def encode_heartbeat(heartbeat: HostHeartbeat) -> bytes:
-    """Return a heartbeat encoded as one datagram."""
+    """Return a heartbeat encoded as one datagram.
+
+    Waiting requests have only the space that the other lists leave.  Without a few of
+    their rows, hosts estimate waits that are too short; without loads, they send
+    requests to full servers.
+    """
     message = _schema.HostHeartbeat.new_message(
         sequence=heartbeat.sequence, state=_encode_state(heartbeat)
     )
@@ -190,7 +195,11 @@
         message.rateLimits = [_encode_limit(row) for row in limits]
     if heartbeat.wanted_servers:
         message.wantedServers = list(heartbeat.wanted_servers[:MAX_LIMITED_SERVERS])
-    return HEARTBEAT + message.to_bytes_packed()
+    data = HEARTBEAT + message.to_bytes_packed()
+    if len(data) <= MAX_DATAGRAM or not heartbeat.waiting:
+        return data
+    rows = sum_waiting(heartbeat.waiting)[:MAX_WAITING_ROWS]
+    return encode_heartbeat(replace(heartbeat, waiting=rows[: len(rows) // 2]))
 
 
 def _encode_waiting(rows: Iterable[WaitingRow]) -> list[dict[str, object]]:
