--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 import pytest
+from msgspec.structs import replace
 
 from ryelever.coordination.fan_out import MAX_RECEIVERS
 from ryelever.coordination.host_heartbeats import (
@@ -23,12 +24,16 @@
 )
 from ryelever.state.directory import Directory
 from ryelever.state.keyed_record import KeyedRecord, ServerUpdates
+from ryelever.state.observations import WaitingRow
 
 from .test_fleet_directory import settings_of
 
 #: Availability zones of the hosts by their names.
 ZONE_BY_HOST = {"a": "x", "b": "y", "c": "y", "d": "y"}
 
+#: Requests that wait at each host.
+ROW = WaitingRow(service="s", model="m", rank=(0, 1), late=False, count=2)
+
 
 class Network:
     """Simulate the network between several hosts, all of which plan for their zones.
@@ -80,8 +85,11 @@
                 configuration_version=1,
                 still=self.stalled_by_host.get(host, ()),
                 plans=(zone,),
+                demand_by_model={"m": 0.5},
             ),
             on_heartbeat=lambda heartbeat: None,
+            waiting_rows=lambda: (ROW,),
+            urgent_demand=lambda *, now: {"m": 0.25},
         )
         exchange.fire = lambda event, channel: self._fired(host, event, channel)
         return exchange
@@ -266,3 +274,18 @@
         network.deliver(at_most=network.n_sent + 100)
         received = _heartbeats_at(network, "b")._received_by_host["d"].heartbeat
         assert received.interval == pytest.approx(n_ticks * HEARTBEAT_INTERVAL)
+
+
+def test_waiting_requests_of_all_zones_reach_each_balancer(network: Network) -> None:
+    """Guard against hosts that send into slots for which others' requests wait."""
+    for _ in range(2 * TICKS_PER_ZONE_HEARTBEAT):
+        for exchange in network.exchanges_by_host.values():
+            exchange._on_tick()
+        network.deliver(at_most=network.n_sent + 100)
+    for exchange in network.exchanges_by_host.values():
+        assert exchange.n_waiting_by_model() == {"m": 2}
+        # A host's own requests are not among those of its peers.
+        assert exchange._balancer.peers_waiting == (replace(ROW, count=6),)
+        assert exchange._balancer.peers_view_at >= exchange._started_at
+    urgent = _heartbeats_at(network, "a").urgent_demand(now=time.monotonic())
+    assert urgent == {"m": 0.75}
