--- a/ryelever/coordination/admission/estimates.py
+++ b/ryelever/coordination/admission/estimates.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import zlib
 from typing import TYPE_CHECKING
 
 from ..actions import ChatWork
+from ..retry_spread import retry_spread
 from .admission import Refused
 
 if TYPE_CHECKING:
@@ -73,14 +73,9 @@
 
 
 def refusal(reason: str, *, request_id: str, wait: float) -> Refused:
-    """Return a refusal whose retry time is the wait, spread by the request's id.
-
-    Without the spread, callers that are refused at the same time and get the same
-    retry time would also retry at the same time.
-    """
-    spread = zlib.crc32(request_id.encode()) / 2**32
+    """Return a refusal whose retry time is the wait, spread by the request's id."""
     bounded = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
-    return Refused(reason=reason, retry_after=bounded * (1.0 + spread))
+    return Refused(reason=reason, retry_after=bounded * retry_spread(request_id))
 
 
 def announced_size(arrival: Arrival) -> float:
