--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
@@ -18,8 +18,9 @@
 
     from ...state.directory import BackendServer, Directory
     from ...state.leaving import LeavingServerRow
+    from ...state.observations import WaitingRow
 
-__all__ = ["Balancer", "ServerRecord"]
+__all__ = ["Balancer", "RoomLimit", "ServerRecord"]
 
 #: Requests that may be queued at a backend server in addition to those it runs. They
 #: wait for less time than one request takes, and no slot stays idle while the report
@@ -95,6 +96,21 @@
     stale_until: float = 0.0
 
 
+class RoomLimit(Protocol):
+    """Limit the requests in flight at servers, for one request."""
+
+    def with_room(self, loads: list[ServerLoad], *, scale: float) -> list[ServerLoad]:
+        """Return the servers to which the request may be sent now.
+
+        Parameters
+        ----------
+        loads : list of ServerLoad
+            The servers that may get requests, whether they have free slots or not.
+        scale : float
+            Number of all servers in proportion to those examined.
+        """
+
+
 class Balancer:
     """Choose the least loaded backend server that can run a request.
 
@@ -123,6 +139,8 @@
         The rate limits that apply to servers.
     pauses : ServerPauses
         The pauses that servers have asked this host for.
+    peers_waiting : tuple of WaitingRow
+        Requests that wait for slots at other entry hosts, as these reported.
     """
 
     def __init__(
@@ -142,8 +160,12 @@
         self.unreachable_zones: set[str] = set()
         self.limits = ServerRateLimits(directory=directory, cold_rate=cold_rate)
         self.pauses = ServerPauses(directory=directory)
+        self.peers_waiting: tuple[WaitingRow, ...] = ()
         self._unreported = UnreportedRequests()
         self._random = random.Random(seed)
+        # Contended services draw from a generator of their own, so that the draws for
+        # all other services don't depend on them.
+        self._room_random = random.Random(seed)
         self._seen_changes = -1
         self._candidates_by_work: dict[tuple[str, str], list[BackendServer]] = {}
 
@@ -172,7 +194,13 @@
         return found
 
     def choose(
-        self, service: str, model: str, *, excluded: set[str], now: float
+        self,
+        service: str,
+        model: str,
+        *,
+        excluded: set[str],
+        now: float,
+        room: RoomLimit | None = None,
     ) -> BackendServer | None:
         """Return a backend server with a free slot, or None.
 
@@ -181,9 +209,19 @@
         random with weights that level the loads across all hosts. Without this draw,
         all hosts would send to the same least loaded server, and it would be full
         before any of them learned of the others' requests.
+
+        Parameters
+        ----------
+        room : RoomLimit or None
+            Says which servers have room; None for those that have fewer requests in
+            flight than ``slots`` and ``QUEUED_PER_SERVER`` together.
         """
         candidates = self.candidates(service, model)
-        sampled = self._sampled(candidates)
+        if room is not None:
+            return self._choose_with_room(
+                candidates, (service, model), excluded=excluded, room=room, now=now
+            )
+        sampled = self._sampled(candidates, self._random)
         options = self._available_loads(sampled, excluded=excluded, now=now)
         if not options and sampled is not candidates:
             options = self._available_loads(candidates, excluded=excluded, now=now)
@@ -192,15 +230,59 @@
         # Count the request being sent as well: otherwise, with nothing in flight, all
         # hosts would choose the same server as the least loaded one.
         n_in_flight = 1 + sum(option.in_flight for option in options)
-        local, remote = self._unreported.expected(
-            (service, model), n_in_flight=n_in_flight
+        return self._drawn(
+            options, (service, model), n_in_flight=n_in_flight, random=self._random
         )
+
+    def _choose_with_room(
+        self,
+        candidates: list[BackendServer],
+        work: tuple[str, str],
+        *,
+        excluded: set[str],
+        room: RoomLimit,
+        now: float,
+    ) -> BackendServer | None:
+        """Return a server that has room for a request, or None.
+
+        Servers that are excluded for this request count as well when the free slots of
+        all servers are compared with the requests that compete for them.
+        """
+        sampled = self._sampled(candidates, self._room_random)
+        loads = [
+            load
+            for server in sampled
+            if (load := self._load(server, capacity=None, now=now)) is not None
+        ]
+        scale = len(candidates) / max(1, len(sampled))
+        options = [
+            option
+            for option in room.with_room(loads, scale=scale)
+            if option.server.id not in excluded
+        ]
+        if not options:
+            return None
+        n_in_flight = 1 + sum(load.in_flight for load in loads)
+        return self._drawn(
+            options, work, n_in_flight=n_in_flight, random=self._room_random
+        )
+
+    def _drawn(
+        self,
+        options: list[ServerLoad],
+        work: tuple[str, str],
+        *,
+        n_in_flight: int,
+        random: random.Random,
+    ) -> BackendServer:
+        """Return the least loaded server, or one drawn if the loads are not current."""
+        local, remote = self._unreported.expected(work, n_in_flight=n_in_flight)
         weights = spread_weights(
             options, local=local, remote=remote, remote_penalty=REMOTE_ZONE_PENALTY
         )
         if local == remote == 0.0:
             return options[weights.index(max(weights))].server
-        return self._random.choices(options, weights)[0].server
+        return random.choices(options, weights)[0].server
 
     def limited_allowance(
         self,
@@ -282,6 +364,24 @@
         """Record for how many seconds a request was in flight."""
         self._unreported.record_duration((service, model), seconds)
 
+    @property
+    def heartbeat_interval(self) -> float:
+        """Return the seconds between two heartbeats of a host of this zone."""
+        return self._unreported.interval
+
+    @property
+    def peers_share(self) -> float:
+        """Return the part of all entry hosts that are other hosts."""
+        return self._unreported.peers_share
+
+    def mean_duration(self, service: str, model: str) -> float:
+        """Return the mean seconds that requests are in flight, or the default."""
+        return self._unreported.mean_duration((service, model))
+
+    def n_usable_slots(self, service: str, model: str) -> int:
+        """Return the slots of all candidates in zones that are not evacuated."""
+        return sum(server.slots for server in self._usable(service, model))
+
     def mean_durations(self) -> dict[str, float]:
         """Return the mean seconds that requests are in flight, by service and model."""
         return self._unreported.mean_durations()
@@ -356,7 +456,9 @@
             if not self._is_evacuated(server.availability_zone):
                 yield server
 
-    def _sampled(self, candidates: list[BackendServer]) -> list[BackendServer]:
+    def _sampled(
+        self, candidates: list[BackendServer], random: random.Random
+    ) -> list[BackendServer]:
         """Return all candidates, or this zone's and a random sample of the others."""
         if len(candidates) <= SAMPLING_THRESHOLD:
             return candidates
@@ -365,7 +467,7 @@
             parts[server.availability_zone != self._zone].append(server)
         local, remote = parts
         n_remote = max(MIN_REMOTE_CANDIDATES, SAMPLING_THRESHOLD - len(local))
-        return local + self._random.sample(remote, min(n_remote, len(remote)))
+        return local + random.sample(remote, min(n_remote, len(remote)))
 
     def _available_loads(
         self, servers: list[BackendServer], *, excluded: set[str], now: float
@@ -375,35 +477,49 @@
             option
             for server in servers
             if server.id not in excluded
-            and (option := self._available_load(server, now=now)) is not None
+            and (
+                option := self._load(
+                    server, capacity=server.slots + QUEUED_PER_SERVER, now=now
+                )
+            )
+            is not None
         ]
 
-    def _available_load(
-        self, server: BackendServer, *, now: float
+    def _load(
+        self, server: BackendServer, *, capacity: int | None, now: float
     ) -> ServerLoad | None:
-        """Return the load of a server, or None if it must not get a request now."""
+        """Return the load of a server, or None if it must not get a request now.
+
+        Parameters
+        ----------
+        capacity : int or None
+            Requests in flight from which the server gets no more; None for no limit.
+        """
         if self._is_evacuated(server.availability_zone):
             return None
         if self.pauses.is_paused(server.id, now=now):
             return None
         record = self.records_by_id.get(server.id)
-        in_flight = self.peers_in_flight_by_id[server.id]
+        n_peers = in_flight = self.peers_in_flight_by_id[server.id]
         if record is not None:
             has_stale_entry = server is record.stale_entry and now < record.stale_until
             if has_stale_entry or now < max(record.avoided_until, record.stalled_until):
                 return None
             in_flight += record.in_flight
-        capacity = server.slots + QUEUED_PER_SERVER
-        if in_flight >= capacity or not self.limits.allows(server.id, now=now):
+        if capacity is not None and in_flight >= capacity:
+            return None
+        if not self.limits.allows(server.id, now=now):
             return None
         zone = server.availability_zone
-        is_unreachable = zone in self.unreachable_zones
+        penalty = 0.0
+        if zone in self.unreachable_zones:
+            penalty = UNREACHABLE_ZONE_PENALTY * (server.slots + QUEUED_PER_SERVER)
         return ServerLoad(
             server=server,
             is_local_zone=zone == self._zone,
             in_flight=in_flight,
-            load=in_flight
-            + (UNREACHABLE_ZONE_PENALTY * capacity if is_unreachable else 0.0),
+            load=in_flight + penalty,
+            n_peers=n_peers,
         )
 
     def _drop_former_incarnations(self) -> None:
--- a/ryelever/coordination/relaying/levelling.py
+++ b/ryelever/coordination/relaying/levelling.py
@@ -42,31 +42,53 @@
         Requests in flight there.
     load : float
         Requests in flight, plus a penalty if other servers are to be preferred.
+    n_peers : int
+        Requests in flight there that other entry hosts reported.
+    slots : float or None
+        Slots by which the load is levelled; None for those that the server states.
     """
 
     server: BackendServer
     is_local_zone: bool
     in_flight: int
     load: float
+    n_peers: int = 0
+    slots: float | None = None
+
+    @property
+    def size(self) -> float:
+        """Return the number of slots by which the load is levelled."""
+        return self.server.slots if self.slots is None else self.slots
 
 
 class UnreportedRequests:
-    """Estimate how many requests other hosts have sent since their last heartbeats."""
+    """Estimate how many requests other hosts have sent since their last heartbeats.
+
+    Attributes
+    ----------
+    interval : float
+        Seconds between two heartbeats of a host of this zone.
+    """
 
-    __slots__ = ("_remote_share", "_interval", "_local_share", "_durations_by_work")
+    __slots__ = ("_durations_by_work", "_local_share", "_remote_share", "interval")
 
     def __init__(self) -> None:
-        self._interval = 0.0
+        self.interval = 0.0
         self._local_share = 0.0
         self._remote_share = 0.0
         self._durations_by_work: dict[tuple[str, str], RunningMean] = {}
 
     def set_interval(self, *, interval: float, n_zone_peers: int, n_hosts: int) -> None:
         """Set how often, and from how many hosts, heartbeats are received."""
-        self._interval = interval
+        self.interval = interval
         self._local_share = n_zone_peers / max(1, n_hosts)
         self._remote_share = max(0, n_hosts - n_zone_peers - 1) / max(1, n_hosts)
 
+    @property
+    def peers_share(self) -> float:
+        """Return the part of all entry hosts that are other hosts."""
+        return self._local_share + self._remote_share
+
     def record_duration(self, work: tuple[str, str], seconds: float) -> None:
         """Record for how many seconds a request was in flight."""
         self._durations_by_work.setdefault(work, RunningMean()).add(seconds)
@@ -78,6 +100,13 @@
             for work, durations in self._durations_by_work.items()
         }
 
+    def mean_duration(self, work: tuple[str, str]) -> float:
+        """Return the mean seconds that requests are in flight, or the default."""
+        durations = self._durations_by_work.get(work)
+        if durations is None:
+            return DEFAULT_DURATION
+        return max(MIN_DURATION, durations.mean)
+
     def expected(
         self, work: tuple[str, str], *, n_in_flight: float
     ) -> tuple[float, float]:
@@ -87,11 +116,7 @@
         By Little's law, as many requests are sent during the mean duration of a request
         as are in flight.
         """
-        durations = self._durations_by_work.get(work)
-        mean = (
-            DEFAULT_DURATION if durations is None else max(MIN_DURATION, durations.mean)
-        )
-        n_new = n_in_flight * self._interval / mean
+        n_new = n_in_flight * self.interval / self.mean_duration(work)
         return n_new * self._local_share, n_new * self._remote_share
 
 
@@ -114,7 +139,7 @@
         Number of requests by which a server of another zone counts as more loaded.
     """
     loads = [option.load for option in options]
-    sizes = [option.server.slots for option in options]
+    sizes = [option.size for option in options]
     remote_indices = [
         index for index, option in enumerate(options) if not option.is_local_zone
     ]
@@ -126,7 +151,7 @@
     return _water_fill(loads, sizes, max(local, MIN_ADDED))
 
 
-def _water_fill(loads: list[float], sizes: list[int], amount: float) -> list[float]:
+def _water_fill(loads: list[float], sizes: list[float], amount: float) -> list[float]:
     """Return how many requests each server gets, the least loaded ones first.
 
     The requests fill the servers to a common level of load per slot; servers above that
@@ -134,7 +159,7 @@
     """
     utilizations = [load / size for load, size in zip(loads, sizes, strict=True)]
     level = 0.0
-    n_slots = 0
+    n_slots = 0.0
     total = amount
     for index in sorted(range(len(loads)), key=utilizations.__getitem__):
         if n_slots and utilizations[index] >= level:
