--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 from typing import TYPE_CHECKING
 
 from .actions import RelayAttempt
@@ -17,8 +16,9 @@
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
+from .server_refusals import limited, paused
 from .unrouted import UnroutedArrivals
-from .waiting import MAX_LIMITED_WAIT, MAX_WAIT, WaitingRequests, seconds_to_slot
+from .waiting import MAX_WAIT, WaitingRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -389,44 +389,23 @@
         """Queue a request for a free slot, unless none can become free in time."""
         if self._refuse_if_paused(request, waits_until=now + MAX_WAIT, now=now):
             return
-        service, model = request.service, request.arrival.model
-        allowance = self._balancer.limited_allowance(
-            service, model, excluded=request.tried, seconds=MAX_LIMITED_WAIT, now=now
-        )
-        # A stream that has already started waits, however long the expected wait is,
-        # because a slot may become free by chance.  Ending the request here would break
-        # the stream off.
-        if allowance is None or request.phase is RequestPhase.STREAMING:
-            self._waiting.add(request, now=now)
-            return
-        n_ahead = self._waiting.n_waiting_for(service, model)
-        expected_wait = seconds_to_slot(allowance, n_ahead=n_ahead)
-        if expected_wait <= MAX_LIMITED_WAIT:
+        refusal = limited(request, self._balancer, waiting=self._waiting, now=now)
+        if refusal is None:
             self._waiting.add(request, now=now)
             return
-        # If this host has no share of the limits, another host may have one.
-        retry_after = (
-            DEFAULT_RETRY_AFTER if expected_wait == math.inf else expected_wait
+        self._end_without_answer(
+            request, refusal.reason, retry_after=refusal.retry_after, now=now
         )
-        self._end_without_answer(request, "limited", retry_after=retry_after, now=now)
 
     def _refuse_if_paused(
         self, request: RelayRequest, *, waits_until: float, now: float
     ) -> bool:
-        """Refuse a request if the servers left for it are paused while it may wait.
-
-        Like rate limits, pauses don't end a stream that has already started.
-        """
-        if request.phase is RequestPhase.STREAMING:
-            return False
-        paused_until = self._balancer.paused_until(
-            request.service, request.arrival.model, excluded=request.tried, now=now
-        )
-        latest_start = min(waits_until, request.times_out_at)
-        if paused_until is None or paused_until <= latest_start:
+        """Refuse a request if the servers left for it are paused while it may wait."""
+        refusal = paused(request, self._balancer, waits_until=waits_until, now=now)
+        if refusal is None:
             return False
         self._end_without_answer(
-            request, "paused", retry_after=paused_until - now, now=now
+            request, refusal.reason, retry_after=refusal.retry_after, now=now
         )
         return True
 
