--- /dev/null
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -0,0 +1,181 @@
+"""Decide whether a request may be sent now, from the expected room in all batches.
+
+What other hosts report about a server is some tenths of a second old. A host that took
+the reported loads for the current ones would send its waiting requests to each slot
+that is reported free, and so would all other hosts. Each host therefore estimates how
+many slots are free and how many requests of all hosts compete for them, and sends a
+request with the probability that it is among those that fit.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec.structs import replace
+
+from .balance import QUEUED_PER_SERVER
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...state.directory import BackendServer
+    from .levelling import ServerLoad
+
+__all__ = ["BatchRoom", "Competitors"]
+
+#: Maximum part of all slots that is reserved for requests that go before others.
+MAX_RESERVED_SHARE = 0.5
+
+
+class Competitors(msgspec.Struct, kw_only=True, frozen=True):
+    """The requests that compete with one request for free slots.
+
+    Attributes
+    ----------
+    n_ahead : int
+        Waiting requests of this host that go before the request.
+    n_peers : int
+        Waiting requests of other hosts that go before the request or are its equals.
+    share_ahead : float
+        Part of the arrivals that goes before the request.
+    is_first : bool
+        True if no request goes before this one except earlier ones of its rank.
+    reserved_time : float
+        Seconds for which the average arrival that goes before the request may wait for
+        a slot, times ``share_ahead``.
+    patience : float
+        Part of the time for which the request may wait that is left, from 0 to 1.
+    """
+
+    n_ahead: int = 0
+    n_peers: int = 0
+    share_ahead: float = 0.0
+    is_first: bool = True
+    reserved_time: float = 0.0
+    patience: float = 1.0
+
+
+class BatchRoom:
+    """Room for one request in the batches of all servers that can run it.
+
+    Parameters
+    ----------
+    time_left : float
+        Seconds until the first event would be late; 0 or less for a late request.
+    first_event : float
+        Expected seconds to the first event at a server that has a free slot.
+    slowness : callable
+        Return the factor by which first events take longer at a server.
+    effective_slots : callable
+        Return the slots by which the loads are levelled.
+    mean_duration : float
+        Mean seconds that a request is in flight.
+    interval : float
+        Average age in seconds of what other hosts report.
+    peers_share : float
+        Part of all requests that other hosts send.
+    draw : float
+        Random number from 0 to 1, drawn for the request.
+
+    Attributes
+    ----------
+    n_in_flight : float
+        Requests in flight at all servers, as found by the last decision.
+    """
+
+    __slots__ = (
+        "_competitors",
+        "_draw",
+        "_effective_slots",
+        "_first_event",
+        "_interval",
+        "_mean_duration",
+        "_peers_share",
+        "_slowness",
+        "_time_left",
+        "n_in_flight",
+    )
+
+    def __init__(
+        self,
+        *,
+        competitors: Competitors,
+        time_left: float,
+        first_event: float,
+        slowness: Callable[[BackendServer], float],
+        effective_slots: Callable[[BackendServer], float],
+        mean_duration: float,
+        interval: float,
+        peers_share: float,
+        draw: float,
+    ) -> None:
+        self._competitors = competitors
+        self._time_left = time_left
+        self._first_event = first_event
+        self._slowness = slowness
+        self._effective_slots = effective_slots
+        self._mean_duration = mean_duration
+        self._interval = interval
+        self._peers_share = peers_share
+        self._draw = draw
+        self.n_in_flight = 0.0
+
+    def with_room(self, loads: list[ServerLoad], *, scale: float) -> list[ServerLoad]:
+        """Return the servers with room if the request may be sent now, else none.
+
+        Parameters
+        ----------
+        scale : float
+            Number of all servers in proportion to those examined.
+        """
+        ended_share = min(1.0, self._interval / self._mean_duration)
+        options = []
+        n_free = 0.0
+        n_slots = 0
+        n_in_flight = 0
+        for load in loads:
+            n_slots += load.server.slots
+            n_in_flight += load.in_flight
+            n_ended = ended_share * load.n_peers
+            n_room = self.limit(load.server) - (load.in_flight - n_ended)
+            if n_room > 0:
+                n_free += n_room
+                options.append((load, n_ended))
+        self.n_in_flight = n_in_flight * scale
+        n_competing = self._n_competing(n_slots=n_slots * scale)
+        n_free *= scale
+        if n_competing > n_free and self._draw >= n_free / n_competing:
+            return []
+        return [
+            replace(
+                load,
+                load=load.load - n_ended,
+                slots=self._effective_slots(load.server),
+            )
+            for load, n_ended in options
+        ]
+
+    def limit(self, server: BackendServer) -> int:
+        """Return how many requests may be in flight at a server with this one.
+
+        A request may be queued there only if it can still be on time afterwards.
+        """
+        if self._time_left <= 0.0:
+            return server.slots
+        spare = self._time_left - self._first_event * self._slowness(server)
+        slot_interval = self._mean_duration / max(1, server.slots)
+        n_queued = int(max(0.0, spare) / slot_interval)
+        return server.slots + min(QUEUED_PER_SERVER, n_queued)
+
+    def _n_competing(self, *, n_slots: float) -> float:
+        """Return how many requests compete for the free slots, this one included."""
+        competitors = self._competitors
+        # By Little's law, the requests in flight arrive within their mean duration.
+        rate = self.n_in_flight / self._mean_duration
+        n_sent = rate * self._interval * self._peers_share
+        if not competitors.is_first:
+            n_sent *= competitors.share_ahead
+        n_reserved = min(MAX_RESERVED_SHARE * n_slots, rate * competitors.reserved_time)
+        n_waiting = competitors.n_ahead + competitors.n_peers + 1
+        return n_sent + n_waiting + competitors.patience * n_reserved
--- /dev/null
+++ b/ryelever/coordination/relaying/contention.py
@@ -0,0 +1,346 @@
+"""Order, hold and refuse the requests of services whose capacity callers share.
+
+``RelayRequests`` sends the requests; this module says which of the waiting ones may be
+sent, and which can't be served in time any more.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ...relay_settings import ContentionMode
+from .batch_room import BatchRoom, Competitors
+from .caller_ages import CallerAges
+from .first_event import FirstEventEstimate
+from .rank_shares import RankShares
+from .request import RequestPhase, rank_step
+from .wait_estimate import WaitEstimate, latest_useful_start
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ...state.directory import BackendServer, Directory
+    from ...state.routes import RouteTable
+    from .balance import Balancer
+    from .rank_shares import Order
+    from .request import RelayRequest
+
+__all__ = ["Contention", "DispatchPass", "NO_SERVER_WAIT"]
+
+#: Seconds for which a request waits while no server can run it: a group may open.
+NO_SERVER_WAIT = 2.0
+
+#: Seconds between two estimates of whether a waiting request can be served in time.
+ESTIMATE_INTERVAL = 0.25
+
+#: Seconds between two ticks from which on the process counts as suspended. Ticks are
+#: at most 0.1 s apart.
+SUSPENSION = 1.0
+
+
+class _Fleet(msgspec.Struct, kw_only=True):
+    """What is known of the servers that run the requests of one service and model."""
+
+    n_slots: int = 0
+    n_slots_at: float = float("-inf")
+    n_in_flight: float = 0.0
+
+
+class Contention:
+    """Decide about the requests of contended services.
+
+    Parameters
+    ----------
+    mode : ContentionMode
+        Whether the capacity of engine services is shared among callers.
+    seed : int or None
+        Seed of the random draws.
+    """
+
+    __slots__ = (
+        "_ages",
+        "_balancer",
+        "_first_events",
+        "_fleets_by_work",
+        "_mode",
+        "_random",
+        "_resumed_at",
+        "_shares",
+        "_ticked_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        mode: ContentionMode,
+        balancer: Balancer,
+        directory: Directory,
+        seed: int | None = None,
+    ) -> None:
+        self._mode = mode
+        self._balancer = balancer
+        self._first_events = FirstEventEstimate(directory=directory)
+        self._shares = RankShares()
+        self._ages = CallerAges()
+        self._fleets_by_work: dict[tuple[str, str], _Fleet] = {}
+        self._random = random.Random(seed)
+        self._ticked_at: float | None = None
+        self._resumed_at = float("-inf")
+
+    def arrived(
+        self, request: RelayRequest, route_table: RouteTable, *, now: float
+    ) -> None:
+        """Find out whether a request's service is contended, and how urgent it is."""
+        model = request.arrival.model
+        if not request.is_stream:
+            return
+        if not route_table.is_contended(request.service, self._mode):
+            return
+        engine = route_table.services_by_name[request.service].engine
+        if model not in engine.models_by_name:
+            return
+        request.contended = True
+        request.age_at_arrival = self._ages.age(request.route, request.arrival)
+        request.on_time_until -= request.age_at_arrival
+        request.expected_first_event = self._first_events.expected(
+            engine, model, n_prompt=request.arrival.n_prompt, n_running=engine.slots
+        )
+        self._shares.record(
+            request.work,
+            _order(request, now=now),
+            may_wait=_time_left(request, now=now) - request.expected_first_event,
+            now=now,
+        )
+
+    def waits_until(self, request: RelayRequest, *, now: float) -> float:
+        """Return the time until which a request waits for a slot."""
+        if not self._n_slots(request.work, now=now):
+            return min(now + NO_SERVER_WAIT, request.times_out_at)
+        return latest_useful_start(
+            request.times_out_at,
+            mean_duration=self._balancer.mean_duration(*request.work),
+        )
+
+    def begin_pass(self, waiting: Iterable[RelayRequest], *, now: float) -> None:
+        """Renew the draws of waiting requests, given in the order of their dispatch.
+
+        The lowest draws of a service and model go to the requests that are dispatched
+        first: how many a host may send is drawn, and not which of its requests.
+        """
+        interval = self._balancer.heartbeat_interval
+        by_work: dict[tuple[str, str], list[RelayRequest]] = {}
+        for request in waiting:
+            if now >= request.drawn_until:
+                request.draw = self._random.random()
+                request.drawn_until = now + interval
+            by_work.setdefault(request.work, []).append(request)
+        for requests in by_work.values():
+            draws = sorted((item.draw, item.drawn_until) for item in requests)
+            for request, (draw, drawn_until) in zip(requests, draws, strict=True):
+                request.draw = draw
+                request.drawn_until = drawn_until
+
+    def room(self, request: RelayRequest, *, n_ahead: int, now: float) -> BatchRoom:
+        """Return the room that there is for a request.
+
+        Parameters
+        ----------
+        n_ahead : int
+            Waiting requests of this host for the same work that go before it.
+        """
+        balancer = self._balancer
+        order = _order(request, now=now)
+        share_ahead, reserved_time = self._shares.ahead(request.work, order, now=now)
+        arrived_at = request.arrival.arrived_at
+        may_wait = max(request.waits_until - arrived_at, 1e-3)
+        patience = min(1.0, max(0.0, request.waits_until - now) / may_wait)
+        first_events = self._first_events
+
+        def slowness(server: BackendServer) -> float:
+            return first_events.slowness(server.id, now)
+
+        def effective_slots(server: BackendServer) -> float:
+            return first_events.effective_slots(server, now)
+
+        return BatchRoom(
+            competitors=Competitors(
+                n_ahead=n_ahead,
+                n_peers=self._n_peers_waiting(request.work, order),
+                share_ahead=share_ahead,
+                is_first=not share_ahead,
+                reserved_time=reserved_time,
+                patience=patience,
+            ),
+            time_left=0.0 if order[0] else _time_left(request, now=now),
+            first_event=request.expected_first_event,
+            slowness=slowness,
+            effective_slots=effective_slots,
+            mean_duration=balancer.mean_duration(*request.work),
+            interval=balancer.heartbeat_interval,
+            peers_share=balancer.peers_share,
+            draw=request.draw,
+        )
+
+    def examined(self, work: tuple[str, str], room: BatchRoom) -> None:
+        """Remember how many requests a decision has found in flight."""
+        self._fleet(work).n_in_flight = room.n_in_flight
+
+    def estimate(
+        self, request: RelayRequest, *, n_ahead: int, now: float
+    ) -> WaitEstimate:
+        """Estimate how long a request waits.
+
+        Parameters
+        ----------
+        n_ahead : int
+            Waiting requests of this host for the same work that go before it.
+        """
+        work = request.work
+        order = _order(request, now=now)
+        return WaitEstimate(
+            n_ahead=n_ahead + self._n_peers_waiting(work, order),
+            n_slots=self._n_slots(work, now=now),
+            n_in_flight=self._fleet(work).n_in_flight,
+            share_ahead=self._shares.ahead(work, order, now=now)[0],
+            mean_duration=self._balancer.mean_duration(*work),
+        )
+
+    def is_hopeless(
+        self, request: RelayRequest, estimate: WaitEstimate, *, now: float
+    ) -> bool:
+        """Return whether a request that hasn't begun can't be served in time.
+
+        A stream that has started waits as long as it can: a slot may become free by
+        chance, and the stream would break off otherwise.
+        """
+        if request.phase is RequestPhase.STREAMING:
+            return False
+        latest_start = latest_useful_start(
+            request.times_out_at, mean_duration=estimate.mean_duration
+        )
+        return estimate.is_hopeless(latest_start=latest_start, now=now)
+
+    # Observations
+
+    def sent(self, request: RelayRequest) -> None:
+        """Note that a request is sent: its next wait is estimated anew."""
+        request.estimated_at = float("-inf")
+
+    def first_event(self, request: RelayRequest, *, now: float) -> None:
+        """Record how long the first event of an attempt took."""
+        if request.contended and self.observes(request.sent_at, now=now):
+            self._first_events.observe(
+                request.attempt.server_id,
+                expected=request.expected_first_event,
+                seconds=now - request.sent_at,
+                now=now,
+            )
+
+    def ticked(self, *, now: float) -> None:
+        """Note a tick, to notice that the process was suspended."""
+        self.observes(now, now=now)
+        self._ticked_at = now
+
+    def observes(self, began_at: float, *, now: float) -> bool:
+        """Return whether durations since a time are those of servers.
+
+        They are not if this process was suspended meanwhile.
+        """
+        if self._ticked_at is not None and now - self._ticked_at >= SUSPENSION:
+            self._resumed_at = now
+        return began_at >= self._resumed_at
+
+    def _fleet(self, work: tuple[str, str]) -> _Fleet:
+        return self._fleets_by_work.setdefault(work, _Fleet())
+
+    def _n_slots(self, work: tuple[str, str], *, now: float) -> int:
+        """Return the slots of all usable servers, counted at most every quarter second.
+
+        No slots are never taken from the last count, since a group may have opened.
+        """
+        fleet = self._fleet(work)
+        if not fleet.n_slots or now - fleet.n_slots_at >= ESTIMATE_INTERVAL:
+            fleet.n_slots = self._balancer.n_usable_slots(*work)
+            fleet.n_slots_at = now
+        return fleet.n_slots
+
+    def _n_peers_waiting(self, work: tuple[str, str], order: Order) -> int:
+        """Return how many requests of other hosts go before a request or equal it."""
+        return sum(
+            row.count
+            for row in self._balancer.peers_waiting
+            if (row.service, row.model) == work
+            and (row.late, rank_step(row.rank)) <= order
+        )
+
+
+class DispatchPass:
+    """One pass over the waiting requests of contended services, in their order.
+
+    Once a request finds no room, none that goes after it is tried for the same work:
+    it has less room and a higher draw. A request that was already sent to some of the
+    servers may find none among the others, and says nothing about its successors.
+
+    Parameters
+    ----------
+    waiting : list of RelayRequest
+        The waiting requests in the order in which they get free slots.
+    """
+
+    __slots__ = ("_contention", "_full", "_n_ahead_by_work", "_now")
+
+    def __init__(
+        self, *, contention: Contention, waiting: list[RelayRequest], now: float
+    ) -> None:
+        self._contention = contention
+        self._full: set[tuple[str, str]] = set()
+        self._n_ahead_by_work: dict[tuple[str, str], int] = {}
+        self._now = now
+        contention.begin_pass(waiting, now=now)
+
+    def room(self, request: RelayRequest) -> BatchRoom | None:
+        """Return the room for the next request, or None if it is not to be tried."""
+        if request.work in self._full:
+            return None
+        n_ahead = self._n_ahead(request)
+        return self._contention.room(request, n_ahead=n_ahead, now=self._now)
+
+    def found_no_room(self, request: RelayRequest, room: BatchRoom | None) -> None:
+        """Note that a request goes on waiting."""
+        if room is not None:
+            self._contention.examined(request.work, room)
+            if not request.tried:
+                self._full.add(request.work)
+        self._n_ahead_by_work[request.work] = self._n_ahead(request) + 1
+
+    def hopeless(self, request: RelayRequest) -> WaitEstimate | None:
+        """Return the estimate for a request that can't be served in time, or None.
+
+        The wait of a request is estimated when it arrives, and then at most every
+        ``ESTIMATE_INTERVAL``. To be called before ``found_no_room``.
+        """
+        now = self._now
+        if now - request.estimated_at < ESTIMATE_INTERVAL:
+            return None
+        request.estimated_at = now
+        contention = self._contention
+        request.waits_until = contention.waits_until(request, now=now)
+        estimate = contention.estimate(request, n_ahead=self._n_ahead(request), now=now)
+        is_hopeless = contention.is_hopeless(request, estimate, now=now)
+        return estimate if is_hopeless else None
+
+    def _n_ahead(self, request: RelayRequest) -> int:
+        return self._n_ahead_by_work.get(request.work, 0)
+
+
+def _order(request: RelayRequest, *, now: float) -> Order:
+    return now > request.on_time_until, rank_step(request.rank)
+
+
+def _time_left(request: RelayRequest, *, now: float) -> float:
+    """Return the seconds until the first event of a request would be late."""
+    elapsed = now - request.arrival.arrived_at + request.age_at_arrival
+    return request.route.latency_objective - elapsed
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -15,7 +15,7 @@
     from .actions import RelayAttempt
     from .messages import AnswerHead, RelayArrival
 
-__all__ = ["RelayRequest", "RequestPhase", "is_after", "routed_request"]
+__all__ = ["RelayRequest", "RequestPhase", "is_after", "rank_step", "routed_request"]
 
 #: Seconds before the caller's deadline from which a tick sends the final answer. The
 #: answer takes a few milliseconds to arrive, and ticks are 0.05 s apart while requests
@@ -27,6 +27,17 @@
 ON_TIME_WAIT_SHARE = 0.6
 
 
+#: Steps of urgency that one step of the account's priority counts. One step of the
+#: route's priority counts one.
+RANK_STEPS = 3
+
+#: Highest priority of an account or a route that is told apart.
+MAX_PRIORITY = 3
+
+#: Highest priority that backend servers are told.
+MAX_ATTEMPT_PRIORITY = 9
+
+
 class RequestPhase(enum.Enum):
     """The phase of a relayed request."""
 
@@ -62,6 +73,16 @@
     waits_until : float
         Monotonic time until which the request waits for a free slot at a backend
         server.
+    draw : float
+        Random number that decides whether a request of a contended service gets one of
+        the free slots for which others compete.
+    drawn_until : float
+        Monotonic time until which ``draw`` holds.
+    estimated_at : float
+        Monotonic time at which the wait was last estimated.
+    expected_first_event : float
+        Seconds from sending to the first event that are expected at a server with a
+        free slot; 0 if unknown.
     tried : set of str
         Ids of the backend servers to which the request was sent.
     last_event_id : str
@@ -94,6 +115,10 @@
     may_have_run: bool = False
     n_sent: int = 0
     waits_until: float = 0.0
+    draw: float = 0.0
+    drawn_until: float = float("-inf")
+    estimated_at: float = float("-inf")
+    expected_first_event: float = 0.0
     tried: set[str] = msgspec.field(default_factory=set)
     last_event_id: str = ""
     body: bytearray = msgspec.field(default_factory=bytearray)
@@ -109,6 +134,17 @@
         """Return whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def work(self) -> tuple[str, str]:
+        """Return the service and the model."""
+        return self.service, self.arrival.model
+
+    @property
+    def attempt_priority(self) -> int:
+        """Return the priority that backend servers are told, from 0 to 9."""
+        priority = rank_step(self.rank) if self.contended else self.priority
+        return min(MAX_ATTEMPT_PRIORITY, priority)
+
 
 class ArrivalRefusal(msgspec.Struct, kw_only=True, frozen=True):
     """The status and reason of a refusal on arrival."""
@@ -169,6 +205,7 @@
         service=route.service_of(arrival.request_id),
         account=account.name if account else "",
         priority=priority,
+        rank=(_in_range(priority), _in_range(route.priority)),
         deadline=min(deadline, timed_out_at + FINAL_ANSWER_MARGIN),
         times_out_at=min(deadline - FINAL_ANSWER_MARGIN, timed_out_at),
         on_time_until=now + ON_TIME_WAIT_SHARE * route.latency_objective,
@@ -176,6 +213,16 @@
     )
 
 
+def rank_step(rank: tuple[int, int]) -> int:
+    """Return the step of a rank; 0 is the most urgent one."""
+    account_priority, route_priority = rank
+    return RANK_STEPS * account_priority + route_priority
+
+
+def _in_range(priority: int) -> int:
+    return max(0, min(MAX_PRIORITY, priority))
+
+
 def is_after(event_id: str, last_event_id: str) -> bool:
     """Return whether an event comes after the last event forwarded."""
     if not last_event_id:
