--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -131,6 +131,8 @@
 
     Attributes
     ----------
+    directory : Directory
+        The listed backend servers.
     unreachable_zones : set of str
         Zones from whose hosts no heartbeats are received, for example after a network
         partition. Each of their servers would cost a request one of its attempts before
@@ -152,7 +154,7 @@
         is_evacuated: Callable[[str], bool] = lambda zone: False,
         seed: int | None = None,
     ) -> None:
-        self._directory = directory
+        self.directory = directory
         self._zone = zone
         self._is_evacuated = is_evacuated
         self.records_by_id: dict[str, ServerRecord] = {}
@@ -173,21 +175,21 @@
         """Return the record of a backend server, creating it if necessary."""
         record = self.records_by_id.get(server_id)
         if record is None:
-            server = self._directory.by_id.get(server_id)
+            server = self.directory.by_id.get(server_id)
             record = self.records_by_id[server_id] = ServerRecord(server=server)
         return record
 
     def candidates(self, service: str, model: str) -> list[BackendServer]:
         """Return the backend servers that can run requests for a service and model."""
-        if self._seen_changes != self._directory.n_changes:
-            self._seen_changes = self._directory.n_changes
+        if self._seen_changes != self.directory.n_changes:
+            self._seen_changes = self.directory.n_changes
             self._candidates_by_work.clear()
             self._drop_former_incarnations()
         found = self._candidates_by_work.get((service, model))
         if found is None:
             found = [
                 server
-                for server in self._directory.of_service(service)
+                for server in self.directory.of_service(service)
                 if not server.draining and _serves_model(server, model)
             ]
             self._candidates_by_work[service, model] = found
@@ -418,12 +420,12 @@
     def mark_entry_stale(self, server_id: str, *, now: float) -> None:
         """Avoid a server whose directory entry is stale."""
         record = self.record(server_id)
-        record.stale_entry = self._directory.by_id.get(server_id)
+        record.stale_entry = self.directory.by_id.get(server_id)
         record.stale_until = now + STALE_ENTRY_AVOIDANCE
 
     def mark_leaving(self, row: LeavingServerRow, *, now: float) -> bool:
         """Record that a server states that it leaves; return whether that is new."""
-        return self._directory.mark_leaving(row, is_local=True, now=now)
+        return self.directory.mark_leaving(row, is_local=True, now=now)
 
     def record_peer_leaving(
         self, rows: Iterable[LeavingServerRow], *, now: float
@@ -432,12 +434,12 @@
         return [
             row.server_id
             for row in rows
-            if self._directory.mark_leaving(row, is_local=False, now=now)
+            if self.directory.mark_leaving(row, is_local=False, now=now)
         ]
 
     def announced_leaving(self, *, now: float) -> tuple[LeavingServerRow, ...]:
         """Return the servers that recently told this host that they are leaving."""
-        return self._directory.leaving.announced(now=now)
+        return self.directory.leaving.announced(now=now)
 
     def mark_stalled(self, server_id: str, *, now: float) -> None:
         """Avoid a group that has stalled."""
@@ -525,7 +527,7 @@
     def _drop_former_incarnations(self) -> None:
         """Drop the observations of servers that are gone or have restarted."""
         for server_id, record in list(self.records_by_id.items()):
-            server = self._directory.by_id.get(server_id)
+            server = self.directory.by_id.get(server_id)
             if server is None:
                 if record.in_flight == 0:
                     del self.records_by_id[server_id]
--- /dev/null
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -0,0 +1,204 @@
+"""Dispatch, hold and refuse the waiting requests of contended services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .refusals import DEFAULT_RETRY_AFTER
+from .request import RequestPhase
+from .server_refusals import limited, paused
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from .balance import Balancer, RoomLimit
+    from .contention import Contention
+    from .rank_shares import Order
+    from .reports import RequestReports
+    from .request import RelayRequest
+    from .wait_estimate import WaitEstimate
+    from .waiting import WaitingRequests
+
+__all__ = ["ContendedRequests"]
+
+#: Seconds between two estimates of whether a waiting request can be served in time.
+ESTIMATE_INTERVAL = 0.25
+
+NEVER = float("-inf")
+
+
+class ContendedRequests:
+    """Queue all requests of contended services, and dispatch them in order.
+
+    Parameters
+    ----------
+    dispatch : callable
+        Send a request to a server that has room, given the room and the time; return
+        whether there was one.
+    refuse : callable
+        End a request that can't be served, given the reason and log fields.
+    """
+
+    __slots__ = (
+        "_balancer",
+        "_contention",
+        "_dispatch",
+        "_refuse",
+        "_reports",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        contention: Contention,
+        balancer: Balancer,
+        waiting: WaitingRequests,
+        reports: RequestReports,
+        dispatch: Callable[..., bool],
+        refuse: Callable[..., None],
+    ) -> None:
+        self._contention = contention
+        self._balancer = balancer
+        self._waiting = waiting
+        self._reports = reports
+        self._dispatch = dispatch
+        self._refuse = refuse
+
+    def add(self, request: RelayRequest, *, now: float) -> None:
+        """Queue a request, and send or refuse it if possible.
+
+        Requests of this host that already wait and go before it are dispatched first.
+        """
+        if not self._waiting.may_add(request):
+            estimate = self._estimate(request, n_ahead=len(self._waiting), now=now)
+            self._refuse_for_room(request, "queue_full", estimate, now=now)
+            return
+        request.estimated_at = NEVER
+        waits_until = self._contention.waits_until(request, now=now)
+        self._waiting.add(request, now=now, waits_until=waits_until)
+        self.dispatch(
+            (
+                item
+                for item in self._waiting.sorted_for_dispatch(now=now)
+                if item.contended and item.work == request.work
+            ),
+            now=now,
+        )
+        if not self._waiting.includes(request):
+            return
+        refusal = limited(
+            request, self._balancer, waiting=self._waiting, is_queued=True, now=now
+        )
+        if refusal is not None:
+            self._refuse(
+                request, refusal.reason, retry_after=refusal.retry_after, now=now
+            )
+
+    def dispatch(self, ordered: Iterable[RelayRequest], *, now: float) -> None:
+        """Send the waiting requests for which there is room, and refuse hopeless ones.
+
+        Once a request finds no room, those that are no more urgent are not tried for
+        the same work: they have less room and higher draws. A request that was already
+        sent to some servers may find none among the others, and says nothing about its
+        successors.
+
+        Parameters
+        ----------
+        ordered : iterable of RelayRequest
+            Waiting requests in the order in which they get free slots.
+        """
+        waiting = [item for item in ordered if _may_be_sent(item, now=now)]
+        self._contention.renew_draws(waiting, now=now)
+        full_from: dict[tuple[str, str], Order] = {}
+        n_ahead_by_work: dict[tuple[str, str], int] = {}
+        for request in waiting:
+            refusal = paused(
+                request, self._balancer, waits_until=request.waits_until, now=now
+            )
+            if refusal is not None:
+                self._refuse(
+                    request, refusal.reason, retry_after=refusal.retry_after, now=now
+                )
+                continue
+            work = request.work
+            n_ahead = n_ahead_by_work.get(work, 0)
+            order = self._contention.order(request, now=now)
+            if work not in full_from or order < full_from[work]:
+                if self._send(request, n_ahead=n_ahead, now=now):
+                    continue
+                if not request.tried:
+                    full_from[work] = order
+            if not self._refuse_if_hopeless(request, n_ahead=n_ahead, now=now):
+                n_ahead_by_work[work] = n_ahead + 1
+
+    def time_out(self, request: RelayRequest, *, now: float) -> None:
+        """Refuse a request that has waited as long as it may."""
+        estimate = self._estimate(request, n_ahead=0, now=now)
+        reason = "no_chance" if estimate.n_slots else "no_place"
+        self._refuse_for_room(request, reason, estimate, now=now)
+
+    def _send(self, request: RelayRequest, *, n_ahead: int, now: float) -> bool:
+        room: RoomLimit = self._contention.room(request, n_ahead=n_ahead, now=now)
+        was_sent = self._dispatch(request, room=room, now=now)
+        self._contention.examined(request.work, room)
+        if was_sent:
+            self._waiting.sent(request)
+        return was_sent
+
+    def _refuse_if_hopeless(
+        self, request: RelayRequest, *, n_ahead: int, now: float
+    ) -> bool:
+        """Refuse a request that can't be served in time; return whether it was.
+
+        The wait of a request is estimated when it arrives, and then at most every
+        ``ESTIMATE_INTERVAL``.
+        """
+        if now - request.estimated_at < ESTIMATE_INTERVAL:
+            return False
+        begins = request.estimated_at == NEVER
+        request.estimated_at = now
+        self._contention.renew_wait(request, now=now)
+        estimate = self._estimate(request, n_ahead=n_ahead, now=now)
+        if self._contention.is_hopeless(request, estimate, now=now):
+            self._refuse_for_room(request, "no_chance", estimate, now=now)
+            return True
+        if begins:
+            self._reports.held(
+                request,
+                n_ahead=estimate.n_ahead,
+                expected_wait=estimate.expected_wait,
+            )
+        return False
+
+    def _estimate(
+        self, request: RelayRequest, *, n_ahead: int, now: float
+    ) -> WaitEstimate:
+        return self._contention.estimate(request, n_ahead=n_ahead, now=now)
+
+    def _refuse_for_room(
+        self, request: RelayRequest, reason: str, estimate: WaitEstimate, *, now: float
+    ) -> None:
+        """Refuse a request for lack of room, and say when its caller should retry."""
+        if request.phase is RequestPhase.STREAMING:
+            self._refuse(request, reason, retry_after=DEFAULT_RETRY_AFTER, now=now)
+            return
+        retry_after = estimate.retry_after(
+            request.arrival.request_id, time_left=request.times_out_at - now
+        )
+        self._refuse(
+            request,
+            reason,
+            retry_after=retry_after,
+            now=now,
+            n_ahead=estimate.n_ahead,
+            expected_wait=round(estimate.expected_wait, 3),
+        )
+
+
+def _may_be_sent(request: RelayRequest, *, now: float) -> bool:
+    """Return whether a request has not waited for as long as it may.
+
+    One that has just arrived takes a free slot even if it could not wait for one.
+    """
+    return now < request.waits_until or request.estimated_at == NEVER
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -16,7 +16,8 @@
 from .caller_ages import CallerAges
 from .first_event import FirstEventEstimate
 from .rank_shares import RankShares
-from .request import RequestPhase, rank_step
+from .ranks import clamped_rank, rank_step
+from .request import RequestPhase
 from .wait_estimate import WaitEstimate, latest_useful_start
 
 if TYPE_CHECKING:
@@ -28,13 +29,13 @@
     from .rank_shares import Order
     from .request import RelayRequest
 
-__all__ = ["Contention", "DispatchPass", "NO_SERVER_WAIT"]
+__all__ = ["NO_SERVER_WAIT", "Contention"]
 
 #: Seconds for which a request waits while no server can run it: a group may open.
 NO_SERVER_WAIT = 2.0
 
-#: Seconds between two estimates of whether a waiting request can be served in time.
-ESTIMATE_INTERVAL = 0.25
+#: Seconds for which a count of the slots of all servers is used.
+COUNT_INTERVAL = 0.25
 
 #: Seconds between two ticks from which on the process counts as suspended. Ticks are
 #: at most 0.1 s apart.
@@ -103,6 +104,7 @@
         if model not in engine.models_by_name:
             return
         request.contended = True
+        request.rank = clamped_rank((request.priority, request.route.priority))
         request.age_at_arrival = self._ages.age(request.route, request.arrival)
         request.on_time_until -= request.age_at_arrival
         request.expected_first_event = self._first_events.expected(
@@ -110,21 +112,31 @@
         )
         self._shares.record(
             request.work,
-            _order(request, now=now),
+            self.order(request, now=now),
             may_wait=_time_left(request, now=now) - request.expected_first_event,
             now=now,
         )
 
     def waits_until(self, request: RelayRequest, *, now: float) -> float:
-        """Return the time until which a request waits for a slot."""
-        if not self._n_slots(request.work, now=now):
+        """Return the time until which a request waits that begins to wait now."""
+        has_begun = request.phase is RequestPhase.STREAMING
+        if has_begun or not self._n_slots(request.work, now=now):
             return min(now + NO_SERVER_WAIT, request.times_out_at)
-        return latest_useful_start(
-            request.times_out_at,
-            mean_duration=self._balancer.mean_duration(*request.work),
-        )
+        return self._latest_start(request)
+
+    def renew_wait(self, request: RelayRequest, *, now: float) -> None:
+        """Let a waiting request wait longer if a group has opened, or less if none is.
+
+        A stream that has started waits until the time that was set at first.
+        """
+        if request.phase is RequestPhase.STREAMING:
+            return
+        if self._n_slots(request.work, now=now):
+            request.waits_until = self._latest_start(request)
+        else:
+            request.waits_until = min(request.waits_until, now + NO_SERVER_WAIT)
 
-    def begin_pass(self, waiting: Iterable[RelayRequest], *, now: float) -> None:
+    def renew_draws(self, waiting: Iterable[RelayRequest], *, now: float) -> None:
         """Renew the draws of waiting requests, given in the order of their dispatch.
 
         The lowest draws of a service and model go to the requests that are dispatched
@@ -143,6 +155,10 @@
                 request.draw = draw
                 request.drawn_until = drawn_until
 
+    def order(self, request: RelayRequest, *, now: float) -> Order:
+        """Return whether a request is late, and the step of its rank."""
+        return now > request.on_time_until, rank_step(request.rank)
+
     def room(self, request: RelayRequest, *, n_ahead: int, now: float) -> BatchRoom:
         """Return the room that there is for a request.
 
@@ -152,7 +168,7 @@
             Waiting requests of this host for the same work that go before it.
         """
         balancer = self._balancer
-        order = _order(request, now=now)
+        order = self.order(request, now=now)
         share_ahead, reserved_time = self._shares.ahead(request.work, order, now=now)
         arrived_at = request.arrival.arrived_at
         may_wait = max(request.waits_until - arrived_at, 1e-3)
@@ -199,7 +215,7 @@
             Waiting requests of this host for the same work that go before it.
         """
         work = request.work
-        order = _order(request, now=now)
+        order = self.order(request, now=now)
         return WaitEstimate(
             n_ahead=n_ahead + self._n_peers_waiting(work, order),
             n_slots=self._n_slots(work, now=now),
@@ -218,16 +234,14 @@
         """
         if request.phase is RequestPhase.STREAMING:
             return False
-        latest_start = latest_useful_start(
-            request.times_out_at, mean_duration=estimate.mean_duration
-        )
+        latest_start = self._latest_start(request)
         return estimate.is_hopeless(latest_start=latest_start, now=now)
 
-    # Observations
+    def _latest_start(self, request: RelayRequest) -> float:
+        mean_duration = self._balancer.mean_duration(*request.work)
+        return latest_useful_start(request.times_out_at, mean_duration=mean_duration)
 
-    def sent(self, request: RelayRequest) -> None:
-        """Note that a request is sent: its next wait is estimated anew."""
-        request.estimated_at = float("-inf")
+    # Observations
 
     def first_event(self, request: RelayRequest, *, now: float) -> None:
         """Record how long the first event of an attempt took."""
@@ -262,7 +276,7 @@
         No slots are never taken from the last count, since a group may have opened.
         """
         fleet = self._fleet(work)
-        if not fleet.n_slots or now - fleet.n_slots_at >= ESTIMATE_INTERVAL:
+        if not fleet.n_slots or now - fleet.n_slots_at >= COUNT_INTERVAL:
             fleet.n_slots = self._balancer.n_usable_slots(*work)
             fleet.n_slots_at = now
         return fleet.n_slots
@@ -277,69 +291,6 @@
         )
 
 
-class DispatchPass:
-    """One pass over the waiting requests of contended services, in their order.
-
-    Once a request finds no room, none that goes after it is tried for the same work:
-    it has less room and a higher draw. A request that was already sent to some of the
-    servers may find none among the others, and says nothing about its successors.
-
-    Parameters
-    ----------
-    waiting : list of RelayRequest
-        The waiting requests in the order in which they get free slots.
-    """
-
-    __slots__ = ("_contention", "_full", "_n_ahead_by_work", "_now")
-
-    def __init__(
-        self, *, contention: Contention, waiting: list[RelayRequest], now: float
-    ) -> None:
-        self._contention = contention
-        self._full: set[tuple[str, str]] = set()
-        self._n_ahead_by_work: dict[tuple[str, str], int] = {}
-        self._now = now
-        contention.begin_pass(waiting, now=now)
-
-    def room(self, request: RelayRequest) -> BatchRoom | None:
-        """Return the room for the next request, or None if it is not to be tried."""
-        if request.work in self._full:
-            return None
-        n_ahead = self._n_ahead(request)
-        return self._contention.room(request, n_ahead=n_ahead, now=self._now)
-
-    def found_no_room(self, request: RelayRequest, room: BatchRoom | None) -> None:
-        """Note that a request goes on waiting."""
-        if room is not None:
-            self._contention.examined(request.work, room)
-            if not request.tried:
-                self._full.add(request.work)
-        self._n_ahead_by_work[request.work] = self._n_ahead(request) + 1
-
-    def hopeless(self, request: RelayRequest) -> WaitEstimate | None:
-        """Return the estimate for a request that can't be served in time, or None.
-
-        The wait of a request is estimated when it arrives, and then at most every
-        ``ESTIMATE_INTERVAL``. To be called before ``found_no_room``.
-        """
-        now = self._now
-        if now - request.estimated_at < ESTIMATE_INTERVAL:
-            return None
-        request.estimated_at = now
-        contention = self._contention
-        request.waits_until = contention.waits_until(request, now=now)
-        estimate = contention.estimate(request, n_ahead=self._n_ahead(request), now=now)
-        is_hopeless = contention.is_hopeless(request, estimate, now=now)
-        return estimate if is_hopeless else None
-
-    def _n_ahead(self, request: RelayRequest) -> int:
-        return self._n_ahead_by_work.get(request.work, 0)
-
-
-def _order(request: RelayRequest, *, now: float) -> Order:
-    return now > request.on_time_until, rank_step(request.rank)
-
-
 def _time_left(request: RelayRequest, *, now: float) -> float:
     """Return the seconds until the first event of a request would be late."""
     elapsed = now - request.arrival.arrived_at + request.age_at_arrival
--- a/ryelever/coordination/relaying/ranks.py
+++ b/ryelever/coordination/relaying/ranks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["clamped_rank", "rank_step"]
+__all__ = ["MAX_STEP", "clamped_rank", "rank_step"]
 
 #: Steps of a rank for one step of account priority; one step of route priority is one.
 RANK_STEPS = 3
--- a/ryelever/coordination/relaying/refusals.py
+++ b/ryelever/coordination/relaying/refusals.py
@@ -21,7 +21,9 @@
 DEFAULT_RETRY_AFTER = 0.3
 
 #: Reasons of refusals whose log line gives the numbers of servers and waiting requests.
-NO_SLOT_REASONS = frozenset({"no_place", "limited", "paused"})
+NO_SLOT_REASONS = frozenset(
+    {"limited", "no_chance", "no_place", "paused", "queue_full"}
+)
 
 
 class Refusals:
@@ -81,6 +83,7 @@
         *,
         now: float,
         retry_after: float = DEFAULT_RETRY_AFTER,
+        **wait_fields: object,
     ) -> None:
         """Send the final answer of an accepted request that no server answered.
 
@@ -89,6 +92,8 @@
         retry_after : float
             Seconds after which the caller should retry; sent only if the request was
             not run.
+        **wait_fields : object
+            Log fields about the expected wait of a request of a contended service.
         """
         if request.phase is RequestPhase.STREAMING:
             self._outbox.abort(request.number)
@@ -107,6 +112,7 @@
             now=now,
             reason=reason,
             **self._slot_fields(request, reason),
+            **_retry_fields(refusal, wait_fields),
         )
 
     def _slot_fields(self, request: RelayRequest, reason: str) -> dict[str, object]:
@@ -121,6 +127,15 @@
         }
 
 
+def _retry_fields(
+    refusal: RelayRefusal, wait_fields: dict[str, object]
+) -> dict[str, object]:
+    """Return the log fields about the wait, with the caller's time to retry."""
+    if not wait_fields or refusal.retry_after is None:
+        return wait_fields
+    return {"retry_after": round(refusal.retry_after, 3), **wait_fields}
+
+
 def _status(request: RelayRequest, reason: str) -> int:
     """Return the status for a request without an answer; 503 promises "not run"."""
     if not request.may_have_run:
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -9,13 +9,14 @@
 from expression import Error, Ok, Result
 
 from ...state.routes import RouteKind
+from .ranks import MAX_STEP, rank_step
 
 if TYPE_CHECKING:
     from ...state.routes import Route, RouteAccount, RouteTable
     from .actions import RelayAttempt
     from .messages import AnswerHead, RelayArrival
 
-__all__ = ["RelayRequest", "RequestPhase", "is_after", "rank_step", "routed_request"]
+__all__ = ["RelayRequest", "RequestPhase", "is_after", "routed_request"]
 
 #: Seconds before the caller's deadline from which a tick sends the final answer. The
 #: answer takes a few milliseconds to arrive, and ticks are 0.05 s apart while requests
@@ -27,17 +28,6 @@
 ON_TIME_WAIT_SHARE = 0.6
 
 
-#: Steps of urgency that one step of the account's priority counts. One step of the
-#: route's priority counts one.
-RANK_STEPS = 3
-
-#: Highest priority of an account or a route that is told apart.
-MAX_PRIORITY = 3
-
-#: Highest priority that backend servers are told.
-MAX_ATTEMPT_PRIORITY = 9
-
-
 class RequestPhase(enum.Enum):
     """The phase of a relayed request."""
 
@@ -142,8 +132,9 @@
     @property
     def attempt_priority(self) -> int:
         """Return the priority that backend servers are told, from 0 to 9."""
-        priority = rank_step(self.rank) if self.contended else self.priority
-        return min(MAX_ATTEMPT_PRIORITY, priority)
+        if self.contended:
+            return rank_step(self.rank)
+        return min(MAX_STEP, self.priority)
 
 
 class ArrivalRefusal(msgspec.Struct, kw_only=True, frozen=True):
@@ -205,7 +196,6 @@
         service=route.service_of(arrival.request_id),
         account=account.name if account else "",
         priority=priority,
-        rank=(_in_range(priority), _in_range(route.priority)),
         deadline=min(deadline, timed_out_at + FINAL_ANSWER_MARGIN),
         times_out_at=min(deadline - FINAL_ANSWER_MARGIN, timed_out_at),
         on_time_until=now + ON_TIME_WAIT_SHARE * route.latency_objective,
@@ -213,16 +203,6 @@
     )
 
 
-def rank_step(rank: tuple[int, int]) -> int:
-    """Return the step of a rank; 0 is the most urgent one."""
-    account_priority, route_priority = rank
-    return RANK_STEPS * account_priority + route_priority
-
-
-def _in_range(priority: int) -> int:
-    return max(0, min(MAX_PRIORITY, priority))
-
-
 def is_after(event_id: str, last_event_id: str) -> bool:
     """Return whether an event comes after the last event forwarded."""
     if not last_event_id:
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -13,19 +13,23 @@
 
 from .actions import RelayAttempt
 from .answer_notices import AnswerNotices
+from .contended_requests import ContendedRequests
+from .contention import Contention
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
 from .server_refusals import limited, paused
 from .unrouted import UnroutedArrivals
-from .waiting import MAX_WAIT, WaitingRequests
+from .waiting import DEFAULT_ANSWER, MAX_WAIT, WaitingRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ...relay_settings import ContentionMode
+    from ...state.observations import WaitingRow
     from ...state.routes import RouteTable
     from .actions import RelayMeasures, RelayOutbox
-    from .balance import Balancer
+    from .balance import Balancer, RoomLimit
     from .crashes import CrashWatch
     from .messages import AnswerHead, RelayArrival
     from .request import RelayRequest
@@ -60,6 +64,10 @@
         Monotonic time of the process's start.
     log : callable
         Write one log line about a decision, given the name of the event and its fields.
+    contention : ContentionMode
+        Whether the capacity of engine services is shared among callers.
+    seed : int or None
+        Seed of the random draws for contended services.
 
     Attributes
     ----------
@@ -80,6 +88,8 @@
         measures: RelayMeasures,
         since: float,
         log: Callable[..., None],
+        contention: ContentionMode,
+        seed: int | None = None,
     ) -> None:
         self._route_table = route_table
         self._unrouted = UnroutedArrivals(since=since)
@@ -94,13 +104,24 @@
         self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
         self._requests_by_attempt: dict[str, RelayRequest] = {}
-        self._waiting = WaitingRequests()
+        self._waiting = WaitingRequests(usual_answer=self._usual_answer)
         self._refusals = Refusals(
             outbox=outbox,
             reports=self._reports,
             balancer=balancer,
             waiting=self._waiting,
         )
+        self._contention = Contention(
+            mode=contention, balancer=balancer, directory=balancer.directory, seed=seed
+        )
+        self._contended = ContendedRequests(
+            contention=self._contention,
+            balancer=balancer,
+            waiting=self._waiting,
+            reports=self._reports,
+            dispatch=self._dispatch,
+            refuse=self._end_without_answer,
+        )
         self.refuses_new = False
 
     @property
@@ -108,6 +129,10 @@
         """Return whether requests wait for a free slot or the first configuration."""
         return bool(self._waiting or self._unrouted)
 
+    def waiting_rows(self) -> tuple[WaitingRow, ...]:
+        """Return the counts of waiting requests of contended services."""
+        return self._waiting.rows()
+
     # Callers
 
     def arrive(self, number: int, arrival: RelayArrival) -> None:
@@ -158,8 +183,8 @@
             return
         self.requests_by_number[number] = request
         self._budget.record_request(request.service, now=now)
-        if not self._dispatch(request, now=now):
-            self._wait_or_refuse(request, now=now)
+        self._contention.arrived(request, route_table, now=now)
+        self._send_or_wait(request, now=now)
 
     def caller_disconnected(self, number: int) -> None:
         """Drop a request whose caller has closed its connection."""
@@ -255,6 +280,8 @@
         self._crashes.completed(request, now=now)
         self._reports.answered(request, status=200, server=server_id, now=now)
         self._end(request)
+        if request.contended:
+            self._dispatch_contended(now=now)
 
     def attempt_failed(
         self, attempt_id: str, reason: str, *, sent: bool, now: float
@@ -283,6 +310,7 @@
 
     def tick(self, *, now: float) -> None:
         """End overdue requests, move those of stalled groups and send waiting ones."""
+        self._contention.ticked(now=now)
         for request in list(self.requests_by_number.values()):
             waited = self._waiting.has_timed_out(request, now=now)
             if waited or now >= request.times_out_at:
@@ -296,25 +324,39 @@
         self._route_unrouted(now=now)
         if not self._waiting:
             return
+        waiting = self._waiting.sorted_for_dispatch(now=now)
         full: set[tuple[str, str]] = set()
-        for request in self._waiting.sorted_for_dispatch(now=now):
-            if self._refuse_if_paused(
+        for request in waiting:
+            if request.contended or self._refuse_if_paused(
                 request, waits_until=request.waits_until, now=now
             ):
                 continue
-            work = (request.service, request.arrival.model)
-            if work in full and not request.tried:
+            if request.work in full and not request.tried:
                 continue
             if self._dispatch(request, now=now):
                 self._waiting.discard(request)
             else:
-                full.add(work)
+                full.add(request.work)
+        self._contended.dispatch((r for r in waiting if r.contended), now=now)
+
+    def _dispatch_contended(self, *, now: float) -> None:
+        """Send waiting requests of contended services, since a slot became free."""
+        if self._waiting:
+            waiting = self._waiting.sorted_for_dispatch(now=now)
+            self._contended.dispatch((r for r in waiting if r.contended), now=now)
 
     # Attempts
 
-    def _dispatch(self, request: RelayRequest, *, now: float) -> bool:
+    def _dispatch(
+        self, request: RelayRequest, *, now: float, room: RoomLimit | None = None
+    ) -> bool:
+        """Send a request to a server that has room; return whether there is one."""
         server = self._balancer.choose(
-            request.service, request.arrival.model, excluded=request.tried, now=now
+            request.service,
+            request.arrival.model,
+            excluded=request.tried,
+            now=now,
+            room=room,
         )
         if server is None:
             return False
@@ -326,7 +368,7 @@
             address=server.address,
             deadline=request.deadline,
             account=request.account,
-            priority=min(9, request.priority),
+            priority=request.attempt_priority,
             last_event_id=request.last_event_id,
             new_connection=not request.route.repeatable,
         )
@@ -380,6 +422,15 @@
         if not self._may_retry(request, now=now):
             self._end_without_answer(request, reason, now=now)
             return
+        self._send_or_wait(request, now=now)
+
+    def _send_or_wait(self, request: RelayRequest, *, now: float) -> None:
+        """Send a request, let it wait for a free slot, or refuse it."""
+        if request.contended:
+            if request.phase is RequestPhase.SENT:
+                request.phase = RequestPhase.WAITING
+            self._contended.add(request, now=now)
+            return
         if not self._dispatch(request, now=now):
             if request.phase is RequestPhase.SENT:
                 request.phase = RequestPhase.WAITING
@@ -457,6 +508,8 @@
                 status=request.head.status,
                 headers=request.head.headers,
             )
+        if not request.n_events:
+            self._contention.first_event(request, now=now)
         self._reports.event(request, now=now)
         request.n_events += len(events)
         new_events = []
@@ -503,6 +556,10 @@
     def _record_success(self, request: RelayRequest, *, now: float) -> None:
         """Record that a backend server has answered completely."""
         self._balancer.succeeded(request.attempt.server_id, sent_at=request.sent_at)
+        if request.contended and not self._contention.observes(
+            request.sent_at, now=now
+        ):
+            return
         if request.n_sent == 1:
             duration = now - request.first_sent_at
             self._balancer.record_duration(
@@ -513,6 +570,9 @@
         if request.phase is RequestPhase.ENDED:
             return
         sent = request.attempt is not None
+        if request.contended and not sent:
+            self._contended.time_out(request, now=now)
+            return
         if sent:
             request.may_have_run = True
             self._cancel_attempt(request)
@@ -525,9 +585,10 @@
         *,
         now: float,
         retry_after: float = DEFAULT_RETRY_AFTER,
+        **wait_fields: object,
     ) -> None:
         self._refusals.end_without_answer(
-            request, reason, now=now, retry_after=retry_after
+            request, reason, now=now, retry_after=retry_after, **wait_fields
         )
         self._end(request)
 
@@ -565,6 +626,13 @@
         self._requests_by_attempt.pop(attempt.id, None)
         request.attempt = None
 
+    def _usual_answer(self, service: str) -> float:
+        """Return the usual number of tokens in an answer of an engine service."""
+        found = self._route_table().services_by_name.get(service)
+        if found is None or found.engine is None:
+            return DEFAULT_ANSWER
+        return found.engine.usual_answer
+
     def _end(self, request: RelayRequest) -> None:
         request.phase = RequestPhase.ENDED
         self.requests_by_number.pop(request.number, None)
--- a/ryelever/coordination/relaying/server_refusals.py
+++ b/ryelever/coordination/relaying/server_refusals.py
@@ -50,8 +50,15 @@
     *,
     waiting: WaitingRequests,
     now: float,
+    is_queued: bool = False,
 ) -> ServerRefusal | None:
-    """Return a refusal if rate limits allow no request within the longest wait."""
+    """Return a refusal if rate limits allow no request within the longest wait.
+
+    Parameters
+    ----------
+    is_queued : bool
+        True if the request is one of those that wait.
+    """
     service, model = request.service, request.arrival.model
     allowance = balancer.limited_allowance(
         service, model, excluded=request.tried, seconds=MAX_LIMITED_WAIT, now=now
@@ -61,7 +68,7 @@
     # the stream off.
     if allowance is None or request.phase is RequestPhase.STREAMING:
         return None
-    n_ahead = waiting.n_waiting_for(service, model)
+    n_ahead = waiting.n_waiting_for(service, model) - is_queued
     expected_wait = seconds_to_slot(allowance, n_ahead=n_ahead)
     if expected_wait <= MAX_LIMITED_WAIT:
         return None
--- a/ryelever/coordination/relaying/waiting.py
+++ b/ryelever/coordination/relaying/waiting.py
@@ -15,6 +15,7 @@
     from .request import RelayRequest
 
 __all__ = [
+    "DEFAULT_ANSWER",
     "MAX_LIMITED_WAIT",
     "MAX_WAIT",
     "MAX_WAITING",
@@ -98,6 +99,10 @@
         self._requests_by_number.pop(request.number, None)
         self._fair_order.discard(request)
 
+    def includes(self, request: RelayRequest) -> bool:
+        """Return whether a request waits."""
+        return request.number in self._requests_by_number
+
     def n_waiting_for(self, service: str, model: str) -> int:
         """Return how many requests wait for a service and model."""
         return sum(
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -41,6 +41,7 @@
     )
     from .metrics import Metrics
     from .protocol.relaying import RelayInterface
+    from .relay_settings import ContentionMode
     from .state.routes import RouteTable
     from .transport.relay_callers import RelayCallers
 
@@ -66,6 +67,8 @@
         Reader and writer of message heads in the format of callers and backend servers.
     callers : RelayCallers
         The callers' connections.
+    contention : ContentionMode
+        Whether the capacity of engine services is shared among callers.
     """
 
     channel = "relay"
@@ -82,6 +85,7 @@
         crashes: CrashWatch,
         metrics: Metrics,
         measures: RelayMeasures,
+        contention: ContentionMode,
     ) -> None:
         super().__init__()
         self._messages = messages
@@ -104,6 +108,7 @@
             measures=measures,
             since=time.monotonic(),
             log=self._log,
+            contention=contention,
         )
 
     def _log(self, event: str, **fields: object) -> None:
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -188,6 +188,7 @@
             crashes=crashes,
             metrics=self.metrics,
             measures=RelayMetrics(metrics=self.metrics),
+            contention=settings.contention,
         )
         self.planning = GroupPlanning(
             settings=settings,
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from msgspec.structs import replace
+
 from ryelever.coordination.quarantine import Quarantine
 from ryelever.coordination.relaying import AnswerHead, Headers, RelayArrival
 from ryelever.coordination.relaying.actions import RelayAttempt, RelayRefusal
@@ -14,18 +16,46 @@
 from ryelever.coordination.relaying.stall_watch import StallWatch
 from ryelever.metrics import Metrics
 from ryelever.relay_metrics import RelayMetrics
+from ryelever.relay_settings import ContentionMode
 from ryelever.state.directory import (
     BackendServer,
     Directory,
     GroupReport,
     GroupState,
 )
-from ryelever.state.routes import Route, RouteAccount, RouteKind, RouteTable
+from ryelever.state.routes import (
+    EngineProfile,
+    ModelProfile,
+    Route,
+    RouteAccount,
+    RoutedService,
+    RouteKind,
+    RouteTable,
+)
 
-__all__ = ["Relaying", "head", "route_table"]
+__all__ = ["ENGINE", "Relaying", "contended_table", "head", "route_table"]
 
 HOST = "calls.example"
 
+LARGE = ModelProfile(
+    name="large", size=4, share=1.0, pace=1.0, load_time=1.0, warm_time=0.3
+)
+
+#: A first event takes 0.06 s at a group with two requests.
+ENGINE = EngineProfile(
+    slots=2,
+    step_time=0.006,
+    step_time_per_request=0.0005,
+    prefill_rate=46_000.0,
+    tokens_per_event=5,
+    form_time=0.3,
+    loads_per_second=4.0,
+    loads_at_once=8.0,
+    usual_prompt=1000.0,
+    usual_answer=100.0,
+    models_by_name={"large": LARGE},
+)
+
 
 def _route(kind: RouteKind, *, resumable: bool = False) -> Route:
     return Route(
@@ -60,6 +90,20 @@
     )
 
 
+def contended_table() -> RouteTable:
+    """Return a configuration with an engine service, and callers of two ranks."""
+    found = route_table()
+    service = RoutedService(name="engines", max_connections=8, engine=ENGINE)
+    return replace(
+        found,
+        services_by_name={"engines": service},
+        account_by_key={
+            "key": RouteAccount(name="pawroute", priority=0),
+            "batch": RouteAccount(name="archive", priority=2),
+        },
+    )
+
+
 def head(request_id: str = "r1", status: int = 200, **changes: Any) -> AnswerHead:
     """Return the head of a backend server's answer."""
     values = {
@@ -96,6 +140,7 @@
         zone: str = "z",
         cold_rate: float | None = None,
         seed: int = 1,
+        contention: ContentionMode = ContentionMode.AUTO,
     ) -> None:
         self.route_table = route_table(resumable=resumable) if configured else None
         self.directory = Directory()
@@ -129,6 +174,8 @@
             measures=self.measures,
             since=0.0,
             log=lambda event, **fields: self.lines.append((event, fields)),
+            contention=contention,
+            seed=seed,
         )
 
     def plain(self, server_id: str) -> BackendServer:
