--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -35,12 +35,11 @@
     ----------
     n_ahead : int
         Waiting requests of this host that go before the request.
-    n_peers : int
-        Waiting requests of other hosts that go before the request or are its equals.
+    n_peers_ahead, n_peers_equal : int
+        Waiting requests of other hosts that go before the request, and that are its
+        equals.
     share_ahead : float
         Part of the arrivals that goes before the request.
-    is_first : bool
-        True if no request goes before this one except earlier ones of its rank.
     reserved_time : float
         Seconds for which the average arrival that goes before the request may wait for
         a slot, times ``share_ahead``.
@@ -49,9 +48,9 @@
     """
 
     n_ahead: int = 0
-    n_peers: int = 0
+    n_peers_ahead: int = 0
+    n_peers_equal: int = 0
     share_ahead: float = 0.0
-    is_first: bool = True
     reserved_time: float = 0.0
     patience: float = 1.0
 
@@ -143,9 +142,8 @@
                 n_free += n_room
                 options.append((load, n_ended))
         self.n_in_flight = n_in_flight * scale
-        n_competing = self._n_competing(n_slots=n_slots * scale)
-        n_free *= scale
-        if n_competing > n_free and self._draw >= n_free / n_competing:
+        n_ahead, n_equal = self._competing(n_slots=n_slots * scale)
+        if self._draw * n_equal >= n_free * scale - n_ahead:
             return []
         return [
             replace(
@@ -168,14 +166,24 @@
         n_queued = int(max(0.0, spare) / slot_interval)
         return server.slots + min(QUEUED_PER_SERVER, n_queued)
 
-    def _n_competing(self, *, n_slots: float) -> float:
-        """Return how many requests compete for the free slots, this one included."""
+    def _competing(self, *, n_slots: float) -> tuple[float, float]:
+        """Return how many requests go before this one, and how many are its equals.
+
+        The second number includes this request. While the request waits, those that go
+        before it turn into equals, so that it is served in the end.
+        """
         competitors = self._competitors
         # By Little's law, the requests in flight arrive within their mean duration.
         rate = self.n_in_flight / self._mean_duration
         n_sent = rate * self._interval * self._peers_share
-        if not competitors.is_first:
-            n_sent *= competitors.share_ahead
         n_reserved = min(MAX_RESERVED_SHARE * n_slots, rate * competitors.reserved_time)
-        n_waiting = competitors.n_ahead + competitors.n_peers + 1
-        return n_sent + n_waiting + competitors.patience * n_reserved
+        n_sent_ahead = n_sent * competitors.share_ahead
+        n_ahead = competitors.n_peers_ahead + n_sent_ahead
+        n_first = competitors.patience * n_ahead
+        n_equal = (
+            1 + competitors.n_peers_equal + n_sent - n_sent_ahead + n_ahead - n_first
+        )
+        return (
+            competitors.n_ahead + n_first + competitors.patience * n_reserved,
+            n_equal,
+        )
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -173,6 +173,7 @@
         arrived_at = request.arrival.arrived_at
         may_wait = max(request.waits_until - arrived_at, 1e-3)
         patience = min(1.0, max(0.0, request.waits_until - now) / may_wait)
+        n_peers_ahead, n_peers_equal = self._n_peers_waiting(request.work, order)
         first_events = self._first_events
 
         def slowness(server: BackendServer) -> float:
@@ -184,9 +185,9 @@
         return BatchRoom(
             competitors=Competitors(
                 n_ahead=n_ahead,
-                n_peers=self._n_peers_waiting(request.work, order),
+                n_peers_ahead=n_peers_ahead,
+                n_peers_equal=n_peers_equal,
                 share_ahead=share_ahead,
-                is_first=not share_ahead,
                 reserved_time=reserved_time,
                 patience=patience,
             ),
@@ -217,7 +218,7 @@
         work = request.work
         order = self.order(request, now=now)
         return WaitEstimate(
-            n_ahead=n_ahead + self._n_peers_waiting(work, order),
+            n_ahead=n_ahead + sum(self._n_peers_waiting(work, order)),
             n_slots=self._n_slots(work, now=now),
             n_in_flight=self._fleet(work).n_in_flight,
             share_ahead=self._shares.ahead(work, order, now=now)[0],
@@ -281,14 +282,17 @@
             fleet.n_slots_at = now
         return fleet.n_slots
 
-    def _n_peers_waiting(self, work: tuple[str, str], order: Order) -> int:
+    def _n_peers_waiting(self, work: tuple[str, str], order: Order) -> tuple[int, int]:
         """Return how many requests of other hosts go before a request or equal it."""
-        return sum(
-            row.count
-            for row in self._balancer.peers_waiting
-            if (row.service, row.model) == work
-            and (row.late, rank_step(row.rank)) <= order
-        )
+        n_ahead = n_equal = 0
+        for row in self._balancer.peers_waiting:
+            if (row.service, row.model) == work:
+                other = (row.late, rank_step(row.rank))
+                if other < order:
+                    n_ahead += row.count
+                elif other == order:
+                    n_equal += row.count
+        return n_ahead, n_equal
 
 
 def _time_left(request: RelayRequest, *, now: float) -> float:
