--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -81,6 +82,8 @@
     ----------
     n_in_flight : float
         Requests in flight at all servers, as found by the last decision.
+    n_expected_by_id : dict of str to float
+        Expected requests in flight at each server with room, as found by it.
     """
 
     __slots__ = (
@@ -93,6 +96,7 @@
         "_peers_share",
         "_slowness",
         "_time_left",
+        "n_expected_by_id",
         "n_in_flight",
     )
 
@@ -119,6 +123,7 @@
         self._peers_share = peers_share
         self._draw = draw
         self.n_in_flight = 0.0
+        self.n_expected_by_id: dict[str, float] = {}
 
     def with_room(self, loads: list[ServerLoad], *, scale: float) -> list[ServerLoad]:
         """Return the servers with room if the request may be sent now, else none.
@@ -137,9 +142,11 @@
             n_slots += load.server.slots
             n_in_flight += load.in_flight
             n_ended = ended_share * load.n_peers
-            n_room = self.limit(load.server) - (load.in_flight - n_ended)
+            n_expected = load.in_flight - n_ended
+            n_room = self.limit(load.server) - n_expected
             if n_room > 0:
                 n_free += n_room
+                self.n_expected_by_id[load.server.id] = n_expected
                 options.append((load, n_ended))
         self.n_in_flight = n_in_flight * scale
         n_ahead, n_equal = self._competing(n_slots=n_slots * scale)
@@ -166,6 +173,21 @@
         n_queued = int(max(0.0, spare) / slot_interval)
         return server.slots + min(QUEUED_PER_SERVER, n_queued)
 
+    def first_event_at(self, server: BackendServer) -> float:
+        """Return the expected seconds to the first event at a server with room.
+
+        The request may have to wait there for a slot: the requests in flight vary about
+        their expected number with a standard deviation of up to ``sqrt(slots)``.
+        Without this part, a group that is merely full would count as slow.
+        """
+        deviation = math.sqrt(max(1, server.slots))
+        excess = self.n_expected_by_id.get(server.id, 0.0) + 1 - server.slots
+        # Approximates the mean of the positive part of a normal variable.
+        n_queued = max(0.0, excess) + 0.4 * deviation * math.exp(
+            -1.4 * abs(excess) / deviation
+        )
+        return self._first_event + n_queued * self._mean_duration / max(1, server.slots)
+
     def _competing(self, *, n_slots: float) -> tuple[float, float]:
         """Return how many requests go before this one, and how many are its equals.
 
--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -141,7 +141,7 @@
     def _send(self, request: RelayRequest, *, n_ahead: int, now: float) -> bool:
         room: RoomLimit = self._contention.room(request, n_ahead=n_ahead, now=now)
         was_sent = self._dispatch(request, room=room, now=now)
-        self._contention.examined(request.work, room)
+        self._contention.examined(request, room)
         if was_sent:
             self._waiting.sent(request)
         return was_sent
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -201,9 +201,12 @@
             draw=request.draw,
         )
 
-    def examined(self, work: tuple[str, str], room: BatchRoom) -> None:
-        """Remember how many requests a decision has found in flight."""
-        self._fleet(work).n_in_flight = room.n_in_flight
+    def examined(self, request: RelayRequest, room: BatchRoom) -> None:
+        """Remember what a decision about a request has found."""
+        self._fleet(request.work).n_in_flight = room.n_in_flight
+        if request.attempt is not None:
+            server = self._balancer.directory.by_id[request.attempt.server_id]
+            request.expected_at_server = room.first_event_at(server)
 
     def estimate(
         self, request: RelayRequest, *, n_ahead: int, now: float
@@ -249,7 +252,7 @@
         if request.contended and self.observes(request.sent_at, now=now):
             self._first_events.observe(
                 request.attempt.server_id,
-                expected=request.expected_first_event,
+                expected=request.expected_at_server,
                 seconds=now - request.sent_at,
                 now=now,
             )
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -72,7 +72,10 @@
         Monotonic time at which the wait was last estimated.
     expected_first_event : float
         Seconds from sending to the first event that are expected at a server with a
-        free slot; 0 if unknown.
+        free slot.
+    expected_at_server : float
+        Seconds from sending to the first event that are expected at the server of the
+        current attempt; 0 if unknown.
     tried : set of str
         Ids of the backend servers to which the request was sent.
     last_event_id : str
@@ -109,6 +112,7 @@
     drawn_until: float = float("-inf")
     estimated_at: float = float("-inf")
     expected_first_event: float = 0.0
+    expected_at_server: float = 0.0
     tried: set[str] = msgspec.field(default_factory=set)
     last_event_id: str = ""
     body: bytearray = msgspec.field(default_factory=bytearray)
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -373,6 +373,7 @@
             new_connection=not request.route.repeatable,
         )
         request.attempt = attempt
+        request.expected_at_server = 0.0
         request.head = None
         request.body.clear()
         request.n_events = 0
