--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -28,6 +28,11 @@
 #: Maximum part of all slots that is reserved for requests that go before others.
 MAX_RESERVED_SHARE = 0.5
 
+#: Last part of the time for which a request may wait, in which those that go before it
+#: turn into its equals. If they did so from the start, late requests would take enough
+#: slots after a burst that new ones were late for four more seconds.
+RISING_SHARE = 1 / 3
+
 
 class Competitors(msgspec.Struct, kw_only=True, frozen=True):
     """The requests that compete with one request for free slots.
@@ -191,8 +196,8 @@
     def _competing(self, *, n_slots: float) -> tuple[float, float]:
         """Return how many requests go before this one, and how many are its equals.
 
-        The second number includes this request. While the request waits, those that go
-        before it turn into equals, so that it is served in the end.
+        The second number includes this request. In the last part of its wait, those
+        that go before it turn into its equals, so that it is served in the end.
         """
         competitors = self._competitors
         # By Little's law, the requests in flight arrive within their mean duration.
@@ -201,11 +206,7 @@
         n_reserved = min(MAX_RESERVED_SHARE * n_slots, rate * competitors.reserved_time)
         n_sent_ahead = n_sent * competitors.share_ahead
         n_ahead = competitors.n_peers_ahead + n_sent_ahead
-        n_first = competitors.patience * n_ahead
-        n_equal = (
-            1 + competitors.n_peers_equal + n_sent - n_sent_ahead + n_ahead - n_first
-        )
-        return (
-            competitors.n_ahead + n_first + competitors.patience * n_reserved,
-            n_equal,
-        )
+        n_first = min(1.0, competitors.patience / RISING_SHARE) * n_ahead
+        n_equal = competitors.n_peers_equal + n_sent - n_sent_ahead + n_ahead - n_first
+        n_reserved *= competitors.patience
+        return competitors.n_ahead + n_first + n_reserved, 1 + n_equal
--- a/ryelever/coordination/relaying/rank_shares.py
+++ b/ryelever/coordination/relaying/rank_shares.py
@@ -11,7 +11,7 @@
 
 #: Maximum seconds for which slots are reserved for an arrival. Heartbeats report slots
 #: that have become free after 0.2 to 0.6 s.
-MAX_RESERVED_TIME = 0.1
+MAX_RESERVED_TIME = 0.3
 
 #: Whether a request is late, and the step of its rank. Lower values go first.
 Order = tuple[bool, int]
