--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from ...state.routes import RouteKind
+from .ranks import MAX_STEP, rank_step
 
 if TYPE_CHECKING:
     from ...state.routes import Route, RouteAccount, RouteTable
@@ -62,6 +63,19 @@
     waits_until : float
         Monotonic time until which the request waits for a free slot at a backend
         server.
+    draw : float
+        Random number that decides whether a request of a contended service gets one of
+        the free slots for which others compete.
+    drawn_until : float
+        Monotonic time until which ``draw`` holds.
+    estimated_at : float
+        Monotonic time at which the wait was last estimated.
+    expected_first_event : float
+        Seconds from sending to the first event that are expected at a server with a
+        free slot.
+    expected_at_server : float
+        Seconds from sending to the first event that are expected at the server of the
+        current attempt; 0 if unknown.
     tried : set of str
         Ids of the backend servers to which the request was sent.
     last_event_id : str
@@ -94,6 +108,11 @@
     may_have_run: bool = False
     n_sent: int = 0
     waits_until: float = 0.0
+    draw: float = 0.0
+    drawn_until: float = float("-inf")
+    estimated_at: float = float("-inf")
+    expected_first_event: float = 0.0
+    expected_at_server: float = 0.0
     tried: set[str] = msgspec.field(default_factory=set)
     last_event_id: str = ""
     body: bytearray = msgspec.field(default_factory=bytearray)
@@ -109,6 +128,18 @@
         """Return whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def work(self) -> tuple[str, str]:
+        """Return the service and the model."""
+        return self.service, self.arrival.model
+
+    @property
+    def attempt_priority(self) -> int:
+        """Return the priority that backend servers are told, from 0 to 9."""
+        if self.contended:
+            return rank_step(self.rank)
+        return min(MAX_STEP, self.priority)
+
 
 class ArrivalRefusal(msgspec.Struct, kw_only=True, frozen=True):
     """The status and reason of a refusal on arrival."""
