--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -143,6 +143,8 @@
         The pauses that servers have asked this host for.
     peers_waiting : tuple of WaitingRow
         Requests that wait for slots at other entry hosts, as these reported.
+    peers_view_at : float or None
+        Monotonic time at which the oldest of these reports was received.
     """
 
     def __init__(
@@ -163,6 +165,7 @@
         self.limits = ServerRateLimits(directory=directory, cold_rate=cold_rate)
         self.pauses = ServerPauses(directory=directory)
         self.peers_waiting: tuple[WaitingRow, ...] = ()
+        self.peers_view_at: float | None = None
         self._unreported = UnreportedRequests()
         self._random = random.Random(seed)
         # Contended services draw from a generator of their own, so that the draws for
--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -192,9 +192,15 @@
             retry_after=retry_after,
             now=now,
             n_ahead=estimate.n_ahead,
-            expected_wait=round(estimate.expected_wait, 3),
+            expected_wait=estimate.expected_wait,
+            views_age=self._views_age(now=now),
         )
 
+    def _views_age(self, *, now: float) -> float | None:
+        """Return the age in seconds of the oldest report of another host in use."""
+        received_at = self._balancer.peers_view_at
+        return None if received_at is None else now - received_at
+
 
 def _may_be_sent(request: RelayRequest, *, now: float) -> bool:
     """Return whether a request has not waited for as long as it may.
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -181,6 +181,7 @@
             crashes=self.crashes,
             describe=self._describe,
             on_heartbeat=lambda heartbeat: None,
+            waiting_rows=self.requests.waiting_rows,
         )
         self.exchange.fire = self._fired
 
