--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -139,17 +139,18 @@
     def renew_draws(self, waiting: Iterable[RelayRequest], *, now: float) -> None:
         """Renew the draws of waiting requests, given in the order of their dispatch.
 
-        The lowest draws of a service and model go to the requests that are dispatched
-        first: how many a host may send is drawn, and not which of its requests.
+        Among equals, the lowest draws go to those that are dispatched first: how many
+        of them a host may send is drawn, and not which.
         """
         interval = self._balancer.heartbeat_interval
-        by_work: dict[tuple[str, str], list[RelayRequest]] = {}
+        equals: dict[tuple[tuple[str, str], Order], list[RelayRequest]] = {}
         for request in waiting:
             if now >= request.drawn_until:
                 request.draw = self._random.random()
                 request.drawn_until = now + interval
-            by_work.setdefault(request.work, []).append(request)
-        for requests in by_work.values():
+            key = (request.work, self.order(request, now=now))
+            equals.setdefault(key, []).append(request)
+        for requests in equals.values():
             draws = sorted((item.draw, item.drawn_until) for item in requests)
             for request, (draw, drawn_until) in zip(requests, draws, strict=True):
                 request.draw = draw
--- a/tests/test_coordination/test_relaying/fleet_fakes.py
+++ b/tests/test_coordination/test_relaying/fleet_fakes.py
@@ -5,8 +5,8 @@
 from collections import Counter, deque
 
 import msgspec
-from msgspec.structs import replace
 
+from ryelever.coordination.relaying.balance import Balancer
 from ryelever.relay_settings import ContentionMode
 from ryelever.state.observations import WaitingRow
 from ryelever.state.routes import RouteKind
@@ -21,6 +21,12 @@
 #: Seconds between two heartbeats of a host.
 INTERVAL = 0.4
 
+#: Seconds until a heartbeat is read.
+TRANSIT_TIME = 0.1
+
+#: Requests in flight by server, and requests that wait.
+Report = tuple[dict[str, int], tuple[WaitingRow, ...]]
+
 
 class Outcome(msgspec.Struct, kw_only=True):
     """What became of a request: the seconds until it was run, or until its refusal."""
@@ -71,6 +77,12 @@
         self._running: dict[str, list[tuple[float, int, str]]] = {}
         self._n_taken = [0] * n_hosts
         self._n_seen = [0] * n_hosts
+        self._in_transit: deque[tuple[float, int, Report]] = deque()
+        self._reports_by_host: dict[int, Report] = {}
+        for host in self.hosts:
+            host.balancer.set_heartbeat_interval(
+                interval=INTERVAL, n_zone_peers=n_hosts - 1, n_hosts=n_hosts
+            )
         for _ in range(n_groups):
             self.open_group()
 
@@ -96,19 +108,23 @@
         )
         return number
 
+    @property
+    def n_groups(self) -> int:
+        """Return the number of open groups."""
+        return len(self._queues)
+
     def n_waiting(self) -> int:
         """Return how many requests wait at all hosts."""
-        return sum(row.count for host in self.hosts for row in _rows(host))
+        rows = (row for host in self.hosts for row in host.requests.waiting_rows())
+        return sum(row.count for row in rows)
 
     def step(self) -> None:
         """Take what the hosts sent, run the groups, and tick all hosts."""
         self._take_sent()
         self._run_groups()
         self.now += STEP
-        for index, host in enumerate(self.hosts):
-            ticks = round(self.now / STEP) + index
-            if ticks % round(INTERVAL / STEP) == 0:
-                self._hear_peers(host)
+        self._exchange_heartbeats()
+        for host in self.hosts:
             host.requests.tick(now=self.now)
         self._take_refusals()
         if self.n_waiting():
@@ -155,24 +171,30 @@
         event = (str(round(self.now / STEP)), b"\n\n")
         host.requests.answer_events(attempt_id, [event], now=self.now)
 
-    def _hear_peers(self, host: Relaying) -> None:
-        in_flight: Counter[str] = Counter()
-        waiting: Counter[WaitingRow] = Counter()
-        for other in self.hosts:
-            if other is not host:
-                for server_id, record in other.balancer.records_by_id.items():
-                    in_flight[server_id] += record.in_flight
-                for row in _rows(other):
-                    waiting[replace(row, count=0)] += row.count
-        balancer = host.balancer
-        balancer.peers_in_flight_by_id = in_flight
-        balancer.peers_waiting = tuple(
-            replace(row, count=count) for row, count in waiting.items()
-        )
-        n_hosts = len(self.hosts)
-        balancer.set_heartbeat_interval(
-            interval=INTERVAL, n_zone_peers=n_hosts - 1, n_hosts=n_hosts
-        )
+    def _exchange_heartbeats(self) -> None:
+        n_ticks = round(INTERVAL / STEP)
+        for index, host in enumerate(self.hosts):
+            if (round(self.now / STEP) + index) % n_ticks == 0:
+                records = host.balancer.records_by_id
+                loads = {name: record.in_flight for name, record in records.items()}
+                report = (loads, host.requests.waiting_rows())
+                self._in_transit.append((self.now + TRANSIT_TIME, index, report))
+        while self._in_transit and self._in_transit[0][0] <= self.now:
+            _, index, report = self._in_transit.popleft()
+            self._reports_by_host[index] = report
+        for index, host in enumerate(self.hosts):
+            self._hear_peers(index, host.balancer)
+
+    def _hear_peers(self, index: int, balancer: Balancer) -> None:
+        loads: Counter[str] = Counter()
+        rows: list[WaitingRow] = []
+        for peer, (peer_loads, peer_rows) in self._reports_by_host.items():
+            if peer != index:
+                rows.extend(peer_rows)
+                for name, in_flight in peer_loads.items():
+                    loads[name] += in_flight
+        balancer.peers_in_flight_by_id = loads
+        balancer.peers_waiting = tuple(rows)
 
     def _take_refusals(self) -> None:
         for index, host in enumerate(self.hosts):
@@ -182,7 +204,3 @@
                     outcome.refused_after = self.now - outcome.arrived_at
                     outcome.retry_after = rest[1]
             self._n_seen[index] = len(host.out)
-
-
-def _rows(host: Relaying) -> tuple[WaitingRow, ...]:
-    return host.requests.waiting_rows()
