--- a/ryelever/coordination/relaying/wait_estimate.py
+++ b/ryelever/coordination/relaying/wait_estimate.py
@@ -77,8 +77,11 @@
         time_left : float
             Seconds until the caller stops waiting.
         """
-        wait = max(MIN_RETRY_AFTER, self.expected_wait) * retry_spread(request_id)
-        return max(SHORTEST_RETRY_AFTER, min(wait, MAX_RETRY_SHARE * time_left))
+        # The bound is halved before the time is spread by a factor of up to 2:
+        # otherwise, callers for whom it holds would return together.
+        wait = max(MIN_RETRY_AFTER, self.expected_wait)
+        bounded = min(wait, MAX_RETRY_SHARE * time_left / 2)
+        return max(SHORTEST_RETRY_AFTER, bounded * retry_spread(request_id))
 
 
 def latest_useful_start(times_out_at: float, *, mean_duration: float) -> float:
