--- a/ryelever/coordination/groups/disbanding.py
+++ b/ryelever/coordination/groups/disbanding.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 from .forming import by_domain, joins_quickly
+from .shifting import min_disband_ratio
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Collection, Iterator
 
     from ...state.directory import BackendServer
     from ...state.routes import ModelProfile
@@ -31,6 +32,7 @@
     rules: FormingRules,
     *,
     n_pending: int = 0,
+    paused_models: Collection[str] = (),
 ) -> list[ServingGroup]:
     """Return the groups of one domain to disband for a group of the neediest model.
 
@@ -43,6 +45,8 @@
     ----------
     n_pending : int
         Groups of the neediest model for which other zones disband groups of theirs.
+    paused_models : collection of str
+        Models that keep their groups for now.
     """
     neediest = rules.models_by_need(rules.groups_by_model)[0]
     groups_by_model = dict(rules.groups_by_model)
@@ -56,9 +60,13 @@
     utilization = rules.utilization(neediest.name, groups_by_model)
     if utilization < MIN_NEEDY_UTILIZATION:
         return []
+    min_ratio = DISBAND_RATIO
+    if rules.contended:
+        min_ratio = min_disband_ratio(utilization, usual=DISBAND_RATIO)
     best: list[ServingGroup] = []
     best_n_quick = -1
-    for donors in _donor_groups(serving_groups, neediest):
+    candidates = [item for item in serving_groups if item.model not in paused_models]
+    for donors in _donor_groups(candidates, neediest):
         servers = free_by_domain.get(donors[0].members[0].domain, [])
         n_quick = _n_joining_quickly(servers, neediest)
         chosen = _fewest_completing(donors, neediest, n_missing=neediest.size - n_quick)
@@ -66,7 +74,7 @@
             continue
         groups_after_loss = dict(groups_by_model)
         groups_after_loss[chosen[0].model] -= len(chosen)
-        if utilization < DISBAND_RATIO * rules.utilization(
+        if utilization < min_ratio * rules.utilization(
             chosen[0].model, groups_after_loss
         ):
             continue
--- a/ryelever/coordination/groups/forming.py
+++ b/ryelever/coordination/groups/forming.py
@@ -13,6 +13,13 @@
 
 import msgspec
 
+from .shifting import (
+    CONTENDED_OVERLOAD_UTILIZATION,
+    domain_for_first_group,
+    n_spares_to_keep,
+    urgency_factor,
+)
+
 if TYPE_CHECKING:
     from ...state.directory import BackendServer
     from ...state.routes import EngineProfile, ModelProfile
@@ -81,6 +88,15 @@
         Ids of free servers that have not been in a serving group.
     loads_are_quick : bool
         True before the first request, when weights load in a tenth of the usual time.
+    contended : bool
+        True if the service's callers compete for its capacity.  The inputs that follow
+        apply only then.
+    urgent_share_by_model : dict of str to float
+        Part of each model's demand that is urgent.
+    loss_rate : float or None
+        Servers that the zone loses per second; None if it is not known yet.
+    n_domains : int
+        Number of fabric domains of the zone.
     """
 
     engine: EngineProfile
@@ -89,12 +105,39 @@
     n_servers: int
     spare_ids: frozenset[str] = frozenset()
     loads_are_quick: bool = False
+    contended: bool = False
+    urgent_share_by_model: dict[str, float] = msgspec.field(default_factory=dict)
+    loss_rate: float | None = None
+    n_domains: int = 0
+
+    @property
+    def overload_utilization(self) -> float:
+        """Return the utilization from which spares are used for another group."""
+        if self.contended:
+            return CONTENDED_OVERLOAD_UTILIZATION
+        return OVERLOAD_UTILIZATION
+
+    @property
+    def n_spares(self) -> int:
+        """Return the number of free servers to keep for repairs."""
+        limit = round(SPARE_SHARE * self.n_servers)
+        if not self.contended:
+            return limit
+        return n_spares_to_keep(
+            loss_rate=self.loss_rate,
+            load_time=max(
+                model.load_time for model in self.engine.models_by_name.values()
+            ),
+            n_domains=self.n_domains,
+            limit=limit,
+        )
 
     def utilization(self, model: str, groups_by_model: dict[str, int]) -> float:
         """Return the part of the time for which each group of a model is busy.
 
         After the first request, the value is weighted by the group size: larger groups
-        are lost more often, so the remaining ones soon become busier.
+        are lost more often, so the remaining ones soon become busier.  For a contended
+        service it is weighted by the urgent part of the demand, too.
         """
         groups = groups_by_model.get(model, 0)
         demand = self.demand_by_model.get(model, 0.0)
@@ -102,7 +145,10 @@
             return float("inf")
         if self.loads_are_quick:
             return demand / groups
-        return demand / groups * self._relative_size(model) ** SIZE_EXPONENT
+        utilization = demand / groups * self._relative_size(model) ** SIZE_EXPONENT
+        if self.contended:
+            utilization *= urgency_factor(self.urgent_share_by_model.get(model, 0.0))
+        return utilization
 
     def _relative_size(self, model: str) -> float:
         """Return the ratio of a model's group size to the smallest group size."""
@@ -186,7 +232,7 @@
     for model in rules.models_by_need(rules.groups_by_model):
         utilization = rules.utilization(model.name, rules.groups_by_model)
         members = _choose_members(servers, model, rules)
-        if members is None or utilization < OVERLOAD_UTILIZATION:
+        if members is None or utilization < rules.overload_utilization:
             continue
         to_stage = [item for item in members if not joins_quickly(item, model)]
         if len(to_stage) <= model.size // 2:
@@ -200,7 +246,7 @@
     groups_by_model: dict[str, int],
 ) -> Formation | None:
     n_free = sum(len(servers) for servers in free_by_domain.values())
-    n_spares_to_keep = round(SPARE_SHARE * rules.n_servers)
+    held_domain = _held_domain(free_by_domain, rules, groups_by_model)
     for model in rules.models_by_need(groups_by_model):
         utilization = rules.utilization(model.name, groups_by_model)
         options = [
@@ -209,6 +255,13 @@
             if (members := _choose_members(servers, model, rules)) is not None
             and (rules.loads_are_quick or joins_quickly(members[-1], model))
         ]
+        if held_domain is not None and groups_by_model.get(model.name, 0):
+            options = [
+                members
+                for members in options
+                if members[0].domain != held_domain
+                or _n_spares_used(members, model, rules) <= model.size // 2
+            ]
         if not options:
             continue
         # Repairs come before additional groups.  Additional groups are formed in the
@@ -221,8 +274,8 @@
             ),
         )
         is_repair = _n_spares_used(best, model, rules) <= model.size // 2
-        leaves_spares = n_free - model.size >= n_spares_to_keep
-        is_growth = utilization >= OVERLOAD_UTILIZATION or (
+        leaves_spares = n_free - model.size >= rules.n_spares
+        is_growth = utilization >= rules.overload_utilization or (
             utilization >= GROWTH_UTILIZATION and leaves_spares
         )
         # Any demand justifies a repair: survivors of a group can't serve another model
@@ -232,6 +285,28 @@
     return None
 
 
+def _held_domain(
+    free_by_domain: dict[str, list[BackendServer]],
+    rules: FormingRules,
+    groups_by_model: dict[str, int],
+) -> str | None:
+    """Return the domain in which no model gets an additional group, if any."""
+    if not rules.contended:
+        return None
+    neediest = rules.models_by_need(groups_by_model)[0]
+    return domain_for_first_group(
+        {
+            domain: (
+                sum(joins_quickly(item, neediest) for item in servers),
+                len(servers),
+            )
+            for domain, servers in free_by_domain.items()
+        },
+        size=neediest.size,
+        utilization=rules.utilization(neediest.name, groups_by_model),
+    )
+
+
 def by_domain(free: list[BackendServer]) -> dict[str, list[BackendServer]]:
     """Group free servers by their fabric domain."""
     free_by_domain: dict[str, list[BackendServer]] = {}
--- a/ryelever/coordination/groups/zone_planner.py
+++ b/ryelever/coordination/groups/zone_planner.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from ...relay_settings import ContentionMode
 from .adoption import GroupAdoption
 from .disbanding import choose_disbanding
 from .forming import choose_formations
@@ -20,6 +22,7 @@
 from .manager import GroupManager
 from .records import GroupRecord, Member
 from .reshaping import ReshapingToken
+from .shifting import is_paused
 from .times import GroupTimes
 from .warm_up import choose_warm_ups
 from .weight_staging import WeightStaging
@@ -95,6 +98,13 @@
     demand : callable
         Return the work that arrives at all hosts by model, as the number of groups that
         it keeps busy.
+    waiting_work : callable
+        Return by model the seconds for which the requests that wait at all hosts would
+        keep one group busy.
+    urgent_demand : callable
+        Return the part of ``demand`` whose callers are urgent.
+    contention : ContentionMode
+        Which services count as contended; the two inputs above apply only to those.
     is_evacuated : callable
         Return whether an availability zone's servers must get no new work.
     list_is_stale : callable
@@ -127,6 +137,9 @@
         since: float,
         log: Callable[..., None],
         is_evacuated: Callable[[str], bool] = lambda zone: False,
+        waiting_work: Callable[[], Mapping[str, float]] = dict,
+        urgent_demand: Callable[[], Mapping[str, float]] = dict,
+        contention: ContentionMode = ContentionMode.AUTO,
     ) -> None:
         self._is_evacuated = is_evacuated
         self._zone = zone
@@ -145,6 +158,7 @@
         self._pending_append: AppendGroups | None = None
         self._decided_by_epoch: dict[int, GroupRecord] = {}
         self._weight_staging = WeightStaging()
+        self._disbanded_at_by_model: dict[tuple[str, str], float] = {}
         self.manager = GroupManager(
             directory=directory,
             stall_time=stall_time,
@@ -167,6 +181,10 @@
             manager=self.manager,
             adoption=self._adoption,
             demand=demand,
+            waiting_work=waiting_work,
+            urgent_demand=urgent_demand,
+            contention=contention,
+            list_is_stale=list_is_stale,
             since=since,
         )
 
@@ -396,15 +414,65 @@
             # of its model than there will be, so the announcement must stay in effect.
             return
         other_zones = self._other_reshaped_zones()
-        groups = _groups_to_disband(views, n_pending=self._token.n_ahead(other_zones))
-        if not groups:
+        view, groups = self._groups_to_disband(
+            views, n_pending=self._token.n_ahead(other_zones), now=now
+        )
+        if view is None:
             self._token.end()
         elif self._token.may_start(other_zones, now=now):
-            for view in views:
-                self._log_planning_inputs(view)
+            for other in views:
+                self._log_planning_inputs(other)
+            if view.contended:
+                self._record_shift(view, groups, now=now)
             for group in groups:
                 self.manager.end(group.name, DISBANDED, now=now)
 
+    def _groups_to_disband(
+        self, views: list[ServiceView], *, n_pending: int, now: float
+    ) -> tuple[ServiceView | None, list[ServingGroup]]:
+        """Return the groups to disband and the view of their service, if any."""
+        for view in views:
+            if view.rules.loads_are_quick:
+                # No request has arrived yet, so no model is short of groups.
+                continue
+            groups = choose_disbanding(
+                view.free,
+                view.serving_groups,
+                view.rules,
+                n_pending=n_pending,
+                paused_models=[
+                    model
+                    for (service, model), at in self._disbanded_at_by_model.items()
+                    if service == view.service and is_paused(at, now=now)
+                ],
+            )
+            if groups:
+                return view, groups
+        return None, []
+
+    def _record_shift(
+        self, view: ServiceView, groups: list[ServingGroup], *, now: float
+    ) -> None:
+        """Log which model gets members of another, and start the pause of its own."""
+        rules = view.rules
+        neediest = rules.models_by_need(rules.groups_by_model)[0].name
+        donor = groups[0].model
+        self._disbanded_at_by_model[view.service, neediest] = now
+        utilization, donor_utilization = (
+            rules.utilization(model, rules.groups_by_model)
+            for model in (neediest, donor)
+        )
+        self._log(
+            "servers_shifted",
+            zone=self._zone,
+            service=view.service,
+            model=neediest,
+            donor=donor,
+            n_moved=sum(len(group.members) for group in groups),
+            utilization=_rounded(utilization),
+            donor_utilization=_rounded(donor_utilization),
+        )
+
     def _log_planning_inputs(self, view: ServiceView) -> None:
         """Log the demand and the groups by which a service's groups are planned."""
         demand = view.rules.demand_by_model
@@ -448,16 +516,6 @@
         )
 
 
-def _groups_to_disband(
-    views: list[ServiceView], *, n_pending: int
-) -> list[ServingGroup]:
-    for view in views:
-        if view.rules.loads_are_quick:
-            # No request has arrived yet, so no model is short of groups.
-            continue
-        groups = choose_disbanding(
-            view.free, view.serving_groups, view.rules, n_pending=n_pending
-        )
-        if groups:
-            return groups
-    return []
+def _rounded(utilization: float) -> float | None:
+    """Return a utilization for the log, None for that of a model without groups."""
+    return round(utilization, 2) if math.isfinite(utilization) else None
--- a/ryelever/coordination/groups/zone_view.py
+++ b/ryelever/coordination/groups/zone_view.py
@@ -10,10 +10,13 @@
 
 from .forming import GROWTH_UTILIZATION, FormingRules, ServingGroup
 from .managed_group import GroupPhase
+from .server_losses import ServerLosses
+from .shifting import DemandTrail, demand_with_waiting, urgent_shares
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from ...relay_settings import ContentionMode
     from ...state.directory import BackendServer, Directory
     from ...state.routes import EngineProfile, RouteTable
     from .adoption import GroupAdoption
@@ -46,6 +49,8 @@
         Inputs for the choice of groups to form.
     has_settled : bool
         False at the start, while more servers may still be listed.
+    contended : bool
+        True if the service's callers compete for its capacity.
     """
 
     service: str
@@ -54,6 +59,25 @@
     serving_groups: list[ServingGroup]
     rules: FormingRules
     has_settled: bool
+    contended: bool = False
+
+
+class _Load(msgspec.Struct, kw_only=True, frozen=True):
+    """The work for each model that all planners of one moment see.
+
+    Attributes
+    ----------
+    demand : mapping of str to float
+        Arriving work, in groups kept busy.
+    contended_demand : mapping of str to float
+        That of the last seconds with the waiting work, for contended services.
+    urgent_shares : dict of str to float
+        Part of the arriving work that is urgent.
+    """
+
+    demand: Mapping[str, float]
+    contended_demand: Mapping[str, float]
+    urgent_shares: dict[str, float]
 
 
 class _FreeCount(msgspec.Struct, kw_only=True):
@@ -71,6 +95,14 @@
     demand : callable
         Return the work that arrives at all hosts by model, as the number of groups that
         it keeps busy.
+    waiting_work, urgent_demand : callable
+        Return, for contended services, the seconds for which the waiting requests of
+        all hosts would keep one group busy, and the urgent part of the demand, by
+        model.
+    contention : ContentionMode
+        Which services count as contended.
+    list_is_stale : callable
+        Return whether the list of backend servers has had no update for a while.
     since : float
         Monotonic time at which planning of the zone began.
 
@@ -90,6 +122,10 @@
         manager: GroupManager,
         adoption: GroupAdoption,
         demand: Callable[[], Mapping[str, float]],
+        waiting_work: Callable[[], Mapping[str, float]],
+        urgent_demand: Callable[[], Mapping[str, float]],
+        contention: ContentionMode,
+        list_is_stale: Callable[[], bool],
         since: float,
     ) -> None:
         self._zone = zone
@@ -97,6 +133,12 @@
         self._manager = manager
         self._adoption = adoption
         self._demand = demand
+        self._waiting_work = waiting_work
+        self._urgent_demand = urgent_demand
+        self._contention = contention
+        self._list_is_stale = list_is_stale
+        self._trail = DemandTrail()
+        self._losses_by_service: dict[str, ServerLosses] = {}
         self._since = since
         self.has_run_before = False
         self._free_count_by_service: dict[str, _FreeCount] = {}
@@ -105,12 +147,29 @@
         self, route_table: RouteTable, *, now: float
     ) -> list[ServiceView]:
         """Return a view of each service whose servers form groups."""
-        demand = self._demand()
+        contended = {
+            service
+            for service, _ in route_table.engines()
+            if route_table.is_contended(service, self._contention)
+        }
+        load = self._load(any_contended=bool(contended), now=now)
         return [
-            self._view(service, engine, demand, now=now)
+            self._view(service, engine, load, contended=service in contended, now=now)
             for service, engine in route_table.engines()
         ]
 
+    def _load(self, *, any_contended: bool, now: float) -> _Load:
+        demand = self._demand()
+        if not any_contended:
+            return _Load(demand=demand, contended_demand=demand, urgent_shares={})
+        return _Load(
+            demand=demand,
+            contended_demand=demand_with_waiting(
+                self._trail.update(demand, now=now), self._waiting_work()
+            ),
+            urgent_shares=urgent_shares(demand, self._urgent_demand()),
+        )
+
     def n_stranded(self, route_table: RouteTable) -> int:
         """Count the servers that could serve but are in no serving group."""
         serving = {
@@ -135,25 +194,47 @@
         self,
         service: str,
         engine: EngineProfile,
-        demand: Mapping[str, float],
+        load: _Load,
         *,
+        contended: bool,
         now: float,
     ) -> ServiceView:
         zone_servers = self._zone_servers(service)
         free = self._free(zone_servers, now=now)
+        rules = self._rules(
+            service,
+            engine,
+            load.contended_demand if contended else load.demand,
+            n_zone_servers=len(zone_servers),
+            free=free,
+        )
+        if contended:
+            rules = replace(
+                rules,
+                contended=True,
+                urgent_share_by_model=load.urgent_shares,
+                loss_rate=self._loss_rate(service, zone_servers, now=now),
+                n_domains=len({server.domain for server in zone_servers}),
+            )
         return ServiceView(
             service=service,
             engine=engine,
             free=free,
             serving_groups=self._serving_groups(service),
-            rules=self._rules(
-                service, engine, demand, n_zone_servers=len(zone_servers), free=free
-            ),
+            rules=rules,
             has_settled=self._has_settled(
-                service, n_free=len(free), is_idle=not demand, now=now
+                service, n_free=len(free), is_idle=not load.demand, now=now
             ),
+            contended=contended,
         )
 
+    def _loss_rate(
+        self, service: str, zone_servers: list[BackendServer], *, now: float
+    ) -> float | None:
+        losses = self._losses_by_service.setdefault(service, ServerLosses())
+        losses.observe(zone_servers, list_is_stale=self._list_is_stale(), now=now)
+        return losses.rate(now=now)
+
     def _free(
         self, zone_servers: list[BackendServer], *, now: float
     ) -> list[BackendServer]:
--- a/ryelever/coordination/relaying/demand.py
+++ b/ryelever/coordination/relaying/demand.py
@@ -8,6 +8,9 @@
 from .running_mean import RunningMean
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ...state.observations import WaitingRow
     from ...state.routes import EngineProfile
 
 __all__ = ["DemandMeter", "time_in_batch"]
@@ -16,6 +19,11 @@
 #: average; a moment with a few large requests doesn't.
 AVERAGING_TIME = 4.0
 
+#: Seconds over which arrivals for contended services are averaged, so that a burst is
+#: visible after one to two seconds.  Planners average the sum of all hosts again
+#: (``groups.shifting``): one host's few requests are too few to tell a lull.
+SHORT_AVERAGING_TIME = 1.5
+
 #: Share of its slots that a busy group uses. The fuller a batch is, the less time each
 #: token takes, so a demand computed with this share is a little high.
 TYPICAL_UTILIZATION = 0.6
@@ -44,20 +52,80 @@
     return profile.pace * (n_prompt / engine.prefill_rate + decode_time)
 
 
+class _Average:
+    """An exponential average of the work that arrives for one model."""
+
+    __slots__ = ("_at", "_rate", "_since", "_time")
+
+    def __init__(self, *, averaging_time: float, now: float) -> None:
+        self._time = averaging_time
+        self._since = self._at = now
+        self._rate = 0.0
+
+    def add(self, seconds: float, *, now: float) -> None:
+        """Record work that keeps a group busy for some seconds."""
+        self._decay(now=now)
+        self._rate += seconds / self._time
+
+    def value(self, *, now: float) -> float:
+        """Return the average, in groups kept busy.
+
+        It is scaled to the time since the first request: otherwise a host would seem
+        idle for its first seconds.
+        """
+        self._decay(now=now)
+        averaged_time = max(MIN_AVERAGED_TIME, now - self._since)
+        return self._rate / (1.0 - math.exp(-averaged_time / self._time))
+
+    def _decay(self, *, now: float) -> None:
+        self._rate *= math.exp(-(now - self._at) / self._time)
+        self._at = now
+
+
 class DemandMeter:
     """Average the demand for each model, as the number of groups it keeps busy."""
 
     def __init__(self) -> None:
-        self._rate_by_model: dict[str, float] = {}
-        self._at_by_model: dict[str, float] = {}
-        self._since_by_model: dict[str, float] = {}
+        self._average_by_model: dict[str, _Average] = {}
+        self._short_by_model: dict[str, _Average] = {}
+        self._urgent_by_model: dict[str, _Average] = {}
         self._lengths_by_model: dict[str, RunningMean] = {}
 
-    def arrived(self, model: str, seconds: float, *, now: float) -> None:
-        """Record a request that keeps a group busy for some seconds."""
-        self._since_by_model.setdefault(model, now)
-        self._decay(model, now=now)
-        self._rate_by_model[model] += seconds / AVERAGING_TIME
+    def arrived(
+        self,
+        model: str,
+        seconds: float,
+        *,
+        now: float,
+        contended: bool = False,
+        urgent: bool = False,
+    ) -> None:
+        """Record a request that keeps a group busy for some seconds.
+
+        Parameters
+        ----------
+        contended : bool
+            True if the callers of the model's service compete for its capacity.
+        urgent : bool
+            True if the request has the most urgent of several priorities.
+        """
+        if model not in self._average_by_model:
+            self._average_by_model[model] = _Average(
+                averaging_time=AVERAGING_TIME, now=now
+            )
+        self._average_by_model[model].add(seconds, now=now)
+        if not contended:
+            self._short_by_model.pop(model, None)
+            self._urgent_by_model.pop(model, None)
+            return
+        # Both begin together, so that the urgent part is never the larger one.
+        for averages, part in (
+            (self._short_by_model, seconds),
+            (self._urgent_by_model, seconds if urgent else 0.0),
+        ):
+            if model not in averages:
+                averages[model] = _Average(averaging_time=SHORT_AVERAGING_TIME, now=now)
+            averages[model].add(part, now=now)
 
     def served(self, model: str, n_events: int) -> None:
         """Record the number of events of a complete stream."""
@@ -80,19 +148,39 @@
     def by_model(self, *, now: float) -> dict[str, float]:
         """Return the current demand of each model, in groups kept busy.
 
-        The average is scaled to the time since the first request: otherwise a host
-        would seem idle for its first seconds.
+        The average of a contended service's model is the short one.
+        """
+        averages_by_model = self._average_by_model | self._short_by_model
+        return {model: item.value(now=now) for model, item in averages_by_model.items()}
+
+    def urgent_by_model(self, *, now: float) -> dict[str, float]:
+        """Return the part of the demand whose requests are the most urgent ones.
+
+        The result has only models of contended services with such requests.
+        """
+        values = {
+            model: item.value(now=now) for model, item in self._urgent_by_model.items()
+        }
+        return {model: value for model, value in values.items() if value > 0.0}
+
+    def waiting_work(
+        self, rows: Iterable[WaitingRow], engine_by_service: dict[str, EngineProfile]
+    ) -> dict[str, float]:
+        """Return the seconds for which waiting requests would keep a group busy.
+
+        Rows whose service or model is not in the configuration don't count.
         """
-        work = {}
-        for model in self._rate_by_model:
-            self._decay(model, now=now)
-            averaged_time = max(MIN_AVERAGED_TIME, now - self._since_by_model[model])
-            share = 1.0 - math.exp(-averaged_time / AVERAGING_TIME)
-            work[model] = self._rate_by_model[model] / share
-        return work
-
-    def _decay(self, model: str, *, now: float) -> None:
-        elapsed = now - self._at_by_model.get(model, now)
-        rate = self._rate_by_model.get(model, 0.0)
-        self._rate_by_model[model] = rate * math.exp(-elapsed / AVERAGING_TIME)
-        self._at_by_model[model] = now
+        work_by_model: dict[str, float] = {}
+        for row in rows:
+            engine = engine_by_service.get(row.service)
+            if engine is None or row.count <= 0:
+                continue
+            seconds = row.count * time_in_batch(
+                engine,
+                row.model,
+                n_prompt=engine.usual_prompt,
+                n_answer=self.answer_length(row.model, engine),
+            )
+            if seconds:
+                work_by_model[row.model] = work_by_model.get(row.model, 0.0) + seconds
+        return work_by_model
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -25,6 +25,7 @@
 )
 from .logs import log_event
 from .protocol.sse import RawEventSplitter, SseTooLongError
+from .relay_settings import ContentionMode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,6 +34,7 @@
         Balancer,
         CrashWatch,
         Headers,
+        RelayArrival,
         RelayAttempt,
         RelayMeasures,
         RelayRefusal,
@@ -66,6 +68,8 @@
         Reader and writer of message heads in the format of callers and backend servers.
     callers : RelayCallers
         The callers' connections.
+    contention : ContentionMode
+        Which services count as contended.
     """
 
     channel = "relay"
@@ -82,11 +86,13 @@
         crashes: CrashWatch,
         metrics: Metrics,
         measures: RelayMeasures,
+        contention: ContentionMode = ContentionMode.AUTO,
     ) -> None:
         super().__init__()
         self._messages = messages
         self._callers = callers
         self._route_table = route_table
+        self._contention = contention
         self._metrics = metrics
         self._received_by_number: dict[int, RelayedRequest] = {}
         self._splitters_by_attempt: dict[str, RawEventSplitter] = {}
@@ -125,7 +131,7 @@
         )
         self._received_by_number[received.number] = received
         if arrival.model:
-            self._record_demand(arrival.model, arrival.n_prompt, now=now)
+            self._record_demand(arrival, now=now)
         self.requests.arrive(received.number, arrival)
 
     @handler("relayed_caller_disconnected")
@@ -133,15 +139,24 @@
         self.requests.caller_disconnected(number)
         self._received_by_number.pop(number, None)
 
-    def _record_demand(self, model: str, n_prompt: int, *, now: float) -> None:
+    def _record_demand(self, arrival: RelayArrival, *, now: float) -> None:
         route_table = self._route_table()
-        for _, engine in route_table.engines() if route_table else ():
+        if route_table is None:
+            return
+        model = arrival.model
+        for service, engine in route_table.engines():
             if model in engine.models_by_name:
                 n_answer = self.demand.answer_length(model, engine)
                 seconds = time_in_batch(
-                    engine, model, n_prompt=n_prompt, n_answer=n_answer
+                    engine, model, n_prompt=arrival.n_prompt, n_answer=n_answer
+                )
+                self.demand.arrived(
+                    model,
+                    seconds,
+                    now=now,
+                    contended=route_table.is_contended(service, self._contention),
+                    urgent=_is_urgent(arrival, service, route_table),
                 )
-                self.demand.arrived(model, seconds, now=now)
 
     # Backend servers
 
@@ -259,6 +274,15 @@
         self._callers.abort(request_number)
 
 
+def _is_urgent(arrival: RelayArrival, service: str, route_table: RouteTable) -> bool:
+    """Return whether a request's route has the most urgent of several priorities."""
+    priority = route_table.urgent_priority_by_service.get(service)
+    if priority is None:
+        return False
+    route = route_table.match(host=arrival.host, path=arrival.path)
+    return route is not None and route.priority == priority
+
+
 def _content_hash(received: RelayedRequest) -> str:
     content_hash = hashlib.blake2b(digest_size=CONTENT_HASH_BYTES)
     for part in (received.method, b" ", received.target, b"\n", received.body):
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
@@ -188,6 +189,7 @@
             crashes=crashes,
             metrics=self.metrics,
             measures=RelayMetrics(metrics=self.metrics),
+            contention=settings.contention,
         )
         self.planning = GroupPlanning(
             settings=settings,
@@ -296,6 +298,9 @@
             directory=self.directory,
             route_table=self._route_table,
             demand=self._demand,
+            waiting_work=self._waiting_work,
+            urgent_demand=self._urgent_demand,
+            contention=self.settings.contention,
             other_reshaped_zones=lambda: self._other_reshaped_zones(zone),
             list_is_stale=self.fleet.list_is_stale,
             is_evacuated=self._is_evacuated,
@@ -318,6 +323,26 @@
         total.update(self.relay.demand.by_model(now=now))
         return total
 
+    def _urgent_demand(self) -> dict[str, float]:
+        now = time.monotonic()
+        total: Counter[str] = Counter()
+        for heartbeat in self.heartbeats.live_heartbeats(now=now):
+            total.update(heartbeat.urgent_demand_by_model)
+        total.update(self.relay.demand.urgent_by_model(now=now))
+        return total
+
+    def _waiting_work(self) -> dict[str, float]:
+        """Return the work of the requests that wait at other hosts, by model."""
+        route_table = self.fleet.route_table
+        if route_table is None:
+            return {}
+        rows = (
+            row
+            for heartbeat in self.heartbeats.live_heartbeats(now=time.monotonic())
+            for row in heartbeat.waiting
+        )
+        return self.relay.demand.waiting_work(rows, dict(route_table.engines()))
+
     def _describe_host(self) -> HostHeartbeat:
         now = time.monotonic()
         return HostHeartbeat(
--- a/ryelever/state/routes.py
+++ b/ryelever/state/routes.py
@@ -215,6 +215,8 @@
         True if the configuration declares client accounts; callers then need a key.
     contended_services : frozenset of str
         Engine services whose configuration asks for sharing; see ``is_contended``.
+    urgent_priority_by_service : dict of str to int
+        Most urgent priority of the engine services whose stream routes have several.
     """
 
     version: int
@@ -224,13 +226,22 @@
     requires_keys: bool
     limits: ConnectionLimits = msgspec.field(default_factory=ConnectionLimits)
     contended_services: frozenset[str] = frozenset()
+    urgent_priority_by_service: dict[str, int] = msgspec.field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Find the contended services once for each configuration."""
+        """Find what follows from all routes once for each configuration."""
+        urgent_priority_by_service = {
+            name: min(priorities)
+            for name, _ in self.engines()
+            if len(priorities := self._priorities_of(name)) > 1
+        }
+        msgspec.structs.force_setattr(
+            self, "urgent_priority_by_service", urgent_priority_by_service
+        )
         found = frozenset(
             name
             for name, engine in self.engines()
-            if engine.has_uneven_groups or len(self._priorities_of(name)) > 1
+            if engine.has_uneven_groups or name in urgent_priority_by_service
         )
         msgspec.structs.force_setattr(self, "contended_services", found)
 
