--- a/benchmarks/group_days.py
+++ b/benchmarks/group_days.py
@@ -7,6 +7,8 @@
 
     .venv/bin/python -m benchmarks.group_days --days 60
     .venv/bin/python -m benchmarks.group_days --set forming.SPARE_SHARE=0
+
+``--contention off`` plays the days of contended services without their rules.
 """
 
 from __future__ import annotations
@@ -15,14 +17,17 @@
 import concurrent.futures
 import importlib
 import statistics
+from dataclasses import replace
 
 from ryelever.emulator import (
+    Burst,
     DayResult,
     Deployment,
     EmulatedModel,
     LossPattern,
     simulate_day,
 )
+from ryelever.relay_settings import ContentionMode
 
 
 def _deployment(
@@ -32,6 +37,7 @@
     demand: tuple[float, float],
     n_domains: int = 2,
     share: float = 0.67,
+    burst: Burst | None = None,
 ) -> Deployment:
     """Return a deployment of three zones with a large and a small model.
 
@@ -58,6 +64,7 @@
         stall_time=5.0,
         loads_per_second=5.5 * scale,
         loads_at_once=8.0 * scale,
+        burst=burst,
     )
 
 
@@ -105,8 +112,57 @@
 }
 
 
-def play(name: str, seed: int, changes: tuple[str, ...]) -> DayResult:
-    """Emulate one day after applying changes of the form ``MODULE.NAME=VALUE``."""
+#: As ``DAYS``, for services whose callers compete for capacity: the demand of one model
+#: rises for some seconds while the other one has groups to spare, or demand exceeds
+#: what all servers can run.
+CONTENDED_DAYS = {
+    "162 servers, small model rushes": (
+        _deployment(
+            domain_size=27,
+            sizes=(12, 6),
+            demand=(2.6, 8.5),
+            share=0.5,
+            burst=Burst(model="small", factor=1.7, begin=14.0, end=17.8),
+        ),
+        LossPattern(),
+    ),
+    "162 servers, small model rushes for long": (
+        _deployment(
+            domain_size=27,
+            sizes=(12, 6),
+            demand=(2.6, 8.5),
+            share=0.5,
+            burst=Burst(model="small", factor=1.7, begin=12.0, end=24.0),
+        ),
+        LossPattern(),
+    ),
+    "222 servers, small model overloaded": (
+        _deployment(domain_size=37, sizes=(16, 4), demand=(4.2, 24.0), share=0.55),
+        LossPattern(),
+    ),
+    "222 servers, large model rushes": (
+        _deployment(
+            domain_size=37,
+            sizes=(16, 4),
+            demand=(4.2, 14.0),
+            share=0.55,
+            burst=Burst(model="large", factor=1.9, begin=14.0, end=24.0),
+        ),
+        LossPattern(),
+    ),
+}
+
+
+def play(
+    name: str, seed: int, changes: tuple[str, ...], contention: str = "on"
+) -> DayResult:
+    """Emulate one day after applying changes of the form ``MODULE.NAME=VALUE``.
+
+    Parameters
+    ----------
+    contention : {"on", "off"}
+        Whether the rules for contended services apply on ``CONTENDED_DAYS``.
+    """
     for change in changes:
         place, _, value = change.partition("=")
         module_name, _, constant = place.partition(".")
@@ -114,7 +170,9 @@
         if not hasattr(module, constant):
             raise SystemExit(f"--set {change}: {module_name} has no {constant}")
         setattr(module, constant, float(value))
-    deployment, losses = DAYS[name]
+    deployment, losses = (DAYS | CONTENDED_DAYS)[name]
+    if name in CONTENDED_DAYS:
+        deployment = replace(deployment, contention=ContentionMode(contention))
     return simulate_day(deployment=deployment, losses=losses, seed=seed)
 
 
@@ -123,15 +181,17 @@
     parser.add_argument("--days", type=int, default=24)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--set", action="append", default=[], metavar="MODULE.NAME=X")
+    parser.add_argument("--contention", choices=("on", "off"), default="on")
     arguments = parser.parse_args()
     changes = tuple(arguments.set)
     means = []
     print("| deployment | mean | error | large | small | worst 2 s | loads |")
     print("|---|---|---|---|---|---|---|")
     with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
-        for name in DAYS:
+        for name in DAYS | CONTENDED_DAYS:
             n = arguments.days
-            days = list(pool.map(play, [name] * n, range(n), [changes] * n))
+            modes = [arguments.contention] * n
+            days = list(pool.map(play, [name] * n, range(n), [changes] * n, modes))
             mean = statistics.mean(day.mean for day in days)
             error = statistics.stdev(day.mean for day in days) / n**0.5
             large, small = (
--- a/ryelever/emulator/__init__.py
+++ b/ryelever/emulator/__init__.py
@@ -6,10 +6,11 @@
 """
 
 from .day import DayResult, LossPattern, simulate_day
-from .deployment import Deployment, EmulatedModel
+from .deployment import Burst, Deployment, EmulatedModel
 from .fleet import Fleet
 
 __all__ = [
+    "Burst",
     "DayResult",
     "Deployment",
     "EmulatedModel",
--- a/ryelever/emulator/day.py
+++ b/ryelever/emulator/day.py
@@ -124,7 +124,7 @@
     """Add one step to the result and return its mean credit over the models."""
     n_open = fleet.n_open()
     total = 0.0
-    for model, demand in fleet.deployment.demand.items():
+    for model, demand in fleet.deployment.demand(fleet.now).items():
         earned = credit(utilization=demand / n_open[model]) if n_open[model] else 0.0
         result.served_by_model[model] += earned * STEP / DAY_DURATION
         total += earned
--- a/ryelever/emulator/deployment.py
+++ b/ryelever/emulator/deployment.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 
+from ..relay_settings import ContentionMode
 from ..state.routes import EngineProfile, ModelProfile
 
-__all__ = ["SERVICE", "Deployment", "EmulatedModel", "engine_profile"]
+__all__ = ["SERVICE", "Burst", "Deployment", "EmulatedModel", "engine_profile"]
 
 #: Name of the only service of an emulated deployment.
 SERVICE = "engines"
@@ -35,6 +36,16 @@
     warm_time: float
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Burst:
+    """A factor of the demand for one model between two seconds of the day."""
+
+    model: str
+    factor: float
+    begin: float
+    end: float
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Deployment:
     """An emulated deployment: its servers, its models and its weight store.
@@ -48,6 +59,10 @@
     loads_per_second, loads_at_once : float
         Loads that the weight store can start in a second, and loads that it can serve
         at the same time without slowing down.
+    contention : ContentionMode
+        Whether the service counts as contended.
+    burst : Burst or None
+        Change of the demand during the day.
     """
 
     n_zones: int
@@ -57,6 +72,8 @@
     stall_time: float
     loads_per_second: float
     loads_at_once: float
+    contention: ContentionMode = ContentionMode.OFF
+    burst: Burst | None = None
 
     @property
     def zones(self) -> list[str]:
@@ -68,10 +85,13 @@
         """Return the number of backend servers at the start."""
         return self.n_zones * self.n_domains * self.domain_size
 
-    @property
-    def demand(self) -> dict[str, float]:
-        """Return the work that arrives for each model."""
-        return {name: model.demand for name, model in self.models_by_name.items()}
+    def demand(self, now: float) -> dict[str, float]:
+        """Return the work that arrives for each model at a second of the day."""
+        demand = {name: model.demand for name, model in self.models_by_name.items()}
+        burst = self.burst
+        if burst is not None and burst.begin <= now < burst.end:
+            demand[burst.model] *= burst.factor
+        return demand
 
 
 def engine_profile(deployment: Deployment) -> EngineProfile:
--- a/ryelever/emulator/fleet.py
+++ b/ryelever/emulator/fleet.py
@@ -217,12 +217,13 @@
             is_local=True,
             directory=self.directory,
             route_table=lambda: route_table,
-            demand=lambda: self.deployment.demand if self.now >= 0 else {},
+            demand=lambda: self.deployment.demand(self.now) if self.now >= 0 else {},
             other_reshaped_zones=lambda: self._other_reshaped_zones(zone),
             observe=lambda phase, seconds: None,
             list_is_stale=lambda: False,
             stall_time=self.deployment.stall_time,
             since=self.now,
+            contention=self.deployment.contention,
             log=lambda event, **fields: None,
         )
 
