--- a/ryelever/coordination/groups/forming.py
+++ b/ryelever/coordination/groups/forming.py
@@ -15,6 +15,7 @@
 
 from .shifting import (
     CONTENDED_OVERLOAD_UTILIZATION,
+    MAX_WEIGHTED_SIZE,
     domain_for_first_group,
     n_spares_to_keep,
     urgency_factor,
@@ -145,10 +146,12 @@
             return float("inf")
         if self.loads_are_quick:
             return demand / groups
-        utilization = demand / groups * self._relative_size(model) ** SIZE_EXPONENT
-        if self.contended:
-            utilization *= urgency_factor(self.urgent_share_by_model.get(model, 0.0))
-        return utilization
+        size = self._relative_size(model)
+        if not self.contended:
+            return demand / groups * size**SIZE_EXPONENT
+        weight = min(size, MAX_WEIGHTED_SIZE) ** SIZE_EXPONENT
+        weight *= urgency_factor(self.urgent_share_by_model.get(model, 0.0))
+        return demand / groups * weight
 
     def _relative_size(self, model: str) -> float:
         """Return the ratio of a model's group size to the smallest group size."""
--- a/ryelever/coordination/groups/shifting.py
+++ b/ryelever/coordination/groups/shifting.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "CONTENDED_OVERLOAD_UTILIZATION",
+    "MAX_WEIGHTED_SIZE",
     "DemandTrail",
     "demand_with_waiting",
     "domain_for_first_group",
@@ -28,6 +29,11 @@
 #: 12% of a zone's servers idled while the demand exceeded the groups by up to 1.28.
 CONTENDED_OVERLOAD_UTILIZATION = 0.95
 
+#: Maximum ratio of group sizes by which larger groups count as busier.  The weight is
+#: known for groups of twice the size.  At four times the size, the large model counted
+#: as 1.5 times as busy and took servers that the small one needed more.
+MAX_WEIGHTED_SIZE = 2.0
+
 #: Seconds over which the fleet's demand is averaged again.  Hosts average over 1.5 s;
 #: a lull thus shows after four seconds, and a burst at once.
 TRAILING_TIME = 2.5
--- a/tests/test_coordination/test_groups/test_zone_planner.py
+++ b/tests/test_coordination/test_groups/test_zone_planner.py
@@ -21,6 +21,7 @@
     FLEET_SETTLED_AFTER,
     MAX_SETTLING_TIME,
 )
+from ryelever.relay_settings import ContentionMode
 from ryelever.state.directory import BackendServer, Directory, GroupReport, GroupState
 from ryelever.state.routes import RoutedService, RouteTable
 
@@ -32,13 +33,20 @@
     """A planner with the servers, demand and settings that it sees."""
 
     def __init__(
-        self, *, n_servers: int = 8, services: tuple[str, ...] = ("engines",)
+        self,
+        *,
+        n_servers: int = 8,
+        services: tuple[str, ...] = ("engines",),
+        contention: ContentionMode = ContentionMode.AUTO,
     ) -> None:
         self.directory = Directory()
         for index in range(n_servers):
             self.directory.put(server(f"i{index}", domain=f"d{index // 8}"), now=0.0)
         self.other_reshaped_zones: set[str] = set()
         self.demand: dict[str, float] = {}
+        self.waiting_work: dict[str, float] = {}
+        self.urgent_demand: dict[str, float] = {}
+        self.lines: list[tuple[str, dict[str, object]]] = []
         self.list_is_stale = False
         services = [
             RoutedService(name=name, max_connections=100, engine=ENGINE)
@@ -58,12 +66,15 @@
             directory=self.directory,
             route_table=lambda: self.route_table,
             demand=lambda: self.demand,
+            waiting_work=lambda: self.waiting_work,
+            urgent_demand=lambda: self.urgent_demand,
+            contention=contention,
             other_reshaped_zones=lambda: self.other_reshaped_zones,
             observe=lambda phase, seconds: None,
             list_is_stale=lambda: self.list_is_stale,
             stall_time=STALL_TIME,
             since=0.0,
-            log=lambda event, **fields: None,
+            log=lambda event, **fields: self.lines.append((event, fields)),
         )
 
     def free(self, now: float) -> list[BackendServer]:
--- a/tests/test_coordination/test_relaying/test_demand.py
+++ b/tests/test_coordination/test_relaying/test_demand.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ryelever.coordination.relaying import DemandMeter, time_in_batch
+from ryelever.state.observations import WaitingRow
 
 from ..test_groups.test_group_forming import ENGINE
 
@@ -75,3 +76,55 @@
     for _ in range(500):
         meter.served("large", 40)
     assert meter.answer_length("large", ENGINE) > 0.9 * 40 * ENGINE.tokens_per_event
+
+
+def _demand_after_burst(*, contended: bool) -> list[float]:
+    """Return the demand 1.5 s into a burst of twice the rate, and 6 s after its end."""
+    meter = DemandMeter()
+    found = []
+    for tick in range(290):
+        now = tick * 0.1
+        meter.arrived("large", 0.1, now=now, contended=contended)
+        if 20.0 <= now < 23.0:
+            meter.arrived("large", 0.1, now=now, contended=contended)
+        if tick in (215, 289):
+            found.append(meter.by_model(now=now)["large"])
+    return found
+
+
+def test_demand_of_a_contended_service_shows_a_burst_within_two_seconds() -> None:
+    """Guard against a burst that is over before groups are formed for it.
+
+    For other services the average over four seconds applies.
+    """
+    assert _demand_after_burst(contended=True) == pytest.approx([1.67, 1.05], abs=0.05)
+    assert _demand_after_burst(contended=False) == pytest.approx([1.34, 1.14], abs=0.05)
+
+
+def test_urgent_demand_is_a_part_of_the_demand() -> None:
+    meter = DemandMeter()
+    for tick in range(200):
+        urgent = tick % 4 == 0
+        meter.arrived("large", 0.1, now=tick * 0.1, contended=True, urgent=urgent)
+        meter.arrived("small", 0.1, now=tick * 0.1, contended=True)
+    urgent_by_model = meter.urgent_by_model(now=20.0)
+    total = meter.by_model(now=20.0)["large"]
+    assert urgent_by_model == {"large": pytest.approx(total / 4, rel=0.2)}
+
+
+def test_waiting_work_ignores_rows_that_are_not_configured() -> None:
+    """Guard against a peer with another configuration whose rows stop a planner."""
+    meter = DemandMeter()
+    row = WaitingRow(
+        service="engines", model="large", rank=(0, 0), late=False, count=10
+    )
+    rows = [
+        row,
+        WaitingRow(service="gone", model="large", rank=(0, 0), late=False, count=9),
+        WaitingRow(service="engines", model="gone", rank=(0, 0), late=False, count=9),
+    ]
+    one = time_in_batch(
+        ENGINE, "large", n_prompt=ENGINE.usual_prompt, n_answer=ENGINE.usual_answer
+    )
+    work = meter.waiting_work(rows, {"engines": ENGINE})
+    assert work == {"large": pytest.approx(10 * one)}
--- a/tests/test_state/test_routes.py
+++ b/tests/test_state/test_routes.py
@@ -85,3 +85,10 @@
     assert table.is_contended("engines", mode) is expected
     assert not table.is_contended("plain", mode)
     assert not table.is_contended("unknown", mode)
+
+
+def test_urgent_priority_needs_several_priorities() -> None:
+    """Guard against weighing all callers of a service as urgent."""
+    both = _table([_route(1), _route(2), _route(0, kind=RouteKind.IDEMPOTENT)])
+    assert both.urgent_priority_by_service == {"engines": 1}
+    assert _table([_route(1)]).urgent_priority_by_service == {}
