--- a/tests/test_coordination/test_groups/test_shifting.py
+++ b/tests/test_coordination/test_groups/test_shifting.py
@@ -14,7 +14,6 @@
     choose_formations,
     choose_staging,
 )
-from ryelever.coordination.groups.records import GroupRecord, Member
 from ryelever.coordination.groups.server_losses import LOSS_WINDOW, ServerLosses
 from ryelever.coordination.groups.shifting import (
     DISBAND_PAUSE,
@@ -25,12 +24,11 @@
     urgent_shares,
 )
 from ryelever.relay_settings import ContentionMode
-from ryelever.state.directory import GroupReport, GroupState
 
 from .group_fakes import server
 from .test_disbanding import _serving_groups
 from .test_group_forming import ENGINE, LARGE, SMALL, L, S, rules_of, servers_of
-from .test_zone_planner import Zone
+from .test_zone_planner import zone_short_of_large_groups
 
 #: Models of twelve and six members, and the demand of the small one before and during a
 #: burst, as in the deployment whose urgent callers lacked groups.
@@ -250,33 +248,6 @@
     }
 
 
-def _zone_short_of_large_groups(contention: ContentionMode) -> Zone:
-    """Return a zone with one small group and three survivors of a large one."""
-    zone = Zone(n_servers=0, contention=contention)
-    for index in range(5):
-        in_group = index < 2
-        state = GroupState.READY if index else GroupState.OPEN
-        report = GroupReport(name="z-1", epoch=1, rank=index, state=state)
-        entry = server(
-            f"i{index}",
-            models=S if in_group else L,
-            staged=L,
-            group=report if in_group else None,
-        )
-        zone.directory.put(entry, now=0.0)
-    small = GroupRecord(
-        name="z-1",
-        epoch=1,
-        service="engines",
-        model="small",
-        availability_zone="z",
-        members=tuple(Member(server_id=f"i{i}", address=f"i{i}:80") for i in (0, 1)),
-    )
-    zone.demand = {"large": 3.0, "small": 0.1}
-    zone.planner.apply_full_list([small], end=1, now=0.0)
-    return zone
-
-
 @pytest.mark.parametrize(
     ("contention", "evacuated", "stale", "n_lines"),
     [
@@ -290,7 +261,7 @@
     contention: ContentionMode, evacuated: bool, stale: bool, n_lines: int
 ) -> None:
     """Guard against shifts that leave no trace, or that happen where none may."""
-    zone = _zone_short_of_large_groups(contention)
+    zone = zone_short_of_large_groups(contention)
     zone.planner._is_evacuated = lambda name: evacuated
     zone.list_is_stale = stale
     for step in range(10, 40):
@@ -305,7 +276,7 @@
 
 def test_services_that_are_not_contended_are_planned_as_before() -> None:
     """Guard against a rule that reaches services whose callers don't compete."""
-    zone = _zone_short_of_large_groups(ContentionMode.AUTO)
+    zone = zone_short_of_large_groups(ContentionMode.AUTO)
     [before] = zone.planner._views.service_views(zone.route_table, now=1.0)
     zone.waiting_work = {"large": 90.0, "small": 90.0}
     zone.urgent_demand = {"small": 0.1}
--- a/tests/test_coordination/test_groups/test_zone_planner.py
+++ b/tests/test_coordination/test_groups/test_zone_planner.py
@@ -492,14 +492,22 @@
     assert append.formed
 
 
-def test_no_group_is_disbanded_during_a_store_outage() -> None:
-    """Guard against a model that loses half of its groups during a store outage.
-
-    A burst makes another model needier, and then the store becomes unavailable.  If
-    each zone's planner disbanded a group for the needier model, no group could be
-    formed from its members without the store: none was formed for eight seconds.
-    """
-    zone = Zone()
+def zone_short_of_large_groups(
+    contention: ContentionMode = ContentionMode.AUTO,
+) -> Zone:
+    """Return a zone with one small group and three survivors of a large one."""
+    zone = Zone(n_servers=0, contention=contention)
+    for index in range(5):
+        in_group = index < 2
+        state = GroupState.READY if index else GroupState.OPEN
+        report = GroupReport(name="z-1", epoch=1, rank=index, state=state)
+        entry = server(
+            f"i{index}",
+            models=frozenset({"small" if in_group else "large"}),
+            staged=frozenset({"large"}),
+            group=report if in_group else None,
+        )
+        zone.directory.put(entry, now=0.0)
     small = GroupRecord(
         name="z-1",
         epoch=1,
@@ -508,24 +516,19 @@
         availability_zone="z",
         members=tuple(Member(server_id=f"i{i}", address=f"i{i}:80") for i in (0, 1)),
     )
-    for index in range(8):
-        rank = index if index < 2 else None
-        state = GroupState.OPEN if rank == 0 else GroupState.READY
-        report = GroupReport(name="z-1", epoch=1, rank=rank or 0, state=state)
-        zone.directory.put(
-            server(
-                f"i{index}",
-                domain="d0",
-                models=frozenset({"small" if index < 2 else "large"}),
-                staged=frozenset({"large"}),
-                group=report if rank is not None else None,
-            ),
-            now=0.0,
-        )
-    for index in range(5, 8):
-        zone.directory.remove(f"i{index}", last_renewed_at=0.0)
     zone.demand = {"large": 3.0, "small": 0.1}
     zone.planner.apply_full_list([small], end=1, now=0.0)
+    return zone
+
+
+def test_no_group_is_disbanded_during_a_store_outage() -> None:
+    """Guard against a model that loses half of its groups during a store outage.
+
+    A burst makes another model needier, and then the store becomes unavailable.  If
+    each zone's planner disbanded a group for the needier model, no group could be
+    formed from its members without the store: none was formed for eight seconds.
+    """
+    zone = zone_short_of_large_groups()
     zone.list_is_stale = True
     for step in range(10, 40):
         zone.planner.run_planning_pass(now=step * 0.1)
