--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -209,6 +209,7 @@
             describe=self._describe_host,
             on_heartbeat=self._on_peer_heartbeat,
             waiting_rows=self.relay.requests.waiting_rows,
+            urgent_demand=self.relay.demand.urgent_by_model,
         )
         self.shutdown = RelayShutdown(
             settings=settings,
@@ -298,6 +299,9 @@
             directory=self.directory,
             route_table=self._route_table,
             demand=self._demand,
+            waiting_work=self._waiting_work,
+            urgent_demand=self._urgent_demand,
+            contention=self.settings.contention,
             other_reshaped_zones=lambda: self._other_reshaped_zones(zone),
             list_is_stale=self.fleet.list_is_stale,
             is_evacuated=self._is_evacuated,
@@ -320,6 +324,23 @@
         total.update(self.relay.demand.by_model(now=now))
         return total
 
+    def _urgent_demand(self) -> dict[str, float]:
+        now = time.monotonic()
+        total = self.heartbeats.urgent_demand(now=now)
+        total.update(self.relay.demand.urgent_by_model(now=now))
+        return total
+
+    def _waiting_work(self) -> dict[str, float]:
+        """Return the work of the requests that wait at all hosts, by model."""
+        route_table = self.fleet.route_table
+        if route_table is None:
+            return {}
+        rows = (
+            *self.heartbeats.waiting(now=time.monotonic()),
+            *self.relay.requests.waiting_rows(),
+        )
+        return self.relay.demand.waiting_work(rows, dict(route_table.engines()))
+
     def _describe_host(self) -> HostHeartbeat:
         now = time.monotonic()
         return HostHeartbeat(
