--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -33,6 +33,11 @@
 #: slots after a burst that new ones were late for four more seconds.
 RISING_SHARE = 1 / 3
 
+#: Part of the free slots that is left to the requests of a rank which have waited for
+#: half of their time, whatever goes before them. Otherwise more urgent requests than
+#: the groups can run would starve the others.
+GUARANTEED_SHARE = 0.1
+
 
 class Competitors(msgspec.Struct, kw_only=True, frozen=True):
     """The requests that compete with one request for free slots.
@@ -154,8 +159,10 @@
                 self.n_expected_by_id[load.server.id] = n_expected
                 options.append((load, n_ended))
         self.n_in_flight = n_in_flight * scale
+        n_free *= scale
         n_ahead, n_equal = self._competing(n_slots=n_slots * scale)
-        if self._draw * n_equal >= n_free * scale - n_ahead:
+        n_left = max(n_free - n_ahead, n_free * self.guaranteed_share)
+        if self._draw * n_equal >= n_left:
             return []
         return [
             replace(
@@ -166,6 +173,11 @@
             for load, n_ended in options
         ]
 
+    @property
+    def guaranteed_share(self) -> float:
+        """Return the part of the free slots that is left to this request's rank."""
+        return GUARANTEED_SHARE if self._competitors.patience < 0.5 else 0.0
+
     def limit(self, server: BackendServer) -> int:
         """Return how many requests may be in flight at a server with this one.
 
--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -11,7 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from .balance import Balancer, RoomLimit
+    from .balance import Balancer
+    from .batch_room import BatchRoom
     from .contention import Contention
     from .rank_shares import Order
     from .reports import RequestReports
@@ -124,10 +125,12 @@
             work = request.work
             n_ahead = n_ahead_by_work.get(work, 0)
             order = self._contention.order(request, now=now)
-            if work not in full_from or order < full_from[work]:
-                if self._send(request, n_ahead=n_ahead, now=now):
+            room = self._contention.room(request, n_ahead=n_ahead, now=now)
+            is_guaranteed = room.guaranteed_share > 0.0
+            if work not in full_from or order < full_from[work] or is_guaranteed:
+                if self._send(request, room, now=now):
                     continue
-                if not request.tried:
+                if not request.tried and not is_guaranteed:
                     full_from[work] = order
             if not self._refuse_if_hopeless(request, n_ahead=n_ahead, now=now):
                 n_ahead_by_work[work] = n_ahead + 1
@@ -138,8 +141,7 @@
         reason = "no_chance" if estimate.n_slots else "no_place"
         self._refuse_for_room(request, reason, estimate, now=now)
 
-    def _send(self, request: RelayRequest, *, n_ahead: int, now: float) -> bool:
-        room: RoomLimit = self._contention.room(request, n_ahead=n_ahead, now=now)
+    def _send(self, request: RelayRequest, room: BatchRoom, *, now: float) -> bool:
         was_sent = self._dispatch(request, room=room, now=now)
         self._contention.examined(request, room)
         if was_sent:
