--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -36,7 +36,7 @@
 #: Part of the free slots that is left to the requests of a rank which have waited for
 #: half of their time, whatever goes before them. Otherwise more urgent requests than
 #: the groups can run would starve the others.
-GUARANTEED_SHARE = 0.1
+GUARANTEED_SHARE = 0.12
 
 
 class Competitors(msgspec.Struct, kw_only=True, frozen=True):
@@ -51,6 +51,8 @@
         equals.
     share_ahead : float
         Part of the arrivals that goes before the request.
+    is_outranked : bool
+        True if there are arrivals of more urgent ranks.
     reserved_time : float
         Seconds for which the average arrival that goes before the request may wait for
         a slot, times ``share_ahead``.
@@ -62,6 +64,7 @@
     n_peers_ahead: int = 0
     n_peers_equal: int = 0
     share_ahead: float = 0.0
+    is_outranked: bool = False
     reserved_time: float = 0.0
     patience: float = 1.0
 
@@ -176,7 +179,10 @@
     @property
     def guaranteed_share(self) -> float:
         """Return the part of the free slots that is left to this request's rank."""
-        return GUARANTEED_SHARE if self._competitors.patience < 0.5 else 0.0
+        competitors = self._competitors
+        if not competitors.is_outranked or competitors.patience >= 0.5:
+            return 0.0
+        return GUARANTEED_SHARE
 
     def limit(self, server: BackendServer) -> int:
         """Return how many requests may be in flight at a server with this one.
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -189,6 +189,7 @@
                 n_peers_ahead=n_peers_ahead,
                 n_peers_equal=n_peers_equal,
                 share_ahead=share_ahead,
+                is_outranked=self._shares.is_outranked(request.work, order),
                 reserved_time=reserved_time,
                 patience=patience,
             ),
--- a/ryelever/coordination/relaying/rank_shares.py
+++ b/ryelever/coordination/relaying/rank_shares.py
@@ -76,6 +76,15 @@
             return 0.0, 0.0
         return n_ahead / n_total, seconds / n_total
 
+    def is_outranked(self, work: tuple[str, str], order: Order) -> bool:
+        """Return whether there have been arrivals of more urgent ranks."""
+        step = order[1]
+        return any(
+            other_step < step
+            for counts in (self._previous.get(work, {}), self._current.get(work, {}))
+            for _, other_step in counts
+        )
+
     def _turn_over(self, *, now: float) -> None:
         elapsed = now - self._since
         if elapsed < RANK_WINDOW / 2:
