--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -208,6 +208,7 @@
             crashes=crashes,
             describe=self._describe_host,
             on_heartbeat=self._on_peer_heartbeat,
+            waiting_rows=self.relay.requests.waiting_rows,
         )
         self.shutdown = RelayShutdown(
             settings=settings,
