--- a/ryelever/coordination/groups/disbanding.py
+++ b/ryelever/coordination/groups/disbanding.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .forming import by_domain, joins_quickly
-from .shifting import min_disband_ratio
+from .shifting import min_disband_ratio, would_be_short
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
@@ -74,8 +74,11 @@
             continue
         groups_after_loss = dict(groups_by_model)
         groups_after_loss[chosen[0].model] -= len(chosen)
-        if utilization < min_ratio * rules.utilization(
-            chosen[0].model, groups_after_loss
+        after_loss = rules.utilization(chosen[0].model, groups_after_loss)
+        if utilization < min_ratio * after_loss:
+            continue
+        if rules.contended and would_be_short(
+            after_loss, neediest_utilization=utilization
         ):
             continue
         if not best or (len(chosen), -n_quick) < (len(best), -best_n_quick):
--- a/ryelever/coordination/groups/shifting.py
+++ b/ryelever/coordination/groups/shifting.py
@@ -23,6 +23,7 @@
     "n_spares_to_keep",
     "urgency_factor",
     "urgent_shares",
+    "would_be_short",
 ]
 
 #: Utilization from which spares are used to form another group.  At 1.25 of a group,
@@ -151,6 +152,20 @@
     return SHORT_DISBAND_RATIO if utilization > SHORT_UTILIZATION else usual
 
 
+def would_be_short(
+    utilization_after_loss: float, *, neediest_utilization: float
+) -> bool:
+    """Return whether a model must keep its groups, as it would be short without them.
+
+    With waves of demand, models are short in turn.  Groups that are taken apart for
+    one wave are missing in the next, and each change costs two seconds of a group.
+    A model without any group gets one in any case.
+    """
+    if math.isinf(neediest_utilization):
+        return False
+    return utilization_after_loss > SHORT_UTILIZATION
+
+
 def is_paused(disbanded_at: float | None, *, now: float) -> bool:
     """Return whether a model keeps its groups since others were disbanded for it."""
     return disbanded_at is not None and now - disbanded_at < DISBAND_PAUSE
--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -312,9 +312,17 @@
             ]
         return self._zone_heartbeats
 
-    def ticks_between_heartbeats(self, *, now: float) -> int:
-        """Return the number of ticks between two heartbeats to hosts of this zone."""
-        return math.ceil((1 + len(self.of_own_zone(now=now))) / MAX_HOSTS_AT_FULL_RATE)
+    def ticks_between_heartbeats(
+        self, *, now: float, max_hosts: int = MAX_HOSTS_AT_FULL_RATE
+    ) -> int:
+        """Return the number of ticks between two heartbeats to hosts of this zone.
+
+        Parameters
+        ----------
+        max_hosts : int
+            Number of hosts in a zone up to which each sends one in every tick.
+        """
+        return math.ceil((1 + len(self.of_own_zone(now=now))) / max_hosts)
 
     def represents_zone(self, *, planning: bool, now: float) -> bool:
         """Return whether this host represents its zone to the other zones.
--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -156,11 +156,12 @@
             n_in_flight += load.in_flight
             n_ended = ended_share * load.n_peers
             n_expected = load.in_flight - n_ended
-            n_room = self.limit(load.server) - n_expected
+            slots = self._effective_slots(load.server)
+            n_room = self.limit(load.server, slots=slots) - n_expected
             if n_room > 0:
                 n_free += n_room
                 self.n_expected_by_id[load.server.id] = n_expected
-                options.append((load, n_ended))
+                options.append((load, n_ended, slots))
         self.n_in_flight = n_in_flight * scale
         n_free *= scale
         n_ahead, n_equal = self._competing(n_slots=n_slots * scale)
@@ -171,9 +172,9 @@
             replace(
                 load,
                 load=load.load - n_ended,
-                slots=self._effective_slots(load.server),
+                slots=slots,
             )
-            for load, n_ended in options
+            for load, n_ended, slots in options
         ]
 
     @property
@@ -184,17 +185,22 @@
             return 0.0
         return GUARANTEED_SHARE
 
-    def limit(self, server: BackendServer) -> int:
+    def limit(self, server: BackendServer, *, slots: float) -> float:
         """Return how many requests may be in flight at a server with this one.
 
         A request may be queued there only if it can still be on time afterwards.
+
+        Parameters
+        ----------
+        slots : float
+            Effective slots of the server.
         """
         if self._time_left <= 0.0:
-            return server.slots
+            return slots
         spare = self._time_left - self._first_event * self._slowness(server)
         slot_interval = self._mean_duration / max(1, server.slots)
         n_queued = int(max(0.0, spare) / slot_interval)
-        return server.slots + min(QUEUED_PER_SERVER, n_queued)
+        return slots + min(QUEUED_PER_SERVER, n_queued)
 
     def first_event_at(self, server: BackendServer) -> float:
         """Return the expected seconds to the first event at a server with room.
@@ -221,10 +227,11 @@
         # By Little's law, the requests in flight arrive within their mean duration.
         rate = self.n_in_flight / self._mean_duration
         n_sent = rate * self._interval * self._peers_share
-        n_reserved = min(MAX_RESERVED_SHARE * n_slots, rate * competitors.reserved_time)
+        n_reserved = rate * competitors.reserved_time
+        n_reserved = min(MAX_RESERVED_SHARE * n_slots, n_reserved)
         n_sent_ahead = n_sent * competitors.share_ahead
         n_ahead = competitors.n_peers_ahead + n_sent_ahead
         n_first = min(1.0, competitors.patience / RISING_SHARE) * n_ahead
         n_equal = competitors.n_peers_equal + n_sent - n_sent_ahead + n_ahead - n_first
-        n_reserved *= competitors.patience
+        n_reserved *= min(1.0, competitors.patience / RISING_SHARE)
         return competitors.n_ahead + n_first + n_reserved, 1 + n_equal
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ...state.directory import BackendServer, Directory
+    from ...state.directory import BackendServer
     from ...state.routes import RouteTable
     from .balance import Balancer
     from .rank_shares import Order
@@ -34,6 +34,9 @@
 #: Seconds for which a request waits while no server can run it: a group may open.
 NO_SERVER_WAIT = 2.0
 
+#: Seconds before a caller gives up at which it must have its first event or refusal.
+GIVING_UP_MARGIN = 0.3
+
 #: Seconds for which a count of the slots of all servers is used.
 COUNT_INTERVAL = 0.25
 
@@ -78,12 +81,11 @@
         *,
         mode: ContentionMode,
         balancer: Balancer,
-        directory: Directory,
         seed: int | None = None,
     ) -> None:
         self._mode = mode
         self._balancer = balancer
-        self._first_events = FirstEventEstimate(directory=directory)
+        self._first_events = FirstEventEstimate()
         self._shares = RankShares()
         self._ages = CallerAges()
         self._fleets_by_work: dict[tuple[str, str], _Fleet] = {}
@@ -244,8 +246,12 @@
         return estimate.is_hopeless(latest_start=latest_start, now=now)
 
     def _latest_start(self, request: RelayRequest) -> float:
+        """Return the time after which a slot is of no use to a request's caller."""
         mean_duration = self._balancer.mean_duration(*request.work)
-        return latest_useful_start(request.times_out_at, mean_duration=mean_duration)
+        latest = latest_useful_start(request.times_out_at, mean_duration=mean_duration)
+        gives_up_at = request.arrival.arrived_at + request.route.caller_patience
+        first_event = request.expected_first_event + GIVING_UP_MARGIN
+        return min(latest, gives_up_at - first_event)
 
     # Observations
 
--- a/ryelever/coordination/relaying/first_event.py
+++ b/ryelever/coordination/relaying/first_event.py
@@ -8,10 +8,10 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from ...state.directory import BackendServer, Directory
+    from ...state.directory import BackendServer
     from ...state.routes import EngineProfile
 
-__all__ = ["NEW_SERVER_TIME", "OBSERVATION_AGE", "FirstEventEstimate"]
+__all__ = ["OBSERVATION_AGE", "FirstEventEstimate"]
 
 #: Passes of the batch until the first event: a prompt that arrives during a pass waits
 #: for half of it on average, and its first event comes after one more pass.
@@ -34,10 +34,15 @@
 #: 0.001 each, are dropped.
 OBSERVATIONS_KEPT = 8 * OBSERVATION_AGE
 
-#: Seconds for which a server, or a group that has just opened, counts with half of its
-#: slots. All hosts send there at once, and hear of the others' requests up to 0.6 s
-#: later.
-NEW_SERVER_TIME = 2.0
+#: Exponent with which each observation corrects the expected times of all servers, and
+#: the largest correction. The published figures leave out transmission and the wait for
+#: the next pass of the batch.
+CORRECTION_RATE = 0.02
+MAX_CORRECTION = 4.0
+
+#: Slowness from which a server gets fewer requests; less is within the variation of
+#: first events at equal servers.
+MIN_NOTICED_SLOWNESS = 2.5
 
 
 class _Observations(msgspec.Struct, kw_only=True):
@@ -53,18 +58,13 @@
 
 
 class FirstEventEstimate:
-    """Estimate times to first events from published figures and from observations.
-
-    Parameters
-    ----------
-    directory : Directory
-        States since when each server has been listed and in its present group.
-    """
+    """Estimate times to first events from published figures and from observations."""
 
-    __slots__ = ("_directory", "_observations_by_id")
+    __slots__ = ("_correction", "_observations_by_id")
 
-    def __init__(self, *, directory: Directory) -> None:
-        self._directory = directory
+    def __init__(self) -> None:
+        # Ratio of the times of all servers to the published figures.
+        self._correction = 1.0
         # In the order of their last observations.
         self._observations_by_id: dict[str, _Observations] = {}
 
@@ -87,7 +87,8 @@
             return 0.0
         step = profile.step_time + n_running * profile.step_time_per_request
         passes = PASSES_TO_FIRST_EVENT * profile.tokens_per_event * step
-        return found.pace * (max(0.0, n_prompt) / profile.prefill_rate + passes)
+        published = max(0.0, n_prompt) / profile.prefill_rate + passes
+        return found.pace * published * self._correction
 
     def observe(
         self, server_id: str, *, expected: float, seconds: float, now: float
@@ -100,6 +101,8 @@
             observations = _Observations()
         decay = observations.decay(now=now)
         ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, seconds / expected))
+        correction = self._correction * ratio**CORRECTION_RATE
+        self._correction = min(MAX_CORRECTION, max(1.0 / MAX_CORRECTION, correction))
         observations.weight = observations.weight * decay + 1.0
         observations.total = observations.total * decay + ratio
         observations.observed_at = now
@@ -120,10 +123,10 @@
 
     def effective_slots(self, server: BackendServer, now: float) -> float:
         """Return the slots that a server counts with when requests are spread."""
-        slots = server.slots / max(1.0, self.slowness(server.id, now))
-        since = self._directory.in_group_since_by_id.get(server.id, -math.inf)
-        if now - since < NEW_SERVER_TIME:
-            slots /= 2
+        slowness = self.slowness(server.id, now)
+        slots = float(server.slots)
+        if slowness >= MIN_NOTICED_SLOWNESS:
+            slots /= slowness
         return max(1.0, slots)
 
     def _drop_old(self, *, now: float) -> None:
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -133,12 +133,17 @@
         """Return the service and the model."""
         return self.service, self.arrival.model
 
-    @property
-    def attempt_priority(self) -> int:
-        """Return the priority that backend servers are told, from 0 to 9."""
-        if self.contended:
-            return rank_step(self.rank)
-        return min(MAX_STEP, self.priority)
+    def attempt_priority(self, *, now: float) -> int:
+        """Return the priority that backend servers are told, from 0 to 9.
+
+        Of a contended service, requests that may still be on time have 0 to 4 and late
+        ones 5 to 9. A server that is full then admits those on time first.
+        """
+        if not self.contended:
+            return min(MAX_STEP, self.priority)
+        n_each = (MAX_STEP + 1) // 2
+        urgency = min(n_each - 1, (rank_step(self.rank) + 1) // 2)
+        return urgency + n_each * (now > self.on_time_until)
 
 
 class ArrivalRefusal(msgspec.Struct, kw_only=True, frozen=True):
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -111,9 +111,7 @@
             balancer=balancer,
             waiting=self._waiting,
         )
-        self._contention = Contention(
-            mode=contention, balancer=balancer, directory=balancer.directory, seed=seed
-        )
+        self._contention = Contention(mode=contention, balancer=balancer, seed=seed)
         self._contended = ContendedRequests(
             contention=self._contention,
             balancer=balancer,
@@ -368,7 +366,7 @@
             address=server.address,
             deadline=request.deadline,
             account=request.account,
-            priority=request.attempt_priority,
+            priority=request.attempt_priority(now=now),
             last_event_id=request.last_event_id,
             new_connection=not request.route.repeatable,
         )
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -45,6 +45,10 @@
 TICKS_PER_ZONE_HEARTBEAT = 3
 
 
+#: Maximum number of hosts in a zone that send heartbeats to each other in every tick
+#: while requests wait for slots.
+MAX_HOSTS_AT_FULL_RATE_IF_WAITING = 30
+
 #: Seconds after its start within which a host receives heartbeats from the other hosts
 #: of its zone and from the representatives of other zones.
 DISCOVERY_TIME = 1.0
@@ -123,7 +127,7 @@
         relied_on = represents_zone or self._heartbeats.reads_for_zone(
             reads_store=described.reads_store, now=now
         )
-        usual_ticks = self._heartbeats.ticks_between_heartbeats(now=now)
+        usual_ticks = self._usual_ticks(now=now)
         n_ticks = 1 if relied_on else usual_ticks
         heartbeat = self._own_heartbeat(
             described, interval=n_ticks * HEARTBEAT_INTERVAL, now=now
@@ -156,6 +160,18 @@
         self._balancer.peers_waiting = self._heartbeats.waiting(now=now)
         self._balancer.peers_view_at = self._heartbeats.oldest_received_at(now=now)
 
+    def _usual_ticks(self, *, now: float) -> int:
+        """Return the ticks between heartbeats of a host on which no other host relies.
+
+        While requests wait for slots, hosts send more often: the older their reports
+        are, the more requests of different hosts meet at the same group.
+        """
+        if self._waiting_rows() or self._heartbeats.waiting(now=now):
+            return self._heartbeats.ticks_between_heartbeats(
+                now=now, max_hosts=MAX_HOSTS_AT_FULL_RATE_IF_WAITING
+            )
+        return self._heartbeats.ticks_between_heartbeats(now=now)
+
     def _update_limit_shares(self, *, now: float) -> None:
         if self._balancer.limits.is_empty or now - self._started_at < DISCOVERY_TIME:
             # A host that has not received any heartbeats yet would claim all of
--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -35,6 +35,13 @@
 #: Maximum number of cached server addresses that have passed the check.
 MAX_ADDRESSES = 4096
 
+#: Callers give up a stream after a gap, also before its first event, of this many
+#: seconds, or of these multiples of the latency objective or of the longest pause
+#: between events, whichever is longest.
+MIN_CALLER_PATIENCE = 2.0
+OBJECTIVES_PATIENCE = 4.0
+PAUSES_PATIENCE = 8.0
+
 _ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
     "unsafe": RouteKind.AT_MOST_ONCE,
@@ -270,6 +277,16 @@
         max_attempts=max(1, found.max_attempts),
         public=found.public,
         resumable=found.resumable,
+        caller_patience=_caller_patience(found),
+    )
+
+
+def _caller_patience(found: _Route) -> float:
+    """Return the seconds after which callers give up a stream without an event."""
+    return max(
+        MIN_CALLER_PATIENCE,
+        OBJECTIVES_PATIENCE * found.target_latency_ms / 1000,
+        PAUSES_PATIENCE * found.target_gap_ms / 1000,
     )
 
 
--- a/ryelever/state/directory.py
+++ b/ryelever/state/directory.py
@@ -107,9 +107,6 @@
     listed_since_by_id : dict of str to float
         Monotonic time since which each server has been listed without interruption,
         as observed by this process.
-    in_group_since_by_id : dict of str to float
-        Monotonic time since which each server has reported its present group and its
-        state there, or has been listed if it reports no group.
     served_by_id : dict of str to frozenset of str
         Models of each server's last group since the server's start.  A server that has
         left its group lists no models, but can still join another group of the same
@@ -125,7 +122,6 @@
         self.last_seen_at_by_id: dict[str, float] = {}
         self.cold_until_by_id: dict[str, float] = {}
         self.listed_since_by_id: dict[str, float] = {}
-        self.in_group_since_by_id: dict[str, float] = {}
         self.served_by_id: dict[str, frozenset[str]] = {}
         self.n_changes = 0
         self.leaving = LeavingServers()
@@ -144,7 +140,6 @@
             # Listing time and served models of the former incarnation do not apply to
             # the new one.
             self.listed_since_by_id.pop(server.id)
-            self.in_group_since_by_id.pop(server.id)
             self.served_by_id.pop(server.id, None)
         if server.cold_for:
             self.cold_until_by_id[server.id] = now + server.cold_for
@@ -153,9 +148,6 @@
         if server.models:
             self.served_by_id[server.id] = server.models
         self.listed_since_by_id.setdefault(server.id, now)
-        if old is None or old.group != server.group:
-            self.in_group_since_by_id[server.id] = now
-        self.in_group_since_by_id.setdefault(server.id, now)
         self.last_seen_at_by_id.pop(server.id, None)
         self._index(server)
         return True
@@ -200,7 +192,6 @@
             return False
         del self._by_service[server.service][server_id]
         del self.listed_since_by_id[server_id]
-        del self.in_group_since_by_id[server_id]
         self.cold_until_by_id.pop(server_id, None)
         self.served_by_id.pop(server_id, None)
         known = self.last_seen_at_by_id.get(server_id, last_renewed_at)
--- a/ryelever/state/routes.py
+++ b/ryelever/state/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import zlib
 from typing import TYPE_CHECKING
 
@@ -54,6 +55,8 @@
         request that meets it counts with its full value.
     pause_objective : float
         Objective in seconds for the longest pause between two events of a stream.
+    caller_patience : float
+        Seconds after which callers give up a stream if no event arrives.
     priority : int
         Priority class; 0 is served first.
     weight_by_service : dict of str to float
@@ -78,6 +81,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    caller_patience: float = math.inf
 
     @property
     def repeatable(self) -> bool:
--- a/tests/test_coordination/test_groups/test_shifting.py
+++ b/tests/test_coordination/test_groups/test_shifting.py
@@ -108,6 +108,23 @@
     assert _shifts({0: BURST}, until=10) == [(0, "large")]
 
 
+def test_model_that_would_be_short_itself_gives_up_no_group() -> None:
+    """Guard against waves in which models that are short in turn lose their groups.
+
+    The large model needs twice its groups for some seconds, and the small one is busy
+    to 0.86 of its own: without four of them it would be short in its next wave.
+    """
+    groups = {"large": 6, "small": 30}
+    serving = _serving_groups(
+        *[("large", 16, f"d{index}", S) for index in range(6)],
+        *[("small", 4, "d0", L)] * 30,
+    )
+    busy = _rules(groups, {"large": 11.8, "small": 25.8})
+    assert choose_disbanding([], serving, busy) == []
+    spare = _rules(groups, {"large": 11.8, "small": 15.0})
+    assert choose_disbanding([], serving, spare) != []
+
+
 def test_shift_of_demand_and_back_does_not_flap() -> None:
     """Guard against models that take each other's groups back and forth."""
     phases = {0: CALM, 10: BURST, 14: CALM, 24: BURST, 28: CALM}
