--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -188,7 +188,9 @@
     def limit(self, server: BackendServer, *, slots: float) -> float:
         """Return how many requests may be in flight at a server with this one.
 
-        A request may be queued there only if it can still be on time afterwards.
+        A request that may be on time is queued there only if it still can be so
+        afterwards. Late ones are queued there in any case: the server admits those on
+        time before them, and has no idle slot while reports are on their way.
 
         Parameters
         ----------
@@ -196,7 +198,7 @@
             Effective slots of the server.
         """
         if self._time_left <= 0.0:
-            return slots
+            return slots + QUEUED_PER_SERVER
         spare = self._time_left - self._first_event * self._slowness(server)
         slot_interval = self._mean_duration / max(1, server.slots)
         n_queued = int(max(0.0, spare) / slot_interval)
