--- a/tests/test_coordination/test_relaying/test_wait_estimate.py
+++ b/tests/test_coordination/test_relaying/test_wait_estimate.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 
 from ryelever.coordination.relaying import waiting
+from ryelever.coordination.relaying.balance import QUEUED_PER_SERVER
 from ryelever.coordination.relaying.caller_ages import CallerAges
 from ryelever.coordination.relaying.rank_shares import RANK_WINDOW, RankShares
 from ryelever.coordination.relaying.wait_estimate import WaitEstimate
@@ -31,9 +32,10 @@
 
 
 def _fill(relaying: Relaying) -> None:
-    """Take all slots; a request that queues at the group would be late."""
+    """Take all slots, and let requests of other hosts fill the queue at the group."""
     for number in range(100, 100 + relaying.slots):
         relaying.arrive(STREAM, number=number)
+    relaying.balancer.peers_in_flight_by_id["h0"] = QUEUED_PER_SERVER
 
 
 def _peers(relaying: Relaying, count: int, *, late: bool = False) -> None:
@@ -153,11 +155,12 @@
     relaying.requests.tick(now=0.4)
     relaying.arrive(STREAM, number=2, key="batch", now=0.4)
     relaying.arrive(STREAM, number=3, now=0.41)
+    relaying.balancer.peers_in_flight_by_id.clear()
     for attempt in relaying.sent[:2]:
         relaying.requests.answer_end(attempt.id, cut=False, now=0.45)
     numbers = [attempt.request_number for attempt in relaying.sent[2:]]
-    assert numbers == [3, 2]
-    assert [attempt.priority for attempt in relaying.sent[2:]] == [1, 4]
+    assert numbers == [3, 2, 1]
+    assert [attempt.priority for attempt in relaying.sent[2:]] == [1, 4, 6]
 
 
 def test_servers_admit_requests_on_time_before_late_ones() -> None:
