--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -3,8 +3,8 @@
 What other hosts report about a server is some tenths of a second old. A host that took
 the reported loads for the current ones would send its waiting requests to each slot
 that is reported free, and so would all other hosts. Each host therefore estimates how
-many slots are free and how many requests of all hosts compete for them, and sends a
-request with the probability that it is among those that fit.
+many slots are free, subtracts the requests of all hosts that go before a request, and
+sends the request with the probability that it is among those of its equals that fit.
 """
 
 from __future__ import annotations
--- a/ryelever/coordination/relaying/refusals.py
+++ b/ryelever/coordination/relaying/refusals.py
@@ -60,10 +60,6 @@
         *,
         version: int,
         retry_after: float = DEFAULT_RETRY_AFTER,
-        rank: tuple[int, int] | None = None,
-        n_ahead: int | None = None,
-        expected_wait: float | None = None,
-        views_age: float | None = None,
     ) -> None:
         """Refuse a request that was not accepted.
 
@@ -73,14 +69,6 @@
             Version of the configuration in use; -1 for none.
         retry_after : float
             Seconds after which the caller should retry; sent with status 503 only.
-        rank : tuple of (int, int) or None
-            Rank of a request of a contended service.
-        n_ahead : int or None
-            Waiting requests of all hosts that go before this one; None if unknown.
-        expected_wait : float or None
-            Seconds until the request was expected to be sent; None if unknown.
-        views_age : float or None
-            Age in seconds of the oldest heartbeat used; None if there was none.
         """
         refusal = RelayRefusal(
             request_id=arrival.request_id,
@@ -89,18 +77,7 @@
             retry_after=retry_after if status == 503 else None,
         )
         self._outbox.refuse(number, refusal)
-        fields: dict[str, object] = {}
-        if rank is not None and reason in ROOM_REASONS:
-            self._reports.refused_for_room(model=arrival.model, rank=rank)
-            fields = _room_fields(
-                refusal,
-                rank=rank,
-                n_ahead=n_ahead,
-                expected_wait=expected_wait,
-                views_age=views_age,
-            )
-            fields["model"] = arrival.model
-        self._reports.refused(refusal, version=version, **fields)
+        self._reports.refused(refusal, version=version)
 
     def end_without_answer(
         self,
@@ -120,8 +97,12 @@
         retry_after : float
             Seconds after which the caller should retry; sent only if the request was
             not run.
-        n_ahead, expected_wait, views_age
-            As for ``refuse_on_arrival``.
+        n_ahead : int or None
+            Waiting requests of all hosts that go before this one; None if unknown.
+        expected_wait : float or None
+            Seconds until the request was expected to be sent; None if unknown.
+        views_age : float or None
+            Age in seconds of the oldest heartbeat used; None if there was none.
         """
         if request.phase is RequestPhase.STREAMING:
             self._outbox.abort(request.number)
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -169,17 +169,13 @@
             "quarantined", request=request.arrival.request_id, n_crashes=n_crashes
         )
 
-    def refused(
-        self, refusal: RelayRefusal, *, version: int, **room_fields: object
-    ) -> None:
+    def refused(self, refusal: RelayRefusal, *, version: int) -> None:
         """Log a request that was not accepted.
 
         Parameters
         ----------
         version : int
             Version of the configuration in use; -1 for none.
-        **room_fields : object
-            Log fields of a refusal for lack of a slot.
         """
         self._log(
             "refused",
@@ -187,7 +183,6 @@
             status=refusal.status,
             reason=refusal.reason,
             version=version,
-            **room_fields,
         )
 
     def answered(
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -278,13 +278,7 @@
         "expected_wait",
     ),
     "refused": _info(
-        "a request was not accepted",
-        "request",
-        "status",
-        "reason",
-        "version",
-        "model",
-        *_ROOM,
+        "a request was not accepted", "request", "status", "reason", "version"
     ),
     "request_failed": _info(
         "a request ended with an error", "request", "code", "run_state", *_FAILURE
