--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -387,6 +387,10 @@
         """Return the slots of all candidates in zones that are not evacuated."""
         return sum(server.slots for server in self._usable(service, model))
 
+    def has_usable(self, service: str, model: str, *, excluded: set[str]) -> bool:
+        """Return whether a server that is not excluded can run such requests."""
+        return any(server.id not in excluded for server in self._usable(service, model))
+
     def mean_durations(self) -> dict[str, float]:
         """Return the mean seconds that requests are in flight, by service and model."""
         return self._unreported.mean_durations()
--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -132,7 +132,11 @@
                     continue
                 if not request.tried and not is_guaranteed:
                     full_from[work] = order
-            if not self._refuse_if_hopeless(request, n_ahead=n_ahead, now=now):
+            # A request that was sent to all servers waits for another one, and leaves
+            # the slots of these to its successors.
+            if not self._refuse_if_hopeless(
+                request, n_ahead=n_ahead, now=now
+            ) and self._contention.is_untried_left(request):
                 n_ahead_by_work[work] = n_ahead + 1
 
     def time_out(self, request: RelayRequest, *, now: float) -> None:
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -31,7 +31,8 @@
 
 __all__ = ["NO_SERVER_WAIT", "Contention"]
 
-#: Seconds for which a request waits while no server can run it: a group may open.
+#: Seconds for which a request waits while there is no server to which it may be sent:
+#: a group may open.
 NO_SERVER_WAIT = 2.0
 
 #: Seconds before a caller gives up at which it must have its first event or refusal.
@@ -122,7 +123,7 @@
     def waits_until(self, request: RelayRequest, *, now: float) -> float:
         """Return the time until which a request waits that begins to wait now."""
         has_begun = request.phase is RequestPhase.STREAMING
-        if has_begun or not self._n_slots(request.work, now=now):
+        if has_begun or not self._has_server(request, now=now):
             return min(now + NO_SERVER_WAIT, request.times_out_at)
         return self._latest_start(request)
 
@@ -133,7 +134,7 @@
         """
         if request.phase is RequestPhase.STREAMING:
             return
-        if self._n_slots(request.work, now=now):
+        if self._has_server(request, now=now):
             request.waits_until = self._latest_start(request)
         else:
             request.waits_until = min(request.waits_until, now + NO_SERVER_WAIT)
@@ -245,6 +246,22 @@
         latest_start = self._latest_start(request)
         return estimate.is_hopeless(latest_start=latest_start, now=now)
 
+    def is_untried_left(self, request: RelayRequest) -> bool:
+        """Return whether a request was not yet sent to all usable servers.
+
+        A request that was sent to none counts as one that was not, even if no server
+        is usable.
+        """
+        if not request.tried:
+            return True
+        return self._balancer.has_usable(*request.work, excluded=request.tried)
+
+    def _has_server(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request may be sent to some server once there is room."""
+        return self._n_slots(request.work, now=now) > 0 and self.is_untried_left(
+            request
+        )
+
     def _latest_start(self, request: RelayRequest) -> float:
         """Return the time after which a slot is of no use to a request's caller."""
         mean_duration = self._balancer.mean_duration(*request.work)
--- /dev/null
+++ b/tests/test_coordination/test_relaying/test_contended_requests.py
@@ -0,0 +1,61 @@
+"""Test requests of contended services that can't be sent to any server for a while."""
+
+from __future__ import annotations
+
+import pytest
+
+from ryelever.relay_settings import ContentionMode
+from ryelever.state.routes import RouteKind
+
+from .relay_fakes import Relaying, contended_table, head
+
+STREAM = RouteKind.STREAM
+
+
+@pytest.fixture
+def relaying() -> Relaying:
+    """Return a host with one group of two slots."""
+    relaying = Relaying(n_servers=1, slots=2, contention=ContentionMode.ON)
+    relaying.route_table = contended_table()
+    return relaying
+
+
+def _reject(relaying: Relaying, number: int, *, now: float) -> None:
+    """Let the group reject a request that was sent to it."""
+    (attempt,) = (item for item in relaying.sent if item.request_number == number)
+    rejected = head(f"r{number}", status=503, not_run=True)
+    relaying.requests.answer_head(attempt.id, rejected, now=now)
+
+
+def _refused(relaying: Relaying) -> list[int]:
+    return [item[1] for item in relaying.out if item[0] == "refuse"]
+
+
+def test_request_that_no_server_is_left_for_takes_no_room(relaying: Relaying) -> None:
+    """Guard against idle slots kept for requests that were sent to all servers.
+
+    A request isn't sent to a group twice. If the only group has rejected two requests,
+    they wait for another group and would count as competitors for its two slots.
+    """
+    for number in (1, 2):
+        relaying.arrive(STREAM, number=number)
+    for number in (1, 2):
+        _reject(relaying, number, now=0.1)
+    relaying.arrive(STREAM, number=3, now=0.2)
+    # The group is no longer avoided for the rejections, and all three are late.
+    relaying.requests.tick(now=0.8)
+    assert [item.request_number for item in relaying.sent] == [1, 2, 3]
+
+
+def test_request_that_no_server_is_left_for_is_refused_soon(
+    relaying: Relaying,
+) -> None:
+    """Guard against requests held until their timeout that no server can take.
+
+    Another host could send the request to the group again.
+    """
+    relaying.arrive(STREAM, number=1)
+    _reject(relaying, 1, now=0.1)
+    for index in range(1, 25):
+        relaying.requests.tick(now=index * 0.1)
+    assert _refused(relaying) == [1]
