--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -122,9 +122,10 @@
 
     def waits_until(self, request: RelayRequest, *, now: float) -> float:
         """Return the time until which a request waits that begins to wait now."""
-        has_begun = request.phase is RequestPhase.STREAMING
-        if has_begun or not self._has_server(request, now=now):
+        if request.phase is RequestPhase.STREAMING:
             return min(now + NO_SERVER_WAIT, request.times_out_at)
+        if not self._has_server(request, now=now):
+            return min(now + NO_SERVER_WAIT, _latest_refusal(request))
         return self._latest_start(request)
 
     def renew_wait(self, request: RelayRequest, *, now: float) -> None:
@@ -137,7 +138,9 @@
         if self._has_server(request, now=now):
             request.waits_until = self._latest_start(request)
         else:
-            request.waits_until = min(request.waits_until, now + NO_SERVER_WAIT)
+            request.waits_until = min(
+                request.waits_until, now + NO_SERVER_WAIT, _latest_refusal(request)
+            )
 
     def renew_draws(self, waiting: Iterable[RelayRequest], *, now: float) -> None:
         """Renew the draws of waiting requests, given in the order of their dispatch.
@@ -323,6 +326,12 @@
         return n_ahead, n_equal
 
 
+def _latest_refusal(request: RelayRequest) -> float:
+    """Return the time until which a caller that has got no event notices a refusal."""
+    gives_up_at = request.arrival.arrived_at + request.route.caller_patience
+    return min(request.times_out_at, gives_up_at - GIVING_UP_MARGIN)
+
+
 def _time_left(request: RelayRequest, *, now: float) -> float:
     """Return the seconds until the first event of a request would be late."""
     elapsed = now - request.arrival.arrived_at + request.age_at_arrival
--- a/tests/test_coordination/test_relaying/test_contended_requests.py
+++ b/tests/test_coordination/test_relaying/test_contended_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from msgspec.structs import replace
 
 from ryelever.relay_settings import ContentionMode
 from ryelever.state.routes import RouteKind
@@ -59,3 +60,19 @@
     for index in range(1, 25):
         relaying.requests.tick(now=index * 0.1)
     assert _refused(relaying) == [1]
+
+
+def test_caller_is_refused_before_it_gives_up_without_a_group() -> None:
+    """Guard against refusals that come after the caller has given up.
+
+    Such a caller doesn't retry, so its request is lost although a group may open.
+    """
+    relaying = Relaying(n_servers=0, contention=ContentionMode.ON)
+    table = contended_table()
+    ((host, routes),) = table.routes_by_host.items()
+    routes = [replace(route, caller_patience=1.5) for route in routes]
+    relaying.route_table = replace(table, routes_by_host={host: routes})
+    relaying.arrive(STREAM, number=1)
+    for index in range(1, 14):
+        relaying.requests.tick(now=index * 0.1)
+    assert _refused(relaying) == [1]
