--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -313,6 +313,8 @@
             waited = self._waiting.has_timed_out(request, now=now)
             if waited or now >= request.times_out_at:
                 self._time_out(request, now=now)
+            elif self.refuses_new and self._contended.may_refuse(request):
+                self._end_without_answer(request, "stopping", now=now)
         for server_id in self._stall_watch.newly_stalled(now=now):
             self._leave_stalled(server_id, now=now)
         self.dispatch_waiting(now=now)
--- a/tests/test_coordination/test_relaying/test_contended_requests.py
+++ b/tests/test_coordination/test_relaying/test_contended_requests.py
@@ -5,6 +5,7 @@
 import pytest
 from msgspec.structs import replace
 
+from ryelever.coordination.relaying.refusals import DEFAULT_RETRY_AFTER
 from ryelever.relay_settings import ContentionMode
 from ryelever.state.routes import RouteKind
 
@@ -76,3 +77,19 @@
     for index in range(1, 14):
         relaying.requests.tick(now=index * 0.1)
     assert _refused(relaying) == [1]
+
+
+def test_stopping_host_refuses_requests_that_wait(relaying: Relaying) -> None:
+    """Guard against requests that wait at a host until its process ends.
+
+    They may wait for longer than the rest of the grace period. If they get a slot,
+    their streams are cut off; if not, their connections close without an answer.
+    """
+    for number in (1, 2, 3):
+        relaying.arrive(STREAM, number=number)
+    assert [item.request_number for item in relaying.sent] == [1, 2]
+    relaying.requests.refuses_new = True
+    relaying.requests.tick(now=0.1)
+    assert relaying.out == [("refuse", 3, 503, DEFAULT_RETRY_AFTER)]
+    assert not relaying.requests.has_waiting
+    assert sorted(relaying.requests.requests_by_number) == [1, 2]
