--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -15,6 +15,7 @@
 from .batch_room import BatchRoom, Competitors
 from .caller_ages import CallerAges
 from .first_event import FirstEventEstimate
+from .peer_counts import PeerCounts
 from .rank_shares import RankShares
 from .ranks import clamped_rank, rank_step
 from .request import RequestPhase
@@ -71,6 +72,7 @@
         "_first_events",
         "_fleets_by_work",
         "_mode",
+        "_peer_counts",
         "_random",
         "_resumed_at",
         "_shares",
@@ -88,6 +90,7 @@
         self._balancer = balancer
         self._first_events = FirstEventEstimate()
         self._shares = RankShares()
+        self._peer_counts = PeerCounts()
         self._ages = CallerAges()
         self._fleets_by_work: dict[tuple[str, str], _Fleet] = {}
         self._random = random.Random(seed)
@@ -315,15 +318,7 @@
 
     def _n_peers_waiting(self, work: tuple[str, str], order: Order) -> tuple[int, int]:
         """Return how many requests of other hosts go before a request or equal it."""
-        n_ahead = n_equal = 0
-        for row in self._balancer.peers_waiting:
-            if (row.service, row.model) == work:
-                other = (row.late, rank_step(row.rank))
-                if other < order:
-                    n_ahead += row.count
-                elif other == order:
-                    n_equal += row.count
-        return n_ahead, n_equal
+        return self._peer_counts.ahead(self._balancer.peers_waiting, work, order)
 
 
 def _latest_refusal(request: RelayRequest) -> float:
--- a/ryelever/coordination/relaying/ranks.py
+++ b/ryelever/coordination/relaying/ranks.py
@@ -16,11 +16,15 @@
 
 def clamped_rank(rank: tuple[int, int]) -> tuple[int, int]:
     """Return a rank whose priorities are within their bounds."""
-    account, route = (max(0, min(MAX_RANK_PRIORITY, part)) for part in rank)
-    return account, route
+    account, route = rank
+    return _clamped(account), _clamped(route)
 
 
 def rank_step(rank: tuple[int, int]) -> int:
     """Return the step of a rank; 0 is the most urgent and 9 the least."""
     account, route = clamped_rank(rank)
     return min(MAX_STEP, RANK_STEPS * account + route)
+
+
+def _clamped(priority: int) -> int:
+    return max(0, min(MAX_RANK_PRIORITY, priority))
