--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -23,7 +23,7 @@
     from ...state.directory import BackendServer
     from .levelling import ServerLoad
 
-__all__ = ["BatchRoom", "Competitors"]
+__all__ = ["GUARANTEED_PATIENCE", "BatchRoom", "Competitors"]
 
 #: Maximum part of all slots that is reserved for requests that go before others.
 MAX_RESERVED_SHARE = 0.5
@@ -33,10 +33,11 @@
 #: slots after a burst that new ones were late for four more seconds.
 RISING_SHARE = 1 / 3
 
-#: Part of the free slots that is left to the requests of a rank which have waited for
-#: half of their time, whatever goes before them. Otherwise more urgent requests than
-#: the groups can run would starve the others.
+#: Part of the free slots that is left to the requests of a rank whose patience is below
+#: ``GUARANTEED_PATIENCE``, whatever goes before them. Otherwise more urgent requests
+#: than the groups can run would starve the others.
 GUARANTEED_SHARE = 0.12
+GUARANTEED_PATIENCE = 0.5
 
 
 class Competitors(msgspec.Struct, kw_only=True, frozen=True):
@@ -181,9 +182,9 @@
     def guaranteed_share(self) -> float:
         """Return the part of the free slots that is left to this request's rank."""
         competitors = self._competitors
-        if not competitors.is_outranked or competitors.patience >= 0.5:
-            return 0.0
-        return GUARANTEED_SHARE
+        if competitors.is_outranked and competitors.patience < GUARANTEED_PATIENCE:
+            return GUARANTEED_SHARE
+        return 0.0
 
     def limit(self, server: BackendServer, *, slots: float) -> float:
         """Return how many requests may be in flight at a server with this one.
--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -12,7 +12,6 @@
     from collections.abc import Callable, Iterable
 
     from .balance import Balancer
-    from .batch_room import BatchRoom
     from .contention import Contention
     from .rank_shares import Order
     from .reports import RequestReports
@@ -125,10 +124,9 @@
             work = request.work
             n_ahead = n_ahead_by_work.get(work, 0)
             order = self._contention.order(request, now=now)
-            room = self._contention.room(request, n_ahead=n_ahead, now=now)
-            is_guaranteed = room.guaranteed_share > 0.0
+            is_guaranteed = self._contention.is_guaranteed(request, now=now)
             if work not in full_from or order < full_from[work] or is_guaranteed:
-                if self._send(request, room, now=now):
+                if self._send(request, n_ahead=n_ahead, now=now):
                     continue
                 if not request.tried and not is_guaranteed:
                     full_from[work] = order
@@ -158,7 +156,8 @@
         reason = "no_chance" if estimate.n_slots else "no_place"
         self._refuse_for_room(request, reason, estimate, now=now)
 
-    def _send(self, request: RelayRequest, room: BatchRoom, *, now: float) -> bool:
+    def _send(self, request: RelayRequest, *, n_ahead: int, now: float) -> bool:
+        room = self._contention.room(request, n_ahead=n_ahead, now=now)
         was_sent = self._dispatch(request, room=room, now=now)
         self._contention.examined(request, room)
         if was_sent:
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ...relay_settings import ContentionMode
-from .batch_room import BatchRoom, Competitors
+from .batch_room import GUARANTEED_PATIENCE, BatchRoom, Competitors
 from .caller_ages import CallerAges
 from .first_event import FirstEventEstimate
 from .peer_counts import PeerCounts
@@ -180,9 +180,6 @@
         balancer = self._balancer
         order = self.order(request, now=now)
         share_ahead, reserved_time = self._shares.ahead(request.work, order, now=now)
-        arrived_at = request.arrival.arrived_at
-        may_wait = max(request.waits_until - arrived_at, 1e-3)
-        patience = min(1.0, max(0.0, request.waits_until - now) / may_wait)
         n_peers_ahead, n_peers_equal = self._n_peers_waiting(request.work, order)
         first_events = self._first_events
 
@@ -198,9 +195,9 @@
                 n_peers_ahead=n_peers_ahead,
                 n_peers_equal=n_peers_equal,
                 share_ahead=share_ahead,
-                is_outranked=self._shares.is_outranked(request.work, order),
+                is_outranked=self._shares.is_outranked(request.work, order, now=now),
                 reserved_time=reserved_time,
-                patience=patience,
+                patience=_patience(request, now=now),
             ),
             time_left=0.0 if order[0] else _time_left(request, now=now),
             first_event=request.expected_first_event,
@@ -212,6 +209,13 @@
             draw=request.draw,
         )
 
+    def is_guaranteed(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a part of the free slots is left to a request's rank."""
+        if _patience(request, now=now) >= GUARANTEED_PATIENCE:
+            return False
+        order = self.order(request, now=now)
+        return self._shares.is_outranked(request.work, order, now=now)
+
     def examined(self, request: RelayRequest, room: BatchRoom) -> None:
         """Remember what a decision about a request has found."""
         self._fleet(request.work).n_in_flight = room.n_in_flight
@@ -327,6 +331,12 @@
     return min(request.times_out_at, gives_up_at - GIVING_UP_MARGIN)
 
 
+def _patience(request: RelayRequest, *, now: float) -> float:
+    """Return the part of the time for which a request may wait that is left."""
+    may_wait = max(request.waits_until - request.arrival.arrived_at, 1e-3)
+    return min(1.0, max(0.0, request.waits_until - now) / may_wait)
+
+
 def _time_left(request: RelayRequest, *, now: float) -> float:
     """Return the seconds until the first event of a request would be late."""
     elapsed = now - request.arrival.arrived_at + request.age_at_arrival
--- a/ryelever/coordination/relaying/rank_shares.py
+++ b/ryelever/coordination/relaying/rank_shares.py
@@ -76,8 +76,9 @@
             return 0.0, 0.0
         return n_ahead / n_total, seconds / n_total
 
-    def is_outranked(self, work: tuple[str, str], order: Order) -> bool:
+    def is_outranked(self, work: tuple[str, str], order: Order, *, now: float) -> bool:
         """Return whether there have been arrivals of more urgent ranks."""
+        self._turn_over(now=now)
         step = order[1]
         return any(
             other_step < step
