--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -12,7 +12,6 @@
     from collections.abc import Callable, Iterable
 
     from .balance import Balancer
-    from .batch_room import BatchRoom
     from .contention import Contention
     from .rank_shares import Order
     from .reports import RequestReports
@@ -125,23 +124,40 @@
             work = request.work
             n_ahead = n_ahead_by_work.get(work, 0)
             order = self._contention.order(request, now=now)
-            room = self._contention.room(request, n_ahead=n_ahead, now=now)
-            is_guaranteed = room.guaranteed_share > 0.0
+            is_guaranteed = self._contention.is_guaranteed(request, now=now)
             if work not in full_from or order < full_from[work] or is_guaranteed:
-                if self._send(request, room, now=now):
+                if self._send(request, n_ahead=n_ahead, now=now):
                     continue
                 if not request.tried and not is_guaranteed:
                     full_from[work] = order
-            if not self._refuse_if_hopeless(request, n_ahead=n_ahead, now=now):
+            # A request that was sent to all servers waits for another one, and leaves
+            # the slots of these to its successors.
+            if not self._refuse_if_hopeless(
+                request, n_ahead=n_ahead, now=now
+            ) and self._contention.is_untried_left(request):
                 n_ahead_by_work[work] = n_ahead + 1
 
+    def may_refuse(self, request: RelayRequest) -> bool:
+        """Return whether a request waits that has not run at any server.
+
+        A stopping host refuses it, since it may wait until the process ends. Requests
+        of other services wait for less time than that.
+        """
+        return (
+            request.contended
+            and self._waiting.includes(request)
+            and request.phase is RequestPhase.WAITING
+            and not request.may_have_run
+        )
+
     def time_out(self, request: RelayRequest, *, now: float) -> None:
         """Refuse a request that has waited as long as it may."""
         estimate = self._estimate(request, n_ahead=0, now=now)
         reason = "no_chance" if estimate.n_slots else "no_place"
         self._refuse_for_room(request, reason, estimate, now=now)
 
-    def _send(self, request: RelayRequest, room: BatchRoom, *, now: float) -> bool:
+    def _send(self, request: RelayRequest, *, n_ahead: int, now: float) -> bool:
+        room = self._contention.room(request, n_ahead=n_ahead, now=now)
         was_sent = self._dispatch(request, room=room, now=now)
         self._contention.examined(request, room)
         if was_sent:
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -12,9 +12,10 @@
 import msgspec
 
 from ...relay_settings import ContentionMode
-from .batch_room import BatchRoom, Competitors
+from .batch_room import GUARANTEED_PATIENCE, BatchRoom, Competitors
 from .caller_ages import CallerAges
 from .first_event import FirstEventEstimate
+from .peer_counts import PeerCounts
 from .rank_shares import RankShares
 from .ranks import clamped_rank, rank_step
 from .request import RequestPhase
@@ -31,7 +32,8 @@
 
 __all__ = ["NO_SERVER_WAIT", "Contention"]
 
-#: Seconds for which a request waits while no server can run it: a group may open.
+#: Seconds for which a request waits while there is no server to which it may be sent:
+#: a group may open.
 NO_SERVER_WAIT = 2.0
 
 #: Seconds before a caller gives up at which it must have its first event or refusal.
@@ -70,6 +72,7 @@
         "_first_events",
         "_fleets_by_work",
         "_mode",
+        "_peer_counts",
         "_random",
         "_resumed_at",
         "_shares",
@@ -87,6 +90,7 @@
         self._balancer = balancer
         self._first_events = FirstEventEstimate()
         self._shares = RankShares()
+        self._peer_counts = PeerCounts()
         self._ages = CallerAges()
         self._fleets_by_work: dict[tuple[str, str], _Fleet] = {}
         self._random = random.Random(seed)
@@ -121,9 +125,10 @@
 
     def waits_until(self, request: RelayRequest, *, now: float) -> float:
         """Return the time until which a request waits that begins to wait now."""
-        has_begun = request.phase is RequestPhase.STREAMING
-        if has_begun or not self._n_slots(request.work, now=now):
+        if request.phase is RequestPhase.STREAMING:
             return min(now + NO_SERVER_WAIT, request.times_out_at)
+        if not self._has_server(request, now=now):
+            return min(now + NO_SERVER_WAIT, _latest_refusal(request))
         return self._latest_start(request)
 
     def renew_wait(self, request: RelayRequest, *, now: float) -> None:
@@ -133,10 +138,12 @@
         """
         if request.phase is RequestPhase.STREAMING:
             return
-        if self._n_slots(request.work, now=now):
+        if self._has_server(request, now=now):
             request.waits_until = self._latest_start(request)
         else:
-            request.waits_until = min(request.waits_until, now + NO_SERVER_WAIT)
+            request.waits_until = min(
+                request.waits_until, now + NO_SERVER_WAIT, _latest_refusal(request)
+            )
 
     def renew_draws(self, waiting: Iterable[RelayRequest], *, now: float) -> None:
         """Renew the draws of waiting requests, given in the order of their dispatch.
@@ -173,9 +180,6 @@
         balancer = self._balancer
         order = self.order(request, now=now)
         share_ahead, reserved_time = self._shares.ahead(request.work, order, now=now)
-        arrived_at = request.arrival.arrived_at
-        may_wait = max(request.waits_until - arrived_at, 1e-3)
-        patience = min(1.0, max(0.0, request.waits_until - now) / may_wait)
         n_peers_ahead, n_peers_equal = self._n_peers_waiting(request.work, order)
         first_events = self._first_events
 
@@ -191,9 +195,9 @@
                 n_peers_ahead=n_peers_ahead,
                 n_peers_equal=n_peers_equal,
                 share_ahead=share_ahead,
-                is_outranked=self._shares.is_outranked(request.work, order),
+                is_outranked=self._shares.is_outranked(request.work, order, now=now),
                 reserved_time=reserved_time,
-                patience=patience,
+                patience=_patience(request, now=now),
             ),
             time_left=0.0 if order[0] else _time_left(request, now=now),
             first_event=request.expected_first_event,
@@ -205,6 +209,13 @@
             draw=request.draw,
         )
 
+    def is_guaranteed(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a part of the free slots is left to a request's rank."""
+        if _patience(request, now=now) >= GUARANTEED_PATIENCE:
+            return False
+        order = self.order(request, now=now)
+        return self._shares.is_outranked(request.work, order, now=now)
+
     def examined(self, request: RelayRequest, room: BatchRoom) -> None:
         """Remember what a decision about a request has found."""
         self._fleet(request.work).n_in_flight = room.n_in_flight
@@ -245,6 +256,22 @@
         latest_start = self._latest_start(request)
         return estimate.is_hopeless(latest_start=latest_start, now=now)
 
+    def is_untried_left(self, request: RelayRequest) -> bool:
+        """Return whether a request was not yet sent to all usable servers.
+
+        A request that was sent to none counts as one that was not, even if no server
+        is usable.
+        """
+        if not request.tried:
+            return True
+        return self._balancer.has_usable(*request.work, excluded=request.tried)
+
+    def _has_server(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request may be sent to some server once there is room."""
+        return self._n_slots(request.work, now=now) > 0 and self.is_untried_left(
+            request
+        )
+
     def _latest_start(self, request: RelayRequest) -> float:
         """Return the time after which a slot is of no use to a request's caller."""
         mean_duration = self._balancer.mean_duration(*request.work)
@@ -295,15 +322,19 @@
 
     def _n_peers_waiting(self, work: tuple[str, str], order: Order) -> tuple[int, int]:
         """Return how many requests of other hosts go before a request or equal it."""
-        n_ahead = n_equal = 0
-        for row in self._balancer.peers_waiting:
-            if (row.service, row.model) == work:
-                other = (row.late, rank_step(row.rank))
-                if other < order:
-                    n_ahead += row.count
-                elif other == order:
-                    n_equal += row.count
-        return n_ahead, n_equal
+        return self._peer_counts.ahead(self._balancer.peers_waiting, work, order)
+
+
+def _latest_refusal(request: RelayRequest) -> float:
+    """Return the time until which a caller that has got no event notices a refusal."""
+    gives_up_at = request.arrival.arrived_at + request.route.caller_patience
+    return min(request.times_out_at, gives_up_at - GIVING_UP_MARGIN)
+
+
+def _patience(request: RelayRequest, *, now: float) -> float:
+    """Return the part of the time for which a request may wait that is left."""
+    may_wait = max(request.waits_until - request.arrival.arrived_at, 1e-3)
+    return min(1.0, max(0.0, request.waits_until - now) / may_wait)
 
 
 def _time_left(request: RelayRequest, *, now: float) -> float:
