--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -27,6 +27,31 @@
 NEVER = float("-inf")
 
 
+class _FullGroups:
+    """Remember during a dispatch which requests find no room in any group."""
+
+    __slots__ = ("_full_ranks", "_order_by_work")
+
+    def __init__(self) -> None:
+        self._order_by_work: dict[tuple[str, str], Order] = {}
+        self._full_ranks: set[tuple[tuple[str, str], Order]] = set()
+
+    def includes(
+        self, work: tuple[str, str], order: Order, *, is_guaranteed: bool
+    ) -> bool:
+        """Return whether a request finds no room since others found none."""
+        if is_guaranteed:
+            return (work, order) in self._full_ranks
+        return work in self._order_by_work and order >= self._order_by_work[work]
+
+    def add(self, work: tuple[str, str], order: Order, *, is_guaranteed: bool) -> None:
+        """Record that a request has found no room."""
+        if is_guaranteed:
+            self._full_ranks.add((work, order))
+        else:
+            self._order_by_work[work] = order
+
+
 class ContendedRequests:
     """Queue all requests of contended services, and dispatch them in order.
 
@@ -99,8 +124,9 @@
         """Send the waiting requests for which there is room, and refuse hopeless ones.
 
         Once a request finds no room, those that are no more urgent are not tried for
-        the same work: they have less room and higher draws. A request that was already
-        sent to some servers may find none among the others, and says nothing about its
+        the same work: they have less room and higher draws. Of those with a guaranteed
+        part of the slots, this holds for each rank. A request that was already sent to
+        some servers may find none among the others, and says nothing about its
         successors.
 
         Parameters
@@ -110,26 +136,20 @@
         """
         waiting = [item for item in ordered if _may_be_sent(item, now=now)]
         self._contention.renew_draws(waiting, now=now)
-        full_from: dict[tuple[str, str], Order] = {}
+        full = _FullGroups()
         n_ahead_by_work: dict[tuple[str, str], int] = {}
         for request in waiting:
-            refusal = paused(
-                request, self._balancer, waits_until=request.waits_until, now=now
-            )
-            if refusal is not None:
-                self._refuse(
-                    request, refusal.reason, retry_after=refusal.retry_after, now=now
-                )
+            if self._refuse_if_paused(request, now=now):
                 continue
             work = request.work
             n_ahead = n_ahead_by_work.get(work, 0)
             order = self._contention.order(request, now=now)
             is_guaranteed = self._contention.is_guaranteed(request, now=now)
-            if work not in full_from or order < full_from[work] or is_guaranteed:
+            if not full.includes(work, order, is_guaranteed=is_guaranteed):
                 if self._send(request, n_ahead=n_ahead, now=now):
                     continue
-                if not request.tried and not is_guaranteed:
-                    full_from[work] = order
+                if not request.tried:
+                    full.add(work, order, is_guaranteed=is_guaranteed)
             # A request that was sent to all servers waits for another one, and leaves
             # the slots of these to its successors.
             if not self._refuse_if_hopeless(
@@ -164,6 +184,15 @@
             self._waiting.sent(request)
         return was_sent
 
+    def _refuse_if_paused(self, request: RelayRequest, *, now: float) -> bool:
+        refusal = paused(
+            request, self._balancer, waits_until=request.waits_until, now=now
+        )
+        if refusal is None:
+            return False
+        self._refuse(request, refusal.reason, retry_after=refusal.retry_after, now=now)
+        return True
+
     def _refuse_if_hopeless(
         self, request: RelayRequest, *, n_ahead: int, now: float
     ) -> bool:
--- a/tests/test_coordination/test_relaying/test_contended_requests.py
+++ b/tests/test_coordination/test_relaying/test_contended_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 from msgspec.structs import replace
 
@@ -93,3 +95,32 @@
     assert relaying.out == [("refuse", 3, 503, DEFAULT_RETRY_AFTER)]
     assert not relaying.requests.has_waiting
     assert sorted(relaying.requests.requests_by_number) == [1, 2]
+
+
+def test_full_groups_are_examined_once_for_each_rank(
+    relaying: Relaying, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against work that grows with servers times waiting requests.
+
+    Requests that have waited for half of their time may get a slot before more urgent
+    ones. Each of them was compared with all servers, in vain, at each dispatch.
+    """
+    relaying.balancer.record_duration("engines", "large", 0.2)
+    for number in range(30):
+        relaying.arrive(STREAM, number=number, key="batch" if number > 5 else "key")
+    for index in range(1, 36):
+        for attempt in list(relaying.sent):
+            relaying.stall_watch.progressed(attempt.server_id, now=index * 0.1)
+        relaying.requests.tick(now=index * 0.1)
+    assert sum(row.count for row in relaying.requests.waiting_rows()) > 20
+    n_chosen = 0
+    choose = relaying.balancer.choose
+
+    def counted(*args: Any, **settings: Any) -> object:
+        nonlocal n_chosen
+        n_chosen += 1
+        return choose(*args, **settings)
+
+    monkeypatch.setattr(relaying.balancer, "choose", counted)
+    relaying.requests.dispatch_waiting(now=3.6)
+    assert 1 <= n_chosen <= 4
