--- a/ryelever/coordination/groups/disbanding.py
+++ b/ryelever/coordination/groups/disbanding.py
@@ -48,6 +48,8 @@
     paused_models : collection of str
         Models that keep their groups for now.
     """
+    if not rules.engine.models_by_name:
+        return []
     neediest = rules.models_by_need(rules.groups_by_model)[0]
     groups_by_model = dict(rules.groups_by_model)
     groups_by_model[neediest.name] = groups_by_model.get(neediest.name, 0) + n_pending
--- a/ryelever/coordination/groups/forming.py
+++ b/ryelever/coordination/groups/forming.py
@@ -294,7 +294,7 @@
     groups_by_model: dict[str, int],
 ) -> str | None:
     """Return the domain in which no model gets an additional group, if any."""
-    if not rules.contended:
+    if not rules.contended or not rules.engine.models_by_name:
         return None
     neediest = rules.models_by_need(groups_by_model)[0]
     return domain_for_first_group(
--- a/tests/test_coordination/test_groups/test_shifting.py
+++ b/tests/test_coordination/test_groups/test_shifting.py
@@ -245,6 +245,21 @@
     assert formation.model.name == "small"
 
 
+def test_contended_service_without_models_is_planned() -> None:
+    """Guard against a planner that fails for all services because of one.
+
+    With ``contention.mode = on`` each engine service counts as contended, also one that
+    is declared before its models.
+    """
+    rules = replace(
+        rules_of(demand=(0.0, 0.0), groups=(0, 0)),
+        engine=replace(ENGINE, models_by_name={}),
+        contended=True,
+    )
+    assert choose_formations(servers_of(2), rules) == []
+    assert choose_disbanding(servers_of(2), [], rules) == []
+
+
 def test_model_without_a_group_keeps_the_servers_for_its_first_one() -> None:
     """Guard against survivors that join another model's group while a spare loads.
 
