--- a/ryelever/coordination/relaying/caller_ages.py
+++ b/ryelever/coordination/relaying/caller_ages.py
@@ -36,14 +36,13 @@
         Parameters
         ----------
         route : Route
-            Its timeout bounds the times that count.
+            Its timeout bounds the times that count. Without one, no age is estimated:
+            a single caller with a distant deadline would make all others late.
         """
-        if arrival.deadline is None:
+        if arrival.deadline is None or not route.timeout:
             return 0.0
         now = arrival.arrived_at
-        seconds = max(0.0, arrival.deadline - now)
-        if route.timeout:
-            seconds = min(seconds, route.timeout)
+        seconds = min(max(0.0, arrival.deadline - now), route.timeout)
         stated = self._stated_by_route.setdefault(route.name, deque())
         while stated and stated[0][1] < now - STATED_TIMES_KEPT:
             stated.popleft()
--- a/tests/test_coordination/test_relaying/test_wait_estimate.py
+++ b/tests/test_coordination/test_relaying/test_wait_estimate.py
@@ -200,6 +200,20 @@
     assert ages.age(route, requests[1].arrival) == 0.0
 
 
+def test_long_deadline_makes_no_other_caller_late(relaying: Relaying) -> None:
+    """Guard against one caller whose deadline is hours away.
+
+    Nothing bounds the time that callers state on a route without a timeout, so that
+    other callers would seem to have tried for hours.
+    """
+    ((host, routes),) = relaying.route_table.routes_by_host.items()
+    routes = [replace(route, timeout=0.0) for route in routes]
+    relaying.route_table = replace(relaying.route_table, routes_by_host={host: routes})
+    relaying.arrive(STREAM, number=1, time_limit=3600.0)
+    relaying.arrive(STREAM, number=2, time_limit=6.0)
+    assert relaying.requests.requests_by_number[2].age_at_arrival == 0.0
+
+
 def test_shares_forget_former_arrivals() -> None:
     """Guard against slots reserved for urgent callers that have left."""
     shares = RankShares()
