--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -18,9 +18,9 @@
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
-from .server_refusals import limited, paused
+from .uncontended_requests import UncontendedRequests
 from .unrouted import UnroutedArrivals
-from .waiting import DEFAULT_ANSWER, MAX_WAIT, WaitingRequests
+from .waiting import DEFAULT_ANSWER, WaitingRequests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -120,6 +120,12 @@
             dispatch=self._dispatch,
             refuse=self._end_without_answer,
         )
+        self._uncontended = UncontendedRequests(
+            balancer=balancer,
+            waiting=self._waiting,
+            dispatch=self._dispatch,
+            refuse=self._end_without_answer,
+        )
         self.refuses_new = False
 
     @property
@@ -325,18 +331,7 @@
         if not self._waiting:
             return
         waiting = self._waiting.sorted_for_dispatch(now=now)
-        full: set[tuple[str, str]] = set()
-        for request in waiting:
-            if request.contended or self._refuse_if_paused(
-                request, waits_until=request.waits_until, now=now
-            ):
-                continue
-            if request.work in full and not request.tried:
-                continue
-            if self._dispatch(request, now=now):
-                self._waiting.discard(request)
-            else:
-                full.add(request.work)
+        self._uncontended.dispatch((r for r in waiting if not r.contended), now=now)
         self._contended.dispatch((r for r in waiting if r.contended), now=now)
 
     def _dispatch_contended(self, *, now: float) -> None:
@@ -427,39 +422,10 @@
 
     def _send_or_wait(self, request: RelayRequest, *, now: float) -> None:
         """Send a request, let it wait for a free slot, or refuse it."""
-        if request.contended:
-            if request.phase is RequestPhase.SENT:
-                request.phase = RequestPhase.WAITING
-            self._contended.add(request, now=now)
-            return
-        if not self._dispatch(request, now=now):
-            if request.phase is RequestPhase.SENT:
-                request.phase = RequestPhase.WAITING
-            self._wait_or_refuse(request, now=now)
-
-    def _wait_or_refuse(self, request: RelayRequest, *, now: float) -> None:
-        """Queue a request for a free slot, unless none can become free in time."""
-        if self._refuse_if_paused(request, waits_until=now + MAX_WAIT, now=now):
-            return
-        refusal = limited(request, self._balancer, waiting=self._waiting, now=now)
-        if refusal is None:
-            self._waiting.add(request, now=now)
-            return
-        self._end_without_answer(
-            request, refusal.reason, retry_after=refusal.retry_after, now=now
-        )
-
-    def _refuse_if_paused(
-        self, request: RelayRequest, *, waits_until: float, now: float
-    ) -> bool:
-        """Refuse a request if the servers left for it are paused while it may wait."""
-        refusal = paused(request, self._balancer, waits_until=waits_until, now=now)
-        if refusal is None:
-            return False
-        self._end_without_answer(
-            request, refusal.reason, retry_after=refusal.retry_after, now=now
-        )
-        return True
+        if request.phase is RequestPhase.SENT:
+            request.phase = RequestPhase.WAITING
+        queue = self._contended if request.contended else self._uncontended
+        queue.add(request, now=now)
 
     def _may_retry(self, request: RelayRequest, *, now: float) -> bool:
         if request.may_have_run and not request.route.repeatable:
