--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -9,11 +9,12 @@
 from expression import Error, Ok, Result
 
 from ...state.routes import RouteKind
+from .actions import RelayAttempt
 from .ranks import MAX_STEP, rank_step
 
 if TYPE_CHECKING:
+    from ...state.directory import BackendServer
     from ...state.routes import Route, RouteAccount, RouteTable
-    from .actions import RelayAttempt
     from .messages import AnswerHead, RelayArrival
 
 __all__ = ["RelayRequest", "RequestPhase", "is_after", "routed_request"]
@@ -145,6 +146,33 @@
         urgency = min(n_each - 1, (rank_step(self.rank) + 1) // 2)
         return urgency + n_each * (now > self.on_time_until)
 
+    def begin_attempt(
+        self, attempt_id: str, server: BackendServer, *, now: float
+    ) -> RelayAttempt:
+        """Begin an attempt to send the request to a server, and return the attempt."""
+        self.attempt = RelayAttempt(
+            id=attempt_id,
+            request_number=self.number,
+            server_id=server.id,
+            started_at=server.started_at,
+            address=server.address,
+            deadline=self.deadline,
+            account=self.account,
+            priority=self.attempt_priority(now=now),
+            last_event_id=self.last_event_id,
+            new_connection=not self.route.repeatable,
+        )
+        self.expected_at_server = 0.0
+        self.head = None
+        self.body.clear()
+        self.n_events = 0
+        self.n_sent += 1
+        self.sent_at = now
+        self.tried.add(server.id)
+        if self.phase is RequestPhase.WAITING:
+            self.phase = RequestPhase.SENT
+        return self.attempt
+
 
 class ArrivalRefusal(msgspec.Struct, kw_only=True, frozen=True):
     """The status and reason of a refusal on arrival."""
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -11,7 +11,6 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from .actions import RelayAttempt
 from .answer_notices import AnswerNotices
 from .contended_requests import ContendedRequests
 from .contention import Contention
@@ -355,30 +354,9 @@
         )
         if server is None:
             return False
-        attempt = RelayAttempt(
-            id=f"r{next(self._attempt_ids)}",
-            request_number=request.number,
-            server_id=server.id,
-            started_at=server.started_at,
-            address=server.address,
-            deadline=request.deadline,
-            account=request.account,
-            priority=request.attempt_priority(now=now),
-            last_event_id=request.last_event_id,
-            new_connection=not request.route.repeatable,
-        )
-        request.attempt = attempt
-        request.expected_at_server = 0.0
-        request.head = None
-        request.body.clear()
-        request.n_events = 0
-        request.n_sent += 1
-        request.sent_at = now
-        request.tried.add(server.id)
+        attempt = request.begin_attempt(f"r{next(self._attempt_ids)}", server, now=now)
         limited = self._balancer.limits.rate(server.id, now=now) is not None
         self._reports.sent(request, limited=limited, now=now)
-        if request.phase is RequestPhase.WAITING:
-            request.phase = RequestPhase.SENT
         self._requests_by_attempt[attempt.id] = request
         self._balancer.sent(server.id)
         self._balancer.limits.sent(server.id, now=now)
