--- a/tests/test_coordination/test_relaying/test_contended_requests.py
+++ b/tests/test_coordination/test_relaying/test_contended_requests.py
@@ -124,3 +124,25 @@
     monkeypatch.setattr(relaying.balancer, "choose", counted)
     relaying.requests.dispatch_waiting(now=3.6)
     assert 1 <= n_chosen <= 4
+
+
+def test_request_for_paused_groups_waits_or_is_refused(relaying: Relaying) -> None:
+    """Guard against requests sent to a paused group, or held though it stays paused."""
+    relaying.balancer.pauses.record("h0", None, seconds=2.0, now=0.0)
+    relaying.arrive(STREAM, number=1, time_limit=1.5)
+    assert _refused(relaying) == [1]
+    relaying.arrive(STREAM, number=2, time_limit=6.0)
+    for index in range(1, 22):
+        relaying.requests.tick(now=index * 0.1)
+        assert bool(relaying.sent) == (index > 19)
+    assert [item.request_number for item in relaying.sent] == [2]
+
+
+def test_request_for_evacuated_groups_is_refused_soon(relaying: Relaying) -> None:
+    """Guard against requests that wait for groups of an evacuated zone."""
+    relaying.balancer._is_evacuated = lambda zone: True
+    relaying.arrive(STREAM, number=1)
+    for index in range(1, 25):
+        relaying.requests.tick(now=index * 0.1)
+    assert relaying.sent == []
+    assert _refused(relaying) == [1]
