--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,12 +11,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .contention import MODELS, PATH_BY_ROUTE, PRIORITY_BY_ACCOUNT, burst_of
+
 __all__ = ["Call", "Callers", "Kind"]
 
 #: Deadline in seconds that a caller sends with each request.  The caller itself waits
 #: twice as long on its connection.
 CALL_DEADLINE = 4.0
 
+#: Shorter deadline of half of the streams in contended runs.  In a burst, not all of
+#: them can be served in time.
+SHORT_DEADLINE = 1.0
+
 #: Maximum number of seconds between two requests of one caller.
 MAX_PAUSE = 0.08
 
@@ -36,6 +42,10 @@
         Monotonic times.
     status : int
         Status of the answer; 0 if no head of an answer was received.
+    route, account : str
+        Stream route and client account in a contended run; otherwise empty.
+    deadline : float
+        Deadline in seconds that the request states.
     seal : str
         Signature of the backend server; empty for the host's own answers.
     answered_id : str
@@ -49,6 +59,9 @@
     kind: Kind
     model: str
     sent_at: float
+    route: str = ""
+    account: str = ""
+    deadline: float = CALL_DEADLINE
     ended_at: float = 0.0
     status: int = 0
     seal: str = ""
@@ -64,10 +77,17 @@
     ----------
     address_of : callable
         Return the current address of a host for callers.
+    is_contended : bool
+        Whether streams choose among several routes, accounts and deadlines.
     """
 
     def __init__(
-        self, *, hosts: list[str], address_of: Callable[[str], str], seed: int
+        self,
+        *,
+        hosts: list[str],
+        address_of: Callable[[str], str],
+        seed: int,
+        is_contended: bool,
     ) -> None:
         self._hosts = hosts
         self._address_of = address_of
@@ -75,13 +95,19 @@
         self._numbers = itertools.count(1)
         self._stopping = threading.Event()
         self._threads: list[threading.Thread] = []
+        self._started_at = time.monotonic()
+        self.is_contended = is_contended
         self.calls: list[Call] = []
 
-    def start(self, *, n_per_host: int) -> None:
-        """Start callers, each of which keeps a connection open to one host."""
-        for index in range(n_per_host * len(self._hosts)):
-            host = self._hosts[index % len(self._hosts)]
-            thread = threading.Thread(target=self._run, args=(host, index), daemon=True)
+    def start(self, *, n_per_host: int, n_in_bursts: int) -> None:
+        """Start callers, each of which keeps a connection open to one host.
+
+        ``n_in_bursts`` more callers of each host send requests during bursts only.
+        """
+        n_steady = n_per_host * len(self._hosts)
+        for index in range(n_steady + n_in_bursts * len(self._hosts)):
+            args = (self._hosts[index % len(self._hosts)], index, index < n_steady)
+            thread = threading.Thread(target=self._run, args=args, daemon=True)
             self._threads.append(thread)
             thread.start()
 
@@ -91,18 +117,22 @@
         for thread in self._threads:
             thread.join(CALL_DEADLINE * 4)
 
-    def _run(self, host: str, index: int) -> None:
+    def _run(self, host: str, index: int, is_steady: bool) -> None:
         generator = random.Random(self._seed * 1000 + index)
         connection: http.client.HTTPConnection | None = None
         address = ""
         while not self._stopping.wait(generator.uniform(0.0, MAX_PAUSE)):
+            elapsed = time.monotonic() - self._started_at
+            burst = None if is_steady else burst_of(self._seed, elapsed)
+            if not is_steady and burst is None:
+                continue
             current = self._address_of(host)
             if connection is None or (connection.sock is None and current != address):
                 address = current
                 connection = http.client.HTTPConnection(
                     address, timeout=2 * CALL_DEADLINE
                 )
-            call = self._new_call(host, generator)
+            call = self._new_call(host, generator, burst)
             try:
                 _exchange(connection, call)
             except (OSError, http.client.HTTPException):
@@ -111,30 +141,39 @@
             call.ended_at = time.monotonic()
             self.calls.append(call)
 
-    def _new_call(self, host: str, generator: random.Random) -> Call:
-        kind = generator.choice(list(PATH_BY_KIND))
-        model = generator.choice(["large", "small"]) if kind == "stream" else ""
-        return Call(
+    def _new_call(
+        self, host: str, generator: random.Random, burst: tuple[str, str] | None
+    ) -> Call:
+        kind = "stream" if burst else generator.choice(list(PATH_BY_KIND))
+        model = generator.choice(MODELS) if kind == "stream" else ""
+        call = Call(
             id=f"{host}.{next(self._numbers)}",
             host=host,
             kind=kind,
             model=model,
             sent_at=time.monotonic(),
         )
+        if kind == "stream" and self.is_contended:
+            call.route = generator.choice(list(PATH_BY_ROUTE))
+            call.account = generator.choice(list(PRIORITY_BY_ACCOUNT))
+            call.deadline = generator.choice([SHORT_DEADLINE, CALL_DEADLINE])
+        if burst:
+            call.route, call.model = burst
+        return call
 
 
 def _exchange(connection: http.client.HTTPConnection, call: Call) -> None:
     headers = {
         "Host": "calls.example",
-        "Credential": "key-of-pawroute",
-        "Deadline-Ms": str(int(CALL_DEADLINE * 1000)),
+        "Credential": f"key-of-{call.account or 'pawroute'}",
+        "Deadline-Ms": str(int(call.deadline * 1000)),
         "Request-Id": call.id,
     }
     if call.model:
         headers |= {"Model": call.model, "Token-Usage": "100,50"}
     method = "GET" if call.kind == "look" else "POST"
     body = None if call.kind == "look" else call.id.encode()
-    path = PATH_BY_KIND[call.kind]
+    path = PATH_BY_ROUTE.get(call.route) or PATH_BY_KIND[call.kind]
     connection.request(method, path, body=body, headers=headers)
     response = connection.getresponse()
     call.status = response.status
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -40,6 +40,12 @@
 #: Statuses that promise that a request was not run and never will be.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+#: A route or account whose requests are at least MIN_SENT over MIN_SPAN seconds gets at
+#: least MIN_SHARE of the share of complete answers that all streams get.
+MIN_SENT = 20
+MIN_SPAN = 8.0
+MIN_SHARE = 0.25
+
 #: Number of events of a complete stream of the stand-ins.
 N_EVENTS = 5
 
@@ -88,6 +94,13 @@
             for disturbance in self.disturbances
         )
 
+    def is_zone_disturbed_between(self, start: float, end: float) -> bool:
+        """Return whether there was any fault in the hosts' zone within a span."""
+        return any(
+            disturbance.start <= end and disturbance.end >= start
+            for disturbance in self.disturbances
+        )
+
     def n_runs(self) -> Counter[str]:
         """Return the number of runs of each request over all servers."""
         total: Counter[str] = Counter()
@@ -127,6 +140,7 @@
         _check_runs(call, n_runs[call.id], verdict)
         _check_key(call, evidence, verdict)
         _check_stop(call, evidence, verdict)
+    _check_shares(evidence, verdict)
     for name, server in evidence.servers.items():
         _check_leaving(name, server, evidence, verdict)
         _check_limit(name, server, evidence, verdict)
@@ -164,6 +178,44 @@
         verdict.record("at most once", holds=n_runs <= 1, observed=runs)
         if call.status in NOT_RUN_STATUSES and not call.seal:
             verdict.record("'not run' is true", holds=not n_runs, observed=runs)
+    elif call.route and call.status in NOT_RUN_STATUSES and not call.seal:
+        verdict.record(
+            "refused streams of contended services never run",
+            holds=not n_runs,
+            observed=f"{call.id}, refused with {call.status}, ran {n_runs} times",
+        )
+
+
+def _check_shares(evidence: Evidence, verdict: Verdict) -> None:
+    """Check that no account and no route of a contended service starves."""
+    streams = [
+        call
+        for call in evidence.calls
+        if call.route
+        and not evidence.is_zone_disturbed_between(call.sent_at, call.ended_at)
+    ]
+    calls_by_group: dict[str, list[Call]] = defaultdict(list)
+    for call in streams:
+        calls_by_group[f"route {call.route}"].append(call)
+        calls_by_group[f"account {call.account}"].append(call)
+    for group, calls in sorted(calls_by_group.items()):
+        times = [call.sent_at for call in calls]
+        if len(calls) < MIN_SENT or max(times) - min(times) < MIN_SPAN:
+            continue
+        share, share_of_all = _share_answered(calls), _share_answered(streams)
+        verdict.record(
+            "no account and no route starves",
+            holds=share >= MIN_SHARE * share_of_all,
+            observed=(
+                f"{group}: {share:.3f} of {len(calls)} answered, "
+                f"{share_of_all:.3f} of all {len(streams)}"
+            ),
+        )
+
+
+def _share_answered(calls: list[Call]) -> float:
+    """Return the share of requests that got a complete answer."""
+    return sum(call.status == 200 and call.is_complete for call in calls) / len(calls)
 
 
 def _check_key(call: Call, evidence: Evidence, verdict: Verdict) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -93,6 +93,8 @@
         Processes under test; no other processes are stopped, paused or killed.
     proxies_by_host : dict of str to LoopbackProxy
         Proxies between each host and the store.
+    configuration : dict of str to object
+        Fields of the operator's configuration that differ from the stand-in's.
 
     Attributes
     ----------
@@ -103,6 +105,7 @@
     zone: RelayZone
     proxies_by_host: dict[str, LoopbackProxy]
     seed: int
+    configuration: dict[str, object] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     key_changes: list[KeyChange] = field(default_factory=list)
     lines: list[str] = field(default_factory=list)
@@ -323,7 +326,8 @@
 
     def _publish(self, **changes: object) -> None:
         self._version += 1
-        self.zone.control(configuration={"version": self._version, **changes})
+        document = {"version": self._version} | self.configuration | changes
+        self.zone.control(configuration=document)
 
     # Bookkeeping
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 from ..relay_zone import running_relay_zone
 from .callers import Callers
 from .checks import N_EVENTS, Evidence, Verdict, check
+from .contention import MODELS, PATH_BY_ROUTE, SLOTS, contended_configuration
 from .faults import Faults
 from .proxy import LoopbackProxy
 
@@ -21,6 +22,10 @@
 N_PLAIN = 3
 N_CALLERS = 4
 
+#: Callers of each entry host that send requests during the bursts of contended runs.
+#: All together they exceed the slots of one model's groups about three times.
+N_BURST_CALLERS = 8
+
 #: Milliseconds between two events of a stream.  Streams have to last long enough for
 #: faults to affect their host in the meantime.
 EVENT_MS = 80.0
@@ -59,7 +64,7 @@
 
 
 def run_soak(*, directory: Path, seed: int, seconds: float, n_hosts: int) -> SoakReport:
-    """Run one soak test and return its report.
+    """Run one soak test and return its report; even seeds run a contended service.
 
     Faults affect only the processes that this function starts; all are killed at the
     end.
@@ -69,6 +74,12 @@
         names = [f"e{index}" for index in range(1, n_hosts + 1)]
         store = zone.addresses["store"]
         proxies = {name: LoopbackProxy(target=store) for name in names}
+        is_contended = seed % 2 == 0
+        changes = contended_configuration() if is_contended else {}
+        if is_contended:
+            zone.control(configuration={"version": 1} | changes)
+            for index in range(N_ENGINES):
+                zone.control(**{f"engine_{index}": {"slots": SLOTS}})
         for name, proxy in proxies.items():
             zone.addresses[f"proxy-{name}"] = proxy.address
             zone.start_host(name, store_endpoint=f"proxy-{name}")
@@ -78,9 +89,13 @@
             hosts=names,
             address_of=lambda name: zone.hosts_by_name[name].callers_address,
             seed=seed,
+            is_contended=is_contended,
+        )
+        n_in_bursts = N_BURST_CALLERS if is_contended else 0
+        callers.start(n_per_host=N_CALLERS, n_in_bursts=n_in_bursts)
+        faults = Faults(
+            zone=zone, proxies_by_host=proxies, seed=seed, configuration=changes
         )
-        callers.start(n_per_host=N_CALLERS)
-        faults = Faults(zone=zone, proxies_by_host=proxies, seed=seed)
         faults.run(seconds=seconds)
         unserved = _unserved_kinds(callers, since=time.monotonic())
         callers.stop()
@@ -106,13 +121,17 @@
 def _unserved_kinds(callers: Callers, *, since: float) -> list[str]:
     """Return the kinds of requests, with models, that are not served in time.
 
-    The time limit is RECOVERED_WITHIN; only requests sent after ``since`` count.
+    Each stream route of a contended run is a kind.  The time limit is
+    RECOVERED_WITHIN; only requests sent after ``since`` count.
     """
-    required = {("once", ""), ("look", ""), ("stream", "large"), ("stream", "small")}
+    streams = PATH_BY_ROUTE if callers.is_contended else ["stream"]
+    required = {("once", ""), ("look", "")} | {
+        (stream, model) for stream in streams for model in MODELS
+    }
 
     def missing() -> set[tuple[str, str]]:
         return required - {
-            (call.kind, call.model)
+            (call.route or call.kind, call.model)
             for call in list(callers.calls)
             if call.sent_at > since and call.status == 200 and call.is_complete
         }
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -97,6 +97,8 @@
         Monotonic times of the restarts under the same id.
     started_at : int
         Start time that the server states; 0 for none.
+    slots : int
+        Requests that the server states to process at once; it doesn't enforce them.
     """
 
     id: str
@@ -125,6 +127,7 @@
     leaving_answers: list[tuple[float, str]] = field(default_factory=list)
     starts: list[float] = field(default_factory=list)
     started_at: int = 0
+    slots: int = 13
     sequence: Any = field(default_factory=itertools.count)
 
     def app(self) -> web.Application:
@@ -142,7 +145,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
-            "slots": 13,
+            "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
             "sequence": next(self.sequence),
@@ -303,7 +306,7 @@
     # Control
 
     def set(self, switches: dict[str, Any]) -> None:
-        """Set switches; ``state`` and ``listed`` change the entry in the store.
+        """Set switches; ``state``, ``slots`` and ``listed`` change the stored entry.
 
         ``restart`` restarts the server with its former id: it is in no group afterwards
         and has lost its model and the highest epoch that it received.
@@ -319,6 +322,7 @@
                 self.started_at += 1
         listed = switches.pop("listed", None)
         self.state = switches.pop("state", self.state)
+        self.slots = switches.pop("slots", self.slots)
         for name, value in switches.items():
             setattr(self.switches, name, value)
         now = time.monotonic()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 import pytest
@@ -28,6 +28,8 @@
 )
 ONCE = replace(STREAM, kind="once", body="POST /once/1 e1.1")
 REFUSED = replace(ONCE, status=503, seal="", body="")
+CONTENDED = replace(STREAM, route="chat", account="a")
+REFUSED_STREAM = replace(CONTENDED, status=503, seal="", body="")
 
 
 def _server(**seen: object) -> dict[str, object]:
@@ -45,12 +47,32 @@
     return evidence
 
 
-def _refused_request_ran() -> Evidence:
-    evidence = _evidence(REFUSED)
+def _refused_request_ran(call: Call = REFUSED) -> Evidence:
+    evidence = _evidence(call)
     evidence.servers["s"]["n_runs"] = {"e1.1": 1}
     return evidence
 
 
+def _streams(
+    *refused: str, seconds: Iterable[int] = range(10, 30), **changes: object
+) -> Evidence:
+    """Return a stream a second of each route with an account of its own.
+
+    Parameters
+    ----------
+    *refused : str
+        Values of routes or accounts whose streams are refused.
+    """
+    calls = []
+    for at in seconds:
+        for route, account in (("chat", "a"), ("chat", "b"), ("urgent", "a")):
+            call = replace(CONTENDED, route=route, account=account)
+            if {route, account} & set(refused):
+                call = replace(REFUSED_STREAM, route=route, account=account)
+            calls.append(replace(call, sent_at=at, ended_at=at + 0.5))
+    return _evidence(*calls, **changes)
+
+
 def _revoked_key_is_accepted() -> Evidence:
     return _evidence(ONCE, key_changes=[KeyChange(revoked_at=7.5, restored_at=20.0)])
 
@@ -99,6 +121,9 @@
     "body-of-another": lambda: _evidence(replace(ONCE, body="POST /once/1 e2.7")),
     "ran-twice": _request_ran_twice,
     "refused-and-run": _refused_request_ran,
+    "refused-stream-ran": lambda: _refused_request_ran(REFUSED_STREAM),
+    "starving-route": lambda: _streams("urgent"),
+    "starving-account": lambda: _streams("b"),
     "key-opens": _revoked_key_is_accepted,
     "stop-cuts-off": _stop_cuts_off_a_stream,
     "leaving-server": _leaving_server_gets_a_request,
@@ -116,7 +141,9 @@
     assert len(check(violation()).violations) >= 1
 
 
-@pytest.mark.parametrize("call", [STREAM, ONCE, REFUSED], ids=lambda call: call.kind)
+@pytest.mark.parametrize(
+    "call", [STREAM, ONCE, REFUSED, REFUSED_STREAM], ids=lambda call: call.kind
+)
 def test_valid_call_is_no_violation(call: Call) -> None:
     assert check(_evidence(call)).violations == []
 
@@ -151,3 +178,19 @@
     server["arrivals"] = arrivals
     evidence.disturbances = [Disturbance(target="e1", kind="kill", start=6.0, end=10.5)]
     assert check(evidence).violations == []
+
+
+def test_shares_are_compared_without_disturbed_requests() -> None:
+    """Guard against violations by too few requests, or by requests under a fault."""
+    fault = Disturbance(target="engine-1", kind="still", start=13.0, end=28.0)
+    for evidence in (
+        _streams(),
+        _streams("chat", "urgent"),
+        _streams("b", seconds=range(10, 29)),
+        _streams("b", seconds=[10] * 20),
+        _streams("b", disturbances=[fault]),
+    ):
+        assert check(evidence).violations == []
+    fault.start = 29.6
+    fault.end = 31.0
+    assert check(_streams("b", disturbances=[fault])).violations != []
