--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,4 +12,6 @@
     report = run_soak(directory=tmp_path, seed=14, seconds=15.0, n_hosts=3)
     assert report.verdict.violations == [], "\n".join(report.lines)
     assert report.n_served > 0
-    assert report.verdict.n_tested_by_promise["at most once"] > 0
+    n_tested = report.verdict.n_tested_by_promise
+    assert n_tested["at most once"] > 0
+    assert n_tested["refused streams of contended services never run"] > 0
