--- a/ryelever/coordination/groups/disbanding.py
+++ b/ryelever/coordination/groups/disbanding.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .forming import by_domain, joins_quickly
-from .shifting import min_disband_ratio, would_be_short
+from .shifting import min_disband_ratio, n_lacking, would_be_short
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
@@ -64,6 +64,10 @@
         return []
     min_ratio = DISBAND_RATIO
     if rules.contended:
+        n_groups = groups_by_model[neediest.name]
+        demand = rules.demand_by_model.get(neediest.name, 0.0)
+        if n_groups and not n_lacking(demand=demand, n_groups=n_groups):
+            return []
         min_ratio = min_disband_ratio(utilization, usual=DISBAND_RATIO)
     best: list[ServingGroup] = []
     best_n_quick = -1
--- a/ryelever/coordination/groups/shifting.py
+++ b/ryelever/coordination/groups/shifting.py
@@ -20,6 +20,7 @@
     "domain_for_first_group",
     "is_paused",
     "min_disband_ratio",
+    "n_lacking",
     "n_spares_to_keep",
     "urgency_factor",
     "urgent_shares",
@@ -39,8 +40,11 @@
 #: a lull thus shows after four seconds, and a burst at once.
 TRAILING_TIME = 2.5
 
-#: Seconds within which the requests that wait should be served.
-SERVE_WAITING_WITHIN = 2.0
+#: Seconds within which the requests that wait should be served.  Callers wait for two
+#: seconds, but a group takes as long to form.  With two seconds here, a few waiting
+#: requests doubled the demand of a model with two groups, and three zones at once took
+#: six groups from the other model for it.
+SERVE_WAITING_WITHIN = 6.0
 
 #: Addition to the utilization of a model all of whose callers are urgent.
 URGENT_WEIGHT = 0.25
@@ -152,6 +156,15 @@
     return SHORT_DISBAND_RATIO if utilization > SHORT_UTILIZATION else usual
 
 
+def n_lacking(*, demand: float, n_groups: int) -> int:
+    """Return how many groups a model lacks until it is no longer overloaded.
+
+    Zones disband groups one after the other, each before the groups of the others
+    serve.  Without this bound, each zone took groups for a model that lacked one.
+    """
+    return max(0, math.ceil(demand / CONTENDED_OVERLOAD_UTILIZATION) - n_groups)
+
+
 def would_be_short(
     utilization_after_loss: float, *, neediest_utilization: float
 ) -> bool:
