--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -6,7 +6,6 @@
 
 from .refusals import DEFAULT_RETRY_AFTER
 from .request import RequestPhase
-from .server_refusals import limited, paused
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -16,6 +15,7 @@
     from .rank_shares import Order
     from .reports import RequestReports
     from .request import RelayRequest
+    from .server_refusals import ServerRefusals
     from .wait_estimate import WaitEstimate
     from .waiting import WaitingRequests
 
@@ -68,6 +68,7 @@
         "_balancer",
         "_contention",
         "_dispatch",
+        "_refusals",
         "_refuse",
         "_reports",
         "_waiting",
@@ -80,6 +81,7 @@
         balancer: Balancer,
         waiting: WaitingRequests,
         reports: RequestReports,
+        refusals: ServerRefusals,
         dispatch: Callable[..., bool],
         refuse: Callable[..., None],
     ) -> None:
@@ -87,6 +89,7 @@
         self._balancer = balancer
         self._waiting = waiting
         self._reports = reports
+        self._refusals = refusals
         self._dispatch = dispatch
         self._refuse = refuse
 
@@ -110,15 +113,8 @@
             ),
             now=now,
         )
-        if not self._waiting.includes(request):
-            return
-        refusal = limited(
-            request, self._balancer, waiting=self._waiting, is_queued=True, now=now
-        )
-        if refusal is not None:
-            self._refuse(
-                request, refusal.reason, retry_after=refusal.retry_after, now=now
-            )
+        if self._waiting.includes(request):
+            self._refusals.refuse_if_limited(request, now=now)
 
     def dispatch(self, ordered: Iterable[RelayRequest], *, now: float) -> None:
         """Send the waiting requests for which there is room, and refuse hopeless ones.
@@ -139,7 +135,9 @@
         full = _FullGroups()
         n_ahead_by_work: dict[tuple[str, str], int] = {}
         for request in waiting:
-            if self._refuse_if_paused(request, now=now):
+            if self._refusals.refuse_if_paused(
+                request, waits_until=request.waits_until, now=now
+            ):
                 continue
             work = request.work
             n_ahead = n_ahead_by_work.get(work, 0)
@@ -184,15 +182,6 @@
             self._waiting.sent(request)
         return was_sent
 
-    def _refuse_if_paused(self, request: RelayRequest, *, now: float) -> bool:
-        refusal = paused(
-            request, self._balancer, waits_until=request.waits_until, now=now
-        )
-        if refusal is None:
-            return False
-        self._refuse(request, refusal.reason, retry_after=refusal.retry_after, now=now)
-        return True
-
     def _refuse_if_hopeless(
         self, request: RelayRequest, *, n_ahead: int, now: float
     ) -> bool:
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -17,6 +17,7 @@
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
+from .server_refusals import ServerRefusals
 from .uncontended_requests import UncontendedRequests
 from .unrouted import UnroutedArrivals
 from .waiting import DEFAULT_ANSWER, WaitingRequests
@@ -111,19 +112,24 @@
             waiting=self._waiting,
         )
         self._contention = Contention(mode=contention, balancer=balancer, seed=seed)
+        server_refusals = ServerRefusals(
+            balancer=balancer,
+            waiting=self._waiting,
+            refuse=self._end_without_answer,
+        )
         self._contended = ContendedRequests(
             contention=self._contention,
             balancer=balancer,
             waiting=self._waiting,
             reports=self._reports,
+            refusals=server_refusals,
             dispatch=self._dispatch,
             refuse=self._end_without_answer,
         )
         self._uncontended = UncontendedRequests(
-            balancer=balancer,
             waiting=self._waiting,
+            refusals=server_refusals,
             dispatch=self._dispatch,
-            refuse=self._end_without_answer,
         )
         self.refuses_new = False
 
