--- a/ryelever/coordination/relaying/batch_room.py
+++ b/ryelever/coordination/relaying/batch_room.py
@@ -23,7 +23,7 @@
     from ...state.directory import BackendServer
     from .levelling import ServerLoad
 
-__all__ = ["GUARANTEED_PATIENCE", "BatchRoom", "Competitors"]
+__all__ = ["BatchRoom", "Competitors"]
 
 #: Maximum part of all slots that is reserved for requests that go before others.
 MAX_RESERVED_SHARE = 0.5
@@ -33,11 +33,10 @@
 #: slots after a burst that new ones were late for four more seconds.
 RISING_SHARE = 1 / 3
 
-#: Part of the free slots that is left to the requests of a rank whose patience is below
-#: ``GUARANTEED_PATIENCE``, whatever goes before them. Otherwise more urgent requests
-#: than the groups can run would starve the others.
+#: Part of the free slots that is left to the requests of a rank with a guarantee,
+#: whatever goes before them. Otherwise more urgent requests than the groups can run
+#: would starve the others.
 GUARANTEED_SHARE = 0.12
-GUARANTEED_PATIENCE = 0.5
 
 
 class Competitors(msgspec.Struct, kw_only=True, frozen=True):
@@ -52,8 +51,8 @@
         equals.
     share_ahead : float
         Part of the arrivals that goes before the request.
-    is_outranked : bool
-        True if there are arrivals of more urgent ranks.
+    is_guaranteed : bool
+        True if ``GUARANTEED_SHARE`` of the free slots is left to the request's rank.
     reserved_time : float
         Seconds for which the average arrival that goes before the request may wait for
         a slot, times ``share_ahead``.
@@ -65,7 +64,7 @@
     n_peers_ahead: int = 0
     n_peers_equal: int = 0
     share_ahead: float = 0.0
-    is_outranked: bool = False
+    is_guaranteed: bool = False
     reserved_time: float = 0.0
     patience: float = 1.0
 
@@ -166,7 +165,9 @@
         self.n_in_flight = n_in_flight * scale
         n_free *= scale
         n_ahead, n_equal = self._competing(n_slots=n_slots * scale)
-        n_left = max(n_free - n_ahead, n_free * self.guaranteed_share)
+        n_left = n_free - n_ahead
+        if self._competitors.is_guaranteed:
+            n_left = max(n_left, n_free * GUARANTEED_SHARE)
         if self._draw * n_equal >= n_left:
             return []
         return [
@@ -178,14 +179,6 @@
             for load, n_ended, slots in options
         ]
 
-    @property
-    def guaranteed_share(self) -> float:
-        """Return the part of the free slots that is left to this request's rank."""
-        competitors = self._competitors
-        if competitors.is_outranked and competitors.patience < GUARANTEED_PATIENCE:
-            return GUARANTEED_SHARE
-        return 0.0
-
     def limit(self, server: BackendServer, *, slots: float) -> float:
         """Return how many requests may be in flight at a server with this one.
 
@@ -234,7 +227,8 @@
         n_reserved = min(MAX_RESERVED_SHARE * n_slots, n_reserved)
         n_sent_ahead = n_sent * competitors.share_ahead
         n_ahead = competitors.n_peers_ahead + n_sent_ahead
-        n_first = min(1.0, competitors.patience / RISING_SHARE) * n_ahead
+        first_share = min(1.0, competitors.patience / RISING_SHARE)
+        n_first = first_share * n_ahead
         n_equal = competitors.n_peers_equal + n_sent - n_sent_ahead + n_ahead - n_first
-        n_reserved *= min(1.0, competitors.patience / RISING_SHARE)
+        n_reserved *= first_share
         return competitors.n_ahead + n_first + n_reserved, 1 + n_equal
--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -99,7 +99,9 @@
         Requests of this host that already wait and go before it are dispatched first.
         """
         if not self._waiting.may_add(request):
-            estimate = self._estimate(request, n_ahead=len(self._waiting), now=now)
+            estimate = self._contention.estimate(
+                request, n_ahead=len(self._waiting), now=now
+            )
             self._refuse_for_room(request, "queue_full", estimate, now=now)
             return
         request.estimated_at = NEVER
@@ -144,7 +146,9 @@
             order = self._contention.order(request, now=now)
             is_guaranteed = self._contention.is_guaranteed(request, now=now)
             if not full.includes(work, order, is_guaranteed=is_guaranteed):
-                if self._send(request, n_ahead=n_ahead, now=now):
+                if self._send(
+                    request, n_ahead=n_ahead, is_guaranteed=is_guaranteed, now=now
+                ):
                     continue
                 if not request.tried:
                     full.add(work, order, is_guaranteed=is_guaranteed)
@@ -170,12 +174,16 @@
 
     def time_out(self, request: RelayRequest, *, now: float) -> None:
         """Refuse a request that has waited as long as it may."""
-        estimate = self._estimate(request, n_ahead=0, now=now)
+        estimate = self._contention.estimate(request, n_ahead=0, now=now)
         reason = "no_chance" if estimate.n_slots else "no_place"
         self._refuse_for_room(request, reason, estimate, now=now)
 
-    def _send(self, request: RelayRequest, *, n_ahead: int, now: float) -> bool:
-        room = self._contention.room(request, n_ahead=n_ahead, now=now)
+    def _send(
+        self, request: RelayRequest, *, n_ahead: int, is_guaranteed: bool, now: float
+    ) -> bool:
+        room = self._contention.room(
+            request, n_ahead=n_ahead, is_guaranteed=is_guaranteed, now=now
+        )
         was_sent = self._dispatch(request, room=room, now=now)
         self._contention.examined(request, room)
         if was_sent:
@@ -195,7 +203,7 @@
         begins = request.estimated_at == NEVER
         request.estimated_at = now
         self._contention.renew_wait(request, now=now)
-        estimate = self._estimate(request, n_ahead=n_ahead, now=now)
+        estimate = self._contention.estimate(request, n_ahead=n_ahead, now=now)
         if self._contention.is_hopeless(request, estimate, now=now):
             self._refuse_for_room(request, "no_chance", estimate, now=now)
             return True
@@ -207,11 +215,6 @@
             )
         return False
 
-    def _estimate(
-        self, request: RelayRequest, *, n_ahead: int, now: float
-    ) -> WaitEstimate:
-        return self._contention.estimate(request, n_ahead=n_ahead, now=now)
-
     def _refuse_for_room(
         self, request: RelayRequest, reason: str, estimate: WaitEstimate, *, now: float
     ) -> None:
--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ...relay_settings import ContentionMode
-from .batch_room import GUARANTEED_PATIENCE, BatchRoom, Competitors
+from .batch_room import BatchRoom, Competitors
 from .caller_ages import CallerAges
 from .first_event import FirstEventEstimate
 from .peer_counts import PeerCounts
@@ -39,6 +39,10 @@
 #: Seconds before a caller gives up at which it must have its first event or refusal.
 GIVING_UP_MARGIN = 0.3
 
+#: Part of the time for which a request may wait that is left when its rank begins to
+#: have a guarantee.
+GUARANTEED_PATIENCE = 0.5
+
 #: Seconds for which a count of the slots of all servers is used.
 COUNT_INTERVAL = 0.25
 
@@ -169,13 +173,22 @@
         """Return whether a request is late, and the step of its rank."""
         return now > request.on_time_until, rank_step(request.rank)
 
-    def room(self, request: RelayRequest, *, n_ahead: int, now: float) -> BatchRoom:
+    def room(
+        self,
+        request: RelayRequest,
+        *,
+        n_ahead: int,
+        is_guaranteed: bool,
+        now: float,
+    ) -> BatchRoom:
         """Return the room that there is for a request.
 
         Parameters
         ----------
         n_ahead : int
             Waiting requests of this host for the same work that go before it.
+        is_guaranteed : bool
+            Whether a part of the free slots is left to the request's rank.
         """
         balancer = self._balancer
         order = self.order(request, now=now)
@@ -195,7 +208,7 @@
                 n_peers_ahead=n_peers_ahead,
                 n_peers_equal=n_peers_equal,
                 share_ahead=share_ahead,
-                is_outranked=self._shares.is_outranked(request.work, order, now=now),
+                is_guaranteed=is_guaranteed,
                 reserved_time=reserved_time,
                 patience=_patience(request, now=now),
             ),
@@ -276,9 +289,7 @@
         """Return the time after which a slot is of no use to a request's caller."""
         mean_duration = self._balancer.mean_duration(*request.work)
         latest = latest_useful_start(request.times_out_at, mean_duration=mean_duration)
-        gives_up_at = request.arrival.arrived_at + request.route.caller_patience
-        first_event = request.expected_first_event + GIVING_UP_MARGIN
-        return min(latest, gives_up_at - first_event)
+        return min(latest, _latest_reply(request) - request.expected_first_event)
 
     # Observations
 
@@ -327,8 +338,13 @@
 
 def _latest_refusal(request: RelayRequest) -> float:
     """Return the time until which a caller that has got no event notices a refusal."""
+    return min(request.times_out_at, _latest_reply(request))
+
+
+def _latest_reply(request: RelayRequest) -> float:
+    """Return the time at which a caller without an event is about to give up."""
     gives_up_at = request.arrival.arrived_at + request.route.caller_patience
-    return min(request.times_out_at, gives_up_at - GIVING_UP_MARGIN)
+    return gives_up_at - GIVING_UP_MARGIN
 
 
 def _patience(request: RelayRequest, *, now: float) -> float:
