--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -108,12 +108,7 @@
         waits_until = self._contention.waits_until(request, now=now)
         self._waiting.add(request, now=now, waits_until=waits_until)
         self.dispatch(
-            (
-                item
-                for item in self._waiting.sorted_for_dispatch(now=now)
-                if item.contended and item.work == request.work
-            ),
-            now=now,
+            self._waiting.contended_for_dispatch(now=now, work=request.work), now=now
         )
         if self._waiting.includes(request):
             self._refusals.refuse_if_limited(request, now=now)
--- a/ryelever/coordination/relaying/fair_order.py
+++ b/ryelever/coordination/relaying/fair_order.py
@@ -43,6 +43,11 @@
     service: str
     model: str
 
+    @property
+    def work(self) -> tuple[str, str]:
+        """Return the service and the model."""
+        return self.service, self.model
+
 
 class _Entry(msgspec.Struct, kw_only=True, eq=False):
     """A request that waits, or that was sent and has not ended."""
@@ -150,20 +155,30 @@
         if entry is not None and (entry.is_waiting or request.attempt is None):
             self._remove(request)
 
-    def sorted_for_dispatch(self, *, now: float) -> list[RelayRequest]:
-        """Return the waiting requests in order; accounts are not charged."""
+    def sorted_for_dispatch(
+        self, *, now: float, work: tuple[str, str] | None = None
+    ) -> list[RelayRequest]:
+        """Return the waiting requests in order; accounts are not charged.
+
+        Parameters
+        ----------
+        work : tuple of str or None
+            Service and model whose requests are returned; those of all if None.
+        """
         self._move_late(now=now)
-        keyed: list[tuple[tuple[bool, float], int]] = []
+        ranked: list[tuple[tuple[bool, float], int]] = []
         for key in sorted(self._queues_by_key):
+            if work is not None and key.work != work:
+                continue
             tickets = self._queues_by_key[key].service_order()
             # A rank is as old as its oldest request, whichever account is next.
             # Otherwise a new request whose account's turn it is would let less urgent
             # requests overtake all others of its rank.
             oldest = list(accumulate((t.order()[0] for t in reversed(tickets)), min))
             for ticket, first in zip(tickets, reversed(oldest), strict=True):
-                keyed.append(((key.late, first), ticket.sequence))
-        keyed.sort(key=lambda item: item[0])
-        return [self._entries_by_number[number].request for _, number in keyed]
+                ranked.append(((key.late, first), ticket.sequence))
+        ranked.sort(key=lambda item: item[0])
+        return [self._entries_by_number[number].request for _, number in ranked]
 
     def _move_late(self, *, now: float) -> None:
         """Move the requests that have become late to the queues of late ones."""
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -342,8 +342,8 @@
     def _dispatch_contended(self, *, now: float) -> None:
         """Send waiting requests of contended services, since a slot became free."""
         if self._waiting:
-            waiting = self._waiting.sorted_for_dispatch(now=now)
-            self._contended.dispatch((r for r in waiting if r.contended), now=now)
+            waiting = self._waiting.contended_for_dispatch(now=now)
+            self._contended.dispatch(waiting, now=now)
 
     # Attempts
 
--- a/ryelever/coordination/relaying/waiting.py
+++ b/ryelever/coordination/relaying/waiting.py
@@ -131,7 +131,19 @@
             (item for item in self._requests_by_number.values() if not item.contended),
             key=lambda item: (now > item.on_time_until, item.priority, item.number),
         )
-        return uncontended + self._fair_order.sorted_for_dispatch(now=now)
+        return uncontended + self.contended_for_dispatch(now=now)
+
+    def contended_for_dispatch(
+        self, *, now: float, work: tuple[str, str] | None = None
+    ) -> list[RelayRequest]:
+        """Return the waiting requests of contended services in the order of dispatch.
+
+        Parameters
+        ----------
+        work : tuple of str or None
+            Service and model whose requests are returned; those of all if None.
+        """
+        return self._fair_order.sorted_for_dispatch(now=now, work=work)
 
 
 def seconds_to_slot(allowance: Allowance, *, n_ahead: int) -> float:
