--- a/benchmarks/group_days.py
+++ b/benchmarks/group_days.py
@@ -68,6 +68,17 @@
     )
 
 
+def _small_model_rushes(*, begin: float, end: float) -> Deployment:
+    """Return 162 servers with a burst of the small model, in seconds of the day."""
+    return _deployment(
+        domain_size=27,
+        sizes=(12, 6),
+        demand=(2.6, 8.5),
+        share=0.5,
+        burst=Burst(model="small", factor=1.7, begin=begin, end=end),
+    )
+
+
 #: Deployment and server losses by name of the day.  Calm days have lower demands than
 #: loaded ones.
 DAYS = {
@@ -117,23 +128,11 @@
 #: what all servers can run.
 CONTENDED_DAYS = {
     "162 servers, small model rushes": (
-        _deployment(
-            domain_size=27,
-            sizes=(12, 6),
-            demand=(2.6, 8.5),
-            share=0.5,
-            burst=Burst(model="small", factor=1.7, begin=14.0, end=17.8),
-        ),
+        _small_model_rushes(begin=14.0, end=17.8),
         LossPattern(),
     ),
     "162 servers, small model rushes for long": (
-        _deployment(
-            domain_size=27,
-            sizes=(12, 6),
-            demand=(2.6, 8.5),
-            share=0.5,
-            burst=Burst(model="small", factor=1.7, begin=12.0, end=24.0),
-        ),
+        _small_model_rushes(begin=12.0, end=24.0),
         LossPattern(),
     ),
     "222 servers, small model overloaded": (
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -24,7 +24,6 @@
     GroupState,
 )
 from ryelever.state.routes import (
-    EngineProfile,
     ModelProfile,
     Route,
     RouteAccount,
@@ -33,6 +32,8 @@
     RouteTable,
 )
 
+from ..test_groups.test_group_forming import ENGINE as GROUP_ENGINE
+
 __all__ = ["ENGINE", "Relaying", "contended_table", "head", "route_table"]
 
 HOST = "calls.example"
@@ -42,19 +43,7 @@
 )
 
 #: A first event takes 0.06 s at a group with two requests.
-ENGINE = EngineProfile(
-    slots=2,
-    step_time=0.006,
-    step_time_per_request=0.0005,
-    prefill_rate=46_000.0,
-    tokens_per_event=5,
-    form_time=0.3,
-    loads_per_second=4.0,
-    loads_at_once=8.0,
-    usual_prompt=1000.0,
-    usual_answer=100.0,
-    models_by_name={"large": LARGE},
-)
+ENGINE = replace(GROUP_ENGINE, slots=2, models_by_name={"large": LARGE})
 
 
 def _route(kind: RouteKind, *, resumable: bool = False) -> Route:
--- a/tests/test_state/test_routes.py
+++ b/tests/test_state/test_routes.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from msgspec.structs import replace
 
 from ryelever.relay_settings import ContentionMode
 from ryelever.state.routes import (
-    EngineProfile,
     ModelProfile,
     Route,
     RoutedService,
@@ -14,6 +14,8 @@
     RouteTable,
 )
 
+from ..test_coordination.test_groups.test_group_forming import ENGINE
+
 
 def _route(priority: int, *, kind: RouteKind = RouteKind.STREAM) -> Route:
     return Route(
@@ -39,13 +41,8 @@
         )
         for size in sizes
     ]
-    engine = EngineProfile(
-        slots=13,
-        step_time=0.006,
-        step_time_per_request=0.0005,
-        prefill_rate=46_000,
-        tokens_per_event=5,
-        form_time=0.3,
+    engine = replace(
+        ENGINE,
         loads_per_second=14,
         loads_at_once=20,
         usual_prompt=800,
