--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -44,7 +44,6 @@
 #: the other zone's load matters less.
 TICKS_PER_ZONE_HEARTBEAT = 3
 
-
 #: Maximum number of hosts in a zone that send heartbeats to each other in every tick
 #: while requests wait for slots.
 MAX_HOSTS_AT_FULL_RATE_IF_WAITING = 30
@@ -127,10 +126,11 @@
         relied_on = represents_zone or self._heartbeats.reads_for_zone(
             reads_store=described.reads_store, now=now
         )
-        usual_ticks = self._usual_ticks(now=now)
+        waiting = self._waiting_rows()
+        usual_ticks = self._usual_ticks(waiting, now=now)
         n_ticks = 1 if relied_on else usual_ticks
         heartbeat = self._own_heartbeat(
-            described, interval=n_ticks * HEARTBEAT_INTERVAL, now=now
+            described, waiting, interval=n_ticks * HEARTBEAT_INTERVAL, now=now
         )
         if (
             self._sequence % n_ticks == 0
@@ -160,13 +160,13 @@
         self._balancer.peers_waiting = self._heartbeats.waiting(now=now)
         self._balancer.peers_view_at = self._heartbeats.oldest_received_at(now=now)
 
-    def _usual_ticks(self, *, now: float) -> int:
+    def _usual_ticks(self, waiting: tuple[WaitingRow, ...], *, now: float) -> int:
         """Return the ticks between heartbeats of a host on which no other host relies.
 
         While requests wait for slots, hosts send more often: the older their reports
         are, the more requests of different hosts meet at the same group.
         """
-        if self._waiting_rows() or self._heartbeats.waiting(now=now):
+        if waiting or self._heartbeats.waiting(now=now):
             return self._heartbeats.ticks_between_heartbeats(
                 now=now, max_hosts=MAX_HOSTS_AT_FULL_RATE_IF_WAITING
             )
@@ -185,7 +185,12 @@
         )
 
     def _own_heartbeat(
-        self, described: HostHeartbeat, *, interval: float, now: float
+        self,
+        described: HostHeartbeat,
+        waiting: tuple[WaitingRow, ...],
+        *,
+        interval: float,
+        now: float,
     ) -> HostHeartbeat:
         return replace(
             described,
@@ -200,7 +205,7 @@
                 for server_id, record in self._balancer.records_by_id.items()
                 if record.in_flight
             },
-            waiting=self._waiting_rows(),
+            waiting=waiting,
             urgent_demand_by_model=self._urgent_demand(now=now),
         )
 
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -25,7 +25,6 @@
 )
 from .logs import log_event
 from .protocol.sse import RawEventSplitter, SseTooLongError
-from .relay_settings import ContentionMode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
