--- a/ryelever/coordination/groups/shifting.py
+++ b/ryelever/coordination/groups/shifting.py
@@ -27,23 +27,20 @@
     "would_be_short",
 ]
 
-#: Utilization from which spares are used to form another group.  At 1.25 of a group,
-#: 12% of a zone's servers idled while the demand exceeded the groups by up to 1.28.
+#: Utilization from which spares form another group.  Requests wait from there on, so
+#: idle servers cost more than a slower repair.
 CONTENDED_OVERLOAD_UTILIZATION = 0.95
 
-#: Maximum ratio of group sizes by which larger groups count as busier.  The weight is
-#: known for groups of twice the size.  At four times the size, the large model counted
-#: as 1.5 times as busy and took servers that the small one needed more.
+#: Maximum ratio of group sizes by which larger groups count as busier.  The exponent is
+#: known to fit groups of up to twice the size.
 MAX_WEIGHTED_SIZE = 2.0
 
 #: Seconds over which the fleet's demand is averaged again.  Hosts average over 1.5 s;
 #: a lull thus shows after four seconds, and a burst at once.
 TRAILING_TIME = 2.5
 
-#: Seconds within which the requests that wait should be served.  Callers wait for two
-#: seconds, but a group takes as long to form.  With two seconds here, a few waiting
-#: requests doubled the demand of a model with two groups, and three zones at once took
-#: six groups from the other model for it.
+#: Seconds within which the requests that wait should be served.  Shorter times let a
+#: few waiting requests double the demand of a model with two groups.
 SERVE_WAITING_WITHIN = 6.0
 
 #: Addition to the utilization of a model all of whose callers are urgent.
--- a/ryelever/coordination/relaying/rank_shares.py
+++ b/ryelever/coordination/relaying/rank_shares.py
@@ -9,9 +9,8 @@
 #: Seconds over which arrivals are counted: enough for some twenty arrivals at a host.
 RANK_WINDOW = 10.0
 
-#: Maximum seconds for which slots are reserved for an arrival. In a simulated zone with
-#: a load of 1.4, half of it urgent, 0.1 s made every twentieth urgent request late that
-#: is on time with 0.2 s; with 0.3 s, more slots were idle at a load of 0.95.
+#: Maximum seconds for which slots are reserved for an arrival: 0.1 s makes 5% of the
+#: urgent requests late at a load of 1.4, and 0.3 s leaves more slots idle at 0.95.
 MAX_RESERVED_TIME = 0.2
 
 #: Whether a request is late, and the step of its rank. Lower values go first.
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -135,7 +135,7 @@
         return self.service, self.arrival.model
 
     def attempt_priority(self, *, now: float) -> int:
-        """Return the priority that backend servers are told, from 0 to 9.
+        """Return the priority that is sent to backend servers, from 0 to 9.
 
         Of a contended service, requests that may still be on time have 0 to 4 and late
         ones 5 to 9. A server that is full then admits those on time first.
