--- a/ryelever/coordination/quarantine/quarantine.py
+++ b/ryelever/coordination/quarantine/quarantine.py
@@ -223,6 +223,7 @@
         if suspect is not None and suspect.n_total_crashes:
             suspect.clear()
             suspect.cleared_at = now
+            self._reports.suspect_cleared(fingerprint, peer="")
 
     def observations(self, *, now: float) -> list[Observation]:
         """Return this host's own crash counts; a count of 0 reports a completion."""
@@ -253,7 +254,9 @@
         if not isinstance(observation, SuspicionRow):
             return
         if not observation.n_crashes:
-            self._clear_by_peer(observation.fingerprint, observed_at=observed_at)
+            self._clear_by_peer(
+                observation.fingerprint, peer=peer, observed_at=observed_at
+            )
             return
         suspect = self._suspect(observation.fingerprint, now=now)
         count = suspect.counts_by_peer.setdefault(peer, PeerCount())
@@ -318,11 +321,15 @@
         ):
             return
         for explained in self._suspects_by_fingerprint[condemned].crashes:
-            explained.explained_by = ""
+            self._explain(explained, by="")
 
-    def _clear_by_peer(self, fingerprint: str, *, observed_at: float) -> None:
+    def _clear_by_peer(
+        self, fingerprint: str, *, peer: str, observed_at: float
+    ) -> None:
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         if suspect is not None and observed_at >= suspect.newest_at:
+            if suspect.n_total_crashes:
+                self._reports.suspect_cleared(fingerprint, peer=peer)
             suspect.clear()
 
     def _excuse_once(self, fingerprint: str, *, now: float) -> bool:
@@ -334,7 +341,12 @@
         suspect = self._add(fingerprint, crash, now=now)
         if suspect.n_total_crashes >= MAX_CRASHES:
             for explained in suspect.crashes:
-                explained.explained_by = fingerprint
+                self._explain(explained, by=fingerprint)
+
+    def _explain(self, crash: Crash, *, by: str) -> None:
+        if crash.explained_by != by:
+            crash.explained_by = by
+            self._reports.crash_explained(crash)
 
     def _add(self, fingerprint: str, crash: Crash, *, now: float) -> Suspect:
         suspect = self._suspect(fingerprint, now=now)
--- a/ryelever/coordination/quarantine/reports.py
+++ b/ryelever/coordination/quarantine/reports.py
@@ -20,6 +20,18 @@
     def suspicion_received(self, row: SuspicionRow, *, peer: str) -> None:
         """Process a peer's observation that changes the evidence on this host."""
 
+    def suspect_cleared(self, fingerprint: str, *, peer: str) -> None:
+        """Process that all evidence against a request was dropped.
+
+        Parameters
+        ----------
+        peer : str
+            The peer that reported no crashes; empty if the request completed here.
+        """
+
+    def crash_explained(self, crash: Crash) -> None:
+        """Process that a crash got or lost the request that explains it."""
+
     def condemned(self, fingerprint: str, *, n_crashes: int, after: float) -> None:
         """Process the first verdict against a request.
 
@@ -41,5 +53,11 @@
     def suspicion_received(self, row: SuspicionRow, *, peer: str) -> None:
         """Do nothing."""
 
+    def suspect_cleared(self, fingerprint: str, *, peer: str) -> None:
+        """Do nothing."""
+
+    def crash_explained(self, crash: Crash) -> None:
+        """Do nothing."""
+
     def condemned(self, fingerprint: str, *, n_crashes: int, after: float) -> None:
         """Do nothing."""
--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -61,13 +61,16 @@
 
     def failed(
         self, request: RelayRequest, *, server_id: str, reason: str, now: float
-    ) -> None:
-        """Record a failed attempt.
+    ) -> str:
+        """Record a failed attempt; return the request's fingerprint if it was a crash.
 
         Each attempt that a crash breaks off records the same crash again.
         """
-        if reason in CRASH_REASONS:
-            self._quarantine.crashed(server_id, {_fingerprint(request)}, now=now)
+        if reason not in CRASH_REASONS:
+            return ""
+        fingerprint = _fingerprint(request)
+        self._quarantine.crashed(server_id, {fingerprint}, now=now)
+        return fingerprint
 
     def completed(self, request: RelayRequest, *, now: float) -> None:
         """Clear a request that got its complete answer."""
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -150,9 +150,22 @@
         )
 
     def attempt_failed(
-        self, request: RelayRequest, server_id: str, reason: str, *, may_have_run: bool
+        self,
+        request: RelayRequest,
+        server_id: str,
+        reason: str,
+        *,
+        may_have_run: bool,
+        fingerprint: str = "",
     ) -> None:
-        """Log a failed attempt."""
+        """Log a failed attempt.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request's fingerprint if the backend server crashed; otherwise empty.
+        """
+        crash_fields = {"fingerprint": fingerprint} if fingerprint else {}
         self._log(
             "attempt_failed",
             request=request.arrival.request_id,
@@ -161,6 +174,7 @@
             may_have_run=may_have_run,
             n_sent=request.n_sent,
             last_event=request.last_event_id,
+            **crash_fields,
         )
 
     def quarantined(self, request: RelayRequest, *, n_crashes: int) -> None:
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -222,6 +222,7 @@
         "may_have_run",
         "n_sent",
         "last_event",
+        "fingerprint",
     ),
     "caller_left": _info(
         "a caller closed its connection", "request", "phase", "server"
@@ -261,6 +262,17 @@
         "repeated",
         "proved",
     ),
+    "suspect_cleared": _info(
+        "all evidence against a request was dropped, for its completion or for the "
+        "report of another host",
+        "fingerprint",
+        "peer",
+    ),
+    "crash_explained": _info(
+        "a crash counts against one request only; against all if it is empty",
+        "crash",
+        "fingerprint",
+    ),
     "request_condemned": _info(
         "a request is quarantined", "fingerprint", "n_crashes", "after"
     ),
--- a/ryelever/quarantine_log.py
+++ b/ryelever/quarantine_log.py
@@ -40,6 +40,14 @@
             proved=row.proved,
         )
 
+    def suspect_cleared(self, fingerprint: str, *, peer: str) -> None:
+        """Log that all evidence against a request was dropped."""
+        log_event("suspect_cleared", fingerprint=fingerprint, peer=peer)
+
+    def crash_explained(self, crash: Crash) -> None:
+        """Log which request explains a crash."""
+        log_event("crash_explained", crash=crash.key, fingerprint=crash.explained_by)
+
     def condemned(self, fingerprint: str, *, n_crashes: int, after: float) -> None:
         """Log the first verdict against a request."""
         log_event(
