--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -193,6 +193,7 @@
             reads_store=True,
             stopping=False,
             configuration_version=1,
+            suspicions=self.crashes.recent_suspicions(now=self._fleet.now),
         )
 
     def _fired(self, event: object, channel: str) -> None:
