Join the hosts' evidence against poison requests as facts

Cause: hosts told each other counts of crashes, and a host lowers its own count when another suspect repeats in the same crash or is condemned for it. Other hosts took a count of none for a completion and dropped all that they knew about the request. Verdicts also hung on the order in which each host saw its part of a crash: two requests that were sent again together excused each other, and a condemned bystander explained the crashes of the poison request.

The class: a derived value is exchanged in place of the facts that it was derived from, so a later derivation can't be told from new facts. The hosts that relay exchange the facts now: these requests were running in these crashes, and these crashes don't count since the request has completed. Sets of facts are joined, so that loss, repetition and order of messages, and the summaries of zones, change nothing. Verdicts are computed from all facts: a request is quarantined for two crashes which no quarantined request explains and in which no other request ran that was in as many, or for five. Evidence of two crashes and more is announced for as long as it counts, for hosts that start or were cut off. Hosts of the release before read the rows as before; their rows count as one crash.

test_suspicions_are_announced_for_a_limited_time is replaced: it asked that the evidence against a poison request is announced for two seconds only, which is part of the fault. Its successors ask that a single crash is announced for two seconds, and a quarantined request for as long as its crashes count.

--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -16,8 +16,8 @@
 
     from ..state.leaving import LeavingServerRow
     from ..state.observations import (
+        InvolvementRow,
         RateLimitRow,
-        SuspicionRow,
         WaitingKind,
         WaitingRow,
     )
@@ -96,9 +96,9 @@
     moving : tuple of str
         Heads that other hosts reported as stalled and whose streams progress at this
         host.
-    suspicions : tuple of SuspicionRow
-        Requests of the host that were in flight when a backend server crashed, or
-        that completed since.
+    suspicions : tuple of InvolvementRow
+        Requests that were in flight when a backend server crashed, or that completed
+        since.
     rate_limits : tuple of RateLimitRow
         Rate limits of backend servers, from the answers that the host received.
     wanted_servers : tuple of str
@@ -143,7 +143,7 @@
     plans: tuple[str, ...] = ()
     reshapes: tuple[str, ...] = ()
     moving: tuple[str, ...] = ()
-    suspicions: tuple[SuspicionRow, ...] = ()
+    suspicions: tuple[InvolvementRow, ...] = ()
     rate_limits: tuple[RateLimitRow, ...] = ()
     wanted_servers: tuple[str, ...] = ()
     leaving_servers: tuple[LeavingServerRow, ...] = ()
--- a/ryelever/coordination/relaying/__init__.py
+++ b/ryelever/coordination/relaying/__init__.py
@@ -6,6 +6,7 @@
 
 from .actions import RelayAttempt, RelayMeasures, RelayRefusal
 from .balance import Balancer
+from .crash_evidence import CrashEvidence
 from .crashes import CrashWatch
 from .demand import DemandMeter, time_in_batch
 from .messages import (
@@ -22,6 +23,7 @@
 __all__ = [
     "AnswerHead",
     "Balancer",
+    "CrashEvidence",
     "CrashWatch",
     "DemandMeter",
     "Headers",
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -392,9 +392,7 @@
         server_id = request.attempt.server_id
         request.may_have_run = True
         self._balancer.failed(server_id, now=now)
-        fingerprint = self._crashes.failed(
-            request, server_id=server_id, reason=reason, now=now
-        )
+        fingerprint = self._crashes.failed(request, reason=reason, now=now)
         self._cancel_attempt(request)
         self._reports.attempt_failed(
             request, server_id, reason, may_have_run=True, fingerprint=fingerprint
--- a/ryelever/coordination/zone_summary.py
+++ b/ryelever/coordination/zone_summary.py
@@ -12,13 +12,13 @@
 
 from msgspec.structs import replace
 
-from ..state.observations import sum_suspicions, sum_waiting
+from ..state.observations import join_involvements, sum_waiting
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..state.leaving import LeavingServerRow
-    from ..state.observations import RateLimitRow, SuspicionRow
+    from ..state.observations import RateLimitRow
     from .host_heartbeats import HostHeartbeat
 
 __all__ = ["zone_summary"]
@@ -55,7 +55,7 @@
         moving=_union(heartbeat.moving for heartbeat in heartbeats),
         plans=_union(heartbeat.plans for heartbeat in heartbeats),
         reshapes=_union(heartbeat.reshapes for heartbeat in heartbeats),
-        suspicions=_summed(
+        suspicions=join_involvements(
             row for heartbeat in heartbeats for row in heartbeat.suspicions
         ),
         rate_limits=_newest(
@@ -72,14 +72,6 @@
     return tuple(sorted({item for part in parts for item in part}))
 
 
-def _summed(rows: Iterable[SuspicionRow]) -> tuple[SuspicionRow, ...]:
-    summed: dict[str, SuspicionRow] = {}
-    for row in rows:
-        known = summed.get(row.fingerprint)
-        summed[row.fingerprint] = row if known is None else sum_suspicions(row, known)
-    return tuple(summed.values())
-
-
 def _distinct(rows: Iterable[LeavingServerRow]) -> tuple[LeavingServerRow, ...]:
     return tuple(sorted(set(rows), key=lambda row: row.server_id))
 
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -261,7 +261,7 @@
                 self._balancer.limits.record_peer_limits(message.rate_limits, now=now)
                 self._record_leaving_servers(message, now=now)
                 if message.suspicions:
-                    self._crashes.record_suspicions(
+                    self._crashes.record_announced(
                         message.suspicions, host=message.host, now=now
                     )
         self._update_peer_view(now=now)
--- a/ryelever/protocol/host_messages.py
+++ b/ryelever/protocol/host_messages.py
@@ -21,8 +21,8 @@
 from ..state.keyed_record import KeyedRecord, ServerUpdates
 from ..state.leaving import LeavingServerRow
 from ..state.observations import (
+    InvolvementRow,
     RateLimitRow,
-    SuspicionRow,
     WaitingRow,
     sum_waiting,
 )
@@ -104,6 +104,13 @@
 #: others.  The servers' records announce all of them some tenths of a second later.
 MAX_LEAVING_SERVERS = 16
 
+#: Maximum number of requests in a heartbeat that were in crashes, each of which takes
+#: 70 to 150 bytes.
+MAX_SUSPICIONS = 32
+
+#: Maximum age of a crash in the message, in minutes.
+MAX_AGE_MINUTES = 2**16 - 1
+
 #: Maximum number of rows of waiting requests in a heartbeat.  Two models with four
 #: priorities, on time and late, have 16 kinds of requests; where there are more, the
 #: rows with the smallest counts are left out.
@@ -173,9 +180,10 @@
 def encode_heartbeat(heartbeat: HostHeartbeat) -> bytes:
     """Return a heartbeat encoded as one datagram.
 
-    Waiting requests have only the space that the other lists leave.  Without a few of
-    their rows, hosts estimate waits that are too short; without loads, they send
-    requests to full servers.
+    Waiting requests have only the space that the other lists leave, and requests that
+    were in crashes the space that is left without them.  Without a few rows of waiting
+    requests, hosts estimate waits that are too short; without loads, they send requests
+    to full servers.
     """
     message = _schema.HostHeartbeat.new_message(
         sequence=heartbeat.sequence, state=_encode_state(heartbeat)
@@ -196,10 +204,16 @@
     if heartbeat.wanted_servers:
         message.wantedServers = list(heartbeat.wanted_servers[:MAX_LIMITED_SERVERS])
     data = HEARTBEAT + message.to_bytes_packed()
-    if len(data) <= MAX_DATAGRAM or not heartbeat.waiting:
+    if len(data) <= MAX_DATAGRAM:
         return data
-    rows = sum_waiting(heartbeat.waiting)[:MAX_WAITING_ROWS]
-    return encode_heartbeat(replace(heartbeat, waiting=rows[: len(rows) // 2]))
+    if heartbeat.waiting:
+        rows = sum_waiting(heartbeat.waiting)[:MAX_WAITING_ROWS]
+        return encode_heartbeat(replace(heartbeat, waiting=rows[: len(rows) // 2]))
+    if heartbeat.suspicions:
+        suspicions = heartbeat.suspicions[:MAX_SUSPICIONS]
+        shorter = suspicions[: len(suspicions) // 2]
+        return encode_heartbeat(replace(heartbeat, suspicions=shorter))
+    return data
 
 
 def _encode_waiting(rows: Iterable[WaitingRow]) -> list[dict[str, object]]:
@@ -238,6 +252,18 @@
     }
 
 
+def _encode_involvement(row: InvolvementRow) -> dict[str, object]:
+    """Encode a row, with the fields that hosts of the release before read."""
+    return {
+        "fingerprint": row.fingerprint,
+        "nCrashes": len(row.crashes),
+        "crash": row.crashes[-1] if row.crashes else "",
+        "crashes": list(row.crashes),
+        "refuted": list(row.refuted),
+        "age": min(row.age, MAX_AGE_MINUTES),
+    }
+
+
 def _encode_state(heartbeat: HostHeartbeat) -> bytes:
     message = _schema.HostState.new_message(
         host=heartbeat.host,
@@ -266,16 +292,8 @@
         leaving = heartbeat.leaving_servers[:MAX_LEAVING_SERVERS]
         message.leavingServers = [_encode_leaving(row) for row in leaving]
     if heartbeat.suspicions:
-        message.suspicions = [
-            {
-                "fingerprint": row.fingerprint,
-                "nCrashes": row.n_crashes,
-                "crash": row.crash,
-                "repeated": row.repeated,
-                "proved": row.proved,
-            }
-            for row in heartbeat.suspicions
-        ]
+        rows = heartbeat.suspicions[:MAX_SUSPICIONS]
+        message.suspicions = [_encode_involvement(row) for row in rows]
     return message.to_bytes_packed()
 
 
@@ -526,14 +544,16 @@
             )
             for row in message.leavingServers
         ),
-        suspicions=tuple(
-            SuspicionRow(
-                fingerprint=row.fingerprint,
-                n_crashes=row.nCrashes,
-                crash=row.crash,
-                repeated=row.repeated,
-                proved=row.proved,
-            )
-            for row in message.suspicions
-        ),
+        suspicions=tuple(_decode_involvement(row) for row in message.suspicions),
+    )
+
+
+def _decode_involvement(row: object) -> InvolvementRow:
+    """Decode a row; one of the release before has at most one crash."""
+    crashes = tuple(row.crashes)
+    refuted = tuple(row.refuted)
+    if not crashes and not refuted and row.nCrashes:
+        crashes = (row.crash,)
+    return InvolvementRow(
+        fingerprint=row.fingerprint, crashes=crashes, refuted=refuted, age=row.age
     )
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -11,13 +11,14 @@
 from .coordination.evacuations import Evacuations
 from .coordination.groups import ZonePlanner
 from .coordination.host_heartbeats import HostHeartbeat, HostHeartbeats
-from .coordination.quarantine import Quarantine
 from .coordination.relaying import (
     Balancer,
+    CrashEvidence,
     CrashWatch,
     RelayRetryBudget,
     StallWatch,
 )
+from .crash_log import CrashLog
 from .events import (
     control_tick,
     heartbeat_tick,
@@ -34,7 +35,6 @@
 from .metrics import Metrics
 from .peer_requests import PeerRequests
 from .probe_page import ProbePage
-from .quarantine_log import QuarantineLog
 from .relay import Relay
 from .relay_metrics import RelayMetrics, register_gauges
 from .relay_shutdown import RelayShutdown
@@ -171,7 +171,9 @@
             is_evacuated=self._is_evacuated,
         )
         crashes = self.crashes = CrashWatch(
-            quarantine=Quarantine(reports=QuarantineLog())
+            evidence=CrashEvidence(
+                reports=CrashLog(),
+            )
         )
         self.relay = Relay(
             messages=messages,
@@ -357,7 +359,7 @@
             knows_servers=self.fleet.servers.is_current,
             still=tuple(self.relay.stall_watch.still(now=now)),
             moving=self._progressing_heads(now=now),
-            suspicions=self.crashes.recent_suspicions(now=now),
+            suspicions=self.crashes.announced(now=now),
             plans=tuple(self.planning.planners_by_zone),
             reshapes=self.planning.reshaped_zones(),
             demand_by_model=self.relay.demand.by_model(now=now),
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -46,8 +46,8 @@
   moving @9 :List(Text);
   # Size in bytes of the configuration in force at the sender.
   configurationSize @10 :UInt32;
-  # Requests of the sender that were recently in flight when a backend server crashed, or
-  # that have completed since.
+  # Requests that were in flight when a backend server crashed, or that have completed
+  # since.
   suspicions @11 :List(Suspicion);
   # Address of the sender; a forwarded heartbeat arrives from another address.
   address @12 :Text;
@@ -111,6 +111,12 @@
   crash @2 :Text;
   repeated @3 :Bool;
   proved @4 :Bool;
+  # Crashes that count, and crashes that don't since the request has completed.  Hosts of
+  # the release before send only one crash, and the fields above.
+  crashes @5 :List(Text);
+  refuted @6 :List(Text);
+  # Minutes since the oldest crash that counts.
+  age @7 :UInt16;
 }
 
 struct Demand {
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -27,9 +27,11 @@
     "Observation",
     "RateLimitRow",
     "ReportRow",
+    "InvolvementRow",
     "SuspicionRow",
     "WaitingKind",
     "WaitingRow",
+    "join_involvements",
     "sum_suspicions",
     "sum_waiting",
     "waiting_rows",
@@ -166,6 +168,48 @@
     )
 
 
+class InvolvementRow(msgspec.Struct, kw_only=True, frozen=True):
+    """Crashes of backend servers in which a relayed request was running.
+
+    Attributes
+    ----------
+    crashes : tuple of str
+        Identifiers of the crashes that count, the same on all entry hosts; sorted.
+    refuted : tuple of str
+        Crashes that don't count because the request has completed; sorted.
+    age : int
+        Minutes since the oldest of the crashes that count, rounded up.
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...] = ()
+    refuted: tuple[str, ...] = ()
+    age: int = 0
+
+
+def join_involvements(rows: Iterable[InvolvementRow]) -> tuple[InvolvementRow, ...]:
+    """Return one row for each request, those with the most crashes first."""
+    rows_by_fingerprint: dict[str, list[InvolvementRow]] = {}
+    for row in rows:
+        rows_by_fingerprint.setdefault(row.fingerprint, []).append(row)
+    joined = [_joined(same) for same in rows_by_fingerprint.values()]
+    joined.sort(key=lambda row: (-len(row.crashes), row.fingerprint))
+    return tuple(joined)
+
+
+def _joined(rows: list[InvolvementRow]) -> InvolvementRow:
+    if len(rows) == 1:
+        return rows[0]
+    refuted = {key for row in rows for key in row.refuted}
+    crashes = {key for row in rows for key in row.crashes} - refuted
+    return InvolvementRow(
+        fingerprint=rows[0].fingerprint,
+        crashes=tuple(sorted(crashes)),
+        refuted=tuple(sorted(refuted)),
+        age=max(row.age for row in rows),
+    )
+
+
 class LeavingRow(msgspec.Struct, kw_only=True, frozen=True):
     """Announcement that a backend server is leaving, as this entry host has learned."""
 
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -20,7 +20,7 @@
     SimulatedHost,
 )
 
-__all__ = ["CrashingFleet"]
+__all__ = ["POISON", "CrashingFleet"]
 
 #: Content of the request that crashes each server which begins to run it, and the
 #: seconds from its arrival to the crash.
@@ -117,8 +117,16 @@
         """
         if len(self.crashed_at) < 3:
             return 0
-        start = self.crashed_at[2] + after
-        return sum(at > start for at in self.poison_arrivals)
+        return self.n_poison(after=self.crashed_at[2] + after)
+
+    def n_poison(self, *, after: float) -> int:
+        """Return how often the poison request reached servers after a time."""
+        return sum(at > after for at in self.poison_arrivals)
+
+    def add_host(self, name: str, *, zone: str) -> None:
+        """Start a host that knows the servers and the addresses of the other hosts."""
+        self._add_host(name, zone=zone)
+        self.rate_by_host[name] = 0.0
 
     # Callers
 
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -167,15 +167,20 @@
     """Simulate one entry host: its relaying decisions and its host exchange."""
 
     def __init__(self, *, fleet: LimitedFleet, name: str, zone: str, seed: int) -> None:
+        heartbeats = HostHeartbeats(host=name, zone=zone)
         super().__init__(
-            n_servers=0, slots=6, zone=zone, cold_rate=COLD_RATE, seed=seed
+            n_servers=0,
+            slots=6,
+            zone=zone,
+            cold_rate=COLD_RATE,
+            seed=seed,
         )
         self.name = name
         self.zone = zone
         self._fleet = fleet
         self.exchange = HostExchange(
             settings=settings_of(name, zone=zone),
-            heartbeats=HostHeartbeats(host=name, zone=zone),
+            heartbeats=heartbeats,
             balancer=self.balancer,
             stall_watch=self.stall_watch,
             crashes=self.crashes,
@@ -193,7 +198,7 @@
             reads_store=True,
             stopping=False,
             configuration_version=1,
-            suspicions=self.crashes.recent_suspicions(now=self._fleet.now),
+            suspicions=self.crashes.announced(now=self._fleet.now),
         )
 
     def _fired(self, event: object, channel: str) -> None:
--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -34,7 +34,7 @@
 )
 from ryelever.state.keyed_record import KeyedRecord, ServerUpdates
 from ryelever.state.leaving import LeavingServerRow
-from ryelever.state.observations import RateLimitRow, SuspicionRow, WaitingRow
+from ryelever.state.observations import InvolvementRow, RateLimitRow, WaitingRow
 
 
 def _heartbeat(
@@ -77,14 +77,33 @@
         passed_on=True,
         configuration_size=4711,
         suspicions=(
-            SuspicionRow(
-                fingerprint="a/f", n_crashes=2, crash="i1", repeated=True, proved=True
+            InvolvementRow(
+                fingerprint="a/f", crashes=("i1", "i2"), refuted=("i3",), age=2
             ),
+            InvolvementRow(fingerprint="a/g", refuted=("i3",)),
         ),
     )
     assert decode_datagram(encode_heartbeat(heartbeat), peer="a") == heartbeat
 
 
+def test_a_heartbeat_with_many_crashes_fits_into_a_datagram() -> None:
+    rows = tuple(
+        InvolvementRow(
+            fingerprint=f"account-{index:03}/{index:024x}",
+            crashes=tuple(f"server-{index:03}-{crash:012x}" for crash in range(6)),
+        )
+        for index in range(100)
+    )
+    loads = {f"i-{index:010x}": 1 for index in range(160)}
+    heartbeat = _heartbeat("a", suspicions=rows, in_flight_by_server=loads)
+    data = encode_heartbeat(heartbeat)
+    assert len(data) <= MAX_DATAGRAM
+    found = decode_datagram(data, peer="a")
+    assert found.suspicions == rows[: len(found.suspicions)]
+    assert len(found.suspicions) >= 8
+    assert found.in_flight_by_server == loads
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"\x00", b"no word at all", b"w", b"n", b"w" + b"\xff" * 64]
 )
@@ -534,9 +553,12 @@
 
 
 def test_a_zone_summary_merges_the_heartbeats_of_its_hosts() -> None:
-    row = SuspicionRow(fingerprint="f", n_crashes=1, crash="i1")
+    row = InvolvementRow(fingerprint="f", crashes=("i1", "i2"), age=1)
     own = _heartbeat(
-        "a", in_flight_by_server={"i1": 1}, still=("h1",), suspicions=(row,)
+        "a",
+        in_flight_by_server={"i1": 1},
+        still=("h1",),
+        suspicions=(InvolvementRow(fingerprint="e", crashes=("i2",)), row),
     )
     other = _heartbeat(
         "b",
@@ -544,7 +566,7 @@
         demand_by_model={"m": 0.5},
         still=("h1", "h2"),
         plans=("z",),
-        suspicions=(replace(row, crash="i2"),),
+        suspicions=(replace(row, crashes=("i2", "i3"), refuted=("i1",), age=2),),
     )
     summary = zone_summary(own, [other])
     assert (summary.host, summary.n_hosts) == ("a", 2)
@@ -552,7 +574,10 @@
     assert summary.demand_by_model == {"m": 0.5}
     assert summary.still == ("h1", "h2")
     assert summary.plans == ("z",)
-    assert [(item.n_crashes, item.crash) for item in summary.suspicions] == [(2, "i2")]
+    assert summary.suspicions == (
+        InvolvementRow(fingerprint="f", crashes=("i2", "i3"), refuted=("i1",), age=2),
+        InvolvementRow(fingerprint="e", crashes=("i2",)),
+    )
 
 
 def test_limits_leaving_servers_and_evacuations_are_encoded() -> None:
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -6,10 +6,10 @@
 
 from msgspec.structs import replace
 
-from ryelever.coordination.quarantine import Quarantine
 from ryelever.coordination.relaying import AnswerHead, Headers, RelayArrival
 from ryelever.coordination.relaying.actions import RelayAttempt, RelayRefusal
 from ryelever.coordination.relaying.balance import Balancer
+from ryelever.coordination.relaying.crash_evidence import CrashEvidence
 from ryelever.coordination.relaying.crashes import CrashWatch
 from ryelever.coordination.relaying.requests import RelayRequests
 from ryelever.coordination.relaying.retry_budget import RelayRetryBudget
@@ -144,7 +144,7 @@
             seed=seed,
         )
         self.stall_watch = StallWatch()
-        self.crashes = CrashWatch(quarantine=Quarantine(seed=1))
+        self.crashes = CrashWatch(evidence=CrashEvidence(seed=1))
         self.sent: list[RelayAttempt] = []
         self.cancelled: list[str] = []
         self.out: list[tuple[Any, ...]] = []
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ryelever.coordination.relaying.crash_evidence import MAX_AGE
 from ryelever.coordination.relaying.crashes import ANNOUNCED_FOR
 from ryelever.state.routes import RouteKind
 
@@ -28,8 +29,8 @@
 
 
 def _announce(sender: Relaying, receiver: Relaying, *, now: float) -> None:
-    receiver.crashes.record_suspicions(
-        sender.crashes.recent_suspicions(now=now), host="sender", now=now
+    receiver.crashes.record_announced(
+        sender.crashes.announced(now=now), host="sender", now=now
     )
 
 
@@ -89,7 +90,7 @@
         relaying.arrive(SAFE, number=number, content="slow", now=0.0)
         attempt = relaying.sent[-1]
         relaying.requests.attempt_failed(attempt.id, reason, sent=True, now=0.1)
-    assert relaying.crashes.recent_suspicions(now=0.2) == ()
+    assert relaying.crashes.announced(now=0.2) == ()
 
 
 def test_unsent_request_is_not_suspected() -> None:
@@ -98,7 +99,7 @@
     relaying.requests.attempt_failed(
         relaying.sent[0].id, "connection_failed", sent=False, now=0.1
     )
-    assert relaying.crashes.recent_suspicions(now=0.2) == ()
+    assert relaying.crashes.announced(now=0.2) == ()
 
 
 def test_completion_clears_a_bystander_of_a_crash() -> None:
@@ -121,8 +122,19 @@
     assert _crash_all(relaying, "popular", now=80.0) == 0
 
 
-def test_suspicions_are_announced_for_a_limited_time() -> None:
+def test_single_crash_is_announced_for_a_limited_time() -> None:
     relaying = Relaying()
-    _crash_all(relaying, "poison", now=0.0)
-    assert len(relaying.crashes.recent_suspicions(now=ANNOUNCED_FOR)) == 1
-    assert relaying.crashes.recent_suspicions(now=ANNOUNCED_FOR + 0.1) == ()
+    relaying.arrive(ONCE, content="bystander", now=0.0)
+    relaying.requests.attempt_failed(
+        relaying.sent[0].id, "connection_failed", sent=True, now=0.0
+    )
+    assert len(relaying.crashes.announced(now=ANNOUNCED_FOR)) == 1
+    assert relaying.crashes.announced(now=ANNOUNCED_FOR + 0.1) == ()
+
+
+def test_quarantined_request_is_announced_for_as_long_as_its_crashes_count() -> None:
+    """Guard against hosts that start, or were cut off, and never learn of it."""
+    relaying = Relaying()
+    assert _crash_all(relaying, "poison", now=0.0) == 2
+    assert len(relaying.crashes.announced(now=MAX_AGE - 1.0)) == 1
+    assert relaying.crashes.announced(now=MAX_AGE + 1.0) == ()
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -14,8 +14,12 @@
     HostHeartbeat,
     HostHeartbeats,
 )
-from ryelever.coordination.quarantine import Quarantine
-from ryelever.coordination.relaying import Balancer, CrashWatch, StallWatch
+from ryelever.coordination.relaying import (
+    Balancer,
+    CrashEvidence,
+    CrashWatch,
+    StallWatch,
+)
 from ryelever.events import Datagram
 from ryelever.host_exchange import (
     HEARTBEAT_INTERVAL,
@@ -75,7 +79,7 @@
             heartbeats=heartbeats,
             balancer=Balancer(directory=Directory(), zone=zone),
             stall_watch=StallWatch(),
-            crashes=CrashWatch(quarantine=Quarantine()),
+            crashes=CrashWatch(evidence=CrashEvidence()),
             describe=lambda: HostHeartbeat(
                 host=host,
                 availability_zone=zone,
--- a/tests/test_log_table.py
+++ b/tests/test_log_table.py
@@ -27,6 +27,8 @@
         "append_given_up",
         "clock_differs_from_log",
         "configuration_adopted",
+        "crash_explained",
+        "crash_noted",
         "drain_closed",
         "drain_cut_off",
         "drain_started",
@@ -47,6 +49,7 @@
         "snapshot_restored",
         "snapshot_written",
         "stream_failed",
+        "suspicion_received",
     }
 )
 
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from .crashing_fleet import CrashingFleet
+from .crashing_fleet import POISON, CrashingFleet
 
 #: Sendings of a request that are allowed once all hosts had seconds to learn of its
 #: third crash.
@@ -20,18 +22,71 @@
 SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
 
 
-def _run(monkeypatch: pytest.MonkeyPatch, *, seed: int) -> CrashingFleet:
-    fleet = CrashingFleet(monkeypatch, load=LOAD, seed=seed)
+#: Share of the datagrams between hosts that are lost.
+LOSS = 1 / 3
+
+
+@pytest.fixture(params=SEEDS)
+def fleet(
+    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
+) -> CrashingFleet:
+    """Return a fleet that gets a poison request from two callers."""
+    fleet = CrashingFleet(monkeypatch, load=LOAD, seed=request.param)
     fleet.start_poison(at=POISON_FROM, n_callers=2)
-    fleet.run(UNTIL)
     return fleet
 
 
+def _lose_datagrams(fleet: CrashingFleet) -> None:
+    draw = random.Random(1)
+    fleet.lost = lambda sender, receiver: draw.random() < LOSS
+
+
 def test_poison_request_stays_quarantined_beside_requests_that_repeat_with_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guard against hosts that forget a poison request since others ran beside it."""
-    n_late_by_seed = {
-        seed: _run(monkeypatch, seed=seed).n_late_poison(after=GRACE) for seed in SEEDS
-    }
+    n_late_by_seed = {}
+    for seed in SEEDS:
+        fleet = CrashingFleet(monkeypatch, load=LOAD, seed=seed)
+        fleet.start_poison(at=POISON_FROM, n_callers=2)
+        fleet.run(UNTIL)
+        n_late_by_seed[seed] = fleet.n_late_poison(after=GRACE)
     assert max(n_late_by_seed.values()) <= MAX_LATE, n_late_by_seed
+
+
+def test_requests_that_ran_beside_a_poison_request_are_not_quarantined(
+    fleet: CrashingFleet,
+) -> None:
+    """Guard against refusing others for the crashes of a poison request."""
+    fleet.run(UNTIL)
+    assert {content for _, content in fleet.quarantined} == {POISON}
+
+
+def test_poison_request_is_quarantined_while_datagrams_are_lost(
+    fleet: CrashingFleet,
+) -> None:
+    """Guard against evidence that arrives only if no heartbeat is lost."""
+    _lose_datagrams(fleet)
+    fleet.run(UNTIL)
+    assert fleet.n_late_poison(after=GRACE) <= MAX_LATE
+
+
+def test_new_hosts_learn_which_requests_are_quarantined(fleet: CrashingFleet) -> None:
+    """Guard against a poison request that crashes more servers at each new host."""
+    fleet.run(POISON_FROM + 8.0)
+    for zone in ("x", "y", "z"):
+        for index in range(2):
+            fleet.add_host(f"{zone}-new-{index}", zone=zone)
+    fleet.run(UNTIL)
+    assert fleet.n_late_poison(after=GRACE) <= MAX_LATE
+
+
+def test_hosts_that_were_cut_off_learn_which_requests_are_quarantined(
+    fleet: CrashingFleet,
+) -> None:
+    """Guard against evidence that is announced only while it is new."""
+    fleet.lost = lambda sender, receiver: sender.zone != receiver.zone
+    fleet.run(POISON_FROM + 8.0)
+    fleet.lost = lambda sender, receiver: False
+    fleet.run(UNTIL)
+    assert fleet.n_poison(after=POISON_FROM + 8.0 + GRACE) == 0
