Check waiting requests against known crashes before they are sent

A request was checked on its arrival and before a retry. One that waited for a slot when its crashes became known was sent nevertheless, and crashed one server more. Both queues ask for the verdict before they send, and refuse at once.

test_request_that_waits_when_its_crashes_become_known_is_not_sent fails on the code before: the waiting request is sent.

--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -132,6 +132,8 @@
         full = _FullGroups()
         n_ahead_by_work: dict[tuple[str, str], int] = {}
         for request in waiting:
+            if self._refusals.refuse_if_quarantined(request, now=now):
+                continue
             if self._refusals.refuse_if_paused(
                 request, waits_until=request.waits_until, now=now
             ):
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -114,6 +114,7 @@
         self._contention = Contention(mode=contention, balancer=balancer, seed=seed)
         server_refusals = ServerRefusals(
             balancer=balancer,
+            crashes=crashes,
             waiting=self._waiting,
             refuse=self._end_without_answer,
         )
--- a/ryelever/coordination/relaying/server_refusals.py
+++ b/ryelever/coordination/relaying/server_refusals.py
@@ -1,4 +1,4 @@
-"""Refuse requests whose servers are paused or limited for as long as they may wait."""
+"""Refuse requests that can't be sent to any server for as long as they may wait."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from .balance import Balancer
+    from .crashes import CrashWatch
     from .request import RelayRequest
     from .waiting import WaitingRequests
 
@@ -20,7 +21,7 @@
 
 
 class ServerRefusals:
-    """Refuse requests that their servers can't take, whether they wait or not.
+    """Refuse requests that no server may get, whether they wait or not.
 
     Parameters
     ----------
@@ -29,19 +30,34 @@
         its caller should retry.
     """
 
-    __slots__ = ("_balancer", "_refuse", "_waiting")
+    __slots__ = ("_balancer", "_crashes", "_refuse", "_waiting")
 
     def __init__(
         self,
         *,
         balancer: Balancer,
+        crashes: CrashWatch,
         waiting: WaitingRequests,
         refuse: Callable[..., None],
     ) -> None:
         self._balancer = balancer
+        self._crashes = crashes
         self._waiting = waiting
         self._refuse = refuse
 
+    def refuse_if_quarantined(self, request: RelayRequest, *, now: float) -> bool:
+        """Refuse a request that crashes servers; return whether it was refused.
+
+        The crashes may have become known while the request was waiting.
+        """
+        quarantined = self._crashes.verdict(request, now=now)
+        if quarantined is None:
+            return False
+        self._refuse(
+            request, "quarantined", retry_after=quarantined.retry_after, now=now
+        )
+        return True
+
     def refuse_if_paused(
         self, request: RelayRequest, *, waits_until: float, now: float
     ) -> bool:
--- a/ryelever/coordination/relaying/uncontended_requests.py
+++ b/ryelever/coordination/relaying/uncontended_requests.py
@@ -59,6 +59,8 @@
         """
         full: set[tuple[str, str]] = set()
         for request in ordered:
+            if self._refusals.refuse_if_quarantined(request, now=now):
+                continue
             if self._refusals.refuse_if_paused(
                 request, waits_until=request.waits_until, now=now
             ):
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -138,3 +138,24 @@
     assert _crash_all(relaying, "poison", now=0.0) == 2
     assert len(relaying.crashes.announced(now=MAX_AGE - 1.0)) == 1
     assert relaying.crashes.announced(now=MAX_AGE + 1.0) == ()
+
+
+def test_request_that_waits_when_its_crashes_become_known_is_not_sent() -> None:
+    """Guard against a verdict that is asked for on arrival only."""
+    first, second = Relaying(n_servers=2), Relaying(n_servers=1, slots=1)
+    while second.requests.has_waiting is False:
+        second.arrive(SAFE, number=100 + len(second.sent), now=0.0)
+    n_sent = len(second.sent)
+    second.arrive(SAFE, number=7, content="poison", now=0.1)
+    assert _crash_all(first, "poison", now=0.2) == 2
+    _announce(first, second, now=0.3)
+    for attempt in list(second.sent):
+        request_id = f"r{attempt.request_number}"
+        second.requests.answer_head(attempt.id, head(request_id), now=0.4)
+        second.requests.answer_end(attempt.id, cut=False, now=0.4)
+    second.requests.tick(now=0.5)
+    assert all(attempt.request_number != 7 for attempt in second.sent)
+    assert len(second.sent) == n_sent + 1
+    [refusal] = [item for item in second.out if item[:2] == ("refuse", 7)]
+    assert refusal[2] == 503
+    assert refusal[3] > 100.0
