Let a verdict on two crashes wait for the other hosts

A verdict that rests on two crashes only waits until the newest heartbeat of each live host covers them; hosts that time out are not waited for. With more crashes no report is waited for.

--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -49,6 +49,10 @@
 #: representative is lost.
 ZONE_TIMEOUT = 2.0
 
+#: Maximum seconds from an observation at a host until its zone's representative has
+#: sent it: the heartbeats of both take 0.2 s each.
+REPORT_DELAY = 0.4
+
 #: Hosts of a zone that read rarely written records from the store.  If one of two
 #: readers is lost and not detected yet, the other one continues; more readers would
 #: only cost more calls.
@@ -408,6 +412,10 @@
         oldest = next(iter(self._received_by_host.values()), None)
         return now if oldest is None else oldest.received_at
 
+    def have_reported_since(self, at: float, *, now: float) -> bool:
+        """Return whether each live host has reported what it had observed by a time."""
+        return self.oldest_received_at(now=now) >= min(now, at + REPORT_DELAY)
+
     def demand(self, *, now: float) -> Counter[str]:
         """Return the work that arrives at the other hosts by model, in busy groups."""
         total: Counter[str] = Counter()
--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -134,6 +134,8 @@
         for request in waiting:
             if self._refusals.refuse_if_quarantined(request, now=now):
                 continue
+            if self._refusals.awaits_verdict(request, now=now):
+                continue
             if self._refusals.refuse_if_paused(
                 request, waits_until=request.waits_until, now=now
             ):
--- a/ryelever/coordination/relaying/crash_evidence.py
+++ b/ryelever/coordination/relaying/crash_evidence.py
@@ -15,7 +15,7 @@
 from .crash_reports import NoCrashReports
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from .crash_reports import CrashReports
 
@@ -115,10 +115,15 @@
     A request that crashes each server which begins to run it is in more crashes than
     any request that ran beside it.  It is quarantined once it was in ``MAX_CRASHES``
     crashes which no quarantined request explains, and in which no other request ran
-    that was in as many.
+    that was in as many.  Another host may know of such a request: a verdict that rests
+    on ``MAX_CRASHES`` crashes only waits until all live hosts have reported, and the
+    request doesn't run meanwhile.
 
     Parameters
     ----------
+    peers_reported_since : callable or None
+        Return whether each live host has reported what it had observed by a monotonic
+        time, given that time and the current one; None if there are no other hosts.
     seed : int or None
         Seed of the random extension of retry times.
     reports : CrashReports or None
@@ -132,6 +137,7 @@
         "_fingerprints_by_crash",
         "_is_current",
         "_n_unexplained",
+        "_peers_reported_since",
         "_quarantined",
         "_random",
         "_reported",
@@ -142,9 +148,11 @@
     def __init__(
         self,
         *,
+        peers_reported_since: Callable[..., bool] | None = None,
         seed: int | None = None,
         reports: CrashReports | None = None,
     ) -> None:
+        self._peers_reported_since = peers_reported_since
         self._reports = reports if reports is not None else NoCrashReports()
         self._random = random.Random(seed)
         self._suspects: dict[str, _Suspect] = {}
@@ -166,7 +174,7 @@
     def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
         """Return the reason why a request must not run, or None without a verdict."""
         suspect = self._quarantined_suspect(fingerprint, now=now)
-        if suspect is None:
+        if suspect is None or not self._has_settled(suspect, now=now):
             return None
         if fingerprint not in self._reported:
             self._reported.add(fingerprint)
@@ -181,6 +189,11 @@
             retry_after=remaining * self._random.uniform(1.0, 1.0 + SPREAD),
         )
 
+    def awaits_verdict(self, fingerprint: str, *, now: float) -> bool:
+        """Return whether a request must not run until all hosts have reported."""
+        suspect = self._quarantined_suspect(fingerprint, now=now)
+        return suspect is not None and not self._has_settled(suspect, now=now)
+
     def crashed(
         self, server_id: str, started_at: int | None, fingerprint: str, *, now: float
     ) -> None:
@@ -333,6 +346,15 @@
         self._judge()
         return suspect if fingerprint in self._quarantined else None
 
+    def _has_settled(self, suspect: _Suspect, *, now: float) -> bool:
+        """Return whether no report can show another cause of the crashes."""
+        reported_since = self._peers_reported_since
+        return (
+            reported_since is None
+            or self._n_unexplained[suspect.fingerprint] > MAX_CRASHES
+            or reported_since(suspect.newest_at, now=now)
+        )
+
     def _judge(self) -> None:
         """Find the quarantined requests if the evidence has changed.
 
--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -54,6 +54,12 @@
             return None
         return self._evidence.verdict(_fingerprint(request), now=now)
 
+    def awaits_verdict(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request must wait until the other hosts have reported."""
+        if self._evidence.is_empty:
+            return False
+        return self._evidence.awaits_verdict(_fingerprint(request), now=now)
+
     def failed(self, request: RelayRequest, *, reason: str, now: float) -> str:
         """Record a failed attempt; return the request's fingerprint if it was a crash.
 
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -439,6 +439,8 @@
         """Move a request to another server if possible; return whether it moved."""
         if not request.route.repeatable:
             return False
+        if self._crashes.awaits_verdict(request, now=now):
+            return False
         elsewhere = self._balancer.choose(
             request.service, request.arrival.model, excluded=request.tried, now=now
         )
--- a/ryelever/coordination/relaying/server_refusals.py
+++ b/ryelever/coordination/relaying/server_refusals.py
@@ -58,6 +58,10 @@
         )
         return True
 
+    def awaits_verdict(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request must not be sent until other hosts have reported."""
+        return self._crashes.awaits_verdict(request, now=now)
+
     def refuse_if_paused(
         self, request: RelayRequest, *, waits_until: float, now: float
     ) -> bool:
--- a/ryelever/coordination/relaying/uncontended_requests.py
+++ b/ryelever/coordination/relaying/uncontended_requests.py
@@ -41,9 +41,10 @@
 
     def add(self, request: RelayRequest, *, now: float) -> None:
         """Send a request, queue it, or refuse it if no slot can become free in time."""
-        if self._dispatch(request, now=now):
-            return
         refusals = self._refusals
+        awaits_verdict = refusals.awaits_verdict(request, now=now)
+        if not awaits_verdict and self._dispatch(request, now=now):
+            return
         if refusals.refuse_if_paused(request, waits_until=now + MAX_WAIT, now=now):
             return
         if not refusals.refuse_if_limited(request, now=now):
@@ -61,6 +62,8 @@
         for request in ordered:
             if self._refusals.refuse_if_quarantined(request, now=now):
                 continue
+            if self._refusals.awaits_verdict(request, now=now):
+                continue
             if self._refusals.refuse_if_paused(
                 request, waits_until=request.waits_until, now=now
             ):
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -172,6 +172,7 @@
         )
         crashes = self.crashes = CrashWatch(
             evidence=CrashEvidence(
+                peers_reported_since=self.heartbeats.have_reported_since,
                 reports=CrashLog(),
             )
         )
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -174,6 +174,7 @@
             zone=zone,
             cold_rate=COLD_RATE,
             seed=seed,
+            peers_reported_since=heartbeats.have_reported_since,
         )
         self.name = name
         self.zone = zone
--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -552,6 +552,20 @@
     assert heartbeats.n_hosts(now=60.0) == 6
 
 
+def test_hosts_have_reported_once_each_sent_a_later_heartbeat(
+    heartbeats: HostHeartbeats,
+) -> None:
+    assert heartbeats.have_reported_since(5.0, now=5.0)
+    _take(heartbeats, _heartbeat("a"), now=5.1)
+    _take(heartbeats, _heartbeat("c"), now=5.8)
+    assert not heartbeats.have_reported_since(5.0, now=5.8)
+    _take(heartbeats, _heartbeat("a", sequence=2), now=5.9)
+    assert heartbeats.have_reported_since(5.0, now=5.9)
+    _take(heartbeats, _heartbeat("a", sequence=3), now=6.6)
+    # The other host has timed out.
+    assert heartbeats.have_reported_since(6.0, now=5.81 + HOST_TIMEOUT)
+
+
 def test_a_zone_summary_merges_the_heartbeats_of_its_hosts() -> None:
     row = InvolvementRow(fingerprint="f", crashes=("i1", "i2"), age=1)
     own = _heartbeat(
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from msgspec.structs import replace
@@ -130,6 +131,7 @@
         cold_rate: float | None = None,
         seed: int = 1,
         contention: ContentionMode = ContentionMode.AUTO,
+        peers_reported_since: Callable[..., bool] | None = None,
     ) -> None:
         self.route_table = route_table(resumable=resumable) if configured else None
         self.directory = Directory()
@@ -144,7 +146,9 @@
             seed=seed,
         )
         self.stall_watch = StallWatch()
-        self.crashes = CrashWatch(evidence=CrashEvidence(seed=1))
+        self.crashes = CrashWatch(
+            evidence=CrashEvidence(peers_reported_since=peers_reported_since, seed=1)
+        )
         self.sent: list[RelayAttempt] = []
         self.cancelled: list[str] = []
         self.out: list[tuple[Any, ...]] = []
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -6,6 +6,7 @@
 
 from ryelever.coordination.relaying.crash_evidence import MAX_AGE
 from ryelever.coordination.relaying.crashes import ANNOUNCED_FOR
+from ryelever.state.observations import InvolvementRow
 from ryelever.state.routes import RouteKind
 
 from .relay_fakes import Relaying, head
@@ -159,3 +160,37 @@
     [refusal] = [item for item in second.out if item[:2] == ("refuse", 7)]
     assert refusal[2] == 503
     assert refusal[3] > 100.0
+
+
+def test_verdict_on_two_crashes_waits_for_the_other_hosts() -> None:
+    """Guard against refusing a request since another cause isn't known yet."""
+    reported_at = 0.0
+    relaying = Relaying(
+        n_servers=6, peers_reported_since=lambda at, *, now: reported_at >= at
+    )
+    assert _crash_all(relaying, "bystander", now=1.0) == 2
+    n_sent = len(relaying.sent)
+    relaying.arrive(SAFE, number=7, content="bystander", now=1.1)
+    relaying.requests.tick(now=1.2)
+    assert len(relaying.sent) == n_sent
+    assert relaying.out[-1][1] != 7
+    cause = InvolvementRow(fingerprint="pawroute/poison", crashes=("p0", "p1", "p2"))
+    relaying.crashes.record_announced([cause], host="other", now=1.3)
+    relaying.requests.tick(now=1.4)
+    assert relaying.sent[-1].request_number == 7
+    relaying.arrive(SAFE, number=8, content="poison", now=1.5)
+    assert relaying.out[-1][:3] == ("refuse", 8, 503)
+
+
+def test_request_that_waits_for_a_verdict_is_refused_once_it_is_given() -> None:
+    reported_at = 0.0
+    relaying = Relaying(
+        n_servers=5, peers_reported_since=lambda at, *, now: reported_at >= at
+    )
+    assert _crash_all(relaying, "poison", now=1.0) == 2
+    relaying.arrive(SAFE, number=7, content="poison", now=1.1)
+    relaying.arrive(SAFE, number=8, content="other", now=1.1)
+    assert relaying.sent[-1].request_number == 8
+    reported_at = 1.3
+    relaying.requests.tick(now=1.4)
+    assert relaying.out[-1][:3] == ("refuse", 7, 503)
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -69,6 +69,7 @@
     _lose_datagrams(fleet)
     fleet.run(UNTIL)
     assert fleet.n_late_poison(after=GRACE) <= MAX_LATE
+    assert {content for _, content in fleet.quarantined} == {POISON}
 
 
 def test_new_hosts_learn_which_requests_are_quarantined(fleet: CrashingFleet) -> None:
