Count retries when they are sent

Retries were counted when they were decided, but may wait for a slot, for a second, and for longer where a service is contended. Those that wait and are sent together leave the window too early, and the next ones use the budget of another window. They are reserved now when they are decided, and counted when they are sent; a request that ends gives its reservation back.

The tests of the budget ask the new methods the same questions.

--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -61,6 +61,8 @@
     may_have_run : bool
         True once an attempt may have reached a backend server that did not promise not
         to have run the request.
+    has_reserved_retry : bool
+        True while a retry of the request is reserved in the retry budget.
     waits_until : float
         Monotonic time until which the request waits for a free slot at a backend
         server.
@@ -108,6 +110,7 @@
     head: AnswerHead | None = None
     may_have_run: bool = False
     n_sent: int = 0
+    has_reserved_retry: bool = False
     waits_until: float = 0.0
     draw: float = 0.0
     drawn_until: float = float("-inf")
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -362,6 +362,9 @@
         if server is None:
             return False
         attempt = request.begin_attempt(f"r{next(self._attempt_ids)}", server, now=now)
+        if request.has_reserved_retry:
+            request.has_reserved_retry = False
+            self._budget.sent(request.service, now=now)
         limited = self._balancer.limits.rate(server.id, now=now) is not None
         self._reports.sent(request, limited=limited, now=now)
         self._requests_by_attempt[attempt.id] = request
@@ -423,7 +426,10 @@
             return False
         if self._crashes.verdict(request, now=now) is not None:
             return False
-        return request.n_sent == 0 or self._budget.allow(request.service, now=now)
+        if request.n_sent and not request.has_reserved_retry:
+            request.has_reserved_retry = self._budget.reserve(request.service, now=now)
+            return request.has_reserved_retry
+        return True
 
     def _leave_stalled(self, server_id: str, *, now: float) -> None:
         """Move the streams of a stalled group to other groups."""
@@ -591,5 +597,8 @@
 
     def _end(self, request: RelayRequest) -> None:
         request.phase = RequestPhase.ENDED
+        if request.has_reserved_retry:
+            request.has_reserved_retry = False
+            self._budget.release(request.service)
         self.requests_by_number.pop(request.number, None)
         self._waiting.discard(request)
--- a/ryelever/coordination/relaying/retry_budget.py
+++ b/ryelever/coordination/relaying/retry_budget.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -23,6 +23,9 @@
     share of the slack. Without heartbeats from the other hosts, the share computed from
     the last known number of hosts is safe.
 
+    A retry is reserved when it is decided, and counted when it is sent: it may wait for
+    a slot in between, and backend servers see it only then.
+
     Parameters
     ----------
     ratio : float
@@ -36,7 +39,12 @@
     """
 
     def __init__(
-        self, *, ratio: float, slack: float, window: float, n_hosts: Callable[[], int]
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window: float,
+        n_hosts: Callable[[], int],
     ) -> None:
         self._ratio = ratio
         self._slack = slack
@@ -44,6 +52,7 @@
         self._n_hosts = n_hosts
         self._requests_by_service: dict[str, deque[float]] = {}
         self._retries_by_service: dict[str, deque[float]] = {}
+        self._n_reserved_by_service: Counter[str] = Counter()
 
     def record_request(self, service: str, *, now: float) -> None:
         """Count a request."""
@@ -51,19 +60,28 @@
         times.append(now)
         self._trim(times, now=now)
 
-    def allow(self, service: str, *, now: float) -> bool:
-        """Return whether another retry may be sent, and count it if so."""
+    def reserve(self, service: str, *, now: float) -> bool:
+        """Return whether another retry may be sent, and reserve it if so."""
         retries = self._retries_by_service.setdefault(service, deque())
         requests = self._requests_by_service.setdefault(service, deque())
         self._trim(retries, now=now)
         self._trim(requests, now=now)
         share = self._slack / max(1, self._n_hosts())
         allowed = USED_SHARE * (self._ratio * len(requests) + share)
-        if len(retries) + 1 > allowed:
+        if len(retries) + self._n_reserved_by_service[service] + 1 > allowed:
             return False
-        retries.append(now)
+        self._n_reserved_by_service[service] += 1
         return True
 
+    def sent(self, service: str, *, now: float) -> None:
+        """Count a reserved retry that is sent now."""
+        self.release(service)
+        self._retries_by_service.setdefault(service, deque()).append(now)
+
+    def release(self, service: str) -> None:
+        """Give back a reserved retry that is not sent."""
+        self._n_reserved_by_service[service] -= 1
+
     def _trim(self, times: deque[float], *, now: float) -> None:
         oldest = now - self._window
         while times and times[0] < oldest:
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -286,6 +286,14 @@
 # Retry budget
 
 
+def _retry(budget: RelayRetryBudget, service: str = "s", *, now: float) -> bool:
+    """Send a retry at once if the budget allows it; return whether it does."""
+    if not budget.reserve(service, now=now):
+        return False
+    budget.sent(service, now=now)
+    return True
+
+
 def test_retries_are_limited_to_ratio_and_slack() -> None:
     n_hosts = 1
     budget = RelayRetryBudget(
@@ -293,14 +301,27 @@
     )
     for _ in range(100):
         budget.record_request("s", now=0.0)
-    allowed = sum(budget.allow("s", now=1.0) for _ in range(100))
+    allowed = sum(_retry(budget, now=1.0) for _ in range(100))
     assert 0 < allowed <= 0.2 * 100 + 20
-    assert budget.allow("other", now=1.0)
-    assert not budget.allow("s", now=9.9)
-    assert budget.allow("s", now=11.1)
+    assert _retry(budget, "other", now=1.0)
+    assert not _retry(budget, now=9.9)
+    assert _retry(budget, now=11.1)
     n_hosts = 20
     many = RelayRetryBudget(ratio=0.2, slack=20.0, window=10.0, n_hosts=lambda: n_hosts)
-    assert sum(many.allow("s", now=1.0) for _ in range(100)) <= 1
+    assert sum(_retry(many, now=1.0) for _ in range(100)) <= 1
+
+
+def test_reserved_retries_count_until_they_are_sent_or_released() -> None:
+    budget = RelayRetryBudget(ratio=0.2, slack=10.0, window=10.0, n_hosts=lambda: 1)
+    n_reserved = sum(budget.reserve("s", now=0.0) for _ in range(100))
+    assert 0 < n_reserved <= 10
+    assert not budget.reserve("s", now=20.0)
+    budget.release("s")
+    assert budget.reserve("s", now=20.0)
+    for _ in range(n_reserved):
+        budget.sent("s", now=21.0)
+    assert not budget.reserve("s", now=30.9)
+    assert budget.reserve("s", now=31.1)
 
 
 def test_server_with_a_stale_entry_is_avoided(
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -7,7 +7,7 @@
 import pytest
 from msgspec.structs import replace
 
-from ryelever.coordination.relaying import NamedLimit, RequestedPause
+from ryelever.coordination.relaying import NamedLimit, RelayAttempt, RequestedPause
 from ryelever.coordination.relaying.stall_watch import STREAM_SILENCE
 from ryelever.coordination.relaying.unrouted import FIRST_CONFIGURATION_WAIT
 from ryelever.coordination.relaying.waiting import MAX_WAIT
@@ -204,6 +204,44 @@
     assert 0 < retries <= 0.2 * 100 + 10
 
 
+def _complete(relaying: Relaying, attempts: list[RelayAttempt], *, now: float) -> None:
+    for attempt in attempts:
+        answer = head(f"r{attempt.request_number}")
+        relaying.requests.answer_head(attempt.id, answer, now=now)
+        relaying.requests.answer_end(attempt.id, cut=False, now=now)
+
+
+def test_retries_that_waited_for_a_slot_count_when_they_are_sent() -> None:
+    """Guard against retries that use the budget of two windows within one.
+
+    The server that is left is full, so that retries wait for most of a second.  Counted
+    when they were decided, they would leave the window before those that follow them.
+    """
+    relaying = Relaying(n_servers=2, slots=48, slack=10.0)
+    n_retries_by_time = {}
+    for start, free_at in ((0.0, 0.95), (10.1, 10.1)):
+        n_before = len(relaying.sent)
+        for index in range(100):
+            number = n_before + index + 1
+            relaying.arrive(SAFE, number=number, now=start)
+        attempts = relaying.sent[n_before:]
+        assert len(attempts) == 100
+        for attempt in attempts:
+            if attempt.server_id == "p0":
+                relaying.requests.attempt_failed(
+                    attempt.id, "reset", sent=True, now=start
+                )
+        _complete(
+            relaying, [item for item in attempts if item.server_id == "p1"], now=free_at
+        )
+        relaying.requests.tick(now=free_at)
+        retries = relaying.sent[n_before + 100 :]
+        n_retries_by_time[free_at] = len(retries)
+        _complete(relaying, retries, now=free_at + 0.1)
+    assert n_retries_by_time[0.95] > 0
+    assert sum(n_retries_by_time.values()) <= 0.2 * 100 + 10
+
+
 # Streams
 
 
