Let a host's part of the retry slack grow after its start

A host that starts again knows nothing of the retries that its former run sent within the same window, and may not know yet how many hosts share the slack: it took all of it, again. Its part grows from none to all within one window.

test_part_of_the_slack_grows_after_the_start fails on the code before, which has no such start.

--- a/ryelever/coordination/relaying/retry_budget.py
+++ b/ryelever/coordination/relaying/retry_budget.py
@@ -36,6 +36,10 @@
         Seconds over which requests and retries are counted.
     n_hosts : callable
         Return how many entry hosts share the slack.
+    since : float
+        Monotonic time of the process's start. Its part of the slack grows from none to
+        all within one window from then on, since a former run on this host may just
+        have used it, and the number of hosts may not be known yet.
     """
 
     def __init__(
@@ -45,11 +49,13 @@
         slack: float,
         window: float,
         n_hosts: Callable[[], int],
+        since: float = float("-inf"),
     ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window = window
         self._n_hosts = n_hosts
+        self._since = since
         self._requests_by_service: dict[str, deque[float]] = {}
         self._retries_by_service: dict[str, deque[float]] = {}
         self._n_reserved_by_service: Counter[str] = Counter()
@@ -66,7 +72,8 @@
         requests = self._requests_by_service.setdefault(service, deque())
         self._trim(retries, now=now)
         self._trim(requests, now=now)
-        share = self._slack / max(1, self._n_hosts())
+        available = min(1.0, (now - self._since) / self._window)
+        share = available * self._slack / max(1, self._n_hosts())
         allowed = USED_SHARE * (self._ratio * len(requests) + share)
         if len(retries) + self._n_reserved_by_service[service] + 1 > allowed:
             return False
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -186,6 +186,7 @@
                 slack=settings.repeat_slack,
                 window=settings.repeat_window,
                 n_hosts=lambda: self.heartbeats.n_hosts(now=time.monotonic()),
+                since=time.monotonic(),
             ),
             stall_watch=StallWatch(),
             crashes=crashes,
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -324,6 +324,20 @@
     assert budget.reserve("s", now=31.1)
 
 
+def test_part_of_the_slack_grows_after_the_start() -> None:
+    """Guard against a host that uses its part of the slack again after a restart."""
+    budget = RelayRetryBudget(
+        ratio=0.2, slack=20.0, window=10.0, n_hosts=lambda: 1, since=5.0
+    )
+    n_by_second = {
+        second: sum(_retry(budget, now=5.0 + second) for _ in range(100))
+        for second in (0.0, 2.5, 5.0, 10.0)
+    }
+    assert n_by_second[0.0] == 0
+    assert 0 < n_by_second[2.5] <= 5
+    assert 0 < sum(n_by_second.values()) <= 20
+
+
 def test_server_with_a_stale_entry_is_avoided(
     directory: Directory, balancer: Balancer
 ) -> None:
