--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..standins.group_server import POISON_BODY
 from .contention import MODELS, PATH_BY_ROUTE, PRIORITY_BY_ACCOUNT, burst_of
 
 __all__ = ["Call", "Callers", "Kind"]
@@ -31,6 +32,12 @@
 
 Kind = str
 
+#: Callers of the request that crashes servers; ranges of the seconds until such a caller
+#: first sends it, and between two of its requests.
+N_POISON_CALLERS = 2
+POISON_FROM = (1.0, 4.0)
+POISON_PAUSES = (0.05, 0.8)
+
 
 @dataclass(slots=True, kw_only=True)
 class Call:
@@ -52,6 +59,8 @@
         Request id that the answer bears.
     is_complete : bool
         Whether the answer was received to its regular end.
+    retry_after : float
+        Seconds after which the caller is to return; 0 if the answer states none.
     """
 
     id: str
@@ -68,6 +77,7 @@
     answered_id: str = ""
     body: str = ""
     is_complete: bool = False
+    retry_after: float = 0.0
 
 
 class Callers:
@@ -111,6 +121,15 @@
             self._threads.append(thread)
             thread.start()
 
+    def start_poison(self) -> None:
+        """Start callers of the request that crashes servers, which choose any host."""
+        for index in range(N_POISON_CALLERS):
+            thread = threading.Thread(
+                target=self._run_poison, args=(index,), daemon=True
+            )
+            self._threads.append(thread)
+            thread.start()
+
     def stop(self) -> None:
         """Stop all callers after the requests in flight have ended."""
         self._stopping.set()
@@ -141,6 +160,28 @@
             call.ended_at = time.monotonic()
             self.calls.append(call)
 
+    def _run_poison(self, index: int) -> None:
+        generator = random.Random(f"{self._seed} poison {index}")
+        pause = generator.uniform(*POISON_FROM)
+        while not self._stopping.wait(pause):
+            pause = generator.uniform(*POISON_PAUSES)
+            host = generator.choice(self._hosts)
+            call = Call(
+                id=f"{host}.{next(self._numbers)}",
+                host=host,
+                kind="poison",
+                model=MODELS[0],
+                sent_at=time.monotonic(),
+            )
+            connection = http.client.HTTPConnection(
+                self._address_of(host), timeout=2 * CALL_DEADLINE
+            )
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                _exchange(connection, call)
+            connection.close()
+            call.ended_at = time.monotonic()
+            self.calls.append(call)
+
     def _new_call(
         self, host: str, generator: random.Random, burst: tuple[str, str] | None
     ) -> Call:
@@ -173,11 +214,14 @@
         headers |= {"Model": call.model, "Token-Usage": "100,50"}
     method = "GET" if call.kind == "look" else "POST"
     body = None if call.kind == "look" else call.id.encode()
-    path = PATH_BY_ROUTE.get(call.route) or PATH_BY_KIND[call.kind]
+    if call.kind == "poison":
+        body = POISON_BODY
+    path = PATH_BY_ROUTE.get(call.route) or PATH_BY_KIND.get(call.kind, "/chat/1")
     connection.request(method, path, body=body, headers=headers)
     response = connection.getresponse()
     call.status = response.status
     call.seal = response.headers.get("Response-Seal", "")
+    call.retry_after = float(response.headers.get("Retry-After", 0.0))
     call.answered_id = response.headers.get("Request-Id", "")
     with contextlib.suppress(TimeoutError):
         call.body = response.read().decode()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -28,6 +28,15 @@
 MAX_DURING_PAUSE = 2
 PAUSE_GRACE = 0.5
 
+#: Sendings of a request that are allowed once it has crashed CRASHES_NOTICED servers
+#: and hosts had UNDISTURBED_FOR seconds to learn of it.
+CRASHES_NOTICED = 3
+MAX_AFTER_CRASHES = 3
+
+#: Minimum seconds after which callers of quarantined requests are to return; those of
+#: other refused requests are told to return sooner.
+QUARANTINED_FOR = 100.0
+
 #: Seconds within which a running host has read a request that was sent to it.
 READ_WITHIN = 0.2
 
@@ -140,7 +149,9 @@
         _check_runs(call, n_runs[call.id], verdict)
         _check_key(call, evidence, verdict)
         _check_stop(call, evidence, verdict)
+        _check_quarantined(call, evidence, verdict)
     _check_shares(evidence, verdict)
+    _check_crashes(evidence, verdict)
     for name, server in evidence.servers.items():
         _check_leaving(name, server, evidence, verdict)
         _check_limit(name, server, evidence, verdict)
@@ -186,6 +197,45 @@
         )
 
 
+def _check_quarantined(call: Call, evidence: Evidence, verdict: Verdict) -> None:
+    """Check that a request is not refused for the crashes of another one."""
+    if call.kind == "poison" or not any(
+        server["crashes"] for server in evidence.servers.values()
+    ):
+        return
+    verdict.record(
+        "others are not refused for a poison request",
+        holds=call.retry_after < QUARANTINED_FOR,
+        observed=f"{call.id} may return after {call.retry_after:.0f} s",
+    )
+
+
+def _check_crashes(evidence: Evidence, verdict: Verdict) -> None:
+    """Check that a request which crashes servers is not sent to ever more of them."""
+    servers = evidence.servers.values()
+    times = sorted(at for server in servers for at, _ in server["crashes"])
+    if not times:
+        return
+    has_noticed = len(times) >= CRASHES_NOTICED
+    noticed_at = (
+        times[CRASHES_NOTICED - 1] + UNDISTURBED_FOR if has_noticed else math.inf
+    )
+    poison_ids = {call.id for call in evidence.calls if call.kind == "poison"}
+    late = [
+        f"{request_id} {at - noticed_at:.2f} s late"
+        for server in servers
+        for at, request_id in server["arrivals"]
+        if request_id in poison_ids
+        and at > noticed_at
+        and evidence.is_undisturbed(_host_of(request_id), at)
+    ]
+    verdict.record(
+        "requests that crash servers are not sent on",
+        holds=len(late) <= MAX_AFTER_CRASHES,
+        observed=", ".join(late),
+    )
+
+
 def _check_shares(evidence: Evidence, verdict: Verdict) -> None:
     """Check that no account and no route of a contended service starves."""
     streams = [
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -13,7 +13,10 @@
 
 from aiohttp import web
 
-__all__ = ["GroupServer", "ServerSwitches"]
+__all__ = ["POISON_BODY", "GroupServer", "ServerSwitches"]
+
+#: Body of a request that crashes each server which begins to run it.
+POISON_BODY = b"poison"
 
 #: Signature that every answer bears.
 SIGNATURE = "signature-of-the-tests"
@@ -95,6 +98,8 @@
         of the answered requests.
     starts : list of float
         Monotonic times of the restarts under the same id.
+    crashes : list of (float, str)
+        Monotonic times at which a request crashed the server, and its ids.
     started_at : int
         Start time that the server states; 0 for none.
     slots : int
@@ -126,6 +131,8 @@
     pauses: list[tuple[float, str, float]] = field(default_factory=list)
     leaving_answers: list[tuple[float, str]] = field(default_factory=list)
     starts: list[float] = field(default_factory=list)
+    crashes: list[tuple[float, str]] = field(default_factory=list)
+    running: set[asyncio.Transport] = field(default_factory=set)
     started_at: int = 0
     slots: int = 13
     sequence: Any = field(default_factory=itertools.count)
@@ -257,6 +264,8 @@
                 self.pauses.append((time.monotonic(), request_id, seconds))
                 headers["Retry-After"] = self.switches.pause
             return web.Response(status=503, headers=headers)
+        if request.can_read_body and await request.read() == POISON_BODY:
+            return self._crash(request, request_id)
         self.n_runs_by_request[request_id] += 1
         self.observer("runs", self)
         headers = {
@@ -272,7 +281,19 @@
             body = await request.read()
             text = f"{request.method} {request.raw_path} {body.decode()}"
             return web.Response(headers=headers, text=text)
-        return await self._stream(request, headers)
+        self.running.add(request.transport)
+        try:
+            return await self._stream(request, headers)
+        finally:
+            self.running.discard(request.transport)
+
+    def _crash(self, request: web.Request, request_id: str) -> web.StreamResponse:
+        """Break off all streams, and start again at once under the same id."""
+        self.crashes.append((time.monotonic(), request_id))
+        for transport in self.running | {request.transport}:
+            transport.abort()
+        self.set({"restart": True})
+        return web.Response(status=500)
 
     def _notices(self, request_id: str) -> dict[str, str]:
         """Return the headers by which answers state a limit or the server's leaving."""
@@ -348,6 +369,7 @@
             "pauses": self.pauses,
             "leaving_answers": self.leaving_answers,
             "starts": self.starts,
+            "crashes": self.crashes,
             "started_at": self.started_at,
         }
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -33,8 +33,18 @@
 
 
 def _server(**seen: object) -> dict[str, object]:
-    names = ("arrivals", "states", "limits", "pauses", "leaving_answers", "starts")
-    return {"n_runs": {}} | {name: [] for name in names} | seen
+    server: dict[str, object] = {"n_runs": {}}
+    for name in (
+        "arrivals",
+        "states",
+        "limits",
+        "pauses",
+        "leaving_answers",
+        "starts",
+        "crashes",
+    ):
+        server[name] = []
+    return server | seen
 
 
 def _evidence(*calls: Call, **changes: object) -> Evidence:
@@ -113,6 +123,21 @@
     return evidence
 
 
+def _poison_request_is_sent_on(*, from_second: float = 10.0) -> Evidence:
+    times = (1.0, 2.0, 3.0, *(from_second + index for index in range(4)))
+    sent = [(at, f"e1.{index}") for index, at in enumerate(times)]
+    calls = [replace(REFUSED, id=id_, kind="poison", sent_at=at) for at, id_ in sent]
+    evidence = _evidence(*calls)
+    evidence.servers["s"] = _server(arrivals=sent, crashes=sent)
+    return evidence
+
+
+def _other_request_is_quarantined() -> Evidence:
+    evidence = _evidence(replace(REFUSED, retry_after=900.0))
+    evidence.servers["s"] = _server(crashes=[(1.0, "e1.7")])
+    return evidence
+
+
 VIOLATIONS: dict[str, Callable[[], Evidence]] = {
     "events-missing": lambda: _evidence(replace(STREAM, body=EVENTS[24:])),
     "event-twice": lambda: _evidence(replace(STREAM, body=EVENTS + EVENTS[-24:])),
@@ -130,6 +155,8 @@
     "limit": _limit_is_exceeded,
     "pause": _requests_within_a_pause,
     "stated-leaving": _request_after_the_server_said_that_it_leaves,
+    "poison-sent-on": _poison_request_is_sent_on,
+    "other-quarantined": _other_request_is_quarantined,
     "group": lambda: _evidence(group_faults=["g runs without b"]),
     "unserved": lambda: _evidence(unserved_kinds=["look"]),
 }
@@ -180,6 +207,13 @@
     assert check(evidence).violations == []
 
 
+def test_poison_request_may_be_sent_until_hosts_have_learned_of_it() -> None:
+    assert check(_poison_request_is_sent_on(from_second=5.5)).violations == []
+    evidence = _poison_request_is_sent_on()
+    evidence.disturbances = [Disturbance(target="e1", kind="kill", start=8.0, end=8.5)]
+    assert check(evidence).violations == []
+
+
 def test_shares_are_compared_without_disturbed_requests() -> None:
     """Guard against violations by too few requests, or by requests under a fault."""
     fault = Disturbance(target="engine-1", kind="still", start=13.0, end=28.0)
