Keep new evidence of crashes new, and wait for all hosts at each count

- A row's age was rounded up to a minute, so a crash heard of a moment ago counted as a minute old.
A host that observed the same crash later took it for another one where the server states no start time, and a verdict did not wait for the other hosts.
Evidence is passed on as new for thirty seconds.
- All verdicts were computed anew for each attempt that a crash breaks off; they are computed ten times a second at most, and 32 rows are made.

The test of lost datagrams drew its losses in the order of sending, which depends on the order of sets; it draws them by sender, receiver and time now.

--- a/ryelever/coordination/relaying/crash_evidence.py
+++ b/ryelever/coordination/relaying/crash_evidence.py
@@ -47,12 +47,20 @@
 #: Maximum number of crashes in a row, the newest ones.
 MAX_LISTED_CRASHES = 6
 
+#: Minimum seconds between two computations of all verdicts.  In between, a changed
+#: suspect is judged by itself: a crash can change the evidence hundreds of times.
+JUDGING_INTERVAL = 0.1
+
 #: Seconds between two removals of old evidence.
 EXPIRY_INTERVAL = 1.0
 
 #: Maximum fraction by which a retry time is randomly extended.
 SPREAD = 0.2
 
+#: Seconds for which evidence is passed on as if it were new.  Other hosts may still
+#: have to observe the same crash.
+FRESH_FOR = 30.0
+
 #: Seconds in the unit of ``InvolvementRow.age``.
 MINUTE = 60.0
 
@@ -91,14 +99,14 @@
         """Return the row that is sent to other hosts."""
         crashes = self.crashed_at_by_key
         newest = sorted(crashes, key=crashes.__getitem__)[-MAX_LISTED_CRASHES:]
-        # Rounded up, so that evidence which hosts pass on to each other expires
-        # everywhere.
-        oldest_at = min((crashes[key] for key in newest), default=now)
+        age = now - self.newest_at if crashes else 0.0
         return InvolvementRow(
             fingerprint=self.fingerprint,
             crashes=tuple(sorted(newest)),
             refuted=tuple(sorted(self.refuted_at_by_key))[-MAX_LISTED_CRASHES:],
-            age=math.ceil((now - oldest_at) / MINUTE),
+            # Rounded up, so that evidence which hosts pass on to each other expires
+            # everywhere.
+            age=math.ceil(age / MINUTE) if age > FRESH_FOR else 0,
         )
 
 
@@ -115,9 +123,8 @@
     A request that crashes each server which begins to run it is in more crashes than
     any request that ran beside it.  It is quarantined once it was in ``MAX_CRASHES``
     crashes which no quarantined request explains, and in which no other request ran
-    that was in as many.  Another host may know of such a request: a verdict that rests
-    on ``MAX_CRASHES`` crashes only waits until all live hosts have reported, and the
-    request doesn't run meanwhile.
+    that was in as many.  Another host may know of such a request: the verdict waits
+    until all live hosts have reported, and the request doesn't run meanwhile.
 
     Parameters
     ----------
@@ -134,8 +141,10 @@
         "_completed_at",
         "_crashed_at_by_key",
         "_expired_at",
+        "_explained",
         "_fingerprints_by_crash",
         "_is_current",
+        "_judged_at",
         "_n_unexplained",
         "_peers_reported_since",
         "_quarantined",
@@ -162,6 +171,8 @@
         self._expired_at = NEVER
         # Verdicts, computed when they are needed after a change of the evidence.
         self._is_current = True
+        self._judged_at = NEVER
+        self._explained: set[str] = set()
         self._quarantined: set[str] = set()
         self._n_unexplained: dict[str, int] = {}
         self._reported: set[str] = set()
@@ -251,7 +262,9 @@
         if had_crashes and not suspect.n_crashes:
             self._reports.cleared(row.fingerprint, peer=peer)
 
-    def rows(self, *, since: float, now: float) -> list[InvolvementRow]:
+    def rows(
+        self, *, since: float, now: float, limit: int | None = None
+    ) -> list[InvolvementRow]:
         """Return the rows for other hosts, the most important ones first.
 
         These are the requests that are quarantined or may soon be, for as long as their
@@ -259,7 +272,7 @@
         those whose evidence changed at this host since a time.
         """
         self._expire(now=now)
-        self._judge()
+        self._judge(now=now)
         ranked = sorted(
             (
                 (-self._n_unexplained.get(fingerprint, 0), -suspect.changed_at, suspect)
@@ -269,7 +282,7 @@
             ),
             key=lambda item: (*item[:2], item[2].fingerprint),
         )
-        return [suspect.row(now=now) for _, _, suspect in ranked]
+        return [suspect.row(now=now) for _, _, suspect in ranked[:limit]]
 
     # Facts
 
@@ -343,27 +356,31 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or suspect.n_crashes < MAX_CRASHES:
             return None
-        self._judge()
-        return suspect if fingerprint in self._quarantined else None
+        self._judge(now=now)
+        if fingerprint in self._quarantined:
+            return suspect
+        is_cause = not self._is_current and self._is_cause(suspect, self._explained)
+        return suspect if is_cause else None
 
     def _has_settled(self, suspect: _Suspect, *, now: float) -> bool:
         """Return whether no report can show another cause of the crashes."""
         reported_since = self._peers_reported_since
         return (
             reported_since is None
-            or self._n_unexplained[suspect.fingerprint] > MAX_CRASHES
+            or self._n_unexplained[suspect.fingerprint] >= MAX_SHARED_CRASHES
             or reported_since(suspect.newest_at, now=now)
         )
 
-    def _judge(self) -> None:
+    def _judge(self, *, now: float) -> None:
         """Find the quarantined requests if the evidence has changed.
 
         A quarantined request explains the crashes in which it ran; these don't count
         against requests that were in fewer crashes.
         """
-        if self._is_current:
+        if self._is_current or now - self._judged_at < JUDGING_INTERVAL:
             return
         self._is_current = True
+        self._judged_at = now
         self._quarantined = set()
         self._n_unexplained = {}
         repeated = sorted(
@@ -376,6 +393,7 @@
             for suspect in newly:
                 self._quarantined.add(suspect.fingerprint)
                 explained.update(suspect.crashed_at_by_key)
+        self._explained = explained
 
     def _is_cause(self, suspect: _Suspect, explained: set[str]) -> bool:
         """Return whether a request is quarantined for crashes not yet explained."""
--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -26,6 +26,9 @@
 #: zones, of which one arrives even if three packets in ten are lost.
 ANNOUNCED_FOR = 2.0
 
+#: Maximum number of requests in one heartbeat, each of which takes 70 to 150 bytes.
+MAX_ANNOUNCED = 32
+
 
 class CrashWatch:
     """Find the requests that crash backend servers.
@@ -82,7 +85,10 @@
         """Return the evidence for the other hosts, the most important rows first."""
         if self._evidence.is_empty:
             return ()
-        return tuple(self._evidence.rows(since=now - ANNOUNCED_FOR, now=now))
+        rows = self._evidence.rows(
+            since=now - ANNOUNCED_FOR, now=now, limit=MAX_ANNOUNCED
+        )
+        return tuple(rows)
 
     def record_announced(
         self, rows: Iterable[InvolvementRow], *, host: str, now: float
--- a/ryelever/protocol/host_messages.py
+++ b/ryelever/protocol/host_messages.py
@@ -104,8 +104,8 @@
 #: others.  The servers' records announce all of them some tenths of a second later.
 MAX_LEAVING_SERVERS = 16
 
-#: Maximum number of requests in a heartbeat that were in crashes, each of which takes
-#: 70 to 150 bytes.
+#: Maximum number of requests in a heartbeat that were in crashes.  Fewer are sent if
+#: the other lists need their space.
 MAX_SUSPICIONS = 32
 
 #: Maximum age of a crash in the message, in minutes.
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -115,7 +115,7 @@
   # the release before send only one crash, and the fields above.
   crashes @5 :List(Text);
   refuted @6 :List(Text);
-  # Minutes since the oldest crash that counts.
+  # Minutes since the newest crash that counts.
   age @7 :UInt16;
 }
 
--- a/ryelever/state/observations.py
+++ b/ryelever/state/observations.py
@@ -178,7 +178,8 @@
     refuted : tuple of str
         Crashes that don't count because the request has completed; sorted.
     age : int
-        Minutes since the oldest of the crashes that count, rounded up.
+        Minutes since the newest of the crashes that count, rounded up; 0 for some
+        seconds.
     """
 
     fingerprint: str
@@ -206,7 +207,7 @@
         fingerprint=rows[0].fingerprint,
         crashes=tuple(sorted(crashes)),
         refuted=tuple(sorted(refuted)),
-        age=max(row.age for row in rows),
+        age=min((row.age for row in rows if row.crashes), default=0),
     )
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -32,8 +32,8 @@
 
 Kind = str
 
-#: Callers of the request that crashes servers; ranges of the seconds until such a caller
-#: first sends it, and between two of its requests.
+#: Callers of the request that crashes servers; ranges of the seconds until such a
+#: caller first sends it, and between two of its requests.
 N_POISON_CALLERS = 2
 POISON_FROM = (1.0, 4.0)
 POISON_PAUSES = (0.05, 0.8)
--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -589,7 +589,7 @@
     assert summary.still == ("h1", "h2")
     assert summary.plans == ("z",)
     assert summary.suspicions == (
-        InvolvementRow(fingerprint="f", crashes=("i2", "i3"), refuted=("i1",), age=2),
+        InvolvementRow(fingerprint="f", crashes=("i2", "i3"), refuted=("i1",), age=1),
         InvolvementRow(fingerprint="e", crashes=("i2",)),
     )
 
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -179,6 +179,9 @@
     relaying.requests.tick(now=1.4)
     assert relaying.sent[-1].request_number == 7
     relaying.arrive(SAFE, number=8, content="poison", now=1.5)
+    assert relaying.sent[-1].request_number == 7
+    reported_at = 1.6
+    relaying.requests.tick(now=1.7)
     assert relaying.out[-1][:3] == ("refuse", 8, 503)
 
 
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -7,6 +7,7 @@
 import pytest
 
 from .crashing_fleet import POISON, CrashingFleet
+from .limited_fleet import SimulatedHost
 
 #: Sendings of a request that are allowed once all hosts had seconds to learn of its
 #: third crash.
@@ -37,8 +38,11 @@
 
 
 def _lose_datagrams(fleet: CrashingFleet) -> None:
-    draw = random.Random(1)
-    fleet.lost = lambda sender, receiver: draw.random() < LOSS
+    def is_lost(sender: SimulatedHost, receiver: SimulatedHost) -> bool:
+        draw = random.Random(f"{sender.name} {receiver.name} {fleet.now}")
+        return draw.random() < LOSS
+
+    fleet.lost = is_lost
 
 
 def test_poison_request_stays_quarantined_beside_requests_that_repeat_with_it(
