--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -67,6 +67,8 @@
 
     Attributes
     ----------
+    zones_are_cut : bool
+        True while hosts reach neither hosts nor servers of other zones.
     crashed_at : list of float
         Times of the crashes.
     poison_arrivals : list of float
@@ -85,6 +87,7 @@
     ) -> None:
         clock = SimulatedClock()
         monkeypatch.setattr("ryelever.host_exchange.time", clock)
+        self.zones_are_cut = False
         self.crashed_at: list[float] = []
         self.poison_arrivals: list[float] = []
         self.quarantined: list[tuple[float, str]] = []
@@ -100,6 +103,9 @@
             rate=load * len(zones) * n_servers * 6 / RUN_TIME,
             seed=seed,
         )
+        self.lost = lambda sender, receiver: (
+            self.zones_are_cut and sender.zone != receiver.zone
+        )
 
     def start_poison(self, *, at: float, n_callers: int = 1) -> None:
         """Let callers begin to send the poison request."""
@@ -164,7 +170,9 @@
 
     def _arrive(self, host: SimulatedHost, attempt: RelayAttempt) -> None:
         server_id = attempt.server_id
-        if server_id in self._gone:
+        server_zone = self.servers[server_id].server.availability_zone
+        is_unreachable = self.zones_are_cut and server_zone != host.zone
+        if server_id in self._gone or is_unreachable:
             self._fail(host, attempt.id, sent=False)
             return
         running = self._running_by_id.setdefault(server_id, set())
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -312,6 +312,7 @@
 
 
 def test_reserved_retries_count_until_they_are_sent_or_released() -> None:
+    """Guard against waiting retries that exceed the budget together."""
     budget = RelayRetryBudget(ratio=0.2, slack=10.0, window=10.0, n_hosts=lambda: 1)
     n_reserved = sum(budget.reserve("s", now=0.0) for _ in range(100))
     assert 0 < n_reserved <= 10
--- a/tests/test_coordination/test_relaying/test_crash_evidence.py
+++ b/tests/test_coordination/test_relaying/test_crash_evidence.py
@@ -58,6 +58,7 @@
 def test_request_in_more_crashes_than_others_is_quarantined(
     evidence: CrashEvidence, crashes: list[str], expected: str
 ) -> None:
+    """Guard against the quarantine of requests that ran beside the cause."""
     for server_id, fingerprint in _facts(crashes):
         evidence.crashed(server_id, None, fingerprint, now=1.0)
     assert set(_quarantined(evidence, now=2.0)) == set(expected)
@@ -103,6 +104,7 @@
 
 
 def test_completion_refutes_the_crashes_that_were_known_at_all_hosts() -> None:
+    """Guard against evidence that returns after a completion."""
     first, second = CrashEvidence(seed=1), CrashEvidence(seed=1)
     first.crashed("i0", None, "a", now=1.0)
     _exchange(first, second, now=1.1)
@@ -120,6 +122,7 @@
 
 
 def test_host_that_has_not_heard_of_a_completion_is_told_again() -> None:
+    """Guard against a host that refuses a request which completed elsewhere."""
     first, second = CrashEvidence(seed=1), CrashEvidence(seed=1)
     for server_id in ("i0", "i1"):
         first.crashed(server_id, None, "a", now=1.0)
@@ -134,6 +137,7 @@
 
 
 def test_one_crash_seen_by_several_hosts_counts_once(evidence: CrashEvidence) -> None:
+    """Guard against a quarantine for a single crash."""
     other = CrashEvidence(seed=1)
     for host in (evidence, other):
         for now in (1.0, 2.0, 4.0):
@@ -146,12 +150,14 @@
 def test_server_that_starts_again_under_its_id_crashes_once_more(
     evidence: CrashEvidence, started_at: tuple[int | None, int | None]
 ) -> None:
+    """Guard against two crashes under one id that count as one."""
     evidence.crashed("i0", started_at[0], "p", now=1.0)
     evidence.crashed("i0", started_at[1], "p", now=9.0)
     assert _quarantined(evidence, now=9.1) == "p"
 
 
 def test_evidence_expires_also_where_hosts_repeat_it_to_each_other() -> None:
+    """Guard against a quarantine that hosts renew for ever."""
     first, second = CrashEvidence(seed=1), CrashEvidence(seed=1)
     for server_id in ("i0", "i1"):
         first.crashed(server_id, None, "p", now=0.0)
@@ -172,6 +178,7 @@
 def test_requests_with_many_crashes_are_kept_when_there_are_too_many(
     evidence: CrashEvidence,
 ) -> None:
+    """Guard against a poison request that is forgotten in a mass of suspects."""
     for server_id in ("i0", "i1"):
         evidence.crashed(server_id, None, "p", now=1.0)
     for index in range(MAX_SUSPECTS + 10):
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -124,6 +124,7 @@
 
 
 def test_single_crash_is_announced_for_a_limited_time() -> None:
+    """Guard against heartbeats filled by requests that ran in one crash."""
     relaying = Relaying()
     relaying.arrive(ONCE, content="bystander", now=0.0)
     relaying.requests.attempt_failed(
@@ -186,6 +187,7 @@
 
 
 def test_request_that_waits_for_a_verdict_is_refused_once_it_is_given() -> None:
+    """Guard against a poison request that is sent after it waited."""
     reported_at = 0.0
     relaying = Relaying(
         n_servers=5, peers_reported_since=lambda at, *, now: reported_at >= at
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -22,7 +22,6 @@
 UNTIL = 30.0
 SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
 
-
 #: Share of the datagrams between hosts that are lost.
 LOSS = 1 / 3
 
@@ -84,6 +83,7 @@
             fleet.add_host(f"{zone}-new-{index}", zone=zone)
     fleet.run(UNTIL)
     assert fleet.n_late_poison(after=GRACE) <= MAX_LATE
+    assert {content for _, content in fleet.quarantined} == {POISON}
 
 
 def test_hosts_that_were_cut_off_learn_which_requests_are_quarantined(
@@ -95,3 +95,16 @@
     fleet.lost = lambda sender, receiver: False
     fleet.run(UNTIL)
     assert fleet.n_poison(after=POISON_FROM + 8.0 + GRACE) == 0
+
+
+def test_requests_in_zones_that_are_cut_off_are_not_quarantined(
+    fleet: CrashingFleet,
+) -> None:
+    """Guard against refusing others where the hosts of a zone hear no other zone."""
+    fleet.run(1.0)
+    fleet.zones_are_cut = True
+    fleet.run(POISON_FROM + 8.0)
+    fleet.zones_are_cut = False
+    fleet.run(UNTIL)
+    assert fleet.n_poison(after=POISON_FROM + 8.0 + GRACE) == 0
+    assert {content for _, content in fleet.quarantined} == {POISON}
