Log the loss of all paths to servers and the stalls that peers report

No line said at which moment a host reached no server at all, or why a host passed over sound groups. servers_unreached and servers_reached say the first, and stall_received the second. No decision changes.

--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -448,10 +448,12 @@
         """Return the servers that recently told this host that they are leaving."""
         return self.directory.leaving.announced(now=now)
 
-    def mark_stalled(self, server_id: str, *, now: float) -> None:
-        """Avoid a group that has stalled."""
+    def mark_stalled(self, server_id: str, *, now: float) -> bool:
+        """Avoid a group that has stalled; return whether it was not avoided before."""
         record = self.record(server_id)
+        is_new = record.stalled_until <= now
         record.stalled_until = now + STALL_AVOIDANCE
+        return is_new
 
     def clear_stall(self, server_id: str) -> None:
         """Stop avoiding a group for its stall, since it makes progress."""
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -17,6 +17,7 @@
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
+from .server_paths import ServerPaths
 from .server_refusals import ServerRefusals
 from .uncontended_requests import UncontendedRequests
 from .unrouted import UnroutedArrivals
@@ -101,6 +102,7 @@
         self._served = served
         self._reports = RequestReports(measures=measures, log=log)
         self._notices = AnswerNotices(balancer=balancer, reports=self._reports)
+        self._paths = ServerPaths(log=log)
         self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
         self._requests_by_attempt: dict[str, RelayRequest] = {}
@@ -213,6 +215,7 @@
         request = self._requests_by_attempt.get(attempt_id)
         if request is None:
             return
+        self._paths.answered(request.attempt.server_id, now=now)
         expected_id = request.arrival.request_id
         if head.request_id and expected_id and head.request_id != expected_id:
             # This is a surplus answer to an earlier request on the connection. The
@@ -310,6 +313,7 @@
             self._handle_ambiguous_failure(request, reason, now=now)
             return
         server_id = request.attempt.server_id
+        self._paths.unreached(server_id, now=now)
         self._balancer.failed(server_id, now=now)
         request.n_sent -= 1
         self._release_attempt(request)
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -363,8 +363,10 @@
     def _mark_stalled(self, heartbeat: HostHeartbeat, *, now: float) -> None:
         """Avoid groups that another host sees stalled, unless they progress here."""
         for server_id in heartbeat.still:
-            if not self._stall_watch.has_progressed(server_id, now=now):
-                self._balancer.mark_stalled(server_id, now=now)
+            if self._stall_watch.has_progressed(server_id, now=now):
+                continue
+            if self._balancer.mark_stalled(server_id, now=now):
+                log_event("stall_received", server=server_id, peer=heartbeat.host)
 
     def _log_reachability_changes(self, *, now: float) -> None:
         reachable = {
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -248,6 +248,17 @@
         "request",
     ),
     "group_still": _info("no request of a group makes progress any more", "server"),
+    "stall_received": _info(
+        "another entry host sees a group stalled, which is avoided", "server", "peer"
+    ),
+    "servers_unreached": _info(
+        "requests could not be sent to several backend servers, and none has answered",
+        "server",
+        "n",
+    ),
+    "servers_reached": _info(
+        "a backend server answers again after none did", "server", "after"
+    ),
     "crash_noted": _info(
         "a backend server crashed under requests",
         "crash",
