Add a failing test of a host that is partitioned from all servers

Two hosts as processes before the stand-ins; the connections of one to all servers are cut while the other reaches them.

--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -12,7 +12,8 @@
 
 import httpx
 
-from .processes import STANDIN_ENVIRONMENT, Process, wait_until
+from .partition import Partition
+from .processes import SOURCE_PROGRAM, STANDIN_ENVIRONMENT, Process, wait_until
 
 __all__ = [
     "RelayHost",
@@ -117,6 +118,7 @@
         ip: str = "127.0.0.1",
         peers_port: int = 0,
         metrics_port: int = 0,
+        partition: Partition | None = None,
     ) -> RelayHost:
         """Start an entry host and, if ``wait`` is true, wait until it is ready.
 
@@ -134,6 +136,8 @@
         metrics_port : int
             Additional port for metrics, which are also served on the readiness
             address; 0 for none.
+        partition : Partition or None
+            Partition between this host and the backend servers, if there is to be one.
         """
         path = self.directory / f"{name}.conf"
         path.write_text(
@@ -148,8 +152,7 @@
         process = Process(
             name=name,
             arguments=[
-                "-m",
-                "ryelever",
+                *(partition.program if partition else SOURCE_PROGRAM),
                 "serve",
                 "--settings",
                 str(path),
@@ -184,6 +187,10 @@
         """Return the recorded state of each backend server, by id."""
         return self.platform_state()["servers"]
 
+    def server_addresses(self) -> list[str]:
+        """Return the addresses of all backend servers."""
+        return [server["address"] for server in self.servers().values()]
+
     def open_heads(self) -> list[str]:
         """Return the heads of the serving groups."""
         return [
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import enum
+import functools
 import threading
+from collections.abc import Iterable
 
 __all__ = ["LoopbackProxy", "ProxyMode"]
 
@@ -30,21 +32,25 @@
 
 
 class LoopbackProxy:
-    """TCP proxy to one address, which runs in a separate thread.
+    """TCP proxy to some addresses, which runs in a separate thread.
 
     Parameters
     ----------
-    target : str
-        Address to which connections are forwarded.
+    targets : iterable of str
+        Addresses to which connections are forwarded.
+
+    Attributes
+    ----------
+    address_by_target : dict of str to str
+        The proxy's address for each target.
     """
 
-    def __init__(self, *, target: str) -> None:
-        self._host, _, port = target.rpartition(":")
-        self._port = int(port)
+    def __init__(self, *, targets: Iterable[str]) -> None:
+        self._targets = list(targets)
         self._loop = asyncio.new_event_loop()
         self._writers: set[asyncio.StreamWriter] = set()
         self.mode = ProxyMode.PASS
-        self.address = ""
+        self.address_by_target: dict[str, str] = {}
         self._listening = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -73,9 +79,11 @@
         self._loop.close()
 
     async def _listen(self) -> None:
-        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        for target in self._targets:
+            accept = functools.partial(self._accept, target)
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            self.address_by_target[target] = f"{host}:{port}"
         self._listening.set()
 
     def _reset(self) -> None:
@@ -83,13 +91,17 @@
             writer.transport.abort()
 
     async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         if self.mode is ProxyMode.RESET:
             writer.transport.abort()
             return
+        host, _, port = address.rpartition(":")
         try:
-            target = await asyncio.open_connection(self._host, self._port)
+            target = await asyncio.open_connection(host, int(port))
         except OSError:
             writer.transport.abort()
             return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -76,7 +76,7 @@
         zone.start_platform(n_engines=N_ENGINES, n_plain=N_PLAIN)
         names = [f"e{index}" for index in range(1, n_hosts + 1)]
         store = zone.addresses["store"]
-        proxies = {name: LoopbackProxy(target=store) for name in names}
+        proxies = {name: LoopbackProxy(targets=[store]) for name in names}
         is_contended = seed % 2 == 0
         changes = contended_configuration() if is_contended else {}
         if is_contended:
@@ -84,7 +84,7 @@
             for index in range(N_ENGINES):
                 zone.control(**{f"engine_{index}": {"slots": SLOTS}})
         for name, proxy in proxies.items():
-            zone.addresses[f"proxy-{name}"] = proxy.address
+            zone.addresses[f"proxy-{name}"] = proxy.address_by_target[store]
             zone.start_host(name, store_endpoint=f"proxy-{name}")
         zone.head_of(2)
         zone.slow_engines(n_events=N_EVENTS, event_ms=EVENT_MS)
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -357,6 +357,7 @@
     def describe(self) -> dict[str, Any]:
         """Return the state and history, with the headers of the latest 20 requests."""
         return {
+            "address": self.address,
             "listed": self.is_listed,
             "group": self.group,
             "members": self.members,
--- /dev/null
+++ b/tests/test_system/test_partitioned_hosts.py
@@ -0,0 +1,100 @@
+"""Test entry hosts that are partitioned from backend servers, as processes."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import httpx
+import pytest
+
+from ..partition import Partition, PartitionMode
+from ..processes import wait_until
+from ..relay_zone import RelayHost, RelayZone, running_relay_zone
+
+#: Seconds after the start of a partition from which its hosts must serve.
+CONTACT_TIME = 3.0
+
+CUTS = [
+    pytest.param(PartitionMode.SILENT, id="silent"),
+]
+
+
+@pytest.fixture
+def zone(tmp_path: Path) -> Iterator[RelayZone]:
+    with running_relay_zone(tmp_path) as running:
+        running.start_platform(n_engines=4, n_plain=3)
+        yield running
+
+
+@pytest.fixture
+def start_partitioned(zone: RelayZone) -> Iterator[Callable[[str], Partition]]:
+    """Yield a function that starts a host and returns its partition."""
+    partitions = []
+
+    def start(name: str) -> Partition:
+        path = zone.directory / f"{name}.partition"
+        partition = Partition(path=path, servers=zone.server_addresses())
+        partitions.append(partition)
+        zone.start_host(name, partition=partition)
+        return partition
+
+    yield start
+    for partition in partitions:
+        partition.close()
+
+
+class Callers:
+    """Callers that send one request of each kind after the other to a host."""
+
+    def __init__(self, *, host: RelayHost) -> None:
+        self._host = host
+        self._numbers = itertools.count(1)
+
+    def call(self) -> bool:
+        """Send the next request; return whether it was served."""
+        number = next(self._numbers)
+        request_id = f"r{number}"
+        calls = (
+            lambda: self._host.call("/look/1", request_id=request_id),
+            lambda: self._host.call("/once/1", request_id=request_id, method="POST"),
+            lambda: self._host.chat(request_id=request_id, model="small"),
+            lambda: self._host.chat(request_id=request_id),
+        )
+        try:
+            answer = calls[number % len(calls)]()
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
+    def share_served(self, *, n_calls: int) -> float:
+        """Return the share of requests, sent by eight callers, that is served."""
+        with ThreadPoolExecutor(8) as threads:
+            served = list(threads.map(lambda _: self.call(), range(n_calls)))
+        return sum(served) / n_calls
+
+    def call_until(self, end: float) -> None:
+        """Send requests until a monotonic time."""
+        while time.monotonic() < end:
+            self.share_served(n_calls=8)
+
+
+@pytest.mark.parametrize("mode", CUTS)
+def test_callers_of_a_partitioned_host_are_served_at_the_first_attempt(
+    zone: RelayZone, start_partitioned: Callable[[str], Partition], mode: PartitionMode
+) -> None:
+    """Guard against a host that keeps requests which only other hosts can send."""
+    partition = start_partitioned("e1")
+    other = zone.start_host("e2")
+    other.process.wait_for_event("peer_heard")
+    zone.head_of(2)
+    zone.head_of(1)
+    callers = Callers(host=zone.hosts_by_name["e1"])
+    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
+    partition.set(mode)
+    callers.call_until(time.monotonic() + CONTACT_TIME)
+    assert callers.share_served(n_calls=40) >= 2 / 3
+    assert max(zone.n_runs().values()) == 1
