--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -22,7 +22,13 @@
         WaitingRow,
     )
 
-__all__ = ["HostAddress", "HostHeartbeat", "HostHeartbeats", "urgent_state"]
+__all__ = [
+    "ForwardingHosts",
+    "HostAddress",
+    "HostHeartbeat",
+    "HostHeartbeats",
+    "urgent_state",
+]
 
 #: Minimum seconds without a heartbeat after which an entry host counts as gone.  Hosts
 #: on which others rely send heartbeats every 0.2 s, and four consecutive heartbeats
@@ -71,6 +77,13 @@
     availability_zone: str
 
 
+class ForwardingHosts(msgspec.Struct, kw_only=True, frozen=True):
+    """The hosts that forward requests for other hosts, in this zone and in others."""
+
+    own_zone: tuple[HostAddress, ...]
+    other_zones: tuple[HostAddress, ...]
+
+
 class HostHeartbeat(msgspec.Struct, kw_only=True, frozen=True):
     """A heartbeat: the state that an entry host reports to other hosts.
 
@@ -129,6 +142,10 @@
         forwarded heartbeat is not forwarded again.
     knows_servers : bool
         True once the host knows all backend servers.
+    forwards : bool
+        True if the host forwards requests of other hosts to backend servers.
+    forwarders : tuple of str
+        Hosts of a zone that do, in a heartbeat for the zone.
     """
 
     host: str
@@ -160,6 +177,8 @@
     store_era: int = 0
     passed_on: bool = False
     knows_servers: bool = False
+    forwards: bool = False
+    forwarders: tuple[str, ...] = ()
 
 
 def urgent_state(heartbeat: HostHeartbeat) -> tuple[object, ...]:
@@ -185,6 +204,8 @@
         tuple((row.server_id, row.rate) for row in heartbeat.rate_limits),
         heartbeat.wanted_servers,
         heartbeat.leaving_servers,
+        heartbeat.forwards,
+        heartbeat.forwarders,
     )
 
 
@@ -416,6 +437,34 @@
         """Return whether each live host has reported what it had observed by a time."""
         return self.oldest_received_at(now=now) >= min(now, at + REPORT_DELAY)
 
+    def forwarding_hosts(self, *, now: float) -> ForwardingHosts:
+        """Return the hosts whose addresses are known and that forward requests."""
+        others = [
+            name
+            for heartbeat in self.live_heartbeats(now=now)
+            if heartbeat.availability_zone != self._zone
+            for name in heartbeat.forwarders
+        ]
+        return ForwardingHosts(
+            own_zone=self._known_addresses(
+                heartbeat.host
+                for heartbeat in self.of_own_zone(now=now)
+                if heartbeat.forwards
+            ),
+            other_zones=self._known_addresses(others),
+        )
+
+    def _known_addresses(self, hosts: Iterable[str]) -> tuple[HostAddress, ...]:
+        by_host = self.addresses_by_host
+        return tuple(by_host[host] for host in hosts if host in by_host)
+
+    def is_host_address(self, ip: str) -> bool:
+        """Return whether an IP address is that of a known entry host."""
+        return any(
+            address.address.rpartition(":")[0] == ip
+            for address in self.addresses_by_host.values()
+        )
+
     def demand(self, *, now: float) -> Counter[str]:
         """Return the work that arrives at the other hosts by model, in busy groups."""
         total: Counter[str] = Counter()
--- a/ryelever/coordination/relaying/__init__.py
+++ b/ryelever/coordination/relaying/__init__.py
@@ -9,6 +9,7 @@
 from .crash_evidence import CrashEvidence
 from .crashes import CrashWatch
 from .demand import DemandMeter, time_in_batch
+from .forwarders import Forwarders
 from .messages import (
     AnswerHead,
     Headers,
@@ -18,6 +19,7 @@
 )
 from .requests import RelayRequests
 from .retry_budget import RelayRetryBudget
+from .server_paths import ServerPaths
 from .stall_watch import StallWatch
 
 __all__ = [
@@ -26,6 +28,7 @@
     "CrashEvidence",
     "CrashWatch",
     "DemandMeter",
+    "Forwarders",
     "Headers",
     "NamedLimit",
     "RelayArrival",
@@ -35,6 +38,7 @@
     "RelayRequests",
     "RelayRetryBudget",
     "RequestedPause",
+    "ServerPaths",
     "StallWatch",
     "time_in_batch",
 ]
--- a/ryelever/coordination/relaying/actions.py
+++ b/ryelever/coordination/relaying/actions.py
@@ -29,6 +29,9 @@
         Event after which a stream resumes; empty for a stream from its start.
     new_connection : bool
         True if the attempt must not use a connection that has been idle.
+    forwarder : str
+        Entry host at ``address`` that forwards the request to the server; empty if the
+        address is the server's.
     """
 
     id: str
@@ -41,6 +44,7 @@
     priority: int | None
     last_event_id: str
     new_connection: bool
+    forwarder: str = ""
 
 
 class RelayRefusal(msgspec.Struct, kw_only=True, frozen=True):
--- a/ryelever/coordination/relaying/balance.py
+++ b/ryelever/coordination/relaying/balance.py
@@ -32,6 +32,10 @@
 #: charged for.
 REMOTE_ZONE_PENALTY = 1.5
 
+#: Penalty for a server that only other hosts reach, as a number of requests in flight:
+#: each request takes time at this host and at the one that forwards it.
+FORWARDING_PENALTY = 1.5
+
 #: Penalty for a server in a zone from whose hosts no heartbeats are received, as a
 #: multiple of the server's capacity. Such a server is chosen only after all others that
 #: have a free slot.
@@ -126,6 +130,8 @@
         for no limit.
     is_evacuated : callable
         Return whether the servers of an availability zone get no new requests.
+    needs_forwarding : callable
+        Return whether requests to a server must go by way of another host.
     seed : int or None
         Seed of the random choices.
 
@@ -154,8 +160,10 @@
         zone: str,
         cold_rate: Callable[[str], float | None] = lambda service: None,
         is_evacuated: Callable[[str], bool] = lambda zone: False,
+        needs_forwarding: Callable[[BackendServer], bool] = lambda server: False,
         seed: int | None = None,
     ) -> None:
+        self._needs_forwarding = needs_forwarding
         self.directory = directory
         self._zone = zone
         self._is_evacuated = is_evacuated
@@ -424,6 +432,13 @@
         pause = FIRST_AVOIDANCE * 2 ** (record.n_failures - 1)
         record.avoided_until = now + min(MAX_AVOIDANCE, pause)
 
+    def clear_failures(self, server_id: str) -> None:
+        """Stop avoiding a server whose failures were those of the path to it."""
+        record = self.records_by_id.get(server_id)
+        if record is not None:
+            record.n_failures = 0
+            record.avoided_until = record.stalled_until = 0.0
+
     def mark_entry_stale(self, server_id: str, *, now: float) -> None:
         """Avoid a server whose directory entry is stale."""
         record = self.record(server_id)
@@ -525,6 +540,8 @@
         penalty = 0.0
         if zone in self.unreachable_zones:
             penalty = UNREACHABLE_ZONE_PENALTY * (server.slots + QUEUED_PER_SERVER)
+        if self._needs_forwarding(server):
+            penalty += FORWARDING_PENALTY
         return ServerLoad(
             server=server,
             is_local_zone=zone == self._zone,
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from ...state.directory import BackendServer
     from ...state.routes import Route, RouteAccount, RouteTable
+    from ..host_heartbeats import HostAddress
     from .messages import AnswerHead, RelayArrival
 
 __all__ = ["RelayRequest", "RequestPhase", "is_after", "routed_request"]
@@ -81,6 +82,11 @@
         current attempt; 0 if unknown.
     tried : set of str
         Ids of the backend servers to which the request was sent.
+    unreached : set of str
+        Ids of those of them to which this host could not send it directly.
+    prefers_forwarder : bool
+        True once an attempt failed in a way in which the next direct one may fail too,
+        because this host has lost its paths to the servers.
     last_event_id : str
         The last event forwarded, or the one after which the caller resumes.
     sent_at : float
@@ -118,6 +124,8 @@
     expected_first_event: float = 0.0
     expected_at_server: float = 0.0
     tried: set[str] = msgspec.field(default_factory=set)
+    unreached: set[str] = msgspec.field(default_factory=set)
+    prefers_forwarder: bool = False
     last_event_id: str = ""
     body: bytearray = msgspec.field(default_factory=bytearray)
     n_events: int = 0
@@ -150,20 +158,32 @@
         return urgency + n_each * (now > self.on_time_until)
 
     def begin_attempt(
-        self, attempt_id: str, server: BackendServer, *, now: float
+        self,
+        attempt_id: str,
+        server: BackendServer,
+        *,
+        forwarder: HostAddress | None = None,
+        now: float,
     ) -> RelayAttempt:
-        """Begin an attempt to send the request to a server, and return the attempt."""
+        """Begin an attempt to send the request to a server, and return the attempt.
+
+        Parameters
+        ----------
+        forwarder : HostAddress or None
+            Entry host that forwards the request; None to send it directly.
+        """
         self.attempt = RelayAttempt(
             id=attempt_id,
             request_number=self.number,
             server_id=server.id,
             started_at=server.started_at,
-            address=server.address,
+            address=server.address if forwarder is None else forwarder.address,
             deadline=self.deadline,
             account=self.account,
             priority=self.attempt_priority(now=now),
             last_event_id=self.last_event_id,
-            new_connection=not self.route.repeatable,
+            new_connection=not self.route.repeatable or forwarder is not None,
+            forwarder="" if forwarder is None else forwarder.host,
         )
         self.expected_at_server = 0.0
         self.head = None
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -17,7 +17,6 @@
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
-from .server_paths import ServerPaths
 from .server_refusals import ServerRefusals
 from .uncontended_requests import UncontendedRequests
 from .unrouted import UnroutedArrivals
@@ -32,9 +31,11 @@
     from .actions import RelayMeasures, RelayOutbox
     from .balance import Balancer, RoomLimit
     from .crashes import CrashWatch
+    from .forwarders import Forwarders
     from .messages import AnswerHead, RelayArrival
     from .request import RelayRequest
     from .retry_budget import RelayRetryBudget
+    from .server_paths import ServerPaths
     from .stall_watch import StallWatch
 
 __all__ = ["RelayRequests"]
@@ -49,6 +50,14 @@
 #: worthwhile.
 MIN_RETRY_TIME = 0.15
 
+#: Seconds without the head of an answer after which it is checked whether this host
+#: still reaches the server.  Answers that take as long are rare.
+ANSWER_SILENCE = 0.6
+
+#: Seconds since the last answer of any server within which this host's own paths are
+#: not suspected when a group stalls.
+HEARD_RECENTLY = 0.25
+
 
 class RelayRequests:
     """Decide about all relayed requests of one process.
@@ -83,6 +92,8 @@
         balancer: Balancer,
         budget: RelayRetryBudget,
         stall_watch: StallWatch,
+        paths: ServerPaths,
+        forwarders: Forwarders,
         crashes: CrashWatch,
         outbox: RelayOutbox,
         served: Callable[[str, int], None],
@@ -102,7 +113,8 @@
         self._served = served
         self._reports = RequestReports(measures=measures, log=log)
         self._notices = AnswerNotices(balancer=balancer, reports=self._reports)
-        self._paths = ServerPaths(log=log)
+        self._paths = paths
+        self._forwarders = forwarders
         self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
         self._requests_by_attempt: dict[str, RelayRequest] = {}
@@ -210,12 +222,28 @@
 
     # Backend servers
 
-    def answer_head(self, attempt_id: str, head: AnswerHead, *, now: float) -> None:
-        """Handle the head of an answer."""
+    def answer_head(
+        self,
+        attempt_id: str,
+        head: AnswerHead,
+        *,
+        new_connection: bool = False,
+        now: float,
+    ) -> None:
+        """Handle the head of an answer.
+
+        Parameters
+        ----------
+        new_connection : bool
+            True if it is the first answer on its connection.
+        """
         request = self._requests_by_attempt.get(attempt_id)
         if request is None:
             return
-        self._paths.answered(request.attempt.server_id, now=now)
+        if new_connection and not request.attempt.forwarder:
+            self._paths.answered(request.attempt.server_id, now=now)
+        else:
+            self._paths.heard(now=now)
         expected_id = request.arrival.request_id
         if head.request_id and expected_id and head.request_id != expected_id:
             # This is a surplus answer to an earlier request on the connection. The
@@ -255,6 +283,7 @@
         """Handle complete events of a stream, each given with its id."""
         request = self._requests_by_attempt.get(attempt_id)
         if request is not None:
+            self._paths.heard(now=now)
             self._stall_watch.progressed(request.attempt.server_id, now=now)
             self._balancer.clear_stall(request.attempt.server_id)
             self._forward_events(request, events, now=now)
@@ -297,7 +326,13 @@
             self._dispatch_contended(now=now)
 
     def attempt_failed(
-        self, attempt_id: str, reason: str, *, sent: bool, now: float
+        self,
+        attempt_id: str,
+        reason: str,
+        *,
+        sent: bool,
+        forwarder_failed: bool = False,
+        now: float,
     ) -> None:
         """Handle a failed connection to a backend server.
 
@@ -305,16 +340,27 @@
         ----------
         sent : bool
             False if no byte of the request can have been sent.
+        forwarder_failed : bool
+            True if the connection to the forwarding host failed.
         """
         request = self._requests_by_attempt.get(attempt_id)
         if request is None:
             return
+        attempt = request.attempt
+        if attempt.forwarder and (forwarder_failed or not sent):
+            self._forwarders.failed(attempt.forwarder, now=now)
         if sent:
-            self._handle_ambiguous_failure(request, reason, now=now)
+            self._handle_ambiguous_failure(
+                request, reason, blames_server=not forwarder_failed, now=now
+            )
             return
-        server_id = request.attempt.server_id
-        self._paths.unreached(server_id, now=now)
-        self._balancer.failed(server_id, now=now)
+        server_id = attempt.server_id
+        request.prefers_forwarder = True
+        request.unreached.add(server_id)
+        if not forwarder_failed:
+            self._balancer.failed(server_id, now=now)
+        if not attempt.forwarder:
+            self._paths.unreached(server_id, now=now)
         request.n_sent -= 1
         self._release_attempt(request)
         self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
@@ -331,6 +377,8 @@
                 self._time_out(request, now=now)
             elif self.refuses_new and self._contended.may_refuse(request):
                 self._end_without_answer(request, "stopping", now=now)
+            elif _is_silent(request, now=now):
+                self._paths.stalled(request.attempt.server_id, now=now)
         for server_id in self._stall_watch.newly_stalled(now=now):
             self._leave_stalled(server_id, now=now)
         self.dispatch_waiting(now=now)
@@ -365,7 +413,12 @@
         )
         if server is None:
             return False
-        attempt = request.begin_attempt(f"r{next(self._attempt_ids)}", server, now=now)
+        forwarder = None
+        if request.prefers_forwarder or self._paths.needs_forwarding(server):
+            forwarder = self._forwarders.choose(now=now)
+        attempt = request.begin_attempt(
+            f"r{next(self._attempt_ids)}", server, forwarder=forwarder, now=now
+        )
         if request.has_reserved_retry:
             request.has_reserved_retry = False
             self._budget.sent(request.service, now=now)
@@ -394,13 +447,26 @@
         self._retry(request, reason, now=now)
 
     def _handle_ambiguous_failure(
-        self, request: RelayRequest, reason: str, *, now: float
+        self,
+        request: RelayRequest,
+        reason: str,
+        *,
+        blames_server: bool = True,
+        now: float,
     ) -> None:
-        """Retry or end a request that may have been run despite the failure."""
+        """Retry or end a request that may have been run despite the failure.
+
+        Parameters
+        ----------
+        blames_server : bool
+            False if nothing is known about the server, whose forwarding host failed.
+        """
         server_id = request.attempt.server_id
         request.may_have_run = True
-        self._balancer.failed(server_id, now=now)
-        fingerprint = self._crashes.failed(request, reason=reason, now=now)
+        fingerprint = ""
+        if blames_server:
+            self._balancer.failed(server_id, now=now)
+            fingerprint = self._crashes.failed(request, reason=reason, now=now)
         self._cancel_attempt(request)
         self._reports.attempt_failed(
             request, server_id, reason, may_have_run=True, fingerprint=fingerprint
@@ -439,10 +505,34 @@
         """Move the streams of a stalled group to other groups."""
         self._reports.group_stalled(server_id)
         self._balancer.mark_stalled(server_id, now=now)
+        self._paths.stalled(server_id, now=now)
+        hears_nothing = now - self._paths.heard_at > HEARD_RECENTLY
         for request in list(self._requests_by_attempt.values()):
             if request.is_stream and request.attempt.server_id == server_id:
+                if request.attempt.forwarder:
+                    # The host that forwards may be the one that is silent.
+                    self._forwarders.failed(request.attempt.forwarder, now=now)
+                request.prefers_forwarder |= hears_nothing
                 self._move_elsewhere(request, "still", now=now)
 
+    def path_lost(self, server_id: str, *, now: float) -> None:
+        """Use a server by way of other hosts after the path to it was lost."""
+        self._balancer.clear_failures(server_id)
+        for request in list(self.requests_by_number.values()):
+            if server_id in request.unreached:
+                request.unreached.discard(server_id)
+                request.tried.discard(server_id)
+            elif (
+                request.attempt is not None
+                and request.attempt.server_id == server_id
+                and not request.attempt.forwarder
+                and _awaits_plain_answer(request)
+                and now - request.sent_at > HEARD_RECENTLY
+            ):
+                request.prefers_forwarder = True
+                self._move_elsewhere(request, "path_lost", now=now)
+        self.dispatch_waiting(now=now)
+
     def _move_elsewhere(
         self, request: RelayRequest, reason: str, *, now: float
     ) -> bool:
@@ -606,3 +696,19 @@
             self._budget.release(request.service)
         self.requests_by_number.pop(request.number, None)
         self._waiting.discard(request)
+
+
+def _awaits_plain_answer(request: RelayRequest) -> bool:
+    """Return whether a request that isn't a stream was sent and has no answer yet."""
+    return (
+        request.attempt is not None and not request.is_stream and request.head is None
+    )
+
+
+def _is_silent(request: RelayRequest, *, now: float) -> bool:
+    """Return whether a direct attempt has had no answer for unusually long."""
+    return (
+        _awaits_plain_answer(request)
+        and not request.attempt.forwarder
+        and now - request.sent_at > ANSWER_SILENCE
+    )
--- a/ryelever/coordination/relaying/server_paths.py
+++ b/ryelever/coordination/relaying/server_paths.py
@@ -1,51 +1,245 @@
-"""Track whether this host still reaches backend servers."""
+"""Track which backend servers this host can't reach although other hosts can."""
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ...state.directory import BackendServer, Directory
+
 __all__ = ["ServerPaths"]
 
-#: Number of servers that must be unreachable, while no other server answers, before the
-#: host's own network paths are suspected.
-MIN_UNREACHED = 2
+#: Number of servers of a service, of a zone, or of all, to which the path must be lost
+#: while none of them answers, before the paths to all of them count as lost.
+MIN_LOST = 2
+
+#: Seconds within which a check shows whether the head of a stalled group answers this
+#: host.  Answers take some milliseconds, directly and by way of another host.
+STALL_CHECK_TIME = 0.15
+
+#: Minimum seconds between two checks of a server.  A check ends after this time.
+CHECK_INTERVAL = 0.5
+
+#: Seconds between two probes of lost paths.
+PROBE_INTERVAL = 0.25
+
+#: Maximum number of lost paths that are probed at once while paths are being regained:
+#: most paths are lost and regained together.
+MAX_PROBES = 8
+
+#: Seconds after a path was regained for which the other ones are probed at once.
+REGAINING_TIME = 2.0
+
+#: A set of servers whose paths may be lost together: what they have in common, and its
+#: name.
+_Scope = tuple[str, str]
+
+_ALL: _Scope = ("all", "")
+
+
+class _Check(msgspec.Struct, kw_only=True):
+    """A check whether this host and other hosts reach a server.
+
+    Attributes
+    ----------
+    for_stall : bool
+        True if the group of the server has stalled, False if a request could not be
+        sent to the server.
+    reached_by_other : bool
+        True once the server has answered by way of another host.
+    """
+
+    started_at: float
+    for_stall: bool
+    reached_by_other: bool = False
+
+    def shows_loss(self, *, now: float) -> bool:
+        """Return whether the path of this host to the server is lost."""
+        if not self.reached_by_other:
+            return False
+        return not self.for_stall or now - self.started_at > STALL_CHECK_TIME
 
 
 class ServerPaths:
-    """Record which servers answer this host, and which can't be reached.
+    """Record which servers answer this host, and which only other hosts reach.
+
+    Either a server that can't be reached has ended, or this host has lost its path to
+    the server.  A check by way of another host tells which.
 
     Parameters
     ----------
+    directory : Directory
+        The listed backend servers.
     log : callable
         Write one log line, given the name of the event and its fields.
-    """
 
-    __slots__ = ("_is_cut_off", "_log", "_unreached_since", "_unreached")
+    Attributes
+    ----------
+    start_check : callable
+        Send a server a status request by way of other hosts, and directly as well if
+        the second argument is true; return whether there is another host.
+    on_lost : callable
+        Called with the id of a server to which the path was lost.
+    heard_at : float
+        Monotonic time of the last answer of any server, directly or by way of another
+        host.
+    """
 
-    def __init__(self, *, log: Callable[..., None]) -> None:
+    def __init__(self, *, directory: Directory, log: Callable[..., None]) -> None:
+        self._directory = directory
         self._log = log
-        self._unreached: set[str] = set()
-        self._unreached_since = 0.0
-        self._is_cut_off = False
+        self._checks_by_id: dict[str, _Check] = {}
+        self._lost_at_by_id: dict[str, float] = {}
+        self._probed_at_by_id: dict[str, float] = {}
+        self._answered_at_by_scope: dict[_Scope, float] = {}
+        self._lost_scopes: frozenset[_Scope] = frozenset()
+        self._next_probe_at = float("-inf")
+        self._regained_at = float("-inf")
+        self.start_check: Callable[[str, bool], bool] = lambda server_id, direct: False
+        self.on_lost: Callable[[str], None] = lambda server_id: None
+        self.heard_at = float("-inf")
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether this host reaches no backend server while other hosts do."""
+        return _ALL in self._lost_scopes
+
+    @property
+    def n_lost(self) -> int:
+        """Return the number of servers to which the path is known to be lost."""
+        return len(self._lost_at_by_id)
+
+    def needs_forwarding(self, server: BackendServer) -> bool:
+        """Return whether only other hosts reach a server."""
+        if not self._lost_at_by_id:
+            return False
+        return server.id in self._lost_at_by_id or not self._lost_scopes.isdisjoint(
+            _scopes(server)
+        )
+
+    def explains_stall(self, server_id: str, *, now: float) -> bool:
+        """Return whether a group may appear stalled for the lack of a path to its head.
+
+        While the head is checked it may; the check takes ``STALL_CHECK_TIME`` at most.
+        """
+        server = self._directory.by_id.get(server_id)
+        if server is not None and self.needs_forwarding(server):
+            return True
+        check = self._checks_by_id.get(server_id)
+        if check is None or not check.for_stall:
+            return False
+        return check.reached_by_other or now - check.started_at <= STALL_CHECK_TIME
+
+    # Evidence
+
+    def heard(self, *, now: float) -> None:
+        """Record any answer of any server, directly or by way of another host."""
+        self.heard_at = now
 
     def answered(self, server_id: str, *, now: float) -> None:
-        """Record an answer of a server."""
-        if not self._unreached:
+        """Record that a server answered this host over a new connection."""
+        self.heard_at = now
+        self._checks_by_id.pop(server_id, None)
+        if not self._lost_at_by_id:
             return
-        self._unreached.clear()
-        if self._is_cut_off:
-            self._is_cut_off = False
-            seconds = round(now - self._unreached_since, 2)
-            self._log("servers_reached", server=server_id, after=seconds)
+        server = self._directory.by_id.get(server_id)
+        for scope in (_ALL,) if server is None else _scopes(server):
+            self._answered_at_by_scope[scope] = now
+        if self._lost_at_by_id.pop(server_id, None) is not None:
+            self._regained_at = self._next_probe_at = now
+            self._log("path_regained", server=server_id, n=self.n_lost)
+        self._update_scopes()
 
     def unreached(self, server_id: str, *, now: float) -> None:
-        """Record that a request could not be sent to a server."""
-        if not self._unreached:
-            self._unreached_since = now
-        self._unreached.add(server_id)
-        if not self._is_cut_off and len(self._unreached) >= MIN_UNREACHED:
-            self._is_cut_off = True
-            self._log("servers_unreached", n=len(self._unreached), server=server_id)
+        """Record that a request could not be sent to a server directly."""
+        self._check(server_id, for_stall=False, now=now)
+
+    def stalled(self, server_id: str, *, now: float) -> None:
+        """Record that the group of a server has stalled."""
+        self._check(server_id, for_stall=True, now=now)
+
+    def reached_by_other(self, server_id: str, *, now: float) -> None:
+        """Record that a server answered a check by way of another host."""
+        self.heard_at = now
+        check = self._checks_by_id.get(server_id)
+        if check is not None:
+            check.reached_by_other = True
+            self._conclude(server_id, check, now=now)
+
+    def tick(self, *, now: float) -> None:
+        """Conclude the checks whose time is over, and forget servers that are gone."""
+        for server_id, check in list(self._checks_by_id.items()):
+            self._conclude(server_id, check, now=now)
+            if now - check.started_at > CHECK_INTERVAL:
+                self._checks_by_id.pop(server_id, None)
+        gone = self._lost_at_by_id.keys() - self._directory.by_id.keys()
+        for server_id in gone:
+            del self._lost_at_by_id[server_id]
+        if gone:
+            self._update_scopes()
+
+    def due_probes(self, *, now: float) -> list[str]:
+        """Return the servers to probe directly now, to learn that a path is back."""
+        if not self._lost_at_by_id or now < self._next_probe_at:
+            return []
+        self._next_probe_at = now + PROBE_INTERVAL
+        is_regaining = now - self._regained_at < REGAINING_TIME
+        probed_at = self._probed_at_by_id
+        by_age = sorted(
+            self._lost_at_by_id, key=lambda item: (probed_at.get(item, 0.0), item)
+        )
+        due = by_age[: MAX_PROBES if is_regaining else 1]
+        self._probed_at_by_id = {
+            item: now if item in due else probed_at.get(item, 0.0) for item in by_age
+        }
+        return due
+
+    # Conclusions
+
+    def _check(self, server_id: str, *, for_stall: bool, now: float) -> None:
+        if server_id in self._lost_at_by_id or server_id in self._checks_by_id:
+            return
+        if self.start_check(server_id, for_stall):
+            check = _Check(started_at=now, for_stall=for_stall)
+            self._checks_by_id[server_id] = check
+
+    def _conclude(self, server_id: str, check: _Check, *, now: float) -> None:
+        if not check.shows_loss(now=now):
+            return
+        del self._checks_by_id[server_id]
+        if server_id not in self._directory.by_id:
+            return
+        self._lost_at_by_id[server_id] = now
+        self._log("path_lost", server=server_id, n=self.n_lost)
+        self._update_scopes()
+        self.on_lost(server_id)
+
+    def _update_scopes(self) -> None:
+        """Find the scopes to which all paths count as lost."""
+        answered_at = self._answered_at_by_scope
+        n_lost: Counter[_Scope] = Counter(
+            scope
+            for server_id, lost_at in self._lost_at_by_id.items()
+            for scope in _scopes(self._directory.by_id[server_id])
+            if lost_at > answered_at.get(scope, float("-inf"))
+        )
+        was_cut_off = self.is_cut_off
+        self._lost_scopes = frozenset(
+            scope for scope, count in n_lost.items() if count >= MIN_LOST
+        )
+        if self.is_cut_off != was_cut_off:
+            event = "servers_unreached" if self.is_cut_off else "servers_reached"
+            self._log(event, n=self.n_lost)
+
+
+def _scopes(server: BackendServer) -> tuple[_Scope, ...]:
+    return (
+        _ALL,
+        ("service", server.service),
+        ("zone", server.availability_zone),
+    )
--- a/ryelever/coordination/zone_summary.py
+++ b/ryelever/coordination/zone_summary.py
@@ -23,6 +23,10 @@
 
 __all__ = ["zone_summary"]
 
+#: Maximum number of hosts that a zone names as forwarding requests.  They share the
+#: requests of hosts of other zones, and each name takes some 20 bytes.
+MAX_FORWARDERS = 8
+
 
 def zone_summary(own: HostHeartbeat, others: Iterable[HostHeartbeat]) -> HostHeartbeat:
     """Return the merged heartbeat that a host sends for its zone.
@@ -62,6 +66,9 @@
             row for heartbeat in heartbeats for row in heartbeat.rate_limits
         ),
         wanted_servers=_union(heartbeat.wanted_servers for heartbeat in heartbeats),
+        forwarders=tuple(
+            sorted(heartbeat.host for heartbeat in heartbeats if heartbeat.forwards)
+        )[:MAX_FORWARDERS],
         leaving_servers=_distinct(
             row for heartbeat in heartbeats for row in heartbeat.leaving_servers
         ),
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -91,6 +91,9 @@
     verbatim : bool
         Send the headers unchanged.  They include ``Host``; a content length is added
         only if there is a body or the method requires one.
+    forwarded : bool
+        The address is that of an entry host that forwards the request to a backend
+        server; errors that this host reports become failures of the request.
     """
 
     id: str
@@ -109,6 +112,7 @@
     latest_start: float = float("inf")
     resend_stale: bool = True
     verbatim: bool = False
+    forwarded: bool = False
     max_body: int = 8 << 20
 
 
@@ -121,12 +125,15 @@
         The last value of each header name.
     raw_headers : tuple of (bytes, bytes)
         All headers in the order received.
+    new_connection : bool
+        True if the answer is the first one on its connection.
     """
 
     id: str
     status: int
     headers: dict[str, str]
     raw_headers: tuple[tuple[bytes, bytes], ...] = ()
+    new_connection: bool = False
 
 
 class AttemptData(msgspec.Struct, kw_only=True, frozen=True):
@@ -159,13 +166,17 @@
     Attributes
     ----------
     bytes_sent : bool
-        False only if no byte of the request was sent.
+        False only if no byte of the request was sent to the external system.
+    forwarder_failed : bool
+        True if the connection to the entry host that forwards the request failed,
+        which says nothing about the backend server.
     """
 
     id: str
     address: str
     error: RyeleverError
     bytes_sent: bool
+    forwarder_failed: bool = False
 
 
 class CallerAnswer(msgspec.Struct, kw_only=True, frozen=True):
@@ -218,6 +229,8 @@
         The request's number at its listener.
     headers : list of (bytes, bytes)
         Headers in the order received, with names in lower case.
+    sender : str
+        IP address of the sender.
     """
 
     number: int
@@ -225,6 +238,7 @@
     target: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    sender: str = ""
 
 
 class server_updates(Event):
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -251,13 +251,21 @@
     "stall_received": _info(
         "another entry host sees a group stalled, which is avoided", "server", "peer"
     ),
-    "servers_unreached": _info(
-        "requests could not be sent to several backend servers, and none has answered",
+    "path_lost": _info(
+        "only other entry hosts reach a backend server; n servers in all", "server", "n"
+    ),
+    "path_regained": _info(
+        "a backend server answers this host again; n remain out of reach",
         "server",
         "n",
     ),
-    "servers_reached": _info(
-        "a backend server answers again after none did", "server", "after"
+    "servers_unreached": _info("only other entry hosts reach backend servers", "n"),
+    "servers_reached": _info("this host reaches backend servers again", "n"),
+    "not_forwarded": _info(
+        "another entry host's request or its answer could not be forwarded",
+        "server",
+        "peer",
+        "reason",
     ),
     "crash_noted": _info(
         "a backend server crashed under requests",
--- /dev/null
+++ b/ryelever/path_checks.py
@@ -0,0 +1,123 @@
+"""Send status requests to backend servers, to learn which of them this host reaches."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+from circuits import BaseComponent, handler
+
+from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
+from .protocol.forwarding import forward_target
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.host_heartbeats import HostAddress
+    from .coordination.relaying import Forwarders, ServerPaths
+    from .state.directory import BackendServer, Directory
+
+__all__ = ["PathChecks"]
+
+#: Seconds to wait for a connection and for the answer to a status request, which takes
+#: milliseconds.
+CHECK_TIMEOUT = 0.3
+
+
+class PathChecks(BaseComponent):
+    """Check servers by way of other hosts, and probe lost paths.
+
+    Parameters
+    ----------
+    status_path : callable
+        Return the path of a server's status, given the name of its service; empty if
+        the service is not known.
+    """
+
+    channel = "paths"
+
+    def __init__(
+        self,
+        *,
+        paths: ServerPaths,
+        forwarders: Forwarders,
+        directory: Directory,
+        status_path: Callable[[str], str],
+    ) -> None:
+        super().__init__()
+        self._paths = paths
+        self._forwarders = forwarders
+        self._directory = directory
+        self._status_path = status_path
+        self._ids = itertools.count(1)
+        self._server_by_id: dict[str, str] = {}
+        self._forwarder_by_id: dict[str, str] = {}
+        paths.start_check = self._start_check
+
+    @handler("control_tick")
+    def _on_tick(self) -> None:
+        now = time.monotonic()
+        self._paths.tick(now=now)
+        for server_id in self._paths.due_probes(now=now):
+            self._ask(server_id)
+
+    def _start_check(self, server_id: str, direct: bool) -> bool:
+        witnesses = self._forwarders.witnesses(now=time.monotonic())
+        sent = [self._ask(server_id, forwarder=witness) for witness in witnesses]
+        if any(sent) and direct:
+            self._ask(server_id)
+        return any(sent)
+
+    def _ask(self, server_id: str, *, forwarder: HostAddress | None = None) -> bool:
+        """Send a status request; return False if its path is not known."""
+        server = self._directory.by_id.get(server_id)
+        path = "" if server is None else self._status_path(server.service)
+        if not path:
+            return False
+        check_id = f"check-{next(self._ids)}"
+        self._server_by_id[check_id] = server_id
+        if forwarder is not None:
+            self._forwarder_by_id[check_id] = forwarder.host
+        self.fire(
+            outbound_send(self._request(check_id, server, path, forwarder)),
+            "http_client",
+        )
+        return True
+
+    def _request(
+        self,
+        check_id: str,
+        server: BackendServer,
+        path: str,
+        forwarder: HostAddress | None,
+    ) -> OutboundRequest:
+        is_direct = forwarder is None
+        return OutboundRequest(
+            id=check_id,
+            address=server.address if is_direct else forwarder.address,
+            method="GET",
+            path=path if is_direct else forward_target(server.id, path),
+            reply_channel=self.channel,
+            step="check_path",
+            new_connection=True,
+            connect_timeout=CHECK_TIMEOUT,
+            progress_timeout=CHECK_TIMEOUT,
+            forwarded=not is_direct,
+        )
+
+    @handler("outbound_answer")
+    def _on_answer(self, answer: OutboundAnswer) -> None:
+        now = time.monotonic()
+        server_id = self._server_by_id.pop(answer.id)
+        if self._forwarder_by_id.pop(answer.id, None) is None:
+            self._paths.answered(server_id, now=now)
+        else:
+            self._paths.reached_by_other(server_id, now=now)
+
+    @handler("outbound_failed")
+    def _on_failed(self, failure: OutboundFailure) -> None:
+        self._server_by_id.pop(failure.id)
+        forwarder = self._forwarder_by_id.pop(failure.id, None)
+        if forwarder is not None and failure.forwarder_failed:
+            self._forwarders.failed(forwarder, now=time.monotonic())
--- a/ryelever/peer_requests.py
+++ b/ryelever/peer_requests.py
@@ -8,6 +8,7 @@
 from circuits import BaseComponent, handler
 
 from .coordination.transfer_rate import TransferRate
+from .protocol.forwarding import parse_forward_target
 from .protocol.host_messages import (
     BUSY_STATUS,
     CONFIGURATION_PATH,
@@ -20,6 +21,7 @@
     from collections.abc import Callable
 
     from .events import RelayedRequest
+    from .protocol.forwarding import ForwardTarget
     from .state.keyed_record import ServerUpdates
     from .transport.relay_callers import RelayCallers
 
@@ -45,6 +47,8 @@
         offset.
     link_rate : float
         Capacity of this host's network link in bytes a second.
+    forward : callable
+        Forward a request to a backend server.
     """
 
     channel = "offers"
@@ -57,8 +61,10 @@
         servers: Callable[[], ServerUpdates | None],
         changes: Callable[[int, int], ServerUpdates | None],
         link_rate: float,
+        forward: Callable[[RelayedRequest, ForwardTarget], None],
     ) -> None:
         super().__init__()
+        self._forward = forward
         self._callers = callers
         self._document = document
         self._servers = servers
@@ -73,6 +79,10 @@
 
     @handler("relayed_request")
     def _on_request(self, request: RelayedRequest) -> None:
+        target = parse_forward_target(request.target)
+        if target is not None:
+            self._forward(request, target)
+            return
         path = request.target.decode("latin-1")
         if path == SERVERS_PATH:
             status, body = self._serve_servers(now=time.monotonic())
--- a/ryelever/platform/documents.py
+++ b/ryelever/platform/documents.py
@@ -20,6 +20,7 @@
     RouteKind,
     RouteTable,
 )
+from .wire_names import REPORT_PATH
 
 if TYPE_CHECKING:
     from expression import Result
@@ -104,6 +105,7 @@
     # Requests per second that a cold server of the service can take; 0 if its servers
     # are never cold.
     cold_per_s: float = 0.0
+    health_path: str = ""
     engine: _Engine | None = None
 
 
@@ -322,6 +324,8 @@
         max_connections=found.max_conns,
         cold_rate=found.cold_per_s or None,
         engine=profile,
+        # A report needs no slot at the server.
+        status_path=found.health_path if engine is None else REPORT_PATH,
     )
 
 
--- a/ryelever/platform/orders.py
+++ b/ryelever/platform/orders.py
@@ -9,7 +9,7 @@
 from ..protocol.json_codec import decode, encode
 from ..protocol.keyed_log import HttpRequest
 from .documents import ReportedGroup
-from .wire_names import EXPECTED_SERVER
+from .wire_names import EXPECTED_SERVER, REPORT_PATH
 
 __all__ = ["PlatformOrders"]
 
@@ -57,7 +57,7 @@
     def order(self, order: GroupOrder) -> HttpRequest:
         """Return the call that sends an order to its backend server."""
         if order.kind is OrderKind.PROBE:
-            return HttpRequest(method="GET", path="/report")
+            return HttpRequest(method="GET", path=REPORT_PATH)
         body = _Body(op=_OPERATIONS[order.kind])
         if order.kind is not OrderKind.STAGE:
             body.group = order.group
--- a/ryelever/platform/wire_names.py
+++ b/ryelever/platform/wire_names.py
@@ -54,6 +54,9 @@
 #: Headers that an entry host sets itself; a caller's values for them are dropped.
 SET_BY_ENTRY_HOST = frozenset({ACCOUNT, KEY, EXPECTED_SERVER, PRIORITY, DEADLINE})
 
+#: Path of an engine's report about itself.
+REPORT_PATH = "/report"
+
 # Topics of the store and the contents of their records.
 
 #: Contains the newest configuration under the key CONFIGURATION_KEY.
--- /dev/null
+++ b/ryelever/protocol/forwarding.py
@@ -0,0 +1,104 @@
+"""Requests to backend servers that one entry host forwards for another one.
+
+The forwarding host is an HTTP proxy: the target of a request is in absolute form (RFC
+9112) and names the backend server by its id.  ``Proxy-Status`` (RFC 9209), in a header
+or a trailer, says that the answer or its end is not the server's.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+from typing import TYPE_CHECKING
+from urllib.parse import quote, unquote_to_bytes
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = [
+    "PROXY_STATUS",
+    "ForwardTarget",
+    "ForwardingError",
+    "forward_target",
+    "forwarding_error",
+    "parse_forward_target",
+    "proxy_status",
+]
+
+PROXY_STATUS = b"proxy-status"
+
+_TARGET = re.compile(rb"http://([^/?#]+)(/.*)")
+_ERROR = re.compile(rb";\s*error=([a-z_]+)")
+
+
+class ForwardingError(enum.Enum):
+    """Error types of RFC 9209 that a forwarding host reports."""
+
+    CONNECTION_REFUSED = "connection_refused"
+    CONNECTION_TIMEOUT = "connection_timeout"
+    CONNECTION_TERMINATED = "connection_terminated"
+    CONNECTION_READ_TIMEOUT = "connection_read_timeout"
+    DESTINATION_NOT_FOUND = "destination_not_found"
+    DESTINATION_UNAVAILABLE = "destination_unavailable"
+    REQUEST_DENIED = "http_request_denied"
+
+    @property
+    def was_sent(self) -> bool:
+        """Return whether the server may have received the request."""
+        return self in (
+            ForwardingError.CONNECTION_TERMINATED,
+            ForwardingError.CONNECTION_READ_TIMEOUT,
+        )
+
+    @property
+    def is_timeout(self) -> bool:
+        """Return whether the server was silent."""
+        return self in (
+            ForwardingError.CONNECTION_TIMEOUT,
+            ForwardingError.CONNECTION_READ_TIMEOUT,
+        )
+
+
+class ForwardTarget(msgspec.Struct, kw_only=True, frozen=True):
+    """The backend server and the path of a request to be forwarded."""
+
+    server_id: str
+    path: str
+
+
+def forward_target(server_id: str, path: str) -> str:
+    """Return the request target by which a host asks another one to forward."""
+    return f"http://{quote(server_id, safe='')}{path}"
+
+
+def parse_forward_target(target: bytes) -> ForwardTarget | None:
+    """Return what a target of ``forward_target`` names; None for any other target."""
+    match = _TARGET.fullmatch(target)
+    if match is None:
+        return None
+    return ForwardTarget(
+        server_id=unquote_to_bytes(match[1]).decode("utf-8", "replace"),
+        path=match[2].decode("latin-1"),
+    )
+
+
+def proxy_status(host: str, error: ForwardingError) -> tuple[bytes, bytes]:
+    """Return the header or trailer by which a forwarding host reports an error."""
+    return PROXY_STATUS, f'"{host}"; error={error.value}'.encode()
+
+
+def forwarding_error(headers: Iterable[tuple[bytes, bytes]]) -> ForwardingError | None:
+    """Return the error that a forwarding host reports, or None for a server's answer.
+
+    An error type that this release doesn't know may have been sent to the server.
+    """
+    for name, value in headers:
+        if name == PROXY_STATUS:
+            match = _ERROR.search(value)
+            try:
+                return ForwardingError(match[1].decode() if match else "")
+            except ValueError:
+                return ForwardingError.CONNECTION_TERMINATED
+    return None
--- a/ryelever/protocol/host_messages.py
+++ b/ryelever/protocol/host_messages.py
@@ -287,6 +287,8 @@
         plans=list(heartbeat.plans),
         reshapes=list(heartbeat.reshapes),
         moving=list(heartbeat.moving[:MAX_LISTED_SERVERS]),
+        forwards=heartbeat.forwards,
+        forwarders=list(heartbeat.forwarders),
     )
     if heartbeat.leaving_servers:
         leaving = heartbeat.leaving_servers[:MAX_LEAVING_SERVERS]
@@ -522,6 +524,8 @@
         boot=message.boot,
         reads_store=message.readsStore,
         stopping=message.stopping,
+        forwards=message.forwards,
+        forwarders=tuple(message.forwarders),
         configuration_version=message.configurationVersion,
         configuration_size=message.configurationSize,
         address=message.address,
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -24,6 +24,7 @@
     outbound_send,
 )
 from .logs import log_event
+from .protocol.forwarding import forward_target
 from .protocol.sse import RawEventSplitter, SseTooLongError
 
 if TYPE_CHECKING:
@@ -32,12 +33,14 @@
     from .coordination.relaying import (
         Balancer,
         CrashWatch,
+        Forwarders,
         Headers,
         RelayArrival,
         RelayAttempt,
         RelayMeasures,
         RelayRefusal,
         RelayRetryBudget,
+        ServerPaths,
         StallWatch,
     )
     from .metrics import Metrics
@@ -83,6 +86,8 @@
         balancer: Balancer,
         budget: RelayRetryBudget,
         stall_watch: StallWatch,
+        paths: ServerPaths,
+        forwarders: Forwarders,
         crashes: CrashWatch,
         metrics: Metrics,
         measures: RelayMeasures,
@@ -104,6 +109,8 @@
             balancer=balancer,
             budget=budget,
             stall_watch=stall_watch,
+            paths=paths,
+            forwarders=forwarders,
             crashes=crashes,
             outbox=self,
             served=self.demand.served,
@@ -165,7 +172,9 @@
     def _on_head(self, head: AnswerHead) -> None:
         now = time.monotonic()
         read = self._messages.decode_answer_head(head.status, list(head.raw_headers))
-        self.requests.answer_head(head.id, read, now=now)
+        self.requests.answer_head(
+            head.id, read, new_connection=head.new_connection, now=now
+        )
 
     @handler("outbound_data")
     def _on_data(self, message: AttemptData) -> None:
@@ -191,11 +200,16 @@
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
         self._splitters_by_attempt.pop(failure.id, None)
-        timed_out = failure.error.category is Category.TIMEOUT
+        reason = "connection_failed"
+        if failure.forwarder_failed:
+            reason = "forwarder_failed"
+        elif failure.error.category is Category.TIMEOUT:
+            reason = "silent"
         self.requests.attempt_failed(
             failure.id,
-            "silent" if timed_out else "connection_failed",
+            reason,
             sent=failure.bytes_sent,
+            forwarder_failed=failure.forwarder_failed,
             now=time.monotonic(),
         )
 
@@ -213,11 +227,14 @@
         """Send a request to a backend server."""
         now = time.monotonic()
         received = self._received_by_number[attempt.request_number]
+        path = received.target.decode("latin-1")
+        if attempt.forwarder:
+            path = forward_target(attempt.server_id, path)
         request = OutboundRequest(
             id=attempt.id,
             address=attempt.address,
             method=received.method.decode("ascii"),
-            path=received.target.decode("latin-1"),
+            path=path,
             headers=tuple(
                 self._messages.attempt_headers(received.headers, attempt, now=now)
             ),
@@ -231,6 +248,7 @@
             latest_start=attempt.deadline,
             resend_stale=False,
             verbatim=True,
+            forwarded=bool(attempt.forwarder),
         )
         self.fire(outbound_send(request), "http_client")
 
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -15,7 +15,9 @@
     Balancer,
     CrashEvidence,
     CrashWatch,
+    Forwarders,
     RelayRetryBudget,
+    ServerPaths,
     StallWatch,
 )
 from .crash_log import CrashLog
@@ -33,11 +35,13 @@
 from .host_exchange import HEARTBEAT_INTERVAL, HostExchange
 from .logs import log_event
 from .metrics import Metrics
+from .path_checks import PathChecks
 from .peer_requests import PeerRequests
 from .probe_page import ProbePage
 from .relay import Relay
 from .relay_metrics import RelayMetrics, register_gauges
 from .relay_shutdown import RelayShutdown
+from .request_forwarding import RequestForwarding
 from .state.directory import Directory
 from .state.routes import ConnectionLimits
 from .store_client import StoreClient
@@ -87,7 +91,7 @@
     "peer_callers",
 )
 
-CONTROL_CHANNELS = ("store", "directory", "groups", "shutdown")
+CONTROL_CHANNELS = ("store", "directory", "paths", "groups", "shutdown")
 
 
 class RelayApplication(BaseComponent):
@@ -134,7 +138,7 @@
             bind=split_address(settings.peers_address),
             channel="peer_callers",
             reply_channel="offers",
-            limits=ConnectionLimits,
+            limits=self._connection_limits,
         )
         self.peers = Peers(
             bind=(settings.ip, self.peer_callers.port),
@@ -164,11 +168,14 @@
             reply_channel="watch_page",
             limits=ConnectionLimits,
         )
+        self.paths = ServerPaths(directory=self.directory, log=log_event)
+        self.forwarders = Forwarders(hosts=self.heartbeats.forwarding_hosts)
         self.balancer = Balancer(
             directory=self.directory,
             zone=settings.availability_zone,
             cold_rate=self._cold_rate,
             is_evacuated=self._is_evacuated,
+            needs_forwarding=self.paths.needs_forwarding,
         )
         crashes = self.crashes = CrashWatch(
             evidence=CrashEvidence(
@@ -189,6 +196,8 @@
                 since=time.monotonic(),
             ),
             stall_watch=StallWatch(),
+            paths=self.paths,
+            forwarders=self.forwarders,
             crashes=crashes,
             metrics=self.metrics,
             measures=RelayMetrics(metrics=self.metrics),
@@ -219,16 +228,33 @@
             settings=settings,
             callers=self.callers,
             requests=self.relay.requests,
+            n_forwarded=lambda: self.forwarding.n_in_progress,
             stop=self.stop,
             reload=reload,
         )
         self.timers = Timers()
+        self.path_checks = PathChecks(
+            paths=self.paths,
+            forwarders=self.forwarders,
+            directory=self.directory,
+            status_path=self._status_path,
+        )
+        self.paths.on_lost = self._on_path_lost
+        self.forwarding = RequestForwarding(
+            host=settings.host,
+            callers=self.peer_callers,
+            directory=self.directory,
+            paths=self.paths,
+            is_host_address=self.heartbeats.is_host_address,
+            is_stopping=lambda: self.relay.requests.refuses_new,
+        )
         self.peer_requests = PeerRequests(
             callers=self.peer_callers,
             document=self.fleet.document,
             servers=self.fleet.all_servers,
             changes=self.fleet.changes_since,
             link_rate=settings.link_rate,
+            forward=self.forwarding.forward,
         )
         register_gauges(
             self.metrics,
@@ -255,6 +281,16 @@
         )
         return None if found is None else found.cold_rate
 
+    def _status_path(self, service: str) -> str:
+        route_table = self.fleet.route_table
+        if route_table is None:
+            return ""
+        found = route_table.services_by_name.get(service)
+        return "" if found is None else found.status_path
+
+    def _on_path_lost(self, server_id: str) -> None:
+        self.relay.requests.path_lost(server_id, now=time.monotonic())
+
     def _is_evacuated(self, zone: str) -> bool:
         return zone in self.evacuations.zones
 
@@ -365,6 +401,7 @@
             plans=tuple(self.planning.planners_by_zone),
             reshapes=self.planning.reshaped_zones(),
             demand_by_model=self.relay.demand.by_model(now=now),
+            forwards=not self.shutdown.stopping and not self.paths.is_cut_off,
         )
 
     def _on_peer_heartbeat(self, heartbeat: HostHeartbeat) -> None:
@@ -412,6 +449,8 @@
             self.peers,
             self.peer_callers,
             self.peer_requests,
+            self.path_checks,
+            self.forwarding,
             self.exchange,
             self.shutdown,
             FaultLog(metrics=self.metrics),
--- a/ryelever/relay_shutdown.py
+++ b/ryelever/relay_shutdown.py
@@ -37,6 +37,11 @@
     that the connection closes.  When the balancer has stopped sending callers, idle
     connections are closed, and new requests are refused if they couldn't be finished.
     The process ends when no request is in flight, or when the grace period is over.
+
+    Parameters
+    ----------
+    n_forwarded : callable
+        Return the number of other hosts' requests that are being forwarded.
     """
 
     channel = "shutdown"
@@ -47,6 +52,7 @@
         settings: RelaySettings,
         callers: RelayCallers,
         requests: RelayRequests,
+        n_forwarded: Callable[[], int],
         stop: Callable[[], None],
         reload: Callable[[], None],
     ) -> None:
@@ -54,6 +60,7 @@
         self._settings = settings
         self._callers = callers
         self._requests = requests
+        self._n_forwarded = n_forwarded
         self._stop = stop
         self._reload = reload
         self._stopping_since: float | None = None
@@ -97,7 +104,7 @@
 
     @property
     def _n_in_flight(self) -> int:
-        return len(self._requests.requests_by_number)
+        return len(self._requests.requests_by_number) + self._n_forwarded()
 
     def _close_idle_and_refuse(self, elapsed: float) -> None:
         """Close idle connections; refuse new requests that can't be finished."""
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -70,6 +70,10 @@
   knowsServers @21 :Bool;
   # Backend servers that recently stated in answers to the sender that they are leaving.
   leavingServers @22 :List(LeavingServer);
+  # True if the sender forwards requests of other hosts to backend servers.
+  forwards @23 :Bool;
+  # Hosts of the sender's zone that do, in the heartbeat of a zone.
+  forwarders @24 :List(Text);
 }
 
 # Part of the backend servers' topic that one host has read, sent to the other hosts.
--- a/ryelever/state/routes.py
+++ b/ryelever/state/routes.py
@@ -178,12 +178,15 @@
     cold_rate : float or None
         Requests per second that a cold server of this service can handle; None if
         servers of this service are never cold.
+    status_path : str
+        Path of the status of a server of this service; empty if it has none.
     """
 
     name: str
     max_connections: int
     cold_rate: float | None = None
     engine: EngineProfile | None = None
+    status_path: str = ""
 
 
 class RouteAccount(msgspec.Struct, kw_only=True, frozen=True):
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -30,6 +30,7 @@
     outbound_failed,
     outbound_head,
 )
+from ..protocol.forwarding import ForwardingError, forwarding_error
 from .http_connection import (
     Connection,
     open_socket,
@@ -45,7 +46,7 @@
 
 #: Error code if no process listens at an address; the process that listened there has
 #: ended.
-REFUSED = "connection_refused"
+REFUSED = ForwardingError.CONNECTION_REFUSED.value
 
 
 class HttpClient(BaseComponent):
@@ -257,6 +258,10 @@
             event = connection.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
+            if isinstance(
+                event, h11.Response | h11.EndOfMessage
+            ) and self._fail_forwarded(connection, event):
+                return
             if isinstance(event, h11.Response):
                 self._handle_head(connection, event)
             elif isinstance(event, h11.Data):
@@ -267,6 +272,29 @@
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(connection, "connection was closed before an answer")
 
+    def _fail_forwarded(
+        self, connection: Connection, event: h11.Response | h11.EndOfMessage
+    ) -> bool:
+        """Fail a request if its forwarding host reports an error; return whether."""
+        request = connection.request
+        if not request.forwarded:
+            return False
+        error = forwarding_error(event.headers)
+        if error is None:
+            return False
+        self._close(connection)
+        category = Category.BROKEN if error.was_sent else Category.UNAVAILABLE
+        if error.is_timeout:
+            category = Category.TIMEOUT
+        self._report_failure(
+            request,
+            f"could not forward: {error.value}",
+            category=category,
+            bytes_sent=error.was_sent,
+            code=error.value,
+        )
+        return True
+
     def _handle_head(self, connection: Connection, event: h11.Response) -> None:
         headers = {
             name.decode("latin-1"): value.decode("latin-1")
@@ -280,6 +308,7 @@
                 status=connection.status,
                 headers=connection.headers,
                 raw_headers=tuple(event.headers),
+                new_connection=not connection.reused,
             )
             self.fire(outbound_head(head), request.reply_channel)
 
@@ -368,14 +397,23 @@
                 self._start(replacement, request, bytes_sent=bytes_sent)
             return
         self._report_failure(
-            request, message, category=category, bytes_sent=bytes_sent, code=code
+            request,
+            message,
+            category=category,
+            bytes_sent=bytes_sent,
+            code=code,
+            forwarder_failed=request.forwarded,
         )
 
     def _report_unsent(
         self, request: OutboundRequest, message: str, *, bytes_sent: bool = False
     ) -> None:
         self._report_failure(
-            request, message, category=Category.UNAVAILABLE, bytes_sent=bytes_sent
+            request,
+            message,
+            category=Category.UNAVAILABLE,
+            bytes_sent=bytes_sent,
+            forwarder_failed=request.forwarded,
         )
 
     def _report_failure(
@@ -386,6 +424,7 @@
         category: Category,
         bytes_sent: bool,
         code: str = "",
+        forwarder_failed: bool = False,
     ) -> None:
         error = RyeleverError(
             f"{request.address} {message}",
@@ -395,7 +434,11 @@
             code=code,
         )
         failure = OutboundFailure(
-            id=request.id, address=request.address, error=error, bytes_sent=bytes_sent
+            id=request.id,
+            address=request.address,
+            error=error,
+            bytes_sent=bytes_sent,
+            forwarder_failed=forwarder_failed,
         )
         self.fire(outbound_failed(failure), request.reply_channel)
 
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -65,6 +65,8 @@
     ----------
     progress_at : float
         Monotonic time at which the connection was accepted, or of its last activity.
+    sender : str
+        IP address of the caller.
     has_received : bool
         True once the caller has sent anything.
     request_started_at : float or None
@@ -80,6 +82,7 @@
     sock: socket.socket
     http: h11.Connection
     progress_at: float
+    sender: str = ""
     has_received: bool = False
     head: h11.Request | None = None
     body: bytearray = msgspec.field(default_factory=bytearray)
@@ -152,7 +155,7 @@
     # Connections
 
     @handler("connect")
-    def _on_connect(self, sock: socket.socket, *args: object) -> None:
+    def _on_connect(self, sock: socket.socket, sender: str, *args: object) -> None:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -165,6 +168,7 @@
                 h11.SERVER, max_incomplete_event_size=self._limits().max_head
             ),
             progress_at=time.monotonic(),
+            sender=sender,
         )
 
     @handler("disconnect")
@@ -273,6 +277,7 @@
             target=head.target,
             headers=list(head.headers),
             body=bytes(connection.body),
+            sender=connection.sender,
         )
         connection.body.clear()
         self.fire(relayed_request(request), self._reply_channel)
@@ -331,11 +336,12 @@
         if connection is not None:
             self._send(connection, connection.http.send(h11.Data(data=data)))
 
-    def finish(self, number: int) -> None:
+    def finish(self, number: int, *, trailers: Headers = ()) -> None:
         """End a streamed answer."""
         connection = self._connections_by_number.get(number)
         if connection is not None:
-            self._finish_answer(connection, connection.http.send(h11.EndOfMessage()))
+            end = h11.EndOfMessage(headers=list(trailers))
+            self._finish_answer(connection, connection.http.send(end))
 
     def abort(self, number: int) -> None:
         """Close the connection without ending its answer, which is then incomplete."""
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -142,6 +142,7 @@
         app = web.Application()
         app.router.add_post("/order", self.order)
         app.router.add_get("/report", self.report)
+        app.router.add_get("/health", self.report)
         app.router.add_route("*", "/{rest:.*}", self.run)
         return app
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -70,7 +70,10 @@
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": "engines", "engine": engine}, {"name": "plain"}],
+        "services": [
+            {"name": "engines", "engine": engine},
+            {"name": "plain", "health_path": "/health"},
+        ],
         "tenants": [{"name": "pawroute", "api_keys": ["key-of-pawroute"]}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000},
     } | changes
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -7,13 +7,16 @@
 
 from msgspec.structs import replace
 
+from ryelever.coordination.host_heartbeats import ForwardingHosts
 from ryelever.coordination.relaying import AnswerHead, Headers, RelayArrival
 from ryelever.coordination.relaying.actions import RelayAttempt, RelayRefusal
 from ryelever.coordination.relaying.balance import Balancer
 from ryelever.coordination.relaying.crash_evidence import CrashEvidence
 from ryelever.coordination.relaying.crashes import CrashWatch
+from ryelever.coordination.relaying.forwarders import Forwarders
 from ryelever.coordination.relaying.requests import RelayRequests
 from ryelever.coordination.relaying.retry_budget import RelayRetryBudget
+from ryelever.coordination.relaying.server_paths import ServerPaths
 from ryelever.coordination.relaying.stall_watch import StallWatch
 from ryelever.metrics import Metrics
 from ryelever.relay_metrics import RelayMetrics
@@ -146,6 +149,14 @@
             seed=seed,
         )
         self.stall_watch = StallWatch()
+        self.forwarding_hosts = ForwardingHosts(own_zone=(), other_zones=())
+        self.paths = ServerPaths(
+            directory=self.directory,
+            log=lambda event, **fields: self.lines.append((event, fields)),
+        )
+        self.paths.on_lost = lambda server_id: self.requests.path_lost(
+            server_id, now=self.paths.heard_at
+        )
         self.crashes = CrashWatch(
             evidence=CrashEvidence(peers_reported_since=peers_reported_since, seed=1)
         )
@@ -161,6 +172,8 @@
                 ratio=0.2, slack=slack, window=10.0, n_hosts=lambda: 1
             ),
             stall_watch=self.stall_watch,
+            paths=self.paths,
+            forwarders=Forwarders(hosts=lambda *, now: self.forwarding_hosts, seed=1),
             crashes=self.crashes,
             outbox=self,
             served=lambda model, n_events: None,
--- a/tests/test_system/test_partitioned_hosts.py
+++ b/tests/test_system/test_partitioned_hosts.py
@@ -20,6 +20,8 @@
 
 CUTS = [
     pytest.param(PartitionMode.SILENT, id="silent"),
+    pytest.param(PartitionMode.RESET, id="reset"),
+    pytest.param(PartitionMode.REFUSE_NEW, id="new-connections-refused"),
 ]
 
 
