Let another host confirm that a member is lost before its group is ended

Cause: a probe without an answer was held against the member, whichever end of the path had failed, and a refused connection was taken for the end of its process.

Orders to servers out of this host's reach go by way of another host, and so does the order after one without an answer: of the two probes that find a member lost one is another host's, of another zone if there is one. A refused connection is tried again by way of that host before the process counts as gone. A silent probe says nothing while no server answers this host, or if the other host had no path either.

--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -25,6 +25,7 @@
     server_reported,
 )
 from .logs import log_event
+from .protocol.forwarding import ForwardingError, forward_target
 from .protocol.keyed_log import Appended
 from .transport.http_client import REFUSED
 
@@ -32,10 +33,13 @@
     from collections.abc import Callable
 
     from .coordination.groups import GroupOrder
+    from .coordination.host_heartbeats import HostAddress
+    from .coordination.relaying import Forwarders, ServerPaths
     from .coordination.topic import TopicUpdates
     from .protocol.keyed_log import KeyedLogInterface
     from .protocol.store_documents import GroupInterface, StoreDocuments
     from .relay_settings import RelaySettings
+    from .state.directory import Directory
     from .store_client import StoreAnswer, StoreClient
 
 __all__ = ["GroupPlanning"]
@@ -48,6 +52,13 @@
 #: Seconds to wait for the answer to a probe, which needs no slot at the backend server.
 PROBE_TIMEOUT = 0.4
 
+#: Seconds without an answer of any backend server after which this host takes the
+#: silence of a member for a fault of its own network paths.
+MAX_SILENCE = 1.0
+
+#: Errors with which a forwarding host reports that it got no answer from a server.
+SILENCE = frozenset(error.value for error in ForwardingError if error.is_timeout)
+
 
 class GroupPlanning(BaseComponent):
     """Run the planners of the zones that this host plans for.
@@ -64,6 +75,8 @@
         Return the heads whose groups are stalled according to any host.
     new_planner : callable
         Return a new planner for a zone.
+    paths : ServerPaths
+        Tells which servers get orders by way of other hosts.
     """
 
     channel = "groups"
@@ -79,6 +92,9 @@
         plans_for: Callable[[str, bool], bool],
         still: Callable[[], set[str]],
         new_planner: Callable[[str], ZonePlanner],
+        directory: Directory,
+        paths: ServerPaths,
+        forwarders: Forwarders,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -89,6 +105,11 @@
         self._plans_for = plans_for
         self._new_planner = new_planner
         self._get_stalled_heads = still
+        self._directory = directory
+        self._paths = paths
+        self._forwarders = forwarders
+        self._forwarder_by_order: dict[str, str] = {}
+        self._unanswered_ids: set[str] = set()
         self._ids = itertools.count(1)
         self._orders_by_id: dict[str, tuple[str, GroupOrder]] = {}
         self._orders = OrderQueue()
@@ -241,8 +262,9 @@
     # Orders
 
     def _send_due_orders(self) -> None:
+        now = time.monotonic()
         for zone, order in self._orders.take_due(is_wanted=self._is_wanted):
-            self._send_order(zone, order)
+            self._send_order(zone, order, forwarder=self._forwarder(order, now=now))
 
     def _is_wanted(self, zone: str, order: GroupOrder) -> bool:
         """Return whether a queued order is still needed.
@@ -253,28 +275,60 @@
         planner = self.planners_by_zone.get(zone)
         return planner is not None and planner.manager.wants(order)
 
-    def _send_order(self, zone: str, order: GroupOrder) -> None:
+    def _forwarder(self, order: GroupOrder, *, now: float) -> HostAddress | None:
+        """Return the host by way of which an order is sent; None to send it directly.
+
+        A server that left the last order without an answer may have ended, or be out
+        of this host's reach only.
+        """
+        server = self._directory.by_id.get(order.server_id)
+        if server is None:
+            return None
+        if self._paths.needs_forwarding(server):
+            return self._forwarders.choose(now=now)
+        if order.server_id in self._unanswered_ids:
+            return self._witness(now=now)
+        return None
+
+    def _witness(self, *, now: float) -> HostAddress | None:
+        """Return another host, of another zone if possible."""
+        witnesses = self._forwarders.witnesses(now=now)
+        return witnesses[-1] if witnesses else None
+
+    def _send_order(
+        self, zone: str, order: GroupOrder, *, forwarder: HostAddress | None
+    ) -> None:
         order_id = f"order-{next(self._ids)}"
         self._orders_by_id[order_id] = (zone, order)
         call = self._groups.order(order)
+        address, path = order.address, call.path
+        if forwarder is not None:
+            self._forwarder_by_order[order_id] = forwarder.host
+            address = forwarder.address
+            path = forward_target(order.server_id, call.path)
         is_probe = order.kind is OrderKind.PROBE
         request = OutboundRequest(
             id=order_id,
-            address=order.address,
+            address=address,
             method=call.method,
-            path=call.path,
+            path=path,
             headers=self._groups.order_headers(order),
             body=call.body,
             reply_channel=self.channel,
             step="order",
             connect_timeout=ORDER_CONNECT_TIMEOUT,
             progress_timeout=PROBE_TIMEOUT if is_probe else ORDER_TIMEOUT,
+            new_connection=forwarder is not None,
+            forwarded=forwarder is not None,
         )
         self.fire(outbound_send(request), "http_client")
 
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
         _, order = self._orders_by_id[answer.id]
+        self._forwarder_by_order.pop(answer.id, None)
+        self._unanswered_ids.discard(order.server_id)
+        self._paths.heard(now=time.monotonic())
         if order.kind is OrderKind.PROBE and answer.status == 200:
             self.fire(server_reported(order.server_id, answer.body), "directory")
         outcome = self._groups.outcome(order, answer.status, answer.body)
@@ -282,11 +336,44 @@
 
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
+        now = time.monotonic()
+        zone, order = self._orders_by_id[failure.id]
+        forwarder = self._forwarder_by_order.pop(failure.id, None)
         refused = failure.error.code == REFUSED
-        outcome = OrderOutcome.WRONG_INSTANCE if refused else OrderOutcome.UNKNOWN
-        self._record_outcome(failure.id, outcome)
+        if forwarder is not None:
+            # The next order to the server is sent directly, unless its path is lost.
+            self._unanswered_ids.discard(order.server_id)
+            if failure.forwarder_failed:
+                self._forwarders.failed(forwarder, now=now)
+            is_evidence = failure.error.code in SILENCE
+        else:
+            self._unanswered_ids.add(order.server_id)
+            self._paths.unreached(order.server_id, now=now)
+            witness = self._forwarder(order, now=now) if refused else None
+            if witness is not None:
+                # Only this host may be refused, so another one must confirm that the
+                # server's process is gone.
+                del self._orders_by_id[failure.id]
+                self._send_order(zone, order, forwarder=witness)
+                return
+            is_evidence = now - self._paths.heard_at <= MAX_SILENCE
+        if refused:
+            self._record_outcome(failure.id, OrderOutcome.WRONG_INSTANCE)
+        else:
+            self._record_outcome(
+                failure.id, OrderOutcome.UNKNOWN, is_evidence=is_evidence
+            )
 
-    def _record_outcome(self, order_id: str, outcome: OrderOutcome) -> None:
+    def _record_outcome(
+        self, order_id: str, outcome: OrderOutcome, *, is_evidence: bool = True
+    ) -> None:
+        """Record the outcome of an order.
+
+        Parameters
+        ----------
+        is_evidence : bool
+            False if the missing answer to a probe says nothing about the server.
+        """
         zone, order = self._orders_by_id.pop(order_id)
         self._orders.record_end()
         log_event(
@@ -299,6 +386,7 @@
             outcome=outcome.value,
         )
         planner = self.planners_by_zone.get(zone)
-        if planner is not None and order.group:
+        counts = is_evidence or order.kind is not OrderKind.PROBE
+        if planner is not None and order.group and counts:
             planner.manager.record_outcome(order, outcome, now=time.monotonic())
         self._send_due_orders()
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -212,6 +212,9 @@
             plans_for=self._plans_for,
             still=self._stalled_heads,
             new_planner=self._new_planner,
+            directory=self.directory,
+            paths=self.paths,
+            forwarders=self.forwarders,
         )
         self.exchange = HostExchange(
             settings=settings,
--- a/tests/test_system/test_partitioned_hosts.py
+++ b/tests/test_system/test_partitioned_hosts.py
@@ -100,3 +100,35 @@
     callers.call_until(time.monotonic() + CONTACT_TIME)
     assert callers.share_served(n_calls=40) >= 2 / 3
     assert max(zone.n_runs().values()) == 1
+
+
+@pytest.mark.parametrize("mode", CUTS)
+def test_partitioned_planner_leaves_sound_groups_alone(
+    zone: RelayZone, start_partitioned: Callable[[str], Partition], mode: PartitionMode
+) -> None:
+    """Guard against a planner that takes the loss of its own paths for lost members."""
+    partition = start_partitioned("e1")
+    other = zone.start_host("e2")
+    other.process.wait_for_event("peer_heard")
+    zone.head_of(2)
+    zone.head_of(1)
+    zone.slow_engines(n_events=20, event_ms=50.0)
+    zone.hosts_by_name["e1"].process.wait_for_event("planner_began")
+    callers = Callers(host=zone.hosts_by_name["e1"])
+    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
+    n_ended = len(_ended_groups(zone))
+    partition.set(mode)
+    callers.call_until(time.monotonic() + CONTACT_TIME)
+    partition.set(PartitionMode.NONE)
+    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
+    assert len(_ended_groups(zone)) == n_ended
+
+
+def _ended_groups(zone: RelayZone) -> list[str]:
+    """Return the groups that a planner began to end, other than warm-up groups."""
+    return [
+        line["group"]
+        for host in zone.hosts_by_name.values()
+        for line in host.process.events("group_phase")
+        if line["phase"] == "ending"
+    ]
