Announce a stalled group only if its head answers this host

Cause: silence was announced as a property of the group, and each heartbeat renewed the avoidance, although other hosts announced that the group was moving.

A host that hears that a group moves at any host stops avoiding it, unless it sees the stall itself.

--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -361,9 +361,18 @@
             self.fire(peers_send(datagrams), "peers")
 
     def _mark_stalled(self, heartbeat: HostHeartbeat, *, now: float) -> None:
-        """Avoid groups that another host sees stalled, unless they progress here."""
+        """Avoid groups that other hosts see stalled, unless they progress anywhere."""
+        if heartbeat.moving:
+            stalled_here = self._stall_watch.still(now=now)
+            for server_id in heartbeat.moving:
+                if server_id not in stalled_here:
+                    self._balancer.clear_stall(server_id)
+        if not heartbeat.still:
+            return
+        moving = self._heartbeats.moving(now=now)
         for server_id in heartbeat.still:
-            if self._stall_watch.has_progressed(server_id, now=now):
+            has_progressed = self._stall_watch.has_progressed(server_id, now=now)
+            if has_progressed or server_id in moving:
                 continue
             if self._balancer.mark_stalled(server_id, now=now):
                 log_event("stall_received", server=server_id, peer=heartbeat.host)
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -294,6 +294,14 @@
     def _on_path_lost(self, server_id: str) -> None:
         self.relay.requests.path_lost(server_id, now=time.monotonic())
 
+    def _own_stalled_heads(self, *, now: float) -> tuple[str, ...]:
+        """Return the heads that answer this host and whose groups it sees stalled."""
+        return tuple(
+            head
+            for head in self.relay.stall_watch.still(now=now)
+            if not self.paths.explains_stall(head, now=now)
+        )
+
     def _is_evacuated(self, zone: str) -> bool:
         return zone in self.evacuations.zones
 
@@ -312,7 +320,7 @@
     def _stalled_heads(self) -> set[str]:
         now = time.monotonic()
         stall_watch = self.relay.stall_watch
-        still = self.heartbeats.still(now=now).union(stall_watch.still(now=now))
+        still = self.heartbeats.still(now=now).union(self._own_stalled_heads(now=now))
         # A host that can't reach a head sees its group stalled although the group
         # serves all other hosts.
         moving = self.heartbeats.moving(now=now)
@@ -398,7 +406,7 @@
             configuration_version=self.fleet.version,
             configuration_size=len(self.fleet.document()),
             knows_servers=self.fleet.servers.is_current,
-            still=tuple(self.relay.stall_watch.still(now=now)),
+            still=self._own_stalled_heads(now=now),
             moving=self._progressing_heads(now=now),
             suspicions=self.crashes.announced(now=now),
             plans=tuple(self.planning.planners_by_zone),
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -60,6 +60,7 @@
         self.n_sent_by_host: Counter[str] = Counter()
         self.lost = ""
         self.stalled_by_host: dict[str, tuple[str, ...]] = {}
+        self.moving_by_host: dict[str, tuple[str, ...]] = {}
         self.applied_by_host: dict[str, list[ServerUpdates]] = {}
         self.exchanges_by_host: dict[str, HostExchange] = {}
         self._waiting: list[tuple[str, Datagram]] = []
@@ -88,6 +89,7 @@
                 stopping=False,
                 configuration_version=1,
                 still=self.stalled_by_host.get(host, ()),
+                moving=self.moving_by_host.get(host, ()),
                 plans=(zone,),
                 demand_by_model={"m": 0.5},
             ),
@@ -237,6 +239,31 @@
     assert reached == {"c", "d"}
 
 
+def test_group_that_progresses_at_another_host_is_not_avoided(
+    network: Network,
+) -> None:
+    """Guard against sound groups that hosts avoid since one host can't reach them."""
+    network.stalled_by_host["d"] = ("h1",)
+    _announce(network, "d")
+    record = network.exchanges_by_host["c"]._balancer.record("h1")
+    assert record.stalled_until > time.monotonic()
+    network.moving_by_host["a"] = ("h1",)
+    _announce(network, "a")
+    assert record.stalled_until == 0.0
+    _announce(network, "d")
+    assert record.stalled_until == 0.0
+
+
+def _announce(network: Network, host: str) -> None:
+    """Let a host send heartbeats to its own zone and to the others."""
+    for _ in range(TICKS_PER_ZONE_HEARTBEAT):
+        network.exchanges_by_host[host]._on_tick()
+        for other in network.exchanges_by_host:
+            if other != host:
+                network.exchanges_by_host[other]._on_tick()
+    network.deliver(at_most=network.n_sent + 200)
+
+
 def test_stalled_group_is_announced_at_once(network: Network) -> None:
     """Guard against requests to a stalled group in a zone with infrequent heartbeats.
 
--- a/tests/test_system/test_partitioned_hosts.py
+++ b/tests/test_system/test_partitioned_hosts.py
@@ -132,3 +132,21 @@
         for line in host.process.events("group_phase")
         if line["phase"] == "ending"
     ]
+
+
+def test_partitioned_host_reports_no_stalled_groups(
+    zone: RelayZone, start_partitioned: Callable[[str], Partition]
+) -> None:
+    """Guard against hosts that shun sound groups for what a partitioned host sees."""
+    partition = start_partitioned("e1")
+    other = zone.start_host("e2")
+    other.process.wait_for_event("peer_heard")
+    zone.head_of(2)
+    zone.head_of(1)
+    zone.slow_engines(n_events=20, event_ms=50.0)
+    callers = Callers(host=zone.hosts_by_name["e1"])
+    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
+    partition.set(PartitionMode.SILENT)
+    callers.call_until(time.monotonic() + CONTACT_TIME)
+    assert zone.hosts_by_name["e1"].process.events("group_still")
+    assert not other.process.events("stall_received")
