Partition hosts from all servers in the soak

One more kind of fault: a host's connections to all servers are silent, reset, or refused where they are new, for 5 to 7.5 s, beside all other faults. It excuses the host from no promise. From three seconds on its callers must be served at least two thirds as often as those of other hosts, or only 10 + 1 in 50 fail: the users' bound.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from .callers import Call
-from .faults import STORE, Disturbance, KeyChange
+from .faults import STORE, Disturbance, KeyChange, PartitionSpan
 
 __all__ = ["N_EVENTS", "Evidence", "Verdict", "check"]
 
@@ -37,6 +37,13 @@
 #: other refused requests are told to return sooner.
 QUARANTINED_FOR = 100.0
 
+#: Callers of a partitioned host are served badly if fewer than MIN_SERVED times the
+#: share of the other hosts' callers are served, and more than MAX_FAILED requests and
+#: MAX_FAILED_SHARE of all requests fail there.
+MIN_SERVED = 2 / 3
+MAX_FAILED = 10
+MAX_FAILED_SHARE = 1 / 50
+
 #: Seconds within which a running host has read a request that was sent to it.
 READ_WITHIN = 0.2
 
@@ -79,6 +86,7 @@
     servers: dict[str, dict[str, Any]]
     disturbances: list[Disturbance] = field(default_factory=list)
     key_changes: list[KeyChange] = field(default_factory=list)
+    partition_spans: list[PartitionSpan] = field(default_factory=list)
     group_faults: list[str] = field(default_factory=list)
     unserved_kinds: list[str] = field(default_factory=list)
 
@@ -110,6 +118,13 @@
             for disturbance in self.disturbances
         )
 
+    def is_partitioned(self, host: str, at: float) -> bool:
+        """Return whether a host was partitioned from all servers at a time."""
+        return any(
+            span.host == host and span.start <= at <= span.end
+            for span in self.partition_spans
+        )
+
     def n_runs(self) -> Counter[str]:
         """Return the number of runs of each request over all servers."""
         total: Counter[str] = Counter()
@@ -151,6 +166,7 @@
         _check_stop(call, evidence, verdict)
         _check_quarantined(call, evidence, verdict)
     _check_shares(evidence, verdict)
+    _check_partitions(evidence, verdict)
     _check_crashes(evidence, verdict)
     for name, server in evidence.servers.items():
         _check_leaving(name, server, evidence, verdict)
@@ -263,6 +279,37 @@
         )
 
 
+def _check_partitions(evidence: Evidence, verdict: Verdict) -> None:
+    """Check that callers of partitioned hosts are served like those of other hosts."""
+    for span in evidence.partition_spans:
+        calls = [
+            call
+            for call in evidence.calls
+            if call.kind != "poison"
+            and span.start + UNDISTURBED_FOR <= call.sent_at <= span.end
+            and evidence.is_undisturbed(call.host, call.ended_at)
+        ]
+        partitioned = [call for call in calls if call.host == span.host]
+        others = [
+            call
+            for call in calls
+            if not evidence.is_partitioned(call.host, call.sent_at)
+        ]
+        if not partitioned or not others:
+            continue
+        share, share_of_others = _share_answered(partitioned), _share_answered(others)
+        n_failed = round((1 - share) * len(partitioned))
+        serves = share >= MIN_SERVED * share_of_others
+        verdict.record(
+            "callers of partitioned hosts are served",
+            holds=serves or n_failed <= MAX_FAILED + MAX_FAILED_SHARE * len(calls),
+            observed=(
+                f"{span.host} ({span.kind}): {share:.3f} of {len(partitioned)} served, "
+                f"{share_of_others:.3f} of {len(others)} at the others"
+            ),
+        )
+
+
 def _share_answered(calls: list[Call]) -> float:
     """Return the share of requests that got a complete answer."""
     return sum(call.status == 200 and call.is_complete for call in calls) / len(calls)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..partition import Partition, PartitionMode
 from ..relay_zone import RelayZone
 from .proxy import LoopbackProxy, ProxyMode
 
-__all__ = ["STORE", "Disturbance", "Faults", "KeyChange"]
+__all__ = ["STORE", "Disturbance", "Faults", "KeyChange", "PartitionSpan"]
 
 #: Ranges of the seconds between two faults, and of the seconds that one fault lasts.
 PAUSES = (0.3, 1.2)
@@ -53,6 +54,9 @@
 PAUSES_ASKED_FOR = ("1.5", "3")
 REFUSING_FOR = 4.0
 
+#: Minimum number of seconds for which a host is partitioned from all servers.
+PARTITIONED_FOR = 4.5
+
 #: Minimum number of seconds for which a server is leaving.
 LEAVING_FOR = 4.0
 
@@ -83,6 +87,16 @@
     restored_at: float = float("inf")
 
 
+@dataclass(slots=True, kw_only=True)
+class PartitionSpan:
+    """Monotonic times between which a host was partitioned from all servers."""
+
+    host: str
+    kind: str
+    start: float
+    end: float = float("inf")
+
+
 @dataclass(slots=True, kw_only=True)
 class Faults:
     """Injector of random faults, each of which is ended after its duration.
@@ -93,6 +107,8 @@
         Processes under test; no other processes are stopped, paused or killed.
     proxies_by_host : dict of str to LoopbackProxy
         Proxies between each host and the store.
+    partitions_by_host : dict of str to Partition
+        Partitions between each host and the backend servers.
     configuration : dict of str to object
         Fields of the operator's configuration that differ from the stand-in's.
 
@@ -104,10 +120,12 @@
 
     zone: RelayZone
     proxies_by_host: dict[str, LoopbackProxy]
+    partitions_by_host: dict[str, Partition]
     seed: int
     configuration: dict[str, object] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     key_changes: list[KeyChange] = field(default_factory=list)
+    partition_spans: list[PartitionSpan] = field(default_factory=list)
     lines: list[str] = field(default_factory=list)
     n_by_kind: Counter[str] = field(default_factory=Counter)
     _due: list[tuple[float, Callable[[], None]]] = field(default_factory=list)
@@ -124,6 +142,7 @@
             self._kill,
             self._terminate,
             self._cut_from_store,
+            self._partition_from_servers,
             self._disturb_store,
             self._restore_store_from_copy,
             self._disturb_server,
@@ -185,7 +204,12 @@
         thread.start()
 
     def _start_again(self, host: str, disturbance: Disturbance) -> None:
-        self.zone.start_host(host, wait=False, store_endpoint=f"proxy-{host}")
+        self.zone.start_host(
+            host,
+            wait=False,
+            store_endpoint=f"proxy-{host}",
+            partition=self.partitions_by_host[host],
+        )
         self._record_end(disturbance)
 
     def _cut_from_store(self, generator: random.Random, duration: float) -> None:
@@ -199,6 +223,32 @@
         proxy.set(mode)
         self._end_after(duration, lambda: proxy.set(ProxyMode.PASS), disturbance)
 
+    def _partition_from_servers(
+        self, generator: random.Random, duration: float
+    ) -> None:
+        """Cut a host's connections to all servers; it stays bound by all promises."""
+        free = [
+            host
+            for host in self.partitions_by_host
+            if _paths_of(host) not in self._disturbed
+        ]
+        if len(free) < 2:
+            return
+        host = generator.choice(free)
+        modes = [mode for mode in PartitionMode if mode is not PartitionMode.NONE]
+        mode = generator.choice(modes)
+        partition = self.partitions_by_host[host]
+        disturbance = self._record_begin(_paths_of(host), f"partition {mode.value}")
+        span = PartitionSpan(host=host, kind=mode.value, start=time.monotonic())
+        self.partition_spans.append(span)
+        partition.set(mode)
+
+        def heal() -> None:
+            span.end = time.monotonic()
+            partition.set(PartitionMode.NONE)
+
+        self._end_after(PARTITIONED_FOR + duration, heal, disturbance)
+
     def _disturb_store(self, generator: random.Random, duration: float) -> None:
         if STORE in self._disturbed:
             return
@@ -373,3 +423,8 @@
         self._due = [item for item in self._due if item[0] > now]
         for action in due:
             action()
+
+
+def _paths_of(host: str) -> str:
+    """Return the target of disturbances of a host's paths to the servers."""
+    return f"{host} paths"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ..partition import Partition
 from ..processes import wait_until
 from ..relay_zone import running_relay_zone
 from .callers import Callers
@@ -85,7 +86,14 @@
                 zone.control(**{f"engine_{index}": {"slots": SLOTS}})
         for name, proxy in proxies.items():
             zone.addresses[f"proxy-{name}"] = proxy.address_by_target[store]
-            zone.start_host(name, store_endpoint=f"proxy-{name}")
+        partitions = {
+            name: Partition(
+                path=directory / f"{name}.partition", servers=zone.server_addresses()
+            )
+            for name in names
+        }
+        for name, partition in partitions.items():
+            zone.start_host(name, store_endpoint=f"proxy-{name}", partition=partition)
         zone.head_of(2)
         zone.slow_engines(n_events=N_EVENTS, event_ms=EVENT_MS)
         callers = Callers(
@@ -99,7 +107,11 @@
         if seed % POISON_EVERY == 0:
             callers.start_poison()
         faults = Faults(
-            zone=zone, proxies_by_host=proxies, seed=seed, configuration=changes
+            zone=zone,
+            proxies_by_host=proxies,
+            partitions_by_host=partitions,
+            seed=seed,
+            configuration=changes,
         )
         faults.run(seconds=seconds)
         unserved = _unserved_kinds(callers, since=time.monotonic())
@@ -109,11 +121,12 @@
             servers=zone.servers(),
             disturbances=faults.disturbances,
             key_changes=faults.key_changes,
+            partition_spans=faults.partition_spans,
             group_faults=zone.platform_state()["group_faults"],
             unserved_kinds=unserved,
         )
-        for proxy in proxies.values():
-            proxy.close()
+        for closing in (*proxies.values(), *partitions.values()):
+            closing.close()
         return SoakReport(
             verdict=check(evidence),
             n_calls=len(callers.calls),
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -9,7 +9,7 @@
 
 from .soak.callers import Call
 from .soak.checks import Evidence, check
-from .soak.faults import Disturbance, KeyChange
+from .soak.faults import Disturbance, KeyChange, PartitionSpan
 
 EVENTS = "".join(f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 6))
 
@@ -138,6 +138,18 @@
     return evidence
 
 
+def _partitioned(*, n_failed: int, n_failed_at_others: int = 0) -> Evidence:
+    """Return 30 calls at a partitioned host, and as many at another one."""
+    calls = []
+    for host, count in (("e1", n_failed), ("e2", n_failed_at_others)):
+        for index in range(30):
+            call = replace(ONCE, host=host, sent_at=9.0 + index / 10)
+            failed = {"status": 504, "seal": "", "is_complete": False}
+            calls.append(replace(call, **failed) if index < count else call)
+    span = PartitionSpan(host="e1", kind="silent", start=5.0, end=13.0)
+    return _evidence(*calls, partition_spans=[span])
+
+
 VIOLATIONS: dict[str, Callable[[], Evidence]] = {
     "events-missing": lambda: _evidence(replace(STREAM, body=EVENTS[24:])),
     "event-twice": lambda: _evidence(replace(STREAM, body=EVENTS + EVENTS[-24:])),
@@ -157,6 +169,7 @@
     "stated-leaving": _request_after_the_server_said_that_it_leaves,
     "poison-sent-on": _poison_request_is_sent_on,
     "other-quarantined": _other_request_is_quarantined,
+    "partitioned": lambda: _partitioned(n_failed=15),
     "group": lambda: _evidence(group_faults=["g runs without b"]),
     "unserved": lambda: _evidence(unserved_kinds=["look"]),
 }
@@ -228,3 +241,24 @@
     fault.start = 29.6
     fault.end = 31.0
     assert check(_streams("b", disturbances=[fault])).violations != []
+
+
+@pytest.mark.parametrize(
+    "evidence",
+    [
+        pytest.param(_partitioned(n_failed=11), id="few-failed"),
+        pytest.param(
+            _partitioned(n_failed=15, n_failed_at_others=12), id="others-failed-too"
+        ),
+    ],
+)
+def test_partitioned_hosts_are_compared_with_others(evidence: Evidence) -> None:
+    """Guard against violations that the users' pages allow."""
+    assert check(evidence).violations == []
+
+
+def test_partition_does_not_excuse_a_host_from_other_promises() -> None:
+    """Guard against hosts that break promises while they are partitioned."""
+    evidence = _revoked_key_is_accepted()
+    evidence.partition_spans = _partitioned(n_failed=0).partition_spans
+    assert check(evidence).violations != []
