--- a/tests/test_system/test_partitioned_hosts.py
+++ b/tests/test_system/test_partitioned_hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import signal
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -13,7 +14,12 @@
 
 from ..partition import Partition, PartitionMode
 from ..processes import wait_until
-from ..relay_zone import RelayHost, RelayZone, running_relay_zone
+from ..relay_zone import (
+    RelayHost,
+    RelayZone,
+    events_of_stream,
+    running_relay_zone,
+)
 
 #: Seconds after the start of a partition from which its hosts must serve.
 CONTACT_TIME = 3.0
@@ -150,3 +156,26 @@
     callers.call_until(time.monotonic() + CONTACT_TIME)
     assert zone.hosts_by_name["e1"].process.events("group_still")
     assert not other.process.events("stall_received")
+
+
+def test_stopping_host_finishes_what_it_forwards(
+    zone: RelayZone, start_partitioned: Callable[[str], Partition]
+) -> None:
+    """Guard against streams of other hosts that a planned stop cuts off."""
+    partition = start_partitioned("e1")
+    other = zone.start_host("e2")
+    other.process.wait_for_event("peer_heard")
+    zone.head_of(1)
+    host = zone.hosts_by_name["e1"]
+    callers = Callers(host=host)
+    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
+    partition.set(PartitionMode.SILENT)
+    callers.call_until(time.monotonic() + CONTACT_TIME)
+    zone.slow_engines(n_events=40, event_ms=80.0)
+    with ThreadPoolExecutor(1) as threads:
+        stream = threads.submit(host.chat, request_id="long", model="small")
+        wait_until(lambda: zone.server_that_runs("long"), what="the stream runs")
+        other.process.send(signal.SIGTERM)
+        assert stream.result().text == events_of_stream(40)
+    assert other.process.wait() == 0
+    assert zone.n_runs()["long"] == 1
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -389,3 +389,55 @@
         with sock, pytest.raises(ConnectionResetError):
             while sock.recv(1 << 20):
                 pass
+
+
+#: Answers of a forwarding host, the failure that each one becomes, and whether the
+#: forwarding host itself failed.
+FORWARDED_FAILURES = {
+    "server not reached": (
+        b'HTTP/1.1 504 \r\nProxy-Status: "e2"; error=connection_timeout\r\n'
+        b"Content-Length: 0\r\n\r\n",
+        "timeout unsent",
+        False,
+    ),
+    "server refused": (
+        b'HTTP/1.1 502 \r\nProxy-Status: "e2"; error=connection_refused\r\n'
+        b"Content-Length: 0\r\n\r\n",
+        "unavailable unsent",
+        False,
+    ),
+    "answer broken off": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+        b'Proxy-Status: "e2"; error=connection_terminated\r\n\r\n',
+        "broken sent",
+        False,
+    ),
+    "forwarding host ended": (CLOSE, "broken sent", True),
+}
+
+
+@pytest.mark.parametrize("name", FORWARDED_FAILURES)
+def test_errors_of_a_forwarding_host_are_no_answers(
+    server: ScriptedServer, harness: ClientHarness, name: str
+) -> None:
+    """Guard against an error of another host that is passed on as a server's answer."""
+    reply, expected, forwarder_failed = FORWARDED_FAILURES[name]
+    server.scripts = [[reply]]
+    assert harness.fetch(server.address, forwarded=True) == expected
+    assert harness.failures[-1].forwarder_failed is forwarder_failed
+
+
+def test_answer_without_an_error_passes_a_forwarding_host(
+    server: ScriptedServer, harness: ClientHarness
+) -> None:
+    server.scripts = [[OK]]
+    assert harness.fetch(server.address, forwarded=True) == "ok"
+
+
+def test_refused_connection_to_a_forwarding_host_says_nothing_of_the_server(
+    server: ScriptedServer, harness: ClientHarness
+) -> None:
+    """Guard against servers that count as gone because a forwarding host has ended."""
+    server.stop_listening()
+    assert harness.fetch(server.address, forwarded=True) == "unavailable unsent"
+    assert harness.failures[-1].forwarder_failed
