Prepare forwarding for both interfaces

ServerPaths and RequestForwarding know servers by id, place and address only, and OutboundRequest.via makes of a request to a server the one to a forwarding host. Requests may be signed with the key that hosts share.

--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -414,7 +414,7 @@
         if server is None:
             return False
         forwarder = None
-        if request.prefers_forwarder or self._paths.needs_forwarding(server):
+        if request.prefers_forwarder or self._paths.is_out_of_reach(server.id):
             forwarder = self._forwarders.choose(now=now)
         attempt = request.begin_attempt(
             f"r{next(self._attempt_ids)}", server, forwarder=forwarder, now=now
--- a/ryelever/coordination/relaying/server_paths.py
+++ b/ryelever/coordination/relaying/server_paths.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from ...state.directory import BackendServer, Directory
+    from collections.abc import Callable, Mapping
 
 __all__ = ["ServerPaths"]
 
@@ -42,6 +40,13 @@
 _ALL: _Scope = ("all", "")
 
 
+class _Located(Protocol):
+    """A backend server, with what it has in common with others."""
+
+    service: str
+    availability_zone: str
+
+
 class _Check(msgspec.Struct, kw_only=True):
     """A check whether this host and other hosts reach a server.
 
@@ -73,8 +78,8 @@
 
     Parameters
     ----------
-    directory : Directory
-        The listed backend servers.
+    servers_by_id : mapping of str to object with ``service`` and ``availability_zone``
+        The listed backend servers; kept current by its owner.
     log : callable
         Write one log line, given the name of the event and its fields.
 
@@ -90,8 +95,10 @@
         host.
     """
 
-    def __init__(self, *, directory: Directory, log: Callable[..., None]) -> None:
-        self._directory = directory
+    def __init__(
+        self, *, servers_by_id: Mapping[str, _Located], log: Callable[..., None]
+    ) -> None:
+        self._servers_by_id = servers_by_id
         self._log = log
         self._checks_by_id: dict[str, _Check] = {}
         self._lost_at_by_id: dict[str, float] = {}
@@ -114,21 +121,21 @@
         """Return the number of servers to which the path is known to be lost."""
         return len(self._lost_at_by_id)
 
-    def needs_forwarding(self, server: BackendServer) -> bool:
+    def is_out_of_reach(self, server_id: str) -> bool:
         """Return whether only other hosts reach a server."""
         if not self._lost_at_by_id:
             return False
-        return server.id in self._lost_at_by_id or not self._lost_scopes.isdisjoint(
-            _scopes(server)
-        )
+        if server_id in self._lost_at_by_id:
+            return True
+        server = self._servers_by_id.get(server_id)
+        return server is not None and not self._lost_scopes.isdisjoint(_scopes(server))
 
     def explains_stall(self, server_id: str, *, now: float) -> bool:
         """Return whether a group may appear stalled for the lack of a path to its head.
 
         While the head is checked it may; the check takes ``STALL_CHECK_TIME`` at most.
         """
-        server = self._directory.by_id.get(server_id)
-        if server is not None and self.needs_forwarding(server):
+        if self.is_out_of_reach(server_id):
             return True
         check = self._checks_by_id.get(server_id)
         if check is None or not check.for_stall:
@@ -147,7 +154,7 @@
         self._checks_by_id.pop(server_id, None)
         if not self._lost_at_by_id:
             return
-        server = self._directory.by_id.get(server_id)
+        server = self._servers_by_id.get(server_id)
         for scope in (_ALL,) if server is None else _scopes(server):
             self._answered_at_by_scope[scope] = now
         if self._lost_at_by_id.pop(server_id, None) is not None:
@@ -177,7 +184,7 @@
             self._conclude(server_id, check, now=now)
             if now - check.started_at > CHECK_INTERVAL:
                 self._checks_by_id.pop(server_id, None)
-        gone = self._lost_at_by_id.keys() - self._directory.by_id.keys()
+        gone = self._lost_at_by_id.keys() - self._servers_by_id.keys()
         for server_id in gone:
             del self._lost_at_by_id[server_id]
         if gone:
@@ -212,7 +219,7 @@
         if not check.shows_loss(now=now):
             return
         del self._checks_by_id[server_id]
-        if server_id not in self._directory.by_id:
+        if server_id not in self._servers_by_id:
             return
         self._lost_at_by_id[server_id] = now
         self._log("path_lost", server=server_id, n=self.n_lost)
@@ -225,7 +232,7 @@
         n_lost: Counter[_Scope] = Counter(
             scope
             for server_id, lost_at in self._lost_at_by_id.items()
-            for scope in _scopes(self._directory.by_id[server_id])
+            for scope in _scopes(self._servers_by_id[server_id])
             if lost_at > answered_at.get(scope, float("-inf"))
         )
         was_cut_off = self.is_cut_off
@@ -237,7 +244,7 @@
             self._log(event, n=self.n_lost)
 
 
-def _scopes(server: BackendServer) -> tuple[_Scope, ...]:
+def _scopes(server: _Located) -> tuple[_Scope, ...]:
     return (
         _ALL,
         ("service", server.service),
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -10,6 +10,13 @@
 
 import msgspec
 from circuits import Event
+from msgspec.structs import replace
+
+from .protocol.forwarding import (
+    PROXY_AUTHORIZATION,
+    forward_signature,
+    forward_target,
+)
 
 if TYPE_CHECKING:
     from .errors import RyeleverError
@@ -115,6 +122,33 @@
     forwarded: bool = False
     max_body: int = 8 << 20
 
+    def via(
+        self, forwarder_address: str, *, server_id: str, key: str = ""
+    ) -> OutboundRequest:
+        """Return this request to a backend server as one to a host that forwards it.
+
+        Parameters
+        ----------
+        key : str
+            Key that authenticates the request; empty if hosts share none.
+        """
+        path = forward_target(server_id, self.path)
+        headers = self.headers
+        if not self.verbatim:
+            headers = (("Host", self.address), *headers)
+        if key:
+            signature = forward_signature(key, path, self.body)
+            headers = (*headers, (PROXY_AUTHORIZATION.decode(), signature))
+        return replace(
+            self,
+            address=forwarder_address,
+            path=path,
+            headers=headers,
+            new_connection=True,
+            verbatim=True,
+            forwarded=True,
+        )
+
 
 class AnswerHead(msgspec.Struct, kw_only=True, frozen=True):
     """The status and headers of a streamed answer.
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -25,7 +25,7 @@
     server_reported,
 )
 from .logs import log_event
-from .protocol.forwarding import ForwardingError, forward_target
+from .protocol.forwarding import ForwardingError
 from .protocol.keyed_log import Appended
 from .transport.http_client import REFUSED
 
@@ -281,10 +281,9 @@
         A server that left the last order without an answer may have ended, or be out
         of this host's reach only.
         """
-        server = self._directory.by_id.get(order.server_id)
-        if server is None:
+        if order.server_id not in self._directory.by_id:
             return None
-        if self._paths.needs_forwarding(server):
+        if self._paths.is_out_of_reach(order.server_id):
             return self._forwarders.choose(now=now)
         if order.server_id in self._unanswered_ids:
             return self._witness(now=now)
@@ -301,26 +300,22 @@
         order_id = f"order-{next(self._ids)}"
         self._orders_by_id[order_id] = (zone, order)
         call = self._groups.order(order)
-        address, path = order.address, call.path
-        if forwarder is not None:
-            self._forwarder_by_order[order_id] = forwarder.host
-            address = forwarder.address
-            path = forward_target(order.server_id, call.path)
         is_probe = order.kind is OrderKind.PROBE
         request = OutboundRequest(
             id=order_id,
-            address=address,
+            address=order.address,
             method=call.method,
-            path=path,
+            path=call.path,
             headers=self._groups.order_headers(order),
             body=call.body,
             reply_channel=self.channel,
             step="order",
             connect_timeout=ORDER_CONNECT_TIMEOUT,
             progress_timeout=PROBE_TIMEOUT if is_probe else ORDER_TIMEOUT,
-            new_connection=forwarder is not None,
-            forwarded=forwarder is not None,
         )
+        if forwarder is not None:
+            self._forwarder_by_order[order_id] = forwarder.host
+            request = request.via(forwarder.address, server_id=order.server_id)
         self.fire(outbound_send(request), "http_client")
 
     @handler("outbound_answer")
--- a/ryelever/path_checks.py
+++ b/ryelever/path_checks.py
@@ -9,14 +9,12 @@
 from circuits import BaseComponent, handler
 
 from .events import OutboundAnswer, OutboundFailure, OutboundRequest, outbound_send
-from .protocol.forwarding import forward_target
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from .coordination.host_heartbeats import HostAddress
     from .coordination.relaying import Forwarders, ServerPaths
-    from .state.directory import BackendServer, Directory
 
 __all__ = ["PathChecks"]
 
@@ -30,9 +28,12 @@
 
     Parameters
     ----------
+    address_of : callable
+        Return the address of a server, given its id; None if it isn't listed.
     status_path : callable
-        Return the path of a server's status, given the name of its service; empty if
-        the service is not known.
+        Return the path of a server's status, given its id; empty if it has none.
+    key : str
+        Key that authenticates requests to other hosts; empty if hosts share none.
     """
 
     channel = "paths"
@@ -42,14 +43,16 @@
         *,
         paths: ServerPaths,
         forwarders: Forwarders,
-        directory: Directory,
+        address_of: Callable[[str], str | None],
         status_path: Callable[[str], str],
+        key: str = "",
     ) -> None:
         super().__init__()
         self._paths = paths
         self._forwarders = forwarders
-        self._directory = directory
+        self._address_of = address_of
         self._status_path = status_path
+        self._key = key
         self._ids = itertools.count(1)
         self._server_by_id: dict[str, str] = {}
         self._forwarder_by_id: dict[str, str] = {}
@@ -71,40 +74,28 @@
 
     def _ask(self, server_id: str, *, forwarder: HostAddress | None = None) -> bool:
         """Send a status request; return False if its path is not known."""
-        server = self._directory.by_id.get(server_id)
-        path = "" if server is None else self._status_path(server.service)
-        if not path:
+        address = self._address_of(server_id)
+        path = self._status_path(server_id)
+        if address is None or not path:
             return False
         check_id = f"check-{next(self._ids)}"
         self._server_by_id[check_id] = server_id
-        if forwarder is not None:
-            self._forwarder_by_id[check_id] = forwarder.host
-        self.fire(
-            outbound_send(self._request(check_id, server, path, forwarder)),
-            "http_client",
-        )
-        return True
-
-    def _request(
-        self,
-        check_id: str,
-        server: BackendServer,
-        path: str,
-        forwarder: HostAddress | None,
-    ) -> OutboundRequest:
-        is_direct = forwarder is None
-        return OutboundRequest(
+        request = OutboundRequest(
             id=check_id,
-            address=server.address if is_direct else forwarder.address,
+            address=address,
             method="GET",
-            path=path if is_direct else forward_target(server.id, path),
+            path=path,
             reply_channel=self.channel,
             step="check_path",
             new_connection=True,
             connect_timeout=CHECK_TIMEOUT,
             progress_timeout=CHECK_TIMEOUT,
-            forwarded=not is_direct,
         )
+        if forwarder is not None:
+            self._forwarder_by_id[check_id] = forwarder.host
+            request = request.via(forwarder.address, server_id=server_id, key=self._key)
+        self.fire(outbound_send(request), "http_client")
+        return True
 
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
--- a/ryelever/protocol/forwarding.py
+++ b/ryelever/protocol/forwarding.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import hmac
 import re
 from typing import TYPE_CHECKING
 from urllib.parse import quote, unquote_to_bytes
@@ -18,9 +19,11 @@
     from collections.abc import Iterable
 
 __all__ = [
+    "PROXY_AUTHORIZATION",
     "PROXY_STATUS",
     "ForwardTarget",
     "ForwardingError",
+    "forward_signature",
     "forward_target",
     "forwarding_error",
     "parse_forward_target",
@@ -28,6 +31,7 @@
 ]
 
 PROXY_STATUS = b"proxy-status"
+PROXY_AUTHORIZATION = b"proxy-authorization"
 
 _TARGET = re.compile(rb"http://([^/?#]+)(/.*)")
 _ERROR = re.compile(rb";\s*error=([a-z_]+)")
@@ -73,6 +77,16 @@
     return f"http://{quote(server_id, safe='')}{path}"
 
 
+def forward_signature(key: str, target: str, body: bytes) -> str:
+    """Return the signature that shows that a request comes from an entry host.
+
+    The target names the backend server, and each body names its attempt, so that a
+    recorded request can only be repeated as it was.
+    """
+    message = target.encode() + b"\n" + body
+    return "HMAC-SHA256 " + hmac.digest(key.encode(), message, "sha256").hex()
+
+
 def parse_forward_target(target: bytes) -> ForwardTarget | None:
     """Return what a target of ``forward_target`` names; None for any other target."""
     match = _TARGET.fullmatch(target)
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -24,7 +24,6 @@
     outbound_send,
 )
 from .logs import log_event
-from .protocol.forwarding import forward_target
 from .protocol.sse import RawEventSplitter, SseTooLongError
 
 if TYPE_CHECKING:
@@ -227,14 +226,11 @@
         """Send a request to a backend server."""
         now = time.monotonic()
         received = self._received_by_number[attempt.request_number]
-        path = received.target.decode("latin-1")
-        if attempt.forwarder:
-            path = forward_target(attempt.server_id, path)
         request = OutboundRequest(
             id=attempt.id,
             address=attempt.address,
             method=received.method.decode("ascii"),
-            path=path,
+            path=received.target.decode("latin-1"),
             headers=tuple(
                 self._messages.attempt_headers(received.headers, attempt, now=now)
             ),
@@ -248,8 +244,9 @@
             latest_start=attempt.deadline,
             resend_stale=False,
             verbatim=True,
-            forwarded=bool(attempt.forwarder),
         )
+        if attempt.forwarder:
+            request = request.via(attempt.address, server_id=attempt.server_id)
         self.fire(outbound_send(request), "http_client")
 
     def cancel(self, attempt_id: str) -> None:
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -54,6 +54,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .events import RelayedRequest
     from .log_stream import StreamWriter
     from .protocol.keyed_log import KeyedLogInterface
     from .protocol.relaying import RelayInterface
@@ -168,14 +169,14 @@
             reply_channel="watch_page",
             limits=ConnectionLimits,
         )
-        self.paths = ServerPaths(directory=self.directory, log=log_event)
+        self.paths = ServerPaths(servers_by_id=self.directory.by_id, log=log_event)
         self.forwarders = Forwarders(hosts=self.heartbeats.forwarding_hosts)
         self.balancer = Balancer(
             directory=self.directory,
             zone=settings.availability_zone,
             cold_rate=self._cold_rate,
             is_evacuated=self._is_evacuated,
-            needs_forwarding=self.paths.needs_forwarding,
+            needs_forwarding=lambda server: self.paths.is_out_of_reach(server.id),
         )
         crashes = self.crashes = CrashWatch(
             evidence=CrashEvidence(
@@ -239,16 +240,16 @@
         self.path_checks = PathChecks(
             paths=self.paths,
             forwarders=self.forwarders,
-            directory=self.directory,
+            address_of=self._server_address,
             status_path=self._status_path,
         )
         self.paths.on_lost = self._on_path_lost
         self.forwarding = RequestForwarding(
             host=settings.host,
             callers=self.peer_callers,
-            directory=self.directory,
+            address_of=self._server_address,
             paths=self.paths,
-            is_host_address=self.heartbeats.is_host_address,
+            is_authorized=self._is_from_host,
             is_stopping=lambda: self.relay.requests.refuses_new,
         )
         self.peer_requests = PeerRequests(
@@ -284,13 +285,21 @@
         )
         return None if found is None else found.cold_rate
 
-    def _status_path(self, service: str) -> str:
+    def _status_path(self, server_id: str) -> str:
         route_table = self.fleet.route_table
-        if route_table is None:
+        server = self.directory.by_id.get(server_id)
+        if route_table is None or server is None:
             return ""
-        found = route_table.services_by_name.get(service)
+        found = route_table.services_by_name.get(server.service)
         return "" if found is None else found.status_path
 
+    def _server_address(self, server_id: str) -> str | None:
+        server = self.directory.by_id.get(server_id)
+        return None if server is None else server.address
+
+    def _is_from_host(self, request: RelayedRequest) -> bool:
+        return self.heartbeats.is_host_address(request.sender)
+
     def _on_path_lost(self, server_id: str) -> None:
         self.relay.requests.path_lost(server_id, now=time.monotonic())
 
--- a/ryelever/request_forwarding.py
+++ b/ryelever/request_forwarding.py
@@ -18,7 +18,12 @@
     outbound_send,
 )
 from .logs import log_event
-from .protocol.forwarding import PROXY_STATUS, ForwardingError, proxy_status
+from .protocol.forwarding import (
+    PROXY_AUTHORIZATION,
+    PROXY_STATUS,
+    ForwardingError,
+    proxy_status,
+)
 from .transport.http_client import REFUSED
 
 if TYPE_CHECKING:
@@ -27,7 +32,6 @@
     from .coordination.relaying import ServerPaths
     from .events import RelayedRequest
     from .protocol.forwarding import ForwardTarget
-    from .state.directory import Directory
     from .transport.relay_callers import RelayCallers
 
 __all__ = ["CONNECT_TIMEOUT", "RequestForwarding"]
@@ -54,6 +58,7 @@
         b"keep-alive",
         b"transfer-encoding",
         b"content-length",
+        PROXY_AUTHORIZATION,
         PROXY_STATUS,
     }
 )
@@ -72,8 +77,10 @@
         Name of this host.
     callers : RelayCallers
         Connections of the other hosts.
-    is_host_address : callable
-        Return whether an IP address belongs to an entry host.
+    address_of : callable
+        Return the address of a backend server, given its id; None if it isn't listed.
+    is_authorized : callable
+        Return whether a request comes from an entry host.
     is_stopping : callable
         Return whether this process will end soon.
     """
@@ -85,17 +92,17 @@
         *,
         host: str,
         callers: RelayCallers,
-        directory: Directory,
+        address_of: Callable[[str], str | None],
         paths: ServerPaths,
-        is_host_address: Callable[[str], bool],
+        is_authorized: Callable[[RelayedRequest], bool],
         is_stopping: Callable[[], bool],
     ) -> None:
         super().__init__()
         self._host = host
         self._callers = callers
-        self._directory = directory
+        self._address_of = address_of
         self._paths = paths
-        self._is_host_address = is_host_address
+        self._is_authorized = is_authorized
         self._is_stopping = is_stopping
         self._ids = itertools.count(1)
         self._number_by_id: dict[str, int] = {}
@@ -112,16 +119,16 @@
     def forward(self, request: RelayedRequest, target: ForwardTarget) -> None:
         """Send a request of another host to its backend server."""
         now = time.monotonic()
-        server = self._directory.by_id.get(target.server_id)
+        address = self._address_of(target.server_id)
         error = None
-        if not self._is_host_address(request.sender):
+        if not self._is_authorized(request):
             error = ForwardingError.REQUEST_DENIED
-        elif server is None:
+        elif address is None:
             error = ForwardingError.DESTINATION_NOT_FOUND
         elif (
             self._is_stopping()
             or self.n_in_progress >= MAX_FORWARDED
-            or self._paths.needs_forwarding(server)
+            or self._paths.is_out_of_reach(target.server_id)
         ):
             error = ForwardingError.DESTINATION_UNAVAILABLE
         if error is not None:
@@ -137,10 +144,10 @@
         forwarded_id = f"forwarded-{next(self._ids)}"
         self._number_by_id[forwarded_id] = request.number
         self._id_by_number[request.number] = forwarded_id
-        self._server_by_id[forwarded_id] = server.id
+        self._server_by_id[forwarded_id] = target.server_id
         outbound = OutboundRequest(
             id=forwarded_id,
-            address=server.address,
+            address=address,
             method=request.method.decode("ascii"),
             path=target.path,
             headers=tuple(
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -39,7 +39,7 @@
 )
 from .http_pool import IdleConnections
 
-__all__ = ["REFUSED", "HttpClient"]
+__all__ = ["FORWARDER_FAILED", "REFUSED", "HttpClient"]
 
 #: Maximum bytes of one read from a socket.
 READ_SIZE = 64 * 1024
@@ -48,6 +48,10 @@
 #: ended.
 REFUSED = ForwardingError.CONNECTION_REFUSED.value
 
+#: Error code if the connection to a forwarding host failed, which says nothing about
+#: the backend server.
+FORWARDER_FAILED = "forwarder_failed"
+
 
 class HttpClient(BaseComponent):
     """Send requests and own all outgoing connections.
@@ -291,7 +295,7 @@
             f"could not forward: {error.value}",
             category=category,
             bytes_sent=error.was_sent,
-            code=error.value,
+            code="" if error is ForwardingError.CONNECTION_TERMINATED else error.value,
         )
         return True
 
@@ -426,6 +430,8 @@
         code: str = "",
         forwarder_failed: bool = False,
     ) -> None:
+        if forwarder_failed:
+            code = FORWARDER_FAILED
         error = RyeleverError(
             f"{request.address} {message}",
             category=category,
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -151,7 +151,7 @@
         self.stall_watch = StallWatch()
         self.forwarding_hosts = ForwardingHosts(own_zone=(), other_zones=())
         self.paths = ServerPaths(
-            directory=self.directory,
+            servers_by_id=self.directory.by_id,
             log=lambda event, **fields: self.lines.append((event, fields)),
         )
         self.paths.on_lost = lambda server_id: self.requests.path_lost(
--- a/tests/test_coordination/test_relaying/test_server_paths.py
+++ b/tests/test_coordination/test_relaying/test_server_paths.py
@@ -21,7 +21,7 @@
         self.lost: list[str] = []
         self.directory = Directory()
         super().__init__(
-            directory=self.directory,
+            servers_by_id=self.directory.by_id,
             log=lambda event, **fields: self.lines.append(event),
         )
         self.has_witness = True
@@ -44,8 +44,7 @@
 
     def forwarded(self) -> set[str]:
         """Return the servers that get requests by way of other hosts."""
-        servers = self.directory.by_id.values()
-        return {server.id for server in servers if self.needs_forwarding(server)}
+        return {item for item in self.directory.by_id if self.is_out_of_reach(item)}
 
 
 def _server(server_id: str, service: str, zone: str) -> BackendServer:
--- a/tests/test_request_forwarding.py
+++ b/tests/test_request_forwarding.py
@@ -43,13 +43,16 @@
     def __init__(self) -> None:
         directory = Directory()
         directory.put(SERVER, now=0.0)
-        self.paths = ServerPaths(directory=directory, log=lambda event, **fields: None)
+        addresses = {SERVER.id: SERVER.address}
+        self.paths = ServerPaths(
+            servers_by_id=directory.by_id, log=lambda event, **fields: None
+        )
         super().__init__(
             host="e2",
             callers=self,
-            directory=directory,
+            address_of=lambda server_id: addresses.get(server_id),
             paths=self.paths,
-            is_host_address=lambda ip: ip == "10.1.0.1",
+            is_authorized=lambda request: request.sender == "10.1.0.1",
             is_stopping=lambda: self.stopping,
         )
         self.stopping = False
