Drop what a silent proxy holds when its sender resets the connection

The proxy of the test held the bytes and delivered them when the partition healed. The check and its bound stay; the new test fails on the proxy as it was.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -122,16 +122,27 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK):
-                await self._apply_mode(is_answer=is_answer)
+                await self._apply_mode(reader, is_answer=is_answer)
                 writer.write(data)
                 await writer.drain()
         with contextlib.suppress(OSError):
             writer.close()
 
-    async def _apply_mode(self, *, is_answer: bool) -> None:
+    async def _apply_mode(
+        self, reader: asyncio.StreamReader, *, is_answer: bool
+    ) -> None:
+        """Hold data for as long as the mode demands.
+
+        Raises
+        ------
+        OSError
+            If the sender has reset its connection, with which held data are lost.
+        """
         if self.mode is ProxyMode.DELAYED:
             await asyncio.sleep(DELAY)
         while self.mode is ProxyMode.SILENT or (
             is_answer and self.mode is ProxyMode.NO_ANSWERS
         ):
             await asyncio.sleep(DELAY / 10)
+            if reader.exception() is not None:
+                raise reader.exception()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import struct
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -10,6 +13,7 @@
 from .soak.callers import Call
 from .soak.checks import Evidence, check
 from .soak.faults import Disturbance, KeyChange, PartitionSpan
+from .soak.proxy import LoopbackProxy, ProxyMode
 
 EVENTS = "".join(f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 6))
 
@@ -262,3 +266,24 @@
     evidence = _revoked_key_is_accepted()
     evidence.partition_spans = _partitioned(n_failed=0).partition_spans
     assert check(evidence).violations != []
+
+
+def test_held_requests_are_lost_when_their_sender_resets_the_connection() -> None:
+    """Guard against requests that a healed partition delivers after their host left."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        listening.settimeout(10.0)
+        target = f"127.0.0.1:{listening.getsockname()[1]}"
+        proxy = LoopbackProxy(targets=[target])
+        proxy.set(ProxyMode.SILENT)
+        host, _, port = proxy.address_by_target[target].rpartition(":")
+        with socket.create_connection((host, int(port))) as sender:
+            sender.sendall(b"held")
+            receiver, _ = listening.accept()
+            sender.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        receiver.settimeout(10.0)
+        with contextlib.suppress(ConnectionResetError):
+            assert receiver.recv(100) == b""
+        receiver.close()
+        proxy.close()
