--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hmac
 import time
 import uuid
 from typing import TYPE_CHECKING
@@ -11,9 +12,11 @@
 from .addresses import split_address
 from .console.assembly import build_console
 from .coordination.confirmation import Confirmations
+from .coordination.host_heartbeats import ForwardingHosts, HostAddress
 from .coordination.limits import AccountLimits
 from .coordination.planner import Planner
 from .coordination.readiness import Readiness, ReadinessInputs
+from .coordination.relaying import Forwarders, ServerPaths
 from .coordination.requests import RequestState
 from .dump import Dump
 from .events import control_tick, serving_tick, sweep
@@ -23,23 +26,31 @@
 from .gauges import register_gauges
 from .logs import log_event
 from .metrics import Metrics
+from .path_checks import PathChecks
 from .peering import Peering
 from .planning import Planning, count_demand
+from .protocol.external_systems import HTTP_ENGINE
+from .protocol.forwarding import PROXY_AUTHORIZATION, forward_signature
 from .protocol.log import CONFIGURATION_STREAM, claims_streams, placement_stream
+from .request_forwarding import ForwardingEndpoint, RequestForwarding
 from .request_path import RequestPath, build_claims
+from .server_access import ServerAccess
 from .serving import Serving
 from .shutdown import InFlight, Shutdown
 from .state.configuration_fold import NO_VERSION, ConfigurationFold
 from .state.placement import PlacementFold
+from .state.routes import ConnectionLimits
 from .streams import Streams
 from .timers import Timers
 from .transport.callers import Callers, Limits
 from .transport.http_client import HttpClient
 from .transport.peers import Peers
 from .transport.poller import Poller
+from .transport.relay_callers import RelayCallers
 
 if TYPE_CHECKING:
     from .coordination.planner import ModelDemand
+    from .events import RelayedRequest
     from .settings import Settings
     from .state.configuration import ClientAccount
     from .state.fold import BaseFold
@@ -56,7 +67,7 @@
 IDLE_SERVING_INTERVAL = 0.1
 
 #: Channels of the components that check their deadlines on the same tick.
-CONTROL_CHANNELS = ("streams", "fleet", "planning", "peering", "shutdown")
+CONTROL_CHANNELS = ("streams", "fleet", "planning", "peering", "shutdown", "paths")
 
 #: Seconds between two checks of the connections, and between two checks of the
 #: console's publications that were not yet read back from the log.
@@ -128,6 +139,11 @@
                 unread_timeout=settings.unread_timeout,
             ),
         )
+        self.paths = ServerPaths(servers_by_id=self.fleet.hosts_by_name, log=log_event)
+        self.forwarders = Forwarders(hosts=self._forwarding_hosts)
+        self.access = ServerAccess(
+            paths=self.paths, forwarders=self.forwarders, key=settings.peer_key
+        )
         self.fleet_history = FleetHistory(
             configuration=self.configuration,
             placements_by_zone=self.placements_by_zone,
@@ -143,8 +159,10 @@
             metrics=self.metrics,
             pages=self.dump.pages() | self.console.pages(),
             log_time=claims.log_time,
+            access=self.access,
         )
         self._wire_peers()
+        self.fleet.access = self.planning.access = self.access
         self.timers = Timers()
         self.shutdown = Shutdown(
             settings=settings,
@@ -157,9 +175,11 @@
 
     def _wire_peers(self) -> None:
         observers = [self.account_limits, *self.request_path.observers]
-        self.peers = Peers(
-            bind=split_address(self.settings.peers_address), reply_channel="peering"
-        )
+        bind = split_address(self.settings.peers_address)
+        self.forwarding_parts: list[BaseComponent] = []
+        if self.settings.forward_requests:
+            bind = self._wire_forwarding(bind)
+        self.peers = Peers(bind=bind, reply_channel="peering")
         self.peering = Peering(
             settings=self.settings,
             address=self.peers.address,
@@ -172,6 +192,62 @@
             urgent=self.request_path.quarantine,
         )
 
+    def _wire_forwarding(self, bind: tuple[str, int]) -> tuple[str, int]:
+        """Build the components that forward requests, and return their address."""
+        callers = RelayCallers(
+            bind=bind,
+            channel="peer_callers",
+            reply_channel="offers",
+            limits=lambda: ConnectionLimits(max_body=self.settings.max_body),
+        )
+        self.forwarding = RequestForwarding(
+            host=self.settings.host,
+            callers=callers,
+            address_of=self._server_address,
+            paths=self.paths,
+            is_authorized=self._is_signed,
+            is_stopping=lambda: self.serving.closed,
+        )
+        checks = PathChecks(
+            paths=self.paths,
+            forwarders=self.forwarders,
+            address_of=self._server_address,
+            status_path=self._status_path,
+            key=self.settings.peer_key,
+        )
+        endpoint = ForwardingEndpoint(callers=callers, forwarding=self.forwarding)
+        self.forwarding_parts = [callers, self.forwarding, checks, endpoint]
+        return bind[0], callers.port
+
+    def _forwarding_hosts(self, *, now: float) -> ForwardingHosts:
+        """Return the other hosts of this zone, if hosts forward requests."""
+        if not self.settings.forward_requests:
+            return ForwardingHosts(own_zone=(), other_zones=())
+        zone = self.settings.availability_zone
+        addresses = self.peering.exchange.live_addresses(now=now)
+        own_zone = tuple(
+            HostAddress(host=host, address=address, availability_zone=zone)
+            for host, address in addresses.items()
+        )
+        return ForwardingHosts(own_zone=own_zone, other_zones=())
+
+    def _server_address(self, server_id: str) -> str | None:
+        listed = self.fleet.hosts_by_name.get(server_id)
+        return None if listed is None else listed.address
+
+    def _status_path(self, server_id: str) -> str:
+        listed = self.fleet.hosts_by_name.get(server_id)
+        is_engine = listed is not None and listed.kind == "engine"
+        return HTTP_ENGINE.report().path if is_engine else ""
+
+    def _is_signed(self, request: RelayedRequest) -> bool:
+        """Return whether a request bears the signature of an entry host."""
+        expected = forward_signature(
+            self.settings.peer_key, request.target.decode("latin-1"), request.body
+        )
+        signature = dict(request.headers).get(PROXY_AUTHORIZATION, b"")
+        return hmac.compare_digest(signature, expected.encode())
+
     def _folds(self) -> dict[str, BaseFold]:
         folds: dict[str, BaseFold] = {CONFIGURATION_STREAM: self.configuration}
         for zone, placement in self.placements_by_zone.items():
@@ -223,11 +299,19 @@
             streams[name] for name in claims_streams(self.settings.claims_partitions)
         ]
         return InFlight(
-            n_requests=len(self.table.requests_by_id) + self.console.n_waiting,
+            n_requests=(
+                len(self.table.requests_by_id)
+                + self.console.n_waiting
+                + self._n_forwarded()
+            ),
             n_appends=sum(len(stream.writer.pending_by_id) for stream in claims),
             n_unsent=self.callers.n_waiting_callers(),
         )
 
+    def _n_forwarded(self) -> int:
+        """Return the number of other hosts' requests that are being forwarded."""
+        return self.forwarding.n_in_progress if self.forwarding_parts else 0
+
     def _stop(self, exit_code: int) -> None:
         self.exit_code = exit_code
         self.stop()
@@ -248,6 +332,7 @@
             self.peering,
             self.shutdown,
             self.dump,
+            *self.forwarding_parts,
             FaultLog(metrics=self.metrics),
         ):
             part.register(self)
@@ -262,7 +347,7 @@
         timers.every(SWEEP_INTERVAL, control_tick, "console")
         timers.every(UPDATE_INTERVAL, control_tick, "fleet_history")
         timers.every(self._serving_interval, serving_tick, "serving")
-        timers.every(SWEEP_INTERVAL, sweep, "http_client", "callers")
+        timers.every(SWEEP_INTERVAL, sweep, "http_client", "callers", "peer_callers")
         log_event(
             "started",
             host=self.settings.host,
--- a/ryelever/attempts.py
+++ b/ryelever/attempts.py
@@ -23,6 +23,7 @@
     from .events import AnswerHead, AttemptData, OutboundAnswer, OutboundFailure
     from .protocol.backend import StreamItem
     from .protocol.external_systems import EngineInterface, PlainServiceInterface
+    from .server_access import RoutedRequest, ServerAccess
     from .settings import Settings
 
 __all__ = ["Attempts"]
@@ -57,6 +58,8 @@
         Requests in flight; decides which actions follow an answer or a failure.
     fire : callable
         Fire an event on a channel.
+    access : ServerAccess
+        Decides which requests go by way of another entry host.
     """
 
     def __init__(
@@ -65,9 +68,11 @@
         settings: Settings,
         table: RequestTable,
         fire: Callable[..., object],
+        access: ServerAccess,
         engine: EngineInterface = HTTP_ENGINE,
         plain_service: PlainServiceInterface = HTTP_PLAIN_SERVICE,
     ) -> None:
+        self._access = access
         self._engine = engine
         self._plain_service = plain_service
         self._settings = settings
@@ -85,10 +90,13 @@
             request = self._generate_request(action, work)
         else:
             request = self._service_request(action, work)
+        routed = self._access.route(
+            request, server_id=action.target.server, now=time.monotonic()
+        )
         self._attempts_by_id[action.attempt_id] = _Attempt(
-            address=request.address, streamed=streamed
+            routed=routed, streamed=streamed
         )
-        self._fire(outbound_send(request), "http_client")
+        self._fire(outbound_send(routed.sent), "http_client")
 
     def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt, also at the engine if its answer is streamed."""
@@ -151,16 +159,16 @@
     def _abort(self, attempt_id: str, attempt: _Attempt) -> None:
         self._fire(outbound_cancel(attempt_id), "http_client")
         if attempt.streamed:
-            self._send_cancel(attempt_id, address=attempt.address)
+            self._send_cancel(attempt_id, attempt)
 
-    def _send_cancel(self, attempt_id: str, *, address: str) -> None:
+    def _send_cancel(self, attempt_id: str, attempt: _Attempt) -> None:
         # If the network path to an engine loses all packets, the engine does not
         # notice that the connection was closed.  It would generate the complete
         # answer although no caller receives it.
         call = self._engine.cancel(attempt_id)
         request = OutboundRequest(
             id=f"cancel-{attempt_id}",
-            address=address,
+            address=attempt.address,
             method=call.method,
             path=call.path,
             headers=call.headers,
@@ -173,12 +181,16 @@
             new_connection=True,
             progress_timeout=self._settings.progress_timeout,
         )
-        self._fire(outbound_send(request), "http_client")
+        routed = self._access.route(
+            request, server_id=attempt.routed.server_id, now=time.monotonic()
+        )
+        self._fire(outbound_send(routed.sent), "http_client")
 
     # Processing answers
 
     def head(self, head: AnswerHead) -> None:
         """Record the status of a streamed answer."""
+        self._access.paths.heard(now=time.monotonic())
         attempt = self._attempts_by_id.get(head.id)
         if attempt is not None:
             attempt.status = head.status
@@ -189,6 +201,7 @@
         if attempt is None:
             self._table.count_late_answer()
             return []
+        self._access.paths.heard(now=time.monotonic())
         if attempt.status != 200:
             attempt.error_text += message.data[:MAX_ERROR_TEXT]
             return []
@@ -223,6 +236,7 @@
 
     def answer(self, answer: OutboundAnswer) -> list[Action]:
         """Process the complete answer of a plain service."""
+        self._access.paths.heard(now=time.monotonic())
         if self._attempts_by_id.pop(answer.id, None) is None:
             self._table.count_late_answer()
             return []
@@ -238,11 +252,23 @@
 
     def failed(self, failure: OutboundFailure) -> list[Action]:
         """Process the failure of an attempt's connection."""
-        attempt = self._attempts_by_id.pop(failure.id, None)
+        attempt = self._attempts_by_id.get(failure.id)
         if attempt is None:
             return []
+        again = self._access.failed(
+            attempt.routed,
+            sent=failure.bytes_sent,
+            forwarder_failed=failure.forwarder_failed,
+            now=time.monotonic(),
+        )
+        if again is not None:
+            # Nothing was sent, so that this is still the same attempt.
+            attempt.routed = again
+            self._fire(outbound_send(again.sent), "http_client")
+            return []
+        del self._attempts_by_id[failure.id]
         if attempt.streamed and failure.bytes_sent:
-            self._send_cancel(failure.id, address=attempt.address)
+            self._send_cancel(failure.id, attempt)
         return self._report_failure(
             failure.id, failure.error, refused=not failure.bytes_sent
         )
@@ -319,11 +345,16 @@
 class _Attempt:
     """State of reading one attempt's answer."""
 
-    __slots__ = ("address", "error_text", "splitter", "status", "streamed")
+    __slots__ = ("error_text", "routed", "splitter", "status", "streamed")
 
-    def __init__(self, *, address: str, streamed: bool) -> None:
-        self.address = address
+    def __init__(self, *, routed: RoutedRequest, streamed: bool) -> None:
+        self.routed = routed
         self.streamed = streamed
         self.status = 0
         self.splitter = SseSplitter()
         self.error_text = bytearray()
+
+    @property
+    def address(self) -> str:
+        """Return the address of the backend server."""
+        return self.routed.direct.address
--- a/ryelever/coordination/actions.py
+++ b/ryelever/coordination/actions.py
@@ -103,6 +103,11 @@
     fencing: int = -1
     hosts: tuple[str, ...] = ()
 
+    @property
+    def server(self) -> str:
+        """Return the name of the host at ``address``."""
+        return self.hosts[0] if self.hosts else self.name
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Usage:
--- a/ryelever/coordination/relaying/server_paths.py
+++ b/ryelever/coordination/relaying/server_paths.py
@@ -130,6 +130,10 @@
         server = self._servers_by_id.get(server_id)
         return server is not None and not self._lost_scopes.isdisjoint(_scopes(server))
 
+    def is_checking(self, server_id: str) -> bool:
+        """Return whether other hosts are being asked for a server."""
+        return server_id in self._checks_by_id
+
     def explains_stall(self, server_id: str, *, now: float) -> bool:
         """Return whether a group may appear stalled for the lack of a path to its head.
 
--- a/ryelever/coordination/soft_state/exchange.py
+++ b/ryelever/coordination/soft_state/exchange.py
@@ -177,6 +177,14 @@
             if self._is_zone_peer(table) and now - table.alive_at() <= LIVE_AGE
         ]
 
+    def live_addresses(self, *, now: float) -> dict[str, str]:
+        """Return the addresses of the other live entry hosts of this zone, by name."""
+        return {
+            table.member.host: table.member.address
+            for table in self.tables.tables_by_origin.values()
+            if self._is_zone_peer(table) and now - table.alive_at() <= LIVE_AGE
+        }
+
     def _is_zone_peer(self, table: Table) -> bool:
         return not table.member.digest and table.member.availability_zone == self._zone
 
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -19,6 +19,7 @@
     from .coordination.confirmation import Confirmations
     from .events import HostReported, OutboundAnswer, OutboundFailure
     from .protocol.external_systems import EngineInterface, HostsListInterface
+    from .server_access import ServerAccess
     from .settings import Settings
     from .state.fleet import ListedHost
     from .state.observations import Observation
@@ -49,6 +50,9 @@
     hosts_by_name : dict of str to ListedHost
         Hosts in the platform's list.  The dict is changed in place because other
         components hold a reference to it.
+    access : ServerAccess or None
+        Decides which requests go by way of another entry host; None to send all of
+        them directly.
     """
 
     channel = "fleet"
@@ -62,6 +66,7 @@
         engine: EngineInterface = HTTP_ENGINE,
     ) -> None:
         super().__init__()
+        self.access: ServerAccess | None = None
         self._hosts_list = hosts_list
         self._engine = engine
         self._settings = settings
@@ -79,6 +84,7 @@
         )
         self._local_reports_by_host: dict[str, LatestReport] = {}
         self._unreadable: set[str] = set()
+        self._checked: set[str] = set()
         self._contacted: set[str] = set()
 
     @handler("control_tick")
@@ -140,6 +146,7 @@
             path=self._engine.report().path,
             step="read_report",
             progress_timeout=self._settings.progress_timeout,
+            access=self.access,
         )
 
     def _apply_list(self, answer: OutboundAnswer) -> None:
@@ -180,6 +187,9 @@
             self._apply_list(answer)
             return
         self._contacted.add(pending.subject)
+        self._checked.discard(pending.subject)
+        if self.access is not None:
+            self.access.paths.heard(now=time.monotonic())
         report = self._engine.host_report(
             answer.body, host=pending.subject, peer=answer.address
         )
@@ -203,9 +213,29 @@
             log_warning("hosts_list_failed", message=failure.error.message)
             return
         self._contacted.add(pending.subject)
-        if not failure.bytes_sent:
+        if not failure.bytes_sent and not self._is_explained(pending):
             self.refused(pending.subject, at=time.monotonic())
 
+    def _is_explained(self, pending: PendingRequest) -> bool:
+        """Return whether a host may be out of reach of this entry host only.
+
+        After the first failure other entry hosts are asked; the host counts as
+        unreachable after the next one, unless one of them reaches it.
+        """
+        host = pending.subject
+        if self.access is None:
+            return False
+        paths = self.access.paths
+        if pending.forwarder or paths.is_out_of_reach(host):
+            return True
+        if host in self._checked:
+            return False
+        paths.unreached(host, now=time.monotonic())
+        if paths.is_checking(host):
+            self._checked.add(host)
+            return True
+        return False
+
     def refused(self, host: str, *, at: float) -> None:
         """Record and report to peers that this entry host cannot connect to a host."""
         self.confirmations.record_unreachable(host)
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -25,6 +25,7 @@
     from .coordination.planner import Planner
     from .events import OutboundAnswer, OutboundFailure
     from .protocol.external_systems import EngineInterface
+    from .server_access import ServerAccess
     from .settings import Settings
     from .state.configuration_fold import ConfigurationFold
     from .state.fleet import ListedHost
@@ -65,6 +66,7 @@
         self._confirmations = confirmations
         self._demand = demand
         self._next_pass_at = 0.0
+        self.access: ServerAccess | None = None
         self.repairs = PlacementHistory(
             placements_by_zone=placements_by_zone, confirmations=confirmations
         )
@@ -141,6 +143,7 @@
             body=call.body,
             step="order",
             progress_timeout=self._settings.progress_timeout,
+            access=self.access,
         )
 
     def answered(self, pending: PendingRequest, answer: OutboundAnswer) -> None:
--- a/ryelever/request_forwarding.py
+++ b/ryelever/request_forwarding.py
@@ -22,6 +22,7 @@
     PROXY_AUTHORIZATION,
     PROXY_STATUS,
     ForwardingError,
+    parse_forward_target,
     proxy_status,
 )
 from .transport.http_client import REFUSED
@@ -34,7 +35,7 @@
     from .protocol.forwarding import ForwardTarget
     from .transport.relay_callers import RelayCallers
 
-__all__ = ["CONNECT_TIMEOUT", "RequestForwarding"]
+__all__ = ["ForwardingEndpoint", "RequestForwarding"]
 
 #: Seconds to wait for a connection to a backend server.  Connecting takes a few
 #: milliseconds, and a server that has silently disappeared never answers.
@@ -227,6 +228,25 @@
         return number
 
 
+class ForwardingEndpoint(BaseComponent):
+    """Receive the requests of other entry hosts where they ask for nothing else."""
+
+    channel = "offers"
+
+    def __init__(self, *, callers: RelayCallers, forwarding: RequestForwarding) -> None:
+        super().__init__()
+        self._callers = callers
+        self._forwarding = forwarding
+
+    @handler("relayed_request")
+    def _on_request(self, request: RelayedRequest) -> None:
+        target = parse_forward_target(request.target)
+        if target is None:
+            self._callers.answer(request.number, status=404, headers=[], body=b"")
+        else:
+            self._forwarding.forward(request, target)
+
+
 def _error_of(failure: OutboundFailure) -> ForwardingError:
     """Return the error to report for a failed request to a backend server."""
     timed_out = failure.error.category is Category.TIMEOUT
--- a/ryelever/request_sender.py
+++ b/ryelever/request_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import uuid
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 
 if TYPE_CHECKING:
     from .events import OutboundAnswer, OutboundFailure
+    from .server_access import ServerAccess
 
 __all__ = ["RequestSender", "PendingRequest"]
 
@@ -27,13 +29,16 @@
         Kind of request.
     subject : str
         Object of the request, such as a stream or a host.
+    forwarder : str
+        Entry host that forwards the request; empty if it is sent directly.
     """
 
-    __slots__ = ("kind", "subject")
+    __slots__ = ("forwarder", "kind", "subject")
 
     def __init__(self, *, kind: str, subject: str = "") -> None:
         self.kind = kind
         self.subject = subject
+        self.forwarder = ""
 
 
 class RequestSender(BaseComponent):
@@ -57,8 +62,16 @@
         method: str = "GET",
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
+        access: ServerAccess | None = None,
     ) -> None:
-        """Send one request, and keep its context until it is answered or fails."""
+        """Send one request, and keep its context until it is answered or fails.
+
+        Parameters
+        ----------
+        access : ServerAccess or None
+            Decides whether a request to the backend server ``pending.subject`` goes by
+            way of another entry host; None for other systems.
+        """
         request = OutboundRequest(
             id=uuid.uuid4().hex,
             address=address,
@@ -71,6 +84,12 @@
             progress_timeout=progress_timeout,
         )
         self._pending_by_id[request.id] = pending
+        if access is not None:
+            routed = access.route(
+                request, server_id=pending.subject, now=time.monotonic()
+            )
+            pending.forwarder = routed.forwarder
+            request = routed.sent
         self.fire(outbound_send(request), "http_client")
 
     def answered(self, pending: PendingRequest, answer: OutboundAnswer) -> None:
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -40,6 +40,7 @@
         OutboundFailure,
     )
     from .metrics import Metrics
+    from .server_access import ServerAccess
     from .settings import Settings
     from .state.configuration_fold import ConfigurationFold
 
@@ -60,6 +61,8 @@
         and returns the answer, or None if the answer is sent later.
     log_time : callable
         Return the newest append time among the claims that were read from the log.
+    access : ServerAccess
+        Decides which requests go by way of another entry host.
 
     Attributes
     ----------
@@ -80,6 +83,7 @@
         metrics: Metrics,
         pages: dict[str, Callable[[CallerRequest], CallerAnswer | None]],
         log_time: Callable[[], float],
+        access: ServerAccess,
     ) -> None:
         super().__init__()
         self._table = table
@@ -89,7 +93,9 @@
             settings=settings, configuration=configuration, log_time=log_time
         )
         self._answers = CallerAnswers(fire=self.fire, metrics=metrics)
-        self._attempts = Attempts(settings=settings, table=table, fire=self.fire)
+        self._attempts = Attempts(
+            settings=settings, table=table, fire=self.fire, access=access
+        )
         self._stalled: set[str] = set()
         self.draining = False
         self.closed = False
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -19,6 +19,7 @@
     SIZE,
     is_address,
     is_addresses,
+    is_boolean,
     is_name,
     is_names,
     is_positive,
@@ -161,6 +162,15 @@
         meaning="Key shared by all entry hosts; authenticates their messages.",
         secret=True,
     ),
+    Setting(
+        name="forward_requests",
+        default=False,
+        check=is_boolean,
+        expected="true or false, the same on all entry hosts of a zone",
+        meaning="Whether entry hosts of a zone forward requests to backend servers "
+        "that only some of them reach. They listen for such requests on the TCP port "
+        "with the number of `peers_address`.",
+    ),
     Setting(
         name="operator_key",
         default="",
--- a/ryelever/settings_checks.py
+++ b/ryelever/settings_checks.py
@@ -15,6 +15,7 @@
     "SIZE",
     "is_address",
     "is_addresses",
+    "is_boolean",
     "is_name",
     "is_names",
     "is_positive",
@@ -67,6 +68,11 @@
     return isinstance(value, list) and all(is_name(item) for item in value)
 
 
+def is_boolean(value: Any) -> bool:
+    """Return whether a value is true or false."""
+    return isinstance(value, bool)
+
+
 def is_positive(value: Any) -> bool:
     """Return whether a value is a finite number above 0; booleans are not numbers."""
     number = isinstance(value, int | float) and not isinstance(value, bool)
--- a/ryelever/settings_reader.py
+++ b/ryelever/settings_reader.py
@@ -98,6 +98,15 @@
                 "could impersonate peers",
             )
         )
+    if values["forward_requests"] and not values["peer_key"]:
+        faults.append(
+            Fault(
+                place="peer_key",
+                expected="a key, since forward_requests is set",
+                remedy="set the same key on all entry hosts; without a key, others "
+                "could send requests to backend servers",
+            )
+        )
     return faults
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,12 +4,16 @@
 
 import pytest
 
+from ryelever.coordination.host_heartbeats import ForwardingHosts
+from ryelever.coordination.relaying import Forwarders, ServerPaths
+from ryelever.server_access import ServerAccess
 from ryelever.state.configuration import Configuration, Model
 from ryelever.state.placement import Group
 from ryelever.state.records import Claim, Entry, GroupFormed, Publication, Record
 
 __all__ = [
     "declared",
+    "direct_access",
     "formed",
     "named",
     "new_claim",
@@ -29,6 +33,16 @@
     return Configuration(models={model: Model(version=version, **fields)})
 
 
+def direct_access() -> ServerAccess:
+    """Return access to backend servers without hosts that forward requests."""
+    none = ForwardingHosts(own_zone=(), other_zones=())
+    return ServerAccess(
+        paths=ServerPaths(servers_by_id={}, log=lambda event, **fields: None),
+        forwarders=Forwarders(hosts=lambda *, now: none),
+        key="",
+    )
+
+
 def new_entry(offset: int, record: Record, *, time: float = 0.0, id: str = "") -> Entry:
     """Return a log entry; without an ``id`` the entry is named after its offset."""
     return Entry(offset=offset, time=time, id=id or f"id{offset}", record=record)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,6 +8,8 @@
 from ryelever.coordination.actions import Arrival, ChatWork, SendAttempt, Target
 from ryelever.events import OutboundRequest
 
+from .builders import direct_access
+
 
 def test_cancel_goes_over_a_new_connection() -> None:
     """Cancel an attempt when the network path to the engine loses all packets.
@@ -22,6 +24,7 @@
         fire=lambda event, channel: sent.extend(
             message for message in event.args if isinstance(message, OutboundRequest)
         ),
+        access=direct_access(),
     )
     work = ChatWork(model="notes", messages=[], max_tokens=1, streamed=True)
     arrival = Arrival(
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -12,6 +12,8 @@
 from ryelever.serving import Serving
 from ryelever.settings import Settings
 
+from .builders import direct_access
+
 
 class Table:
     """Fake request table that admits two queued requests, one per release."""
@@ -55,6 +57,7 @@
         metrics=Metrics(),
         pages=pages,
         log_time=lambda: 0.0,
+        access=direct_access(),
     )
 
 
