Tell silence apart by service, and move silent streams when a path is lost

Log lines: requests were retried directly because the plain service had answered within 0.25 s, and streams waited 1.2 s for a stall although the path had been known to be lost for 0.5 s.

Only answers of the same service count against a detour, and a direct attempt that is silent for 0.25 s is moved when the path to its server is found lost; streams that live on stay.

--- a/ryelever/attempts.py
+++ b/ryelever/attempts.py
@@ -190,10 +190,10 @@
 
     def head(self, head: AnswerHead) -> None:
         """Record the status of a streamed answer."""
-        self._access.paths.heard(now=time.monotonic())
         attempt = self._attempts_by_id.get(head.id)
         if attempt is not None:
             attempt.status = head.status
+            self._access.paths.heard(attempt.routed.server_id, now=time.monotonic())
 
     def data(self, message: AttemptData) -> list[Action]:
         """Process a chunk of a streamed answer."""
@@ -201,7 +201,7 @@
         if attempt is None:
             self._table.count_late_answer()
             return []
-        self._access.paths.heard(now=time.monotonic())
+        self._access.paths.heard(attempt.routed.server_id, now=time.monotonic())
         if attempt.status != 200:
             attempt.error_text += message.data[:MAX_ERROR_TEXT]
             return []
@@ -236,10 +236,11 @@
 
     def answer(self, answer: OutboundAnswer) -> list[Action]:
         """Process the complete answer of a plain service."""
-        self._access.paths.heard(now=time.monotonic())
-        if self._attempts_by_id.pop(answer.id, None) is None:
+        attempt = self._attempts_by_id.pop(answer.id, None)
+        if attempt is None:
             self._table.count_late_answer()
             return []
+        self._access.paths.heard(attempt.routed.server_id, now=time.monotonic())
         has_not_run_header = answer.headers.get(NOT_RUN_HEADER, "").lower() == "true"
         return self._table.service_answered(
             answer.id,
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -54,9 +54,9 @@
 #: still reaches the server.  Answers that take as long are rare.
 ANSWER_SILENCE = 0.6
 
-#: Seconds since the last answer of any server within which this host's own paths are
-#: not suspected when a server can't be reached or a group stalls.
-HEARD_RECENTLY = 0.25
+#: Seconds without an event or answer after which an attempt is moved when the path to
+#: its server turns out to be lost.  Open connections may have survived.
+LOST_PATH_SILENCE = 0.25
 
 
 class RelayRequests:
@@ -243,7 +243,7 @@
         if new_connection and not request.attempt.forwarder:
             self._paths.answered(request.attempt.server_id, now=now)
         else:
-            self._paths.heard(now=now)
+            self._paths.heard(request.attempt.server_id, now=now)
         expected_id = request.arrival.request_id
         if head.request_id and expected_id and head.request_id != expected_id:
             # This is a surplus answer to an earlier request on the connection. The
@@ -283,7 +283,7 @@
         """Handle complete events of a stream, each given with its id."""
         request = self._requests_by_attempt.get(attempt_id)
         if request is not None:
-            self._paths.heard(now=now)
+            self._paths.heard(request.attempt.server_id, now=now)
             self._stall_watch.progressed(request.attempt.server_id, now=now)
             self._balancer.clear_stall(request.attempt.server_id)
             self._forward_events(request, events, now=now)
@@ -355,7 +355,7 @@
             )
             return
         server_id = attempt.server_id
-        request.prefers_forwarder |= self._hears_nothing(now=now)
+        request.prefers_forwarder |= self._paths.hears_nothing(server_id, now=now)
         request.unreached.add(server_id)
         if not forwarder_failed:
             self._balancer.failed(server_id, now=now)
@@ -506,7 +506,7 @@
         self._reports.group_stalled(server_id)
         self._balancer.mark_stalled(server_id, now=now)
         self._paths.stalled(server_id, now=now)
-        hears_nothing = self._hears_nothing(now=now)
+        hears_nothing = self._paths.hears_nothing(server_id, now=now)
         for request in list(self._requests_by_attempt.values()):
             if request.is_stream and request.attempt.server_id == server_id:
                 if request.attempt.forwarder:
@@ -515,28 +515,34 @@
                 request.prefers_forwarder |= hears_nothing
                 self._move_elsewhere(request, "still", now=now)
 
-    def _hears_nothing(self, *, now: float) -> bool:
-        """Return whether no server has answered recently, directly or not."""
-        return now - self._paths.heard_at > HEARD_RECENTLY
-
     def path_lost(self, server_id: str, *, now: float) -> None:
-        """Use a server by way of other hosts after the path to it was lost."""
+        """Use a server by way of other hosts after the path to it was lost.
+
+        Requests that wait for an answer of this server, or of others that are out of
+        reach as well, are sent again by way of other hosts if they may be.
+        """
         self._balancer.clear_failures(server_id)
         for request in list(self.requests_by_number.values()):
             if server_id in request.unreached:
                 request.unreached.discard(server_id)
                 request.tried.discard(server_id)
-            elif (
-                request.attempt is not None
-                and request.attempt.server_id == server_id
-                and not request.attempt.forwarder
-                and _awaits_plain_answer(request)
-                and now - request.sent_at > HEARD_RECENTLY
-            ):
+            if self._is_stuck(request, now=now):
                 request.prefers_forwarder = True
                 self._move_elsewhere(request, "path_lost", now=now)
         self.dispatch_waiting(now=now)
 
+    def _is_stuck(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a direct attempt at a server out of reach is silent."""
+        attempt = request.attempt
+        if attempt is None or attempt.forwarder:
+            return False
+        silent_since = max(request.sent_at, request.last_event_at)
+        return (
+            now - silent_since > LOST_PATH_SILENCE
+            and (request.is_stream or request.head is None)
+            and self._paths.is_out_of_reach(attempt.server_id)
+        )
+
     def _move_elsewhere(
         self, request: RelayRequest, reason: str, *, now: float
     ) -> bool:
--- a/ryelever/coordination/relaying/server_paths.py
+++ b/ryelever/coordination/relaying/server_paths.py
@@ -20,6 +20,10 @@
 #: host.  Answers take some milliseconds, directly and by way of another host.
 STALL_CHECK_TIME = 0.15
 
+#: Seconds without an answer of any server of a service after which this host's paths
+#: are suspected when one of them can't be reached or its group stalls.
+MAX_SILENCE = 0.25
+
 #: Minimum seconds between two checks of a server.  A check ends after this time.
 CHECK_INTERVAL = 0.5
 
@@ -103,6 +107,7 @@
         self._checks_by_id: dict[str, _Check] = {}
         self._lost_at_by_id: dict[str, float] = {}
         self._probed_at_by_id: dict[str, float] = {}
+        self._heard_at_by_service: dict[str, float] = {}
         self._answered_at_by_scope: dict[_Scope, float] = {}
         self._lost_scopes: frozenset[_Scope] = frozenset()
         self._next_probe_at = float("-inf")
@@ -130,6 +135,17 @@
         server = self._servers_by_id.get(server_id)
         return server is not None and not self._lost_scopes.isdisjoint(_scopes(server))
 
+    def hears_nothing(self, server_id: str, *, now: float) -> bool:
+        """Return whether no server of a server's service has answered recently.
+
+        Answers by way of other hosts count as well.
+        """
+        server = self._servers_by_id.get(server_id)
+        if server is None:
+            return now - self.heard_at > MAX_SILENCE
+        heard_at = self._heard_at_by_service.get(server.service, float("-inf"))
+        return now - heard_at > MAX_SILENCE
+
     def is_checking(self, server_id: str) -> bool:
         """Return whether other hosts are being asked for a server."""
         return server_id in self._checks_by_id
@@ -148,13 +164,16 @@
 
     # Evidence
 
-    def heard(self, *, now: float) -> None:
-        """Record any answer of any server, directly or by way of another host."""
+    def heard(self, server_id: str, *, now: float) -> None:
+        """Record any answer of a server, directly or by way of another host."""
         self.heard_at = now
+        server = self._servers_by_id.get(server_id)
+        if server is not None:
+            self._heard_at_by_service[server.service] = now
 
     def answered(self, server_id: str, *, now: float) -> None:
         """Record that a server answered this host over a new connection."""
-        self.heard_at = now
+        self.heard(server_id, now=now)
         self._checks_by_id.pop(server_id, None)
         if not self._lost_at_by_id:
             return
--- a/ryelever/fleet_watch.py
+++ b/ryelever/fleet_watch.py
@@ -189,7 +189,7 @@
         self._contacted.add(pending.subject)
         self._checked.discard(pending.subject)
         if self.access is not None:
-            self.access.paths.heard(now=time.monotonic())
+            self.access.paths.heard(pending.subject, now=time.monotonic())
         report = self._engine.host_report(
             answer.body, host=pending.subject, peer=answer.address
         )
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -323,7 +323,7 @@
         _, order = self._orders_by_id[answer.id]
         self._forwarder_by_order.pop(answer.id, None)
         self._unanswered_ids.discard(order.server_id)
-        self._paths.heard(now=time.monotonic())
+        self._paths.heard(order.server_id, now=time.monotonic())
         if order.kind is OrderKind.PROBE and answer.status == 200:
             self.fire(server_reported(order.server_id, answer.body), "directory")
         outcome = self._groups.outcome(order, answer.status, answer.body)
--- a/ryelever/server_access.py
+++ b/ryelever/server_access.py
@@ -12,10 +12,6 @@
 
 __all__ = ["RoutedRequest", "ServerAccess"]
 
-#: Seconds since the last answer of any server within which this host's own paths are
-#: not suspected when a server can't be reached.
-HEARD_RECENTLY = 0.25
-
 #: Maximum number of other hosts by way of which one request is sent.
 MAX_DETOURS = 2
 
@@ -83,8 +79,10 @@
             return None
         if not routed.forwarder:
             self.paths.unreached(routed.server_id, now=now)
-        hears_nothing = now - self.paths.heard_at > HEARD_RECENTLY
-        is_suspected = hears_nothing or self.paths.is_out_of_reach(routed.server_id)
+        server_id = routed.server_id
+        is_suspected = self.paths.is_out_of_reach(
+            server_id
+        ) or self.paths.hears_nothing(server_id, now=now)
         if not is_suspected or routed.n_detours >= MAX_DETOURS:
             return None
         return self._forwarded(routed, now=now)
--- a/tests/test_coordination/test_relaying/test_server_paths.py
+++ b/tests/test_coordination/test_relaying/test_server_paths.py
@@ -174,3 +174,11 @@
     paths.has_witness = False
     paths.stalled("x-engines-0", now=1.0)
     assert not paths.explains_stall("x-engines-0", now=1.0)
+
+
+def test_silence_of_a_service_is_told_apart_from_that_of_another(paths: Paths) -> None:
+    """Guard against direct attempts after one service alone fell silent."""
+    paths.heard("x-plain-0", now=1.0)
+    assert not paths.hears_nothing("y-plain-1", now=1.1)
+    assert paths.hears_nothing("x-engines-0", now=1.1)
+    assert paths.hears_nothing("x-plain-0", now=2.0)
