--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -267,6 +267,8 @@
             planning=self.planning,
             exchange=self.exchange,
             balancer=self.balancer,
+            paths=self.paths,
+            forwarding=self.forwarding,
             log_writer=log_writer,
         )
         self._register_components()
--- a/ryelever/relay_metrics.py
+++ b/ryelever/relay_metrics.py
@@ -6,12 +6,13 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .coordination.relaying import Balancer
+    from .coordination.relaying import Balancer, ServerPaths
     from .fleet_directory import FleetDirectory
     from .group_planning import GroupPlanning
     from .host_exchange import HostExchange
     from .log_stream import StreamWriter
     from .metrics import Metrics
+    from .request_forwarding import RequestForwarding
     from .store_client import StoreClient
 
 __all__ = ["RelayMetrics", "register_gauges"]
@@ -83,6 +84,8 @@
     planning: GroupPlanning,
     exchange: HostExchange,
     balancer: Balancer,
+    paths: ServerPaths,
+    forwarding: RequestForwarding,
     log_writer: StreamWriter,
 ) -> None:
     """Register the gauges and counters of an entry host's components."""
@@ -93,6 +96,11 @@
     metrics.gauge("configuration_version", lambda: float(fleet.version))
     metrics.gauge("configuration_age_seconds", fleet.configuration_age)
     metrics.gauge("peers_heard", lambda: float(exchange.n_reachable_peers))
+    metrics.gauge("servers_out_of_reach", lambda: float(paths.n_lost))
+    metrics.gauge("reaches_no_server", lambda: float(paths.is_cut_off))
+    metrics.counter(
+        "forwarded_requests", lambda: {"for_other_hosts": forwarding.n_forwarded}
+    )
     metrics.labelled_gauge("relay_waiting", exchange.n_waiting_by_model)
     metrics.labelled_gauge("time_under_way_seconds", balancer.mean_durations)
     metrics.counter("groups", planning.n_groups_by_phase)
