Ask less, and take only what was forwarded for an answer

By reading: a host whose forwarded request failed checked its own path by way of other hosts, which did the same, so that hosts would have gone on asking each other for a server that had ended; a plain request without an answer was checked twice a second at a server that may be overloaded; and each stall asked two other hosts though the head answered. A failed forwarding starts no check, an attempt is checked once and only while its service is silent, and other hosts are asked when the head has not answered within 0.1 s.

A forwarding host that refused a head or a connection by itself, without the header of an error, was taken for the server. Answers that were forwarded say so, others fail the forwarding host, and hosts allow each other 4 KB more head than callers have.

--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -87,6 +87,9 @@
     prefers_forwarder : bool
         True once an attempt failed in a way in which the next direct one may fail too,
         because this host has lost its paths to the servers.
+    is_checked : bool
+        True once it was checked whether this host reaches the server of the current
+        attempt, since its answer took unusually long.
     last_event_id : str
         The last event forwarded, or the one after which the caller resumes.
     sent_at : float
@@ -126,6 +129,7 @@
     tried: set[str] = msgspec.field(default_factory=set)
     unreached: set[str] = msgspec.field(default_factory=set)
     prefers_forwarder: bool = False
+    is_checked: bool = False
     last_event_id: str = ""
     body: bytearray = msgspec.field(default_factory=bytearray)
     n_events: int = 0
@@ -186,6 +190,7 @@
             forwarder="" if forwarder is None else forwarder.host,
         )
         self.expected_at_server = 0.0
+        self.is_checked = False
         self.head = None
         self.body.clear()
         self.n_events = 0
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -378,7 +378,7 @@
             elif self.refuses_new and self._contended.may_refuse(request):
                 self._end_without_answer(request, "stopping", now=now)
             elif _is_silent(request, now=now):
-                self._paths.stalled(request.attempt.server_id, now=now)
+                self._check_path(request, now=now)
         for server_id in self._stall_watch.newly_stalled(now=now):
             self._leave_stalled(server_id, now=now)
         self.dispatch_waiting(now=now)
@@ -515,6 +515,13 @@
                 request.prefers_forwarder |= hears_nothing
                 self._move_elsewhere(request, "still", now=now)
 
+    def _check_path(self, request: RelayRequest, *, now: float) -> None:
+        """Check once whether this host reaches the server of a silent attempt."""
+        server_id = request.attempt.server_id
+        if not request.is_checked and self._paths.hears_nothing(server_id, now=now):
+            request.is_checked = True
+            self._paths.stalled(server_id, now=now)
+
     def path_lost(self, server_id: str, *, now: float) -> None:
         """Use a server by way of other hosts after the path to it was lost.
 
--- a/ryelever/coordination/relaying/server_paths.py
+++ b/ryelever/coordination/relaying/server_paths.py
@@ -16,9 +16,12 @@
 #: while none of them answers, before the paths to all of them count as lost.
 MIN_LOST = 2
 
-#: Seconds within which a check shows whether the head of a stalled group answers this
-#: host.  Answers take some milliseconds, directly and by way of another host.
-STALL_CHECK_TIME = 0.15
+#: Seconds within which the head of a stalled group answers this host directly, which
+#: takes some milliseconds.  Other hosts are asked after this time.
+STALL_ANSWER_TIME = 0.1
+
+#: Seconds within which the other hosts' answers follow.
+STALL_CHECK_TIME = 0.3
 
 #: Seconds without an answer of any server of a service after which this host's paths
 #: are suspected when one of them can't be reached or its group stalls.
@@ -59,19 +62,13 @@
     for_stall : bool
         True if the group of the server has stalled, False if a request could not be
         sent to the server.
-    reached_by_other : bool
-        True once the server has answered by way of another host.
+    asks_others : bool
+        True once other hosts were asked.
     """
 
     started_at: float
     for_stall: bool
-    reached_by_other: bool = False
-
-    def shows_loss(self, *, now: float) -> bool:
-        """Return whether the path of this host to the server is lost."""
-        if not self.reached_by_other:
-            return False
-        return not self.for_stall or now - self.started_at > STALL_CHECK_TIME
+    asks_others: bool
 
 
 class ServerPaths:
@@ -89,9 +86,9 @@
 
     Attributes
     ----------
-    start_check : callable
-        Send a server a status request by way of other hosts, and directly as well if
-        the second argument is true; return whether there is another host.
+    ask_directly, ask_others : callable
+        Send a server a status request directly or by way of other hosts; return whether
+        there are other hosts, without which nothing is sent.
     on_lost : callable
         Called with the id of a server to which the path was lost.
     heard_at : float
@@ -112,7 +109,8 @@
         self._lost_scopes: frozenset[_Scope] = frozenset()
         self._next_probe_at = float("-inf")
         self._regained_at = float("-inf")
-        self.start_check: Callable[[str, bool], bool] = lambda server_id, direct: False
+        self.ask_directly: Callable[[str], bool] = lambda server_id: False
+        self.ask_others: Callable[[str], bool] = lambda server_id: False
         self.on_lost: Callable[[str], None] = lambda server_id: None
         self.heard_at = float("-inf")
 
@@ -160,7 +158,7 @@
         check = self._checks_by_id.get(server_id)
         if check is None or not check.for_stall:
             return False
-        return check.reached_by_other or now - check.started_at <= STALL_CHECK_TIME
+        return now - check.started_at <= STALL_CHECK_TIME
 
     # Evidence
 
@@ -196,17 +194,22 @@
     def reached_by_other(self, server_id: str, *, now: float) -> None:
         """Record that a server answered a check by way of another host."""
         self.heard_at = now
-        check = self._checks_by_id.get(server_id)
-        if check is not None:
-            check.reached_by_other = True
-            self._conclude(server_id, check, now=now)
+        check = self._checks_by_id.pop(server_id, None)
+        if check is None or server_id not in self._servers_by_id:
+            return
+        self._lost_at_by_id[server_id] = now
+        self._log("path_lost", server=server_id, n=self.n_lost)
+        self._update_scopes()
+        self.on_lost(server_id)
 
     def tick(self, *, now: float) -> None:
-        """Conclude the checks whose time is over, and forget servers that are gone."""
+        """Continue or end checks, and forget servers that are gone."""
         for server_id, check in list(self._checks_by_id.items()):
-            self._conclude(server_id, check, now=now)
-            if now - check.started_at > CHECK_INTERVAL:
-                self._checks_by_id.pop(server_id, None)
+            age = now - check.started_at
+            if not check.asks_others and age > STALL_ANSWER_TIME:
+                check.asks_others = self.ask_others(server_id)
+            if age > CHECK_INTERVAL:
+                del self._checks_by_id[server_id]
         gone = self._lost_at_by_id.keys() - self._servers_by_id.keys()
         for server_id in gone:
             del self._lost_at_by_id[server_id]
@@ -234,20 +237,11 @@
     def _check(self, server_id: str, *, for_stall: bool, now: float) -> None:
         if server_id in self._lost_at_by_id or server_id in self._checks_by_id:
             return
-        if self.start_check(server_id, for_stall):
-            check = _Check(started_at=now, for_stall=for_stall)
-            self._checks_by_id[server_id] = check
-
-    def _conclude(self, server_id: str, check: _Check, *, now: float) -> None:
-        if not check.shows_loss(now=now):
-            return
-        del self._checks_by_id[server_id]
-        if server_id not in self._servers_by_id:
-            return
-        self._lost_at_by_id[server_id] = now
-        self._log("path_lost", server=server_id, n=self.n_lost)
-        self._update_scopes()
-        self.on_lost(server_id)
+        ask = self.ask_directly if for_stall else self.ask_others
+        if ask(server_id):
+            self._checks_by_id[server_id] = _Check(
+                started_at=now, for_stall=for_stall, asks_others=not for_stall
+            )
 
     def _update_scopes(self) -> None:
         """Find the scopes to which all paths count as lost."""
--- a/ryelever/path_checks.py
+++ b/ryelever/path_checks.py
@@ -56,7 +56,8 @@
         self._ids = itertools.count(1)
         self._server_by_id: dict[str, str] = {}
         self._forwarder_by_id: dict[str, str] = {}
-        paths.start_check = self._start_check
+        paths.ask_directly = self._ask_directly
+        paths.ask_others = self._ask_others
 
     @handler("control_tick")
     def _on_tick(self) -> None:
@@ -65,12 +66,15 @@
         for server_id in self._paths.due_probes(now=now):
             self._ask(server_id)
 
-    def _start_check(self, server_id: str, direct: bool) -> bool:
-        witnesses = self._forwarders.witnesses(now=time.monotonic())
-        sent = [self._ask(server_id, forwarder=witness) for witness in witnesses]
-        if any(sent) and direct:
-            self._ask(server_id)
-        return any(sent)
+    def _ask_directly(self, server_id: str) -> bool:
+        has_witnesses = bool(self._forwarders.witnesses(now=time.monotonic()))
+        return has_witnesses and self._ask(server_id)
+
+    def _ask_others(self, server_id: str) -> bool:
+        n_asked = 0
+        for witness in self._forwarders.witnesses(now=time.monotonic()):
+            n_asked += self._ask(server_id, forwarder=witness)
+        return n_asked > 0
 
     def _ask(self, server_id: str, *, forwarder: HostAddress | None = None) -> bool:
         """Send a status request; return False if its path is not known."""
--- a/ryelever/protocol/forwarding.py
+++ b/ryelever/protocol/forwarding.py
@@ -26,6 +26,7 @@
     "forward_signature",
     "forward_target",
     "forwarding_error",
+    "is_forwarded",
     "parse_forward_target",
     "proxy_status",
 ]
@@ -98,21 +99,30 @@
     )
 
 
-def proxy_status(host: str, error: ForwardingError) -> tuple[bytes, bytes]:
-    """Return the header or trailer by which a forwarding host reports an error."""
-    return PROXY_STATUS, f'"{host}"; error={error.value}'.encode()
+def proxy_status(
+    host: str, error: ForwardingError | None = None
+) -> tuple[bytes, bytes]:
+    """Return the header or trailer of a forwarding host, which may report an error."""
+    reported = f"; error={error.value}" if error is not None else ""
+    return PROXY_STATUS, f'"{host}"{reported}'.encode()
+
+
+def is_forwarded(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether an answer was sent on by a forwarding host."""
+    return any(name == PROXY_STATUS for name, _ in headers)
 
 
 def forwarding_error(headers: Iterable[tuple[bytes, bytes]]) -> ForwardingError | None:
-    """Return the error that a forwarding host reports, or None for a server's answer.
+    """Return the error that a forwarding host reports, or None if it reports none.
 
-    An error type that this release doesn't know may have been sent to the server.
+    A request with an error type that this release doesn't know may have been sent.
     """
     for name, value in headers:
-        if name == PROXY_STATUS:
-            match = _ERROR.search(value)
-            try:
-                return ForwardingError(match[1].decode() if match else "")
-            except ValueError:
-                return ForwardingError.CONNECTION_TERMINATED
+        match = _ERROR.search(value) if name == PROXY_STATUS else None
+        if match is None:
+            continue
+        try:
+            return ForwardingError(match[1].decode())
+        except ValueError:
+            return ForwardingError.CONNECTION_TERMINATED
     return None
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, handler
+from msgspec.structs import replace
 
 from .addresses import split_address
 from .coordination.evacuations import Evacuations
@@ -84,6 +85,10 @@
 #: flushes of waiting log lines.
 SWEEP_INTERVAL = 0.2
 
+#: Maximum bytes that a host adds to the head of a request that it sends by way of
+#: another host: the server's id in the target and in a header, and the account's name.
+MAX_ADDED_HEAD = 4096
+
 SWEPT_CHANNELS = (
     "http_client",
     "relay_callers",
@@ -139,7 +144,7 @@
             bind=split_address(settings.peers_address),
             channel="peer_callers",
             reply_channel="offers",
-            limits=self._connection_limits,
+            limits=self._peer_limits,
         )
         self.peers = Peers(
             bind=(settings.ip, self.peer_callers.port),
@@ -320,6 +325,11 @@
         route_table = self.fleet.route_table
         return route_table.limits if route_table is not None else ConnectionLimits()
 
+    def _peer_limits(self) -> ConnectionLimits:
+        """Return the limits of callers' requests with the headers that hosts add."""
+        limits = self._connection_limits()
+        return replace(limits, max_head=limits.max_head + MAX_ADDED_HEAD)
+
     def _plans_for(self, zone: str, planning: bool) -> bool:
         return not self.shutdown.stopping and self.heartbeats.plans_for(
             zone,
--- a/ryelever/request_forwarding.py
+++ b/ryelever/request_forwarding.py
@@ -182,6 +182,7 @@
         self._paths.answered(self._server_by_id[head.id], now=time.monotonic())
         self._started_ids.add(head.id)
         headers = [pair for pair in head.raw_headers if pair[0] not in HOP_BY_HOP]
+        headers.append(proxy_status(self._host))
         self._callers.start(number, status=head.status, headers=headers)
 
     @handler("outbound_data")
@@ -203,9 +204,9 @@
         number = self._end(failure.id)
         if number is None:
             return
+        # The failure starts no check of this host's own path: hosts would go on asking
+        # each other for a server that has ended.
         error = _error_of(failure)
-        if not failure.bytes_sent:
-            self._paths.unreached(server_id, now=time.monotonic())
         log_event("not_forwarded", server=server_id, peer="", reason=error.value)
         if started:
             status = proxy_status(self._host, error)
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -30,7 +30,12 @@
     outbound_failed,
     outbound_head,
 )
-from ..protocol.forwarding import ForwardingError, forwarding_error
+from ..protocol.forwarding import (
+    PROXY_STATUS,
+    ForwardingError,
+    forwarding_error,
+    is_forwarded,
+)
 from .http_connection import (
     Connection,
     open_socket,
@@ -279,13 +284,16 @@
     def _fail_forwarded(
         self, connection: Connection, event: h11.Response | h11.EndOfMessage
     ) -> bool:
-        """Fail a request if its forwarding host reports an error; return whether."""
+        """Fail a request whose forwarding host reports an error; return whether."""
         request = connection.request
         if not request.forwarded:
             return False
         error = forwarding_error(event.headers)
         if error is None:
-            return False
+            if isinstance(event, h11.EndOfMessage) or is_forwarded(event.headers):
+                return False
+            self._fail(connection, "answered itself, without forwarding")
+            return True
         self._close(connection)
         category = Category.BROKEN if error.was_sent else Category.UNAVAILABLE
         if error.is_timeout:
@@ -311,7 +319,9 @@
                 id=request.id,
                 status=connection.status,
                 headers=connection.headers,
-                raw_headers=tuple(event.headers),
+                raw_headers=tuple(
+                    pair for pair in event.headers if pair[0] != PROXY_STATUS
+                ),
                 new_connection=not connection.reused,
             )
             self.fire(outbound_head(head), request.reply_channel)
