--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -125,6 +125,13 @@
             for span in self.partition_spans
         )
 
+    def is_key_valid(self, at: float) -> bool:
+        """Return whether the callers' key was in force at all hosts at a time."""
+        return not any(
+            change.revoked_at <= at <= change.restored_at + IN_FORCE_WITHIN
+            for change in self.key_changes
+        )
+
     def n_runs(self) -> Counter[str]:
         """Return the number of runs of each request over all servers."""
         total: Counter[str] = Counter()
@@ -280,7 +287,10 @@
 
 
 def _check_partitions(evidence: Evidence, verdict: Verdict) -> None:
-    """Check that callers of partitioned hosts are served like those of other hosts."""
+    """Check that callers of partitioned hosts are served like those of other hosts.
+
+    Requests that the configuration doesn't allow aren't compared.
+    """
     for span in evidence.partition_spans:
         calls = [
             call
@@ -288,6 +298,7 @@
             if call.kind != "poison"
             and span.start + UNDISTURBED_FOR <= call.sent_at <= span.end
             and evidence.is_undisturbed(call.host, call.ended_at)
+            and evidence.is_key_valid(call.sent_at)
         ]
         partitioned = [call for call in calls if call.host == span.host]
         others = [
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -142,7 +142,9 @@
     return evidence
 
 
-def _partitioned(*, n_failed: int, n_failed_at_others: int = 0) -> Evidence:
+def _partitioned(
+    *, n_failed: int, n_failed_at_others: int = 0, **changes: object
+) -> Evidence:
     """Return 30 calls at a partitioned host, and as many at another one."""
     calls = []
     for host, count in (("e1", n_failed), ("e2", n_failed_at_others)):
@@ -151,7 +153,7 @@
             failed = {"status": 504, "seal": "", "is_complete": False}
             calls.append(replace(call, **failed) if index < count else call)
     span = PartitionSpan(host="e1", kind="silent", start=5.0, end=13.0)
-    return _evidence(*calls, partition_spans=[span])
+    return _evidence(*calls, partition_spans=[span], **changes)
 
 
 VIOLATIONS: dict[str, Callable[[], Evidence]] = {
@@ -254,6 +256,13 @@
         pytest.param(
             _partitioned(n_failed=15, n_failed_at_others=12), id="others-failed-too"
         ),
+        pytest.param(
+            _partitioned(
+                n_failed=15,
+                key_changes=[KeyChange(revoked_at=8.5, restored_at=10.0)],
+            ),
+            id="key-not-valid",
+        ),
     ],
 )
 def test_partitioned_hosts_are_compared_with_others(evidence: Evidence) -> None:
