Leave out servers that are gone when lost paths are counted

Found by reading: a server that left the list while the path to it was lost stayed among the lost ones until the next tick, and an answer of another server before that raised KeyError. The test failed so before.

--- a/ryelever/coordination/relaying/server_paths.py
+++ b/ryelever/coordination/relaying/server_paths.py
@@ -249,6 +249,7 @@
         n_lost: Counter[_Scope] = Counter(
             scope
             for server_id, lost_at in self._lost_at_by_id.items()
+            if server_id in self._servers_by_id
             for scope in _scopes(self._servers_by_id[server_id])
             if lost_at > answered_at.get(scope, float("-inf"))
         )
--- a/tests/test_coordination/test_relaying/test_server_paths.py
+++ b/tests/test_coordination/test_relaying/test_server_paths.py
@@ -141,6 +141,15 @@
     assert paths.forwarded() == {"x-plain-1"}
 
 
+def test_path_is_regained_after_another_server_is_gone(paths: Paths) -> None:
+    """Guard against a fault when a server leaves the list while its path is lost."""
+    paths.lose("x-plain-0", now=1.0)
+    paths.lose("x-plain-1", now=1.0)
+    paths.directory.remove("x-plain-0", last_renewed_at=1.0)
+    paths.answered("x-plain-1", now=1.05)
+    assert paths.forwarded() == set()
+
+
 def test_stall_of_a_head_that_answers_is_announced_at_once(paths: Paths) -> None:
     """Guard against stalled groups that other hosts learn of too late."""
     paths.stalled("x-engines-0", now=1.0)
