--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -15,6 +15,7 @@
     READERS_PER_ZONE,
     TIMEOUT_INTERVALS,
     ZONE_TIMEOUT,
+    HostAddress,
     HostHeartbeat,
     HostHeartbeats,
 )
@@ -76,6 +77,8 @@
         n_hosts=3,
         passed_on=True,
         configuration_size=4711,
+        forwards=True,
+        forwarders=("a", "c"),
         suspicions=(
             InvolvementRow(
                 fingerprint="a/f", crashes=("i1", "i2"), refuted=("i3",), age=2
@@ -594,6 +597,28 @@
     )
 
 
+def test_hosts_of_other_zones_that_forward_are_known(
+    heartbeats: HostHeartbeats,
+) -> None:
+    """Guard against a zone whose hosts are all partitioned and know no way out."""
+    summary = zone_summary(
+        _heartbeat("y1", availability_zone="y"),
+        [_heartbeat("y2", availability_zone="y", forwards=True)],
+    )
+    _take(heartbeats, replace(summary, for_zone=True), now=0.0)
+    _take(heartbeats, _heartbeat("a"), now=0.0)
+    _take(heartbeats, _heartbeat("c", forwards=True), now=0.0)
+    # Addresses of other zones' hosts are read from the store.
+    heartbeats.addresses_by_host["y2"] = HostAddress(
+        host="y2", address="10.1.0.2:7000", availability_zone="y"
+    )
+    hosts = heartbeats.forwarding_hosts(now=0.1)
+    assert [host.host for host in hosts.own_zone] == ["c"]
+    assert [host.host for host in hosts.other_zones] == ["y2"]
+    assert heartbeats.is_host_address("10.1.0.2")
+    assert not heartbeats.is_host_address("10.1.0.3")
+
+
 def test_limits_leaving_servers_and_evacuations_are_encoded() -> None:
     rows = (
         RateLimitRow(server_id="i1", rate=1.5, age=0.25, started_at=7),
--- a/tests/test_system/test_partitioned_hosts.py
+++ b/tests/test_system/test_partitioned_hosts.py
@@ -5,7 +5,7 @@
 import itertools
 import signal
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -39,20 +39,16 @@
 
 
 @pytest.fixture
-def start_partitioned(zone: RelayZone) -> Iterator[Callable[[str], Partition]]:
-    """Yield a function that starts a host and returns its partition."""
-    partitions = []
-
-    def start(name: str) -> Partition:
-        path = zone.directory / f"{name}.partition"
-        partition = Partition(path=path, servers=zone.server_addresses())
-        partitions.append(partition)
-        zone.start_host(name, partition=partition)
-        return partition
-
-    yield start
-    for partition in partitions:
-        partition.close()
+def partition(zone: RelayZone) -> Iterator[Partition]:
+    """Start hosts e1 and e2 that know each other, and yield the partition of e1."""
+    path = zone.directory / "e1.partition"
+    partition = Partition(path=path, servers=zone.server_addresses())
+    zone.start_host("e1", partition=partition)
+    zone.start_host("e2").process.wait_for_event("peer_heard")
+    zone.head_of(2)
+    zone.head_of(1)
+    yield partition
+    partition.close()
 
 
 class Callers:
@@ -90,18 +86,19 @@
             self.share_served(n_calls=8)
 
 
+@pytest.fixture
+def callers(zone: RelayZone, partition: Partition) -> Callers:
+    """Return callers of e1, which serves."""
+    callers = Callers(host=zone.hosts_by_name["e1"])
+    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
+    return callers
+
+
 @pytest.mark.parametrize("mode", CUTS)
 def test_callers_of_a_partitioned_host_are_served_at_the_first_attempt(
-    zone: RelayZone, start_partitioned: Callable[[str], Partition], mode: PartitionMode
+    zone: RelayZone, partition: Partition, callers: Callers, mode: PartitionMode
 ) -> None:
     """Guard against a host that keeps requests which only other hosts can send."""
-    partition = start_partitioned("e1")
-    other = zone.start_host("e2")
-    other.process.wait_for_event("peer_heard")
-    zone.head_of(2)
-    zone.head_of(1)
-    callers = Callers(host=zone.hosts_by_name["e1"])
-    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
     partition.set(mode)
     callers.call_until(time.monotonic() + CONTACT_TIME)
     assert callers.share_served(n_calls=40) >= 2 / 3
@@ -110,18 +107,11 @@
 
 @pytest.mark.parametrize("mode", CUTS)
 def test_partitioned_planner_leaves_sound_groups_alone(
-    zone: RelayZone, start_partitioned: Callable[[str], Partition], mode: PartitionMode
+    zone: RelayZone, partition: Partition, callers: Callers, mode: PartitionMode
 ) -> None:
     """Guard against a planner that takes the loss of its own paths for lost members."""
-    partition = start_partitioned("e1")
-    other = zone.start_host("e2")
-    other.process.wait_for_event("peer_heard")
-    zone.head_of(2)
-    zone.head_of(1)
     zone.slow_engines(n_events=20, event_ms=50.0)
     zone.hosts_by_name["e1"].process.wait_for_event("planner_began")
-    callers = Callers(host=zone.hosts_by_name["e1"])
-    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
     n_ended = len(_ended_groups(zone))
     partition.set(mode)
     callers.call_until(time.monotonic() + CONTACT_TIME)
@@ -141,41 +131,29 @@
 
 
 def test_partitioned_host_reports_no_stalled_groups(
-    zone: RelayZone, start_partitioned: Callable[[str], Partition]
+    zone: RelayZone, partition: Partition, callers: Callers
 ) -> None:
     """Guard against hosts that shun sound groups for what a partitioned host sees."""
-    partition = start_partitioned("e1")
-    other = zone.start_host("e2")
-    other.process.wait_for_event("peer_heard")
-    zone.head_of(2)
-    zone.head_of(1)
     zone.slow_engines(n_events=20, event_ms=50.0)
-    callers = Callers(host=zone.hosts_by_name["e1"])
-    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
     partition.set(PartitionMode.SILENT)
     callers.call_until(time.monotonic() + CONTACT_TIME)
     assert zone.hosts_by_name["e1"].process.events("group_still")
-    assert not other.process.events("stall_received")
+    assert not zone.hosts_by_name["e2"].process.events("stall_received")
 
 
 def test_stopping_host_finishes_what_it_forwards(
-    zone: RelayZone, start_partitioned: Callable[[str], Partition]
+    zone: RelayZone, partition: Partition, callers: Callers
 ) -> None:
     """Guard against streams of other hosts that a planned stop cuts off."""
-    partition = start_partitioned("e1")
-    other = zone.start_host("e2")
-    other.process.wait_for_event("peer_heard")
-    zone.head_of(1)
-    host = zone.hosts_by_name["e1"]
-    callers = Callers(host=host)
-    wait_until(lambda: callers.share_served(n_calls=4) == 1.0, what="e1 serves")
     partition.set(PartitionMode.SILENT)
     callers.call_until(time.monotonic() + CONTACT_TIME)
     zone.slow_engines(n_events=40, event_ms=80.0)
+    host = zone.hosts_by_name["e1"]
+    other = zone.hosts_by_name["e2"].process
     with ThreadPoolExecutor(1) as threads:
         stream = threads.submit(host.chat, request_id="long", model="small")
         wait_until(lambda: zone.server_that_runs("long"), what="the stream runs")
-        other.process.send(signal.SIGTERM)
+        other.send(signal.SIGTERM)
         assert stream.result().text == events_of_stream(40)
-    assert other.process.wait() == 0
+    assert other.wait() == 0
     assert zone.n_runs()["long"] == 1
