Sign forwarded requests with the hash that hosts use already

The module hmac was one more to import at the start of hosts that never sign. The planner forgets servers without an answer once they leave the list.

--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -282,6 +282,7 @@
         of this host's reach only.
         """
         if order.server_id not in self._directory.by_id:
+            self._unanswered_ids.discard(order.server_id)
             return None
         if self._paths.is_out_of_reach(order.server_id):
             return self._forwarders.choose(now=now)
--- a/ryelever/protocol/forwarding.py
+++ b/ryelever/protocol/forwarding.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-import hmac
+import hashlib
 import re
 from typing import TYPE_CHECKING
 from urllib.parse import quote, unquote_to_bytes
@@ -84,8 +84,11 @@
     The target names the backend server, and each body names its attempt, so that a
     recorded request can only be repeated as it was.
     """
+    # A keyed BLAKE2b takes at most 64 bytes of key, the length of its own digest.
+    short_key = hashlib.blake2b(key.encode()).digest()
     message = target.encode() + b"\n" + body
-    return "HMAC-SHA256 " + hmac.digest(key.encode(), message, "sha256").hex()
+    signature = hashlib.blake2b(message, key=short_key, digest_size=32)
+    return f"BLAKE2b {signature.hexdigest()}"
 
 
 def parse_forward_target(target: bytes) -> ForwardTarget | None:
--- a/tests/test_request_forwarding.py
+++ b/tests/test_request_forwarding.py
@@ -17,6 +17,7 @@
 )
 from ryelever.protocol.forwarding import (
     ForwardingError,
+    forward_signature,
     forward_target,
     forwarding_error,
     parse_forward_target,
@@ -243,3 +244,16 @@
     assert forwarding_error([(b"response-seal", b"s")]) is None
     refused = ForwardingError.CONNECTION_REFUSED
     assert forwarding_error([proxy_status("e2", refused)]) is refused
+
+
+def test_signature_binds_key_server_and_body() -> None:
+    """Guard against requests to backend servers by senders without the key."""
+    target = forward_target("i-1", "/generate")
+    signature = forward_signature("a key of the hosts", target, b"body")
+    others = {
+        forward_signature("another key", target, b"body"),
+        forward_signature("a key of the hosts", forward_target("i-2", "/x"), b"body"),
+        forward_signature("a key of the hosts", target, b"other body"),
+    }
+    assert signature == forward_signature("a key of the hosts", target, b"body")
+    assert signature not in others
