Log which parts of their prompts the requests in a crash have

The lines of the incident can't tell whether requests in its crashes share a part: none says of which parts their prompts consist. The platform's list of them is decoded once a request, without the last part, which no other request shares, and request_in_crash names the others. No decision reads them yet.

--- a/ryelever/coordination/relaying/crash_evidence.py
+++ b/ryelever/coordination/relaying/crash_evidence.py
@@ -206,7 +206,13 @@
         return suspect is not None and not self._has_settled(suspect, now=now)
 
     def crashed(
-        self, server_id: str, started_at: int | None, fingerprint: str, *, now: float
+        self,
+        server_id: str,
+        started_at: int | None,
+        fingerprint: str,
+        *,
+        parts: tuple[str, ...] = (),
+        now: float,
     ) -> None:
         """Record that a request was running when a backend server crashed.
 
@@ -214,6 +220,8 @@
         ----------
         started_at : int or None
             Start time of the server in Unix milliseconds; None if unknown.
+        parts : tuple of str
+            Parts of the request's prompt that other requests may share.
         """
         key = self._crash_key(server_id, started_at, now=now)
         self._crashed_at_by_key.setdefault(key, now)
@@ -227,7 +235,9 @@
             suspect.refuted_at_by_key[key] = now
             return
         self._add(suspect, key, at=now)
-        self._reports.crash_noted(key, fingerprint, n_crashes=suspect.n_crashes)
+        self._reports.crash_noted(
+            key, fingerprint, parts=parts, n_crashes=suspect.n_crashes
+        )
 
     def completed(self, fingerprint: str, *, now: float) -> None:
         """Refute the known crashes of a request that has completed."""
--- a/ryelever/coordination/relaying/crash_reports.py
+++ b/ryelever/coordination/relaying/crash_reports.py
@@ -13,8 +13,16 @@
 class CrashReports(Protocol):
     """Receiver of the evidence and the verdicts, in the order of their occurrence."""
 
-    def crash_noted(self, crash: str, fingerprint: str, *, n_crashes: int) -> None:
-        """Process that a request of this host was running in a crash."""
+    def crash_noted(
+        self, crash: str, fingerprint: str, *, parts: tuple[str, ...], n_crashes: int
+    ) -> None:
+        """Process that a request of this host was running in a crash.
+
+        Parameters
+        ----------
+        parts : tuple of str
+            Parts of its prompt that other requests may share.
+        """
 
     def evidence_received(self, row: InvolvementRow, *, peer: str) -> None:
         """Process another host's row that adds to the evidence."""
@@ -43,7 +51,9 @@
 
     __slots__ = ()
 
-    def crash_noted(self, crash: str, fingerprint: str, *, n_crashes: int) -> None:
+    def crash_noted(
+        self, crash: str, fingerprint: str, *, parts: tuple[str, ...], n_crashes: int
+    ) -> None:
         """Do nothing."""
 
     def evidence_received(self, row: InvolvementRow, *, peer: str) -> None:
--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -73,7 +73,11 @@
         fingerprint = _fingerprint(request)
         attempt = request.attempt
         self._evidence.crashed(
-            attempt.server_id, attempt.started_at, fingerprint, now=now
+            attempt.server_id,
+            attempt.started_at,
+            fingerprint,
+            parts=request.arrival.shared_parts,
+            now=now,
         )
         return fingerprint
 
--- a/ryelever/coordination/relaying/messages.py
+++ b/ryelever/coordination/relaying/messages.py
@@ -26,6 +26,8 @@
         Requested model; empty for plain services.
     n_prompt : int
         Number of tokens in the prompt.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, in their order.
     last_event_id : str
         Event after which the caller resumes a stream.
     deadline : float or None
@@ -42,6 +44,7 @@
     last_event_id: str
     deadline: float | None
     arrived_at: float
+    shared_parts: tuple[str, ...] = ()
 
 
 class NamedLimit(msgspec.Struct, kw_only=True, frozen=True):
--- a/ryelever/crash_log.py
+++ b/ryelever/crash_log.py
@@ -17,12 +17,15 @@
 
     __slots__ = ()
 
-    def crash_noted(self, crash: str, fingerprint: str, *, n_crashes: int) -> None:
+    def crash_noted(
+        self, crash: str, fingerprint: str, *, parts: tuple[str, ...], n_crashes: int
+    ) -> None:
         """Log that a request of this host was running in a crash."""
         log_event(
             "request_in_crash",
             crash=crash,
             fingerprint=fingerprint,
+            parts=parts,
             n_crashes=n_crashes,
         )
 
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -104,6 +104,7 @@
     "order": "kind of the order or query that was sent to a backend server",
     "outcome": "outcome of an order",
     "pause": "seconds for which a backend server asked to get no requests",
+    "parts": "ids of the parts of a prompt that other requests may share",
     "peer": "the other side: an address or the name of an entry host",
     "peers_address": "address at which other entry hosts reach this one",
     "phase": "phase of a request or a group",
@@ -278,6 +279,7 @@
         "a request of this host was running when a backend server crashed",
         "crash",
         "fingerprint",
+        "parts",
         "n_crashes",
     ),
     "crash_evidence_received": _info(
--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -44,6 +44,14 @@
 #: Value of a header that states that something is the case.
 TRUE = b"1"
 
+#: Maximum length of the id of a part of a prompt, in characters.
+MAX_PART_ID = 64
+
+#: Maximum number of parts of one prompt that are read.
+MAX_PARTS = 64
+
+_HEX_DIGITS = frozenset(b"0123456789abcdef")
+
 #: Milliseconds of a caller's deadline that are reserved for returning the answer.
 RETURN_TIME_MS = 20
 
@@ -75,6 +83,7 @@
             key=None if key is None else key.decode("latin-1"),
             model=found.get(wire_names.MODEL, b"").decode("latin-1"),
             n_prompt=n_prompt,
+            shared_parts=_parse_shared_parts(head),
             last_event_id=found.get(wire_names.LAST_EVENT_ID, b"").decode("latin-1"),
             deadline=now + deadline / 1000 if deadline else None,
             arrived_at=now,
@@ -146,6 +155,26 @@
         return 0
 
 
+def _parse_shared_parts(head: Headers) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, except for the last one.
+
+    Entries whose id is not valid are left out.
+    """
+    entries = [
+        entry
+        for name, value in head
+        if name == wire_names.PROMPT_PARTS
+        for entry in value.lower().split(b",")
+    ]
+    ids = (entry.partition(b":")[0].strip() for entry in entries[:-1][:MAX_PARTS])
+    # Each part once, in the order of the prompt.
+    return tuple(dict.fromkeys(item.decode() for item in ids if _is_part_id(item)))
+
+
+def _is_part_id(text: bytes) -> bool:
+    return 0 < len(text) <= MAX_PART_ID and _HEX_DIGITS.issuperset(text)
+
+
 def _parse_rate_limit(text: bytes | None) -> NamedLimit | None:
     if text is None:
         return None
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -53,6 +53,41 @@
     assert (arrival.deadline, arrival.n_prompt, arrival.key) == (None, 0, None)
 
 
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"], ("5c1e07a2", "91bd3f06")),
+        ([b" 5C1E:800 , 91bd:410 ,5c1e:800, 07:1"], ("5c1e", "91bd")),
+        ([b"5c1e:800", b"91bd:410", b"07:1"], ("5c1e", "91bd")),
+        ([b"5c1e:800"], ()),
+        ([b""], ()),
+        ([], ()),
+        ([b"a b:1,:2,xyz:3," + b"0" * 65 + b":4,5c1e,07:1"], ("5c1e",)),
+        (
+            [b",".join(b"%x:1" % n for n in range(500))],
+            tuple(f"{n:x}" for n in range(64)),
+        ),
+    ],
+    ids=[
+        "several",
+        "spaces, capitals, repeated",
+        "several headers",
+        "own part only",
+        "empty",
+        "none",
+        "not valid",
+        "too many",
+    ],
+)
+def test_shared_parts_of_the_prompt_are_decoded(
+    values: list[bytes], expected: tuple[str, ...]
+) -> None:
+    """Guard against parts that are missed, or that are counted though not shared."""
+    head = [*HEAD, *((b"prefix-hash", value) for value in values)]
+    arrival = MESSAGES.decode_arrival(head=head, target=b"/", content="c", now=1.0)
+    assert arrival.shared_parts == expected
+
+
 def test_callers_cannot_set_the_entry_hosts_headers() -> None:
     forged = [
         (b"tenant", b"other"),
