--- a/ryelever/platform/wire_names.py
+++ b/ryelever/platform/wire_names.py
@@ -41,8 +41,8 @@
 #: Number of prompt tokens and maximum number of generated tokens: ``"IN,OUT"``.
 TOKENS = b"token-usage"
 
-#: Parts of the prompt in their order, as ``"ID:TOKENS"`` with a hexadecimal id, separated
-#: by commas.  The last one belongs to the request itself or to its session.
+#: Parts of the prompt in their order, as ``"ID:TOKENS"`` with a hexadecimal id,
+#: separated by commas.  The last one belongs to the request itself or to its session.
 PROMPT_PARTS = b"prefix-hash"
 
 MODEL = b"model"
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -46,10 +46,20 @@
 
 @dataclass(slots=True, kw_only=True)
 class Caller:
-    """A caller that sends one request until it succeeds or its time is over."""
+    """A caller that sends one request until it succeeds or its time is over.
+
+    Attributes
+    ----------
+    is_poison : bool
+        True if the request crashes each server which begins to run it.
+    parts : tuple of str
+        Parts of the prompt that other requests may share.
+    """
 
     content: str
     gives_up_at: float
+    is_poison: bool = False
+    parts: tuple[str, ...] = ()
 
 
 class CrashingFleet(LimitedFleet):
@@ -73,6 +83,8 @@
         Times of the crashes.
     poison_arrivals : list of float
         Times at which the poison request reached a server.
+    poison_crashes : list of float
+        Times of those crashes that a request caused.
     quarantined : list of (float, str)
         Times and contents of the requests that hosts refused for their crashes.
     """
@@ -90,6 +102,7 @@
         self.zones_are_cut = False
         self.crashed_at: list[float] = []
         self.poison_arrivals: list[float] = []
+        self.poison_crashes: list[float] = []
         self.quarantined: list[tuple[float, str]] = []
         self._callers_by_number: dict[int, Caller] = {}
         self._running_by_id: dict[str, set[tuple[str, str]]] = {}
@@ -110,7 +123,7 @@
     def start_poison(self, *, at: float, n_callers: int = 1) -> None:
         """Let callers begin to send the poison request."""
         for _ in range(n_callers):
-            caller = Caller(content=POISON, gives_up_at=float("inf"))
+            caller = Caller(content=POISON, gives_up_at=float("inf"), is_poison=True)
             self.at(at, partial(self._send_again, caller))
 
     def n_late_poison(self, *, after: float) -> int:
@@ -150,6 +163,7 @@
             now=self.now,
             content=caller.content,
             time_limit=min(CALLER_PATIENCE, caller.gives_up_at - self.now),
+            parts=caller.parts,
         )
 
     def _send_again(self, caller: Caller) -> None:
@@ -161,7 +175,7 @@
         if refusal.reason == "quarantined":
             self.quarantined.append((self.now, caller.content))
         pause = self._random.uniform(MIN_RETURN, MAX_RETURN)
-        if refusal.retry_after is not None and caller.content != POISON:
+        if refusal.retry_after is not None and not caller.is_poison:
             pause = refusal.retry_after
         if self.now + pause < caller.gives_up_at:
             self.at(self.now + pause, partial(self._send_again, caller))
@@ -177,9 +191,9 @@
             return
         running = self._running_by_id.setdefault(server_id, set())
         running.add((host.name, attempt.id))
-        if self._callers_by_number[attempt.request_number].content == POISON:
+        if self._callers_by_number[attempt.request_number].is_poison:
             self.poison_arrivals.append(self.now)
-            self.at(self.now + CRASH_DELAY, partial(self._crash, server_id))
+            self.at(self.now + CRASH_DELAY, partial(self._crash_by_poison, server_id))
         else:
             self.at(self.now + RUN_TIME, partial(self._finish, host, attempt))
 
@@ -193,6 +207,11 @@
         for running in self._running_by_id.values():
             running.discard((host.name, attempt_id))
 
+    def _crash_by_poison(self, server_id: str) -> None:
+        if server_id not in self._gone:
+            self.poison_crashes.append(self.now)
+        self._crash(server_id)
+
     def _crash(self, server_id: str) -> None:
         """Break off all requests at a server, and replace the server later."""
         if server_id in self._gone:
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -217,6 +217,7 @@
         last_event_id: str = "",
         time_limit: float = 6.0,
         content: str = "",
+        parts: tuple[str, ...] = (),
     ) -> None:
         """Deliver a request of a caller."""
         arrival = RelayArrival(
@@ -230,6 +231,7 @@
             last_event_id=last_event_id,
             deadline=now + time_limit,
             arrived_at=now,
+            shared_parts=parts,
         )
         self.requests.arrive(number, arrival)
 
