--- a/ryelever/coordination/relaying/crash_evidence.py
+++ b/ryelever/coordination/quarantine/crash_evidence.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from ...state.observations import InvolvementRow
-from ..quarantine import Quarantined
 from .crash_reports import NoCrashReports
+from .quarantine import Quarantined
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/ryelever/coordination/relaying/__init__.py
+++ b/ryelever/coordination/relaying/__init__.py
@@ -6,7 +6,6 @@
 
 from .actions import RelayAttempt, RelayMeasures, RelayRefusal
 from .balance import Balancer
-from .crash_evidence import CrashEvidence
 from .crashes import CrashWatch
 from .demand import DemandMeter, time_in_batch
 from .forwarders import Forwarders
@@ -25,7 +24,6 @@
 __all__ = [
     "AnswerHead",
     "Balancer",
-    "CrashEvidence",
     "CrashWatch",
     "DemandMeter",
     "Forwarders",
--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -8,8 +8,7 @@
     from collections.abc import Iterable
 
     from ...state.observations import InvolvementRow
-    from ..quarantine import Quarantined
-    from .crash_evidence import CrashEvidence
+    from ..quarantine import CrashEvidence, Quarantined
     from .request import RelayRequest
 
 __all__ = ["CrashWatch"]
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -12,9 +12,9 @@
 from .coordination.evacuations import Evacuations
 from .coordination.groups import ZonePlanner
 from .coordination.host_heartbeats import HostHeartbeat, HostHeartbeats
+from .coordination.quarantine import CrashEvidence
 from .coordination.relaying import (
     Balancer,
-    CrashEvidence,
     CrashWatch,
     Forwarders,
     RelayRetryBudget,
--- a/tests/test_coordination/test_relaying/test_crash_evidence.py
+++ b/tests/test_coordination/test_quarantine/test_crash_evidence.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ryelever.coordination.relaying.crash_evidence import (
+from ryelever.coordination.quarantine.crash_evidence import (
     MAX_AGE,
     MAX_SUSPECTS,
     CrashEvidence,
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -8,10 +8,10 @@
 from msgspec.structs import replace
 
 from ryelever.coordination.host_heartbeats import ForwardingHosts
+from ryelever.coordination.quarantine.crash_evidence import CrashEvidence
 from ryelever.coordination.relaying import AnswerHead, Headers, RelayArrival
 from ryelever.coordination.relaying.actions import RelayAttempt, RelayRefusal
 from ryelever.coordination.relaying.balance import Balancer
-from ryelever.coordination.relaying.crash_evidence import CrashEvidence
 from ryelever.coordination.relaying.crashes import CrashWatch
 from ryelever.coordination.relaying.forwarders import Forwarders
 from ryelever.coordination.relaying.requests import RelayRequests
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ryelever.coordination.relaying.crash_evidence import MAX_AGE
+from ryelever.coordination.quarantine.crash_evidence import MAX_AGE
 from ryelever.coordination.relaying.crashes import ANNOUNCED_FOR
 from ryelever.state.observations import InvolvementRow
 from ryelever.state.routes import RouteKind
--- a/tests/test_host_exchange.py
+++ b/tests/test_host_exchange.py
@@ -14,9 +14,9 @@
     HostHeartbeat,
     HostHeartbeats,
 )
+from ryelever.coordination.quarantine import CrashEvidence
 from ryelever.coordination.relaying import (
     Balancer,
-    CrashEvidence,
     CrashWatch,
     StallWatch,
 )
