--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..standins.group_server import POISON_BODY
+from ..standins.group_server import DEADLY_PART, POISON_BODY
 from .contention import MODELS, PATH_BY_ROUTE, PRIORITY_BY_ACCOUNT, burst_of
 
 __all__ = ["Call", "Callers", "Kind"]
@@ -32,8 +32,11 @@
 
 Kind = str
 
-#: Callers of the request that crashes servers; ranges of the seconds until such a
-#: caller first sends it, and between two of its requests.
+#: Number of second parts that prompts of one model share.
+N_SUBJECTS = 5
+
+#: Callers of requests that crash servers; ranges of the seconds until such a caller
+#: first sends one, and between two of its requests.
 N_POISON_CALLERS = 2
 POISON_FROM = (1.0, 4.0)
 POISON_PAUSES = (0.05, 0.8)
@@ -61,6 +64,8 @@
         Whether the answer was received to its regular end.
     retry_after : float
         Seconds after which the caller is to return; 0 if the answer states none.
+    parts : tuple of str
+        Parts of the prompt that other requests share.
     """
 
     id: str
@@ -78,6 +83,7 @@
     body: str = ""
     is_complete: bool = False
     retry_after: float = 0.0
+    parts: tuple[str, ...] = ()
 
 
 class Callers:
@@ -121,11 +127,18 @@
             self._threads.append(thread)
             thread.start()
 
-    def start_poison(self) -> None:
-        """Start callers of the request that crashes servers, which choose any host."""
+    def start_poison(self, kind: Kind) -> None:
+        """Start callers of requests that crash servers, which choose any host.
+
+        Parameters
+        ----------
+        kind : str
+            ``"poison"`` for one request again and again, ``"deadly"`` for requests that
+            have only one part of their prompts in common.
+        """
         for index in range(N_POISON_CALLERS):
             thread = threading.Thread(
-                target=self._run_poison, args=(index,), daemon=True
+                target=self._run_poison, args=(kind, index), daemon=True
             )
             self._threads.append(thread)
             thread.start()
@@ -160,8 +173,8 @@
             call.ended_at = time.monotonic()
             self.calls.append(call)
 
-    def _run_poison(self, index: int) -> None:
-        generator = random.Random(f"{self._seed} poison {index}")
+    def _run_poison(self, kind: Kind, index: int) -> None:
+        generator = random.Random(f"{self._seed} {kind} {index}")
         pause = generator.uniform(*POISON_FROM)
         while not self._stopping.wait(pause):
             pause = generator.uniform(*POISON_PAUSES)
@@ -169,10 +182,13 @@
             call = Call(
                 id=f"{host}.{next(self._numbers)}",
                 host=host,
-                kind="poison",
+                kind=kind,
                 model=MODELS[0],
                 sent_at=time.monotonic(),
             )
+            if kind == "deadly":
+                first, subject = _shared_parts(call.model, generator)
+                call.parts = (first, DEADLY_PART, subject)
             connection = http.client.HTTPConnection(
                 self._address_of(host), timeout=2 * CALL_DEADLINE
             )
@@ -200,9 +216,17 @@
             call.deadline = generator.choice([SHORT_DEADLINE, CALL_DEADLINE])
         if burst:
             call.route, call.model = burst
+        if call.model:
+            call.parts = _shared_parts(call.model, generator)
         return call
 
 
+def _shared_parts(model: str, generator: random.Random) -> tuple[str, ...]:
+    """Return the first part of a model's prompts, and one of its second parts."""
+    first = f"{MODELS.index(model) + 1:x}0"
+    return first, f"{first}{generator.randrange(N_SUBJECTS):x}"
+
+
 def _exchange(connection: http.client.HTTPConnection, call: Call) -> None:
     headers = {
         "Host": "calls.example",
@@ -212,6 +236,9 @@
     }
     if call.model:
         headers |= {"Model": call.model, "Token-Usage": "100,50"}
+    if call.parts:
+        own = call.id.encode().hex()
+        headers["Prefix-Hash"] = ",".join(f"{part}:10" for part in (*call.parts, own))
     method = "GET" if call.kind == "look" else "POST"
     body = None if call.kind == "look" else call.id.encode()
     if call.kind == "poison":
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .callers import Call
+from .callers import Call, Kind
 from .faults import STORE, Disturbance, KeyChange, PartitionSpan
 
 __all__ = ["N_EVENTS", "Evidence", "Verdict", "check"]
@@ -28,10 +28,14 @@
 MAX_DURING_PAUSE = 2
 PAUSE_GRACE = 0.5
 
-#: Sendings of a request that are allowed once it has crashed CRASHES_NOTICED servers
-#: and hosts had UNDISTURBED_FOR seconds to learn of it.
-CRASHES_NOTICED = 3
+#: Sendings that are allowed once a request, or requests with one part in their prompts,
+#: have crashed so many servers and hosts had UNDISTURBED_FOR seconds to learn of it.
+CRASHES_NOTICED_BY_KIND = {"poison": 3, "deadly": 5}
 MAX_AFTER_CRASHES = 3
+PROMISE_BY_KIND = {
+    "poison": "requests that crash servers are not sent on",
+    "deadly": "parts of prompts that crash servers are not sent on",
+}
 
 #: Minimum seconds after which callers of quarantined requests are to return; those of
 #: other refused requests are told to return sooner.
@@ -174,7 +178,8 @@
         _check_quarantined(call, evidence, verdict)
     _check_shares(evidence, verdict)
     _check_partitions(evidence, verdict)
-    _check_crashes(evidence, verdict)
+    for kind in CRASHES_NOTICED_BY_KIND:
+        _check_crashes(kind, evidence, verdict)
     for name, server in evidence.servers.items():
         _check_leaving(name, server, evidence, verdict)
         _check_limit(name, server, evidence, verdict)
@@ -222,7 +227,7 @@
 
 def _check_quarantined(call: Call, evidence: Evidence, verdict: Verdict) -> None:
     """Check that a request is not refused for the crashes of another one."""
-    if call.kind == "poison" or not any(
+    if call.kind in CRASHES_NOTICED_BY_KIND or not any(
         server["crashes"] for server in evidence.servers.values()
     ):
         return
@@ -233,27 +238,32 @@
     )
 
 
-def _check_crashes(evidence: Evidence, verdict: Verdict) -> None:
-    """Check that a request which crashes servers is not sent to ever more of them."""
+def _check_crashes(kind: Kind, evidence: Evidence, verdict: Verdict) -> None:
+    """Check that requests which crash servers are not sent to ever more of them."""
     servers = evidence.servers.values()
-    times = sorted(at for server in servers for at, _ in server["crashes"])
+    ids = {call.id for call in evidence.calls if call.kind == kind}
+    times = sorted(
+        at
+        for server in servers
+        for at, request_id in server["crashes"]
+        if request_id in ids
+    )
     if not times:
         return
-    has_noticed = len(times) >= CRASHES_NOTICED
-    noticed_at = (
-        times[CRASHES_NOTICED - 1] + UNDISTURBED_FOR if has_noticed else math.inf
-    )
-    poison_ids = {call.id for call in evidence.calls if call.kind == "poison"}
+    n_noticed = CRASHES_NOTICED_BY_KIND[kind]
+    noticed_at = math.inf
+    if len(times) >= n_noticed:
+        noticed_at = times[n_noticed - 1] + UNDISTURBED_FOR
     late = [
         f"{request_id} {at - noticed_at:.2f} s late"
         for server in servers
         for at, request_id in server["arrivals"]
-        if request_id in poison_ids
+        if request_id in ids
         and at > noticed_at
         and evidence.is_undisturbed(_host_of(request_id), at)
     ]
     verdict.record(
-        "requests that crash servers are not sent on",
+        PROMISE_BY_KIND[kind],
         holds=len(late) <= MAX_AFTER_CRASHES,
         observed=", ".join(late),
     )
@@ -295,7 +305,7 @@
         calls = [
             call
             for call in evidence.calls
-            if call.kind != "poison"
+            if call.kind not in CRASHES_NOTICED_BY_KIND
             and span.start + UNDISTURBED_FOR <= call.sent_at <= span.end
             and evidence.is_undisturbed(call.host, call.ended_at)
             and evidence.is_key_valid(call.sent_at)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -27,8 +27,9 @@
 #: All together they exceed the slots of one model's groups about three times.
 N_BURST_CALLERS = 8
 
-#: Every third seed runs a caller whose request crashes the servers that run it.
-POISON_EVERY = 3
+#: Kind of requests that crash the servers which run them, by the remainder of the seed
+#: divided by three.
+POISON_BY_REMAINDER = {0: "poison", 1: "deadly"}
 
 #: Milliseconds between two events of a stream.  Streams have to last long enough for
 #: faults to affect their host in the meantime.
@@ -104,8 +105,8 @@
         )
         n_in_bursts = N_BURST_CALLERS if is_contended else 0
         callers.start(n_per_host=N_CALLERS, n_in_bursts=n_in_bursts)
-        if seed % POISON_EVERY == 0:
-            callers.start_poison()
+        if seed % 3 in POISON_BY_REMAINDER:
+            callers.start_poison(POISON_BY_REMAINDER[seed % 3])
         faults = Faults(
             zone=zone,
             proxies_by_host=proxies,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -127,10 +127,13 @@
     return evidence
 
 
-def _poison_request_is_sent_on(*, from_second: float = 10.0) -> Evidence:
-    times = (1.0, 2.0, 3.0, *(from_second + index for index in range(4)))
+def _poison_request_is_sent_on(
+    *, kind: str = "poison", from_second: float = 10.0
+) -> Evidence:
+    first = (1.0, 1.5, 2.0, 2.5, 3.0) if kind == "deadly" else (1.0, 2.0, 3.0)
+    times = (*first, *(from_second + index for index in range(4)))
     sent = [(at, f"e1.{index}") for index, at in enumerate(times)]
-    calls = [replace(REFUSED, id=id_, kind="poison", sent_at=at) for at, id_ in sent]
+    calls = [replace(REFUSED, id=id_, kind=kind, sent_at=at) for at, id_ in sent]
     evidence = _evidence(*calls)
     evidence.servers["s"] = _server(arrivals=sent, crashes=sent)
     return evidence
@@ -174,6 +177,7 @@
     "pause": _requests_within_a_pause,
     "stated-leaving": _request_after_the_server_said_that_it_leaves,
     "poison-sent-on": _poison_request_is_sent_on,
+    "deadly-part-sent-on": lambda: _poison_request_is_sent_on(kind="deadly"),
     "other-quarantined": _other_request_is_quarantined,
     "partitioned": lambda: _partitioned(n_failed=15),
     "group": lambda: _evidence(group_faults=["g runs without b"]),
@@ -226,9 +230,11 @@
     assert check(evidence).violations == []
 
 
-def test_poison_request_may_be_sent_until_hosts_have_learned_of_it() -> None:
-    assert check(_poison_request_is_sent_on(from_second=5.5)).violations == []
-    evidence = _poison_request_is_sent_on()
+@pytest.mark.parametrize("kind", ["poison", "deadly"])
+def test_poison_request_may_be_sent_until_hosts_have_learned_of_it(kind: str) -> None:
+    sent_early = _poison_request_is_sent_on(kind=kind, from_second=5.5)
+    assert check(sent_early).violations == []
+    evidence = _poison_request_is_sent_on(kind=kind)
     evidence.disturbances = [Disturbance(target="e1", kind="kill", start=8.0, end=8.5)]
     assert check(evidence).violations == []
 
