Quarantine the messages of prompts under which engines crash

The same class at hosts with the OpenAI interface: requests are told apart by their whole body, so that prompts that share a message or an adapter which crashes engines take down one group after the other. The parts of a prompt are its adapter and all messages but the last; they are judged by the same evidence as at hosts that relay, beside the verdicts on whole requests, which stay as they are.

--- a/ryelever/arrivals.py
+++ b/ryelever/arrivals.py
@@ -18,6 +18,7 @@
     fingerprint,
     model_body,
     models_list,
+    shared_parts,
 )
 from .state.configuration_fold import NO_VERSION
 from .state.idempotency_key import issued_at
@@ -204,6 +205,7 @@
                 request.query.encode(),
                 request.body,
             ),
+            shared_parts=shared_parts(work) if isinstance(work, ChatWork) else (),
         )
         return _ok(arrival)
 
--- a/ryelever/coordination/actions.py
+++ b/ryelever/coordination/actions.py
@@ -67,6 +67,8 @@
         Set when the request must run at most once.
     fingerprint : str
         Digest of the work; a repeated request has the same digest.
+    shared_parts : tuple of str
+        Digests of the parts of a prompt that other requests may share.
     """
 
     request_id: str
@@ -77,6 +79,7 @@
     priority: int = 0
     idempotency_key: str = ""
     fingerprint: str = ""
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
--- a/ryelever/coordination/quarantine/__init__.py
+++ b/ryelever/coordination/quarantine/__init__.py
@@ -5,11 +5,14 @@
 
 from .crash_evidence import CrashEvidence
 from .evidence import Crash
-from .quarantine import Quarantine, Quarantined, is_crash, quarantine_error
+from .part_quarantine import PartQuarantine
+from .quarantine import Quarantine, is_crash, quarantine_error
+from .quarantined import Quarantined
 
 __all__ = [
     "Crash",
     "CrashEvidence",
+    "PartQuarantine",
     "Quarantine",
     "Quarantined",
     "is_crash",
--- a/ryelever/coordination/quarantine/crash_evidence.py
+++ b/ryelever/coordination/quarantine/crash_evidence.py
@@ -6,6 +6,8 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from .crash_facts import MAX_AGE, MINUTE, NEVER, CrashFacts, part_name
 from .crash_reports import NoCrashReports
 from .crash_verdicts import (
@@ -15,7 +17,7 @@
     CrashVerdicts,
 )
 from .known_parts import KnownParts
-from .quarantine import Quarantined
+from .quarantined import Quarantined
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -69,6 +71,8 @@
 
     Parameters
     ----------
+    judges_requests : bool
+        False to give verdicts on parts only; requests still explain crashes.
     peers_reported_since : callable or None
         Return whether each live host has reported what it had observed by a monotonic
         time, given that time and the current one; None if there are no other hosts.
@@ -91,6 +95,7 @@
     __slots__ = (
         "_completed_at",
         "_facts",
+        "_judges_requests",
         "_known_parts",
         "_peers_reported_since",
         "_random",
@@ -104,12 +109,14 @@
     def __init__(
         self,
         *,
+        judges_requests: bool = True,
         peers_reported_since: Callable[..., bool] | None = None,
         turn: Callable[..., int] = lambda *, now: 0,
         released_parts: Iterable[str] = (),
         seed: int | None = None,
         reports: CrashReports | None = None,
     ) -> None:
+        self._judges_requests = judges_requests
         self._peers_reported_since = peers_reported_since
         self._turn = turn
         self._reports = reports if reports is not None else NoCrashReports()
@@ -129,12 +136,18 @@
     @property
     def quarantined_parts(self) -> tuple[str, ...]:
         """Return the parts on which there are verdicts."""
-        return tuple(
-            suspect.id
-            for name in sorted(self._reported)
-            if (suspect := self._facts.suspects_by_name.get(name)) is not None
-            and suspect.is_part
+        return tuple(part for part, *_ in self.quarantined())
+
+    def quarantined(self) -> list[tuple[str, int, float]]:
+        """Return the quarantined parts with the number and newest time of crashes."""
+        suspects = (
+            self._facts.suspects_by_name.get(name) for name in sorted(self._reported)
         )
+        return [
+            (suspect.id, suspect.n_crashes, suspect.newest_at)
+            for suspect in suspects
+            if suspect is not None and suspect.is_part
+        ]
 
     def verdict(
         self, fingerprint: str, *, parts: tuple[str, ...] = (), now: float
@@ -317,6 +330,17 @@
         parts = [item for *_, item in ranked if item.is_part]
         return [item.row(now=now) for item in (*requests[:limit], *parts[:limit])]
 
+    def changed_parts(self, *, since: float) -> list[InvolvementRow]:
+        """Return the rows of the parts whose evidence changed here since a time."""
+        changed = [
+            suspect
+            for suspect in self._facts.suspects_by_name.values()
+            if suspect.is_part and suspect.changed_at >= since
+        ]
+        changed.sort(key=lambda suspect: (-suspect.n_crashes, suspect.id))
+        # All changes are new, so that their age doesn't matter.
+        return [suspect.row(now=suspect.newest_at) for suspect in changed]
+
     # Facts
 
     def _refute(self, suspect: Suspect, keys: Iterable[str], *, now: float) -> None:
@@ -342,7 +366,11 @@
         """Return the suspects for which a request must not run."""
         self._expire(now=now)
         names = (fingerprint, *map(part_name, parts))
-        return self._verdicts.causes(names, now=now)
+        causes = self._verdicts.causes(names, now=now)
+        if self._judges_requests:
+            return causes
+        parts_only = tuple(suspect for suspect in causes.proved if suspect.is_part)
+        return replace(causes, proved=parts_only)
 
     def _has_settled(self, suspect: Suspect, *, now: float) -> bool:
         """Return whether no report can show another cause of the crashes."""
--- a/ryelever/coordination/quarantine/quarantine.py
+++ b/ryelever/coordination/quarantine/quarantine.py
@@ -4,21 +4,21 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from ...errors import Category, RunState, RyeleverError
 from ...state.observations import SuspicionRow
 from .evidence import Crash, PeerCount, Suspect
+from .part_quarantine import PartQuarantine
+from .quarantined import Quarantined
 from .reports import NoReports
 
 if TYPE_CHECKING:
     from ...state.observations import Observation
     from .reports import QuarantineReports
 
-__all__ = ["Quarantine", "Quarantined", "is_crash", "quarantine_error"]
+__all__ = ["Quarantine", "is_crash", "quarantine_error"]
 
 #: Crashes after which a fingerprint is quarantined.
 MAX_CRASHES = 2
@@ -43,23 +43,6 @@
 _ATTEMPT_STEPS = frozenset({"generate", "call_service"})
 
 
-class Quarantined(msgspec.Struct, kw_only=True, frozen=True):
-    """Reason why a request is not run.
-
-    Attributes
-    ----------
-    retry_after : float
-        Seconds until the evidence is too old to count, randomly extended.
-    part : str
-        Part of the prompt for which the request is not run; empty if it is itself the
-        cause of the crashes.
-    """
-
-    n_crashes: int
-    retry_after: float
-    part: str = ""
-
-
 class Quarantine:
     """Suspect requests that ran in a crash, and quarantine those with two crashes.
 
@@ -96,6 +79,8 @@
         Seed of the random extension of retry times.
     reports : QuarantineReports or None
         Receiver of evidence and verdicts; None discards them.
+    parts : PartQuarantine or None
+        Judges the parts that prompts share; None for one without peers.
     """
 
     def __init__(
@@ -106,20 +91,36 @@
         peers_reported_since: Callable[[float], bool] | None = None,
         seed: int | None = None,
         reports: QuarantineReports | None = None,
+        parts: PartQuarantine | None = None,
     ) -> None:
         self._max_age = max_age
         self._settle = settle
         self._peers_reported_since = peers_reported_since
         self._reports = reports if reports is not None else NoReports()
         self._random = random.Random(seed)
+        self._parts = parts if parts is not None else PartQuarantine(seed=seed)
         self._suspects_by_fingerprint: dict[str, Suspect] = {}
         self._crashes_by_target: dict[str, Crash] = {}
         # Fingerprints whose verdict was requested but has not settled yet.
         self._awaiting_verdict: set[str] = set()
         self._completed_at: OrderedDict[str, float] = OrderedDict()
 
-    def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
-        """Return the reason why a request must not run, or None without a verdict."""
+    def verdict(
+        self, fingerprint: str, *, parts: tuple[str, ...] = (), now: float
+    ) -> Quarantined | None:
+        """Return the reason why a request must not run, or None without a verdict.
+
+        Parameters
+        ----------
+        parts : tuple of str
+            Parts of its prompt that other requests may share.
+        """
+        return self._own_verdict(fingerprint, now=now) or self._parts.verdict(
+            fingerprint, parts, now=now
+        )
+
+    def _own_verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
+        """Return the verdict on the whole request."""
         suspect = self._active_suspect(fingerprint, now=now)
         if suspect is None or suspect.n_total_crashes < MAX_CRASHES:
             return None
@@ -163,10 +164,14 @@
         self._awaiting_verdict &= waiting.keys()
         return max(waiting.values(), default=None)
 
-    def must_not_run(self, fingerprint: str, *, now: float) -> bool:
+    def must_not_run(
+        self, fingerprint: str, *, parts: tuple[str, ...] = (), now: float
+    ) -> bool:
         """Return whether a request must not run, condemned or awaiting its verdict."""
         suspect = self._active_suspect(fingerprint, now=now)
-        return suspect is not None and suspect.n_total_crashes >= MAX_CRASHES
+        if suspect is not None and suspect.n_total_crashes >= MAX_CRASHES:
+            return True
+        return self._parts.must_not_run(fingerprint, parts, now=now)
 
     @property
     def has_suspects(self) -> bool:
@@ -178,11 +183,25 @@
         suspect = self._active_suspect(fingerprint, now=now)
         return suspect is not None and not suspect.proved
 
-    def crashed(self, target: str, fingerprints: Iterable[str], *, now: float) -> None:
+    def crashed(
+        self,
+        target: str,
+        fingerprints: Iterable[str],
+        *,
+        parts_by_fingerprint: Mapping[str, tuple[str, ...]] | None = None,
+        now: float,
+    ) -> None:
         """Record a crash and the requests that were running in it.
 
         Each attempt that a crash interrupts may record the same crash again.
+
+        Parameters
+        ----------
+        parts_by_fingerprint : mapping of str to tuple of str or None
+            Parts of the requests' prompts that other requests may share.
         """
+        if parts_by_fingerprint:
+            self._parts.crashed(target, parts_by_fingerprint, now=now)
         crash = self._crash(target, now=now)
         newly_seen = set(fingerprints) - crash.counted - crash.repeated - {""}
         for fingerprint in newly_seen:
@@ -217,8 +236,12 @@
         if suspect is not None:
             suspect.proved = True
 
-    def completed(self, fingerprint: str, *, now: float) -> None:
-        """Clear a request that has completed."""
+    def completed(
+        self, fingerprint: str, *, parts: tuple[str, ...] = (), now: float
+    ) -> None:
+        """Clear a request that has completed, and the parts of its prompt."""
+        if parts:
+            self._parts.completed(fingerprint, parts, now=now)
         self._completed_at[fingerprint] = now
         self._completed_at.move_to_end(fingerprint)
         if len(self._completed_at) > MAX_SUSPECTS:
@@ -231,12 +254,13 @@
 
     def observations(self, *, now: float) -> list[Observation]:
         """Return this host's own crash counts; a count of 0 reports a completion."""
-        return [
+        own = [
             suspect.row()
             for suspect in self._suspects_by_fingerprint.values()
             if (suspect.n_crashes and now - suspect.crashed_at <= self._max_age)
             or now - suspect.cleared_at <= CLEARED_ANNOUNCED_FOR
         ]
+        return own + self._parts.observations(now=now)
 
     def changes(self, *, since: float) -> list[SuspicionRow]:
         """Return the rows of suspects whose evidence changed here since a time.
@@ -249,7 +273,8 @@
             if suspect.changed_at >= since
         ]
         suspects.sort(key=lambda suspect: -suspect.changed_at)
-        return [suspect.row() for suspect in suspects]
+        rows = [suspect.row() for suspect in suspects]
+        return rows + self._parts.changes(since=since)
 
     def observed(
         self, observation: Observation, *, peer: str, observed_at: float, now: float
@@ -257,6 +282,8 @@
         """Process a peer's crash count."""
         if not isinstance(observation, SuspicionRow):
             return
+        if self._parts.observed(observation, peer=peer, now=now):
+            return
         if not observation.n_crashes:
             self._clear_by_peer(
                 observation.fingerprint, peer=peer, observed_at=observed_at
@@ -291,7 +318,7 @@
             }
             for fingerprint, suspect in self._suspects_by_fingerprint.items()
             if suspect.n_total_crashes
-        ]
+        ] + self._parts.describe(now=now)
 
     def _merge_peer_crash(
         self, observation: SuspicionRow, count: PeerCount, *, now: float
@@ -423,8 +450,11 @@
     quarantined: Quarantined, *, run_state: RunState = RunState.NOT_RUN
 ) -> RyeleverError:
     """Return the error that the caller of a quarantined request receives."""
+    subject = "this request was"
+    if quarantined.part:
+        subject = f"requests with a part of this prompt ({quarantined.part}) were"
     return RyeleverError(
-        f"this request was running in {quarantined.n_crashes} crashes of backend "
+        f"{subject} running in {quarantined.n_crashes} crashes of backend "
         "servers and is not run again for now; change it, or come back later",
         category=Category.UNAVAILABLE,
         step="route",
--- a/ryelever/coordination/requests/attempts.py
+++ b/ryelever/coordination/requests/attempts.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from ...errors import RyeleverError
-    from ..actions import Action
+    from ..actions import Action, Arrival
     from ..quarantine import Quarantined
     from ..routing import AttemptFeedback, RetryPolicy, Router
     from .state import Request
@@ -52,7 +52,7 @@
         feedback: AttemptFeedback | None = None,
     ) -> None:
         self._feedback = feedback if feedback is not None else NoFeedback()
-        self._fingerprints_by_target: dict[str, dict[str, str]] = {}
+        self._arrivals_by_target: dict[str, dict[str, Arrival]] = {}
         self._router = router
         self._retry_policy = retry_policy
         self._new_id = new_id
@@ -75,8 +75,8 @@
         self.request_by_attempt[request.attempt_id] = request.arrival.request_id
         fingerprint = request.arrival.fingerprint
         self._router.started(target, fingerprint=fingerprint, now=now)
-        running = self._fingerprints_by_target.setdefault(target.name, {})
-        running[request.attempt_id] = fingerprint
+        running = self._arrivals_by_target.setdefault(target.name, {})
+        running[request.attempt_id] = request.arrival
         return SendAttempt(
             attempt_id=request.attempt_id,
             arrival=request.arrival,
@@ -113,15 +113,18 @@
         self._feedback.completed(
             request.target,
             request.arrival.fingerprint,
+            parts=request.arrival.shared_parts,
             between_tokens=(now - request.since) / n_tokens if streaming else None,
             now=now,
         )
         self.end(request, failed=False, now=now)
         self._retry_policy.succeeded(now=now)
 
-    def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
+    def verdict(self, arrival: Arrival, *, now: float) -> Quarantined | None:
         """Return why a request is quarantined, or None if it may run."""
-        return self._feedback.verdict(fingerprint, now=now)
+        return self._feedback.verdict(
+            arrival.fingerprint, parts=arrival.shared_parts, now=now
+        )
 
     def first_token(self, request: Request, *, now: float) -> None:
         """Record the time to an attempt's first token."""
@@ -141,12 +144,16 @@
         self, request: Request, *, error: RyeleverError, refused: bool, now: float
     ) -> None:
         """End an attempt that failed."""
-        running = self._fingerprints_by_target[request.target.name]
+        running = self._arrivals_by_target[request.target.name]
         self._feedback.failed(
             request.target,
             error,
             refused=refused,
-            in_flight=set(running.values()),
+            in_flight={arrival.fingerprint for arrival in running.values()},
+            parts_by_fingerprint={
+                arrival.fingerprint: arrival.shared_parts
+                for arrival in running.values()
+            },
             now=now,
         )
         self.end(request, failed=True, now=now)
@@ -154,10 +161,10 @@
     def end(self, request: Request, *, failed: bool, now: float) -> None:
         """End an attempt; answers received for it later are counted as late."""
         del self.request_by_attempt[request.attempt_id]
-        running = self._fingerprints_by_target[request.target.name]
+        running = self._arrivals_by_target[request.target.name]
         del running[request.attempt_id]
         if not running:
-            del self._fingerprints_by_target[request.target.name]
+            del self._arrivals_by_target[request.target.name]
         request.attempt_id = ""
         fingerprint = request.arrival.fingerprint
         self._router.ended(
--- a/ryelever/coordination/requests/requests.py
+++ b/ryelever/coordination/requests/requests.py
@@ -148,7 +148,7 @@
             if not self._claims.available(now=now):
                 error = answers.log_unavailable(retry_after=self._retry_after())
                 return self.refuse(arrival, error)
-        quarantined = self._attempts.verdict(arrival.fingerprint, now=now)
+        quarantined = self._attempts.verdict(arrival, now=now)
         if quarantined is not None:
             return self.refuse(arrival, quarantine_error(quarantined))
         decision = self._admission.admit(arrival, account, now=now)
--- a/ryelever/coordination/requests/steps.py
+++ b/ryelever/coordination/requests/steps.py
@@ -72,7 +72,7 @@
             # A process that was paused may read its claim back long after the caller
             # stopped waiting.  A request past its deadline is never sent.
             return self.expire(request, now=now)
-        quarantined = self._attempts.verdict(request.arrival.fingerprint, now=now)
+        quarantined = self._attempts.verdict(request.arrival, now=now)
         if quarantined is not None:
             return self.fail(request, error=quarantine_error(quarantined), now=now)
         if tried is None:
--- a/ryelever/coordination/routing/feedback.py
+++ b/ryelever/coordination/routing/feedback.py
@@ -8,7 +8,7 @@
 from ..quarantine import is_crash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from ...errors import RyeleverError
     from ..actions import Target
@@ -23,7 +23,9 @@
 class AttemptFeedback(Protocol):
     """Receive results of attempts, and decide which requests must not run."""
 
-    def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
+    def verdict(
+        self, fingerprint: str, *, parts: tuple[str, ...] = (), now: float
+    ) -> Quarantined | None:
         """Return why a request is quarantined, or None if it may run."""
 
     def first_token(self, target: Target, *, seconds: float, now: float) -> None:
@@ -37,6 +39,7 @@
         target: Target,
         fingerprint: str,
         *,
+        parts: tuple[str, ...] = (),
         between_tokens: float | None,
         now: float,
     ) -> None:
@@ -56,6 +59,7 @@
         *,
         refused: bool,
         in_flight: Iterable[str],
+        parts_by_fingerprint: Mapping[str, tuple[str, ...]] | None = None,
         now: float,
     ) -> None:
         """Record a failed attempt.
@@ -66,13 +70,17 @@
             True when the backend server did not run the request.
         in_flight : iterable of str
             Fingerprints of all attempts at the target, including the failed one.
+        parts_by_fingerprint : mapping of str to tuple of str or None
+            Parts of their prompts that other requests may share.
         """
 
 
 class NoFeedback:
     """Ignore all results and let every request run; for benchmarks and unit tests."""
 
-    def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
+    def verdict(
+        self, fingerprint: str, *, parts: tuple[str, ...] = (), now: float
+    ) -> Quarantined | None:
         """Return None: every request may run."""
         return None
 
@@ -87,6 +95,7 @@
         target: Target,
         fingerprint: str,
         *,
+        parts: tuple[str, ...] = (),
         between_tokens: float | None,
         now: float,
     ) -> None:
@@ -99,6 +108,7 @@
         *,
         refused: bool,
         in_flight: Iterable[str],
+        parts_by_fingerprint: Mapping[str, tuple[str, ...]] | None = None,
         now: float,
     ) -> None:
         """Do nothing."""
@@ -120,9 +130,11 @@
         self._stragglers = stragglers
         self._retry_budget = retry_budget
 
-    def verdict(self, fingerprint: str, *, now: float) -> Quarantined | None:
+    def verdict(
+        self, fingerprint: str, *, parts: tuple[str, ...] = (), now: float
+    ) -> Quarantined | None:
         """Return the quarantine's verdict."""
-        return self._quarantine.verdict(fingerprint, now=now)
+        return self._quarantine.verdict(fingerprint, parts=parts, now=now)
 
     def first_token(self, target: Target, *, seconds: float, now: float) -> None:
         """Record the time to the first token for the comparison with siblings."""
@@ -137,11 +149,12 @@
         target: Target,
         fingerprint: str,
         *,
+        parts: tuple[str, ...] = (),
         between_tokens: float | None,
         now: float,
     ) -> None:
         """Clear the request of suspicion and record the success of its target."""
-        self._quarantine.completed(fingerprint, now=now)
+        self._quarantine.completed(fingerprint, parts=parts, now=now)
         self._stragglers.ended(
             target.name, failed=False, between_tokens=between_tokens, now=now
         )
@@ -153,6 +166,7 @@
         *,
         refused: bool,
         in_flight: Iterable[str],
+        parts_by_fingerprint: Mapping[str, tuple[str, ...]] | None = None,
         now: float,
     ) -> None:
         """Record a refusal, a failure, or a failure by a crash of the target."""
@@ -169,5 +183,7 @@
                 # excluded here: it may have closed only this one connection.
                 self._departures.refused(target.hosts[0], connection=False, now=now)
             crash = f"{target.name}#{target.fencing}"
-            self._quarantine.crashed(crash, in_flight, now=now)
+            self._quarantine.crashed(
+                crash, in_flight, parts_by_fingerprint=parts_by_fingerprint, now=now
+            )
             self._retry_budget.record_death(target.name, now=now)
--- a/ryelever/coordination/routing/routing.py
+++ b/ryelever/coordination/routing/routing.py
@@ -129,7 +129,7 @@
         if now < self._zones.unusable_until(found):
             return None
         self._stragglers.compare(str(id(found)), found.names, now=now)
-        if self._quarantine.must_not_run(arrival.fingerprint, now=now):
+        if self._must_not_run(arrival, now=now):
             return None
         if self._quarantine.is_suspect(arrival.fingerprint, now=now):
             return self._choose_for_suspect(arrival, found, tried=tried, now=now)
@@ -150,7 +150,7 @@
         quarantine's verdict.  A suspect waits for a target that runs no other suspect,
         if any target is usable.
         """
-        if self._quarantine.must_not_run(arrival.fingerprint, now=now):
+        if self._must_not_run(arrival, now=now):
             return True
         if not self._quarantine.is_suspect(arrival.fingerprint, now=now):
             return False
@@ -160,6 +160,11 @@
             for candidate in self._zones.sample(found.local_zone + found.other_zones)
         )
 
+    def _must_not_run(self, arrival: Arrival, *, now: float) -> bool:
+        return self._quarantine.must_not_run(
+            arrival.fingerprint, parts=arrival.shared_parts, now=now
+        )
+
     def is_lost(self, target: Target, arrival: Arrival, *, now: float) -> bool:
         """Return whether a target's group is incomplete while another can serve."""
         return self._targets.is_lost(target, arrival, now=now)
--- a/ryelever/protocol/openai.py
+++ b/ryelever/protocol/openai.py
@@ -20,6 +20,7 @@
     "error_body",
     "error_event",
     "fingerprint",
+    "shared_parts",
     "http_status",
     "model_body",
     "models_list",
@@ -29,6 +30,9 @@
 DEFAULT_MAX_TOKENS = 512
 MAX_TOKENS = 32_768
 
+#: Maximum number of messages of one prompt that count as shared parts.
+MAX_SHARED_MESSAGES = 64
+
 _MaxTokens = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)]
 _NoItems = Annotated[list[Any], msgspec.Meta(max_length=0)]
 
@@ -151,6 +155,19 @@
     return digest.hexdigest()[:32]
 
 
+def shared_parts(work: ChatWork) -> tuple[str, ...]:
+    """Return digests of the parts of a prompt that other requests may share.
+
+    These are the adapter and all messages but the last one, each once.
+    """
+    parts = [fingerprint(b"adapter", work.name.encode())] if work.adapter else []
+    parts += [
+        fingerprint(b"message", encode(message))
+        for message in work.messages[:-1][:MAX_SHARED_MESSAGES]
+    ]
+    return tuple(dict.fromkeys(parts))
+
+
 def http_status(error: RyeleverError) -> int:
     """Return the HTTP status for an error."""
     if error.code in _ALLOW_BY_CODE:
--- a/ryelever/quarantine_log.py
+++ b/ryelever/quarantine_log.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from .crash_log import CrashLog
 from .logs import log_event
 
 if TYPE_CHECKING:
     from .coordination.quarantine import Crash
     from .state.observations import SuspicionRow
 
-__all__ = ["QuarantineLog"]
+__all__ = ["PartLog", "QuarantineLog"]
 
 
 class QuarantineLog:
@@ -56,3 +57,15 @@
             n_crashes=n_crashes,
             after=round(after, 3),
         )
+
+
+class PartLog(CrashLog):
+    """Log the crashes and the verdicts of parts of prompts."""
+
+    __slots__ = ()
+
+    def cleared(self, fingerprint: str, *, peer: str) -> None:
+        """Do nothing: ``QuarantineLog`` logs what concerns whole requests."""
+
+    def condemned(self, fingerprint: str, *, n_crashes: int, after: float) -> None:
+        """Do nothing."""
--- a/ryelever/request_path.py
+++ b/ryelever/request_path.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .coordination.admission import FairAdmission, GroupCapacity
-from .coordination.quarantine import Quarantine
+from .coordination.quarantine import PartQuarantine, Quarantine
 from .coordination.requests import Claims, RequestTable, Timeouts
 from .coordination.routing import (
     AffinityRouter,
@@ -19,7 +19,7 @@
     Targets,
 )
 from .protocol.log import CLAIMS_STREAM, claims_stream, claims_streams
-from .quarantine_log import QuarantineLog
+from .quarantine_log import PartLog, QuarantineLog
 from .state.claims import ClaimsFold
 
 if TYPE_CHECKING:
@@ -99,6 +99,10 @@
             settle=settle,
             peers_reported_since=peers_reported_since,
             reports=QuarantineLog(),
+            parts=PartQuarantine(
+                peers_reported_since=peers_reported_since if settings.peers else None,
+                reports=PartLog(),
+            ),
         )
         targets = Targets(
             availability_zone=settings.availability_zone,
--- a/tests/test_coordination/test_quarantine/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine/test_quarantine.py
@@ -436,17 +436,20 @@
             for rank, fleet in enumerate(self.fleets)
         ]
         self.dead: set[str] = set()
+        self.killed_at: list[float] = []
         self.now = 0.0
         self.answers_by_request: dict[str, object] = {}
         self.poison_answers: list[AnswerError] = []
         self._running: list[tuple[int, SendAttempt, int]] = []
         self._n_requests = 0
 
-    def send(self, at: int, text: str) -> None:
+    def send(self, at: int, text: str, *, parts: tuple[str, ...] = ()) -> None:
         """Send a caller's request to one entry host."""
         self._n_requests += 1
         arrival = replace(
-            chat(text, now=self.now), request_id=f"{text}/{self._n_requests}"
+            chat(text, now=self.now),
+            request_id=f"{text}/{self._n_requests}",
+            shared_parts=parts,
         )
         self._process(at, self.tables[at].arrive(arrival, now=self.now))
 
@@ -464,7 +467,9 @@
             attempt.target.name
             for _, attempt, _ in running
             if attempt.arrival.fingerprint == "poison"
+            or "deadly" in attempt.arrival.shared_parts
         }
+        self.killed_at += [self.now] * len(killed - self.dead)
         self.dead |= killed
         for at, attempt, n_tokens in running:
             if attempt.target.name in killed:
@@ -571,3 +576,78 @@
 
 def _named(arrival, request_id: str):
     return replace(arrival, request_id=request_id)
+
+
+@pytest.mark.parametrize("n_hosts", [1, 3])
+@pytest.mark.parametrize("deadly", [("system", "deadly"), ("deadly", "system")])
+def test_requests_with_a_part_that_kills_groups_are_refused(
+    n_hosts: int, deadly: tuple[str, ...]
+) -> None:
+    """Guard against prompts that share a message which crashes engines.
+
+    No two of them are alike, so that no request is in many crashes.
+    """
+    zone = _PoisonedZone(n_hosts=n_hosts, n_groups=30)
+    zone.step()
+    for step in range(150):
+        at = step % n_hosts
+        if step % 2 == 0:
+            zone.send(at, f"sound-{step}", parts=("system", f"turn-{step % 7}"))
+        if step > 20 and step % 3 == 0:
+            zone.send(at, f"deadly-{step}", parts=deadly)
+        zone.step()
+    for _ in range(60):
+        zone.step()
+    n_late = sum(at > zone.killed_at[4] + 3.0 for at in zone.killed_at[5:])
+    assert n_late <= 3
+    answers = {
+        request_id.partition("/")[0]: answer
+        for request_id, answer in zone.answers_by_request.items()
+    }
+    assert {
+        type(answer) for name, answer in answers.items() if name.startswith("sound")
+    } == {StreamFinished}
+    last = answers["deadly-147"]
+    assert last.error.code == "request_quarantined"
+    assert "a part of this prompt (deadly)" in last.error.message
+
+
+def test_whole_requests_are_judged_as_before_beside_parts() -> None:
+    """Guard against verdicts on requests that the evidence of parts gives as well."""
+    quarantine = Quarantine(seed=1)
+    parts_by_fingerprint = {"a": ("system",), "b": ("system", "old")}
+    for crash in ("g1#1", "g2#1"):
+        quarantine.crashed(
+            crash, ["a", "b"], parts_by_fingerprint=parts_by_fingerprint, now=1.0
+        )
+    for fingerprint, parts in parts_by_fingerprint.items():
+        assert quarantine.verdict(fingerprint, parts=parts, now=9.0) is None
+
+
+def test_hosts_tell_each_other_which_parts_were_in_crashes() -> None:
+    """Guard against a part that is found only by the host which saw all crashes."""
+    first, second = Quarantine(seed=1), Quarantine(seed=1)
+    for index in range(4):
+        host = (first, second)[index % 2]
+        host.crashed(
+            f"g{index}#1",
+            [f"r{index}"],
+            parts_by_fingerprint={f"r{index}": ("deadly",)},
+            now=1.0,
+        )
+    for sender, receiver in ((first, second), (second, first)):
+        for row in sender.changes(since=0.5):
+            receiver.observed(row, peer="p", observed_at=1.1, now=1.2)
+    for host in (first, second):
+        assert host.verdict("new", parts=("deadly",), now=5.0).part == "deadly"
+        assert host.verdict("new", parts=("other",), now=5.0) is None
+        assert {
+            "fingerprint": "part/deadly",
+            "n_crashes": 4,
+            "quarantined": True,
+            "age": pytest.approx(4.0, abs=0.5),
+        } in host.describe(now=5.0)
+    second.completed("trial", parts=("deadly",), now=6.0)
+    for row in second.observations(now=6.1):
+        first.observed(row, peer="p", observed_at=6.1, now=6.2)
+    assert first.verdict("new", parts=("deadly",), now=7.0) is None
--- a/tests/test_protocol/test_openai.py
+++ b/tests/test_protocol/test_openai.py
@@ -15,6 +15,7 @@
     error_event,
     error_headers,
     http_status,
+    shared_parts,
 )
 from ryelever.protocol.sse import SseSplitter
 
@@ -89,3 +90,22 @@
 def test_chat_request_is_read(fields: dict, expected: tuple) -> None:
     work = decode_chat_request(json.dumps(QUESTION | fields).encode()).ok
     assert (work.model, work.adapter, work.max_tokens, work.streamed) == expected
+
+
+def test_messages_that_other_requests_may_share_are_parts_of_a_prompt() -> None:
+    """Guard against a part that differs between requests that share the message."""
+
+    def parts(*messages: str, model: str = "m") -> tuple[str, ...]:
+        body = {
+            "model": model,
+            "messages": [{"role": "user", "content": text} for text in messages],
+        }
+        work = decode_chat_request(json.dumps(body).encode()).ok
+        return shared_parts(work)
+
+    assert parts("own") == ()
+    assert parts("a", "b", "own") == (*parts("a", "x"), *parts("b", "y"))
+    assert parts("a", "a", "own") == parts("a", "x")
+    [adapter] = parts("own", model="m:law")
+    assert parts("a", "own", model="m:law") == (adapter, *parts("a", "x"))
+    assert adapter != parts("own", model="m:tax")[0]
