Test answers that end with their connection

Plain answers and streams with neither a length nor chunks: complete when the connection is closed, never when it is reset or closed inside an event, directly and by way of another host, at real hosts and at the client that both interfaces use. A test of 400 new connections at one host as well.

--- a/tests/relay_zone.py
+++ b/tests/relay_zone.py
@@ -222,6 +222,13 @@
         engines = [name for name in self.servers() if name.startswith("engine")]
         self.control(**{name.replace("-", "_"): dict(switches) for name in engines})
 
+    def end_answers_with_connections(self, how: str) -> None:
+        """Let all servers answer without a length; see ``ServerSwitches.unframed``."""
+        switches = {
+            name.replace("-", "_"): {"unframed": how} for name in self.servers()
+        }
+        self.control(**switches)
+
     def server_that_runs(self, request_id: str, *, other_than: str = "") -> str | None:
         """Return a backend server that has started a request, or None."""
         for name, server in self.servers().items():
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -5,9 +5,11 @@
 import asyncio
 import itertools
 import json
+import socket
+import struct
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -46,6 +48,10 @@
     cut_after : int
         Number of the event in the middle of which the connection is aborted; 0 for
         none.
+    unframed : str
+        Send answers with neither a length nor chunks, which end with their connection:
+        ``"closed"`` (complete), ``"cut"`` (closed inside the body or an event) or
+        ``"reset"`` (reset there); empty for none.
     orders : str
         ``"taken"`` (orders are applied and answered), ``"unanswered"`` (applied without
         an answer) or ``"lost"`` (neither applied nor answered).
@@ -68,6 +74,7 @@
     lose_answers: bool = False
     wrong_id: bool = False
     cut_after: int = 0
+    unframed: str = ""
     orders: str = "taken"
     limit: str = ""
     pause: str = ""
@@ -284,7 +291,14 @@
         if not self.is_engine:
             body = await request.read()
             text = f"{request.method} {request.raw_path} {body.decode()}"
+            if self.switches.unframed:
+                return self._answer_unframed(request, headers, [text.encode()])
             return web.Response(headers=headers, text=text)
+        if self.switches.unframed:
+            headers["Content-Type"] = "text/event-stream"
+            first = int(request.headers.get("Last-Event-Id", "0")) + 1
+            numbers = range(first, self.switches.n_events + 1)
+            return self._answer_unframed(request, headers, map(_event, numbers))
         self.running.add(request.transport)
         try:
             return await self._stream(request, headers)
@@ -299,6 +313,23 @@
         self.set({"restart": True})
         return web.Response(status=500)
 
+    def _answer_unframed(
+        self, request: web.Request, headers: dict[str, str], pieces: Iterable[bytes]
+    ) -> web.StreamResponse:
+        """Answer with a body that ends with the connection."""
+        body = b"".join(pieces)
+        if self.switches.unframed != "closed":
+            body = body[:-4]
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {headers[name]}" for name in headers)]
+        head = "".join(f"{line}\r\n" for line in (*lines, "Connection: close", ""))
+        request.transport.write(head.encode() + body)
+        if self.switches.unframed == "reset":
+            linger = struct.pack("ii", 1, 0)
+            sock = request.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        request.transport.close()
+        return web.Response()
+
     def _notices(self, request_id: str) -> dict[str, str]:
         """Return the headers by which answers state a limit or the server's leaving."""
         headers = {}
@@ -319,7 +350,7 @@
         for number in range(first, self.switches.n_events + 1):
             while self.switches.still or 0 < self.switches.still_after < number:
                 await asyncio.sleep(0.01)
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = _event(number)
             if number == self.switches.cut_after:
                 await response.write(event[:8])
                 request.transport.abort()
@@ -384,6 +415,10 @@
     return b"" if entry is None else json.dumps(entry).encode()
 
 
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
 async def _is_poison(request: web.Request) -> bool:
     """Return whether a request crashes the server."""
     parts = request.headers.get("Prefix-Hash", "").split(",")
--- a/tests/test_system/test_partitioned_hosts.py
+++ b/tests/test_system/test_partitioned_hosts.py
@@ -157,3 +157,31 @@
         assert stream.result().text == events_of_stream(40)
     assert other.wait() == 0
     assert zone.n_runs()["long"] == 1
+
+
+def test_forwarded_answers_that_end_with_their_connection_are_complete(
+    zone: RelayZone, partition: Partition, callers: Callers
+) -> None:
+    """Guard against answers without a length that another host passes on."""
+    zone.end_answers_with_connections("closed")
+    partition.set(PartitionMode.SILENT)
+    callers.call_until(time.monotonic() + CONTACT_TIME)
+    host = zone.hosts_by_name["e1"]
+    assert host.chat(request_id="s1").text == events_of_stream(5)
+    posted = host.call("/once/1", request_id="u1", method="POST")
+    assert (posted.status_code, posted.text) == (200, "POST /once/1 a body")
+
+
+@pytest.mark.parametrize("how", ["cut", "reset"])
+def test_forwarded_answer_that_ends_early_never_looks_complete(
+    zone: RelayZone, partition: Partition, callers: Callers, how: str
+) -> None:
+    """Guard against a broken answer that another host ends in good order."""
+    partition.set(PartitionMode.SILENT)
+    callers.call_until(time.monotonic() + CONTACT_TIME)
+    zone.end_answers_with_connections(how)
+    host = zone.hosts_by_name["e1"]
+    with pytest.raises(httpx.RemoteProtocolError):
+        host.chat(request_id="s1")
+    if how == "reset":
+        assert host.call("/once/1", request_id="u1", method="POST").status_code == 502
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -22,6 +22,9 @@
 )
 from ..standins.group_server import DEADLY_PART
 
+#: Requests that are sent to one host at once, each over a new connection.
+N_CROWD = 400
+
 #: Seconds beyond which callers are told to return only if there is a verdict.
 LONG_RETRY = 100.0
 
@@ -303,3 +306,42 @@
     for host in (first, second):
         assert host.process.wait_for_event("part_cleared")["part"] == DEADLY_PART
     assert not is_refused(first)
+
+
+def test_answers_that_end_with_their_connection_are_complete(zone: RelayZone) -> None:
+    """Guard against answers without a length that are waited for, cut or refused."""
+    host = zone.start_host("e1")
+    zone.head_of(2)
+    zone.end_answers_with_connections("closed")
+    assert host.chat(request_id="s1").text == events_of_stream(5)
+    posted = host.call("/once/1", request_id="u1", method="POST")
+    assert (posted.status_code, posted.text) == (200, "POST /once/1 a body")
+    assert host.call("/look/1", request_id="i1").status_code == 200
+    assert zone.n_runs() == {"s1": 1, "u1": 1, "i1": 1}
+
+
+@pytest.mark.parametrize("how", ["cut", "reset"])
+def test_answer_that_ends_early_with_its_connection_never_looks_complete(
+    zone: RelayZone, how: str
+) -> None:
+    """Guard against a stream cut inside an event, or a reset, taken for an end."""
+    host = zone.start_host("e1")
+    zone.head_of(2)
+    zone.end_answers_with_connections(how)
+    with pytest.raises(httpx.RemoteProtocolError):
+        host.chat(request_id="s1")
+    if how == "reset":
+        assert host.call("/once/1", request_id="u1", method="POST").status_code == 502
+
+
+def test_host_reads_many_new_connections_at_once(zone: RelayZone) -> None:
+    """Guard against refused or unread requests where one host gets most connections."""
+    host = zone.start_host("e1")
+    numbers = range(N_CROWD)
+    with ThreadPoolExecutor(32) as threads:
+        answers = threads.map(
+            lambda number: host.call("/look/1", request_id=f"r{number}"), numbers
+        )
+        statuses = [answer.status_code for answer in answers]
+    assert statuses == [200] * N_CROWD
+    assert zone.n_runs() == {f"r{number}": 1 for number in numbers}
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import socket
+import struct
 import threading
 import time
 from collections.abc import Iterator
@@ -26,6 +27,7 @@
 
 NO_ANSWER = "silent"
 CLOSE = "close"
+RESET = "reset"
 
 
 def answer(body: str) -> bytes:
@@ -36,8 +38,9 @@
 class ScriptedServer:
     """A server that answers the requests of each connection according to a script.
 
-    A script is a list with one entry for each request: bytes to send, ``NO_ANSWER`` or
-    ``CLOSE``.
+    A script is a list with one entry for each request: bytes to send, ``NO_ANSWER``, or
+    ``CLOSE`` or ``RESET`` for the end of the connection.  ``(bytes, end)`` sends bytes
+    and ends the connection.
     """
 
     def __init__(self) -> None:
@@ -65,6 +68,12 @@
         with contextlib.suppress(ConnectionError):
             self._answer(sock, script)
 
+    def _end(self, sock: socket.socket, how: str) -> None:
+        if how == RESET:
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
     def _answer(self, sock: socket.socket, script: list[bytes | str]) -> None:
         for reply in script:
             data = b""
@@ -74,8 +83,12 @@
                     return
                 data += piece
             self.n_requests += 1
+            if isinstance(reply, tuple):
+                sock.sendall(reply[0])
+                self._end(sock, reply[1])
+                return
             if reply == CLOSE:
-                sock.close()
+                self._end(sock, CLOSE)
                 return
             if reply != NO_ANSWER:
                 sock.sendall(reply)
@@ -168,6 +181,9 @@
 
 OK = answer("ok")
 
+#: Answer with neither a length nor chunks, which ends with its connection.
+UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nall of it"
+
 # Scripts of the first connections, extra request fields, expected result.
 FAILURES = {
     "truncated": (
@@ -178,6 +194,8 @@
     "truncated and closed": ([[CLOSE]], {}, "broken sent"),
     "silent": ([[NO_ANSWER]], {"progress_timeout": SHORT_TIMEOUT}, "timeout sent"),
     "not HTTP": ([[b"220 mail ready\r\n\r\n"]], {}, "broken sent"),
+    "reset without a length": ([[(UNFRAMED, RESET)]], {}, "broken sent"),
+    "closed inside the head": ([[(UNFRAMED[:9], CLOSE)]], {}, "broken sent"),
     "too long": ([[answer("x" * 100)]], {"max_body": 10}, "broken sent"),
     "late": ([[OK]], {"latest_start": 0.0}, "timeout unsent"),
     "unwritable header": (
@@ -203,6 +221,16 @@
     assert not harness.client.describe()
 
 
+def test_answer_without_a_length_ends_with_its_connection(
+    server: ScriptedServer, harness: ClientHarness
+) -> None:
+    """Guard against an answer without a length that counts as broken off, or is cut."""
+    server.scripts = [[(UNFRAMED, CLOSE)], [OK]]
+    assert harness.fetch(server.address) == "all of it"
+    assert harness.fetch(server.address) == "ok"
+    assert harness.failures == []
+
+
 @pytest.mark.parametrize("address", ["127.0.0.1:1", "nonsense", "127.0.0.1:99999"])
 def test_unreachable_address(harness: ClientHarness, address: str) -> None:
     """Report a failure if the hosts list contains a wrong address.
