Share rate limits by where callers are when one host gets most of them

Where the platform hands most new connections to one host for some seconds, that host had the same share of each server's rate limit as hosts without callers.

Heartbeats tell how many requests a second arrive. Hosts, and zones, with less than a sixth of the highest rate share a part of each limit that is as large as theirs of the requests; the others share the rest as before. Rates below 4 a second, similar ones and hosts of the release before, which tell none, leave the shares as they are.

--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -102,6 +102,8 @@
     urgent_demand_by_model : dict of str to float
         Part of ``demand_by_model`` whose routes have the service's most urgent
         priority.
+    arrival_rate : float
+        Requests a second that arrive at the host; 0 if unknown.
     waiting : tuple of WaitingRow
         Requests of contended services that wait for a slot at the host.
     still : tuple of str
@@ -159,6 +161,7 @@
     in_flight_by_server: dict[str, int] = msgspec.field(default_factory=dict)
     demand_by_model: dict[str, float] = msgspec.field(default_factory=dict)
     urgent_demand_by_model: dict[str, float] = msgspec.field(default_factory=dict)
+    arrival_rate: float = 0.0
     waiting: tuple[WaitingRow, ...] = ()
     still: tuple[str, ...] = ()
     plans: tuple[str, ...] = ()
--- a/ryelever/coordination/relaying/demand.py
+++ b/ryelever/coordination/relaying/demand.py
@@ -52,8 +52,8 @@
     return profile.pace * (n_prompt / engine.prefill_rate + decode_time)
 
 
-class _Average:
-    """An exponential average of the work that arrives for one model."""
+class ExponentialAverage:
+    """An exponential average of a rate, such as of a model's arriving work."""
 
     __slots__ = ("_at", "_rate", "_since", "_time")
 
@@ -63,7 +63,7 @@
         self._rate = 0.0
 
     def add(self, seconds: float, *, now: float) -> None:
-        """Record work that keeps a group busy for some seconds."""
+        """Record work that keeps a group busy for some seconds, or an amount."""
         self._decay(now=now)
         self._rate += seconds / self._time
 
@@ -86,9 +86,9 @@
     """Average the demand for each model, as the number of groups it keeps busy."""
 
     def __init__(self) -> None:
-        self._average_by_model: dict[str, _Average] = {}
-        self._short_by_model: dict[str, _Average] = {}
-        self._urgent_by_model: dict[str, _Average] = {}
+        self._average_by_model: dict[str, ExponentialAverage] = {}
+        self._short_by_model: dict[str, ExponentialAverage] = {}
+        self._urgent_by_model: dict[str, ExponentialAverage] = {}
         self._lengths_by_model: dict[str, RunningMean] = {}
 
     def arrived(
@@ -110,7 +110,7 @@
             True if the request has the most urgent of several priorities.
         """
         if model not in self._average_by_model:
-            self._average_by_model[model] = _Average(
+            self._average_by_model[model] = ExponentialAverage(
                 averaging_time=AVERAGING_TIME, now=now
             )
         self._average_by_model[model].add(seconds, now=now)
@@ -124,7 +124,9 @@
             (self._urgent_by_model, seconds if urgent else 0.0),
         ):
             if model not in averages:
-                averages[model] = _Average(averaging_time=SHORT_AVERAGING_TIME, now=now)
+                averages[model] = ExponentialAverage(
+                    averaging_time=SHORT_AVERAGING_TIME, now=now
+                )
             averages[model].add(part, now=now)
 
     def served(self, model: str, n_events: int) -> None:
--- a/ryelever/coordination/relaying/limit_shares.py
+++ b/ryelever/coordination/relaying/limit_shares.py
@@ -5,6 +5,8 @@
 import zlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -16,6 +18,11 @@
 #: request.
 BURST_TIME = 0.5
 
+#: Factor by which a host or zone gets more requests than another one so that they get
+#: different parts of a limit, and the requests a second that it gets at least.
+CROWDED_FACTOR = 6.0
+MIN_CROWD = 4.0
+
 #: Rounding error of summed times, as a fraction of a token.
 ROUNDING = 1e-6
 
@@ -84,6 +91,8 @@
 
     __slots__ = (
         "_include_idle",
+        "_arrival_rate_by_host",
+        "_arrival_rate_by_zone",
         "_hosts",
         "_requesting_hosts",
         "_requesting_zones",
@@ -98,16 +107,41 @@
         self.zone = zone
         self._zones = {zone}
         self._hosts = {host}
+        self._arrival_rate_by_zone: dict[str, float] = {}
+        self._arrival_rate_by_host: dict[str, float] = {}
         self._requesting_zones: set[str] = set()
         self._requesting_hosts: set[str] = set()
 
-    def add_local(self, *, has_demand: bool) -> None:
-        """Add this host."""
+    def add_local(self, *, has_demand: bool, arrival_rate: float = 0.0) -> None:
+        """Add this host.
+
+        Parameters
+        ----------
+        arrival_rate : float
+            Requests a second that arrive at this host; 0 if unknown.
+        """
+        self._arrival_rate_by_zone[self.zone] = (
+            self._arrival_rate_by_zone.get(self.zone, 0.0) + arrival_rate
+        )
+        self._arrival_rate_by_host[self.host] = arrival_rate
         self._add(self.host, self.zone, has_demand=has_demand)
 
     def add(self, heartbeat: HostHeartbeat, *, has_demand: bool) -> None:
         """Add another host of this zone, or the representative of another zone."""
-        self._add(heartbeat.host, heartbeat.availability_zone, has_demand=has_demand)
+        zone = heartbeat.availability_zone
+        self._arrival_rate_by_zone[zone] = (
+            self._arrival_rate_by_zone.get(zone, 0.0) + heartbeat.arrival_rate
+        )
+        self._arrival_rate_by_host[heartbeat.host] = heartbeat.arrival_rate
+        self._add(heartbeat.host, zone, has_demand=has_demand)
+
+    def zone_parts(self) -> list[Part]:
+        """Return the parts of a limit that zones share equally."""
+        return _parts(self.zones, self._arrival_rate_by_zone)
+
+    def host_parts(self) -> list[Part]:
+        """Return the parts of this zone's share that its hosts share equally."""
+        return _parts(self.hosts, self._arrival_rate_by_host)
 
     @property
     def zones(self) -> set[str]:
@@ -149,16 +183,52 @@
         The server's availability zone, whose hosts are preferred because they are
         closer.
     """
-    zones = _ranked(requesting_hosts.zones, server_id, first=home_zone)
-    n_zones = _n_sharing(rate, zones)
-    if requesting_hosts.zone not in zones[:n_zones]:
-        return 0.0
-    rate_of_zone = rate / n_zones
-    hosts = _ranked(requesting_hosts.hosts, server_id)
-    n_hosts = _n_sharing(rate_of_zone, hosts)
-    if requesting_hosts.host not in hosts[:n_hosts]:
+    hosts = requesting_hosts
+    rate_of_zone = _part_of(
+        server_id, rate, hosts.zone, hosts.zone_parts(), first=home_zone
+    )
+    return _part_of(server_id, rate_of_zone, hosts.host, hosts.host_parts())
+
+
+class Part(msgspec.Struct, kw_only=True, frozen=True):
+    """Zones or hosts with similar arrival rates, and their part of a limit."""
+
+    names: frozenset[str]
+    ratio: float
+
+
+def _parts(names: set[str], arrival_rate_by_name: dict[str, float]) -> list[Part]:
+    """Divide names into those that get most requests and those that get few.
+
+    Callers may gather at one host for seconds. Equal shares would then go mostly to
+    hosts without callers. Hosts of the release before don't report their rates, and
+    count as equal to the others.
+    """
+    rates = {name: arrival_rate_by_name.get(name, 0.0) for name in names}
+    highest = max(rates.values())
+    few = {
+        name for name, rate in rates.items() if 0.0 < rate < highest / CROWDED_FACTOR
+    }
+    if highest < MIN_CROWD or not few or 0.0 in rates.values():
+        return [Part(names=frozenset(names), ratio=1.0)]
+    ratio = sum(rates[name] for name in few) / sum(rates.values())
+    return [
+        Part(names=frozenset(names - few), ratio=1.0 - ratio),
+        Part(names=frozenset(few), ratio=ratio),
+    ]
+
+
+def _part_of(
+    server_id: str, rate: float, name: str, parts: list[Part], *, first: str = ""
+) -> float:
+    """Return one name's share of a rate."""
+    [part] = [part for part in parts if name in part.names] or [None]
+    if part is None or not rate:
         return 0.0
-    return rate_of_zone / n_hosts
+    rate_of_part = rate * part.ratio
+    ranked = _ranked(part.names, server_id, first=first)
+    n_sharing = _n_sharing(rate_of_part, ranked)
+    return rate_of_part / n_sharing if name in ranked[:n_sharing] else 0.0
 
 
 def _n_sharing(rate: float, names: list[str]) -> int:
--- a/ryelever/coordination/relaying/rate_limits.py
+++ b/ryelever/coordination/relaying/rate_limits.py
@@ -224,7 +224,13 @@
     # This host's share
 
     def update_shares(
-        self, *, host: str, zone: str, heartbeats: list[HostHeartbeat], now: float
+        self,
+        *,
+        host: str,
+        zone: str,
+        heartbeats: list[HostHeartbeat],
+        arrival_rate: float = 0.0,
+        now: float,
     ) -> None:
         """Set this host's share of each limit.
 
@@ -234,6 +240,8 @@
             This host and its availability zone.
         heartbeats : list of HostHeartbeat
             The newest heartbeats of the hosts that are alive.
+        arrival_rate : float
+            Requests a second that arrive at this host; 0 if unknown.
         """
         self._drop_expired(now=now)
         for server_id in self._directory.cold_until_by_id:
@@ -249,7 +257,9 @@
             requesting_hosts = RequestingHosts(
                 host=host, zone=zone, include_idle=is_cold
             )
-            requesting_hosts.add_local(has_demand=limit.has_demand(now=now))
+            requesting_hosts.add_local(
+                has_demand=limit.has_demand(now=now), arrival_rate=arrival_rate
+            )
             for heartbeat in heartbeats:
                 requesting_hosts.add(
                     heartbeat, has_demand=server_id in heartbeat.wanted_servers
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -14,6 +14,7 @@
 from .answer_notices import AnswerNotices
 from .contended_requests import ContendedRequests
 from .contention import Contention
+from .demand import ExponentialAverage
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
@@ -48,6 +49,9 @@
 #: Maximum length of an answer that is not streamed, in bytes.
 MAX_ANSWER = 8 << 20
 
+#: Seconds over which the rate of arriving requests is averaged.
+ARRIVALS_TIME = 2.0
+
 #: Seconds that must be left before a request's timeout for another attempt to be
 #: worthwhile.
 MIN_RETRY_TIME = 0.15
@@ -150,8 +154,13 @@
             refusals=server_refusals,
             dispatch=self._dispatch,
         )
+        self._arrivals = ExponentialAverage(averaging_time=ARRIVALS_TIME, now=since)
         self.refuses_new = False
 
+    def arrival_rate(self, *, now: float) -> float:
+        """Return how many requests a second arrive at this host."""
+        return self._arrivals.value(now=now)
+
     @property
     def has_waiting(self) -> bool:
         """Return whether requests wait for a free slot or the first configuration."""
@@ -166,6 +175,7 @@
     def arrive(self, number: int, arrival: RelayArrival) -> None:
         """Handle a caller's request."""
         now = arrival.arrived_at
+        self._arrivals.add(1.0, now=now)
         if self.refuses_new:
             self._refuse_on_arrival(number, arrival, 503, "stopping")
             return
--- a/ryelever/coordination/zone_summary.py
+++ b/ryelever/coordination/zone_summary.py
@@ -52,6 +52,7 @@
         in_flight_by_server=dict(in_flight),
         demand_by_model=dict(demand),
         urgent_demand_by_model=dict(urgent_demand),
+        arrival_rate=sum(heartbeat.arrival_rate for heartbeat in heartbeats),
         waiting=sum_waiting(
             row for heartbeat in heartbeats for row in heartbeat.waiting
         ),
--- a/ryelever/host_exchange.py
+++ b/ryelever/host_exchange.py
@@ -66,6 +66,8 @@
         Return the requests of contended services that wait at this host.
     urgent_demand : callable
         Return the urgent part of this host's demand by model, at a monotonic time.
+    arrival_rate : callable
+        Return the requests a second that arrive at this host, at a monotonic time.
     """
 
     channel = "exchange"
@@ -82,6 +84,7 @@
         on_heartbeat: Callable[[HostHeartbeat], None],
         waiting_rows: Callable[[], tuple[WaitingRow, ...]] = tuple,
         urgent_demand: Callable[..., dict[str, float]] = lambda *, now: {},
+        arrival_rate: Callable[..., float] = lambda *, now: 0.0,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -93,6 +96,7 @@
         self._on_peer_heartbeat = on_heartbeat
         self._waiting_rows = waiting_rows
         self._urgent_demand = urgent_demand
+        self._arrival_rate = arrival_rate
         self._boot = int.from_bytes(os.urandom(7), "big")
         self._sequence = 0
         self._n_broadcasts = 0
@@ -181,6 +185,7 @@
             host=self._settings.host,
             zone=self._settings.availability_zone,
             heartbeats=self._heartbeats.live_heartbeats(now=now),
+            arrival_rate=self._arrival_rate(now=now),
             now=now,
         )
 
@@ -207,6 +212,7 @@
             },
             waiting=waiting,
             urgent_demand_by_model=self._urgent_demand(now=now),
+            arrival_rate=self._arrival_rate(now=now),
         )
 
     def _send_zone_heartbeat(self, local: HostHeartbeat, *, now: float) -> None:
--- a/ryelever/protocol/host_messages.py
+++ b/ryelever/protocol/host_messages.py
@@ -189,7 +189,9 @@
     to full servers.
     """
     message = _schema.HostHeartbeat.new_message(
-        sequence=heartbeat.sequence, state=_encode_state(heartbeat)
+        sequence=heartbeat.sequence,
+        state=_encode_state(heartbeat),
+        arrivalRate=heartbeat.arrival_rate,
     )
     loads = list(heartbeat.in_flight_by_server.items())[:MAX_LISTED_SERVERS]
     message.loadedServers = [server for server, _ in loads]
@@ -477,12 +479,18 @@
         ),
         demand_by_model={item.model: item.groups for item in message.demands},
         urgent_demand_by_model=_decode_urgent(message.demands),
+        arrival_rate=_finite(message.arrivalRate),
         waiting=_decode_waiting(message.waiting),
         rate_limits=tuple(_decode_limit(row) for row in message.rateLimits),
         wanted_servers=tuple(message.wantedServers),
     )
 
 
+def _finite(rate: float) -> float:
+    """Return a rate, or 0 if it isn't a finite number above 0."""
+    return rate if 0.0 < rate < inf else 0.0
+
+
 def _decode_urgent(
     demands: capnp.lib.capnp._DynamicListReader,
 ) -> dict[str, float]:
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -236,6 +236,7 @@
             on_heartbeat=self._on_peer_heartbeat,
             waiting_rows=self.relay.requests.waiting_rows,
             urgent_demand=self.relay.demand.urgent_by_model,
+            arrival_rate=self.relay.requests.arrival_rate,
         )
         self.shutdown = RelayShutdown(
             settings=settings,
--- a/ryelever/schema/host_words.capnp
+++ b/ryelever/schema/host_words.capnp
@@ -23,6 +23,8 @@
   # Requests of contended services that wait for a slot at the sender, the largest counts
   # first.
   waiting @7 :List(WaitingWork);
+  # Requests a second that arrive at the sender.
+  arrivalRate @8 :Float32;
 }
 
 # Part of a heartbeat that rarely changes.
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -189,6 +189,7 @@
             describe=self._describe,
             on_heartbeat=lambda heartbeat: None,
             waiting_rows=self.requests.waiting_rows,
+            arrival_rate=self.requests.arrival_rate,
         )
         self.exchange.fire = self._fired
 
--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -67,6 +67,7 @@
         "a",
         in_flight_by_server={"i1": 3},
         demand_by_model={"m": 0.5},
+        arrival_rate=2.5,
         still=("i1",),
         plans=("z",),
         reshapes=("z",),
--- a/tests/test_coordination/test_relaying/test_server_rate_limits.py
+++ b/tests/test_coordination/test_relaying/test_server_rate_limits.py
@@ -308,3 +308,28 @@
     assert limits.rate("i1", now=6.0) == 17.0
     # The server's entry may be read late.
     assert limits.rate("i1", now=8.0 + 2 * COLD_GRACE) == 40.0
+
+
+def test_crowded_host_gets_its_part_of_a_limit() -> None:
+    """Guard against equal shares at hosts that callers have left for another one."""
+
+    def shares(rate_by_host: dict[str, float]) -> dict[str, float]:
+        found = {}
+        for host in rate_by_host:
+            hosts = RequestingHosts(host=host, zone="z")
+            hosts.add_local(has_demand=True, arrival_rate=rate_by_host[host])
+            for other, rate in rate_by_host.items():
+                if other != host:
+                    heartbeat = replace(_heartbeat(other, "z"), arrival_rate=rate)
+                    hosts.add(heartbeat, has_demand=True)
+            found[host] = share_of("i1", 20.0, home_zone="z", requesting_hosts=hosts)
+        return found
+
+    crowded = shares({"a": 46.0, "b": 2.0, "c": 2.0})
+    assert crowded["a"] == pytest.approx(18.4)
+    assert sum(crowded.values()) == pytest.approx(20.0)
+    equal = dict.fromkeys("abc", 20.0 / 3)
+    # Similar or unknown rates, and few requests, leave the shares as they are.
+    assert shares({"a": 10.0, "b": 2.0, "c": 6.0}) == pytest.approx(equal)
+    assert shares({"a": 46.0, "b": 2.0, "c": 0.0}) == pytest.approx(equal)
+    assert shares({"a": 3.0, "b": 0.1, "c": 0.1}) == pytest.approx(equal)
