Let another request test a suspected part when the first has no result

While a part was only the likeliest cause of crashes, each host let one request with it through, and all others waited. Where that request ended without a result, refused by a full server or left by its caller, nothing could clear a sound part at that host. Found by reading. The next one is let through after two seconds, each further one after twice as long; the test admitted one in all before.

--- a/ryelever/coordination/quarantine/crash_evidence.py
+++ b/ryelever/coordination/quarantine/crash_evidence.py
@@ -42,6 +42,10 @@
 #: Seconds between the turns of two hosts to run one request with a suspected part.
 TURN_INTERVAL = 1.0
 
+#: Half of the seconds that the first such request has to complete before the next one
+#: is let through; each further one gets twice as long.
+TEST_TIME = 1.0
+
 #: Seconds without a crash after which one request with a quarantined part runs as a
 #: trial at each host.  A verdict on a part refuses requests that might complete, and
 #: nothing else would show that it is wrong.
@@ -352,6 +356,8 @@
         self._reported.discard(suspect.name)
         suspect.has_completed = True
         suspect.trial = ""
+        suspect.n_tests = 0
+        suspect.tested_until = NEVER
         suspect.changed_at = now
         self._reports.part_cleared(suspect.id, peer=peer)
 
@@ -391,8 +397,12 @@
         If all requests with the part waited, none could complete.
         """
         turn = _suspected_since(suspect) + self._turn(now=now) * TURN_INTERVAL
-        if not suspect.trial and now >= turn:
+        if now >= max(turn, suspect.tested_until) and suspect.trial != fingerprint:
             suspect.trial = fingerprint
+            suspect.n_tests += 1
+            # A test may end without a result, and each that crashes a server is one
+            # more crash.
+            suspect.tested_until = now + TEST_TIME * 2**suspect.n_tests
         return suspect.trial == fingerprint
 
     def _is_trial(self, suspect: Suspect, fingerprint: str, *, now: float) -> bool:
--- a/ryelever/coordination/quarantine/crash_facts.py
+++ b/ryelever/coordination/quarantine/crash_facts.py
@@ -86,6 +86,10 @@
     trial : str
         Fingerprint of the request that runs although the part may be the cause; empty
         if there is none.
+    n_tests : int
+        Number of requests that were let through before a verdict.
+    tested_until : float
+        Monotonic time from which another one may be let through.
     tried_for : float
         Time of the newest crash when the next trial was scheduled.
     trial_at : float
@@ -99,6 +103,8 @@
     has_completed: bool = False
     changed_at: float = NEVER
     trial: str = ""
+    n_tests: int = 0
+    tested_until: float = NEVER
     tried_for: float = NEVER
     trial_at: float = NEVER
 
--- a/tests/test_coordination/test_quarantine/test_part_evidence.py
+++ b/tests/test_coordination/test_quarantine/test_part_evidence.py
@@ -174,6 +174,23 @@
     assert not _is_refused(evidence, "f", now=1.0 + SETTLED)
 
 
+def test_test_without_a_result_is_followed_by_another_one() -> None:
+    """Guard against a sound part that waits on since its only test was broken off."""
+    evidence = CrashEvidence(peers_reported_since=lambda at, *, now: False, seed=1)
+    for index in range(3):
+        _crash(evidence, f"i{index}", "f", now=1.0)
+    now, admitted_at = 1.0, []
+    for step in range(200):
+        now += 0.1
+        if not evidence.awaits_verdict(f"a/{step}", parts=("f",), now=now):
+            admitted_at.append(now)
+    pauses = [
+        later - earlier
+        for earlier, later in zip(admitted_at, admitted_at[1:], strict=False)
+    ]
+    assert pauses == pytest.approx([2.0, 4.0, 8.0], abs=0.15)
+
+
 def test_verdict_on_a_part_waits_until_all_hosts_have_reported() -> None:
     """Guard against refusing a part that has completed at a host that reports late."""
     reported_at = 0.0
