--- a/tests/test_system/test_faults.py
+++ b/tests/test_system/test_faults.py
@@ -61,7 +61,14 @@
     fleet.start_world(n_groups=2)
 
     def kill_member() -> None:
-        fleet.processes_by_name[_busy_group(fleet)[2]].kill()
+        # The streams would end on a busy machine between the choice and the kill.
+        _hold_generation(fleet, held=True)
+        leader, _, member, *_ = _busy_group(fleet)
+        n_running.append(fleet.counts(leader)["n_running"])
+        fleet.processes_by_name[member].kill()
+        _hold_generation(fleet, held=False)
+
+    n_running: list[int] = []
 
     answers = asyncio.run(
         Caller(fleet).stream_all(
@@ -76,6 +83,7 @@
         len(entry.process.events("attempt_failed"))
         for entry in fleet.entries_by_name.values()
     )
+    assert n_running[0] > 0
     assert n_retries > 0, "no stream was open on the group whose member was killed"
 
 
