--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -64,7 +64,7 @@
         )
 
     def awaits_verdict(self, request: RelayRequest, *, now: float) -> bool:
-        """Return whether a request must wait until the other hosts have reported."""
+        """Return whether a request must wait until there is a verdict on it."""
         if self._evidence.is_empty:
             return False
         return self._evidence.awaits_verdict(
--- a/ryelever/coordination/relaying/limit_shares.py
+++ b/ryelever/coordination/relaying/limit_shares.py
@@ -135,13 +135,13 @@
         self._arrival_rate_by_host[heartbeat.host] = heartbeat.arrival_rate
         self._add(heartbeat.host, zone, has_demand=has_demand)
 
-    def zone_parts(self) -> list[Part]:
-        """Return the parts of a limit that zones share equally."""
-        return _parts(self.zones, self._arrival_rate_by_zone)
+    def zone_portions(self) -> list[_Portion]:
+        """Return the portions of a limit that zones share equally."""
+        return _portions(self.zones, self._arrival_rate_by_zone)
 
-    def host_parts(self) -> list[Part]:
-        """Return the parts of this zone's share that its hosts share equally."""
-        return _parts(self.hosts, self._arrival_rate_by_host)
+    def host_portions(self) -> list[_Portion]:
+        """Return the portions of this zone's share that its hosts share equally."""
+        return _portions(self.hosts, self._arrival_rate_by_host)
 
     @property
     def zones(self) -> set[str]:
@@ -184,20 +184,22 @@
         closer.
     """
     hosts = requesting_hosts
-    rate_of_zone = _part_of(
-        server_id, rate, hosts.zone, hosts.zone_parts(), first=home_zone
+    rate_of_zone = _portion_of(
+        server_id, rate, hosts.zone, hosts.zone_portions(), first=home_zone
     )
-    return _part_of(server_id, rate_of_zone, hosts.host, hosts.host_parts())
+    return _portion_of(server_id, rate_of_zone, hosts.host, hosts.host_portions())
 
 
-class Part(msgspec.Struct, kw_only=True, frozen=True):
-    """Zones or hosts with similar arrival rates, and their part of a limit."""
+class _Portion(msgspec.Struct, kw_only=True, frozen=True):
+    """Zones or hosts with similar arrival rates, and their portion of a limit."""
 
     names: frozenset[str]
     ratio: float
 
 
-def _parts(names: set[str], arrival_rate_by_name: dict[str, float]) -> list[Part]:
+def _portions(
+    names: set[str], arrival_rate_by_name: dict[str, float]
+) -> list[_Portion]:
     """Divide names into those that get most requests and those that get few.
 
     Callers may gather at one host for seconds. Equal shares would then go mostly to
@@ -210,25 +212,25 @@
         name for name, rate in rates.items() if 0.0 < rate < highest / CROWDED_FACTOR
     }
     if highest < MIN_CROWD or not few or 0.0 in rates.values():
-        return [Part(names=frozenset(names), ratio=1.0)]
+        return [_Portion(names=frozenset(names), ratio=1.0)]
     ratio = sum(rates[name] for name in few) / sum(rates.values())
     return [
-        Part(names=frozenset(names - few), ratio=1.0 - ratio),
-        Part(names=frozenset(few), ratio=ratio),
+        _Portion(names=frozenset(names - few), ratio=1.0 - ratio),
+        _Portion(names=frozenset(few), ratio=ratio),
     ]
 
 
-def _part_of(
-    server_id: str, rate: float, name: str, parts: list[Part], *, first: str = ""
+def _portion_of(
+    server_id: str, rate: float, name: str, portions: list[_Portion], *, first: str = ""
 ) -> float:
     """Return one name's share of a rate."""
-    [part] = [part for part in parts if name in part.names] or [None]
-    if part is None or not rate:
+    portion = next((item for item in portions if name in item.names), None)
+    if portion is None or not rate:
         return 0.0
-    rate_of_part = rate * part.ratio
-    ranked = _ranked(part.names, server_id, first=first)
-    n_sharing = _n_sharing(rate_of_part, ranked)
-    return rate_of_part / n_sharing if name in ranked[:n_sharing] else 0.0
+    rate_of_portion = rate * portion.ratio
+    ranked = _ranked(portion.names, server_id, first=first)
+    n_sharing = _n_sharing(rate_of_portion, ranked)
+    return rate_of_portion / n_sharing if name in ranked[:n_sharing] else 0.0
 
 
 def _n_sharing(rate: float, names: list[str]) -> int:
--- a/ryelever/coordination/relaying/server_refusals.py
+++ b/ryelever/coordination/relaying/server_refusals.py
@@ -63,7 +63,7 @@
         return True
 
     def awaits_verdict(self, request: RelayRequest, *, now: float) -> bool:
-        """Return whether a request must not be sent until other hosts have reported."""
+        """Return whether a request must not be sent until there is a verdict on it."""
         return self._crashes.awaits_verdict(request, now=now)
 
     def refuse_or_hold(self, request: RelayRequest, *, now: float) -> bool:
