Log why requests are not sent again, and which connections of callers a host closes

The lines of the incident of silent servers told neither whether attempts, the retry budget, the time or a verdict ended a request, nor that this host closed a caller's connection.

--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -178,6 +178,22 @@
             **crash_fields,
         )
 
+    def not_retried(self, request: RelayRequest, obstacle: str, *, now: float) -> None:
+        """Log why a request is not sent again, and the seconds left until it ends.
+
+        Parameters
+        ----------
+        obstacle : str
+            ``may_have_run``, ``attempts``, ``time``, ``quarantined`` or ``budget``.
+        """
+        self._log(
+            "not_retried",
+            request=request.arrival.request_id,
+            reason=obstacle,
+            n_sent=request.n_sent,
+            left=round(request.times_out_at - now, 3),
+        )
+
     def quarantined(self, request: RelayRequest, reason: Quarantined) -> None:
         """Log that a request is quarantined and therefore not sent, or withdrawn."""
         self._log(
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -505,18 +505,26 @@
         queue.add(request, now=now)
 
     def _may_retry(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request may be sent again; otherwise log why not."""
+        obstacle = self._retry_obstacle(request, now=now)
+        if obstacle:
+            self._reports.not_retried(request, obstacle, now=now)
+        return not obstacle
+
+    def _retry_obstacle(self, request: RelayRequest, *, now: float) -> str:
+        """Return why a request must not be sent again; reserve a retry if it may be."""
         if request.may_have_run and not request.route.repeatable:
-            return False
+            return "may_have_run"
         if request.n_sent >= request.route.max_attempts:
-            return False
+            return "attempts"
         if request.times_out_at - now < MIN_RETRY_TIME:
-            return False
+            return "time"
         if self._crashes.verdict(request, now=now) is not None:
-            return False
+            return "quarantined"
         if request.n_sent and not request.has_reserved_retry:
             request.has_reserved_retry = self._budget.reserve(request.service, now=now)
-            return request.has_reserved_retry
-        return True
+            return "" if request.has_reserved_retry else "budget"
+        return ""
 
     def _leave_stalled(self, server_id: str, *, now: float) -> None:
         """Move the streams of a stalled group to other groups."""
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -76,6 +76,7 @@
     "kind": "kind of a record or an order",
     "late": "cause of a request's delay beyond its objectives; empty for none",
     "last_event": "id of the last event that the caller received",
+    "left": "seconds until the request times out",
     "may_be_in_log": "whether the log may have carried out the append nevertheless",
     "may_have_run": "whether a backend server may have run the request",
     "members": "ids of a group's members, the head first",
@@ -228,6 +229,18 @@
         "last_event",
         "fingerprint",
     ),
+    "not_retried": _info(
+        "a request is not sent again, with the reason and the seconds it had left",
+        "request",
+        "reason",
+        "n_sent",
+        "left",
+    ),
+    "caller_closed": _info(
+        "this host closes a caller's connection before the answer is complete",
+        "peer",
+        "reason",
+    ),
     "caller_left": _info(
         "a caller closed its connection", "request", "phase", "server"
     ),
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -22,6 +22,7 @@
     relayed_caller_disconnected,
     relayed_request,
 )
+from ..logs import log_event
 from .caller_server import CallerServer
 from .request_heads import find_head_fault
 
@@ -192,7 +193,7 @@
             limits = self._limits()
             if connection.n_pipelined_bytes > limits.max_head + limits.max_body:
                 # Pipelined bytes stay in memory until the answer is sent.
-                self._close(sock)
+                self._close_unanswered(connection, "pipelined")
                 return
         elif connection.request_started_at is None:
             connection.request_started_at = now
@@ -287,7 +288,7 @@
         http = connection.http
         if connection.number or http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             # An answer is being sent; the caller would parse a refusal as part of it.
-            self._close(connection.sock)
+            self._close_unanswered(connection, "bad_request")
             return
         with contextlib.suppress(h11.LocalProtocolError):
             headers = [("Content-Length", "0"), ("Connection", "close")]
@@ -295,6 +296,11 @@
             self._send(connection, data + http.send(h11.EndOfMessage()))
         self._close_gracefully(connection)
 
+    def _close_unanswered(self, connection: _Connection, reason: str) -> None:
+        """Close a connection whose answer is not complete, and log why."""
+        log_event("caller_closed", peer=connection.sender, reason=reason)
+        self._close(connection.sock)
+
     def _close_gracefully(self, connection: _Connection) -> None:
         """Close after the caller has had ``LINGER`` seconds to read the answer.
 
@@ -376,7 +382,7 @@
 
     def _send(self, connection: _Connection, data: bytes) -> None:
         if self.send_now(connection.sock, data) > MAX_UNREAD:
-            self._close(connection.sock)
+            self._close_unanswered(connection, "unread")
 
     @handler("_write", priority=0)
     def _on_written(self, sock: socket.socket) -> None:
