Test streams whose servers are silent for a second, which fails

A stream's server sends nothing for 1.5 s and goes on; a second attempt is refused, doesn't connect, is reset or is as silent, with one retry left in the budget and with many. Fails in all eight cases: the first attempt is cancelled before another one has begun, so that what the first server sends later is dropped.

--- /dev/null
+++ b/tests/test_coordination/test_relaying/test_silent_servers.py
@@ -0,0 +1,91 @@
+"""Test what becomes of requests while sound backend servers send nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ryelever.coordination.relaying import RelayAttempt
+from ryelever.coordination.relaying.stall_watch import STREAM_SILENCE
+from ryelever.state.routes import RouteKind
+
+from .relay_fakes import Relaying, head
+
+STREAM = RouteKind.STREAM
+
+#: Seconds between two ticks.
+TICK = 0.05
+
+#: Seconds for which a sound server may be silent.
+PAUSE = 1.5
+
+
+def _tick_until(relaying: Relaying, start: float, end: float) -> None:
+    for index in range(int((end - start) / TICK) + 1):
+        relaying.requests.tick(now=start + index * TICK)
+
+
+def _begin_stream(relaying: Relaying, *, number: int = 1) -> RelayAttempt:
+    """Return the attempt of a stream with one event, sent at 0.2 s."""
+    relaying.arrive(STREAM, number=number)
+    attempt = relaying.sent[-1]
+    relaying.requests.answer_head(attempt.id, head(f"r{number}"), now=0.1)
+    relaying.events(attempt, 1, now=0.2)
+    return attempt
+
+
+def _continue(relaying: Relaying, attempt: RelayAttempt, *, now: float) -> None:
+    relaying.events(attempt, 2, 3, now=now)
+    relaying.requests.answer_end(attempt.id, cut=False, now=now)
+
+
+def _refuse(relaying: Relaying, attempt: RelayAttempt, *, now: float) -> None:
+    refusal = head(f"r{attempt.request_number}", status=503, not_run=True)
+    relaying.requests.answer_head(attempt.id, refusal, now=now)
+
+
+def _unreached(relaying: Relaying, attempt: RelayAttempt, *, now: float) -> None:
+    relaying.requests.attempt_failed(attempt.id, "silent", sent=False, now=now)
+
+
+def _reset(relaying: Relaying, attempt: RelayAttempt, *, now: float) -> None:
+    relaying.requests.attempt_failed(attempt.id, "reset", sent=True, now=now)
+
+
+def _silent(relaying: Relaying, attempt: RelayAttempt, *, now: float) -> None:
+    """Let the second server be as silent as the first."""
+
+
+def _is_complete_after_pause(outcome: Callable[..., None], *, slack: float) -> bool:
+    """Return whether a stream completes whose server is silent for ``PAUSE`` seconds.
+
+    Parameters
+    ----------
+    outcome : callable
+        What becomes of each further attempt.
+    slack : float
+        Retries that are allowed beyond a fifth of the requests.
+    """
+    relaying = Relaying(slack=slack)
+    first = _begin_stream(relaying)
+    moved_at = 0.4 + STREAM_SILENCE
+    _tick_until(relaying, 0.2, moved_at)
+    for _ in range(3):
+        for attempt in relaying.sent[1:]:
+            outcome(relaying, attempt, now=moved_at + TICK)
+    _tick_until(relaying, moved_at + TICK, 0.2 + PAUSE)
+    _continue(relaying, first, now=0.2 + PAUSE)
+    return relaying.delivered() == b"id: 1\n\nid: 2\n\nid: 3\n\n" and (
+        relaying.out[-1] == ("finish", 1)
+    )
+
+
+def test_streams_go_on_at_their_server_after_a_pause() -> None:
+    """Guard against streams broken off since other servers fail during a pause."""
+    outcomes = (_refuse, _unreached, _reset, _silent)
+    broken_off = [
+        (outcome.__name__, slack)
+        for outcome in outcomes
+        for slack in (1.0, 100.0)
+        if not _is_complete_after_pause(outcome, slack=slack)
+    ]
+    assert broken_off == []
