Hold silent attempts open until another one has sent something

Cause: a stream of a stalled group, or of a server out of reach, was moved by cancelling its attempt first. The next server was as silent, refused or broke off, the budget for retries was spent by the moves of six groups at once, and no run was left. What the first server sent from then on was dropped.

A request now keeps its silent attempt open while another one is tried. The first of them that sends something is the current one; its first event cancels the others, so that events come once and from one run at a time. While an attempt is held, a refusal, a failure or a spent budget ends nothing: the request waits for what is held. A verdict, the deadline and a caller that leaves cancel all.

--- a/benchmarks/day_account.py
+++ b/benchmarks/day_account.py
@@ -109,6 +109,9 @@
     def _attempt_failed(self, line: Line, fields: dict[str, Any]) -> None:
         self.failures[f"sending: {fields['reason']}"] += 1
 
+    def _attempt_held(self, line: Line, fields: dict[str, Any]) -> None:
+        self.failures[f"sending held: {fields['reason']}"] += 1
+
     def _answered(self, line: Line, fields: dict[str, Any]) -> None:
         if line.at < 0:
             return
--- /dev/null
+++ b/ryelever/coordination/relaying/open_attempts.py
@@ -0,0 +1,173 @@
+"""Keep the open attempts of all requests.
+
+A request has one current attempt. When that falls silent, it is held open while another
+one is tried: a sound server may send nothing for a second and go on, and the other one
+may refuse the request or fail. The first attempt that sends something becomes the
+current one again.
+"""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ...state.directory import BackendServer
+    from ..host_heartbeats import HostAddress
+    from .actions import RelayAttempt, RelayOutbox
+    from .balance import Balancer
+    from .messages import AnswerHead
+    from .reports import RequestReports
+    from .request import RelayRequest
+    from .stall_watch import StallWatch
+
+__all__ = ["OpenAttempts"]
+
+
+class OpenAttempts:
+    """Begin, hold, resume and end attempts to send requests to backend servers."""
+
+    __slots__ = (
+        "_balancer",
+        "_ids",
+        "_outbox",
+        "_reports",
+        "_requests_by_attempt",
+        "_stall_watch",
+    )
+
+    def __init__(
+        self,
+        *,
+        balancer: Balancer,
+        stall_watch: StallWatch,
+        outbox: RelayOutbox,
+        reports: RequestReports,
+    ) -> None:
+        self._balancer = balancer
+        self._stall_watch = stall_watch
+        self._outbox = outbox
+        self._reports = reports
+        self._ids = itertools.count(1)
+        self._requests_by_attempt: dict[str, RelayRequest] = {}
+
+    def begin(
+        self,
+        request: RelayRequest,
+        server: BackendServer,
+        *,
+        forwarder: HostAddress | None,
+        now: float,
+    ) -> RelayAttempt:
+        """Begin an attempt, which becomes the request's current one."""
+        attempt = request.begin_attempt(
+            f"r{next(self._ids)}", server, forwarder=forwarder, now=now
+        )
+        self._requests_by_attempt[attempt.id] = request
+        self._balancer.sent(server.id)
+        if request.is_stream:
+            self._stall_watch.began(server.id, attempt.id, now=now)
+        return attempt
+
+    def streams_at(self, server_id: str) -> Iterator[RelayRequest]:
+        """Yield the streams whose current attempt is at a server."""
+        for attempt_id, request in list(self._requests_by_attempt.items()):
+            attempt = request.attempt
+            if (
+                request.is_stream
+                and attempt is not None
+                and attempt.id == attempt_id
+                and attempt.server_id == server_id
+            ):
+                yield request
+
+    def head(self, attempt_id: str) -> AnswerHead | None:
+        """Return the head of the answer to an attempt; None if there is none yet."""
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is None:
+            return None
+        held = request.held_by_attempt.get(attempt_id)
+        return request.head if held is None else held.head
+
+    def request_of(self, attempt_id: str) -> RelayRequest | None:
+        """Return the request of an open attempt."""
+        return self._requests_by_attempt.get(attempt_id)
+
+    # Silent attempts
+
+    def hold(self, request: RelayRequest, reason: str) -> None:
+        """Keep the current attempt open beside the next one."""
+        server_id = request.attempt.server_id
+        request.hold_attempt()
+        self._reports.attempt_held(request, server_id, reason)
+
+    def attend(self, attempt_id: str) -> RelayRequest | None:
+        """Return the request of an attempt that has sent something or failed.
+
+        The attempt becomes the current one; the former one is held.
+        """
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is not None and attempt_id in request.held_by_attempt:
+            if request.attempt is not None:
+                request.hold_attempt()
+            request.resume_attempt(attempt_id)
+            self._reports.attempt_resumed(request, is_waited_for=False)
+        return request
+
+    def resume_latest(self, request: RelayRequest) -> bool:
+        """Wait for the held attempt that was sent last; return whether there is one."""
+        if not request.held_by_attempt:
+            return False
+        request.resume_attempt(_latest(request))
+        self._reports.attempt_resumed(request, is_waited_for=True)
+        return True
+
+    def has_later(self, request: RelayRequest) -> bool:
+        """Return whether an attempt is held that was sent after the current one.
+
+        The current one may have ended.
+        """
+        held_by_attempt = request.held_by_attempt
+        return bool(held_by_attempt) and (
+            held_by_attempt[_latest(request)].sent_at > request.sent_at
+        )
+
+    # Ends
+
+    def cancel(self, request: RelayRequest) -> None:
+        """Cancel the current attempt, if there is one."""
+        attempt = request.attempt
+        if attempt is not None:
+            self.release(request)
+            self._outbox.cancel(attempt.id)
+
+    def release(self, request: RelayRequest) -> None:
+        """Forget the current attempt, which has ended."""
+        self._forget(request.attempt)
+        request.attempt = None
+
+    def cancel_held(self, request: RelayRequest) -> None:
+        """Cancel the held attempts, since the current one goes on."""
+        if not request.held_by_attempt:
+            return
+        for held in request.held_by_attempt.values():
+            self._forget(held.attempt)
+            self._outbox.cancel(held.attempt.id)
+        request.held_by_attempt.clear()
+
+    def cancel_all(self, request: RelayRequest) -> None:
+        """Cancel all attempts of a request."""
+        self.cancel(request)
+        self.cancel_held(request)
+
+    def _forget(self, attempt: RelayAttempt) -> None:
+        self._balancer.ended(attempt.server_id)
+        self._stall_watch.ended(attempt.server_id, attempt.id)
+        self._requests_by_attempt.pop(attempt.id, None)
+
+
+def _latest(request: RelayRequest) -> str:
+    held_by_attempt = request.held_by_attempt
+    return max(held_by_attempt, key=lambda item: held_by_attempt[item].sent_at)
--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -178,6 +178,34 @@
             **crash_fields,
         )
 
+    def attempt_held(self, request: RelayRequest, server_id: str, reason: str) -> None:
+        """Log that a silent attempt is held open while another one is tried."""
+        self._log(
+            "attempt_held",
+            request=request.arrival.request_id,
+            server=server_id,
+            reason=reason,
+            n_sent=request.n_sent,
+            last_event=request.last_event_id,
+        )
+
+    def attempt_resumed(self, request: RelayRequest, *, is_waited_for: bool) -> None:
+        """Log that a held attempt has become the current one again.
+
+        Parameters
+        ----------
+        is_waited_for : bool
+            True if the others have failed, False if there is news of the attempt.
+        """
+        self._log(
+            "attempt_resumed",
+            request=request.arrival.request_id,
+            server=request.attempt.server_id,
+            reason="others_failed" if is_waited_for else "heard",
+            n_sent=request.n_sent,
+            last_event=request.last_event_id,
+        )
+
     def not_retried(self, request: RelayRequest, obstacle: str, *, now: float) -> None:
         """Log why a request is not sent again, and the seconds left until it ends.
 
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -18,7 +18,7 @@
     from ..host_heartbeats import HostAddress
     from .messages import AnswerHead, RelayArrival
 
-__all__ = ["RelayRequest", "RequestPhase", "is_after", "routed_request"]
+__all__ = ["HeldAttempt", "RelayRequest", "RequestPhase", "is_after", "routed_request"]
 
 #: Seconds before the caller's deadline from which a tick sends the final answer. The
 #: answer takes a few milliseconds to arrive, and ticks are 0.05 s apart while requests
@@ -39,6 +39,22 @@
     ENDED = "ended"
 
 
+class HeldAttempt(msgspec.Struct, kw_only=True, frozen=True):
+    """An open attempt that is silent, and what it has yielded so far.
+
+    The attributes are those of the request while the attempt was its current one.
+    """
+
+    attempt: RelayAttempt
+    head: AnswerHead | None
+    body: bytes
+    n_events: int
+    sent_at: float
+    answering_since: float
+    expected_at_server: float
+    is_checked: bool
+
+
 class RelayRequest(msgspec.Struct, kw_only=True, eq=False):
     """The state of one request.
 
@@ -62,6 +78,10 @@
     may_have_run : bool
         True once an attempt may have reached a backend server that did not promise not
         to have run the request.
+    held_by_attempt : dict of str to HeldAttempt
+        Silent attempts that may go on, by their ids, besides the current attempt.
+    obstacle : str
+        Why the request was last not sent again; empty if it was.
     has_reserved_retry : bool
         True while a retry of the request is reserved in the retry budget.
     waits_until : float
@@ -123,6 +143,8 @@
     head: AnswerHead | None = None
     may_have_run: bool = False
     n_sent: int = 0
+    held_by_attempt: dict[str, HeldAttempt] = msgspec.field(default_factory=dict)
+    obstacle: str = ""
     has_reserved_retry: bool = False
     waits_until: float = 0.0
     draw: float = 0.0
@@ -207,6 +229,34 @@
             self.phase = RequestPhase.SENT
         return self.attempt
 
+    def hold_attempt(self) -> None:
+        """Keep the current attempt open while there is none or another one."""
+        self.held_by_attempt[self.attempt.id] = HeldAttempt(
+            attempt=self.attempt,
+            head=self.head,
+            body=bytes(self.body),
+            n_events=self.n_events,
+            sent_at=self.sent_at,
+            answering_since=self.answering_since,
+            expected_at_server=self.expected_at_server,
+            is_checked=self.is_checked,
+        )
+        self.attempt = None
+
+    def resume_attempt(self, attempt_id: str) -> None:
+        """Make a held attempt the current one."""
+        held = self.held_by_attempt.pop(attempt_id)
+        self.attempt = held.attempt
+        self.head = held.head
+        self.body[:] = held.body
+        self.n_events = held.n_events
+        self.sent_at = held.sent_at
+        self.answering_since = held.answering_since
+        self.expected_at_server = held.expected_at_server
+        self.is_checked = held.is_checked
+        if self.phase is RequestPhase.WAITING:
+            self.phase = RequestPhase.SENT
+
 
 class ArrivalRefusal(msgspec.Struct, kw_only=True, frozen=True):
     """The status and reason of a refusal on arrival."""
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -8,16 +8,18 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import TYPE_CHECKING
 
 from .answer_notices import AnswerNotices
 from .contended_requests import ContendedRequests
 from .contention import Contention
 from .demand import ExponentialAverage
+from .moves import Moves
+from .open_attempts import OpenAttempts
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
+from .retries import Retries
 from .server_refusals import ServerRefusals
 from .uncontended_requests import UncontendedRequests
 from .unrouted import UnroutedArrivals
@@ -52,18 +54,6 @@
 #: Seconds over which the rate of arriving requests is averaged.
 ARRIVALS_TIME = 2.0
 
-#: Seconds that must be left before a request's timeout for another attempt to be
-#: worthwhile.
-MIN_RETRY_TIME = 0.15
-
-#: Seconds without the head of an answer after which it is checked whether this host
-#: still reaches the server.  Answers that take as long are rare.
-ANSWER_SILENCE = 0.6
-
-#: Seconds without an event or answer after which an attempt is moved when the path to
-#: its server turns out to be lost.  Open connections may have survived.
-LOST_PATH_SILENCE = 0.25
-
 
 class RelayRequests:
     """Decide about all relayed requests of one process.
@@ -122,9 +112,25 @@
         self._notices = AnswerNotices(balancer=balancer, reports=self._reports)
         self._paths = paths
         self._forwarders = forwarders
-        self._attempt_ids = itertools.count(1)
         self.requests_by_number: dict[int, RelayRequest] = {}
-        self._requests_by_attempt: dict[str, RelayRequest] = {}
+        self._attempts = OpenAttempts(
+            balancer=balancer,
+            stall_watch=stall_watch,
+            outbox=outbox,
+            reports=self._reports,
+        )
+        self._retries = Retries(budget=budget, crashes=crashes, reports=self._reports)
+        self._moves = Moves(
+            attempts=self._attempts,
+            balancer=balancer,
+            crashes=crashes,
+            forwarders=forwarders,
+            paths=paths,
+            reports=self._reports,
+            retries=self._retries,
+            stall_watch=stall_watch,
+            dispatch=self._dispatch,
+        )
         self._waiting = WaitingRequests(usual_answer=self._usual_answer)
         self._refusals = Refusals(
             outbox=outbox,
@@ -231,7 +237,6 @@
         if request is None:
             return
         self._reports.caller_left(request)
-        self._cancel_attempt(request)
         self._end(request)
 
     # Backend servers
@@ -251,7 +256,7 @@
         new_connection : bool
             True if it is the first answer on its connection.
         """
-        request = self._requests_by_attempt.get(attempt_id)
+        request = self._attend(attempt_id)
         if request is None:
             return
         if new_connection and not request.attempt.forwarder:
@@ -275,16 +280,26 @@
             return
         request.head = head
 
+    def _attend(self, attempt_id: str) -> RelayRequest | None:
+        """Return the request of an attempt about which there is news.
+
+        If the request was waiting to be sent again, it no longer is.
+        """
+        request = self._attempts.attend(attempt_id)
+        if request is not None and self._waiting.includes(request):
+            self._waiting.discard(request)
+        return request
+
     def is_streaming(self, attempt_id: str) -> bool:
         """Return whether the body of an attempt's answer is a stream of events."""
-        request = self._requests_by_attempt.get(attempt_id)
-        if request is None or request.head is None:
+        head = self._attempts.head(attempt_id)
+        if head is None or head.status != 200:
             return False
-        return request.is_stream and request.head.status == 200
+        return self._attempts.request_of(attempt_id).is_stream
 
     def answer_body(self, attempt_id: str, data: bytes, *, now: float) -> None:
         """Handle part of the body of an answer that is not streamed."""
-        request = self._requests_by_attempt.get(attempt_id)
+        request = self._attend(attempt_id)
         if request is None or request.head is None:
             return
         request.body += data
@@ -295,7 +310,7 @@
         self, attempt_id: str, events: list[tuple[str, bytes]], *, now: float
     ) -> None:
         """Handle complete events of a stream, each given with its id."""
-        request = self._requests_by_attempt.get(attempt_id)
+        request = self._attend(attempt_id)
         if request is not None:
             self._paths.heard(request.attempt.server_id, now=now)
             self._stall_watch.progressed(request.attempt.server_id, now=now)
@@ -304,7 +319,7 @@
 
     def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
         """Handle an answer that is invalid and must not be forwarded."""
-        request = self._requests_by_attempt.get(attempt_id)
+        request = self._attend(attempt_id)
         if request is not None:
             self._handle_ambiguous_failure(request, reason, now=now)
 
@@ -316,7 +331,7 @@
         cut : bool
             True if the answer ended in the middle of an event.
         """
-        request = self._requests_by_attempt.get(attempt_id)
+        request = self._attend(attempt_id)
         if request is None:
             return
         if request.head is None:
@@ -330,7 +345,7 @@
             return
         server_id = request.attempt.server_id
         self._record_success(request, now=now)
-        self._release_attempt(request)
+        self._attempts.release(request)
         self._outbox.finish(request.number)
         self._served(request.arrival.model, request.n_events)
         self._crashes.completed(request, now=now)
@@ -357,7 +372,7 @@
         forwarder_failed : bool
             True if the connection to the forwarding host failed.
         """
-        request = self._requests_by_attempt.get(attempt_id)
+        request = self._attend(attempt_id)
         if request is None:
             return
         attempt = request.attempt
@@ -376,7 +391,7 @@
         if not attempt.forwarder:
             self._paths.unreached(server_id, now=now)
         request.n_sent -= 1
-        self._release_attempt(request)
+        self._attempts.release(request)
         self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
         self._retry(request, reason, now=now)
 
@@ -391,13 +406,12 @@
                 self._time_out(request, now=now)
             elif self.refuses_new and self._contended.may_refuse(request):
                 self._end_without_answer(request, "stopping", now=now)
-            elif _is_silent(request, now=now):
-                self._check_path(request, now=now)
+            else:
+                self._moves.check_path(request, now=now)
         requests = list(self.requests_by_number.values())
         for request, quarantined in self._withdrawals.due(requests, now=now):
             self._withdraw(request, quarantined, now=now)
-        for server_id in self._stall_watch.newly_stalled(now=now):
-            self._leave_stalled(server_id, now=now)
+        self._moves.move_stalled(now=now)
         self.dispatch_waiting(now=now)
 
     def dispatch_waiting(self, *, now: float) -> None:
@@ -430,22 +444,16 @@
         )
         if server is None:
             return False
+        if not self._retries.reserve(request, now=now):
+            return False
         forwarder = None
         if request.prefers_forwarder or self._paths.is_out_of_reach(server.id):
             forwarder = self._forwarders.choose(now=now)
-        attempt = request.begin_attempt(
-            f"r{next(self._attempt_ids)}", server, forwarder=forwarder, now=now
-        )
-        if request.has_reserved_retry:
-            request.has_reserved_retry = False
-            self._budget.sent(request.service, now=now)
+        attempt = self._attempts.begin(request, server, forwarder=forwarder, now=now)
+        self._retries.sent(request, now=now)
         limited = self._balancer.limits.rate(server.id, now=now) is not None
         self._reports.sent(request, limited=limited, now=now)
-        self._requests_by_attempt[attempt.id] = request
-        self._balancer.sent(server.id)
         self._balancer.limits.sent(server.id, now=now)
-        if request.is_stream:
-            self._stall_watch.began(server.id, attempt.id, now=now)
         self._outbox.send(attempt)
         return True
 
@@ -459,7 +467,7 @@
             self._balancer.mark_entry_stale(server_id, now=now)
         else:
             self._balancer.failed(server_id, now=now)
-        self._cancel_attempt(request)
+        self._attempts.cancel(request)
         self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
         self._retry(request, reason, now=now)
 
@@ -484,18 +492,20 @@
         if blames_server:
             self._balancer.failed(server_id, now=now)
             fingerprint = self._crashes.failed(request, reason=reason, now=now)
-        self._cancel_attempt(request)
+        self._attempts.cancel(request)
         self._reports.attempt_failed(
             request, server_id, reason, may_have_run=True, fingerprint=fingerprint
         )
         self._retry(request, reason, now=now)
 
     def _retry(self, request: RelayRequest, reason: str, *, now: float) -> None:
-        """Send a request again, let it wait for a free slot, or end it."""
-        if not self._may_retry(request, now=now):
+        """Send a request again after a failure, let it wait, or end it."""
+        if self._attempts.has_later(request):
+            self._attempts.resume_latest(request)
+        elif self._retries.allows(request, now=now):
+            self._send_or_wait(request, now=now)
+        else:
             self._end_without_answer(request, reason, now=now)
-            return
-        self._send_or_wait(request, now=now)
 
     def _send_or_wait(self, request: RelayRequest, *, now: float) -> None:
         """Send a request, let it wait for a free slot, or refuse it."""
@@ -504,101 +514,18 @@
         queue = self._contended if request.contended else self._uncontended
         queue.add(request, now=now)
 
-    def _may_retry(self, request: RelayRequest, *, now: float) -> bool:
-        """Return whether a request may be sent again; otherwise log why not."""
-        obstacle = self._retry_obstacle(request, now=now)
-        if obstacle:
-            self._reports.not_retried(request, obstacle, now=now)
-        return not obstacle
-
-    def _retry_obstacle(self, request: RelayRequest, *, now: float) -> str:
-        """Return why a request must not be sent again; reserve a retry if it may be."""
-        if request.may_have_run and not request.route.repeatable:
-            return "may_have_run"
-        if request.n_sent >= request.route.max_attempts:
-            return "attempts"
-        if request.times_out_at - now < MIN_RETRY_TIME:
-            return "time"
-        if self._crashes.verdict(request, now=now) is not None:
-            return "quarantined"
-        if request.n_sent and not request.has_reserved_retry:
-            request.has_reserved_retry = self._budget.reserve(request.service, now=now)
-            return "" if request.has_reserved_retry else "budget"
-        return ""
-
-    def _leave_stalled(self, server_id: str, *, now: float) -> None:
-        """Move the streams of a stalled group to other groups."""
-        self._reports.group_stalled(server_id)
-        self._balancer.mark_stalled(server_id, now=now)
-        self._paths.stalled(server_id, now=now)
-        hears_nothing = self._paths.hears_nothing(server_id, now=now)
-        for request in list(self._requests_by_attempt.values()):
-            if request.is_stream and request.attempt.server_id == server_id:
-                if request.attempt.forwarder:
-                    # The host that forwards may be the one that is silent.
-                    self._forwarders.failed(request.attempt.forwarder, now=now)
-                request.prefers_forwarder |= hears_nothing
-                self._move_elsewhere(request, "still", now=now)
-
-    def _check_path(self, request: RelayRequest, *, now: float) -> None:
-        """Check once whether this host reaches the server of a silent attempt."""
-        server_id = request.attempt.server_id
-        if not request.is_checked and self._paths.hears_nothing(server_id, now=now):
-            request.is_checked = True
-            self._paths.stalled(server_id, now=now)
-
     def path_lost(self, server_id: str, *, now: float) -> None:
-        """Use a server by way of other hosts after the path to it was lost.
-
-        Requests that wait for an answer of this server, or of others that are out of
-        reach as well, are sent again by way of other hosts if they may be.
-        """
-        self._balancer.clear_failures(server_id)
-        for request in list(self.requests_by_number.values()):
-            if server_id in request.unreached:
-                request.unreached.discard(server_id)
-                request.tried.discard(server_id)
-            if self._is_stuck(request, now=now):
-                request.prefers_forwarder = True
-                self._move_elsewhere(request, "path_lost", now=now)
+        """Use a server by way of other hosts after the path to it was lost."""
+        requests = list(self.requests_by_number.values())
+        self._moves.path_lost(server_id, requests, now=now)
         self.dispatch_waiting(now=now)
 
-    def _is_stuck(self, request: RelayRequest, *, now: float) -> bool:
-        """Return whether a direct attempt at a server out of reach is silent."""
-        attempt = request.attempt
-        if attempt is None or attempt.forwarder:
-            return False
-        silent_since = max(request.sent_at, request.last_event_at)
-        return (
-            now - silent_since > LOST_PATH_SILENCE
-            and (request.is_stream or request.head is None)
-            and self._paths.is_out_of_reach(attempt.server_id)
-        )
-
-    def _move_elsewhere(
-        self, request: RelayRequest, reason: str, *, now: float
-    ) -> bool:
-        """Move a request to another server if possible; return whether it moved."""
-        if not request.route.repeatable:
-            return False
-        if self._crashes.awaits_verdict(request, now=now):
-            return False
-        elsewhere = self._balancer.choose(
-            request.service, request.arrival.model, excluded=request.tried, now=now
-        )
-        if elsewhere is None or not self._may_retry(request, now=now):
-            return False
-        server_id = request.attempt.server_id
-        self._cancel_attempt(request)
-        request.may_have_run = True
-        self._reports.attempt_failed(request, server_id, reason, may_have_run=True)
-        return self._dispatch(request, now=now)
-
     # Answers
 
     def _forward_events(
         self, request: RelayRequest, events: list[tuple[str, bytes]], *, now: float
     ) -> None:
+        self._attempts.cancel_held(request)
         if request.phase is not RequestPhase.STREAMING:
             request.phase = RequestPhase.STREAMING
             self._outbox.start(
@@ -631,20 +558,20 @@
             # The stream was to be resumed, but this answer is not a stream.
             self._handle_ambiguous_failure(request, reason, now=now)
             return
-        if failed and self._move_elsewhere(request, reason, now=now):
+        if failed and self._moves.move(request, reason, has_ended=True, now=now):
             return
         if head.status in NOT_RUN_STATUSES:
             # Without the promise in the answer's headers the request may have been run,
             # but the caller would take the status alone as that promise.
             request.may_have_run = True
-            self._cancel_attempt(request)
+            self._attempts.cancel(request)
             self._end_without_answer(request, reason, now=now)
             return
         if not failed:
             self._record_success(request, now=now)
             succeeded = 200 <= head.status < 300
             self._crashes.completed(request, succeeded=succeeded, now=now)
-        self._release_attempt(request)
+        self._attempts.release(request)
         self._outbox.answer(
             request.number,
             status=head.status,
@@ -668,24 +595,34 @@
             )
 
     def _time_out(self, request: RelayRequest, *, now: float) -> None:
+        """End a request that has waited for a slot, or for its answer, for too long."""
         if request.phase is RequestPhase.ENDED:
             return
-        sent = request.attempt is not None
+        if now < request.times_out_at and self._resume_held(request):
+            return
+        sent = request.attempt is not None or bool(request.held_by_attempt)
         if request.contended and not sent:
             self._contended.time_out(request, now=now)
             return
         if sent:
             request.may_have_run = True
-            self._cancel_attempt(request)
+            self._attempts.cancel_all(request)
         self._end_without_answer(request, "too_late" if sent else "no_place", now=now)
 
+    def _resume_held(self, request: RelayRequest) -> bool:
+        """Wait for a held attempt instead of ending; return whether there is one."""
+        if not request.held_by_attempt:
+            return False
+        self._waiting.discard(request)
+        return self._attempts.resume_latest(request)
+
     def _withdraw(
         self, request: RelayRequest, quarantined: Quarantined, *, now: float
     ) -> None:
         """End a request that would crash the server to which it was sent."""
         self._reports.quarantined(request, quarantined)
         request.may_have_run = True
-        self._cancel_attempt(request)
+        self._attempts.cancel(request)
         self._end_without_answer(
             request, "quarantined", retry_after=quarantined.retry_after, now=now
         )
@@ -699,6 +636,9 @@
         retry_after: float = DEFAULT_RETRY_AFTER,
         **wait_fields: object,
     ) -> None:
+        """End a request, unless an attempt that is held may still be answered."""
+        if reason != "quarantined" and self._resume_held(request):
+            return
         self._refusals.end_without_answer(
             request, reason, now=now, retry_after=retry_after, **wait_fields
         )
@@ -725,19 +665,6 @@
 
     # Bookkeeping
 
-    def _cancel_attempt(self, request: RelayRequest) -> None:
-        attempt = request.attempt
-        if attempt is not None:
-            self._release_attempt(request)
-            self._outbox.cancel(attempt.id)
-
-    def _release_attempt(self, request: RelayRequest) -> None:
-        attempt = request.attempt
-        self._balancer.ended(attempt.server_id)
-        self._stall_watch.ended(attempt.server_id, attempt.id)
-        self._requests_by_attempt.pop(attempt.id, None)
-        request.attempt = None
-
     def _usual_answer(self, service: str) -> float:
         """Return the usual number of tokens in an answer of an engine service."""
         found = self._route_table().services_by_name.get(service)
@@ -747,24 +674,7 @@
 
     def _end(self, request: RelayRequest) -> None:
         request.phase = RequestPhase.ENDED
-        if request.has_reserved_retry:
-            request.has_reserved_retry = False
-            self._budget.release(request.service)
+        self._attempts.cancel_all(request)
+        self._retries.ended(request)
         self.requests_by_number.pop(request.number, None)
         self._waiting.discard(request)
-
-
-def _awaits_plain_answer(request: RelayRequest) -> bool:
-    """Return whether a request that isn't a stream was sent and has no answer yet."""
-    return (
-        request.attempt is not None and not request.is_stream and request.head is None
-    )
-
-
-def _is_silent(request: RelayRequest, *, now: float) -> bool:
-    """Return whether a direct attempt has had no answer for unusually long."""
-    return (
-        _awaits_plain_answer(request)
-        and not request.attempt.forwarder
-        and now - request.sent_at > ANSWER_SILENCE
-    )
--- /dev/null
+++ b/ryelever/coordination/relaying/retries.py
@@ -0,0 +1,69 @@
+"""Decide whether a request may be sent again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .crashes import CrashWatch
+    from .reports import RequestReports
+    from .request import RelayRequest
+    from .retry_budget import RelayRetryBudget
+
+__all__ = ["Retries"]
+
+#: Seconds that must be left before a request's timeout for another attempt to be
+#: worthwhile.
+MIN_RETRY_TIME = 0.15
+
+
+class Retries:
+    """Allow or refuse retries, and say in the log why one is refused."""
+
+    __slots__ = ("_budget", "_crashes", "_reports")
+
+    def __init__(
+        self, *, budget: RelayRetryBudget, crashes: CrashWatch, reports: RequestReports
+    ) -> None:
+        self._budget = budget
+        self._crashes = crashes
+        self._reports = reports
+
+    def allows(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request may be sent again now, and reserve the retry."""
+        obstacle = self._obstacle(request, now=now)
+        if obstacle and obstacle != request.obstacle:
+            self._reports.not_retried(request, obstacle, now=now)
+        request.obstacle = obstacle
+        return not obstacle
+
+    def reserve(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether the budget allows to send a request, and reserve a retry."""
+        if request.n_sent and not request.has_reserved_retry:
+            request.has_reserved_retry = self._budget.reserve(request.service, now=now)
+            return request.has_reserved_retry
+        return True
+
+    def sent(self, request: RelayRequest, *, now: float) -> None:
+        """Count a reserved retry that is sent now."""
+        if request.has_reserved_retry:
+            request.has_reserved_retry = False
+            self._budget.sent(request.service, now=now)
+
+    def ended(self, request: RelayRequest) -> None:
+        """Give back a reserved retry of a request that has ended."""
+        if request.has_reserved_retry:
+            request.has_reserved_retry = False
+            self._budget.release(request.service)
+
+    def _obstacle(self, request: RelayRequest, *, now: float) -> str:
+        """Return why a request must not be sent again; empty if it may be."""
+        if request.may_have_run and not request.route.repeatable:
+            return "may_have_run"
+        if request.n_sent >= request.route.max_attempts:
+            return "attempts"
+        if request.times_out_at - now < MIN_RETRY_TIME:
+            return "time"
+        if self._crashes.verdict(request, now=now) is not None:
+            return "quarantined"
+        return "" if self.reserve(request, now=now) else "budget"
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -229,6 +229,22 @@
         "last_event",
         "fingerprint",
     ),
+    "attempt_held": _info(
+        "a silent attempt is kept open while another one is tried",
+        "request",
+        "server",
+        "reason",
+        "n_sent",
+        "last_event",
+    ),
+    "attempt_resumed": _info(
+        "an attempt that was held is the request's current one again",
+        "request",
+        "server",
+        "reason",
+        "n_sent",
+        "last_event",
+    ),
     "not_retried": _info(
         "a request is not sent again, with the reason and the seconds it had left",
         "request",
