Let streams that have begun wait for the retry budget and for room

Callers saw: streams of which they had a part were aborted with seconds left, when a server rejected the resumption, when the budget for retries was spent, or after one second without a free slot.

Cause: the limit of attempts counted rejections, which have not run, and a spent budget and the longest wait of a new request ended streams as well. A new request that is refused can come back at no cost; a stream that is broken off loses what its caller has.

A stream that has begun now waits until it times out, and is sent again as soon as the budget and a slot allow it; rejections don't count as attempts of it. A request that was sent before no longer marks its service as full for requests that were not.

The new test fails without the change: aborted after the second rejection.

--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -191,6 +191,8 @@
         The wait of a request is estimated when it arrives, and then at most every
         ``ESTIMATE_INTERVAL``.
         """
+        if request.phase is RequestPhase.STREAMING:
+            return False
         if now - request.estimated_at < ESTIMATE_INTERVAL:
             return False
         begins = request.estimated_at == NEVER
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -78,6 +78,8 @@
     may_have_run : bool
         True once an attempt may have reached a backend server that did not promise not
         to have run the request.
+    n_rejected : int
+        Number of attempts that backend servers promised not to have run.
     held_by_attempt : dict of str to HeldAttempt
         Silent attempts that may go on, by their ids, besides the current attempt.
     obstacle : str
@@ -143,6 +145,7 @@
     head: AnswerHead | None = None
     may_have_run: bool = False
     n_sent: int = 0
+    n_rejected: int = 0
     held_by_attempt: dict[str, HeldAttempt] = msgspec.field(default_factory=dict)
     obstacle: str = ""
     has_reserved_retry: bool = False
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -467,6 +467,7 @@
             self._balancer.mark_entry_stale(server_id, now=now)
         else:
             self._balancer.failed(server_id, now=now)
+        request.n_rejected += 1
         self._attempts.cancel(request)
         self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
         self._retry(request, reason, now=now)
@@ -502,7 +503,9 @@
         """Send a request again after a failure, let it wait, or end it."""
         if self._attempts.has_later(request):
             self._attempts.resume_latest(request)
-        elif self._retries.allows(request, now=now):
+        elif self._retries.allows(request, now=now) or self._retries.allows_later(
+            request
+        ):
             self._send_or_wait(request, now=now)
         else:
             self._end_without_answer(request, reason, now=now)
--- a/ryelever/coordination/relaying/retries.py
+++ b/ryelever/coordination/relaying/retries.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from .request import RequestPhase
+
 if TYPE_CHECKING:
     from .crashes import CrashWatch
     from .reports import RequestReports
@@ -16,6 +18,9 @@
 #: worthwhile.
 MIN_RETRY_TIME = 0.15
 
+#: Obstacle that may go while a request waits.
+BUDGET = "budget"
+
 
 class Retries:
     """Allow or refuse retries, and say in the log why one is refused."""
@@ -37,6 +42,14 @@
         request.obstacle = obstacle
         return not obstacle
 
+    def allows_later(self, request: RelayRequest) -> bool:
+        """Return whether a request that may not be sent again now should wait.
+
+        Its caller has the beginning of a stream, which would be broken off, and the
+        budget allows more retries in time.
+        """
+        return request.phase is RequestPhase.STREAMING and request.obstacle == BUDGET
+
     def reserve(self, request: RelayRequest, *, now: float) -> bool:
         """Return whether the budget allows to send a request, and reserve a retry."""
         if request.n_sent and not request.has_reserved_retry:
@@ -60,10 +73,20 @@
         """Return why a request must not be sent again; empty if it may be."""
         if request.may_have_run and not request.route.repeatable:
             return "may_have_run"
-        if request.n_sent >= request.route.max_attempts:
+        if _n_counted(request) >= request.route.max_attempts:
             return "attempts"
         if request.times_out_at - now < MIN_RETRY_TIME:
             return "time"
         if self._crashes.verdict(request, now=now) is not None:
             return "quarantined"
-        return "" if self.reserve(request, now=now) else "budget"
+        return "" if self.reserve(request, now=now) else BUDGET
+
+
+def _n_counted(request: RelayRequest) -> int:
+    """Return the attempts that count against the limit of the route.
+
+    A rejection ends no stream that has begun, as the server has not run it.
+    """
+    if request.phase is RequestPhase.STREAMING:
+        return request.n_sent - request.n_rejected
+    return request.n_sent
--- a/ryelever/coordination/relaying/uncontended_requests.py
+++ b/ryelever/coordination/relaying/uncontended_requests.py
@@ -66,5 +66,5 @@
                 continue
             if self._dispatch(request, now=now):
                 self._waiting.discard(request)
-            else:
+            elif not request.tried:
                 full.add(request.work)
--- a/ryelever/coordination/relaying/waiting.py
+++ b/ryelever/coordination/relaying/waiting.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .fair_order import FairOrder
+from .request import RequestPhase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,8 +66,11 @@
         return len(self._requests_by_number)
 
     def may_add(self, request: RelayRequest) -> bool:
-        """Return whether a request may be queued; only contended services limit it."""
-        if not request.contended:
+        """Return whether a request may be queued.
+
+        Only contended services limit it, and not for streams that have begun.
+        """
+        if not request.contended or request.phase is RequestPhase.STREAMING:
             return True
         order = self._fair_order
         return (
@@ -79,12 +83,17 @@
     ) -> None:
         """Add a request that waits from now on.
 
+        A stream that has begun waits until it times out, as its caller has a part of
+        the answer that would be lost.
+
         Parameters
         ----------
         waits_until : float or None
             Monotonic time until which the request waits; ``MAX_WAIT`` from now if None.
         """
         request.waits_until = now + MAX_WAIT if waits_until is None else waits_until
+        if request.phase is RequestPhase.STREAMING:
+            request.waits_until = request.times_out_at
         self._requests_by_number[request.number] = request
         if request.contended:
             self._fair_order.add(request, now=now)
--- a/tests/test_coordination/test_relaying/test_silent_servers.py
+++ b/tests/test_coordination/test_relaying/test_silent_servers.py
@@ -118,6 +118,24 @@
         assert relaying.balancer.record(attempt.server_id).in_flight == 0
 
 
+def test_stream_that_has_begun_waits_for_a_server_with_room() -> None:
+    """Guard against streams broken off for rejections while there is time."""
+    relaying = Relaying(n_servers=4)
+    first = _begin_stream(relaying)
+    _reset(relaying, first, now=0.3)
+    for index in (1, 2, 3):
+        _refuse(relaying, relaying.sent[index], now=0.3 + 0.1 * index)
+    _tick_until(relaying, 0.7, 4.0)
+    assert relaying.out[-1][0] == "data"
+    relaying.directory.put(relaying.engine_head("h9"), now=4.0)
+    relaying.requests.tick(now=4.1)
+    last = relaying.sent[-1]
+    assert (last.server_id, last.last_event_id) == ("h9", "1")
+    relaying.requests.answer_head(last.id, head(), now=4.2)
+    _continue(relaying, last, now=4.2)
+    assert relaying.out[-1] == ("finish", 1)
+
+
 def test_streams_are_not_moved_to_groups_that_stall_together() -> None:
     """Guard against retries spent on groups that are known to be silent as well."""
     relaying = Relaying(n_servers=2)
