Give back the retry of an attempt that reached no server

Cause: the budget bounds what servers get beyond the first sending of each request, but also counted attempts whose connections were never established.

The new test fails without the change.

--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -390,6 +390,7 @@
             self._balancer.failed(server_id, now=now)
         if not attempt.forwarder:
             self._paths.unreached(server_id, now=now)
+        self._retries.unreached(request)
         request.n_sent -= 1
         self._attempts.release(request)
         self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
--- a/ryelever/coordination/relaying/retries.py
+++ b/ryelever/coordination/relaying/retries.py
@@ -63,6 +63,11 @@
             request.has_reserved_retry = False
             self._budget.sent(request.service, now=now)
 
+    def unreached(self, request: RelayRequest) -> None:
+        """Give back the retry of an attempt that reached no server."""
+        if request.n_sent > 1:
+            self._budget.withdraw(request.service, sent_at=request.sent_at)
+
     def ended(self, request: RelayRequest) -> None:
         """Give back a reserved retry of a request that has ended."""
         if request.has_reserved_retry:
--- a/ryelever/coordination/relaying/retry_budget.py
+++ b/ryelever/coordination/relaying/retry_budget.py
@@ -85,6 +85,12 @@
         self.release(service)
         self._retries_by_service.setdefault(service, deque()).append(now)
 
+    def withdraw(self, service: str, *, sent_at: float) -> None:
+        """Give back a retry that was sent but reached no server."""
+        retries = self._retries_by_service.get(service, deque())
+        if sent_at in retries:
+            retries.remove(sent_at)
+
     def release(self, service: str) -> None:
         """Give back a reserved retry that is not sent."""
         self._n_reserved_by_service[service] -= 1
--- a/tests/test_coordination/test_relaying/test_silent_servers.py
+++ b/tests/test_coordination/test_relaying/test_silent_servers.py
@@ -136,6 +136,15 @@
     assert relaying.out[-1] == ("finish", 1)
 
 
+def test_attempt_that_reaches_no_server_uses_no_retry_budget() -> None:
+    """Guard against a budget spent on servers that never got the requests."""
+    relaying = Relaying(slack=1.0, n_servers=4)
+    first = _begin_stream(relaying)
+    _reset(relaying, first, now=0.3)
+    _unreached(relaying, relaying.sent[1], now=0.6)
+    assert len(relaying.sent) == 3
+
+
 def test_streams_are_not_moved_to_groups_that_stall_together() -> None:
     """Guard against retries spent on groups that are known to be silent as well."""
     relaying = Relaying(n_servers=2)
