Count a held attempt as run only once it is given up

Cause: since attempts were moved by cancelling them, the move counted as a possible run. A held attempt is open and may still end with the promise that it has not run; what was given up without an answer counts as before.

The new test fails without the change (502 without Retry-After).

--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -163,6 +163,7 @@
             and self._waiting.includes(request)
             and request.phase is RequestPhase.WAITING
             and not request.may_have_run
+            and not request.held_by_attempt
         )
 
     def time_out(self, request: RelayRequest, *, now: float) -> None:
--- a/ryelever/coordination/relaying/moves.py
+++ b/ryelever/coordination/relaying/moves.py
@@ -162,8 +162,8 @@
         if elsewhere is None or not self._retries.allows(request, now=now):
             return False
         server_id = request.attempt.server_id
-        request.may_have_run = True
         if has_ended:
+            request.may_have_run = True
             self._attempts.cancel(request)
             self._reports.attempt_failed(request, server_id, reason, may_have_run=True)
         else:
--- a/ryelever/coordination/relaying/open_attempts.py
+++ b/ryelever/coordination/relaying/open_attempts.py
@@ -149,9 +149,10 @@
         request.attempt = None
 
     def cancel_held(self, request: RelayRequest) -> None:
-        """Cancel the held attempts, since the current one goes on."""
+        """Cancel the held attempts, which may have run by then."""
         if not request.held_by_attempt:
             return
+        request.may_have_run = True
         for held in request.held_by_attempt.values():
             self._forget(held.attempt)
             self._outbox.cancel(held.attempt.id)
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -643,6 +643,7 @@
         """End a request, unless an attempt that is held may still be answered."""
         if reason != "quarantined" and self._resume_held(request):
             return
+        self._attempts.cancel_held(request)
         self._refusals.end_without_answer(
             request, reason, now=now, retry_after=retry_after, **wait_fields
         )
--- a/tests/test_coordination/test_relaying/test_silent_servers.py
+++ b/tests/test_coordination/test_relaying/test_silent_servers.py
@@ -106,6 +106,20 @@
     assert relaying.out[-1] == ("finish", 1)
 
 
+def test_request_that_no_attempt_has_run_is_refused_as_not_run() -> None:
+    """Guard against failures told to callers whose request may safely come again."""
+    relaying = Relaying()
+    relaying.arrive(STREAM)
+    _tick_until(relaying, 0.2, 1.0 + STREAM_SILENCE)
+    first, second = relaying.sent
+    _refuse(relaying, second, now=1.5)
+    assert relaying.out == []
+    _refuse(relaying, first, now=1.6)
+    [(kind, _, status, retry_after)] = relaying.out
+    assert (kind, status) == ("refuse", 503)
+    assert retry_after > 0
+
+
 def test_all_attempts_of_a_caller_that_leaves_are_cancelled() -> None:
     """Guard against servers that go on working for a caller that has left."""
     relaying = Relaying()
