--- a/ryelever/coordination/relaying/moves.py
+++ b/ryelever/coordination/relaying/moves.py
@@ -31,12 +31,6 @@
 #: its server turns out to be lost.  Open connections may have survived.
 LOST_PATH_SILENCE = 0.25
 
-#: Seconds without anything from any server of a service from which several stalled
-#: groups of it are taken to be silent for one reason, and after which they are moved
-#: all the same.  Sound servers may be silent for a second and a half.
-MIN_COMMON_SILENCE = 0.25
-MAX_COMMON_SILENCE = 1.6
-
 
 class Moves:
     """Move requests to other servers while theirs are silent or out of reach.
@@ -90,35 +84,10 @@
         """
         for server_id in self._stall_watch.newly_stalled(now=now):
             self._mark_stalled(server_id, now=now)
-        stalled = self._stall_watch.stalled()
-        for server_id in stalled:
-            if self._is_common_silence(server_id, stalled, now=now):
-                continue
+        for server_id in self._stall_watch.stalled():
             for request in self._attempts.streams_at(server_id):
                 self.move(request, "still", now=now)
 
-    def _is_common_silence(
-        self, server_id: str, stalled: list[str], *, now: float
-    ) -> bool:
-        """Return whether a stalled group is one of several while none sends anything.
-
-        Then another server of the service is as silent, and a move would only use up
-        the retry budget. It is known soon whether this host has lost its paths.
-        """
-        silent_for = self._paths.silent_for(server_id, now=now)
-        return (
-            MIN_COMMON_SILENCE < silent_for < MAX_COMMON_SILENCE
-            and not self._paths.is_out_of_reach(server_id)
-            and any(self._is_sibling(server_id, other) for other in stalled)
-        )
-
-    def _is_sibling(self, server_id: str, other_id: str) -> bool:
-        """Return whether another server is of the same service."""
-        servers_by_id = self._balancer.directory.by_id
-        if server_id == other_id or not {server_id, other_id} <= servers_by_id.keys():
-            return False
-        return servers_by_id[server_id].service == servers_by_id[other_id].service
-
     def _mark_stalled(self, server_id: str, *, now: float) -> None:
         self._reports.group_stalled(server_id)
         self._balancer.mark_stalled(server_id, now=now)
--- a/ryelever/coordination/relaying/server_paths.py
+++ b/ryelever/coordination/relaying/server_paths.py
@@ -138,14 +138,11 @@
 
         Answers by way of other hosts count as well.
         """
-        return self.silent_for(server_id, now=now) > MAX_SILENCE
-
-    def silent_for(self, server_id: str, *, now: float) -> float:
-        """Return the seconds without an answer of any server of a server's service."""
         server = self._servers_by_id.get(server_id)
         if server is None:
-            return now - self.heard_at
-        return now - self._heard_at_by_service.get(server.service, float("-inf"))
+            return now - self.heard_at > MAX_SILENCE
+        heard_at = self._heard_at_by_service.get(server.service, float("-inf"))
+        return now - heard_at > MAX_SILENCE
 
     def is_checking(self, server_id: str) -> bool:
         """Return whether other hosts are being asked for a server."""
