--- a/ryelever/coordination/relaying/moves.py
+++ b/ryelever/coordination/relaying/moves.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+from .open_attempts import PATH_LOST
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -84,8 +86,9 @@
         """
         for server_id in self._stall_watch.newly_stalled(now=now):
             self._mark_stalled(server_id, now=now)
-        for server_id in self._stall_watch.stalled():
-            for request in self._attempts.streams_at(server_id):
+        stalled = self._stall_watch.stalled()
+        if stalled:
+            for request in self._attempts.streams_at(stalled):
                 self.move(request, "still", now=now)
 
     def _mark_stalled(self, server_id: str, *, now: float) -> None:
@@ -93,7 +96,7 @@
         self._balancer.mark_stalled(server_id, now=now)
         self._paths.stalled(server_id, now=now)
         hears_nothing = self._paths.hears_nothing(server_id, now=now)
-        for request in self._attempts.streams_at(server_id):
+        for request in self._attempts.streams_at({server_id}):
             if request.attempt.forwarder:
                 # The host that forwards may be the one that is silent.
                 self._forwarders.failed(request.attempt.forwarder, now=now)
@@ -123,7 +126,7 @@
                 request.tried.discard(server_id)
             if self._is_stuck(request, now=now):
                 request.prefers_forwarder = True
-                self.move(request, "path_lost", now=now)
+                self.move(request, PATH_LOST, now=now)
 
     def _is_stuck(self, request: RelayRequest, *, now: float) -> bool:
         """Return whether a direct attempt at a server out of reach is silent."""
@@ -154,6 +157,8 @@
         """
         if not request.route.repeatable:
             return False
+        if self._retries.is_blocked(request, now=now):
+            return False
         if self._crashes.awaits_verdict(request, now=now):
             return False
         elsewhere = self._balancer.choose(
--- a/ryelever/coordination/relaying/open_attempts.py
+++ b/ryelever/coordination/relaying/open_attempts.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Collection, Iterator
 
     from ...state.directory import BackendServer
     from ..host_heartbeats import HostAddress
@@ -23,7 +23,10 @@
     from .request import RelayRequest
     from .stall_watch import StallWatch
 
-__all__ = ["OpenAttempts"]
+__all__ = ["PATH_LOST", "OpenAttempts"]
+
+#: Reason to hold an attempt whose server only other hosts reach.
+PATH_LOST = "path_lost"
 
 
 class OpenAttempts:
@@ -71,15 +74,15 @@
             self._stall_watch.began(server.id, attempt.id, now=now)
         return attempt
 
-    def streams_at(self, server_id: str) -> Iterator[RelayRequest]:
-        """Yield the streams whose current attempt is at a server."""
+    def streams_at(self, server_ids: Collection[str]) -> Iterator[RelayRequest]:
+        """Yield the streams whose current attempt is at one of some servers."""
         for attempt_id, request in list(self._requests_by_attempt.items()):
             attempt = request.attempt
             if (
                 request.is_stream
                 and attempt is not None
                 and attempt.id == attempt_id
-                and attempt.server_id == server_id
+                and attempt.server_id in server_ids
             ):
                 yield request
 
@@ -91,6 +94,14 @@
         held = request.held_by_attempt.get(attempt_id)
         return request.head if held is None else held.head
 
+    def body(self, attempt_id: str) -> bytearray | None:
+        """Return the body so far of an answer that has a head; otherwise None."""
+        request = self._requests_by_attempt.get(attempt_id)
+        if request is None or self.head(attempt_id) is None:
+            return None
+        held = request.held_by_attempt.get(attempt_id)
+        return request.body if held is None else held.body
+
     def request_of(self, attempt_id: str) -> RelayRequest | None:
         """Return the request of an open attempt."""
         return self._requests_by_attempt.get(attempt_id)
@@ -100,10 +111,13 @@
     def hold(self, request: RelayRequest, reason: str) -> None:
         """Keep the current attempt open beside the next one."""
         server_id = request.attempt.server_id
+        if reason == PATH_LOST:
+            # Its silence says nothing about the group.
+            self._stall_watch.ended(server_id, request.attempt.id)
         request.hold_attempt()
         self._reports.attempt_held(request, server_id, reason)
 
-    def attend(self, attempt_id: str) -> RelayRequest | None:
+    def attend(self, attempt_id: str, *, now: float) -> RelayRequest | None:
         """Return the request of an attempt that has sent something or failed.
 
         The attempt becomes the current one; the former one is held.
@@ -112,17 +126,19 @@
         if request is not None and attempt_id in request.held_by_attempt:
             if request.attempt is not None:
                 request.hold_attempt()
-            request.resume_attempt(attempt_id)
+            self._resume(request, attempt_id, now=now)
             self._reports.attempt_resumed(request, is_waited_for=False)
         return request
 
-    def resume_latest(self, request: RelayRequest) -> bool:
-        """Wait for the held attempt that was sent last; return whether there is one."""
-        if not request.held_by_attempt:
-            return False
-        request.resume_attempt(_latest(request))
+    def resume_latest(self, request: RelayRequest, *, now: float) -> None:
+        """Wait for the held attempt that was sent last."""
+        self._resume(request, _latest(request), now=now)
         self._reports.attempt_resumed(request, is_waited_for=True)
-        return True
+
+    def _resume(self, request: RelayRequest, attempt_id: str, *, now: float) -> None:
+        request.resume_attempt(attempt_id)
+        if request.is_stream:
+            self._stall_watch.began(request.attempt.server_id, attempt_id, now=now)
 
     def has_later(self, request: RelayRequest) -> bool:
         """Return whether an attempt is held that was sent after the current one.
--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -47,7 +47,7 @@
 
     attempt: RelayAttempt
     head: AnswerHead | None
-    body: bytes
+    body: bytearray
     n_events: int
     sent_at: float
     answering_since: float
@@ -80,6 +80,8 @@
         to have run the request.
     n_rejected : int
         Number of attempts that backend servers promised not to have run.
+    rejected_by : set of str
+        Ids of the backend servers that did not run the request, as they were full.
     held_by_attempt : dict of str to HeldAttempt
         Silent attempts that may go on, by their ids, besides the current attempt.
     obstacle : str
@@ -146,6 +148,7 @@
     may_have_run: bool = False
     n_sent: int = 0
     n_rejected: int = 0
+    rejected_by: set[str] = msgspec.field(default_factory=set)
     held_by_attempt: dict[str, HeldAttempt] = msgspec.field(default_factory=dict)
     obstacle: str = ""
     has_reserved_retry: bool = False
@@ -237,7 +240,7 @@
         self.held_by_attempt[self.attempt.id] = HeldAttempt(
             attempt=self.attempt,
             head=self.head,
-            body=bytes(self.body),
+            body=self.body,
             n_events=self.n_events,
             sent_at=self.sent_at,
             answering_since=self.answering_since,
@@ -245,13 +248,14 @@
             is_checked=self.is_checked,
         )
         self.attempt = None
+        self.body = bytearray()
 
     def resume_attempt(self, attempt_id: str) -> None:
         """Make a held attempt the current one."""
         held = self.held_by_attempt.pop(attempt_id)
         self.attempt = held.attempt
         self.head = held.head
-        self.body[:] = held.body
+        self.body = held.body
         self.n_events = held.n_events
         self.sent_at = held.sent_at
         self.answering_since = held.answering_since
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -256,7 +256,7 @@
         new_connection : bool
             True if it is the first answer on its connection.
         """
-        request = self._attend(attempt_id)
+        request = self._attend(attempt_id, now=now)
         if request is None:
             return
         if new_connection and not request.attempt.forwarder:
@@ -280,14 +280,14 @@
             return
         request.head = head
 
-    def _attend(self, attempt_id: str) -> RelayRequest | None:
+    def _attend(self, attempt_id: str, *, now: float) -> RelayRequest | None:
         """Return the request of an attempt about which there is news.
 
         If the request was waiting to be sent again, it no longer is.
         """
-        request = self._attempts.attend(attempt_id)
+        request = self._attempts.attend(attempt_id, now=now)
         if request is not None and self._waiting.includes(request):
-            self._waiting.discard(request)
+            self._leave_queue(request)
         return request
 
     def is_streaming(self, attempt_id: str) -> bool:
@@ -299,18 +299,18 @@
 
     def answer_body(self, attempt_id: str, data: bytes, *, now: float) -> None:
         """Handle part of the body of an answer that is not streamed."""
-        request = self._attend(attempt_id)
-        if request is None or request.head is None:
+        body = self._attempts.body(attempt_id)
+        if body is None:
             return
-        request.body += data
-        if len(request.body) > MAX_ANSWER:
+        body += data
+        if len(body) > MAX_ANSWER:
             self.answer_broken(attempt_id, "answer_too_long", now=now)
 
     def answer_events(
         self, attempt_id: str, events: list[tuple[str, bytes]], *, now: float
     ) -> None:
         """Handle complete events of a stream, each given with its id."""
-        request = self._attend(attempt_id)
+        request = self._attend(attempt_id, now=now)
         if request is not None:
             self._paths.heard(request.attempt.server_id, now=now)
             self._stall_watch.progressed(request.attempt.server_id, now=now)
@@ -319,7 +319,7 @@
 
     def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
         """Handle an answer that is invalid and must not be forwarded."""
-        request = self._attend(attempt_id)
+        request = self._attend(attempt_id, now=now)
         if request is not None:
             self._handle_ambiguous_failure(request, reason, now=now)
 
@@ -331,7 +331,7 @@
         cut : bool
             True if the answer ended in the middle of an event.
         """
-        request = self._attend(attempt_id)
+        request = self._attend(attempt_id, now=now)
         if request is None:
             return
         if request.head is None:
@@ -372,7 +372,7 @@
         forwarder_failed : bool
             True if the connection to the forwarding host failed.
         """
-        request = self._attend(attempt_id)
+        request = self._attend(attempt_id, now=now)
         if request is None:
             return
         attempt = request.attempt
@@ -469,6 +469,8 @@
         else:
             self._balancer.failed(server_id, now=now)
         request.n_rejected += 1
+        if not head.wrong_server:
+            request.rejected_by.add(server_id)
         self._attempts.cancel(request)
         self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
         self._retry(request, reason, now=now)
@@ -503,7 +505,7 @@
     def _retry(self, request: RelayRequest, reason: str, *, now: float) -> None:
         """Send a request again after a failure, let it wait, or end it."""
         if self._attempts.has_later(request):
-            self._attempts.resume_latest(request)
+            self._attempts.resume_latest(request, now=now)
         elif self._retries.allows(request, now=now) or self._retries.allows_later(
             request
         ):
@@ -517,6 +519,11 @@
             request.phase = RequestPhase.WAITING
         queue = self._contended if request.contended else self._uncontended
         queue.add(request, now=now)
+        if request.phase is RequestPhase.STREAMING and self._waiting.includes(request):
+            # It may wait for long: others can use the retry meanwhile, and servers that
+            # were full may have room again.
+            self._retries.release(request)
+            request.tried -= request.rejected_by
 
     def path_lost(self, server_id: str, *, now: float) -> None:
         """Use a server by way of other hosts after the path to it was lost."""
@@ -564,6 +571,11 @@
             return
         if failed and self._moves.move(request, reason, has_ended=True, now=now):
             return
+        if failed and request.held_by_attempt:
+            request.may_have_run = True
+            self._attempts.cancel(request)
+            self._resume_held(request, now=now)
+            return
         if head.status in NOT_RUN_STATUSES:
             # Without the promise in the answer's headers the request may have been run,
             # but the caller would take the status alone as that promise.
@@ -602,7 +614,7 @@
         """End a request that has waited for a slot, or for its answer, for too long."""
         if request.phase is RequestPhase.ENDED:
             return
-        if now < request.times_out_at and self._resume_held(request):
+        if now < request.times_out_at and self._resume_held(request, now=now):
             return
         sent = request.attempt is not None or bool(request.held_by_attempt)
         if request.contended and not sent:
@@ -613,12 +625,18 @@
             self._attempts.cancel_all(request)
         self._end_without_answer(request, "too_late" if sent else "no_place", now=now)
 
-    def _resume_held(self, request: RelayRequest) -> bool:
+    def _resume_held(self, request: RelayRequest, *, now: float) -> bool:
         """Wait for a held attempt instead of ending; return whether there is one."""
         if not request.held_by_attempt:
             return False
+        self._leave_queue(request)
+        self._attempts.resume_latest(request, now=now)
+        return True
+
+    def _leave_queue(self, request: RelayRequest) -> None:
+        """Stop waiting for a slot, since an attempt of the request goes on."""
         self._waiting.discard(request)
-        return self._attempts.resume_latest(request)
+        self._retries.release(request)
 
     def _withdraw(
         self, request: RelayRequest, quarantined: Quarantined, *, now: float
@@ -641,7 +659,7 @@
         **wait_fields: object,
     ) -> None:
         """End a request, unless an attempt that is held may still be answered."""
-        if reason != "quarantined" and self._resume_held(request):
+        if reason != "quarantined" and self._resume_held(request, now=now):
             return
         self._attempts.cancel_held(request)
         self._refusals.end_without_answer(
@@ -680,6 +698,6 @@
     def _end(self, request: RelayRequest) -> None:
         request.phase = RequestPhase.ENDED
         self._attempts.cancel_all(request)
-        self._retries.ended(request)
+        self._retries.release(request)
         self.requests_by_number.pop(request.number, None)
         self._waiting.discard(request)
--- a/ryelever/coordination/relaying/retries.py
+++ b/ryelever/coordination/relaying/retries.py
@@ -36,11 +36,15 @@
 
     def allows(self, request: RelayRequest, *, now: float) -> bool:
         """Return whether a request may be sent again now, and reserve the retry."""
+        return not self.is_blocked(request, now=now) and self.reserve(request, now=now)
+
+    def is_blocked(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request may not be sent again now; reserve nothing."""
         obstacle = self._obstacle(request, now=now)
         if obstacle and obstacle != request.obstacle:
             self._reports.not_retried(request, obstacle, now=now)
         request.obstacle = obstacle
-        return not obstacle
+        return bool(obstacle)
 
     def allows_later(self, request: RelayRequest) -> bool:
         """Return whether a request that may not be sent again now should wait.
@@ -66,10 +70,12 @@
     def unreached(self, request: RelayRequest) -> None:
         """Give back the retry of an attempt that reached no server."""
         if request.n_sent > 1:
-            self._budget.withdraw(request.service, sent_at=request.sent_at)
+            held = request.held_by_attempt.values()
+            sent_at = max(request.sent_at, *(item.sent_at for item in held), 0.0)
+            self._budget.withdraw(request.service, sent_at=sent_at)
 
-    def ended(self, request: RelayRequest) -> None:
-        """Give back a reserved retry of a request that has ended."""
+    def release(self, request: RelayRequest) -> None:
+        """Give back a reserved retry that is not needed now."""
         if request.has_reserved_retry:
             request.has_reserved_retry = False
             self._budget.release(request.service)
@@ -84,7 +90,9 @@
             return "time"
         if self._crashes.verdict(request, now=now) is not None:
             return "quarantined"
-        return "" if self.reserve(request, now=now) else BUDGET
+        if request.n_sent and not request.has_reserved_retry:
+            return "" if self._budget.has_room(request.service, now=now) else BUDGET
+        return ""
 
 
 def _n_counted(request: RelayRequest) -> int:
--- a/ryelever/coordination/relaying/retry_budget.py
+++ b/ryelever/coordination/relaying/retry_budget.py
@@ -66,8 +66,8 @@
         times.append(now)
         self._trim(times, now=now)
 
-    def reserve(self, service: str, *, now: float) -> bool:
-        """Return whether another retry may be sent, and reserve it if so."""
+    def has_room(self, service: str, *, now: float) -> bool:
+        """Return whether another retry may be sent."""
         retries = self._retries_by_service.setdefault(service, deque())
         requests = self._requests_by_service.setdefault(service, deque())
         self._trim(retries, now=now)
@@ -75,7 +75,11 @@
         available = min(1.0, (now - self._since) / self._window)
         share = available * self._slack / max(1, self._n_hosts())
         allowed = USED_SHARE * (self._ratio * len(requests) + share)
-        if len(retries) + self._n_reserved_by_service[service] + 1 > allowed:
+        return len(retries) + self._n_reserved_by_service[service] + 1 <= allowed
+
+    def reserve(self, service: str, *, now: float) -> bool:
+        """Return whether another retry may be sent, and reserve it if so."""
+        if not self.has_room(service, now=now):
             return False
         self._n_reserved_by_service[service] += 1
         return True
--- a/ryelever/coordination/relaying/stall_watch.py
+++ b/ryelever/coordination/relaying/stall_watch.py
@@ -64,7 +64,7 @@
         activity = self._activity_by_id.get(server_id)
         if activity is None or not activity.attempts:
             activity = self._activity_by_id[server_id] = _Activity(progressed_at=now)
-        elif activity.is_reported:
+        elif activity.is_reported and attempt_id not in activity.attempts:
             # Attempts that are held stay open at a stalled group for long.
             activity.progressed_at = now
             activity.has_started = activity.is_reported = False
@@ -99,13 +99,13 @@
                 del self._stalled_since_by_id[server_id]
         return list(self._stalled_since_by_id)
 
-    def stalled(self) -> list[str]:
+    def stalled(self) -> set[str]:
         """Return the heads whose groups have sent nothing since their stall."""
-        return [
+        return {
             server_id
             for server_id, activity in self._activity_by_id.items()
             if activity.is_reported
-        ]
+        }
 
     def has_progressed(self, server_id: str, *, now: float) -> bool:
         """Return whether a group has recently sent an event to this host."""
