Hold a silent attempt of the OpenAI interface until another one has begun

Callers lost requests without a token whose first group was sound: 502 `broken`, 503 `unavailable` or 504 `timeout`, each with `outcome_unknown`.

Cause: a group whose member has not reported for report_max_age counts as lost while another one serves, and the attempt at it was cancelled before the next one was sent. If that one was refused, broke or fell silent, and the attempts or the retry budget were used up, no attempt was left, although the first group went on a moment later.

The attempt is now held beside the next ones. The first attempt that sends a token continues the request, and the others are cancelled. Without another allowed attempt the request waits for the newest held one. When the next attempt is sent, and what the budget and max_attempts count, is as before. Requests that run at most once were never given up in this way, and still are not. A group that is whole again is not sent a request that it still holds. A crash of the group of a held attempt now counts against the request, which formerly had left it.

--- a/ryelever/coordination/requests/answers.py
+++ b/ryelever/coordination/requests/answers.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from ...state.claims import ClaimState
-    from ..actions import Action, Arrival
+    from ..actions import Action, Arrival, Target
     from ..admission import Refused
     from .state import Request
 
@@ -241,13 +241,13 @@
     )
 
 
-def group_lost(request: Request) -> RyeleverError:
+def group_lost(target: Target) -> RyeleverError:
     """Return the error for an attempt whose group was lost before a token."""
     return RyeleverError(
         "its group stopped counting as whole before the first token",
         category=Category.TIMEOUT,
         step="generate",
-        peer=request.target.address,
+        peer=target.address,
     )
 
 
--- a/ryelever/coordination/requests/attempts.py
+++ b/ryelever/coordination/requests/attempts.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from ...errors import RyeleverError
-    from ..actions import Action, Arrival
+    from ..actions import Action, Arrival, Target
     from ..quarantine import Quarantined
     from ..routing import AttemptFeedback, RetryPolicy, Router
     from .state import Request
@@ -31,7 +31,10 @@
 
 
 class RequestAttempts:
-    """Start, track and end attempts; each request has at most one at a time.
+    """Start, track and end attempts.
+
+    Each request has at most one current attempt.  Earlier ones that are silent may be
+    held beside it (``HeldAttempts``).
 
     Parameters
     ----------
@@ -65,7 +68,7 @@
     ) -> Action | None:
         """Start the next attempt and return its send action, or None if no target."""
         target = self._router.choose(request.arrival, tried=tried, now=now)
-        if target is None:
+        if target is None or _has_open_attempt(request, target):
             return None
         request.attempt_id = self._new_id()
         request.target = target
@@ -143,10 +146,17 @@
     def failed(
         self, request: Request, *, error: RyeleverError, refused: bool, now: float
     ) -> None:
-        """End an attempt that failed."""
-        running = self._arrivals_by_target[request.target.name]
+        """End the current attempt, which failed."""
+        self.report_failure(request.target, error=error, refused=refused, now=now)
+        self.end(request, failed=True, now=now)
+
+    def report_failure(
+        self, target: Target, *, error: RyeleverError, refused: bool, now: float
+    ) -> None:
+        """Report that an attempt at a target failed."""
+        running = self._arrivals_by_target[target.name]
         self._feedback.failed(
-            request.target,
+            target,
             error,
             refused=refused,
             in_flight={arrival.fingerprint for arrival in running.values()},
@@ -156,20 +166,31 @@
             },
             now=now,
         )
-        self.end(request, failed=True, now=now)
 
     def end(self, request: Request, *, failed: bool, now: float) -> None:
+        """End the current attempt."""
+        self.end_attempt(
+            request, request.attempt_id, request.target, failed=failed, now=now
+        )
+        request.attempt_id = ""
+
+    def end_attempt(
+        self,
+        request: Request,
+        attempt_id: str,
+        target: Target,
+        *,
+        failed: bool,
+        now: float,
+    ) -> None:
         """End an attempt; answers received for it later are counted as late."""
-        del self.request_by_attempt[request.attempt_id]
-        running = self._arrivals_by_target[request.target.name]
-        del running[request.attempt_id]
+        del self.request_by_attempt[attempt_id]
+        running = self._arrivals_by_target[target.name]
+        del running[attempt_id]
         if not running:
-            del self._arrivals_by_target[request.target.name]
-        request.attempt_id = ""
+            del self._arrivals_by_target[target.name]
         fingerprint = request.arrival.fingerprint
-        self._router.ended(
-            request.target, failed=failed, fingerprint=fingerprint, now=now
-        )
+        self._router.ended(target, failed=failed, fingerprint=fingerprint, now=now)
 
     def may_retry(self, request: Request, *, now: float) -> bool:
         """Return whether another attempt may follow, and count it if so."""
@@ -189,3 +210,9 @@
             # have to limit.
             return n_attempts < MAX_STREAM_ATTEMPTS
         return self._retry_policy.allow(n_attempts=n_attempts, now=now)
+
+
+def _has_open_attempt(request: Request, target: Target) -> bool:
+    # A held attempt continues when its group is whole again, so a second one at the
+    # same group would only generate the same tokens twice.
+    return any(held.target == target for held in request.held_by_id.values())
--- a/ryelever/coordination/requests/requests.py
+++ b/ryelever/coordination/requests/requests.py
@@ -208,19 +208,21 @@
             return []
         n_delivered = len(request.delivered)
         if index > n_delivered:
-            return self._break_at_gap(request, index=index, now=now)
+            return self._break_at_gap(request, attempt_id, index=index, now=now)
         fresh = tokens[n_delivered - index :]
         if not fresh:
             return []
+        actions = self._steps.attempt_progressed(request, attempt_id, now=now)
         request.delivered.extend(fresh)
         request.may_have_run = True
         if request.state is not RequestState.STREAMING:
             self._attempts.first_token(request, now=now)
             self._steps.enter_state(request, RequestState.STREAMING, now=now)
         self._attempts.progressed(request, now=now)
-        if not request.streamed or request.caller_disconnected:
-            return []
-        return [StreamTokens(request_id=request.arrival.request_id, tokens=fresh)]
+        if request.streamed and not request.caller_disconnected:
+            request_id = request.arrival.request_id
+            actions.append(StreamTokens(request_id=request_id, tokens=fresh))
+        return actions
 
     def finished(
         self, attempt_id: str, *, finish_reason: str, usage: Usage, now: float
@@ -229,6 +231,7 @@
         request = self.request_of_attempt(attempt_id)
         if request is None:
             return []
+        actions = self._steps.attempt_progressed(request, attempt_id, now=now)
         self._attempts.answered(request, now=now)
         outcome = None
         if request.claimed:
@@ -241,7 +244,8 @@
         answer = answers.complete_answer(
             request, finish_reason=finish_reason, usage=usage
         )
-        return self._steps.end(request, answer=answer, outcome=outcome, now=now)
+        ended = self._steps.end(request, answer=answer, outcome=outcome, now=now)
+        return actions + ended
 
     def service_answered(
         self,
@@ -293,7 +297,7 @@
             return []
         request.service_answer = None
         return self._steps.attempt_failed(
-            request, error=error, refused=refused, now=now
+            request, attempt_id, error=error, refused=refused, now=now
         )
 
     # Time
@@ -313,7 +317,7 @@
             elif request.state is RequestState.RECOVERING:
                 actions += self._steps.recover(request, now=now)
             elif request.state is RequestState.SENT:
-                actions += self._steps.abandon_lost_attempt(request, now=now)
+                actions += self._steps.try_beside_lost_attempt(request, now=now)
         return actions
 
     def admit_after_release(self, *, now: float) -> list[Action]:
@@ -363,20 +367,20 @@
             request, answer, not_run=not_run, retry_after=self._retry_after()
         )
         return self._steps.attempt_failed(
-            request, error=error, refused=not_run, now=now
+            request, request.attempt_id, error=error, refused=not_run, now=now
         )
 
     def _break_at_gap(
-        self, request: Request, *, index: int, now: float
+        self, request: Request, attempt_id: str, *, index: int, now: float
     ) -> list[Action]:
         # Delivering past a gap would give the caller an answer with tokens missing
         # unnoticed.  The attempt fails, and another attempt resumes the answer.
         error = answers.tokens_missing(request, index=index)
-        cancel = CancelAttempt(attempt_id=request.attempt_id)
-        return [
-            cancel,
-            *self._steps.attempt_failed(request, error=error, refused=False, now=now),
-        ]
+        cancel = CancelAttempt(attempt_id=attempt_id)
+        failed = self._steps.attempt_failed(
+            request, attempt_id, error=error, refused=False, now=now
+        )
+        return [cancel, *failed]
 
     def _queued_request(self, request_id: str) -> Request | None:
         request = self.requests_by_id.get(request_id)
--- a/ryelever/coordination/requests/state.py
+++ b/ryelever/coordination/requests/state.py
@@ -13,7 +13,7 @@
     from ...errors import RyeleverError
     from ..actions import AnswerService, Arrival, Target
 
-__all__ = ["Request", "RequestState", "Timeouts"]
+__all__ = ["HeldAttempt", "Request", "RequestState", "Timeouts"]
 
 
 class RequestState(enum.Enum):
@@ -53,6 +53,23 @@
     same_target_silent: float = 0.25
 
 
+class HeldAttempt:
+    """Silent attempt that is kept open while another one is tried.
+
+    Attributes
+    ----------
+    sent_at : float
+        Monotonic time at which the attempt was sent.
+    """
+
+    __slots__ = ("attempt_id", "sent_at", "target")
+
+    def __init__(self, *, attempt_id: str, target: Target, sent_at: float) -> None:
+        self.attempt_id = attempt_id
+        self.target = target
+        self.sent_at = sent_at
+
+
 @dataclass(slots=True, kw_only=True)
 class Request:
     """Request that has no final answer yet.
@@ -71,6 +88,8 @@
     caller_disconnected : bool
         True when the caller closed its connection, so that only the outcome of the
         request is still needed.
+    held_by_id : dict of str to HeldAttempt
+        Silent attempts that are kept open beside the current one, oldest first.
     tried : tuple of str
         Names of the targets tried, oldest first.
     delivered : list of str
@@ -93,6 +112,7 @@
     claimed: bool = False
     attempt_id: str = ""
     target: Target | None = None
+    held_by_id: dict[str, HeldAttempt] = field(default_factory=dict)
     tried: tuple[str, ...] = ()
     delivered: list[str] = field(default_factory=list)
     n_tokens_for_proof: int = 0
@@ -102,6 +122,12 @@
     error: RyeleverError | None = None
     service_answer: AnswerService | None = None
 
+    @property
+    def attempt_ids(self) -> list[str]:
+        """Return the ids of all open attempts."""
+        current = [self.attempt_id] if self.attempt_id else []
+        return [*self.held_by_id, *current]
+
     @property
     def streamed(self) -> bool:
         """Return whether the caller requested a streamed answer."""
--- a/ryelever/dump.py
+++ b/ryelever/dump.py
@@ -238,6 +238,7 @@
                 "state": request.state.value,
                 "for": _age(request.since, now=now),
                 "attempt": request.attempt_id,
+                "held": list(request.held_by_id),
                 "target": request.target.name if request.target else None,
                 "tried": request.tried,
                 "n_delivered": len(request.delivered),
--- a/ryelever/serving.py
+++ b/ryelever/serving.py
@@ -191,8 +191,8 @@
         else:
             self._stalled.discard(request_id)
         request = self._table.requests_by_id.get(request_id)
-        if request is not None and request.attempt_id:
-            self._attempts.set_flow(request.attempt_id, stop=stop)
+        for attempt_id in request.attempt_ids if request is not None else ():
+            self._attempts.set_flow(attempt_id, stop=stop)
 
     # Actions
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -13,6 +13,7 @@
 from ryelever.settings import Settings
 
 from .builders import direct_access
+from .test_coordination.test_requests.request_fakes import RequestTableDriver, chat
 
 
 class Table:
@@ -95,3 +96,17 @@
     serving.fire = lambda event, *channels: fired.append(event.args[0])
     serving._on_caller_disconnected("first")
     assert [action.record_id for action in fired] == ["second", "third"]
+
+
+def test_reading_of_held_attempts_is_resumed() -> None:
+    """A held attempt that was not read while its caller stalled is never read again."""
+    driver = RequestTableDriver()
+    driver.kind = chat
+    for step in ["targets:a,b", "arrive", "wait:0.6", "targets:b", "wait:0.6"]:
+        driver.step(step)
+    serving = _serving()
+    serving._table = driver.table
+    serving._attempts = Mock()
+    serving._on_caller_stalled("r", stalled=False)
+    resumed = [call.args[0] for call in serving._attempts.set_flow.call_args_list]
+    assert resumed == driver.attempts
