Don't end a begun stream of the OpenAI interface for refusals

Callers saw half of an answer end with `unavailable`, though their deadlines were not over and nothing had failed but that full or unreachable servers refused to continue it.

Cause: each refusal counted as one of the five attempts of a stream, also those before its first token. Each was followed by the next one at once, so that four groups without room ended a stream as soon as they had answered.

Evidence: three new rows of the fault table fail on the code before, with `cut:unavailable/outcome_unknown` at the fourth refusal, or one run too few.

Only attempts that a group has run count towards the five now. What breaks still moves at once, and requests without a token are limited as before.

--- a/ryelever/coordination/requests/attempts.py
+++ b/ryelever/coordination/requests/attempts.py
@@ -17,9 +17,10 @@
     from ..routing import AttemptFeedback, RetryPolicy, Router
     from .state import Request
 
-__all__ = ["RequestAttempts"]
+__all__ = ["MAX_STREAM_ATTEMPTS", "RequestAttempts"]
 
-#: Maximum attempts of a chat request of which tokens were received already.
+#: Maximum attempts of a chat request of which tokens were received already.  Refused
+#: attempts do not count, but are no longer followed by another one at once.
 MAX_STREAM_ATTEMPTS = 5
 
 #: Seconds between two checks of the group that runs an attempt without a first token.
@@ -208,7 +209,7 @@
             # than the retry budget allows.  A resumed stream requests only tokens
             # that were not generated yet, so it adds no load that the budget would
             # have to limit.
-            return n_attempts < MAX_STREAM_ATTEMPTS
+            return n_attempts - request.n_refused < MAX_STREAM_ATTEMPTS
         return self._retry_policy.allow(n_attempts=n_attempts, now=now)
 
 
--- a/ryelever/coordination/requests/state.py
+++ b/ryelever/coordination/requests/state.py
@@ -92,6 +92,10 @@
         Silent attempts that are kept open beside the current one, oldest first.
     tried : tuple of str
         Names of the targets tried, oldest first.
+    n_refused : int
+        Number of attempts that no target has run.
+    paused_until : float
+        Monotonic time before which the request is not sent again.
     delivered : list of str
         Tokens received so far, over all attempts.
     n_tokens_for_proof : int
@@ -114,6 +118,8 @@
     target: Target | None = None
     held_by_id: dict[str, HeldAttempt] = field(default_factory=dict)
     tried: tuple[str, ...] = ()
+    n_refused: int = 0
+    paused_until: float = float("-inf")
     delivered: list[str] = field(default_factory=list)
     n_tokens_for_proof: int = 0
     group_checked_at: float = float("-inf")
--- a/ryelever/coordination/requests/steps.py
+++ b/ryelever/coordination/requests/steps.py
@@ -14,6 +14,7 @@
 )
 from ..quarantine import quarantine_error
 from . import answers
+from .attempts import MAX_STREAM_ATTEMPTS
 from .held_attempts import HeldAttempts
 from .state import RequestState
 
@@ -101,6 +102,8 @@
         A request that waits for suspects of a crash or for a verdict may wait until its
         deadline.
         """
+        if now < request.paused_until:
+            return []
         waited = now - request.since
         timed_out = waited >= self._timeouts.recovery
         if timed_out and not self._attempts.must_wait(request, now=now):
@@ -128,6 +131,7 @@
         now: float,
     ) -> list[Action]:
         """Retry a failed attempt if that is safe and allowed, or end the request."""
+        request.n_refused += refused
         if attempt_id in request.held_by_id:
             self._held.failed(
                 request, attempt_id, error=error, refused=refused, now=now
@@ -139,8 +143,19 @@
             request.may_have_run = True
         if not self._attempts.may_retry(request, now=now):
             return self._wait_or_fail(request, now=now)
+        if refused and request.delivered:
+            request.paused_until = now + self._pause_after_refusals(request)
+        if now < request.paused_until:
+            return self._no_target(request, now=now)
         return self.dispatch(request, now=now)
 
+    def _pause_after_refusals(self, request: Request) -> float:
+        # Streams wait for a target with room until their deadlines.  Without a pause,
+        # the streams of a lost group would go round full groups without end.
+        n_excess = len(request.tried) - MAX_STREAM_ATTEMPTS + 1
+        pause = max(0, n_excess) * self._timeouts.same_target_silent
+        return min(pause, self._timeouts.same_target)
+
     def _wait_or_fail(self, request: Request, *, now: float) -> list[Action]:
         """Wait for a held attempt, or end a request that has no other attempt."""
         if not request.held_by_id:
--- a/tests/test_coordination/test_requests/test_requests.py
+++ b/tests/test_coordination/test_requests/test_requests.py
@@ -192,6 +192,25 @@
         "targets:a arrive tokens:0 broken targets wait:7.9 wait:0.2",
         "send-a+0 t0 cut:broken/outcome_unknown",
     ),
+    "stream is refused again and again": (
+        "chat",
+        "targets:a arrive tokens:0 silent wait:0.3 refused wait:0.3 refused wait:0.3 "
+        "refused wait:0.3 refused wait:0.3 refused wait:3 tokens:1 finish",
+        "send-a+0 t0 send-a+1 send-a+1 send-a+1 send-a+1 send-a+1 send-a+1 t1 finished",
+    ),
+    "stream that all groups refuse is not resent at once": (
+        "chat",
+        "targets:a,b,c,d,e,f arrive tokens:0 broken refused refused refused refused "
+        "wait:0.2 wait:0.1 tokens:1 finish",
+        "send-a+0 t0 send-b+1 send-c+1 send-d+1 send-e+1 send-a+1 t1 finished",
+    ),
+    "stream is run five times at most": (
+        "chat",
+        "targets:a,b,c,d,e,f arrive refused tokens:0 broken broken broken broken "
+        "broken",
+        "send-a+0 send-b+0 t0 send-c+1 send-d+1 send-e+1 send-f+1 "
+        "cut:broken/outcome_unknown",
+    ),
     "silent connection, sole group": (
         "chat",
         "targets:a arrive tokens:0 silent wait:0.2 wait:0.1 tokens:1 finish",
