Let a begun stream of the OpenAI interface wait for a group until its deadline

Callers saw half of an answer end with the error of its last attempt 8 s after it broke off, though their deadlines were not over and a group would have continued it later.

Cause: recovery_timeout, which limits how long a request waits for another backend server, held for streams with tokens as well. Without a token the caller may as well send its request again; half of an answer is lost with it.

Evidence: the row "stream waits for a group until its deadline" of the fault table fails on the code before, with `cut:broken/outcome_unknown` after 8 s.

A request of which tokens were received now waits until its deadline, as suspects of a crash do. recovery_timeout stays for requests without a token, and the row "no group within the recovery timeout" holds for these.

--- a/ryelever/coordination/requests/state.py
+++ b/ryelever/coordination/requests/state.py
@@ -36,7 +36,8 @@
         Maximum time until the request's claim is read back.
     recovery : float
         Maximum wait for another backend server after an attempt has failed; not applied
-        while the request waits for suspects of a crash or for a verdict.
+        once tokens were received, nor while the request waits for suspects of a crash
+        or for a verdict.
     same_target : float
         Pause before a retry on the backend server whose connection broke.  The pause
         is longer than a report of a host stays valid, so the group must have confirmed
--- a/ryelever/coordination/requests/steps.py
+++ b/ryelever/coordination/requests/steps.py
@@ -99,13 +99,13 @@
     def recover(self, request: Request, *, now: float) -> list[Action]:
         """Send a waiting request again, or end it after the recovery timeout.
 
-        A request that waits for suspects of a crash or for a verdict may wait until its
-        deadline.
+        A request of which tokens were received may wait until its deadline, and so may
+        one that waits for suspects of a crash or for a verdict.
         """
         if now < request.paused_until:
             return []
         waited = now - request.since
-        timed_out = waited >= self._timeouts.recovery
+        timed_out = waited >= self._timeouts.recovery and not request.delivered
         if timed_out and not self._attempts.must_wait(request, now=now):
             return self._wait_or_fail(request, now=now)
         server_may_be_healthy = not isinstance(request.arrival.work, ChatWork) or (
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -236,8 +236,8 @@
         default=8.0,
         check=is_positive,
         expected=SECONDS,
-        meaning="Longest time for which a request whose attempt failed waits for "
-        "another backend server.",
+        meaning="Longest time for which a request without a token whose attempt "
+        "failed waits for another backend server.",
     ),
     Setting(
         name="report_interval",
