--- a/ryelever/coordination/requests/requests.py
+++ b/ryelever/coordination/requests/requests.py
@@ -274,12 +274,16 @@
             body=body,
         )
         if not_run or (request.arrival.repeatable and status in RETRIED_STATUSES):
-            return self._service_failed(request, answer, not_run=not_run, now=now)
+            return self._service_failed(
+                request, attempt_id, answer, not_run=not_run, now=now
+            )
+        actions = self._steps.attempt_progressed(request, attempt_id, now=now)
         self._attempts.answered(request, now=now)
         outcome = None
         if request.claimed:
             outcome = answers.service_outcome(request, answer, owner=self._claims.owner)
-        return self._steps.end(request, answer=answer, outcome=outcome, now=now)
+        ended = self._steps.end(request, answer=answer, outcome=outcome, now=now)
+        return actions + ended
 
     def failed(
         self, attempt_id: str, *, error: RyeleverError, refused: bool, now: float
@@ -358,7 +362,13 @@
         return actions
 
     def _service_failed(
-        self, request: Request, answer: AnswerService, *, not_run: bool, now: float
+        self,
+        request: Request,
+        attempt_id: str,
+        answer: AnswerService,
+        *,
+        not_run: bool,
+        now: float,
     ) -> list[Action]:
         # If no later attempt succeeds, the caller receives the service's own answer,
         # unless the caller must be told that the call was not run.
@@ -367,7 +377,7 @@
             request, answer, not_run=not_run, retry_after=self._retry_after()
         )
         return self._steps.attempt_failed(
-            request, request.attempt_id, error=error, refused=not_run, now=now
+            request, attempt_id, error=error, refused=not_run, now=now
         )
 
     def _break_at_gap(
