Forget a member's missed probes when a group is suspected anew

In simulated time a sound group was ended in its second pause of 0.7 s; its callers lose the streams.

A group that stalls has its members probed; two consecutive unanswered probes end it. The probes stop with the suspicion, which ends when streams go on, but the first unanswered probe stayed counted. In the next pause a single one was enough.

Evidence: test_separate_pauses_do_not_add_up plays the planner in simulated time with two pauses of 0.7 s, ten seconds apart. It failed before: the group was ended by the probe that went unanswered in the second pause.

The count begins anew with each suspicion, so that the two probes lie in the same one. A lost member goes unanswered twice within its own suspicion, as before.

--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -142,7 +142,10 @@
     def set_stalled_heads(self, heads: set[str]) -> None:
         """Mark the groups that some host sees stalled, given the ids of their heads."""
         for managed in self.managed_by_name.values():
+            was_suspected = managed.suspected
             managed.suspected = managed.record.head.server_id in heads
+            if managed.suspected and not was_suspected:
+                managed.probes.restart()
 
     def record_outcome(
         self, order: GroupOrder, outcome: OrderOutcome, *, now: float
--- a/ryelever/coordination/groups/member_probes.py
+++ b/ryelever/coordination/groups/member_probes.py
@@ -31,6 +31,10 @@
         self._probed_at = float("-inf")
         self._n_unanswered: Counter[str] = Counter()
 
+    def restart(self) -> None:
+        """Forget the missed answers of an earlier suspicion."""
+        self._n_unanswered.clear()
+
     def due(
         self, member_ids: tuple[str, ...], *, urgent: bool, now: float
     ) -> tuple[str, ...]:
