Keep groups whose members are only paused

In simulated time a sound group was ended as member_silent when one of its members, its head, all servers of its fabric domain or of the service sent nothing for 1 to 1.5 s. The order to leave makes the head cut all streams off, and the silent member counts as lost for further 5 s.

Cause: two unanswered probes, 0.4 s apart, ended a group whatever their errors. The first is sent 0.5 to 0.85 s after the last event, so the second may fail 1.3 s after it, and a connection attempted during the pause fails even if the pause ends meanwhile.

Now the error decides. A refusal ends a group at once, and two connections that break or can't be opened end it, as before. A probe that times out doesn't tell a lost member from a paused one, whether it connected or not. Such a member of a serving group counts as lost once a probe times out that was sent 1.5 s after its silence began: with the stall of its group's streams, or with its first unanswered probe if it has answered since. All members are probed at that time, one round more than before. A member whose list entry has expired has been silent for longer, so its group ends as before; so do groups that form, which have no streams.

The emulator's lost servers now time out like dark machines.

--- a/ryelever/coordination/groups/managed_group.py
+++ b/ryelever/coordination/groups/managed_group.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from msgspec.structs import replace
 
 from .member_probes import MemberProbes
 from .orders import GroupOrder, OrderKind
@@ -14,7 +15,13 @@
     from ...state.directory import BackendServer, GroupState
     from .records import GroupRecord
 
-__all__ = ["MAX_ORDER_DELAY", "ORDER_RETRY", "GroupPhase", "ManagedGroup"]
+__all__ = [
+    "MAX_ORDER_DELAY",
+    "ORDER_RETRY",
+    "STREAM_SILENCE",
+    "GroupPhase",
+    "ManagedGroup",
+]
 
 #: Seconds after which an order without a visible effect is sent again.  The list of
 #: backend servers shows an effect within half a second.
@@ -23,6 +30,9 @@
 #: Seconds after which a server no longer executes an order that got no answer.
 MAX_ORDER_DELAY = 15.0
 
+#: Minimum seconds without an event on all streams of a group that hosts see stalled.
+STREAM_SILENCE = 0.45
+
 
 class GroupPhase(enum.Enum):
     """Enumerate the phases of a group's life.
@@ -56,6 +66,8 @@
         Times since which members are missing from the server list.
     suspected : bool
         True while an entry host sees all streams of the group stalled.
+    suspected_since : float or None
+        Time since which that is known, None if it isn't the case.
     silent_members : set of str
         Ids of members that did not answer the order to join.
     decided_here : bool
@@ -83,6 +95,7 @@
     ending_since: float = 0.0
     missing_since: dict[str, float] = msgspec.field(default_factory=dict)
     suspected: bool = False
+    suspected_since: float | None = None
     probes: MemberProbes = msgspec.field(default_factory=MemberProbes)
     silent_members: set[str] = msgspec.field(default_factory=set)
     decided_here: bool = False
@@ -128,7 +141,7 @@
     ) -> list[GroupOrder]:
         """Return the probes that are due to members that may be lost."""
         return [
-            self.order(OrderKind.PROBE, server_id)
+            replace(self.order(OrderKind.PROBE, server_id), decided_at=now)
             for server_id in self.probes.due(member_ids, urgent=urgent, now=now)
         ]
 
--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from ...state.directory import GroupState
-from .managed_group import ORDER_RETRY, GroupPhase, ManagedGroup
+from .managed_group import ORDER_RETRY, STREAM_SILENCE, GroupPhase, ManagedGroup
 from .managed_groups import DISBANDED, ManagedGroups
 from .orders import GroupOrder, OrderKind, OrderOutcome
 from .silent_heads import SilentHeads
@@ -144,14 +144,20 @@
         for managed in self.managed_by_name.values():
             was_suspected = managed.suspected
             managed.suspected = managed.record.head.server_id in heads
-            if managed.suspected and not was_suspected:
+            if not managed.suspected:
+                managed.suspected_since = None
+            elif not was_suspected:
                 managed.probes.restart()
 
     def record_outcome(
         self, order: GroupOrder, outcome: OrderOutcome, *, now: float
     ) -> None:
         """Record the outcome of an order."""
-        if outcome not in (OrderOutcome.UNKNOWN, OrderOutcome.WRONG_INSTANCE):
+        if outcome not in (
+            OrderOutcome.UNKNOWN,
+            OrderOutcome.SILENT,
+            OrderOutcome.WRONG_INSTANCE,
+        ):
             self._directory.last_seen_at_by_id[order.server_id] = now
             self._presumed_lost_at_by_id.pop(order.server_id, None)
         elif outcome is OrderOutcome.WRONG_INSTANCE:
@@ -163,7 +169,7 @@
         if managed is None:
             return
         if order.kind is OrderKind.PROBE:
-            self._handle_probe_outcome(managed, order.server_id, outcome, now=now)
+            self._handle_probe_outcome(managed, order, outcome, now=now)
             return
         if order.kind is OrderKind.OPEN and outcome is OrderOutcome.REFUSED:
             retry_at = now - ORDER_RETRY + OPEN_RETRY
@@ -268,6 +274,8 @@
     def _serving_orders(self, managed: ManagedGroup, *, now: float) -> list[GroupOrder]:
         """Return the probes that are due to the members of a serving group."""
         if managed.suspected:
+            if managed.suspected_since is None:
+                managed.suspected_since = now
             return managed.due_probes(managed.record.member_ids, urgent=True, now=now)
         missing_ids = tuple(
             server_id
@@ -345,7 +353,7 @@
     def _handle_probe_outcome(
         self,
         managed: ManagedGroup,
-        server_id: str,
+        order: GroupOrder,
         outcome: OrderOutcome,
         *,
         now: float,
@@ -359,13 +367,37 @@
         ):
             # The member has restarted or left, and the list doesn't show it yet.
             self._start_ending(managed, "member_left", now=now)
-        elif outcome is not OrderOutcome.UNKNOWN:
-            managed.probes.record_answer(server_id)
-            managed.silent_members.discard(server_id)
-        elif managed.probes.record_timeout(server_id):
-            self._presumed_lost_at_by_id[server_id] = now
+        elif outcome not in (OrderOutcome.UNKNOWN, OrderOutcome.SILENT):
+            managed.probes.record_answer(order.server_id, now=now)
+            managed.silent_members.discard(order.server_id)
+        elif self._is_lost_by_probe(managed, order, outcome):
+            self._presumed_lost_at_by_id[order.server_id] = now
             self._start_ending(managed, "member_silent", now=now)
 
+    def _is_lost_by_probe(
+        self, managed: ManagedGroup, order: GroupOrder, outcome: OrderOutcome
+    ) -> bool:
+        """Record a probe without an answer; return whether the member is lost.
+
+        A silent member of a serving group may be paused and continue its streams.  A
+        forming group has none, so it doesn't wait for the end of the pause.
+        """
+        server_id = order.server_id
+        is_forming = managed.phase is GroupPhase.FORMING
+        if outcome is not OrderOutcome.SILENT or is_forming:
+            return managed.probes.record_timeout(server_id)
+        suspected_since = order.decided_at
+        if managed.suspected_since is not None:
+            suspected_since = managed.suspected_since - STREAM_SILENCE
+        if server_id in managed.missing_since:
+            # The entry expired seconds after it was last renewed.
+            last_seen_at = self._directory.last_seen_at_by_id.get(server_id)
+            if last_seen_at is not None:
+                suspected_since = min(suspected_since, last_seen_at)
+        return managed.probes.record_silence(
+            server_id, probed_at=order.decided_at, suspected_since=suspected_since
+        )
+
     def _resolve_conflicts(self, *, now: float) -> None:
         """End one of any two groups that share a member.
 
--- a/ryelever/coordination/groups/orders.py
+++ b/ryelever/coordination/groups/orders.py
@@ -29,7 +29,9 @@
     server's state.  ``SUPERSEDED``: the server has seen a newer epoch.
     ``WRONG_INSTANCE``: another incarnation, another server or no process is at the
     address.  ``NOT_A_MEMBER``: the server answered a probe and is not in the group.
-    ``UNKNOWN``: no answer; the server may still execute the order later.
+    ``UNKNOWN``: no answer; the server may still execute the order later.  ``SILENT``:
+    a probe timed out, whether its connection was made or not; the server may be lost or
+    only paused.
     """
 
     APPLIED = "holds"
@@ -39,6 +41,7 @@
     WRONG_INSTANCE = "gone"
     NOT_A_MEMBER = "apart"
     UNKNOWN = "unknown"
+    SILENT = "silent"
 
 
 class GroupOrder(msgspec.Struct, kw_only=True, frozen=True):
@@ -53,6 +56,8 @@
     started_at : int or None
         Start time of the incarnation that joined the group, if known.  A probe that
         another incarnation answers has the outcome ``NOT_A_MEMBER``.
+    decided_at : float
+        Monotonic time at which a probe became due.
     """
 
     kind: OrderKind
@@ -64,3 +69,4 @@
     members: tuple[str, ...] = ()
     waits_for_requests: bool = False
     started_at: int | None = None
+    decided_at: float = 0.0
--- a/ryelever/emulator/fleet.py
+++ b/ryelever/emulator/fleet.py
@@ -265,7 +265,8 @@
         server = self.servers_by_id.get(order.server_id)
         step = self._step + 1
         if server is None or server.lost_at is not None:
-            outcome = OrderOutcome.UNKNOWN
+            is_probe = order.kind is OrderKind.PROBE
+            outcome = OrderOutcome.SILENT if is_probe else OrderOutcome.UNKNOWN
             step = self._step + ORDER_TIMEOUT_STEPS
         else:
             n_before = len(server.loads)
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -17,6 +17,7 @@
     ZonePlanner,
 )
 from .coordination.topic import TopicFollower
+from .errors import Category
 from .events import (
     OutboundAnswer,
     OutboundFailure,
@@ -353,12 +354,14 @@
                 self._send_order(zone, order, forwarder=witness)
                 return
             is_evidence = now - self._paths.heard_at <= MAX_SILENCE
+        outcome = OrderOutcome.UNKNOWN
         if refused:
-            self._record_outcome(failure.id, OrderOutcome.WRONG_INSTANCE)
-        else:
-            self._record_outcome(
-                failure.id, OrderOutcome.UNKNOWN, is_evidence=is_evidence
-            )
+            outcome, is_evidence = OrderOutcome.WRONG_INSTANCE, True
+        elif (
+            order.kind is OrderKind.PROBE and failure.error.category is Category.TIMEOUT
+        ):
+            outcome = OrderOutcome.SILENT
+        self._record_outcome(failure.id, outcome, is_evidence=is_evidence)
 
     def _record_outcome(
         self, order_id: str, outcome: OrderOutcome, *, is_evidence: bool = True
--- a/tests/test_coordination/test_groups/test_group_manager.py
+++ b/tests/test_coordination/test_groups/test_group_manager.py
@@ -332,6 +332,15 @@
     assert members.manager.phase_of(GROUP.name) is GroupPhase.FORMING
 
 
+def test_silent_member_whose_entry_expired_is_not_paused(members: Members) -> None:
+    """Guard against a group without streams that is kept after it lost a member."""
+    members.serve(GROUP)
+    members.lose("b", last_seen_at=0.4)
+    for now in (4.0, 4.4):
+        members.answer(members.orders(now), OrderOutcome.SILENT, now=now + 0.4)
+    assert members.due(4.9) == [(LEAVE, "a")]
+
+
 def test_a_member_whose_address_has_another_server_is_lost(members: Members) -> None:
     members.serve(GROUP)
     members.lose("b", last_seen_at=1.0)
--- a/tests/test_group_planning.py
+++ b/tests/test_group_planning.py
@@ -143,8 +143,44 @@
     return PlannedGroup(monkeypatch)
 
 
+@pytest.mark.parametrize("connects", [True, False])
+@pytest.mark.parametrize("seconds", [1.0, 1.5])
+@pytest.mark.parametrize(
+    ("server_ids", "others_answer"),
+    [("c", True), ("a", True), ("abc", True), ("abc", False)],
+    ids=["member", "head", "domain", "service"],
+)
+def test_paused_servers_keep_their_group(
+    group: PlannedGroup,
+    server_ids: str,
+    others_answer: bool,
+    seconds: float,
+    connects: bool,
+) -> None:
+    """Guard against streams that are cut because a server was silent for a second."""
+    group.connects, group.others_answer = connects, others_answer
+    group.silence(server_ids, seconds)
+    assert not group.ends_within(5.0)
+    manager = group.members.manager
+    assert not any(manager.is_presumed_lost(item, now=group.now) for item in "abc")
+
+
 def test_separate_pauses_do_not_add_up(group: PlannedGroup) -> None:
     """Guard against a group that is ended after one unanswered probe in its pause."""
     for _ in range(2):
         group.silence("c", 0.7)
         assert not group.ends_within(10.0)
+
+
+@pytest.mark.parametrize(
+    ("error", "seconds"),
+    [(Category.UNAVAILABLE, 0.6), (Category.BROKEN, 1.0), (Category.TIMEOUT, 2.0)],
+    ids=["refuses", "resets", "is dark"],
+)
+def test_lost_member_ends_its_group(
+    group: PlannedGroup, error: Category, seconds: float
+) -> None:
+    """Guard against a lost member that is taken for a paused one."""
+    group.error = error
+    group.silence("c")
+    assert group.ends_within(seconds)
