Presume a silent member lost after 1.2 s in place of 1.5 s

A pause of 1.2 s in which no connection is made, and of 1.5 s in which connections are accepted, ends no group.

--- a/ryelever/coordination/groups/member_probes.py
+++ b/ryelever/coordination/groups/member_probes.py
@@ -18,9 +18,10 @@
 #: Consecutive probes without an answer after which a member is presumed lost.
 MAX_UNANSWERED_PROBES = 2
 
-#: Maximum seconds for which a sound server is silent.  Afterwards it continues its
-#: streams, which the end of its group would break off.
-MAX_PAUSE = 1.5
+#: Seconds of silence after which a probe decides whether a member is presumed lost.  A
+#: sound server may be silent for about a second and then continues its streams, which
+#: the end of its group would break off.
+MAX_PAUSE = 1.2
 
 #: Seconds between two probes of members that answer but have no entry in the server
 #: list.  Each probe is paid for, and stalled streams reveal a lost member sooner.
