Read what has arrived before an idle connection of a caller is closed

Callers saw a reset instead of an answer or a refusal for a whole request. A timer's events are dispatched before the reads of the same round, so a request that had arrived since the previous round, or while the process was paused, was still in the receive buffer, and the kernel resets a connection that is closed with unread bytes.

test_request_that_has_arrived_is_answered_on_an_overdue_connection failed before: the request was never read.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -101,6 +101,13 @@
         """Return whether the caller has just connected and sent nothing yet."""
         return not self.has_received and now - self.progress_at < FIRST_REQUEST_TIME
 
+    def has_unread_input(self) -> bool:
+        """Return whether the caller has sent bytes that are not read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
 
 class RelayCallers(CallerServer):
     """Listen on one address and own the connections of its callers.
@@ -212,7 +219,7 @@
             if now > connection.closes_at:
                 self._close(connection.sock)
             elif connection.is_idle:
-                if idle_for > limits.idle_timeout:
+                if idle_for > limits.idle_timeout and not connection.has_unread_input():
                     self._close(connection.sock)
             elif not connection.number and now > (
                 connection.request_started_at + limits.head_timeout
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -6,8 +6,10 @@
 import errno
 import socket
 import threading
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 
+import msgspec
 import pytest
 from circuits import BaseComponent, handler
 
@@ -22,6 +24,8 @@
 from ..builders import named
 from ..processes import wait_until
 
+GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+
 LIMITS = ConnectionLimits(
     max_head=2048, max_body=4096, head_timeout=0.3, idle_timeout=30.0
 )
@@ -40,8 +44,9 @@
             bind=("127.0.0.1", 0),
             channel="callers_of_test",
             reply_channel="listener",
-            limits=lambda: LIMITS,
+            limits=lambda: self.limits,
         ).register(self)
+        self.limits = LIMITS
         self.gone: list[int] = []
         self.requests: list[RelayedRequest] = []
         self.caller_has_disconnected = threading.Event()
@@ -80,6 +85,33 @@
     running.join()
 
 
+@pytest.fixture
+def stepped() -> Iterator[Listener]:
+    """Yield a listener whose events are dispatched by ``_step`` alone."""
+    running = Listener()
+    # ``tick`` calls the poller only if the main loop is marked as running.
+    running._running = True
+    yield running
+    running.stop()
+    running._flush()
+
+
+def _step(listener: Listener, *, until: Callable[[], object]) -> None:
+    """Dispatch the events of a listener until a condition is met."""
+    deadline = time.monotonic() + 10
+    while not until():
+        assert time.monotonic() < deadline, "the condition was not met within 10 s"
+        listener.tick(0.01)
+
+
+def _exchange_stepped(listener: Listener, sock: socket.socket) -> None:
+    """Send a request on a kept connection and read its answer."""
+    sock.sendall(GET)
+    n_answered = len(listener.requests) + 1
+    _step(listener, until=lambda: len(listener.requests) == n_answered)
+    assert b" 200 " in sock.recv(4096)
+
+
 def _connect(listener: Listener) -> socket.socket:
     return socket.create_connection(("127.0.0.1", listener.callers.port), timeout=10)
 
@@ -216,6 +248,19 @@
     assert b"connection: close" in answer.lower()
 
 
+def test_request_that_has_arrived_is_answered_on_an_overdue_connection(
+    stepped: Listener,
+) -> None:
+    """Guard against a reset for a request that arrives just before its idle timeout."""
+    with _connect(stepped) as sock:
+        _exchange_stepped(stepped, sock)
+        stepped.limits = msgspec.structs.replace(LIMITS, idle_timeout=0.0)
+        sock.sendall(GET)
+        stepped.fire(sweep(), "callers_of_test")
+        _step(stepped, until=lambda: len(stepped.requests) == 2)
+        assert b" 200 " in sock.recv(4096)
+
+
 class SocketOutOfDescriptors:
     """A listening socket of a process that has no descriptors left."""
 
