Keep idle connections of callers for as long as callers may believe

Callers keep to a share of the limit that they know, and a configuration takes up to 8 s to be in force everywhere.

Now the longest timeout that was in force within the last 10 s applies; a raised one applies at once as before.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -53,6 +53,10 @@
 #: connect when they have a request to send.
 FIRST_REQUEST_TIME = 1.0
 
+#: Seconds for which callers may still go by the idle timeout of an earlier
+#: configuration.  A new one is in force everywhere within 8 s.
+CHANGE_TIME = 10.0
+
 #: TCP keepalive: seconds without traffic before the kernel probes the caller, seconds
 #: between two probes, and probes without an answer after which it drops the connection.
 KEEPALIVE = ((socket.TCP_KEEPIDLE, 3), (socket.TCP_KEEPINTVL, 1))
@@ -139,6 +143,8 @@
         self._numbers = itertools.count(1)
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_number: dict[int, _Connection] = {}
+        # When each idle timeout was last seen in force.
+        self._seen_at_by_idle_timeout: dict[float, float] = {}
         self.draining = False
 
     @property
@@ -214,18 +220,33 @@
     def _on_sweep(self) -> None:
         now = time.monotonic()
         limits = self._limits()
+        idle_timeout = self._known_idle_timeout(limits.idle_timeout, now=now)
         for connection in list(self._connections_by_sock.values()):
             idle_for = now - connection.progress_at
             if now > connection.closes_at:
                 self._close(connection.sock)
             elif connection.is_idle:
-                if idle_for > limits.idle_timeout and not connection.has_unread_input():
+                if idle_for > idle_timeout and not connection.has_unread_input():
                     self._close(connection.sock)
             elif not connection.number and now > (
                 connection.request_started_at + limits.head_timeout
             ):
                 self._refuse(connection, 408)
 
+    def _known_idle_timeout(self, in_force: float, *, now: float) -> float:
+        """Return the longest idle timeout by which callers may go.
+
+        A request on a connection that is closed at the same time gets no answer, and
+        callers can't avoid that by a limit which they don't know yet.
+        """
+        self._seen_at_by_idle_timeout[in_force] = now
+        self._seen_at_by_idle_timeout = {
+            timeout: seen_at
+            for timeout, seen_at in self._seen_at_by_idle_timeout.items()
+            if now - seen_at <= CHANGE_TIME
+        }
+        return max(self._seen_at_by_idle_timeout)
+
     def close_idle(self) -> int:
         """Close the connections that carry no request and return their number.
 
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -18,7 +18,7 @@
 from ryelever.timers import Timers
 from ryelever.transport import caller_server, relay_callers
 from ryelever.transport.poller import Poller
-from ryelever.transport.relay_callers import RelayCallers
+from ryelever.transport.relay_callers import CHANGE_TIME, RelayCallers
 
 from ..bad_requests import REFUSED
 from ..builders import named
@@ -261,6 +261,23 @@
         assert b" 200 " in sock.recv(4096)
 
 
+def test_lowered_idle_timeout_closes_no_connection_before_callers_know_it(
+    stepped: Listener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against requests on connections closed by a limit that is not known yet."""
+    clock = time.monotonic
+    with _connect(stepped) as sock:
+        _exchange_stepped(stepped, sock)
+        stepped.fire(sweep(), "callers_of_test")
+        stepped.tick(0.01)
+        stepped.limits = msgspec.structs.replace(LIMITS, idle_timeout=1.0)
+        for age, n_open in ((CHANGE_TIME - 1, 1), (CHANGE_TIME + 1, 0)):
+            monkeypatch.setattr(time, "monotonic", lambda age=age: clock() + age)
+            stepped.fire(sweep(), "callers_of_test")
+            stepped.tick(0.01)
+            assert stepped.callers.n_open == n_open
+
+
 class SocketOutOfDescriptors:
     """A listening socket of a process that has no descriptors left."""
 
