Answer what has arrived before a stopping host closes and ends

Callers saw a connection that was closed, or reset, instead of an answer or a refusal for a whole request that they had sent to a host after SIGTERM. The host closed its idle connections without looking at their sockets; a request that had arrived was then read and discarded. It ended in the same tick, and requests in receive buffers, or on connections that were not accepted yet, were reset.

test_request_that_has_arrived_is_answered_before_the_process_ends failed before: the request on a kept connection was never handled, and the process ended before the one on a connection that waited to be accepted. Now a connection with unread input is busy, and the host accepts what waits, stops listening and looks once more before it ends, as hosts of the OpenAI interface do.

--- a/ryelever/relay_shutdown.py
+++ b/ryelever/relay_shutdown.py
@@ -36,7 +36,8 @@
     First the host becomes unready but still accepts requests; its answers announce
     that the connection closes.  When the balancer has stopped sending callers, idle
     connections are closed, and new requests are refused if they couldn't be finished.
-    The process ends when no request is in flight, or when the grace period is over.
+    When no request is in flight, the host stops listening, and the process ends once
+    those that had arrived are answered, or when the grace period is over.
 
     Parameters
     ----------
@@ -98,9 +99,12 @@
             self._close_idle_and_refuse(elapsed)
         is_idle = not self._n_in_flight and not self._callers.n_busy
         out_of_time = elapsed > self._settings.grace - self._settings.last_bytes
-        if out_of_time or (elapsed > BALANCER_REACTION_TIME and is_idle):
+        if out_of_time or (is_idle and not self._callers.is_listening):
             log_event("stopped", in_flight=self._n_in_flight, after=round(elapsed, 2))
             self._stop()
+        elif elapsed > BALANCER_REACTION_TIME and is_idle:
+            # The requests on the last connections are read before the next tick.
+            self._callers.stop_listening()
 
     @property
     def _n_in_flight(self) -> int:
--- a/ryelever/transport/caller_server.py
+++ b/ryelever/transport/caller_server.py
@@ -61,6 +61,20 @@
                 return
             self._on_accept_done(sock)
 
+    def stop_listening(self) -> None:
+        """Accept the connections that wait to be accepted, and refuse later ones.
+
+        Connections that are not accepted when the socket is closed would be reset,
+        although their callers may have sent a request.
+        """
+        if self._sock is None:
+            return
+        n_before = -1
+        while len(self._clients) > n_before:
+            n_before = len(self._clients)
+            self._accept()
+        self._close(self._sock)
+
     def send_now(self, sock: socket.socket, data: bytes) -> int:
         """Send as many bytes as the kernel accepts at once, and queue the rest.
 
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -171,11 +171,7 @@
         accepted yet.  If the process ended now, that connection would be reset and the
         caller would not learn whether its request was run.
         """
-        n_before = -1
-        while len(self._clients) > n_before:
-            n_before = len(self._clients)
-            self._accept()
-        self._close(self._sock)
+        self.stop_listening()
         self._keep_idle_until = time.monotonic() + self._limits.linger
 
     def _close_gracefully(self, connection: _Connection) -> None:
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -154,16 +154,27 @@
 
     @property
     def n_busy(self) -> int:
-        """Return the number of connections with a request or with unsent bytes.
+        """Return the number of connections with a request, or unread or unsent bytes.
 
         New connections count as well until their first request is overdue.
         """
         now = time.monotonic()
         return sum(
+            self._is_busy(connection, now=now)
+            for connection in self._connections_by_sock.values()
+        )
+
+    @property
+    def is_listening(self) -> bool:
+        """Return whether new connections are accepted."""
+        return self._sock is not None
+
+    def _is_busy(self, connection: _Connection, *, now: float) -> bool:
+        return (
             not connection.is_idle
             or connection.awaits_first_request(now=now)
             or bool(self._buffers.get(connection.sock))
-            for connection in self._connections_by_sock.values()
+            or connection.has_unread_input()
         )
 
     # Connections
@@ -257,9 +268,8 @@
         idle = [
             connection
             for connection in self._connections_by_sock.values()
-            if connection.is_idle
-            and not connection.awaits_first_request(now=now)
-            and connection.closes_at == float("inf")
+            if connection.closes_at == float("inf")
+            and not self._is_busy(connection, now=now)
         ]
         for connection in idle:
             self._close_gracefully(connection)
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -4,16 +4,21 @@
 
 import contextlib
 import errno
+import signal
 import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 from circuits import BaseComponent, handler
+from circuits.core.events import signal as signal_caught
 
-from ryelever.events import RelayedRequest, sweep
+from ryelever import relay_shutdown
+from ryelever.events import RelayedRequest, control_tick, sweep
+from ryelever.relay_shutdown import RelayShutdown
 from ryelever.state.routes import ConnectionLimits
 from ryelever.timers import Timers
 from ryelever.transport import caller_server, relay_callers
@@ -309,6 +314,36 @@
         assert sock.recv(4096) == b""
 
 
+@pytest.mark.parametrize("is_kept", [True, False], ids=["kept", "not accepted"])
+def test_request_that_has_arrived_is_answered_before_the_process_ends(
+    stepped: Listener, monkeypatch: pytest.MonkeyPatch, is_kept: bool
+) -> None:
+    """Guard against a reset for a request that arrives when the process ends."""
+    monkeypatch.setattr(relay_shutdown, "BALANCER_REACTION_TIME", -1.0)
+    stopped = threading.Event()
+    RelayShutdown(
+        settings=SimpleNamespace(grace=30.0, last_bytes=1.0),
+        callers=stepped.callers,
+        requests=SimpleNamespace(requests_by_number={}),
+        n_forwarded=lambda: 0,
+        stop=stopped.set,
+        reload=lambda: None,
+    ).register(stepped)
+    with _connect(stepped) as sock:
+        if is_kept:
+            _exchange_stepped(stepped, sock)
+        sock.sendall(GET)
+        stepped.fire(signal_caught(signal.SIGTERM, None), "*")
+        stepped.fire(control_tick(), "shutdown")
+        _step(stepped, until=lambda: len(stepped.requests) == 1 + is_kept)
+        assert not stopped.is_set()
+        assert b" 200 " in sock.recv(4096)
+    _step(
+        stepped,
+        until=lambda: stepped.fire(control_tick(), "shutdown") and stopped.is_set(),
+    )
+
+
 def test_connections_that_cannot_be_accepted_are_logged(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
