Send answers that are larger than the bound on unread bytes

Callers saw a complete answer of a backend server broken off, although they read it promptly, when it had about a megabyte more than the kernel takes at once: 6 and 8 MB over loopback ended after 4.3 MB. A host accepts answers of up to 8 MB, but closed the connection as soon as more than 1 MB of one was left to be sent, before the caller could read anything.

test_large_answer_arrives_whole failed before. Now the bound applies to what is unread when more is to be sent: a whole answer, which is in memory anyway, is sent at its caller's pace, and a stream whose caller doesn't read is closed as before.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -41,8 +41,8 @@
 #: connect at the same time.
 BACKLOG = 1024
 
-#: Maximum bytes of an answer that a caller may leave unread before its connection is
-#: closed.  The longest stream has some kilobytes.
+#: Maximum bytes that a caller may leave unread when more of its answer is to be sent;
+#: with more, its connection is closed.  The longest stream has some kilobytes.
 MAX_UNREAD = 1 << 20
 
 #: Seconds for which the connection of a refused caller stays open, so that the caller
@@ -419,8 +419,13 @@
     # Writing
 
     def _send(self, connection: _Connection, data: bytes) -> None:
-        if self.send_now(connection.sock, data) > MAX_UNREAD:
+        n_unread = sum(
+            len(waiting) for waiting in self._buffers.get(connection.sock, ())
+        )
+        if n_unread > MAX_UNREAD:
             self._close_unanswered(connection, "unread")
+            return
+        self.send_now(connection.sock, data)
 
     @handler("_write", priority=0)
     def _on_written(self, sock: socket.socket) -> None:
