Give callers time to read the last answer of a connection

Callers saw the last answer on their connection cut after 1 s if they had not read all of it by then (Connection: close, HTTP/1.0, or any answer of a stopping host), as a caller that pauses for longer does: the time to linger was counted from the moment the answer was queued, and the connection was closed with bytes unsent.

test_large_answer_arrives_whole[closed] and test_refused_caller_has_time_to_read_a_timeout failed before. Now a connection on which no further request is read is marked as such, as that of the OpenAI interface is: only its closing time or a lack of progress ends it, and that time is counted from the moment the last byte is sent.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -80,8 +80,11 @@
         Bytes received since the request that is being answered was complete.
     number : int
         Number of the request that is being answered; 0 if there is none.
+    closing : bool
+        True once no further request is read.
     closes_at : float
-        Monotonic time at which the connection is closed; infinite while it is in use.
+        Monotonic time at which the connection is closed; infinite until the last answer
+        is sent.
     """
 
     sock: socket.socket
@@ -94,6 +97,7 @@
     request_started_at: float | None = None
     n_pipelined_bytes: int = 0
     number: int = 0
+    closing: bool = False
     closes_at: float = float("inf")
 
     @property
@@ -208,7 +212,7 @@
     @handler("read")
     def _on_bytes(self, sock: socket.socket, data: bytes) -> None:
         connection = self._connections_by_sock.get(sock)
-        if connection is None or connection.closes_at != float("inf"):
+        if connection is None or connection.closing:
             return
         connection.progress_at = now = time.monotonic()
         connection.has_received = True
@@ -236,7 +240,7 @@
             idle_for = now - connection.progress_at
             if now > connection.closes_at:
                 self._close(connection.sock)
-            elif connection.is_idle:
+            elif connection.closing or connection.is_idle:
                 if idle_for > idle_timeout and not connection.has_unread_input():
                     self._close(connection.sock)
             elif not connection.number and now > (
@@ -268,8 +272,7 @@
         idle = [
             connection
             for connection in self._connections_by_sock.values()
-            if connection.closes_at == float("inf")
-            and not self._is_busy(connection, now=now)
+            if not connection.closing and not self._is_busy(connection, now=now)
         ]
         for connection in idle:
             self._close_gracefully(connection)
@@ -340,15 +343,20 @@
         self._close(connection.sock)
 
     def _close_gracefully(self, connection: _Connection) -> None:
-        """Close after the caller has had ``LINGER`` seconds to read the answer.
+        """Close after the answer is sent and the caller has had time to read it.
 
         Closing a socket with unread input resets the connection, and the caller may
-        lose the answer.  Input is therefore read and discarded for that time.
+        lose the answer.  Input is therefore read and discarded for ``LINGER`` seconds.
         """
+        connection.closing = True
+        self._half_close(connection)
+
+    def _half_close(self, connection: _Connection) -> None:
+        if self._buffers.get(connection.sock):
+            return
         connection.closes_at = time.monotonic() + LINGER
-        if not self._buffers.get(connection.sock):
-            with contextlib.suppress(OSError):
-                connection.sock.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(OSError):
+            connection.sock.shutdown(socket.SHUT_WR)
 
     # Answers
 
@@ -405,7 +413,6 @@
         self._connections_by_number.pop(connection.number, None)
         connection.number = 0
         connection.head = None
-        connection.progress_at = time.monotonic()
         http = connection.http
         if http.our_state is h11.DONE and http.their_state is h11.DONE:
             http.start_next_cycle()
@@ -425,16 +432,17 @@
         if n_unread > MAX_UNREAD:
             self._close_unanswered(connection, "unread")
             return
+        connection.progress_at = time.monotonic()
         self.send_now(connection.sock, data)
 
     @handler("_write", priority=0)
     def _on_written(self, sock: socket.socket) -> None:
         connection = self._connections_by_sock.get(sock)
-        if connection is None or self._buffers.get(sock):
+        if connection is None:
             return
-        if connection.closes_at != float("inf"):
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_WR)
+        connection.progress_at = time.monotonic()
+        if connection.closing and connection.closes_at == float("inf"):
+            self._half_close(connection)
 
     # State for the dump
 
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -23,13 +23,14 @@
 from ryelever.timers import Timers
 from ryelever.transport import caller_server, relay_callers
 from ryelever.transport.poller import Poller
-from ryelever.transport.relay_callers import CHANGE_TIME, RelayCallers
+from ryelever.transport.relay_callers import CHANGE_TIME, LINGER, RelayCallers
 
 from ..bad_requests import REFUSED
 from ..builders import named
 from ..processes import wait_until
 
 GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+LAST_GET = b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 LIMITS = ConnectionLimits(
     max_head=2048, max_body=4096, head_timeout=0.3, idle_timeout=30.0
@@ -287,13 +288,38 @@
         assert b" 200 " in sock.recv(4096)
 
 
-def test_large_answer_arrives_whole(stepped: Listener) -> None:
+def test_refused_caller_has_time_to_read_a_timeout(
+    stepped: Listener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a reset that discards a 408 because its caller still sends."""
+    with _connect(stepped) as sock:
+        sock.sendall(GET[:-2])
+        _step(stepped, until=lambda: stepped.callers.n_open)
+        stepped.tick(0.01)
+        _sweep(stepped, monkeypatch, after=LIMITS.head_timeout + 0.1)
+        assert sock.recv(4096).startswith(b"HTTP/1.1 408 ")
+        _sweep(stepped, monkeypatch, after=LIMITS.head_timeout + 0.3)
+        assert stepped.callers.n_open == 1
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "pause"),
+    [(GET, 0.0), (LAST_GET, 2 * LINGER)],
+    ids=["kept", "closed"],
+)
+def test_large_answer_arrives_whole(
+    stepped: Listener,
+    monkeypatch: pytest.MonkeyPatch,
+    request_bytes: bytes,
+    pause: float,
+) -> None:
     """Guard against an answer that is cut because its caller needs time to read it."""
     stepped.answer_size = 16 << 20
     received = bytearray()
     with _connect(stepped) as sock:
-        sock.sendall(GET)
+        sock.sendall(request_bytes)
         _step(stepped, until=lambda: stepped.requests)
+        _sweep(stepped, monkeypatch, after=pause)
         sock.setblocking(False)
         _step(stepped, until=lambda: _receive(sock, received) == stepped.answer_size)
 
