Answer the requests that callers pipeline at a stopping host

Callers that had sent their next request before the answer to the current one saw neither an answer nor a refusal for it after SIGTERM: the current answer announced the end of the connection, so that the next request, already received, was discarded. A part of a request that had arrived so did not count as one that is arriving, and its connection was closed as idle.

test_stopping_host_answers_pipelined_requests failed before. Now the end is announced in an answer behind which nothing has arrived, and a request counts as arriving once the answer before it is sent.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -403,7 +403,8 @@
             self._close(connection.sock)
 
     def _head(self, connection: _Connection, *, status: int, headers: Headers) -> bytes:
-        if self.draining:
+        # A request that has arrived behind this one would get no answer.
+        if self.draining and not connection.http.trailing_data[0]:
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         return connection.http.send(response)
@@ -416,6 +417,8 @@
         http = connection.http
         if http.our_state is h11.DONE and http.their_state is h11.DONE:
             http.start_next_cycle()
+            if http.trailing_data[0]:
+                connection.request_started_at = time.monotonic()
             try:
                 self._process_events(connection)
             except h11.RemoteProtocolError as error:
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -338,6 +338,19 @@
         assert stepped.callers.n_open == 0
 
 
+def test_stopping_host_answers_pipelined_requests(stepped: Listener) -> None:
+    """Guard against a request that is read and discarded behind another one."""
+    stepped.callers.draining = True
+    with _connect(stepped) as sock:
+        sock.sendall(GET + GET + GET[:-2])
+        _step(stepped, until=lambda: len(stepped.requests) == 2)
+        assert sock.recv(4096).count(b" 200 ") == 2
+        assert stepped.callers.close_idle() == 0
+        sock.sendall(GET[-2:])
+        _step(stepped, until=lambda: len(stepped.requests) == 3)
+        assert _read_all(sock).lower().count(b"connection: close") == 1
+
+
 class SocketOutOfDescriptors:
     """A listening socket of a process that has no descriptors left."""
 
