Count numbers of requests that are out of range as absent

Callers whose deadline or number of prompt tokens had 310 to 4,300 digits got neither an answer nor a refusal, for as long as they waited: such an integer is read, but becomes no float, so that the handler of the arriving request raised OverflowError and the connection stayed as it was.

test_request_with_a_number_out_of_range_is_answered, which steps a host over real sockets, failed before for each kind of request with the deadline, and for streams with the tokens. Now numbers above 2**53 count as absent, like others that can't be read.

--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -44,6 +44,9 @@
 #: Value of a header that states that something is the case.
 TRUE = b"1"
 
+#: Maximum of a number in a request's header; a float represents all smaller ones.
+MAX_NUMBER = 1 << 53
+
 #: Maximum length of the id of a part of a prompt, in characters.
 MAX_PART_ID = 64
 
@@ -149,10 +152,12 @@
 
 
 def _parse_number(text: bytes) -> int:
+    """Return a number that is not negative, or 0 for any other text."""
     try:
-        return max(0, int(text))
+        number = int(text)
     except ValueError:
         return 0
+    return number if 0 <= number <= MAX_NUMBER else 0
 
 
 def _parse_shared_parts(head: Headers) -> tuple[str, ...]:
--- /dev/null
+++ b/tests/test_relay_exchanges.py
@@ -0,0 +1,236 @@
+"""Test what callers get for unusual requests."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import time
+from collections.abc import Iterator
+
+import h11
+import pytest
+from circuits import BaseComponent, handler
+from msgspec.structs import replace
+
+from ryelever.coordination.host_heartbeats import ForwardingHosts, HostAddress
+from ryelever.coordination.relaying import Forwarders, ServerPaths
+from ryelever.metrics import Metrics
+from ryelever.platform.messages import PlatformMessages
+from ryelever.relay import Relay
+from ryelever.relay_settings import ContentionMode
+from ryelever.request_forwarding import ForwardingEndpoint, RequestForwarding
+from ryelever.state.routes import ConnectionLimits, RouteKind
+from ryelever.transport.http_client import HttpClient
+from ryelever.transport.poller import Poller
+from ryelever.transport.relay_callers import RelayCallers
+
+from .test_coordination.test_relaying.relay_fakes import Relaying, contended_table
+
+#: Seconds within which a request ends that waits for nothing.
+PROMPT = 2.0
+
+RESET = struct.pack("ii", 1, 0)
+
+
+class EntryHost(BaseComponent):
+    """An entry host, stepped by the test, whose backend servers are all one socket.
+
+    Parameters
+    ----------
+    is_forwarded : bool
+        True if requests pass this host a second time, as their forwarding host.
+    """
+
+    channel = "host"
+
+    def __init__(self, *, is_forwarded: bool) -> None:
+        super().__init__()
+        self._sockets = contextlib.ExitStack()
+        self.backend = socket.create_server(("127.0.0.1", 0))
+        self.backend.setblocking(False)
+        address = f"127.0.0.1:{self.backend.getsockname()[1]}"
+        fakes = self.fakes = Relaying()
+        directory = fakes.directory
+        for server in list(directory.by_id.values()):
+            directory.put(replace(server, address=address), now=0.0)
+        Poller().register(self)
+        self.client = HttpClient().register(self)
+        self.callers, self.peer_callers = (
+            RelayCallers(
+                bind=("127.0.0.1", 0),
+                channel=channel,
+                reply_channel=reply_channel,
+                limits=ConnectionLimits,
+            ).register(self)
+            for channel, reply_channel in (("callers", "relay"), ("peers", "offers"))
+        )
+        self.faults: list[object] = []
+        forwarding_hosts = ForwardingHosts(own_zone=(), other_zones=())
+        if is_forwarded:
+            peer = HostAddress(
+                host="e2",
+                address=f"127.0.0.1:{self.peer_callers.port}",
+                availability_zone="z",
+            )
+            forwarding_hosts = replace(forwarding_hosts, own_zone=(peer,))
+        forwarding = RequestForwarding(
+            host="e2",
+            callers=self.peer_callers,
+            address_of=lambda server_id: directory.by_id[server_id].address,
+            paths=fakes.paths,
+            is_authorized=lambda request: True,
+            is_stopping=lambda: False,
+        ).register(self)
+        ForwardingEndpoint(callers=self.peer_callers, forwarding=forwarding).register(
+            self
+        )
+        paths = ServerPaths(servers_by_id=directory.by_id, log=lambda *_, **__: None)
+        paths.is_out_of_reach = lambda server_id: is_forwarded
+        self.relay = Relay(
+            messages=PlatformMessages(),
+            callers=self.callers,
+            route_table=lambda: fakes.route_table,
+            balancer=fakes.balancer,
+            budget=fakes.requests._budget,
+            stall_watch=fakes.stall_watch,
+            paths=paths,
+            forwarders=Forwarders(hosts=lambda *, now: forwarding_hosts, seed=1),
+            crashes=fakes.crashes,
+            metrics=Metrics(),
+            measures=fakes.measures,
+            contention=ContentionMode.AUTO,
+        ).register(self)
+        # ``tick`` calls the poller only if the main loop is marked as running.
+        self._running = True
+
+    @handler("exception", channel="*")
+    def _on_fault(self, *args: object, **fields: object) -> None:
+        self.faults.append(args[1])
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.stop()
+        self._flush()
+        for sock in list(self.client._connections_by_sock):
+            sock.close()
+        self.backend.close()
+
+    def exchange(self, request: bytes, answer: bytes, *, is_reset: bool) -> Outcome:
+        """Send a request, answer each attempt with the same bytes, and end it.
+
+        Return what the caller got.
+        """
+        method = request.partition(b" ")[0]
+        http = h11.Connection(h11.CLIENT)
+        http.send(h11.Request(method=method, target="/", headers=[("Host", "a")]))
+        http.send(h11.EndOfMessage())
+        outcome = Outcome()
+        with socket.create_connection(("127.0.0.1", self.callers.port)) as caller:
+            caller.sendall(request)
+            caller.setblocking(False)
+            prompt_until = time.monotonic() + PROMPT
+            while not outcome.is_over and time.monotonic() < prompt_until:
+                self.tick(0.0)
+                outcome.n_attempts += self._answer_attempt(answer, is_reset=is_reset)
+                outcome.read(caller, http)
+                if self.relay.requests.has_waiting:
+                    outcome.waits = True
+                    break
+        return outcome
+
+    def _answer_attempt(self, answer: bytes, *, is_reset: bool) -> bool:
+        """Answer an attempt if there is one; return whether there was."""
+        try:
+            sock = self.backend.accept()[0]
+        except BlockingIOError:
+            return False
+        with sock:
+            sock.settimeout(0.0)
+            request = b""
+            while not request.endswith(END):
+                self.tick(0.0)
+                with contextlib.suppress(BlockingIOError):
+                    request += sock.recv(65536)
+            sock.sendall(answer)
+            if is_reset:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        return True
+
+
+class Outcome:
+    """What one caller got."""
+
+    def __init__(self) -> None:
+        self.statuses: list[int] = []
+        self.body = b""
+        self.n_attempts = 0
+        self.is_complete = False
+        self.is_closed = False
+        self.waits = False
+
+    @property
+    def is_over(self) -> bool:
+        return self.is_complete or self.is_closed
+
+    def read(self, sock: socket.socket, http: h11.Connection) -> None:
+        try:
+            data = sock.recv(65536)
+        except BlockingIOError:
+            return
+        self.is_closed = not data
+        with contextlib.suppress(h11.RemoteProtocolError):
+            http.receive_data(data)
+            while True:
+                event = http.next_event()
+                if isinstance(event, h11.Response):
+                    self.statuses.append(event.status_code)
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    self.is_complete = True
+                    assert not http.trailing_data[0]
+                    return
+                else:
+                    return
+
+
+END = b"body"
+
+
+def _request(kind: RouteKind, method: str) -> bytes:
+    return (
+        f"{method} /{kind.value}/1 HTTP/1.1\r\nHost: calls.example\r\n"
+        "Request-Id: r1\r\nCredential: key\r\nDeadline-Ms: 60000\r\n"
+        f"Model: {'large' if kind is RouteKind.STREAM else ''}\r\n"
+        "Token-Usage: 100,50\r\nContent-Length: 4\r\n\r\nbody"
+    ).encode()
+
+
+SOUND_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+    b"Content-Length: 17\r\n\r\nid: 1\ndata: abc\n\n"
+)
+
+
+@pytest.fixture
+def host() -> Iterator[EntryHost]:
+    with contextlib.closing(EntryHost(is_forwarded=False)) as running:
+        yield running
+
+
+@pytest.mark.parametrize("kind", RouteKind)
+@pytest.mark.parametrize(
+    ("header", "value"),
+    [(b"Deadline-Ms: 60000", b"9" * 400), (b"Token-Usage: 100", b"9" * 400)],
+    ids=["deadline", "tokens"],
+)
+def test_request_with_a_number_out_of_range_is_answered(
+    host: EntryHost, kind: RouteKind, header: bytes, value: bytes
+) -> None:
+    """Guard against callers that hang because a header's number is no float."""
+    host.fakes.route_table = contended_table()
+    name = header.partition(b" ")[0]
+    request = _request(kind, "POST").replace(header, name + b" " + value)
+    outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
+    assert (host.faults, outcome.statuses, outcome.is_complete) == ([], [200], True)
