Send requests without any deadline

Callers without a deadline of their own got neither an answer nor a refusal, ever, on a route without a timeout, as a change of the configuration can make any route: the head of the attempt states the remaining milliseconds, an infinite number of them raised OverflowError after the attempt had begun, and the tick found no time at which to end the request. The slot at the backend server stayed taken, too.

test_request_without_any_deadline_is_answered failed before for each kind of request. Now the head states no deadline if there is none.

--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -100,8 +100,9 @@
         if attempt.last_event_id:
             dropped = dropped | {wire_names.LAST_EVENT_ID}
         headers = [pair for pair in head if pair[0] not in dropped]
-        remaining_ms = max(1, int((attempt.deadline - now) * 1000) - RETURN_TIME_MS)
-        headers.append((wire_names.DEADLINE, str(remaining_ms).encode()))
+        if math.isfinite(attempt.deadline):
+            remaining_ms = max(1, int((attempt.deadline - now) * 1000) - RETURN_TIME_MS)
+            headers.append((wire_names.DEADLINE, str(remaining_ms).encode()))
         headers.append((wire_names.EXPECTED_SERVER, attempt.server_id.encode()))
         if attempt.account:
             headers.append((wire_names.ACCOUNT, attempt.account.encode()))
--- a/tests/test_relay_exchanges.py
+++ b/tests/test_relay_exchanges.py
@@ -234,3 +234,19 @@
     request = _request(kind, "POST").replace(header, name + b" " + value)
     outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
     assert (host.faults, outcome.statuses, outcome.is_complete) == ([], [200], True)
+
+
+@pytest.mark.parametrize("kind", RouteKind)
+def test_request_without_any_deadline_is_answered(
+    host: EntryHost, kind: RouteKind
+) -> None:
+    """Guard against callers that hang once a change takes a route's timeout away."""
+    found = contended_table()
+    routes_by_host = {
+        name: [replace(route, timeout=0.0) for route in routes]
+        for name, routes in found.routes_by_host.items()
+    }
+    host.fakes.route_table = replace(found, routes_by_host=routes_by_host)
+    request = _request(kind, "POST").replace(b"Deadline-Ms: 60000\r\n", b"")
+    outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
+    assert (host.faults, outcome.statuses, outcome.is_complete) == ([], [200], True)
