Test that each request ends when a backend server's answer is broken

Guards against a caller that hangs because its server's answer is odd, directly or by way of a forwarding host: wrong or conflicting lengths, broken chunks and trailers, interim answers, bodies where none may be, odd statuses and headers, and connections that end or are reset at any byte.

--- a/tests/test_relay_exchanges.py
+++ b/tests/test_relay_exchanges.py
@@ -1,4 +1,4 @@
-"""Test what callers get for unusual requests."""
+"""Test what callers get for unusual requests, and when servers' answers are broken."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 import h11
 import pytest
 from circuits import BaseComponent, handler
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from msgspec.structs import replace
 
 from ryelever.coordination.host_heartbeats import ForwardingHosts, HostAddress
@@ -198,6 +200,11 @@
 END = b"body"
 
 
+def _is_rejection(answer: bytes) -> bool:
+    """Return whether an answer may promise that its request was not run."""
+    return b"Not-Executed" in answer or b" 421 " in answer or b"refused" in answer
+
+
 def _request(kind: RouteKind, method: str) -> bytes:
     return (
         f"{method} /{kind.value}/1 HTTP/1.1\r\nHost: calls.example\r\n"
@@ -250,3 +257,93 @@
     request = _request(kind, "POST").replace(b"Deadline-Ms: 60000\r\n", b"")
     outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
     assert (host.faults, outcome.statuses, outcome.is_complete) == ([], [200], True)
+
+
+#: Headers and body of answers that are sound, apart from the body's framing.
+SOUND = (
+    ((b"Content-Length: 6",), b"answer"),
+    ((b"Content-Length: 17",), b"id: 1\ndata: abc\n\n"),
+    ((b"Transfer-Encoding: chunked",), b"6\r\nanswer\r\n0\r\n\r\n"),
+    ((b"Transfer-Encoding: chunked",), b"11\r\nid: 1\ndata: abc\n\n\r\n0\r\n\r\n"),
+    ((), b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+    ((), b""),
+)
+
+ODD_HEADERS = (
+    b"Request-Id: r2",
+    b"Not-Executed: 1",
+    b"Retry-After: 0.1",
+    b"Retry-After: soon",
+    b"Server-Limit: 1e999",
+    b"Server-Leaving: 1",
+    b"Content-Length: 6",
+    b"Content-Length: 7",
+    b"Content-Length: 6, 6",
+    b"Content-Length: -1",
+    b"Content-Length: " + b"9" * 5000,
+    b"Transfer-Encoding: chunked",
+    b"Transfer-Encoding: gzip, chunked",
+    b"Content-Encoding: gzip",
+    b"Connection: close, response-seal",
+    b"Proxy-Status: e9; error=connection_refused",
+    b"Trailer: Response-Seal",
+    b"Upgrade: h2c",
+    b"X: a\r\n folded",
+    b"X: \xff\x01",
+    b"X y: z",
+)
+
+ODD_BODIES = (
+    b"",
+    b"id: 1\ndata: a\n\nid: 2",
+    b"11\r\nid: 1\ndata: abc\n\n\r\n0\r\nResponse-Seal: s\r\n\r\n",
+    b"11\r\nid: 1\ndata: abc\n\n\r\nfx\r\n",
+    b"6\r\nanswer\r\n0\r\nno trailer\r\n\r\n",
+)
+
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+#: The most frequent status first.
+STATUSES = (200, 200, 200, 204, 304, 404, 421, 500, 503, 101, 99)
+
+
+@st.composite
+def answers(draw: st.DrawFn) -> bytes:
+    """Generate the bytes of answers, most of which are broken in one or two ways."""
+    first = draw(st.sampled_from((b"", b"", INTERIM, INTERIM, b"\r\n")))
+    status = draw(st.sampled_from(STATUSES))
+    version = draw(st.sampled_from((b"1.1", b"1.1", b"1.0")))
+    framing, body = draw(st.sampled_from(SOUND))
+    odd = draw(st.lists(st.sampled_from(ODD_HEADERS), max_size=2))
+    body = draw(st.just(body) | st.sampled_from(ODD_BODIES))
+    head = [b"HTTP/%s %03d OK" % (version, status)]
+    head += [b"Request-Id: r1", b"Response-Seal: s", *framing, *odd]
+    data = first + b"\r\n".join(head) + b"\r\n\r\n" + body
+    n_missing = draw(st.just(0) | st.just(0) | st.integers(0, len(data)))
+    return data[: len(data) - n_missing]
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True], ids=["direct", "forwarded"])
+@pytest.mark.parametrize("kind", RouteKind)
+@settings(max_examples=60)
+@given(
+    answer=answers(),
+    method=st.sampled_from(["POST", "POST", "GET", "HEAD"]),
+    is_reset=st.sampled_from((False, False, False, True)),
+)
+def test_each_request_ends_with_its_answer_or_a_broken_one(
+    kind: RouteKind, is_forwarded: bool, answer: bytes, method: str, is_reset: bool
+) -> None:
+    """Guard against callers that hang because a backend server's answer is odd."""
+    host = EntryHost(is_forwarded=is_forwarded)
+    with contextlib.closing(host):
+        outcome = host.exchange(_request(kind, method), answer, is_reset=is_reset)
+        assert host.faults == []
+        assert outcome.is_over or outcome.waits
+        assert len(outcome.statuses) <= 1
+        may_repeat = kind is not RouteKind.AT_MOST_ONCE or _is_rejection(answer)
+        assert outcome.n_attempts <= 1 + may_repeat
+        if outcome.is_over:
+            assert not host.relay.requests.requests_by_number
+            assert not host.relay._received_by_number
+            assert not host.relay._splitters_by_attempt
