Read what has arrived before the OpenAI interface closes a connection

test_request_that_has_arrived_is_read_before_its_connection_is_closed failed before in both cases. Now both kinds of hosts pass over connections with unread input.

--- a/ryelever/transport/caller_server.py
+++ b/ryelever/transport/caller_server.py
@@ -9,7 +9,7 @@
 
 from ..logs import log_warning
 
-__all__ = ["CallerServer"]
+__all__ = ["CallerServer", "has_unread_input"]
 
 #: Connections accepted before other sockets are handled.  The uploads of all callers
 #: accepted together are in memory together: with 300 callers that sent 100 KB each,
@@ -101,3 +101,14 @@
             return 0
         self.write(sock, data[n_sent:])
         return sum(len(waiting) for waiting in self._buffers[sock])
+
+
+def has_unread_input(sock: socket.socket) -> bool:
+    """Return whether a caller has sent bytes that are not read yet.
+
+    Closing the socket would reset the connection, and these bytes would be lost.
+    """
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -27,7 +27,7 @@
     caller_stalled,
 )
 from ..protocol.openai import error_body
-from .caller_server import CallerServer
+from .caller_server import CallerServer, has_unread_input
 from .callers_web import (
     LAST_CHUNK,
     CallersWeb,
@@ -154,7 +154,11 @@
                 self._close_gracefully(connection)
 
     def _is_idle(self, connection: _Connection) -> bool:
-        return connection.reader.is_idle and not connection.closing
+        return (
+            connection.reader.is_idle
+            and not connection.closing
+            and not has_unread_input(connection.sock)
+        )
 
     # Closing
 
@@ -191,8 +195,10 @@
             connection.sock.shutdown(socket.SHUT_WR)
 
     def _is_abandoned(self, connection: _Connection, *, now: float) -> bool:
-        if now > connection.closes_at or connection.reader.has_idled_too_long(now=now):
+        if now > connection.closes_at:
             return True
+        if connection.reader.has_idled_too_long(now=now):
+            return not has_unread_input(connection.sock)
         # Without this timeout, a caller that stops reading but does not close its
         # connection would keep its answer in memory indefinitely.
         silent_for = now - connection.progress_at
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -23,7 +23,7 @@
     relayed_request,
 )
 from ..logs import log_event
-from .caller_server import CallerServer
+from .caller_server import CallerServer, has_unread_input
 from .request_heads import find_head_fault
 
 if TYPE_CHECKING:
@@ -109,13 +109,6 @@
         """Return whether the caller has just connected and sent nothing yet."""
         return not self.has_received and now - self.progress_at < FIRST_REQUEST_TIME
 
-    def has_unread_input(self) -> bool:
-        """Return whether the caller has sent bytes that are not read yet."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
-
 
 class RelayCallers(CallerServer):
     """Listen on one address and own the connections of its callers.
@@ -178,7 +171,7 @@
             not connection.is_idle
             or connection.awaits_first_request(now=now)
             or bool(self._buffers.get(connection.sock))
-            or connection.has_unread_input()
+            or has_unread_input(connection.sock)
         )
 
     # Connections
@@ -241,7 +234,7 @@
             if now > connection.closes_at:
                 self._close(connection.sock)
             elif connection.closing or connection.is_idle:
-                if idle_for > idle_timeout and not connection.has_unread_input():
+                if idle_for > idle_timeout and not has_unread_input(connection.sock):
                     self._close(connection.sock)
             elif not connection.number and now > (
                 connection.request_started_at + limits.head_timeout
--- a/tests/test_transport/test_closing.py
+++ b/tests/test_transport/test_closing.py
@@ -5,8 +5,14 @@
 import json
 import signal
 import socket
+import time
 
 import pytest
+from circuits import BaseComponent, handler
+
+from ryelever.events import CallerRequest, drained, sweep
+from ryelever.transport.callers import Callers, Limits
+from ryelever.transport.poller import Poller
 
 from ..processes import EntryHost, Fleet
 from .test_callers import chat, connected, read_answer
@@ -99,3 +105,46 @@
         draining.process.send(signal.SIGTERM)
         assert sock.recv(1) == b""
     assert draining.process.wait() == 0
+
+
+class Listener(BaseComponent):
+    """Record the requests of callers; the test dispatches all events."""
+
+    channel = "serving"
+
+    def __init__(self) -> None:
+        super().__init__()
+        Poller().register(self)
+        self.limits = Limits()
+        self.callers = Callers(bind=("127.0.0.1", 0), limits=self.limits).register(self)
+        self.requests: list[CallerRequest] = []
+        # ``tick`` calls the poller only if the main loop is marked as running.
+        self._running = True
+
+    @handler("caller_request")
+    def _on_request(self, request: CallerRequest) -> None:
+        self.requests.append(request)
+
+
+@pytest.mark.parametrize("is_drained", [False, True], ids=["idle", "drained"])
+def test_request_that_has_arrived_is_read_before_its_connection_is_closed(
+    monkeypatch: pytest.MonkeyPatch, is_drained: bool
+) -> None:
+    """Guard against a reset for a request that arrives just before the closing."""
+    listener = Listener()
+    with socket.create_connection(("127.0.0.1", listener.callers.port)) as sock:
+        while not listener.callers.describe():
+            listener.tick(0.01)
+        if is_drained:
+            listener.fire(drained(), "callers")
+            listener.tick(0.01)
+        limits = listener.limits
+        age = 1 + (limits.linger if is_drained else limits.idle_timeout)
+        clock = time.monotonic
+        monkeypatch.setattr(time, "monotonic", lambda: clock() + age)
+        sock.sendall(HEALTH + b"\r\n")
+        listener.fire(sweep(), "callers")
+        for _ in range(10):
+            listener.tick(0.01)
+        assert [request.path for request in listener.requests] == ["/healthz"]
+    listener.stop()
