Answer a request whose arrival a handler could not handle

test_fault_in_an_arriving_request_ends_it failed before, for a fault before the request is known and for one after its attempt had begun. Now its attempt is cancelled, and the caller gets 500, which promises nothing.

--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -29,6 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from circuits import Event
+
     from .coordination.relaying import (
         Balancer,
         CrashWatch,
@@ -141,6 +143,28 @@
             self._record_demand(arrival, now=now)
         self.requests.arrive(received.number, arrival)
 
+    @handler("exception", channel="*")
+    def _on_exception(
+        self,
+        error_type: type[Exception],
+        error: Exception,
+        traceback: list[str],
+        handler: object = None,
+        fevent: Event | None = None,
+    ) -> None:
+        """Answer the caller whose request made the handler of its arrival fail.
+
+        The answer makes no promise, since the handler may have sent the request to a
+        backend server before it raised.
+        """
+        if fevent is None or fevent.name != "relayed_request":
+            return
+        if self.channel in fevent.channels:
+            number = fevent.args[0].number
+            self.requests.caller_disconnected(number)
+            self._received_by_number.pop(number, None)
+            self._callers.answer(number, status=500, headers=[], body=b"")
+
     @handler("relayed_caller_disconnected")
     def _on_caller_disconnected(self, number: int) -> None:
         self.requests.caller_disconnected(number)
--- a/tests/test_relay_exchanges.py
+++ b/tests/test_relay_exchanges.py
@@ -7,6 +7,7 @@
 import struct
 import time
 from collections.abc import Iterator
+from unittest.mock import Mock
 
 import h11
 import pytest
@@ -259,6 +260,24 @@
     assert (host.faults, outcome.statuses, outcome.is_complete) == ([], [200], True)
 
 
+@pytest.mark.parametrize("method", ["decode_arrival", "attempt_headers"])
+def test_fault_in_an_arriving_request_ends_it(
+    host: EntryHost, monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    """Guard against callers that hang because a handler raised an exception."""
+    fault = ValueError("a fault")
+    monkeypatch.setattr(PlatformMessages, method, Mock(side_effect=fault))
+    request = _request(RouteKind.IDEMPOTENT, "POST")
+    outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
+    assert (host.faults, outcome.statuses, outcome.is_complete) == (
+        [fault],
+        [500],
+        True,
+    )
+    assert not host.relay.requests.requests_by_number
+    assert not host.relay._received_by_number
+
+
 #: Headers and body of answers that are sound, apart from the body's framing.
 SOUND = (
     ((b"Content-Length: 6",), b"answer"),
