Announce no end behind which a request has already arrived

A caller that pipelined a request behind one that took long lost it at a stopping host, if it arrived between the last read and the answer: it was in the receive buffer, not yet in the parser. test_stopping_host_answers_requests_behind_a_long_one failed before.

--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -396,12 +396,20 @@
             self._close(connection.sock)
 
     def _head(self, connection: _Connection, *, status: int, headers: Headers) -> bytes:
-        # A request that has arrived behind this one would get no answer.
-        if self.draining and not connection.http.trailing_data[0]:
+        if self.draining and not self._has_more(connection):
             headers = [*headers, (b"Connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         return connection.http.send(response)
 
+    def _has_more(self, connection: _Connection) -> bool:
+        """Return whether bytes have arrived behind the request that is answered.
+
+        If the answer announced the end of the connection, they would get no answer.
+        """
+        return bool(connection.http.trailing_data[0]) or has_unread_input(
+            connection.sock
+        )
+
     def _finish_answer(self, connection: _Connection, data: bytes) -> None:
         self._send(connection, data)
         self._connections_by_number.pop(connection.number, None)
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -351,6 +351,18 @@
         assert _read_all(sock).lower().count(b"connection: close") == 1
 
 
+def test_stopping_host_answers_requests_behind_a_long_one(stepped: Listener) -> None:
+    """Guard against a request that arrives just before the end is announced."""
+    stepped.callers.draining = True
+    with _connect(stepped) as sock:
+        sock.sendall(GET.replace(b"/a", b"/wait"))
+        _step(stepped, until=lambda: stepped.requests)
+        sock.sendall(GET)
+        stepped.callers.answer(1, status=200, headers=[], body=b"")
+        _step(stepped, until=lambda: len(stepped.requests) == 2)
+        assert _read_all(sock).count(b" 200 ") == 2
+
+
 class SocketOutOfDescriptors:
     """A listening socket of a process that has no descriptors left."""
 
