Send final answers before the callers' deadlines

Callers saw: no answer to a request whose server was silent, as they had left when the 504 was sent.

Ticks are 0.05 s apart while a request times out within the next two, as they are while requests wait.

--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -21,8 +21,7 @@
 __all__ = ["HeldAttempt", "RelayRequest", "RequestPhase", "is_after", "routed_request"]
 
 #: Seconds before the caller's deadline from which a tick sends the final answer. The
-#: answer takes a few milliseconds to arrive, and ticks are 0.05 s apart while requests
-#: wait for a slot. Otherwise ticks are 0.1 s apart, and the answer may be late.
+#: answer takes a few milliseconds to arrive, and ticks are 0.05 s apart then.
 FINAL_ANSWER_MARGIN = 0.06
 
 #: Share of the latency objective. Waiting requests that arrived longer ago than this
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -172,6 +172,11 @@
         """Return whether requests wait for a free slot or the first configuration."""
         return bool(self._waiting or self._unrouted)
 
+    def times_out_before(self, at: float) -> bool:
+        """Return whether a request gets its final answer before a monotonic time."""
+        requests = self.requests_by_number.values()
+        return any(request.times_out_at < at for request in requests)
+
     def waiting_rows(self) -> tuple[WaitingRow, ...]:
         """Return the counts of waiting requests of contended services."""
         return self._waiting.rows()
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -469,8 +469,11 @@
     # The process
 
     def _serving_interval(self) -> float:
-        waits = self.relay.requests.has_waiting
-        return WAITING_INTERVAL if waits else SERVING_INTERVAL
+        requests = self.relay.requests
+        # The interval is read before the tick that it follows.
+        next_but_one = time.monotonic() + 2 * SERVING_INTERVAL
+        is_urgent = requests.has_waiting or requests.times_out_before(next_but_one)
+        return WAITING_INTERVAL if is_urgent else SERVING_INTERVAL
 
     @handler("sweep")
     def _on_sweep(self) -> None:
--- a/tests/test_relay_host.py
+++ b/tests/test_relay_host.py
@@ -4,11 +4,17 @@
 
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import pytest
 
+from ryelever import relay_application
 from ryelever.exit_codes import ExitCode
+from ryelever.relay_application import RelayApplication
 from ryelever.relay_host import METRICS_VARIABLE
+from ryelever.state.routes import RouteKind
+
+from .test_coordination.test_relaying.relay_fakes import Relaying
 
 #: Modules that relaying requests doesn't need.  After a power failure of all hosts,
 #: callers wait for the hosts' imports.  On half a core, the modules of the command
@@ -76,3 +82,25 @@
     ended = _started(code, **{METRICS_VARIABLE: port})
     assert ended.returncode == ExitCode.FAULTY_INPUT
     assert METRICS_VARIABLE in ended.stderr
+
+
+def test_final_answers_leave_before_the_deadlines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against callers that leave without an answer as the last tick was late."""
+    late = []
+    for arrived_at in (index * 0.01 for index in range(10)):
+        relaying = Relaying()
+        relaying.arrive(RouteKind.IDEMPOTENT, now=arrived_at, time_limit=0.5)
+        application = SimpleNamespace(relay=SimpleNamespace(requests=relaying.requests))
+        now = 0.1
+        while not relaying.out:
+            # The timers read the interval before they dispatch the tick.
+            clock = SimpleNamespace(monotonic=lambda now=now: now)
+            monkeypatch.setattr(relay_application, "time", clock)
+            interval = RelayApplication._serving_interval(application)
+            relaying.requests.tick(now=now)
+            if relaying.out and now > arrived_at + 0.5:
+                late.append((arrived_at, now))
+            now += interval
+    assert late == []
