Answer requests in flight when the grace period of a host ends

Callers saw: connections closed without an answer at the end of a stop (by reading). Streams that have begun are aborted, what may have run gets 502, and what has not 503. The new test fails without the change.

--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -420,6 +420,16 @@
         self._moves.move_stalled(now=now)
         self.dispatch_waiting(now=now)
 
+    def end_all(self, *, now: float) -> None:
+        """Answer all requests, since the process is about to end."""
+        for request in list(self.requests_by_number.values()):
+            if request.attempt is not None:
+                request.may_have_run = True
+            self._attempts.cancel_all(request)
+            self._end_without_answer(request, "stopping", now=now)
+        for number, arrival in self._unrouted.pop_all():
+            self._refuse_on_arrival(number, arrival, 503, "stopping")
+
     def dispatch_waiting(self, *, now: float) -> None:
         """Send the requests that wait for a free slot or the first configuration."""
         self._route_unrouted(now=now)
--- a/ryelever/coordination/relaying/unrouted.py
+++ b/ryelever/coordination/relaying/unrouted.py
@@ -49,6 +49,10 @@
         """Return and remove the requests that are to be routed or refused now."""
         if not is_configured and now <= self._wait_until:
             return []
+        return self.pop_all()
+
+    def pop_all(self) -> list[tuple[int, RelayArrival]]:
+        """Return and remove all requests."""
         due = list(self._arrivals_by_number.items())
         self._arrivals_by_number.clear()
         return due
--- a/ryelever/relay_shutdown.py
+++ b/ryelever/relay_shutdown.py
@@ -37,7 +37,8 @@
     that the connection closes.  When the balancer has stopped sending callers, idle
     connections are closed, and new requests are refused if they couldn't be finished.
     When no request is in flight, the host stops listening, and the process ends once
-    those that had arrived are answered, or when the grace period is over.
+    those that had arrived are answered, or when the grace period is over.  What is in
+    flight then is answered as unfinished.
 
     Parameters
     ----------
@@ -101,6 +102,7 @@
         out_of_time = elapsed > self._settings.grace - self._settings.last_bytes
         if out_of_time or (is_idle and not self._callers.is_listening):
             log_event("stopped", in_flight=self._n_in_flight, after=round(elapsed, 2))
+            self._requests.end_all(now=time.monotonic())
             self._stop()
         elif elapsed > BALANCER_REACTION_TIME and is_idle:
             # The requests on the last connections are read before the next tick.
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -655,3 +655,28 @@
     relaying.directory.put(replace(first, started_at=2), now=1.0)
     relaying.arrive(SAFE, number=2, now=2.0)
     assert [item.request_number for item in relaying.sent] == [1, 2]
+
+
+@pytest.mark.parametrize("configured", [True, False])
+def test_requests_in_flight_are_answered_when_the_process_ends(
+    configured: bool,
+) -> None:
+    """Guard against connections closed without an answer at the end of the grace."""
+    relaying = Relaying(configured=configured, n_servers=1)
+    for number, kind in enumerate((SAFE, ONCE, STREAM, STREAM), start=1):
+        relaying.arrive(kind, number=number)
+    if configured:
+        relaying.requests.answer_head(relaying.sent[2].id, head("r3"), now=0.1)
+        relaying.events(relaying.sent[2], 1, now=0.1)
+    relaying.requests.end_all(now=0.2)
+    assert not relaying.requests.requests_by_number
+    ends = {item[1]: item[::2][:2] for item in relaying.out if item[0] != "data"}
+    if configured:
+        assert ends == {
+            1: ("refuse", 502),
+            2: ("refuse", 502),
+            3: ("abort",),
+            4: ("refuse", 502),
+        }
+    else:
+        assert ends == dict.fromkeys(range(1, 5), ("refuse", 503))
