Give requests of a group that is taken apart their time from its head's close

Cause: the head was told to close at 8.82 s, while it was silent, and closed at 10.02 s; the 1.6 s for running requests were counted from the decision, so that the order to leave came 0.5 s after the close and broke off what had begun until then.

The time counts from the head's answer to the order to close, from 1.2 s after the decision at the latest. A group of which a member leaves is ended as before, since the member doesn't wait.

The new test fails without the change.

--- a/ryelever/coordination/groups/managed_group.py
+++ b/ryelever/coordination/groups/managed_group.py
@@ -62,6 +62,8 @@
         Time since which the head is known to serve.
     ending_since : float
         Time at which the group began to end.
+    closing_since : float or None
+        Time at which the head took the order to close; None if that is not known.
     missing_since : dict of str to float
         Times since which members are missing from the server list.
     suspected : bool
@@ -93,6 +95,7 @@
     joined_by_id: dict[str, BackendServer] = msgspec.field(default_factory=dict)
     serving_since: float = 0.0
     ending_since: float = 0.0
+    closing_since: float | None = None
     missing_since: dict[str, float] = msgspec.field(default_factory=dict)
     suspected: bool = False
     suspected_since: float | None = None
--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -15,6 +15,7 @@
 from ...state.directory import GroupState
 from .managed_group import ORDER_RETRY, STREAM_SILENCE, GroupPhase, ManagedGroup
 from .managed_groups import DISBANDED, ManagedGroups
+from .member_probes import MAX_PAUSE
 from .orders import GroupOrder, OrderKind, OrderOutcome
 from .silent_heads import SilentHeads
 
@@ -171,7 +172,10 @@
         if order.kind is OrderKind.PROBE:
             self._handle_probe_outcome(managed, order, outcome, now=now)
             return
-        if order.kind is OrderKind.OPEN and outcome is OrderOutcome.REFUSED:
+        if order.kind is OrderKind.CLOSE and managed.closing_since is None:
+            if outcome in (OrderOutcome.APPLIED, OrderOutcome.IN_PROGRESS):
+                managed.closing_since = now
+        elif order.kind is OrderKind.OPEN and outcome is OrderOutcome.REFUSED:
             retry_at = now - ORDER_RETRY + OPEN_RETRY
             managed.ordered_at[order.server_id, OrderKind.OPEN] = retry_at
         elif order.kind is OrderKind.JOIN:
@@ -342,7 +346,7 @@
             GroupState.OPEN,
             GroupState.CLOSING,
         )
-        if is_graceful and now - managed.ending_since < CLOSE_GRACE:
+        if is_graceful and now - self._grace_begins(managed, now=now) < CLOSE_GRACE:
             if state is GroupState.CLOSING:
                 return []
             return managed.due_order(
@@ -350,6 +354,17 @@
             )
         return managed.due_order(OrderKind.LEAVE, head_id, now=now)
 
+    def _grace_begins(self, managed: ManagedGroup, *, now: float) -> float:
+        """Return from when on running requests have time to complete.
+
+        A silent head takes the order to close when it goes on, and accepts requests
+        until then.  A member that leaves does not wait for that.
+        """
+        if managed.reason == MEMBER_LEAVING:
+            return managed.ending_since
+        closing_since = now if managed.closing_since is None else managed.closing_since
+        return min(closing_since, managed.ending_since + MAX_PAUSE)
+
     def _handle_probe_outcome(
         self,
         managed: ManagedGroup,
--- a/tests/test_coordination/test_groups/test_group_manager.py
+++ b/tests/test_coordination/test_groups/test_group_manager.py
@@ -377,6 +377,21 @@
     assert [group.name for group in members.manager.disbanding()] == [GROUP.name]
 
 
+def test_requests_of_a_head_that_closes_late_have_time_to_end(
+    members: Members,
+) -> None:
+    """Guard against streams cut off because the order to close met a silent head."""
+    members.serve(GROUP)
+    members.manager.end(GROUP.name, DISBANDED, now=1.0)
+    orders = members.orders(1.0)
+    members.answer(orders, OrderOutcome.UNKNOWN, now=2.0)
+    orders = members.orders(2.1)
+    members.answer(orders, OrderOutcome.IN_PROGRESS, now=2.1)
+    members.report(GROUP, GroupState.CLOSING, "a")
+    assert members.due(2.0 + CLOSE_GRACE) == []
+    assert members.due(2.2 + CLOSE_GRACE) == [(LEAVE, "a")]
+
+
 def test_members_of_a_stalled_group_are_probed(members: Members) -> None:
     """Guard against a group that stalls for four seconds before it is repaired.
 
