--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,5 +21,6 @@
     assert report.n_served > 0
     n_tested = report.verdict.n_tested_by_promise
     assert n_tested["at most once"] > 0
+    assert n_tested["nothing is lost while servers are suspended"] > 0
     if seed == CONTENDED_SEED:
         assert n_tested["refused streams of contended services never run"] > 0
