Crash resumed servers of the soak by held requests, which lose the others

The stand-in asked whether the body could be read, which is not so once it was held, and ran the request like others. The other held requests were answered after the crash, where a process that ends loses what its sockets hold. The new test fails on either.

--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -182,11 +182,22 @@
         if self.is_suspended:
             # The body of a closed connection can't be read later.
             await request.read()
+            n_starts = len(self.starts)
             await self._resumed()
+            if len(self.starts) > n_starts:
+                return self._lose(request)
         response = await handler(request)
         await self._resumed()
         return response
 
+    def _lose(self, request: web.Request) -> web.StreamResponse:
+        """Lose a request that was held by a process that has ended since."""
+        if request_id := request.headers.get("Request-Id"):
+            self.arrivals.append((request[RECEIVED_AT], request_id))
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=500)
+
     async def _resumed(self) -> None:
         while self.is_suspended:
             await asyncio.sleep(0.01)
@@ -490,4 +501,4 @@
     parts = request.headers.get("Prefix-Hash", "").split(",")
     if DEADLY_PART in {part.partition(":")[0] for part in parts}:
         return True
-    return request.can_read_body and await request.read() == POISON_BODY
+    return await request.read() == POISON_BODY
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import replace
 
 import pytest
@@ -16,7 +16,7 @@
 from .soak.checks import Evidence, check
 from .soak.faults import Disturbance, KeyChange, PartitionSpan
 from .soak.proxy import LoopbackProxy, ProxyMode
-from .standins.group_server import GroupServer
+from .standins.group_server import POISON_BODY, GroupServer
 
 EVENTS = "".join(f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 6))
 
@@ -402,7 +402,13 @@
     asyncio.run(_suspend_and_resume())
 
 
-async def _suspend_and_resume() -> None:
+def test_held_requests_are_lost_when_a_resumed_server_crashes() -> None:
+    """Guard against a stand-in that answers requests after the crash that lost them."""
+    asyncio.run(_crash_on_resuming())
+
+
+@contextlib.asynccontextmanager
+async def _running_engine() -> AsyncIterator[tuple[GroupServer, web.AppRunner]]:
     server = GroupServer(
         id="engine-0",
         service="engines",
@@ -416,6 +422,12 @@
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     async with asyncio.timeout(10.0):
+        yield server, runner
+    await runner.cleanup()
+
+
+async def _suspend_and_resume() -> None:
+    async with _running_engine() as (server, runner):
         began, began_writer = await _send(runner, "POST", "/chat/1", "began")
         text = await began.readuntil(b"piece 1")
         server.set({"suspend": True})
@@ -436,13 +448,39 @@
             await asyncio.sleep(0.01)
         for writer in (began_writer, held_writer, status_writer):
             writer.close()
-    await runner.cleanup()
+
+
+async def _crash_on_resuming() -> None:
+    async with _running_engine() as (server, runner):
+        server.set({"suspend": True})
+        held = [
+            await _send(runner, "POST", "/chat/1", request_id, body=POISON_BODY)
+            for request_id in ("first", "second")
+        ]
+        while runner.server.requests_count < len(held):
+            await asyncio.sleep(0.01)
+        for reader, _ in held:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.read(1), 0.1)
+        server.set({"suspend": False})
+        for reader, writer in held:
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read(1) == b""
+            writer.close()
+        assert len(server.crashes) == 1
+        assert {request_id for _, request_id in server.arrivals} == {"first", "second"}
 
 
 async def _send(
-    runner: web.AppRunner, method: str, path: str, request_id: str
+    runner: web.AppRunner,
+    method: str,
+    path: str,
+    request_id: str,
+    *,
+    body: bytes = b"body",
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     reader, writer = await asyncio.open_connection(*runner.addresses[0])
     head = f"{method} {path} HTTP/1.1\r\nHost: s\r\nRequest-Id: {request_id}\r\n"
-    writer.write(f"{head}Content-Length: 4\r\n\r\nbody".encode())
+    head += f"Content-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
     return reader, writer
