Mix engines that state their start with others among the heads of the soak's groups

With engines 0 to 2 and 3 to 5 in one domain each, both groups of the model whose requests crash servers had a head that doesn't state its start. With one domain, as before, or with neighbours in different domains one head of two states its start.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -117,7 +117,7 @@
                 f"engine-{index}",
                 is_engine=True,
                 started_at=started_at,
-                domain=f"d{index * n_domains // n_engines}",
+                domain=f"d{index % n_domains}",
             )
         for index in range(n_plain):
             await self._start_server(f"plain-{index}", is_engine=False, started_at=1)
