Let the stopping host's fake requests be ended at the end

Two tests of a stopping host failed since, whose RelayShutdown calls end_all; their fake requests had no such method. The tests check what they did.

--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -404,7 +404,7 @@
     RelayShutdown(
         settings=SimpleNamespace(grace=30.0, last_bytes=1.0),
         callers=stepped.callers,
-        requests=SimpleNamespace(requests_by_number={}),
+        requests=SimpleNamespace(requests_by_number={}, end_all=lambda *, now: None),
         n_forwarded=lambda: 0,
         stop=stopped.set,
         reload=lambda: None,
