Wait for a silent member only if it accepts connections

A machine that is lost completes no connection; the machine of a paused process does. A probe is sent on a new connection and counts as a pause only if that was made; otherwise a group ends as soon as before.

--- a/ryelever/coordination/groups/orders.py
+++ b/ryelever/coordination/groups/orders.py
@@ -30,8 +30,7 @@
     ``WRONG_INSTANCE``: another incarnation, another server or no process is at the
     address.  ``NOT_A_MEMBER``: the server answered a probe and is not in the group.
     ``UNKNOWN``: no answer; the server may still execute the order later.  ``SILENT``:
-    a probe timed out, whether its connection was made or not; the server may be lost or
-    only paused.
+    a probe timed out on a new connection; the server may be lost or only paused.
     """
 
     APPLIED = "holds"
--- a/ryelever/emulator/fleet.py
+++ b/ryelever/emulator/fleet.py
@@ -265,8 +265,7 @@
         server = self.servers_by_id.get(order.server_id)
         step = self._step + 1
         if server is None or server.lost_at is not None:
-            is_probe = order.kind is OrderKind.PROBE
-            outcome = OrderOutcome.SILENT if is_probe else OrderOutcome.UNKNOWN
+            outcome = OrderOutcome.UNKNOWN
             step = self._step + ORDER_TIMEOUT_STEPS
         else:
             n_before = len(server.loads)
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -312,6 +312,8 @@
             body=call.body,
             reply_channel=self.channel,
             step="order",
+            # A kept connection doesn't show that the server's machine still answers.
+            new_connection=is_probe,
             connect_timeout=ORDER_CONNECT_TIMEOUT,
             progress_timeout=PROBE_TIMEOUT if is_probe else ORDER_TIMEOUT,
         )
@@ -357,9 +359,7 @@
         outcome = OrderOutcome.UNKNOWN
         if refused:
             outcome, is_evidence = OrderOutcome.WRONG_INSTANCE, True
-        elif (
-            order.kind is OrderKind.PROBE and failure.error.category is Category.TIMEOUT
-        ):
+        elif _is_pause(order, failure):
             outcome = OrderOutcome.SILENT
         self._record_outcome(failure.id, outcome, is_evidence=is_evidence)
 
@@ -389,3 +389,15 @@
         if planner is not None and order.group and counts:
             planner.manager.record_outcome(order, outcome, now=time.monotonic())
         self._send_due_orders()
+
+
+def _is_pause(order: GroupOrder, failure: OutboundFailure) -> bool:
+    """Return whether a server that left a probe unanswered may only be paused.
+
+    The machine of a paused process accepts connections; one that is lost does not.
+    """
+    return (
+        order.kind is OrderKind.PROBE
+        and failure.error.category is Category.TIMEOUT
+        and failure.bytes_sent
+    )
