Let the stand-in of a backend server join a group again that it has left

Trace: the planner ended a group whose member was suspended and told its head to leave (12.75 s); the record of the group stayed, as the store refused, and the next planner adopted the group and told its members to join. The head answered twenty-odd times that it holds, and was in no group, until the group was given up for not being formed in time, 26 s later.

By the protocol a join replaces the membership, and is only rejected for a lower epoch or other members. The stand-in compared the epoch with the last one that it had been told, also after it had left.

--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -290,7 +290,10 @@
         if body["epoch"] < self.highest_epoch:
             return 412
         if body["epoch"] == self.highest_epoch:
-            return 200 if tuple(body["members"]) == self.members else 412
+            if tuple(body["members"]) != self.members:
+                return 412
+            if self.group is not None:
+                return 200
         self.observer("leaves", self)
         self.highest_epoch = body["epoch"]
         self.members = tuple(body["members"])
