Suspend all servers before the other faults of a soak

Now all servers are suspended once before any other fault, with draws of their own, so that the other faults of each seed stay as they were.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -186,8 +186,9 @@
             self._publish_series,
         ]
         suspensions = [self._suspend_server, self._suspend_domain, self._suspend_all]
-        end = time.monotonic() + seconds
         wait = threading.Event()
+        self._suspend_all_once(wait)
+        end = time.monotonic() + seconds
         pace = generator.choice(PAUSE_FACTORS)
         while time.monotonic() < end:
             self._wait_and_end_due(wait, pace * generator.uniform(*PAUSES))
@@ -427,18 +428,41 @@
     def _suspend_all(self, generator: random.Random) -> None:
         self._suspend("suspend-all", list(self.zone.servers()), generator)
 
+    def _suspend_all_once(self, wait: threading.Event) -> None:
+        """Suspend all servers before any other fault that would excuse lost requests.
+
+        Otherwise some runs would not check that suspensions lose none.
+        """
+        generator = random.Random(f"{self.seed} first suspension")
+        series = self._series(generator, n_suspensions=1)
+        self._suspend_in_series("suspend-all", list(self.zone.servers()), series)
+        while SUSPENSION in self._disturbed:
+            self._wait_and_end_due(wait, END_CHECK_INTERVAL)
+
     def _suspend(self, kind: str, servers: list[str], generator: random.Random) -> None:
         """Suspend servers at the same time, once or several times in series.
 
         Servers stay suspended no longer than SUSPENDED_FOR: there is one series at a
         time.
         """
-        series = [
+        series = self._series(
+            generator, n_suspensions=generator.randint(1, MAX_SUSPENSIONS)
+        )
+        if SUSPENSION not in self._disturbed:
+            self._suspend_in_series(kind, servers, series)
+
+    def _series(
+        self, generator: random.Random, *, n_suspensions: int
+    ) -> list[tuple[float, float]]:
+        """Return the seconds of each suspension, and those until the next one."""
+        return [
             (generator.uniform(*SUSPENDED_FOR), generator.uniform(*RESUMED_FOR))
-            for _ in range(generator.randint(1, MAX_SUSPENSIONS))
+            for _ in range(n_suspensions)
         ]
-        if SUSPENSION in self._disturbed:
-            return
+
+    def _suspend_in_series(
+        self, kind: str, servers: list[str], series: list[tuple[float, float]]
+    ) -> None:
         at = time.monotonic()
         for suspended_for, resumed_for in series:
             switches = {
