Keep connections of paused servers through a lost keepalive probe

Callers saw 502, or streams cut off, one second into a silence of 1.2 s: all connections of one host that had received nothing for some seconds broke in the same millisecond, at several sound servers, with 'Connection timed out'. While TCP_USER_TIMEOUT is set, the kernel drops a connection once it has heard nothing for so long and a probe is unanswered, whatever their count. At 5 s, and 5 s until the first probe, one lost probe was enough.

Probes go out after 2 s and every second now, so that the time of 5 s holds three of them; a connection that has gone silent for good is found after 5 s as before.

The new test fails on the code before.

--- a/ryelever/transport/http_connection.py
+++ b/ryelever/transport/http_connection.py
@@ -21,13 +21,14 @@
 
 #: TCP keepalive: seconds without traffic before the kernel probes the peer, seconds
 #: between two probes, and probes without an answer after which it drops the connection.
-KEEPALIVE_IDLE = 5
-KEEPALIVE_INTERVAL = 2
+KEEPALIVE_IDLE = 2
+KEEPALIVE_INTERVAL = 1
 KEEPALIVE_COUNT = 3
 
 #: Milliseconds for which sent bytes may stay unacknowledged before the kernel drops the
-#: connection.
-TCP_USER_TIMEOUT_MS = 5000
+#: connection.  The kernel ignores the count of probes while this is set: a shorter time
+#: would drop a connection, also one whose answer is awaited, for the first lost probe.
+TCP_USER_TIMEOUT_MS = 1000 * (KEEPALIVE_IDLE + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL)
 
 #: Methods whose verbatim requests get no ``Content-Length`` if they have no body.
 BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -17,7 +17,7 @@
 from ryelever.events import OutboundRequest, outbound_cancel, outbound_send, sweep
 from ryelever.transport import http_client
 from ryelever.transport.http_client import HttpClient
-from ryelever.transport.http_connection import IDLE_TIMEOUT
+from ryelever.transport.http_connection import IDLE_TIMEOUT, open_socket
 from ryelever.transport.poller import Poller
 
 #: Seconds without progress after which a request fails: for tests that wait for the
@@ -25,6 +25,9 @@
 SHORT_TIMEOUT = 0.2
 LONG_TIMEOUT = 30.0
 
+#: Seconds for which a sound server, or the path to it, may be silent.
+SERVER_PAUSE = 1.5
+
 NO_ANSWER = "silent"
 CLOSE = "close"
 RESET = "reset"
@@ -319,6 +322,23 @@
     raise OSError(24, "Too many open files")
 
 
+def test_kernel_keeps_connections_of_paused_servers(server: ScriptedServer) -> None:
+    """Guard against answers that are lost when a pause swallows one keepalive probe."""
+    sock, _ = open_socket(server.address)
+    with sock:
+        idle, interval, limit = (
+            sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_USER_TIMEOUT,
+            )
+        )
+    # A pause may begin just before the first probe, and the answer to the first one
+    # after it comes before the next one is due.
+    assert idle + SERVER_PAUSE + interval < limit / 1000
+
+
 def test_fresh_request_uses_no_pooled_connection(
     server: ScriptedServer, harness: ClientHarness
 ) -> None:
