Keep a group that has progressed when a probe of its members times out

Callers saw three streams cut off half a second after a silence of 1.2 s: the group's head had gone on, its events were being passed on and the host had noted that it reaches it again, when probes that were sent at the very end of the silence timed out and the planner ended the group as member_silent. A batch step needs all members, so that events after the probe refute its silence. Probes without an answer count only while there is another reason to miss a member: stalled streams, a missing entry, or a group that is being formed.

The new test fails on the code before.

--- a/ryelever/coordination/groups/managed_group.py
+++ b/ryelever/coordination/groups/managed_group.py
@@ -117,6 +117,17 @@
         """
         return now - self.unresolved_join_at < MAX_ORDER_DELAY
 
+    def may_have_lost(self, server_id: str) -> bool:
+        """Return whether there is a reason, beside a silent probe, to miss a member.
+
+        A serving group whose streams have progressed since the probe was sent is whole.
+        """
+        return (
+            self.phase is GroupPhase.FORMING
+            or self.suspected
+            or server_id in self.missing_since
+        )
+
     def state_of(self, server: BackendServer) -> GroupState | None:
         """Return a server's state in this group, None if it reports another or none."""
         report = server.group
--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -385,7 +385,9 @@
         elif outcome not in (OrderOutcome.UNKNOWN, OrderOutcome.SILENT):
             managed.probes.record_answer(order.server_id, now=now)
             managed.silent_members.discard(order.server_id)
-        elif self._is_lost_by_probe(managed, order, outcome):
+        elif managed.may_have_lost(order.server_id) and self._is_lost_by_probe(
+            managed, order, outcome
+        ):
             self._presumed_lost_at_by_id[order.server_id] = now
             self._start_ending(managed, "member_silent", now=now)
 
--- a/tests/test_coordination/test_groups/test_group_manager.py
+++ b/tests/test_coordination/test_groups/test_group_manager.py
@@ -459,6 +459,20 @@
     assert members.due(3.0) == []
 
 
+def test_group_that_progresses_before_a_probe_times_out_serves_on(
+    members: Members,
+) -> None:
+    """Guard against streams cut off by a probe that was sent during a pause."""
+    members.serve(GROUP)
+    members.manager.set_stalled_heads({"a"})
+    members.answer(members.orders(1.0), OrderOutcome.UNKNOWN, now=1.4)
+    orders = members.orders(1.5)
+    assert {order.server_id for order in orders} == {"a", "b", "c"}
+    members.manager.set_stalled_heads(set())
+    members.answer(orders, OrderOutcome.UNKNOWN, now=1.9)
+    assert members.manager.phase_of(GROUP.name) is GroupPhase.SERVING
+
+
 def test_later_group_supersedes_one_that_shares_a_member(
     members: Members,
 ) -> None:
