Give requests of a leaving member's group their time from its head's close

Callers saw a stream cut off 0.6 s after its head had closed: the head was silent when it was told to close, as one of its members was to be replaced, and the order to leave came 1.6 s after the decision. The exception for members that leave took them for gone two seconds after their notice; by the protocol a member that drains remains while the head has work, for ten seconds at most.

The test of a leaving member's group now answers the order to close, as a head does; the new case fails on the code before.

--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -358,10 +358,8 @@
         """Return from when on running requests have time to complete.
 
         A silent head takes the order to close when it goes on, and accepts requests
-        until then.  A member that leaves does not wait for that.
+        until then.  A member that leaves remains while the head has work.
         """
-        if managed.reason == MEMBER_LEAVING:
-            return managed.ending_since
         closing_since = now if managed.closing_since is None else managed.closing_since
         return min(closing_since, managed.ending_since + MAX_PAUSE)
 
--- a/tests/test_coordination/test_groups/test_group_manager.py
+++ b/tests/test_coordination/test_groups/test_group_manager.py
@@ -362,6 +362,7 @@
     assert [(order.kind, order.waits_for_requests) for order in orders] == [
         (CLOSE, True)
     ]
+    members.answer(orders, OrderOutcome.IN_PROGRESS, now=1.0)
     members.report(GROUP, GroupState.CLOSING, "a")
     assert members.due(1.5) == []
     assert members.due(1.1 + CLOSE_GRACE) == [(LEAVE, "a")]
@@ -377,12 +378,16 @@
     assert [group.name for group in members.manager.disbanding()] == [GROUP.name]
 
 
+@pytest.mark.parametrize("is_leaving", [False, True], ids=["disbanded", "leaving"])
 def test_requests_of_a_head_that_closes_late_have_time_to_end(
-    members: Members,
+    members: Members, is_leaving: bool
 ) -> None:
     """Guard against streams cut off because the order to close met a silent head."""
     members.serve(GROUP)
-    members.manager.end(GROUP.name, DISBANDED, now=1.0)
+    if is_leaving:
+        members.drain("c")
+    else:
+        members.manager.end(GROUP.name, DISBANDED, now=1.0)
     orders = members.orders(1.0)
     members.answer(orders, OrderOutcome.UNKNOWN, now=2.0)
     orders = members.orders(2.1)
