Stop reading in place of closing when a caller sends ahead of its answer

A lowered size of heads or bodies did that to a caller who kept to the former one; several requests behind a silent server did it without a change, each within the limits.

Now nothing more is read until the answer is sent, so that the kernel stops the caller; the bytes kept are bounded as before. A caller that leaves meanwhile is noticed when something is sent to it.

--- a/ryelever/transport/caller_server.py
+++ b/ryelever/transport/caller_server.py
@@ -75,6 +75,18 @@
             self._accept()
         self._close(self._sock)
 
+    def pause_reading(self, sock: socket.socket) -> None:
+        """Leave what a caller sends in the kernel, whose window then stops the caller.
+
+        Until reading is resumed, a caller that leaves is noticed only when something
+        is sent to it.
+        """
+        self._poller.removeReader(sock)
+
+    def resume_reading(self, sock: socket.socket) -> None:
+        """Read again what a caller sends."""
+        self._poller.addReader(self, sock)
+
     def send_now(self, sock: socket.socket, data: bytes) -> int:
         """Send as many bytes as the kernel accepts at once, and queue the rest.
 
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -77,7 +77,9 @@
     request_started_at : float or None
         Monotonic time of the first byte of a request that is still arriving.
     n_pipelined_bytes : int
-        Bytes received since the request that is being answered was complete.
+        Bytes received behind the request that is being answered.
+    is_paused : bool
+        True while nothing is read, because too many such bytes have been received.
     number : int
         Number of the request that is being answered; 0 if there is none.
     closing : bool
@@ -96,6 +98,7 @@
     body: bytearray = msgspec.field(default_factory=bytearray)
     request_started_at: float | None = None
     n_pipelined_bytes: int = 0
+    is_paused: bool = False
     number: int = 0
     closing: bool = False
     closes_at: float = float("inf")
@@ -211,11 +214,7 @@
         connection.has_received = True
         if connection.number:
             connection.n_pipelined_bytes += len(data)
-            limits = self._limits()
-            if connection.n_pipelined_bytes > limits.max_head + limits.max_body:
-                # Pipelined bytes stay in memory until the answer is sent.
-                self._close_unanswered(connection, "pipelined")
-                return
+            self._bound_pipelined_bytes(connection)
         elif connection.request_started_at is None:
             connection.request_started_at = now
         try:
@@ -241,6 +240,22 @@
             ):
                 self._refuse(connection, 408)
 
+    def _bound_pipelined_bytes(self, connection: _Connection) -> None:
+        """Stop reading while pipelined bytes fill the memory of one request.
+
+        They stay in memory until the answer is sent.
+        """
+        limits = self._limits()
+        is_full = connection.n_pipelined_bytes > limits.max_head + limits.max_body
+        if is_full and not connection.is_paused:
+            connection.is_paused = True
+            self.pause_reading(connection.sock)
+
+    def _resume(self, connection: _Connection) -> None:
+        if connection.is_paused:
+            connection.is_paused = False
+            self.resume_reading(connection.sock)
+
     def _known_idle_timeout(self, in_force: float, *, now: float) -> float:
         """Return the longest idle timeout by which callers may go.
 
@@ -303,7 +318,7 @@
     def _fire_request(self, connection: _Connection) -> None:
         connection.number = next(self._numbers)
         connection.request_started_at = None
-        connection.n_pipelined_bytes = 0
+        connection.n_pipelined_bytes = len(connection.http.trailing_data[0])
         self._connections_by_number[connection.number] = connection
         head = connection.head
         request = RelayedRequest(
@@ -342,6 +357,7 @@
         lose the answer.  Input is therefore read and discarded for ``LINGER`` seconds.
         """
         connection.closing = True
+        self._resume(connection)
         self._half_close(connection)
 
     def _half_close(self, connection: _Connection) -> None:
@@ -420,10 +436,13 @@
             http.start_next_cycle()
             if http.trailing_data[0]:
                 connection.request_started_at = time.monotonic()
+            self._resume(connection)
             try:
                 self._process_events(connection)
             except h11.RemoteProtocolError as error:
                 self._refuse(connection, error.error_status_hint)
+            if connection.number:
+                self._bound_pipelined_bytes(connection)
         else:
             self._close_gracefully(connection)
 
