Let the stand-in of a backend server state its start once it starts again

By the platform's protocol a server that starts again has a new id or states its start. Every second engine of the stand-in did neither. It now states its start from its first restart on; the bounds of the checks are as they were.

`test_server_states_another_start_after_each_restart` failed before, with no start in any entry.

--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -120,7 +120,7 @@
     suspensions : list of (float, float)
         Monotonic times between which the server was suspended.
     started_at : int
-        Start time that the server states; 0 for none.
+        Start time that the server states; 0 for none, before its first restart.
     slots : int
         Requests that the server states to process at once; it doesn't enforce them.
     """
@@ -426,7 +426,8 @@
         """Set switches; ``state``, ``slots`` and ``listed`` change the stored entry.
 
         ``restart`` restarts the server with its former id: it is in no group afterwards
-        and has lost its model and the highest epoch that it received.
+        and has lost its model and the highest epoch that it received.  It states its
+        start from then on, since an id without a start is not used again.
 
         ``suspend`` suspends the server until it is False (if True) or for a number of
         seconds: it sends nothing and acts on nothing that it receives, but connections
@@ -443,8 +444,7 @@
             self.staged = []
             self.highest_epoch = -1
             self.starts.append(time.monotonic())
-            if self.started_at:
-                self.started_at += 1
+            self.started_at += 1
         listed = switches.pop("listed", None)
         self.state = switches.pop("state", self.state)
         self.slots = switches.pop("slots", self.slots)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -111,7 +111,7 @@
         addresses["control"] = await _listen(self._control_app())
         self.put_configuration(configuration(1))
         for index in range(n_engines):
-            # Some servers don't state when they started.
+            # Some servers don't state when they started until they start again.
             started_at = index % 2
             await self._start_server(
                 f"engine-{index}",
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -407,6 +407,23 @@
     asyncio.run(_crash_on_resuming())
 
 
+def test_server_states_another_start_after_each_restart() -> None:
+    """Guard against crashes of one id that hosts can't tell apart."""
+    entries = []
+    server = GroupServer(
+        id="engine-0",
+        service="engines",
+        zone="z",
+        domain="d0",
+        is_engine=True,
+        register=lambda server_id, entry: entries.append(entry),
+    )
+    server.write()
+    for _ in range(2):
+        server.set({"restart": True})
+    assert [entry.get("born") for entry in entries] == [None, 1, 2]
+
+
 @contextlib.asynccontextmanager
 async def _running_engine() -> AsyncIterator[tuple[GroupServer, web.AppRunner]]:
     server = GroupServer(
