Don't take a whole answer without events for a crash of its server

An empty answer now counts as a crash only if nothing but the end of its connection marks its end. Otherwise the attempt fails with `stream_without_events`, and is tried again as before.

`test_empty_answer_counts_only_if_it_may_have_been_cut_off[False]` failed before. The caller of such a stream still sees it break off once its attempts are used up; that is not changed here.

--- a/ryelever/coordination/relaying/messages.py
+++ b/ryelever/coordination/relaying/messages.py
@@ -101,6 +101,9 @@
         None if the answer asks for no pause.
     leaving : bool
         True if the server states that it is leaving.
+    ends_with_connection : bool
+        True if only the end of the connection marks the end of the body, so that a
+        crash of the server may look like it.
     """
 
     status: int
@@ -113,3 +116,4 @@
     rate_limit: NamedLimit | None = None
     pause: RequestedPause | None = None
     leaving: bool = False
+    ends_with_connection: bool = False
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -345,9 +345,12 @@
         if not request.is_stream or request.head.status != 200:
             self._complete_answer(request, now=now)
             return
-        if cut or not request.n_events:
+        if cut or (not request.n_events and request.head.ends_with_connection):
             self._handle_ambiguous_failure(request, "stream_cut_off", now=now)
             return
+        if not request.n_events:
+            self._handle_ambiguous_failure(request, "stream_without_events", now=now)
+            return
         server_id = request.attempt.server_id
         self._record_success(request, now=now)
         self._attempts.release(request)
--- a/ryelever/platform/messages.py
+++ b/ryelever/platform/messages.py
@@ -35,6 +35,9 @@
     }
 )
 
+#: Headers of answers whose end can be told from that of their connection.
+FRAMING_HEADERS = frozenset({b"transfer-encoding", b"content-length"})
+
 #: Status by which the platform promises that a request was not run.
 WRONG_SERVER = 421
 
@@ -127,6 +130,7 @@
             rate_limit=_parse_rate_limit(found.get(wire_names.RATE_LIMIT)),
             pause=_parse_pause(pause),
             leaving=found.get(wire_names.LEAVING, b"").strip() == TRUE,
+            ends_with_connection=FRAMING_HEADERS.isdisjoint(found),
             headers=self._response_headers(headers),
         )
 
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -94,6 +94,24 @@
     assert relaying.crashes.announced(now=0.2) == ()
 
 
+@pytest.mark.parametrize("ends_with_connection", [False, True])
+def test_empty_answer_counts_only_if_it_may_have_been_cut_off(
+    ends_with_connection: bool,
+) -> None:
+    """Guard against crashes of servers that have no event left of a resumed stream.
+
+    Such crashes excuse a poison request that was in others with the same stream.
+    """
+    relaying = Relaying(n_servers=5)
+    relaying.arrive(STREAM, now=0.0, last_event_id="5")
+    attempt = relaying.sent[-1]
+    found = head(ends_with_connection=ends_with_connection)
+    relaying.requests.answer_head(attempt.id, found, now=0.1)
+    relaying.requests.answer_end(attempt.id, cut=False, now=0.1)
+    assert bool(relaying.crashes.announced(now=0.2)) is ends_with_connection
+    assert len(relaying.sent) == 2
+
+
 def test_unsent_request_is_not_suspected() -> None:
     relaying = Relaying(n_servers=5)
     relaying.arrive(SAFE, content="unsent", now=0.0)
--- a/tests/test_platform/test_messages.py
+++ b/tests/test_platform/test_messages.py
@@ -147,6 +147,12 @@
     assert MESSAGES.decode_answer_head(200, [(b"content-encoding", b"gzip")]).encoded
 
 
+@pytest.mark.parametrize("framing", [b"content-length", b"transfer-encoding"])
+def test_answer_that_ends_with_its_connection_is_told_apart(framing: bytes) -> None:
+    assert not MESSAGES.decode_answer_head(200, [(framing, b"")]).ends_with_connection
+    assert MESSAGES.decode_answer_head(200, [(b"x", b"1")]).ends_with_connection
+
+
 def test_refusal_has_a_retry_after_header() -> None:
     assert MESSAGES.answer_headers("r1", retry_after=0.3) == [
         (b"request-id", b"r1"),
