Withdraw requests whose verdict no other request asks for

Callers and operators saw: a request that crashes servers could crash one more, from the queue of a server to which it was sent before its crashes at other hosts became known.

Requests on their way were looked at again only when the number of verdicts rose, and a verdict is computed only when a request asks for it: on arrival, before a retry, or from the queue of waiting ones. A host that hears of the crashes from others, and gets no further such request, never gave the verdict, so that an attempt that waits for its answer stayed open. The design of silent servers asks that a verdict cancels all attempts.

Requests on their way are now looked at with each tick for five seconds after a crash became known, and after each verdict as before.

`test_request_on_its_way_is_withdrawn_when_its_crashes_become_known` failed before for both kinds: nothing was cancelled.

--- a/ryelever/coordination/quarantine/crash_evidence.py
+++ b/ryelever/coordination/quarantine/crash_evidence.py
@@ -132,6 +132,11 @@
         self._reported: set[str] = set()
         self.n_verdicts = 0
 
+    @property
+    def n_crashes(self) -> int:
+        """Return how often a crash began to count against a request or a part."""
+        return self._facts.n_added
+
     @property
     def is_empty(self) -> bool:
         """Return whether there is no evidence; a cheap check for each request."""
--- a/ryelever/coordination/quarantine/crash_facts.py
+++ b/ryelever/coordination/quarantine/crash_facts.py
@@ -152,10 +152,13 @@
         Names of the suspects against which each crash counts.
     changed : set of str
         Names of the suspects whose crashes have changed since the set was cleared.
+    n_added : int
+        Number of crashes that were added to suspects so far.
     """
 
     __slots__ = (
         "changed",
+        "n_added",
         "names_by_crash",
         "suspects_by_name",
         "_crashed_at_by_key",
@@ -168,6 +171,7 @@
         self.suspects_by_name: dict[str, Suspect] = {}
         self.names_by_crash: dict[str, set[str]] = {}
         self.changed: set[str] = set()
+        self.n_added = 0
         self._crashed_at_by_key: dict[str, float] = {}
         self._expired_at = NEVER
         self._n_parts = 0
@@ -244,6 +248,7 @@
         self._crashed_at_by_key.setdefault(key, at)
         self.names_by_crash.setdefault(key, set()).add(suspect.name)
         self.changed.add(suspect.name)
+        self.n_added += 1
 
     def refute(self, suspect: Suspect, keys: Iterable[str], *, now: float) -> None:
         """Let crashes cease to count against a request for ever."""
--- a/ryelever/coordination/relaying/crashes.py
+++ b/ryelever/coordination/relaying/crashes.py
@@ -109,6 +109,11 @@
             request.has_cleared_parts = True
             self._evidence.answered(request.arrival.shared_parts, now=now)
 
+    @property
+    def n_crashes(self) -> int:
+        """Return how often a crash began to count against a request or a part."""
+        return self._evidence.n_crashes
+
     @property
     def n_verdicts(self) -> int:
         """Return the number of verdicts so far."""
--- a/ryelever/coordination/relaying/withdrawals.py
+++ b/ryelever/coordination/relaying/withdrawals.py
@@ -15,6 +15,12 @@
 
 __all__ = ["Withdrawals"]
 
+#: Seconds after a crash became known within which a verdict may follow from it: other
+#: hosts report what they observed, or count as lost.
+VERDICT_WITHIN = 5.0
+
+NEVER = float("-inf")
+
 
 class Withdrawals:
     """Withdraw requests from servers that would crash once they begin to run them.
@@ -28,23 +34,32 @@
         Knows the verdicts.
     """
 
-    __slots__ = ("_crashes", "_n_verdicts")
+    __slots__ = ("_crashes", "_n_crashes", "_n_verdicts", "_until")
 
     def __init__(self, *, crashes: CrashWatch) -> None:
         self._crashes = crashes
+        self._n_crashes = 0
         self._n_verdicts = 0
+        self._until = NEVER
 
     def due(
         self, requests: Iterable[RelayRequest], *, now: float
     ) -> list[tuple[RelayRequest, Quarantined]]:
-        """Return the sent requests to withdraw after new verdicts, and the reasons."""
-        if self._crashes.n_verdicts == self._n_verdicts:
+        """Return the sent requests to withdraw after new verdicts, and the reasons.
+
+        Verdicts are given when they are asked for, which no other request may do.
+        """
+        crashes = self._crashes
+        if crashes.n_crashes != self._n_crashes:
+            self._n_crashes = crashes.n_crashes
+            self._until = now + VERDICT_WITHIN
+        if crashes.n_verdicts == self._n_verdicts and now > self._until:
             return []
-        self._n_verdicts = self._crashes.n_verdicts
+        self._n_verdicts = crashes.n_verdicts
         return [
             (request, quarantined)
             for request in requests
             if request.attempt is not None
             and request.phase is RequestPhase.SENT
-            and (quarantined := self._crashes.verdict(request, now=now)) is not None
+            and (quarantined := crashes.verdict(request, now=now)) is not None
         ]
--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -181,6 +181,28 @@
     assert refusal[3] > 100.0
 
 
+@pytest.mark.parametrize("kind", [SAFE, STREAM])
+def test_request_on_its_way_is_withdrawn_when_its_crashes_become_known(
+    kind: RouteKind,
+) -> None:
+    """Guard against one more crash by a request whose verdict no other asks for."""
+    reported_at = 0.0
+    first = Relaying(n_servers=5)
+    second = Relaying(
+        n_servers=5, peers_reported_since=lambda at, *, now: reported_at >= at
+    )
+    for number, content in ((7, "poison"), (8, "other")):
+        second.arrive(kind, number=number, content=content, now=0.0)
+    assert _crash_all(first, "poison", now=0.1) == 2
+    _announce(first, second, now=0.2)
+    second.requests.tick(now=0.3)
+    assert not second.cancelled
+    reported_at = 2.0
+    second.requests.tick(now=2.0)
+    assert second.cancelled == [second.sent[0].id]
+    assert [item[:3] for item in second.out] == [("refuse", 7, 502)]
+
+
 def test_verdict_on_two_crashes_waits_for_the_other_hosts() -> None:
     """Guard against refusing a request since another cause isn't known yet."""
     reported_at = 0.0
