Test that a poison request is quarantined while servers are suspended

Streams have attempts at several servers then, and might be in as many crashes as the cause. A stream that is moved is in three crashes at most, as its route allows three attempts, and contests nothing from the fourth on.

--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -8,6 +8,7 @@
 
 from .crashing_fleet import POISON, CrashingFleet
 from .limited_fleet import SimulatedHost
+from .suspended_fleet import SuspendedFleet
 
 #: Sendings of a request that are allowed once all hosts had seconds to learn of its
 #: third crash.
@@ -21,6 +22,7 @@
 POISON_FROM = 3.0
 UNTIL = 30.0
 SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
+SUSPENDED_SEEDS = (1, 2, 3, 4)
 
 #: Share of the datagrams between hosts that are lost.
 LOSS = 1 / 3
@@ -108,3 +110,24 @@
     fleet.run(UNTIL)
     assert fleet.n_poison(after=POISON_FROM + 8.0 + GRACE) == 0
     assert {content for _, content in fleet.quarantined} == {POISON}
+
+
+@pytest.fixture(params=SUSPENDED_SEEDS)
+def suspended(
+    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
+) -> SuspendedFleet:
+    """Return a fleet whose streams are held open at suspended servers."""
+    fleet = SuspendedFleet(monkeypatch, load=LOAD, seed=request.param)
+    fleet.start_poison(at=POISON_FROM, n_callers=2)
+    fleet.start_suspensions(at=POISON_FROM - 1.0)
+    return fleet
+
+
+def test_poison_request_is_quarantined_while_servers_are_suspended(
+    suspended: SuspendedFleet,
+) -> None:
+    """Guard against verdicts that wait for streams with attempts at several servers."""
+    suspended.run(UNTIL)
+    assert suspended.poison_crashes
+    assert suspended.n_late_poison(after=GRACE) <= MAX_LATE
+    assert {content for _, content in suspended.quarantined} == {POISON}
