--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -94,6 +94,24 @@
     assert relaying.crashes.announced(now=0.2) == ()
 
 
+@pytest.mark.parametrize("ends_with_connection", [False, True])
+def test_empty_answer_counts_only_if_it_may_have_been_cut_off(
+    ends_with_connection: bool,
+) -> None:
+    """Guard against crashes of servers that have no event left of a resumed stream.
+
+    Such crashes excuse a poison request that was in others with the same stream.
+    """
+    relaying = Relaying(n_servers=5)
+    relaying.arrive(STREAM, now=0.0, last_event_id="5")
+    attempt = relaying.sent[-1]
+    found = head(ends_with_connection=ends_with_connection)
+    relaying.requests.answer_head(attempt.id, found, now=0.1)
+    relaying.requests.answer_end(attempt.id, cut=False, now=0.1)
+    assert bool(relaying.crashes.announced(now=0.2)) is ends_with_connection
+    assert len(relaying.sent) == 2
+
+
 def test_unsent_request_is_not_suspected() -> None:
     relaying = Relaying(n_servers=5)
     relaying.arrive(SAFE, content="unsent", now=0.0)
@@ -163,6 +181,28 @@
     assert refusal[3] > 100.0
 
 
+@pytest.mark.parametrize("kind", [SAFE, STREAM])
+def test_request_on_its_way_is_withdrawn_when_its_crashes_become_known(
+    kind: RouteKind,
+) -> None:
+    """Guard against one more crash by a request whose verdict no other asks for."""
+    reported_at = 0.0
+    first = Relaying(n_servers=5)
+    second = Relaying(
+        n_servers=5, peers_reported_since=lambda at, *, now: reported_at >= at
+    )
+    for number, content in ((7, "poison"), (8, "other")):
+        second.arrive(kind, number=number, content=content, now=0.0)
+    assert _crash_all(first, "poison", now=0.1) == 2
+    _announce(first, second, now=0.2)
+    second.requests.tick(now=0.3)
+    assert not second.cancelled
+    reported_at = 2.0
+    second.requests.tick(now=2.0)
+    assert second.cancelled == [second.sent[0].id]
+    assert [item[:3] for item in second.out] == [("refuse", 7, 502)]
+
+
 def test_verdict_on_two_crashes_waits_for_the_other_hosts() -> None:
     """Guard against refusing a request since another cause isn't known yet."""
     reported_at = 0.0
