Let a host that was paused plan only if no other host does

The planner e1 was paused; the head of z-1-7 restarted; e2 took planning over, ordered it to join and opened z-1-7 under the same epoch; e1 went on, read first that the head was in no group, retired z-1-7 and formed z-1-8 of its members.

Cause: a host that goes on stays planner (by its name even before the one that took over, which yields), with its groups as before the pause, and decides in its first tick. The answer of a read that was sent before the pause is old, but counts as fresh. Opening a group again needs no record, so the log's end doesn't show the other planner, and the append succeeds.

Now a host whose control ticks are more than 0.7 s apart claims no zones and decides nothing for 0.7 s, drops its queued orders, yields to any planner that it hears, and starts with a new listing of the log otherwise. Outcomes of orders and appends count only for the planner that decided on them. While the store is unreachable the former planner goes on. The gap is measured by CLOCK_BOOTTIME too, as the monotonic clock stops with a suspended machine.

--- a/ryelever/coordination/groups/order_queue.py
+++ b/ryelever/coordination/groups/order_queue.py
@@ -50,6 +50,11 @@
         key = (order.server_id, order.group, order.epoch)
         self._waiting_by_kind[order.kind][key] = (zone, order)
 
+    def clear(self) -> None:
+        """Drop all orders that have not been sent."""
+        for waiting in self._waiting_by_kind.values():
+            waiting.clear()
+
     def take_due(
         self, *, is_wanted: Callable[[str, GroupOrder], bool]
     ) -> list[tuple[str, GroupOrder]]:
--- a/ryelever/coordination/host_heartbeats.py
+++ b/ryelever/coordination/host_heartbeats.py
@@ -27,6 +27,7 @@
     "HostAddress",
     "HostHeartbeat",
     "HostHeartbeats",
+    "TAKEOVER_CHECK_TIME",
     "urgent_state",
 ]
 
@@ -68,6 +69,10 @@
 #: Restarted hosts return sooner.
 ORPHANED_ZONE_DELAY = 5.0
 
+#: Seconds after a pause of this host within which the heartbeats of other hosts show
+#: whether one of them plans meanwhile.  Planners send three heartbeats in this time.
+TAKEOVER_CHECK_TIME = 0.7
+
 
 class HostAddress(msgspec.Struct, kw_only=True, frozen=True):
     """The address that an entry host has written into the store."""
@@ -566,7 +571,13 @@
         return len(before) < READERS_PER_ZONE
 
     def plans_for(
-        self, zone: str, *, planning: bool, reads_store: bool, now: float
+        self,
+        zone: str,
+        *,
+        planning: bool,
+        reads_store: bool,
+        now: float,
+        resumed_at: float = float("-inf"),
     ) -> bool:
         """Return whether this host is to plan for a zone.
 
@@ -584,18 +595,25 @@
         for it.  Stopping hosts are not counted.  Two hosts may plan at the same time;
         the store accepts the decisions of only one.
 
+        For ``TAKEOVER_CHECK_TIME`` after a pause this host doesn't start, and yields to
+        any other planner: that one knows what it has ordered during the pause.
+
         Parameters
         ----------
         planning : bool
             Whether this host plans for the zone already.
+        resumed_at : float
+            Monotonic time of the end of this host's last pause.
         """
         if not (reads_store or planning):
             return False
         heartbeats = self.of_own_zone(now=now)
         if zone != self._zone:
             first_checked_at = self._zone_first_checked_at.setdefault(zone, now)
-            received_at = self._zone_received_at.get(zone, first_checked_at)
-            if now - received_at < ORPHANED_ZONE_DELAY:
+            silent_since = self._zone_received_at.get(zone, first_checked_at)
+            if not planning:
+                silent_since = max(silent_since, resumed_at)
+            if now - silent_since < ORPHANED_ZONE_DELAY:
                 return False
             heartbeats = self.live_heartbeats(now=now)
         candidates = [
@@ -606,6 +624,8 @@
         other_planners = [
             heartbeat for heartbeat in candidates if zone in heartbeat.plans
         ]
+        if now - resumed_at < TAKEOVER_CHECK_TIME:
+            return planning and not other_planners
         if not planning:
             return not other_planners and all(
                 self._host < heartbeat.host for heartbeat in candidates
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -7,8 +7,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+import msgspec
 from circuits import BaseComponent, handler
 
+from .clocks import boot_time
 from .coordination.groups import (
     AppendGroups,
     OrderKind,
@@ -16,6 +18,8 @@
     OrderQueue,
     ZonePlanner,
 )
+from .coordination.host_heartbeats import TAKEOVER_CHECK_TIME
+from .coordination.pauses import PauseWatch
 from .coordination.topic import TopicFollower
 from .errors import Category
 from .events import (
@@ -57,16 +61,34 @@
 #: silence of a member for a fault of its own network paths.
 MAX_SILENCE = 1.0
 
+#: Seconds between two control ticks beyond which another host may have taken planning
+#: over.  Hosts count this one as gone 0.9 s after its last heartbeat, and a new planner
+#: decides 0.7 s later unless it hears from this one, which takes up to 0.5 s.
+MAX_TICK_GAP = 0.7
+
 #: Errors with which a forwarding host reports that it got no answer from a server.
 SILENCE = frozenset(error.value for error in ForwardingError if error.is_timeout)
 
 
+class _SentOrder(msgspec.Struct, kw_only=True, frozen=True):
+    """An order in flight, and the planner that decided on it."""
+
+    zone: str
+    planner: ZonePlanner | None
+    order: GroupOrder
+
+
 class GroupPlanning(BaseComponent):
     """Run the planners of the zones that this host plans for.
 
     A planner's group records are appended to the store, and its orders are sent to
     backend servers.
 
+    After a pause of this host its planners decide nothing until heartbeats have shown
+    whether another host plans instead.  A planner that goes on is replaced by a new one
+    once the log has been listed again; only while the store is unreachable does it
+    continue with what it knew before the pause.
+
     Parameters
     ----------
     plans_for : callable
@@ -112,9 +134,11 @@
         self._forwarder_by_order: dict[str, str] = {}
         self._unanswered_ids: set[str] = set()
         self._ids = itertools.count(1)
-        self._orders_by_id: dict[str, tuple[str, GroupOrder]] = {}
+        self._orders_by_id: dict[str, _SentOrder] = {}
         self._orders = OrderQueue()
         self._followers_by_zone: dict[str, TopicFollower] = {}
+        self._pauses = PauseWatch(max_gap=MAX_TICK_GAP)
+        self._outdated_zones: set[str] = set()
         self.planners_by_zone: dict[str, ZonePlanner] = {}
 
     def n_groups_by_phase(self) -> Counter[str]:
@@ -145,6 +169,20 @@
             zone for zone, planner in self.planners_by_zone.items() if planner.reshapes
         )
 
+    def announced_zones(self) -> tuple[str, ...]:
+        """Return the zones for which this host claims to plan.
+
+        After a pause it claims none, so that no host that plans instead yields to it.
+        """
+        now = time.monotonic()
+        self._notice_pause(now=now)
+        return () if self._is_in_doubt(now=now) else tuple(self.planners_by_zone)
+
+    @property
+    def resumed_at(self) -> float:
+        """Return the monotonic time of the end of this host's last pause."""
+        return self._pauses.resumed_at
+
     @handler("store_returned")
     def _on_store_returned(self) -> None:
         for follower in self._followers_by_zone.values():
@@ -153,18 +191,43 @@
     @handler("control_tick")
     def _on_tick(self) -> None:
         now = time.monotonic()
+        self._notice_pause(now=now)
         for zone in self._settings.zones:
             self._update_planner(zone)
         still = self._get_stalled_heads() if self.planners_by_zone else set()
         for zone, planner in self.planners_by_zone.items():
             planner.manager.set_stalled_heads(still)
+            if not self._may_decide(zone, now=now):
+                continue
             orders, append = planner.run_planning_pass(now=now)
             for order in orders:
                 self._orders.add(zone, order)
             if append is not None:
-                self._append(zone, append)
+                self._append(zone, planner, append)
         self._send_due_orders()
 
+    # Pauses of this host
+
+    def _notice_pause(self, *, now: float) -> None:
+        """Drop what was decided before a pause of this host, if it has just ended."""
+        if not self._pauses.observe(now=now, boot_time=boot_time()):
+            return
+        self._orders.clear()
+        for zone in self.planners_by_zone:
+            log_event("planner_resumed", zone=zone)
+            self._outdated_zones.add(zone)
+            self._store.unfollow(self._followers_by_zone[zone])
+            self._follow(zone)
+
+    def _is_in_doubt(self, *, now: float) -> bool:
+        """Return whether another host may plan that this host hasn't heard yet."""
+        return now - self.resumed_at < TAKEOVER_CHECK_TIME
+
+    def _may_decide(self, zone: str, *, now: float) -> bool:
+        if self._is_in_doubt(now=now):
+            return False
+        return zone not in self._outdated_zones or not self._store.is_reachable
+
     def _update_planner(self, zone: str) -> None:
         planning = zone in self.planners_by_zone
         should_plan = self._plans_for(zone, planning)
@@ -173,9 +236,14 @@
         log_event("planner_began" if should_plan else "planner_ended", zone=zone)
         if not should_plan:
             del self.planners_by_zone[zone]
+            self._outdated_zones.discard(zone)
             self._store.unfollow(self._followers_by_zone.pop(zone))
             return
         self.planners_by_zone[zone] = self._new_planner(zone)
+        self._follow(zone)
+
+    def _follow(self, zone: str) -> None:
+        """List and then follow the records of a zone's groups."""
         follower = TopicFollower(
             log=self._log,
             topic=self._documents.groups_topic,
@@ -194,10 +262,14 @@
     def _apply_updates(
         self, zone: str, follower: TopicFollower, updates: TopicUpdates
     ) -> None:
-        planner = self.planners_by_zone.get(zone)
-        if planner is None:
-            return
         now = time.monotonic()
+        self._notice_pause(now=now)
+        if follower is not self._followers_by_zone.get(zone):
+            return
+        if updates.complete and zone in self._outdated_zones:
+            self._outdated_zones.remove(zone)
+            self.planners_by_zone[zone] = self._new_planner(zone)
+        planner = self.planners_by_zone[zone]
         read = [
             (record, self._documents.group(record.key, record.value))
             for record in updates.records
@@ -214,7 +286,7 @@
             else:
                 planner.apply_record(group, end=record.offset + 1, now=now)
 
-    def _append(self, zone: str, append: AppendGroups) -> None:
+    def _append(self, zone: str, planner: ZonePlanner, append: AppendGroups) -> None:
         records = [
             (group.name, self._documents.group_record(group))
             for group in (*append.formed, *append.restored)
@@ -235,14 +307,18 @@
                 members=group.member_ids,
             )
         self._store.call(
-            call, lambda answer: self._on_append_answer(zone, append, answer)
+            call, lambda answer: self._on_append_answer(zone, planner, append, answer)
         )
 
     def _on_append_answer(
-        self, zone: str, append: AppendGroups, store_answer: StoreAnswer
+        self,
+        zone: str,
+        planner: ZonePlanner,
+        append: AppendGroups,
+        store_answer: StoreAnswer,
     ) -> None:
-        planner = self.planners_by_zone.get(zone)
-        if planner is None:
+        if planner is not self.planners_by_zone.get(zone):
+            # A later planner learns from the log whether the append was carried out.
             return
         outcome = self._log.appended(store_answer.status, store_answer.body)
         if outcome.is_error():
@@ -300,7 +376,9 @@
         self, zone: str, order: GroupOrder, *, forwarder: HostAddress | None
     ) -> None:
         order_id = f"order-{next(self._ids)}"
-        self._orders_by_id[order_id] = (zone, order)
+        self._orders_by_id[order_id] = _SentOrder(
+            zone=zone, planner=self.planners_by_zone.get(zone), order=order
+        )
         call = self._groups.order(order)
         is_probe = order.kind is OrderKind.PROBE
         request = OutboundRequest(
@@ -324,7 +402,8 @@
 
     @handler("outbound_answer")
     def _on_answer(self, answer: OutboundAnswer) -> None:
-        _, order = self._orders_by_id[answer.id]
+        self._notice_pause(now=time.monotonic())
+        order = self._orders_by_id[answer.id].order
         self._forwarder_by_order.pop(answer.id, None)
         self._unanswered_ids.discard(order.server_id)
         self._paths.heard(order.server_id, now=time.monotonic())
@@ -336,7 +415,9 @@
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
         now = time.monotonic()
-        zone, order = self._orders_by_id[failure.id]
+        self._notice_pause(now=now)
+        sent = self._orders_by_id[failure.id]
+        zone, order = sent.zone, sent.order
         forwarder = self._forwarder_by_order.pop(failure.id, None)
         refused = failure.error.code == REFUSED
         if forwarder is not None:
@@ -349,7 +430,7 @@
             self._unanswered_ids.add(order.server_id)
             self._paths.unreached(order.server_id, now=now)
             witness = self._forwarder(order, now=now) if refused else None
-            if witness is not None:
+            if witness is not None and self._is_from_current_planner(sent, now=now):
                 # Only this host may be refused, so another one must confirm that the
                 # server's process is gone.
                 del self._orders_by_id[failure.id]
@@ -363,6 +444,10 @@
             outcome = OrderOutcome.SILENT
         self._record_outcome(failure.id, outcome, is_evidence=is_evidence)
 
+    def _is_from_current_planner(self, sent: _SentOrder, *, now: float) -> bool:
+        is_current = sent.planner is self.planners_by_zone.get(sent.zone)
+        return is_current and not self._is_in_doubt(now=now)
+
     def _record_outcome(
         self, order_id: str, outcome: OrderOutcome, *, is_evidence: bool = True
     ) -> None:
@@ -373,7 +458,8 @@
         is_evidence : bool
             False if the missing answer to a probe says nothing about the server.
         """
-        zone, order = self._orders_by_id.pop(order_id)
+        sent = self._orders_by_id.pop(order_id)
+        order = sent.order
         self._orders.record_end()
         log_event(
             "order_answered",
@@ -384,10 +470,11 @@
             model=order.model,
             outcome=outcome.value,
         )
-        planner = self.planners_by_zone.get(zone)
+        # What a server did before a pause of this host tells a later planner nothing.
+        is_current = sent.planner is self.planners_by_zone.get(sent.zone)
         counts = is_evidence or order.kind is not OrderKind.PROBE
-        if planner is not None and order.group and counts:
-            planner.manager.record_outcome(order, outcome, now=time.monotonic())
+        if sent.planner is not None and is_current and order.group and counts:
+            sent.planner.manager.record_outcome(order, outcome, now=time.monotonic())
         self._send_due_orders()
 
 
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -426,6 +426,9 @@
     ),
     "planner_began": _info("this host starts to plan for a zone", "zone"),
     "planner_ended": _info("this host stops planning for a zone", "zone"),
+    "planner_resumed": _info(
+        "this host was paused and checks whether another plans for a zone", "zone"
+    ),
     "report_unreadable": _warning(
         "a backend server's report is invalid", "server", "message"
     ),
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -347,6 +347,7 @@
             planning=planning,
             reads_store=self._reads_store(),
             now=time.monotonic(),
+            resumed_at=self.planning.resumed_at,
         )
 
     def _stalled_heads(self) -> set[str]:
@@ -441,7 +442,7 @@
             still=self._own_stalled_heads(now=now),
             moving=self._progressing_heads(now=now),
             suspicions=self.crashes.announced(now=now),
-            plans=tuple(self.planning.planners_by_zone),
+            plans=self.planning.announced_zones(),
             reshapes=self.planning.reshaped_zones(),
             demand_by_model=self.relay.demand.by_model(now=now),
             forwards=not self.shutdown.stopping and not self.paths.is_cut_off,
--- a/tests/test_coordination/test_host_heartbeats.py
+++ b/tests/test_coordination/test_host_heartbeats.py
@@ -13,6 +13,7 @@
     MAX_HOSTS_AT_FULL_RATE,
     ORPHANED_ZONE_DELAY,
     READERS_PER_ZONE,
+    TAKEOVER_CHECK_TIME,
     TIMEOUT_INTERVALS,
     ZONE_TIMEOUT,
     HostAddress,
@@ -357,6 +358,58 @@
     assert not _plans(heartbeats, planning=True)
 
 
+def test_a_paused_planner_yields_to_any_other(heartbeats: HostHeartbeats) -> None:
+    """Guard against a planner that yields to one that was paused meanwhile.
+
+    By their names the one that was paused would continue, without knowing what the
+    other one has ordered.
+    """
+
+    def plans(now: float) -> bool:
+        return heartbeats.plans_for(
+            "z", planning=True, reads_store=True, now=now, resumed_at=5.0
+        )
+
+    assert plans(5.0)
+    _take(heartbeats, _heartbeat("a"), now=5.1)
+    assert plans(5.1)
+    _take(heartbeats, _heartbeat("c", plans=("z",)), now=5.2)
+    assert not plans(5.2)
+    assert plans(5.0 + TAKEOVER_CHECK_TIME)
+
+
+def test_a_paused_host_waits_before_it_starts_to_plan(
+    heartbeats: HostHeartbeats,
+) -> None:
+    """Guard against a host that takes planning over because it heard nobody."""
+
+    def plans(now: float) -> bool:
+        return heartbeats.plans_for(
+            "z", planning=False, reads_store=True, now=now, resumed_at=5.0
+        )
+
+    assert not plans(5.0)
+    assert plans(5.0 + TAKEOVER_CHECK_TIME)
+    _take(heartbeats, _heartbeat("c", plans=("z",)), now=5.6)
+    assert not plans(5.0 + TAKEOVER_CHECK_TIME)
+
+
+@pytest.mark.parametrize("planning", [False, True])
+def test_a_zone_is_not_orphaned_because_this_host_was_paused(
+    heartbeats: HostHeartbeats, planning: bool
+) -> None:
+    """Guard against a host that plans for another zone after its own pause."""
+
+    def plans(now: float) -> bool:
+        return heartbeats.plans_for(
+            "y", planning=planning, reads_store=True, now=now, resumed_at=20.0
+        )
+
+    _take(heartbeats, _heartbeat("a", availability_zone="y"), now=0.0)
+    assert plans(20.0 + TAKEOVER_CHECK_TIME) is planning
+    assert plans(20.0 + ORPHANED_ZONE_DELAY)
+
+
 def test_a_stopping_host_does_not_plan(heartbeats: HostHeartbeats) -> None:
     _take(heartbeats, _heartbeat("a", stopping=True, plans=("z",)), now=0.0)
     assert _plans(heartbeats)
