Judge silent members of one group by their own silence

Cause: a member that has answered no probe since the stall counted as silent since 0.45 s before it. The stall shows since when one member is silent, not which one, so the second member was judged 0.3 to 0.7 s too early.

Now the stall tells a member's silence only if all others have answered a probe since; otherwise it begins with the first probe left unanswered.

Refused or dark members end their group as soon as before.

--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -402,7 +402,11 @@
         if outcome is not OrderOutcome.SILENT or is_forming:
             return managed.probes.record_timeout(server_id)
         suspected_since = order.decided_at
-        if managed.suspected_since is not None:
+        others = [item for item in managed.record.member_ids if item != server_id]
+        # The stall tells since when one member is silent, but not which one.
+        if managed.suspected_since is not None and managed.probes.all_answered_since(
+            others, managed.suspected_since
+        ):
             suspected_since = managed.suspected_since - STREAM_SILENCE
         if server_id in managed.missing_since:
             # The entry expired seconds after it was last renewed.
--- a/ryelever/coordination/groups/member_probes.py
+++ b/ryelever/coordination/groups/member_probes.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 __all__ = [
     "MAX_PAUSE",
@@ -80,6 +84,13 @@
         self._silent_since_by_id.pop(server_id, None)
         self._answered_at_by_id[server_id] = now
 
+    def all_answered_since(self, member_ids: Iterable[str], at: float) -> bool:
+        """Return whether all given members have answered a probe since a time."""
+        return all(
+            self._answered_at_by_id.get(item, float("-inf")) >= at
+            for item in member_ids
+        )
+
     def record_timeout(self, server_id: str) -> bool:
         """Record an unanswered probe; return whether the member is presumed lost."""
         self._n_unanswered[server_id] += 1
