Define the silence of streams that counts as a stall once

Detection of stalls and judgment of silent members each had the constant; a change of one would have judged members by the other. The families of decisions don't import each other, so it stands beside them. No behaviour and no test changes.

--- a/ryelever/coordination/groups/managed_group.py
+++ b/ryelever/coordination/groups/managed_group.py
@@ -18,7 +18,6 @@
 __all__ = [
     "MAX_ORDER_DELAY",
     "ORDER_RETRY",
-    "STREAM_SILENCE",
     "GroupPhase",
     "ManagedGroup",
 ]
@@ -30,9 +29,6 @@
 #: Seconds after which a server no longer executes an order that got no answer.
 MAX_ORDER_DELAY = 15.0
 
-#: Minimum seconds without an event on all streams of a group that hosts see stalled.
-STREAM_SILENCE = 0.45
-
 
 class GroupPhase(enum.Enum):
     """Enumerate the phases of a group's life.
--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -13,7 +13,8 @@
 from typing import TYPE_CHECKING
 
 from ...state.directory import GroupState
-from .managed_group import ORDER_RETRY, STREAM_SILENCE, GroupPhase, ManagedGroup
+from ..stream_silence import STREAM_SILENCE
+from .managed_group import ORDER_RETRY, GroupPhase, ManagedGroup
 from .managed_groups import DISBANDED, ManagedGroups
 from .member_probes import MAX_PAUSE
 from .orders import GroupOrder, OrderKind, OrderOutcome
--- a/ryelever/coordination/relaying/stall_watch.py
+++ b/ryelever/coordination/relaying/stall_watch.py
@@ -9,12 +9,9 @@
 
 import msgspec
 
-__all__ = ["StallWatch"]
+from ..stream_silence import STREAM_SILENCE
 
-#: Seconds without an event on all started streams of a group after which the group
-#: counts as stalled. A full batch takes 62 ms between two events, and the longest
-#: prompts delay it by about 100 ms each.
-STREAM_SILENCE = 0.45
+__all__ = ["StallWatch"]
 
 #: Seconds without a first event after which a group counts as stalled if none of its
 #: streams has started.
