--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -13,7 +13,8 @@
 from typing import TYPE_CHECKING
 
 from ...state.directory import GroupState
-from .managed_group import ORDER_RETRY, STREAM_SILENCE, GroupPhase, ManagedGroup
+from ..stream_silence import STREAM_SILENCE
+from .managed_group import ORDER_RETRY, GroupPhase, ManagedGroup
 from .managed_groups import DISBANDED, ManagedGroups
 from .member_probes import MAX_PAUSE
 from .orders import GroupOrder, OrderKind, OrderOutcome
@@ -402,7 +403,11 @@
         if outcome is not OrderOutcome.SILENT or is_forming:
             return managed.probes.record_timeout(server_id)
         suspected_since = order.decided_at
-        if managed.suspected_since is not None:
+        others = [item for item in managed.record.member_ids if item != server_id]
+        # The stall tells since when one member is silent, but not which one.
+        if managed.suspected_since is not None and managed.probes.all_answered_since(
+            others, managed.suspected_since
+        ):
             suspected_since = managed.suspected_since - STREAM_SILENCE
         if server_id in managed.missing_since:
             # The entry expired seconds after it was last renewed.
