Try servers again that a begun stream could not reach

A stream that has begun waits for a server with room until its deadline. Servers that rejected it were tried again meanwhile, those that accepted no connection never: while all others of a service were silent for a second, a stream whose own server broke off then waited for its deadline and was broken off, beside servers that had long gone on. The same held for servers that a forwarding host at its end refused to pass it to.

--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -80,7 +80,8 @@
     n_rejected : int
         Number of attempts that backend servers promised not to have run.
     rejected_by : set of str
-        Ids of the backend servers that did not run the request, as they were full.
+        Ids of the backend servers that did not run the request, as they were full, and
+        have not been tried again.
     held_by_attempt : dict of str to HeldAttempt
         Silent attempts that may go on, by their ids, besides the current attempt.
     obstacle : str
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -536,9 +536,11 @@
         queue.add(request, now=now)
         if request.phase is RequestPhase.STREAMING and self._waiting.includes(request):
             # It may wait for long: others can use the retry meanwhile, and servers that
-            # were full may have room again.
+            # were full or out of reach may take it later.
             self._retries.release(request)
-            request.tried -= request.rejected_by
+            request.tried -= request.rejected_by | request.unreached
+            request.rejected_by.clear()
+            request.unreached.clear()
 
     def path_lost(self, server_id: str, *, now: float) -> None:
         """Use a server by way of other hosts after the path to it was lost."""
--- a/tests/test_coordination/test_relaying/test_silent_servers.py
+++ b/tests/test_coordination/test_relaying/test_silent_servers.py
@@ -161,6 +161,24 @@
     assert relaying.out[-1] == ("finish", 1)
 
 
+def test_stream_that_has_begun_goes_on_at_servers_that_are_reached_again() -> None:
+    """Guard against streams broken off as servers accepted nothing for a while."""
+    relaying = Relaying()
+    _reset(relaying, _begin_stream(relaying), now=0.3)
+    assert len(relaying.sent) == 2
+    _unreached(relaying, relaying.sent[1], now=0.6)
+    assert len(relaying.sent) == 3
+    _unreached(relaying, relaying.sent[2], now=0.9)
+    assert len({attempt.server_id for attempt in relaying.sent}) == 3
+    _tick_until(relaying, 0.9, 0.9 + PAUSE)
+    assert len(relaying.sent) == 4
+    last = relaying.sent[3]
+    assert last.last_event_id == "1"
+    relaying.requests.answer_head(last.id, head(), now=2.5)
+    _continue(relaying, last, now=2.5)
+    assert relaying.out[-1] == ("finish", 1)
+
+
 def test_error_of_another_server_does_not_end_a_held_attempt() -> None:
     """Guard against errors of second servers that end requests of paused ones."""
     relaying = Relaying()
