Count requests as unsent that a forwarding host refuses for its limits

Hosts get a new configuration up to some seconds apart. A request that its host had accepted was refused with 413 by a host that already had a lower limit of bodies, before it was forwarded; it counted as sent, so that a request that may run once ended with 502 though no server ever got it. It is now sent on another way, or refused as not run. 408 and 431 likewise: a host sends them only for requests that it hasn't read completely.

Tests: one case more of the errors of a forwarding host; the entry host of the exchanges takes limits for its forwarding part, none by default.

--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -57,6 +57,10 @@
 #: the backend server.
 FORWARDER_FAILED = "forwarder_failed"
 
+#: Statuses with which a host refuses a request that exceeds its limits, before it could
+#: forward the request. The limits of two hosts differ while the configuration changes.
+BEYOND_LIMITS = frozenset({408, 413, 431})
+
 
 class HttpClient(BaseComponent):
     """Send requests and own all outgoing connections.
@@ -292,6 +296,8 @@
         if error is None:
             if isinstance(event, h11.EndOfMessage) or is_forwarded(event.headers):
                 return False
+            if event.status_code in BEYOND_LIMITS:
+                connection.bytes_sent = False
             self._fail(connection, "answered itself, without forwarding")
             return True
         self._close(connection)
--- a/tests/test_relay_exchanges.py
+++ b/tests/test_relay_exchanges.py
@@ -59,14 +59,18 @@
             directory.put(replace(server, address=address), now=0.0)
         Poller().register(self)
         self.client = HttpClient().register(self)
+        self.peer_limits = ConnectionLimits()
         self.callers, self.peer_callers = (
             RelayCallers(
                 bind=("127.0.0.1", 0),
                 channel=channel,
                 reply_channel=reply_channel,
-                limits=ConnectionLimits,
+                limits=limits,
             ).register(self)
-            for channel, reply_channel in (("callers", "relay"), ("peers", "offers"))
+            for channel, reply_channel, limits in (
+                ("callers", "relay", ConnectionLimits),
+                ("peers", "offers", lambda: self.peer_limits),
+            )
         )
         self.faults: list[object] = []
         forwarding_hosts = ForwardingHosts(own_zone=(), other_zones=())
@@ -342,6 +346,17 @@
     return data[: len(data) - n_missing]
 
 
+@pytest.mark.parametrize("kind", RouteKind)
+def test_forwarding_host_with_lower_limits_loses_no_request(kind: RouteKind) -> None:
+    """Guard against requests lost since a change came to the forwarding host first."""
+    host = EntryHost(is_forwarded=True)
+    host.peer_limits = ConnectionLimits(max_body=len(END) - 1)
+    with contextlib.closing(host):
+        request = _request(kind, "POST")
+        outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
+    assert (outcome.statuses, outcome.n_attempts) == ([200], 1)
+
+
 @pytest.mark.parametrize("is_forwarded", [False, True], ids=["direct", "forwarded"])
 @pytest.mark.parametrize("kind", RouteKind)
 @settings(max_examples=60)
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -443,6 +443,11 @@
     ),
     "forwarding host ended": (CLOSE, "broken sent", True),
     "not forwarded": (answer("not here"), "broken sent", True),
+    "beyond the limits": (
+        b"HTTP/1.1 413 \r\nContent-Length: 0\r\n\r\n",
+        "broken unsent",
+        True,
+    ),
 }
 
 
