End only the request whose handling raises an exception, at hosts that relay

An exception in the tick, in a dispatch or while news of an attempt was handled left its request without an answer and its slot taken, and everything behind it in the same step undone: requests that were overdue or waited, also in each later tick if it was raised again. Only arrivals had a guard.

FaultIsolation ends the request that an exception concerns: 500 with the request's id if nothing has been sent, otherwise a broken-off answer; its attempts are cancelled, its slot and reserved retry given back. It isolates each request of a loop, each piece of news and each step of a tick; the handler of the `exception` event in relay.py is gone. The exception is logged as `fault` with the request's id and counted in `ryelever_faults_total`. A retry counts once it is handed to the HTTP client, and a request counts as begun once its head was sent, so that an exception in between finds the state that is true.

Changes to tests: WaitingRequests.sorted_for_dispatch was split in two, since a failure in the order of contended requests kept the others from being sent; test_waiting.py calls both parts. EntryHost of test_relay_exchanges.py also records the exceptions reported as `request_fault`.

--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -12,6 +12,7 @@
 
     from .balance import Balancer
     from .contention import Contention
+    from .fault_isolation import FaultIsolation
     from .rank_shares import Order
     from .reports import RequestReports
     from .request import RelayRequest
@@ -68,6 +69,7 @@
         "_balancer",
         "_contention",
         "_dispatch",
+        "_faults",
         "_refusals",
         "_refuse",
         "_reports",
@@ -82,6 +84,7 @@
         waiting: WaitingRequests,
         reports: RequestReports,
         refusals: ServerRefusals,
+        faults: FaultIsolation,
         dispatch: Callable[..., bool],
         refuse: Callable[..., None],
     ) -> None:
@@ -90,6 +93,7 @@
         self._waiting = waiting
         self._reports = reports
         self._refusals = refusals
+        self._faults = faults
         self._dispatch = dispatch
         self._refuse = refuse
 
@@ -132,25 +136,26 @@
         full = _FullGroups()
         n_ahead_by_work: dict[tuple[str, str], int] = {}
         for request in waiting:
-            if self._refusals.refuse_or_hold(request, now=now):
-                continue
-            work = request.work
-            n_ahead = n_ahead_by_work.get(work, 0)
-            order = self._contention.order(request, now=now)
-            is_guaranteed = self._contention.is_guaranteed(request, now=now)
-            if not full.includes(work, order, is_guaranteed=is_guaranteed):
-                if self._send(
-                    request, n_ahead=n_ahead, is_guaranteed=is_guaranteed, now=now
-                ):
+            with self._faults.request(request, now=now):
+                if self._refusals.refuse_or_hold(request, now=now):
                     continue
-                if not request.tried:
-                    full.add(work, order, is_guaranteed=is_guaranteed)
-            # A request that was sent to all servers waits for another one, and leaves
-            # the slots of these to its successors.
-            if not self._refuse_if_hopeless(
-                request, n_ahead=n_ahead, now=now
-            ) and self._contention.is_untried_left(request):
-                n_ahead_by_work[work] = n_ahead + 1
+                work = request.work
+                n_ahead = n_ahead_by_work.get(work, 0)
+                order = self._contention.order(request, now=now)
+                is_guaranteed = self._contention.is_guaranteed(request, now=now)
+                if not full.includes(work, order, is_guaranteed=is_guaranteed):
+                    if self._send(
+                        request, n_ahead=n_ahead, is_guaranteed=is_guaranteed, now=now
+                    ):
+                        continue
+                    if not request.tried:
+                        full.add(work, order, is_guaranteed=is_guaranteed)
+                # A request that was sent to all servers waits for another one, and
+                # leaves the slots of these to its successors.
+                if not self._refuse_if_hopeless(
+                    request, n_ahead=n_ahead, now=now
+                ) and self._contention.is_untried_left(request):
+                    n_ahead_by_work[work] = n_ahead + 1
 
     def may_refuse(self, request: RelayRequest) -> bool:
         """Return whether a request waits that has not run at any server.
--- a/ryelever/coordination/relaying/refusals.py
+++ b/ryelever/coordination/relaying/refusals.py
@@ -106,6 +106,7 @@
         """
         if request.phase is RequestPhase.STREAMING:
             self._outbox.abort(request.number)
+            request.phase = RequestPhase.ENDED
             self._reports.answered(request, status=0, now=now, reason=reason)
             return
         refusal = RelayRefusal(
@@ -115,6 +116,7 @@
             retry_after=None if request.may_have_run else retry_after,
         )
         self._outbox.refuse(request.number, refusal)
+        request.phase = RequestPhase.ENDED
         fields = self._slot_fields(request, reason)
         if request.contended and reason in ROOM_REASONS:
             if refusal.status == 503:
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -14,6 +14,7 @@
 from .contended_requests import ContendedRequests
 from .contention import Contention
 from .demand import ExponentialAverage
+from .fault_isolation import FaultIsolation
 from .moves import Moves
 from .open_attempts import OpenAttempts
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
@@ -74,9 +75,15 @@
         Whether the capacity of engine services is shared among callers.
     seed : int or None
         Seed of the random draws for contended services.
+    report_fault : callable or None
+        Report an exception that ended a request, given it and the request's id, which
+        is empty if the exception concerns no single request. If None, exceptions are
+        raised.
 
     Attributes
     ----------
+    faults : FaultIsolation
+        Ends the request whose handling raises an exception.
     refuses_new : bool
         True once the process is too close to its end to complete new requests.
     """
@@ -98,6 +105,7 @@
         log: Callable[..., None],
         contention: ContentionMode,
         seed: int | None = None,
+        report_fault: Callable[[Exception, str], None] | None = None,
     ) -> None:
         self._route_table = route_table
         self._unrouted = UnroutedArrivals(since=since)
@@ -105,7 +113,6 @@
         self._budget = budget
         self._stall_watch = stall_watch
         self._crashes = crashes
-        self._withdrawals = Withdrawals(crashes=crashes)
         self._outbox = outbox
         self._served = served
         self._reports = RequestReports(measures=measures, log=log)
@@ -120,6 +127,18 @@
             reports=self._reports,
         )
         self._retries = Retries(budget=budget, crashes=crashes, reports=self._reports)
+        self._waiting = WaitingRequests(usual_answer=self._usual_answer)
+        self.faults = FaultIsolation(
+            attempts=self._attempts,
+            outbox=outbox,
+            reports=self._reports,
+            requests_by_number=self.requests_by_number,
+            retries=self._retries,
+            unrouted=self._unrouted,
+            waiting=self._waiting,
+            report=report_fault,
+        )
+        self._withdrawals = Withdrawals(crashes=crashes, faults=self.faults)
         self._moves = Moves(
             attempts=self._attempts,
             balancer=balancer,
@@ -131,7 +150,6 @@
             stall_watch=stall_watch,
             dispatch=self._dispatch,
         )
-        self._waiting = WaitingRequests(usual_answer=self._usual_answer)
         self._refusals = Refusals(
             outbox=outbox,
             reports=self._reports,
@@ -152,12 +170,14 @@
             waiting=self._waiting,
             reports=self._reports,
             refusals=server_refusals,
+            faults=self.faults,
             dispatch=self._dispatch,
             refuse=self._end_without_answer,
         )
         self._uncontended = UncontendedRequests(
             waiting=self._waiting,
             refusals=server_refusals,
+            faults=self.faults,
             dispatch=self._dispatch,
         )
         self._arrivals = ExponentialAverage(averaging_time=ARRIVALS_TIME, now=since)
@@ -186,16 +206,17 @@
     def arrive(self, number: int, arrival: RelayArrival) -> None:
         """Handle a caller's request."""
         now = arrival.arrived_at
-        self._arrivals.add(1.0, now=now)
-        if self.refuses_new:
-            self._refuse_on_arrival(number, arrival, 503, "stopping")
-            return
-        route_table = self._route_table()
-        if route_table is None:
-            self._unrouted.add(number, arrival)
-            self._route_unrouted(now=now)
-            return
-        self._route(number, arrival, route_table, now=now)
+        with self.faults.arrival(number, request_id=arrival.request_id, now=now):
+            self._arrivals.add(1.0, now=now)
+            if self.refuses_new:
+                self._refuse_on_arrival(number, arrival, 503, "stopping")
+                return
+            route_table = self._route_table()
+            if route_table is None:
+                self._unrouted.add(number, arrival)
+                self._route_unrouted(now=now)
+                return
+            self._route(number, arrival, route_table, now=now)
 
     def _route_unrouted(self, *, now: float) -> None:
         """Route or refuse the requests that waited for the first configuration."""
@@ -204,10 +225,11 @@
         route_table = self._route_table()
         due = self._unrouted.pop_due(is_configured=route_table is not None, now=now)
         for number, arrival in due:
-            if route_table is None:
-                self._refuse_on_arrival(number, arrival, 503, "no_configuration")
-            else:
-                self._route(number, arrival, route_table, now=now)
+            with self.faults.arrival(number, request_id=arrival.request_id, now=now):
+                if route_table is None:
+                    self._refuse_on_arrival(number, arrival, 503, "no_configuration")
+                else:
+                    self._route(number, arrival, route_table, now=now)
 
     def _route(
         self, number: int, arrival: RelayArrival, route_table: RouteTable, *, now: float
@@ -241,8 +263,9 @@
         request = self.requests_by_number.get(number)
         if request is None:
             return
-        self._reports.caller_left(request)
-        self._end(request)
+        with self.faults.request(request):
+            self._reports.caller_left(request)
+            self._end(request)
 
     # Backend servers
 
@@ -352,6 +375,7 @@
         self._record_success(request, now=now)
         self._attempts.release(request)
         self._outbox.finish(request.number)
+        request.phase = RequestPhase.ENDED
         self._served(request.arrival.model, request.n_events)
         self._crashes.completed(request, now=now)
         self._reports.answered(request, status=200, server=server_id, now=now)
@@ -405,39 +429,51 @@
 
     def tick(self, *, now: float) -> None:
         """End overdue requests, move those of stalled groups and send waiting ones."""
-        self._contention.ticked(now=now)
-        for request in list(self.requests_by_number.values()):
-            waited = self._waiting.has_timed_out(request, now=now)
-            if waited or now >= request.times_out_at:
-                self._time_out(request, now=now)
-            elif self.refuses_new and self._contended.may_refuse(request):
-                self._end_without_answer(request, "stopping", now=now)
-            else:
-                self._moves.check_path(request, now=now)
+        with self.faults.step():
+            self._contention.ticked(now=now)
+        requests = list(self.requests_by_number.values())
+        self.faults.each(requests, self._check_times, now=now)
         requests = list(self.requests_by_number.values())
         for request, quarantined in self._withdrawals.due(requests, now=now):
-            self._withdraw(request, quarantined, now=now)
-        self._moves.move_stalled(now=now)
+            with self.faults.request(request, now=now):
+                self._withdraw(request, quarantined, now=now)
+        with self.faults.step():
+            self._moves.move_stalled(now=now)
         self.dispatch_waiting(now=now)
 
+    def _check_times(self, request: RelayRequest, *, now: float) -> None:
+        """End a request if it is overdue; otherwise check the path to its server."""
+        waited = self._waiting.has_timed_out(request, now=now)
+        if waited or now >= request.times_out_at:
+            self._time_out(request, now=now)
+        elif self.refuses_new and self._contended.may_refuse(request):
+            self._end_without_answer(request, "stopping", now=now)
+        else:
+            self._moves.check_path(request, now=now)
+
     def end_all(self, *, now: float) -> None:
         """Answer all requests, since the process is about to end."""
         for request in list(self.requests_by_number.values()):
-            if request.attempt is not None:
-                request.may_have_run = True
-            self._attempts.cancel_all(request)
-            self._end_without_answer(request, "stopping", now=now)
+            with self.faults.request(request, now=now):
+                if request.attempt is not None:
+                    request.may_have_run = True
+                self._attempts.cancel_all(request)
+                self._end_without_answer(request, "stopping", now=now)
         for number, arrival in self._unrouted.pop_all():
-            self._refuse_on_arrival(number, arrival, 503, "stopping")
+            with self.faults.arrival(number, request_id=arrival.request_id, now=now):
+                self._refuse_on_arrival(number, arrival, 503, "stopping")
 
     def dispatch_waiting(self, *, now: float) -> None:
         """Send the requests that wait for a free slot or the first configuration."""
-        self._route_unrouted(now=now)
+        with self.faults.step():
+            self._route_unrouted(now=now)
         if not self._waiting:
             return
-        waiting = self._waiting.sorted_for_dispatch(now=now)
-        self._uncontended.dispatch((r for r in waiting if not r.contended), now=now)
-        self._contended.dispatch((r for r in waiting if r.contended), now=now)
+        with self.faults.step():
+            uncontended = self._waiting.uncontended_for_dispatch(now=now)
+            self._uncontended.dispatch(uncontended, now=now)
+        with self.faults.step():
+            self._dispatch_contended(now=now)
 
     def _dispatch_contended(self, *, now: float) -> None:
         """Send waiting requests of contended services, since a slot became free."""
@@ -466,11 +502,11 @@
         if request.prefers_forwarder or self._paths.is_out_of_reach(server.id):
             forwarder = self._forwarders.choose(now=now)
         attempt = self._attempts.begin(request, server, forwarder=forwarder, now=now)
+        self._outbox.send(attempt)
         self._retries.sent(request, now=now)
         limited = self._balancer.limits.rate(server.id, now=now) is not None
         self._reports.sent(request, limited=limited, now=now)
         self._balancer.limits.sent(server.id, now=now)
-        self._outbox.send(attempt)
         return True
 
     def _handle_rejection(
@@ -543,7 +579,8 @@
     def path_lost(self, server_id: str, *, now: float) -> None:
         """Use a server by way of other hosts after the path to it was lost."""
         requests = list(self.requests_by_number.values())
-        self._moves.path_lost(server_id, requests, now=now)
+        with self.faults.step():
+            self._moves.path_lost(server_id, requests, now=now)
         self.dispatch_waiting(now=now)
 
     # Answers
@@ -553,12 +590,12 @@
     ) -> None:
         self._attempts.cancel_held(request)
         if request.phase is not RequestPhase.STREAMING:
-            request.phase = RequestPhase.STREAMING
             self._outbox.start(
                 request.number,
                 status=request.head.status,
                 headers=request.head.headers,
             )
+            request.phase = RequestPhase.STREAMING
         if not request.n_events:
             self._contention.first_event(request, now=now)
             request.answering_since = now
@@ -609,6 +646,7 @@
             headers=head.headers,
             body=bytes(request.body),
         )
+        request.phase = RequestPhase.ENDED
         self._reports.answered(request, status=head.status, server=server_id, now=now)
         self._end(request)
 
--- a/ryelever/coordination/relaying/uncontended_requests.py
+++ b/ryelever/coordination/relaying/uncontended_requests.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from .fault_isolation import FaultIsolation
     from .request import RelayRequest
     from .server_refusals import ServerRefusals
     from .waiting import WaitingRequests
@@ -26,17 +27,19 @@
         there was one.
     """
 
-    __slots__ = ("_dispatch", "_refusals", "_waiting")
+    __slots__ = ("_dispatch", "_faults", "_refusals", "_waiting")
 
     def __init__(
         self,
         *,
         waiting: WaitingRequests,
         refusals: ServerRefusals,
+        faults: FaultIsolation,
         dispatch: Callable[..., bool],
     ) -> None:
         self._waiting = waiting
         self._refusals = refusals
+        self._faults = faults
         self._dispatch = dispatch
 
     def add(self, request: RelayRequest, *, now: float) -> None:
@@ -60,11 +63,12 @@
         """
         full: set[tuple[str, str]] = set()
         for request in ordered:
-            if self._refusals.refuse_or_hold(request, now=now):
-                continue
-            if request.work in full and not request.tried:
-                continue
-            if self._dispatch(request, now=now):
-                self._waiting.discard(request)
-            elif not request.tried:
-                full.add(request.work)
+            with self._faults.request(request, now=now):
+                if self._refusals.refuse_or_hold(request, now=now):
+                    continue
+                if request.work in full and not request.tried:
+                    continue
+                if self._dispatch(request, now=now):
+                    self._waiting.discard(request)
+                elif not request.tried:
+                    full.add(request.work)
--- a/ryelever/coordination/relaying/waiting.py
+++ b/ryelever/coordination/relaying/waiting.py
@@ -127,25 +127,23 @@
         """Return whether a request has waited for a free slot as long as it may."""
         return request.number in self._requests_by_number and now >= request.waits_until
 
-    def sorted_for_dispatch(self, *, now: float) -> list[RelayRequest]:
-        """Return the waiting requests in the order in which they get free slots.
+    def uncontended_for_dispatch(self, *, now: float) -> list[RelayRequest]:
+        """Return the waiting requests of services that are not contended, in order.
 
         Requests that arrived no longer ago than ``ON_TIME_WAIT_SHARE`` of their latency
         objective come first, so that requests which are probably late already don't
         make others late. Within both groups, requests are ordered by priority, then by
-        arrival. Requests of contended services follow, in the order of ``FairOrder``;
-        they compete for other slots.
+        arrival.
         """
-        uncontended = sorted(
+        return sorted(
             (item for item in self._requests_by_number.values() if not item.contended),
             key=lambda item: (now > item.on_time_until, item.priority, item.number),
         )
-        return uncontended + self.contended_for_dispatch(now=now)
 
     def contended_for_dispatch(
         self, *, now: float, work: tuple[str, str] | None = None
     ) -> list[RelayRequest]:
-        """Return the waiting requests of contended services in the order of dispatch.
+        """Return the waiting requests of contended services, in ``FairOrder``.
 
         Parameters
         ----------
--- a/ryelever/coordination/relaying/withdrawals.py
+++ b/ryelever/coordination/relaying/withdrawals.py
@@ -11,6 +11,7 @@
 
     from ..quarantine import Quarantined
     from .crashes import CrashWatch
+    from .fault_isolation import FaultIsolation
     from .request import RelayRequest
 
 __all__ = ["Withdrawals"]
@@ -28,10 +29,11 @@
         Knows the verdicts.
     """
 
-    __slots__ = ("_crashes", "_n_verdicts")
+    __slots__ = ("_crashes", "_faults", "_n_verdicts")
 
-    def __init__(self, *, crashes: CrashWatch) -> None:
+    def __init__(self, *, crashes: CrashWatch, faults: FaultIsolation) -> None:
         self._crashes = crashes
+        self._faults = faults
         self._n_verdicts = 0
 
     def due(
@@ -41,10 +43,12 @@
         if self._crashes.n_verdicts == self._n_verdicts:
             return []
         self._n_verdicts = self._crashes.n_verdicts
-        return [
-            (request, quarantined)
-            for request in requests
-            if request.attempt is not None
-            and request.phase is RequestPhase.SENT
-            and (quarantined := self._crashes.verdict(request, now=now)) is not None
-        ]
+        due = []
+        for request in requests:
+            if request.attempt is None or request.phase is not RequestPhase.SENT:
+                continue
+            with self._faults.request(request, now=now):
+                quarantined = self._crashes.verdict(request, now=now)
+                if quarantined is not None:
+                    due.append((request, quarantined))
+        return due
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -51,6 +51,7 @@
     "peers_send",
     "relayed_caller_disconnected",
     "relayed_request",
+    "request_fault",
     "server_updates",
     "serving_tick",
     "store_returned",
@@ -403,6 +404,18 @@
     """Request that the state be written to the log."""
 
 
+class request_fault(Event):
+    """Log and count an exception that ended a request.
+
+    Parameters
+    ----------
+    error : Exception
+        The exception.
+    request_id : str
+        Id of the request; empty if the exception concerns no single request.
+    """
+
+
 class end_requests(Event):
     """End every request in flight because the shutdown's deadline has passed."""
 
--- a/ryelever/fault_log.py
+++ b/ryelever/fault_log.py
@@ -1,7 +1,8 @@
-"""Log and count exceptions raised by event handlers; the process continues."""
+"""Log and count exceptions that nothing else catches; the process continues."""
 
 from __future__ import annotations
 
+from traceback import format_tb
 from typing import TYPE_CHECKING
 
 from circuits import BaseComponent, Event, handler
@@ -18,7 +19,7 @@
 
 
 class FaultLog(BaseComponent):
-    """Log and count every exception that an event handler does not catch.
+    """Log and count the exceptions that handlers raise or that end requests.
 
     Parameters
     ----------
@@ -41,11 +42,19 @@
         handler: object = None,  # noqa: A002
         fevent: Event | None = None,
     ) -> None:
-        self._metrics.count("faults", error_type.__name__)
+        self._log(error, traceback, fired=fevent.name if fevent is not None else "")
+
+    @handler("request_fault")
+    def _on_request_fault(self, error: Exception, request_id: str) -> None:
+        self._log(error, format_tb(error.__traceback__), request=request_id)
+
+    def _log(self, error: Exception, traceback: list[str], **fields: str) -> None:
+        name = type(error).__name__
+        self._metrics.count("faults", name)
         log_warning(
             "fault",
-            error=error_type.__name__,
+            error=name,
             message=str(error),
-            fired=fevent.name if fevent is not None else "",
+            **fields,
             traceback="".join(traceback)[-MAX_TRACEBACK:],
         )
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -176,7 +176,12 @@
     ),
     "dump": _info("the state, requested by a signal", "state"),
     "fault": _warning(
-        "a programming fault in one handler", "error", "fired", "message", "traceback"
+        "a programming fault; it ended the request, if one is named",
+        "error",
+        "fired",
+        "message",
+        "request",
+        "traceback",
     ),
     "idle_connections_closed": _info("a stopping host closed idle connections", "n"),
     "log_lines_left_out": _warning(
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -22,6 +22,7 @@
     RelayedRequest,
     outbound_cancel,
     outbound_send,
+    request_fault,
 )
 from .logs import log_event
 from .protocol.sse import RawEventSplitter, SseTooLongError
@@ -29,8 +30,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from circuits import Event
-
     from .coordination.relaying import (
         Balancer,
         CrashWatch,
@@ -119,6 +118,7 @@
             since=time.monotonic(),
             log=self._log,
             contention=contention,
+            report_fault=self._report_fault,
         )
 
     def _log(self, event: str, **fields: object) -> None:
@@ -127,43 +127,26 @@
         )
         log_event(event, **fields)
 
+    def _report_fault(self, error: Exception, request_id: str) -> None:
+        self.fire(request_fault(error, request_id), "faults")
+
     # Callers
 
     @handler("relayed_request")
     def _on_request(self, received: RelayedRequest) -> None:
         now = time.monotonic()
-        arrival = self._messages.decode_arrival(
-            head=received.headers,
-            target=received.target,
-            content=_content_hash(received),
-            now=now,
-        )
-        self._received_by_number[received.number] = received
-        if arrival.model:
-            self._record_demand(arrival, now=now)
-        self.requests.arrive(received.number, arrival)
-
-    @handler("exception", channel="*")
-    def _on_exception(
-        self,
-        error_type: type[Exception],
-        error: Exception,
-        traceback: list[str],
-        handler: object = None,
-        fevent: Event | None = None,
-    ) -> None:
-        """Answer the caller whose request made the handler of its arrival fail.
-
-        The answer makes no promise, since the handler may have sent the request to a
-        backend server before it raised.
-        """
-        if fevent is None or fevent.name != "relayed_request":
-            return
-        if self.channel in fevent.channels:
-            number = fevent.args[0].number
-            self.requests.caller_disconnected(number)
-            self._received_by_number.pop(number, None)
-            self._callers.answer(number, status=500, headers=[], body=b"")
+        with self.requests.faults.arrival(received.number, now=now):
+            arrival = self._messages.decode_arrival(
+                head=received.headers,
+                target=received.target,
+                content=_content_hash(received),
+                now=now,
+            )
+            self._received_by_number[received.number] = received
+            if arrival.model:
+                with self.requests.faults.step():
+                    self._record_demand(arrival, now=now)
+            self.requests.arrive(received.number, arrival)
 
     @handler("relayed_caller_disconnected")
     def _on_caller_disconnected(self, number: int) -> None:
@@ -194,17 +177,24 @@
     @handler("outbound_head")
     def _on_head(self, head: AnswerHead) -> None:
         now = time.monotonic()
-        read = self._messages.decode_answer_head(head.status, list(head.raw_headers))
-        self.requests.answer_head(
-            head.id, read, new_connection=head.new_connection, now=now
-        )
+        with self.requests.faults.attempt(head.id, now=now):
+            read = self._messages.decode_answer_head(
+                head.status, list(head.raw_headers)
+            )
+            self.requests.answer_head(
+                head.id, read, new_connection=head.new_connection, now=now
+            )
 
     @handler("outbound_data")
     def _on_data(self, message: AttemptData) -> None:
         now = time.monotonic()
-        if not self.requests.is_streaming(message.id):
-            self.requests.answer_body(message.id, message.data, now=now)
-            return
+        with self.requests.faults.attempt(message.id, now=now):
+            if self.requests.is_streaming(message.id):
+                self._split_events(message, now=now)
+            else:
+                self.requests.answer_body(message.id, message.data, now=now)
+
+    def _split_events(self, message: AttemptData, *, now: float) -> None:
         splitter = self._splitters_by_attempt.setdefault(message.id, RawEventSplitter())
         try:
             events = splitter.feed(message.data)
@@ -218,7 +208,9 @@
     def _on_end(self, attempt_id: str) -> None:
         splitter = self._splitters_by_attempt.pop(attempt_id, None)
         cut = splitter is not None and not splitter.is_empty
-        self.requests.answer_end(attempt_id, cut=cut, now=time.monotonic())
+        now = time.monotonic()
+        with self.requests.faults.attempt(attempt_id, now=now):
+            self.requests.answer_end(attempt_id, cut=cut, now=now)
 
     @handler("outbound_failed")
     def _on_failed(self, failure: OutboundFailure) -> None:
@@ -228,13 +220,15 @@
             reason = "forwarder_failed"
         elif failure.error.category is Category.TIMEOUT:
             reason = "silent"
-        self.requests.attempt_failed(
-            failure.id,
-            reason,
-            sent=failure.bytes_sent,
-            forwarder_failed=failure.forwarder_failed,
-            now=time.monotonic(),
-        )
+        now = time.monotonic()
+        with self.requests.faults.attempt(failure.id, now=now):
+            self.requests.attempt_failed(
+                failure.id,
+                reason,
+                sent=failure.bytes_sent,
+                forwarder_failed=failure.forwarder_failed,
+                now=now,
+            )
 
     @handler("serving_tick")
     def _on_tick(self) -> None:
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -136,6 +136,7 @@
         contention: ContentionMode = ContentionMode.AUTO,
         peers_reported_since: Callable[..., bool] | None = None,
         turn: Callable[..., int] = lambda *, now: 0,
+        report_fault: Callable[[Exception, str], None] | None = None,
     ) -> None:
         self.route_table = route_table(resumable=resumable) if configured else None
         self.directory = Directory()
@@ -185,6 +186,7 @@
             log=lambda event, **fields: self.lines.append((event, fields)),
             contention=contention,
             seed=seed,
+            report_fault=report_fault,
         )
 
     def plain(self, server_id: str) -> BackendServer:
--- a/tests/test_coordination/test_relaying/test_waiting.py
+++ b/tests/test_coordination/test_relaying/test_waiting.py
@@ -33,7 +33,9 @@
 
 
 def _order(queue: WaitingRequests, *, now: float = 0.0) -> list[int]:
-    return [request.number for request in queue.sorted_for_dispatch(now=now)]
+    ordered = queue.uncontended_for_dispatch(now=now)
+    ordered += queue.contended_for_dispatch(now=now)
+    return [request.number for request in ordered]
 
 
 def test_uncontended_requests_keep_the_old_order(queue: WaitingRequests) -> None:
@@ -68,7 +70,7 @@
     n_served = 0
     for number in range(9, 33):
         _add(queue, _request(number, account=f"small-{number % 3}"))
-        first = queue.sorted_for_dispatch(now=0.0)[0]
+        first = queue.contended_for_dispatch(now=0.0)[0]
         queue.sent(first)
         queue.discard(first)
         n_served += first.account == "burst"
@@ -116,6 +118,6 @@
     """Guard against rows of requests that were sent, and ranks out of bounds."""
     _add(queue, *(_request(number) for number in range(3)), _request(3, rank=(-1, 7)))
     _add(queue, _request(4, on_time_until=0.1))
-    queue.sent(queue.sorted_for_dispatch(now=0.2)[0])
+    queue.sent(queue.contended_for_dispatch(now=0.2)[0])
     expected = [((0, 0), False, 2), ((0, 3), False, 1), ((0, 0), True, 1)]
     assert [(row.rank, row.late, row.count) for row in queue.rows()] == expected
--- a/tests/test_relay_exchanges.py
+++ b/tests/test_relay_exchanges.py
@@ -111,6 +111,10 @@
     def _on_fault(self, *args: object, **fields: object) -> None:
         self.faults.append(args[1])
 
+    @handler("request_fault", channel="*")
+    def _on_request_fault(self, error: Exception, request_id: str) -> None:
+        self.faults.append(error)
+
     def close(self) -> None:
         """Close all sockets."""
         self.stop()
@@ -278,6 +282,35 @@
     assert not host.relay._received_by_number
 
 
+@pytest.mark.parametrize(
+    ("owner", "method", "statuses"),
+    [
+        (PlatformMessages, "decode_answer_head", [500]),
+        (RelayCallers, "answer", []),
+        (Relay, "answer", [500]),
+    ],
+)
+def test_fault_in_an_answer_ends_its_request(
+    host: EntryHost,
+    monkeypatch: pytest.MonkeyPatch,
+    owner: type,
+    method: str,
+    statuses: list[int],
+) -> None:
+    """Guard against callers that hang because news of an attempt raised an exception.
+
+    A caller that can't be answered at all sees its connection closed.
+    """
+    fault = ValueError("a fault")
+    monkeypatch.setattr(owner, method, Mock(side_effect=fault))
+    request = _request(RouteKind.IDEMPOTENT, "POST")
+    outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
+    assert set(host.faults) == {fault}
+    assert (outcome.statuses, outcome.is_over) == (statuses, True)
+    assert not host.relay.requests.requests_by_number
+    assert not host.relay._received_by_number
+
+
 #: Headers and body of answers that are sound, apart from the body's framing.
 SOUND = (
     ((b"Content-Length: 6",), b"answer"),
