Move the other streams of a silent server beside one whose move raises

An exception in the move of one stream kept those behind it at their silent server, with each tick again; the same with requests on a lost path.

test_stalled_streams_are_moved_beside_a_fault and test_requests_take_another_path_beside_a_fault failed before.

--- a/ryelever/coordination/relaying/moves.py
+++ b/ryelever/coordination/relaying/moves.py
@@ -15,6 +15,7 @@
 
     from .balance import Balancer
     from .crashes import CrashWatch
+    from .fault_isolation import FaultIsolation
     from .forwarders import Forwarders
     from .open_attempts import OpenAttempts
     from .reports import RequestReports
@@ -49,6 +50,7 @@
         "_balancer",
         "_crashes",
         "_dispatch",
+        "_faults",
         "_forwarders",
         "_paths",
         "_reports",
@@ -62,6 +64,7 @@
         attempts: OpenAttempts,
         balancer: Balancer,
         crashes: CrashWatch,
+        faults: FaultIsolation,
         forwarders: Forwarders,
         paths: ServerPaths,
         reports: RequestReports,
@@ -72,6 +75,7 @@
         self._attempts = attempts
         self._balancer = balancer
         self._crashes = crashes
+        self._faults = faults
         self._forwarders = forwarders
         self._paths = paths
         self._reports = reports
@@ -89,7 +93,8 @@
         stalled = self._stall_watch.stalled()
         if stalled:
             for request in self._attempts.streams_at(stalled):
-                self.move(request, "still", now=now)
+                with self._faults.request(request, now=now):
+                    self.move(request, "still", now=now)
 
     def _mark_stalled(self, server_id: str, *, now: float) -> None:
         self._reports.group_stalled(server_id)
@@ -124,9 +129,10 @@
             if server_id in request.unreached:
                 request.unreached.discard(server_id)
                 request.tried.discard(server_id)
-            if self._is_stuck(request, now=now):
-                request.prefers_forwarder = True
-                self.move(request, PATH_LOST, now=now)
+            with self._faults.request(request, now=now):
+                if self._is_stuck(request, now=now):
+                    request.prefers_forwarder = True
+                    self.move(request, PATH_LOST, now=now)
 
     def _is_stuck(self, request: RelayRequest, *, now: float) -> bool:
         """Return whether a direct attempt at a server out of reach is silent."""
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -143,6 +143,7 @@
             attempts=self._attempts,
             balancer=balancer,
             crashes=crashes,
+            faults=self.faults,
             forwarders=forwarders,
             paths=paths,
             reports=self._reports,
--- a/tests/test_coordination/test_relaying/test_fault_isolation.py
+++ b/tests/test_coordination/test_relaying/test_fault_isolation.py
@@ -345,6 +345,35 @@
     host.assert_nothing_is_left()
 
 
+def test_stalled_streams_are_moved_beside_a_fault(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against streams that stay at a silent server since one can't be moved."""
+    host = Host(n_servers=1)
+    _begin_streams(host, 1, 2)
+    host.directory.put(host.engine_head("h1"), now=0.2)
+    _raise_for(monkeypatch, host.crashes, "awaits_verdict", 1)
+    for now in _times(0.2, 0.8):
+        host.requests.tick(now=now)
+    assert [attempt.request_number for attempt in host.sent] == [1, 2, 2]
+    assert host.ends() == {1: "abort"}
+
+
+def test_requests_take_another_path_beside_a_fault(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against requests that stay on a lost path since one can't be moved."""
+    host = Host(n_servers=1)
+    for number in (1, 2):
+        host.arrive(PLAIN, number=number)
+    host.directory.put(host.plain("p1"), now=0.2)
+    monkeypatch.setattr(ServerPaths, "is_out_of_reach", lambda self, server_id: True)
+    _raise_for(monkeypatch, host.crashes, "awaits_verdict", 1)
+    host.requests.path_lost("p0", now=0.5)
+    assert [attempt.request_number for attempt in host.sent] == [1, 2, 2]
+    assert host.ends() == {1: "refuse 500"}
+
+
 def test_requests_are_withdrawn_beside_a_fault(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
