End only the request whose handling raises an exception, OpenAI interface

An exception after the arrival left its caller without an answer until its own timeout. In a tick it also dropped the actions that were decided before it: requests that the table had ended got no answer, admitted ones were never sent.

FaultIsolation of the request table ends the request: its attempts are cancelled, its slot given back, a claim gets an outcome, and the caller gets 500 or, in a stream, an error event. The table changes what can't raise last: an attempt is counted at the router before it is entered, and removed after the router has given its place back; held attempts and requests leave the table when all else is done.

Changes to tests: the fake table of test_serving.py has an isolation; RaisingCall moved to raising_calls.py for both interfaces.

--- a/ryelever/attempts.py
+++ b/ryelever/attempts.py
@@ -94,7 +94,7 @@
             request, server_id=action.target.server, now=time.monotonic()
         )
         self._attempts_by_id[action.attempt_id] = _Attempt(
-            routed=routed, streamed=streamed
+            request_id=action.arrival.request_id, routed=routed, streamed=streamed
         )
         self._fire(outbound_send(routed.sent), "http_client")
 
@@ -104,6 +104,17 @@
         if attempt is not None:
             self._abort(attempt_id, attempt)
 
+    def request_id(self, attempt_id: str) -> str:
+        """Return the request id of an open attempt; empty if there is none."""
+        attempt = self._attempts_by_id.get(attempt_id)
+        return "" if attempt is None else attempt.request_id
+
+    def cancel_all(self, request_id: str) -> None:
+        """Cancel all attempts of a request."""
+        for attempt_id, attempt in list(self._attempts_by_id.items()):
+            if attempt.request_id == request_id:
+                self.cancel(attempt_id)
+
     def set_flow(self, attempt_id: str, *, stop: bool) -> None:
         """Pause or resume reading an answer."""
         self._fire(outbound_flow(attempt_id, stop), "http_client")
@@ -188,12 +199,13 @@
 
     # Processing answers
 
-    def head(self, head: AnswerHead) -> None:
-        """Record the status of a streamed answer."""
+    def head(self, head: AnswerHead) -> list[Action]:
+        """Record the status of a streamed answer; no action follows."""
         attempt = self._attempts_by_id.get(head.id)
         if attempt is not None:
             attempt.status = head.status
             self._access.paths.heard(attempt.routed.server_id, now=time.monotonic())
+        return []
 
     def data(self, message: AttemptData) -> list[Action]:
         """Process a chunk of a streamed answer."""
@@ -346,9 +358,19 @@
 class _Attempt:
     """State of reading one attempt's answer."""
 
-    __slots__ = ("error_text", "routed", "splitter", "status", "streamed")
+    __slots__ = (
+        "error_text",
+        "request_id",
+        "routed",
+        "splitter",
+        "status",
+        "streamed",
+    )
 
-    def __init__(self, *, routed: RoutedRequest, streamed: bool) -> None:
+    def __init__(
+        self, *, request_id: str, routed: RoutedRequest, streamed: bool
+    ) -> None:
+        self.request_id = request_id
         self.routed = routed
         self.streamed = streamed
         self.status = 0
--- a/ryelever/caller_answers.py
+++ b/ryelever/caller_answers.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from .coordination.actions import StreamFailed
 from .events import (
     CallerAnswer,
     caller_answer,
@@ -29,7 +30,6 @@
         AnswerComplete,
         AnswerService,
         Arrival,
-        StreamFailed,
         StreamFinished,
         StreamTokens,
     )
@@ -148,7 +148,10 @@
         )
 
     def answer_error(self, request_id: str, error: RyeleverError) -> None:
-        """Log an error and send it to the caller."""
+        """Log an error and send it to the caller, as an event if a stream has begun."""
+        if request_id in self._encoders_by_request:
+            self.stream_failed(StreamFailed(request_id=request_id, error=error))
+            return
         log_event(
             "request_failed",
             request=request_id,
--- a/ryelever/coordination/requests/answers.py
+++ b/ryelever/coordination/requests/answers.py
@@ -32,6 +32,7 @@
     "claim_lost",
     "claim_not_confirmed",
     "deadline_passed",
+    "fault",
     "group_lost",
     "in_progress",
     "key_reused",
@@ -325,6 +326,19 @@
     )
 
 
+def fault() -> RyeleverError:
+    """Return the error for a request that an exception ended.
+
+    The run state is unknown: the request may have been sent before.
+    """
+    return RyeleverError(
+        "a fault of the entry host ended this request; its log has the details",
+        category=Category.INTERNAL,
+        step="serve",
+        run_state=RunState.OUTCOME_UNKNOWN,
+    )
+
+
 def shutting_down(request: Request, *, retry_after: float) -> RyeleverError:
     """Return the error for a request still open when graceful shutdown ends."""
     return RyeleverError(
--- a/ryelever/coordination/requests/attempts.py
+++ b/ryelever/coordination/requests/attempts.py
@@ -71,14 +71,15 @@
         target = self._router.choose(request.arrival, tried=tried, now=now)
         if target is None or _has_open_attempt(request, target):
             return None
-        request.attempt_id = self._new_id()
+        attempt_id = self._new_id()
+        fingerprint = request.arrival.fingerprint
+        self._router.started(target, fingerprint=fingerprint, now=now)
+        request.attempt_id = attempt_id
         request.target = target
         request.tried += (target.name,)
         request.group_checked_at = now
         request.n_tokens_for_proof = len(request.delivered) + N_PROOF_TOKENS
         self.request_by_attempt[request.attempt_id] = request.arrival.request_id
-        fingerprint = request.arrival.fingerprint
-        self._router.started(target, fingerprint=fingerprint, now=now)
         running = self._arrivals_by_target.setdefault(target.name, {})
         running[request.attempt_id] = request.arrival
         return SendAttempt(
@@ -185,13 +186,13 @@
         now: float,
     ) -> None:
         """End an attempt; answers received for it later are counted as late."""
-        del self.request_by_attempt[attempt_id]
+        fingerprint = request.arrival.fingerprint
+        self._router.ended(target, failed=failed, fingerprint=fingerprint, now=now)
         running = self._arrivals_by_target[target.name]
         del running[attempt_id]
         if not running:
             del self._arrivals_by_target[target.name]
-        fingerprint = request.arrival.fingerprint
-        self._router.ended(target, failed=failed, fingerprint=fingerprint, now=now)
+        del self.request_by_attempt[attempt_id]
 
     def may_retry(self, request: Request, *, now: float) -> bool:
         """Return whether another attempt may follow, and count it if so."""
--- a/ryelever/coordination/requests/held_attempts.py
+++ b/ryelever/coordination/requests/held_attempts.py
@@ -68,23 +68,24 @@
         now: float,
     ) -> None:
         """End a held attempt that failed."""
-        held = request.held_by_id.pop(attempt_id)
+        held = request.held_by_id[attempt_id]
         self._attempts.report_failure(
             held.target, error=error, refused=refused, now=now
         )
         self._attempts.end_attempt(
             request, attempt_id, held.target, failed=True, now=now
         )
+        del request.held_by_id[attempt_id]
 
     def cancel_all(self, request: Request, *, now: float) -> list[Action]:
         """Cancel the held attempts of a request that ends."""
         actions: list[Action] = []
-        for held in request.held_by_id.values():
+        for held in list(request.held_by_id.values()):
             actions.append(CancelAttempt(attempt_id=held.attempt_id))
             self._attempts.end_attempt(
                 request, held.attempt_id, held.target, failed=False, now=now
             )
-        request.held_by_id.clear()
+            del request.held_by_id[held.attempt_id]
         return actions
 
     def _resume(self, request: Request, attempt_id: str, *, now: float) -> None:
--- a/ryelever/coordination/requests/requests.py
+++ b/ryelever/coordination/requests/requests.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ...errors import RyeleverError
@@ -31,6 +32,7 @@
 from . import answers
 from .attempts import RequestAttempts
 from .claims import ClaimsView, RequestClaims
+from .fault_isolation import FaultIsolation
 from .state import Request, RequestState, Timeouts
 from .steps import RequestSteps
 
@@ -67,6 +69,11 @@
         Time limits of the steps.
     feedback : AttemptFeedback or None
         Receives the results of attempts and reports quarantined requests.
+
+    Attributes
+    ----------
+    faults : FaultIsolation
+        Ends the request whose handling raises an exception.
     """
 
     def __init__(
@@ -106,6 +113,12 @@
             timeouts=self._timeouts,
         )
         self.requests_by_id = self._steps.requests_by_id
+        self.faults = FaultIsolation(
+            admission=admission,
+            attempts=self._attempts,
+            claims=self._claims,
+            steps=self._steps,
+        )
 
     @property
     def n_late_answers(self) -> int:
@@ -134,6 +147,14 @@
         request_id = self._attempts.request_id(attempt_id)
         return None if request_id is None else self.requests_by_id[request_id]
 
+    def request_id_of_attempt(self, attempt_id: str) -> str:
+        """Return the request id of an open attempt; empty if it has ended."""
+        return self._attempts.request_by_attempt.get(attempt_id, "")
+
+    def request_id_of_claim(self, claim_id: str) -> str:
+        """Return the id of the request that waits for a claim; empty if none does."""
+        return self._claims.request_by_claim.get(claim_id, "")
+
     # Events from the caller
 
     def arrive(self, arrival: Arrival, *, now: float) -> list[Action]:
@@ -188,8 +209,8 @@
         request = self.requests_by_id[request_id]
         if not is_first:
             known = self.answer_from_claim(request.arrival)
-            self._steps.forget(request, now=now)
             error = answers.claim_lost(retry_after=self._retry_after())
+            self._steps.forget(request, now=now)
             return known or [_error(request.arrival, error)]
         request.claimed = True
         return self._steps.dispatch(request, now=now)
@@ -309,21 +330,26 @@
     def tick(self, *, now: float) -> list[Action]:
         """Start queued requests, end expired ones and retry failed attempts."""
         actions: list[Action] = []
-        for request_id, refused in self._admission.expired(now=now):
+        expired = self.faults.collect(lambda: self._admission.expired(now=now))
+        for request_id, refused in expired:
             request = self._queued_request(request_id)
             if request is not None:
-                error = answers.limited(refused)
-                actions += self._steps.fail(request, error=error, now=now)
+                fail = partial(self._steps.fail, error=answers.limited(refused))
+                actions += self.faults.handle(request, fail, now=now)
         actions += self._admit_ready(now=now)
         for request in list(self.requests_by_id.values()):
-            if now >= request.arrival.deadline or now >= request.claim_deadline:
-                actions += self._steps.expire(request, now=now)
-            elif request.state is RequestState.RECOVERING:
-                actions += self._steps.recover(request, now=now)
-            elif request.state is RequestState.SENT:
-                actions += self._steps.try_beside_lost_attempt(request, now=now)
+            actions += self.faults.handle(request, self._tick_request, now=now)
         return actions
 
+    def _tick_request(self, request: Request, *, now: float) -> list[Action]:
+        if now >= request.arrival.deadline or now >= request.claim_deadline:
+            return self._steps.expire(request, now=now)
+        if request.state is RequestState.RECOVERING:
+            return self._steps.recover(request, now=now)
+        if request.state is RequestState.SENT:
+            return self._steps.try_beside_lost_attempt(request, now=now)
+        return []
+
     def admit_after_release(self, *, now: float) -> list[Action]:
         """Start queued requests if any request has ended since the last check.
 
@@ -338,10 +364,13 @@
         """End every request with an error because the process is shutting down."""
         actions: list[Action] = []
         for request in list(self.requests_by_id.values()):
-            error = answers.shutting_down(request, retry_after=self._retry_after())
-            actions += self._steps.fail(request, error=error, now=now)
+            actions += self.faults.handle(request, self._shut_down, now=now)
         return actions
 
+    def _shut_down(self, request: Request, *, now: float) -> list[Action]:
+        error = answers.shutting_down(request, retry_after=self._retry_after())
+        return self._steps.fail(request, error=error, now=now)
+
     def refuse(self, arrival: Arrival, error: RyeleverError) -> list[Action]:
         """Refuse a request that never entered the table."""
         return self._claims.refuse(arrival, error)
@@ -355,10 +384,10 @@
     def _admit_ready(self, *, now: float) -> list[Action]:
         self._steps.slot_released = False
         actions: list[Action] = []
-        for request_id in self._admission.ready(now=now):
+        for request_id in self.faults.collect(lambda: self._admission.ready(now=now)):
             request = self._queued_request(request_id)
             if request is not None:
-                actions += self._steps.begin(request, now=now)
+                actions += self.faults.handle(request, self._steps.begin, now=now)
         return actions
 
     def _service_failed(
--- a/ryelever/coordination/requests/steps.py
+++ b/ryelever/coordination/requests/steps.py
@@ -253,9 +253,9 @@
     def forget(self, request: Request, *, now: float) -> None:
         """Remove a request from the tables and release its admission slot."""
         self._claims.forget(request)
-        del self.requests_by_id[request.arrival.request_id]
         self._admission.release(request.arrival.request_id, now=now)
         self.slot_released = True
+        del self.requests_by_id[request.arrival.request_id]
 
     def enter_state(self, request: Request, state: RequestState, *, now: float) -> None:
         """Set the step of a request and the time at which it was entered."""
--- a/tests/test_coordination/test_relaying/test_fault_isolation.py
+++ b/tests/test_coordination/test_relaying/test_fault_isolation.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-import inspect
 from collections.abc import Callable
 from typing import Any
 
@@ -25,26 +23,36 @@
 from ryelever.relay_settings import ContentionMode
 from ryelever.state.routes import RouteKind
 
+from ...raising_calls import RaisingCall, spread
 from .relay_fakes import Relaying, contended_table, head, route_table
 
-#: Classes whose methods raise, one call at a time.
-OWNERS = (
-    Balancer,
-    Contention,
-    CrashWatch,
-    Forwarders,
-    ServerRateLimits,
-    RelayMetrics,
-    RequestReports,
-    Retries,
-    ServerPaths,
-    StallWatch,
-    WaitingRequests,
-    Relaying,
+#: Classes whose methods raise, one call at a time, and those of their methods.
+OWNERS = dict.fromkeys(
+    (
+        Balancer,
+        Contention,
+        CrashWatch,
+        Forwarders,
+        ServerRateLimits,
+        RelayMetrics,
+        RequestReports,
+        Retries,
+        ServerPaths,
+        StallWatch,
+        WaitingRequests,
+    ),
+    (),
+)
+OWNERS[Relaying] = (
+    "send",
+    "cancel",
+    "answer",
+    "refuse",
+    "start",
+    "data",
+    "finish",
+    "abort",
 )
-
-#: Methods of ``Relaying`` that are no part of the test.
-OUTBOX = ("send", "cancel", "answer", "refuse", "start", "data", "finish", "abort")
 
 #: Calls of each method that raise.
 N_CALLS = 4
@@ -168,40 +176,6 @@
             self.host.requests.answer_head(attempt.id, answer, now=now)
 
 
-class RaisingCall:
-    """Raise an exception in one of the calls of the decisions' collaborators.
-
-    Parameters
-    ----------
-    index : int
-        Index of the call that raises; negative for none.
-
-    Attributes
-    ----------
-    names : list of str
-        Names of the methods called, in their order.
-    """
-
-    def __init__(self, *, index: int, monkeypatch: pytest.MonkeyPatch) -> None:
-        self._index = index
-        self.names: list[str] = []
-        for owner in OWNERS:
-            for name, method in list(vars(owner).items()):
-                is_own = owner is not Relaying or name in OUTBOX
-                if inspect.isfunction(method) and is_own and name[:2] != "__":
-                    monkeypatch.setattr(owner, name, self._wrapped(method))
-
-    def _wrapped(self, method: Callable[..., Any]) -> Callable[..., Any]:
-        @functools.wraps(method)
-        def wrapper(*args: Any, **fields: Any) -> Any:
-            self.names.append(method.__qualname__)
-            if len(self.names) - 1 == self._index:
-                raise ValueError(method.__qualname__)
-            return method(*args, **fields)
-
-        return wrapper
-
-
 def _play(
     monkeypatch: pytest.MonkeyPatch, *, index: int, contention: ContentionMode
 ) -> tuple[Host, list[str]]:
@@ -213,7 +187,7 @@
         host = Host(n_servers=4, slots=1, seed=3, contention=contention)
         host.route_table = contended_table()
         fleet = Fleet(host)
-        calls = RaisingCall(index=index, monkeypatch=patches)
+        calls = RaisingCall(owners=OWNERS, index=index, monkeypatch=patches)
         for number in range(1, 7):
             host.arrive(STREAM, number=number, time_limit=4.0)
         for number in range(7, 10):
@@ -244,7 +218,7 @@
     """
     sound, names = _play(monkeypatch, index=-1, contention=contention)
     assert sound.ends().keys() >= ANSWERED
-    for index in _spread(names):
+    for index in spread(names, N_CALLS):
         host, _ = _play(monkeypatch, index=index, contention=contention)
         label = f"call {index}, {names[index]}"
         assert [error for error, _ in host.faults] == [names[index]], label
@@ -253,17 +227,6 @@
         host.assert_nothing_is_left()
 
 
-def _spread(names: list[str]) -> list[int]:
-    """Return the indices of some calls of each method."""
-    indices_by_name: dict[str, list[int]] = {}
-    for index, name in enumerate(names):
-        indices_by_name.setdefault(name, []).append(index)
-    chosen: set[int] = set()
-    for indices in indices_by_name.values():
-        chosen.update(indices[:: max(1, len(indices) // N_CALLS)])
-    return sorted(chosen)
-
-
 def _raise_for(
     monkeypatch: pytest.MonkeyPatch, owner: object, method: str, number: int
 ) -> None:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent, Manager, handler
 
 from ryelever.coordination.actions import AppendRecord
+from ryelever.coordination.requests.fault_isolation import FaultIsolation
 from ryelever.events import CallerAnswer, CallerRequest, caller_request
 from ryelever.metrics import Metrics
 from ryelever.serving import Serving
@@ -22,6 +23,10 @@
     def __init__(self) -> None:
         self.requests_by_id: dict[str, object] = {}
         self.queued = ["second", "third"]
+        self.faults = FaultIsolation(
+            admission=Mock(), attempts=Mock(), claims=Mock(), steps=Mock()
+        )
+        self.faults._steps.requests_by_id = self.requests_by_id
 
     def caller_disconnected(self, request_id: str, *, now: float) -> list[AppendRecord]:
         if request_id != "first":
