Half-close callers' connections in one place

The half-close of a connection after its last answer stood in both servers of callers. No change of behaviour; the two servers give their own linger time.

--- a/ryelever/transport/caller_server.py
+++ b/ryelever/transport/caller_server.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
+import time
+from typing import Protocol
 
 from circuits.net.sockets import TCPServer
 
 from ..logs import log_warning
 
-__all__ = ["CallerServer", "has_unread_input"]
+__all__ = ["CallerServer", "ClosingConnection", "has_unread_input"]
 
 #: Connections accepted before other sockets are handled.  The uploads of all callers
 #: accepted together are in memory together: with 300 callers that sent 100 KB each,
@@ -32,6 +35,23 @@
 )
 
 
+class ClosingConnection(Protocol):
+    """State of a caller's connection that is to be closed.
+
+    Attributes
+    ----------
+    closing : bool
+        True once no further request is read.
+    closes_at : float
+        Monotonic time at which the connection is closed; infinite until the last answer
+        is sent.
+    """
+
+    sock: socket.socket
+    closing: bool
+    closes_at: float
+
+
 class CallerServer(TCPServer):
     """Base class of the servers that own callers' sockets.
 
@@ -75,6 +95,29 @@
             self._accept()
         self._close(self._sock)
 
+    def close_gracefully(self, connection: ClosingConnection, *, linger: float) -> None:
+        """Close after the answer is sent and the caller has had time to read it.
+
+        Closing a socket with unread input resets the connection, and the caller may
+        lose the answer.  Input is therefore read and discarded for ``linger`` seconds.
+        """
+        connection.closing = True
+        self._half_close(connection, linger=linger)
+
+    def half_close_if_sent(
+        self, connection: ClosingConnection, *, linger: float
+    ) -> None:
+        """Half-close a closing connection if the last of its answer was sent now."""
+        if connection.closing and connection.closes_at == float("inf"):
+            self._half_close(connection, linger=linger)
+
+    def _half_close(self, connection: ClosingConnection, *, linger: float) -> None:
+        if self._buffers.get(connection.sock):
+            return
+        connection.closes_at = time.monotonic() + linger
+        with contextlib.suppress(OSError):
+            connection.sock.shutdown(socket.SHUT_WR)
+
     def send_now(self, sock: socket.socket, data: bytes) -> int:
         """Send as many bytes as the kernel accepts at once, and queue the rest.
 
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 import time
 import uuid
@@ -179,20 +178,7 @@
         self._keep_idle_until = time.monotonic() + self._limits.linger
 
     def _close_gracefully(self, connection: _Connection) -> None:
-        """Close after the answer is sent and the caller has had time to read it.
-
-        Closing a socket with unread input resets the connection, and the caller may
-        lose the answer.  Input is therefore read and discarded for ``linger`` seconds.
-        """
-        connection.closing = True
-        self._half_close(connection)
-
-    def _half_close(self, connection: _Connection) -> None:
-        if self._buffers.get(connection.sock):
-            return
-        connection.closes_at = time.monotonic() + self._limits.linger
-        with contextlib.suppress(OSError):
-            connection.sock.shutdown(socket.SHUT_WR)
+        self.close_gracefully(connection, linger=self._limits.linger)
 
     def _is_abandoned(self, connection: _Connection, *, now: float) -> bool:
         if now > connection.closes_at:
@@ -370,8 +356,7 @@
         connection.progress_at = time.monotonic()
         if connection.stalled:
             self._check_stalled(connection)
-        if connection.closing and connection.closes_at == float("inf"):
-            self._half_close(connection)
+        self.half_close_if_sent(connection, linger=self._limits.linger)
 
     def n_waiting_callers(self) -> int:
         """Return the number of callers that wait for an answer or part of one.
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -336,20 +336,7 @@
         self._close(connection.sock)
 
     def _close_gracefully(self, connection: _Connection) -> None:
-        """Close after the answer is sent and the caller has had time to read it.
-
-        Closing a socket with unread input resets the connection, and the caller may
-        lose the answer.  Input is therefore read and discarded for ``LINGER`` seconds.
-        """
-        connection.closing = True
-        self._half_close(connection)
-
-    def _half_close(self, connection: _Connection) -> None:
-        if self._buffers.get(connection.sock):
-            return
-        connection.closes_at = time.monotonic() + LINGER
-        with contextlib.suppress(OSError):
-            connection.sock.shutdown(socket.SHUT_WR)
+        self.close_gracefully(connection, linger=LINGER)
 
     # Answers
 
@@ -445,8 +432,7 @@
         if connection is None:
             return
         connection.progress_at = time.monotonic()
-        if connection.closing and connection.closes_at == float("inf"):
-            self._half_close(connection)
+        self.half_close_if_sent(connection, linger=LINGER)
 
     # State for the dump
 
