--- a/ryelever/coordination/relaying/withdrawals.py
+++ b/ryelever/coordination/relaying/withdrawals.py
@@ -11,6 +11,7 @@
 
     from ..quarantine import Quarantined
     from .crashes import CrashWatch
+    from .fault_isolation import FaultIsolation
     from .request import RelayRequest
 
 __all__ = ["Withdrawals"]
@@ -34,10 +35,11 @@
         Knows the verdicts.
     """
 
-    __slots__ = ("_crashes", "_n_crashes", "_n_verdicts", "_until")
+    __slots__ = ("_crashes", "_faults", "_n_crashes", "_n_verdicts", "_until")
 
-    def __init__(self, *, crashes: CrashWatch) -> None:
+    def __init__(self, *, crashes: CrashWatch, faults: FaultIsolation) -> None:
         self._crashes = crashes
+        self._faults = faults
         self._n_crashes = 0
         self._n_verdicts = 0
         self._until = NEVER
@@ -56,10 +58,12 @@
         if crashes.n_verdicts == self._n_verdicts and now > self._until:
             return []
         self._n_verdicts = crashes.n_verdicts
-        return [
-            (request, quarantined)
-            for request in requests
-            if request.attempt is not None
-            and request.phase is RequestPhase.SENT
-            and (quarantined := crashes.verdict(request, now=now)) is not None
-        ]
+        due = []
+        for request in requests:
+            if request.attempt is None or request.phase is not RequestPhase.SENT:
+                continue
+            with self._faults.request(request, now=now):
+                quarantined = crashes.verdict(request, now=now)
+                if quarantined is not None:
+                    due.append((request, quarantined))
+        return due
