Ask once whether a request may be sent again now or later

Retries.allows_later rested on the obstacle that an earlier call of allows had left on the request. No change of behaviour: the budget is in the way exactly if that is the obstacle, since reserving asks for the same room.

--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -558,9 +558,7 @@
         """Send a request again after a failure, let it wait, or end it."""
         if self._attempts.has_later(request):
             self._attempts.resume_latest(request, now=now)
-        elif self._retries.allows(request, now=now) or self._retries.allows_later(
-            request
-        ):
+        elif self._retries.allows_or_defers(request, now=now):
             self._send_or_wait(request, now=now)
         else:
             self._end_without_answer(request, reason, now=now)
--- a/ryelever/coordination/relaying/retries.py
+++ b/ryelever/coordination/relaying/retries.py
@@ -38,21 +38,29 @@
         """Return whether a request may be sent again now, and reserve the retry."""
         return not self.is_blocked(request, now=now) and self.reserve(request, now=now)
 
+    def allows_or_defers(self, request: RelayRequest, *, now: float) -> bool:
+        """Return whether a request may be sent again now, or should wait until then.
+
+        It should wait if its caller has the beginning of a stream, which would be
+        broken off, and only the budget is in the way, which may allow it in time. A
+        retry that is allowed now is reserved.
+        """
+        obstacle = self._find_obstacle(request, now=now)
+        if obstacle:
+            return obstacle == BUDGET and request.phase is RequestPhase.STREAMING
+        return self.reserve(request, now=now)
+
     def is_blocked(self, request: RelayRequest, *, now: float) -> bool:
         """Return whether a request may not be sent again now; reserve nothing."""
+        return bool(self._find_obstacle(request, now=now))
+
+    def _find_obstacle(self, request: RelayRequest, *, now: float) -> str:
+        """Return why a request must not be sent again, and log a new reason."""
         obstacle = self._obstacle(request, now=now)
         if obstacle and obstacle != request.obstacle:
             self._reports.not_retried(request, obstacle, now=now)
         request.obstacle = obstacle
-        return bool(obstacle)
-
-    def allows_later(self, request: RelayRequest) -> bool:
-        """Return whether a request that may not be sent again now should wait.
-
-        Its caller has the beginning of a stream, which would be broken off, and the
-        budget allows more retries in time.
-        """
-        return request.phase is RequestPhase.STREAMING and request.obstacle == BUDGET
+        return obstacle
 
     def reserve(self, request: RelayRequest, *, now: float) -> bool:
         """Return whether the budget allows to send a request, and reserve a retry."""
