Refuse requests before their deadline while there is no configuration

The 503 came when the host had waited a second for its first configuration, also to callers whose deadline had passed by then.

test_refusal_without_a_configuration_comes_before_the_deadline failed before.

--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -18,7 +18,14 @@
     from ..host_heartbeats import HostAddress
     from .messages import AnswerHead, RelayArrival
 
-__all__ = ["HeldAttempt", "RelayRequest", "RequestPhase", "is_after", "routed_request"]
+__all__ = [
+    "FINAL_ANSWER_MARGIN",
+    "HeldAttempt",
+    "RelayRequest",
+    "RequestPhase",
+    "is_after",
+    "routed_request",
+]
 
 #: Seconds before the caller's deadline from which a tick sends the final answer. The
 #: answer takes a few milliseconds to arrive, and ticks are 0.05 s apart then.
--- a/ryelever/coordination/relaying/unrouted.py
+++ b/ryelever/coordination/relaying/unrouted.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from .request import FINAL_ANSWER_MARGIN
+
 if TYPE_CHECKING:
     from .messages import RelayArrival
 
@@ -46,13 +48,29 @@
     def pop_due(
         self, *, is_configured: bool, now: float
     ) -> list[tuple[int, RelayArrival]]:
-        """Return and remove the requests that are to be routed or refused now."""
-        if not is_configured and now <= self._wait_until:
-            return []
-        return self.pop_all()
+        """Return and remove the requests that are to be routed or refused now.
+
+        Without a configuration these are the ones whose callers are about to give up.
+        """
+        if is_configured or now > self._wait_until:
+            return self.pop_all()
+        overdue = [
+            (number, arrival)
+            for number, arrival in self._arrivals_by_number.items()
+            if _is_overdue(arrival, now=now)
+        ]
+        for number, _ in overdue:
+            del self._arrivals_by_number[number]
+        return overdue
 
     def pop_all(self) -> list[tuple[int, RelayArrival]]:
         """Return and remove all requests."""
         due = list(self._arrivals_by_number.items())
         self._arrivals_by_number.clear()
         return due
+
+
+def _is_overdue(arrival: RelayArrival, *, now: float) -> bool:
+    """Return whether a caller must get its answer now to read it in time."""
+    deadline = arrival.deadline
+    return deadline is not None and now >= deadline - FINAL_ANSWER_MARGIN
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -77,6 +77,20 @@
     assert relaying.out[1][:3] == ("refuse", 2, 503)
 
 
+def test_refusal_without_a_configuration_comes_before_the_deadline() -> None:
+    """Guard against refusals that callers with short deadlines don't get in time."""
+    relaying = Relaying(configured=False)
+    relaying.arrive(SAFE, number=1, time_limit=0.5)
+    relaying.arrive(SAFE, number=2)
+    relaying.requests.tick(now=0.5 - 2 * TICK)
+    assert relaying.out == []
+    relaying.requests.tick(now=0.5 - TICK)
+    assert [item[:3] for item in relaying.out] == [("refuse", 1, 503)]
+    relaying.route_table = route_table()
+    relaying.requests.dispatch_waiting(now=0.6)
+    assert [attempt.request_number for attempt in relaying.sent] == [2]
+
+
 def test_requests_wait_for_the_first_configuration() -> None:
     """Guard against refusing requests that a host can serve a moment after its start.
 
