Let the lease of a planner expire while its machine is suspended

By reading: at the OpenAI interface a planner holds its lease until a monotonic time. That clock stands still while the machine is suspended, so a holder that goes on counted its lease as valid although another host had taken it. Its records name the old lease and are ignored, and engines that check fencing numbers or expiry refuse its orders; until it had read the log it still sent them.

Planning now compares the monotonic clock with one that counts suspensions and shortens the lease, and the requests that are on their way, by the difference. A stopped process needs no change: its clock goes on.

Not tried with a machine that is suspended.

--- a/ryelever/coordination/lease.py
+++ b/ryelever/coordination/lease.py
@@ -114,6 +114,15 @@
             return []
         return [self._append_lease(offset, term=self._term, now=now)]
 
+    def record_suspension(self, seconds: float) -> None:
+        """Count time in which this machine and its monotonic clock were suspended.
+
+        Other hosts count it towards the term of this host's lease.
+        """
+        self._valid_until -= seconds
+        for record_id in self._requested_at_by_id:
+            self._requested_at_by_id[record_id] -= seconds
+
     def is_log_unreachable(self, *, now: float) -> bool:
         """Return whether the log counts as unreachable because the lease expired.
 
--- a/ryelever/coordination/pauses.py
+++ b/ryelever/coordination/pauses.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-__all__ = ["PauseWatch"]
+__all__ = ["PauseWatch", "SuspensionWatch"]
+
+#: Minimum seconds by which the clocks must drift apart for a suspension.  They are not
+#: read at the same moment.
+MIN_SUSPENSION = 0.1
 
 
 class PauseWatch:
@@ -44,3 +48,27 @@
             return False
         self.resumed_at = now
         return True
+
+
+class SuspensionWatch:
+    """Notice suspensions of the machine, in which the monotonic clock stands still."""
+
+    __slots__ = ("_offset",)
+
+    def __init__(self) -> None:
+        self._offset = float("inf")
+
+    def observe(self, *, now: float, boot_time: float) -> float:
+        """Return for how many seconds the machine was suspended since the last call.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time.
+        boot_time : float
+            Time of a clock that counts suspensions.
+        """
+        offset = boot_time - now
+        suspended = offset - self._offset
+        self._offset = offset
+        return suspended if suspended >= MIN_SUSPENSION else 0.0
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -9,7 +9,9 @@
 
 from circuits import handler
 
+from .clocks import boot_time
 from .coordination.actions import ChatWork, SendOrder
+from .coordination.pauses import SuspensionWatch
 from .coordination.planner import ModelDemand, PlacementHistory, PlannerView
 from .events import HostReported, append_record, host_reported
 from .logs import log_event, log_warning
@@ -66,6 +68,7 @@
         self._confirmations = confirmations
         self._demand = demand
         self._next_pass_at = 0.0
+        self._suspensions = SuspensionWatch()
         self.access: ServerAccess | None = None
         self.repairs = PlacementHistory(
             placements_by_zone=placements_by_zone, confirmations=confirmations
@@ -74,6 +77,8 @@
     @handler("control_tick")
     def _on_control_tick(self) -> None:
         now = time.monotonic()
+        suspended = self._suspensions.observe(now=now, boot_time=boot_time())
+        self._planner.lease.record_suspension(suspended)
         if now < self._next_pass_at:
             return
         self._next_pass_at = now + PLAN_INTERVAL
--- a/tests/test_coordination/test_lease.py
+++ b/tests/test_coordination/test_lease.py
@@ -83,6 +83,29 @@
     assert not candidate.holds(TERM)
 
 
+@pytest.mark.parametrize("is_read_back", [True, False])
+def test_term_counts_suspensions_of_the_machine(
+    log: list[Entry], is_read_back: bool
+) -> None:
+    """Guard against two holders at the same time after a machine was suspended.
+
+    The holder's clock stands still while other hosts wait for the end of its term.
+    """
+    holder = _Candidate("a", log)
+    holder.tick(0.0)
+    holder.send()
+    if is_read_back:
+        holder.read()
+        holder.tick(0.1)
+        assert holder.holds(0.1)
+    holder.lease.record_suspension(TERM)
+    holder.read()
+    holder.tick(0.2)
+    assert not holder.holds(0.2)
+    holder.take(TERM)
+    assert holder.holds(TERM + 0.1)
+
+
 def test_other_hosts_wait_longer_than_the_term_of_the_holder(log: list[Entry]) -> None:
     """Guard against two holders at the same time when clocks differ in rate.
 
--- a/tests/test_coordination/test_pauses.py
+++ b/tests/test_coordination/test_pauses.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ryelever.coordination.pauses import PauseWatch
+from ryelever.coordination.pauses import PauseWatch, SuspensionWatch
 
 
 @pytest.mark.parametrize(
@@ -24,3 +24,12 @@
     assert watch.observe(now=now, boot_time=boot_time) is is_paused
     assert watch.resumed_at == (now if is_paused else float("-inf"))
     assert not watch.observe(now=now + 0.1, boot_time=boot_time + 0.1)
+
+
+def test_only_suspensions_of_the_machine_are_counted() -> None:
+    """Guard against a lease that is given up because a process was only stopped."""
+    watch = SuspensionWatch()
+    assert watch.observe(now=10.0, boot_time=100.0) == 0.0
+    assert watch.observe(now=13.0, boot_time=103.05) == 0.0
+    assert watch.observe(now=13.1, boot_time=111.1) == pytest.approx(7.95)
+    assert watch.observe(now=13.2, boot_time=111.2) == 0.0
