--- a/ryelever/coordination/relaying/reports.py
+++ b/ryelever/coordination/relaying/reports.py
@@ -157,16 +157,19 @@
         reason: str,
         *,
         may_have_run: bool,
+        message: str = "",
         fingerprint: str = "",
     ) -> None:
         """Log a failed attempt.
 
         Parameters
         ----------
+        message : str
+            What failed, if it was a connection; otherwise empty.
         fingerprint : str
             The request's fingerprint if the backend server crashed; otherwise empty.
         """
-        crash_fields = {"fingerprint": fingerprint} if fingerprint else {}
+        fields = {"message": message, "fingerprint": fingerprint}
         self._log(
             "attempt_failed",
             request=request.arrival.request_id,
@@ -175,7 +178,7 @@
             may_have_run=may_have_run,
             n_sent=request.n_sent,
             last_event=request.last_event_id,
-            **crash_fields,
+            **{name: text for name, text in fields.items() if text},
         )
 
     def attempt_held(self, request: RelayRequest, server_id: str, reason: str) -> None:
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -394,6 +394,7 @@
         *,
         sent: bool,
         forwarder_failed: bool = False,
+        message: str = "",
         now: float,
     ) -> None:
         """Handle a failed connection to a backend server.
@@ -404,6 +405,8 @@
             False if no byte of the request can have been sent.
         forwarder_failed : bool
             True if the connection to the forwarding host failed.
+        message : str
+            What failed, with the error of the operating system if there is one.
         """
         request = self._attend(attempt_id, now=now)
         if request is None:
@@ -413,7 +416,11 @@
             self._forwarders.failed(attempt.forwarder, now=now)
         if sent:
             self._handle_ambiguous_failure(
-                request, reason, blames_server=not forwarder_failed, now=now
+                request,
+                reason,
+                blames_server=not forwarder_failed,
+                message=message,
+                now=now,
             )
             return
         server_id = attempt.server_id
@@ -426,7 +433,9 @@
         self._retries.unreached(request)
         request.n_sent -= 1
         self._attempts.release(request)
-        self._reports.attempt_failed(request, server_id, reason, may_have_run=False)
+        self._reports.attempt_failed(
+            request, server_id, reason, may_have_run=False, message=message
+        )
         self._retry(request, reason, now=now)
 
     # Periodic work
@@ -536,6 +545,7 @@
         reason: str,
         *,
         blames_server: bool = True,
+        message: str = "",
         now: float,
     ) -> None:
         """Retry or end a request that may have been run despite the failure.
@@ -544,6 +554,8 @@
         ----------
         blames_server : bool
             False if nothing is known about the server, whose forwarding host failed.
+        message : str
+            What failed, for the log; empty if the reason says it all.
         """
         server_id = request.attempt.server_id
         request.may_have_run = True
@@ -553,7 +565,12 @@
             fingerprint = self._crashes.failed(request, reason=reason, now=now)
         self._attempts.cancel(request)
         self._reports.attempt_failed(
-            request, server_id, reason, may_have_run=True, fingerprint=fingerprint
+            request,
+            server_id,
+            reason,
+            may_have_run=True,
+            message=message,
+            fingerprint=fingerprint,
         )
         self._retry(request, reason, now=now)
 
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -227,6 +227,7 @@
                 reason,
                 sent=failure.bytes_sent,
                 forwarder_failed=failure.forwarder_failed,
+                message=failure.error.message,
                 now=now,
             )
 
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -454,6 +454,18 @@
     assert len(relaying.sent) == n_slots
 
 
+@pytest.mark.parametrize("sent", [False, True])
+def test_errors_of_connections_are_logged(sent: bool) -> None:
+    """Guard against connections that break without a trace of the cause."""
+    relaying = Relaying(n_servers=1)
+    relaying.arrive(SAFE, now=0.0)
+    relaying.requests.attempt_failed(
+        relaying.sent[-1].id, "connection_failed", sent=sent, message="timed out", now=1
+    )
+    logged = [f["message"] for event, f in relaying.lines if event == "attempt_failed"]
+    assert logged == ["timed out"]
+
+
 def test_rate_limit_changes_are_logged() -> None:
     relaying = Relaying(n_servers=1)
     named = [None, NamedLimit(text="1.5", rate=1.5), NamedLimit(text="1.5", rate=1.5)]
