Test parts that were in equally many crashes instead of sending all of them on

Neither part was in more crashes than the other, so that neither was suspected; requests with both were sent to all servers. Two hosts never gave a verdict.

Parts that were in five crashes and in as many as any other are now suspected as well: requests with them wait, and one at a time and host is let through, which clears a sound part when it completes. Hosts take turns from the fifth crash on, and a test that ends in a crash isn't repeated at once. A request takes its turn only if it may test all its suspected parts. Parts that are in more crashes than others are treated as before, and no part is refused on a draw.

--- a/ryelever/coordination/quarantine/crash_evidence.py
+++ b/ryelever/coordination/quarantine/crash_evidence.py
@@ -14,6 +14,7 @@
     MAX_CRASHES,
     MAX_PART_CRASHES,
     MAX_SHARED_CRASHES,
+    MAX_SHARED_PART_CRASHES,
     CrashVerdicts,
 )
 from .known_parts import KnownParts
@@ -175,14 +176,22 @@
     ) -> bool:
         """Return whether a request must not run until there is a verdict on it."""
         causes = self._causes(fingerprint, parts, now=now)
-        return any(
-            not self._has_settled(suspect, now=now)
-            and not (suspect.is_part and self._is_test(suspect, fingerprint, now=now))
+        for suspect in causes.likely:
+            _end_test_by_crash(suspect)
+        suspects = [
+            suspect
             for suspect in causes.proved
-        ) or any(
-            not self._is_test(suspect, fingerprint, now=now)
-            for suspect in causes.likely
-        )
+            if not self._has_settled(suspect, now=now)
+        ]
+        suspects += causes.likely
+        if not all(
+            suspect.is_part and self._may_test(suspect, fingerprint, now=now)
+            for suspect in suspects
+        ):
+            return True
+        for suspect in suspects:
+            _begin_test(suspect, fingerprint, now=now)
+        return False
 
     def crashed(
         self,
@@ -396,19 +405,18 @@
         reported_since = self._peers_reported_since
         return reported_since is None or reported_since(settled_at, now=now)
 
-    def _is_test(self, suspect: Suspect, fingerprint: str, *, now: float) -> bool:
-        """Return whether a request runs, before a verdict, to show if a part is sound.
+    def _may_test(self, suspect: Suspect, fingerprint: str, *, now: float) -> bool:
+        """Return whether a request may run, before a verdict, to show a part is sound.
 
         If all requests with the part waited, none could complete.
         """
-        turn = _suspected_since(suspect) + self._turn(now=now) * TURN_INTERVAL
-        if now >= max(turn, suspect.tested_until) and suspect.trial != fingerprint:
-            suspect.trial = fingerprint
-            suspect.n_tests += 1
-            # A test may end without a result, and each that crashes a server is one
-            # more crash.
-            suspect.tested_until = now + TEST_TIME * 2**suspect.n_tests
-        return suspect.trial == fingerprint
+        if suspect.trial == fingerprint:
+            return True
+        since = _suspected_since(suspect)
+        if suspect.n_crashes >= MAX_SHARED_PART_CRASHES:
+            since = _suspected_since(suspect, n_crashes=MAX_SHARED_PART_CRASHES)
+        turn = since + self._turn(now=now) * TURN_INTERVAL
+        return now >= max(turn, suspect.tested_until)
 
     def _is_trial(self, suspect: Suspect, fingerprint: str, *, now: float) -> bool:
         """Return whether a request runs though it has a quarantined part."""
@@ -447,6 +455,31 @@
         )
 
 
-def _suspected_since(suspect: Suspect) -> float:
+def _end_test_by_crash(suspect: Suspect) -> None:
+    """End the test of a part that shares its crashes with others if it has crashed.
+
+    The retries of such a test would crash further servers, and break off the tests
+    that would clear the others.
+    """
+    began_at = suspect.tested_until - TEST_TIME * 2**suspect.n_tests
+    if (
+        suspect.n_crashes >= MAX_SHARED_PART_CRASHES
+        and suspect.n_tests
+        and suspect.newest_at > began_at
+    ):
+        suspect.trial = ""
+
+
+def _begin_test(suspect: Suspect, fingerprint: str, *, now: float) -> None:
+    """Let a request run, before a verdict, as the only one with a part."""
+    if suspect.trial != fingerprint:
+        suspect.trial = fingerprint
+        suspect.n_tests += 1
+        # A test may end without a result, and each that crashes a server is one more
+        # crash.
+        suspect.tested_until = now + TEST_TIME * 2**suspect.n_tests
+
+
+def _suspected_since(suspect: Suspect, *, n_crashes: int = MAX_PART_CRASHES) -> float:
     """Return the time of the crash after which a part may be the cause."""
-    return sorted(suspect.crashed_at_by_key.values())[MAX_PART_CRASHES - 1]
+    return sorted(suspect.crashed_at_by_key.values())[n_crashes - 1]
--- a/ryelever/coordination/quarantine/crash_verdicts.py
+++ b/ryelever/coordination/quarantine/crash_verdicts.py
@@ -18,6 +18,7 @@
     "MAX_CRASHES",
     "MAX_PART_CRASHES",
     "MAX_SHARED_CRASHES",
+    "MAX_SHARED_PART_CRASHES",
     "Causes",
     "CrashVerdicts",
 ]
@@ -38,6 +39,10 @@
 #: the part itself may have been in some crashes by chance.
 CONTESTED_SHARE = 0.6
 
+#: Crashes after which parts that were in equally many are all suspected.  Parts of
+#: requests that always run together would otherwise protect each other for ever.
+MAX_SHARED_PART_CRASHES = 5
+
 #: Minimum seconds between two computations of all verdicts.  In between, a changed
 #: suspect is judged by itself: a crash can change the evidence hundreds of times.
 JUDGING_INTERVAL = 0.1
@@ -53,7 +58,8 @@
     ----------
     likely : tuple of Suspect
         Parts that were in more crashes than any other suspect, but not in so many more
-        that they must be the cause.
+        that they must be the cause; after MAX_SHARED_PART_CRASHES also parts that were
+        in as many as others.
     """
 
     proved: tuple[Suspect, ...] = ()
@@ -135,9 +141,7 @@
             explained = self._explained_before.get(suspect.name, self._explained)
             if self._is_cause(suspect, explained, names=names):
                 proved.append(suspect)
-            elif suspect.is_part and self._is_cause(
-                suspect, explained, names=names, contested_share=1.0
-            ):
+            elif suspect.is_part and self._is_likely(suspect, explained, names):
                 likely.append(suspect)
         return Causes(proved=tuple(proved), likely=tuple(likely))
 
@@ -172,13 +176,23 @@
                     explained = explained.union(suspect.crashed_at_by_key)
         self._explained = explained
 
+    def _is_likely(
+        self, suspect: Suspect, explained: Set[str], names: Collection[str]
+    ) -> bool:
+        """Return whether a part is suspected more than all that contest its crashes."""
+        n_crashes = len(suspect.crashed_at_by_key.keys() - explained)
+        is_shared = n_crashes >= MAX_SHARED_PART_CRASHES
+        return self._is_cause(
+            suspect, explained, names=names, n_contesting=n_crashes + is_shared
+        )
+
     def _is_cause(
         self,
         suspect: Suspect,
         explained: Set[str],
         *,
         names: Collection[str] | None,
-        contested_share: float = CONTESTED_SHARE,
+        n_contesting: float | None = None,
     ) -> bool:
         """Return whether a suspect is the cause of crashes not yet explained.
 
@@ -186,8 +200,9 @@
         ----------
         names : collection of str or None
             Names of the suspects that one request consists of; None for any request.
-        contested_share : float
-            Share of a part's crashes from which on another suspect contests them.
+        n_contesting : float or None
+            Crashes from which on another suspect contests those that it was in; None
+            for as many as the suspect's, or a part's CONTESTED_SHARE of them.
         """
         unexplained = suspect.crashed_at_by_key.keys() - explained
         n_crashes = len(unexplained)
@@ -195,7 +210,8 @@
         n_needed = MAX_PART_CRASHES if suspect.is_part else MAX_CRASHES
         if n_crashes < n_needed:
             return False
-        n_contesting = n_crashes * (contested_share if suspect.is_part else 1.0)
+        if n_contesting is None:
+            n_contesting = n_crashes * (CONTESTED_SHARE if suspect.is_part else 1.0)
         by_parts_only = not suspect.is_part and n_crashes >= MAX_SHARED_CRASHES
         n_uncontested = sum(
             not self._is_contested(
--- a/tests/parts_fleet.py
+++ b/tests/parts_fleet.py
@@ -38,8 +38,11 @@
         Number of deadly requests that are sent at the same time.
     load : float
         Sound requests a second as a ratio of those that all servers can run.
-    n_first_parts : int
-        Number of first parts among all sound requests.
+    n_first_parts, n_subjects : int
+        Number of first parts among all sound requests, and of second parts beside each
+        of them.
+    n_servers : int
+        Number of servers in each zone.
     share_lost : float
         Share of the datagrams between hosts that are lost.
     other_crashes : float
@@ -51,6 +54,8 @@
     n_at_once: int = 1
     load: float = 0.6
     n_first_parts: int = N_FIRST_PARTS
+    n_subjects: int = N_SUBJECTS
+    n_servers: int = 4
     share_lost: float = 0.0
     other_crashes: float = 0.0
 
@@ -65,7 +70,9 @@
         self._deadly_numbers = itertools.count(1)
         self._sent_at_by_number: dict[int, float] = {}
         self._served: set[int] = set()
-        super().__init__(monkeypatch, load=case.load, n_servers=4, seed=seed)
+        super().__init__(
+            monkeypatch, load=case.load, n_servers=case.n_servers, seed=seed
+        )
         if case.share_lost:
             self.lost = lambda sender, receiver: self._random.random() < case.share_lost
 
@@ -132,7 +139,7 @@
 
     def _sound_prompt(self) -> tuple[str, str]:
         first = self._random.randrange(self._case.n_first_parts)
-        subject = self._random.randrange(N_SUBJECTS)
+        subject = self._random.randrange(self._case.n_subjects)
         return f"f{first}", f"{first}5{subject}"
 
     def _send_new(self, host: SimulatedHost) -> None:
--- a/tests/test_coordination/test_quarantine/test_part_evidence.py
+++ b/tests/test_coordination/test_quarantine/test_part_evidence.py
@@ -175,6 +175,60 @@
     assert not _is_refused(evidence, "f", now=1.0 + SETTLED)
 
 
+def _crash_both(evidence: CrashEvidence, index: int, *, now: float) -> None:
+    """Let a server crash under a request with each of two parts."""
+    _crash(evidence, f"i{index}", "d f", now=now)
+
+
+def test_parts_in_the_same_crashes_are_tested_until_one_completes() -> None:
+    """Guard against two parts that protect each other, one of which crashes servers."""
+    evidence = CrashEvidence(seed=1)
+    for index in range(4):
+        _crash_both(evidence, index, now=1.0)
+    for number in range(2):
+        assert not evidence.awaits_verdict(f"a/{number}", parts=("d",), now=1.1)
+    _crash_both(evidence, 4, now=1.2)
+    for part in ("d", "f"):
+        assert not evidence.awaits_verdict(f"a/{part}", parts=(part,), now=1.3)
+        assert evidence.awaits_verdict("a/later", parts=(part,), now=1.3)
+    evidence.completed("a/f", parts=("f",), now=2.0)
+    assert not evidence.awaits_verdict("a/later", parts=("f",), now=2.0)
+    assert _is_refused(evidence, "d", now=1.2 + SETTLED)
+    assert not _is_refused(evidence, "f", now=1.2 + SETTLED)
+
+
+def test_test_of_a_part_that_shares_its_crashes_is_not_repeated_at_once() -> None:
+    """Guard against tests whose retries crash one server after the other."""
+    evidence = CrashEvidence(seed=1)
+    for index in range(5):
+        _crash_both(evidence, index, now=1.0)
+    assert not evidence.awaits_verdict("a/test", parts=("d",), now=1.1)
+    _crash_both(evidence, 5, now=1.2)
+    assert evidence.awaits_verdict("a/test", parts=("d",), now=1.3)
+    assert not evidence.awaits_verdict("a/test", parts=("d",), now=3.2)
+
+
+def test_hosts_take_turns_to_test_parts_that_share_their_crashes() -> None:
+    """Guard against tests at all hosts at once, which break each other off."""
+    evidence = CrashEvidence(turn=lambda *, now: 2, seed=1)
+    for index in range(3):
+        _crash_both(evidence, index, now=1.0)
+    for index in range(3, 5):
+        _crash_both(evidence, index, now=9.0)
+    assert evidence.awaits_verdict("a/test", parts=("f",), now=10.9)
+    assert not evidence.awaits_verdict("a/test", parts=("f",), now=11.0)
+
+
+def test_request_waits_for_all_its_tests_before_it_takes_one() -> None:
+    """Guard against a request that waits and keeps others from testing a part."""
+    evidence = CrashEvidence(seed=1)
+    for index in range(5):
+        _crash_both(evidence, index, now=1.0)
+    assert not evidence.awaits_verdict("a/d", parts=("d",), now=1.1)
+    assert evidence.awaits_verdict("a/both", parts=("f", "d"), now=1.2)
+    assert not evidence.awaits_verdict("a/f", parts=("f",), now=1.3)
+
+
 def test_test_without_a_result_is_followed_by_another_one() -> None:
     """Guard against a sound part that waits on since its only test was broken off."""
     evidence = CrashEvidence(peers_reported_since=lambda at, *, now: False, seed=1)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from .parts_fleet import DEADLY_PART, PartsCase, PartsFleet
+from .suspended_fleet import SuspendedFleet
 
 #: Sendings of requests with the part that are allowed once all hosts had seconds to
 #: learn of its fifth crash.
@@ -14,6 +15,7 @@
 DEADLY_FROM = 3.0
 UNTIL = 30.0
 SEEDS = (1, 2, 3)
+SHARED_SEEDS = (1, 2, 3, 4, 5, 6)
 
 CASES = {
     "in the middle": PartsCase(),
@@ -75,3 +77,23 @@
         start = fleet.poison_crashes[:5][-1] + 2 * GRACE
         before = fleet.share_served(0.0, DEADLY_FROM)
         assert fleet.share_served(start, UNTIL - 2.0) >= before / 2, run
+
+
+class SuspendedPartsFleet(PartsFleet, SuspendedFleet):
+    """Run few servers that are suspended and crash before any request completes."""
+
+
+def test_part_is_quarantined_though_others_were_in_all_its_crashes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against parts that protect each other since each crash breaks off both."""
+    case = PartsCase(load=0.2, pause=0.3, n_first_parts=1, n_subjects=3, n_servers=1)
+    found = {}
+    for seed in SHARED_SEEDS:
+        fleet = SuspendedPartsFleet(monkeypatch, case=case, seed=seed)
+        fleet.start_deadly(at=0.55)
+        fleet.start_suspensions(at=0.6)
+        fleet.run(UNTIL)
+        assert not fleet.refused_sound()
+        found[seed] = fleet.quarantined_parts()
+    assert set(map(frozenset, found.values())) == {frozenset({DEADLY_PART})}, found
