Move plain requests on a lost path also later than at its loss

A request that waited for an answer over a lost path was moved when the path was found to be lost, or never: if no other server had room at that moment, or the retry budget was used up, it stayed on the path until its deadline. Streams are tried again with each tick once their group counts as stalled; plain requests that may be repeated now are as well.

--- a/ryelever/coordination/relaying/moves.py
+++ b/ryelever/coordination/relaying/moves.py
@@ -103,8 +103,17 @@
             request.prefers_forwarder |= hears_nothing
 
     def check_path(self, request: RelayRequest, *, now: float) -> None:
-        """Check once whether this host reaches the server of a silent attempt."""
-        if request.is_checked or not _is_silent(request, now=now):
+        """Check once whether this host reaches the server of a silent attempt.
+
+        A request whose path was lost while no other server had room is moved now.
+        Streams are moved once their group counts as stalled.
+        """
+        if not _is_silent(request, now=now):
+            return
+        if request.prefers_forwarder and self._is_stuck(request, now=now):
+            self.move(request, PATH_LOST, now=now)
+            return
+        if request.is_checked:
             return
         server_id = request.attempt.server_id
         if self._paths.hears_nothing(server_id, now=now):
--- a/tests/test_coordination/test_relaying/test_forwarded_requests.py
+++ b/tests/test_coordination/test_relaying/test_forwarded_requests.py
@@ -74,6 +74,22 @@
     assert [status for _, _, status, _ in relaying.out] == [200] * 59
 
 
+def test_request_on_a_lost_path_is_moved_once_there_is_room(
+    relaying: Relaying,
+) -> None:
+    """Guard against requests left on a lost path since no server had room just then."""
+    relaying.arrive(IDEMPOTENT)
+    [first] = relaying.sent
+    for server_id in {"p0", "p1", "p2"} - {first.server_id}:
+        relaying.directory.remove(server_id, last_renewed_at=0.0)
+    _lose(relaying, first.server_id, now=0.5)
+    assert len(relaying.sent) == 1
+    relaying.directory.put(relaying.plain("p9"), now=1.0)
+    relaying.requests.tick(now=1.0)
+    assert relaying.sent[1].server_id == "p9"
+    assert relaying.cancelled == []
+
+
 def test_server_out_of_reach_is_used_by_way_of_another_host(
     relaying: Relaying,
 ) -> None:
