Don't take a group for stalled because of streams that wait their turn there

A reader of the watch found it: while one stream of a host waits in a group's queue, and the host's last running stream there ends, the group counted as stalled 0.45 s later, as if a started stream had stopped. Its queued streams were then sent to other groups as well, the group was avoided for 2.5 s and its members were probed. Only streams that have started show that a group stands now; the others have 1.2 s from the last event, as at a group without a started stream.

The tests of the watch name the stream of an event now.

--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -342,7 +342,7 @@
         request = self._attend(attempt_id, now=now)
         if request is not None:
             self._paths.heard(request.attempt.server_id, now=now)
-            self._stall_watch.progressed(request.attempt.server_id, now=now)
+            self._stall_watch.progressed(request.attempt.server_id, attempt_id, now=now)
             self._balancer.clear_stall(request.attempt.server_id)
             self._forward_events(request, events, now=now)
 
--- a/ryelever/coordination/relaying/stall_watch.py
+++ b/ryelever/coordination/relaying/stall_watch.py
@@ -34,18 +34,21 @@
     ----------
     progressed_at : float
         Monotonic time of the last event, or of the start of the first stream.
-    has_started : bool
-        True once an event has arrived on any of the streams.
+    event_at : float
+        Monotonic time of the last event.
     is_reported : bool
         True if the current stall has been reported.
     attempts : set of str
         Ids of the attempts whose streams are open.
+    started : set of str
+        Ids of those of them on which an event has arrived since the last stall.
     """
 
     progressed_at: float
-    has_started: bool = False
+    event_at: float = float("-inf")
     is_reported: bool = False
     attempts: set[str] = msgspec.field(default_factory=set)
+    started: set[str] = msgspec.field(default_factory=set)
 
 
 class StallWatch:
@@ -64,15 +67,16 @@
         elif activity.is_reported and attempt_id not in activity.attempts:
             # Attempts that are held stay open at a stalled group for long.
             activity.progressed_at = now
-            activity.has_started = activity.is_reported = False
+            activity.started.clear()
+            activity.is_reported = False
         activity.attempts.add(attempt_id)
 
-    def progressed(self, server_id: str, *, now: float) -> None:
+    def progressed(self, server_id: str, attempt_id: str, *, now: float) -> None:
         """Record an event of a group."""
         activity = self._activity_by_id.get(server_id)
         if activity is not None:
-            activity.progressed_at = now
-            activity.has_started = True
+            activity.progressed_at = activity.event_at = now
+            activity.started.add(attempt_id)
             activity.is_reported = False
             self._stalled_since_by_id.pop(server_id, None)
 
@@ -82,6 +86,8 @@
         if activity is None:
             return
         activity.attempts.discard(attempt_id)
+        # Streams that wait their turn say nothing about a group that has ended others.
+        activity.started.discard(attempt_id)
         if not activity.attempts:
             del self._activity_by_id[server_id]
 
@@ -107,9 +113,7 @@
     def has_progressed(self, server_id: str, *, now: float) -> bool:
         """Return whether a group has recently sent an event to this host."""
         activity = self._activity_by_id.get(server_id)
-        if activity is None or not activity.has_started:
-            return False
-        return now - activity.progressed_at <= STREAM_SILENCE
+        return activity is not None and now - activity.event_at <= STREAM_SILENCE
 
     def newly_stalled(self, *, now: float) -> list[str]:
         """Return the heads whose groups have stalled since the last call."""
@@ -121,7 +125,7 @@
             return []
         still = []
         for server_id, activity in self._activity_by_id.items():
-            limit = STREAM_SILENCE if activity.has_started else FIRST_EVENT_SILENCE
+            limit = STREAM_SILENCE if activity.started else FIRST_EVENT_SILENCE
             if not activity.is_reported and now - activity.progressed_at > limit:
                 activity.is_reported = True
                 self._stalled_since_by_id[server_id] = now
--- a/tests/test_coordination/test_relaying/test_balance.py
+++ b/tests/test_coordination/test_relaying/test_balance.py
@@ -195,7 +195,7 @@
     watch.newly_stalled(now=0.0)
     watch.began("a", "s1", now=0.0)
     watch.began("a", "s2", now=0.0)
-    watch.progressed("a", now=0.05)
+    watch.progressed("a", "s1", now=0.05)
     stalled_at = _stalled_at(watch, 0.05, 2.0)
     assert STREAM_SILENCE < stalled_at - 0.05 <= STREAM_SILENCE + 0.1
     assert watch.still(now=stalled_at) == ["a"]
@@ -208,11 +208,23 @@
     watch.began("a", "s2", now=0.0)
     for index in range(40):
         now = index * 0.05
-        watch.progressed("a", now=now)
+        watch.progressed("a", "s1", now=now)
         assert watch.newly_stalled(now=now) == []
         assert watch.has_progressed("a", now=now)
 
 
+def test_stream_that_waits_while_others_end_is_no_stall(watch: StallWatch) -> None:
+    """Guard against sound groups that are avoided for the streams in their queues."""
+    watch.newly_stalled(now=0.0)
+    watch.began("a", "s1", now=0.0)
+    watch.began("a", "s2", now=0.0)
+    watch.progressed("a", "s1", now=0.05)
+    watch.ended("a", "s1")
+    assert watch.has_progressed("a", now=0.1)
+    stalled_at = _stalled_at(watch, 0.05, 3.0)
+    assert FIRST_EVENT_SILENCE < stalled_at - 0.05 <= FIRST_EVENT_SILENCE + 0.1
+
+
 def test_first_event_may_take_longer(watch: StallWatch) -> None:
     watch.newly_stalled(now=0.0)
     watch.began("a", "s1", now=0.0)
--- a/tests/test_coordination/test_relaying/test_contended_requests.py
+++ b/tests/test_coordination/test_relaying/test_contended_requests.py
@@ -110,7 +110,9 @@
         relaying.arrive(STREAM, number=number, key="batch" if number > 5 else "key")
     for index in range(1, 36):
         for attempt in list(relaying.sent):
-            relaying.stall_watch.progressed(attempt.server_id, now=index * 0.1)
+            relaying.stall_watch.progressed(
+                attempt.server_id, attempt.id, now=index * 0.1
+            )
         relaying.requests.tick(now=index * 0.1)
     assert sum(row.count for row in relaying.requests.waiting_rows()) > 20
     n_chosen = 0
