Hold members of an ended group whose head is seen in it again

Two hosts that don't hear each other plan. One ends a group whose head has restarted and forms another one of its members; the other, which began to plan after the restart, orders the head to join again and opens the group. The append of the first is carried out seconds late, or once the store is back, and its planner orders the members to join although its list shows the head in the old group again.

Cause: such a head was held back, its members were not.

Now a member that reports an ended group joins no other one, and is not free, while the group's head reports that group and is past joining. Such a group is ended as before: the head is ordered to leave.

--- a/ryelever/coordination/groups/managed_groups.py
+++ b/ryelever/coordination/groups/managed_groups.py
@@ -36,6 +36,7 @@
         self.managed_by_name: dict[str, ManagedGroup] = {}
         self.ended_epochs: set[int] = set()
         self.head_at_end_by_epoch: dict[int, BackendServer | None] = {}
+        self._head_id_by_ended_epoch: dict[int, str] = {}
 
     def put(
         self,
@@ -97,6 +98,7 @@
         if not record.warms_up:
             head = self._directory.by_id.get(record.head.server_id)
             self.head_at_end_by_epoch[record.epoch] = head
+            self._head_id_by_ended_epoch[record.epoch] = record.head.server_id
 
     def heads_ended_group(self, server: BackendServer) -> bool:
         """Return whether a server reports to be the head of an ended group.
@@ -113,6 +115,21 @@
         # A later entry may be equal to the entry from before the end.
         return server is not self.head_at_end_by_epoch[report.epoch]
 
+    def is_in_reopened_group(self, server: BackendServer) -> bool:
+        """Return whether a server reports an ended group whose head may serve again.
+
+        Another planner that doesn't know of the end may have opened the group again.
+        """
+        report = server.group
+        head_id = self._head_id_by_ended_epoch.get(report.epoch) if report else None
+        head = self._directory.by_id.get(head_id) if head_id else None
+        return (
+            head is not None
+            and self.heads_ended_group(head)
+            and head.group.epoch == report.epoch
+            and head.group.state is not GroupState.JOINING
+        )
+
     def managed(self, name: str, epoch: int) -> ManagedGroup | None:
         """Return the managed group of a name and epoch, or None."""
         managed = self.managed_by_name.get(name)
--- a/ryelever/coordination/groups/manager.py
+++ b/ryelever/coordination/groups/manager.py
@@ -314,7 +314,11 @@
         orders = []
         occupied = self.occupied_ids(excluding=record.name)
         for server, state in zip(servers, states, strict=True):
-            is_occupied = server.id in occupied or self.heads_ended_group(server)
+            is_occupied = (
+                server.id in occupied
+                or self.heads_ended_group(server)
+                or self.is_in_reopened_group(server)
+            )
             if state is None and not is_occupied:
                 orders += managed.due_order(OrderKind.JOIN, server.id, now=now)
         return orders
--- a/ryelever/coordination/groups/zone_view.py
+++ b/ryelever/coordination/groups/zone_view.py
@@ -249,6 +249,7 @@
             if not server.draining
             and server.id not in occupied_ids
             and not self._adoption.may_be_in_unrecorded_group(server, now=now)
+            and not self._manager.is_in_reopened_group(server)
             and not self._manager.is_presumed_lost(server.id, now=now)
         ]
 
--- a/tests/test_coordination/test_groups/test_group_manager.py
+++ b/tests/test_coordination/test_groups/test_group_manager.py
@@ -114,6 +114,27 @@
     assert members.manager.occupied_ids() == set()
 
 
+@pytest.mark.parametrize("state", [GroupState.READY, GroupState.OPEN])
+def test_members_wait_for_the_head_of_a_group_opened_again(
+    members: Members, state: GroupState
+) -> None:
+    """Guard against a server that joins a group while its former head is open.
+
+    The head has restarted and its group is ended here, but another planner has ordered
+    the head to join that group again.
+    """
+    members.serve(GROUP)
+    members.restart("a", started_at=2)
+    members.due(1.0)
+    assert members.manager.phase_of(GROUP.name) is GroupPhase.RETIRED
+    members.report(GROUP, state, "a")
+    later = record(9, "b", "c", "d")
+    members.manager.put(later, now=1.5, decided_here=True)
+    assert members.due(1.5) == [(JOIN, "d")]
+    members.leave("a")
+    assert members.due(1.6) == [(JOIN, "b"), (JOIN, "c")]
+
+
 def test_listed_departure_of_the_head_frees_its_members(members: Members) -> None:
     members.serve(GROUP)
     members.lose("c", last_seen_at=0.0)
--- a/tests/test_paused_planners.py
+++ b/tests/test_paused_planners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 import pytest
@@ -18,6 +19,10 @@
 START_TIME = 20.0
 SETTLING_TIME = 12.0
 
+#: Steps with random faults, and the share of them that begins or ends one.
+FAULTY_STEPS = 250
+FAULT_RATE = 0.06
+
 #: Seconds in which a planner repairs a group without weights to load.
 REPAIR_TIME = 3.5
 
@@ -184,3 +189,47 @@
         zone.run(1.0)
     assert zone.host("e1").planning.planners_by_zone[ZONE] is planner
     assert zone.planners == ["e1"]
+
+
+def _inject(zone: PlannedZone, generator: random.Random) -> None:
+    """Begin or end one random fault."""
+    fault = generator.choice(["pause", "crash", "crash", "cut", "store", "append"])
+    host = generator.choice(zone.hosts)
+    if fault == "pause" and not host.is_paused:
+        host.pause(
+            round(generator.uniform(0.3, 4.5), 1),
+            is_counted=generator.random() < 0.7,
+            before_sending=generator.random() < 0.4,
+        )
+    elif fault == "crash":
+        zone.crash(generator.choice("abcd"))
+    elif fault == "cut":
+        host.is_cut_off = not host.is_cut_off
+    elif fault == "store":
+        zone.store.is_away = not zone.store.is_away
+    elif fault == "append":
+        zone.append_delay = generator.choice([0.0, 0.5, 1.5, 3.0])
+
+
+@pytest.mark.parametrize("seed", [17, 48, 72, 87, *range(100, 112)])
+def test_planners_beside_each_other_put_no_server_into_two_groups(
+    start: Callable[..., PlannedZone], seed: int
+) -> None:
+    """Guard against hosts that plan at the same time and open or take one group.
+
+    Hosts are paused and cut off from each other, and the store is away or late.
+    """
+    zone = start("e1", "e2", "e3")
+    generator = random.Random(seed)
+    for _ in range(FAULTY_STEPS):
+        zone.run(STEP)
+        if generator.random() < FAULT_RATE:
+            _inject(zone, generator)
+    for host in zone.hosts:
+        host.is_cut_off = False
+    zone.store.is_away = False
+    zone.append_delay = 0.0
+    zone.run(2 * SETTLING_TIME)
+    assert zone.faults == []
+    assert len(zone.open_groups()) == 2
+    assert len(zone.planners) == 1
