Test that a verdict on a request with a held attempt promises nothing

No test failed if the held attempts of a request that a verdict ends didn't count as possibly run: the caller was told 503, not run, while a silent server had it.

--- a/tests/test_coordination/test_relaying/test_crashes.py
+++ b/tests/test_coordination/test_relaying/test_crashes.py
@@ -84,6 +84,21 @@
     assert second.out[-1][:3] == ("refuse", 2, 503)
 
 
+def test_verdict_does_not_promise_that_a_held_request_has_not_run() -> None:
+    """Guard against a promise while a silent server may have begun the request."""
+    first, second = Relaying(n_servers=5), Relaying(n_servers=2)
+    second.arrive(STREAM, content="poison")
+    for index in range(30):
+        second.requests.tick(now=index * 0.05)
+    held, unsent = second.sent
+    second.requests.attempt_failed(unsent.id, "silent", sent=False, now=1.5)
+    assert _crash_all(first, "poison", now=1.5) == 2
+    _announce(first, second, now=1.6)
+    second.requests.tick(now=1.6)
+    assert second.out[-1][:3] == ("refuse", 1, 502)
+    assert second.cancelled == [held.id]
+
+
 @pytest.mark.parametrize("reason", ["silent", "answer_not_signed"])
 def test_failures_other_than_crashes_do_not_count(reason: str) -> None:
     relaying = Relaying(n_servers=5)
