Send streams that their server forgets to another one as well

A server may never answer one request, or stop in the middle of one stream, while it goes on with others. Its group isn't stalled then, and the request ended with its caller's patience. OvertakenWatch finds such streams by streams of the same or a lower urgency that were sent to the server later: those that began after the silent one was last heard and have no shorter prompt, and those that went on all the time beside it. The attempt is held, and the request is sent to another server under the same budget, attempts and verdicts.

The expected time to the first event is now known for all streams to services with a published profile, as the watch needs it to allow for long prompts.

--- a/ryelever/coordination/relaying/contention.py
+++ b/ryelever/coordination/relaying/contention.py
@@ -104,22 +104,23 @@
     def arrived(
         self, request: RelayRequest, route_table: RouteTable, *, now: float
     ) -> None:
-        """Find out whether a request's service is contended, and how urgent it is."""
+        """Find out how long a stream may take, and whether its service is contended."""
         model = request.arrival.model
         if not request.is_stream:
             return
-        if not route_table.is_contended(request.service, self._mode):
+        service = route_table.services_by_name.get(request.service)
+        engine = None if service is None else service.engine
+        if engine is None or model not in engine.models_by_name:
             return
-        engine = route_table.services_by_name[request.service].engine
-        if model not in engine.models_by_name:
+        request.expected_first_event = self._first_events.expected(
+            engine, model, n_prompt=request.arrival.n_prompt, n_running=engine.slots
+        )
+        if not route_table.is_contended(request.service, self._mode):
             return
         request.contended = True
         request.rank = clamped_rank((request.priority, request.route.priority))
         request.age_at_arrival = self._ages.age(request.route, request.arrival)
         request.on_time_until -= request.age_at_arrival
-        request.expected_first_event = self._first_events.expected(
-            engine, model, n_prompt=request.arrival.n_prompt, n_running=engine.slots
-        )
         self._shares.record(
             request.work,
             self.order(request, now=now),
--- a/ryelever/coordination/relaying/moves.py
+++ b/ryelever/coordination/relaying/moves.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from .open_attempts import PATH_LOST
+from .open_attempts import OVERTAKEN, PATH_LOST
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -91,6 +91,17 @@
             for request in self._attempts.streams_at(stalled):
                 self.move(request, "still", now=now)
 
+    def move_overtaken(self, *, now: float) -> None:
+        """Send overtaken streams to other servers as well where possible.
+
+        Streams that can't be sent yet are tried again with each call.
+        """
+        for request in self._attempts.overtaken(now=now):
+            forwarder = request.attempt.forwarder
+            if self.move(request, OVERTAKEN, now=now) and forwarder:
+                # The host that forwards may be the one that is silent.
+                self._forwarders.failed(forwarder, now=now)
+
     def _mark_stalled(self, server_id: str, *, now: float) -> None:
         self._reports.group_stalled(server_id)
         self._balancer.mark_stalled(server_id, now=now)
--- a/ryelever/coordination/relaying/open_attempts.py
+++ b/ryelever/coordination/relaying/open_attempts.py
@@ -19,11 +19,15 @@
     from .actions import RelayAttempt, RelayOutbox
     from .balance import Balancer
     from .messages import AnswerHead
+    from .overtaken import OvertakenWatch
     from .reports import RequestReports
     from .request import RelayRequest
     from .stall_watch import StallWatch
 
-__all__ = ["PATH_LOST", "OpenAttempts"]
+__all__ = ["OVERTAKEN", "PATH_LOST", "OpenAttempts"]
+
+#: Reason to hold an attempt whose server goes on with streams that were sent later.
+OVERTAKEN = "overtaken"
 
 #: Reason to hold an attempt whose server only other hosts reach.
 PATH_LOST = "path_lost"
@@ -36,6 +40,7 @@
         "_balancer",
         "_ids",
         "_outbox",
+        "_overtaken_watch",
         "_reports",
         "_requests_by_attempt",
         "_stall_watch",
@@ -46,11 +51,13 @@
         *,
         balancer: Balancer,
         stall_watch: StallWatch,
+        overtaken_watch: OvertakenWatch,
         outbox: RelayOutbox,
         reports: RequestReports,
     ) -> None:
         self._balancer = balancer
         self._stall_watch = stall_watch
+        self._overtaken_watch = overtaken_watch
         self._outbox = outbox
         self._reports = reports
         self._ids = itertools.count(1)
@@ -72,8 +79,30 @@
         self._balancer.sent(server.id)
         if request.is_stream:
             self._stall_watch.began(server.id, attempt.id, now=now)
+            self._overtaken_watch.sent(
+                server.id,
+                attempt.id,
+                urgency=attempt.priority,
+                n_prompt=request.arrival.n_prompt,
+                expected=request.expected_first_event,
+                now=now,
+            )
         return attempt
 
+    def progressed(self, request: RelayRequest, *, n_events: int, now: float) -> None:
+        """Record events of the current attempt, and that its server makes progress."""
+        attempt = request.attempt
+        self._overtaken_watch.progressed(attempt.id, n_events=n_events, now=now)
+        self._stall_watch.progressed(attempt.server_id, now=now)
+        self._balancer.clear_stall(attempt.server_id)
+
+    def overtaken(self, *, now: float) -> Iterator[RelayRequest]:
+        """Yield the streams whose current attempts are overtaken."""
+        for attempt_id in self._overtaken_watch.overtaken(now=now):
+            request = self._requests_by_attempt[attempt_id]
+            if request.attempt is not None and request.attempt.id == attempt_id:
+                yield request
+
     def streams_at(self, server_ids: Collection[str]) -> Iterator[RelayRequest]:
         """Yield the streams whose current attempt is at one of some servers."""
         for attempt_id, request in list(self._requests_by_attempt.items()):
@@ -111,7 +140,7 @@
     def hold(self, request: RelayRequest, reason: str) -> None:
         """Keep the current attempt open beside the next one."""
         server_id = request.attempt.server_id
-        if reason == PATH_LOST:
+        if reason in (OVERTAKEN, PATH_LOST):
             # Its silence says nothing about the group.
             self._stall_watch.ended(server_id, request.attempt.id)
         request.hold_attempt()
@@ -182,6 +211,7 @@
     def _forget(self, attempt: RelayAttempt) -> None:
         self._balancer.ended(attempt.server_id)
         self._stall_watch.ended(attempt.server_id, attempt.id)
+        self._overtaken_watch.ended(attempt.id)
         self._requests_by_attempt.pop(attempt.id, None)
 
 
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -16,6 +16,7 @@
 from .demand import ExponentialAverage
 from .moves import Moves
 from .open_attempts import OpenAttempts
+from .overtaken import OvertakenWatch
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
@@ -103,7 +104,6 @@
         self._unrouted = UnroutedArrivals(since=since)
         self._balancer = balancer
         self._budget = budget
-        self._stall_watch = stall_watch
         self._crashes = crashes
         self._withdrawals = Withdrawals(crashes=crashes)
         self._outbox = outbox
@@ -116,6 +116,7 @@
         self._attempts = OpenAttempts(
             balancer=balancer,
             stall_watch=stall_watch,
+            overtaken_watch=OvertakenWatch(),
             outbox=outbox,
             reports=self._reports,
         )
@@ -318,8 +319,7 @@
         request = self._attend(attempt_id, now=now)
         if request is not None:
             self._paths.heard(request.attempt.server_id, now=now)
-            self._stall_watch.progressed(request.attempt.server_id, now=now)
-            self._balancer.clear_stall(request.attempt.server_id)
+            self._attempts.progressed(request, n_events=len(events), now=now)
             self._forward_events(request, events, now=now)
 
     def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
@@ -418,6 +418,7 @@
         for request, quarantined in self._withdrawals.due(requests, now=now):
             self._withdraw(request, quarantined, now=now)
         self._moves.move_stalled(now=now)
+        self._moves.move_overtaken(now=now)
         self.dispatch_waiting(now=now)
 
     def end_all(self, *, now: float) -> None:
--- a/tests/test_coordination/test_relaying/test_silent_servers.py
+++ b/tests/test_coordination/test_relaying/test_silent_servers.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import pytest
+
 from ryelever.coordination.host_heartbeats import ForwardingHosts, HostAddress
 from ryelever.coordination.relaying import RelayAttempt
 from ryelever.coordination.relaying.stall_watch import STREAM_SILENCE
@@ -238,3 +240,98 @@
     _tick_until(relaying, 0.9, 1.0)
     [moved] = relaying.sent[n_sent:]
     assert (moved.request_number, moved.last_event_id) == (1, "1")
+
+
+def _run_beside_others(
+    relaying: Relaying,
+    *,
+    end: float,
+    first_until: float,
+) -> None:
+    """Send three streams to one server, which goes on with the last two of them.
+
+    They are sent 0.2 s apart, and have events from 0.2 s after sending on. Another
+    server is added at 0.8 s.
+
+    Parameters
+    ----------
+    first_until : float
+        Time from which the first stream has no more events.
+    """
+    for index in range(round(end / TICK)):
+        now = index * TICK
+        if index in (0, 4, 8):
+            number = 1 + index // 4
+            relaying.arrive(STREAM, number=number, now=now)
+        if index == 16:
+            relaying.directory.put(relaying.engine_head("h1"), now=now)
+        for attempt in relaying.sent[:3]:
+            sent_at = 0.2 * (attempt.request_number - 1)
+            if attempt.request_number == 1 and now >= first_until:
+                continue
+            if now >= sent_at + 0.2:
+                relaying.requests.answer_head(
+                    attempt.id, head(f"r{attempt.request_number}"), now=now
+                )
+                relaying.events(attempt, index, now=now)
+        relaying.requests.tick(now=now)
+
+
+@pytest.mark.parametrize("first_until", [0.0, 0.7])
+def test_one_silent_stream_beside_others_is_sent_to_another_server(
+    first_until: float,
+) -> None:
+    """Guard against streams that a server forgets while it goes on with others."""
+    relaying = Relaying(n_servers=1, slots=4)
+    _run_beside_others(relaying, end=first_until + 1.2, first_until=first_until)
+    first, *_, second = relaying.sent
+    assert (second.request_number, second.server_id) == (1, "h1")
+    assert second.last_event_id == ("13" if first_until else "")
+    assert len(relaying.sent) == 4
+    held = [fields for name, fields in relaying.lines if name == "attempt_held"]
+    assert [fields["reason"] for fields in held] == ["overtaken"]
+    relaying.requests.answer_head(second.id, head("r1"), now=2.0)
+    relaying.events(second, 90, now=2.0)
+    assert relaying.cancelled == [first.id]
+    relaying.requests.answer_end(second.id, cut=False, now=2.1)
+    assert relaying.out[-1] == ("finish", 1)
+
+
+def test_held_overtaken_attempt_goes_on_if_it_is_first() -> None:
+    """Guard against streams taken from a server that was only slow with them."""
+    relaying = Relaying(n_servers=1, slots=4)
+    _run_beside_others(relaying, end=1.2, first_until=0.0)
+    first, *_, second = relaying.sent
+    assert second.server_id == "h1"
+    relaying.requests.answer_head(first.id, head("r1"), now=1.3)
+    relaying.events(first, 1, now=1.3)
+    assert relaying.cancelled == [second.id]
+
+
+def test_overtaken_stream_that_may_run_once_is_waited_for() -> None:
+    """Guard against requests run twice since their server is silent."""
+    relaying = Relaying(n_servers=1, slots=4, resumable=False)
+    _run_beside_others(relaying, end=1.6, first_until=0.0)
+    assert len(relaying.sent) == 3
+    assert relaying.lines == []
+
+
+def test_overtaken_stream_is_not_sent_without_retry_budget() -> None:
+    """Guard against retries beyond the budget, and a log line with each tick."""
+    relaying = Relaying(n_servers=1, slots=4, slack=0.0)
+    _run_beside_others(relaying, end=1.6, first_until=0.0)
+    assert len(relaying.sent) == 3
+    assert [(name, fields["reason"]) for name, fields in relaying.lines] == [
+        ("not_retried", "budget")
+    ]
+
+
+def test_held_overtaken_attempt_stalls_no_group() -> None:
+    """Guard against sound groups avoided since they forgot one request."""
+    relaying = Relaying(n_servers=1, slots=4)
+    _run_beside_others(relaying, end=1.2, first_until=0.0)
+    for attempt in relaying.sent[1:3]:
+        relaying.requests.answer_end(attempt.id, cut=False, now=1.2)
+    _tick_until(relaying, 1.2, 2.2)
+    stalled = [fields for name, fields in relaying.lines if name == "group_still"]
+    assert {"server": "h0"} not in stalled
