Judge overtaken streams by admission, and allow for preempted ones

- Queueing no longer delays the decision by as long as the later stream took.
- A newer stream that has ended still shows that an older one was forgotten, if it went on for 0.6 s beside it.
- Requests count as later from 0.25 s on, so that one lost packet changes nothing.

--- a/ryelever/coordination/relaying/overtaken.py
+++ b/ryelever/coordination/relaying/overtaken.py
@@ -17,24 +17,28 @@
 #: Minimum seconds without an event after which a stream counts as overtaken.
 MIN_SILENCE = 0.9
 
-#: Minimum silence of a stream in proportion to the time that an overtaking one took
-#: until its first event, or would have taken with as long a prompt.
-SILENCE_RATIO = 2.0
-
 #: Minimum seconds between two requests for their order at the server to be certain.
-#: They may use separate connections.
-ORDER_MARGIN = 0.1
+#: They may use separate connections, and one may lose a packet.
+ORDER_MARGIN = 0.25
 
 #: Minimum seconds from the first event of an overtaking stream. The request that was
 #: overtaken may have been admitted at the same moment, and its event may be on its way.
 BEGUN_MARGIN = 0.3
 
+#: The same in proportion to the time that the overtaking stream took until its first
+#: event, and to the time that is expected of the other one.
+BEGUN_RATIO = 0.25
+READING_RATIO = 2.0
+
 #: Longest pause between the events of a stream that goes on.
 MAX_PAUSE = 0.3
 
-#: Ratio of prompt lengths from which a shorter prompt says nothing about a longer one,
-#: for which the server may lack memory.
-MAX_SIZE_RATIO = 2.0
+#: Pause between two events from which a server may have preempted the stream and
+#: admitted it again.
+MIN_PREEMPTION = 0.15
+
+#: Minimum seconds for which a newer stream goes on beside a silent one.
+BESIDE = 0.6
 
 #: Prompt tokens read per second where no rate is published.
 DEFAULT_READING_RATE = 4000.0
@@ -65,6 +69,9 @@
         Monotonic time of the first event; infinite before.
     last_event_at : float
         Monotonic time of the last event; that of sending before the first one.
+    admitted_at : float
+        Monotonic time of the first event, or of the last one before which the stream
+        may have been preempted.
     steady_since : float
         Monotonic time since which no pause has been longer than ``MAX_PAUSE``.
     """
@@ -76,6 +83,7 @@
     expected: float
     last_event_at: float
     begun_at: float = float("inf")
+    admitted_at: float = float("inf")
     steady_since: float = float("inf")
     n_events: int = 0
 
@@ -100,13 +108,13 @@
 
     Attributes
     ----------
-    open_by_attempt : dict of str to _Stream
-        Open streams by the ids of their attempts.
+    n_open : int
+        Number of open streams.
     begun : deque of _Stream
         Streams that have begun lately, whether they are still open or not.
     """
 
-    open_by_attempt: dict[str, _Stream] = msgspec.field(default_factory=dict)
+    n_open: int = 0
     begun: deque[_Stream] = msgspec.field(
         default_factory=lambda: deque(maxlen=MAX_BEGUN)
     )
@@ -154,19 +162,22 @@
             last_event_at=now,
         )
         self._streams_by_attempt[attempt_id] = stream
-        server = self._servers_by_id.setdefault(server_id, _Server())
-        server.open_by_attempt[attempt_id] = stream
+        self._servers_by_id.setdefault(server_id, _Server()).n_open += 1
 
     def progressed(self, attempt_id: str, *, n_events: int = 1, now: float) -> None:
         """Record events of a stream."""
         stream = self._streams_by_attempt.get(attempt_id)
         if stream is None:
             return
+        pause = now - stream.last_event_at
         if not stream.has_begun:
-            stream.begun_at = stream.steady_since = now
+            stream.begun_at = stream.admitted_at = stream.steady_since = now
             self._servers_by_id[stream.server_id].begun.append(stream)
-        elif now - stream.last_event_at > MAX_PAUSE:
-            stream.steady_since = now
+        else:
+            if pause > MIN_PREEMPTION:
+                stream.admitted_at = now
+            if pause > MAX_PAUSE:
+                stream.steady_since = now
         stream.last_event_at = now
         stream.n_events += n_events
 
@@ -176,8 +187,8 @@
         if stream is None:
             return
         server = self._servers_by_id[stream.server_id]
-        del server.open_by_attempt[attempt_id]
-        if not server.open_by_attempt:
+        server.n_open -= 1
+        if not server.n_open:
             del self._servers_by_id[stream.server_id]
 
     def overtaken(self, *, now: float) -> list[str]:
@@ -195,51 +206,45 @@
         ]
 
     def _is_overtaken(self, stream: _Stream, *, now: float) -> bool:
-        server = self._servers_by_id[stream.server_id]
-        silence = now - max(stream.last_event_at, self._resumed_at)
-        if silence <= MIN_SILENCE:
+        if now - self._resumed_at <= MIN_SILENCE:
             return False
-        if any(
-            _has_passed(other, stream, silence=silence, now=now)
-            for other in server.begun
-        ):
-            return True
-        return stream.has_begun and any(
-            _goes_on_beside(other, stream, now=now)
-            for other in server.open_by_attempt.values()
+        return any(
+            _has_passed(other, stream, now=now) or _went_on_beside(other, stream)
+            for other in self._servers_by_id[stream.server_id].begun
         )
 
 
-def _has_passed(other: _Stream, stream: _Stream, *, silence: float, now: float) -> bool:
-    """Return whether a stream began that was sent after a silent one was last heard.
+def _has_passed(other: _Stream, stream: _Stream, *, now: float) -> bool:
+    """Return whether a stream has begun that was sent after the silence of one.
 
-    It shows that the server had room for the silent stream as well, even if it had
-    preempted that stream.
+    Its prompt is no shorter than what the server reads of the silent stream, so that
+    there was room for either, even if the server had preempted that stream.
     """
     if (
         other.urgency < stream.urgency
         or other.sent_at < stream.last_event_at + ORDER_MARGIN
-        or now < other.begun_at + BEGUN_MARGIN
+        or not 0 < stream.n_prompt <= stream.n_tokens <= other.n_prompt
     ):
         return False
-    max_ratio = 1.0 if stream.has_begun else MAX_SIZE_RATIO
-    if not stream.n_prompt or stream.n_tokens > max_ratio * other.n_prompt:
-        return False
     expected = stream.expected * stream.n_tokens / stream.n_prompt
-    longer = max(1.0, expected / other.expected)
-    wait = max(expected, longer * other.first_event_time)
-    return silence > SILENCE_RATIO * wait
+    margin = max(
+        BEGUN_MARGIN,
+        BEGUN_RATIO * other.first_event_time,
+        READING_RATIO * expected,
+    )
+    return now > other.begun_at + margin
 
 
-def _goes_on_beside(other: _Stream, stream: _Stream, *, now: float) -> bool:
-    """Return whether a newer stream has gone on all the time that one was silent.
+def _went_on_beside(other: _Stream, stream: _Stream) -> bool:
+    """Return whether a newer stream has gone on since the last event of a silent one.
 
-    Servers preempt the stream that was admitted last, which the silent one was not.
+    Servers preempt the stream that they admitted last, which the silent one was not.
     """
     return (
-        other.urgency >= stream.urgency
-        and other.sent_at >= stream.sent_at + ORDER_MARGIN
-        and stream.steady_since <= other.steady_since + ORDER_MARGIN
+        stream.has_begun
+        and other.urgency >= stream.urgency
+        and other.sent_at > stream.sent_at
+        and stream.admitted_at <= other.begun_at
         and other.steady_since <= stream.last_event_at
-        and now <= other.last_event_at + MAX_PAUSE
+        and other.last_event_at >= stream.last_event_at + BESIDE
     )
