--- a/ryelever/coordination/relaying/moves.py
+++ b/ryelever/coordination/relaying/moves.py
@@ -97,10 +97,7 @@
         Streams that can't be sent yet are tried again with each call.
         """
         for request in self._attempts.overtaken(now=now):
-            forwarder = request.attempt.forwarder
-            if self.move(request, OVERTAKEN, now=now) and forwarder:
-                # The host that forwards may be the one that is silent.
-                self._forwarders.failed(forwarder, now=now)
+            self.move(request, OVERTAKEN, now=now)
 
     def _mark_stalled(self, server_id: str, *, now: float) -> None:
         self._reports.group_stalled(server_id)
--- a/ryelever/coordination/relaying/open_attempts.py
+++ b/ryelever/coordination/relaying/open_attempts.py
@@ -99,8 +99,9 @@
     def overtaken(self, *, now: float) -> Iterator[RelayRequest]:
         """Yield the streams whose current attempts are overtaken."""
         for attempt_id in self._overtaken_watch.overtaken(now=now):
-            request = self._requests_by_attempt[attempt_id]
-            if request.attempt is not None and request.attempt.id == attempt_id:
+            request = self.request_of(attempt_id)
+            attempt = None if request is None else request.attempt
+            if attempt is not None and attempt.id == attempt_id:
                 yield request
 
     def streams_at(self, server_ids: Collection[str]) -> Iterator[RelayRequest]:
--- a/ryelever/coordination/relaying/overtaken.py
+++ b/ryelever/coordination/relaying/overtaken.py
@@ -241,8 +241,7 @@
     Servers preempt the stream that they admitted last, which the silent one was not.
     """
     return (
-        stream.has_begun
-        and other.urgency >= stream.urgency
+        other.urgency >= stream.urgency
         and other.sent_at > stream.sent_at
         and stream.admitted_at <= other.begun_at
         and other.steady_since <= stream.last_event_at
--- a/tests/test_coordination/test_relaying/relay_fakes.py
+++ b/tests/test_coordination/test_relaying/relay_fakes.py
@@ -220,6 +220,7 @@
         last_event_id: str = "",
         time_limit: float = 6.0,
         content: str = "",
+        n_prompt: int = 100,
         parts: tuple[str, ...] = (),
     ) -> None:
         """Deliver a request of a caller."""
@@ -230,7 +231,7 @@
             content=content or f"content-{number}",
             key=key,
             model="large" if kind is RouteKind.STREAM else "",
-            n_prompt=100,
+            n_prompt=n_prompt,
             last_event_id=last_event_id,
             deadline=now + time_limit,
             arrived_at=now,
--- a/tests/test_coordination/test_relaying/test_overtaken.py
+++ b/tests/test_coordination/test_relaying/test_overtaken.py
@@ -102,6 +102,11 @@
         [LATER | {"n_prompt": 30_000, "expected": 1.5}],
         None,
     ),
+    "long prompts, nothing published": (
+        {"n_prompt": 30_000, "expected": 0.0},
+        [LATER | {"n_prompt": 30_000, "expected": 0.0}],
+        None,
+    ),
     "overload": (
         {},
         [{"sent": 0.5, "events": _steady(2.5, 5.0)}],
--- a/tests/test_coordination/test_relaying/test_silent_servers.py
+++ b/tests/test_coordination/test_relaying/test_silent_servers.py
@@ -9,9 +9,10 @@
 from ryelever.coordination.host_heartbeats import ForwardingHosts, HostAddress
 from ryelever.coordination.relaying import RelayAttempt
 from ryelever.coordination.relaying.stall_watch import STREAM_SILENCE
+from ryelever.relay_settings import ContentionMode
 from ryelever.state.routes import RouteKind
 
-from .relay_fakes import Relaying, head
+from .relay_fakes import Relaying, contended_table, head
 
 STREAM = RouteKind.STREAM
 
@@ -247,33 +248,41 @@
     *,
     end: float,
     first_until: float,
+    first_key: str = "key",
+    first_prompt: int = 100,
+    n_prompt: int = 100,
+    n_events: int = 1,
 ) -> None:
     """Send three streams to one server, which goes on with the last two of them.
 
-    They are sent 0.2 s apart, and have events from 0.2 s after sending on. Another
+    They are sent 0.3 s apart, and have events from 0.2 s after sending on. Another
     server is added at 0.8 s.
 
     Parameters
     ----------
     first_until : float
         Time from which the first stream has no more events.
+    n_events : int
+        Number of events that arrive at a time.
     """
     for index in range(round(end / TICK)):
         now = index * TICK
-        if index in (0, 4, 8):
-            number = 1 + index // 4
-            relaying.arrive(STREAM, number=number, now=now)
+        if index == 0:
+            relaying.arrive(STREAM, key=first_key, n_prompt=first_prompt)
+        elif index in (6, 12):
+            relaying.arrive(STREAM, number=1 + index // 6, now=now, n_prompt=n_prompt)
         if index == 16:
             relaying.directory.put(relaying.engine_head("h1"), now=now)
         for attempt in relaying.sent[:3]:
-            sent_at = 0.2 * (attempt.request_number - 1)
+            sent_at = 0.3 * (attempt.request_number - 1)
             if attempt.request_number == 1 and now >= first_until:
                 continue
             if now >= sent_at + 0.2:
                 relaying.requests.answer_head(
                     attempt.id, head(f"r{attempt.request_number}"), now=now
                 )
-                relaying.events(attempt, index, now=now)
+                ids = range(n_events * index, n_events * (index + 1))
+                relaying.events(attempt, *ids, now=now)
         relaying.requests.tick(now=now)
 
 
@@ -288,8 +297,9 @@
     assert (second.request_number, second.server_id) == (1, "h1")
     assert second.last_event_id == ("13" if first_until else "")
     assert len(relaying.sent) == 4
-    held = [fields for name, fields in relaying.lines if name == "attempt_held"]
-    assert [fields["reason"] for fields in held] == ["overtaken"]
+    assert [(name, fields["reason"]) for name, fields in relaying.lines] == [
+        ("attempt_held", "overtaken")
+    ]
     relaying.requests.answer_head(second.id, head("r1"), now=2.0)
     relaying.events(second, 90, now=2.0)
     assert relaying.cancelled == [first.id]
@@ -335,3 +345,47 @@
     _tick_until(relaying, 1.2, 2.2)
     stalled = [fields for name, fields in relaying.lines if name == "group_still"]
     assert {"server": "h0"} not in stalled
+
+
+def test_callers_of_overtaken_streams_may_leave() -> None:
+    """Guard against ticks that fail since a stream has ended."""
+    relaying = Relaying(n_servers=1, slots=4)
+    _run_beside_others(relaying, end=1.2, first_until=0.0)
+    relaying.requests.caller_disconnected(1)
+    _tick_until(relaying, 1.2, 1.4)
+    for attempt in (relaying.sent[0], relaying.sent[3]):
+        assert attempt.id in relaying.cancelled
+        assert relaying.requests.is_streaming(attempt.id) is False
+
+
+def test_urgent_streams_go_first() -> None:
+    """Guard against retries of streams that wait behind more urgent ones."""
+    relaying = Relaying(n_servers=1, slots=4, contention=ContentionMode.OFF)
+    relaying.route_table = contended_table()
+    _run_beside_others(relaying, end=2.0, first_until=0.0, first_key="batch")
+    assert len(relaying.sent) == 3
+    assert relaying.lines == []
+
+
+@pytest.mark.parametrize(("is_published", "n_sent"), [(True, 4), (False, 3)])
+def test_long_prompts_are_given_time(is_published: bool, n_sent: int) -> None:
+    """Guard against retries of streams whose prompts are still being read."""
+    relaying = Relaying(n_servers=1, slots=4, contention=ContentionMode.OFF)
+    if is_published:
+        relaying.route_table = contended_table()
+    _run_beside_others(
+        relaying, end=1.4, first_until=0.0, first_prompt=3000, n_prompt=3000
+    )
+    assert len(relaying.sent) == n_sent
+
+
+@pytest.mark.parametrize(("n_events", "n_sent"), [(1, 4), (10, 3)])
+def test_preempted_streams_are_read_again_with_their_answers(
+    n_events: int, n_sent: int
+) -> None:
+    """Guard against retries of preempted streams that need more memory than others."""
+    relaying = Relaying(n_servers=1, slots=4)
+    _run_beside_others(
+        relaying, end=1.6, first_until=0.25, n_prompt=200, n_events=n_events
+    )
+    assert len(relaying.sent) == n_sent
