--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -17,6 +17,7 @@
 from .fault_isolation import FaultIsolation
 from .moves import Moves
 from .open_attempts import OpenAttempts
+from .overtaken import OvertakenWatch
 from .refusals import DEFAULT_RETRY_AFTER, Refusals
 from .reports import RequestReports
 from .request import RequestPhase, is_after, routed_request
@@ -111,7 +112,6 @@
         self._unrouted = UnroutedArrivals(since=since)
         self._balancer = balancer
         self._budget = budget
-        self._stall_watch = stall_watch
         self._crashes = crashes
         self._outbox = outbox
         self._served = served
@@ -123,6 +123,7 @@
         self._attempts = OpenAttempts(
             balancer=balancer,
             stall_watch=stall_watch,
+            overtaken_watch=OvertakenWatch(),
             outbox=outbox,
             reports=self._reports,
         )
@@ -342,8 +343,7 @@
         request = self._attend(attempt_id, now=now)
         if request is not None:
             self._paths.heard(request.attempt.server_id, now=now)
-            self._stall_watch.progressed(request.attempt.server_id, attempt_id, now=now)
-            self._balancer.clear_stall(request.attempt.server_id)
+            self._attempts.progressed(request, n_events=len(events), now=now)
             self._forward_events(request, events, now=now)
 
     def answer_broken(self, attempt_id: str, reason: str, *, now: float) -> None:
@@ -452,6 +452,8 @@
                 self._withdraw(request, quarantined, now=now)
         with self.faults.step():
             self._moves.move_stalled(now=now)
+        with self.faults.step():
+            self._moves.move_overtaken(now=now)
         self.dispatch_waiting(now=now)
 
     def _check_times(self, request: RelayRequest, *, now: float) -> None:
