End a request whose attempt the HTTP client could not begin because of a fault

An exception in the handler of outbound_send left the attempt without any news: the request waited for its deadline. The client now reports it as a failure of its own kind, and raises it on. Both interfaces end the request with 500: the server is not to blame, and another would not help.

test_fault_in_sending_an_attempt_ends_its_request failed before in both interfaces (no answer within two seconds; no end at all).

--- a/ryelever/attempts.py
+++ b/ryelever/attempts.py
@@ -264,10 +264,18 @@
         )
 
     def failed(self, failure: OutboundFailure) -> list[Action]:
-        """Process the failure of an attempt's connection."""
+        """Process the failure of an attempt's connection.
+
+        Raises
+        ------
+        RyeleverError
+            If a fault of this host is the reason, which says nothing about the server.
+        """
         attempt = self._attempts_by_id.get(failure.id)
         if attempt is None:
             return []
+        if failure.error.category is Category.INTERNAL:
+            raise failure.error
         again = self._access.failed(
             attempt.routed,
             sent=failure.bytes_sent,
--- a/ryelever/relay.py
+++ b/ryelever/relay.py
@@ -222,6 +222,8 @@
             reason = "silent"
         now = time.monotonic()
         with self.requests.faults.attempt(failure.id, now=now):
+            if failure.error.category is Category.INTERNAL:
+                raise failure.error
             self.requests.attempt_failed(
                 failure.id,
                 reason,
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -88,6 +88,22 @@
 
     @handler("outbound_send")
     def _on_outbound_send(self, request: OutboundRequest) -> None:
+        try:
+            self._send(request)
+        except Exception:
+            # Nothing else would tell the requester that no answer will come.
+            connection = self._connections_by_request.get(request.id)
+            if connection is not None:
+                self._close(connection)
+            self._report_failure(
+                request,
+                "could not be asked because of a fault of this host",
+                category=Category.INTERNAL,
+                bytes_sent=True,
+            )
+            raise
+
+    def _send(self, request: OutboundRequest) -> None:
         connection = (
             None if request.new_connection else self._idle.take(request.address)
         )
--- a/tests/test_relay_exchanges.py
+++ b/tests/test_relay_exchanges.py
@@ -24,6 +24,7 @@
 from ryelever.relay_settings import ContentionMode
 from ryelever.request_forwarding import ForwardingEndpoint, RequestForwarding
 from ryelever.state.routes import ConnectionLimits, RouteKind
+from ryelever.transport import http_client
 from ryelever.transport.http_client import HttpClient
 from ryelever.transport.poller import Poller
 from ryelever.transport.relay_callers import RelayCallers
@@ -311,6 +312,24 @@
     assert not host.relay._received_by_number
 
 
+def test_fault_in_sending_an_attempt_ends_its_request(
+    host: EntryHost, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against requests that wait for an attempt which the client didn't begin.
+
+    The server is not to blame, and another one would be asked for nothing.
+    """
+    fault = RuntimeError("a fault")
+    monkeypatch.setattr(http_client, "open_socket", Mock(side_effect=fault))
+    request = _request(RouteKind.IDEMPOTENT, "POST")
+    outcome = host.exchange(request, SOUND_ANSWER, is_reset=False)
+    assert host.faults[0] is fault
+    assert (outcome.statuses, outcome.is_complete) == ([500], True)
+    assert not host.relay.requests.requests_by_number
+    in_flight = [item.in_flight for item in host.fakes.balancer.records_by_id.values()]
+    assert not any(in_flight)
+
+
 #: Headers and body of answers that are sound, apart from the body's framing.
 SOUND = (
     ((b"Content-Length: 6",), b"answer"),
--- a/tests/test_serving_faults.py
+++ b/tests/test_serving_faults.py
@@ -174,8 +174,14 @@
         )
         self.serving._on_outbound_answer(answer)
 
-    def fail(self, attempt_id: str, *, was_sent: bool) -> None:
-        error = RyeleverError("failed", category=Category.BROKEN, step="generate")
+    def fail(
+        self,
+        attempt_id: str,
+        *,
+        was_sent: bool,
+        category: Category = Category.BROKEN,
+    ) -> None:
+        error = RyeleverError("failed", category=category, step="generate")
         self.serving._on_outbound_failed(
             OutboundFailure(
                 id=attempt_id, address="a:1", error=error, bytes_sent=was_sent
@@ -332,3 +338,12 @@
     assert claim.outcome.run_state == RunState.OUTCOME_UNKNOWN.value
     assert host.ends == {"k1": "500"}
     host.assert_nothing_is_left()
+
+
+def test_fault_in_sending_an_attempt_ends_its_request(host: Host) -> None:
+    """Guard against groups that count as broken since this host could not ask them."""
+    host.arrive(chat("s1", 0.0))
+    host.fail(host.attempt("s1"), was_sent=True, category=Category.INTERNAL)
+    assert host.ends == {"s1": "500"}
+    assert host.faults == [("failed", "s1")]
+    host.assert_nothing_is_left()
