--- a/review/standins.py
+++ b/review/standins.py
@@ -37,6 +37,9 @@
 #: Seconds for which a leaving server remains for the work of its group.
 MAX_STAY = 10.0
 
+#: Ports that a host opens on its address.
+HOST_PORTS = (8227, 8220, 7340, 9100)
+
 KEY = "n2ctnfzs989anu6wsjnb"
 HOST = "calls.example"
 
@@ -1047,7 +1050,7 @@
     for _ in range(200):
         numbers = [random.randrange(1, 250) for _ in range(3)]
         ip = "127." + ".".join(map(str, numbers))
-        if ip not in found and all(_is_free(ip, port) for port in (8227, 8220, 7340)):
+        if ip not in found and all(_is_free(ip, port) for port in HOST_PORTS):
             found.append(ip)
         if len(found) == count:
             return found
