Log the requests that the end of a stopping host cuts off

The lines of a stopping host tell that requests were in flight at its end, not whether they came too late, were held for too long before they were sent, or began in time and were slow. Each of these wants another remedy. `cut_off` gives the seconds from the signal to the request's arrival, to its first sending and to its time limit, and how far its answer had come.

--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -46,6 +46,7 @@
 FIELDS_BY_NAME: dict[str, str] = {
     "after": "seconds since the cause of the line: the signal or the newest evidence",
     "appends": "records that were being appended",
+    "arrived_after": "seconds from the signal to the arrival of the request",
     "as_of": "offset up to which a snapshot includes all records",
     "at": "offset at which the log was expected to end",
     "attempt": "id of one attempt to send a request to a backend server",
@@ -77,6 +78,7 @@
     "late": "cause of a request's delay beyond its objectives; empty for none",
     "last_event": "id of the last event that the caller received",
     "left": "seconds until the request times out",
+    "limit_after": "seconds from the signal to the time limit of the request",
     "may_be_in_log": "whether the log may have carried out the append nevertheless",
     "may_have_run": "whether a backend server may have run the request",
     "members": "ids of a group's members, the head first",
@@ -87,6 +89,7 @@
     "n_ahead": "waiting requests of all hosts that go before the request",
     "n_by_state": "number of servers by state in their group; empty for none",
     "n_crashes": "crashes of backend servers that the request was in, over all hosts",
+    "n_events": "events of the answer that were forwarded",
     "n_groups": "groups that serve or are being formed, by model",
     "n_by_reason": (
         "number of servers, by the phase of their group or by the models that they "
@@ -125,6 +128,7 @@
     "run_state": "whether the request was run",
     "seconds": "seconds by which a clock differs",
     "service": "name of a service",
+    "sent_after": "seconds from the signal to the first attempt to send the request",
     "server": "id of a backend server; empty for none",
     "state": "state of a group's member, or of the process",
     "status": "HTTP status; 0 for a stream cut off midway, or for no answer",
@@ -203,6 +207,15 @@
 }
 
 _REQUESTS = {
+    "cut_off": _info(
+        "a request ended unanswered because the process ends",
+        "request",
+        "arrived_after",
+        "sent_after",
+        "limit_after",
+        "n_sent",
+        "n_events",
+    ),
     "answered": _info(
         "a request ended",
         "request",
--- a/ryelever/relay_shutdown.py
+++ b/ryelever/relay_shutdown.py
@@ -101,6 +101,7 @@
         is_idle = not self._n_in_flight and not self._callers.n_busy
         out_of_time = elapsed > self._settings.grace - self._settings.last_bytes
         if out_of_time or (is_idle and not self._callers.is_listening):
+            self._log_cut_off()
             log_event("stopped", in_flight=self._n_in_flight, after=round(elapsed, 2))
             self._requests.end_all(now=time.monotonic())
             self._stop()
@@ -108,6 +109,26 @@
             # The requests on the last connections are read before the next tick.
             self._callers.stop_listening()
 
+    def _log_cut_off(self) -> None:
+        """Log the requests that the end of the process cuts off."""
+        for request in self._requests.requests_by_number.values():
+            sent_after = {}
+            if request.n_sent:
+                sent_after = {"sent_after": self._after(request.first_sent_at)}
+            log_event(
+                "cut_off",
+                request=request.arrival.request_id,
+                arrived_after=self._after(request.arrival.arrived_at),
+                limit_after=self._after(request.times_out_at),
+                n_sent=request.n_sent,
+                n_events=request.n_events,
+                **sent_after,
+            )
+
+    def _after(self, at: float) -> float:
+        """Return the seconds from the signal to a monotonic time."""
+        return round(at - self._stopping_since, 3)
+
     @property
     def _n_in_flight(self) -> int:
         return len(self._requests.requests_by_number) + self._n_forwarded()
