Accept requests of a stopping host only if their time limits end in time

Cause: the host took a request while at least 3 s were left, within which all but one in a hundred streams end. The hundredth was cut off.

Change: once the balancer has turned away, a request is accepted only if its own time limit ends before the process does. Nothing else bounds an answer's length. Requests that have not run are neither sent again nor left waiting with less than 3 s left, of uncontended services too; requests of other hosts are refused from the same time on.

--- a/ryelever/coordination/relaying/contended_requests.py
+++ b/ryelever/coordination/relaying/contended_requests.py
@@ -157,20 +157,6 @@
                 ) and self._contention.is_untried_left(request):
                     n_ahead_by_work[work] = n_ahead + 1
 
-    def may_refuse(self, request: RelayRequest) -> bool:
-        """Return whether a request waits that has not run at any server.
-
-        A stopping host refuses it, since it may wait until the process ends. Requests
-        of other services wait for less time than that.
-        """
-        return (
-            request.contended
-            and self._waiting.includes(request)
-            and request.phase is RequestPhase.WAITING
-            and not request.may_have_run
-            and not request.held_by_attempt
-        )
-
     def time_out(self, request: RelayRequest, *, now: float) -> None:
         """Refuse a request that has waited as long as it may."""
         estimate = self._contention.estimate(request, n_ahead=0, now=now)
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -15,6 +15,7 @@
 from .contention import Contention
 from .demand import ExponentialAverage
 from .fault_isolation import FaultIsolation
+from .grace_period import GracePeriod
 from .moves import Moves
 from .open_attempts import OpenAttempts
 from .overtaken import OvertakenWatch
@@ -85,8 +86,8 @@
     ----------
     faults : FaultIsolation
         Ends the request whose handling raises an exception.
-    refuses_new : bool
-        True once the process is too close to its end to complete new requests.
+    grace_period : GracePeriod
+        Grace period of the process's shutdown.
     """
 
     def __init__(
@@ -183,7 +184,7 @@
             dispatch=self._dispatch,
         )
         self._arrivals = ExponentialAverage(averaging_time=ARRIVALS_TIME, now=since)
-        self.refuses_new = False
+        self.grace_period = GracePeriod()
 
     def arrival_rate(self, *, now: float) -> float:
         """Return how many requests a second arrive at this host."""
@@ -210,15 +211,14 @@
         now = arrival.arrived_at
         with self.faults.arrival(number, request_id=arrival.request_id, now=now):
             self._arrivals.add(1.0, now=now)
-            if self.refuses_new:
-                self._refuse_on_arrival(number, arrival, 503, "stopping")
-                return
             route_table = self._route_table()
-            if route_table is None:
+            if route_table is not None:
+                self._route(number, arrival, route_table, now=now)
+            elif self.grace_period.is_refusing(now=now):
+                self._refuse_on_arrival(number, arrival, 503, "stopping")
+            else:
                 self._unrouted.add(number, arrival)
                 self._route_unrouted(now=now)
-                return
-            self._route(number, arrival, route_table, now=now)
 
     def _route_unrouted(self, *, now: float) -> None:
         """Route or refuse the requests that waited for the first configuration."""
@@ -254,6 +254,9 @@
                 retry_after=quarantined.retry_after,
             )
             return
+        if not self.grace_period.accepts(request, now=now):
+            self._refuse_on_arrival(number, arrival, 503, "stopping")
+            return
         self.requests_by_number[number] = request
         self._budget.record_request(request.service, now=now)
         self._contention.arrived(request, route_table, now=now)
@@ -461,7 +464,9 @@
         waited = self._waiting.has_timed_out(request, now=now)
         if waited or now >= request.times_out_at:
             self._time_out(request, now=now)
-        elif self.refuses_new and self._contended.may_refuse(request):
+        elif self._waiting.includes(request) and self.grace_period.is_too_short(
+            request, now=now
+        ):
             self._end_without_answer(request, "stopping", now=now)
         else:
             self._moves.check_path(request, now=now)
@@ -589,6 +594,9 @@
         """Send a request, let it wait for a free slot, or refuse it."""
         if request.phase is RequestPhase.SENT:
             request.phase = RequestPhase.WAITING
+        if self.grace_period.is_too_short(request, now=now):
+            self._end_without_answer(request, "stopping", now=now)
+            return
         queue = self._contended if request.contended else self._uncontended
         queue.add(request, now=now)
         if request.phase is RequestPhase.STREAMING and self._waiting.includes(request):
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -260,7 +260,7 @@
             address_of=self._server_address,
             paths=self.paths,
             is_authorized=self._is_from_host,
-            is_stopping=lambda: self.relay.requests.refuses_new,
+            is_stopping=self._refuses_forwarded,
         )
         self.peer_requests = PeerRequests(
             callers=self.peer_callers,
@@ -313,6 +313,10 @@
     def _is_from_host(self, request: RelayedRequest) -> bool:
         return self.heartbeats.is_host_address(request.sender)
 
+    def _refuses_forwarded(self) -> bool:
+        grace_period = self.relay.requests.grace_period
+        return grace_period.is_refusing(now=time.monotonic())
+
     def _on_path_lost(self, server_id: str) -> None:
         self.relay.requests.path_lost(server_id, now=time.monotonic())
 
--- a/ryelever/relay_shutdown.py
+++ b/ryelever/relay_shutdown.py
@@ -20,10 +20,6 @@
 
 __all__ = ["RelayShutdown"]
 
-#: Seconds within which all but one in a hundred streams end.  A request that arrives
-#: with less of the grace period left may be cut off.
-MAX_STREAM_TIME = 3.0
-
 #: Seconds until the platform's balancer stops sending callers to this host after the
 #: host has become unready: the balancer probes each second and reacts to two failed
 #: probes, and callers take half a second to arrive.
@@ -35,10 +31,10 @@
 
     First the host becomes unready but still accepts requests; its answers announce
     that the connection closes.  When the balancer has stopped sending callers, idle
-    connections are closed, and new requests are refused if they couldn't be finished.
-    When no request is in flight, the host stops listening, and the process ends once
-    those that had arrived are answered, or when the grace period is over.  What is in
-    flight then is answered as unfinished.
+    connections are closed, and new requests are refused unless their time limits end
+    within the grace period.  When no request is in flight, the host stops listening,
+    and the process ends once those that had arrived are answered, or when the grace
+    period is over.  What is in flight then is answered as unfinished.
 
     Parameters
     ----------
@@ -66,6 +62,7 @@
         self._stop = stop
         self._reload = reload
         self._stopping_since: float | None = None
+        self._ends_at = float("inf")
         self._closed_idle = False
 
     @property
@@ -87,7 +84,11 @@
         if signal_number == signal.SIGHUP:
             self._reload()
         elif signal_number in (signal.SIGINT, signal.SIGTERM) and not self.stopping:
-            self._stopping_since = time.monotonic()
+            now = self._stopping_since = time.monotonic()
+            self._ends_at = now + self._settings.grace - self._settings.last_bytes
+            self._requests.grace_period.begin(
+                refuses_from=now + BALANCER_REACTION_TIME, ends_at=self._ends_at
+            )
             self._callers.draining = True
             log_event("stopping", in_flight=self._n_in_flight)
 
@@ -95,15 +96,16 @@
     def _on_tick(self) -> None:
         if self._stopping_since is None:
             return
-        elapsed = time.monotonic() - self._stopping_since
+        now = time.monotonic()
+        elapsed = now - self._stopping_since
         if elapsed > BALANCER_REACTION_TIME:
-            self._close_idle_and_refuse(elapsed)
+            self._close_idle()
         is_idle = not self._n_in_flight and not self._callers.n_busy
-        out_of_time = elapsed > self._settings.grace - self._settings.last_bytes
+        out_of_time = now > self._ends_at
         if out_of_time or (is_idle and not self._callers.is_listening):
             self._log_cut_off()
             log_event("stopped", in_flight=self._n_in_flight, after=round(elapsed, 2))
-            self._requests.end_all(now=time.monotonic())
+            self._requests.end_all(now=now)
             self._stop()
         elif elapsed > BALANCER_REACTION_TIME and is_idle:
             # The requests on the last connections are read before the next tick.
@@ -133,11 +135,8 @@
     def _n_in_flight(self) -> int:
         return len(self._requests.requests_by_number) + self._n_forwarded()
 
-    def _close_idle_and_refuse(self, elapsed: float) -> None:
-        """Close idle connections; refuse new requests that can't be finished."""
+    def _close_idle(self) -> None:
         n_closed = self._callers.close_idle()
         if not self._closed_idle:
             self._closed_idle = True
             log_event("idle_connections_closed", n=n_closed)
-        remaining = self._settings.grace - self._settings.last_bytes - elapsed
-        self._requests.refuses_new = remaining < MAX_STREAM_TIME
--- a/tests/test_coordination/test_relaying/test_contended_requests.py
+++ b/tests/test_coordination/test_relaying/test_contended_requests.py
@@ -90,7 +90,7 @@
     for number in (1, 2, 3):
         relaying.arrive(STREAM, number=number)
     assert [item.request_number for item in relaying.sent] == [1, 2]
-    relaying.requests.refuses_new = True
+    relaying.requests.grace_period.begin(refuses_from=0.1, ends_at=2.9)
     relaying.requests.tick(now=0.1)
     assert relaying.out == [("refuse", 3, 503, DEFAULT_RETRY_AFTER)]
     assert not relaying.requests.has_waiting
--- a/tests/test_system/test_relay.py
+++ b/tests/test_system/test_relay.py
@@ -21,6 +21,7 @@
     unused_loopback_address,
 )
 from ..standins.group_server import DEADLY_PART
+from ..standins.platform import configuration
 
 #: Requests that are sent to one host at once, each over a new connection.
 N_CROWD = 400
@@ -180,6 +181,39 @@
     assert "s2" not in zone.n_runs()
 
 
+def test_stopping_host_takes_late_requests_only_if_their_limits_end_in_time(
+    zone: RelayZone,
+) -> None:
+    """Guard against streams that a stopping host takes late and then cuts off.
+
+    A stream arrives while the host has time left for most streams but not for this one.
+    """
+    routes = [route | {"timeout_ms": 20_000} for route in configuration(2)["routes"]]
+    zone.control(configuration={"version": 3, "routes": routes})
+    host = zone.start_host("e1", grace=8)
+    head = zone.head_of(2)
+    zone.control(**{head.replace("-", "_"): {"event_ms": 300.0, "n_events": 20}})
+    with (
+        httpx.Client(base_url=f"http://{host.callers_address}") as caller,
+        ThreadPoolExecutor() as threads,
+    ):
+        running = threads.submit(host.chat, request_id="s1", Deadline_Ms="20000")
+        wait_until(lambda: "s1" in zone.n_runs(), what="the stream runs")
+        host.process.send(signal.SIGTERM)
+        host.process.wait_for_event("idle_connections_closed")
+        headers = HEADERS | {"Deadline-Ms": "20000", "Model": "large"}
+        late = caller.post(
+            "/chat/1", headers=headers | {"Request-Id": "s2"}, content=b"x"
+        )
+        assert late.status_code == 503
+        short = host.call("/look/1", request_id="i1", Deadline_Ms="1000")
+        assert short.status_code == 200
+        assert running.result().text.count("id: ") == 20
+    assert host.process.wait() == 0
+    assert host.process.events("cut_off") == []
+    assert "s2" not in zone.n_runs()
+
+
 @pytest.mark.parametrize(
     "switches",
     [
