Limit the time of orders, probes and checks as a whole

They ended only after some time without a byte. A faulty server that sends bytes without end, however slowly, kept each of them open until it closed: the outcome of an order was never known, and its connection was kept.

--- a/ryelever/attempts.py
+++ b/ryelever/attempts.py
@@ -191,6 +191,7 @@
             # not processed.
             new_connection=True,
             progress_timeout=self._settings.progress_timeout,
+            time_limit=2 * self._settings.progress_timeout,
         )
         routed = self._access.route(
             request, server_id=attempt.routed.server_id, now=time.monotonic()
--- a/ryelever/events.py
+++ b/ryelever/events.py
@@ -91,6 +91,8 @@
     first_byte_timeout : float
         Seconds to wait for the first byte of the answer's body, which takes longer;
         0 stands for ``progress_timeout``.
+    time_limit : float
+        Seconds after which the request fails even if bytes are still received.
     latest_start : float
         Monotonic time after which the request is not sent if no byte has left yet.
     resend_stale : bool
@@ -117,6 +119,7 @@
     connect_timeout: float = 1.0
     progress_timeout: float = 5.0
     first_byte_timeout: float = 0.0
+    time_limit: float = float("inf")
     latest_start: float = float("inf")
     resend_stale: bool = True
     verbatim: bool = False
--- a/ryelever/group_planning.py
+++ b/ryelever/group_planning.py
@@ -381,6 +381,7 @@
         )
         call = self._groups.order(order)
         is_probe = order.kind is OrderKind.PROBE
+        timeout = PROBE_TIMEOUT if is_probe else ORDER_TIMEOUT
         request = OutboundRequest(
             id=order_id,
             address=order.address,
@@ -393,7 +394,8 @@
             # A kept connection doesn't show that the server's machine still answers.
             new_connection=is_probe,
             connect_timeout=ORDER_CONNECT_TIMEOUT,
-            progress_timeout=PROBE_TIMEOUT if is_probe else ORDER_TIMEOUT,
+            progress_timeout=timeout,
+            time_limit=ORDER_CONNECT_TIMEOUT + timeout,
         )
         if forwarder is not None:
             self._forwarder_by_order[order_id] = forwarder.host
--- a/ryelever/path_checks.py
+++ b/ryelever/path_checks.py
@@ -94,6 +94,7 @@
             new_connection=True,
             connect_timeout=CHECK_TIMEOUT,
             progress_timeout=CHECK_TIMEOUT,
+            time_limit=2 * CHECK_TIMEOUT,
         )
         if forwarder is not None:
             self._forwarder_by_id[check_id] = forwarder.host
--- a/ryelever/planning.py
+++ b/ryelever/planning.py
@@ -148,6 +148,7 @@
             body=call.body,
             step="order",
             progress_timeout=self._settings.progress_timeout,
+            time_limit=2 * self._settings.progress_timeout,
             access=self.access,
         )
 
--- a/ryelever/request_sender.py
+++ b/ryelever/request_sender.py
@@ -59,6 +59,7 @@
         path: str,
         step: str,
         progress_timeout: float,
+        time_limit: float = float("inf"),
         method: str = "GET",
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
@@ -82,6 +83,7 @@
             reply_channel=self.channel,
             step=step,
             progress_timeout=progress_timeout,
+            time_limit=time_limit,
         )
         self._pending_by_id[request.id] = pending
         if access is not None:
--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -396,7 +396,9 @@
             # caller's own connection has a timeout for that.
             return
         limit = connection.current_timeout()
-        if silent_for <= limit:
+        if now - connection.started_at > request.time_limit:
+            limit = request.time_limit
+        elif silent_for <= limit:
             return
         # A network device between the two ends may have dropped the state of this
         # connection while new connections work.  Idle connections to the same peer
