Bound the answers that are received at once

Each answer that isn't streamed is kept until it is complete, 8 MiB at most, but many requests may be at servers that send bodies without end: 26 of them would take 208 MB of a host's 300. Beyond 64 MiB in all an answer that grows is broken off, if it is itself large. The new test kept 72 MiB before.

--- a/ryelever/coordination/relaying/request.py
+++ b/ryelever/coordination/relaying/request.py
@@ -185,6 +185,12 @@
         """Return whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def n_answer_bytes(self) -> int:
+        """Return the length of the answers that are kept until they are complete."""
+        held = self.held_by_attempt.values()
+        return len(self.body) + sum(len(attempt.body) for attempt in held)
+
     @property
     def work(self) -> tuple[str, str]:
         """Return the service and the model."""
--- a/ryelever/coordination/relaying/requests.py
+++ b/ryelever/coordination/relaying/requests.py
@@ -54,6 +54,13 @@
 #: Maximum length of an answer that is not streamed, in bytes.
 MAX_ANSWER = 8 << 20
 
+#: Maximum length of all such answers that are being received, in bytes.  Servers may
+#: send bytes without end, and many requests may be at such servers.
+MAX_ANSWERS = 64 << 20
+
+#: Length of an answer from which the others are counted, in bytes.
+LARGE_ANSWER = 256 << 10
+
 #: Seconds over which the rate of arriving requests is averaged.
 ARRIVALS_TIME = 2.0
 
@@ -336,9 +343,18 @@
         if body is None:
             return
         body += data
-        if len(body) > MAX_ANSWER:
+        if len(body) > MAX_ANSWER or (
+            len(body) > LARGE_ANSWER and self._n_answer_bytes > MAX_ANSWERS
+        ):
             self.answer_broken(attempt_id, "answer_too_long", now=now)
 
+    @property
+    def _n_answer_bytes(self) -> int:
+        """Return the length of all answers that are not streamed and not complete."""
+        return sum(
+            request.n_answer_bytes for request in self.requests_by_number.values()
+        )
+
     def answer_events(
         self, attempt_id: str, events: list[tuple[str, bytes]], *, now: float
     ) -> None:
--- a/tests/test_coordination/test_relaying/test_relay_requests.py
+++ b/tests/test_coordination/test_relaying/test_relay_requests.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from ryelever.coordination.relaying import NamedLimit, RelayAttempt, RequestedPause
+from ryelever.coordination.relaying.requests import MAX_ANSWER, MAX_ANSWERS
 from ryelever.coordination.relaying.stall_watch import STREAM_SILENCE
 from ryelever.coordination.relaying.unrouted import FIRST_CONFIGURATION_WAIT
 from ryelever.coordination.relaying.waiting import MAX_WAIT
@@ -168,6 +169,19 @@
     assert relaying.out == []
 
 
+def test_answers_that_are_received_at_once_are_bounded(relaying: Relaying) -> None:
+    """Guard against memory used up by servers that send bodies without end."""
+    n_large = MAX_ANSWERS // MAX_ANSWER
+    for number in range(n_large + 1):
+        relaying.arrive(ONCE, number=number)
+        sent = relaying.sent[-1]
+        relaying.requests.answer_head(sent.id, head(f"r{number}"), now=0.1)
+        relaying.requests.answer_body(sent.id, bytes(MAX_ANSWER), now=0.1)
+    assert [item[:3] for item in relaying.out] == [("refuse", n_large, 502)]
+    relaying.requests.answer_end(relaying.sent[0].id, cut=False, now=0.2)
+    assert relaying.out[-1][:3] == ("answer", 0, 200)
+
+
 def test_request_that_was_not_run_is_retried(relaying: Relaying) -> None:
     relaying.arrive(ONCE)
     for attempt in (0, 1):
