Give up answers whose framing has no end

A stand-in sends them in nine forms; before, two did harm. Heads of informational answers without end (100 Continue): each request ended with 504 at its deadline, and the connections of checks and orders stayed open. Chunks of a byte: each was an event of its own in the loop, and callers got nothing for 10 s.

Now an answer is broken when its bytes besides the body outnumber it by 64 KiB, and the chunks of one read are handled together. Heads, trailers and chunk headers that don't end were bounded by h11 already, bodies and events by limits of their own.

--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -268,11 +268,15 @@
             return
         self.n_bytes_received_by_step[connection.request.step] += len(data)
         connection.progress_at = time.monotonic()
+        connection.n_received += len(data)
         try:
             connection.http.receive_data(data)
             self._process_events(connection)
         except h11.RemoteProtocolError as error:
             self._fail(connection, f"answer is broken: {error}")
+            return
+        if connection.request is not None and connection.has_excessive_framing():
+            self._fail(connection, "answer has more framing than body")
 
     @handler("_disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
@@ -283,23 +287,42 @@
             self._fail(connection, f"{problem}: {errno.errorcode.get(code, 'closed')}")
 
     def _process_events(self, connection: Connection) -> None:
-        while connection.request is not None:
-            event = connection.http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(
-                event, h11.Response | h11.EndOfMessage
-            ) and self._fail_forwarded(connection, event):
-                return
-            if isinstance(event, h11.Response):
-                self._handle_head(connection, event)
-            elif isinstance(event, h11.Data):
-                if not self._handle_data(connection, bytes(event.data)):
+        # One event for all chunks of a read: each fired event costs more than to join
+        # small chunks.
+        pieces: list[bytes] = []
+        try:
+            while connection.request is not None:
+                event = connection.http.next_event()
+                if isinstance(event, h11.Data):
+                    pieces.append(bytes(event.data))
+                    continue
+                if not self._flush_data(connection, pieces):
+                    return
+                if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
-            elif isinstance(event, h11.EndOfMessage):
-                self._handle_end(connection)
-            elif isinstance(event, h11.ConnectionClosed):
-                self._fail(connection, "connection was closed before an answer")
+                self._process_event(connection, event)
+        except h11.RemoteProtocolError:
+            self._flush_data(connection, pieces)
+            raise
+
+    def _flush_data(self, connection: Connection, pieces: list[bytes]) -> bool:
+        """Handle the collected parts of a body; return whether the request goes on."""
+        if not pieces:
+            return True
+        data = b"".join(pieces)
+        pieces.clear()
+        return self._handle_data(connection, data)
+
+    def _process_event(self, connection: Connection, event: h11.Event) -> None:
+        is_head_or_end = isinstance(event, h11.Response | h11.EndOfMessage)
+        if is_head_or_end and self._fail_forwarded(connection, event):
+            return
+        if isinstance(event, h11.Response):
+            self._handle_head(connection, event)
+        elif isinstance(event, h11.EndOfMessage):
+            self._handle_end(connection)
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail(connection, "connection was closed before an answer")
 
     def _fail_forwarded(
         self, connection: Connection, event: h11.Response | h11.EndOfMessage
@@ -350,7 +373,7 @@
 
     def _handle_data(self, connection: Connection, data: bytes) -> bool:
         request = connection.request
-        connection.body_started = True
+        connection.n_body += len(data)
         if request.streamed:
             message = AttemptData(id=request.id, data=data)
             self.fire(outbound_data(message), request.reply_channel)
--- a/ryelever/transport/http_connection.py
+++ b/ryelever/transport/http_connection.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "IDLE_TIMEOUT",
+    "MAX_FRAMING",
     "Connection",
     "open_socket",
     "request_bytes",
@@ -40,6 +41,10 @@
 #: request that is sent while the peer closes the connection is lost.
 IDLE_MARGIN = 0.5
 
+#: Maximum bytes of an answer besides its body, as far as they outnumber the body's:
+#: heads, chunk headers and trailers.  A faulty peer may send such bytes without end.
+MAX_FRAMING = 64 * 1024
+
 #: Value of ``SO_LINGER``: enabled, with a timeout of 0 s, which resets at close.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -68,8 +73,9 @@
         True while the answer is not read, because its recipient does not keep up.
     reused : bool
         True when the connection has carried a request before.
-    body_started : bool
-        True once a byte of the answer's body has been received.
+    n_received, n_body : int
+        Bytes received since the request was assigned, and those of them that are of
+        the answer's body.
     idle_timeout : float
         Seconds after which an idle connection is not used any more.
     """
@@ -84,7 +90,8 @@
     progress_at: float = 0.0
     paused: bool = False
     reused: bool = False
-    body_started: bool = False
+    n_received: int = 0
+    n_body: int = 0
     idle_timeout: float = IDLE_TIMEOUT
     send_buffer: bytearray = msgspec.field(default_factory=bytearray)
     status: int = 0
@@ -98,7 +105,8 @@
         self.request = request
         self.started_at = self.progress_at = now
         self.bytes_sent = False
-        self.body_started = False
+        self.n_received = 0
+        self.n_body = 0
         self.status = 0
         self.headers = {}
         self.body.clear()
@@ -117,10 +125,14 @@
         request = self.request
         if self.connecting:
             return request.connect_timeout
-        if not self.body_started and request.first_byte_timeout:
+        if not self.n_body and request.first_byte_timeout:
             return request.first_byte_timeout
         return request.progress_timeout
 
+    def has_excessive_framing(self) -> bool:
+        """Return whether the bytes besides the body outnumber it beyond all use."""
+        return self.n_received - self.n_body > MAX_FRAMING + self.n_body
+
     def is_reusable(self) -> bool:
         """Return whether the connection can carry another request.
 
--- a/tests/standins/group_server.py
+++ b/tests/standins/group_server.py
@@ -16,6 +16,8 @@
 
 from aiohttp import web
 
+from .endless import send_without_end
+
 __all__ = ["DEADLY_PART", "POISON_BODY", "GroupServer", "ServerSwitches"]
 
 #: Body of a request that crashes each server which begins to run it.
@@ -56,6 +58,9 @@
         Send answers with neither a length nor chunks, which end with their connection:
         ``"closed"`` (complete), ``"cut"`` (closed inside the body or an event) or
         ``"reset"`` (reset there); empty for none.
+    endless : str
+        Form of ``ENDLESS_FORMS`` in which every request is answered, those for the
+        server's state and orders too; empty for none.
     orders : str
         ``"taken"`` (orders are applied and answered), ``"unanswered"`` (applied without
         an answer) or ``"lost"`` (neither applied nor answered).
@@ -79,6 +84,7 @@
     wrong_id: bool = False
     cut_after: int = 0
     unframed: str = ""
+    endless: str = ""
     orders: str = "taken"
     limit: str = ""
     pause: str = ""
@@ -121,6 +127,8 @@
         Monotonic times between which the server was suspended.
     started_at : int
         Start time that the server states; 0 for none, before its first restart.
+    n_endless, n_open_endless : int
+        Answers without end so far, and those that are still being sent.
     slots : int
         Requests that the server states to process at once; it doesn't enforce them.
     """
@@ -153,6 +161,8 @@
     crashes: list[tuple[float, str]] = field(default_factory=list)
     memberships: list[tuple[float, tuple[str, ...]]] = field(default_factory=list)
     suspensions: list[tuple[float, float]] = field(default_factory=list)
+    n_endless: int = 0
+    n_open_endless: int = 0
     running: set[asyncio.Transport] = field(default_factory=set)
     started_at: int = 0
     slots: int = 13
@@ -186,10 +196,25 @@
             await self._resumed()
             if len(self.starts) > n_starts:
                 return self._lose(request)
+        if self.switches.endless:
+            return await self._answer_without_end(request)
         response = await handler(request)
         await self._resumed()
         return response
 
+    async def _answer_without_end(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get("Request-Id", "")
+        self.arrivals.append((request[RECEIVED_AT], request_id))
+        self.n_endless += 1
+        self.n_open_endless += 1
+        try:
+            await send_without_end(
+                request.transport, form=self.switches.endless, request_id=request_id
+            )
+        finally:
+            self.n_open_endless -= 1
+        return web.Response(status=500)
+
     def _lose(self, request: web.Request) -> web.StreamResponse:
         """Lose a request that was held by a process that has ended since."""
         if request_id := request.headers.get("Request-Id"):
@@ -486,6 +511,8 @@
             "crashes": self.crashes,
             "memberships": self.memberships,
             "suspensions": self.suspensions,
+            "n_endless": self.n_endless,
+            "n_open_endless": self.n_open_endless,
             "started_at": self.started_at,
         }
 
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -20,6 +20,8 @@
 from ryelever.transport.http_connection import IDLE_TIMEOUT, open_socket
 from ryelever.transport.poller import Poller
 
+from ..standins.endless import ENDLESS_FORMS
+
 #: Seconds without progress after which a request fails: for tests that wait for the
 #: failure, and for all others, in which a peer on a busy machine may take its time.
 SHORT_TIMEOUT = 0.2
@@ -43,7 +45,7 @@
 
     A script is a list with one entry for each request: bytes to send, ``NO_ANSWER``, or
     ``CLOSE`` or ``RESET`` for the end of the connection.  ``(bytes, end)`` sends bytes
-    and ends the connection.
+    and ends the connection; an iterator sends bytes until the client has closed it.
     """
 
     def __init__(self) -> None:
@@ -67,8 +69,9 @@
             ).start()
 
     def _serve(self, sock: socket.socket, script: list[bytes | str]) -> None:
-        # A client that cancels its request resets the connection.
-        with contextlib.suppress(ConnectionError):
+        # A client that cancels its request resets the connection; the end of a test
+        # closes the socket.
+        with contextlib.suppress(OSError):
             self._answer(sock, script)
 
     def _end(self, sock: socket.socket, how: str) -> None:
@@ -90,6 +93,10 @@
                 sock.sendall(reply[0])
                 self._end(sock, reply[1])
                 return
+            if isinstance(reply, Iterator):
+                for piece in reply:
+                    sock.sendall(piece)
+                return
             if reply == CLOSE:
                 self._end(sock, CLOSE)
                 return
@@ -224,6 +231,28 @@
     assert not harness.client.describe()
 
 
+@pytest.mark.parametrize("form", ENDLESS_FORMS)
+def test_answer_without_end_is_given_up(
+    server: ScriptedServer, harness: ClientHarness, form: str
+) -> None:
+    """Guard against bytes that are read for as long as a faulty server sends them."""
+    first, repeated = ENDLESS_FORMS[form]
+    server.scripts = [[itertools.chain([first], itertools.repeat(repeated))]]
+    assert harness.fetch(server.address) == "broken sent"
+    assert harness.client.describe() == []
+
+
+def test_answer_that_arrives_slowly_without_end_is_given_up(
+    server: ScriptedServer, harness: ClientHarness
+) -> None:
+    """Guard against orders that stay open while a faulty server sends some bytes."""
+    paused = threading.Event()
+    head = itertools.repeat(b"HTTP/1.1 100 Continue\r\n\r\n")
+    server.scripts = [[(piece for piece in head if not paused.wait(0.01))]]
+    result = harness.fetch(server.address, progress_timeout=0.2, time_limit=0.5)
+    assert result == "timeout sent"
+
+
 def test_answer_without_a_length_ends_with_its_connection(
     server: ScriptedServer, harness: ClientHarness
 ) -> None:
