Don't plan after a start until servers have renewed records of a restored store

Members of serving groups are ordered to join others, and their groups break.

Cause: a host that lives through the return sees the era rise and ignores what the copy says of servers that it knows. One that starts sees no rise: its first answer is of the new era, and it took the copy for the present after 0.7 s, before the servers had written again.

Change: if a store's era may follow a return (above 1, or any at a start that isn't the first of the system), a host that starts doesn't plan, nor says that it could, until each server that it listed has renewed its record, for 3 s at most. Another host that knows better plans on. Stores that send no era are read as before.

--- a/ryelever/fleet_directory.py
+++ b/ryelever/fleet_directory.py
@@ -11,6 +11,7 @@
 from .coordination.change_history import ChangeHistory
 from .coordination.evacuations import OperatorPosition
 from .coordination.removals import Removals
+from .coordination.renewals import MAX_RENEWAL_WAIT, Renewals
 from .coordination.reported_records import ReportedRecords
 from .coordination.server_reading import ServerReading
 from .coordination.superseded_records import SupersededRecords
@@ -52,10 +53,6 @@
 #: is newer than a report, which is some tenths of a second old.
 LIST_STALE_AFTER = 1.0
 
-#: Seconds after the store's return from an older copy within which all servers that
-#: reach the store have renewed their records.
-RENEWAL_TIME_AFTER_RETURN = 3.0
-
 #: Minimum seconds between two reads of the entry hosts' records.  When all hosts start
 #: together they write their records within half a second, and one read for each
 #: record would make the number of reads grow with the square of the hosts.
@@ -153,6 +150,7 @@
         self._acknowledged_at: float | None = None
         # Servers whose records in the store's older copy are older than this host's.
         self._newer_than_copy: set[str] = set()
+        self._renewals = Renewals()
 
     @handler("started", channel="*")
     def _on_started(self, *args: object) -> None:
@@ -343,6 +341,7 @@
         now = time.monotonic()
         self.servers.take_over(end=fetched.end, era=fetched.era, now=now)
         log_event("servers_given", peer=peer, n=len(fetched.records))
+        self._await_renewals(fetched.records, now=now)
         if fetched.reported:
             self._apply_reported(fetched.records, now=now)
         else:
@@ -371,6 +370,7 @@
         now = time.monotonic()
         self._record_reads()
         if updates.complete:
+            self._await_renewals(updates.records, now=now)
             changed = self._apply_store_records(
                 self._trusted_records(updates.records, now=now), now=now
             )
@@ -402,9 +402,19 @@
         for server_id in self._removals.due(now=now):
             self._remove(server_id, now=now)
 
+    def _await_renewals(self, records: list[KeyedRecord], *, now: float) -> None:
+        """Await renewals of the first known records if the store may have returned."""
+        era = self._store.era
+        if era > 1 or (era and not self._settings.first_start):
+            self._renewals.begin((record.key for record in records), now=now)
+
+    def may_be_outdated(self, *, now: float) -> bool:
+        """Return whether the known records may be from an older copy of the store."""
+        return self._renewals.are_awaited(now=now)
+
     def _has_returned(self, *, now: float) -> bool:
         """Return whether the store recently returned from an older copy."""
-        return now - self._store.returned_at < RENEWAL_TIME_AFTER_RETURN
+        return now - self._store.returned_at < MAX_RENEWAL_WAIT
 
     def _trusted_records(
         self, records: list[KeyedRecord], *, now: float
@@ -555,7 +565,9 @@
         Records that a listing has superseded are forwarded too, as they may be new to
         other hosts.
         """
-        self._newer_than_copy.difference_update(record.key for record in records)
+        renewed = {record.key for record in records}
+        self._newer_than_copy -= renewed
+        self._renewals.renewed(renewed)
         overtaken = {
             record.offset for record in records if self._superseded.supersedes(record)
         }
--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -68,6 +68,12 @@
     return value
 
 
+def _truth(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(text)
+    return text == "true"
+
+
 def _ports(text: str) -> tuple[int, int]:
     first, last = (int(port) for port in text.split(","))
     if not 0 <= first <= last < 65536:
@@ -140,6 +146,12 @@
         expected="hexadecimal ids of parts of prompts, joined by commas",
         default="",
     ),
+    "first_start": _Field(
+        key="first_start",
+        read=_truth,
+        expected="true or false",
+        default="true",
+    ),
     "repeat_slack": _Field(
         key="bounds.budget_slack", read=_non_negative, expected=_NUMBER, default="100"
     ),
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -377,7 +377,11 @@
         )
 
     def _reads_store(self) -> bool:
-        return self.fleet.servers.is_current and self.store.is_reachable
+        return (
+            self.fleet.servers.is_current
+            and self.store.is_reachable
+            and not self.fleet.may_be_outdated(now=time.monotonic())
+        )
 
     def _new_planner(self, zone: str) -> ZonePlanner:
         return ZonePlanner(
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -49,6 +49,8 @@
     released_parts : tuple of str
         Parts of prompts that are never held to crash backend servers; the only setting
         that takes effect when the settings are read again.
+    first_start : bool
+        Whether the whole system starts for the first time, so that there are no groups.
     metrics_port : int
         Separate port on which metrics are served; 0 for none.
     """
@@ -72,6 +74,7 @@
     link_rate: float = 1_250_000.0
     contention: ContentionMode = ContentionMode.AUTO
     released_parts: tuple[str, ...] = ()
+    first_start: bool = True
     metrics_port: int = 0
 
     @property
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -21,6 +21,7 @@
     UNLISTED_TIMEOUT,
 )
 from ryelever.coordination.removals import MIN_OUTAGE, RECORDS_RETURN_TIME
+from ryelever.coordination.renewals import MAX_RENEWAL_WAIT
 from ryelever.coordination.reported_records import REPORTED_PRECEDENCE
 from ryelever.coordination.server_reading import MAX_UPDATE_SILENCE
 from ryelever.coordination.topic import TopicUpdates
@@ -30,7 +31,6 @@
     MAX_FETCHED_CONFIGURATION,
     MAX_LOGGED_CHANGES,
     MIN_SERVERS_READ_INTERVAL,
-    RENEWAL_TIME_AFTER_RETURN,
     FleetDirectory,
 )
 from ryelever.host_fetch import CHANGES_RETRY, FALLBACK_DELAY
@@ -93,8 +93,8 @@
 class Host:
     """One host's directory, its forwarded updates and its requests."""
 
-    def __init__(self, name: str) -> None:
-        settings = settings_of(name)
+    def __init__(self, name: str, *, first_start: bool = True) -> None:
+        settings = replace(settings_of(name), first_start=first_start)
         self.directory = Directory()
         self.fleet = FleetDirectory(
             settings=settings,
@@ -887,6 +887,33 @@
     assert host.directory.by_id.keys() == {"i1"}
 
 
+@pytest.mark.parametrize(
+    ("era", "first_start", "is_awaited"),
+    [(0, False, False), (1, True, False), (1, False, True), (2, True, True)],
+)
+def test_host_that_starts_awaits_renewals_if_the_store_may_have_returned(
+    clock: Clock, era: int, first_start: bool, is_awaited: bool
+) -> None:
+    """Guard against planners that take the records of an older copy for the present."""
+    host = Host("a", first_start=first_start)
+    host.fleet._store.record_era(era, peer="store", now=clock())
+    host.apply_listing(_server_record("i1", 0), _server_record("i2", 1), end=2)
+    assert host.fleet.may_be_outdated(now=clock()) is is_awaited
+    host.apply_read(_server_record("i1", 2), end=3)
+    assert host.fleet.may_be_outdated(now=clock()) is is_awaited
+    host.apply_read(_server_record("i2", 3), end=4)
+    assert not host.fleet.may_be_outdated(now=clock())
+
+
+def test_host_that_starts_awaits_no_server_for_ever(clock: Clock) -> None:
+    """Guard against zones without a planner while a server can't reach the store."""
+    host = Host("a")
+    host.fleet._store.record_era(2, peer="store", now=clock())
+    host.apply_listing(_server_record("i1", 0), end=1)
+    assert host.fleet.may_be_outdated(now=clock())
+    assert not host.fleet.may_be_outdated(now=clock() + MAX_RENEWAL_WAIT)
+
+
 def test_renewed_records_are_forwarded_unchanged_after_a_return(
     clock: Clock,
 ) -> None:
@@ -897,7 +924,7 @@
     updates = host.apply_read(_server_record("i1", 0), end=1)
     assert [record.key for record in updates.records] == ["i1"]
     assert updates.era == 2
-    clock.now += RENEWAL_TIME_AFTER_RETURN + 0.1
+    clock.now += MAX_RENEWAL_WAIT + 0.1
     assert host.apply_read(_server_record("i1", 1), end=2).records == []
 
 
--- a/tests/test_system/test_store_returns.py
+++ b/tests/test_system/test_store_returns.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import time
 from collections import defaultdict
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from ryelever.coordination.renewals import MAX_RENEWAL_WAIT
+
 from ..processes import wait_until
 from ..relay_zone import RelayZone, running_relay_zone
 
@@ -46,11 +49,16 @@
 
 def _restore_store_from_copy(zone: RelayZone) -> None:
     """Restore the store from its copy and wait until the host has read the copy."""
+    zone.control(drill="come-back")
+    _wait_until_servers_are_read(zone)
+
+
+def _wait_until_servers_are_read(zone: RelayZone) -> None:
+    """Wait until the host has read the servers' records for over a second."""
 
     def n_reads() -> int:
         return zone.platform_state()["store"]["n_calls_by_topic"]["keyed.servers"]
 
-    zone.control(drill="come-back")
     n_before = n_reads()
     wait_until(lambda: n_reads() > n_before + 4, what="the host reads the copy")
 
@@ -102,3 +110,25 @@
     for number in range(20):
         host.call("/look/1", request_id=f"i{number}")
     assert not zone.servers()["plain-0"]["n_runs"]
+
+
+def test_host_that_starts_with_an_older_copy_waits_for_the_servers(
+    zone: RelayZone,
+) -> None:
+    """Guard against members of serving groups that a new planner takes for free.
+
+    The host that plans is killed and starts again while the store is restored from a
+    copy that was made before the groups were formed.
+    """
+    zone.control(drill="copy")
+    host = zone.start_host("e1")
+    wait_until(lambda: len(_serving_heads(zone)) > 3, what="groups serve")
+    host.process.kill()
+    zone.control(drill="come-back")
+    host = zone.start_host("e1")
+    _wait_until_servers_are_read(zone)
+    renewed_at = time.time()
+    zone.control(drill="write-again")
+    began_at = host.process.wait_for_event("planner_began")["time"]
+    returned_at = host.process.wait_for_event("store_era")["time"]
+    assert began_at >= min(renewed_at, returned_at + MAX_RENEWAL_WAIT)
