--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 
 from ..partition import Partition, PartitionMode
 from ..relay_zone import RelayZone
+from ..standins.endless import ENDLESS_FORMS
 from ..standins.platform import configuration
 from .proxy import LoopbackProxy, ProxyMode
 
@@ -184,6 +185,7 @@
             self._revoke_key,
             self._signal_reload,
             self._publish_series,
+            self._answer_without_end,
         ]
         suspensions = [self._suspend_server, self._suspend_domain, self._suspend_all]
         wait = threading.Event()
@@ -322,6 +324,20 @@
             server, f"{name} {value}", on=switches, off={name: usual}, seconds=duration
         )
 
+    def _answer_without_end(self, generator: random.Random, duration: float) -> None:
+        """Let a server answer with bytes that end only when the host closes."""
+        server = self._free_server(generator)
+        if server is None:
+            return
+        form = generator.choice(sorted(ENDLESS_FORMS))
+        self._switch_server(
+            server,
+            f"endless {form}",
+            on={"endless": form},
+            off={"endless": ""},
+            seconds=duration,
+        )
+
     def _limit_server(self, generator: random.Random, duration: float) -> None:
         server = self._free_server(generator)
         if server is None:
