Give up streams of comments without end

A server that sends comment lines without end in a signed stream kept its requests until their route's timeout, and each line was taken for an event: streams that a sound group could have served were broken off. 64 KiB of comments between two events now end the answer as broken, at both interfaces, and what may be resumed goes on elsewhere.

test_streams_and_groups_go_on_beside_a_server_that_never_ends_its_answer[comments] failed before (a stream was cut off at its time limit) and passes; so do the others.

--- a/ryelever/protocol/sse.py
+++ b/ryelever/protocol/sse.py
@@ -13,8 +13,13 @@
 MAX_EVENT = 1 << 20
 
 
+#: Maximum bytes of comments between two events.  Servers send a few to keep a
+#: connection open; a faulty one may send them without end.
+MAX_COMMENTS = 64 * 1024
+
+
 class SseTooLongError(ValueError):
-    """Raised for an event that is longer than ``MAX_EVENT``."""
+    """Raised for an event longer than ``MAX_EVENT``, or too many comments in a row."""
 
 
 class _EventBuffer:
@@ -23,10 +28,11 @@
     Each byte is searched once, in however small parts it arrives.
     """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_n_comment_bytes")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._n_comment_bytes = 0
 
     def __bool__(self) -> bool:
         return bool(self._buffer)
@@ -37,7 +43,8 @@
         Raises
         ------
         SseTooLongError
-            If an event does not end within the limit.
+            If an event does not end within the limit, or no event is among the
+            comments.
         """
         searched_from = max(0, len(self._buffer) - 1)
         self._buffer += data
@@ -45,10 +52,20 @@
         if self._buffer.find(END_OF_EVENT, searched_from) >= 0:
             *events, rest = bytes(self._buffer).split(END_OF_EVENT)
             self._buffer = bytearray(rest)
+            self._count_comments(events)
         if len(self._buffer) > MAX_EVENT:
             raise SseTooLongError(f"event is longer than {MAX_EVENT} bytes")
         return events
 
+    def _count_comments(self, events: list[bytes]) -> None:
+        for event in events:
+            if b"data:" in event or b"id:" in event:
+                self._n_comment_bytes = 0
+            else:
+                self._n_comment_bytes += len(event) + len(END_OF_EVENT)
+        if self._n_comment_bytes > MAX_COMMENTS:
+            raise SseTooLongError(f"more than {MAX_COMMENTS} bytes of comments")
+
 
 class SseSplitter:
     """Split a byte stream into events and return the data of each complete event."""
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -26,6 +26,7 @@
     "body-until-close": (b"HTTP/1.1 200 OK\r\n" + _SIGNED + b"\r\n", b"x" * 4096),
     "chunks": (_CHUNKED, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
     "chunks-of-a-byte": (_CHUNKED, b"1\r\nx\r\n" * 1024),
+    "comments": (_CHUNKED, b"400\r\n" + b": ping\n\n" * 128 + b"\r\n"),
     "chunk-extension": (_CHUNKED + b"1;name=", b"x" * 4096),
     "trailers": (_CHUNKED + b"0\r\n", b"X-Filler: x\r\n" * 256),
 }
--- a/tests/test_protocol/test_sse.py
+++ b/tests/test_protocol/test_sse.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ryelever.protocol.sse import (
+    MAX_COMMENTS,
     MAX_EVENT,
     RawEventSplitter,
     SseSplitter,
@@ -69,5 +70,17 @@
         splitter.feed(b"a" * (MAX_EVENT + 1))
 
 
+@pytest.mark.parametrize("splitter_type", [SseSplitter, RawEventSplitter])
+def test_comments_without_end_are_an_error(splitter_type: type) -> None:
+    """Guard against streams of comments that are read until their deadline."""
+    splitter = splitter_type()
+    most = b": ping\n\n" * (MAX_COMMENTS // 8)
+    splitter.feed(most)
+    assert splitter.feed(b"id: 1\ndata: a\n\n")
+    splitter.feed(most)
+    with pytest.raises(SseTooLongError):
+        splitter.feed(b": ping\n\n")
+
+
 def test_written_event_is_read_back() -> None:
     assert SseSplitter().feed(sse_event(b'{"a":1}')) == [b'{"a":1}']
--- a/tests/test_system/test_endless_answers.py
+++ b/tests/test_system/test_endless_answers.py
@@ -12,7 +12,7 @@
 from ..relay_zone import RelayHost, RelayZone, running_relay_zone
 
 #: Forms of ``ENDLESS_FORMS``; ``test_http_client.py`` tests all.
-FORMS = ("interim-heads", "body-until-close", "chunks-of-a-byte")
+FORMS = ("interim-heads", "body-until-close", "chunks-of-a-byte", "comments")
 
 #: As many as one server has slots for: nobody waits beside the faulty one.
 N_CALLERS = 12
