Bound the memory that all callers take together

Each connection was bounded, but not their sum: bodies that arrive, requests in flight, bytes behind them, answers that aren't read, and what the kernel holds.

What all servers of a process hold for callers is now added up and bounded by a fifth of the machine's memory (limits.memory_mb; callers_memory with settings in JSON), or twice the largest request. Beyond it the largest is released: a request that is arriving gets 503 with Retry-After, before anything has run; one that is being answered stays, but its connection is closed for what is behind it or isn't read. Requests over 64 KiB may take three quarters, so that small ones are served beside any number of large ones, and fields count with the memory that they take when parsed.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -132,7 +132,9 @@
         )
         self.table = self.request_path.table
         self.http_client = HttpClient()
-        self.caller_resources = CallerResources()
+        self.caller_resources = CallerResources(
+            memory=settings.callers_memory,
+        )
         self.callers = Callers(
             bind=split_address(settings.callers_address),
             limits=Limits(
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -467,6 +467,12 @@
         "record",
         "may_be_in_log",
     ),
+    "caller_memory_full": _warning(
+        "callers' requests and unread answers take too much memory together; that of "
+        "the largest is released; at most a line in ten seconds",
+        "peer",
+        "n",
+    ),
     "callers_not_accepted": _warning(
         "waiting connections can't be accepted", "peer", "message"
     ),
--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -68,6 +68,17 @@
     return value
 
 
+def _megabytes_as_bytes(text: str) -> int:
+    return int(_positive(text) * 1_000_000)
+
+
+def _positive(text: str) -> float:
+    value = _non_negative(text)
+    if not value:
+        raise ValueError(text)
+    return value
+
+
 def _truth(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError(text)
@@ -134,6 +145,12 @@
         expected="megabits a second",
         default="10",
     ),
+    "memory": _Field(
+        key="limits.memory_mb",
+        read=_megabytes_as_bytes,
+        expected="a number of megabytes above 0",
+        default="300",
+    ),
     "contention": _Field(
         key="contention.mode",
         read=ContentionMode,
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -143,7 +143,9 @@
         )
         self.evacuations = Evacuations(log=log_event)
         self.store = StoreClient(address=settings.store_address, era_of=log.era)
-        self.caller_resources = CallerResources()
+        self.caller_resources = CallerResources(
+            memory=settings.caller_memory,
+        )
         # The UDP port for datagrams has the same number as the TCP port for requests.
         self.peer_callers = RelayCallers(
             bind=split_address(settings.peers_address),
@@ -292,6 +294,12 @@
             self.metrics,
             resources=self.caller_resources,
         )
+        self.metrics.counter(
+            "caller_requests_refused",
+            lambda: {
+                str(status): n for status, n in self.callers.n_refused_by_status.items()
+            },
+        )
         self._register_components()
 
     # Callbacks that connect the components
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -8,6 +8,10 @@
 
 __all__ = ["ContentionMode", "RelaySettings"]
 
+#: Share of the machine's memory for callers' requests and answers.  They take up to
+#: twice as much while they are received and sent on.
+CALLER_MEMORY_SHARE = 0.2
+
 
 class ContentionMode(enum.Enum):
     """Whether entry hosts share the capacity of engine services among callers.
@@ -51,6 +55,8 @@
         that takes effect when the settings are read again.
     first_start : bool
         Whether the whole system starts for the first time, so that there are no groups.
+    memory : int
+        Memory of the machine in bytes; a process that takes more is killed.
     metrics_port : int
         Separate port on which metrics are served; 0 for none.
     """
@@ -75,9 +81,15 @@
     contention: ContentionMode = ContentionMode.AUTO
     released_parts: tuple[str, ...] = ()
     first_start: bool = True
+    memory: int = 300_000_000
     metrics_port: int = 0
 
     @property
     def peers_address(self) -> str:
         """Return the address for traffic from peers; port 0 picks a free port."""
         return f"{self.ip}:{self.ports[0]}"
+
+    @property
+    def caller_memory(self) -> int:
+        """Return the bytes that callers' requests and answers may take together."""
+        return int(CALLER_MEMORY_SHARE * self.memory)
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -305,6 +305,15 @@
         expected=SIZE,
         meaning="Longest body of a caller's request.",
     ),
+    Setting(
+        name="callers_memory",
+        default=64 << 20,
+        check=is_positive_integer,
+        expected=SIZE,
+        meaning="Memory that requests and unread answers of all callers may take "
+        "together, or twice the longest request if that is more; beyond it, the "
+        "largest requests are refused.",
+    ),
 )
 
 
--- a/ryelever/transport/caller_metrics.py
+++ b/ryelever/transport/caller_metrics.py
@@ -17,6 +17,11 @@
     resources: CallerResources,
 ) -> None:
     """Register the gauges and counters of the servers that own callers' sockets."""
-    steps = resources.steps
+    memory, steps = resources.memory, resources.steps
+    metrics.gauge("caller_memory_bytes", lambda: float(memory.n_bytes))
+    metrics.gauge("caller_memory_limit_bytes", lambda: float(memory.limit))
+    metrics.counter(
+        "caller_memory_released", lambda: {"connections": memory.n_released}
+    )
     metrics.gauge("caller_steps_waiting", lambda: float(steps.n_waiting))
     metrics.counter("caller_steps", lambda: {"deferred": steps.n_run})
--- a/ryelever/transport/caller_server.py
+++ b/ryelever/transport/caller_server.py
@@ -10,6 +10,7 @@
 
 from circuits.net.sockets import TCPServer
 
+from ..coordination.caller_memory import CallerMemory
 from ..logs import log_warning
 from .deferred_steps import DeferredSteps
 
@@ -21,6 +22,10 @@
     "has_unread_input",
 ]
 
+#: Bytes that the kernel keeps for each connection, received and not read or to be sent
+#: when the caller has read others: they take memory as well.
+SOCKET_BUFFER = 32 * 1024
+
 #: Bytes behind a request in flight from which no more are read.
 MAX_UNPARSED = 64 * 1024
 
@@ -66,11 +71,18 @@
 
 
 class CallerResources:
-    """What all servers of a process share among their connections."""
+    """What all servers of a process share among their connections.
+
+    Parameters
+    ----------
+    memory : int
+        Bytes that callers' requests and answers may take together.
+    """
 
-    __slots__ = ("steps",)
+    __slots__ = ("memory", "steps")
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: int = 64 << 20) -> None:
+        self.memory = CallerMemory(limit=memory)
         self.steps = DeferredSteps()
 
 
@@ -100,6 +112,13 @@
             resources.steps.register(self)
         self._n_unsent_by_sock: dict[socket.socket, int] = {}
         self._logged_at_by_event: dict[str, float] = {}
+        # Accepted sockets inherit the sizes.
+        for level, option in (
+            (socket.SOL_SOCKET, socket.SO_RCVBUF),
+            (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT),
+        ):
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(level, option, SOCKET_BUFFER)
 
     def _is_log_due(self, event: str) -> bool:
         """Return whether a line of this event is to be logged, and count it as logged.
@@ -112,6 +131,10 @@
         self._logged_at_by_event[event] = now
         return True
 
+    def _log_memory_full(self, sender: str, n_bytes: int) -> None:
+        if self._is_log_due("caller_memory_full"):
+            log_warning("caller_memory_full", peer=sender, n=n_bytes)
+
     def _accept(self) -> None:
         """Accept pending connections, at most ``MAX_ACCEPTS_PER_EVENT``.
 
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -18,6 +18,7 @@
 from circuits import Event, handler
 from circuits.net.events import disconnect, ready
 
+from ..coordination.caller_memory import SMALL_USE, MemoryUse
 from ..events import (
     CallerAnswer,
     CallerRequest,
@@ -25,7 +26,7 @@
     caller_request,
     caller_stalled,
 )
-from ..protocol.openai import error_body
+from ..protocol.openai import error_body, error_headers
 from .caller_server import MAX_UNPARSED, CallerServer, has_unread_input
 from .callers_web import (
     LAST_CHUNK,
@@ -34,6 +35,7 @@
     stream_chunk,
     stream_head,
 )
+from .request_heads import HEADER_OVERHEAD
 from .request_reader import CompleteRequest, Limits, Refusal, RequestReader
 
 if TYPE_CHECKING:
@@ -60,6 +62,8 @@
         True while reading from the backend server is paused for this caller.
     closing : bool
         True once no further request is read; the connection closes at ``closes_at``.
+    n_request_bytes : int
+        Memory of the request that is being answered.
     deferred : bytes
         Bytes that wait to be parsed until other connections have been handled; nothing
         is read meanwhile.
@@ -72,8 +76,10 @@
     sock: socket.socket
     peer: str
     reader: RequestReader
+    memory: MemoryUse
     since: float
     progress_at: float
+    n_request_bytes: int = 0
     deferred: bytes = b""
     is_reading: bool = True
     awaits_reader: bool = False
@@ -118,6 +124,7 @@
             bind, resources=resources, channel="callers", bufsize=64 * 1024
         )
         self._limits = limits
+        self._resources.memory.allow_request(limits.max_head + limits.max_body)
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_request: dict[str, _Connection] = {}
         self.n_refused_by_code: dict[str, int] = {}
@@ -140,6 +147,7 @@
             sock=sock,
             peer=peer,
             reader=RequestReader(limits=self._limits, peer=peer, started_at=now),
+            memory=MemoryUse(release=lambda: self._release(connection)),
             since=now,
             progress_at=now,
         )
@@ -151,6 +159,7 @@
         if connection is None:
             return
         self._web.forget(sock)
+        self._resources.memory.forget(connection.memory)
         if connection.request_id:
             del self._connections_by_request[connection.request_id]
             self.fire(caller_disconnected(connection.request_id), "serving")
@@ -164,6 +173,7 @@
             connection.deferred = data
             self._update_reading(connection)
             self._resources.steps.add(lambda: self._parse_deferred(connection))
+            self._update_memory(connection)
         else:
             self._parse(connection, data)
 
@@ -180,6 +190,7 @@
             connection, connection.reader.feed(data, now=time.monotonic())
         )
         self._update_reading(connection)
+        self._update_memory(connection)
 
     def _update_reading(self, connection: _Connection) -> None:
         """Stop reading while many bytes are unparsed or their turn has to come."""
@@ -212,6 +223,35 @@
             and not has_unread_input(connection.sock)
         )
 
+    # Memory
+
+    def _update_memory(self, connection: _Connection) -> None:
+        """Record the memory that a connection takes, and make room if all take much."""
+        if connection.sock not in self._clients:
+            return
+        reader = connection.reader
+        n_request = connection.n_request_bytes or reader.n_bytes
+        n_other = (
+            reader.n_pipelined
+            + len(connection.deferred)
+            + self.n_unsent(connection.sock)
+        )
+        n_releasable = n_request + n_other
+        if connection.request is not None:
+            n_releasable = n_other if n_other > SMALL_USE else 0
+        self._resources.memory.update(
+            connection.memory, n_bytes=n_request + n_other, n_releasable=n_releasable
+        )
+
+    def _release(self, connection: _Connection) -> None:
+        """Free the memory of a connection for those of other callers."""
+        self._log_memory_full(connection.peer, connection.memory.n_bytes)
+        is_busy = connection.request is not None or self.n_unsent(connection.sock)
+        if is_busy or connection.closing:
+            self._close(connection.sock)
+        else:
+            self._refuse(connection, connection.reader.refuse_for_others())
+
     # Closing
 
     @handler("drain", channel="*")
@@ -267,6 +307,7 @@
 
     def _pass_to_web(self, connection: _Connection, request: CompleteRequest) -> None:
         connection.request = request
+        connection.n_request_bytes = _memory_of(request)
         connection.since = time.monotonic()
         self._web.parse(connection.sock, request)
 
@@ -285,11 +326,13 @@
                 ("Content-Type", "application/json"),
                 ("Content-Length", str(len(body))),
                 ("Connection", "close"),
+                *error_headers(refusal.error).items(),
             ],
         )
         http = h11.Connection(h11.SERVER)
         self._write_now(connection, http.send(head) + body)
         self._close_gracefully(connection)
+        self._update_memory(connection)
 
     # Requests and answers
 
@@ -358,6 +401,7 @@
         self._connections_by_request.pop(connection.request_id, None)
         connection.request_id = ""
         connection.request = None
+        connection.n_request_bytes = 0
         connection.response = None
         if connection.sock not in self._connections_by_sock:
             return
@@ -367,6 +411,7 @@
             self._defer_next(connection)
         else:
             self.fire(_next_request(connection.sock), "callers")
+        self._update_memory(connection)
 
     def _defer_next(self, connection: _Connection) -> None:
         """Parse the next request, once the caller has read the last answer.
@@ -388,6 +433,7 @@
                 connection, connection.reader.next_request(now=now)
             )
             self._update_reading(connection)
+            self._update_memory(connection)
 
     # Writing
 
@@ -398,6 +444,7 @@
             if not was_waiting:
                 connection.progress_at = time.monotonic()
             self._check_stalled(connection)
+            self._update_memory(connection)
 
     def write_from_web(self, sock: socket.socket, data: bytes) -> None:
         """Send bytes that ``circuits.web`` itself has composed."""
@@ -427,6 +474,7 @@
         connection.progress_at = time.monotonic()
         if connection.stalled:
             self._check_stalled(connection)
+        self._update_memory(connection)
         self.half_close_if_sent(connection, linger=self._limits.linger)
         if connection.awaits_reader and not connection.closing:
             self._defer_next(connection)
@@ -462,5 +510,13 @@
         ]
 
 
+def _memory_of(request: CompleteRequest) -> int:
+    """Return about how many bytes of memory a request takes."""
+    return len(request.body) + sum(
+        len(name) + len(value) + HEADER_OVERHEAD
+        for name, value in request.headers.items()
+    )
+
+
 class _next_request(Event):
     """Parse the next request of a connection."""
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -11,12 +11,14 @@
 import itertools
 import socket
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import h11
 import msgspec
 from circuits import handler
 
+from ..coordination.caller_memory import SMALL_USE, MemoryUse
 from ..events import (
     RelayedRequest,
     relayed_caller_disconnected,
@@ -26,7 +28,7 @@
 from .caller_server import MAX_UNPARSED, CallerServer, has_unread_input
 from .chunk_joiner import ChunkJoiner
 from .parsing_cost import ParsingCost
-from .request_heads import find_head_fault, is_chunked, split_head
+from .request_heads import find_head_fault, is_chunked, memory_of, split_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,6 +57,9 @@
 #: Seconds after which a caller that reads nothing of its answer is given up.
 UNREAD_TIMEOUT = 20.0
 
+#: Seconds after which a caller may come back that is refused for want of memory.
+RETRY_AFTER = 1.0
+
 #: Seconds within which a caller sends the first request on a new connection.  Callers
 #: connect when they have a request to send.
 FIRST_REQUEST_TIME = 1.0
@@ -82,6 +87,9 @@
         True once the caller has sent anything.
     request_started_at : float or None
         Monotonic time of the first byte of a request that is still arriving.
+    n_request_bytes : int
+        Memory of the request that is being answered, or of the head of the one that
+        is arriving.
     cost : ParsingCost
         Measures how costly the request that is arriving is to parse.
     head_tail : bytes
@@ -108,12 +116,14 @@
 
     sock: socket.socket
     http: h11.Connection
+    memory: MemoryUse
     progress_at: float
     sender: str = ""
     has_received: bool = False
     head: h11.Request | None = None
     body: bytearray = msgspec.field(default_factory=bytearray)
     request_started_at: float | None = None
+    n_request_bytes: int = 0
     cost: ParsingCost = msgspec.field(default_factory=ParsingCost)
     head_tail: bytes = b""
     joiner: ChunkJoiner | None = None
@@ -151,6 +161,11 @@
         Return the limits in force.
     resources : CallerResources or None
         What this server shares with the other servers of the process.
+
+    Attributes
+    ----------
+    n_refused_by_status : dict of int to int
+        Requests that were refused before they were passed on, by status.
     """
 
     def __init__(
@@ -174,6 +189,7 @@
         self._numbers = itertools.count(1)
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_number: dict[int, _Connection] = {}
+        self.n_refused_by_status: Counter[int] = Counter()
         # When each idle timeout was last seen in force.
         self._seen_at_by_idle_timeout: dict[float, float] = {}
         self.draining = False
@@ -221,6 +237,7 @@
         connection = _Connection(
             sock=sock,
             http=self._new_http(),
+            memory=MemoryUse(release=lambda: self._release(connection)),
             progress_at=time.monotonic(),
             sender=sender,
         )
@@ -236,6 +253,7 @@
         connection = self._connections_by_sock.pop(sock, None)
         if connection is None:
             return
+        self._resources.memory.forget(connection.memory)
         if connection.number:
             del self._connections_by_number[connection.number]
             self.fire(
@@ -259,11 +277,13 @@
         else:
             self._receive(connection, data)
         self._update_reading(connection)
+        self._update_memory(connection)
 
     @handler("sweep")
     def _on_sweep(self) -> None:
         now = time.monotonic()
         limits = self._limits()
+        self._resources.memory.allow_request(limits.max_head + limits.max_body)
         idle_timeout = self._known_idle_timeout(limits.idle_timeout, now=now)
         for connection in list(self._connections_by_sock.values()):
             idle_for = now - connection.progress_at
@@ -294,6 +314,29 @@
         else:
             self.pause_reading(connection.sock)
 
+    # Memory
+
+    def _update_memory(self, connection: _Connection) -> None:
+        """Record the memory that a connection takes, and make room if all take much."""
+        if connection.sock not in self._clients:
+            return
+        n_request = connection.n_request_bytes + len(connection.body)
+        n_other = len(connection.unparsed) + self.n_unsent(connection.sock)
+        n_releasable = n_request + n_other
+        if connection.number:
+            n_releasable = n_other if n_other > SMALL_USE else 0
+        self._resources.memory.update(
+            connection.memory, n_bytes=n_request + n_other, n_releasable=n_releasable
+        )
+
+    def _release(self, connection: _Connection) -> None:
+        """Free the memory of a connection for those of other callers."""
+        self._log_memory_full(connection.sender, connection.memory.n_bytes)
+        if connection.number or connection.closing or self.n_unsent(connection.sock):
+            self._close_unanswered(connection, "memory")
+        else:
+            self._refuse(connection, 503)
+
     def _known_idle_timeout(self, in_force: float, *, now: float) -> float:
         """Return the longest idle timeout by which callers may go.
 
@@ -330,6 +373,7 @@
         """Prepare for the first byte of a request."""
         connection.request_started_at = now
         connection.cost = ParsingCost()
+        connection.n_request_bytes = 0
         connection.head_tail = b""
 
     def _is_costly(self, connection: _Connection, data: bytes) -> bool:
@@ -350,6 +394,7 @@
         data, connection.unparsed = bytes(connection.unparsed), bytearray()
         self._receive(connection, data)
         self._update_reading(connection)
+        self._update_memory(connection)
 
     def _receive(self, connection: _Connection, data: bytes) -> None:
         """Parse received bytes, up to the end of one request."""
@@ -359,6 +404,7 @@
                     part, data, connection.head_tail = split_head(
                         connection.head_tail, data
                     )
+                    connection.n_request_bytes += len(part)
                 else:
                     part, data = data, b""
                     if connection.joiner is not None:
@@ -394,6 +440,7 @@
 
     def _start_body(self, connection: _Connection, head: h11.Request) -> None:
         connection.head = head
+        connection.n_request_bytes = memory_of(head)
         limits = self._limits()
         fault = find_head_fault(
             head, max_head=limits.max_head, max_body=limits.max_body
@@ -419,11 +466,13 @@
             body=bytes(connection.body),
             sender=connection.sender,
         )
+        connection.n_request_bytes += len(request.body)
         connection.body.clear()
         self.fire(relayed_request(request), self._reply_channel)
 
     def _refuse(self, connection: _Connection, status: int) -> None:
         """Answer an unacceptable request with a status, then close the connection."""
+        self.n_refused_by_status[status] += 1
         http = connection.http
         if connection.number or http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             # An answer is being sent; the caller would parse a refusal as part of it.
@@ -431,9 +480,22 @@
             return
         with contextlib.suppress(h11.LocalProtocolError):
             headers = [("Content-Length", "0"), ("Connection", "close")]
+            if status == 503:
+                headers.append(("Retry-After", f"{RETRY_AFTER:g}"))
             data = http.send(h11.Response(status_code=status, headers=headers))
             self._send(connection, data + http.send(h11.EndOfMessage()))
         self._close_gracefully(connection)
+        self._discard_input(connection)
+
+    def _discard_input(self, connection: _Connection) -> None:
+        """Free the memory of what a refused caller has sent."""
+        connection.http = self._new_http()
+        connection.body = bytearray()
+        connection.unparsed = bytearray()
+        connection.joiner = None
+        connection.n_request_bytes = 0
+        self._update_reading(connection)
+        self._update_memory(connection)
 
     def _close_unanswered(self, connection: _Connection, reason: str) -> None:
         """Close a connection whose answer is not complete, and log why."""
@@ -508,6 +570,7 @@
         self._connections_by_number.pop(connection.number, None)
         connection.number = 0
         connection.head = None
+        connection.n_request_bytes = 0
         http = connection.http
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             self._close_gracefully(connection)
@@ -519,6 +582,7 @@
             else:
                 http.start_next_cycle()
             self._update_reading(connection)
+        self._update_memory(connection)
 
     def _defer_next(self, connection: _Connection) -> None:
         """Parse the next request, once the caller has read the last answer.
@@ -538,7 +602,8 @@
             return
         if not n_unread:
             connection.progress_at = time.monotonic()
-        self.send_now(connection.sock, data)
+        if self.send_now(connection.sock, data):
+            self._update_memory(connection)
 
     @handler("_write", priority=0)
     def _on_written(self, sock: socket.socket) -> None:
@@ -546,6 +611,7 @@
         if connection is None:
             return
         connection.progress_at = time.monotonic()
+        self._update_memory(connection)
         self.half_close_if_sent(connection, linger=LINGER)
         if connection.awaits_reader and not connection.closing:
             self._defer_next(connection)
--- a/ryelever/transport/request_heads.py
+++ b/ryelever/transport/request_heads.py
@@ -11,13 +11,18 @@
     import h11
 
 __all__ = [
+    "HEADER_OVERHEAD",
     "HeadFault",
     "body_too_large_fault",
     "find_head_fault",
     "is_chunked",
+    "memory_of",
     "split_head",
 ]
 
+#: Bytes of memory that each header takes besides its name and value.
+HEADER_OVERHEAD = 256
+
 #: Bytes that a header takes at least besides its name and value: a colon and the line
 #: end.
 MIN_HEADER_FRAMING = 3
@@ -101,6 +106,13 @@
     return any(name == b"transfer-encoding" for name, _ in head.headers)
 
 
+def memory_of(head: h11.Request) -> int:
+    """Return about how many bytes of memory a parsed head takes."""
+    return len(head.target) + sum(
+        len(name) + len(value) + HEADER_OVERHEAD for name, value in head.headers
+    )
+
+
 def body_too_large_fault(max_body: int) -> HeadFault:
     """Return the fault of a body whose declared or received length exceeds a limit."""
     return HeadFault(
--- a/ryelever/transport/request_reader.py
+++ b/ryelever/transport/request_reader.py
@@ -16,6 +16,7 @@
     body_too_large_fault,
     find_head_fault,
     is_chunked,
+    memory_of,
     split_head,
 )
 
@@ -35,7 +36,14 @@
 #: Status for a request that did not arrive completely in time.
 REQUEST_TIMEOUT = 408
 
+#: Status for a request whose place or memory others need.
+UNAVAILABLE = 503
+
+#: Seconds after which a caller that is refused with that status may come back.
+RETRY_AFTER = 1.0
+
 _CATEGORY_BY_STATUS = {
+    UNAVAILABLE: Category.UNAVAILABLE,
     REQUEST_TIMEOUT: Category.TIMEOUT,
     413: Category.TOO_LARGE,
     431: Category.TOO_LARGE,
@@ -107,6 +115,7 @@
     _head_tail: bytes = b""
     _joiner: ChunkJoiner | None = None
     _cost: ParsingCost = field(default_factory=ParsingCost)
+    _n_head_bytes: int = 0
     _answering: bool = False
     _refused: bool = False
 
@@ -160,6 +169,7 @@
         self._head_tail = b""
         self._joiner = None
         self._cost = ParsingCost()
+        self._n_head_bytes = 0
         self._answering = False
         self.started_at = now
         if pipelined:
@@ -177,6 +187,11 @@
         """Return whether bytes of the next request have been received."""
         return bool(self._pipelined or self._http.trailing_data[0])
 
+    @property
+    def n_bytes(self) -> int:
+        """Return the memory of the request that is arriving."""
+        return self._n_head_bytes + len(self._body)
+
     @property
     def n_pipelined(self) -> int:
         """Return the bytes received behind the request that is being answered."""
@@ -186,6 +201,7 @@
         """Return the next bytes for h11, and the received bytes that are left."""
         if self._head is None:
             part, rest, self._head_tail = split_head(self._head_tail, data)
+            self._n_head_bytes += len(part)
             return part, rest
         return (data if self._joiner is None else self._joiner.feed(data)), b""
 
@@ -212,6 +228,16 @@
             return False
         return now - self.started_at > self.limits.idle_timeout
 
+    def refuse_for_others(self) -> Refusal:
+        """Return the refusal of a request whose place or memory others need."""
+        refusal = self._refuse(
+            "this entry host has too many requests; ask again",
+            status=UNAVAILABLE,
+            code="overloaded",
+        )
+        refusal.error.retry_after = RETRY_AFTER
+        return refusal
+
     def _new_http(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.max_head
@@ -231,6 +257,7 @@
                 return
             if isinstance(event, h11.Request):
                 self._head = event
+                self._n_head_bytes = memory_of(event)
                 refusal = self._refuse_bad_head(event)
                 if refusal is not None:
                     yield refusal
@@ -268,6 +295,7 @@
         self._body = bytearray()
         self._pipelined = bytearray()
         self._joiner = None
+        self._n_head_bytes = 0
         self._http = self._new_http()
         error = RyeleverError(
             message,
@@ -285,7 +313,7 @@
         # has no idempotency key.
         head = self._head
         keyed = head is None or KEY_HEADER in {name for name, _ in head.headers}
-        in_doubt = status == REQUEST_TIMEOUT and keyed
+        in_doubt = status in (REQUEST_TIMEOUT, UNAVAILABLE) and keyed
         return RunState.OUTCOME_UNKNOWN if in_doubt else RunState.NOT_RUN
 
     def _complete_request(self, *, path: str, query: str) -> CompleteRequest:
--- a/tests/abusive_callers.py
+++ b/tests/abusive_callers.py
@@ -257,11 +257,16 @@
 
 #: Behaviours of a crowd, and the number of its connections.
 BEHAVIOURS: dict[str, tuple[Callable[[AbusiveCaller], Awaitable[None]], int]] = {
+    "whole-bodies": (whole_bodies, 150),
+    "bodies-in-pieces": (bodies_in_pieces, 150),
+    "bodies-in-chunks": (bodies_in_chunks, 150),
     "bodies-in-tiny-chunks": (bodies_in_tiny_chunks, 40),
+    "endless-bodies": (endless_bodies, 100),
     "short-fields": (short_fields, 100),
     "pipelined-requests": (pipelined_requests, 100),
     "slow-senders": (slow_senders, 1500),
     "slow-readers": (slow_readers, 500),
+    "half-bodies": (half_bodies, 200),
 }
 
 
--- a/tests/test_system/test_abusive_callers.py
+++ b/tests/test_system/test_abusive_callers.py
@@ -14,6 +14,7 @@
     MACHINE,
     NOT_RUN,
     Door,
+    Machine,
     OrdinaryCallers,
     ReadinessProbe,
     play_beside_ordinary_callers,
@@ -113,6 +114,30 @@
     wait_until(host.is_ready, what="the host is ready after the crowd")
 
 
+@pytest.mark.parametrize("behaviour", ["whole-bodies", "half-bodies", "short-fields"])
+def test_small_machine_bears_a_crowd(
+    platform: RelayZone,
+    behaviour: str,
+    record_property: Callable[[str, object], None],
+) -> None:
+    """Guard against limits that don't follow from the memory of the machine."""
+    name = f"e{len(platform.processes)}"
+    host = platform.start_host(name, limits={"memory_mb": 160, "max_fds": 4100})
+    try:
+        play_beside_ordinary_callers(
+            behaviour,
+            door=_door(host, "route"),
+            process=host.process,
+            machine=Machine(memory=160_000_000, max_sockets=MACHINE.max_sockets),
+            addresses=[host.callers_address, host.ready_address],
+            ordinary=_ordinary_callers(host),
+            probe=ReadinessProbe(address=host.ready_address, target="/ready"),
+            record=record_property,
+        )
+    finally:
+        host.process.kill()
+
+
 def _status_in_calm(host: RelayHost, *, framing: str, pieces: Iterable[bytes]) -> int:
     """Return the status of the only request that a host receives."""
     name, _, port = host.callers_address.rpartition(":")
