Bound the connections of callers, and close the longest waiting for others

4,500 connections that sent nothing had 4,520 descriptors open on a machine that allows 3,900 for sockets, at each door of both interfaces; ordinary callers waited up to 2.4 s, and beyond the process's own limit each poll failed to accept and logged a line.

All ports together now have at most three quarters of the descriptors for callers, and a connection for each 128 KiB of the machine's memory (limits.max_fds; callers_connections with settings in JSON). Beyond that the connection that has waited longest for a complete request is closed, with 503 if it has begun, at the port that has most of these: an ordinary caller's request is complete when it is read. If all have requests in flight, the new one gets 503. Accepting pauses for 0.2 s when no descriptor is left, and such lines are logged once in ten seconds. The sockets are kept in a set: circuits looks each one up in a list for each read and write.

--- a/ryelever/application.py
+++ b/ryelever/application.py
@@ -134,6 +134,7 @@
         self.http_client = HttpClient()
         self.caller_resources = CallerResources(
             memory=settings.callers_memory,
+            max_connections=settings.callers_connections,
         )
         self.callers = Callers(
             bind=split_address(settings.callers_address),
@@ -181,6 +182,7 @@
         register_caller_gauges(
             self.metrics,
             resources=self.caller_resources,
+            servers_by_name={"callers": self.callers},
         )
 
     def _wire_peers(self) -> None:
--- a/ryelever/log_table.py
+++ b/ryelever/log_table.py
@@ -473,6 +473,12 @@
         "peer",
         "n",
     ),
+    "too_many_connections": _warning(
+        "callers have too many connections; one without a request is closed; at most a "
+        "line in ten seconds",
+        "peer",
+        "n",
+    ),
     "callers_not_accepted": _warning(
         "waiting connections can't be accepted", "peer", "message"
     ),
--- a/ryelever/platform/settings.py
+++ b/ryelever/platform/settings.py
@@ -79,6 +79,10 @@
     return value
 
 
+def _count(text: str) -> int:
+    return int(_positive(text))
+
+
 def _truth(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError(text)
@@ -151,6 +155,12 @@
         expected="a number of megabytes above 0",
         default="300",
     ),
+    "max_descriptors": _Field(
+        key="limits.max_fds",
+        read=_count,
+        expected="a number above 0",
+        default="4096",
+    ),
     "contention": _Field(
         key="contention.mode",
         read=ContentionMode,
--- a/ryelever/relay_application.py
+++ b/ryelever/relay_application.py
@@ -145,6 +145,7 @@
         self.store = StoreClient(address=settings.store_address, era_of=log.era)
         self.caller_resources = CallerResources(
             memory=settings.caller_memory,
+            max_connections=settings.max_caller_connections,
         )
         # The UDP port for datagrams has the same number as the TCP port for requests.
         self.peer_callers = RelayCallers(
@@ -293,6 +294,11 @@
         register_caller_gauges(
             self.metrics,
             resources=self.caller_resources,
+            servers_by_name={
+                "callers": self.callers,
+                "ready": self.probe_callers,
+                "peers": self.peer_callers,
+            },
         )
         self.metrics.counter(
             "caller_requests_refused",
--- a/ryelever/relay_settings.py
+++ b/ryelever/relay_settings.py
@@ -12,6 +12,19 @@
 #: twice as much while they are received and sent on.
 CALLER_MEMORY_SHARE = 0.2
 
+#: Share of the machine's memory for what the kernel keeps of callers' connections, and
+#: the bytes that it keeps of each one.
+CALLER_SOCKETS_SHARE = 0.25
+SOCKET_MEMORY = 32 * 1024
+
+#: Share of the descriptors for callers' connections, besides those for files; the
+#: others are for backend servers, other hosts and the store.
+CALLER_DESCRIPTORS_SHARE = 0.75
+FILE_DESCRIPTORS = 200
+
+#: Callers' connections that are allowed on the smallest machine.
+MIN_CALLER_CONNECTIONS = 64
+
 
 class ContentionMode(enum.Enum):
     """Whether entry hosts share the capacity of engine services among callers.
@@ -57,6 +70,8 @@
         Whether the whole system starts for the first time, so that there are no groups.
     memory : int
         Memory of the machine in bytes; a process that takes more is killed.
+    max_descriptors : int
+        Descriptors that the process may open.
     metrics_port : int
         Separate port on which metrics are served; 0 for none.
     """
@@ -82,6 +97,7 @@
     released_parts: tuple[str, ...] = ()
     first_start: bool = True
     memory: int = 300_000_000
+    max_descriptors: int = 4096
     metrics_port: int = 0
 
     @property
@@ -93,3 +109,12 @@
     def caller_memory(self) -> int:
         """Return the bytes that callers' requests and answers may take together."""
         return int(CALLER_MEMORY_SHARE * self.memory)
+
+    @property
+    def max_caller_connections(self) -> int:
+        """Return the maximum number of callers' open connections."""
+        by_descriptors = CALLER_DESCRIPTORS_SHARE * (
+            self.max_descriptors - FILE_DESCRIPTORS
+        )
+        by_memory = CALLER_SOCKETS_SHARE * self.memory / SOCKET_MEMORY
+        return max(MIN_CALLER_CONNECTIONS, int(min(by_descriptors, by_memory)))
--- a/ryelever/settings.py
+++ b/ryelever/settings.py
@@ -314,6 +314,14 @@
         "together, or twice the longest request if that is more; beyond it, the "
         "largest requests are refused.",
     ),
+    Setting(
+        name="callers_connections",
+        default=2048,
+        check=is_positive_integer,
+        expected=COUNT,
+        meaning="Maximum number of callers' connections; beyond it, those that have "
+        "waited longest for a request are closed.",
+    ),
 )
 
 
--- a/ryelever/transport/caller_metrics.py
+++ b/ryelever/transport/caller_metrics.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from ..metrics import Metrics
-    from .caller_server import CallerResources
+    from .caller_server import CallerResources, CallerServer
 
 __all__ = ["register_caller_gauges"]
 
@@ -15,6 +15,7 @@
     metrics: Metrics,
     *,
     resources: CallerResources,
+    servers_by_name: dict[str, CallerServer],
 ) -> None:
     """Register the gauges and counters of the servers that own callers' sockets."""
     memory, steps = resources.memory, resources.steps
@@ -25,3 +26,13 @@
     )
     metrics.gauge("caller_steps_waiting", lambda: float(steps.n_waiting))
     metrics.counter("caller_steps", lambda: {"deferred": steps.n_run})
+    metrics.labelled_gauge(
+        "caller_connections",
+        lambda: {name: float(one.n_clients) for name, one in servers_by_name.items()},
+    )
+    metrics.counter(
+        "caller_connections_refused",
+        lambda: {
+            name: one.n_refused_connections for name, one in servers_by_name.items()
+        },
+    )
--- a/ryelever/transport/caller_server.py
+++ b/ryelever/transport/caller_server.py
@@ -6,7 +6,7 @@
 import errno
 import socket
 import time
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from circuits.net.sockets import TCPServer
 
@@ -14,6 +14,9 @@
 from ..logs import log_warning
 from .deferred_steps import DeferredSteps
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 __all__ = [
     "MAX_UNPARSED",
     "CallerResources",
@@ -29,6 +32,9 @@
 #: Bytes behind a request in flight from which no more are read.
 MAX_UNPARSED = 64 * 1024
 
+#: Seconds for which no connection is accepted after one could not be.
+ACCEPT_PAUSE = 0.2
+
 #: Seconds between two log lines of one kind about callers that were turned away.
 LOG_INTERVAL = 10.0
 
@@ -52,6 +58,9 @@
     }
 )
 
+#: Those that follow each other until something is free again.
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
 
 class ClosingConnection(Protocol):
     """State of a caller's connection that is to be closed.
@@ -77,13 +86,55 @@
     ----------
     memory : int
         Bytes that callers' requests and answers may take together.
+    max_connections : int
+        Maximum open connections of all servers together.
+
+    Attributes
+    ----------
+    servers : list of CallerServer
+        The servers that share.
     """
 
-    __slots__ = ("memory", "steps")
+    __slots__ = ("max_connections", "memory", "servers", "steps")
 
-    def __init__(self, *, memory: int = 64 << 20) -> None:
+    def __init__(self, *, memory: int = 64 << 20, max_connections: int = 2048) -> None:
         self.memory = CallerMemory(limit=memory)
+        self.max_connections = max_connections
         self.steps = DeferredSteps()
+        self.servers: list[CallerServer] = []
+
+    @property
+    def n_free(self) -> int:
+        """Return how many more connections may be open; negative if too many are."""
+        n_open = sum(server.n_clients for server in self.servers)
+        return self.max_connections - n_open
+
+    def close_for_another(self) -> None:
+        """Close a connection that carries no complete request, if there is one.
+
+        A crowd at one port takes no places from callers at the others.
+        """
+        crowded = max(self.servers, key=lambda server: server.n_waiting)
+        crowded.close_longest_waiting()
+
+
+class _Sockets(dict):
+    """The sockets of all clients, in a set with the methods that circuits calls.
+
+    In circuits they are in a list, which is searched for each read and write.
+    """
+
+    def append(self, sock: socket.socket) -> None:
+        """Add a socket."""
+        self[sock] = None
+
+    def remove(self, sock: socket.socket) -> None:
+        """Remove a socket."""
+        del self[sock]
+
+    def __getitem__(self, key: slice) -> list[socket.socket]:
+        """Return the sockets as a list, which circuits asks for by a slice."""
+        return list(self)[key]
 
 
 class CallerServer(TCPServer):
@@ -95,6 +146,11 @@
     ----------
     resources : CallerResources
         What this server shares with the process's other servers.
+
+    Attributes
+    ----------
+    n_refused_connections : int
+        Connections that were closed because there were too many.
     """
 
     def __init__(
@@ -105,13 +161,17 @@
         **options: object,
     ) -> None:
         super().__init__(bind, **options)
+        self._clients = _Sockets()
         if resources is None:
             resources = CallerResources()
         self._resources = resources
         if resources.steps.parent is resources.steps:
             resources.steps.register(self)
+        resources.servers.append(self)
         self._n_unsent_by_sock: dict[socket.socket, int] = {}
+        self._accepts_again_at = float("inf")
         self._logged_at_by_event: dict[str, float] = {}
+        self.n_refused_connections = 0
         # Accepted sockets inherit the sizes.
         for level, option in (
             (socket.SOL_SOCKET, socket.SO_RCVBUF),
@@ -131,10 +191,61 @@
         self._logged_at_by_event[event] = now
         return True
 
+    @property
+    def n_clients(self) -> int:
+        """Return the number of open connections."""
+        return len(self._clients)
+
+    @property
+    def n_waiting(self) -> int:
+        """Return the number of connections that carry no complete request."""
+        return 0
+
+    # Accepting
+
     def _log_memory_full(self, sender: str, n_bytes: int) -> None:
         if self._is_log_due("caller_memory_full"):
             log_warning("caller_memory_full", peer=sender, n=n_bytes)
 
+    def _connections_to_close(self) -> Iterable[ClosingConnection]:
+        """Yield the connections that may be closed for others, the first one first."""
+        return ()
+
+    def _close_for_others(self, connection: ClosingConnection) -> None:
+        """Close a connection, so that another one can be accepted."""
+        raise NotImplementedError
+
+    def _make_room(self) -> None:
+        """Close a connection of any server if there are too many."""
+        if self._resources.n_free <= 0:
+            self._resources.close_for_another()
+
+    def close_longest_waiting(self) -> None:
+        """Close the connection that has waited longest for a complete request."""
+        self.n_refused_connections += 1
+        if self._is_log_due("too_many_connections"):
+            log_warning(
+                "too_many_connections",
+                peer=f"{self.host}:{self.port}",
+                n=len(self._clients),
+            )
+        connection = next(iter(self._connections_to_close()), None)
+        if connection is not None:
+            self._close_for_others(connection)
+
+    def resume_accepting(self, *, now: float) -> None:
+        """Accept connections again once the pause after a failed accept is over."""
+        if now >= self._accepts_again_at:
+            self._accepts_again_at = float("inf")
+            if self._sock is not None:
+                self._poller.addReader(self, self._sock)
+
+    def _pause_accepting(self) -> None:
+        # The listening socket stays readable: each poll would fail to accept again.
+        if self._poller is not None:
+            self._poller.removeReader(self._sock)
+        self._accepts_again_at = time.monotonic() + ACCEPT_PAUSE
+
     def _accept(self) -> None:
         """Accept pending connections, at most ``MAX_ACCEPTS_PER_EVENT``.
 
@@ -156,7 +267,10 @@
                         peer=f"{self.host}:{self.port}",
                         message=error.strerror,
                     )
+                if error.errno in EXHAUSTED:
+                    self._pause_accepting()
                 return
+            self._make_room()
             self._on_accept_done(sock)
 
     def stop_listening(self) -> None:
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -39,7 +39,7 @@
 from .request_reader import CompleteRequest, Limits, Refusal, RequestReader
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from circuits.web.wrappers import Request, Response
 
@@ -127,6 +127,8 @@
         self._resources.memory.allow_request(limits.max_head + limits.max_body)
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_request: dict[str, _Connection] = {}
+        # Connections without a complete request, by the time since when.
+        self._waiting_by_sock: dict[socket.socket, _Connection] = {}
         self.n_refused_by_code: dict[str, int] = {}
         self.n_unread = 0
         self._draining = False
@@ -152,6 +154,10 @@
             progress_at=now,
         )
         self._connections_by_sock[sock] = connection
+        self._waiting_by_sock[sock] = connection
+        if self._resources.n_free < 0:
+            # All others have requests in flight.
+            self._close_for_others(connection)
 
     @handler("disconnect", channel="callers")
     def _on_caller_disconnect(self, sock: socket.socket) -> None:
@@ -159,6 +165,7 @@
         if connection is None:
             return
         self._web.forget(sock)
+        self._waiting_by_sock.pop(sock, None)
         self._resources.memory.forget(connection.memory)
         if connection.request_id:
             del self._connections_by_request[connection.request_id]
@@ -169,6 +176,10 @@
         connection = self._connections_by_sock.get(sock)
         if connection is None or connection.closing:
             return
+        if connection.reader.is_idle and not connection.request_id:
+            # Those that may be closed for others are in the order of this time.
+            self._waiting_by_sock.pop(sock, None)
+            self._waiting_by_sock[sock] = connection
         if connection.reader.is_costly(data):
             connection.deferred = data
             self._update_reading(connection)
@@ -207,6 +218,7 @@
     @handler("sweep", channel="callers")
     def _on_sweep(self) -> None:
         now = time.monotonic()
+        self.resume_accepting(now=now)
         for connection in list(self._connections_by_sock.values()):
             refusal = connection.reader.refuse_if_overdue(now=now)
             if refusal is not None:
@@ -223,7 +235,7 @@
             and not has_unread_input(connection.sock)
         )
 
-    # Memory
+    # Memory and places
 
     def _update_memory(self, connection: _Connection) -> None:
         """Record the memory that a connection takes, and make room if all take much."""
@@ -252,6 +264,23 @@
         else:
             self._refuse(connection, connection.reader.refuse_for_others())
 
+    @property
+    def n_waiting(self) -> int:
+        """Return the number of connections that carry no complete request."""
+        return len(self._waiting_by_sock)
+
+    def _connections_to_close(self) -> Iterator[_Connection]:
+        for connection in list(self._waiting_by_sock.values()):
+            if connection.closing or not (
+                connection.reader.is_idle and has_unread_input(connection.sock)
+            ):
+                yield connection
+
+    def _close_for_others(self, connection: _Connection) -> None:
+        if not connection.closing and not self.n_unsent(connection.sock):
+            self._refuse(connection, connection.reader.refuse_for_others())
+        self._close(connection.sock)
+
     # Closing
 
     @handler("drain", channel="*")
@@ -309,6 +338,7 @@
         connection.request = request
         connection.n_request_bytes = _memory_of(request)
         connection.since = time.monotonic()
+        self._waiting_by_sock.pop(connection.sock, None)
         self._web.parse(connection.sock, request)
 
     def _refuse(self, connection: _Connection, refusal: Refusal) -> None:
@@ -405,6 +435,7 @@
         connection.response = None
         if connection.sock not in self._connections_by_sock:
             return
+        self._waiting_by_sock[connection.sock] = connection
         if closes:
             self._close_gracefully(connection)
         elif connection.reader.has_pipelined:
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -31,7 +31,7 @@
 from .request_heads import find_head_fault, is_chunked, memory_of, split_head
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from ..coordination.relaying import Headers
     from ..state.routes import ConnectionLimits
@@ -189,6 +189,8 @@
         self._numbers = itertools.count(1)
         self._connections_by_sock: dict[socket.socket, _Connection] = {}
         self._connections_by_number: dict[int, _Connection] = {}
+        # Connections without a complete request, by the time since when.
+        self._waiting_by_sock: dict[socket.socket, _Connection] = {}
         self.n_refused_by_status: Counter[int] = Counter()
         # When each idle timeout was last seen in force.
         self._seen_at_by_idle_timeout: dict[float, float] = {}
@@ -242,6 +244,10 @@
             sender=sender,
         )
         self._connections_by_sock[sock] = connection
+        self._waiting_by_sock[sock] = connection
+        if self._resources.n_free < 0:
+            # All others have requests in flight.
+            self._close_for_others(connection)
 
     def _new_http(self) -> h11.Connection:
         return h11.Connection(
@@ -253,6 +259,7 @@
         connection = self._connections_by_sock.pop(sock, None)
         if connection is None:
             return
+        self._waiting_by_sock.pop(sock, None)
         self._resources.memory.forget(connection.memory)
         if connection.number:
             del self._connections_by_number[connection.number]
@@ -285,6 +292,7 @@
         limits = self._limits()
         self._resources.memory.allow_request(limits.max_head + limits.max_body)
         idle_timeout = self._known_idle_timeout(limits.idle_timeout, now=now)
+        self.resume_accepting(now=now)
         for connection in list(self._connections_by_sock.values()):
             idle_for = now - connection.progress_at
             if now > connection.closes_at:
@@ -314,7 +322,7 @@
         else:
             self.pause_reading(connection.sock)
 
-    # Memory
+    # Memory and places
 
     def _update_memory(self, connection: _Connection) -> None:
         """Record the memory that a connection takes, and make room if all take much."""
@@ -337,6 +345,22 @@
         else:
             self._refuse(connection, 503)
 
+    @property
+    def n_waiting(self) -> int:
+        """Return the number of connections that carry no complete request."""
+        return len(self._waiting_by_sock)
+
+    def _connections_to_close(self) -> Iterator[_Connection]:
+        for connection in list(self._waiting_by_sock.values()):
+            is_arriving = connection.is_idle and has_unread_input(connection.sock)
+            if connection.closing or not is_arriving:
+                yield connection
+
+    def _close_for_others(self, connection: _Connection) -> None:
+        if not connection.closing and not self.n_unsent(connection.sock):
+            self._refuse(connection, 503)
+        self._close(connection.sock)
+
     def _known_idle_timeout(self, in_force: float, *, now: float) -> float:
         """Return the longest idle timeout by which callers may go.
 
@@ -375,6 +399,9 @@
         connection.cost = ParsingCost()
         connection.n_request_bytes = 0
         connection.head_tail = b""
+        # The connections that may be closed for others are in the order of this time.
+        self._waiting_by_sock.pop(connection.sock, None)
+        self._waiting_by_sock[connection.sock] = connection
 
     def _is_costly(self, connection: _Connection, data: bytes) -> bool:
         """Return whether received bytes take long to parse for their number."""
@@ -456,6 +483,7 @@
         connection.joiner = None
         # h11 may have been given the first bytes of the next request too.
         connection.unparsed += connection.http.trailing_data[0]
+        self._waiting_by_sock.pop(connection.sock, None)
         self._connections_by_number[connection.number] = connection
         head = connection.head
         request = RelayedRequest(
@@ -575,6 +603,7 @@
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             self._close_gracefully(connection)
         elif connection.sock in self._connections_by_sock:
+            self._waiting_by_sock[connection.sock] = connection
             if connection.unparsed:
                 connection.http = self._new_http()
                 self._begin_request(connection, now=time.monotonic())
--- a/tests/abusive_callers.py
+++ b/tests/abusive_callers.py
@@ -266,7 +266,9 @@
     "pipelined-requests": (pipelined_requests, 100),
     "slow-senders": (slow_senders, 1500),
     "slow-readers": (slow_readers, 500),
+    "half-heads": (half_heads, 1500),
     "half-bodies": (half_bodies, 200),
+    "silent-connections": (silent_connections, 4500),
 }
 
 
