Let callers that break limits come to the soak, and close its streams

Beside all faults of the soak, crowds of tests/abusive_callers.py come one after the other, in processes of their own and with draws of their own, so that the faults of each seed stay the same.

The soak's proxy left streams open whose loop was closed. They are closed now.

--- a/tests/abusive_callers.py
+++ b/tests/abusive_callers.py
@@ -19,7 +19,7 @@
 
 __all__ = [
     "BEHAVIOURS",
-    "crowd_of",
+    "play_crowd",
     "MACHINE",
     "AbusiveCaller",
     "Door",
@@ -283,9 +283,31 @@
     caller.close()
 
 
+def play_crowd(
+    name: str,
+    *,
+    door: Door,
+    seconds: float,
+    share: float,
+    status_by_id: dict[str, int],
+) -> None:
+    """Play a crowd to its end, with a share of its usual connections."""
+    behaviour, n_connections = BEHAVIOURS[name]
+    until = time.monotonic() + seconds
+
+    async def play_all() -> None:
+        callers = [
+            AbusiveCaller(door=door, until=until, status_by_id=status_by_id)
+            for _ in range(int(share * n_connections))
+        ]
+        await asyncio.gather(*(_play(caller, behaviour) for caller in callers))
+
+    asyncio.run(play_all())
+
+
 @contextmanager
 def crowd_of(
-    name: str, *, door: Door, seconds: float, share: float = 1.0
+    name: str, *, door: Door, seconds: float
 ) -> Iterator[tuple[dict[str, int], threading.Event]]:
     """Play a crowd in a thread; yield its statuses by request and its end.
 
@@ -293,24 +315,14 @@
     ----------
     name : str
         Key of ``BEHAVIOURS``.
-    share : float
-        Share of the behaviour's connections that are played.
     """
-    behaviour, n_connections = BEHAVIOURS[name]
-    n_connections = int(share * n_connections)
     status_by_id: dict[str, int] = {}
     ended = threading.Event()
-    until = time.monotonic() + seconds
-
-    async def play_all() -> None:
-        callers = [
-            AbusiveCaller(door=door, until=until, status_by_id=status_by_id)
-            for _ in range(n_connections)
-        ]
-        await asyncio.gather(*(_play(caller, behaviour) for caller in callers))
 
     def run() -> None:
-        asyncio.run(play_all())
+        play_crowd(
+            name, door=door, seconds=seconds, share=1.0, status_by_id=status_by_id
+        )
         ended.set()
 
     thread = threading.Thread(target=run)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import multiprocessing
 import random
 import signal
 import threading
@@ -11,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..abusive_callers import BEHAVIOURS, Door, play_crowd
 from ..partition import Partition, PartitionMode
 from ..relay_zone import RelayZone
 from ..standins.endless import ENDLESS_FORMS
@@ -75,6 +77,11 @@
 RESUMED_FOR = (0.3, 1.0)
 MAX_SUSPENSIONS = 3
 
+#: Targets of crowds, of which the first needs a key that they don't have, and the share
+#: of their connections that they have here.
+CROWD_TARGETS = ("/look/1", "/nowhere/1", "/ready", "/metrics")
+CROWD_SHARE = 0.1
+
 #: Seconds between two configurations that are published in series, and range of the
 #: seconds that a series lasts.
 PUBLISH_INTERVAL = 0.25
@@ -189,6 +196,7 @@
         ]
         suspensions = [self._suspend_server, self._suspend_domain, self._suspend_all]
         wait = threading.Event()
+        self._start_crowds(seconds)
         self._suspend_all_once(wait)
         end = time.monotonic() + seconds
         pace = generator.choice(PAUSE_FACTORS)
@@ -200,6 +208,52 @@
         while self._due or any(thread.is_alive() for thread in self._threads):
             self._wait_and_end_due(wait, END_CHECK_INTERVAL)
 
+    def _start_crowds(self, seconds: float) -> None:
+        """Play callers that don't keep to limits, one crowd after the other.
+
+        They have draws of their own, and no excuse for any host follows from them.
+        """
+        generator = random.Random(f"crowds {self.seed}")
+        end = time.monotonic() + seconds
+
+        def play() -> None:
+            wait = threading.Event()
+            while time.monotonic() < end:
+                wait.wait(generator.uniform(*PAUSES))
+                behaviour = generator.choice(sorted(BEHAVIOURS))
+                host = generator.choice(sorted(self.partitions_by_host))
+                target = generator.choice(CROWD_TARGETS)
+                duration = generator.uniform(*DURATIONS)
+                disturbance = self._record_begin(f"callers {host}", behaviour)
+                door = self._door(host, target)
+                # The callers' threads would wait for those of a crowd beside them.
+                process = multiprocessing.get_context("spawn").Process(
+                    target=play_crowd,
+                    args=(behaviour,),
+                    kwargs={
+                        "door": door,
+                        "seconds": duration,
+                        "share": CROWD_SHARE,
+                        "status_by_id": {},
+                    },
+                )
+                process.start()
+                process.join()
+                self._record_end(disturbance)
+
+        thread = threading.Thread(target=play, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _door(self, name: str, target: str) -> Door:
+        host = self.zone.hosts_by_name[name]
+        is_probe = target in ("/ready", "/metrics")
+        return Door(
+            address=host.ready_address if is_probe else host.callers_address,
+            target=target,
+            headers=(("Host", "calls.example"),),
+        )
+
     def _wait_and_end_due(self, wait: threading.Event, seconds: float) -> None:
         """Wait, and end the faults whose end is due in the meantime."""
         until = time.monotonic() + seconds
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -71,6 +71,8 @@
         asyncio.set_event_loop(self._loop)
         self._loop.run_until_complete(self._listen())
         self._loop.run_forever()
+        # A stream that is collected later would use the closed loop.
+        self._reset()
         tasks = asyncio.all_tasks(self._loop)
         for task in tasks:
             task.cancel()
@@ -102,7 +104,7 @@
         host, _, port = address.rpartition(":")
         try:
             target = await asyncio.open_connection(host, int(port))
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         self._writers |= {writer, target[1]}
