Close one connection for each new one, not the same one twice

Up to four connections are accepted before the events of those that were closed for them are handled, so that the first of the waiting ones, closed already, was chosen again, no place became free, and the new caller was turned away.

Closed connections are passed over now. The new test fails before (it waits for the requests of callers that were closed). The two servers set whether a connection is read in one method.

--- a/ryelever/transport/caller_server.py
+++ b/ryelever/transport/caller_server.py
@@ -79,6 +79,19 @@
     closes_at: float
 
 
+class ReadConnection(Protocol):
+    """State of a caller's connection whose input may be left unread.
+
+    Attributes
+    ----------
+    is_reading : bool
+        True while what the caller sends is read.
+    """
+
+    sock: socket.socket
+    is_reading: bool
+
+
 class CallerResources:
     """What all servers of a process share among their connections.
 
@@ -287,17 +300,19 @@
             self._accept()
         self._close(self._sock)
 
-    def pause_reading(self, sock: socket.socket) -> None:
-        """Leave what a caller sends in the kernel, whose window then stops the caller.
+    def set_reading(self, connection: ReadConnection, *, reads: bool) -> None:
+        """Read what a caller sends, or leave it in the kernel, which stops the caller.
 
         Until reading is resumed, a caller that leaves is noticed only when something
         is sent to it.
         """
-        self._poller.removeReader(sock)
-
-    def resume_reading(self, sock: socket.socket) -> None:
-        """Read again what a caller sends."""
-        self._poller.addReader(self, sock)
+        if reads == connection.is_reading or connection.sock not in self._clients:
+            return
+        connection.is_reading = reads
+        if reads:
+            self._poller.addReader(self, connection.sock)
+        else:
+            self._poller.removeReader(connection.sock)
 
     def close_gracefully(self, connection: ClosingConnection, *, linger: float) -> None:
         """Close after the answer is sent and the caller has had time to read it.
--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -207,13 +207,7 @@
         """Stop reading while many bytes are unparsed or their turn has to come."""
         is_full = connection.reader.n_pipelined > MAX_UNPARSED
         reads = connection.closing or not (connection.deferred or is_full)
-        if reads == connection.is_reading or connection.sock not in self._clients:
-            return
-        connection.is_reading = reads
-        if reads:
-            self.resume_reading(connection.sock)
-        else:
-            self.pause_reading(connection.sock)
+        self.set_reading(connection, reads=reads)
 
     @handler("sweep", channel="callers")
     def _on_sweep(self) -> None:
@@ -271,8 +265,12 @@
 
     def _connections_to_close(self) -> Iterator[_Connection]:
         for connection in list(self._waiting_by_sock.values()):
+            if connection.sock not in self._clients:
+                # Closed, but the event of that has not been handled yet.
+                continue
+            is_idle = connection.reader.is_idle
             if connection.closing or not (
-                connection.reader.is_idle and has_unread_input(connection.sock)
+                is_idle and has_unread_input(connection.sock)
             ):
                 yield connection
 
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -314,13 +314,7 @@
         reads = len(connection.unparsed) <= max_unparsed and not (
             connection.is_deferred and connection.cost.is_high
         )
-        if reads == connection.is_reading or connection.sock not in self._clients:
-            return
-        connection.is_reading = reads
-        if reads:
-            self.resume_reading(connection.sock)
-        else:
-            self.pause_reading(connection.sock)
+        self.set_reading(connection, reads=reads)
 
     # Memory and places
 
@@ -352,6 +346,9 @@
 
     def _connections_to_close(self) -> Iterator[_Connection]:
         for connection in list(self._waiting_by_sock.values()):
+            if connection.sock not in self._clients:
+                # Closed, but the event of that has not been handled yet.
+                continue
             is_arriving = connection.is_idle and has_unread_input(connection.sock)
             if connection.closing or not is_arriving:
                 yield connection
--- a/tests/test_transport/test_relay_callers.py
+++ b/tests/test_transport/test_relay_callers.py
@@ -477,3 +477,17 @@
     callers._accept()
     fields = {"peer": "10.1.0.40:8227", "message": "Too many open files"}
     assert logged == [("callers_not_accepted", fields)]
+
+
+def test_callers_that_are_silent_give_way_to_others(stepped: Listener) -> None:
+    """Guard against turning away new callers while silent ones have all places."""
+    stepped.callers._resources.max_connections = 8
+    with contextlib.ExitStack() as stack:
+        silent = [stack.enter_context(_connect(stepped)) for _ in range(8)]
+        _step(stepped, until=lambda: stepped.callers.n_open == len(silent))
+        callers = [stack.enter_context(_connect(stepped)) for _ in range(8)]
+        for sock in callers:
+            sock.sendall(GET)
+        _step(stepped, until=lambda: len(stepped.requests) == len(callers))
+        assert [sock.recv(4096)[9:12] for sock in callers] == [b"200"] * len(callers)
+        assert stepped.callers.n_clients == 8
