Close silent connections without an answer

A connection that sent nothing and had to give way was sent 503 first, which took longer than to accept the new one: beside other load the backlog of the port of probes overflowed while 4,500 silent connections came, and two probes in a row had no answer (silent-connections at ready, once, beside a load of 17 on eight cores; that the backlog overflowed is by reading).

Only a request that has begun gets 503 now; a new connection does too when all others have requests in flight.

--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -157,7 +157,8 @@
         self._waiting_by_sock[sock] = connection
         if self._resources.n_free < 0:
             # All others have requests in flight.
-            self._close_for_others(connection)
+            self._refuse(connection, connection.reader.refuse_for_others())
+            self._close(sock)
 
     @handler("disconnect", channel="callers")
     def _on_caller_disconnect(self, sock: socket.socket) -> None:
@@ -275,7 +276,8 @@
                 yield connection
 
     def _close_for_others(self, connection: _Connection) -> None:
-        if not connection.closing and not self.n_unsent(connection.sock):
+        has_begun = not (connection.reader.is_idle or connection.closing)
+        if has_begun and not self.n_unsent(connection.sock):
             self._refuse(connection, connection.reader.refuse_for_others())
         self._close(connection.sock)
 
--- a/ryelever/transport/relay_callers.py
+++ b/ryelever/transport/relay_callers.py
@@ -247,7 +247,8 @@
         self._waiting_by_sock[sock] = connection
         if self._resources.n_free < 0:
             # All others have requests in flight.
-            self._close_for_others(connection)
+            self._refuse(connection, 503)
+            self._close(sock)
 
     def _new_http(self) -> h11.Connection:
         return h11.Connection(
@@ -354,7 +355,8 @@
                 yield connection
 
     def _close_for_others(self, connection: _Connection) -> None:
-        if not connection.closing and not self.n_unsent(connection.sock):
+        has_begun = not (connection.is_idle or connection.closing)
+        if has_begun and not self.n_unsent(connection.sock):
             self._refuse(connection, 503)
         self._close(connection.sock)
 
