Know that a request which a full host refused was not forwarded

A host whose memory or places for callers are used up refuses other hosts' requests with 503 too, before it forwards them. The host that asked took this for an answer after which the request may have run: one that must run at most once was given up with 502 instead of being sent another way. 503 without the header of a forwarding host now counts like 408, 413 and 431. The new case fails before ("broken sent").

--- a/ryelever/transport/http_client.py
+++ b/ryelever/transport/http_client.py
@@ -57,9 +57,10 @@
 #: the backend server.
 FORWARDER_FAILED = "forwarder_failed"
 
-#: Statuses with which a host refuses a request that exceeds its limits, before it could
-#: forward the request. The limits of two hosts differ while the configuration changes.
-BEYOND_LIMITS = frozenset({408, 413, 431})
+#: Statuses with which a host refuses a request that exceeds its limits, or for which it
+#: has no memory or place, before it could forward the request. The limits of two hosts
+#: differ while the configuration changes.
+BEYOND_LIMITS = frozenset({408, 413, 431, 503})
 
 
 class HttpClient(BaseComponent):
--- a/tests/test_transport/test_http_client.py
+++ b/tests/test_transport/test_http_client.py
@@ -497,6 +497,11 @@
         "broken unsent",
         True,
     ),
+    "too many requests": (
+        b"HTTP/1.1 503 \r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+        "broken unsent",
+        True,
+    ),
 }
 
 
