Keep connections whose request waits to be parsed

At the OpenAI interface a connection counted as idle while its only bytes waited for their turn among the costly requests. It was closed when it had been idle before for almost the idle timeout, at the end of a drain, or when others needed its place, and the request got no answer. The bytes that wait now count. Both cases of the new test fail before.

--- a/ryelever/transport/callers.py
+++ b/ryelever/transport/callers.py
@@ -90,6 +90,11 @@
     closes_at: float = float("inf")
     response: Response | None = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no byte of a request has arrived."""
+        return self.reader.is_idle and not self.deferred
+
 
 class Callers(CallerServer):
     """Listen for callers and own their connections.
@@ -225,7 +230,7 @@
 
     def _is_idle(self, connection: _Connection) -> bool:
         return (
-            connection.reader.is_idle
+            connection.is_idle
             and not connection.closing
             and not has_unread_input(connection.sock)
         )
@@ -269,14 +274,12 @@
             if connection.sock not in self._clients:
                 # Closed, but the event of that has not been handled yet.
                 continue
-            is_idle = connection.reader.is_idle
-            if connection.closing or not (
-                is_idle and has_unread_input(connection.sock)
-            ):
+            is_arriving = connection.is_idle and has_unread_input(connection.sock)
+            if connection.closing or not is_arriving:
                 yield connection
 
     def _close_for_others(self, connection: _Connection) -> None:
-        has_begun = not (connection.reader.is_idle or connection.closing)
+        has_begun = not (connection.is_idle or connection.closing)
         if has_begun and not self.n_unsent(connection.sock):
             self._refuse(connection, connection.reader.refuse_for_others())
         self._close(connection.sock)
@@ -308,7 +311,7 @@
     def _is_abandoned(self, connection: _Connection, *, now: float) -> bool:
         if now > connection.closes_at:
             return True
-        if connection.reader.has_idled_too_long(now=now):
+        if connection.is_idle and connection.reader.has_idled_too_long(now=now):
             return not has_unread_input(connection.sock)
         # Without this timeout, a caller that stops reading but does not close its
         # connection would keep its answer in memory indefinitely.
@@ -521,7 +524,7 @@
         return sum(
             connection.closing
             or bool(connection.request_id or self.n_unsent(connection.sock))
-            or not connection.reader.is_idle
+            or not connection.is_idle
             for connection in self._connections_by_sock.values()
         )
 
--- a/tests/test_transport/test_closing.py
+++ b/tests/test_transport/test_closing.py
@@ -148,3 +148,32 @@
             listener.tick(0.01)
         assert [request.path for request in listener.requests] == ["/healthz"]
     listener.stop()
+
+
+@pytest.mark.parametrize("is_drained", [False, True], ids=["idle", "drained"])
+def test_request_that_waits_to_be_parsed_is_answered(
+    monkeypatch: pytest.MonkeyPatch, is_drained: bool
+) -> None:
+    """Guard against a connection that counts as idle while its request has to wait."""
+    listener = Listener()
+    steps = listener.callers._resources.steps
+    monkeypatch.setattr(steps, "_next_at", float("inf"))
+    with socket.create_connection(("127.0.0.1", listener.callers.port)) as sock:
+        sock.sendall(HEALTH + b"a:\r\n" * 300 + b"\r\n")
+        while not steps.n_waiting:
+            listener.tick(0.01)
+        if is_drained:
+            listener.fire(drained(), "callers")
+            listener.tick(0.01)
+        limits = listener.limits
+        age = 1 + (limits.linger if is_drained else limits.idle_timeout)
+        with monkeypatch.context() as patch:
+            clock = time.monotonic
+            patch.setattr(time, "monotonic", lambda: clock() + age)
+            listener.fire(sweep(), "callers")
+            listener.tick(0.01)
+        steps._next_at = float("-inf")
+        for _ in range(10):
+            listener.tick(0.01)
+        assert [request.path for request in listener.requests] == ["/healthz"]
+    listener.stop()
