--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -617,6 +617,11 @@
         self.host = host
         self._connection = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the connection of the last request is kept."""
+        return self._connection is not None
+
     async def send(
         self, path: str, *, method="POST", body=b"a body", deadline=8000, **headers
     ) -> tuple[int | None, dict, bytes]:
